feat: the whole path, thin: node, command line, stand-ins, replay

Cause: the repository was empty; nothing could serve a request.

Change: rudderwayd with membership (SWIM), replicated partitions (Raft over the nodes' memories, no vote or log on disk, an idle group sends nothing), programs with numbered calls, budgets and at-most-once intents, routing by prefix and load, adapters for engines, services and the platform, the callers' and operators' HTTP interfaces, settings and numbered events; rudderway with replay; rudderway-standin; rudderway-sim trace. Decisions live in src/core and take time and seeds as arguments.

--- /dev/null
+++ b/src/core/retry/retry_budget.h
@@ -0,0 +1,23 @@
+/**
+ * @file retry_budget.h
+ * Keeps retries below a fraction of first tries, so that a brownout is not made worse.
+ * Each first try earns a tenth of a retry, up to a cap; each retry spends one.
+ * Decision code: no I/O, clock or thread.
+ */
+#ifndef RUDDERWAY_CORE_RETRY_RETRY_BUDGET_H
+#define RUDDERWAY_CORE_RETRY_RETRY_BUDGET_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+typedef struct {
+    uint32_t tenths;
+} retry_budget_t;
+
+void retry_budget_first_try(retry_budget_t *budget);
+/** Spends one retry; false if none is left. */
+bool retry_budget_take(retry_budget_t *budget);
+/** Delay before attempt @p attempt (2, 3, ...), in milliseconds, before jitter. */
+int64_t retry_delay_ms(uint32_t attempt);
+
+#endif
--- /dev/null
+++ b/src/node/calls.c
@@ -0,0 +1,893 @@
+#include "node/calls.h"
+
+#include "common/chat.h"
+#include "common/event.h"
+#include "core/placement/placement.h"
+#include "node/backend_service.h"
+#include "node/entries.h"
+#include "node/prompt.h"
+#include "node/runs.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+enum {
+    ATTEMPTS_MAXIMUM = 4,
+    HELD_PER_NODE_MAXIMUM = 10000,
+    RETRY_HINT_MS = 1000,
+    DEADLINE_GRACE_MS = 2000, /**< A runner has this long to report after the deadline. */
+    SCAN_INTERVAL_MS = 250,
+    BYTES_PER_MEBIBYTE = 1024 * 1024,
+};
+
+/** Somebody who waits for a call's answer. */
+typedef struct {
+    instance_id_t entry;
+    uint64_t request;
+    bool stream;
+} waiter_t;
+
+/** An operation whose turn has not come, or whose retry is due later. */
+typedef struct {
+    operation_t *operation;
+    int64_t until_ms;
+} held_t;
+
+typedef struct {
+    command_t *intent;
+    int64_t due_ms;
+} delayed_retry_t;
+
+struct calls {
+    GHashTable *waiters; /**< "program#call" → GArray of waiter_t. */
+    GPtrArray *held;     /**< Of held_t. */
+    GPtrArray *retries;  /**< Of delayed_retry_t. */
+    retry_budget_t retry_budget;
+    int64_t next_scan_ms;
+};
+
+/** What a proposal or barrier was made for. */
+typedef struct {
+    operation_t *operation;
+} request_context_t;
+
+static void held_free(gpointer data) {
+    held_t *held = data;
+    operation_free(held->operation);
+    g_free(held);
+}
+
+static void delayed_retry_free(gpointer data) {
+    delayed_retry_t *retry = data;
+    command_free(retry->intent);
+    g_free(retry);
+}
+
+static void waiters_free(gpointer data) {
+    g_array_unref(data);
+}
+
+calls_t *calls_new(void) {
+    calls_t *calls = g_new0(calls_t, 1);
+    calls->waiters = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, waiters_free);
+    calls->held = g_ptr_array_new_with_free_func(held_free);
+    calls->retries = g_ptr_array_new_with_free_func(delayed_retry_free);
+    return calls;
+}
+
+void calls_free(calls_t *calls) {
+    g_hash_table_unref(calls->waiters);
+    g_ptr_array_unref(calls->held);
+    g_ptr_array_unref(calls->retries);
+    g_free(calls);
+}
+
+unsigned calls_waiting(const node_t *node) {
+    return g_hash_table_size(node->calls->waiters) + node->calls->held->len;
+}
+
+static char *call_key(const char *program, uint32_t call) {
+    return g_strdup_printf("%s#%u", program, call);
+}
+
+/* --- Answers ------------------------------------------------------------------------------ */
+
+static void send_answer(node_t *node, instance_id_t entry, answer_t *answer) {
+    answer->from = node->instance;
+    if (entry == node->instance) {
+        entries_answer(node, answer);
+        answer_free(answer);
+        return;
+    }
+    node_send(node, entry, PEER_RESPONSE_OPERATION, answer);
+}
+
+static void answer_error(node_t *node, const operation_t *operation, error_code_t error) {
+    answer_t *answer = answer_new(operation->request, error);
+    if (error == RUDDERWAY_ERROR_NOT_LEADER)
+        answer->leader = partitions_leader(node, partitions_of_program(node, operation->program));
+    else
+        node->metrics.refusals[error]++;
+    bool later = error == RUDDERWAY_ERROR_OVERLOADED || error == RUDDERWAY_ERROR_TENANT_LIMIT ||
+                 error == RUDDERWAY_ERROR_NO_BACKEND || error == RUDDERWAY_ERROR_MEMORY_LIMIT;
+    if (later)
+        answer->retry_after_ms = RETRY_HINT_MS;
+    send_answer(node, operation->entry, answer);
+}
+
+static void answer_json(node_t *node, const operation_t *operation, json_t *body) {
+    answer_t *answer = answer_new(operation->request, RUDDERWAY_ERROR_NONE);
+    answer->body = json_to_bytes(body);
+    json_decref(body);
+    send_answer(node, operation->entry, answer);
+}
+
+/** The stored answer as a JSON value; text that is no JSON becomes a string. */
+static json_t *answer_value(const call_t *call) {
+    size_t length = 0;
+    const char *text = call->answer != NULL ? g_bytes_get_data(call->answer, &length) : NULL;
+    if (length == 0)
+        return json_null();
+    json_t *value = json_loadb(text, length, JSON_DECODE_ANY, NULL);
+    return value != NULL ? value : json_stringn(text, length);
+}
+
+static json_t *call_to_json(const program_t *program, const call_t *call) {
+    json_t *value = json_pack("{s:s, s:i, s:s, s:s, s:i, s:o}", "program",
+                              program_client_id(program->id), "call", (int)call->number, "kind",
+                              call_kind_name(call->kind), "state", call_state_name(call->state),
+                              "attempt", (int)call->attempt, "answer", answer_value(call));
+    if (call->error != RUDDERWAY_ERROR_NONE)
+        json_object_set_new(value, "error", json_string(error_name((error_code_t)call->error)));
+    return value;
+}
+
+static answer_t *call_answer(const program_t *program, const call_t *call, uint64_t request) {
+    answer_t *answer = answer_new(request, call->error);
+    answer->attempt = call->attempt;
+    json_t *value = call_to_json(program, call);
+    answer->body = json_to_bytes(value);
+    json_decref(value);
+    return answer;
+}
+
+json_t *calls_program_to_json(const program_t *program, bool whole) {
+    json_t *value =
+        json_pack("{s:s, s:s, s:s, s:s, s:i, s:I, s:I, s:I, s:b, s:I}", "program",
+                  program_client_id(program->id), "tenant", program->start.tenant, "template",
+                  program->start.template_name, "model", program->start.model, "calls",
+                  (int)program->calls->len, "budget_tokens",
+                  (json_int_t)program->start.limits.budget, "spent_tokens",
+                  (json_int_t)program->spent, "reserved_tokens", (json_int_t)program->reserved,
+                  "ended", program->ended, "started_ms", (json_int_t)program->started_ms);
+    if (program->ended)
+        json_object_set_new(value, "end_reason", json_string(end_reason_name(program->end_reason)));
+    json_t *holders = json_array();
+    for (guint i = 0; i < program->holders->len; i++)
+        json_array_append_new(holders, json_string(g_ptr_array_index(program->holders, i)));
+    json_object_set_new(value, "cache_holders", holders);
+    if (!whole)
+        return value;
+    json_t *history = json_array();
+    for (uint32_t i = 1; i <= program->calls->len; i++) {
+        const call_t *call = program_call(program, i);
+        json_t *entry = call_to_json(program, call);
+        size_t length;
+        const char *request = g_bytes_get_data(call->request, &length);
+        json_t *body = json_loadb(request != NULL ? request : "", length, JSON_DECODE_ANY, NULL);
+        json_object_set_new(entry, "request", body != NULL ? body : json_null());
+        json_array_append_new(history, entry);
+    }
+    json_object_set_new(value, "history", history);
+    return value;
+}
+
+/* --- Waiters ------------------------------------------------------------------------------ */
+
+static void replay_text(node_t *node, const operation_t *operation) {
+    uint32_t attempt;
+    const GString *text = runs_text(node, operation->program, operation->call, &attempt);
+    if (text == NULL || !operation->stream)
+        return;
+    uint64_t from = operation->from_attempt == attempt ? operation->from_offset : 0;
+    if (from >= text->len)
+        return;
+    chunk_t *chunk =
+        chunk_new(operation->request, attempt, from, text->str + from, text->len - from);
+    if (operation->entry == node->instance) {
+        entries_chunk(node, chunk);
+        chunk_free(chunk);
+    } else {
+        node_send(node, operation->entry, PEER_RESPONSE_CHUNK, chunk);
+    }
+}
+
+static void add_waiter(node_t *node, const operation_t *operation) {
+    char *key = call_key(operation->program, operation->call);
+    GArray *waiters = g_hash_table_lookup(node->calls->waiters, key);
+    if (waiters == NULL) {
+        waiters = g_array_new(FALSE, FALSE, sizeof(waiter_t));
+        g_hash_table_insert(node->calls->waiters, g_strdup(key), waiters);
+    }
+    g_free(key);
+    for (guint i = 0; i < waiters->len; i++) {
+        const waiter_t *known = &g_array_index(waiters, waiter_t, i);
+        if (known->entry == operation->entry && known->request == operation->request)
+            return;
+    }
+    waiter_t waiter = {
+        .entry = operation->entry, .request = operation->request, .stream = operation->stream};
+    g_array_append_val(waiters, waiter);
+    replay_text(node, operation);
+}
+
+static void answer_waiters(node_t *node, const program_t *program, const call_t *call) {
+    char *key = call_key(program->id, call->number);
+    GArray *waiters = g_hash_table_lookup(node->calls->waiters, key);
+    for (guint i = 0; waiters != NULL && i < waiters->len; i++) {
+        const waiter_t *waiter = &g_array_index(waiters, waiter_t, i);
+        if (call->error != RUDDERWAY_ERROR_NONE)
+            node->metrics.refusals[call->error]++;
+        send_answer(node, waiter->entry, call_answer(program, call, waiter->request));
+    }
+    g_hash_table_remove(node->calls->waiters, key);
+    g_free(key);
+}
+
+void calls_chunk(node_t *node, const char *program, uint32_t call, uint32_t attempt,
+                 uint64_t offset, const char *data, size_t length) {
+    char *key = call_key(program, call);
+    const GArray *waiters = g_hash_table_lookup(node->calls->waiters, key);
+    g_free(key);
+    for (guint i = 0; waiters != NULL && i < waiters->len; i++) {
+        const waiter_t *waiter = &g_array_index(waiters, waiter_t, i);
+        if (!waiter->stream)
+            continue;
+        chunk_t *chunk = chunk_new(waiter->request, attempt, offset, data, length);
+        if (waiter->entry == node->instance) {
+            entries_chunk(node, chunk);
+            chunk_free(chunk);
+        } else {
+            node_send(node, waiter->entry, PEER_RESPONSE_CHUNK, chunk);
+        }
+    }
+}
+
+/* --- Start, read, end --------------------------------------------------------------------- */
+
+static request_context_t *request_context_new(const operation_t *operation) {
+    request_context_t *context = g_new0(request_context_t, 1);
+    context->operation = operation_copy(operation);
+    return context;
+}
+
+static void request_context_free(request_context_t *context) {
+    operation_free(context->operation);
+    g_free(context);
+}
+
+static void on_start_applied(node_t *node, group_t *group, const command_t *command,
+                             error_code_t error, void *data) {
+    (void)command;
+    request_context_t *context = data;
+    const operation_t *operation = context->operation;
+    const program_t *program = program_store_find(group_store(group), operation->program);
+    if (error == RUDDERWAY_ERROR_NONE && program != NULL)
+        answer_json(node, operation, calls_program_to_json(program, false));
+    else
+        answer_error(node, operation,
+                     error != RUDDERWAY_ERROR_NONE ? error : RUDDERWAY_ERROR_NOT_LEADER);
+    request_context_free(context);
+}
+
+static void start_program(node_t *node, group_t *group, const operation_t *operation) {
+    uint64_t limit = (uint64_t)node->settings->program_memory_mb * BYTES_PER_MEBIBYTE;
+    bool known = program_store_find(group_store(group), operation->program) != NULL;
+    if (!known && node->stopping) {
+        answer_error(node, operation, RUDDERWAY_ERROR_NOT_LEADER);
+        return;
+    }
+    if (!known && partitions_bytes(node) > limit) {
+        answer_error(node, operation, RUDDERWAY_ERROR_MEMORY_LIMIT);
+        return;
+    }
+    command_t *command = command_new(COMMAND_START, operation->program, node->unix_ms);
+    program_start_copy(&command->start, &operation->start);
+    partitions_propose(node, group, command, on_start_applied, request_context_new(operation));
+}
+
+static void on_end_applied(node_t *node, group_t *group, const command_t *command,
+                           error_code_t error, void *data) {
+    on_start_applied(node, group, command, error, data);
+}
+
+static bool belongs_to(const program_t *program, const operation_t *operation) {
+    return program != NULL && strcmp(program->start.tenant, operation->tenant) == 0;
+}
+
+static void end_program(node_t *node, group_t *group, const operation_t *operation) {
+    const program_t *program = program_store_find(group_store(group), operation->program);
+    if (!belongs_to(program, operation)) {
+        answer_error(node, operation, RUDDERWAY_ERROR_NO_SUCH_PROGRAM);
+        return;
+    }
+    command_t *command = command_new(COMMAND_END, operation->program, node->unix_ms);
+    command->reason = END_BY_CALLER;
+    partitions_propose(node, group, command, on_end_applied, request_context_new(operation));
+}
+
+static void answer_read(node_t *node, const group_t *group, const operation_t *operation) {
+    const program_t *program = program_store_find(group_store(group), operation->program);
+    if (!belongs_to(program, operation)) {
+        answer_error(node, operation, RUDDERWAY_ERROR_NO_SUCH_PROGRAM);
+        return;
+    }
+    if (operation->kind == OPERATION_HISTORY) {
+        answer_json(node, operation, calls_program_to_json(program, true));
+        return;
+    }
+    const call_t *call = program_call(program, operation->call);
+    if (call == NULL)
+        answer_error(node, operation, RUDDERWAY_ERROR_NO_SUCH_CALL);
+    else if (call->state == CALL_RUNNING)
+        add_waiter(node, operation);
+    else
+        send_answer(node, operation->entry, call_answer(program, call, operation->request));
+}
+
+static void on_read_current(node_t *node, group_t *group, error_code_t error, void *data) {
+    request_context_t *context = data;
+    if (error == RUDDERWAY_ERROR_NONE)
+        answer_read(node, group, context->operation);
+    else
+        answer_error(node, context->operation, error);
+    request_context_free(context);
+}
+
+/* --- Calls -------------------------------------------------------------------------------- */
+
+static uint64_t request_digest(const operation_t *operation) {
+    size_t length;
+    const void *body = g_bytes_get_data(operation->body, &length);
+    XXH3_state_t *state = XXH3_createState();
+    XXH3_64bits_reset(state);
+    const uint32_t numbers[] = {operation->call_kind, operation->repeatable,
+                                operation->output_tokens};
+    XXH3_64bits_update(state, numbers, sizeof numbers);
+    const char *service = operation->service != NULL ? operation->service : "";
+    XXH3_64bits_update(state, service, strlen(service) + 1);
+    if (operation->start.template_name != NULL)
+        XXH3_64bits_update(state, operation->start.template_name,
+                           strlen(operation->start.template_name));
+    if (length > 0)
+        XXH3_64bits_update(state, body, length);
+    uint64_t digest = XXH3_64bits_digest(state);
+    XXH3_freeState(state);
+    return digest;
+}
+
+/** Chooses the back end of a model call and what it may cost at most. */
+static error_code_t plan_model_call(node_t *node, const program_t *program, command_t *intent,
+                                    uint32_t output_tokens, const char *avoid) {
+    json_t *messages = prompt_messages(program, intent->call, intent->body);
+    GString *text = chat_prompt(messages);
+    prefix_t *prefix = g_new(prefix_t, 1);
+    prefix_compute(prefix, text->str, text->len);
+    routing_request_t request = {.kind = BACKEND_ENGINE,
+                                 .offers = program->start.model,
+                                 .program = program->id,
+                                 .zone = node->settings->zone,
+                                 .prefix = prefix,
+                                 .avoid = avoid};
+    const backend_t *backend =
+        routing_choose(&node->routing, node->backends, &request, node->now_ms);
+    intent->reserve = chat_tokens(text->len) + output_tokens;
+    intent->output_tokens = output_tokens;
+    g_free(intent->backend);
+    intent->backend = backend != NULL ? g_strdup(backend->record.name) : NULL;
+    g_free(prefix);
+    g_string_free(text, TRUE);
+    json_decref(messages);
+    return backend != NULL ? RUDDERWAY_ERROR_NONE : RUDDERWAY_ERROR_NO_BACKEND;
+}
+
+static error_code_t plan_tool_call(node_t *node, const program_t *program, command_t *intent,
+                                   const char *service, const char *avoid) {
+    routing_request_t request = {.kind = BACKEND_SERVICE,
+                                 .offers = service,
+                                 .program = program->id,
+                                 .zone = node->settings->zone,
+                                 .avoid = avoid};
+    const backend_t *backend =
+        routing_choose(&node->routing, node->backends, &request, node->now_ms);
+    g_free(intent->backend);
+    intent->backend = backend != NULL ? g_strdup(backend->record.name) : NULL;
+    if (backend != NULL)
+        return RUDDERWAY_ERROR_NONE;
+    return backend_service_offers(node, service) ? RUDDERWAY_ERROR_NO_BACKEND
+                                                 : RUDDERWAY_ERROR_NO_SUCH_SERVICE;
+}
+
+static error_code_t plan_call(node_t *node, const program_t *program, const operation_t *operation,
+                              command_t *intent) {
+    switch (operation->call_kind) {
+    case CALL_MODEL:
+        return plan_model_call(node, program, intent, operation->output_tokens, NULL);
+    case CALL_TOOL:
+        return plan_tool_call(node, program, intent, operation->service, NULL);
+    case CALL_SUBAGENT:
+        program_start_copy(&intent->start, &operation->start);
+        intent->reserve = operation->start.limits.budget;
+        intent->backend = g_strdup("");
+        return RUDDERWAY_ERROR_NONE;
+    case CALL_KINDS:
+        break;
+    }
+    return RUDDERWAY_ERROR_BAD_REQUEST;
+}
+
+static error_code_t check_limits(node_t *node, const operation_t *operation) {
+    if (node->stopping)
+        return RUDDERWAY_ERROR_NOT_LEADER; /* Soon: leadership is being handed off. */
+    if (runs_count(node, NULL) >= node->settings->calls_in_flight)
+        return RUDDERWAY_ERROR_OVERLOADED;
+    configuration_t *configuration = node_configuration(node);
+    const tenant_t *tenant = configuration_tenant(configuration, operation->tenant);
+    bool over = tenant != NULL && runs_count(node, operation->tenant) >= tenant->calls_in_flight;
+    configuration_unref(configuration);
+    return over ? RUDDERWAY_ERROR_TENANT_LIMIT : RUDDERWAY_ERROR_NONE;
+}
+
+/** A limit that a program has run into ends it. */
+static void end_if_runaway(node_t *node, group_t *group, const char *program, error_code_t error) {
+    if (error != RUDDERWAY_ERROR_LOOP_DETECTED)
+        return;
+    command_t *command = command_new(COMMAND_END, program, node->unix_ms);
+    command->reason = END_LOOP;
+    partitions_propose(node, group, command, NULL, NULL);
+}
+
+static void on_intent_applied(node_t *node, group_t *group, const command_t *command,
+                              error_code_t error, void *data) {
+    (void)command;
+    request_context_t *context = data;
+    const operation_t *operation = context->operation;
+    const program_t *program = program_store_find(group_store(group), operation->program);
+    const call_t *call = program != NULL ? program_call(program, operation->call) : NULL;
+    bool raced = error == RUDDERWAY_ERROR_CALL_RUNNING && call != NULL;
+    if (error != RUDDERWAY_ERROR_NONE && !raced)
+        answer_error(node, operation, error);
+    else if (call == NULL)
+        answer_error(node, operation, RUDDERWAY_ERROR_NOT_LEADER);
+    else if (call->state == CALL_RUNNING)
+        add_waiter(node, operation);
+    else
+        send_answer(node, operation->entry, call_answer(program, call, operation->request));
+    request_context_free(context);
+}
+
+static void propose_call(node_t *node, group_t *group, const program_t *program,
+                         const operation_t *operation) {
+    const call_t *known = program_call(program, operation->call);
+    error_code_t error = check_limits(node, operation);
+    command_t *intent = command_new(COMMAND_INTENT, operation->program, node->unix_ms);
+    intent->call = operation->call;
+    intent->attempt = known != NULL ? known->attempt + 1 : 1;
+    intent->call_kind = operation->call_kind;
+    intent->repeatable = operation->repeatable;
+    intent->digest = request_digest(operation);
+    intent->runner = node->instance;
+    intent->body = g_bytes_ref(operation->body);
+    int64_t longest = (int64_t)node->settings->call_timeout_seconds * 1000;
+    int64_t wall_end = program->started_ms + program->start.limits.wall_ms;
+    intent->deadline_ms =
+        MIN(node->unix_ms + MIN(longest, operation->remaining_ms), MAX(wall_end, node->unix_ms));
+    if (error == RUDDERWAY_ERROR_NONE)
+        error = plan_call(node, program, operation, intent);
+    if (error == RUDDERWAY_ERROR_NONE)
+        error = program_store_check(group_store(group), intent);
+    if (error == RUDDERWAY_ERROR_NONE) {
+        retry_budget_first_try(&node->calls->retry_budget);
+        partitions_propose(node, group, intent, on_intent_applied, request_context_new(operation));
+        return;
+    }
+    command_free(intent);
+    answer_error(node, operation, error);
+    end_if_runaway(node, group, operation->program, error);
+}
+
+static bool is_held(const node_t *node, const operation_t *operation) {
+    for (guint i = 0; i < node->calls->held->len; i++) {
+        const held_t *held = g_ptr_array_index(node->calls->held, i);
+        if (held->operation->entry == operation->entry &&
+            held->operation->request == operation->request)
+            return true;
+    }
+    return false;
+}
+
+static void hold(node_t *node, const operation_t *operation) {
+    if (is_held(node, operation))
+        return;
+    if (node->calls->held->len >= HELD_PER_NODE_MAXIMUM) {
+        answer_error(node, operation, RUDDERWAY_ERROR_OUT_OF_ORDER);
+        return;
+    }
+    held_t *held = g_new0(held_t, 1);
+    held->operation = operation_copy(operation);
+    held->until_ms = node->now_ms + operation->remaining_ms;
+    g_ptr_array_add(node->calls->held, held);
+}
+
+static bool is_settled(const call_t *call) {
+    return call != NULL && call->state != CALL_RUNNING && call->state != CALL_NOT_RUN;
+}
+
+static void start_call(node_t *node, group_t *group, const operation_t *operation) {
+    const program_t *program = program_store_find(group_store(group), operation->program);
+    if (!belongs_to(program, operation)) {
+        answer_error(node, operation, RUDDERWAY_ERROR_NO_SUCH_PROGRAM);
+        return;
+    }
+    const call_t *call = program_call(program, operation->call);
+    if (call != NULL && call->digest != request_digest(operation))
+        answer_error(node, operation, RUDDERWAY_ERROR_CALL_MISMATCH);
+    else if (is_settled(call))
+        send_answer(node, operation->entry, call_answer(program, call, operation->request));
+    else if (call != NULL && call->state == CALL_RUNNING)
+        add_waiter(node, operation);
+    else if (program->ended)
+        answer_error(node, operation, RUDDERWAY_ERROR_PROGRAM_ENDED);
+    else if (operation->call == 1 || is_settled(program_call(program, operation->call - 1)))
+        propose_call(node, group, program, operation);
+    else
+        hold(node, operation);
+}
+
+void calls_receive(node_t *node, const operation_t *operation) {
+    uint32_t partition = partitions_of_program(node, operation->program);
+    group_t *group = partitions_led_group(node, partition);
+    if (group == NULL) {
+        answer_error(node, operation, RUDDERWAY_ERROR_NOT_LEADER);
+        return;
+    }
+    switch (operation->kind) {
+    case OPERATION_START:
+        start_program(node, group, operation);
+        break;
+    case OPERATION_CALL:
+        start_call(node, group, operation);
+        break;
+    case OPERATION_END:
+        end_program(node, group, operation);
+        break;
+    case OPERATION_FETCH:
+    case OPERATION_HISTORY:
+        partitions_barrier(node, group, on_read_current, request_context_new(operation));
+        break;
+    case OPERATION_KINDS:
+        break;
+    }
+}
+
+/* --- Outcomes ----------------------------------------------------------------------------- */
+
+/** True if another attempt may follow the outcome @p result. */
+static bool may_retry(const node_t *node, const program_t *program, const call_t *call,
+                      const command_t *result) {
+    if (result->state == CALL_OK || call->attempt >= ATTEMPTS_MAXIMUM || program->ended ||
+        node->unix_ms >= call->deadline_ms || node->stopping)
+        return false;
+    if (result->state == CALL_NOT_RUN)
+        return true;
+    return call->repeatable && result->state == CALL_UNKNOWN;
+}
+
+static command_t *retry_intent(node_t *node, const program_t *program, const call_t *call,
+                               const command_t *result) {
+    command_t *intent = command_new(COMMAND_INTENT, program->id, node->unix_ms);
+    intent->call = call->number;
+    intent->attempt = call->attempt + 1;
+    intent->call_kind = call->kind;
+    intent->repeatable = call->repeatable;
+    intent->previous_not_run = result->state == CALL_NOT_RUN;
+    intent->digest = call->digest;
+    intent->runner = node->instance;
+    intent->deadline_ms = call->deadline_ms;
+    intent->body = g_bytes_ref(call->request);
+    const backend_t *failed = backend_set_find(node->backends, call->backend);
+    error_code_t error = RUDDERWAY_ERROR_NO_BACKEND;
+    if (call->kind == CALL_MODEL) {
+        error = plan_model_call(node, program, intent, call->output_tokens, call->backend);
+    } else if (failed != NULL) {
+        error = plan_tool_call(node, program, intent, failed->record.offers, call->backend);
+    }
+    if (error == RUDDERWAY_ERROR_NONE)
+        return intent;
+    command_free(intent);
+    return NULL;
+}
+
+static void delay_retry(node_t *node, command_t *intent) {
+    delayed_retry_t *retry = g_new0(delayed_retry_t, 1);
+    retry->intent = intent;
+    retry->due_ms = node->now_ms + retry_delay_ms(intent->attempt);
+    g_ptr_array_add(node->calls->retries, retry);
+}
+
+static bool retry_is_pending(const node_t *node, const command_t *result) {
+    for (guint i = 0; i < node->calls->retries->len; i++) {
+        const delayed_retry_t *retry = g_ptr_array_index(node->calls->retries, i);
+        if (strcmp(retry->intent->program, result->program) == 0 &&
+            retry->intent->call == result->call)
+            return true;
+    }
+    return false;
+}
+
+void calls_settle(node_t *node, group_t *group, command_t *result) {
+    const program_t *program = program_store_find(group_store(group), result->program);
+    const call_t *call = program != NULL ? program_call(program, result->call) : NULL;
+    bool open = call != NULL && call->state == CALL_RUNNING && call->attempt == result->attempt;
+    if (!open || retry_is_pending(node, result)) {
+        command_free(result);
+        return;
+    }
+    if (may_retry(node, program, call, result) && retry_budget_take(&node->calls->retry_budget)) {
+        command_t *intent = retry_intent(node, program, call, result);
+        if (intent != NULL) {
+            event_log(CALL_RETRIED, program->id, call->number, intent->attempt, call->backend,
+                      error_name((error_code_t)result->error));
+            node->metrics.retries++;
+            delay_retry(node, intent);
+            command_free(result);
+            return;
+        }
+    }
+    if (result->state == CALL_UNKNOWN)
+        event_log(CALL_UNKNOWN, program->id, call->number, error_name((error_code_t)result->error));
+    if (result->state == CALL_FAILED)
+        event_log(CALL_FAILED, program->id, call->number, call->backend,
+                  error_name((error_code_t)result->error));
+    partitions_propose(node, group, result, NULL, NULL);
+}
+
+static command_t *lost_result(const node_t *node, const program_t *program, const call_t *call,
+                              error_code_t error) {
+    command_t *result = command_new(COMMAND_RESULT, program->id, node->unix_ms);
+    result->call = call->number;
+    result->attempt = call->attempt;
+    result->state = CALL_UNKNOWN;
+    result->error = error;
+    result->body = g_bytes_new(NULL, 0);
+    return result;
+}
+
+/** The outcome of a running call that nobody will report any more, or NULL. */
+static command_t *find_lost(const node_t *node, const program_t *program) {
+    const call_t *call = program_running_call(program);
+    if (call == NULL)
+        return NULL;
+    const member_t *runner = membership_find(node->membership, call->runner);
+    bool lost = runner == NULL || runner->state == MEMBER_DEAD;
+    if (call->runner == node->instance)
+        lost = !runs_has(node, program->id, call->number, call->attempt);
+    if (lost)
+        return lost_result(node, program, call, RUDDERWAY_ERROR_RUNNER_LOST);
+    if (node->unix_ms > call->deadline_ms + DEADLINE_GRACE_MS && call->runner != node->instance)
+        return lost_result(node, program, call, RUDDERWAY_ERROR_TIMED_OUT);
+    return NULL;
+}
+
+void calls_runner_lost(node_t *node, group_t *group) {
+    GPtrArray *results = g_ptr_array_new();
+    GHashTableIter iterator;
+    gpointer value;
+    g_hash_table_iter_init(&iterator, program_store_all(group_store(group)));
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        command_t *result = find_lost(node, value);
+        if (result != NULL)
+            g_ptr_array_add(results, result);
+    }
+    for (guint i = 0; i < results->len; i++)
+        calls_settle(node, group, g_ptr_array_index(results, i));
+    g_ptr_array_unref(results);
+}
+
+/* --- The log ------------------------------------------------------------------------------ */
+
+static void release_held(node_t *node, const char *program) {
+    GPtrArray *ready = g_ptr_array_new_with_free_func(held_free);
+    for (guint i = node->calls->held->len; i > 0; i--) {
+        const held_t *held = g_ptr_array_index(node->calls->held, i - 1);
+        if (strcmp(held->operation->program, program) == 0)
+            g_ptr_array_add(ready, g_ptr_array_steal_index(node->calls->held, i - 1));
+    }
+    for (guint i = ready->len; i > 0; i--)
+        calls_receive(node, ((held_t *)g_ptr_array_index(ready, i - 1))->operation);
+    g_ptr_array_unref(ready);
+}
+
+static void note_program_ended(node_t *node, const program_t *program) {
+    event_log(PROGRAM_ENDED, program->id, end_reason_name(program->end_reason));
+    node->metrics.programs_ended++;
+    histogram_add(&node->metrics.program_latency, program->ended_ms - program->started_ms);
+}
+
+static void on_result_applied(node_t *node, const group_t *group, const command_t *command) {
+    const program_t *program = program_store_find(group_store(group), command->program);
+    runs_settled(node, command->program, command->call, command->attempt);
+    answer_waiters(node, program, program_call(program, command->call));
+    release_held(node, command->program);
+}
+
+void calls_applied(node_t *node, group_t *group, const command_t *command, error_code_t error) {
+    if (error != RUDDERWAY_ERROR_NONE)
+        return;
+    const program_t *program = program_store_find(group_store(group), command->program);
+    switch (command->kind) {
+    case COMMAND_START:
+        node->metrics.programs_started++;
+        break;
+    case COMMAND_INTENT:
+        if (command->attempt > 1)
+            runs_settled(node, command->program, command->call, command->attempt - 1);
+        if (command->call_kind == CALL_SUBAGENT)
+            release_held(node, command->program);
+        else if (command->runner == node->instance && program != NULL)
+            runs_start(node, group, command);
+        break;
+    case COMMAND_RESULT:
+        on_result_applied(node, group, command);
+        break;
+    case COMMAND_END:
+        runs_cancel(node, command->program);
+        release_held(node, command->program);
+        if (program != NULL && program->ended_ms == command->time_ms)
+            note_program_ended(node, program);
+        break;
+    case COMMAND_RELEASED:
+    case COMMAND_FORGET:
+    case COMMAND_KINDS:
+        break;
+    }
+}
+
+void calls_leadership_gained(node_t *node, group_t *group) {
+    calls_runner_lost(node, group);
+}
+
+static bool is_in_group(const node_t *node, const char *program, const group_t *group) {
+    return partitions_of_program(node, program) == group_partition(group);
+}
+
+static void drop_waiters(node_t *node, const group_t *group) {
+    GHashTableIter iterator;
+    gpointer key;
+    gpointer value;
+    g_hash_table_iter_init(&iterator, node->calls->waiters);
+    while (g_hash_table_iter_next(&iterator, &key, &value)) {
+        char *program = g_strndup(key, (gsize)(strrchr(key, '#') - (char *)key));
+        const GArray *waiters = value;
+        bool affected = is_in_group(node, program, group);
+        g_free(program);
+        if (!affected)
+            continue;
+        for (guint i = 0; i < waiters->len; i++) {
+            const waiter_t *waiter = &g_array_index(waiters, waiter_t, i);
+            send_answer(node, waiter->entry,
+                        answer_new(waiter->request, RUDDERWAY_ERROR_NOT_LEADER));
+        }
+        g_hash_table_iter_remove(&iterator);
+    }
+}
+
+void calls_leadership_lost(node_t *node, const group_t *group) {
+    drop_waiters(node, group);
+    for (guint i = node->calls->held->len; i > 0; i--) {
+        const held_t *held = g_ptr_array_index(node->calls->held, i - 1);
+        if (!is_in_group(node, held->operation->program, group))
+            continue;
+        answer_error(node, held->operation, RUDDERWAY_ERROR_NOT_LEADER);
+        g_ptr_array_remove_index(node->calls->held, i - 1);
+    }
+}
+
+/* --- Time --------------------------------------------------------------------------------- */
+
+static void end_by_limit(node_t *node, group_t *group, const char *program, end_reason_t reason) {
+    command_t *command = command_new(COMMAND_END, program, node->unix_ms);
+    command->reason = reason;
+    partitions_propose(node, group, command, NULL, NULL);
+}
+
+typedef struct {
+    char *program;
+    end_reason_t reason;
+    bool forget;
+} due_t;
+
+static void due_free(gpointer data) {
+    due_t *due = data;
+    g_free(due->program);
+    g_free(due);
+}
+
+static void find_due(const node_t *node, const program_t *program, GPtrArray *list) {
+    const program_limits_t *limits = &program->start.limits;
+    int64_t retention = (int64_t)node->settings->ended_retention_seconds * 1000;
+    due_t due = {0};
+    bool idle = node->unix_ms - program->active_ms > limits->idle_ms &&
+                program_running_call(program) == NULL;
+    if (program->ended) {
+        if (program->holders->len > 0 || node->unix_ms - program->ended_ms < retention)
+            return;
+        due.forget = true;
+    } else if (node->unix_ms - program->started_ms > limits->wall_ms) {
+        due.reason = END_WALL_LIMIT;
+    } else if (idle) {
+        due.reason = END_IDLE_LIMIT;
+    } else {
+        return;
+    }
+    due_t *copy = g_new(due_t, 1);
+    *copy = due;
+    copy->program = g_strdup(program->id);
+    g_ptr_array_add(list, copy);
+}
+
+static void scan_group(node_t *node, group_t *group) {
+    GPtrArray *list = g_ptr_array_new_with_free_func(due_free);
+    GHashTableIter iterator;
+    gpointer value;
+    g_hash_table_iter_init(&iterator, program_store_all(group_store(group)));
+    while (g_hash_table_iter_next(&iterator, NULL, &value))
+        find_due(node, value, list);
+    for (guint i = 0; i < list->len; i++) {
+        const due_t *due = g_ptr_array_index(list, i);
+        if (due->forget)
+            partitions_propose(
+                node, group, command_new(COMMAND_FORGET, due->program, node->unix_ms), NULL, NULL);
+        else
+            end_by_limit(node, group, due->program, due->reason);
+    }
+    g_ptr_array_unref(list);
+    calls_runner_lost(node, group);
+}
+
+static void expire_held(node_t *node) {
+    for (guint i = node->calls->held->len; i > 0; i--) {
+        const held_t *held = g_ptr_array_index(node->calls->held, i - 1);
+        if (held->until_ms > node->now_ms)
+            continue;
+        answer_error(node, held->operation, RUDDERWAY_ERROR_OUT_OF_ORDER);
+        g_ptr_array_remove_index(node->calls->held, i - 1);
+    }
+}
+
+static void propose_due_retries(node_t *node) {
+    for (guint i = node->calls->retries->len; i > 0; i--) {
+        delayed_retry_t *retry = g_ptr_array_index(node->calls->retries, i - 1);
+        if (retry->due_ms > node->now_ms)
+            continue;
+        command_t *intent = g_steal_pointer(&retry->intent);
+        g_ptr_array_set_free_func(node->calls->retries, g_free);
+        g_ptr_array_remove_index(node->calls->retries, i - 1);
+        g_ptr_array_set_free_func(node->calls->retries, delayed_retry_free);
+        uint32_t partition = partitions_of_program(node, intent->program);
+        group_t *group = partitions_led_group(node, partition);
+        if (group != NULL)
+            partitions_propose(node, group, intent, NULL, NULL);
+        else
+            command_free(intent);
+    }
+}
+
+void calls_tick(node_t *node) {
+    propose_due_retries(node);
+    expire_held(node);
+    if (node->now_ms < node->calls->next_scan_ms)
+        return;
+    node->calls->next_scan_ms = node->now_ms + SCAN_INTERVAL_MS;
+    partitions_each_led(node, scan_group);
+}
