node: retry calls whose runner was lost, also early in a node's life

Cause: killing a node in the demo failed 1 of 80 programs ("runner_lost"). The call was repeatable, but the new leader had seen fewer than ten first tries, so its retry budget was empty and it settled the call as unknown. Ruled out: the election (the partition had a leader 1.4 s after the kill) and the program's own limits.

--- a/src/cli/cli.h
+++ b/src/cli/cli.h
@@ -34,6 +34,7 @@
     const char *outcomes_file;
     const char *report_file;
     bool json;
+    bool wait;              /**< apply and rollback: wait until the edit is in force everywhere. */
     const char **arguments; /**< After the command's name. */
     int argument_count;
 } cli_t;
--- a/src/cli/commands.c
+++ b/src/cli/commands.c
@@ -10,7 +10,13 @@
 #include <stdlib.h>
 #include <string.h>
 
-enum { EDIT_TIMEOUT_MS = 12000, NODE_TIMEOUT_MS = 3000, SUCCESS_CLASS = 2, STATUS_CLASS = 100 };
+enum {
+    EDIT_TIMEOUT_MS = 12000,
+    NODE_TIMEOUT_MS = 3000,
+    WAIT_TIMEOUT_MS = 10000,
+    SUCCESS_CLASS = 2,
+    STATUS_CLASS = 100
+};
 
 /* --- Objects in files --------------------------------------------------------------------- */
 
@@ -59,6 +65,69 @@
     return same;
 }
 
+/** Asks every live member; the answers go to @p visit. False if no node could be asked. */
+static bool ask_members(const cli_t *cli, const char *path,
+                        void (*visit)(const json_t *member, const json_t *answer, void *data),
+                        void *data) {
+    json_t *members = cli_get(cli, "/admin/v1/members");
+    if (members == NULL)
+        return false;
+    const json_t *list = json_object_get(members, "members");
+    for (size_t i = 0; i < json_array_size(list); i++) {
+        const json_t *member = json_array_get(list, i);
+        if (strcmp(json_string_value(json_object_get(member, "state")), "dead") == 0)
+            continue;
+        cli_node_t node = {.address = (char *)json_string_value(json_object_get(member, "address")),
+                           .port =
+                               (uint32_t)json_integer_value(json_object_get(member, "http_port"))};
+        cli_request_t request = {
+            .method = "GET", .path = path, .timeout_ms = NODE_TIMEOUT_MS, .repeatable = true};
+        unsigned status = 0;
+        json_t *answer = cli_ask_node(cli, &node, &request, &status, NULL);
+        visit(member, answer, data);
+        json_decref(answer);
+    }
+    json_decref(members);
+    return true;
+}
+
+/* --- Waiting until an edit is in force -------------------------------------------------------- */
+
+typedef struct {
+    json_int_t revision;
+    unsigned nodes;
+    unsigned behind;
+} progress_t;
+
+static void count_behind(const json_t *member, const json_t *answer, void *data) {
+    (void)member;
+    progress_t *progress = data;
+    progress->nodes++;
+    if (answer == NULL ||
+        json_integer_value(json_object_get(answer, "revision")) < progress->revision)
+        progress->behind++;
+}
+
+/** Polls every live node until @p revision is in force on all. */
+static cli_status_t wait_in_force(const cli_t *cli, json_int_t revision) {
+    int64_t start_us = g_get_monotonic_time();
+    int64_t until_us = start_us + (int64_t)WAIT_TIMEOUT_MS * 1000;
+    progress_t progress;
+    do {
+        progress = (progress_t){.revision = revision};
+        if (!ask_members(cli, "/admin/v1/status", count_behind, &progress))
+            return CLI_UNREACHABLE;
+    } while (progress.behind > 0 && g_get_monotonic_time() < until_us);
+    int64_t elapsed_ms = (g_get_monotonic_time() - start_us) / 1000;
+    if (progress.behind > 0) {
+        fprintf(stderr, "rudderway: not in force on %u of %u nodes after %d ms\n", progress.behind,
+                progress.nodes, WAIT_TIMEOUT_MS);
+        return CLI_FAILED;
+    }
+    printf("in force on %u nodes in %" G_GINT64_FORMAT " ms\n", progress.nodes, elapsed_ms);
+    return CLI_OK;
+}
+
 /* --- Edits -------------------------------------------------------------------------------- */
 
 static edit_t *build_edit(const json_t *configuration, const json_t *objects) {
@@ -120,12 +189,12 @@
     }
     if (status / STATUS_CLASS != SUCCESS_CLASS)
         return cli_fail(*answer, status);
+    json_int_t revision = json_integer_value(json_object_get(*answer, "revision"));
     if (cli->json)
         cli_print_json(*answer);
     else
-        printf("accepted as revision %" JSON_INTEGER_FORMAT "\n",
-               json_integer_value(json_object_get(*answer, "revision")));
-    return CLI_OK;
+        printf("accepted as revision %" JSON_INTEGER_FORMAT "\n", revision);
+    return cli->wait ? wait_in_force(cli, revision) : CLI_OK;
 }
 
 cli_status_t command_apply(const cli_t *cli) {
@@ -254,32 +323,6 @@
     return print_list(cli, "/admin/v1/backends", "backends", columns);
 }
 
-/** Asks every live member; the answers go to @p visit. False if no node could be asked. */
-static bool ask_members(const cli_t *cli, const char *path,
-                        void (*visit)(const json_t *member, const json_t *answer, void *data),
-                        void *data) {
-    json_t *members = cli_get(cli, "/admin/v1/members");
-    if (members == NULL)
-        return false;
-    const json_t *list = json_object_get(members, "members");
-    for (size_t i = 0; i < json_array_size(list); i++) {
-        const json_t *member = json_array_get(list, i);
-        if (strcmp(json_string_value(json_object_get(member, "state")), "dead") == 0)
-            continue;
-        cli_node_t node = {.address = (char *)json_string_value(json_object_get(member, "address")),
-                           .port =
-                               (uint32_t)json_integer_value(json_object_get(member, "http_port"))};
-        cli_request_t request = {
-            .method = "GET", .path = path, .timeout_ms = NODE_TIMEOUT_MS, .repeatable = true};
-        unsigned status = 0;
-        json_t *answer = cli_ask_node(cli, &node, &request, &status, NULL);
-        visit(member, answer, data);
-        json_decref(answer);
-    }
-    json_decref(members);
-    return true;
-}
-
 static void collect_status(const json_t *member, const json_t *answer, void *data) {
     json_t *row = answer != NULL ? json_deep_copy(answer)
                                  : json_pack("{s:O, s:O}", "node", json_object_get(member, "name"),
--- a/src/cli/main.c
+++ b/src/cli/main.c
@@ -9,7 +9,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-enum { OPTION_TOKENS = 1000, OPTION_SPEED_UP, OPTION_OUTCOMES, OPTION_REPORT };
+enum { OPTION_TOKENS = 1000, OPTION_SPEED_UP, OPTION_OUTCOMES, OPTION_REPORT, OPTION_WAIT };
 
 typedef struct {
     const char *name;
@@ -42,6 +42,8 @@
     {"node", 'n', "IP:PORT", 0, "a node's HTTP address; may be repeated", 0},
     {"token", 't', "TOKEN", 0, "administration token (or $RUDDERWAY_TOKEN)", 0},
     {"output", 'o', "FORMAT", 0, "table (the default) or json", 0},
+    {"wait", OPTION_WAIT, NULL, 0,
+     "apply, rollback: wait until the edit is in force on every node, and say how long", 0},
     {"tokens", OPTION_TOKENS, "FILE", 0, "replay: JSON object of tenants' tokens", 0},
     {"speed-up", OPTION_SPEED_UP, "N", 0, "replay: play N times as fast (1)", 0},
     {"outcomes", OPTION_OUTCOMES, "FILE", 0, "replay: stated outcomes (TRACE with .outcomes.json)",
@@ -76,6 +78,9 @@
         if (!cli->json && strcmp(value, "table") != 0)
             argp_error(state, "--output is table or json");
         return 0;
+    case OPTION_WAIT:
+        cli->wait = true;
+        return 0;
     case OPTION_TOKENS:
         cli->tokens_file = value;
         return 0;
--- a/src/core/configuration/configuration.c
+++ b/src/core/configuration/configuration.c
@@ -38,10 +38,10 @@
     configuration_object_t *object = &shared->object;
     g_free(object->key);
     g_free(object->text);
-    g_free(object->template.name);
-    g_free(object->template.model);
-    g_free(object->template.prompt);
-    g_strfreev(object->template.tools);
+    g_free(object->program_template.name);
+    g_free(object->program_template.model);
+    g_free(object->program_template.prompt);
+    g_strfreev(object->program_template.tools);
     g_free(object->tenant.name);
     g_free(object->tenant.token_sha256);
     g_strfreev(object->tenant.services);
@@ -153,16 +153,17 @@
     parent->failed = !json_reader_finish(&reader) || parent->failed;
 }
 
-static void read_template(json_reader_t *reader, template_t *template) {
-    template->name = read_name(reader, "name");
-    template->model = read_name(reader, "model");
-    template->prompt = g_strdup(json_reader_text(reader, "prompt", true, 1, PROMPT_MAXIMUM));
+static void read_template(json_reader_t *reader, template_t *program_template) {
+    program_template->name = read_name(reader, "name");
+    program_template->model = read_name(reader, "model");
+    program_template->prompt =
+        g_strdup(json_reader_text(reader, "prompt", true, 1, PROMPT_MAXIMUM));
     const char *priority = json_reader_text(reader, "priority", false, 1, NAME_MAXIMUM);
-    template->batch = g_strcmp0(priority, "batch") == 0;
-    if (priority != NULL && !template->batch && strcmp(priority, "interactive") != 0)
+    program_template->batch = g_strcmp0(priority, "batch") == 0;
+    if (priority != NULL && !program_template->batch && strcmp(priority, "interactive") != 0)
         json_reader_fail(reader, "priority", "is neither interactive nor batch");
-    template->tools = read_names(reader, "tools");
-    read_limits(reader, &template->limits);
+    program_template->tools = read_names(reader, "tools");
+    read_limits(reader, &program_template->limits);
 }
 
 static bool is_sha256(const char *text) {
@@ -233,11 +234,11 @@
     object->kind = g_str_has_prefix(change->key, template_prefix) ? OBJECT_TEMPLATE : OBJECT_TENANT;
     json_reader_start(&reader, value, "", &problem);
     if (object->kind == OBJECT_TEMPLATE)
-        read_template(&reader, &object->template);
+        read_template(&reader, &object->program_template);
     else
         read_tenant(&reader, &object->tenant);
     const char *name =
-        object->kind == OBJECT_TEMPLATE ? object->template.name : object->tenant.name;
+        object->kind == OBJECT_TEMPLATE ? object->program_template.name : object->tenant.name;
     if (!reader.failed && g_strcmp0(name, strchr(change->key, '/') + 1) != 0)
         json_reader_fail(&reader, "name", "differs from the key");
     bool valid = json_reader_finish(&reader);
@@ -381,7 +382,7 @@
 
 const template_t *configuration_template(const configuration_t *configuration, const char *name) {
     const configuration_object_t *object = find_named(configuration, template_prefix, name);
-    return object != NULL ? &object->template : NULL;
+    return object != NULL ? &object->program_template : NULL;
 }
 
 const tenant_t *configuration_tenant(const configuration_t *configuration, const char *name) {
@@ -430,8 +431,8 @@
     return merged;
 }
 
-char *configuration_prompt(const template_t *template, const json_t *parameters) {
-    GString *prompt = g_string_new(template->prompt);
+char *configuration_prompt(const template_t *program_template, const json_t *parameters) {
+    GString *prompt = g_string_new(program_template->prompt);
     const char *name;
     json_t *value;
     json_object_foreach((json_t *)parameters, name, value) {
--- a/src/core/configuration/configuration.h
+++ b/src/core/configuration/configuration.h
@@ -42,7 +42,7 @@
     uint64_t revision; /**< That last changed it. */
     char *text;        /**< Its JSON. */
     object_kind_t kind;
-    template_t template;
+    template_t program_template;
     tenant_t tenant;
 } configuration_object_t;
 
@@ -99,7 +99,7 @@
 json_t *configuration_parameters(const tenant_t *tenant, const char *template_name,
                                  const json_t *parameters);
 /** The template's prompt with "{name}" replaced by the parameters; caller frees. */
-char *configuration_prompt(const template_t *template, const json_t *parameters);
+char *configuration_prompt(const template_t *program_template, const json_t *parameters);
 
 /** The line, from 1, on which the key at @p path ("a.b.c") stands in JSON @p text. */
 int configuration_line_of(const char *text, const char *path);
--- a/src/core/retry/retry_budget.c
+++ b/src/core/retry/retry_budget.c
@@ -3,11 +3,16 @@
 enum {
     TENTHS_PER_RETRY = 10,
     TENTHS_MAXIMUM = 100 * TENTHS_PER_RETRY,
+    TENTHS_AT_START = 10 * TENTHS_PER_RETRY,
     DELAY_BASE_MS = 25,
     DELAY_MAXIMUM_MS = 2000,
     DOUBLINGS_MAXIMUM = 8,
 };
 
+retry_budget_t retry_budget_new(void) {
+    return (retry_budget_t){.tenths = TENTHS_AT_START};
+}
+
 void retry_budget_first_try(retry_budget_t *budget) {
     if (budget->tenths < TENTHS_MAXIMUM)
         budget->tenths++;
--- a/src/core/retry/retry_budget.h
+++ b/src/core/retry/retry_budget.h
@@ -14,6 +14,9 @@
     uint32_t tenths;
 } retry_budget_t;
 
+/** A budget that allows a few retries before any first try has earned one. */
+retry_budget_t retry_budget_new(void);
+
 void retry_budget_first_try(retry_budget_t *budget);
 /** Spends one retry; false if none is left. */
 bool retry_budget_take(retry_budget_t *budget);
--- a/src/node/admin_api.c
+++ b/src/node/admin_api.c
@@ -63,7 +63,7 @@
                   (int)partitions_led_count(node), "partitions_held",
                   (int)partitions_member_count(node), "calls_running", (int)runs_count(node, NULL),
                   "requests_waiting", (int)entries_count(node), "plain_requests",
-                  (int)services_count(), "program_bytes", (json_int_t)partitions_bytes(node),
+                  (int)services_count(node), "program_bytes", (json_int_t)partitions_bytes(node),
                   "resident_kilobytes", (json_int_t)resident_kilobytes(), "partitions",
                   partitions_to_json(node)));
 }
--- a/src/node/caller_api.c
+++ b/src/node/caller_api.c
@@ -83,8 +83,8 @@
     int64_t deadline_ms = json_reader_integer(reader, "deadline_ms", 0, INT32_MAX, 0);
     if (reader->failed)
         return false;
-    const template_t *template = configuration_template(context->configuration, name);
-    if (template == NULL) {
+    const template_t *program_template = configuration_template(context->configuration, name);
+    if (program_template == NULL) {
         error_set(reader->error, RUDDERWAY_ERROR_NO_SUCH_TEMPLATE, "%s", name);
         reader->failed = true;
         return false;
@@ -93,10 +93,10 @@
     start->tenant = g_strdup(context->tenant->name);
     start->template_name = g_strdup(name);
     start->parameters = json_to_text(merged);
-    start->prompt = configuration_prompt(template, merged);
-    start->model = g_strdup(template->model);
-    start->batch = template->batch;
-    start->limits = template->limits;
+    start->prompt = configuration_prompt(program_template, merged);
+    start->model = g_strdup(program_template->model);
+    start->batch = program_template->batch;
+    start->limits = program_template->limits;
     if (budget > 0)
         start->limits.budget = MIN(start->limits.budget, (uint64_t)budget);
     if (deadline_ms > 0)
--- a/src/node/calls.c
+++ b/src/node/calls.c
@@ -71,6 +71,7 @@
     calls_t *calls = g_new0(calls_t, 1);
     calls->waiters = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, waiters_free);
     calls->held = g_ptr_array_new_with_free_func(held_free);
+    calls->retry_budget = retry_budget_new();
     calls->retries = g_ptr_array_new_with_free_func(delayed_retry_free);
     return calls;
 }
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -238,6 +238,7 @@
     node->runs = runs_new();
     node->configuration_service = configuration_service_new();
     node->backend_service = backend_service_new();
+    node->services = services_new();
     if (!open_sockets(node, error))
         return NULL;
     create_membership(node);
@@ -291,7 +292,7 @@
 }
 
 static unsigned work_left(const node_t *node) {
-    return runs_count(node, NULL) + entries_count(node) + services_count() +
+    return runs_count(node, NULL) + entries_count(node) + services_count(node) +
            http_server_in_flight(node->http);
 }
 
@@ -352,6 +353,7 @@
     runs_free(node->runs);
     configuration_service_free(node->configuration_service);
     backend_service_free(node->backend_service);
+    services_free(node->services);
     backend_set_free(node->backends);
     membership_free(node->membership);
     configuration_unref(node->configuration);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -26,6 +26,7 @@
 typedef struct runs runs_t;
 typedef struct configuration_service configuration_service_t;
 typedef struct backend_service backend_service_t;
+typedef struct services services_t;
 
 typedef struct node {
     settings_t *settings;        /**< Constant. */
@@ -42,6 +43,7 @@
     runs_t *runs;
     configuration_service_t *configuration_service;
     backend_service_t *backend_service;
+    services_t *services;
     backend_set_t *backends;
     routing_t routing;
     metrics_t metrics;
--- a/src/node/services.c
+++ b/src/node/services.c
@@ -29,11 +29,23 @@
     GError *error;
 } plain_request_t;
 
-static gint under_way;
-static retry_budget_t retry_budget; /* Decision thread only. */
+struct services {
+    gint under_way; /**< Atomic. */
+    retry_budget_t retry_budget;
+};
+
+services_t *services_new(void) {
+    services_t *services = g_new0(services_t, 1);
+    services->retry_budget = retry_budget_new();
+    return services;
+}
+
+void services_free(services_t *services) {
+    g_free(services);
+}
 
-unsigned services_count(void) {
-    return (unsigned)g_atomic_int_get(&under_way);
+unsigned services_count(const node_t *node) {
+    return (unsigned)g_atomic_int_get(&node->services->under_way);
 }
 
 static void plain_request_free(plain_request_t *plain) {
@@ -52,7 +64,7 @@
     bool later = error == RUDDERWAY_ERROR_OVERLOADED || error == RUDDERWAY_ERROR_NO_BACKEND;
     node->metrics.refusals[error]++;
     respond_error(plain->request, error, NULL, later ? RETRY_HINT_MS : 0);
-    g_atomic_int_add(&under_way, -1);
+    g_atomic_int_add(&node->services->under_way, -1);
     plain_request_free(plain);
 }
 
@@ -100,7 +112,7 @@
         return false;
     outcome_t outcome = error_outcome(error);
     bool harmless = outcome == OUTCOME_NOT_RUN || (plain->repeatable && outcome == OUTCOME_UNKNOWN);
-    return harmless && retry_budget_take(&retry_budget);
+    return harmless && retry_budget_take(&node->services->retry_budget);
 }
 
 static void on_answered(void *context, void *data) {
@@ -124,7 +136,7 @@
         return;
     }
     http_respond(plain->request, OK_STATUS, "application/json", g_steal_pointer(&plain->answer), 0);
-    g_atomic_int_add(&under_way, -1);
+    g_atomic_int_add(&node->services->under_way, -1);
     plain_request_free(plain);
 }
 
@@ -132,8 +144,8 @@
     node_t *node = context;
     plain_request_t *plain = data;
     plain->deadline_ms = node->now_ms + (int64_t)node->settings->call_timeout_seconds * 1000;
-    retry_budget_first_try(&retry_budget);
-    if (services_count() > node->settings->calls_in_flight)
+    retry_budget_first_try(&node->services->retry_budget);
+    if (services_count(node) > node->settings->calls_in_flight)
         refuse(node, plain, RUDDERWAY_ERROR_OVERLOADED);
     else
         dispatch(node, plain);
@@ -149,6 +161,6 @@
     plain->path = g_strdup(path);
     plain->request_id = g_strndup(id != NULL ? id : "", REQUEST_ID_MAXIMUM);
     plain->repeatable = repeatable;
-    g_atomic_int_inc(&under_way);
+    g_atomic_int_inc(&node->services->under_way);
     mailbox_post(node->mailbox, admit, plain);
 }
--- a/src/node/services.h
+++ b/src/node/services.h
@@ -13,10 +13,12 @@
 
 #include "node/node.h"
 
+services_t *services_new(void);
+void services_free(services_t *services);
 /** Takes over @p request. @p path is what follows the service's name, with the slash. */
 void services_submit(node_t *node, http_request_t *request, const char *tenant, const char *service,
                      const char *path, bool repeatable);
 /** Requests under way. */
-unsigned services_count(void);
+unsigned services_count(const node_t *node);
 
 #endif
