--- a/src/cli/replay.c
+++ b/src/cli/replay.c
@@ -79,9 +79,12 @@
 
 static void count_refusal(replay_t *replay, const char *name) {
     pthread_mutex_lock(&replay->lock);
-    gpointer count = g_hash_table_lookup(replay->refusals, name);
-    g_hash_table_replace(replay->refusals, g_strdup(name),
-                         GUINT_TO_POINTER(GPOINTER_TO_UINT(count) + 1));
+    unsigned *count = g_hash_table_lookup(replay->refusals, name);
+    if (count == NULL) {
+        count = g_new0(unsigned, 1);
+        g_hash_table_insert(replay->refusals, g_strdup(name), count);
+    }
+    (*count)++;
     pthread_mutex_unlock(&replay->lock);
 }
 
@@ -427,7 +430,7 @@
     gpointer count;
     g_hash_table_iter_init(&iterator, replay->refusals);
     while (g_hash_table_iter_next(&iterator, &key, &count))
-        json_object_set_new(value, key, json_integer(GPOINTER_TO_UINT(count)));
+        json_object_set_new(value, key, json_integer(*(const unsigned *)count));
     return value;
 }
 
@@ -563,7 +566,7 @@
                        .lock = PTHREAD_MUTEX_INITIALIZER,
                        .programs = count_programs(scripts)};
     replay.latencies_ms = g_array_new(FALSE, FALSE, sizeof(double));
-    replay.refusals = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    replay.refusals = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     play_all(&replay, scripts);
     json_t *result = result_to_json(&replay);
     cli_print_json(result);
--- a/src/cli/request.c
+++ b/src/cli/request.c
@@ -63,8 +63,8 @@
         .method = "GET", .path = path, .timeout_ms = ADMIN_TIMEOUT_MS, .repeatable = true};
     json_t *value = cli_ask(cli, &request, &status, &error);
     if (value == NULL) {
-        fprintf(stderr, "rudderway: %s\n", error->message);
-        g_error_free(error);
+        fprintf(stderr, "rudderway: %s\n", error != NULL ? error->message : "no node");
+        g_clear_error(&error);
         return NULL;
     }
     if (status / STATUS_CLASS == SUCCESS_CLASS)
--- a/src/core/membership/membership_message.c
+++ b/src/core/membership/membership_message.c
@@ -57,7 +57,7 @@
     codec_uint64(codec, &message->configuration_revision);
     uint32_t count = message->members != NULL ? message->members->len : 0;
     codec_count(codec, &count, MEMBERS_MAXIMUM);
-    if (codec->decoding)
+    if (message->members == NULL)
         message->members = g_ptr_array_new_with_free_func((GDestroyNotify)member_free);
     for (uint32_t i = 0; i < count && !codec->failed; i++) {
         if (codec->decoding)
--- a/src/core/placement/placement.c
+++ b/src/core/placement/placement.c
@@ -126,7 +126,7 @@
 placement_change_t placement_next_change(uint32_t partition, const GPtrArray *members,
                                          const raft_configuration_t *configuration,
                                          uint32_t voter_target) {
-    instance_id_t voters[RAFT_MEMBERS_MAXIMUM];
+    instance_id_t voters[RAFT_MEMBERS_MAXIMUM] = {0};
     if (configuration->learner_count > 0)
         return settle_learner(members, configuration);
     uint32_t available = list_available_voters(members, configuration, voters);
@@ -143,7 +143,7 @@
             return change(PLACEMENT_ADD_LEARNER, candidate->instance);
     }
     if (available > voter_target) {
-        instance_id_t kept[RAFT_MEMBERS_MAXIMUM];
+        instance_id_t kept[RAFT_MEMBERS_MAXIMUM] = {0};
         placement_choose(partition, members, voter_target, kept);
         for (uint32_t i = 0; i < available; i++)
             if (!is_chosen(kept, voter_target, voters[i]))
--- a/src/core/program/program.c
+++ b/src/core/program/program.c
@@ -128,7 +128,7 @@
         return RUDDERWAY_ERROR_TURN_LIMIT;
     const call_t *last = find_call(program, program->calls->len);
     bool repeated = last != NULL && last->digest == command->digest;
-    if (repeated && program->repeats + 1 >= program->start.limits.loop_repeats)
+    if (repeated && program->repeats + 2 >= program->start.limits.loop_repeats)
         return RUDDERWAY_ERROR_LOOP_DETECTED;
     return RUDDERWAY_ERROR_NONE;
 }
--- a/src/core/replication/raft_message.c
+++ b/src/core/replication/raft_message.c
@@ -39,7 +39,7 @@
 static void entries_codec(codec_t *codec, raft_message_t *message) {
     uint32_t count = message->entries != NULL ? message->entries->len : 0;
     codec_count(codec, &count, RAFT_APPEND_ENTRIES);
-    if (codec->decoding)
+    if (message->entries == NULL)
         message->entries = g_ptr_array_new_with_free_func((GDestroyNotify)raft_entry_free);
     for (uint32_t i = 0; i < count && !codec->failed; i++) {
         if (codec->decoding)
--- a/src/node/main.c
+++ b/src/node/main.c
@@ -32,7 +32,9 @@
 static void add_override(arguments_t *arguments, char *text, struct argp_state *state) {
     char *equals = strchr(text, '=');
     if (equals == NULL)
-        argp_error(state, "--set needs GROUP.KEY=VALUE");
+        argp_failure(state, EXIT_SETTINGS, 0, "--set needs GROUP.KEY=VALUE");
+    if (equals == NULL)
+        return;
     *equals = '\0';
     settings_override_t override = {.key = text, .value = equals + 1};
     g_array_append_val(arguments->overrides, override);
--- a/src/node/peer_transport.c
+++ b/src/node/peer_transport.c
@@ -318,7 +318,7 @@
 
 static void accept_links(peer_transport_t *transport) {
     for (;;) {
-        struct sockaddr_in address;
+        struct sockaddr_in address = {0};
         socklen_t length = sizeof address;
         int descriptor = accept4(transport->listener->descriptor, (struct sockaddr *)&address,
                                  &length, SOCK_NONBLOCK | SOCK_CLOEXEC);
--- a/src/standin/engine.c
+++ b/src/standin/engine.c
@@ -380,7 +380,7 @@
         engine->load = json_pack("{s:i, s:i, s:b, s:s, s:I}", "running", (int)engine->running->len,
                                  "waiting", (int)engine->waiting->len, "leaving", engine->leaving,
                                  "model", engine->model, "cached_tokens",
-                                 (json_int_t)(block_cache_size(engine->cache) * TOKENS_PER_BLOCK));
+                                 (json_int_t)block_cache_size(engine->cache) * TOKENS_PER_BLOCK);
     }
     standin_respond(request, 200, json_deep_copy(engine->load));
 }
--- /dev/null
+++ b/tests/unit/membership_test.cc
@@ -0,0 +1,191 @@
+#include <glib.h>
+
+extern "C" {
+#include "core/membership/membership.h"
+#include "core/placement/placement.h"
+}
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <random>
+#include <set>
+#include <string>
+
+namespace {
+
+/** Members that exchange messages in virtual time; a datagram may be lost, a sync is not. */
+class Fleet {
+  public:
+    explicit Fleet(int count, double loss_rate = 0) : loss(loss_rate) {
+        for (int i = 0; i < count; i++)
+            add("n" + std::to_string(i), 1000 + static_cast<instance_id_t>(i));
+    }
+    ~Fleet() {
+        for (auto &[port, node] : nodes)
+            membership_free(node);
+    }
+
+    void add(const std::string &name, instance_id_t instance) {
+        member_t self = {};
+        self.instance = instance;
+        self.name = const_cast<char *>(name.c_str());
+        self.zone = const_cast<char *>("a");
+        self.address = const_cast<char *>("127.0.0.1");
+        self.peer_port = static_cast<uint32_t>(instance);
+        membership_seed_t seed = {const_cast<char *>("127.0.0.1"), 1000};
+        nodes[self.peer_port] =
+            membership_new(&self, &seed, 1, instance, &membership_default_options);
+    }
+
+    void deliver(uint32_t from, membership_output_t *output) {
+        for (guint i = 0; i < output->messages->len; i++) {
+            auto *message =
+                static_cast<membership_message_t *>(g_ptr_array_index(output->messages, i));
+            bool lost =
+                !message->reliable && std::uniform_real_distribution<double>(0, 1)(random) < loss;
+            bool reaches =
+                nodes.count(message->port) != 0 && cut.count({from, message->port}) == 0 && !lost;
+            if (!reaches)
+                continue;
+            membership_output_t answer;
+            membership_output_init(&answer);
+            membership_receive(nodes[message->port], message, now_ms, &answer);
+            deliver(message->port, &answer);
+        }
+        membership_output_clear(output);
+    }
+
+    void run(int64_t milliseconds) {
+        for (int64_t end = now_ms + milliseconds; now_ms < end; now_ms += 10)
+            for (auto &[port, node] : nodes) {
+                membership_output_t output;
+                membership_output_init(&output);
+                membership_tick(node, now_ms, &output);
+                deliver(port, &output);
+            }
+    }
+
+    int count(uint32_t port, member_state_t state) {
+        const GPtrArray *all = membership_all(nodes[port]);
+        int found = 0;
+        for (guint i = 0; i < all->len; i++)
+            found += static_cast<member_t *>(g_ptr_array_index(all, i))->state == state;
+        return found;
+    }
+
+    std::map<uint32_t, membership_t *> nodes;
+    std::set<std::pair<uint32_t, uint32_t>> cut;
+    int64_t now_ms = 1000;
+    double loss;
+    std::mt19937_64 random{1};
+};
+
+TEST(Membership, EveryoneMeetsThroughOneSeed) {
+    Fleet fleet(20);
+    fleet.run(8000);
+    for (auto &[port, node] : fleet.nodes)
+        EXPECT_EQ(fleet.count(port, MEMBER_ALIVE), 20) << port;
+}
+
+TEST(Membership, DeadNodeIsFoundEverywhere) {
+    Fleet fleet(12);
+    fleet.run(8000);
+    membership_free(fleet.nodes[1005]);
+    fleet.nodes.erase(1005);
+    fleet.run(5000);
+    for (auto &[port, node] : fleet.nodes)
+        EXPECT_EQ(membership_find(node, 1005)->state, MEMBER_DEAD) << port;
+}
+
+TEST(Membership, LossAndOneWayCutKillNobody) {
+    Fleet fleet(12, 0.05);
+    fleet.run(8000);
+    fleet.cut.insert({1003, 1004});
+    fleet.run(20000);
+    for (auto &[port, node] : fleet.nodes)
+        EXPECT_EQ(fleet.count(port, MEMBER_DEAD), 0) << port;
+}
+
+TEST(Membership, CutZonesFindEachOtherAgain) {
+    Fleet fleet(8);
+    fleet.run(8000);
+    for (uint32_t left = 1000; left < 1004; left++)
+        for (uint32_t right = 1004; right < 1008; right++) {
+            fleet.cut.insert({left, right});
+            fleet.cut.insert({right, left});
+        }
+    fleet.run(10000);
+    EXPECT_EQ(fleet.count(1000, MEMBER_DEAD), 4);
+    fleet.cut.clear();
+    fleet.run(30000);
+    for (auto &[port, node] : fleet.nodes)
+        EXPECT_EQ(fleet.count(port, MEMBER_ALIVE), 8) << port;
+}
+
+TEST(Membership, RestartedNodeReplacesItsOldInstance) {
+    Fleet fleet(5);
+    fleet.run(5000);
+    membership_free(fleet.nodes[1002]);
+    fleet.nodes.erase(1002);
+    fleet.add("n2", 2002);
+    fleet.run(3000);
+    EXPECT_EQ(membership_find(fleet.nodes[1000], 1002)->state, MEMBER_DEAD);
+    EXPECT_EQ(membership_find_name(fleet.nodes[1000], "n2")->instance, 2002u);
+}
+
+GPtrArray *make_members(int zones, int per_zone) {
+    GPtrArray *members = g_ptr_array_new_with_free_func((GDestroyNotify)member_free);
+    for (int i = 0; i < zones * per_zone; i++) {
+        auto *member = g_new0(member_t, 1);
+        member->instance = 100 + static_cast<instance_id_t>(i);
+        member->name = g_strdup_printf("n%d", i);
+        member->zone = g_strdup_printf("z%d", i % zones);
+        g_ptr_array_add(members, member);
+    }
+    return members;
+}
+
+member_t *member_at(GPtrArray *members, guint i) {
+    return static_cast<member_t *>(g_ptr_array_index(members, i));
+}
+
+TEST(Placement, NoZoneHoldsAMajority) {
+    for (int zones = 3; zones <= 4; zones++) {
+        GPtrArray *members = make_members(zones, 4);
+        for (uint32_t partition = 0; partition < 200; partition++) {
+            instance_id_t chosen[5];
+            ASSERT_EQ(placement_choose(partition, members, 5, chosen), 5u);
+            std::map<instance_id_t, int> per_zone;
+            for (instance_id_t id : chosen)
+                EXPECT_LE(++per_zone[(id - 100) % static_cast<unsigned>(zones)], 2);
+        }
+        g_ptr_array_unref(members);
+    }
+}
+
+TEST(Placement, LostVoterIsReplacedBeforeItIsRemoved) {
+    GPtrArray *members = make_members(3, 2);
+    raft_configuration_t configuration = {};
+    configuration.voter_count = placement_choose(1, members, 5, configuration.voters);
+    EXPECT_EQ(placement_next_change(1, members, &configuration, 5).action, PLACEMENT_KEEP);
+    instance_id_t lost = configuration.voters[2];
+    member_at(members, static_cast<guint>(lost - 100))->state = MEMBER_DEAD;
+    placement_change_t change = placement_next_change(1, members, &configuration, 5);
+    ASSERT_EQ(change.action, PLACEMENT_ADD_LEARNER);
+    configuration.learners[configuration.learner_count++] = change.member;
+    change = placement_next_change(1, members, &configuration, 5);
+    ASSERT_EQ(change.action, PLACEMENT_PROMOTE);
+    configuration.voters[configuration.voter_count++] = change.member;
+    configuration.learner_count = 0;
+    change = placement_next_change(1, members, &configuration, 5);
+    ASSERT_EQ(change.action, PLACEMENT_REMOVE);
+    EXPECT_EQ(change.member, lost);
+    g_ptr_array_unref(members);
+}
+
+TEST(Placement, SubagentsShareTheirRootsPartition) {
+    EXPECT_EQ(placement_partition("t:p", 64), placement_partition("t:p~3~1", 64));
+}
+
+} // namespace
