test: whole answers, bad input, command line, planned stop on real processes

Cause: the promises about answers, refusals and planned stops were not checked against running nodes.

A peer message that speaks for another node than its sender is dropped, and edits that wait for their predecessors are bounded.

--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -24,9 +24,61 @@
     [ "$bad" -eq 0 ] || echo "$output" | tail -60
 }
 
-for test in "$BUILD"/tests/*_test; do
+# expect NAME COMMAND...: counts a test that passes if the command does.
+expect() {
+    local name=$1
+    shift
+    if "$@" > "$CLUSTER_DIR/expect.out" 2>&1; then
+        passed=$((passed + 1))
+    else
+        failed=$((failed + 1))
+        echo "$name: failed"
+        tail -20 "$CLUSTER_DIR/expect.out"
+    fi
+}
+
+# cluster_variables: what tests/support/cluster_client.h reads.
+cluster_variables() {
+    local name
+    NODES="" PEERS=""
+    for name in $(printf '%s\n' "${!NODE_HTTP[@]}" | sort); do
+        NODES+="127.0.0.1:${NODE_HTTP[$name]} "
+        PEERS+="127.0.0.1:${NODE_PEER[$name]} "
+    done
+    export NODES PEERS CLUSTER_KEY ADMIN_TOKEN TOKEN=token-concord
+    export RECORDS=$CLUSTER_DIR
+}
+
+for test in "$BUILD"/tests/*_unit_test; do
     run_test "$(basename "$test")" "$test"
 done
 
+echo "--- one node"
+cluster_begin "$BUILD/check-one"
+cluster_standins 4
+BOOTSTRAP_MEMBERS=1 VOTERS=1 cluster_node solo a http.idle_seconds=2
+cluster_apply traces/configuration.json
+cluster_wait_ready 1
+cluster_variables
+run_test bad_input "$BUILD/tests/bad_input_cluster_test"
+expect "the node still runs after bad input" kill -0 "${NODE_PID[solo]}"
+. tests/integration/command_line_test.sh
+cluster_end
+NODE_HTTP=() NODE_PEER=() NODE_PID=()
+
+echo "--- six nodes in three zones"
+cluster_begin "$BUILD/check-six"
+cluster_standins 4
+for zone in a b c; do
+    cluster_node "${zone}1" "$zone"
+    cluster_node "${zone}2" "$zone"
+done
+cluster_apply traces/configuration.json
+cluster_wait_ready 6
+cluster_variables
+run_test whole_answers "$BUILD/tests/whole_answers_cluster_test"
+. tests/integration/planned_stop_test.sh
+cluster_end
+
 echo "$passed passed, $failed failed"
 [ "$failed" -eq 0 ] && [ "$passed" -gt 0 ]
--- a/src/node/configuration_service.c
+++ b/src/node/configuration_service.c
@@ -12,6 +12,7 @@
     WATCH_WAIT_MS = 2000,
     WATCH_RETRY_MS = 500,
     PUSH_FANOUT = 3,
+    FUTURE_MAXIMUM = 1000, /**< Edits kept that came before their predecessors. */
     ASK_INTERVAL_MS = 100,
     EDIT_TIMEOUT_MS = 8000,
     EDIT_RETRY_MS = 50,
@@ -102,6 +103,8 @@
 }
 
 static void keep_future(configuration_service_t *service, edit_t *edit) {
+    if (g_hash_table_size(service->future) >= FUTURE_MAXIMUM)
+        return; /* They will be asked for again. */
     GBytes *bytes = edit_encode(edit);
     edit_t *copy = edit_decode(bytes);
     g_bytes_unref(bytes);
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -121,9 +121,30 @@
     command_free(result);
 }
 
+/** A message that speaks for another node than its sender is malformed. */
+static bool speaks_for_itself(const node_t *node, const peer_message_t *message) {
+    const member_t *sender;
+    switch (message->kind) {
+    case PEER_MEMBERSHIP:
+        sender = g_ptr_array_index(message->membership->members, 0);
+        return sender->instance == message->from;
+    case PEER_RAFT:
+        return message->raft->from == message->from &&
+               membership_find(node->membership, message->from) != NULL;
+    case PEER_NOTICE_PARTITION:
+        return message->notice->leader == message->from;
+    default:
+        return true;
+    }
+}
+
 static void handle_message(void *context, void *data) {
     node_t *node = context;
     peer_message_t *message = data;
+    if (!speaks_for_itself(node, message)) {
+        peer_message_free(message);
+        return;
+    }
     switch (message->kind) {
     case PEER_MEMBERSHIP:
         receive_membership(node, message);
--- a/src/node/partitions.c
+++ b/src/node/partitions.c
@@ -402,6 +402,8 @@
 instance_id_t partitions_leader(const node_t *node, uint32_t partition) {
     const group_t *group = node->partitions->groups[partition];
     const partition_notice_t *route = &node->partitions->routes[partition];
+    if (group != NULL && group->led)
+        return node->instance;
     if (group != NULL && raft_leader(group->raft) != 0 && raft_term(group->raft) >= route->term)
         return raft_leader(group->raft);
     const member_t *leader = membership_find(node->membership, route->leader);
