node: answers to the own node go by the mailbox

Cause: under the address sanitizer the first refused call crashed a node: answering an operation that entered at the leader itself freed the operation while propose_call still used it (calls.c, end_if_runaway). Found by the bad-input test in make asan. Ruled out: the peer path, which copies.

--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -37,6 +37,11 @@
     fi
 }
 
+# no_reports: passes if no process of the cluster logged a sanitizer's report.
+no_reports() {
+    ! grep -E 'runtime error:|(Address|Leak|Thread)Sanitizer' "$CLUSTER_DIR"/*.log
+}
+
 # cluster_variables: what tests/support/cluster_client.h reads.
 cluster_variables() {
     local name
@@ -64,6 +69,7 @@
 expect "the node still runs after bad input" kill -0 "${NODE_PID[solo]}"
 . tests/integration/command_line_test.sh
 cluster_end
+expect "no sanitizer report" no_reports
 NODE_HTTP=() NODE_PEER=() NODE_PID=()
 
 echo "--- six nodes in three zones"
@@ -79,6 +85,7 @@
 run_test whole_answers "$BUILD/tests/whole_answers_cluster_test"
 . tests/integration/planned_stop_test.sh
 cluster_end
+expect "no sanitizer report" no_reports
 
 echo "$passed passed, $failed failed"
 [ "$failed" -eq 0 ] && [ "$passed" -gt 0 ]
--- a/src/node/calls.c
+++ b/src/node/calls.c
@@ -93,14 +93,30 @@
 
 /* --- Answers ------------------------------------------------------------------------------ */
 
+static void deliver_answer(void *context, void *data) {
+    entries_answer(context, data);
+    answer_free(data);
+}
+
+static void deliver_chunk(void *context, void *data) {
+    entries_chunk(context, data);
+    chunk_free(data);
+}
+
+/** Even to this node an answer goes by the mailbox: handling it frees the entry's operation. */
 static void send_answer(node_t *node, instance_id_t entry, answer_t *answer) {
     answer->from = node->instance;
-    if (entry == node->instance) {
-        entries_answer(node, answer);
-        answer_free(answer);
-        return;
-    }
-    node_send(node, entry, PEER_RESPONSE_OPERATION, answer);
+    if (entry == node->instance)
+        mailbox_post(node->mailbox, deliver_answer, answer);
+    else
+        node_send(node, entry, PEER_RESPONSE_OPERATION, answer);
+}
+
+static void send_chunk(node_t *node, instance_id_t entry, chunk_t *chunk) {
+    if (entry == node->instance)
+        mailbox_post(node->mailbox, deliver_chunk, chunk);
+    else
+        node_send(node, entry, PEER_RESPONSE_CHUNK, chunk);
 }
 
 static void answer_error(node_t *node, const operation_t *operation, error_code_t error) {
@@ -195,12 +211,7 @@
         return;
     chunk_t *chunk =
         chunk_new(operation->request, attempt, from, text->str + from, text->len - from);
-    if (operation->entry == node->instance) {
-        entries_chunk(node, chunk);
-        chunk_free(chunk);
-    } else {
-        node_send(node, operation->entry, PEER_RESPONSE_CHUNK, chunk);
-    }
+    send_chunk(node, operation->entry, chunk);
 }
 
 static void add_waiter(node_t *node, const operation_t *operation) {
@@ -245,12 +256,7 @@
         if (!waiter->stream)
             continue;
         chunk_t *chunk = chunk_new(waiter->request, attempt, offset, data, length);
-        if (waiter->entry == node->instance) {
-            entries_chunk(node, chunk);
-            chunk_free(chunk);
-        } else {
-            node_send(node, waiter->entry, PEER_RESPONSE_CHUNK, chunk);
-        }
+        send_chunk(node, waiter->entry, chunk);
     }
 }
 
--- a/src/node/mailbox.c
+++ b/src/node/mailbox.c
@@ -52,6 +52,12 @@
     }
 }
 
+void mailbox_drain(mailbox_t *mailbox) {
+    task_entry_t *entry;
+    while ((entry = g_async_queue_try_pop(mailbox->queue)) != NULL)
+        run_entry(entry, mailbox->context);
+}
+
 unsigned mailbox_length(const mailbox_t *mailbox) {
     int length = g_async_queue_length(mailbox->queue);
     return length > 0 ? (unsigned)length : 0;
@@ -67,11 +73,15 @@
     return workers;
 }
 
+void workers_stop(workers_t *workers) {
+    g_thread_pool_free(g_steal_pointer(&workers->pool), FALSE, TRUE);
+}
+
 void workers_free(workers_t *workers) {
-    g_thread_pool_free(workers->pool, FALSE, TRUE);
     g_free(workers);
 }
 
 void workers_submit(workers_t *workers, task_t job, void *data) {
-    g_thread_pool_push(workers->pool, task_entry_new(job, data), NULL);
+    if (workers->pool != NULL)
+        g_thread_pool_push(workers->pool, task_entry_new(job, data), NULL);
 }
--- a/src/node/mailbox.h
+++ b/src/node/mailbox.h
@@ -23,13 +23,17 @@
 void mailbox_post(mailbox_t *mailbox, task_t task, void *data);
 /** Runs tasks until none is left, after waiting up to @p wait_us for the first. */
 void mailbox_run(mailbox_t *mailbox, int64_t wait_us);
+/** Runs every task that is left, also those that these post. */
+void mailbox_drain(mailbox_t *mailbox);
 /** Tasks waiting. */
 unsigned mailbox_length(const mailbox_t *mailbox);
 
 typedef struct workers workers_t;
 
 workers_t *workers_new(void *context);
-/** Waits for the jobs under way. */
+/** Waits for the jobs under way; later ones are dropped. */
+void workers_stop(workers_t *workers);
+/** Frees a stopped pool. */
 void workers_free(workers_t *workers);
 /** Runs @p job(context, @p data) on a pool thread. */
 void workers_submit(workers_t *workers, task_t job, void *data);
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -364,9 +364,12 @@
 }
 
 void node_free(node_t *node) {
-    workers_free(node->workers);
+    workers_stop(node->workers);
+    mailbox_drain(node->mailbox);
     http_server_stop(node->http);
     peer_transport_stop(node->transport);
+    mailbox_drain(node->mailbox);
+    workers_free(node->workers);
     mailbox_free(node->mailbox);
     partitions_free(node->partitions);
     entries_free(node->entries);
--- a/tests/integration/whole_answers_test.cc
+++ b/tests/integration/whole_answers_test.cc
@@ -80,8 +80,9 @@
                        R"(,"messages":[{"role":"user","content":"caller )" +
                        std::to_string(number) + R"("}]})";
     for (int i = 0; i < 200 && result->stream.done.empty() && result->stream.error.empty(); i++) {
-        unsigned pieces = random() % 60;
-        bool patient = random() % 3 == 0;
+        /* Most hang up at the first piece; a fetch may hang up later, or read to the end. */
+        unsigned pieces = i == 0 ? 0 : random() % 60;
+        bool patient = i == 0 ? number % 4 == 0 : random() % 3 == 0;
         auto on_chunk = [&](const std::string &data) {
             result->stream.take(data);
             return patient || pieces-- > 0;
