membership: traffic of whole tables stays level as the fleet grows

Cause: make slopes showed control traffic of an idle node growing by 16.4 bytes/s for every member (918 bytes/s at 3 nodes, 1262 at 24): each node sends its whole table every 5 s. Ruled out: pings, 10 datagrams/s at every size.

Change: the interval between whole-table exchanges grows with the table.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 SHELL := /bin/bash
 BUILD := build
 
-.PHONY: all setup build demo check bench lint format asan tsan clean
+.PHONY: all setup build demo check bench slopes lint format asan tsan clean
 
 all: build
 
@@ -22,6 +22,9 @@
 bench: build
 	@BUILD=$(BUILD) bash scripts/bench.sh
 
+slopes: build
+	@BUILD=$(BUILD) bash scripts/slopes.sh
+
 lint: build
 	@BUILD=$(BUILD) bash scripts/lint.sh
 
--- a/src/core/membership/membership.c
+++ b/src/core/membership/membership.c
@@ -7,6 +7,7 @@
     .ping_timeout_ms = 80,
     .suspicion_ms = 800,
     .sync_ms = 5000,
+    .sync_members = 24,
     .forget_dead_ms = 3600 * 1000,
     .indirect_count = 3,
     .updates_maximum = 6,
@@ -433,6 +434,13 @@
         send_table(membership, MEMBERSHIP_REQUEST_SYNC, member->address, member->peer_port, output);
 }
 
+static int64_t sync_interval(const membership_t *membership) {
+    if (membership->members->len == 1)
+        return membership->options.period_ms;
+    uint32_t tables = membership->members->len / membership->options.sync_members;
+    return membership->options.sync_ms * MAX(tables, 1);
+}
+
 void membership_tick(membership_t *membership, int64_t now_ms, membership_output_t *output) {
     membership->now_ms = now_ms;
     tick_probes(membership, output);
@@ -442,9 +450,7 @@
         ping_next(membership, output);
     }
     if (now_ms >= membership->next_sync_ms) {
-        bool alone = membership->members->len == 1;
-        membership->next_sync_ms =
-            now_ms + (alone ? membership->options.period_ms : membership->options.sync_ms);
+        membership->next_sync_ms = now_ms + sync_interval(membership);
         sync_with_one(membership, output);
         forget_dead(membership);
     }
--- a/src/core/membership/membership.h
+++ b/src/core/membership/membership.h
@@ -55,10 +55,12 @@
 } membership_message_t;
 
 typedef struct {
-    int64_t period_ms;        /**< Between pings. */
-    int64_t ping_timeout_ms;  /**< Before indirect pings. */
-    int64_t suspicion_ms;     /**< From suspicion to death. */
-    int64_t sync_ms;          /**< Between exchanges of whole tables. */
+    int64_t period_ms;       /**< Between pings. */
+    int64_t ping_timeout_ms; /**< Before indirect pings. */
+    int64_t suspicion_ms;    /**< From suspicion to death. */
+    int64_t sync_ms; /**< Between exchanges of whole tables of up to sync_members; larger ones go
+                          less often, so that their traffic stays level. */
+    uint32_t sync_members;
     int64_t forget_dead_ms;   /**< How long the dead are remembered. */
     uint32_t indirect_count;  /**< Helpers asked to ping. */
     uint32_t updates_maximum; /**< News on one datagram. */
--- a/tests/unit/membership_test.cc
+++ b/tests/unit/membership_test.cc
@@ -134,6 +134,50 @@
     EXPECT_EQ(membership_find_name(fleet.nodes[1000], "n2")->instance, 2002u);
 }
 
+/** Bytes of whole tables that one node sends in ten minutes. */
+uint64_t sync_bytes(int members) {
+    Fleet fleet(1);
+    membership_t *node = fleet.nodes[1000];
+    auto *news = g_new0(membership_message_t, 1);
+    news->members = g_ptr_array_new_with_free_func((GDestroyNotify)member_free);
+    for (int i = 0; i < members; i++) {
+        std::string name = "m" + std::to_string(i);
+        member_t member = {};
+        member.instance = 5000 + static_cast<instance_id_t>(i);
+        member.name = const_cast<char *>(name.c_str());
+        member.zone = member.address = const_cast<char *>("a");
+        g_ptr_array_add(news->members, member_copy(&member));
+    }
+    membership_output_t output;
+    membership_output_init(&output);
+    membership_receive(node, news, 1000, &output);
+    membership_output_clear(&output);
+    membership_message_free(news);
+    uint64_t bytes = 0;
+    for (int64_t now_ms = 1000; now_ms < 600000; now_ms += 100) {
+        membership_output_init(&output);
+        membership_tick(node, now_ms, &output);
+        for (guint i = 0; i < output.messages->len; i++) {
+            auto *message =
+                static_cast<membership_message_t *>(g_ptr_array_index(output.messages, i));
+            codec_t codec;
+            if (!message->reliable)
+                continue;
+            codec_start_encoding(&codec);
+            membership_message_codec(&codec, message);
+            GBytes *encoded = codec_finish(&codec);
+            bytes += g_bytes_get_size(encoded);
+            g_bytes_unref(encoded);
+        }
+        membership_output_clear(&output);
+    }
+    return bytes;
+}
+
+TEST(Membership, TrafficOfWholeTablesDoesNotGrowWithTheFleet) {
+    EXPECT_LT(sync_bytes(3000), 3 * sync_bytes(24));
+}
+
 GPtrArray *make_members(int zones, int per_zone) {
     GPtrArray *members = g_ptr_array_new_with_free_func((GDestroyNotify)member_free);
     for (int i = 0; i < zones * per_zone; i++) {
