node: the decision thread's work apart from threads and sockets

Change: decision.c holds a node's state, messages and rounds and takes the time from its driver; node.c keeps threads, sockets and signals. An edit's writes are repeated by the decision thread.

--- a/src/node/configuration_service.c
+++ b/src/node/configuration_service.c
@@ -17,7 +17,6 @@
     EDIT_TIMEOUT_MS = 8000,
     EDIT_RETRY_MS = 50,
     STATUS_OK = 200,
-    MICROSECONDS_PER_MILLISECOND = 1000,
 };
 
 static const char edit_prefix[] = "config/edit/";
@@ -30,13 +29,15 @@
     uint64_t watch_version;
     int64_t next_watch_ms;
     int64_t next_ask_ms;
-    GHashTable *future; /**< Revision → edit_t that came before its predecessors. */
+    GPtrArray *retrying; /**< Of submission_t whose write is to be repeated. */
+    GHashTable *future;  /**< Revision → edit_t that came before its predecessors. */
 };
 
-configuration_service_t *configuration_service_new(void) {
+configuration_service_t *configuration_service_new(uint64_t seed) {
     configuration_service_t *service = g_new0(configuration_service_t, 1);
     service->log = edit_log_new();
-    service->random = g_rand_new();
+    service->random = g_rand_new_with_seed((guint32)(seed ^ (seed >> 32)));
+    service->retrying = g_ptr_array_new();
     service->future =
         g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, (GDestroyNotify)edit_free);
     return service;
@@ -45,6 +46,7 @@
 void configuration_service_free(configuration_service_t *service) {
     edit_log_free(service->log);
     g_rand_free(service->random);
+    g_ptr_array_unref(service->retrying);
     g_hash_table_unref(service->future);
     g_free(service);
 }
@@ -250,8 +252,11 @@
     return true;
 }
 
+static void write_again(node_t *node);
+
 void configuration_service_tick(node_t *node) {
     configuration_service_t *service = node->configuration_service;
+    write_again(node);
     if (service->watching || node->now_ms < service->next_watch_ms || !is_watcher(node))
         return;
     watch_t *watch = g_new0(watch_t, 1);
@@ -267,7 +272,8 @@
     http_request_t *request;
     edit_t *edit;
     bool ambiguous; /**< A write of it had no answer. */
-    int64_t deadline_us;
+    int64_t deadline_ms;
+    int64_t retry_ms; /**< When to write again. */
     GError *error;    /**< Of the last step. */
     json_t *conflict; /**< Entries read back after a conflict. */
 } submission_t;
@@ -349,9 +355,28 @@
     g_ptr_array_unref(edits);
 }
 
+static bool is_ambiguous(const GError *error) {
+    return error->code == RUDDERWAY_ERROR_TIMED_OUT ||
+           error->code == RUDDERWAY_ERROR_CONNECTION_LOST;
+}
+
+/** True if the write should be tried again; arranges it. */
+static bool retry_write(node_t *node, submission_t *submission) {
+    bool conflict = submission->error->code == RUDDERWAY_ERROR_KEY_VALUE_CONFLICT;
+    if (is_ambiguous(submission->error))
+        submission->ambiguous = true;
+    if ((conflict && submission->conflict != NULL) || node->now_ms >= submission->deadline_ms)
+        return false;
+    submission->retry_ms = node->now_ms + EDIT_RETRY_MS;
+    g_ptr_array_add(node->configuration_service->retrying, submission);
+    return true;
+}
+
 static void on_written(void *context, void *data) {
     node_t *node = context;
     submission_t *submission = data;
+    if (submission->error != NULL && retry_write(node, submission))
+        return;
     GError *error = g_steal_pointer(&submission->error);
     if (error == NULL)
         accept_edit(node, submission);
@@ -364,11 +389,6 @@
     g_clear_error(&error);
 }
 
-static bool is_ambiguous(const GError *error) {
-    return error->code == RUDDERWAY_ERROR_TIMED_OUT ||
-           error->code == RUDDERWAY_ERROR_CONNECTION_LOST;
-}
-
 static void read_back(node_t *node, submission_t *submission) {
     uint64_t version;
     json_decref(submission->conflict);
@@ -382,34 +402,39 @@
     char *key = g_strdup_printf("%s%020" G_GUINT64_FORMAT, edit_prefix, submission->edit->revision);
     json_t *value = edit_to_json(submission->edit);
     char *text = json_to_text(value);
-    bool again = true;
-    while (again) {
-        g_clear_error(&submission->error);
-        bool written = key_value_swap(node->client, key_value_address(node), key, text, 0, 0,
-                                      &submission->error);
-        bool conflict = !written && submission->error->code == RUDDERWAY_ERROR_KEY_VALUE_CONFLICT;
-        if (conflict)
-            read_back(node, submission);
-        if (!written && is_ambiguous(submission->error))
-            submission->ambiguous = true;
-        again = !written && (!conflict || submission->conflict == NULL) &&
-                g_get_monotonic_time() < submission->deadline_us;
-        if (again)
-            g_usleep(EDIT_RETRY_MS * MICROSECONDS_PER_MILLISECOND);
-    }
+    g_clear_error(&submission->error);
+    key_value_swap(node->client, key_value_address(node), key, text, 0, 0, &submission->error);
+    if (submission->error != NULL && submission->error->code == RUDDERWAY_ERROR_KEY_VALUE_CONFLICT)
+        read_back(node, submission);
     json_decref(value);
     g_free(text);
     g_free(key);
     mailbox_post(node->mailbox, on_written, submission);
 }
 
+static void start_write(void *context, void *data) {
+    node_t *node = context;
+    submission_t *submission = data;
+    submission->deadline_ms = node->now_ms + EDIT_TIMEOUT_MS;
+    prepare(node, submission);
+}
+
+static void write_again(node_t *node) {
+    GPtrArray *retrying = node->configuration_service->retrying;
+    for (guint i = retrying->len; i > 0; i--) {
+        submission_t *submission = g_ptr_array_index(retrying, i - 1);
+        if (submission->retry_ms > node->now_ms)
+            continue;
+        g_ptr_array_remove_index_fast(retrying, i - 1);
+        workers_submit(node->workers, run_write, submission);
+    }
+}
+
 void configuration_service_submit(node_t *node, http_request_t *request, edit_t *edit) {
     submission_t *submission = g_new0(submission_t, 1);
     submission->request = request;
     submission->edit = edit;
-    submission->deadline_us =
-        g_get_monotonic_time() + (int64_t)EDIT_TIMEOUT_MS * MICROSECONDS_PER_MILLISECOND;
-    mailbox_post(node->mailbox, prepare, submission);
+    mailbox_post(node->mailbox, start_write, submission);
 }
 
 /* --- History ------------------------------------------------------------------------------ */
--- a/src/node/configuration_service.h
+++ b/src/node/configuration_service.h
@@ -18,7 +18,7 @@
 #include "common/http_server.h"
 #include "node/node.h"
 
-configuration_service_t *configuration_service_new(void);
+configuration_service_t *configuration_service_new(uint64_t seed);
 void configuration_service_free(configuration_service_t *service);
 void configuration_service_tick(node_t *node);
 /** A peer has told its revision. */
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -2,33 +2,18 @@
 
 #include "common/event.h"
 #include "node/admin_api.h"
-#include "node/backend_service.h"
-#include "node/bootstrap.h"
 #include "node/caller_api.h"
-#include "node/calls.h"
-#include "node/configuration_service.h"
-#include "node/entries.h"
-#include "node/partitions.h"
-#include "node/runs.h"
-#include "node/services.h"
+#include "node/decision.h"
 
-#include <string.h>
 #include <unistd.h>
-#include <urcu-bp.h>
 
 enum {
     TICK_US = 10 * 1000,
     MICROSECONDS_PER_MILLISECOND = 1000,
     MILLISECONDS_PER_SECOND = 1000,
     INSTANCE_RANDOM_BITS = 20,
-    LINGER_MS = 300, /**< Before the listening socket closes: clients may still be connecting. */
 };
 
-static void update_time(node_t *node) {
-    node->now_ms = g_get_monotonic_time() / MICROSECONDS_PER_MILLISECOND;
-    node->unix_ms = g_get_real_time() / MICROSECONDS_PER_MILLISECOND;
-}
-
 /** Grows with the start time, so a later instance of a name is known to be the later one. */
 static instance_id_t new_instance(void) {
     uint64_t random = 0;
@@ -38,155 +23,20 @@
     return time_ms << INSTANCE_RANDOM_BITS | (random & ((1U << INSTANCE_RANDOM_BITS) - 1));
 }
 
-/* --- Configuration in force --------------------------------------------------------------- */
-
-configuration_t *node_configuration(node_t *node) {
-    rcu_read_lock();
-    configuration_t *configuration = configuration_ref(rcu_dereference(node->configuration));
-    rcu_read_unlock();
-    return configuration;
-}
-
-void node_publish_configuration(node_t *node, configuration_t *configuration) {
-    configuration_t *old = rcu_xchg_pointer(&node->configuration, configuration);
-    synchronize_rcu();
-    configuration_unref(old);
-}
-
-/* --- Messages ----------------------------------------------------------------------------- */
-
-void node_send(node_t *node, instance_id_t to, peer_kind_t kind, void *record) {
-    peer_message_t *message = peer_message_new(kind, record);
-    const member_t *member = membership_find(node->membership, to);
-    message->from = node->instance;
-    message->to = to;
-    if (member != NULL)
-        peer_transport_send(node->transport, member->address, member->peer_port, message, false);
-    peer_message_free(message);
-}
-
-static void handle_change(node_t *node, const member_t *member) {
-    if (member->state == MEMBER_DEAD)
-        event_log(MEMBER_DEAD, member->name, member->instance);
-    else if (member->state == MEMBER_SUSPECT)
-        event_log(MEMBER_SUSPECTED, member->name, member->instance);
-    else if (member->leaving)
-        event_log(MEMBER_LEAVING, member->name, member->instance);
-    else
-        event_log(MEMBER_ALIVE, member->name, member->instance, member->zone);
-    partitions_member_changed(node, member);
-}
-
-void node_flush_membership(node_t *node, membership_output_t *output) {
-    for (guint i = 0; i < output->messages->len; i++) {
-        membership_message_t *record = g_ptr_array_index(output->messages, i);
-        peer_message_t message = {.kind = PEER_MEMBERSHIP, .from = node->instance};
-        message.membership = record;
-        peer_transport_send(node->transport, record->address, record->port, &message,
-                            !record->reliable);
-    }
-    for (guint i = 0; i < output->changed->len; i++)
-        handle_change(node, g_ptr_array_index(output->changed, i));
-    membership_output_clear(output);
-}
-
-static void receive_membership(node_t *node, const peer_message_t *message) {
-    membership_output_t output;
-    membership_output_init(&output);
-    membership_receive(node->membership, message->membership, node->now_ms, &output);
-    node_flush_membership(node, &output);
-    configuration_service_heard(node, message->from, message->membership->configuration_revision);
-}
-
-static void receive_settle(node_t *node, const peer_message_t *message) {
-    command_t *result = command_decode(message->settle->command);
-    if (result == NULL || result->kind != COMMAND_RESULT) {
-        g_clear_pointer(&result, command_free);
-        return;
-    }
-    uint32_t partition = partitions_of_program(node, result->program);
-    group_t *group = partitions_led_group(node, partition);
-    if (group == NULL) {
-        command_free(result);
-        return;
-    }
-    const program_t *program = program_store_find(group_store(group), result->program);
-    const call_t *call = program != NULL ? program_call(program, result->call) : NULL;
-    bool open = call != NULL && call->state == CALL_RUNNING && call->attempt == result->attempt;
-    if (open) {
-        calls_settle(node, group, result);
-        return;
-    }
-    node_send(node, message->from, PEER_RESPONSE_SETTLE, settle_new(message->settle->id, NULL));
-    command_free(result);
-}
-
-/** A message that speaks for another node than its sender is malformed. */
-static bool speaks_for_itself(const node_t *node, const peer_message_t *message) {
-    const member_t *sender;
-    switch (message->kind) {
-    case PEER_MEMBERSHIP:
-        sender = g_ptr_array_index(message->membership->members, 0);
-        return sender->instance == message->from;
-    case PEER_RAFT:
-        return message->raft->from == message->from &&
-               membership_find(node->membership, message->from) != NULL;
-    case PEER_NOTICE_PARTITION:
-        return message->notice->leader == message->from;
-    default:
-        return true;
-    }
+static void update_time(node_t *node) {
+    node->now_ms = g_get_monotonic_time() / MICROSECONDS_PER_MILLISECOND;
+    node->unix_ms = g_get_real_time() / MICROSECONDS_PER_MILLISECOND;
 }
 
-static void handle_message(void *context, void *data) {
-    node_t *node = context;
-    peer_message_t *message = data;
-    if (!speaks_for_itself(node, message)) {
-        peer_message_free(message);
-        return;
-    }
-    switch (message->kind) {
-    case PEER_MEMBERSHIP:
-        receive_membership(node, message);
-        break;
-    case PEER_RAFT:
-        partitions_receive(node, message->raft);
-        break;
-    case PEER_REQUEST_OPERATION:
-        calls_receive(node, message->operation);
-        break;
-    case PEER_RESPONSE_OPERATION:
-        entries_answer(node, message->answer);
-        break;
-    case PEER_RESPONSE_CHUNK:
-        entries_chunk(node, message->chunk);
-        break;
-    case PEER_REQUEST_SETTLE:
-        receive_settle(node, message);
-        break;
-    case PEER_RESPONSE_SETTLE:
-        runs_acknowledged(node, message->settle->id);
-        break;
-    case PEER_NOTICE_PARTITION:
-        partitions_receive_notice(node, message->notice);
-        break;
-    case PEER_REQUEST_CONFIGURATION:
-        configuration_service_asked(node, message->from, message->configuration);
-        break;
-    case PEER_RESPONSE_CONFIGURATION:
-        configuration_service_told(node, message->from, message->configuration);
-        break;
-    case PEER_KINDS:
-        break;
-    }
-    peer_message_free(message);
+static void take_message(void *context, void *data) {
+    node_handle_message(context, data);
 }
 
 /** On the transport's thread: a message for an earlier instance of this node is dropped. */
 static void on_peer_message(void *context, peer_message_t *message) {
     node_t *node = context;
     if (message->to == 0 || message->to == node->instance)
-        mailbox_post(node->mailbox, handle_message, message);
+        mailbox_post(node->mailbox, take_message, message);
     else
         peer_message_free(message);
 }
@@ -219,19 +69,6 @@
     return node->http != NULL;
 }
 
-static void create_membership(node_t *node) {
-    const settings_t *settings = node->settings;
-    const member_t self = {.instance = node->instance,
-                           .name = settings->name,
-                           .zone = settings->zone,
-                           .address = settings->peer.address,
-                           .peer_port = peer_transport_port(node->transport),
-                           .http_port = http_server_port(node->http)};
-    node->membership =
-        membership_new(&self, (const membership_seed_t *)(void *)settings->seeds->data,
-                       settings->seeds->len, node->instance, &membership_default_options);
-}
-
 static bool write_ports(const node_t *node, GError **error) {
     if (*node->settings->port_file == '\0')
         return true;
@@ -243,26 +80,12 @@
 }
 
 node_t *node_start(settings_t *settings, GError **error) {
-    node_t *node = g_new0(node_t, 1);
-    node->settings = settings;
-    node->instance = new_instance();
-    update_time(node);
-    node->mailbox = mailbox_new(node);
-    node->workers = workers_new(node);
+    node_t *node = node_new(settings, new_instance());
     node->client = http_client_new();
-    node->configuration = configuration_new();
-    node->backends = backend_set_new();
-    node->routing.policy = settings->policy;
-    node->partitions = partitions_new(node);
-    node->entries = entries_new();
-    node->calls = calls_new();
-    node->runs = runs_new();
-    node->configuration_service = configuration_service_new();
-    node->backend_service = backend_service_new();
-    node->services = services_new();
+    update_time(node);
     if (!open_sockets(node, error))
         return NULL;
-    create_membership(node);
+    node_join(node, peer_transport_port(node->transport), http_server_port(node->http));
     if (!write_ports(node, error))
         return NULL;
     char *http = g_strdup_printf("%s:%u", settings->http.address, http_server_port(node->http));
@@ -276,54 +99,6 @@
 
 /* --- Run ---------------------------------------------------------------------------------- */
 
-static void tick_membership(node_t *node) {
-    membership_output_t output;
-    membership_output_init(&output);
-    membership_tick(node->membership, node->now_ms, &output);
-    node_flush_membership(node, &output);
-}
-
-static void update_ready(node_t *node) {
-    bool ready = partitions_all_led(node) && backend_service_ready(node) &&
-                 configuration_revision(node->configuration) > 0;
-    g_atomic_int_set(&node->ready, ready || g_atomic_int_get(&node->ready));
-}
-
-static void tick(node_t *node, bootstrap_t *bootstrap) {
-    update_time(node);
-    tick_membership(node);
-    bootstrap_tick(node, bootstrap);
-    partitions_tick(node);
-    configuration_service_tick(node);
-    backend_service_tick(node);
-    runs_tick(node);
-    calls_tick(node);
-    entries_tick(node);
-    update_ready(node);
-}
-
-static void begin_stop(node_t *node) {
-    membership_output_t output;
-    event_log(NODE_STOPPING, 0, runs_count(node, NULL) + entries_count(node),
-              partitions_led_count(node));
-    node->stopping = true;
-    membership_output_init(&output);
-    membership_leave(node->membership, &output);
-    node_flush_membership(node, &output);
-}
-
-static unsigned work_left(const node_t *node) {
-    return runs_count(node, NULL) + entries_count(node) + services_count(node) +
-           http_server_in_flight(node->http);
-}
-
-/** True once nothing is in flight and every partition is in other hands. */
-static bool stop_is_complete(node_t *node, int64_t started_ms) {
-    bool handed_off = partitions_hand_off(node);
-    bool lingered = node->now_ms - started_ms >= LINGER_MS;
-    return handed_off && lingered && work_left(node) == 0;
-}
-
 static void run_round(node_t *node, bootstrap_t *bootstrap, int64_t *next_tick_us) {
     int64_t now_us = g_get_monotonic_time();
     if (now_us < *next_tick_us)
@@ -332,7 +107,7 @@
     if (g_get_monotonic_time() < *next_tick_us)
         return;
     *next_tick_us = g_get_monotonic_time() + TICK_US;
-    tick(node, bootstrap);
+    node_tick(node, bootstrap);
 }
 
 unsigned node_run(node_t *node) {
@@ -346,15 +121,16 @@
             continue;
         if (!node->stopping) {
             stop_started_ms = node->now_ms;
-            begin_stop(node);
+            node_begin_stop(node);
         }
         bool too_long = node->now_ms - stop_started_ms > longest_ms;
-        if (too_long || stop_is_complete(node, stop_started_ms))
+        if (too_long || (node_stop_is_complete(node, stop_started_ms) &&
+                         http_server_in_flight(node->http) == 0))
             break;
     }
     http_server_quiesce(node->http);
     bootstrap_free(bootstrap);
-    unsigned cut_off = work_left(node);
+    unsigned cut_off = node_work_left(node) + http_server_in_flight(node->http);
     event_log(NODE_STOPPED, cut_off);
     return cut_off;
 }
@@ -369,19 +145,6 @@
     http_server_stop(node->http);
     peer_transport_stop(node->transport);
     mailbox_drain(node->mailbox);
-    workers_free(node->workers);
-    mailbox_free(node->mailbox);
-    partitions_free(node->partitions);
-    entries_free(node->entries);
-    calls_free(node->calls);
-    runs_free(node->runs);
-    configuration_service_free(node->configuration_service);
-    backend_service_free(node->backend_service);
-    services_free(node->services);
-    backend_set_free(node->backends);
-    membership_free(node->membership);
-    configuration_unref(node->configuration);
     http_client_free(node->client);
-    settings_free(node->settings);
-    g_free(node);
+    node_release(node);
 }
