runs: an intent that is applied again does not run again

A live node that left a group and joined it again gets the log from the start; each old intent names it as runner, and applying it started the attempt again. The second execution could come after the program's end, so engines also held memory for ended programs. Ruled out: two leaders (terms in the history agree) and retries (attempt numbers are equal).

Change: a node expects each intent that it proposes and starts the attempt only the first time it is applied.

--- a/src/node/calls.c
+++ b/src/node/calls.c
@@ -508,6 +508,7 @@
         error = program_store_check(group_store(group), intent);
     if (error == RUDDERWAY_ERROR_NONE) {
         retry_budget_first_try(&node->calls->retry_budget);
+        runs_expect(node, intent);
         partitions_propose(node, group, intent, on_intent_applied, request_context_new(operation));
         return;
     }
@@ -896,10 +897,12 @@
         g_ptr_array_set_free_func(node->calls->retries, delayed_retry_free);
         uint32_t partition = partitions_of_program(node, intent->program);
         group_t *group = partitions_led_group(node, partition);
-        if (group != NULL)
+        if (group != NULL) {
+            runs_expect(node, intent);
             partitions_propose(node, group, intent, NULL, NULL);
-        else
+        } else {
             command_free(intent);
+        }
     }
 }
 
--- a/src/node/decision.c
+++ b/src/node/decision.c
@@ -185,6 +185,10 @@
     update_ready(node);
 }
 
+void node_request_stop(node_t *node) {
+    g_atomic_int_set(&node->stop_requested, 1);
+}
+
 void node_begin_stop(node_t *node) {
     membership_output_t output;
     event_log(NODE_STOPPING, 0, runs_count(node, NULL) + entries_count(node),
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -135,10 +135,6 @@
     return cut_off;
 }
 
-void node_request_stop(node_t *node) {
-    g_atomic_int_set(&node->stop_requested, 1);
-}
-
 void node_free(node_t *node) {
     workers_stop(node->workers);
     mailbox_drain(node->mailbox);
--- a/src/node/runs.c
+++ b/src/node/runs.c
@@ -10,6 +10,7 @@
 
 enum {
     SETTLE_INTERVAL_MS = 200,
+    SWEEP_INTERVAL_MS = 60000,
     BATCH_PRIORITY = 10,
     INTERACTIVE_PRIORITY = 0,
 };
@@ -64,7 +65,9 @@
 } piece_t;
 
 struct runs {
-    GPtrArray *list; /**< Of run_t. */
+    GPtrArray *list;      /**< Of run_t. */
+    GHashTable *expected; /**< "program#call#attempt" → deadline, Unix time in ms. */
+    int64_t next_sweep_ms;
     uint64_t next_settle;
 };
 
@@ -86,11 +89,13 @@
 runs_t *runs_new(void) {
     runs_t *runs = g_new0(runs_t, 1);
     runs->list = g_ptr_array_new_with_free_func((GDestroyNotify)run_free);
+    runs->expected = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     return runs;
 }
 
 void runs_free(runs_t *runs) {
     g_ptr_array_unref(runs->list);
+    g_hash_table_unref(runs->expected);
     g_free(runs);
 }
 
@@ -257,8 +262,38 @@
     json_decref(messages);
 }
 
+static char *attempt_key(const command_t *intent) {
+    return g_strdup_printf("%s#%u#%u", intent->program, intent->call, intent->attempt);
+}
+
+void runs_expect(node_t *node, const command_t *intent) {
+    int64_t *deadline_ms = g_new(int64_t, 1);
+    *deadline_ms = intent->deadline_ms;
+    g_hash_table_replace(node->runs->expected, attempt_key(intent), deadline_ms);
+}
+
+static bool take_expected(node_t *node, const command_t *intent) {
+    char *key = attempt_key(intent);
+    bool expected = g_hash_table_remove(node->runs->expected, key);
+    g_free(key);
+    return expected;
+}
+
+/** Forgets intents that were lost with their leader's term, long after their deadline. */
+static void forget_expected(node_t *node) {
+    GHashTableIter iterator;
+    gpointer value;
+    if (node->now_ms < node->runs->next_sweep_ms)
+        return;
+    node->runs->next_sweep_ms = node->now_ms + SWEEP_INTERVAL_MS;
+    g_hash_table_iter_init(&iterator, node->runs->expected);
+    while (g_hash_table_iter_next(&iterator, NULL, &value))
+        if (node->unix_ms > *(const int64_t *)value + SWEEP_INTERVAL_MS)
+            g_hash_table_iter_remove(&iterator);
+}
+
 void runs_start(node_t *node, const group_t *group, const command_t *intent) {
-    if (find_run(node, intent->program, intent->call, intent->attempt) != NULL)
+    if (!take_expected(node, intent))
         return;
     const program_t *program = program_store_find(group_store(group), intent->program);
     run_t *run = run_new(node, program, intent);
@@ -370,6 +405,7 @@
 }
 
 void runs_tick(node_t *node) {
+    forget_expected(node);
     GPtrArray *due = g_ptr_array_new();
     for (guint i = 0; i < node->runs->list->len; i++) {
         run_t *run = g_ptr_array_index(node->runs->list, i);
--- a/src/node/runs.h
+++ b/src/node/runs.h
@@ -3,8 +3,10 @@
  * The runner's side of calls: attempts that this node executes, and their outcomes until the
  * partition's leader has taken them over.
  *
- * An attempt starts when its intent, naming this node, has been applied; nothing else starts
- * one. It runs on a pool thread against one back end. Its outcome is proposed here or sent to
+ * An attempt starts when its intent, which this node has proposed, is applied for the first
+ * time; nothing else starts one. A node that left a group and joins it again applies old
+ * intents once more, and those must not run a second time: so each proposal is expected once.
+ * It runs on a pool thread against one back end. Its outcome is proposed here or sent to
  * the leader, again and again, until the log has it.
  *
  * Thread safety: decision thread only.
@@ -18,6 +20,8 @@
 void runs_free(runs_t *runs);
 void runs_tick(node_t *node);
 
+/** Expects the intent that is about to be proposed; only expected attempts are started. */
+void runs_expect(node_t *node, const command_t *intent);
 /** Starts the attempt that @p intent (applied) names. */
 void runs_start(node_t *node, const group_t *group, const command_t *intent);
 /** True if this node executes the attempt or holds its unsettled outcome. */
