program: no "not run" after an attempt whose outcome is unknown

A repeatable call lost the answers of two executed attempts; the third attempt found no engine, and its outcome "not run" became the call's. Ruled out: copies of the operation at other nodes (one leader handled all).

Change: a call remembers that an earlier attempt may have run; a last attempt that did not run then settles it as unknown.

--- a/src/core/program/program.c
+++ b/src/core/program/program.c
@@ -252,6 +252,7 @@
         /* Unless it did not run, the earlier attempt may have cost all that it reserved. */
         program->reserved -= call->reserve;
         program->spent += command->previous_not_run ? 0 : call->reserve;
+        call->may_have_run = call->may_have_run || !command->previous_not_run;
     }
     call->state = CALL_RUNNING;
     call->attempt = command->attempt;
@@ -278,6 +279,11 @@
     call->reserve = 0;
     call->state = command->state;
     call->error = command->error;
+    if (command->state == CALL_NOT_RUN && call->may_have_run) {
+        /* This attempt did not run, but an earlier one may have: that is what the caller hears. */
+        call->state = CALL_UNKNOWN;
+        call->error = RUDDERWAY_ERROR_CONNECTION_LOST;
+    }
     g_clear_pointer(&call->answer, g_bytes_unref);
     call->answer = g_bytes_ref(command->body);
     program->active_ms = command->time_ms;
@@ -413,6 +419,7 @@
     codec_enum(codec, &kind, CALL_KINDS);
     codec_bool(codec, &call->repeatable);
     codec_enum(codec, &state, CALL_STATES);
+    codec_bool(codec, &call->may_have_run);
     codec_uint32(codec, &call->attempt);
     codec_uint64(codec, &call->runner);
     codec_text(codec, &call->backend);
--- a/src/core/program/program.h
+++ b/src/core/program/program.h
@@ -28,6 +28,7 @@
     call_kind_t kind;
     bool repeatable;
     call_state_t state;
+    bool may_have_run; /**< The outcome of an earlier attempt was not known. */
     uint32_t attempt;
     instance_id_t runner;
     char *backend;
--- a/tests/unit/program_test.cc
+++ b/tests/unit/program_test.cc
@@ -112,6 +112,20 @@
     EXPECT_EQ(apply(intent("t:p", 1, 2, 10)), RUDDERWAY_ERROR_NONE);
 }
 
+/** Found by the simulator (all-faults, seed 52): the third attempt found no engine. */
+TEST_F(ProgramStore, CallIsNotSaidNotToHaveRunAfterAnUnknownAttempt) {
+    start("t:p", 1000);
+    command_t *first = intent("t:p", 1, 1, 10);
+    first->repeatable = true;
+    apply(first);
+    apply(intent("t:p", 1, 2, 10));
+    apply(result("t:p", 1, 2, CALL_NOT_RUN, 0));
+    EXPECT_EQ(program_call(program("t:p"), 1)->state, CALL_UNKNOWN);
+    EXPECT_EQ(error_outcome(static_cast<error_code_t>(program_call(program("t:p"), 1)->error)),
+              OUTCOME_UNKNOWN);
+    EXPECT_EQ(program("t:p")->spent, 10u);
+}
+
 TEST_F(ProgramStore, SameNumberWithAnotherRequestIsRefused) {
     start("t:p", 1000);
     apply(intent("t:p", 1, 1, 10));
