--- a/src/node/decision.c
+++ b/src/node/decision.c
@@ -25,10 +25,22 @@
     return configuration;
 }
 
+/** A configuration that is out of force, until no reader holds a bare pointer to it. */
+typedef struct {
+    struct rcu_head head;
+    configuration_t *configuration;
+} retired_t;
+
+static void free_retired(struct rcu_head *head) {
+    retired_t *retired = caa_container_of(head, retired_t, head);
+    configuration_unref(retired->configuration);
+    g_free(retired);
+}
+
 void node_publish_configuration(node_t *node, configuration_t *configuration) {
-    configuration_t *old = rcu_xchg_pointer(&node->configuration, configuration);
-    synchronize_rcu();
-    configuration_unref(old);
+    retired_t *retired = g_new0(retired_t, 1);
+    retired->configuration = rcu_xchg_pointer(&node->configuration, configuration);
+    call_rcu(&retired->head, free_retired);
 }
 
 /* --- Messages ----------------------------------------------------------------------------- */
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -6,6 +6,7 @@
 #include "node/decision.h"
 
 #include <unistd.h>
+#include <urcu-bp.h>
 
 enum {
     TICK_US = 10 * 1000,
@@ -143,4 +144,5 @@
     mailbox_drain(node->mailbox);
     http_client_free(node->client);
     node_release(node);
+    rcu_barrier();
 }
--- a/src/sim/faults.c
+++ b/src/sim/faults.c
@@ -148,8 +148,10 @@
 
 static void stay(sim_t *sim, void *data) {
     sim_backend_t *backend = data;
-    /* The machine is replaced: same place, another machine with another name. */
+    /* The machine is replaced by another, with another name and address. */
     static const char suffix[] = "r";
+    const uint32_t next_address = 100;
+    backend->port += next_address;
     char *name = g_strconcat(backend->name, suffix, NULL);
     g_free(backend->name);
     backend->name = name;
