runs: a late attempt leaves nothing behind at an engine

A runner was paused between the intent and its start; the call was given to others, the program ended and was released; then the runner woke and sent the old attempt. Ruled out: a lost release (its confirmation is in the log before the late execution).

Change: an intent older than 800 ms is not started, which is below the time in which a node is declared dead. Since a pause can also fall after that check, the outcome of an attempt nobody waits for makes its back end a holder of an ended program again (command HELD), so that it is released again. An outcome that is settled no longer is dropped by its runner at once; before, it was offered every 200 ms for ever.

--- a/src/core/program/command.c
+++ b/src/core/program/command.c
@@ -75,6 +75,10 @@
     codec_enum(codec, &state, CALL_STATES);
     command->state = (call_state_t)state;
     codec_enum(codec, &command->error, RUDDERWAY_ERROR_COUNT);
+    unsigned kind = command->call_kind;
+    codec_enum(codec, &kind, CALL_KINDS);
+    command->call_kind = (call_kind_t)kind;
+    codec_text(codec, &command->backend);
     codec_uint64(codec, &command->spent);
     codec_bool(codec, &command->spent_known);
     codec_bytes(codec, &command->body);
@@ -103,6 +107,7 @@
         codec_enum(codec, &reason, END_REASONS);
         command->reason = (end_reason_t)reason;
         break;
+    case COMMAND_HELD:
     case COMMAND_RELEASED:
         codec_text(codec, &command->backend);
         break;
--- a/src/core/program/command.h
+++ b/src/core/program/command.h
@@ -13,6 +13,7 @@
     COMMAND_INTENT,   /**< An attempt of a call is about to run; logged before any byte leaves. */
     COMMAND_RESULT,   /**< An attempt of a call has its outcome. */
     COMMAND_END,      /**< A program and its sub-agents end. */
+    COMMAND_HELD,     /**< A back end holds something for the program again. */
     COMMAND_RELEASED, /**< A back end holds nothing for the program any more. */
     COMMAND_FORGET,   /**< An ended program leaves the store. */
     COMMAND_KINDS
@@ -73,7 +74,7 @@
     uint32_t output_tokens; /**< INTENT of a model call: most to generate. */
     uint64_t reserve;       /**< INTENT: tokens this attempt may cost at most. */
     uint64_t digest;        /**< INTENT: hash of the request. */
-    char *backend;          /**< INTENT and RELEASED. */
+    char *backend;          /**< INTENT, RESULT, HELD and RELEASED. */
     instance_id_t runner;   /**< INTENT: the only node that may run this attempt. */
     int64_t deadline_ms;    /**< INTENT: Unix time when the call has failed for its caller. */
     GBytes *body;           /**< INTENT: the request; RESULT: the answer. */
--- a/src/core/program/program.c
+++ b/src/core/program/program.c
@@ -175,6 +175,7 @@
     case COMMAND_RESULT:
         return check_result(store, command);
     case COMMAND_END:
+    case COMMAND_HELD:
     case COMMAND_RELEASED:
     case COMMAND_FORGET:
         break;
@@ -388,6 +389,9 @@
     case COMMAND_END:
         apply_end(store, command);
         break;
+    case COMMAND_HELD:
+        add_holder(find_program(store, command->program), command->backend);
+        break;
     case COMMAND_RELEASED:
         apply_released(store, command);
         break;
--- a/src/node/calls.c
+++ b/src/node/calls.c
@@ -646,11 +646,32 @@
     return false;
 }
 
+bool calls_is_open(const group_t *group, const command_t *result) {
+    const program_t *program = program_store_find(group_store(group), result->program);
+    const call_t *call = program != NULL ? program_call(program, result->call) : NULL;
+    return call != NULL && call->state == CALL_RUNNING && call->attempt == result->attempt;
+}
+
+/**
+ * An attempt that ran late, after its program had ended and been released (its runner was
+ * paused, say), has filled an engine's cache once more: it must be released again.
+ */
+static void release_again(node_t *node, group_t *group, const command_t *result) {
+    const program_t *program = program_store_find(group_store(group), result->program);
+    bool ran = result->call_kind == CALL_MODEL && result->state != CALL_NOT_RUN;
+    if (program == NULL || !program->ended || !ran)
+        return;
+    command_t *held = command_new(COMMAND_HELD, result->program, node->unix_ms);
+    held->backend = g_strdup(result->backend);
+    partitions_propose(node, group, held, NULL, NULL);
+}
+
 void calls_settle(node_t *node, group_t *group, command_t *result) {
     const program_t *program = program_store_find(group_store(group), result->program);
     const call_t *call = program != NULL ? program_call(program, result->call) : NULL;
-    bool open = call != NULL && call->state == CALL_RUNNING && call->attempt == result->attempt;
-    if (!open || retry_is_pending(node, result)) {
+    if (!calls_is_open(group, result))
+        release_again(node, group, result);
+    if (!calls_is_open(group, result) || retry_is_pending(node, result)) {
         command_free(result);
         return;
     }
@@ -767,6 +788,7 @@
         if (program != NULL && program->ended_ms == command->time_ms)
             note_program_ended(node, program);
         break;
+    case COMMAND_HELD:
     case COMMAND_RELEASED:
     case COMMAND_FORGET:
     case COMMAND_KINDS:
--- a/src/node/calls.h
+++ b/src/node/calls.h
@@ -27,6 +27,8 @@
 
 /** Handles an operation; it stays the caller's. The answer goes to its entry. */
 void calls_receive(node_t *node, const operation_t *operation);
+/** True if the log of @p group still waits for the outcome that @p result reports. */
+bool calls_is_open(const group_t *group, const command_t *result);
 /** Handles the outcome of an attempt, for this node as leader; consumes @p result. */
 void calls_settle(node_t *node, group_t *group, command_t *result);
 /** Passes a piece of a running call's answer on to whoever waits for it. */
--- a/src/node/decision.c
+++ b/src/node/decision.c
@@ -100,15 +100,9 @@
         command_free(result);
         return;
     }
-    const program_t *program = program_store_find(group_store(group), result->program);
-    const call_t *call = program != NULL ? program_call(program, result->call) : NULL;
-    bool open = call != NULL && call->state == CALL_RUNNING && call->attempt == result->attempt;
-    if (open) {
-        calls_settle(node, group, result);
-        return;
-    }
-    node_send(node, message->from, PEER_RESPONSE_SETTLE, settle_new(message->settle->id, NULL));
-    command_free(result);
+    if (!calls_is_open(group, result))
+        node_send(node, message->from, PEER_RESPONSE_SETTLE, settle_new(message->settle->id, NULL));
+    calls_settle(node, group, result);
 }
 
 /** A message that speaks for another node than its sender is malformed. */
--- a/src/node/partitions.c
+++ b/src/node/partitions.c
@@ -399,6 +399,11 @@
     return group != NULL && group->led && raft_leader_established(group->raft) ? group : NULL;
 }
 
+const raft_configuration_t *partitions_led_configuration(const node_t *node, uint32_t partition) {
+    const group_t *group = partitions_led_group(node, partition);
+    return group != NULL ? raft_configuration(group->raft) : NULL;
+}
+
 instance_id_t partitions_leader(const node_t *node, uint32_t partition) {
     const group_t *group = node->partitions->groups[partition];
     const partition_notice_t *route = &node->partitions->routes[partition];
--- a/src/node/partitions.h
+++ b/src/node/partitions.h
@@ -41,6 +41,8 @@
 uint32_t partitions_of_program(const node_t *node, const char *program);
 /** The group of @p partition if this node leads it and its state is current, else NULL. */
 group_t *partitions_led_group(const node_t *node, uint32_t partition);
+/** The members of @p partition if this node leads it, else NULL. */
+const raft_configuration_t *partitions_led_configuration(const node_t *node, uint32_t partition);
 /** Who probably leads @p partition; 0 if nobody is known to. */
 instance_id_t partitions_leader(const node_t *node, uint32_t partition);
 /** Some live member of @p partition other than the leader, to ask for the leader; 0 if none. */
--- a/src/node/runs.c
+++ b/src/node/runs.c
@@ -11,6 +11,7 @@
 enum {
     SETTLE_INTERVAL_MS = 200,
     SWEEP_INTERVAL_MS = 60000,
+    START_MAXIMUM_MS = 800, /**< From proposal to start; below the time to be declared dead. */
     BATCH_PRIORITY = 10,
     INTERACTIVE_PRIORITY = 0,
 };
@@ -299,6 +300,11 @@
     run_t *run = run_new(node, program, intent);
     g_ptr_array_add(node->runs->list, run);
     node->metrics.calls_started++;
+    if (node->unix_ms - intent->time_ms > START_MAXIMUM_MS) {
+        /* This node was paused; by now the leader may have given the call to another. */
+        fail_run(node, run, RUDDERWAY_ERROR_NO_BACKEND);
+        return;
+    }
     backend_t *backend = backend_set_find(node->backends, intent->backend);
     if (backend == NULL || !backend_is_available(backend, node->now_ms)) {
         fail_run(node, run, RUDDERWAY_ERROR_NO_BACKEND);
@@ -353,6 +359,8 @@
     command_t *result = command_new(COMMAND_RESULT, run->program, node->unix_ms);
     result->call = run->call;
     result->attempt = run->attempt;
+    result->call_kind = run->kind;
+    result->backend = g_strdup(run->backend);
     result->state = state_of(outcome->error);
     result->error = outcome->error;
     bool model_done = run->kind == CALL_MODEL && result->state == CALL_OK;
@@ -374,7 +382,10 @@
     run->next_settle_ms = node->now_ms + SETTLE_INTERVAL_MS;
     GBytes *bytes = command_encode(run->result);
     if (group != NULL) {
+        bool open = calls_is_open(group, run->result);
         calls_settle(node, group, command_decode(bytes));
+        if (!open)
+            g_ptr_array_remove(node->runs->list, run);
     } else {
         instance_id_t leader = partitions_leader(node, partition);
         if (leader == 0 || leader == node->instance)
--- a/src/sim/sweep.c
+++ b/src/sim/sweep.c
@@ -34,6 +34,7 @@
     sum->edits_accepted += figures->edits_accepted;
     sum->messages += figures->messages;
     sum->cut_off += figures->cut_off;
+    sum->groups_below_strength += figures->groups_below_strength;
     sum->stops += figures->stops;
     append_all(sum->recovery_ms, figures->recovery_ms);
     append_all(sum->spread_ms, figures->spread_ms);
@@ -96,15 +97,16 @@
     double availability =
         sum->calls_issued > 0 ? (double)sum->calls_answered / (double)sum->calls_issued : 1.0;
     json_t *line = json_pack(
-        "{s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:f, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:o}", "seeds",
-        (json_int_t)seeds, "violations", (json_int_t)sweep->violations, "acknowledged_lost",
-        (json_int_t)sweep->lost, "programs", (json_int_t)sum->programs, "completed",
-        (json_int_t)sum->programs_completed, "calls", (json_int_t)sum->calls_issued,
+        "{s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:f, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:o}",
+        "seeds", (json_int_t)seeds, "violations", (json_int_t)sweep->violations,
+        "acknowledged_lost", (json_int_t)sweep->lost, "programs", (json_int_t)sum->programs,
+        "completed", (json_int_t)sum->programs_completed, "calls", (json_int_t)sum->calls_issued,
         "calls_not_answered", (json_int_t)(sum->calls_issued - sum->calls_answered), "availability",
         availability, "recovery_p50_ms", percentile(sum->recovery_ms, 0.5), "recovery_p99_ms",
         percentile(sum->recovery_ms, 0.99), "edits", (json_int_t)sum->edits_accepted,
         "spread_p99_ms", percentile(sum->spread_ms, 0.99), "planned_stops", (json_int_t)sum->stops,
-        "cut_off", (json_int_t)sum->cut_off, "messages", (json_int_t)sum->messages, "faults",
+        "cut_off", (json_int_t)sum->cut_off, "groups_below_strength",
+        (json_int_t)sum->groups_below_strength, "messages", (json_int_t)sum->messages, "faults",
         faults);
     char *text = json_to_text(line);
     fprintf(output, "%s\n", text);
--- a/src/sim/world.c
+++ b/src/sim/world.c
@@ -335,6 +335,30 @@
     g_free(entry);
 }
 
+/** True if some node leads @p partition and all its voters, in full number, are alive. */
+static bool is_at_strength(const sim_t *sim, uint32_t partition) {
+    for (guint i = 0; i < sim->machines->len; i++) {
+        const machine_t *machine = g_ptr_array_index(sim->machines, i);
+        const raft_configuration_t *configuration =
+            machine->node != NULL ? partitions_led_configuration(machine->node, partition) : NULL;
+        if (configuration == NULL || configuration->voter_count < sim->scenario.voters)
+            continue;
+        uint32_t alive = 0;
+        for (guint j = 0; j < sim->machines->len; j++) {
+            const machine_t *other = g_ptr_array_index(sim->machines, j);
+            alive += other->node != NULL && raft_is_voter(configuration, other->node->instance);
+        }
+        if (alive >= sim->scenario.voters)
+            return true;
+    }
+    return false;
+}
+
+static void note_strength(sim_t *sim) {
+    for (uint32_t i = 0; i < sim->scenario.partitions; i++)
+        sim->figures.groups_below_strength += !is_at_strength(sim, i);
+}
+
 static void note_held(sim_t *sim) {
     for (guint i = 0; i < sim->backends->len; i++) {
         const sim_backend_t *backend = g_ptr_array_index(sim->backends, i);
@@ -374,6 +398,7 @@
         g_free(event);
     }
     note_held(sim);
+    note_strength(sim);
     return sim;
 }
 
--- a/src/sim/world.h
+++ b/src/sim/world.h
@@ -101,7 +101,8 @@
     uint64_t calls_failed; /**< Without an answer in the end, or with an error. */
     uint64_t edits_accepted;
     uint64_t messages;
-    uint64_t cut_off; /**< By planned stops. */
+    uint64_t groups_below_strength; /**< At the end: led by nobody, or without full live voters. */
+    uint64_t cut_off;               /**< By planned stops. */
     uint64_t stops;
     GArray *recovery_ms; /**< Of int64_t: kill of a node to the next answer of a program it ran. */
     GArray *spread_ms;   /**< Of int64_t: edit accepted to in force everywhere reachable. */
