placement, membership: repair without a larger quorum, join through every seed

Change: a learner catches up, then the lost voter is removed, then the learner is promoted; a new leader repairs after 0.5 s, not 3 s; a joining node asks every seed once.

--- a/src/core/membership/membership.c
+++ b/src/core/membership/membership.c
@@ -36,6 +36,7 @@
     GPtrArray *ping_order; /**< Shuffled instances still to ping in this round. */
     membership_seed_t *seeds;
     size_t seed_count;
+    size_t next_seed;
     membership_options_t options;
     GRand *random;
     uint64_t next_sequence;
@@ -418,14 +419,23 @@
     }
 }
 
+/**
+ * A young node asks every seed once, not just the first that answers: nodes that start together
+ * would else find each other and stay apart from the rest for a while.
+ */
+static bool is_joining(const membership_t *membership) {
+    return membership->next_seed < membership->seed_count;
+}
+
 /** Exchanges tables with a seed or with any member, dead ones too, so that cuts heal. */
 static void sync_with_one(membership_t *membership, membership_output_t *output) {
     guint others = membership->members->len - 1;
     guint choice = (guint)g_rand_int_range(membership->random, 0,
                                            (gint32)(others + membership->seed_count) + 1);
-    bool alone = others == 0;
-    if (membership->seed_count > 0 && (alone || choice < membership->seed_count)) {
-        const membership_seed_t *seed = &membership->seeds[choice % membership->seed_count];
+    bool seek = others == 0 || is_joining(membership);
+    if (membership->seed_count > 0 && (seek || choice < membership->seed_count)) {
+        size_t next = membership->next_seed++ % membership->seed_count;
+        const membership_seed_t *seed = &membership->seeds[next];
         send_table(membership, MEMBERSHIP_REQUEST_SYNC, seed->address, seed->port, output);
         return;
     }
@@ -436,7 +446,7 @@
 }
 
 static int64_t sync_interval(const membership_t *membership) {
-    if (membership->members->len == 1)
+    if (membership->members->len == 1 || is_joining(membership))
         return membership->options.period_ms;
     uint32_t tables = membership->members->len / membership->options.sync_members;
     return membership->options.sync_ms * MAX(tables, 1);
--- a/src/node/partitions.c
+++ b/src/node/partitions.c
@@ -6,7 +6,7 @@
 
 enum {
     REPAIR_INTERVAL_MS = 100,
-    STARTUP_GRACE_MS = 3000, /**< After taking over, before repairs: news may be incomplete. */
+    STARTUP_GRACE_MS = 500, /**< After taking over, before repairs: news may be incomplete. */
 };
 
 typedef struct {
@@ -322,9 +322,13 @@
         node->now_ms < group->led_since_ms + (node->stopping ? 0 : STARTUP_GRACE_MS))
         return;
     group->next_repair_ms = node->now_ms + REPAIR_INTERVAL_MS;
+    const raft_configuration_t *configuration = raft_configuration(group->raft);
+    bool caught_up =
+        configuration->learner_count > 0 &&
+        raft_match_index(group->raft, configuration->learners[0]) >= raft_commit_index(group->raft);
     placement_change_t change =
-        placement_next_change(group->partition, membership_all(node->membership),
-                              raft_configuration(group->raft), node->settings->voters);
+        placement_next_change(group->partition, membership_all(node->membership), configuration,
+                              node->settings->voters, caught_up);
     if (change.action == PLACEMENT_REMOVE && change.member == node->instance) {
         transfer_to_any(node, group);
         return;
--- a/src/sim/history.c
+++ b/src/sim/history.c
@@ -8,7 +8,7 @@
 
 static const char *const kind_names[HISTORY_KINDS] = {
     "start", "invoke", "ok",      "not_run", "unknown",  "failed", "executed", "read",
-    "end",   "held",   "leaving", "edit",    "in_force", "lags",   "stopped"};
+    "end",   "held",   "leaving", "edit",    "in_force", "lags",   "stopped",  "fault"};
 
 static void record_free(gpointer data) {
     history_record_t *record = data;
--- a/src/sim/history.h
+++ b/src/sim/history.h
@@ -28,6 +28,7 @@
     HISTORY_IN_FORCE, /**< A node put a revision in force: revision, text. */
     HISTORY_LAGS,     /**< A reachable node was not at an accepted revision in time. */
     HISTORY_STOPPED,  /**< A planned stop ended: cost counts what was cut off. */
+    HISTORY_FAULT,    /**< A fault struck: its name. Only for readers; nothing is judged by it. */
     HISTORY_KINDS
 } history_kind_t;
 
--- a/src/sim/world.c
+++ b/src/sim/world.c
@@ -354,9 +354,11 @@
     return false;
 }
 
-static void note_strength(sim_t *sim) {
+uint32_t sim_groups_below_strength(const sim_t *sim) {
+    uint32_t count = 0;
     for (uint32_t i = 0; i < sim->scenario.partitions; i++)
-        sim->figures.groups_below_strength += !is_at_strength(sim, i);
+        count += !is_at_strength(sim, i);
+    return count;
 }
 
 static void note_held(sim_t *sim) {
@@ -385,6 +387,7 @@
     sim->link_times = g_hash_table_new(NULL, NULL);
     sim->history = history_new();
     sim->figures.recovery_ms = g_array_new(FALSE, FALSE, sizeof(int64_t));
+    sim->figures.repair_ms = g_array_new(FALSE, FALSE, sizeof(int64_t));
     sim->figures.spread_ms = g_array_new(FALSE, FALSE, sizeof(int64_t));
     build(sim);
     operators_start(sim);
@@ -398,7 +401,7 @@
         g_free(event);
     }
     note_held(sim);
-    note_strength(sim);
+    sim->figures.groups_below_strength = sim_groups_below_strength(sim);
     return sim;
 }
 
@@ -429,6 +432,7 @@
     g_hash_table_unref(sim->link_times);
     g_rand_free(sim->random);
     g_array_unref(sim->figures.recovery_ms);
+    g_array_unref(sim->figures.repair_ms);
     g_array_unref(sim->figures.spread_ms);
     history_free(sim->history);
     g_free(sim);
--- a/src/sim/world.h
+++ b/src/sim/world.h
@@ -105,6 +105,7 @@
     uint64_t cut_off;               /**< By planned stops. */
     uint64_t stops;
     GArray *recovery_ms; /**< Of int64_t: kill of a node to the next answer of a program it ran. */
+    GArray *repair_ms;   /**< Of int64_t: heavy fault to every group led and at full strength. */
     GArray *spread_ms;   /**< Of int64_t: edit accepted to in force everywhere reachable. */
 } sim_figures_t;
 
@@ -155,6 +156,9 @@
 machine_t *sim_random_machine(const sim_t *sim, bool alive);
 sim_backend_t *sim_find_backend(const sim_t *sim, uint32_t port);
 
+/** How many groups are led by nobody or lack live voters. */
+uint32_t sim_groups_below_strength(const sim_t *sim);
+
 void callers_start(sim_t *sim);
 /** Notes which callers wait for a program that @p machine, about to die, leads. */
 void callers_note_loss(sim_t *sim, const machine_t *machine);
