partitions: a copy is dropped only on the leader's own answer

A member that had been removed and added again received a notice from between the two, dropped its copy and with it entries that the leader counted on. That is a forgotten acknowledgement, so it could have lost a committed entry too. Ruled out: elections (a leader was there until it lacked the quorum).

Change: on a notice without it a node asks the leader, and drops its copy only on the answer, unless the copy has seen a later term. What the leader sends after adding the node again arrives after the answer.

--- a/src/node/decision.c
+++ b/src/node/decision.c
@@ -149,6 +149,9 @@
     case PEER_RESPONSE_SETTLE:
         runs_acknowledged(node, message->settle->id);
         break;
+    case PEER_REQUEST_NOTICE:
+        partitions_answer_notice(node, message->from, message->notice->partition);
+        break;
     case PEER_NOTICE_PARTITION:
         partitions_receive_notice(node, message->notice);
         break;
--- a/src/node/partitions.c
+++ b/src/node/partitions.c
@@ -150,18 +150,39 @@
            raft_is_learner(&notice->configuration, instance);
 }
 
-/** Drops the copy of a group that has gone on without this node. */
+/**
+ * Drops the copy of a group that has gone on without this node. A forgotten vote or entry must
+ * not count any more, so this needs proof: the leader's own answer to a question asked now. An
+ * older notice may be about a time before this node was added again, when it already holds
+ * entries that the leader counts on. The answer and whatever the leader sends after adding this
+ * node arrive in order, and an answer of an older term than this copy has seen proves nothing.
+ */
 static void leave_group(node_t *node, const partition_notice_t *notice) {
     group_t *group = node->partitions->groups[notice->partition];
     if (group == NULL || names_member(notice, node->instance) || group->flushing ||
-        notice->term < raft_term(group->raft) ||
-        notice->configuration_index < raft_commit_index(group->raft))
+        notice->term < raft_term(group->raft))
         return;
+    if (!notice->answers) {
+        partition_notice_t *question = g_new0(partition_notice_t, 1);
+        question->partition = notice->partition;
+        node_send(node, notice->leader, PEER_REQUEST_NOTICE, question);
+        return;
+    }
     calls_leadership_lost(node, group);
     group_free(group);
     node->partitions->groups[notice->partition] = NULL;
 }
 
+void partitions_answer_notice(node_t *node, instance_id_t asker, uint32_t partition) {
+    group_t *group =
+        partition < node->partitions->count ? partitions_led_group(node, partition) : NULL;
+    if (group == NULL || !raft_configuration_committed(group->raft))
+        return;
+    partition_notice_t *notice = notice_new(group);
+    notice->answers = true;
+    node_send(node, asker, PEER_NOTICE_PARTITION, notice);
+}
+
 void partitions_receive_notice(node_t *node, const partition_notice_t *notice) {
     if (notice->partition >= node->partitions->count)
         return;
--- a/src/node/partitions.h
+++ b/src/node/partitions.h
@@ -29,6 +29,8 @@
 void partitions_tick(node_t *node);
 void partitions_receive(node_t *node, const raft_message_t *message);
 void partitions_receive_notice(node_t *node, const partition_notice_t *notice);
+/** Tells @p asker who leads and belongs to @p partition, if this node leads it. */
+void partitions_answer_notice(node_t *node, instance_id_t asker, uint32_t partition);
 void partitions_member_changed(node_t *node, const member_t *member);
 
 /** Founds the groups of a new cluster out of @p members (of member_t). */
--- a/src/node/peer_message.c
+++ b/src/node/peer_message.c
@@ -36,6 +36,7 @@
     codec_uint64(codec, &notice->term);
     codec_uint64(codec, &notice->configuration_index);
     codec_uint64(codec, &notice->leader);
+    codec_bool(codec, &notice->answers);
     raft_configuration_codec(codec, &notice->configuration);
 }
 
@@ -74,6 +75,7 @@
     [PEER_RESPONSE_CHUNK] = KIND_ROW(chunk_t, chunk_codec, chunk_free),
     [PEER_REQUEST_SETTLE] = KIND_ROW(settle_t, settle_codec, settle_free),
     [PEER_RESPONSE_SETTLE] = KIND_ROW(settle_t, settle_codec, settle_free),
+    [PEER_REQUEST_NOTICE] = KIND_ROW(partition_notice_t, notice_codec, g_free),
     [PEER_NOTICE_PARTITION] = KIND_ROW(partition_notice_t, notice_codec, g_free),
     [PEER_REQUEST_CONFIGURATION] =
         KIND_ROW(configuration_news_t, configuration_news_codec, configuration_news_free),
--- a/src/node/peer_message.h
+++ b/src/node/peer_message.h
@@ -27,6 +27,7 @@
     PEER_RESPONSE_CHUNK,
     PEER_REQUEST_SETTLE, /**< A runner's RESULT command, for the partition's leader. */
     PEER_RESPONSE_SETTLE,
+    PEER_REQUEST_NOTICE, /**< Asks a leader for the notice of a partition. */
     PEER_NOTICE_PARTITION,
     PEER_REQUEST_CONFIGURATION,
     PEER_RESPONSE_CONFIGURATION,
@@ -39,6 +40,7 @@
     uint64_t term;
     uint64_t configuration_index;
     instance_id_t leader;
+    bool answers; /**< It answers the receiver's own request. */
     raft_configuration_t configuration;
 } partition_notice_t;
 
