--- a/src/core/placement/placement.c
+++ b/src/core/placement/placement.c
@@ -123,32 +123,22 @@
 }
 
 /**
- * What to do about a learner: drop it if it is gone, let it catch up, then make room for it by
- * removing a lost voter, and only then promote it. So the quorum never grows while a voter is
- * lost: five voters of which one is lost become four and five again, not six.
+ * Promotes a learner, or drops one that is gone. A lost voter is removed only afterwards: with six
+ * voters of which one is lost, or only seems so, one or two more may go; with four, only one.
  */
 static placement_change_t settle_learner(const GPtrArray *members,
-                                         const raft_configuration_t *configuration,
-                                         uint32_t voter_target, bool learner_caught_up) {
+                                         const raft_configuration_t *configuration) {
     const member_t *learner = find_member(members, configuration->learners[0]);
-    if (learner == NULL || !is_available(learner))
-        return change(PLACEMENT_REMOVE, configuration->learners[0]);
-    if (!learner_caught_up)
-        return change(PLACEMENT_KEEP, 0);
-    if (configuration->voter_count >= voter_target) {
-        placement_change_t removal = remove_unavailable(members, configuration, true);
-        if (removal.action == PLACEMENT_REMOVE)
-            return removal;
-    }
-    return change(PLACEMENT_PROMOTE, configuration->learners[0]);
+    bool available = learner != NULL && is_available(learner);
+    return change(available ? PLACEMENT_PROMOTE : PLACEMENT_REMOVE, configuration->learners[0]);
 }
 
 placement_change_t placement_next_change(uint32_t partition, const GPtrArray *members,
                                          const raft_configuration_t *configuration,
-                                         uint32_t voter_target, bool learner_caught_up) {
+                                         uint32_t voter_target) {
     instance_id_t voters[RAFT_MEMBERS_MAXIMUM] = {0};
     if (configuration->learner_count > 0)
-        return settle_learner(members, configuration, voter_target, learner_caught_up);
+        return settle_learner(members, configuration);
     uint32_t available = list_available_voters(members, configuration, voters);
     const member_t *candidate = best_candidate(partition, members, voters, available);
     if (available < voter_target && candidate != NULL)
--- a/src/core/placement/placement.h
+++ b/src/core/placement/placement.h
@@ -31,11 +31,11 @@
 
 /**
  * The next single change that brings @p configuration to @p voter_target live voters, spread
- * over zones. A lost or leaving voter is removed once a learner has caught up to replace it. If no
+ * over zones. A lost or leaving voter is replaced before it is removed. If no
  * live node is left to replace it, a leaving one is removed all the same, and a lost one stays.
  */
 placement_change_t placement_next_change(uint32_t partition, const GPtrArray *members,
                                          const raft_configuration_t *configuration,
-                                         uint32_t voter_target, bool learner_caught_up);
+                                         uint32_t voter_target);
 
 #endif
--- a/src/node/partitions.c
+++ b/src/node/partitions.c
@@ -344,12 +344,8 @@
         return;
     group->next_repair_ms = node->now_ms + REPAIR_INTERVAL_MS;
     const raft_configuration_t *configuration = raft_configuration(group->raft);
-    bool caught_up =
-        configuration->learner_count > 0 &&
-        raft_match_index(group->raft, configuration->learners[0]) >= raft_commit_index(group->raft);
-    placement_change_t change =
-        placement_next_change(group->partition, membership_all(node->membership), configuration,
-                              node->settings->voters, caught_up);
+    placement_change_t change = placement_next_change(
+        group->partition, membership_all(node->membership), configuration, node->settings->voters);
     if (change.action == PLACEMENT_REMOVE && change.member == node->instance) {
         transfer_to_any(node, group);
         return;
