--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -58,6 +58,10 @@
     run_test "$(basename "$test")" "$test"
 done
 
+echo "--- simulator"
+cluster_begin "$BUILD/check-simulator"
+. tests/integration/simulator_test.sh
+
 echo "--- one node"
 cluster_begin "$BUILD/check-one"
 cluster_standins 4
--- /dev/null
+++ b/tests/integration/simulator_test.sh
@@ -0,0 +1,47 @@
+# The history checker and the simulator. Sourced by check.sh; seeds are fixed, so the verdict is.
+
+# breaks FILE: passes if the checker finds in FILE the promise that its name begins with.
+breaks() {
+    local name
+    name=$(basename "$1")
+    "$BUILD/rudderway-sim" check "$1" > "$CLUSTER_DIR/check.out" && return 1
+    cat "$CLUSTER_DIR/check.out"
+    grep -q "broken: ${name%%-*}," "$CLUSTER_DIR/check.out"
+}
+
+# same_history: passes if one seed gives the same history twice, byte for byte.
+same_history() {
+    local i
+    for i in 1 2; do
+        "$BUILD/rudderway-sim" run --scenario scenarios/all-faults.json --seed 7 \
+            --history "$CLUSTER_DIR/history.$i" || return 1
+    done
+    cmp "$CLUSTER_DIR/history.1" "$CLUSTER_DIR/history.2"
+}
+
+# sweep SCENARIO SEEDS: passes if no promise is broken, every program completes, nothing is cut
+# off by a planned stop, and every group is at full strength at the end.
+sweep() {
+    "$BUILD/rudderway-sim" sweep --scenario "scenarios/$1.json" --seeds "$2" \
+        > "$CLUSTER_DIR/sweep.out" || return 1
+    cat "$CLUSTER_DIR/sweep.out"
+    grep -q '"violations":0,"acknowledged_lost":0' "$CLUSTER_DIR/sweep.out" &&
+        grep -q '"cut_off":0,"groups_below_strength":0' "$CLUSTER_DIR/sweep.out" &&
+        [ "$(sed -n 's/.*"programs":\([0-9]*\).*/\1/p' "$CLUSTER_DIR/sweep.out")" = \
+            "$(sed -n 's/.*"completed":\([0-9]*\).*/\1/p' "$CLUSTER_DIR/sweep.out")" ]
+}
+
+for file in tests/histories/good/*.jsonl; do
+    expect "accepted: $file" "$BUILD/rudderway-sim" check "$file"
+done
+for file in tests/histories/bad/*.jsonl; do
+    expect "rejected: $file" breaks "$file"
+done
+expect "one seed, one history" same_history
+# Seeds that found faults once, and the first ones.
+expect "all faults" sweep all-faults 1..60
+for seed in 314 323 437 504 584 697 807; do
+    expect "all faults, seed $seed" sweep all-faults $seed..$seed
+done
+expect "rolling restart" sweep rolling-restart 1..8
+expect "outage of the key-value service, a zone lost in it" sweep key-value-outage 1..2
