calls: a copy that catches up past a forgotten program does not crash

Any node that joins a group could have died of it ten minutes after a program's end.

Change: a result whose program is gone has nobody to answer.

--- a/src/node/calls.c
+++ b/src/node/calls.c
@@ -759,6 +759,8 @@
 static void on_result_applied(node_t *node, const group_t *group, const command_t *command) {
     const program_t *program = program_store_find(group_store(group), command->program);
     runs_settled(node, command->program, command->call, command->attempt);
+    if (program == NULL)
+        return; /* A copy that catches up may have applied the program's FORGET by now. */
     answer_waiters(node, program, program_call(program, command->call));
     release_held(node, command->program);
 }
--- a/tests/integration/simulator_test.sh
+++ b/tests/integration/simulator_test.sh
@@ -45,3 +45,4 @@
 done
 expect "rolling restart" sweep rolling-restart 1..8
 expect "outage of the key-value service, a zone lost in it" sweep key-value-outage 1..2
+expect "a copy catches up past a forgotten program" sweep key-value-outage 102..102
