--- a/src/node/calls.c
+++ b/src/node/calls.c
@@ -4,7 +4,7 @@
 #include "common/event.h"
 #include "core/placement/placement.h"
 #include "node/backend_service.h"
-#include "node/entries.h"
+#include "node/call_answers.h"
 #include "node/prompt.h"
 #include "node/runs.h"
 
@@ -14,19 +14,11 @@
 enum {
     ATTEMPTS_MAXIMUM = 4,
     HELD_PER_NODE_MAXIMUM = 10000,
-    RETRY_HINT_MS = 1000,
     DEADLINE_GRACE_MS = 2000, /**< A runner has this long to report after the deadline. */
     SCAN_INTERVAL_MS = 250,
     BYTES_PER_MEBIBYTE = 1024 * 1024,
 };
 
-/** Somebody who waits for a call's answer. */
-typedef struct {
-    instance_id_t entry;
-    uint64_t request;
-    bool stream;
-} waiter_t;
-
 /** An operation whose turn has not come, or whose retry is due later. */
 typedef struct {
     operation_t *operation;
@@ -39,9 +31,8 @@
 } delayed_retry_t;
 
 struct calls {
-    GHashTable *waiters; /**< "program#call" → GArray of waiter_t. */
-    GPtrArray *held;     /**< Of held_t. */
-    GPtrArray *retries;  /**< Of delayed_retry_t. */
+    GPtrArray *held;    /**< Of held_t. */
+    GPtrArray *retries; /**< Of delayed_retry_t. */
     retry_budget_t retry_budget;
     int64_t next_scan_ms;
 };
@@ -63,13 +54,8 @@
     g_free(retry);
 }
 
-static void waiters_free(gpointer data) {
-    g_array_unref(data);
-}
-
 calls_t *calls_new(void) {
     calls_t *calls = g_new0(calls_t, 1);
-    calls->waiters = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, waiters_free);
     calls->held = g_ptr_array_new_with_free_func(held_free);
     calls->retry_budget = retry_budget_new();
     calls->retries = g_ptr_array_new_with_free_func(delayed_retry_free);
@@ -77,187 +63,13 @@
 }
 
 void calls_free(calls_t *calls) {
-    g_hash_table_unref(calls->waiters);
     g_ptr_array_unref(calls->held);
     g_ptr_array_unref(calls->retries);
     g_free(calls);
 }
 
 unsigned calls_waiting(const node_t *node) {
-    return g_hash_table_size(node->calls->waiters) + node->calls->held->len;
-}
-
-static char *call_key(const char *program, uint32_t call) {
-    return g_strdup_printf("%s#%u", program, call);
-}
-
-/* --- Answers ------------------------------------------------------------------------------ */
-
-static void deliver_answer(void *context, void *data) {
-    entries_answer(context, data);
-    answer_free(data);
-}
-
-static void deliver_chunk(void *context, void *data) {
-    entries_chunk(context, data);
-    chunk_free(data);
-}
-
-/** Even to this node an answer goes by the mailbox: handling it frees the entry's operation. */
-static void send_answer(node_t *node, instance_id_t entry, answer_t *answer) {
-    answer->from = node->instance;
-    if (entry == node->instance)
-        mailbox_post(node->mailbox, deliver_answer, answer);
-    else
-        node_send(node, entry, PEER_RESPONSE_OPERATION, answer);
-}
-
-static void send_chunk(node_t *node, instance_id_t entry, chunk_t *chunk) {
-    if (entry == node->instance)
-        mailbox_post(node->mailbox, deliver_chunk, chunk);
-    else
-        node_send(node, entry, PEER_RESPONSE_CHUNK, chunk);
-}
-
-static void answer_error(node_t *node, const operation_t *operation, error_code_t error) {
-    answer_t *answer = answer_new(operation->request, error);
-    if (error == RUDDERWAY_ERROR_NOT_LEADER)
-        answer->leader = partitions_leader(node, partitions_of_program(node, operation->program));
-    else
-        node->metrics.refusals[error]++;
-    bool later = error == RUDDERWAY_ERROR_OVERLOADED || error == RUDDERWAY_ERROR_TENANT_LIMIT ||
-                 error == RUDDERWAY_ERROR_NO_BACKEND || error == RUDDERWAY_ERROR_MEMORY_LIMIT;
-    if (later)
-        answer->retry_after_ms = RETRY_HINT_MS;
-    send_answer(node, operation->entry, answer);
-}
-
-static void answer_json(node_t *node, const operation_t *operation, json_t *body) {
-    answer_t *answer = answer_new(operation->request, RUDDERWAY_ERROR_NONE);
-    answer->body = json_to_bytes(body);
-    json_decref(body);
-    send_answer(node, operation->entry, answer);
-}
-
-/** The stored answer as a JSON value; text that is no JSON becomes a string. */
-static json_t *answer_value(const call_t *call) {
-    size_t length = 0;
-    const char *text = call->answer != NULL ? g_bytes_get_data(call->answer, &length) : NULL;
-    if (length == 0)
-        return json_null();
-    json_t *value = json_loadb(text, length, JSON_DECODE_ANY, NULL);
-    return value != NULL ? value : json_stringn(text, length);
-}
-
-static json_t *call_to_json(const program_t *program, const call_t *call) {
-    json_t *value = json_pack("{s:s, s:i, s:s, s:s, s:i, s:o}", "program",
-                              program_client_id(program->id), "call", (int)call->number, "kind",
-                              call_kind_name(call->kind), "state", call_state_name(call->state),
-                              "attempt", (int)call->attempt, "answer", answer_value(call));
-    if (call->error != RUDDERWAY_ERROR_NONE)
-        json_object_set_new(value, "error", json_string(error_name((error_code_t)call->error)));
-    return value;
-}
-
-static answer_t *call_answer(const program_t *program, const call_t *call, uint64_t request) {
-    answer_t *answer = answer_new(request, call->error);
-    answer->attempt = call->attempt;
-    json_t *value = call_to_json(program, call);
-    answer->body = json_to_bytes(value);
-    json_decref(value);
-    return answer;
-}
-
-json_t *calls_program_to_json(const program_t *program, bool whole) {
-    json_t *value =
-        json_pack("{s:s, s:s, s:s, s:s, s:i, s:I, s:I, s:I, s:b, s:I}", "program",
-                  program_client_id(program->id), "tenant", program->start.tenant, "template",
-                  program->start.template_name, "model", program->start.model, "calls",
-                  (int)program->calls->len, "budget_tokens",
-                  (json_int_t)program->start.limits.budget, "spent_tokens",
-                  (json_int_t)program->spent, "reserved_tokens", (json_int_t)program->reserved,
-                  "ended", program->ended, "started_ms", (json_int_t)program->started_ms);
-    if (program->ended)
-        json_object_set_new(value, "end_reason", json_string(end_reason_name(program->end_reason)));
-    json_t *holders = json_array();
-    for (guint i = 0; i < program->holders->len; i++)
-        json_array_append_new(holders, json_string(g_ptr_array_index(program->holders, i)));
-    json_object_set_new(value, "cache_holders", holders);
-    if (!whole)
-        return value;
-    json_t *history = json_array();
-    for (uint32_t i = 1; i <= program->calls->len; i++) {
-        const call_t *call = program_call(program, i);
-        json_t *entry = call_to_json(program, call);
-        size_t length;
-        const char *request = g_bytes_get_data(call->request, &length);
-        json_t *body = json_loadb(request != NULL ? request : "", length, JSON_DECODE_ANY, NULL);
-        json_object_set_new(entry, "request", body != NULL ? body : json_null());
-        json_array_append_new(history, entry);
-    }
-    json_object_set_new(value, "history", history);
-    return value;
-}
-
-/* --- Waiters ------------------------------------------------------------------------------ */
-
-static void replay_text(node_t *node, const operation_t *operation) {
-    uint32_t attempt;
-    const GString *text = runs_text(node, operation->program, operation->call, &attempt);
-    if (text == NULL || !operation->stream)
-        return;
-    uint64_t from = operation->from_attempt == attempt ? operation->from_offset : 0;
-    if (from >= text->len)
-        return;
-    chunk_t *chunk =
-        chunk_new(operation->request, attempt, from, text->str + from, text->len - from);
-    send_chunk(node, operation->entry, chunk);
-}
-
-static void add_waiter(node_t *node, const operation_t *operation) {
-    char *key = call_key(operation->program, operation->call);
-    GArray *waiters = g_hash_table_lookup(node->calls->waiters, key);
-    if (waiters == NULL) {
-        waiters = g_array_new(FALSE, FALSE, sizeof(waiter_t));
-        g_hash_table_insert(node->calls->waiters, g_strdup(key), waiters);
-    }
-    g_free(key);
-    for (guint i = 0; i < waiters->len; i++) {
-        const waiter_t *known = &g_array_index(waiters, waiter_t, i);
-        if (known->entry == operation->entry && known->request == operation->request)
-            return;
-    }
-    waiter_t waiter = {
-        .entry = operation->entry, .request = operation->request, .stream = operation->stream};
-    g_array_append_val(waiters, waiter);
-    replay_text(node, operation);
-}
-
-static void answer_waiters(node_t *node, const program_t *program, const call_t *call) {
-    char *key = call_key(program->id, call->number);
-    GArray *waiters = g_hash_table_lookup(node->calls->waiters, key);
-    for (guint i = 0; waiters != NULL && i < waiters->len; i++) {
-        const waiter_t *waiter = &g_array_index(waiters, waiter_t, i);
-        if (call->error != RUDDERWAY_ERROR_NONE)
-            node->metrics.refusals[call->error]++;
-        send_answer(node, waiter->entry, call_answer(program, call, waiter->request));
-    }
-    g_hash_table_remove(node->calls->waiters, key);
-    g_free(key);
-}
-
-void calls_chunk(node_t *node, const char *program, uint32_t call, uint32_t attempt,
-                 uint64_t offset, const char *data, size_t length) {
-    char *key = call_key(program, call);
-    const GArray *waiters = g_hash_table_lookup(node->calls->waiters, key);
-    g_free(key);
-    for (guint i = 0; waiters != NULL && i < waiters->len; i++) {
-        const waiter_t *waiter = &g_array_index(waiters, waiter_t, i);
-        if (!waiter->stream)
-            continue;
-        chunk_t *chunk = chunk_new(waiter->request, attempt, offset, data, length);
-        send_chunk(node, waiter->entry, chunk);
-    }
+    return call_answers_waiting(node) + node->calls->held->len;
 }
 
 /* --- Start, read, end --------------------------------------------------------------------- */
@@ -280,10 +92,10 @@
     const operation_t *operation = context->operation;
     const program_t *program = program_store_find(group_store(group), operation->program);
     if (error == RUDDERWAY_ERROR_NONE && program != NULL)
-        answer_json(node, operation, calls_program_to_json(program, false));
+        call_answers_json(node, operation, calls_program_to_json(program, false));
     else
-        answer_error(node, operation,
-                     error != RUDDERWAY_ERROR_NONE ? error : RUDDERWAY_ERROR_NOT_LEADER);
+        call_answers_refuse(node, operation,
+                            error != RUDDERWAY_ERROR_NONE ? error : RUDDERWAY_ERROR_NOT_LEADER);
     request_context_free(context);
 }
 
@@ -291,11 +103,11 @@
     uint64_t limit = (uint64_t)node->settings->program_memory_mb * BYTES_PER_MEBIBYTE;
     bool known = program_store_find(group_store(group), operation->program) != NULL;
     if (!known && node->stopping) {
-        answer_error(node, operation, RUDDERWAY_ERROR_NOT_LEADER);
+        call_answers_refuse(node, operation, RUDDERWAY_ERROR_NOT_LEADER);
         return;
     }
     if (!known && partitions_bytes(node) > limit) {
-        answer_error(node, operation, RUDDERWAY_ERROR_MEMORY_LIMIT);
+        call_answers_refuse(node, operation, RUDDERWAY_ERROR_MEMORY_LIMIT);
         return;
     }
     command_t *command = command_new(COMMAND_START, operation->program, node->unix_ms);
@@ -315,7 +127,7 @@
 static void end_program(node_t *node, group_t *group, const operation_t *operation) {
     const program_t *program = program_store_find(group_store(group), operation->program);
     if (!belongs_to(program, operation)) {
-        answer_error(node, operation, RUDDERWAY_ERROR_NO_SUCH_PROGRAM);
+        call_answers_refuse(node, operation, RUDDERWAY_ERROR_NO_SUCH_PROGRAM);
         return;
     }
     command_t *command = command_new(COMMAND_END, operation->program, node->unix_ms);
@@ -326,20 +138,20 @@
 static void answer_read(node_t *node, const group_t *group, const operation_t *operation) {
     const program_t *program = program_store_find(group_store(group), operation->program);
     if (!belongs_to(program, operation)) {
-        answer_error(node, operation, RUDDERWAY_ERROR_NO_SUCH_PROGRAM);
+        call_answers_refuse(node, operation, RUDDERWAY_ERROR_NO_SUCH_PROGRAM);
         return;
     }
     if (operation->kind == OPERATION_HISTORY) {
-        answer_json(node, operation, calls_program_to_json(program, true));
+        call_answers_json(node, operation, calls_program_to_json(program, true));
         return;
     }
     const call_t *call = program_call(program, operation->call);
     if (call == NULL)
-        answer_error(node, operation, RUDDERWAY_ERROR_NO_SUCH_CALL);
+        call_answers_refuse(node, operation, RUDDERWAY_ERROR_NO_SUCH_CALL);
     else if (call->state == CALL_RUNNING)
-        add_waiter(node, operation);
+        call_answers_wait(node, operation);
     else
-        send_answer(node, operation->entry, call_answer(program, call, operation->request));
+        call_answers_call(node, operation, program, call);
 }
 
 static void on_read_current(node_t *node, group_t *group, error_code_t error, void *data) {
@@ -347,7 +159,7 @@
     if (error == RUDDERWAY_ERROR_NONE)
         answer_read(node, group, context->operation);
     else
-        answer_error(node, context->operation, error);
+        call_answers_refuse(node, context->operation, error);
     request_context_free(context);
 }
 
@@ -476,13 +288,13 @@
     const call_t *call = program != NULL ? program_call(program, operation->call) : NULL;
     bool raced = error == RUDDERWAY_ERROR_CALL_RUNNING && call != NULL;
     if (error != RUDDERWAY_ERROR_NONE && !raced)
-        answer_error(node, operation, error);
+        call_answers_refuse(node, operation, error);
     else if (call == NULL)
-        answer_error(node, operation, RUDDERWAY_ERROR_NOT_LEADER);
+        call_answers_refuse(node, operation, RUDDERWAY_ERROR_NOT_LEADER);
     else if (call->state == CALL_RUNNING)
-        add_waiter(node, operation);
+        call_answers_wait(node, operation);
     else
-        send_answer(node, operation->entry, call_answer(program, call, operation->request));
+        call_answers_call(node, operation, program, call);
     request_context_free(context);
 }
 
@@ -513,7 +325,7 @@
         return;
     }
     command_free(intent);
-    answer_error(node, operation, error);
+    call_answers_refuse(node, operation, error);
     end_if_runaway(node, group, operation->program, error);
 }
 
@@ -531,7 +343,7 @@
     if (is_held(node, operation))
         return;
     if (node->calls->held->len >= HELD_PER_NODE_MAXIMUM) {
-        answer_error(node, operation, RUDDERWAY_ERROR_OUT_OF_ORDER);
+        call_answers_refuse(node, operation, RUDDERWAY_ERROR_OUT_OF_ORDER);
         return;
     }
     held_t *held = g_new0(held_t, 1);
@@ -547,18 +359,18 @@
 static void start_call(node_t *node, group_t *group, const operation_t *operation) {
     const program_t *program = program_store_find(group_store(group), operation->program);
     if (!belongs_to(program, operation)) {
-        answer_error(node, operation, RUDDERWAY_ERROR_NO_SUCH_PROGRAM);
+        call_answers_refuse(node, operation, RUDDERWAY_ERROR_NO_SUCH_PROGRAM);
         return;
     }
     const call_t *call = program_call(program, operation->call);
     if (call != NULL && call->digest != request_digest(operation))
-        answer_error(node, operation, RUDDERWAY_ERROR_CALL_MISMATCH);
+        call_answers_refuse(node, operation, RUDDERWAY_ERROR_CALL_MISMATCH);
     else if (is_settled(call))
-        send_answer(node, operation->entry, call_answer(program, call, operation->request));
+        call_answers_call(node, operation, program, call);
     else if (call != NULL && call->state == CALL_RUNNING)
-        add_waiter(node, operation);
+        call_answers_wait(node, operation);
     else if (program->ended)
-        answer_error(node, operation, RUDDERWAY_ERROR_PROGRAM_ENDED);
+        call_answers_refuse(node, operation, RUDDERWAY_ERROR_PROGRAM_ENDED);
     else if (operation->call == 1 || is_settled(program_call(program, operation->call - 1)))
         propose_call(node, group, program, operation);
     else
@@ -569,7 +381,7 @@
     uint32_t partition = partitions_of_program(node, operation->program);
     group_t *group = partitions_led_group(node, partition);
     if (group == NULL) {
-        answer_error(node, operation, RUDDERWAY_ERROR_NOT_LEADER);
+        call_answers_refuse(node, operation, RUDDERWAY_ERROR_NOT_LEADER);
         return;
     }
     switch (operation->kind) {
@@ -761,7 +573,7 @@
     runs_settled(node, command->program, command->call, command->attempt);
     if (program == NULL)
         return; /* A copy that catches up may have applied the program's FORGET by now. */
-    answer_waiters(node, program, program_call(program, command->call));
+    call_answers_settled(node, program, program_call(program, command->call));
     release_held(node, command->program);
 }
 
@@ -806,34 +618,13 @@
     return partitions_of_program(node, program) == group_partition(group);
 }
 
-static void drop_waiters(node_t *node, const group_t *group) {
-    GHashTableIter iterator;
-    gpointer key;
-    gpointer value;
-    g_hash_table_iter_init(&iterator, node->calls->waiters);
-    while (g_hash_table_iter_next(&iterator, &key, &value)) {
-        char *program = g_strndup(key, (gsize)(strrchr(key, '#') - (char *)key));
-        const GArray *waiters = value;
-        bool affected = is_in_group(node, program, group);
-        g_free(program);
-        if (!affected)
-            continue;
-        for (guint i = 0; i < waiters->len; i++) {
-            const waiter_t *waiter = &g_array_index(waiters, waiter_t, i);
-            send_answer(node, waiter->entry,
-                        answer_new(waiter->request, RUDDERWAY_ERROR_NOT_LEADER));
-        }
-        g_hash_table_iter_remove(&iterator);
-    }
-}
-
 void calls_leadership_lost(node_t *node, const group_t *group) {
-    drop_waiters(node, group);
+    call_answers_drop(node, group);
     for (guint i = node->calls->held->len; i > 0; i--) {
         const held_t *held = g_ptr_array_index(node->calls->held, i - 1);
         if (!is_in_group(node, held->operation->program, group))
             continue;
-        answer_error(node, held->operation, RUDDERWAY_ERROR_NOT_LEADER);
+        call_answers_refuse(node, held->operation, RUDDERWAY_ERROR_NOT_LEADER);
         g_ptr_array_remove_index(node->calls->held, i - 1);
     }
 }
@@ -905,7 +696,7 @@
         const held_t *held = g_ptr_array_index(node->calls->held, i - 1);
         if (held->until_ms > node->now_ms)
             continue;
-        answer_error(node, held->operation, RUDDERWAY_ERROR_OUT_OF_ORDER);
+        call_answers_refuse(node, held->operation, RUDDERWAY_ERROR_OUT_OF_ORDER);
         g_ptr_array_remove_index(node->calls->held, i - 1);
     }
 }
--- a/src/node/decision.c
+++ b/src/node/decision.c
@@ -2,6 +2,7 @@
 
 #include "common/event.h"
 #include "node/backend_service.h"
+#include "node/call_answers.h"
 #include "node/calls.h"
 #include "node/configuration_service.h"
 #include "node/entries.h"
@@ -237,6 +238,7 @@
     node->configuration_service = configuration_service_new(instance);
     node->backend_service = backend_service_new();
     node->services = services_new();
+    node->call_answers = call_answers_new();
     return node;
 }
 
@@ -263,6 +265,7 @@
     configuration_service_free(node->configuration_service);
     backend_service_free(node->backend_service);
     services_free(node->services);
+    call_answers_free(node->call_answers);
     backend_set_free(node->backends);
     membership_free(node->membership);
     configuration_unref(node->configuration);
--- a/src/node/node.h
+++ b/src/node/node.h
@@ -27,6 +27,7 @@
 typedef struct configuration_service configuration_service_t;
 typedef struct backend_service backend_service_t;
 typedef struct services services_t;
+typedef struct call_answers call_answers_t;
 
 typedef struct node {
     settings_t *settings;        /**< Constant. */
@@ -44,6 +45,7 @@
     configuration_service_t *configuration_service;
     backend_service_t *backend_service;
     services_t *services;
+    call_answers_t *call_answers;
     backend_set_t *backends;
     routing_t routing;
     metrics_t metrics;
