sim: records as keys instead of numbers cast to pointers

Change: tables are keyed by the records' own fields, frame times stand in an array; calls_settle checks for the call first.

--- a/src/node/calls.c
+++ b/src/node/calls.c
@@ -483,7 +483,7 @@
     const call_t *call = program != NULL ? program_call(program, result->call) : NULL;
     if (!calls_is_open(group, result))
         release_again(node, group, result);
-    if (!calls_is_open(group, result) || retry_is_pending(node, result)) {
+    if (call == NULL || !calls_is_open(group, result) || retry_is_pending(node, result)) {
         command_free(result);
         return;
     }
--- a/src/sim/checker.c
+++ b/src/sim/checker.c
@@ -70,7 +70,7 @@
                             .invoked = NO_RECORD,
                             .refused = NO_RECORD,
                             .refused_invoke = NO_RECORD};
-        view.texts = g_hash_table_new(NULL, NULL);
+        view.texts = g_hash_table_new(g_int_hash, g_int_equal);
         g_array_append_val(calls, view);
     }
     return &g_array_index(calls, call_view_t, number);
@@ -94,13 +94,13 @@
         add_violation(checker, "not run", record->program, call->refused, position);
     if (call->first_execution == NO_RECORD)
         call->first_execution = position;
-    g_hash_table_insert(call->texts, GUINT_TO_POINTER(record->attempt), record->text);
+    g_hash_table_insert(call->texts, (gpointer)&record->attempt, record->text);
 }
 
 static void take_answer(const checker_t *checker, GArray *calls, int position) {
     const history_record_t *record = record_at(checker, position);
     call_view_t *call = call_view(calls, record->call);
-    const char *executed = g_hash_table_lookup(call->texts, GUINT_TO_POINTER(record->attempt));
+    const char *executed = g_hash_table_lookup(call->texts, &record->attempt);
     if (executed == NULL || strcmp(executed, record->text) != 0)
         add_violation(checker, "whole answer", record->program, call->first_execution, position);
     if (call->acknowledged != NO_RECORD &&
@@ -261,28 +261,33 @@
     g_hash_table_unref(leaving);
 }
 
+static int position_of(const checker_t *checker, const history_record_t *record) {
+    guint position = 0;
+    g_ptr_array_find(checker->history->records, record, &position);
+    return (int)position;
+}
+
 /** Each node's revision only grows, and a revision is the same edit everywhere. */
 static void check_configuration(const checker_t *checker) {
     GHashTable *by_node = g_hash_table_new(g_str_hash, g_str_equal);
-    GHashTable *by_revision = g_hash_table_new(NULL, NULL);
+    GHashTable *by_revision = g_hash_table_new(g_int64_hash, g_int64_equal);
     for (int i = 0; i < (int)checker->history->records->len; i++) {
         const history_record_t *record = record_at(checker, i);
         if (record->kind == HISTORY_LAGS)
             add_violation(checker, "configuration in force", "", i, NO_RECORD);
         if (record->kind != HISTORY_IN_FORCE && record->kind != HISTORY_EDIT)
             continue;
-        gpointer key = GSIZE_TO_POINTER(record->number);
-        int same = GPOINTER_TO_INT(g_hash_table_lookup(by_revision, key)) - 1;
-        if (same >= 0 && strcmp(record_at(checker, same)->text, record->text) != 0)
-            add_violation(checker, "one edit a revision", "", same, i);
-        if (same < 0)
-            g_hash_table_insert(by_revision, key, GINT_TO_POINTER(i + 1));
+        const history_record_t *same = g_hash_table_lookup(by_revision, &record->number);
+        if (same != NULL && strcmp(same->text, record->text) != 0)
+            add_violation(checker, "one edit a revision", "", position_of(checker, same), i);
+        if (same == NULL)
+            g_hash_table_insert(by_revision, (gpointer)&record->number, (gpointer)record);
         if (record->kind != HISTORY_IN_FORCE)
             continue;
-        int before = GPOINTER_TO_INT(g_hash_table_lookup(by_node, record->place)) - 1;
-        if (before >= 0 && record_at(checker, before)->number >= record->number)
-            add_violation(checker, "configuration reverts", "", before, i);
-        g_hash_table_insert(by_node, record->place, GINT_TO_POINTER(i + 1));
+        const history_record_t *before = g_hash_table_lookup(by_node, record->place);
+        if (before != NULL && before->number >= record->number)
+            add_violation(checker, "configuration reverts", "", position_of(checker, before), i);
+        g_hash_table_insert(by_node, record->place, (gpointer)record);
     }
     g_hash_table_unref(by_node);
     g_hash_table_unref(by_revision);
--- a/src/sim/world.c
+++ b/src/sim/world.c
@@ -260,11 +260,9 @@
     int64_t time_ms = sim->now_ms + latency + sim_between(sim, 0, 1 + sim->extra_latency_ms);
     if (datagram)
         return time_ms;
-    gpointer link = GUINT_TO_POINTER(from->port << 16 | to->port);
-    int64_t last_ms = GPOINTER_TO_SIZE(g_hash_table_lookup(sim->link_times, link));
-    time_ms = MAX(time_ms, last_ms);
-    g_hash_table_insert(sim->link_times, link, GSIZE_TO_POINTER((gsize)time_ms));
-    return time_ms;
+    guint link = (from->port - FIRST_PORT) * sim->machines->len + (to->port - FIRST_PORT);
+    sim->link_times[link] = MAX(time_ms, sim->link_times[link]);
+    return sim->link_times[link];
 }
 
 void peer_transport_send(peer_transport_t *transport, const char *address, uint32_t port,
@@ -317,6 +315,7 @@
     const scenario_t *scenario = &sim->scenario;
     for (uint32_t i = 0; i < scenario->zones * scenario->nodes_per_zone; i++)
         g_ptr_array_add(sim->machines, machine_new(i % scenario->zones, i));
+    sim->link_times = g_new0(int64_t, (gsize)sim->machines->len * sim->machines->len);
     for (guint i = 0; i < sim->machines->len; i++) {
         machine_t *machine = g_ptr_array_index(sim->machines, i);
         machine->clock_skew_ms = sim_between(sim, -SKEW_MS, SKEW_MS);
@@ -384,7 +383,6 @@
     sim->machines = g_ptr_array_new();
     sim->backends = g_ptr_array_new();
     sim->entries = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, key_value_entry_free);
-    sim->link_times = g_hash_table_new(NULL, NULL);
     sim->history = history_new();
     sim->figures.recovery_ms = g_array_new(FALSE, FALSE, sizeof(int64_t));
     sim->figures.repair_ms = g_array_new(FALSE, FALSE, sizeof(int64_t));
@@ -429,7 +427,7 @@
     g_ptr_array_unref(sim->machines);
     g_ptr_array_unref(sim->backends);
     g_hash_table_unref(sim->entries);
-    g_hash_table_unref(sim->link_times);
+    g_free(sim->link_times);
     g_rand_free(sim->random);
     g_array_unref(sim->figures.recovery_ms);
     g_array_unref(sim->figures.repair_ms);
--- a/src/sim/world.h
+++ b/src/sim/world.h
@@ -125,8 +125,9 @@
     int64_t machine_list_lag_ms;
     int64_t extra_latency_ms;
     double loss;
-    bool cut[16][16];       /**< From zone, to zone. */
-    GHashTable *link_times; /**< "from to" → time of the last frame, so that frames keep order. */
+    bool cut[16][16]; /**< From zone, to zone. */
+    int64_t
+        *link_times; /**< Time of the last frame from one machine to another: they keep order. */
     history_t *history;
     sim_figures_t figures;
     unsigned programs_open;
