test: names of histories without spaces

Cause: file names with spaces break plain shell tools over the tree.

Change: underscores; the test turns them back into the promise's name.

--- a/tests/integration/simulator_test.sh
+++ b/tests/integration/simulator_test.sh
@@ -9,11 +9,12 @@
 
 # breaks FILE: passes if the checker finds in FILE the promise that its name begins with.
 breaks() {
-    local name
+    local name promise
     name=$(basename "$1")
+    promise=${name%%-*}
     "$BUILD/rudderway-sim" check "$1" > "$CLUSTER_DIR/check.out" && return 1
     cat "$CLUSTER_DIR/check.out"
-    grep -q "broken: ${name%%-*}," "$CLUSTER_DIR/check.out"
+    grep -q "broken: ${promise//_/ }," "$CLUSTER_DIR/check.out"
 }
 
 # same_history: passes if one seed gives the same history twice, byte for byte.
