--- /dev/null
+++ b/src/cluster/key_value_watch.c
@@ -0,0 +1,281 @@
+/*
+ * Design. One exchange at a time: a listing in pages, then watches one after the other, each from
+ * the revision where the last one ended. Anything but a well-formed answer in time closes the
+ * connection and begins again with a listing, because what was missed can't be known.
+ */
+#include "cluster/key_value_watch.h"
+
+#include "net/http_client.h"
+
+#include <string.h>
+
+enum {
+    ANSWER_MS = 1000,      /**< For a listing or a write. */
+    WATCH_EXTRA_MS = 900,  /**< For a watch, beyond the time it waits. */
+    PAUSE_FIRST_MS = 100,
+    PAUSE_MOST_MS = 800,
+    STATUS_OK = 200,
+};
+
+typedef enum { LISTING, WATCHING } phase_t;
+
+struct key_value_watch {
+    uv_loop_t *loop;
+    struct sockaddr_in address;
+    char *host;
+    char *prefix;
+    uint32_t wait_ms;
+    const key_value_watch_handler_t *handler;
+    void *owner;
+    http_client_t *client;
+    uv_timer_t timer;
+    phase_t phase;
+    unsigned status;
+    GString *body;
+    GHashTable *listed; /**< Keys of the listing in the making. */
+    char *after;        /**< Last key of the listing's last page. */
+    uint64_t revision;
+    uint64_t list_revision;
+    unsigned failures;
+    int reachable; /**< -1: not known yet. */
+};
+
+static void begin_call(key_value_watch_t *watch);
+
+static void set_reachable(key_value_watch_t *watch, bool reachable) {
+    if (watch->reachable == (int)reachable)
+        return;
+    watch->reachable = reachable;
+    watch->handler->on_reachable(watch->owner, reachable);
+}
+
+static void on_pause_over(uv_timer_t *timer) {
+    begin_call(timer->data);
+}
+
+static void start_listing(key_value_watch_t *watch) {
+    watch->phase = LISTING;
+    g_hash_table_remove_all(watch->listed);
+    g_free(watch->after);
+    watch->after = g_strdup("");
+    watch->list_revision = 0;
+}
+
+static void call_failed(key_value_watch_t *watch) {
+    if (watch->client != NULL) {
+        http_client_close(watch->client);
+        watch->client = NULL;
+    }
+    watch->failures++;
+    if (watch->failures > 1)
+        set_reachable(watch, false);
+    start_listing(watch);
+    uint64_t pause = PAUSE_FIRST_MS << MIN(watch->failures - 1, 3);
+    pause = MIN(pause, PAUSE_MOST_MS);
+    pause = pause / 2 + (uint64_t)g_random_int_range(0, (gint32)(pause / 2 + 1));
+    uv_timer_start(&watch->timer, on_pause_over, pause, 0);
+}
+
+static void on_time_over(uv_timer_t *timer) {
+    call_failed(timer->data);
+}
+
+static bool on_head(void *user, const http_answer_head_t *head) {
+    key_value_watch_t *watch = user;
+    watch->status = head->status;
+    return true;
+}
+
+static void on_body(void *user, const char *data, size_t length) {
+    key_value_watch_t *watch = user;
+    g_string_append_len(watch->body, data, (gssize)length);
+}
+
+static void deliver_items(key_value_watch_t *watch, const key_value_page_t *page) {
+    for (guint i = 0; i < page->items->len; i++)
+        watch->handler->on_item(watch->owner, &g_array_index(page->items, key_value_item_t, i));
+}
+
+static void page_listed(key_value_watch_t *watch, const key_value_page_t *page) {
+    /* Pages are no snapshot: watching from the first page's revision sees every change again. */
+    if (watch->list_revision == 0)
+        watch->list_revision = page->revision;
+    for (guint i = 0; i < page->items->len; i++) {
+        const key_value_item_t *item = &g_array_index(page->items, key_value_item_t, i);
+        g_hash_table_add(watch->listed, g_strdup(item->key));
+        if (i + 1 == page->items->len) {
+            g_free(watch->after);
+            watch->after = g_strdup(item->key);
+        }
+    }
+    deliver_items(watch, page);
+    if (page->more && page->items->len > 0)
+        return;
+    watch->revision = watch->list_revision;
+    watch->phase = WATCHING;
+    watch->handler->on_listed(watch->owner, watch->listed);
+}
+
+static void on_complete(void *user) {
+    key_value_watch_t *watch = user;
+    uv_timer_stop(&watch->timer);
+    if (!http_client_reusable(watch->client)) {
+        http_client_close(watch->client);
+        watch->client = NULL;
+    }
+    key_value_page_t page = {0};
+    bool valid = false;
+    if (watch->status == STATUS_OK)
+        valid = watch->phase == LISTING
+                    ? key_value_parse_page(watch->body->str, watch->body->len, &page)
+                    : key_value_parse_events(watch->body->str, watch->body->len, &page);
+    if (!valid) {
+        bool relist_at_once = key_value_history_gone(watch->status) && watch->failures == 0;
+        key_value_page_clear(&page);
+        if (!relist_at_once) {
+            call_failed(watch);
+            return;
+        }
+        watch->failures = 1;
+        start_listing(watch);
+        begin_call(watch);
+        return;
+    }
+    watch->failures = 0;
+    set_reachable(watch, true);
+    if (watch->phase == LISTING) {
+        page_listed(watch, &page);
+    } else {
+        deliver_items(watch, &page);
+        watch->revision = MAX(watch->revision, page.revision);
+    }
+    key_value_page_clear(&page);
+    begin_call(watch);
+}
+
+static void on_failed(void *user, http_failure_t failure) {
+    key_value_watch_t *watch = user;
+    (void)failure;
+    watch->client = NULL;
+    uv_timer_stop(&watch->timer);
+    call_failed(watch);
+}
+
+static const http_exchange_handler_t exchange_handler = {on_head, on_body, on_complete, on_failed};
+
+static void on_idle_closed(void *owner, http_client_t *client) {
+    key_value_watch_t *watch = owner;
+    if (watch->client == client)
+        watch->client = NULL;
+}
+
+static void begin_call(key_value_watch_t *watch) {
+    g_string_truncate(watch->body, 0);
+    watch->status = 0;
+    bool listing = watch->phase == LISTING;
+    GString *request = listing
+                           ? key_value_list_request(watch->host, watch->prefix, watch->after)
+                           : key_value_watch_request(watch->host, watch->prefix, watch->revision,
+                                                     watch->wait_ms);
+    uint64_t limit = listing ? ANSWER_MS : (uint64_t)watch->wait_ms + WATCH_EXTRA_MS;
+    uv_timer_start(&watch->timer, on_time_over, limit, 0);
+    if (watch->client == NULL)
+        watch->client = http_client_open(watch->loop, &watch->address, on_idle_closed, watch);
+    if (watch->client == NULL) {
+        g_string_free(request, TRUE);
+        call_failed(watch);
+        return;
+    }
+    http_client_send(watch->client, request, false, &exchange_handler, watch);
+}
+
+key_value_watch_t *key_value_watch_open(uv_loop_t *loop, const struct sockaddr_in *address,
+                                        const char *host, const char *prefix, uint32_t wait_ms,
+                                        const key_value_watch_handler_t *handler, void *owner) {
+    key_value_watch_t *watch = g_new0(key_value_watch_t, 1);
+    watch->loop = loop;
+    watch->address = *address;
+    watch->host = g_strdup(host);
+    watch->prefix = g_strdup(prefix);
+    watch->wait_ms = wait_ms;
+    watch->handler = handler;
+    watch->owner = owner;
+    watch->body = g_string_new(NULL);
+    watch->listed = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    watch->reachable = -1;
+    uv_timer_init(loop, &watch->timer);
+    watch->timer.data = watch;
+    start_listing(watch);
+    begin_call(watch);
+    return watch;
+}
+
+/* Single writes. */
+
+typedef struct {
+    uv_timer_t timer;
+    http_client_t *client;
+    unsigned status;
+    void (*done)(void *owner, key_value_outcome_t outcome);
+    void *owner;
+} single_write_t;
+
+static void free_write(uv_handle_t *handle) {
+    g_free(handle->data);
+}
+
+static void finish_write(single_write_t *write, key_value_outcome_t outcome) {
+    if (write->client != NULL)
+        http_client_close(write->client);
+    write->client = NULL;
+    void (*done)(void *owner, key_value_outcome_t outcome) = write->done;
+    void *owner = write->owner;
+    uv_close((uv_handle_t *)&write->timer, free_write);
+    done(owner, outcome);
+}
+
+static void on_write_time_over(uv_timer_t *timer) {
+    finish_write(timer->data, KEY_VALUE_REFUSED);
+}
+
+static bool on_write_head(void *user, const http_answer_head_t *head) {
+    ((single_write_t *)user)->status = head->status;
+    return true;
+}
+
+static void on_write_body(void *user, const char *data, size_t length) {
+    (void)user;
+    (void)data;
+    (void)length;
+}
+
+static void on_write_complete(void *user) {
+    single_write_t *write = user;
+    finish_write(write, key_value_write_outcome(write->status));
+}
+
+static void on_write_failed(void *user, http_failure_t failure) {
+    single_write_t *write = user;
+    (void)failure;
+    write->client = NULL;
+    finish_write(write, KEY_VALUE_REFUSED);
+}
+
+static const http_exchange_handler_t write_handler = {on_write_head, on_write_body,
+                                                      on_write_complete, on_write_failed};
+
+void key_value_write(uv_loop_t *loop, const struct sockaddr_in *address, GString *request,
+                     void (*done)(void *owner, key_value_outcome_t outcome), void *owner) {
+    single_write_t *write = g_new0(single_write_t, 1);
+    write->done = done;
+    write->owner = owner;
+    uv_timer_init(loop, &write->timer);
+    write->timer.data = write;
+    write->client = http_client_open(loop, address, NULL, NULL);
+    uv_timer_start(&write->timer, on_write_time_over, write->client == NULL ? 0 : ANSWER_MS, 0);
+    if (write->client == NULL) {
+        g_string_free(request, TRUE);
+        return;
+    }
+    http_client_send(write->client, request, false, &write_handler, write);
+}
--- /dev/null
+++ b/src/cluster/key_value_watch.h
@@ -0,0 +1,42 @@
+/**
+ * @file key_value_watch.h
+ * Keeps one prefix of the key-value service in view: lists it, watches it, and lists again
+ * whenever the watch may have missed something. Also writes single keys.
+ *
+ * Failures. The service may refuse, be slow, fall silent, cut a watch or forget its history; an
+ * answer may be lost, after which that connection says nothing more. Each call has a time limit
+ * and each failure a pause with jitter before the next, on a new connection.
+ *
+ * Thread safety: everything here belongs to the loop's thread.
+ */
+#ifndef RUDDERWAY_CLUSTER_KEY_VALUE_WATCH_H
+#define RUDDERWAY_CLUSTER_KEY_VALUE_WATCH_H
+
+#include "cluster/key_value.h"
+
+#include <uv.h>
+
+typedef struct key_value_watch key_value_watch_t;
+
+typedef struct {
+    /** A key was written or, with a NULL value, is gone. */
+    void (*on_item)(void *owner, const key_value_item_t *item);
+    /** A listing is complete; @p keys holds its keys as a set. Others exist no more. */
+    void (*on_listed)(void *owner, GHashTable *keys);
+    /** The service answers again, or no longer. */
+    void (*on_reachable)(void *owner, bool reachable);
+} key_value_watch_handler_t;
+
+/** @p wait_ms: how long one watch waits for a change. */
+key_value_watch_t *key_value_watch_open(uv_loop_t *loop, const struct sockaddr_in *address,
+                                        const char *host, const char *prefix, uint32_t wait_ms,
+                                        const key_value_watch_handler_t *handler, void *owner);
+
+/**
+ * Writes a key on a connection of its own; @p done says what became of it. A refusal includes
+ * "no answer": the write may still happen.
+ */
+void key_value_write(uv_loop_t *loop, const struct sockaddr_in *address, GString *request,
+                     void (*done)(void *owner, key_value_outcome_t outcome), void *owner);
+
+#endif
--- /dev/null
+++ b/src/cluster/message.c
@@ -0,0 +1,155 @@
+#include "cluster/message.h"
+
+#include "common/codec.h"
+
+enum { TURNS_MAXIMUM = 100000, IDS_MAXIMUM = 10000000, CHARGES_MAXIMUM = 10000000 };
+
+static void clear_turn(gpointer data) {
+    turn_clear(data);
+}
+
+static void clear_charge(gpointer data) {
+    budget_charge_clear(data);
+}
+
+void message_init(message_t *message, message_type_t type) {
+    *message = (message_t){.type = type};
+    message->turns = g_array_new(FALSE, TRUE, sizeof(turn_t));
+    g_array_set_clear_func(message->turns, clear_turn);
+    message->charges = g_array_new(FALSE, TRUE, sizeof(budget_charge_t));
+    g_array_set_clear_func(message->charges, clear_charge);
+    message->ids = g_ptr_array_new_with_free_func(g_free);
+}
+
+void message_clear(message_t *message) {
+    budget_charge_clear(&message->charge);
+    g_free(message->turn_id);
+    if (message->group != NULL)
+        g_bytes_unref(message->group);
+    g_array_free(message->turns, TRUE);
+    g_array_free(message->charges, TRUE);
+    g_ptr_array_free(message->ids, TRUE);
+}
+
+void message_add_turn(message_t *message, const turn_t *turn) {
+    turn_t copy;
+    turn_copy(&copy, turn);
+    g_array_append_val(message->turns, copy);
+}
+
+static void turn_codec(codec_t *codec, turn_t *turn) {
+    codec_text(codec, &turn->id);
+    codec_text(codec, &turn->parent);
+    codec_bytes(codec, &turn->input);
+    codec_bytes(codec, &turn->output);
+    codec_uint32(codec, &turn->retention_ms);
+}
+
+static void charge_codec(codec_t *codec, budget_charge_t *charge) {
+    codec_text(codec, &charge->program);
+    codec_text(codec, &charge->call);
+    codec_uint64(codec, &charge->most);
+    codec_uint64(codec, &charge->spent);
+    codec_bool(codec, &charge->settled);
+}
+
+static void turns_codec(codec_t *codec, GArray *turns) {
+    uint32_t count = turns->len;
+    codec_count(codec, &count, TURNS_MAXIMUM);
+    if (codec->decoding && !codec->failed)
+        g_array_set_size(turns, count);
+    for (uint32_t i = 0; i < turns->len && !codec->failed; i++)
+        turn_codec(codec, &g_array_index(turns, turn_t, i));
+}
+
+static void charges_codec(codec_t *codec, GArray *charges) {
+    uint32_t count = charges->len;
+    codec_count(codec, &count, CHARGES_MAXIMUM);
+    if (codec->decoding && !codec->failed)
+        g_array_set_size(charges, count);
+    for (uint32_t i = 0; i < charges->len && !codec->failed; i++)
+        charge_codec(codec, &g_array_index(charges, budget_charge_t, i));
+}
+
+static void ids_codec(codec_t *codec, GPtrArray *ids) {
+    uint32_t count = ids->len;
+    codec_count(codec, &count, IDS_MAXIMUM);
+    if (codec->decoding && !codec->failed)
+        g_ptr_array_set_size(ids, (gint)count);
+    for (uint32_t i = 0; i < ids->len && !codec->failed; i++) {
+        char *id = g_ptr_array_index(ids, i);
+        codec_text(codec, &id);
+        g_ptr_array_index(ids, i) = id;
+    }
+}
+
+static void verdict_codec(codec_t *codec, verdict_t *verdict) {
+    unsigned value = *verdict;
+    codec_enum(codec, &value, VERDICT_COUNT);
+    *verdict = (verdict_t)value;
+}
+
+static void fields_codec(codec_t *codec, message_t *message) {
+    codec_uint64(codec, &message->number);
+    codec_uint64(codec, &message->generation);
+    switch (message->type) {
+    case MESSAGE_GROUP:
+        codec_bytes(codec, &message->group);
+        break;
+    case REQUEST_RESERVE:
+        codec_uint64(codec, &message->budget);
+        charge_codec(codec, &message->charge);
+        break;
+    case REQUEST_SETTLE:
+    case RECORD_CHARGE:
+        charge_codec(codec, &message->charge);
+        break;
+    case RESPONSE_RESERVE:
+    case RESPONSE_DURABLE:
+        verdict_codec(codec, &message->verdict);
+        break;
+    case REQUEST_PUT_TURN:
+    case RESPONSE_TURNS:
+        turns_codec(codec, message->turns);
+        break;
+    case REQUEST_CHAIN:
+        codec_text(codec, &message->turn_id);
+        break;
+    case RESPONSE_CHAIN:
+        verdict_codec(codec, &message->verdict);
+        turns_codec(codec, message->turns);
+        break;
+    case RESPONSE_INDEX:
+        ids_codec(codec, message->ids);
+        charges_codec(codec, message->charges);
+        break;
+    case REQUEST_TURNS:
+        ids_codec(codec, message->ids);
+        break;
+    case REQUEST_STATUS:
+    case RESPONSE_STATUS:
+    case REQUEST_INDEX:
+    case RESPONSE_OLD_GENERATION:
+    case MESSAGE_TYPE_COUNT:
+        break;
+    }
+}
+
+GBytes *message_encode(message_t *message) {
+    codec_t codec;
+    codec_start_encoding(&codec);
+    unsigned type = message->type;
+    codec_enum(&codec, &type, MESSAGE_TYPE_COUNT);
+    fields_codec(&codec, message);
+    return codec_finish(&codec);
+}
+
+bool message_decode(message_t *message, const void *data, size_t length) {
+    codec_t codec;
+    codec_start_decoding(&codec, data, length);
+    unsigned type = 0;
+    codec_enum(&codec, &type, MESSAGE_TYPE_COUNT);
+    message_init(message, (message_type_t)type);
+    fields_codec(&codec, message);
+    return codec_complete(&codec);
+}
--- /dev/null
+++ b/src/cluster/message.h
@@ -0,0 +1,69 @@
+/**
+ * @file message.h
+ * What gateways and storage nodes say to one another, and what a storage node writes to its log:
+ * one CBOR record a frame. Requests carry a number that the answer repeats, and the generation
+ * of the store group that the sender acts in; a node that knows a later one answers with it.
+ *
+ * Thread safety: messages belong to one thread.
+ */
+#ifndef RUDDERWAY_CLUSTER_MESSAGE_H
+#define RUDDERWAY_CLUSTER_MESSAGE_H
+
+#include "core/budget/budget_table.h"
+#include "core/turns/turn_table.h"
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+typedef enum {
+    MESSAGE_GROUP,            /**< The sender's store group; either way, first on a connection. */
+    REQUEST_RESERVE,          /**< Reserve part of a program's budget; also a log record. */
+    RESPONSE_RESERVE,         /**< The verdict, at once. */
+    RESPONSE_DURABLE,         /**< A reserve or a turn is on disk, or can't be put there. */
+    REQUEST_SETTLE,           /**< Replace a reserve by what was made; also a log record. */
+    REQUEST_PUT_TURN,         /**< Keep a finished turn; also a log record. */
+    REQUEST_CHAIN,            /**< Read a turn and those it goes on from. */
+    RESPONSE_CHAIN,
+    REQUEST_STATUS,           /**< Ask in which generation a member is complete. */
+    RESPONSE_STATUS,
+    REQUEST_INDEX,            /**< Ask for all charges and the ids of all turns. */
+    RESPONSE_INDEX,
+    REQUEST_TURNS,            /**< Ask for turns by id. */
+    RESPONSE_TURNS,
+    RESPONSE_OLD_GENERATION,  /**< Nothing was done: a later generation is in force. */
+    RECORD_CHARGE,            /**< Log only: a charge copied from another member. */
+    MESSAGE_TYPE_COUNT,
+} message_type_t;
+
+typedef enum {
+    VERDICT_YES,    /**< Granted, found, or done. */
+    VERDICT_NO,     /**< Refused, or there is no such record as far as a complete member knows. */
+    VERDICT_UNSURE, /**< The member is not complete, or can't serve now. */
+    VERDICT_COUNT,
+} verdict_t;
+
+/** One message; which fields count depends on the type. */
+typedef struct {
+    message_type_t type;
+    uint64_t number;     /**< Repeated by the answer; 0 if none is wanted. */
+    uint64_t generation; /**< Of the sender's group, or in which the sender is complete. */
+    verdict_t verdict;
+    budget_charge_t charge; /**< Program, call, and the most or what was spent. */
+    uint64_t budget;        /**< The program's whole budget, in tokens. */
+    char *turn_id;
+    GBytes *group; /**< An encoded store group. */
+    GArray *turns; /**< Of turn_t: one to keep, or a chain from its newest turn. */
+    GPtrArray *ids;
+    GArray *charges; /**< Of budget_charge_t. */
+} message_t;
+
+void message_init(message_t *message, message_type_t type);
+void message_clear(message_t *message);
+GBytes *message_encode(message_t *message);
+/** False if @p data is not a message. Call message_clear in any case. */
+bool message_decode(message_t *message, const void *data, size_t length);
+/** Appends a copy of @p turn. */
+void message_add_turn(message_t *message, const turn_t *turn);
+
+#endif
--- /dev/null
+++ b/src/cluster/process_settings.h
@@ -0,0 +1,41 @@
+/**
+ * @file process_settings.h
+ * Settings of a gateway or a storage node, read from a key file once at the start.
+ * docs/SETTINGS.md lists them.
+ *
+ * Thread safety: read-only after process_settings_load.
+ */
+#ifndef RUDDERWAY_CLUSTER_PROCESS_SETTINGS_H
+#define RUDDERWAY_CLUSTER_PROCESS_SETTINGS_H
+
+#include "common/error.h"
+
+#include <netinet/in.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+typedef struct {
+    char *name;
+    char *zone;
+    char *log_level;
+    struct sockaddr_in calls;     /**< Where a gateway takes calls. */
+    struct sockaddr_in readiness; /**< Where a gateway says whether it is ready. */
+    struct sockaddr_in metrics;   /**< Where figures are told; port 0: nowhere. */
+    char *peer_text;              /**< Where a storage node listens for gateways and others. */
+    struct sockaddr_in peer;
+    char *key_value_text;
+    struct sockaddr_in key_value;
+    char *folder;                 /**< Of a storage node's files. */
+    uint64_t disk_megabytes;
+    uint64_t memory_megabytes;
+    bool first_start;             /**< The whole system starts for the first time. */
+    uint64_t grace_ms;            /**< Longest planned stop. */
+} process_settings_t;
+
+/** Which settings a program needs. */
+typedef enum { PROCESS_GATEWAY, PROCESS_STORE } process_kind_t;
+
+/** Reads and checks the file; NULL and @p error naming the setting if one is not valid. */
+process_settings_t *process_settings_load(const char *path, process_kind_t kind, GError **error);
+
+#endif
--- /dev/null
+++ b/src/cluster/service_directory.h
@@ -0,0 +1,92 @@
+/**
+ * @file service_directory.h
+ * What routes and back ends there are: the operators' configuration as the gateway uses it, and
+ * one record for each back end. The adapter in platform/ makes both from the key-value service.
+ *
+ * Thread safety: records are immutable once made; counts of references are atomic.
+ */
+#ifndef RUDDERWAY_CLUSTER_SERVICE_DIRECTORY_H
+#define RUDDERWAY_CLUSTER_SERVICE_DIRECTORY_H
+
+#include "net/http_listener.h"
+
+#include <glib.h>
+#include <netinet/in.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+/** What may be done with a call whose outcome is unknown. */
+typedef enum {
+    CALL_REPEATABLE,   /**< May run more than once. */
+    CALL_AT_MOST_ONCE, /**< May run once for each attempt of the caller. */
+    CALL_STREAM,       /**< Answers by events; at most once unless resumable. */
+} call_kind_t;
+
+/** One destination of a route. */
+typedef struct {
+    char *service;
+    uint32_t weight;
+} route_part_t;
+
+typedef struct {
+    char *name;
+    char *host;
+    char *path_prefix;
+    call_kind_t kind;
+    bool resumable;          /**< A stream may go on at another back end. */
+    bool keeps_turns;        /**< A call may go on from an earlier one, whose text is kept. */
+    bool sticky;             /**< Calls of a session belong together. */
+    uint32_t timeout_ms;     /**< Longest time that a call is held; 0: none. */
+    uint32_t objective_ms;   /**< Time within which an answer is in time. */
+    uint32_t attempts;       /**< Back ends that one attempt of a caller may be sent to. */
+    uint32_t priority;       /**< 0 is served first. */
+    uint32_t retention_ms;   /**< How long turns are kept. */
+    GArray *parts;           /**< Of route_part_t. */
+} route_t;
+
+typedef struct {
+    char *name;
+    uint32_t connection_limit; /**< Connections a back end takes from all callers; 0: unknown. */
+    bool engine;
+    uint32_t slots;            /**< Calls that an engine runs at once; 0: unknown. */
+    uint32_t tokens_per_event;
+} service_t;
+
+typedef struct {
+    gint references;
+    uint64_t version;
+    GPtrArray *routes;    /**< Of route_t. */
+    GHashTable *services; /**< Name to service_t. */
+    http_limits_t limits;
+} directory_configuration_t;
+
+typedef struct {
+    char *instance; /**< Of one start of the back end. */
+    char *service;
+    char *zone;
+    struct sockaddr_in address;
+    uint32_t slots;
+    bool leaving;
+} backend_record_t;
+
+directory_configuration_t *directory_configuration_new(void);
+directory_configuration_t *directory_configuration_ref(directory_configuration_t *configuration);
+void directory_configuration_unref(directory_configuration_t *configuration);
+route_t *directory_route_new(void);
+/** The route for @p host and @p path: of those of the host the one with the longest prefix. */
+const route_t *directory_find_route(const directory_configuration_t *configuration,
+                                    const char *host, const char *path);
+const service_t *directory_find_service(const directory_configuration_t *configuration,
+                                        const char *name);
+void backend_record_free(backend_record_t *backend);
+/** Reads "IP:PORT"; false if it is none. */
+bool parse_socket_address(const char *text, struct sockaddr_in *address);
+
+/* Implemented by platform/. */
+
+/** NULL if @p data is no configuration. */
+directory_configuration_t *directory_parse_configuration(const char *data, size_t length);
+/** NULL if @p data is no back end. */
+backend_record_t *directory_parse_backend(const char *instance, const char *data, size_t length);
+
+#endif
--- /dev/null
+++ b/src/core/budget/budget_table.c
@@ -0,0 +1,137 @@
+#include "core/budget/budget_table.h"
+
+typedef struct {
+    char *id;
+    GHashTable *charges; /**< Call id to budget_charge_t. */
+    uint64_t charged;
+    uint64_t changed_at;
+} program_charges_t;
+
+void budget_charge_clear(budget_charge_t *charge) {
+    g_free(charge->program);
+    g_free(charge->call);
+    *charge = (budget_charge_t){0};
+}
+
+static void free_charge(gpointer data) {
+    budget_charge_clear(data);
+    g_free(data);
+}
+
+static void free_program(gpointer data) {
+    program_charges_t *program = data;
+    g_hash_table_destroy(program->charges);
+    g_free(program->id);
+    g_free(program);
+}
+
+void budget_table_init(budget_table_t *table) {
+    table->programs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_program);
+}
+
+void budget_table_clear(budget_table_t *table) {
+    g_hash_table_destroy(table->programs);
+}
+
+static program_charges_t *obtain_program(budget_table_t *table, const char *id, uint64_t now) {
+    program_charges_t *program = g_hash_table_lookup(table->programs, id);
+    if (program == NULL) {
+        program = g_new0(program_charges_t, 1);
+        program->id = g_strdup(id);
+        program->charges = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_charge);
+        g_hash_table_insert(table->programs, program->id, program);
+    }
+    program->changed_at = now;
+    return program;
+}
+
+static uint64_t charge_amount(const budget_charge_t *charge) {
+    return charge->settled ? charge->spent : charge->most;
+}
+
+static budget_charge_t *obtain_charge(program_charges_t *program, const char *call) {
+    budget_charge_t *charge = g_hash_table_lookup(program->charges, call);
+    if (charge != NULL)
+        return charge;
+    charge = g_new0(budget_charge_t, 1);
+    charge->program = g_strdup(program->id);
+    charge->call = g_strdup(call);
+    g_hash_table_insert(program->charges, charge->call, charge);
+    return charge;
+}
+
+/** Sets a charge's state and keeps the program's sum. */
+static void set_charge(program_charges_t *program, budget_charge_t *charge, uint64_t most,
+                       bool settled, uint64_t spent) {
+    program->charged -= charge_amount(charge);
+    charge->most = most;
+    charge->settled = settled;
+    charge->spent = spent;
+    program->charged += charge_amount(charge);
+}
+
+bool budget_table_reserve(budget_table_t *table, const char *program_id, const char *call,
+                          uint64_t most, uint64_t budget, uint64_t now) {
+    program_charges_t *program = obtain_program(table, program_id, now);
+    if (g_hash_table_contains(program->charges, call))
+        return true;
+    if (most > budget || program->charged > budget - most)
+        return false;
+    set_charge(program, obtain_charge(program, call), most, false, 0);
+    return true;
+}
+
+void budget_table_settle(budget_table_t *table, const char *program_id, const char *call,
+                         uint64_t spent, uint64_t now) {
+    program_charges_t *program = obtain_program(table, program_id, now);
+    budget_charge_t *charge = obtain_charge(program, call);
+    set_charge(program, charge, charge->most, true, spent);
+}
+
+void budget_table_merge(budget_table_t *table, const budget_charge_t *other, uint64_t now) {
+    program_charges_t *program = obtain_program(table, other->program, now);
+    budget_charge_t *charge = obtain_charge(program, other->call);
+    uint64_t most = MAX(charge->most, other->most);
+    if (other->settled)
+        set_charge(program, charge, most, true, other->spent);
+    else if (!charge->settled)
+        set_charge(program, charge, most, false, 0);
+}
+
+bool budget_table_covers(const budget_table_t *table, const budget_charge_t *charge) {
+    const program_charges_t *program = g_hash_table_lookup(table->programs, charge->program);
+    if (program == NULL)
+        return false;
+    const budget_charge_t *known = g_hash_table_lookup(program->charges, charge->call);
+    return known != NULL && (known->settled || !charge->settled);
+}
+
+uint64_t budget_table_charged(const budget_table_t *table, const char *program_id) {
+    const program_charges_t *program = g_hash_table_lookup(table->programs, program_id);
+    return program == NULL ? 0 : program->charged;
+}
+
+void budget_table_expire(budget_table_t *table, uint64_t before) {
+    GHashTableIter iterator;
+    gpointer value;
+    g_hash_table_iter_init(&iterator, table->programs);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const program_charges_t *program = value;
+        if (program->changed_at < before)
+            g_hash_table_iter_remove(&iterator);
+    }
+}
+
+void budget_table_each(const budget_table_t *table,
+                       void (*visit)(void *user, const budget_charge_t *charge), void *user) {
+    GHashTableIter programs;
+    gpointer program;
+    g_hash_table_iter_init(&programs, table->programs);
+    while (g_hash_table_iter_next(&programs, NULL, &program)) {
+        GHashTableIter charges;
+        gpointer charge;
+        g_hash_table_iter_init(&charges, ((program_charges_t *)program)->charges);
+        while (g_hash_table_iter_next(&charges, NULL, &charge))
+            visit(user, charge);
+    }
+}
--- /dev/null
+++ b/src/core/turns/turn_table.c
@@ -0,0 +1,101 @@
+#include "core/turns/turn_table.h"
+
+/** Memory of an entry besides its input and output, roughly. */
+enum { ENTRY_OVERHEAD_BYTES = 512, ANCESTORS_MAXIMUM = 10000 };
+
+void turn_clear(turn_t *turn) {
+    g_free(turn->id);
+    g_free(turn->parent);
+    if (turn->input != NULL)
+        g_bytes_unref(turn->input);
+    if (turn->output != NULL)
+        g_bytes_unref(turn->output);
+    *turn = (turn_t){0};
+}
+
+void turn_copy(turn_t *copy, const turn_t *turn) {
+    copy->id = g_strdup(turn->id);
+    copy->parent = g_strdup(turn->parent);
+    copy->input = g_bytes_ref(turn->input);
+    copy->output = g_bytes_ref(turn->output);
+    copy->retention_ms = turn->retention_ms;
+}
+
+static void free_entry(gpointer data) {
+    turn_entry_t *entry = data;
+    turn_clear(&entry->turn);
+    g_free(entry);
+}
+
+static uint64_t turn_bytes(const turn_t *turn) {
+    return ENTRY_OVERHEAD_BYTES + g_bytes_get_size(turn->input) + g_bytes_get_size(turn->output);
+}
+
+void turn_table_init(turn_table_t *table) {
+    table->entries = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_entry);
+    table->bytes = 0;
+    table->segments_needed_until = g_array_new(FALSE, TRUE, sizeof(uint64_t));
+}
+
+void turn_table_clear(turn_table_t *table) {
+    g_hash_table_destroy(table->entries);
+    g_array_free(table->segments_needed_until, TRUE);
+}
+
+void turn_table_need_segment(turn_table_t *table, uint32_t segment, uint64_t until) {
+    if (segment >= table->segments_needed_until->len)
+        g_array_set_size(table->segments_needed_until, segment + 1);
+    uint64_t *needed = &g_array_index(table->segments_needed_until, uint64_t, segment);
+    *needed = MAX(*needed, until);
+}
+
+/** Extends the time of an entry and of the turns it goes on from to at least @p expires_at. */
+static void extend_chain(turn_table_t *table, turn_entry_t *entry, uint64_t expires_at) {
+    for (unsigned i = 0; entry != NULL && i < ANCESTORS_MAXIMUM; i++) {
+        if (entry->expires_at >= expires_at && i > 0)
+            return;
+        entry->expires_at = MAX(entry->expires_at, expires_at);
+        turn_table_need_segment(table, entry->segment, entry->expires_at);
+        entry = g_hash_table_lookup(table->entries, entry->turn.parent);
+    }
+}
+
+bool turn_table_add(turn_table_t *table, const turn_t *turn, uint32_t segment, uint64_t now) {
+    uint64_t expires_at = now + turn->retention_ms;
+    turn_entry_t *entry = g_hash_table_lookup(table->entries, turn->id);
+    if (entry != NULL) {
+        extend_chain(table, entry, expires_at);
+        return false;
+    }
+    entry = g_new0(turn_entry_t, 1);
+    turn_copy(&entry->turn, turn);
+    entry->segment = segment;
+    g_hash_table_insert(table->entries, entry->turn.id, entry);
+    table->bytes += turn_bytes(turn);
+    extend_chain(table, entry, expires_at);
+    return true;
+}
+
+const turn_t *turn_table_find(const turn_table_t *table, const char *id) {
+    const turn_entry_t *entry = g_hash_table_lookup(table->entries, id);
+    return entry == NULL ? NULL : &entry->turn;
+}
+
+void turn_table_expire(turn_table_t *table, uint64_t now) {
+    GHashTableIter iterator;
+    gpointer value;
+    g_hash_table_iter_init(&iterator, table->entries);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        turn_entry_t *entry = value;
+        if (entry->expires_at > now)
+            continue;
+        table->bytes -= turn_bytes(&entry->turn);
+        g_hash_table_iter_remove(&iterator);
+    }
+}
+
+bool turn_table_segment_unneeded(const turn_table_t *table, uint32_t segment, uint64_t now) {
+    if (segment >= table->segments_needed_until->len)
+        return true;
+    return g_array_index(table->segments_needed_until, uint64_t, segment) <= now;
+}
--- /dev/null
+++ b/src/core/turns/turn_table.h
@@ -0,0 +1,58 @@
+/**
+ * @file turn_table.h
+ * The finished turns of conversations, as a tree: each names the turn it goes on from.
+ * A turn never changes once written. A turn is kept for its retention time, and as long as a
+ * turn that goes on from it.
+ *
+ * Decision code: no I/O, clock or thread; times are milliseconds of the caller's steady clock.
+ */
+#ifndef RUDDERWAY_CORE_TURNS_TURN_TABLE_H
+#define RUDDERWAY_CORE_TURNS_TURN_TABLE_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+/** One finished turn. */
+typedef struct {
+    char *id;
+    char *parent;          /**< Id of the turn it goes on from; "" at the start of a conversation. */
+    GBytes *input;         /**< What the caller sent with this turn. */
+    GBytes *output;        /**< What the engine made, as the next turn's prompt repeats it. */
+    uint32_t retention_ms; /**< How long the turn is kept after it was last needed. */
+} turn_t;
+
+/** What the table knows of a turn besides its content. */
+typedef struct {
+    turn_t turn;
+    uint64_t expires_at;
+    uint32_t segment; /**< Log segment that holds the turn; the owner's number. */
+} turn_entry_t;
+
+typedef struct {
+    GHashTable *entries; /**< Turn id to turn_entry_t. */
+    uint64_t bytes;      /**< Memory that the turns take, roughly. */
+    GArray *segments_needed_until; /**< By segment number: time until which it is needed. */
+} turn_table_t;
+
+void turn_clear(turn_t *turn);
+/** A copy that shares the bytes. */
+void turn_copy(turn_t *copy, const turn_t *turn);
+
+void turn_table_init(turn_table_t *table);
+void turn_table_clear(turn_table_t *table);
+
+/**
+ * Adds a turn that stands in log segment @p segment and extends the time of the turns it goes on
+ * from. False if the turn is known already; its time is extended then too.
+ */
+bool turn_table_add(turn_table_t *table, const turn_t *turn, uint32_t segment, uint64_t now);
+const turn_t *turn_table_find(const turn_table_t *table, const char *id);
+/** Removes the turns that have expired. */
+void turn_table_expire(turn_table_t *table, uint64_t now);
+/** True if no turn in @p segment is needed any more. */
+bool turn_table_segment_unneeded(const turn_table_t *table, uint32_t segment, uint64_t now);
+/** Says that something else in @p segment is needed until @p until. */
+void turn_table_need_segment(turn_table_t *table, uint32_t segment, uint64_t until);
+
+#endif
--- /dev/null
+++ b/src/gateway/backends.h
@@ -0,0 +1,67 @@
+/**
+ * @file backends.h
+ * The back ends that this gateway knows, what it has under way at each, and its kept connections
+ * to them. Chooses the back end for a call.
+ *
+ * Choice. Calls of one program go to one engine, where its prompt's prefix is cached: the engine
+ * of the gateway's zone with the highest hash of program and instance, so that the gateways of a
+ * zone agree without a word. A full engine passes to the next of that order, then to other zones.
+ * Other calls go to the back end of the zone with the fewest calls under way from here; another
+ * zone must be clearly better.
+ *
+ * Thread safety: everything here belongs to the loop's thread.
+ */
+#ifndef RUDDERWAY_GATEWAY_BACKENDS_H
+#define RUDDERWAY_GATEWAY_BACKENDS_H
+
+#include "cluster/service_directory.h"
+#include "net/http_client.h"
+
+typedef struct {
+    backend_record_t *record;
+    gint references;        /**< The table and the calls at this back end. */
+    bool gone;              /**< It left the directory. */
+    unsigned under_way;     /**< Calls of this gateway. */
+    uint64_t avoid_until;   /**< Gets no call before, ms; after a failure. */
+    unsigned failures;      /**< In a row. */
+    GPtrArray *idle;        /**< Kept connections, the latest used last; of http_client_t. */
+    uv_loop_t *loop;
+} backend_t;
+
+typedef struct {
+    uv_loop_t *loop;
+    char *zone;
+    GHashTable *by_instance; /**< Of backend_t. */
+    uint64_t connections_opened;
+} backends_t;
+
+/** What a choice depends on. */
+typedef struct {
+    const char *service;
+    const char *program;       /**< Calls with the same text belong together; NULL: none do. */
+    const GPtrArray *excluded; /**< Back ends tried already; of backend_t. */
+    unsigned slots;            /**< Of an engine; 0: unknown. */
+} backend_choice_t;
+
+void backends_init(backends_t *backends, uv_loop_t *loop, const char *zone);
+/** Takes over @p record as what is known of its instance now. */
+void backends_update(backends_t *backends, backend_record_t *record);
+void backends_remove(backends_t *backends, const char *instance);
+/** Removes all whose instance is not in @p instances. */
+void backends_retain(backends_t *backends, GHashTable *instances);
+unsigned backends_count(const backends_t *backends);
+
+/** The back end for a call, with a reference and counted under way; NULL if there is none. */
+backend_t *backends_choose(backends_t *backends, const backend_choice_t *choice);
+/** Ends what backends_choose began. */
+void backend_release(backend_t *backend);
+/** Notes how a call ended: a failure keeps new calls away for a while. */
+void backend_note_success(backend_t *backend);
+void backend_note_failure(backend_t *backend);
+
+/** A connection to use: a kept one if there is one. NULL if none can be opened. */
+http_client_t *backend_connect(backends_t *backends, backend_t *backend);
+/** Keeps a connection for the next call if it can be used again. */
+void backend_keep(backend_t *backend, http_client_t *client);
+
+#endif
--- /dev/null
+++ b/src/gateway/call.h
@@ -0,0 +1,119 @@
+/**
+ * @file call.h
+ * One call from its arrival to the end of its answer. call.c decides what the caller gets,
+ * call_send.c takes the call to back ends, call_turn.c does what a turn of a program needs
+ * besides: its budget, the turns it goes on from, and keeping it.
+ *
+ * Thread safety: everything here belongs to the loop's thread.
+ */
+#ifndef RUDDERWAY_GATEWAY_CALL_H
+#define RUDDERWAY_GATEWAY_CALL_H
+
+#include "gateway/call_fields.h"
+#include "gateway/event_stream.h"
+#include "gateway/gateway.h"
+
+/** Why a call ended as it did; named in the log. */
+typedef enum {
+    CALL_ANSWERED,
+    CALL_NO_CONFIGURATION,
+    CALL_NO_ROUTE,
+    CALL_MALFORMED,
+    CALL_NO_BACKEND,
+    CALL_BACKEND_REFUSED,
+    CALL_BACKEND_LOST,
+    CALL_BAD_ANSWER,
+    CALL_TIMED_OUT,
+    CALL_OVER_BUDGET,
+    CALL_BUDGET_UNSURE,
+    CALL_BUDGET_NOT_DURABLE,
+    CALL_NO_SUCH_TURN,
+    CALL_TURN_UNSURE,
+    CALL_TURN_NOT_KEPT,
+    CALL_CALLER_GONE,
+    CALL_REASON_COUNT,
+} call_reason_t;
+
+/** What a turn of a program needs besides the way to a back end. */
+typedef struct {
+    bool counted;      /**< The program's budget bounds this call. */
+    bool reserved;     /**< The reserve was asked for; it must be settled. */
+    bool granted;
+    bool durable;      /**< The reserve survives a loss of power: pieces may go out. */
+    uint64_t most;     /**< Tokens that the call may make. */
+    store_operation_t *reserve;
+    store_operation_t *chain;
+    store_operation_t *keep;
+    char *missing;     /**< The turn that is being read. */
+    bool prompt_ready;
+    bool stream_ended; /**< The engine's stream has ended well; the turn is being kept. */
+} call_turn_t;
+
+typedef struct {
+    gateway_t *gateway;
+    http_caller_t *caller; /**< NULL once answered or gone. */
+    const http_request_t *request;
+    directory_configuration_t *configuration;
+    const route_t *route;
+    const service_t *service;
+    const char *service_name;
+    const char *id;
+    const char *program; /**< NULL: a plain call. */
+    uint64_t arrived_at;
+    uint64_t limit;      /**< Loop time until which an answer may come, ms. */
+    uv_timer_t timer;
+    bool ended;
+
+    /* The way to back ends. */
+    backend_t *backend;    /**< Where the call is now; NULL: nowhere. */
+    http_client_t *client;
+    GPtrArray *tried;      /**< Back ends that failed or refused; each with a reference. */
+    unsigned sends;        /**< Times that any byte may have reached a back end. */
+    unsigned connects_failed;
+    bool may_have_run;     /**< Some back end may have run it. */
+    GString *prompt;       /**< The turns that this one goes on from. */
+
+    /* The answer. */
+    unsigned status;
+    bool not_run;          /**< The back end says that it did not run the call. */
+    bool streaming;        /**< Passed on as events. */
+    bool head_sent;        /**< The caller has the answer's head. */
+    GString *fields;       /**< The answer's header lines for the caller. */
+    GString *body;         /**< A whole answer, or events that wait for the budget. */
+    event_stream_t events;
+    call_turn_t turn;
+} call_t;
+
+/* call.c */
+
+/** Ends the call with an answer of the gateway's own. */
+void call_refuse(call_t *call, unsigned status, call_reason_t reason);
+/** Ends the call with the back end's whole answer. */
+void call_answer(call_t *call);
+/** Ends a call whose answer has begun, so that it can't look complete; or answers 502. */
+void call_fail(call_t *call, call_reason_t reason);
+/** Ends a call whose stream has gone out whole. */
+void call_finish_stream(call_t *call);
+/** Passes on the events that may go out now. */
+void call_pass_events(call_t *call);
+/** Milliseconds until the call's limit. */
+uint64_t call_time_left(const call_t *call);
+const char *call_field(const call_t *call, call_field_t field);
+
+/* call_send.c */
+
+/** Sends the call to a back end, or to another one; refuses it if there is none. */
+void call_send(call_t *call);
+/** Ends the exchange with the back end, which stops its work. */
+void call_stop_backend(call_t *call);
+
+/* call_turn.c */
+
+/** Begins what a turn needs; sends the call once it may be sent. */
+void call_turn_begin(call_t *call);
+/** The stream has ended well: keeps the turn if need be, then ends the call. */
+void call_turn_stream_ended(call_t *call);
+/** Ends the operations under way and settles the budget. */
+void call_turn_end(call_t *call);
+
+#endif
--- /dev/null
+++ b/src/gateway/call_send.c
@@ -0,0 +1,268 @@
+/*
+ * Design. Each send goes to one back end and names the instance it is meant for, because an
+ * address may have been given to another. Whether the call may be sent again depends on what is
+ * known of the last send: not sent, refused as not run, or unknown; and on its kind.
+ *
+ * Failures. An answer whose id is another call's, a success without the back end's signature,
+ * and an answer that breaks off are all treated as no answer; their bytes go nowhere.
+ */
+#include "gateway/call.h"
+
+#include "common/event.h"
+
+#include <string.h>
+#include <strings.h>
+
+enum {
+    STATUS_OK = 200,
+    STATUS_MULTIPLE_CHOICES = 300,
+    STATUS_MISDIRECTED = 421,
+    STATUS_SERVER_ERROR = 500,
+    STATUS_UNAVAILABLE = 503,
+    CONNECT_FAILURES_MAXIMUM = 4,
+    ANSWER_BYTES_MAXIMUM = 16 * 1024 * 1024,
+    LEAST_MS = 5, /**< With less time left a call is not sent any more. */
+};
+
+static void release_backend(call_t *call) {
+    if (call->backend != NULL)
+        backend_release(call->backend);
+    call->backend = NULL;
+}
+
+void call_stop_backend(call_t *call) {
+    if (call->client != NULL)
+        http_client_close(call->client);
+    call->client = NULL;
+    release_backend(call);
+}
+
+/** Leaves the present back end, and does not choose it again for this call. */
+static void leave_backend(call_t *call) {
+    backend_t *backend = call->backend;
+    backend->references++;
+    g_ptr_array_add(call->tried, backend);
+    release_backend(call);
+}
+
+/** The caller's header fields, without those that the gateway sets. */
+static void append_fields(const call_t *call, GString *request) {
+    static const call_field_t own[] = {FIELD_DEADLINE_MS, FIELD_EXPECT_INSTANCE, FIELD_PRIORITY};
+    const http_headers_t *headers = call->request->headers;
+    for (size_t i = 0; i < http_headers_count(headers); i++) {
+        const char *name = http_headers_name(headers, i);
+        bool skip = http_header_is_hop_by_hop(name);
+        for (size_t j = 0; j < G_N_ELEMENTS(own); j++)
+            skip = skip || strcasecmp(name, call_field_name(own[j])) == 0;
+        if (call->events.events > 0 && strcasecmp(name, call_field_name(FIELD_LAST_EVENT)) == 0)
+            skip = true;
+        if (!skip)
+            g_string_append_printf(request, "%s: %s\r\n", name, http_headers_value(headers, i));
+    }
+}
+
+static GString *build_request(const call_t *call) {
+    const http_request_t *caller = call->request;
+    size_t body_length = call->prompt->len + caller->body_length;
+    GString *request = g_string_sized_new(1024 + body_length);
+    g_string_append_printf(request, "%s %s HTTP/1.1\r\n", caller->method, caller->target);
+    append_fields(call, request);
+    g_string_append_printf(request, "%s: %" G_GUINT64_FORMAT "\r\n",
+                           call_field_name(FIELD_DEADLINE_MS), (guint64)call_time_left(call));
+    g_string_append_printf(request, "%s: %s\r\n", call_field_name(FIELD_EXPECT_INSTANCE),
+                           call->backend->record->instance);
+    if (call->service != NULL && call->service->engine)
+        g_string_append_printf(request, "%s: %u\r\n", call_field_name(FIELD_PRIORITY),
+                               MIN(call->route->priority, 9U));
+    if (call->events.events > 0)
+        g_string_append_printf(request, "%s: %s\r\n", call_field_name(FIELD_LAST_EVENT),
+                               call->events.last_id->str);
+    if (body_length > 0 || strcmp(caller->method, "GET") != 0)
+        g_string_append_printf(request, "Content-Length: %zu\r\n", body_length);
+    g_string_append(request, "\r\n");
+    g_string_append_len(request, call->prompt->str, (gssize)call->prompt->len);
+    g_string_append_len(request, caller->body, (gssize)caller->body_length);
+    return request;
+}
+
+static bool repeatable(const call_t *call) {
+    return call->route->kind == CALL_REPEATABLE ||
+           (call->route->kind == CALL_STREAM && call->route->resumable);
+}
+
+static bool may_send_again(const call_t *call) {
+    return call->sends < call->route->attempts && call_time_left(call) > LEAST_MS;
+}
+
+static void log_send_failed(const call_t *call, const char *reason) {
+    event_log(GATEWAY_SEND_FAILED, call->id, call->backend->record->instance, reason,
+              call->sends);
+}
+
+/** The last send's outcome is unknown: sends again if the call may run twice. */
+static void outcome_unknown(call_t *call, call_reason_t reason) {
+    call->may_have_run = true;
+    bool again = repeatable(call) && may_send_again(call);
+    if (call->backend != NULL)
+        leave_backend(call);
+    if (!again) {
+        call_fail(call, reason);
+        return;
+    }
+    event_stream_drop_partial(&call->events);
+    call->gateway->counters.sent_again++;
+    call_send(call);
+}
+
+/** The last back end did not run the call: sends it to another if the route allows. */
+static void not_run(call_t *call) {
+    leave_backend(call);
+    if (!may_send_again(call)) {
+        call_fail(call, CALL_BACKEND_REFUSED);
+        return;
+    }
+    call->gateway->counters.sent_again++;
+    call_send(call);
+}
+
+/* The answer. */
+
+static void copy_fields(call_t *call, const http_headers_t *headers) {
+    g_string_truncate(call->fields, 0);
+    for (size_t i = 0; i < http_headers_count(headers); i++) {
+        const char *name = http_headers_name(headers, i);
+        if (!http_header_is_hop_by_hop(name))
+            g_string_append_printf(call->fields, "%s: %s\r\n", name,
+                                   http_headers_value(headers, i));
+    }
+}
+
+static bool is_success(unsigned status) {
+    return status >= STATUS_OK && status < STATUS_MULTIPLE_CHOICES;
+}
+
+static bool answer_is_sound(const call_t *call, const http_answer_head_t *head) {
+    const char *id = http_headers_find(head->headers, call_field_name(FIELD_CALL_ID));
+    if (id == NULL || strcmp(id, call->id) != 0)
+        return false;
+    if (!is_success(head->status))
+        return true;
+    return http_headers_find(head->headers, call_field_name(FIELD_SIGNATURE)) != NULL &&
+           http_headers_find(head->headers, "Content-Encoding") == NULL;
+}
+
+static bool on_head(void *user, const http_answer_head_t *head) {
+    call_t *call = user;
+    if (!answer_is_sound(call, head)) {
+        log_send_failed(call, "unsound_answer");
+        /* The parser is at work on this connection: it closes the connection itself. */
+        call->client = NULL;
+        backend_note_failure(call->backend);
+        outcome_unknown(call, CALL_BAD_ANSWER);
+        return false;
+    }
+    call->not_run = head->status == STATUS_MISDIRECTED ||
+                    http_headers_find(head->headers, call_field_name(FIELD_NOT_RUN)) != NULL;
+    bool goes_on = call->head_sent;
+    call->streaming = call->route->kind == CALL_STREAM && is_success(head->status);
+    if (goes_on)
+        return true;
+    call->status = head->status;
+    copy_fields(call, head->headers);
+    if (!call->not_run)
+        call->may_have_run = true;
+    return true;
+}
+
+static void on_body(void *user, const char *data, size_t length) {
+    call_t *call = user;
+    if (!call->streaming) {
+        if (call->body->len + length <= ANSWER_BYTES_MAXIMUM)
+            g_string_append_len(call->body, data, (gssize)length);
+        return;
+    }
+    size_t before = call->body->len;
+    event_stream_feed(&call->events, data, length, call->body);
+    if (call->body->len > before)
+        call_pass_events(call);
+}
+
+static void on_complete(void *user) {
+    call_t *call = user;
+    backend_keep(call->backend, call->client);
+    call->client = NULL;
+    if (call->not_run) {
+        log_send_failed(call, "not_run");
+        g_string_truncate(call->body, 0);
+        not_run(call);
+        return;
+    }
+    backend_note_success(call->backend);
+    if (call->streaming) {
+        if (event_stream_at_boundary(&call->events))
+            call_turn_stream_ended(call);
+        else
+            outcome_unknown(call, CALL_BAD_ANSWER);
+        return;
+    }
+    bool failed_there = call->status >= STATUS_SERVER_ERROR;
+    if (failed_there && repeatable(call) && may_send_again(call)) {
+        log_send_failed(call, "server_error");
+        g_string_truncate(call->body, 0);
+        outcome_unknown(call, CALL_BAD_ANSWER);
+        return;
+    }
+    if (call->head_sent)
+        call_fail(call, CALL_BAD_ANSWER);
+    else
+        call_answer(call);
+}
+
+static void on_failed(void *user, http_failure_t failure) {
+    call_t *call = user;
+    call->client = NULL;
+    backend_note_failure(call->backend);
+    if (failure == HTTP_FAILURE_NOT_SENT) {
+        log_send_failed(call, "not_sent");
+        call->sends--;
+        call->connects_failed++;
+        leave_backend(call);
+        if (call->connects_failed >= CONNECT_FAILURES_MAXIMUM)
+            call_fail(call, CALL_NO_BACKEND);
+        else
+            call_send(call);
+        return;
+    }
+    log_send_failed(call, failure == HTTP_FAILURE_NO_ANSWER ? "no_answer" : "broken_answer");
+    if (!call->streaming)
+        g_string_truncate(call->body, 0);
+    outcome_unknown(call, CALL_BACKEND_LOST);
+}
+
+static const http_exchange_handler_t exchange_handler = {on_head, on_body, on_complete, on_failed};
+
+void call_send(call_t *call) {
+    gateway_t *gateway = call->gateway;
+    backend_choice_t choice = {
+        .service = call->service_name,
+        .program = call->service != NULL && call->service->engine ? call->program : NULL,
+        .excluded = call->tried,
+        .slots = call->service == NULL ? 0 : call->service->slots,
+    };
+    call->backend = backends_choose(&gateway->backends, &choice);
+    if (call->backend == NULL) {
+        call_fail(call, CALL_NO_BACKEND);
+        return;
+    }
+    call->client = backend_connect(&gateway->backends, call->backend);
+    if (call->client == NULL) {
+        leave_backend(call);
+        call_fail(call, CALL_NO_BACKEND);
+        return;
+    }
+    call->not_run = false;
+    call->sends++;
+    gateway->counters.sends++;
+    bool head_request = strcmp(call->request->method, "HEAD") == 0;
+    http_client_send(call->client, build_request(call), head_request, &exchange_handler, call);
+}
--- /dev/null
+++ b/src/gateway/call_turn.c
@@ -0,0 +1,215 @@
+/*
+ * Design. A turn's most is reserved before the turn is sent: at the storage nodes' word the turn
+ * goes out, and its first piece waits for the word that the reserve is on disk, so that the
+ * disk's time hides behind the engine's. What the turn made is settled when it ends, whatever
+ * way it ends; only if this gateway dies does the reserve stand.
+ *
+ * A turn that others may go on from ends for its caller only when it is on enough disks. If that
+ * can't be had in time, the stream ends without its end.
+ */
+#include "gateway/call.h"
+
+#include "common/event.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+enum {
+    STATUS_PAYMENT_REQUIRED = 402,
+    STATUS_NOT_FOUND = 404,
+    STATUS_UNAVAILABLE = 503,
+};
+
+static void send_if_ready(call_t *call) {
+    const call_turn_t *turn = &call->turn;
+    if (turn->prompt_ready && (!turn->counted || turn->granted))
+        call_send(call);
+}
+
+/* The program's budget. */
+
+static const char *const verdict_names[VERDICT_COUNT] = {"granted", "refused", "unsure"};
+
+static void on_reserve_verdict(void *owner, verdict_t verdict, const GArray *turns) {
+    call_t *call = owner;
+    (void)turns;
+    event_log(GATEWAY_RESERVE, call->id, call->program, call->turn.most, verdict_names[verdict]);
+    if (verdict == VERDICT_YES) {
+        call->turn.granted = true;
+        send_if_ready(call);
+        return;
+    }
+    call->turn.reserve = NULL;
+    if (verdict == VERDICT_UNSURE) {
+        call_refuse(call, STATUS_UNAVAILABLE, CALL_BUDGET_UNSURE);
+        return;
+    }
+    call->gateway->counters.over_budget++;
+    call_refuse(call, STATUS_PAYMENT_REQUIRED, CALL_OVER_BUDGET);
+}
+
+static void on_reserve_durable(void *owner, bool durable) {
+    call_t *call = owner;
+    call->turn.reserve = NULL;
+    if (!durable) {
+        call_fail(call, CALL_BUDGET_NOT_DURABLE);
+        return;
+    }
+    call->turn.durable = true;
+    if (call->streaming && call->body->len > 0)
+        call_pass_events(call);
+    if (call->turn.stream_ended)
+        call_turn_stream_ended(call);
+}
+
+static const store_operation_handler_t reserve_handler = {on_reserve_verdict, on_reserve_durable};
+
+/** Reads "PROMPT,MOST"; false if @p text is not that. */
+static bool parse_most(const char *text, uint64_t *most) {
+    const char *comma = text == NULL ? NULL : strchr(text, ',');
+    if (comma == NULL)
+        return false;
+    char *end;
+    *most = strtoull(comma + 1, &end, 10);
+    return end != comma + 1;
+}
+
+/** Asks for the reserve; false if the call has ended. */
+static bool begin_reserve(call_t *call) {
+    const char *budget = call_field(call, FIELD_BUDGET);
+    call->turn.counted = call->route->kind == CALL_STREAM && call->program != NULL &&
+                         budget != NULL &&
+                         parse_most(call_field(call, FIELD_TOKENS), &call->turn.most);
+    if (!call->turn.counted)
+        return true;
+    store_client_t *stores = call->gateway->stores;
+    if (!store_client_connected(stores)) {
+        call_refuse(call, STATUS_UNAVAILABLE, CALL_BUDGET_UNSURE);
+        return false;
+    }
+    call->turn.reserved = true;
+    call->turn.reserve =
+        store_client_reserve(stores, call->program, call->id, call->turn.most,
+                             strtoull(budget, NULL, 10), &reserve_handler, call);
+    return true;
+}
+
+/* The turns before this one. */
+
+static void assemble_prompt(call_t *call);
+
+static void on_chain_verdict(void *owner, verdict_t verdict, const GArray *turns) {
+    call_t *call = owner;
+    call->turn.chain = NULL;
+    if (verdict == VERDICT_YES) {
+        for (guint i = 0; i < turns->len; i++)
+            chain_cache_add(&call->gateway->chains, &g_array_index(turns, turn_t, i));
+        assemble_prompt(call);
+        return;
+    }
+    /* Of a turn that exists, those before it do too, even if they can't be found now. */
+    bool named = g_strcmp0(call->turn.missing, call_field(call, FIELD_PREVIOUS_TURN)) == 0;
+    if (verdict == VERDICT_NO && named)
+        call_refuse(call, STATUS_NOT_FOUND, CALL_NO_SUCH_TURN);
+    else
+        call_refuse(call, STATUS_UNAVAILABLE, CALL_TURN_UNSURE);
+}
+
+static const store_operation_handler_t chain_handler = {on_chain_verdict, NULL};
+
+static void assemble_prompt(call_t *call) {
+    gateway_t *gateway = call->gateway;
+    const char *missing = chain_cache_prompt(
+        &gateway->chains, call_field(call, FIELD_PREVIOUS_TURN), call->prompt);
+    if (missing == NULL) {
+        call->turn.prompt_ready = true;
+        send_if_ready(call);
+        return;
+    }
+    bool no_progress = g_strcmp0(missing, call->turn.missing) == 0;
+    if (no_progress || !store_client_connected(gateway->stores)) {
+        call_refuse(call, STATUS_UNAVAILABLE, CALL_TURN_UNSURE);
+        return;
+    }
+    g_free(call->turn.missing);
+    call->turn.missing = g_strdup(missing);
+    gateway->counters.chain_reads++;
+    call->turn.chain =
+        store_client_read_chain(gateway->stores, call->turn.missing, &chain_handler, call);
+}
+
+void call_turn_begin(call_t *call) {
+    if (!begin_reserve(call))
+        return;
+    const char *previous = call_field(call, FIELD_PREVIOUS_TURN);
+    if (call->route->keeps_turns && previous != NULL && *previous != '\0') {
+        assemble_prompt(call);
+        return;
+    }
+    call->turn.prompt_ready = true;
+    send_if_ready(call);
+}
+
+/* Keeping the turn. */
+
+static turn_t present_turn(const call_t *call) {
+    const char *previous = call_field(call, FIELD_PREVIOUS_TURN);
+    return (turn_t){
+        .id = g_strdup(call->id),
+        .parent = g_strdup(previous == NULL ? "" : previous),
+        .input = g_bytes_new(call->request->body, call->request->body_length),
+        .output = g_bytes_new(call->events.output->str, call->events.output->len),
+        .retention_ms = call->route->retention_ms,
+    };
+}
+
+static void on_turn_kept(void *owner, bool durable) {
+    call_t *call = owner;
+    gateway_t *gateway = call->gateway;
+    call->turn.keep = NULL;
+    if (!durable) {
+        gateway->counters.turns_not_kept++;
+        call_fail(call, CALL_TURN_NOT_KEPT);
+        return;
+    }
+    gateway->counters.turns_kept++;
+    turn_t turn = present_turn(call);
+    chain_cache_add(&gateway->chains, &turn);
+    turn_clear(&turn);
+    call_finish_stream(call);
+}
+
+static const store_operation_handler_t keep_handler = {NULL, on_turn_kept};
+
+void call_turn_stream_ended(call_t *call) {
+    call->turn.stream_ended = true;
+    if (call->turn.counted && !call->turn.durable)
+        return;
+    if (!call->route->keeps_turns) {
+        call_finish_stream(call);
+        return;
+    }
+    turn_t turn = present_turn(call);
+    call->turn.keep =
+        store_client_put_turn(call->gateway->stores, &turn, &keep_handler, call);
+    turn_clear(&turn);
+}
+
+void call_turn_end(call_t *call) {
+    call_turn_t *turn = &call->turn;
+    store_operation_t *operations[] = {turn->reserve, turn->chain, turn->keep};
+    for (size_t i = 0; i < G_N_ELEMENTS(operations); i++)
+        if (operations[i] != NULL)
+            store_operation_cancel(operations[i]);
+    turn->reserve = NULL;
+    turn->chain = NULL;
+    turn->keep = NULL;
+    if (!turn->reserved)
+        return;
+    uint64_t tokens = 0;
+    if (turn->durable && call->service != NULL)
+        tokens = (uint64_t)call->events.events * call->service->tokens_per_event;
+    event_log(GATEWAY_SETTLED, call->id, call->events.events, tokens);
+    store_client_settle(call->gateway->stores, call->program, call->id, turn->most, tokens);
+    turn->reserved = false;
+}
--- /dev/null
+++ b/src/gateway/directory_watch.c
@@ -0,0 +1,118 @@
+/*
+ * Design. One watch over the whole key-value service brings configuration, back ends and the
+ * store group. A version of the configuration never goes back. Back ends that a listing lacks
+ * are gone; while the service does not answer, what was known last stays in use.
+ */
+#include "gateway/gateway.h"
+
+#include "common/event.h"
+
+#include <string.h>
+
+enum { WATCH_WAIT_MS = 4000 };
+
+static void take_configuration(gateway_t *gateway, const key_value_item_t *item) {
+    if (item->value == NULL)
+        return;
+    gsize length;
+    const char *data = g_bytes_get_data(item->value, &length);
+    directory_configuration_t *configuration = directory_parse_configuration(data, length);
+    uint64_t known = gateway->configuration == NULL ? 0 : gateway->configuration->version;
+    if (configuration == NULL || configuration->version <= known) {
+        if (configuration == NULL || configuration->version < known)
+            event_log(GATEWAY_CONFIGURATION_REJECTED, item->revision,
+                      configuration == NULL ? 0 : configuration->version);
+        directory_configuration_unref(configuration);
+        return;
+    }
+    event_log(GATEWAY_CONFIGURATION, configuration->version, configuration->routes->len,
+              item->revision);
+    directory_configuration_unref(gateway->configuration);
+    gateway->configuration = configuration;
+    http_listener_set_limits(gateway->calls, &configuration->limits);
+}
+
+static void take_backend(gateway_t *gateway, const char *instance, const key_value_item_t *item) {
+    backend_record_t *backend = NULL;
+    if (item->value != NULL) {
+        gsize length;
+        const char *data = g_bytes_get_data(item->value, &length);
+        backend = directory_parse_backend(instance, data, length);
+    }
+    if (backend == NULL) {
+        event_log(BACKEND_REMOVED, instance);
+        backends_remove(&gateway->backends, instance);
+        return;
+    }
+    if (backend->leaving)
+        event_log(BACKEND_LEAVING, instance, "directory");
+    else
+        event_log(BACKEND_AVAILABLE, instance, backend->service);
+    backends_update(&gateway->backends, backend);
+}
+
+static void take_group(gateway_t *gateway, const char *name, const key_value_item_t *item) {
+    if (strcmp(name, "group") != 0 || item->value == NULL)
+        return;
+    gsize length;
+    const void *data = g_bytes_get_data(item->value, &length);
+    store_group_t *group = store_group_decode(data, length);
+    if (group != NULL)
+        store_client_set_group(gateway->stores, group);
+    store_group_free(group);
+}
+
+static void on_item(void *owner, const key_value_item_t *item) {
+    gateway_t *gateway = owner;
+    const char *name;
+    switch (key_value_kind(item->key, &name)) {
+    case KEY_CONFIGURATION:
+        take_configuration(gateway, item);
+        break;
+    case KEY_BACKEND:
+        take_backend(gateway, name, item);
+        break;
+    case KEY_OWN:
+        take_group(gateway, name, item);
+        break;
+    case KEY_RETIRE:
+    case KEY_OTHER:
+        break;
+    }
+    gateway_check_ready(gateway);
+}
+
+static void on_listed(void *owner, GHashTable *keys) {
+    gateway_t *gateway = owner;
+    GHashTable *instances = g_hash_table_new(g_str_hash, g_str_equal);
+    GHashTableIter iterator;
+    gpointer key;
+    g_hash_table_iter_init(&iterator, keys);
+    while (g_hash_table_iter_next(&iterator, &key, NULL)) {
+        const char *name;
+        if (key_value_kind(key, &name) == KEY_BACKEND)
+            g_hash_table_add(instances, (gpointer)name);
+    }
+    backends_retain(&gateway->backends, instances);
+    g_hash_table_destroy(instances);
+    gateway->backends_listed = true;
+    gateway_check_ready(gateway);
+}
+
+static void on_reachable(void *owner, bool reachable) {
+    const gateway_t *gateway = owner;
+    if (reachable)
+        event_log(KEY_VALUE_REACHABLE, gateway->settings->key_value_text);
+    else
+        event_log(KEY_VALUE_UNREACHABLE, gateway->settings->key_value_text,
+                  error_name(RUDDERWAY_ERROR_KEY_VALUE_UNAVAILABLE));
+}
+
+static const key_value_watch_handler_t handler = {on_item, on_listed, on_reachable};
+
+void gateway_watch_directory(gateway_t *gateway) {
+    const process_settings_t *settings = gateway->settings;
+    gateway->watch =
+        key_value_watch_open(gateway->loop, &settings->key_value, settings->key_value_text,
+                             key_value_prefix(KEY_OTHER), WATCH_WAIT_MS, &handler, gateway);
+}
--- /dev/null
+++ b/src/gateway/gateway.h
@@ -0,0 +1,67 @@
+/**
+ * @file gateway.h
+ * A gateway: takes calls, sends each to a back end, and gives the answer back. It keeps nothing
+ * that must outlive it.
+ *
+ * Thread safety: everything belongs to the loop's thread.
+ */
+#ifndef RUDDERWAY_GATEWAY_GATEWAY_H
+#define RUDDERWAY_GATEWAY_GATEWAY_H
+
+#include "cluster/key_value_watch.h"
+#include "cluster/process_settings.h"
+#include "cluster/service_directory.h"
+#include "gateway/backends.h"
+#include "gateway/chain_cache.h"
+#include "gateway/store_client.h"
+#include "net/http_listener.h"
+
+/** Upper bounds of the latency histogram's buckets, in ms; the last bucket has none. */
+enum { LATENCY_BUCKETS = 14 };
+
+typedef struct {
+    uint64_t calls;
+    uint64_t answered;       /**< With a back end's answer. */
+    uint64_t refused;        /**< Not run, and said so. */
+    uint64_t failed;         /**< By 502, 504 or a cut connection. */
+    uint64_t callers_gone;
+    uint64_t sends;
+    uint64_t sent_again;
+    uint64_t turns_kept;
+    uint64_t turns_not_kept;
+    uint64_t over_budget;
+    uint64_t chain_reads;
+    uint64_t latency[LATENCY_BUCKETS];
+} gateway_counters_t;
+
+typedef struct {
+    uv_loop_t *loop;
+    const process_settings_t *settings;
+    http_listener_t *calls;
+    http_listener_t *readiness;
+    http_listener_t *metrics;
+    directory_configuration_t *configuration; /**< In force; NULL: none is known. */
+    backends_t backends;
+    bool backends_listed;
+    store_client_t *stores;
+    chain_cache_t chains;
+    GHashTable *split_credits; /**< Route name to what each part is owed; see split.h. */
+    key_value_watch_t *watch;
+    gateway_counters_t counters;
+    bool ready;
+    bool stopping;
+    uint64_t stopping_since;
+    uv_timer_t upkeep;
+} gateway_t;
+
+/** Takes a whole call; see call.c. */
+extern const http_listener_handler_t call_listener_handler;
+
+/** Follows configuration, back ends and the store group; see directory_watch.c. */
+void gateway_watch_directory(gateway_t *gateway);
+/** Says whether the gateway is ready if that has changed. */
+void gateway_check_ready(gateway_t *gateway);
+/** Serves readiness and metrics; see reports.c. False if an address can't be listened on. */
+bool gateway_open_reports(gateway_t *gateway);
+
+#endif
--- /dev/null
+++ b/src/gateway/main.c
@@ -0,0 +1,137 @@
+/** The gateway's program: settings, loop, signals, planned stop. */
+#include "common/event.h"
+#include "gateway/gateway.h"
+#include "gateway/split.h"
+#include "net/frame_connection.h"
+
+#include <argp.h>
+#include <signal.h>
+#include <stdlib.h>
+
+enum {
+    UPKEEP_MS = 200,
+    /* Steps of a planned stop, from the signal on. */
+    STOP_ANSWERS_CLOSE_MS = 2500, /**< Callers learn from answers that the connection ends. */
+    STOP_IDLE_CLOSE_MS = 4500,    /**< Connections without a call are closed. */
+    STOP_RESERVE_MS = 300,        /**< Left of the grace time when the process ends. */
+    CACHE_SHARE_PERCENT = 25,     /**< Of the process's memory, for recent turns. */
+    PERCENT = 100,
+    MEGABYTE = 1024 * 1024,
+};
+
+/** Until a configuration says otherwise. */
+static const http_limits_t first_limits = {16384, 4 * MEGABYTE, 3000, 15000};
+
+const char *argp_program_version = "rudderway-gateway " RUDDERWAY_VERSION;
+
+static char *settings_path;
+
+static error_t parse_option(int key, char *argument, struct argp_state *state) {
+    switch (key) {
+    case 's':
+        settings_path = argument;
+        return 0;
+    case ARGP_KEY_ARG:
+        argp_usage(state);
+        return 0;
+    default:
+        return ARGP_ERR_UNKNOWN;
+    }
+}
+
+static const struct argp_option options[] = {
+    {"settings", 's', "FILE", 0, "Settings file; default: $RUDDERWAY_SETTINGS", 0}, {0}};
+static const struct argp argp = {options, parse_option, NULL,
+                                 "Rudderway's gateway: takes calls and sends them to back ends.",
+                                 NULL, NULL, NULL};
+
+static void on_upkeep(uv_timer_t *timer) {
+    gateway_t *gateway = timer->data;
+    uint64_t since = uv_now(gateway->loop) - gateway->stopping_since;
+    if (since >= STOP_ANSWERS_CLOSE_MS)
+        http_listener_close_after_answers(gateway->calls);
+    if (since >= STOP_IDLE_CLOSE_MS)
+        http_listener_close_idle(gateway->calls);
+    bool over = since + STOP_RESERVE_MS >= gateway->settings->grace_ms;
+    bool empty = since >= STOP_IDLE_CLOSE_MS && http_listener_connections(gateway->calls) == 0;
+    if (over || empty)
+        uv_stop(gateway->loop);
+}
+
+static void on_stop_signal(uv_signal_t *handle, int number) {
+    gateway_t *gateway = handle->data;
+    if (gateway->stopping)
+        return;
+    gateway->stopping = true;
+    gateway->stopping_since = uv_now(gateway->loop);
+    event_log(GATEWAY_STOPPING, number, http_listener_active(gateway->calls),
+              http_listener_connections(gateway->calls));
+    gateway_check_ready(gateway);
+    uv_timer_start(&gateway->upkeep, on_upkeep, UPKEEP_MS, UPKEEP_MS);
+}
+
+static void on_reload_signal(uv_signal_t *handle, int number) {
+    (void)handle;
+    event_log(SETTINGS_RELOADED, number);
+}
+
+static void watch_signal(gateway_t *gateway, uv_signal_t *handle, int number,
+                         uv_signal_cb action) {
+    uv_signal_init(gateway->loop, handle);
+    handle->data = gateway;
+    uv_signal_start(handle, action, number);
+}
+
+static bool open_gateway(gateway_t *gateway) {
+    const process_settings_t *settings = gateway->settings;
+    backends_init(&gateway->backends, gateway->loop, settings->zone);
+    gateway->stores = store_client_new(gateway->loop, settings->zone);
+    gateway->split_credits = split_credits_new();
+    chain_cache_init(&gateway->chains,
+                     settings->memory_megabytes * MEGABYTE * CACHE_SHARE_PERCENT / PERCENT);
+    gateway->calls = http_listener_open(gateway->loop, &settings->calls, &first_limits,
+                                        &call_listener_handler, gateway);
+    return gateway->calls != NULL && gateway_open_reports(gateway);
+}
+
+static int run(const process_settings_t *settings) {
+    uv_loop_t loop;
+    gateway_t gateway = {.loop = &loop, .settings = settings};
+    uv_loop_init(&loop);
+    frame_loop_start(&loop);
+    if (!open_gateway(&gateway)) {
+        event_log(NODE_FAILED, error_name(RUDDERWAY_ERROR_SYSTEM), "cannot listen");
+        return EXIT_FAILURE;
+    }
+    event_log(GATEWAY_STARTED, settings->name, settings->zone, RUDDERWAY_VERSION);
+    uv_signal_t signals[3];
+    watch_signal(&gateway, &signals[0], SIGTERM, on_stop_signal);
+    watch_signal(&gateway, &signals[1], SIGINT, on_stop_signal);
+    watch_signal(&gateway, &signals[2], SIGHUP, on_reload_signal);
+    uv_timer_init(&loop, &gateway.upkeep);
+    gateway.upkeep.data = &gateway;
+    gateway_watch_directory(&gateway);
+    uv_run(&loop, UV_RUN_DEFAULT);
+    event_log(GATEWAY_STOPPED, http_listener_active(gateway.calls));
+    return EXIT_SUCCESS;
+}
+
+int main(int argc, char **argv) {
+    settings_path = getenv("RUDDERWAY_SETTINGS");
+    argp_parse(&argp, argc, argv, 0, NULL, NULL);
+    signal(SIGPIPE, SIG_IGN);
+    GError *error = NULL;
+    process_settings_t *settings = NULL;
+    if (settings_path == NULL)
+        error_set(&error, RUDDERWAY_ERROR_SETTINGS_INVALID, "no settings file is named");
+    else
+        settings = process_settings_load(settings_path, PROCESS_GATEWAY, &error);
+    event_open("rudderway-gateway", settings == NULL ? "info" : settings->log_level);
+    if (settings == NULL) {
+        event_log(NODE_FAILED, error_name(RUDDERWAY_ERROR_SETTINGS_INVALID), error->message);
+        return EXIT_FAILURE;
+    }
+    int status = run(settings);
+    event_close();
+    return status;
+}
--- /dev/null
+++ b/src/gateway/store_client.h
@@ -0,0 +1,57 @@
+/**
+ * @file store_client.h
+ * A gateway's way to the storage nodes: connections to all members of the store group, and the
+ * counting of their answers into quorums.
+ *
+ * An operation goes to every member; a member that was away gets it again once it is back. An
+ * operation that has no quorum in time is given up; that time is shorter than the wait of a
+ * member whose disk came back empty, see store/store_catch_up.c. The time also bounds what a
+ * frozen gateway may count after it wakes.
+ *
+ * Thread safety: everything here belongs to the loop's thread.
+ */
+#ifndef RUDDERWAY_GATEWAY_STORE_CLIENT_H
+#define RUDDERWAY_GATEWAY_STORE_CLIENT_H
+
+#include "cluster/message.h"
+#include "core/quorum/store_group.h"
+
+#include <uv.h>
+
+/** An operation is given up after so long, in ms. */
+enum { GATEWAY_WRITE_MS = 1500 };
+
+typedef struct store_client store_client_t;
+typedef struct store_operation store_operation_t;
+
+/** What came of an operation, or of a part of it. */
+typedef struct {
+    /**
+     * A reserve: granted, refused, or unsure. A chain: found, with its turns; not there; unsure.
+     * The operation ends with this, unless it is a granted reserve. */
+    void (*on_verdict)(void *owner, verdict_t verdict, const GArray *turns);
+    /** A granted reserve or a turn is durable, or is not in time. The operation ends. */
+    void (*on_durable)(void *owner, bool durable);
+} store_operation_handler_t;
+
+store_client_t *store_client_new(uv_loop_t *loop, const char *zone);
+/** Takes a group if it is later than the one known. */
+void store_client_set_group(store_client_t *client, const store_group_t *group);
+/** True if a write quorum of members is connected. */
+bool store_client_connected(const store_client_t *client);
+
+/** Reserves @p most tokens of the program's budget for a call. */
+store_operation_t *store_client_reserve(store_client_t *client, const char *program,
+                                        const char *call, uint64_t most, uint64_t budget,
+                                        const store_operation_handler_t *handler, void *owner);
+store_operation_t *store_client_put_turn(store_client_t *client, const turn_t *turn,
+                                         const store_operation_handler_t *handler, void *owner);
+store_operation_t *store_client_read_chain(store_client_t *client, const char *turn_id,
+                                           const store_operation_handler_t *handler, void *owner);
+/** Ends an operation without a callback. */
+void store_operation_cancel(store_operation_t *operation);
+/** Settles a reserve; kept for members that are away, within a bound. */
+void store_client_settle(store_client_t *client, const char *program, const char *call,
+                         uint64_t most, uint64_t spent);
+
+#endif
--- /dev/null
+++ b/src/net/frame_connection.c
@@ -0,0 +1,288 @@
+/*
+ * Design. A frame is a big-endian 32-bit length and that many bytes. Outgoing frames gather in a
+ * buffer; a prepare handle, which libuv runs before it waits, hands each buffer to the kernel.
+ * A silent peer is found by TCP_USER_TIMEOUT and keep-alive probes within about two seconds.
+ */
+#include "net/frame_connection.h"
+
+#include <netinet/tcp.h>
+#include <string.h>
+
+enum { LENGTH_BYTES = 4, READ_BUFFER_BYTES = 262144, BACKLOG = 128, SILENT_PEER_MS = 1500 };
+
+struct frame_listener {
+    uv_tcp_t tcp;
+    uv_loop_t *loop;
+    const frame_handler_t *handler;
+    void *owner;
+};
+
+struct frame_connection {
+    uv_tcp_t tcp;
+    uv_connect_t connect_request;
+    uv_write_t write_request;
+    const frame_handler_t *handler;
+    void *owner;
+    void *data;
+    bool open;
+    bool closed;
+    bool queued; /**< Stands in the list of connections to flush. */
+    GByteArray *input;
+    GByteArray *output;
+    GByteArray *writing; /**< Taken over by the kernel in part; NULL if none. */
+};
+
+static uv_prepare_t flusher;
+static GPtrArray *unflushed;
+static char read_buffer[READ_BUFFER_BYTES];
+
+static void free_connection(uv_handle_t *handle) {
+    frame_connection_t *connection = handle->data;
+    g_byte_array_unref(connection->input);
+    g_byte_array_unref(connection->output);
+    if (connection->writing != NULL)
+        g_byte_array_unref(connection->writing);
+    g_free(connection);
+}
+
+void frame_connection_close(frame_connection_t *connection) {
+    if (connection->closed)
+        return;
+    connection->closed = true;
+    if (connection->queued)
+        g_ptr_array_remove_fast(unflushed, connection);
+    uv_close((uv_handle_t *)&connection->tcp, free_connection);
+}
+
+static void connection_lost(frame_connection_t *connection) {
+    if (connection->closed)
+        return;
+    connection->handler->on_closed(connection->owner, connection);
+    frame_connection_close(connection);
+}
+
+static void flush(frame_connection_t *connection);
+
+static void on_written(uv_write_t *request, int status) {
+    frame_connection_t *connection = request->data;
+    if (connection->closed)
+        return;
+    g_byte_array_unref(connection->writing);
+    connection->writing = NULL;
+    if (status != 0)
+        connection_lost(connection);
+    else
+        flush(connection);
+}
+
+static void flush(frame_connection_t *connection) {
+    if (!connection->open || connection->writing != NULL || connection->output->len == 0)
+        return;
+    uv_stream_t *stream = (uv_stream_t *)&connection->tcp;
+    uv_buf_t buffer = uv_buf_init((char *)connection->output->data, connection->output->len);
+    int written = uv_try_write(stream, &buffer, 1);
+    if (written == UV_EAGAIN)
+        written = 0;
+    if (written < 0) {
+        connection_lost(connection);
+        return;
+    }
+    if ((guint)written == connection->output->len) {
+        g_byte_array_set_size(connection->output, 0);
+        return;
+    }
+    connection->writing = connection->output;
+    connection->output = g_byte_array_new();
+    buffer.base += written;
+    buffer.len -= (size_t)written;
+    connection->write_request.data = connection;
+    if (uv_write(&connection->write_request, stream, &buffer, 1, on_written) != 0)
+        connection_lost(connection);
+}
+
+static void flush_all(uv_prepare_t *handle) {
+    (void)handle;
+    while (unflushed->len > 0) {
+        frame_connection_t *connection = g_ptr_array_index(unflushed, unflushed->len - 1);
+        g_ptr_array_set_size(unflushed, (gint)unflushed->len - 1);
+        connection->queued = false;
+        flush(connection);
+    }
+}
+
+void frame_loop_start(uv_loop_t *loop) {
+    unflushed = g_ptr_array_new();
+    uv_prepare_init(loop, &flusher);
+    uv_prepare_start(&flusher, flush_all);
+    uv_unref((uv_handle_t *)&flusher);
+}
+
+void frame_connection_send(frame_connection_t *connection, GBytes *payload) {
+    if (!connection->closed) {
+        gsize length;
+        const guint8 *data = g_bytes_get_data(payload, &length);
+        guint32 prefix = GUINT32_TO_BE((guint32)length);
+        g_byte_array_append(connection->output, (const guint8 *)&prefix, LENGTH_BYTES);
+        g_byte_array_append(connection->output, data, (guint)length);
+        if (!connection->queued) {
+            connection->queued = true;
+            g_ptr_array_add(unflushed, connection);
+        }
+    }
+    g_bytes_unref(payload);
+}
+
+size_t frame_connection_backlog(const frame_connection_t *connection) {
+    size_t writing = connection->writing == NULL ? 0 : connection->writing->len;
+    return writing + connection->output->len;
+}
+
+/** Hands on the whole frames of @p data; returns the bytes used. */
+static size_t deliver_frames(frame_connection_t *connection, const uint8_t *data, size_t length) {
+    size_t used = 0;
+    while (length - used >= LENGTH_BYTES) {
+        guint32 prefix;
+        memcpy(&prefix, data + used, LENGTH_BYTES);
+        size_t size = GUINT32_FROM_BE(prefix);
+        if (size > FRAME_BYTES_MAXIMUM) {
+            connection_lost(connection);
+            return length;
+        }
+        if (length - used - LENGTH_BYTES < size)
+            break;
+        connection->handler->on_frame(connection->owner, connection, data + used + LENGTH_BYTES,
+                                      size);
+        if (connection->closed)
+            return length;
+        used += LENGTH_BYTES + size;
+    }
+    return used;
+}
+
+static void on_read(uv_stream_t *stream, ssize_t count, const uv_buf_t *buffer) {
+    frame_connection_t *connection = stream->data;
+    if (connection->closed || count == 0)
+        return;
+    if (count < 0) {
+        connection_lost(connection);
+        return;
+    }
+    const uint8_t *data = (const uint8_t *)buffer->base;
+    size_t length = (size_t)count;
+    if (connection->input->len == 0) {
+        size_t used = deliver_frames(connection, data, length);
+        if (!connection->closed)
+            g_byte_array_append(connection->input, data + used, (guint)(length - used));
+        return;
+    }
+    g_byte_array_append(connection->input, data, (guint)length);
+    size_t used = deliver_frames(connection, connection->input->data, connection->input->len);
+    if (!connection->closed && used > 0)
+        g_byte_array_remove_range(connection->input, 0, (guint)used);
+}
+
+static void provide_buffer(uv_handle_t *handle, size_t size, uv_buf_t *buffer) {
+    (void)handle;
+    (void)size;
+    *buffer = uv_buf_init(read_buffer, sizeof read_buffer);
+}
+
+static void set_socket_options(uv_tcp_t *tcp) {
+    uv_tcp_nodelay(tcp, 1);
+    uv_os_fd_t descriptor;
+    if (uv_fileno((uv_handle_t *)tcp, &descriptor) != 0)
+        return;
+    int one = 1;
+    unsigned silent = SILENT_PEER_MS;
+    setsockopt(descriptor, SOL_SOCKET, SO_KEEPALIVE, &one, sizeof one);
+    setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, &one, sizeof one);
+    setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, &one, sizeof one);
+    setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPCNT, &one, sizeof one);
+    setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &silent, sizeof silent);
+}
+
+static frame_connection_t *new_connection(const frame_handler_t *handler, void *owner) {
+    frame_connection_t *connection = g_new0(frame_connection_t, 1);
+    connection->handler = handler;
+    connection->owner = owner;
+    connection->input = g_byte_array_new();
+    connection->output = g_byte_array_new();
+    connection->connect_request.data = connection;
+    return connection;
+}
+
+static void start_reading(frame_connection_t *connection) {
+    connection->open = true;
+    uv_read_start((uv_stream_t *)&connection->tcp, provide_buffer, on_read);
+    connection->handler->on_open(connection->owner, connection);
+    if (!connection->closed)
+        flush(connection);
+}
+
+static void on_connected(uv_connect_t *request, int status) {
+    frame_connection_t *connection = request->data;
+    if (connection->closed)
+        return;
+    if (status != 0)
+        connection_lost(connection);
+    else
+        start_reading(connection);
+}
+
+frame_connection_t *frame_connection_open(uv_loop_t *loop, const struct sockaddr_in *address,
+                                          const frame_handler_t *handler, void *owner) {
+    frame_connection_t *connection = new_connection(handler, owner);
+    /* The socket must exist for its options. */
+    if (uv_tcp_init_ex(loop, &connection->tcp, AF_INET) != 0) {
+        g_free(connection);
+        return NULL;
+    }
+    connection->tcp.data = connection;
+    set_socket_options(&connection->tcp);
+    if (uv_tcp_connect(&connection->connect_request, &connection->tcp,
+                       (const struct sockaddr *)address, on_connected) != 0) {
+        frame_connection_close(connection);
+        return NULL;
+    }
+    return connection;
+}
+
+static void on_connection(uv_stream_t *stream, int status) {
+    frame_listener_t *listener = stream->data;
+    if (status != 0)
+        return;
+    frame_connection_t *connection = new_connection(listener->handler, listener->owner);
+    uv_tcp_init(listener->loop, &connection->tcp);
+    connection->tcp.data = connection;
+    if (uv_accept(stream, (uv_stream_t *)&connection->tcp) != 0) {
+        frame_connection_close(connection);
+        return;
+    }
+    set_socket_options(&connection->tcp);
+    start_reading(connection);
+}
+
+frame_listener_t *frame_listener_open(uv_loop_t *loop, const struct sockaddr_in *address,
+                                      const frame_handler_t *handler, void *owner) {
+    frame_listener_t *listener = g_new0(frame_listener_t, 1);
+    listener->loop = loop;
+    listener->handler = handler;
+    listener->owner = owner;
+    uv_tcp_init(loop, &listener->tcp);
+    listener->tcp.data = listener;
+    int status = uv_tcp_bind(&listener->tcp, (const struct sockaddr *)address, 0);
+    if (status == 0)
+        status = uv_listen((uv_stream_t *)&listener->tcp, BACKLOG, on_connection);
+    if (status == 0)
+        return listener;
+    uv_close((uv_handle_t *)&listener->tcp, NULL);
+    return NULL;
+}
+
+void frame_connection_set_data(frame_connection_t *connection, void *data) {
+    connection->data = data;
+}
+
+void *frame_connection_data(const frame_connection_t *connection) {
+    return connection->data;
+}
--- /dev/null
+++ b/src/net/frame_connection.h
@@ -0,0 +1,48 @@
+/**
+ * @file frame_connection.h
+ * Frames (length and payload) over TCP between Rudderway's own processes, on the event loop.
+ * Frames written in one turn of the loop leave in one system call.
+ *
+ * Thread safety: everything here belongs to the loop's thread.
+ */
+#ifndef RUDDERWAY_NET_FRAME_CONNECTION_H
+#define RUDDERWAY_NET_FRAME_CONNECTION_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+#include <uv.h>
+
+typedef struct frame_connection frame_connection_t;
+typedef struct frame_listener frame_listener_t;
+
+/** Largest payload in bytes; a longer frame ends its connection. */
+enum { FRAME_BYTES_MAXIMUM = 32 * 1024 * 1024 };
+
+typedef struct {
+    void (*on_open)(void *owner, frame_connection_t *connection);
+    void (*on_frame)(void *owner, frame_connection_t *connection, const uint8_t *data,
+                     size_t length);
+    /** The connection ended or never came up; it is gone after this call. */
+    void (*on_closed)(void *owner, frame_connection_t *connection);
+} frame_handler_t;
+
+/** Once a loop, before anything else here. */
+void frame_loop_start(uv_loop_t *loop);
+
+frame_listener_t *frame_listener_open(uv_loop_t *loop, const struct sockaddr_in *address,
+                                      const frame_handler_t *handler, void *owner);
+/** Connects; a silent peer ends the connection. NULL if it cannot even be tried. */
+frame_connection_t *frame_connection_open(uv_loop_t *loop, const struct sockaddr_in *address,
+                                          const frame_handler_t *handler, void *owner);
+/** Queues one frame; takes over @p payload. Nothing happens once the connection is closed. */
+void frame_connection_send(frame_connection_t *connection, GBytes *payload);
+/** Bytes queued and not yet taken by the kernel. */
+size_t frame_connection_backlog(const frame_connection_t *connection);
+/** Closes without on_closed. */
+void frame_connection_close(frame_connection_t *connection);
+/** A place for the owner's record of the peer. */
+void frame_connection_set_data(frame_connection_t *connection, void *data);
+void *frame_connection_data(const frame_connection_t *connection);
+
+#endif
--- /dev/null
+++ b/src/net/http_client.c
@@ -0,0 +1,328 @@
+/*
+ * Design. The parser is Debian's libhttp-parser; this file only moves bytes and keeps the rules
+ * of kept connections: an answer is complete by its length, its last chunk, or a clean end of
+ * the connection; bytes after a complete answer make the connection unusable; a connection whose
+ * request has not left entirely when its answer is complete is not used again, since the rest
+ * of that body would still be due.
+ *
+ * Failures. A server that falls silent is found by TCP_USER_TIMEOUT and keep-alive probes while
+ * bytes or an answer are outstanding; how long an answer may take is the caller's to say.
+ */
+#include "net/http_client.h"
+
+#include <http_parser.h>
+#include <netinet/tcp.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+enum {
+    READ_BUFFER_BYTES = 65536,
+    SILENT_PEER_MS = 2000,      /**< Unacknowledged bytes for so long end a connection. */
+    PROBE_SECONDS = 1,          /**< Idle time before, and pause between, keep-alive probes. */
+    PROBES = 2,
+    IDLE_DEFAULT_MS = 4000,     /**< Kept so long if the server does not say. */
+    IDLE_MARGIN_MS = 700,       /**< Left unused of the time that the server tells. */
+};
+
+typedef enum { STATE_CONNECTING, STATE_IDLE, STATE_BUSY, STATE_CLOSED } client_state_t;
+
+struct http_client {
+    uv_tcp_t tcp;
+    uv_connect_t connect_request;
+    uv_write_t write_request;
+    client_state_t state;
+    bool connected;
+    bool write_pending;
+    bool any_sent;
+    bool any_received;
+    bool head_request;
+    bool message_complete;
+    bool stopped; /**< Closed by a callback while its bytes were parsed. */
+    bool reusable;
+    uint64_t idle_until;
+    GString *request; /**< Bytes of the request; NULL when written. */
+    http_parser parser;
+    http_headers_t headers;
+    const http_exchange_handler_t *handler;
+    void *user;
+    void (*on_idle_closed)(void *owner, http_client_t *client);
+    void *owner;
+};
+
+static char read_buffer[READ_BUFFER_BYTES];
+
+static void free_client(uv_handle_t *handle) {
+    http_client_t *client = handle->data;
+    if (client->request != NULL)
+        g_string_free(client->request, TRUE);
+    http_headers_clear(&client->headers);
+    g_free(client);
+}
+
+void http_client_close(http_client_t *client) {
+    if (client->state == STATE_CLOSED)
+        return;
+    client->state = STATE_CLOSED;
+    client->stopped = true;
+    client->handler = NULL;
+    uv_close((uv_handle_t *)&client->tcp, free_client);
+}
+
+/** Ends the exchange, or the idle connection, after the peer or the network ended it. */
+static void connection_lost(http_client_t *client) {
+    const http_exchange_handler_t *handler = client->handler;
+    void *user = client->user;
+    http_failure_t failure = HTTP_FAILURE_NO_ANSWER;
+    if (!client->any_sent)
+        failure = HTTP_FAILURE_NOT_SENT;
+    else if (client->any_received)
+        failure = HTTP_FAILURE_BROKEN;
+    bool idle = handler == NULL;
+    if (idle && client->on_idle_closed != NULL)
+        client->on_idle_closed(client->owner, client);
+    http_client_close(client);
+    if (!idle)
+        handler->on_failed(user, failure);
+}
+
+static int on_header_field(http_parser *parser, const char *data, size_t length) {
+    http_client_t *client = parser->data;
+    http_headers_name_piece(&client->headers, data, length);
+    return 0;
+}
+
+static int on_header_value(http_parser *parser, const char *data, size_t length) {
+    http_client_t *client = parser->data;
+    http_headers_value_piece(&client->headers, data, length);
+    return 0;
+}
+
+static int on_headers_complete(http_parser *parser) {
+    http_client_t *client = parser->data;
+    http_headers_finish(&client->headers);
+    if (parser->status_code / 100 == 1)
+        return 0;
+    http_answer_head_t head = {.status = parser->status_code, .headers = &client->headers};
+    bool wanted = client->handler->on_head(client->user, &head);
+    if (client->stopped)
+        return -1;
+    if (!wanted) {
+        http_client_close(client);
+        return -1;
+    }
+    return client->head_request ? 1 : 0;
+}
+
+static int on_body(http_parser *parser, const char *data, size_t length) {
+    http_client_t *client = parser->data;
+    client->handler->on_body(client->user, data, length);
+    return client->stopped ? -1 : 0;
+}
+
+static int on_message_complete(http_parser *parser) {
+    http_client_t *client = parser->data;
+    if (parser->status_code / 100 == 1) {
+        http_headers_reset(&client->headers);
+        return 0;
+    }
+    client->message_complete = true;
+    client->reusable = http_should_keep_alive(parser) != 0;
+    http_parser_pause(parser, 1);
+    return 0;
+}
+
+static const http_parser_settings parser_settings = {
+    .on_header_field = on_header_field,
+    .on_header_value = on_header_value,
+    .on_headers_complete = on_headers_complete,
+    .on_body = on_body,
+    .on_message_complete = on_message_complete,
+};
+
+/** Reads "timeout=N" of a Keep-Alive field into the time until which the connection is kept. */
+static void note_idle_time(http_client_t *client) {
+    uint64_t allowed = IDLE_DEFAULT_MS;
+    const char *field = http_headers_find(&client->headers, "Keep-Alive");
+    const char *timeout = field == NULL ? NULL : strstr(field, "timeout=");
+    if (timeout != NULL)
+        allowed = strtoull(timeout + strlen("timeout="), NULL, 10) * 1000;
+    allowed = allowed > IDLE_MARGIN_MS ? allowed - IDLE_MARGIN_MS : 0;
+    client->idle_until = uv_now(client->tcp.loop) + allowed;
+}
+
+static void finish_exchange(http_client_t *client, bool trailing_bytes) {
+    const http_exchange_handler_t *handler = client->handler;
+    void *user = client->user;
+    client->handler = NULL;
+    if (trailing_bytes || client->write_pending || client->request != NULL)
+        client->reusable = false;
+    note_idle_time(client);
+    client->state = STATE_IDLE;
+    if (!client->reusable)
+        http_client_close(client);
+    handler->on_complete(user);
+}
+
+static void on_read(uv_stream_t *stream, ssize_t count, const uv_buf_t *buffer) {
+    http_client_t *client = stream->data;
+    if (client->state == STATE_CLOSED || count == 0)
+        return;
+    if (client->handler == NULL) {
+        connection_lost(client);
+        return;
+    }
+    if (count < 0) {
+        /* A clean end may complete an answer without a length. */
+        if (count == UV_EOF && client->any_received) {
+            http_parser_execute(&client->parser, &parser_settings, NULL, 0);
+            if (client->state == STATE_CLOSED)
+                return;
+            if (client->message_complete) {
+                client->reusable = false;
+                finish_exchange(client, false);
+                return;
+            }
+        }
+        connection_lost(client);
+        return;
+    }
+    client->any_received = true;
+    size_t parsed =
+        http_parser_execute(&client->parser, &parser_settings, buffer->base, (size_t)count);
+    if (client->state == STATE_CLOSED)
+        return;
+    if (client->message_complete)
+        finish_exchange(client, parsed < (size_t)count);
+    else if (HTTP_PARSER_ERRNO(&client->parser) != HPE_OK)
+        connection_lost(client);
+}
+
+static void provide_buffer(uv_handle_t *handle, size_t size, uv_buf_t *buffer) {
+    (void)handle;
+    (void)size;
+    *buffer = uv_buf_init(read_buffer, sizeof read_buffer);
+}
+
+static void on_written(uv_write_t *request, int status) {
+    http_client_t *client = request->data;
+    client->write_pending = false;
+    if (client->state == STATE_CLOSED)
+        return;
+    g_string_free(client->request, TRUE);
+    client->request = NULL;
+    /* A failed write shows again on the reading side, perhaps behind an answer. */
+    (void)status;
+}
+
+static void write_request(http_client_t *client) {
+    uv_stream_t *stream = (uv_stream_t *)&client->tcp;
+    uv_buf_t buffer = uv_buf_init(client->request->str, (unsigned)client->request->len);
+    int written = uv_try_write(stream, &buffer, 1);
+    if (written == UV_EAGAIN)
+        written = 0;
+    if (written < 0) {
+        connection_lost(client);
+        return;
+    }
+    client->any_sent = true;
+    if ((size_t)written == client->request->len) {
+        g_string_free(client->request, TRUE);
+        client->request = NULL;
+        return;
+    }
+    buffer.base += written;
+    buffer.len -= (size_t)written;
+    client->write_request.data = client;
+    client->write_pending = true;
+    if (uv_write(&client->write_request, stream, &buffer, 1, on_written) != 0) {
+        client->write_pending = false;
+        connection_lost(client);
+    }
+}
+
+static void on_connected(uv_connect_t *request, int status) {
+    http_client_t *client = request->data;
+    if (client->state == STATE_CLOSED)
+        return;
+    if (status != 0) {
+        connection_lost(client);
+        return;
+    }
+    client->connected = true;
+    uv_read_start((uv_stream_t *)&client->tcp, provide_buffer, on_read);
+    if (client->handler == NULL) {
+        client->state = STATE_IDLE;
+        return;
+    }
+    client->state = STATE_BUSY;
+    write_request(client);
+}
+
+static void set_socket_options(uv_tcp_t *tcp) {
+    uv_tcp_nodelay(tcp, 1);
+    uv_os_fd_t descriptor;
+    if (uv_fileno((uv_handle_t *)tcp, &descriptor) != 0)
+        return;
+    int on = 1;
+    int idle = PROBE_SECONDS;
+    int probes = PROBES;
+    unsigned silent = SILENT_PEER_MS;
+    setsockopt(descriptor, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+    setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof idle);
+    setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, &idle, sizeof idle);
+    setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof probes);
+    setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &silent, sizeof silent);
+}
+
+http_client_t *http_client_open(uv_loop_t *loop, const struct sockaddr_in *address,
+                                void (*on_idle_closed)(void *owner, http_client_t *client),
+                                void *owner) {
+    http_client_t *client = g_new0(http_client_t, 1);
+    http_headers_init(&client->headers);
+    uv_tcp_init_ex(loop, &client->tcp, AF_INET);
+    client->tcp.data = client;
+    client->connect_request.data = client;
+    client->on_idle_closed = on_idle_closed;
+    client->owner = owner;
+    client->state = STATE_CONNECTING;
+    set_socket_options(&client->tcp);
+    int status = uv_tcp_connect(&client->connect_request, &client->tcp,
+                                (const struct sockaddr *)address, on_connected);
+    if (status != 0) {
+        http_client_close(client);
+        return NULL;
+    }
+    return client;
+}
+
+void http_client_send(http_client_t *client, GString *request, bool head_request,
+                      const http_exchange_handler_t *handler, void *user) {
+    http_parser_init(&client->parser, HTTP_RESPONSE);
+    client->parser.data = client;
+    http_headers_reset(&client->headers);
+    client->request = request;
+    client->head_request = head_request;
+    client->handler = handler;
+    client->user = user;
+    client->any_sent = false;
+    client->any_received = false;
+    client->message_complete = false;
+    client->reusable = false;
+    if (client->state == STATE_CONNECTING)
+        return;
+    client->state = STATE_BUSY;
+    write_request(client);
+}
+
+bool http_client_connected(const http_client_t *client) {
+    return client->connected;
+}
+
+bool http_client_reusable(const http_client_t *client) {
+    return client->state == STATE_IDLE && client->reusable;
+}
+
+uint64_t http_client_idle_until(const http_client_t *client) {
+    return client->idle_until;
+}
--- /dev/null
+++ b/src/net/http_listener.c
@@ -0,0 +1,508 @@
+/*
+ * Design. The connection goes on being read while its request is answered, so that a caller that
+ * hangs up is seen at once; what a caller sends ahead waits, and past a bound reading rests.
+ * A connection is closed after a request that was refused before it was read whole.
+ */
+#include "net/http_listener.h"
+
+#include <http_parser.h>
+#include <string.h>
+#include <strings.h>
+
+enum {
+    BACKLOG = 512,
+    READ_BUFFER_BYTES = 65536,
+    AHEAD_BYTES = 65536,          /**< Kept of what a caller sends before its answer. */
+    UNSENT_BYTES = 4 * 1024 * 1024, /**< A caller that leaves more unread is cut off. */
+    LINGER_MS = 300,              /**< A refused caller may read its answer for so long. */
+};
+
+struct http_listener {
+    uv_tcp_t tcp;
+    uv_loop_t *loop;
+    http_limits_t limits;
+    const http_listener_handler_t *handler;
+    void *owner;
+    GHashTable *callers;
+    unsigned active;
+    bool close_after_answers;
+};
+
+typedef enum { READING, ANSWERING, CLOSING } caller_state_t;
+
+struct http_caller {
+    uv_tcp_t tcp;
+    uv_timer_t timer;
+    http_listener_t *listener;
+    caller_state_t state;
+    unsigned open_handles;
+    bool begun;        /**< A byte of the request was read. */
+    bool too_large;
+    bool chunked;
+    bool keep;         /**< The connection may serve another request. */
+    bool broken;       /**< A write failed; the timer reports the end outside the owner's call. */
+    bool close_when_written;
+    unsigned pending_writes;
+    http_parser parser;
+    http_headers_t headers;
+    GString *target;
+    GString *body;
+    GString *ahead;
+    http_request_t request;
+    void *data;
+};
+
+static char read_buffer[READ_BUFFER_BYTES];
+
+static void read_ahead(http_caller_t *caller);
+
+static void free_when_closed(uv_handle_t *handle) {
+    http_caller_t *caller = handle->data;
+    if (--caller->open_handles > 0)
+        return;
+    http_headers_clear(&caller->headers);
+    g_string_free(caller->target, TRUE);
+    g_string_free(caller->body, TRUE);
+    g_string_free(caller->ahead, TRUE);
+    g_free(caller);
+}
+
+static void close_caller(http_caller_t *caller) {
+    if (caller->state == CLOSING)
+        return;
+    if (caller->state == ANSWERING)
+        caller->listener->active--;
+    caller->state = CLOSING;
+    g_hash_table_remove(caller->listener->callers, caller);
+    uv_close((uv_handle_t *)&caller->tcp, free_when_closed);
+    uv_close((uv_handle_t *)&caller->timer, free_when_closed);
+}
+
+/** The peer ended the connection: tells the owner if it waits for an answer. */
+static void caller_lost(http_caller_t *caller) {
+    bool answering = caller->state == ANSWERING;
+    if (caller->state == CLOSING)
+        return;
+    if (answering)
+        caller->listener->handler->on_gone(caller->listener->owner, caller);
+    close_caller(caller);
+}
+
+static void on_timer(uv_timer_t *timer) {
+    http_caller_t *caller = timer->data;
+    if (caller->broken) {
+        caller_lost(caller);
+        return;
+    }
+    if (caller->state == READING && caller->begun) {
+        http_caller_answer(caller, 408, NULL, NULL, 0);
+        return;
+    }
+    close_caller(caller);
+}
+
+static void arm_timer(http_caller_t *caller, uint64_t ms) {
+    uv_timer_start(&caller->timer, on_timer, ms, 0);
+}
+
+/* Writing. */
+
+typedef struct {
+    uv_write_t request;
+    http_caller_t *caller;
+    GString *bytes;
+} pending_write_t;
+
+static void on_written(uv_write_t *request, int status) {
+    pending_write_t *write = request->data;
+    http_caller_t *caller = write->caller;
+    g_string_free(write->bytes, TRUE);
+    g_free(write);
+    caller->pending_writes--;
+    if (caller->state == CLOSING)
+        return;
+    if (status != 0)
+        caller_lost(caller);
+    else if (caller->close_when_written && caller->pending_writes == 0)
+        close_caller(caller);
+}
+
+/** Writes and takes over @p bytes. False if the caller is gone, which the owner was told. */
+static bool write_bytes(http_caller_t *caller, GString *bytes) {
+    uv_stream_t *stream = (uv_stream_t *)&caller->tcp;
+    uv_buf_t buffer = uv_buf_init(bytes->str, (unsigned)bytes->len);
+    int written = 0;
+    if (caller->pending_writes == 0) {
+        written = uv_try_write(stream, &buffer, 1);
+        if (written == UV_EAGAIN)
+            written = 0;
+    }
+    if (written < 0 || stream->write_queue_size > UNSENT_BYTES) {
+        g_string_free(bytes, TRUE);
+        caller->broken = true;
+        arm_timer(caller, 0);
+        return false;
+    }
+    if ((size_t)written == bytes->len) {
+        g_string_free(bytes, TRUE);
+        return true;
+    }
+    pending_write_t *write = g_new0(pending_write_t, 1);
+    write->caller = caller;
+    write->bytes = bytes;
+    write->request.data = write;
+    buffer.base += written;
+    buffer.len -= (size_t)written;
+    caller->pending_writes++;
+    if (uv_write(&write->request, stream, &buffer, 1, on_written) != 0) {
+        caller->pending_writes--;
+        g_string_free(bytes, TRUE);
+        g_free(write);
+        caller->broken = true;
+        arm_timer(caller, 0);
+        return false;
+    }
+    return true;
+}
+
+static const char *status_text(unsigned status) {
+    switch (status) {
+#define STATUS(number, name, text)                                                                 \
+    case number:                                                                                   \
+        return #text;
+        HTTP_STATUS_MAP(STATUS)
+#undef STATUS
+    default:
+        return "Unknown";
+    }
+}
+
+static GString *answer_head(http_caller_t *caller, unsigned status, const char *fields) {
+    GString *bytes = g_string_sized_new(1024);
+    g_string_append_printf(bytes, "HTTP/1.1 %u %s\r\n", status, status_text(status));
+    if (fields != NULL)
+        g_string_append(bytes, fields);
+    if (!caller->keep)
+        g_string_append(bytes, "Connection: close\r\n");
+    return bytes;
+}
+
+static bool will_keep(const http_caller_t *caller) {
+    return !caller->listener->close_after_answers && caller->state == ANSWERING &&
+           http_should_keep_alive(&caller->parser) != 0;
+}
+
+/** The answer is written: makes the connection ready for the next request, or ends it. */
+static void finish_answer(http_caller_t *caller) {
+    if (caller->state == ANSWERING)
+        caller->listener->active--;
+    caller->state = READING;
+    caller->begun = false;
+    if (!caller->keep) {
+        caller->close_when_written = true;
+        bool whole_request = caller->parser.http_errno == HPE_OK && caller->ahead->len == 0;
+        if (caller->pending_writes > 0)
+            arm_timer(caller, caller->listener->limits.idle_timeout_ms);
+        else if (whole_request)
+            close_caller(caller);
+        else
+            arm_timer(caller, LINGER_MS); /* Unread bytes would turn the close into a reset. */
+        return;
+    }
+    http_headers_reset(&caller->headers);
+    g_string_truncate(caller->target, 0);
+    g_string_truncate(caller->body, 0);
+    arm_timer(caller, caller->listener->limits.idle_timeout_ms);
+    read_ahead(caller);
+}
+
+void http_caller_answer(http_caller_t *caller, unsigned status, const char *fields,
+                        const char *body, size_t length) {
+    caller->data = NULL;
+    caller->keep = will_keep(caller);
+    GString *bytes = answer_head(caller, status, fields);
+    bool head_only = caller->state == ANSWERING && strcmp(caller->request.method, "HEAD") == 0;
+    if (!head_only)
+        g_string_append_printf(bytes, "Content-Length: %zu\r\n", length);
+    g_string_append(bytes, "\r\n");
+    if (length > 0 && !head_only)
+        g_string_append_len(bytes, body, (gssize)length);
+    if (write_bytes(caller, bytes))
+        finish_answer(caller);
+}
+
+static void append_piece(const http_caller_t *caller, GString *bytes, const char *data,
+                         size_t length) {
+    if (length == 0)
+        return;
+    if (caller->chunked)
+        g_string_append_printf(bytes, "%zx\r\n", length);
+    g_string_append_len(bytes, data, (gssize)length);
+    if (caller->chunked)
+        g_string_append(bytes, "\r\n");
+}
+
+void http_caller_begin(http_caller_t *caller, unsigned status, const char *fields,
+                       const char *data, size_t length) {
+    caller->chunked = caller->parser.http_major == 1 && caller->parser.http_minor >= 1;
+    caller->keep = will_keep(caller) && caller->chunked;
+    GString *bytes = answer_head(caller, status, fields);
+    g_string_append(bytes, caller->chunked ? "Transfer-Encoding: chunked\r\n\r\n" : "\r\n");
+    append_piece(caller, bytes, data, length);
+    write_bytes(caller, bytes);
+}
+
+void http_caller_piece(http_caller_t *caller, const char *data, size_t length) {
+    GString *bytes = g_string_sized_new(length + 16);
+    append_piece(caller, bytes, data, length);
+    write_bytes(caller, bytes);
+}
+
+void http_caller_end(http_caller_t *caller) {
+    caller->data = NULL;
+    if (caller->chunked && !write_bytes(caller, g_string_new("0\r\n\r\n")))
+        return;
+    finish_answer(caller);
+}
+
+void http_caller_abort(http_caller_t *caller) {
+    close_caller(caller);
+}
+
+/* Reading. */
+
+static int on_url(http_parser *parser, const char *data, size_t length) {
+    http_caller_t *caller = parser->data;
+    g_string_append_len(caller->target, data, (gssize)length);
+    return 0;
+}
+
+static int on_header_field(http_parser *parser, const char *data, size_t length) {
+    http_caller_t *caller = parser->data;
+    http_headers_name_piece(&caller->headers, data, length);
+    return 0;
+}
+
+static int on_header_value(http_parser *parser, const char *data, size_t length) {
+    http_caller_t *caller = parser->data;
+    http_headers_value_piece(&caller->headers, data, length);
+    return 0;
+}
+
+static int on_headers_complete(http_parser *parser) {
+    http_caller_t *caller = parser->data;
+    const http_limits_t *limits = &caller->listener->limits;
+    http_headers_finish(&caller->headers);
+    if (caller->headers.text->len > limits->header_bytes) {
+        parser->http_errno = HPE_HEADER_OVERFLOW;
+        return -1;
+    }
+    if (parser->content_length != ULLONG_MAX && parser->content_length > limits->body_bytes) {
+        caller->too_large = true;
+        return -1;
+    }
+    const char *expect = http_headers_find(&caller->headers, "Expect");
+    if (expect != NULL && strcasecmp(expect, "100-continue") == 0)
+        write_bytes(caller, g_string_new("HTTP/1.1 100 Continue\r\n\r\n"));
+    return 0;
+}
+
+static int on_body(http_parser *parser, const char *data, size_t length) {
+    http_caller_t *caller = parser->data;
+    if (caller->body->len + length > caller->listener->limits.body_bytes) {
+        caller->too_large = true;
+        return -1;
+    }
+    g_string_append_len(caller->body, data, (gssize)length);
+    return 0;
+}
+
+static int on_message_complete(http_parser *parser) {
+    http_parser_pause(parser, 1);
+    return 0;
+}
+
+static const http_parser_settings parser_settings = {
+    .on_url = on_url,
+    .on_header_field = on_header_field,
+    .on_header_value = on_header_value,
+    .on_headers_complete = on_headers_complete,
+    .on_body = on_body,
+    .on_message_complete = on_message_complete,
+};
+
+static void deliver_request(http_caller_t *caller) {
+    caller->state = ANSWERING;
+    caller->listener->active++;
+    uv_timer_stop(&caller->timer);
+    caller->request = (http_request_t){
+        .method = http_method_str((enum http_method)caller->parser.method),
+        .target = caller->target->str,
+        .headers = &caller->headers,
+        .body = caller->body->str,
+        .body_length = caller->body->len,
+        .begun_at = caller->request.begun_at,
+    };
+    caller->listener->handler->on_request(caller->listener->owner, caller, &caller->request);
+}
+
+static void refuse_malformed(http_caller_t *caller) {
+    unsigned status = 400;
+    if (caller->too_large)
+        status = 413;
+    else if (HTTP_PARSER_ERRNO(&caller->parser) == HPE_HEADER_OVERFLOW)
+        status = 431;
+    http_caller_answer(caller, status, NULL, NULL, 0);
+}
+
+/** Parses bytes of the next request; what follows a whole request is kept. */
+static void parse_bytes(http_caller_t *caller, const char *data, size_t length) {
+    if (!caller->begun) {
+        caller->begun = true;
+        caller->request.begun_at = uv_now(caller->listener->loop);
+        arm_timer(caller, caller->listener->limits.header_timeout_ms);
+    }
+    size_t parsed = http_parser_execute(&caller->parser, &parser_settings, data, length);
+    if (caller->state != READING)
+        return;
+    enum http_errno status = HTTP_PARSER_ERRNO(&caller->parser);
+    if (status == HPE_PAUSED) {
+        http_parser_pause(&caller->parser, 0);
+        if (caller->parser.upgrade != 0 || parsed > length) {
+            refuse_malformed(caller);
+            return;
+        }
+        g_string_append_len(caller->ahead, data + parsed, (gssize)(length - parsed));
+        deliver_request(caller);
+        return;
+    }
+    if (status != HPE_OK || caller->parser.upgrade != 0)
+        refuse_malformed(caller);
+}
+
+static void on_read(uv_stream_t *stream, ssize_t count, const uv_buf_t *buffer);
+
+static void provide_buffer(uv_handle_t *handle, size_t size, uv_buf_t *buffer) {
+    (void)handle;
+    (void)size;
+    *buffer = uv_buf_init(read_buffer, sizeof read_buffer);
+}
+
+/** Goes on with what the caller sent ahead of its last answer. */
+static void read_ahead(http_caller_t *caller) {
+    uv_read_start((uv_stream_t *)&caller->tcp, provide_buffer, on_read);
+    if (caller->ahead->len == 0)
+        return;
+    GString *bytes = caller->ahead;
+    caller->ahead = g_string_new(NULL);
+    parse_bytes(caller, bytes->str, bytes->len);
+    g_string_free(bytes, TRUE);
+}
+
+static void on_read(uv_stream_t *stream, ssize_t count, const uv_buf_t *buffer) {
+    http_caller_t *caller = stream->data;
+    if (caller->state == CLOSING || count == 0)
+        return;
+    if (count < 0) {
+        caller_lost(caller);
+        return;
+    }
+    if (caller->close_when_written)
+        return;
+    if (caller->state == READING) {
+        parse_bytes(caller, buffer->base, (size_t)count);
+        return;
+    }
+    g_string_append_len(caller->ahead, buffer->base, count);
+    if (caller->ahead->len > AHEAD_BYTES)
+        uv_read_stop(stream);
+}
+
+static void on_connection(uv_stream_t *stream, int status) {
+    http_listener_t *listener = stream->data;
+    if (status != 0)
+        return;
+    http_caller_t *caller = g_new0(http_caller_t, 1);
+    caller->listener = listener;
+    caller->open_handles = 2;
+    uv_tcp_init(listener->loop, &caller->tcp);
+    uv_timer_init(listener->loop, &caller->timer);
+    caller->tcp.data = caller;
+    caller->timer.data = caller;
+    http_parser_init(&caller->parser, HTTP_REQUEST);
+    caller->parser.data = caller;
+    http_headers_init(&caller->headers);
+    caller->target = g_string_new(NULL);
+    caller->body = g_string_new(NULL);
+    caller->ahead = g_string_new(NULL);
+    g_hash_table_add(listener->callers, caller);
+    if (uv_accept(stream, (uv_stream_t *)&caller->tcp) != 0) {
+        close_caller(caller);
+        return;
+    }
+    uv_tcp_nodelay(&caller->tcp, 1);
+    arm_timer(caller, listener->limits.idle_timeout_ms);
+    uv_read_start((uv_stream_t *)&caller->tcp, provide_buffer, on_read);
+}
+
+http_listener_t *http_listener_open(uv_loop_t *loop, const struct sockaddr_in *address,
+                                    const http_limits_t *limits,
+                                    const http_listener_handler_t *handler, void *owner) {
+    http_listener_t *listener = g_new0(http_listener_t, 1);
+    listener->loop = loop;
+    listener->handler = handler;
+    listener->owner = owner;
+    listener->callers = g_hash_table_new(NULL, NULL);
+    uv_tcp_init(loop, &listener->tcp);
+    listener->tcp.data = listener;
+    http_listener_set_limits(listener, limits);
+    int status = uv_tcp_bind(&listener->tcp, (const struct sockaddr *)address, 0);
+    if (status == 0)
+        status = uv_listen((uv_stream_t *)&listener->tcp, BACKLOG, on_connection);
+    if (status != 0) {
+        http_listener_stop(listener);
+        return NULL;
+    }
+    return listener;
+}
+
+void http_listener_set_limits(http_listener_t *listener, const http_limits_t *limits) {
+    listener->limits = *limits;
+    /* The parser's own bound counts the request line and separators too. */
+    http_parser_set_max_header_size(2 * limits->header_bytes);
+}
+
+void http_listener_close_after_answers(http_listener_t *listener) {
+    listener->close_after_answers = true;
+}
+
+void http_listener_close_idle(http_listener_t *listener) {
+    GList *callers = g_hash_table_get_keys(listener->callers);
+    for (GList *item = callers; item != NULL; item = item->next) {
+        http_caller_t *caller = item->data;
+        if (caller->state == READING && !caller->begun)
+            close_caller(caller);
+    }
+    g_list_free(callers);
+}
+
+void http_listener_stop(http_listener_t *listener) {
+    if (!uv_is_closing((uv_handle_t *)&listener->tcp))
+        uv_close((uv_handle_t *)&listener->tcp, NULL);
+}
+
+unsigned http_listener_connections(const http_listener_t *listener) {
+    return g_hash_table_size(listener->callers);
+}
+
+unsigned http_listener_active(const http_listener_t *listener) {
+    return listener->active;
+}
+
+void http_caller_set_data(http_caller_t *caller, void *data) {
+    caller->data = data;
+}
+
+void *http_caller_data(const http_caller_t *caller) {
+    return caller->data;
+}
--- /dev/null
+++ b/src/net/http_listener.h
@@ -0,0 +1,77 @@
+/**
+ * @file http_listener.h
+ * HTTP/1.1 towards callers, on the event loop: whole requests in, answers out at once or in
+ * pieces. One request at a time a connection; a caller that goes away is reported at once.
+ *
+ * Thread safety: everything here belongs to the loop's thread.
+ */
+#ifndef RUDDERWAY_NET_HTTP_LISTENER_H
+#define RUDDERWAY_NET_HTTP_LISTENER_H
+
+#include "net/http_headers.h"
+
+#include <stdint.h>
+#include <uv.h>
+
+typedef struct http_listener http_listener_t;
+typedef struct http_caller http_caller_t;
+
+/** Bounds on what a caller may send and how long it may take. */
+typedef struct {
+    uint32_t header_bytes;
+    uint64_t body_bytes;
+    uint32_t header_timeout_ms;
+    uint32_t idle_timeout_ms;
+} http_limits_t;
+
+/** A whole request; owned by the connection until the answer has ended. */
+typedef struct {
+    const char *method;
+    const char *target; /**< Path and query as sent. */
+    const http_headers_t *headers;
+    const char *body;
+    size_t body_length;
+    uint64_t begun_at; /**< Loop time of its first byte, ms. */
+} http_request_t;
+
+typedef struct {
+    void (*on_request)(void *owner, http_caller_t *caller, const http_request_t *request);
+    /** The caller went away before its answer ended; the caller object is gone after this. */
+    void (*on_gone)(void *owner, http_caller_t *caller);
+} http_listener_handler_t;
+
+/** Listens on @p address; NULL if that is not possible. */
+http_listener_t *http_listener_open(uv_loop_t *loop, const struct sockaddr_in *address,
+                                    const http_limits_t *limits,
+                                    const http_listener_handler_t *handler, void *owner);
+/** Bounds for requests that begin from now on. */
+void http_listener_set_limits(http_listener_t *listener, const http_limits_t *limits);
+/** From now on each answer says that its connection ends after it. */
+void http_listener_close_after_answers(http_listener_t *listener);
+/** Closes connections on which no request has begun. */
+void http_listener_close_idle(http_listener_t *listener);
+/** Takes no new connections. */
+void http_listener_stop(http_listener_t *listener);
+/** Connections that are open; requests whose answer has not ended. */
+unsigned http_listener_connections(const http_listener_t *listener);
+unsigned http_listener_active(const http_listener_t *listener);
+
+/** A place for the owner's record of the request. */
+void http_caller_set_data(http_caller_t *caller, void *data);
+void *http_caller_data(const http_caller_t *caller);
+
+/**
+ * Answers at once. @p fields are whole header lines, each ended by CR LF, without those that
+ * frame the message; may be NULL.
+ */
+void http_caller_answer(http_caller_t *caller, unsigned status, const char *fields,
+                        const char *body, size_t length);
+/** Begins an answer of unknown length; @p data may hold its first bytes. */
+void http_caller_begin(http_caller_t *caller, unsigned status, const char *fields,
+                       const char *data, size_t length);
+void http_caller_piece(http_caller_t *caller, const char *data, size_t length);
+void http_caller_end(http_caller_t *caller);
+/** Ends the connection so that a begun answer can't look complete. */
+void http_caller_abort(http_caller_t *caller);
+
+#endif
--- /dev/null
+++ b/src/store/record_log.c
@@ -0,0 +1,352 @@
+/*
+ * Design. A record is its length, a checksum of its bytes, and its bytes. Each start of the
+ * process begins a new segment, so that nothing is ever written behind a torn tail. A batch is
+ * written at a known offset and synced before any of its records counts; if that fails, the file
+ * is cut back to the offset, and the batch's records are reported as not durable.
+ *
+ * Failures. After a loss of power a segment may end in records that are torn or missing; none of
+ * them was acknowledged. A new file's name is made durable by a sync of the folder. A removed
+ * segment may come back: its records are then merely older than needed.
+ */
+#include "store/record_log.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+#include <xxhash.h>
+
+enum {
+    SEGMENT_BYTES = 4 * 1024 * 1024,
+    RECORD_HEAD_BYTES = 8,
+    FILE_MODE = 0600,
+};
+
+typedef struct {
+    GBytes *bytes;
+    record_log_done_t done;
+    void *owner;
+    bool state; /**< Replaces the state file instead of being appended. */
+} pending_t;
+
+typedef struct {
+    uint32_t number;
+    uint64_t bytes;
+} segment_t;
+
+/** One visit to the disk. */
+typedef struct {
+    uv_work_t work;
+    record_log_t *log;
+    GArray *entries;    /**< Of pending_t. */
+    GByteArray *bytes;  /**< Records to append, with their heads. */
+    GBytes *state;      /**< The last state among the entries; NULL if none. */
+    int file;
+    uint32_t segment;
+    uint64_t offset;
+    bool new_segment;
+    bool appended;
+    bool state_written;
+} batch_t;
+
+struct record_log {
+    uv_loop_t *loop;
+    char *folder;
+    GArray *segments; /**< Of segment_t, oldest first; the last is being written. */
+    int file;         /**< Of the last segment; -1 until its first write. */
+    GArray *pending;
+    bool busy;
+};
+
+static char *segment_path(const record_log_t *log, uint32_t number) {
+    return g_strdup_printf("%s/log.%08u", log->folder, number);
+}
+
+static char *state_path(const record_log_t *log, const char *suffix) {
+    return g_strdup_printf("%s/state%s", log->folder, suffix);
+}
+
+static void append_record(GByteArray *bytes, GBytes *record) {
+    gsize length;
+    const guint8 *data = g_bytes_get_data(record, &length);
+    guint32 head[2] = {GUINT32_TO_LE((guint32)length), GUINT32_TO_LE(XXH32(data, length, 0))};
+    g_byte_array_append(bytes, (const guint8 *)head, RECORD_HEAD_BYTES);
+    g_byte_array_append(bytes, data, (guint)length);
+}
+
+/** Length of the sound record at @p data; -1 if there is none. */
+static gssize sound_record(const guint8 *data, size_t left) {
+    guint32 head[2];
+    if (left < RECORD_HEAD_BYTES)
+        return -1;
+    memcpy(head, data, RECORD_HEAD_BYTES);
+    size_t length = GUINT32_FROM_LE(head[0]);
+    if (length == 0 || length > left - RECORD_HEAD_BYTES)
+        return -1;
+    if (XXH32(data + RECORD_HEAD_BYTES, length, 0) != GUINT32_FROM_LE(head[1]))
+        return -1;
+    return (gssize)length;
+}
+
+/* Disk thread. */
+
+static bool write_whole(int file, const guint8 *data, size_t length, uint64_t offset) {
+    while (length > 0) {
+        ssize_t written = pwrite(file, data, length, (off_t)offset);
+        if (written < 0 && errno == EINTR)
+            continue;
+        if (written <= 0)
+            return false;
+        data += written;
+        length -= (size_t)written;
+        offset += (uint64_t)written;
+    }
+    return true;
+}
+
+static bool sync_folder(const char *path) {
+    int folder = open(path, O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+    if (folder < 0)
+        return false;
+    bool synced = fsync(folder) == 0;
+    close(folder);
+    return synced;
+}
+
+static bool append_batch(batch_t *batch) {
+    const record_log_t *log = batch->log;
+    if (batch->file < 0) {
+        char *path = segment_path(log, batch->segment);
+        batch->file = open(path, O_RDWR | O_CREAT | O_TRUNC | O_CLOEXEC, FILE_MODE);
+        g_free(path);
+        batch->new_segment = true;
+        if (batch->file < 0)
+            return false;
+    }
+    bool written =
+        write_whole(batch->file, batch->bytes->data, batch->bytes->len, batch->offset) &&
+        fdatasync(batch->file) == 0;
+    if (written && batch->new_segment)
+        written = sync_folder(log->folder);
+    if (!written && ftruncate(batch->file, (off_t)batch->offset) != 0)
+        return false;
+    return written;
+}
+
+static bool replace_state(const batch_t *batch) {
+    char *path = state_path(batch->log, "");
+    char *temporary = state_path(batch->log, ".new");
+    GByteArray *bytes = g_byte_array_new();
+    append_record(bytes, batch->state);
+    int file = open(temporary, O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, FILE_MODE);
+    bool written = file >= 0 && write_whole(file, bytes->data, bytes->len, 0) && fsync(file) == 0;
+    if (file >= 0)
+        close(file);
+    written = written && rename(temporary, path) == 0 && sync_folder(batch->log->folder);
+    g_byte_array_unref(bytes);
+    g_free(temporary);
+    g_free(path);
+    return written;
+}
+
+static void run_batch(uv_work_t *work) {
+    batch_t *batch = work->data;
+    batch->appended = batch->bytes->len == 0 || append_batch(batch);
+    batch->state_written = batch->state == NULL || replace_state(batch);
+}
+
+/* Loop thread. */
+
+static segment_t *last_segment(record_log_t *log) {
+    return &g_array_index(log->segments, segment_t, log->segments->len - 1);
+}
+
+static void add_segment(record_log_t *log, uint32_t number, uint64_t bytes) {
+    segment_t segment = {number, bytes};
+    g_array_append_val(log->segments, segment);
+}
+
+static void start_batch(record_log_t *log);
+
+static void note_written(record_log_t *log, const batch_t *batch) {
+    log->file = batch->file;
+    if (!batch->appended)
+        return;
+    segment_t *segment = last_segment(log);
+    segment->bytes += batch->bytes->len;
+    if (segment->bytes < SEGMENT_BYTES)
+        return;
+    close(log->file);
+    log->file = -1;
+    add_segment(log, segment->number + 1, 0);
+}
+
+static void on_batch_done(uv_work_t *work, int status) {
+    batch_t *batch = work->data;
+    record_log_t *log = batch->log;
+    (void)status;
+    log->busy = false;
+    note_written(log, batch);
+    for (guint i = 0; i < batch->entries->len; i++) {
+        pending_t *entry = &g_array_index(batch->entries, pending_t, i);
+        bool durable = entry->state ? batch->state_written : batch->appended;
+        if (entry->done != NULL)
+            entry->done(entry->owner, durable, batch->segment);
+        g_bytes_unref(entry->bytes);
+    }
+    g_array_free(batch->entries, TRUE);
+    g_byte_array_unref(batch->bytes);
+    g_free(batch);
+    start_batch(log);
+}
+
+static void start_batch(record_log_t *log) {
+    if (log->busy || log->pending->len == 0)
+        return;
+    batch_t *batch = g_new0(batch_t, 1);
+    batch->work.data = batch;
+    batch->log = log;
+    batch->entries = log->pending;
+    batch->bytes = g_byte_array_new();
+    batch->file = log->file;
+    batch->segment = last_segment(log)->number;
+    batch->offset = last_segment(log)->bytes;
+    log->pending = g_array_new(FALSE, FALSE, sizeof(pending_t));
+    for (guint i = 0; i < batch->entries->len; i++) {
+        const pending_t *entry = &g_array_index(batch->entries, pending_t, i);
+        if (entry->state)
+            batch->state = entry->bytes;
+        else
+            append_record(batch->bytes, entry->bytes);
+    }
+    log->busy = true;
+    uv_queue_work(log->loop, &batch->work, run_batch, on_batch_done);
+}
+
+static void add_pending(record_log_t *log, GBytes *bytes, bool state, record_log_done_t done,
+                        void *owner) {
+    pending_t entry = {bytes, done, owner, state};
+    g_array_append_val(log->pending, entry);
+    start_batch(log);
+}
+
+void record_log_append(record_log_t *log, GBytes *record, record_log_done_t done, void *owner) {
+    add_pending(log, record, false, done, owner);
+}
+
+void record_log_write_state(record_log_t *log, GBytes *state, record_log_done_t done,
+                            void *owner) {
+    add_pending(log, state, true, done, owner);
+}
+
+bool record_log_idle(const record_log_t *log) {
+    return !log->busy && log->pending->len == 0;
+}
+
+uint64_t record_log_bytes(const record_log_t *log) {
+    uint64_t bytes = 0;
+    for (guint i = 0; i < log->segments->len; i++)
+        bytes += g_array_index(log->segments, segment_t, i).bytes;
+    return bytes;
+}
+
+void record_log_trim(record_log_t *log, bool (*unneeded)(void *owner, uint32_t segment),
+                     void *owner) {
+    while (log->segments->len > 1) {
+        uint32_t number = g_array_index(log->segments, segment_t, 0).number;
+        if (!unneeded(owner, number))
+            return;
+        char *path = segment_path(log, number);
+        unlink(path);
+        g_free(path);
+        g_array_remove_index(log->segments, 0);
+    }
+}
+
+GBytes *record_log_read_state(const record_log_t *log) {
+    char *path = state_path(log, "");
+    char *data = NULL;
+    gsize length = 0;
+    GBytes *state = NULL;
+    if (g_file_get_contents(path, &data, &length, NULL)) {
+        gssize sound = sound_record((const guint8 *)data, length);
+        if (sound > 0)
+            state = g_bytes_new(data + RECORD_HEAD_BYTES, (gsize)sound);
+    }
+    g_free(data);
+    g_free(path);
+    return state;
+}
+
+static int compare_numbers(gconstpointer a, gconstpointer b) {
+    const uint32_t *left = a;
+    const uint32_t *right = b;
+    return (*left > *right) - (*left < *right);
+}
+
+static GArray *find_segments(const record_log_t *log, GError **error) {
+    GDir *folder = g_dir_open(log->folder, 0, error);
+    if (folder == NULL)
+        return NULL;
+    GArray *numbers = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+    for (const char *name = g_dir_read_name(folder); name != NULL; name = g_dir_read_name(folder)) {
+        if (!g_str_has_prefix(name, "log."))
+            continue;
+        uint32_t number = (uint32_t)strtoul(name + strlen("log."), NULL, 10);
+        g_array_append_val(numbers, number);
+    }
+    g_dir_close(folder);
+    g_array_sort(numbers, compare_numbers);
+    return numbers;
+}
+
+static void replay_segment(record_log_t *log, uint32_t number,
+                           void (*replay)(void *owner, uint32_t segment, const uint8_t *data,
+                                          size_t length),
+                           void *owner) {
+    char *path = segment_path(log, number);
+    char *data = NULL;
+    gsize length = 0;
+    if (!g_file_get_contents(path, &data, &length, NULL))
+        length = 0;
+    add_segment(log, number, length);
+    const guint8 *bytes = (const guint8 *)data;
+    size_t position = 0;
+    for (;;) {
+        gssize record = sound_record(bytes + position, length - position);
+        if (record < 0)
+            break;
+        position += RECORD_HEAD_BYTES;
+        replay(owner, number, bytes + position, (size_t)record);
+        position += (size_t)record;
+    }
+    g_free(data);
+    g_free(path);
+}
+
+record_log_t *record_log_open(uv_loop_t *loop, const char *folder,
+                              void (*replay)(void *owner, uint32_t segment, const uint8_t *data,
+                                             size_t length),
+                              void *owner, GError **error) {
+    record_log_t *log = g_new0(record_log_t, 1);
+    log->loop = loop;
+    log->folder = g_strdup(folder);
+    log->segments = g_array_new(FALSE, FALSE, sizeof(segment_t));
+    log->pending = g_array_new(FALSE, FALSE, sizeof(pending_t));
+    log->file = -1;
+    GArray *numbers = find_segments(log, error);
+    if (numbers == NULL) {
+        g_prefix_error(error, "%s: ", folder);
+        return NULL;
+    }
+    uint32_t next = 1;
+    for (guint i = 0; i < numbers->len; i++) {
+        uint32_t number = g_array_index(numbers, uint32_t, i);
+        replay_segment(log, number, replay, owner);
+        next = number + 1;
+    }
+    g_array_free(numbers, TRUE);
+    add_segment(log, next, 0);
+    return log;
+}
--- /dev/null
+++ b/src/store/store.h
@@ -0,0 +1,85 @@
+/**
+ * @file store.h
+ * A storage node: keeps turns and budgets on its disk, in one replica of the store group.
+ *
+ * Storage nodes do not talk to one another while all is well: the gateways write each record to
+ * all members and count the copies. They talk only to catch up: after a lost disk, and when the
+ * group changes.
+ *
+ * Thread safety: everything belongs to the loop's thread; only record_log.c uses another.
+ */
+#ifndef RUDDERWAY_STORE_STORE_H
+#define RUDDERWAY_STORE_STORE_H
+
+#include "cluster/key_value_watch.h"
+#include "cluster/message.h"
+#include "cluster/process_settings.h"
+#include "core/quorum/store_group.h"
+#include "net/frame_connection.h"
+#include "store/record_log.h"
+
+typedef struct store_catch_up store_catch_up_state_t;
+typedef struct store_membership store_membership_t;
+
+typedef struct {
+    uv_loop_t *loop;
+    const process_settings_t *settings;
+    record_log_t *log;
+    turn_table_t turns;
+    budget_table_t budgets;
+    frame_listener_t *listener;
+    GHashTable *connections; /**< Opened by others: frame_connection_t to its serial number. */
+    size_t connections_opened;
+    store_group_t *group;    /**< The latest known; generation 0 if none. */
+    bool group_durable;      /**< The state file holds that generation. */
+    bool founding;           /**< This node's disk dates from the system's first start. */
+    bool identity_durable;   /**< The state file was written. */
+    uint64_t complete_in;    /**< Generation in which this node is complete; 0: in none. */
+    uint64_t started_at;
+    uv_timer_t upkeep;
+    bool stopping;
+    store_catch_up_state_t *catch_up;
+    store_membership_t *membership;
+} store_t;
+
+/** Charges are kept at least so long after their program's last call, in ms. */
+enum { BUDGET_RETENTION_MS = 300000 };
+
+/* store_state.c: what this node knows of itself and its group. */
+
+/** Adopts a group if it is later than the one known, and tells all connections. */
+void store_adopt_group(store_t *store, const store_group_t *group);
+/** True if this node is a member that holds all that its group acknowledged. */
+bool store_complete(const store_t *store);
+bool store_is_member(const store_t *store);
+/** Sets the generation in which this node is complete once that is on disk. */
+void store_set_complete(store_t *store, uint64_t generation);
+/** Writes the state file. */
+void store_write_state(store_t *store);
+/** Restores identity and group from the state file; true if there was one. */
+bool store_restore_state(store_t *store);
+/** Sends the group to one connection. */
+void store_send_group(store_t *store, frame_connection_t *connection);
+
+/* store_requests.c: answers to gateways and other members. */
+
+extern const frame_handler_t store_request_handler;
+/** Takes a record of the log into the tables. */
+void store_replay(void *owner, uint32_t segment, const uint8_t *data, size_t length);
+/** Appends a record that was copied from another member; @p done may be NULL. */
+void store_append_copy(store_t *store, message_t *record, void (*done)(void *owner, bool durable),
+                       void *owner);
+
+/* store_catch_up.c: becoming complete. */
+
+store_catch_up_state_t *store_catch_up_new(store_t *store);
+/** Looks again whether there is something to copy, and from whom. */
+void store_catch_up_check(store_t *store);
+
+/* store_membership.c: the group in the key-value service. */
+
+store_membership_t *store_membership_new(store_t *store);
+/** Looks again whether the group should change. */
+void store_membership_check(store_t *store);
+
+#endif
--- /dev/null
+++ b/src/store/store_membership.c
@@ -0,0 +1,420 @@
+/*
+ * Design. The group stands in one key of the key-value service and changes only by a write under
+ * the condition that the key has not changed. Every storage node also has a key that says where
+ * it is. Three nodes propose a group:
+ *
+ * - a founder, once, when the system starts for the first time;
+ * - a node that is no member, in place of a member that it finds gone, or to bring the group
+ *   back to the size it was founded with;
+ * - a member that an operator asks to be emptied: the group without it, or with a node that is
+ *   no member in its place. It says "completed" once the others are complete without it.
+ *
+ * Failures. A proposal whose answer is lost shows in the watch. A member that was taken for gone
+ * and comes back is no member any more and becomes a spare. While the key-value service is down
+ * the group stays as it is; nothing on the path of a call needs the service.
+ */
+#include "store/store.h"
+
+#include "common/event.h"
+#include "store/store_peer.h"
+
+#include <string.h>
+
+enum {
+    WATCH_WAIT_MS = 10000,
+    CHECK_MS = 300,
+    FOUND_AFTER_MS = 2000,      /**< After the start, so that all founders have registered. */
+    FOUND_ALONE_AFTER_MS = 5000,
+    FOUNDERS_USUAL = 3,
+    GONE_AFTER_MS = 1200,       /**< A member silent for so long may be replaced. */
+    WRITE_AGAIN_MS = 1000,
+};
+
+typedef struct {
+    store_member_t member;
+    bool founding;
+} registration_t;
+
+struct store_membership {
+    store_t *store;
+    uv_timer_t timer;
+    key_value_watch_t *own_watch;
+    key_value_watch_t *retire_watch;
+    bool listed;              /**< The keys have been listed at least once. */
+    uint64_t group_revision;  /**< Of the group's key; 0: there is none. */
+    GHashTable *registrations; /**< Node name to registration_t. */
+    bool registered;
+    bool writing;             /**< A write is on its way. */
+    uint64_t written_at;
+    bool retiring;
+    bool retire_running_told;
+    bool retire_complete_told;
+    GHashTable *peers;        /**< Node name to store_peer_t, while they are needed. */
+};
+
+static const char group_name[] = "group";
+static const char registration_prefix[] = "store/";
+
+static uint64_t now(const store_membership_t *membership) {
+    return uv_now(membership->store->loop);
+}
+
+static void registration_codec(codec_t *codec, registration_t *registration) {
+    codec_text(codec, &registration->member.name);
+    codec_text(codec, &registration->member.address);
+    codec_text(codec, &registration->member.zone);
+    codec_bool(codec, &registration->founding);
+}
+
+static void free_registration(gpointer data) {
+    registration_t *registration = data;
+    g_free(registration->member.name);
+    g_free(registration->member.address);
+    g_free(registration->member.zone);
+    g_free(registration);
+}
+
+static void free_peer(gpointer data) {
+    store_peer_free(data);
+}
+
+/* Writing. */
+
+static void on_written(void *owner, key_value_outcome_t outcome) {
+    store_membership_t *membership = owner;
+    membership->writing = false;
+    event_log(STORE_KEY_WRITTEN, outcome == KEY_VALUE_WRITTEN    ? "written"
+                                 : outcome == KEY_VALUE_CONFLICT ? "conflict"
+                                                                 : "refused");
+}
+
+static void write_key(store_membership_t *membership, char *key, GBytes *value, bool any,
+                      uint64_t expected) {
+    const process_settings_t *settings = membership->store->settings;
+    GString *request =
+        key_value_write_request(settings->key_value_text, key, value, any, expected);
+    membership->writing = true;
+    membership->written_at = now(membership);
+    key_value_write(membership->store->loop, &settings->key_value, request, on_written,
+                    membership);
+    g_free(key);
+    g_bytes_unref(value);
+}
+
+/** True if another write may begin now. */
+static bool may_write(const store_membership_t *membership) {
+    return membership->listed && !membership->writing &&
+           now(membership) >= membership->written_at + WRITE_AGAIN_MS;
+}
+
+static void register_node(store_membership_t *membership) {
+    const store_t *store = membership->store;
+    registration_t registration = {
+        .member = {store->settings->name, store->settings->peer_text, store->settings->zone},
+        .founding = store->founding,
+    };
+    codec_t codec;
+    codec_start_encoding(&codec);
+    registration_codec(&codec, &registration);
+    char *name = g_strconcat(registration_prefix, store->settings->name, NULL);
+    write_key(membership, key_value_own_key(name), codec_finish(&codec), true, 0);
+    g_free(name);
+}
+
+/** Proposes @p group; takes it over. */
+static void propose(store_membership_t *membership, store_group_t *group, const char *reason) {
+    event_log(STORE_GROUP_PROPOSED, group->generation, group->members->len, reason);
+    write_key(membership, key_value_own_key(group_name), store_group_encode(group), false,
+              membership->group_revision);
+    store_group_free(group);
+}
+
+/* Reading. */
+
+static void take_registration(store_membership_t *membership, const char *name,
+                              const key_value_item_t *item) {
+    if (item->value == NULL) {
+        g_hash_table_remove(membership->registrations, name);
+        return;
+    }
+    gsize length;
+    const void *data = g_bytes_get_data(item->value, &length);
+    registration_t *registration = g_new0(registration_t, 1);
+    codec_t codec;
+    codec_start_decoding(&codec, data, length);
+    registration_codec(&codec, registration);
+    const store_t *store = membership->store;
+    if (!codec_complete(&codec) || strcmp(registration->member.name, name) != 0) {
+        free_registration(registration);
+        return;
+    }
+    if (strcmp(name, store->settings->name) == 0)
+        membership->registered =
+            strcmp(registration->member.address, store->settings->peer_text) == 0 &&
+            registration->founding == store->founding;
+    g_hash_table_replace(membership->registrations, registration->member.name, registration);
+}
+
+static void on_own_item(void *owner, const key_value_item_t *item) {
+    store_membership_t *membership = owner;
+    const char *name;
+    if (key_value_kind(item->key, &name) != KEY_OWN)
+        return;
+    if (g_str_has_prefix(name, registration_prefix)) {
+        take_registration(membership, name + strlen(registration_prefix), item);
+        return;
+    }
+    if (strcmp(name, group_name) != 0 || item->value == NULL)
+        return;
+    gsize length;
+    const void *data = g_bytes_get_data(item->value, &length);
+    store_group_t *group = store_group_decode(data, length);
+    if (group == NULL)
+        return;
+    membership->group_revision = item->revision;
+    store_adopt_group(membership->store, group);
+    store_group_free(group);
+}
+
+static void on_own_listed(void *owner, GHashTable *keys) {
+    store_membership_t *membership = owner;
+    (void)keys;
+    membership->listed = true;
+    store_membership_check(membership->store);
+}
+
+static void on_retire_item(void *owner, const key_value_item_t *item) {
+    store_membership_t *membership = owner;
+    const char *name;
+    if (key_value_kind(item->key, &name) != KEY_RETIRE || item->value == NULL)
+        return;
+    if (strcmp(name, membership->store->settings->name) != 0 || membership->retiring)
+        return;
+    event_log(STORE_RETIRING, membership->store->group->generation);
+    membership->retiring = true;
+    store_membership_check(membership->store);
+}
+
+static void on_retire_listed(void *owner, GHashTable *keys) {
+    (void)owner;
+    (void)keys;
+}
+
+static void on_reachable(void *owner, bool reachable) {
+    store_membership_t *membership = owner;
+    if (reachable)
+        event_log(KEY_VALUE_REACHABLE, membership->store->settings->key_value_text);
+    else
+        event_log(KEY_VALUE_UNREACHABLE, membership->store->settings->key_value_text,
+                  error_name(RUDDERWAY_ERROR_KEY_VALUE_UNAVAILABLE));
+}
+
+static void on_retire_reachable(void *owner, bool reachable) {
+    (void)owner;
+    (void)reachable;
+}
+
+static const key_value_watch_handler_t own_handler = {on_own_item, on_own_listed, on_reachable};
+static const key_value_watch_handler_t retire_handler = {on_retire_item, on_retire_listed,
+                                                         on_retire_reachable};
+
+/* Peers, while a change of the group is weighed. */
+
+static store_peer_t *obtain_peer(store_membership_t *membership, const store_member_t *member) {
+    store_peer_t *peer = g_hash_table_lookup(membership->peers, member->name);
+    if (peer == NULL) {
+        peer = store_peer_new(membership->store, member->name, member->address);
+        g_hash_table_insert(membership->peers, peer->name, peer);
+    }
+    return peer;
+}
+
+static void poll_members(store_membership_t *membership, const GArray *members) {
+    for (guint i = 0; i < members->len; i++) {
+        const store_member_t *member = &g_array_index(members, store_member_t, i);
+        if (strcmp(member->name, membership->store->settings->name) != 0)
+            store_peer_poll(obtain_peer(membership, member));
+    }
+}
+
+/** How many members of the group are complete in its generation. */
+static unsigned count_complete(store_membership_t *membership) {
+    const store_t *store = membership->store;
+    unsigned complete = 0;
+    for (guint i = 0; i < store->group->members->len; i++) {
+        const store_member_t *member = &g_array_index(store->group->members, store_member_t, i);
+        if (strcmp(member->name, store->settings->name) == 0) {
+            complete += store_complete(store);
+            continue;
+        }
+        const store_peer_t *peer = obtain_peer(membership, member);
+        complete += peer->answered_at > 0 && peer->complete_in == store->group->generation;
+    }
+    return complete;
+}
+
+/** A member that has not answered for a while; NULL if all have. */
+static const store_member_t *find_gone_member(store_membership_t *membership) {
+    const GArray *members = membership->store->group->members;
+    for (guint i = 0; i < members->len; i++) {
+        const store_member_t *member = &g_array_index(members, store_member_t, i);
+        if (store_peer_silence(obtain_peer(membership, member)) > GONE_AFTER_MS)
+            return member;
+    }
+    return NULL;
+}
+
+/* Proposals. */
+
+static void copy_members_without(store_group_t *next, const GArray *members, const char *name) {
+    for (guint i = 0; i < members->len; i++) {
+        const store_member_t *member = &g_array_index(members, store_member_t, i);
+        if (name == NULL || strcmp(member->name, name) != 0)
+            store_group_add(next->members, member->name, member->address, member->zone);
+    }
+}
+
+static void found_group(store_membership_t *membership) {
+    const store_t *store = membership->store;
+    uint64_t age = now(membership) - store->started_at;
+    if (!store->founding || !store->identity_durable || age < FOUND_AFTER_MS)
+        return;
+    store_group_t *group = store_group_new();
+    group->generation = 1;
+    GHashTableIter iterator;
+    gpointer value;
+    g_hash_table_iter_init(&iterator, membership->registrations);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const registration_t *registration = value;
+        const store_member_t *member = &registration->member;
+        if (registration->founding)
+            store_group_add(group->members, member->name, member->address, member->zone);
+    }
+    group->target = group->members->len;
+    if (group->target == 0 ||
+        (group->target < FOUNDERS_USUAL && age < FOUND_ALONE_AFTER_MS)) {
+        store_group_free(group);
+        return;
+    }
+    propose(membership, group, "founding");
+}
+
+static void join_group(store_membership_t *membership) {
+    const store_t *store = membership->store;
+    const GArray *members = store->group->members;
+    poll_members(membership, members);
+    if (count_complete(membership) < store_read_quorum(members->len))
+        return;
+    const store_member_t *gone = find_gone_member(membership);
+    if (gone == NULL && members->len >= store->group->target)
+        return;
+    store_group_t *next = store_group_next(store->group);
+    copy_members_without(next, members, gone == NULL ? NULL : gone->name);
+    store_group_add(next->members, store->settings->name, store->settings->peer_text,
+                    store->settings->zone);
+    propose(membership, next, gone == NULL ? "joining" : "replacing");
+}
+
+/** A registered node that answers and is no member. */
+static const store_member_t *find_spare(store_membership_t *membership) {
+    const store_t *store = membership->store;
+    const store_member_t *spare = NULL;
+    GHashTableIter iterator;
+    gpointer value;
+    g_hash_table_iter_init(&iterator, membership->registrations);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const store_member_t *member = &((const registration_t *)value)->member;
+        if (strcmp(member->name, store->settings->name) == 0 ||
+            store_group_find(store->group->members, member->name) != NULL)
+            continue;
+        store_peer_t *peer = obtain_peer(membership, member);
+        store_peer_poll(peer);
+        if (peer->answered_at > 0 && store_peer_silence(peer) <= GONE_AFTER_MS)
+            spare = member;
+    }
+    return spare;
+}
+
+static void leave_group(store_membership_t *membership) {
+    const store_t *store = membership->store;
+    const GArray *members = store->group->members;
+    poll_members(membership, members);
+    const store_member_t *spare = find_spare(membership);
+    if (members->len < 2 || count_complete(membership) < store_read_quorum(members->len))
+        return;
+    store_group_t *next = store_group_next(store->group);
+    copy_members_without(next, members, store->settings->name);
+    if (spare != NULL)
+        store_group_add(next->members, spare->name, spare->address, spare->zone);
+    propose(membership, next, "retiring");
+}
+
+static void tell_retirement(store_membership_t *membership, bool complete) {
+    const char *name = membership->store->settings->name;
+    write_key(membership, key_value_retire_status_key(name), key_value_retire_status(complete),
+              true, 0);
+}
+
+static void go_on_retiring(store_membership_t *membership) {
+    const store_t *store = membership->store;
+    if (!membership->retire_running_told) {
+        membership->retire_running_told = true;
+        tell_retirement(membership, false);
+        return;
+    }
+    if (store_is_member(store)) {
+        leave_group(membership);
+        return;
+    }
+    if (membership->retire_complete_told || !store->group_durable)
+        return;
+    poll_members(membership, store->group->members);
+    if (count_complete(membership) < store->group->members->len)
+        return;
+    membership->retire_complete_told = true;
+    event_log(STORE_RETIRED, store->group->generation);
+    tell_retirement(membership, true);
+}
+
+void store_membership_check(store_t *store) {
+    store_membership_t *membership = store->membership;
+    if (membership == NULL || !may_write(membership))
+        return;
+    if (!membership->registered) {
+        if (store->identity_durable)
+            register_node(membership);
+        return;
+    }
+    if (store->group->generation == 0)
+        found_group(membership);
+    else if (membership->retiring)
+        go_on_retiring(membership);
+    else if (!store_is_member(store))
+        join_group(membership);
+    else
+        g_hash_table_remove_all(membership->peers);
+}
+
+static void on_timer(uv_timer_t *timer) {
+    const store_membership_t *membership = timer->data;
+    store_membership_check(membership->store);
+}
+
+store_membership_t *store_membership_new(store_t *store) {
+    const process_settings_t *settings = store->settings;
+    store_membership_t *membership = g_new0(store_membership_t, 1);
+    membership->store = store;
+    membership->registrations =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_registration);
+    membership->peers = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_peer);
+    uv_timer_init(store->loop, &membership->timer);
+    membership->timer.data = membership;
+    uv_timer_start(&membership->timer, on_timer, CHECK_MS, CHECK_MS);
+    membership->own_watch =
+        key_value_watch_open(store->loop, &settings->key_value, settings->key_value_text,
+                             key_value_prefix(KEY_OWN), WATCH_WAIT_MS, &own_handler, membership);
+    membership->retire_watch = key_value_watch_open(
+        store->loop, &settings->key_value, settings->key_value_text, key_value_prefix(KEY_RETIRE),
+        WATCH_WAIT_MS, &retire_handler, membership);
+    return membership;
+}
--- /dev/null
+++ b/src/store/store_requests.c
@@ -0,0 +1,323 @@
+/*
+ * Design. A write is refused if its sender acts in an older generation, both when it comes and
+ * when it has reached the disk: a member that has shown its records to another under a later
+ * generation acknowledges nothing for the earlier one. A reserve is answered twice: with the
+ * verdict at once, and when it is on disk.
+ *
+ * Failures. A full disk or too little memory refuses new turns; reads go on. A member that is
+ * not complete says so instead of "there is no such record", and grants no reserve.
+ */
+#include "store/store.h"
+
+#include "common/event.h"
+
+enum {
+    CHAIN_TURNS_MAXIMUM = 2000,
+    MEMORY_SHARE_PERCENT = 50, /**< Of the process's memory, for turns. */
+    DISK_SHARE_PERCENT = 85,
+    PERCENT = 100,
+    MEGABYTE = 1024 * 1024,
+};
+
+/** A write on its way to the disk. */
+typedef struct {
+    store_t *store;
+    frame_connection_t *connection; /**< NULL if nobody waits. */
+    uint64_t connection_serial;     /**< Tells it from a later one at the same place. */
+    uint64_t number;
+    uint64_t generation;
+    turn_t turn; /**< Empty unless a turn is written. */
+    void (*done)(void *owner, bool durable);
+    void *owner;
+} write_t;
+
+static uint64_t now(const store_t *store) {
+    return uv_now(store->loop);
+}
+
+static void answer(frame_connection_t *connection, message_type_t type, uint64_t number,
+                   uint64_t generation, verdict_t verdict) {
+    message_t message;
+    message_init(&message, type);
+    message.number = number;
+    message.generation = generation;
+    message.verdict = verdict;
+    frame_connection_send(connection, message_encode(&message));
+    message_clear(&message);
+}
+
+static uint64_t connection_serial(const store_t *store, frame_connection_t *connection) {
+    return GPOINTER_TO_SIZE(g_hash_table_lookup(store->connections, connection));
+}
+
+/** True if the connection on which the write came is still there. */
+static bool connected(const write_t *write) {
+    return write->connection != NULL &&
+           connection_serial(write->store, write->connection) == write->connection_serial;
+}
+
+static void on_write_done(void *owner, bool durable, uint32_t segment) {
+    write_t *write = owner;
+    store_t *store = write->store;
+    uint64_t until = now(store) + BUDGET_RETENTION_MS;
+    if (durable && write->turn.id != NULL)
+        turn_table_add(&store->turns, &write->turn, segment, now(store));
+    else if (durable)
+        turn_table_need_segment(&store->turns, segment, until);
+    if (connected(write)) {
+        bool current = write->generation == store->group->generation;
+        if (!current)
+            answer(write->connection, RESPONSE_OLD_GENERATION, write->number,
+                   store->group->generation, VERDICT_UNSURE);
+        else
+            answer(write->connection, RESPONSE_DURABLE, write->number, write->generation,
+                   durable ? VERDICT_YES : VERDICT_NO);
+    }
+    if (write->done != NULL)
+        write->done(write->owner, durable);
+    if (!durable)
+        event_log(STORE_WRITE_FAILED, record_log_bytes(store->log));
+    turn_clear(&write->turn);
+    g_free(write);
+}
+
+static write_t *new_write(store_t *store, frame_connection_t *connection,
+                          const message_t *request) {
+    write_t *write = g_new0(write_t, 1);
+    write->store = store;
+    write->connection = request->number == 0 ? NULL : connection;
+    write->connection_serial = connection_serial(store, connection);
+    write->number = request->number;
+    write->generation = request->generation;
+    return write;
+}
+
+static bool has_room(const store_t *store) {
+    const process_settings_t *settings = store->settings;
+    uint64_t memory = settings->memory_megabytes * MEGABYTE * MEMORY_SHARE_PERCENT / PERCENT;
+    uint64_t disk = settings->disk_megabytes * MEGABYTE * DISK_SHARE_PERCENT / PERCENT;
+    return store->turns.bytes < memory && (disk == 0 || record_log_bytes(store->log) < disk);
+}
+
+static void reserve(store_t *store, frame_connection_t *connection, message_t *request,
+                    GBytes *record) {
+    const budget_charge_t *charge = &request->charge;
+    uint64_t generation = store->group->generation;
+    if (!store_complete(store)) {
+        answer(connection, RESPONSE_RESERVE, request->number, generation, VERDICT_UNSURE);
+        return;
+    }
+    bool granted = budget_table_reserve(&store->budgets, charge->program, charge->call,
+                                        charge->most, request->budget, now(store));
+    answer(connection, RESPONSE_RESERVE, request->number, generation,
+           granted ? VERDICT_YES : VERDICT_NO);
+    if (granted)
+        record_log_append(store->log, g_bytes_ref(record), on_write_done,
+                          new_write(store, connection, request));
+}
+
+static void settle(store_t *store, frame_connection_t *connection, message_t *request,
+                   GBytes *record) {
+    const budget_charge_t *charge = &request->charge;
+    budget_table_settle(&store->budgets, charge->program, charge->call, charge->spent,
+                        now(store));
+    record_log_append(store->log, g_bytes_ref(record), on_write_done,
+                      new_write(store, connection, request));
+}
+
+static void put_turn(store_t *store, frame_connection_t *connection, message_t *request,
+                     GBytes *record) {
+    if (request->turns->len != 1 || !has_room(store)) {
+        answer(connection, RESPONSE_DURABLE, request->number, request->generation, VERDICT_NO);
+        return;
+    }
+    write_t *write = new_write(store, connection, request);
+    turn_copy(&write->turn, &g_array_index(request->turns, turn_t, 0));
+    record_log_append(store->log, g_bytes_ref(record), on_write_done, write);
+}
+
+static void read_chain(store_t *store, frame_connection_t *connection, message_t *request) {
+    message_t response;
+    message_init(&response, RESPONSE_CHAIN);
+    response.number = request->number;
+    response.generation = store->group->generation;
+    const turn_t *turn = turn_table_find(&store->turns, request->turn_id);
+    if (turn == NULL)
+        response.verdict = store_complete(store) ? VERDICT_NO : VERDICT_UNSURE;
+    for (unsigned i = 0; turn != NULL && i < CHAIN_TURNS_MAXIMUM; i++) {
+        message_add_turn(&response, turn);
+        turn = *turn->parent == '\0' ? NULL : turn_table_find(&store->turns, turn->parent);
+    }
+    frame_connection_send(connection, message_encode(&response));
+    message_clear(&response);
+}
+
+static void add_charge(void *user, const budget_charge_t *charge) {
+    message_t *response = user;
+    budget_charge_t copy = *charge;
+    copy.program = g_strdup(charge->program);
+    copy.call = g_strdup(charge->call);
+    g_array_append_val(response->charges, copy);
+}
+
+static void read_index(store_t *store, frame_connection_t *connection, message_t *request) {
+    message_t response;
+    message_init(&response, RESPONSE_INDEX);
+    response.number = request->number;
+    response.generation = store->complete_in;
+    GHashTableIter iterator;
+    gpointer id;
+    g_hash_table_iter_init(&iterator, store->turns.entries);
+    while (g_hash_table_iter_next(&iterator, &id, NULL))
+        g_ptr_array_add(response.ids, g_strdup(id));
+    budget_table_each(&store->budgets, add_charge, &response);
+    frame_connection_send(connection, message_encode(&response));
+    message_clear(&response);
+}
+
+static void read_turns(store_t *store, frame_connection_t *connection, message_t *request) {
+    message_t response;
+    message_init(&response, RESPONSE_TURNS);
+    response.number = request->number;
+    response.generation = store->group->generation;
+    for (guint i = 0; i < request->ids->len; i++) {
+        const turn_t *turn = turn_table_find(&store->turns, g_ptr_array_index(request->ids, i));
+        if (turn != NULL)
+            message_add_turn(&response, turn);
+    }
+    frame_connection_send(connection, message_encode(&response));
+    message_clear(&response);
+}
+
+static void take_group(store_t *store, const message_t *message) {
+    gsize length;
+    const void *data = g_bytes_get_data(message->group, &length);
+    store_group_t *group = store_group_decode(data, length);
+    if (group == NULL)
+        return;
+    store_adopt_group(store, group);
+    store_group_free(group);
+}
+
+static void tell_status(store_t *store, frame_connection_t *connection, const message_t *request) {
+    /* A generation that is not on disk could be forgotten: the asker must not build on it. */
+    uint64_t complete_in = store->group_durable ? store->complete_in : 0;
+    answer(connection, RESPONSE_STATUS, request->number, complete_in, VERDICT_YES);
+}
+
+/** Requests that only a member may answer, in the sender's generation. */
+static void handle_member_request(store_t *store, frame_connection_t *connection,
+                                  message_t *request, GBytes *record) {
+    uint64_t generation = store->group->generation;
+    if (request->generation != generation || !store_is_member(store)) {
+        answer(connection, RESPONSE_OLD_GENERATION, request->number, generation, VERDICT_UNSURE);
+        return;
+    }
+    switch (request->type) {
+    case REQUEST_RESERVE:
+        reserve(store, connection, request, record);
+        break;
+    case REQUEST_PUT_TURN:
+        put_turn(store, connection, request, record);
+        break;
+    default:
+        read_chain(store, connection, request);
+        break;
+    }
+}
+
+static void on_frame(void *owner, frame_connection_t *connection, const uint8_t *data,
+                     size_t length) {
+    store_t *store = owner;
+    message_t request;
+    if (!message_decode(&request, data, length)) {
+        message_clear(&request);
+        event_log(PEER_FRAME_REJECTED, "store", error_name(RUDDERWAY_ERROR_FRAME_INVALID));
+        return;
+    }
+    GBytes *record = g_bytes_new(data, length);
+    switch (request.type) {
+    case MESSAGE_GROUP:
+        take_group(store, &request);
+        break;
+    case REQUEST_RESERVE:
+    case REQUEST_PUT_TURN:
+    case REQUEST_CHAIN:
+        handle_member_request(store, connection, &request, record);
+        break;
+    case REQUEST_SETTLE:
+        settle(store, connection, &request, record);
+        break;
+    case REQUEST_STATUS:
+        tell_status(store, connection, &request);
+        break;
+    case REQUEST_INDEX:
+        read_index(store, connection, &request);
+        break;
+    case REQUEST_TURNS:
+        read_turns(store, connection, &request);
+        break;
+    default:
+        break;
+    }
+    g_bytes_unref(record);
+    message_clear(&request);
+}
+
+static void on_open(void *owner, frame_connection_t *connection) {
+    store_t *store = owner;
+    store->connections_opened++;
+    g_hash_table_insert(store->connections, connection, GSIZE_TO_POINTER(store->connections_opened));
+    store_send_group(store, connection);
+}
+
+static void on_closed(void *owner, frame_connection_t *connection) {
+    store_t *store = owner;
+    g_hash_table_remove(store->connections, connection);
+}
+
+const frame_handler_t store_request_handler = {on_open, on_frame, on_closed};
+
+void store_replay(void *owner, uint32_t segment, const uint8_t *data, size_t length) {
+    store_t *store = owner;
+    message_t record;
+    uint64_t until = now(store) + BUDGET_RETENTION_MS;
+    bool valid = message_decode(&record, data, length);
+    const budget_charge_t *charge = &record.charge;
+    budget_charge_t settled = *charge;
+    settled.settled = true;
+    if (valid) {
+        switch (record.type) {
+        case REQUEST_RESERVE:
+        case RECORD_CHARGE:
+            budget_table_merge(&store->budgets, charge, now(store));
+            turn_table_need_segment(&store->turns, segment, until);
+            break;
+        case REQUEST_SETTLE:
+            budget_table_merge(&store->budgets, &settled, now(store));
+            turn_table_need_segment(&store->turns, segment, until);
+            break;
+        case REQUEST_PUT_TURN:
+            if (record.turns->len == 1)
+                turn_table_add(&store->turns, &g_array_index(record.turns, turn_t, 0), segment,
+                               now(store));
+            break;
+        default:
+            break;
+        }
+    }
+    message_clear(&record);
+}
+
+void store_append_copy(store_t *store, message_t *record, void (*done)(void *owner, bool durable),
+                       void *owner) {
+    write_t *write = g_new0(write_t, 1);
+    write->store = store;
+    write->done = done;
+    write->owner = owner;
+    if (record->type == REQUEST_PUT_TURN)
+        turn_copy(&write->turn, &g_array_index(record->turns, turn_t, 0));
+    else
+        budget_table_merge(&store->budgets, &record->charge, now(store));
+    record_log_append(store->log, message_encode(record), on_write_done, write);
+}
--- /dev/null
+++ b/src/store/store_state.c
@@ -0,0 +1,115 @@
+/*
+ * The state file holds what must survive a restart besides the records: that this disk dates from
+ * the system's first start, the latest group, and the generation in which the node is complete.
+ * A node without a state file has lost its disk, or is new: it is complete in no generation.
+ */
+#include "store/store.h"
+
+#include "common/event.h"
+
+static void state_codec(codec_t *codec, store_t *store, uint64_t *complete_in) {
+    codec_bool(codec, &store->founding);
+    codec_uint64(codec, complete_in);
+    store_group_codec(codec, store->group);
+}
+
+typedef struct {
+    store_t *store;
+    uint64_t generation;
+    uint64_t complete_in;
+} state_write_t;
+
+static void on_state_written(void *owner, bool durable, uint32_t segment) {
+    state_write_t *write = owner;
+    store_t *store = write->store;
+    (void)segment;
+    if (durable) {
+        store->identity_durable = true;
+        store->group_durable = store->group_durable || write->generation == store->group->generation;
+        if (write->complete_in > store->complete_in) {
+            store->complete_in = write->complete_in;
+            event_log(STORE_COMPLETE, store->complete_in, g_hash_table_size(store->turns.entries));
+        }
+    }
+    g_free(write);
+}
+
+static void write_state(store_t *store, uint64_t complete_in) {
+    codec_t codec;
+    codec_start_encoding(&codec);
+    state_codec(&codec, store, &complete_in);
+    state_write_t *write = g_new0(state_write_t, 1);
+    write->store = store;
+    write->generation = store->group->generation;
+    write->complete_in = complete_in;
+    record_log_write_state(store->log, codec_finish(&codec), on_state_written, write);
+}
+
+void store_write_state(store_t *store) {
+    write_state(store, store->complete_in);
+}
+
+void store_set_complete(store_t *store, uint64_t generation) {
+    write_state(store, generation);
+}
+
+bool store_restore_state(store_t *store) {
+    GBytes *state = record_log_read_state(store->log);
+    if (state == NULL)
+        return false;
+    gsize length;
+    const void *data = g_bytes_get_data(state, &length);
+    codec_t codec;
+    codec_start_decoding(&codec, data, length);
+    state_codec(&codec, store, &store->complete_in);
+    bool valid = codec_complete(&codec);
+    g_bytes_unref(state);
+    if (!valid) {
+        store->founding = false;
+        store->complete_in = 0;
+        store_group_free(store->group);
+        store->group = store_group_new();
+        return false;
+    }
+    store->identity_durable = true;
+    store->group_durable = true;
+    return true;
+}
+
+void store_send_group(store_t *store, frame_connection_t *connection) {
+    if (store->group->generation == 0)
+        return;
+    message_t message;
+    message_init(&message, MESSAGE_GROUP);
+    message.generation = store->group->generation;
+    message.group = store_group_encode(store->group);
+    frame_connection_send(connection, message_encode(&message));
+    message_clear(&message);
+}
+
+bool store_is_member(const store_t *store) {
+    return store_group_find(store->group->members, store->settings->name) != NULL;
+}
+
+bool store_complete(const store_t *store) {
+    return store->group->generation > 0 && store->complete_in == store->group->generation;
+}
+
+void store_adopt_group(store_t *store, const store_group_t *group) {
+    if (group->generation <= store->group->generation)
+        return;
+    store_group_free(store->group);
+    store->group = store_group_copy(group);
+    store->group_durable = false;
+    event_log(STORE_GROUP_CHANGED, group->generation, group->members->len,
+              store_is_member(store) ? "yes" : "no");
+    /* The first group holds nothing yet: whoever has kept its disk since then is complete. */
+    bool complete = group->generation == 1 && store->founding && store_is_member(store);
+    write_state(store, complete ? 1 : store->complete_in);
+    GHashTableIter iterator;
+    gpointer connection;
+    g_hash_table_iter_init(&iterator, store->connections);
+    while (g_hash_table_iter_next(&iterator, &connection, NULL))
+        store_send_group(store, connection);
+    store_catch_up_check(store);
+}
