gateway: a planned stop refuses what it could not finish, and ends sooner

Change: answers say at once that their connection ends; after 2.3 s, when nobody passes on new connections any more, the listener and idle connections close and the process ends with its last call; calls from 3 s on are refused as not run.

--- a/src/gateway/call.c
+++ b/src/gateway/call.c
@@ -27,6 +27,7 @@
     "no_backend",     "backend_refused",  "backend_lost",       "bad_answer",
     "timed_out",      "over_budget",      "budget_unsure",      "budget_not_durable",
     "no_such_turn",   "turn_unsure",      "turn_not_kept",      "caller_gone",
+    "stopping",
 };
 
 const char *call_field(const call_t *call, call_field_t field) {
@@ -178,6 +179,10 @@
 static void start_call(call_t *call) {
     gateway_t *gateway = call->gateway;
     call->id = call_field(call, FIELD_CALL_ID);
+    if (gateway->refusing) {
+        call_refuse(call, STATUS_UNAVAILABLE, CALL_STOPPING);
+        return;
+    }
     if (gateway->configuration == NULL) {
         call_refuse(call, STATUS_UNAVAILABLE, CALL_NO_CONFIGURATION);
         return;
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -31,6 +31,7 @@
     CALL_TURN_UNSURE,
     CALL_TURN_NOT_KEPT,
     CALL_CALLER_GONE,
+    CALL_STOPPING,
     CALL_REASON_COUNT,
 } call_reason_t;
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -50,6 +50,7 @@
     gateway_counters_t counters;
     bool ready;
     bool stopping;
+    bool refusing; /**< The stop has gone so far that a new call might not end in time. */
     uint64_t stopping_since;
     uv_timer_t upkeep;
 } gateway_t;
--- a/src/gateway/main.c
+++ b/src/gateway/main.c
@@ -9,10 +9,10 @@
 #include <stdlib.h>
 
 enum {
-    UPKEEP_MS = 200,
+    UPKEEP_MS = 100,
     /* Steps of a planned stop, from the signal on. */
-    STOP_ANSWERS_CLOSE_MS = 2500, /**< Callers learn from answers that the connection ends. */
-    STOP_IDLE_CLOSE_MS = 4500,    /**< Connections without a call are closed. */
+    STOP_NOTICE_MS = 2300,  /**< Until then new connections come, and are served. */
+    STOP_REFUSE_MS = 3000,  /**< New calls are refused: they might not end in time. */
     STOP_RESERVE_MS = 300,        /**< Left of the grace time when the process ends. */
     CACHE_SHARE_PERCENT = 25,     /**< Of the process's memory, for recent turns. */
     PERCENT = 100,
@@ -48,12 +48,14 @@
 static void on_upkeep(uv_timer_t *timer) {
     gateway_t *gateway = timer->data;
     uint64_t since = uv_now(gateway->loop) - gateway->stopping_since;
-    if (since >= STOP_ANSWERS_CLOSE_MS)
-        http_listener_close_after_answers(gateway->calls);
-    if (since >= STOP_IDLE_CLOSE_MS)
+    bool noticed = since >= STOP_NOTICE_MS;
+    gateway->refusing = since >= STOP_REFUSE_MS;
+    if (noticed) {
+        http_listener_stop(gateway->calls);
         http_listener_close_idle(gateway->calls);
+    }
     bool over = since + STOP_RESERVE_MS >= gateway->settings->grace_ms;
-    bool empty = since >= STOP_IDLE_CLOSE_MS && http_listener_connections(gateway->calls) == 0;
+    bool empty = noticed && http_listener_connections(gateway->calls) == 0;
     if (over || empty)
         uv_stop(gateway->loop);
 }
@@ -67,6 +69,8 @@
     event_log(GATEWAY_STOPPING, number, http_listener_active(gateway->calls),
               http_listener_connections(gateway->calls));
     gateway_check_ready(gateway);
+    /* Callers learn from their answers that the connection ends, and come back elsewhere. */
+    http_listener_close_after_answers(gateway->calls);
     uv_timer_start(&gateway->upkeep, on_upkeep, UPKEEP_MS, UPKEEP_MS);
 }
 
