--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -48,6 +48,8 @@
     GHashTable *split_credits; /**< Route name to what each part is owed; see split.h. */
     key_value_watch_t *watch;
     gateway_counters_t counters;
+    uint64_t started_at;
+    bool stores_reached; /**< A quorum of them has been connected. */
     bool ready;
     bool stopping;
     bool refusing; /**< The stop has gone so far that a new call might not end in time. */
--- a/src/gateway/main.c
+++ b/src/gateway/main.c
@@ -102,6 +102,7 @@
     uv_loop_t loop;
     gateway_t gateway = {.loop = &loop, .settings = settings};
     uv_loop_init(&loop);
+    gateway.started_at = uv_now(&loop);
     frame_loop_start(&loop);
     if (!open_gateway(&gateway)) {
         event_log(NODE_FAILED, error_name(RUDDERWAY_ERROR_SYSTEM), "cannot listen");
--- a/src/gateway/reports.c
+++ b/src/gateway/reports.c
@@ -14,13 +14,26 @@
     REPORT_BODY_BYTES = 1024,
     REPORT_HEADER_MS = 3000,
     REPORT_IDLE_MS = 60000,
+    STORES_AWAITED_MS = 5000, /**< A gateway without storage nodes in reach is ready after this. */
 };
 
 static const http_limits_t report_limits = {REPORT_HEADER_BYTES, REPORT_BODY_BYTES,
                                             REPORT_HEADER_MS, REPORT_IDLE_MS};
 
+/**
+ * The storage nodes count only until they were reached once: when they are lost, calls without a
+ * budget can still be served, and other gateways have most likely lost them too.
+ */
+static bool stores_reached(gateway_t *gateway) {
+    bool waited = uv_now(gateway->loop) >= gateway->started_at + STORES_AWAITED_MS;
+    gateway->stores_reached =
+        gateway->stores_reached || waited || store_client_connected(gateway->stores);
+    return gateway->stores_reached;
+}
+
 void gateway_check_ready(gateway_t *gateway) {
-    bool ready = gateway->configuration != NULL && gateway->backends_listed && !gateway->stopping;
+    bool ready = gateway->configuration != NULL && gateway->backends_listed &&
+                 stores_reached(gateway) && !gateway->stopping;
     if (ready == gateway->ready)
         return;
     gateway->ready = ready;
@@ -30,7 +43,8 @@
 }
 
 static void on_readiness(void *owner, http_caller_t *caller, const http_request_t *request) {
-    const gateway_t *gateway = owner;
+    gateway_t *gateway = owner;
+    gateway_check_ready(gateway);
     unsigned status = gateway->ready ? STATUS_OK : STATUS_UNAVAILABLE;
     if (strcmp(request->target, call_readiness_path()) != 0)
         status = STATUS_NOT_FOUND;
