gateway: calls under way shared among gateways, choice by expected delay

Change: gateways learn of one another from the storage nodes and exchange their calls under way by datagram; the choice weighs load, cached prefix and zone as an expected delay. Calls are sent without a priority of their own: a preempted stream outlasts its caller's patience. Ruled out: polling the engines' own reports, which costs a probe each time.

--- a/src/cluster/message.h
+++ b/src/cluster/message.h
@@ -33,6 +33,8 @@
     RESPONSE_TURNS,
     RESPONSE_OLD_GENERATION,  /**< Nothing was done: a later generation is in force. */
     RECORD_CHARGE,            /**< Log only: a charge copied from another member. */
+    MESSAGE_GATEWAY,          /**< A gateway says where other gateways reach it. */
+    MESSAGE_GATEWAYS,         /**< The gateways connected to the sender, by address. */
     MESSAGE_TYPE_COUNT,
 } message_type_t;
 
@@ -54,7 +56,7 @@
     char *turn_id;
     GBytes *group; /**< An encoded store group. */
     GArray *turns; /**< Of turn_t: one to keep, or a chain from its newest turn. */
-    GPtrArray *ids;
+    GPtrArray *ids;      /**< Of turns; or addresses of gateways. */
     GArray *charges; /**< Of budget_charge_t. */
 } message_t;
 
--- a/src/cluster/process_settings.c
+++ b/src/cluster/process_settings.c
@@ -73,7 +73,7 @@
     settings->metrics = read_address(reader, "metrics", "listen", false, NULL);
     settings->calls = read_address(reader, "gateway", "calls", gateway, NULL);
     settings->readiness = read_address(reader, "gateway", "readiness", gateway, NULL);
-    settings->peer = read_address(reader, "store", "listen", !gateway, &settings->peer_text);
+    settings->peer = read_address(reader, "peer", "listen", true, &settings->peer_text);
     settings->folder = read_text(reader, "store", "folder", gateway ? "" : NULL);
     settings->disk_megabytes =
         read_number(reader, "store", "disk_megabytes", 300, 0, MEGABYTES_MAXIMUM);
--- a/src/cluster/process_settings.h
+++ b/src/cluster/process_settings.h
@@ -21,7 +21,7 @@
     struct sockaddr_in calls;     /**< Where a gateway takes calls. */
     struct sockaddr_in readiness; /**< Where a gateway says whether it is ready. */
     struct sockaddr_in metrics;   /**< Where figures are told; port 0: nowhere. */
-    char *peer_text;              /**< Where a storage node listens for gateways and others. */
+    char *peer_text;              /**< Where other processes of Rudderway reach this one. */
     struct sockaddr_in peer;
     char *key_value_text;
     struct sockaddr_in key_value;
--- a/src/gateway/backends.c
+++ b/src/gateway/backends.c
@@ -7,15 +7,25 @@
     AVOID_FIRST_MS = 250,
     AVOID_MOST_MS = 2000,
     IDLE_MAXIMUM = 32,
-    OTHER_ZONE_PENALTY = 3, /**< Calls under way that another zone must be better by. */
     SLOTS_USUAL = 12,
+    /* Expected delay, in units of 0.1 ms. */
+    AVOIDED_COST = 100000,    /**< After a failure: only if there is no other. */
+    PREFIX_READ_COST = 250,   /**< A prompt whose prefix is cached elsewhere. */
+    ENGINE_SHARE_COST = 20,   /**< Each call that an engine runs slows the others. */
+    ENGINE_QUEUE_COST = 250,  /**< Each call beyond an engine's slots. */
+    ENGINE_FAR_COST = 150,    /**< Another zone: delay, and bytes that are paid for. */
+    SERVICE_SHARE_COST = 50,
+    SERVICE_QUEUE_COST = 400,
+    SERVICE_FAR_COST = 80,
 };
 
 void backends_init(backends_t *backends, uv_loop_t *loop, const char *zone) {
     backends->loop = loop;
     backends->zone = g_strdup(zone);
     backends->by_instance = g_hash_table_new(g_str_hash, g_str_equal);
+    backends->by_hash = g_hash_table_new(g_int64_hash, g_int64_equal);
     backends->connections_opened = 0;
+    backends->changes = 0;
 }
 
 static void close_idle(backend_t *backend) {
@@ -34,6 +44,7 @@
 
 void backend_release(backend_t *backend) {
     backend->under_way--;
+    backend->owner->changes++;
     if (backend->gone || backend->record->leaving)
         close_idle(backend);
     unref(backend);
@@ -47,7 +58,10 @@
         backend->references = 1;
         backend->idle = g_ptr_array_new();
         backend->record = record;
+        backend->owner = backends;
+        backend->id_hash = XXH64(record->instance, strlen(record->instance), 0);
         g_hash_table_insert(backends->by_instance, record->instance, backend);
+        g_hash_table_insert(backends->by_hash, &backend->id_hash, backend);
         return;
     }
     g_hash_table_steal(backends->by_instance, record->instance);
@@ -63,6 +77,7 @@
     if (backend == NULL)
         return;
     g_hash_table_remove(backends->by_instance, instance);
+    g_hash_table_remove(backends->by_hash, &backend->id_hash);
     backend->gone = true;
     close_idle(backend);
     unref(backend);
@@ -76,15 +91,17 @@
     g_list_free(known);
 }
 
+backend_t *backends_find_hash(const backends_t *backends, uint64_t id_hash) {
+    return g_hash_table_lookup(backends->by_hash, &id_hash);
+}
+
 unsigned backends_count(const backends_t *backends) {
     return g_hash_table_size(backends->by_instance);
 }
 
-static bool usable(const backends_t *backends, const backend_t *backend,
-                   const backend_choice_t *choice) {
+static bool usable(const backend_t *backend, const backend_choice_t *choice) {
     if (backend->record->leaving || strcmp(backend->record->service, choice->service) != 0)
         return false;
-    (void)backends;
     return choice->excluded == NULL ||
            !g_ptr_array_find((GPtrArray *)choice->excluded, backend, NULL);
 }
@@ -99,52 +116,78 @@
     return XXH64(backend->record->instance, strlen(backend->record->instance), seed);
 }
 
-/** How undesirable a back end is; the lowest is chosen, and the highest rank among equals. */
-typedef struct {
-    unsigned cost;
-    uint64_t rank;
-} preference_t;
-
-static preference_t prefer(const backends_t *backends, const backend_t *backend,
-                           const backend_choice_t *choice) {
-    bool avoided = uv_now(backends->loop) < backend->avoid_until;
-    unsigned far = in_zone(backends, backend) ? 0 : OTHER_ZONE_PENALTY;
-    unsigned cost = avoided ? 1000 : 0;
-    if (choice->program == NULL) {
-        cost += backend->under_way + far;
-        /* Among equals one with a kept connection: a new one costs time and money. */
-        uint64_t kept = backend->idle->len > 0 ? (uint64_t)1 << 32 : 0;
-        return (preference_t){cost, kept | g_random_int()};
+/** Expected delay at a back end besides what depends on the call, in 0.1 ms. */
+static unsigned load_cost(const backends_t *backends, const backend_t *backend,
+                          const backend_choice_t *choice) {
+    bool engine = choice->program != NULL;
+    unsigned slots = backend->record->slots > 0 ? backend->record->slots : choice->slots;
+    if (slots == 0)
+        slots = SLOTS_USUAL;
+    unsigned calls = backend->under_way + backend->elsewhere;
+    unsigned beyond = calls >= slots ? calls - slots + 1 : 0;
+    unsigned cost = calls * (engine ? ENGINE_SHARE_COST : SERVICE_SHARE_COST) +
+                    beyond * (engine ? ENGINE_QUEUE_COST : SERVICE_QUEUE_COST);
+    if (!in_zone(backends, backend))
+        cost += engine ? ENGINE_FAR_COST : SERVICE_FAR_COST;
+    if (uv_now(backends->loop) < backend->avoid_until)
+        cost += AVOIDED_COST;
+    return cost;
+}
+
+/** The engine of this zone, or else of any, that ranks highest for the program. */
+static const backend_t *find_home(const backends_t *backends, const backend_choice_t *choice) {
+    const backend_t *home = NULL;
+    uint64_t best = 0;
+    GHashTableIter iterator;
+    gpointer value;
+    g_hash_table_iter_init(&iterator, backends->by_instance);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const backend_t *backend = value;
+        if (!usable(backend, choice))
+            continue;
+        uint64_t rank = affinity(backend, choice->program) >> 1;
+        if (in_zone(backends, backend))
+            rank |= (uint64_t)1 << 63;
+        if (home != NULL && rank < best)
+            continue;
+        home = backend;
+        best = rank;
     }
-    /* Below its slots an engine costs nothing more for another call. */
-    unsigned slots = choice->slots == 0 ? SLOTS_USUAL : choice->slots;
-    unsigned beyond = backend->under_way >= slots ? backend->under_way - slots + 1 : 0;
-    cost += beyond + far;
-    return (preference_t){cost, affinity(backend, choice->program)};
+    return home;
+}
+
+/** Among back ends of equal cost one with a kept connection: a new one costs time and money. */
+static uint64_t tie_rank(const backend_t *backend) {
+    uint64_t kept = backend->idle->len > 0 ? (uint64_t)1 << 32 : 0;
+    return kept | g_random_int();
 }
 
 backend_t *backends_choose(backends_t *backends, const backend_choice_t *choice) {
+    const backend_t *home = choice->program == NULL ? NULL : find_home(backends, choice);
     backend_t *best = NULL;
-    preference_t best_preference = {0};
+    unsigned best_cost = 0;
+    uint64_t best_rank = 0;
     GHashTableIter iterator;
     gpointer value;
     g_hash_table_iter_init(&iterator, backends->by_instance);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         backend_t *backend = value;
-        if (!usable(backends, backend, choice))
+        if (!usable(backend, choice))
             continue;
-        preference_t preference = prefer(backends, backend, choice);
-        bool better = best == NULL || preference.cost < best_preference.cost ||
-                      (preference.cost == best_preference.cost &&
-                       preference.rank > best_preference.rank);
-        if (!better)
+        unsigned cost = load_cost(backends, backend, choice);
+        if (choice->program != NULL && backend != home)
+            cost += PREFIX_READ_COST;
+        uint64_t rank = tie_rank(backend);
+        if (best != NULL && (cost > best_cost || (cost == best_cost && rank < best_rank)))
             continue;
         best = backend;
-        best_preference = preference;
+        best_cost = cost;
+        best_rank = rank;
     }
     if (best != NULL) {
         best->references++;
         best->under_way++;
+        backends->changes++;
     }
     return best;
 }
--- a/src/gateway/backends.h
+++ b/src/gateway/backends.h
@@ -3,11 +3,11 @@
  * The back ends that this gateway knows, what it has under way at each, and its kept connections
  * to them. Chooses the back end for a call.
  *
- * Choice. Calls of one program go to one engine, where its prompt's prefix is cached: the engine
- * of the gateway's zone with the highest hash of program and instance, so that the gateways of a
- * zone agree without a word. A full engine passes to the next of that order, then to other zones.
- * Other calls go to the back end of the zone with the fewest calls under way from here; another
- * zone must be clearly better.
+ * Choice. Each back end has an expected delay, and the least wins. A program's home is the engine
+ * of the gateway's zone with the highest hash of program and instance: there its prompt's prefix
+ * is cached, and the gateways of a zone agree without a word; elsewhere the prefix is read again.
+ * Calls under way, this gateway's and what the others told, add to the delay, and much more so
+ * beyond the back end's slots. Another zone is farther away.
  *
  * Thread safety: everything here belongs to the loop's thread.
  */
@@ -21,18 +21,23 @@
     backend_record_t *record;
     gint references;        /**< The table and the calls at this back end. */
     bool gone;              /**< It left the directory. */
+    uint64_t id_hash;       /**< Of the instance; names it among gateways. */
     unsigned under_way;     /**< Calls of this gateway. */
+    unsigned elsewhere;     /**< Calls of the other gateways, as they last told. */
     uint64_t avoid_until;   /**< Gets no call before, ms; after a failure. */
     unsigned failures;      /**< In a row. */
     GPtrArray *idle;        /**< Kept connections, the latest used last; of http_client_t. */
     uv_loop_t *loop;
+    struct backends *owner;
 } backend_t;
 
-typedef struct {
+typedef struct backends {
     uv_loop_t *loop;
     char *zone;
     GHashTable *by_instance; /**< Of backend_t. */
+    GHashTable *by_hash;     /**< Of backend_t. */
     uint64_t connections_opened;
+    uint64_t changes;        /**< Counts beginnings and ends of calls. */
 } backends_t;
 
 /** What a choice depends on. */
@@ -49,6 +54,8 @@
 void backends_remove(backends_t *backends, const char *instance);
 /** Removes all whose instance is not in @p instances. */
 void backends_retain(backends_t *backends, GHashTable *instances);
+/** NULL if no back end has this hash. */
+backend_t *backends_find_hash(const backends_t *backends, uint64_t id_hash);
 unsigned backends_count(const backends_t *backends);
 
 /** The back end for a call, with a reference and counted under way; NULL if there is none. */
--- a/src/gateway/call_send.c
+++ b/src/gateway/call_send.c
@@ -71,9 +71,6 @@
                            call_field_name(FIELD_DEADLINE_MS), (guint64)call_time_left(call));
     g_string_append_printf(request, "%s: %s\r\n", call_field_name(FIELD_EXPECT_INSTANCE),
                            call->backend->record->instance);
-    if (call->service != NULL && call->service->engine)
-        g_string_append_printf(request, "%s: %u\r\n", call_field_name(FIELD_PRIORITY),
-                               MIN(call->route->priority, 9U));
     if (call->events.events > 0)
         g_string_append_printf(request, "%s: %s\r\n", call_field_name(FIELD_LAST_EVENT),
                                call->events.last_id->str);
--- /dev/null
+++ b/src/gateway/load_sharing.c
@@ -0,0 +1,215 @@
+/*
+ * Design. A datagram holds the sender's calls under way, one entry for each back end that has
+ * any. It is sent when something has changed, at most once a period, and again from time to time
+ * while there is anything to tell. The period grows with the number of gateways, so that what one
+ * gateway sends and receives stays level.
+ */
+#include "gateway/load_sharing.h"
+
+#include "common/codec.h"
+
+#include <string.h>
+
+enum {
+    PERIOD_MS = 30,
+    PERIOD_EACH_MS = 2,    /**< Added for each gateway. */
+    REFRESH_MS = 400,      /**< Told again after this although nothing has changed. */
+    FORGET_MS = 1000,      /**< What a silent gateway said last counts for so long. */
+    ENTRIES_MAXIMUM = 4096,
+};
+
+typedef struct {
+    uint64_t backend; /**< backend_t.id_hash. */
+    uint32_t under_way;
+} load_entry_t;
+
+typedef struct {
+    struct sockaddr_in address;
+    uint64_t heard_at;
+    GArray *entries; /**< Of load_entry_t. */
+} gateway_peer_t;
+
+struct load_sharing {
+    uv_loop_t *loop;
+    uv_udp_t socket;
+    uv_timer_t timer;
+    struct sockaddr_in own;
+    backends_t *backends;
+    GPtrArray *peers; /**< Of gateway_peer_t. */
+    uint64_t sent_changes;
+    uint64_t sent_at;
+    bool sent_any;
+};
+
+static void free_peer(gpointer data) {
+    gateway_peer_t *peer = data;
+    g_array_free(peer->entries, TRUE);
+    g_free(peer);
+}
+
+static bool same_address(const struct sockaddr_in *a, const struct sockaddr_in *b) {
+    return a->sin_port == b->sin_port && a->sin_addr.s_addr == b->sin_addr.s_addr;
+}
+
+static gateway_peer_t *find_peer(const load_sharing_t *sharing, const struct sockaddr_in *address) {
+    for (guint i = 0; i < sharing->peers->len; i++) {
+        gateway_peer_t *peer = g_ptr_array_index(sharing->peers, i);
+        if (same_address(&peer->address, address))
+            return peer;
+    }
+    return NULL;
+}
+
+static void entries_codec(codec_t *codec, GArray *entries) {
+    uint32_t count = entries->len;
+    codec_count(codec, &count, ENTRIES_MAXIMUM);
+    if (codec->decoding && !codec->failed)
+        g_array_set_size(entries, count);
+    for (uint32_t i = 0; i < entries->len && !codec->failed; i++) {
+        load_entry_t *entry = &g_array_index(entries, load_entry_t, i);
+        codec_uint64(codec, &entry->backend);
+        codec_uint32(codec, &entry->under_way);
+    }
+}
+
+/** Sets what the other gateways have under way at each back end. */
+static void sum_peers(load_sharing_t *sharing) {
+    uint64_t now = uv_now(sharing->loop);
+    GHashTableIter iterator;
+    gpointer value;
+    g_hash_table_iter_init(&iterator, sharing->backends->by_instance);
+    while (g_hash_table_iter_next(&iterator, NULL, &value))
+        ((backend_t *)value)->elsewhere = 0;
+    for (guint i = 0; i < sharing->peers->len; i++) {
+        const gateway_peer_t *peer = g_ptr_array_index(sharing->peers, i);
+        if (now > peer->heard_at + FORGET_MS)
+            continue;
+        for (guint j = 0; j < peer->entries->len; j++) {
+            const load_entry_t *entry = &g_array_index(peer->entries, load_entry_t, j);
+            backend_t *backend = backends_find_hash(sharing->backends, entry->backend);
+            if (backend != NULL)
+                backend->elsewhere += entry->under_way;
+        }
+    }
+}
+
+static void on_datagram(uv_udp_t *socket, ssize_t count, const uv_buf_t *buffer,
+                        const struct sockaddr *from, unsigned flags) {
+    load_sharing_t *sharing = socket->data;
+    (void)flags;
+    if (count <= 0 || from == NULL)
+        return;
+    gateway_peer_t *peer = find_peer(sharing, (const struct sockaddr_in *)from);
+    if (peer == NULL)
+        return;
+    codec_t codec;
+    codec_start_decoding(&codec, buffer->base, (size_t)count);
+    entries_codec(&codec, peer->entries);
+    if (!codec_complete(&codec))
+        g_array_set_size(peer->entries, 0);
+    peer->heard_at = uv_now(sharing->loop);
+    sum_peers(sharing);
+}
+
+static char read_buffer[65536];
+
+static void provide_buffer(uv_handle_t *handle, size_t size, uv_buf_t *buffer) {
+    (void)handle;
+    (void)size;
+    *buffer = uv_buf_init(read_buffer, sizeof read_buffer);
+}
+
+static GArray *own_entries(const load_sharing_t *sharing) {
+    GArray *entries = g_array_new(FALSE, FALSE, sizeof(load_entry_t));
+    GHashTableIter iterator;
+    gpointer value;
+    g_hash_table_iter_init(&iterator, sharing->backends->by_instance);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const backend_t *backend = value;
+        load_entry_t entry = {backend->id_hash, backend->under_way};
+        if (backend->under_way > 0 && entries->len < ENTRIES_MAXIMUM)
+            g_array_append_val(entries, entry);
+    }
+    return entries;
+}
+
+static void tell_peers(load_sharing_t *sharing) {
+    GArray *entries = own_entries(sharing);
+    codec_t codec;
+    codec_start_encoding(&codec);
+    entries_codec(&codec, entries);
+    GBytes *bytes = codec_finish(&codec);
+    gsize length;
+    const void *data = g_bytes_get_data(bytes, &length);
+    uv_buf_t buffer = uv_buf_init((char *)data, (unsigned)length);
+    for (guint i = 0; i < sharing->peers->len; i++) {
+        const gateway_peer_t *peer = g_ptr_array_index(sharing->peers, i);
+        uv_udp_try_send(&sharing->socket, &buffer, 1, (const struct sockaddr *)&peer->address);
+    }
+    sharing->sent_any = entries->len > 0;
+    g_bytes_unref(bytes);
+    g_array_free(entries, TRUE);
+}
+
+static void arm_timer(load_sharing_t *sharing);
+
+static void on_timer(uv_timer_t *timer) {
+    load_sharing_t *sharing = timer->data;
+    uint64_t now = uv_now(sharing->loop);
+    uint64_t changes = sharing->backends->changes;
+    bool refresh = sharing->sent_any && now >= sharing->sent_at + REFRESH_MS;
+    if (changes != sharing->sent_changes || refresh) {
+        sharing->sent_changes = changes;
+        sharing->sent_at = now;
+        tell_peers(sharing);
+    }
+    sum_peers(sharing);
+    arm_timer(sharing);
+}
+
+static void arm_timer(load_sharing_t *sharing) {
+    uint64_t period = PERIOD_MS + PERIOD_EACH_MS * (uint64_t)sharing->peers->len;
+    uv_timer_start(&sharing->timer, on_timer, period, 0);
+}
+
+load_sharing_t *load_sharing_open(uv_loop_t *loop, const struct sockaddr_in *address,
+                                  backends_t *backends) {
+    load_sharing_t *sharing = g_new0(load_sharing_t, 1);
+    sharing->loop = loop;
+    sharing->own = *address;
+    sharing->backends = backends;
+    sharing->peers = g_ptr_array_new_with_free_func(free_peer);
+    uv_udp_init(loop, &sharing->socket);
+    uv_timer_init(loop, &sharing->timer);
+    sharing->socket.data = sharing;
+    sharing->timer.data = sharing;
+    if (uv_udp_bind(&sharing->socket, (const struct sockaddr *)address, 0) != 0 ||
+        uv_udp_recv_start(&sharing->socket, provide_buffer, on_datagram) != 0)
+        return NULL;
+    return sharing;
+}
+
+void load_sharing_set_gateways(load_sharing_t *sharing, const GPtrArray *addresses) {
+    GPtrArray *old = sharing->peers;
+    sharing->peers = g_ptr_array_new_with_free_func(free_peer);
+    for (guint i = 0; i < addresses->len; i++) {
+        struct sockaddr_in address;
+        if (!parse_socket_address(g_ptr_array_index(addresses, i), &address) ||
+            same_address(&address, &sharing->own) || find_peer(sharing, &address) != NULL)
+            continue;
+        gateway_peer_t *peer = g_new0(gateway_peer_t, 1);
+        peer->address = address;
+        peer->entries = g_array_new(FALSE, TRUE, sizeof(load_entry_t));
+        g_ptr_array_add(sharing->peers, peer);
+        for (guint j = 0; j < old->len; j++) {
+            gateway_peer_t *before = g_ptr_array_index(old, j);
+            if (!same_address(&before->address, &address))
+                continue;
+            peer->heard_at = before->heard_at;
+            g_array_append_vals(peer->entries, before->entries->data, before->entries->len);
+        }
+    }
+    g_ptr_array_free(old, TRUE);
+    if (sharing->peers->len > 0)
+        arm_timer(sharing);
+}
--- a/src/gateway/main.c
+++ b/src/gateway/main.c
@@ -86,10 +86,20 @@
     uv_signal_start(handle, action, number);
 }
 
+static void on_gateways(void *owner, const GPtrArray *addresses) {
+    const gateway_t *gateway = owner;
+    load_sharing_set_gateways(gateway->load_sharing, addresses);
+}
+
 static bool open_gateway(gateway_t *gateway) {
     const process_settings_t *settings = gateway->settings;
     backends_init(&gateway->backends, gateway->loop, settings->zone);
-    gateway->stores = store_client_new(gateway->loop, settings->zone);
+    gateway->load_sharing =
+        load_sharing_open(gateway->loop, &settings->peer, &gateway->backends);
+    if (gateway->load_sharing == NULL)
+        return false;
+    gateway->stores = store_client_new(gateway->loop, settings->zone, settings->peer_text,
+                                       on_gateways, gateway);
     gateway->split_credits = split_credits_new();
     chain_cache_init(&gateway->chains,
                      settings->memory_megabytes * MEGABYTE * CACHE_SHARE_PERCENT / PERCENT);
--- a/src/gateway/store_client.c
+++ b/src/gateway/store_client.c
@@ -26,6 +26,9 @@
 struct store_client {
     uv_loop_t *loop;
     char *zone;
+    char *own_address;
+    void (*on_gateways)(void *owner, const GPtrArray *addresses);
+    void *owner;
     store_group_t *group;
     GPtrArray *members; /**< Of member_t, those of the zone first. */
     GHashTable *operations; /**< Number to store_operation_t. */
@@ -84,6 +87,14 @@
     message_clear(&message);
 }
 
+static void tell_own_address(const store_client_t *client, const member_t *member) {
+    message_t message;
+    message_init(&message, MESSAGE_GATEWAY);
+    g_ptr_array_add(message.ids, g_strdup(client->own_address));
+    frame_connection_send(member->connection, message_encode(&message));
+    message_clear(&message);
+}
+
 static void on_open(void *owner, frame_connection_t *connection) {
     member_t *member = owner;
     store_client_t *client = member->client;
@@ -91,6 +102,7 @@
     member->open = true;
     event_log(GATEWAY_STORE_CONNECTED, member->name);
     send_group(client, member);
+    tell_own_address(client, member);
     for (guint i = 0; i < member->backlog->len; i++)
         frame_connection_send(member->connection,
                               g_bytes_ref(g_ptr_array_index(member->backlog, i)));
@@ -153,10 +165,15 @@
     return member;
 }
 
-store_client_t *store_client_new(uv_loop_t *loop, const char *zone) {
+store_client_t *store_client_new(uv_loop_t *loop, const char *zone, const char *own_address,
+                                 void (*on_gateways)(void *owner, const GPtrArray *addresses),
+                                 void *owner) {
     store_client_t *client = g_new0(store_client_t, 1);
     client->loop = loop;
     client->zone = g_strdup(zone);
+    client->own_address = g_strdup(own_address);
+    client->on_gateways = on_gateways;
+    client->owner = owner;
     client->group = store_group_new();
     client->members = g_ptr_array_new_with_free_func(free_member);
     client->operations = g_hash_table_new(g_int64_hash, g_int64_equal);
@@ -358,6 +375,8 @@
     bool valid = message_decode(&message, data, length);
     if (valid && message.type == MESSAGE_GROUP)
         take_group(member->client, &message);
+    else if (valid && message.type == MESSAGE_GATEWAYS)
+        member->client->on_gateways(member->client->owner, message.ids);
     else if (valid)
         take_answer(member, &message);
     message_clear(&message);
--- a/src/gateway/store_client.h
+++ b/src/gateway/store_client.h
@@ -34,7 +34,13 @@
     void (*on_durable)(void *owner, bool durable);
 } store_operation_handler_t;
 
-store_client_t *store_client_new(uv_loop_t *loop, const char *zone);
+/**
+ * @p own_address is told to the members, so that other gateways learn of this one;
+ * @p on_gateways gets the addresses of all gateways that a member knows.
+ */
+store_client_t *store_client_new(uv_loop_t *loop, const char *zone, const char *own_address,
+                                 void (*on_gateways)(void *owner, const GPtrArray *addresses),
+                                 void *owner);
 /** Takes a group if it is later than the one known. */
 void store_client_set_group(store_client_t *client, const store_group_t *group);
 /** True if a write quorum of members is connected. */
--- a/src/store/main.c
+++ b/src/store/main.c
@@ -76,6 +76,7 @@
     store->connections = g_hash_table_new(NULL, NULL);
     turn_table_init(&store->turns);
     budget_table_init(&store->budgets);
+    store_requests_start(store);
     store->log =
         record_log_open(store->loop, store->settings->folder, store_replay, store, error);
     if (store->log == NULL)
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -30,6 +30,8 @@
     frame_listener_t *listener;
     GHashTable *connections; /**< Opened by others: frame_connection_t to its serial number. */
     size_t connections_opened;
+    uv_timer_t tell_gateways; /**< Runs while the list of gateways has changed. */
+    GHashTable *gateways;     /**< Connections of gateways to their addresses. */
     store_group_t *group;    /**< The latest known; generation 0 if none. */
     bool group_durable;      /**< The state file holds that generation. */
     bool founding;           /**< This node's disk dates from the system's first start. */
@@ -64,6 +66,8 @@
 /* store_requests.c: answers to gateways and other members. */
 
 extern const frame_handler_t store_request_handler;
+/** Prepares the list of gateways. */
+void store_requests_start(store_t *store);
 /** Takes a record of the log into the tables. */
 void store_replay(void *owner, uint32_t segment, const uint8_t *data, size_t length);
 /** Appends a record that was copied from another member; @p done may be NULL. */
--- a/src/store/store_requests.c
+++ b/src/store/store_requests.c
@@ -17,6 +17,7 @@
     DISK_SHARE_PERCENT = 85,
     PERCENT = 100,
     MEGABYTE = 1024 * 1024,
+    TELL_GATEWAYS_MS = 100, /**< Changes of the list gather for so long. */
 };
 
 /** A write on its way to the disk. */
@@ -226,6 +227,45 @@
     }
 }
 
+/* The gateways, which share what they have under way. */
+
+static void on_tell_gateways(uv_timer_t *timer) {
+    const store_t *store = timer->data;
+    message_t message;
+    message_init(&message, MESSAGE_GATEWAYS);
+    GHashTableIter iterator;
+    gpointer connection;
+    gpointer address;
+    g_hash_table_iter_init(&iterator, store->gateways);
+    while (g_hash_table_iter_next(&iterator, NULL, &address))
+        g_ptr_array_add(message.ids, g_strdup(address));
+    GBytes *bytes = message_encode(&message);
+    g_hash_table_iter_init(&iterator, store->gateways);
+    while (g_hash_table_iter_next(&iterator, &connection, NULL))
+        frame_connection_send(connection, g_bytes_ref(bytes));
+    g_bytes_unref(bytes);
+    message_clear(&message);
+}
+
+static void gateways_changed(store_t *store) {
+    uv_timer_start(&store->tell_gateways, on_tell_gateways, TELL_GATEWAYS_MS, 0);
+}
+
+static void take_gateway(store_t *store, frame_connection_t *connection,
+                         const message_t *message) {
+    if (message->ids->len != 1)
+        return;
+    g_hash_table_insert(store->gateways, connection,
+                        g_strdup(g_ptr_array_index(message->ids, 0)));
+    gateways_changed(store);
+}
+
+void store_requests_start(store_t *store) {
+    store->gateways = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+    uv_timer_init(store->loop, &store->tell_gateways);
+    store->tell_gateways.data = store;
+}
+
 static void on_frame(void *owner, frame_connection_t *connection, const uint8_t *data,
                      size_t length) {
     store_t *store = owner;
@@ -248,6 +288,9 @@
     case REQUEST_SETTLE:
         settle(store, connection, &request, record);
         break;
+    case MESSAGE_GATEWAY:
+        take_gateway(store, connection, &request);
+        break;
     case REQUEST_STATUS:
         tell_status(store, connection, &request);
         break;
@@ -274,6 +317,8 @@
 static void on_closed(void *owner, frame_connection_t *connection) {
     store_t *store = owner;
     g_hash_table_remove(store->connections, connection);
+    if (g_hash_table_remove(store->gateways, connection))
+        gateways_changed(store);
 }
 
 const frame_handler_t store_request_handler = {on_open, on_frame, on_closed};
