--- a/Makefile
+++ b/Makefile
@@ -29,7 +29,7 @@
 	@BUILD=$(BUILD) bash scripts/lint.sh
 
 format:
-	@clang-format -i $$(git ls-files 'src/*.[ch]' 'tests/*.cc' 'tests/*.h')
+	@clang-format -i $$(git ls-files 'src/*.[ch]' 'platform/*.c' 'tests/*.cc' 'tests/*.h')
 
 asan: setup
 	@[ -f build-asan/build.ninja ] || meson setup build-asan -Db_sanitize=address,undefined \
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -2,8 +2,8 @@
 # clang-format (check only), clang-tidy and cppcheck over the product's code.
 cd "$(dirname "$0")/.." || exit 1
 status=0
-mapfile -t formatted < <(git ls-files 'src/*.c' 'src/*.h' 'tests/*.cc' 'tests/*.h')
-mapfile -t sources < <(git ls-files 'src/*.c')
+mapfile -t formatted < <(git ls-files 'src/*.c' 'src/*.h' 'platform/*.c' 'tests/*.cc' 'tests/*.h')
+mapfile -t sources < <(git ls-files 'src/*.c' 'platform/*.c')
 clang-format --dry-run --Werror "${formatted[@]}" || status=1
 printf '%s\n' "${sources[@]}" |
     xargs -P "$(nproc)" -n 4 clang-tidy -p "$BUILD" --quiet 2> /dev/null || status=1
--- a/src/cluster/key_value_watch.c
+++ b/src/cluster/key_value_watch.c
@@ -44,7 +44,7 @@
     unsigned failures;
     uint64_t gather_ms;
     uint64_t begun_at; /**< Of the call under way. */
-    int reachable; /**< -1: not known yet. */
+    int reachable;     /**< -1: not known yet. */
 };
 
 static void begin_call(key_value_watch_t *watch);
@@ -193,10 +193,9 @@
     watch->status = 0;
     watch->begun_at = uv_now(watch->loop);
     bool listing = watch->phase == LISTING;
-    GString *request = listing
-                           ? key_value_list_request(watch->host, watch->prefix, watch->after)
-                           : key_value_watch_request(watch->host, watch->prefix, watch->revision,
-                                                     watch->wait_ms);
+    GString *request = listing ? key_value_list_request(watch->host, watch->prefix, watch->after)
+                               : key_value_watch_request(watch->host, watch->prefix,
+                                                         watch->revision, watch->wait_ms);
     uint64_t limit = listing ? ANSWER_MS : (uint64_t)watch->wait_ms + WATCH_EXTRA_MS;
     uv_timer_start(&watch->timer, on_time_over, limit, 0);
     if (watch->client == NULL)
--- a/src/cluster/message.h
+++ b/src/cluster/message.h
@@ -17,24 +17,24 @@
 #include <stdint.h>
 
 typedef enum {
-    MESSAGE_GROUP,            /**< The sender's store group; either way, first on a connection. */
-    REQUEST_RESERVE,          /**< Reserve part of a program's budget; also a log record. */
-    RESPONSE_RESERVE,         /**< The verdict, at once. */
-    RESPONSE_DURABLE,         /**< A reserve or a turn is on disk, or can't be put there. */
-    REQUEST_SETTLE,           /**< Replace a reserve by what was made; also a log record. */
-    REQUEST_PUT_TURN,         /**< Keep a finished turn; also a log record. */
-    REQUEST_CHAIN,            /**< Read a turn and those it goes on from. */
+    MESSAGE_GROUP,    /**< The sender's store group; either way, first on a connection. */
+    REQUEST_RESERVE,  /**< Reserve part of a program's budget; also a log record. */
+    RESPONSE_RESERVE, /**< The verdict, at once. */
+    RESPONSE_DURABLE, /**< A reserve or a turn is on disk, or can't be put there. */
+    REQUEST_SETTLE,   /**< Replace a reserve by what was made; also a log record. */
+    REQUEST_PUT_TURN, /**< Keep a finished turn; also a log record. */
+    REQUEST_CHAIN,    /**< Read a turn and those it goes on from. */
     RESPONSE_CHAIN,
-    REQUEST_STATUS,           /**< Ask in which generation a member is complete. */
+    REQUEST_STATUS, /**< Ask in which generation a member is complete. */
     RESPONSE_STATUS,
-    REQUEST_INDEX,            /**< Ask for all charges and the ids of all turns. */
+    REQUEST_INDEX, /**< Ask for all charges and the ids of all turns. */
     RESPONSE_INDEX,
-    REQUEST_TURNS,            /**< Ask for turns by id. */
+    REQUEST_TURNS, /**< Ask for turns by id. */
     RESPONSE_TURNS,
-    RESPONSE_OLD_GENERATION,  /**< Nothing was done: a later generation is in force. */
-    RECORD_CHARGE,            /**< Log only: a charge copied from another member. */
-    MESSAGE_GATEWAY,          /**< A gateway says where other gateways reach it. */
-    MESSAGE_GATEWAYS,         /**< The gateways connected to the sender, by address. */
+    RESPONSE_OLD_GENERATION, /**< Nothing was done: a later generation is in force. */
+    RECORD_CHARGE,           /**< Log only: a charge copied from another member. */
+    MESSAGE_GATEWAY,         /**< A gateway says where other gateways reach it. */
+    MESSAGE_GATEWAYS,        /**< The gateways connected to the sender, by address. */
     MESSAGE_TYPE_COUNT,
 } message_type_t;
 
@@ -54,9 +54,9 @@
     budget_charge_t charge; /**< Program, call, and the most or what was spent. */
     uint64_t budget;        /**< The program's whole budget, in tokens. */
     char *turn_id;
-    GBytes *group; /**< An encoded store group. */
-    GArray *turns; /**< Of turn_t: one to keep, or a chain from its newest turn. */
-    GPtrArray *ids;      /**< Of turns; or addresses of gateways. */
+    GBytes *group;   /**< An encoded store group. */
+    GArray *turns;   /**< Of turn_t: one to keep, or a chain from its newest turn. */
+    GPtrArray *ids;  /**< Of turns; or addresses of gateways. */
     GArray *charges; /**< Of budget_charge_t. */
 } message_t;
 
--- a/src/cluster/process_settings.c
+++ b/src/cluster/process_settings.c
@@ -19,8 +19,7 @@
 }
 
 /** Required unless there is a @p fallback. */
-static char *read_text(reader_t *reader, const char *group, const char *key,
-                       const char *fallback) {
+static char *read_text(reader_t *reader, const char *group, const char *key, const char *fallback) {
     char *value = g_key_file_get_string(reader->file, group, key, NULL);
     if (value != NULL && *value != '\0')
         return value;
@@ -44,8 +43,8 @@
     return address;
 }
 
-static uint64_t read_number(reader_t *reader, const char *group, const char *key,
-                            uint64_t fallback, uint64_t minimum, uint64_t maximum) {
+static uint64_t read_number(reader_t *reader, const char *group, const char *key, uint64_t fallback,
+                            uint64_t minimum, uint64_t maximum) {
     char *value = g_key_file_get_string(reader->file, group, key, NULL);
     if (value == NULL || *value == '\0') {
         g_free(value);
--- a/src/cluster/process_settings.h
+++ b/src/cluster/process_settings.h
@@ -25,11 +25,11 @@
     struct sockaddr_in peer;
     char *key_value_text;
     struct sockaddr_in key_value;
-    char *folder;                 /**< Of a storage node's files. */
+    char *folder; /**< Of a storage node's files. */
     uint64_t disk_megabytes;
     uint64_t memory_megabytes;
-    bool first_start;             /**< The whole system starts for the first time. */
-    uint64_t grace_ms;            /**< Longest planned stop. */
+    bool first_start;  /**< The whole system starts for the first time. */
+    uint64_t grace_ms; /**< Longest planned stop. */
 } process_settings_t;
 
 /** Which settings a program needs. */
--- a/src/cluster/service_directory.h
+++ b/src/cluster/service_directory.h
@@ -33,22 +33,22 @@
     char *host;
     char *path_prefix;
     call_kind_t kind;
-    bool resumable;          /**< A stream may go on at another back end. */
-    bool keeps_turns;        /**< A call may go on from an earlier one, whose text is kept. */
-    bool sticky;             /**< Calls of a session belong together. */
-    uint32_t timeout_ms;     /**< Longest time that a call is held; 0: none. */
-    uint32_t objective_ms;   /**< Time within which an answer is in time. */
-    uint32_t attempts;       /**< Back ends that one attempt of a caller may be sent to. */
-    uint32_t priority;       /**< 0 is served first. */
-    uint32_t retention_ms;   /**< How long turns are kept. */
-    GArray *parts;           /**< Of route_part_t. */
+    bool resumable;        /**< A stream may go on at another back end. */
+    bool keeps_turns;      /**< A call may go on from an earlier one, whose text is kept. */
+    bool sticky;           /**< Calls of a session belong together. */
+    uint32_t timeout_ms;   /**< Longest time that a call is held; 0: none. */
+    uint32_t objective_ms; /**< Time within which an answer is in time. */
+    uint32_t attempts;     /**< Back ends that one attempt of a caller may be sent to. */
+    uint32_t priority;     /**< 0 is served first. */
+    uint32_t retention_ms; /**< How long turns are kept. */
+    GArray *parts;         /**< Of route_part_t. */
 } route_t;
 
 typedef struct {
     char *name;
     uint32_t connection_limit; /**< Connections a back end takes from all callers; 0: unknown. */
     bool engine;
-    uint32_t slots;            /**< Calls that an engine runs at once; 0: unknown. */
+    uint32_t slots; /**< Calls that an engine runs at once; 0: unknown. */
     uint32_t tokens_per_event;
 } service_t;
 
--- a/src/core/quorum/store_group.h
+++ b/src/core/quorum/store_group.h
@@ -43,9 +43,9 @@
 
 /** How a member becomes complete in its group's generation. */
 typedef struct {
-    const GArray *sources;        /**< Members to copy records from, itself left out. */
-    unsigned needed;              /**< So many of them. */
-    uint64_t source_complete_in;  /**< Each complete in this generation or a later one. */
+    const GArray *sources;       /**< Members to copy records from, itself left out. */
+    unsigned needed;             /**< So many of them. */
+    uint64_t source_complete_in; /**< Each complete in this generation or a later one. */
 } store_catch_up_t;
 
 /**
--- a/src/core/turns/turn_table.h
+++ b/src/core/turns/turn_table.h
@@ -16,9 +16,9 @@
 /** One finished turn. */
 typedef struct {
     char *id;
-    char *parent;          /**< Id of the turn it goes on from; "" at the start of a conversation. */
-    GBytes *input;         /**< What the caller sent with this turn. */
-    GBytes *output;        /**< What the engine made, as the next turn's prompt repeats it. */
+    char *parent;   /**< Id of the turn it goes on from; "" at the start of a conversation. */
+    GBytes *input;  /**< What the caller sent with this turn. */
+    GBytes *output; /**< What the engine made, as the next turn's prompt repeats it. */
     uint32_t retention_ms; /**< How long the turn is kept after it was last needed. */
 } turn_t;
 
@@ -30,8 +30,8 @@
 } turn_entry_t;
 
 typedef struct {
-    GHashTable *entries; /**< Turn id to turn_entry_t. */
-    uint64_t bytes;      /**< Memory that the turns take, roughly. */
+    GHashTable *entries;           /**< Turn id to turn_entry_t. */
+    uint64_t bytes;                /**< Memory that the turns take, roughly. */
     GArray *segments_needed_until; /**< By segment number: time until which it is needed. */
 } turn_table_t;
 
--- a/src/gateway/backends.h
+++ b/src/gateway/backends.h
@@ -19,14 +19,14 @@
 
 typedef struct {
     backend_record_t *record;
-    gint references;        /**< The table and the calls at this back end. */
-    bool gone;              /**< It left the directory. */
-    uint64_t id_hash;       /**< Of the instance; names it among gateways. */
-    unsigned under_way;     /**< Calls of this gateway. */
-    unsigned elsewhere;     /**< Calls of the other gateways, as they last told. */
-    uint64_t avoid_until;   /**< Gets no call before, ms; after a failure. */
-    unsigned failures;      /**< In a row. */
-    GPtrArray *idle;        /**< Kept connections, the latest used last; of http_client_t. */
+    gint references;      /**< The table and the calls at this back end. */
+    bool gone;            /**< It left the directory. */
+    uint64_t id_hash;     /**< Of the instance; names it among gateways. */
+    unsigned under_way;   /**< Calls of this gateway. */
+    unsigned elsewhere;   /**< Calls of the other gateways, as they last told. */
+    uint64_t avoid_until; /**< Gets no call before, ms; after a failure. */
+    unsigned failures;    /**< In a row. */
+    GPtrArray *idle;      /**< Kept connections, the latest used last; of http_client_t. */
     uv_loop_t *loop;
     struct backends *owner;
 } backend_t;
@@ -37,7 +37,7 @@
     GHashTable *by_instance; /**< Of backend_t. */
     GHashTable *by_hash;     /**< Of backend_t. */
     uint64_t connections_opened;
-    uint64_t changes;        /**< Counts beginnings and ends of calls. */
+    uint64_t changes; /**< Counts beginnings and ends of calls. */
 } backends_t;
 
 /** What a choice depends on. */
--- a/src/gateway/call.c
+++ b/src/gateway/call.c
@@ -23,11 +23,10 @@
 };
 
 static const char *const reason_names[CALL_REASON_COUNT] = {
-    "answered",       "no_configuration", "no_route",           "malformed",
-    "no_backend",     "backend_refused",  "backend_lost",       "bad_answer",
-    "timed_out",      "over_budget",      "budget_unsure",      "budget_not_durable",
-    "no_such_turn",   "turn_unsure",      "turn_not_kept",      "caller_gone",
-    "stopping",
+    "answered",        "no_configuration",   "no_route",     "malformed",   "no_backend",
+    "backend_refused", "backend_lost",       "bad_answer",   "timed_out",   "over_budget",
+    "budget_unsure",   "budget_not_durable", "no_such_turn", "turn_unsure", "turn_not_kept",
+    "caller_gone",     "stopping",
 };
 
 const char *call_field(const call_t *call, call_field_t field) {
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -37,15 +37,15 @@
 
 /** What a turn of a program needs besides the way to a back end. */
 typedef struct {
-    bool counted;      /**< The program's budget bounds this call. */
-    bool reserved;     /**< The reserve was asked for; it must be settled. */
+    bool counted;  /**< The program's budget bounds this call. */
+    bool reserved; /**< The reserve was asked for; it must be settled. */
     bool granted;
-    bool durable;      /**< The reserve survives a loss of power: pieces may go out. */
-    uint64_t most;     /**< Tokens that the call may make. */
+    bool durable;  /**< The reserve survives a loss of power: pieces may go out. */
+    uint64_t most; /**< Tokens that the call may make. */
     store_operation_t *reserve;
     store_operation_t *chain;
     store_operation_t *keep;
-    char *missing;     /**< The turn that is being read. */
+    char *missing; /**< The turn that is being read. */
     bool prompt_ready;
     bool stream_ended; /**< The engine's stream has ended well; the turn is being kept. */
 } call_turn_t;
@@ -61,26 +61,26 @@
     const char *id;
     const char *program; /**< NULL: a plain call. */
     uint64_t arrived_at;
-    uint64_t limit;      /**< Loop time until which an answer may come, ms. */
+    uint64_t limit; /**< Loop time until which an answer may come, ms. */
     uv_timer_t timer;
     bool ended;
 
     /* The way to back ends. */
-    backend_t *backend;    /**< Where the call is now; NULL: nowhere. */
+    backend_t *backend; /**< Where the call is now; NULL: nowhere. */
     http_client_t *client;
-    GPtrArray *tried;      /**< Back ends that failed or refused; each with a reference. */
-    unsigned sends;        /**< Times that any byte may have reached a back end. */
+    GPtrArray *tried; /**< Back ends that failed or refused; each with a reference. */
+    unsigned sends;   /**< Times that any byte may have reached a back end. */
     unsigned connects_failed;
-    bool may_have_run;     /**< Some back end may have run it. */
-    GString *prompt;       /**< The turns that this one goes on from. */
+    bool may_have_run; /**< Some back end may have run it. */
+    GString *prompt;   /**< The turns that this one goes on from. */
 
     /* The answer. */
     unsigned status;
-    bool not_run;          /**< The back end says that it did not run the call. */
-    bool streaming;        /**< Passed on as events. */
-    bool head_sent;        /**< The caller has the answer's head. */
-    GString *fields;       /**< The answer's header lines for the caller. */
-    GString *body;         /**< A whole answer, or events that wait for the budget. */
+    bool not_run;    /**< The back end says that it did not run the call. */
+    bool streaming;  /**< Passed on as events. */
+    bool head_sent;  /**< The caller has the answer's head. */
+    GString *fields; /**< The answer's header lines for the caller. */
+    GString *body;   /**< A whole answer, or events that wait for the budget. */
     event_stream_t events;
     call_turn_t turn;
 } call_t;
--- a/src/gateway/call_send.c
+++ b/src/gateway/call_send.c
@@ -92,8 +92,7 @@
 }
 
 static void log_send_failed(const call_t *call, const char *reason) {
-    event_log(GATEWAY_SEND_FAILED, call->id, call->backend->record->instance, reason,
-              call->sends);
+    event_log(GATEWAY_SEND_FAILED, call->id, call->backend->record->instance, reason, call->sends);
 }
 
 /** The last send's outcome is unknown: sends again if the call may run twice. */
--- a/src/gateway/call_turn.c
+++ b/src/gateway/call_turn.c
@@ -88,9 +88,8 @@
         return false;
     }
     call->turn.reserved = true;
-    call->turn.reserve =
-        store_client_reserve(stores, call->program, call->id, call->turn.most,
-                             strtoull(budget, NULL, 10), &reserve_handler, call);
+    call->turn.reserve = store_client_reserve(stores, call->program, call->id, call->turn.most,
+                                              strtoull(budget, NULL, 10), &reserve_handler, call);
     return true;
 }
 
@@ -119,8 +118,8 @@
 
 static void assemble_prompt(call_t *call) {
     gateway_t *gateway = call->gateway;
-    const char *missing = chain_cache_prompt(
-        &gateway->chains, call_field(call, FIELD_PREVIOUS_TURN), call->prompt);
+    const char *missing =
+        chain_cache_prompt(&gateway->chains, call_field(call, FIELD_PREVIOUS_TURN), call->prompt);
     if (missing == NULL) {
         call->turn.prompt_ready = true;
         send_if_ready(call);
@@ -190,8 +189,7 @@
         return;
     }
     turn_t turn = present_turn(call);
-    call->turn.keep =
-        store_client_put_turn(call->gateway->stores, &turn, &keep_handler, call);
+    call->turn.keep = store_client_put_turn(call->gateway->stores, &turn, &keep_handler, call);
     turn_clear(&turn);
 }
 
--- a/src/gateway/event_stream.h
+++ b/src/gateway/event_stream.h
@@ -12,10 +12,10 @@
 #include <stddef.h>
 
 typedef struct {
-    GString *partial;  /**< Bytes of an event that has not ended. */
-    GString *output;   /**< The data of each event, each followed by a line feed. */
-    GString *last_id;  /**< Id of the last whole event; "" if none had one. */
-    unsigned events;   /**< Whole events so far. */
+    GString *partial; /**< Bytes of an event that has not ended. */
+    GString *output;  /**< The data of each event, each followed by a line feed. */
+    GString *last_id; /**< Id of the last whole event; "" if none had one. */
+    unsigned events;  /**< Whole events so far. */
 } event_stream_t;
 
 void event_stream_init(event_stream_t *stream);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -22,9 +22,9 @@
 
 typedef struct {
     uint64_t calls;
-    uint64_t answered;       /**< With a back end's answer. */
-    uint64_t refused;        /**< Not run, and said so. */
-    uint64_t failed;         /**< By 502, 504 or a cut connection. */
+    uint64_t answered; /**< With a back end's answer. */
+    uint64_t refused;  /**< Not run, and said so. */
+    uint64_t failed;   /**< By 502, 504 or a cut connection. */
     uint64_t callers_gone;
     uint64_t sends;
     uint64_t sent_again;
--- a/src/gateway/load_sharing.c
+++ b/src/gateway/load_sharing.c
@@ -12,9 +12,9 @@
 
 enum {
     PERIOD_MS = 30,
-    PERIOD_EACH_MS = 2,    /**< Added for each gateway. */
-    REFRESH_MS = 400,      /**< Told again after this although nothing has changed. */
-    FORGET_MS = 1000,      /**< What a silent gateway said last counts for so long. */
+    PERIOD_EACH_MS = 2, /**< Added for each gateway. */
+    REFRESH_MS = 400,   /**< Told again after this although nothing has changed. */
+    FORGET_MS = 1000,   /**< What a silent gateway said last counts for so long. */
     ENTRIES_MAXIMUM = 4096,
 };
 
--- a/src/gateway/main.c
+++ b/src/gateway/main.c
@@ -11,10 +11,10 @@
 enum {
     UPKEEP_MS = 100,
     /* Steps of a planned stop, from the signal on. */
-    STOP_NOTICE_MS = 2300,  /**< Until then new connections come, and are served. */
-    STOP_REFUSE_MS = 3000,  /**< New calls are refused: they might not end in time. */
-    STOP_RESERVE_MS = 300,        /**< Left of the grace time when the process ends. */
-    CACHE_SHARE_PERCENT = 25,     /**< Of the process's memory, for recent turns. */
+    STOP_NOTICE_MS = 2300,    /**< Until then new connections come, and are served. */
+    STOP_REFUSE_MS = 3000,    /**< New calls are refused: they might not end in time. */
+    STOP_RESERVE_MS = 300,    /**< Left of the grace time when the process ends. */
+    CACHE_SHARE_PERCENT = 25, /**< Of the process's memory, for recent turns. */
     PERCENT = 100,
     MEGABYTE = 1024 * 1024,
 };
@@ -41,9 +41,9 @@
 
 static const struct argp_option options[] = {
     {"settings", 's', "FILE", 0, "Settings file; default: $RUDDERWAY_SETTINGS", 0}, {0}};
-static const struct argp argp = {options, parse_option, NULL,
-                                 "Rudderway's gateway: takes calls and sends them to back ends.",
-                                 NULL, NULL, NULL};
+static const struct argp argp = {
+    options, parse_option, NULL, "Rudderway's gateway: takes calls and sends them to back ends.",
+    NULL,    NULL,         NULL};
 
 static void on_upkeep(uv_timer_t *timer) {
     gateway_t *gateway = timer->data;
@@ -79,8 +79,7 @@
     event_log(SETTINGS_RELOADED, number);
 }
 
-static void watch_signal(gateway_t *gateway, uv_signal_t *handle, int number,
-                         uv_signal_cb action) {
+static void watch_signal(gateway_t *gateway, uv_signal_t *handle, int number, uv_signal_cb action) {
     uv_signal_init(gateway->loop, handle);
     handle->data = gateway;
     uv_signal_start(handle, action, number);
@@ -94,12 +93,11 @@
 static bool open_gateway(gateway_t *gateway) {
     const process_settings_t *settings = gateway->settings;
     backends_init(&gateway->backends, gateway->loop, settings->zone);
-    gateway->load_sharing =
-        load_sharing_open(gateway->loop, &settings->peer, &gateway->backends);
+    gateway->load_sharing = load_sharing_open(gateway->loop, &settings->peer, &gateway->backends);
     if (gateway->load_sharing == NULL)
         return false;
-    gateway->stores = store_client_new(gateway->loop, settings->zone, settings->peer_text,
-                                       on_gateways, gateway);
+    gateway->stores =
+        store_client_new(gateway->loop, settings->zone, settings->peer_text, on_gateways, gateway);
     gateway->split_credits = split_credits_new();
     chain_cache_init(&gateway->chains,
                      settings->memory_megabytes * MEGABYTE * CACHE_SHARE_PERCENT / PERCENT);
--- a/src/gateway/reports.c
+++ b/src/gateway/reports.c
@@ -83,8 +83,7 @@
         sum += counters->latency[i];
         bool last = i + 1 == LATENCY_BUCKETS;
         char *bound = last ? g_strdup("+Inf") : g_strdup_printf("%u", 1U << i);
-        g_string_append_printf(text,
-                               "rudderway_call_ms_bucket{le=\"%s\"} %" G_GUINT64_FORMAT "\n",
+        g_string_append_printf(text, "rudderway_call_ms_bucket{le=\"%s\"} %" G_GUINT64_FORMAT "\n",
                                bound, (guint64)sum);
         g_free(bound);
     }
@@ -97,8 +96,8 @@
         return;
     }
     GString *text = figures(owner);
-    http_caller_answer(caller, STATUS_OK, "Content-Type: text/plain; version=0.0.4\r\n",
-                       text->str, text->len);
+    http_caller_answer(caller, STATUS_OK, "Content-Type: text/plain; version=0.0.4\r\n", text->str,
+                       text->len);
     g_string_free(text, TRUE);
 }
 
--- a/src/gateway/store_client.c
+++ b/src/gateway/store_client.c
@@ -30,7 +30,7 @@
     void (*on_gateways)(void *owner, const GPtrArray *addresses);
     void *owner;
     store_group_t *group;
-    GPtrArray *members; /**< Of member_t, those of the zone first. */
+    GPtrArray *members;     /**< Of member_t, those of the zone first. */
     GHashTable *operations; /**< Number to store_operation_t. */
     uint64_t last_number;
     uv_timer_t reconnect;
@@ -190,8 +190,7 @@
 }
 
 /** Takes over the connection of a member that stays, with what waits for it. */
-static member_t *take_member(store_client_t *client, GPtrArray *old,
-                             const store_member_t *record) {
+static member_t *take_member(store_client_t *client, GPtrArray *old, const store_member_t *record) {
     struct sockaddr_in address;
     parse_socket_address(record->address, &address);
     for (guint i = 0; i < old->len; i++) {
--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -18,11 +18,11 @@
 
 enum {
     READ_BUFFER_BYTES = 65536,
-    SILENT_PEER_MS = 2000,      /**< Unacknowledged bytes for so long end a connection. */
-    PROBE_SECONDS = 1,          /**< Idle time before, and pause between, keep-alive probes. */
+    SILENT_PEER_MS = 2000, /**< Unacknowledged bytes for so long end a connection. */
+    PROBE_SECONDS = 1,     /**< Idle time before, and pause between, keep-alive probes. */
     PROBES = 2,
-    IDLE_DEFAULT_MS = 4000,     /**< Kept so long if the server does not say. */
-    IDLE_MARGIN_MS = 700,       /**< Left unused of the time that the server tells. */
+    IDLE_DEFAULT_MS = 4000, /**< Kept so long if the server does not say. */
+    IDLE_MARGIN_MS = 700,   /**< Left unused of the time that the server tells. */
 };
 
 typedef enum { STATE_CONNECTING, STATE_IDLE, STATE_BUSY, STATE_CLOSED } client_state_t;
--- a/src/net/http_listener.c
+++ b/src/net/http_listener.c
@@ -12,9 +12,9 @@
 enum {
     BACKLOG = 512,
     READ_BUFFER_BYTES = 65536,
-    AHEAD_BYTES = 65536,          /**< Kept of what a caller sends before its answer. */
+    AHEAD_BYTES = 65536,            /**< Kept of what a caller sends before its answer. */
     UNSENT_BYTES = 4 * 1024 * 1024, /**< A caller that leaves more unread is cut off. */
-    LINGER_MS = 300,              /**< A refused caller may read its answer for so long. */
+    LINGER_MS = 300,                /**< A refused caller may read its answer for so long. */
 };
 
 struct http_listener {
@@ -36,11 +36,11 @@
     http_listener_t *listener;
     caller_state_t state;
     unsigned open_handles;
-    bool begun;        /**< A byte of the request was read. */
+    bool begun; /**< A byte of the request was read. */
     bool too_large;
     bool chunked;
-    bool keep;         /**< The connection may serve another request. */
-    bool broken;       /**< A write failed; the timer reports the end outside the owner's call. */
+    bool keep;   /**< The connection may serve another request. */
+    bool broken; /**< A write failed; the timer reports the end outside the owner's call. */
     bool close_when_written;
     unsigned pending_writes;
     http_parser parser;
@@ -242,8 +242,8 @@
         g_string_append(bytes, "\r\n");
 }
 
-void http_caller_begin(http_caller_t *caller, unsigned status, const char *fields,
-                       const char *data, size_t length) {
+void http_caller_begin(http_caller_t *caller, unsigned status, const char *fields, const char *data,
+                       size_t length) {
     caller->chunked = caller->parser.http_major == 1 && caller->parser.http_minor >= 1;
     caller->keep = will_keep(caller) && caller->chunked;
     GString *bytes = answer_head(caller, status, fields);
--- a/src/net/http_listener.h
+++ b/src/net/http_listener.h
@@ -67,8 +67,8 @@
 void http_caller_answer(http_caller_t *caller, unsigned status, const char *fields,
                         const char *body, size_t length);
 /** Begins an answer of unknown length; @p data may hold its first bytes. */
-void http_caller_begin(http_caller_t *caller, unsigned status, const char *fields,
-                       const char *data, size_t length);
+void http_caller_begin(http_caller_t *caller, unsigned status, const char *fields, const char *data,
+                       size_t length);
 void http_caller_piece(http_caller_t *caller, const char *data, size_t length);
 void http_caller_end(http_caller_t *caller);
 /** Ends the connection so that a begun answer can't look complete. */
--- a/src/store/main.c
+++ b/src/store/main.c
@@ -27,9 +27,9 @@
 
 static const struct argp_option options[] = {
     {"settings", 's', "FILE", 0, "Settings file; default: $RUDDERWAY_SETTINGS", 0}, {0}};
-static const struct argp argp = {options, parse_option, NULL,
-                                 "Rudderway's storage node: keeps turns and budgets on disk.",
-                                 NULL, NULL, NULL};
+static const struct argp argp = {
+    options, parse_option, NULL, "Rudderway's storage node: keeps turns and budgets on disk.",
+    NULL,    NULL,         NULL};
 
 static bool segment_unneeded(void *owner, uint32_t segment) {
     const store_t *store = owner;
@@ -77,8 +77,7 @@
     turn_table_init(&store->turns);
     budget_table_init(&store->budgets);
     store_requests_start(store);
-    store->log =
-        record_log_open(store->loop, store->settings->folder, store_replay, store, error);
+    store->log = record_log_open(store->loop, store->settings->folder, store_replay, store, error);
     if (store->log == NULL)
         return false;
     bool restored = store_restore_state(store);
--- a/src/store/record_log.c
+++ b/src/store/record_log.c
@@ -39,9 +39,9 @@
 typedef struct {
     uv_work_t work;
     record_log_t *log;
-    GArray *entries;    /**< Of pending_t. */
-    GByteArray *bytes;  /**< Records to append, with their heads. */
-    GBytes *state;      /**< The last state among the entries; NULL if none. */
+    GArray *entries;   /**< Of pending_t. */
+    GByteArray *bytes; /**< Records to append, with their heads. */
+    GBytes *state;     /**< The last state among the entries; NULL if none. */
     int file;
     uint32_t segment;
     uint64_t offset;
@@ -124,9 +124,8 @@
         if (batch->file < 0)
             return false;
     }
-    bool written =
-        write_whole(batch->file, batch->bytes->data, batch->bytes->len, batch->offset) &&
-        fdatasync(batch->file) == 0;
+    bool written = write_whole(batch->file, batch->bytes->data, batch->bytes->len, batch->offset) &&
+                   fdatasync(batch->file) == 0;
     if (written && batch->new_segment)
         written = sync_folder(log->folder);
     if (!written && ftruncate(batch->file, (off_t)batch->offset) != 0)
@@ -235,8 +234,7 @@
     add_pending(log, record, false, done, owner);
 }
 
-void record_log_write_state(record_log_t *log, GBytes *state, record_log_done_t done,
-                            void *owner) {
+void record_log_write_state(record_log_t *log, GBytes *state, record_log_done_t done, void *owner) {
     add_pending(log, state, true, done, owner);
 }
 
--- a/src/store/record_log.h
+++ b/src/store/record_log.h
@@ -34,8 +34,7 @@
 /** Appends a record; takes over @p record. */
 void record_log_append(record_log_t *log, GBytes *record, record_log_done_t done, void *owner);
 /** Replaces the state file; takes over @p state. */
-void record_log_write_state(record_log_t *log, GBytes *state, record_log_done_t done,
-                            void *owner);
+void record_log_write_state(record_log_t *log, GBytes *state, record_log_done_t done, void *owner);
 /** Removes closed segments, oldest first, as long as @p unneeded says so. */
 void record_log_trim(record_log_t *log, bool (*unneeded)(void *owner, uint32_t segment),
                      void *owner);
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -32,11 +32,11 @@
     size_t connections_opened;
     uv_timer_t tell_gateways; /**< Runs while the list of gateways has changed. */
     GHashTable *gateways;     /**< Connections of gateways to their addresses. */
-    store_group_t *group;    /**< The latest known; generation 0 if none. */
-    bool group_durable;      /**< The state file holds that generation. */
-    bool founding;           /**< This node's disk dates from the system's first start. */
-    bool identity_durable;   /**< The state file was written. */
-    uint64_t complete_in;    /**< Generation in which this node is complete; 0: in none. */
+    store_group_t *group;     /**< The latest known; generation 0 if none. */
+    bool group_durable;       /**< The state file holds that generation. */
+    bool founding;            /**< This node's disk dates from the system's first start. */
+    bool identity_durable;    /**< The state file was written. */
+    uint64_t complete_in;     /**< Generation in which this node is complete; 0: in none. */
     uint64_t started_at;
     uv_timer_t upkeep;
     bool stopping;
--- a/src/store/store_catch_up.c
+++ b/src/store/store_catch_up.c
@@ -75,7 +75,8 @@
     message_t request;
     message_init(&request, REQUEST_TURNS);
     for (unsigned i = 0; i < TURNS_A_REQUEST && copy->wanted->len > 0; i++)
-        g_ptr_array_add(request.ids, g_ptr_array_steal_index_fast(copy->wanted, copy->wanted->len - 1));
+        g_ptr_array_add(request.ids,
+                        g_ptr_array_steal_index_fast(copy->wanted, copy->wanted->len - 1));
     store_peer_send(copy->peer, &request);
     message_clear(&request);
 }
--- a/src/store/store_membership.c
+++ b/src/store/store_membership.c
@@ -23,10 +23,10 @@
 enum {
     WATCH_WAIT_MS = 10000,
     CHECK_MS = 300,
-    FOUND_AFTER_MS = 2000,      /**< After the start, so that all founders have registered. */
+    FOUND_AFTER_MS = 2000, /**< After the start, so that all founders have registered. */
     FOUND_ALONE_AFTER_MS = 5000,
     FOUNDERS_USUAL = 3,
-    GONE_AFTER_MS = 1200,       /**< A member silent for so long may be replaced. */
+    GONE_AFTER_MS = 1200, /**< A member silent for so long may be replaced. */
     WRITE_AGAIN_MS = 1000,
 };
 
@@ -40,16 +40,16 @@
     uv_timer_t timer;
     key_value_watch_t *own_watch;
     key_value_watch_t *retire_watch;
-    bool listed;              /**< The keys have been listed at least once. */
-    uint64_t group_revision;  /**< Of the group's key; 0: there is none. */
+    bool listed;               /**< The keys have been listed at least once. */
+    uint64_t group_revision;   /**< Of the group's key; 0: there is none. */
     GHashTable *registrations; /**< Node name to registration_t. */
     bool registered;
-    bool writing;             /**< A write is on its way. */
+    bool writing; /**< A write is on its way. */
     uint64_t written_at;
     bool retiring;
     bool retire_running_told;
     bool retire_complete_told;
-    GHashTable *peers;        /**< Node name to store_peer_t, while they are needed. */
+    GHashTable *peers; /**< Node name to store_peer_t, while they are needed. */
 };
 
 static const char group_name[] = "group";
@@ -91,12 +91,10 @@
 static void write_key(store_membership_t *membership, char *key, GBytes *value, bool any,
                       uint64_t expected) {
     const process_settings_t *settings = membership->store->settings;
-    GString *request =
-        key_value_write_request(settings->key_value_text, key, value, any, expected);
+    GString *request = key_value_write_request(settings->key_value_text, key, value, any, expected);
     membership->writing = true;
     membership->written_at = now(membership);
-    key_value_write(membership->store->loop, &settings->key_value, request, on_written,
-                    membership);
+    key_value_write(membership->store->loop, &settings->key_value, request, on_written, membership);
     g_free(key);
     g_bytes_unref(value);
 }
@@ -291,8 +289,7 @@
             store_group_add(group->members, member->name, member->address, member->zone);
     }
     group->target = group->members->len;
-    if (group->target == 0 ||
-        (group->target < FOUNDERS_USUAL && age < FOUND_ALONE_AFTER_MS)) {
+    if (group->target == 0 || (group->target < FOUNDERS_USUAL && age < FOUND_ALONE_AFTER_MS)) {
         store_group_free(group);
         return;
     }
--- a/src/store/store_requests.c
+++ b/src/store/store_requests.c
@@ -120,8 +120,7 @@
 static void settle(store_t *store, frame_connection_t *connection, message_t *request,
                    GBytes *record) {
     const budget_charge_t *charge = &request->charge;
-    budget_table_settle(&store->budgets, charge->program, charge->call, charge->spent,
-                        now(store));
+    budget_table_settle(&store->budgets, charge->program, charge->call, charge->spent, now(store));
     record_log_append(store->log, g_bytes_ref(record), on_write_done,
                       new_write(store, connection, request));
 }
@@ -251,12 +250,10 @@
     uv_timer_start(&store->tell_gateways, on_tell_gateways, TELL_GATEWAYS_MS, 0);
 }
 
-static void take_gateway(store_t *store, frame_connection_t *connection,
-                         const message_t *message) {
+static void take_gateway(store_t *store, frame_connection_t *connection, const message_t *message) {
     if (message->ids->len != 1)
         return;
-    g_hash_table_insert(store->gateways, connection,
-                        g_strdup(g_ptr_array_index(message->ids, 0)));
+    g_hash_table_insert(store->gateways, connection, g_strdup(g_ptr_array_index(message->ids, 0)));
     gateways_changed(store);
 }
 
@@ -310,7 +307,8 @@
 static void on_open(void *owner, frame_connection_t *connection) {
     store_t *store = owner;
     store->connections_opened++;
-    g_hash_table_insert(store->connections, connection, GSIZE_TO_POINTER(store->connections_opened));
+    g_hash_table_insert(store->connections, connection,
+                        GSIZE_TO_POINTER(store->connections_opened));
     store_send_group(store, connection);
 }
 
--- a/src/store/store_state.c
+++ b/src/store/store_state.c
@@ -25,7 +25,8 @@
     (void)segment;
     if (durable) {
         store->identity_durable = true;
-        store->group_durable = store->group_durable || write->generation == store->group->generation;
+        store->group_durable =
+            store->group_durable || write->generation == store->group->generation;
         if (write->complete_in > store->complete_in) {
             store->complete_in = write->complete_in;
             event_log(STORE_COMPLETE, store->complete_in, g_hash_table_size(store->turns.entries));
--- /dev/null
+++ b/tests/unit/gateway_test.cc
@@ -0,0 +1,242 @@
+// Decisions of the gateway that need no socket: events, prompts, routes, splits, back ends.
+#include <glib.h>
+
+extern "C" {
+#include "gateway/backends.h"
+#include "gateway/chain_cache.h"
+#include "gateway/event_stream.h"
+#include "gateway/split.h"
+#include "net/http_headers.h"
+}
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <string>
+
+namespace {
+
+class EventStream : public testing::Test {
+  protected:
+    void SetUp() override {
+        event_stream_init(&stream);
+        whole = g_string_new(nullptr);
+    }
+    void TearDown() override {
+        event_stream_clear(&stream);
+        g_string_free(whole, TRUE);
+    }
+    void feed(const std::string &bytes) {
+        event_stream_feed(&stream, bytes.data(), bytes.size(), whole);
+    }
+    event_stream_t stream;
+    GString *whole;
+};
+
+TEST_F(EventStream, PassesOnWholeEventsOnlyWhateverTheCuts) {
+    const std::string text =
+        "id: 1\ndata: one\n\nid: 2\r\ndata:two\r\n\r\nid: 3\ndata: a\ndata: b\n\n";
+    for (size_t cut = 0; cut <= text.size(); cut++) {
+        TearDown();
+        SetUp();
+        feed(text.substr(0, cut));
+        std::string first(whole->str, whole->len);
+        EXPECT_EQ(text.compare(0, first.size(), first), 0);
+        EXPECT_TRUE(first.empty() || first.back() == '\n');
+        feed(text.substr(cut));
+        EXPECT_EQ(std::string(whole->str, whole->len), text) << cut;
+        EXPECT_EQ(stream.events, 3u);
+        EXPECT_STREQ(stream.output->str, "one\ntwo\na\nb\n");
+        EXPECT_STREQ(stream.last_id->str, "3");
+        EXPECT_TRUE(event_stream_at_boundary(&stream));
+    }
+}
+
+TEST_F(EventStream, AnEventThatBrokeOffIsNeitherPassedOnNorKept) {
+    feed("id: 1\ndata: one\n\nid: 2\ndata: tw");
+    EXPECT_FALSE(event_stream_at_boundary(&stream));
+    event_stream_drop_partial(&stream);
+    feed("id: 2\ndata: two\n\n");
+    EXPECT_STREQ(whole->str, "id: 1\ndata: one\n\nid: 2\ndata: two\n\n");
+    EXPECT_STREQ(stream.output->str, "one\ntwo\n");
+}
+
+turn_t make_turn(const char *id, const char *parent) {
+    std::string input = std::string("<") + id + ">";
+    std::string output = std::string("[") + id + "]\n";
+    return {g_strdup(id), g_strdup(parent), g_bytes_new(input.data(), input.size()),
+            g_bytes_new(output.data(), output.size()), 1000};
+}
+
+TEST(ChainCache, JoinsTheChainOldestFirstAndNamesAMissingTurn) {
+    chain_cache_t cache;
+    chain_cache_init(&cache, 1 << 20);
+    const char *turns[][2] = {{"a", ""}, {"b", "a"}, {"x", "a"}, {"d", "c"}};
+    for (auto &row : turns) {
+        turn_t turn = make_turn(row[0], row[1]);
+        chain_cache_add(&cache, &turn);
+        turn_clear(&turn);
+    }
+    GString *prompt = g_string_new(nullptr);
+    EXPECT_EQ(chain_cache_prompt(&cache, "b", prompt), nullptr);
+    EXPECT_STREQ(prompt->str, "<a>[a]\n<b>[b]\n");
+    g_string_truncate(prompt, 0);
+    EXPECT_STREQ(chain_cache_prompt(&cache, "d", prompt), "c");
+    EXPECT_EQ(prompt->len, 0u);
+    g_string_free(prompt, TRUE);
+    chain_cache_clear(&cache);
+}
+
+TEST(ChainCache, StaysWithinItsBoundAndDropsTheLeastRecentlyUsed) {
+    chain_cache_t cache;
+    chain_cache_init(&cache, 3000);
+    for (int i = 0; i < 100; i++) {
+        turn_t turn = make_turn(std::to_string(i).c_str(), "");
+        chain_cache_add(&cache, &turn);
+        turn_clear(&turn);
+        chain_cache_find(&cache, "0");
+        EXPECT_LE(cache.bytes, 3000u);
+    }
+    EXPECT_NE(chain_cache_find(&cache, "0"), nullptr);
+    EXPECT_EQ(chain_cache_find(&cache, "1"), nullptr);
+    chain_cache_clear(&cache);
+}
+
+route_t *make_route(const char *host, const char *prefix) {
+    route_t *route = directory_route_new();
+    route->name = g_strdup(prefix);
+    route->host = g_strdup(host);
+    route->path_prefix = g_strdup(prefix);
+    return route;
+}
+
+TEST(Routes, TheLongestPrefixOfTheHostWins) {
+    directory_configuration_t *configuration = directory_configuration_new();
+    for (const char *prefix : {"/a/", "/a/b/", "/"})
+        g_ptr_array_add(configuration->routes, make_route("one.example", prefix));
+    g_ptr_array_add(configuration->routes, make_route("two.example", "/a/b/c/"));
+    auto find = [&](const char *host, const char *path) {
+        const route_t *route = directory_find_route(configuration, host, path);
+        return std::string(route == nullptr ? "none" : route->path_prefix);
+    };
+    EXPECT_EQ(find("one.example", "/a/b/c/d"), "/a/b/");
+    EXPECT_EQ(find("ONE.example:80", "/a/x?y=/a/b/"), "/a/");
+    EXPECT_EQ(find("one.example", "/ab"), "/");
+    EXPECT_EQ(find("two.example", "/a/b/c"), "none");
+    EXPECT_EQ(find("three.example", "/"), "none");
+    directory_configuration_unref(configuration);
+}
+
+TEST(Split, FollowsTheWeightsInEveryShortRun) {
+    route_t *route = make_route("h", "/");
+    for (auto [service, weight] : {std::pair{"x", 90u}, std::pair{"y", 10u}, std::pair{"z", 0u}}) {
+        route_part_t part = {g_strdup(service), weight};
+        g_array_append_val(route->parts, part);
+    }
+    GHashTable *credits = split_credits_new();
+    std::map<std::string, int> counts;
+    for (int i = 1; i <= 1000; i++) {
+        counts[split_next(credits, route)]++;
+        EXPECT_NEAR(counts["y"], i * 0.1, 1.0);
+    }
+    EXPECT_EQ(counts["z"], 0);
+    g_hash_table_destroy(credits);
+    directory_configuration_t *owner = directory_configuration_new();
+    g_ptr_array_add(owner->routes, route);
+    directory_configuration_unref(owner);
+}
+
+class Backends : public testing::Test {
+  protected:
+    void SetUp() override {
+        uv_loop_init(&loop);
+        backends_init(&backends, &loop, "here");
+    }
+    void TearDown() override {
+        uv_run(&loop, UV_RUN_NOWAIT);
+        uv_loop_close(&loop);
+    }
+    void add(const char *instance, const char *zone, bool leaving = false) {
+        auto *record = g_new0(backend_record_t, 1);
+        record->instance = g_strdup(instance);
+        record->service = g_strdup("s");
+        record->zone = g_strdup(zone);
+        record->slots = 2;
+        record->leaving = leaving;
+        backends_update(&backends, record);
+    }
+    std::string choose(const char *program, GPtrArray *excluded = nullptr) {
+        backend_choice_t choice = {"s", program, excluded, 2};
+        last = backends_choose(&backends, &choice);
+        return last == nullptr ? "none" : last->record->instance;
+    }
+    uv_loop_t loop;
+    backends_t backends;
+    backend_t *last;
+};
+
+TEST_F(Backends, NoCallGoesToOneThatIsLeavingOrGone) {
+    add("a", "here", true);
+    EXPECT_EQ(choose(nullptr), "none");
+    add("a", "here");
+    EXPECT_EQ(choose(nullptr), "a");
+    backends_remove(&backends, "a");
+    EXPECT_EQ(choose(nullptr), "none");
+}
+
+TEST_F(Backends, AProgramStaysWithItsEngineUntilThatIsFull) {
+    for (const char *instance : {"a", "b", "c"})
+        add(instance, "here");
+    add("far", "there");
+    std::string home = choose("program");
+    EXPECT_NE(home, "far");
+    backend_release(last);
+    EXPECT_EQ(choose("program"), home);
+    EXPECT_EQ(choose("program"), home);
+    std::string next = choose("program");
+    EXPECT_NE(next, home);
+    EXPECT_NE(next, "far");
+}
+
+TEST_F(Backends, WhatOtherGatewaysHaveUnderWayCounts) {
+    add("a", "here");
+    add("b", "here");
+    std::string first = choose(nullptr);
+    backend_release(last);
+    backends_find_hash(&backends, last->id_hash)->elsewhere = 5;
+    EXPECT_NE(choose(nullptr), first);
+}
+
+TEST_F(Backends, AFailureKeepsCallsAwayAndExclusionIsStrict) {
+    add("a", "here");
+    add("b", "there");
+    EXPECT_EQ(choose(nullptr), "a");
+    backend_note_failure(last);
+    backend_t *failed = last;
+    EXPECT_EQ(choose(nullptr), "b");
+    GPtrArray *excluded = g_ptr_array_new();
+    g_ptr_array_add(excluded, failed);
+    g_ptr_array_add(excluded, last);
+    EXPECT_EQ(choose(nullptr, excluded), "none");
+    g_ptr_array_free(excluded, TRUE);
+}
+
+TEST(HttpHeaders, PiecesJoinAndNamesIgnoreCase) {
+    http_headers_t headers;
+    http_headers_init(&headers);
+    for (const char *piece : {"Fi", "rst"})
+        http_headers_name_piece(&headers, piece, strlen(piece));
+    for (const char *piece : {"va", "lue"})
+        http_headers_value_piece(&headers, piece, strlen(piece));
+    http_headers_name_piece(&headers, "Empty", 5);
+    http_headers_finish(&headers);
+    EXPECT_EQ(http_headers_count(&headers), 2u);
+    EXPECT_STREQ(http_headers_find(&headers, "FIRST"), "value");
+    EXPECT_STREQ(http_headers_find(&headers, "empty"), "");
+    EXPECT_EQ(http_headers_find(&headers, "fir"), nullptr);
+    EXPECT_TRUE(http_header_is_hop_by_hop("Transfer-Encoding"));
+    EXPECT_FALSE(http_header_is_hop_by_hop("Retry-After"));
+    http_headers_clear(&headers);
+}
+
+} // namespace
--- /dev/null
+++ b/tests/unit/platform_test.cc
@@ -0,0 +1,144 @@
+// The adapter to the users' platform: their words in, Rudderway's records out.
+#include <glib.h>
+
+extern "C" {
+#include "cluster/key_value.h"
+#include "cluster/process_settings.h"
+#include "cluster/service_directory.h"
+}
+
+#include <gtest/gtest.h>
+
+#include <arpa/inet.h>
+#include <cstdio>
+#include <fstream>
+#include <string>
+
+namespace {
+
+TEST(Platform, ReadsAConfiguration) {
+    const std::string text = R"({"version":7,"routes":[
+        {"name":"r1","host":"a.example","path-prefix":"/x/","kind":"streaming","timeout-ms":4000,
+         "target-latency-ms":200,"priority":1,"traffic-split":[{"service":"s1","weight":90},
+         {"service":"s2","weight":10}],"attempts":1,"stateful":true,"retention-s":60.0,
+         "resumable":false,"unheard-of":[1]},
+        {"name":"r2","host":"a.example","path-prefix":"/y/","kind":"safe","service":"s2"},
+        {"name":"r3","host":"a.example","path-prefix":"/z/","kind":"unsafe","service":"s2"}],
+        "services":[{"name":"s1","connection-limit":160,"engine":{"slots":12,
+         "tokens-per-event":9}},{"name":"s2"}],
+        "limits":{"max-header-bytes":1000,"max-body-bytes":2000,"header-timeout-ms":30,
+         "idle-timeout-ms":40}})";
+    directory_configuration_t *configuration =
+        directory_parse_configuration(text.data(), text.size());
+    ASSERT_NE(configuration, nullptr);
+    EXPECT_EQ(configuration->version, 7u);
+    EXPECT_EQ(configuration->limits.header_bytes, 1000u);
+    EXPECT_EQ(configuration->limits.idle_timeout_ms, 40u);
+    const route_t *turns = directory_find_route(configuration, "a.example", "/x/1");
+    EXPECT_EQ(turns->kind, CALL_STREAM);
+    EXPECT_TRUE(turns->keeps_turns);
+    EXPECT_FALSE(turns->resumable);
+    EXPECT_EQ(turns->retention_ms, 60000u);
+    EXPECT_EQ(turns->parts->len, 2u);
+    EXPECT_EQ(directory_find_route(configuration, "a.example", "/y/")->kind, CALL_REPEATABLE);
+    const route_t *once = directory_find_route(configuration, "a.example", "/z/");
+    EXPECT_EQ(once->kind, CALL_AT_MOST_ONCE);
+    EXPECT_EQ(once->attempts, 1u);
+    EXPECT_STREQ(g_array_index(once->parts, route_part_t, 0).service, "s2");
+    EXPECT_EQ(directory_find_service(configuration, "s1")->tokens_per_event, 9u);
+    EXPECT_FALSE(directory_find_service(configuration, "s2")->engine);
+    directory_configuration_unref(configuration);
+    for (const char *bad : {"", "{}", "[1]", "{\"routes\":[]", "null"})
+        EXPECT_EQ(directory_parse_configuration(bad, strlen(bad)), nullptr) << bad;
+}
+
+TEST(Platform, ReadsABackEndAndWhetherItLeaves) {
+    const char *ready = R"({"service":"s","address":"10.1.2.3:80","zone":"z","slots":6,
+        "state":"ready","sequence":4})";
+    backend_record_t *backend = directory_parse_backend("i-1", ready, strlen(ready));
+    ASSERT_NE(backend, nullptr);
+    EXPECT_FALSE(backend->leaving);
+    EXPECT_EQ(ntohs(backend->address.sin_port), 80);
+    EXPECT_EQ(backend->slots, 6u);
+    backend_record_free(backend);
+    const char *draining = R"({"service":"s","address":"10.1.2.3:80","state":"draining"})";
+    backend = directory_parse_backend("i-1", draining, strlen(draining));
+    EXPECT_TRUE(backend->leaving);
+    backend_record_free(backend);
+    for (const char *bad : {"", "{}", R"({"address":"10.1.2.3"})", R"({"address":"x:1"})"})
+        EXPECT_EQ(directory_parse_backend("i-1", bad, strlen(bad)), nullptr) << bad;
+}
+
+TEST(Platform, ReadsListingsAndEvents) {
+    const std::string listing = R"({"items":[{"private-key":"servers/i-1","value":"aGk=",
+        "revision":4,"made":4,"lease":0}],"more":true,"at":9})";
+    key_value_page_t page = {};
+    ASSERT_TRUE(key_value_parse_page(listing.data(), listing.size(), &page));
+    EXPECT_TRUE(page.more);
+    EXPECT_EQ(page.revision, 9u);
+    const auto &item = g_array_index(page.items, key_value_item_t, 0);
+    EXPECT_EQ(memcmp(g_bytes_get_data(item.value, nullptr), "hi", 2), 0);
+    key_value_page_clear(&page);
+    const std::string events =
+        R"({"events":[{"private-key":"op/config","revision":5,"gone":true}],"at":5})";
+    ASSERT_TRUE(key_value_parse_events(events.data(), events.size(), &page));
+    EXPECT_EQ(g_array_index(page.items, key_value_item_t, 0).value, nullptr);
+    key_value_page_clear(&page);
+    for (const char *bad : {"", "{}", "{\"items\":[{}],\"at\":1}", "{\"items\":[]}"}) {
+        EXPECT_FALSE(key_value_parse_page(bad, strlen(bad), &page)) << bad;
+        key_value_page_clear(&page);
+    }
+}
+
+TEST(Platform, TellsKeysApart) {
+    const char *name;
+    EXPECT_EQ(key_value_kind("op/config", &name), KEY_CONFIGURATION);
+    EXPECT_EQ(key_value_kind("servers/i-1", &name), KEY_BACKEND);
+    EXPECT_STREQ(name, "i-1");
+    EXPECT_EQ(key_value_kind("op/retire/n", &name), KEY_RETIRE);
+    EXPECT_STREQ(name, "n");
+    EXPECT_EQ(key_value_kind("op/other", &name), KEY_OTHER);
+    char *own = key_value_own_key("group");
+    EXPECT_EQ(key_value_kind(own, &name), KEY_OWN);
+    EXPECT_STREQ(name, "group");
+    g_free(own);
+}
+
+TEST(Platform, AWriteCarriesItsConditionAndValue) {
+    GBytes *value = g_bytes_new("hi", 2);
+    GString *request = key_value_write_request("h:1", "k\"ey", value, false, 12);
+    std::string text(request->str);
+    EXPECT_NE(text.find("aGk="), std::string::npos);
+    EXPECT_NE(text.find("\"revision\":12"), std::string::npos);
+    EXPECT_NE(text.find("k\\\"ey"), std::string::npos);
+    size_t body = text.find("\r\n\r\n") + 4;
+    EXPECT_NE(text.find("Content-Length: " + std::to_string(text.size() - body)),
+              std::string::npos);
+    g_string_free(request, TRUE);
+    g_bytes_unref(value);
+}
+
+TEST(ProcessSettings, EachBadValueIsRefusedWithItsName) {
+    const std::string good = "[node]\nname=n\nzone=z\n[key_value]\naddress=127.0.0.1:1\n"
+                             "[peer]\nlisten=127.0.0.1:2\n[store]\nfolder=/tmp\n";
+    const std::string path = testing::TempDir() + "settings.ini";
+    auto load = [&](const std::string &text, process_kind_t kind) {
+        std::ofstream(path) << text;
+        GError *error = nullptr;
+        process_settings_t *settings = process_settings_load(path.c_str(), kind, &error);
+        std::string message = error == nullptr ? "" : error->message;
+        g_clear_error(&error);
+        EXPECT_EQ(settings == nullptr, !message.empty());
+        return message;
+    };
+    EXPECT_EQ(load(good, PROCESS_STORE), "");
+    EXPECT_NE(load(good, PROCESS_GATEWAY).find("gateway.calls"), std::string::npos);
+    EXPECT_NE(load(good + "disk_megabytes=many\n", PROCESS_STORE).find("store.disk_megabytes"),
+              std::string::npos);
+    EXPECT_NE(load("[node]\nname=n\n", PROCESS_STORE).find("node.zone"), std::string::npos);
+    EXPECT_NE(load(good + "[metrics]\nlisten=here\n", PROCESS_STORE).find("metrics.listen"),
+              std::string::npos);
+    std::remove(path.c_str());
+}
+
+} // namespace
--- /dev/null
+++ b/tests/unit/record_log_test.cc
@@ -0,0 +1,178 @@
+// The synced log on a real folder: torn tails, holes, full disks, lost state.
+#include <glib.h>
+
+extern "C" {
+#include "store/record_log.h"
+}
+
+#include <gtest/gtest.h>
+
+#include <csignal>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <random>
+#include <string>
+#include <sys/resource.h>
+#include <vector>
+
+namespace {
+
+namespace fs = std::filesystem;
+
+class RecordLog : public testing::Test {
+  protected:
+    void SetUp() override {
+        char path[] = "/tmp/rudderway-log-XXXXXX";
+        folder = mkdtemp(path);
+        uv_loop_init(&loop);
+    }
+    void TearDown() override {
+        fs::remove_all(folder);
+    }
+    record_log_t *open() {
+        replayed.clear();
+        GError *error = nullptr;
+        record_log_t *log = record_log_open(
+            &loop, folder.c_str(),
+            [](void *owner, uint32_t, const uint8_t *data, size_t length) {
+                static_cast<RecordLog *>(owner)->replayed.emplace_back(
+                    reinterpret_cast<const char *>(data), length);
+            },
+            this, &error);
+        EXPECT_NE(log, nullptr);
+        return log;
+    }
+    static void done(void *owner, bool durable, uint32_t) {
+        auto *test = static_cast<RecordLog *>(owner);
+        (durable ? test->durable : test->refused)++;
+    }
+    void append(record_log_t *log, const std::string &text) {
+        record_log_append(log, g_bytes_new(text.data(), text.size()), done, this);
+    }
+    void wait() {
+        uv_run(&loop, UV_RUN_DEFAULT);
+    }
+    std::string segment(unsigned number) {
+        char name[32];
+        snprintf(name, sizeof name, "/log.%08u", number);
+        return folder + name;
+    }
+    uv_loop_t loop;
+    std::string folder;
+    std::vector<std::string> replayed;
+    int durable = 0;
+    int refused = 0;
+};
+
+TEST_F(RecordLog, ReplaysWhatWasDurableInItsOrder) {
+    record_log_t *log = open();
+    for (int i = 0; i < 50; i++)
+        append(log, "record " + std::to_string(i));
+    EXPECT_EQ(durable, 0) << "nothing is durable before the disk has it";
+    wait();
+    EXPECT_EQ(durable, 50);
+    append(log, "last");
+    wait();
+    open();
+    ASSERT_EQ(replayed.size(), 51u);
+    EXPECT_EQ(replayed[0], "record 0");
+    EXPECT_EQ(replayed[50], "last");
+}
+
+TEST_F(RecordLog, ATornTailOrAHoleEndsTheSegmentAtTheLastSoundRecord) {
+    record_log_t *log = open();
+    for (int i = 0; i < 20; i++)
+        append(log, std::string(100, static_cast<char>('a' + i)));
+    wait();
+    std::ifstream file(segment(1), std::ios::binary);
+    std::string sound((std::istreambuf_iterator<char>(file)), {});
+    std::mt19937 random(1);
+    for (int round = 0; round < 300; round++) {
+        std::string torn = sound;
+        size_t at = random() % torn.size();
+        if (round % 3 == 0)
+            torn.resize(at);
+        else if (round % 3 == 1)
+            torn.replace(at, std::min<size_t>(64, torn.size() - at),
+                         std::min<size_t>(64, torn.size() - at), '\0');
+        else
+            torn[at] = static_cast<char>(torn[at] ^ 0x20);
+        std::ofstream(segment(1), std::ios::binary | std::ios::trunc) << torn;
+        open();
+        EXPECT_EQ(replayed.size(), at / 108) << round;
+        for (size_t i = 0; i < replayed.size(); i++)
+            EXPECT_EQ(replayed[i], std::string(100, static_cast<char>('a' + i)));
+    }
+}
+
+TEST_F(RecordLog, ARestartNeverWritesBehindATornTail) {
+    append(open(), "first");
+    wait();
+    std::ofstream(segment(1), std::ios::binary | std::ios::app) << "torn";
+    append(open(), "second");
+    wait();
+    open();
+    ASSERT_EQ(replayed.size(), 2u);
+    EXPECT_EQ(replayed[1], "second");
+}
+
+TEST_F(RecordLog, AFullDiskRefusesAndTheLogGoesOnWhenThereIsRoom) {
+    signal(SIGXFSZ, SIG_IGN);
+    rlimit before;
+    getrlimit(RLIMIT_FSIZE, &before);
+    record_log_t *log = open();
+    append(log, "kept");
+    wait();
+    rlimit full = before;
+    full.rlim_cur = 100;
+    setrlimit(RLIMIT_FSIZE, &full);
+    append(log, std::string(500, 'x'));
+    wait();
+    EXPECT_EQ(durable, 1);
+    EXPECT_EQ(refused, 1);
+    setrlimit(RLIMIT_FSIZE, &before);
+    append(log, "kept too");
+    wait();
+    EXPECT_EQ(durable, 2);
+    open();
+    ASSERT_EQ(replayed.size(), 2u);
+    EXPECT_EQ(replayed[1], "kept too");
+}
+
+TEST_F(RecordLog, TheStateIsReplacedWholeAndAnUnsoundOneIsNone) {
+    record_log_t *log = open();
+    EXPECT_EQ(record_log_read_state(log), nullptr);
+    for (const char *text : {"one", "two"})
+        record_log_write_state(log, g_bytes_new(text, 3), done, this);
+    wait();
+    GBytes *state = record_log_read_state(log);
+    ASSERT_NE(state, nullptr);
+    EXPECT_EQ(memcmp(g_bytes_get_data(state, nullptr), "two", 3), 0);
+    g_bytes_unref(state);
+    std::ofstream(folder + "/state", std::ios::binary | std::ios::trunc) << "nonsense";
+    EXPECT_EQ(record_log_read_state(open()), nullptr);
+}
+
+TEST_F(RecordLog, TrimsOldSegmentsInOrderAndNeverTheOneBeingWritten) {
+    record_log_t *log = open();
+    for (int i = 0; i < 12; i++) {
+        append(log, std::string(1 << 20, 'x'));
+        wait();
+    }
+    uint64_t before = record_log_bytes(log);
+    EXPECT_TRUE(fs::exists(segment(1)));
+    record_log_trim(
+        log, [](void *, uint32_t number) { return number <= 1; }, nullptr);
+    EXPECT_FALSE(fs::exists(segment(1)));
+    EXPECT_TRUE(fs::exists(segment(2)));
+    EXPECT_LT(record_log_bytes(log), before);
+    record_log_trim(
+        log, [](void *, uint32_t) { return true; }, nullptr);
+    append(log, "after");
+    wait();
+    open();
+    EXPECT_EQ(replayed.back(), "after");
+}
+
+} // namespace
--- /dev/null
+++ b/tests/unit/turns_test.cc
@@ -0,0 +1,251 @@
+// Turns, budgets, the store group's arithmetic, and messages.
+#include <glib.h>
+
+extern "C" {
+#include "cluster/message.h"
+#include "core/budget/budget_table.h"
+#include "core/quorum/store_group.h"
+#include "core/turns/turn_table.h"
+}
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+namespace {
+
+turn_t make_turn(const char *id, const char *parent, const char *input = "in",
+                 const char *output = "out\n", uint32_t retention_ms = 1000) {
+    return {g_strdup(id), g_strdup(parent), g_bytes_new(input, strlen(input)),
+            g_bytes_new(output, strlen(output)), retention_ms};
+}
+
+class TurnTable : public testing::Test {
+  protected:
+    void SetUp() override {
+        turn_table_init(&table);
+    }
+    void TearDown() override {
+        turn_table_clear(&table);
+    }
+    bool add(const char *id, const char *parent, uint64_t now, uint32_t segment = 1) {
+        turn_t turn = make_turn(id, parent);
+        bool added = turn_table_add(&table, &turn, segment, now);
+        turn_clear(&turn);
+        return added;
+    }
+    turn_table_t table;
+};
+
+TEST_F(TurnTable, KeepsATurnForItsRetentionTimeAndNoLonger) {
+    EXPECT_TRUE(add("a", "", 0));
+    turn_table_expire(&table, 999);
+    EXPECT_NE(turn_table_find(&table, "a"), nullptr);
+    turn_table_expire(&table, 1000);
+    EXPECT_EQ(turn_table_find(&table, "a"), nullptr);
+    EXPECT_EQ(table.bytes, 0u);
+}
+
+TEST_F(TurnTable, KeepsTheWholeChainAsLongAsItsLastTurn) {
+    add("a", "", 0);
+    add("b", "a", 900);
+    add("c", "b", 1800);
+    turn_table_expire(&table, 2700);
+    EXPECT_NE(turn_table_find(&table, "a"), nullptr);
+    EXPECT_NE(turn_table_find(&table, "b"), nullptr);
+    turn_table_expire(&table, 2800);
+    EXPECT_EQ(turn_table_find(&table, "a"), nullptr);
+}
+
+TEST_F(TurnTable, SeveralTurnsMayGoOnFromOne) {
+    add("a", "", 0);
+    add("b", "a", 100);
+    add("c", "a", 500);
+    turn_table_expire(&table, 1200);
+    EXPECT_EQ(turn_table_find(&table, "b"), nullptr);
+    EXPECT_NE(turn_table_find(&table, "a"), nullptr);
+    EXPECT_NE(turn_table_find(&table, "c"), nullptr);
+}
+
+TEST_F(TurnTable, ATurnNeverChanges) {
+    add("a", "", 0);
+    turn_t other = make_turn("a", "", "other");
+    EXPECT_FALSE(turn_table_add(&table, &other, 1, 0));
+    turn_clear(&other);
+    gsize length;
+    const void *data = g_bytes_get_data(turn_table_find(&table, "a")->input, &length);
+    EXPECT_EQ(std::string(static_cast<const char *>(data), length), "in");
+}
+
+TEST_F(TurnTable, ASegmentIsNeededAsLongAsAChainThatBeginsInIt) {
+    add("a", "", 0, 1);
+    add("b", "a", 900, 2);
+    EXPECT_FALSE(turn_table_segment_unneeded(&table, 1, 1500));
+    EXPECT_TRUE(turn_table_segment_unneeded(&table, 1, 1900));
+    turn_table_need_segment(&table, 1, 5000);
+    EXPECT_FALSE(turn_table_segment_unneeded(&table, 1, 1900));
+}
+
+class BudgetTable : public testing::Test {
+  protected:
+    void SetUp() override {
+        budget_table_init(&table);
+    }
+    void TearDown() override {
+        budget_table_clear(&table);
+    }
+    budget_table_t table;
+};
+
+TEST_F(BudgetTable, NeverReservesBeyondTheBudget) {
+    EXPECT_TRUE(budget_table_reserve(&table, "p", "1", 60, 100, 0));
+    EXPECT_FALSE(budget_table_reserve(&table, "p", "2", 41, 100, 0));
+    EXPECT_TRUE(budget_table_reserve(&table, "p", "3", 40, 100, 0));
+    EXPECT_FALSE(budget_table_reserve(&table, "p", "4", 1, 100, 0));
+    EXPECT_TRUE(budget_table_reserve(&table, "q", "1", 100, 100, 0));
+    EXPECT_FALSE(budget_table_reserve(&table, "r", "1", UINT64_MAX, 100, 0));
+}
+
+TEST_F(BudgetTable, SettlingFreesWhatWasNotMade) {
+    budget_table_reserve(&table, "p", "1", 60, 100, 0);
+    budget_table_settle(&table, "p", "1", 10, 0);
+    EXPECT_EQ(budget_table_charged(&table, "p"), 10u);
+    EXPECT_TRUE(budget_table_reserve(&table, "p", "2", 90, 100, 0));
+    EXPECT_EQ(budget_table_charged(&table, "p"), 100u);
+}
+
+TEST_F(BudgetTable, TheSameCallReservesOnce) {
+    EXPECT_TRUE(budget_table_reserve(&table, "p", "1", 60, 100, 0));
+    EXPECT_TRUE(budget_table_reserve(&table, "p", "1", 60, 100, 0));
+    EXPECT_EQ(budget_table_charged(&table, "p"), 60u);
+}
+
+TEST_F(BudgetTable, MergingNeverFreesAReserveAndTakesASettlement) {
+    char program[] = "p";
+    char call[] = "1";
+    budget_charge_t reserve = {program, call, 60, 0, false};
+    budget_charge_t settled = {program, call, 60, 20, true};
+    EXPECT_FALSE(budget_table_covers(&table, &reserve));
+    budget_table_merge(&table, &reserve, 0);
+    EXPECT_TRUE(budget_table_covers(&table, &reserve));
+    EXPECT_FALSE(budget_table_covers(&table, &settled));
+    EXPECT_EQ(budget_table_charged(&table, "p"), 60u);
+    budget_table_merge(&table, &settled, 0);
+    EXPECT_EQ(budget_table_charged(&table, "p"), 20u);
+    budget_table_merge(&table, &reserve, 0);
+    EXPECT_EQ(budget_table_charged(&table, "p"), 20u);
+}
+
+TEST_F(BudgetTable, ForgetsOnlyProgramsThatRest) {
+    budget_table_reserve(&table, "old", "1", 60, 100, 10);
+    budget_table_reserve(&table, "new", "1", 60, 100, 20);
+    budget_table_expire(&table, 20);
+    EXPECT_EQ(budget_table_charged(&table, "old"), 0u);
+    EXPECT_EQ(budget_table_charged(&table, "new"), 60u);
+}
+
+TEST(StoreGroup, AnyReadQuorumMeetsAnyWriteQuorum) {
+    for (unsigned members = 1; members < 20; members++) {
+        EXPECT_GT(store_write_quorum(members) + store_read_quorum(members), members);
+        EXPECT_GT(2 * store_write_quorum(members), members) << "two reserves must meet";
+    }
+}
+
+store_group_t *make_group(std::initializer_list<const char *> names) {
+    store_group_t *group = store_group_new();
+    group->generation = 1;
+    group->target = static_cast<uint32_t>(names.size());
+    for (const char *name : names)
+        store_group_add(group->members, name, "127.0.0.1:1", "z");
+    return group;
+}
+
+TEST(StoreGroup, AMemberThatKeptItsDiskCopiesFromAReadQuorumOfTheGenerationBefore) {
+    store_group_t *group = make_group({"a", "b", "c", "d"});
+    store_group_t *next = store_group_next(group);
+    store_group_add(next->members, "a", "127.0.0.1:1", "z");
+    store_group_add(next->members, "b", "127.0.0.1:1", "z");
+    store_group_add(next->members, "e", "127.0.0.1:1", "z");
+    store_catch_up_t kept = store_group_catch_up(next, "a", 1);
+    EXPECT_EQ(kept.sources, next->previous);
+    EXPECT_EQ(kept.needed, 1u); // Two of four, and it is one of them.
+    EXPECT_EQ(kept.source_complete_in, 1u);
+    store_group_free(next);
+    store_group_free(group);
+}
+
+TEST(StoreGroup, AMemberWithAnEmptyDiskCopiesFromMembersCompleteInItsOwnGeneration) {
+    store_group_t *group = make_group({"a", "b", "c"});
+    store_catch_up_t empty = store_group_catch_up(group, "a", 0);
+    EXPECT_EQ(empty.sources, group->members);
+    EXPECT_EQ(empty.needed, 2u); // What it acknowledged may stand on one of the others only.
+    EXPECT_EQ(empty.source_complete_in, 1u);
+    store_group_free(group);
+}
+
+TEST(StoreGroup, AMemberThatMissedAGenerationCountsAsEmpty) {
+    store_group_t *group = make_group({"a", "b", "c"});
+    group->generation = 5;
+    store_group_add(group->previous, "a", "127.0.0.1:1", "z");
+    EXPECT_EQ(store_group_catch_up(group, "a", 3).sources, group->members);
+    EXPECT_EQ(store_group_catch_up(group, "b", 4).sources, group->members);
+    EXPECT_EQ(store_group_catch_up(group, "a", 4).sources, group->previous);
+    store_group_free(group);
+}
+
+TEST(StoreGroup, SurvivesItsEncodingAndRefusesNoise) {
+    store_group_t *group = make_group({"b", "a"});
+    GBytes *bytes = store_group_encode(group);
+    gsize length;
+    const auto *data = static_cast<const uint8_t *>(g_bytes_get_data(bytes, &length));
+    store_group_t *copy = store_group_decode(data, length);
+    ASSERT_NE(copy, nullptr);
+    EXPECT_EQ(copy->members->len, 2u);
+    EXPECT_STREQ(g_array_index(copy->members, store_member_t, 0).name, "a");
+    store_group_free(copy);
+    for (gsize cut = 0; cut < length; cut++)
+        EXPECT_EQ(store_group_decode(data, cut), nullptr);
+    g_bytes_unref(bytes);
+    store_group_free(group);
+}
+
+TEST(Message, EveryTypeSurvivesItsEncoding) {
+    for (unsigned type = 0; type < MESSAGE_TYPE_COUNT; type++) {
+        message_t message;
+        message_init(&message, static_cast<message_type_t>(type));
+        message.number = 7;
+        message.generation = 3;
+        message.charge = {g_strdup("p"), g_strdup("c"), 5, 2, true};
+        message.turn_id = g_strdup("t");
+        message.group = g_bytes_new("g", 1);
+        turn_t turn = make_turn("a", "b");
+        message_add_turn(&message, &turn);
+        turn_clear(&turn);
+        g_ptr_array_add(message.ids, g_strdup("x"));
+        GBytes *bytes = message_encode(&message);
+        gsize length;
+        const auto *data = static_cast<const uint8_t *>(g_bytes_get_data(bytes, &length));
+        message_t copy;
+        EXPECT_TRUE(message_decode(&copy, data, length)) << type;
+        EXPECT_EQ(copy.type, type);
+        EXPECT_EQ(copy.number, 7u);
+        EXPECT_EQ(copy.generation, 3u);
+        if (type == REQUEST_PUT_TURN) {
+            ASSERT_EQ(copy.turns->len, 1u);
+            EXPECT_STREQ(g_array_index(copy.turns, turn_t, 0).parent, "b");
+        }
+        if (type == REQUEST_SETTLE) {
+            EXPECT_EQ(copy.charge.spent, 2u);
+        }
+        message_clear(&copy);
+        for (gsize cut = 0; cut < length; cut++) {
+            message_t broken;
+            EXPECT_FALSE(message_decode(&broken, data, cut));
+            message_clear(&broken);
+        }
+        g_bytes_unref(bytes);
+        message_clear(&message);
+    }
+}
+
+} // namespace
