--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -62,6 +62,9 @@
 cluster_begin "$BUILD/check-simulator"
 . tests/integration/simulator_test.sh
 
+echo "--- storage nodes in virtual time"
+. tests/integration/store_simulator_test.sh
+
 echo "--- one node"
 cluster_begin "$BUILD/check-one"
 cluster_standins 4
--- a/src/cluster/message.c
+++ b/src/cluster/message.c
@@ -97,17 +97,22 @@
         codec_bytes(codec, &message->group);
         break;
     case REQUEST_RESERVE:
-        codec_uint64(codec, &message->budget);
-        charge_codec(codec, &message->charge);
-        break;
+    case REQUEST_CHARGES:
     case REQUEST_SETTLE:
     case RECORD_CHARGE:
         charge_codec(codec, &message->charge);
         break;
     case RESPONSE_RESERVE:
+        verdict_codec(codec, &message->verdict);
+        codec_uint64(codec, &message->summary.charged);
+        codec_uint64(codec, &message->summary.digest);
+        break;
     case RESPONSE_DURABLE:
         verdict_codec(codec, &message->verdict);
         break;
+    case RESPONSE_CHARGES:
+        charges_codec(codec, message->charges);
+        break;
     case REQUEST_PUT_TURN:
     case RESPONSE_TURNS:
         turns_codec(codec, message->turns);
--- a/src/cluster/message.h
+++ b/src/cluster/message.h
@@ -19,8 +19,10 @@
 typedef enum {
     MESSAGE_GROUP,    /**< The sender's store group; either way, first on a connection. */
     REQUEST_RESERVE,  /**< Reserve part of a program's budget; also a log record. */
-    RESPONSE_RESERVE, /**< The verdict, at once. */
+    RESPONSE_RESERVE, /**< It is taken; the program's charges in short. */
     RESPONSE_DURABLE, /**< A reserve or a turn is on disk, or can't be put there. */
+    REQUEST_CHARGES,  /**< Read the charges of one program. */
+    RESPONSE_CHARGES,
     REQUEST_SETTLE,   /**< Replace a reserve by what was made; also a log record. */
     REQUEST_PUT_TURN, /**< Keep a finished turn; also a log record. */
     REQUEST_CHAIN,    /**< Read a turn and those it goes on from. */
@@ -51,8 +53,8 @@
     uint64_t number;     /**< Repeated by the answer; 0 if none is wanted. */
     uint64_t generation; /**< Of the sender's group, or in which the sender is complete. */
     verdict_t verdict;
-    budget_charge_t charge; /**< Program, call, and the most or what was spent. */
-    uint64_t budget;        /**< The program's whole budget, in tokens. */
+    budget_charge_t charge;   /**< Program, call, and the most or what was spent. */
+    budget_summary_t summary; /**< A program's charges in short. */
     char *turn_id;
     GBytes *group;   /**< An encoded store group. */
     GArray *turns;   /**< Of turn_t: one to keep, or a chain from its newest turn. */
--- a/src/cluster/process_settings.c
+++ b/src/cluster/process_settings.c
@@ -81,6 +81,16 @@
     g_free(first);
 }
 
+static void process_settings_free(process_settings_t *settings) {
+    g_free(settings->name);
+    g_free(settings->zone);
+    g_free(settings->log_level);
+    g_free(settings->peer_text);
+    g_free(settings->key_value_text);
+    g_free(settings->folder);
+    g_free(settings);
+}
+
 process_settings_t *process_settings_load(const char *path, process_kind_t kind, GError **error) {
     reader_t reader = {.file = g_key_file_new(), .error = error};
     process_settings_t *settings = NULL;
@@ -89,5 +99,8 @@
         read_settings(&reader, settings, kind);
     }
     g_key_file_free(reader.file);
-    return reader.failed ? NULL : settings;
+    if (!reader.failed)
+        return settings;
+    process_settings_free(settings);
+    return NULL;
 }
--- a/src/core/budget/budget_table.c
+++ b/src/core/budget/budget_table.c
@@ -1,9 +1,12 @@
 #include "core/budget/budget_table.h"
 
+#include <string.h>
+#include <xxhash.h>
+
 typedef struct {
     char *id;
     GHashTable *charges; /**< Call id to budget_charge_t. */
-    uint64_t charged;
+    budget_summary_t summary;
     uint64_t changed_at;
 } program_charges_t;
 
@@ -49,6 +52,14 @@
     return charge->settled ? charge->spent : charge->most;
 }
 
+/** Part of a charge in its program's digest; 0 for one that was just made. */
+static uint64_t charge_digest(const budget_charge_t *charge) {
+    if (charge->most == 0 && !charge->settled)
+        return 0;
+    uint64_t seed = 2 * charge_amount(charge) + charge->settled;
+    return XXH64(charge->call, strlen(charge->call), seed);
+}
+
 static budget_charge_t *obtain_charge(program_charges_t *program, const char *call) {
     budget_charge_t *charge = g_hash_table_lookup(program->charges, call);
     if (charge != NULL)
@@ -63,22 +74,21 @@
 /** Sets a charge's state and keeps the program's sum. */
 static void set_charge(program_charges_t *program, budget_charge_t *charge, uint64_t most,
                        bool settled, uint64_t spent) {
-    program->charged -= charge_amount(charge);
+    program->summary.charged -= charge_amount(charge);
+    program->summary.digest ^= charge_digest(charge);
     charge->most = most;
     charge->settled = settled;
     charge->spent = spent;
-    program->charged += charge_amount(charge);
+    program->summary.charged += charge_amount(charge);
+    program->summary.digest ^= charge_digest(charge);
 }
 
-bool budget_table_reserve(budget_table_t *table, const char *program_id, const char *call,
-                          uint64_t most, uint64_t budget, uint64_t now) {
+budget_summary_t budget_table_reserve(budget_table_t *table, const char *program_id,
+                                      const char *call, uint64_t most, uint64_t now) {
     program_charges_t *program = obtain_program(table, program_id, now);
-    if (g_hash_table_contains(program->charges, call))
-        return true;
-    if (most > budget || program->charged > budget - most)
-        return false;
-    set_charge(program, obtain_charge(program, call), most, false, 0);
-    return true;
+    if (!g_hash_table_contains(program->charges, call))
+        set_charge(program, obtain_charge(program, call), most, false, 0);
+    return program->summary;
 }
 
 void budget_table_settle(budget_table_t *table, const char *program_id, const char *call,
@@ -108,7 +118,7 @@
 
 uint64_t budget_table_charged(const budget_table_t *table, const char *program_id) {
     const program_charges_t *program = g_hash_table_lookup(table->programs, program_id);
-    return program == NULL ? 0 : program->charged;
+    return program == NULL ? 0 : program->summary.charged;
 }
 
 void budget_table_expire(budget_table_t *table, uint64_t before) {
@@ -122,16 +132,26 @@
     }
 }
 
-void budget_table_each(const budget_table_t *table,
+static void each_charge(const program_charges_t *program,
+                        void (*visit)(void *user, const budget_charge_t *charge), void *user) {
+    GHashTableIter charges;
+    gpointer charge;
+    g_hash_table_iter_init(&charges, program->charges);
+    while (g_hash_table_iter_next(&charges, NULL, &charge))
+        visit(user, charge);
+}
+
+void budget_table_each(const budget_table_t *table, const char *program_id,
                        void (*visit)(void *user, const budget_charge_t *charge), void *user) {
+    if (program_id != NULL) {
+        const program_charges_t *program = g_hash_table_lookup(table->programs, program_id);
+        if (program != NULL)
+            each_charge(program, visit, user);
+        return;
+    }
     GHashTableIter programs;
     gpointer program;
     g_hash_table_iter_init(&programs, table->programs);
-    while (g_hash_table_iter_next(&programs, NULL, &program)) {
-        GHashTableIter charges;
-        gpointer charge;
-        g_hash_table_iter_init(&charges, ((program_charges_t *)program)->charges);
-        while (g_hash_table_iter_next(&charges, NULL, &charge))
-            visit(user, charge);
-    }
+    while (g_hash_table_iter_next(&programs, NULL, &program))
+        each_charge(program, visit, user);
 }
--- a/src/gateway/split.h
+++ b/src/gateway/split.h
@@ -10,8 +10,8 @@
 
 #include "cluster/service_directory.h"
 
-/** The service for the next call on @p route; @p credits: route name to state, for all routes. */
-const char *split_next(GHashTable *credits, const route_t *route);
+/** The service for the next call on @p route; @p table: route name to state, for all routes. */
+const char *split_next(GHashTable *table, const route_t *route);
 /** An empty state. */
 GHashTable *split_credits_new(void);
 
--- a/src/gateway/store_client.c
+++ b/src/gateway/store_client.c
@@ -2,6 +2,7 @@
 
 #include "cluster/service_directory.h"
 #include "common/event.h"
+#include "core/budget/budget_decision.h"
 #include "net/frame_connection.h"
 
 #include <string.h>
@@ -48,6 +49,11 @@
     uint64_t generation; /**< In which the answers were given. */
     said_t *verdicts;    /**< By member. */
     said_t *durables;
+    uint64_t budget;             /**< Of a reserve: the program's, in tokens. */
+    budget_summary_t *summaries; /**< By member, of those that took the reserve. */
+    bool reading_charges;        /**< The summaries differ: the charges are being read. */
+    said_t *charges_read;        /**< By member. */
+    budget_table_t joined;       /**< The charges that were read. */
     bool granted;
     bool widened; /**< A chain: all members are asked, not just the nearest. */
     const store_operation_handler_t *handler;
@@ -203,15 +209,29 @@
     return new_member(client, record);
 }
 
+static void free_answers(store_operation_t *operation) {
+    if (operation->verdicts == NULL)
+        return;
+    g_free(operation->verdicts);
+    g_free(operation->durables);
+    g_free(operation->charges_read);
+    g_free(operation->summaries);
+    budget_table_clear(&operation->joined);
+}
+
 /** Begins an operation again in the group's present generation. */
 static void restart_operation(store_operation_t *operation) {
     store_client_t *client = operation->client;
     unsigned count = client->members->len;
     operation->generation = client->group->generation;
-    g_free(operation->verdicts);
-    g_free(operation->durables);
-    operation->verdicts = g_new0(said_t, count);
-    operation->durables = g_new0(said_t, count);
+    free_answers(operation);
+    /* One more, so that there is something to point to without any member. */
+    operation->verdicts = (said_t *)g_new0(said_t, count + 1);
+    operation->durables = (said_t *)g_new0(said_t, count + 1);
+    operation->charges_read = (said_t *)g_new0(said_t, count + 1);
+    operation->summaries = g_new0(budget_summary_t, count + 1);
+    operation->reading_charges = false;
+    budget_table_init(&operation->joined);
     for (unsigned i = 0; i < count; i++)
         if (wants_member(operation, i))
             send_operation(operation, g_ptr_array_index(client->members, i));
@@ -268,22 +288,61 @@
     handler->on_durable(owner, durable);
 }
 
-static void evaluate_reserve(store_operation_t *operation) {
+/** Asks those that took the reserve for the program's charges. */
+static void begin_reading_charges(store_operation_t *operation) {
+    store_client_t *client = operation->client;
+    operation->reading_charges = true;
+    message_t request;
+    message_init(&request, REQUEST_CHARGES);
+    request.number = operation->number;
+    request.generation = operation->generation;
+    request.charge.program = g_strdup(operation->request.charge.program);
+    GBytes *bytes = message_encode(&request);
+    for (guint i = 0; i < client->members->len; i++) {
+        const member_t *member = g_ptr_array_index(client->members, i);
+        if (operation->verdicts[i] == SAID_YES && member->open)
+            frame_connection_send(member->connection, g_bytes_ref(bytes));
+    }
+    g_bytes_unref(bytes);
+    message_clear(&request);
+}
+
+static budget_decision_t decide_reserve(store_operation_t *operation) {
     unsigned members = operation->client->members->len;
     unsigned quorum = store_write_quorum(members);
-    if (!operation->granted && count(operation, operation->verdicts, SAID_NO) > members - quorum) {
-        report_verdict(operation, VERDICT_NO, NULL);
-        return;
+    if (count(operation, operation->charges_read, SAID_YES) >= quorum) {
+        uint64_t charged =
+            budget_table_charged(&operation->joined, operation->request.charge.program);
+        return charged <= operation->budget ? BUDGET_GRANTED : BUDGET_REFUSED;
     }
-    bool durable = count(operation, operation->durables, SAID_YES) >= quorum;
-    if (!operation->granted && count(operation, operation->verdicts, SAID_YES) >= quorum) {
-        uint64_t number = operation->number;
-        store_client_t *client = operation->client;
-        report_verdict(operation, VERDICT_YES, NULL);
+    GArray *summaries = g_array_new(FALSE, FALSE, sizeof(budget_summary_t));
+    for (unsigned i = 0; i < members; i++)
+        if (operation->verdicts[i] == SAID_YES)
+            g_array_append_val(summaries, operation->summaries[i]);
+    budget_decision_t decision = budget_decide((const budget_summary_t *)summaries->data,
+                                               summaries->len, quorum, operation->budget);
+    bool enough = summaries->len >= quorum;
+    g_array_free(summaries, TRUE);
+    if (decision == BUDGET_UNDECIDED && enough && !operation->reading_charges)
+        begin_reading_charges(operation);
+    return decision;
+}
+
+static void evaluate_reserve(store_operation_t *operation) {
+    store_client_t *client = operation->client;
+    uint64_t number = operation->number;
+    if (!operation->granted) {
+        budget_decision_t decision = decide_reserve(operation);
+        if (decision == BUDGET_UNDECIDED)
+            return;
+        report_verdict(operation, decision == BUDGET_GRANTED ? VERDICT_YES : VERDICT_NO, NULL);
         /* The owner may have ended it. */
         operation = g_hash_table_lookup(client->operations, &number);
     }
-    if (operation != NULL && operation->granted && durable)
+    if (operation == NULL || !operation->granted)
+        return;
+    unsigned quorum = store_write_quorum(client->members->len);
+    if (count(operation, operation->durables, SAID_YES) >= quorum)
         report_durable(operation, true);
 }
 
@@ -332,6 +391,15 @@
     store_group_free(group);
 }
 
+static void take_charges(store_operation_t *operation, unsigned index, const message_t *message) {
+    if (operation->verdicts[index] != SAID_YES)
+        return;
+    for (guint i = 0; i < message->charges->len; i++)
+        budget_table_merge(&operation->joined, &g_array_index(message->charges, budget_charge_t, i),
+                           0);
+    operation->charges_read[index] = SAID_YES;
+}
+
 static void take_answer(member_t *member, const message_t *message) {
     store_client_t *client = member->client;
     store_operation_t *operation = g_hash_table_lookup(client->operations, &message->number);
@@ -353,6 +421,10 @@
         break;
     case RESPONSE_RESERVE:
         operation->verdicts[index] = said;
+        operation->summaries[index] = message->summary;
+        break;
+    case RESPONSE_CHARGES:
+        take_charges(operation, index, message);
         break;
     case RESPONSE_DURABLE:
         operation->durables[index] = said;
@@ -386,8 +458,7 @@
 static void free_operation(uv_handle_t *handle) {
     store_operation_t *operation = handle->data;
     message_clear(&operation->request);
-    g_free(operation->verdicts);
-    g_free(operation->durables);
+    free_answers(operation);
     g_free(operation);
 }
 
@@ -451,7 +522,7 @@
     operation->request.charge.program = g_strdup(program);
     operation->request.charge.call = g_strdup(call);
     operation->request.charge.most = most;
-    operation->request.budget = budget;
+    operation->budget = budget;
     restart_operation(operation);
     return operation;
 }
--- a/src/net/frame_connection.c
+++ b/src/net/frame_connection.c
@@ -23,7 +23,7 @@
     uv_write_t write_request;
     const frame_handler_t *handler;
     void *owner;
-    void *data;
+    uint64_t serial;
     bool open;
     bool closed;
     bool queued; /**< Stands in the list of connections to flush. */
@@ -34,6 +34,7 @@
 
 static uv_prepare_t flusher;
 static GPtrArray *unflushed;
+static uint64_t last_serial;
 static char read_buffer[READ_BUFFER_BYTES];
 
 static void free_connection(uv_handle_t *handle) {
@@ -203,6 +204,7 @@
 
 static frame_connection_t *new_connection(const frame_handler_t *handler, void *owner) {
     frame_connection_t *connection = g_new0(frame_connection_t, 1);
+    connection->serial = ++last_serial;
     connection->handler = handler;
     connection->owner = owner;
     connection->input = g_byte_array_new();
@@ -279,10 +281,6 @@
     return NULL;
 }
 
-void frame_connection_set_data(frame_connection_t *connection, void *data) {
-    connection->data = data;
-}
-
-void *frame_connection_data(const frame_connection_t *connection) {
-    return connection->data;
+const uint64_t *frame_connection_serial(const frame_connection_t *connection) {
+    return &connection->serial;
 }
--- a/src/net/frame_connection.h
+++ b/src/net/frame_connection.h
@@ -41,8 +41,7 @@
 size_t frame_connection_backlog(const frame_connection_t *connection);
 /** Closes without on_closed. */
 void frame_connection_close(frame_connection_t *connection);
-/** A place for the owner's record of the peer. */
-void frame_connection_set_data(frame_connection_t *connection, void *data);
-void *frame_connection_data(const frame_connection_t *connection);
+/** A number that no other connection of this process has or had; lies in the connection. */
+const uint64_t *frame_connection_serial(const frame_connection_t *connection);
 
 #endif
--- a/src/store/main.c
+++ b/src/store/main.c
@@ -6,7 +6,7 @@
 #include <signal.h>
 #include <stdlib.h>
 
-enum { UPKEEP_MS = 5000, STOP_MS = 1000 };
+enum { STOP_MS = 1000 };
 
 const char *argp_program_version = "rudderway-store " RUDDERWAY_VERSION;
 
@@ -31,20 +31,6 @@
     options, parse_option, NULL, "Rudderway's storage node: keeps turns and budgets on disk.",
     NULL,    NULL,         NULL};
 
-static bool segment_unneeded(void *owner, uint32_t segment) {
-    const store_t *store = owner;
-    return turn_table_segment_unneeded(&store->turns, segment, uv_now(store->loop));
-}
-
-static void on_upkeep(uv_timer_t *timer) {
-    store_t *store = timer->data;
-    uint64_t now = uv_now(store->loop);
-    turn_table_expire(&store->turns, now);
-    if (now > BUDGET_RETENTION_MS)
-        budget_table_expire(&store->budgets, now - BUDGET_RETENTION_MS);
-    record_log_trim(store->log, segment_unneeded, store);
-}
-
 static void on_stop_timer(uv_timer_t *timer) {
     uv_stop(timer->loop);
 }
@@ -70,38 +56,13 @@
     uv_signal_start(handle, action, number);
 }
 
-static bool open_store(store_t *store, GError **error) {
-    store->started_at = uv_now(store->loop);
-    store->group = store_group_new();
-    store->connections = g_hash_table_new(NULL, NULL);
-    turn_table_init(&store->turns);
-    budget_table_init(&store->budgets);
-    store_requests_start(store);
-    store->log = record_log_open(store->loop, store->settings->folder, store_replay, store, error);
-    if (store->log == NULL)
-        return false;
-    bool restored = store_restore_state(store);
-    if (!restored) {
-        store->founding = store->settings->first_start;
-        store_write_state(store);
-    }
-    event_log(STORE_STARTED, store->settings->name, store->settings->zone,
-              store->settings->peer_text, restored ? "kept" : "empty",
-              g_hash_table_size(store->turns.entries), store->group->generation);
-    store->listener =
-        frame_listener_open(store->loop, &store->settings->peer, &store_request_handler, store);
-    if (store->listener == NULL)
-        error_set(error, RUDDERWAY_ERROR_SYSTEM, "%s: cannot listen", store->settings->peer_text);
-    return store->listener != NULL;
-}
-
 static int run(const process_settings_t *settings) {
     uv_loop_t loop;
     store_t store = {.loop = &loop, .settings = settings};
     GError *error = NULL;
     uv_loop_init(&loop);
     frame_loop_start(&loop);
-    if (!open_store(&store, &error)) {
+    if (!store_open(&store, &error)) {
         event_log(NODE_FAILED, error_name((error_code_t)error->code), error->message);
         return EXIT_FAILURE;
     }
@@ -109,12 +70,6 @@
     watch_signal(&store, &signals[0], SIGTERM, on_stop_signal);
     watch_signal(&store, &signals[1], SIGINT, on_stop_signal);
     watch_signal(&store, &signals[2], SIGHUP, on_reload_signal);
-    uv_timer_init(&loop, &store.upkeep);
-    store.upkeep.data = &store;
-    uv_timer_start(&store.upkeep, on_upkeep, UPKEEP_MS, UPKEEP_MS);
-    store.catch_up = store_catch_up_new(&store);
-    store.membership = store_membership_new(&store);
-    store_catch_up_check(&store);
     uv_run(&loop, UV_RUN_DEFAULT);
     event_log(STORE_STOPPED, record_log_idle(store.log) ? 0U : 1U);
     return EXIT_SUCCESS;
--- a/src/store/record_log.c
+++ b/src/store/record_log.c
@@ -336,6 +336,10 @@
     GArray *numbers = find_segments(log, error);
     if (numbers == NULL) {
         g_prefix_error(error, "%s: ", folder);
+        g_array_free(log->segments, TRUE);
+        g_array_free(log->pending, TRUE);
+        g_free(log->folder);
+        g_free(log);
         return NULL;
     }
     uint32_t next = 1;
--- /dev/null
+++ b/src/store/store.c
@@ -0,0 +1,59 @@
+#include "store/store.h"
+
+#include "common/event.h"
+
+enum { UPKEEP_MS = 5000 };
+
+static bool segment_unneeded(void *owner, uint32_t segment) {
+    const store_t *store = owner;
+    return turn_table_segment_unneeded(&store->turns, segment, uv_now(store->loop));
+}
+
+static void on_upkeep(uv_timer_t *timer) {
+    store_t *store = timer->data;
+    uint64_t now = uv_now(store->loop);
+    turn_table_expire(&store->turns, now);
+    if (now > BUDGET_RETENTION_MS)
+        budget_table_expire(&store->budgets, now - BUDGET_RETENTION_MS);
+    record_log_trim(store->log, segment_unneeded, store);
+}
+
+/** Reads the log and the state file; what has neither is new, or has lost its disk. */
+static bool open_log(store_t *store, GError **error) {
+    store->log = record_log_open(store->loop, store->settings->folder, store_replay, store, error);
+    if (store->log == NULL)
+        return false;
+    bool restored = store_restore_state(store);
+    if (!restored) {
+        store->founding = store->settings->first_start;
+        store_write_state(store);
+    }
+    event_log(STORE_STARTED, store->settings->name, store->settings->zone,
+              store->settings->peer_text, restored ? "kept" : "empty",
+              g_hash_table_size(store->turns.entries), store->group->generation);
+    return true;
+}
+
+bool store_open(store_t *store, GError **error) {
+    store->started_at = uv_now(store->loop);
+    store->group = store_group_new();
+    store->connections = g_hash_table_new(g_int64_hash, g_int64_equal);
+    turn_table_init(&store->turns);
+    budget_table_init(&store->budgets);
+    store_requests_start(store);
+    if (!open_log(store, error))
+        return false;
+    store->listener =
+        frame_listener_open(store->loop, &store->settings->peer, &store_request_handler, store);
+    if (store->listener == NULL) {
+        error_set(error, RUDDERWAY_ERROR_SYSTEM, "%s: cannot listen", store->settings->peer_text);
+        return false;
+    }
+    uv_timer_init(store->loop, &store->upkeep);
+    store->upkeep.data = store;
+    uv_timer_start(&store->upkeep, on_upkeep, UPKEEP_MS, UPKEEP_MS);
+    store->catch_up = store_catch_up_new(store);
+    store->membership = store_membership_new(store);
+    store_catch_up_check(store);
+    return true;
+}
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -28,10 +28,9 @@
     turn_table_t turns;
     budget_table_t budgets;
     frame_listener_t *listener;
-    GHashTable *connections; /**< Opened by others: frame_connection_t to its serial number. */
-    size_t connections_opened;
+    GHashTable *connections;  /**< Opened by others: serial number to frame_connection_t. */
     uv_timer_t tell_gateways; /**< Runs while the list of gateways has changed. */
-    GHashTable *gateways;     /**< Connections of gateways to their addresses. */
+    GHashTable *gateways;     /**< Of them, serial number to the gateway's address. */
     store_group_t *group;     /**< The latest known; generation 0 if none. */
     bool group_durable;       /**< The state file holds that generation. */
     bool founding;            /**< This node's disk dates from the system's first start. */
@@ -47,6 +46,12 @@
 /** Charges are kept at least so long after their program's last call, in ms. */
 enum { BUDGET_RETENTION_MS = 300000 };
 
+/**
+ * store.c: reads the log, listens, and joins the group. Loop and settings are set before. False
+ * and @p error if the folder can't be read or the address not be listened on.
+ */
+bool store_open(store_t *store, GError **error);
+
 /* store_state.c: what this node knows of itself and its group. */
 
 /** Adopts a group if it is later than the one known, and tells all connections. */
--- a/src/store/store_requests.c
+++ b/src/store/store_requests.c
@@ -1,11 +1,12 @@
 /*
  * Design. A write is refused if its sender acts in an older generation, both when it comes and
  * when it has reached the disk: a member that has shown its records to another under a later
- * generation acknowledges nothing for the earlier one. A reserve is answered twice: with the
- * verdict at once, and when it is on disk.
+ * generation acknowledges nothing for the earlier one. A reserve is always taken, and answered
+ * twice: with the program's charges in short at once, and when it is on disk. Whether the budget
+ * holds it is for the asker to decide over a quorum.
  *
  * Failures. A full disk or too little memory refuses new turns; reads go on. A member that is
- * not complete says so instead of "there is no such record", and grants no reserve.
+ * not complete says so instead of "there is no such record", and takes no reserve.
  */
 #include "store/store.h"
 
@@ -23,8 +24,7 @@
 /** A write on its way to the disk. */
 typedef struct {
     store_t *store;
-    frame_connection_t *connection; /**< NULL if nobody waits. */
-    uint64_t connection_serial;     /**< Tells it from a later one at the same place. */
+    uint64_t connection_serial; /**< Of the connection that waits for an answer; 0: none does. */
     uint64_t number;
     uint64_t generation;
     turn_t turn; /**< Empty unless a turn is written. */
@@ -47,14 +47,9 @@
     message_clear(&message);
 }
 
-static uint64_t connection_serial(const store_t *store, frame_connection_t *connection) {
-    return GPOINTER_TO_SIZE(g_hash_table_lookup(store->connections, connection));
-}
-
-/** True if the connection on which the write came is still there. */
-static bool connected(const write_t *write) {
-    return write->connection != NULL &&
-           connection_serial(write->store, write->connection) == write->connection_serial;
+/** The connection on which the write came, if it is still there. */
+static frame_connection_t *waiting_connection(const write_t *write) {
+    return g_hash_table_lookup(write->store->connections, &write->connection_serial);
 }
 
 static void on_write_done(void *owner, bool durable, uint32_t segment) {
@@ -65,13 +60,14 @@
         turn_table_add(&store->turns, &write->turn, segment, now(store));
     else if (durable)
         turn_table_need_segment(&store->turns, segment, until);
-    if (connected(write)) {
+    frame_connection_t *connection = waiting_connection(write);
+    if (connection != NULL) {
         bool current = write->generation == store->group->generation;
         if (!current)
-            answer(write->connection, RESPONSE_OLD_GENERATION, write->number,
-                   store->group->generation, VERDICT_UNSURE);
+            answer(connection, RESPONSE_OLD_GENERATION, write->number, store->group->generation,
+                   VERDICT_UNSURE);
         else
-            answer(write->connection, RESPONSE_DURABLE, write->number, write->generation,
+            answer(connection, RESPONSE_DURABLE, write->number, write->generation,
                    durable ? VERDICT_YES : VERDICT_NO);
     }
     if (write->done != NULL)
@@ -86,8 +82,7 @@
                           const message_t *request) {
     write_t *write = g_new0(write_t, 1);
     write->store = store;
-    write->connection = request->number == 0 ? NULL : connection;
-    write->connection_serial = connection_serial(store, connection);
+    write->connection_serial = request->number == 0 ? 0 : *frame_connection_serial(connection);
     write->number = request->number;
     write->generation = request->generation;
     return write;
@@ -103,18 +98,38 @@
 static void reserve(store_t *store, frame_connection_t *connection, message_t *request,
                     GBytes *record) {
     const budget_charge_t *charge = &request->charge;
-    uint64_t generation = store->group->generation;
-    if (!store_complete(store)) {
-        answer(connection, RESPONSE_RESERVE, request->number, generation, VERDICT_UNSURE);
-        return;
-    }
-    bool granted = budget_table_reserve(&store->budgets, charge->program, charge->call,
-                                        charge->most, request->budget, now(store));
-    answer(connection, RESPONSE_RESERVE, request->number, generation,
-           granted ? VERDICT_YES : VERDICT_NO);
-    if (granted)
+    message_t response;
+    message_init(&response, RESPONSE_RESERVE);
+    response.number = request->number;
+    response.generation = store->group->generation;
+    response.verdict = VERDICT_UNSURE;
+    if (store_complete(store)) {
+        response.verdict = VERDICT_YES;
+        response.summary = budget_table_reserve(&store->budgets, charge->program, charge->call,
+                                                charge->most, now(store));
         record_log_append(store->log, g_bytes_ref(record), on_write_done,
                           new_write(store, connection, request));
+    }
+    frame_connection_send(connection, message_encode(&response));
+    message_clear(&response);
+}
+
+static void add_charge(void *user, const budget_charge_t *charge) {
+    message_t *response = user;
+    budget_charge_t copy = *charge;
+    copy.program = g_strdup(charge->program);
+    copy.call = g_strdup(charge->call);
+    g_array_append_val(response->charges, copy);
+}
+
+static void read_charges(store_t *store, frame_connection_t *connection, message_t *request) {
+    message_t response;
+    message_init(&response, RESPONSE_CHARGES);
+    response.number = request->number;
+    response.generation = store->group->generation;
+    budget_table_each(&store->budgets, request->charge.program, add_charge, &response);
+    frame_connection_send(connection, message_encode(&response));
+    message_clear(&response);
 }
 
 static void settle(store_t *store, frame_connection_t *connection, message_t *request,
@@ -152,14 +167,6 @@
     message_clear(&response);
 }
 
-static void add_charge(void *user, const budget_charge_t *charge) {
-    message_t *response = user;
-    budget_charge_t copy = *charge;
-    copy.program = g_strdup(charge->program);
-    copy.call = g_strdup(charge->call);
-    g_array_append_val(response->charges, copy);
-}
-
 static void read_index(store_t *store, frame_connection_t *connection, message_t *request) {
     message_t response;
     message_init(&response, RESPONSE_INDEX);
@@ -170,7 +177,7 @@
     g_hash_table_iter_init(&iterator, store->turns.entries);
     while (g_hash_table_iter_next(&iterator, &id, NULL))
         g_ptr_array_add(response.ids, g_strdup(id));
-    budget_table_each(&store->budgets, add_charge, &response);
+    budget_table_each(&store->budgets, NULL, add_charge, &response);
     frame_connection_send(connection, message_encode(&response));
     message_clear(&response);
 }
@@ -217,6 +224,9 @@
     case REQUEST_RESERVE:
         reserve(store, connection, request, record);
         break;
+    case REQUEST_CHARGES:
+        read_charges(store, connection, request);
+        break;
     case REQUEST_PUT_TURN:
         put_turn(store, connection, request, record);
         break;
@@ -233,15 +243,15 @@
     message_t message;
     message_init(&message, MESSAGE_GATEWAYS);
     GHashTableIter iterator;
-    gpointer connection;
     gpointer address;
     g_hash_table_iter_init(&iterator, store->gateways);
     while (g_hash_table_iter_next(&iterator, NULL, &address))
         g_ptr_array_add(message.ids, g_strdup(address));
     GBytes *bytes = message_encode(&message);
+    gpointer serial;
     g_hash_table_iter_init(&iterator, store->gateways);
-    while (g_hash_table_iter_next(&iterator, &connection, NULL))
-        frame_connection_send(connection, g_bytes_ref(bytes));
+    while (g_hash_table_iter_next(&iterator, &serial, NULL))
+        frame_connection_send(g_hash_table_lookup(store->connections, serial), g_bytes_ref(bytes));
     g_bytes_unref(bytes);
     message_clear(&message);
 }
@@ -253,12 +263,13 @@
 static void take_gateway(store_t *store, frame_connection_t *connection, const message_t *message) {
     if (message->ids->len != 1)
         return;
-    g_hash_table_insert(store->gateways, connection, g_strdup(g_ptr_array_index(message->ids, 0)));
+    g_hash_table_insert(store->gateways, (gpointer)frame_connection_serial(connection),
+                        g_strdup(g_ptr_array_index(message->ids, 0)));
     gateways_changed(store);
 }
 
 void store_requests_start(store_t *store) {
-    store->gateways = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+    store->gateways = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
     uv_timer_init(store->loop, &store->tell_gateways);
     store->tell_gateways.data = store;
 }
@@ -278,6 +289,7 @@
         take_group(store, &request);
         break;
     case REQUEST_RESERVE:
+    case REQUEST_CHARGES:
     case REQUEST_PUT_TURN:
     case REQUEST_CHAIN:
         handle_member_request(store, connection, &request, record);
@@ -306,16 +318,16 @@
 
 static void on_open(void *owner, frame_connection_t *connection) {
     store_t *store = owner;
-    store->connections_opened++;
-    g_hash_table_insert(store->connections, connection,
-                        GSIZE_TO_POINTER(store->connections_opened));
+    g_hash_table_insert(store->connections, (gpointer)frame_connection_serial(connection),
+                        connection);
     store_send_group(store, connection);
 }
 
 static void on_closed(void *owner, frame_connection_t *connection) {
     store_t *store = owner;
-    g_hash_table_remove(store->connections, connection);
-    if (g_hash_table_remove(store->gateways, connection))
+    const uint64_t *serial = frame_connection_serial(connection);
+    g_hash_table_remove(store->connections, serial);
+    if (g_hash_table_remove(store->gateways, serial))
         gateways_changed(store);
 }
 
--- a/src/store/store_state.c
+++ b/src/store/store_state.c
@@ -110,7 +110,7 @@
     GHashTableIter iterator;
     gpointer connection;
     g_hash_table_iter_init(&iterator, store->connections);
-    while (g_hash_table_iter_next(&iterator, &connection, NULL))
+    while (g_hash_table_iter_next(&iterator, NULL, &connection))
         store_send_group(store, connection);
     store_catch_up_check(store);
 }
--- /dev/null
+++ b/src/storesim/faults.c
@@ -0,0 +1,356 @@
+/*
+ * Design. One fault after another, each drawn with its time and place. What may be lost at once
+ * follows the users' tolerance: a disk is lost only while every member is sound, and all power
+ * may go at any moment, with one disk if every member was sound. Everything else may come at any
+ * moment, also together.
+ */
+#include "storesim/world.h"
+
+typedef enum {
+    FAULT_KILL_STORE,
+    FAULT_POWER_STORE,
+    FAULT_LOSE_DISK,
+    FAULT_POWER_ALL,
+    FAULT_POWER_ALL_AND_DISK,
+    FAULT_KILL_ALL,
+    FAULT_PAUSE_STORE,
+    FAULT_PAUSE_GATEWAY,
+    FAULT_KILL_GATEWAY,
+    FAULT_CUT_STORES,
+    FAULT_CUT_GATEWAY,
+    FAULT_DISK_FULL,
+    FAULT_KEY_VALUE_DOWN,
+    FAULT_KEY_VALUE_ANSWERS,
+    FAULT_ADD_SPARE,
+    FAULT_REPLACE,
+    FAULT_RETIRE,
+    FAULT_KINDS,
+} fault_kind_t;
+
+static const char *const fault_names[FAULT_KINDS] = {
+    "kill_store",  "power_store", "lose_disk",      "power_all",         "power_all_and_disk",
+    "kill_all",    "pause_store", "pause_gateway",  "kill_gateway",      "cut_stores",
+    "cut_gateway", "disk_full",   "key_value_down", "key_value_answers", "add_spare",
+    "replace",     "retire",
+};
+
+enum {
+    PAUSE_LEAST_MS = 100, /**< Between two faults of a seed with many. */
+    PAUSE_MANY_MS = 1000,
+    PAUSE_SOME_MS = 4000,
+    PAUSE_FEW_MS = 12000,
+    POWER_ONLY_PAUSE_MS = 9000,
+    DOWN_LEAST_MS = 300,
+    DOWN_MOST_MS = 4000,
+};
+
+static uint64_t counts[FAULT_KINDS];
+static uint64_t faults_until;
+static uint64_t pause_most;
+static bool power_only;
+static world_t *world;
+
+static uint64_t duration(void) {
+    return virtual_random(DOWN_LEAST_MS, DOWN_MOST_MS);
+}
+
+static world_store_t *random_store(void) {
+    for (unsigned i = 0; i < 50; i++) {
+        world_store_t *store =
+            g_ptr_array_index(world->stores, virtual_random(0, world->stores->len - 1));
+        if (store->store != NULL)
+            return store;
+    }
+    return NULL;
+}
+
+static world_gateway_t *random_gateway(void) {
+    return g_ptr_array_index(world->gateways, virtual_random(0, world->gateways->len - 1));
+}
+
+static void restart_store(void *data) {
+    world_store_t *store = data;
+    if (store->store != NULL || store->gone)
+        return;
+    world_start_store(store, false);
+    store->lost_until = virtual_now() + CATCH_UP_MS;
+}
+
+static void end_store(world_store_t *store, world_end_t end, uint64_t down) {
+    store->lost_until = virtual_now() + down + CATCH_UP_MS;
+    world_end_store(store, end);
+    virtual_after(down, NULL, restart_store, store);
+}
+
+static void restart_gateway(void *data) {
+    world_gateway_t *gateway = data;
+    if (gateway->client == NULL)
+        world_start_gateway(gateway);
+}
+
+static void end_all(world_end_t end, const world_store_t *disk_lost) {
+    for (guint i = 0; i < world->stores->len; i++) {
+        world_store_t *store = g_ptr_array_index(world->stores, i);
+        if (store->store != NULL)
+            end_store(store, store == disk_lost ? END_DISK_LOST : end, duration());
+    }
+    for (guint i = 0; i < world->gateways->len; i++) {
+        world_gateway_t *gateway = g_ptr_array_index(world->gateways, i);
+        if (gateway->client == NULL)
+            continue;
+        world_end_gateway(gateway);
+        virtual_after(duration(), NULL, restart_gateway, gateway);
+    }
+}
+
+typedef struct {
+    virtual_process_t *a;
+    virtual_process_t *b;
+} cut_t;
+
+static void heal_cut(void *data) {
+    const cut_t *cut = data;
+    virtual_network_cut(cut->a, cut->b, false);
+    g_free(data);
+}
+
+static void cut(virtual_process_t *a, virtual_process_t *b, uint64_t ms) {
+    cut_t *record = g_new0(cut_t, 1);
+    record->a = a;
+    record->b = b;
+    virtual_network_cut(a, b, true);
+    virtual_after(ms, NULL, heal_cut, record);
+}
+
+static void cut_from_some_stores(virtual_process_t *process) {
+    uint64_t ms = duration();
+    for (guint i = 0; i < world->stores->len; i++) {
+        const world_store_t *store = g_ptr_array_index(world->stores, i);
+        if (store->process != process && virtual_chance(50))
+            cut(process, store->process, ms);
+    }
+}
+
+static void empty_disk(void *data) {
+    ((virtual_disk_t *)data)->full = false;
+}
+
+static void key_value_up(void *data) {
+    (void)data;
+    virtual_key_value_set_down(false);
+}
+
+static void key_value_answers(void *data) {
+    (void)data;
+    virtual_key_value_lose_answers(0);
+}
+
+static world_store_t *next_spare(void) {
+    for (guint i = 0; i < world->stores->len; i++) {
+        world_store_t *store = g_ptr_array_index(world->stores, i);
+        if (!store->exists)
+            return store;
+    }
+    return NULL;
+}
+
+static void start_spare(void *data) {
+    world_store_t *store = data;
+    if (store->store != NULL)
+        return;
+    world_start_store(store, false);
+    store->lost_until = virtual_now() + CATCH_UP_MS;
+}
+
+static bool add_spare(uint64_t delay) {
+    world_store_t *spare = next_spare();
+    if (spare == NULL)
+        return false;
+    spare->exists = true;
+    virtual_after(delay, NULL, start_spare, spare);
+    return true;
+}
+
+/** One is gone for good, and an empty one comes at another address. */
+static bool replace(void) {
+    world_store_t *store = random_store();
+    if (!world_is_sound(world) || store == NULL || next_spare() == NULL)
+        return false;
+    uint64_t delay = virtual_random(200, 1500);
+    store->lost_until = virtual_now() + delay + CATCH_UP_MS;
+    store->gone = true;
+    world_end_store(store, END_DISK_LOST);
+    return add_spare(delay);
+}
+
+/* Retirement: the machine is taken away, with its disk, as soon as it says that it is empty. */
+
+static void watch_retirement(void *data) {
+    world_store_t *store = data;
+    char *key = key_value_retire_status_key(store->settings.name);
+    GBytes *status = virtual_key_value_get(key);
+    GBytes *complete = key_value_retire_status(true);
+    bool over = status != NULL && g_bytes_equal(status, complete);
+    g_bytes_unref(complete);
+    g_free(key);
+    if (!over) {
+        virtual_after(20, NULL, watch_retirement, store);
+        return;
+    }
+    store->gone = true;
+    if (store->store != NULL)
+        world_end_store(store, END_DISK_LOST);
+    /* Right after it another one loses its disk. */
+    world_store_t *next = random_store();
+    if (next != NULL && world_is_sound(world))
+        end_store(next, END_DISK_LOST, duration());
+}
+
+static unsigned running_stores(void) {
+    unsigned running = 0;
+    for (guint i = 0; i < world->stores->len; i++)
+        running += ((const world_store_t *)g_ptr_array_index(world->stores, i))->store != NULL;
+    return running;
+}
+
+static bool retire(void) {
+    world_store_t *store = random_store();
+    if (store == NULL || running_stores() < 4 || !world_is_sound(world))
+        return false;
+    char *key = g_strconcat(key_value_prefix(KEY_RETIRE), store->settings.name, NULL);
+    if (virtual_key_value_get(key) == NULL) {
+        virtual_key_value_put(key, g_bytes_new("now", 3));
+        virtual_after(20, NULL, watch_retirement, store);
+    }
+    g_free(key);
+    return true;
+}
+
+static bool inject_on_store(fault_kind_t kind, world_store_t *store) {
+    switch (kind) {
+    case FAULT_KILL_STORE:
+        end_store(store, END_KILLED, duration());
+        return true;
+    case FAULT_POWER_STORE:
+        end_store(store, END_POWER_LOST, duration());
+        return true;
+    case FAULT_LOSE_DISK:
+        if (!world_is_sound(world))
+            return false;
+        end_store(store, END_DISK_LOST, virtual_random(1000, DOWN_MOST_MS));
+        return true;
+    case FAULT_PAUSE_STORE:
+        store->process->paused_until = virtual_now() + duration();
+        store->lost_until = MAX(store->lost_until, store->process->paused_until + CATCH_UP_MS);
+        return true;
+    case FAULT_CUT_STORES:
+        cut_from_some_stores(store->process);
+        return true;
+    case FAULT_DISK_FULL:
+        virtual_disk_of(store->process)->full = true;
+        virtual_after(duration(), NULL, empty_disk, virtual_disk_of(store->process));
+        return true;
+    case FAULT_POWER_ALL_AND_DISK:
+        if (!world_is_sound(world))
+            return false;
+        end_all(END_POWER_LOST, store);
+        return true;
+    default:
+        return false;
+    }
+}
+
+static bool inject_elsewhere(fault_kind_t kind) {
+    world_gateway_t *gateway = random_gateway();
+    switch (kind) {
+    case FAULT_POWER_ALL:
+        end_all(END_POWER_LOST, NULL);
+        return true;
+    case FAULT_KILL_ALL:
+        end_all(END_KILLED, NULL);
+        return true;
+    case FAULT_PAUSE_GATEWAY:
+        gateway->process->paused_until = virtual_now() + duration();
+        return true;
+    case FAULT_KILL_GATEWAY:
+        if (gateway->client == NULL)
+            return false;
+        world_end_gateway(gateway);
+        virtual_after(duration(), NULL, restart_gateway, gateway);
+        return true;
+    case FAULT_CUT_GATEWAY:
+        cut_from_some_stores(gateway->process);
+        return true;
+    case FAULT_KEY_VALUE_DOWN:
+        virtual_key_value_set_down(true);
+        virtual_after(duration(), NULL, key_value_up, NULL);
+        return true;
+    case FAULT_KEY_VALUE_ANSWERS:
+        virtual_key_value_lose_answers(50);
+        virtual_after(duration(), NULL, key_value_answers, NULL);
+        return true;
+    case FAULT_ADD_SPARE:
+        return add_spare(0);
+    case FAULT_REPLACE:
+        return replace();
+    case FAULT_RETIRE:
+        return retire();
+    default:
+        return false;
+    }
+}
+
+static void inject(void *data) {
+    (void)data;
+    if (virtual_now() >= faults_until)
+        return;
+    virtual_after(virtual_random(PAUSE_LEAST_MS, pause_most), NULL, inject, NULL);
+    fault_kind_t kind =
+        power_only ? FAULT_POWER_ALL_AND_DISK : (fault_kind_t)virtual_random(0, FAULT_KINDS - 1);
+    world_store_t *store = random_store();
+    bool injected = store != NULL && inject_on_store(kind, store);
+    if (!injected)
+        injected = inject_elsewhere(kind);
+    counts[kind] += injected;
+}
+
+void faults_start(world_t *in_world, uint64_t until, bool only_power) {
+    static const uint64_t pauses[] = {PAUSE_MANY_MS, PAUSE_SOME_MS, PAUSE_FEW_MS};
+    world = in_world;
+    faults_until = until;
+    power_only = only_power;
+    pause_most =
+        only_power ? POWER_ONLY_PAUSE_MS : pauses[virtual_random(0, G_N_ELEMENTS(pauses) - 1)];
+    virtual_after(virtual_random(0, pause_most), NULL, inject, NULL);
+}
+
+void faults_heal(world_t *in_world) {
+    world = in_world;
+    virtual_key_value_set_down(false);
+    virtual_key_value_lose_answers(0);
+    for (guint i = 0; i < world->stores->len; i++) {
+        world_store_t *store = g_ptr_array_index(world->stores, i);
+        store->process->paused_until = 0;
+        virtual_disk_of(store->process)->full = false;
+        g_hash_table_remove_all(store->process->cut_from);
+        if (store->exists)
+            restart_store(store);
+    }
+    for (guint i = 0; i < world->gateways->len; i++) {
+        world_gateway_t *gateway = g_ptr_array_index(world->gateways, i);
+        gateway->process->paused_until = 0;
+        g_hash_table_remove_all(gateway->process->cut_from);
+        restart_gateway(gateway);
+    }
+}
+
+void faults_describe(GString *text) {
+    for (unsigned i = 0; i < FAULT_KINDS; i++)
+        g_string_append_printf(text, "%s %" G_GUINT64_FORMAT "\n", fault_names[i],
+                               (guint64)counts[i]);
+}
+
+void faults_clear_counts(void) {
+    for (unsigned i = 0; i < FAULT_KINDS; i++)
+        counts[i] = 0;
+}
--- /dev/null
+++ b/src/storesim/main.c
@@ -0,0 +1,153 @@
+/**
+ * rudderway-store-sim: sweeps seeds over simulated storage nodes and gateways. Each seed runs in
+ * a process's worth of virtual time: half a minute of work under faults, recovery, and a reading
+ * back of all that was acknowledged.
+ */
+#include "storesim/world.h"
+
+#include <argp.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+enum {
+    WORK_FROM_MS = 4000, /**< The group has been founded by then. */
+    FAULTS_UNTIL_MS = 30000,
+    WORK_UNTIL_MS = 32000,
+    HEAL_AT_MS = 34000,
+    CHECK_AT_MS = 46000, /**< The users' recovery time after the last fault. */
+    END_AT_MS = 70000,
+};
+
+const char *argp_program_version = "rudderway-store-sim " RUDDERWAY_VERSION;
+
+typedef struct {
+    uint64_t first;
+    uint64_t last;
+    unsigned stores;
+    world_break_t broken;
+    bool only_power;
+} arguments_t;
+
+static error_t parse_option(int key, char *argument, struct argp_state *state) {
+    arguments_t *arguments = state->input;
+    char *end;
+    switch (key) {
+    case 's':
+        arguments->first = strtoull(argument, &end, 10);
+        arguments->last =
+            strncmp(end, "..", 2) == 0 ? strtoull(end + 2, NULL, 10) : arguments->first;
+        return 0;
+    case 'n':
+        arguments->stores = (unsigned)strtoul(argument, NULL, 10);
+        return 0;
+    case 'p':
+        arguments->only_power = true;
+        return 0;
+    case 'b':
+        if (strcmp(argument, "sync") == 0)
+            arguments->broken = BREAK_SYNC;
+        else if (strcmp(argument, "identity") == 0)
+            arguments->broken = BREAK_IDENTITY;
+        else if (strcmp(argument, "catch-up") == 0)
+            arguments->broken = BREAK_CATCH_UP;
+        else
+            argp_error(state, "--break takes sync, identity or catch-up");
+        return 0;
+    case ARGP_KEY_ARG:
+        argp_usage(state);
+        return 0;
+    default:
+        return ARGP_ERR_UNKNOWN;
+    }
+}
+
+static const struct argp_option options[] = {
+    {"seeds", 's', "A..B", 0, "Seeds to run; default: 1..200", 0},
+    {"stores", 'n', "N", 0, "Storage nodes at the start; default: 3 and 4 in turn", 0},
+    {"only-power", 'p', NULL, 0, "Only losses of all power, each with one disk", 0},
+    {"break", 'b', "WHAT", 0,
+     "Break the code on purpose: sync (acknowledge before it), identity (an emptied disk keeps "
+     "it), catch-up (copy nothing)",
+     0},
+    {0}};
+static const struct argp argp = {
+    options, parse_option, NULL, "Simulates storage nodes and gateways under faults.",
+    NULL,    NULL,         NULL};
+
+static uint64_t violations_of(const workload_result_t *result) {
+    return result->turns_lost + result->turns_wrong + result->turns_invented +
+           result->turns_not_read + result->budgets_exceeded;
+}
+
+static void check_all(void *data) {
+    (void)data;
+    workload_check_all();
+}
+
+static void heal(void *data) {
+    faults_heal(data);
+}
+
+static const workload_result_t *run_seed(uint64_t seed, const arguments_t *arguments) {
+    unsigned stores = arguments->stores > 0 ? arguments->stores : 3 + (unsigned)(seed % 2);
+    world_t *world = world_new(seed, stores, 4, 3, arguments->broken);
+    virtual_run(WORK_FROM_MS);
+    workload_start(world, WORK_UNTIL_MS);
+    faults_start(world, FAULTS_UNTIL_MS, arguments->only_power);
+    virtual_after(HEAL_AT_MS - WORK_FROM_MS, NULL, heal, world);
+    virtual_after(CHECK_AT_MS - WORK_FROM_MS, NULL, check_all, NULL);
+    virtual_run(END_AT_MS);
+    return workload_result();
+}
+
+static void add_result(workload_result_t *sum, const workload_result_t *result) {
+    sum->turns_acknowledged += result->turns_acknowledged;
+    sum->turns_given_up += result->turns_given_up;
+    sum->reserves_granted += result->reserves_granted;
+    sum->reserves_refused += result->reserves_refused;
+    sum->reads += result->reads;
+    sum->turns_lost += result->turns_lost;
+    sum->turns_wrong += result->turns_wrong;
+    sum->turns_invented += result->turns_invented;
+    sum->turns_not_read += result->turns_not_read;
+    sum->budgets_exceeded += result->budgets_exceeded;
+}
+
+static void print_result(const char *name, const workload_result_t *result) {
+    printf("%s: acknowledged %" G_GUINT64_FORMAT " given_up %" G_GUINT64_FORMAT
+           " granted %" G_GUINT64_FORMAT " refused %" G_GUINT64_FORMAT " reads %" G_GUINT64_FORMAT
+           " lost %" G_GUINT64_FORMAT " wrong %" G_GUINT64_FORMAT " invented %" G_GUINT64_FORMAT
+           " not_read %" G_GUINT64_FORMAT " over_budget %" G_GUINT64_FORMAT "\n",
+           name, (guint64)result->turns_acknowledged, (guint64)result->turns_given_up,
+           (guint64)result->reserves_granted, (guint64)result->reserves_refused,
+           (guint64)result->reads, (guint64)result->turns_lost, (guint64)result->turns_wrong,
+           (guint64)result->turns_invented, (guint64)result->turns_not_read,
+           (guint64)result->budgets_exceeded);
+}
+
+int main(int argc, char **argv) {
+    arguments_t arguments = {.first = 1, .last = 200};
+    argp_parse(&argp, argc, argv, 0, NULL, &arguments);
+    workload_result_t sum = {0};
+    uint64_t bad_seeds = 0;
+    faults_clear_counts();
+    for (uint64_t seed = arguments.first; seed <= arguments.last; seed++) {
+        const workload_result_t *result = run_seed(seed, &arguments);
+        add_result(&sum, result);
+        if (violations_of(result) == 0)
+            continue;
+        bad_seeds++;
+        char name[64];
+        g_snprintf(name, sizeof name, "seed %" G_GUINT64_FORMAT, (guint64)seed);
+        print_result(name, result);
+    }
+    GString *faults = g_string_new(NULL);
+    faults_describe(faults);
+    fputs(faults->str, stdout);
+    g_string_free(faults, TRUE);
+    print_result("all", &sum);
+    printf("seeds %" G_GUINT64_FORMAT " violations %" G_GUINT64_FORMAT "\n",
+           (guint64)(arguments.last - arguments.first + 1), (guint64)bad_seeds);
+    return bad_seeds == 0 && sum.turns_acknowledged > 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- /dev/null
+++ b/src/storesim/virtual_key_value.h
@@ -0,0 +1,25 @@
+/**
+ * @file virtual_key_value.h
+ * The key-value service in virtual time, in the place of cluster/key_value_watch.c and of the
+ * adapter: it can be down, and lose the answer of a write that takes effect.
+ *
+ * Thread safety: the simulator has one thread.
+ */
+#ifndef RUDDERWAY_STORESIM_VIRTUAL_KEY_VALUE_H
+#define RUDDERWAY_STORESIM_VIRTUAL_KEY_VALUE_H
+
+#include "cluster/key_value_watch.h"
+#include "storesim/virtual_loop.h"
+
+void virtual_key_value_start(void);
+void virtual_key_value_set_down(bool down);
+/** So many in 100 writes are done and not answered. */
+void virtual_key_value_lose_answers(unsigned percent);
+/** Drops the watches of a process that ended. */
+void virtual_key_value_process_ended(const virtual_process_t *process);
+/** Writes a key as an operator does. */
+void virtual_key_value_put(const char *key, GBytes *value);
+/** The value of @p key; NULL: there is none. */
+GBytes *virtual_key_value_get(const char *key);
+
+#endif
--- /dev/null
+++ b/src/storesim/virtual_network.c
@@ -0,0 +1,257 @@
+#include "storesim/virtual_network.h"
+
+#include "cluster/message.h"
+
+enum { LATENCY_LEAST_MS = 1, LATENCY_MOST_MS = 4, RETRY_MS = 20, SILENT_MS = 1500 };
+
+struct frame_listener {
+    virtual_process_t *process;
+    const frame_handler_t *handler;
+    void *owner;
+};
+
+struct frame_connection {
+    virtual_process_t *process;
+    uint64_t incarnation;
+    frame_connection_t *peer; /**< The other end; NULL until open and after its end. */
+    const frame_handler_t *handler;
+    void *owner;
+    uint64_t serial;
+    bool open;
+    bool closed;
+    GQueue *inbox;          /**< Frames on their way to this end, in order; of GBytes. */
+    uint64_t stalled_since; /**< When the first of them could not get through; 0: it can. */
+    GQueue *unsent;         /**< Frames from before the connection was open. */
+};
+
+static GHashTable *listeners; /**< Process to frame_listener_t. */
+static GPtrArray *ends;       /**< All ends that are not closed. */
+static uint64_t last_serial;
+static bool empty_indexes;
+
+void virtual_network_start(void) {
+    listeners = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+    ends = g_ptr_array_new();
+    empty_indexes = false;
+}
+
+void virtual_network_break_catch_up(void) {
+    empty_indexes = true;
+}
+
+void virtual_network_cut(virtual_process_t *a, virtual_process_t *b, bool cut) {
+    if (cut) {
+        g_hash_table_add(a->cut_from, b);
+        g_hash_table_add(b->cut_from, a);
+    } else {
+        g_hash_table_remove(a->cut_from, b);
+        g_hash_table_remove(b->cut_from, a);
+    }
+}
+
+static bool alive(const frame_connection_t *end) {
+    return !end->closed && end->process->up && end->process->incarnation == end->incarnation;
+}
+
+static uint64_t latency(void) {
+    return virtual_random(LATENCY_LEAST_MS, LATENCY_MOST_MS);
+}
+
+static frame_connection_t *new_end(virtual_process_t *process, const frame_handler_t *handler,
+                                   void *owner) {
+    frame_connection_t *end = g_new0(frame_connection_t, 1);
+    end->process = process;
+    end->incarnation = process->incarnation;
+    end->handler = handler;
+    end->owner = owner;
+    end->serial = ++last_serial;
+    end->inbox = g_queue_new();
+    end->unsent = g_queue_new();
+    g_ptr_array_add(ends, end);
+    return end;
+}
+
+static void forget_end(frame_connection_t *end) {
+    end->closed = true;
+    if (end->peer != NULL)
+        end->peer->peer = NULL;
+    g_ptr_array_remove_fast(ends, end);
+}
+
+/** The connection ended by itself: tells the owner of this end. */
+static void lose_end(void *data) {
+    frame_connection_t *end = data;
+    if (!alive(end))
+        return;
+    end->handler->on_closed(end->owner, end);
+    if (!end->closed)
+        forget_end(end);
+}
+
+static void lose_end_after(frame_connection_t *end, uint64_t delay) {
+    virtual_after(delay, end->process, lose_end, end);
+}
+
+void frame_connection_close(frame_connection_t *end) {
+    if (end->closed)
+        return;
+    frame_connection_t *peer = end->peer;
+    forget_end(end);
+    if (peer != NULL)
+        lose_end_after(peer, latency());
+}
+
+/** A frame as the receiver gets it; replaced if something is broken on purpose. */
+static GBytes *received_frame(GBytes *frame) {
+    if (!empty_indexes)
+        return g_bytes_ref(frame);
+    gsize length;
+    const void *data = g_bytes_get_data(frame, &length);
+    message_t message;
+    bool valid = message_decode(&message, data, length);
+    GBytes *received = g_bytes_ref(frame);
+    if (valid && message.type == RESPONSE_INDEX) {
+        g_ptr_array_set_size(message.ids, 0);
+        g_array_set_size(message.charges, 0);
+        g_bytes_unref(received);
+        received = message_encode(&message);
+    }
+    message_clear(&message);
+    return received;
+}
+
+static void deliver(void *data) {
+    frame_connection_t *end = data;
+    if (!alive(end) || g_queue_is_empty(end->inbox))
+        return;
+    frame_connection_t *peer = end->peer;
+    bool cut = peer != NULL && g_hash_table_contains(end->process->cut_from, peer->process);
+    if (cut && end->stalled_since == 0)
+        end->stalled_since = virtual_now();
+    if (cut && virtual_now() - end->stalled_since > SILENT_MS) {
+        if (peer != NULL)
+            lose_end_after(peer, 0);
+        lose_end(end);
+        return;
+    }
+    if (cut) {
+        virtual_after(RETRY_MS, end->process, deliver, end);
+        return;
+    }
+    end->stalled_since = 0;
+    GBytes *frame = g_queue_pop_head(end->inbox);
+    if (!g_queue_is_empty(end->inbox))
+        virtual_after(0, end->process, deliver, end);
+    GBytes *received = received_frame(frame);
+    gsize length;
+    const uint8_t *bytes = g_bytes_get_data(received, &length);
+    end->handler->on_frame(end->owner, end, bytes, length);
+    g_bytes_unref(received);
+    g_bytes_unref(frame);
+}
+
+static void send_frame(frame_connection_t *end, GBytes *payload) {
+    frame_connection_t *peer = end->peer;
+    if (peer == NULL || !alive(peer)) {
+        /* A process that ended in silence: the kernel gives up after a while. */
+        g_bytes_unref(payload);
+        lose_end_after(end, SILENT_MS);
+        return;
+    }
+    g_queue_push_tail(peer->inbox, payload);
+    if (g_queue_get_length(peer->inbox) == 1)
+        virtual_after(latency(), peer->process, deliver, peer);
+}
+
+void frame_connection_send(frame_connection_t *end, GBytes *payload) {
+    if (end->closed)
+        g_bytes_unref(payload);
+    else if (!end->open)
+        g_queue_push_tail(end->unsent, payload);
+    else
+        send_frame(end, payload);
+}
+
+static void opened(void *data) {
+    frame_connection_t *end = data;
+    if (!alive(end))
+        return;
+    end->open = true;
+    end->handler->on_open(end->owner, end);
+    while (!end->closed && !g_queue_is_empty(end->unsent))
+        send_frame(end, g_queue_pop_head(end->unsent));
+}
+
+typedef struct {
+    frame_connection_t *end;
+    struct sockaddr_in address;
+} connect_event_t;
+
+static void connect_arrives(void *data) {
+    connect_event_t event = *(connect_event_t *)data;
+    frame_connection_t *end = event.end;
+    g_free(data);
+    if (!alive(end))
+        return;
+    GHashTableIter iterator;
+    gpointer process;
+    gpointer value;
+    frame_listener_t *listener = NULL;
+    g_hash_table_iter_init(&iterator, listeners);
+    while (g_hash_table_iter_next(&iterator, &process, &value)) {
+        const virtual_process_t *target = process;
+        if (target->address.sin_port == event.address.sin_port && target->up)
+            listener = value;
+    }
+    if (listener == NULL) {
+        lose_end_after(end, latency());
+        return;
+    }
+    if (g_hash_table_contains(end->process->cut_from, listener->process)) {
+        lose_end_after(end, SILENT_MS);
+        return;
+    }
+    frame_connection_t *accepted = new_end(listener->process, listener->handler, listener->owner);
+    accepted->peer = end;
+    end->peer = accepted;
+    virtual_after(0, listener->process, opened, accepted);
+    virtual_after(latency(), end->process, opened, end);
+}
+
+frame_connection_t *frame_connection_open(uv_loop_t *loop, const struct sockaddr_in *address,
+                                          const frame_handler_t *handler, void *owner) {
+    frame_connection_t *end = new_end(loop->data, handler, owner);
+    connect_event_t *event = g_new0(connect_event_t, 1);
+    event->end = end;
+    event->address = *address;
+    virtual_after(latency(), NULL, connect_arrives, event);
+    return end;
+}
+
+frame_listener_t *frame_listener_open(uv_loop_t *loop, const struct sockaddr_in *address,
+                                      const frame_handler_t *handler, void *owner) {
+    frame_listener_t *listener = g_new0(frame_listener_t, 1);
+    (void)address;
+    listener->process = loop->data;
+    listener->handler = handler;
+    listener->owner = owner;
+    g_hash_table_replace(listeners, listener->process, listener);
+    return listener;
+}
+
+const uint64_t *frame_connection_serial(const frame_connection_t *end) {
+    return &end->serial;
+}
+
+void virtual_network_process_ended(virtual_process_t *process, bool silent) {
+    g_hash_table_remove(listeners, process);
+    for (guint i = ends->len; i > 0; i--) {
+        frame_connection_t *end = g_ptr_array_index(ends, i - 1);
+        if (end->process != process)
+            continue;
+        frame_connection_t *peer = end->peer;
+        forget_end(end);
+        if (peer != NULL && !silent)
+            lose_end_after(peer, latency());
+    }
+}
--- /dev/null
+++ b/src/storesim/virtual_network.h
@@ -0,0 +1,26 @@
+/**
+ * @file virtual_network.h
+ * Frames between simulated processes, in the place of net/frame_connection.c: delays, cuts,
+ * processes that end with a reset or in silence.
+ *
+ * Thread safety: the simulator has one thread.
+ */
+#ifndef RUDDERWAY_STORESIM_VIRTUAL_NETWORK_H
+#define RUDDERWAY_STORESIM_VIRTUAL_NETWORK_H
+
+#include "net/frame_connection.h"
+#include "storesim/virtual_loop.h"
+
+void virtual_network_start(void);
+/** Ends all connections of a process that ended; @p silent: without a word to the others. */
+void virtual_network_process_ended(virtual_process_t *process, bool silent);
+/** Cuts two processes from one another, or joins them again. */
+void virtual_network_cut(virtual_process_t *a, virtual_process_t *b, bool cut);
+
+/**
+ * A fault of the simulated code, for the sweep's own test: a member that catches up is shown
+ * nothing, and takes that for everything.
+ */
+void virtual_network_break_catch_up(void);
+
+#endif
--- /dev/null
+++ b/src/storesim/workload.c
@@ -0,0 +1,284 @@
+/*
+ * Design. Each gateway keeps a few conversations and programs going through the real
+ * store_client.c. The oracle knows which turns were acknowledged, what they hold, and how many
+ * tokens of each program callers may have got: those of every reserve that was reported durable,
+ * until it is settled. Gateways die with reserves open; those stay counted in full.
+ */
+#include "storesim/world.h"
+
+#include <string.h>
+
+enum {
+    STEP_LEAST_MS = 5,
+    STEP_MOST_MS = 60,
+    PROGRAMS = 12,
+    BUDGET = 1000,
+    MOST_LEAST = 50,
+    MOST_MOST = 400,
+    READ_AGAIN_MS = 400,
+    READ_TRIES = 15,
+    RETENTION_MS = 1000000000,
+};
+
+/** What the oracle knows of a turn. */
+typedef struct {
+    char *id;
+    char *parent;
+    bool acknowledged;
+} known_turn_t;
+
+typedef struct {
+    uint64_t handed; /**< Tokens that callers may have got. */
+} known_program_t;
+
+static GPtrArray *turns; /**< Of known_turn_t. */
+static GHashTable *turns_by_id;
+static GPtrArray *acknowledged; /**< Of known_turn_t. */
+static known_program_t programs[PROGRAMS];
+static workload_result_t result;
+static uint64_t last_id;
+static uint64_t write_until;
+static world_t *world;
+
+static GBytes *content(const char *kind, const char *id) {
+    char *text = g_strdup_printf("%s of %s", kind, id);
+    return g_bytes_new_take(text, strlen(text));
+}
+
+/* Turns. */
+
+static void on_turn_durable(void *owner, bool durable) {
+    known_turn_t *turn = owner;
+    if (!durable) {
+        result.turns_given_up++;
+        return;
+    }
+    turn->acknowledged = true;
+    g_ptr_array_add(acknowledged, turn);
+    result.turns_acknowledged++;
+}
+
+static const store_operation_handler_t put_handler = {NULL, on_turn_durable};
+
+static known_turn_t *random_acknowledged(void) {
+    if (acknowledged->len == 0)
+        return NULL;
+    return g_ptr_array_index(acknowledged, virtual_random(0, acknowledged->len - 1));
+}
+
+static void write_turn(store_client_t *client) {
+    known_turn_t *known = g_new0(known_turn_t, 1);
+    const known_turn_t *parent = virtual_chance(30) ? NULL : random_acknowledged();
+    known->id = g_strdup_printf("turn-%" G_GUINT64_FORMAT, (guint64)++last_id);
+    known->parent = g_strdup(parent == NULL ? "" : parent->id);
+    g_ptr_array_add(turns, known);
+    g_hash_table_insert(turns_by_id, known->id, known);
+    turn_t turn = {
+        .id = known->id,
+        .parent = known->parent,
+        .input = content("input", known->id),
+        .output = content("output", known->id),
+        .retention_ms = RETENTION_MS,
+    };
+    store_client_put_turn(client, &turn, &put_handler, known);
+    g_bytes_unref(turn.input);
+    g_bytes_unref(turn.output);
+}
+
+static bool same_content(GBytes *bytes, const char *kind, const char *id) {
+    GBytes *expected = content(kind, id);
+    bool same = g_bytes_equal(bytes, expected);
+    g_bytes_unref(expected);
+    return same;
+}
+
+static void check_chain(const char *id, const GArray *chain) {
+    for (guint i = 0; i < chain->len; i++) {
+        const turn_t *turn = &g_array_index(chain, turn_t, i);
+        const known_turn_t *known = g_hash_table_lookup(turns_by_id, turn->id);
+        if (known == NULL) {
+            result.turns_invented++;
+            return;
+        }
+        bool right = strcmp(turn->id, id) == 0 && strcmp(turn->parent, known->parent) == 0 &&
+                     same_content(turn->input, "input", id) &&
+                     same_content(turn->output, "output", id);
+        if (!right) {
+            result.turns_wrong++;
+            return;
+        }
+        id = known->parent;
+    }
+}
+
+typedef struct {
+    const known_turn_t *turn; /**< NULL: one that nobody wrote. */
+    char *id;
+    unsigned tries_left; /**< Of a reading that must succeed in the end; 0: need not. */
+} read_t;
+
+static void begin_read(read_t *read);
+
+static void read_again(void *data) {
+    begin_read(data);
+}
+
+static void on_chain(void *owner, verdict_t verdict, const GArray *chain) {
+    read_t *read = owner;
+    result.reads++;
+    if (verdict == VERDICT_YES && read->turn == NULL)
+        result.turns_invented++;
+    else if (verdict == VERDICT_YES)
+        check_chain(read->id, chain);
+    else if (verdict == VERDICT_NO && read->turn != NULL)
+        result.turns_lost++;
+    else if (verdict == VERDICT_UNSURE && read->tries_left > 1) {
+        read->tries_left--;
+        virtual_after(READ_AGAIN_MS, NULL, read_again, read);
+        return;
+    } else if (verdict == VERDICT_UNSURE && read->tries_left == 1)
+        result.turns_not_read++;
+    g_free(read->id);
+    g_free(read);
+}
+
+static const store_operation_handler_t read_handler = {on_chain, NULL};
+
+static store_client_t *random_client(void) {
+    const world_gateway_t *gateway =
+        g_ptr_array_index(world->gateways, virtual_random(0, world->gateways->len - 1));
+    return gateway->client;
+}
+
+static void begin_read(read_t *read) {
+    store_client_t *client = random_client();
+    if (client != NULL)
+        store_client_read_chain(client, read->id, &read_handler, read);
+}
+
+static void read_turn(store_client_t *client) {
+    read_t *read = g_new0(read_t, 1);
+    read->turn = virtual_chance(10) ? NULL : random_acknowledged();
+    read->id = read->turn == NULL ? g_strdup("never-written") : g_strdup(read->turn->id);
+    store_client_read_chain(client, read->id, &read_handler, read);
+}
+
+/* Budgets. */
+
+typedef struct {
+    store_client_t *client;
+    virtual_process_t *process;
+    unsigned program;
+    char *call;
+    uint64_t most;
+} reserve_t;
+
+static char *program_name(unsigned program) {
+    return g_strdup_printf("program-%u", program);
+}
+
+static void settle(reserve_t *reserve, uint64_t spent) {
+    char *name = program_name(reserve->program);
+    store_client_settle(reserve->client, name, reserve->call, reserve->most, spent);
+    g_free(name);
+}
+
+static void finish_reserve(void *data) {
+    reserve_t *reserve = data;
+    uint64_t spent = virtual_chance(30) ? reserve->most : virtual_random(0, reserve->most / 3);
+    /* The caller got this much and no more; the rest is free again once settled. */
+    programs[reserve->program].handed -= reserve->most - spent;
+    settle(reserve, spent);
+    g_free(reserve->call);
+    g_free(reserve);
+}
+
+static void on_reserve_verdict(void *owner, verdict_t verdict, const GArray *chain) {
+    reserve_t *reserve = owner;
+    (void)chain;
+    if (verdict == VERDICT_YES) {
+        result.reserves_granted++;
+        return;
+    }
+    result.reserves_refused++;
+    settle(reserve, 0);
+    g_free(reserve->call);
+    g_free(reserve);
+}
+
+static void on_reserve_durable(void *owner, bool durable) {
+    reserve_t *reserve = owner;
+    if (!durable) {
+        settle(reserve, 0);
+        g_free(reserve->call);
+        g_free(reserve);
+        return;
+    }
+    known_program_t *program = &programs[reserve->program];
+    program->handed += reserve->most;
+    if (program->handed > BUDGET)
+        result.budgets_exceeded++;
+    virtual_after(virtual_random(20, 400), reserve->process, finish_reserve, reserve);
+}
+
+static const store_operation_handler_t reserve_handler = {on_reserve_verdict, on_reserve_durable};
+
+static void begin_reserve(const world_gateway_t *gateway) {
+    reserve_t *reserve = g_new0(reserve_t, 1);
+    reserve->client = gateway->client;
+    reserve->process = gateway->process;
+    reserve->program = (unsigned)virtual_random(0, PROGRAMS - 1);
+    reserve->call = g_strdup_printf("call-%" G_GUINT64_FORMAT, (guint64)++last_id);
+    reserve->most = virtual_random(MOST_LEAST, MOST_MOST);
+    char *name = program_name(reserve->program);
+    store_client_reserve(gateway->client, name, reserve->call, reserve->most, BUDGET,
+                         &reserve_handler, reserve);
+    g_free(name);
+}
+
+/* Driving. */
+
+static void step(void *data) {
+    const world_gateway_t *gateway = data;
+    if (virtual_now() >= write_until)
+        return;
+    virtual_after(virtual_random(STEP_LEAST_MS, STEP_MOST_MS), NULL, step, data);
+    bool awake = gateway->process->paused_until <= virtual_now();
+    if (gateway->client == NULL || !awake)
+        return;
+    unsigned choice = (unsigned)virtual_random(1, 100);
+    if (choice <= 45)
+        write_turn(gateway->client);
+    else if (choice <= 70)
+        read_turn(gateway->client);
+    else
+        begin_reserve(gateway);
+}
+
+void workload_start(world_t *in_world, uint64_t until) {
+    world = in_world;
+    write_until = until;
+    turns = g_ptr_array_new();
+    turns_by_id = g_hash_table_new(g_str_hash, g_str_equal);
+    acknowledged = g_ptr_array_new();
+    memset(programs, 0, sizeof programs);
+    memset(&result, 0, sizeof result);
+    for (guint i = 0; i < world->gateways->len; i++)
+        virtual_after(virtual_random(0, STEP_MOST_MS), NULL, step,
+                      g_ptr_array_index(world->gateways, i));
+}
+
+void workload_check_all(void) {
+    for (guint i = 0; i < acknowledged->len; i++) {
+        const known_turn_t *turn = g_ptr_array_index(acknowledged, i);
+        read_t *read = g_new0(read_t, 1);
+        read->turn = turn;
+        read->id = g_strdup(turn->id);
+        read->tries_left = READ_TRIES;
+        virtual_after(i / 4, NULL, read_again, read);
+    }
+}
+
+const workload_result_t *workload_result(void) {
+    return &result;
+}
--- /dev/null
+++ b/src/storesim/world.c
@@ -0,0 +1,154 @@
+#include "storesim/world.h"
+
+#include <string.h>
+
+enum { MEMORY_MEGABYTES = 1000 };
+
+void world_start_store(world_store_t *store, bool first_start) {
+    store->exists = true;
+    store->settings.first_start = first_start;
+    virtual_process_begin(store->process);
+    store->store = g_new0(store_t, 1);
+    store->store->loop = &store->process->loop;
+    store->store->settings = &store->settings;
+    store_open(store->store, NULL);
+}
+
+void world_end_store(world_store_t *store, world_end_t end) {
+    virtual_disk_t *disk = virtual_disk_of(store->process);
+    store->store = NULL;
+    virtual_process_end(store->process);
+    virtual_key_value_process_ended(store->process);
+    virtual_network_process_ended(store->process, end != END_KILLED);
+    if (end == END_KILLED)
+        virtual_disk_process_ended(disk);
+    else
+        virtual_disk_power_lost(disk);
+    if (end == END_DISK_LOST)
+        virtual_disk_lose(disk);
+}
+
+static void on_item(void *owner, const key_value_item_t *item) {
+    const world_gateway_t *gateway = owner;
+    const char *name;
+    if (key_value_kind(item->key, &name) != KEY_OWN || strcmp(name, "group") != 0)
+        return;
+    gsize length;
+    const void *data = g_bytes_get_data(item->value, &length);
+    store_group_t *group = store_group_decode(data, length);
+    store_client_set_group(gateway->client, group);
+    store_group_free(group);
+}
+
+static void on_listed(void *owner, GHashTable *keys) {
+    (void)owner;
+    (void)keys;
+}
+
+static void on_reachable(void *owner, bool reachable) {
+    (void)owner;
+    (void)reachable;
+}
+
+static const key_value_watch_handler_t watch_handler = {on_item, on_listed, on_reachable};
+
+static void on_gateways(void *owner, const GPtrArray *addresses) {
+    (void)owner;
+    (void)addresses;
+}
+
+void world_start_gateway(world_gateway_t *gateway) {
+    virtual_process_t *process = gateway->process;
+    virtual_process_begin(process);
+    gateway->client = store_client_new(&process->loop, process->zone, process->address_text,
+                                       on_gateways, gateway);
+    key_value_watch_open(&process->loop, &process->address, "", key_value_prefix(KEY_OWN), 0,
+                         &watch_handler, gateway);
+}
+
+void world_end_gateway(world_gateway_t *gateway) {
+    gateway->client = NULL;
+    virtual_process_end(gateway->process);
+    virtual_key_value_process_ended(gateway->process);
+    virtual_network_process_ended(gateway->process, virtual_chance(50));
+}
+
+static void add_store(world_t *world, unsigned number) {
+    world_store_t *store = g_new0(world_store_t, 1);
+    char *name = g_strdup_printf("store-%02u", number);
+    char *zone = g_strdup_printf("zone-%u", number % 4);
+    store->process = virtual_process_new(name, zone, number);
+    store->settings = (process_settings_t){
+        .name = name,
+        .zone = zone,
+        .peer_text = store->process->address_text,
+        .peer = store->process->address,
+        .key_value_text = g_strdup(""),
+        .folder = g_strdup(""),
+        .memory_megabytes = MEMORY_MEGABYTES,
+    };
+    g_ptr_array_add(world->stores, store);
+}
+
+static void add_gateway(world_t *world, unsigned number) {
+    world_gateway_t *gateway = g_new0(world_gateway_t, 1);
+    char *name = g_strdup_printf("gateway-%u", number);
+    char *zone = g_strdup_printf("zone-%u", number % 4);
+    gateway->process = virtual_process_new(name, zone, 1000 + number);
+    g_free(name);
+    g_free(zone);
+    g_ptr_array_add(world->gateways, gateway);
+}
+
+world_t *world_new(uint64_t seed, unsigned stores, unsigned spares, unsigned gateways,
+                   world_break_t broken) {
+    virtual_loop_start(seed);
+    virtual_network_start();
+    virtual_disks_start();
+    virtual_key_value_start();
+    virtual_disks_acknowledge_early(broken == BREAK_SYNC);
+    virtual_disks_keep_identity(broken == BREAK_IDENTITY);
+    if (broken == BREAK_CATCH_UP)
+        virtual_network_break_catch_up();
+    world_t *world = g_new0(world_t, 1);
+    world->stores = g_ptr_array_new();
+    world->gateways = g_ptr_array_new();
+    for (unsigned i = 0; i < stores + spares; i++)
+        add_store(world, i);
+    for (unsigned i = 0; i < gateways; i++)
+        add_gateway(world, i);
+    for (unsigned i = 0; i < stores; i++)
+        world_start_store(g_ptr_array_index(world->stores, i), true);
+    for (unsigned i = 0; i < gateways; i++)
+        world_start_gateway(g_ptr_array_index(world->gateways, i));
+    return world;
+}
+
+const store_group_t *world_group(const world_t *world) {
+    const store_group_t *newest = NULL;
+    for (guint i = 0; i < world->stores->len; i++) {
+        const world_store_t *store = g_ptr_array_index(world->stores, i);
+        if (store->store == NULL || store->store->group->generation == 0)
+            continue;
+        if (newest == NULL || store->store->group->generation > newest->generation)
+            newest = store->store->group;
+    }
+    return newest;
+}
+
+bool world_is_sound(const world_t *world) {
+    const store_group_t *group = world_group(world);
+    if (group == NULL)
+        return false;
+    for (guint i = 0; i < world->stores->len; i++) {
+        const world_store_t *store = g_ptr_array_index(world->stores, i);
+        if (store->lost_until > virtual_now())
+            return false;
+        if (store_group_find(group->members, store->settings.name) == NULL)
+            continue;
+        if (store->store == NULL || !store_complete(store->store) ||
+            store->store->group->generation != group->generation)
+            return false;
+    }
+    return true;
+}
--- /dev/null
+++ b/src/storesim/world.h
@@ -0,0 +1,91 @@
+/**
+ * @file world.h
+ * A simulated deployment: storage nodes and gateways as processes, and what happens to them.
+ *
+ * Thread safety: the simulator has one thread.
+ */
+#ifndef RUDDERWAY_STORESIM_WORLD_H
+#define RUDDERWAY_STORESIM_WORLD_H
+
+#include "gateway/store_client.h"
+#include "store/store.h"
+#include "storesim/virtual_disk.h"
+#include "storesim/virtual_key_value.h"
+#include "storesim/virtual_loop.h"
+#include "storesim/virtual_network.h"
+
+/** A machine with a disk. */
+typedef struct {
+    virtual_process_t *process;
+    process_settings_t settings;
+    store_t *store;      /**< NULL while it is down. */
+    bool gone;           /**< It never comes back. */
+    bool exists;         /**< False: a spare that has not been added yet. */
+    uint64_t lost_until; /**< It counts as lost until then. */
+} world_store_t;
+
+typedef struct {
+    virtual_process_t *process;
+    store_client_t *client; /**< NULL while it is down. */
+} world_gateway_t;
+
+/** Faults of the code itself, for the sweep's own test. */
+typedef enum { BREAK_NOTHING, BREAK_SYNC, BREAK_IDENTITY, BREAK_CATCH_UP } world_break_t;
+
+typedef struct {
+    GPtrArray *stores;   /**< Of world_store_t. */
+    GPtrArray *gateways; /**< Of world_gateway_t. */
+} world_t;
+
+/** A moment that counts as recovery: what was lost counts as back after it. */
+enum { CATCH_UP_MS = 4300 };
+
+world_t *world_new(uint64_t seed, unsigned stores, unsigned spares, unsigned gateways,
+                   world_break_t broken);
+/** Starts a machine's processes. */
+void world_start_store(world_store_t *store, bool first_start);
+void world_start_gateway(world_gateway_t *gateway);
+/** How a process ends. */
+typedef enum { END_KILLED, END_POWER_LOST, END_DISK_LOST } world_end_t;
+void world_end_store(world_store_t *store, world_end_t end);
+void world_end_gateway(world_gateway_t *gateway);
+/** True if every member of the group is up and complete, and nothing counts as lost. */
+bool world_is_sound(const world_t *world);
+/** The newest group that any running storage node knows; NULL: none. */
+const store_group_t *world_group(const world_t *world);
+
+/* workload.c */
+
+/** Lets the gateways write, read and reserve until @p until. */
+void workload_start(world_t *world, uint64_t until);
+/** Begins reading back everything that was acknowledged. */
+void workload_check_all(void);
+
+typedef struct {
+    uint64_t turns_acknowledged;
+    uint64_t turns_given_up;
+    uint64_t reserves_granted;
+    uint64_t reserves_refused;
+    uint64_t reads;
+    uint64_t turns_lost;       /**< "No such turn" for an acknowledged one. */
+    uint64_t turns_wrong;      /**< Another turn's content. */
+    uint64_t turns_invented;   /**< A turn that nobody wrote. */
+    uint64_t turns_not_read;   /**< Acknowledged, and not readable at the end. */
+    uint64_t budgets_exceeded; /**< Programs that could hand out more than their budget. */
+} workload_result_t;
+const workload_result_t *workload_result(void);
+
+/* faults.c */
+
+/**
+ * Draws faults from now until @p until; @p only_power: all power is lost, and one disk with it,
+ * again and again.
+ */
+void faults_start(world_t *world, uint64_t until, bool only_power);
+/** Ends all faults: everything that is not gone comes back. */
+void faults_heal(world_t *world);
+/** How often each kind of fault was injected, as "name count" lines appended to @p text. */
+void faults_describe(GString *text);
+void faults_clear_counts(void);
+
+#endif
--- /dev/null
+++ b/tests/integration/store_simulator_test.sh
@@ -0,0 +1,17 @@
+# Sourced by scripts/check.sh: sweeps of the storage nodes' simulator. Each seed is half a minute of
+# work under faults, then a reading back of all that was acknowledged.
+STORE_SIM=$BUILD/rudderway-store-sim
+
+# notices WHAT: passes if the sweep finds the fault that is built in on purpose.
+notices() {
+    ! "$STORE_SIM" --seeds 1..100 --break "$1" && tail -1 "$CLUSTER_DIR/expect.out" |
+        grep -q '^seeds 100 violations [1-9]'
+}
+
+expect "storage nodes: any fault, seeds 1..100" "$STORE_SIM" --seeds 1..100
+expect "storage nodes: power lost everywhere with one disk, seeds 1..200" \
+    "$STORE_SIM" --seeds 1..200 --only-power
+expect "a seed runs the same twice" bash -c "cmp <($STORE_SIM --seeds 7) <($STORE_SIM --seeds 7)"
+for broken in sync identity catch-up; do
+    expect "the sweep notices a broken $broken" notices "$broken"
+done
--- a/tests/unit/turns_test.cc
+++ b/tests/unit/turns_test.cc
@@ -3,6 +3,7 @@
 
 extern "C" {
 #include "cluster/message.h"
+#include "core/budget/budget_decision.h"
 #include "core/budget/budget_table.h"
 #include "core/quorum/store_group.h"
 #include "core/turns/turn_table.h"
@@ -10,7 +11,9 @@
 
 #include <gtest/gtest.h>
 
+#include <array>
 #include <string>
+#include <vector>
 
 namespace {
 
@@ -97,26 +100,73 @@
     budget_table_t table;
 };
 
-TEST_F(BudgetTable, NeverReservesBeyondTheBudget) {
-    EXPECT_TRUE(budget_table_reserve(&table, "p", "1", 60, 100, 0));
-    EXPECT_FALSE(budget_table_reserve(&table, "p", "2", 41, 100, 0));
-    EXPECT_TRUE(budget_table_reserve(&table, "p", "3", 40, 100, 0));
-    EXPECT_FALSE(budget_table_reserve(&table, "p", "4", 1, 100, 0));
-    EXPECT_TRUE(budget_table_reserve(&table, "q", "1", 100, 100, 0));
-    EXPECT_FALSE(budget_table_reserve(&table, "r", "1", UINT64_MAX, 100, 0));
+TEST_F(BudgetTable, ASummaryHoldsEveryChargeWhateverTheOrder) {
+    budget_table_reserve(&table, "p", "1", 60, 0);
+    budget_summary_t summary = budget_table_reserve(&table, "p", "2", 41, 0);
+    EXPECT_EQ(summary.charged, 101u);
+    budget_table_t other;
+    budget_table_init(&other);
+    budget_table_reserve(&other, "p", "2", 41, 0);
+    budget_summary_t same = budget_table_reserve(&other, "p", "1", 60, 0);
+    EXPECT_EQ(same.charged, summary.charged);
+    EXPECT_EQ(same.digest, summary.digest);
+    budget_table_settle(&other, "p", "1", 60, 0);
+    budget_summary_t settled = budget_table_reserve(&other, "p", "2", 41, 0);
+    EXPECT_EQ(settled.charged, summary.charged);
+    EXPECT_NE(settled.digest, summary.digest) << "a settled charge is another one";
+    EXPECT_EQ(budget_table_reserve(&table, "q", "1", 100, 0).charged, 100u);
+    budget_table_clear(&other);
+}
+
+TEST(BudgetDecision, TakesAQuorumOfEqualSummariesOrNone) {
+    const budget_summary_t a = {90, 1};
+    const budget_summary_t b = {90, 2};
+    const budget_summary_t over = {101, 3};
+    EXPECT_EQ(budget_decide(std::array{a, b, a}.data(), 3, 2, 100), BUDGET_GRANTED);
+    EXPECT_EQ(budget_decide(std::array{over, b, over}.data(), 3, 2, 100), BUDGET_REFUSED);
+    EXPECT_EQ(budget_decide(std::array{a, b, over}.data(), 3, 2, 100), BUDGET_UNDECIDED);
+    EXPECT_EQ(budget_decide(std::array{a}.data(), 1, 2, 100), BUDGET_UNDECIDED);
+    EXPECT_EQ(budget_decide(std::array{a, b, a, b}.data(), 4, 3, 100), BUDGET_UNDECIDED);
+    EXPECT_EQ(budget_decide(nullptr, 0, 1, 100), BUDGET_UNDECIDED);
+}
+
+// Each replica lacks another charge, and each by itself is within the budget.
+TEST(BudgetDecision, ReplicasThatEachLackACharge) {
+    const char *calls[] = {"1", "2", "3", "4"};
+    budget_table_t replicas[3];
+    std::vector<budget_summary_t> summaries;
+    budget_table_t joined;
+    budget_table_init(&joined);
+    for (int i = 0; i < 3; i++) {
+        budget_table_init(&replicas[i]);
+        for (int call = 0; call < 3; call++)
+            if (call != i)
+                budget_table_reserve(&replicas[i], "p", calls[call], 30, 0);
+        summaries.push_back(budget_table_reserve(&replicas[i], "p", calls[3], 30, 0));
+        EXPECT_LE(summaries.back().charged, 100u);
+        budget_table_each(
+            &replicas[i], "p",
+            [](void *user, const budget_charge_t *charge) {
+                budget_table_merge(static_cast<budget_table_t *>(user), charge, 0);
+            },
+            &joined);
+        budget_table_clear(&replicas[i]);
+    }
+    EXPECT_EQ(budget_decide(summaries.data(), 3, 2, 100), BUDGET_UNDECIDED);
+    EXPECT_EQ(budget_table_charged(&joined, "p"), 120u);
+    budget_table_clear(&joined);
 }
 
 TEST_F(BudgetTable, SettlingFreesWhatWasNotMade) {
-    budget_table_reserve(&table, "p", "1", 60, 100, 0);
+    budget_table_reserve(&table, "p", "1", 60, 0);
     budget_table_settle(&table, "p", "1", 10, 0);
     EXPECT_EQ(budget_table_charged(&table, "p"), 10u);
-    EXPECT_TRUE(budget_table_reserve(&table, "p", "2", 90, 100, 0));
-    EXPECT_EQ(budget_table_charged(&table, "p"), 100u);
+    EXPECT_EQ(budget_table_reserve(&table, "p", "2", 90, 0).charged, 100u);
 }
 
 TEST_F(BudgetTable, TheSameCallReservesOnce) {
-    EXPECT_TRUE(budget_table_reserve(&table, "p", "1", 60, 100, 0));
-    EXPECT_TRUE(budget_table_reserve(&table, "p", "1", 60, 100, 0));
+    budget_table_reserve(&table, "p", "1", 60, 0);
+    budget_table_reserve(&table, "p", "1", 60, 0);
     EXPECT_EQ(budget_table_charged(&table, "p"), 60u);
 }
 
@@ -137,8 +187,8 @@
 }
 
 TEST_F(BudgetTable, ForgetsOnlyProgramsThatRest) {
-    budget_table_reserve(&table, "old", "1", 60, 100, 10);
-    budget_table_reserve(&table, "new", "1", 60, 100, 20);
+    budget_table_reserve(&table, "old", "1", 60, 10);
+    budget_table_reserve(&table, "new", "1", 60, 20);
     budget_table_expire(&table, 20);
     EXPECT_EQ(budget_table_charged(&table, "old"), 0u);
     EXPECT_EQ(budget_table_charged(&table, "new"), 60u);
