store: a node is emptied only if enough others remain; real processes killed with a folder removed

A group of one can't lose a disk. Change: a member leaves only if more members than the tolerated losses remain.

--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -65,6 +65,11 @@
 echo "--- storage nodes in virtual time"
 . tests/integration/store_simulator_test.sh
 
+echo "--- gateways and storage nodes"
+cluster_begin "$BUILD/check-power"
+. tests/integration/power_test.sh
+expect "no sanitizer report" no_reports
+
 echo "--- one node"
 cluster_begin "$BUILD/check-one"
 cluster_standins 4
--- a/src/cluster/process_settings.c
+++ b/src/cluster/process_settings.c
@@ -3,7 +3,7 @@
 #include "cluster/service_directory.h"
 #include "common/event.h"
 
-enum { MEGABYTES_MAXIMUM = 1000000, GRACE_MS_MAXIMUM = 3600000 };
+enum { MEGABYTES_MAXIMUM = 1000000, GRACE_MS_MAXIMUM = 3600000, TOLERATED_LOSSES_MAXIMUM = 100 };
 
 typedef struct {
     GKeyFile *file;
@@ -76,6 +76,8 @@
     settings->folder = read_text(reader, "store", "folder", gateway ? "" : NULL);
     settings->disk_megabytes =
         read_number(reader, "store", "disk_megabytes", 300, 0, MEGABYTES_MAXIMUM);
+    settings->tolerated_losses =
+        read_number(reader, "store", "tolerated_losses", 1, 0, TOLERATED_LOSSES_MAXIMUM);
     char *first = read_text(reader, "store", "first_start", "false");
     settings->first_start = g_strcmp0(first, "true") == 0;
     g_free(first);
--- a/src/cluster/process_settings.h
+++ b/src/cluster/process_settings.h
@@ -27,6 +27,7 @@
     struct sockaddr_in key_value;
     char *folder; /**< Of a storage node's files. */
     uint64_t disk_megabytes;
+    uint64_t tolerated_losses; /**< Disks that may be lost at once: a group keeps more members. */
     uint64_t memory_megabytes;
     bool first_start;  /**< The whole system starts for the first time. */
     uint64_t grace_ms; /**< Longest planned stop. */
--- a/src/store/store_membership.c
+++ b/src/store/store_membership.c
@@ -7,7 +7,8 @@
  * - a node that is no member, in place of a member that it finds gone, or to bring the group
  *   back to the size it was founded with;
  * - a member that an operator asks to be emptied: the group without it, or with a node that is
- *   no member in its place. It says "completed" once the others are complete without it.
+ *   no member in its place. It says "completed" once the others are complete without it; as long
+ *   as they would be too few to lose a disk, it stays.
  *
  * Failures. A proposal whose answer is lost shows in the watch. A member that was taken for gone
  * and comes back is no member any more and becomes a spare. While the key-value service is down
@@ -337,7 +338,10 @@
     const GArray *members = store->group->members;
     poll_members(membership, members);
     const store_member_t *spare = find_spare(membership);
-    if (members->len < 2 || count_complete(membership) < store_read_quorum(members->len))
+    /* The others must stand the loss of a disk right after this node is gone. */
+    guint remaining = members->len - 1 + (spare != NULL);
+    if (remaining <= store->settings->tolerated_losses ||
+        count_complete(membership) < store_read_quorum(members->len))
         return;
     store_group_t *next = store_group_next(store->group);
     copy_members_without(next, members, store->settings->name);
--- a/src/storesim/faults.c
+++ b/src/storesim/faults.c
@@ -39,7 +39,7 @@
     PAUSE_MANY_MS = 1000,
     PAUSE_SOME_MS = 4000,
     PAUSE_FEW_MS = 12000,
-    POWER_ONLY_PAUSE_MS = 9000,
+    PAUSE_ONE_KIND_MS = 9000,
     DOWN_LEAST_MS = 300,
     DOWN_MOST_MS = 4000,
 };
@@ -47,7 +47,7 @@
 static uint64_t counts[FAULT_KINDS];
 static uint64_t faults_until;
 static uint64_t pause_most;
-static bool power_only;
+static int only_kind; /**< The only kind drawn; -1: all are. */
 static world_t *world;
 
 static uint64_t duration(void) {
@@ -206,16 +206,9 @@
         end_store(next, END_DISK_LOST, duration());
 }
 
-static unsigned running_stores(void) {
-    unsigned running = 0;
-    for (guint i = 0; i < world->stores->len; i++)
-        running += ((const world_store_t *)g_ptr_array_index(world->stores, i))->store != NULL;
-    return running;
-}
-
 static bool retire(void) {
     world_store_t *store = random_store();
-    if (store == NULL || running_stores() < 4 || !world_is_sound(world))
+    if (store == NULL || !world_is_sound(world))
         return false;
     char *key = g_strconcat(key_value_prefix(KEY_RETIRE), store->settings.name, NULL);
     if (virtual_key_value_get(key) == NULL) {
@@ -306,7 +299,7 @@
         return;
     virtual_after(virtual_random(PAUSE_LEAST_MS, pause_most), NULL, inject, NULL);
     fault_kind_t kind =
-        power_only ? FAULT_POWER_ALL_AND_DISK : (fault_kind_t)virtual_random(0, FAULT_KINDS - 1);
+        only_kind >= 0 ? (fault_kind_t)only_kind : (fault_kind_t)virtual_random(0, FAULT_KINDS - 1);
     world_store_t *store = random_store();
     bool injected = store != NULL && inject_on_store(kind, store);
     if (!injected)
@@ -314,14 +307,20 @@
     counts[kind] += injected;
 }
 
-void faults_start(world_t *in_world, uint64_t until, bool only_power) {
+bool faults_start(world_t *in_world, uint64_t until, const char *only) {
     static const uint64_t pauses[] = {PAUSE_MANY_MS, PAUSE_SOME_MS, PAUSE_FEW_MS};
     world = in_world;
     faults_until = until;
-    power_only = only_power;
+    only_kind = -1;
+    for (int i = 0; only != NULL && i < FAULT_KINDS; i++)
+        if (g_strcmp0(fault_names[i], only) == 0)
+            only_kind = i;
+    if (only != NULL && only_kind < 0)
+        return false;
     pause_most =
-        only_power ? POWER_ONLY_PAUSE_MS : pauses[virtual_random(0, G_N_ELEMENTS(pauses) - 1)];
+        only != NULL ? PAUSE_ONE_KIND_MS : pauses[virtual_random(0, G_N_ELEMENTS(pauses) - 1)];
     virtual_after(virtual_random(0, pause_most), NULL, inject, NULL);
+    return true;
 }
 
 void faults_heal(world_t *in_world) {
--- a/src/storesim/main.c
+++ b/src/storesim/main.c
@@ -17,6 +17,8 @@
     HEAL_AT_MS = 34000,
     CHECK_AT_MS = 46000, /**< The users' recovery time after the last fault. */
     END_AT_MS = 70000,
+    SPARES = 4,
+    GATEWAYS = 3,
 };
 
 const char *argp_program_version = "rudderway-store-sim " RUDDERWAY_VERSION;
@@ -26,7 +28,7 @@
     uint64_t last;
     unsigned stores;
     world_break_t broken;
-    bool only_power;
+    const char *only;
 } arguments_t;
 
 static error_t parse_option(int key, char *argument, struct argp_state *state) {
@@ -41,8 +43,8 @@
     case 'n':
         arguments->stores = (unsigned)strtoul(argument, NULL, 10);
         return 0;
-    case 'p':
-        arguments->only_power = true;
+    case 'o':
+        arguments->only = argument;
         return 0;
     case 'b':
         if (strcmp(argument, "sync") == 0)
@@ -65,7 +67,7 @@
 static const struct argp_option options[] = {
     {"seeds", 's', "A..B", 0, "Seeds to run; default: 1..200", 0},
     {"stores", 'n', "N", 0, "Storage nodes at the start; default: 3 and 4 in turn", 0},
-    {"only-power", 'p', NULL, 0, "Only losses of all power, each with one disk", 0},
+    {"only", 'o', "KIND", 0, "Only faults of this kind, and no spare nodes", 0},
     {"break", 'b', "WHAT", 0,
      "Break the code on purpose: sync (acknowledge before it), identity (an emptied disk keeps "
      "it), catch-up (copy nothing)",
@@ -91,10 +93,14 @@
 
 static const workload_result_t *run_seed(uint64_t seed, const arguments_t *arguments) {
     unsigned stores = arguments->stores > 0 ? arguments->stores : 3 + (unsigned)(seed % 2);
-    world_t *world = world_new(seed, stores, 4, 3, arguments->broken);
+    world_t *world =
+        world_new(seed, stores, arguments->only == NULL ? SPARES : 0, GATEWAYS, arguments->broken);
     virtual_run(WORK_FROM_MS);
     workload_start(world, WORK_UNTIL_MS);
-    faults_start(world, FAULTS_UNTIL_MS, arguments->only_power);
+    if (!faults_start(world, FAULTS_UNTIL_MS, arguments->only)) {
+        fprintf(stderr, "no such kind of fault: %s\n", arguments->only);
+        exit(EXIT_FAILURE);
+    }
     virtual_after(HEAL_AT_MS - WORK_FROM_MS, NULL, heal, world);
     virtual_after(CHECK_AT_MS - WORK_FROM_MS, NULL, check_all, NULL);
     virtual_run(END_AT_MS);
--- a/src/storesim/world.c
+++ b/src/storesim/world.c
@@ -85,6 +85,7 @@
         .peer = store->process->address,
         .key_value_text = g_strdup(""),
         .folder = g_strdup(""),
+        .tolerated_losses = 1,
         .memory_megabytes = MEMORY_MEGABYTES,
     };
     g_ptr_array_add(world->stores, store);
--- a/src/storesim/world.h
+++ b/src/storesim/world.h
@@ -78,10 +78,10 @@
 /* faults.c */
 
 /**
- * Draws faults from now until @p until; @p only_power: all power is lost, and one disk with it,
- * again and again.
+ * Draws faults from now until @p until; of one kind if @p only names it. False: there is no such
+ * kind.
  */
-void faults_start(world_t *world, uint64_t until, bool only_power);
+bool faults_start(world_t *world, uint64_t until, const char *only);
 /** Ends all faults: everything that is not gone comes back. */
 void faults_heal(world_t *world);
 /** How often each kind of fault was injected, as "name count" lines appended to @p text. */
--- /dev/null
+++ b/tests/integration/power_test.sh
@@ -0,0 +1,104 @@
+# Sourced by scripts/check.sh: gateways and storage nodes as real processes on loopback. While a
+# caller has conversations, all of them are killed at once and one storage node's folder is
+# removed; afterwards every turn that was answered whole can be gone on from, with the right
+# prompt, and no program gets more than its budget. POWER_ROUNDS times.
+POWER_ROUNDS=${POWER_ROUNDS:-20}
+POWER_BASE=${POWER_BASE:-$((20000 + RANDOM % 20000))}
+declare -A POWER_PID
+
+power_settings() { # NAME KIND NUMBER FIRST_START
+    local file=$CLUSTER_DIR/$1.ini
+    cat > "$file" << SETTINGS
+[node]
+name=$1
+zone=z$(($3 % 3))
+log_level=notice
+[key_value]
+address=127.0.0.1:$POWER_BASE
+[peer]
+listen=127.0.0.1:$((POWER_BASE + 10 + $3))
+[gateway]
+calls=127.0.0.1:$((POWER_BASE + 30 + $3))
+readiness=127.0.0.1:$((POWER_BASE + 50 + $3))
+[store]
+folder=$CLUSTER_DIR/$1.data
+first_start=$4
+SETTINGS
+    [ "$2" = store ] && mkdir -p "$CLUSTER_DIR/$1.data"
+    return 0
+}
+
+power_start() { # FIRST_START
+    local i
+    for i in 0 1 2; do
+        power_settings "store$i" store $i "$1"
+        "$BUILD/rudderway-store" --settings "$CLUSTER_DIR/store$i.ini" \
+            >> "$CLUSTER_DIR/store$i.log" 2>&1 &
+        POWER_PID[store$i]=$!
+    done
+    for i in 3 4; do
+        power_settings "gateway$i" gateway $i false
+        "$BUILD/rudderway-gateway" --settings "$CLUSTER_DIR/gateway$i.ini" \
+            >> "$CLUSTER_DIR/gateway$i.log" 2>&1 &
+        POWER_PID[gateway$i]=$!
+    done
+}
+
+power_kill() {
+    [ "${#POWER_PID[@]}" -gt 0 ] || return 0
+    kill -9 "${POWER_PID[@]}" 2> /dev/null
+    wait "${POWER_PID[@]}" 2> /dev/null
+    POWER_PID=()
+    return 0
+}
+
+# power_wait: until a gateway says that it is ready (20 s at most).
+power_wait() {
+    for _ in $(seq 400); do
+        curl -s -o /dev/null -f "http://127.0.0.1:$((POWER_BASE + 53))/-/readiness" && return 0
+        sleep 0.05
+    done
+    return 1
+}
+
+# power_complete NAME COUNT: until the storage node has said COUNT times that it holds everything.
+power_complete() {
+    for _ in $(seq 400); do
+        [ "$(grep -c E804 "$CLUSTER_DIR/$1.log")" -ge "$2" ] && return 0
+        sleep 0.05
+    done
+    echo "$1 did not catch up"
+    return 1
+}
+
+power_rounds() {
+    local ports="$((POWER_BASE + 33)) $((POWER_BASE + 34))" round caller wiped complete
+    local file=$CLUSTER_DIR/acknowledged
+    : > "$file"
+    power_start true
+    for round in $(seq "$POWER_ROUNDS"); do
+        power_wait || return 1
+        "$BUILD/tests/platform_caller" write "$file" 1.2 $ports &
+        caller=$!
+        sleep "0.$((RANDOM % 7 + 3))"
+        power_kill
+        wait "$caller" || return 1
+        # At most one disk may be lost at a time: the next one only after this one's node has
+        # caught up.
+        wiped=store$((round % 3))
+        complete=$(grep -c E804 "$CLUSTER_DIR/$wiped.log")
+        rm -rf "$CLUSTER_DIR/$wiped.data"
+        power_start false
+        "$BUILD/tests/platform_caller" verify "$file" 30 $ports || return 1
+        power_complete "$wiped" $((complete + 1)) || return 1
+    done
+    power_kill
+    [ "$(grep -c '^turn' "$file")" -ge "$POWER_ROUNDS" ]
+}
+
+"$BUILD/tests/platform_standin" "$POWER_BASE" "$((POWER_BASE + 1))" "$((POWER_BASE + 2))" &
+POWER_STANDIN=$!
+expect "all killed and one folder removed, $POWER_ROUNDS times" power_rounds
+power_kill
+kill "$POWER_STANDIN" 2> /dev/null
+wait "$POWER_STANDIN" 2> /dev/null
--- a/tests/integration/store_simulator_test.sh
+++ b/tests/integration/store_simulator_test.sh
@@ -10,7 +10,9 @@
 
 expect "storage nodes: any fault, seeds 1..100" "$STORE_SIM" --seeds 1..100
 expect "storage nodes: power lost everywhere with one disk, seeds 1..200" \
-    "$STORE_SIM" --seeds 1..200 --only-power
+    "$STORE_SIM" --seeds 1..200 --only power_all_and_disk
+expect "storage nodes: one after the other is to be emptied, seeds 1..100" \
+    "$STORE_SIM" --seeds 1..100 --only retire
 expect "a seed runs the same twice" bash -c "cmp <($STORE_SIM --seeds 7) <($STORE_SIM --seeds 7)"
 for broken in sync identity catch-up; do
     expect "the sweep notices a broken $broken" notices "$broken"
