--- a/src/gateway/backends.c
+++ b/src/gateway/backends.c
@@ -9,11 +9,12 @@
     IDLE_MAXIMUM = 32,
     SLOTS_USUAL = 12,
     /* Expected delay, in units of 0.1 ms. */
-    AVOIDED_COST = 100000,   /**< After a failure: only if there is no other. */
-    PREFIX_READ_COST = 250,  /**< A prompt whose prefix is cached elsewhere. */
-    ENGINE_SHARE_COST = 20,  /**< Each call that an engine runs slows the others. */
-    ENGINE_QUEUE_COST = 250, /**< Each call beyond an engine's slots. */
-    ENGINE_FAR_COST = 150,   /**< Another zone: delay, and bytes that are paid for. */
+    AVOIDED_COST = 100000,    /**< After a failure: only if there is no other. */
+    PREFIX_READ_COST = 250,   /**< A prompt whose prefix is cached elsewhere. */
+    ENGINE_SHARE_COST = 20,   /**< Each call that an engine runs slows the others. */
+    ENGINE_QUEUE_COST = 250,  /**< Each call beyond an engine's slots. */
+    ENGINE_FAR_COST = 150,    /**< Another zone: delay, and bytes that are paid for. */
+    NEW_CONNECTION_COST = 30, /**< It takes time, and is paid for. */
     SERVICE_SHARE_COST = 50,
     SERVICE_QUEUE_COST = 400,
     SERVICE_FAR_COST = 80,
@@ -99,6 +100,19 @@
     return g_hash_table_size(backends->by_instance);
 }
 
+bool backends_half_full(const backends_t *backends) {
+    GHashTableIter iterator;
+    gpointer value;
+    g_hash_table_iter_init(&iterator, backends->by_instance);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const backend_t *backend = value;
+        unsigned slots = backend->record->slots > 0 ? backend->record->slots : SLOTS_USUAL;
+        if (2 * (backend->under_way + backend->elsewhere) >= slots)
+            return true;
+    }
+    return false;
+}
+
 static bool usable(const backend_t *backend, const backend_choice_t *choice) {
     if (backend->record->leaving || strcmp(backend->record->service, choice->service) != 0)
         return false;
@@ -127,6 +141,8 @@
     unsigned beyond = calls >= slots ? calls - slots + 1 : 0;
     unsigned cost = calls * (engine ? ENGINE_SHARE_COST : SERVICE_SHARE_COST) +
                     beyond * (engine ? ENGINE_QUEUE_COST : SERVICE_QUEUE_COST);
+    if (backend->idle->len == 0)
+        cost += NEW_CONNECTION_COST;
     if (!in_zone(backends, backend))
         cost += engine ? ENGINE_FAR_COST : SERVICE_FAR_COST;
     if (uv_now(backends->loop) < backend->avoid_until)
@@ -156,12 +172,6 @@
     return home;
 }
 
-/** Among back ends of equal cost one with a kept connection: a new one costs time and money. */
-static uint64_t tie_rank(const backend_t *backend) {
-    uint64_t kept = backend->idle->len > 0 ? (uint64_t)1 << 32 : 0;
-    return kept | g_random_int();
-}
-
 backend_t *backends_choose(backends_t *backends, const backend_choice_t *choice) {
     const backend_t *home = choice->program == NULL ? NULL : find_home(backends, choice);
     backend_t *best = NULL;
@@ -177,7 +187,7 @@
         unsigned cost = load_cost(backends, backend, choice);
         if (choice->program != NULL && backend != home)
             cost += PREFIX_READ_COST;
-        uint64_t rank = tie_rank(backend);
+        uint64_t rank = g_random_int();
         if (best != NULL && (cost > best_cost || (cost == best_cost && rank < best_rank)))
             continue;
         best = backend;
--- a/src/gateway/backends.h
+++ b/src/gateway/backends.h
@@ -58,6 +58,9 @@
 backend_t *backends_find_hash(const backends_t *backends, uint64_t id_hash);
 unsigned backends_count(const backends_t *backends);
 
+/** True if some back end has half of its slots taken, as far as is known here. */
+bool backends_half_full(const backends_t *backends);
+
 /** The back end for a call, with a reference and counted under way; NULL if there is none. */
 backend_t *backends_choose(backends_t *backends, const backend_choice_t *choice);
 /** Ends what backends_choose began. */
--- a/src/gateway/load_sharing.c
+++ b/src/gateway/load_sharing.c
@@ -2,7 +2,8 @@
  * Design. A datagram holds the sender's calls under way, one entry for each back end that has
  * any. It is sent when something has changed, at most once a period, and again from time to time
  * while there is anything to tell. The period grows with the number of gateways, so that what one
- * gateway sends and receives stays level.
+ * gateway sends and receives stays level, and while no back end is half full, when the choice
+ * hardly depends on it.
  */
 #include "gateway/load_sharing.h"
 
@@ -13,6 +14,7 @@
 enum {
     PERIOD_MS = 30,
     PERIOD_EACH_MS = 2, /**< Added for each gateway. */
+    CALM_PERIODS = 4,   /**< Periods in one while no back end is half full. */
     REFRESH_MS = 400,   /**< Told again after this although nothing has changed. */
     FORGET_MS = 1000,   /**< What a silent gateway said last counts for so long. */
     ENTRIES_MAXIMUM = 4096,
@@ -169,6 +171,8 @@
 
 static void arm_timer(load_sharing_t *sharing) {
     uint64_t period = PERIOD_MS + PERIOD_EACH_MS * (uint64_t)sharing->peers->len;
+    if (!backends_half_full(sharing->backends))
+        period *= CALM_PERIODS;
     uv_timer_start(&sharing->timer, on_timer, period, 0);
 }
 
