--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -7,11 +7,21 @@
 passed=0
 failed=0
 
+# Tests of KNOWN-RED.txt, one a line as "NAME, cause, issue", are printed and passed over.
+KNOWN_RED=$(grep -vE '^[[:space:]]*(#|$)' KNOWN-RED.txt 2> /dev/null)
+[ -z "$KNOWN_RED" ] || sed 's/^/known red: /' <<< "$KNOWN_RED"
+
+# known_red NAME: true if the test is listed.
+known_red() {
+    cut -d, -f1 <<< "$KNOWN_RED" | grep -qxF -- "$1"
+}
+
 # run_test NAME COMMAND...: runs a GoogleTest program and adds its counts.
 run_test() {
     local name=$1 output status
     shift
-    output=$("$@" --gtest_brief=1 2>&1)
+    output=$("$@" --gtest_brief=1 --gtest_filter="-$(cut -d, -f1 <<< "$KNOWN_RED" |
+        paste -sd:)" 2>&1)
     status=$?
     local good ran bad
     good=$(sed -n 's/^\[  PASSED  \] \([0-9]*\) test.*/\1/p' <<< "$output")
@@ -28,6 +38,7 @@
 expect() {
     local name=$1
     shift
+    known_red "$name" && return 0
     if "$@" > "$CLUSTER_DIR/expect.out" 2>&1; then
         passed=$((passed + 1))
     else
