--- a/src/gateway/backends.c
+++ b/src/gateway/backends.c
@@ -1,6 +1,5 @@
 #include "gateway/backends.h"
 
-#include <limits.h>
 #include <string.h>
 #include <xxhash.h>
 
@@ -101,27 +100,6 @@
     return g_hash_table_size(backends->by_instance);
 }
 
-static bool usable(const backend_t *backend, const backend_choice_t *choice) {
-    if (backend->record->leaving || strcmp(backend->record->service, choice->service) != 0)
-        return false;
-    return choice->excluded == NULL ||
-           !g_ptr_array_find((GPtrArray *)choice->excluded, backend, NULL);
-}
-
-unsigned backends_least_load(const backends_t *backends, const char *service) {
-    const backend_choice_t choice = {.service = service};
-    unsigned least = UINT_MAX;
-    GHashTableIter iterator;
-    gpointer value;
-    g_hash_table_iter_init(&iterator, backends->by_instance);
-    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        const backend_t *backend = value;
-        if (usable(backend, &choice) && uv_now(backends->loop) >= backend->avoid_until)
-            least = MIN(least, backend->under_way + backend->elsewhere);
-    }
-    return least == UINT_MAX ? 0 : least;
-}
-
 bool backends_half_full(const backends_t *backends) {
     GHashTableIter iterator;
     gpointer value;
@@ -135,6 +113,13 @@
     return false;
 }
 
+static bool usable(const backend_t *backend, const backend_choice_t *choice) {
+    if (backend->record->leaving || strcmp(backend->record->service, choice->service) != 0)
+        return false;
+    return choice->excluded == NULL ||
+           !g_ptr_array_find((GPtrArray *)choice->excluded, backend, NULL);
+}
+
 static bool in_zone(const backends_t *backends, const backend_t *backend) {
     return strcmp(backend->record->zone, backends->zone) == 0;
 }
--- a/src/gateway/backends.h
+++ b/src/gateway/backends.h
@@ -58,8 +58,6 @@
 backend_t *backends_find_hash(const backends_t *backends, uint64_t id_hash);
 unsigned backends_count(const backends_t *backends);
 
-/** Calls under way at the usable back end of @p service that has fewest; 0 if there is none. */
-unsigned backends_least_load(const backends_t *backends, const char *service);
 /** True if some back end has half of its slots taken, as far as is known here. */
 bool backends_half_full(const backends_t *backends);
 
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -66,8 +66,7 @@
     bool ended;
 
     /* The way to back ends. */
-    engine_ticket_t *ticket; /**< While it waits for an engine with room. */
-    backend_t *backend;      /**< Where the call is now; NULL: nowhere. */
+    backend_t *backend; /**< Where the call is now; NULL: nowhere. */
     http_client_t *client;
     GPtrArray *tried; /**< Back ends that failed or refused; each with a reference. */
     unsigned sends;   /**< Times that any byte may have reached a back end. */
--- a/src/gateway/call_send.c
+++ b/src/gateway/call_send.c
@@ -10,7 +10,6 @@
 
 #include "common/event.h"
 
-#include <stdlib.h>
 #include <string.h>
 #include <strings.h>
 
@@ -22,8 +21,7 @@
     STATUS_UNAVAILABLE = 503,
     CONNECT_FAILURES_MAXIMUM = 4,
     ANSWER_BYTES_MAXIMUM = 16 * 1024 * 1024,
-    QUEUE_MOST_MS = 800, /**< A caller gives up a stream that is silent for 2 s. */
-    LEAST_MS = 5,        /**< With less time left a call is not sent any more. */
+    LEAST_MS = 5, /**< With less time left a call is not sent any more. */
 };
 
 static void release_backend(call_t *call) {
@@ -33,9 +31,6 @@
 }
 
 void call_stop_backend(call_t *call) {
-    if (call->ticket != NULL)
-        engine_queue_leave(call->ticket);
-    call->ticket = NULL;
     if (call->client != NULL)
         http_client_close(call->client);
     call->client = NULL;
@@ -242,7 +237,7 @@
 
 static const http_exchange_handler_t exchange_handler = {on_head, on_body, on_complete, on_failed};
 
-static void send_now(call_t *call) {
+void call_send(call_t *call) {
     gateway_t *gateway = call->gateway;
     backend_choice_t choice = {
         .service = call->service_name,
@@ -267,32 +262,3 @@
     bool head_request = strcmp(call->request->method, "HEAD") == 0;
     http_client_send(call->client, build_request(call), head_request, &exchange_handler, call);
 }
-
-static void on_engine_room(void *owner) {
-    call_t *call = owner;
-    call->ticket = NULL;
-    send_now(call);
-}
-
-/** How long the call may wait here for an engine with room. */
-static uint64_t longest_wait(const call_t *call) {
-    uint64_t waited = uv_now(call->gateway->loop) - call->arrived_at;
-    uint64_t longest = MIN(QUEUE_MOST_MS, call_time_left(call) / 4);
-    return longest > waited ? longest - waited : 0;
-}
-
-/** When the call's program should be over; far away if its caller did not say. */
-static uint64_t program_due_at(const call_t *call) {
-    const char *left = call_field(call, FIELD_PROGRAM_DEADLINE);
-    return call->arrived_at + (left == NULL ? UINT32_MAX : strtoull(left, NULL, 10));
-}
-
-void call_send(call_t *call) {
-    bool engine = call->service != NULL && call->service->engine && call->service->slots > 0;
-    if (engine && call->sends == 0)
-        call->ticket =
-            engine_queue_wait(call->gateway->engine_queue, call->service_name, call->service->slots,
-                              program_due_at(call), longest_wait(call), on_engine_room, call);
-    if (call->ticket == NULL)
-        send_now(call);
-}
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -13,7 +13,6 @@
 #include "cluster/service_directory.h"
 #include "gateway/backends.h"
 #include "gateway/chain_cache.h"
-#include "gateway/engine_queue.h"
 #include "gateway/load_sharing.h"
 #include "gateway/store_client.h"
 #include "net/http_listener.h"
@@ -47,7 +46,6 @@
     bool backends_listed;
     store_client_t *stores;
     load_sharing_t *load_sharing;
-    engine_queue_t *engine_queue;
     chain_cache_t chains;
     GHashTable *split_credits; /**< Route name to what each part is owed; see split.h. */
     key_value_watch_t *watch;
--- a/src/gateway/main.c
+++ b/src/gateway/main.c
@@ -93,7 +93,6 @@
 static bool open_gateway(gateway_t *gateway) {
     const process_settings_t *settings = gateway->settings;
     backends_init(&gateway->backends, gateway->loop, settings->zone);
-    gateway->engine_queue = engine_queue_new(gateway->loop, &gateway->backends);
     gateway->load_sharing = load_sharing_open(gateway->loop, &settings->peer, &gateway->backends);
     if (gateway->load_sharing == NULL)
         return false;
