test: unit tests free what they open

Cause: make asan, 3 of 222 failed: leaks of test fixtures (settings, logs, back ends had no way to be freed), and one of them was built before the test it ran was mended. Change: process_settings_free, record_log_close, backends_clear, used by the tests.

--- a/src/cluster/process_settings.c
+++ b/src/cluster/process_settings.c
@@ -83,7 +83,9 @@
     g_free(first);
 }
 
-static void process_settings_free(process_settings_t *settings) {
+void process_settings_free(process_settings_t *settings) {
+    if (settings == NULL)
+        return;
     g_free(settings->name);
     g_free(settings->zone);
     g_free(settings->log_level);
--- a/src/cluster/process_settings.h
+++ b/src/cluster/process_settings.h
@@ -38,5 +38,6 @@
 
 /** Reads and checks the file; NULL and @p error naming the setting if one is not valid. */
 process_settings_t *process_settings_load(const char *path, process_kind_t kind, GError **error);
+void process_settings_free(process_settings_t *settings);
 
 #endif
--- a/src/gateway/backends.c
+++ b/src/gateway/backends.c
@@ -10,7 +10,7 @@
     SLOTS_USUAL = 12,
     /* Expected delay, in units of 0.1 ms. */
     AVOIDED_COST = 100000,    /**< After a failure: only if there is no other. */
-    PREFIX_READ_COST = 1000,   /**< A prompt whose prefix is cached elsewhere. */
+    PREFIX_READ_COST = 1000,  /**< A prompt whose prefix is cached elsewhere. */
     ENGINE_SHARE_COST = 20,   /**< Each call that an engine runs slows the others. */
     ENGINE_QUEUE_COST = 250,  /**< Each call beyond an engine's slots. */
     ENGINE_FAR_COST = 150,    /**< Another zone: delay, and bytes that are paid for. */
@@ -96,6 +96,15 @@
     return g_hash_table_lookup(backends->by_hash, &id_hash);
 }
 
+void backends_clear(backends_t *backends) {
+    GHashTable *none = g_hash_table_new(g_str_hash, g_str_equal);
+    backends_retain(backends, none);
+    g_hash_table_destroy(none);
+    g_hash_table_destroy(backends->by_instance);
+    g_hash_table_destroy(backends->by_hash);
+    g_free(backends->zone);
+}
+
 unsigned backends_count(const backends_t *backends) {
     return g_hash_table_size(backends->by_instance);
 }
--- a/src/gateway/backends.h
+++ b/src/gateway/backends.h
@@ -49,6 +49,8 @@
 } backend_choice_t;
 
 void backends_init(backends_t *backends, uv_loop_t *loop, const char *zone);
+/** Forgets all back ends; none may have a call under way. */
+void backends_clear(backends_t *backends);
 /** Takes over @p record as what is known of its instance now. */
 void backends_update(backends_t *backends, backend_record_t *record);
 void backends_remove(backends_t *backends, const char *instance);
--- a/src/store/record_log.c
+++ b/src/store/record_log.c
@@ -323,6 +323,15 @@
     g_free(path);
 }
 
+void record_log_close(record_log_t *log) {
+    if (log->file >= 0)
+        close(log->file);
+    g_array_free(log->segments, TRUE);
+    g_array_free(log->pending, TRUE);
+    g_free(log->folder);
+    g_free(log);
+}
+
 record_log_t *record_log_open(uv_loop_t *loop, const char *folder,
                               void (*replay)(void *owner, uint32_t segment, const uint8_t *data,
                                              size_t length),
@@ -336,10 +345,7 @@
     GArray *numbers = find_segments(log, error);
     if (numbers == NULL) {
         g_prefix_error(error, "%s: ", folder);
-        g_array_free(log->segments, TRUE);
-        g_array_free(log->pending, TRUE);
-        g_free(log->folder);
-        g_free(log);
+        record_log_close(log);
         return NULL;
     }
     uint32_t next = 1;
--- a/src/store/record_log.h
+++ b/src/store/record_log.h
@@ -28,6 +28,8 @@
                               void (*replay)(void *owner, uint32_t segment, const uint8_t *data,
                                              size_t length),
                               void *owner, GError **error);
+/** Closes the log; nothing may be waiting for the disk. */
+void record_log_close(record_log_t *log);
 /** The state file's content; NULL if there is none or it is unsound. Caller unrefs. */
 GBytes *record_log_read_state(const record_log_t *log);
 
--- a/src/storesim/virtual_disk.c
+++ b/src/storesim/virtual_disk.c
@@ -158,6 +158,11 @@
     return 0;
 }
 
+void record_log_close(record_log_t *log) {
+    g_array_free(log->pending, TRUE);
+    g_free(log);
+}
+
 bool record_log_idle(const record_log_t *log) {
     return log->batch == NULL && log->pending->len == 0;
 }
--- a/tests/unit/gateway_test.cc
+++ b/tests/unit/gateway_test.cc
@@ -13,6 +13,7 @@
 
 #include <map>
 #include <string>
+#include <vector>
 
 namespace {
 
@@ -153,9 +154,16 @@
         backends_init(&backends, &loop, "here");
     }
     void TearDown() override {
+        for (backend_t *backend : under_way)
+            backend_release(backend);
+        backends_clear(&backends);
         uv_run(&loop, UV_RUN_NOWAIT);
         uv_loop_close(&loop);
     }
+    void release() {
+        backend_release(last);
+        under_way.pop_back();
+    }
     void add(const char *instance, const char *zone, bool leaving = false) {
         auto *record = g_new0(backend_record_t, 1);
         record->instance = g_strdup(instance);
@@ -168,11 +176,14 @@
     std::string choose(const char *program, GPtrArray *excluded = nullptr) {
         backend_choice_t choice = {"s", program, excluded, 2};
         last = backends_choose(&backends, &choice);
+        if (last != nullptr)
+            under_way.push_back(last);
         return last == nullptr ? "none" : last->record->instance;
     }
     uv_loop_t loop;
     backends_t backends;
     backend_t *last;
+    std::vector<backend_t *> under_way;
 };
 
 TEST_F(Backends, NoCallGoesToOneThatIsLeavingOrGone) {
@@ -190,7 +201,7 @@
     add("far", "there");
     std::string home = choose("program");
     EXPECT_NE(home, "far");
-    backend_release(last);
+    release();
     int stayed = 0;
     std::string next = choose("program");
     for (; next == home && stayed < 20; next = choose("program"))
@@ -204,8 +215,9 @@
     add("a", "here");
     add("b", "here");
     std::string first = choose(nullptr);
-    backend_release(last);
-    backends_find_hash(&backends, last->id_hash)->elsewhere = 5;
+    uint64_t hash = last->id_hash;
+    release();
+    backends_find_hash(&backends, hash)->elsewhere = 5;
     EXPECT_NE(choose(nullptr), first);
 }
 
--- a/tests/unit/platform_test.cc
+++ b/tests/unit/platform_test.cc
@@ -129,6 +129,7 @@
         std::string message = error == nullptr ? "" : error->message;
         g_clear_error(&error);
         EXPECT_EQ(settings == nullptr, !message.empty());
+        process_settings_free(settings);
         return message;
     };
     EXPECT_EQ(load(good, PROCESS_STORE), "");
--- a/tests/unit/record_log_test.cc
+++ b/tests/unit/record_log_test.cc
@@ -28,9 +28,12 @@
         uv_loop_init(&loop);
     }
     void TearDown() override {
+        close();
+        uv_loop_close(&loop);
         fs::remove_all(folder);
     }
     record_log_t *open() {
+        close();
         replayed.clear();
         GError *error = nullptr;
         record_log_t *log = record_log_open(
@@ -41,8 +44,14 @@
             },
             this, &error);
         EXPECT_NE(log, nullptr);
+        opened = log;
         return log;
     }
+    void close() {
+        if (opened != nullptr)
+            record_log_close(opened);
+        opened = nullptr;
+    }
     static void done(void *owner, bool durable, uint32_t) {
         auto *test = static_cast<RecordLog *>(owner);
         (durable ? test->durable : test->refused)++;
@@ -59,6 +68,7 @@
         return folder + name;
     }
     uv_loop_t loop;
+    record_log_t *opened = nullptr;
     std::string folder;
     std::vector<std::string> replayed;
     int durable = 0;
