--- a/src/gateway/backends.c
+++ b/src/gateway/backends.c
@@ -14,7 +14,7 @@
     ENGINE_SHARE_COST = 20,   /**< Each call that an engine runs slows the others. */
     ENGINE_QUEUE_COST = 250,  /**< Each call beyond an engine's slots. */
     ENGINE_FAR_COST = 150,    /**< Another zone: delay, and bytes that are paid for. */
-    NEW_CONNECTION_COST = 30, /**< It takes time, and is paid for. */
+    NEW_CONNECTION_COST = 60, /**< It takes time, and is paid for. */
     SERVICE_SHARE_COST = 50,
     SERVICE_QUEUE_COST = 400,
     SERVICE_FAR_COST = 80,
--- a/src/gateway/load_sharing.c
+++ b/src/gateway/load_sharing.c
@@ -12,8 +12,8 @@
 #include <string.h>
 
 enum {
-    PERIOD_MS = 30,
-    PERIOD_EACH_MS = 2, /**< Added for each gateway. */
+    PERIOD_MS = 60,
+    PERIOD_EACH_MS = 3, /**< Added for each gateway. */
     CALM_PERIODS = 4,   /**< Periods in one while no back end is half full. */
     REFRESH_MS = 400,   /**< Told again after this although nothing has changed. */
     FORGET_MS = 1000,   /**< What a silent gateway said last counts for so long. */
--- a/src/store/store_membership.c
+++ b/src/store/store_membership.c
@@ -22,7 +22,7 @@
 #include <string.h>
 
 enum {
-    WATCH_WAIT_MS = 10000,
+    WATCH_WAIT_MS = 25000,
     CHECK_MS = 300,
     FOUND_AFTER_MS = 2000, /**< After the start, so that all founders have registered. */
     FOUND_ALONE_AFTER_MS = 5000,
