--- a/src/gateway/main.c
+++ b/src/gateway/main.c
@@ -1,11 +1,10 @@
 /** The gateway's program: settings, loop, signals, planned stop. */
+#include "cluster/program.h"
 #include "common/event.h"
 #include "gateway/gateway.h"
 #include "gateway/split.h"
 #include "net/frame_connection.h"
 
-#include <argp.h>
-#include <signal.h>
 #include <stdlib.h>
 
 enum {
@@ -22,29 +21,6 @@
 /** Until a configuration says otherwise. */
 static const http_limits_t first_limits = {16384, 4 * MEGABYTE, 3000, 15000};
 
-const char *argp_program_version = "rudderway-gateway " RUDDERWAY_VERSION;
-
-static char *settings_path;
-
-static error_t parse_option(int key, char *argument, struct argp_state *state) {
-    switch (key) {
-    case 's':
-        settings_path = argument;
-        return 0;
-    case ARGP_KEY_ARG:
-        argp_usage(state);
-        return 0;
-    default:
-        return ARGP_ERR_UNKNOWN;
-    }
-}
-
-static const struct argp_option options[] = {
-    {"settings", 's', "FILE", 0, "Settings file; default: $RUDDERWAY_SETTINGS", 0}, {0}};
-static const struct argp argp = {
-    options, parse_option, NULL, "Rudderway's gateway: takes calls and sends them to back ends.",
-    NULL,    NULL,         NULL};
-
 static void on_upkeep(uv_timer_t *timer) {
     gateway_t *gateway = timer->data;
     uint64_t since = uv_now(gateway->loop) - gateway->stopping_since;
@@ -74,17 +50,6 @@
     uv_timer_start(&gateway->upkeep, on_upkeep, UPKEEP_MS, UPKEEP_MS);
 }
 
-static void on_reload_signal(uv_signal_t *handle, int number) {
-    (void)handle;
-    event_log(SETTINGS_RELOADED, number);
-}
-
-static void watch_signal(gateway_t *gateway, uv_signal_t *handle, int number, uv_signal_cb action) {
-    uv_signal_init(gateway->loop, handle);
-    handle->data = gateway;
-    uv_signal_start(handle, action, number);
-}
-
 static void on_gateways(void *owner, const GPtrArray *addresses) {
     const gateway_t *gateway = owner;
     load_sharing_set_gateways(gateway->load_sharing, addresses);
@@ -117,10 +82,8 @@
         return EXIT_FAILURE;
     }
     event_log(GATEWAY_STARTED, settings->name, settings->zone, RUDDERWAY_VERSION);
-    uv_signal_t signals[3];
-    watch_signal(&gateway, &signals[0], SIGTERM, on_stop_signal);
-    watch_signal(&gateway, &signals[1], SIGINT, on_stop_signal);
-    watch_signal(&gateway, &signals[2], SIGHUP, on_reload_signal);
+    program_signals_t signals;
+    program_watch_signals(&signals, &loop, on_stop_signal, &gateway);
     uv_timer_init(&loop, &gateway.upkeep);
     gateway.upkeep.data = &gateway;
     gateway_watch_directory(&gateway);
@@ -130,21 +93,12 @@
 }
 
 int main(int argc, char **argv) {
-    settings_path = getenv("RUDDERWAY_SETTINGS");
-    argp_parse(&argp, argc, argv, 0, NULL, NULL);
-    signal(SIGPIPE, SIG_IGN);
-    GError *error = NULL;
-    process_settings_t *settings = NULL;
-    if (settings_path == NULL)
-        error_set(&error, RUDDERWAY_ERROR_SETTINGS_INVALID, "no settings file is named");
-    else
-        settings = process_settings_load(settings_path, PROCESS_GATEWAY, &error);
-    event_open("rudderway-gateway", settings == NULL ? "info" : settings->log_level);
-    if (settings == NULL) {
-        event_log(NODE_FAILED, error_name(RUDDERWAY_ERROR_SETTINGS_INVALID), error->message);
-        return EXIT_FAILURE;
-    }
-    int status = run(settings);
-    event_close();
-    return status;
+    static const program_t program = {
+        .name = "rudderway-gateway",
+        .version = "rudderway-gateway " RUDDERWAY_VERSION,
+        .purpose = "Rudderway's gateway: takes calls and sends them to back ends.",
+        .kind = PROCESS_GATEWAY,
+        .run = run,
+    };
+    return program_main(&program, argc, argv);
 }
