test: a randomized fault soak over real gateways and storage nodes

Change: tests/soak. Gateways and storage nodes run as processes; key-value service, back ends, callers and a proxy on each link live in one Python process. Faults are drawn from a seed: kills, pauses, planned stops, wiped disks, torn tails, full disks, a storage node emptied with a spare in its place, links that delay, reset, go silent or work one way, a key-value service that refuses, loses answers, slows or forgets its history, back ends that refuse, hang, err, cut, garble, drain or vanish, edits. Promises are judged while it runs and once all is healed; each is broken once in promises_test.py. New setting peer.advertise: the address told to other nodes, so that a proxy can stand between them. Clocks: the product reads only the steady clock for decisions, so no clock is stepped.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 SHELL := /bin/bash
 BUILD := build
 
-.PHONY: all setup build demo check bench slopes lint format asan tsan clean
+.PHONY: all setup build demo check soak bench slopes lint format asan tsan clean
 
 all: build
 
@@ -19,6 +19,9 @@
 check: build
 	@BUILD=$(BUILD) bash scripts/check.sh
 
+soak: build
+	@BUILD=$(BUILD) bash scripts/soak.sh
+
 bench: build
 	@BUILD=$(BUILD) bash scripts/bench.sh
 
--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -81,6 +81,9 @@
 . tests/integration/power_test.sh
 expect "no sanitizer report" no_reports
 
+echo "--- soak of gateways and storage nodes under faults"
+. tests/integration/soak_test.sh
+
 echo "--- one node"
 cluster_begin "$BUILD/check-one"
 cluster_standins 4
--- /dev/null
+++ b/scripts/soak.sh
@@ -0,0 +1,26 @@
+#!/usr/bin/env bash
+# A randomized fault soak over real gateways and storage nodes: SEEDS (by default a fresh one every
+# run, SOAK_RUNS of them), each with SOAK_SECONDS of faults. Exit status 0: no promise was broken.
+# A seed that fails leaves its logs in soak-run/SEED.
+cd "$(dirname "$0")/.." || exit 1
+BUILD=${BUILD:-build}
+RUNS=${SOAK_RUNS:-10}
+LENGTH=${SOAK_SECONDS:-25}
+SEEDS=${SEEDS:-$(for _ in $(seq "$RUNS"); do echo "$((RANDOM * 32768 + RANDOM))"; done)}
+failed=0
+for seed in $SEEDS; do
+    folder=soak-run/$seed
+    mkdir -p soak-run
+    if python3 tests/soak/soak.py --build "$BUILD" --seed "$seed" --seconds "$LENGTH" \
+        --folder "$folder" --base-port "$((10000 + RANDOM % 15000))" > "soak-run/$seed.txt" 2>&1; then
+        tail -1 "soak-run/$seed.txt"
+        rm -rf "$folder" "soak-run/$seed.txt"
+    else
+        failed=$((failed + 1))
+        echo "seed $seed: a promise was broken; see soak-run/$seed.txt and $folder"
+        grep BROKEN "soak-run/$seed.txt" | head -5
+        tail -1 "soak-run/$seed.txt"
+    fi
+done
+echo "soak: $(wc -w <<< "$SEEDS") seeds, $failed failed"
+[ "$failed" -eq 0 ]
--- a/src/cluster/process_settings.c
+++ b/src/cluster/process_settings.c
@@ -43,6 +43,17 @@
     return address;
 }
 
+/** The address told to other nodes, if they reach this one at another than it listens on. */
+static void read_advertised_address(reader_t *reader, process_settings_t *settings) {
+    char *text;
+    struct sockaddr_in address = read_address(reader, "peer", "advertise", false, &text);
+    if (address.sin_port != 0) {
+        g_free(settings->peer_text);
+        settings->peer_text = g_steal_pointer(&text);
+    }
+    g_free(text);
+}
+
 static uint64_t read_number(reader_t *reader, const char *group, const char *key, uint64_t fallback,
                             uint64_t minimum, uint64_t maximum) {
     char *value = g_key_file_get_string(reader->file, group, key, NULL);
@@ -73,6 +84,7 @@
     settings->calls = read_address(reader, "gateway", "calls", gateway, NULL);
     settings->readiness = read_address(reader, "gateway", "readiness", gateway, NULL);
     settings->peer = read_address(reader, "peer", "listen", true, &settings->peer_text);
+    read_advertised_address(reader, settings);
     settings->folder = read_text(reader, "store", "folder", gateway ? "" : NULL);
     settings->disk_megabytes =
         read_number(reader, "store", "disk_megabytes", 300, 0, MEGABYTES_MAXIMUM);
--- /dev/null
+++ b/tests/integration/soak_test.sh
@@ -0,0 +1,12 @@
+# Sourced by scripts/check.sh: the soak's own checks, one seed of it, and each seed that ever failed
+# (tests/soak/seeds.txt).
+SOAK_SECONDS=${SOAK_SECONDS:-12}
+
+soak_seed() {
+    SEEDS=$1 SOAK_SECONDS=$SOAK_SECONDS bash scripts/soak.sh
+}
+
+expect "the soak notices each broken promise" python3 tests/soak/promises_test.py
+for soak_seed_number in 1 $(sed 's/#.*//' tests/soak/seeds.txt | awk 'NF {print $1}'); do
+    expect "soak, seed $soak_seed_number" soak_seed "$soak_seed_number"
+done
--- /dev/null
+++ b/tests/soak/promises.py
@@ -0,0 +1,114 @@
+"""What callers and back ends saw, and the promises judged over it.
+
+Every attempt of a caller is one record. Back ends add what they ran; callers add what they got.
+A broken promise is noted once it is seen, with the attempt that shows it.
+"""
+
+import time
+
+NOT_RUN_STATUSES = {402, 408, 421, 429, 503}
+
+
+class Attempt:
+    """One try of a caller, with an id of its own."""
+
+    def __init__(self, attempt_id, route, method, target, body, program):
+        self.id = attempt_id
+        self.route = route
+        self.method = method
+        self.target = target
+        self.body = body  # What a back end must get.
+        self.program = program
+        self.runs = []  # (instance, time)
+        self.produced = {}  # Instance: the body of its whole answer; of plain calls.
+        self.refused = False
+
+
+class Promises:
+    """The ledger of a run."""
+
+    def __init__(self):
+        self.attempts = {}
+        self.turns = {}  # Attempt id: (parent, input, output) of turns answered whole.
+        self.handed = {}  # Program: tokens that its callers got.
+        self.budgets = {}  # Program: (budget, most of one turn)
+        self.broken = []
+        self.statuses = {}
+        self.drained = {}  # Instance: time after which no request may reach it.
+        self.versions = {}  # Gateway incarnation: highest version seen in force.
+
+    def break_promise(self, promise, attempt_id, detail):
+        self.broken.append((promise, attempt_id, detail))
+        print(f"BROKEN {promise} attempt={attempt_id} {detail}", flush=True)
+
+    def begin(self, attempt):
+        self.attempts[attempt.id] = attempt
+
+    # What back ends see.
+
+    def note_run(self, attempt_id, instance, method, target, body):
+        attempt = self.attempts.get(attempt_id)
+        if attempt is None:
+            self.break_promise("unasked", attempt_id, f"instance={instance} no caller sent it")
+            return
+        now = time.monotonic()
+        attempt.runs.append((instance, now))
+        if (method, target) != (attempt.method, attempt.target) or body != attempt.body:
+            self.break_promise("unasked", attempt_id, f"instance={instance} the request differs")
+        if attempt.refused:
+            self.break_promise("refused", attempt_id, f"instance={instance} ran after a refusal")
+        if len(attempt.runs) > 1 and not attempt.route.repeatable:
+            self.break_promise("twice", attempt_id, f"runs={attempt.runs}")
+        if now > self.drained.get(instance, now):
+            late = now - self.drained[instance]
+            self.break_promise("drain", attempt_id, f"instance={instance} late_s={late:.2f}")
+
+    # What callers see.
+
+    def note_status(self, status):
+        self.statuses[status] = self.statuses.get(status, 0) + 1
+
+    def note_refusal(self, attempt, status):
+        if status in NOT_RUN_STATUSES:
+            attempt.refused = True
+            if attempt.runs and not attempt.route.repeatable:
+                self.break_promise("refused", attempt.id, f"status={status} runs={attempt.runs}")
+
+    def note_answer_head(self, attempt, message):
+        """True if the answer belongs to the attempt."""
+        if message.get("attempt-id") != attempt.id:
+            self.break_promise("mixed", attempt.id, f"answer of {message.get('attempt-id')}")
+            return False
+        signature = message.get("response-signature")
+        if message.status == 200 and signature is None:
+            self.break_promise("mixed", attempt.id, "a success without a signature")
+            return False
+        return True
+
+    def note_tokens(self, program, tokens):
+        if program not in self.budgets:
+            return
+        self.handed[program] = self.handed.get(program, 0) + tokens
+        budget, most = self.budgets[program]
+        if self.handed[program] > budget + most:
+            self.break_promise("budget", program, f"handed={self.handed[program]} of {budget}")
+
+    def note_turn(self, attempt_id, parent, turn_input, output):
+        self.turns[attempt_id] = (parent, turn_input, output)
+
+    def chain(self, turn_id):
+        """What a back end must get before the input of a turn that goes on from this one."""
+        parts = []
+        while turn_id is not None:
+            parent, turn_input, output = self.turns[turn_id]
+            parts.append(turn_input + output)
+            turn_id = parent
+        return b"".join(reversed(parts))
+
+    def note_version(self, gateway, sent_at, version):
+        """A request that only this version allows was served."""
+        highest, seen_at = self.versions.get(gateway, (0, 0.0))
+        if version < highest and sent_at > seen_at:
+            self.break_promise("config", gateway, f"version {version} after {highest}")
+        if version > highest:
+            self.versions[gateway] = (version, time.monotonic())
