logs never block and go to standard output; figures for every role, histograms by kind of call

Cause: logs went to standard error through a blocking stream, so a reader that stopped would have stopped the loop, and nothing bounded their volume. Unit tests: a full pipe does not hold the writer up, no line is torn, every line left out is counted.

--- a/src/common/event.c
+++ b/src/common/event.c
@@ -1,9 +1,12 @@
 #include "common/event.h"
 
+#include "common/log_output.h"
+
 #include <log4c.h>
 #include <stdarg.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 typedef struct {
     event_id_t id;
@@ -26,6 +29,19 @@
 };
 
 static log4c_category_t *category;
+static log_output_t output;
+
+static int append_line(log4c_appender_t *appender, const log4c_logging_event_t *event) {
+    (void)appender;
+    bool urgent = event->evt_priority <= LEVEL_WARN;
+    log_output_write(&output, event->evt_rendered_msg, event->evt_timestamp.tv_sec, urgent);
+    return 0;
+}
+
+static const log4c_appender_type_t output_type = {
+    .name = "rudderway-output",
+    .append = append_line,
+};
 
 gboolean event_level_valid(const char *level) {
     static const char *const levels[] = {"debug", "info", "notice", "warn", "error", NULL};
@@ -37,7 +53,11 @@
     setenv("LOG4C_RCPATH", "/nonexistent", 0);
     log4c_init();
     category = log4c_category_get(program);
-    log4c_appender_t *appender = log4c_appender_get("stderr");
+    log_output_open(&output, STDOUT_FILENO);
+    log4c_appender_type_set(&output_type);
+    /* The appender's name begins each line. */
+    log4c_appender_t *appender = log4c_appender_get("stdout");
+    log4c_appender_set_type(appender, &output_type);
     log4c_appender_set_layout(appender, log4c_layout_get("dated"));
     log4c_category_set_appender(category, appender);
     log4c_category_set_additivity(category, 0);
@@ -47,6 +67,11 @@
 void event_close(void) {
     category = NULL;
     log4c_fini();
+    log_output_close(&output);
+}
+
+uint64_t event_lines_left_out(void) {
+    return log_output_left_out(&output);
 }
 
 static const event_row_t *find_row(event_id_t id) {
--- a/src/common/event.h
+++ b/src/common/event.h
@@ -19,13 +19,17 @@
 #undef EVENT
 } event_id_t;
 
-/** Opens the log on standard error; events below @p level ("debug" to "error") are dropped. */
+/** Opens the log on standard output, see log_output.h; events below @p level ("debug" to "error")
+ * are dropped. */
 void event_open(const char *program, const char *level);
 void event_close(void);
 
 /** True if @p level names a log level. */
 gboolean event_level_valid(const char *level);
 
+/** Lines that were left out of the log since the start. */
+uint64_t event_lines_left_out(void);
+
 void event_write(event_id_t id, const char *format, ...) G_GNUC_PRINTF(2, 3);
 
 /** Logs an event: event_log(MEMBER_DEAD, name, instance). The fields' types come from events.def.
--- a/src/gateway/call.c
+++ b/src/gateway/call.c
@@ -38,17 +38,11 @@
     return call->limit > now ? call->limit - now : 0;
 }
 
-static void count_latency(gateway_counters_t *counters, uint64_t ms) {
-    unsigned bucket = 0;
-    while (bucket + 1 < LATENCY_BUCKETS && ms >= ((uint64_t)1 << bucket))
-        bucket++;
-    counters->latency[bucket]++;
-}
-
 static void log_end(call_t *call, unsigned status, call_reason_t reason) {
     gateway_counters_t *counters = &call->gateway->counters;
     uint64_t ms = uv_now(call->gateway->loop) - call->arrived_at;
-    count_latency(counters, ms);
+    if (call->route != NULL)
+        latency_histogram_add(&counters->latency[call->route->kind], ms);
     switch (reason) {
     case CALL_ANSWERED:
         counters->answered++;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -9,16 +9,18 @@
 #define RUDDERWAY_GATEWAY_GATEWAY_H
 
 #include "cluster/key_value_watch.h"
+#include "cluster/metrics_page.h"
 #include "cluster/process_settings.h"
 #include "cluster/service_directory.h"
+#include "common/latency_histogram.h"
 #include "gateway/backends.h"
 #include "gateway/chain_cache.h"
 #include "gateway/load_sharing.h"
 #include "gateway/store_client.h"
 #include "net/http_listener.h"
 
-/** Upper bounds of the latency histogram's buckets, in ms; the last bucket has none. */
-enum { LATENCY_BUCKETS = 14 };
+/** Kinds of calls (call_kind_t) that have a latency histogram of their own. */
+enum { GATEWAY_CALL_KINDS = CALL_STREAM + 1 };
 
 typedef struct {
     uint64_t calls;
@@ -32,7 +34,7 @@
     uint64_t turns_not_kept;
     uint64_t over_budget;
     uint64_t chain_reads;
-    uint64_t latency[LATENCY_BUCKETS];
+    latency_histogram_t latency[GATEWAY_CALL_KINDS];
 } gateway_counters_t;
 
 typedef struct {
@@ -40,7 +42,7 @@
     const process_settings_t *settings;
     http_listener_t *calls;
     http_listener_t *readiness;
-    http_listener_t *metrics;
+    metrics_page_t metrics;
     directory_configuration_t *configuration; /**< In force; NULL: none is known. */
     backends_t backends;
     bool backends_listed;
--- a/src/gateway/reports.c
+++ b/src/gateway/reports.c
@@ -51,54 +51,39 @@
     http_caller_answer(caller, status, NULL, NULL, 0);
 }
 
-static void append_figure(GString *text, const char *name, uint64_t value) {
-    g_string_append_printf(text, "rudderway_%s %" G_GUINT64_FORMAT "\n", name, (guint64)value);
-}
+static const char *const kind_labels[GATEWAY_CALL_KINDS] = {
+    "kind=\"repeatable\"",
+    "kind=\"at_most_once\"",
+    "kind=\"stream\"",
+};
 
-static GString *figures(const gateway_t *gateway) {
+static void append_figures(void *owner, GString *text) {
+    const gateway_t *gateway = owner;
     const gateway_counters_t *counters = &gateway->counters;
-    GString *text = g_string_new(NULL);
-    append_figure(text, "ready", gateway->ready);
-    append_figure(text, "configuration_version",
-                  gateway->configuration == NULL ? 0 : gateway->configuration->version);
-    append_figure(text, "backends", backends_count(&gateway->backends));
-    append_figure(text, "stores_connected", store_client_connected(gateway->stores));
-    append_figure(text, "calls_active", http_listener_active(gateway->calls));
-    append_figure(text, "caller_connections", http_listener_connections(gateway->calls));
-    append_figure(text, "backend_connections_opened", gateway->backends.connections_opened);
-    append_figure(text, "chain_cache_bytes", gateway->chains.bytes);
-    append_figure(text, "calls_total", counters->calls);
-    append_figure(text, "calls_answered_total", counters->answered);
-    append_figure(text, "calls_refused_total", counters->refused);
-    append_figure(text, "calls_failed_total", counters->failed);
-    append_figure(text, "callers_gone_total", counters->callers_gone);
-    append_figure(text, "sends_total", counters->sends);
-    append_figure(text, "sends_again_total", counters->sent_again);
-    append_figure(text, "turns_kept_total", counters->turns_kept);
-    append_figure(text, "turns_not_kept_total", counters->turns_not_kept);
-    append_figure(text, "over_budget_total", counters->over_budget);
-    append_figure(text, "chain_reads_total", counters->chain_reads);
-    uint64_t sum = 0;
-    for (unsigned i = 0; i < LATENCY_BUCKETS; i++) {
-        sum += counters->latency[i];
-        bool last = i + 1 == LATENCY_BUCKETS;
-        char *bound = last ? g_strdup("+Inf") : g_strdup_printf("%u", 1U << i);
-        g_string_append_printf(text, "rudderway_call_ms_bucket{le=\"%s\"} %" G_GUINT64_FORMAT "\n",
-                               bound, (guint64)sum);
-        g_free(bound);
-    }
-    return text;
-}
-
-static void on_metrics(void *owner, http_caller_t *caller, const http_request_t *request) {
-    if (strcmp(request->target, "/metrics") != 0) {
-        http_caller_answer(caller, STATUS_NOT_FOUND, NULL, NULL, 0);
-        return;
-    }
-    GString *text = figures(owner);
-    http_caller_answer(caller, STATUS_OK, "Content-Type: text/plain; version=0.0.4\r\n", text->str,
-                       text->len);
-    g_string_free(text, TRUE);
+    metrics_append(text, "ready", gateway->ready);
+    metrics_append(text, "configuration_version",
+                   gateway->configuration == NULL ? 0 : gateway->configuration->version);
+    metrics_append(text, "backends", backends_count(&gateway->backends));
+    metrics_append(text, "stores_connected", store_client_connected(gateway->stores));
+    metrics_append(text, "calls_active", http_listener_active(gateway->calls));
+    metrics_append(text, "caller_connections", http_listener_connections(gateway->calls));
+    metrics_append(text, "backend_connections_opened", gateway->backends.connections_opened);
+    metrics_append(text, "chain_cache_bytes", gateway->chains.bytes);
+    metrics_append(text, "calls_total", counters->calls);
+    metrics_append(text, "calls_answered_total", counters->answered);
+    metrics_append(text, "calls_refused_total", counters->refused);
+    metrics_append(text, "calls_failed_total", counters->failed);
+    metrics_append(text, "callers_gone_total", counters->callers_gone);
+    metrics_append(text, "sends_total", counters->sends);
+    metrics_append(text, "sends_again_total", counters->sent_again);
+    metrics_append(text, "turns_kept_total", counters->turns_kept);
+    metrics_append(text, "turns_not_kept_total", counters->turns_not_kept);
+    metrics_append(text, "over_budget_total", counters->over_budget);
+    metrics_append(text, "chain_reads_total", counters->chain_reads);
+    metrics_append(text, "log_lines_left_out_total", event_lines_left_out());
+    for (unsigned kind = 0; kind < GATEWAY_CALL_KINDS; kind++)
+        latency_histogram_append(&counters->latency[kind], "rudderway_call_ms", kind_labels[kind],
+                                 text);
 }
 
 static void on_gone(void *owner, http_caller_t *caller) {
@@ -107,7 +92,6 @@
 }
 
 static const http_listener_handler_t readiness_handler = {on_readiness, on_gone};
-static const http_listener_handler_t metrics_handler = {on_metrics, on_gone};
 
 bool gateway_open_reports(gateway_t *gateway) {
     const process_settings_t *settings = gateway->settings;
@@ -115,9 +99,5 @@
                                             &readiness_handler, gateway);
     if (gateway->readiness == NULL)
         return false;
-    if (settings->metrics.sin_port == 0)
-        return true;
-    gateway->metrics = http_listener_open(gateway->loop, &settings->metrics, &report_limits,
-                                          &metrics_handler, gateway);
-    return gateway->metrics != NULL;
+    return metrics_page_open(&gateway->metrics, gateway->loop, settings, append_figures, gateway);
 }
--- a/src/store/main.c
+++ b/src/store/main.c
@@ -31,6 +31,11 @@
         event_log(NODE_FAILED, error_name(RUDDERWAY_ERROR_SYSTEM), error->message);
         return EXIT_FAILURE;
     }
+    metrics_page_t metrics;
+    if (!store_open_metrics(&store, &metrics)) {
+        event_log(NODE_FAILED, error_name(RUDDERWAY_ERROR_SYSTEM), "cannot listen for metrics");
+        return EXIT_FAILURE;
+    }
     program_signals_t signals;
     program_watch_signals(&signals, &loop, on_stop_signal, &store);
     uv_run(&loop, UV_RUN_DEFAULT);
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -13,7 +13,9 @@
 
 #include "cluster/key_value_watch.h"
 #include "cluster/message.h"
+#include "cluster/metrics_page.h"
 #include "cluster/process_settings.h"
+#include "common/latency_histogram.h"
 #include "core/quorum/store_group.h"
 #include "net/frame_connection.h"
 #include "store/record_log.h"
@@ -39,6 +41,9 @@
     uint64_t started_at;
     uv_timer_t upkeep;
     bool stopping;
+    latency_histogram_t write_latency; /**< From a write's arrival until it is on disk. */
+    uint64_t writes_failed;
+    uint64_t refused_for_room; /**< Turns, because memory or disk is nearly full. */
     store_catch_up_state_t *catch_up;
     store_membership_t *membership;
 } store_t;
@@ -85,6 +90,11 @@
 /** Looks again whether there is something to copy, and from whom. */
 void store_catch_up_check(store_t *store);
 
+/* store_metrics.c */
+
+/** Serves the figures, if the settings name an address; false if it can't be listened on. */
+bool store_open_metrics(store_t *store, metrics_page_t *page);
+
 /* store_membership.c: the group in the key-value service. */
 
 store_membership_t *store_membership_new(store_t *store);
--- /dev/null
+++ b/src/store/store_metrics.c
@@ -0,0 +1,26 @@
+/* A storage node's figures for operators. */
+#include "store/store.h"
+
+#include "cluster/metrics_page.h"
+#include "common/event.h"
+
+static void append_figures(void *owner, GString *text) {
+    const store_t *store = owner;
+    metrics_append(text, "store_generation", store->group->generation);
+    metrics_append(text, "store_members", store->group->members->len);
+    metrics_append(text, "store_member", store_is_member(store));
+    metrics_append(text, "store_complete", store_complete(store));
+    metrics_append(text, "store_turns", g_hash_table_size(store->turns.entries));
+    metrics_append(text, "store_turn_bytes", store->turns.bytes);
+    metrics_append(text, "store_log_bytes", record_log_bytes(store->log));
+    metrics_append(text, "store_connections", g_hash_table_size(store->connections));
+    metrics_append(text, "store_gateways", g_hash_table_size(store->gateways));
+    metrics_append(text, "store_writes_failed_total", store->writes_failed);
+    metrics_append(text, "store_no_room_total", store->refused_for_room);
+    metrics_append(text, "log_lines_left_out_total", event_lines_left_out());
+    latency_histogram_append(&store->write_latency, "rudderway_store_write_ms", NULL, text);
+}
+
+bool store_open_metrics(store_t *store, metrics_page_t *page) {
+    return metrics_page_open(page, store->loop, store->settings, append_figures, store);
+}
--- a/src/store/store_requests.c
+++ b/src/store/store_requests.c
@@ -27,7 +27,8 @@
     uint64_t connection_serial; /**< Of the connection that waits for an answer; 0: none does. */
     uint64_t number;
     uint64_t generation;
-    turn_t turn; /**< Empty unless a turn is written. */
+    uint64_t begun_at; /**< Loop time, ms. */
+    turn_t turn;       /**< Empty unless a turn is written. */
     void (*done)(void *owner, bool durable);
     void *owner;
 } write_t;
@@ -72,8 +73,12 @@
     }
     if (write->done != NULL)
         write->done(write->owner, durable);
-    if (!durable)
+    if (write->begun_at > 0)
+        latency_histogram_add(&store->write_latency, now(store) - write->begun_at);
+    if (!durable) {
+        store->writes_failed++;
         event_log(STORE_WRITE_FAILED, record_log_bytes(store->log));
+    }
     turn_clear(&write->turn);
     g_free(write);
 }
@@ -85,6 +90,7 @@
     write->connection_serial = request->number == 0 ? 0 : *frame_connection_serial(connection);
     write->number = request->number;
     write->generation = request->generation;
+    write->begun_at = now(store);
     return write;
 }
 
@@ -142,7 +148,9 @@
 
 static void put_turn(store_t *store, frame_connection_t *connection, message_t *request,
                      GBytes *record) {
-    if (request->turns->len != 1 || !has_room(store)) {
+    bool room = has_room(store);
+    if (request->turns->len != 1 || !room) {
+        store->refused_for_room += !room;
         answer(connection, RESPONSE_DURABLE, request->number, request->generation, VERDICT_NO);
         return;
     }
