gateway: the longer the storage nodes can't answer, the later a refused caller comes back

A caller has few tries and spent them in one second. Change: core/retry/outage.h; a quarter of what the outage has lasted, 150 to 1,000 ms, for refusals for want of storage nodes or of a configuration.

--- a/src/gateway/call.c
+++ b/src/gateway/call.c
@@ -18,6 +18,7 @@
     STATUS_BAD_GATEWAY = 502,
     STATUS_UNAVAILABLE = 503,
     STATUS_TIMED_OUT = 504,
+    MS_PER_S = 1000,
     DEADLINE_USUAL_MS = 60000, /**< For a caller that names none. */
     COME_BACK_MS = 150,        /**< What a refused caller is told to wait. */
 };
@@ -90,12 +91,35 @@
     uv_close((uv_handle_t *)&call->timer, free_call);
 }
 
+/** What a caller that is refused for @p reason is told to wait, in ms. */
+static unsigned come_back_ms(call_t *call, call_reason_t reason) {
+    gateway_t *gateway = call->gateway;
+    outage_t *outage;
+    switch (reason) {
+    case CALL_BUDGET_UNSURE:
+    case CALL_TURN_UNSURE:
+        outage = &gateway->store_outage;
+        break;
+    case CALL_NO_CONFIGURATION:
+        outage = &gateway->configuration_outage;
+        break;
+    default:
+        return COME_BACK_MS;
+    }
+    outage_note(outage, call->arrived_at);
+    return outage_come_back_ms(outage, uv_now(gateway->loop));
+}
+
+static void append_come_back(GString *fields, unsigned ms) {
+    g_string_append_printf(fields, "Retry-After: %u.%03u\r\n", ms / MS_PER_S, ms % MS_PER_S);
+}
+
 void call_refuse(call_t *call, unsigned status, call_reason_t reason) {
     GString *fields = g_string_new(NULL);
     if (call->id != NULL)
         g_string_append_printf(fields, "%s: %s\r\n", call_field_name(FIELD_CALL_ID), call->id);
     if (status == STATUS_UNAVAILABLE)
-        g_string_append_printf(fields, "Retry-After: 0.%03u\r\n", COME_BACK_MS);
+        append_come_back(fields, come_back_ms(call, reason));
     http_caller_t *caller = call->caller;
     end_call(call, status, reason);
     http_caller_answer(caller, status, fields->str, NULL, 0);
--- a/src/gateway/call_turn.c
+++ b/src/gateway/call_turn.c
@@ -34,6 +34,8 @@
     call_t *call = owner;
     (void)turns;
     event_log(GATEWAY_RESERVE, call->id, call->program, call->turn.most, verdict_names[verdict]);
+    if (verdict != VERDICT_UNSURE)
+        outage_end(&call->gateway->store_outage);
     if (verdict == VERDICT_YES) {
         call->turn.granted = true;
         send_if_ready(call);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -13,6 +13,7 @@
 #include "cluster/process_settings.h"
 #include "cluster/service_directory.h"
 #include "common/latency_histogram.h"
+#include "core/retry/outage.h"
 #include "gateway/backends.h"
 #include "gateway/chain_cache.h"
 #include "gateway/load_sharing.h"
@@ -54,6 +55,8 @@
     gateway_counters_t counters;
     uint64_t started_at;
     bool stores_reached; /**< A quorum of them has been connected. */
+    outage_t store_outage;         /**< Storage nodes can't answer for budgets or turns. */
+    outage_t configuration_outage; /**< No configuration is known yet. */
     bool ready;
     bool stopping;
     bool refusing; /**< The stop has gone so far that a new call might not end in time. */
--- a/tests/unit/gateway_test.cc
+++ b/tests/unit/gateway_test.cc
@@ -2,6 +2,7 @@
 #include <glib.h>
 
 extern "C" {
+#include "core/retry/outage.h"
 #include "gateway/backends.h"
 #include "gateway/chain_cache.h"
 #include "gateway/event_stream.h"
@@ -253,4 +254,16 @@
     http_headers_clear(&headers);
 }
 
+TEST(Outage, ACallerComesBackLaterTheLongerTheOutageHasLasted) {
+    outage_t outage = {};
+    outage_note(&outage, 5000);
+    EXPECT_EQ(outage_come_back_ms(&outage, 5001), unsigned{OUTAGE_COME_BACK_LEAST_MS});
+    outage_note(&outage, 5300); // A later refusal does not begin it anew.
+    EXPECT_EQ(outage_come_back_ms(&outage, 7000), 500U);
+    EXPECT_EQ(outage_come_back_ms(&outage, 60000), unsigned{OUTAGE_COME_BACK_MOST_MS});
+    outage_end(&outage);
+    outage_note(&outage, 60000);
+    EXPECT_EQ(outage_come_back_ms(&outage, 60100), unsigned{OUTAGE_COME_BACK_LEAST_MS});
+}
+
 } // namespace
