store: a member that catches up copies each turn once, and indexes only where digests differ

With eleven members each generation makes every member read a whole index (ids and charges of five minutes) from six others, and a member with an empty disk fetched every turn from each of its sources. Change: the request carries a digest (core/digest, 512 buckets); the index holds only buckets that differ. A turn that several sources hold is claimed by the first copy; the others wait for it, and claim it themselves if it does not come.

--- a/src/cluster/message.c
+++ b/src/cluster/message.c
@@ -26,6 +26,8 @@
     g_free(message->turn_id);
     if (message->group != NULL)
         g_bytes_unref(message->group);
+    if (message->digest != NULL)
+        g_bytes_unref(message->digest);
     g_array_free(message->turns, TRUE);
     g_array_free(message->charges, TRUE);
     g_ptr_array_free(message->ids, TRUE);
@@ -133,9 +135,11 @@
     case MESSAGE_GATEWAYS:
         ids_codec(codec, message->ids);
         break;
+    case REQUEST_INDEX:
+        codec_bytes(codec, &message->digest);
+        break;
     case REQUEST_STATUS:
     case RESPONSE_STATUS:
-    case REQUEST_INDEX:
     case RESPONSE_OLD_GENERATION:
     case MESSAGE_TYPE_COUNT:
         break;
--- a/src/cluster/message.h
+++ b/src/cluster/message.h
@@ -29,7 +29,7 @@
     RESPONSE_CHAIN,
     REQUEST_STATUS, /**< Ask in which generation a member is complete. */
     RESPONSE_STATUS,
-    REQUEST_INDEX, /**< Ask for all charges and the ids of all turns. */
+    REQUEST_INDEX, /**< Ask for charges and ids of turns, where the sender's digest differs. */
     RESPONSE_INDEX,
     REQUEST_TURNS, /**< Ask for turns by id. */
     RESPONSE_TURNS,
@@ -57,6 +57,7 @@
     budget_summary_t summary; /**< A program's charges in short. */
     char *turn_id;
     GBytes *group;   /**< An encoded store group. */
+    GBytes *digest;  /**< An encoded record_digest_t of what the sender holds. */
     GArray *turns;   /**< Of turn_t: one to keep, or a chain from its newest turn. */
     GPtrArray *ids;  /**< Of turns; or addresses of gateways. */
     GArray *charges; /**< Of budget_charge_t. */
--- a/src/store/store_catch_up.c
+++ b/src/store/store_catch_up.c
@@ -1,7 +1,9 @@
 /*
  * Design. A member that is not complete copies what it lacks from a read quorum of the members
  * that were (core/quorum/store_group.h says which): their charges, and the turns it does not
- * have. A copy counts once it is on this node's disk.
+ * have. It sends a digest of what it holds, and gets the index of what differs. A turn that several
+ * of them hold is asked for at the first; the others' copies wait for it. A copy counts once all of
+ * its index is on this node's disk.
  *
  * A node whose disk came back empty waits before it copies: a gateway gives a write up after a
  * time that is shorter than this wait, so a write that counted this node's lost copy has either
@@ -10,6 +12,7 @@
 #include "store/store.h"
 
 #include "common/event.h"
+#include "core/digest/record_digest.h"
 #include "store/store_peer.h"
 
 enum {
@@ -27,7 +30,8 @@
     store_peer_t *peer;
     copy_step_t step;
     uint64_t step_since;
-    GPtrArray *wanted; /**< Ids of turns still to be asked for. */
+    GPtrArray *wanted;  /**< Ids of turns still to be asked for. */
+    GPtrArray *awaited; /**< Ids of turns that another copy has asked for. */
     unsigned unwritten;
     bool failed;
     gint references;
@@ -39,6 +43,7 @@
     bool running;
     uint64_t generation; /**< The copies are for this generation. */
     GPtrArray *copies;
+    GHashTable *claims; /**< Id of a turn to the copy_t that asks its peer for it. */
     bool finishing;
 };
 
@@ -46,11 +51,23 @@
     if (--copy->references > 0)
         return;
     g_ptr_array_free(copy->wanted, TRUE);
+    g_ptr_array_free(copy->awaited, TRUE);
     g_free(copy);
 }
 
+static gboolean claimed_by(gpointer id, gpointer claimer, gpointer copy) {
+    (void)id;
+    return claimer == copy;
+}
+
+/** Others may ask for what this copy had claimed. */
+static void release_claims(copy_t *copy) {
+    g_hash_table_foreach_remove(copy->catch_up->claims, claimed_by, copy);
+}
+
 static void drop_copy(gpointer data) {
     copy_t *copy = data;
+    release_claims(copy);
     store_peer_free(copy->peer);
     copy->peer = NULL;
     copy_unref(copy);
@@ -59,16 +76,13 @@
 static void set_step(copy_t *copy, copy_step_t step) {
     copy->step = step;
     copy->step_since = uv_now(copy->catch_up->store->loop);
+    if (step == COPY_STATUS || step == COPY_DONE)
+        release_claims(copy);
 }
 
-static void request_next_turns(copy_t *copy) {
-    if (copy->wanted->len == 0 && copy->unwritten > 0) {
-        set_step(copy, COPY_WRITING);
-        return;
-    }
-    if (copy->wanted->len == 0) {
-        set_step(copy, copy->failed ? COPY_STATUS : COPY_DONE);
-        copy->failed = false;
+static void ask_for_turns(copy_t *copy) {
+    if (copy->peer->connection == NULL) {
+        set_step(copy, COPY_STATUS);
         return;
     }
     set_step(copy, COPY_TURNS);
@@ -81,13 +95,52 @@
     message_clear(&request);
 }
 
+/** Asks this copy's peer for a turn, or leaves it to the copy that has done so. */
+static void claim_turn(copy_t *copy, const char *id) {
+    copy_t *claimer = g_hash_table_lookup(copy->catch_up->claims, id);
+    if (claimer != NULL && claimer != copy) {
+        g_ptr_array_add(copy->awaited, g_strdup(id));
+        return;
+    }
+    g_hash_table_insert(copy->catch_up->claims, g_strdup(id), copy);
+    g_ptr_array_add(copy->wanted, g_strdup(id));
+}
+
+/** Takes awaited turns off the list that are here; claims those that nobody asks for any more. */
+static void look_at_awaited(copy_t *copy) {
+    GPtrArray *awaited = copy->awaited;
+    copy->awaited = g_ptr_array_new_with_free_func(g_free);
+    for (guint i = 0; i < awaited->len; i++) {
+        const char *id = g_ptr_array_index(awaited, i);
+        if (turn_table_find(&copy->catch_up->store->turns, id) == NULL)
+            claim_turn(copy, id);
+    }
+    g_ptr_array_free(awaited, TRUE);
+}
+
+/** Does what is next once the turns asked for have come. */
+static void go_on(copy_t *copy) {
+    if (copy->wanted->len == 0 && copy->unwritten == 0) {
+        /* What the peer no longer had will not come: another copy may ask for it. */
+        release_claims(copy);
+        look_at_awaited(copy);
+    }
+    if (copy->wanted->len > 0) {
+        ask_for_turns(copy);
+    } else if (copy->unwritten > 0 || (copy->awaited->len > 0 && !copy->failed)) {
+        set_step(copy, COPY_WRITING);
+    } else {
+        set_step(copy, copy->failed ? COPY_STATUS : COPY_DONE);
+        copy->failed = false;
+    }
+}
+
 static void on_copied(void *owner, bool durable) {
     copy_t *copy = owner;
     copy->unwritten--;
     copy->failed = copy->failed || !durable;
     if (copy->peer != NULL && copy->step == COPY_WRITING && copy->unwritten == 0) {
-        set_step(copy, copy->failed ? COPY_STATUS : COPY_DONE);
-        copy->failed = false;
+        go_on(copy);
         store_catch_up_check(copy->catch_up->store);
     }
     copy_unref(copy);
@@ -117,12 +170,13 @@
     const store_t *store = copy->catch_up->store;
     take_charges(copy, response);
     g_ptr_array_set_size(copy->wanted, 0);
+    g_ptr_array_set_size(copy->awaited, 0);
     for (guint i = 0; i < response->ids->len; i++) {
         const char *id = g_ptr_array_index(response->ids, i);
         if (turn_table_find(&store->turns, id) == NULL)
-            g_ptr_array_add(copy->wanted, g_strdup(id));
+            claim_turn(copy, id);
     }
-    request_next_turns(copy);
+    go_on(copy);
 }
 
 static void take_turns(copy_t *copy, message_t *response) {
@@ -133,7 +187,7 @@
         append_copy(copy, &record);
         message_clear(&record);
     }
-    request_next_turns(copy);
+    go_on(copy);
 }
 
 static void on_message(void *owner, message_t *message) {
@@ -157,6 +211,7 @@
     copy->catch_up = catch_up;
     copy->references = 1;
     copy->wanted = g_ptr_array_new_with_free_func(g_free);
+    copy->awaited = g_ptr_array_new_with_free_func(g_free);
     copy->peer = store_peer_new(catch_up->store, member->name, member->address);
     copy->peer->on_message = on_message;
     copy->peer->on_lost = on_lost;
@@ -183,6 +238,10 @@
     message_t request;
     message_init(&request, REQUEST_INDEX);
     request.generation = copy->catch_up->generation;
+    const store_t *store = copy->catch_up->store;
+    record_digest_t digest;
+    record_digest_compute(&digest, &store->turns, &store->budgets);
+    request.digest = record_digest_encode(&digest);
     store_peer_send(copy->peer, &request);
     message_clear(&request);
 }
@@ -244,8 +303,12 @@
         return;
     if (catch_up->generation != store->group->generation)
         restart_copies(catch_up, &plan);
-    for (guint i = 0; i < catch_up->copies->len; i++)
-        drive_copy(g_ptr_array_index(catch_up->copies, i), plan.source_complete_in);
+    for (guint i = 0; i < catch_up->copies->len; i++) {
+        copy_t *copy = g_ptr_array_index(catch_up->copies, i);
+        drive_copy(copy, plan.source_complete_in);
+        if (copy->step == COPY_WRITING && copy->unwritten == 0)
+            go_on(copy);
+    }
     if (count_done(catch_up) < plan.needed || catch_up->finishing || !store->group_durable)
         return;
     catch_up->finishing = true;
@@ -256,6 +319,7 @@
     store_catch_up_state_t *catch_up = g_new0(store_catch_up_state_t, 1);
     catch_up->store = store;
     catch_up->copies = g_ptr_array_new_with_free_func(drop_copy);
+    catch_up->claims = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     uv_timer_init(store->loop, &catch_up->timer);
     catch_up->timer.data = catch_up;
     return catch_up;
--- a/src/store/store_requests.c
+++ b/src/store/store_requests.c
@@ -11,6 +11,7 @@
 #include "store/store.h"
 
 #include "common/event.h"
+#include "core/digest/record_digest.h"
 
 enum {
     CHAIN_TURNS_MAXIMUM = 2000,
@@ -175,19 +176,35 @@
     message_clear(&response);
 }
 
-static void read_index(store_t *store, frame_connection_t *connection, message_t *request) {
+/** The answer to an index request in the making, and what decides what belongs into it. */
+typedef struct {
     message_t response;
-    message_init(&response, RESPONSE_INDEX);
-    response.number = request->number;
-    response.generation = store->complete_in;
+    record_digest_t own;
+    record_digest_t theirs;
+} index_t;
+
+static void add_charge_that_differs(void *user, const budget_charge_t *charge) {
+    index_t *index = user;
+    if (!record_digest_same_charges(&index->own, &index->theirs, charge->call))
+        add_charge(&index->response, charge);
+}
+
+static void read_index(store_t *store, frame_connection_t *connection, message_t *request) {
+    index_t index;
+    message_init(&index.response, RESPONSE_INDEX);
+    index.response.number = request->number;
+    index.response.generation = store->complete_in;
+    record_digest_compute(&index.own, &store->turns, &store->budgets);
+    record_digest_decode(&index.theirs, request->digest);
     GHashTableIter iterator;
     gpointer id;
     g_hash_table_iter_init(&iterator, store->turns.entries);
     while (g_hash_table_iter_next(&iterator, &id, NULL))
-        g_ptr_array_add(response.ids, g_strdup(id));
-    budget_table_each(&store->budgets, NULL, add_charge, &response);
-    frame_connection_send(connection, message_encode(&response));
-    message_clear(&response);
+        if (!record_digest_same_turns(&index.own, &index.theirs, id))
+            g_ptr_array_add(index.response.ids, g_strdup(id));
+    budget_table_each(&store->budgets, NULL, add_charge_that_differs, &index);
+    frame_connection_send(connection, message_encode(&index.response));
+    message_clear(&index.response);
 }
 
 static void read_turns(store_t *store, frame_connection_t *connection, message_t *request) {
--- /dev/null
+++ b/tests/unit/record_digest_test.cc
@@ -0,0 +1,117 @@
+// Digests of what two replicas hold: equal sets agree, and what differs lies in a bucket that differs.
+#include <gtest/gtest.h>
+
+#include <string>
+
+extern "C" {
+#include "core/digest/record_digest.h"
+}
+
+namespace {
+
+constexpr uint64_t now = 1000;
+
+class Replica {
+  public:
+    Replica() {
+        turn_table_init(&turns);
+        budget_table_init(&budgets);
+    }
+    ~Replica() {
+        turn_table_clear(&turns);
+        budget_table_clear(&budgets);
+    }
+    Replica(const Replica &) = delete;
+    Replica &operator=(const Replica &) = delete;
+
+    void add_turn(const std::string &id) {
+        turn_t turn = {g_strdup(id.c_str()), g_strdup(""), g_bytes_new("i", 1), g_bytes_new("o", 1),
+                       60000};
+        turn_table_add(&turns, &turn, 0, now);
+        turn_clear(&turn);
+    }
+    void fill(int first, int last) {
+        for (int i = first; i < last; i++) {
+            add_turn("turn" + std::to_string(i));
+            budget_table_reserve(&budgets, "p", ("call" + std::to_string(i)).c_str(), 9, now);
+        }
+    }
+    record_digest_t digest() const {
+        record_digest_t digest;
+        record_digest_compute(&digest, &turns, &budgets);
+        return digest;
+    }
+
+    turn_table_t turns;
+    budget_table_t budgets;
+};
+
+bool same(const record_digest_t &a, const record_digest_t &b) {
+    return memcmp(&a, &b, sizeof a) == 0;
+}
+
+TEST(RecordDigest, EqualSetsAgreeWhateverTheOrder) {
+    Replica a, b;
+    a.fill(0, 1000);
+    b.fill(500, 1000);
+    b.fill(0, 500);
+    EXPECT_TRUE(same(a.digest(), b.digest()));
+}
+
+TEST(RecordDigest, WhatOneLacksIsInABucketThatDiffers) {
+    Replica a, b;
+    a.fill(0, 1000);
+    b.fill(0, 997);
+    record_digest_t own = a.digest();
+    record_digest_t theirs = b.digest();
+    unsigned sent = 0;
+    for (int i = 0; i < 1000; i++) {
+        std::string turn = "turn" + std::to_string(i);
+        std::string call = "call" + std::to_string(i);
+        bool turn_sent = !record_digest_same_turns(&own, &theirs, turn.c_str());
+        bool charge_sent = !record_digest_same_charges(&own, &theirs, call.c_str());
+        if (i >= 997) {
+            EXPECT_TRUE(turn_sent) << turn;
+            EXPECT_TRUE(charge_sent) << call;
+        }
+        sent += turn_sent;
+    }
+    EXPECT_LT(sent, 30U) << "little more than what differs is sent";
+}
+
+TEST(RecordDigest, ASettledChargeDiffersFromItsReserve) {
+    Replica a, b;
+    a.fill(0, 10);
+    b.fill(0, 10);
+    budget_table_settle(&a.budgets, "p", "call3", 9, now);
+    record_digest_t own = a.digest();
+    record_digest_t theirs = b.digest();
+    EXPECT_FALSE(record_digest_same_charges(&own, &theirs, "call3"));
+    EXPECT_TRUE(record_digest_same_turns(&own, &theirs, "turn3"));
+}
+
+TEST(RecordDigest, IsReadBackAsItWasSent) {
+    Replica a;
+    a.fill(0, 100);
+    record_digest_t own = a.digest();
+    GBytes *bytes = record_digest_encode(&own);
+    record_digest_t read;
+    EXPECT_TRUE(record_digest_decode(&read, bytes));
+    EXPECT_TRUE(same(own, read));
+    g_bytes_unref(bytes);
+}
+
+TEST(RecordDigest, WithoutADigestEverythingDiffers) {
+    Replica a, empty;
+    a.fill(0, 100);
+    record_digest_t own = a.digest();
+    record_digest_t theirs = own;
+    GBytes *noise = g_bytes_new("noise", 5);
+    EXPECT_FALSE(record_digest_decode(&theirs, noise));
+    EXPECT_TRUE(same(theirs, empty.digest()));
+    EXPECT_FALSE(record_digest_decode(&theirs, nullptr));
+    EXPECT_FALSE(record_digest_same_turns(&own, &theirs, "turn3"));
+    g_bytes_unref(noise);
+}
+
+} // namespace
