gateway: a back end that resets at once is left out, and gateways tell one another

Ruled out: dead kept connections alone (after the first failure new ones were taken, and reset as well). A quick reset (within 25 ms of the send) leaves the back end out for 0.5 to 4 s, longer each time, closes kept connections to it and is told to the other gateways at once; two that say so are believed. If more than a third of a service's are left out, the sign is doubted.

--- a/src/gateway/backends.c
+++ b/src/gateway/backends.c
@@ -10,6 +10,7 @@
     SLOTS_USUAL = 12,
     /* Expected delay, in units of 0.1 ms. */
     AVOIDED_COST = 100000,    /**< After a failure: only if there is no other. */
+    DOUBTED_COST = 500,       /**< The same, if so many are that the sign is doubtful. */
     PREFIX_READ_COST = 1000,  /**< A prompt whose prefix is cached elsewhere. */
     ENGINE_SHARE_COST = 20,   /**< Each call that an engine runs slows the others. */
     ENGINE_QUEUE_COST = 250,  /**< Each call beyond an engine's slots. */
@@ -18,6 +19,7 @@
     SERVICE_SHARE_COST = 50,
     SERVICE_QUEUE_COST = 400,
     SERVICE_FAR_COST = 80,
+    AVOIDED_SHARE = 3, /**< The sign is doubtful if more than one in so many are avoided. */
 };
 
 void backends_init(backends_t *backends, uv_loop_t *loop, const char *zone) {
@@ -139,6 +141,27 @@
     return XXH64(backend->record->instance, strlen(backend->record->instance), seed);
 }
 
+static bool avoided(const backends_t *backends, const backend_t *backend) {
+    uint64_t now = uv_now(backends->loop);
+    return now < backend->avoid_until || ejection_is_out(&backend->ejection, now);
+}
+
+/** What a back end that is avoided costs now. */
+static unsigned avoided_cost(const backends_t *backends, const backend_choice_t *choice) {
+    unsigned usable_count = 0;
+    unsigned avoided_count = 0;
+    GHashTableIter iterator;
+    gpointer value;
+    g_hash_table_iter_init(&iterator, backends->by_instance);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        if (!usable(value, choice))
+            continue;
+        usable_count++;
+        avoided_count += avoided(backends, value);
+    }
+    return avoided_count * AVOIDED_SHARE > usable_count ? DOUBTED_COST : AVOIDED_COST;
+}
+
 /** Expected delay at a back end besides what depends on the call, in 0.1 ms. */
 static unsigned load_cost(const backends_t *backends, const backend_t *backend,
                           const backend_choice_t *choice) {
@@ -154,8 +177,6 @@
         cost += NEW_CONNECTION_COST;
     if (!in_zone(backends, backend))
         cost += engine ? ENGINE_FAR_COST : SERVICE_FAR_COST;
-    if (uv_now(backends->loop) < backend->avoid_until)
-        cost += AVOIDED_COST;
     return cost;
 }
 
@@ -183,6 +204,7 @@
 
 backend_t *backends_choose(backends_t *backends, const backend_choice_t *choice) {
     const backend_t *home = choice->program == NULL ? NULL : find_home(backends, choice);
+    unsigned cost_of_avoided = avoided_cost(backends, choice);
     backend_t *best = NULL;
     unsigned best_cost = 0;
     uint64_t best_rank = 0;
@@ -194,6 +216,8 @@
         if (!usable(backend, choice))
             continue;
         unsigned cost = load_cost(backends, backend, choice);
+        if (avoided(backends, backend))
+            cost += cost_of_avoided;
         if (choice->program != NULL && backend != home)
             cost += PREFIX_READ_COST;
         uint64_t rank = g_random_int();
@@ -222,6 +246,13 @@
     backend->avoid_until = uv_now(backend->loop) + MIN(pause, AVOID_MOST_MS);
 }
 
+void backend_note_reset(backend_t *backend) {
+    ejection_note_reset(&backend->ejection, uv_now(backend->loop));
+    /* Kept connections to a back end that is down are dead as well. */
+    close_idle(backend);
+    backend->owner->changes++;
+}
+
 static void on_idle_closed(void *owner, http_client_t *client) {
     backend_t *backend = owner;
     g_ptr_array_remove(backend->idle, client);
--- a/src/gateway/backends.h
+++ b/src/gateway/backends.h
@@ -7,7 +7,9 @@
  * of the gateway's zone with the highest hash of program and instance: there its prompt's prefix
  * is cached, and the gateways of a zone agree without a word; elsewhere the prefix is read again.
  * Calls under way, this gateway's and what the others told, add to the delay, and much more so
- * beyond the back end's slots. Another zone is farther away.
+ * beyond the back end's slots. Another zone is farther away. A back end that failed lately, or that
+ * seems to be down (core/routing/ejection.h), is chosen only if there is no other; if more than a
+ * third of a service's are so, the sign is not trusted and costs little.
  *
  * Thread safety: everything here belongs to the loop's thread.
  */
@@ -15,6 +17,7 @@
 #define RUDDERWAY_GATEWAY_BACKENDS_H
 
 #include "cluster/service_directory.h"
+#include "core/routing/ejection.h"
 #include "net/http_client.h"
 
 typedef struct {
@@ -26,6 +29,7 @@
     unsigned elsewhere;   /**< Calls of the other gateways, as they last told. */
     uint64_t avoid_until; /**< Gets no call before, ms; after a failure. */
     unsigned failures;    /**< In a row. */
+    ejection_t ejection;  /**< Whether it seems to be down. */
     GPtrArray *idle;      /**< Kept connections, the latest used last; of http_client_t. */
     uv_loop_t *loop;
     struct backends *owner;
@@ -70,6 +74,8 @@
 /** Notes how a call ended: a failure keeps new calls away for a while. */
 void backend_note_success(backend_t *backend);
 void backend_note_failure(backend_t *backend);
+/** Notes that a call's connection ended too soon for any work: the back end may be down. */
+void backend_note_reset(backend_t *backend);
 
 /** A connection to use: a kept one if there is one. NULL if none can be opened. */
 http_client_t *backend_connect(backends_t *backends, backend_t *backend);
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -70,6 +70,7 @@
     http_client_t *client;
     GPtrArray *tried; /**< Back ends that failed or refused; each with a reference. */
     unsigned sends;   /**< Times that any byte may have reached a back end. */
+    uint64_t sent_at; /**< When the present send began, loop time in ms. */
     unsigned connects_failed;
     bool may_have_run; /**< Some back end may have run it. */
     GString *prompt;   /**< The turns that this one goes on from. */
--- a/src/gateway/call_send.c
+++ b/src/gateway/call_send.c
@@ -229,6 +229,11 @@
             call_send(call);
         return;
     }
+    bool quick = uv_now(call->gateway->loop) <= call->sent_at + QUICK_RESET_MS;
+    if (failure == HTTP_FAILURE_NO_ANSWER && quick) {
+        backend_note_reset(call->backend);
+        load_sharing_tell_now(call->gateway->load_sharing);
+    }
     log_send_failed(call, failure == HTTP_FAILURE_NO_ANSWER ? "no_answer" : "broken_answer");
     if (!call->streaming)
         g_string_truncate(call->body, 0);
@@ -257,6 +262,7 @@
         return;
     }
     call->not_run = false;
+    call->sent_at = uv_now(gateway->loop);
     call->sends++;
     gateway->counters.sends++;
     bool head_request = strcmp(call->request->method, "HEAD") == 0;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -54,7 +54,7 @@
     key_value_watch_t *watch;
     gateway_counters_t counters;
     uint64_t started_at;
-    bool stores_reached; /**< A quorum of them has been connected. */
+    bool stores_reached;           /**< A quorum of them has been connected. */
     outage_t store_outage;         /**< Storage nodes can't answer for budgets or turns. */
     outage_t configuration_outage; /**< No configuration is known yet. */
     bool ready;
--- a/src/gateway/load_sharing.c
+++ b/src/gateway/load_sharing.c
@@ -1,9 +1,9 @@
 /*
  * Design. A datagram holds the sender's calls under way, one entry for each back end that has
- * any. It is sent when something has changed, at most once a period, and again from time to time
- * while there is anything to tell. The period grows with the number of gateways, so that what one
- * gateway sends and receives stays level, and while no back end is half full, when the choice
- * hardly depends on it.
+ * any or that it leaves out. It is sent at once when a back end was found down, else when something
+ * has changed, at most once a period, and again from time to time while there is anything to tell.
+ * The period grows with the number of gateways, so that what one gateway sends and receives stays
+ * level, and while no back end is half full, when the choice hardly depends on it.
  */
 #include "gateway/load_sharing.h"
 
@@ -13,16 +13,18 @@
 
 enum {
     PERIOD_MS = 60,
-    PERIOD_EACH_MS = 3, /**< Added for each gateway. */
-    CALM_PERIODS = 4,   /**< Periods in one while no back end is half full. */
-    REFRESH_MS = 400,   /**< Told again after this although nothing has changed. */
-    FORGET_MS = 1000,   /**< What a silent gateway said last counts for so long. */
+    PERIOD_EACH_MS = 3,   /**< Added for each gateway. */
+    CALM_PERIODS = 4,     /**< Periods in one while no back end is half full. */
+    REFRESH_MS = 400,     /**< Told again after this although nothing has changed. */
+    URGENT_PAUSE_MS = 20, /**< Least time between two urgent datagrams. */
+    FORGET_MS = 1000,     /**< What a silent gateway said last counts for so long. */
     ENTRIES_MAXIMUM = 4096,
 };
 
 typedef struct {
     uint64_t backend; /**< backend_t.id_hash. */
     uint32_t under_way;
+    uint32_t out_ms; /**< The sender leaves the back end out for so long from now. */
 } load_entry_t;
 
 typedef struct {
@@ -71,6 +73,7 @@
         load_entry_t *entry = &g_array_index(entries, load_entry_t, i);
         codec_uint64(codec, &entry->backend);
         codec_uint32(codec, &entry->under_way);
+        codec_uint32(codec, &entry->out_ms);
     }
 }
 
@@ -80,8 +83,11 @@
     GHashTableIter iterator;
     gpointer value;
     g_hash_table_iter_init(&iterator, sharing->backends->by_instance);
-    while (g_hash_table_iter_next(&iterator, NULL, &value))
-        ((backend_t *)value)->elsewhere = 0;
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        backend_t *backend = value;
+        backend->elsewhere = 0;
+        ejection_forget_told(&backend->ejection);
+    }
     for (guint i = 0; i < sharing->peers->len; i++) {
         const gateway_peer_t *peer = g_ptr_array_index(sharing->peers, i);
         if (now > peer->heard_at + FORGET_MS)
@@ -89,8 +95,10 @@
         for (guint j = 0; j < peer->entries->len; j++) {
             const load_entry_t *entry = &g_array_index(peer->entries, load_entry_t, j);
             backend_t *backend = backends_find_hash(sharing->backends, entry->backend);
-            if (backend != NULL)
-                backend->elsewhere += entry->under_way;
+            if (backend == NULL)
+                continue;
+            backend->elsewhere += entry->under_way;
+            ejection_note_told(&backend->ejection, peer->heard_at + entry->out_ms, now);
         }
     }
 }
@@ -128,8 +136,10 @@
     g_hash_table_iter_init(&iterator, sharing->backends->by_instance);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         const backend_t *backend = value;
-        load_entry_t entry = {backend->id_hash, backend->under_way};
-        if (backend->under_way > 0 && entries->len < ENTRIES_MAXIMUM)
+        uint32_t out_ms = ejection_tell_ms(&backend->ejection, uv_now(sharing->loop));
+        load_entry_t entry = {backend->id_hash, backend->under_way, out_ms};
+        bool any = backend->under_way > 0 || out_ms > 0;
+        if (any && entries->len < ENTRIES_MAXIMUM)
             g_array_append_val(entries, entry);
     }
     return entries;
@@ -169,6 +179,15 @@
     arm_timer(sharing);
 }
 
+void load_sharing_tell_now(load_sharing_t *sharing) {
+    uint64_t now = uv_now(sharing->loop);
+    if (now < sharing->sent_at + URGENT_PAUSE_MS)
+        return;
+    sharing->sent_changes = sharing->backends->changes;
+    sharing->sent_at = now;
+    tell_peers(sharing);
+}
+
 static void arm_timer(load_sharing_t *sharing) {
     uint64_t period = PERIOD_MS + PERIOD_EACH_MS * (uint64_t)sharing->peers->len;
     if (!backends_half_full(sharing->backends))
--- a/src/gateway/load_sharing.h
+++ b/src/gateway/load_sharing.h
@@ -1,6 +1,7 @@
 /**
  * @file load_sharing.h
- * What the gateways tell one another: how many calls each has under way at each back end. A
+ * What the gateways tell one another: how many calls each has under way at each back end, and
+ * which back ends it finds down. A
  * gateway learns of the others from the storage nodes, to which all connect. Datagrams; a lost
  * one is made good by the next, and what a silent gateway said last is soon forgotten.
  *
@@ -18,5 +19,7 @@
                                   backends_t *backends);
 /** Replaces the list of gateways by "IP:PORT" texts; its own address is left out. */
 void load_sharing_set_gateways(load_sharing_t *sharing, const GPtrArray *addresses);
+/** Tells the others now what this gateway knows; for news that can't wait. */
+void load_sharing_tell_now(load_sharing_t *sharing);
 
 #endif
--- a/tests/unit/gateway_test.cc
+++ b/tests/unit/gateway_test.cc
@@ -254,6 +254,55 @@
     http_headers_clear(&headers);
 }
 
+TEST_F(Backends, OneThatAnswersNothingAtOnceStaysOutLongerEachTime) {
+    ejection_t ejection = {};
+    uint64_t now = 10000;
+    for (uint64_t out : {500, 1000, 2000, 4000, 4000}) {
+        ejection_note_reset(&ejection, now);
+        ejection_note_reset(&ejection, now + 10); // A call that was under way as well.
+        EXPECT_TRUE(ejection_is_out(&ejection, now + out));
+        EXPECT_FALSE(ejection_is_out(&ejection, now + out + 11));
+        now += out + 100;
+    }
+    now += 10000; // Another outage begins anew.
+    ejection_note_reset(&ejection, now);
+    EXPECT_FALSE(ejection_is_out(&ejection, now + 501));
+}
+
+TEST_F(Backends, WhatTwoOtherGatewaysFindDownIsLeftOutHereToo) {
+    add("a", "here");
+    for (const char *far : {"b", "c", "d"})
+        add(far, "there");
+    EXPECT_EQ(choose(nullptr), "a");
+    backend_t *down = last;
+    release();
+    uint64_t now = uv_now(&loop);
+    ejection_note_told(&down->ejection, now + 300, now);
+    EXPECT_EQ(choose(nullptr), "a") << "one gateway may have a bad link";
+    release();
+    ejection_note_told(&down->ejection, now + 300, now);
+    EXPECT_NE(choose(nullptr), "a");
+    EXPECT_EQ(ejection_tell_ms(&down->ejection, now), 0U) << "hearsay is not passed on";
+    ejection_forget_told(&down->ejection);
+    release();
+    EXPECT_EQ(choose(nullptr), "a");
+}
+
+TEST_F(Backends, IfMostSeemDownTheSignIsDoubtedAndLoadDecides) {
+    add("a", "here");
+    add("b", "here");
+    choose(nullptr);
+    backend_note_reset(last);
+    std::string first = last->record->instance;
+    release();
+    for (int i = 0; i < 30; i++)
+        choose(nullptr);
+    int at_first = 0;
+    for (const backend_t *backend : under_way)
+        at_first += backend->record->instance == first;
+    EXPECT_GT(at_first, 5) << "one of two: it gets calls once the other is full";
+}
+
 TEST(Outage, ACallerComesBackLaterTheLongerTheOutageHasLasted) {
     outage_t outage = {};
     outage_note(&outage, 5000);
