gateway: a connection that is not up soon is begun anew

Change: 250 ms for a connection to a storage node, 300 ms for one to a back end or the key-value service.

--- a/src/gateway/store_client.c
+++ b/src/gateway/store_client.c
@@ -9,6 +9,7 @@
 
 enum {
     RECONNECT_MS = 150,
+    CONNECT_MS = 250,      /**< A connection that is not up by then is begun anew. */
     UNSURE_AGAIN_MS = 150, /**< A member that was unsure is asked again after this. */
     CHAIN_WIDEN_MS = 120,  /**< Without an answer from the nearest member, all are asked. */
     BACKLOG_MAXIMUM = 2000,
@@ -20,6 +21,7 @@
     char *zone;
     struct sockaddr_in address;
     frame_connection_t *connection;
+    uint64_t connecting_since;
     bool open;
     GPtrArray *backlog; /**< Settlements for a member that is away; of GBytes. */
 } member_t;
@@ -138,12 +140,25 @@
 
 static const frame_handler_t member_handler = {on_open, on_frame, on_closed};
 
+/** A machine without power does not refuse a connection; the kernel asks again only seconds later. */
+static void give_up_slow_connection(member_t *member) {
+    bool slow = member->connection != NULL && !member->open &&
+                uv_now(member->client->loop) >= member->connecting_since + CONNECT_MS;
+    if (!slow)
+        return;
+    frame_connection_close(member->connection);
+    member->connection = NULL;
+}
+
 static void connect_members(store_client_t *client) {
     for (guint i = 0; i < client->members->len; i++) {
         member_t *member = g_ptr_array_index(client->members, i);
-        if (member->connection == NULL)
-            member->connection =
-                frame_connection_open(client->loop, &member->address, &member_handler, member);
+        give_up_slow_connection(member);
+        if (member->connection != NULL)
+            continue;
+        member->connecting_since = uv_now(client->loop);
+        member->connection =
+            frame_connection_open(client->loop, &member->address, &member_handler, member);
     }
 }
 
--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -5,6 +5,9 @@
  * request has not left entirely when its answer is complete is not used again, since the rest
  * of that body would still be due.
  *
+ * A connection that is not up soon is given up: a machine without power does not refuse it, and the
+ * kernel would ask it again only after a second.
+ *
  * Failures. A server that falls silent is found by TCP_USER_TIMEOUT and keep-alive probes while
  * bytes or an answer are outstanding; how long an answer may take is the caller's to say.
  */
@@ -18,6 +21,7 @@
 
 enum {
     READ_BUFFER_BYTES = 65536,
+    CONNECT_MS = 300,      /**< For a new connection to come up. */
     SILENT_PEER_MS = 2000, /**< Unacknowledged bytes for so long end a connection. */
     PROBE_SECONDS = 1,     /**< Idle time before, and pause between, keep-alive probes. */
     PROBES = 2,
@@ -29,6 +33,8 @@
 
 struct http_client {
     uv_tcp_t tcp;
+    uv_timer_t connect_timer;
+    unsigned open_handles;
     uv_connect_t connect_request;
     uv_write_t write_request;
     client_state_t state;
@@ -54,6 +60,8 @@
 
 static void free_client(uv_handle_t *handle) {
     http_client_t *client = handle->data;
+    if (--client->open_handles > 0)
+        return;
     if (client->request != NULL)
         g_string_free(client->request, TRUE);
     http_headers_clear(&client->headers);
@@ -66,6 +74,7 @@
     client->state = STATE_CLOSED;
     client->stopped = true;
     client->handler = NULL;
+    uv_close((uv_handle_t *)&client->connect_timer, free_client);
     uv_close((uv_handle_t *)&client->tcp, free_client);
 }
 
@@ -250,6 +259,7 @@
         return;
     }
     client->connected = true;
+    uv_timer_stop(&client->connect_timer);
     uv_read_start((uv_stream_t *)&client->tcp, provide_buffer, on_read);
     if (client->handler == NULL) {
         client->state = STATE_IDLE;
@@ -259,6 +269,10 @@
     write_request(client);
 }
 
+static void on_connect_time_over(uv_timer_t *timer) {
+    connection_lost(timer->data);
+}
+
 static void set_socket_options(uv_tcp_t *tcp) {
     uv_tcp_nodelay(tcp, 1);
     uv_os_fd_t descriptor;
@@ -282,6 +296,9 @@
     http_headers_init(&client->headers);
     uv_tcp_init_ex(loop, &client->tcp, AF_INET);
     client->tcp.data = client;
+    uv_timer_init(loop, &client->connect_timer);
+    client->connect_timer.data = client;
+    client->open_handles = 2;
     client->connect_request.data = client;
     client->on_idle_closed = on_idle_closed;
     client->owner = owner;
@@ -293,6 +310,7 @@
         http_client_close(client);
         return NULL;
     }
+    uv_timer_start(&client->connect_timer, on_connect_time_over, CONNECT_MS, 0);
     return client;
 }
 
--- a/src/storesim/main.c
+++ b/src/storesim/main.c
@@ -79,7 +79,7 @@
 
 static uint64_t violations_of(const workload_result_t *result) {
     return result->turns_lost + result->turns_wrong + result->turns_invented +
-           result->turns_not_read + result->budgets_exceeded;
+           result->turns_not_read + result->budgets_exceeded + result->connects_late;
 }
 
 static void check_all(void *data) {
@@ -101,6 +101,8 @@
         fprintf(stderr, "no such kind of fault: %s\n", arguments->only);
         exit(EXIT_FAILURE);
     }
+    if (g_strcmp0(arguments->only, "power_all") == 0)
+        workload_judge_connects();
     virtual_after(HEAL_AT_MS - WORK_FROM_MS, NULL, heal, world);
     virtual_after(CHECK_AT_MS - WORK_FROM_MS, NULL, check_all, NULL);
     virtual_run(END_AT_MS);
@@ -118,18 +120,20 @@
     sum->turns_invented += result->turns_invented;
     sum->turns_not_read += result->turns_not_read;
     sum->budgets_exceeded += result->budgets_exceeded;
+    sum->connects_late += result->connects_late;
 }
 
 static void print_result(const char *name, const workload_result_t *result) {
     printf("%s: acknowledged %" G_GUINT64_FORMAT " given_up %" G_GUINT64_FORMAT
            " granted %" G_GUINT64_FORMAT " refused %" G_GUINT64_FORMAT " reads %" G_GUINT64_FORMAT
            " lost %" G_GUINT64_FORMAT " wrong %" G_GUINT64_FORMAT " invented %" G_GUINT64_FORMAT
-           " not_read %" G_GUINT64_FORMAT " over_budget %" G_GUINT64_FORMAT "\n",
+           " not_read %" G_GUINT64_FORMAT " over_budget %" G_GUINT64_FORMAT
+           " connects_late %" G_GUINT64_FORMAT "\n",
            name, (guint64)result->turns_acknowledged, (guint64)result->turns_given_up,
            (guint64)result->reserves_granted, (guint64)result->reserves_refused,
            (guint64)result->reads, (guint64)result->turns_lost, (guint64)result->turns_wrong,
            (guint64)result->turns_invented, (guint64)result->turns_not_read,
-           (guint64)result->budgets_exceeded);
+           (guint64)result->budgets_exceeded, (guint64)result->connects_late);
 }
 
 int main(int argc, char **argv) {
--- a/src/storesim/virtual_loop.c
+++ b/src/storesim/virtual_loop.c
@@ -110,6 +110,7 @@
 
 void virtual_process_begin(virtual_process_t *process) {
     process->up = true;
+    process->dark = false;
     process->incarnation++;
     process->paused_until = 0;
 }
--- a/src/storesim/virtual_loop.h
+++ b/src/storesim/virtual_loop.h
@@ -21,6 +21,7 @@
     struct sockaddr_in address;
     uv_loop_t loop; /**< Only names the process: its data points here. */
     bool up;
+    bool dark;            /**< Its machine has no power: nothing refuses a connection to it. */
     uint64_t incarnation; /**< Counts starts. */
     uint64_t paused_until;
     GHashTable *cut_from; /**< Processes that it can't reach, nor they it; see virtual_network.h. */
--- a/src/storesim/virtual_network.c
+++ b/src/storesim/virtual_network.c
@@ -2,7 +2,13 @@
 
 #include "cluster/message.h"
 
-enum { LATENCY_LEAST_MS = 1, LATENCY_MOST_MS = 4, RETRY_MS = 20, SILENT_MS = 1500 };
+enum {
+    LATENCY_LEAST_MS = 1,
+    LATENCY_MOST_MS = 4,
+    RETRY_MS = 20,
+    SILENT_MS = 1500,
+    OPENING_AGAIN_MS = 1000, /**< The kernel sends an unanswered opening packet again after this. */
+};
 
 struct frame_listener {
     virtual_process_t *process;
@@ -26,12 +32,14 @@
 
 static GHashTable *listeners; /**< Process to frame_listener_t. */
 static GPtrArray *ends;       /**< All ends that are not closed. */
+static GPtrArray *dark;       /**< Processes whose machine lost power, and may have it again. */
 static uint64_t last_serial;
 static bool empty_indexes;
 
 void virtual_network_start(void) {
     listeners = g_hash_table_new_full(NULL, NULL, NULL, g_free);
     ends = g_ptr_array_new();
+    dark = g_ptr_array_new();
     empty_indexes = false;
 }
 
@@ -187,12 +195,27 @@
     struct sockaddr_in address;
 } connect_event_t;
 
+static bool is_dark(const struct sockaddr_in *address) {
+    for (guint i = 0; i < dark->len; i++) {
+        const virtual_process_t *process = g_ptr_array_index(dark, i);
+        if (process->dark && process->address.sin_port == address->sin_port)
+            return true;
+    }
+    return false;
+}
+
 static void connect_arrives(void *data) {
     connect_event_t event = *(connect_event_t *)data;
     frame_connection_t *end = event.end;
-    g_free(data);
-    if (!alive(end))
+    if (!alive(end)) {
+        g_free(data);
+        return;
+    }
+    if (is_dark(&event.address)) {
+        virtual_after(OPENING_AGAIN_MS, NULL, connect_arrives, data);
         return;
+    }
+    g_free(data);
     GHashTableIter iterator;
     gpointer process;
     gpointer value;
@@ -245,6 +268,10 @@
 
 void virtual_network_process_ended(virtual_process_t *process, bool silent) {
     g_hash_table_remove(listeners, process);
+    process->dark = silent;
+    g_ptr_array_remove(dark, process);
+    if (silent)
+        g_ptr_array_add(dark, process);
     for (guint i = ends->len; i > 0; i--) {
         frame_connection_t *end = g_ptr_array_index(ends, i - 1);
         if (end->process != process)
--- a/src/storesim/workload.c
+++ b/src/storesim/workload.c
@@ -18,6 +18,8 @@
     READ_AGAIN_MS = 400,
     READ_TRIES = 15,
     RETENTION_MS = 1000000000,
+    CONNECT_CHECK_MS = 50,
+    CONNECT_PATIENCE_MS = 600, /**< Less than a second opening packet of the kernel would take. */
 };
 
 /** What the oracle knows of a turn. */
@@ -255,6 +257,42 @@
         begin_reserve(gateway);
 }
 
+/* How soon gateways reach the storage nodes once all are up. */
+
+static uint64_t all_up_since;
+
+static bool all_up(void) {
+    for (guint i = 0; i < world->gateways->len; i++)
+        if (((const world_gateway_t *)g_ptr_array_index(world->gateways, i))->client == NULL)
+            return false;
+    for (guint i = 0; i < world->stores->len; i++)
+        if (((const world_store_t *)g_ptr_array_index(world->stores, i))->store == NULL)
+            return false;
+    return true;
+}
+
+static void check_connects(void *data) {
+    virtual_after(CONNECT_CHECK_MS, NULL, check_connects, data);
+    if (!all_up()) {
+        all_up_since = 0;
+        return;
+    }
+    if (all_up_since == 0)
+        all_up_since = virtual_now();
+    uint64_t since = virtual_now() - all_up_since;
+    if (since < CONNECT_PATIENCE_MS || since >= CONNECT_PATIENCE_MS + CONNECT_CHECK_MS)
+        return;
+    for (guint i = 0; i < world->gateways->len; i++) {
+        const world_gateway_t *gateway = g_ptr_array_index(world->gateways, i);
+        result.connects_late += !store_client_connected(gateway->client);
+    }
+}
+
+void workload_judge_connects(void) {
+    all_up_since = 0;
+    virtual_after(CONNECT_CHECK_MS, NULL, check_connects, NULL);
+}
+
 void workload_start(world_t *in_world, uint64_t until) {
     world = in_world;
     write_until = until;
--- a/src/storesim/world.h
+++ b/src/storesim/world.h
@@ -58,6 +58,8 @@
 
 /** Lets the gateways write, read and reserve until @p until. */
 void workload_start(world_t *world, uint64_t until);
+/** Also judges how soon gateways reach the storage nodes; only while no link is harmed. */
+void workload_judge_connects(void);
 /** Begins reading back everything that was acknowledged. */
 void workload_check_all(void);
 
@@ -72,6 +74,7 @@
     uint64_t turns_invented;   /**< A turn that nobody wrote. */
     uint64_t turns_not_read;   /**< Acknowledged, and not readable at the end. */
     uint64_t budgets_exceeded; /**< Programs that could hand out more than their budget. */
+    uint64_t connects_late;    /**< Gateways still without storage nodes when all had been up. */
 } workload_result_t;
 const workload_result_t *workload_result(void);
 
--- a/tests/integration/store_simulator_test.sh
+++ b/tests/integration/store_simulator_test.sh
@@ -20,6 +20,8 @@
 expect "storage nodes: any fault, seeds 1..100" store_sim --seeds 1..100
 expect "storage nodes: power lost everywhere with one disk, seeds 1..200" \
     store_sim --seeds 1..200 --only power_all_and_disk
+expect "storage nodes: power lost everywhere, gateways reach them again at once, seeds 1..100" \
+    store_sim --seeds 1..100 --only power_all
 expect "storage nodes: one after the other is to be emptied, seeds 1..100" \
     store_sim --seeds 1..100 --only retire
 expect "a seed runs the same twice" same_twice
