net: a reset leaves an answer without a length incomplete

Ruled out: the parser (an end completes such an answer, a length or chunks are checked). Change: at an end the socket is asked whether it was reset.

--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -8,8 +8,9 @@
  * A connection that is not up soon is given up: a machine without power does not refuse it, and the
  * kernel would ask it again only after a second.
  *
- * Failures. A server that falls silent is found by TCP_USER_TIMEOUT and keep-alive probes while
- * bytes or an answer are outstanding; how long an answer may take is the caller's to say.
+ * Failures. A reset leaves an answer incomplete, also one that may end with its connection. A
+ * server that falls silent is found by TCP_USER_TIMEOUT and keep-alive probes while bytes or an
+ * answer are outstanding; how long an answer may take is the caller's to say.
  */
 #include "net/http_client.h"
 
@@ -173,6 +174,18 @@
     handler->on_complete(user);
 }
 
+/**
+ * True if the server has closed the connection, false if it was reset. libuv tells both as an end
+ * when bytes came just before; the socket itself still knows.
+ */
+static bool ended_cleanly(const http_client_t *client) {
+    uv_os_fd_t descriptor;
+    if (uv_fileno((const uv_handle_t *)&client->tcp, &descriptor) != 0)
+        return false;
+    char byte;
+    return recv(descriptor, &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
 static void on_read(uv_stream_t *stream, ssize_t count, const uv_buf_t *buffer) {
     http_client_t *client = stream->data;
     if (client->state == STATE_CLOSED || count == 0)
@@ -183,7 +196,7 @@
     }
     if (count < 0) {
         /* A clean end may complete an answer without a length. */
-        if (count == UV_EOF && client->any_received) {
+        if (count == UV_EOF && client->any_received && ended_cleanly(client)) {
             http_parser_execute(&client->parser, &parser_settings, NULL, 0);
             if (client->state == STATE_CLOSED)
                 return;
--- /dev/null
+++ b/tests/unit/http_client_test.cc
@@ -0,0 +1,116 @@
+// Connections to servers: when an answer that has no length is whole.
+#include <arpa/inet.h>
+#include <gtest/gtest.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <string>
+#include <thread>
+
+extern "C" {
+#include "net/http_client.h"
+}
+
+namespace {
+
+enum class Ending { clean, reset };
+
+// Accepts one connection, reads a request, writes `answer` and ends the connection.
+class Server {
+  public:
+    Server(const std::string &answer, Ending ending) {
+        listener_ = socket(AF_INET, SOCK_STREAM, 0);
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        bind(listener_, reinterpret_cast<sockaddr *>(&address), sizeof address);
+        socklen_t length = sizeof address;
+        getsockname(listener_, reinterpret_cast<sockaddr *>(&address), &length);
+        listen(listener_, 1);
+        thread_ = std::thread([this, answer, ending] { serve(answer, ending); });
+    }
+    ~Server() {
+        thread_.join();
+        close(listener_);
+    }
+    Server(const Server &) = delete;
+    Server &operator=(const Server &) = delete;
+
+    sockaddr_in address{};
+
+  private:
+    void serve(const std::string &answer, Ending ending) const {
+        int connection = accept(listener_, nullptr, nullptr);
+        char buffer[4096];
+        (void)!read(connection, buffer, sizeof buffer);
+        (void)!write(connection, answer.data(), answer.size());
+        if (ending == Ending::reset) {
+            linger now = {1, 0};
+            setsockopt(connection, SOL_SOCKET, SO_LINGER, &now, sizeof now);
+        }
+        close(connection);
+    }
+
+    int listener_;
+    std::thread thread_;
+};
+
+struct Outcome {
+    bool complete = false;
+    bool failed = false;
+    http_failure_t failure = HTTP_FAILURE_NOT_SENT;
+    std::string body;
+};
+
+const http_exchange_handler_t handler = {
+    [](void *, const http_answer_head_t *) { return true; },
+    [](void *user, const char *data, size_t length) {
+        static_cast<Outcome *>(user)->body.append(data, length);
+    },
+    [](void *user) { static_cast<Outcome *>(user)->complete = true; },
+    [](void *user, http_failure_t failure) {
+        static_cast<Outcome *>(user)->failed = true;
+        static_cast<Outcome *>(user)->failure = failure;
+    },
+};
+
+Outcome exchange(const std::string &answer, Ending ending) {
+    uv_loop_t loop;
+    uv_loop_init(&loop);
+    Outcome outcome;
+    {
+        Server server(answer, ending);
+        http_client_t *client = http_client_open(&loop, &server.address, nullptr, nullptr);
+        GString *request = g_string_new("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+        http_client_send(client, request, false, &handler, &outcome);
+        uv_run(&loop, UV_RUN_DEFAULT);
+    }
+    uv_loop_close(&loop);
+    return outcome;
+}
+
+const std::string head = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n";
+
+TEST(HttpClient, AnAnswerWithoutALengthEndsWithItsConnection) {
+    Outcome outcome = exchange(head + "all of it", Ending::clean);
+    EXPECT_TRUE(outcome.complete);
+    EXPECT_EQ(outcome.body, "all of it");
+}
+
+// libuv reports the reset of a connection whose bytes it has just read as an end.
+TEST(HttpClient, AResetLeavesAnAnswerWithoutALengthIncomplete) {
+    for (int i = 0; i < 50; i++) {
+        Outcome outcome = exchange(head + "a part of it", Ending::reset);
+        EXPECT_FALSE(outcome.complete);
+        EXPECT_TRUE(outcome.failed);
+        EXPECT_NE(outcome.failure, HTTP_FAILURE_NOT_SENT);
+    }
+}
+
+TEST(HttpClient, AnAnswerCutBeforeItsLengthIsBroken) {
+    Outcome outcome =
+        exchange("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\na part of it", Ending::clean);
+    EXPECT_FALSE(outcome.complete);
+    EXPECT_EQ(outcome.failure, HTTP_FAILURE_BROKEN);
+}
+
+} // namespace
