gateways share the duty of asking the key-value service anew

Ruled out: waiting longer alone (a change after lost answers would show too late). Change: core/configuration/watch_duty.h. The first three gateways by address whose watch is in order renew it every 3 s, the others every 25 s. With their loads all tell the latest revision at which they saw a change and the age of their last answer; whoever is behind for 0.6 s asks anew. If news travel too slowly (some 80 gateways and more), nobody rests. Now the time follows from how often one is told. More calls remain than renewals explain; not traced.

--- a/src/cluster/key_value_watch.c
+++ b/src/cluster/key_value_watch.c
@@ -43,8 +43,11 @@
     uint64_t list_revision;
     unsigned failures;
     uint64_t gather_ms;
-    uint64_t begun_at; /**< Of the call under way. */
-    int reachable;     /**< -1: not known yet. */
+    uint64_t begun_at;    /**< Of the call under way. */
+    bool waiting;         /**< A watch is under way. */
+    uint64_t changed;     /**< Latest revision of an item. */
+    uint64_t answered_at; /**< Of the latest well-formed answer. */
+    int reachable;        /**< -1: not known yet. */
 };
 
 static void begin_call(key_value_watch_t *watch);
@@ -69,6 +72,7 @@
 }
 
 static void call_failed(key_value_watch_t *watch) {
+    watch->waiting = false;
     if (watch->client != NULL) {
         http_client_close(watch->client);
         watch->client = NULL;
@@ -99,8 +103,11 @@
 }
 
 static void deliver_items(key_value_watch_t *watch, const key_value_page_t *page) {
-    for (guint i = 0; i < page->items->len; i++)
-        watch->handler->on_item(watch->owner, &g_array_index(page->items, key_value_item_t, i));
+    for (guint i = 0; i < page->items->len; i++) {
+        const key_value_item_t *item = &g_array_index(page->items, key_value_item_t, i);
+        watch->changed = MAX(watch->changed, item->revision);
+        watch->handler->on_item(watch->owner, item);
+    }
 }
 
 static void page_listed(key_value_watch_t *watch, const key_value_page_t *page) {
@@ -133,6 +140,7 @@
 
 static void on_complete(void *user) {
     key_value_watch_t *watch = user;
+    watch->waiting = false;
     uv_timer_stop(&watch->timer);
     if (!http_client_reusable(watch->client)) {
         http_client_close(watch->client);
@@ -157,6 +165,7 @@
         return;
     }
     watch->failures = 0;
+    watch->answered_at = uv_now(watch->loop);
     set_reachable(watch, true);
     bool changed = watch->phase == WATCHING && page.items->len > 0;
     if (watch->phase == LISTING) {
@@ -193,6 +202,7 @@
     watch->status = 0;
     watch->begun_at = uv_now(watch->loop);
     bool listing = watch->phase == LISTING;
+    watch->waiting = !listing;
     GString *request = listing ? key_value_list_request(watch->host, watch->prefix, watch->after)
                                : key_value_watch_request(watch->host, watch->prefix,
                                                          watch->revision, watch->wait_ms);
@@ -229,6 +239,36 @@
     return watch;
 }
 
+void key_value_watch_set_wait(key_value_watch_t *watch, uint32_t wait_ms) {
+    watch->wait_ms = wait_ms;
+}
+
+void key_value_watch_renew(key_value_watch_t *watch) {
+    if (!watch->waiting)
+        return;
+    uv_timer_stop(&watch->timer);
+    if (watch->client != NULL)
+        http_client_close(watch->client);
+    watch->client = NULL;
+    begin_call(watch);
+}
+
+uint64_t key_value_watch_known(const key_value_watch_t *watch) {
+    return watch->revision;
+}
+
+uint64_t key_value_watch_changed(const key_value_watch_t *watch) {
+    return watch->changed;
+}
+
+uint64_t key_value_watch_answered_at(const key_value_watch_t *watch) {
+    return watch->answered_at;
+}
+
+uint64_t key_value_watch_begun_at(const key_value_watch_t *watch) {
+    return watch->begun_at;
+}
+
 /* Single writes. */
 
 typedef struct {
--- a/src/cluster/key_value_watch.h
+++ b/src/cluster/key_value_watch.h
@@ -32,6 +32,18 @@
                                         const char *host, const char *prefix, uint32_t wait_ms,
                                         const key_value_watch_handler_t *handler, void *owner);
 
+/** How long the next watch waits for a change, in ms. */
+void key_value_watch_set_wait(key_value_watch_t *watch, uint32_t wait_ms);
+/** Gives up the watch that waits now, if one does, for a new one from the same revision. */
+void key_value_watch_renew(key_value_watch_t *watch);
+/** Everything up to this revision has been seen; 0 before the first listing. */
+uint64_t key_value_watch_known(const key_value_watch_t *watch);
+/** The latest revision at which a change was seen. */
+uint64_t key_value_watch_changed(const key_value_watch_t *watch);
+/** Loop time of the latest well-formed answer, and of the present call's beginning; 0: none. */
+uint64_t key_value_watch_answered_at(const key_value_watch_t *watch);
+uint64_t key_value_watch_begun_at(const key_value_watch_t *watch);
+
 /**
  * Writes a key on a connection of its own; @p done says what became of it. A refusal includes
  * "no answer": the write may still happen.
--- /dev/null
+++ b/src/core/configuration/watch_duty.c
@@ -0,0 +1,46 @@
+#include "core/configuration/watch_duty.h"
+
+enum {
+    RENEWING = 3,               /**< So many renew. */
+    TELL_PERIOD_MOST_MS = 1200, /**< Told more seldom, a missed change would show too late. */
+};
+
+/** True if its watch is in order: answered within one wait, and told, one datagram being lost. */
+static bool answered_lately(const watch_report_t *report, uint64_t tell_period_ms, uint64_t now) {
+    if (report->answer_age == UINT32_MAX)
+        return false;
+    uint64_t bound = WATCH_WAIT_RENEWING_MS + WATCH_ANSWER_MS + 2 * tell_period_ms;
+    return now <= report->heard_at - report->answer_age + bound;
+}
+
+/** Keeps since when another process knows of a change that this one has not seen. */
+static void look_whether_behind(watch_state_t *own, const watch_report_t *reports, unsigned count,
+                                uint64_t now) {
+    bool behind = false;
+    for (unsigned i = 0; i < count; i++)
+        behind = behind || reports[i].changed > own->known;
+    if (!behind)
+        own->behind_since = 0;
+    else if (own->behind_since == 0)
+        own->behind_since = now;
+}
+
+watch_decision_t watch_duty_decide(watch_state_t *own, const watch_report_t *reports,
+                                   unsigned count, uint64_t tell_period_ms, uint64_t now) {
+    unsigned renewing = 0;
+    for (unsigned i = 0; i < count; i++)
+        renewing += reports[i].before && answered_lately(&reports[i], tell_period_ms, now);
+    bool rests = renewing >= RENEWING && tell_period_ms <= TELL_PERIOD_MOST_MS;
+    look_whether_behind(own, reports, count, now);
+    /* A new watch that did not help has a longer trial: the service may be out of reach. */
+    bool tried = own->begun_at > own->behind_since;
+    uint64_t patience = tried ? WATCH_TRIAL_MS : WATCH_LAG_MS;
+    bool behind = own->behind_since > 0 && now >= own->behind_since + WATCH_LAG_MS &&
+                  now >= own->begun_at + patience;
+    bool due = !rests && now >= own->begun_at + WATCH_WAIT_RENEWING_MS &&
+               now >= own->answered_at + WATCH_WAIT_RENEWING_MS;
+    return (watch_decision_t){
+        .wait_ms = rests ? WATCH_WAIT_RESTING_MS : WATCH_WAIT_RENEWING_MS,
+        .renew = behind || due,
+    };
+}
--- /dev/null
+++ b/src/core/configuration/watch_duty.h
@@ -0,0 +1,55 @@
+/**
+ * @file watch_duty.h
+ * How long one watch of the key-value service may wait, when many processes watch the same.
+ *
+ * A watch whose answer was lost says nothing more, and looks like one that has nothing to say; so
+ * someone must ask anew every few seconds. A few do, the *renewing* ones; what they learn shows the
+ * others that their own watches have missed something. All tell one another when their watch was
+ * last answered and the latest revision at which they saw a change. The first few by address whose
+ * watch is in order renew; if one of them is lost, the next takes its place.
+ *
+ * Decision code: no I/O, clock or thread. Times are in ms.
+ */
+#ifndef RUDDERWAY_CORE_CONFIGURATION_WATCH_DUTY_H
+#define RUDDERWAY_CORE_CONFIGURATION_WATCH_DUTY_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+enum {
+    WATCH_WAIT_RENEWING_MS = 3000,
+    WATCH_WAIT_RESTING_MS = 25000,
+    WATCH_ANSWER_MS = 900, /**< For a watch to be answered, beyond the time it waits. */
+    WATCH_LAG_MS = 600,              /**< A change that is known elsewhere must show within this. */
+    WATCH_TRIAL_MS = 2000,           /**< The same for a watch that was begun because of it. */
+};
+
+/** What another process told of its watch. */
+typedef struct {
+    bool before;         /**< Its address comes before ours. */
+    uint64_t heard_at;   /**< When it told. */
+    uint32_t answer_age; /**< How long before that its watch was answered; UINT32_MAX: never. */
+    uint64_t changed;    /**< The latest revision at which it saw a change. */
+} watch_report_t;
+
+/** This process's own watch. */
+typedef struct {
+    uint64_t known;        /**< Everything up to this revision has been seen. */
+    uint64_t answered_at;  /**< 0: never. */
+    uint64_t begun_at;     /**< Of the watch that waits now. */
+    uint64_t behind_since; /**< Since when a later change is known elsewhere; 0: none is. */
+} watch_state_t;
+
+typedef struct {
+    uint32_t wait_ms; /**< For the next watch. */
+    bool renew;       /**< The one that waits now is to be given up for a new one. */
+} watch_decision_t;
+
+/**
+ * Decides from what @p count others told. @p tell_period_ms is how often one is told: if too
+ * seldom, nobody rests. Keeps `behind_since` of @p own.
+ */
+watch_decision_t watch_duty_decide(watch_state_t *own, const watch_report_t *reports,
+                                   unsigned count, uint64_t tell_period_ms, uint64_t now);
+
+#endif
--- a/src/core/routing/ejection.c
+++ b/src/core/routing/ejection.c
@@ -41,8 +41,10 @@
         ejection->told_until = until;
 }
 
-bool ejection_is_out(const ejection_t *ejection, uint64_t now) {
-    if (now < ejection->out_until)
-        return true;
+bool ejection_told_out(const ejection_t *ejection, uint64_t now) {
     return ejection->tellers >= TELLERS_NEEDED && now < ejection->told_until;
 }
+
+bool ejection_is_out(const ejection_t *ejection, uint64_t now) {
+    return now < ejection->out_until || ejection_told_out(ejection, now);
+}
--- a/src/core/routing/ejection.h
+++ b/src/core/routing/ejection.h
@@ -37,6 +37,8 @@
 void ejection_forget_told(ejection_t *ejection);
 /** Another gateway leaves it out until @p until. */
 void ejection_note_told(ejection_t *ejection, uint64_t until, uint64_t now);
+/** True if it is left out now by what the others told. */
+bool ejection_told_out(const ejection_t *ejection, uint64_t now);
 /** True if the back end is left out now. */
 bool ejection_is_out(const ejection_t *ejection, uint64_t now);
 
--- a/src/gateway/backends.c
+++ b/src/gateway/backends.c
@@ -1,5 +1,7 @@
 #include "gateway/backends.h"
 
+#include "common/event.h"
+
 #include <string.h>
 #include <xxhash.h>
 
@@ -247,7 +249,10 @@
 }
 
 void backend_note_reset(backend_t *backend) {
-    ejection_note_reset(&backend->ejection, uv_now(backend->loop));
+    uint64_t now = uv_now(backend->loop);
+    ejection_note_reset(&backend->ejection, now);
+    event_log(BACKEND_EJECTED, backend->record->instance, ejection_tell_ms(&backend->ejection, now),
+              "reset");
     /* Kept connections to a back end that is down are dead as well. */
     close_idle(backend);
     backend->owner->changes++;
--- a/src/gateway/backends.h
+++ b/src/gateway/backends.h
@@ -30,6 +30,7 @@
     uint64_t avoid_until; /**< Gets no call before, ms; after a failure. */
     unsigned failures;    /**< In a row. */
     ejection_t ejection;  /**< Whether it seems to be down. */
+    bool told_out;        /**< Left out by what others told, when last looked at. */
     GPtrArray *idle;      /**< Kept connections, the latest used last; of http_client_t. */
     uv_loop_t *loop;
     struct backends *owner;
--- a/src/gateway/directory_watch.c
+++ b/src/gateway/directory_watch.c
@@ -9,8 +9,6 @@
 
 #include <string.h>
 
-enum { WATCH_WAIT_MS = 4000 };
-
 static void take_configuration(gateway_t *gateway, const key_value_item_t *item) {
     if (item->value == NULL)
         return;
@@ -112,7 +110,33 @@
 
 void gateway_watch_directory(gateway_t *gateway) {
     const process_settings_t *settings = gateway->settings;
-    gateway->watch =
-        key_value_watch_open(gateway->loop, &settings->key_value, settings->key_value_text,
-                             key_value_prefix(KEY_OTHER), WATCH_WAIT_MS, &handler, gateway);
+    gateway->watch = key_value_watch_open(gateway->loop, &settings->key_value,
+                                          settings->key_value_text, key_value_prefix(KEY_OTHER),
+                                          WATCH_WAIT_RENEWING_MS, &handler, gateway);
+}
+
+/* Gateways share the duty of asking anew; see core/configuration/watch_duty.h. */
+
+static void tell_watch(void *owner, uint32_t *answer_age, uint64_t *changed) {
+    const gateway_t *gateway = owner;
+    uint64_t answered_at = gateway->watch == NULL ? 0 : key_value_watch_answered_at(gateway->watch);
+    *answer_age = answered_at == 0 ? UINT32_MAX : (uint32_t)(uv_now(gateway->loop) - answered_at);
+    *changed = gateway->watch == NULL ? 0 : key_value_watch_changed(gateway->watch);
 }
+
+static void on_reports(void *owner, const GArray *reports, uint64_t period_ms) {
+    gateway_t *gateway = owner;
+    if (gateway->watch == NULL)
+        return;
+    watch_state_t *own = &gateway->watch_state;
+    own->known = key_value_watch_known(gateway->watch);
+    own->answered_at = key_value_watch_answered_at(gateway->watch);
+    own->begun_at = key_value_watch_begun_at(gateway->watch);
+    watch_decision_t decision = watch_duty_decide(own, (const watch_report_t *)reports->data,
+                                                  reports->len, period_ms, uv_now(gateway->loop));
+    key_value_watch_set_wait(gateway->watch, decision.wait_ms);
+    if (decision.renew)
+        key_value_watch_renew(gateway->watch);
+}
+
+const load_sharing_handler_t gateway_watch_sharing = {tell_watch, on_reports};
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -52,6 +52,7 @@
     chain_cache_t chains;
     GHashTable *split_credits; /**< Route name to what each part is owed; see split.h. */
     key_value_watch_t *watch;
+    watch_state_t watch_state; /**< Of the duty that gateways share. */
     gateway_counters_t counters;
     uint64_t started_at;
     bool stores_reached;           /**< A quorum of them has been connected. */
@@ -69,6 +70,7 @@
 
 /** Follows configuration, back ends and the store group; see directory_watch.c. */
 void gateway_watch_directory(gateway_t *gateway);
+extern const load_sharing_handler_t gateway_watch_sharing;
 /** Says whether the gateway is ready if that has changed. */
 void gateway_check_ready(gateway_t *gateway);
 /** Serves readiness and metrics; see reports.c. False if an address can't be listened on. */
--- a/src/gateway/load_sharing.c
+++ b/src/gateway/load_sharing.c
@@ -3,21 +3,25 @@
  * any or that it leaves out. It is sent at once when a back end was found down, else when something
  * has changed, at most once a period, and again from time to time while there is anything to tell.
  * The period grows with the number of gateways, so that what one gateway sends and receives stays
- * level, and while no back end is half full, when the choice hardly depends on it.
+ * level, and while no back end is half full, when the choice hardly depends on it. Without any
+ * calls one is still sent now and then, since the others' watches depend on it (watch_duty.h).
  */
 #include "gateway/load_sharing.h"
 
 #include "common/codec.h"
+#include "common/event.h"
 
+#include <arpa/inet.h>
 #include <string.h>
 
 enum {
     PERIOD_MS = 60,
-    PERIOD_EACH_MS = 3,   /**< Added for each gateway. */
-    CALM_PERIODS = 4,     /**< Periods in one while no back end is half full. */
-    REFRESH_MS = 400,     /**< Told again after this although nothing has changed. */
-    URGENT_PAUSE_MS = 20, /**< Least time between two urgent datagrams. */
-    FORGET_MS = 1000,     /**< What a silent gateway said last counts for so long. */
+    PERIOD_EACH_MS = 3,     /**< Added for each gateway. */
+    CALM_PERIODS = 4,       /**< Periods in one while no back end is half full. */
+    REFRESH_MS = 400,       /**< Told again after this although nothing has changed. */
+    IDLE_REFRESH_MS = 1000, /**< The same while there is no call to tell of. */
+    URGENT_PAUSE_MS = 20,   /**< Least time between two urgent datagrams. */
+    FORGET_MS = 1000,       /**< What a silent gateway said last counts for so long. */
     ENTRIES_MAXIMUM = 4096,
 };
 
@@ -30,6 +34,7 @@
 typedef struct {
     struct sockaddr_in address;
     uint64_t heard_at;
+    watch_report_t watch;
     GArray *entries; /**< Of load_entry_t. */
 } gateway_peer_t;
 
@@ -39,7 +44,10 @@
     uv_timer_t timer;
     struct sockaddr_in own;
     backends_t *backends;
-    GPtrArray *peers; /**< Of gateway_peer_t. */
+    const load_sharing_handler_t *handler;
+    void *owner;
+    GPtrArray *peers;      /**< Of gateway_peer_t. */
+    uint64_t sent_changed; /**< Latest revision of a change that was told. */
     uint64_t sent_changes;
     uint64_t sent_at;
     bool sent_any;
@@ -55,6 +63,12 @@
     return a->sin_port == b->sin_port && a->sin_addr.s_addr == b->sin_addr.s_addr;
 }
 
+static bool comes_before(const struct sockaddr_in *a, const struct sockaddr_in *b) {
+    uint32_t host_a = ntohl(a->sin_addr.s_addr);
+    uint32_t host_b = ntohl(b->sin_addr.s_addr);
+    return host_a != host_b ? host_a < host_b : ntohs(a->sin_port) < ntohs(b->sin_port);
+}
+
 static gateway_peer_t *find_peer(const load_sharing_t *sharing, const struct sockaddr_in *address) {
     for (guint i = 0; i < sharing->peers->len; i++) {
         gateway_peer_t *peer = g_ptr_array_index(sharing->peers, i);
@@ -64,7 +78,9 @@
     return NULL;
 }
 
-static void entries_codec(codec_t *codec, GArray *entries) {
+static void datagram_codec(codec_t *codec, watch_report_t *watch, GArray *entries) {
+    codec_uint32(codec, &watch->answer_age);
+    codec_uint64(codec, &watch->changed);
     uint32_t count = entries->len;
     codec_count(codec, &count, ENTRIES_MAXIMUM);
     if (codec->decoding && !codec->failed)
@@ -77,7 +93,23 @@
     }
 }
 
-/** Sets what the other gateways have under way at each back end. */
+/** Logs each back end that is left out from now on because others say so. */
+static void log_ejections(const load_sharing_t *sharing) {
+    uint64_t now = uv_now(sharing->loop);
+    GHashTableIter iterator;
+    gpointer value;
+    g_hash_table_iter_init(&iterator, sharing->backends->by_instance);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        backend_t *backend = value;
+        bool told_out = ejection_told_out(&backend->ejection, now);
+        if (told_out && !backend->told_out)
+            event_log(BACKEND_EJECTED, backend->record->instance,
+                      (unsigned)(backend->ejection.told_until - now), "gateways");
+        backend->told_out = told_out;
+    }
+}
+
+/** Sets what the other gateways have under way at each back end, and which they leave out. */
 static void sum_peers(load_sharing_t *sharing) {
     uint64_t now = uv_now(sharing->loop);
     GHashTableIter iterator;
@@ -101,6 +133,7 @@
             ejection_note_told(&backend->ejection, peer->heard_at + entry->out_ms, now);
         }
     }
+    log_ejections(sharing);
 }
 
 static void on_datagram(uv_udp_t *socket, ssize_t count, const uv_buf_t *buffer,
@@ -113,9 +146,12 @@
     if (peer == NULL)
         return;
     codec_t codec;
+    watch_report_t watch = {.heard_at = uv_now(sharing->loop), .before = peer->watch.before};
     codec_start_decoding(&codec, buffer->base, (size_t)count);
-    entries_codec(&codec, peer->entries);
-    if (!codec_complete(&codec))
+    datagram_codec(&codec, &watch, peer->entries);
+    if (codec_complete(&codec))
+        peer->watch = watch;
+    else
         g_array_set_size(peer->entries, 0);
     peer->heard_at = uv_now(sharing->loop);
     sum_peers(sharing);
@@ -147,9 +183,12 @@
 
 static void tell_peers(load_sharing_t *sharing) {
     GArray *entries = own_entries(sharing);
+    watch_report_t watch = {0};
+    sharing->handler->tell_watch(sharing->owner, &watch.answer_age, &watch.changed);
+    sharing->sent_changed = watch.changed;
     codec_t codec;
     codec_start_encoding(&codec);
-    entries_codec(&codec, entries);
+    datagram_codec(&codec, &watch, entries);
     GBytes *bytes = codec_finish(&codec);
     gsize length;
     const void *data = g_bytes_get_data(bytes, &length);
@@ -165,17 +204,43 @@
 
 static void arm_timer(load_sharing_t *sharing);
 
+static uint64_t period_ms(const load_sharing_t *sharing) {
+    uint64_t period = PERIOD_MS + PERIOD_EACH_MS * (uint64_t)sharing->peers->len;
+    return backends_half_full(sharing->backends) ? period : period * CALM_PERIODS;
+}
+
+/** True if the others should hear from this gateway now. */
+static bool due(const load_sharing_t *sharing, uint64_t now) {
+    uint32_t answer_age;
+    uint64_t changed;
+    sharing->handler->tell_watch(sharing->owner, &answer_age, &changed);
+    uint64_t refresh_ms = sharing->sent_any ? REFRESH_MS : IDLE_REFRESH_MS;
+    return sharing->backends->changes != sharing->sent_changes ||
+           changed != sharing->sent_changed || now >= sharing->sent_at + refresh_ms;
+}
+
+static void report_watches(const load_sharing_t *sharing) {
+    GArray *reports = g_array_new(FALSE, FALSE, sizeof(watch_report_t));
+    for (guint i = 0; i < sharing->peers->len; i++) {
+        const gateway_peer_t *peer = g_ptr_array_index(sharing->peers, i);
+        if (peer->watch.heard_at > 0)
+            g_array_append_val(reports, peer->watch);
+    }
+    sharing->handler->on_reports(sharing->owner, reports, period_ms(sharing));
+    g_array_free(reports, TRUE);
+}
+
 static void on_timer(uv_timer_t *timer) {
     load_sharing_t *sharing = timer->data;
     uint64_t now = uv_now(sharing->loop);
     uint64_t changes = sharing->backends->changes;
-    bool refresh = sharing->sent_any && now >= sharing->sent_at + REFRESH_MS;
-    if (changes != sharing->sent_changes || refresh) {
+    if (due(sharing, now)) {
         sharing->sent_changes = changes;
         sharing->sent_at = now;
         tell_peers(sharing);
     }
     sum_peers(sharing);
+    report_watches(sharing);
     arm_timer(sharing);
 }
 
@@ -189,15 +254,15 @@
 }
 
 static void arm_timer(load_sharing_t *sharing) {
-    uint64_t period = PERIOD_MS + PERIOD_EACH_MS * (uint64_t)sharing->peers->len;
-    if (!backends_half_full(sharing->backends))
-        period *= CALM_PERIODS;
-    uv_timer_start(&sharing->timer, on_timer, period, 0);
+    uv_timer_start(&sharing->timer, on_timer, period_ms(sharing), 0);
 }
 
 load_sharing_t *load_sharing_open(uv_loop_t *loop, const struct sockaddr_in *address,
-                                  backends_t *backends) {
+                                  backends_t *backends, const load_sharing_handler_t *handler,
+                                  void *owner) {
     load_sharing_t *sharing = g_new0(load_sharing_t, 1);
+    sharing->handler = handler;
+    sharing->owner = owner;
     sharing->loop = loop;
     sharing->own = *address;
     sharing->backends = backends;
@@ -222,6 +287,7 @@
             continue;
         gateway_peer_t *peer = g_new0(gateway_peer_t, 1);
         peer->address = address;
+        peer->watch.before = comes_before(&address, &sharing->own);
         peer->entries = g_array_new(FALSE, TRUE, sizeof(load_entry_t));
         g_ptr_array_add(sharing->peers, peer);
         for (guint j = 0; j < old->len; j++) {
@@ -229,6 +295,7 @@
             if (!same_address(&before->address, &address))
                 continue;
             peer->heard_at = before->heard_at;
+            peer->watch = before->watch;
             g_array_append_vals(peer->entries, before->entries->data, before->entries->len);
         }
     }
--- a/src/gateway/load_sharing.h
+++ b/src/gateway/load_sharing.h
@@ -1,7 +1,7 @@
 /**
  * @file load_sharing.h
- * What the gateways tell one another: how many calls each has under way at each back end, and
- * which back ends it finds down. A
+ * What the gateways tell one another: how many calls each has under way at each back end, which
+ * back ends it finds down, and how far its watch of the key-value service has come. A
  * gateway learns of the others from the storage nodes, to which all connect. Datagrams; a lost
  * one is made good by the next, and what a silent gateway said last is soon forgotten.
  *
@@ -10,13 +10,23 @@
 #ifndef RUDDERWAY_GATEWAY_LOAD_SHARING_H
 #define RUDDERWAY_GATEWAY_LOAD_SHARING_H
 
+#include "core/configuration/watch_duty.h"
 #include "gateway/backends.h"
 
 typedef struct load_sharing load_sharing_t;
 
+/** What gateways tell one another of their watches; see watch_duty.h. */
+typedef struct {
+    /** Fills in the age of this gateway's last answer, and the latest change it saw. */
+    void (*tell_watch)(void *owner, uint32_t *answer_age, uint64_t *changed);
+    /** Comes once a period with what the others told; @p reports of watch_report_t. */
+    void (*on_reports)(void *owner, const GArray *reports, uint64_t period_ms);
+} load_sharing_handler_t;
+
 /** NULL if @p address can't be used. */
 load_sharing_t *load_sharing_open(uv_loop_t *loop, const struct sockaddr_in *address,
-                                  backends_t *backends);
+                                  backends_t *backends, const load_sharing_handler_t *handler,
+                                  void *owner);
 /** Replaces the list of gateways by "IP:PORT" texts; its own address is left out. */
 void load_sharing_set_gateways(load_sharing_t *sharing, const GPtrArray *addresses);
 /** Tells the others now what this gateway knows; for news that can't wait. */
--- a/src/gateway/main.c
+++ b/src/gateway/main.c
@@ -58,7 +58,8 @@
 static bool open_gateway(gateway_t *gateway) {
     const process_settings_t *settings = gateway->settings;
     backends_init(&gateway->backends, gateway->loop, settings->zone);
-    gateway->load_sharing = load_sharing_open(gateway->loop, &settings->peer, &gateway->backends);
+    gateway->load_sharing = load_sharing_open(gateway->loop, &settings->peer, &gateway->backends,
+                                              &gateway_watch_sharing, gateway);
     if (gateway->load_sharing == NULL)
         return false;
     gateway->stores =
--- /dev/null
+++ b/tests/unit/watch_duty_test.cc
@@ -0,0 +1,70 @@
+// Who asks the key-value service anew, and when a watch is given up for a new one.
+#include <gtest/gtest.h>
+
+#include <vector>
+
+extern "C" {
+#include "core/configuration/watch_duty.h"
+}
+
+namespace {
+
+constexpr uint64_t now = 100000;
+constexpr uint64_t period = 300;
+constexpr uint32_t lately = WATCH_WAIT_RENEWING_MS + WATCH_ANSWER_MS + 2 * period;
+
+class WatchDuty : public testing::Test {
+  protected:
+    WatchDuty() {
+        own = {50, now - 1000, now - 1000, 0};
+        for (int i = 0; i < 3; i++)
+            reports.push_back({true, now - 200, 2000, 50});
+    }
+    watch_decision_t decide(uint64_t at = now, uint64_t tell_period = period) {
+        return watch_duty_decide(&own, reports.data(), static_cast<unsigned>(reports.size()),
+                                 tell_period, at);
+    }
+    watch_state_t own;
+    std::vector<watch_report_t> reports;
+};
+
+TEST_F(WatchDuty, RestsOnlyWhileThreeOthersBeforeItAskAnew) {
+    EXPECT_EQ(decide().wait_ms, unsigned{WATCH_WAIT_RESTING_MS});
+    reports[2].before = false;
+    EXPECT_EQ(decide().wait_ms, unsigned{WATCH_WAIT_RENEWING_MS});
+    reports.clear();
+    EXPECT_EQ(decide().wait_ms, unsigned{WATCH_WAIT_RENEWING_MS});
+}
+
+TEST_F(WatchDuty, TakesTheDutyOverOnceAnotherIsSilentOrUnanswered) {
+    own.answered_at = own.begun_at = now - 20000;
+    EXPECT_FALSE(decide().renew);
+    reports[0].answer_age = lately;
+    EXPECT_TRUE(decide().renew) << "its watch has not been answered for long";
+    reports[0].answer_age = 2000;
+    EXPECT_TRUE(decide(now + lately).renew) << "nothing was heard for long";
+    reports[0].answer_age = UINT32_MAX;
+    EXPECT_EQ(decide().wait_ms, unsigned{WATCH_WAIT_RENEWING_MS});
+}
+
+TEST_F(WatchDuty, AWatchThatMissedAChangeIsGivenUp) {
+    own.begun_at = own.answered_at = now - 20000;
+    reports[1].changed = 51;
+    EXPECT_FALSE(decide().renew) << "the change may be on its way";
+    EXPECT_FALSE(decide(now + WATCH_LAG_MS - 1).renew);
+    EXPECT_TRUE(decide(now + WATCH_LAG_MS).renew);
+    own.begun_at = now + WATCH_LAG_MS;
+    EXPECT_FALSE(decide(now + WATCH_LAG_MS + 1).renew) << "the new one has had no time yet";
+    reports[0].heard_at = reports[1].heard_at = reports[2].heard_at = now + WATCH_TRIAL_MS;
+    EXPECT_FALSE(decide(now + WATCH_LAG_MS + WATCH_TRIAL_MS - 1).renew);
+    EXPECT_TRUE(decide(now + WATCH_LAG_MS + WATCH_TRIAL_MS).renew) << "nor did that one help";
+    own.known = 51;
+    EXPECT_FALSE(decide(now + WATCH_LAG_MS + WATCH_TRIAL_MS).renew);
+    EXPECT_EQ(own.behind_since, 0U);
+}
+
+TEST_F(WatchDuty, NobodyRestsWhereNewsTravelSlowly) {
+    EXPECT_EQ(decide(now, 5000).wait_ms, unsigned{WATCH_WAIT_RENEWING_MS});
+}
+
+} // namespace
