node: calls.c divided by job

Change: call_planning (where a call runs and what it may cost), call_outcomes (what becomes of a call whose attempt has ended), calls (operations and the log); what the last two share stands in calls_state.h. No line of logic changed.

--- a/src/node/calls.c
+++ b/src/node/calls.c
@@ -1,20 +1,16 @@
 #include "node/calls.h"
 
-#include "common/chat.h"
 #include "common/event.h"
 #include "core/placement/placement.h"
-#include "node/backend_service.h"
 #include "node/call_answers.h"
-#include "node/prompt.h"
+#include "node/call_planning.h"
+#include "node/calls_state.h"
 #include "node/runs.h"
 
 #include <string.h>
-#include <xxhash.h>
 
 enum {
-    ATTEMPTS_MAXIMUM = 4,
     HELD_PER_NODE_MAXIMUM = 10000,
-    DEADLINE_GRACE_MS = 2000, /**< A runner has this long to report after the deadline. */
     SCAN_INTERVAL_MS = 250,
     BYTES_PER_MEBIBYTE = 1024 * 1024,
 };
@@ -25,18 +21,6 @@
     int64_t until_ms;
 } held_t;
 
-typedef struct {
-    command_t *intent;
-    int64_t due_ms;
-} delayed_retry_t;
-
-struct calls {
-    GPtrArray *held;    /**< Of held_t. */
-    GPtrArray *retries; /**< Of delayed_retry_t. */
-    retry_budget_t retry_budget;
-    int64_t next_scan_ms;
-};
-
 /** What a proposal or barrier was made for. */
 typedef struct {
     operation_t *operation;
@@ -48,17 +32,11 @@
     g_free(held);
 }
 
-static void delayed_retry_free(gpointer data) {
-    delayed_retry_t *retry = data;
-    command_free(retry->intent);
-    g_free(retry);
-}
-
 calls_t *calls_new(void) {
     calls_t *calls = g_new0(calls_t, 1);
     calls->held = g_ptr_array_new_with_free_func(held_free);
     calls->retry_budget = retry_budget_new();
-    calls->retries = g_ptr_array_new_with_free_func(delayed_retry_free);
+    calls->retries = g_ptr_array_new_with_free_func(calls_retry_free);
     return calls;
 }
 
@@ -165,99 +143,6 @@
 
 /* --- Calls -------------------------------------------------------------------------------- */
 
-static uint64_t request_digest(const operation_t *operation) {
-    size_t length;
-    const void *body = g_bytes_get_data(operation->body, &length);
-    XXH3_state_t *state = XXH3_createState();
-    XXH3_64bits_reset(state);
-    const uint32_t numbers[] = {operation->call_kind, operation->repeatable,
-                                operation->output_tokens};
-    XXH3_64bits_update(state, numbers, sizeof numbers);
-    const char *service = operation->service != NULL ? operation->service : "";
-    XXH3_64bits_update(state, service, strlen(service) + 1);
-    if (operation->start.template_name != NULL)
-        XXH3_64bits_update(state, operation->start.template_name,
-                           strlen(operation->start.template_name));
-    if (length > 0)
-        XXH3_64bits_update(state, body, length);
-    uint64_t digest = XXH3_64bits_digest(state);
-    XXH3_freeState(state);
-    return digest;
-}
-
-/** Chooses the back end of a model call and what it may cost at most. */
-static error_code_t plan_model_call(node_t *node, const program_t *program, command_t *intent,
-                                    uint32_t output_tokens, const char *avoid) {
-    json_t *messages = prompt_messages(program, intent->call, intent->body);
-    GString *text = chat_prompt(messages);
-    prefix_t *prefix = g_new(prefix_t, 1);
-    prefix_compute(prefix, text->str, text->len);
-    routing_request_t request = {.kind = BACKEND_ENGINE,
-                                 .offers = program->start.model,
-                                 .program = program->id,
-                                 .zone = node->settings->zone,
-                                 .prefix = prefix,
-                                 .avoid = avoid};
-    const backend_t *backend =
-        routing_choose(&node->routing, node->backends, &request, node->now_ms);
-    intent->reserve = chat_tokens(text->len) + output_tokens;
-    intent->output_tokens = output_tokens;
-    g_free(intent->backend);
-    intent->backend = backend != NULL ? g_strdup(backend->record.name) : NULL;
-    g_free(prefix);
-    g_string_free(text, TRUE);
-    json_decref(messages);
-    return backend != NULL ? RUDDERWAY_ERROR_NONE : RUDDERWAY_ERROR_NO_BACKEND;
-}
-
-static error_code_t plan_tool_call(node_t *node, const program_t *program, command_t *intent,
-                                   const char *service, const char *avoid) {
-    routing_request_t request = {.kind = BACKEND_SERVICE,
-                                 .offers = service,
-                                 .program = program->id,
-                                 .zone = node->settings->zone,
-                                 .avoid = avoid};
-    const backend_t *backend =
-        routing_choose(&node->routing, node->backends, &request, node->now_ms);
-    g_free(intent->backend);
-    intent->backend = backend != NULL ? g_strdup(backend->record.name) : NULL;
-    if (backend != NULL)
-        return RUDDERWAY_ERROR_NONE;
-    return backend_service_offers(node, service) ? RUDDERWAY_ERROR_NO_BACKEND
-                                                 : RUDDERWAY_ERROR_NO_SUCH_SERVICE;
-}
-
-/** True if the program's template lists @p service among its tools. */
-static bool may_use_tool(node_t *node, const program_t *program, const char *service) {
-    configuration_t *configuration = node_configuration(node);
-    const template_t *program_template =
-        configuration_template(configuration, program->start.template_name);
-    bool allowed = program_template != NULL &&
-                   g_strv_contains((const char *const *)program_template->tools, service);
-    configuration_unref(configuration);
-    return allowed;
-}
-
-static error_code_t plan_call(node_t *node, const program_t *program, const operation_t *operation,
-                              command_t *intent) {
-    switch (operation->call_kind) {
-    case CALL_MODEL:
-        return plan_model_call(node, program, intent, operation->output_tokens, NULL);
-    case CALL_TOOL:
-        if (!may_use_tool(node, program, operation->service))
-            return RUDDERWAY_ERROR_NO_SUCH_SERVICE;
-        return plan_tool_call(node, program, intent, operation->service, NULL);
-    case CALL_SUBAGENT:
-        program_start_copy(&intent->start, &operation->start);
-        intent->reserve = operation->start.limits.budget;
-        intent->backend = g_strdup("");
-        return RUDDERWAY_ERROR_NONE;
-    case CALL_KINDS:
-        break;
-    }
-    return RUDDERWAY_ERROR_BAD_REQUEST;
-}
-
 static error_code_t check_limits(node_t *node, const operation_t *operation) {
     if (node->stopping)
         return RUDDERWAY_ERROR_NOT_LEADER; /* Soon: leadership is being handed off. */
@@ -307,7 +192,7 @@
     intent->attempt = known != NULL ? known->attempt + 1 : 1;
     intent->call_kind = operation->call_kind;
     intent->repeatable = operation->repeatable;
-    intent->digest = request_digest(operation);
+    intent->digest = call_planning_digest(operation);
     intent->runner = node->instance;
     intent->body = g_bytes_ref(operation->body);
     int64_t longest = (int64_t)node->settings->call_timeout_seconds * 1000;
@@ -315,7 +200,7 @@
     intent->deadline_ms =
         MIN(node->unix_ms + MIN(longest, operation->remaining_ms), MAX(wall_end, node->unix_ms));
     if (error == RUDDERWAY_ERROR_NONE)
-        error = plan_call(node, program, operation, intent);
+        error = call_planning_first(node, program, operation, intent);
     if (error == RUDDERWAY_ERROR_NONE)
         error = program_store_check(group_store(group), intent);
     if (error == RUDDERWAY_ERROR_NONE) {
@@ -363,7 +248,7 @@
         return;
     }
     const call_t *call = program_call(program, operation->call);
-    if (call != NULL && call->digest != request_digest(operation))
+    if (call != NULL && call->digest != call_planning_digest(operation))
         call_answers_refuse(node, operation, RUDDERWAY_ERROR_CALL_MISMATCH);
     else if (is_settled(call))
         call_answers_call(node, operation, program, call);
@@ -403,151 +288,6 @@
     }
 }
 
-/* --- Outcomes ----------------------------------------------------------------------------- */
-
-/** True if another attempt may follow the outcome @p result. */
-static bool may_retry(const node_t *node, const program_t *program, const call_t *call,
-                      const command_t *result) {
-    if (result->state == CALL_OK || call->attempt >= ATTEMPTS_MAXIMUM || program->ended ||
-        node->unix_ms >= call->deadline_ms || node->stopping)
-        return false;
-    if (result->state == CALL_NOT_RUN)
-        return true;
-    return call->repeatable && result->state == CALL_UNKNOWN;
-}
-
-static command_t *retry_intent(node_t *node, const program_t *program, const call_t *call,
-                               const command_t *result) {
-    command_t *intent = command_new(COMMAND_INTENT, program->id, node->unix_ms);
-    intent->call = call->number;
-    intent->attempt = call->attempt + 1;
-    intent->call_kind = call->kind;
-    intent->repeatable = call->repeatable;
-    intent->previous_not_run = result->state == CALL_NOT_RUN;
-    intent->digest = call->digest;
-    intent->runner = node->instance;
-    intent->deadline_ms = call->deadline_ms;
-    intent->body = g_bytes_ref(call->request);
-    const backend_t *failed = backend_set_find(node->backends, call->backend);
-    error_code_t error = RUDDERWAY_ERROR_NO_BACKEND;
-    if (call->kind == CALL_MODEL) {
-        error = plan_model_call(node, program, intent, call->output_tokens, call->backend);
-    } else if (failed != NULL) {
-        error = plan_tool_call(node, program, intent, failed->record.offers, call->backend);
-    }
-    if (error == RUDDERWAY_ERROR_NONE)
-        return intent;
-    command_free(intent);
-    return NULL;
-}
-
-static void delay_retry(node_t *node, command_t *intent) {
-    delayed_retry_t *retry = g_new0(delayed_retry_t, 1);
-    retry->intent = intent;
-    retry->due_ms = node->now_ms + retry_delay_ms(intent->attempt);
-    g_ptr_array_add(node->calls->retries, retry);
-}
-
-static bool retry_is_pending(const node_t *node, const command_t *result) {
-    for (guint i = 0; i < node->calls->retries->len; i++) {
-        const delayed_retry_t *retry = g_ptr_array_index(node->calls->retries, i);
-        if (strcmp(retry->intent->program, result->program) == 0 &&
-            retry->intent->call == result->call)
-            return true;
-    }
-    return false;
-}
-
-bool calls_is_open(const group_t *group, const command_t *result) {
-    const program_t *program = program_store_find(group_store(group), result->program);
-    const call_t *call = program != NULL ? program_call(program, result->call) : NULL;
-    return call != NULL && call->state == CALL_RUNNING && call->attempt == result->attempt;
-}
-
-/**
- * An attempt that ran late, after its program had ended and been released (its runner was
- * paused, say), has filled an engine's cache once more: it must be released again.
- */
-static void release_again(node_t *node, group_t *group, const command_t *result) {
-    const program_t *program = program_store_find(group_store(group), result->program);
-    bool ran = result->call_kind == CALL_MODEL && result->state != CALL_NOT_RUN;
-    if (program == NULL || !program->ended || !ran)
-        return;
-    command_t *held = command_new(COMMAND_HELD, result->program, node->unix_ms);
-    held->backend = g_strdup(result->backend);
-    partitions_propose(node, group, held, NULL, NULL);
-}
-
-void calls_settle(node_t *node, group_t *group, command_t *result) {
-    const program_t *program = program_store_find(group_store(group), result->program);
-    const call_t *call = program != NULL ? program_call(program, result->call) : NULL;
-    if (!calls_is_open(group, result))
-        release_again(node, group, result);
-    if (call == NULL || !calls_is_open(group, result) || retry_is_pending(node, result)) {
-        command_free(result);
-        return;
-    }
-    if (may_retry(node, program, call, result) && retry_budget_take(&node->calls->retry_budget)) {
-        command_t *intent = retry_intent(node, program, call, result);
-        if (intent != NULL) {
-            event_log(CALL_RETRIED, program->id, call->number, intent->attempt, call->backend,
-                      error_name((error_code_t)result->error));
-            node->metrics.retries++;
-            delay_retry(node, intent);
-            command_free(result);
-            return;
-        }
-    }
-    if (result->state == CALL_UNKNOWN)
-        event_log(CALL_UNKNOWN, program->id, call->number, error_name((error_code_t)result->error));
-    if (result->state == CALL_FAILED)
-        event_log(CALL_FAILED, program->id, call->number, call->backend,
-                  error_name((error_code_t)result->error));
-    partitions_propose(node, group, result, NULL, NULL);
-}
-
-static command_t *lost_result(const node_t *node, const program_t *program, const call_t *call,
-                              error_code_t error) {
-    command_t *result = command_new(COMMAND_RESULT, program->id, node->unix_ms);
-    result->call = call->number;
-    result->attempt = call->attempt;
-    result->state = CALL_UNKNOWN;
-    result->error = error;
-    result->body = g_bytes_new(NULL, 0);
-    return result;
-}
-
-/** The outcome of a running call that nobody will report any more, or NULL. */
-static command_t *find_lost(const node_t *node, const program_t *program) {
-    const call_t *call = program_running_call(program);
-    if (call == NULL)
-        return NULL;
-    const member_t *runner = membership_find(node->membership, call->runner);
-    bool lost = runner == NULL || runner->state == MEMBER_DEAD;
-    if (call->runner == node->instance)
-        lost = !runs_has(node, program->id, call->number, call->attempt);
-    if (lost)
-        return lost_result(node, program, call, RUDDERWAY_ERROR_RUNNER_LOST);
-    if (node->unix_ms > call->deadline_ms + DEADLINE_GRACE_MS && call->runner != node->instance)
-        return lost_result(node, program, call, RUDDERWAY_ERROR_TIMED_OUT);
-    return NULL;
-}
-
-void calls_runner_lost(node_t *node, group_t *group) {
-    GPtrArray *results = g_ptr_array_new();
-    GHashTableIter iterator;
-    gpointer value;
-    g_hash_table_iter_init(&iterator, program_store_all(group_store(group)));
-    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        command_t *result = find_lost(node, value);
-        if (result != NULL)
-            g_ptr_array_add(results, result);
-    }
-    for (guint i = 0; i < results->len; i++)
-        calls_settle(node, group, g_ptr_array_index(results, i));
-    g_ptr_array_unref(results);
-}
-
 /* --- The log ------------------------------------------------------------------------------ */
 
 static void release_held(node_t *node, const char *program) {
@@ -701,28 +441,8 @@
     }
 }
 
-static void propose_due_retries(node_t *node) {
-    for (guint i = node->calls->retries->len; i > 0; i--) {
-        delayed_retry_t *retry = g_ptr_array_index(node->calls->retries, i - 1);
-        if (retry->due_ms > node->now_ms)
-            continue;
-        command_t *intent = g_steal_pointer(&retry->intent);
-        g_ptr_array_set_free_func(node->calls->retries, g_free);
-        g_ptr_array_remove_index(node->calls->retries, i - 1);
-        g_ptr_array_set_free_func(node->calls->retries, delayed_retry_free);
-        uint32_t partition = partitions_of_program(node, intent->program);
-        group_t *group = partitions_led_group(node, partition);
-        if (group != NULL) {
-            runs_expect(node, intent);
-            partitions_propose(node, group, intent, NULL, NULL);
-        } else {
-            command_free(intent);
-        }
-    }
-}
-
 void calls_tick(node_t *node) {
-    propose_due_retries(node);
+    calls_propose_due_retries(node);
     expire_held(node);
     if (node->now_ms < node->calls->next_scan_ms)
         return;
