gateways of large deployments tell only those of their zone

And with 74 gateways each is told only every 0.3 to 1.1 s, so loads are old when they are used. Change: store/gateway_directory.h: up to 32 gateways all know one another, of more each knows those of its zone, where nearly all calls go. Out of store_requests.c, with a test of its own. Ruled out: telling other zones more seldom (keeps the squares).

--- a/src/cluster/message.h
+++ b/src/cluster/message.h
@@ -35,8 +35,8 @@
     RESPONSE_TURNS,
     RESPONSE_OLD_GENERATION, /**< Nothing was done: a later generation is in force. */
     RECORD_CHARGE,           /**< Log only: a charge copied from another member. */
-    MESSAGE_GATEWAY,         /**< A gateway says where other gateways reach it. */
-    MESSAGE_GATEWAYS,        /**< The gateways connected to the sender, by address. */
+    MESSAGE_GATEWAY,         /**< A gateway's address for other gateways, and its zone. */
+    MESSAGE_GATEWAYS,        /**< Addresses of the gateways that the receiver should know. */
     MESSAGE_TYPE_COUNT,
 } message_type_t;
 
@@ -59,7 +59,7 @@
     GBytes *group;   /**< An encoded store group. */
     GBytes *digest;  /**< An encoded record_digest_t of what the sender holds. */
     GArray *turns;   /**< Of turn_t: one to keep, or a chain from its newest turn. */
-    GPtrArray *ids;  /**< Of turns; or addresses of gateways. */
+    GPtrArray *ids;  /**< Of turns; or a gateway's address and zone, or addresses. */
     GArray *charges; /**< Of budget_charge_t. */
 } message_t;
 
--- a/src/gateway/store_client.c
+++ b/src/gateway/store_client.c
@@ -99,6 +99,7 @@
     message_t message;
     message_init(&message, MESSAGE_GATEWAY);
     g_ptr_array_add(message.ids, g_strdup(client->own_address));
+    g_ptr_array_add(message.ids, g_strdup(client->zone));
     frame_connection_send(member->connection, message_encode(&message));
     message_clear(&message);
 }
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -18,6 +18,7 @@
 #include "common/latency_histogram.h"
 #include "core/quorum/store_group.h"
 #include "net/frame_connection.h"
+#include "store/gateway_directory.h"
 #include "store/record_log.h"
 
 typedef struct store_catch_up store_catch_up_state_t;
@@ -32,12 +33,12 @@
     frame_listener_t *listener;
     GHashTable *connections;  /**< Opened by others: serial number to frame_connection_t. */
     uv_timer_t tell_gateways; /**< Runs while the list of gateways has changed. */
-    GHashTable *gateways;     /**< Of them, serial number to the gateway's address. */
-    store_group_t *group;     /**< The latest known; generation 0 if none. */
-    bool group_durable;       /**< The state file holds that generation. */
-    bool founding;            /**< This node's disk dates from the system's first start. */
-    bool identity_durable;    /**< The state file was written. */
-    uint64_t complete_in;     /**< Generation in which this node is complete; 0: in none. */
+    gateway_directory_t gateways;
+    store_group_t *group;  /**< The latest known; generation 0 if none. */
+    bool group_durable;    /**< The state file holds that generation. */
+    bool founding;         /**< This node's disk dates from the system's first start. */
+    bool identity_durable; /**< The state file was written. */
+    uint64_t complete_in;  /**< Generation in which this node is complete; 0: in none. */
     uint64_t started_at;
     uv_timer_t upkeep;
     bool stopping;
--- a/src/store/store_metrics.c
+++ b/src/store/store_metrics.c
@@ -14,7 +14,7 @@
     metrics_append(text, "store_turn_bytes", store->turns.bytes);
     metrics_append(text, "store_log_bytes", record_log_bytes(store->log));
     metrics_append(text, "store_connections", g_hash_table_size(store->connections));
-    metrics_append(text, "store_gateways", g_hash_table_size(store->gateways));
+    metrics_append(text, "store_gateways", gateway_directory_count(&store->gateways));
     metrics_append(text, "store_writes_failed_total", store->writes_failed);
     metrics_append(text, "store_no_room_total", store->refused_for_room);
     metrics_append(text, "log_lines_left_out_total", event_lines_left_out());
--- a/src/store/store_requests.c
+++ b/src/store/store_requests.c
@@ -263,22 +263,38 @@
 
 /* The gateways, which share what they have under way. */
 
-static void on_tell_gateways(uv_timer_t *timer) {
-    const store_t *store = timer->data;
+typedef struct {
+    const store_t *store;
+    GHashTable *lists; /**< Zone to its encoded list, a GBytes. */
+} gateway_lists_t;
+
+static GBytes *encode_gateways(const store_t *store, const char *zone) {
     message_t message;
     message_init(&message, MESSAGE_GATEWAYS);
-    GHashTableIter iterator;
-    gpointer address;
-    g_hash_table_iter_init(&iterator, store->gateways);
-    while (g_hash_table_iter_next(&iterator, NULL, &address))
-        g_ptr_array_add(message.ids, g_strdup(address));
+    g_ptr_array_unref(message.ids);
+    message.ids = gateway_directory_known(&store->gateways, zone);
     GBytes *bytes = message_encode(&message);
-    gpointer serial;
-    g_hash_table_iter_init(&iterator, store->gateways);
-    while (g_hash_table_iter_next(&iterator, &serial, NULL))
-        frame_connection_send(g_hash_table_lookup(store->connections, serial), g_bytes_ref(bytes));
-    g_bytes_unref(bytes);
     message_clear(&message);
+    return bytes;
+}
+
+static void tell_gateway(void *user, const uint64_t *serial, const char *zone) {
+    const gateway_lists_t *lists = user;
+    GBytes *list = g_hash_table_lookup(lists->lists, zone);
+    if (list == NULL) {
+        list = encode_gateways(lists->store, zone);
+        g_hash_table_insert(lists->lists, g_strdup(zone), list);
+    }
+    frame_connection_send(g_hash_table_lookup(lists->store->connections, serial),
+                          g_bytes_ref(list));
+}
+
+static void on_tell_gateways(uv_timer_t *timer) {
+    const store_t *store = timer->data;
+    gateway_lists_t lists = {store, g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+                                                          (GDestroyNotify)g_bytes_unref)};
+    gateway_directory_each(&store->gateways, tell_gateway, &lists);
+    g_hash_table_destroy(lists.lists);
 }
 
 static void gateways_changed(store_t *store) {
@@ -286,15 +302,15 @@
 }
 
 static void take_gateway(store_t *store, frame_connection_t *connection, const message_t *message) {
-    if (message->ids->len != 1)
+    if (message->ids->len != 2)
         return;
-    g_hash_table_insert(store->gateways, (gpointer)frame_connection_serial(connection),
-                        g_strdup(g_ptr_array_index(message->ids, 0)));
+    gateway_directory_add(&store->gateways, frame_connection_serial(connection),
+                          g_ptr_array_index(message->ids, 0), g_ptr_array_index(message->ids, 1));
     gateways_changed(store);
 }
 
 void store_requests_start(store_t *store) {
-    store->gateways = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+    gateway_directory_init(&store->gateways);
     uv_timer_init(store->loop, &store->tell_gateways);
     store->tell_gateways.data = store;
 }
@@ -352,7 +368,7 @@
     store_t *store = owner;
     const uint64_t *serial = frame_connection_serial(connection);
     g_hash_table_remove(store->connections, serial);
-    if (g_hash_table_remove(store->gateways, serial))
+    if (gateway_directory_remove(&store->gateways, serial))
         gateways_changed(store);
 }
 
