gateway: one that is cut off says so

It noticed after 1.5 s, when the kernel gave the connections up. Gateways tell one another whether they reach storage nodes; one that does not while another does, or while the key-value service is out of reach as well, calls itself not ready and ends connections with its refusals. If all have lost them, all stay ready.

--- a/src/core/configuration/watch_duty.h
+++ b/src/core/configuration/watch_duty.h
@@ -20,16 +20,17 @@
     WATCH_WAIT_RENEWING_MS = 3000,
     WATCH_WAIT_RESTING_MS = 25000,
     WATCH_ANSWER_MS = 900, /**< For a watch to be answered, beyond the time it waits. */
-    WATCH_LAG_MS = 600,              /**< A change that is known elsewhere must show within this. */
-    WATCH_TRIAL_MS = 2000,           /**< The same for a watch that was begun because of it. */
+    WATCH_LAG_MS = 600,    /**< A change that is known elsewhere must show within this. */
+    WATCH_TRIAL_MS = 2000, /**< The same for a watch that was begun because of it. */
 };
 
-/** What another process told of its watch. */
+/** What another process told of its watch, and of the storage nodes. */
 typedef struct {
     bool before;         /**< Its address comes before ours. */
     uint64_t heard_at;   /**< When it told. */
     uint32_t answer_age; /**< How long before that its watch was answered; UINT32_MAX: never. */
     uint64_t changed;    /**< The latest revision at which it saw a change. */
+    bool has_stores;     /**< It reaches a quorum of storage nodes. */
 } watch_report_t;
 
 /** This process's own watch. */
--- a/src/gateway/call.c
+++ b/src/gateway/call.c
@@ -21,6 +21,7 @@
     MS_PER_S = 1000,
     DEADLINE_USUAL_MS = 60000, /**< For a caller that names none. */
     COME_BACK_MS = 150,        /**< What a refused caller is told to wait. */
+    ELSEWHERE_MS = 300,        /**< The same while callers are being led to other gateways. */
 };
 
 static const char *const reason_names[CALL_REASON_COUNT] = {
@@ -95,6 +96,8 @@
 static unsigned come_back_ms(call_t *call, call_reason_t reason) {
     gateway_t *gateway = call->gateway;
     outage_t *outage;
+    if (gateway_isolated(gateway))
+        return ELSEWHERE_MS;
     switch (reason) {
     case CALL_BUDGET_UNSURE:
     case CALL_TURN_UNSURE:
@@ -121,6 +124,8 @@
     if (status == STATUS_UNAVAILABLE)
         append_come_back(fields, come_back_ms(call, reason));
     http_caller_t *caller = call->caller;
+    if (gateway_isolated(call->gateway))
+        http_caller_close_after_answer(caller);
     end_call(call, status, reason);
     http_caller_answer(caller, status, fields->str, NULL, 0);
     g_string_free(fields, TRUE);
--- a/src/gateway/directory_watch.c
+++ b/src/gateway/directory_watch.c
@@ -9,6 +9,8 @@
 
 #include <string.h>
 
+enum { PEER_NEWS_MS = 1000 /**< What a gateway told counts for so long. */ };
+
 static void take_configuration(gateway_t *gateway, const key_value_item_t *item) {
     if (item->value == NULL)
         return;
@@ -98,7 +100,8 @@
 }
 
 static void on_reachable(void *owner, bool reachable) {
-    const gateway_t *gateway = owner;
+    gateway_t *gateway = owner;
+    gateway->key_value_reachable = reachable;
     if (reachable)
         event_log(KEY_VALUE_REACHABLE, gateway->settings->key_value_text);
     else
@@ -117,11 +120,25 @@
 
 /* Gateways share the duty of asking anew; see core/configuration/watch_duty.h. */
 
-static void tell_watch(void *owner, uint32_t *answer_age, uint64_t *changed) {
+static void tell(void *owner, watch_report_t *report) {
     const gateway_t *gateway = owner;
     uint64_t answered_at = gateway->watch == NULL ? 0 : key_value_watch_answered_at(gateway->watch);
-    *answer_age = answered_at == 0 ? UINT32_MAX : (uint32_t)(uv_now(gateway->loop) - answered_at);
-    *changed = gateway->watch == NULL ? 0 : key_value_watch_changed(gateway->watch);
+    report->answer_age =
+        answered_at == 0 ? UINT32_MAX : (uint32_t)(uv_now(gateway->loop) - answered_at);
+    report->changed = gateway->watch == NULL ? 0 : key_value_watch_changed(gateway->watch);
+    report->has_stores = store_client_connected(gateway->stores);
+}
+
+/** Notes whether another gateway reaches storage nodes that this one does not. */
+static void look_at_peers(gateway_t *gateway, const GArray *reports) {
+    gateway->others_have_stores = false;
+    for (guint i = 0; i < reports->len; i++) {
+        const watch_report_t *report = &g_array_index(reports, watch_report_t, i);
+        bool lately = uv_now(gateway->loop) < report->heard_at + PEER_NEWS_MS;
+        bool since = report->heard_at > gateway->stores_lost_at;
+        if (lately && since && report->has_stores)
+            gateway->others_have_stores = true;
+    }
 }
 
 static void on_reports(void *owner, const GArray *reports, uint64_t period_ms) {
@@ -137,6 +154,8 @@
     key_value_watch_set_wait(gateway->watch, decision.wait_ms);
     if (decision.renew)
         key_value_watch_renew(gateway->watch);
+    look_at_peers(gateway, reports);
+    gateway_check_ready(gateway);
 }
 
-const load_sharing_handler_t gateway_watch_sharing = {tell_watch, on_reports};
+const load_sharing_handler_t gateway_watch_sharing = {tell, on_reports};
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -55,8 +55,11 @@
     watch_state_t watch_state; /**< Of the duty that gateways share. */
     gateway_counters_t counters;
     uint64_t started_at;
-    bool stores_reached;           /**< A quorum of them has been connected. */
-    outage_t store_outage;         /**< Storage nodes can't answer for budgets or turns. */
+    bool stores_reached;   /**< A quorum of them has been connected. */
+    outage_t store_outage; /**< Storage nodes can't answer for budgets or turns. */
+    bool key_value_reachable;
+    uint64_t stores_lost_at; /**< Since when no quorum of storage nodes answers; 0: one does. */
+    bool others_have_stores; /**< Another gateway reaches storage nodes. */
     outage_t configuration_outage; /**< No configuration is known yet. */
     bool ready;
     bool stopping;
@@ -71,6 +74,11 @@
 /** Follows configuration, back ends and the store group; see directory_watch.c. */
 void gateway_watch_directory(gateway_t *gateway);
 extern const load_sharing_handler_t gateway_watch_sharing;
+/**
+ * True if this gateway reaches no quorum of storage nodes, and either others do or the key-value
+ * service is out of its reach as well: then it is cut off, and others can serve.
+ */
+bool gateway_isolated(const gateway_t *gateway);
 /** Says whether the gateway is ready if that has changed. */
 void gateway_check_ready(gateway_t *gateway);
 /** Serves readiness and metrics; see reports.c. False if an address can't be listened on. */
--- a/src/gateway/load_sharing.c
+++ b/src/gateway/load_sharing.c
@@ -46,8 +46,8 @@
     backends_t *backends;
     const load_sharing_handler_t *handler;
     void *owner;
-    GPtrArray *peers;      /**< Of gateway_peer_t. */
-    uint64_t sent_changed; /**< Latest revision of a change that was told. */
+    GPtrArray *peers; /**< Of gateway_peer_t. */
+    watch_report_t sent_report;
     uint64_t sent_changes;
     uint64_t sent_at;
     bool sent_any;
@@ -81,6 +81,7 @@
 static void datagram_codec(codec_t *codec, watch_report_t *watch, GArray *entries) {
     codec_uint32(codec, &watch->answer_age);
     codec_uint64(codec, &watch->changed);
+    codec_bool(codec, &watch->has_stores);
     uint32_t count = entries->len;
     codec_count(codec, &count, ENTRIES_MAXIMUM);
     if (codec->decoding && !codec->failed)
@@ -184,8 +185,8 @@
 static void tell_peers(load_sharing_t *sharing) {
     GArray *entries = own_entries(sharing);
     watch_report_t watch = {0};
-    sharing->handler->tell_watch(sharing->owner, &watch.answer_age, &watch.changed);
-    sharing->sent_changed = watch.changed;
+    sharing->handler->tell(sharing->owner, &watch);
+    sharing->sent_report = watch;
     codec_t codec;
     codec_start_encoding(&codec);
     datagram_codec(&codec, &watch, entries);
@@ -211,12 +212,13 @@
 
 /** True if the others should hear from this gateway now. */
 static bool due(const load_sharing_t *sharing, uint64_t now) {
-    uint32_t answer_age;
-    uint64_t changed;
-    sharing->handler->tell_watch(sharing->owner, &answer_age, &changed);
+    watch_report_t watch = {0};
+    sharing->handler->tell(sharing->owner, &watch);
+    bool news = watch.changed != sharing->sent_report.changed ||
+                watch.has_stores != sharing->sent_report.has_stores;
     uint64_t refresh_ms = sharing->sent_any ? REFRESH_MS : IDLE_REFRESH_MS;
-    return sharing->backends->changes != sharing->sent_changes ||
-           changed != sharing->sent_changed || now >= sharing->sent_at + refresh_ms;
+    return news || sharing->backends->changes != sharing->sent_changes ||
+           now >= sharing->sent_at + refresh_ms;
 }
 
 static void report_watches(const load_sharing_t *sharing) {
--- a/src/gateway/load_sharing.h
+++ b/src/gateway/load_sharing.h
@@ -15,10 +15,10 @@
 
 typedef struct load_sharing load_sharing_t;
 
-/** What gateways tell one another of their watches; see watch_duty.h. */
+/** What gateways tell one another besides loads; see watch_duty.h. */
 typedef struct {
-    /** Fills in the age of this gateway's last answer, and the latest change it saw. */
-    void (*tell_watch)(void *owner, uint32_t *answer_age, uint64_t *changed);
+    /** Fills in what this gateway tells. */
+    void (*tell)(void *owner, watch_report_t *report);
     /** Comes once a period with what the others told; @p reports of watch_report_t. */
     void (*on_reports)(void *owner, const GArray *reports, uint64_t period_ms);
 } load_sharing_handler_t;
--- a/src/gateway/reports.c
+++ b/src/gateway/reports.c
@@ -14,6 +14,7 @@
     REPORT_BODY_BYTES = 1024,
     REPORT_HEADER_MS = 3000,
     REPORT_IDLE_MS = 60000,
+    ISOLATED_AFTER_MS = 200,
     STORES_AWAITED_MS = 5000, /**< A gateway without storage nodes in reach is ready after this. */
 };
 
@@ -21,8 +22,8 @@
                                             REPORT_HEADER_MS, REPORT_IDLE_MS};
 
 /**
- * The storage nodes count only until they were reached once: when they are lost, calls without a
- * budget can still be served, and other gateways have most likely lost them too.
+ * The storage nodes alone count only until they were reached once: when they are lost, calls
+ * without a budget can still be served, and other gateways have most likely lost them too.
  */
 static bool stores_reached(gateway_t *gateway) {
     bool waited = uv_now(gateway->loop) >= gateway->started_at + STORES_AWAITED_MS;
@@ -31,9 +32,29 @@
     return gateway->stores_reached;
 }
 
+/** Notes when the storage nodes were lost, and asks the key-value service whether it is too. */
+static void look_at_stores(gateway_t *gateway) {
+    if (store_client_connected(gateway->stores)) {
+        gateway->stores_lost_at = 0;
+        return;
+    }
+    if (gateway->stores_lost_at > 0 || !gateway->stores_reached)
+        return;
+    gateway->stores_lost_at = uv_now(gateway->loop);
+    if (gateway->watch != NULL)
+        key_value_watch_renew(gateway->watch);
+}
+
+bool gateway_isolated(const gateway_t *gateway) {
+    bool lost = gateway->stores_lost_at > 0 &&
+                uv_now(gateway->loop) >= gateway->stores_lost_at + ISOLATED_AFTER_MS;
+    return lost && (gateway->others_have_stores || !gateway->key_value_reachable);
+}
+
 void gateway_check_ready(gateway_t *gateway) {
+    look_at_stores(gateway);
     bool ready = gateway->configuration != NULL && gateway->backends_listed &&
-                 stores_reached(gateway) && !gateway->stopping;
+                 stores_reached(gateway) && !gateway->stopping && !gateway_isolated(gateway);
     if (ready == gateway->ready)
         return;
     gateway->ready = ready;
--- a/src/gateway/store_client.c
+++ b/src/gateway/store_client.c
@@ -13,6 +13,8 @@
     UNSURE_AGAIN_MS = 150, /**< A member that was unsure is asked again after this. */
     CHAIN_WIDEN_MS = 120,  /**< Without an answer from the nearest member, all are asked. */
     BACKLOG_MAXIMUM = 2000,
+    SILENT_MS = 400,   /**< Members that answer nothing for so long may be out of reach. */
+    SILENT_ROUNDS = 2, /**< Looks in a row, since a process that was frozen hears late itself. */
 };
 
 typedef struct {
@@ -22,6 +24,7 @@
     struct sockaddr_in address;
     frame_connection_t *connection;
     uint64_t connecting_since;
+    uint64_t heard_at; /**< When the connection opened, or a frame came. */
     bool open;
     GPtrArray *backlog; /**< Settlements for a member that is away; of GBytes. */
 } member_t;
@@ -37,6 +40,8 @@
     GHashTable *operations; /**< Number to store_operation_t. */
     uint64_t last_number;
     uv_timer_t reconnect;
+    bool silent; /**< Too few members answer, although they are connected. */
+    unsigned silent_rounds;
 };
 
 /** What one member said of an operation. */
@@ -109,6 +114,7 @@
     store_client_t *client = member->client;
     (void)connection;
     member->open = true;
+    member->heard_at = uv_now(client->loop);
     event_log(GATEWAY_STORE_CONNECTED, member->name);
     send_group(client, member);
     tell_own_address(client, member);
@@ -141,7 +147,8 @@
 
 static const frame_handler_t member_handler = {on_open, on_frame, on_closed};
 
-/** A machine without power does not refuse a connection; the kernel asks again only seconds later. */
+/** A machine without power does not refuse a connection; the kernel asks again only seconds later.
+ */
 static void give_up_slow_connection(member_t *member) {
     bool slow = member->connection != NULL && !member->open &&
                 uv_now(member->client->loop) >= member->connecting_since + CONNECT_MS;
@@ -163,8 +170,67 @@
     }
 }
 
+/* Silence: connections to members behind a cut stay open for seconds. */
+
+static unsigned count_heard(const store_client_t *client, uint64_t since) {
+    unsigned heard = 0;
+    for (guint i = 0; i < client->members->len; i++) {
+        const member_t *member = g_ptr_array_index(client->members, i);
+        heard += member->open && member->heard_at >= since;
+    }
+    return heard;
+}
+
+static bool any_operation_waits(const store_client_t *client) {
+    uint64_t now = uv_now(client->loop);
+    GHashTableIter iterator;
+    gpointer value;
+    g_hash_table_iter_init(&iterator, client->operations);
+    while (g_hash_table_iter_next(&iterator, NULL, &value))
+        if (now >= ((const store_operation_t *)value)->begun_at + SILENT_MS)
+            return true;
+    return false;
+}
+
+static void set_silent(store_client_t *client, bool silent) {
+    if (client->silent == silent)
+        return;
+    client->silent = silent;
+    event_log(GATEWAY_STORES_SILENT, silent ? "yes" : "no");
+}
+
+static void ask_members(const store_client_t *client) {
+    message_t request;
+    message_init(&request, REQUEST_STATUS);
+    GBytes *bytes = message_encode(&request);
+    for (guint i = 0; i < client->members->len; i++) {
+        const member_t *member = g_ptr_array_index(client->members, i);
+        if (member->open)
+            frame_connection_send(member->connection, g_bytes_ref(bytes));
+    }
+    g_bytes_unref(bytes);
+    message_clear(&request);
+}
+
+/** While an operation waits, a quorum must be heard of; while none is, it is asked. */
+static void look_for_silence(store_client_t *client) {
+    uint64_t now = uv_now(client->loop);
+    uint64_t since = now > SILENT_MS ? now - SILENT_MS : 0;
+    bool heard = count_heard(client, since) >= store_write_quorum(client->members->len);
+    if (heard || (!client->silent && !any_operation_waits(client))) {
+        client->silent_rounds = 0;
+        set_silent(client, false);
+        return;
+    }
+    client->silent_rounds++;
+    if (client->silent_rounds >= SILENT_ROUNDS)
+        set_silent(client, true);
+    ask_members(client);
+}
+
 static void on_reconnect(uv_timer_t *timer) {
     connect_members(timer->data);
+    look_for_silence(timer->data);
 }
 
 static void free_member(gpointer data) {
@@ -208,7 +274,8 @@
     unsigned open = 0;
     for (guint i = 0; i < client->members->len; i++)
         open += ((const member_t *)g_ptr_array_index(client->members, i))->open;
-    return client->members->len > 0 && open >= store_write_quorum(client->members->len);
+    bool quorum = client->members->len > 0 && open >= store_write_quorum(client->members->len);
+    return quorum && !client->silent;
 }
 
 /** Takes over the connection of a member that stays, with what waits for it. */
@@ -459,6 +526,7 @@
     member_t *member = owner;
     message_t message;
     (void)connection;
+    member->heard_at = uv_now(member->client->loop);
     bool valid = message_decode(&message, data, length);
     if (valid && message.type == MESSAGE_GROUP)
         take_group(member->client, &message);
--- a/src/gateway/store_client.h
+++ b/src/gateway/store_client.h
@@ -43,7 +43,7 @@
                                  void *owner);
 /** Takes a group if it is later than the one known. */
 void store_client_set_group(store_client_t *client, const store_group_t *group);
-/** True if a write quorum of members is connected. */
+/** True if a write quorum of members is connected and not silent. */
 bool store_client_connected(const store_client_t *client);
 
 /** Reserves @p most tokens of the program's budget for a call. */
--- a/src/net/http_listener.c
+++ b/src/net/http_listener.c
@@ -32,6 +32,7 @@
 
 struct http_caller {
     uv_tcp_t tcp;
+    bool close_after_answer;
     uv_timer_t timer;
     http_listener_t *listener;
     caller_state_t state;
@@ -188,8 +189,8 @@
 }
 
 static bool will_keep(const http_caller_t *caller) {
-    return !caller->listener->close_after_answers && caller->state == ANSWERING &&
-           http_should_keep_alive(&caller->parser) != 0;
+    return !caller->listener->close_after_answers && !caller->close_after_answer &&
+           caller->state == ANSWERING && http_should_keep_alive(&caller->parser) != 0;
 }
 
 /** The answer is written: makes the connection ready for the next request, or ends it. */
@@ -476,6 +477,10 @@
     listener->close_after_answers = true;
 }
 
+void http_caller_close_after_answer(http_caller_t *caller) {
+    caller->close_after_answer = true;
+}
+
 void http_listener_close_idle(http_listener_t *listener) {
     GList *callers = g_hash_table_get_keys(listener->callers);
     for (GList *item = callers; item != NULL; item = item->next) {
--- a/src/net/http_listener.h
+++ b/src/net/http_listener.h
@@ -56,6 +56,8 @@
 unsigned http_listener_connections(const http_listener_t *listener);
 unsigned http_listener_active(const http_listener_t *listener);
 
+/** The connection is to end after this caller's answer, which says so; before it is answered. */
+void http_caller_close_after_answer(http_caller_t *caller);
 /** A place for the owner's record of the request. */
 void http_caller_set_data(http_caller_t *caller, void *data);
 void *http_caller_data(const http_caller_t *caller);
--- a/src/storesim/main.c
+++ b/src/storesim/main.c
@@ -79,7 +79,8 @@
 
 static uint64_t violations_of(const workload_result_t *result) {
     return result->turns_lost + result->turns_wrong + result->turns_invented +
-           result->turns_not_read + result->budgets_exceeded + result->connects_late;
+           result->turns_not_read + result->budgets_exceeded + result->connects_late +
+           result->cuts_unnoticed;
 }
 
 static void check_all(void *data) {
@@ -103,6 +104,8 @@
     }
     if (g_strcmp0(arguments->only, "power_all") == 0)
         workload_judge_connects();
+    if (g_strcmp0(arguments->only, "cut_gateway") == 0)
+        workload_judge_cuts();
     virtual_after(HEAL_AT_MS - WORK_FROM_MS, NULL, heal, world);
     virtual_after(CHECK_AT_MS - WORK_FROM_MS, NULL, check_all, NULL);
     virtual_run(END_AT_MS);
@@ -121,6 +124,7 @@
     sum->turns_not_read += result->turns_not_read;
     sum->budgets_exceeded += result->budgets_exceeded;
     sum->connects_late += result->connects_late;
+    sum->cuts_unnoticed += result->cuts_unnoticed;
 }
 
 static void print_result(const char *name, const workload_result_t *result) {
@@ -128,12 +132,13 @@
            " granted %" G_GUINT64_FORMAT " refused %" G_GUINT64_FORMAT " reads %" G_GUINT64_FORMAT
            " lost %" G_GUINT64_FORMAT " wrong %" G_GUINT64_FORMAT " invented %" G_GUINT64_FORMAT
            " not_read %" G_GUINT64_FORMAT " over_budget %" G_GUINT64_FORMAT
-           " connects_late %" G_GUINT64_FORMAT "\n",
+           " connects_late %" G_GUINT64_FORMAT " cuts_unnoticed %" G_GUINT64_FORMAT "\n",
            name, (guint64)result->turns_acknowledged, (guint64)result->turns_given_up,
            (guint64)result->reserves_granted, (guint64)result->reserves_refused,
            (guint64)result->reads, (guint64)result->turns_lost, (guint64)result->turns_wrong,
            (guint64)result->turns_invented, (guint64)result->turns_not_read,
-           (guint64)result->budgets_exceeded, (guint64)result->connects_late);
+           (guint64)result->budgets_exceeded, (guint64)result->connects_late,
+           (guint64)result->cuts_unnoticed);
 }
 
 int main(int argc, char **argv) {
--- a/src/storesim/workload.c
+++ b/src/storesim/workload.c
@@ -19,6 +19,8 @@
     READ_TRIES = 15,
     RETENTION_MS = 1000000000,
     CONNECT_CHECK_MS = 50,
+    CUT_PATIENCE_MS = 1100, /**< Less than the kernel takes to give a connection up. */
+    GATEWAYS_MAXIMUM = 16,
     CONNECT_PATIENCE_MS = 600, /**< Less than a second opening packet of the kernel would take. */
 };
 
@@ -293,6 +295,45 @@
     virtual_after(CONNECT_CHECK_MS, NULL, check_connects, NULL);
 }
 
+/* How soon a gateway notices that it is cut off. */
+
+static uint64_t cut_since[GATEWAYS_MAXIMUM];
+
+static unsigned stores_in_reach(const world_gateway_t *gateway) {
+    unsigned count = 0;
+    for (guint i = 0; i < world->stores->len; i++) {
+        const world_store_t *store = g_ptr_array_index(world->stores, i);
+        count += store->store != NULL &&
+                 !g_hash_table_contains(gateway->process->cut_from, store->process);
+    }
+    return count;
+}
+
+static void check_cut(unsigned number) {
+    const world_gateway_t *gateway = g_ptr_array_index(world->gateways, number);
+    const store_group_t *group = world_group(world);
+    bool awake = gateway->client != NULL && gateway->process->paused_until <= virtual_now();
+    bool cut = group != NULL && awake &&
+               stores_in_reach(gateway) < store_write_quorum(group->members->len);
+    if (!cut)
+        cut_since[number] = 0;
+    else if (cut_since[number] == 0)
+        cut_since[number] = virtual_now();
+    else if (virtual_now() >= cut_since[number] + CUT_PATIENCE_MS)
+        result.cuts_unnoticed += store_client_connected(gateway->client);
+}
+
+static void check_cuts(void *data) {
+    virtual_after(CONNECT_CHECK_MS, NULL, check_cuts, data);
+    for (guint i = 0; i < world->gateways->len && virtual_now() < write_until; i++)
+        check_cut(i);
+}
+
+void workload_judge_cuts(void) {
+    memset(cut_since, 0, sizeof cut_since);
+    virtual_after(CONNECT_CHECK_MS, NULL, check_cuts, NULL);
+}
+
 void workload_start(world_t *in_world, uint64_t until) {
     world = in_world;
     write_until = until;
--- a/src/storesim/world.h
+++ b/src/storesim/world.h
@@ -60,6 +60,8 @@
 void workload_start(world_t *world, uint64_t until);
 /** Also judges how soon gateways reach the storage nodes; only while no link is harmed. */
 void workload_judge_connects(void);
+/** Also judges how soon gateways notice that they are cut off from storage nodes. */
+void workload_judge_cuts(void);
 /** Begins reading back everything that was acknowledged. */
 void workload_check_all(void);
 
@@ -75,6 +77,7 @@
     uint64_t turns_not_read;   /**< Acknowledged, and not readable at the end. */
     uint64_t budgets_exceeded; /**< Programs that could hand out more than their budget. */
     uint64_t connects_late;    /**< Gateways still without storage nodes when all had been up. */
+    uint64_t cuts_unnoticed;   /**< Gateways that believed in storage nodes behind a cut. */
 } workload_result_t;
 const workload_result_t *workload_result(void);
 
