--- a/src/gateway/store_client.c
+++ b/src/gateway/store_client.c
@@ -9,8 +9,7 @@
 
 enum {
     RECONNECT_MS = 150,
-    CONNECT_MS = 250, /**< A connection that is not up by then is begun anew. */
-    VERDICT_MS = 600, /**< A verdict that is not there by then is unsure: the caller is not held. */
+    CONNECT_MS = 250,      /**< A connection that is not up by then is begun anew. */
     UNSURE_AGAIN_MS = 150, /**< A member that was unsure is asked again after this. */
     CHAIN_WIDEN_MS = 120,  /**< Without an answer from the nearest member, all are asked. */
     BACKLOG_MAXIMUM = 2000,
@@ -557,13 +556,9 @@
     end_operation(operation);
 }
 
-/** True if the members have not said yet whether what is asked holds. */
-static bool verdict_due(const store_operation_t *operation) {
-    return operation->request.type != REQUEST_PUT_TURN && !operation->granted;
-}
-
 static void give_up(store_operation_t *operation) {
-    if (verdict_due(operation))
+    bool verdict_due = operation->request.type != REQUEST_PUT_TURN && !operation->granted;
+    if (verdict_due)
         report_verdict(operation, VERDICT_UNSURE, NULL);
     else
         report_durable(operation, false);
@@ -572,8 +567,7 @@
 static void on_operation_timer(uv_timer_t *timer) {
     store_operation_t *operation = timer->data;
     store_client_t *client = operation->client;
-    uint64_t patience = verdict_due(operation) ? VERDICT_MS : GATEWAY_WRITE_MS;
-    if (uv_now(client->loop) >= operation->begun_at + patience) {
+    if (uv_now(client->loop) >= operation->begun_at + GATEWAY_WRITE_MS) {
         give_up(operation);
         return;
     }
--- a/src/gateway/store_client.h
+++ b/src/gateway/store_client.h
@@ -19,7 +19,7 @@
 #include <uv.h>
 
 /** An operation is given up after so long, in ms. */
-enum { GATEWAY_WRITE_MS = 1000 };
+enum { GATEWAY_WRITE_MS = 1500 };
 
 typedef struct store_client store_client_t;
 typedef struct store_operation store_operation_t;
--- a/src/store/store_catch_up.c
+++ b/src/store/store_catch_up.c
@@ -17,7 +17,7 @@
 
 enum {
     POLL_MS = 200,
-    EMPTY_DISK_WAIT_MS = 1400, /**< More than GATEWAY_WRITE_MS of gateway/store_client.h. */
+    EMPTY_DISK_WAIT_MS = 2000, /**< More than GATEWAY_WRITE_MS of gateway/store_client.h. */
     TURNS_A_REQUEST = 200,
     STEP_MS = 3000, /**< A step of a copy that takes longer is begun again. */
 };
