gateway: a back end that keeps a call waiting without a word gets no more

Change: a call without the first word of its answer after 0.4 s, or five times the back end's usual time, makes the back end avoided until it ends; the other gateways are told (as with ejection, two that say so are believed; doubted if it is more than a third of them).

--- a/src/gateway/backends.c
+++ b/src/gateway/backends.c
@@ -8,6 +8,10 @@
 enum {
     AVOID_FIRST_MS = 250,
     AVOID_MOST_MS = 2000,
+    OVERDUE_LEAST_MS = 400, /**< A call without a word of an answer is overdue after this, */
+    OVERDUE_TIMES = 5,      /**< or after so many times the usual. */
+    OVERDUE_TOLD_MS = 600,  /**< The others hear of it for so long, and again while it lasts. */
+    SMOOTHING = 8,          /**< One answer moves the usual time by one part in so many. */
     IDLE_MAXIMUM = 32,
     SLOTS_USUAL = 12,
     /* Expected delay, in units of 0.1 ms. */
@@ -42,6 +46,7 @@
     if (--backend->references > 0)
         return;
     close_idle(backend);
+    g_queue_clear(&backend->unanswered);
     g_ptr_array_free(backend->idle, TRUE);
     backend_record_free(backend->record);
     g_free(backend);
@@ -62,6 +67,7 @@
         backend->loop = backends->loop;
         backend->references = 1;
         backend->idle = g_ptr_array_new();
+        g_queue_init(&backend->unanswered);
         backend->record = record;
         backend->owner = backends;
         backend->id_hash = XXH64(record->instance, strlen(record->instance), 0);
@@ -143,9 +149,27 @@
     return XXH64(backend->record->instance, strlen(backend->record->instance), seed);
 }
 
-static bool avoided(const backends_t *backends, const backend_t *backend) {
+/** True if some call has waited too long for the first word of its answer. */
+static bool overdue(backend_t *backend, uint64_t now) {
+    const uint64_t *oldest = g_queue_peek_head(&backend->unanswered);
+    uint64_t patience = MAX(OVERDUE_LEAST_MS, OVERDUE_TIMES * (uint64_t)backend->answer_ms);
+    bool late = oldest != NULL && now > *oldest + patience;
+    if (late && !backend->overdue)
+        event_log(BACKEND_EJECTED, backend->record->instance, 0U, "overdue");
+    backend->overdue = late;
+    return late;
+}
+
+uint32_t backend_tell_out_ms(backend_t *backend) {
+    uint64_t now = uv_now(backend->loop);
+    uint32_t told = ejection_tell_ms(&backend->ejection, now);
+    return overdue(backend, now) ? MAX(told, OVERDUE_TOLD_MS) : told;
+}
+
+static bool avoided(const backends_t *backends, backend_t *backend) {
     uint64_t now = uv_now(backends->loop);
-    return now < backend->avoid_until || ejection_is_out(&backend->ejection, now);
+    return now < backend->avoid_until || ejection_is_out(&backend->ejection, now) ||
+           overdue(backend, now);
 }
 
 /** What a back end that is avoided costs now. */
@@ -248,6 +272,23 @@
     backend->avoid_until = uv_now(backend->loop) + MIN(pause, AVOID_MOST_MS);
 }
 
+void backend_send_begun(backend_t *backend, const uint64_t *sent_at) {
+    g_queue_push_tail(&backend->unanswered, (gpointer)sent_at);
+}
+
+void backend_send_ended(backend_t *backend, const uint64_t *sent_at) {
+    g_queue_remove(&backend->unanswered, sent_at);
+}
+
+void backend_send_answered(backend_t *backend, const uint64_t *sent_at) {
+    backend_send_ended(backend, sent_at);
+    uint32_t ms = (uint32_t)(uv_now(backend->loop) - *sent_at);
+    if (backend->answer_ms == 0)
+        backend->answer_ms = ms;
+    else
+        backend->answer_ms = (backend->answer_ms * (SMOOTHING - 1) + ms) / SMOOTHING;
+}
+
 void backend_note_reset(backend_t *backend) {
     uint64_t now = uv_now(backend->loop);
     ejection_note_reset(&backend->ejection, now);
--- a/src/gateway/backends.h
+++ b/src/gateway/backends.h
@@ -7,9 +7,10 @@
  * of the gateway's zone with the highest hash of program and instance: there its prompt's prefix
  * is cached, and the gateways of a zone agree without a word; elsewhere the prefix is read again.
  * Calls under way, this gateway's and what the others told, add to the delay, and much more so
- * beyond the back end's slots. Another zone is farther away. A back end that failed lately, or that
- * seems to be down (core/routing/ejection.h), is chosen only if there is no other; if more than a
- * third of a service's are so, the sign is not trusted and costs little.
+ * beyond the back end's slots. Another zone is farther away. A back end that failed lately, that
+ * keeps a call waiting far longer than usual without a word, or that seems to be down
+ * (core/routing/ejection.h), is chosen only if there is no other; if more than a third of a
+ * service's are so, the sign is not trusted and costs little.
  *
  * Thread safety: everything here belongs to the loop's thread.
  */
@@ -31,6 +32,9 @@
     unsigned failures;    /**< In a row. */
     ejection_t ejection;  /**< Whether it seems to be down. */
     bool told_out;        /**< Left out by what others told, when last looked at. */
+    GQueue unanswered;    /**< Sends without a word of an answer, oldest first: their times, ms. */
+    uint32_t answer_ms;   /**< Time from a send to the first word of its answer, smoothed. */
+    bool overdue;         /**< The oldest of them is overdue, when last looked at. */
     GPtrArray *idle;      /**< Kept connections, the latest used last; of http_client_t. */
     uv_loop_t *loop;
     struct backends *owner;
@@ -75,6 +79,14 @@
 /** Notes how a call ended: a failure keeps new calls away for a while. */
 void backend_note_success(backend_t *backend);
 void backend_note_failure(backend_t *backend);
+/** For how long the other gateways should hear that it is left out, in ms; 0: not at all. */
+uint32_t backend_tell_out_ms(backend_t *backend);
+/** A request is sent; @p sent_at stays where it is until the answer begins or the call gives up. */
+void backend_send_begun(backend_t *backend, const uint64_t *sent_at);
+/** The answer begins. */
+void backend_send_answered(backend_t *backend, const uint64_t *sent_at);
+/** The call gives up waiting; nothing happens if the answer had begun. */
+void backend_send_ended(backend_t *backend, const uint64_t *sent_at);
 /** Notes that a call's connection ended too soon for any work: the back end may be down. */
 void backend_note_reset(backend_t *backend);
 
--- a/src/gateway/call_send.c
+++ b/src/gateway/call_send.c
@@ -25,8 +25,10 @@
 };
 
 static void release_backend(call_t *call) {
-    if (call->backend != NULL)
+    if (call->backend != NULL) {
+        backend_send_ended(call->backend, &call->sent_at);
         backend_release(call->backend);
+    }
     call->backend = NULL;
 }
 
@@ -149,6 +151,7 @@
 
 static bool on_head(void *user, const http_answer_head_t *head) {
     call_t *call = user;
+    backend_send_answered(call->backend, &call->sent_at);
     if (!answer_is_sound(call, head)) {
         log_send_failed(call, "unsound_answer");
         /* The parser is at work on this connection: it closes the connection itself. */
@@ -265,6 +268,7 @@
     call->sent_at = uv_now(gateway->loop);
     call->sends++;
     gateway->counters.sends++;
+    backend_send_begun(call->backend, &call->sent_at);
     bool head_request = strcmp(call->request->method, "HEAD") == 0;
     http_client_send(call->client, build_request(call), head_request, &exchange_handler, call);
 }
--- a/src/gateway/load_sharing.c
+++ b/src/gateway/load_sharing.c
@@ -172,8 +172,8 @@
     gpointer value;
     g_hash_table_iter_init(&iterator, sharing->backends->by_instance);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        const backend_t *backend = value;
-        uint32_t out_ms = ejection_tell_ms(&backend->ejection, uv_now(sharing->loop));
+        backend_t *backend = value;
+        uint32_t out_ms = backend_tell_out_ms(backend);
         load_entry_t entry = {backend->id_hash, backend->under_way, out_ms};
         bool any = backend->under_way > 0 || out_ms > 0;
         if (any && entries->len < ENTRIES_MAXIMUM)
--- a/tests/unit/gateway_test.cc
+++ b/tests/unit/gateway_test.cc
@@ -288,6 +288,35 @@
     EXPECT_EQ(choose(nullptr), "a");
 }
 
+TEST_F(Backends, OneThatKeepsACallWaitingWithoutAWordGetsNoMoreUntilItEnds) {
+    add("a", "here");
+    for (const char *far : {"b", "c", "d"})
+        add(far, "there");
+    EXPECT_EQ(choose(nullptr), "a");
+    backend_t *mute = last;
+    uint64_t now = uv_now(&loop);
+    uint64_t long_ago = now - 401;
+    uint64_t usual = now - 300;
+    backend_send_begun(mute, &usual);
+    release();
+    EXPECT_EQ(choose(nullptr), "a") << "not overdue yet";
+    release();
+    backend_send_ended(mute, &usual);
+    backend_send_begun(mute, &long_ago);
+    EXPECT_NE(choose(nullptr), "a");
+    release();
+    backend_send_ended(mute, &long_ago);
+    EXPECT_EQ(choose(nullptr), "a");
+    release();
+    uint64_t slow = now - 200;
+    backend_send_begun(mute, &slow);
+    backend_send_answered(mute, &slow);
+    backend_send_begun(mute, &long_ago);
+    EXPECT_EQ(choose(nullptr), "a") << "it is always slow";
+    release();
+    backend_send_ended(mute, &long_ago);
+}
+
 TEST_F(Backends, IfMostSeemDownTheSignIsDoubtedAndLoadDecides) {
     add("a", "here");
     add("b", "here");
