--- a/tests/unit/record_digest_test.cc
+++ b/tests/unit/record_digest_test.cc
@@ -1,4 +1,5 @@
-// Digests of what two replicas hold: equal sets agree, and what differs lies in a bucket that differs.
+// Digests of what two replicas hold: equal sets agree, and what differs lies in a bucket that
+// differs.
 #include <gtest/gtest.h>
 
 #include <string>
