storesim: a gateway is judged anew when another storage node comes into reach

A trace shows one cut that ended while another began: over 0.4 s the gateway heard three of four members, though never at once, so it could not know. Ruled out: the gateway (it said silent for 1.8 s before, and again 0.3 s after). Change: the time begins anew when a storage node comes into reach that was not; a cut that only lasts or grows is judged as before.

--- a/src/storesim/workload.c
+++ b/src/storesim/workload.c
@@ -298,23 +298,29 @@
 /* How soon a gateway notices that it is cut off. */
 
 static uint64_t cut_since[GATEWAYS_MAXIMUM];
+static uint64_t reach_before[GATEWAYS_MAXIMUM]; /**< One bit for each store. */
 
-static unsigned stores_in_reach(const world_gateway_t *gateway) {
-    unsigned count = 0;
+static uint64_t stores_in_reach(const world_gateway_t *gateway) {
+    uint64_t reach = 0;
     for (guint i = 0; i < world->stores->len; i++) {
         const world_store_t *store = g_ptr_array_index(world->stores, i);
-        count += store->store != NULL &&
-                 !g_hash_table_contains(gateway->process->cut_from, store->process);
+        if (store->store != NULL &&
+            !g_hash_table_contains(gateway->process->cut_from, store->process))
+            reach |= (uint64_t)1 << i;
     }
-    return count;
+    return reach;
 }
 
 static void check_cut(unsigned number) {
     const world_gateway_t *gateway = g_ptr_array_index(world->gateways, number);
     const store_group_t *group = world_group(world);
     bool awake = gateway->client != NULL && gateway->process->paused_until <= virtual_now();
-    bool cut = group != NULL && awake &&
-               stores_in_reach(gateway) < store_write_quorum(group->members->len);
+    uint64_t reach = stores_in_reach(gateway);
+    /* One cut that ends as another begins lets a quorum be heard of, one after the other. */
+    bool more = (reach & ~reach_before[number]) != 0;
+    reach_before[number] = reach;
+    bool cut = group != NULL && awake && !more &&
+               (unsigned)__builtin_popcountll(reach) < store_write_quorum(group->members->len);
     if (!cut)
         cut_since[number] = 0;
     else if (cut_since[number] == 0)
@@ -331,6 +337,7 @@
 
 void workload_judge_cuts(void) {
     memset(cut_since, 0, sizeof cut_since);
+    memset(reach_before, 0, sizeof reach_before);
     virtual_after(CONNECT_CHECK_MS, NULL, check_cuts, NULL);
 }
 
