--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -101,7 +101,7 @@
     done
     rm -f "$CLUSTER_DIR/$name.port"
     "$BUILD/rudderwayd" --settings "$CLUSTER_DIR/$name.ini" ${flags[@]+"${flags[@]}"} \
-        2>> "$CLUSTER_DIR/$name.log" &
+        >> "$CLUSTER_DIR/$name.log" 2>&1 &
     NODE_PID[$name]=$!
     CLUSTER_PIDS+=($!)
     NODE_ZONE[$name]=$zone
