--- a/tests/unit/gateway_test.cc
+++ b/tests/unit/gateway_test.cc
@@ -2,6 +2,7 @@
 #include <glib.h>
 
 extern "C" {
+#include "gateway/gateway.h"
 #include "core/retry/outage.h"
 #include "gateway/backends.h"
 #include "gateway/chain_cache.h"
@@ -332,6 +333,26 @@
     EXPECT_GT(at_first, 5) << "one of two: it gets calls once the other is full";
 }
 
+TEST(Gateway, IsIsolatedOnlyIfOthersCanServeWhatItCannot) {
+    uv_loop_t loop;
+    uv_loop_init(&loop);
+    gateway_t gateway = {};
+    gateway.loop = &loop;
+    gateway.key_value_reachable = true;
+    EXPECT_FALSE(gateway_isolated(&gateway)) << "it has not lost the storage nodes";
+    gateway.others_have_stores = true;
+    EXPECT_FALSE(gateway_isolated(&gateway));
+    gateway.stores_lost_at = uv_now(&loop) - 1000;
+    EXPECT_TRUE(gateway_isolated(&gateway)) << "another gateway reaches them";
+    gateway.others_have_stores = false;
+    EXPECT_FALSE(gateway_isolated(&gateway)) << "all have lost them, and stay ready";
+    gateway.key_value_reachable = false;
+    EXPECT_TRUE(gateway_isolated(&gateway)) << "it reaches nothing";
+    gateway.stores_lost_at = uv_now(&loop);
+    EXPECT_FALSE(gateway_isolated(&gateway)) << "only just now";
+    uv_loop_close(&loop);
+}
+
 TEST(Outage, ACallerComesBackLaterTheLongerTheOutageHasLasted) {
     outage_t outage = {};
     outage_note(&outage, 5000);
