--- a/src/cluster/message.c
+++ b/src/cluster/message.c
@@ -108,6 +108,11 @@
         verdict_codec(codec, &message->verdict);
         codec_uint64(codec, &message->summary.charged);
         codec_uint64(codec, &message->summary.digest);
+        codec_uint64(codec, &message->place);
+        break;
+    case MESSAGE_PLACE:
+        codec_text(codec, &message->charge.program);
+        codec_uint64(codec, &message->place);
         break;
     case RESPONSE_DURABLE:
         verdict_codec(codec, &message->verdict);
--- a/src/cluster/message.h
+++ b/src/cluster/message.h
@@ -37,6 +37,7 @@
     RECORD_CHARGE,           /**< Log only: a charge copied from another member. */
     MESSAGE_GATEWAY,         /**< A gateway's address for other gateways, and its zone. */
     MESSAGE_GATEWAYS,        /**< Addresses of the gateways that the receiver should know. */
+    MESSAGE_PLACE,           /**< The back end at which a program runs now; no answer. */
     MESSAGE_TYPE_COUNT,
 } message_type_t;
 
@@ -55,6 +56,7 @@
     verdict_t verdict;
     budget_charge_t charge;   /**< Program, call, and the most or what was spent. */
     budget_summary_t summary; /**< A program's charges in short. */
+    uint64_t place; /**< Hash of the back end's instance where the program last ran; 0: unknown. */
     char *turn_id;
     GBytes *group;   /**< An encoded store group. */
     GBytes *digest;  /**< An encoded record_digest_t of what the sender holds. */
--- a/src/gateway/backends.c
+++ b/src/gateway/backends.c
@@ -17,10 +17,6 @@
     /* Expected delay, in units of 0.1 ms. */
     AVOIDED_COST = 100000,    /**< After a failure: only if there is no other. */
     DOUBTED_COST = 500,       /**< The same, if so many are that the sign is doubtful. */
-    PREFIX_READ_COST = 1000,  /**< A prompt whose prefix is cached elsewhere. */
-    ENGINE_SHARE_COST = 20,   /**< Each call that an engine runs slows the others. */
-    ENGINE_QUEUE_COST = 250,  /**< Each call beyond an engine's slots. */
-    ENGINE_FAR_COST = 150,    /**< Another zone: delay, and bytes that are paid for. */
     NEW_CONNECTION_COST = 60, /**< It takes time, and is paid for. */
     SERVICE_SHARE_COST = 50,
     SERVICE_QUEUE_COST = 400,
@@ -143,12 +139,6 @@
     return strcmp(backend->record->zone, backends->zone) == 0;
 }
 
-/** Rank of a back end for a program: the same at each gateway. */
-static uint64_t affinity(const backend_t *backend, const char *program) {
-    uint64_t seed = XXH64(program, strlen(program), 0);
-    return XXH64(backend->record->instance, strlen(backend->record->instance), seed);
-}
-
 /** True if some call has waited too long for the first word of its answer. */
 static bool overdue(backend_t *backend, uint64_t now) {
     const uint64_t *oldest = g_queue_peek_head(&backend->unanswered);
@@ -188,52 +178,39 @@
     return avoided_count * AVOIDED_SHARE > usable_count ? DOUBTED_COST : AVOIDED_COST;
 }
 
-/** Expected delay at a back end besides what depends on the call, in 0.1 ms. */
+static unsigned slots_of(const backend_t *backend, const backend_choice_t *choice) {
+    unsigned slots = backend->record->slots > 0 ? backend->record->slots : choice->slots;
+    return slots > 0 ? slots : SLOTS_USUAL;
+}
+
+static unsigned load_of(const backend_t *backend) {
+    return backend->under_way + backend->elsewhere;
+}
+
+/** Expected delay at a back end, in 0.1 ms. */
 static unsigned load_cost(const backends_t *backends, const backend_t *backend,
                           const backend_choice_t *choice) {
-    bool engine = choice->program != NULL;
-    unsigned slots = backend->record->slots > 0 ? backend->record->slots : choice->slots;
-    if (slots == 0)
-        slots = SLOTS_USUAL;
-    unsigned calls = backend->under_way + backend->elsewhere;
+    unsigned slots = slots_of(backend, choice);
+    unsigned calls = load_of(backend);
     unsigned beyond = calls >= slots ? calls - slots + 1 : 0;
-    unsigned cost = calls * (engine ? ENGINE_SHARE_COST : SERVICE_SHARE_COST) +
-                    beyond * (engine ? ENGINE_QUEUE_COST : SERVICE_QUEUE_COST);
+    unsigned cost = calls * SERVICE_SHARE_COST + beyond * SERVICE_QUEUE_COST;
     if (backend->idle->len == 0)
         cost += NEW_CONNECTION_COST;
     if (!in_zone(backends, backend))
-        cost += engine ? ENGINE_FAR_COST : SERVICE_FAR_COST;
+        cost += SERVICE_FAR_COST;
     return cost;
 }
 
-/** The engine of this zone, or else of any, that ranks highest for the program. */
-static const backend_t *find_home(const backends_t *backends, const backend_choice_t *choice) {
-    const backend_t *home = NULL;
-    uint64_t best = 0;
-    GHashTableIter iterator;
-    gpointer value;
-    g_hash_table_iter_init(&iterator, backends->by_instance);
-    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        const backend_t *backend = value;
-        if (!usable(backend, choice))
-            continue;
-        uint64_t rank = affinity(backend, choice->program) >> 1;
-        if (in_zone(backends, backend))
-            rank |= (uint64_t)1 << 63;
-        if (home != NULL && rank < best)
-            continue;
-        home = backend;
-        best = rank;
-    }
-    return home;
+static void take(backends_t *backends, backend_t *backend) {
+    backend->references++;
+    backend->under_way++;
+    backends->changes++;
 }
 
 backend_t *backends_choose(backends_t *backends, const backend_choice_t *choice) {
-    const backend_t *home = choice->program == NULL ? NULL : find_home(backends, choice);
     unsigned cost_of_avoided = avoided_cost(backends, choice);
     backend_t *best = NULL;
     unsigned best_cost = 0;
-    uint64_t best_rank = 0;
     GHashTableIter iterator;
     gpointer value;
     g_hash_table_iter_init(&iterator, backends->by_instance);
@@ -244,23 +221,47 @@
         unsigned cost = load_cost(backends, backend, choice);
         if (avoided(backends, backend))
             cost += cost_of_avoided;
-        if (choice->program != NULL && backend != home)
-            cost += PREFIX_READ_COST;
-        uint64_t rank = g_random_int();
-        if (best != NULL && (cost > best_cost || (cost == best_cost && rank < best_rank)))
+        if (best != NULL && cost >= best_cost)
             continue;
         best = backend;
         best_cost = cost;
-        best_rank = rank;
-    }
-    if (best != NULL) {
-        best->references++;
-        best->under_way++;
-        backends->changes++;
     }
+    if (best != NULL)
+        take(backends, best);
     return best;
 }
 
+engine_outcome_t backends_choose_engine(backends_t *backends, const backend_choice_t *choice,
+                                        const engine_request_t *request, backend_t **chosen) {
+    engine_candidate_t *candidates = g_new(engine_candidate_t, backends_count(backends) + 1);
+    backend_t **engines = g_new(backend_t *, backends_count(backends) + 1);
+    unsigned count = 0;
+    GHashTableIter iterator;
+    gpointer value;
+    g_hash_table_iter_init(&iterator, backends->by_instance);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        backend_t *backend = value;
+        if (!usable(backend, choice))
+            continue;
+        candidates[count] = (engine_candidate_t){
+            .id = backend->id_hash,
+            .load = load_of(backend),
+            .slots = slots_of(backend, choice),
+            .near = in_zone(backends, backend),
+            .avoided = avoided(backends, backend),
+        };
+        engines[count++] = backend;
+    }
+    unsigned index = 0;
+    engine_outcome_t outcome = engine_choose(candidates, count, request, &index);
+    *chosen = outcome == ENGINE_CHOSEN ? engines[index] : NULL;
+    if (outcome == ENGINE_CHOSEN)
+        take(backends, engines[index]);
+    g_free((gpointer)engines);
+    g_free(candidates);
+    return outcome;
+}
+
 void backend_note_success(backend_t *backend) {
     backend->failures = 0;
     backend->avoid_until = 0;
--- a/src/gateway/backends.h
+++ b/src/gateway/backends.h
@@ -3,14 +3,12 @@
  * The back ends that this gateway knows, what it has under way at each, and its kept connections
  * to them. Chooses the back end for a call.
  *
- * Choice. Each back end has an expected delay, and the least wins. A program's home is the engine
- * of the gateway's zone with the highest hash of program and instance: there its prompt's prefix
- * is cached, and the gateways of a zone agree without a word; elsewhere the prefix is read again.
- * Calls under way, this gateway's and what the others told, add to the delay, and much more so
- * beyond the back end's slots. Another zone is farther away. A back end that failed lately, that
- * keeps a call waiting far longer than usual without a word, or that seems to be down
- * (core/routing/ejection.h), is chosen only if there is no other; if more than a third of a
- * service's are so, the sign is not trusted and costs little.
+ * Choice. An engine is chosen as core/routing/engine_choice.h says. Any other back end has an
+ * expected delay, and the least wins: calls under way, this gateway's and what the others told,
+ * add to it, and much more so beyond the back end's slots; another zone is farther away. A back end
+ * that failed lately, that keeps a call waiting far longer than usual without a word, or that
+ * seems to be down (core/routing/ejection.h), is chosen only if there is no other; if more than a
+ * third of a service's are so, the sign is not trusted and costs little.
  *
  * Thread safety: everything here belongs to the loop's thread.
  */
@@ -19,6 +17,7 @@
 
 #include "cluster/service_directory.h"
 #include "core/routing/ejection.h"
+#include "core/routing/engine_choice.h"
 #include "net/http_client.h"
 
 typedef struct {
@@ -52,7 +51,6 @@
 /** What a choice depends on. */
 typedef struct {
     const char *service;
-    const char *program;       /**< Calls with the same text belong together; NULL: none do. */
     const GPtrArray *excluded; /**< Back ends tried already; of backend_t. */
     unsigned slots;            /**< Of an engine; 0: unknown. */
 } backend_choice_t;
@@ -74,7 +72,10 @@
 
 /** The back end for a call, with a reference and counted under way; NULL if there is none. */
 backend_t *backends_choose(backends_t *backends, const backend_choice_t *choice);
-/** Ends what backends_choose began. */
+/** The engine for a call; @p chosen as from backends_choose if the outcome is ENGINE_CHOSEN. */
+engine_outcome_t backends_choose_engine(backends_t *backends, const backend_choice_t *choice,
+                                        const engine_request_t *request, backend_t **chosen);
+/** Ends what backends_choose or backends_choose_engine began. */
 void backend_release(backend_t *backend);
 /** Notes how a call ended: a failure keeps new calls away for a while. */
 void backend_note_success(backend_t *backend);
--- a/src/gateway/call_send.c
+++ b/src/gateway/call_send.c
@@ -12,6 +12,7 @@
 
 #include <string.h>
 #include <strings.h>
+#include <xxhash.h>
 
 enum {
     STATUS_OK = 200,
@@ -22,6 +23,8 @@
     CONNECT_FAILURES_MAXIMUM = 4,
     ANSWER_BYTES_MAXIMUM = 16 * 1024 * 1024,
     LEAST_MS = 5, /**< With less time left a call is not sent any more. */
+    PERCENT = 100,
+    FEASIBLE_PERCENT = 60, /**< A program with less of its time left at its first call is late. */
 };
 
 static void release_backend(call_t *call) {
@@ -245,19 +248,86 @@
 
 static const http_exchange_handler_t exchange_handler = {on_head, on_body, on_complete, on_failed};
 
-void call_send(call_t *call) {
+/** Hash of what engines are ranked by for a program that has none yet; see engine_choice.h. */
+static uint64_t part_hash(const call_t *call) {
+    const char *parts = call_field(call, FIELD_PROMPT_PARTS);
+    const char *text = call->turn.counted ? parts : call->program;
+    if (text == NULL)
+        return 0;
+    return XXH64(text, strcspn(text, ":"), 0);
+}
+
+urgency_t call_urgency(const call_t *call) {
+    if (call->program_due_at == UINT64_MAX)
+        return URGENCY_UNDER_WAY;
+    uint64_t now = uv_now(call->gateway->loop);
+    uint64_t left = call->program_due_at > now ? call->program_due_at - now : 0;
+    uint64_t told = call->program_due_at - call->arrived_at;
+    if (left == 0 || (call->first_of_program && left * PERCENT < told * FEASIBLE_PERCENT))
+        return URGENCY_LATE;
+    return call->first_of_program ? URGENCY_NEW : URGENCY_UNDER_WAY;
+}
+
+/** Chooses an engine; false if the call waits or has ended. */
+static bool choose_engine(call_t *call, const backend_choice_t *choice) {
+    gateway_t *gateway = call->gateway;
+    uint64_t now = uv_now(gateway->loop);
+    if (call->waiting_since == 0)
+        call->waiting_since = now;
+    engine_request_t request = {
+        .urgency = call_urgency(call),
+        .place = call->place,
+        .part = part_hash(call),
+        .waited_ms = now - call->waiting_since,
+    };
+    call->waited_ms = request.waited_ms;
+    switch (backends_choose_engine(&gateway->backends, choice, &request, &call->backend)) {
+    case ENGINE_CHOSEN:
+        return true;
+    case ENGINE_WAIT:
+        gateway->engine_queue.waited += request.waited_ms == 0;
+        engine_queue_add(&gateway->engine_queue, call);
+        return false;
+    case ENGINE_FULL:
+        call_fail(call, CALL_ENGINES_FULL);
+        return false;
+    case ENGINE_NONE:
+        break;
+    }
+    call_fail(call, CALL_NO_BACKEND);
+    return false;
+}
+
+/** Chooses a back end; false if the call waits or has ended. */
+static bool choose_backend(call_t *call) {
     gateway_t *gateway = call->gateway;
     backend_choice_t choice = {
         .service = call->service_name,
-        .program = call->service != NULL && call->service->engine ? call->program : NULL,
         .excluded = call->tried,
         .slots = call->service == NULL ? 0 : call->service->slots,
     };
+    if (call->service != NULL && call->service->engine)
+        return choose_engine(call, &choice);
     call->backend = backends_choose(&gateway->backends, &choice);
-    if (call->backend == NULL) {
+    if (call->backend == NULL)
         call_fail(call, CALL_NO_BACKEND);
+    return call->backend != NULL;
+}
+
+/** Lets other gateways know where the program's prompt is. */
+static void tell_place(call_t *call) {
+    bool known = call->place == call->backend->id_hash;
+    if (known || !call->turn.counted)
         return;
-    }
+    call->place = call->backend->id_hash;
+    store_client_tell_place(call->gateway->stores, call->program, call->place);
+}
+
+void call_send(call_t *call) {
+    gateway_t *gateway = call->gateway;
+    if (!choose_backend(call))
+        return;
+    tell_place(call);
     call->client = backend_connect(&gateway->backends, call->backend);
     if (call->client == NULL) {
         leave_backend(call);
--- a/src/gateway/store_client.c
+++ b/src/gateway/store_client.c
@@ -61,6 +61,8 @@
     bool reading_charges;        /**< The summaries differ: the charges are being read. */
     said_t *charges_read;        /**< By member. */
     budget_table_t joined;       /**< The charges that were read. */
+    uint64_t charged;            /**< What the decision counted. */
+    uint64_t place;              /**< Where the program last ran; 0: unknown. */
     bool granted;
     bool widened; /**< A chain: all members are asked, not just the nearest. */
     const store_operation_handler_t *handler;
@@ -390,12 +392,20 @@
     message_clear(&request);
 }
 
+static uint64_t highest_charge(const GArray *summaries) {
+    uint64_t highest = 0;
+    for (guint i = 0; i < summaries->len; i++)
+        highest = MAX(highest, g_array_index(summaries, budget_summary_t, i).charged);
+    return highest;
+}
+
 static budget_decision_t decide_reserve(store_operation_t *operation) {
     unsigned members = operation->client->members->len;
     unsigned quorum = store_write_quorum(members);
     if (count(operation, operation->charges_read, SAID_YES) >= quorum) {
         uint64_t charged =
             budget_table_charged(&operation->joined, operation->request.charge.program);
+        operation->charged = charged;
         return charged <= operation->budget ? BUDGET_GRANTED : BUDGET_REFUSED;
     }
     GArray *summaries = g_array_new(FALSE, FALSE, sizeof(budget_summary_t));
@@ -405,6 +415,8 @@
     budget_decision_t decision = budget_decide((const budget_summary_t *)summaries->data,
                                                summaries->len, quorum, operation->budget);
     bool enough = summaries->len >= quorum;
+    if (decision != BUDGET_UNDECIDED)
+        operation->charged = highest_charge(summaries);
     g_array_free(summaries, TRUE);
     if (decision == BUDGET_UNDECIDED && enough && !operation->reading_charges)
         begin_reading_charges(operation);
@@ -505,6 +517,8 @@
     case RESPONSE_RESERVE:
         operation->verdicts[index] = said;
         operation->summaries[index] = message->summary;
+        if (message->place != 0)
+            operation->place = message->place;
         break;
     case RESPONSE_CHARGES:
         take_charges(operation, index, message);
@@ -611,6 +625,29 @@
     return operation;
 }
 
+uint64_t store_operation_place(const store_operation_t *operation) {
+    return operation->place;
+}
+
+bool store_operation_first(const store_operation_t *operation) {
+    return operation->charged <= operation->request.charge.most;
+}
+
+void store_client_tell_place(store_client_t *client, const char *program, uint64_t place) {
+    message_t message;
+    message_init(&message, MESSAGE_PLACE);
+    message.charge.program = g_strdup(program);
+    message.place = place;
+    GBytes *bytes = message_encode(&message);
+    for (guint i = 0; i < client->members->len; i++) {
+        const member_t *member = g_ptr_array_index(client->members, i);
+        if (member->open)
+            frame_connection_send(member->connection, g_bytes_ref(bytes));
+    }
+    g_bytes_unref(bytes);
+    message_clear(&message);
+}
+
 store_operation_t *store_client_put_turn(store_client_t *client, const turn_t *turn,
                                          const store_operation_handler_t *handler, void *owner) {
     store_operation_t *operation = begin_operation(client, REQUEST_PUT_TURN, handler, owner);
--- a/src/store/store.c
+++ b/src/store/store.c
@@ -2,7 +2,10 @@
 
 #include "common/event.h"
 
-enum { UPKEEP_MS = 5000 };
+enum {
+    UPKEEP_MS = 5000,
+    PLACE_RETENTION_MS = 60000, /**< An engine has read over a prompt unused for so long. */
+};
 
 static bool segment_unneeded(void *owner, uint32_t segment) {
     const store_t *store = owner;
@@ -15,6 +18,8 @@
     turn_table_expire(&store->turns, now);
     if (now > BUDGET_RETENTION_MS)
         budget_table_expire(&store->budgets, now - BUDGET_RETENTION_MS);
+    if (now > PLACE_RETENTION_MS)
+        program_places_expire(&store->places, now - PLACE_RETENTION_MS);
     record_log_trim(store->log, segment_unneeded, store);
 }
 
@@ -40,6 +45,7 @@
     store->connections = g_hash_table_new(g_int64_hash, g_int64_equal);
     turn_table_init(&store->turns);
     budget_table_init(&store->budgets);
+    program_places_init(&store->places);
     store_requests_start(store);
     if (!open_log(store, error))
         return false;
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -19,6 +19,7 @@
 #include "core/quorum/store_group.h"
 #include "net/frame_connection.h"
 #include "store/gateway_directory.h"
+#include "store/program_places.h"
 #include "store/record_log.h"
 
 typedef struct store_catch_up store_catch_up_state_t;
@@ -30,6 +31,7 @@
     record_log_t *log;
     turn_table_t turns;
     budget_table_t budgets;
+    program_places_t places;
     frame_listener_t *listener;
     GHashTable *connections;  /**< Opened by others: serial number to frame_connection_t. */
     uv_timer_t tell_gateways; /**< Runs while the list of gateways has changed. */
--- a/src/store/store_requests.c
+++ b/src/store/store_requests.c
@@ -114,6 +114,7 @@
         response.verdict = VERDICT_YES;
         response.summary = budget_table_reserve(&store->budgets, charge->program, charge->call,
                                                 charge->most, now(store));
+        response.place = program_places_find(&store->places, charge->program);
         record_log_append(store->log, g_bytes_ref(record), on_write_done,
                           new_write(store, connection, request));
     }
@@ -338,6 +339,9 @@
     case REQUEST_SETTLE:
         settle(store, connection, &request, record);
         break;
+    case MESSAGE_PLACE:
+        program_places_note(&store->places, request.charge.program, request.place, now(store));
+        break;
     case MESSAGE_GATEWAY:
         take_gateway(store, connection, &request);
         break;
