engines: calls go out at once again; a program's place and the ranking by shared part stay

What stays is core/routing/engine_choice.c without urgency and shares: the place that the storage nodes keep, left only above 150% of the slots for an engine at most half full, and the ranking by shared part below 125% of the mean load.

Tests: engine_choice_test.cc; the gateway's test of a program that stays with its engine now gives the place, since it no longer follows from a hash of the program.

--- a/src/gateway/backends.c
+++ b/src/gateway/backends.c
@@ -231,8 +231,8 @@
     return best;
 }
 
-engine_outcome_t backends_choose_engine(backends_t *backends, const backend_choice_t *choice,
-                                        const engine_request_t *request, backend_t **chosen) {
+backend_t *backends_choose_engine(backends_t *backends, const backend_choice_t *choice,
+                                  const engine_request_t *request) {
     engine_candidate_t *candidates = g_new(engine_candidate_t, backends_count(backends) + 1);
     backend_t **engines = g_new(backend_t *, backends_count(backends) + 1);
     unsigned count = 0;
@@ -253,13 +253,13 @@
         engines[count++] = backend;
     }
     unsigned index = 0;
-    engine_outcome_t outcome = engine_choose(candidates, count, request, &index);
-    *chosen = outcome == ENGINE_CHOSEN ? engines[index] : NULL;
-    if (outcome == ENGINE_CHOSEN)
-        take(backends, engines[index]);
+    bool found = engine_choose(candidates, count, request, &index);
+    backend_t *chosen = found ? engines[index] : NULL;
+    if (found)
+        take(backends, chosen);
     g_free((gpointer)engines);
     g_free(candidates);
-    return outcome;
+    return chosen;
 }
 
 void backend_note_success(backend_t *backend) {
--- a/src/gateway/backends.h
+++ b/src/gateway/backends.h
@@ -72,9 +72,9 @@
 
 /** The back end for a call, with a reference and counted under way; NULL if there is none. */
 backend_t *backends_choose(backends_t *backends, const backend_choice_t *choice);
-/** The engine for a call; @p chosen as from backends_choose if the outcome is ENGINE_CHOSEN. */
-engine_outcome_t backends_choose_engine(backends_t *backends, const backend_choice_t *choice,
-                                        const engine_request_t *request, backend_t **chosen);
+/** The engine for a call, as from backends_choose. */
+backend_t *backends_choose_engine(backends_t *backends, const backend_choice_t *choice,
+                                  const engine_request_t *request);
 /** Ends what backends_choose or backends_choose_engine began. */
 void backend_release(backend_t *backend);
 /** Notes how a call ended: a failure keeps new calls away for a while. */
--- a/src/gateway/call.c
+++ b/src/gateway/call.c
@@ -25,10 +25,10 @@
 };
 
 static const char *const reason_names[CALL_REASON_COUNT] = {
-    "answered",      "no_configuration", "no_route",           "malformed",    "no_backend",
-    "engines_full",  "backend_refused",  "backend_lost",       "bad_answer",   "timed_out",
-    "over_budget",   "budget_unsure",    "budget_not_durable", "no_such_turn", "turn_unsure",
-    "turn_not_kept", "caller_gone",      "stopping",
+    "answered",        "no_configuration",   "no_route",     "malformed",   "no_backend",
+    "backend_refused", "backend_lost",       "bad_answer",   "timed_out",   "over_budget",
+    "budget_unsure",   "budget_not_durable", "no_such_turn", "turn_unsure", "turn_not_kept",
+    "caller_gone",     "stopping",
 };
 
 const char *call_field(const call_t *call, call_field_t field) {
@@ -86,7 +86,6 @@
 static void end_call(call_t *call, unsigned status, call_reason_t reason) {
     call->ended = true;
     log_end(call, status, reason);
-    engine_queue_remove(&call->gateway->engine_queue, call);
     call_stop_backend(call);
     call_turn_end(call);
     call->caller = NULL;
@@ -199,12 +198,6 @@
     return call->arrived_at + allowed;
 }
 
-/** When the call's program should be over. */
-static uint64_t find_due(const call_t *call) {
-    const char *left = call_field(call, FIELD_PROGRAM_DEADLINE);
-    return left == NULL ? UINT64_MAX : call->arrived_at + strtoull(left, NULL, 10);
-}
-
 static void start_call(call_t *call) {
     gateway_t *gateway = call->gateway;
     call->id = call_field(call, FIELD_CALL_ID);
@@ -232,7 +225,6 @@
     call->service = directory_find_service(call->configuration, call->service_name);
     call->program = call_field(call, FIELD_PROGRAM);
     call->limit = find_limit(call);
-    call->program_due_at = find_due(call);
     uv_timer_start(&call->timer, on_time_over, call_time_left(call), 0);
     call_turn_begin(call);
 }
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -20,7 +20,6 @@
     CALL_NO_ROUTE,
     CALL_MALFORMED,
     CALL_NO_BACKEND,
-    CALL_ENGINES_FULL,
     CALL_BACKEND_REFUSED,
     CALL_BACKEND_LOST,
     CALL_BAD_ANSWER,
@@ -65,13 +64,6 @@
     uint64_t limit; /**< Loop time until which an answer may come, ms. */
     uv_timer_t timer;
     bool ended;
-
-    /* What decides when it is sent to an engine. */
-    uint64_t
-        program_due_at; /**< Loop time at which its program should be over; UINT64_MAX: unknown. */
-    uint64_t waiting_since; /**< Loop time since which it waits for an engine; 0: it does not. */
-    uint64_t waited_ms;     /**< What it has waited in all. */
-    bool first_of_program;
     uint64_t place; /**< Back end at which the program last ran (its hash); 0: unknown. */
 
     /* The way to back ends. */
@@ -115,8 +107,6 @@
 
 /** Sends the call to a back end, or to another one; refuses it if there is none. */
 void call_send(call_t *call);
-/** What the call is to its program's time now. */
-urgency_t call_urgency(const call_t *call);
 /** Ends the exchange with the back end, which stops its work. */
 void call_stop_backend(call_t *call);
 
--- a/src/gateway/call_send.c
+++ b/src/gateway/call_send.c
@@ -23,8 +23,6 @@
     CONNECT_FAILURES_MAXIMUM = 4,
     ANSWER_BYTES_MAXIMUM = 16 * 1024 * 1024,
     LEAST_MS = 5, /**< With less time left a call is not sent any more. */
-    PERCENT = 100,
-    FEASIBLE_PERCENT = 60, /**< A program with less of its time left at its first call is late. */
 };
 
 static void release_backend(call_t *call) {
@@ -257,60 +255,18 @@
     return XXH64(text, strcspn(text, ":"), 0);
 }
 
-urgency_t call_urgency(const call_t *call) {
-    if (call->program_due_at == UINT64_MAX)
-        return URGENCY_UNDER_WAY;
-    uint64_t now = uv_now(call->gateway->loop);
-    uint64_t left = call->program_due_at > now ? call->program_due_at - now : 0;
-    uint64_t told = call->program_due_at - call->arrived_at;
-    if (left == 0 || (call->first_of_program && left * PERCENT < told * FEASIBLE_PERCENT))
-        return URGENCY_LATE;
-    return call->first_of_program ? URGENCY_NEW : URGENCY_UNDER_WAY;
-}
-
-/** Chooses an engine; false if the call waits or has ended. */
-static bool choose_engine(call_t *call, const backend_choice_t *choice) {
-    gateway_t *gateway = call->gateway;
-    uint64_t now = uv_now(gateway->loop);
-    if (call->waiting_since == 0)
-        call->waiting_since = now;
-    engine_request_t request = {
-        .urgency = call_urgency(call),
-        .place = call->place,
-        .part = part_hash(call),
-        .waited_ms = now - call->waiting_since,
-    };
-    call->waited_ms = request.waited_ms;
-    switch (backends_choose_engine(&gateway->backends, choice, &request, &call->backend)) {
-    case ENGINE_CHOSEN:
-        return true;
-    case ENGINE_WAIT:
-        gateway->engine_queue.waited += request.waited_ms == 0;
-        engine_queue_add(&gateway->engine_queue, call);
-        return false;
-    case ENGINE_FULL:
-        call_fail(call, CALL_ENGINES_FULL);
-        return false;
-    case ENGINE_NONE:
-        break;
-    }
-    call_fail(call, CALL_NO_BACKEND);
-    return false;
-}
-
-/** Chooses a back end; false if the call waits or has ended. */
+/** Chooses a back end; false if there is none. */
 static bool choose_backend(call_t *call) {
-    gateway_t *gateway = call->gateway;
+    backends_t *backends = &call->gateway->backends;
     backend_choice_t choice = {
         .service = call->service_name,
         .excluded = call->tried,
         .slots = call->service == NULL ? 0 : call->service->slots,
     };
-    if (call->service != NULL && call->service->engine)
-        return choose_engine(call, &choice);
-    call->backend = backends_choose(&gateway->backends, &choice);
-    if (call->backend == NULL)
-        call_fail(call, CALL_NO_BACKEND);
+    engine_request_t request = {.place = call->place, .part = part_hash(call)};
+    bool engine = call->service != NULL && call->service->engine;
+    call->backend = engine ? backends_choose_engine(backends, &choice, &request)
+                           : backends_choose(backends, &choice);
     return call->backend != NULL;
 }
 
@@ -325,8 +281,10 @@
 
 void call_send(call_t *call) {
     gateway_t *gateway = call->gateway;
-    if (!choose_backend(call))
+    if (!choose_backend(call)) {
+        call_fail(call, CALL_NO_BACKEND);
         return;
+    }
     tell_place(call);
     call->client = backend_connect(&gateway->backends, call->backend);
     if (call->client == NULL) {
--- a/src/gateway/call_turn.c
+++ b/src/gateway/call_turn.c
@@ -39,7 +39,6 @@
     if (verdict == VERDICT_YES) {
         call->turn.granted = true;
         call->place = store_operation_place(call->turn.reserve);
-        call->first_of_program = store_operation_first(call->turn.reserve);
         send_if_ready(call);
         return;
     }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -16,7 +16,6 @@
 #include "core/retry/outage.h"
 #include "gateway/backends.h"
 #include "gateway/chain_cache.h"
-#include "gateway/engine_queue.h"
 #include "gateway/load_sharing.h"
 #include "gateway/store_client.h"
 #include "net/http_listener.h"
@@ -51,7 +50,6 @@
     store_client_t *stores;
     load_sharing_t *load_sharing;
     chain_cache_t chains;
-    engine_queue_t engine_queue;
     GHashTable *split_credits; /**< Route name to what each part is owed; see split.h. */
     key_value_watch_t *watch;
     watch_state_t watch_state; /**< Of the duty that gateways share. */
--- a/src/gateway/main.c
+++ b/src/gateway/main.c
@@ -65,7 +65,6 @@
     gateway->stores =
         store_client_new(gateway->loop, settings->zone, settings->peer_text, on_gateways, gateway);
     gateway->split_credits = split_credits_new();
-    engine_queue_init(&gateway->engine_queue, gateway->loop);
     chain_cache_init(&gateway->chains,
                      settings->memory_megabytes * MEGABYTE * CACHE_SHARE_PERCENT / PERCENT);
     gateway->calls = http_listener_open(gateway->loop, &settings->calls, &first_limits,
--- a/src/gateway/store_client.c
+++ b/src/gateway/store_client.c
@@ -61,7 +61,6 @@
     bool reading_charges;        /**< The summaries differ: the charges are being read. */
     said_t *charges_read;        /**< By member. */
     budget_table_t joined;       /**< The charges that were read. */
-    uint64_t charged;            /**< What the decision counted. */
     uint64_t place;              /**< Where the program last ran; 0: unknown. */
     bool granted;
     bool widened; /**< A chain: all members are asked, not just the nearest. */
@@ -392,20 +391,12 @@
     message_clear(&request);
 }
 
-static uint64_t highest_charge(const GArray *summaries) {
-    uint64_t highest = 0;
-    for (guint i = 0; i < summaries->len; i++)
-        highest = MAX(highest, g_array_index(summaries, budget_summary_t, i).charged);
-    return highest;
-}
-
 static budget_decision_t decide_reserve(store_operation_t *operation) {
     unsigned members = operation->client->members->len;
     unsigned quorum = store_write_quorum(members);
     if (count(operation, operation->charges_read, SAID_YES) >= quorum) {
         uint64_t charged =
             budget_table_charged(&operation->joined, operation->request.charge.program);
-        operation->charged = charged;
         return charged <= operation->budget ? BUDGET_GRANTED : BUDGET_REFUSED;
     }
     GArray *summaries = g_array_new(FALSE, FALSE, sizeof(budget_summary_t));
@@ -415,8 +406,6 @@
     budget_decision_t decision = budget_decide((const budget_summary_t *)summaries->data,
                                                summaries->len, quorum, operation->budget);
     bool enough = summaries->len >= quorum;
-    if (decision != BUDGET_UNDECIDED)
-        operation->charged = highest_charge(summaries);
     g_array_free(summaries, TRUE);
     if (decision == BUDGET_UNDECIDED && enough && !operation->reading_charges)
         begin_reading_charges(operation);
@@ -629,10 +618,6 @@
     return operation->place;
 }
 
-bool store_operation_first(const store_operation_t *operation) {
-    return operation->charged <= operation->request.charge.most;
-}
-
 void store_client_tell_place(store_client_t *client, const char *program, uint64_t place) {
     message_t message;
     message_init(&message, MESSAGE_PLACE);
--- /dev/null
+++ b/tests/unit/engine_choice_test.cc
@@ -0,0 +1,135 @@
+/** Where turns of programs run: core/routing/engine_choice.h and store/program_places.h. */
+#include <gtest/gtest.h>
+
+#include <set>
+#include <vector>
+
+extern "C" {
+#include "core/routing/engine_choice.h"
+#include "store/program_places.h"
+}
+
+namespace {
+
+constexpr unsigned SLOTS = 10;
+
+class EngineChoice : public testing::Test {
+  protected:
+    /** Engines with ids 1, 2, ..., all near and idle. */
+    void make(unsigned count) {
+        for (unsigned i = 1; i <= count; i++)
+            engines.push_back({i, 0, SLOTS, true, false});
+    }
+    engine_candidate_t &engine(uint64_t id) {
+        return engines[id - 1];
+    }
+    /** Id of the chosen engine; 0: none. */
+    uint64_t choose(uint64_t place, uint64_t part) {
+        engine_request_t request = {place, part};
+        unsigned chosen = 0;
+        bool found = engine_choose(engines.data(), engines.size(), &request, &chosen);
+        return found ? engines[chosen].id : 0;
+    }
+    std::vector<engine_candidate_t> engines;
+};
+
+TEST_F(EngineChoice, NoneOfNone) {
+    EXPECT_EQ(choose(0, 7), 0u);
+}
+
+TEST_F(EngineChoice, AProgramStaysAtItsEngine) {
+    make(4);
+    for (uint64_t place = 1; place <= 4; place++)
+        for (uint64_t part = 1; part <= 20; part++)
+            EXPECT_EQ(choose(place, part), place);
+}
+
+TEST_F(EngineChoice, AFullEngineIsNotLeftForOnesThatAreBusyToo) {
+    make(3);
+    engine(1).load = 2 * SLOTS;
+    engine(2).load = engine(3).load = SLOTS * 6 / 10;
+    EXPECT_EQ(choose(1, 7), 1u);
+}
+
+TEST_F(EngineChoice, ALongQueueIsLeftForAnEngineThatIsHalfFull) {
+    make(3);
+    engine(1).load = 2 * SLOTS;
+    engine(2).load = SLOTS;
+    engine(3).load = SLOTS / 2;
+    EXPECT_EQ(choose(1, 7), 3u);
+    engine(1).load = SLOTS;
+    EXPECT_EQ(choose(1, 7), 1u) << "a short queue is not left";
+}
+
+TEST_F(EngineChoice, ADeadEngineIsLeft) {
+    make(4);
+    engine(2).avoided = true;
+    EXPECT_NE(choose(2, 7), 2u);
+    EXPECT_NE(choose(2, 7), 0u);
+}
+
+TEST_F(EngineChoice, OnePartGoesToOneEngineWhileLoadsAreLow) {
+    make(8);
+    uint64_t first = choose(0, 7);
+    engine(first).load = 1;
+    EXPECT_EQ(choose(0, 7), first);
+}
+
+TEST_F(EngineChoice, APartSpreadsAsItsLoadGrows) {
+    make(8);
+    std::set<uint64_t> used;
+    for (int i = 0; i < 40; i++) {
+        uint64_t id = choose(0, 7);
+        engine(id).load++;
+        used.insert(id);
+    }
+    EXPECT_GE(used.size(), 5u);
+    for (const engine_candidate_t &candidate : engines)
+        EXPECT_LE(candidate.load, 40u / 8 * 5 / 4 + 2) << "none is far above the mean of 5";
+}
+
+TEST_F(EngineChoice, PartsAreDealtOverEngines) {
+    make(8);
+    std::set<uint64_t> used;
+    for (uint64_t part = 1; part <= 100; part++)
+        used.insert(choose(0, part));
+    EXPECT_EQ(used.size(), 8u);
+}
+
+TEST_F(EngineChoice, AnotherZoneOnlyIfNoneOfThisOneWillDo) {
+    make(4);
+    engine(1).near = engine(2).near = false;
+    for (uint64_t part = 1; part <= 20; part++)
+        EXPECT_GE(choose(0, part), 3u);
+    engine(3).near = engine(4).near = false;
+    EXPECT_NE(choose(0, 7), 0u);
+}
+
+TEST_F(EngineChoice, ASignThatMostShowIsNotTrusted) {
+    make(4);
+    for (uint64_t id = 1; id <= 3; id++)
+        engine(id).avoided = true;
+    std::set<uint64_t> used;
+    for (uint64_t part = 1; part <= 50; part++)
+        used.insert(choose(0, part));
+    EXPECT_EQ(used.size(), 4u);
+    engine(2).avoided = engine(3).avoided = false;
+    for (uint64_t part = 1; part <= 50; part++)
+        EXPECT_NE(choose(0, part), 1u);
+}
+
+TEST(ProgramPlaces, TheLatestPlaceCountsUntilItIsForgotten) {
+    program_places_t places;
+    program_places_init(&places);
+    EXPECT_EQ(program_places_find(&places, "p"), 0u);
+    program_places_note(&places, "p", 5, 1000);
+    program_places_note(&places, "p", 6, 2000);
+    program_places_note(&places, "q", 7, 1000);
+    EXPECT_EQ(program_places_find(&places, "p"), 6u);
+    program_places_expire(&places, 1500);
+    EXPECT_EQ(program_places_find(&places, "p"), 6u);
+    EXPECT_EQ(program_places_find(&places, "q"), 0u);
+    program_places_clear(&places);
+}
+
+} // namespace
--- a/tests/unit/gateway_test.cc
+++ b/tests/unit/gateway_test.cc
@@ -175,9 +175,17 @@
         record->leaving = leaving;
         backends_update(&backends, record);
     }
-    std::string choose(const char *program, GPtrArray *excluded = nullptr) {
-        backend_choice_t choice = {"s", program, excluded, 2};
-        last = backends_choose(&backends, &choice);
+    std::string choose(GPtrArray *excluded = nullptr) {
+        backend_choice_t choice = {"s", excluded, 2};
+        return note(backends_choose(&backends, &choice));
+    }
+    std::string choose_engine(uint64_t place) {
+        backend_choice_t choice = {"s", nullptr, 2};
+        engine_request_t request = {place, 7};
+        return note(backends_choose_engine(&backends, &choice, &request));
+    }
+    std::string note(backend_t *chosen) {
+        last = chosen;
         if (last != nullptr)
             under_way.push_back(last);
         return last == nullptr ? "none" : last->record->instance;
@@ -190,23 +198,24 @@
 
 TEST_F(Backends, NoCallGoesToOneThatIsLeavingOrGone) {
     add("a", "here", true);
-    EXPECT_EQ(choose(nullptr), "none");
+    EXPECT_EQ(choose(), "none");
     add("a", "here");
-    EXPECT_EQ(choose(nullptr), "a");
+    EXPECT_EQ(choose(), "a");
     backends_remove(&backends, "a");
-    EXPECT_EQ(choose(nullptr), "none");
+    EXPECT_EQ(choose(), "none");
 }
 
-TEST_F(Backends, AProgramStaysWithItsEngineUntilQueueingCostsMoreThanReadingItsPrefix) {
+TEST_F(Backends, AProgramStaysWithItsEngineUntilItsQueueIsLongAndAnotherIsIdle) {
     for (const char *instance : {"a", "b", "c"})
         add(instance, "here");
     add("far", "there");
-    std::string home = choose("program");
+    std::string home = choose_engine(0);
     EXPECT_NE(home, "far");
+    uint64_t place = last->id_hash;
     release();
     int stayed = 0;
-    std::string next = choose("program");
-    for (; next == home && stayed < 20; next = choose("program"))
+    std::string next = choose_engine(place);
+    for (; next == home && stayed < 20; next = choose_engine(place))
         stayed++;
     EXPECT_GE(stayed, 2) << "both slots of the home are used";
     EXPECT_LE(stayed, 8) << "the queue at the home stays short";
@@ -216,24 +225,24 @@
 TEST_F(Backends, WhatOtherGatewaysHaveUnderWayCounts) {
     add("a", "here");
     add("b", "here");
-    std::string first = choose(nullptr);
+    std::string first = choose();
     uint64_t hash = last->id_hash;
     release();
     backends_find_hash(&backends, hash)->elsewhere = 5;
-    EXPECT_NE(choose(nullptr), first);
+    EXPECT_NE(choose(), first);
 }
 
 TEST_F(Backends, AFailureKeepsCallsAwayAndExclusionIsStrict) {
     add("a", "here");
     add("b", "there");
-    EXPECT_EQ(choose(nullptr), "a");
+    EXPECT_EQ(choose(), "a");
     backend_note_failure(last);
     backend_t *failed = last;
-    EXPECT_EQ(choose(nullptr), "b");
+    EXPECT_EQ(choose(), "b");
     GPtrArray *excluded = g_ptr_array_new();
     g_ptr_array_add(excluded, failed);
     g_ptr_array_add(excluded, last);
-    EXPECT_EQ(choose(nullptr, excluded), "none");
+    EXPECT_EQ(choose(excluded), "none");
     g_ptr_array_free(excluded, TRUE);
 }
 
@@ -274,46 +283,46 @@
     add("a", "here");
     for (const char *far : {"b", "c", "d"})
         add(far, "there");
-    EXPECT_EQ(choose(nullptr), "a");
+    EXPECT_EQ(choose(), "a");
     backend_t *down = last;
     release();
     uint64_t now = uv_now(&loop);
     ejection_note_told(&down->ejection, now + 300, now);
-    EXPECT_EQ(choose(nullptr), "a") << "one gateway may have a bad link";
+    EXPECT_EQ(choose(), "a") << "one gateway may have a bad link";
     release();
     ejection_note_told(&down->ejection, now + 300, now);
-    EXPECT_NE(choose(nullptr), "a");
+    EXPECT_NE(choose(), "a");
     EXPECT_EQ(ejection_tell_ms(&down->ejection, now), 0U) << "hearsay is not passed on";
     ejection_forget_told(&down->ejection);
     release();
-    EXPECT_EQ(choose(nullptr), "a");
+    EXPECT_EQ(choose(), "a");
 }
 
 TEST_F(Backends, OneThatKeepsACallWaitingWithoutAWordGetsNoMoreUntilItEnds) {
     add("a", "here");
     for (const char *far : {"b", "c", "d"})
         add(far, "there");
-    EXPECT_EQ(choose(nullptr), "a");
+    EXPECT_EQ(choose(), "a");
     backend_t *mute = last;
     uint64_t now = uv_now(&loop);
     uint64_t long_ago = now - 401;
     uint64_t usual = now - 300;
     backend_send_begun(mute, &usual);
     release();
-    EXPECT_EQ(choose(nullptr), "a") << "not overdue yet";
+    EXPECT_EQ(choose(), "a") << "not overdue yet";
     release();
     backend_send_ended(mute, &usual);
     backend_send_begun(mute, &long_ago);
-    EXPECT_NE(choose(nullptr), "a");
+    EXPECT_NE(choose(), "a");
     release();
     backend_send_ended(mute, &long_ago);
-    EXPECT_EQ(choose(nullptr), "a");
+    EXPECT_EQ(choose(), "a");
     release();
     uint64_t slow = now - 200;
     backend_send_begun(mute, &slow);
     backend_send_answered(mute, &slow);
     backend_send_begun(mute, &long_ago);
-    EXPECT_EQ(choose(nullptr), "a") << "it is always slow";
+    EXPECT_EQ(choose(), "a") << "it is always slow";
     release();
     backend_send_ended(mute, &long_ago);
 }
@@ -321,12 +330,12 @@
 TEST_F(Backends, IfMostSeemDownTheSignIsDoubtedAndLoadDecides) {
     add("a", "here");
     add("b", "here");
-    choose(nullptr);
+    choose();
     backend_note_reset(last);
     std::string first = last->record->instance;
     release();
     for (int i = 0; i < 30; i++)
-        choose(nullptr);
+        choose();
     int at_first = 0;
     for (const backend_t *backend : under_way)
         at_first += backend->record->instance == first;
