gateways: one that is cut off from the storage nodes reaches them through another gateway

Change. gateway/store_link.c takes over a member's connection from store_client.c: after a failure every other attempt goes to another gateway that said lately that it reaches storage nodes; a link that falls silent is dropped at once. gateway/store_relay.c passes the frames on, only to members that it is connected to itself. Requests, generations and quorums are as before: the storage node sees one more connection.

Ruled out: passing whole calls on. It needs the other's address for callers, and streams would end with either gateway.

--- a/src/cluster/message.c
+++ b/src/cluster/message.c
@@ -136,6 +136,7 @@
         charges_codec(codec, message->charges);
         break;
     case REQUEST_TURNS:
+    case MESSAGE_RELAY:
     case MESSAGE_GATEWAY:
     case MESSAGE_GATEWAYS:
         ids_codec(codec, message->ids);
--- a/src/cluster/message.h
+++ b/src/cluster/message.h
@@ -38,6 +38,7 @@
     MESSAGE_GATEWAY,         /**< A gateway's address for other gateways, and its zone. */
     MESSAGE_GATEWAYS,        /**< Addresses of the gateways that the receiver should know. */
     MESSAGE_PLACE,           /**< The back end at which a program runs now; no answer. */
+    MESSAGE_RELAY,           /**< To a gateway: pass all that follows to the storage node named. */
     MESSAGE_TYPE_COUNT,
 } message_type_t;
 
--- a/src/core/configuration/watch_duty.h
+++ b/src/core/configuration/watch_duty.h
@@ -30,7 +30,7 @@
     uint64_t heard_at;   /**< When it told. */
     uint32_t answer_age; /**< How long before that its watch was answered; UINT32_MAX: never. */
     uint64_t changed;    /**< The latest revision at which it saw a change. */
-    bool has_stores;     /**< It reaches a quorum of storage nodes. */
+    bool has_stores;     /**< It reaches a quorum of storage nodes itself. */
 } watch_report_t;
 
 /** This process's own watch. */
--- a/src/gateway/directory_watch.c
+++ b/src/gateway/directory_watch.c
@@ -126,7 +126,7 @@
     report->answer_age =
         answered_at == 0 ? UINT32_MAX : (uint32_t)(uv_now(gateway->loop) - answered_at);
     report->changed = gateway->watch == NULL ? 0 : key_value_watch_changed(gateway->watch);
-    report->has_stores = store_client_connected(gateway->stores);
+    report->has_stores = store_client_connected_directly(gateway->stores);
 }
 
 /** Notes whether another gateway reaches storage nodes that this one does not. */
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -18,6 +18,7 @@
 #include "gateway/chain_cache.h"
 #include "gateway/load_sharing.h"
 #include "gateway/store_client.h"
+#include "gateway/store_relay.h"
 #include "net/http_listener.h"
 
 /** Kinds of calls (call_kind_t) that have a latency histogram of their own. */
@@ -48,6 +49,7 @@
     backends_t backends;
     bool backends_listed;
     store_client_t *stores;
+    store_relay_t *relay;
     load_sharing_t *load_sharing;
     chain_cache_t chains;
     GHashTable *split_credits; /**< Route name to what each part is owed; see split.h. */
--- a/src/gateway/load_sharing.c
+++ b/src/gateway/load_sharing.c
@@ -21,6 +21,7 @@
     REFRESH_MS = 400,       /**< Told again after this although nothing has changed. */
     IDLE_REFRESH_MS = 1000, /**< The same while there is no call to tell of. */
     URGENT_PAUSE_MS = 20,   /**< Least time between two urgent datagrams. */
+    RELAY_NEWS_MS = 1500,   /**< A gateway may pass frames on if it was heard within this. */
     FORGET_MS = 1000,       /**< What a silent gateway said last counts for so long. */
     ENTRIES_MAXIMUM = 4096,
 };
@@ -255,6 +256,22 @@
     tell_peers(sharing);
 }
 
+bool load_sharing_find_relay(const load_sharing_t *sharing, struct sockaddr_in *address) {
+    uint64_t now = uv_now(sharing->loop);
+    unsigned found = 0;
+    for (guint i = 0; i < sharing->peers->len; i++) {
+        const gateway_peer_t *peer = g_ptr_array_index(sharing->peers, i);
+        bool lately = now < peer->heard_at + RELAY_NEWS_MS;
+        if (!lately || !peer->watch.has_stores)
+            continue;
+        /* Each of them with the same chance. */
+        found++;
+        if (g_random_int_range(0, (gint32)found) == 0)
+            *address = peer->address;
+    }
+    return found > 0;
+}
+
 static void arm_timer(load_sharing_t *sharing) {
     uv_timer_start(&sharing->timer, on_timer, period_ms(sharing), 0);
 }
--- a/src/gateway/main.c
+++ b/src/gateway/main.c
@@ -55,6 +55,13 @@
     load_sharing_set_gateways(gateway->load_sharing, addresses);
 }
 
+static bool find_relay(void *owner, struct sockaddr_in *address) {
+    const gateway_t *gateway = owner;
+    return load_sharing_find_relay(gateway->load_sharing, address);
+}
+
+static const store_client_handler_t store_handler = {on_gateways, find_relay};
+
 static bool open_gateway(gateway_t *gateway) {
     const process_settings_t *settings = gateway->settings;
     backends_init(&gateway->backends, gateway->loop, settings->zone);
@@ -62,8 +69,11 @@
                                               &gateway_watch_sharing, gateway);
     if (gateway->load_sharing == NULL)
         return false;
-    gateway->stores =
-        store_client_new(gateway->loop, settings->zone, settings->peer_text, on_gateways, gateway);
+    gateway->stores = store_client_new(gateway->loop, settings->zone, settings->peer_text,
+                                       &store_handler, gateway);
+    gateway->relay = store_relay_open(gateway->loop, &settings->peer, gateway->stores);
+    if (gateway->relay == NULL)
+        return false;
     gateway->split_credits = split_credits_new();
     chain_cache_init(&gateway->chains,
                      settings->memory_megabytes * MEGABYTE * CACHE_SHARE_PERCENT / PERCENT);
--- a/src/gateway/reports.c
+++ b/src/gateway/reports.c
@@ -86,6 +86,7 @@
                    gateway->configuration == NULL ? 0 : gateway->configuration->version);
     metrics_append(text, "backends", backends_count(&gateway->backends));
     metrics_append(text, "stores_connected", store_client_connected(gateway->stores));
+    metrics_append(text, "store_relays", store_relay_count(gateway->relay));
     metrics_append(text, "calls_active", http_listener_active(gateway->calls));
     metrics_append(text, "caller_connections", http_listener_connections(gateway->calls));
     metrics_append(text, "backend_connections_opened", gateway->backends.connections_opened);
--- a/src/gateway/store_client.c
+++ b/src/gateway/store_client.c
@@ -3,13 +3,12 @@
 #include "cluster/service_directory.h"
 #include "common/event.h"
 #include "core/budget/budget_decision.h"
-#include "net/frame_connection.h"
+#include "gateway/store_link.h"
 
 #include <string.h>
 
 enum {
     RECONNECT_MS = 150,
-    CONNECT_MS = 250,      /**< A connection that is not up by then is begun anew. */
     UNSURE_AGAIN_MS = 150, /**< A member that was unsure is asked again after this. */
     CHAIN_WIDEN_MS = 120,  /**< Without an answer from the nearest member, all are asked. */
     BACKLOG_MAXIMUM = 2000,
@@ -19,13 +18,7 @@
 
 typedef struct {
     store_client_t *client;
-    char *name;
-    char *zone;
-    struct sockaddr_in address;
-    frame_connection_t *connection;
-    uint64_t connecting_since;
-    uint64_t heard_at; /**< When the connection opened, or a frame came. */
-    bool open;
+    store_link_t *link;
     GPtrArray *backlog; /**< Settlements for a member that is away; of GBytes. */
 } member_t;
 
@@ -33,7 +26,7 @@
     uv_loop_t *loop;
     char *zone;
     char *own_address;
-    void (*on_gateways)(void *owner, const GPtrArray *addresses);
+    const store_client_handler_t *handler;
     void *owner;
     store_group_t *group;
     GPtrArray *members;     /**< Of member_t, those of the zone first. */
@@ -80,10 +73,10 @@
 }
 
 static void send_operation(store_operation_t *operation, member_t *member) {
-    if (!member->open)
+    if (!member->link->open)
         return;
     operation->request.generation = operation->generation;
-    frame_connection_send(member->connection, message_encode(&operation->request));
+    store_link_send(member->link, message_encode(&operation->request));
 }
 
 static bool wants_member(const store_operation_t *operation, unsigned index) {
@@ -97,7 +90,7 @@
     message_init(&message, MESSAGE_GROUP);
     message.generation = client->group->generation;
     message.group = store_group_encode(client->group);
-    frame_connection_send(member->connection, message_encode(&message));
+    store_link_send(member->link, message_encode(&message));
     message_clear(&message);
 }
 
@@ -106,22 +99,18 @@
     message_init(&message, MESSAGE_GATEWAY);
     g_ptr_array_add(message.ids, g_strdup(client->own_address));
     g_ptr_array_add(message.ids, g_strdup(client->zone));
-    frame_connection_send(member->connection, message_encode(&message));
+    store_link_send(member->link, message_encode(&message));
     message_clear(&message);
 }
 
-static void on_open(void *owner, frame_connection_t *connection) {
+static void on_link_open(void *owner, store_link_t *link) {
     member_t *member = owner;
     store_client_t *client = member->client;
-    (void)connection;
-    member->open = true;
-    member->heard_at = uv_now(client->loop);
-    event_log(GATEWAY_STORE_CONNECTED, member->name);
+    (void)link;
     send_group(client, member);
     tell_own_address(client, member);
     for (guint i = 0; i < member->backlog->len; i++)
-        frame_connection_send(member->connection,
-                              g_bytes_ref(g_ptr_array_index(member->backlog, i)));
+        store_link_send(member->link, g_bytes_ref(g_ptr_array_index(member->backlog, i)));
     g_ptr_array_set_size(member->backlog, 0);
     unsigned index = member_index(client, member);
     GHashTableIter iterator;
@@ -134,41 +123,19 @@
     }
 }
 
-static void on_closed(void *owner, frame_connection_t *connection) {
-    member_t *member = owner;
-    (void)connection;
-    if (member->open)
-        event_log(GATEWAY_STORE_LOST, member->name);
-    member->open = false;
-    member->connection = NULL;
-}
-
-static void on_frame(void *owner, frame_connection_t *connection, const uint8_t *data,
-                     size_t length);
+static void on_frame(void *owner, store_link_t *link, const uint8_t *data, size_t length);
 
-static const frame_handler_t member_handler = {on_open, on_frame, on_closed};
-
-/** A machine without power does not refuse a connection; the kernel asks again only seconds later.
- */
-static void give_up_slow_connection(member_t *member) {
-    bool slow = member->connection != NULL && !member->open &&
-                uv_now(member->client->loop) >= member->connecting_since + CONNECT_MS;
-    if (!slow)
-        return;
-    frame_connection_close(member->connection);
-    member->connection = NULL;
+static bool find_relay(void *owner, struct sockaddr_in *address) {
+    const store_client_t *client = ((const member_t *)owner)->client;
+    return client->handler->find_relay != NULL &&
+           client->handler->find_relay(client->owner, address);
 }
 
+static const store_link_handler_t link_handler = {on_link_open, on_frame, find_relay};
+
 static void connect_members(store_client_t *client) {
-    for (guint i = 0; i < client->members->len; i++) {
-        member_t *member = g_ptr_array_index(client->members, i);
-        give_up_slow_connection(member);
-        if (member->connection != NULL)
-            continue;
-        member->connecting_since = uv_now(client->loop);
-        member->connection =
-            frame_connection_open(client->loop, &member->address, &member_handler, member);
-    }
+    for (guint i = 0; i < client->members->len; i++)
+        store_link_upkeep(((const member_t *)g_ptr_array_index(client->members, i))->link);
 }
 
 /* Silence: connections to members behind a cut stay open for seconds. */
@@ -177,7 +144,7 @@
     unsigned heard = 0;
     for (guint i = 0; i < client->members->len; i++) {
         const member_t *member = g_ptr_array_index(client->members, i);
-        heard += member->open && member->heard_at >= since;
+        heard += member->link->open && member->link->heard_at >= since;
     }
     return heard;
 }
@@ -193,6 +160,15 @@
     return false;
 }
 
+/** Ends connections on which nothing was heard; other gateways may reach those members. */
+static void drop_silent_links(const store_client_t *client, uint64_t since) {
+    for (guint i = 0; i < client->members->len; i++) {
+        const member_t *member = g_ptr_array_index(client->members, i);
+        if (member->link->open && member->link->heard_at < since)
+            store_link_drop(member->link);
+    }
+}
+
 static void set_silent(store_client_t *client, bool silent) {
     if (client->silent == silent)
         return;
@@ -206,8 +182,8 @@
     GBytes *bytes = message_encode(&request);
     for (guint i = 0; i < client->members->len; i++) {
         const member_t *member = g_ptr_array_index(client->members, i);
-        if (member->open)
-            frame_connection_send(member->connection, g_bytes_ref(bytes));
+        if (member->link->open)
+            store_link_send(member->link, g_bytes_ref(bytes));
     }
     g_bytes_unref(bytes);
     message_clear(&request);
@@ -224,8 +200,10 @@
         return;
     }
     client->silent_rounds++;
-    if (client->silent_rounds >= SILENT_ROUNDS)
+    if (client->silent_rounds >= SILENT_ROUNDS) {
         set_silent(client, true);
+        drop_silent_links(client, since);
+    }
     ask_members(client);
 }
 
@@ -236,32 +214,27 @@
 
 static void free_member(gpointer data) {
     member_t *member = data;
-    if (member->connection != NULL)
-        frame_connection_close(member->connection);
+    store_link_free(member->link);
     g_ptr_array_free(member->backlog, TRUE);
-    g_free(member->name);
-    g_free(member->zone);
     g_free(member);
 }
 
 static member_t *new_member(store_client_t *client, const store_member_t *record) {
     member_t *member = g_new0(member_t, 1);
     member->client = client;
-    member->name = g_strdup(record->name);
-    member->zone = g_strdup(record->zone);
     member->backlog = g_ptr_array_new_with_free_func((GDestroyNotify)g_bytes_unref);
-    parse_socket_address(record->address, &member->address);
+    member->link = store_link_new(client->loop, record->name, record->zone, record->address,
+                                  &link_handler, member);
     return member;
 }
 
 store_client_t *store_client_new(uv_loop_t *loop, const char *zone, const char *own_address,
-                                 void (*on_gateways)(void *owner, const GPtrArray *addresses),
-                                 void *owner) {
+                                 const store_client_handler_t *handler, void *owner) {
     store_client_t *client = g_new0(store_client_t, 1);
     client->loop = loop;
     client->zone = g_strdup(zone);
     client->own_address = g_strdup(own_address);
-    client->on_gateways = on_gateways;
+    client->handler = handler;
     client->owner = owner;
     client->group = store_group_new();
     client->members = g_ptr_array_new_with_free_func(free_member);
@@ -271,12 +244,34 @@
     return client;
 }
 
-bool store_client_connected(const store_client_t *client) {
+/** True if a write quorum of links is open, by whichever way or only direct ones. */
+static bool has_quorum(const store_client_t *client, bool direct_only) {
     unsigned open = 0;
-    for (guint i = 0; i < client->members->len; i++)
-        open += ((const member_t *)g_ptr_array_index(client->members, i))->open;
-    bool quorum = client->members->len > 0 && open >= store_write_quorum(client->members->len);
-    return quorum && !client->silent;
+    for (guint i = 0; i < client->members->len; i++) {
+        const store_link_t *link = ((const member_t *)g_ptr_array_index(client->members, i))->link;
+        open += link->open && !(direct_only && link->relayed);
+    }
+    return client->members->len > 0 && open >= store_write_quorum(client->members->len);
+}
+
+bool store_client_connected(const store_client_t *client) {
+    return has_quorum(client, false) && !client->silent;
+}
+
+bool store_client_connected_directly(const store_client_t *client) {
+    return has_quorum(client, true) && !client->silent;
+}
+
+bool store_client_reaches(const store_client_t *client, const char *name,
+                          struct sockaddr_in *address) {
+    for (guint i = 0; i < client->members->len; i++) {
+        const store_link_t *link = ((const member_t *)g_ptr_array_index(client->members, i))->link;
+        if (strcmp(link->name, name) != 0)
+            continue;
+        *address = link->address;
+        return link->open && !link->relayed;
+    }
+    return false;
 }
 
 /** Takes over the connection of a member that stays, with what waits for it. */
@@ -285,9 +280,9 @@
     parse_socket_address(record->address, &address);
     for (guint i = 0; i < old->len; i++) {
         member_t *member = g_ptr_array_index(old, i);
-        if (strcmp(member->name, record->name) == 0 &&
-            member->address.sin_port == address.sin_port &&
-            member->address.sin_addr.s_addr == address.sin_addr.s_addr)
+        const store_link_t *link = member->link;
+        if (strcmp(link->name, record->name) == 0 && link->address.sin_port == address.sin_port &&
+            link->address.sin_addr.s_addr == address.sin_addr.s_addr)
             return g_ptr_array_steal_index(old, i);
     }
     return new_member(client, record);
@@ -334,7 +329,7 @@
         member_t *member = take_member(client, old, record);
         bool near = strcmp(record->zone, client->zone) == 0;
         g_ptr_array_insert(client->members, near ? 0 : -1, member);
-        if (member->open)
+        if (member->link->open)
             send_group(client, member);
     }
     g_ptr_array_free(old, TRUE);
@@ -384,8 +379,8 @@
     GBytes *bytes = message_encode(&request);
     for (guint i = 0; i < client->members->len; i++) {
         const member_t *member = g_ptr_array_index(client->members, i);
-        if (operation->verdicts[i] == SAID_YES && member->open)
-            frame_connection_send(member->connection, g_bytes_ref(bytes));
+        if (operation->verdicts[i] == SAID_YES && member->link->open)
+            store_link_send(member->link, g_bytes_ref(bytes));
     }
     g_bytes_unref(bytes);
     message_clear(&request);
@@ -524,17 +519,15 @@
     evaluate(operation);
 }
 
-static void on_frame(void *owner, frame_connection_t *connection, const uint8_t *data,
-                     size_t length) {
+static void on_frame(void *owner, store_link_t *link, const uint8_t *data, size_t length) {
     member_t *member = owner;
     message_t message;
-    (void)connection;
-    member->heard_at = uv_now(member->client->loop);
+    (void)link;
     bool valid = message_decode(&message, data, length);
     if (valid && message.type == MESSAGE_GROUP)
         take_group(member->client, &message);
     else if (valid && message.type == MESSAGE_GATEWAYS)
-        member->client->on_gateways(member->client->owner, message.ids);
+        member->client->handler->on_gateways(member->client->owner, message.ids);
     else if (valid)
         take_answer(member, &message);
     message_clear(&message);
@@ -626,8 +619,8 @@
     GBytes *bytes = message_encode(&message);
     for (guint i = 0; i < client->members->len; i++) {
         const member_t *member = g_ptr_array_index(client->members, i);
-        if (member->open)
-            frame_connection_send(member->connection, g_bytes_ref(bytes));
+        if (member->link->open)
+            store_link_send(member->link, g_bytes_ref(bytes));
     }
     g_bytes_unref(bytes);
     message_clear(&message);
@@ -663,8 +656,8 @@
     GBytes *bytes = message_encode(&request);
     for (guint i = 0; i < client->members->len; i++) {
         member_t *member = g_ptr_array_index(client->members, i);
-        if (member->open)
-            frame_connection_send(member->connection, g_bytes_ref(bytes));
+        if (member->link->open)
+            store_link_send(member->link, g_bytes_ref(bytes));
         else if (member->backlog->len < BACKLOG_MAXIMUM)
             g_ptr_array_add(member->backlog, g_bytes_ref(bytes));
     }
--- a/src/gateway/store_client.h
+++ b/src/gateway/store_client.h
@@ -34,17 +34,25 @@
     void (*on_durable)(void *owner, bool durable);
 } store_operation_handler_t;
 
-/**
- * @p own_address is told to the members, so that other gateways learn of this one;
- * @p on_gateways gets the addresses of all gateways that a member knows.
- */
+typedef struct {
+    /** The addresses of all gateways that a member knows. */
+    void (*on_gateways)(void *owner, const GPtrArray *addresses);
+    /** A gateway that may reach members that this one does not; NULL or false: none is known. */
+    bool (*find_relay)(void *owner, struct sockaddr_in *address);
+} store_client_handler_t;
+
+/** @p own_address is told to the members, so that other gateways learn of this one. */
 store_client_t *store_client_new(uv_loop_t *loop, const char *zone, const char *own_address,
-                                 void (*on_gateways)(void *owner, const GPtrArray *addresses),
-                                 void *owner);
+                                 const store_client_handler_t *handler, void *owner);
+/** True if this gateway has a connection of its own to the member @p name; its address. */
+bool store_client_reaches(const store_client_t *client, const char *name,
+                          struct sockaddr_in *address);
 /** Takes a group if it is later than the one known. */
 void store_client_set_group(store_client_t *client, const store_group_t *group);
 /** True if a write quorum of members is connected and not silent. */
 bool store_client_connected(const store_client_t *client);
+/** The same without the help of other gateways. */
+bool store_client_connected_directly(const store_client_t *client);
 
 /** Reserves @p most tokens of the program's budget for a call. */
 store_operation_t *store_client_reserve(store_client_t *client, const char *program,
--- a/src/storesim/virtual_network.c
+++ b/src/storesim/virtual_network.c
@@ -282,3 +282,10 @@
             lose_end_after(peer, latency());
     }
 }
+
+size_t frame_connection_backlog(const frame_connection_t *connection) {
+    size_t bytes = 0;
+    for (const GList *item = connection->unsent->head; item != NULL; item = item->next)
+        bytes += g_bytes_get_size(item->data);
+    return bytes;
+}
--- a/src/storesim/workload.c
+++ b/src/storesim/workload.c
@@ -19,7 +19,8 @@
     READ_TRIES = 15,
     RETENTION_MS = 1000000000,
     CONNECT_CHECK_MS = 50,
-    CUT_PATIENCE_MS = 1100, /**< Less than the kernel takes to give a connection up. */
+    RELAY_PATIENCE_MS = 2500, /**< From the cut until another gateway helps. */
+    CUT_PATIENCE_MS = 1100,   /**< Less than the kernel takes to give a connection up. */
     GATEWAYS_MAXIMUM = 16,
     CONNECT_PATIENCE_MS = 600, /**< Less than a second opening packet of the kernel would take. */
 };
@@ -341,6 +342,45 @@
     virtual_after(CONNECT_CHECK_MS, NULL, check_cuts, NULL);
 }
 
+/* How soon another gateway helps. */
+
+static uint64_t helpless_since[GATEWAYS_MAXIMUM]; /**< Cut, while the others could help. */
+
+static bool others_connected(unsigned number) {
+    for (guint i = 0; i < world->gateways->len; i++) {
+        const world_gateway_t *other = g_ptr_array_index(world->gateways, i);
+        bool awake = other->client != NULL && other->process->paused_until <= virtual_now();
+        if (i != number && !(awake && store_client_connected_directly(other->client)))
+            return false;
+    }
+    return true;
+}
+
+static void check_relay(unsigned number) {
+    const world_gateway_t *gateway = g_ptr_array_index(world->gateways, number);
+    const store_group_t *group = world_group(world);
+    bool cut = group != NULL && gateway->client != NULL &&
+               (unsigned)__builtin_popcountll(stores_in_reach(gateway)) <
+                   store_write_quorum(group->members->len);
+    if (!cut || !others_connected(number) || store_client_connected(gateway->client))
+        helpless_since[number] = 0;
+    else if (helpless_since[number] == 0)
+        helpless_since[number] = virtual_now();
+    else if (virtual_now() >= helpless_since[number] + RELAY_PATIENCE_MS)
+        result.cuts_unserved++;
+}
+
+static void check_relays(void *data) {
+    virtual_after(CONNECT_CHECK_MS, NULL, check_relays, data);
+    for (guint i = 0; i < world->gateways->len && virtual_now() < write_until; i++)
+        check_relay(i);
+}
+
+void workload_judge_relays(void) {
+    memset(helpless_since, 0, sizeof helpless_since);
+    virtual_after(CONNECT_CHECK_MS, NULL, check_relays, NULL);
+}
+
 void workload_start(world_t *in_world, uint64_t until) {
     world = in_world;
     write_until = until;
--- a/src/storesim/world.c
+++ b/src/storesim/world.c
@@ -1,5 +1,7 @@
 #include "storesim/world.h"
 
+#include "gateway/store_relay.h"
+
 #include <string.h>
 
 enum { MEMORY_MEGABYTES = 1000 };
@@ -57,11 +59,24 @@
     (void)addresses;
 }
 
+/** Any other gateway; a relay that doesn't reach a storage node itself refuses. */
+static bool find_relay(void *owner, struct sockaddr_in *address) {
+    const world_gateway_t *gateway = owner;
+    const GPtrArray *gateways = gateway->world->gateways;
+    const world_gateway_t *other =
+        g_ptr_array_index(gateways, virtual_random(0, gateways->len - 1));
+    *address = other->process->address;
+    return gateway->world->relays && other != gateway;
+}
+
+static const store_client_handler_t client_handler = {on_gateways, find_relay};
+
 void world_start_gateway(world_gateway_t *gateway) {
     virtual_process_t *process = gateway->process;
     virtual_process_begin(process);
     gateway->client = store_client_new(&process->loop, process->zone, process->address_text,
-                                       on_gateways, gateway);
+                                       &client_handler, gateway);
+    store_relay_open(&process->loop, &process->address, gateway->client);
     key_value_watch_open(&process->loop, &process->address, "", key_value_prefix(KEY_OWN), 0,
                          &watch_handler, gateway);
 }
@@ -95,6 +110,7 @@
     world_gateway_t *gateway = g_new0(world_gateway_t, 1);
     char *name = g_strdup_printf("gateway-%u", number);
     char *zone = g_strdup_printf("zone-%u", number % 4);
+    gateway->world = world;
     gateway->process = virtual_process_new(name, zone, 1000 + number);
     g_free(name);
     g_free(zone);
@@ -112,6 +128,7 @@
     if (broken == BREAK_CATCH_UP)
         virtual_network_break_catch_up();
     world_t *world = g_new0(world_t, 1);
+    world->relays = true;
     world->stores = g_ptr_array_new();
     world->gateways = g_ptr_array_new();
     for (unsigned i = 0; i < stores + spares; i++)
--- a/src/storesim/world.h
+++ b/src/storesim/world.h
@@ -24,7 +24,10 @@
     uint64_t lost_until; /**< It counts as lost until then. */
 } world_store_t;
 
+struct world;
+
 typedef struct {
+    const struct world *world;
     virtual_process_t *process;
     store_client_t *client; /**< NULL while it is down. */
 } world_gateway_t;
@@ -32,7 +35,8 @@
 /** Faults of the code itself, for the sweep's own test. */
 typedef enum { BREAK_NOTHING, BREAK_SYNC, BREAK_IDENTITY, BREAK_CATCH_UP } world_break_t;
 
-typedef struct {
+typedef struct world {
+    bool relays;         /**< Gateways pass frames on for one that is cut off. */
     GPtrArray *stores;   /**< Of world_store_t. */
     GPtrArray *gateways; /**< Of world_gateway_t. */
 } world_t;
@@ -62,6 +66,8 @@
 void workload_judge_connects(void);
 /** Also judges how soon gateways notice that they are cut off from storage nodes. */
 void workload_judge_cuts(void);
+/** Judges instead how soon a gateway that is cut off is connected through another one. */
+void workload_judge_relays(void);
 /** Begins reading back everything that was acknowledged. */
 void workload_check_all(void);
 
@@ -77,6 +83,7 @@
     uint64_t turns_not_read;   /**< Acknowledged, and not readable at the end. */
     uint64_t budgets_exceeded; /**< Programs that could hand out more than their budget. */
     uint64_t connects_late;    /**< Gateways still without storage nodes when all had been up. */
+    uint64_t cuts_unserved;    /**< Gateways behind a cut whom no other gateway helped. */
     uint64_t cuts_unnoticed;   /**< Gateways that believed in storage nodes behind a cut. */
 } workload_result_t;
 const workload_result_t *workload_result(void);
--- a/tests/integration/store_simulator_test.sh
+++ b/tests/integration/store_simulator_test.sh
@@ -24,6 +24,8 @@
     store_sim --seeds 1..100 --only power_all
 expect "storage nodes: gateways notice that they are cut off, seeds 1..100" \
     store_sim --seeds 1..100 --only cut_gateway
+expect "storage nodes: a gateway that is cut off is helped by another, seeds 1..100" \
+    store_sim --seeds 1..100 --only cut_gateway --judge-relays
 expect "storage nodes: one after the other is to be emptied, seeds 1..100" \
     store_sim --seeds 1..100 --only retire
 expect "a seed runs the same twice" same_twice
