gateways that start while the key-value service is away serve from what the storage nodes keep

Gateways keep nothing, and nobody told a new one where the storage nodes are.

It serves from it until the service answers; a call without a route gets 503, not 404, meanwhile, because a later configuration may have one. Versions never go back within a process; back ends are named by instance.

Tests: directory_snapshot_test.cc; all processes killed and started without the service (power_test.sh), which waits for readiness in vain without the change.

--- a/src/cluster/message.c
+++ b/src/cluster/message.c
@@ -26,6 +26,8 @@
     g_free(message->turn_id);
     if (message->group != NULL)
         g_bytes_unref(message->group);
+    if (message->directory != NULL)
+        g_bytes_unref(message->directory);
     if (message->digest != NULL)
         g_bytes_unref(message->digest);
     g_array_free(message->turns, TRUE);
@@ -144,6 +146,11 @@
     case REQUEST_INDEX:
         codec_bytes(codec, &message->digest);
         break;
+    case MESSAGE_DIRECTORY:
+        codec_uint64(codec, &message->revision);
+        codec_bytes(codec, &message->directory);
+        break;
+    case REQUEST_DIRECTORY:
     case REQUEST_STATUS:
     case RESPONSE_STATUS:
     case RESPONSE_OLD_GENERATION:
--- a/src/cluster/message.h
+++ b/src/cluster/message.h
@@ -39,6 +39,8 @@
     MESSAGE_GATEWAYS,        /**< Addresses of the gateways that the receiver should know. */
     MESSAGE_PLACE,           /**< The back end at which a program runs now; no answer. */
     MESSAGE_RELAY,           /**< To a gateway: pass all that follows to the storage node named. */
+    REQUEST_DIRECTORY,       /**< A gateway lacks the directory. */
+    MESSAGE_DIRECTORY,       /**< A directory snapshot: the answer, or a gateway's news. */
     MESSAGE_TYPE_COUNT,
 } message_type_t;
 
@@ -59,11 +61,13 @@
     budget_summary_t summary; /**< A program's charges in short. */
     uint64_t place; /**< Hash of the back end's instance where the program last ran; 0: unknown. */
     char *turn_id;
-    GBytes *group;   /**< An encoded store group. */
-    GBytes *digest;  /**< An encoded record_digest_t of what the sender holds. */
-    GArray *turns;   /**< Of turn_t: one to keep, or a chain from its newest turn. */
-    GPtrArray *ids;  /**< Of turns; or a gateway's address and zone, or addresses. */
-    GArray *charges; /**< Of budget_charge_t. */
+    uint64_t revision; /**< Of the directory snapshot. */
+    GBytes *directory; /**< An encoded directory_snapshot_t. */
+    GBytes *group;     /**< An encoded store group. */
+    GBytes *digest;    /**< An encoded record_digest_t of what the sender holds. */
+    GArray *turns;     /**< Of turn_t: one to keep, or a chain from its newest turn. */
+    GPtrArray *ids;    /**< Of turns; or a gateway's address and zone, or addresses. */
+    GArray *charges;   /**< Of budget_charge_t. */
 } message_t;
 
 void message_init(message_t *message, message_type_t type);
--- a/src/gateway/call.c
+++ b/src/gateway/call.c
@@ -198,6 +198,15 @@
     return call->arrived_at + allowed;
 }
 
+static void refuse_without_route(call_t *call, const char *host) {
+    if (host == NULL)
+        call_refuse(call, STATUS_BAD_REQUEST, CALL_NO_ROUTE);
+    else if (call->gateway->directory_confirmed)
+        call_refuse(call, STATUS_NOT_FOUND, CALL_NO_ROUTE);
+    else /* The configuration in force may be a later one, and have the route. */
+        call_refuse(call, STATUS_UNAVAILABLE, CALL_NO_CONFIGURATION);
+}
+
 static void start_call(call_t *call) {
     gateway_t *gateway = call->gateway;
     call->id = call_field(call, FIELD_CALL_ID);
@@ -214,7 +223,7 @@
     if (host != NULL)
         call->route = directory_find_route(call->configuration, host, call->request->target);
     if (call->route == NULL) {
-        call_refuse(call, host == NULL ? STATUS_BAD_REQUEST : STATUS_NOT_FOUND, CALL_NO_ROUTE);
+        refuse_without_route(call, host);
         return;
     }
     if (call->id == NULL) {
--- a/src/gateway/directory_watch.c
+++ b/src/gateway/directory_watch.c
@@ -2,6 +2,10 @@
  * Design. One watch over the whole key-value service brings configuration, back ends and the
  * store group. A version of the configuration never goes back. Back ends that a listing lacks
  * are gone; while the service does not answer, what was known last stays in use.
+ *
+ * The gateways on duty (watch_duty.h) give the storage nodes what they have seen. A gateway that
+ * starts while the service is away serves from that until the service answers; it says 503, not
+ * 404, to a call without a route, since a later configuration may have one.
  */
 #include "gateway/gateway.h"
 
@@ -9,7 +13,13 @@
 
 #include <string.h>
 
-enum { PEER_NEWS_MS = 1000 /**< What a gateway told counts for so long. */ };
+enum {
+    PEER_NEWS_MS = 1000,     /**< What a gateway told counts for so long. */
+    DIRECTORY_LOOK_MS = 100, /**< Between two looks whether the directory is to be asked or told. */
+    SERVICE_PATIENCE_MS = 250, /**< The service is taken to be away without an answer in this. */
+    TELL_LEAST_MS = 1000,      /**< Between two snapshots for the storage nodes, */
+    TELL_BYTES_PER_MS = 100,   /**< and more the larger they are. */
+};
 
 static void take_configuration(gateway_t *gateway, const key_value_item_t *item) {
     if (item->value == NULL)
@@ -62,8 +72,7 @@
     store_group_free(group);
 }
 
-static void on_item(void *owner, const key_value_item_t *item) {
-    gateway_t *gateway = owner;
+static void take_item(gateway_t *gateway, const key_value_item_t *item) {
     const char *name;
     switch (key_value_kind(item->key, &name)) {
     case KEY_CONFIGURATION:
@@ -79,6 +88,15 @@
     case KEY_OTHER:
         break;
     }
+}
+
+static void on_item(void *owner, const key_value_item_t *item) {
+    gateway_t *gateway = owner;
+    const char *name;
+    key_kind_t kind = key_value_kind(item->key, &name);
+    if (kind == KEY_CONFIGURATION || kind == KEY_BACKEND)
+        directory_snapshot_note(&gateway->snapshot, item);
+    take_item(gateway, item);
     gateway_check_ready(gateway);
 }
 
@@ -94,14 +112,17 @@
             g_hash_table_add(instances, (gpointer)name);
     }
     backends_retain(&gateway->backends, instances);
+    directory_snapshot_retain(&gateway->snapshot, keys);
     g_hash_table_destroy(instances);
     gateway->backends_listed = true;
+    gateway->directory_confirmed = true;
     gateway_check_ready(gateway);
 }
 
 static void on_reachable(void *owner, bool reachable) {
     gateway_t *gateway = owner;
     gateway->key_value_reachable = reachable;
+    gateway->key_value_failed = !reachable;
     if (reachable)
         event_log(KEY_VALUE_REACHABLE, gateway->settings->key_value_text);
     else
@@ -111,7 +132,60 @@
 
 static const key_value_watch_handler_t handler = {on_item, on_listed, on_reachable};
 
+/* The directory that the storage nodes keep. */
+
+void gateway_take_directory(void *owner, GBytes *bytes) {
+    gateway_t *gateway = owner;
+    directory_snapshot_t snapshot;
+    directory_snapshot_init(&snapshot);
+    if (!gateway->directory_confirmed && !gateway->backends_listed &&
+        directory_snapshot_decode(&snapshot, bytes)) {
+        GHashTableIter iterator;
+        gpointer key;
+        gpointer value;
+        g_hash_table_iter_init(&iterator, snapshot.items);
+        while (g_hash_table_iter_next(&iterator, &key, &value)) {
+            key_value_item_t item = {.key = key, .value = value, .revision = snapshot.revision};
+            take_item(gateway, &item);
+        }
+        gateway->backends_listed = true;
+        event_log(GATEWAY_DIRECTORY_KEPT, snapshot.revision, backends_count(&gateway->backends));
+        gateway_check_ready(gateway);
+    }
+    directory_snapshot_clear(&snapshot);
+}
+
+static void tell_directory(gateway_t *gateway) {
+    uint64_t now = uv_now(gateway->loop);
+    unsigned links = store_client_links_opened(gateway->stores);
+    bool news =
+        gateway->snapshot.revision != gateway->told_revision || links != gateway->told_links;
+    if (!gateway->tells_directory || !gateway->directory_confirmed || !news ||
+        now < gateway->told_at)
+        return;
+    GBytes *bytes = directory_snapshot_encode(&gateway->snapshot);
+    store_client_tell_directory(gateway->stores, gateway->snapshot.revision, bytes);
+    gateway->told_revision = gateway->snapshot.revision;
+    gateway->told_links = links;
+    gateway->told_at = now + TELL_LEAST_MS + g_bytes_get_size(bytes) / TELL_BYTES_PER_MS;
+    g_bytes_unref(bytes);
+}
+
+static void on_directory_look(uv_timer_t *timer) {
+    gateway_t *gateway = timer->data;
+    bool waited = uv_now(gateway->loop) >= gateway->started_at + SERVICE_PATIENCE_MS;
+    if (!gateway->backends_listed && (gateway->key_value_failed || waited))
+        store_client_ask_directory(gateway->stores);
+    tell_directory(gateway);
+}
+
 void gateway_watch_directory(gateway_t *gateway) {
+    directory_snapshot_init(&gateway->snapshot);
+    gateway->tells_directory = true;
+    uv_timer_init(gateway->loop, &gateway->directory_timer);
+    gateway->directory_timer.data = gateway;
+    uv_timer_start(&gateway->directory_timer, on_directory_look, DIRECTORY_LOOK_MS,
+                   DIRECTORY_LOOK_MS);
     const process_settings_t *settings = gateway->settings;
     gateway->watch = key_value_watch_open(gateway->loop, &settings->key_value,
                                           settings->key_value_text, key_value_prefix(KEY_OTHER),
@@ -152,6 +226,7 @@
     watch_decision_t decision = watch_duty_decide(own, (const watch_report_t *)reports->data,
                                                   reports->len, period_ms, uv_now(gateway->loop));
     key_value_watch_set_wait(gateway->watch, decision.wait_ms);
+    gateway->tells_directory = decision.wait_ms == WATCH_WAIT_RENEWING_MS;
     if (decision.renew)
         key_value_watch_renew(gateway->watch);
     look_at_peers(gateway, reports);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -8,6 +8,7 @@
 #ifndef RUDDERWAY_GATEWAY_GATEWAY_H
 #define RUDDERWAY_GATEWAY_GATEWAY_H
 
+#include "cluster/directory_snapshot.h"
 #include "cluster/key_value_watch.h"
 #include "cluster/metrics_page.h"
 #include "cluster/process_settings.h"
@@ -54,12 +55,20 @@
     chain_cache_t chains;
     GHashTable *split_credits; /**< Route name to what each part is owed; see split.h. */
     key_value_watch_t *watch;
+    directory_snapshot_t snapshot; /**< Of what the watch has shown. */
+    bool directory_confirmed;      /**< The key-value service has shown it, not a storage node. */
+    uint64_t told_revision;        /**< Of the snapshot that storage nodes were last told. */
+    uint64_t told_at;
+    unsigned told_links;  /**< Links that had opened by then. */
+    bool tells_directory; /**< It is this gateway's duty. */
+    uv_timer_t directory_timer;
     watch_state_t watch_state; /**< Of the duty that gateways share. */
     gateway_counters_t counters;
     uint64_t started_at;
     bool stores_reached;   /**< A quorum of them has been connected. */
     outage_t store_outage; /**< Storage nodes can't answer for budgets or turns. */
     bool key_value_reachable;
+    bool key_value_failed;   /**< It was asked, and did not answer. */
     uint64_t stores_lost_at; /**< Since when no quorum of storage nodes answers; 0: one does. */
     bool others_have_stores; /**< Another gateway reaches storage nodes. */
     outage_t configuration_outage; /**< No configuration is known yet. */
@@ -76,6 +85,8 @@
 /** Follows configuration, back ends and the store group; see directory_watch.c. */
 void gateway_watch_directory(gateway_t *gateway);
 extern const load_sharing_handler_t gateway_watch_sharing;
+/** Takes a directory that a storage node kept, if the key-value service has shown none yet. */
+void gateway_take_directory(void *owner, GBytes *snapshot);
 /**
  * True if this gateway reaches no quorum of storage nodes, and either others do or the key-value
  * service is out of its reach as well: then it is cut off, and others can serve.
--- a/src/gateway/main.c
+++ b/src/gateway/main.c
@@ -60,7 +60,8 @@
     return load_sharing_find_relay(gateway->load_sharing, address);
 }
 
-static const store_client_handler_t store_handler = {on_gateways, find_relay};
+static const store_client_handler_t store_handler = {on_gateways, gateway_take_directory,
+                                                     find_relay};
 
 static bool open_gateway(gateway_t *gateway) {
     const process_settings_t *settings = gateway->settings;
--- a/src/gateway/store_client.c
+++ b/src/gateway/store_client.c
@@ -33,6 +33,7 @@
     GHashTable *operations; /**< Number to store_operation_t. */
     uint64_t last_number;
     uv_timer_t reconnect;
+    unsigned links_opened;
     bool silent; /**< Too few members answer, although they are connected. */
     unsigned silent_rounds;
 };
@@ -109,6 +110,7 @@
     (void)link;
     send_group(client, member);
     tell_own_address(client, member);
+    client->links_opened++;
     for (guint i = 0; i < member->backlog->len; i++)
         store_link_send(member->link, g_bytes_ref(g_ptr_array_index(member->backlog, i)));
     g_ptr_array_set_size(member->backlog, 0);
@@ -461,7 +463,7 @@
         evaluate_chain(operation);
 }
 
-static void take_group(store_client_t *client, const message_t *message) {
+void store_client_take_group(store_client_t *client, const message_t *message) {
     gsize length;
     const void *data = g_bytes_get_data(message->group, &length);
     store_group_t *group = store_group_decode(data, length);
@@ -525,9 +527,11 @@
     (void)link;
     bool valid = message_decode(&message, data, length);
     if (valid && message.type == MESSAGE_GROUP)
-        take_group(member->client, &message);
+        store_client_take_group(member->client, &message);
     else if (valid && message.type == MESSAGE_GATEWAYS)
         member->client->handler->on_gateways(member->client->owner, message.ids);
+    else if (valid && message.type == MESSAGE_DIRECTORY && message.directory != NULL)
+        member->client->handler->on_directory(member->client->owner, message.directory);
     else if (valid)
         take_answer(member, &message);
     message_clear(&message);
@@ -611,19 +615,49 @@
     return operation->place;
 }
 
+/** Sends @p message to all connected members, without any answer; clears it. */
+static void tell_members(const store_client_t *client, message_t *message) {
+    GBytes *bytes = message_encode(message);
+    for (guint i = 0; i < client->members->len; i++)
+        store_link_send(((const member_t *)g_ptr_array_index(client->members, i))->link,
+                        g_bytes_ref(bytes));
+    g_bytes_unref(bytes);
+    message_clear(message);
+}
+
 void store_client_tell_place(store_client_t *client, const char *program, uint64_t place) {
     message_t message;
     message_init(&message, MESSAGE_PLACE);
     message.charge.program = g_strdup(program);
     message.place = place;
-    GBytes *bytes = message_encode(&message);
+    tell_members(client, &message);
+}
+
+void store_client_tell_directory(const store_client_t *client, uint64_t revision,
+                                 GBytes *snapshot) {
+    message_t message;
+    message_init(&message, MESSAGE_DIRECTORY);
+    message.revision = revision;
+    message.directory = g_bytes_ref(snapshot);
+    tell_members(client, &message);
+}
+
+bool store_client_ask_directory(const store_client_t *client) {
     for (guint i = 0; i < client->members->len; i++) {
-        const member_t *member = g_ptr_array_index(client->members, i);
-        if (member->link->open)
-            store_link_send(member->link, g_bytes_ref(bytes));
+        const store_link_t *link = ((const member_t *)g_ptr_array_index(client->members, i))->link;
+        if (!link->open)
+            continue;
+        message_t message;
+        message_init(&message, REQUEST_DIRECTORY);
+        store_link_send(link, message_encode(&message));
+        message_clear(&message);
+        return true;
     }
-    g_bytes_unref(bytes);
-    message_clear(&message);
+    return false;
+}
+
+unsigned store_client_links_opened(const store_client_t *client) {
+    return client->links_opened;
 }
 
 store_operation_t *store_client_put_turn(store_client_t *client, const turn_t *turn,
--- a/src/gateway/store_client.h
+++ b/src/gateway/store_client.h
@@ -37,6 +37,8 @@
 typedef struct {
     /** The addresses of all gateways that a member knows. */
     void (*on_gateways)(void *owner, const GPtrArray *addresses);
+    /** A directory snapshot that a member keeps came; see store_client_ask_directory. */
+    void (*on_directory)(void *owner, GBytes *snapshot);
     /** A gateway that may reach members that this one does not; NULL or false: none is known. */
     bool (*find_relay)(void *owner, struct sockaddr_in *address);
 } store_client_handler_t;
@@ -44,11 +46,19 @@
 /** @p own_address is told to the members, so that other gateways learn of this one. */
 store_client_t *store_client_new(uv_loop_t *loop, const char *zone, const char *own_address,
                                  const store_client_handler_t *handler, void *owner);
+/** Asks one connected member for the directory; false if none is connected. */
+bool store_client_ask_directory(const store_client_t *client);
+/** Gives the members an encoded directory_snapshot_t to keep. */
+void store_client_tell_directory(const store_client_t *client, uint64_t revision, GBytes *snapshot);
+/** Counts links that opened, so that news can be told to whom they are new. */
+unsigned store_client_links_opened(const store_client_t *client);
 /** True if this gateway has a connection of its own to the member @p name; its address. */
 bool store_client_reaches(const store_client_t *client, const char *name,
                           struct sockaddr_in *address);
 /** Takes a group if it is later than the one known. */
 void store_client_set_group(store_client_t *client, const store_group_t *group);
+/** The same from a MESSAGE_GROUP. */
+void store_client_take_group(store_client_t *client, const message_t *message);
 /** True if a write quorum of members is connected and not silent. */
 bool store_client_connected(const store_client_t *client);
 /** The same without the help of other gateways. */
--- a/src/gateway/store_link.c
+++ b/src/gateway/store_link.c
@@ -46,7 +46,15 @@
     link->handler->on_frame(link->owner, link, data, length);
 }
 
+static void close_direct(store_link_t *link) {
+    if (link->direct != NULL)
+        frame_connection_close(link->direct);
+    link->direct = NULL;
+}
+
+/** Whatever was tried beside the connection ends with it. */
 static void connection_ended(store_link_t *link) {
+    close_direct(link);
     if (link->open)
         event_log(GATEWAY_STORE_LOST, link->name);
     link->open = false;
@@ -64,14 +72,7 @@
 
 static const frame_handler_t connection_handler = {on_open, on_frame, on_closed};
 
-static void close_direct(store_link_t *link) {
-    if (link->direct != NULL)
-        frame_connection_close(link->direct);
-    link->direct = NULL;
-}
-
 static void close_connection(store_link_t *link) {
-    close_direct(link);
     if (link->connection == NULL)
         return;
     frame_connection_close(link->connection);
--- a/src/gateway/store_relay.c
+++ b/src/gateway/store_relay.c
@@ -93,6 +93,8 @@
     }
     message_t message;
     bool valid = message_decode(&message, data, length);
+    if (valid && message.type == MESSAGE_GROUP)
+        store_client_take_group(relay->stores, &message);
     if (valid && message.type == MESSAGE_RELAY)
         begin_relayed(relayed, &message);
     else
--- a/src/gateway/store_relay.h
+++ b/src/gateway/store_relay.h
@@ -4,6 +4,9 @@
  * which this gateway is connected itself. The other gateway connects to this one's peer address and
  * names the storage node in its first frame; from then on every frame goes on as it is.
  *
+ * A storage node connects here too, to tell its group to a gateway that may have started while the
+ * key-value service is away, and would not find the storage nodes by itself.
+ *
  * Failures. If this gateway has no connection of its own to that node, or either side ends or does
  * not read, both connections are closed: the other gateway tries another way. A relay leads to
  * storage nodes of the group only.
--- a/src/store/gateway_directory.c
+++ b/src/store/gateway_directory.c
@@ -38,6 +38,16 @@
     return g_hash_table_remove(directory->gateways, serial);
 }
 
+bool gateway_directory_has(const gateway_directory_t *directory, const char *address) {
+    GHashTableIter iterator;
+    gpointer value;
+    g_hash_table_iter_init(&iterator, directory->gateways);
+    while (g_hash_table_iter_next(&iterator, NULL, &value))
+        if (strcmp(((const gateway_entry_t *)value)->address, address) == 0)
+            return true;
+    return false;
+}
+
 GPtrArray *gateway_directory_known(const gateway_directory_t *directory, const char *zone) {
     GPtrArray *addresses = g_ptr_array_new_with_free_func(g_free);
     bool all = gateway_directory_count(directory) <= GATEWAYS_FEW;
--- a/src/store/gateway_directory.h
+++ b/src/store/gateway_directory.h
@@ -29,6 +29,8 @@
                            const char *address, const char *zone);
 /** False if the connection is no gateway's. */
 bool gateway_directory_remove(gateway_directory_t *directory, const uint64_t *serial);
+/** True if a gateway at @p address is connected. */
+bool gateway_directory_has(const gateway_directory_t *directory, const char *address);
 /** Addresses that a gateway of @p zone should know, its own included; of char *, to be freed. */
 GPtrArray *gateway_directory_known(const gateway_directory_t *directory, const char *zone);
 /** Calls @p visit for each gateway. */
--- a/src/store/store.c
+++ b/src/store/store.c
@@ -1,6 +1,7 @@
 #include "store/store.h"
 
 #include "common/event.h"
+#include "store/store_directory.h"
 
 enum {
     UPKEEP_MS = 5000,
@@ -47,6 +48,7 @@
     budget_table_init(&store->budgets);
     program_places_init(&store->places);
     store_requests_start(store);
+    store->directory = store_directory_new(store);
     if (!open_log(store, error))
         return false;
     store->listener =
@@ -60,6 +62,7 @@
     uv_timer_start(&store->upkeep, on_upkeep, UPKEEP_MS, UPKEEP_MS);
     store->catch_up = store_catch_up_new(store);
     store->membership = store_membership_new(store);
+    store_directory_start(store->directory);
     store_catch_up_check(store);
     return true;
 }
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -24,6 +24,7 @@
 
 typedef struct store_catch_up store_catch_up_state_t;
 typedef struct store_membership store_membership_t;
+typedef struct store_directory store_directory_t;
 
 typedef struct {
     uv_loop_t *loop;
@@ -49,6 +50,8 @@
     uint64_t refused_for_room; /**< Turns, because memory or disk is nearly full. */
     store_catch_up_state_t *catch_up;
     store_membership_t *membership;
+    store_directory_t *directory;
+    unsigned state_writes; /**< Of the state file, on their way to the disk. */
 } store_t;
 
 /** Charges are kept at least so long after their program's last call, in ms. */
@@ -71,6 +74,8 @@
 void store_set_complete(store_t *store, uint64_t generation);
 /** Writes the state file. */
 void store_write_state(store_t *store);
+/** True if no state file is on its way to the disk. */
+bool store_state_settled(const store_t *store);
 /** Restores identity and group from the state file; true if there was one. */
 bool store_restore_state(store_t *store);
 /** Sends the group to one connection. */
--- a/src/store/store_requests.c
+++ b/src/store/store_requests.c
@@ -12,6 +12,7 @@
 
 #include "common/event.h"
 #include "core/digest/record_digest.h"
+#include "store/store_directory.h"
 
 enum {
     CHAIN_TURNS_MAXIMUM = 2000,
@@ -307,6 +308,7 @@
         return;
     gateway_directory_add(&store->gateways, frame_connection_serial(connection),
                           g_ptr_array_index(message->ids, 0), g_ptr_array_index(message->ids, 1));
+    store_directory_gateway_seen(store->directory, g_ptr_array_index(message->ids, 0));
     gateways_changed(store);
 }
 
@@ -342,6 +344,12 @@
     case MESSAGE_PLACE:
         program_places_note(&store->places, request.charge.program, request.place, now(store));
         break;
+    case MESSAGE_DIRECTORY:
+        store_directory_take(store->directory, &request);
+        break;
+    case REQUEST_DIRECTORY:
+        store_directory_send(store->directory, connection);
+        break;
     case MESSAGE_GATEWAY:
         take_gateway(store, connection, &request);
         break;
--- a/src/store/store_state.c
+++ b/src/store/store_state.c
@@ -6,11 +6,16 @@
 #include "store/store.h"
 
 #include "common/event.h"
+#include "store/store_directory.h"
 
 static void state_codec(codec_t *codec, store_t *store, uint64_t *complete_in) {
     codec_bool(codec, &store->founding);
     codec_uint64(codec, complete_in);
     store_group_codec(codec, store->group);
+    /* Files of earlier versions end here. */
+    bool ends = codec->decoding && codec->position == codec->length;
+    if (!ends)
+        store_directory_codec(codec, store->directory);
 }
 
 typedef struct {
@@ -23,6 +28,7 @@
     state_write_t *write = owner;
     store_t *store = write->store;
     (void)segment;
+    store->state_writes--;
     if (durable) {
         store->identity_durable = true;
         store->group_durable =
@@ -43,9 +49,14 @@
     write->store = store;
     write->generation = store->group->generation;
     write->complete_in = complete_in;
+    store->state_writes++;
     record_log_write_state(store->log, codec_finish(&codec), on_state_written, write);
 }
 
+bool store_state_settled(const store_t *store) {
+    return store->state_writes == 0;
+}
+
 void store_write_state(store_t *store) {
     write_state(store, store->complete_in);
 }
--- a/src/storesim/world.c
+++ b/src/storesim/world.c
@@ -69,7 +69,12 @@
     return gateway->world->relays && other != gateway;
 }
 
-static const store_client_handler_t client_handler = {on_gateways, find_relay};
+static void on_directory(void *owner, GBytes *snapshot) {
+    (void)owner;
+    (void)snapshot;
+}
+
+static const store_client_handler_t client_handler = {on_gateways, on_directory, find_relay};
 
 void world_start_gateway(world_gateway_t *gateway) {
     virtual_process_t *process = gateway->process;
--- a/tests/integration/power_test.sh
+++ b/tests/integration/power_test.sh
@@ -15,7 +15,7 @@
 zone=z$(($3 % 3))
 log_level=notice
 [key_value]
-address=127.0.0.1:$POWER_BASE
+address=127.0.0.1:${POWER_KEY_VALUE:-$POWER_BASE}
 [peer]
 listen=127.0.0.1:$((POWER_BASE + 10 + $3))
 [gateway]
@@ -97,9 +97,30 @@
     [ "$(grep -c '^turn' "$file")" -ge "$POWER_ROUNDS" ]
 }
 
+# All are killed and start again while nothing answers at the key-value service's address: the
+# gateways serve from what the storage nodes kept.
+power_without_key_value() {
+    local ports="$((POWER_BASE + 33)) $((POWER_BASE + 34))"
+    local file=$CLUSTER_DIR/acknowledged_without
+    : > "$file"
+    power_start false
+    power_wait || return 1
+    "$BUILD/tests/platform_caller" write "$file" 1.2 $ports || return 1
+    # The storage nodes write down at most once a second what gateways told them.
+    sleep 3
+    power_kill
+    POWER_KEY_VALUE=$((POWER_BASE + 9)) power_start false
+    power_wait || return 1
+    "$BUILD/tests/platform_caller" verify "$file" 120 $ports || return 1
+    power_kill
+    grep -q E835 "$CLUSTER_DIR/gateway3.log" && [ "$(grep -c '^turn' "$file")" -ge 1 ]
+}
+
 "$BUILD/tests/platform_standin" "$POWER_BASE" "$((POWER_BASE + 1))" "$((POWER_BASE + 2))" &
 POWER_STANDIN=$!
 expect "all killed and one folder removed, $POWER_ROUNDS times" power_rounds
 power_kill
+expect "all killed, and started without the key-value service" power_without_key_value
+power_kill
 kill "$POWER_STANDIN" 2> /dev/null
 wait "$POWER_STANDIN" 2> /dev/null
--- a/tests/integration/store_simulator_test.sh
+++ b/tests/integration/store_simulator_test.sh
@@ -26,6 +26,8 @@
     store_sim --seeds 1..100 --only cut_gateway
 expect "storage nodes: a gateway that is cut off is helped by another, seeds 1..100" \
     store_sim --seeds 1..100 --only cut_gateway --judge-relays
+# A direct connection came up beside a relayed one that had just been lost, and the gateway crashed.
+expect "storage nodes: seed 787" store_sim --seeds 787
 expect "storage nodes: one after the other is to be emptied, seeds 1..100" \
     store_sim --seeds 1..100 --only retire
 expect "a seed runs the same twice" same_twice
