gateways: streams that are cut or lost go on at the same server, or elsewhere once it can't be reached

Change. core/retry/resend.h: the same back end may get the call again (twice at most), from the last event that the caller has; a back end that has ended or can't be reached does not count against the route's bound. core/retry/ silence.h: a call is lost if one sent 0.4 s later has been answered long since, or if others' streams go on while its own stands still; a back end of which nothing is heard for 0.3 s, or three times its usual wait, is probed: two connections in a row that are refused or not up in 0.3 s mean that it can't be reached, and it is left out. call_send.c gave its retries to call_retry.c.

Ruled out: another back end while the first is alive: the route's bound counts it.

--- a/src/gateway/backends.c
+++ b/src/gateway/backends.c
@@ -1,6 +1,7 @@
 #include "gateway/backends.h"
 
 #include "common/event.h"
+#include "gateway/backend_probe.h"
 
 #include <string.h>
 #include <xxhash.h>
@@ -41,6 +42,7 @@
 static void unref(backend_t *backend) {
     if (--backend->references > 0)
         return;
+    backend_probe_stop(backend);
     close_idle(backend);
     g_queue_clear(&backend->unanswered);
     g_ptr_array_free(backend->idle, TRUE);
@@ -142,7 +144,7 @@
 /** True if some call has waited too long for the first word of its answer. */
 static bool overdue(backend_t *backend, uint64_t now) {
     const uint64_t *oldest = g_queue_peek_head(&backend->unanswered);
-    uint64_t patience = MAX(OVERDUE_LEAST_MS, OVERDUE_TIMES * (uint64_t)backend->answer_ms);
+    uint64_t patience = MAX(OVERDUE_LEAST_MS, OVERDUE_TIMES * (uint64_t)backend->signs.answer_ms);
     bool late = oldest != NULL && now > *oldest + patience;
     if (late && !backend->overdue)
         event_log(BACKEND_EJECTED, backend->record->instance, 0U, "overdue");
@@ -201,10 +203,10 @@
     return cost;
 }
 
-static void take(backends_t *backends, backend_t *backend) {
+void backend_take(backend_t *backend) {
     backend->references++;
     backend->under_way++;
-    backends->changes++;
+    backend->owner->changes++;
 }
 
 backend_t *backends_choose(backends_t *backends, const backend_choice_t *choice) {
@@ -227,7 +229,7 @@
         best_cost = cost;
     }
     if (best != NULL)
-        take(backends, best);
+        backend_take(best);
     return best;
 }
 
@@ -256,7 +258,7 @@
     bool found = engine_choose(candidates, count, request, &index);
     backend_t *chosen = found ? engines[index] : NULL;
     if (found)
-        take(backends, chosen);
+        backend_take(chosen);
     g_free((gpointer)engines);
     g_free(candidates);
     return chosen;
@@ -283,11 +285,12 @@
 
 void backend_send_answered(backend_t *backend, const uint64_t *sent_at) {
     backend_send_ended(backend, sent_at);
+    backend->signs.answered_sent_at = MAX(backend->signs.answered_sent_at, *sent_at);
     uint32_t ms = (uint32_t)(uv_now(backend->loop) - *sent_at);
-    if (backend->answer_ms == 0)
-        backend->answer_ms = ms;
+    if (backend->signs.answer_ms == 0)
+        backend->signs.answer_ms = ms;
     else
-        backend->answer_ms = (backend->answer_ms * (SMOOTHING - 1) + ms) / SMOOTHING;
+        backend->signs.answer_ms = (backend->signs.answer_ms * (SMOOTHING - 1) + ms) / SMOOTHING;
 }
 
 void backend_note_reset(backend_t *backend) {
--- a/src/gateway/backends.h
+++ b/src/gateway/backends.h
@@ -17,6 +17,7 @@
 
 #include "cluster/service_directory.h"
 #include "core/routing/ejection.h"
+#include "core/retry/silence.h"
 #include "core/routing/engine_choice.h"
 #include "net/http_client.h"
 
@@ -32,9 +33,13 @@
     ejection_t ejection;  /**< Whether it seems to be down. */
     bool told_out;        /**< Left out by what others told, when last looked at. */
     GQueue unanswered;    /**< Sends without a word of an answer, oldest first: their times, ms. */
-    uint32_t answer_ms;   /**< Time from a send to the first word of its answer, smoothed. */
-    bool overdue;         /**< The oldest of them is overdue, when last looked at. */
-    GPtrArray *idle;      /**< Kept connections, the latest used last; of http_client_t. */
+    backend_signs_t signs;
+    http_client_t *probe; /**< See backend_probe.h; NULL: none is under way. */
+    uint64_t probed_at;
+    unsigned probe_failures;
+    uint64_t unreachable_at; /**< When it was last found unreachable; 0: never. */
+    bool overdue;            /**< The oldest of them is overdue, when last looked at. */
+    GPtrArray *idle;         /**< Kept connections, the latest used last; of http_client_t. */
     uv_loop_t *loop;
     struct backends *owner;
 } backend_t;
@@ -75,6 +80,8 @@
 /** The engine for a call, as from backends_choose. */
 backend_t *backends_choose_engine(backends_t *backends, const backend_choice_t *choice,
                                   const engine_request_t *request);
+/** Counts one more call at a back end that a call is at. */
+void backend_take(backend_t *backend);
 /** Ends what backends_choose or backends_choose_engine began. */
 void backend_release(backend_t *backend);
 /** Notes how a call ended: a failure keeps new calls away for a while. */
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -73,6 +73,13 @@
     unsigned sends;   /**< Times that any byte may have reached a back end. */
     uint64_t sent_at; /**< When the present send began, loop time in ms. */
     unsigned connects_failed;
+    unsigned backends_sent;  /**< Back ends that any byte may have reached. */
+    unsigned backends_ended; /**< Of these, the ones that have ended or can't be reached. */
+    unsigned repeats;        /**< Times it went to the same back end again. */
+    unsigned same_connects_failed;
+    uint64_t heard_at; /**< When the answer's latest bytes came; or `sent_at`. */
+    bool answered;     /**< An answer to the present send has begun. */
+    bool misdirected;  /**< The back end's address belongs to another now. */
     bool may_have_run; /**< Some back end may have run it. */
     GString *prompt;   /**< The turns that this one goes on from. */
 
@@ -107,9 +114,31 @@
 
 /** Sends the call to a back end, or to another one; refuses it if there is none. */
 void call_send(call_t *call);
+/** Sends the call to the back end where it is once more. */
+void call_send_same(call_t *call);
+/** Leaves the present back end, and does not choose it again for this call. */
+void call_leave_backend(call_t *call);
 /** Ends the exchange with the back end, which stops its work. */
 void call_stop_backend(call_t *call);
 
+/* call_retry.c */
+
+/** True if the call may run more than once. */
+bool call_repeatable(const call_t *call);
+/** True if it may, and its route allows one more back end. */
+bool call_may_go_elsewhere(const call_t *call);
+void call_log_send_failed(const call_t *call, const char *reason);
+/** The last send's outcome is unknown: sends again if the call may run twice. */
+void call_outcome_unknown(call_t *call, call_reason_t reason);
+/** The last back end did not run the call: sends it to another if the route allows. */
+void call_not_run(call_t *call);
+/** No byte of the last send left this process. */
+void call_not_sent(call_t *call);
+/** The back end goes on without this call. */
+void call_lost_at_backend(call_t *call, const char *reason);
+/** The back end can't be connected to any more. */
+void call_backend_unreachable(call_t *call);
+
 /* call_turn.c */
 
 /** Begins what a turn needs; sends the call once it may be sent. */
--- a/src/gateway/call_send.c
+++ b/src/gateway/call_send.c
@@ -17,15 +17,14 @@
 enum {
     STATUS_OK = 200,
     STATUS_MULTIPLE_CHOICES = 300,
-    STATUS_MISDIRECTED = 421,
+    STATUS_MISDIRECTED = 421, /**< Another instance has the address. */
     STATUS_SERVER_ERROR = 500,
     STATUS_UNAVAILABLE = 503,
-    CONNECT_FAILURES_MAXIMUM = 4,
     ANSWER_BYTES_MAXIMUM = 16 * 1024 * 1024,
-    LEAST_MS = 5, /**< With less time left a call is not sent any more. */
 };
 
 static void release_backend(call_t *call) {
+    silence_watch_remove(&call->gateway->silence_watch, call);
     if (call->backend != NULL) {
         backend_send_ended(call->backend, &call->sent_at);
         backend_release(call->backend);
@@ -40,8 +39,7 @@
     release_backend(call);
 }
 
-/** Leaves the present back end, and does not choose it again for this call. */
-static void leave_backend(call_t *call) {
+void call_leave_backend(call_t *call) {
     backend_t *backend = call->backend;
     backend->references++;
     g_ptr_array_add(call->tried, backend);
@@ -85,45 +83,6 @@
     return request;
 }
 
-static bool repeatable(const call_t *call) {
-    return call->route->kind == CALL_REPEATABLE ||
-           (call->route->kind == CALL_STREAM && call->route->resumable);
-}
-
-static bool may_send_again(const call_t *call) {
-    return call->sends < call->route->attempts && call_time_left(call) > LEAST_MS;
-}
-
-static void log_send_failed(const call_t *call, const char *reason) {
-    event_log(GATEWAY_SEND_FAILED, call->id, call->backend->record->instance, reason, call->sends);
-}
-
-/** The last send's outcome is unknown: sends again if the call may run twice. */
-static void outcome_unknown(call_t *call, call_reason_t reason) {
-    call->may_have_run = true;
-    bool again = repeatable(call) && may_send_again(call);
-    if (call->backend != NULL)
-        leave_backend(call);
-    if (!again) {
-        call_fail(call, reason);
-        return;
-    }
-    event_stream_drop_partial(&call->events);
-    call->gateway->counters.sent_again++;
-    call_send(call);
-}
-
-/** The last back end did not run the call: sends it to another if the route allows. */
-static void not_run(call_t *call) {
-    leave_backend(call);
-    if (!may_send_again(call)) {
-        call_fail(call, CALL_BACKEND_REFUSED);
-        return;
-    }
-    call->gateway->counters.sent_again++;
-    call_send(call);
-}
-
 /* The answer. */
 
 static void copy_fields(call_t *call, const http_headers_t *headers) {
@@ -150,18 +109,26 @@
            http_headers_find(head->headers, "Content-Encoding") == NULL;
 }
 
+static void note_heard(call_t *call) {
+    call->heard_at = uv_now(call->gateway->loop);
+    call->backend->signs.heard_at = call->heard_at;
+}
+
 static bool on_head(void *user, const http_answer_head_t *head) {
     call_t *call = user;
+    note_heard(call);
+    call->answered = true;
     backend_send_answered(call->backend, &call->sent_at);
     if (!answer_is_sound(call, head)) {
-        log_send_failed(call, "unsound_answer");
+        call_log_send_failed(call, "unsound_answer");
         /* The parser is at work on this connection: it closes the connection itself. */
         call->client = NULL;
         backend_note_failure(call->backend);
-        outcome_unknown(call, CALL_BAD_ANSWER);
+        call_outcome_unknown(call, CALL_BAD_ANSWER);
         return false;
     }
-    call->not_run = head->status == STATUS_MISDIRECTED ||
+    call->misdirected = head->status == STATUS_MISDIRECTED;
+    call->not_run = call->misdirected ||
                     http_headers_find(head->headers, call_field_name(FIELD_NOT_RUN)) != NULL;
     bool goes_on = call->head_sent;
     call->streaming = call->route->kind == CALL_STREAM && is_success(head->status);
@@ -176,6 +143,7 @@
 
 static void on_body(void *user, const char *data, size_t length) {
     call_t *call = user;
+    note_heard(call);
     if (!call->streaming) {
         if (call->body->len + length <= ANSWER_BYTES_MAXIMUM)
             g_string_append_len(call->body, data, (gssize)length);
@@ -192,9 +160,9 @@
     backend_keep(call->backend, call->client);
     call->client = NULL;
     if (call->not_run) {
-        log_send_failed(call, "not_run");
+        call_log_send_failed(call, "not_run");
         g_string_truncate(call->body, 0);
-        not_run(call);
+        call_not_run(call);
         return;
     }
     backend_note_success(call->backend);
@@ -202,14 +170,14 @@
         if (event_stream_at_boundary(&call->events))
             call_turn_stream_ended(call);
         else
-            outcome_unknown(call, CALL_BAD_ANSWER);
+            call_outcome_unknown(call, CALL_BAD_ANSWER);
         return;
     }
     bool failed_there = call->status >= STATUS_SERVER_ERROR;
-    if (failed_there && repeatable(call) && may_send_again(call)) {
-        log_send_failed(call, "server_error");
+    if (failed_there && call_may_go_elsewhere(call)) {
+        call_log_send_failed(call, "server_error");
         g_string_truncate(call->body, 0);
-        outcome_unknown(call, CALL_BAD_ANSWER);
+        call_outcome_unknown(call, CALL_BAD_ANSWER);
         return;
     }
     if (call->head_sent)
@@ -223,14 +191,8 @@
     call->client = NULL;
     backend_note_failure(call->backend);
     if (failure == HTTP_FAILURE_NOT_SENT) {
-        log_send_failed(call, "not_sent");
-        call->sends--;
-        call->connects_failed++;
-        leave_backend(call);
-        if (call->connects_failed >= CONNECT_FAILURES_MAXIMUM)
-            call_fail(call, CALL_NO_BACKEND);
-        else
-            call_send(call);
+        call_log_send_failed(call, "not_sent");
+        call_not_sent(call);
         return;
     }
     bool quick = uv_now(call->gateway->loop) <= call->sent_at + QUICK_RESET_MS;
@@ -238,10 +200,10 @@
         backend_note_reset(call->backend);
         load_sharing_tell_now(call->gateway->load_sharing);
     }
-    log_send_failed(call, failure == HTTP_FAILURE_NO_ANSWER ? "no_answer" : "broken_answer");
+    call_log_send_failed(call, failure == HTTP_FAILURE_NO_ANSWER ? "no_answer" : "broken_answer");
     if (!call->streaming)
         g_string_truncate(call->body, 0);
-    outcome_unknown(call, CALL_BACKEND_LOST);
+    call_outcome_unknown(call, CALL_BACKEND_LOST);
 }
 
 static const http_exchange_handler_t exchange_handler = {on_head, on_body, on_complete, on_failed};
@@ -279,24 +241,43 @@
     store_client_tell_place(call->gateway->stores, call->program, call->place);
 }
 
-void call_send(call_t *call) {
+/** Sends the call to the back end that it has a place at. */
+static void send_to_backend(call_t *call) {
     gateway_t *gateway = call->gateway;
-    if (!choose_backend(call)) {
-        call_fail(call, CALL_NO_BACKEND);
-        return;
-    }
-    tell_place(call);
     call->client = backend_connect(&gateway->backends, call->backend);
     if (call->client == NULL) {
-        leave_backend(call);
+        call_leave_backend(call);
         call_fail(call, CALL_NO_BACKEND);
         return;
     }
     call->not_run = false;
+    call->answered = false;
     call->sent_at = uv_now(gateway->loop);
+    call->heard_at = call->sent_at;
     call->sends++;
     gateway->counters.sends++;
     backend_send_begun(call->backend, &call->sent_at);
+    if (call_repeatable(call))
+        silence_watch_add(&gateway->silence_watch, call);
     bool head_request = strcmp(call->request->method, "HEAD") == 0;
     http_client_send(call->client, build_request(call), head_request, &exchange_handler, call);
 }
+
+void call_send(call_t *call) {
+    if (!choose_backend(call)) {
+        call_fail(call, CALL_NO_BACKEND);
+        return;
+    }
+    call->backends_sent++;
+    call->same_connects_failed = 0;
+    tell_place(call);
+    send_to_backend(call);
+}
+
+void call_send_same(call_t *call) {
+    backend_t *backend = call->backend;
+    backend_take(backend);
+    release_backend(call);
+    call->backend = backend;
+    send_to_backend(call);
+}
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -18,6 +18,7 @@
 #include "gateway/backends.h"
 #include "gateway/chain_cache.h"
 #include "gateway/load_sharing.h"
+#include "gateway/silence_watch.h"
 #include "gateway/store_client.h"
 #include "gateway/store_relay.h"
 #include "net/http_listener.h"
@@ -33,6 +34,7 @@
     uint64_t callers_gone;
     uint64_t sends;
     uint64_t sent_again;
+    uint64_t sent_same; /**< To the same back end once more. */
     uint64_t turns_kept;
     uint64_t turns_not_kept;
     uint64_t over_budget;
@@ -53,6 +55,7 @@
     store_relay_t *relay;
     load_sharing_t *load_sharing;
     chain_cache_t chains;
+    silence_watch_t silence_watch;
     GHashTable *split_credits; /**< Route name to what each part is owed; see split.h. */
     key_value_watch_t *watch;
     directory_snapshot_t snapshot; /**< Of what the watch has shown. */
--- a/src/gateway/main.c
+++ b/src/gateway/main.c
@@ -76,6 +76,7 @@
     if (gateway->relay == NULL)
         return false;
     gateway->split_credits = split_credits_new();
+    silence_watch_init(&gateway->silence_watch, gateway->loop);
     chain_cache_init(&gateway->chains,
                      settings->memory_megabytes * MEGABYTE * CACHE_SHARE_PERCENT / PERCENT);
     gateway->calls = http_listener_open(gateway->loop, &settings->calls, &first_limits,
--- a/src/gateway/reports.c
+++ b/src/gateway/reports.c
@@ -98,6 +98,7 @@
     metrics_append(text, "callers_gone_total", counters->callers_gone);
     metrics_append(text, "sends_total", counters->sends);
     metrics_append(text, "sends_again_total", counters->sent_again);
+    metrics_append(text, "sends_same_total", counters->sent_same);
     metrics_append(text, "turns_kept_total", counters->turns_kept);
     metrics_append(text, "turns_not_kept_total", counters->turns_not_kept);
     metrics_append(text, "over_budget_total", counters->over_budget);
--- /dev/null
+++ b/src/gateway/silence_watch.c
@@ -0,0 +1,56 @@
+#include "gateway/silence_watch.h"
+
+#include "gateway/backend_probe.h"
+#include "gateway/call.h"
+
+/** Time between two looks, in ms. */
+enum { LOOK_MS = 100 };
+
+static void look_at_call(call_t *call, uint64_t now) {
+    backend_t *backend = call->backend;
+    call_signs_t signs = {
+        .sent_at = call->sent_at,
+        .heard_at = call->heard_at,
+        .answered = call->answered,
+    };
+    switch (silence_judge(&signs, &backend->signs, now)) {
+    case SILENCE_LOST:
+        call_lost_at_backend(call, "overtaken");
+        break;
+    case SILENCE_SUSPECT:
+        if (backend_unreachable_since(backend, call->heard_at))
+            call_backend_unreachable(call);
+        else
+            backend_probe(backend);
+        break;
+    case SILENCE_USUAL:
+        break;
+    }
+}
+
+static void on_look(uv_timer_t *timer) {
+    silence_watch_t *watch = timer->data;
+    uint64_t now = uv_now(timer->loop);
+    /* From the last to the first: a call that is taken away leaves its place to a later one. */
+    for (guint i = watch->calls->len; i > 0; i--)
+        if (i <= watch->calls->len)
+            look_at_call(g_ptr_array_index(watch->calls, i - 1), now);
+    if (watch->calls->len == 0)
+        uv_timer_stop(&watch->timer);
+}
+
+void silence_watch_init(silence_watch_t *watch, uv_loop_t *loop) {
+    watch->calls = g_ptr_array_new();
+    uv_timer_init(loop, &watch->timer);
+    watch->timer.data = watch;
+}
+
+void silence_watch_add(silence_watch_t *watch, call_t *call) {
+    g_ptr_array_add(watch->calls, call);
+    if (!uv_is_active((uv_handle_t *)&watch->timer))
+        uv_timer_start(&watch->timer, on_look, LOOK_MS, LOOK_MS);
+}
+
+void silence_watch_remove(silence_watch_t *watch, call_t *call) {
+    g_ptr_array_remove_fast(watch->calls, call);
+}
