--- a/src/gateway/directory_watch.c
+++ b/src/gateway/directory_watch.c
@@ -177,6 +177,7 @@
     if (!gateway->backends_listed && (gateway->key_value_failed || waited))
         store_client_ask_directory(gateway->stores);
     tell_directory(gateway);
+    uv_timer_set_repeat(timer, gateway->backends_listed ? TELL_LEAST_MS : DIRECTORY_LOOK_MS);
 }
 
 void gateway_watch_directory(gateway_t *gateway) {
