engines: a program leaves its engine only if that can't be reached or says nothing

A reset leaves a server out for half a second or more, a failure for a quarter, and a queue in a crowd makes it overdue: its programs moved away 50 to 70 times a second, each reading its whole prompt again, while the others' queues grew to 39 calls and its own places stood empty.

An engine that failed lately, was reset, or is overdue gets no new program, as before; a program that runs there leaves it only if it can't be connected to (a quick reset now begins a probe) or owes an answer and nothing at all was heard for 0.3 s.

--- a/src/core/routing/engine_choice.c
+++ b/src/core/routing/engine_choice.c
@@ -89,7 +89,7 @@
 static const engine_candidate_t *find_place(const engine_candidate_t *candidates, unsigned count,
                                             const engine_request_t *request) {
     for (unsigned i = 0; i < count; i++)
-        if (candidates[i].id == request->place && !candidates[i].avoided)
+        if (candidates[i].id == request->place && !candidates[i].down)
             return &candidates[i];
     return NULL;
 }
--- a/src/core/routing/engine_choice.h
+++ b/src/core/routing/engine_choice.h
@@ -26,7 +26,8 @@
     unsigned load; /**< Calls under way there, of all gateways as far as known. */
     unsigned slots;
     bool near;    /**< In this gateway's zone. */
-    bool avoided; /**< It failed lately or seems to be down. */
+    bool avoided; /**< It failed lately or is slow to answer: nothing for a new program. */
+    bool down;    /**< It seems to be down: its programs leave it too. */
 } engine_candidate_t;
 
 typedef struct {
--- a/src/gateway/backends.c
+++ b/src/gateway/backends.c
@@ -11,6 +11,8 @@
     AVOID_MOST_MS = 2000,
     OVERDUE_LEAST_MS = 400, /**< A call without a word of an answer is overdue after this, */
     OVERDUE_TIMES = 5,      /**< or after so many times the usual. */
+    SILENT_MS = 300,        /**< A back end that is up says something within this. */
+    UNREACHABLE_MS = 1000,  /**< What a probe found counts for so long. */
     OVERDUE_TOLD_MS = 600,  /**< The others hear of it for so long, and again while it lasts. */
     SMOOTHING = 8,          /**< One answer moves the usual time by one part in so many. */
     IDLE_MAXIMUM = 32,
@@ -158,10 +160,18 @@
     return overdue(backend, now) ? MAX(told, OVERDUE_TOLD_MS) : told;
 }
 
+/** True if it can't be connected to, or owes an answer and says nothing at all. */
+static bool down(backend_t *backend, uint64_t now) {
+    bool unreachable = backend->unreachable_at > backend->signs.heard_at &&
+                       now < backend->unreachable_at + UNREACHABLE_MS;
+    bool silent = now > backend->signs.heard_at + SILENT_MS;
+    return unreachable || (silent && overdue(backend, now));
+}
+
 static bool avoided(const backends_t *backends, backend_t *backend) {
     uint64_t now = uv_now(backends->loop);
     return now < backend->avoid_until || ejection_is_out(&backend->ejection, now) ||
-           overdue(backend, now);
+           down(backend, now) || overdue(backend, now);
 }
 
 /** What a back end that is avoided costs now. */
@@ -251,6 +261,7 @@
             .slots = slots_of(backend, choice),
             .near = in_zone(backends, backend),
             .avoided = avoided(backends, backend),
+            .down = down(backend, uv_now(backends->loop)),
         };
         engines[count++] = backend;
     }
--- a/src/gateway/call_send.c
+++ b/src/gateway/call_send.c
@@ -9,6 +9,7 @@
 #include "gateway/call.h"
 
 #include "common/event.h"
+#include "gateway/backend_probe.h"
 
 #include <string.h>
 #include <strings.h>
@@ -198,6 +199,7 @@
     bool quick = uv_now(call->gateway->loop) <= call->sent_at + QUICK_RESET_MS;
     if (failure == HTTP_FAILURE_NO_ANSWER && quick) {
         backend_note_reset(call->backend);
+        backend_probe(call->backend);
         load_sharing_tell_now(call->gateway->load_sharing);
     }
     call_log_send_failed(call, failure == HTTP_FAILURE_NO_ANSWER ? "no_answer" : "broken_answer");
--- a/tests/unit/engine_choice_test.cc
+++ b/tests/unit/engine_choice_test.cc
@@ -18,7 +18,7 @@
     /** Engines with ids 1, 2, ..., all near and idle. */
     void make(unsigned count) {
         for (unsigned i = 1; i <= count; i++)
-            engines.push_back({i, 0, SLOTS, true, false});
+            engines.push_back({i, 0, SLOTS, true, false, false});
     }
     engine_candidate_t &engine(uint64_t id) {
         return engines[id - 1];
@@ -63,11 +63,20 @@
 
 TEST_F(EngineChoice, ADeadEngineIsLeft) {
     make(4);
-    engine(2).avoided = true;
+    engine(2).avoided = engine(2).down = true;
     EXPECT_NE(choose(2, 7), 2u);
     EXPECT_NE(choose(2, 7), 0u);
 }
 
+TEST_F(EngineChoice, AnEngineThatFailedLatelyKeepsItsProgramsAndGetsNoNewOnes) {
+    make(4);
+    engine(2).avoided = true;
+    for (uint64_t part = 1; part <= 50; part++) {
+        EXPECT_EQ(choose(2, part), 2u);
+        EXPECT_NE(choose(0, part), 2u);
+    }
+}
+
 TEST_F(EngineChoice, OnePartGoesToOneEngineWhileLoadsAreLow) {
     make(8);
     uint64_t first = choose(0, 7);
