--- a/src/gateway/call.c
+++ b/src/gateway/call.c
@@ -31,6 +31,8 @@
     "caller_gone",     "stopping",
 };
 
+static const char *const placing_names[PLACING_COUNT] = {"-", "new", "kept", "moved"};
+
 const char *call_field(const call_t *call, call_field_t field) {
     return http_headers_find(call->request->headers, call_field_name(field));
 }
@@ -60,7 +62,8 @@
     }
     event_log(GATEWAY_CALL, call->id, call->route == NULL ? "-" : call->route->name,
               call->program == NULL ? "-" : call->program, status, reason_names[reason],
-              call->backend == NULL ? "-" : call->backend->record->instance, call->sends, ms,
+              call->backend == NULL ? "-" : call->backend->record->instance,
+              placing_names[call->placing], call->sends, call->repeats, ms,
               call->configuration == NULL ? 0 : call->configuration->version);
 }
 
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -35,6 +35,15 @@
     CALL_REASON_COUNT,
 } call_reason_t;
 
+/** How a program's engine was chosen; named in the log. */
+typedef enum {
+    PLACING_NONE,  /**< No engine, or none yet. */
+    PLACING_NEW,   /**< None was known to hold its prompt. */
+    PLACING_KEPT,  /**< The one that holds it. */
+    PLACING_MOVED, /**< Another one, which reads it again. */
+    PLACING_COUNT,
+} placing_t;
+
 /** What a turn of a program needs besides the way to a back end. */
 typedef struct {
     bool counted;  /**< The program's budget bounds this call. */
@@ -64,6 +73,7 @@
     uint64_t limit; /**< Loop time until which an answer may come, ms. */
     uv_timer_t timer;
     bool ended;
+    placing_t placing;
     uint64_t place; /**< Back end at which the program last ran (its hash); 0: unknown. */
 
     /* The way to back ends. */
--- a/src/gateway/call_send.c
+++ b/src/gateway/call_send.c
@@ -235,8 +235,11 @@
 }
 
 /** Lets other gateways know where the program's prompt is. */
-static void tell_place(call_t *call) {
+static void note_place(call_t *call) {
     bool known = call->place == call->backend->id_hash;
+    if (call->service == NULL || !call->service->engine)
+        return;
+    call->placing = known ? PLACING_KEPT : call->place == 0 ? PLACING_NEW : PLACING_MOVED;
     if (known || !call->turn.counted)
         return;
     call->place = call->backend->id_hash;
@@ -272,7 +275,7 @@
     }
     call->backends_sent++;
     call->same_connects_failed = 0;
-    tell_place(call);
+    note_place(call);
     send_to_backend(call);
 }
 
--- a/src/gateway/directory_watch.c
+++ b/src/gateway/directory_watch.c
@@ -134,24 +134,28 @@
 
 /* The directory that the storage nodes keep. */
 
+static void take_snapshot(gateway_t *gateway, const directory_snapshot_t *snapshot) {
+    GHashTableIter iterator;
+    gpointer key;
+    gpointer value;
+    g_hash_table_iter_init(&iterator, snapshot->items);
+    while (g_hash_table_iter_next(&iterator, &key, &value)) {
+        key_value_item_t item = {.key = key, .value = value, .revision = snapshot->revision};
+        take_item(gateway, &item);
+    }
+    gateway->backends_listed = true;
+    event_log(GATEWAY_DIRECTORY_KEPT, snapshot->revision, backends_count(&gateway->backends));
+    gateway_check_ready(gateway);
+}
+
 void gateway_take_directory(void *owner, GBytes *bytes) {
     gateway_t *gateway = owner;
+    if (gateway->backends_listed)
+        return;
     directory_snapshot_t snapshot;
     directory_snapshot_init(&snapshot);
-    if (!gateway->directory_confirmed && !gateway->backends_listed &&
-        directory_snapshot_decode(&snapshot, bytes)) {
-        GHashTableIter iterator;
-        gpointer key;
-        gpointer value;
-        g_hash_table_iter_init(&iterator, snapshot.items);
-        while (g_hash_table_iter_next(&iterator, &key, &value)) {
-            key_value_item_t item = {.key = key, .value = value, .revision = snapshot.revision};
-            take_item(gateway, &item);
-        }
-        gateway->backends_listed = true;
-        event_log(GATEWAY_DIRECTORY_KEPT, snapshot.revision, backends_count(&gateway->backends));
-        gateway_check_ready(gateway);
-    }
+    if (directory_snapshot_decode(&snapshot, bytes))
+        take_snapshot(gateway, &snapshot);
     directory_snapshot_clear(&snapshot);
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -89,7 +89,7 @@
 void gateway_watch_directory(gateway_t *gateway);
 extern const load_sharing_handler_t gateway_watch_sharing;
 /** Takes a directory that a storage node kept, if the key-value service has shown none yet. */
-void gateway_take_directory(void *owner, GBytes *snapshot);
+void gateway_take_directory(void *owner, GBytes *bytes);
 /**
  * True if this gateway reaches no quorum of storage nodes, and either others do or the key-value
  * service is out of its reach as well: then it is cut off, and others can serve.
