--- /dev/null
+++ b/src/gateway/store_client_state.h
@@ -0,0 +1,77 @@
+/**
+ * @file store_client_state.h
+ * What store_client.c (members and their links) and store_operation.c (operations and their
+ * quorums) share. For these two only.
+ *
+ * Thread safety: everything here belongs to the loop's thread.
+ */
+#ifndef RUDDERWAY_GATEWAY_STORE_CLIENT_STATE_H
+#define RUDDERWAY_GATEWAY_STORE_CLIENT_STATE_H
+
+#include "core/budget/budget_decision.h"
+#include "gateway/store_client.h"
+#include "gateway/store_link.h"
+
+typedef struct {
+    store_client_t *client;
+    store_link_t *link;
+    GPtrArray *backlog; /**< Settlements for a member that is away; of GBytes. */
+} member_t;
+
+struct store_client {
+    uv_loop_t *loop;
+    char *zone;
+    char *own_address;
+    const store_client_handler_t *handler;
+    void *owner;
+    store_group_t *group;
+    GPtrArray *members;     /**< Of member_t, those of the zone first. */
+    GHashTable *operations; /**< Number to store_operation_t. */
+    uint64_t last_number;
+    uv_timer_t reconnect;
+    unsigned links_opened;
+    bool silent; /**< Too few members answer, although they are connected. */
+    unsigned silent_rounds;
+};
+
+/** What one member said of an operation. */
+typedef enum { SAID_NOTHING, SAID_YES, SAID_NO, SAID_UNSURE } said_t;
+
+struct store_operation {
+    store_client_t *client;
+    uint64_t number;
+    message_t request;
+    uv_timer_t timer;
+    uint64_t begun_at;
+    uint64_t generation; /**< In which the answers were given. */
+    said_t *verdicts;    /**< By member. */
+    said_t *durables;
+    uint64_t budget;             /**< Of a reserve: the program's, in tokens. */
+    budget_summary_t *summaries; /**< By member, of those that took the reserve. */
+    bool reading_charges;        /**< The summaries differ: the charges are being read. */
+    said_t *charges_read;        /**< By member. */
+    budget_table_t joined;       /**< The charges that were read. */
+    uint64_t place;              /**< Where the program last ran; 0: unknown. */
+    bool granted;
+    bool widened; /**< A chain: all members are asked, not just the nearest. */
+    const store_operation_handler_t *handler;
+    void *owner;
+};
+
+/* store_client.c */
+
+/** Where @p member stands among the client's. */
+unsigned store_client_member_index(const store_client_t *client, const member_t *member);
+
+/* store_operation.c */
+
+/** True if the member at @p index should get the operation's request. */
+bool store_operation_wants(const store_operation_t *operation, unsigned index);
+/** Sends the request to a member that is connected. */
+void store_operation_send(store_operation_t *operation, const member_t *member);
+/** Begins an operation again in the group's present generation. */
+void store_operation_restart(store_operation_t *operation);
+/** Takes a member's answer to one of the operations. */
+void store_operation_take_answer(const member_t *member, const message_t *message);
+
+#endif
