--- a/src/gateway/backend_probe.h
+++ b/src/gateway/backend_probe.h
@@ -1,6 +1,6 @@
 /**
  * @file backend_probe.h
- * Whether a back end that says nothing can still be connected to. Two connections at once that are
+ * Whether a back end that says nothing can still be connected to. Two connections in a row that are
  * refused or do not come up mean that it can't; nothing is sent on them.
  *
  * Thread safety: everything here belongs to the loop's thread.
--- a/src/gateway/backends.h
+++ b/src/gateway/backends.h
@@ -21,9 +21,6 @@
 #include "core/routing/engine_choice.h"
 #include "net/http_client.h"
 
-/** Connections that find out together whether a back end can be reached. */
-enum { BACKEND_PROBES = 2 };
-
 typedef struct {
     backend_record_t *record;
     gint references;      /**< The table and the calls at this back end. */
@@ -37,9 +34,9 @@
     bool told_out;        /**< Left out by what others told, when last looked at. */
     GQueue unanswered;    /**< Sends without a word of an answer, oldest first: their times, ms. */
     backend_signs_t signs;
-    http_client_t *probes[BACKEND_PROBES]; /**< See backend_probe.h; NULL: not open. */
+    http_client_t *probe; /**< See backend_probe.h; NULL: none is under way. */
     uint64_t probed_at;
-    bool probe_found_up;     /**< One of the present probes came up. */
+    unsigned probe_failures;
     uint64_t unreachable_at; /**< When it was last found unreachable; 0: never. */
     bool overdue;            /**< The oldest of them is overdue, when last looked at. */
     GPtrArray *idle;         /**< Kept connections, the latest used last; of http_client_t. */
