gateway: a call whose answer is complete is not watched for silence any more

Cause, found by reading: a turn that waits for the storage nodes after its stream has ended was still looked at; had the wait lasted 1.2 s while other streams of that engine went on, the finished turn would have been sent again. Change: the watch ends with the answer.

--- a/src/gateway/call_send.c
+++ b/src/gateway/call_send.c
@@ -160,6 +160,8 @@
     call_t *call = user;
     backend_keep(call->backend, call->client);
     call->client = NULL;
+    /* What the call waits for from here on is not the back end. */
+    silence_watch_remove(&call->gateway->silence_watch, call);
     if (call->not_run) {
         call_log_send_failed(call, "not_run");
         g_string_truncate(call->body, 0);
