--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -86,6 +86,7 @@
     unsigned backends_sent;  /**< Back ends that any byte may have reached. */
     unsigned backends_ended; /**< Of these, the ones that have ended or can't be reached. */
     unsigned repeats;        /**< Times it went to the same back end again. */
+    bool repeating;          /**< The present send is such a time. */
     unsigned same_connects_failed;
     uint64_t heard_at; /**< When the answer's latest bytes came; or `sent_at`. */
     bool answered;     /**< An answer to the present send has begun. */
--- a/src/gateway/call_retry.c
+++ b/src/gateway/call_retry.c
@@ -79,7 +79,7 @@
 }
 
 void call_not_run(call_t *call) {
-    bool moved = call->repeats > 0 && call->misdirected;
+    bool moved = call->repeating && call->misdirected;
     call->backends_ended += moved;
     resend_state_t state = state_of(call);
     bool again = resend_not_run(&state) == RESEND_ELSEWHERE;
@@ -102,8 +102,7 @@
 
 void call_not_sent(call_t *call) {
     call->sends--;
-    bool had_call = call->repeats > 0 && call->same_connects_failed < SAME_CONNECTS_NEEDED;
-    if (had_call) {
+    if (call->repeating) {
         same_not_connected(call);
         return;
     }
--- a/src/gateway/call_send.c
+++ b/src/gateway/call_send.c
@@ -277,6 +277,7 @@
     }
     call->backends_sent++;
     call->same_connects_failed = 0;
+    call->repeating = false;
     note_place(call);
     send_to_backend(call);
 }
@@ -286,5 +287,6 @@
     backend_take(backend);
     release_backend(call);
     call->backend = backend;
+    call->repeating = true;
     send_to_backend(call);
 }
