storage nodes: the group has the size that its losses ask for; the others stand by

Cause: every storage node was a member of the one store group, so each reserve, settlement and turn went to all of them. On a fleet of 36 storage nodes and 259 gateways that is 36 frames out and up to 72 back for each record, and 9,300 connections, though a group of seven stands the same two losses.

Ruled out for now: several groups with programs spread over them. It divides the storage nodes' own work as well, but a turn may go on from another program's turn, so reads would need an index; the storage nodes' work is measured first.

Change: a group is founded with 2 x (losses + 1) + 1 members, spread over zones. The others have ranks and stand by; rank 0 looks at the members all the time, the others the more seldom the higher their rank, so that 29 of them neither ask much nor all propose at once. Founders propose one after the other. A node that is to be emptied is no longer taken in by another that leaves. A peer's silence counts from the first poll without an answer, since polls are no longer even.

--- a/src/core/quorum/store_group.c
+++ b/src/core/quorum/store_group.c
@@ -11,7 +11,7 @@
     g_free(member->zone);
 }
 
-static GArray *new_members(void) {
+GArray *store_members_new(void) {
     GArray *members = g_array_new(FALSE, TRUE, sizeof(store_member_t));
     g_array_set_clear_func(members, clear_member);
     return members;
@@ -19,8 +19,8 @@
 
 store_group_t *store_group_new(void) {
     store_group_t *group = g_new0(store_group_t, 1);
-    group->members = new_members();
-    group->previous = new_members();
+    group->members = store_members_new();
+    group->previous = store_members_new();
     return group;
 }
 
--- a/src/core/quorum/store_group.h
+++ b/src/core/quorum/store_group.h
@@ -28,6 +28,8 @@
     GArray *previous;    /**< The members of the generation before; empty in the first. */
 } store_group_t;
 
+/** An empty list of store_member_t, which it owns. */
+GArray *store_members_new(void);
 store_group_t *store_group_new(void);
 void store_group_free(store_group_t *group);
 store_group_t *store_group_copy(const store_group_t *group);
--- a/src/store/store_membership.c
+++ b/src/store/store_membership.c
@@ -3,13 +3,18 @@
  * the condition that the key has not changed. Every storage node also has a key that says where
  * it is. Three nodes propose a group:
  *
- * - a founder, once, when the system starts for the first time;
- * - a node that is no member, in place of a member that it finds gone, or to bring the group
+ * - a founder, once, when the system starts for the first time, with as many of the others as a
+ *   group needs (core/quorum/store_group_choice.h);
+ * - a node that stands by, in place of a member that it finds gone, or to bring the group
  *   back to the size it was founded with;
  * - a member that an operator asks to be emptied: the group without it, or with a node that is
  *   no member in its place. It says "completed" once the others are complete without it; as long
  *   as they would be too few to lose a disk, it stays.
  *
+ * Nodes that stand by have ranks, and the first looks at the members all the time. The others look
+ * the more seldom the higher their rank, so that many of them neither ask much nor all propose at
+ * once; a lost first one is made good by the next.
+ *
  * Failures. A proposal whose answer is lost shows in the watch. A member that was taken for gone
  * and comes back is no member any more and becomes a spare. While the key-value service is down
  * the group stays as it is; nothing on the path of a call needs the service.
@@ -17,6 +22,7 @@
 #include "store/store.h"
 
 #include "common/event.h"
+#include "core/quorum/store_group_choice.h"
 #include "store/store_peer.h"
 
 #include <string.h>
@@ -29,6 +35,9 @@
     FOUNDERS_USUAL = 3,
     GONE_AFTER_MS = 1200, /**< A member silent for so long may be replaced. */
     WRITE_AGAIN_MS = 1000,
+    FOUND_EACH_MS = 150,    /**< A founder proposes so much later for each one before it. */
+    STANDBY_EACH_MS = 1500, /**< Between two looks at the members, for each rank. */
+    STANDBY_MOST_MS = 9000,
 };
 
 typedef struct {
@@ -50,7 +59,10 @@
     bool retiring;
     bool retire_running_told;
     bool retire_complete_told;
-    GHashTable *peers; /**< Node name to store_peer_t, while they are needed. */
+    GHashTable *peers;          /**< Node name to store_peer_t, while they are needed. */
+    GHashTable *retiring_nodes; /**< Names of all nodes that are to be emptied. */
+    bool looking;               /**< A node that stands by waits for what the members answer. */
+    uint64_t look_after;        /**< It looks at them again then, ms. */
 };
 
 static const char group_name[] = "group";
@@ -187,6 +199,7 @@
     const char *name;
     if (key_value_kind(item->key, &name) != KEY_RETIRE || item->value == NULL)
         return;
+    g_hash_table_add(membership->retiring_nodes, g_strdup(name));
     if (strcmp(name, membership->store->settings->name) != 0 || membership->retiring)
         return;
     event_log(STORE_RETIRING, membership->store->group->generation);
@@ -273,38 +286,82 @@
     }
 }
 
-static void found_group(store_membership_t *membership) {
-    const store_t *store = membership->store;
-    uint64_t age = now(membership) - store->started_at;
-    if (!store->founding || !store->identity_durable || age < FOUND_AFTER_MS)
-        return;
-    store_group_t *group = store_group_new();
-    group->generation = 1;
+/** Registered nodes, as store_member_t; founders only, or all that are not to be emptied. */
+static GArray *list_candidates(const store_membership_t *membership, bool founders) {
+    GArray *candidates = store_members_new();
     GHashTableIter iterator;
     gpointer value;
     g_hash_table_iter_init(&iterator, membership->registrations);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         const registration_t *registration = value;
         const store_member_t *member = &registration->member;
-        if (registration->founding)
-            store_group_add(group->members, member->name, member->address, member->zone);
+        bool retiring = g_hash_table_contains(membership->retiring_nodes, member->name);
+        if (founders ? registration->founding : !retiring)
+            store_group_add(candidates, member->name, member->address, member->zone);
     }
+    return candidates;
+}
+
+static void found_group(store_membership_t *membership) {
+    const store_t *store = membership->store;
+    uint64_t age = now(membership) - store->started_at;
+    if (!store->founding || !store->identity_durable || age < FOUND_AFTER_MS)
+        return;
+    GArray *founders = list_candidates(membership, true);
+    store_group_t *group = store_group_new();
+    unsigned rank = store_group_standby_rank(group->members, founders, store->settings->name);
+    bool enough = founders->len >= FOUNDERS_USUAL || age >= FOUND_ALONE_AFTER_MS;
+    bool due = enough && founders->len > 0 && age >= FOUND_AFTER_MS + rank * FOUND_EACH_MS;
+    group->generation = 1;
+    store_group_fill(group->members, founders, store_group_size(store->settings->tolerated_losses));
     group->target = group->members->len;
-    if (group->target == 0 || (group->target < FOUNDERS_USUAL && age < FOUND_ALONE_AFTER_MS)) {
+    if (due)
+        propose(membership, group, "founding");
+    else
         store_group_free(group);
-        return;
+    g_array_free(founders, TRUE);
+}
+
+/** How long this node, which stands by, waits between two looks at the members. */
+static uint64_t standby_pause_ms(const store_membership_t *membership) {
+    const store_t *store = membership->store;
+    GArray *candidates = list_candidates(membership, false);
+    unsigned rank =
+        store_group_standby_rank(store->group->members, candidates, store->settings->name);
+    g_array_free(candidates, TRUE);
+    return MIN((uint64_t)rank * STANDBY_EACH_MS, STANDBY_MOST_MS);
+}
+
+/** True if every member has answered what it was asked last. */
+static bool all_answered(store_membership_t *membership) {
+    const GArray *members = membership->store->group->members;
+    for (guint i = 0; i < members->len; i++) {
+        const store_member_t *member = &g_array_index(members, store_member_t, i);
+        if (store_peer_silence(obtain_peer(membership, member)) > 0)
+            return false;
     }
-    propose(membership, group, "founding");
+    return true;
 }
 
+/** A node that stands by looks whether the group needs it. */
 static void join_group(store_membership_t *membership) {
     const store_t *store = membership->store;
     const GArray *members = store->group->members;
+    bool full = members->len >= store->group->target;
+    if (full && now(membership) < membership->look_after)
+        return;
+    uint64_t pause = standby_pause_ms(membership);
+    if (full && pause > 0 && membership->looking && all_answered(membership)) {
+        membership->looking = false;
+        membership->look_after = now(membership) + pause;
+        return;
+    }
+    membership->looking = true;
     poll_members(membership, members);
     if (count_complete(membership) < store_read_quorum(members->len))
         return;
     const store_member_t *gone = find_gone_member(membership);
-    if (gone == NULL && members->len >= store->group->target)
+    if (gone == NULL && full)
         return;
     store_group_t *next = store_group_next(store->group);
     copy_members_without(next, members, gone == NULL ? NULL : gone->name);
@@ -313,7 +370,7 @@
     propose(membership, next, gone == NULL ? "joining" : "replacing");
 }
 
-/** A registered node that answers and is no member. */
+/** A registered node that answers, is no member and is not to be emptied. */
 static const store_member_t *find_spare(store_membership_t *membership) {
     const store_t *store = membership->store;
     const store_member_t *spare = NULL;
@@ -322,7 +379,7 @@
     g_hash_table_iter_init(&iterator, membership->registrations);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         const store_member_t *member = &((const registration_t *)value)->member;
-        if (strcmp(member->name, store->settings->name) == 0 ||
+        if (g_hash_table_contains(membership->retiring_nodes, member->name) ||
             store_group_find(store->group->members, member->name) != NULL)
             continue;
         store_peer_t *peer = obtain_peer(membership, member);
@@ -408,6 +465,7 @@
     membership->registrations =
         g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_registration);
     membership->peers = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_peer);
+    membership->retiring_nodes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     uv_timer_init(store->loop, &membership->timer);
     membership->timer.data = membership;
     uv_timer_start(&membership->timer, on_timer, CHECK_MS, CHECK_MS);
--- a/src/store/store_peer.c
+++ b/src/store/store_peer.c
@@ -28,6 +28,7 @@
     bool valid = message_decode(&message, data, length);
     if (valid && message.type == RESPONSE_STATUS) {
         peer->answered_at = uv_now(peer->store->loop);
+        peer->unanswered_since = 0;
         peer->complete_in = message.generation;
     }
     /* The last action: adopting a group may free this peer. */
@@ -52,7 +53,6 @@
     store_peer_t *peer = g_new0(store_peer_t, 1);
     peer->store = store;
     peer->name = g_strdup(name);
-    peer->since = uv_now(store->loop);
     parse_socket_address(address, &peer->address);
     return peer;
 }
@@ -65,6 +65,8 @@
 }
 
 void store_peer_poll(store_peer_t *peer) {
+    if (peer->unanswered_since == 0)
+        peer->unanswered_since = uv_now(peer->store->loop);
     if (peer->connection == NULL) {
         peer->connection =
             frame_connection_open(peer->store->loop, &peer->address, &peer_handler, peer);
@@ -82,5 +84,5 @@
 }
 
 uint64_t store_peer_silence(const store_peer_t *peer) {
-    return uv_now(peer->store->loop) - MAX(peer->answered_at, peer->since);
+    return peer->unanswered_since == 0 ? 0 : uv_now(peer->store->loop) - peer->unanswered_since;
 }
--- a/src/store/store_peer.h
+++ b/src/store/store_peer.h
@@ -15,9 +15,9 @@
     char *name;
     struct sockaddr_in address;
     frame_connection_t *connection; /**< NULL between two tries. */
-    uint64_t since;                 /**< When this record was made, ms. */
-    uint64_t answered_at;           /**< When it last told its status; 0: never. */
-    uint64_t complete_in;           /**< What it said then. */
+    uint64_t unanswered_since; /**< The first poll since it last told its status, ms; 0: none. */
+    uint64_t answered_at;      /**< When it last told its status; 0: never. */
+    uint64_t complete_in;      /**< What it said then. */
     /** A message that is not a status or a group; NULL if none is expected. */
     void (*on_message)(void *owner, message_t *message);
     /** The connection ended; requests on it are lost. May be NULL. */
@@ -30,7 +30,7 @@
 /** Connects if need be and asks for the peer's status. */
 void store_peer_poll(store_peer_t *peer);
 void store_peer_send(store_peer_t *peer, message_t *message);
-/** How long the peer has not answered, in ms. */
+/** How long the peer has left a poll without an answer, in ms; 0: there is none. */
 uint64_t store_peer_silence(const store_peer_t *peer);
 
 #endif
--- a/tests/integration/store_simulator_test.sh
+++ b/tests/integration/store_simulator_test.sh
@@ -18,6 +18,10 @@
 }
 
 expect "storage nodes: any fault, seeds 1..100" store_sim --seeds 1..100
+# More nodes than the group needs: most stand by, and take the place of members that are gone.
+expect "storage nodes: any fault among twelve, seeds 1..60" store_sim --seeds 1..60 --stores 12
+expect "storage nodes: twelve, one after the other is to be emptied, seeds 1..60" \
+    store_sim --seeds 1..60 --stores 12 --only retire
 expect "storage nodes: power lost everywhere with one disk, seeds 1..200" \
     store_sim --seeds 1..200 --only power_all_and_disk
 expect "storage nodes: power lost everywhere, gateways reach them again at once, seeds 1..100" \
