gateways, storage nodes: what grows with the number of gateways is looked at once

Cause: each datagram of another gateway added up anew what all of them had told (for 43 gateways in a zone some 230 times a second, against some six calls), and each storage node compared every gateway that it knows with every connection, seven times a second: the square of their number.

Change: sums are made when a choice needs them; connected addresses are counted in a table.

Test: GatewayDirectory.OneWithTwoConnectionsIsThereUntilBothEnd.

--- a/src/gateway/call_send.c
+++ b/src/gateway/call_send.c
@@ -224,6 +224,7 @@
 /** Chooses a back end; false if there is none. */
 static bool choose_backend(call_t *call) {
     backends_t *backends = &call->gateway->backends;
+    load_sharing_refresh(call->gateway->load_sharing);
     backend_choice_t choice = {
         .service = call->service_name,
         .excluded = call->tried,
--- a/src/gateway/load_sharing.c
+++ b/src/gateway/load_sharing.c
@@ -5,6 +5,9 @@
  * The period grows with the number of gateways, so that what one gateway sends and receives stays
  * level, and while no back end is half full, when the choice hardly depends on it. Without any
  * calls one is still sent now and then, since the others' watches depend on it (watch_duty.h).
+ *
+ * Datagrams come far more often than calls in a zone of many gateways, so what they told is added
+ * up only when a choice needs it.
  */
 #include "gateway/load_sharing.h"
 
@@ -23,6 +26,7 @@
     URGENT_PAUSE_MS = 20,   /**< Least time between two urgent datagrams. */
     RELAY_NEWS_MS = 1500,   /**< A gateway may pass frames on if it was heard within this. */
     FORGET_MS = 1000,       /**< What a silent gateway said last counts for so long. */
+    SUM_AGAIN_MS = 100,     /**< Sums are made anew after this: what was told is forgotten. */
     ENTRIES_MAXIMUM = 4096,
 };
 
@@ -48,6 +52,8 @@
     const load_sharing_handler_t *handler;
     void *owner;
     GPtrArray *peers; /**< Of gateway_peer_t. */
+    bool sums_stale;  /**< A datagram came since the loads were added up. */
+    uint64_t summed_at;
     watch_report_t sent_report;
     uint64_t sent_changes;
     uint64_t sent_at;
@@ -114,6 +120,8 @@
 /** Sets what the other gateways have under way at each back end, and which they leave out. */
 static void sum_peers(load_sharing_t *sharing) {
     uint64_t now = uv_now(sharing->loop);
+    sharing->sums_stale = false;
+    sharing->summed_at = now;
     GHashTableIter iterator;
     gpointer value;
     g_hash_table_iter_init(&iterator, sharing->backends->by_instance);
@@ -156,7 +164,13 @@
     else
         g_array_set_size(peer->entries, 0);
     peer->heard_at = uv_now(sharing->loop);
-    sum_peers(sharing);
+    sharing->sums_stale = true;
+}
+
+void load_sharing_refresh(load_sharing_t *sharing) {
+    bool aged = uv_now(sharing->loop) >= sharing->summed_at + SUM_AGAIN_MS;
+    if (sharing->sums_stale || aged)
+        sum_peers(sharing);
 }
 
 static char read_buffer[65536];
--- a/src/gateway/load_sharing.h
+++ b/src/gateway/load_sharing.h
@@ -29,6 +29,8 @@
                                   void *owner);
 /** Replaces the list of gateways by "IP:PORT" texts; its own address is left out. */
 void load_sharing_set_gateways(load_sharing_t *sharing, const GPtrArray *addresses);
+/** Adds up what the others told, if that has changed; to be called before a back end is chosen. */
+void load_sharing_refresh(load_sharing_t *sharing);
 /** The address of a gateway that said lately that it reaches storage nodes; false: none did. */
 bool load_sharing_find_relay(const load_sharing_t *sharing, struct sockaddr_in *address);
 /** Tells the others now what this gateway knows; for news that can't wait. */
--- a/src/store/gateway_directory.c
+++ b/src/store/gateway_directory.c
@@ -16,36 +16,47 @@
 
 void gateway_directory_init(gateway_directory_t *directory) {
     directory->gateways = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_entry);
+    directory->addresses = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 }
 
 void gateway_directory_clear(gateway_directory_t *directory) {
     g_hash_table_destroy(directory->gateways);
+    g_hash_table_destroy(directory->addresses);
 }
 
 unsigned gateway_directory_count(const gateway_directory_t *directory) {
     return g_hash_table_size(directory->gateways);
 }
 
+/** Counts one connection more or less of the gateway at @p address. */
+static void count_connection(gateway_directory_t *directory, const char *address, int change) {
+    int count = GPOINTER_TO_INT(g_hash_table_lookup(directory->addresses, address)) + change;
+    if (count > 0)
+        g_hash_table_replace(directory->addresses, g_strdup(address), GINT_TO_POINTER(count));
+    else
+        g_hash_table_remove(directory->addresses, address);
+}
+
 void gateway_directory_add(gateway_directory_t *directory, const uint64_t *serial,
                            const char *address, const char *zone) {
+    gateway_directory_remove(directory, serial);
     gateway_entry_t *entry = g_new0(gateway_entry_t, 1);
     entry->address = g_strdup(address);
     entry->zone = g_strdup(zone);
-    g_hash_table_replace(directory->gateways, (gpointer)serial, entry);
+    g_hash_table_insert(directory->gateways, (gpointer)serial, entry);
+    count_connection(directory, address, 1);
 }
 
 bool gateway_directory_remove(gateway_directory_t *directory, const uint64_t *serial) {
+    const gateway_entry_t *entry = g_hash_table_lookup(directory->gateways, serial);
+    if (entry == NULL)
+        return false;
+    count_connection(directory, entry->address, -1);
     return g_hash_table_remove(directory->gateways, serial);
 }
 
 bool gateway_directory_has(const gateway_directory_t *directory, const char *address) {
-    GHashTableIter iterator;
-    gpointer value;
-    g_hash_table_iter_init(&iterator, directory->gateways);
-    while (g_hash_table_iter_next(&iterator, NULL, &value))
-        if (strcmp(((const gateway_entry_t *)value)->address, address) == 0)
-            return true;
-    return false;
+    return g_hash_table_contains(directory->addresses, address);
 }
 
 GPtrArray *gateway_directory_known(const gateway_directory_t *directory, const char *zone) {
--- a/src/store/gateway_directory.h
+++ b/src/store/gateway_directory.h
@@ -18,7 +18,8 @@
 enum { GATEWAYS_FEW = 32 };
 
 typedef struct {
-    GHashTable *gateways; /**< Serial number of the connection to its gateway. */
+    GHashTable *gateways;  /**< Serial number of the connection to its gateway. */
+    GHashTable *addresses; /**< Address of a connected gateway to its number of connections. */
 } gateway_directory_t;
 
 void gateway_directory_init(gateway_directory_t *directory);
--- a/tests/unit/gateway_directory_test.cc
+++ b/tests/unit/gateway_directory_test.cc
@@ -59,4 +59,15 @@
     EXPECT_EQ(gateway_directory_count(&directory), 2U);
 }
 
+TEST_F(GatewayDirectory, OneWithTwoConnectionsIsThereUntilBothEnd) {
+    uint64_t first = 1;
+    uint64_t second = 2;
+    gateway_directory_add(&directory, &first, "10.0.0.9:1", "a");
+    gateway_directory_add(&directory, &second, "10.0.0.9:1", "a");
+    gateway_directory_remove(&directory, &first);
+    EXPECT_TRUE(gateway_directory_has(&directory, "10.0.0.9:1"));
+    gateway_directory_remove(&directory, &second);
+    EXPECT_FALSE(gateway_directory_has(&directory, "10.0.0.9:1"));
+}
+
 } // namespace
