gateways: those that rest follow another one's view of the key-value service

Cause: every gateway kept a watch of its own, and each change was answered once to each of them.

Ruled out: longer pauses between watches, since a change has to be in force within seconds.

A gateway that rests can't be followed, so there are no circles. Without a source, or when another gateway knows of a change that did not come this way, a gateway watches by itself again from what it knows. A watch pauses after a listing, since a process that has just started will follow soon.

--- a/src/cluster/key_value_watch.c
+++ b/src/cluster/key_value_watch.c
@@ -14,6 +14,7 @@
 enum {
     ANSWER_MS = 1000,      /**< For a listing or a write. */
     WATCH_EXTRA_MS = 900,  /**< For a watch, beyond the time it waits. */
+    LISTED_PAUSE_MS = 900, /**< After a listing, before the first watch: other nodes start, too. */
     GATHER_FIRST_MS = 200, /**< After a change, before the next watch: changes come in bursts. */
     GATHER_MOST_MS = 900,  /**< Longest such pause, while each watch sees a change at once. */
     CALM_MS = 1500,        /**< A watch that waited so long ends a burst. */
@@ -45,6 +46,7 @@
     uint64_t gather_ms;
     uint64_t begun_at;    /**< Of the call under way. */
     bool waiting;         /**< A watch is under way. */
+    bool resting;         /**< Nothing is under way: changes are seen elsewhere. */
     uint64_t changed;     /**< Latest revision of an item. */
     uint64_t answered_at; /**< Of the latest well-formed answer. */
     int reachable;        /**< -1: not known yet. */
@@ -167,15 +169,18 @@
     watch->failures = 0;
     watch->answered_at = uv_now(watch->loop);
     set_reachable(watch, true);
-    bool changed = watch->phase == WATCHING && page.items->len > 0;
-    if (watch->phase == LISTING) {
+    bool listed = watch->phase == LISTING;
+    bool changed = !listed && page.items->len > 0;
+    if (listed) {
         page_listed(watch, &page);
     } else {
         deliver_items(watch, &page);
         watch->revision = MAX(watch->revision, page.revision);
     }
     key_value_page_clear(&page);
-    if (changed)
+    if (listed && watch->phase == WATCHING)
+        uv_timer_start(&watch->timer, on_pause_over, LISTED_PAUSE_MS, 0);
+    else if (changed)
         uv_timer_start(&watch->timer, on_pause_over, next_gather_pause(watch), 0);
     else
         begin_call(watch);
@@ -243,16 +248,45 @@
     watch->wait_ms = wait_ms;
 }
 
-void key_value_watch_renew(key_value_watch_t *watch) {
-    if (!watch->waiting)
-        return;
+static void stop_call(key_value_watch_t *watch) {
     uv_timer_stop(&watch->timer);
     if (watch->client != NULL)
         http_client_close(watch->client);
     watch->client = NULL;
+    watch->waiting = false;
+}
+
+void key_value_watch_renew(key_value_watch_t *watch) {
+    if (!watch->waiting && !watch->resting)
+        return;
+    stop_call(watch);
+    watch->resting = false;
     begin_call(watch);
 }
 
+bool key_value_watch_rest(key_value_watch_t *watch) {
+    if (watch->resting)
+        return true;
+    if (watch->phase != WATCHING || watch->failures > 0)
+        return false;
+    stop_call(watch);
+    watch->resting = true;
+    return true;
+}
+
+bool key_value_watch_rests(const key_value_watch_t *watch) {
+    return watch->resting;
+}
+
+void key_value_watch_advance(key_value_watch_t *watch, uint64_t changed) {
+    watch->revision = MAX(watch->revision, changed);
+    watch->changed = MAX(watch->changed, changed);
+}
+
+bool key_value_watch_listed(const key_value_watch_t *watch) {
+    return watch->phase == WATCHING;
+}
+
 uint64_t key_value_watch_known(const key_value_watch_t *watch) {
     return watch->revision;
 }
--- a/src/cluster/key_value_watch.h
+++ b/src/cluster/key_value_watch.h
@@ -34,8 +34,19 @@
 
 /** How long the next watch waits for a change, in ms. */
 void key_value_watch_set_wait(key_value_watch_t *watch, uint32_t wait_ms);
-/** Gives up the watch that waits now, if one does, for a new one from the same revision. */
+/** Gives up the watch that waits now, if one does, for a new one from the same revision; ends a
+ * rest. */
 void key_value_watch_renew(key_value_watch_t *watch);
+/**
+ * Stops watching until key_value_watch_renew; false if the service was not listed yet, or did not
+ * answer last.
+ */
+bool key_value_watch_rest(key_value_watch_t *watch);
+bool key_value_watch_rests(const key_value_watch_t *watch);
+/** All changes up to the one at revision @p changed have been seen elsewhere. */
+void key_value_watch_advance(key_value_watch_t *watch, uint64_t changed);
+/** True unless a listing is due or under way. */
+bool key_value_watch_listed(const key_value_watch_t *watch);
 /** Everything up to this revision has been seen; 0 before the first listing. */
 uint64_t key_value_watch_known(const key_value_watch_t *watch);
 /** The latest revision at which a change was seen. */
--- a/src/cluster/message.c
+++ b/src/cluster/message.c
@@ -146,7 +146,11 @@
     case REQUEST_INDEX:
         codec_bytes(codec, &message->digest);
         break;
+    case REQUEST_FOLLOW:
+        codec_uint64(codec, &message->revision);
+        break;
     case MESSAGE_DIRECTORY:
+    case MESSAGE_DIRECTORY_CHANGES:
         codec_uint64(codec, &message->revision);
         codec_bytes(codec, &message->directory);
         break;
--- a/src/cluster/message.h
+++ b/src/cluster/message.h
@@ -41,6 +41,8 @@
     MESSAGE_RELAY,           /**< To a gateway: pass all that follows to the storage node named. */
     REQUEST_DIRECTORY,       /**< A gateway lacks the directory. */
     MESSAGE_DIRECTORY,       /**< A directory snapshot: the answer, or a gateway's news. */
+    REQUEST_FOLLOW,          /**< To a gateway: pass on what the watch shows from now on. */
+    MESSAGE_DIRECTORY_CHANGES, /**< What a gateway's watch showed, for those that follow it. */
     MESSAGE_TYPE_COUNT,
 } message_type_t;
 
@@ -61,8 +63,8 @@
     budget_summary_t summary; /**< A program's charges in short. */
     uint64_t place; /**< Hash of the back end's instance where the program last ran; 0: unknown. */
     char *turn_id;
-    uint64_t revision; /**< Of the directory snapshot. */
-    GBytes *directory; /**< An encoded directory_snapshot_t. */
+    uint64_t revision; /**< Of the directory snapshot, or up to which all changes are known. */
+    GBytes *directory; /**< An encoded directory_snapshot_t, or changes. */
     GBytes *group;     /**< An encoded store group. */
     GBytes *digest;    /**< An encoded record_digest_t of what the sender holds. */
     GArray *turns;     /**< Of turn_t: one to keep, or a chain from its newest turn. */
--- a/src/core/configuration/watch_duty.c
+++ b/src/core/configuration/watch_duty.c
@@ -1,12 +1,9 @@
 #include "core/configuration/watch_duty.h"
 
-enum {
-    RENEWING = 3,               /**< So many renew. */
-    TELL_PERIOD_MOST_MS = 1200, /**< Told more seldom, a missed change would show too late. */
-};
+/** Told more seldom, a missed change would show too late. */
+enum { TELL_PERIOD_MOST_MS = 1200 };
 
-/** True if its watch is in order: answered within one wait, and told, one datagram being lost. */
-static bool answered_lately(const watch_report_t *report, uint64_t tell_period_ms, uint64_t now) {
+bool watch_duty_in_order(const watch_report_t *report, uint64_t tell_period_ms, uint64_t now) {
     if (report->answer_age == UINT32_MAX)
         return false;
     uint64_t bound = WATCH_WAIT_RENEWING_MS + WATCH_ANSWER_MS + 2 * tell_period_ms;
@@ -29,8 +26,8 @@
                                    unsigned count, uint64_t tell_period_ms, uint64_t now) {
     unsigned renewing = 0;
     for (unsigned i = 0; i < count; i++)
-        renewing += reports[i].before && answered_lately(&reports[i], tell_period_ms, now);
-    bool rests = renewing >= RENEWING && tell_period_ms <= TELL_PERIOD_MOST_MS;
+        renewing += reports[i].before && watch_duty_in_order(&reports[i], tell_period_ms, now);
+    bool rests = renewing >= WATCH_RENEWING && tell_period_ms <= TELL_PERIOD_MOST_MS;
     look_whether_behind(own, reports, count, now);
     /* A new watch that did not help has a longer trial: the service may be out of reach. */
     bool tried = own->begun_at > own->behind_since;
--- a/src/core/configuration/watch_duty.h
+++ b/src/core/configuration/watch_duty.h
@@ -17,6 +17,7 @@
 #include <stdint.h>
 
 enum {
+    WATCH_RENEWING = 3, /**< So many renew. */
     WATCH_WAIT_RENEWING_MS = 3000,
     WATCH_WAIT_RESTING_MS = 25000,
     WATCH_ANSWER_MS = 900, /**< For a watch to be answered, beyond the time it waits. */
@@ -31,6 +32,7 @@
     uint32_t answer_age; /**< How long before that its watch was answered; UINT32_MAX: never. */
     uint64_t changed;    /**< The latest revision at which it saw a change. */
     bool has_stores;     /**< It reaches a quorum of storage nodes itself. */
+    bool renews;         /**< It watches and asks anew itself, so that others may follow it. */
 } watch_report_t;
 
 /** This process's own watch. */
@@ -46,6 +48,12 @@
     bool renew;       /**< The one that waits now is to be given up for a new one. */
 } watch_decision_t;
 
+/**
+ * True if a process's watch is in order as far as its report tells: answered within one wait, with
+ * one report lost.
+ */
+bool watch_duty_in_order(const watch_report_t *report, uint64_t tell_period_ms, uint64_t now);
+
 /**
  * Decides from what @p count others told. @p tell_period_ms is how often one is told: if too
  * seldom, nobody rests. Keeps `behind_since` of @p own.
--- /dev/null
+++ b/src/gateway/directory_feed.c
@@ -0,0 +1,139 @@
+#include "gateway/directory_feed.h"
+
+#include "cluster/directory_changes.h"
+#include "cluster/message.h"
+#include "common/event.h"
+
+/** Bytes that may wait for a follower; one that reads no faster is let go. */
+enum { BACKLOG_MOST_BYTES = 4 * 1024 * 1024 };
+
+struct directory_feed {
+    uv_timer_t timer; /**< Runs while something is to be told. */
+    directory_feed_read_t read;
+    void *owner;
+    GHashTable *followers; /**< Serial number of a connection to it. */
+    GArray *changes;       /**< Of key_value_item_t: noted and not told yet. */
+    bool noted;            /**< There are changes, of whichever items. */
+    bool listed;           /**< Everything is to be told. */
+};
+
+static directory_feed_state_t read_state(const directory_feed_t *feed) {
+    directory_feed_state_t state = {0};
+    feed->read(feed->owner, &state);
+    return state;
+}
+
+/** The whole view; an empty one tells followers to go elsewhere. */
+static GBytes *encode_all(const directory_feed_state_t *state) {
+    message_t message;
+    message_init(&message, MESSAGE_DIRECTORY);
+    message.revision = state->known;
+    if (state->watching)
+        message.directory = directory_snapshot_encode(state->snapshot);
+    GBytes *bytes = message_encode(&message);
+    message_clear(&message);
+    return bytes;
+}
+
+static GBytes *encode_group(const directory_feed_state_t *state) {
+    message_t message;
+    message_init(&message, MESSAGE_GROUP);
+    message.group = g_bytes_ref(state->group);
+    GBytes *bytes = message_encode(&message);
+    message_clear(&message);
+    return bytes;
+}
+
+static GBytes *encode_changes(const directory_feed_t *feed, uint64_t known) {
+    message_t message;
+    message_init(&message, MESSAGE_DIRECTORY_CHANGES);
+    message.revision = known;
+    message.directory = directory_changes_encode(feed->changes);
+    GBytes *bytes = message_encode(&message);
+    message_clear(&message);
+    return bytes;
+}
+
+/** Sends to each follower; takes over @p bytes. */
+static void send_to_all(directory_feed_t *feed, GBytes *bytes) {
+    GHashTableIter iterator;
+    gpointer connection;
+    g_hash_table_iter_init(&iterator, feed->followers);
+    while (g_hash_table_iter_next(&iterator, NULL, &connection)) {
+        /* One that does not read misses this and hears no more: it finds another way. */
+        if (frame_connection_backlog(connection) > BACKLOG_MOST_BYTES)
+            g_hash_table_iter_remove(&iterator);
+        else
+            frame_connection_send(connection, g_bytes_ref(bytes));
+    }
+    g_bytes_unref(bytes);
+}
+
+static void on_tell(uv_timer_t *timer) {
+    directory_feed_t *feed = timer->data;
+    directory_feed_state_t state = read_state(feed);
+    if (!state.watching || (feed->listed && state.known > 0))
+        send_to_all(feed, encode_all(&state));
+    else if (feed->noted && state.known > 0)
+        send_to_all(feed, encode_changes(feed, state.known));
+    /* While a listing goes on nothing is told: its end tells everything. */
+    g_array_set_size(feed->changes, 0);
+    feed->noted = false;
+    feed->listed = feed->listed && state.watching && state.known == 0;
+}
+
+/** In the next turn of the loop: a watch's answer brings several items. */
+static void tell_soon(directory_feed_t *feed) {
+    if (g_hash_table_size(feed->followers) > 0)
+        uv_timer_start(&feed->timer, on_tell, 0, 0);
+}
+
+directory_feed_t *directory_feed_new(uv_loop_t *loop, directory_feed_read_t read, void *owner) {
+    directory_feed_t *feed = g_new0(directory_feed_t, 1);
+    feed->read = read;
+    feed->owner = owner;
+    feed->followers = g_hash_table_new(g_int64_hash, g_int64_equal);
+    feed->changes = directory_changes_new();
+    uv_timer_init(loop, &feed->timer);
+    feed->timer.data = feed;
+    return feed;
+}
+
+bool directory_feed_add(directory_feed_t *feed, frame_connection_t *connection, uint64_t known) {
+    directory_feed_state_t state = read_state(feed);
+    event_log(GATEWAY_DIRECTORY_FOLLOWER, g_hash_table_size(feed->followers), known, state.known);
+    if (!state.watching || state.known == 0)
+        return false;
+    /* What is noted is in the snapshot already; followers of before get it first. */
+    if (uv_is_active((uv_handle_t *)&feed->timer)) {
+        uv_timer_stop(&feed->timer);
+        on_tell(&feed->timer);
+    }
+    g_hash_table_insert(feed->followers, (gpointer)frame_connection_serial(connection), connection);
+    if (state.group != NULL)
+        frame_connection_send(connection, encode_group(&state));
+    frame_connection_send(connection, encode_all(&state));
+    return true;
+}
+
+void directory_feed_remove(directory_feed_t *feed, const uint64_t *serial) {
+    g_hash_table_remove(feed->followers, serial);
+}
+
+void directory_feed_note(directory_feed_t *feed, const key_value_item_t *item) {
+    if (g_hash_table_size(feed->followers) == 0)
+        return;
+    if (item != NULL)
+        directory_changes_add(feed->changes, item);
+    feed->noted = true;
+    tell_soon(feed);
+}
+
+void directory_feed_listed(directory_feed_t *feed) {
+    feed->listed = true;
+    tell_soon(feed);
+}
+
+unsigned directory_feed_followers(const directory_feed_t *feed) {
+    return g_hash_table_size(feed->followers);
+}
--- /dev/null
+++ b/src/gateway/directory_follow.c
@@ -0,0 +1,143 @@
+#include "gateway/directory_follow.h"
+
+#include "cluster/directory_changes.h"
+#include "common/error.h"
+#include "common/event.h"
+#include "net/frame_connection.h"
+
+/** The source's view must have come within this, in ms. */
+enum { CONNECT_MS = 1000 };
+
+struct directory_follow {
+    uv_loop_t *loop;
+    uv_timer_t timer; /**< Runs until the source's view has come. */
+    const directory_follow_handler_t *handler;
+    void *owner;
+    frame_connection_t *connection; /**< NULL: no source. */
+    struct sockaddr_in source;
+    bool current;
+    uint64_t pause_until;
+};
+
+void directory_follow_end(directory_follow_t *follow, const char *reason, uint64_t pause_ms) {
+    if (follow->connection == NULL)
+        return;
+    event_log(GATEWAY_DIRECTORY_FOLLOWS, "no", reason, follow->handler->known(follow->owner));
+    uv_timer_stop(&follow->timer);
+    frame_connection_close(follow->connection);
+    follow->connection = NULL;
+    follow->current = false;
+    follow->pause_until = uv_now(follow->loop) + pause_ms;
+}
+
+static void lose_source(directory_follow_t *follow, const char *reason) {
+    directory_follow_end(follow, reason, DIRECTORY_FOLLOW_PAUSE_MS);
+    follow->handler->on_lost(follow->owner);
+}
+
+static void on_time_over(uv_timer_t *timer) {
+    lose_source(timer->data, "late");
+}
+
+static void on_open(void *owner, frame_connection_t *connection) {
+    const directory_follow_t *follow = owner;
+    message_t request;
+    message_init(&request, REQUEST_FOLLOW);
+    request.revision = follow->handler->known(follow->owner);
+    frame_connection_send(connection, message_encode(&request));
+    message_clear(&request);
+}
+
+/** False if @p message holds no directory. */
+static bool take_directory(directory_follow_t *follow, const message_t *message) {
+    directory_snapshot_t snapshot;
+    directory_snapshot_init(&snapshot);
+    bool valid =
+        message->directory != NULL && directory_snapshot_decode(&snapshot, message->directory);
+    if (valid) {
+        uv_timer_stop(&follow->timer);
+        if (!follow->current)
+            event_log(GATEWAY_DIRECTORY_FOLLOWS, "yes", "view", message->revision);
+        follow->current = true;
+        follow->handler->on_directory(follow->owner, &snapshot, message->revision);
+    }
+    directory_snapshot_clear(&snapshot);
+    return valid;
+}
+
+static bool take_changes(const directory_follow_t *follow, const message_t *message) {
+    GArray *changes =
+        message->directory == NULL ? NULL : directory_changes_decode(message->directory);
+    if (changes == NULL)
+        return false;
+    follow->handler->on_changes(follow->owner, changes, message->revision);
+    g_array_free(changes, TRUE);
+    return true;
+}
+
+static void on_frame(void *owner, frame_connection_t *connection, const uint8_t *data,
+                     size_t length) {
+    directory_follow_t *follow = owner;
+    message_t message;
+    (void)connection;
+    bool valid = message_decode(&message, data, length);
+    bool behind = valid && message.type != MESSAGE_GROUP &&
+                  message.revision < follow->handler->known(follow->owner);
+    if (behind)
+        lose_source(follow, "behind");
+    else if (valid && message.type == MESSAGE_GROUP)
+        follow->handler->on_group(follow->owner, &message);
+    else if (valid && message.type == MESSAGE_DIRECTORY)
+        valid = take_directory(follow, &message);
+    else if (valid && message.type == MESSAGE_DIRECTORY_CHANGES && follow->current)
+        valid = take_changes(follow, &message);
+    message_clear(&message);
+    if (!valid)
+        lose_source(follow, error_name(RUDDERWAY_ERROR_FRAME_INVALID));
+}
+
+static void on_closed(void *owner, frame_connection_t *connection) {
+    directory_follow_t *follow = owner;
+    (void)connection;
+    /* Gone already: nothing is left to close. */
+    follow->connection = NULL;
+    follow->current = false;
+    follow->pause_until = uv_now(follow->loop) + DIRECTORY_FOLLOW_PAUSE_MS;
+    uv_timer_stop(&follow->timer);
+    event_log(GATEWAY_DIRECTORY_FOLLOWS, "no", "closed", follow->handler->known(follow->owner));
+    follow->handler->on_lost(follow->owner);
+}
+
+static const frame_handler_t source_handler = {on_open, on_frame, on_closed};
+
+directory_follow_t *directory_follow_new(uv_loop_t *loop, const directory_follow_handler_t *handler,
+                                         void *owner) {
+    directory_follow_t *follow = g_new0(directory_follow_t, 1);
+    follow->loop = loop;
+    follow->handler = handler;
+    follow->owner = owner;
+    uv_timer_init(loop, &follow->timer);
+    follow->timer.data = follow;
+    return follow;
+}
+
+void directory_follow_begin(directory_follow_t *follow, const struct sockaddr_in *source) {
+    if (follow->connection != NULL || uv_now(follow->loop) < follow->pause_until)
+        return;
+    follow->source = *source;
+    follow->connection = frame_connection_open(follow->loop, source, &source_handler, follow);
+    if (follow->connection != NULL)
+        uv_timer_start(&follow->timer, on_time_over, CONNECT_MS, 0);
+}
+
+bool directory_follow_active(const directory_follow_t *follow) {
+    return follow->connection != NULL;
+}
+
+bool directory_follow_current(const directory_follow_t *follow) {
+    return follow->current;
+}
+
+const struct sockaddr_in *directory_follow_source(const directory_follow_t *follow) {
+    return &follow->source;
+}
--- /dev/null
+++ b/src/gateway/directory_follow.h
@@ -0,0 +1,49 @@
+/**
+ * @file directory_follow.h
+ * Follows another gateway's view of the key-value service (directory_feed.h) in place of a watch of
+ * its own.
+ *
+ * Failures. A source that ends, falls silent for the other gateways, or knows less than this
+ * gateway does is left; the owner then watches the service itself and may follow again later.
+ *
+ * Thread safety: everything here belongs to the loop's thread.
+ */
+#ifndef RUDDERWAY_GATEWAY_DIRECTORY_FOLLOW_H
+#define RUDDERWAY_GATEWAY_DIRECTORY_FOLLOW_H
+
+#include "cluster/directory_snapshot.h"
+#include "cluster/message.h"
+
+#include <uv.h>
+
+typedef struct directory_follow directory_follow_t;
+
+/** After a source proved of no use, before the next is followed, in ms. */
+enum { DIRECTORY_FOLLOW_PAUSE_MS = 4000 };
+
+typedef struct {
+    /** The latest revision at which this gateway has seen a change. */
+    uint64_t (*known)(void *owner);
+    /** The source's whole view, up to @p known. */
+    void (*on_directory)(void *owner, const directory_snapshot_t *snapshot, uint64_t known);
+    /** Items that changed, of key_value_item_t, up to @p known. */
+    void (*on_changes)(void *owner, const GArray *changes, uint64_t known);
+    void (*on_group)(void *owner, const message_t *message);
+    /** There is no source any more. */
+    void (*on_lost)(void *owner);
+} directory_follow_handler_t;
+
+directory_follow_t *directory_follow_new(uv_loop_t *loop, const directory_follow_handler_t *handler,
+                                         void *owner);
+/** Begins to follow the gateway at @p source, if it follows none. */
+void directory_follow_begin(directory_follow_t *follow, const struct sockaddr_in *source);
+/** Stops following, without on_lost, and does not begin again before @p pause_ms are over. */
+void directory_follow_end(directory_follow_t *follow, const char *reason, uint64_t pause_ms);
+/** True if a source is being connected to or followed. */
+bool directory_follow_active(const directory_follow_t *follow);
+/** True if the source's whole view has come, and each change since. */
+bool directory_follow_current(const directory_follow_t *follow);
+/** The gateway that is followed; only while active. */
+const struct sockaddr_in *directory_follow_source(const directory_follow_t *follow);
+
+#endif
--- a/src/gateway/directory_watch.c
+++ b/src/gateway/directory_watch.c
@@ -3,7 +3,11 @@
  * store group. A version of the configuration never goes back. Back ends that a listing lacks
  * are gone; while the service does not answer, what was known last stays in use.
  *
- * The gateways on duty (watch_duty.h) give the storage nodes what they have seen. A gateway that
+ * Only the gateways on duty (watch_duty.h) watch. The others follow one of them (directory_feed.h,
+ * directory_follow.h): their own watches rest, and begin again from what they know when there is no
+ * gateway to follow, or when another one knows of a change that did not come this way.
+ *
+ * The gateways on duty give the storage nodes what they have seen. A gateway that
  * starts while the service is away serves from that until the service answers; it says 503, not
  * 404, to a call without a route, since a later configuration may have one.
  */
@@ -19,6 +23,7 @@
     SERVICE_PATIENCE_MS = 250, /**< The service is taken to be away without an answer in this. */
     TELL_LEAST_MS = 1000,      /**< Between two snapshots for the storage nodes, */
     TELL_BYTES_PER_MS = 100,   /**< and more the larger they are. */
+    FOLLOW_LAG_MS = 1500,      /**< A followed gateway notices within this that it lags. */
 };
 
 static void take_configuration(gateway_t *gateway, const key_value_item_t *item) {
@@ -61,9 +66,17 @@
     backends_update(&gateway->backends, backend);
 }
 
+/** True if a key holds the store group. */
+static bool is_group(key_kind_t kind, const char *name) {
+    return kind == KEY_OWN && strcmp(name, "group") == 0;
+}
+
 static void take_group(gateway_t *gateway, const char *name, const key_value_item_t *item) {
-    if (strcmp(name, "group") != 0 || item->value == NULL)
+    if (!is_group(KEY_OWN, name) || item->value == NULL)
         return;
+    if (gateway->group != NULL)
+        g_bytes_unref(gateway->group);
+    gateway->group = g_bytes_ref(item->value);
     gsize length;
     const void *data = g_bytes_get_data(item->value, &length);
     store_group_t *group = store_group_decode(data, length);
@@ -94,14 +107,17 @@
     gateway_t *gateway = owner;
     const char *name;
     key_kind_t kind = key_value_kind(item->key, &name);
-    if (kind == KEY_CONFIGURATION || kind == KEY_BACKEND)
+    bool directory = kind == KEY_CONFIGURATION || kind == KEY_BACKEND;
+    if (directory)
         directory_snapshot_note(&gateway->snapshot, item);
+    bool needed = directory || is_group(kind, name);
+    directory_feed_note(gateway->feed, needed ? item : NULL);
     take_item(gateway, item);
     gateway_check_ready(gateway);
 }
 
-static void on_listed(void *owner, GHashTable *keys) {
-    gateway_t *gateway = owner;
+/** Drops all that is not among @p keys. */
+static void retain_items(gateway_t *gateway, GHashTable *keys) {
     GHashTable *instances = g_hash_table_new(g_str_hash, g_str_equal);
     GHashTableIter iterator;
     gpointer key;
@@ -114,6 +130,12 @@
     backends_retain(&gateway->backends, instances);
     directory_snapshot_retain(&gateway->snapshot, keys);
     g_hash_table_destroy(instances);
+}
+
+static void on_listed(void *owner, GHashTable *keys) {
+    gateway_t *gateway = owner;
+    retain_items(gateway, keys);
+    directory_feed_listed(gateway->feed);
     gateway->backends_listed = true;
     gateway->directory_confirmed = true;
     gateway_check_ready(gateway);
@@ -184,8 +206,70 @@
     uv_timer_set_repeat(timer, gateway->backends_listed ? TELL_LEAST_MS : DIRECTORY_LOOK_MS);
 }
 
-void gateway_watch_directory(gateway_t *gateway) {
+/* Gateways that follow this one. */
+
+static void read_feed_state(void *owner, directory_feed_state_t *state) {
+    const gateway_t *gateway = owner;
+    state->snapshot = &gateway->snapshot;
+    state->group = gateway->group;
+    bool watches = gateway->watch != NULL && key_value_watch_listed(gateway->watch);
+    state->known = watches ? key_value_watch_changed(gateway->watch) : 0;
+    state->watching = gateway->watch != NULL && !key_value_watch_rests(gateway->watch);
+}
+
+/* The gateway that this one follows. */
+
+static uint64_t followed_known(void *owner) {
+    return key_value_watch_changed(((const gateway_t *)owner)->watch);
+}
+
+static void on_followed_directory(void *owner, const directory_snapshot_t *snapshot,
+                                  uint64_t known) {
+    gateway_t *gateway = owner;
+    GHashTableIter iterator;
+    gpointer key;
+    gpointer value;
+    g_hash_table_iter_init(&iterator, snapshot->items);
+    while (g_hash_table_iter_next(&iterator, &key, &value)) {
+        key_value_item_t item = {.key = key, .value = value, .revision = snapshot->revision};
+        on_item(gateway, &item);
+    }
+    retain_items(gateway, snapshot->items);
+    key_value_watch_advance(gateway->watch, known);
+    if (!key_value_watch_rest(gateway->watch))
+        directory_follow_end(gateway->follow, "listing", DIRECTORY_FOLLOW_PAUSE_MS);
+    directory_feed_listed(gateway->feed);
+}
+
+static void on_followed_changes(void *owner, const GArray *changes, uint64_t known) {
+    gateway_t *gateway = owner;
+    for (guint i = 0; i < changes->len; i++)
+        on_item(gateway, &g_array_index(changes, key_value_item_t, i));
+    key_value_watch_advance(gateway->watch, known);
+}
+
+static void on_followed_group(void *owner, const message_t *message) {
+    const gateway_t *gateway = owner;
+    store_client_take_group(gateway->stores, message);
+}
+
+static void on_followed_lost(void *owner) {
+    const gateway_t *gateway = owner;
+    if (key_value_watch_rests(gateway->watch))
+        key_value_watch_renew(gateway->watch);
+}
+
+static const directory_follow_handler_t follow_handler = {
+    followed_known, on_followed_directory, on_followed_changes, on_followed_group, on_followed_lost,
+};
+
+void gateway_open_directory(gateway_t *gateway) {
     directory_snapshot_init(&gateway->snapshot);
+    gateway->feed = directory_feed_new(gateway->loop, read_feed_state, gateway);
+    gateway->follow = directory_follow_new(gateway->loop, &follow_handler, gateway);
+}
+
+void gateway_watch_directory(gateway_t *gateway) {
     gateway->tells_directory = true;
     uv_timer_init(gateway->loop, &gateway->directory_timer);
     gateway->directory_timer.data = gateway;
@@ -206,6 +290,8 @@
         answered_at == 0 ? UINT32_MAX : (uint32_t)(uv_now(gateway->loop) - answered_at);
     report->changed = gateway->watch == NULL ? 0 : key_value_watch_changed(gateway->watch);
     report->has_stores = store_client_connected_directly(gateway->stores);
+    report->renews = gateway->tells_directory && gateway->directory_confirmed &&
+                     gateway->watch != NULL && !key_value_watch_rests(gateway->watch);
 }
 
 /** Notes whether another gateway reaches storage nodes that this one does not. */
@@ -220,6 +306,40 @@
     }
 }
 
+/** True if the gateway that is followed lags, and yet seems to be there: it will find out by
+ * itself. */
+static bool source_finds_out(const gateway_t *gateway, uint64_t period_ms) {
+    uint64_t behind_since = gateway->watch_state.behind_since;
+    uint64_t heard_at;
+    if (!directory_follow_current(gateway->follow) ||
+        !load_sharing_look_at_source(gateway->load_sharing,
+                                     directory_follow_source(gateway->follow), &heard_at))
+        return false;
+    uint64_t patience = heard_at > behind_since ? FOLLOW_LAG_MS : WATCH_LAG_MS + period_ms;
+    return uv_now(gateway->loop) < behind_since + patience;
+}
+
+/** Follows another gateway if this one need not watch itself. */
+static void look_whether_to_follow(gateway_t *gateway, bool rests, bool renew) {
+    directory_follow_t *follow = gateway->follow;
+    bool wanted = rests && !renew && gateway->directory_confirmed && gateway->stores_lost_at == 0;
+    struct sockaddr_in source;
+    uint64_t heard_at;
+    if (!wanted) {
+        directory_follow_end(follow, renew ? "behind" : "duty",
+                             renew ? DIRECTORY_FOLLOW_PAUSE_MS : 0);
+    } else if (directory_follow_active(follow) &&
+               !load_sharing_look_at_source(gateway->load_sharing, directory_follow_source(follow),
+                                            &heard_at)) {
+        directory_follow_end(follow, "source", 0);
+    }
+    if (wanted && !directory_follow_active(follow) &&
+        load_sharing_find_source(gateway->load_sharing, &source))
+        directory_follow_begin(follow, &source);
+    if (!directory_follow_active(follow) && key_value_watch_rests(gateway->watch))
+        key_value_watch_renew(gateway->watch);
+}
+
 static void on_reports(void *owner, const GArray *reports, uint64_t period_ms) {
     gateway_t *gateway = owner;
     if (gateway->watch == NULL)
@@ -232,7 +352,9 @@
                                                   reports->len, period_ms, uv_now(gateway->loop));
     key_value_watch_set_wait(gateway->watch, decision.wait_ms);
     gateway->tells_directory = decision.wait_ms == WATCH_WAIT_RENEWING_MS;
-    if (decision.renew)
+    bool renew = decision.renew && !source_finds_out(gateway, period_ms);
+    look_whether_to_follow(gateway, !gateway->tells_directory, renew);
+    if (renew)
         key_value_watch_renew(gateway->watch);
     look_at_peers(gateway, reports);
     gateway_check_ready(gateway);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -17,6 +17,8 @@
 #include "core/retry/outage.h"
 #include "gateway/backends.h"
 #include "gateway/chain_cache.h"
+#include "gateway/directory_feed.h"
+#include "gateway/directory_follow.h"
 #include "gateway/load_sharing.h"
 #include "gateway/silence_watch.h"
 #include "gateway/store_client.h"
@@ -58,7 +60,10 @@
     silence_watch_t silence_watch;
     GHashTable *split_credits; /**< Route name to what each part is owed; see split.h. */
     key_value_watch_t *watch;
+    directory_feed_t *feed;        /**< Gateways that follow this one's view. */
+    directory_follow_t *follow;    /**< The gateway whose view this one follows. */
     directory_snapshot_t snapshot; /**< Of what the watch has shown. */
+    GBytes *group;                 /**< The store group as last seen there; NULL: never. */
     bool directory_confirmed;      /**< The key-value service has shown it, not a storage node. */
     uint64_t told_revision;        /**< Of the snapshot that storage nodes were last told. */
     uint64_t told_at;
@@ -85,6 +90,8 @@
 /** Takes a whole call; see call.c. */
 extern const http_listener_handler_t call_listener_handler;
 
+/** Prepares what gateways pass on to one another; before the peer address is listened on. */
+void gateway_open_directory(gateway_t *gateway);
 /** Follows configuration, back ends and the store group; see directory_watch.c. */
 void gateway_watch_directory(gateway_t *gateway);
 extern const load_sharing_handler_t gateway_watch_sharing;
--- a/src/gateway/load_sharing.c
+++ b/src/gateway/load_sharing.c
@@ -26,6 +26,7 @@
     URGENT_PAUSE_MS = 20,   /**< Least time between two urgent datagrams. */
     RELAY_NEWS_MS = 1500,   /**< A gateway may pass frames on if it was heard within this. */
     FORGET_MS = 1000,       /**< What a silent gateway said last counts for so long. */
+    SOURCE_PERIODS = 2,     /**< One datagram may be lost before a source is taken for gone. */
     SUM_AGAIN_MS = 100,     /**< Sums are made anew after this: what was told is forgotten. */
     ENTRIES_MAXIMUM = 4096,
 };
@@ -89,6 +90,7 @@
     codec_uint32(codec, &watch->answer_age);
     codec_uint64(codec, &watch->changed);
     codec_bool(codec, &watch->has_stores);
+    codec_bool(codec, &watch->renews);
     uint32_t count = entries->len;
     codec_count(codec, &count, ENTRIES_MAXIMUM);
     if (codec->decoding && !codec->failed)
@@ -286,6 +288,46 @@
     return found > 0;
 }
 
+/** True if others may follow this gateway's view of the key-value service. */
+static bool may_be_followed(const load_sharing_t *sharing, const gateway_peer_t *peer) {
+    uint64_t now = uv_now(sharing->loop);
+    uint64_t period = period_ms(sharing);
+    bool lately = now < peer->heard_at + IDLE_REFRESH_MS + SOURCE_PERIODS * period;
+    return lately && peer->watch.renews && watch_duty_in_order(&peer->watch, period, now);
+}
+
+/** How many others that may be followed come before @p peer by address. */
+static unsigned sources_before(const load_sharing_t *sharing, const gateway_peer_t *peer) {
+    unsigned before = 0;
+    for (guint i = 0; i < sharing->peers->len; i++) {
+        const gateway_peer_t *other = g_ptr_array_index(sharing->peers, i);
+        before += may_be_followed(sharing, other) && comes_before(&other->address, &peer->address);
+    }
+    return before;
+}
+
+bool load_sharing_find_source(const load_sharing_t *sharing, struct sockaddr_in *address) {
+    unsigned found = 0;
+    for (guint i = 0; i < sharing->peers->len; i++) {
+        const gateway_peer_t *peer = g_ptr_array_index(sharing->peers, i);
+        /* Later ones will rest themselves. */
+        if (!may_be_followed(sharing, peer) || sources_before(sharing, peer) >= WATCH_RENEWING)
+            continue;
+        /* Each of them with the same chance. */
+        found++;
+        if (g_random_int_range(0, (gint32)found) == 0)
+            *address = peer->address;
+    }
+    return found > 0;
+}
+
+bool load_sharing_look_at_source(const load_sharing_t *sharing, const struct sockaddr_in *address,
+                                 uint64_t *heard_at) {
+    const gateway_peer_t *peer = find_peer(sharing, address);
+    *heard_at = peer == NULL ? 0 : peer->heard_at;
+    return peer != NULL && may_be_followed(sharing, peer);
+}
+
 static void arm_timer(load_sharing_t *sharing) {
     uv_timer_start(&sharing->timer, on_timer, period_ms(sharing), 0);
 }
--- a/src/gateway/load_sharing.h
+++ b/src/gateway/load_sharing.h
@@ -33,6 +33,11 @@
 void load_sharing_refresh(load_sharing_t *sharing);
 /** The address of a gateway that said lately that it reaches storage nodes; false: none did. */
 bool load_sharing_find_relay(const load_sharing_t *sharing, struct sockaddr_in *address);
+/** The address of a gateway whose view of the key-value service may be followed; false: none. */
+bool load_sharing_find_source(const load_sharing_t *sharing, struct sockaddr_in *address);
+/** True if the gateway at @p address may still be followed; when it was last heard, in ms. */
+bool load_sharing_look_at_source(const load_sharing_t *sharing, const struct sockaddr_in *address,
+                                 uint64_t *heard_at);
 /** Tells the others now what this gateway knows; for news that can't wait. */
 void load_sharing_tell_now(load_sharing_t *sharing);
 
--- a/src/gateway/main.c
+++ b/src/gateway/main.c
@@ -72,7 +72,9 @@
         return false;
     gateway->stores = store_client_new(gateway->loop, settings->zone, settings->peer_text,
                                        &store_handler, gateway);
-    gateway->relay = store_relay_open(gateway->loop, &settings->peer, gateway->stores);
+    gateway_open_directory(gateway);
+    gateway->relay =
+        store_relay_open(gateway->loop, &settings->peer, gateway->stores, gateway->feed);
     if (gateway->relay == NULL)
         return false;
     gateway->split_credits = split_credits_new();
--- a/src/gateway/store_relay.c
+++ b/src/gateway/store_relay.c
@@ -11,17 +11,22 @@
     store_relay_t *relay;
     frame_connection_t *gateway; /**< The connection that asked. */
     frame_connection_t *store;   /**< To the storage node; NULL before it is named. */
+    bool follows;                /**< It asked to follow the directory instead. */
 } relayed_t;
 
 struct store_relay {
     uv_loop_t *loop;
     store_client_t *stores;
+    directory_feed_t *feed;
     frame_listener_t *listener;
     GHashTable *relayed; /**< Serial number of the asking connection to relayed_t. */
 };
 
 static void end_relayed(relayed_t *relayed) {
-    g_hash_table_remove(relayed->relay->relayed, frame_connection_serial(relayed->gateway));
+    const uint64_t *serial = frame_connection_serial(relayed->gateway);
+    if (relayed->follows)
+        directory_feed_remove(relayed->relay->feed, serial);
+    g_hash_table_remove(relayed->relay->relayed, serial);
     frame_connection_close(relayed->gateway);
     if (relayed->store != NULL)
         frame_connection_close(relayed->store);
@@ -95,10 +100,16 @@
     bool valid = message_decode(&message, data, length);
     if (valid && message.type == MESSAGE_GROUP)
         store_client_take_group(relay->stores, &message);
-    if (valid && message.type == MESSAGE_RELAY)
+    if (valid && message.type == MESSAGE_RELAY) {
         begin_relayed(relayed, &message);
-    else
+    } else if (valid && message.type == REQUEST_FOLLOW && relay->feed != NULL &&
+               !relayed->follows) {
+        relayed->follows = directory_feed_add(relay->feed, connection, message.revision);
+        if (!relayed->follows)
+            end_relayed(relayed);
+    } else {
         end_relayed(relayed);
+    }
     message_clear(&message);
 }
 
@@ -112,10 +123,11 @@
 static const frame_handler_t gateway_handler = {on_open, on_frame, on_closed};
 
 store_relay_t *store_relay_open(uv_loop_t *loop, const struct sockaddr_in *address,
-                                store_client_t *stores) {
+                                store_client_t *stores, directory_feed_t *feed) {
     store_relay_t *relay = g_new0(store_relay_t, 1);
     relay->loop = loop;
     relay->stores = stores;
+    relay->feed = feed;
     relay->relayed = g_hash_table_new(g_int64_hash, g_int64_equal);
     relay->listener = frame_listener_open(loop, address, &gateway_handler, relay);
     if (relay->listener != NULL)
@@ -126,5 +138,11 @@
 }
 
 unsigned store_relay_count(const store_relay_t *relay) {
-    return g_hash_table_size(relay->relayed);
+    unsigned count = 0;
+    GHashTableIter iterator;
+    gpointer value;
+    g_hash_table_iter_init(&iterator, relay->relayed);
+    while (g_hash_table_iter_next(&iterator, NULL, &value))
+        count += !((const relayed_t *)value)->follows;
+    return count;
 }
--- a/src/storesim/world.c
+++ b/src/storesim/world.c
@@ -81,7 +81,7 @@
     virtual_process_begin(process);
     gateway->client = store_client_new(&process->loop, process->zone, process->address_text,
                                        &client_handler, gateway);
-    store_relay_open(&process->loop, &process->address, gateway->client);
+    store_relay_open(&process->loop, &process->address, gateway->client, NULL);
     key_value_watch_open(&process->loop, &process->address, "", key_value_prefix(KEY_OWN), 0,
                          &watch_handler, gateway);
 }
--- /dev/null
+++ b/tests/unit/directory_follow_test.cc
@@ -0,0 +1,230 @@
+// A gateway that follows another one's view of the key-value service, over loopback.
+#include <gtest/gtest.h>
+
+#include <arpa/inet.h>
+
+#include <cstring>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "gateway/directory_feed.h"
+#include "gateway/directory_follow.h"
+#include "gateway/store_relay.h"
+}
+
+namespace {
+
+constexpr uint64_t patience_ms = 3000;
+
+/** The source: its view, and the listener on which it can be followed. */
+struct Source {
+    directory_snapshot_t snapshot;
+    uint64_t known = 0;
+    bool watching = true;
+    directory_feed_t *feed = nullptr;
+};
+
+/** What the follower was told. */
+struct Follower {
+    std::map<std::string, std::string> items;
+    uint64_t known = 0;
+    unsigned views = 0;
+    unsigned lost = 0;
+};
+
+void read_state(void *owner, directory_feed_state_t *state) {
+    auto *source = static_cast<Source *>(owner);
+    *state = {&source->snapshot, nullptr, source->known, source->watching};
+}
+
+uint64_t follower_known(void *owner) {
+    return static_cast<Follower *>(owner)->known;
+}
+
+std::string text_of(GBytes *bytes) {
+    gsize length;
+    const char *data = static_cast<const char *>(g_bytes_get_data(bytes, &length));
+    return {data, length};
+}
+
+void on_directory(void *owner, const directory_snapshot_t *snapshot, uint64_t known) {
+    auto *follower = static_cast<Follower *>(owner);
+    follower->items.clear();
+    GHashTableIter iterator;
+    gpointer key;
+    gpointer value;
+    g_hash_table_iter_init(&iterator, snapshot->items);
+    while (g_hash_table_iter_next(&iterator, &key, &value) != FALSE)
+        follower->items[static_cast<char *>(key)] = text_of(static_cast<GBytes *>(value));
+    follower->known = known;
+    follower->views++;
+}
+
+void on_changes(void *owner, const GArray *changes, uint64_t known) {
+    auto *follower = static_cast<Follower *>(owner);
+    for (guint i = 0; i < changes->len; i++) {
+        const key_value_item_t *item = &g_array_index(changes, key_value_item_t, i);
+        if (item->value == nullptr)
+            follower->items.erase(item->key);
+        else
+            follower->items[item->key] = text_of(item->value);
+    }
+    follower->known = known;
+}
+
+void on_group(void *, const message_t *) {
+}
+
+void on_lost(void *owner) {
+    static_cast<Follower *>(owner)->lost++;
+}
+
+const directory_follow_handler_t follow_handler = {follower_known, on_directory, on_changes,
+                                                   on_group, on_lost};
+
+/** Feeds, followers and their loop live as long as their process: they are kept, not freed. */
+struct World {
+    uv_loop_t loop;
+    sockaddr_in address{};
+    Source source;
+    Follower follower;
+    store_relay_t *relay = nullptr;
+    directory_follow_t *follow = nullptr;
+};
+
+World *new_world() {
+    static std::vector<std::unique_ptr<World>> worlds;
+    worlds.push_back(std::make_unique<World>());
+    return worlds.back().get();
+}
+
+class DirectoryFollow : public testing::Test {
+  protected:
+    DirectoryFollow()
+        : world(new_world()), loop(world->loop), address(world->address), source(world->source),
+          follower(world->follower), relay(world->relay), follow(world->follow) {
+        uv_loop_init(&loop);
+        frame_loop_start(&loop);
+        directory_snapshot_init(&source.snapshot);
+        source.feed = directory_feed_new(&loop, read_state, &source);
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        for (uint16_t port = 42300; relay == nullptr && port < 42400; port++) {
+            address.sin_port = htons(port);
+            relay = store_relay_open(&loop, &address, nullptr, source.feed);
+        }
+        follow = directory_follow_new(&loop, &follow_handler, &follower);
+    }
+    /** Runs the loop until @p done, or for too long. */
+    bool run_until(const std::function<bool()> &done) {
+        uint64_t until = uv_now(&loop) + patience_ms;
+        uv_timer_t tick;
+        uv_timer_init(&loop, &tick);
+        uv_timer_start(&tick, [](uv_timer_t *) {}, 1, 1);
+        while (!done() && uv_now(&loop) < until)
+            uv_run(&loop, UV_RUN_ONCE);
+        bool closed = false;
+        tick.data = &closed;
+        uv_close(reinterpret_cast<uv_handle_t *>(&tick),
+                 [](uv_handle_t *handle) { *static_cast<bool *>(handle->data) = true; });
+        while (!closed)
+            uv_run(&loop, UV_RUN_NOWAIT);
+        return done();
+    }
+    void write(const char *key, const char *value, uint64_t revision) {
+        key_value_item_t item = {const_cast<char *>(key),
+                                 value == nullptr ? nullptr : g_bytes_new(value, strlen(value)),
+                                 revision};
+        directory_snapshot_note(&source.snapshot, &item);
+        source.known = revision;
+        directory_feed_note(source.feed, &item);
+        if (item.value != nullptr)
+            g_bytes_unref(item.value);
+    }
+    bool begin() {
+        directory_follow_begin(follow, &address);
+        return run_until([this] { return follower.views > 0; });
+    }
+    World *world;
+    uv_loop_t &loop;
+    sockaddr_in &address;
+    Source &source;
+    Follower &follower;
+    store_relay_t *&relay;
+    directory_follow_t *&follow;
+};
+
+TEST_F(DirectoryFollow, GetsAllThatIsKnownAndThenEachChange) {
+    write("servers/a", "ready", 5);
+    write("servers/b", "ready", 6);
+    ASSERT_TRUE(begin());
+    EXPECT_EQ(follower.items.size(), 2U);
+    EXPECT_EQ(follower.known, 6U);
+    write("servers/a", "draining", 7);
+    write("servers/b", nullptr, 8);
+    ASSERT_TRUE(run_until([this] { return follower.known == 8; }));
+    EXPECT_EQ(follower.items, (std::map<std::string, std::string>{{"servers/a", "draining"}}));
+    EXPECT_EQ(follower.views, 1U) << "changes alone";
+}
+
+TEST_F(DirectoryFollow, AChangeThatNobodyNeedsMovesTheRevisionOn) {
+    write("servers/a", "ready", 5);
+    ASSERT_TRUE(begin());
+    source.known = 9;
+    directory_feed_note(source.feed, nullptr);
+    EXPECT_TRUE(run_until([this] { return follower.known == 9; }));
+}
+
+TEST_F(DirectoryFollow, WhatAListingLacksIsGoneForFollowersToo) {
+    write("servers/a", "ready", 5);
+    write("servers/b", "ready", 6);
+    ASSERT_TRUE(begin());
+    g_hash_table_remove(source.snapshot.items, "servers/a");
+    directory_feed_listed(source.feed);
+    EXPECT_TRUE(run_until([this] { return follower.items.size() == 1; }));
+}
+
+TEST_F(DirectoryFollow, ASourceThatKnowsLessIsLeft) {
+    write("servers/a", "ready", 5);
+    follower.known = 7;
+    directory_follow_begin(follow, &address);
+    EXPECT_TRUE(run_until([this] { return follower.lost == 1; }));
+    EXPECT_EQ(follower.known, 7U);
+    EXPECT_EQ(follower.views, 0U);
+    EXPECT_FALSE(directory_follow_active(follow));
+}
+
+TEST_F(DirectoryFollow, OneThatFollowsItselfCanNotBeFollowed) {
+    write("servers/a", "ready", 5);
+    source.watching = false;
+    directory_follow_begin(follow, &address);
+    EXPECT_TRUE(run_until([this] { return follower.lost == 1; }));
+}
+
+TEST_F(DirectoryFollow, ASourceThatBeginsToFollowLetsItsFollowersGo) {
+    write("servers/a", "ready", 5);
+    ASSERT_TRUE(begin());
+    source.watching = false;
+    directory_feed_listed(source.feed);
+    EXPECT_TRUE(run_until([this] { return follower.lost == 1; }));
+}
+
+TEST_F(DirectoryFollow, WhileTheSourceListsNothingIsTold) {
+    write("servers/a", "ready", 5);
+    ASSERT_TRUE(begin());
+    source.known = 0;
+    key_value_item_t item = {const_cast<char *>("servers/b"), nullptr, 9};
+    directory_feed_note(source.feed, &item);
+    run_until([this] { return follower.known != 5; });
+    EXPECT_EQ(follower.known, 5U);
+    source.known = 9;
+    directory_feed_listed(source.feed);
+    EXPECT_TRUE(run_until([this] { return follower.known == 9; }));
+    EXPECT_EQ(follower.views, 2U);
+}
+
+} // namespace
--- a/tests/unit/watch_duty_test.cc
+++ b/tests/unit/watch_duty_test.cc
@@ -18,7 +18,7 @@
     WatchDuty() {
         own = {50, now - 1000, now - 1000, 0};
         for (int i = 0; i < 3; i++)
-            reports.push_back({true, now - 200, 2000, 50, true});
+            reports.push_back({true, now - 200, 2000, 50, true, true});
     }
     watch_decision_t decide(uint64_t at = now, uint64_t tell_period = period) {
         return watch_duty_decide(&own, reports.data(), static_cast<unsigned>(reports.size()),
