gateways: watches on duty are not given up as they are answered; followers wait for their source

Cause: a gateway on duty gave its watch up 3 s after it had begun, which is just when the answer is due. Besides, a follower whose source was in a pause between two watches left it and watched by itself for 4 s; and a gateway that could not reach the service did not follow anyone.

Ruled out by a log of who told what: changes that did not come; reports lost.

Change: a watch that waits is given up only when its answer is overdue. A source keeps a follower waiting until its view is no older than the follower's, and the follower's own watch rests meanwhile. A gateway that can't reach the service follows one that does. While there is no store group yet, and for a gateway that is soon to follow, watches pause 2.5 s and 1 s.

Tests: WatchDuty.AWatchThatIsAboutToBeAnsweredIsNotGivenUp (fails before), DirectoryFollow.ASourceThatCatchesUpIsFollowed.

--- a/src/cluster/key_value_watch.c
+++ b/src/cluster/key_value_watch.c
@@ -31,6 +31,7 @@
     char *host;
     char *prefix;
     uint32_t wait_ms;
+    uint32_t pause_ms; /**< Least between two watches. */
     const key_value_watch_handler_t *handler;
     void *owner;
     http_client_t *client;
@@ -178,10 +179,15 @@
         watch->revision = MAX(watch->revision, page.revision);
     }
     key_value_page_clear(&page);
+    uint64_t pause = 0;
     if (listed && watch->phase == WATCHING)
-        uv_timer_start(&watch->timer, on_pause_over, LISTED_PAUSE_MS, 0);
+        pause = LISTED_PAUSE_MS;
     else if (changed)
-        uv_timer_start(&watch->timer, on_pause_over, next_gather_pause(watch), 0);
+        pause = next_gather_pause(watch);
+    if (watch->phase == WATCHING)
+        pause = MAX(pause, watch->pause_ms);
+    if (pause > 0)
+        uv_timer_start(&watch->timer, on_pause_over, pause, 0);
     else
         begin_call(watch);
 }
@@ -264,14 +270,13 @@
     begin_call(watch);
 }
 
-bool key_value_watch_rest(key_value_watch_t *watch) {
-    if (watch->resting)
-        return true;
-    if (watch->phase != WATCHING || watch->failures > 0)
-        return false;
+void key_value_watch_set_pause(key_value_watch_t *watch, uint32_t pause_ms) {
+    watch->pause_ms = pause_ms;
+}
+
+void key_value_watch_rest(key_value_watch_t *watch) {
     stop_call(watch);
     watch->resting = true;
-    return true;
 }
 
 bool key_value_watch_rests(const key_value_watch_t *watch) {
@@ -279,6 +284,8 @@
 }
 
 void key_value_watch_advance(key_value_watch_t *watch, uint64_t changed) {
+    watch->phase = WATCHING;
+    watch->failures = 0;
     watch->revision = MAX(watch->revision, changed);
     watch->changed = MAX(watch->changed, changed);
 }
--- a/src/cluster/key_value_watch.h
+++ b/src/cluster/key_value_watch.h
@@ -37,13 +37,15 @@
 /** Gives up the watch that waits now, if one does, for a new one from the same revision; ends a
  * rest. */
 void key_value_watch_renew(key_value_watch_t *watch);
+/** Least time between two watches, in ms, beside the pauses that a watch makes anyway. */
+void key_value_watch_set_pause(key_value_watch_t *watch, uint32_t pause_ms);
+/** Stops listing and watching until key_value_watch_renew. */
+void key_value_watch_rest(key_value_watch_t *watch);
+bool key_value_watch_rests(const key_value_watch_t *watch);
 /**
- * Stops watching until key_value_watch_renew; false if the service was not listed yet, or did not
- * answer last.
+ * While it rests: all changes up to the one at revision @p changed have been seen elsewhere; the
+ * next watch begins from there.
  */
-bool key_value_watch_rest(key_value_watch_t *watch);
-bool key_value_watch_rests(const key_value_watch_t *watch);
-/** All changes up to the one at revision @p changed have been seen elsewhere. */
 void key_value_watch_advance(key_value_watch_t *watch, uint64_t changed);
 /** True unless a listing is due or under way. */
 bool key_value_watch_listed(const key_value_watch_t *watch);
--- a/src/core/configuration/watch_duty.c
+++ b/src/core/configuration/watch_duty.c
@@ -34,8 +34,11 @@
     uint64_t patience = tried ? WATCH_TRIAL_MS : WATCH_LAG_MS;
     bool behind = own->behind_since > 0 && now >= own->behind_since + WATCH_LAG_MS &&
                   now >= own->begun_at + patience;
-    bool due = !rests && now >= own->begun_at + WATCH_WAIT_RENEWING_MS &&
-               now >= own->answered_at + WATCH_WAIT_RENEWING_MS;
+    /* One that waits no longer than it should is about to be answered: giving it up costs a call,
+       and makes the process look as if its watch was not in order. */
+    uint64_t answer_due_ms = WATCH_WAIT_RENEWING_MS + WATCH_ANSWER_MS;
+    bool due =
+        !rests && now >= own->begun_at + answer_due_ms && now >= own->answered_at + answer_due_ms;
     return (watch_decision_t){
         .wait_ms = rests ? WATCH_WAIT_RESTING_MS : WATCH_WAIT_RENEWING_MS,
         .renew = behind || due,
--- a/src/gateway/directory_feed.c
+++ b/src/gateway/directory_feed.c
@@ -7,11 +7,18 @@
 /** Bytes that may wait for a follower; one that reads no faster is let go. */
 enum { BACKLOG_MOST_BYTES = 4 * 1024 * 1024 };
 
+/** A gateway that follows this one. */
+typedef struct {
+    frame_connection_t *connection;
+    uint64_t known; /**< What it knew when it came. */
+    bool told;      /**< It has the whole view; until then it gets nothing else. */
+} follower_t;
+
 struct directory_feed {
     uv_timer_t timer; /**< Runs while something is to be told. */
     directory_feed_read_t read;
     void *owner;
-    GHashTable *followers; /**< Serial number of a connection to it. */
+    GHashTable *followers; /**< Serial number of a connection to follower_t. */
     GArray *changes;       /**< Of key_value_item_t: noted and not told yet. */
     bool noted;            /**< There are changes, of whichever items. */
     bool listed;           /**< Everything is to be told. */
@@ -54,21 +61,42 @@
     return bytes;
 }
 
-/** Sends to each follower; takes over @p bytes. */
+/** Sends to each follower that has the whole view; takes over @p bytes. */
 static void send_to_all(directory_feed_t *feed, GBytes *bytes) {
     GHashTableIter iterator;
-    gpointer connection;
+    gpointer value;
     g_hash_table_iter_init(&iterator, feed->followers);
-    while (g_hash_table_iter_next(&iterator, NULL, &connection)) {
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const follower_t *follower = value;
+        if (!follower->told)
+            continue;
         /* One that does not read misses this and hears no more: it finds another way. */
-        if (frame_connection_backlog(connection) > BACKLOG_MOST_BYTES)
+        if (frame_connection_backlog(follower->connection) > BACKLOG_MOST_BYTES)
             g_hash_table_iter_remove(&iterator);
         else
-            frame_connection_send(connection, g_bytes_ref(bytes));
+            frame_connection_send(follower->connection, g_bytes_ref(bytes));
     }
     g_bytes_unref(bytes);
 }
 
+/** Gives a new follower the whole view, once that is no older than what the follower knows. */
+static void welcome(follower_t *follower, const directory_feed_state_t *state) {
+    if (follower->told || state->known == 0 || state->known < follower->known)
+        return;
+    follower->told = true;
+    if (state->group != NULL)
+        frame_connection_send(follower->connection, encode_group(state));
+    frame_connection_send(follower->connection, encode_all(state));
+}
+
+static void welcome_all(const directory_feed_t *feed, const directory_feed_state_t *state) {
+    GHashTableIter iterator;
+    gpointer follower;
+    g_hash_table_iter_init(&iterator, feed->followers);
+    while (g_hash_table_iter_next(&iterator, NULL, &follower))
+        welcome(follower, state);
+}
+
 static void on_tell(uv_timer_t *timer) {
     directory_feed_t *feed = timer->data;
     directory_feed_state_t state = read_state(feed);
@@ -76,6 +104,7 @@
         send_to_all(feed, encode_all(&state));
     else if (feed->noted && state.known > 0)
         send_to_all(feed, encode_changes(feed, state.known));
+    welcome_all(feed, &state);
     /* While a listing goes on nothing is told: its end tells everything. */
     g_array_set_size(feed->changes, 0);
     feed->noted = false;
@@ -92,7 +121,7 @@
     directory_feed_t *feed = g_new0(directory_feed_t, 1);
     feed->read = read;
     feed->owner = owner;
-    feed->followers = g_hash_table_new(g_int64_hash, g_int64_equal);
+    feed->followers = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
     feed->changes = directory_changes_new();
     uv_timer_init(loop, &feed->timer);
     feed->timer.data = feed;
@@ -109,10 +138,11 @@
         uv_timer_stop(&feed->timer);
         on_tell(&feed->timer);
     }
-    g_hash_table_insert(feed->followers, (gpointer)frame_connection_serial(connection), connection);
-    if (state.group != NULL)
-        frame_connection_send(connection, encode_group(&state));
-    frame_connection_send(connection, encode_all(&state));
+    follower_t *follower = g_new0(follower_t, 1);
+    follower->connection = connection;
+    follower->known = known;
+    g_hash_table_insert(feed->followers, (gpointer)frame_connection_serial(connection), follower);
+    welcome(follower, &state);
     return true;
 }
 
--- a/src/gateway/directory_feed.h
+++ b/src/gateway/directory_feed.h
@@ -4,8 +4,8 @@
  * need no watch of their own. Each change of the service would otherwise be answered once to each
  * gateway, and changes grow with the fleet as gateways do.
  *
- * A follower first gets all that is known, then each change, in order, with the revision up to
- * which nothing is missing.
+ * A follower first gets all that is known, as soon as that is no older than what it knows itself;
+ * then each change, in order, with the revision up to which nothing is missing.
  *
  * Thread safety: everything here belongs to the loop's thread.
  */
--- a/src/gateway/directory_watch.c
+++ b/src/gateway/directory_watch.c
@@ -23,7 +23,10 @@
     SERVICE_PATIENCE_MS = 250, /**< The service is taken to be away without an answer in this. */
     TELL_LEAST_MS = 1000,      /**< Between two snapshots for the storage nodes, */
     TELL_BYTES_PER_MS = 100,   /**< and more the larger they are. */
-    FOLLOW_LAG_MS = 1500,      /**< A followed gateway notices within this that it lags. */
+    FIRST_START_PAUSE_MS =
+        2500,                /**< Between watches while there is no store group to serve with. */
+    RESTING_PAUSE_MS = 1000, /**< The same for a gateway that is soon to follow another one. */
+    FOLLOW_LAG_MS = 1500,    /**< A followed gateway notices within this that it lags. */
 };
 
 static void take_configuration(gateway_t *gateway, const key_value_item_t *item) {
@@ -77,6 +80,7 @@
     if (gateway->group != NULL)
         g_bytes_unref(gateway->group);
     gateway->group = g_bytes_ref(item->value);
+    key_value_watch_set_pause(gateway->watch, RESTING_PAUSE_MS);
     gsize length;
     const void *data = g_bytes_get_data(item->value, &length);
     store_group_t *group = store_group_decode(data, length);
@@ -135,6 +139,8 @@
 static void on_listed(void *owner, GHashTable *keys) {
     gateway_t *gateway = owner;
     retain_items(gateway, keys);
+    key_value_watch_set_pause(gateway->watch,
+                              gateway->group == NULL ? FIRST_START_PAUSE_MS : RESTING_PAUSE_MS);
     directory_feed_listed(gateway->feed);
     gateway->backends_listed = true;
     gateway->directory_confirmed = true;
@@ -236,9 +242,10 @@
     }
     retain_items(gateway, snapshot->items);
     key_value_watch_advance(gateway->watch, known);
-    if (!key_value_watch_rest(gateway->watch))
-        directory_follow_end(gateway->follow, "listing", DIRECTORY_FOLLOW_PAUSE_MS);
+    gateway->backends_listed = true;
+    gateway->directory_confirmed = true;
     directory_feed_listed(gateway->feed);
+    gateway_check_ready(gateway);
 }
 
 static void on_followed_changes(void *owner, const GArray *changes, uint64_t known) {
@@ -322,7 +329,8 @@
 /** Follows another gateway if this one need not watch itself. */
 static void look_whether_to_follow(gateway_t *gateway, bool rests, bool renew) {
     directory_follow_t *follow = gateway->follow;
-    bool wanted = rests && !renew && gateway->directory_confirmed && gateway->stores_lost_at == 0;
+    bool asked = gateway->directory_confirmed || gateway->key_value_failed;
+    bool wanted = rests && !renew && asked && gateway->stores_lost_at == 0;
     struct sockaddr_in source;
     uint64_t heard_at;
     if (!wanted) {
@@ -336,8 +344,13 @@
     if (wanted && !directory_follow_active(follow) &&
         load_sharing_find_source(gateway->load_sharing, &source))
         directory_follow_begin(follow, &source);
-    if (!directory_follow_active(follow) && key_value_watch_rests(gateway->watch))
+    /* Its own watch rests from the beginning: else it would soon know more than the source. */
+    bool follows = directory_follow_active(follow);
+    if (follows && !key_value_watch_rests(gateway->watch))
+        key_value_watch_rest(gateway->watch);
+    else if (!follows && (renew || key_value_watch_rests(gateway->watch)))
         key_value_watch_renew(gateway->watch);
+    key_value_watch_set_pause(gateway->watch, rests ? RESTING_PAUSE_MS : 0);
 }
 
 static void on_reports(void *owner, const GArray *reports, uint64_t period_ms) {
@@ -354,8 +367,6 @@
     gateway->tells_directory = decision.wait_ms == WATCH_WAIT_RENEWING_MS;
     bool renew = decision.renew && !source_finds_out(gateway, period_ms);
     look_whether_to_follow(gateway, !gateway->tells_directory, renew);
-    if (renew)
-        key_value_watch_renew(gateway->watch);
     look_at_peers(gateway, reports);
     gateway_check_ready(gateway);
 }
--- a/tests/unit/directory_follow_test.cc
+++ b/tests/unit/directory_follow_test.cc
@@ -124,7 +124,8 @@
         uint64_t until = uv_now(&loop) + patience_ms;
         uv_timer_t tick;
         uv_timer_init(&loop, &tick);
-        uv_timer_start(&tick, [](uv_timer_t *) {}, 1, 1);
+        uv_timer_start(
+            &tick, [](uv_timer_t *) {}, 1, 1);
         while (!done() && uv_now(&loop) < until)
             uv_run(&loop, UV_RUN_ONCE);
         bool closed = false;
@@ -188,7 +189,7 @@
     EXPECT_TRUE(run_until([this] { return follower.items.size() == 1; }));
 }
 
-TEST_F(DirectoryFollow, ASourceThatKnowsLessIsLeft) {
+TEST_F(DirectoryFollow, ASourceThatKnowsLessIsWaitedForAWhileAndThenLeft) {
     write("servers/a", "ready", 5);
     follower.known = 7;
     directory_follow_begin(follow, &address);
@@ -198,6 +199,19 @@
     EXPECT_FALSE(directory_follow_active(follow));
 }
 
+TEST_F(DirectoryFollow, ASourceThatCatchesUpIsFollowed) {
+    write("servers/a", "ready", 5);
+    follower.known = 7;
+    directory_follow_begin(follow, &address);
+    run_until([this] { return directory_feed_followers(source.feed) == 1; });
+    write("servers/a", "draining", 6);
+    write("servers/b", "ready", 8);
+    EXPECT_TRUE(run_until([this] { return follower.views == 1; }));
+    EXPECT_EQ(follower.known, 8U);
+    EXPECT_EQ(follower.items.size(), 2U);
+    EXPECT_EQ(follower.lost, 0U);
+}
+
 TEST_F(DirectoryFollow, OneThatFollowsItselfCanNotBeFollowed) {
     write("servers/a", "ready", 5);
     source.watching = false;
--- a/tests/unit/watch_duty_test.cc
+++ b/tests/unit/watch_duty_test.cc
@@ -47,6 +47,16 @@
     EXPECT_EQ(decide().wait_ms, unsigned{WATCH_WAIT_RENEWING_MS});
 }
 
+// Three gateways on duty gave their watches up as the answers were on their way; for 90 others they
+// then seemed to be out of order.
+TEST_F(WatchDuty, AWatchThatIsAboutToBeAnsweredIsNotGivenUp) {
+    reports.clear();
+    own.begun_at = own.answered_at = now - WATCH_WAIT_RENEWING_MS;
+    EXPECT_FALSE(decide().renew);
+    EXPECT_FALSE(decide(now + WATCH_ANSWER_MS - 1).renew);
+    EXPECT_TRUE(decide(now + WATCH_ANSWER_MS).renew);
+}
+
 TEST_F(WatchDuty, AWatchThatMissedAChangeIsGivenUp) {
     own.begun_at = own.answered_at = now - 20000;
     reports[1].changed = 51;
