gateways: who watches and who follows has a file of its own

Change: directory_duty.c takes the duty, the feed and the following; no decision changes. Test: directory_follow_unit_test, watch_duty_unit_test (unchanged).

--- a/src/core/configuration/watch_duty.h
+++ b/src/core/configuration/watch_duty.h
@@ -20,9 +20,10 @@
     WATCH_RENEWING = 3, /**< So many renew. */
     WATCH_WAIT_RENEWING_MS = 3000,
     WATCH_WAIT_RESTING_MS = 25000,
-    WATCH_ANSWER_MS = 900, /**< For a watch to be answered, beyond the time it waits. */
-    WATCH_LAG_MS = 600,    /**< A change that is known elsewhere must show within this. */
-    WATCH_TRIAL_MS = 2000, /**< The same for a watch that was begun because of it. */
+    WATCH_RESTING_PAUSE_MS = 1000, /**< Between two watches of one that is soon to rest. */
+    WATCH_ANSWER_MS = 900,         /**< For a watch to be answered, beyond the time it waits. */
+    WATCH_LAG_MS = 600,            /**< A change that is known elsewhere must show within this. */
+    WATCH_TRIAL_MS = 2000,         /**< The same for a watch that was begun because of it. */
 };
 
 /** What another process told of its watch, and of the storage nodes. */
--- a/src/gateway/directory_watch.c
+++ b/src/gateway/directory_watch.c
@@ -3,13 +3,9 @@
  * store group. A version of the configuration never goes back. Back ends that a listing lacks
  * are gone; while the service does not answer, what was known last stays in use.
  *
- * Only the gateways on duty (watch_duty.h) watch. The others follow one of them (directory_feed.h,
- * directory_follow.h): their own watches rest, and begin again from what they know when there is no
- * gateway to follow, or when another one knows of a change that did not come this way.
- *
- * The gateways on duty give the storage nodes what they have seen. A gateway that
- * starts while the service is away serves from that until the service answers; it says 503, not
- * 404, to a call without a route, since a later configuration may have one.
+ * The gateways on duty (directory_duty.c) give the storage nodes what they have seen. A gateway
+ * that starts while the service is away serves from that until the service answers; it says 503,
+ * not 404, to a call without a route, since a later configuration may have one.
  */
 #include "gateway/gateway.h"
 
@@ -18,15 +14,11 @@
 #include <string.h>
 
 enum {
-    PEER_NEWS_MS = 1000,     /**< What a gateway told counts for so long. */
     DIRECTORY_LOOK_MS = 100, /**< Between two looks whether the directory is to be asked or told. */
     SERVICE_PATIENCE_MS = 250, /**< The service is taken to be away without an answer in this. */
     TELL_LEAST_MS = 1000,      /**< Between two snapshots for the storage nodes, */
     TELL_BYTES_PER_MS = 100,   /**< and more the larger they are. */
-    FIRST_START_PAUSE_MS =
-        2500,                /**< Between watches while there is no store group to serve with. */
-    RESTING_PAUSE_MS = 1000, /**< The same for a gateway that is soon to follow another one. */
-    FOLLOW_LAG_MS = 1500,    /**< A followed gateway notices within this that it lags. */
+    NO_GROUP_PAUSE_MS = 2500,  /**< Between watches while there is no store group yet. */
 };
 
 static void take_configuration(gateway_t *gateway, const key_value_item_t *item) {
@@ -80,7 +72,7 @@
     if (gateway->group != NULL)
         g_bytes_unref(gateway->group);
     gateway->group = g_bytes_ref(item->value);
-    key_value_watch_set_pause(gateway->watch, RESTING_PAUSE_MS);
+    key_value_watch_set_pause(gateway->watch, WATCH_RESTING_PAUSE_MS);
     gsize length;
     const void *data = g_bytes_get_data(item->value, &length);
     store_group_t *group = store_group_decode(data, length);
@@ -107,8 +99,7 @@
     }
 }
 
-static void on_item(void *owner, const key_value_item_t *item) {
-    gateway_t *gateway = owner;
+void gateway_take_item(gateway_t *gateway, const key_value_item_t *item) {
     const char *name;
     key_kind_t kind = key_value_kind(item->key, &name);
     bool directory = kind == KEY_CONFIGURATION || kind == KEY_BACKEND;
@@ -120,8 +111,11 @@
     gateway_check_ready(gateway);
 }
 
-/** Drops all that is not among @p keys. */
-static void retain_items(gateway_t *gateway, GHashTable *keys) {
+static void on_item(void *owner, const key_value_item_t *item) {
+    gateway_take_item(owner, item);
+}
+
+void gateway_retain_items(gateway_t *gateway, GHashTable *keys) {
     GHashTable *instances = g_hash_table_new(g_str_hash, g_str_equal);
     GHashTableIter iterator;
     gpointer key;
@@ -138,9 +132,9 @@
 
 static void on_listed(void *owner, GHashTable *keys) {
     gateway_t *gateway = owner;
-    retain_items(gateway, keys);
+    gateway_retain_items(gateway, keys);
     key_value_watch_set_pause(gateway->watch,
-                              gateway->group == NULL ? FIRST_START_PAUSE_MS : RESTING_PAUSE_MS);
+                              gateway->group == NULL ? NO_GROUP_PAUSE_MS : WATCH_RESTING_PAUSE_MS);
     directory_feed_listed(gateway->feed);
     gateway->backends_listed = true;
     gateway->directory_confirmed = true;
@@ -212,70 +206,6 @@
     uv_timer_set_repeat(timer, gateway->backends_listed ? TELL_LEAST_MS : DIRECTORY_LOOK_MS);
 }
 
-/* Gateways that follow this one. */
-
-static void read_feed_state(void *owner, directory_feed_state_t *state) {
-    const gateway_t *gateway = owner;
-    state->snapshot = &gateway->snapshot;
-    state->group = gateway->group;
-    bool watches = gateway->watch != NULL && key_value_watch_listed(gateway->watch);
-    state->known = watches ? key_value_watch_changed(gateway->watch) : 0;
-    state->watching = gateway->watch != NULL && !key_value_watch_rests(gateway->watch);
-}
-
-/* The gateway that this one follows. */
-
-static uint64_t followed_known(void *owner) {
-    return key_value_watch_changed(((const gateway_t *)owner)->watch);
-}
-
-static void on_followed_directory(void *owner, const directory_snapshot_t *snapshot,
-                                  uint64_t known) {
-    gateway_t *gateway = owner;
-    GHashTableIter iterator;
-    gpointer key;
-    gpointer value;
-    g_hash_table_iter_init(&iterator, snapshot->items);
-    while (g_hash_table_iter_next(&iterator, &key, &value)) {
-        key_value_item_t item = {.key = key, .value = value, .revision = snapshot->revision};
-        on_item(gateway, &item);
-    }
-    retain_items(gateway, snapshot->items);
-    key_value_watch_advance(gateway->watch, known);
-    gateway->backends_listed = true;
-    gateway->directory_confirmed = true;
-    directory_feed_listed(gateway->feed);
-    gateway_check_ready(gateway);
-}
-
-static void on_followed_changes(void *owner, const GArray *changes, uint64_t known) {
-    gateway_t *gateway = owner;
-    for (guint i = 0; i < changes->len; i++)
-        on_item(gateway, &g_array_index(changes, key_value_item_t, i));
-    key_value_watch_advance(gateway->watch, known);
-}
-
-static void on_followed_group(void *owner, const message_t *message) {
-    const gateway_t *gateway = owner;
-    store_client_take_group(gateway->stores, message);
-}
-
-static void on_followed_lost(void *owner) {
-    const gateway_t *gateway = owner;
-    if (key_value_watch_rests(gateway->watch))
-        key_value_watch_renew(gateway->watch);
-}
-
-static const directory_follow_handler_t follow_handler = {
-    followed_known, on_followed_directory, on_followed_changes, on_followed_group, on_followed_lost,
-};
-
-void gateway_open_directory(gateway_t *gateway) {
-    directory_snapshot_init(&gateway->snapshot);
-    gateway->feed = directory_feed_new(gateway->loop, read_feed_state, gateway);
-    gateway->follow = directory_follow_new(gateway->loop, &follow_handler, gateway);
-}
-
 void gateway_watch_directory(gateway_t *gateway) {
     gateway->tells_directory = true;
     uv_timer_init(gateway->loop, &gateway->directory_timer);
@@ -287,88 +217,3 @@
                                           settings->key_value_text, key_value_prefix(KEY_OTHER),
                                           WATCH_WAIT_RENEWING_MS, &handler, gateway);
 }
-
-/* Gateways share the duty of asking anew; see core/configuration/watch_duty.h. */
-
-static void tell(void *owner, watch_report_t *report) {
-    const gateway_t *gateway = owner;
-    uint64_t answered_at = gateway->watch == NULL ? 0 : key_value_watch_answered_at(gateway->watch);
-    report->answer_age =
-        answered_at == 0 ? UINT32_MAX : (uint32_t)(uv_now(gateway->loop) - answered_at);
-    report->changed = gateway->watch == NULL ? 0 : key_value_watch_changed(gateway->watch);
-    report->has_stores = store_client_connected_directly(gateway->stores);
-    report->renews = gateway->tells_directory && gateway->directory_confirmed &&
-                     gateway->watch != NULL && !key_value_watch_rests(gateway->watch);
-}
-
-/** Notes whether another gateway reaches storage nodes that this one does not. */
-static void look_at_peers(gateway_t *gateway, const GArray *reports) {
-    gateway->others_have_stores = false;
-    for (guint i = 0; i < reports->len; i++) {
-        const watch_report_t *report = &g_array_index(reports, watch_report_t, i);
-        bool lately = uv_now(gateway->loop) < report->heard_at + PEER_NEWS_MS;
-        bool since = report->heard_at > gateway->stores_lost_at;
-        if (lately && since && report->has_stores)
-            gateway->others_have_stores = true;
-    }
-}
-
-/** True if the gateway that is followed lags, and yet seems to be there: it will find out by
- * itself. */
-static bool source_finds_out(const gateway_t *gateway, uint64_t period_ms) {
-    uint64_t behind_since = gateway->watch_state.behind_since;
-    uint64_t heard_at;
-    if (!directory_follow_current(gateway->follow) ||
-        !load_sharing_look_at_source(gateway->load_sharing,
-                                     directory_follow_source(gateway->follow), &heard_at))
-        return false;
-    uint64_t patience = heard_at > behind_since ? FOLLOW_LAG_MS : WATCH_LAG_MS + period_ms;
-    return uv_now(gateway->loop) < behind_since + patience;
-}
-
-/** Follows another gateway if this one need not watch itself. */
-static void look_whether_to_follow(gateway_t *gateway, bool rests, bool renew) {
-    directory_follow_t *follow = gateway->follow;
-    bool asked = gateway->directory_confirmed || gateway->key_value_failed;
-    bool wanted = rests && !renew && asked && gateway->stores_lost_at == 0;
-    struct sockaddr_in source;
-    uint64_t heard_at;
-    if (!wanted) {
-        directory_follow_end(follow, renew ? "behind" : "duty",
-                             renew ? DIRECTORY_FOLLOW_PAUSE_MS : 0);
-    } else if (directory_follow_active(follow) &&
-               !load_sharing_look_at_source(gateway->load_sharing, directory_follow_source(follow),
-                                            &heard_at)) {
-        directory_follow_end(follow, "source", 0);
-    }
-    if (wanted && !directory_follow_active(follow) &&
-        load_sharing_find_source(gateway->load_sharing, &source))
-        directory_follow_begin(follow, &source);
-    /* Its own watch rests from the beginning: else it would soon know more than the source. */
-    bool follows = directory_follow_active(follow);
-    if (follows && !key_value_watch_rests(gateway->watch))
-        key_value_watch_rest(gateway->watch);
-    else if (!follows && (renew || key_value_watch_rests(gateway->watch)))
-        key_value_watch_renew(gateway->watch);
-    key_value_watch_set_pause(gateway->watch, rests ? RESTING_PAUSE_MS : 0);
-}
-
-static void on_reports(void *owner, const GArray *reports, uint64_t period_ms) {
-    gateway_t *gateway = owner;
-    if (gateway->watch == NULL)
-        return;
-    watch_state_t *own = &gateway->watch_state;
-    own->known = key_value_watch_known(gateway->watch);
-    own->answered_at = key_value_watch_answered_at(gateway->watch);
-    own->begun_at = key_value_watch_begun_at(gateway->watch);
-    watch_decision_t decision = watch_duty_decide(own, (const watch_report_t *)reports->data,
-                                                  reports->len, period_ms, uv_now(gateway->loop));
-    key_value_watch_set_wait(gateway->watch, decision.wait_ms);
-    gateway->tells_directory = decision.wait_ms == WATCH_WAIT_RENEWING_MS;
-    bool renew = decision.renew && !source_finds_out(gateway, period_ms);
-    look_whether_to_follow(gateway, !gateway->tells_directory, renew);
-    look_at_peers(gateway, reports);
-    gateway_check_ready(gateway);
-}
-
-const load_sharing_handler_t gateway_watch_sharing = {tell, on_reports};
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -90,11 +90,16 @@
 /** Takes a whole call; see call.c. */
 extern const http_listener_handler_t call_listener_handler;
 
-/** Prepares what gateways pass on to one another; before the peer address is listened on. */
+/** directory_duty.c: prepares what gateways pass on; before the peer address is listened on. */
 void gateway_open_directory(gateway_t *gateway);
 /** Follows configuration, back ends and the store group; see directory_watch.c. */
 void gateway_watch_directory(gateway_t *gateway);
+/** Who watches and who follows; see directory_duty.c. */
 extern const load_sharing_handler_t gateway_watch_sharing;
+/** Takes over an item of the key-value service, seen by whichever way. */
+void gateway_take_item(gateway_t *gateway, const key_value_item_t *item);
+/** Drops all items whose keys are not in the set @p keys. */
+void gateway_retain_items(gateway_t *gateway, GHashTable *keys);
 /** Takes a directory that a storage node kept, if the key-value service has shown none yet. */
 void gateway_take_directory(void *owner, GBytes *bytes);
 /**
