--- a/src/gateway/backends.c
+++ b/src/gateway/backends.c
@@ -7,8 +7,6 @@
 #include <xxhash.h>
 
 enum {
-    AVOID_FIRST_MS = 250,
-    AVOID_MOST_MS = 2000,
     OVERDUE_LEAST_MS = 400, /**< A call without a word of an answer is overdue after this, */
     OVERDUE_TIMES = 5,      /**< or after so many times the usual. */
     SILENT_MS = 300,        /**< A back end that is up says something within this. */
@@ -18,7 +16,7 @@
     IDLE_MAXIMUM = 32,
     SLOTS_USUAL = 12,
     /* Expected delay, in units of 0.1 ms. */
-    AVOIDED_COST = 100000,    /**< After a failure: only if there is no other. */
+    AVOIDED_COST = 100000,    /**< Only if there is no other. */
     DOUBTED_COST = 500,       /**< The same, if so many are that the sign is doubtful. */
     NEW_CONNECTION_COST = 60, /**< It takes time, and is paid for. */
     SERVICE_SHARE_COST = 50,
@@ -170,8 +168,7 @@
 
 static bool avoided(const backends_t *backends, backend_t *backend) {
     uint64_t now = uv_now(backends->loop);
-    return now < backend->avoid_until || ejection_is_out(&backend->ejection, now) ||
-           down(backend, now) || overdue(backend, now);
+    return ejection_is_out(&backend->ejection, now) || down(backend, now) || overdue(backend, now);
 }
 
 /** What a back end that is avoided costs now. */
@@ -275,17 +272,6 @@
     return chosen;
 }
 
-void backend_note_success(backend_t *backend) {
-    backend->failures = 0;
-    backend->avoid_until = 0;
-}
-
-void backend_note_failure(backend_t *backend) {
-    uint64_t pause = (uint64_t)AVOID_FIRST_MS << MIN(backend->failures, 3);
-    backend->failures++;
-    backend->avoid_until = uv_now(backend->loop) + MIN(pause, AVOID_MOST_MS);
-}
-
 void backend_send_begun(backend_t *backend, const uint64_t *sent_at) {
     g_queue_push_tail(&backend->unanswered, (gpointer)sent_at);
 }
--- a/src/gateway/backends.h
+++ b/src/gateway/backends.h
@@ -6,9 +6,9 @@
  * Choice. An engine is chosen as core/routing/engine_choice.h says. Any other back end has an
  * expected delay, and the least wins: calls under way, this gateway's and what the others told,
  * add to it, and much more so beyond the back end's slots; another zone is farther away. A back end
- * that failed lately, that keeps a call waiting far longer than usual without a word, or that
- * seems to be down (core/routing/ejection.h), is chosen only if there is no other; if more than a
- * third of a service's are so, the sign is not trusted and costs little.
+ * that keeps a call waiting far longer than usual without a word, or that seems to be down
+ * (core/routing/ejection.h), is chosen only if there is no other; if more than a third of a
+ * service's are so, the sign is not trusted and costs little.
  *
  * Thread safety: everything here belongs to the loop's thread.
  */
@@ -23,16 +23,14 @@
 
 typedef struct {
     backend_record_t *record;
-    gint references;      /**< The table and the calls at this back end. */
-    bool gone;            /**< It left the directory. */
-    uint64_t id_hash;     /**< Of the instance; names it among gateways. */
-    unsigned under_way;   /**< Calls of this gateway. */
-    unsigned elsewhere;   /**< Calls of the other gateways, as they last told. */
-    uint64_t avoid_until; /**< Gets no call before, ms; after a failure. */
-    unsigned failures;    /**< In a row. */
-    ejection_t ejection;  /**< Whether it seems to be down. */
-    bool told_out;        /**< Left out by what others told, when last looked at. */
-    GQueue unanswered;    /**< Sends without a word of an answer, oldest first: their times, ms. */
+    gint references;     /**< The table and the calls at this back end. */
+    bool gone;           /**< It left the directory. */
+    uint64_t id_hash;    /**< Of the instance; names it among gateways. */
+    unsigned under_way;  /**< Calls of this gateway. */
+    unsigned elsewhere;  /**< Calls of the other gateways, as they last told. */
+    ejection_t ejection; /**< Whether it seems to be down. */
+    bool told_out;       /**< Left out by what others told, when last looked at. */
+    GQueue unanswered;   /**< Sends without a word of an answer, oldest first: their times, ms. */
     backend_signs_t signs;
     http_client_t *probe; /**< See backend_probe.h; NULL: none is under way. */
     uint64_t probed_at;
@@ -84,9 +82,6 @@
 void backend_take(backend_t *backend);
 /** Ends what backends_choose or backends_choose_engine began. */
 void backend_release(backend_t *backend);
-/** Notes how a call ended: a failure keeps new calls away for a while. */
-void backend_note_success(backend_t *backend);
-void backend_note_failure(backend_t *backend);
 /** For how long the other gateways should hear that it is left out, in ms; 0: not at all. */
 uint32_t backend_tell_out_ms(backend_t *backend);
 /** A request is sent; @p sent_at stays where it is until the answer begins or the call gives up. */
--- a/src/gateway/call_send.c
+++ b/src/gateway/call_send.c
@@ -124,7 +124,6 @@
         call_log_send_failed(call, "unsound_answer");
         /* The parser is at work on this connection: it closes the connection itself. */
         call->client = NULL;
-        backend_note_failure(call->backend);
         call_outcome_unknown(call, CALL_BAD_ANSWER);
         return false;
     }
@@ -168,7 +167,6 @@
         call_not_run(call);
         return;
     }
-    backend_note_success(call->backend);
     if (call->streaming) {
         if (event_stream_at_boundary(&call->events))
             call_turn_stream_ended(call);
@@ -192,7 +190,6 @@
 static void on_failed(void *user, http_failure_t failure) {
     call_t *call = user;
     call->client = NULL;
-    backend_note_failure(call->backend);
     if (failure == HTTP_FAILURE_NOT_SENT) {
         call_log_send_failed(call, "not_sent");
         call_not_sent(call);
