gateways: while the key-value service is away, a few ask whether it is back

Change: a gateway that hears six others before it, and has failed more than once, asks every 1.5 to 3 s (watch_duty.h); those six ask as often as before, and whoever gets through is followed by the others within a period. A gateway that failed lately follows any source, also when it would be on duty itself; it tries by itself again after 10 s.

Test: WatchDuty.OnlyTheFirstAskOftenWhetherTheServiceIsBack.

--- a/src/cluster/key_value_watch.c
+++ b/src/cluster/key_value_watch.c
@@ -20,6 +20,7 @@
     CALM_MS = 1500,        /**< A watch that waited so long ends a burst. */
     PAUSE_FIRST_MS = 100,
     PAUSE_MOST_MS = 800,
+    PAUSE_PATIENT_MS = 3000, /**< After more than one failure, while others ask often. */
     STATUS_OK = 200,
 };
 
@@ -44,6 +45,8 @@
     uint64_t revision;
     uint64_t list_revision;
     unsigned failures;
+    uint64_t failed_at; /**< 0: not since the latest answer. */
+    bool patient;
     uint64_t gather_ms;
     uint64_t begun_at;    /**< Of the call under way. */
     bool waiting;         /**< A watch is under way. */
@@ -81,11 +84,13 @@
         watch->client = NULL;
     }
     watch->failures++;
+    watch->failed_at = uv_now(watch->loop);
     if (watch->failures > 1)
         set_reachable(watch, false);
     start_listing(watch);
     uint64_t pause = PAUSE_FIRST_MS << MIN(watch->failures - 1, 3);
-    pause = MIN(pause, PAUSE_MOST_MS);
+    bool patient = watch->patient && watch->failures > 1;
+    pause = patient ? PAUSE_PATIENT_MS : MIN(pause, PAUSE_MOST_MS);
     pause = pause / 2 + (uint64_t)g_random_int_range(0, (gint32)(pause / 2 + 1));
     uv_timer_start(&watch->timer, on_pause_over, pause, 0);
 }
@@ -168,6 +173,7 @@
         return;
     }
     watch->failures = 0;
+    watch->failed_at = 0;
     watch->answered_at = uv_now(watch->loop);
     set_reachable(watch, true);
     bool listed = watch->phase == LISTING;
@@ -274,6 +280,14 @@
     watch->pause_ms = pause_ms;
 }
 
+void key_value_watch_set_patient(key_value_watch_t *watch, bool patient) {
+    watch->patient = patient;
+}
+
+uint64_t key_value_watch_failed_at(const key_value_watch_t *watch) {
+    return watch->failed_at;
+}
+
 void key_value_watch_rest(key_value_watch_t *watch) {
     stop_call(watch);
     watch->resting = true;
--- a/src/cluster/key_value_watch.h
+++ b/src/cluster/key_value_watch.h
@@ -39,6 +39,10 @@
 void key_value_watch_renew(key_value_watch_t *watch);
 /** Least time between two watches, in ms, beside the pauses that a watch makes anyway. */
 void key_value_watch_set_pause(key_value_watch_t *watch, uint32_t pause_ms);
+/** A patient watch asks seldom while the service does not answer: others find out when it does. */
+void key_value_watch_set_patient(key_value_watch_t *watch, bool patient);
+/** Loop time of the latest failure; 0: the service has answered since, or never failed. */
+uint64_t key_value_watch_failed_at(const key_value_watch_t *watch);
 /** Stops listing and watching until key_value_watch_renew. */
 void key_value_watch_rest(key_value_watch_t *watch);
 bool key_value_watch_rests(const key_value_watch_t *watch);
--- a/src/core/configuration/watch_duty.c
+++ b/src/core/configuration/watch_duty.c
@@ -1,7 +1,9 @@
 #include "core/configuration/watch_duty.h"
 
-/** Told more seldom, a missed change would show too late. */
-enum { TELL_PERIOD_MOST_MS = 1200 };
+enum {
+    TELL_PERIOD_MOST_MS = 1200, /**< Told more seldom, a missed change would show too late. */
+    UP_MS = 1000, /**< Processes tell at least this often, or once a period if that is longer. */
+};
 
 bool watch_duty_in_order(const watch_report_t *report, uint64_t tell_period_ms, uint64_t now) {
     if (report->answer_age == UINT32_MAX)
@@ -22,6 +24,15 @@
         own->behind_since = now;
 }
 
+/** How many processes before this one were heard lately. */
+static unsigned count_up(const watch_report_t *reports, unsigned count, uint64_t tell_period_ms,
+                         uint64_t now) {
+    unsigned up = 0;
+    for (unsigned i = 0; i < count; i++)
+        up += reports[i].before && now <= reports[i].heard_at + UP_MS + 2 * tell_period_ms;
+    return up;
+}
+
 watch_decision_t watch_duty_decide(watch_state_t *own, const watch_report_t *reports,
                                    unsigned count, uint64_t tell_period_ms, uint64_t now) {
     unsigned renewing = 0;
@@ -42,5 +53,6 @@
     return (watch_decision_t){
         .wait_ms = rests ? WATCH_WAIT_RESTING_MS : WATCH_WAIT_RENEWING_MS,
         .renew = behind || due,
+        .patient = count_up(reports, count, tell_period_ms, now) >= WATCH_PROBING,
     };
 }
--- a/src/core/configuration/watch_duty.h
+++ b/src/core/configuration/watch_duty.h
@@ -18,6 +18,7 @@
 
 enum {
     WATCH_RENEWING = 3, /**< So many renew. */
+    WATCH_PROBING = 6,  /**< So many ask often whether a service that is away is back. */
     WATCH_WAIT_RENEWING_MS = 3000,
     WATCH_WAIT_RESTING_MS = 25000,
     WATCH_RESTING_PAUSE_MS = 1000, /**< Between two watches of one that is soon to rest. */
@@ -47,6 +48,7 @@
 typedef struct {
     uint32_t wait_ms; /**< For the next watch. */
     bool renew;       /**< The one that waits now is to be given up for a new one. */
+    bool patient;     /**< While the service is away, enough others ask often whether it is back. */
 } watch_decision_t;
 
 /**
--- a/src/gateway/directory_duty.c
+++ b/src/gateway/directory_duty.c
@@ -7,8 +7,9 @@
 #include "gateway/gateway.h"
 
 enum {
-    PEER_NEWS_MS = 1000,  /**< What a gateway told counts for so long. */
-    FOLLOW_LAG_MS = 1500, /**< A followed gateway notices within this that it lags. */
+    PEER_NEWS_MS = 1000,      /**< What a gateway told counts for so long. */
+    FAILED_LATELY_MS = 10000, /**< A gateway on duty that follows tries the service again then. */
+    FOLLOW_LAG_MS = 1500,     /**< A followed gateway notices within this that it lags. */
 };
 
 /* Gateways that follow this one. */
@@ -112,11 +113,18 @@
     return uv_now(gateway->loop) < behind_since + patience;
 }
 
-/** Follows another gateway if this one need not watch itself. */
+/** True if this gateway failed to reach the key-value service not long ago. */
+static bool service_failed_lately(const gateway_t *gateway) {
+    uint64_t failed_at = key_value_watch_failed_at(gateway->watch);
+    return failed_at > 0 && uv_now(gateway->loop) < failed_at + FAILED_LATELY_MS;
+}
+
+/** Follows another gateway if this one need not watch itself, or can't. */
 static void look_whether_to_follow(gateway_t *gateway, bool rests, bool renew) {
     directory_follow_t *follow = gateway->follow;
-    bool asked = gateway->directory_confirmed || gateway->key_value_failed;
-    bool wanted = rests && !renew && asked && gateway->stores_lost_at == 0;
+    bool failed = service_failed_lately(gateway);
+    bool may_rest = gateway->directory_confirmed && rests;
+    bool wanted = (may_rest || failed) && !renew && gateway->stores_lost_at == 0;
     struct sockaddr_in source;
     uint64_t heard_at;
     if (!wanted) {
@@ -150,6 +158,7 @@
     watch_decision_t decision = watch_duty_decide(own, (const watch_report_t *)reports->data,
                                                   reports->len, period_ms, uv_now(gateway->loop));
     key_value_watch_set_wait(gateway->watch, decision.wait_ms);
+    key_value_watch_set_patient(gateway->watch, decision.patient);
     gateway->tells_directory = decision.wait_ms == WATCH_WAIT_RENEWING_MS;
     bool renew = decision.renew && !source_finds_out(gateway, period_ms);
     look_whether_to_follow(gateway, !gateway->tells_directory, renew);
--- a/tests/unit/watch_duty_test.cc
+++ b/tests/unit/watch_duty_test.cc
@@ -77,4 +77,15 @@
     EXPECT_EQ(decide(now, 5000).wait_ms, unsigned{WATCH_WAIT_RENEWING_MS});
 }
 
+TEST_F(WatchDuty, OnlyTheFirstAskOftenWhetherTheServiceIsBack) {
+    EXPECT_FALSE(decide().patient);
+    while (reports.size() < WATCH_PROBING)
+        reports.push_back({true, now - 200, UINT32_MAX, 50, true, false});
+    EXPECT_TRUE(decide().patient) << "whatever became of their own watches";
+    reports[0].heard_at = now - 2000;
+    EXPECT_FALSE(decide().patient) << "one of them is silent";
+    reports[0] = {false, now - 200, 2000, 50, true, true};
+    EXPECT_FALSE(decide().patient) << "one of them comes later";
+}
+
 } // namespace
