storage nodes: the count of a gateway's connections is a number of its own

Cause: clang-tidy refuses a count kept in a pointer (performance-no-int-to-ptr). Change: the table holds allocated counts. Test: GatewayDirectory.OneWithTwoConnectionsIsThereUntilBothEnd.

--- a/src/store/gateway_directory.c
+++ b/src/store/gateway_directory.c
@@ -16,7 +16,7 @@
 
 void gateway_directory_init(gateway_directory_t *directory) {
     directory->gateways = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, free_entry);
-    directory->addresses = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    directory->addresses = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 }
 
 void gateway_directory_clear(gateway_directory_t *directory) {
@@ -28,12 +28,18 @@
     return g_hash_table_size(directory->gateways);
 }
 
-/** Counts one connection more or less of the gateway at @p address. */
-static void count_connection(gateway_directory_t *directory, const char *address, int change) {
-    int count = GPOINTER_TO_INT(g_hash_table_lookup(directory->addresses, address)) + change;
-    if (count > 0)
-        g_hash_table_replace(directory->addresses, g_strdup(address), GINT_TO_POINTER(count));
-    else
+static void add_connection(gateway_directory_t *directory, const char *address) {
+    unsigned *count = g_hash_table_lookup(directory->addresses, address);
+    if (count == NULL) {
+        count = g_new0(unsigned, 1);
+        g_hash_table_insert(directory->addresses, g_strdup(address), count);
+    }
+    (*count)++;
+}
+
+static void drop_connection(gateway_directory_t *directory, const char *address) {
+    unsigned *count = g_hash_table_lookup(directory->addresses, address);
+    if (--*count == 0)
         g_hash_table_remove(directory->addresses, address);
 }
 
@@ -44,14 +50,14 @@
     entry->address = g_strdup(address);
     entry->zone = g_strdup(zone);
     g_hash_table_insert(directory->gateways, (gpointer)serial, entry);
-    count_connection(directory, address, 1);
+    add_connection(directory, address);
 }
 
 bool gateway_directory_remove(gateway_directory_t *directory, const uint64_t *serial) {
     const gateway_entry_t *entry = g_hash_table_lookup(directory->gateways, serial);
     if (entry == NULL)
         return false;
-    count_connection(directory, entry->address, -1);
+    drop_connection(directory, entry->address);
     return g_hash_table_remove(directory->gateways, serial);
 }
 
--- a/src/store/gateway_directory.h
+++ b/src/store/gateway_directory.h
@@ -19,7 +19,7 @@
 
 typedef struct {
     GHashTable *gateways;  /**< Serial number of the connection to its gateway. */
-    GHashTable *addresses; /**< Address of a connected gateway to its number of connections. */
+    GHashTable *addresses; /**< Address of a connected gateway to how many connections it has. */
 } gateway_directory_t;
 
 void gateway_directory_init(gateway_directory_t *directory);
