gateways: only the first of a zone tell storage nodes the directory; answers to requests for it are bounded

While it is away no gateway's watch is in order, so all 259 took the duty, and each told every member a directory that had grown to 1,372 routes a moment before: beyond the members' 120 MB.

Ruled out: the end's loss of power (later); catching up (E803 and E804 follow the restart).

Change: the first three of a zone that are up tell, whatever became of their watches, once that has lasted 2 s. A listener that can't listen is freed.

--- a/src/core/configuration/watch_duty.c
+++ b/src/core/configuration/watch_duty.c
@@ -45,6 +45,7 @@
     uint64_t patience = tried ? WATCH_TRIAL_MS : WATCH_LAG_MS;
     bool behind = own->behind_since > 0 && now >= own->behind_since + WATCH_LAG_MS &&
                   now >= own->begun_at + patience;
+    unsigned up = count_up(reports, count, tell_period_ms, now);
     /* One that waits no longer than it should is about to be answered: giving it up costs a call,
        and makes the process look as if its watch was not in order. */
     uint64_t answer_due_ms = WATCH_WAIT_RENEWING_MS + WATCH_ANSWER_MS;
@@ -53,6 +54,7 @@
     return (watch_decision_t){
         .wait_ms = rests ? WATCH_WAIT_RESTING_MS : WATCH_WAIT_RENEWING_MS,
         .renew = behind || due,
-        .patient = count_up(reports, count, tell_period_ms, now) >= WATCH_PROBING,
+        .first = up < WATCH_RENEWING,
+        .patient = up >= WATCH_PROBING,
     };
 }
--- a/src/core/configuration/watch_duty.h
+++ b/src/core/configuration/watch_duty.h
@@ -48,6 +48,7 @@
 typedef struct {
     uint32_t wait_ms; /**< For the next watch. */
     bool renew;       /**< The one that waits now is to be given up for a new one. */
+    bool first;       /**< Of those that are up, fewer than WATCH_RENEWING come before it. */
     bool patient;     /**< While the service is away, enough others ask often whether it is back. */
 } watch_decision_t;
 
--- a/src/gateway/directory_duty.c
+++ b/src/gateway/directory_duty.c
@@ -85,8 +85,8 @@
         answered_at == 0 ? UINT32_MAX : (uint32_t)(uv_now(gateway->loop) - answered_at);
     report->changed = gateway->watch == NULL ? 0 : key_value_watch_changed(gateway->watch);
     report->has_stores = store_client_connected_directly(gateway->stores);
-    report->renews = gateway->tells_directory && gateway->directory_confirmed &&
-                     gateway->watch != NULL && !key_value_watch_rests(gateway->watch);
+    report->renews = gateway->on_duty && gateway->directory_confirmed && gateway->watch != NULL &&
+                     !key_value_watch_rests(gateway->watch);
 }
 
 /** Notes whether another gateway reaches storage nodes that this one does not. */
@@ -147,6 +147,16 @@
     key_value_watch_set_pause(gateway->watch, rests ? WATCH_RESTING_PAUSE_MS : 0);
 }
 
+/** The first gateways of a zone that are up tell storage nodes the directory. */
+static void look_whether_to_tell(gateway_t *gateway, bool first) {
+    bool begins = gateway->tells_directory_since == 0 || !gateway->reports_seen;
+    gateway->reports_seen = true;
+    if (!first)
+        gateway->tells_directory_since = 0;
+    else if (begins)
+        gateway->tells_directory_since = uv_now(gateway->loop);
+}
+
 static void on_reports(void *owner, const GArray *reports, uint64_t period_ms) {
     gateway_t *gateway = owner;
     if (gateway->watch == NULL)
@@ -159,9 +169,10 @@
                                                   reports->len, period_ms, uv_now(gateway->loop));
     key_value_watch_set_wait(gateway->watch, decision.wait_ms);
     key_value_watch_set_patient(gateway->watch, decision.patient);
-    gateway->tells_directory = decision.wait_ms == WATCH_WAIT_RENEWING_MS;
+    gateway->on_duty = decision.wait_ms == WATCH_WAIT_RENEWING_MS;
+    look_whether_to_tell(gateway, decision.first);
     bool renew = decision.renew && !source_finds_out(gateway, period_ms);
-    look_whether_to_follow(gateway, !gateway->tells_directory, renew);
+    look_whether_to_follow(gateway, !gateway->on_duty, renew);
     look_at_peers(gateway, reports);
     gateway_check_ready(gateway);
 }
--- a/src/gateway/directory_watch.c
+++ b/src/gateway/directory_watch.c
@@ -10,15 +10,17 @@
 #include "gateway/gateway.h"
 
 #include "common/event.h"
+#include "core/configuration/directory_pace.h"
 
 #include <string.h>
 
 enum {
     DIRECTORY_LOOK_MS = 100, /**< Between two looks whether the directory is to be asked or told. */
     SERVICE_PATIENCE_MS = 250, /**< The service is taken to be away without an answer in this. */
-    TELL_LEAST_MS = 1000,      /**< Between two snapshots for the storage nodes, */
-    TELL_BYTES_PER_MS = 100,   /**< and more the larger they are. */
-    NO_GROUP_PAUSE_MS = 2500,  /**< Between watches while there is no store group yet. */
+    TELL_SETTLED_MS = 2000, /**< A duty to tell has lasted so long: others have been heard since. */
+    TELL_LEAST_MS = 1000,   /**< Between two snapshots for the storage nodes, */
+    TELL_BYTES_PER_MS = 100,  /**< and more the larger they are. */
+    NO_GROUP_PAUSE_MS = 2500, /**< Between watches while there is no store group yet. */
 };
 
 static void take_configuration(gateway_t *gateway, const key_value_item_t *item) {
@@ -186,8 +188,9 @@
     unsigned links = store_client_links_opened(gateway->stores);
     bool news =
         gateway->snapshot.revision != gateway->told_revision || links != gateway->told_links;
-    if (!gateway->tells_directory || !gateway->directory_confirmed || !news ||
-        now < gateway->told_at)
+    bool duty = gateway->tells_directory_since > 0 &&
+                now >= gateway->tells_directory_since + TELL_SETTLED_MS;
+    if (!duty || !gateway->directory_confirmed || !news || now < gateway->told_at)
         return;
     GBytes *bytes = directory_snapshot_encode(&gateway->snapshot);
     store_client_tell_directory(gateway->stores, gateway->snapshot.revision, bytes);
@@ -199,15 +202,19 @@
 
 static void on_directory_look(uv_timer_t *timer) {
     gateway_t *gateway = timer->data;
-    bool waited = uv_now(gateway->loop) >= gateway->started_at + SERVICE_PATIENCE_MS;
-    if (!gateway->backends_listed && (gateway->key_value_failed || waited))
-        store_client_ask_directory(gateway->stores);
+    uint64_t now = uv_now(gateway->loop);
+    bool waited = now >= gateway->started_at + SERVICE_PATIENCE_MS;
+    bool lacking = !gateway->backends_listed && (gateway->key_value_failed || waited);
+    if (lacking && directory_ask_due(gateway->directory_asked_at, now) &&
+        store_client_ask_directory(gateway->stores))
+        gateway->directory_asked_at = now;
     tell_directory(gateway);
     uv_timer_set_repeat(timer, gateway->backends_listed ? TELL_LEAST_MS : DIRECTORY_LOOK_MS);
 }
 
 void gateway_watch_directory(gateway_t *gateway) {
-    gateway->tells_directory = true;
+    gateway->tells_directory_since = MAX(1, gateway->started_at);
+    gateway->on_duty = true;
     uv_timer_init(gateway->loop, &gateway->directory_timer);
     gateway->directory_timer.data = gateway;
     uv_timer_start(&gateway->directory_timer, on_directory_look, DIRECTORY_LOOK_MS,
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -67,8 +67,11 @@
     bool directory_confirmed;      /**< The key-value service has shown it, not a storage node. */
     uint64_t told_revision;        /**< Of the snapshot that storage nodes were last told. */
     uint64_t told_at;
-    unsigned told_links;  /**< Links that had opened by then. */
-    bool tells_directory; /**< It is this gateway's duty. */
+    unsigned told_links;            /**< Links that had opened by then. */
+    uint64_t tells_directory_since; /**< Since when it has to tell the storage nodes; 0: not. */
+    bool on_duty;                   /**< It has to watch the key-value service itself. */
+    bool reports_seen;              /**< Other gateways are known. */
+    uint64_t directory_asked_at;    /**< When storage nodes were last asked for it; 0: never. */
     uv_timer_t directory_timer;
     watch_state_t watch_state; /**< Of the duty that gateways share. */
     gateway_counters_t counters;
--- a/src/net/frame_connection.c
+++ b/src/net/frame_connection.c
@@ -264,6 +264,10 @@
     start_reading(connection);
 }
 
+static void free_listener(uv_handle_t *handle) {
+    g_free(handle->data);
+}
+
 frame_listener_t *frame_listener_open(uv_loop_t *loop, const struct sockaddr_in *address,
                                       const frame_handler_t *handler, void *owner) {
     frame_listener_t *listener = g_new0(frame_listener_t, 1);
@@ -277,7 +281,7 @@
         status = uv_listen((uv_stream_t *)&listener->tcp, BACKLOG, on_connection);
     if (status == 0)
         return listener;
-    uv_close((uv_handle_t *)&listener->tcp, NULL);
+    uv_close((uv_handle_t *)&listener->tcp, free_listener);
     return NULL;
 }
 
--- a/src/store/store_directory.c
+++ b/src/store/store_directory.c
@@ -2,6 +2,7 @@
 
 #include "cluster/service_directory.h"
 #include "common/event.h"
+#include "core/configuration/directory_pace.h"
 
 enum {
     LOOK_MS = 150,
@@ -10,6 +11,7 @@
     FORGET_MS = 120000, /**< and after this it is forgotten. */
     CONNECT_MS = 450,   /**< A connection that is not up by then is given up. */
     GATEWAYS_MAXIMUM = 10000,
+    MEGABYTE = 1024 * 1024,
     WRITE_EACH_MS = 1000, /**< The state file is written at most this often for the directory. */
 };
 
@@ -106,9 +108,27 @@
     directory->changed = true;
 }
 
+/** Bytes that wait to be sent on all connections. */
+static size_t waiting_bytes(const store_t *store) {
+    size_t waiting = 0;
+    GHashTableIter iterator;
+    gpointer connection;
+    g_hash_table_iter_init(&iterator, store->connections);
+    while (g_hash_table_iter_next(&iterator, NULL, &connection))
+        waiting += frame_connection_backlog(connection);
+    return waiting;
+}
+
 void store_directory_send(const store_directory_t *directory, frame_connection_t *connection) {
     if (directory->revision == 0)
         return;
+    size_t waiting_there = frame_connection_backlog(connection);
+    size_t waiting_all = waiting_bytes(directory->store);
+    size_t memory = directory->store->settings->memory_megabytes * MEGABYTE;
+    if (!directory_answer_now(waiting_there, waiting_all, memory)) {
+        event_log(STORE_DIRECTORY_DEFERRED, (uint64_t)waiting_there, (uint64_t)waiting_all);
+        return;
+    }
     message_t message;
     message_init(&message, MESSAGE_DIRECTORY);
     message.revision = directory->revision;
--- a/src/store/store_directory.h
+++ b/src/store/store_directory.h
@@ -21,7 +21,7 @@
 store_directory_t *store_directory_new(store_t *store);
 /** Takes a gateway's snapshot if it is newer than the one known. */
 void store_directory_take(store_directory_t *directory, const message_t *message);
-/** Sends the snapshot; nothing if none is known. */
+/** Sends the snapshot; nothing if none is known, or too much waits to be sent already. */
 void store_directory_send(const store_directory_t *directory, frame_connection_t *connection);
 /** A gateway at "IP:PORT" has connected. */
 void store_directory_gateway_seen(store_directory_t *directory, const char *address);
--- a/tests/unit/directory_follow_test.cc
+++ b/tests/unit/directory_follow_test.cc
@@ -6,7 +6,6 @@
 #include <cstring>
 #include <functional>
 #include <map>
-#include <memory>
 #include <string>
 #include <vector>
 
@@ -97,9 +96,9 @@
 };
 
 World *new_world() {
-    static std::vector<std::unique_ptr<World>> worlds;
-    worlds.push_back(std::make_unique<World>());
-    return worlds.back().get();
+    static auto *worlds = new std::vector<World *>;
+    worlds->push_back(new World);
+    return worlds->back();
 }
 
 class DirectoryFollow : public testing::Test {
--- a/tests/unit/watch_duty_test.cc
+++ b/tests/unit/watch_duty_test.cc
@@ -88,4 +88,16 @@
     EXPECT_FALSE(decide().patient) << "one of them comes later";
 }
 
+// While the service was away nobody's watch was in order: all 259 gateways took the duty, and told
+// the storage nodes a directory of hundreds of kilobytes at once.
+TEST_F(WatchDuty, OnlyTheFirstThatAreUpAreFirstWhileTheServiceIsAway) {
+    for (watch_report_t &report : reports)
+        report.answer_age = UINT32_MAX;
+    watch_decision_t decision = decide();
+    EXPECT_EQ(decision.wait_ms, unsigned{WATCH_WAIT_RENEWING_MS});
+    EXPECT_FALSE(decision.first);
+    reports[0].heard_at = now - 2000;
+    EXPECT_TRUE(decide().first);
+}
+
 } // namespace
