--- a/tests/unit/watch_duty_test.cc
+++ b/tests/unit/watch_duty_test.cc
@@ -47,8 +47,8 @@
     EXPECT_EQ(decide().wait_ms, unsigned{WATCH_WAIT_RENEWING_MS});
 }
 
-// Three gateways on duty gave their watches up as the answers were on their way; for 90 others they
-// then seemed to be out of order.
+// Three gateways on duty gave their watches up as the answers were on their way; for the others
+// they then seemed to be out of order.
 TEST_F(WatchDuty, AWatchThatIsAboutToBeAnsweredIsNotGivenUp) {
     reports.clear();
     own.begun_at = own.answered_at = now - WATCH_WAIT_RENEWING_MS;
