gateways: calls belong to tenants, known by their keys

Cause: the configuration names tenants and keys now; calls were run for any key, the key was passed on, and nobody's name was set. The tenant's name is set for back ends, the key is not passed on. A configuration is redacted as it comes from the key-value service, before anything keeps or passes it. What is left are turns that go on from other tenants' turns, and quotas.

--- a/src/cluster/service_directory.c
+++ b/src/cluster/service_directory.c
@@ -51,6 +51,7 @@
         return;
     g_ptr_array_free(configuration->routes, TRUE);
     g_hash_table_destroy(configuration->services);
+    tenancy_free(configuration->tenancy);
     g_free(configuration);
 }
 
--- a/src/cluster/service_directory.h
+++ b/src/cluster/service_directory.h
@@ -8,6 +8,7 @@
 #ifndef RUDDERWAY_CLUSTER_SERVICE_DIRECTORY_H
 #define RUDDERWAY_CLUSTER_SERVICE_DIRECTORY_H
 
+#include "core/tenancy/tenancy.h"
 #include "net/http_listener.h"
 
 #include <glib.h>
@@ -36,6 +37,7 @@
     bool resumable;        /**< A stream may go on at another back end. */
     bool keeps_turns;      /**< A call may go on from an earlier one, whose text is kept. */
     bool sticky;           /**< Calls of a session belong together. */
+    bool open_to_all;      /**< Calls need no key. */
     uint32_t timeout_ms;   /**< Longest time that a call is held; 0: none. */
     uint32_t objective_ms; /**< Time within which an answer is in time. */
     uint32_t attempts;     /**< Back ends that one attempt of a caller may be sent to. */
@@ -57,6 +59,7 @@
     uint64_t version;
     GPtrArray *routes;    /**< Of route_t. */
     GHashTable *services; /**< Name to service_t. */
+    tenancy_t *tenancy;   /**< NULL: there are no tenants, and keys mean nothing here. */
     http_limits_t limits;
 } directory_configuration_t;
 
@@ -84,7 +87,12 @@
 
 /* Implemented by platform/. */
 
-/** NULL if @p data is no configuration. */
+/**
+ * The configuration @p value with each key replaced by its digest: what leaves this process, or
+ * is kept. The caller owns the result; bytes that are no configuration come back as they are.
+ */
+GBytes *directory_redact_configuration(GBytes *value);
+/** NULL if @p data is no configuration; it may be a redacted one. */
 directory_configuration_t *directory_parse_configuration(const char *data, size_t length);
 /** NULL if @p data is no back end. */
 backend_record_t *directory_parse_backend(const char *instance, const char *data, size_t length);
--- a/src/gateway/call.c
+++ b/src/gateway/call.c
@@ -14,6 +14,7 @@
 
 enum {
     STATUS_BAD_REQUEST = 400,
+    STATUS_UNAUTHORIZED = 401,
     STATUS_NOT_FOUND = 404,
     STATUS_BAD_GATEWAY = 502,
     STATUS_UNAVAILABLE = 503,
@@ -28,7 +29,7 @@
     "answered",        "no_configuration",   "no_route",     "malformed",   "no_backend",
     "backend_refused", "backend_lost",       "bad_answer",   "timed_out",   "over_budget",
     "budget_unsure",   "budget_not_durable", "no_such_turn", "turn_unsure", "turn_not_kept",
-    "caller_gone",     "stopping",
+    "caller_gone",     "stopping",           "unknown_key",
 };
 
 static const char *const placing_names[PLACING_COUNT] = {"-", "new", "kept", "moved"};
@@ -210,6 +211,27 @@
         call_refuse(call, STATUS_UNAVAILABLE, CALL_NO_CONFIGURATION);
 }
 
+/**
+ * Finds whose call it is; false if it has been refused. A key that is not known here may be a new
+ * one, as long as the configuration in force can't be told: then the caller is not turned away for
+ * good.
+ */
+static bool find_tenant(call_t *call) {
+    const tenancy_t *tenancy = call->configuration->tenancy;
+    if (tenancy == NULL)
+        return true;
+    const char *key = call_key(call_field(call, FIELD_KEY));
+    if (key != NULL)
+        call->tenant = tenancy_find(tenancy, key);
+    if (call->tenant != NULL || call->route->open_to_all)
+        return true;
+    if (gateway_directory_current(call->gateway))
+        call_refuse(call, STATUS_UNAUTHORIZED, CALL_UNKNOWN_KEY);
+    else
+        call_refuse(call, STATUS_UNAVAILABLE, CALL_NO_CONFIGURATION);
+    return false;
+}
+
 static void start_call(call_t *call) {
     gateway_t *gateway = call->gateway;
     call->id = call_field(call, FIELD_CALL_ID);
@@ -233,6 +255,8 @@
         call_refuse(call, STATUS_BAD_REQUEST, CALL_MALFORMED);
         return;
     }
+    if (!find_tenant(call))
+        return;
     call->service_name = split_next(gateway->split_credits, call->route);
     call->service = directory_find_service(call->configuration, call->service_name);
     call->program = call_field(call, FIELD_PROGRAM);
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -32,6 +32,7 @@
     CALL_TURN_NOT_KEPT,
     CALL_CALLER_GONE,
     CALL_STOPPING,
+    CALL_UNKNOWN_KEY,
     CALL_REASON_COUNT,
 } call_reason_t;
 
@@ -68,7 +69,8 @@
     const service_t *service;
     const char *service_name;
     const char *id;
-    const char *program; /**< NULL: a plain call. */
+    const char *program;    /**< NULL: a plain call. */
+    const tenant_t *tenant; /**< NULL: nobody's, on a route open to all or without tenants. */
     uint64_t arrived_at;
     uint64_t limit; /**< Loop time until which an answer may come, ms. */
     uv_timer_t timer;
--- a/src/gateway/call_fields.h
+++ b/src/gateway/call_fields.h
@@ -23,6 +23,8 @@
     FIELD_PRIORITY,         /**< 0 (first) to 9 at an engine. */
     FIELD_PROMPT_PARTS,     /**< "ID:TOKENS,...": the prompt's parts in order. */
     FIELD_PROGRAM_DEADLINE, /**< Time left until the program should be over, in ms. */
+    FIELD_TENANT,           /**< To a back end: whose call it is. */
+    FIELD_KEY,              /**< The caller's key, in the form that call_key reads. */
     FIELD_COUNT,
 } call_field_t;
 
@@ -35,6 +37,8 @@
  * calls, 44 of 100 on a deployment whose callers send such fields.
  */
 bool call_field_is_own(const char *name);
+/** The key in a value of FIELD_KEY; NULL if that holds none. */
+const char *call_key(const char *value);
 /** The path at which a gateway is asked whether it is ready. */
 const char *call_readiness_path(void);
 
--- a/src/gateway/call_send.c
+++ b/src/gateway/call_send.c
@@ -55,9 +55,11 @@
 static void append_fields(const call_t *call, GString *request) {
     const http_headers_t *headers = call->request->headers;
     bool goes_on = call->events.events > 0;
+    bool keys = call->configuration->tenancy != NULL;
     for (size_t i = 0; i < http_headers_count(headers); i++) {
         const char *name = http_headers_name(headers, i);
         bool skip = http_header_is_hop_by_hop(name) || call_field_is_own(name) ||
+                    (keys && is_field(name, FIELD_KEY)) ||
                     (goes_on && is_field(name, FIELD_LAST_EVENT));
         if (!skip)
             g_string_append_printf(request, "%s: %s\r\n", name, http_headers_value(headers, i));
@@ -74,6 +76,9 @@
                            call_field_name(FIELD_DEADLINE_MS), (guint64)call_time_left(call));
     g_string_append_printf(request, "%s: %s\r\n", call_field_name(FIELD_EXPECT_INSTANCE),
                            call->backend->record->instance);
+    if (call->tenant != NULL)
+        g_string_append_printf(request, "%s: %s\r\n", call_field_name(FIELD_TENANT),
+                               call->tenant->name);
     if (call->events.events > 0)
         g_string_append_printf(request, "%s: %s\r\n", call_field_name(FIELD_LAST_EVENT),
                                call->events.last_id->str);
--- a/src/gateway/directory_duty.c
+++ b/src/gateway/directory_duty.c
@@ -10,6 +10,9 @@
     PEER_NEWS_MS = 1000,      /**< What a gateway told counts for so long. */
     FAILED_LATELY_MS = 10000, /**< A gateway on duty that follows tries the service again then. */
     FOLLOW_LAG_MS = 1500,     /**< A followed gateway notices within this that it lags. */
+    /** A watch on duty is answered every 3 s (WATCH_WAIT_RENEWING_MS); later, news may be missed.
+     */
+    CURRENT_MS = WATCH_WAIT_RENEWING_MS + 1000,
 };
 
 /* Gateways that follow this one. */
@@ -119,6 +122,14 @@
     return failed_at > 0 && uv_now(gateway->loop) < failed_at + FAILED_LATELY_MS;
 }
 
+bool gateway_directory_current(const gateway_t *gateway) {
+    if (!gateway->directory_confirmed || gateway->watch == NULL)
+        return false;
+    uint64_t answered_at = key_value_watch_answered_at(gateway->watch);
+    bool answered = answered_at > 0 && uv_now(gateway->loop) < answered_at + CURRENT_MS;
+    return answered || directory_follow_current(gateway->follow);
+}
+
 /** Follows another gateway if this one need not watch itself, or can't. */
 static void look_whether_to_follow(gateway_t *gateway, bool rests, bool renew) {
     directory_follow_t *follow = gateway->follow;
--- a/src/gateway/directory_watch.c
+++ b/src/gateway/directory_watch.c
@@ -101,7 +101,8 @@
     }
 }
 
-void gateway_take_item(gateway_t *gateway, const key_value_item_t *item) {
+/** Takes over an item that holds no secret. */
+static void take_plain_item(gateway_t *gateway, const key_value_item_t *item) {
     const char *name;
     key_kind_t kind = key_value_kind(item->key, &name);
     bool directory = kind == KEY_CONFIGURATION || kind == KEY_BACKEND;
@@ -113,6 +114,18 @@
     gateway_check_ready(gateway);
 }
 
+void gateway_take_item(gateway_t *gateway, const key_value_item_t *item) {
+    const char *name;
+    if (item->value == NULL || key_value_kind(item->key, &name) != KEY_CONFIGURATION) {
+        take_plain_item(gateway, item);
+        return;
+    }
+    key_value_item_t redacted = *item;
+    redacted.value = directory_redact_configuration(item->value);
+    take_plain_item(gateway, &redacted);
+    g_bytes_unref(redacted.value);
+}
+
 static void on_item(void *owner, const key_value_item_t *item) {
     gateway_take_item(owner, item);
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -103,6 +103,11 @@
 void gateway_take_item(gateway_t *gateway, const key_value_item_t *item);
 /** Drops all items whose keys are not in the set @p keys. */
 void gateway_retain_items(gateway_t *gateway, GHashTable *keys);
+/**
+ * True if the key-value service, or a gateway that watches it, has shown lately that what is known
+ * here is in force.
+ */
+bool gateway_directory_current(const gateway_t *gateway);
 /** Takes a directory that a storage node kept, if the key-value service has shown none yet. */
 void gateway_take_directory(void *owner, GBytes *bytes);
 /**
--- a/tests/unit/platform_test.cc
+++ b/tests/unit/platform_test.cc
@@ -53,6 +53,86 @@
         EXPECT_EQ(directory_parse_configuration(bad, strlen(bad)), nullptr) << bad;
 }
 
+const char tenants_text[] = R"({"version":3,"routes":[
+    {"name":"r1","host":"a.example","path-prefix":"/x/","kind":"safe","service":"s"},
+    {"name":"r2","host":"a.example","path-prefix":"/y/","kind":"safe","service":"s",
+     "public-access":true}],"services":[{"name":"s"}],
+    "tenants":[{"name":"t1","api-keys":["key-one","key-two"],"priority":2,"rate-per-s":40,
+     "burst":50},{"name":"t2","api-keys":["key-three"]},{"name":"t3","api-keys":[]}]})";
+
+std::string tenant_of(const directory_configuration_t *configuration, const char *key) {
+    const tenant_t *tenant = tenancy_find(configuration->tenancy, key);
+    return tenant == nullptr ? "none" : tenant->name;
+}
+
+void expect_tenants(const directory_configuration_t *configuration) {
+    ASSERT_NE(configuration, nullptr);
+    ASSERT_NE(configuration->tenancy, nullptr);
+    EXPECT_EQ(tenant_of(configuration, "key-one"), "t1");
+    EXPECT_EQ(tenant_of(configuration, "key-two"), "t1");
+    EXPECT_EQ(tenant_of(configuration, "key-three"), "t2");
+    EXPECT_EQ(tenant_of(configuration, "key-four"), "none");
+    EXPECT_EQ(tenant_of(configuration, ""), "none");
+    const tenant_t *tenant = tenancy_find(configuration->tenancy, "key-one");
+    EXPECT_TRUE(tenant->has_priority);
+    EXPECT_EQ(tenant->priority, 2u);
+    EXPECT_EQ(tenant->rate, 40u);
+    EXPECT_EQ(tenant->burst, 50u);
+    EXPECT_FALSE(tenancy_find(configuration->tenancy, "key-three")->has_priority);
+    EXPECT_FALSE(directory_find_route(configuration, "a.example", "/x/")->open_to_all);
+    EXPECT_TRUE(directory_find_route(configuration, "a.example", "/y/")->open_to_all);
+}
+
+TEST(Platform, ReadsTenantsAndTheirKeys) {
+    directory_configuration_t *configuration =
+        directory_parse_configuration(tenants_text, strlen(tenants_text));
+    expect_tenants(configuration);
+    directory_configuration_unref(configuration);
+    const char *without = R"({"routes":[],"services":[]})";
+    configuration = directory_parse_configuration(without, strlen(without));
+    EXPECT_EQ(configuration->tenancy, nullptr);
+    directory_configuration_unref(configuration);
+    const char *nobody = R"({"routes":[],"services":[],"tenants":[]})";
+    configuration = directory_parse_configuration(nobody, strlen(nobody));
+    EXPECT_NE(configuration->tenancy, nullptr) << "nobody holds a key any more";
+    directory_configuration_unref(configuration);
+}
+
+TEST(Platform, ARedactedConfigurationHoldsNoKeyAndServesAsWell) {
+    GBytes *value = g_bytes_new_static(tenants_text, strlen(tenants_text));
+    GBytes *redacted = directory_redact_configuration(value);
+    GBytes *again = directory_redact_configuration(redacted);
+    EXPECT_EQ(redacted, again) << "nothing is left to replace";
+    gsize length;
+    const char *data = static_cast<const char *>(g_bytes_get_data(redacted, &length));
+    for (const char *key : {"key-one", "key-two", "key-three"})
+        EXPECT_EQ(std::string(data, length).find(key), std::string::npos) << key;
+    /* The digest of a key is not itself a key. */
+    directory_configuration_t *configuration = directory_parse_configuration(data, length);
+    expect_tenants(configuration);
+    char *digest = tenancy_digest("key-one");
+    EXPECT_EQ(tenant_of(configuration, digest), "none");
+    g_free(digest);
+    directory_configuration_unref(configuration);
+    g_bytes_unref(again);
+    g_bytes_unref(redacted);
+    g_bytes_unref(value);
+    for (const char *bad : {"", "api-keys", "{\"tenants\":[{\"api-keys\":[1,", "[\"api-keys\"]",
+                            "{\"tenants\":[{\"api-keys\":7}]}"}) {
+        value = g_bytes_new_static(bad, strlen(bad));
+        g_bytes_unref(directory_redact_configuration(value));
+        g_bytes_unref(value);
+    }
+}
+
+TEST(Platform, ReadsTheKeyOfACall) {
+    EXPECT_STREQ(call_key("Bearer abc"), "abc");
+    EXPECT_STREQ(call_key("bearer  abc"), "abc");
+    for (const char *none : {"", "Bearer", "Bearer ", "Basic abc", "Bearerabc", "abc"})
+        EXPECT_EQ(call_key(none), nullptr) << none;
+    EXPECT_EQ(call_key(nullptr), nullptr);
+}
+
 TEST(Platform, ReadsABackEndAndWhetherItLeaves) {
     const char *ready = R"({"service":"s","address":"10.1.2.3:80","zone":"z","slots":6,
         "state":"ready","sequence":4})";
