gateways, storage nodes: a turn belongs to its tenant

Cause: a caller could go on from a turn of another tenant by naming its id. Change: a turn keeps its tenant, in memory, in the log and between processes; the names stand behind the record's other fields, so that records written before stay readable and those without a tenant are written as they were. Another tenant's turn is 404 to a caller, from the cache of gateways as well, or 503 while the gateway can't tell whether its configuration is in force. A log line of a call tells the tenant.

--- a/src/cluster/message.c
+++ b/src/cluster/message.c
@@ -66,6 +66,26 @@
         turn_codec(codec, &g_array_index(turns, turn_t, i));
 }
 
+static bool any_tenant(const GArray *turns) {
+    for (guint i = 0; i < turns->len; i++) {
+        const char *tenant = g_array_index(turns, turn_t, i).tenant;
+        if (tenant != NULL && *tenant != '\0')
+            return true;
+    }
+    return false;
+}
+
+/**
+ * The turns' tenants stand behind all else, if any turn has one: records of the log that were
+ * written before turns had tenants end without.
+ */
+static void tenants_codec(codec_t *codec, GArray *turns) {
+    if (codec_at_end(codec) || (!codec->decoding && !any_tenant(turns)))
+        return;
+    for (uint32_t i = 0; i < turns->len && !codec->failed; i++)
+        codec_text(codec, &g_array_index(turns, turn_t, i).tenant);
+}
+
 static void charges_codec(codec_t *codec, GArray *charges) {
     uint32_t count = charges->len;
     codec_count(codec, &count, CHARGES_MAXIMUM);
@@ -125,6 +145,7 @@
     case REQUEST_PUT_TURN:
     case RESPONSE_TURNS:
         turns_codec(codec, message->turns);
+        tenants_codec(codec, message->turns);
         break;
     case REQUEST_CHAIN:
         codec_text(codec, &message->turn_id);
@@ -132,6 +153,7 @@
     case RESPONSE_CHAIN:
         verdict_codec(codec, &message->verdict);
         turns_codec(codec, message->turns);
+        tenants_codec(codec, message->turns);
         break;
     case RESPONSE_INDEX:
         ids_codec(codec, message->ids);
--- a/src/common/codec.c
+++ b/src/common/codec.c
@@ -58,6 +58,10 @@
     return g_byte_array_free_to_bytes(g_steal_pointer(&codec->output));
 }
 
+bool codec_at_end(const codec_t *codec) {
+    return codec->decoding && !codec->failed && codec->position == codec->length;
+}
+
 bool codec_complete(const codec_t *codec) {
     return !codec->failed && codec->position == codec->length;
 }
--- a/src/common/codec.h
+++ b/src/common/codec.h
@@ -29,6 +29,9 @@
 /** Starts encoding into a new buffer. */
 void codec_start_encoding(codec_t *codec);
 
+/** While decoding: true if nothing is left to read, so that fields added later are not there. */
+bool codec_at_end(const codec_t *codec);
+
 /** Starts decoding @p length bytes at @p data, which must outlive the codec. */
 void codec_start_decoding(codec_t *codec, const void *data, size_t length);
 
--- a/src/core/turns/turn_table.c
+++ b/src/core/turns/turn_table.c
@@ -1,11 +1,14 @@
 #include "core/turns/turn_table.h"
 
+#include <string.h>
+
 /** Memory of an entry besides its input and output, roughly. */
 enum { ENTRY_OVERHEAD_BYTES = 512, ANCESTORS_MAXIMUM = 10000 };
 
 void turn_clear(turn_t *turn) {
     g_free(turn->id);
     g_free(turn->parent);
+    g_free(turn->tenant);
     if (turn->input != NULL)
         g_bytes_unref(turn->input);
     if (turn->output != NULL)
@@ -16,11 +19,16 @@
 void turn_copy(turn_t *copy, const turn_t *turn) {
     copy->id = g_strdup(turn->id);
     copy->parent = g_strdup(turn->parent);
+    copy->tenant = g_strdup(turn->tenant == NULL ? "" : turn->tenant);
     copy->input = g_bytes_ref(turn->input);
     copy->output = g_bytes_ref(turn->output);
     copy->retention_ms = turn->retention_ms;
 }
 
+bool turn_belongs_to(const turn_t *turn, const char *tenant) {
+    return turn->tenant == NULL || *turn->tenant == '\0' || strcmp(turn->tenant, tenant) == 0;
+}
+
 static void free_entry(gpointer data) {
     turn_entry_t *entry = data;
     turn_clear(&entry->turn);
--- a/src/core/turns/turn_table.h
+++ b/src/core/turns/turn_table.h
@@ -20,6 +20,7 @@
     GBytes *input;  /**< What the caller sent with this turn. */
     GBytes *output; /**< What the engine made, as the next turn's prompt repeats it. */
     uint32_t retention_ms; /**< How long the turn is kept after it was last needed. */
+    char *tenant; /**< Whose turn it is; "": nobody's, or written before turns had tenants. */
 } turn_t;
 
 /** What the table knows of a turn besides its content. */
@@ -36,6 +37,11 @@
 } turn_table_t;
 
 void turn_clear(turn_t *turn);
+/**
+ * True if @p tenant may go on from the turn. Anybody may from a turn without a tenant: it is known
+ * by an id that only its own caller was told.
+ */
+bool turn_belongs_to(const turn_t *turn, const char *tenant);
 /** A copy that shares the bytes. */
 void turn_copy(turn_t *copy, const turn_t *turn);
 
--- a/src/gateway/call.c
+++ b/src/gateway/call.c
@@ -26,10 +26,10 @@
 };
 
 static const char *const reason_names[CALL_REASON_COUNT] = {
-    "answered",        "no_configuration",   "no_route",     "malformed",   "no_backend",
-    "backend_refused", "backend_lost",       "bad_answer",   "timed_out",   "over_budget",
-    "budget_unsure",   "budget_not_durable", "no_such_turn", "turn_unsure", "turn_not_kept",
-    "caller_gone",     "stopping",           "unknown_key",
+    "answered",        "no_configuration",   "no_route",     "malformed",    "no_backend",
+    "backend_refused", "backend_lost",       "bad_answer",   "timed_out",    "over_budget",
+    "budget_unsure",   "budget_not_durable", "no_such_turn", "turn_unsure",  "turn_not_kept",
+    "caller_gone",     "stopping",           "unknown_key",  "other_tenant",
 };
 
 static const char *const placing_names[PLACING_COUNT] = {"-", "new", "kept", "moved"};
@@ -62,6 +62,7 @@
             counters->refused++;
     }
     event_log(GATEWAY_CALL, call->id, call->route == NULL ? "-" : call->route->name,
+              call->tenant == NULL ? "-" : call->tenant->name,
               call->program == NULL ? "-" : call->program, status, reason_names[reason],
               call->backend == NULL ? "-" : call->backend->record->instance,
               placing_names[call->placing], call->sends, call->repeats, ms,
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -33,6 +33,7 @@
     CALL_CALLER_GONE,
     CALL_STOPPING,
     CALL_UNKNOWN_KEY,
+    CALL_OTHER_TENANT,
     CALL_REASON_COUNT,
 } call_reason_t;
 
--- a/src/gateway/call_turn.c
+++ b/src/gateway/call_turn.c
@@ -100,6 +100,14 @@
 
 static void assemble_prompt(call_t *call);
 
+/** To a caller it is as if there were no such turn; a key may just have changed hands, though. */
+static void refuse_other_tenants_turn(call_t *call) {
+    if (gateway_directory_current(call->gateway))
+        call_refuse(call, STATUS_NOT_FOUND, CALL_OTHER_TENANT);
+    else
+        call_refuse(call, STATUS_UNAVAILABLE, CALL_NO_CONFIGURATION);
+}
+
 static void on_chain_verdict(void *owner, verdict_t verdict, const GArray *turns) {
     call_t *call = owner;
     call->turn.chain = NULL;
@@ -119,10 +127,26 @@
 
 static const store_operation_handler_t chain_handler = {on_chain_verdict, NULL};
 
+/** The name of the call's tenant; "" without one. */
+static const char *tenant_name(const call_t *call) {
+    return call->tenant == NULL ? "" : call->tenant->name;
+}
+
+/** True if the turn that the call goes on from is known here as another tenant's. */
+static bool goes_on_from_another_tenant(const call_t *call, const char *previous) {
+    const turn_t *turn = chain_cache_find(&call->gateway->chains, previous);
+    return turn != NULL && call->configuration->tenancy != NULL &&
+           !turn_belongs_to(turn, tenant_name(call));
+}
+
 static void assemble_prompt(call_t *call) {
     gateway_t *gateway = call->gateway;
-    const char *missing =
-        chain_cache_prompt(&gateway->chains, call_field(call, FIELD_PREVIOUS_TURN), call->prompt);
+    const char *previous = call_field(call, FIELD_PREVIOUS_TURN);
+    const char *missing = chain_cache_prompt(&gateway->chains, previous, call->prompt);
+    if (goes_on_from_another_tenant(call, previous)) {
+        refuse_other_tenants_turn(call);
+        return;
+    }
     if (missing == NULL) {
         call->turn.prompt_ready = true;
         send_if_ready(call);
@@ -162,6 +186,7 @@
         .input = g_bytes_new(call->request->body, call->request->body_length),
         .output = g_bytes_new(call->events.output->str, call->events.output->len),
         .retention_ms = call->route->retention_ms,
+        .tenant = g_strdup(tenant_name(call)),
     };
 }
 
--- a/tests/unit/gateway_test.cc
+++ b/tests/unit/gateway_test.cc
@@ -67,8 +67,12 @@
 turn_t make_turn(const char *id, const char *parent) {
     std::string input = std::string("<") + id + ">";
     std::string output = std::string("[") + id + "]\n";
-    return {g_strdup(id), g_strdup(parent), g_bytes_new(input.data(), input.size()),
-            g_bytes_new(output.data(), output.size()), 1000};
+    return {g_strdup(id),
+            g_strdup(parent),
+            g_bytes_new(input.data(), input.size()),
+            g_bytes_new(output.data(), output.size()),
+            1000,
+            nullptr};
 }
 
 TEST(ChainCache, JoinsTheChainOldestFirstAndNamesAMissingTurn) {
--- a/tests/unit/record_digest_test.cc
+++ b/tests/unit/record_digest_test.cc
@@ -26,8 +26,8 @@
     Replica &operator=(const Replica &) = delete;
 
     void add_turn(const std::string &id) {
-        turn_t turn = {g_strdup(id.c_str()), g_strdup(""), g_bytes_new("i", 1), g_bytes_new("o", 1),
-                       60000};
+        turn_t turn = {g_strdup(id.c_str()), g_strdup(""), g_bytes_new("i", 1),
+                       g_bytes_new("o", 1),  60000,        nullptr};
         turn_table_add(&turns, &turn, 0, now);
         turn_clear(&turn);
     }
--- a/tests/unit/turns_test.cc
+++ b/tests/unit/turns_test.cc
@@ -19,8 +19,12 @@
 
 turn_t make_turn(const char *id, const char *parent, const char *input = "in",
                  const char *output = "out\n", uint32_t retention_ms = 1000) {
-    return {g_strdup(id), g_strdup(parent), g_bytes_new(input, strlen(input)),
-            g_bytes_new(output, strlen(output)), retention_ms};
+    return {g_strdup(id),
+            g_strdup(parent),
+            g_bytes_new(input, strlen(input)),
+            g_bytes_new(output, strlen(output)),
+            retention_ms,
+            nullptr};
 }
 
 class TurnTable : public testing::Test {
@@ -80,6 +84,19 @@
     EXPECT_EQ(std::string(static_cast<const char *>(data), length), "in");
 }
 
+TEST_F(TurnTable, ATurnBelongsToItsTenantAndOneWithoutToAnybody) {
+    turn_t turn = make_turn("a", "");
+    EXPECT_TRUE(turn_belongs_to(&turn, "one"));
+    EXPECT_TRUE(turn_belongs_to(&turn, ""));
+    turn.tenant = g_strdup("one");
+    turn_table_add(&table, &turn, 1, 0);
+    turn_clear(&turn);
+    const turn_t *kept = turn_table_find(&table, "a");
+    EXPECT_TRUE(turn_belongs_to(kept, "one"));
+    EXPECT_FALSE(turn_belongs_to(kept, "two"));
+    EXPECT_FALSE(turn_belongs_to(kept, ""));
+}
+
 TEST_F(TurnTable, ASegmentIsNeededAsLongAsAChainThatBeginsInIt) {
     add("a", "", 0, 1);
     add("b", "a", 900, 2);
@@ -259,6 +276,39 @@
     store_group_free(group);
 }
 
+/** The tenant of the first turn after a way through the encoding; "!" if it can't be read. */
+std::string tenant_after_encoding(message_type_t type, const char *tenant, gsize *length) {
+    message_t message;
+    message_init(&message, type);
+    turn_t turn = make_turn("a", "b");
+    turn.tenant = g_strdup(tenant);
+    message_add_turn(&message, &turn);
+    turn_clear(&turn);
+    GBytes *bytes = message_encode(&message);
+    message_clear(&message);
+    const void *data = g_bytes_get_data(bytes, length);
+    message_t copy;
+    std::string found = "!";
+    if (message_decode(&copy, data, *length) && copy.turns->len == 1) {
+        const char *read = g_array_index(copy.turns, turn_t, 0).tenant;
+        found = read == nullptr ? "" : read;
+    }
+    message_clear(&copy);
+    g_bytes_unref(bytes);
+    return found;
+}
+
+TEST(Message, TurnsCarryTheirTenantAndRecordsWithoutOneStayReadable) {
+    for (message_type_t type : {REQUEST_PUT_TURN, RESPONSE_TURNS, RESPONSE_CHAIN}) {
+        gsize with;
+        gsize without;
+        EXPECT_EQ(tenant_after_encoding(type, "one", &with), "one");
+        EXPECT_EQ(tenant_after_encoding(type, nullptr, &without), "");
+        /* A turn without a tenant is written as it was before turns had any. */
+        EXPECT_EQ(with, without + strlen("one") + 1);
+    }
+}
+
 TEST(Message, EveryTypeSurvivesItsEncoding) {
     for (unsigned type = 0; type < MESSAGE_TYPE_COUNT; type++) {
         message_t message;
