gateways, storage nodes: a call waits up to 100 ms for a token that it is sure to get

Change: once all members are out of tokens, the one that will have one first is asked for that one; its bucket goes into debt, the call waits and is sent for certain. A call that would have to wait longer is refused at once.

--- a/src/cluster/message.c
+++ b/src/cluster/message.c
@@ -184,6 +184,10 @@
         codec_bytes(codec, &message->directory);
         break;
     case REQUEST_ALLOWANCE:
+        codec_text(codec, &message->tenant);
+        limit_codec(codec, &message->limit);
+        codec_uint32(codec, &message->wait_ms);
+        break;
     case MESSAGE_CHARGE:
         codec_text(codec, &message->tenant);
         limit_codec(codec, &message->limit);
--- a/src/cluster/message.h
+++ b/src/cluster/message.h
@@ -67,7 +67,8 @@
     budget_summary_t summary; /**< A program's charges in short. */
     char *tenant;             /**< Whose allowance is asked for, or is charged. */
     quota_limit_t limit;      /**< That tenant's, as the sender knows it. */
-    uint32_t wait_ms;         /**< Of an allowance refused: until there is one again. */
+    uint32_t
+        wait_ms;    /**< Of an allowance: how long the call may wait; has to wait, or come back. */
     uint64_t place; /**< Hash of the back end's instance where the program last ran; 0: unknown. */
     char *turn_id;
     uint64_t revision; /**< Of the directory snapshot, or up to which all changes are known. */
--- a/src/core/quota/quota_choice.c
+++ b/src/core/quota/quota_choice.c
@@ -15,19 +15,19 @@
     return !member->asked && member->empty_until <= now;
 }
 
-/** How long until the first member with a share that is known to be empty has a token. */
-static uint32_t shortest_wait(const quota_member_t *members, unsigned count, unsigned shares,
-                              uint64_t now, bool *any) {
-    uint64_t shortest = UINT32_MAX;
-    *any = false;
+/** What to do when no member may have a token: names the first that will have one again. */
+static quota_decision_t refuse(const quota_member_t *members, unsigned count, unsigned shares,
+                               uint64_t now) {
+    quota_decision_t decision = {.step = QUOTA_UNREACHABLE};
     for (unsigned i = 0; i < count; i++) {
         if (!holds_share(members, count, shares, i) || members[i].empty_until <= now)
             continue;
-        *any = true;
-        if (members[i].empty_until - now < shortest)
-            shortest = members[i].empty_until - now;
+        uint32_t wait_ms = (uint32_t)(members[i].empty_until - now);
+        if (decision.step == QUOTA_REFUSE && wait_ms >= decision.wait_ms)
+            continue;
+        decision = (quota_decision_t){.step = QUOTA_REFUSE, .member = i, .wait_ms = wait_ms};
     }
-    return (uint32_t)shortest;
+    return decision;
 }
 
 /** Index of the member that comes after @p skip others of those that may have a token. */
@@ -50,12 +50,8 @@
     unsigned found = 0;
     for (unsigned i = 0; i < count; i++)
         found += holds_share(members, count, shares, i) && may_have_token(&members[i], now);
-    if (found == 0) {
-        bool any;
-        uint32_t wait_ms = shortest_wait(members, count, shares, now, &any);
-        return (quota_decision_t){.step = any ? QUOTA_REFUSE : QUOTA_UNREACHABLE,
-                                  .wait_ms = any ? wait_ms : 0};
-    }
+    if (found == 0)
+        return refuse(members, count, shares, now);
     unsigned index = nth_with_token(members, count, shares, now, random % found);
     return (quota_decision_t){.step = QUOTA_ASK, .member = index};
 }
--- a/src/core/quota/quota_choice.h
+++ b/src/core/quota/quota_choice.h
@@ -31,8 +31,8 @@
 
 typedef struct {
     quota_step_t step;
-    unsigned member;  /**< Index of the member to ask. */
-    uint32_t wait_ms; /**< Of a refusal: until the first of them has a token. */
+    unsigned member;  /**< The member to ask; of a refusal, the first to have a token again, */
+    uint32_t wait_ms; /**< and in how long. */
 } quota_decision_t;
 
 /**
--- a/src/core/quota/quota_table.c
+++ b/src/core/quota/quota_table.c
@@ -54,15 +54,17 @@
 }
 
 quota_answer_t quota_table_take(quota_table_t *table, const char *tenant,
-                                const quota_limit_t *limit, unsigned members, uint64_t now) {
+                                const quota_limit_t *limit, unsigned members, uint32_t patience_ms,
+                                uint64_t now) {
     quota_share_t share;
     bucket_t *bucket = find(table, tenant, limit, members, now, &share);
     quota_answer_t answer = {0};
-    if (bucket != NULL && bucket->tokens >= 1) {
+    if (bucket != NULL)
+        answer.wait_ms = time_until(bucket, &share, 1);
+    if (bucket != NULL && answer.wait_ms <= patience_ms) {
         bucket->tokens -= 1;
         answer.granted = true;
     }
-    answer.wait_ms = bucket == NULL ? 0 : time_until(bucket, &share, 1);
     table->granted += answer.granted;
     table->refused += !answer.granted;
     return answer;
--- a/src/core/quota/quota_table.h
+++ b/src/core/quota/quota_table.h
@@ -23,14 +23,19 @@
 
 typedef struct {
     bool granted;
-    uint32_t wait_ms; /**< Until the next token is there, if nobody else takes it. */
+    /** Granted: the token may be used after this. Not: until the next one is there. */
+    uint32_t wait_ms;
 } quota_answer_t;
 
 void quota_table_init(quota_table_t *table, const quota_bounds_t *bounds);
 void quota_table_clear(quota_table_t *table);
-/** Takes a token of @p tenant, whose limit is split among @p members, if there is one. */
+/**
+ * Takes a token of @p tenant, whose limit is split among @p members, if there is one, or will be
+ * within @p patience_ms: then the bucket is left in debt, and the call waits.
+ */
 quota_answer_t quota_table_take(quota_table_t *table, const char *tenant,
-                                const quota_limit_t *limit, unsigned members, uint64_t now);
+                                const quota_limit_t *limit, unsigned members, uint32_t patience_ms,
+                                uint64_t now);
 /** Takes a token that has been used already: the bucket may be left in debt. */
 void quota_table_charge(quota_table_t *table, const char *tenant, const quota_limit_t *limit,
                         unsigned members, uint64_t now);
--- a/src/gateway/quota_client.c
+++ b/src/gateway/quota_client.c
@@ -6,9 +6,10 @@
 #include <xxhash.h>
 
 enum {
-    ANSWER_MS = 100,  /**< A member that has not answered by then is passed over, */
-    SILENT_MS = 1000, /**< for so long. The usual way there and back takes 1 to 4 ms. */
-    SPREAD_MS = 100,  /**< Callers that are over the limit come back over at least so long. */
+    ANSWER_MS = 100,   /**< A member that has not answered by then is passed over, */
+    SILENT_MS = 1000,  /**< for so long. The usual way there and back takes 1 to 4 ms. */
+    PATIENCE_MS = 100, /**< A call waits so long for a token that it is sure to get. */
+    SPREAD_MS = 100,   /**< Callers that are over the limit come back over at least so long. */
     SPREAD_MOST_MS = 1000,
     TENANTS_MAXIMUM = 10000, /**< What is known of them is forgotten beyond. */
     GRANTS_KEPT_MOST = 64,   /**< Unused grants of one tenant. */
@@ -38,6 +39,8 @@
     uv_timer_t timer;
     uint64_t number; /**< Of the request under way. */
     uint64_t asked_at;
+    bool patient;     /**< It has asked for a token that comes later. */
+    uint64_t granted; /**< Such a token is waited for; the end of its grant. */
     unsigned member;
     char *tenant;
     quota_limit_t limit;
@@ -114,12 +117,14 @@
 }
 
 static void send_request(quota_client_t *client, message_type_t type, unsigned member,
-                         const char *tenant, const quota_limit_t *limit, uint64_t number) {
+                         const char *tenant, const quota_limit_t *limit, uint64_t number,
+                         uint32_t patience_ms) {
     message_t message;
     message_init(&message, type);
     message.number = number;
     message.tenant = g_strdup(tenant);
     message.limit = *limit;
+    message.wait_ms = patience_ms;
     client->requests++;
     store_client_send_member(client->stores, member, &message);
 }
@@ -161,13 +166,17 @@
     quota_decision_t decision = decide(client, ask->tenant, &ask->limit, ask->asked);
     if (decision.step == QUOTA_UNREACHABLE)
         return (quota_result_t){.outcome = QUOTA_UNSURE};
-    if (decision.step == QUOTA_REFUSE)
+    bool patient =
+        decision.step == QUOTA_REFUSE && !ask->patient && decision.wait_ms <= PATIENCE_MS;
+    if (decision.step == QUOTA_REFUSE && !patient)
         return (quota_result_t){.outcome = QUOTA_OVER, .wait_ms = come_back_ms(decision.wait_ms)};
+    ask->patient = patient;
     ask->member = decision.member;
     ask->asked_at = uv_now(client->loop);
     ask->number = store_client_next_number(client->stores);
     g_hash_table_insert(client->asks, &ask->number, ask);
-    send_request(client, REQUEST_ALLOWANCE, ask->member, ask->tenant, &ask->limit, ask->number);
+    send_request(client, REQUEST_ALLOWANCE, ask->member, ask->tenant, &ask->limit, ask->number,
+                 patient ? PATIENCE_MS : 0);
     uv_timer_start(&ask->timer, on_timer, ANSWER_MS, 0);
     return (quota_result_t){.outcome = QUOTA_WAITING};
 }
@@ -203,6 +212,11 @@
 
 static void on_timer(uv_timer_t *timer) {
     quota_ask_t *ask = timer->data;
+    if (ask->granted > 0) {
+        quota_result_t result = {.outcome = QUOTA_GRANTED, .until = ask->granted};
+        finish(ask, &result);
+        return;
+    }
     if (ask->generation == store_client_generation(ask->client->stores))
         note_silent(ask->client, ask->member);
     go_on(ask);
@@ -243,7 +257,7 @@
     quota_limit_t limit = {version, tenant->rate, tenant->burst};
     quota_decision_t decision = decide(client, tenant->name, &limit, NULL);
     if (decision.step == QUOTA_ASK)
-        send_request(client, MESSAGE_CHARGE, decision.member, tenant->name, &limit, 0);
+        send_request(client, MESSAGE_CHARGE, decision.member, tenant->name, &limit, 0, 0);
 }
 
 void quota_client_take_answer(quota_client_t *client, unsigned member, const message_t *message) {
@@ -254,7 +268,12 @@
     bool current = ask->generation == store_client_generation(client->stores) &&
                    message->generation == ask->generation;
     if (allowance && message->verdict == VERDICT_YES) {
-        uint64_t until = ask->asked_at + quota_split_grant_ms(&client->bounds);
+        uint64_t until = ask->asked_at + message->wait_ms + quota_split_grant_ms(&client->bounds);
+        if (message->wait_ms > 0) {
+            ask->granted = until;
+            uv_timer_start(&ask->timer, on_timer, message->wait_ms, 0);
+            return;
+        }
         quota_result_t result = {.outcome = QUOTA_GRANTED, .until = until};
         finish(ask, &result);
         return;
--- a/src/gateway/quota_client.h
+++ b/src/gateway/quota_client.h
@@ -4,6 +4,10 @@
  * for one a call (core/quota/quota_choice.h), and keeps the few that a call did not need for the
  * next one.
  *
+ * While all are out of tokens, the one that will have one first is asked for that one, if it comes
+ * soon: the call waits for it, and is then sent for certain. Callers who are refused come back
+ * later than that.
+ *
  * A grant has an end, counted from when it was asked for. So a gateway that was paused, or whose
  * answer was long on its way, sends nothing on a grant that the storage nodes have filled up since.
  *
--- a/src/store/store_requests.c
+++ b/src/store/store_requests.c
@@ -242,8 +242,9 @@
 /* Tenants' limits. */
 
 static void allow(store_t *store, frame_connection_t *connection, const message_t *request) {
-    quota_answer_t allowed = quota_table_take(&store->quotas, request->tenant, &request->limit,
-                                              store->group->members->len, now(store));
+    quota_answer_t allowed =
+        quota_table_take(&store->quotas, request->tenant, &request->limit,
+                         store->group->members->len, request->wait_ms, now(store));
     message_t response;
     message_init(&response, RESPONSE_ALLOWANCE);
     response.number = request->number;
--- a/tests/unit/quota_test.cc
+++ b/tests/unit/quota_test.cc
@@ -61,7 +61,7 @@
         quota_table_clear(&table);
     }
     bool take(uint64_t now, const quota_limit_t &limit, const char *tenant = "t") {
-        return quota_table_take(&table, tenant, &limit, 1, now).granted;
+        return quota_table_take(&table, tenant, &limit, 1, 0, now).granted;
     }
     int take_all(uint64_t now, const quota_limit_t &limit) {
         int granted = 0;
@@ -84,13 +84,27 @@
 TEST_F(QuotaTable, TellsWhenThereIsATokenAgain) {
     quota_limit_t limit = {1, 10, 10};
     take_all(0, limit);
-    quota_answer_t answer = quota_table_take(&table, "t", &limit, 1, 0);
+    quota_answer_t answer = quota_table_take(&table, "t", &limit, 1, 0, 0);
     EXPECT_FALSE(answer.granted);
     EXPECT_GT(answer.wait_ms, 0u);
     EXPECT_LE(answer.wait_ms, 100u);
     EXPECT_TRUE(take(answer.wait_ms, limit));
 }
 
+TEST_F(QuotaTable, APatientCallGetsATokenThatIsToComeAndThoseAfterItLater) {
+    quota_limit_t limit = {1, 10, 10};
+    take_all(0, limit);
+    quota_answer_t first = quota_table_take(&table, "t", &limit, 1, 200, 0);
+    quota_answer_t second = quota_table_take(&table, "t", &limit, 1, 200, 0);
+    quota_answer_t third = quota_table_take(&table, "t", &limit, 1, 200, 0);
+    EXPECT_TRUE(first.granted);
+    EXPECT_TRUE(second.granted);
+    EXPECT_LT(first.wait_ms, second.wait_ms);
+    EXPECT_LE(second.wait_ms, 200u);
+    EXPECT_FALSE(third.granted) << "it would have to wait longer";
+    EXPECT_FALSE(take(first.wait_ms, limit)) << "that token is another call's";
+}
+
 TEST_F(QuotaTable, TheLatestVersionOfALimitHolds) {
     quota_limit_t old_limit = {1, 100, 100};
     quota_limit_t new_limit = {2, 10, 10};
@@ -138,7 +152,7 @@
         for (uint64_t now = 0; now < 20000; now += 2) {
             unsigned member = random() % count;
             bool crowd = now % 9000 < 6000;
-            if (crowd && quota_table_take(&tables[member], "t", &limit, members, now).granted)
+            if (crowd && quota_table_take(&tables[member], "t", &limit, members, 0, now).granted)
                 granted.push_back(now);
             while (!granted.empty() && granted.front() + bounds.window_ms <= now)
                 granted.pop_front();
@@ -186,6 +200,7 @@
     quota_decision_t decision = choose(3);
     EXPECT_EQ(decision.step, QUOTA_REFUSE);
     EXPECT_EQ(decision.wait_ms, 40u);
+    EXPECT_EQ(decision.member, 1u);
     EXPECT_EQ(choose(3, 140).step, QUOTA_ASK);
 }
 
