gateways: a call that may run again is sent once more when its answer is late

Change: core/retry/answer_time follows each route's usual time; a plain call that may run again is sent once more when its answer is late, within the retry budget of a tenth of the answered calls.

--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -159,6 +159,10 @@
 void call_not_run(call_t *call);
 /** No byte of the last send left this process. */
 void call_not_sent(call_t *call);
+/** Notes how long an answer took that has just begun. */
+void call_note_answer_time(const call_t *call);
+/** True if the answer to the present send is late and the call should be sent once more. */
+bool call_answer_is_late(call_t *call, uint64_t now);
 /** The back end goes on without this call. */
 void call_lost_at_backend(call_t *call, const char *reason);
 /** The back end can't be connected to any more. */
--- a/src/gateway/call_retry.c
+++ b/src/gateway/call_retry.c
@@ -14,7 +14,8 @@
 enum {
     CONNECT_FAILURES_MAXIMUM = 4,
     SAME_CONNECTS_NEEDED = 2, /**< So many fail before a back end that had the call has ended. */
-    LEAST_MS = 5,             /**< With less time left a call is not sent any more. */
+    ROUTES_TIMED_MAXIMUM = 10000, /**< Routes whose usual time is known, at most. */
+    LEAST_MS = 5,                 /**< With less time left a call is not sent any more. */
 };
 
 bool call_repeatable(const call_t *call) {
@@ -38,6 +39,38 @@
     };
 }
 
+/* Late answers, of plain calls that may run again; streams have signs of their own (silence.h). */
+
+static bool is_plain_repeatable(const call_t *call) {
+    return call->route->kind == CALL_REPEATABLE;
+}
+
+void call_note_answer_time(const call_t *call) {
+    gateway_t *gateway = call->gateway;
+    if (!is_plain_repeatable(call))
+        return;
+    answer_time_t *times = g_hash_table_lookup(gateway->answer_times, call->route->name);
+    if (times == NULL) {
+        if (g_hash_table_size(gateway->answer_times) >= ROUTES_TIMED_MAXIMUM)
+            g_hash_table_remove_all(gateway->answer_times);
+        times = g_new0(answer_time_t, 1);
+        g_hash_table_insert(gateway->answer_times, g_strdup(call->route->name), times);
+    }
+    answer_time_note(times, (uint32_t)(uv_now(gateway->loop) - call->sent_at));
+    retry_budget_first_try(&gateway->late_budget);
+}
+
+bool call_answer_is_late(call_t *call, uint64_t now) {
+    gateway_t *gateway = call->gateway;
+    if (!is_plain_repeatable(call) || call->answered)
+        return false;
+    const answer_time_t *times = g_hash_table_lookup(gateway->answer_times, call->route->name);
+    if (times == NULL || now - call->sent_at < answer_time_late_ms(times))
+        return false;
+    resend_state_t state = state_of(call);
+    return resend_unknown(&state) != RESEND_NO && retry_budget_take(&gateway->late_budget);
+}
+
 bool call_may_go_elsewhere(const call_t *call) {
     resend_state_t state = state_of(call);
     return call_repeatable(call) && resend_not_run(&state) == RESEND_ELSEWHERE;
--- a/src/gateway/call_send.c
+++ b/src/gateway/call_send.c
@@ -126,6 +126,7 @@
     note_heard(call);
     call->answered = true;
     backend_send_answered(call->backend, &call->sent_at);
+    call_note_answer_time(call);
     if (!answer_is_sound(call, head)) {
         call_log_send_failed(call, "unsound_answer");
         /* The parser is at work on this connection: it closes the connection itself. */
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -14,7 +14,9 @@
 #include "cluster/process_settings.h"
 #include "cluster/service_directory.h"
 #include "common/latency_histogram.h"
+#include "core/retry/answer_time.h"
 #include "core/retry/outage.h"
+#include "core/retry/retry_budget.h"
 #include "gateway/backends.h"
 #include "gateway/chain_cache.h"
 #include "gateway/directory_feed.h"
@@ -61,7 +63,9 @@
     load_sharing_t *load_sharing;
     chain_cache_t chains;
     silence_watch_t silence_watch;
-    GHashTable *split_credits; /**< Route name to what each part is owed; see split.h. */
+    GHashTable *answer_times;   /**< Route name to answer_time_t, of calls that may run again. */
+    retry_budget_t late_budget; /**< Bounds the calls sent again because an answer is late. */
+    GHashTable *split_credits;  /**< Route name to what each part is owed; see split.h. */
     key_value_watch_t *watch;
     directory_feed_t *feed;        /**< Gateways that follow this one's view. */
     directory_follow_t *follow;    /**< The gateway whose view this one follows. */
--- a/src/gateway/main.c
+++ b/src/gateway/main.c
@@ -84,6 +84,8 @@
     if (gateway->relay == NULL)
         return false;
     gateway->split_credits = split_credits_new();
+    gateway->answer_times = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    gateway->late_budget = retry_budget_new();
     silence_watch_init(&gateway->silence_watch, gateway->loop);
     chain_cache_init(&gateway->chains,
                      settings->memory_megabytes * MEGABYTE * CACHE_SHARE_PERCENT / PERCENT);
--- a/src/gateway/silence_watch.c
+++ b/src/gateway/silence_watch.c
@@ -8,6 +8,10 @@
 
 static void look_at_call(call_t *call, uint64_t now) {
     backend_t *backend = call->backend;
+    if (call_answer_is_late(call, now)) {
+        call_lost_at_backend(call, "late");
+        return;
+    }
     call_signs_t signs = {
         .sent_at = call->sent_at,
         .heard_at = call->heard_at,
--- a/tests/unit/resend_test.cc
+++ b/tests/unit/resend_test.cc
@@ -2,6 +2,7 @@
 #include <gtest/gtest.h>
 
 extern "C" {
+#include "core/retry/answer_time.h"
 #include "core/retry/resend.h"
 #include "core/retry/silence.h"
 }
@@ -100,4 +101,16 @@
         << "all stand still";
 }
 
+TEST(AnswerTime, AnAnswerIsLateOnceNoUsualOneTakesThatLong) {
+    answer_time_t time = {};
+    answer_time_note(&time, 30);
+    EXPECT_EQ(answer_time_late_ms(&time), UINT32_MAX) << "one answer says little";
+    for (uint32_t i = 0; i < 200; i++)
+        answer_time_note(&time, 10 + 10 * (i % 6));
+    EXPECT_EQ(answer_time_late_ms(&time), 250u);
+    for (uint32_t i = 0; i < 200; i++)
+        answer_time_note(&time, 50 + 150 * (i % 6));
+    EXPECT_GT(answer_time_late_ms(&time), 1000u) << "where answers take long, late is later";
+}
+
 } // namespace
