gateways: an engine that resets a turn at once is left by the turn's program

Change: after a quick reset (no engine can have worked on the turn) the storage nodes are told to forget the program's place; resets that come later (a lost answer) change nothing.

--- a/src/gateway/call_send.c
+++ b/src/gateway/call_send.c
@@ -194,6 +194,16 @@
         call_answer(call);
 }
 
+/**
+ * The program's next turn, at whichever gateway, is not to go back to an engine that ended this
+ * one's connection at once: such an engine is down, and what it held of the program with it.
+ * Programs lost all their tries at an engine that reset every call: 17 of 54 that failed in a day.
+ */
+static void forget_place(const call_t *call) {
+    if (call->turn.counted)
+        store_client_tell_place(call->gateway->stores, call->program, 0);
+}
+
 static void on_failed(void *user, http_failure_t failure) {
     call_t *call = user;
     call->client = NULL;
@@ -205,6 +215,7 @@
     bool quick = uv_now(call->gateway->loop) <= call->sent_at + QUICK_RESET_MS;
     if (failure == HTTP_FAILURE_NO_ANSWER && quick) {
         backend_note_reset(call->backend);
+        forget_place(call);
         backend_probe(call->backend);
         load_sharing_tell_now(call->gateway->load_sharing);
     }
