--- a/src/core/tenancy/tenancy.h
+++ b/src/core/tenancy/tenancy.h
@@ -12,15 +12,12 @@
 #define RUDDERWAY_CORE_TENANCY_TENANCY_H
 
 #include <glib.h>
-#include <stdbool.h>
 #include <stdint.h>
 
 typedef struct {
     char *name;
-    bool has_priority; /**< Its priority goes before that of the route. */
-    uint32_t priority; /**< 0 is served first. */
-    uint32_t rate;     /**< Calls a second that back ends may run for it; 0: no limit. */
-    uint32_t burst;    /**< Calls on top of the rate at one moment. */
+    uint32_t rate;  /**< Calls a second that back ends may run for it; 0: no limit. */
+    uint32_t burst; /**< Calls on top of the rate at one moment. */
 } tenant_t;
 
 typedef struct {
