--- a/src/gateway/quota_client.c
+++ b/src/gateway/quota_client.c
@@ -256,7 +256,8 @@
         return;
     quota_limit_t limit = {version, tenant->rate, tenant->burst};
     quota_decision_t decision = decide(client, tenant->name, &limit, NULL);
-    if (decision.step == QUOTA_ASK)
+    /* Also where all are out of tokens: what was used must be paid for. */
+    if (decision.step != QUOTA_UNREACHABLE)
         send_request(client, MESSAGE_CHARGE, decision.member, tenant->name, &limit, 0, 0);
 }
 
--- a/tests/integration/store_simulator_test.sh
+++ b/tests/integration/store_simulator_test.sh
@@ -41,6 +41,10 @@
     store_sim --seeds 1..60 --judge-quotas
 expect "quotas: the same among twelve storage nodes, seeds 1..30" \
     store_sim --seeds 1..30 --judge-quotas --stores 12
+# Sends without a grant were not charged while all members were out of tokens.
+expect "quotas: seed 1265" store_sim --seeds 1265 --judge-quotas
+expect "quotas: seed 2003 among twelve storage nodes" \
+    store_sim --seeds 2003 --judge-quotas --stores 12
 expect "the sweep notices members that begin with full buckets" notices quota-full --judge-quotas
 expect "the sweep notices grants without an end" notices quota-ends --judge-quotas
 for broken in sync identity catch-up; do
