gateways: a watch that fails is told to the others at once

For the others their watches were in order until an answer was due, 3.6 s later; nobody watched, and a new route was 404 for longer than 2 s. Change: a watch that failed counts as never answered until it is answered again, and is told with the next datagram; others take the duty over, and those who follow it look for another.

--- a/src/core/configuration/watch_duty.c
+++ b/src/core/configuration/watch_duty.c
@@ -5,6 +5,12 @@
     UP_MS = 1000, /**< Processes tell at least this often, or once a period if that is longer. */
 };
 
+uint32_t watch_answer_age(uint64_t answered_at, uint64_t failed_at, uint64_t now) {
+    if (answered_at == 0 || failed_at > 0)
+        return UINT32_MAX;
+    return (uint32_t)(now - answered_at);
+}
+
 bool watch_duty_in_order(const watch_report_t *report, uint64_t tell_period_ms, uint64_t now) {
     if (report->answer_age == UINT32_MAX)
         return false;
--- a/src/core/configuration/watch_duty.h
+++ b/src/core/configuration/watch_duty.h
@@ -52,6 +52,14 @@
     bool patient;     /**< While the service is away, enough others ask often whether it is back. */
 } watch_decision_t;
 
+/**
+ * The age to tell of a watch that was last answered at @p answered_at (0: never) and, if
+ * @p failed_at is not 0, has failed since. A watch that fails is told as one that was never
+ * answered, so that others take its duty over at once: where the service turned away just the
+ * three on duty, nobody watched for 3.6 s, and a configuration came into force late.
+ */
+uint32_t watch_answer_age(uint64_t answered_at, uint64_t failed_at, uint64_t now);
+
 /**
  * True if a process's watch is in order as far as its report tells: answered within one wait, with
  * one report lost.
--- a/src/gateway/directory_duty.c
+++ b/src/gateway/directory_duty.c
@@ -83,13 +83,16 @@
 
 static void tell(void *owner, watch_report_t *report) {
     const gateway_t *gateway = owner;
-    uint64_t answered_at = gateway->watch == NULL ? 0 : key_value_watch_answered_at(gateway->watch);
-    report->answer_age =
-        answered_at == 0 ? UINT32_MAX : (uint32_t)(uv_now(gateway->loop) - answered_at);
-    report->changed = gateway->watch == NULL ? 0 : key_value_watch_changed(gateway->watch);
+    const key_value_watch_t *watch = gateway->watch;
     report->has_stores = store_client_connected_directly(gateway->stores);
-    report->renews = gateway->on_duty && gateway->directory_confirmed && gateway->watch != NULL &&
-                     !key_value_watch_rests(gateway->watch);
+    report->answer_age = UINT32_MAX;
+    if (watch == NULL)
+        return;
+    report->answer_age = watch_answer_age(key_value_watch_answered_at(watch),
+                                          key_value_watch_failed_at(watch), uv_now(gateway->loop));
+    report->changed = key_value_watch_changed(watch);
+    report->renews = gateway->on_duty && gateway->directory_confirmed &&
+                     !key_value_watch_rests(watch) && key_value_watch_failed_at(watch) == 0;
 }
 
 /** Notes whether another gateway reaches storage nodes that this one does not. */
--- a/src/gateway/load_sharing.c
+++ b/src/gateway/load_sharing.c
@@ -232,7 +232,8 @@
     watch_report_t watch = {0};
     sharing->handler->tell(sharing->owner, &watch);
     bool news = watch.changed != sharing->sent_report.changed ||
-                watch.has_stores != sharing->sent_report.has_stores;
+                watch.has_stores != sharing->sent_report.has_stores ||
+                watch.renews != sharing->sent_report.renews;
     uint64_t refresh_ms = sharing->sent_any ? REFRESH_MS : IDLE_REFRESH_MS;
     return news || sharing->backends->changes != sharing->sent_changes ||
            now >= sharing->sent_at + refresh_ms;
--- a/tests/unit/watch_duty_test.cc
+++ b/tests/unit/watch_duty_test.cc
@@ -47,6 +47,18 @@
     EXPECT_EQ(decide().wait_ms, unsigned{WATCH_WAIT_RENEWING_MS});
 }
 
+TEST_F(WatchDuty, AWatchThatFailsIsNotInOrderFromThenOn) {
+    EXPECT_EQ(watch_answer_age(now - 500, 0, now), 500u);
+    EXPECT_EQ(watch_answer_age(0, 0, now), UINT32_MAX);
+    own.answered_at = own.begun_at = now - 20000;
+    for (watch_report_t &report : reports)
+        report.answer_age = watch_answer_age(now - 500, 0, now);
+    EXPECT_FALSE(decide().renew);
+    for (watch_report_t &report : reports)
+        report.answer_age = watch_answer_age(now - 500, now - 100, now);
+    EXPECT_TRUE(decide().renew) << "the service turns all three away";
+}
+
 // Three gateways on duty gave their watches up as the answers were on their way; for the others
 // they then seemed to be out of order.
 TEST_F(WatchDuty, AWatchThatIsAboutToBeAnsweredIsNotGivenUp) {
