--- a/tests/integration/store_simulator_test.sh
+++ b/tests/integration/store_simulator_test.sh
@@ -47,6 +47,8 @@
 expect "quotas: seed 1168" store_sim --seeds 1168 --judge-quotas
 expect "quotas: seed 2003 among twelve storage nodes" \
     store_sim --seeds 2003 --judge-quotas --stores 12
+# After a change of the group, two old members that missed it deny a turn that the new ones hold.
+expect "storage nodes: an old generation denies no turn" store_sim --seeds 1046 --judge-quotas
 expect "the sweep notices members that begin with full buckets" notices quota-full --judge-quotas
 expect "the sweep notices grants without an end" notices quota-ends --judge-quotas
 for broken in sync identity catch-up; do
