gateways, storage nodes: a turn needs a copy by a complete member, absence a majority

Ruled out: only copying from more members (groups of two could then never take a successor in); letting old members ask the key-value service first (it was away). Change: a turn is durable with a write quorum of copies of which one is by a member that is complete in the generation. That member was shown the records of a read quorum of the old members, which answer in the old generation no more; those left are too few for absence, which now takes a majority of complete members (odd groups: as before; even ones: one more). An incomplete member says so, and is asked again. Two unit tests of the arithmetic. A gap: a turn that ends during a change waits for the first complete member, at most GATEWAY_WRITE_MS.

--- a/src/cluster/message.h
+++ b/src/cluster/message.h
@@ -21,7 +21,8 @@
     MESSAGE_GROUP,    /**< The sender's store group; either way, first on a connection. */
     REQUEST_RESERVE,  /**< Reserve part of a program's budget; also a log record. */
     RESPONSE_RESERVE, /**< It is taken; the program's charges in short. */
-    RESPONSE_DURABLE, /**< A reserve or a turn is on disk, or can't be put there. */
+    RESPONSE_DURABLE, /**< A reserve or a turn is on disk, in a member that is not complete if
+                         unsure, or can't be put there. */
     REQUEST_CHARGES,  /**< Read the charges of one program. */
     RESPONSE_CHARGES,
     REQUEST_SETTLE,   /**< Replace a reserve by what was made; also a log record. */
--- a/src/core/quorum/store_group.c
+++ b/src/core/quorum/store_group.c
@@ -83,6 +83,14 @@
     return members - store_write_quorum(members) + 1;
 }
 
+unsigned store_absence_quorum(unsigned members) {
+    return members / 2 + 1;
+}
+
+bool store_turn_durable(unsigned members, unsigned copies, unsigned complete) {
+    return copies >= store_write_quorum(members) && complete > 0;
+}
+
 store_catch_up_t store_group_catch_up(const store_group_t *group, const char *name,
                                       uint64_t complete_in) {
     bool was_complete = complete_in > 0 && complete_in + 1 == group->generation &&
--- a/src/core/quorum/store_group.h
+++ b/src/core/quorum/store_group.h
@@ -3,10 +3,11 @@
  * The storage nodes that hold turns and budgets, and the arithmetic of their quorums.
  *
  * Each record goes to every member and is acknowledged once `write_quorum` of them have it on
- * disk; "there is no such record" takes `read_quorum` complete members. A group changes by a new
- * generation, written to the key-value service under a condition. A member is *complete* in a
- * generation once it holds whatever was acknowledged in the one before, or, if its disk came
- * back empty, whatever it may itself have acknowledged in this one.
+ * disk, a turn with one complete member among them; "there is no such record" takes
+ * `absence_quorum` complete members. A group changes by a new generation, written to the key-value
+ * service under a condition. A member is *complete* in a generation once it holds whatever was
+ * acknowledged in the one before, or, if its disk came back empty, whatever it may itself have
+ * acknowledged in this one.
  *
  * Decision code: no I/O, clock or thread.
  */
@@ -40,8 +41,23 @@
 
 /** How many of @p members copies make a write durable. */
 unsigned store_write_quorum(unsigned members);
-/** How many complete members must lack a record before it does not exist. */
+/** So many complete members hold together whatever the group acknowledged. */
 unsigned store_read_quorum(unsigned members);
+/**
+ * How many complete members must lack a record before it does not exist. A majority: members that
+ * have missed a change of the group may answer in the old generation, while a member that is
+ * complete in the next one was shown the records of a read quorum of them, and those answer in the
+ * old one no more. Of an even group a read quorum would be left over to deny what the next
+ * generation acknowledged.
+ */
+unsigned store_absence_quorum(unsigned members);
+/**
+ * True if a turn is durable in the group's generation: @p copies members have it on disk, and
+ * @p complete of these are complete in that generation. Without a complete one nobody in the
+ * earlier generation need know of this one: after a loss of power two old members of three denied
+ * a turn that two new ones held.
+ */
+bool store_turn_durable(unsigned members, unsigned copies, unsigned complete);
 
 /** How a member becomes complete in its group's generation. */
 typedef struct {
--- a/src/gateway/store_operation.c
+++ b/src/gateway/store_operation.c
@@ -142,7 +142,9 @@
 static void evaluate_turn(store_operation_t *operation) {
     unsigned members = operation->client->members->len;
     unsigned quorum = store_write_quorum(members);
-    if (count(operation, operation->durables, SAID_YES) >= quorum)
+    unsigned complete = count(operation, operation->durables, SAID_YES);
+    unsigned copies = complete + count(operation, operation->durables, SAID_UNSURE);
+    if (store_turn_durable(members, copies, complete))
         report_durable(operation, true);
     else if (count(operation, operation->durables, SAID_NO) > members - quorum)
         report_durable(operation, false);
@@ -158,7 +160,7 @@
 
 static void evaluate_chain(store_operation_t *operation) {
     unsigned members = operation->client->members->len;
-    if (count(operation, operation->verdicts, SAID_NO) >= store_read_quorum(members))
+    if (count(operation, operation->verdicts, SAID_NO) >= store_absence_quorum(members))
         report_verdict(operation, VERDICT_NO, NULL);
     else if (operation->verdicts[0] != SAID_NOTHING)
         widen_chain(operation);
@@ -262,7 +264,9 @@
     if (operation->request.type == REQUEST_CHAIN)
         widen_chain(operation);
     for (guint i = 0; i < client->members->len; i++) {
-        if (operation->verdicts[i] != SAID_UNSURE || !store_operation_wants(operation, i))
+        bool unsure =
+            operation->verdicts[i] == SAID_UNSURE || operation->durables[i] == SAID_UNSURE;
+        if (!unsure || !store_operation_wants(operation, i))
             continue;
         operation->verdicts[i] = SAID_NOTHING;
         store_operation_send(operation, g_ptr_array_index(client->members, i));
--- a/src/store/store_requests.c
+++ b/src/store/store_requests.c
@@ -55,6 +55,13 @@
     return g_hash_table_lookup(write->store->connections, &write->connection_serial);
 }
 
+/** What a write that has ended is answered; see store_turn_durable. */
+static verdict_t durable_verdict(const store_t *store, bool durable) {
+    if (!durable)
+        return VERDICT_NO;
+    return store_complete(store) ? VERDICT_YES : VERDICT_UNSURE;
+}
+
 static void on_write_done(void *owner, bool durable, uint32_t segment) {
     write_t *write = owner;
     store_t *store = write->store;
@@ -71,7 +78,7 @@
                    VERDICT_UNSURE);
         else
             answer(connection, RESPONSE_DURABLE, write->number, write->generation,
-                   durable ? VERDICT_YES : VERDICT_NO);
+                   durable_verdict(store, durable));
     }
     if (write->done != NULL)
         write->done(write->owner, durable);
--- a/tests/unit/turns_test.cc
+++ b/tests/unit/turns_test.cc
@@ -218,6 +218,24 @@
     }
 }
 
+// A member complete in the next generation was shown the records of a read quorum of the old ones,
+// which answer in the old generation no more; those that are left must be too few to deny.
+TEST(StoreGroup, WhatAnOldGenerationCanLeaveBehindIsTooFewToDeny) {
+    for (unsigned members = 1; members < 20; members++) {
+        unsigned left_behind = members - store_read_quorum(members);
+        EXPECT_LT(left_behind, store_absence_quorum(members)) << members;
+        EXPECT_GE(store_absence_quorum(members), store_read_quorum(members)) << members;
+    }
+}
+
+TEST(StoreGroup, ATurnIsDurableOnlyWithACopyByACompleteMember) {
+    EXPECT_FALSE(store_turn_durable(3, 2, 0)) << "nobody in the old generation need know of this";
+    EXPECT_TRUE(store_turn_durable(3, 2, 1));
+    EXPECT_FALSE(store_turn_durable(3, 1, 1));
+    EXPECT_FALSE(store_turn_durable(4, 2, 2));
+    EXPECT_TRUE(store_turn_durable(4, 3, 1));
+}
+
 store_group_t *make_group(std::initializer_list<const char *> names) {
     store_group_t *group = store_group_new();
     group->generation = 1;
