storage nodes: gateways of a large zone are divided among cells, and told only what changed

Cause: each gateway told all others of its zone, once in 60 ms and 3 ms for each and four times that while calm: with 145 in a zone every 2 s, longer than anybody's patience (watch_duty.h: 1,200 ms), so that all 865 watched the key-value service and loads were forgotten before they were told again. And each gateway that came or went made a storage node tell all of them everything: 865 lists of 145 addresses. Ruled out: a longer patience (a missed change would show later, and it holds to a fixed size only). A list is told only if it differs from the one told last.

--- a/src/cluster/message.c
+++ b/src/cluster/message.c
@@ -19,6 +19,7 @@
     message->charges = g_array_new(FALSE, TRUE, sizeof(budget_charge_t));
     g_array_set_clear_func(message->charges, clear_charge);
     message->ids = g_ptr_array_new_with_free_func(g_free);
+    message->sources = g_ptr_array_new_with_free_func(g_free);
 }
 
 void message_clear(message_t *message) {
@@ -34,6 +35,7 @@
     g_array_free(message->turns, TRUE);
     g_array_free(message->charges, TRUE);
     g_ptr_array_free(message->ids, TRUE);
+    g_ptr_array_free(message->sources, TRUE);
 }
 
 void message_add_turn(message_t *message, const turn_t *turn) {
@@ -169,8 +171,11 @@
     case REQUEST_TURNS:
     case MESSAGE_RELAY:
     case MESSAGE_GATEWAY:
+        ids_codec(codec, message->ids);
+        break;
     case MESSAGE_GATEWAYS:
         ids_codec(codec, message->ids);
+        ids_codec(codec, message->sources);
         break;
     case REQUEST_INDEX:
         codec_bytes(codec, &message->digest);
--- a/src/cluster/message.h
+++ b/src/cluster/message.h
@@ -72,13 +72,14 @@
         wait_ms;    /**< Of an allowance: how long the call may wait; has to wait, or come back. */
     uint64_t place; /**< Hash of the back end's instance where the program last ran; 0: unknown. */
     char *turn_id;
-    uint64_t revision; /**< Of the directory snapshot, or up to which all changes are known. */
-    GBytes *directory; /**< An encoded directory_snapshot_t, or changes. */
-    GBytes *group;     /**< An encoded store group. */
-    GBytes *digest;    /**< An encoded record_digest_t of what the sender holds. */
-    GArray *turns;     /**< Of turn_t: one to keep, or a chain from its newest turn. */
-    GPtrArray *ids;    /**< Of turns; or a gateway's address and zone, or addresses. */
-    GArray *charges;   /**< Of budget_charge_t. */
+    uint64_t revision;  /**< Of the directory snapshot, or up to which all changes are known. */
+    GBytes *directory;  /**< An encoded directory_snapshot_t, or changes. */
+    GBytes *group;      /**< An encoded store group. */
+    GBytes *digest;     /**< An encoded record_digest_t of what the sender holds. */
+    GArray *turns;      /**< Of turn_t: one to keep, or a chain from its newest turn. */
+    GPtrArray *ids;     /**< Of turns; or a gateway's address and zone, or addresses. */
+    GPtrArray *sources; /**< Addresses of the gateways that the receiver may follow. */
+    GArray *charges;    /**< Of budget_charge_t. */
 } message_t;
 
 void message_init(message_t *message, message_type_t type);
--- a/src/store/gateway_directory.c
+++ b/src/store/gateway_directory.c
@@ -1,12 +1,33 @@
 #include "store/gateway_directory.h"
 
+#include "cluster/service_directory.h"
+
 #include <string.h>
+#include <xxhash.h>
+
+enum { SOURCES_SEED = 1, PORT_BITS = 16 };
 
 typedef struct {
     char *address;
     char *zone;
+    uint64_t hash;  /**< Of the address. */
+    uint64_t order; /**< Gateways come in the order of their addresses, as numbers. */
+    uint64_t told;  /**< Digest of the list it was told last; 0: none. */
 } gateway_entry_t;
 
+/** One cell of a zone, while lists are told. */
+typedef struct {
+    gateway_list_t list;
+    GPtrArray *entries; /**< Of gateway_entry_t. */
+} cell_t;
+
+/** A zone, while lists are told. */
+typedef struct {
+    GPtrArray *entries; /**< Of gateway_entry_t. */
+    cell_t *cells;
+    unsigned cell_count;
+} zone_t;
+
 static void free_entry(gpointer data) {
     gateway_entry_t *entry = data;
     g_free(entry->address);
@@ -43,12 +64,22 @@
         g_hash_table_remove(directory->addresses, address);
 }
 
+static uint64_t order_of(const char *address) {
+    struct sockaddr_in parsed;
+    if (!parse_socket_address(address, &parsed))
+        return 0;
+    uint64_t host = ntohl(parsed.sin_addr.s_addr);
+    return (host << PORT_BITS) | ntohs(parsed.sin_port);
+}
+
 void gateway_directory_add(gateway_directory_t *directory, const uint64_t *serial,
                            const char *address, const char *zone) {
     gateway_directory_remove(directory, serial);
     gateway_entry_t *entry = g_new0(gateway_entry_t, 1);
     entry->address = g_strdup(address);
     entry->zone = g_strdup(zone);
+    entry->hash = XXH64(address, strlen(address), 0);
+    entry->order = order_of(address);
     g_hash_table_insert(directory->gateways, (gpointer)serial, entry);
     add_connection(directory, address);
 }
@@ -65,27 +96,126 @@
     return g_hash_table_contains(directory->addresses, address);
 }
 
-GPtrArray *gateway_directory_known(const gateway_directory_t *directory, const char *zone) {
-    GPtrArray *addresses = g_ptr_array_new_with_free_func(g_free);
-    bool all = gateway_directory_count(directory) <= GATEWAYS_FEW;
+unsigned gateway_directory_cells(unsigned gateways) {
+    unsigned cells = 1;
+    while (cells * GATEWAYS_CELL_MOST < gateways)
+        cells *= 2;
+    return cells;
+}
+
+/* Zones and cells, made anew whenever something is told. */
+
+static void free_zone(gpointer data) {
+    zone_t *zone = data;
+    for (unsigned i = 0; i < zone->cell_count; i++) {
+        g_ptr_array_unref(zone->cells[i].entries);
+        g_ptr_array_unref(zone->cells[i].list.known);
+        g_ptr_array_unref(zone->cells[i].list.sources);
+    }
+    g_free(zone->cells);
+    g_ptr_array_unref(zone->entries);
+    g_free(zone);
+}
+
+static zone_t *obtain_zone(GHashTable *zones, const char *name) {
+    zone_t *zone = g_hash_table_lookup(zones, name);
+    if (zone != NULL)
+        return zone;
+    zone = g_new0(zone_t, 1);
+    zone->entries = g_ptr_array_new();
+    g_hash_table_insert(zones, (gpointer)name, zone);
+    return zone;
+}
+
+static cell_t *cell_of(const zone_t *zone, const gateway_entry_t *entry) {
+    return &zone->cells[entry->hash & (zone->cell_count - 1)];
+}
+
+static void make_cells(zone_t *zone, bool few) {
+    zone->cell_count = few ? 1 : gateway_directory_cells(zone->entries->len);
+    zone->cells = g_new0(cell_t, zone->cell_count);
+    for (unsigned i = 0; i < zone->cell_count; i++) {
+        zone->cells[i].entries = g_ptr_array_new();
+        zone->cells[i].list.known = g_ptr_array_new();
+        zone->cells[i].list.sources = g_ptr_array_new();
+    }
+    for (guint i = 0; i < zone->entries->len; i++) {
+        gateway_entry_t *entry = g_ptr_array_index(zone->entries, i);
+        g_ptr_array_add(cell_of(zone, entry)->entries, entry);
+    }
+}
+
+static gint compare_entries(gconstpointer a, gconstpointer b) {
+    const gateway_entry_t *first = *(const gateway_entry_t *const *)a;
+    const gateway_entry_t *second = *(const gateway_entry_t *const *)b;
+    return first->order < second->order ? -1 : first->order > second->order;
+}
+
+/** The first cell that has any gateway. */
+static const cell_t *root_cell(const zone_t *zone) {
+    unsigned root = 0;
+    while (root + 1 < zone->cell_count && zone->cells[root].entries->len == 0)
+        root++;
+    return &zone->cells[root];
+}
+
+static void make_list(cell_t *cell, const cell_t *root) {
+    gateway_list_t *list = &cell->list;
+    for (guint i = 0; i < cell->entries->len; i++) {
+        const gateway_entry_t *entry = g_ptr_array_index(cell->entries, i);
+        g_ptr_array_add(list->known, entry->address);
+        list->digest += entry->hash;
+    }
+    for (guint i = 0; cell != root && i < MIN(root->entries->len, GATEWAYS_SOURCES); i++) {
+        const gateway_entry_t *entry = g_ptr_array_index(root->entries, i);
+        g_ptr_array_add(list->sources, entry->address);
+        list->digest += XXH64(&entry->hash, sizeof entry->hash, SOURCES_SEED);
+    }
+}
+
+static void make_lists(zone_t *zone) {
+    const cell_t *root = root_cell(zone);
+    g_ptr_array_sort(root->entries, compare_entries);
+    for (unsigned i = 0; i < zone->cell_count; i++)
+        make_list(&zone->cells[i], root);
+}
+
+static GHashTable *make_zones(const gateway_directory_t *directory) {
+    bool few = gateway_directory_count(directory) <= GATEWAYS_FEW;
+    GHashTable *zones = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_zone);
     GHashTableIter iterator;
     gpointer value;
     g_hash_table_iter_init(&iterator, directory->gateways);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        const gateway_entry_t *entry = value;
-        if (all || strcmp(entry->zone, zone) == 0)
-            g_ptr_array_add(addresses, g_strdup(entry->address));
+        gateway_entry_t *entry = value;
+        g_ptr_array_add(obtain_zone(zones, few ? "" : entry->zone)->entries, entry);
+    }
+    g_hash_table_iter_init(&iterator, zones);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        make_cells(value, few);
+        make_lists(value);
     }
-    return addresses;
+    return zones;
 }
 
-void gateway_directory_each(const gateway_directory_t *directory,
-                            void (*visit)(void *user, const uint64_t *serial, const char *zone),
+void gateway_directory_tell(gateway_directory_t *directory,
+                            void (*tell)(void *user, const uint64_t *serial,
+                                         const gateway_list_t *list),
                             void *user) {
+    bool few = gateway_directory_count(directory) <= GATEWAYS_FEW;
+    GHashTable *zones = make_zones(directory);
     GHashTableIter iterator;
     gpointer serial;
     gpointer value;
     g_hash_table_iter_init(&iterator, directory->gateways);
-    while (g_hash_table_iter_next(&iterator, &serial, &value))
-        visit(user, serial, ((const gateway_entry_t *)value)->zone);
+    while (g_hash_table_iter_next(&iterator, &serial, &value)) {
+        gateway_entry_t *entry = value;
+        const zone_t *zone = g_hash_table_lookup(zones, few ? "" : entry->zone);
+        const gateway_list_t *list = &cell_of(zone, entry)->list;
+        if (entry->told == list->digest)
+            continue;
+        entry->told = list->digest;
+        tell(user, serial, list);
+    }
+    g_hash_table_destroy(zones);
 }
--- a/src/store/gateway_directory.h
+++ b/src/store/gateway_directory.h
@@ -1,9 +1,17 @@
 /**
  * @file gateway_directory.h
  * The gateways that are connected to a storage node, and which of them a gateway should know, since
- * gateways tell one another their loads. Few gateways all know one another; of many, each knows
- * those of its own zone only, so that neither the lists nor what gateways tell grows with the
- * square of their number.
+ * gateways tell one another their loads. Few gateways all know one another. Of many, each knows
+ * those of its own zone; and where a zone has many, those of its *cell*: the gateways of a zone are
+ * divided among so many cells, by a hash of their address, that a cell has GATEWAYS_CELL_MOST on
+ * average at most. So neither the lists nor what gateways tell one another grows with the fleet.
+ *
+ * The first cell of a zone is its root: its gateways watch the key-value service. Those of the
+ * other cells learn of the first gateways of the root cell, their *sources*, and follow them.
+ *
+ * Each storage node works the cells out by itself from its own connections. The number of cells
+ * is a power of two, so that a gateway of the root cell among many cells is one among fewer as
+ * well.
  *
  * Decision code; an object belongs to one thread.
  */
@@ -14,14 +22,30 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-/** Up to so many, all know one another. */
-enum { GATEWAYS_FEW = 32 };
+enum {
+    GATEWAYS_FEW = 32, /**< Up to so many, all know one another. */
+    /**
+     * Gateways of a cell on average, at most. A gateway tells each other one every 60 ms and 3 ms
+     * for each, and four times that while calm (gateway/load_sharing.c): in a cell of twice this
+     * size still within the 1,200 ms after which nobody trusts another's watch.
+     */
+    GATEWAYS_CELL_MOST = 48,
+    /** Sources told: the gateways on duty are the first three that are up, and one more. */
+    GATEWAYS_SOURCES = 4,
+};
 
 typedef struct {
     GHashTable *gateways;  /**< Serial number of the connection to its gateway. */
     GHashTable *addresses; /**< Address of a connected gateway to how many connections it has. */
 } gateway_directory_t;
 
+/** What a gateway should know; the same for all of a cell. */
+typedef struct {
+    GPtrArray *known;   /**< Addresses of its cell, its own included; of char *. */
+    GPtrArray *sources; /**< Addresses to follow; empty in a root cell. */
+    uint64_t digest;    /**< Of both, whatever their order. */
+} gateway_list_t;
+
 void gateway_directory_init(gateway_directory_t *directory);
 void gateway_directory_clear(gateway_directory_t *directory);
 unsigned gateway_directory_count(const gateway_directory_t *directory);
@@ -32,11 +56,15 @@
 bool gateway_directory_remove(gateway_directory_t *directory, const uint64_t *serial);
 /** True if a gateway at @p address is connected. */
 bool gateway_directory_has(const gateway_directory_t *directory, const char *address);
-/** Addresses that a gateway of @p zone should know, its own included; of char *, to be freed. */
-GPtrArray *gateway_directory_known(const gateway_directory_t *directory, const char *zone);
-/** Calls @p visit for each gateway. */
-void gateway_directory_each(const gateway_directory_t *directory,
-                            void (*visit)(void *user, const uint64_t *serial, const char *zone),
+/** How many cells a zone of so many gateways has. */
+unsigned gateway_directory_cells(unsigned gateways);
+/**
+ * Calls @p tell for each gateway whose list differs from the one it was told last. The lists last
+ * until the call is over; gateways of one cell are given the same one.
+ */
+void gateway_directory_tell(gateway_directory_t *directory,
+                            void (*tell)(void *user, const uint64_t *serial,
+                                         const gateway_list_t *list),
                             void *user);
 
 #endif
--- a/src/store/store_requests.c
+++ b/src/store/store_requests.c
@@ -299,40 +299,43 @@
 
 typedef struct {
     const store_t *store;
-    GHashTable *lists; /**< Zone to its encoded list, a GBytes. */
+    GHashTable *encoded; /**< Of gateway_list_t to its encoded message, a GBytes. */
 } gateway_lists_t;
 
-static GBytes *encode_gateways(const store_t *store, const char *zone) {
+static GBytes *encode_list(const gateway_list_t *list) {
     message_t message;
     message_init(&message, MESSAGE_GATEWAYS);
-    g_ptr_array_unref(message.ids);
-    message.ids = gateway_directory_known(&store->gateways, zone);
+    for (guint i = 0; i < list->known->len; i++)
+        g_ptr_array_add(message.ids, g_strdup(g_ptr_array_index(list->known, i)));
+    for (guint i = 0; i < list->sources->len; i++)
+        g_ptr_array_add(message.sources, g_strdup(g_ptr_array_index(list->sources, i)));
     GBytes *bytes = message_encode(&message);
     message_clear(&message);
     return bytes;
 }
 
-static void tell_gateway(void *user, const uint64_t *serial, const char *zone) {
+static void tell_gateway(void *user, const uint64_t *serial, const gateway_list_t *list) {
     const gateway_lists_t *lists = user;
-    GBytes *list = g_hash_table_lookup(lists->lists, zone);
-    if (list == NULL) {
-        list = encode_gateways(lists->store, zone);
-        g_hash_table_insert(lists->lists, g_strdup(zone), list);
+    GBytes *encoded = g_hash_table_lookup(lists->encoded, list);
+    if (encoded == NULL) {
+        encoded = encode_list(list);
+        g_hash_table_insert(lists->encoded, (gpointer)list, encoded);
     }
     frame_connection_send(g_hash_table_lookup(lists->store->connections, serial),
-                          g_bytes_ref(list));
+                          g_bytes_ref(encoded));
 }
 
 static void on_tell_gateways(uv_timer_t *timer) {
-    const store_t *store = timer->data;
-    gateway_lists_t lists = {store, g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-                                                          (GDestroyNotify)g_bytes_unref)};
-    gateway_directory_each(&store->gateways, tell_gateway, &lists);
-    g_hash_table_destroy(lists.lists);
+    store_t *store = timer->data;
+    gateway_lists_t lists = {
+        store, g_hash_table_new_full(NULL, NULL, NULL, (GDestroyNotify)g_bytes_unref)};
+    gateway_directory_tell(&store->gateways, tell_gateway, &lists);
+    g_hash_table_destroy(lists.encoded);
 }
 
 static void gateways_changed(store_t *store) {
-    uv_timer_start(&store->tell_gateways, on_tell_gateways, TELL_GATEWAYS_MS, 0);
+    if (!uv_is_active((const uv_handle_t *)&store->tell_gateways))
+        uv_timer_start(&store->tell_gateways, on_tell_gateways, TELL_GATEWAYS_MS, 0);
 }
 
 static void take_gateway(store_t *store, frame_connection_t *connection, const message_t *message) {
