gateways: each has its own order of equal back ends, and looks at its zone's first

Cause: of back ends with equal cost the first in the table's order was taken, the same at each gateway. 145 gateways of a zone hear of one another's calls only after these have ended, so all sent to one back end. And each choice walked all 10,000 back ends, as did each sum of what others told and each datagram. Ruled out: hearing more often (calls of 70 ms end before any told load can count). Change: core/routing/service_choice, with a hash of gateway and back end among equals; gateway/backend_choice looks at the own zone's back ends, and at all only if those will not do; what is summed up and told concerns only back ends that are in use. A choice among 6,666: 853 -> 56 us (a service's), 696 -> 66 us (an engine).

--- a/src/core/routing/engine_choice.c
+++ b/src/core/routing/engine_choice.c
@@ -94,6 +94,10 @@
     return NULL;
 }
 
+bool engine_crowded(const engine_candidate_t *engine) {
+    return engine->load * PERCENT >= engine->slots * LEAVE_PERCENT;
+}
+
 bool engine_choose(const engine_candidate_t *candidates, unsigned count,
                    const engine_request_t *request, unsigned *chosen) {
     search_t search = {
@@ -105,9 +109,8 @@
     const engine_candidate_t *place = find_place(candidates, count, request);
     if (place == NULL)
         return search_zones(&search, chosen);
-    bool crowded = place->load * PERCENT >= place->slots * LEAVE_PERCENT;
     search.load_most_percent = MOVE_PERCENT;
-    if (!crowded || !search_zones(&search, chosen))
+    if (!engine_crowded(place) || !search_zones(&search, chosen))
         *chosen = (unsigned)(place - candidates);
     return true;
 }
--- a/src/core/routing/engine_choice.h
+++ b/src/core/routing/engine_choice.h
@@ -35,6 +35,8 @@
     uint64_t part;  /**< Hash of the prompt's first part, or else of the program. */
 } engine_request_t;
 
+/** True if a program may leave this engine for one with room. */
+bool engine_crowded(const engine_candidate_t *engine);
 /** Chooses among @p count candidates: @p chosen is the index. False if there is none. */
 bool engine_choose(const engine_candidate_t *candidates, unsigned count,
                    const engine_request_t *request, unsigned *chosen);
--- /dev/null
+++ b/src/gateway/backend_choice.c
@@ -0,0 +1,182 @@
+/*
+ * Design. The back ends of this gateway's zone are candidates first. All of the service are only if
+ * those will not do: none is usable, so many of them are avoided that it may be the zone's fault,
+ * or one of another zone may be better although it is farther away.
+ */
+#include "gateway/backends.h"
+
+#include "core/routing/service_choice.h"
+
+#include <string.h>
+
+enum {
+    DOUBTFUL_SHARE = 3, /**< So many avoided, one in so many, are looked at together with all. */
+};
+
+/** Candidates of one kind or the other, and the back ends that they stand for. */
+typedef struct {
+    GArray *services;    /**< Of service_candidate_t. */
+    GArray *engines;     /**< Of engine_candidate_t. */
+    GPtrArray *backends; /**< Of backend_t. */
+    unsigned avoided;
+} candidates_t;
+
+static void candidates_init(candidates_t *candidates) {
+    candidates->services = g_array_new(FALSE, FALSE, sizeof(service_candidate_t));
+    candidates->engines = g_array_new(FALSE, FALSE, sizeof(engine_candidate_t));
+    candidates->backends = g_ptr_array_new();
+    candidates->avoided = 0;
+}
+
+static void candidates_clear(candidates_t *candidates) {
+    g_array_free(candidates->services, TRUE);
+    g_array_free(candidates->engines, TRUE);
+    g_ptr_array_free(candidates->backends, TRUE);
+}
+
+static bool usable(const backend_t *backend, const backend_choice_t *choice) {
+    if (backend->record->leaving)
+        return false;
+    return choice->excluded == NULL ||
+           !g_ptr_array_find((GPtrArray *)choice->excluded, backend, NULL);
+}
+
+static unsigned load_of(const backend_t *backend) {
+    return backend->under_way + backend->elsewhere;
+}
+
+static void add_service(candidates_t *candidates, backend_t *backend,
+                        const backend_choice_t *choice, bool avoided) {
+    service_candidate_t candidate = {
+        .id = backend->id_hash,
+        .load = load_of(backend),
+        .slots = backend_slots(backend, choice->slots),
+        .connected = backend->idle->len > 0,
+        .near = backend->near,
+        .avoided = avoided,
+    };
+    g_array_append_val(candidates->services, candidate);
+}
+
+static void add_engine(candidates_t *candidates, backend_t *backend, const backend_choice_t *choice,
+                       bool avoided) {
+    engine_candidate_t candidate = {
+        .id = backend->id_hash,
+        .load = load_of(backend),
+        .slots = backend_slots(backend, choice->slots),
+        .near = backend->near,
+        .avoided = avoided,
+        .down = backend_down(backend),
+    };
+    g_array_append_val(candidates->engines, candidate);
+}
+
+typedef void (*add_candidate_t)(candidates_t *candidates, backend_t *backend,
+                                const backend_choice_t *choice, bool avoided);
+
+static void add_one(candidates_t *candidates, backend_t *backend, const backend_choice_t *choice,
+                    add_candidate_t add) {
+    if (!usable(backend, choice))
+        return;
+    bool avoided = backend_avoided(backend);
+    candidates->avoided += avoided;
+    g_ptr_array_add(candidates->backends, backend);
+    add(candidates, backend, choice, avoided);
+}
+
+static void add_list(candidates_t *candidates, const GPtrArray *list,
+                     const backend_choice_t *choice, add_candidate_t add) {
+    for (guint i = 0; i < list->len; i++)
+        add_one(candidates, g_ptr_array_index(list, i), choice, add);
+}
+
+/** True if so many candidates are avoided that more must be seen to tell what it means. */
+static bool doubtful(const candidates_t *candidates) {
+    return candidates->avoided * DOUBTFUL_SHARE > candidates->backends->len;
+}
+
+static backend_t *take(const candidates_t *candidates, bool found, unsigned index) {
+    if (!found)
+        return NULL;
+    backend_t *backend = g_ptr_array_index(candidates->backends, index);
+    backend_take(backend);
+    return backend;
+}
+
+static bool choose_service(const candidates_t *candidates, uint64_t seed, unsigned *index) {
+    return service_choose((const service_candidate_t *)candidates->services->data,
+                          candidates->services->len, seed, index);
+}
+
+/** True if a back end of another zone can't be better than the one of this zone at @p index. */
+static bool near_is_best(const candidates_t *candidates, unsigned index) {
+    return service_cost(&g_array_index(candidates->services, service_candidate_t, index)) <=
+           SERVICE_FAR_COST;
+}
+
+backend_t *backends_choose(backends_t *backends, const backend_choice_t *choice) {
+    const service_members_t *members = g_hash_table_lookup(backends->by_service, choice->service);
+    if (members == NULL)
+        return NULL;
+    candidates_t candidates;
+    unsigned index = 0;
+    candidates_init(&candidates);
+    add_list(&candidates, members->near, choice, add_service);
+    bool found = choose_service(&candidates, backends->seed, &index);
+    if (!found || doubtful(&candidates) || !near_is_best(&candidates, index)) {
+        add_list(&candidates, members->far, choice, add_service);
+        found = choose_service(&candidates, backends->seed, &index);
+    }
+    backend_t *backend = take(&candidates, found, index);
+    candidates_clear(&candidates);
+    return backend;
+}
+
+static bool choose_engine(const candidates_t *candidates, const engine_request_t *request,
+                          unsigned *index) {
+    return engine_choose((const engine_candidate_t *)candidates->engines->data,
+                         candidates->engines->len, request, index);
+}
+
+/** The engine that holds the program's prompt, if it is of another zone; else NULL. */
+static backend_t *far_place(const backends_t *backends, const backend_choice_t *choice,
+                            const engine_request_t *request) {
+    backend_t *place = request->place == 0 ? NULL : backends_find_hash(backends, request->place);
+    bool of_service = place != NULL && strcmp(place->record->service, choice->service) == 0;
+    return of_service && !place->near ? place : NULL;
+}
+
+/** True if the engines of this zone do: one of them, or the program's place if it has room. */
+static bool zone_does(const candidates_t *candidates, const engine_request_t *request,
+                      unsigned index) {
+    const engine_candidate_t *chosen =
+        &g_array_index(candidates->engines, engine_candidate_t, index);
+    bool is_place = request->place != 0 && chosen->id == request->place;
+    if (doubtful(candidates))
+        return false;
+    return is_place ? !engine_crowded(chosen) : chosen->near;
+}
+
+backend_t *backends_choose_engine(backends_t *backends, const backend_choice_t *choice,
+                                  const engine_request_t *request) {
+    const service_members_t *members = g_hash_table_lookup(backends->by_service, choice->service);
+    if (members == NULL)
+        return NULL;
+    candidates_t candidates;
+    unsigned index = 0;
+    candidates_init(&candidates);
+    add_list(&candidates, members->near, choice, add_engine);
+    backend_t *place = far_place(backends, choice, request);
+    if (place != NULL)
+        add_one(&candidates, place, choice, add_engine);
+    bool found = choose_engine(&candidates, request, &index);
+    if (!found || !zone_does(&candidates, request, index)) {
+        for (guint i = 0; i < members->far->len; i++)
+            if (g_ptr_array_index(members->far, i) != place)
+                add_one(&candidates, g_ptr_array_index(members->far, i), choice, add_engine);
+        found = choose_engine(&candidates, request, &index);
+    }
+    backend_t *backend = take(&candidates, found, index);
+    candidates_clear(&candidates);
+    return backend;
+}
--- a/src/gateway/backends.c
+++ b/src/gateway/backends.c
@@ -15,21 +15,51 @@
     SMOOTHING = 8,          /**< One answer moves the usual time by one part in so many. */
     IDLE_MAXIMUM = 32,
     SLOTS_USUAL = 12,
-    /* Expected delay, in units of 0.1 ms. */
-    AVOIDED_COST = 100000,    /**< Only if there is no other. */
-    DOUBTED_COST = 500,       /**< The same, if so many are that the sign is doubtful. */
-    NEW_CONNECTION_COST = 60, /**< It takes time, and is paid for. */
-    SERVICE_SHARE_COST = 50,
-    SERVICE_QUEUE_COST = 400,
-    SERVICE_FAR_COST = 80,
-    AVOIDED_SHARE = 3, /**< The sign is doubtful if more than one in so many are avoided. */
 };
 
+static void free_members(gpointer data) {
+    service_members_t *members = data;
+    g_ptr_array_free(members->near, TRUE);
+    g_ptr_array_free(members->far, TRUE);
+    g_free(members);
+}
+
+/** The list of the index in which a back end with this record stands. */
+static GPtrArray *obtain_list(backends_t *backends, const backend_record_t *record) {
+    service_members_t *members = g_hash_table_lookup(backends->by_service, record->service);
+    if (members == NULL) {
+        members = g_new0(service_members_t, 1);
+        members->near = g_ptr_array_new();
+        members->far = g_ptr_array_new();
+        g_hash_table_insert(backends->by_service, g_strdup(record->service), members);
+    }
+    return strcmp(record->zone, backends->zone) == 0 ? members->near : members->far;
+}
+
+static void add_to_index(backends_t *backends, backend_t *backend) {
+    backend->list = obtain_list(backends, backend->record);
+    backend->near = strcmp(backend->record->zone, backends->zone) == 0;
+    backend->list_index = backend->list->len;
+    g_ptr_array_add(backend->list, backend);
+}
+
+/** The last of the list takes its place. */
+static void drop_from_index(backend_t *backend) {
+    backend_t *last = g_ptr_array_index(backend->list, backend->list->len - 1);
+    last->list_index = backend->list_index;
+    g_ptr_array_remove_index_fast(backend->list, backend->list_index);
+    backend->list = NULL;
+}
+
 void backends_init(backends_t *backends, uv_loop_t *loop, const char *zone) {
     backends->loop = loop;
     backends->zone = g_strdup(zone);
     backends->by_instance = g_hash_table_new(g_str_hash, g_str_equal);
     backends->by_hash = g_hash_table_new(g_int64_hash, g_int64_equal);
+    backends->by_service = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_members);
+    backends->told_of = g_hash_table_new(NULL, NULL);
+    backends->used = g_hash_table_new(NULL, NULL);
+    backends->seed = 0;
     backends->connections_opened = 0;
     backends->changes = 0;
 }
@@ -71,12 +101,15 @@
         backend->id_hash = XXH64(record->instance, strlen(record->instance), 0);
         g_hash_table_insert(backends->by_instance, record->instance, backend);
         g_hash_table_insert(backends->by_hash, &backend->id_hash, backend);
+        add_to_index(backends, backend);
         return;
     }
+    drop_from_index(backend);
     g_hash_table_steal(backends->by_instance, record->instance);
     backend_record_free(backend->record);
     backend->record = record;
     g_hash_table_insert(backends->by_instance, record->instance, backend);
+    add_to_index(backends, backend);
     if (record->leaving)
         close_idle(backend);
 }
@@ -87,6 +120,9 @@
         return;
     g_hash_table_remove(backends->by_instance, instance);
     g_hash_table_remove(backends->by_hash, &backend->id_hash);
+    g_hash_table_remove(backends->told_of, backend);
+    g_hash_table_remove(backends->used, backend);
+    drop_from_index(backend);
     backend->gone = true;
     close_idle(backend);
     unref(backend);
@@ -110,6 +146,9 @@
     g_hash_table_destroy(none);
     g_hash_table_destroy(backends->by_instance);
     g_hash_table_destroy(backends->by_hash);
+    g_hash_table_destroy(backends->by_service);
+    g_hash_table_destroy(backends->told_of);
+    g_hash_table_destroy(backends->used);
     g_free(backends->zone);
 }
 
@@ -117,28 +156,26 @@
     return g_hash_table_size(backends->by_instance);
 }
 
-bool backends_half_full(const backends_t *backends) {
+unsigned backend_slots(const backend_t *backend, unsigned usual) {
+    unsigned slots = backend->record->slots > 0 ? backend->record->slots : usual;
+    return slots > 0 ? slots : SLOTS_USUAL;
+}
+
+/** True if half of the slots are taken of some of these, a set of backend_t. */
+static bool any_half_full(GHashTable *set) {
     GHashTableIter iterator;
-    gpointer value;
-    g_hash_table_iter_init(&iterator, backends->by_instance);
-    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        const backend_t *backend = value;
-        unsigned slots = backend->record->slots > 0 ? backend->record->slots : SLOTS_USUAL;
-        if (2 * (backend->under_way + backend->elsewhere) >= slots)
+    gpointer key;
+    g_hash_table_iter_init(&iterator, set);
+    while (g_hash_table_iter_next(&iterator, &key, NULL)) {
+        const backend_t *backend = key;
+        if (2 * (backend->under_way + backend->elsewhere) >= backend_slots(backend, 0))
             return true;
     }
     return false;
 }
 
-static bool usable(const backend_t *backend, const backend_choice_t *choice) {
-    if (backend->record->leaving || strcmp(backend->record->service, choice->service) != 0)
-        return false;
-    return choice->excluded == NULL ||
-           !g_ptr_array_find((GPtrArray *)choice->excluded, backend, NULL);
-}
-
-static bool in_zone(const backends_t *backends, const backend_t *backend) {
-    return strcmp(backend->record->zone, backends->zone) == 0;
+bool backends_half_full(const backends_t *backends) {
+    return any_half_full(backends->told_of) || any_half_full(backends->used);
 }
 
 /** True if some call has waited too long for the first word of its answer. */
@@ -158,118 +195,31 @@
     return overdue(backend, now) ? MAX(told, OVERDUE_TOLD_MS) : told;
 }
 
-/** True if it can't be connected to, or owes an answer and says nothing at all. */
-static bool down(backend_t *backend, uint64_t now) {
+bool backend_down(backend_t *backend) {
+    uint64_t now = uv_now(backend->loop);
     bool unreachable = backend->unreachable_at > backend->signs.heard_at &&
                        now < backend->unreachable_at + UNREACHABLE_MS;
     bool silent = now > backend->signs.heard_at + SILENT_MS;
     return unreachable || (silent && overdue(backend, now));
 }
 
-static bool avoided(const backends_t *backends, backend_t *backend) {
-    uint64_t now = uv_now(backends->loop);
-    return ejection_is_out(&backend->ejection, now) || down(backend, now) || overdue(backend, now);
-}
-
-/** What a back end that is avoided costs now. */
-static unsigned avoided_cost(const backends_t *backends, const backend_choice_t *choice) {
-    unsigned usable_count = 0;
-    unsigned avoided_count = 0;
-    GHashTableIter iterator;
-    gpointer value;
-    g_hash_table_iter_init(&iterator, backends->by_instance);
-    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        if (!usable(value, choice))
-            continue;
-        usable_count++;
-        avoided_count += avoided(backends, value);
-    }
-    return avoided_count * AVOIDED_SHARE > usable_count ? DOUBTED_COST : AVOIDED_COST;
-}
-
-static unsigned slots_of(const backend_t *backend, const backend_choice_t *choice) {
-    unsigned slots = backend->record->slots > 0 ? backend->record->slots : choice->slots;
-    return slots > 0 ? slots : SLOTS_USUAL;
-}
-
-static unsigned load_of(const backend_t *backend) {
-    return backend->under_way + backend->elsewhere;
+bool backend_avoided(backend_t *backend) {
+    uint64_t now = uv_now(backend->loop);
+    return ejection_is_out(&backend->ejection, now) || backend_down(backend) ||
+           overdue(backend, now);
 }
 
-/** Expected delay at a back end, in 0.1 ms. */
-static unsigned load_cost(const backends_t *backends, const backend_t *backend,
-                          const backend_choice_t *choice) {
-    unsigned slots = slots_of(backend, choice);
-    unsigned calls = load_of(backend);
-    unsigned beyond = calls >= slots ? calls - slots + 1 : 0;
-    unsigned cost = calls * SERVICE_SHARE_COST + beyond * SERVICE_QUEUE_COST;
-    if (backend->idle->len == 0)
-        cost += NEW_CONNECTION_COST;
-    if (!in_zone(backends, backend))
-        cost += SERVICE_FAR_COST;
-    return cost;
+/** It is looked at when the other gateways are told, until there is nothing more to tell. */
+static void note_used(backend_t *backend) {
+    if (!backend->gone)
+        g_hash_table_add(backend->owner->used, backend);
+    backend->owner->changes++;
 }
 
 void backend_take(backend_t *backend) {
     backend->references++;
     backend->under_way++;
-    backend->owner->changes++;
-}
-
-backend_t *backends_choose(backends_t *backends, const backend_choice_t *choice) {
-    unsigned cost_of_avoided = avoided_cost(backends, choice);
-    backend_t *best = NULL;
-    unsigned best_cost = 0;
-    GHashTableIter iterator;
-    gpointer value;
-    g_hash_table_iter_init(&iterator, backends->by_instance);
-    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        backend_t *backend = value;
-        if (!usable(backend, choice))
-            continue;
-        unsigned cost = load_cost(backends, backend, choice);
-        if (avoided(backends, backend))
-            cost += cost_of_avoided;
-        if (best != NULL && cost >= best_cost)
-            continue;
-        best = backend;
-        best_cost = cost;
-    }
-    if (best != NULL)
-        backend_take(best);
-    return best;
-}
-
-backend_t *backends_choose_engine(backends_t *backends, const backend_choice_t *choice,
-                                  const engine_request_t *request) {
-    engine_candidate_t *candidates = g_new(engine_candidate_t, backends_count(backends) + 1);
-    backend_t **engines = g_new(backend_t *, backends_count(backends) + 1);
-    unsigned count = 0;
-    GHashTableIter iterator;
-    gpointer value;
-    g_hash_table_iter_init(&iterator, backends->by_instance);
-    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        backend_t *backend = value;
-        if (!usable(backend, choice))
-            continue;
-        candidates[count] = (engine_candidate_t){
-            .id = backend->id_hash,
-            .load = load_of(backend),
-            .slots = slots_of(backend, choice),
-            .near = in_zone(backends, backend),
-            .avoided = avoided(backends, backend),
-            .down = down(backend, uv_now(backends->loop)),
-        };
-        engines[count++] = backend;
-    }
-    unsigned index = 0;
-    bool found = engine_choose(candidates, count, request, &index);
-    backend_t *chosen = found ? engines[index] : NULL;
-    if (found)
-        backend_take(chosen);
-    g_free((gpointer)engines);
-    g_free(candidates);
-    return chosen;
+    note_used(backend);
 }
 
 void backend_send_begun(backend_t *backend, const uint64_t *sent_at) {
@@ -297,7 +247,7 @@
               "reset");
     /* Kept connections to a back end that is down are dead as well. */
     close_idle(backend);
-    backend->owner->changes++;
+    note_used(backend);
 }
 
 static void on_idle_closed(void *owner, http_client_t *client) {
--- a/src/gateway/backends.h
+++ b/src/gateway/backends.h
@@ -3,12 +3,10 @@
  * The back ends that this gateway knows, what it has under way at each, and its kept connections
  * to them. Chooses the back end for a call.
  *
- * Choice. An engine is chosen as core/routing/engine_choice.h says. Any other back end has an
- * expected delay, and the least wins: calls under way, this gateway's and what the others told,
- * add to it, and much more so beyond the back end's slots; another zone is farther away. A back end
- * that keeps a call waiting far longer than usual without a word, or that seems to be down
- * (core/routing/ejection.h), is chosen only if there is no other; if more than a third of a
- * service's are so, the sign is not trusted and costs little.
+ * Choice (backend_choice.c). An engine is chosen as core/routing/engine_choice.h says, any other
+ * back end as core/routing/service_choice.h does. Those of the gateway's own zone are looked at
+ * first, and all of them only if those will not do: of 10,000 back ends in six zones a choice looks
+ * at some hundreds, and the same holds of what is summed up and told.
  *
  * Thread safety: everything here belongs to the loop's thread.
  */
@@ -21,8 +19,17 @@
 #include "core/routing/engine_choice.h"
 #include "net/http_client.h"
 
+/** The back ends of one service. */
+typedef struct {
+    GPtrArray *near; /**< In the gateway's zone; of backend_t. */
+    GPtrArray *far;
+} service_members_t;
+
 typedef struct {
     backend_record_t *record;
+    GPtrArray *list; /**< Of service_members_t, in which it stands; NULL: it is gone. */
+    guint list_index;
+    bool near;           /**< In the gateway's zone. */
     gint references;     /**< The table and the calls at this back end. */
     bool gone;           /**< It left the directory. */
     uint64_t id_hash;    /**< Of the instance; names it among gateways. */
@@ -47,6 +54,10 @@
     char *zone;
     GHashTable *by_instance; /**< Of backend_t. */
     GHashTable *by_hash;     /**< Of backend_t. */
+    GHashTable *by_service;  /**< Name to service_members_t. */
+    GHashTable *used;        /**< Set of backend_t of which the others may have to be told. */
+    GHashTable *told_of;     /**< Set of backend_t of which others told something that counts. */
+    uint64_t seed;           /**< This gateway's own; see core/routing/service_choice.h. */
     uint64_t connections_opened;
     uint64_t changes; /**< Counts beginnings and ends of calls. */
 } backends_t;
@@ -70,6 +81,12 @@
 backend_t *backends_find_hash(const backends_t *backends, uint64_t id_hash);
 unsigned backends_count(const backends_t *backends);
 
+/** Calls that a back end runs at once; @p usual if it does not say, 0: unknown. */
+unsigned backend_slots(const backend_t *backend, unsigned usual);
+/** True if it can't be connected to, or owes an answer and says nothing at all. */
+bool backend_down(backend_t *backend);
+/** True if it gets a call only if there is no other: it seems to be down, or is slow to answer. */
+bool backend_avoided(backend_t *backend);
 /** True if some back end has half of its slots taken, as far as is known here. */
 bool backends_half_full(const backends_t *backends);
 
--- a/src/gateway/load_sharing.c
+++ b/src/gateway/load_sharing.c
@@ -104,19 +104,48 @@
     }
 }
 
-/** Logs each back end that is left out from now on because others say so. */
-static void log_ejections(const load_sharing_t *sharing) {
-    uint64_t now = uv_now(sharing->loop);
+/** Logs that a back end is left out from now on because others say so. */
+static void log_ejection(backend_t *backend, uint64_t now) {
+    bool told_out = ejection_told_out(&backend->ejection, now);
+    if (told_out && !backend->told_out)
+        event_log(BACKEND_EJECTED, backend->record->instance,
+                  (unsigned)(backend->ejection.told_until - now), "gateways");
+    backend->told_out = told_out;
+}
+
+static void forget_told(GHashTable *told_of) {
+    GHashTableIter iterator;
+    gpointer key;
+    g_hash_table_iter_init(&iterator, told_of);
+    while (g_hash_table_iter_next(&iterator, &key, NULL)) {
+        backend_t *backend = key;
+        backend->elsewhere = 0;
+        ejection_forget_told(&backend->ejection);
+    }
+}
+
+static void add_told(load_sharing_t *sharing, const gateway_peer_t *peer, uint64_t now) {
+    for (guint i = 0; i < peer->entries->len; i++) {
+        const load_entry_t *entry = &g_array_index(peer->entries, load_entry_t, i);
+        backend_t *backend = backends_find_hash(sharing->backends, entry->backend);
+        if (backend == NULL)
+            continue;
+        backend->elsewhere += entry->under_way;
+        ejection_note_told(&backend->ejection, peer->heard_at + entry->out_ms, now);
+        g_hash_table_add(sharing->backends->told_of, backend);
+    }
+}
+
+/** Logs what has changed; those of which nobody tells anything any more are looked at no longer. */
+static void settle_told(GHashTable *told_of, uint64_t now) {
     GHashTableIter iterator;
-    gpointer value;
-    g_hash_table_iter_init(&iterator, sharing->backends->by_instance);
-    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        backend_t *backend = value;
-        bool told_out = ejection_told_out(&backend->ejection, now);
-        if (told_out && !backend->told_out)
-            event_log(BACKEND_EJECTED, backend->record->instance,
-                      (unsigned)(backend->ejection.told_until - now), "gateways");
-        backend->told_out = told_out;
+    gpointer key;
+    g_hash_table_iter_init(&iterator, told_of);
+    while (g_hash_table_iter_next(&iterator, &key, NULL)) {
+        backend_t *backend = key;
+        log_ejection(backend, now);
+        if (backend->elsewhere == 0 && backend->ejection.told_until <= now)
+            g_hash_table_iter_remove(&iterator);
     }
 }
 
@@ -125,28 +154,13 @@
     uint64_t now = uv_now(sharing->loop);
     sharing->sums_stale = false;
     sharing->summed_at = now;
-    GHashTableIter iterator;
-    gpointer value;
-    g_hash_table_iter_init(&iterator, sharing->backends->by_instance);
-    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        backend_t *backend = value;
-        backend->elsewhere = 0;
-        ejection_forget_told(&backend->ejection);
-    }
+    forget_told(sharing->backends->told_of);
     for (guint i = 0; i < sharing->peers->len; i++) {
         const gateway_peer_t *peer = g_ptr_array_index(sharing->peers, i);
-        if (now > peer->heard_at + FORGET_MS)
-            continue;
-        for (guint j = 0; j < peer->entries->len; j++) {
-            const load_entry_t *entry = &g_array_index(peer->entries, load_entry_t, j);
-            backend_t *backend = backends_find_hash(sharing->backends, entry->backend);
-            if (backend == NULL)
-                continue;
-            backend->elsewhere += entry->under_way;
-            ejection_note_told(&backend->ejection, peer->heard_at + entry->out_ms, now);
-        }
+        if (now <= peer->heard_at + FORGET_MS)
+            add_told(sharing, peer, now);
     }
-    log_ejections(sharing);
+    settle_told(sharing->backends->told_of, now);
 }
 
 static void on_datagram(uv_udp_t *socket, ssize_t count, const uv_buf_t *buffer,
@@ -187,15 +201,17 @@
 static GArray *own_entries(const load_sharing_t *sharing) {
     GArray *entries = g_array_new(FALSE, FALSE, sizeof(load_entry_t));
     GHashTableIter iterator;
-    gpointer value;
-    g_hash_table_iter_init(&iterator, sharing->backends->by_instance);
-    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        backend_t *backend = value;
+    gpointer key;
+    g_hash_table_iter_init(&iterator, sharing->backends->used);
+    while (g_hash_table_iter_next(&iterator, &key, NULL)) {
+        backend_t *backend = key;
         uint32_t out_ms = backend_tell_out_ms(backend);
         load_entry_t entry = {backend->id_hash, backend->under_way, out_ms};
         bool any = backend->under_way > 0 || out_ms > 0;
         if (any && entries->len < ENTRIES_MAXIMUM)
             g_array_append_val(entries, entry);
+        if (!any)
+            g_hash_table_iter_remove(&iterator);
     }
     return entries;
 }
--- a/tests/unit/gateway_test.cc
+++ b/tests/unit/gateway_test.cc
@@ -13,6 +13,7 @@
 
 #include <gtest/gtest.h>
 
+#include <iostream>
 #include <map>
 #include <string>
 #include <vector>
@@ -284,6 +285,23 @@
     g_ptr_array_free(excluded, TRUE);
 }
 
+// One choice looked at all of 6,666 back ends: 853 us for a service, 696 us for an engine, now 56
+// and 66 us; on a machine with 0.12 of a core all take eight times as long.
+TEST_F(Backends, ChoicesAmongThousands) {
+    const char *const zones[] = {"here", "b", "c", "d", "e", "f"};
+    for (unsigned i = 0; i < 6666; i++)
+        add(("i-" + std::to_string(i)).c_str(), zones[i % 6]);
+    constexpr unsigned rounds = 200;
+    for (bool engine : {false, true}) {
+        uint64_t begun = uv_hrtime();
+        for (unsigned i = 0; i < rounds; i++)
+            engine ? choose_engine(0) : choose();
+        std::cout << "a choice among 6666 " << (engine ? "engines" : "back ends") << ": "
+                  << (uv_hrtime() - begun) / 1000 / rounds << " us\n";
+    }
+    EXPECT_STREQ(last->record->zone, "here");
+}
+
 TEST(HttpHeaders, PiecesJoinAndNamesIgnoreCase) {
     http_headers_t headers;
     http_headers_init(&headers);
