gateways: what a datagram holds stands apart; a model of the control traffic at 30 to 3,300 gateways

Change: gateway/load_report; control_traffic_unit_test works the traffic out from the real cells, decisions and encodings and prints a table.

--- /dev/null
+++ b/src/gateway/load_report.c
@@ -0,0 +1,46 @@
+#include "gateway/load_report.h"
+
+#include "common/codec.h"
+
+enum {
+    PERIOD_MS = 60,
+    PERIOD_EACH_MS = 3, /**< Added for each gateway. */
+    CALM_PERIODS = 4,   /**< Periods in one while no back end is half full. */
+};
+
+static void report_codec(codec_t *codec, watch_report_t *watch, GArray *entries) {
+    codec_uint32(codec, &watch->answer_age);
+    codec_uint64(codec, &watch->changed);
+    codec_bool(codec, &watch->has_stores);
+    codec_bool(codec, &watch->renews);
+    uint32_t count = entries->len;
+    codec_count(codec, &count, LOAD_ENTRIES_MAXIMUM);
+    if (codec->decoding && !codec->failed)
+        g_array_set_size(entries, count);
+    for (uint32_t i = 0; i < entries->len && !codec->failed; i++) {
+        load_entry_t *entry = &g_array_index(entries, load_entry_t, i);
+        codec_uint64(codec, &entry->backend);
+        codec_uint32(codec, &entry->under_way);
+        codec_uint32(codec, &entry->out_ms);
+    }
+}
+
+GBytes *load_report_encode(const watch_report_t *watch, GArray *entries) {
+    watch_report_t copy = *watch;
+    codec_t codec;
+    codec_start_encoding(&codec);
+    report_codec(&codec, &copy, entries);
+    return codec_finish(&codec);
+}
+
+bool load_report_decode(watch_report_t *watch, GArray *entries, const void *data, size_t length) {
+    codec_t codec;
+    codec_start_decoding(&codec, data, length);
+    report_codec(&codec, watch, entries);
+    return codec_complete(&codec);
+}
+
+uint64_t load_report_period_ms(unsigned gateways, bool calm) {
+    uint64_t period = PERIOD_MS + PERIOD_EACH_MS * (uint64_t)gateways;
+    return calm ? period * CALM_PERIODS : period;
+}
--- /dev/null
+++ b/src/gateway/load_report.h
@@ -0,0 +1,31 @@
+/**
+ * @file load_report.h
+ * What one gateway tells another in one datagram, and how often: see load_sharing.h.
+ *
+ * Thread safety: the functions are pure and may be called from any thread.
+ */
+#ifndef RUDDERWAY_GATEWAY_LOAD_REPORT_H
+#define RUDDERWAY_GATEWAY_LOAD_REPORT_H
+
+#include "core/configuration/watch_duty.h"
+
+#include <glib.h>
+
+/** Back ends that one datagram tells of at most. */
+enum { LOAD_ENTRIES_MAXIMUM = 4096 };
+
+/** One back end at which the sender has calls under way, or that it leaves out. */
+typedef struct {
+    uint64_t backend; /**< backend_t.id_hash. */
+    uint32_t under_way;
+    uint32_t out_ms; /**< The sender leaves the back end out for so long from now. */
+} load_entry_t;
+
+/** @p entries of load_entry_t; of @p watch what is told of it. */
+GBytes *load_report_encode(const watch_report_t *watch, GArray *entries);
+/** Sets what is told; false if @p data is no report. */
+bool load_report_decode(watch_report_t *watch, GArray *entries, const void *data, size_t length);
+/** Time between two looks whether @p gateways others are to be told something. */
+uint64_t load_report_period_ms(unsigned gateways, bool calm);
+
+#endif
--- a/src/gateway/load_sharing.c
+++ b/src/gateway/load_sharing.c
@@ -11,16 +11,13 @@
  */
 #include "gateway/load_sharing.h"
 
-#include "common/codec.h"
 #include "common/event.h"
+#include "gateway/load_report.h"
 
 #include <arpa/inet.h>
 #include <string.h>
 
 enum {
-    PERIOD_MS = 60,
-    PERIOD_EACH_MS = 3,     /**< Added for each gateway. */
-    CALM_PERIODS = 4,       /**< Periods in one while no back end is half full. */
     REFRESH_MS = 400,       /**< Told again after this although nothing has changed. */
     IDLE_REFRESH_MS = 1000, /**< The same while there is no call to tell of. */
     URGENT_PAUSE_MS = 20,   /**< Least time between two urgent datagrams. */
@@ -28,15 +25,8 @@
     FORGET_MS = 1000,       /**< What a silent gateway said last counts for so long. */
     SOURCE_PERIODS = 2,     /**< One datagram may be lost before a source is taken for gone. */
     SUM_AGAIN_MS = 100,     /**< Sums are made anew after this: what was told is forgotten. */
-    ENTRIES_MAXIMUM = 4096,
 };
 
-typedef struct {
-    uint64_t backend; /**< backend_t.id_hash. */
-    uint32_t under_way;
-    uint32_t out_ms; /**< The sender leaves the back end out for so long from now. */
-} load_entry_t;
-
 typedef struct {
     struct sockaddr_in address;
     uint64_t heard_at;
@@ -87,23 +77,6 @@
     return NULL;
 }
 
-static void datagram_codec(codec_t *codec, watch_report_t *watch, GArray *entries) {
-    codec_uint32(codec, &watch->answer_age);
-    codec_uint64(codec, &watch->changed);
-    codec_bool(codec, &watch->has_stores);
-    codec_bool(codec, &watch->renews);
-    uint32_t count = entries->len;
-    codec_count(codec, &count, ENTRIES_MAXIMUM);
-    if (codec->decoding && !codec->failed)
-        g_array_set_size(entries, count);
-    for (uint32_t i = 0; i < entries->len && !codec->failed; i++) {
-        load_entry_t *entry = &g_array_index(entries, load_entry_t, i);
-        codec_uint64(codec, &entry->backend);
-        codec_uint32(codec, &entry->under_way);
-        codec_uint32(codec, &entry->out_ms);
-    }
-}
-
 /** Logs that a back end is left out from now on because others say so. */
 static void log_ejection(backend_t *backend, uint64_t now) {
     bool told_out = ejection_told_out(&backend->ejection, now);
@@ -172,11 +145,8 @@
     gateway_peer_t *peer = find_peer(sharing, (const struct sockaddr_in *)from);
     if (peer == NULL)
         return;
-    codec_t codec;
     watch_report_t watch = {.heard_at = uv_now(sharing->loop), .before = peer->watch.before};
-    codec_start_decoding(&codec, buffer->base, (size_t)count);
-    datagram_codec(&codec, &watch, peer->entries);
-    if (codec_complete(&codec))
+    if (load_report_decode(&watch, peer->entries, buffer->base, (size_t)count))
         peer->watch = watch;
     else
         g_array_set_size(peer->entries, 0);
@@ -208,7 +178,7 @@
         uint32_t out_ms = backend_tell_out_ms(backend);
         load_entry_t entry = {backend->id_hash, backend->under_way, out_ms};
         bool any = backend->under_way > 0 || out_ms > 0;
-        if (any && entries->len < ENTRIES_MAXIMUM)
+        if (any && entries->len < LOAD_ENTRIES_MAXIMUM)
             g_array_append_val(entries, entry);
         if (!any)
             g_hash_table_iter_remove(&iterator);
@@ -221,10 +191,7 @@
     watch_report_t watch = {0};
     sharing->handler->tell(sharing->owner, &watch);
     sharing->sent_report = watch;
-    codec_t codec;
-    codec_start_encoding(&codec);
-    datagram_codec(&codec, &watch, entries);
-    GBytes *bytes = codec_finish(&codec);
+    GBytes *bytes = load_report_encode(&watch, entries);
     gsize length;
     const void *data = g_bytes_get_data(bytes, &length);
     uv_buf_t buffer = uv_buf_init((char *)data, (unsigned)length);
@@ -240,8 +207,7 @@
 static void arm_timer(load_sharing_t *sharing);
 
 static uint64_t period_ms(const load_sharing_t *sharing) {
-    uint64_t period = PERIOD_MS + PERIOD_EACH_MS * (uint64_t)sharing->peers->len;
-    return backends_half_full(sharing->backends) ? period : period * CALM_PERIODS;
+    return load_report_period_ms(sharing->peers->len, !backends_half_full(sharing->backends));
 }
 
 /** True if the others should hear from this gateway now. */
--- /dev/null
+++ b/tests/unit/control_traffic_test.cc
@@ -0,0 +1,282 @@
+// A model of the traffic by which gateways and storage nodes keep in touch, at 30 to 3,300 gateways
+// and 10,000 back ends: the real divisions into cells, decisions and encodings, without processes.
+// Prints a table; the bounds fail when something that one process does grows with the fleet.
+#include <gtest/gtest.h>
+
+#include <arpa/inet.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "cluster/directory_changes.h"
+#include "cluster/directory_snapshot.h"
+#include "cluster/message.h"
+#include "cluster/service_directory.h"
+#include "core/configuration/directory_pace.h"
+#include "core/configuration/listing_turn.h"
+#include "core/configuration/watch_duty.h"
+#include "core/quorum/store_group_choice.h"
+#include "gateway/load_report.h"
+#include "store/gateway_directory.h"
+}
+
+namespace {
+
+constexpr unsigned backends = 10000;
+constexpr unsigned tolerated_losses = 2;
+constexpr unsigned page_items = 200;
+constexpr double ms_per_s = 1000;
+constexpr double datagrams_idle_a_s = 1; /**< IDLE_REFRESH_MS of gateway/load_sharing.c. */
+
+size_t size_of(GBytes *bytes) {
+    size_t size = g_bytes_get_size(bytes);
+    g_bytes_unref(bytes);
+    return size;
+}
+
+/** What one process of a role does. */
+struct Figures {
+    double calm_messages = 0; /**< Sent a second. */
+    double calm_bytes = 0;
+    size_t start_bytes = 0;  /**< Sent once, while all start after a loss of power. */
+    size_t change_bytes = 0; /**< Sent at a change of one back end. */
+    size_t loss_bytes = 0;   /**< Sent when one gateway is gone. */
+    size_t state_bytes = 0;  /**< Held of other processes and of the directory. */
+};
+
+struct Fleet {
+    unsigned gateways = 0;
+    size_t known = 0;         /**< Gateways that one gateway knows, at most. */
+    unsigned followers = 0;   /**< Of one gateway, at most. */
+    unsigned hops = 0;        /**< From the service's answer to the last gateway. */
+    unsigned watching = 0;    /**< Gateways that watch the service while calm. */
+    double calls_a_s = 0;     /**< To the service, of all gateways, while calm. */
+    unsigned start_calls = 0; /**< Of all gateways, listing while all start. */
+    Figures gateway;          /**< The busiest. */
+    Figures store;            /**< A member of the store group. */
+};
+
+class Model {
+  public:
+    Model() {
+        gateway_directory_init(&directory);
+        directory_snapshot_init(&snapshot);
+        for (unsigned i = 0; i < backends; i++)
+            add_backend(i);
+    }
+    Model(const Model &) = delete;
+    Model &operator=(const Model &) = delete;
+    ~Model() {
+        gateway_directory_clear(&directory);
+        directory_snapshot_clear(&snapshot);
+    }
+    Fleet measure(unsigned gateways, unsigned zones) {
+        Fleet fleet;
+        fleet.gateways = gateways;
+        for (unsigned i = 0; i < gateways; i++)
+            add_gateway(i, zones);
+        size_t list_bytes = tell();
+        std::map<std::string, std::set<std::string>> cells = cells_by_source();
+        for (const auto &[serial, list] : told)
+            fleet.known = std::max(fleet.known, list.known.size());
+        fleet.followers = most_followers(cells);
+        fleet.hops = cells.size() > 1 ? 2 : 1;
+        fleet.watching = watching();
+        fleet.calls_a_s = fleet.watching * ms_per_s / WATCH_WAIT_RENEWING_MS;
+        fleet.start_calls = gateways + fleet.watching * (backends / page_items);
+        measure_gateway(fleet);
+        measure_store(fleet, list_bytes);
+        return fleet;
+    }
+
+  private:
+    struct List {
+        std::vector<std::string> known;
+        std::vector<std::string> sources;
+    };
+    gateway_directory_t directory;
+    directory_snapshot_t snapshot;
+    std::vector<std::unique_ptr<uint64_t>> serials;
+    std::map<uint64_t, List> told;
+    size_t told_bytes = 0;
+
+    void add_backend(unsigned number) {
+        char key[32];
+        snprintf(key, sizeof key, "servers/i-%010u", number);
+        backend_record_t record = {};
+        record.service = const_cast<char *>("agent-service");
+        record.zone = const_cast<char *>("region-a");
+        record.address.sin_addr.s_addr = htonl(0x0a000000 + number);
+        record.address.sin_port = htons(8080);
+        record.slots = 6;
+        GBytes *value = backend_record_encode(&record);
+        key_value_item_t item = {key, value, number + 1};
+        directory_snapshot_note(&snapshot, &item);
+        g_bytes_unref(value);
+    }
+    void add_gateway(unsigned number, unsigned zones) {
+        serials.push_back(std::make_unique<uint64_t>(number + 1));
+        std::string address = "10." + std::to_string(number / 40000) + "." +
+                              std::to_string(number / 200) + "." + std::to_string(number % 200) +
+                              ":7000";
+        gateway_directory_add(&directory, serials.back().get(), address.c_str(),
+                              ("zone-" + std::to_string(number % zones)).c_str());
+    }
+    static void on_told(void *user, const uint64_t *serial, const gateway_list_t *list) {
+        auto *model = static_cast<Model *>(user);
+        List &to = model->told[*serial];
+        message_t message;
+        message_init(&message, MESSAGE_GATEWAYS);
+        for (guint i = 0; i < list->known->len; i++) {
+            auto *address = static_cast<char *>(g_ptr_array_index(list->known, i));
+            to.known.emplace_back(address);
+            g_ptr_array_add(message.ids, g_strdup(address));
+        }
+        for (guint i = 0; i < list->sources->len; i++) {
+            auto *address = static_cast<char *>(g_ptr_array_index(list->sources, i));
+            to.sources.emplace_back(address);
+            g_ptr_array_add(message.sources, g_strdup(address));
+        }
+        model->told_bytes += size_of(message_encode(&message));
+        message_clear(&message);
+    }
+    size_t tell() {
+        told_bytes = 0;
+        told.clear();
+        gateway_directory_tell(&directory, on_told, this);
+        return told_bytes;
+    }
+    /** Cells that are not the root, named by their first gateway, by the source that they share. */
+    std::map<std::string, std::set<std::string>> cells_by_source() {
+        std::map<std::string, std::set<std::string>> cells;
+        for (const auto &[serial, list] : told) {
+            std::string first = *std::min_element(list.known.begin(), list.known.end());
+            cells[list.sources.empty() ? first : list.sources[0]].insert(first);
+        }
+        return cells;
+    }
+    unsigned most_followers(const std::map<std::string, std::set<std::string>> &cells) {
+        size_t own = 0;
+        for (const auto &[serial, list] : told)
+            own = std::max(own, list.known.size() / WATCH_RENEWING + 1);
+        size_t below = 0;
+        for (const auto &[source, in_zone] : cells)
+            below = std::max(below, in_zone.size());
+        return static_cast<unsigned>(own + below);
+    }
+    unsigned watching() {
+        std::set<std::string> roots;
+        for (const auto &[serial, list] : told)
+            if (list.sources.empty())
+                roots.insert(*std::min_element(list.known.begin(), list.known.end()));
+        return static_cast<unsigned>(roots.size()) * WATCH_RENEWING;
+    }
+    static size_t report_bytes() {
+        watch_report_t watch = {};
+        watch.answer_age = 2000;
+        watch.changed = backends;
+        GArray *entries = g_array_new(FALSE, FALSE, sizeof(load_entry_t));
+        load_entry_t entry = {UINT64_MAX, 1, 0};
+        g_array_append_val(entries, entry);
+        size_t bytes = size_of(load_report_encode(&watch, entries));
+        g_array_free(entries, TRUE);
+        return bytes;
+    }
+    static size_t changes_bytes(bool any) {
+        GArray *changes = directory_changes_new();
+        key_value_item_t item = {const_cast<char *>("servers/i-0000000000"),
+                                 g_bytes_new_static("0123456789012345678901234567890123456789", 40),
+                                 backends};
+        if (any)
+            directory_changes_add(changes, &item);
+        message_t message;
+        message_init(&message, MESSAGE_DIRECTORY_CHANGES);
+        message.revision = backends;
+        message.directory = directory_changes_encode(changes);
+        size_t bytes = size_of(message_encode(&message));
+        message_clear(&message);
+        g_array_free(changes, TRUE);
+        g_bytes_unref(item.value);
+        return bytes;
+    }
+    void measure_gateway(Fleet &fleet) {
+        Figures &figures = fleet.gateway;
+        auto peers = static_cast<unsigned>(fleet.known - 1);
+        double period_ms = static_cast<double>(load_report_period_ms(peers, true));
+        double datagrams = peers * std::max(datagrams_idle_a_s, ms_per_s / period_ms);
+        figures.calm_messages = datagrams + fleet.followers;
+        figures.calm_bytes = datagrams * static_cast<double>(report_bytes()) +
+                             fleet.followers * static_cast<double>(changes_bytes(false));
+        size_t view = size_of(directory_snapshot_encode(&snapshot));
+        figures.start_bytes = fleet.followers * changes_bytes(false);
+        figures.change_bytes = fleet.followers * changes_bytes(true);
+        figures.state_bytes = view + fleet.known * sizeof(load_entry_t) + backends * sizeof(void *);
+    }
+    void measure_store(Fleet &fleet, size_t list_bytes) {
+        Figures &figures = fleet.store;
+        unsigned members = store_group_size(tolerated_losses);
+        size_t view = size_of(directory_snapshot_encode(&snapshot));
+        /* Each gateway asks one member for the view; each member tells each gateway its list. */
+        figures.start_bytes = list_bytes + fleet.gateways / members * view;
+        figures.state_bytes = view;
+        size_t most = 0;
+        for (unsigned i = 0; i < 20 && i < serials.size(); i++) {
+            gateway_directory_remove(&directory, serials[serials.size() - 1 - i].get());
+            most = std::max(most, tell());
+        }
+        figures.loss_bytes = most;
+    }
+};
+
+const std::vector<unsigned> sizes = {30, 100, 300, 1000, 3300};
+
+std::map<unsigned, Fleet> measure_all() {
+    std::map<unsigned, Fleet> fleets;
+    for (unsigned gateways : sizes) {
+        Model model;
+        fleets[gateways] = model.measure(gateways, gateways < 2000 ? 6 : 16);
+    }
+    return fleets;
+}
+
+TEST(ControlTraffic, WhatOneProcessDoesDoesNotGrowWithTheFleet) {
+    std::map<unsigned, Fleet> fleets = measure_all();
+    printf("%8s %6s %9s %5s %8s %8s %11s %9s %9s %10s %9s %9s\n", "gateways", "knows", "followers",
+           "hops", "watching", "calls/s", "start calls", "msg/s", "B/s", "B a change", "store MB",
+           "B a loss");
+    for (const auto &[gateways, fleet] : fleets)
+        printf("%8u %6zu %9u %5u %8u %8.1f %11u %9.1f %9.0f %10zu %9.1f %9zu\n", gateways,
+               fleet.known, fleet.followers, fleet.hops, fleet.watching, fleet.calls_a_s,
+               fleet.start_calls, fleet.gateway.calm_messages, fleet.gateway.calm_bytes,
+               fleet.gateway.change_bytes, static_cast<double>(fleet.store.start_bytes) / 1e6,
+               fleet.store.loss_bytes);
+    for (const auto &[gateways, fleet] : fleets) {
+        EXPECT_LE(fleet.known, 2U * GATEWAYS_CELL_MOST) << gateways;
+        EXPECT_LE(fleet.followers, GATEWAYS_CELL_MOST) << gateways;
+        EXPECT_LE(fleet.watching, 16U * WATCH_RENEWING) << "three a zone, whatever its size";
+        EXPECT_LE(fleet.gateway.calm_bytes, 14000) << "a node's share for control, B/s";
+        EXPECT_LE(load_report_period_ms(static_cast<unsigned>(fleet.known), true), 1200U)
+            << "others' watches are trusted only if they are told of so often";
+    }
+    const Fleet &small = fleets[300];
+    const Fleet &large = fleets[3300];
+    EXPECT_LE(large.gateway.calm_bytes, 2 * small.gateway.calm_bytes);
+    EXPECT_LE(large.gateway.change_bytes, 2 * small.gateway.change_bytes);
+    EXPECT_LE(large.store.loss_bytes, 4 * small.store.loss_bytes);
+    EXPECT_EQ(large.store.state_bytes, small.store.state_bytes);
+}
+
+// Each gateway's listing was 52 calls: 45,000 at 865 gateways, 172,000 at 3,300.
+TEST(ControlTraffic, AStartTakesOneCallAGatewayAndTheListingsOfThreeAZone) {
+    std::map<unsigned, Fleet> fleets = measure_all();
+    for (const auto &[gateways, fleet] : fleets)
+        EXPECT_LE(fleet.start_calls, gateways + 16 * WATCH_RENEWING * (backends / page_items));
+}
+
+} // namespace
