gateways: start from what storage nodes keep; a source that lags is left for the next

Ruled out: storage nodes (gateways were connected to a quorum within 0.2 to 1.4 s). Change: a gateway reads the store group's key alone and takes the directory from the first storage node that it reaches; it lists by itself only as listing_turn.h says. A source that lags or grows old is left for another one (of eight, in or out of duty, or one that has told of the change). Who watches for others tells of answers sooner. The directory is encoded with shared heads and prefixes: 22 bytes a back end. Storage nodes tell lists later while many connect; they listen with a longer backlog.

--- a/src/cluster/directory_snapshot.c
+++ b/src/cluster/directory_snapshot.c
@@ -64,47 +64,177 @@
     return missing;
 }
 
+/* Encoding. Keys come sorted, each as how many bytes it shares with the one before and the rest.
+ * Values that differ in their ends only, as back ends of one service and zone do in their
+ * addresses, share a head. So 10,000 back ends take 0.22 MB in place of 0.5, and 865 gateways that
+ * start get them in half the time: from seven storage nodes over 600 Mbit/s. */
+
+enum {
+    FORMAT = 2,     /**< Of the encoding; others are not read. */
+    TAIL_BYTES = 8, /**< A value's end, which is not shared: an address and its port. */
+    HEADS_MAXIMUM = 4096,
+};
+
+static gint compare_keys(gconstpointer a, gconstpointer b) {
+    return strcmp(*(const char *const *)a, *(const char *const *)b);
+}
+
+static GPtrArray *sorted_keys(const directory_snapshot_t *snapshot) {
+    GPtrArray *keys = g_ptr_array_new();
+    GHashTableIter iterator;
+    gpointer key;
+    g_hash_table_iter_init(&iterator, snapshot->items);
+    while (g_hash_table_iter_next(&iterator, &key, NULL))
+        g_ptr_array_add(keys, key);
+    g_ptr_array_sort(keys, compare_keys);
+    return keys;
+}
+
+static uint32_t shared_bytes(const char *a, const char *b) {
+    uint32_t shared = 0;
+    while (a[shared] != '\0' && a[shared] == b[shared])
+        shared++;
+    return shared;
+}
+
+static GBytes *head_of(GBytes *value) {
+    gsize length = g_bytes_get_size(value);
+    return g_bytes_new_from_bytes(value, 0, length > TAIL_BYTES ? length - TAIL_BYTES : 0);
+}
+
+static GBytes *tail_of(GBytes *value) {
+    gsize length = g_bytes_get_size(value);
+    gsize head = length > TAIL_BYTES ? length - TAIL_BYTES : 0;
+    return g_bytes_new_from_bytes(value, head, length - head);
+}
+
+static void unref_bytes(gpointer bytes) {
+    g_bytes_unref(bytes);
+}
+
+/** Writes the number of a value's head; a new one is written after its number. */
+static void encode_head(codec_t *codec, GHashTable *heads, GBytes *value) {
+    GBytes *head = head_of(value);
+    gpointer known;
+    uint32_t number = g_hash_table_size(heads);
+    bool old = g_hash_table_lookup_extended(heads, head, NULL, &known);
+    if (old)
+        number = GPOINTER_TO_UINT(known);
+    codec_uint32(codec, &number);
+    if (old) {
+        g_bytes_unref(head);
+        return;
+    }
+    codec_bytes(codec, &head);
+    if (number < HEADS_MAXIMUM)
+        g_hash_table_insert(heads, head, GUINT_TO_POINTER(number));
+    else
+        g_bytes_unref(head);
+}
+
+static void encode_item(codec_t *codec, GHashTable *heads, const char *before, const char *key,
+                        GBytes *value) {
+    uint32_t shared = shared_bytes(before, key);
+    char *rest = (char *)key + shared;
+    GBytes *tail = tail_of(value);
+    codec_uint32(codec, &shared);
+    codec_text(codec, &rest);
+    encode_head(codec, heads, value);
+    codec_bytes(codec, &tail);
+    g_bytes_unref(tail);
+}
+
 GBytes *directory_snapshot_encode(directory_snapshot_t *snapshot) {
     if (snapshot->encoded != NULL)
         return g_bytes_ref(snapshot->encoded);
     codec_t codec;
     codec_start_encoding(&codec);
+    uint32_t format = FORMAT;
     uint64_t revision = snapshot->revision;
-    uint32_t count = g_hash_table_size(snapshot->items);
+    GPtrArray *keys = sorted_keys(snapshot);
+    uint32_t count = keys->len;
+    codec_uint32(&codec, &format);
     codec_uint64(&codec, &revision);
     codec_count(&codec, &count, ITEMS_MAXIMUM);
-    GHashTableIter iterator;
-    gpointer key;
-    gpointer value;
-    g_hash_table_iter_init(&iterator, snapshot->items);
-    while (g_hash_table_iter_next(&iterator, &key, &value)) {
-        char *text = key;
-        GBytes *bytes = value;
-        codec_text(&codec, &text);
-        codec_bytes(&codec, &bytes);
+    GHashTable *heads = g_hash_table_new_full(g_bytes_hash, g_bytes_equal, unref_bytes, NULL);
+    const char *before = "";
+    for (guint i = 0; i < keys->len; i++) {
+        const char *key = g_ptr_array_index(keys, i);
+        encode_item(&codec, heads, before, key, g_hash_table_lookup(snapshot->items, key));
+        before = key;
     }
+    g_hash_table_destroy(heads);
+    g_ptr_array_free(keys, TRUE);
     snapshot->encoded = codec_finish(&codec);
     return g_bytes_ref(snapshot->encoded);
 }
 
+/** The head that comes next; NULL if @p codec holds none. Belongs to @p heads. */
+static GBytes *decode_head(codec_t *codec, GPtrArray *heads) {
+    uint32_t number = 0;
+    codec_uint32(codec, &number);
+    if (codec->failed || number > MIN(heads->len, HEADS_MAXIMUM))
+        return NULL;
+    if (number < MIN(heads->len, HEADS_MAXIMUM))
+        return g_ptr_array_index(heads, number);
+    GBytes *head = NULL;
+    codec_bytes(codec, &head);
+    if (head != NULL)
+        g_ptr_array_add(heads, head);
+    return head;
+}
+
+static GBytes *join(GBytes *head, GBytes *tail) {
+    GByteArray *value = g_byte_array_new();
+    gsize length;
+    const void *data = g_bytes_get_data(head, &length);
+    g_byte_array_append(value, data, (guint)length);
+    data = g_bytes_get_data(tail, &length);
+    g_byte_array_append(value, data, (guint)length);
+    return g_byte_array_free_to_bytes(value);
+}
+
+/** Reads one item and notes it; @p before is the key before it, and becomes its key. */
+static bool decode_item(codec_t *codec, directory_snapshot_t *snapshot, GPtrArray *heads,
+                        GString *before) {
+    uint32_t shared = 0;
+    char *rest = NULL;
+    GBytes *tail = NULL;
+    codec_uint32(codec, &shared);
+    codec_text(codec, &rest);
+    GBytes *head = decode_head(codec, heads);
+    codec_bytes(codec, &tail);
+    bool valid =
+        !codec->failed && rest != NULL && head != NULL && tail != NULL && shared <= before->len;
+    if (valid) {
+        g_string_truncate(before, shared);
+        g_string_append(before, rest);
+        GBytes *value = join(head, tail);
+        directory_snapshot_note(snapshot, &(key_value_item_t){.key = before->str, .value = value});
+        g_bytes_unref(value);
+    }
+    g_free(rest);
+    if (tail != NULL)
+        g_bytes_unref(tail);
+    return valid;
+}
+
 bool directory_snapshot_decode(directory_snapshot_t *snapshot, GBytes *bytes) {
     gsize length;
     const void *data = g_bytes_get_data(bytes, &length);
     codec_t codec;
+    uint32_t format = 0;
     uint32_t count = 0;
     codec_start_decoding(&codec, data, length);
+    codec_uint32(&codec, &format);
     codec_uint64(&codec, &snapshot->revision);
     codec_count(&codec, &count, ITEMS_MAXIMUM);
-    for (uint32_t i = 0; i < count && !codec.failed; i++) {
-        char *key = NULL;
-        GBytes *value = NULL;
-        codec_text(&codec, &key);
-        codec_bytes(&codec, &value);
-        if (key != NULL && value != NULL && !codec.failed)
-            directory_snapshot_note(snapshot, &(key_value_item_t){.key = key, .value = value});
-        g_free(key);
-        if (value != NULL)
-            g_bytes_unref(value);
-    }
-    return codec_complete(&codec);
+    bool valid = !codec.failed && format == FORMAT;
+    GPtrArray *heads = g_ptr_array_new_with_free_func(unref_bytes);
+    GString *before = g_string_new(NULL);
+    for (uint32_t i = 0; i < count && valid; i++)
+        valid = decode_item(&codec, snapshot, heads, before);
+    g_string_free(before, TRUE);
+    g_ptr_array_free(heads, TRUE);
+    return valid && codec_complete(&codec);
 }
--- a/src/cluster/key_value_watch.c
+++ b/src/cluster/key_value_watch.c
@@ -45,9 +45,7 @@
     GString *body;
     GHashTable *listed;  /**< Keys of the listing in the making. */
     char *after;         /**< Last key of the listing's last page. */
-    unsigned hold_after; /**< The listing is held after so many items; 0: it is not. */
     uint64_t held_since; /**< 0: it is not held. */
-    bool hold_asked;     /**< It is held after the present call. */
     uint64_t revision;
     uint64_t list_revision;
     unsigned failures;
@@ -141,7 +139,6 @@
         return;
     watch->revision = watch->list_revision;
     watch->phase = WATCHING;
-    watch->hold_after = 0;
     watch->handler->on_listed(watch->owner, watch->listed);
 }
 
@@ -153,17 +150,6 @@
     return watch->gather_ms;
 }
 
-static bool to_be_held(const key_value_watch_t *watch) {
-    bool long_enough = watch->phase == LISTING && watch->hold_after > 0 &&
-                       g_hash_table_size(watch->listed) >= watch->hold_after;
-    return watch->hold_asked || long_enough;
-}
-
-static void hold(key_value_watch_t *watch) {
-    watch->hold_asked = false;
-    watch->held_since = MAX(1, uv_now(watch->loop));
-}
-
 static void on_complete(void *user) {
     key_value_watch_t *watch = user;
     watch->waiting = false;
@@ -211,9 +197,7 @@
         pause = next_gather_pause(watch);
     if (watch->phase == WATCHING)
         pause = full ? 0 : MAX(pause, watch->pause_ms);
-    if (to_be_held(watch))
-        hold(watch);
-    else if (pause > 0)
+    if (pause > 0)
         uv_timer_start(&watch->timer, on_pause_over, pause, 0);
     else
         begin_call(watch);
@@ -284,15 +268,12 @@
     return watch;
 }
 
-key_value_watch_t *key_value_watch_open_from(uv_loop_t *loop, const struct sockaddr_in *address,
+key_value_watch_t *key_value_watch_open_held(uv_loop_t *loop, const struct sockaddr_in *address,
                                              const char *host, const char *prefix, uint32_t wait_ms,
-                                             uint64_t revision,
                                              const key_value_watch_handler_t *handler,
                                              void *owner) {
     key_value_watch_t *watch = new_watch(loop, address, host, prefix, wait_ms, handler, owner);
-    watch->phase = WATCHING;
-    watch->revision = revision;
-    begin_call(watch);
+    watch->held_since = MAX(1, uv_now(loop));
     return watch;
 }
 
@@ -317,22 +298,12 @@
         begin_call(watch);
 }
 
-void key_value_watch_hold_after(key_value_watch_t *watch, unsigned items) {
-    watch->hold_after = items;
-}
-
 uint64_t key_value_watch_held_since(const key_value_watch_t *watch) {
     return watch->held_since;
 }
 
-void key_value_watch_hold(key_value_watch_t *watch) {
-    watch->hold_asked = true;
-}
-
 void key_value_watch_go_on(key_value_watch_t *watch) {
     bool held = watch->held_since > 0;
-    watch->hold_after = 0;
-    watch->hold_asked = false;
     watch->held_since = 0;
     if (held && !watch->resting)
         begin_call(watch);
@@ -361,8 +332,6 @@
 
 void key_value_watch_advance(key_value_watch_t *watch, uint64_t changed) {
     watch->phase = WATCHING;
-    watch->hold_after = 0;
-    watch->hold_asked = false;
     watch->held_since = 0;
     watch->failures = 0;
     watch->revision = MAX(watch->revision, changed);
--- a/src/cluster/key_value_watch.h
+++ b/src/cluster/key_value_watch.h
@@ -32,21 +32,13 @@
                                         const char *host, const char *prefix, uint32_t wait_ms,
                                         const key_value_watch_handler_t *handler, void *owner);
 
-/** The same without a listing: shows what changes after @p revision. */
-key_value_watch_t *key_value_watch_open_from(uv_loop_t *loop, const struct sockaddr_in *address,
+/** The same, held: nothing is asked before key_value_watch_go_on. */
+key_value_watch_t *key_value_watch_open_held(uv_loop_t *loop, const struct sockaddr_in *address,
                                              const char *host, const char *prefix, uint32_t wait_ms,
-                                             uint64_t revision,
                                              const key_value_watch_handler_t *handler, void *owner);
-/**
- * The first listing is held once it has shown @p items and there are more: others may know the
- * rest. Ends with key_value_watch_go_on, or when all was seen elsewhere (key_value_watch_advance).
- */
-void key_value_watch_hold_after(key_value_watch_t *watch, unsigned items);
-/** Holds the watch as soon as the call under way is answered, likewise. */
-void key_value_watch_hold(key_value_watch_t *watch);
-/** Since when the listing or the watch is held, in loop time; 0: it is not. */
+/** Since when it is held, in loop time; 0: it is not, or all was seen elsewhere since. */
 uint64_t key_value_watch_held_since(const key_value_watch_t *watch);
-/** Goes on with what is held, and holds nothing more. */
+/** Begins to list and watch. */
 void key_value_watch_go_on(key_value_watch_t *watch);
 /** How long the next watch waits for a change, in ms. */
 void key_value_watch_set_wait(key_value_watch_t *watch, uint32_t wait_ms);
--- a/src/cluster/service_directory.c
+++ b/src/cluster/service_directory.c
@@ -125,15 +125,16 @@
     g_free(backend);
 }
 
+/** The address stands last: all else is the same for many back ends (directory_snapshot.c). */
 static void record_codec(codec_t *codec, backend_record_t *backend) {
     uint32_t host = ntohl(backend->address.sin_addr.s_addr);
     uint32_t port = ntohs(backend->address.sin_port);
     codec_text(codec, &backend->service);
     codec_text(codec, &backend->zone);
-    codec_uint32(codec, &host);
-    codec_uint32(codec, &port);
     codec_uint32(codec, &backend->slots);
     codec_bool(codec, &backend->leaving);
+    codec_uint32(codec, &host);
+    codec_uint32(codec, &port);
     backend->address.sin_family = AF_INET;
     backend->address.sin_addr.s_addr = htonl(host);
     backend->address.sin_port = htons((uint16_t)port);
--- a/src/core/configuration/listing_turn.c
+++ b/src/core/configuration/listing_turn.c
@@ -3,7 +3,8 @@
 #include "core/configuration/watch_duty.h"
 
 bool listing_turn_due(const listing_turn_t *turn, uint64_t now) {
-    if (now >= turn->held_since + LISTING_MOST_MS + turn->spread_ms)
+    uint64_t most_ms = turn->lone ? LISTING_LONE_MS : LISTING_MOST_MS;
+    if (now >= turn->held_since + most_ms + turn->spread_ms)
         return true;
     if (turn->told_at == 0 || turn->below)
         return false;
--- a/src/core/configuration/listing_turn.h
+++ b/src/core/configuration/listing_turn.h
@@ -4,9 +4,13 @@
  *
  * Of a large fleet all start at once, after a loss of power above all. A listing of 10,000 back
  * ends takes 50 calls and 2.5 MB; done by each of 865 gateways that is 2.2 GB over the service's
- * link of 1 Gbit/s, 18 s, and beyond the calls that it answers in a second. So a gateway lists as
- * much as a small deployment has, and waits: the first of a zone's root cell go on, the others get
- * the view from storage nodes or from a gateway that has it. Each goes on by itself if none comes.
+ * link of 1 Gbit/s, 18 s, and beyond the calls that it answers in a second; even the first page of
+ * each took over a second. When the system starts for the first time it is the same with the watch:
+ * 10,000 back ends that register are 20 answers of 500 changes, to each gateway that watches.
+ *
+ * So a gateway reads the store group's key alone, and waits: the first of a zone's root cell list
+ * the service, the others get the view from storage nodes or from a gateway that has it. Each lists
+ * by itself if none comes.
  *
  * Decision code: no I/O, clock or thread. Times are in ms.
  */
@@ -17,24 +21,24 @@
 #include <stdint.h>
 
 enum {
-    /** Items that each lists by itself: all of a deployment with as many back ends as gateways. */
-    LISTING_ALONE_ITEMS = 200,
     LISTING_SETTLE_MS = 500,  /**< Lists of gateways grow for so long while all connect. */
-    LISTING_EACH_MS = 1500,   /**< The next few go on so much later, if the first ones don't. */
-    LISTING_MOST_MS = 10000,  /**< Any gateway without a view goes on after this, */
+    LISTING_EACH_MS = 1500,   /**< The next few list so much later, if the first ones don't. */
+    LISTING_LONE_MS = 1500,   /**< One that reaches no storage node lists after this, */
+    LISTING_MOST_MS = 10000,  /**< any gateway without a confirmed view after this, */
     LISTING_SPREAD_MS = 6000, /**< and a part of this, drawn, so that not all do at once. */
 };
 
-/** What a gateway knows whose listing is held. */
+/** What a gateway knows that has not listed the service. */
 typedef struct {
     uint64_t held_since;
     uint64_t told_at; /**< When storage nodes first told it of other gateways; 0: they have not. */
     unsigned rank;    /**< Gateways of its cell that come before it. */
     bool below;       /**< Its cell is not the root. */
+    bool lone;        /**< It knows no group, or reaches none of its members. */
     uint32_t spread_ms; /**< Drawn from LISTING_SPREAD_MS. */
 } listing_turn_t;
 
-/** True if the gateway is to go on with its listing now. */
+/** True if the gateway is to list the service now. */
 bool listing_turn_due(const listing_turn_t *turn, uint64_t now);
 
 #endif
--- a/src/core/configuration/watch_duty.c
+++ b/src/core/configuration/watch_duty.c
@@ -11,10 +11,10 @@
     return (uint32_t)(now - answered_at);
 }
 
-bool watch_duty_in_order(const watch_report_t *report, uint64_t tell_period_ms, uint64_t now) {
+bool watch_duty_in_order(const watch_report_t *report, uint64_t renewing_period_ms, uint64_t now) {
     if (report->answer_age == UINT32_MAX)
         return false;
-    uint64_t bound = WATCH_WAIT_RENEWING_MS + WATCH_ANSWER_MS + 2 * tell_period_ms;
+    uint64_t bound = WATCH_WAIT_RENEWING_MS + WATCH_ANSWER_MS + 2 * renewing_period_ms;
     return now <= report->heard_at - report->answer_age + bound;
 }
 
@@ -40,10 +40,11 @@
 }
 
 watch_decision_t watch_duty_decide(watch_state_t *own, const watch_report_t *reports,
-                                   unsigned count, uint64_t tell_period_ms, uint64_t now) {
+                                   unsigned count, uint64_t tell_period_ms,
+                                   uint64_t renewing_period_ms, uint64_t now) {
     unsigned renewing = 0;
     for (unsigned i = 0; i < count; i++)
-        renewing += reports[i].before && watch_duty_in_order(&reports[i], tell_period_ms, now);
+        renewing += reports[i].before && watch_duty_in_order(&reports[i], renewing_period_ms, now);
     unsigned up = count_up(reports, count, tell_period_ms, now);
     bool rests = own->below ? up >= WATCH_RENEWING
                             : renewing >= WATCH_RENEWING && tell_period_ms <= TELL_PERIOD_MOST_MS;
--- a/src/core/configuration/watch_duty.h
+++ b/src/core/configuration/watch_duty.h
@@ -68,15 +68,16 @@
 
 /**
  * True if a process's watch is in order as far as its report tells: answered within one wait, with
- * one report lost.
+ * one report lost. @p renewing_period_ms: those that renew tell of an answer within this.
  */
-bool watch_duty_in_order(const watch_report_t *report, uint64_t tell_period_ms, uint64_t now);
+bool watch_duty_in_order(const watch_report_t *report, uint64_t renewing_period_ms, uint64_t now);
 
 /**
  * Decides from what @p count others told. @p tell_period_ms is how often one is told: if too
  * seldom, nobody rests. Keeps `behind_since` of @p own.
  */
 watch_decision_t watch_duty_decide(watch_state_t *own, const watch_report_t *reports,
-                                   unsigned count, uint64_t tell_period_ms, uint64_t now);
+                                   unsigned count, uint64_t tell_period_ms,
+                                   uint64_t renewing_period_ms, uint64_t now);
 
 #endif
--- a/src/gateway/directory_duty.c
+++ b/src/gateway/directory_duty.c
@@ -5,9 +5,12 @@
  * not come this way. A gateway that rests can't be followed, so that there are no circles.
  *
  * In a large zone that is so within its root cell (store/gateway_directory.h). Of each other cell
- * the first few gateways that are up follow one of the root cell, their *sources*, and the others
- * follow them. With each view goes how long ago the service confirmed it, so that a circle, which
- * lists of gateways that differ for a moment could make, would end as its view grows old.
+ * the first few gateways that are up follow some gateway of the root cell, one of their *sources*,
+ * whether that one watches or follows itself, and the others follow them. A source whose view grows
+ * old, or that lacks a change known elsewhere, is left for the next; only if none of them will do a
+ * gateway asks the service itself, which may turn it away without a word. With each view goes how
+ * long ago the service confirmed it, so that a circle, which lists of gateways that differ for a
+ * moment could make, would end as its view grows old.
  */
 #include "gateway/gateway.h"
 
@@ -53,6 +56,11 @@
     return false;
 }
 
+/** True if gateways of other cells may follow this one, which is of the root cell. */
+static bool is_root(const gateway_t *gateway) {
+    return gateway->sources->len == 0 && gateway->gateways_told_at > 0;
+}
+
 /** True if the view comes from a gateway of the root cell. */
 static bool views_root(const gateway_t *gateway) {
     return directory_follow_current(gateway->follow) && follows_root(gateway);
@@ -61,7 +69,7 @@
 /** How long ago the key-value service confirmed what is known here; see watch_answer_age. */
 static uint32_t answer_age(const gateway_t *gateway) {
     const key_value_watch_t *watch = gateway->watch;
-    if (views_root(gateway))
+    if (views_root(gateway) || key_value_watch_rests(watch))
         return directory_follow_answer_age(gateway->follow);
     return watch_answer_age(key_value_watch_answered_at(watch), key_value_watch_failed_at(watch),
                             uv_now(gateway->loop));
@@ -78,7 +86,9 @@
         return;
     bool listed = key_value_watch_listed(gateway->watch);
     state->known = listed ? key_value_watch_changed(gateway->watch) : 0;
-    state->watching = !key_value_watch_rests(gateway->watch) || views_root(gateway);
+    bool follows = directory_follow_current(gateway->follow);
+    state->watching = !key_value_watch_rests(gateway->watch) || views_root(gateway) ||
+                      (is_root(gateway) && follows);
     state->answer_age = answer_age(gateway);
 }
 
@@ -207,14 +217,15 @@
     uint64_t heard_at;
     bool below = gateway->sources->len > 0;
     if (follows_root(gateway)) /* The first of a cell do; one that became another may go on. */
-        return rests && load_sharing_find_source(gateway->load_sharing, &other);
+        return rests && load_sharing_find_source(gateway->load_sharing, 0, &other);
     if (below && !rests)
         return true;
     return !load_sharing_look_at_source(gateway->load_sharing,
                                         directory_follow_source(gateway->follow), &heard_at);
 }
 
-static void begin_to_follow(gateway_t *gateway, bool rests) {
+/** @p changed: the source must have seen the change at this revision; 0: any will do. */
+static void begin_to_follow(gateway_t *gateway, bool rests, uint64_t changed) {
     struct sockaddr_in source;
     unsigned sources = gateway->sources->len;
     if (sources > 0 && !rests) {
@@ -222,15 +233,32 @@
         source =
             g_array_index(gateway->sources, struct sockaddr_in, gateway->sources_tried++ % sources);
         directory_follow_begin(gateway->follow, &source, pause);
-    } else if (load_sharing_find_source(gateway->load_sharing, &source)) {
+    } else if (load_sharing_find_source(gateway->load_sharing, changed, &source)) {
         directory_follow_begin(gateway->follow, &source, DIRECTORY_FOLLOW_PAUSE_MS);
     }
 }
 
+/**
+ * Leaves a source that lacks a change, or whose view has grown old, for another one; false if
+ * there is none and this gateway has to ask the service.
+ */
+static bool change_source(gateway_t *gateway, bool rests) {
+    bool has_source = directory_follow_active(gateway->follow);
+    bool tried_all = gateway->sources_failed >= SOURCE_REFUSED_TIMES;
+    if (!has_source || tried_all)
+        return false;
+    directory_follow_end(gateway->follow, "behind", 0);
+    gateway->sources_failed++;
+    gateway->watch_state.behind_since = 0;
+    begin_to_follow(gateway, rests, load_sharing_changed(gateway->load_sharing));
+    return directory_follow_active(gateway->follow);
+}
+
 /** Follows another gateway if this one need not watch itself, or can't. */
 static void look_whether_to_follow(gateway_t *gateway, bool rests, bool renew) {
     directory_follow_t *follow = gateway->follow;
     bool below = gateway->sources->len > 0;
+    renew = renew && !change_source(gateway, rests);
     bool held = key_value_watch_held_since(gateway->watch) > 0;
     bool may_rest = (gateway->directory_confirmed || held) && (rests || below);
     bool wanted =
@@ -241,7 +269,7 @@
     else if (directory_follow_active(follow) && follows_wrong_one(gateway, rests))
         directory_follow_end(follow, "source", 0);
     if (wanted && !directory_follow_active(follow))
-        begin_to_follow(gateway, rests);
+        begin_to_follow(gateway, rests, 0);
     /* Its own watch rests from the beginning: else it would soon know more than the source. */
     bool follows = directory_follow_active(follow);
     if (follows && !key_value_watch_rests(gateway->watch))
@@ -272,6 +300,9 @@
     uint32_t age = directory_follow_answer_age(gateway->follow);
     if (views_root(gateway) && age != UINT32_MAX)
         own->answered_at = MAX(own->answered_at, now > age ? now - age : 0);
+    /* While another source is tried it is not asked for more. */
+    if (follows_root(gateway) && !directory_follow_current(gateway->follow))
+        own->begun_at = now;
     /* A listing that is held waits for others; it is not given up. */
     if (key_value_watch_held_since(gateway->watch) > 0)
         own->begun_at = now;
@@ -281,12 +312,11 @@
 static void leave_unconfirmed_source(gateway_t *gateway) {
     if (!views_root(gateway) || directory_follow_answer_age(gateway->follow) != UINT32_MAX)
         return;
-    directory_follow_end(gateway->follow, "unconfirmed",
-                         (uint64_t)SOURCE_REFUSED_MS << gateway->sources_failed);
-    on_followed_lost(gateway);
+    change_source(gateway, false);
 }
 
-static void on_reports(void *owner, const GArray *reports, uint64_t period_ms) {
+static void on_reports(void *owner, const GArray *reports, uint64_t period_ms,
+                       uint64_t renewing_period_ms) {
     gateway_t *gateway = owner;
     if (gateway->watch == NULL)
         return;
@@ -294,7 +324,7 @@
     note_own_watch(gateway);
     watch_decision_t decision =
         watch_duty_decide(&gateway->watch_state, (const watch_report_t *)reports->data,
-                          reports->len, period_ms, uv_now(gateway->loop));
+                          reports->len, period_ms, renewing_period_ms, uv_now(gateway->loop));
     key_value_watch_set_wait(gateway->watch, decision.wait_ms);
     key_value_watch_set_patient(gateway->watch, decision.patient);
     gateway->on_duty = decision.wait_ms == WATCH_WAIT_RENEWING_MS;
--- a/src/gateway/directory_watch.c
+++ b/src/gateway/directory_watch.c
@@ -1,10 +1,9 @@
 /*
  * Design. One watch over the whole key-value service brings configuration, back ends and the
- * store group. At a start, while there is no group yet, the watch is held and one over the group's
- * key alone takes its place: it shows the group as soon as it is founded, where a watch over all
- * brings 10,000 back ends first, to each gateway. A version of the configuration never goes back.
- * Back ends that a listing lacks are gone; while the service does not answer, what was known last
- * stays in use.
+ * store group. At a start it is held, and one over the group's key alone takes its place until the
+ * group is known (core/configuration/listing_turn.h). A version of the configuration never goes
+ * back. Back ends that a listing lacks are gone; while the service does not answer, what was known
+ * last stays in use.
  *
  * The gateways on duty (directory_duty.c) offer the storage nodes what they have seen. A gateway
  * that starts while the service is away, or holds its listing (listing_turn.h), serves from that
@@ -20,8 +19,7 @@
 #include <string.h>
 
 enum {
-    DIRECTORY_LOOK_MS = 100, /**< Between two looks whether the directory is to be asked or told. */
-    SERVICE_PATIENCE_MS = 250, /**< The service is taken to be away without an answer in this. */
+    DIRECTORY_LOOK_MS = 20, /**< Between two looks at a start whether it is to be asked for. */
     OFFER_SETTLED_MS =
         2000,              /**< A duty to tell has lasted so long: others have been heard since. */
     OFFER_LEAST_MS = 1000, /**< Between two offers to the storage nodes, */
@@ -199,8 +197,6 @@
     gateway_t *gateway = owner;
     gateway_retain_items(gateway, keys);
     key_value_watch_set_pause(gateway->watch, WATCH_RESTING_PAUSE_MS);
-    if (group_unknown(gateway))
-        key_value_watch_hold(gateway->watch);
     gateway_note_listed(gateway);
 }
 
@@ -229,41 +225,30 @@
     (void)keys;
 }
 
+/** While the whole watch is held this one finds out whether the service answers. */
 static void on_group_reachable(void *owner, bool reachable) {
-    (void)owner;
-    (void)reachable;
+    const gateway_t *gateway = owner;
+    if (key_value_watch_held_since(gateway->watch) > 0)
+        on_reachable(owner, reachable);
 }
 
 static const key_value_watch_handler_t group_handler = {on_group_item, on_group_listed,
                                                         on_group_reachable};
 
-static key_value_watch_t *open_group_watch(gateway_t *gateway) {
+/** Watches for the group at a start; ends once it is known, whoever told it. */
+static void open_group_watch(gateway_t *gateway) {
     const process_settings_t *settings = gateway->settings;
-    uint64_t listed_at = key_value_watch_known(gateway->watch);
     char *key = key_value_own_key("group");
-    key_value_watch_t *watch = NULL;
-    /* The listing that is held has not shown the group; one that was complete has seen it is not
-       there. */
-    if (listed_at == 0)
-        watch = key_value_watch_open(gateway->loop, &settings->key_value, settings->key_value_text,
-                                     key, GROUP_WAIT_MS, &group_handler, gateway);
-    else
-        watch =
-            key_value_watch_open_from(gateway->loop, &settings->key_value, settings->key_value_text,
-                                      key, GROUP_WAIT_MS, listed_at, &group_handler, gateway);
-    key_value_watch_set_patient(watch, true);
+    gateway->group_watch =
+        key_value_watch_open(gateway->loop, &settings->key_value, settings->key_value_text, key,
+                             GROUP_WAIT_MS, &group_handler, gateway);
     g_free(key);
-    return watch;
 }
 
-/** Watches for the group while the whole watch is held without one; ends once it is known. */
 static void look_for_group(gateway_t *gateway) {
-    bool unknown = group_unknown(gateway);
-    bool held = key_value_watch_held_since(gateway->watch) > 0;
-    if (unknown && held && gateway->group_watch == NULL)
-        gateway->group_watch = open_group_watch(gateway);
-    else if (!unknown && gateway->group_watch != NULL)
-        key_value_watch_rest(gateway->group_watch);
+    if (group_unknown(gateway) || gateway->group_watch == NULL)
+        return;
+    key_value_watch_rest(gateway->group_watch);
 }
 
 /* The directory that the storage nodes keep. */
@@ -327,6 +312,7 @@
         .told_at = gateway->gateways_told_at,
         .rank = load_sharing_rank(gateway->load_sharing),
         .below = gateway->sources->len > 0,
+        .lone = !gateway->stores_reached && store_client_links_opened(gateway->stores) == 0,
         .spread_ms = gateway->listing_spread_ms,
     };
     if (turn.held_since == 0 || !listing_turn_due(&turn, uv_now(gateway->loop)))
@@ -339,9 +325,7 @@
 static void on_directory_look(uv_timer_t *timer) {
     gateway_t *gateway = timer->data;
     uint64_t now = uv_now(gateway->loop);
-    bool waited = now >= gateway->started_at + SERVICE_PATIENCE_MS;
-    bool lacking = !gateway->backends_listed && (gateway->key_value_failed || waited);
-    if (lacking && directory_ask_due(gateway->directory_asked_at, now) &&
+    if (!gateway->backends_listed && directory_ask_due(gateway->directory_asked_at, now) &&
         store_client_ask_directory(gateway->stores))
         gateway->directory_asked_at = now;
     offer_directory(gateway);
@@ -360,9 +344,9 @@
     uv_timer_start(&gateway->directory_timer, on_directory_look, DIRECTORY_LOOK_MS,
                    DIRECTORY_LOOK_MS);
     const process_settings_t *settings = gateway->settings;
-    gateway->watch = key_value_watch_open(gateway->loop, &settings->key_value,
-                                          settings->key_value_text, key_value_prefix(KEY_OTHER),
-                                          WATCH_WAIT_RENEWING_MS, &handler, gateway);
-    key_value_watch_hold_after(gateway->watch, LISTING_ALONE_ITEMS);
+    gateway->watch = key_value_watch_open_held(
+        gateway->loop, &settings->key_value, settings->key_value_text, key_value_prefix(KEY_OTHER),
+        WATCH_WAIT_RENEWING_MS, &handler, gateway);
+    open_group_watch(gateway);
     gateway->listing_spread_ms = (uint32_t)g_random_int_range(0, LISTING_SPREAD_MS);
 }
--- a/src/gateway/load_sharing.c
+++ b/src/gateway/load_sharing.c
@@ -206,6 +206,11 @@
 
 static void arm_timer(load_sharing_t *sharing);
 
+/** Those that watch for the others look often whether there is something to tell. */
+static uint64_t renewing_period_ms(const load_sharing_t *sharing) {
+    return load_report_period_ms(sharing->peers->len, false);
+}
+
 static uint64_t period_ms(const load_sharing_t *sharing) {
     return load_report_period_ms(sharing->peers->len, !backends_half_full(sharing->backends));
 }
@@ -234,7 +239,8 @@
         if (peer->watch.heard_at > 0)
             g_array_append_val(reports, peer->watch);
     }
-    sharing->handler->on_reports(sharing->owner, reports, period_ms(sharing));
+    sharing->handler->on_reports(sharing->owner, reports, period_ms(sharing),
+                                 renewing_period_ms(sharing));
     g_array_free(reports, TRUE);
 }
 
@@ -280,9 +286,9 @@
 /** True if others may follow this gateway's view of the key-value service. */
 static bool may_be_followed(const load_sharing_t *sharing, const gateway_peer_t *peer) {
     uint64_t now = uv_now(sharing->loop);
-    uint64_t period = period_ms(sharing);
-    bool lately = now < peer->heard_at + IDLE_REFRESH_MS + SOURCE_PERIODS * period;
-    bool in_order = sharing->below || watch_duty_in_order(&peer->watch, period, now);
+    bool lately = now < peer->heard_at + IDLE_REFRESH_MS + SOURCE_PERIODS * period_ms(sharing);
+    bool in_order =
+        sharing->below || watch_duty_in_order(&peer->watch, renewing_period_ms(sharing), now);
     return lately && peer->watch.renews && in_order;
 }
 
@@ -296,12 +302,23 @@
     return before;
 }
 
-bool load_sharing_find_source(const load_sharing_t *sharing, struct sockaddr_in *address) {
+uint64_t load_sharing_changed(const load_sharing_t *sharing) {
+    uint64_t changed = 0;
+    for (guint i = 0; i < sharing->peers->len; i++) {
+        const gateway_peer_t *peer = g_ptr_array_index(sharing->peers, i);
+        changed = MAX(changed, peer->watch.changed);
+    }
+    return changed;
+}
+
+bool load_sharing_find_source(const load_sharing_t *sharing, uint64_t changed,
+                              struct sockaddr_in *address) {
     unsigned found = 0;
     for (guint i = 0; i < sharing->peers->len; i++) {
         const gateway_peer_t *peer = g_ptr_array_index(sharing->peers, i);
         /* Later ones will rest themselves. */
-        if (!may_be_followed(sharing, peer) || sources_before(sharing, peer) >= WATCH_RENEWING)
+        if (!may_be_followed(sharing, peer) || peer->watch.changed < changed ||
+            sources_before(sharing, peer) >= WATCH_RENEWING)
             continue;
         /* Each of them with the same chance. */
         found++;
@@ -319,7 +336,9 @@
 }
 
 static void arm_timer(load_sharing_t *sharing) {
-    uv_timer_start(&sharing->timer, on_timer, period_ms(sharing), 0);
+    bool renews = sharing->sent_report.renews;
+    uint64_t period = renews ? renewing_period_ms(sharing) : period_ms(sharing);
+    uv_timer_start(&sharing->timer, on_timer, period, 0);
 }
 
 load_sharing_t *load_sharing_open(uv_loop_t *loop, const struct sockaddr_in *address,
--- a/src/gateway/load_sharing.h
+++ b/src/gateway/load_sharing.h
@@ -19,8 +19,12 @@
 typedef struct {
     /** Fills in what this gateway tells. */
     void (*tell)(void *owner, watch_report_t *report);
-    /** Comes once a period with what the others told; @p reports of watch_report_t. */
-    void (*on_reports)(void *owner, const GArray *reports, uint64_t period_ms);
+    /**
+     * Comes once a period with what the others told; @p reports of watch_report_t. Those that renew
+     * tell within @p renewing_period_ms.
+     */
+    void (*on_reports)(void *owner, const GArray *reports, uint64_t period_ms,
+                       uint64_t renewing_period_ms);
 } load_sharing_handler_t;
 
 /** NULL if @p address can't be used. */
@@ -38,8 +42,14 @@
 void load_sharing_refresh(load_sharing_t *sharing);
 /** The address of a gateway that said lately that it reaches storage nodes; false: none did. */
 bool load_sharing_find_relay(const load_sharing_t *sharing, struct sockaddr_in *address);
-/** The address of a gateway whose view of the key-value service may be followed; false: none. */
-bool load_sharing_find_source(const load_sharing_t *sharing, struct sockaddr_in *address);
+/**
+ * The address of a gateway whose view of the key-value service may be followed, and that has seen
+ * the change at revision @p changed; false: none.
+ */
+bool load_sharing_find_source(const load_sharing_t *sharing, uint64_t changed,
+                              struct sockaddr_in *address);
+/** The latest revision at which another gateway has seen a change, as they told lately. */
+uint64_t load_sharing_changed(const load_sharing_t *sharing);
 /** True if the gateway at @p address may still be followed; when it was last heard, in ms. */
 bool load_sharing_look_at_source(const load_sharing_t *sharing, const struct sockaddr_in *address,
                                  uint64_t *heard_at);
--- a/src/net/frame_connection.c
+++ b/src/net/frame_connection.c
@@ -15,7 +15,7 @@
 enum {
     LENGTH_BYTES = 4,
     READ_BUFFER_BYTES = 262144,
-    BACKLOG = 128,
+    BACKLOG = 4096, /**< After a loss of power all gateways connect to a storage node at once. */
     SILENT_PEER_MS = 1500,
     SHARED_LEAST_BYTES = 16384, /**< A payload of so many bytes is queued by reference. */
     CHUNKS_AT_ONCE = 16,        /**< Handed to the kernel in one call. */
--- a/src/store/gateway_directory.h
+++ b/src/store/gateway_directory.h
@@ -30,8 +30,11 @@
      * size still within the 1,200 ms after which nobody trusts another's watch.
      */
     GATEWAYS_CELL_MOST = 48,
-    /** Sources told: the gateways on duty are the first three that are up, and one more. */
-    GATEWAYS_SOURCES = 4,
+    /**
+     * Sources told. Where the service turns a third of the machines away without a word, all of
+     * eight are among them in one of 6,600 cases; of the first three alone in one of 27.
+     */
+    GATEWAYS_SOURCES = 8,
 };
 
 typedef struct {
--- a/src/store/store_requests.c
+++ b/src/store/store_requests.c
@@ -20,7 +20,10 @@
     DISK_SHARE_PERCENT = 85,
     PERCENT = 100,
     MEGABYTE = 1024 * 1024,
-    TELL_GATEWAYS_MS = 100, /**< Changes of the list gather for so long. */
+    TELL_GATEWAYS_MS = 100,       /**< Changes of the list gather for so long, */
+    TELL_GATEWAYS_A_MS = 2,       /**< longer by 1 ms for so many gateways, */
+    TELL_GATEWAYS_MOST_MS = 1000, /**< but not beyond this: while all connect, lists change all the
+                                       time, and each takes a write to each of a cell. */
 };
 
 /** A write on its way to the disk. */
@@ -334,8 +337,11 @@
 }
 
 static void gateways_changed(store_t *store) {
+    uint64_t pause_ms =
+        TELL_GATEWAYS_MS + gateway_directory_count(&store->gateways) / TELL_GATEWAYS_A_MS;
     if (!uv_is_active((const uv_handle_t *)&store->tell_gateways))
-        uv_timer_start(&store->tell_gateways, on_tell_gateways, TELL_GATEWAYS_MS, 0);
+        uv_timer_start(&store->tell_gateways, on_tell_gateways,
+                       MIN(pause_ms, (uint64_t)TELL_GATEWAYS_MOST_MS), 0);
 }
 
 static void take_gateway(store_t *store, frame_connection_t *connection, const message_t *message) {
--- a/tests/unit/directory_snapshot_test.cc
+++ b/tests/unit/directory_snapshot_test.cc
@@ -125,7 +125,7 @@
         g_bytes_unref(value);
     }
     GBytes *bytes = directory_snapshot_encode(&snapshot);
-    EXPECT_LE(g_bytes_get_size(bytes), size_t{backends} * 72);
+    EXPECT_LE(g_bytes_get_size(bytes), size_t{backends} * 30);
     g_bytes_unref(bytes);
 }
 
@@ -154,6 +154,20 @@
     g_bytes_unref(bytes);
 }
 
+TEST_F(DirectorySnapshot, ManyItemsAreTheSameAfterAJourney) {
+    for (unsigned i = 0; i < 6000; i++)
+        note(("key-" + std::to_string(i)).c_str(),
+             (std::to_string(i % 5000) + "-head-and-tail" + std::to_string(i)).c_str(), i);
+    GBytes *bytes = directory_snapshot_encode(&snapshot);
+    directory_snapshot_t other;
+    directory_snapshot_init(&other);
+    ASSERT_TRUE(directory_snapshot_decode(&other, bytes));
+    EXPECT_EQ(other.digest, snapshot.digest);
+    EXPECT_EQ(g_hash_table_size(other.items), 6000U);
+    directory_snapshot_clear(&other);
+    g_bytes_unref(bytes);
+}
+
 TEST_F(DirectorySnapshot, IsTheSameAfterAJourney) {
     note("a", "1", 5);
     note("b", "", 6);
--- a/tests/unit/key_value_watch_test.cc
+++ b/tests/unit/key_value_watch_test.cc
@@ -138,6 +138,10 @@
         world.watch = key_value_watch_open(&world.loop, &world.address, "h", "", 3000,
                                            &watch_handler, &watcher);
     }
+    void open_held() {
+        world.watch = key_value_watch_open_held(&world.loop, &world.address, "h", "", 3000,
+                                                &watch_handler, &watcher);
+    }
     bool run_until(const std::function<bool()> &done, uint64_t most_ms = patience_ms) {
         uv_update_time(&world.loop);
         uint64_t until = uv_now(&world.loop) + most_ms;
@@ -156,42 +160,29 @@
     Watcher &watcher;
 };
 
-TEST_F(KeyValueWatch, AListingOfManyItemsIsHeldAndGoesOn) {
+TEST_F(KeyValueWatch, OneThatIsHeldAsksNothingUntilItGoesOn) {
     service.keys = 1000;
-    open();
-    key_value_watch_hold_after(world.watch, 150);
-    ASSERT_TRUE(run_until([this] { return key_value_watch_held_since(world.watch) > 0; }));
-    EXPECT_EQ(watcher.items, 200U) << "two pages";
-    EXPECT_FALSE(run_until([this] { return watcher.items > 200; }, 200));
+    open_held();
+    EXPECT_GT(key_value_watch_held_since(world.watch), 0U);
+    EXPECT_FALSE(run_until([this] { return !service.targets.empty(); }, 300));
     key_value_watch_go_on(world.watch);
+    EXPECT_EQ(key_value_watch_held_since(world.watch), 0U);
     EXPECT_TRUE(run_until([this] { return watcher.listings == 1; }));
     EXPECT_EQ(watcher.items, 1000U);
-    EXPECT_EQ(asked("kv-range"), 10U) << "no page twice";
-}
-
-TEST_F(KeyValueWatch, AListingOfFewItemsIsNotHeld) {
-    service.keys = 150;
-    open();
-    key_value_watch_hold_after(world.watch, 200);
-    EXPECT_TRUE(run_until([this] { return watcher.listings == 1; }));
-    EXPECT_EQ(key_value_watch_held_since(world.watch), 0U);
+    EXPECT_EQ(asked("kv-range"), 10U);
 }
 
 TEST_F(KeyValueWatch, OneThatIsHeldWatchesNothingUntilItsViewCameFromElsewhere) {
-    open();
-    ASSERT_TRUE(run_until([this] { return watcher.listings == 1; }));
-    key_value_watch_hold(world.watch);
     service.keys = 10;
-    ASSERT_TRUE(run_until([this] { return key_value_watch_held_since(world.watch) > 0; }));
-    size_t calls = service.targets.size();
-    EXPECT_FALSE(run_until([&] { return service.targets.size() > calls; }, 1500));
+    open_held();
+    key_value_watch_renew(world.watch);
+    EXPECT_FALSE(run_until([this] { return !service.targets.empty(); }, 300));
     key_value_watch_rest(world.watch);
     key_value_watch_advance(world.watch, 10);
     EXPECT_EQ(key_value_watch_held_since(world.watch), 0U);
     service.keys = 12;
-    unsigned before = watcher.items;
     key_value_watch_renew(world.watch);
-    EXPECT_TRUE(run_until([&] { return watcher.items == before + 2; }));
+    EXPECT_TRUE(run_until([this] { return watcher.items == 2; })) << "from there on";
 }
 
 // 10,000 back ends that start came in answers of 500 with pauses between: the last 12 s late.
--- a/tests/unit/listing_turn_test.cc
+++ b/tests/unit/listing_turn_test.cc
@@ -12,7 +12,7 @@
 constexpr uint64_t told = start + 400;
 
 listing_turn_t turn_of(unsigned rank, bool below) {
-    return {start, told, rank, below, 1000};
+    return {start, told, rank, below, false, 1000};
 }
 
 TEST(ListingTurn, OnlyTheFirstOfTheRootGoOnSoon) {
@@ -40,6 +40,15 @@
     EXPECT_TRUE(listing_turn_due(&turn, start + LISTING_MOST_MS + turn.spread_ms));
 }
 
+// Without storage nodes nobody can give it a view; calls to plain services can still be served.
+TEST(ListingTurn, OneThatReachesNoStorageNodeListsSooner) {
+    listing_turn_t turn = turn_of(500, false);
+    turn.told_at = 0;
+    turn.lone = true;
+    EXPECT_FALSE(listing_turn_due(&turn, start + LISTING_LONE_MS + turn.spread_ms - 1));
+    EXPECT_TRUE(listing_turn_due(&turn, start + LISTING_LONE_MS + turn.spread_ms));
+}
+
 // 865 gateways listed 52 pages each: 45,000 calls where the service answers 16,000 a second.
 TEST(ListingTurn, ThoseThatListDoNotGrowWithTheFleet) {
     for (unsigned gateways : {30U, 300U, 3300U}) {
--- a/tests/unit/watch_duty_test.cc
+++ b/tests/unit/watch_duty_test.cc
@@ -22,7 +22,7 @@
     }
     watch_decision_t decide(uint64_t at = now, uint64_t tell_period = period) {
         return watch_duty_decide(&own, reports.data(), static_cast<unsigned>(reports.size()),
-                                 tell_period, at);
+                                 tell_period, tell_period, at);
     }
     watch_state_t own;
     std::vector<watch_report_t> reports;
