--- a/src/cluster/directory_snapshot.c
+++ b/src/cluster/directory_snapshot.c
@@ -4,6 +4,7 @@
 
 #include <string.h>
 #include <xxhash.h>
+#include <zlib.h>
 
 enum { ITEMS_MAXIMUM = 1000000 };
 
@@ -70,11 +71,48 @@
  * start get them in half the time: from seven storage nodes over 600 Mbit/s. */
 
 enum {
-    FORMAT = 2,     /**< Of the encoding; others are not read. */
+    FORMAT = 2, /**< Of the encoding; others are not read. */
+    COMPRESSION_LEVEL = 3,
+    EXPANDED_MAXIMUM = 64 * 1024 * 1024, /**< Bytes; longer ones are not read. */
+    LENGTH_BYTES = 4,
     TAIL_BYTES = 8, /**< A value's end, which is not shared: an address and its port. */
     HEADS_MAXIMUM = 4096,
 };
 
+/** The length of the plain bytes, big-endian, and what zlib makes of them. */
+static GBytes *deflate_bytes(GBytes *plain) {
+    gsize length;
+    const Bytef *data = g_bytes_get_data(plain, &length);
+    uLongf room = compressBound(length);
+    GByteArray *output = g_byte_array_sized_new((guint)(LENGTH_BYTES + room));
+    g_byte_array_set_size(output, (guint)(LENGTH_BYTES + room));
+    guint32 prefix = GUINT32_TO_BE((guint32)length);
+    memcpy(output->data, &prefix, LENGTH_BYTES);
+    int status = compress2(output->data + LENGTH_BYTES, &room, data, length, COMPRESSION_LEVEL);
+    g_assert(status == Z_OK); /* There is room, and the level is a valid one. */
+    g_byte_array_set_size(output, (guint)(LENGTH_BYTES + room));
+    return g_byte_array_free_to_bytes(output);
+}
+
+/** NULL if @p bytes were not made by deflate_bytes. */
+static GBytes *inflate_bytes(GBytes *bytes) {
+    gsize length;
+    const Bytef *data = g_bytes_get_data(bytes, &length);
+    guint32 prefix;
+    if (length < LENGTH_BYTES)
+        return NULL;
+    memcpy(&prefix, data, LENGTH_BYTES);
+    uLongf expanded = GUINT32_FROM_BE(prefix);
+    if (expanded > EXPANDED_MAXIMUM)
+        return NULL;
+    guint8 *plain = g_malloc(expanded);
+    int status = uncompress(plain, &expanded, data + LENGTH_BYTES, length - LENGTH_BYTES);
+    if (status == Z_OK && expanded == GUINT32_FROM_BE(prefix))
+        return g_bytes_new_take(plain, expanded);
+    g_free(plain);
+    return NULL;
+}
+
 static gint compare_keys(gconstpointer a, gconstpointer b) {
     return strcmp(*(const char *const *)a, *(const char *const *)b);
 }
@@ -165,7 +203,9 @@
     }
     g_hash_table_destroy(heads);
     g_ptr_array_free(keys, TRUE);
-    snapshot->encoded = codec_finish(&codec);
+    GBytes *plain = codec_finish(&codec);
+    snapshot->encoded = deflate_bytes(plain);
+    g_bytes_unref(plain);
     return g_bytes_ref(snapshot->encoded);
 }
 
@@ -184,33 +224,44 @@
     return head;
 }
 
-static GBytes *join(GBytes *head, GBytes *tail) {
-    GByteArray *value = g_byte_array_new();
+/** Appends the bytes to the value in the making. */
+static void append_bytes(GByteArray *value, GBytes *bytes) {
     gsize length;
-    const void *data = g_bytes_get_data(head, &length);
-    g_byte_array_append(value, data, (guint)length);
-    data = g_bytes_get_data(tail, &length);
-    g_byte_array_append(value, data, (guint)length);
+    const void *data = g_bytes_get_data(bytes, &length);
+    if (length > 0)
+        g_byte_array_append(value, data, (guint)length);
+}
+
+static GBytes *join(GBytes *head, GBytes *tail) {
+    GByteArray *value = g_byte_array_sized_new((guint)(g_bytes_get_size(head) + TAIL_BYTES));
+    append_bytes(value, head);
+    append_bytes(value, tail);
     return g_byte_array_free_to_bytes(value);
 }
 
-/** Reads one item and notes it; @p before is the key before it, and becomes its key. */
-static bool decode_item(codec_t *codec, directory_snapshot_t *snapshot, GPtrArray *heads,
-                        GString *before) {
+/** What the items of a snapshot are read into, one after the other. */
+typedef struct {
+    GPtrArray *heads; /**< Of GBytes. */
+    GString *key;     /**< Of the latest item. */
+    void (*take)(void *owner, const char *key, GBytes *value);
+    void *owner;
+} reading_t;
+
+static bool read_item(codec_t *codec, reading_t *reading) {
     uint32_t shared = 0;
     char *rest = NULL;
     GBytes *tail = NULL;
     codec_uint32(codec, &shared);
     codec_text(codec, &rest);
-    GBytes *head = decode_head(codec, heads);
+    GBytes *head = decode_head(codec, reading->heads);
     codec_bytes(codec, &tail);
-    bool valid =
-        !codec->failed && rest != NULL && head != NULL && tail != NULL && shared <= before->len;
+    bool valid = !codec->failed && rest != NULL && head != NULL && tail != NULL &&
+                 shared <= reading->key->len;
     if (valid) {
-        g_string_truncate(before, shared);
-        g_string_append(before, rest);
+        g_string_truncate(reading->key, shared);
+        g_string_append(reading->key, rest);
         GBytes *value = join(head, tail);
-        directory_snapshot_note(snapshot, &(key_value_item_t){.key = before->str, .value = value});
+        reading->take(reading->owner, reading->key->str, value);
         g_bytes_unref(value);
     }
     g_free(rest);
@@ -219,7 +270,8 @@
     return valid;
 }
 
-bool directory_snapshot_decode(directory_snapshot_t *snapshot, GBytes *bytes) {
+static bool read_plain(GBytes *bytes, uint64_t *revision,
+                       void (*take)(void *owner, const char *key, GBytes *value), void *owner) {
     gsize length;
     const void *data = g_bytes_get_data(bytes, &length);
     codec_t codec;
@@ -227,14 +279,35 @@
     uint32_t count = 0;
     codec_start_decoding(&codec, data, length);
     codec_uint32(&codec, &format);
-    codec_uint64(&codec, &snapshot->revision);
+    codec_uint64(&codec, revision);
     codec_count(&codec, &count, ITEMS_MAXIMUM);
     bool valid = !codec.failed && format == FORMAT;
-    GPtrArray *heads = g_ptr_array_new_with_free_func(unref_bytes);
-    GString *before = g_string_new(NULL);
+    reading_t reading = {g_ptr_array_new_with_free_func(unref_bytes), g_string_new(NULL), take,
+                         owner};
     for (uint32_t i = 0; i < count && valid; i++)
-        valid = decode_item(&codec, snapshot, heads, before);
-    g_string_free(before, TRUE);
-    g_ptr_array_free(heads, TRUE);
+        valid = read_item(&codec, &reading);
+    g_string_free(reading.key, TRUE);
+    g_ptr_array_free(reading.heads, TRUE);
     return valid && codec_complete(&codec);
 }
+
+bool directory_snapshot_read(GBytes *bytes, uint64_t *revision,
+                             void (*take)(void *owner, const char *key, GBytes *value),
+                             void *owner) {
+    GBytes *plain = inflate_bytes(bytes);
+    bool valid = plain != NULL && read_plain(plain, revision, take, owner);
+    if (plain != NULL)
+        g_bytes_unref(plain);
+    return valid;
+}
+
+static void note_item(void *owner, const char *key, GBytes *value) {
+    directory_snapshot_note(owner, &(key_value_item_t){.key = (char *)key, .value = value});
+}
+
+bool directory_snapshot_decode(directory_snapshot_t *snapshot, GBytes *bytes) {
+    uint64_t revision = 0;
+    bool valid = directory_snapshot_read(bytes, &revision, note_item, snapshot);
+    snapshot->revision = revision;
+    return valid;
+}
--- a/src/cluster/directory_snapshot.h
+++ b/src/cluster/directory_snapshot.h
@@ -28,6 +28,13 @@
 GPtrArray *directory_snapshot_missing(const directory_snapshot_t *snapshot, GHashTable *keys);
 /** The same bytes again while nothing changes; the caller owns a reference. */
 GBytes *directory_snapshot_encode(directory_snapshot_t *snapshot);
+/**
+ * Calls @p take for each item of an encoded snapshot, and sets @p revision before; false if @p
+ * bytes are no snapshot: then some items may have been taken.
+ */
+bool directory_snapshot_read(GBytes *bytes, uint64_t *revision,
+                             void (*take)(void *owner, const char *key, GBytes *value),
+                             void *owner);
 /** False if @p bytes are no snapshot; @p snapshot is an empty one before. */
 bool directory_snapshot_decode(directory_snapshot_t *snapshot, GBytes *bytes);
 
--- a/src/gateway/directory_watch.c
+++ b/src/gateway/directory_watch.c
@@ -130,7 +130,8 @@
     if (!news)
         return;
     take_item(gateway, item);
-    gateway_check_ready(gateway);
+    if (gateway->backends_listed)
+        gateway_check_ready(gateway);
 }
 
 void gateway_take_item(gateway_t *gateway, const key_value_item_t *item) {
@@ -253,31 +254,26 @@
 
 /* The directory that the storage nodes keep. */
 
-static void take_snapshot(gateway_t *gateway, const directory_snapshot_t *snapshot) {
-    GHashTableIter iterator;
-    gpointer key;
-    gpointer value;
-    g_hash_table_iter_init(&iterator, snapshot->items);
-    while (g_hash_table_iter_next(&iterator, &key, &value)) {
-        key_value_item_t item = {.key = key, .value = value, .revision = snapshot->revision};
-        /* What the service itself has shown is newer. */
-        if (!g_hash_table_contains(gateway->snapshot.items, key))
-            gateway_take_item(gateway, &item);
-    }
-    gateway->backends_listed = true;
-    event_log(GATEWAY_DIRECTORY_KEPT, snapshot->revision, backends_count(&gateway->backends));
-    gateway_check_ready(gateway);
+/** Takes an item of a directory that a storage node kept. */
+static void take_kept_item(void *owner, const char *key, GBytes *value) {
+    gateway_t *gateway = owner;
+    /* What the service itself has shown is newer. */
+    if (g_hash_table_contains(gateway->snapshot.items, key))
+        return;
+    key_value_item_t item = {.key = (char *)key, .value = value};
+    gateway_take_item(gateway, &item);
 }
 
 void gateway_take_directory(void *owner, GBytes *bytes) {
     gateway_t *gateway = owner;
-    if (gateway->backends_listed)
+    uint64_t revision = 0;
+    if (gateway->backends_listed ||
+        !directory_snapshot_read(bytes, &revision, take_kept_item, gateway))
         return;
-    directory_snapshot_t snapshot;
-    directory_snapshot_init(&snapshot);
-    if (directory_snapshot_decode(&snapshot, bytes))
-        take_snapshot(gateway, &snapshot);
-    directory_snapshot_clear(&snapshot);
+    gateway->snapshot.revision = MAX(gateway->snapshot.revision, revision);
+    gateway->backends_listed = true;
+    event_log(GATEWAY_DIRECTORY_KEPT, revision, backends_count(&gateway->backends));
+    gateway_check_ready(gateway);
 }
 
 GBytes *gateway_read_directory(void *owner, uint64_t *revision) {
