gateways: a kept directory is gone on with by a watch, not by a listing

Cause: after a loss of power the first three gateways of each zone's root cell listed the whole service, 52 calls each, though storage nodes had just given them what it held a moment before. Change: a held watch takes over from the kept directory's revision; its first call asks what came since and waits for nothing, which confirms the view; if the service has forgotten, all is listed. A gateway offers and feeds only what is confirmed, and not in the middle of a listing.

--- a/src/cluster/key_value_watch.c
+++ b/src/cluster/key_value_watch.c
@@ -46,6 +46,7 @@
     GHashTable *listed;  /**< Keys of the listing in the making. */
     char *after;         /**< Last key of the listing's last page. */
     uint64_t held_since; /**< 0: it is not held. */
+    bool resumed;        /**< No answer since it was told what is known from elsewhere. */
     uint64_t revision;
     uint64_t list_revision;
     unsigned failures;
@@ -75,6 +76,7 @@
 
 static void start_listing(key_value_watch_t *watch) {
     watch->phase = LISTING;
+    watch->resumed = false;
     g_hash_table_remove_all(watch->listed);
     g_free(watch->after);
     watch->after = g_strdup("");
@@ -183,6 +185,7 @@
     bool listed = watch->phase == LISTING;
     bool changed = !listed && page.items->len > 0;
     bool full = !listed && page.items->len >= FULL_EVENTS;
+    bool caught_up = watch->resumed && !full;
     if (listed) {
         page_listed(watch, &page);
     } else {
@@ -190,6 +193,10 @@
         watch->revision = MAX(watch->revision, page.revision);
     }
     key_value_page_clear(&page);
+    if (caught_up) {
+        watch->resumed = false;
+        watch->handler->on_listed(watch->owner, NULL);
+    }
     uint64_t pause = 0;
     if (listed && watch->phase == WATCHING)
         pause = LISTED_PAUSE_MS;
@@ -225,9 +232,10 @@
     watch->begun_at = uv_now(watch->loop);
     bool listing = watch->phase == LISTING;
     watch->waiting = !listing;
-    GString *request = listing ? key_value_list_request(watch->host, watch->prefix, watch->after)
-                               : key_value_watch_request(watch->host, watch->prefix,
-                                                         watch->revision, watch->wait_ms);
+    GString *request = listing
+                           ? key_value_list_request(watch->host, watch->prefix, watch->after)
+                           : key_value_watch_request(watch->host, watch->prefix, watch->revision,
+                                                     watch->resumed ? 0 : watch->wait_ms);
     uint64_t limit = listing ? ANSWER_MS : (uint64_t)watch->wait_ms + WATCH_EXTRA_MS;
     uv_timer_start(&watch->timer, on_time_over, limit, 0);
     if (watch->client == NULL)
@@ -302,6 +310,13 @@
     return watch->held_since;
 }
 
+void key_value_watch_resume(key_value_watch_t *watch, uint64_t revision) {
+    watch->phase = WATCHING;
+    watch->resumed = true;
+    watch->revision = revision;
+    watch->changed = MAX(watch->changed, revision);
+}
+
 void key_value_watch_go_on(key_value_watch_t *watch) {
     bool held = watch->held_since > 0;
     watch->held_since = 0;
@@ -332,6 +347,7 @@
 
 void key_value_watch_advance(key_value_watch_t *watch, uint64_t changed) {
     watch->phase = WATCHING;
+    watch->resumed = false;
     watch->held_since = 0;
     watch->failures = 0;
     watch->revision = MAX(watch->revision, changed);
--- a/src/cluster/key_value_watch.h
+++ b/src/cluster/key_value_watch.h
@@ -21,7 +21,10 @@
 typedef struct {
     /** A key was written or, with a NULL value, is gone. */
     void (*on_item)(void *owner, const key_value_item_t *item);
-    /** A listing is complete; @p keys holds its keys as a set. Others exist no more. */
+    /**
+     * A listing is complete; @p keys holds its keys as a set. Others exist no more. NULL: all since
+     * the revision of key_value_watch_resume was seen instead.
+     */
     void (*on_listed)(void *owner, GHashTable *keys);
     /** The service answers again, or no longer. */
     void (*on_reachable)(void *owner, bool reachable);
@@ -38,6 +41,11 @@
                                              const key_value_watch_handler_t *handler, void *owner);
 /** Since when it is held, in loop time; 0: it is not, or all was seen elsewhere since. */
 uint64_t key_value_watch_held_since(const key_value_watch_t *watch);
+/**
+ * While it is held: what stood there at @p revision is known from elsewhere, so that it will begin
+ * with a watch from there. If the service has forgotten what came since, all is listed.
+ */
+void key_value_watch_resume(key_value_watch_t *watch, uint64_t revision);
 /** Begins to list and watch. */
 void key_value_watch_go_on(key_value_watch_t *watch);
 /** How long the next watch waits for a change, in ms. */
--- a/src/gateway/directory_duty.c
+++ b/src/gateway/directory_duty.c
@@ -85,7 +85,8 @@
     if (gateway->watch == NULL)
         return;
     bool listed = key_value_watch_listed(gateway->watch);
-    state->known = listed ? key_value_watch_changed(gateway->watch) : 0;
+    bool sure = listed && gateway->directory_confirmed;
+    state->known = sure ? key_value_watch_changed(gateway->watch) : 0;
     bool follows = directory_follow_current(gateway->follow);
     state->watching = !key_value_watch_rests(gateway->watch) || views_root(gateway) ||
                       (is_root(gateway) && follows);
--- a/src/gateway/directory_watch.c
+++ b/src/gateway/directory_watch.c
@@ -196,7 +196,8 @@
 
 static void on_listed(void *owner, GHashTable *keys) {
     gateway_t *gateway = owner;
-    gateway_retain_items(gateway, keys);
+    if (keys != NULL)
+        gateway_retain_items(gateway, keys);
     key_value_watch_set_pause(gateway->watch, WATCH_RESTING_PAUSE_MS);
     gateway_note_listed(gateway);
 }
@@ -273,12 +274,15 @@
     gateway->snapshot.revision = MAX(gateway->snapshot.revision, revision);
     gateway->backends_listed = true;
     event_log(GATEWAY_DIRECTORY_KEPT, revision, backends_count(&gateway->backends));
+    if (key_value_watch_held_since(gateway->watch) > 0)
+        key_value_watch_resume(gateway->watch, revision);
     gateway_check_ready(gateway);
 }
 
 GBytes *gateway_read_directory(void *owner, uint64_t *revision) {
     gateway_t *gateway = owner;
-    if (!gateway->directory_confirmed)
+    /* While a listing goes on, items that it has not come to are older than its revision. */
+    if (!gateway->directory_confirmed || !key_value_watch_listed(gateway->watch))
         return NULL;
     *revision = gateway->snapshot.revision;
     return directory_snapshot_encode(&gateway->snapshot);
--- a/tests/unit/key_value_watch_test.cc
+++ b/tests/unit/key_value_watch_test.cc
@@ -33,6 +33,7 @@
 struct Watcher {
     unsigned items = 0;
     unsigned listings = 0;
+    unsigned resumptions = 0;
 };
 
 std::string key_of(unsigned number) {
@@ -79,7 +80,7 @@
             http_caller_answer(caller, 410, nullptr, "{}", 2);
             return;
         }
-        if (from >= service->keys) {
+        if (from >= service->keys && parameter(target, "wait-ms") != "0") {
             service->waiting.push_back(caller);
             return;
         }
@@ -98,8 +99,9 @@
     static_cast<Watcher *>(owner)->items++;
 }
 
-void on_listed(void *owner, GHashTable *) {
-    static_cast<Watcher *>(owner)->listings++;
+void on_listed(void *owner, GHashTable *keys) {
+    auto *watcher = static_cast<Watcher *>(owner);
+    (keys == nullptr ? watcher->resumptions : watcher->listings)++;
 }
 
 void on_reachable(void *, bool) {
@@ -185,6 +187,38 @@
     EXPECT_TRUE(run_until([this] { return watcher.items == 2; })) << "from there on";
 }
 
+// After a loss of power storage nodes have kept the view; a listing is 50 calls, this is one.
+TEST_F(KeyValueWatch, OneThatIsToldWhatWasKeptSeesOnlyWhatCameSince) {
+    service.keys = 1000;
+    open_held();
+    key_value_watch_resume(world.watch, 990);
+    EXPECT_FALSE(run_until([this] { return !service.targets.empty(); }, 200));
+    key_value_watch_go_on(world.watch);
+    EXPECT_TRUE(run_until([this] { return watcher.resumptions == 1; }));
+    EXPECT_EQ(watcher.items, 10U);
+    EXPECT_EQ(asked("kv-range"), 0U);
+    EXPECT_TRUE(run_until([this] { return !service.waiting.empty(); })) << "then it watches";
+}
+
+TEST_F(KeyValueWatch, IfNothingCameSinceThatIsSaidAtOnce) {
+    service.keys = 1000;
+    open_held();
+    key_value_watch_resume(world.watch, 1000);
+    key_value_watch_go_on(world.watch);
+    EXPECT_TRUE(run_until([this] { return watcher.resumptions == 1; }, 1000));
+}
+
+TEST_F(KeyValueWatch, IfTheServiceForgotWhatCameSinceTheKeptViewAllIsListed) {
+    service.keys = 1000;
+    service.forgotten = 500;
+    open_held();
+    key_value_watch_resume(world.watch, 400);
+    key_value_watch_go_on(world.watch);
+    EXPECT_TRUE(run_until([this] { return watcher.listings == 1; }));
+    EXPECT_EQ(watcher.resumptions, 0U);
+    EXPECT_EQ(watcher.items, 1000U);
+}
+
 // 10,000 back ends that start came in answers of 500 with pauses between: the last 12 s late.
 TEST_F(KeyValueWatch, AfterAFullAnswerTheNextWatchBeginsAtOnce) {
     open();
