--- a/src/gateway/directory_duty.c
+++ b/src/gateway/directory_duty.c
@@ -2,7 +2,7 @@
  * Design. Only the gateways on duty (watch_duty.h) watch the key-value service. The others follow
  * one of them (directory_feed.h, directory_follow.h): their own watches rest, and begin again from
  * what they know when there is no gateway to follow, or when another one knows of a change that did
- * not come this way. A gateway that rests can't be followed, so that there are no circles.
+ * not come this way. They follow only those that watch, so that there are no circles.
  *
  * In a large zone that is so within its root cell (store/gateway_directory.h). Of each other cell
  * the first few gateways that are up follow some gateway of the root cell, one of their *sources*,
@@ -110,7 +110,6 @@
     GHashTableIter iterator;
     gpointer key;
     gpointer value;
-    gateway->sources_failed = 0;
     if (snapshot != NULL) {
         g_hash_table_iter_init(&iterator, snapshot->items);
         while (g_hash_table_iter_next(&iterator, &key, &value)) {
@@ -239,19 +238,26 @@
     }
 }
 
+/** True if there is another gateway to follow that may know more than the one followed now. */
+static bool has_other_source(const gateway_t *gateway, bool rests, uint64_t changed) {
+    struct sockaddr_in other;
+    if (gateway->sources->len > 0 && !rests)
+        return gateway->sources_failed < SOURCE_REFUSED_TIMES;
+    return load_sharing_find_source(gateway->load_sharing, changed, &other);
+}
+
 /**
  * Leaves a source that lacks a change, or whose view has grown old, for another one; false if
  * there is none and this gateway has to ask the service.
  */
 static bool change_source(gateway_t *gateway, bool rests) {
-    bool has_source = directory_follow_active(gateway->follow);
-    bool tried_all = gateway->sources_failed >= SOURCE_REFUSED_TIMES;
-    if (!has_source || tried_all)
+    uint64_t changed = load_sharing_changed(gateway->load_sharing);
+    if (!directory_follow_active(gateway->follow) || !has_other_source(gateway, rests, changed))
         return false;
     directory_follow_end(gateway->follow, "behind", 0);
     gateway->sources_failed++;
     gateway->watch_state.behind_since = 0;
-    begin_to_follow(gateway, rests, load_sharing_changed(gateway->load_sharing));
+    begin_to_follow(gateway, rests, changed);
     return directory_follow_active(gateway->follow);
 }
 
@@ -301,6 +307,8 @@
     uint32_t age = directory_follow_answer_age(gateway->follow);
     if (views_root(gateway) && age != UINT32_MAX)
         own->answered_at = MAX(own->answered_at, now > age ? now - age : 0);
+    if (views_root(gateway) && age <= CURRENT_MS)
+        gateway->sources_failed = 0;
     /* While another source is tried it is not asked for more. */
     if (follows_root(gateway) && !directory_follow_current(gateway->follow))
         own->begun_at = now;
