--- a/src/core/configuration/listing_turn.h
+++ b/src/core/configuration/listing_turn.h
@@ -21,9 +21,12 @@
 #include <stdint.h>
 
 enum {
-    LISTING_SETTLE_MS = 500,  /**< Lists of gateways grow for so long while all connect. */
-    LISTING_EACH_MS = 1500,   /**< The next few list so much later, if the first ones don't. */
-    LISTING_LONE_MS = 1500,   /**< One that reaches no storage node lists after this, */
+    LISTING_SETTLE_MS = 500, /**< Lists of gateways grow for so long while all connect. */
+    LISTING_EACH_MS = 1500,  /**< The next few list so much later, if the first ones don't. */
+    LISTING_LONE_MS = 1500,  /**< One that reaches no storage node lists after this, */
+    /** One that has a kept view asks for what came since after this: a configuration may have
+     *  changed just before all lost power, and is to be in force 5 s later. */
+    LISTING_KEPT_MS = 2500,
     LISTING_MOST_MS = 10000,  /**< any gateway without a confirmed view after this, */
     LISTING_SPREAD_MS = 6000, /**< and a part of this, drawn, so that not all do at once. */
 };
@@ -35,10 +38,11 @@
     unsigned rank;    /**< Gateways of its cell that come before it. */
     bool below;       /**< Its cell is not the root. */
     bool lone;        /**< It knows no group, or reaches none of its members. */
+    bool kept;        /**< A storage node gave it a view: one call will do for the rest. */
     uint32_t spread_ms; /**< Drawn from LISTING_SPREAD_MS. */
 } listing_turn_t;
 
-/** True if the gateway is to list the service now. */
+/** True if the gateway is to list the service now, or to ask it for what came since. */
 bool listing_turn_due(const listing_turn_t *turn, uint64_t now);
 
 #endif
--- a/src/gateway/directory_duty.c
+++ b/src/gateway/directory_duty.c
@@ -228,13 +228,13 @@
 static void begin_to_follow(gateway_t *gateway, bool rests, uint64_t changed) {
     struct sockaddr_in source;
     unsigned sources = gateway->sources->len;
+    uint64_t pause = (uint64_t)SOURCE_REFUSED_MS << gateway->sources_failed;
     if (sources > 0 && !rests) {
-        uint64_t pause = (uint64_t)SOURCE_REFUSED_MS << gateway->sources_failed;
         source =
             g_array_index(gateway->sources, struct sockaddr_in, gateway->sources_tried++ % sources);
         directory_follow_begin(gateway->follow, &source, pause);
     } else if (load_sharing_find_source(gateway->load_sharing, changed, &source)) {
-        directory_follow_begin(gateway->follow, &source, DIRECTORY_FOLLOW_PAUSE_MS);
+        directory_follow_begin(gateway->follow, &source, pause);
     }
 }
 
@@ -307,7 +307,7 @@
     uint32_t age = directory_follow_answer_age(gateway->follow);
     if (views_root(gateway) && age != UINT32_MAX)
         own->answered_at = MAX(own->answered_at, now > age ? now - age : 0);
-    if (views_root(gateway) && age <= CURRENT_MS)
+    if (age <= CURRENT_MS)
         gateway->sources_failed = 0;
     /* While another source is tried it is not asked for more. */
     if (follows_root(gateway) && !directory_follow_current(gateway->follow))
--- a/src/gateway/directory_watch.c
+++ b/src/gateway/directory_watch.c
@@ -313,6 +313,7 @@
         .rank = load_sharing_rank(gateway->load_sharing),
         .below = gateway->sources->len > 0,
         .lone = !gateway->stores_reached && store_client_links_opened(gateway->stores) == 0,
+        .kept = gateway->backends_listed,
         .spread_ms = gateway->listing_spread_ms,
     };
     if (turn.held_since == 0 || !listing_turn_due(&turn, uv_now(gateway->loop)))
--- a/tests/unit/listing_turn_test.cc
+++ b/tests/unit/listing_turn_test.cc
@@ -12,7 +12,7 @@
 constexpr uint64_t told = start + 400;
 
 listing_turn_t turn_of(unsigned rank, bool below) {
-    return {start, told, rank, below, false, 1000};
+    return {start, told, rank, below, false, false, 1000};
 }
 
 TEST(ListingTurn, OnlyTheFirstOfTheRootGoOnSoon) {
@@ -40,6 +40,17 @@
     EXPECT_TRUE(listing_turn_due(&turn, start + LISTING_MOST_MS + turn.spread_ms));
 }
 
+// One gateway of 865 served an old configuration for 6 s after a loss of power.
+TEST(ListingTurn, OneWithAKeptViewHasItConfirmedWithinThreeAndAHalfSeconds) {
+    listing_turn_t turn = turn_of(500, true);
+    turn.kept = true;
+    for (uint32_t spread = 0; spread < LISTING_SPREAD_MS; spread += 100) {
+        turn.spread_ms = spread;
+        EXPECT_FALSE(listing_turn_due(&turn, start + LISTING_KEPT_MS - 1));
+        EXPECT_TRUE(listing_turn_due(&turn, start + 3500));
+    }
+}
+
 // Without storage nodes nobody can give it a view; calls to plain services can still be served.
 TEST(ListingTurn, OneThatReachesNoStorageNodeListsSooner) {
     listing_turn_t turn = turn_of(500, false);
