--- a/src/gateway/directory_duty.c
+++ b/src/gateway/directory_duty.c
@@ -265,7 +265,8 @@
 static void look_whether_to_follow(gateway_t *gateway, bool rests, bool renew) {
     directory_follow_t *follow = gateway->follow;
     bool below = gateway->sources->len > 0;
-    renew = renew && !change_source(gateway, rests);
+    /* One on duty at the root has to ask the service, which may answer it again. */
+    renew = renew && !((rests || below) && change_source(gateway, rests));
     bool held = key_value_watch_held_since(gateway->watch) > 0;
     bool may_rest = (gateway->directory_confirmed || held) && (rests || below);
     bool wanted =
