--- a/tests/unit/control_traffic_test.cc
+++ b/tests/unit/control_traffic_test.cc
@@ -108,12 +108,15 @@
 
     void add_backend(unsigned number) {
         char key[32];
-        snprintf(key, sizeof key, "servers/i-%010u", number);
+        /* Scattered as real ones are: consecutive names and addresses would be compressed away. */
+        uint64_t scattered = number * 0x9e3779b97f4a7c15U;
+        snprintf(key, sizeof key, "servers/i-%010llx",
+                 static_cast<unsigned long long>(scattered >> 24));
         backend_record_t record = {};
         record.service = const_cast<char *>("agent-service");
         record.zone = const_cast<char *>("region-a");
-        record.address.sin_addr.s_addr = htonl(0x0a000000 + number);
-        record.address.sin_port = htons(8080);
+        record.address.sin_addr.s_addr = htonl(0x0a000000 + static_cast<uint32_t>(scattered >> 44));
+        record.address.sin_port = htons(static_cast<uint16_t>(8000 + (scattered >> 54)));
         record.slots = 6;
         GBytes *value = backend_record_encode(&record);
         key_value_item_t item = {key, value, number + 1};
