--- a/src/core/configuration/listing_turn.c
+++ b/src/core/configuration/listing_turn.c
@@ -4,14 +4,12 @@
 
 enum { KEPT_SPREAD_SHARE = 6 }; /**< Of the spread, while only one call is to be made. */
 
-static uint64_t most_ms(const listing_turn_t *turn) {
-    if (turn->kept)
-        return LISTING_KEPT_MS + turn->spread_ms / KEPT_SPREAD_SHARE;
-    return (turn->lone ? LISTING_LONE_MS : LISTING_MOST_MS) + turn->spread_ms;
-}
-
 bool listing_turn_due(const listing_turn_t *turn, uint64_t now) {
-    if (now >= turn->held_since + most_ms(turn))
+    uint64_t kept_ms = LISTING_KEPT_MS + turn->spread_ms / KEPT_SPREAD_SHARE;
+    if (turn->kept_at > 0 && now >= turn->kept_at + kept_ms)
+        return true;
+    uint64_t most_ms = turn->lone ? LISTING_LONE_MS : LISTING_MOST_MS;
+    if (now >= turn->held_since + most_ms + turn->spread_ms)
         return true;
     if (turn->told_at == 0 || turn->below)
         return false;
--- a/src/core/configuration/listing_turn.h
+++ b/src/core/configuration/listing_turn.h
@@ -24,9 +24,10 @@
     LISTING_SETTLE_MS = 500, /**< Lists of gateways grow for so long while all connect. */
     LISTING_EACH_MS = 1500,  /**< The next few list so much later, if the first ones don't. */
     LISTING_LONE_MS = 1500,  /**< One that reaches no storage node lists after this, */
-    /** One that has a kept view asks for what came since after this: a configuration may have
-     *  changed just before all lost power, and is to be in force 5 s later. */
-    LISTING_KEPT_MS = 2500,
+    /** One that was given a kept view, and follows nobody then, asks for what came since after
+     * this: a configuration may have changed just before all lost power, and is to be in force 5 s
+     *  after they are back. */
+    LISTING_KEPT_MS = 3500,
     LISTING_MOST_MS = 10000,  /**< any gateway without a confirmed view after this, */
     LISTING_SPREAD_MS = 6000, /**< and a part of this, drawn, so that not all do at once. */
 };
@@ -38,7 +39,7 @@
     unsigned rank;    /**< Gateways of its cell that come before it. */
     bool below;       /**< Its cell is not the root. */
     bool lone;        /**< It knows no group, or reaches none of its members. */
-    bool kept;        /**< A storage node gave it a view: one call will do for the rest. */
+    uint64_t kept_at; /**< When a storage node gave it a view; 0: none has, or it follows. */
     uint32_t spread_ms; /**< Drawn from LISTING_SPREAD_MS. */
 } listing_turn_t;
 
--- a/src/gateway/directory_watch.c
+++ b/src/gateway/directory_watch.c
@@ -272,6 +272,7 @@
         !directory_snapshot_read(bytes, &revision, take_kept_item, gateway))
         return;
     gateway->snapshot.revision = MAX(gateway->snapshot.revision, revision);
+    gateway->kept_at = MAX(1, uv_now(gateway->loop));
     gateway->backends_listed = true;
     event_log(GATEWAY_DIRECTORY_KEPT, revision, backends_count(&gateway->backends));
     if (key_value_watch_held_since(gateway->watch) > 0)
@@ -313,7 +314,7 @@
         .rank = load_sharing_rank(gateway->load_sharing),
         .below = gateway->sources->len > 0,
         .lone = !gateway->stores_reached && store_client_links_opened(gateway->stores) == 0,
-        .kept = gateway->backends_listed,
+        .kept_at = directory_follow_active(gateway->follow) ? 0 : gateway->kept_at,
         .spread_ms = gateway->listing_spread_ms,
     };
     if (turn.held_since == 0 || !listing_turn_due(&turn, uv_now(gateway->loop)))
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -80,6 +80,7 @@
     uint64_t offered_revision; /**< Of the snapshot that storage nodes were last offered. */
     uint64_t offered_at;
     unsigned offered_links;         /**< Links that had opened by then. */
+    uint64_t kept_at;               /**< When a storage node's directory was taken; 0: never. */
     uint32_t listing_spread_ms;     /**< Drawn; see listing_turn.h. */
     uint64_t tells_directory_since; /**< Since when it has to tell the storage nodes; 0: not. */
     bool on_duty;                   /**< It has to watch the key-value service itself. */
