storage nodes: bytes of buffers are counted in one place; lint

Cause: the count stood twice; clang-tidy warns of integers kept as pointers. Change: store_buffer_bytes; numbers of heads are kept behind pointers.

--- a/src/cluster/directory_snapshot.c
+++ b/src/cluster/directory_snapshot.c
@@ -153,21 +153,17 @@
 /** Writes the number of a value's head; a new one is written after its number. */
 static void encode_head(codec_t *codec, GHashTable *heads, GBytes *value) {
     GBytes *head = head_of(value);
-    gpointer known;
-    uint32_t number = g_hash_table_size(heads);
-    bool old = g_hash_table_lookup_extended(heads, head, NULL, &known);
-    if (old)
-        number = GPOINTER_TO_UINT(known);
+    const uint32_t *known = g_hash_table_lookup(heads, head);
+    uint32_t number = known != NULL ? *known : g_hash_table_size(heads);
     codec_uint32(codec, &number);
-    if (old) {
-        g_bytes_unref(head);
-        return;
+    if (known == NULL)
+        codec_bytes(codec, &head);
+    if (known == NULL && number < HEADS_MAXIMUM) {
+        uint32_t *kept = g_new(uint32_t, 1);
+        *kept = number;
+        g_hash_table_insert(heads, g_bytes_ref(head), kept);
     }
-    codec_bytes(codec, &head);
-    if (number < HEADS_MAXIMUM)
-        g_hash_table_insert(heads, head, GUINT_TO_POINTER(number));
-    else
-        g_bytes_unref(head);
+    g_bytes_unref(head);
 }
 
 static void encode_item(codec_t *codec, GHashTable *heads, const char *before, const char *key,
@@ -194,7 +190,7 @@
     codec_uint32(&codec, &format);
     codec_uint64(&codec, &revision);
     codec_count(&codec, &count, ITEMS_MAXIMUM);
-    GHashTable *heads = g_hash_table_new_full(g_bytes_hash, g_bytes_equal, unref_bytes, NULL);
+    GHashTable *heads = g_hash_table_new_full(g_bytes_hash, g_bytes_equal, unref_bytes, g_free);
     const char *before = "";
     for (guint i = 0; i < keys->len; i++) {
         const char *key = g_ptr_array_index(keys, i);
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -86,6 +86,8 @@
 /* store_requests.c: answers to gateways and other members. */
 
 extern const frame_handler_t store_request_handler;
+/** Memory that the buffers of all connections hold, in bytes. */
+size_t store_buffer_bytes(const store_t *store);
 /** Prepares the list of gateways. */
 void store_requests_start(store_t *store);
 /** Takes a record of the log into the tables. */
--- a/src/store/store_directory.c
+++ b/src/store/store_directory.c
@@ -159,17 +159,6 @@
     directory->offer.taken_at = MAX(1, now(directory));
 }
 
-/** Memory that the buffers of all connections hold. */
-static size_t buffer_bytes(const store_t *store) {
-    size_t bytes = 0;
-    GHashTableIter iterator;
-    gpointer connection;
-    g_hash_table_iter_init(&iterator, store->connections);
-    while (g_hash_table_iter_next(&iterator, NULL, &connection))
-        bytes += frame_connection_buffer_bytes(connection);
-    return bytes;
-}
-
 static GBytes *obtain_message(store_directory_t *directory) {
     if (directory->message == NULL) {
         message_t message;
@@ -186,7 +175,7 @@
     if (directory->revision == 0)
         return;
     size_t waiting_there = frame_connection_backlog(connection);
-    size_t held = buffer_bytes(directory->store);
+    size_t held = store_buffer_bytes(directory->store);
     size_t memory = directory->store->settings->memory_megabytes * MEGABYTE;
     if (!directory_answer_now(waiting_there, held, memory)) {
         event_log(STORE_DIRECTORY_DEFERRED, (uint64_t)waiting_there, (uint64_t)held);
--- a/src/store/store_metrics.c
+++ b/src/store/store_metrics.c
@@ -4,16 +4,6 @@
 #include "cluster/metrics_page.h"
 #include "common/event.h"
 
-static size_t connection_buffer_bytes(const store_t *store) {
-    size_t bytes = 0;
-    GHashTableIter iterator;
-    gpointer connection;
-    g_hash_table_iter_init(&iterator, store->connections);
-    while (g_hash_table_iter_next(&iterator, NULL, &connection))
-        bytes += frame_connection_buffer_bytes(connection);
-    return bytes;
-}
-
 static void append_figures(void *owner, GString *text) {
     const store_t *store = owner;
     metrics_append(text, "store_generation", store->group->generation);
@@ -24,7 +14,7 @@
     metrics_append(text, "store_turn_bytes", store->turns.bytes);
     metrics_append(text, "store_log_bytes", record_log_bytes(store->log));
     metrics_append(text, "store_connections", g_hash_table_size(store->connections));
-    metrics_append(text, "store_connection_buffer_bytes", connection_buffer_bytes(store));
+    metrics_append(text, "store_connection_buffer_bytes", store_buffer_bytes(store));
     metrics_append(text, "store_gateways", gateway_directory_count(&store->gateways));
     metrics_append(text, "store_writes_failed_total", store->writes_failed);
     metrics_append(text, "store_no_room_total", store->refused_for_room);
--- a/src/store/store_requests.c
+++ b/src/store/store_requests.c
@@ -434,6 +434,16 @@
 
 const frame_handler_t store_request_handler = {on_open, on_frame, on_closed};
 
+size_t store_buffer_bytes(const store_t *store) {
+    size_t bytes = 0;
+    GHashTableIter iterator;
+    gpointer connection;
+    g_hash_table_iter_init(&iterator, store->connections);
+    while (g_hash_table_iter_next(&iterator, NULL, &connection))
+        bytes += frame_connection_buffer_bytes(connection);
+    return bytes;
+}
+
 void store_replay(void *owner, uint32_t segment, const uint8_t *data, size_t length) {
     store_t *store = owner;
     message_t record;
