--- a/src/gateway/directory_feed.h
+++ b/src/gateway/directory_feed.h
@@ -25,7 +25,7 @@
     directory_snapshot_t *snapshot;
     GBytes *group;  /**< The encoded store group; NULL: none is known. */
     uint64_t known; /**< Everything up to this revision is in there; 0: that can't be said now. */
-    bool watching;  /**< False: this gateway follows another one, and can't be followed. */
+    bool watching;  /**< False: it can't be followed; it follows another gateway of its cell. */
     uint32_t answer_age; /**< As in message_t. */
 } directory_feed_state_t;
 
--- a/src/gateway/directory_watch.c
+++ b/src/gateway/directory_watch.c
@@ -58,8 +58,8 @@
 
 /**
  * Each back end is logged by the gateways that watch the service themselves, once they have the
- * whole view; the others log how many changes came (E840). With 10,000 back ends and 865 gateways a
- * start wrote 8.6 million lines.
+ * whole view; the others log how many changes came (E840). By each of 865 gateways, 10,000 back
+ * ends at a start would be 8.6 million lines.
  */
 static bool logs_backends(const gateway_t *gateway) {
     return gateway->backends_listed && !key_value_watch_rests(gateway->watch);
