gateways: followers hear what a listing shows while it goes on; a listener that can't listen is freed

Change: while a listing goes on followers are told what it shows, with the revision that they had before and the age of the service's answers; the configuration is on its first page. The listener is freed (an older leak).

--- a/src/gateway/directory_feed.c
+++ b/src/gateway/directory_feed.c
@@ -103,10 +103,12 @@
 }
 
 /** Gives a new follower the whole view, once that is no older than what the follower knows. */
-static void welcome(follower_t *follower, const directory_feed_state_t *state) {
+static void welcome(directory_feed_t *feed, follower_t *follower,
+                    const directory_feed_state_t *state) {
     if (follower->told || state->known == 0 || state->known < follower->known)
         return;
     follower->told = true;
+    feed->told = state->known;
     frame_connection_send(follower->connection, encode_accepted(state));
     bool same = follower->view != 0 && follower->view == state->snapshot->digest;
     if (state->group != NULL)
@@ -115,12 +117,12 @@
                           same ? encode_no_changes(state) : encode_all(state));
 }
 
-static void welcome_all(const directory_feed_t *feed, const directory_feed_state_t *state) {
+static void welcome_all(directory_feed_t *feed, const directory_feed_state_t *state) {
     GHashTableIter iterator;
     gpointer follower;
     g_hash_table_iter_init(&iterator, feed->followers);
     while (g_hash_table_iter_next(&iterator, NULL, &follower))
-        welcome(follower, state);
+        welcome(feed, follower, state);
 }
 
 static void tell_changes(directory_feed_t *feed, const directory_feed_state_t *state) {
@@ -137,12 +139,16 @@
         send_to_all(feed, encode_all(&state));
         return;
     }
-    /* While a listing goes on nothing is told; its end tells what has changed meanwhile. */
-    if (state.known == 0)
-        return;
-    if (feed->noted)
+    /* While a listing goes on what it shows is told, but not that nothing is missing. A listing of
+     * 10,000 back ends takes seconds; followers that heard nothing meanwhile all listed themselves,
+     * and a configuration came into force only at its end. */
+    bool listing = state.known == 0;
+    if (listing)
+        state.known = feed->told;
+    if (feed->noted && state.known > 0)
         tell_changes(feed, &state);
-    welcome_all(feed, &state);
+    if (!listing)
+        welcome_all(feed, &state);
 }
 
 static void on_beat(uv_timer_t *timer) {
@@ -151,14 +157,8 @@
         uv_timer_stop(timer);
         return;
     }
-    directory_feed_state_t state = read_state(feed);
     feed->noted = true;
     on_tell(&feed->timer);
-    /* A watch that fails knows nothing for sure; who follows it should hear just that. */
-    if (state.watching && state.known == 0 && state.answer_age == UINT32_MAX) {
-        state.known = feed->told;
-        send_to_all(feed, encode_no_changes(&state));
-    }
 }
 
 /** In the next turn of the loop: a watch's answer brings several items. */
@@ -196,7 +196,7 @@
     follower->known = known;
     follower->view = view;
     g_hash_table_insert(feed->followers, (gpointer)frame_connection_serial(connection), follower);
-    welcome(follower, &state);
+    welcome(feed, follower, &state);
     if (!uv_is_active((const uv_handle_t *)&feed->beat))
         uv_timer_start(&feed->beat, on_beat, BEAT_MS, BEAT_MS);
     return true;
--- a/src/gateway/directory_feed.h
+++ b/src/gateway/directory_feed.h
@@ -42,9 +42,8 @@
 /** The connection with this serial number has ended; nothing happens if it was no follower's. */
 void directory_feed_remove(directory_feed_t *feed, const uint64_t *serial);
 /**
- * An item was written or is gone; told soon, together with others, and while a listing goes on at
- * its end. NULL: one that nobody needs, or the view is complete again, or can't be followed any
- * more: only that is told.
+ * An item was written or is gone; told soon, together with others. NULL: one that nobody needs, or
+ * the view is complete again, or can't be followed any more: only that is told.
  */
 void directory_feed_note(directory_feed_t *feed, const key_value_item_t *item);
 unsigned directory_feed_followers(const directory_feed_t *feed);
--- a/src/net/http_listener.c
+++ b/src/net/http_listener.c
@@ -446,6 +446,13 @@
     uv_read_start((uv_stream_t *)&caller->tcp, provide_buffer, on_read);
 }
 
+/** Of one that never listened: nothing else refers to it. */
+static void free_listener(uv_handle_t *handle) {
+    http_listener_t *listener = handle->data;
+    g_hash_table_destroy(listener->callers);
+    g_free(listener);
+}
+
 http_listener_t *http_listener_open(uv_loop_t *loop, const struct sockaddr_in *address,
                                     const http_limits_t *limits,
                                     const http_listener_handler_t *handler, void *owner) {
@@ -461,7 +468,7 @@
     if (status == 0)
         status = uv_listen((uv_stream_t *)&listener->tcp, BACKLOG, on_connection);
     if (status != 0) {
-        http_listener_stop(listener);
+        uv_close((uv_handle_t *)&listener->tcp, free_listener);
         return NULL;
     }
     return listener;
