storage nodes, gateways: logs tell why a turn is not kept, and how copying goes

After a loss of power every turn was refused, and no line said so: refusals for room stood in a counter alone, what the members had answered nowhere, and of copying only its end was logged. E813: a member refuses turns for want of room, or takes them again, with the figures that decide. E814: what reading the log brought back at a start. E815: copying from a member begins, is begun anew, ends. E841: what the members said of a turn that was not kept. Each is at most a line a change of state or a failed call.

--- a/src/gateway/store_operation.c
+++ b/src/gateway/store_operation.c
@@ -5,6 +5,8 @@
  */
 #include "gateway/store_client_state.h"
 
+#include "common/event.h"
+
 #include <string.h>
 
 enum {
@@ -139,6 +141,15 @@
         report_durable(operation, true);
 }
 
+static void log_turn_not_kept(const store_operation_t *operation) {
+    unsigned complete = count(operation, operation->durables, SAID_YES);
+    unsigned incomplete = count(operation, operation->durables, SAID_UNSURE);
+    unsigned refused = count(operation, operation->durables, SAID_NO);
+    unsigned silent = count(operation, operation->durables, SAID_NOTHING);
+    const turn_t *turn = &g_array_index(operation->request.turns, turn_t, 0);
+    event_log(GATEWAY_TURN_NOT_KEPT, turn->id, complete, incomplete, refused, silent);
+}
+
 static void evaluate_turn(store_operation_t *operation) {
     unsigned members = operation->client->members->len;
     unsigned quorum = store_write_quorum(members);
@@ -146,8 +157,10 @@
     unsigned copies = complete + count(operation, operation->durables, SAID_UNSURE);
     if (store_turn_durable(members, copies, complete))
         report_durable(operation, true);
-    else if (count(operation, operation->durables, SAID_NO) > members - quorum)
+    else if (count(operation, operation->durables, SAID_NO) > members - quorum) {
+        log_turn_not_kept(operation);
         report_durable(operation, false);
+    }
 }
 
 static void widen_chain(store_operation_t *operation) {
@@ -247,7 +260,10 @@
 }
 
 static void give_up(store_operation_t *operation) {
-    bool verdict_due = operation->request.type != REQUEST_PUT_TURN && !operation->granted;
+    bool turn = operation->request.type == REQUEST_PUT_TURN;
+    bool verdict_due = !turn && !operation->granted;
+    if (turn)
+        log_turn_not_kept(operation);
     if (verdict_due)
         report_verdict(operation, VERDICT_UNSURE, NULL);
     else
--- a/src/store/store.c
+++ b/src/store/store.c
@@ -32,6 +32,8 @@
     store->log = record_log_open(store->loop, store->settings->folder, store_replay, store, error);
     if (store->log == NULL)
         return false;
+    event_log(STORE_LOG_READ, store->records_read, g_hash_table_size(store->turns.entries),
+              store->turns.bytes, record_log_bytes(store->log));
     bool restored = store_restore_state(store);
     if (!restored) {
         store->founding = store->settings->first_start;
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -50,6 +50,8 @@
     latency_histogram_t write_latency; /**< From a write's arrival until it is on disk. */
     uint64_t writes_failed;
     uint64_t refused_for_room; /**< Turns, because memory or disk is nearly full. */
+    bool out_of_room;          /**< The last turn that came was refused for room. */
+    uint64_t records_read;     /**< From the log, at the start. */
     store_catch_up_state_t *catch_up;
     store_membership_t *membership;
     store_directory_t *directory;
--- a/src/store/store_catch_up.c
+++ b/src/store/store_catch_up.c
@@ -30,6 +30,7 @@
     store_peer_t *peer;
     copy_step_t step;
     uint64_t step_since;
+    uint64_t begun_at;  /**< When its peer was first asked what differs; 0: it was not. */
     GPtrArray *wanted;  /**< Ids of turns still to be asked for. */
     GPtrArray *awaited; /**< Ids of turns that another copy has asked for. */
     unsigned unwritten;
@@ -80,6 +81,14 @@
         release_claims(copy);
 }
 
+static uint64_t copy_age(const copy_t *copy) {
+    return uv_now(copy->catch_up->store->loop) - copy->begun_at;
+}
+
+static void log_copy(const copy_t *copy, const char *state, guint charges) {
+    event_log(STORE_COPY, copy->peer->name, state, copy->wanted->len, charges, copy_age(copy));
+}
+
 static void ask_for_turns(copy_t *copy) {
     if (copy->peer->connection == NULL) {
         set_step(copy, COPY_STATUS);
@@ -130,6 +139,7 @@
     } else if (copy->unwritten > 0 || (copy->awaited->len > 0 && !copy->failed)) {
         set_step(copy, COPY_WRITING);
     } else {
+        log_copy(copy, copy->failed ? "failed" : "ended", 0);
         set_step(copy, copy->failed ? COPY_STATUS : COPY_DONE);
         copy->failed = false;
     }
@@ -176,6 +186,7 @@
         if (turn_table_find(&store->turns, id) == NULL)
             claim_turn(copy, id);
     }
+    log_copy(copy, "begun", response->charges->len);
     go_on(copy);
 }
 
@@ -226,8 +237,10 @@
     const store_peer_t *peer = copy->peer;
     uint64_t age = uv_now(copy->catch_up->store->loop) - copy->step_since;
     bool stuck = (copy->step == COPY_INDEX || copy->step == COPY_TURNS) && age > STEP_MS;
-    if (stuck)
+    if (stuck) {
+        log_copy(copy, "stuck", 0);
         set_step(copy, COPY_STATUS);
+    }
     if (copy->step != COPY_STATUS)
         return;
     bool usable = peer->connection != NULL && peer->answered_at > 0 &&
@@ -235,6 +248,8 @@
     if (!usable)
         return;
     set_step(copy, COPY_INDEX);
+    if (copy->begun_at == 0)
+        copy->begun_at = copy->step_since;
     message_t request;
     message_init(&request, REQUEST_INDEX);
     request.generation = copy->catch_up->generation;
--- a/src/store/store_requests.c
+++ b/src/store/store_requests.c
@@ -106,11 +106,18 @@
     return write;
 }
 
-static bool has_room(const store_t *store) {
+/** True if one more turn may be taken; logs that it may not, or may again. */
+static bool check_room(store_t *store) {
     const process_settings_t *settings = store->settings;
     uint64_t memory = settings->memory_megabytes * MEGABYTE * MEMORY_SHARE_PERCENT / PERCENT;
     uint64_t disk = settings->disk_megabytes * MEGABYTE * DISK_SHARE_PERCENT / PERCENT;
-    return store->turns.bytes < memory && (disk == 0 || record_log_bytes(store->log) < disk);
+    uint64_t log_bytes = record_log_bytes(store->log);
+    bool room = store->turns.bytes < memory && (disk == 0 || log_bytes < disk);
+    if (room == store->out_of_room)
+        event_log(STORE_ROOM, room ? "yes" : "no", store->refused_for_room, store->turns.bytes,
+                  memory, log_bytes, disk);
+    store->out_of_room = !room;
+    return room;
 }
 
 static void reserve(store_t *store, frame_connection_t *connection, message_t *request,
@@ -161,7 +168,7 @@
 
 static void put_turn(store_t *store, frame_connection_t *connection, message_t *request,
                      GBytes *record) {
-    bool room = has_room(store);
+    bool room = check_room(store);
     if (request->turns->len != 1 || !room) {
         store->refused_for_room += !room;
         answer(connection, RESPONSE_DURABLE, request->number, request->generation, VERDICT_NO);
@@ -449,6 +456,7 @@
     message_t record;
     uint64_t until = now(store) + BUDGET_RETENTION_MS;
     bool valid = message_decode(&record, data, length);
+    store->records_read++;
     const budget_charge_t *charge = &record.charge;
     budget_charge_t settled = *charge;
     settled.settled = true;
