storage nodes: records keep their age over a restart, and copies the time that is left

Cause: a turn is kept for its retention time from when a process took it in, by a steady clock that begins anew with the process. Reading the log took every turn in anew, also those that had expired and stood in the log only beside charges, which are kept for 300 s. The class: an age that lives in memory alone, beside state that is on disk. The same in two other places: charges of budgets got their 300 s anew at each start, so that a node which ends more often than that would never have trimmed its log, and a member that copies turns gave each its whole time.

Change: the log holds marks of its own time, which goes on over restarts and stands while the node is down (core/turns/record_clock). Reading the log lets that time go by and forgets what expires, as it was when it was written, so that no more is held at any moment than was then. A log without marks is taken as before. A copy is sent with the time that is left of it. Since a shorter time no longer covers a turn whose child came first, a turn that is missing is kept, once it comes, as long as those that go on from it.

Ruled out: the time of day (may jump), a stop time in the state file (a loss of power writes none), an age in each record (a mark a second costs 20 bytes, each record would cost 5 to 9).

--- a/src/cluster/message.h
+++ b/src/cluster/message.h
@@ -49,6 +49,7 @@
     RESPONSE_ALLOWANCE,
     MESSAGE_CHARGE,          /**< A tenant's call was made without asking; no answer. */
     MESSAGE_DIRECTORY_KNOWN, /**< A gateway knows the directory up to a revision; may be asked. */
+    RECORD_TIME,             /**< Log only: a mark of the log's time; see record_clock.h. */
     MESSAGE_TYPE_COUNT,
 } message_type_t;
 
@@ -71,6 +72,7 @@
     quota_limit_t limit;      /**< That tenant's, as the sender knows it. */
     uint32_t
         wait_ms;    /**< Of an allowance: how long the call may wait; has to wait, or come back. */
+    uint64_t time;  /**< Of the log, in ms. */
     uint64_t place; /**< Hash of the back end's instance where the program last ran; 0: unknown. */
     char *turn_id;
     uint64_t revision;   /**< Of the directory snapshot, or up to which all changes are known. */
--- a/src/core/turns/turn_table.c
+++ b/src/core/turns/turn_table.c
@@ -41,12 +41,14 @@
 
 void turn_table_init(turn_table_t *table) {
     table->entries = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_entry);
+    table->wanted_until = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     table->bytes = 0;
     table->segments_needed_until = g_array_new(FALSE, TRUE, sizeof(uint64_t));
 }
 
 void turn_table_clear(turn_table_t *table) {
     g_hash_table_destroy(table->entries);
+    g_hash_table_destroy(table->wanted_until);
     g_array_free(table->segments_needed_until, TRUE);
 }
 
@@ -57,17 +59,44 @@
     *needed = MAX(*needed, until);
 }
 
+/** A turn that is not here will be kept until then if it comes. */
+static void want_missing(turn_table_t *table, const char *id, uint64_t expires_at) {
+    uint64_t *until = g_hash_table_lookup(table->wanted_until, id);
+    if (until == NULL) {
+        until = g_new0(uint64_t, 1);
+        g_hash_table_insert(table->wanted_until, g_strdup(id), until);
+    }
+    *until = MAX(*until, expires_at);
+}
+
 /** Extends the time of an entry and of the turns it goes on from to at least @p expires_at. */
 static void extend_chain(turn_table_t *table, turn_entry_t *entry, uint64_t expires_at) {
-    for (unsigned i = 0; entry != NULL && i < ANCESTORS_MAXIMUM; i++) {
+    for (unsigned i = 0; i < ANCESTORS_MAXIMUM; i++) {
         if (entry->expires_at >= expires_at && i > 0)
             return;
         entry->expires_at = MAX(entry->expires_at, expires_at);
         turn_table_need_segment(table, entry->segment, entry->expires_at);
-        entry = g_hash_table_lookup(table->entries, entry->turn.parent);
+        const char *parent = entry->turn.parent;
+        if (*parent == '\0')
+            return;
+        entry = g_hash_table_lookup(table->entries, parent);
+        if (entry == NULL) {
+            want_missing(table, parent, expires_at);
+            return;
+        }
     }
 }
 
+/** The time until which a turn that comes is kept: its own, or that of those that go on from it. */
+static uint64_t take_wanted(turn_table_t *table, const char *id, uint64_t expires_at) {
+    const uint64_t *until = g_hash_table_lookup(table->wanted_until, id);
+    if (until == NULL)
+        return expires_at;
+    expires_at = MAX(expires_at, *until);
+    g_hash_table_remove(table->wanted_until, id);
+    return expires_at;
+}
+
 bool turn_table_add(turn_table_t *table, const turn_t *turn, uint32_t segment, uint64_t now) {
     uint64_t expires_at = now + turn->retention_ms;
     turn_entry_t *entry = g_hash_table_lookup(table->entries, turn->id);
@@ -80,7 +109,7 @@
     entry->segment = segment;
     g_hash_table_insert(table->entries, entry->turn.id, entry);
     table->bytes += turn_bytes(turn);
-    extend_chain(table, entry, expires_at);
+    extend_chain(table, entry, take_wanted(table, turn->id, expires_at));
     return true;
 }
 
@@ -89,7 +118,20 @@
     return entry == NULL ? NULL : &entry->turn;
 }
 
+uint32_t turn_table_time_left(const turn_table_t *table, const char *id, uint64_t now) {
+    const turn_entry_t *entry = g_hash_table_lookup(table->entries, id);
+    if (entry == NULL || entry->expires_at <= now)
+        return 1;
+    return (uint32_t)MIN(entry->expires_at - now, (uint64_t)UINT32_MAX);
+}
+
+static gboolean wanted_no_more(gpointer id, gpointer until, gpointer now) {
+    (void)id;
+    return *(const uint64_t *)until <= *(const uint64_t *)now;
+}
+
 void turn_table_expire(turn_table_t *table, uint64_t now) {
+    g_hash_table_foreach_remove(table->wanted_until, wanted_no_more, &now);
     GHashTableIter iterator;
     gpointer value;
     g_hash_table_iter_init(&iterator, table->entries);
--- a/src/core/turns/turn_table.h
+++ b/src/core/turns/turn_table.h
@@ -2,9 +2,9 @@
  * @file turn_table.h
  * The finished turns of conversations, as a tree: each names the turn it goes on from.
  * A turn never changes once written. A turn is kept for its retention time, and as long as a
- * turn that goes on from it.
+ * turn that goes on from it, also if that one came first.
  *
- * Decision code: no I/O, clock or thread; times are milliseconds of the caller's steady clock.
+ * Decision code: no I/O, clock or thread; times are in ms, of one clock (record_clock.h).
  */
 #ifndef RUDDERWAY_CORE_TURNS_TURN_TABLE_H
 #define RUDDERWAY_CORE_TURNS_TURN_TABLE_H
@@ -32,6 +32,8 @@
 
 typedef struct {
     GHashTable *entries;           /**< Turn id to turn_entry_t. */
+    GHashTable *wanted_until;      /**< Id of a turn that is missing to the time until which turns
+                                      that go on from it are kept, a uint64_t. */
     uint64_t bytes;                /**< Memory that the turns take, roughly. */
     GArray *segments_needed_until; /**< By segment number: time until which it is needed. */
 } turn_table_t;
@@ -54,6 +56,8 @@
  */
 bool turn_table_add(turn_table_t *table, const turn_t *turn, uint32_t segment, uint64_t now);
 const turn_t *turn_table_find(const turn_table_t *table, const char *id);
+/** How long a turn of the table is kept yet, in ms; at least 1. */
+uint32_t turn_table_time_left(const turn_table_t *table, const char *id, uint64_t now);
 /** Removes the turns that have expired. */
 void turn_table_expire(turn_table_t *table, uint64_t now);
 /** True if no turn in @p segment is needed any more. */
--- a/src/store/store.c
+++ b/src/store/store.c
@@ -4,22 +4,38 @@
 #include "store/store_directory.h"
 
 enum {
-    UPKEEP_MS = 5000,
     QUOTA_RETENTION_MS = 120000, /**< A tenant is forgotten that has been silent for so long. */
     PLACE_RETENTION_MS = 60000,  /**< An engine has read over a prompt unused for so long. */
 };
 
 static bool segment_unneeded(void *owner, uint32_t segment) {
     const store_t *store = owner;
-    return turn_table_segment_unneeded(&store->turns, segment, uv_now(store->loop));
+    return turn_table_segment_unneeded(&store->turns, segment, store_time(store));
+}
+
+uint64_t store_time(const store_t *store) {
+    return record_clock_time(&store->clock, uv_now(store->loop));
+}
+
+void store_forget_expired(store_t *store) {
+    uint64_t time = store_time(store);
+    store->expired_at = time;
+    turn_table_expire(&store->turns, time);
+    if (time > BUDGET_RETENTION_MS)
+        budget_table_expire(&store->budgets, time - BUDGET_RETENTION_MS);
+}
+
+/** True if the log holds anything whose age counts. */
+static bool holds_records(const store_t *store) {
+    return g_hash_table_size(store->turns.entries) + g_hash_table_size(store->budgets.programs) > 0;
 }
 
 static void on_upkeep(uv_timer_t *timer) {
     store_t *store = timer->data;
     uint64_t now = uv_now(store->loop);
-    turn_table_expire(&store->turns, now);
-    if (now > BUDGET_RETENTION_MS)
-        budget_table_expire(&store->budgets, now - BUDGET_RETENTION_MS);
+    store_forget_expired(store);
+    if (holds_records(store))
+        store_mark_time(store);
     if (now > PLACE_RETENTION_MS)
         program_places_expire(&store->places, now - PLACE_RETENTION_MS);
     if (now > QUOTA_RETENTION_MS)
@@ -32,6 +48,8 @@
     store->log = record_log_open(store->loop, store->settings->folder, store_replay, store, error);
     if (store->log == NULL)
         return false;
+    record_clock_run(&store->clock, uv_now(store->loop));
+    store_forget_expired(store);
     event_log(STORE_LOG_READ, store->records_read, g_hash_table_size(store->turns.entries),
               store->turns.bytes, record_log_bytes(store->log));
     bool restored = store_restore_state(store);
@@ -65,7 +83,7 @@
     }
     uv_timer_init(store->loop, &store->upkeep);
     store->upkeep.data = store;
-    uv_timer_start(&store->upkeep, on_upkeep, UPKEEP_MS, UPKEEP_MS);
+    uv_timer_start(&store->upkeep, on_upkeep, STORE_UPKEEP_MS, STORE_UPKEEP_MS);
     store->catch_up = store_catch_up_new(store);
     store->membership = store_membership_new(store);
     store_directory_start(store->directory);
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -18,6 +18,7 @@
 #include "common/latency_histogram.h"
 #include "core/quorum/store_group.h"
 #include "core/quota/quota_table.h"
+#include "core/turns/record_clock.h"
 #include "net/frame_connection.h"
 #include "store/gateway_directory.h"
 #include "store/program_places.h"
@@ -31,6 +32,8 @@
     uv_loop_t *loop;
     const process_settings_t *settings;
     record_log_t *log;
+    record_clock_t clock; /**< By which turns and charges age; see store_time. */
+    uint64_t expired_at;  /**< When they were last looked at for expired ones, by that clock. */
     turn_table_t turns;
     budget_table_t budgets;
     program_places_t places;
@@ -58,14 +61,22 @@
     unsigned state_writes; /**< Of the state file, on their way to the disk. */
 } store_t;
 
-/** Charges are kept at least so long after their program's last call, in ms. */
-enum { BUDGET_RETENTION_MS = 300000 };
+enum {
+    /** Charges are kept at least so long after their program's last call, in ms. */
+    BUDGET_RETENTION_MS = 300000,
+    /** Expired turns and charges are forgotten this often, in ms, also while the log is read. */
+    STORE_UPKEEP_MS = 5000,
+};
 
 /**
  * store.c: reads the log, listens, and joins the group. Loop and settings are set before. False
  * and @p error if the folder can't be read or the address not be listened on.
  */
 bool store_open(store_t *store, GError **error);
+/** The time by which turns and charges age, in ms; see record_clock.h. */
+uint64_t store_time(const store_t *store);
+/** Forgets the turns and charges that have expired. */
+void store_forget_expired(store_t *store);
 
 /* store_state.c: what this node knows of itself and its group. */
 
@@ -92,6 +103,8 @@
 size_t store_buffer_bytes(const store_t *store);
 /** Prepares the list of gateways. */
 void store_requests_start(store_t *store);
+/** Marks the log's time if a mark is due; before a record, and from time to time without any. */
+void store_mark_time(store_t *store);
 /** Takes a record of the log into the tables. */
 void store_replay(void *owner, uint32_t segment, const uint8_t *data, size_t length);
 /** Appends a record that was copied from another member; @p done may be NULL. */
--- a/src/store/store_catch_up.c
+++ b/src/store/store_catch_up.c
@@ -253,7 +253,8 @@
     message_t request;
     message_init(&request, REQUEST_INDEX);
     request.generation = copy->catch_up->generation;
-    const store_t *store = copy->catch_up->store;
+    store_t *store = copy->catch_up->store;
+    store_forget_expired(store);
     record_digest_t digest;
     record_digest_compute(&digest, &store->turns, &store->budgets);
     request.digest = record_digest_encode(&digest);
--- a/src/store/store_requests.c
+++ b/src/store/store_requests.c
@@ -68,11 +68,11 @@
 static void on_write_done(void *owner, bool durable, uint32_t segment) {
     write_t *write = owner;
     store_t *store = write->store;
-    uint64_t until = now(store) + BUDGET_RETENTION_MS;
+    uint64_t time = store_time(store);
     if (durable && write->turn.id != NULL)
-        turn_table_add(&store->turns, &write->turn, segment, now(store));
+        turn_table_add(&store->turns, &write->turn, segment, time);
     else if (durable)
-        turn_table_need_segment(&store->turns, segment, until);
+        turn_table_need_segment(&store->turns, segment, time + BUDGET_RETENTION_MS);
     frame_connection_t *connection = waiting_connection(write);
     if (connection != NULL) {
         bool current = write->generation == store->group->generation;
@@ -106,6 +106,23 @@
     return write;
 }
 
+void store_mark_time(store_t *store) {
+    uint64_t mark;
+    if (!record_clock_mark(&store->clock, now(store), &mark))
+        return;
+    message_t record;
+    message_init(&record, RECORD_TIME);
+    record.time = mark;
+    record_log_append(store->log, message_encode(&record), NULL, NULL);
+    message_clear(&record);
+}
+
+/** Appends @p record, of which a reference is taken over. */
+static void append(store_t *store, GBytes *record, write_t *write) {
+    store_mark_time(store);
+    record_log_append(store->log, record, on_write_done, write);
+}
+
 /** True if one more turn may be taken; logs that it may not, or may again. */
 static bool check_room(store_t *store) {
     const process_settings_t *settings = store->settings;
@@ -131,10 +148,9 @@
     if (store_complete(store)) {
         response.verdict = VERDICT_YES;
         response.summary = budget_table_reserve(&store->budgets, charge->program, charge->call,
-                                                charge->most, now(store));
+                                                charge->most, store_time(store));
         response.place = program_places_find(&store->places, charge->program);
-        record_log_append(store->log, g_bytes_ref(record), on_write_done,
-                          new_write(store, connection, request));
+        append(store, g_bytes_ref(record), new_write(store, connection, request));
     }
     frame_connection_send(connection, message_encode(&response));
     message_clear(&response);
@@ -161,9 +177,9 @@
 static void settle(store_t *store, frame_connection_t *connection, message_t *request,
                    GBytes *record) {
     const budget_charge_t *charge = &request->charge;
-    budget_table_settle(&store->budgets, charge->program, charge->call, charge->spent, now(store));
-    record_log_append(store->log, g_bytes_ref(record), on_write_done,
-                      new_write(store, connection, request));
+    budget_table_settle(&store->budgets, charge->program, charge->call, charge->spent,
+                        store_time(store));
+    append(store, g_bytes_ref(record), new_write(store, connection, request));
 }
 
 static void put_turn(store_t *store, frame_connection_t *connection, message_t *request,
@@ -176,7 +192,7 @@
     }
     write_t *write = new_write(store, connection, request);
     turn_copy(&write->turn, &g_array_index(request->turns, turn_t, 0));
-    record_log_append(store->log, g_bytes_ref(record), on_write_done, write);
+    append(store, g_bytes_ref(record), write);
 }
 
 static void read_chain(store_t *store, frame_connection_t *connection, message_t *request) {
@@ -209,6 +225,7 @@
 }
 
 static void read_index(store_t *store, frame_connection_t *connection, message_t *request) {
+    store_forget_expired(store);
     index_t index;
     message_init(&index.response, RESPONSE_INDEX);
     index.response.number = request->number;
@@ -233,8 +250,12 @@
     response.generation = store->group->generation;
     for (guint i = 0; i < request->ids->len; i++) {
         const turn_t *turn = turn_table_find(&store->turns, g_ptr_array_index(request->ids, i));
-        if (turn != NULL)
-            message_add_turn(&response, turn);
+        if (turn == NULL)
+            continue;
+        /* The copy is kept as long as this one. */
+        message_add_turn(&response, turn);
+        turn_t *copy = &g_array_index(response.turns, turn_t, response.turns->len - 1);
+        copy->retention_ms = turn_table_time_left(&store->turns, turn->id, store_time(store));
     }
     frame_connection_send(connection, message_encode(&response));
     message_clear(&response);
@@ -451,35 +472,48 @@
     return bytes;
 }
 
+/** Time goes by as it did while the log was written, so that no more is held than was then. */
+static void replay_time(store_t *store, uint64_t mark) {
+    record_clock_read(&store->clock, mark);
+    if (store_time(store) >= store->expired_at + STORE_UPKEEP_MS)
+        store_forget_expired(store);
+}
+
+static void replay_charge(store_t *store, uint32_t segment, const budget_charge_t *charge) {
+    uint64_t time = store_time(store);
+    budget_table_merge(&store->budgets, charge, time);
+    turn_table_need_segment(&store->turns, segment, time + BUDGET_RETENTION_MS);
+}
+
+static void replay_record(store_t *store, uint32_t segment, message_t *record) {
+    switch (record->type) {
+    case REQUEST_SETTLE:
+        record->charge.settled = true;
+        replay_charge(store, segment, &record->charge);
+        break;
+    case REQUEST_RESERVE:
+    case RECORD_CHARGE:
+        replay_charge(store, segment, &record->charge);
+        break;
+    case REQUEST_PUT_TURN:
+        if (record->turns->len == 1)
+            turn_table_add(&store->turns, &g_array_index(record->turns, turn_t, 0), segment,
+                           store_time(store));
+        break;
+    case RECORD_TIME:
+        replay_time(store, record->time);
+        break;
+    default:
+        break;
+    }
+}
+
 void store_replay(void *owner, uint32_t segment, const uint8_t *data, size_t length) {
     store_t *store = owner;
     message_t record;
-    uint64_t until = now(store) + BUDGET_RETENTION_MS;
-    bool valid = message_decode(&record, data, length);
     store->records_read++;
-    const budget_charge_t *charge = &record.charge;
-    budget_charge_t settled = *charge;
-    settled.settled = true;
-    if (valid) {
-        switch (record.type) {
-        case REQUEST_RESERVE:
-        case RECORD_CHARGE:
-            budget_table_merge(&store->budgets, charge, now(store));
-            turn_table_need_segment(&store->turns, segment, until);
-            break;
-        case REQUEST_SETTLE:
-            budget_table_merge(&store->budgets, &settled, now(store));
-            turn_table_need_segment(&store->turns, segment, until);
-            break;
-        case REQUEST_PUT_TURN:
-            if (record.turns->len == 1)
-                turn_table_add(&store->turns, &g_array_index(record.turns, turn_t, 0), segment,
-                               now(store));
-            break;
-        default:
-            break;
-        }
-    }
+    if (message_decode(&record, data, length))
+        replay_record(store, segment, &record);
     message_clear(&record);
 }
 
@@ -492,6 +526,6 @@
     if (record->type == REQUEST_PUT_TURN)
         turn_copy(&write->turn, &g_array_index(record->turns, turn_t, 0));
     else
-        budget_table_merge(&store->budgets, &record->charge, now(store));
-    record_log_append(store->log, message_encode(record), on_write_done, write);
+        budget_table_merge(&store->budgets, &record->charge, store_time(store));
+    append(store, message_encode(record), write);
 }
--- a/src/storesim/workload.c
+++ b/src/storesim/workload.c
@@ -405,10 +405,10 @@
     virtual_after(CONNECT_CHECK_MS, NULL, check_relays, NULL);
 }
 
-void workload_start(world_t *in_world, uint64_t until, uint32_t keep_ms) {
+void workload_start(world_t *in_world, uint64_t until, uint32_t keep_turns_ms) {
     world = in_world;
     write_until = until;
-    retention_ms = keep_ms;
+    retention_ms = keep_turns_ms;
     turns = g_ptr_array_new();
     turns_by_id = g_hash_table_new(g_str_hash, g_str_equal);
     acknowledged = g_ptr_array_new();
--- a/src/storesim/world.h
+++ b/src/storesim/world.h
@@ -87,8 +87,9 @@
 /** Turns are kept for so long in ms, unless the workload is to judge that they are forgotten. */
 enum { WORKLOAD_RETENTION_MS = 1000000000 };
 
-/** Lets the gateways write, read and reserve until @p until; turns are kept for @p retention_ms. */
-void workload_start(world_t *world, uint64_t until, uint32_t retention_ms);
+/** Lets the gateways write, read and reserve until @p until; turns are kept for @p keep_turns_ms.
+ */
+void workload_start(world_t *world, uint64_t until, uint32_t keep_turns_ms);
 /** Also judges how soon gateways reach the storage nodes; only while no link is harmed. */
 void workload_judge_connects(void);
 /** Also judges how soon gateways notice that they are cut off from storage nodes. */
--- /dev/null
+++ b/tests/unit/record_clock_test.cc
@@ -0,0 +1,102 @@
+// The time by which a storage node's records age: it goes on over restarts and stands while the
+// node is down.
+extern "C" {
+#include "core/turns/record_clock.h"
+}
+
+#include <gtest/gtest.h>
+
+#include <vector>
+
+namespace {
+
+/** A node that writes marks and is started again; the caller's time begins anew each time. */
+class Node {
+  public:
+    void start() {
+        clock = {};
+        for (uint64_t mark : marks)
+            record_clock_read(&clock, mark);
+        record_clock_run(&clock, 0);
+    }
+    /** Writes a record each 100 ms until @p until. */
+    void write(uint64_t until) {
+        uint64_t mark = 0;
+        for (uint64_t now = 0; now <= until; now += 100)
+            if (record_clock_mark(&clock, now, &mark))
+                marks.push_back(mark);
+    }
+    uint64_t time(uint64_t now) const {
+        return record_clock_time(&clock, now);
+    }
+    std::vector<uint64_t> marks;
+
+  private:
+    record_clock_t clock = {};
+};
+
+TEST(RecordClock, GoesOnFromWhereTheLogEnded) {
+    Node node;
+    node.start();
+    EXPECT_EQ(node.time(0), 0U);
+    node.write(60000);
+    node.start();
+    EXPECT_EQ(node.time(0), 60000U);
+    EXPECT_EQ(node.time(500), 60500U);
+    node.write(5000);
+    node.start();
+    EXPECT_EQ(node.time(0), 65000U);
+}
+
+TEST(RecordClock, MarksAboutOnceASecondOfRecords) {
+    Node node;
+    node.start();
+    node.write(10000);
+    EXPECT_EQ(node.marks.size(), 11U);
+}
+
+TEST(RecordClock, MarksAtOnceAfterAStart) {
+    Node node;
+    node.start();
+    node.write(0);
+    node.start();
+    node.write(0);
+    EXPECT_EQ(node.marks.size(), 2U);
+}
+
+TEST(RecordClock, ALostMarkMakesRecordsYoungerNeverOlder) {
+    Node node;
+    node.start();
+    node.write(60000);
+    node.marks.pop_back();
+    node.start();
+    EXPECT_EQ(node.time(0), 59000U);
+}
+
+TEST(RecordClock, CountsFromTheFirstMarkThatIsLeftOfTheLog) {
+    Node node;
+    node.start();
+    node.write(60000);
+    node.marks.erase(node.marks.begin(), node.marks.begin() + 50);
+    node.start();
+    EXPECT_EQ(node.time(0), 10000U);
+    node.write(2000);
+    EXPECT_EQ(node.marks.back(), 62000U);
+}
+
+TEST(RecordClock, ALogWithoutMarksIsAsYoungAsItCanBe) {
+    Node node;
+    node.start();
+    EXPECT_EQ(node.time(0), 0U);
+    EXPECT_EQ(node.time(1000), 1000U);
+}
+
+TEST(RecordClock, AMarkOfBeforeDoesNotTakeItBack) {
+    record_clock_t clock = {};
+    record_clock_read(&clock, 5000);
+    record_clock_read(&clock, 9000);
+    record_clock_read(&clock, 4000);
+    EXPECT_EQ(record_clock_time(&clock, 0), 4000U);
+}
+
+} // namespace
--- a/tests/unit/turns_test.cc
+++ b/tests/unit/turns_test.cc
@@ -74,6 +74,35 @@
     EXPECT_NE(turn_table_find(&table, "c"), nullptr);
 }
 
+// A replica that copies turns is sent new ones meanwhile, before those that they go on from.
+TEST_F(TurnTable, KeepsATurnThatComesAfterOneThatGoesOnFromIt) {
+    add("c", "b", 900);
+    add("b", "a", 0);
+    add("a", "", 0);
+    turn_table_expire(&table, 1800);
+    EXPECT_NE(turn_table_find(&table, "a"), nullptr);
+    EXPECT_NE(turn_table_find(&table, "b"), nullptr);
+    EXPECT_EQ(g_hash_table_size(table.wanted_until), 0u);
+    turn_table_expire(&table, 1900);
+    EXPECT_EQ(turn_table_find(&table, "a"), nullptr);
+}
+
+TEST_F(TurnTable, ForgetsWhatIsMissingWithTheTurnsThatWantIt) {
+    add("b", "a", 0);
+    turn_table_expire(&table, 999);
+    EXPECT_EQ(g_hash_table_size(table.wanted_until), 1u);
+    turn_table_expire(&table, 1000);
+    EXPECT_EQ(g_hash_table_size(table.wanted_until), 0u);
+}
+
+TEST_F(TurnTable, TellsHowLongATurnIsKeptYet) {
+    add("a", "", 0);
+    add("b", "a", 600);
+    EXPECT_EQ(turn_table_time_left(&table, "a", 700), 900u);
+    EXPECT_EQ(turn_table_time_left(&table, "b", 1600), 1u);
+    EXPECT_EQ(turn_table_time_left(&table, "none", 0), 1u);
+}
+
 TEST_F(TurnTable, ATurnNeverChanges) {
     add("a", "", 0);
     turn_t other = make_turn("a", "", "other");
