test: a turn that can't be kept is refused before it is run (known red)

With storage nodes of 1 MB of disk and turns of 100 kB the tenth turn is run and not kept on the code as it is.

--- a/tests/integration/power_test.sh
+++ b/tests/integration/power_test.sh
@@ -24,6 +24,7 @@
 [store]
 folder=$CLUSTER_DIR/$1.data
 first_start=$4
+disk_megabytes=${POWER_DISK_MEGABYTES:-300}
 SETTINGS
     [ "$2" = store ] && mkdir -p "$CLUSTER_DIR/$1.data"
     return 0
@@ -116,11 +117,22 @@
     grep -q E835 "$CLUSTER_DIR/gateway3.log" && [ "$(grep -c '^turn' "$file")" -ge 1 ]
 }
 
+# A turn that the storage nodes have no room to keep is refused before it is run; it used to be run, and
+# its caller's stream ended without its end.
+power_no_room() {
+    rm -rf "$CLUSTER_DIR"/store?.data
+    POWER_DISK_MEGABYTES=1 power_start true
+    power_wait || return 1
+    "$BUILD/tests/platform_caller" fill "$CLUSTER_DIR/filled" 60 $((POWER_BASE + 33)) $((POWER_BASE + 34))
+}
+
 "$BUILD/tests/platform_standin" "$POWER_BASE" "$((POWER_BASE + 1))" "$((POWER_BASE + 2))" &
 POWER_STANDIN=$!
 expect "all killed and one folder removed, $POWER_ROUNDS times" power_rounds
 power_kill
 expect "all killed, and started without the key-value service" power_without_key_value
 power_kill
+expect "a turn that can not be kept is refused before it is run" power_no_room
+power_kill
 kill "$POWER_STANDIN" 2> /dev/null
 wait "$POWER_STANDIN" 2> /dev/null
--- a/tests/platform/platform_caller.cc
+++ b/tests/platform/platform_caller.cc
@@ -4,6 +4,9 @@
 //                                                turn that was answered whole, each token it got
 //   platform_caller verify FILE SECONDS PORT...  goes on from each noted turn, and checks that no
 //                                                program gets more than its budget; within SECONDS
+//   platform_caller fill FILE SECONDS PORT...    takes large turns until the storage nodes have no
+//                                                room; checks that such a turn is refused as not
+//                                                run
 //
 // FILE has a line "turn ID PARENT OUTPUT" for each turn, OUTPUT with '|' for line feeds, and
 // "tokens PROGRAM COUNT" for each answer that held any. Exit status 0: nothing was wrong.
@@ -34,6 +37,7 @@
 constexpr uint64_t most = 40;
 constexpr uint64_t tokens_per_event = 5;
 constexpr int programs = 8;
+constexpr size_t large_input = 100000;
 
 struct Turn {
     std::string parent;
@@ -140,7 +144,8 @@
     bool right_prompt = true;
 };
 
-TurnResult take_turn(int port, const std::string &program, const std::string &parent) {
+TurnResult take_turn(int port, const std::string &program, const std::string &parent,
+                     size_t padding = 0) {
     TurnResult result;
     result.id = new_id();
     std::string fields = "Attempt-Id: " + result.id + "\r\nProgram-Id: " + program +
@@ -149,7 +154,7 @@
                          "\r\n";
     if (!parent.empty())
         fields += "Previous-Turn: " + parent + "\r\n";
-    std::string input = "input of " + result.id + "\n";
+    std::string input = "input of " + result.id + std::string(padding, '.') + "\n";
     result.answer = call(port, "/turns/x", fields, input);
     std::string prompt = chain_of(parent) + input;
     char hash[32];
@@ -242,15 +247,34 @@
     return EXIT_SUCCESS;
 }
 
+int fill_room(double seconds, const std::vector<int> &ports) {
+    auto until = std::chrono::steady_clock::now() + std::chrono::duration<double>(seconds);
+    unsigned kept = 0;
+    while (std::chrono::steady_clock::now() < until) {
+        TurnResult result =
+            take_turn(ports[kept % ports.size()], "program-" + new_id(), "", large_input);
+        if (result.answer.status == 200 && !result.answer.whole)
+            return wrong("a turn was run and not kept, after " + std::to_string(kept));
+        if (result.answer.status == 503 && kept > 0) {
+            std::cout << "refused after " << kept << " turns\n";
+            return EXIT_SUCCESS;
+        }
+        kept += result.answer.status == 200;
+    }
+    return wrong("never refused; " + std::to_string(kept) + " turns were kept");
+}
+
 } // namespace
 
 int main(int argc, char **argv) {
     if (argc < 5)
-        return wrong("usage: platform_caller write|verify FILE SECONDS PORT...");
+        return wrong("usage: platform_caller write|verify|fill FILE SECONDS PORT...");
     load(argv[2]);
     std::vector<int> ports;
     for (int i = 4; i < argc; i++)
         ports.push_back(std::atoi(argv[i]));
+    if (strcmp(argv[1], "fill") == 0)
+        return fill_room(std::atof(argv[3]), ports);
     bool write = strcmp(argv[1], "write") == 0;
     return write ? write_turns(argv[2], std::atof(argv[3]), ports)
                  : verify_turns(std::atof(argv[3]), ports);
