gateways: a turn that storage nodes have no room for is refused before it is run

Cause: a member decides whether a turn fits when the turn comes, after an engine has made it; the gateway had asked each member for the reserve before the send and learned nothing of room there. Change: a member's answer to a reserve says whether it can keep one more turn. If more than the group can do without say no, a turn that is to be kept is refused with 503 (reason no_room) and a time to come back, as for other reasons that lie with the storage nodes; turns of routes that keep none go on.

--- a/src/cluster/message.c
+++ b/src/cluster/message.c
@@ -140,6 +140,7 @@
         codec_uint64(codec, &message->summary.charged);
         codec_uint64(codec, &message->summary.digest);
         codec_uint64(codec, &message->place);
+        codec_bool(codec, &message->room);
         break;
     case MESSAGE_PLACE:
         codec_text(codec, &message->charge.program);
--- a/src/cluster/message.h
+++ b/src/cluster/message.h
@@ -20,7 +20,7 @@
 typedef enum {
     MESSAGE_GROUP,    /**< The sender's store group; either way, first on a connection. */
     REQUEST_RESERVE,  /**< Reserve part of a program's budget; also a log record. */
-    RESPONSE_RESERVE, /**< It is taken; the program's charges in short. */
+    RESPONSE_RESERVE, /**< It is taken; the program's charges in short, and whether a turn fits. */
     RESPONSE_DURABLE, /**< A reserve or a turn is on disk, in a member that is not complete if
                          unsure, or can't be put there. */
     REQUEST_CHARGES,  /**< Read the charges of one program. */
@@ -72,6 +72,7 @@
     quota_limit_t limit;      /**< That tenant's, as the sender knows it. */
     uint32_t
         wait_ms;    /**< Of an allowance: how long the call may wait; has to wait, or come back. */
+    bool room;      /**< The member can keep one more turn. */
     uint64_t time;  /**< Of the log, in ms. */
     uint64_t place; /**< Hash of the back end's instance where the program last ran; 0: unknown. */
     char *turn_id;
--- a/src/gateway/call.c
+++ b/src/gateway/call.c
@@ -27,11 +27,11 @@
 };
 
 static const char *const reason_names[CALL_REASON_COUNT] = {
-    "answered",        "no_configuration",   "no_route",     "malformed",    "no_backend",
-    "backend_refused", "backend_lost",       "bad_answer",   "timed_out",    "over_budget",
-    "budget_unsure",   "budget_not_durable", "no_such_turn", "turn_unsure",  "turn_not_kept",
-    "caller_gone",     "stopping",           "unknown_key",  "other_tenant", "over_quota",
-    "quota_unsure",
+    "answered",        "no_configuration",   "no_route",     "malformed",   "no_backend",
+    "backend_refused", "backend_lost",       "bad_answer",   "timed_out",   "over_budget",
+    "budget_unsure",   "budget_not_durable", "no_such_turn", "turn_unsure", "turn_not_kept",
+    "no_room",         "caller_gone",        "stopping",     "unknown_key", "other_tenant",
+    "over_quota",      "quota_unsure",
 };
 
 static const char *const placing_names[PLACING_COUNT] = {"-", "new", "kept", "moved"};
@@ -111,6 +111,7 @@
     switch (reason) {
     case CALL_BUDGET_UNSURE:
     case CALL_TURN_UNSURE:
+    case CALL_NO_ROOM:
     case CALL_QUOTA_UNSURE:
         outage = &gateway->store_outage;
         break;
--- a/src/gateway/call_turn.c
+++ b/src/gateway/call_turn.c
@@ -5,7 +5,9 @@
  * way it ends; only if this gateway dies does the reserve stand.
  *
  * A turn that others may go on from ends for its caller only when it is on enough disks. If that
- * can't be had in time, the stream ends without its end.
+ * can't be had in time, the stream ends without its end. The storage nodes say with the reserve
+ * whether they have room for a turn, so that one which can't be kept is refused before an engine
+ * has made it.
  */
 #include "gateway/call.h"
 
@@ -35,6 +37,12 @@
     call_t *call = owner;
     (void)turns;
     event_log(GATEWAY_RESERVE, call->id, call->program, call->turn.most, verdict_names[verdict]);
+    bool room = verdict != VERDICT_YES || !call->route->keeps_turns ||
+                store_operation_has_room(call->turn.reserve);
+    if (!room) {
+        call_refuse(call, STATUS_UNAVAILABLE, CALL_NO_ROOM);
+        return;
+    }
     if (verdict != VERDICT_UNSURE)
         outage_end(&call->gateway->store_outage);
     if (verdict == VERDICT_YES) {
--- a/src/gateway/store_client.h
+++ b/src/gateway/store_client.h
@@ -86,6 +86,11 @@
                                         const store_operation_handler_t *handler, void *owner);
 /** Of a granted reserve: the back end at which the program last ran (its hash); 0: unknown. */
 uint64_t store_operation_place(const store_operation_t *operation);
+/**
+ * Of a granted reserve: false if too many members have said that they can keep no turn, so that
+ * none would be durable.
+ */
+bool store_operation_has_room(const store_operation_t *operation);
 /** Tells the members where the program runs now; a hint that may be lost. */
 void store_client_tell_place(store_client_t *client, const char *program, uint64_t place);
 store_operation_t *store_client_put_turn(store_client_t *client, const turn_t *turn,
--- a/src/gateway/store_operation.c
+++ b/src/gateway/store_operation.c
@@ -51,6 +51,7 @@
     operation->charges_read = (said_t *)g_new0(said_t, count + 1);
     operation->summaries = g_new0(budget_summary_t, count + 1);
     operation->reading_charges = false;
+    operation->without_room = 0;
     budget_table_init(&operation->joined);
     for (unsigned i = 0; i < count; i++)
         if (store_operation_wants(operation, i))
@@ -219,6 +220,8 @@
         operation->verdicts[index] = said;
         break;
     case RESPONSE_RESERVE:
+        if (said == SAID_YES && operation->verdicts[index] != SAID_YES)
+            operation->without_room += !message->room;
         operation->verdicts[index] = said;
         operation->summaries[index] = message->summary;
         if (message->place != 0)
@@ -323,6 +326,11 @@
     return operation->place;
 }
 
+bool store_operation_has_room(const store_operation_t *operation) {
+    unsigned members = operation->client->members->len;
+    return operation->without_room <= members - store_write_quorum(members);
+}
+
 store_operation_t *store_client_put_turn(store_client_t *client, const turn_t *turn,
                                          const store_operation_handler_t *handler, void *owner) {
     store_operation_t *operation = begin_operation(client, REQUEST_PUT_TURN, handler, owner);
--- a/src/store/store_requests.c
+++ b/src/store/store_requests.c
@@ -147,6 +147,7 @@
     response.verdict = VERDICT_UNSURE;
     if (store_complete(store)) {
         response.verdict = VERDICT_YES;
+        response.room = check_room(store);
         response.summary = budget_table_reserve(&store->budgets, charge->program, charge->call,
                                                 charge->most, store_time(store));
         response.place = program_places_find(&store->places, charge->program);
