--- a/src/store/store.h
+++ b/src/store/store.h
@@ -55,6 +55,8 @@
     uint64_t refused_for_room; /**< Turns, because memory or disk is nearly full. */
     bool out_of_room;          /**< The last turn that came was refused for room. */
     uint64_t records_read;     /**< From the log, at the start. */
+    uint64_t turns_copied;     /**< From other members. */
+    uint64_t copy_looks;       /**< At ids of turns while copying. */
     store_catch_up_state_t *catch_up;
     store_membership_t *membership;
     store_directory_t *directory;
--- a/src/store/store_catch_up.c
+++ b/src/store/store_catch_up.c
@@ -56,7 +56,9 @@
     g_free(copy);
 }
 
-static gboolean claimed_by(gpointer id, gpointer claimer, gpointer copy) {
+static gboolean claimed_by(gpointer id, gpointer claimer, gpointer data) {
+    const copy_t *copy = data;
+    copy->catch_up->store->copy_looks++;
     (void)id;
     return claimer == copy;
 }
@@ -121,6 +123,7 @@
     copy->awaited = g_ptr_array_new_with_free_func(g_free);
     for (guint i = 0; i < awaited->len; i++) {
         const char *id = g_ptr_array_index(awaited, i);
+        copy->catch_up->store->copy_looks++;
         if (turn_table_find(&copy->catch_up->store->turns, id) == NULL)
             claim_turn(copy, id);
     }
@@ -177,12 +180,13 @@
 }
 
 static void take_index(copy_t *copy, message_t *response) {
-    const store_t *store = copy->catch_up->store;
+    store_t *store = copy->catch_up->store;
     take_charges(copy, response);
     g_ptr_array_set_size(copy->wanted, 0);
     g_ptr_array_set_size(copy->awaited, 0);
     for (guint i = 0; i < response->ids->len; i++) {
         const char *id = g_ptr_array_index(response->ids, i);
+        store->copy_looks++;
         if (turn_table_find(&store->turns, id) == NULL)
             claim_turn(copy, id);
     }
@@ -191,6 +195,7 @@
 }
 
 static void take_turns(copy_t *copy, message_t *response) {
+    copy->catch_up->store->turns_copied += response->turns->len;
     for (guint i = 0; i < response->turns->len; i++) {
         message_t record;
         message_init(&record, REQUEST_PUT_TURN);
--- a/src/store/store_metrics.c
+++ b/src/store/store_metrics.c
@@ -18,6 +18,8 @@
     metrics_append(text, "store_gateways", gateway_directory_count(&store->gateways));
     metrics_append(text, "store_writes_failed_total", store->writes_failed);
     metrics_append(text, "store_no_room_total", store->refused_for_room);
+    metrics_append(text, "store_turns_copied_total", store->turns_copied);
+    metrics_append(text, "store_copy_looks_total", store->copy_looks);
     metrics_append(text, "store_tenants", g_hash_table_size(store->quotas.buckets));
     metrics_append(text, "store_allowances_granted_total", store->quotas.granted);
     metrics_append(text, "store_allowances_refused_total", store->quotas.refused);
--- /dev/null
+++ b/tests/unit/catch_up_test.cc
@@ -0,0 +1,85 @@
+// A storage node whose disk came back empty, in virtual time.
+//
+// The story: after a loss of power two of seven storage nodes had lost their disks, as tolerated,
+// and copied what they lacked from the others. With 17,000 turns that took 12 s at all the
+// processor time they had, while 6 s are what a member counts as lost after it is back; a third
+// loss in between would have been one too many. Each answer of 200 turns was followed by a look at
+// every turn that some other copy waited for: work that grows with the square of the turns.
+// Evidence: 4,555 turns after the first 5 s, 18,316 after 10 s, faster the fewer were left, at a
+// constant 29 of 30 hundredths of a core.
+#include <gtest/gtest.h>
+
+#include <string>
+
+extern "C" {
+#include "storesim/world.h"
+}
+
+namespace {
+
+constexpr unsigned stores = 4;
+constexpr uint64_t founded_ms = 4000;
+constexpr uint64_t between_ms = 2;
+constexpr uint64_t down_ms = 1000;
+constexpr uint64_t catch_up_ms = 60000;
+
+uint64_t kept;
+
+void on_durable(void *, bool durable) {
+    kept += durable;
+}
+
+const store_operation_handler_t keep_handler = {nullptr, on_durable};
+
+void put_turn(store_client_t *client, unsigned number) {
+    std::string id = "turn-" + std::to_string(number);
+    turn_t turn = {g_strdup(id.c_str()),     g_strdup(""), g_bytes_new("input", 5),
+                   g_bytes_new("output", 6), 1000000000,   g_strdup("")};
+    store_client_put_turn(client, &turn, &keep_handler, nullptr);
+    turn_clear(&turn);
+}
+
+struct Copying {
+    uint64_t turns = 0;
+    uint64_t looks = 0;
+    bool complete = false;
+};
+
+/** Keeps @p turns turns, takes one storage node's disk, and lets it catch up. */
+Copying copy_turns(unsigned turns) {
+    const world_shape_t shape = {stores, 0, 1, 1000, BREAK_NOTHING};
+    world_t *world = world_new(1, &shape);
+    virtual_run(founded_ms);
+    auto *gateway = static_cast<world_gateway_t *>(g_ptr_array_index(world->gateways, 0));
+    kept = 0;
+    for (unsigned i = 0; i < turns; i++) {
+        put_turn(gateway->client, i);
+        virtual_run(virtual_now() + between_ms);
+    }
+    virtual_run(virtual_now() + down_ms);
+    auto *node = static_cast<world_store_t *>(g_ptr_array_index(world->stores, 0));
+    world_end_store(node, END_DISK_LOST);
+    virtual_run(virtual_now() + down_ms);
+    world_start_store(node, false);
+    virtual_run(virtual_now() + catch_up_ms);
+    const store_t *store = node->store;
+    return {store->turns_copied, store->copy_looks, store_complete(store)};
+}
+
+TEST(CatchUp, CopiesEachTurnOnce) {
+    Copying copying = copy_turns(3000);
+    ASSERT_EQ(kept, 3000u);
+    EXPECT_TRUE(copying.complete);
+    EXPECT_EQ(copying.turns, 3000u);
+}
+
+// Two of the three other members are copied from, and each names all turns: that is one look a turn
+// for each, and a few more to share them.
+TEST(CatchUp, LooksAtEachTurnAFewTimes) {
+    Copying copying = copy_turns(12000);
+    ASSERT_EQ(kept, 12000u);
+    EXPECT_TRUE(copying.complete);
+    EXPECT_LE(copying.looks, 12u * 12000u);
+}
+
+} // namespace
