storage nodes: a member that catches up does a few looks a turn, and asks all sources at once

Cause: copies that wait for turns which another copy has asked for were looked through, all of them, at each answer of 200 turns, and the claims of a copy were searched in the table of all; the first index that came claimed every turn, so that one source sent all. Work grew with the square of the turns, times the sources. Change: core/quorum/copy_claims: a queue for each source, a record in the table with who holds it and who was asked; each named record is looked at a few times. Sources take turns by what is next, so that all send. A record on its way to the disk knows its round instead of a counted reference to its copy; after a write that failed a copy pauses 1 s instead of beginning anew at once. Ruled out: larger answers (fewer rounds, the same square), copying from one source alone (a read quorum is needed).

--- a/src/store/store_catch_up.c
+++ b/src/store/store_catch_up.c
@@ -2,40 +2,49 @@
  * Design. A member that is not complete copies what it lacks from a read quorum of the members
  * that were (core/quorum/store_group.h says which): their charges, and the turns it does not
  * have. It sends a digest of what it holds, and gets the index of what differs. A turn that several
- * of them hold is asked for at the first; the others' copies wait for it. A copy counts once all of
+ * of them hold is asked for at one of them (core/quorum/copy_claims.h). A copy counts once all of
  * its index is on this node's disk.
  *
  * A node whose disk came back empty waits before it copies: a gateway gives a write up after a
  * time that is shorter than this wait, so a write that counted this node's lost copy has either
  * reached a quorum, and the others hold it, or never will.
+ *
+ * Failures. A copy whose peer is lost, or answers too late, begins anew with another index; so do
+ * all that are not over if a record could not be written here.
  */
 #include "store/store.h"
 
 #include "common/event.h"
 #include "core/digest/record_digest.h"
+#include "core/quorum/copy_claims.h"
 #include "store/store_peer.h"
 
 enum {
     POLL_MS = 200,
     EMPTY_DISK_WAIT_MS = 2000, /**< More than GATEWAY_WRITE_MS of gateway/store_client.h. */
     TURNS_A_REQUEST = 200,
-    STEP_MS = 3000, /**< A step of a copy that takes longer is begun again. */
+    STEP_MS = 3000,         /**< A step of a copy that takes longer is begun again. */
+    FAILED_PAUSE_MS = 1000, /**< After a record could not be written: a full disk stays so. */
 };
 
-typedef enum { COPY_STATUS, COPY_INDEX, COPY_TURNS, COPY_WRITING, COPY_DONE } copy_step_t;
+typedef enum {
+    COPY_STATUS, /**< Waits for the peer to be reached, and to say that it is complete. */
+    COPY_INDEX,  /**< The index was asked for. */
+    COPY_TURNS,  /**< Turns were asked for. */
+    COPY_WAITS,  /**< Nothing is left to ask for; all of it is not on disk yet. */
+    COPY_DONE,
+} copy_step_t;
 
 /** Copying from one other member. */
 typedef struct {
     store_catch_up_state_t *catch_up;
+    unsigned number; /**< Of this source among the claims. */
     store_peer_t *peer;
     copy_step_t step;
     uint64_t step_since;
     uint64_t begun_at;  /**< When its peer was first asked what differs; 0: it was not. */
-    GPtrArray *wanted;  /**< Ids of turns still to be asked for. */
-    GPtrArray *awaited; /**< Ids of turns that another copy has asked for. */
-    unsigned unwritten;
-    bool failed;
-    gint references;
+    GHashTable *asked;  /**< Ids of the turns that it was last asked for. */
+    unsigned unwritten; /**< Charges on their way to the disk. */
 } copy_t;
 
 struct store_catch_up {
@@ -43,126 +52,126 @@
     uv_timer_t timer;
     bool running;
     uint64_t generation; /**< The copies are for this generation. */
+    uint64_t round;      /**< Counts the times that all copies began anew. */
     GPtrArray *copies;
-    GHashTable *claims; /**< Id of a turn to the copy_t that asks its peer for it. */
+    copy_claims_t *claims; /**< Which copy asks for which turn; NULL without copies. */
+    unsigned unwritten;    /**< Records of this round on their way to the disk. */
+    bool write_failed;     /**< One of them could not be put there. */
+    uint64_t pause_until;  /**< Nothing is begun before. */
+    bool taking;           /**< An answer is being taken; what is next is looked at behind it. */
     bool finishing;
 };
 
-static void copy_unref(copy_t *copy) {
-    if (--copy->references > 0)
-        return;
-    g_ptr_array_free(copy->wanted, TRUE);
-    g_ptr_array_free(copy->awaited, TRUE);
-    g_free(copy);
-}
-
-static gboolean claimed_by(gpointer id, gpointer claimer, gpointer data) {
-    const copy_t *copy = data;
-    copy->catch_up->store->copy_looks++;
-    (void)id;
-    return claimer == copy;
-}
-
-/** Others may ask for what this copy had claimed. */
-static void release_claims(copy_t *copy) {
-    g_hash_table_foreach_remove(copy->catch_up->claims, claimed_by, copy);
-}
-
 static void drop_copy(gpointer data) {
     copy_t *copy = data;
-    release_claims(copy);
     store_peer_free(copy->peer);
-    copy->peer = NULL;
-    copy_unref(copy);
+    g_hash_table_destroy(copy->asked);
+    g_free(copy);
+}
+
+/** Drops all copies; what is on its way to the disk counts for nothing in the next round. */
+static void drop_copies(store_catch_up_state_t *catch_up) {
+    catch_up->round++;
+    catch_up->unwritten = 0;
+    catch_up->write_failed = false;
+    g_ptr_array_set_size(catch_up->copies, 0);
+    if (catch_up->claims != NULL)
+        copy_claims_free(catch_up->claims);
+    catch_up->claims = NULL;
 }
 
 static void set_step(copy_t *copy, copy_step_t step) {
     copy->step = step;
     copy->step_since = uv_now(copy->catch_up->store->loop);
-    if (step == COPY_STATUS || step == COPY_DONE)
-        release_claims(copy);
-}
-
-static uint64_t copy_age(const copy_t *copy) {
-    return uv_now(copy->catch_up->store->loop) - copy->begun_at;
 }
 
 static void log_copy(const copy_t *copy, const char *state, guint charges) {
-    event_log(STORE_COPY, copy->peer->name, state, copy->wanted->len, charges, copy_age(copy));
+    uint64_t ms = uv_now(copy->catch_up->store->loop) - copy->begun_at;
+    event_log(STORE_COPY, copy->peer->name, state,
+              copy_claims_left(copy->catch_up->claims, copy->number), charges, ms);
 }
 
-static void ask_for_turns(copy_t *copy) {
-    if (copy->peer->connection == NULL) {
-        set_step(copy, COPY_STATUS);
-        return;
-    }
-    set_step(copy, COPY_TURNS);
-    message_t request;
-    message_init(&request, REQUEST_TURNS);
-    for (unsigned i = 0; i < TURNS_A_REQUEST && copy->wanted->len > 0; i++)
-        g_ptr_array_add(request.ids,
-                        g_ptr_array_steal_index_fast(copy->wanted, copy->wanted->len - 1));
-    store_peer_send(copy->peer, &request);
-    message_clear(&request);
-}
-
-/** Asks this copy's peer for a turn, or leaves it to the copy that has done so. */
-static void claim_turn(copy_t *copy, const char *id) {
-    copy_t *claimer = g_hash_table_lookup(copy->catch_up->claims, id);
-    if (claimer != NULL && claimer != copy) {
-        g_ptr_array_add(copy->awaited, g_strdup(id));
-        return;
-    }
-    g_hash_table_insert(copy->catch_up->claims, g_strdup(id), copy);
-    g_ptr_array_add(copy->wanted, g_strdup(id));
+/** From the index on; @p reason is logged. */
+static void begin_anew(copy_t *copy, const char *reason) {
+    if (copy->begun_at > 0)
+        log_copy(copy, reason, 0);
+    set_step(copy, COPY_STATUS);
+    copy_claims_reset(copy->catch_up->claims, copy->number);
 }
 
-/** Takes awaited turns off the list that are here; claims those that nobody asks for any more. */
-static void look_at_awaited(copy_t *copy) {
-    GPtrArray *awaited = copy->awaited;
-    copy->awaited = g_ptr_array_new_with_free_func(g_free);
-    for (guint i = 0; i < awaited->len; i++) {
-        const char *id = g_ptr_array_index(awaited, i);
-        copy->catch_up->store->copy_looks++;
-        if (turn_table_find(&copy->catch_up->store->turns, id) == NULL)
-            claim_turn(copy, id);
+/** The next turns to ask of the copy's peer; none if others are asked for all the rest. */
+static void claim_turns(copy_t *copy, message_t *request) {
+    const store_catch_up_state_t *catch_up = copy->catch_up;
+    g_hash_table_remove_all(copy->asked);
+    while (request->ids->len < TURNS_A_REQUEST) {
+        const char *id = copy_claims_take(catch_up->claims, copy->number);
+        if (id == NULL)
+            return;
+        if (turn_table_find(&catch_up->store->turns, id) != NULL) {
+            copy_claims_arrived(catch_up->claims, id); /* A gateway has written it meanwhile. */
+            continue;
+        }
+        g_hash_table_add(copy->asked, g_strdup(id));
+        g_ptr_array_add(request->ids, g_strdup(id));
     }
-    g_ptr_array_free(awaited, TRUE);
 }
 
 /** Does what is next once the turns asked for have come. */
 static void go_on(copy_t *copy) {
-    if (copy->wanted->len == 0 && copy->unwritten == 0) {
-        /* What the peer no longer had will not come: another copy may ask for it. */
-        release_claims(copy);
-        look_at_awaited(copy);
-    }
-    if (copy->wanted->len > 0) {
-        ask_for_turns(copy);
-    } else if (copy->unwritten > 0 || (copy->awaited->len > 0 && !copy->failed)) {
-        set_step(copy, COPY_WRITING);
+    message_t request;
+    message_init(&request, REQUEST_TURNS);
+    claim_turns(copy, &request);
+    unsigned left = copy_claims_left(copy->catch_up->claims, copy->number);
+    if (request.ids->len > 0) {
+        set_step(copy, COPY_TURNS);
+        store_peer_send(copy->peer, &request);
+    } else if (left > 0 || copy->unwritten > 0) {
+        set_step(copy, COPY_WAITS);
     } else {
-        log_copy(copy, copy->failed ? "failed" : "ended", 0);
-        set_step(copy, copy->failed ? COPY_STATUS : COPY_DONE);
-        copy->failed = false;
+        set_step(copy, COPY_DONE);
+        log_copy(copy, "ended", 0);
     }
+    message_clear(&request);
+}
+
+/* Records on their way to the disk. */
+
+typedef struct {
+    store_catch_up_state_t *catch_up;
+    uint64_t round;
+    unsigned source; /**< Number of the copy. */
+    char *turn;      /**< Its id; NULL: a charge. */
+} copied_record_t;
+
+static void note_written(const copied_record_t *record, bool durable) {
+    store_catch_up_state_t *catch_up = record->catch_up;
+    copy_t *copy = g_ptr_array_index(catch_up->copies, record->source);
+    catch_up->unwritten--;
+    copy->unwritten -= record->turn == NULL;
+    catch_up->write_failed = catch_up->write_failed || !durable;
+    if (durable && record->turn != NULL)
+        copy_claims_arrived(catch_up->claims, record->turn);
+    if (catch_up->unwritten == 0 && !catch_up->taking)
+        store_catch_up_check(catch_up->store);
 }
 
 static void on_copied(void *owner, bool durable) {
-    copy_t *copy = owner;
-    copy->unwritten--;
-    copy->failed = copy->failed || !durable;
-    if (copy->peer != NULL && copy->step == COPY_WRITING && copy->unwritten == 0) {
-        go_on(copy);
-        store_catch_up_check(copy->catch_up->store);
-    }
-    copy_unref(copy);
+    copied_record_t *record = owner;
+    if (record->round == record->catch_up->round)
+        note_written(record, durable);
+    g_free(record->turn);
+    g_free(record);
 }
 
-static void append_copy(copy_t *copy, message_t *record) {
-    copy->references++;
-    copy->unwritten++;
-    store_append_copy(copy->catch_up->store, record, on_copied, copy);
+static void append_copy(copy_t *copy, message_t *record, const char *turn) {
+    copied_record_t *copied = g_new0(copied_record_t, 1);
+    copied->catch_up = copy->catch_up;
+    copied->round = copy->catch_up->round;
+    copied->source = copy->number;
+    copied->turn = g_strdup(turn);
+    copy->catch_up->unwritten++;
+    copy->unwritten += turn == NULL;
+    store_append_copy(copy->catch_up->store, record, on_copied, copied);
 }
 
 static void take_charges(copy_t *copy, message_t *response) {
@@ -173,61 +182,71 @@
         message_t record;
         message_init(&record, RECORD_CHARGE);
         record.charge = *charge;
-        append_copy(copy, &record);
+        append_copy(copy, &record, NULL);
         record.charge = (budget_charge_t){0};
         message_clear(&record);
     }
 }
 
 static void take_index(copy_t *copy, message_t *response) {
-    store_t *store = copy->catch_up->store;
+    const store_t *store = copy->catch_up->store;
     take_charges(copy, response);
-    g_ptr_array_set_size(copy->wanted, 0);
-    g_ptr_array_set_size(copy->awaited, 0);
     for (guint i = 0; i < response->ids->len; i++) {
         const char *id = g_ptr_array_index(response->ids, i);
-        store->copy_looks++;
         if (turn_table_find(&store->turns, id) == NULL)
-            claim_turn(copy, id);
+            copy_claims_add(copy->catch_up->claims, copy->number, id);
     }
     log_copy(copy, "begun", response->charges->len);
     go_on(copy);
 }
 
+/** What the peer was asked for and did not send is not there any more. */
+static void note_lacking(copy_t *copy) {
+    GHashTableIter iterator;
+    gpointer id;
+    g_hash_table_iter_init(&iterator, copy->asked);
+    while (g_hash_table_iter_next(&iterator, &id, NULL))
+        copy_claims_lacks(copy->catch_up->claims, copy->number, id);
+}
+
 static void take_turns(copy_t *copy, message_t *response) {
     copy->catch_up->store->turns_copied += response->turns->len;
     for (guint i = 0; i < response->turns->len; i++) {
+        const turn_t *turn = &g_array_index(response->turns, turn_t, i);
+        g_hash_table_remove(copy->asked, turn->id);
         message_t record;
         message_init(&record, REQUEST_PUT_TURN);
-        message_add_turn(&record, &g_array_index(response->turns, turn_t, i));
-        append_copy(copy, &record);
+        message_add_turn(&record, turn);
+        append_copy(copy, &record, turn->id);
         message_clear(&record);
     }
+    note_lacking(copy);
     go_on(copy);
 }
 
 static void on_message(void *owner, message_t *message) {
     copy_t *copy = owner;
     store_catch_up_state_t *catch_up = copy->catch_up;
+    catch_up->taking = true;
     if (message->type == RESPONSE_INDEX && copy->step == COPY_INDEX)
         take_index(copy, message);
     else if (message->type == RESPONSE_TURNS && copy->step == COPY_TURNS)
         take_turns(copy, message);
+    catch_up->taking = false;
     store_catch_up_check(catch_up->store);
 }
 
 static void on_lost(void *owner) {
     copy_t *copy = owner;
-    if (copy->step != COPY_DONE && copy->step != COPY_WRITING)
-        set_step(copy, COPY_STATUS);
+    if (copy->step != COPY_DONE)
+        begin_anew(copy, "lost");
 }
 
 static void add_copy(store_catch_up_state_t *catch_up, const store_member_t *member) {
     copy_t *copy = g_new0(copy_t, 1);
     copy->catch_up = catch_up;
-    copy->references = 1;
-    copy->wanted = g_ptr_array_new_with_free_func(g_free);
-    copy->awaited = g_ptr_array_new_with_free_func(g_free);
+    copy->number = catch_up->copies->len;
+    copy->asked = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     copy->peer = store_peer_new(catch_up->store, member->name, member->address);
     copy->peer->on_message = on_message;
     copy->peer->on_lost = on_lost;
@@ -242,15 +261,13 @@
     const store_peer_t *peer = copy->peer;
     uint64_t age = uv_now(copy->catch_up->store->loop) - copy->step_since;
     bool stuck = (copy->step == COPY_INDEX || copy->step == COPY_TURNS) && age > STEP_MS;
-    if (stuck) {
-        log_copy(copy, "stuck", 0);
-        set_step(copy, COPY_STATUS);
-    }
+    if (stuck)
+        begin_anew(copy, "stuck");
     if (copy->step != COPY_STATUS)
         return;
     bool usable = peer->connection != NULL && peer->answered_at > 0 &&
                   peer->complete_in >= source_complete_in;
-    if (!usable)
+    if (!usable || uv_now(copy->catch_up->store->loop) < copy->catch_up->pause_until)
         return;
     set_step(copy, COPY_INDEX);
     if (copy->begun_at == 0)
@@ -269,16 +286,31 @@
 
 static void restart_copies(store_catch_up_state_t *catch_up, const store_catch_up_t *plan) {
     const store_t *store = catch_up->store;
-    g_ptr_array_set_size(catch_up->copies, 0);
+    drop_copies(catch_up);
     catch_up->generation = store->group->generation;
     catch_up->finishing = false;
+    catch_up->claims = copy_claims_new(plan->sources->len);
     for (guint i = 0; i < plan->sources->len; i++) {
         const store_member_t *member = &g_array_index(plan->sources, store_member_t, i);
-        if (g_strcmp0(member->name, store->settings->name) != 0)
+        bool other = g_strcmp0(member->name, store->settings->name) != 0;
+        if (other && catch_up->copies->len < COPY_SOURCES_MAXIMUM)
             add_copy(catch_up, member);
     }
 }
 
+/** Once nothing is on its way to the disk any more, all that is not over begins anew. */
+static void look_at_failed_writes(store_catch_up_state_t *catch_up) {
+    if (!catch_up->write_failed || catch_up->unwritten > 0)
+        return;
+    catch_up->write_failed = false;
+    catch_up->pause_until = uv_now(catch_up->store->loop) + FAILED_PAUSE_MS;
+    for (guint i = 0; i < catch_up->copies->len; i++) {
+        copy_t *copy = g_ptr_array_index(catch_up->copies, i);
+        if (copy->step != COPY_DONE)
+            begin_anew(copy, "failed");
+    }
+}
+
 static unsigned count_done(const store_catch_up_state_t *catch_up) {
     unsigned done = 0;
     for (guint i = 0; i < catch_up->copies->len; i++)
@@ -287,7 +319,9 @@
 }
 
 static void stop(store_catch_up_state_t *catch_up) {
-    g_ptr_array_set_size(catch_up->copies, 0);
+    if (catch_up->claims != NULL)
+        catch_up->store->copy_looks += copy_claims_looks(catch_up->claims);
+    drop_copies(catch_up);
     catch_up->generation = 0;
     if (catch_up->running)
         uv_timer_stop(&catch_up->timer);
@@ -324,10 +358,11 @@
         return;
     if (catch_up->generation != store->group->generation)
         restart_copies(catch_up, &plan);
+    look_at_failed_writes(catch_up);
     for (guint i = 0; i < catch_up->copies->len; i++) {
         copy_t *copy = g_ptr_array_index(catch_up->copies, i);
         drive_copy(copy, plan.source_complete_in);
-        if (copy->step == COPY_WRITING && copy->unwritten == 0)
+        if (copy->step == COPY_WAITS)
             go_on(copy);
     }
     if (count_done(catch_up) < plan.needed || catch_up->finishing || !store->group_durable)
@@ -340,7 +375,6 @@
     store_catch_up_state_t *catch_up = g_new0(store_catch_up_state_t, 1);
     catch_up->store = store;
     catch_up->copies = g_ptr_array_new_with_free_func(drop_copy);
-    catch_up->claims = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     uv_timer_init(store->loop, &catch_up->timer);
     catch_up->timer.data = catch_up;
     return catch_up;
