test: gateways' views of the key-value service in virtual time; what one follows is logged (known red)

rudderway-directory-sim runs the gateways' own code of duty, watch, feed, follow and load sharing over a virtual service, datagrams and network, under eleven kinds of fault, and asks every 10 ms at each gateway that nothing has happened to for 3 s whether a version is in force that is new enough (2 s). No test of whole gateways existed for this: the decisions were tested one by one, their sum of times never. E836 names the source; new figures: directory_age_ms, directory_behind_ms, directory_follows and others, which would have told the hypotheses apart where older lines had been dropped. No change of logic in the gateways.

--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -76,6 +76,9 @@
 echo "--- storage nodes in virtual time"
 . tests/integration/store_simulator_test.sh
 
+echo "--- gateways' views of the key-value service in virtual time"
+. tests/integration/directory_simulator_test.sh
+
 echo "--- gateways and storage nodes"
 cluster_begin "$BUILD/check-power"
 . tests/integration/power_test.sh
--- a/src/cluster/service_directory.c
+++ b/src/cluster/service_directory.c
@@ -173,3 +173,9 @@
     *address = (struct sockaddr_in){.sin_family = AF_INET, .sin_port = htons((uint16_t)port)};
     return inet_pton(AF_INET, host, &address->sin_addr) == 1;
 }
+
+void format_socket_address(const struct sockaddr_in *address, char text[SOCKET_ADDRESS_BYTES]) {
+    char host[INET_ADDRSTRLEN] = "";
+    inet_ntop(AF_INET, &address->sin_addr, host, sizeof host);
+    g_snprintf(text, SOCKET_ADDRESS_BYTES, "%s:%u", host, ntohs(address->sin_port));
+}
--- a/src/cluster/service_directory.h
+++ b/src/cluster/service_directory.h
@@ -92,6 +92,9 @@
 backend_record_t *backend_record_decode(const char *instance, const void *data, size_t length);
 /** Reads "IP:PORT"; false if it is none. */
 bool parse_socket_address(const char *text, struct sockaddr_in *address);
+enum { SOCKET_ADDRESS_BYTES = sizeof "255.255.255.255:65535" };
+/** Writes "IP:PORT". */
+void format_socket_address(const struct sockaddr_in *address, char text[SOCKET_ADDRESS_BYTES]);
 
 /* Implemented by platform/. */
 
--- /dev/null
+++ b/src/directorysim/stubs.c
@@ -0,0 +1,194 @@
+/*
+ * What the directory code of a gateway calls of the rest of the gateway, of storage nodes and of
+ * the adapter, in short: storage nodes that are always reached and keep what gateways offer, back
+ * ends that are counted at most, a configuration that is its version's number.
+ */
+#include "directorysim/world.h"
+
+#include <stdlib.h>
+
+enum { ASK_LATENCY_MS = 20, PULL_LATENCY_MS = 10 };
+
+/* gateway/store_client.h */
+
+struct store_client {
+    world_gateway_t *gateway;
+    uint64_t offered; /**< Revision of the directory that was pulled last. */
+};
+
+store_client_t *stub_store_client_new(world_gateway_t *gateway) {
+    store_client_t *client = g_new0(store_client_t, 1);
+    client->gateway = gateway;
+    return client;
+}
+
+typedef struct {
+    world_gateway_t *gateway;
+    GBytes *bytes;
+} kept_answer_t;
+
+static void kept_directory_arrives(void *data) {
+    kept_answer_t answer = *(kept_answer_t *)data;
+    g_free(data);
+    if (answer.gateway->gateway != NULL)
+        gateway_take_directory(answer.gateway->gateway, answer.bytes);
+    g_bytes_unref(answer.bytes);
+}
+
+bool store_client_ask_directory(store_client_t *client) {
+    world_gateway_t *gateway = client->gateway;
+    if (gateway->listed_as == 0)
+        return false;
+    GBytes *bytes = world_kept_directory();
+    if (bytes != NULL) {
+        kept_answer_t *answer = g_new0(kept_answer_t, 1);
+        *answer = (kept_answer_t){gateway, g_bytes_ref(bytes)};
+        virtual_after(ASK_LATENCY_MS, gateway->process, kept_directory_arrives, answer);
+    }
+    return true;
+}
+
+static void pull_directory(void *data) {
+    store_client_t *client = data;
+    gateway_t *gateway = client->gateway->gateway;
+    if (gateway == NULL || gateway->stores != client)
+        return;
+    uint64_t revision = 0;
+    GBytes *bytes = gateway_read_directory(gateway, &revision);
+    if (bytes != NULL)
+        world_keep_directory(bytes);
+}
+
+void store_client_offer_directory(const store_client_t *client, uint64_t revision) {
+    (void)revision;
+    virtual_after(PULL_LATENCY_MS, client->gateway->process, pull_directory, (void *)client);
+}
+
+unsigned store_client_links_opened(const store_client_t *client) {
+    return client->gateway->listed_as > 0;
+}
+
+bool store_client_connected(const store_client_t *client) {
+    return client->gateway->listed_as > 0;
+}
+
+bool store_client_connected_directly(const store_client_t *client) {
+    return client->gateway->listed_as > 0;
+}
+
+uint64_t store_client_generation(const store_client_t *client) {
+    (void)client;
+    return 1;
+}
+
+void store_client_set_group(store_client_t *client, const store_group_t *group) {
+    (void)client;
+    (void)group;
+}
+
+void store_client_take_group(store_client_t *client, const message_t *message) {
+    (void)client;
+    (void)message;
+}
+
+bool store_client_reaches(const store_client_t *client, const char *name,
+                          struct sockaddr_in *address) {
+    (void)client;
+    (void)name;
+    (void)address;
+    return false;
+}
+
+/* gateway/backends.h */
+
+/** One that every gateway has a call at, if there are calls. */
+static backend_t some_backend = {.under_way = 1};
+
+void backends_init(backends_t *backends, uv_loop_t *loop, const char *zone, const char *gateway) {
+    (void)zone;
+    (void)gateway;
+    backends->loop = loop;
+    backends->used = g_hash_table_new(NULL, NULL);
+    backends->told_of = g_hash_table_new(NULL, NULL);
+    if (world.load != LOAD_IDLE)
+        g_hash_table_add(backends->used, &some_backend);
+}
+
+void backends_update(backends_t *backends, backend_record_t *record) {
+    (void)backends;
+    backend_record_free(record);
+}
+
+void backends_remove(backends_t *backends, const char *instance) {
+    (void)backends;
+    (void)instance;
+}
+
+backend_t *backends_find_hash(const backends_t *backends, uint64_t id_hash) {
+    (void)backends;
+    (void)id_hash;
+    return NULL;
+}
+
+unsigned backends_count(const backends_t *backends) {
+    (void)backends;
+    return 0;
+}
+
+bool backends_half_full(const backends_t *backends) {
+    (void)backends;
+    return world.load == LOAD_HEAVY;
+}
+
+uint32_t backend_tell_out_ms(backend_t *backend) {
+    (void)backend;
+    return 0;
+}
+
+/* gateway/gateway.h, net/http_listener.h */
+
+void gateway_check_ready(gateway_t *gateway) {
+    (void)gateway;
+}
+
+void http_listener_set_limits(http_listener_t *listener, const http_limits_t *limits) {
+    (void)listener;
+    (void)limits;
+}
+
+/* What the adapter implements of cluster/service_directory.h. */
+
+GBytes *directory_redact_configuration(GBytes *value) {
+    return g_bytes_ref(value);
+}
+
+directory_configuration_t *directory_parse_configuration(const char *data, size_t length) {
+    char *text = g_strndup(data, length);
+    char *end;
+    uint64_t version = strtoull(text, &end, 10);
+    bool valid = end != text && *end == '\0';
+    g_free(text);
+    if (!valid)
+        return NULL;
+    directory_configuration_t *configuration = directory_configuration_new();
+    configuration->version = version;
+    return configuration;
+}
+
+backend_record_t *directory_parse_backend(const char *instance, const char *data, size_t length) {
+    backend_record_t *record = g_new0(backend_record_t, 1);
+    record->instance = g_strdup(instance);
+    record->service = g_strndup(data, length);
+    record->zone = g_strdup("zone-0");
+    return record;
+}
+
+/* libuv */
+
+int uv_is_active(const uv_handle_t *handle) {
+    return virtual_timer_runs((const uv_timer_t *)handle);
+}
+
+void uv_timer_set_repeat(uv_timer_t *handle, uint64_t repeat) {
+    handle->repeat = repeat;
+}
--- a/src/gateway/directory_duty.c
+++ b/src/gateway/directory_duty.c
@@ -66,8 +66,7 @@
     return directory_follow_current(gateway->follow) && follows_root(gateway);
 }
 
-/** How long ago the key-value service confirmed what is known here; see watch_answer_age. */
-static uint32_t answer_age(const gateway_t *gateway) {
+uint32_t gateway_directory_age(const gateway_t *gateway) {
     const key_value_watch_t *watch = gateway->watch;
     if (views_root(gateway) || key_value_watch_rests(watch))
         return directory_follow_answer_age(gateway->follow);
@@ -90,7 +89,7 @@
     bool follows = directory_follow_current(gateway->follow);
     state->watching = !key_value_watch_rests(gateway->watch) || views_root(gateway) ||
                       (is_root(gateway) && follows);
-    state->answer_age = answer_age(gateway);
+    state->answer_age = gateway_directory_age(gateway);
 }
 
 /* The gateway that this one follows. */
@@ -164,7 +163,7 @@
     report->answer_age = UINT32_MAX;
     if (watch == NULL)
         return;
-    report->answer_age = answer_age(gateway);
+    report->answer_age = gateway_directory_age(gateway);
     report->changed = key_value_watch_changed(watch);
     bool watches = !key_value_watch_rests(watch) && key_value_watch_failed_at(watch) == 0;
     report->renews =
--- a/src/gateway/directory_follow.c
+++ b/src/gateway/directory_follow.c
@@ -1,6 +1,7 @@
 #include "gateway/directory_follow.h"
 
 #include "cluster/directory_changes.h"
+#include "cluster/service_directory.h"
 #include "common/error.h"
 #include "common/event.h"
 #include "net/frame_connection.h"
@@ -25,10 +26,17 @@
     uint64_t pause_until;
 };
 
+static void log_follows(const directory_follow_t *follow, const char *follows, const char *reason,
+                        uint64_t revision) {
+    char source[SOCKET_ADDRESS_BYTES];
+    format_socket_address(&follow->source, source);
+    event_log(GATEWAY_DIRECTORY_FOLLOWS, follows, source, reason, revision);
+}
+
 void directory_follow_end(directory_follow_t *follow, const char *reason, uint64_t pause_ms) {
     if (follow->connection == NULL)
         return;
-    event_log(GATEWAY_DIRECTORY_FOLLOWS, "no", reason, follow->handler->known(follow->owner));
+    log_follows(follow, "no", reason, follow->handler->known(follow->owner));
     uv_timer_stop(&follow->timer);
     frame_connection_close(follow->connection);
     follow->connection = NULL;
@@ -61,8 +69,7 @@
                            const message_t *message) {
     uv_timer_stop(&follow->timer);
     if (!follow->current)
-        event_log(GATEWAY_DIRECTORY_FOLLOWS, "yes", snapshot == NULL ? "same" : "view",
-                  message->revision);
+        log_follows(follow, "yes", snapshot == NULL ? "same" : "view", message->revision);
     follow->current = true;
     follow->handler->on_directory(follow->owner, snapshot, message->revision);
 }
@@ -142,7 +149,7 @@
                           (follow->current ? DIRECTORY_FOLLOW_PAUSE_MS : follow->refused_pause_ms);
     follow->current = false;
     uv_timer_stop(&follow->timer);
-    event_log(GATEWAY_DIRECTORY_FOLLOWS, "no", "closed", follow->handler->known(follow->owner));
+    log_follows(follow, "no", "closed", follow->handler->known(follow->owner));
     follow->handler->on_lost(follow->owner);
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -124,6 +124,8 @@
  * here is in force.
  */
 bool gateway_directory_current(const gateway_t *gateway);
+/** How long ago the key-value service confirmed what is known here, in ms; UINT32_MAX: unknown. */
+uint32_t gateway_directory_age(const gateway_t *gateway);
 /** Takes a directory that a storage node kept, if the key-value service has shown none yet. */
 void gateway_take_directory(void *owner, GBytes *bytes);
 /** The directory as storage nodes may keep it; NULL: it is not confirmed. */
--- a/src/gateway/reports.c
+++ b/src/gateway/reports.c
@@ -78,12 +78,25 @@
     "kind=\"stream\"",
 };
 
+/** How old the view of the key-value service is, and since when a change is known to be missing. */
+static void append_directory_figures(const gateway_t *gateway, GString *text) {
+    uint64_t behind_since = gateway->watch_state.behind_since;
+    metrics_append(text, "directory_revision", gateway->snapshot.revision);
+    metrics_append(text, "directory_age_ms", gateway_directory_age(gateway));
+    metrics_append(text, "directory_behind_ms",
+                   behind_since == 0 ? 0 : uv_now(gateway->loop) - behind_since);
+    metrics_append(text, "directory_on_duty", gateway->on_duty);
+    metrics_append(text, "directory_follows", directory_follow_current(gateway->follow));
+    metrics_append(text, "directory_followers", directory_feed_followers(gateway->feed));
+}
+
 static void append_figures(void *owner, GString *text) {
     const gateway_t *gateway = owner;
     const gateway_counters_t *counters = &gateway->counters;
     metrics_append(text, "ready", gateway->ready);
     metrics_append(text, "configuration_version",
                    gateway->configuration == NULL ? 0 : gateway->configuration->version);
+    append_directory_figures(gateway, text);
     metrics_append(text, "backends", backends_count(&gateway->backends));
     metrics_append(text, "stores_connected", store_client_connected(gateway->stores));
     metrics_append(text, "store_relays", store_relay_count(gateway->relay));
--- a/src/storesim/virtual_loop.c
+++ b/src/storesim/virtual_loop.c
@@ -17,6 +17,7 @@
 static uint64_t now;
 static uint64_t order;
 static GRand *chance;
+static const virtual_process_t *running; /**< The process whose event runs. */
 static GHashTable *armed; /**< Timers that run: uv_timer_t to the timer_event_t of its start. */
 
 static int compare_events(gconstpointer a, gconstpointer b, gpointer unused) {
@@ -82,6 +83,10 @@
         event->action(event->data);
 }
 
+const virtual_process_t *virtual_running(void) {
+    return running;
+}
+
 void virtual_run(uint64_t until) {
     for (;;) {
         GSequenceIter *first = g_sequence_get_begin_iter(queue);
@@ -92,6 +97,7 @@
             break;
         g_sequence_remove(first);
         now = event.at;
+        running = event.process;
         run_event(&event);
     }
     now = until;
@@ -145,6 +151,10 @@
     timer->timer_cb(timer);
 }
 
+bool virtual_timer_runs(const uv_timer_t *timer) {
+    return g_hash_table_contains(armed, timer);
+}
+
 uint64_t uv_now(const uv_loop_t *loop) {
     (void)loop;
     return now;
--- a/src/storesim/virtual_loop.h
+++ b/src/storesim/virtual_loop.h
@@ -39,6 +39,10 @@
 
 /** Runs @p action after @p delay ms; not if @p process has ended, and later if it is paused. */
 void virtual_after(uint64_t delay, virtual_process_t *process, virtual_action_t action, void *data);
+/** The process whose event runs now; NULL: none's. */
+const virtual_process_t *virtual_running(void);
+/** True if the timer is to fire. */
+bool virtual_timer_runs(const uv_timer_t *timer);
 /** Runs events until @p until. */
 void virtual_run(uint64_t until);
 
--- a/src/storesim/virtual_network.c
+++ b/src/storesim/virtual_network.c
@@ -36,6 +36,7 @@
 static GPtrArray *dark;       /**< Processes whose machine lost power, and may have it again. */
 static uint64_t last_serial;
 static bool empty_indexes;
+static uint64_t keep_alive_ms;   /**< 0: there is none. */
 static GHashTable *first_grants; /**< Set if quotas are broken: by process and start. */
 
 void virtual_network_start(void) {
@@ -43,11 +44,16 @@
     ends = g_ptr_array_new();
     dark = g_ptr_array_new();
     empty_indexes = false;
+    keep_alive_ms = 0;
     if (first_grants != NULL)
         g_hash_table_destroy(first_grants);
     first_grants = NULL;
 }
 
+void virtual_network_keep_alive(uint64_t ms) {
+    keep_alive_ms = ms;
+}
+
 void virtual_network_break_catch_up(void) {
     empty_indexes = true;
 }
@@ -317,6 +323,8 @@
         forget_end(end);
         if (peer != NULL && !silent)
             lose_end_after(peer, latency());
+        else if (peer != NULL && keep_alive_ms > 0)
+            lose_end_after(peer, keep_alive_ms);
     }
 }
 
--- a/src/storesim/virtual_network.h
+++ b/src/storesim/virtual_network.h
@@ -14,6 +14,9 @@
 void virtual_network_start(void);
 /** Ends all connections of a process that ended; @p silent: without a word to the others. */
 void virtual_network_process_ended(virtual_process_t *process, bool silent);
+/** After so long in ms the kernel finds a silent peer of a connection that carries nothing; 0:
+ * never. */
+void virtual_network_keep_alive(uint64_t ms);
 /** Cuts two processes from one another, or joins them again. */
 void virtual_network_cut(virtual_process_t *a, virtual_process_t *b, bool cut);
 
