gateways: a source that may lack a change is left in time, whatever became of it

Cause: a change of the configuration must be in force within 2 s, and what a follower did when its source was lost added up to more: the pause of the watches on duty (0.9 s while changes keep coming), the report (0.08 to 0.3 s), the follower's own period (0.34 s, 1.2 s in a large cell), 0.6 s and one period of patience, 1.5 s if the source was still heard. The class: times that are each reasonable, set one by one, and nowhere added up against the bound. The same sum was exceeded by a source that is cut off from the service, or frozen; by all three on duty cut off at once; after an outage, since a watch that nobody answers was given up after 3.9 s, and after a source had been of no use none was followed for 4 s.

Change, in one budget (core/configuration/watch_duty.h): watches pause 0.5 s at most; a change is told at once and looked at within 20 ms; a follower leaves a source 0.2 s after the change was known elsewhere, or that after the pause that follows the source's latest answer; it looks every 50 ms meanwhile, gives a connection 0.3 s, and avoids only the source that was of no use. Those on duty are answered in turn, so that one answer comes each second, and when none has for longer the next few look. A watch that is begun anew is answered at once, which tells a service that says nothing from one that has nothing to say within 0.9 s. Gateways on duty that follow others in an outage ask again after 2 s.

Ruled out: a shorter wait for all watches (1.5 times the calls of a calm hour, and still 2.9 s for one that is cut off); leaving a source as soon as another knows more (they pause at different times, and a large fleet would send whole views to and fro); heartbeats on the followers' connections (a source that is cut off from the service beats, too).

watch_duty_test: its three on duty had all been answered 2.2 s before, which is now the case in which the next ones look; they are answered in turn instead, and whether a process is on duty is asked itself instead of being read from how long it waits.

--- a/src/cluster/key_value_watch.c
+++ b/src/cluster/key_value_watch.c
@@ -9,6 +9,7 @@
  */
 #include "cluster/key_value_watch.h"
 
+#include "core/configuration/watch_duty.h"
 #include "net/http_client.h"
 
 #include <string.h>
@@ -17,8 +18,8 @@
     ANSWER_MS = 1000,      /**< For a listing or a write. */
     WATCH_EXTRA_MS = 900,  /**< For a watch, beyond the time it waits. */
     LISTED_PAUSE_MS = 900, /**< After a listing, before the first watch: other nodes start, too. */
-    GATHER_FIRST_MS = 200, /**< After a change, before the next watch: changes come in bursts. */
-    GATHER_MOST_MS = 900,  /**< Longest such pause, while each watch sees a change at once. */
+    GATHER_FIRST_MS = 200, /**< After a change, before the next watch: changes come in bursts. Up
+                              to WATCH_GATHER_MOST_MS while each watch sees a change at once. */
     CALM_MS = 1500,        /**< A watch that waited so long ends a burst. */
     FULL_EVENTS = 200,     /**< An answer with so many changes has more behind it. */
     PAUSE_FIRST_MS = 100,
@@ -47,6 +48,7 @@
     char *after;         /**< Last key of the listing's last page. */
     uint64_t held_since; /**< 0: it is not held. */
     bool resumed;        /**< No answer since it was told what is known from elsewhere. */
+    bool renewed;        /**< No answer since it was begun anew on purpose. */
     uint64_t revision;
     uint64_t list_revision;
     unsigned failures;
@@ -77,6 +79,7 @@
 static void start_listing(key_value_watch_t *watch) {
     watch->phase = LISTING;
     watch->resumed = false;
+    watch->renewed = false;
     g_hash_table_remove_all(watch->listed);
     g_free(watch->after);
     watch->after = g_strdup("");
@@ -147,7 +150,7 @@
 /** Pause after a watch that saw a change; grows while changes keep coming. */
 static uint64_t next_gather_pause(key_value_watch_t *watch) {
     bool calm = uv_now(watch->loop) - watch->begun_at >= CALM_MS;
-    uint64_t longer = MIN(2 * watch->gather_ms, GATHER_MOST_MS);
+    uint64_t longer = MIN(2 * watch->gather_ms, (uint64_t)WATCH_GATHER_MOST_MS);
     watch->gather_ms = calm ? GATHER_FIRST_MS : MAX(longer, GATHER_FIRST_MS);
     return watch->gather_ms;
 }
@@ -180,6 +183,7 @@
     }
     watch->failures = 0;
     watch->failed_at = 0;
+    watch->renewed = false;
     watch->answered_at = uv_now(watch->loop);
     set_reachable(watch, true);
     bool listed = watch->phase == LISTING;
@@ -226,17 +230,25 @@
         watch->client = NULL;
 }
 
+/**
+ * How long the next watch waits at the service. One that is begun anew is answered at once, so that
+ * a service which says nothing is found within WATCH_EXTRA_MS: a gateway that takes the duty over
+ * in an outage asked a service that had been back for 3 s when its watch was given up.
+ */
+static uint32_t call_wait_ms(const key_value_watch_t *watch) {
+    return watch->resumed || watch->renewed ? 0 : watch->wait_ms;
+}
+
 static void begin_call(key_value_watch_t *watch) {
     g_string_truncate(watch->body, 0);
     watch->status = 0;
     watch->begun_at = uv_now(watch->loop);
     bool listing = watch->phase == LISTING;
     watch->waiting = !listing;
-    GString *request = listing
-                           ? key_value_list_request(watch->host, watch->prefix, watch->after)
-                           : key_value_watch_request(watch->host, watch->prefix, watch->revision,
-                                                     watch->resumed ? 0 : watch->wait_ms);
-    uint64_t limit = listing ? ANSWER_MS : (uint64_t)watch->wait_ms + WATCH_EXTRA_MS;
+    GString *request = listing ? key_value_list_request(watch->host, watch->prefix, watch->after)
+                               : key_value_watch_request(watch->host, watch->prefix,
+                                                         watch->revision, call_wait_ms(watch));
+    uint64_t limit = listing ? ANSWER_MS : (uint64_t)call_wait_ms(watch) + WATCH_EXTRA_MS;
     uv_timer_start(&watch->timer, on_time_over, limit, 0);
     if (watch->client == NULL)
         watch->client = http_client_open(watch->loop, &watch->address, on_idle_closed, watch);
@@ -302,6 +314,7 @@
         return;
     stop_call(watch);
     watch->resting = false;
+    watch->renewed = true;
     if (watch->held_since == 0)
         begin_call(watch);
 }
--- a/src/cluster/key_value_watch.h
+++ b/src/cluster/key_value_watch.h
@@ -50,8 +50,8 @@
 void key_value_watch_go_on(key_value_watch_t *watch);
 /** How long the next watch waits for a change, in ms. */
 void key_value_watch_set_wait(key_value_watch_t *watch, uint32_t wait_ms);
-/** Gives up the watch that waits now, if one does, for a new one from the same revision; ends a
- * rest. */
+/** Gives up the watch that waits now, if one does, for a new one from the same revision, which is
+ * answered at once; ends a rest. */
 void key_value_watch_renew(key_value_watch_t *watch);
 /** Least time between two watches, in ms, beside the pauses that a watch makes anyway. */
 void key_value_watch_set_pause(key_value_watch_t *watch, uint32_t pause_ms);
--- a/src/directorysim/faults.c
+++ b/src/directorysim/faults.c
@@ -2,6 +2,8 @@
  * place. */
 #include "directorysim/world.h"
 
+#include <stdio.h>
+
 typedef enum {
     FAULT_POWER_GATEWAY,
     FAULT_KILL_GATEWAY,
@@ -134,7 +136,7 @@
 }
 
 static void disturb(disturbance_t *disturbance, uint64_t ms) {
-    disturbance->until = virtual_now() + ms;
+    disturbance->until = MAX(disturbance->until, virtual_now() + ms);
     note_disturbance(disturbance);
 }
 
@@ -222,8 +224,12 @@
     virtual_after(virtual_random(PAUSE_LEAST_MS, PAUSE_MOST_MS), NULL, inject, NULL);
     fault_kind_t kind =
         only_kind >= 0 ? (fault_kind_t)only_kind : (fault_kind_t)virtual_random(0, FAULT_KINDS - 1);
-    bool injected = inject_on_gateway(kind, draw_gateway()) || inject_elsewhere(kind);
+    world_gateway_t *gateway = draw_gateway();
+    bool injected = inject_on_gateway(kind, gateway) || inject_elsewhere(kind);
     counts[kind] += injected;
+    if (world.log && injected)
+        printf("%9.3f FAULT %s, drawn: %s\n", (double)virtual_now() / 1000, fault_names[kind],
+               gateway == NULL ? "-" : gateway->process->name);
 }
 
 bool faults_start(uint64_t until, const char *only) {
--- a/src/directorysim/judge.c
+++ b/src/directorysim/judge.c
@@ -6,6 +6,8 @@
  */
 #include "directorysim/world.h"
 
+#include <stdio.h>
+
 enum { LOOK_MS = 10, NEVER = 0 };
 
 typedef struct {
@@ -75,7 +77,14 @@
     uint64_t bound = lately(soft_until) ? APPLY_MS + OUTER_MS : APPLY_MS;
     if (bound == APPLY_MS)
         judgement.latest_ms = MAX(judgement.latest_ms, age);
-    judgement.late += age > bound;
+    if (age <= bound)
+        return;
+    judgement.late++;
+    if (world.log)
+        printf("%9.3f %-12s LATE version=%" G_GUINT64_FORMAT " lacks=%" G_GUINT64_FORMAT
+               " age_ms=%" G_GUINT64_FORMAT "\n",
+               (double)virtual_now() / 1000, gateway->process->name, (guint64)version,
+               (guint64)lacking->version, (guint64)age);
 }
 
 static void look(void *data) {
--- a/src/directorysim/main.c
+++ b/src/directorysim/main.c
@@ -34,7 +34,6 @@
     unsigned gateways;
     unsigned zones;
     const char *only;
-    bool log;
 } arguments_t;
 
 static arguments_t arguments = {.first = 1, .last = 100, .gateways = GATEWAYS, .zones = ZONES};
@@ -56,7 +55,7 @@
         arguments.only = argument;
         return 0;
     case 'l':
-        arguments.log = true;
+        world.log = true;
         return 0;
     case ARGP_KEY_ARG:
         argp_usage(state);
@@ -71,7 +70,7 @@
     {"gateways", 'g', "N", 0, "Gateways; default: 9", 0},
     {"zones", 'z', "N", 0, "Zones; default: 3", 0},
     {"only", 'o', "KIND", 0, "Only faults of this kind", 0},
-    {"log", 'l', NULL, 0, "Print the gateways' events", 0},
+    {"log", 'l', NULL, 0, "Print the gateways' events, faults, and what is judged late", 0},
     {0}};
 static const struct argp argp = {
     options, parse_option, NULL, "Simulates gateways that share views of the key-value service.",
@@ -80,7 +79,7 @@
 /* common/event.h, with virtual time and the process in front. */
 
 void event_write(event_id_t id, const char *format, ...) {
-    if (!arguments.log)
+    if (!world.log)
         return;
     va_list values;
     va_start(values, format);
--- a/src/directorysim/virtual_service.c
+++ b/src/directorysim/virtual_service.c
@@ -6,8 +6,10 @@
 #include "directorysim/virtual_service.h"
 
 #include "cluster/key_value.h"
+#include "directorysim/world.h"
 #include "net/http_client.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -125,8 +127,8 @@
 /** Takes over @p body. */
 static void send_answer(http_client_t *client, unsigned status, GString *body) {
     client->held = false;
-    if (virtual_chance(lost_percent)) {
-        client->dead = true;
+    client->dead = client->dead || virtual_chance(lost_percent);
+    if (client->dead) {
         g_string_free(body, TRUE);
         return;
     }
@@ -228,6 +230,10 @@
         return;
     calls++;
     service_manner_t manner = client->dead ? SERVICE_SILENT : manner_to(client->process);
+    if (world.log)
+        printf("%9.3f %-12s CALL %s after=%s wait=%s manner=%d\n", (double)virtual_now() / 1000,
+               client->process->name, client->request[0], client->request[2],
+               client->request[2] == NULL ? "" : client->request[3], (int)manner);
     if (manner == SERVICE_SILENT)
         client->dead = true;
     else if (manner == SERVICE_REFUSES)
--- a/src/directorysim/world.c
+++ b/src/directorysim/world.c
@@ -166,6 +166,7 @@
 void world_begin(uint64_t seed, unsigned gateways, unsigned zones) {
     virtual_loop_start(seed);
     virtual_network_start();
+    virtual_network_restart_serials();
     virtual_network_keep_alive(KEEP_ALIVE_MS);
     virtual_datagrams_start();
     virtual_service_start();
--- a/src/directorysim/world.h
+++ b/src/directorysim/world.h
@@ -41,6 +41,7 @@
 typedef struct {
     GPtrArray *gateways; /**< Of world_gateway_t. */
     load_t load;
+    bool log; /**< Print the gateways' events, faults, and what is judged late. */
 } world_t;
 
 /** The only one. */
--- a/src/gateway/directory_duty.c
+++ b/src/gateway/directory_duty.c
@@ -17,9 +17,11 @@
 #include "common/event.h"
 
 enum {
-    PEER_NEWS_MS = 1000,      /**< What a gateway told counts for so long. */
-    FAILED_LATELY_MS = 10000, /**< A gateway on duty that follows tries the service again then. */
-    FOLLOW_LAG_MS = 1500,     /**< A followed gateway notices within this that it lags. */
+    PEER_NEWS_MS = 1000, /**< What a gateway told counts for so long. */
+    /** A gateway on duty that follows, as the service failed it, tries the service again after
+       this, */
+    FAILED_LATELY_MS = 2000,
+    FAILED_LATELY_PATIENT_MS = 10000, /**< or after this if enough others do. */
     SOURCE_REFUSED_MS = 300, /**< Before another source is tried; doubled with each that refuses. */
     SOURCE_REFUSED_TIMES = 4, /**< So often. */
     /** A watch on duty is answered every 3 s (WATCH_WAIT_RENEWING_MS); later, news may be missed.
@@ -182,24 +184,27 @@
     }
 }
 
-/** True if the gateway that is followed lags and seems to be up: it will notice by itself. */
-static bool source_finds_out(const gateway_t *gateway, uint64_t period_ms) {
+/**
+ * True if a change that is missing may yet come from the gateway that is followed: it sees it when
+ * others do, or a pause after its latest answer. Whether it is heard does not matter: one that was
+ * cut off from the service is, and knows no better; with 1.5 s of patience then, and twice a period
+ * of reports besides, changes came into force up to 2.9 s late.
+ */
+static bool source_may_tell(const gateway_t *gateway) {
+    uint64_t now = uv_now(gateway->loop);
     uint64_t behind_since = gateway->watch_state.behind_since;
-    uint64_t heard_at;
-    if (views_root(gateway))
-        return uv_now(gateway->loop) < behind_since + FOLLOW_LAG_MS;
-    if (!directory_follow_current(gateway->follow) ||
-        !load_sharing_look_at_source(gateway->load_sharing,
-                                     directory_follow_source(gateway->follow), &heard_at))
+    uint32_t age = directory_follow_answer_age(gateway->follow);
+    if (behind_since == 0 || !directory_follow_current(gateway->follow))
         return false;
-    uint64_t patience = heard_at > behind_since ? FOLLOW_LAG_MS : WATCH_LAG_MS + period_ms;
-    return uv_now(gateway->loop) < behind_since + patience;
+    return now < behind_since + WATCH_SOURCE_LAG_MS ||
+           age < WATCH_GATHER_MOST_MS + WATCH_SOURCE_LAG_MS;
 }
 
 /** True if this gateway failed to reach the key-value service not long ago. */
 static bool service_failed_lately(const gateway_t *gateway) {
     uint64_t failed_at = key_value_watch_failed_at(gateway->watch);
-    return failed_at > 0 && uv_now(gateway->loop) < failed_at + FAILED_LATELY_MS;
+    uint64_t lately_ms = gateway->patient ? FAILED_LATELY_PATIENT_MS : FAILED_LATELY_MS;
+    return failed_at > 0 && uv_now(gateway->loop) < failed_at + lately_ms;
 }
 
 bool gateway_directory_current(const gateway_t *gateway) {
@@ -223,8 +228,21 @@
                                         directory_follow_source(gateway->follow), &heard_at);
 }
 
-/** @p changed: the source must have seen the change at this revision; 0: any will do. */
-static void begin_to_follow(gateway_t *gateway, bool rests, uint64_t changed) {
+/**
+ * Finds a gateway of this one's cell to follow: one that has seen the latest change known, or
+ * without any that this one lacks, whichever there is. False: none will do.
+ */
+static bool find_source(const gateway_t *gateway, struct sockaddr_in *source) {
+    uint64_t changed = load_sharing_changed(gateway->load_sharing);
+    bool lacking = changed > key_value_watch_changed(gateway->watch);
+    if (!lacking || !load_sharing_find_source(gateway->load_sharing, changed, source))
+        return load_sharing_find_source(gateway->load_sharing, 0, source);
+    /* One that was left because it was behind no longer is. */
+    directory_follow_forgive(gateway->follow);
+    return true;
+}
+
+static void begin_to_follow(gateway_t *gateway, bool rests) {
     struct sockaddr_in source;
     unsigned sources = gateway->sources->len;
     uint64_t pause = (uint64_t)SOURCE_REFUSED_MS << gateway->sources_failed;
@@ -232,7 +250,7 @@
         source =
             g_array_index(gateway->sources, struct sockaddr_in, gateway->sources_tried++ % sources);
         directory_follow_begin(gateway->follow, &source, pause);
-    } else if (load_sharing_find_source(gateway->load_sharing, changed, &source)) {
+    } else if (find_source(gateway, &source)) {
         directory_follow_begin(gateway->follow, &source, pause);
     }
 }
@@ -246,17 +264,19 @@
 }
 
 /**
- * Leaves a source that lacks a change, or whose view has grown old, for another one; false if
- * there is none and this gateway has to ask the service.
+ * Follows a gateway that may know what this one lacks, in place of the one that is followed, if
+ * any; false if there is none and this gateway has to ask the service.
  */
 static bool change_source(gateway_t *gateway, bool rests) {
     uint64_t changed = load_sharing_changed(gateway->load_sharing);
-    if (!directory_follow_active(gateway->follow) || !has_other_source(gateway, rests, changed))
+    if (!has_other_source(gateway, rests, changed))
         return false;
-    directory_follow_end(gateway->follow, "behind", 0);
-    gateway->sources_failed++;
+    if (directory_follow_active(gateway->follow)) {
+        directory_follow_end(gateway->follow, "behind", 0);
+        gateway->sources_failed++;
+    }
     gateway->watch_state.behind_since = 0;
-    begin_to_follow(gateway, rests, changed);
+    begin_to_follow(gateway, rests);
     return directory_follow_active(gateway->follow);
 }
 
@@ -264,19 +284,19 @@
 static void look_whether_to_follow(gateway_t *gateway, bool rests, bool renew) {
     directory_follow_t *follow = gateway->follow;
     bool below = gateway->sources->len > 0;
-    /* One on duty at the root has to ask the service, which may answer it again. */
-    renew = renew && !((rests || below) && change_source(gateway, rests));
+    /* One on duty at the root has to ask the service, unless that has just failed it. */
+    bool may_follow = rests || below || service_failed_lately(gateway);
+    renew = renew && !(may_follow && change_source(gateway, rests));
     bool held = key_value_watch_held_since(gateway->watch) > 0;
     bool may_rest = (gateway->directory_confirmed || held) && (rests || below);
     bool wanted =
         (may_rest || service_failed_lately(gateway)) && !renew && gateway->stores_lost_at == 0;
     if (!wanted)
-        directory_follow_end(follow, renew ? "behind" : "duty",
-                             renew ? DIRECTORY_FOLLOW_PAUSE_MS : 0);
+        directory_follow_end(follow, renew ? "behind" : "duty", renew ? DIRECTORY_AVOID_MS : 0);
     else if (directory_follow_active(follow) && follows_wrong_one(gateway, rests))
         directory_follow_end(follow, "source", 0);
     if (wanted && !directory_follow_active(follow))
-        begin_to_follow(gateway, rests, 0);
+        begin_to_follow(gateway, rests);
     /* Its own watch rests from the beginning: else it would soon know more than the source. */
     bool follows = directory_follow_active(follow);
     if (follows && !key_value_watch_rests(gateway->watch))
@@ -324,11 +344,11 @@
     change_source(gateway, false);
 }
 
-static void on_reports(void *owner, const GArray *reports, uint64_t period_ms,
-                       uint64_t renewing_period_ms) {
+static uint64_t on_reports(void *owner, const GArray *reports, uint64_t period_ms,
+                           uint64_t renewing_period_ms) {
     gateway_t *gateway = owner;
     if (gateway->watch == NULL)
-        return;
+        return UINT64_MAX;
     leave_unconfirmed_source(gateway);
     note_own_watch(gateway);
     watch_decision_t decision =
@@ -336,12 +356,16 @@
                           reports->len, period_ms, renewing_period_ms, uv_now(gateway->loop));
     key_value_watch_set_wait(gateway->watch, decision.wait_ms);
     key_value_watch_set_patient(gateway->watch, decision.patient);
-    gateway->on_duty = decision.wait_ms == WATCH_WAIT_RENEWING_MS;
+    gateway->patient = decision.patient;
+    gateway->on_duty = decision.on_duty;
     look_whether_to_offer(gateway, decision.first && gateway->sources->len == 0);
-    bool renew = decision.renew && !source_finds_out(gateway, period_ms);
+    bool behind = gateway->watch_state.behind_since > 0;
+    bool lacks_change = behind && directory_follow_current(gateway->follow);
+    bool renew = (decision.renew || lacks_change) && !source_may_tell(gateway);
     look_whether_to_follow(gateway, !gateway->on_duty, renew);
     look_at_peers(gateway, reports);
     gateway_check_ready(gateway);
+    return gateway->watch_state.behind_since > 0 ? WATCH_LOOK_BEHIND_MS : UINT64_MAX;
 }
 
 const load_sharing_handler_t gateway_watch_sharing = {tell, on_reports};
--- a/src/gateway/directory_follow.c
+++ b/src/gateway/directory_follow.c
@@ -7,8 +7,12 @@
 #include "net/frame_connection.h"
 
 enum {
-    CONNECT_MS = 1000, /**< The source must have accepted within this, in ms, */
-    VIEW_MS = 8000,    /**< and its view have come, which shares the source's link with others. */
+    /** A connection must be up within this, in ms: a machine without power does not refuse it, and
+     * the kernel would ask again only after a second. */
+    CONNECT_MS = 300,
+    ACCEPT_MS = 500, /**< Then the source must have accepted within this, */
+    VIEW_MS = 8000,  /**< and its view have come, which shares the source's link with others. */
+    REFUSED_LEAST_MS = 300, /**< Pause after a refusal, whatever other sources know. */
 };
 
 struct directory_follow {
@@ -23,9 +27,22 @@
     uint64_t heard_at;
     uint32_t answer_age; /**< As the source told it then. */
     uint64_t refused_pause_ms;
-    uint64_t pause_until;
+    uint64_t refused_at;
+    uint64_t pause_until;       /**< None is followed before; one has refused. */
+    struct sockaddr_in avoided; /**< The source that proved of no use last, */
+    uint64_t avoided_until;     /**< which is not followed before. */
 };
 
+static bool same_address(const struct sockaddr_in *a, const struct sockaddr_in *b) {
+    return a->sin_port == b->sin_port && a->sin_addr.s_addr == b->sin_addr.s_addr;
+}
+
+/** Does not follow the present source again before @p ms are over. */
+static void avoid_source(directory_follow_t *follow, uint64_t ms) {
+    follow->avoided = follow->source;
+    follow->avoided_until = uv_now(follow->loop) + ms;
+}
+
 static void log_follows(const directory_follow_t *follow, const char *follows, const char *reason,
                         uint64_t revision) {
     char source[SOCKET_ADDRESS_BYTES];
@@ -33,7 +50,7 @@
     event_log(GATEWAY_DIRECTORY_FOLLOWS, follows, source, reason, revision);
 }
 
-void directory_follow_end(directory_follow_t *follow, const char *reason, uint64_t pause_ms) {
+void directory_follow_end(directory_follow_t *follow, const char *reason, uint64_t avoid_ms) {
     if (follow->connection == NULL)
         return;
     log_follows(follow, "no", reason, follow->handler->known(follow->owner));
@@ -41,11 +58,22 @@
     frame_connection_close(follow->connection);
     follow->connection = NULL;
     follow->current = false;
-    follow->pause_until = uv_now(follow->loop) + pause_ms;
+    if (avoid_ms > 0)
+        avoid_source(follow, avoid_ms);
+}
+
+static void note_refusal(directory_follow_t *follow) {
+    follow->refused_at = uv_now(follow->loop);
+    follow->pause_until = follow->refused_at + follow->refused_pause_ms;
+}
+
+void directory_follow_forgive(directory_follow_t *follow) {
+    follow->avoided_until = 0;
+    follow->pause_until = MIN(follow->pause_until, follow->refused_at + REFUSED_LEAST_MS);
 }
 
 static void lose_source(directory_follow_t *follow, const char *reason) {
-    directory_follow_end(follow, reason, DIRECTORY_FOLLOW_PAUSE_MS);
+    directory_follow_end(follow, reason, DIRECTORY_AVOID_MS);
     follow->handler->on_lost(follow->owner);
 }
 
@@ -55,6 +83,7 @@
 
 static void on_open(void *owner, frame_connection_t *connection) {
     directory_follow_t *follow = owner;
+    uv_timer_start(&follow->timer, on_time_over, ACCEPT_MS, 0);
     message_t request;
     message_init(&request, REQUEST_FOLLOW);
     request.revision = follow->handler->known(follow->owner);
@@ -145,8 +174,10 @@
     (void)connection;
     /* Gone already: nothing is left to close. */
     follow->connection = NULL;
-    follow->pause_until = uv_now(follow->loop) +
-                          (follow->current ? DIRECTORY_FOLLOW_PAUSE_MS : follow->refused_pause_ms);
+    if (follow->current)
+        avoid_source(follow, DIRECTORY_AVOID_MS);
+    else
+        note_refusal(follow);
     follow->current = false;
     uv_timer_stop(&follow->timer);
     log_follows(follow, "no", "closed", follow->handler->known(follow->owner));
@@ -168,7 +199,9 @@
 
 void directory_follow_begin(directory_follow_t *follow, const struct sockaddr_in *source,
                             uint64_t refused_pause_ms) {
-    if (follow->connection != NULL || uv_now(follow->loop) < follow->pause_until)
+    uint64_t now = uv_now(follow->loop);
+    bool avoided = now < follow->avoided_until && same_address(source, &follow->avoided);
+    if (follow->connection != NULL || now < follow->pause_until || avoided)
         return;
     follow->refused_pause_ms = refused_pause_ms;
     follow->answer_age = UINT32_MAX;
--- a/src/gateway/directory_follow.h
+++ b/src/gateway/directory_follow.h
@@ -18,8 +18,12 @@
 
 typedef struct directory_follow directory_follow_t;
 
-/** After a source proved of no use, before the next is followed, in ms. */
-enum { DIRECTORY_FOLLOW_PAUSE_MS = 4000 };
+/**
+ * A source that proved of no use is not followed again for so long, in ms; another one is at once.
+ * When none was followed for that time, a gateway that had lost its source in an outage was behind
+ * others, which it could have followed, for 3 s after the service was back.
+ */
+enum { DIRECTORY_AVOID_MS = 4000 };
 
 typedef struct {
     /** The latest revision at which this gateway has seen a change. */
@@ -43,8 +47,11 @@
  */
 void directory_follow_begin(directory_follow_t *follow, const struct sockaddr_in *source,
                             uint64_t refused_pause_ms);
-/** Stops following, without on_lost, and does not begin again before @p pause_ms are over. */
-void directory_follow_end(directory_follow_t *follow, const char *reason, uint64_t pause_ms);
+/** Stops following, without on_lost; the source is not followed again before @p avoid_ms are over.
+ */
+void directory_follow_end(directory_follow_t *follow, const char *reason, uint64_t avoid_ms);
+/** The source that proved of no use may be followed again, and another soon after a refusal. */
+void directory_follow_forgive(directory_follow_t *follow);
 /** True if a source is being connected to or followed. */
 bool directory_follow_active(const directory_follow_t *follow);
 /** True if the source's whole view has come, and each change since. */
--- a/src/gateway/directory_watch.c
+++ b/src/gateway/directory_watch.c
@@ -158,7 +158,9 @@
 }
 
 static void on_item(void *owner, const key_value_item_t *item) {
+    const gateway_t *gateway = owner;
     const char *instance;
+    load_sharing_look_soon(gateway->load_sharing);
     if (item->value == NULL || key_value_kind(item->key, &instance) != KEY_BACKEND) {
         gateway_take_item(owner, item);
         return;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -84,6 +84,7 @@
     uint32_t listing_spread_ms;      /**< Drawn; see listing_turn.h. */
     uint64_t offers_directory_since; /**< Since when it has to offer it to storage nodes; 0: not. */
     bool on_duty;                    /**< It has to watch the key-value service itself. */
+    bool patient;                    /**< Enough others ask whether the service is back. */
     bool reports_seen;               /**< Other gateways are known. */
     uint64_t directory_asked_at;     /**< When storage nodes were last asked for it; 0: never. */
     uv_timer_t directory_timer;
--- a/src/gateway/load_sharing.c
+++ b/src/gateway/load_sharing.c
@@ -25,6 +25,7 @@
     FORGET_MS = 1000,       /**< What a silent gateway said last counts for so long. */
     SOURCE_PERIODS = 2,     /**< One datagram may be lost before a source is taken for gone. */
     SUM_AGAIN_MS = 100,     /**< Sums are made anew after this: what was told is forgotten. */
+    NEWS_LOOK_MS = 20,      /**< After another gateway told of a change; it mostly comes by then. */
 };
 
 typedef struct {
@@ -45,7 +46,9 @@
     GPtrArray *peers; /**< Of gateway_peer_t. */
     bool below;       /**< The peers follow gateways of another cell. */
     bool sums_stale;  /**< A datagram came since the loads were added up. */
+    uint64_t changed; /**< The latest change that any of them has told of. */
     uint64_t summed_at;
+    uint64_t look_at; /**< When the timer fires; UINT64_MAX: it does not run. */
     watch_report_t sent_report;
     uint64_t sent_changes;
     uint64_t sent_at;
@@ -136,6 +139,17 @@
     settle_told(sharing->backends->told_of, now);
 }
 
+static void on_timer(uv_timer_t *timer);
+
+/** Looks within @p ms, if it was not to do so anyway. */
+static void look_within(load_sharing_t *sharing, uint64_t ms) {
+    uint64_t at = uv_now(sharing->loop) + ms;
+    if (at >= sharing->look_at)
+        return;
+    sharing->look_at = at;
+    uv_timer_start(&sharing->timer, on_timer, ms, 0);
+}
+
 static void on_datagram(uv_udp_t *socket, ssize_t count, const uv_buf_t *buffer,
                         const struct sockaddr *from, unsigned flags) {
     load_sharing_t *sharing = socket->data;
@@ -145,13 +159,19 @@
     gateway_peer_t *peer = find_peer(sharing, (const struct sockaddr_in *)from);
     if (peer == NULL)
         return;
-    watch_report_t watch = {.heard_at = uv_now(sharing->loop), .before = peer->watch.before};
+    watch_report_t watch = {
+        .heard_at = uv_now(sharing->loop), .before = peer->watch.before, .rank = peer->watch.rank};
     if (load_report_decode(&watch, peer->entries, buffer->base, (size_t)count))
         peer->watch = watch;
     else
         g_array_set_size(peer->entries, 0);
     peer->heard_at = uv_now(sharing->loop);
     sharing->sums_stale = true;
+    if (watch.changed <= sharing->changed)
+        return;
+    /* A change must not wait for the end of a period, which is over a second in a large cell. */
+    sharing->changed = watch.changed;
+    look_within(sharing, NEWS_LOOK_MS);
 }
 
 void load_sharing_refresh(load_sharing_t *sharing) {
@@ -204,8 +224,6 @@
     g_array_free(entries, TRUE);
 }
 
-static void arm_timer(load_sharing_t *sharing);
-
 /** Those that watch for the others look often whether there is something to tell. */
 static uint64_t renewing_period_ms(const load_sharing_t *sharing) {
     return load_report_period_ms(sharing->peers->len, false);
@@ -232,30 +250,45 @@
            now >= sharing->sent_at + refresh_ms;
 }
 
-static void report_watches(const load_sharing_t *sharing) {
+/** Passes on what the others told; returns when that is to be done again at the latest, in ms. */
+static uint64_t report_watches(const load_sharing_t *sharing) {
     GArray *reports = g_array_new(FALSE, FALSE, sizeof(watch_report_t));
     for (guint i = 0; i < sharing->peers->len; i++) {
         const gateway_peer_t *peer = g_ptr_array_index(sharing->peers, i);
         if (peer->watch.heard_at > 0)
             g_array_append_val(reports, peer->watch);
     }
-    sharing->handler->on_reports(sharing->owner, reports, period_ms(sharing),
-                                 renewing_period_ms(sharing));
+    uint64_t again_ms = sharing->handler->on_reports(sharing->owner, reports, period_ms(sharing),
+                                                     renewing_period_ms(sharing));
     g_array_free(reports, TRUE);
+    return again_ms;
+}
+
+static void arm_timer(load_sharing_t *sharing) {
+    bool renews = sharing->sent_report.renews;
+    look_within(sharing, renews ? renewing_period_ms(sharing) : period_ms(sharing));
 }
 
 static void on_timer(uv_timer_t *timer) {
     load_sharing_t *sharing = timer->data;
     uint64_t now = uv_now(sharing->loop);
     uint64_t changes = sharing->backends->changes;
+    sharing->look_at = UINT64_MAX;
     if (due(sharing, now)) {
         sharing->sent_changes = changes;
         sharing->sent_at = now;
         tell_peers(sharing);
     }
     sum_peers(sharing);
-    report_watches(sharing);
+    uint64_t again_ms = report_watches(sharing);
     arm_timer(sharing);
+    if (again_ms != UINT64_MAX)
+        look_within(sharing, again_ms);
+}
+
+void load_sharing_look_soon(load_sharing_t *sharing) {
+    if (sharing->peers->len > 0)
+        look_within(sharing, 0);
 }
 
 void load_sharing_tell_now(load_sharing_t *sharing) {
@@ -335,12 +368,6 @@
     return peer != NULL && may_be_followed(sharing, peer);
 }
 
-static void arm_timer(load_sharing_t *sharing) {
-    bool renews = sharing->sent_report.renews;
-    uint64_t period = renews ? renewing_period_ms(sharing) : period_ms(sharing);
-    uv_timer_start(&sharing->timer, on_timer, period, 0);
-}
-
 load_sharing_t *load_sharing_open(uv_loop_t *loop, const struct sockaddr_in *address,
                                   backends_t *backends, const load_sharing_handler_t *handler,
                                   void *owner) {
@@ -349,6 +376,7 @@
     sharing->owner = owner;
     sharing->loop = loop;
     sharing->own = *address;
+    sharing->look_at = UINT64_MAX;
     sharing->backends = backends;
     sharing->peers = g_ptr_array_new_with_free_func(free_peer);
     uv_udp_init(loop, &sharing->socket);
@@ -368,6 +396,17 @@
     return rank;
 }
 
+static void rank_peers(const load_sharing_t *sharing) {
+    for (guint i = 0; i < sharing->peers->len; i++) {
+        gateway_peer_t *peer = g_ptr_array_index(sharing->peers, i);
+        peer->watch.rank = 0;
+        for (guint j = 0; j < sharing->peers->len; j++) {
+            const gateway_peer_t *other = g_ptr_array_index(sharing->peers, j);
+            peer->watch.rank += comes_before(&other->address, &peer->address);
+        }
+    }
+}
+
 void load_sharing_set_gateways(load_sharing_t *sharing, const GPtrArray *addresses, bool below) {
     sharing->below = below;
     GPtrArray *old = sharing->peers;
@@ -392,6 +431,7 @@
         }
     }
     g_ptr_array_free(old, TRUE);
+    rank_peers(sharing);
     if (sharing->peers->len > 0)
         arm_timer(sharing);
 }
--- a/src/gateway/load_sharing.h
+++ b/src/gateway/load_sharing.h
@@ -20,11 +20,13 @@
     /** Fills in what this gateway tells. */
     void (*tell)(void *owner, watch_report_t *report);
     /**
-     * Comes once a period with what the others told; @p reports of watch_report_t. Those that renew
-     * tell within @p renewing_period_ms.
+     * Comes once a period, and soon after another gateway told of a later change, with what the
+     * others told; @p reports of watch_report_t. Those that renew tell within @p
+     * renewing_period_ms. Returns within how many ms it wants to be called again; UINT64_MAX: in a
+     * period.
      */
-    void (*on_reports)(void *owner, const GArray *reports, uint64_t period_ms,
-                       uint64_t renewing_period_ms);
+    uint64_t (*on_reports)(void *owner, const GArray *reports, uint64_t period_ms,
+                           uint64_t renewing_period_ms);
 } load_sharing_handler_t;
 
 /** NULL if @p address can't be used. */
@@ -55,5 +57,7 @@
                                  uint64_t *heard_at);
 /** Tells the others now what this gateway knows; for news that can't wait. */
 void load_sharing_tell_now(load_sharing_t *sharing);
+/** Looks in the next turn of the loop whether there is something to tell. */
+void load_sharing_look_soon(load_sharing_t *sharing);
 
 #endif
--- a/src/storesim/virtual_network.c
+++ b/src/storesim/virtual_network.c
@@ -50,6 +50,10 @@
     first_grants = NULL;
 }
 
+void virtual_network_restart_serials(void) {
+    last_serial = 0;
+}
+
 void virtual_network_keep_alive(uint64_t ms) {
     keep_alive_ms = ms;
 }
--- a/tests/unit/control_traffic_test.cc
+++ b/tests/unit/control_traffic_test.cc
@@ -190,13 +190,12 @@
             unsigned rank = rank_of(list, addresses.at(serial));
             std::vector<watch_report_t> reports(peers);
             for (unsigned i = 0; i < peers; i++)
-                reports[i] = {i < rank, now - 100, 1000, backends, true, i < WATCH_RENEWING};
+                reports[i] = {i < rank, i, now - 100, 1000, backends, true, i < WATCH_RENEWING};
             watch_state_t own = {backends, now - 1000, now - 1000, 0, !list.sources.empty()};
             watch_decision_t decision =
                 watch_duty_decide(&own, reports.data(), peers, load_report_period_ms(peers, true),
                                   load_report_period_ms(peers, false), now);
-            bool rests = decision.wait_ms == WATCH_WAIT_RESTING_MS;
-            found += (!rests && list.sources.empty()) ? 1 : 0;
+            found += (decision.on_duty && list.sources.empty()) ? 1 : 0;
         }
         return found;
     }
--- a/tests/unit/directory_follow_test.cc
+++ b/tests/unit/directory_follow_test.cc
@@ -157,7 +157,7 @@
             g_bytes_unref(item.value);
     }
     bool begin() {
-        directory_follow_begin(follow, &address, DIRECTORY_FOLLOW_PAUSE_MS);
+        directory_follow_begin(follow, &address, DIRECTORY_AVOID_MS);
         return run_until([this] { return follower.views > 0; });
     }
     World *world;
@@ -209,7 +209,7 @@
     write("servers/a", "ready", 5);
     follower.view = source.snapshot.digest;
     follower.known = 4;
-    directory_follow_begin(follow, &address, DIRECTORY_FOLLOW_PAUSE_MS);
+    directory_follow_begin(follow, &address, DIRECTORY_AVOID_MS);
     ASSERT_TRUE(run_until([this] { return follower.same == 1; }));
     EXPECT_EQ(follower.known, 5U);
     EXPECT_EQ(follower.views, 0U);
@@ -222,7 +222,7 @@
     write("servers/a", "ready", 5);
     follower.view = source.snapshot.digest;
     follower.known = 7;
-    directory_follow_begin(follow, &address, DIRECTORY_FOLLOW_PAUSE_MS);
+    directory_follow_begin(follow, &address, DIRECTORY_AVOID_MS);
     run_until([this] { return directory_feed_followers(source.feed) == 1; });
     follower.view++;
     source.known = 8;
@@ -248,7 +248,7 @@
 TEST_F(DirectoryFollow, ASourceThatKnowsLessIsWaitedForAWhileAndThenLeft) {
     write("servers/a", "ready", 5);
     follower.known = 7;
-    directory_follow_begin(follow, &address, DIRECTORY_FOLLOW_PAUSE_MS);
+    directory_follow_begin(follow, &address, DIRECTORY_AVOID_MS);
     EXPECT_TRUE(run_until([this] { return follower.lost == 1; }));
     EXPECT_EQ(follower.known, 7U);
     EXPECT_EQ(follower.views, 0U);
@@ -258,7 +258,7 @@
 TEST_F(DirectoryFollow, ASourceThatCatchesUpIsFollowed) {
     write("servers/a", "ready", 5);
     follower.known = 7;
-    directory_follow_begin(follow, &address, DIRECTORY_FOLLOW_PAUSE_MS);
+    directory_follow_begin(follow, &address, DIRECTORY_AVOID_MS);
     run_until([this] { return directory_feed_followers(source.feed) == 1; });
     write("servers/a", "draining", 6);
     write("servers/b", "ready", 8);
@@ -271,7 +271,7 @@
 TEST_F(DirectoryFollow, OneThatFollowsItselfCanNotBeFollowed) {
     write("servers/a", "ready", 5);
     source.watching = false;
-    directory_follow_begin(follow, &address, DIRECTORY_FOLLOW_PAUSE_MS);
+    directory_follow_begin(follow, &address, DIRECTORY_AVOID_MS);
     EXPECT_TRUE(run_until([this] { return follower.lost == 1; }));
 }
 
--- a/tests/unit/watch_duty_test.cc
+++ b/tests/unit/watch_duty_test.cc
@@ -17,8 +17,9 @@
   protected:
     WatchDuty() {
         own = {50, now - 1000, now - 1000, 0, false};
-        for (int i = 0; i < 3; i++)
-            reports.push_back({true, now - 200, 2000, 50, true, true});
+        /* They are answered in turn, the last one just now. */
+        for (unsigned i = 0; i < 3; i++)
+            reports.push_back({true, i, now - 200, (2 - i) * WATCH_TURN_MS, 50, true, true});
     }
     watch_decision_t decide(uint64_t at = now, uint64_t tell_period = period) {
         return watch_duty_decide(&own, reports.data(), static_cast<unsigned>(reports.size()),
@@ -29,11 +30,56 @@
 };
 
 TEST_F(WatchDuty, RestsOnlyWhileThreeOthersBeforeItAskAnew) {
+    EXPECT_FALSE(decide().on_duty);
     EXPECT_EQ(decide().wait_ms, unsigned{WATCH_WAIT_RESTING_MS});
     reports[2].before = false;
-    EXPECT_EQ(decide().wait_ms, unsigned{WATCH_WAIT_RENEWING_MS});
+    EXPECT_TRUE(decide().on_duty);
     reports.clear();
+    EXPECT_TRUE(decide().on_duty);
+}
+
+// Each found out by itself, and after seconds, that its watch had been cut off or its answer lost;
+// when all three had, nobody saw a change for as long.
+TEST_F(WatchDuty, TheNextLookOnceNoneWasAnsweredForMoreThanATurn) {
+    uint64_t quiet_at = now - 200 + WATCH_TURN_MS + WATCH_QUIET_MS + 2 * period;
+    EXPECT_FALSE(decide(quiet_at).on_duty);
+    watch_decision_t decision = decide(quiet_at + 1);
+    EXPECT_TRUE(decision.on_duty);
+    reports[2].heard_at = quiet_at;
+    EXPECT_FALSE(decide(quiet_at + 1).on_duty) << "one of them was answered";
+}
+
+TEST_F(WatchDuty, OnlyTheNextFewLookWhileItIsQuiet) {
+    uint64_t quiet_at = now - 200 + WATCH_TURN_MS + WATCH_QUIET_MS + 2 * period;
+    while (reports.size() < WATCH_PROBING)
+        reports.push_back(
+            {true, static_cast<unsigned>(reports.size()), now - 200, 0, 50, true, false});
+    EXPECT_FALSE(decide(quiet_at + 1).on_duty);
+}
+
+TEST_F(WatchDuty, ThoseOnDutyAreAnsweredInTurn) {
+    reports.resize(2);
+    reports[0].answer_age = 500;
+    uint64_t first = now - 200 - 500;
+    uint64_t third = first + 2 * WATCH_TURN_MS;
+    reports.push_back({false, 2, now - 200, 100, 50, true, true});
+    EXPECT_EQ(now + decide().wait_ms, third) << "two turns after the first one";
+    reports[1].before = false;
+    EXPECT_EQ(now + decide().wait_ms, first + WATCH_TURN_MS);
+    EXPECT_EQ(now + 1 + decide(now + 1).wait_ms, first + WATCH_TURN_MS + WATCH_WAIT_RENEWING_MS)
+        << "its turn is too near: the next time";
+    reports[0].before = false;
+    EXPECT_EQ(decide().wait_ms, unsigned{WATCH_WAIT_RENEWING_MS});
+}
+
+TEST_F(WatchDuty, WithFewerOnDutyEachWaitsTheShorter) {
+    for (watch_report_t &report : reports)
+        report.before = false;
     EXPECT_EQ(decide().wait_ms, unsigned{WATCH_WAIT_RENEWING_MS});
+    reports[1].renews = reports[2].renews = false;
+    EXPECT_EQ(decide().wait_ms, unsigned{2 * WATCH_TURN_MS});
+    reports[0].renews = false;
+    EXPECT_EQ(decide().wait_ms, unsigned{WATCH_TURN_MS});
 }
 
 TEST_F(WatchDuty, TakesTheDutyOverOnceAnotherIsSilentOrUnanswered) {
@@ -44,7 +90,7 @@
     reports[0].answer_age = 2000;
     EXPECT_TRUE(decide(now + lately).renew) << "nothing was heard for long";
     reports[0].answer_age = UINT32_MAX;
-    EXPECT_EQ(decide().wait_ms, unsigned{WATCH_WAIT_RENEWING_MS});
+    EXPECT_TRUE(decide().on_duty);
 }
 
 TEST_F(WatchDuty, AWatchThatFailsIsNotInOrderFromThenOn) {
@@ -86,17 +132,17 @@
 }
 
 TEST_F(WatchDuty, NobodyRestsWhereNewsTravelSlowly) {
-    EXPECT_EQ(decide(now, 5000).wait_ms, unsigned{WATCH_WAIT_RENEWING_MS});
+    EXPECT_TRUE(decide(now, 5000).on_duty);
 }
 
 TEST_F(WatchDuty, OnlyTheFirstAskOftenWhetherTheServiceIsBack) {
     EXPECT_FALSE(decide().patient);
     while (reports.size() < WATCH_PROBING)
-        reports.push_back({true, now - 200, UINT32_MAX, 50, true, false});
+        reports.push_back({true, 0, now - 200, UINT32_MAX, 50, true, false});
     EXPECT_TRUE(decide().patient) << "whatever became of their own watches";
     reports[0].heard_at = now - 2000;
     EXPECT_FALSE(decide().patient) << "one of them is silent";
-    reports[0] = {false, now - 200, 2000, 50, true, true};
+    reports[0] = {false, 0, now - 200, 2000, 50, true, true};
     EXPECT_FALSE(decide().patient) << "one of them comes later";
 }
 
@@ -106,7 +152,7 @@
     for (watch_report_t &report : reports)
         report.answer_age = UINT32_MAX;
     watch_decision_t decision = decide();
-    EXPECT_EQ(decision.wait_ms, unsigned{WATCH_WAIT_RENEWING_MS});
+    EXPECT_TRUE(decision.on_duty);
     EXPECT_FALSE(decision.first);
     reports[0].heard_at = now - 2000;
     EXPECT_TRUE(decide().first);
@@ -119,12 +165,12 @@
     for (watch_report_t &report : reports)
         report.answer_age = UINT32_MAX;
     watch_decision_t decision = decide();
-    EXPECT_EQ(decision.wait_ms, unsigned{WATCH_WAIT_RESTING_MS});
+    EXPECT_FALSE(decision.on_duty);
     EXPECT_FALSE(decision.renew) << "whatever became of the service";
     EXPECT_TRUE(decision.patient);
     reports[0].heard_at = now - 2000;
     decision = decide();
-    EXPECT_EQ(decision.wait_ms, unsigned{WATCH_WAIT_RENEWING_MS});
+    EXPECT_TRUE(decision.on_duty);
     EXPECT_TRUE(decision.renew) << "what it follows was not confirmed for a minute";
     own.answered_at = now - WATCH_WAIT_RENEWING_MS;
     EXPECT_FALSE(decide().renew) << "it was, by the group above";
