--- a/src/storesim/virtual_network.c
+++ b/src/storesim/virtual_network.c
@@ -35,6 +35,7 @@
 static GPtrArray *ends;       /**< All ends that are not closed. */
 static GPtrArray *dark;       /**< Processes whose machine lost power, and may have it again. */
 static uint64_t last_serial;
+static size_t largest_frame;
 static bool empty_indexes;
 static uint64_t keep_alive_ms;   /**< 0: there is none. */
 static GHashTable *first_grants; /**< Set if quotas are broken: by process and start. */
@@ -43,6 +44,7 @@
     listeners = g_hash_table_new_full(NULL, NULL, NULL, g_free);
     ends = g_ptr_array_new();
     dark = g_ptr_array_new();
+    largest_frame = 0;
     empty_indexes = false;
     keep_alive_ms = 0;
     if (first_grants != NULL)
@@ -54,6 +56,10 @@
     last_serial = 0;
 }
 
+size_t virtual_network_largest_frame(void) {
+    return largest_frame;
+}
+
 void virtual_network_keep_alive(uint64_t ms) {
     keep_alive_ms = ms;
 }
@@ -200,6 +206,7 @@
     GBytes *received = received_frame(peer, frame);
     gsize length;
     const uint8_t *bytes = g_bytes_get_data(received, &length);
+    largest_frame = MAX(largest_frame, length);
     end->handler->on_frame(end->owner, end, bytes, length);
     g_bytes_unref(received);
     g_bytes_unref(frame);
--- a/src/storesim/virtual_network.h
+++ b/src/storesim/virtual_network.h
@@ -16,6 +16,8 @@
 void virtual_network_process_ended(virtual_process_t *process, bool silent);
 /** Serial numbers begin anew, so that a seed runs the same alone and behind others. */
 void virtual_network_restart_serials(void);
+/** Bytes of the largest frame that has come anywhere since the start. */
+size_t virtual_network_largest_frame(void);
 /** After so long in ms the kernel finds a silent peer of a connection that carries nothing; 0:
  * never. */
 void virtual_network_keep_alive(uint64_t ms);
--- a/tests/unit/catch_up_test.cc
+++ b/tests/unit/catch_up_test.cc
@@ -9,6 +9,7 @@
 // constant 29 of 30 hundredths of a core.
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <string>
 
 extern "C" {
@@ -39,21 +40,33 @@
     turn_clear(&turn);
 }
 
+void reserve(store_client_t *client, unsigned number) {
+    static const store_operation_handler_t handler = {[](void *, verdict_t, const GArray *) {},
+                                                      [](void *, bool) {}};
+    std::string program = "program-" + std::to_string(number / 8);
+    std::string call = "call-" + std::to_string(number);
+    store_client_reserve(client, program.c_str(), call.c_str(), 10, 1000000, &handler, nullptr);
+}
+
 struct Copying {
     uint64_t turns = 0;
     uint64_t looks = 0;
     bool complete = false;
 };
 
-/** Keeps @p turns turns, takes one storage node's disk, and lets it catch up. */
-Copying copy_turns(unsigned turns) {
+/** Keeps @p turns turns and @p charges charges, takes a storage node's disk, and lets it catch up.
+ */
+Copying copy_records(unsigned turns, unsigned charges) {
     const world_shape_t shape = {stores, 0, 1, 1000, BREAK_NOTHING};
     world_t *world = world_new(1, &shape);
     virtual_run(founded_ms);
     auto *gateway = static_cast<world_gateway_t *>(g_ptr_array_index(world->gateways, 0));
     kept = 0;
-    for (unsigned i = 0; i < turns; i++) {
-        put_turn(gateway->client, i);
+    for (unsigned i = 0; i < std::max(turns, charges); i++) {
+        if (i < turns)
+            put_turn(gateway->client, i);
+        if (i < charges)
+            reserve(gateway->client, i);
         virtual_run(virtual_now() + between_ms);
     }
     virtual_run(virtual_now() + down_ms);
@@ -67,7 +80,7 @@
 }
 
 TEST(CatchUp, CopiesEachTurnOnce) {
-    Copying copying = copy_turns(3000);
+    Copying copying = copy_records(3000, 0);
     ASSERT_EQ(kept, 3000u);
     EXPECT_TRUE(copying.complete);
     EXPECT_EQ(copying.turns, 3000u);
@@ -76,10 +89,18 @@
 // Two of the three other members are copied from, and each names all turns: that is one look a turn
 // for each, and a few more to share them.
 TEST(CatchUp, LooksAtEachTurnAFewTimes) {
-    Copying copying = copy_turns(12000);
+    Copying copying = copy_records(12000, 0);
     ASSERT_EQ(kept, 12000u);
     EXPECT_TRUE(copying.complete);
     EXPECT_LE(copying.looks, 12u * 12000u);
 }
 
+// Memory: a storage node of 58 MB whose disk had been lost was sent all 70,000 charges at once by
+// each of six others, ended for want of memory, and began anew.
+TEST(CatchUp, RecordsComeInPieces) {
+    Copying copying = copy_records(4000, 20000);
+    EXPECT_TRUE(copying.complete);
+    EXPECT_LE(virtual_network_largest_frame(), 128u * 1024u);
+}
+
 } // namespace
