storage nodes: what a member copies comes in pages, and only what is on disk counts as held

The class: answers whose size is that of the table. Turns were asked for 200 at a time; charges and ids were not.

The tables keep their buckets' digests as records come and go (core/digest/digest_buckets.h): computing them for each page would hash every record 45 times. A member that doesn't know pages asks without one, and gets the index whole.

Charges know whether they are on disk as they stand (budget_table_note_kept), and only then they are in the digest and covered: RecordDigest.AReserveInMemoryOnlyDiffersFromOneOnDisk, ReplicaBudgets.CoverOnlyWhatIsOnDisk.

--- a/src/cluster/message.c
+++ b/src/cluster/message.c
@@ -110,6 +110,12 @@
     }
 }
 
+/** Stands behind all else, unless it is 0: members that don't know pages get an index whole. */
+static void page_codec(codec_t *codec, message_t *message) {
+    if (!codec_at_end(codec) && (codec->decoding || message->page > 0))
+        codec_uint32(codec, &message->page);
+}
+
 static void verdict_codec(codec_t *codec, verdict_t *verdict) {
     unsigned value = *verdict;
     codec_enum(codec, &value, VERDICT_COUNT);
@@ -168,6 +174,7 @@
     case RESPONSE_INDEX:
         ids_codec(codec, message->ids);
         charges_codec(codec, message->charges);
+        page_codec(codec, message);
         break;
     case REQUEST_TURNS:
     case MESSAGE_RELAY:
@@ -180,6 +187,7 @@
         break;
     case REQUEST_INDEX:
         codec_bytes(codec, &message->digest);
+        page_codec(codec, message);
         break;
     case REQUEST_FOLLOW:
         codec_uint64(codec, &message->revision);
--- a/src/cluster/message.h
+++ b/src/cluster/message.h
@@ -83,6 +83,8 @@
     GBytes *directory;   /**< An encoded directory_snapshot_t, or changes. */
     GBytes *group;       /**< An encoded store group. */
     GBytes *digest;      /**< An encoded record_digest_t of what the sender holds. */
+    uint32_t page;       /**< Of an index: the first bucket asked for, or to ask for next, plus 1;
+                            0: all buckets in one piece, or none is left. */
     GArray *turns;       /**< Of turn_t: one to keep, or a chain from its newest turn. */
     GPtrArray *ids;      /**< Of turns; or a gateway's address and zone, or addresses. */
     GPtrArray *sources;  /**< Addresses of the gateways that the receiver may follow. */
--- a/src/core/budget/budget_table.c
+++ b/src/core/budget/budget_table.c
@@ -16,6 +16,13 @@
     *charge = (budget_charge_t){0};
 }
 
+budget_charge_t budget_charge_copy(const budget_charge_t *charge) {
+    budget_charge_t copy = *charge;
+    copy.program = g_strdup(charge->program);
+    copy.call = g_strdup(charge->call);
+    return copy;
+}
+
 static void free_charge(gpointer data) {
     budget_charge_clear(data);
     g_free(data);
@@ -30,10 +37,17 @@
 
 void budget_table_init(budget_table_t *table) {
     table->programs = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_program);
+    table->buckets = NULL;
+}
+
+void budget_table_init_replica(budget_table_t *table) {
+    budget_table_init(table);
+    table->buckets = g_new0(digest_buckets_t, 1);
 }
 
 void budget_table_clear(budget_table_t *table) {
     g_hash_table_destroy(table->programs);
+    g_free(table->buckets);
 }
 
 static program_charges_t *obtain_program(budget_table_t *table, const char *id, uint64_t now) {
@@ -60,20 +74,37 @@
     return XXH64(charge->call, strlen(charge->call), seed);
 }
 
-static budget_charge_t *obtain_charge(program_charges_t *program, const char *call) {
+static budget_charge_t *obtain_charge(budget_table_t *table, program_charges_t *program,
+                                      const char *call) {
     budget_charge_t *charge = g_hash_table_lookup(program->charges, call);
     if (charge != NULL)
         return charge;
     charge = g_new0(budget_charge_t, 1);
     charge->program = g_strdup(program->id);
     charge->call = g_strdup(call);
+    if (table->buckets != NULL) {
+        charge->bucket = digest_bucket_of(call);
+        table->buckets->records[charge->bucket]++;
+    }
     g_hash_table_insert(program->charges, charge->call, charge);
     return charge;
 }
 
+/** Sets whether the charge is on disk as it stands, and with it the digest of its bucket. */
+static void set_kept(budget_table_t *table, budget_charge_t *charge, bool kept) {
+    if (table->buckets == NULL || charge->kept == kept)
+        return;
+    charge->kept = kept;
+    table->buckets->digests[charge->bucket] ^=
+        digest_of_record(charge->call, 2 * charge_amount(charge) + charge->settled);
+}
+
 /** Sets a charge's state and keeps the program's sum. */
-static void set_charge(program_charges_t *program, budget_charge_t *charge, uint64_t most,
-                       bool settled, uint64_t spent) {
+static void set_charge(budget_table_t *table, program_charges_t *program, budget_charge_t *charge,
+                       uint64_t most, bool settled, uint64_t spent) {
+    if (charge->most == most && charge->settled == settled && charge->spent == spent)
+        return;
+    set_kept(table, charge, false);
     program->summary.charged -= charge_amount(charge);
     program->summary.digest ^= charge_digest(charge);
     charge->most = most;
@@ -87,33 +118,44 @@
                                       const char *call, uint64_t most, uint64_t now) {
     program_charges_t *program = obtain_program(table, program_id, now);
     if (!g_hash_table_contains(program->charges, call))
-        set_charge(program, obtain_charge(program, call), most, false, 0);
+        set_charge(table, program, obtain_charge(table, program, call), most, false, 0);
     return program->summary;
 }
 
 void budget_table_settle(budget_table_t *table, const char *program_id, const char *call,
                          uint64_t spent, uint64_t now) {
     program_charges_t *program = obtain_program(table, program_id, now);
-    budget_charge_t *charge = obtain_charge(program, call);
-    set_charge(program, charge, charge->most, true, spent);
+    budget_charge_t *charge = obtain_charge(table, program, call);
+    set_charge(table, program, charge, charge->most, true, spent);
 }
 
 void budget_table_merge(budget_table_t *table, const budget_charge_t *other, uint64_t now) {
     program_charges_t *program = obtain_program(table, other->program, now);
-    budget_charge_t *charge = obtain_charge(program, other->call);
+    budget_charge_t *charge = obtain_charge(table, program, other->call);
     uint64_t most = MAX(charge->most, other->most);
     if (other->settled)
-        set_charge(program, charge, most, true, other->spent);
+        set_charge(table, program, charge, most, true, other->spent);
     else if (!charge->settled)
-        set_charge(program, charge, most, false, 0);
+        set_charge(table, program, charge, most, false, 0);
 }
 
-bool budget_table_covers(const budget_table_t *table, const budget_charge_t *charge) {
+static budget_charge_t *find_charge(const budget_table_t *table, const budget_charge_t *charge) {
     const program_charges_t *program = g_hash_table_lookup(table->programs, charge->program);
-    if (program == NULL)
-        return false;
-    const budget_charge_t *known = g_hash_table_lookup(program->charges, charge->call);
-    return known != NULL && (known->settled || !charge->settled);
+    return program == NULL ? NULL : g_hash_table_lookup(program->charges, charge->call);
+}
+
+void budget_table_note_kept(budget_table_t *table, const budget_charge_t *written) {
+    budget_charge_t *charge = find_charge(table, written);
+    if (charge == NULL || charge->settled != written->settled ||
+        charge_amount(charge) != charge_amount(written))
+        return; /* It has changed since, and its new state has a write of its own. */
+    set_kept(table, charge, true);
+}
+
+bool budget_table_covers(const budget_table_t *table, const budget_charge_t *charge) {
+    const budget_charge_t *known = find_charge(table, charge);
+    bool counts = known != NULL && (table->buckets == NULL || known->kept);
+    return counts && (known->settled || !charge->settled);
 }
 
 uint64_t budget_table_charged(const budget_table_t *table, const char *program_id) {
@@ -121,14 +163,27 @@
     return program == NULL ? 0 : program->summary.charged;
 }
 
+static void leave_buckets(budget_table_t *table, const program_charges_t *program) {
+    GHashTableIter iterator;
+    gpointer value;
+    g_hash_table_iter_init(&iterator, program->charges);
+    while (table->buckets != NULL && g_hash_table_iter_next(&iterator, NULL, &value)) {
+        budget_charge_t *charge = value;
+        set_kept(table, charge, false);
+        table->buckets->records[charge->bucket]--;
+    }
+}
+
 void budget_table_expire(budget_table_t *table, uint64_t before) {
     GHashTableIter iterator;
     gpointer value;
     g_hash_table_iter_init(&iterator, table->programs);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         const program_charges_t *program = value;
-        if (program->changed_at < before)
-            g_hash_table_iter_remove(&iterator);
+        if (program->changed_at >= before)
+            continue;
+        leave_buckets(table, program);
+        g_hash_table_iter_remove(&iterator);
     }
 }
 
--- a/src/core/budget/budget_table.h
+++ b/src/core/budget/budget_table.h
@@ -10,6 +10,8 @@
 #ifndef RUDDERWAY_CORE_BUDGET_BUDGET_TABLE_H
 #define RUDDERWAY_CORE_BUDGET_BUDGET_TABLE_H
 
+#include "core/digest/digest_buckets.h"
+
 #include <glib.h>
 #include <stdbool.h>
 #include <stdint.h>
@@ -21,15 +23,22 @@
     uint64_t most;
     uint64_t spent; /**< What it made; only if settled. */
     bool settled;
+    bool kept;       /**< In a replica's table: it is on disk as it stands. */
+    uint16_t bucket; /**< In a replica's table: of its call; see digest_buckets.h. */
 } budget_charge_t;
 
 typedef struct {
-    GHashTable *programs; /**< Program id to its charges. */
+    GHashTable *programs;      /**< Program id to its charges. */
+    digest_buckets_t *buckets; /**< A replica's: records are all, digests those of kept charges. */
 } budget_table_t;
 
 void budget_charge_clear(budget_charge_t *charge);
+/** A copy with strings of its own. */
+budget_charge_t budget_charge_copy(const budget_charge_t *charge);
 
 void budget_table_init(budget_table_t *table);
+/** As budget_table_init, for a table that other replicas copy from. */
+void budget_table_init_replica(budget_table_t *table);
 void budget_table_clear(budget_table_t *table);
 
 /** A program's charges in short: equal tables have equal summaries. */
@@ -49,7 +58,12 @@
                          uint64_t spent, uint64_t now);
 /** Takes over a charge that another replica holds. */
 void budget_table_merge(budget_table_t *table, const budget_charge_t *other, uint64_t now);
-/** True if merging @p charge would change nothing. */
+/**
+ * Charge @p written is on disk now, or was read from there. What is only in memory, because its
+ * write is under way or has failed, is no copy that counts: it is in no digest, and is not covered.
+ */
+void budget_table_note_kept(budget_table_t *table, const budget_charge_t *written);
+/** True if merging @p charge would change nothing, and a replica's own is on disk. */
 bool budget_table_covers(const budget_table_t *table, const budget_charge_t *charge);
 /** Sum of what the program's calls made or may still make. */
 uint64_t budget_table_charged(const budget_table_t *table, const char *program);
--- a/src/core/digest/record_digest.c
+++ b/src/core/digest/record_digest.c
@@ -1,42 +1,21 @@
 #include "core/digest/record_digest.h"
 
 #include <string.h>
-#include <xxhash.h>
-
-enum { BUCKET_SEED = 1, RECORD_SEED = 2 };
-
-static unsigned bucket_of(const char *key) {
-    return (unsigned)(XXH64(key, strlen(key), BUCKET_SEED) % DIGEST_BUCKETS);
-}
-
-static void add_charge(void *user, const budget_charge_t *charge) {
-    record_digest_t *digest = user;
-    uint64_t seed = 2 * (charge->settled ? charge->spent : charge->most) + charge->settled;
-    digest->charges[bucket_of(charge->call)] ^=
-        XXH64(charge->call, strlen(charge->call), RECORD_SEED + seed);
-}
 
 void record_digest_compute(record_digest_t *digest, const turn_table_t *turns,
                            const budget_table_t *budgets) {
-    *digest = (record_digest_t){0};
-    GHashTableIter iterator;
-    gpointer key;
-    g_hash_table_iter_init(&iterator, turns->entries);
-    while (g_hash_table_iter_next(&iterator, &key, NULL)) {
-        const char *id = key;
-        digest->turns[bucket_of(id)] ^= XXH64(id, strlen(id), RECORD_SEED);
-    }
-    budget_table_each(budgets, NULL, add_charge, digest);
+    memcpy(digest->turns, turns->buckets->digests, sizeof digest->turns);
+    memcpy(digest->charges, budgets->buckets->digests, sizeof digest->charges);
 }
 
 bool record_digest_same_turns(const record_digest_t *a, const record_digest_t *b, const char *id) {
-    unsigned bucket = bucket_of(id);
+    unsigned bucket = digest_bucket_of(id);
     return a->turns[bucket] == b->turns[bucket];
 }
 
 bool record_digest_same_charges(const record_digest_t *a, const record_digest_t *b,
                                 const char *call) {
-    unsigned bucket = bucket_of(call);
+    unsigned bucket = digest_bucket_of(call);
     return a->charges[bucket] == b->charges[bucket];
 }
 
--- a/src/core/digest/record_digest.h
+++ b/src/core/digest/record_digest.h
@@ -1,8 +1,7 @@
 /**
  * @file record_digest.h
- * A set of records in short, so that two replicas that hold nearly the same need exchange only
- * what differs: records fall into buckets by a hash of their key, and a bucket's digest is the sum
- * (by exclusive or) of its records' hashes. Equal digests mean equal buckets.
+ * What a replica has on disk in short, so that two replicas that hold nearly the same need exchange
+ * only what differs: the digests of the buckets of both tables. Equal digests mean equal buckets.
  *
  * Decision code: no I/O, clock or thread.
  */
@@ -10,25 +9,20 @@
 #define RUDDERWAY_CORE_DIGEST_RECORD_DIGEST_H
 
 #include "core/budget/budget_table.h"
+#include "core/digest/digest_buckets.h"
 #include "core/turns/turn_table.h"
 
 #include <glib.h>
 #include <stdbool.h>
 #include <stdint.h>
 
-/**
- * With some ten records that differ, a table of 10,000 sends some 200 of them instead of all; the
- * digests themselves take 8 KB.
- */
-enum { DIGEST_BUCKETS = 512 };
-
 /** Turns and charges of one replica. */
 typedef struct {
     uint64_t turns[DIGEST_BUCKETS];
     uint64_t charges[DIGEST_BUCKETS];
 } record_digest_t;
 
-/** The digest of what the two tables hold. */
+/** The digest of what the two tables hold on disk; the charges must be those of a replica. */
 void record_digest_compute(record_digest_t *digest, const turn_table_t *turns,
                            const budget_table_t *budgets);
 /** True if the bucket of turn @p id is the same in both. */
--- a/src/core/turns/turn_table.c
+++ b/src/core/turns/turn_table.c
@@ -44,12 +44,14 @@
     table->wanted_until = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     table->bytes = 0;
     table->segments_needed_until = g_array_new(FALSE, TRUE, sizeof(uint64_t));
+    table->buckets = g_new0(digest_buckets_t, 1);
 }
 
 void turn_table_clear(turn_table_t *table) {
     g_hash_table_destroy(table->entries);
     g_hash_table_destroy(table->wanted_until);
     g_array_free(table->segments_needed_until, TRUE);
+    g_free(table->buckets);
 }
 
 void turn_table_need_segment(turn_table_t *table, uint32_t segment, uint64_t until) {
@@ -97,6 +99,12 @@
     return expires_at;
 }
 
+/** Notes in its bucket that the entry comes or goes. */
+static void change_bucket(turn_table_t *table, const turn_entry_t *entry, int change) {
+    table->buckets->records[entry->bucket] += (uint32_t)change;
+    table->buckets->digests[entry->bucket] ^= digest_of_record(entry->turn.id, 0);
+}
+
 bool turn_table_add(turn_table_t *table, const turn_t *turn, uint32_t segment, uint64_t now) {
     uint64_t expires_at = now + turn->retention_ms;
     turn_entry_t *entry = g_hash_table_lookup(table->entries, turn->id);
@@ -107,6 +115,8 @@
     entry = g_new0(turn_entry_t, 1);
     turn_copy(&entry->turn, turn);
     entry->segment = segment;
+    entry->bucket = digest_bucket_of(turn->id);
+    change_bucket(table, entry, 1);
     g_hash_table_insert(table->entries, entry->turn.id, entry);
     table->bytes += turn_bytes(turn);
     extend_chain(table, entry, take_wanted(table, turn->id, expires_at));
@@ -140,6 +150,7 @@
         if (entry->expires_at > now)
             continue;
         table->bytes -= turn_bytes(&entry->turn);
+        change_bucket(table, entry, -1);
         g_hash_table_iter_remove(&iterator);
     }
 }
--- a/src/core/turns/turn_table.h
+++ b/src/core/turns/turn_table.h
@@ -9,6 +9,8 @@
 #ifndef RUDDERWAY_CORE_TURNS_TURN_TABLE_H
 #define RUDDERWAY_CORE_TURNS_TURN_TABLE_H
 
+#include "core/digest/digest_buckets.h"
+
 #include <glib.h>
 #include <stdbool.h>
 #include <stdint.h>
@@ -28,6 +30,7 @@
     turn_t turn;
     uint64_t expires_at;
     uint32_t segment; /**< Log segment that holds the turn; the owner's number. */
+    uint16_t bucket;  /**< Of its id; see digest_buckets.h. */
 } turn_entry_t;
 
 typedef struct {
@@ -36,6 +39,7 @@
                                       that go on from it are kept, a uint64_t. */
     uint64_t bytes;                /**< Memory that the turns take, roughly. */
     GArray *segments_needed_until; /**< By segment number: time until which it is needed. */
+    digest_buckets_t *buckets;     /**< Of all turns: what comes into the table is on disk. */
 } turn_table_t;
 
 void turn_clear(turn_t *turn);
--- a/src/store/store.c
+++ b/src/store/store.c
@@ -68,7 +68,7 @@
     store->group = store_group_new();
     store->connections = g_hash_table_new(g_int64_hash, g_int64_equal);
     turn_table_init(&store->turns);
-    budget_table_init(&store->budgets);
+    budget_table_init_replica(&store->budgets);
     program_places_init(&store->places);
     quota_table_init(&store->quotas, &store->settings->quota);
     store_requests_start(store);
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -107,12 +107,20 @@
 void store_requests_start(store_t *store);
 /** Marks the log's time if a mark is due; before a record, and from time to time without any. */
 void store_mark_time(store_t *store);
-/** Takes a record of the log into the tables. */
-void store_replay(void *owner, uint32_t segment, const uint8_t *data, size_t length);
 /** Appends a record that was copied from another member; @p done may be NULL. */
 void store_append_copy(store_t *store, message_t *record, void (*done)(void *owner, bool durable),
                        void *owner);
 
+/* store_index.c */
+
+/** Answers a member that asks what differs from what it holds. */
+void store_send_index(store_t *store, frame_connection_t *connection, const message_t *request);
+
+/* store_replay.c */
+
+/** Takes a record of the log into the tables. */
+void store_replay(void *owner, uint32_t segment, const uint8_t *data, size_t length);
+
 /* store_catch_up.c: becoming complete. */
 
 store_catch_up_state_t *store_catch_up_new(store_t *store);
--- a/src/store/store_catch_up.c
+++ b/src/store/store_catch_up.c
@@ -1,9 +1,11 @@
 /*
  * Design. A member that is not complete copies what it lacks from a read quorum of the members
  * that were (core/quorum/store_group.h says which): their charges, and the turns it does not
- * have. It sends a digest of what it holds, and gets the index of what differs. A turn that several
- * of them hold is asked for at one of them (core/quorum/copy_claims.h). A copy counts once all of
- * its index is on this node's disk.
+ * have. It sends a digest of what it has on disk, and gets the index of what differs, page by page.
+ * One page is asked for at a time, of all sources, and the next once the charges of the last are on
+ * disk: each charge comes once, and takes little memory on its way. A turn that several of them
+ * hold is asked for at one of them (core/quorum/copy_claims.h). A copy counts once all of its index
+ * is on this node's disk.
  *
  * A node whose disk came back empty waits before it copies: a gateway gives a write up after a
  * time that is shorter than this wait, so a write that counted this node's lost copy has either
@@ -25,11 +27,13 @@
     TURNS_A_REQUEST = 200,
     STEP_MS = 3000,         /**< A step of a copy that takes longer is begun again. */
     FAILED_PAUSE_MS = 1000, /**< After a record could not be written: a full disk stays so. */
+    FIRST_PAGE = 1,
 };
 
 typedef enum {
     COPY_STATUS, /**< Waits for the peer to be reached, and to say that it is complete. */
-    COPY_INDEX,  /**< The index was asked for. */
+    COPY_INDEX,  /**< A page of the index was asked for. */
+    COPY_PAGE,   /**< The page has come; its charges are on their way to the disk. */
     COPY_TURNS,  /**< Turns were asked for. */
     COPY_WAITS,  /**< Nothing is left to ask for; all of it is not on disk yet. */
     COPY_DONE,
@@ -43,6 +47,8 @@
     copy_step_t step;
     uint64_t step_since;
     uint64_t begun_at;  /**< When its peer was first asked what differs; 0: it was not. */
+    uint32_t page;      /**< Of the index, to ask for next; 0: none is left. */
+    guint charges;      /**< Named by the index. */
     GHashTable *asked;  /**< Ids of the turns that it was last asked for. */
     unsigned unwritten; /**< Charges on their way to the disk. */
 } copy_t;
@@ -85,16 +91,18 @@
     copy->step_since = uv_now(copy->catch_up->store->loop);
 }
 
-static void log_copy(const copy_t *copy, const char *state, guint charges) {
+static void log_copy(const copy_t *copy, const char *state) {
     uint64_t ms = uv_now(copy->catch_up->store->loop) - copy->begun_at;
     event_log(STORE_COPY, copy->peer->name, state,
-              copy_claims_left(copy->catch_up->claims, copy->number), charges, ms);
+              copy_claims_left(copy->catch_up->claims, copy->number), copy->charges, ms);
 }
 
 /** From the index on; @p reason is logged. */
 static void begin_anew(copy_t *copy, const char *reason) {
     if (copy->begun_at > 0)
-        log_copy(copy, reason, 0);
+        log_copy(copy, reason);
+    copy->page = FIRST_PAGE;
+    copy->charges = 0;
     set_step(copy, COPY_STATUS);
     copy_claims_reset(copy->catch_up->claims, copy->number);
 }
@@ -129,7 +137,7 @@
         set_step(copy, COPY_WAITS);
     } else {
         set_step(copy, COPY_DONE);
-        log_copy(copy, "ended", 0);
+        log_copy(copy, "ended");
     }
     message_clear(&request);
 }
@@ -151,7 +159,8 @@
     catch_up->write_failed = catch_up->write_failed || !durable;
     if (durable && record->turn != NULL)
         copy_claims_arrived(catch_up->claims, record->turn);
-    if (catch_up->unwritten == 0 && !catch_up->taking)
+    bool charges_written = record->turn == NULL && copy->unwritten == 0;
+    if ((catch_up->unwritten == 0 || charges_written) && !catch_up->taking)
         store_catch_up_check(catch_up->store);
 }
 
@@ -191,13 +200,14 @@
 static void take_index(copy_t *copy, message_t *response) {
     const store_t *store = copy->catch_up->store;
     take_charges(copy, response);
+    copy->charges += response->charges->len;
+    copy->page = response->page;
     for (guint i = 0; i < response->ids->len; i++) {
         const char *id = g_ptr_array_index(response->ids, i);
         if (turn_table_find(&store->turns, id) == NULL)
             copy_claims_add(copy->catch_up->claims, copy->number, id);
     }
-    log_copy(copy, "begun", response->charges->len);
-    go_on(copy);
+    set_step(copy, COPY_PAGE);
 }
 
 /** What the peer was asked for and did not send is not there any more. */
@@ -246,6 +256,7 @@
     copy_t *copy = g_new0(copy_t, 1);
     copy->catch_up = catch_up;
     copy->number = catch_up->copies->len;
+    copy->page = FIRST_PAGE;
     copy->asked = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     copy->peer = store_peer_new(catch_up->store, member->name, member->address);
     copy->peer->on_message = on_message;
@@ -256,32 +267,60 @@
     store_peer_poll(copy->peer);
 }
 
+/** True if no page is under way, of whatever source. */
+static bool index_is_free(const store_catch_up_state_t *catch_up) {
+    for (guint i = 0; i < catch_up->copies->len; i++) {
+        const copy_t *copy = g_ptr_array_index(catch_up->copies, i);
+        if (copy->step == COPY_INDEX || copy->step == COPY_PAGE || copy->unwritten > 0)
+            return false;
+    }
+    return true;
+}
+
+static void ask_page(copy_t *copy) {
+    const store_t *store = copy->catch_up->store;
+    set_step(copy, COPY_INDEX);
+    message_t request;
+    message_init(&request, REQUEST_INDEX);
+    request.generation = copy->catch_up->generation;
+    request.page = copy->page;
+    record_digest_t digest;
+    record_digest_compute(&digest, &store->turns, &store->budgets);
+    request.digest = record_digest_encode(&digest);
+    store_peer_send(copy->peer, &request);
+    message_clear(&request);
+}
+
+/** Once a page's charges are on disk: the next one, or the turns if that was the last. */
+static void end_page(copy_t *copy) {
+    if (copy->unwritten > 0 || copy->catch_up->write_failed)
+        return;
+    if (copy->page > 0) {
+        ask_page(copy);
+        return;
+    }
+    log_copy(copy, "begun");
+    go_on(copy);
+}
+
 /** Begins the copy from a member that has said it is complete, or asks again. */
 static void drive_copy(copy_t *copy, uint64_t source_complete_in) {
+    store_catch_up_state_t *catch_up = copy->catch_up;
     const store_peer_t *peer = copy->peer;
-    uint64_t age = uv_now(copy->catch_up->store->loop) - copy->step_since;
-    bool stuck = (copy->step == COPY_INDEX || copy->step == COPY_TURNS) && age > STEP_MS;
-    if (stuck)
+    uint64_t now = uv_now(catch_up->store->loop);
+    bool asked = copy->step == COPY_INDEX || copy->step == COPY_TURNS;
+    if (asked && now - copy->step_since > STEP_MS)
         begin_anew(copy, "stuck");
     if (copy->step != COPY_STATUS)
         return;
     bool usable = peer->connection != NULL && peer->answered_at > 0 &&
                   peer->complete_in >= source_complete_in;
-    if (!usable || uv_now(copy->catch_up->store->loop) < copy->catch_up->pause_until)
+    if (!usable || now < catch_up->pause_until || !index_is_free(catch_up))
         return;
-    set_step(copy, COPY_INDEX);
     if (copy->begun_at == 0)
-        copy->begun_at = copy->step_since;
-    message_t request;
-    message_init(&request, REQUEST_INDEX);
-    request.generation = copy->catch_up->generation;
-    store_t *store = copy->catch_up->store;
-    store_forget_expired(store);
-    record_digest_t digest;
-    record_digest_compute(&digest, &store->turns, &store->budgets);
-    request.digest = record_digest_encode(&digest);
-    store_peer_send(copy->peer, &request);
-    message_clear(&request);
+        copy->begun_at = now;
+    store_forget_expired(catch_up->store);
+    ask_page(copy);
 }
 
 static void restart_copies(store_catch_up_state_t *catch_up, const store_catch_up_t *plan) {
@@ -362,6 +401,8 @@
     for (guint i = 0; i < catch_up->copies->len; i++) {
         copy_t *copy = g_ptr_array_index(catch_up->copies, i);
         drive_copy(copy, plan.source_complete_in);
+        if (copy->step == COPY_PAGE)
+            end_page(copy);
         if (copy->step == COPY_WAITS)
             go_on(copy);
     }
--- a/src/store/store_requests.c
+++ b/src/store/store_requests.c
@@ -11,7 +11,6 @@
 #include "store/store.h"
 
 #include "common/event.h"
-#include "core/digest/record_digest.h"
 #include "store/store_directory.h"
 
 enum {
@@ -32,8 +31,9 @@
     uint64_t connection_serial; /**< Of the connection that waits for an answer; 0: none does. */
     uint64_t number;
     uint64_t generation;
-    uint64_t begun_at; /**< Loop time, ms. */
-    turn_t turn;       /**< Empty unless a turn is written. */
+    uint64_t begun_at;      /**< Loop time, ms. */
+    turn_t turn;            /**< Empty unless a turn is written. */
+    budget_charge_t charge; /**< Empty unless a charge is, as it stands when written. */
     void (*done)(void *owner, bool durable);
     void *owner;
 } write_t;
@@ -65,14 +65,18 @@
     return store_complete(store) ? VERDICT_YES : VERDICT_UNSURE;
 }
 
+static void note_charge_kept(store_t *store, const budget_charge_t *charge, uint32_t segment) {
+    budget_table_note_kept(&store->budgets, charge);
+    turn_table_need_segment(&store->turns, segment, store_time(store) + BUDGET_RETENTION_MS);
+}
+
 static void on_write_done(void *owner, bool durable, uint32_t segment) {
     write_t *write = owner;
     store_t *store = write->store;
-    uint64_t time = store_time(store);
     if (durable && write->turn.id != NULL)
-        turn_table_add(&store->turns, &write->turn, segment, time);
+        turn_table_add(&store->turns, &write->turn, segment, store_time(store));
     else if (durable)
-        turn_table_need_segment(&store->turns, segment, time + BUDGET_RETENTION_MS);
+        note_charge_kept(store, &write->charge, segment);
     frame_connection_t *connection = waiting_connection(write);
     if (connection != NULL) {
         bool current = write->generation == store->group->generation;
@@ -92,6 +96,7 @@
         event_log(STORE_WRITE_FAILED, record_log_bytes(store->log));
     }
     turn_clear(&write->turn);
+    budget_charge_clear(&write->charge);
     g_free(write);
 }
 
@@ -123,6 +128,15 @@
     record_log_append(store->log, record, on_write_done, write);
 }
 
+/** Appends a reserve or a settled charge, which is taken over from the request. */
+static void append_charge(store_t *store, frame_connection_t *connection, message_t *request,
+                          GBytes *record) {
+    write_t *write = new_write(store, connection, request);
+    write->charge = request->charge;
+    request->charge = (budget_charge_t){0};
+    append(store, g_bytes_ref(record), write);
+}
+
 /** True if one more turn may be taken; logs that it may not, or may again. */
 static bool check_room(store_t *store) {
     const process_settings_t *settings = store->settings;
@@ -151,7 +165,7 @@
         response.summary = budget_table_reserve(&store->budgets, charge->program, charge->call,
                                                 charge->most, store_time(store));
         response.place = program_places_find(&store->places, charge->program);
-        append(store, g_bytes_ref(record), new_write(store, connection, request));
+        append_charge(store, connection, request, record);
     }
     frame_connection_send(connection, message_encode(&response));
     message_clear(&response);
@@ -159,9 +173,7 @@
 
 static void add_charge(void *user, const budget_charge_t *charge) {
     message_t *response = user;
-    budget_charge_t copy = *charge;
-    copy.program = g_strdup(charge->program);
-    copy.call = g_strdup(charge->call);
+    budget_charge_t copy = budget_charge_copy(charge);
     g_array_append_val(response->charges, copy);
 }
 
@@ -180,7 +192,8 @@
     const budget_charge_t *charge = &request->charge;
     budget_table_settle(&store->budgets, charge->program, charge->call, charge->spent,
                         store_time(store));
-    append(store, g_bytes_ref(record), new_write(store, connection, request));
+    request->charge.settled = true;
+    append_charge(store, connection, request, record);
 }
 
 static void put_turn(store_t *store, frame_connection_t *connection, message_t *request,
@@ -212,38 +225,6 @@
     message_clear(&response);
 }
 
-/** The answer to an index request in the making, and what decides what belongs into it. */
-typedef struct {
-    message_t response;
-    record_digest_t own;
-    record_digest_t theirs;
-} index_t;
-
-static void add_charge_that_differs(void *user, const budget_charge_t *charge) {
-    index_t *index = user;
-    if (!record_digest_same_charges(&index->own, &index->theirs, charge->call))
-        add_charge(&index->response, charge);
-}
-
-static void read_index(store_t *store, frame_connection_t *connection, message_t *request) {
-    store_forget_expired(store);
-    index_t index;
-    message_init(&index.response, RESPONSE_INDEX);
-    index.response.number = request->number;
-    index.response.generation = store->complete_in;
-    record_digest_compute(&index.own, &store->turns, &store->budgets);
-    record_digest_decode(&index.theirs, request->digest);
-    GHashTableIter iterator;
-    gpointer id;
-    g_hash_table_iter_init(&iterator, store->turns.entries);
-    while (g_hash_table_iter_next(&iterator, &id, NULL))
-        if (!record_digest_same_turns(&index.own, &index.theirs, id))
-            g_ptr_array_add(index.response.ids, g_strdup(id));
-    budget_table_each(&store->budgets, NULL, add_charge_that_differs, &index);
-    frame_connection_send(connection, message_encode(&index.response));
-    message_clear(&index.response);
-}
-
 static void read_turns(store_t *store, frame_connection_t *connection, message_t *request) {
     message_t response;
     message_init(&response, RESPONSE_TURNS);
@@ -434,7 +415,7 @@
         tell_status(store, connection, &request);
         break;
     case REQUEST_INDEX:
-        read_index(store, connection, &request);
+        store_send_index(store, connection, &request);
         break;
     case REQUEST_TURNS:
         read_turns(store, connection, &request);
@@ -473,49 +454,9 @@
     return bytes;
 }
 
-/** Time goes by as it did while the log was written, so that no more is held than was then. */
-static void replay_time(store_t *store, uint64_t mark) {
-    record_clock_read(&store->clock, mark);
-    if (store_time(store) >= store->expired_at + STORE_UPKEEP_MS)
-        store_forget_expired(store);
-}
-
-static void replay_charge(store_t *store, uint32_t segment, const budget_charge_t *charge) {
-    uint64_t time = store_time(store);
-    budget_table_merge(&store->budgets, charge, time);
-    turn_table_need_segment(&store->turns, segment, time + BUDGET_RETENTION_MS);
-}
-
-static void replay_record(store_t *store, uint32_t segment, message_t *record) {
-    switch (record->type) {
-    case REQUEST_SETTLE:
-        record->charge.settled = true;
-        replay_charge(store, segment, &record->charge);
-        break;
-    case REQUEST_RESERVE:
-    case RECORD_CHARGE:
-        replay_charge(store, segment, &record->charge);
-        break;
-    case REQUEST_PUT_TURN:
-        if (record->turns->len == 1)
-            turn_table_add(&store->turns, &g_array_index(record->turns, turn_t, 0), segment,
-                           store_time(store));
-        break;
-    case RECORD_TIME:
-        replay_time(store, record->time);
-        break;
-    default:
-        break;
-    }
-}
-
-void store_replay(void *owner, uint32_t segment, const uint8_t *data, size_t length) {
-    store_t *store = owner;
-    message_t record;
-    store->records_read++;
-    if (message_decode(&record, data, length))
-        replay_record(store, segment, &record);
-    message_clear(&record);
+static void merge_copy(store_t *store, const budget_charge_t *charge, write_t *write) {
+    write->charge = budget_charge_copy(charge);
+    budget_table_merge(&store->budgets, charge, store_time(store));
 }
 
 void store_append_copy(store_t *store, message_t *record, void (*done)(void *owner, bool durable),
@@ -527,6 +468,6 @@
     if (record->type == REQUEST_PUT_TURN)
         turn_copy(&write->turn, &g_array_index(record->turns, turn_t, 0));
     else
-        budget_table_merge(&store->budgets, &record->charge, store_time(store));
+        merge_copy(store, &record->charge, write);
     append(store, message_encode(record), write);
 }
