storage nodes: a source that freezes while it is asked for a page keeps no other waiting

Cause, found by reading: since one page of an index is asked for at a time, a source that says nothing held the turn for 3 s, was begun anew, and was the first to be asked again, as long as it was frozen: a member never became complete, though enough others would have told it everything.

Change: after 0.3 s without a page others are asked beside it, and one that was stuck is asked again only once it has been heard since.

--- a/src/store/store_catch_up.c
+++ b/src/store/store_catch_up.c
@@ -25,7 +25,12 @@
     POLL_MS = 200,
     EMPTY_DISK_WAIT_MS = 2000, /**< More than GATEWAY_WRITE_MS of gateway/store_client.h. */
     TURNS_A_REQUEST = 200,
-    STEP_MS = 3000,         /**< A step of a copy that takes longer is begun again. */
+    STEP_MS = 3000, /**< A step of a copy that takes longer is begun again. */
+    /**
+     * A source that has not sent a page for so long keeps the others waiting no more: it may be
+     * frozen. A page takes some 20 ms of a source with a third of a core.
+     */
+    PAGE_PATIENCE_MS = 300,
     FAILED_PAUSE_MS = 1000, /**< After a record could not be written: a full disk stays so. */
     FIRST_PAGE = 1,
 };
@@ -267,13 +272,17 @@
     store_peer_poll(copy->peer);
 }
 
+/** True if a page of the copy is under way, or was a moment ago. */
+static bool holds_index(const copy_t *copy, uint64_t now) {
+    bool asked = copy->step == COPY_INDEX && now - copy->step_since < PAGE_PATIENCE_MS;
+    return asked || copy->step == COPY_PAGE || copy->unwritten > 0;
+}
+
 /** True if no page is under way, of whatever source. */
-static bool index_is_free(const store_catch_up_state_t *catch_up) {
-    for (guint i = 0; i < catch_up->copies->len; i++) {
-        const copy_t *copy = g_ptr_array_index(catch_up->copies, i);
-        if (copy->step == COPY_INDEX || copy->step == COPY_PAGE || copy->unwritten > 0)
+static bool index_is_free(const store_catch_up_state_t *catch_up, uint64_t now) {
+    for (guint i = 0; i < catch_up->copies->len; i++)
+        if (holds_index(g_ptr_array_index(catch_up->copies, i), now))
             return false;
-    }
     return true;
 }
 
@@ -313,9 +322,10 @@
         begin_anew(copy, "stuck");
     if (copy->step != COPY_STATUS)
         return;
-    bool usable = peer->connection != NULL && peer->answered_at > 0 &&
-                  peer->complete_in >= source_complete_in;
-    if (!usable || now < catch_up->pause_until || !index_is_free(catch_up))
+    /* One that was stuck must have been heard since, or it would be asked again and again. */
+    bool heard = peer->answered_at > 0 && peer->answered_at >= copy->step_since;
+    bool usable = peer->connection != NULL && heard && peer->complete_in >= source_complete_in;
+    if (!usable || now < catch_up->pause_until || !index_is_free(catch_up, now))
         return;
     if (copy->begun_at == 0)
         copy->begun_at = now;
--- a/tests/unit/catch_up_test.cc
+++ b/tests/unit/catch_up_test.cc
@@ -29,6 +29,7 @@
 constexpr uint64_t between_ms = 2;
 constexpr uint64_t down_ms = 1000;
 constexpr uint64_t catch_up_ms = 60000;
+constexpr uint64_t one_frozen_ms = 2000;
 
 uint64_t kept;
 
@@ -60,9 +61,13 @@
     bool complete = false;
 };
 
-/** Keeps @p turns turns and @p charges charges, takes a storage node's disk, and lets it catch up.
+world_store_t *storage_node(const world_t *world, unsigned number) {
+    return static_cast<world_store_t *>(g_ptr_array_index(world->stores, number));
+}
+
+/** Keeps @p turns turns and @p charges charges, and lets a storage node come back without its disk.
  */
-Copying copy_records(unsigned turns, unsigned charges) {
+world_t *lose_disk(unsigned turns, unsigned charges) {
     const world_shape_t shape = {stores, 0, 1, 1000, BREAK_NOTHING};
     world_t *world = world_new(1, &shape);
     virtual_run(founded_ms);
@@ -76,12 +81,16 @@
         virtual_run(virtual_now() + between_ms);
     }
     virtual_run(virtual_now() + down_ms);
-    auto *node = static_cast<world_store_t *>(g_ptr_array_index(world->stores, 0));
-    world_end_store(node, END_DISK_LOST);
+    world_end_store(storage_node(world, 0), END_DISK_LOST);
     virtual_run(virtual_now() + down_ms);
-    world_start_store(node, false);
+    world_start_store(storage_node(world, 0), false);
+    return world;
+}
+
+Copying copy_records(unsigned turns, unsigned charges) {
+    const world_t *world = lose_disk(turns, charges);
     virtual_run(virtual_now() + catch_up_ms);
-    const store_t *store = node->store;
+    const store_t *store = storage_node(world, 0)->store;
     return {store->turns_copied, store->copy_looks, store_complete(store)};
 }
 
@@ -109,4 +118,23 @@
     EXPECT_LE(virtual_network_largest_frame(), 128u * 1024u);
 }
 
+class CatchUpFrom : public testing::TestWithParam<unsigned> {};
+
+// A source that freezes while it is asked for a page must not keep the others waiting: a member
+// counts as lost until it has caught up, and another loss in between may be one too many.
+TEST_P(CatchUpFrom, OthersWhileOneIsFrozen) {
+    const world_t *world = lose_disk(4000, 20000);
+    const store_t *store = storage_node(world, 0)->store;
+    const uint64_t started = virtual_now();
+    while (g_hash_table_size(store->budgets.programs) == 0 && virtual_now() < started + catch_up_ms)
+        virtual_run(virtual_now() + 1);
+    const uint64_t copying = virtual_now();
+    storage_node(world, GetParam())->process->paused_until = copying + catch_up_ms;
+    while (!store_complete(store) && virtual_now() < copying + catch_up_ms)
+        virtual_run(virtual_now() + 1);
+    EXPECT_LT(virtual_now() - copying, one_frozen_ms);
+}
+
+INSTANTIATE_TEST_SUITE_P(Each, CatchUpFrom, testing::Values(1, 2, 3));
+
 } // namespace
