storage nodes: that a machine is empty is told until the service has it

E809, then E806 outcome=refused as its last line for two minutes; the operator waits for ever for a machine that is empty. The same held for the first status (running).

Change: a status counts as told once its write was answered; a refused one is made again after a second.

--- a/src/store/store_membership.c
+++ b/src/store/store_membership.c
@@ -57,8 +57,9 @@
     bool writing; /**< A write is on its way. */
     uint64_t written_at;
     bool retiring;
-    bool retire_running_told;
-    bool retire_complete_told;
+    bool retire_running_told;   /**< The service has that this node is being emptied, */
+    bool retire_complete_told;  /**< and that it is empty. */
+    bool *telling;              /**< Which of the two is on its way; NULL: neither. */
     GHashTable *peers;          /**< Node name to store_peer_t, while they are needed. */
     GHashTable *retiring_nodes; /**< Names of all nodes that are to be emptied. */
     bool looking;               /**< A node that stands by waits for what the members answer. */
@@ -96,6 +97,11 @@
 static void on_written(void *owner, key_value_outcome_t outcome) {
     store_membership_t *membership = owner;
     membership->writing = false;
+    /* A write that was refused, or whose answer was lost, is made again: the operator waits for it.
+     */
+    if (membership->telling != NULL && outcome == KEY_VALUE_WRITTEN)
+        *membership->telling = true;
+    membership->telling = NULL;
     event_log(STORE_KEY_WRITTEN, outcome == KEY_VALUE_WRITTEN    ? "written"
                                  : outcome == KEY_VALUE_CONFLICT ? "conflict"
                                                                  : "refused");
@@ -409,6 +415,8 @@
 
 static void tell_retirement(store_membership_t *membership, bool complete) {
     const char *name = membership->store->settings->name;
+    membership->telling =
+        complete ? &membership->retire_complete_told : &membership->retire_running_told;
     write_key(membership, key_value_retire_status_key(name), key_value_retire_status(complete),
               true, 0);
 }
@@ -416,7 +424,6 @@
 static void go_on_retiring(store_membership_t *membership) {
     const store_t *store = membership->store;
     if (!membership->retire_running_told) {
-        membership->retire_running_told = true;
         tell_retirement(membership, false);
         return;
     }
@@ -429,7 +436,6 @@
     poll_members(membership, store->group->members);
     if (count_complete(membership) < store->group->members->len)
         return;
-    membership->retire_complete_told = true;
     event_log(STORE_RETIRED, store->group->generation);
     tell_retirement(membership, true);
 }
