storage nodes: a disk that takes no writes has no room either

Symptom: with two of three disks full by others' files each call of a program was run by an engine, and failed 1.5 s later (budget_not_durable, or turn_not_kept). Found by reading, while looking for the same fault elsewhere, and shown by TurnRoom.IsNotOnADiskThatTakesNoWrites, red before this change.

Cause: room was judged by what a node has written itself, and a failed write changed nothing.

Change: for 1 s after a failed write (E807) a storage node takes no reserve that it does not know and says that no turn may begin, so that a quorum of such nodes refuses calls at once (no_room, with Retry-After). E813 says disk=fails. Not changed: a reserve that can't be made durable still fails after 1.5 s; callers have few tries, and failing sooner uses them up in an outage (not tried here).

--- a/src/store/store.h
+++ b/src/store/store.h
@@ -53,6 +53,7 @@
     bool stopping;
     latency_histogram_t write_latency; /**< From a write's arrival until it is on disk. */
     uint64_t writes_failed;
+    uint64_t write_failed_at;    /**< When the latest of them was, loop time; 0: none has failed. */
     room_holds_t holds;          /**< For turns that have begun and have not come. */
     uint64_t turn_bytes_on_way;  /**< Of turns on their way to the disk. */
     uint64_t refused_for_room;   /**< Turns that had begun: memory or disk is nearly full. */
--- a/src/store/store_requests.c
+++ b/src/store/store_requests.c
@@ -92,6 +92,7 @@
         latency_histogram_add(&store->write_latency, now(store) - write->begun_at);
     if (!durable) {
         store->writes_failed++;
+        store->write_failed_at = now(store);
         event_log(STORE_WRITE_FAILED, record_log_bytes(store->log));
     }
     turn_clear(&write->turn);
--- a/src/store/store_room.c
+++ b/src/store/store_room.c
@@ -17,6 +17,12 @@
     MEGABYTE = 1024 * 1024,
     /** Of the memory, for turns and charges: beyond this share, no reserve is taken. */
     CHARGES_SHARE_PERCENT = 81,
+    /**
+     * After a write has failed nothing begins for so long, in ms; then calls show whether the disk
+     * takes writes again. Of a disk that is full for longer, the calls of a few ms in each such
+     * time are run and fail; without it all are.
+     */
+    DISK_FAILED_MS = 1000,
 };
 
 /** Up to which shares turns are taken, in percent. */
@@ -67,11 +73,19 @@
     return room_holds_bytes(&store->holds, mean_turn_bytes(store));
 }
 
+/** True if the disk was full, or took no writes for another reason, a moment ago. */
+static bool disk_fails(const store_t *store) {
+    return store->write_failed_at > 0 &&
+           uv_now(store->loop) < store->write_failed_at + DISK_FAILED_MS;
+}
+
 bool store_turn_may_begin(store_t *store) {
     uint64_t coming = store->turn_bytes_on_way + store_held_turn_bytes(store);
-    bool room = turns_fit(store, &begin_shares, coming);
+    bool failing = disk_fails(store);
+    bool room = !failing && turns_fit(store, &begin_shares, coming);
     if (room == store->out_of_room)
-        event_log(STORE_ROOM, room ? "yes" : "no", store->refused_for_room, store->turns.bytes,
+        event_log(STORE_ROOM, room ? "yes" : "no", failing ? "fails" : "works",
+                  store->refused_for_room, store->turns.bytes,
                   memory_share(store, begin_shares.turns), coming,
                   budget_table_bytes(&store->budgets), record_log_bytes(store->log),
                   disk_share(store, begin_shares.disk));
@@ -88,6 +102,6 @@
 }
 
 bool store_takes_reserve(const store_t *store, const budget_charge_t *charge) {
-    return records_fit(store, CHARGES_SHARE_PERCENT, 0) ||
-           budget_table_knows(&store->budgets, charge->program, charge->call);
+    bool fits = !disk_fails(store) && records_fit(store, CHARGES_SHARE_PERCENT, 0);
+    return fits || budget_table_knows(&store->budgets, charge->program, charge->call);
 }
--- a/tests/unit/store_room_test.cc
+++ b/tests/unit/store_room_test.cc
@@ -136,7 +136,7 @@
         client = static_cast<world_gateway_t *>(g_ptr_array_index(world->gateways, 0))->client;
         verdicts = {};
         kept = 0;
-        asked.assign(2, {});
+        asked.assign(4, {});
     }
 
     world_store_t *node(unsigned number) const {
@@ -158,6 +158,10 @@
         virtual_run(virtual_now() + time_ms);
     }
 
+    void set_disk_full(unsigned number, bool full) const {
+        virtual_disk_of(node(number)->process)->full = full;
+    }
+
     void put_turn() {
         turn_t turn = {g_strdup("turn"),      g_strdup(""), g_bytes_new("in", 2),
                        g_bytes_new("out", 3), 1000000000,   g_strdup("")};
@@ -204,6 +208,26 @@
     EXPECT_EQ(verdicts.given[VERDICT_YES], 1u);
 }
 
+// The story: two of three disks are full, by others' files. Each call was told that there is room,
+// was run, and failed 1.5 s later, since neither its reserve nor its turn could be written: room
+// was judged by what a node itself had written. Now the first calls show it, and the others are
+// refused at once, until the disks take writes again.
+TEST_F(TurnRoom, IsNotOnADiskThatTakesNoWrites) {
+    constexpr uint64_t tried_again_ms = 1000;
+    set_disk_full(0, true);
+    reserve(0, true, at_once_ms);
+    set_disk_full(1, true);
+    reserve(1, true, at_once_ms);
+    EXPECT_EQ(verdicts.given[VERDICT_YES], 2u) << "one may be full, and of the other nobody knew";
+    reserve(2, true, at_once_ms);
+    EXPECT_EQ(verdicts.without_room, 1u);
+    set_disk_full(0, false);
+    set_disk_full(1, false);
+    virtual_run(virtual_now() + tried_again_ms);
+    reserve(3, true, at_once_ms);
+    EXPECT_EQ(verdicts.given[VERDICT_YES], 3u);
+}
+
 // An answer may be lost, and the turn be sent again when there is no room any more.
 TEST_F(TurnRoom, IsNotNeededForATurnThatIsThere) {
     put_turn();
