platform: an entry of another writer names no back end to use

Symptom, by the users' pages: an entry may lack fields, have them of another type, or say a state that has no meaning. Such an entry was used all the same: a missing zone passed for "", a missing number of slots for 0, a state without meaning for leaving; a number beyond 32 bits was converted, which C does not define.

Change: one typed result for the first field that is at fault; such an entry counts as none, so that a back end in use gets no new call and all others stay. E606 tells it at a change, once for each that a gateway on watch sees; directory_entries_rejected_total counts those of listings, too, which are not logged one by one. Numbers that don't fit are the nearest that does. What leaves may lack zone and slots: it gets no new call whatever they say.

Test: Platform.AnEntryOfAnotherWriterNamesNoBackEnd and ANumberOfAConfigurationThatIsTooLargeIsTheLargest. The code before has no such result to ask for; that it took most of the test's entries for sound is by reading. Left of the users' issue on this: no test of a whole gateway with a listing of 10,000.

--- a/src/cluster/service_directory.c
+++ b/src/cluster/service_directory.c
@@ -116,6 +116,12 @@
     return g_hash_table_lookup(configuration->services, name);
 }
 
+const char *backend_entry_fault_name(backend_entry_fault_t fault) {
+    static const char *const names[BACKEND_ENTRY_FAULT_COUNT] = {
+        "none", "unreadable", "service", "address", "zone", "slots", "state", "other"};
+    return names[fault];
+}
+
 void backend_record_free(backend_record_t *backend) {
     if (backend == NULL)
         return;
--- a/src/cluster/service_directory.h
+++ b/src/cluster/service_directory.h
@@ -105,7 +105,24 @@
 GBytes *directory_redact_configuration(GBytes *value);
 /** NULL if @p data is no configuration; it may be a redacted one. */
 directory_configuration_t *directory_parse_configuration(const char *data, size_t length);
-/** NULL if @p data is no back end. */
+/** What makes an entry of the directory name no back end. */
+typedef enum {
+    BACKEND_ENTRY_SOUND,
+    BACKEND_ENTRY_UNREADABLE, /**< No object of the service's encoding. */
+    BACKEND_ENTRY_SERVICE,    /**< From here on: this field is missing or of another type. */
+    BACKEND_ENTRY_ADDRESS,
+    BACKEND_ENTRY_ZONE,
+    BACKEND_ENTRY_SLOTS,
+    BACKEND_ENTRY_STATE, /**< Also one that has no meaning here. */
+    BACKEND_ENTRY_OTHER, /**< A field that is not used here is of another type. */
+    BACKEND_ENTRY_FAULT_COUNT,
+} backend_entry_fault_t;
+
+const char *backend_entry_fault_name(backend_entry_fault_t fault);
+/** Reads an entry; NULL and @p fault if it names no back end to use, or to stop using. */
+backend_record_t *directory_read_backend(const char *instance, const char *data, size_t length,
+                                         backend_entry_fault_t *fault);
+/** As directory_read_backend, for which fault does not matter. */
 backend_record_t *directory_parse_backend(const char *instance, const char *data, size_t length);
 
 #endif
--- a/src/directorysim/stubs.c
+++ b/src/directorysim/stubs.c
@@ -175,7 +175,9 @@
     return configuration;
 }
 
-backend_record_t *directory_parse_backend(const char *instance, const char *data, size_t length) {
+backend_record_t *directory_read_backend(const char *instance, const char *data, size_t length,
+                                         backend_entry_fault_t *fault) {
+    *fault = BACKEND_ENTRY_SOUND;
     backend_record_t *record = g_new0(backend_record_t, 1);
     record->instance = g_strdup(instance);
     record->service = g_strndup(data, length);
--- a/src/gateway/directory_watch.c
+++ b/src/gateway/directory_watch.c
@@ -51,8 +51,9 @@
     gsize length;
     const void *data = g_bytes_get_data(value, &length);
     backend_record_t *backend = backend_record_decode(instance, data, length);
+    backend_entry_fault_t fault;
     /* Storage nodes may still keep what an earlier version told them. */
-    return backend != NULL ? backend : directory_parse_backend(instance, data, length);
+    return backend != NULL ? backend : directory_read_backend(instance, data, length, &fault);
 }
 
 /**
@@ -145,29 +146,39 @@
     g_bytes_unref(redacted.value);
 }
 
+/** An entry that names no back end to use, whoever wrote it: counted, and logged like back ends. */
+static void reject_entry(gateway_t *gateway, const char *instance, backend_entry_fault_t fault) {
+    gateway->counters.entries_rejected++;
+    if (logs_backends(gateway))
+        event_log(BACKEND_ENTRY_REJECTED, instance, backend_entry_fault_name(fault));
+}
+
 /** A back end as it stands in the service, in its short form; NULL: that is none. */
-static GBytes *shorten_backend(const char *instance, GBytes *value) {
+static GBytes *shorten_backend(gateway_t *gateway, const char *instance, GBytes *value) {
     gsize length;
     const char *data = g_bytes_get_data(value, &length);
-    backend_record_t *backend = directory_parse_backend(instance, data, length);
-    if (backend == NULL)
+    backend_entry_fault_t fault;
+    backend_record_t *backend = directory_read_backend(instance, data, length, &fault);
+    if (backend == NULL) {
+        reject_entry(gateway, instance, fault);
         return NULL;
+    }
     GBytes *short_form = backend_record_encode(backend);
     backend_record_free(backend);
     return short_form;
 }
 
 static void on_item(void *owner, const key_value_item_t *item) {
-    const gateway_t *gateway = owner;
+    gateway_t *gateway = owner;
     const char *instance;
     load_sharing_look_soon(gateway->load_sharing);
     if (item->value == NULL || key_value_kind(item->key, &instance) != KEY_BACKEND) {
-        gateway_take_item(owner, item);
+        gateway_take_item(gateway, item);
         return;
     }
     key_value_item_t backend = *item;
-    backend.value = shorten_backend(instance, item->value);
-    gateway_take_item(owner, &backend);
+    backend.value = shorten_backend(gateway, instance, item->value);
+    gateway_take_item(gateway, &backend);
     if (backend.value != NULL)
         g_bytes_unref(backend.value);
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -43,6 +43,7 @@
     uint64_t turns_kept;
     uint64_t turns_not_kept;
     uint64_t over_budget;
+    uint64_t entries_rejected; /**< Of the directory, that name no back end to use. */
     uint64_t over_quota;
     uint64_t chain_reads;
     latency_histogram_t latency[GATEWAY_CALL_KINDS];
--- a/src/gateway/reports.c
+++ b/src/gateway/reports.c
@@ -115,6 +115,7 @@
     metrics_append(text, "turns_kept_total", counters->turns_kept);
     metrics_append(text, "turns_not_kept_total", counters->turns_not_kept);
     metrics_append(text, "over_budget_total", counters->over_budget);
+    metrics_append(text, "directory_entries_rejected_total", counters->entries_rejected);
     metrics_append(text, "over_quota_total", counters->over_quota);
     metrics_append(text, "quota_requests_total", quota_client_requests(gateway->quotas));
     metrics_append(text, "chain_reads_total", counters->chain_reads);
--- a/tests/unit/platform_test.cc
+++ b/tests/unit/platform_test.cc
@@ -14,6 +14,7 @@
 #include <cstdio>
 #include <fstream>
 #include <string>
+#include <vector>
 
 namespace {
 
@@ -148,6 +149,70 @@
         EXPECT_EQ(directory_parse_backend("i-1", bad, strlen(bad)), nullptr) << bad;
 }
 
+// The story: an entry may come from another writer. A state without a meaning passed for leaving, a
+// missing zone or number of slots for "" or 0, so that calls went to a server that is none; a
+// number beyond 32 bits was converted, which C does not define.
+TEST(Platform, AnEntryOfAnotherWriterNamesNoBackEnd) {
+    const std::string address = R"("address":"10.1.2.3:80")";
+    const std::string service = R"("service":"s")";
+    const std::string zone = R"("zone":"z")";
+    const std::string slots = R"("slots":6)";
+    const std::string state = R"("state":"ready")";
+    const std::string sound = service + "," + address + "," + zone + "," + slots + "," + state;
+    auto fault = [](const std::string &data) {
+        backend_entry_fault_t found;
+        backend_record_t *backend = directory_read_backend("i-1", data.data(), data.size(), &found);
+        EXPECT_EQ(backend == nullptr, found != BACKEND_ENTRY_SOUND) << data;
+        backend_record_free(backend);
+        return found;
+    };
+    auto entry = [](const std::vector<std::string> &fields) {
+        std::string all;
+        for (const std::string &field : fields)
+            all += (all.empty() ? "" : ",") + field;
+        return "{" + all + "}";
+    };
+    EXPECT_EQ(fault(entry({sound})), BACKEND_ENTRY_SOUND);
+    EXPECT_EQ(fault(entry({sound, R"("born":1764700000000,"sequence":4,"version":"v1")"})),
+              BACKEND_ENTRY_SOUND);
+    for (const char *unreadable :
+         {"", "null", "[]", "7", "\"s\"", "{", "\xff\xfe{}", "{\"service\":"})
+        EXPECT_EQ(fault(unreadable), BACKEND_ENTRY_UNREADABLE) << unreadable;
+    EXPECT_EQ(fault(std::string("{}\0", 3)), BACKEND_ENTRY_UNREADABLE);
+    EXPECT_EQ(fault(entry({address, zone, slots, state})), BACKEND_ENTRY_SERVICE);
+    EXPECT_EQ(fault(entry({R"("service":["s"])", address, zone, slots, state})),
+              BACKEND_ENTRY_SERVICE);
+    EXPECT_EQ(fault(entry({service, zone, slots, state})), BACKEND_ENTRY_ADDRESS);
+    EXPECT_EQ(fault(entry({service, R"("address":80)", zone, slots, state})),
+              BACKEND_ENTRY_ADDRESS);
+    EXPECT_EQ(fault(entry({service, address, slots, state})), BACKEND_ENTRY_ZONE);
+    EXPECT_EQ(fault(entry({service, address, R"("zone":1)", slots, state})), BACKEND_ENTRY_ZONE);
+    EXPECT_EQ(fault(entry({service, address, zone, state})), BACKEND_ENTRY_SLOTS);
+    for (const char *bad : {"\"6\"", "6.5", "-1", "4294967296", "1e300", "true", "null"})
+        EXPECT_EQ(fault(entry({service, address, zone, "\"slots\":" + std::string(bad), state})),
+                  BACKEND_ENTRY_SLOTS)
+            << bad;
+    EXPECT_EQ(fault(entry({service, address, zone, slots})), BACKEND_ENTRY_STATE);
+    for (const char *bad : {"\"warming\"", "\"\"", "\"READY\"", "1", "null"})
+        EXPECT_EQ(fault(entry({service, address, zone, slots, "\"state\":" + std::string(bad)})),
+                  BACKEND_ENTRY_STATE)
+            << bad;
+    for (const char *bad : {R"("version":1)", R"("cold-remaining-ms":"0")", R"("sequence":"4")",
+                            R"("sequence":4.5)", R"("born":"1764700000000")", R"("born":1.5)"})
+        EXPECT_EQ(fault(entry({sound, bad})), BACKEND_ENTRY_OTHER) << bad;
+}
+
+TEST(Platform, ANumberOfAConfigurationThatIsTooLargeIsTheLargest) {
+    const char *large = R"({"version":1,"services":[],"routes":[{"name":"r","host":"h",
+        "path-prefix":"/","service":"s","timeout-ms":1e300,"retention-s":1e300}]})";
+    directory_configuration_t *configuration = directory_parse_configuration(large, strlen(large));
+    ASSERT_NE(configuration, nullptr);
+    const route_t *route = directory_find_route(configuration, "h", "/");
+    EXPECT_EQ(route->timeout_ms, UINT32_MAX);
+    EXPECT_EQ(route->retention_ms, UINT32_MAX);
+    directory_configuration_unref(configuration);
+}
+
 TEST(Platform, OfACallersFieldsTheGatewaysOwnAreLeftOut) {
     for (const char *own : {"Deadline-Milliseconds", "Expect-Instance", "Expect-Version",
                             "Request-Priority", "Tenant", "Hold", "Pin-Milliseconds",
