storage nodes: a group changes only if all its next members can become complete

Cause: a change asked for a read quorum of complete members of the present generation (one of two); a member of the next one that is not complete copies from a read quorum of that one (two of three). With one complete member the others wait for one another, and no further change is allowed. Where a member is replaced or leaves, it was counted among the complete ones, too. Ruled out: a write of the state file that hangs (records reached the disk all the time; the test has no such fault).

Change: a change is proposed only if the members that stay and are complete are as many as the others copy from; the figure comes from one function.

--- a/src/core/quorum/store_group.c
+++ b/src/core/quorum/store_group.c
@@ -91,6 +91,10 @@
     return copies >= store_write_quorum(members) && complete > 0;
 }
 
+unsigned store_group_sources_needed(unsigned members) {
+    return MIN(store_read_quorum(members), members - 1);
+}
+
 store_catch_up_t store_group_catch_up(const store_group_t *group, const char *name,
                                       uint64_t complete_in) {
     bool was_complete = complete_in > 0 && complete_in + 1 == group->generation &&
@@ -106,7 +110,7 @@
     /* Whatever this member acknowledged stands on write_quorum - 1 of the others as well. */
     return (store_catch_up_t){
         .sources = group->members,
-        .needed = MIN(store_read_quorum(group->members->len), group->members->len - 1),
+        .needed = store_group_sources_needed(group->members->len),
         .source_complete_in = group->generation,
     };
 }
--- a/src/core/quorum/store_group.h
+++ b/src/core/quorum/store_group.h
@@ -51,6 +51,8 @@
  * generation acknowledged.
  */
 unsigned store_absence_quorum(unsigned members);
+/** How many complete members of a generation one copies from that was in none before. */
+unsigned store_group_sources_needed(unsigned members);
 /**
  * True if a turn is durable in the group's generation: @p copies members have it on disk, and
  * @p complete of these are complete in that generation. Without a complete one nobody in the
--- a/src/store/store_membership.c
+++ b/src/store/store_membership.c
@@ -255,12 +255,12 @@
     }
 }
 
-/** How many members of the group are complete in its generation. */
-static unsigned count_complete(store_membership_t *membership) {
+/** How many of @p members are complete in the group's generation. */
+static unsigned count_complete_of(store_membership_t *membership, const GArray *members) {
     const store_t *store = membership->store;
     unsigned complete = 0;
-    for (guint i = 0; i < store->group->members->len; i++) {
-        const store_member_t *member = &g_array_index(store->group->members, store_member_t, i);
+    for (guint i = 0; i < members->len; i++) {
+        const store_member_t *member = &g_array_index(members, store_member_t, i);
         if (strcmp(member->name, store->settings->name) == 0) {
             complete += store_complete(store);
             continue;
@@ -271,6 +271,21 @@
     return complete;
 }
 
+/** How many members of the group are complete in its generation. */
+static unsigned count_complete(store_membership_t *membership) {
+    return count_complete_of(membership, membership->store->group->members);
+}
+
+/**
+ * True if all members of the next generation can become complete in it. Those that stay and are
+ * complete now are so at once; the others copy from so many of them. With fewer they would wait for
+ * one another for good: one complete member of two and a node that joins kept nothing any more.
+ */
+static bool all_can_complete(store_membership_t *membership, const store_group_t *next) {
+    unsigned complete = count_complete_of(membership, next->members);
+    return complete >= store_group_sources_needed(next->members->len);
+}
+
 /** A member that has not answered for a while; NULL if all have. */
 static const store_member_t *find_gone_member(store_membership_t *membership) {
     const GArray *members = membership->store->group->members;
@@ -328,6 +343,15 @@
     g_array_free(founders, TRUE);
 }
 
+/** Proposes the next group, which is taken over, unless it could not become complete yet. */
+static void propose_change(store_membership_t *membership, store_group_t *next,
+                           const char *reason) {
+    if (all_can_complete(membership, next))
+        propose(membership, next, reason);
+    else
+        store_group_free(next);
+}
+
 /** How long this node, which stands by, waits between two looks at the members. */
 static uint64_t standby_pause_ms(const store_membership_t *membership) {
     const store_t *store = membership->store;
@@ -373,7 +397,7 @@
     copy_members_without(next, members, gone == NULL ? NULL : gone->name);
     store_group_add(next->members, store->settings->name, store->settings->peer_text,
                     store->settings->zone);
-    propose(membership, next, gone == NULL ? "joining" : "replacing");
+    propose_change(membership, next, gone == NULL ? "joining" : "replacing");
 }
 
 /** A registered node that answers, is no member and is not to be emptied. */
@@ -410,7 +434,7 @@
     copy_members_without(next, members, store->settings->name);
     if (spare != NULL)
         store_group_add(next->members, spare->name, spare->address, spare->zone);
-    propose(membership, next, "retiring");
+    propose_change(membership, next, "retiring");
 }
 
 static void tell_retirement(store_membership_t *membership, bool complete) {
