core: interfaces of the parts for hard load

Two customers' load is not served well: programs of a tenant over its limit end in the middle, a zone that is cut off uses up its callers' tries, and engines of unlike speed are loaded alike.

--- /dev/null
+++ b/src/core/admission/program_ledger.h
@@ -0,0 +1,50 @@
+/**
+ * @file program_ledger.h
+ * Which programs of a tenant with a limit are under way at one member of the store group, what they
+ * will still ask for, and whether one more can be carried through.
+ *
+ * A limit is spent on programs that have begun first. A new program is admitted if the member's
+ * share of the limit covers, over the time that programs take, what those under way will still ask
+ * for and what the new one will. What a program will still ask for is estimated from the programs
+ * of its kind that have ended: the distribution of their calls, not its mean. A program that falls
+ * silent gives its part back.
+ *
+ * Decision code: no I/O, clock or thread; an object belongs to one thread. Times are ms of the
+ * caller's steady clock. In memory only: a member that has lost it takes each call that says that
+ * its program has begun for one of a program under way.
+ */
+#ifndef RUDDERWAY_CORE_ADMISSION_PROGRAM_LEDGER_H
+#define RUDDERWAY_CORE_ADMISSION_PROGRAM_LEDGER_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+typedef struct program_ledger program_ledger_t;
+
+/** One call of a program. */
+typedef struct {
+    uint64_t program; /**< Hash of its id. */
+    uint64_t kind;    /**< Hash of the route by which the program came; 0: unknown. */
+    bool begun;       /**< The program has had an answer before, as the caller of this knows. */
+} program_call_t;
+
+/** What a member's share of the limit can give. */
+typedef struct {
+    double tokens;        /**< Held now; negative: in debt. */
+    double tokens_per_ms; /**< Gained. */
+} program_share_t;
+
+typedef struct {
+    bool admitted;    /**< Or under way already. */
+    uint32_t wait_ms; /**< Not admitted: there is room for a program of its kind in so long. */
+} program_admission_t;
+
+program_ledger_t *program_ledger_new(void);
+void program_ledger_free(program_ledger_t *ledger);
+/** Whether a call may ask for a token; notes the call if so. */
+program_admission_t program_ledger_admit(program_ledger_t *ledger, const program_call_t *call,
+                                         const program_share_t *share, uint64_t now);
+/** Calls that the programs under way will still make, as far as can be told. */
+double program_ledger_owed(program_ledger_t *ledger, uint64_t now);
+
+#endif
