storage nodes: a slow write is logged with what took the time

Cause: turns were run and lost because no storage node confirmed them within 1.5 s, and no log told whether the disk, its thread or the loop took the time.

Change: E862 for a write that took 500 ms or more: the time behind the write before it, until the thread took it, on the disk, and until the loop saw its end. At most four lines a second. A write that never ends before the process does is not logged.

--- a/src/store/record_log.c
+++ b/src/store/record_log.c
@@ -10,6 +10,8 @@
  */
 #include "store/record_log.h"
 
+#include "common/event.h"
+
 #include <errno.h>
 #include <fcntl.h>
 #include <stdlib.h>
@@ -21,13 +23,17 @@
     SEGMENT_BYTES = 4 * 1024 * 1024,
     RECORD_HEAD_BYTES = 8,
     FILE_MODE = 0600,
+    NANOSECONDS_A_MS = 1000000,
+    /** A third of what gateways wait for a write (gateway/store_client.h). */
+    SLOW_WRITE_MS = 500,
 };
 
 typedef struct {
     GBytes *bytes;
     record_log_done_t done;
     void *owner;
-    bool state; /**< Replaces the state file instead of being appended. */
+    uint64_t given_at; /**< ns, as are all times here. */
+    bool state;        /**< Replaces the state file instead of being appended. */
 } pending_t;
 
 typedef struct {
@@ -48,6 +54,9 @@
     bool new_segment;
     bool appended;
     bool state_written;
+    uint64_t queued_at;  /**< By the loop, */
+    uint64_t taken_at;   /**< by the thread, */
+    uint64_t written_at; /**< and when the disk had all of it. */
 } batch_t;
 
 struct record_log {
@@ -151,8 +160,10 @@
 
 static void run_batch(uv_work_t *work) {
     batch_t *batch = work->data;
+    batch->taken_at = uv_hrtime();
     batch->appended = batch->bytes->len == 0 || append_batch(batch);
     batch->state_written = batch->state == NULL || replace_state(batch);
+    batch->written_at = uv_hrtime();
 }
 
 /* Loop thread. */
@@ -181,11 +192,28 @@
     add_segment(log, segment->number + 1, 0);
 }
 
+static uint64_t ms_between(uint64_t begun_at, uint64_t ended_at) {
+    return (ended_at - begun_at) / NANOSECONDS_A_MS;
+}
+
+/** At most four lines a second: records wait for the batch before theirs and for their own. */
+static void log_if_slow(const batch_t *batch) {
+    uint64_t given_at = g_array_index(batch->entries, pending_t, 0).given_at;
+    uint64_t done_at = uv_hrtime();
+    if (ms_between(given_at, done_at) < SLOW_WRITE_MS)
+        return;
+    event_log(STORE_WRITE_SLOW, ms_between(given_at, done_at),
+              ms_between(given_at, batch->queued_at), ms_between(batch->queued_at, batch->taken_at),
+              ms_between(batch->taken_at, batch->written_at),
+              ms_between(batch->written_at, done_at), batch->entries->len, batch->bytes->len);
+}
+
 static void on_batch_done(uv_work_t *work, int status) {
     batch_t *batch = work->data;
     record_log_t *log = batch->log;
     (void)status;
     log->busy = false;
+    log_if_slow(batch);
     note_written(log, batch);
     for (guint i = 0; i < batch->entries->len; i++) {
         pending_t *entry = &g_array_index(batch->entries, pending_t, i);
@@ -220,12 +248,13 @@
             append_record(batch->bytes, entry->bytes);
     }
     log->busy = true;
+    batch->queued_at = uv_hrtime();
     uv_queue_work(log->loop, &batch->work, run_batch, on_batch_done);
 }
 
 static void add_pending(record_log_t *log, GBytes *bytes, bool state, record_log_done_t done,
                         void *owner) {
-    pending_t entry = {bytes, done, owner, state};
+    pending_t entry = {bytes, done, owner, uv_hrtime(), state};
     g_array_append_val(log->pending, entry);
     start_batch(log);
 }
