gateway: a zone that is cut off is found soon, and its callers are told when others serve

Ruled out: a constant 1.1 s, right at one moment of the cut only.

Change: core/isolation/zone_silence, core/retry/come_back, their wiring, and gateway.tolerated_zones, which switches it on; kept connections are ended once callers are led elsewhere.

--- a/src/cluster/process_settings.c
+++ b/src/cluster/process_settings.c
@@ -14,6 +14,7 @@
 static const double QUOTA_OVERAGE = 0.1;
 
 enum { MEGABYTES_MAXIMUM = 1000000, GRACE_MS_MAXIMUM = 3600000, TOLERATED_LOSSES_MAXIMUM = 100 };
+enum { TOLERATED_ZONES_MAXIMUM = 100 };
 
 typedef struct {
     GKeyFile *file;
@@ -118,6 +119,8 @@
     settings->readiness = read_address(reader, "gateway", "readiness", gateway, NULL);
     settings->peer = read_address(reader, "peer", "listen", true, &settings->peer_text);
     read_advertised_address(reader, settings);
+    settings->tolerated_zones =
+        read_number(reader, "gateway", "tolerated_zones", 0, 0, TOLERATED_ZONES_MAXIMUM);
     settings->folder = read_text(reader, "store", "folder", gateway ? "" : NULL);
     settings->disk_megabytes =
         read_number(reader, "store", "disk_megabytes", 300, 0, MEGABYTES_MAXIMUM);
--- a/src/cluster/process_settings.h
+++ b/src/cluster/process_settings.h
@@ -21,8 +21,9 @@
     char *log_level;
     struct sockaddr_in calls;     /**< Where a gateway takes calls. */
     struct sockaddr_in readiness; /**< Where a gateway says whether it is ready. */
-    struct sockaddr_in metrics;   /**< Where figures are told; port 0: nowhere. */
-    char *peer_text;              /**< Where other processes of Rudderway reach this one. */
+    uint64_t tolerated_zones;   /**< Zones whose loss is to be borne; 0: a cut is not looked for. */
+    struct sockaddr_in metrics; /**< Where figures are told; port 0: nowhere. */
+    char *peer_text;            /**< Where other processes of Rudderway reach this one. */
     struct sockaddr_in peer;
     char *key_value_text;
     struct sockaddr_in key_value;
--- a/src/core/retry/outage.c
+++ b/src/core/retry/outage.c
@@ -14,9 +14,12 @@
     outage->lasts = false;
 }
 
+uint32_t outage_lasted_ms(const outage_t *outage, uint64_t now) {
+    return outage->lasts && now > outage->since ? (uint32_t)(now - outage->since) : 0;
+}
+
 unsigned outage_come_back_ms(const outage_t *outage, uint64_t now) {
-    uint64_t lasted = outage->lasts && now > outage->since ? now - outage->since : 0;
-    uint64_t wait = lasted / SHARE_OF_LASTED;
+    uint64_t wait = outage_lasted_ms(outage, now) / SHARE_OF_LASTED;
     if (wait < OUTAGE_COME_BACK_LEAST_MS)
         return OUTAGE_COME_BACK_LEAST_MS;
     return wait < OUTAGE_COME_BACK_MOST_MS ? (unsigned)wait : OUTAGE_COME_BACK_MOST_MS;
--- a/src/core/retry/outage.h
+++ b/src/core/retry/outage.h
@@ -26,6 +26,8 @@
 void outage_note(outage_t *outage, uint64_t arrived_at);
 /** Notes that what was missing is back. */
 void outage_end(outage_t *outage);
+/** How long it has lasted at @p now. */
+uint32_t outage_lasted_ms(const outage_t *outage, uint64_t now);
 /** What a caller refused at @p now is told to wait. */
 unsigned outage_come_back_ms(const outage_t *outage, uint64_t now);
 
--- a/src/directorysim/stubs.c
+++ b/src/directorysim/stubs.c
@@ -76,6 +76,10 @@
     return client->gateway->listed_as > 0;
 }
 
+void store_client_doubt(store_client_t *client) {
+    (void)client;
+}
+
 uint64_t store_client_generation(const store_client_t *client) {
     (void)client;
     return 1;
--- a/src/gateway/call.c
+++ b/src/gateway/call.c
@@ -7,6 +7,7 @@
 #include "gateway/call.h"
 
 #include "common/event.h"
+#include "core/retry/come_back.h"
 #include "gateway/split.h"
 
 #include <stdlib.h>
@@ -22,8 +23,6 @@
     STATUS_TIMED_OUT = 504,
     MS_PER_S = 1000,
     DEADLINE_USUAL_MS = 60000, /**< For a caller that names none. */
-    COME_BACK_MS = 150,        /**< What a refused caller is told to wait. */
-    ELSEWHERE_MS = 300,        /**< The same while callers are being led to other gateways. */
 };
 
 static const char *const reason_names[CALL_REASON_COUNT] = {
@@ -100,29 +99,74 @@
     uv_close((uv_handle_t *)&call->timer, free_call);
 }
 
-/** What a caller that is refused for @p reason is told to wait, in ms. */
-static unsigned come_back_ms(call_t *call, call_reason_t reason) {
-    gateway_t *gateway = call->gateway;
-    outage_t *outage;
-    if (reason == CALL_OVER_QUOTA)
-        return call->quota.come_back_ms;
-    if (gateway_isolated(gateway))
-        return ELSEWHERE_MS;
+/** What is left of the time that the caller named; UINT32_MAX: it named none. */
+static uint32_t field_time_left(const call_t *call, call_field_t field) {
+    const char *text = call_field(call, field);
+    if (text == NULL)
+        return UINT32_MAX;
+    uint64_t named = strtoull(text, NULL, 10);
+    uint64_t passed = uv_now(call->gateway->loop) - call->arrived_at;
+    uint64_t left = named > passed ? named - passed : 0;
+    return (uint32_t)MIN(left, UINT32_MAX);
+}
+
+/** The outage that refuses calls for @p reason; NULL: none does. */
+static outage_t *outage_of(gateway_t *gateway, call_reason_t reason) {
     switch (reason) {
     case CALL_BUDGET_UNSURE:
     case CALL_TURN_UNSURE:
     case CALL_NO_ROOM:
     case CALL_QUOTA_UNSURE:
-        outage = &gateway->store_outage;
-        break;
+        return &gateway->store_outage;
     case CALL_NO_CONFIGURATION:
-        outage = &gateway->configuration_outage;
-        break;
+        return &gateway->configuration_outage;
     default:
-        return COME_BACK_MS;
+        return NULL;
     }
-    outage_note(outage, call->arrived_at);
-    return outage_come_back_ms(outage, uv_now(gateway->loop));
+}
+
+static void note_isolated(const call_t *call, come_back_t *known) {
+    const gateway_t *gateway = call->gateway;
+    known->reason = COME_BACK_ISOLATED;
+    if (gateway->zone_cut_since == 0)
+        return;
+    known->lasted_ms = (uint32_t)(uv_now(gateway->loop) - gateway->zone_cut_since);
+    known->led_ms = GATEWAY_LED_ELSEWHERE_MS;
+}
+
+/** What is known of the call, and of what it lacks. */
+static come_back_t describe_refusal(call_t *call, call_reason_t reason) {
+    gateway_t *gateway = call->gateway;
+    come_back_t known = {
+        .reason = COME_BACK_SOON,
+        .time_left_ms = field_time_left(call, FIELD_DEADLINE_MS),
+        .program_left_ms = field_time_left(call, FIELD_PROGRAM_DEADLINE),
+    };
+    outage_t *outage = outage_of(gateway, reason);
+    bool engine_full = reason == CALL_BACKEND_REFUSED && call->engine_free_ms > 0;
+    if (reason == CALL_OVER_QUOTA || engine_full) {
+        known.reason = COME_BACK_KNOWN;
+        known.known_ms = engine_full ? call->engine_free_ms : call->quota.come_back_ms;
+    } else if (gateway_isolated(gateway)) {
+        note_isolated(call, &known);
+    } else if (outage != NULL) {
+        outage_note(outage, call->arrived_at);
+        known.reason = COME_BACK_OUTAGE;
+        known.lasted_ms = outage_lasted_ms(outage, uv_now(gateway->loop));
+    }
+    return known;
+}
+
+/** What a caller that is refused for @p reason is told to wait, in ms. */
+static unsigned told_ms(call_t *call, call_reason_t reason) {
+    come_back_t known = describe_refusal(call, reason);
+    unsigned told = come_back_ms(&known);
+    if (known.led_ms == 0)
+        return told;
+    call->gateway->counters.refused_zone_cut++;
+    event_log(GATEWAY_COME_BACK, call->id == NULL ? "-" : call->id, reason_names[reason],
+              known.lasted_ms, known.led_ms, known.time_left_ms, known.program_left_ms, told);
+    return told;
 }
 
 static void append_come_back(GString *fields, unsigned ms) {
@@ -134,7 +178,7 @@
     if (call->id != NULL)
         g_string_append_printf(fields, "%s: %s\r\n", call_field_name(FIELD_CALL_ID), call->id);
     if (status == STATUS_UNAVAILABLE || status == STATUS_TOO_MANY)
-        append_come_back(fields, come_back_ms(call, reason));
+        append_come_back(fields, told_ms(call, reason));
     http_caller_t *caller = call->caller;
     if (gateway_isolated(call->gateway))
         http_caller_close_after_answer(caller);
@@ -270,6 +314,8 @@
     call->program = call_field(call, FIELD_PROGRAM);
     call->limit = find_limit(call);
     uv_timer_start(&call->timer, on_time_over, call_time_left(call), 0);
+    if (call_turn_refuse_if_cut(call))
+        return;
     if (call_quota_begin(call))
         call_turn_begin(call);
 }
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -118,6 +118,7 @@
     event_stream_t events;
     call_turn_t turn;
     call_quota_t quota;
+    uint32_t engine_free_ms; /**< A full engine has room again in so long; 0: unknown. */
 } call_t;
 
 /* call.c */
@@ -184,6 +185,12 @@
 
 /* call_turn.c */
 
+/**
+ * Notes whether the call's program has a budget that bounds it. Refuses a call that needs storage
+ * nodes while the zone is cut off, before it takes anything else; true if it did.
+ */
+bool call_turn_refuse_if_cut(call_t *call);
+
 /** Sends the call if nothing that it needs is missing any more. */
 void call_turn_send_if_ready(call_t *call);
 
--- a/src/gateway/call_turn.c
+++ b/src/gateway/call_turn.c
@@ -86,16 +86,34 @@
     return end != comma + 1;
 }
 
-/** Asks for the reserve; false if the call has ended. */
-static bool begin_reserve(call_t *call) {
-    const char *budget = call_field(call, FIELD_BUDGET);
+static void note_counted(call_t *call) {
     call->turn.counted = call->route->kind == CALL_STREAM && call->program != NULL &&
-                         budget != NULL &&
+                         call_field(call, FIELD_BUDGET) != NULL &&
                          parse_most(call_field(call, FIELD_TOKENS), &call->turn.most);
+}
+
+/** While it is being found out whether the zone is cut off, an operation waits for that. */
+static bool may_ask_stores(store_client_t *stores) {
+    return store_client_connected(stores) || store_client_in_doubt(stores);
+}
+
+bool call_turn_refuse_if_cut(call_t *call) {
+    note_counted(call);
+    bool needs_stores = call->turn.counted || call->route->keeps_turns;
+    if (!needs_stores || call->gateway->zone_cut_since == 0)
+        return false;
+    call_refuse(call, STATUS_UNAVAILABLE,
+                call->turn.counted ? CALL_BUDGET_UNSURE : CALL_TURN_UNSURE);
+    return true;
+}
+
+/** Asks for the reserve; false if the call has ended. */
+static bool begin_reserve(call_t *call) {
     if (!call->turn.counted)
         return true;
+    const char *budget = call_field(call, FIELD_BUDGET);
     store_client_t *stores = call->gateway->stores;
-    if (!store_client_connected(stores)) {
+    if (!may_ask_stores(stores)) {
         call_refuse(call, STATUS_UNAVAILABLE, CALL_BUDGET_UNSURE);
         return false;
     }
@@ -163,7 +181,7 @@
         return;
     }
     bool no_progress = g_strcmp0(missing, call->turn.missing) == 0;
-    if (no_progress || !store_client_connected(gateway->stores)) {
+    if (no_progress || !may_ask_stores(gateway->stores)) {
         call_refuse(call, STATUS_UNAVAILABLE, CALL_TURN_UNSURE);
         return;
     }
--- a/src/gateway/directory_duty.c
+++ b/src/gateway/directory_duty.c
@@ -172,8 +172,12 @@
         gateway->on_duty && gateway->directory_confirmed && (watches || views_root(gateway));
 }
 
-/** Notes whether another gateway reaches storage nodes that this one does not. */
+/**
+ * Notes whether another gateway reaches storage nodes that this one does not. One that reaches none
+ * any more may be the first to notice a cut.
+ */
 static void look_at_peers(gateway_t *gateway, const GArray *reports) {
+    unsigned without = 0;
     gateway->others_have_stores = false;
     for (guint i = 0; i < reports->len; i++) {
         const watch_report_t *report = &g_array_index(reports, watch_report_t, i);
@@ -181,7 +185,11 @@
         bool since = report->heard_at > gateway->stores_lost_at;
         if (lately && since && report->has_stores)
             gateway->others_have_stores = true;
+        without += lately && !report->has_stores;
     }
+    if (without > gateway->peers_without_stores)
+        store_client_doubt(gateway->stores);
+    gateway->peers_without_stores = without;
 }
 
 /**
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -31,6 +31,13 @@
 /** Kinds of calls (call_kind_t) that have a latency histogram of their own. */
 enum { GATEWAY_CALL_KINDS = CALL_STREAM + 1 };
 
+/**
+ * After a zone was found cut off, until its callers are led elsewhere, in ms: a gateway is asked
+ * every second whether it is ready, and taken out after two misses; the zone's callers are led
+ * elsewhere once its last gateway is out, and that one may notice a little later than this one.
+ */
+enum { GATEWAY_LED_ELSEWHERE_MS = 2100 };
+
 typedef struct {
     uint64_t calls;
     uint64_t answered; /**< With a back end's answer. */
@@ -45,6 +52,7 @@
     uint64_t over_budget;
     uint64_t entries_rejected; /**< Of the directory, that name no back end to use. */
     uint64_t over_quota;
+    uint64_t refused_zone_cut; /**< Refused while the zone was cut off. */
     uint64_t chain_reads;
     latency_histogram_t latency[GATEWAY_CALL_KINDS];
 } gateway_counters_t;
@@ -98,7 +106,10 @@
     bool key_value_failed;   /**< It was asked, and did not answer. */
     uint64_t stores_lost_at; /**< Since when no quorum of storage nodes answers; 0: one does. */
     bool others_have_stores; /**< Another gateway reaches storage nodes. */
+    unsigned peers_without_stores; /**< Other gateways that said lately that they reach none. */
     outage_t configuration_outage; /**< No configuration is known yet. */
+    uint64_t zone_cut_since;       /**< Since when the zone is cut off; 0: it is not. */
+    uv_timer_t led_elsewhere;      /**< Runs while the zone is cut off; see isolation.c. */
     bool ready;
     bool stopping;
     bool refusing; /**< The stop has gone so far that a new call might not end in time. */
@@ -135,10 +146,14 @@
 /** directory_duty.c: the gateways to know, and those of the root cell, from a storage node. */
 void gateway_take_gateways(void *owner, const GPtrArray *addresses, const GPtrArray *sources);
 /**
- * True if this gateway reaches no quorum of storage nodes, and either others do or the key-value
- * service is out of its reach as well: then it is cut off, and others can serve.
+ * True if the gateway's zone is cut off, or if this gateway reaches no quorum of storage nodes, and
+ * either others do or the key-value service is out of its reach as well: then others can serve.
  */
 bool gateway_isolated(const gateway_t *gateway);
+/** isolation.c: finds out whether the zone is cut off, if the settings ask for it. */
+void gateway_watch_zone(gateway_t *gateway);
+/** The zone was found cut off, or no longer is: all that depends on it learns of it at once. */
+void gateway_note_zone_cut(void *owner, bool cut);
 /** Says whether the gateway is ready if that has changed. */
 void gateway_check_ready(gateway_t *gateway);
 /** Serves readiness and metrics; see reports.c. False if an address can't be listened on. */
--- a/src/gateway/load_sharing.c
+++ b/src/gateway/load_sharing.c
@@ -44,6 +44,7 @@
     const load_sharing_handler_t *handler;
     void *owner;
     GPtrArray *peers; /**< Of gateway_peer_t. */
+    bool heeds_stores;
     bool below;       /**< The peers follow gateways of another cell. */
     bool sums_stale;  /**< A datagram came since the loads were added up. */
     uint64_t changed; /**< The latest change that any of them has told of. */
@@ -161,12 +162,15 @@
         return;
     watch_report_t watch = {
         .heard_at = uv_now(sharing->loop), .before = peer->watch.before, .rank = peer->watch.rank};
+    bool had_stores = peer->watch.has_stores;
     if (load_report_decode(&watch, peer->entries, buffer->base, (size_t)count))
         peer->watch = watch;
     else
         g_array_set_size(peer->entries, 0);
     peer->heard_at = uv_now(sharing->loop);
     sharing->sums_stale = true;
+    if (sharing->heeds_stores && had_stores && !peer->watch.has_stores)
+        look_within(sharing, NEWS_LOOK_MS);
     if (watch.changed <= sharing->changed)
         return;
     /* A change must not wait for the end of a period, which is over a second in a large cell. */
@@ -389,6 +393,10 @@
     return sharing;
 }
 
+void load_sharing_heed_stores(load_sharing_t *sharing) {
+    sharing->heeds_stores = true;
+}
+
 unsigned load_sharing_rank(const load_sharing_t *sharing) {
     unsigned rank = 0;
     for (guint i = 0; i < sharing->peers->len; i++)
--- a/src/gateway/load_sharing.h
+++ b/src/gateway/load_sharing.h
@@ -38,6 +38,8 @@
  * follow others (watch_duty.h).
  */
 void load_sharing_set_gateways(load_sharing_t *sharing, const GPtrArray *addresses, bool below);
+/** From now on, that another gateway lost the storage nodes is reported at once. */
+void load_sharing_heed_stores(load_sharing_t *sharing);
 /** How many of the other gateways come before this one by address. */
 unsigned load_sharing_rank(const load_sharing_t *sharing);
 /** Adds up what the others told, if that has changed; to be called before a back end is chosen. */
--- a/src/gateway/main.c
+++ b/src/gateway/main.c
@@ -62,6 +62,7 @@
 
 static const store_client_handler_t store_handler = {
     gateway_take_gateways, gateway_take_directory, gateway_read_directory, find_relay, on_answer,
+    gateway_note_zone_cut,
 };
 
 static bool open_gateway(gateway_t *gateway) {
@@ -73,6 +74,8 @@
         return false;
     gateway->stores = store_client_new(gateway->loop, settings->zone, settings->peer_text,
                                        &store_handler, gateway);
+    if (settings->tolerated_zones > 0)
+        gateway_watch_zone(gateway);
     gateway->quotas = quota_client_new(gateway->loop, gateway->stores, &settings->quota);
     gateway_open_directory(gateway);
     gateway->relay =
--- a/src/gateway/reports.c
+++ b/src/gateway/reports.c
@@ -46,6 +46,8 @@
 }
 
 bool gateway_isolated(const gateway_t *gateway) {
+    if (gateway->zone_cut_since > 0)
+        return true;
     bool lost = gateway->stores_lost_at > 0 &&
                 uv_now(gateway->loop) >= gateway->stores_lost_at + ISOLATED_AFTER_MS;
     return lost && (gateway->others_have_stores || !gateway->key_value_reachable);
@@ -99,6 +101,7 @@
     append_directory_figures(gateway, text);
     metrics_append(text, "backends", backends_count(&gateway->backends));
     metrics_append(text, "stores_connected", store_client_connected(gateway->stores));
+    metrics_append(text, "zone_cut", gateway->zone_cut_since > 0);
     metrics_append(text, "store_relays", store_relay_count(gateway->relay));
     metrics_append(text, "calls_active", http_listener_active(gateway->calls));
     metrics_append(text, "caller_connections", http_listener_connections(gateway->calls));
@@ -117,6 +120,7 @@
     metrics_append(text, "over_budget_total", counters->over_budget);
     metrics_append(text, "directory_entries_rejected_total", counters->entries_rejected);
     metrics_append(text, "over_quota_total", counters->over_quota);
+    metrics_append(text, "calls_refused_zone_cut_total", counters->refused_zone_cut);
     metrics_append(text, "quota_requests_total", quota_client_requests(gateway->quotas));
     metrics_append(text, "chain_reads_total", counters->chain_reads);
     metrics_append(text, "log_lines_left_out_total", event_lines_left_out());
--- a/src/gateway/store_client.c
+++ b/src/gateway/store_client.c
@@ -8,8 +8,6 @@
 
 enum {
     RECONNECT_MS = 150,
-    SILENT_MS = 400,   /**< Members that answer nothing for so long may be out of reach. */
-    SILENT_ROUNDS = 2, /**< Looks in a row, since a process that was frozen hears late itself. */
 };
 
 /* Connections. */
@@ -44,6 +42,7 @@
     (void)link;
     send_group(client, member);
     tell_own_address(client, member);
+    store_silence_link_opened(client, member);
     client->links_opened++;
     for (guint i = 0; i < member->backlog->len; i++)
         store_link_send(member->link, g_bytes_ref(g_ptr_array_index(member->backlog, i)));
@@ -75,78 +74,9 @@
         store_link_upkeep(((const member_t *)g_ptr_array_index(client->members, i))->link);
 }
 
-/* Silence: connections to members behind a cut stay open for seconds. */
-
-static unsigned count_heard(const store_client_t *client, uint64_t since) {
-    unsigned heard = 0;
-    for (guint i = 0; i < client->members->len; i++) {
-        const member_t *member = g_ptr_array_index(client->members, i);
-        heard += member->link->open && member->link->heard_at >= since;
-    }
-    return heard;
-}
-
-static bool any_operation_waits(const store_client_t *client) {
-    uint64_t now = uv_now(client->loop);
-    GHashTableIter iterator;
-    gpointer value;
-    g_hash_table_iter_init(&iterator, client->operations);
-    while (g_hash_table_iter_next(&iterator, NULL, &value))
-        if (now >= ((const store_operation_t *)value)->begun_at + SILENT_MS)
-            return true;
-    return false;
-}
-
-/** Ends connections on which nothing was heard; other gateways may reach those members. */
-static void drop_silent_links(const store_client_t *client, uint64_t since) {
-    for (guint i = 0; i < client->members->len; i++) {
-        const member_t *member = g_ptr_array_index(client->members, i);
-        if (member->link->open && member->link->heard_at < since)
-            store_link_drop(member->link);
-    }
-}
-
-static void set_silent(store_client_t *client, bool silent) {
-    if (client->silent == silent)
-        return;
-    client->silent = silent;
-    event_log(GATEWAY_STORES_SILENT, silent ? "yes" : "no");
-}
-
-static void ask_members(const store_client_t *client) {
-    message_t request;
-    message_init(&request, REQUEST_STATUS);
-    GBytes *bytes = message_encode(&request);
-    for (guint i = 0; i < client->members->len; i++) {
-        const member_t *member = g_ptr_array_index(client->members, i);
-        if (member->link->open)
-            store_link_send(member->link, g_bytes_ref(bytes));
-    }
-    g_bytes_unref(bytes);
-    message_clear(&request);
-}
-
-/** While an operation waits, a quorum must be heard of; while none is, it is asked. */
-static void look_for_silence(store_client_t *client) {
-    uint64_t now = uv_now(client->loop);
-    uint64_t since = now > SILENT_MS ? now - SILENT_MS : 0;
-    bool heard = count_heard(client, since) >= store_write_quorum(client->members->len);
-    if (heard || (!client->silent && !any_operation_waits(client))) {
-        client->silent_rounds = 0;
-        set_silent(client, false);
-        return;
-    }
-    client->silent_rounds++;
-    if (client->silent_rounds >= SILENT_ROUNDS) {
-        set_silent(client, true);
-        drop_silent_links(client, since);
-    }
-    ask_members(client);
-}
-
 static void on_reconnect(uv_timer_t *timer) {
     connect_members(timer->data);
-    look_for_silence(timer->data);
+    store_silence_upkeep(timer->data);
 }
 
 static void free_member(gpointer data) {
@@ -160,6 +90,7 @@
     member_t *member = g_new0(member_t, 1);
     member->client = client;
     member->backlog = g_ptr_array_new_with_free_func((GDestroyNotify)g_bytes_unref);
+    member->signs.near = strcmp(record->zone, client->zone) == 0;
     member->link = store_link_new(client->loop, record->name, record->zone, record->address,
                                   &link_handler, member);
     return member;
@@ -178,6 +109,7 @@
     client->operations = g_hash_table_new(g_int64_hash, g_int64_equal);
     uv_timer_init(loop, &client->reconnect);
     client->reconnect.data = client;
+    store_silence_init(client);
     return client;
 }
 
@@ -185,18 +117,18 @@
 static bool has_quorum(const store_client_t *client, bool direct_only) {
     unsigned open = 0;
     for (guint i = 0; i < client->members->len; i++) {
-        const store_link_t *link = ((const member_t *)g_ptr_array_index(client->members, i))->link;
-        open += link->open && !(direct_only && link->relayed);
+        const member_t *member = g_ptr_array_index(client->members, i);
+        open += store_silence_counts(client, member) && !(direct_only && member->link->relayed);
     }
     return client->members->len > 0 && open >= store_write_quorum(client->members->len);
 }
 
 bool store_client_connected(const store_client_t *client) {
-    return has_quorum(client, false) && !client->silent;
+    return has_quorum(client, false) && !client->silent && !client->zone_silence.cut;
 }
 
 bool store_client_connected_directly(const store_client_t *client) {
-    return has_quorum(client, true) && !client->silent;
+    return has_quorum(client, true) && !client->silent && !client->zone_silence.cut;
 }
 
 bool store_client_reaches(const store_client_t *client, const char *name,
@@ -274,6 +206,8 @@
     message_t message;
     (void)link;
     bool valid = message_decode(&message, data, length);
+    if (valid)
+        store_silence_note_answer(member, message.type);
     if (valid && message.type == MESSAGE_GROUP)
         store_client_take_group(client, &message);
     else if (valid && message.type == MESSAGE_GATEWAYS)
@@ -307,7 +241,7 @@
 }
 
 bool store_client_member_open(const store_client_t *client, unsigned member) {
-    return member_link(client, member)->open;
+    return store_silence_counts(client, g_ptr_array_index(client->members, member));
 }
 
 uint64_t store_client_next_number(store_client_t *client) {
--- a/src/gateway/store_client.h
+++ b/src/gateway/store_client.h
@@ -45,6 +45,8 @@
     bool (*find_relay)(void *owner, struct sockaddr_in *address);
     /** An answer that belongs to no operation: to a request of store_client_send_member. */
     void (*on_answer)(void *owner, unsigned member, const message_t *message);
+    /** The zone was found cut off, or no longer is; see store_client_watch_zone. May be NULL. */
+    void (*on_zone_cut)(void *owner, bool cut);
 } store_client_handler_t;
 
 /** @p own_address is told to the members, so that other gateways learn of this one. */
@@ -69,11 +71,24 @@
 /** The same without the help of other gateways. */
 bool store_client_connected_directly(const store_client_t *client);
 
+/**
+ * Finds out from now on whether the gateway's zone is cut off (core/isolation/zone_silence.h). A
+ * member is then connected only once it was heard of, and operations whose call has not been let
+ * go end as unsure when the zone is found cut off.
+ */
+void store_client_watch_zone(store_client_t *client);
+/** True if the zone was found cut off. */
+bool store_client_zone_cut(const store_client_t *client);
+/** True while no quorum is heard of and it is being found out whether the zone is cut off. */
+bool store_client_in_doubt(store_client_t *client);
+/** Another gateway has said that it reaches no quorum any more: finds out whether this one does. */
+void store_client_doubt(store_client_t *client);
+
 /** The group's generation; members keep their numbers in it. */
 uint64_t store_client_generation(const store_client_t *client);
 unsigned store_client_members(const store_client_t *client);
 const char *store_client_member_name(const store_client_t *client, unsigned member);
-/** True if there is a connection to it, of its own or through another gateway. */
+/** True if it is connected, by its own connection or through another gateway. */
 bool store_client_member_open(const store_client_t *client, unsigned member);
 /** A number for a request whose answer the handler takes. */
 uint64_t store_client_next_number(store_client_t *client);
--- a/src/gateway/store_client_state.h
+++ b/src/gateway/store_client_state.h
@@ -1,7 +1,7 @@
 /**
  * @file store_client_state.h
- * What store_client.c (members and their links) and store_operation.c (operations and their
- * quorums) share. For these two only.
+ * What store_client.c (members and their links), store_operation.c (operations and their quorums)
+ * and store_silence.c (members that fall silent) share. For these only.
  *
  * Thread safety: everything here belongs to the loop's thread.
  */
@@ -9,13 +9,15 @@
 #define RUDDERWAY_GATEWAY_STORE_CLIENT_STATE_H
 
 #include "core/budget/budget_decision.h"
+#include "core/isolation/zone_silence.h"
 #include "gateway/store_client.h"
 #include "gateway/store_link.h"
 
 typedef struct {
     store_client_t *client;
     store_link_t *link;
-    GPtrArray *backlog; /**< Settlements for a member that is away; of GBytes. */
+    GPtrArray *backlog;  /**< Settlements for a member that is away; of GBytes. */
+    zone_member_t signs; /**< What was heard of it. */
 } member_t;
 
 struct store_client {
@@ -33,6 +35,10 @@
     unsigned directory_asks;
     bool silent; /**< Too few members answer, although they are connected. */
     unsigned silent_rounds;
+    bool watches_zone; /**< See store_client_watch_zone. */
+    zone_silence_t zone_silence;
+    uint64_t doubted_at; /**< A neighbour's word that no quorum answered; 0: none to look into. */
+    uv_timer_t look;
 };
 
 /** What one member said of an operation. */
@@ -66,8 +72,26 @@
 /** Where @p member stands among the client's. */
 unsigned store_client_member_index(const store_client_t *client, const member_t *member);
 
+/* store_silence.c */
+
+/** Prepares the looks; once, with the client. */
+void store_silence_init(store_client_t *client);
+/** Every RECONNECT_MS: while an operation waits, a quorum must be heard of. */
+void store_silence_upkeep(store_client_t *client);
+/** A link opened: a member is connected once it has said something. */
+void store_silence_link_opened(const store_client_t *client, const member_t *member);
+/** A member has answered something. */
+void store_silence_note_answer(member_t *member, message_type_t type);
+/** An operation begins, that may come to wait in vain. */
+void store_silence_note_operation(store_client_t *client);
+/** True if @p member is connected; while the zone is watched, and heard of as well. */
+bool store_silence_counts(const store_client_t *client, const member_t *member);
+
 /* store_operation.c */
 
+/** Ends, as unsure, all operations whose call has not been let go. */
+void store_operation_end_undecided(store_client_t *client);
+
 /** True if the member at @p index should get the operation's request. */
 bool store_operation_wants(const store_operation_t *operation, unsigned index);
 /** Sends the request to a member that is connected. */
--- a/src/gateway/store_link.c
+++ b/src/gateway/store_link.c
@@ -42,6 +42,7 @@
     if (connection != link->connection)
         return;
     link->heard_at = uv_now(link->loop);
+    link->heard = true;
     link->failures = 0;
     link->handler->on_frame(link->owner, link, data, length);
 }
@@ -58,6 +59,7 @@
     if (link->open)
         event_log(GATEWAY_STORE_LOST, link->name);
     link->open = false;
+    link->heard = false;
     link->connection = NULL;
     link->failures++;
 }
--- a/src/gateway/store_link.h
+++ b/src/gateway/store_link.h
@@ -37,6 +37,7 @@
     uint64_t connecting_since;
     uint64_t direct_since;
     uint64_t heard_at; /**< When the connection opened, or a frame came. */
+    bool heard;        /**< A frame has come since the link was last lost. */
     bool open;
     bool relayed;      /**< The connection goes through another gateway. */
     unsigned failures; /**< Connections in a row that were lost or not up in time. */
--- a/src/gateway/store_operation.c
+++ b/src/gateway/store_operation.c
@@ -309,6 +309,26 @@
         report_durable(operation, false);
 }
 
+void store_operation_end_undecided(store_client_t *client) {
+    GArray *numbers = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+    GHashTableIter iterator;
+    gpointer value;
+    g_hash_table_iter_init(&iterator, client->operations);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const store_operation_t *operation = value;
+        if (operation->request.type != REQUEST_PUT_TURN && !operation->granted)
+            g_array_append_val(numbers, operation->number);
+    }
+    /* The end of one may end others, of the same call. */
+    for (guint i = 0; i < numbers->len; i++) {
+        store_operation_t *operation =
+            g_hash_table_lookup(client->operations, &g_array_index(numbers, uint64_t, i));
+        if (operation != NULL)
+            report_verdict(operation, VERDICT_UNSURE, NULL);
+    }
+    g_array_free(numbers, TRUE);
+}
+
 static void on_operation_timer(uv_timer_t *timer) {
     store_operation_t *operation = timer->data;
     store_client_t *client = operation->client;
@@ -339,6 +359,7 @@
     message_init(&operation->request, type);
     operation->request.number = operation->number;
     g_hash_table_insert(client->operations, &operation->number, operation);
+    store_silence_note_operation(client);
     uv_timer_init(client->loop, &operation->timer);
     operation->timer.data = operation;
     uint64_t first = type == REQUEST_CHAIN ? CHAIN_WIDEN_MS : UNSURE_AGAIN_MS;
