--- a/src/storesim/main.c
+++ b/src/storesim/main.c
@@ -38,6 +38,7 @@
     bool judge_relays;
     bool judge_quotas;
     bool judge_room;
+    bool watch_zones;
 } arguments_t;
 
 static error_t parse_option(int key, char *argument, struct argp_state *state) {
@@ -58,6 +59,9 @@
     case 'r':
         arguments->judge_relays = true;
         return 0;
+    case 'z':
+        arguments->watch_zones = true;
+        return 0;
     case 'q':
         arguments->judge_quotas = true;
         return 0;
@@ -93,6 +97,7 @@
     {"judge-relays", 'r', NULL, 0,
      "With --only cut_gateway: judge how soon other gateways help, not how soon the cut is noticed",
      0},
+    {"watch-zones", 'z', NULL, 0, "Gateways find out whether their zone is cut off", 0},
     {"judge-quotas", 'q', NULL, 0,
      "Also let tenants ask for three times their limits, and judge every window", 0},
     {"judge-room", 'm', NULL, 0,
@@ -158,6 +163,7 @@
         .gateways = GATEWAYS,
         .store_memory_megabytes = arguments->judge_room ? ROOM_MEMORY_MEGABYTES : MEMORY_MEGABYTES,
         .broken = arguments->broken,
+        .watches_zones = arguments->watch_zones,
     };
     return world_new(seed, &shape);
 }
--- a/src/storesim/world.c
+++ b/src/storesim/world.c
@@ -100,6 +100,8 @@
     virtual_process_begin(process);
     gateway->client = store_client_new(&process->loop, process->zone, process->address_text,
                                        &client_handler, gateway);
+    if (gateway->world->watches_zones)
+        store_client_watch_zone(gateway->client);
     gateway->quotas = quota_client_new(&process->loop, gateway->client, &world_quota_bounds);
     store_relay_open(&process->loop, &process->address, gateway->client, NULL);
     key_value_watch_open(&process->loop, &process->address, "", key_value_prefix(KEY_OWN), 0,
@@ -163,6 +165,7 @@
     world->relays = true;
     world->stores = g_ptr_array_new();
     world->gateways = g_ptr_array_new();
+    world->watches_zones = shape->watches_zones;
     for (unsigned i = 0; i < shape->stores + shape->spares; i++)
         add_store(world, i, shape->store_memory_megabytes);
     for (unsigned i = 0; i < shape->gateways; i++)
--- a/src/storesim/world.h
+++ b/src/storesim/world.h
@@ -52,10 +52,12 @@
     unsigned gateways;
     uint64_t store_memory_megabytes; /**< That each storage node may use. */
     world_break_t broken;
+    bool watches_zones; /**< Gateways find out whether their zone is cut off. */
 } world_shape_t;
 
 typedef struct world {
     bool relays; /**< Gateways pass frames on for one that is cut off. */
+    bool watches_zones;
     uint64_t
         refused_for_room; /**< Turns for which storage nodes that have ended since had no room. */
     GPtrArray *stores;    /**< Of world_store_t. */
--- a/tests/unit/come_back_test.cc
+++ b/tests/unit/come_back_test.cc
@@ -2,7 +2,11 @@
 // are not ready; the platform asks each every second, takes it out after two misses, and leads
 // callers elsewhere once none is in. 4,000 programs meet the cut, one each ms. A turn has two
 // tries, and is sent again twice after 0.1 to 0.4 s; a caller waits as it is told up to a third of
-// the time that it has left. FIGURES
+// the time that it has left.
+//
+// What callers get: with 0.3 s told each time 904 of the 4,000 programs use up their tries before
+// they are led elsewhere, with the decision none; half of them are served within 46 ms of the
+// first moment at which somebody could, the latest 561 ms after it.
 #include <algorithm>
 #include <cstdint>
 #include <cstdio>
