--- a/src/storesim/main.c
+++ b/src/storesim/main.c
@@ -163,13 +163,14 @@
         .gateways = GATEWAYS,
         .store_memory_megabytes = arguments->judge_room ? ROOM_MEMORY_MEGABYTES : MEMORY_MEGABYTES,
         .broken = arguments->broken,
-        .watches_zones = arguments->watch_zones,
     };
     return world_new(seed, &shape);
 }
 
 static workload_result_t run_seed(uint64_t seed, const arguments_t *arguments) {
     world_t *world = new_world(seed, arguments);
+    if (arguments->watch_zones)
+        world_watch_zones(world);
     virtual_run(WORK_FROM_MS);
     workload_start(world, WORK_UNTIL_MS,
                    arguments->judge_room ? ROOM_RETENTION_MS : WORKLOAD_RETENTION_MS);
--- a/src/storesim/world.c
+++ b/src/storesim/world.c
@@ -155,6 +155,15 @@
         virtual_network_break_quotas();
 }
 
+void world_watch_zones(world_t *world) {
+    world->watches_zones = true;
+    for (guint i = 0; i < world->gateways->len; i++) {
+        const world_gateway_t *gateway = g_ptr_array_index(world->gateways, i);
+        if (gateway->client != NULL)
+            store_client_watch_zone(gateway->client);
+    }
+}
+
 world_t *world_new(uint64_t seed, const world_shape_t *shape) {
     virtual_loop_start(seed);
     virtual_network_start();
@@ -165,7 +174,6 @@
     world->relays = true;
     world->stores = g_ptr_array_new();
     world->gateways = g_ptr_array_new();
-    world->watches_zones = shape->watches_zones;
     for (unsigned i = 0; i < shape->stores + shape->spares; i++)
         add_store(world, i, shape->store_memory_megabytes);
     for (unsigned i = 0; i < shape->gateways; i++)
--- a/src/storesim/world.h
+++ b/src/storesim/world.h
@@ -52,7 +52,6 @@
     unsigned gateways;
     uint64_t store_memory_megabytes; /**< That each storage node may use. */
     world_break_t broken;
-    bool watches_zones; /**< Gateways find out whether their zone is cut off. */
 } world_shape_t;
 
 typedef struct world {
@@ -71,6 +70,8 @@
 enum { CATCH_UP_MS = 4300 };
 
 world_t *world_new(uint64_t seed, const world_shape_t *shape);
+/** From now on gateways find out whether their zone is cut off. */
+void world_watch_zones(world_t *world);
 /** Starts a machine's processes. */
 void world_start_store(world_store_t *store, bool first_start);
 void world_start_gateway(world_gateway_t *gateway);
--- a/tests/unit/cut_zone_test.cc
+++ b/tests/unit/cut_zone_test.cc
@@ -42,9 +42,11 @@
     world_t *world = nullptr;
 
     void start(bool watches) {
-        const world_shape_t shape = {8, 0, 8, 1000, BREAK_NOTHING, watches};
+        const world_shape_t shape = {8, 0, 8, 1000, BREAK_NOTHING};
         world = world_new(1, &shape);
         world->relays = true;
+        if (watches)
+            world_watch_zones(world);
         run(founded_ms);
     }
     static void run(uint64_t ms) {
