--- a/src/gateway/store_client_state.h
+++ b/src/gateway/store_client_state.h
@@ -39,6 +39,7 @@
     zone_silence_t zone_silence;
     uint64_t doubted_at; /**< A neighbour's word that no quorum answered; 0: none to look into. */
     uv_timer_t look;
+    bool look_due; /**< The timer runs. */
 };
 
 /** What one member said of an operation. */
--- a/src/gateway/store_silence.c
+++ b/src/gateway/store_silence.c
@@ -169,17 +169,25 @@
 
 static void on_look(uv_timer_t *timer);
 
+static void look_within(store_client_t *client, uint64_t ms) {
+    if (client->look_due)
+        return;
+    client->look_due = true;
+    uv_timer_start(&client->look, on_look, ms, 0);
+}
+
 /** Goes on while there is something to find out, or an operation that may come to wait. */
 static void look_again(store_client_t *client) {
     const zone_silence_t *zone = &client->zone_silence;
     if (zone->cut || zone->doubt_since > 0 || client->doubted_at > 0)
-        uv_timer_start(&client->look, on_look, ZONE_LOOK_MS, 0);
+        look_within(client, ZONE_LOOK_MS);
     else if (g_hash_table_size(client->operations) > 0)
-        uv_timer_start(&client->look, on_look, ZONE_WAIT_MS, 0);
+        look_within(client, ZONE_WAIT_MS);
 }
 
 static void on_look(uv_timer_t *timer) {
     store_client_t *client = timer->data;
+    client->look_due = false;
     look_at_zone(client);
     look_again(client);
 }
@@ -188,8 +196,7 @@
     if (!client->watches_zone || client->members->len == 0)
         return;
     look_at_zone(client);
-    if (!uv_is_active((uv_handle_t *)&client->look))
-        look_again(client);
+    look_again(client);
 }
 
 void store_silence_init(store_client_t *client) {
@@ -226,8 +233,8 @@
 }
 
 void store_silence_note_operation(store_client_t *client) {
-    if (client->watches_zone && !uv_is_active((uv_handle_t *)&client->look))
-        uv_timer_start(&client->look, on_look, ZONE_WAIT_MS, 0);
+    if (client->watches_zone)
+        look_within(client, ZONE_WAIT_MS);
 }
 
 void store_client_watch_zone(store_client_t *client) {
