--- a/src/storesim/world.c
+++ b/src/storesim/world.c
@@ -93,13 +93,15 @@
 }
 
 static const store_client_handler_t client_handler = {on_gateways, on_directory, read_directory,
-                                                      find_relay, on_answer};
+                                                      find_relay,  on_answer,    NULL};
 
 void world_start_gateway(world_gateway_t *gateway) {
     virtual_process_t *process = gateway->process;
     virtual_process_begin(process);
     gateway->client = store_client_new(&process->loop, process->zone, process->address_text,
                                        &client_handler, gateway);
+    if (gateway->world->watches_zones)
+        store_client_watch_zone(gateway->client);
     gateway->quotas = quota_client_new(&process->loop, gateway->client, &world_quota_bounds);
     store_relay_open(&process->loop, &process->address, gateway->client, NULL);
     key_value_watch_open(&process->loop, &process->address, "", key_value_prefix(KEY_OWN), 0,
@@ -153,6 +155,15 @@
         virtual_network_break_quotas();
 }
 
+void world_watch_zones(world_t *world) {
+    world->watches_zones = true;
+    for (guint i = 0; i < world->gateways->len; i++) {
+        const world_gateway_t *gateway = g_ptr_array_index(world->gateways, i);
+        if (gateway->client != NULL)
+            store_client_watch_zone(gateway->client);
+    }
+}
+
 world_t *world_new(uint64_t seed, const world_shape_t *shape) {
     virtual_loop_start(seed);
     virtual_network_start();
--- a/src/storesim/world.h
+++ b/src/storesim/world.h
@@ -56,6 +56,7 @@
 
 typedef struct world {
     bool relays; /**< Gateways pass frames on for one that is cut off. */
+    bool watches_zones;
     uint64_t
         refused_for_room; /**< Turns for which storage nodes that have ended since had no room. */
     GPtrArray *stores;    /**< Of world_store_t. */
@@ -69,6 +70,8 @@
 enum { CATCH_UP_MS = 4300 };
 
 world_t *world_new(uint64_t seed, const world_shape_t *shape);
+/** From now on gateways find out whether their zone is cut off. */
+void world_watch_zones(world_t *world);
 /** Starts a machine's processes. */
 void world_start_store(world_store_t *store, bool first_start);
 void world_start_gateway(world_gateway_t *gateway);
