--- a/src/core/routing/service_choice.h
+++ b/src/core/routing/service_choice.h
@@ -7,6 +7,10 @@
  * away. One that is avoided (slow to answer, or it seems to be down) is taken only if there is no
  * other, unless so many are avoided that the sign is doubtful.
  *
+ * Where speeds are measured, calls under way and the call itself count as longer at a slow back
+ * end, and another zone is only used when a call would queue in this one: so calls follow what
+ * back ends can do, and bytes between zones are spent only when that saves a wait.
+ *
  * Of equals each gateway has an order of its own, by a hash of gateway and back end. With one order
  * for all, 145 gateways of a zone, which hear of one another's calls only after these have ended,
  * sent all to one back end: on a model of 120 calls a second of 70 ms each at 555 back ends with 6
@@ -29,13 +33,23 @@
     bool connected; /**< A kept connection is free. */
     bool near;      /**< In this gateway's zone. */
     bool avoided;
+    unsigned speed_percent; /**< Of the service's typical speed; 0: speeds are not measured. */
+    unsigned answer_ms;     /**< Usual time of the service's answers; 0: unknown. */
 } service_candidate_t;
 
 /** What a back end of another zone costs more, as service_cost; a nearer one below it is better. */
 enum { SERVICE_FAR_COST = 80 };
 
-/** Expected delay at a back end that is not avoided, in units of 0.1 ms. */
-unsigned service_cost(const service_candidate_t *candidate);
+/**
+ * Expected delay at a back end that is not avoided, in units of 0.1 ms, against an idle one of
+ * typical speed of this zone; less than 0 at a faster one.
+ */
+int service_cost(const service_candidate_t *candidate);
+/**
+ * True if no back end of another zone is worth it when @p candidate is the best of this zone. Where
+ * speeds are measured, that is as long as it has a free slot.
+ */
+bool service_stays_near(const service_candidate_t *candidate);
 
 /**
  * Chooses among @p count candidates: @p chosen is the index. False if there is none.
--- a/src/directorysim/stubs.c
+++ b/src/directorysim/stubs.c
@@ -3,6 +3,7 @@
  * the adapter, in short: storage nodes that are always reached and keep what gateways offer, back
  * ends that are counted at most, a configuration that is its version's number.
  */
+#include "gateway/backend_paces.h"
 #include "directorysim/world.h"
 
 #include <stdlib.h>
@@ -140,6 +141,19 @@
     return world.load == LOAD_HEAVY;
 }
 
+void backend_paces_tell(backends_t *backends, GArray *entries, unsigned gateways) {
+    (void)backends;
+    (void)entries;
+    (void)gateways;
+}
+
+bool backend_paces_note_told(backends_t *backends, const load_entry_t *entry, uint64_t teller) {
+    (void)backends;
+    (void)entry;
+    (void)teller;
+    return false;
+}
+
 uint32_t backend_tell_out_ms(backend_t *backend) {
     (void)backend;
     return 0;
--- a/src/gateway/backend_choice.c
+++ b/src/gateway/backend_choice.c
@@ -54,6 +54,8 @@
         .connected = backend->idle->len > 0,
         .near = backend->near,
         .avoided = avoided,
+        .speed_percent = backend->life_id == 0 ? 0 : backend_speed(backend),
+        .answer_ms = backend->life_id == 0 ? 0 : backend_usual_answer_ms(backend),
     };
     g_array_append_val(candidates->services, candidate);
 }
@@ -110,8 +112,8 @@
 
 /** True if a back end of another zone can't be better than the one of this zone at @p index. */
 static bool near_is_best(const candidates_t *candidates, unsigned index) {
-    return service_cost(&g_array_index(candidates->services, service_candidate_t, index)) <=
-           SERVICE_FAR_COST;
+    return service_stays_near(
+        &g_array_index(candidates->services, service_candidate_t, index));
 }
 
 backend_t *backends_choose(backends_t *backends, const backend_choice_t *choice) {
--- a/src/gateway/backends.c
+++ b/src/gateway/backends.c
@@ -1,6 +1,7 @@
 #include "gateway/backends.h"
 
 #include "common/event.h"
+#include "gateway/backend_paces.h"
 #include "gateway/backend_probe.h"
 
 #include <string.h>
@@ -59,6 +60,7 @@
     backends->by_service = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_members);
     backends->told_of = g_hash_table_new(NULL, NULL);
     backends->used = g_hash_table_new(NULL, NULL);
+    backends->paces = backend_paces_new();
     backends->seed = XXH64(gateway, strlen(gateway), 0);
     backends->connections_opened = 0;
     backends->changes = 0;
@@ -88,6 +90,28 @@
     unref(backend);
 }
 
+/** True if @p record is of another life than what was known; one that is not told is no other. */
+static bool is_new_life(const backend_t *backend, const backend_record_t *record) {
+    uint16_t before = backend_record_life(backend->record);
+    uint16_t life = backend_record_life(record);
+    return before != 0 && life != 0 && life != before;
+}
+
+/** Forgets what was observed of the life before; calls that are still under way there end. */
+static void begin_life(backend_t *backend) {
+    event_log(BACKEND_NEW_LIFE, backend->record->instance, backend->under_way, backend_speed(backend));
+    backend->life_at = uv_now(backend->loop);
+    backend->signs = (backend_signs_t){0};
+    backend->ejection = (ejection_t){0};
+    backend->told_out = false;
+    backend->elsewhere = 0;
+    backend->overdue = false;
+    backend->unreachable_at = 0;
+    g_queue_clear(&backend->unanswered);
+    backend_probe_stop(backend);
+    close_idle(backend);
+}
+
 void backends_update(backends_t *backends, backend_record_t *record) {
     backend_t *backend = g_hash_table_lookup(backends->by_instance, record->instance);
     if (backend == NULL) {
@@ -102,14 +126,18 @@
         g_hash_table_insert(backends->by_instance, record->instance, backend);
         g_hash_table_insert(backends->by_hash, &backend->id_hash, backend);
         add_to_index(backends, backend);
+        backend_paces_list(backend);
         return;
     }
+    if (is_new_life(backend, record))
+        begin_life(backend);
     drop_from_index(backend);
     g_hash_table_steal(backends->by_instance, record->instance);
     backend_record_free(backend->record);
     backend->record = record;
     g_hash_table_insert(backends->by_instance, record->instance, backend);
     add_to_index(backends, backend);
+    backend_paces_list(backend);
     if (record->leaving)
         close_idle(backend);
 }
@@ -122,6 +150,7 @@
     g_hash_table_remove(backends->by_hash, &backend->id_hash);
     g_hash_table_remove(backends->told_of, backend);
     g_hash_table_remove(backends->used, backend);
+    backend_paces_forget(backend);
     drop_from_index(backend);
     backend->gone = true;
     close_idle(backend);
@@ -149,6 +178,7 @@
     g_hash_table_destroy(backends->by_service);
     g_hash_table_destroy(backends->told_of);
     g_hash_table_destroy(backends->used);
+    backend_paces_free(backends->paces);
     g_free(backends->zone);
 }
 
@@ -232,6 +262,8 @@
 
 void backend_send_answered(backend_t *backend, const uint64_t *sent_at) {
     backend_send_ended(backend, sent_at);
+    if (*sent_at < backend->life_at)
+        return;
     backend->signs.answered_sent_at = MAX(backend->signs.answered_sent_at, *sent_at);
     uint32_t ms = (uint32_t)(uv_now(backend->loop) - *sent_at);
     if (backend->signs.answer_ms == 0)
--- a/src/gateway/backends.h
+++ b/src/gateway/backends.h
@@ -37,6 +37,9 @@
     unsigned elsewhere;  /**< Calls of the other gateways, as they last told. */
     ejection_t ejection; /**< Whether it seems to be down. */
     bool told_out;       /**< Left out by what others told, when last looked at. */
+    uint64_t life_id;    /**< Hash of instance and life; 0: it does not tell its life. */
+    uint64_t life_at;    /**< When its life was found to be a new one; 0: never. */
+    struct backend_life_pace *pace; /**< See backend_paces.h; NULL: nothing is known. */
     GQueue unanswered;   /**< Sends without a word of an answer, oldest first: their times, ms. */
     backend_signs_t signs;
     http_client_t *probe; /**< See backend_probe.h; NULL: none is under way. */
@@ -57,6 +60,7 @@
     GHashTable *by_service;  /**< Name to service_members_t. */
     GHashTable *used;        /**< Set of backend_t of which the others may have to be told. */
     GHashTable *told_of;     /**< Set of backend_t of which others told something that counts. */
+    struct backend_paces *paces;
     uint64_t seed;           /**< This gateway's own; see core/routing/service_choice.h. */
     uint64_t connections_opened;
     uint64_t changes; /**< Counts beginnings and ends of calls. */
@@ -73,7 +77,10 @@
 void backends_init(backends_t *backends, uv_loop_t *loop, const char *zone, const char *gateway);
 /** Forgets all back ends; none may have a call under way. */
 void backends_clear(backends_t *backends);
-/** Takes over @p record as what is known of its instance now. */
+/**
+ * Takes over @p record as what is known of its instance now. If it has started again, all that was
+ * observed of its life before is forgotten.
+ */
 void backends_update(backends_t *backends, backend_record_t *record);
 void backends_remove(backends_t *backends, const char *instance);
 /** Removes all whose instance is not in @p instances. */
@@ -84,6 +91,10 @@
 
 /** Calls that a back end runs at once; @p usual if it does not say, 0: unknown. */
 unsigned backend_slots(const backend_t *backend, unsigned usual);
+/** Its speed in percent of what is typical of its service; 100 while too little is known. */
+unsigned backend_speed(backend_t *backend);
+/** Usual time of its service's plain answers, in ms; 0: unknown. */
+unsigned backend_usual_answer_ms(const backend_t *backend);
 /** True if it can't be connected to, or owes an answer and says nothing at all. */
 bool backend_down(backend_t *backend);
 /** True if it gets a call only if there is no other: it seems to be down, or is slow to answer. */
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -72,6 +72,15 @@
     uint32_t come_back_ms;
 } call_quota_t;
 
+/** When the present send's events came; see call_pace.c. */
+typedef struct {
+    uint64_t sent_at;      /**< Of the send that this is of. */
+    uint64_t first_at;     /**< When its first events had come, loop time in ms, */
+    unsigned first_events; /**< and how many events there were by then. */
+    uint64_t last_at;
+    unsigned events; /**< By then. */
+} call_pace_t;
+
 typedef struct call {
     gateway_t *gateway;
     http_caller_t *caller; /**< NULL once answered or gone. */
@@ -116,6 +125,7 @@
     GString *fields; /**< The answer's header lines for the caller. */
     GString *body;   /**< A whole answer, or events that wait for the budget. */
     event_stream_t events;
+    call_pace_t pace;
     call_turn_t turn;
     call_quota_t quota;
 } call_t;
@@ -147,6 +157,15 @@
 /** Ends the exchange with the back end, which stops its work. */
 void call_stop_backend(call_t *call);
 
+/* call_pace.c */
+
+/** The answer's head has come: measures the back end, unless it answers by events. */
+void call_pace_note_head(const call_t *call, unsigned status);
+/** Events have come. */
+void call_pace_note_events(call_t *call);
+/** The stream has ended well: measures the back end. */
+void call_pace_note_stream(const call_t *call);
+
 /* call_retry.c */
 
 /** True if the call may run more than once. */
--- a/src/gateway/call_send.c
+++ b/src/gateway/call_send.c
@@ -127,6 +127,7 @@
     call->answered = true;
     backend_send_answered(call->backend, &call->sent_at);
     call_note_answer_time(call);
+    call_pace_note_head(call, head->status);
     if (!answer_is_sound(call, head)) {
         call_log_send_failed(call, "unsound_answer");
         /* The parser is at work on this connection: it closes the connection itself. */
@@ -158,6 +159,7 @@
     }
     size_t before = call->body->len;
     event_stream_feed(&call->events, data, length, call->body);
+    call_pace_note_events(call);
     if (call->body->len > before)
         call_pass_events(call);
 }
@@ -175,6 +177,7 @@
         return;
     }
     if (call->streaming) {
+        call_pace_note_stream(call);
         if (event_stream_at_boundary(&call->events))
             call_turn_stream_ended(call);
         else
--- a/src/gateway/load_report.c
+++ b/src/gateway/load_report.c
@@ -6,6 +6,9 @@
     PERIOD_MS = 60,
     PERIOD_EACH_MS = 3, /**< Added for each gateway. */
     CALM_PERIODS = 4,   /**< Periods in one while no back end is half full. */
+    SAMPLES_BITS = 8,   /**< Of what stands in place of `out_ms`; the age has the others. */
+    SAMPLES_MOST = 255,
+    AGE_MOST = 0xffffff,
 };
 
 static void report_codec(codec_t *codec, watch_report_t *watch, GArray *entries) {
@@ -25,6 +28,19 @@
     }
 }
 
+load_entry_t load_entry_of_pace(uint64_t life, const backend_pace_t *pace, uint64_t now) {
+    uint64_t age = now > pace->at ? now - pace->at : 0;
+    uint32_t samples = MIN(SAMPLES_MOST, pace->samples);
+    return (load_entry_t){life, pace->work_us,
+                          (uint32_t)MIN(AGE_MOST, age) << SAMPLES_BITS | samples};
+}
+
+backend_pace_t load_entry_pace(const load_entry_t *entry, uint64_t now) {
+    uint64_t age = entry->out_ms >> SAMPLES_BITS;
+    return (backend_pace_t){entry->under_way, entry->out_ms & SAMPLES_MOST,
+                            now > age ? now - age : 0};
+}
+
 GBytes *load_report_encode(const watch_report_t *watch, GArray *entries) {
     watch_report_t copy = *watch;
     codec_t codec;
--- a/src/gateway/load_sharing.c
+++ b/src/gateway/load_sharing.c
@@ -12,6 +12,7 @@
 #include "gateway/load_sharing.h"
 
 #include "common/event.h"
+#include "gateway/backend_paces.h"
 #include "gateway/load_report.h"
 
 #include <arpa/inet.h>
@@ -23,6 +24,7 @@
     URGENT_PAUSE_MS = 20,   /**< Least time between two urgent datagrams. */
     RELAY_NEWS_MS = 1500,   /**< A gateway may pass frames on if it was heard within this. */
     FORGET_MS = 1000,       /**< What a silent gateway said last counts for so long. */
+    LIFE_KNOWN_MS = 1000,   /**< By then all gateways know a back end's new life. */
     SOURCE_PERIODS = 2,     /**< One datagram may be lost before a source is taken for gone. */
     SUM_AGAIN_MS = 100,     /**< Sums are made anew after this: what was told is forgotten. */
     NEWS_LOOK_MS = 20,      /**< After another gateway told of a change; it mostly comes by then. */
@@ -106,8 +108,12 @@
         backend_t *backend = backends_find_hash(sharing->backends, entry->backend);
         if (backend == NULL)
             continue;
+        if (backend->life_at > peer->heard_at)
+            continue;
         backend->elsewhere += entry->under_way;
-        ejection_note_told(&backend->ejection, peer->heard_at + entry->out_ms, now);
+        /* Before that they may mean the life before. */
+        if (backend->life_at == 0 || peer->heard_at >= backend->life_at + LIFE_KNOWN_MS)
+            ejection_note_told(&backend->ejection, peer->heard_at + entry->out_ms, now);
         g_hash_table_add(sharing->backends->told_of, backend);
     }
 }
@@ -150,6 +156,17 @@
     uv_timer_start(&sharing->timer, on_timer, ms, 0);
 }
 
+/** Takes the paces out of what a gateway told; its loads stay. */
+static void take_paces(const load_sharing_t *sharing, gateway_peer_t *peer) {
+    const struct sockaddr_in *address = &peer->address;
+    uint64_t teller = (uint64_t)address->sin_addr.s_addr << 16 | address->sin_port;
+    for (guint i = peer->entries->len; i > 0; i--) {
+        const load_entry_t *entry = &g_array_index(peer->entries, load_entry_t, i - 1);
+        if (backend_paces_note_told(sharing->backends, entry, teller))
+            g_array_remove_index_fast(peer->entries, i - 1);
+    }
+}
+
 static void on_datagram(uv_udp_t *socket, ssize_t count, const uv_buf_t *buffer,
                         const struct sockaddr *from, unsigned flags) {
     load_sharing_t *sharing = socket->data;
@@ -165,6 +182,7 @@
         peer->watch = watch;
     else
         g_array_set_size(peer->entries, 0);
+    take_paces(sharing, peer);
     peer->heard_at = uv_now(sharing->loop);
     sharing->sums_stale = true;
     if (watch.changed <= sharing->changed)
@@ -211,6 +229,8 @@
     watch_report_t watch = {0};
     sharing->handler->tell(sharing->owner, &watch);
     sharing->sent_report = watch;
+    sharing->sent_any = entries->len > 0;
+    backend_paces_tell(sharing->backends, entries, sharing->peers->len);
     GBytes *bytes = load_report_encode(&watch, entries);
     gsize length;
     const void *data = g_bytes_get_data(bytes, &length);
@@ -219,7 +239,6 @@
         const gateway_peer_t *peer = g_ptr_array_index(sharing->peers, i);
         uv_udp_try_send(&sharing->socket, &buffer, 1, (const struct sockaddr *)&peer->address);
     }
-    sharing->sent_any = entries->len > 0;
     g_bytes_unref(bytes);
     g_array_free(entries, TRUE);
 }
--- a/src/gateway/reports.c
+++ b/src/gateway/reports.c
@@ -2,6 +2,7 @@
 #include "gateway/gateway.h"
 
 #include "common/event.h"
+#include "gateway/backend_paces.h"
 #include "gateway/call_fields.h"
 
 #include <string.h>
@@ -90,14 +91,22 @@
     metrics_append(text, "directory_followers", directory_feed_followers(gateway->feed));
 }
 
+static void append_speed_figures(gateway_t *gateway, GString *text) {
+    backend_pace_counts_t counts = backend_paces_count(&gateway->backends);
+    metrics_append(text, "backends_measured", counts.measured);
+    metrics_append(text, "backends_slow", counts.slow);
+    metrics_append(text, "backends_fast", counts.fast);
+}
+
 static void append_figures(void *owner, GString *text) {
-    const gateway_t *gateway = owner;
+    gateway_t *gateway = owner;
     const gateway_counters_t *counters = &gateway->counters;
     metrics_append(text, "ready", gateway->ready);
     metrics_append(text, "configuration_version",
                    gateway->configuration == NULL ? 0 : gateway->configuration->version);
     append_directory_figures(gateway, text);
     metrics_append(text, "backends", backends_count(&gateway->backends));
+    append_speed_figures(gateway, text);
     metrics_append(text, "stores_connected", store_client_connected(gateway->stores));
     metrics_append(text, "store_relays", store_relay_count(gateway->relay));
     metrics_append(text, "calls_active", http_listener_active(gateway->calls));
--- /dev/null
+++ b/tests/unit/backend_paces_test.cc
@@ -0,0 +1,309 @@
+// What gateways measure at back ends and tell one another of it, over the datagrams that earlier
+// versions read and write; and what a new life of a back end makes of all that is known of it.
+//
+// The load that is played: two gateways with up to 60 back ends, ten calls at each; 3,300 gateways'
+// worth of bytes.
+#include <glib.h>
+
+extern "C" {
+#include "gateway/backend_paces.h"
+#include "gateway/backends.h"
+#include "gateway/load_report.h"
+}
+
+#include <gtest/gtest.h>
+
+#include <cstring>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace {
+
+constexpr uint64_t first_life = 1764700000000;
+constexpr uint64_t second_life = 1764700031234;
+
+/** One gateway's back ends, in the time of its loop. */
+class Gateway {
+  public:
+    explicit Gateway(const char *name) {
+        uv_loop_init(&loop);
+        backends_init(&backends, &loop, "here", name);
+    }
+    Gateway(const Gateway &) = delete;
+    Gateway &operator=(const Gateway &) = delete;
+    ~Gateway() {
+        backends_clear(&backends);
+        uv_run(&loop, UV_RUN_NOWAIT);
+        uv_loop_close(&loop);
+    }
+    void add(const std::string &instance, uint64_t born, const char *zone = "here",
+             const char *service = "s") {
+        auto *record = g_new0(backend_record_t, 1);
+        record->instance = g_strdup(instance.c_str());
+        record->service = g_strdup(service);
+        record->zone = g_strdup(zone);
+        record->slots = 6;
+        record->born = born;
+        backends_update(&backends, record);
+    }
+    backend_t *find(const std::string &instance) {
+        return static_cast<backend_t *>(
+            g_hash_table_lookup(backends.by_instance, instance.c_str()));
+    }
+    /** Streams whose events take @p event_us come to an end there. */
+    void measure(const std::string &instance, uint32_t event_us, unsigned streams) {
+        for (unsigned i = 0; i < streams; i++)
+            backend_paces_note_stream(find(instance), event_us, uv_now(&loop));
+    }
+    /** What stands in the next datagrams to @p gateways others. */
+    std::vector<load_entry_t> tell(unsigned gateways) {
+        GArray *entries = g_array_new(FALSE, FALSE, sizeof(load_entry_t));
+        backend_paces_tell(&backends, entries, gateways);
+        auto *first = reinterpret_cast<load_entry_t *>(entries->data);
+        std::vector<load_entry_t> told(first, first + entries->len);
+        g_array_free(entries, TRUE);
+        return told;
+    }
+    unsigned speed(const std::string &instance) { return backend_speed(find(instance)); }
+    unsigned hear(const std::vector<load_entry_t> &told, uint64_t teller) {
+        unsigned heard = 0;
+        for (const load_entry_t &entry : told)
+            heard += backend_paces_note_told(&backends, &entry, teller) ? 1 : 0;
+        return heard;
+    }
+    uv_loop_t loop;
+    backends_t backends;
+};
+
+std::string instance(unsigned number) {
+    return "i-" + std::to_string(number);
+}
+
+GArray *array_of(const std::vector<load_entry_t> &told) {
+    GArray *entries = g_array_new(FALSE, FALSE, sizeof(load_entry_t));
+    g_array_append_vals(entries, told.data(), static_cast<guint>(told.size()));
+    return entries;
+}
+
+TEST(BackendPaces, WhatOneGatewayMeasuredAnotherKnows) {
+    Gateway one("gateway-1");
+    Gateway other("gateway-2");
+    for (unsigned i = 0; i < 6; i++) {
+        one.add(instance(i), first_life + i);
+        other.add(instance(i), first_life + i);
+        one.measure(instance(i), i < 2 ? 7500 : 3000, 10);
+    }
+    EXPECT_EQ(one.speed(instance(0)), 40U);
+    EXPECT_EQ(one.speed(instance(5)), 100U);
+    std::vector<load_entry_t> told = one.tell(1);
+    ASSERT_EQ(told.size(), 6U);
+    EXPECT_EQ(other.hear(told, 1), 6U);
+    EXPECT_EQ(other.speed(instance(0)), 40U);
+    EXPECT_EQ(other.speed(instance(5)), 100U);
+    EXPECT_EQ(backend_paces_count(&other.backends).slow, 2U);
+    EXPECT_EQ(backend_paces_count(&other.backends).fast, 0U);
+    EXPECT_TRUE(one.tell(1).empty()) << "only fresh samples are told";
+}
+
+TEST(BackendPaces, ThoseThatDoNotTellTheirLifeAreNeitherMeasuredNorTold) {
+    Gateway gateway("gateway-1");
+    for (unsigned i = 0; i < 4; i++) {
+        gateway.add(instance(i), 0);
+        gateway.measure(instance(i), i == 0 ? 30000 : 3000, 10);
+    }
+    EXPECT_EQ(gateway.speed(instance(0)), 100U);
+    EXPECT_TRUE(gateway.tell(1).empty());
+    EXPECT_EQ(backend_paces_count(&gateway.backends).measured, 0U);
+}
+
+// Routes whose answers take 20 and 200 ms; a back end that only has the slow one's calls.
+TEST(BackendPaces, ASlowRouteIsNotTakenForASlowBackEnd) {
+    Gateway gateway("gateway-1");
+    for (unsigned i = 0; i < 4; i++)
+        gateway.add(instance(i), first_life);
+    for (unsigned i = 0; i < 200; i++) {
+        uint64_t now = uv_now(&gateway.loop);
+        unsigned back_end = i % 4;
+        bool slow_route = back_end == 0 || i % 3 == 0;
+        uint64_t ms = back_end == 1 ? 2 : 1;
+        backend_paces_note_answer(gateway.find(instance(back_end)), slow_route ? "slow" : "quick",
+                                  now - ms * (slow_route ? 200 : 20));
+    }
+    EXPECT_EQ(gateway.speed(instance(0)), 100U);
+    EXPECT_EQ(gateway.speed(instance(1)), 50U);
+}
+
+// What is told in a second is bounded, so that a node's 14 KB/s for control is kept at any number.
+TEST(BackendPaces, WhatIsToldIsBoundedAndGoesByTurns) {
+    constexpr unsigned gateways = 60;
+    Gateway gateway("gateway-1");
+    for (unsigned i = 0; i < 60; i++) {
+        gateway.add(instance(i), first_life + i);
+        gateway.measure(instance(i), 3000, 1);
+    }
+    gateway.tell(gateways);
+    std::vector<load_entry_t> told;
+    uint64_t begun = uv_now(&gateway.loop);
+    while (uv_now(&gateway.loop) < begun + 2600) {
+        for (const load_entry_t &entry : gateway.tell(gateways))
+            told.push_back(entry);
+        uv_sleep(5);
+        uv_update_time(&gateway.loop);
+    }
+    double seconds = static_cast<double>(uv_now(&gateway.loop) - begun) / 1000;
+    GArray *entries = array_of(told);
+    GArray *none = array_of({});
+    watch_report_t watch = {};
+    GBytes *with = load_report_encode(&watch, entries);
+    GBytes *without = load_report_encode(&watch, none);
+    size_t bytes = (g_bytes_get_size(with) - g_bytes_get_size(without)) * gateways;
+    EXPECT_GT(told.size(), 0U);
+    EXPECT_LE(static_cast<double>(bytes), 1.05 * BACKEND_PACES_BYTES_A_S * seconds);
+    std::set<uint64_t> ids;
+    for (const load_entry_t &entry : told)
+        ids.insert(entry.backend);
+    EXPECT_EQ(ids.size(), told.size()) << "each in its turn";
+    g_bytes_unref(with);
+    g_bytes_unref(without);
+    g_array_free(entries, TRUE);
+    g_array_free(none, TRUE);
+}
+
+TEST(BackendPaces, ANewLifeBeginsAtTheTypicalSpeed) {
+    Gateway gateway("gateway-1");
+    for (unsigned i = 0; i < 5; i++) {
+        gateway.add(instance(i), first_life);
+        gateway.measure(instance(i), i == 0 ? 9000 : 3000, 10);
+    }
+    EXPECT_EQ(gateway.speed(instance(0)), 33U);
+    gateway.add(instance(0), second_life);
+    EXPECT_EQ(gateway.speed(instance(0)), 100U);
+    EXPECT_EQ(gateway.speed(instance(1)), 100U);
+}
+
+TEST(BackendPaces, ALateDatagramOfAnEarlierLifeChangesNothing) {
+    Gateway one("gateway-1");
+    Gateway other("gateway-2");
+    for (unsigned i = 0; i < 5; i++) {
+        one.add(instance(i), first_life);
+        other.add(instance(i), first_life);
+        one.measure(instance(i), i == 0 ? 9000 : 3000, 10);
+    }
+    other.measure(instance(4), 3000, 10);
+    std::vector<load_entry_t> late = one.tell(1);
+    other.add(instance(0), second_life);
+    EXPECT_EQ(other.hear(late, 1), 4U) << "all but the one that has started again";
+    EXPECT_EQ(other.speed(instance(0)), 100U);
+    one.add(instance(0), second_life);
+    one.measure(instance(0), 1500, 10);
+    EXPECT_EQ(other.hear(one.tell(1), 1), 1U);
+    EXPECT_EQ(other.speed(instance(0)), 200U);
+    other.hear(late, 1);
+    EXPECT_EQ(other.speed(instance(0)), 200U);
+}
+
+// A stream that was sent to the life before ends after the back end has started again.
+TEST(BackendPaces, ACallOfTheLifeBeforeMeasuresNothing) {
+    Gateway gateway("gateway-1");
+    gateway.add("a", first_life);
+    uint64_t sent_at = uv_now(&gateway.loop) - 1;
+    gateway.add("a", second_life);
+    backend_t *backend = gateway.find("a");
+    backend_paces_note_stream(backend, 3000, sent_at);
+    backend_send_begun(backend, &sent_at);
+    backend_send_answered(backend, &sent_at);
+    EXPECT_EQ(backend->pace, nullptr);
+    EXPECT_EQ(backend->signs.answer_ms, 0U);
+}
+
+TEST(BackendPaces, ANewLifeIsNeitherDownNorSlowToAnswer) {
+    Gateway gateway("gateway-1");
+    gateway.add("a", first_life);
+    backend_t *backend = gateway.find("a");
+    uint64_t long_ago = 0;
+    backend_send_begun(backend, &long_ago);
+    backend_note_reset(backend);
+    backend->elsewhere = 5;
+    backend->unreachable_at = uv_now(&gateway.loop);
+    ejection_note_told(&backend->ejection, uv_now(&gateway.loop) + 1000, uv_now(&gateway.loop));
+    ASSERT_TRUE(backend_down(backend));
+    ASSERT_TRUE(backend_avoided(backend));
+    ASSERT_GT(backend_tell_out_ms(backend), 0U);
+    gateway.add("a", second_life);
+    EXPECT_FALSE(backend_down(backend));
+    EXPECT_FALSE(backend_avoided(backend));
+    EXPECT_EQ(backend_tell_out_ms(backend), 0U);
+    EXPECT_EQ(backend->elsewhere, 0U);
+    EXPECT_EQ(backend->signs.heard_at, 0U);
+    backend_send_ended(backend, &long_ago);
+}
+
+TEST(BackendPaces, TheSameLifeAndOneThatIsNotToldForgetNothing) {
+    Gateway gateway("gateway-1");
+    for (uint64_t born : {first_life, uint64_t{0}, uint64_t{0}, first_life}) {
+        gateway.add("a", born);
+        backend_note_reset(gateway.find("a"));
+        gateway.add("a", born);
+        EXPECT_TRUE(backend_avoided(gateway.find("a"))) << born;
+    }
+}
+
+// Compatibility. What commit 77b7e5a reads of a datagram: an entry of an unknown id is skipped. Its
+// bytes were written by that version's load_report_encode.
+
+TEST(LoadReport, BytesOfTheVersionBeforeAreRead) {
+    const std::vector<uint8_t> bytes = {0x19, 0x07, 0xd0, 0x19, 0x27, 0x10, 0xf5, 0xf4, 0x82, 0x1b,
+                                        0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0x03, 0x00,
+                                        0x18, 0x2a, 0x01, 0x19, 0x01, 0xf4};
+    watch_report_t watch = {};
+    GArray *entries = array_of({});
+    ASSERT_TRUE(load_report_decode(&watch, entries, bytes.data(), bytes.size()));
+    EXPECT_EQ(watch.answer_age, 2000U);
+    EXPECT_EQ(watch.changed, 10000U);
+    EXPECT_TRUE(watch.has_stores);
+    ASSERT_EQ(entries->len, 2U);
+    EXPECT_EQ(g_array_index(entries, load_entry_t, 0).under_way, 3U);
+    EXPECT_EQ(g_array_index(entries, load_entry_t, 1).backend, 42U);
+    EXPECT_EQ(g_array_index(entries, load_entry_t, 1).out_ms, 500U);
+    GBytes *again = load_report_encode(&watch, entries);
+    EXPECT_EQ(g_bytes_get_size(again), bytes.size());
+    EXPECT_EQ(memcmp(g_bytes_get_data(again, nullptr), bytes.data(), bytes.size()), 0);
+    g_bytes_unref(again);
+    g_array_free(entries, TRUE);
+}
+
+TEST(LoadReport, PacesAreEntriesOfBackEndsThatTheVersionBeforeDoesNotKnow) {
+    Gateway gateway("gateway-1");
+    gateway.add("a", first_life);
+    gateway.measure("a", 3000, 1);
+    std::vector<load_entry_t> told = gateway.tell(1);
+    ASSERT_EQ(told.size(), 1U);
+    EXPECT_EQ(backends_find_hash(&gateway.backends, told[0].backend), nullptr);
+    watch_report_t watch = {};
+    GArray *entries = array_of(told);
+    GBytes *bytes = load_report_encode(&watch, entries);
+    GArray *read = array_of({});
+    gsize length;
+    const void *data = g_bytes_get_data(bytes, &length);
+    ASSERT_TRUE(load_report_decode(&watch, read, data, length));
+    ASSERT_EQ(read->len, 1U);
+    backend_pace_t pace = load_entry_pace(&g_array_index(read, load_entry_t, 0), 5000);
+    EXPECT_EQ(pace.work_us, 3000U);
+    EXPECT_EQ(pace.samples, 1U);
+    EXPECT_LE(pace.at, 5000U);
+    g_bytes_unref(bytes);
+    g_array_free(entries, TRUE);
+    g_array_free(read, TRUE);
+}
+
+TEST(LoadReport, APacesAgeSurvivesTheJourney) {
+    backend_pace_t pace = {1234567, 300, 90000};
+    load_entry_t entry = load_entry_of_pace(7, &pace, 100000);
+    backend_pace_t read = load_entry_pace(&entry, 500000);
+    EXPECT_EQ(read.work_us, 1234567U);
+    EXPECT_EQ(read.samples, 255U);
+    EXPECT_EQ(read.at, 490000U);
+}
+
+} // namespace
--- a/tests/unit/control_traffic_test.cc
+++ b/tests/unit/control_traffic_test.cc
@@ -22,6 +22,7 @@
 #include "core/configuration/listing_turn.h"
 #include "core/configuration/watch_duty.h"
 #include "core/quorum/store_group_choice.h"
+#include "gateway/backend_paces.h"
 #include "gateway/load_report.h"
 #include "store/gateway_directory.h"
 }
@@ -246,7 +247,8 @@
         double datagrams = peers * std::max(datagrams_idle_a_s, ms_per_s / period_ms);
         figures.calm_messages = datagrams + fleet.followers;
         figures.calm_bytes = datagrams * static_cast<double>(report_bytes()) +
-                             fleet.followers * static_cast<double>(changes_bytes(false));
+                             fleet.followers * static_cast<double>(changes_bytes(false)) +
+                             BACKEND_PACES_BYTES_A_S;
         size_t view = size_of(directory_snapshot_encode(&snapshot));
         figures.start_bytes = fleet.followers * changes_bytes(false);
         figures.change_bytes = fleet.followers * changes_bytes(true);
--- a/tests/unit/directory_snapshot_test.cc
+++ b/tests/unit/directory_snapshot_test.cc
@@ -6,6 +6,7 @@
 #include <cstdio>
 #include <cstring>
 #include <string>
+#include <vector>
 
 extern "C" {
 #include "cluster/directory_snapshot.h"
@@ -154,6 +155,60 @@
     g_bytes_unref(bytes);
 }
 
+/** What the encoder of commit 77b7e5a makes of "s" in zone "z" at 10.1.2.3:4567 with 7 slots. */
+const std::vector<uint8_t> short_form_before = {0x61, 0x73, 0x61, 0x7a, 0x07, 0xf4, 0x1a,
+                                                0x0a, 0x01, 0x02, 0x03, 0x19, 0x11, 0xd7};
+
+backend_record_t plain_record() {
+    backend_record_t record = {};
+    record.service = const_cast<char *>("s");
+    record.zone = const_cast<char *>("z");
+    parse_socket_address("10.1.2.3:4567", &record.address);
+    record.slots = 7;
+    return record;
+}
+
+std::vector<uint8_t> short_form(const backend_record_t &record) {
+    GBytes *bytes = backend_record_encode(&record);
+    gsize length;
+    const auto *data = static_cast<const uint8_t *>(g_bytes_get_data(bytes, &length));
+    std::vector<uint8_t> form(data, data + length);
+    g_bytes_unref(bytes);
+    return form;
+}
+
+TEST(BackendRecord, OneWithoutALifeIsAsItWasInTheVersionBefore) {
+    EXPECT_EQ(short_form(plain_record()), short_form_before);
+    backend_record_t *read =
+        backend_record_decode("i-1", short_form_before.data(), short_form_before.size());
+    ASSERT_NE(read, nullptr);
+    EXPECT_EQ(read->born, 0U);
+    EXPECT_EQ(ntohs(read->address.sin_port), 4567);
+    backend_record_free(read);
+}
+
+// The versions before take the port's lower 16 bits and nothing above them; that they read these
+// bytes was seen by running their decoder on them.
+TEST(BackendRecord, ALifeStandsWhereTheVersionBeforeDoesNotLook) {
+    backend_record_t record = plain_record();
+    record.born = 1764700000000;
+    uint16_t life = backend_record_life(&record);
+    EXPECT_NE(life, 0);
+    std::vector<uint8_t> expected(short_form_before.begin(), short_form_before.end() - 3);
+    for (int byte : {0x1a, life >> 8, life & 0xff, 0x11, 0xd7})
+        expected.push_back(static_cast<uint8_t>(byte));
+    std::vector<uint8_t> form = short_form(record);
+    EXPECT_EQ(form, expected);
+    backend_record_t *read = backend_record_decode("i-1", form.data(), form.size());
+    ASSERT_NE(read, nullptr);
+    EXPECT_EQ(ntohs(read->address.sin_port), 4567);
+    EXPECT_EQ(backend_record_life(read), life) << "the same at each process, however it came";
+    EXPECT_EQ(short_form(*read), form);
+    backend_record_free(read);
+    record.born += 31234;
+    EXPECT_NE(backend_record_life(&record), life);
+}
+
 TEST_F(DirectorySnapshot, ManyItemsAreTheSameAfterAJourney) {
     for (unsigned i = 0; i < 6000; i++)
         note(("key-" + std::to_string(i)).c_str(),
--- a/tests/unit/platform_test.cc
+++ b/tests/unit/platform_test.cc
@@ -149,6 +149,21 @@
         EXPECT_EQ(directory_parse_backend("i-1", bad, strlen(bad)), nullptr) << bad;
 }
 
+TEST(Platform, ReadsWhenABackEndStarted) {
+    const char *told = R"({"service":"s","address":"10.1.2.3:80","zone":"z","slots":6,
+        "state":"ready","born":1764700000000})";
+    const char *not_told = R"({"service":"s","address":"10.1.2.3:80","zone":"z","slots":6,
+        "state":"ready"})";
+    backend_record_t *backend = directory_parse_backend("i-1", told, strlen(told));
+    ASSERT_NE(backend, nullptr);
+    EXPECT_EQ(backend->born, 1764700000000U);
+    backend_record_free(backend);
+    backend = directory_parse_backend("i-1", not_told, strlen(not_told));
+    ASSERT_NE(backend, nullptr);
+    EXPECT_EQ(backend->born, 0U);
+    backend_record_free(backend);
+}
+
 // The story: an entry may come from another writer. A state without a meaning passed for leaving, a
 // missing zone or number of slots for "" or 0, so that calls went to a server that is none; a
 // number beyond 32 bits was converted, which C does not define.
--- a/tests/unit/service_choice_test.cc
+++ b/tests/unit/service_choice_test.cc
@@ -17,7 +17,7 @@
 std::vector<service_candidate_t> make(unsigned count) {
     std::vector<service_candidate_t> candidates;
     for (unsigned i = 0; i < count; i++)
-        candidates.push_back({i + 1, 0, 6, false, true, false});
+        candidates.push_back({i + 1, 0, 6, false, true, false, 0, 0});
     return candidates;
 }
 
@@ -69,6 +69,76 @@
     EXPECT_GT(chosen.size(), 40U);
 }
 
+/** Back ends of two zones whose speeds are measured; the near ones come first. */
+std::vector<service_candidate_t> make_zones(unsigned near, unsigned far) {
+    auto candidates = make(near + far);
+    for (unsigned i = 0; i < near + far; i++) {
+        candidates[i].near = i < near;
+        candidates[i].speed_percent = 100;
+        candidates[i].answer_ms = 50;
+    }
+    return candidates;
+}
+
+TEST(ServiceChoice, ASlowBackEndGetsACallWhenTheOthersWouldTakeLonger) {
+    auto candidates = make_zones(3, 0);
+    candidates[0].speed_percent = 40;
+    EXPECT_NE(choose(candidates), 0U) << "a call takes 75 ms longer there";
+    candidates[1].load = 4;
+    candidates[2].load = 4;
+    EXPECT_NE(choose(candidates), 0U);
+    candidates[1].load = 8;
+    candidates[2].load = 8;
+    EXPECT_EQ(choose(candidates), 0U) << "the others' queues are longer than that";
+    candidates[2].load = 0;
+    candidates[2].speed_percent = 200;
+    EXPECT_EQ(choose(candidates), 2U);
+}
+
+TEST(ServiceChoice, SpeedsThatAreNotMeasuredChangeNothing) {
+    for (unsigned load = 0; load < 10; load++) {
+        service_candidate_t measured = {1, load, 6, false, true, false, 100, 50};
+        service_candidate_t other = {1, load, 6, false, true, false, 0, 0};
+        EXPECT_EQ(service_cost(&measured), service_cost(&other));
+        other.near = false;
+        other.connected = true;
+        EXPECT_EQ(service_cost(&other), static_cast<int>(load * 50 + (load < 6 ? 0 : load - 5) * 400 +
+                                                         SERVICE_FAR_COST));
+    }
+}
+
+/** Calls that all arrive in one zone and stay there; how many go to the other zone. */
+unsigned calls_far(std::vector<service_candidate_t> candidates, unsigned calls) {
+    unsigned far = 0;
+    for (unsigned i = 0; i < calls; i++) {
+        std::vector<service_candidate_t> near;
+        for (const auto &candidate : candidates)
+            if (candidate.near)
+                near.push_back(candidate);
+        unsigned chosen = choose(near);
+        if (!service_stays_near(&near[chosen]))
+            chosen = choose(candidates);
+        candidates[chosen].load++;
+        candidates[chosen].connected = true;
+        far += candidates[chosen].near ? 0 : 1;
+    }
+    return far;
+}
+
+// The load: callers move to a zone of 4 back ends of 6 slots, and 40 calls are under way there at
+// once. By counts alone 8 of the first 24 went to the other zone, while slots here were free.
+TEST(ServiceChoice, AZoneOverflowsBeforeItQueuesAndNoEarlier) {
+    auto zones = make_zones(4, 4);
+    EXPECT_EQ(calls_far(zones, 24), 0U) << "as long as there are free slots";
+    EXPECT_EQ(calls_far(zones, 40), 16U) << "before any call queues";
+    auto unmeasured = zones;
+    for (auto &candidate : unmeasured)
+        candidate.speed_percent = 0;
+    unsigned before = calls_far(unmeasured, 24);
+    std::cout << "far of 24 calls by counts alone: " << before << "\n";
+    EXPECT_GT(before, 0U) << "what this guards against";
+}
+
 /** A zone's gateways in virtual time; what one has under way the others hear too late. */
 struct Zone {
     static constexpr unsigned gateways = 145;
