--- a/src/core/routing/backend_speed.c
+++ b/src/core/routing/backend_speed.c
@@ -15,7 +15,7 @@
 };
 static const double PAIRS_KEPT = 1 - 1.0 / 512; /**< Of what was noted before, at each pair. */
 static const double SLOPE_MOST = 0.5;
-static const double CHANCE_DEVIATIONS = 2.5;
+static const double CHANCE_DEVIATIONS = 3.5; /**< Five in ten thousand. */
 
 static void swap(uint32_t *a, uint32_t *b) {
     uint32_t kept = *a;
--- a/src/gateway/backend_paces.c
+++ b/src/gateway/backend_paces.c
@@ -158,12 +158,11 @@
     return backend->life_id != 0 && sent_at >= backend->life_at;
 }
 
-static void note_sample(backend_t *backend, uint32_t work_us) {
+/** @p load: the other calls that slowed it. */
+static void note_sample(backend_t *backend, uint32_t work_us, unsigned load) {
     backend_paces_t *paces = backend->owner->paces;
     life_pace_t *pace = obtain_pace(backend);
     work_slowdown_t *slowdown = &pace->service->slowdown;
-    unsigned calls = backend->under_way + backend->elsewhere;
-    unsigned load = calls > 0 ? calls - 1 : 0;
     if (pace->latest_us > 0)
         work_slowdown_note(slowdown, work_us, load, pace->latest_us, pace->latest_load);
     pace->latest_us = work_us;
@@ -182,7 +181,8 @@
 void backend_paces_note_stream(backend_t *backend, uint32_t event_us, uint64_t sent_at) {
     if (!measurable(backend, sent_at) || event_us == 0)
         return;
-    note_sample(backend, event_us);
+    unsigned calls = backend->under_way + backend->elsewhere;
+    note_sample(backend, event_us, calls > 0 ? calls - 1 : 0);
 }
 
 static recent_times_t *obtain_route(backend_paces_t *paces, const char *name) {
@@ -206,7 +206,7 @@
     recent_times_note(&obtain_service(paces, backend->record->service)->answers_ms, ms);
     uint32_t usual_ms = recent_times_median(times);
     if (usual_ms >= MEASURABLE_MS)
-        note_sample(backend, (uint32_t)MIN(UINT32_MAX, (uint64_t)ms * UNIT_US / usual_ms));
+        note_sample(backend, (uint32_t)MIN(UINT32_MAX, (uint64_t)ms * UNIT_US / usual_ms), 0);
 }
 
 /* What gateways tell one another. */
