--- a/tests/unit/backend_paces_test.cc
+++ b/tests/unit/backend_paces_test.cc
@@ -9,10 +9,14 @@
 #include "gateway/backend_paces.h"
 #include "gateway/backends.h"
 #include "gateway/load_report.h"
+#include "gateway/load_sharing.h"
 }
 
 #include <gtest/gtest.h>
 
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <cstring>
 #include <set>
 #include <string>
@@ -339,4 +343,99 @@
     EXPECT_EQ(read.at, 490000U);
 }
 
+/** Two gateways that tell one another over the loopback, on one loop. */
+class Sharing : public testing::Test {
+  protected:
+    struct Side {
+        backends_t backends;
+        load_sharing_t *sharing;
+        struct sockaddr_in address;
+    };
+    void SetUp() override {
+        uv_loop_init(&loop);
+        for (Side &side : sides)
+            open(side);
+        for (unsigned i = 0; i < 2; i++) {
+            GPtrArray *others = g_ptr_array_new_with_free_func(g_free);
+            char text[SOCKET_ADDRESS_BYTES];
+            format_socket_address(&sides[1 - i].address, text);
+            g_ptr_array_add(others, g_strdup(text));
+            load_sharing_set_gateways(sides[i].sharing, others, false);
+            g_ptr_array_free(others, TRUE);
+        }
+    }
+    void open(Side &side) {
+        backends_init(&side.backends, &loop, "here", "gateway");
+        for (unsigned i = 0; i < 5; i++)
+            add(side, i, first_life);
+        side.address = {};
+        side.address.sin_family = AF_INET;
+        side.address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        int probe = socket(AF_INET, SOCK_DGRAM, 0);
+        socklen_t length = sizeof side.address;
+        bind(probe, reinterpret_cast<sockaddr *>(&side.address), length);
+        getsockname(probe, reinterpret_cast<sockaddr *>(&side.address), &length);
+        close(probe);
+        static const load_sharing_handler_t handler = {
+            [](void *, watch_report_t *report) { report->answer_age = UINT32_MAX; },
+            [](void *, const GArray *, uint64_t, uint64_t) { return UINT64_MAX; }};
+        side.sharing = load_sharing_open(&loop, &side.address, &side.backends, &handler, nullptr);
+        ASSERT_NE(side.sharing, nullptr);
+    }
+    static void add(Side &side, unsigned number, uint64_t born) {
+        auto *record = g_new0(backend_record_t, 1);
+        record->instance = g_strdup(instance(number).c_str());
+        record->service = g_strdup("s");
+        record->zone = g_strdup("here");
+        record->slots = 6;
+        record->born = born;
+        backends_update(&side.backends, record);
+    }
+    static backend_t *find(const Side &side, unsigned number) {
+        return static_cast<backend_t *>(
+            g_hash_table_lookup(side.backends.by_instance, instance(number).c_str()));
+    }
+    /** Runs the loop until @p done, or for 5 s. */
+    template <typename Condition> bool run_until(Condition done) {
+        uint64_t end = uv_hrtime() + 5000000000U;
+        while (!done() && uv_hrtime() < end) {
+            uv_run(&loop, UV_RUN_NOWAIT);
+            uv_sleep(1);
+        }
+        return done();
+    }
+    uv_loop_t loop;
+    Side sides[2];
+};
+
+TEST_F(Sharing, PacesGoWithTheLoads) {
+    for (unsigned i = 0; i < 5; i++)
+        for (unsigned j = 0; j < 10; j++)
+            backend_paces_note_stream(find(sides[0], i), i == 0 ? 7500 : 3000, uv_now(&loop));
+    backend_take(find(sides[0], 1));
+    EXPECT_TRUE(run_until([this] {
+        load_sharing_refresh(sides[1].sharing);
+        return backend_speed(find(sides[1], 0)) == 40 && find(sides[1], 1)->elsewhere == 1;
+    }));
+    EXPECT_EQ(backend_speed(find(sides[1], 4)), 100U);
+    EXPECT_EQ(find(sides[1], 0)->elsewhere, 0U) << "a pace is no load";
+    backend_release(find(sides[0], 1));
+}
+
+TEST_F(Sharing, LoadsToldOfTheLifeBeforeCountNoMore) {
+    backend_take(find(sides[0], 1));
+    EXPECT_TRUE(run_until([this] {
+        load_sharing_refresh(sides[1].sharing);
+        return find(sides[1], 1)->elsewhere == 1;
+    }));
+    uv_sleep(2);
+    uv_update_time(&loop);
+    add(sides[1], 1, second_life);
+    uv_sleep(150);
+    uv_update_time(&loop);
+    load_sharing_refresh(sides[1].sharing);
+    EXPECT_EQ(find(sides[1], 1)->elsewhere, 0U);
+    backend_release(find(sides[0], 1));
+}
+
 } // namespace
