--- a/src/core/routing/backend_speed.c
+++ b/src/core/routing/backend_speed.c
@@ -17,6 +17,7 @@
 static const double SLOPE_MOST = 0.5;
 static const double UNKNOWN_DEVIATION =
     0.6; /**< Of the times of a service of which few are known. */
+static const double MEDIAN_ERROR = 1.44;
 static const double CHANCE_DEVIATIONS = 3.5; /**< Five in ten thousand. */
 
 static void swap(uint32_t *a, uint32_t *b) {
@@ -137,13 +138,13 @@
 
 /**
  * How many times the typical time chance may make of that of a typical back end. The median of so
- * many samples is off by 1.25 standard deviations over the root of their number; two samples differ
- * by 0.95 of one as often as by more.
+ * many samples is off by 1.44 times their median over the root of their number if times are spread
+ * exponentially; two normal samples differ by 0.95 of a deviation as often as by more.
  */
 static double chance(const backend_pace_t *pace, const recent_times_t *spread) {
     uint32_t apart = recent_times_median(spread);
     double deviation = spread->noted < TIMES_NEEDED ? UNKNOWN_DEVIATION : apart / 950.0;
-    return 1 + CHANCE_DEVIATIONS * 1.25 * deviation / sqrt(pace->samples);
+    return 1 + CHANCE_DEVIATIONS * MEDIAN_ERROR * deviation / sqrt(pace->samples);
 }
 
 unsigned backend_speed_percent(const backend_pace_t *pace, uint32_t typical_us,
