--- a/src/gateway/call_send.c
+++ b/src/gateway/call_send.c
@@ -127,7 +127,6 @@
     call->answered = true;
     backend_send_answered(call->backend, &call->sent_at);
     call_note_answer_time(call);
-    call_pace_note_head(call, head->status);
     if (!answer_is_sound(call, head)) {
         call_log_send_failed(call, "unsound_answer");
         /* The parser is at work on this connection: it closes the connection itself. */
@@ -135,6 +134,7 @@
         call_outcome_unknown(call, CALL_BAD_ANSWER);
         return false;
     }
+    call_pace_note_head(call, head->status);
     call->misdirected = head->status == STATUS_MISDIRECTED;
     call->not_run = call->misdirected ||
                     http_headers_find(head->headers, call_field_name(FIELD_NOT_RUN)) != NULL;
