--- a/src/gateway/call_send.c
+++ b/src/gateway/call_send.c
@@ -134,6 +134,7 @@
         call_outcome_unknown(call, CALL_BAD_ANSWER);
         return false;
     }
+    call_pace_note_head(call, head->status);
     call->misdirected = head->status == STATUS_MISDIRECTED;
     call->not_run = call->misdirected ||
                     http_headers_find(head->headers, call_field_name(FIELD_NOT_RUN)) != NULL;
@@ -158,6 +159,7 @@
     }
     size_t before = call->body->len;
     event_stream_feed(&call->events, data, length, call->body);
+    call_pace_note_events(call);
     if (call->body->len > before)
         call_pass_events(call);
 }
@@ -175,6 +177,7 @@
         return;
     }
     if (call->streaming) {
+        call_pace_note_stream(call);
         if (event_stream_at_boundary(&call->events))
             call_turn_stream_ended(call);
         else
