--- a/src/cluster/service_directory.c
+++ b/src/cluster/service_directory.c
@@ -7,7 +7,12 @@
 #include <string.h>
 #include <strings.h>
 
-enum { ADDRESS_BYTES = 64, PORT_MAXIMUM = 65535 };
+enum {
+    ADDRESS_BYTES = 64,
+    PORT_MAXIMUM = 65535,
+    PORT_BITS = 16,
+    LIVES = 65535, /**< That can be told apart. */
+};
 
 static void clear_part(gpointer data) {
     g_free(((route_part_t *)data)->service);
@@ -131,10 +136,21 @@
     g_free(backend);
 }
 
-/** The address stands last: all else is the same for many back ends (directory_snapshot.c). */
+uint16_t backend_record_life(const backend_record_t *backend) {
+    if (backend->born <= LIVES)
+        return (uint16_t)backend->born;
+    return (uint16_t)(1 + backend->born % LIVES);
+}
+
+/**
+ * The life stands in front of the port's bits, where earlier versions, which reject a record with a
+ * field too many, don't look. The address stands last:
+ * all else is the same for many back ends (directory_snapshot.c).
+ */
 static void record_codec(codec_t *codec, backend_record_t *backend) {
     uint32_t host = ntohl(backend->address.sin_addr.s_addr);
     uint32_t port = ntohs(backend->address.sin_port);
+    port |= (uint32_t)backend_record_life(backend) << PORT_BITS;
     codec_text(codec, &backend->service);
     codec_text(codec, &backend->zone);
     codec_uint32(codec, &backend->slots);
@@ -144,6 +160,7 @@
     backend->address.sin_family = AF_INET;
     backend->address.sin_addr.s_addr = htonl(host);
     backend->address.sin_port = htons((uint16_t)port);
+    backend->born = port >> PORT_BITS;
 }
 
 GBytes *backend_record_encode(const backend_record_t *backend) {
--- a/src/cluster/service_directory.h
+++ b/src/cluster/service_directory.h
@@ -71,6 +71,8 @@
     char *zone;
     struct sockaddr_in address;
     uint32_t slots;
+    uint64_t born; /**< Unix time in ms at which this life began; 0: unknown. In a record that came in
+                      short form: what stands for it, see backend_record_life. */
     bool leaving;
 } backend_record_t;
 
@@ -86,6 +88,11 @@
 const service_t *directory_find_service(const directory_configuration_t *configuration,
                                         const char *name);
 void backend_record_free(backend_record_t *backend);
+/**
+ * What stands for a back end's life among processes, the same at each; 0: its start is unknown. Two
+ * lives of one instance have the same one if they began a multiple of 65,535 ms apart.
+ */
+uint16_t backend_record_life(const backend_record_t *backend);
 /** The short form in which processes pass a back end on; the instance is not in there. */
 GBytes *backend_record_encode(const backend_record_t *backend);
 /** NULL if @p data is no short form. */
--- a/src/gateway/backend_choice.c
+++ b/src/gateway/backend_choice.c
@@ -4,10 +4,12 @@
  * or one of another zone may be better although it is farther away.
  */
 #include "gateway/backends.h"
+#include "gateway/engine_load.h"
 
 #include "core/routing/service_choice.h"
 
 #include <string.h>
+#include <xxhash.h>
 
 enum {
     DOUBTFUL_SHARE = 3, /**< So many avoided, one in so many, are looked at together with all. */
@@ -41,15 +43,11 @@
            !g_ptr_array_find((GPtrArray *)choice->excluded, backend, NULL);
 }
 
-static unsigned load_of(const backend_t *backend) {
-    return backend->under_way + backend->elsewhere;
-}
-
 static void add_service(candidates_t *candidates, backend_t *backend,
                         const backend_choice_t *choice, bool avoided) {
     service_candidate_t candidate = {
         .id = backend->id_hash,
-        .load = load_of(backend),
+        .load = backend_load(backend),
         .slots = backend_slots(backend, choice->slots),
         .connected = backend->idle->len > 0,
         .near = backend->near,
@@ -62,7 +60,7 @@
                        bool avoided) {
     engine_candidate_t candidate = {
         .id = backend->id_hash,
-        .load = load_of(backend),
+        .load = backend_load(backend),
         .slots = backend_slots(backend, choice->slots),
         .near = backend->near,
         .avoided = avoided,
@@ -180,3 +178,91 @@
     candidates_clear(&candidates);
     return backend;
 }
+
+/* By cost. */
+
+/** Engines among which a turn is placed, and the back ends that they stand for. */
+typedef struct {
+    GArray *options;     /**< Of engine_option_t. */
+    GPtrArray *backends; /**< Of backend_t. */
+} engine_options_t;
+
+static void add_option(engine_options_t *engines, backend_t *backend,
+                       const backend_choice_t *choice) {
+    if (!usable(backend, choice))
+        return;
+    engine_option_t option = {
+        .id = backend->id_hash,
+        .state = engine_load_state(backend, choice->slots),
+        .near = backend->near,
+        .avoided = backend_avoided(backend),
+        .down = backend_down(backend),
+    };
+    g_array_append_val(engines->options, option);
+    g_ptr_array_add(engines->backends, backend);
+}
+
+/** Adds some of the engines of other zones, spread over the list from where the draw says. */
+static void add_drawn(engine_options_t *engines, const GPtrArray *far, const backend_t *place,
+                      const backend_choice_t *choice, uint64_t draw) {
+    guint count = MIN(far->len, ENGINES_FAR_DRAWN);
+    for (guint i = 0; i < count; i++) {
+        guint index = (guint)((draw + (uint64_t)i * far->len / count) % far->len);
+        backend_t *backend = g_ptr_array_index(far, index);
+        if (backend != place)
+            add_option(engines, backend, choice);
+    }
+}
+
+static placement_t place_among(const engine_options_t *engines,
+                               const placement_request_t *request) {
+    return engine_place((const engine_option_t *)engines->options->data, engines->options->len,
+                        request);
+}
+
+static void describe_service(backends_t *backends, service_members_t *members,
+                             placement_request_t *request) {
+    uint64_t count = members->draws++;
+    request->draw = XXH64(&count, sizeof count, backends->seed);
+    request->turn.turn_ms = engine_usual_turn_ms(&members->usual);
+    request->turn.tokens_per_ms = engine_usual_tokens_per_ms(&members->usual);
+}
+
+/** Places the turn in this zone, or among all if those of this zone will not do. */
+static placement_t place_in_zones(engine_options_t *engines, const service_members_t *members,
+                                  backend_t *place, const backend_choice_t *choice,
+                                  const placement_request_t *request) {
+    for (guint i = 0; i < members->near->len; i++)
+        add_option(engines, g_ptr_array_index(members->near, i), choice);
+    if (place != NULL)
+        add_option(engines, place, choice);
+    placement_t placement = place_among(engines, request);
+    if (placement.outcome == PLACEMENT_FOUND && !placement.look_far)
+        return placement;
+    add_drawn(engines, members->far, place, choice, request->draw);
+    return place_among(engines, request);
+}
+
+backend_t *backends_place_engine(backends_t *backends, const backend_choice_t *choice,
+                                 placement_request_t *request, placement_t *placement) {
+    service_members_t *members = g_hash_table_lookup(backends->by_service, choice->service);
+    *placement = (placement_t){.outcome = PLACEMENT_NONE};
+    if (members == NULL)
+        return NULL;
+    describe_service(backends, members, request);
+    engine_options_t engines = {
+        .options = g_array_new(FALSE, FALSE, sizeof(engine_option_t)),
+        .backends = g_ptr_array_new(),
+    };
+    const engine_request_t place = {.place = request->place};
+    *placement =
+        place_in_zones(&engines, members, far_place(backends, choice, &place), choice, request);
+    backend_t *backend = NULL;
+    if (placement->outcome == PLACEMENT_FOUND) {
+        backend = g_ptr_array_index(engines.backends, placement->chosen);
+        backend_take(backend);
+    }
+    g_array_free(engines.options, TRUE);
+    g_ptr_array_free(engines.backends, TRUE);
+    return backend;
+}
--- a/src/gateway/backends.h
+++ b/src/gateway/backends.h
@@ -17,12 +17,18 @@
 #include "core/routing/ejection.h"
 #include "core/retry/silence.h"
 #include "core/routing/engine_choice.h"
+#include "core/routing/engine_limit.h"
+#include "core/routing/engine_usual.h"
 #include "net/http_client.h"
 
 /** The back ends of one service. */
 typedef struct {
     GPtrArray *near; /**< In the gateway's zone; of backend_t. */
     GPtrArray *far;
+    engine_usual_t usual;     /**< Of its turns; engine_load.h. */
+    bool lives_told;          /**< All say when they were born, when last looked at. */
+    uint64_t lives_looked_at; /**< 0: never. */
+    uint64_t draws;           /**< Counts what was drawn. */
 } service_members_t;
 
 typedef struct {
@@ -43,6 +49,7 @@
     uint64_t probed_at;
     unsigned probe_failures;
     uint64_t unreachable_at; /**< When it was last found unreachable; 0: never. */
+    engine_limit_t limit;    /**< Of an engine: when it turns calls away. */
     bool overdue;            /**< The oldest of them is overdue, when last looked at. */
     GPtrArray *idle;         /**< Kept connections, the latest used last; of http_client_t. */
     uv_loop_t *loop;
--- a/src/gateway/call.c
+++ b/src/gateway/call.c
@@ -118,6 +118,8 @@
     case CALL_NO_CONFIGURATION:
         outage = &gateway->configuration_outage;
         break;
+    case CALL_BACKEND_REFUSED:
+        return call->engine_free_ms > 0 ? call->engine_free_ms : COME_BACK_MS;
     default:
         return COME_BACK_MS;
     }
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -90,6 +90,11 @@
     placing_t placing;
     uint64_t place; /**< Back end at which the program last ran (its hash); 0: unknown. */
 
+    /* At an engine that is chosen by cost; see engine_turn.h. */
+    unsigned engine_load;         /**< Other calls there when this one was sent. */
+    uint32_t engine_again_tokens; /**< Of the prompt, read there although another engine has it. */
+    uint32_t engine_free_ms;      /**< Time until some engine has room; 0: not known. */
+
     /* The way to back ends. */
     backend_t *backend; /**< Where the call is now; NULL: nowhere. */
     http_client_t *client;
--- a/src/gateway/call_retry.c
+++ b/src/gateway/call_retry.c
@@ -10,6 +10,7 @@
 
 #include "common/event.h"
 #include "core/retry/resend.h"
+#include "gateway/engine_turn.h"
 
 enum {
     CONNECT_FAILURES_MAXIMUM = 4,
@@ -115,6 +116,7 @@
     call_quota_note_not_run(call);
     bool moved = call->repeating && call->misdirected;
     call->backends_ended += moved;
+    engine_turn_refused(call);
     resend_state_t state = state_of(call);
     bool again = resend_not_run(&state) == RESEND_ELSEWHERE;
     if (again && (call_repeatable(call) || !call->may_have_run))
--- a/src/gateway/call_send.c
+++ b/src/gateway/call_send.c
@@ -10,6 +10,7 @@
 
 #include "common/event.h"
 #include "gateway/backend_probe.h"
+#include "gateway/engine_turn.h"
 
 #include <string.h>
 #include <strings.h>
@@ -157,7 +158,10 @@
         return;
     }
     size_t before = call->body->len;
+    bool begins = call->events.events == 0;
     event_stream_feed(&call->events, data, length, call->body);
+    if (begins && call->events.events > 0)
+        engine_turn_begun(call);
     if (call->body->len > before)
         call_pass_events(call);
 }
@@ -175,9 +179,10 @@
         return;
     }
     if (call->streaming) {
-        if (event_stream_at_boundary(&call->events))
+        if (event_stream_at_boundary(&call->events)) {
+            engine_turn_ended(call);
             call_turn_stream_ended(call);
-        else
+        } else
             call_outcome_unknown(call, CALL_BAD_ANSWER);
         return;
     }
@@ -246,6 +251,8 @@
         .slots = call->service == NULL ? 0 : call->service->slots,
     };
     engine_request_t request = {.place = call->place, .part = part_hash(call)};
+    if (engine_turn_by_cost(call))
+        return engine_turn_choose(call, &choice, request.part);
     bool engine = call->service != NULL && call->service->engine;
     call->backend = engine ? backends_choose_engine(backends, &choice, &request)
                            : backends_choose(backends, &choice);
@@ -289,7 +296,7 @@
 
 void call_send(call_t *call) {
     if (!choose_backend(call)) {
-        call_fail(call, CALL_NO_BACKEND);
+        call_fail(call, call->engine_free_ms > 0 ? CALL_BACKEND_REFUSED : CALL_NO_BACKEND);
         return;
     }
     call->backends_sent++;
--- /dev/null
+++ b/src/gateway/engine_load.c
@@ -0,0 +1,82 @@
+#include "gateway/engine_load.h"
+
+#include "core/routing/backend_speed.h"
+
+unsigned backend_load(const backend_t *backend) {
+    return backend->under_way + backend->elsewhere;
+}
+
+unsigned engine_speed(const backend_t *backend) {
+    (void)backend;
+    return BACKEND_SPEED_TYPICAL_PERCENT;
+}
+
+static bool all_born(const GPtrArray *list) {
+    for (guint i = 0; i < list->len; i++)
+        if (((const backend_t *)g_ptr_array_index(list, i))->record->born == 0)
+            return false;
+    return true;
+}
+
+bool backends_tell_lives(backends_t *backends, const char *service) {
+    service_members_t *members = g_hash_table_lookup(backends->by_service, service);
+    if (members == NULL)
+        return false;
+    uint64_t now = uv_now(backends->loop);
+    if (members->lives_looked_at == 0 || now >= members->lives_looked_at + ENGINE_LIVES_MS) {
+        members->lives_looked_at = now;
+        members->lives_told = all_born(members->near) && all_born(members->far);
+    }
+    return members->lives_told;
+}
+
+static engine_usual_t *usual_of(const backend_t *backend) {
+    service_members_t *members =
+        g_hash_table_lookup(backend->owner->by_service, backend->record->service);
+    return &members->usual;
+}
+
+/** Calls that it lets wait, as far as it has shown, or else as others of its service have. */
+static unsigned queue_of(const backend_t *backend, unsigned slots) {
+    unsigned own = engine_limit_queue(&backend->limit, backend->record->born, slots);
+    return own > 0 ? own : engine_usual_queue(usual_of(backend), slots);
+}
+
+engine_state_t engine_load_state(const backend_t *backend, unsigned slots) {
+    unsigned load = backend_load(backend);
+    unsigned own_slots = backend_slots(backend, slots);
+    return (engine_state_t){
+        .load = load,
+        .slots = own_slots,
+        .queue = queue_of(backend, own_slots),
+        .speed_percent = engine_speed(backend),
+        .turns_away = engine_limit_turns_away(&backend->limit, backend->record->born, load,
+                                              uv_now(backend->loop)),
+    };
+}
+
+void engine_load_note_refused(backend_t *backend, unsigned slots) {
+    unsigned load = backend_load(backend) - 1;
+    unsigned own_slots = backend_slots(backend, slots);
+    engine_limit_note_refused(&backend->limit, backend->record->born, load, own_slots,
+                              uv_now(backend->loop));
+    engine_usual_note_refused(usual_of(backend), load, own_slots);
+}
+
+/** Where calls wait for a slot, their times are no measure of the engine. */
+static bool had_slot(const backend_t *backend, unsigned load, unsigned slots) {
+    return load < backend_slots(backend, slots);
+}
+
+void engine_load_note_first(backend_t *backend, unsigned load, unsigned slots, uint64_t ms,
+                            uint32_t again_tokens) {
+    engine_limit_note_taken(&backend->limit, backend->record->born, load);
+    engine_usual_note_taken(usual_of(backend), load, backend_slots(backend, slots));
+    if (had_slot(backend, load, slots))
+        engine_usual_note_first(usual_of(backend), (double)ms, again_tokens, engine_speed(backend));
+}
+
+void engine_load_note_turn(backend_t *backend, unsigned load, unsigned slots, uint64_t ms) {
+    if (had_slot(backend, load, slots))
+        engine_usual_note_turn(usual_of(backend), (double)ms, engine_speed(backend));
+}
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -46,6 +46,11 @@
     uint64_t entries_rejected; /**< Of the directory, that name no back end to use. */
     uint64_t over_quota;
     uint64_t chain_reads;
+    uint64_t engines_new;     /**< Turns placed by cost, of programs without an engine, */
+    uint64_t engines_kept;    /**< at their engine, */
+    uint64_t engines_moved;   /**< and at another one. */
+    uint64_t engines_full;    /**< Not sent: all engines were full. */
+    uint64_t engines_refused; /**< Turned away by an engine. */
     latency_histogram_t latency[GATEWAY_CALL_KINDS];
 } gateway_counters_t;
 
--- a/src/gateway/reports.c
+++ b/src/gateway/reports.c
@@ -119,6 +119,11 @@
     metrics_append(text, "over_quota_total", counters->over_quota);
     metrics_append(text, "quota_requests_total", quota_client_requests(gateway->quotas));
     metrics_append(text, "chain_reads_total", counters->chain_reads);
+    metrics_append(text, "engine_turns_new_total", counters->engines_new);
+    metrics_append(text, "engine_turns_kept_total", counters->engines_kept);
+    metrics_append(text, "engine_turns_moved_total", counters->engines_moved);
+    metrics_append(text, "engine_turns_full_total", counters->engines_full);
+    metrics_append(text, "engine_turns_refused_total", counters->engines_refused);
     metrics_append(text, "log_lines_left_out_total", event_lines_left_out());
     for (unsigned kind = 0; kind < GATEWAY_CALL_KINDS; kind++)
         latency_histogram_append(&counters->latency[kind], "rudderway_call_ms", kind_labels[kind],
