load sharing: gateways of other zones hear a zone's loads

Change: storage nodes name the gateways of other zones; each gateway tells a counterpart or more in each what its own zone has under way, of back ends that tell born; up to 128 gateways, one cell a zone.

--- a/src/gateway/load_sharing.c
+++ b/src/gateway/load_sharing.c
@@ -13,6 +13,7 @@
 
 #include "common/event.h"
 #include "gateway/load_report.h"
+#include "gateway/zone_loads.h"
 
 #include <arpa/inet.h>
 #include <string.h>
@@ -43,10 +44,11 @@
     backends_t *backends;
     const load_sharing_handler_t *handler;
     void *owner;
-    GPtrArray *peers; /**< Of gateway_peer_t. */
-    bool below;       /**< The peers follow gateways of another cell. */
-    bool sums_stale;  /**< A datagram came since the loads were added up. */
-    uint64_t changed; /**< The latest change that any of them has told of. */
+    GPtrArray *peers;        /**< Of gateway_peer_t. */
+    zone_loads_t zone_loads; /**< Told between zones. */
+    bool below;              /**< The peers follow gateways of another cell. */
+    bool sums_stale;         /**< A datagram came since the loads were added up. */
+    uint64_t changed;        /**< The latest change that any of them has told of. */
     uint64_t summed_at;
     uint64_t look_at; /**< When the timer fires; UINT64_MAX: it does not run. */
     watch_report_t sent_report;
@@ -136,6 +138,7 @@
         if (now <= peer->heard_at + FORGET_MS)
             add_told(sharing, peer, now);
     }
+    zone_loads_add(&sharing->zone_loads, sharing->backends, now);
     settle_told(sharing->backends->told_of, now);
 }
 
@@ -157,8 +160,12 @@
     if (count <= 0 || from == NULL)
         return;
     gateway_peer_t *peer = find_peer(sharing, (const struct sockaddr_in *)from);
-    if (peer == NULL)
+    if (peer == NULL) {
+        sharing->sums_stale |=
+            zone_loads_take(&sharing->zone_loads, (const struct sockaddr_in *)from, buffer->base,
+                            (size_t)count, uv_now(sharing->loop));
         return;
+    }
     watch_report_t watch = {
         .heard_at = uv_now(sharing->loop), .before = peer->watch.before, .rank = peer->watch.rank};
     if (load_report_decode(&watch, peer->entries, buffer->base, (size_t)count))
@@ -224,6 +231,20 @@
     g_array_free(entries, TRUE);
 }
 
+/** Tells other zones what this one has under way. */
+static void tell_zones(load_sharing_t *sharing) {
+    uint64_t now = uv_now(sharing->loop);
+    GArray *entries = own_entries(sharing);
+    zone_loads_sum(&sharing->zone_loads, sharing->backends, entries);
+    g_array_free(entries, TRUE);
+    for (guint i = 0; i < sharing->peers->len; i++) {
+        const gateway_peer_t *peer = g_ptr_array_index(sharing->peers, i);
+        if (now <= peer->heard_at + FORGET_MS)
+            zone_loads_sum(&sharing->zone_loads, sharing->backends, peer->entries);
+    }
+    zone_loads_tell(&sharing->zone_loads, &sharing->socket);
+}
+
 /** Those that watch for the others look often whether there is something to tell. */
 static uint64_t renewing_period_ms(const load_sharing_t *sharing) {
     return load_report_period_ms(sharing->peers->len, false);
@@ -279,6 +300,8 @@
         sharing->sent_at = now;
         tell_peers(sharing);
     }
+    if (sharing->zone_loads.gateways->len > 0)
+        tell_zones(sharing);
     sum_peers(sharing);
     uint64_t again_ms = report_watches(sharing);
     arm_timer(sharing);
@@ -379,6 +402,7 @@
     sharing->look_at = UINT64_MAX;
     sharing->backends = backends;
     sharing->peers = g_ptr_array_new_with_free_func(free_peer);
+    zone_loads_init(&sharing->zone_loads);
     uv_udp_init(loop, &sharing->socket);
     uv_timer_init(loop, &sharing->timer);
     sharing->socket.data = sharing;
@@ -432,6 +456,8 @@
     }
     g_ptr_array_free(old, TRUE);
     rank_peers(sharing);
+    unsigned before = load_sharing_rank(sharing);
+    zone_loads_set_gateways(&sharing->zone_loads, addresses, before, sharing->peers->len + 1);
     if (sharing->peers->len > 0)
         arm_timer(sharing);
 }
--- a/src/store/gateway_directory.c
+++ b/src/store/gateway_directory.c
@@ -1,11 +1,12 @@
 #include "store/gateway_directory.h"
 
+#include "cluster/far_gateway.h"
 #include "cluster/service_directory.h"
 
 #include <string.h>
 #include <xxhash.h>
 
-enum { SOURCES_SEED = 1, PORT_BITS = 16 };
+enum { SOURCES_SEED = 1, PORT_BITS = 16, FAR_SEED = 2 };
 
 typedef struct {
     char *address;
@@ -111,6 +112,7 @@
         g_ptr_array_unref(zone->cells[i].entries);
         g_ptr_array_unref(zone->cells[i].list.known);
         g_ptr_array_unref(zone->cells[i].list.sources);
+        g_ptr_array_unref(zone->cells[i].list.far);
     }
     g_free(zone->cells);
     g_ptr_array_unref(zone->entries);
@@ -138,6 +140,7 @@
         zone->cells[i].entries = g_ptr_array_new();
         zone->cells[i].list.known = g_ptr_array_new();
         zone->cells[i].list.sources = g_ptr_array_new();
+        zone->cells[i].list.far = g_ptr_array_new_with_free_func(g_free);
     }
     for (guint i = 0; i < zone->entries->len; i++) {
         gateway_entry_t *entry = g_ptr_array_index(zone->entries, i);
@@ -180,6 +183,33 @@
         make_list(&zone->cells[i], root);
 }
 
+/** Adds the gateways of all other zones to a zone's only list. */
+static void add_far(GHashTable *zones, const zone_t *zone) {
+    GHashTableIter iterator;
+    gpointer value;
+    g_hash_table_iter_init(&iterator, zones);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const zone_t *other = value;
+        for (guint i = 0; other != zone && i < other->entries->len; i++) {
+            const gateway_entry_t *entry = g_ptr_array_index(other->entries, i);
+            gateway_list_t *list = &zone->cells[0].list;
+            g_ptr_array_add(list->far, far_gateway_format(entry->zone, entry->address));
+            list->digest += XXH64(&entry->hash, sizeof entry->hash, FAR_SEED);
+        }
+    }
+}
+
+static void add_all_far(GHashTable *zones) {
+    GHashTableIter iterator;
+    gpointer value;
+    g_hash_table_iter_init(&iterator, zones);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const zone_t *zone = value;
+        if (zone->cell_count == 1)
+            add_far(zones, zone);
+    }
+}
+
 static GHashTable *make_zones(const gateway_directory_t *directory) {
     bool few = gateway_directory_count(directory) <= GATEWAYS_FEW;
     GHashTable *zones = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_zone);
@@ -195,6 +225,8 @@
         make_cells(value, few);
         make_lists(value);
     }
+    if (!few && gateway_directory_count(directory) <= GATEWAYS_FAR_MOST)
+        add_all_far(zones);
     return zones;
 }
 
--- a/src/store/gateway_directory.h
+++ b/src/store/gateway_directory.h
@@ -2,9 +2,10 @@
  * @file gateway_directory.h
  * The gateways that are connected to a storage node, and which of them a gateway should know, since
  * gateways tell one another their loads. Few gateways all know one another. Of many, each knows
- * those of its own zone; and where a zone has many, those of its *cell*: the gateways of a zone are
- * divided among so many cells, by a hash of their address, that a cell has GATEWAYS_CELL_MOST on
- * average at most. So neither the lists nor what gateways tell one another grows with the fleet.
+ * those of its own zone (and up to GATEWAYS_FAR_MOST of other zones, see gateway/zone_loads.h); and
+ * where a zone has many, those of its *cell*: the gateways of a zone are divided among so many
+ * cells, by a hash of their address, that a cell has GATEWAYS_CELL_MOST on average at most. So
+ * neither the lists nor what gateways tell one another grows with the fleet.
  *
  * The first cell of a zone is its root: its gateways watch the key-value service. Those of the
  * other cells learn of the first gateways of the root cell, their *sources*, and follow them.
@@ -36,6 +37,8 @@
      * eight are among them in one of 6,600 cases; of the first three alone in one of 27.
      */
     GATEWAYS_SOURCES = 8,
+    /** Up to so many, and one cell a zone, each knows the gateways of other zones as such. */
+    GATEWAYS_FAR_MOST = 128,
 };
 
 typedef struct {
@@ -47,6 +50,7 @@
 typedef struct {
     GPtrArray *known;   /**< Addresses of its cell, its own included; of char *. */
     GPtrArray *sources; /**< Addresses to follow; empty in a root cell. */
+    GPtrArray *far;     /**< Gateways of other zones; as far_gateway.h formats them. */
     uint64_t digest;    /**< Of both, whatever their order. */
 } gateway_list_t;
 
--- a/src/store/store_requests.c
+++ b/src/store/store_requests.c
@@ -331,6 +331,8 @@
     message_init(&message, MESSAGE_GATEWAYS);
     for (guint i = 0; i < list->known->len; i++)
         g_ptr_array_add(message.ids, g_strdup(g_ptr_array_index(list->known, i)));
+    for (guint i = 0; i < list->far->len; i++)
+        g_ptr_array_add(message.ids, g_strdup(g_ptr_array_index(list->far, i)));
     for (guint i = 0; i < list->sources->len; i++)
         g_ptr_array_add(message.sources, g_strdup(g_ptr_array_index(list->sources, i)));
     GBytes *bytes = message_encode(&message);
--- a/tests/unit/gateway_directory_test.cc
+++ b/tests/unit/gateway_directory_test.cc
@@ -18,6 +18,7 @@
 struct Told {
     std::set<std::string> known;
     std::vector<std::string> sources;
+    std::set<std::string> far;
     unsigned times = 0;
 };
 
@@ -52,10 +53,13 @@
         told.times++;
         told.known.clear();
         told.sources.clear();
+        told.far.clear();
         for (guint i = 0; i < list->known->len; i++)
             told.known.insert(static_cast<char *>(g_ptr_array_index(list->known, i)));
         for (guint i = 0; i < list->sources->len; i++)
             told.sources.emplace_back(static_cast<char *>(g_ptr_array_index(list->sources, i)));
+        for (guint i = 0; i < list->far->len; i++)
+            told.far.insert(static_cast<char *>(g_ptr_array_index(list->far, i)));
         test->addresses_told += list->known->len + list->sources->len;
     }
     gateway_directory_t directory;
@@ -84,6 +88,24 @@
     }
 }
 
+// Engines of a zone have calls of all zones, which no gateway knew.
+TEST_F(GatewayDirectory, OfManyEachKnowsThoseOfOtherZonesAsSuch) {
+    add(60, {"a", "b", "c"});
+    tell();
+    for (const auto &[serial, what] : told) {
+        EXPECT_EQ(what.far.size(), 40U);
+        EXPECT_EQ(what.far.count("@a " + address(1)), serial % 3 == 1 ? 0U : 1U);
+    }
+    unsigned times = told[1].times;
+    add(1, {"c"});
+    tell();
+    EXPECT_EQ(told[1].times, times + 1) << "there is a new one in another zone";
+    add(GATEWAYS_FAR_MOST, {"a", "b", "c"});
+    tell();
+    for (const auto &[serial, what] : told)
+        EXPECT_TRUE(what.far.empty());
+}
+
 // 145 gateways of a zone told one another so seldom that nobody trusted what another watched.
 TEST_F(GatewayDirectory, WhatAGatewayKnowsDoesNotGrowWithTheFleet) {
     for (unsigned gateways : {30U, 100U, 300U, 865U, 3300U, 6600U}) {
