--- a/src/cluster/service_directory.c
+++ b/src/cluster/service_directory.c
@@ -143,9 +143,9 @@
 }
 
 /**
- * The life stands in front of the port's bits, where earlier versions, which reject a record with a
- * field too many, don't look. The address stands last:
- * all else is the same for many back ends (directory_snapshot.c).
+ * The life stands above the port's bits, where earlier versions, which reject a record with a field
+ * too many, don't look. The address stands last: all else is the same for many back ends
+ * (directory_snapshot.c).
  */
 static void record_codec(codec_t *codec, backend_record_t *backend) {
     uint32_t host = ntohl(backend->address.sin_addr.s_addr);
--- a/src/cluster/service_directory.h
+++ b/src/cluster/service_directory.h
@@ -71,8 +71,8 @@
     char *zone;
     struct sockaddr_in address;
     uint32_t slots;
-    uint64_t born; /**< Unix time in ms at which this life began; 0: unknown. In a record that came in
-                      short form: what stands for it, see backend_record_life. */
+    uint64_t born; /**< Unix time in ms at which this life began; 0: unknown. In a record that came
+                      in short form: what stands for it, see backend_record_life. */
     bool leaving;
 } backend_record_t;
 
