--- a/src/gateway/engine_turn.h
+++ b/src/gateway/engine_turn.h
@@ -14,7 +14,7 @@
 bool engine_turn_by_cost(const call_t *call);
 /** Chooses the engine; false if there is none, or all are full. @p part: see engine_choice.h. */
 bool engine_turn_choose(call_t *call, const backend_choice_t *choice, uint64_t part);
-/** The engine turned the call away; it is not sent anywhere else. */
+/** The engine turned the call away as not run, whether or not it goes elsewhere. */
 void engine_turn_refused(call_t *call);
 /** The first event has come. */
 void engine_turn_begun(const call_t *call);
