--- a/tests/unit/gateway_test.cc
+++ b/tests/unit/gateway_test.cc
@@ -431,6 +431,10 @@
     EXPECT_TRUE(gateway_isolated(&gateway)) << "it reaches nothing";
     gateway.stores_lost_at = uv_now(&loop);
     EXPECT_FALSE(gateway_isolated(&gateway)) << "only just now";
+    gateway.key_value_reachable = true;
+    gateway.stores_lost_at = 0;
+    gateway.zone_cut_since = 1;
+    EXPECT_TRUE(gateway_isolated(&gateway)) << "the zone is cut off, whatever else is reached";
     uv_loop_close(&loop);
 }
 
--- a/tests/unit/platform_test.cc
+++ b/tests/unit/platform_test.cc
@@ -292,6 +292,10 @@
     EXPECT_NE(load(good, PROCESS_GATEWAY).find("gateway.calls"), std::string::npos);
     EXPECT_NE(load(good + "disk_megabytes=many\n", PROCESS_STORE).find("store.disk_megabytes"),
               std::string::npos);
+    EXPECT_NE(load(good + "[gateway]\ntolerated_zones=-1\n", PROCESS_STORE)
+                  .find("gateway.tolerated_zones"),
+              std::string::npos);
+    EXPECT_EQ(load(good + "[gateway]\ntolerated_zones=1\n", PROCESS_STORE), "");
     EXPECT_NE(load("[node]\nname=n\n", PROCESS_STORE).find("node.zone"), std::string::npos);
     EXPECT_NE(load(good + "[metrics]\nlisten=here\n", PROCESS_STORE).find("metrics.listen"),
               std::string::npos);
