--- a/src/cluster/message.c
+++ b/src/cluster/message.c
@@ -207,6 +207,13 @@
         limit_codec(codec, &message->limit);
         codec_uint32(codec, &message->wait_ms);
         break;
+    case REQUEST_PROGRAM_ALLOWANCE:
+        codec_text(codec, &message->tenant);
+        limit_codec(codec, &message->limit);
+        codec_text(codec, &message->charge.program);
+        codec_uint64(codec, &message->kind);
+        codec_bool(codec, &message->begun);
+        break;
     case MESSAGE_CHARGE:
         codec_text(codec, &message->tenant);
         limit_codec(codec, &message->limit);
--- a/src/cluster/message.h
+++ b/src/cluster/message.h
@@ -47,9 +47,11 @@
     MESSAGE_DIRECTORY_CHANGES, /**< What a gateway's watch showed, for those that follow it. */
     REQUEST_ALLOWANCE,         /**< May a tenant make one more call? */
     RESPONSE_ALLOWANCE,
-    MESSAGE_CHARGE,          /**< A tenant's call was made without asking; no answer. */
-    MESSAGE_DIRECTORY_KNOWN, /**< A gateway knows the directory up to a revision; may be asked. */
-    RECORD_TIME,             /**< Log only: a mark of the log's time; see record_clock.h. */
+    MESSAGE_CHARGE,            /**< A tenant's call was made without asking; no answer. */
+    MESSAGE_DIRECTORY_KNOWN,   /**< A gateway knows the directory up to a revision; may be asked. */
+    RECORD_TIME,               /**< Log only: a mark of the log's time; see record_clock.h. */
+    REQUEST_PROGRAM_ALLOWANCE, /**< May a tenant's program make one more call? The answer is a
+                                  RESPONSE_ALLOWANCE, unsure if the program may not begin. */
     MESSAGE_TYPE_COUNT,
 } message_type_t;
 
@@ -70,6 +72,8 @@
     budget_summary_t summary; /**< A program's charges in short. */
     char *tenant;             /**< Whose allowance is asked for, or is charged. */
     quota_limit_t limit;      /**< That tenant's, as the sender knows it. */
+    uint64_t kind;            /**< Hash of the route by which the call's program came. */
+    bool begun;               /**< The call's program has had an answer, as the sender knows. */
     uint32_t
         wait_ms;    /**< Of an allowance: how long the call may wait; has to wait, or come back. */
     bool room;      /**< The member can keep one more turn. */
--- a/src/core/quota/quota_table.c
+++ b/src/core/quota/quota_table.c
@@ -70,6 +70,16 @@
     return answer;
 }
 
+bool quota_table_view(quota_table_t *table, const char *tenant, const quota_limit_t *limit,
+                      unsigned members, uint64_t now, quota_view_t *view) {
+    const bucket_t *bucket = find(table, tenant, limit, members, now, &view->share);
+    if (bucket == NULL)
+        return false;
+    view->limit = bucket->limit;
+    view->tokens = bucket->tokens;
+    return true;
+}
+
 void quota_table_charge(quota_table_t *table, const char *tenant, const quota_limit_t *limit,
                         unsigned members, uint64_t now) {
     quota_share_t share;
--- a/src/core/quota/quota_table.h
+++ b/src/core/quota/quota_table.h
@@ -27,6 +27,13 @@
     uint32_t wait_ms;
 } quota_answer_t;
 
+/** What a member holds of a tenant's limit. */
+typedef struct {
+    quota_limit_t limit; /**< The latest known. */
+    quota_share_t share;
+    double tokens; /**< Negative: in debt. */
+} quota_view_t;
+
 void quota_table_init(quota_table_t *table, const quota_bounds_t *bounds);
 void quota_table_clear(quota_table_t *table);
 /**
@@ -36,6 +43,9 @@
 quota_answer_t quota_table_take(quota_table_t *table, const char *tenant,
                                 const quota_limit_t *limit, unsigned members, uint32_t patience_ms,
                                 uint64_t now);
+/** Fills in what is held of @p tenant's limit; false if there are too many tenants. */
+bool quota_table_view(quota_table_t *table, const char *tenant, const quota_limit_t *limit,
+                      unsigned members, uint64_t now, quota_view_t *view);
 /** Takes a token that has been used already: the bucket may be left in debt. */
 void quota_table_charge(quota_table_t *table, const char *tenant, const quota_limit_t *limit,
                         unsigned members, uint64_t now);
--- a/src/gateway/call_quota.c
+++ b/src/gateway/call_quota.c
@@ -6,12 +6,37 @@
  */
 #include "gateway/call.h"
 
+#include "common/event.h"
+
 enum { STATUS_TOO_MANY = 429, STATUS_UNAVAILABLE = 503 };
 
 static bool is_limited(const call_t *call) {
     return call->tenant != NULL && call->tenant->rate > 0;
 }
 
+static bool has_text(const call_t *call, call_field_t field) {
+    const char *value = call_field(call, field);
+    return value != NULL && *value != '\0';
+}
+
+/** True if the call shows that its program has had an answer; one that doesn't may have, too. */
+static bool shows_begun(const call_t *call) {
+    return call->program != NULL &&
+           (call->route->kind != CALL_STREAM || has_text(call, FIELD_PREVIOUS_TURN) ||
+            has_text(call, FIELD_LAST_EVENT));
+}
+
+static void note_over(call_t *call, const quota_result_t *result) {
+    gateway_counters_t *counters = &call->gateway->counters;
+    counters->over_quota++;
+    counters->programs_not_begun += result->not_begun;
+    if (result->not_begun || !shows_begun(call))
+        return;
+    counters->begun_over_quota++;
+    event_log(GATEWAY_BEGUN_OVER_QUOTA, call->id, call->tenant->name, call->program,
+              result->wait_ms);
+}
+
 /** Takes an outcome; false if the call has been refused. */
 static bool take_result(call_t *call, const quota_result_t *result) {
     call_quota_t *quota = &call->quota;
@@ -24,7 +49,7 @@
         return true;
     case QUOTA_OVER:
         quota->come_back_ms = result->wait_ms;
-        call->gateway->counters.over_quota++;
+        note_over(call, result);
         call_refuse(call, STATUS_TOO_MANY, CALL_OVER_QUOTA);
         return false;
     case QUOTA_UNSURE:
@@ -44,8 +69,14 @@
 bool call_quota_begin(call_t *call) {
     if (!is_limited(call))
         return true;
+    const quota_call_t asking = {
+        .program = has_text(call, FIELD_PROGRAM) ? call->program : NULL,
+        .route = call->route->name,
+        .begun = shows_begun(call),
+        .time_left_ms = (uint32_t)MIN(call_time_left(call), UINT32_MAX),
+    };
     quota_result_t result =
-        quota_client_ask(call->gateway->quotas, call->tenant, call->configuration->version,
+        quota_client_ask(call->gateway->quotas, call->tenant, call->configuration->version, &asking,
                          on_result, call, &call->quota.ask);
     return take_result(call, &result);
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -45,6 +45,8 @@
     uint64_t over_budget;
     uint64_t entries_rejected; /**< Of the directory, that name no back end to use. */
     uint64_t over_quota;
+    uint64_t programs_not_begun; /**< Of these, first calls that the program's home refused. */
+    uint64_t begun_over_quota;   /**< Of these, calls that showed that their program had begun. */
     uint64_t chain_reads;
     latency_histogram_t latency[GATEWAY_CALL_KINDS];
 } gateway_counters_t;
--- a/src/gateway/quota_client.c
+++ b/src/gateway/quota_client.c
@@ -1,5 +1,6 @@
 #include "gateway/quota_client.h"
 
+#include "core/admission/program_home.h"
 #include "core/quota/quota_choice.h"
 
 #include <string.h>
@@ -9,7 +10,13 @@
     ANSWER_MS = 100,   /**< A member that has not answered by then is passed over, */
     SILENT_MS = 1000,  /**< for so long. The usual way there and back takes 1 to 4 ms. */
     PATIENCE_MS = 100, /**< A call waits so long for a token that it is sure to get. */
-    SPREAD_MS = 100,   /**< Callers that are over the limit come back over at least so long. */
+    BEGUN_PATIENCE_MS =
+        300,           /**< One of a program under way, since all that it has had would be lost;
+                            a storage node takes longer to come back without its memory. */
+    PATIENCE_PART = 4, /**< But no longer than this part of the call's time. */
+    OLD_MS = 30000, /**< A member that has never answered a program's call is not asked again for so
+                         long: an earlier version drops such a request. */
+    SPREAD_MS = 100, /**< Callers that are over the limit come back over at least so long. */
     SPREAD_MOST_MS = 1000,
     TENANTS_MAXIMUM = 10000, /**< What is known of them is forgotten beyond. */
     GRANTS_KEPT_MOST = 64,   /**< Unused grants of one tenant. */
@@ -31,6 +38,8 @@
     GHashTable *tenants; /**< Name to tenant_state_t. */
     GHashTable *asks;    /**< Number of the request under way to its quota_ask_t. */
     GHashTable *silent;  /**< Name of a member to the time until which it is passed over. */
+    GHashTable *knowing; /**< Names of members that have answered a program's call. */
+    GHashTable *old;     /**< Name of a member to the time until which it isn't asked for one. */
     uint64_t requests;
 };
 
@@ -45,7 +54,12 @@
     char *tenant;
     quota_limit_t limit;
     uint64_t generation;
-    bool *asked; /**< By member: in vain. */
+    bool *asked;   /**< By member: in vain. */
+    char *program; /**< NULL: a plain call, or one that its home has let go on. */
+    uint64_t kind;
+    bool begun;
+    bool at_home; /**< The request under way names the program. */
+    uint32_t patience_ms;
     quota_done_t done;
     void *owner;
 };
@@ -103,35 +117,43 @@
 
 /* Asking. */
 
-static bool is_silent(const quota_client_t *client, unsigned member) {
+/** True if @p times has a time for the member that is still to come. */
+static bool is_before(const quota_client_t *client, GHashTable *times, unsigned member) {
     const char *name = store_client_member_name(client->stores, member);
-    const uint64_t *until = g_hash_table_lookup(client->silent, name);
+    const uint64_t *until = g_hash_table_lookup(times, name);
     return until != NULL && uv_now(client->loop) < *until;
 }
 
-static void note_silent(quota_client_t *client, unsigned member) {
+static bool is_silent(const quota_client_t *client, unsigned member) {
+    return is_before(client, client->silent, member);
+}
+
+static void note_until(const quota_client_t *client, GHashTable *times, unsigned member,
+                       uint32_t ms) {
     uint64_t *until = g_new(uint64_t, 1);
-    *until = uv_now(client->loop) + SILENT_MS;
-    g_hash_table_replace(client->silent, g_strdup(store_client_member_name(client->stores, member)),
-                         until);
+    *until = uv_now(client->loop) + ms;
+    g_hash_table_replace(times, g_strdup(store_client_member_name(client->stores, member)), until);
 }
 
-static void send_request(quota_client_t *client, message_type_t type, unsigned member,
-                         const char *tenant, const quota_limit_t *limit, uint64_t number,
-                         uint32_t patience_ms) {
-    message_t message;
-    message_init(&message, type);
-    message.number = number;
-    message.tenant = g_strdup(tenant);
-    message.limit = *limit;
-    message.wait_ms = patience_ms;
+/** A member has not answered in time. */
+static void note_silent(quota_client_t *client, const quota_ask_t *ask) {
+    const char *name = store_client_member_name(client->stores, ask->member);
+    note_until(client, client->silent, ask->member, SILENT_MS);
+    if (ask->at_home && !g_hash_table_contains(client->knowing, name))
+        note_until(client, client->old, ask->member, OLD_MS);
+}
+
+static void send_request(quota_client_t *client, unsigned member, message_t *message,
+                         const char *tenant, const quota_limit_t *limit) {
+    message->tenant = g_strdup(tenant);
+    message->limit = *limit;
     client->requests++;
-    store_client_send_member(client->stores, member, &message);
+    store_client_send_member(client->stores, member, message);
 }
 
-static quota_decision_t decide(quota_client_t *client, const char *tenant,
-                               const quota_limit_t *limit, const bool *asked) {
-    const tenant_state_t *state = find_tenant(client, tenant);
+/** What is known of the members, for one tenant; to be freed. */
+static quota_member_t *list_members(quota_client_t *client, const tenant_state_t *state,
+                                    const bool *asked) {
     quota_member_t *members = g_new0(quota_member_t, state->count + 1);
     for (unsigned i = 0; i < state->count; i++)
         members[i] = (quota_member_t){
@@ -140,6 +162,13 @@
             .rank = state->ranks[i],
             .empty_until = state->empty_until[i],
         };
+    return members;
+}
+
+static quota_decision_t decide(quota_client_t *client, const char *tenant,
+                               const quota_limit_t *limit, const bool *asked) {
+    const tenant_state_t *state = find_tenant(client, tenant);
+    quota_member_t *members = list_members(client, state, asked);
     unsigned shares = quota_split_count(&client->bounds, limit, state->count);
     quota_decision_t decision =
         quota_choose(members, state->count, shares, uv_now(client->loop), g_random_int());
@@ -155,6 +184,48 @@
     return wait_ms + (uint32_t)g_random_int_range(0, (gint32)spread);
 }
 
+/** Sends the ask's request to its member, and waits for the answer. */
+static void ask_member(quota_ask_t *ask, message_t *message) {
+    quota_client_t *client = ask->client;
+    ask->asked_at = uv_now(client->loop);
+    ask->number = store_client_next_number(client->stores);
+    message->number = ask->number;
+    g_hash_table_insert(client->asks, &ask->number, ask);
+    send_request(client, ask->member, message, ask->tenant, &ask->limit);
+    uv_timer_start(&ask->timer, on_timer, ANSWER_MS, 0);
+}
+
+/** Asks the program's home; false if there is none, or one of an earlier version. */
+static bool ask_home(quota_ask_t *ask) {
+    quota_client_t *client = ask->client;
+    const tenant_state_t *state = find_tenant(client, ask->tenant);
+    quota_member_t *members = list_members(client, state, NULL);
+    unsigned shares = quota_split_count(&client->bounds, &ask->limit, state->count);
+    unsigned home =
+        program_home_choose(members, state->count, program_home_count(&ask->limit, shares),
+                            XXH64(ask->program, strlen(ask->program), 0));
+    g_free(members);
+    if (home >= state->count || ask->asked[home] || is_before(client, client->old, home))
+        return false;
+    message_t message;
+    message_init(&message, REQUEST_PROGRAM_ALLOWANCE);
+    message.charge.program = g_strdup(ask->program);
+    message.kind = ask->kind;
+    message.begun = ask->begun;
+    ask->member = home;
+    ask->at_home = true;
+    ask_member(ask, &message);
+    return true;
+}
+
+/** The call may ask any member from now on, and waits for so long. */
+static void leave_home(quota_ask_t *ask, bool admitted) {
+    g_clear_pointer(&ask->program, g_free);
+    ask->at_home = false;
+    if (!admitted && !ask->begun)
+        ask->patience_ms = PATIENCE_MS;
+}
+
 /** Asks the next member, or tells what has come of it. */
 static quota_result_t step(quota_ask_t *ask) {
     quota_client_t *client = ask->client;
@@ -163,27 +234,30 @@
         g_free(ask->asked);
         ask->asked = g_new0(bool, store_client_members(client->stores) + 1);
     }
+    if (ask->program != NULL && ask_home(ask))
+        return (quota_result_t){.outcome = QUOTA_WAITING};
+    if (ask->program != NULL)
+        leave_home(ask, false);
     quota_decision_t decision = decide(client, ask->tenant, &ask->limit, ask->asked);
     if (decision.step == QUOTA_UNREACHABLE)
         return (quota_result_t){.outcome = QUOTA_UNSURE};
     bool patient =
-        decision.step == QUOTA_REFUSE && !ask->patient && decision.wait_ms <= PATIENCE_MS;
+        decision.step == QUOTA_REFUSE && !ask->patient && decision.wait_ms <= ask->patience_ms;
     if (decision.step == QUOTA_REFUSE && !patient)
         return (quota_result_t){.outcome = QUOTA_OVER, .wait_ms = come_back_ms(decision.wait_ms)};
     ask->patient = patient;
     ask->member = decision.member;
-    ask->asked_at = uv_now(client->loop);
-    ask->number = store_client_next_number(client->stores);
-    g_hash_table_insert(client->asks, &ask->number, ask);
-    send_request(client, REQUEST_ALLOWANCE, ask->member, ask->tenant, &ask->limit, ask->number,
-                 patient ? PATIENCE_MS : 0);
-    uv_timer_start(&ask->timer, on_timer, ANSWER_MS, 0);
+    message_t message;
+    message_init(&message, REQUEST_ALLOWANCE);
+    message.wait_ms = patient ? ask->patience_ms : 0;
+    ask_member(ask, &message);
     return (quota_result_t){.outcome = QUOTA_WAITING};
 }
 
 static void free_ask(uv_handle_t *handle) {
     quota_ask_t *ask = handle->data;
     g_free(ask->tenant);
+    g_free(ask->program);
     g_free(ask->asked);
     g_free(ask);
 }
@@ -218,13 +292,26 @@
         return;
     }
     if (ask->generation == store_client_generation(ask->client->stores))
-        note_silent(ask->client, ask->member);
+        note_silent(ask->client, ask);
     go_on(ask);
 }
 
+static void take_call(quota_ask_t *ask, const quota_call_t *call) {
+    bool of_program = call->program != NULL;
+    uint32_t patience_ms = MIN(call->time_left_ms / PATIENCE_PART, BEGUN_PATIENCE_MS);
+    ask->patience_ms = of_program ? MAX(patience_ms, PATIENCE_MS) : PATIENCE_MS;
+    ask->begun = of_program && call->begun;
+    ask->program = g_strdup(call->program);
+    ask->kind = XXH64(call->route, strlen(call->route), 0);
+}
+
 quota_result_t quota_client_ask(quota_client_t *client, const tenant_t *tenant, uint64_t version,
-                                quota_done_t done, void *owner, quota_ask_t **ask) {
-    uint64_t unused = take_unused(find_tenant(client, tenant->name), uv_now(client->loop));
+                                const quota_call_t *call, quota_done_t done, void *owner,
+                                quota_ask_t **ask) {
+    /* A new program would pass by its home. */
+    bool may_use = call->program == NULL || call->begun;
+    uint64_t unused =
+        may_use ? take_unused(find_tenant(client, tenant->name), uv_now(client->loop)) : 0;
     if (unused > 0)
         return (quota_result_t){.outcome = QUOTA_GRANTED, .until = unused};
     quota_ask_t *created = g_new0(quota_ask_t, 1);
@@ -233,6 +320,7 @@
     created->limit = (quota_limit_t){version, tenant->rate, tenant->burst};
     created->done = done;
     created->owner = owner;
+    take_call(created, call);
     created->generation = store_client_generation(client->stores);
     created->asked = g_new0(bool, store_client_members(client->stores) + 1);
     uv_timer_init(client->loop, &created->timer);
@@ -257,8 +345,26 @@
     quota_limit_t limit = {version, tenant->rate, tenant->burst};
     quota_decision_t decision = decide(client, tenant->name, &limit, NULL);
     /* Also where all are out of tokens: what was used must be paid for. */
-    if (decision.step != QUOTA_UNREACHABLE)
-        send_request(client, MESSAGE_CHARGE, decision.member, tenant->name, &limit, 0, 0);
+    if (decision.step == QUOTA_UNREACHABLE)
+        return;
+    message_t message;
+    message_init(&message, MESSAGE_CHARGE);
+    send_request(client, decision.member, &message, tenant->name, &limit);
+}
+
+/** An answer of the program's home; true if the call is refused by it. */
+static bool take_home_answer(quota_ask_t *ask, unsigned member, const message_t *message) {
+    quota_client_t *client = ask->client;
+    if (!ask->at_home || message->type != RESPONSE_ALLOWANCE)
+        return false;
+    g_hash_table_add(client->knowing, g_strdup(store_client_member_name(client->stores, member)));
+    leave_home(ask, true);
+    if (message->verdict != VERDICT_UNSURE)
+        return false;
+    quota_result_t result = {
+        .outcome = QUOTA_OVER, .wait_ms = come_back_ms(message->wait_ms), .not_begun = true};
+    finish(ask, &result);
+    return true;
 }
 
 void quota_client_take_answer(quota_client_t *client, unsigned member, const message_t *message) {
@@ -268,6 +374,8 @@
     bool allowance = message->type == RESPONSE_ALLOWANCE;
     bool current = ask->generation == store_client_generation(client->stores) &&
                    message->generation == ask->generation;
+    if (take_home_answer(ask, member, message))
+        return;
     if (allowance && message->verdict == VERDICT_YES) {
         uint64_t until = ask->asked_at + message->wait_ms + quota_split_grant_ms(&client->bounds);
         if (message->wait_ms > 0) {
@@ -298,5 +406,7 @@
     client->tenants = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_tenant);
     client->asks = g_hash_table_new(g_int64_hash, g_int64_equal);
     client->silent = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    client->knowing = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    client->old = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     return client;
 }
--- a/src/gateway/quota_client.h
+++ b/src/gateway/quota_client.h
@@ -8,6 +8,10 @@
  * soon: the call waits for it, and is then sent for certain. Callers who are refused come back
  * later than that.
  *
+ * A program's call asks the program's home first (core/admission/program_home.h), which may refuse
+ * it if the program is new; the rest goes as for any call, but that one of a program that the home
+ * lets go on may wait longer.
+ *
  * A grant has an end, counted from when it was asked for. So a gateway that was paused, or whose
  * answer was long on its way, sends nothing on a grant that the storage nodes have filled up since.
  *
@@ -37,8 +41,17 @@
     quota_outcome_t outcome;
     uint64_t until;   /**< Of a grant: loop time in ms at which it ends. */
     uint32_t wait_ms; /**< Over the limit: when to come back. */
+    bool not_begun;   /**< Over the limit: the program's home lets no new one begin. */
 } quota_result_t;
 
+/** What is known of a call when it asks. */
+typedef struct {
+    const char *program; /**< NULL: a plain call. */
+    const char *route;
+    bool begun; /**< The call shows that its program has had an answer. */
+    uint32_t time_left_ms;
+} quota_call_t;
+
 typedef void (*quota_done_t)(void *owner, const quota_result_t *result);
 
 quota_client_t *quota_client_new(uv_loop_t *loop, store_client_t *stores,
@@ -48,7 +61,8 @@
  * outcome is QUOTA_WAITING, @p ask is set and @p done is called once, later.
  */
 quota_result_t quota_client_ask(quota_client_t *client, const tenant_t *tenant, uint64_t version,
-                                quota_done_t done, void *owner, quota_ask_t **ask);
+                                const quota_call_t *call, quota_done_t done, void *owner,
+                                quota_ask_t **ask);
 /** Ends an ask without a callback. */
 void quota_ask_cancel(quota_ask_t *ask);
 /** A grant was not used; it may serve another call of the tenant until its end. */
--- a/src/gateway/reports.c
+++ b/src/gateway/reports.c
@@ -117,6 +117,8 @@
     metrics_append(text, "over_budget_total", counters->over_budget);
     metrics_append(text, "directory_entries_rejected_total", counters->entries_rejected);
     metrics_append(text, "over_quota_total", counters->over_quota);
+    metrics_append(text, "programs_not_begun_total", counters->programs_not_begun);
+    metrics_append(text, "begun_over_quota_total", counters->begun_over_quota);
     metrics_append(text, "quota_requests_total", quota_client_requests(gateway->quotas));
     metrics_append(text, "chain_reads_total", counters->chain_reads);
     metrics_append(text, "log_lines_left_out_total", event_lines_left_out());
--- a/src/store/store.c
+++ b/src/store/store.c
@@ -39,8 +39,10 @@
         store_mark_time(store);
     if (now > PLACE_RETENTION_MS)
         program_places_expire(&store->places, now - PLACE_RETENTION_MS);
-    if (now > QUOTA_RETENTION_MS)
+    if (now > QUOTA_RETENTION_MS) {
         quota_table_expire(&store->quotas, now - QUOTA_RETENTION_MS);
+        admission_table_expire(&store->admissions, now - QUOTA_RETENTION_MS);
+    }
     record_log_trim(store->log, segment_unneeded, store);
 }
 
@@ -73,6 +75,7 @@
     program_places_init(&store->places);
     room_holds_init(&store->holds);
     quota_table_init(&store->quotas, &store->settings->quota);
+    admission_table_init(&store->admissions);
     store_requests_start(store);
     store->directory = store_directory_new(store);
     if (!open_log(store, error))
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -17,6 +17,7 @@
 #include "cluster/process_settings.h"
 #include "common/latency_histogram.h"
 #include "core/quorum/store_group.h"
+#include "core/admission/admission_table.h"
 #include "core/quota/quota_table.h"
 #include "core/turns/record_clock.h"
 #include "core/turns/room_holds.h"
@@ -38,7 +39,10 @@
     turn_table_t turns;
     budget_table_t budgets;
     program_places_t places;
-    quota_table_t quotas; /**< This member's shares of the tenants' limits. */
+    quota_table_t quotas;          /**< This member's shares of the tenants' limits. */
+    admission_table_t admissions;  /**< Programs of these tenants that have their home here. */
+    uint64_t admissions_logged_at; /**< The second in which the latest were logged, */
+    unsigned admissions_logged;    /**< and how many. */
     frame_listener_t *listener;
     GHashTable *connections;  /**< Opened by others: serial number to frame_connection_t. */
     uv_timer_t tell_gateways; /**< Runs while the list of gateways has changed. */
--- a/src/store/store_metrics.c
+++ b/src/store/store_metrics.c
@@ -28,6 +28,10 @@
     metrics_append(text, "store_allowances_granted_total", store->quotas.granted);
     metrics_append(text, "store_allowances_refused_total", store->quotas.refused);
     metrics_append(text, "store_allowances_charged_total", store->quotas.charged);
+    metrics_append(text, "store_programs_admitted_total", store->admissions.admitted);
+    metrics_append(text, "store_programs_readmitted_total", store->admissions.readmitted);
+    metrics_append(text, "store_programs_refused_total", store->admissions.refused);
+    metrics_append(text, "store_programs_remembered", store->admissions.programs);
     metrics_append(text, "log_lines_left_out_total", event_lines_left_out());
     latency_histogram_append(&store->write_latency, "rudderway_store_write_ms", NULL, text);
 }
--- a/src/store/store_requests.c
+++ b/src/store/store_requests.c
@@ -14,10 +14,16 @@
 #include "common/event.h"
 #include "store/store_directory.h"
 
+#include <string.h>
+#include <xxhash.h>
+
 enum {
     CHAIN_TURNS_MAXIMUM = 2000,
-    TELL_GATEWAYS_MS = 100,       /**< Changes of the list gather for so long, */
-    TELL_GATEWAYS_A_MS = 2,       /**< longer by 1 ms for so many gateways, */
+    MS_PER_S = 1000,
+    ADMISSIONS_LOGGED = 20,           /**< Lines on programs' admissions, */
+    ADMISSIONS_LOGGED_EACH_MS = 1000, /**< in so long. */
+    TELL_GATEWAYS_MS = 100,           /**< Changes of the list gather for so long, */
+    TELL_GATEWAYS_A_MS = 2,           /**< longer by 1 ms for so many gateways, */
     TELL_GATEWAYS_MOST_MS = 1000, /**< but not beyond this: while all connect, lists change all the
                                        time, and each takes a write to each of a cell. */
 };
@@ -272,20 +278,69 @@
 
 /* Tenants' limits. */
 
-static void allow(store_t *store, frame_connection_t *connection, const message_t *request) {
-    quota_answer_t allowed =
-        quota_table_take(&store->quotas, request->tenant, &request->limit,
-                         store->group->members->len, request->wait_ms, now(store));
+static void answer_allowance(const store_t *store, frame_connection_t *connection,
+                             const message_t *request, verdict_t verdict, uint32_t wait_ms) {
     message_t response;
     message_init(&response, RESPONSE_ALLOWANCE);
     response.number = request->number;
     response.generation = store->group->generation;
-    response.verdict = allowed.granted ? VERDICT_YES : VERDICT_NO;
-    response.wait_ms = allowed.wait_ms;
+    response.verdict = verdict;
+    response.wait_ms = wait_ms;
     frame_connection_send(connection, message_encode(&response));
     message_clear(&response);
 }
 
+static void allow(store_t *store, frame_connection_t *connection, const message_t *request) {
+    quota_answer_t allowed =
+        quota_table_take(&store->quotas, request->tenant, &request->limit,
+                         store->group->members->len, request->wait_ms, now(store));
+    answer_allowance(store, connection, request, allowed.granted ? VERDICT_YES : VERDICT_NO,
+                     allowed.wait_ms);
+}
+
+/** True if one more line on admissions may be written in this second. */
+static bool may_log_admission(store_t *store) {
+    uint64_t second = now(store) / ADMISSIONS_LOGGED_EACH_MS;
+    if (second != store->admissions_logged_at)
+        store->admissions_logged = 0;
+    store->admissions_logged_at = second;
+    return store->admissions_logged++ < ADMISSIONS_LOGGED;
+}
+
+static void log_admission(store_t *store, const message_t *request,
+                          const program_admission_t *admission, const program_share_t *share) {
+    if ((admission->admitted && !admission->readmitted) || !may_log_admission(store))
+        return;
+    const char *program = request->charge.program;
+    if (admission->admitted)
+        event_log(STORE_PROGRAM_READMITTED, request->tenant, program, share->tokens,
+                  share->tokens_per_ms * MS_PER_S, admission->owed, admission->expected,
+                  admission->under_way);
+    else
+        event_log(STORE_PROGRAM_REFUSED, request->tenant, program, share->tokens,
+                  share->tokens_per_ms * MS_PER_S, admission->owed, admission->expected,
+                  admission->under_way, admission->wait_ms);
+}
+
+static void allow_program(store_t *store, frame_connection_t *connection,
+                          const message_t *request) {
+    const char *program = request->charge.program;
+    program_call_t call = {
+        .program = XXH64(program, strlen(program), 0),
+        .kind = request->kind,
+        .begun = request->begun || program_places_find(&store->places, program) != 0,
+    };
+    program_share_t share = {0};
+    program_admission_t admission =
+        admission_table_admit(&store->admissions, &store->quotas, request->tenant, &request->limit,
+                              store->group->members->len, &call, now(store), &share);
+    log_admission(store, request, &admission, &share);
+    if (admission.admitted)
+        allow(store, connection, request);
+    else
+        answer_allowance(store, connection, request, VERDICT_UNSURE, admission.wait_ms);
+}
+
 static void charge(store_t *store, const message_t *message) {
     if (store_is_member(store))
         quota_table_charge(&store->quotas, message->tenant, &message->limit,
@@ -313,6 +368,9 @@
     case REQUEST_ALLOWANCE:
         allow(store, connection, request);
         break;
+    case REQUEST_PROGRAM_ALLOWANCE:
+        allow_program(store, connection, request);
+        break;
     default:
         read_chain(store, connection, request);
         break;
@@ -399,6 +457,7 @@
     case REQUEST_PUT_TURN:
     case REQUEST_CHAIN:
     case REQUEST_ALLOWANCE:
+    case REQUEST_PROGRAM_ALLOWANCE:
         handle_member_request(store, connection, &request, record);
         break;
     case REQUEST_SETTLE:
--- a/src/store/store_state.c
+++ b/src/store/store_state.c
@@ -111,8 +111,10 @@
     if (group->generation <= store->group->generation)
         return;
     bool stayed = store_is_member(store) && group->generation == store->group->generation + 1;
-    if (!stayed)
+    if (!stayed) {
         quota_table_restart(&store->quotas);
+        admission_table_restart(&store->admissions);
+    }
     store_group_free(store->group);
     store->group = store_group_copy(group);
     store->group_durable = false;
--- a/src/storesim/quota_workload.c
+++ b/src/storesim/quota_workload.c
@@ -1,8 +1,9 @@
 /*
  * Design. Callers of a few tenants ask for far more than their limits at every gateway, through the
- * real quota_client.c; each grant is used a moment later, unless it has ended by then. The oracle
- * notes each use and looks, at the end, for the window that held most of them. Nothing excuses a
- * window that holds more than is allowed: no fault of storage nodes, gateways or the network.
+ * real quota_client.c, by plain calls and by programs' calls; each grant is used a moment later,
+ * unless it has ended by then. The oracle notes each use and looks, at the end, for the window that
+ * held most of them. Nothing excuses a window that holds more than is allowed: no fault of storage
+ * nodes, gateways or the network.
  */
 #include "storesim/quota_workload.h"
 
@@ -13,7 +14,9 @@
     CROWD_MS = 8000,       /**< and last so long: the buckets are full before. */
     STALL_FROM_MS = 1000,  /**< In every other crowd all calls wait for something else from here, */
     STALL_UNTIL_MS = 4000, /**< and are sent together here, if their grants still hold. */
-    FURTHER_SEND_PERCENT = 2, /**< Of the calls that were sent, so many are sent once more. */
+    PLAIN_PERCENT = 30,    /**< Of the calls, so many belong to no program, */
+    PROGRAM_ENDS_PERCENT = 15, /**< and after so many of the others their program ends. */
+    FURTHER_SEND_PERCENT = 2,  /**< Of the calls that were sent, so many are sent once more. */
     MS_PER_S = 1000,
 };
 
@@ -28,16 +31,27 @@
     {{.name = (char *)"tiny", .rate = 2, .burst = 1}, NULL},
 };
 
+/** Who calls for one tenant at one gateway, one program after the other. */
+typedef struct {
+    const world_gateway_t *gateway;
+    workload_tenant_t *tenant;
+    uint64_t program; /**< Its number; 0: none yet. */
+    bool begun;       /**< It has had a grant. */
+} caller_t;
+
 /** One call. */
 typedef struct {
     const world_gateway_t *gateway;
     workload_tenant_t *tenant;
+    caller_t *caller;
+    uint64_t program; /**< 0: a plain call. */
     uint64_t until;
-} quota_call_t;
+} workload_call_t;
 
 static const world_t *world;
 static uint64_t work_until;
 static bool ends_ignored;
+static uint64_t programs; /**< Begun so far. */
 static quota_workload_result_t result;
 
 static void note_use(const workload_tenant_t *tenant) {
@@ -46,7 +60,7 @@
 }
 
 static void use(void *data) {
-    quota_call_t *call = data;
+    workload_call_t *call = data;
     if (virtual_now() <= call->until || ends_ignored) {
         note_use(call->tenant);
         result.used++;
@@ -67,9 +81,11 @@
     return stalls && since < STALL_UNTIL_MS ? STALL_UNTIL_MS - since : 0;
 }
 
-static void take_result(quota_call_t *call, const quota_result_t *outcome) {
+static void take_result(workload_call_t *call, const quota_result_t *outcome) {
     if (outcome->outcome == QUOTA_GRANTED) {
         call->until = outcome->until;
+        if (call->program == call->caller->program)
+            call->caller->begun = true;
         virtual_after(virtual_random(0, USE_SOON_MS) + stall_ms(), call->gateway->process, use,
                       call);
         return;
@@ -83,24 +99,37 @@
     take_result(owner, outcome);
 }
 
-static void begin_call(const world_gateway_t *gateway, workload_tenant_t *tenant) {
-    quota_call_t *call = g_new0(quota_call_t, 1);
-    call->gateway = gateway;
-    call->tenant = tenant;
+/** The caller's next call may be a new program's. */
+static void choose_program(caller_t *caller) {
+    if (caller->program > 0 && !virtual_chance(PROGRAM_ENDS_PERCENT))
+        return;
+    caller->program = ++programs;
+    caller->begun = false;
+}
+
+static void begin_call(caller_t *caller) {
+    workload_call_t *call = g_new0(workload_call_t, 1);
+    call->gateway = caller->gateway;
+    call->tenant = caller->tenant;
+    call->caller = caller;
+    quota_call_t asking = {.route = "route", .time_left_ms = MS_PER_S};
+    char name[32];
+    if (!virtual_chance(PLAIN_PERCENT)) {
+        choose_program(caller);
+        call->program = caller->program;
+        g_snprintf(name, sizeof name, "program-%" G_GUINT64_FORMAT, call->program);
+        asking.program = name;
+        asking.begun = caller->begun;
+    }
     quota_ask_t *ask;
-    quota_result_t outcome =
-        quota_client_ask(gateway->quotas, &tenant->tenant, 1, on_result, call, &ask);
+    quota_result_t outcome = quota_client_ask(caller->gateway->quotas, &caller->tenant->tenant, 1,
+                                              &asking, on_result, call, &ask);
     if (outcome.outcome != QUOTA_WAITING)
         take_result(call, &outcome);
 }
 
-typedef struct {
-    const world_gateway_t *gateway;
-    workload_tenant_t *tenant;
-} caller_t;
-
 static void step(void *data) {
-    const caller_t *caller = data;
+    caller_t *caller = data;
     const world_gateway_t *gateway = caller->gateway;
     if (virtual_now() >= work_until)
         return;
@@ -109,13 +138,14 @@
     virtual_after(virtual_random(0, 2 * mean_ms + 1), NULL, step, data);
     bool crowd = virtual_now() % CROWD_EACH_MS < CROWD_MS;
     if (crowd && gateway->client != NULL && gateway->process->paused_until <= virtual_now())
-        begin_call(gateway, caller->tenant);
+        begin_call(caller);
 }
 
 void quota_workload_start(const world_t *in_world, uint64_t until, bool ignore_ends) {
     world = in_world;
     work_until = until;
     ends_ignored = ignore_ends;
+    programs = 0;
     result = (quota_workload_result_t){0};
     for (size_t i = 0; i < G_N_ELEMENTS(tenants); i++) {
         if (tenants[i].used != NULL)
--- /dev/null
+++ b/tests/unit/admission_test.cc
@@ -0,0 +1,506 @@
+// Programs of tenants with a limit: how many calls they make, which of them may begin, and who
+// keeps account of them. The last part plays a crowd without a network, in virtual time, through
+// the decision code of gateways and members.
+#include <glib.h>
+
+extern "C" {
+#include "core/admission/admission_table.h"
+#include "core/admission/call_counts.h"
+#include "core/admission/program_home.h"
+}
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace {
+
+const quota_bounds_t bounds = {5000, 0.1, 20};
+
+double allowed(const quota_limit_t &limit) {
+    return (limit.rate * 5.0 + limit.burst) * (1 + bounds.overage) + bounds.slack;
+}
+
+// Distribution of calls.
+
+void see_program(call_counts_t *counts, unsigned calls, bool ended = true) {
+    for (unsigned i = 1; i <= calls; i++)
+        call_counts_note_call(counts, i);
+    if (ended)
+        call_counts_note_end(counts, calls, true);
+}
+
+TEST(CallCounts, KnowsNothingUntilSomeProgramsHaveEnded) {
+    call_counts_t counts = {};
+    for (int i = 0; i < 7; i++)
+        see_program(&counts, 4);
+    EXPECT_FALSE(call_counts_known(&counts));
+    see_program(&counts, 4);
+    EXPECT_TRUE(call_counts_known(&counts));
+    EXPECT_NEAR(call_counts_forecast(&counts, 0).mean, 4, 0.6);
+}
+
+TEST(CallCounts, AProgramThatHasMadeManyCallsIsOneOfTheLongOnes) {
+    call_counts_t counts = {};
+    for (int i = 0; i < 50; i++) {
+        see_program(&counts, 2);
+        see_program(&counts, 20);
+    }
+    EXPECT_NEAR(call_counts_forecast(&counts, 0).mean, 11, 1);
+    call_forecast_t after_two = call_counts_forecast(&counts, 2);
+    EXPECT_NEAR(after_two.chance, 0.5, 0.05);
+    EXPECT_NEAR(after_two.mean, 18, 2) << "if it goes on";
+    EXPECT_NEAR(call_counts_forecast(&counts, 15).mean, 5, 1);
+}
+
+TEST(CallCounts, ShortProgramsWhichEndFirstDontHideTheLongOnes) {
+    call_counts_t counts = {};
+    for (int i = 0; i < 20; i++) {
+        see_program(&counts, 2);
+        see_program(&counts, 10, i < 2);
+    }
+    EXPECT_GT(call_counts_forecast(&counts, 0).mean, 5.5);
+}
+
+// One ledger.
+
+class Ledger : public testing::Test {
+  protected:
+    void SetUp() override {
+        ledger = program_ledger_new();
+    }
+    void TearDown() override {
+        program_ledger_free(ledger);
+    }
+    program_admission_t call(uint64_t program, uint64_t now, bool begun = false,
+                             program_share_t with = {1000, 1, 1000}) {
+        program_call_t call = {program, 7, begun};
+        return program_ledger_admit(ledger, &call, &with, true, now);
+    }
+    /** Programs of @p calls that pause 200 ms each, so that their kind is known. */
+    uint64_t learn(unsigned programs, unsigned calls) {
+        uint64_t now = 1000;
+        for (unsigned k = 0; k < calls; k++, now += 200)
+            for (unsigned i = 0; i < programs; i++)
+                call(1000000 + i, now);
+        now += 20000;
+        program_ledger_owed(ledger, now);
+        return now;
+    }
+    program_ledger_t *ledger = nullptr;
+};
+
+TEST_F(Ledger, AdmitsAsBeforeWhileNothingIsKnown) {
+    for (uint64_t i = 1; i <= 100; i++)
+        EXPECT_TRUE(call(i, 10, false, {1, 0.01, 40}).admitted);
+    EXPECT_FALSE(call(200, 10, false, {-5, 0.01, 40}).admitted) << "no token, and none soon";
+}
+
+TEST_F(Ledger, RefusesANewProgramThatCantBeCarriedThroughAndSaysWhen) {
+    uint64_t now = learn(50, 10);
+    unsigned admitted = 0;
+    program_admission_t last = {};
+    for (uint64_t i = 1; i <= 100; i++) {
+        last = call(i, now, false, {40, 0.1, 40});
+        admitted += last.admitted;
+    }
+    EXPECT_GE(admitted, 15u) << "0.1 calls a ms carry 20 programs that make one each 200 ms";
+    EXPECT_LE(admitted, 30u);
+    EXPECT_FALSE(last.admitted);
+    EXPECT_GE(last.wait_ms, 100u);
+    EXPECT_NEAR(last.expected, 10, 1);
+    EXPECT_TRUE(call(1, now + 100, false, {0, 0.1, 40}).begun);
+    EXPECT_TRUE(call(1, now + 100, false, {0, 0.1, 40}).admitted) << "under way";
+}
+
+TEST_F(Ledger, AProgramThatFallsSilentGivesItsPartBack) {
+    uint64_t now = learn(50, 10);
+    while (call(now, now, false, {40, 0.1, 40}).admitted)
+        now++;
+    EXPECT_GT(program_ledger_owed(ledger, now), 50);
+    EXPECT_LT(program_ledger_owed(ledger, now + 3000), 1);
+    EXPECT_TRUE(call(1, now + 3000, false, {40, 0.1, 40}).admitted);
+}
+
+TEST_F(Ledger, AMemberWithoutMemoryBelievesThatAProgramHasBegun) {
+    uint64_t now = learn(50, 10);
+    while (call(now, now, false, {40, 0.1, 40}).admitted)
+        now++;
+    EXPECT_TRUE(call(5, now, true, {-40, 0.1, 40}).admitted);
+    EXPECT_TRUE(call(5, now + 200, false, {-40, 0.1, 40}).begun) << "and knows it from then on";
+}
+
+TEST_F(Ledger, ALoopWithoutEndIsAskedAgainAsIfItWereNew) {
+    uint64_t now = learn(50, 10);
+    for (int i = 0; i < 60; i++, now += 200)
+        EXPECT_TRUE(call(1, now, false, {-1, 0.1, 40}).admitted || i == 0);
+    call(1, now, true, {-1, 0.1, 40});
+    bool refused = false;
+    for (int i = 0; i < 40; i++, now += 200)
+        refused = refused || !call(1, now, true, {-30, 0.1, 40}).admitted;
+    EXPECT_TRUE(refused);
+    EXPECT_TRUE(call(1, now, true, {40, 0.1, 40}).admitted) << "it gets what others leave";
+}
+
+TEST_F(Ledger, ARefusedProgramThatComesBackIsReadmitted) {
+    EXPECT_FALSE(call(1, 10, false, {-5, 0.01, 40}).admitted);
+    EXPECT_FALSE(call(1, 20, false, {-5, 0.01, 40}).admitted) << "a refusal doesn't begin it";
+    program_admission_t later = call(1, 500, false, {5, 0.01, 40});
+    EXPECT_TRUE(later.admitted);
+    EXPECT_TRUE(later.readmitted);
+}
+
+TEST_F(Ledger, RemembersSoManyProgramsAtMost) {
+    for (uint64_t i = 1; i <= 20000; i++)
+        EXPECT_TRUE(call(i, 10).admitted);
+    EXPECT_EQ(program_ledger_size(ledger), 10000u);
+    program_ledger_owed(ledger, 60000);
+    program_ledger_owed(ledger, 120000);
+    EXPECT_EQ(program_ledger_size(ledger), 0u);
+}
+
+// Homes.
+
+TEST(ProgramHome, MovesOnlyProgramsOfAMemberThatIsLost) {
+    std::vector<quota_member_t> members(8);
+    for (unsigned i = 0; i < 8; i++)
+        members[i] = {true, false, 1000 + i * 77, 0};
+    std::map<unsigned, int> programs;
+    for (uint64_t p = 1; p <= 8000; p++)
+        programs[program_home_choose(members.data(), 8, 8, p)]++;
+    for (auto &[member, count] : programs)
+        EXPECT_NEAR(count, 1000, 150) << member;
+    std::vector<quota_member_t> rest = members;
+    rest[3].reachable = false;
+    for (uint64_t p = 1; p <= 8000; p++) {
+        unsigned before = program_home_choose(members.data(), 8, 8, p);
+        unsigned after = program_home_choose(rest.data(), 8, 8, p);
+        EXPECT_TRUE(before == after || before == 3);
+        EXPECT_NE(after, 3u);
+    }
+    for (auto &member : rest)
+        member.reachable = false;
+    EXPECT_EQ(program_home_choose(rest.data(), 8, 8, 1), 8u);
+}
+
+TEST(ProgramHome, ASmallLimitHasOneHomeAndALargeOneAllMembers) {
+    quota_limit_t small = {1, 10, 10};
+    quota_limit_t large = {1, 1000, 1000};
+    EXPECT_EQ(program_home_count(&small, 8), 1u);
+    EXPECT_EQ(program_home_count(&large, 8), 8u);
+}
+
+// A crowd.
+
+constexpr unsigned gateways = 6;
+constexpr uint64_t call_ms = 150;
+constexpr uint64_t pause_ms = 100;
+constexpr uint64_t patience_ms = 100;
+constexpr uint64_t begun_patience_ms = 300;
+
+struct Answer {
+    bool granted;
+    uint64_t wait_ms;
+};
+
+/** Members of the store group and what gateways know of them. */
+class Fleet {
+  public:
+    Fleet(unsigned count, bool whole, unsigned seed) : whole_programs(whole), random(seed) {
+        members.resize(count);
+        for (auto &member : members) {
+            member = std::make_unique<Member>();
+            quota_table_init(&member->quotas, &bounds);
+            admission_table_init(&member->admissions);
+        }
+    }
+    ~Fleet() {
+        for (auto &member : members) {
+            quota_table_clear(&member->quotas);
+            admission_table_clear(&member->admissions);
+        }
+    }
+    void set_up(unsigned member, bool up) {
+        members[member]->up = up;
+        quota_table_restart(&members[member]->quotas);
+        admission_table_restart(&members[member]->admissions);
+    }
+    Answer ask(const std::string &tenant, const quota_limit_t &limit, uint64_t program, bool begun,
+               uint64_t now) {
+        unsigned count = (unsigned)members.size();
+        std::vector<uint64_t> &empty = empty_until[{tenant, random() % gateways}];
+        empty.resize(count);
+        std::vector<quota_member_t> known(count);
+        std::hash<std::string> hash;
+        for (unsigned i = 0; i < count; i++)
+            known[i] = {members[i]->up, false, hash(tenant + std::to_string(i)), empty[i]};
+        unsigned shares = quota_split_count(&bounds, &limit, count);
+        uint64_t patience = patience_ms;
+        if (whole_programs) {
+            unsigned homes = program_home_count(&limit, shares);
+            unsigned home = program_home_choose(known.data(), count, homes, program);
+            program_call_t call = {program, 1, begun};
+            program_share_t share;
+            program_admission_t admission =
+                admission_table_admit(&members[home]->admissions, &members[home]->quotas,
+                                      tenant.c_str(), &limit, count, &call, now, &share);
+            if (!admission.admitted)
+                return {false, spread(admission.wait_ms)};
+            patience = begun_patience_ms;
+            if (take(home, tenant, limit, 0, now, &empty[home]).granted)
+                return {true, 0};
+            known[home].asked = true;
+            known[home].empty_until = empty[home];
+        }
+        for (;;) {
+            quota_decision_t decision = quota_choose(known.data(), count, shares, now, random());
+            if (decision.step != QUOTA_ASK)
+                return wait(decision, tenant, limit, patience, now);
+            if (take(decision.member, tenant, limit, 0, now, &empty[decision.member]).granted)
+                return {true, 0};
+            known[decision.member].asked = true;
+            known[decision.member].empty_until = empty[decision.member];
+        }
+    }
+
+  private:
+    struct Member {
+        quota_table_t quotas;
+        admission_table_t admissions;
+        bool up = true;
+    };
+    uint64_t spread(uint64_t wait_ms) {
+        return wait_ms + random() % std::clamp<uint64_t>(wait_ms, 100, 1000);
+    }
+    quota_answer_t take(unsigned member, const std::string &tenant, const quota_limit_t &limit,
+                        uint32_t patience, uint64_t now, uint64_t *empty) {
+        quota_answer_t answer = quota_table_take(&members[member]->quotas, tenant.c_str(), &limit,
+                                                 (unsigned)members.size(), patience, now);
+        if (!answer.granted)
+            *empty = now + answer.wait_ms;
+        return answer;
+    }
+    Answer wait(const quota_decision_t &decision, const std::string &tenant,
+                const quota_limit_t &limit, uint64_t patience, uint64_t now) {
+        uint64_t ignored;
+        if (decision.step != QUOTA_REFUSE || decision.wait_ms > patience)
+            return {false, spread(decision.wait_ms)};
+        quota_answer_t answer =
+            take(decision.member, tenant, limit, (uint32_t)patience, now, &ignored);
+        return {answer.granted, answer.granted ? answer.wait_ms : spread(answer.wait_ms)};
+    }
+    bool whole_programs;
+    std::mt19937 random;
+    std::vector<std::unique_ptr<Member>> members;
+    std::map<std::pair<std::string, uint64_t>, std::vector<uint64_t>> empty_until;
+};
+
+struct Tenant {
+    std::string name;
+    quota_limit_t limit;
+    double usual;       /**< Of its limit that it asks for, */
+    double crowd;       /**< and from 10 s to 17 s. */
+    bool loops = false; /**< A tenth of its programs goes on without end. */
+};
+
+struct Outcome {
+    int begun = 0;
+    int in_aim = 0;
+    int finished = 0;
+    int refused_first = 0; /**< Never let in. */
+    int cut = 0;           /**< Refused after an answer, for good. */
+    int wasted = 0;        /**< Calls that ran for programs that were cut. */
+    int calls = 0;
+    std::vector<uint64_t> used;
+    int in_span(uint64_t from, uint64_t until) const {
+        return (int)std::count_if(used.begin(), used.end(),
+                                  [&](uint64_t t) { return t >= from && t < until; });
+    }
+    int fullest() const {
+        std::vector<uint64_t> sorted = used;
+        std::sort(sorted.begin(), sorted.end());
+        size_t first = 0;
+        size_t most = 0;
+        for (size_t i = 0; i < sorted.size(); i++) {
+            while (sorted[i] - sorted[first] >= bounds.window_ms)
+                first++;
+            most = std::max(most, i - first + 1);
+        }
+        return (int)most;
+    }
+};
+
+/** Plays programs of about 4 and 9 turns, each turn with up to two tool calls behind it. */
+class Crowd {
+  public:
+    Crowd(Fleet &fleet, std::vector<Tenant> tenants, unsigned seed)
+        : fleet(fleet), tenants(std::move(tenants)), random(seed) {
+        outcomes.resize(this->tenants.size());
+    }
+    void at(uint64_t time, std::function<void()> what) {
+        events.emplace(time, std::move(what));
+    }
+    void play(uint64_t until) {
+        for (size_t i = 0; i < tenants.size(); i++)
+            arrive(i, until);
+        while (!events.empty() && events.begin()->first < until + 60000) {
+            now = events.begin()->first;
+            auto what = std::move(events.begin()->second);
+            events.erase(events.begin());
+            what();
+        }
+    }
+    /** Programs that are under way fall silent. */
+    void kill_part(unsigned one_in) {
+        for (auto &program : live)
+            if (auto alive = program.lock(); alive && random() % one_in == 0)
+                alive->killed = true;
+    }
+    std::vector<Outcome> outcomes;
+
+  private:
+    struct Program {
+        size_t tenant;
+        uint64_t id;
+        unsigned calls;
+        unsigned made = 0;
+        unsigned tries = 0;
+        uint64_t begun_at;
+        bool killed = false;
+    };
+    static constexpr double mean_calls = 13;
+    void arrive(size_t i, uint64_t until) {
+        const Tenant &tenant = tenants[i];
+        double times = now >= 10000 && now < 17000 ? tenant.crowd : tenant.usual;
+        double per_ms = tenant.limit.rate / 1000.0 * times / mean_calls;
+        uint64_t next = now + (uint64_t)std::exponential_distribution<>(per_ms)(random);
+        if (now > 0)
+            begin(i);
+        if (next < until)
+            at(std::max(next, now + 1), [this, i, until] { arrive(i, until); });
+    }
+    void begin(size_t i) {
+        unsigned turns = 1 + std::poisson_distribution<>(random() % 2 ? 3 : 8)(random);
+        unsigned calls = turns;
+        for (unsigned k = 0; k < turns; k++)
+            calls += random() % 3;
+        if (tenants[i].loops && random() % 10 == 0)
+            calls = 100000;
+        auto program = std::make_shared<Program>(Program{i, ++ids, calls, 0, 0, now, false});
+        live.push_back(program);
+        outcomes[i].begun++;
+        call(program);
+    }
+    void call(const std::shared_ptr<Program> &program) {
+        if (program->killed || now > 60000)
+            return;
+        const Tenant &tenant = tenants[program->tenant];
+        Answer answer = fleet.ask(tenant.name, tenant.limit, program->id, program->made > 0, now);
+        Outcome &outcome = outcomes[program->tenant];
+        if (!answer.granted) {
+            refused(program, answer.wait_ms);
+            return;
+        }
+        outcome.used.push_back(now + answer.wait_ms);
+        program->made++;
+        program->tries = 0;
+        uint64_t next = now + answer.wait_ms + call_ms;
+        at(next, [this, program] { answered(program); });
+    }
+    void answered(const std::shared_ptr<Program> &program) {
+        Outcome &outcome = outcomes[program->tenant];
+        outcome.calls++;
+        if (program->made < program->calls) {
+            at(now + pause_ms, [this, program] { call(program); });
+            return;
+        }
+        uint64_t idle = program->calls * call_ms + (program->calls - 1) * pause_ms;
+        outcome.finished++;
+        outcome.in_aim += now - program->begun_at <= idle * 3 / 2 + 250;
+    }
+    /** Each call is tried three times. */
+    void refused(const std::shared_ptr<Program> &program, uint64_t wait_ms) {
+        Outcome &outcome = outcomes[program->tenant];
+        if (++program->tries < 3) {
+            at(now + std::min<uint64_t>(wait_ms, 1300), [this, program] { call(program); });
+            return;
+        }
+        outcome.refused_first += program->made == 0;
+        outcome.cut += program->made > 0;
+        outcome.wasted += (int)program->made;
+    }
+    Fleet &fleet;
+    std::vector<Tenant> tenants;
+    std::mt19937 random;
+    std::multimap<uint64_t, std::function<void()>> events;
+    std::vector<std::weak_ptr<Program>> live;
+    uint64_t now = 0;
+    uint64_t ids = 0;
+};
+
+void report(const char *what, bool whole, const Outcome &outcome, const Tenant &tenant) {
+    printf(
+        "%-28s %-7s begun %d in aim %d finished %d refused first %d cut %d wasted %d of %d calls; "
+        "share of the limit used 11..17 s %.2f; fullest window %.2f\n",
+        what, whole ? "whole" : "by call", outcome.begun, outcome.in_aim, outcome.finished,
+        outcome.refused_first, outcome.cut, outcome.wasted, outcome.calls,
+        outcome.in_span(11000, 17000) / (6.0 * tenant.limit.rate),
+        outcome.fullest() / allowed(tenant.limit));
+}
+
+using Trouble = std::function<void(Crowd &, Fleet &)>;
+
+std::vector<Outcome> play(const char *what, bool whole, unsigned members,
+                          const std::vector<Tenant> &tenants, const Trouble &trouble = nullptr,
+                          unsigned seed = 1) {
+    Fleet fleet(members, whole, seed);
+    Crowd crowd(fleet, tenants, seed);
+    if (trouble)
+        trouble(crowd, fleet);
+    crowd.play(27000);
+    for (size_t i = 0; i < tenants.size(); i++) {
+        report(what, whole, crowd.outcomes[i], tenants[i]);
+        EXPECT_LE(crowd.outcomes[i].fullest(), allowed(tenants[i].limit)) << what;
+    }
+    return crowd.outcomes;
+}
+
+const Tenant hot = {"hot", {1, 400, 400}, 0.6, 6};
+
+TEST(Crowd, Grid) {
+    int aim[2] = {}, fin[2] = {}, cut[2] = {};
+    for (unsigned seed = 1; seed <= 6; seed++)
+        for (unsigned members : {5u, 8u})
+            for (int w = 0; w < 2; w++) {
+                Outcome o = play("6x", w, members, {hot}, nullptr, seed)[0];
+                aim[w] += o.in_aim;
+                fin[w] += o.finished;
+                cut[w] += o.cut;
+            }
+    for (int w = 0; w < 2; w++)
+        printf("SUM hot %d: aim %d finished %d cut %d\n", w, aim[w], fin[w], cut[w]);
+    for (uint32_t rate : {3u, 8u, 30u, 100u})
+        for (double x : {0.6, 1.0, 2.0, 6.0}) {
+            int aim[2] = {}, fin[2] = {}, cut[2] = {}, first[2] = {};
+            for (unsigned seed = 1; seed <= 12; seed++)
+                for (int w = 0; w < 2; w++) {
+                    Outcome o =
+                        play("small", w, 8, {{"hot", {1, rate, rate}, 0.6, x}}, nullptr, seed)[0];
+                    aim[w] += o.in_aim;
+                    fin[w] += o.finished;
+                    cut[w] += o.cut;
+                    first[w] += o.refused_first;
+                }
+            for (int w = 0; w < 2; w++)
+                printf("SUM rate %u x %.1f %d: aim %d finished %d cut %d first %d\n", rate, x, w,
+                       aim[w], fin[w], cut[w], first[w]);
+        }
+}
+
+} // namespace
