--- a/src/core/admission/program_home.c
+++ b/src/core/admission/program_home.c
@@ -4,7 +4,7 @@
 #include <xxhash.h>
 
 enum {
-    /** Calls a second of the limit for each home: of some ten programs at once that make a few
+    /** Calls a second of the limit for each home: of some twenty programs at once that make a few
      * calls a second each, so that what one of them does hardly changes their sum. */
     HOME_CALLS_PER_S = 100,
 };
--- a/src/core/quota/quota_split.c
+++ b/src/core/quota/quota_split.c
@@ -2,7 +2,11 @@
 
 #include <math.h>
 
-enum { MS_PER_S = 1000 };
+enum {
+    MS_PER_S = 1000,
+    PROMISE_LEAST_MS = 300, /**< A member takes longer to come back without its memory. */
+    PROMISE_MOST_MS = 2000, /**< Beyond this a caller is better told to come back. */
+};
 
 /* Parts of the allowance; see the header. */
 static const double EXTRA_PART = 0.25;
@@ -62,3 +66,7 @@
 uint32_t quota_split_grant_ms(const quota_bounds_t *bounds) {
     return (uint32_t)(USE_PART * bounds->overage * bounds->window_ms);
 }
+
+uint32_t quota_split_promise_ms(const quota_share_t *share) {
+    return (uint32_t)fmin(fmax(ceil(1 / share->tokens_per_ms), PROMISE_LEAST_MS), PROMISE_MOST_MS);
+}
--- a/src/core/quota/quota_split.h
+++ b/src/core/quota/quota_split.h
@@ -46,6 +46,11 @@
                            unsigned members);
 quota_share_t quota_split_share(const quota_bounds_t *bounds, const quota_limit_t *limit,
                                 unsigned members);
+/**
+ * How long before it is there a token may be promised: what has been promised is forgotten by a
+ * member that restarts. One token may be, however rare they are.
+ */
+uint32_t quota_split_promise_ms(const quota_share_t *share);
 /** How long a grant may be used, counted from when it was asked for. */
 uint32_t quota_split_grant_ms(const quota_bounds_t *bounds);
 
--- a/src/gateway/quota_client.c
+++ b/src/gateway/quota_client.c
@@ -10,9 +10,9 @@
     ANSWER_MS = 100,   /**< A member that has not answered by then is passed over, */
     SILENT_MS = 1000,  /**< for so long. The usual way there and back takes 1 to 4 ms. */
     PATIENCE_MS = 100, /**< A call waits so long for a token that it is sure to get. */
-    BEGUN_PATIENCE_MS =
-        300,           /**< One of a program under way, since all that it has had would be lost;
-                            a storage node takes longer to come back without its memory. */
+    /** One of a program under way, since all that it has had would be lost; members promise no
+     * more than quota_split_promise_ms. */
+    BEGUN_PATIENCE_MS = 1000,
     PATIENCE_PART = 4, /**< But no longer than this part of the call's time. */
     OLD_MS = 30000, /**< A member that has never answered a program's call is not asked again for so
                          long: an earlier version drops such a request. */
--- a/tests/unit/admission_test.cc
+++ b/tests/unit/admission_test.cc
@@ -202,7 +202,7 @@
 constexpr uint64_t call_ms = 150;
 constexpr uint64_t pause_ms = 100;
 constexpr uint64_t patience_ms = 100;
-constexpr uint64_t begun_patience_ms = 300;
+constexpr uint64_t begun_patience_ms = 1000;
 
 struct Answer {
     bool granted;
@@ -473,34 +473,125 @@
 
 const Tenant hot = {"hot", {1, 400, 400}, 0.6, 6};
 
-TEST(Crowd, Grid) {
-    int aim[2] = {}, fin[2] = {}, cut[2] = {};
-    for (unsigned seed = 1; seed <= 6; seed++)
-        for (unsigned members : {5u, 8u})
-            for (int w = 0; w < 2; w++) {
-                Outcome o = play("6x", w, members, {hot}, nullptr, seed)[0];
-                aim[w] += o.in_aim;
-                fin[w] += o.finished;
-                cut[w] += o.cut;
-            }
-    for (int w = 0; w < 2; w++)
-        printf("SUM hot %d: aim %d finished %d cut %d\n", w, aim[w], fin[w], cut[w]);
-    for (uint32_t rate : {3u, 8u, 30u, 100u})
-        for (double x : {0.6, 1.0, 2.0, 6.0}) {
-            int aim[2] = {}, fin[2] = {}, cut[2] = {}, first[2] = {};
-            for (unsigned seed = 1; seed <= 12; seed++)
-                for (int w = 0; w < 2; w++) {
-                    Outcome o =
-                        play("small", w, 8, {{"hot", {1, rate, rate}, 0.6, x}}, nullptr, seed)[0];
-                    aim[w] += o.in_aim;
-                    fin[w] += o.finished;
-                    cut[w] += o.cut;
-                    first[w] += o.refused_first;
-                }
-            for (int w = 0; w < 2; w++)
-                printf("SUM rate %u x %.1f %d: aim %d finished %d cut %d first %d\n", rate, x, w,
-                       aim[w], fin[w], cut[w], first[w]);
+/** Plays the same by call and whole, over three seeds. */
+struct Pair {
+    Outcome by_call;
+    Outcome whole;
+    double used = 0; /**< Share of the limit from 11 s to 17 s, whole, at its least. */
+    double used_by_call = 0;
+};
+
+void add(Outcome &sum, const Outcome &outcome) {
+    sum.begun += outcome.begun;
+    sum.in_aim += outcome.in_aim;
+    sum.finished += outcome.finished;
+    sum.refused_first += outcome.refused_first;
+    sum.cut += outcome.cut;
+    sum.wasted += outcome.wasted;
+    sum.calls += outcome.calls;
+}
+
+double share_used(const Outcome &outcome, const Tenant &tenant) {
+    return outcome.in_span(11000, 17000) / (6.0 * tenant.limit.rate);
+}
+
+std::vector<Pair> play_both(const char *what, unsigned members, const std::vector<Tenant> &tenants,
+                            const Trouble &trouble = nullptr) {
+    std::vector<Pair> pairs(tenants.size());
+    for (unsigned seed = 1; seed <= 3; seed++) {
+        std::vector<Outcome> by_call = play(what, false, members, tenants, trouble, seed);
+        std::vector<Outcome> whole = play(what, true, members, tenants, trouble, seed);
+        for (size_t i = 0; i < tenants.size(); i++) {
+            add(pairs[i].by_call, by_call[i]);
+            add(pairs[i].whole, whole[i]);
+            double used = share_used(whole[i], tenants[i]);
+            pairs[i].used = seed == 1 ? used : std::min(pairs[i].used, used);
+            pairs[i].used_by_call += share_used(by_call[i], tenants[i]) / 3;
+        }
+    }
+    return pairs;
+}
+
+/** What callers of a tenant far over its limit get: whole programs, and no fewer than before. */
+void expect_whole(const Pair &pair, double more) {
+    EXPECT_GE(pair.whole.in_aim, pair.by_call.in_aim * more);
+    EXPECT_LE(pair.whole.cut, pair.whole.begun / 100) << "hardly a program ends in the middle";
+    EXPECT_GT(pair.by_call.cut, pair.by_call.begun / 5) << "the load is one that cuts programs";
+    EXPECT_LE(pair.whole.wasted, pair.whole.calls / 50);
+}
+
+TEST(Crowd, AtSixTimesItsLimitATenantsProgramsRunWholeOrNotAtAll) {
+    for (unsigned members : {5u, 8u}) {
+        Pair pair = play_both("6 x", members, {hot})[0];
+        expect_whole(pair, 1.2);
+        EXPECT_GE(pair.used, 0.98) << "the limit is used";
+    }
+}
+
+TEST(Crowd, ALargeTenantIsServedAlike) {
+    Pair pair = play_both("6 x of 2000 a s", 8, {{"hot", {1, 2000, 2000}, 0.6, 6}})[0];
+    expect_whole(pair, 1.2);
+    EXPECT_GE(pair.used, 0.98);
+}
+
+TEST(Crowd, ASmallTenantsProgramsAreCutLessOften) {
+    Pair pair = play_both("6 x of 30 a s", 8, {{"hot", {1, 30, 30}, 0.6, 6}})[0];
+    EXPECT_GE(pair.whole.finished, pair.by_call.finished);
+    EXPECT_LE(pair.whole.cut, pair.by_call.cut / 10);
+}
+
+TEST(Crowd, WithinItsLimitNobodyIsRefused) {
+    for (uint32_t rate : {3u, 8u, 30u, 100u, 400u}) {
+        Pair pair = play_both("0.6 x", 8, {{"calm", {1, rate, rate}, 0.6, 0.6}})[0];
+        EXPECT_EQ(pair.whole.refused_first, 0) << rate;
+        EXPECT_EQ(pair.whole.cut, 0) << rate;
+        EXPECT_GE(pair.whole.in_aim, pair.by_call.in_aim) << rate;
+    }
+}
+
+TEST(Crowd, AMemberIsLostHalfway) {
+    Pair pair = play_both("member lost", 8, {hot}, [](Crowd &crowd, Fleet &fleet) {
+        crowd.at(13000, [&fleet] { fleet.set_up(2, false); });
+    })[0];
+    expect_whole(pair, 1);
+    EXPECT_GE(pair.used, pair.used_by_call * 0.85);
+}
+
+TEST(Crowd, AllMembersRestartAndForget) {
+    Pair pair = play_both("members restart", 8, {hot}, [](Crowd &crowd, Fleet &fleet) {
+        for (unsigned i = 0; i < 8; i++) {
+            crowd.at(13000 + i * 300, [&fleet, i] { fleet.set_up(i, false); });
+            crowd.at(13600 + i * 300, [&fleet, i] { fleet.set_up(i, true); });
         }
+    })[0];
+    EXPECT_GE(pair.whole.in_aim, pair.by_call.in_aim);
+    EXPECT_LE(pair.whole.cut, pair.by_call.cut / 4);
+}
+
+TEST(Crowd, AGatewayIsKilledAndItsProgramsGiveTheirPartBack) {
+    Pair pair = play_both("gateway killed", 8, {hot}, [](Crowd &crowd, Fleet &fleet) {
+        (void)fleet;
+        crowd.at(13000, [&crowd] { crowd.kill_part(3); });
+    })[0];
+    expect_whole(pair, 1.1);
+    EXPECT_GE(pair.used, 0.95);
+}
+
+TEST(Crowd, TwoTenantsOverTheirLimitsDontCostEachOther) {
+    const Tenant other = {"other", {1, 200, 200}, 0.6, 3};
+    std::vector<Pair> both = play_both("two", 8, {hot, other});
+    Pair alone = play_both("one", 8, {hot})[0];
+    expect_whole(both[0], 1.2);
+    EXPECT_LE(both[1].whole.cut, both[1].whole.begun / 100);
+    EXPECT_GE(both[1].whole.in_aim, both[1].by_call.in_aim);
+    EXPECT_GE(both[0].whole.in_aim, alone.whole.in_aim * 0.95);
+}
+
+TEST(Crowd, LoopsWithoutEndGetWhatOthersLeave) {
+    Tenant looping = {"hot", {1, 400, 400}, 0.6, 6, true};
+    Pair pair = play_both("loops", 8, {looping})[0];
+    EXPECT_GE(pair.whole.in_aim, pair.by_call.in_aim);
+    EXPECT_LE(pair.whole.cut, pair.whole.begun / 100);
 }
 
 } // namespace
--- a/tests/unit/quota_test.cc
+++ b/tests/unit/quota_test.cc
@@ -105,6 +105,30 @@
     EXPECT_FALSE(take(first.wait_ms, limit)) << "that token is another call's";
 }
 
+TEST_F(QuotaTable, PromisesNoMoreThanTheNextFewTokensHoweverPatientACallIs) {
+    quota_limit_t limit = {1, 100, 100};
+    take_all(0, limit);
+    int granted = 0;
+    while (quota_table_take(&table, "t", &limit, 1, 60000, 0).granted)
+        granted++;
+    EXPECT_GE(granted, 30);
+    EXPECT_LE(granted, 36) << "300 ms";
+    quota_limit_t rare = {1, 1, 1};
+    take_all(0, rare);
+    EXPECT_LE(quota_table_take(&table, "rare", &rare, 1, 60000, 0).wait_ms, 1000u);
+}
+
+TEST_F(QuotaTable, ShowsWhatItHolds) {
+    quota_limit_t limit = {1, 100, 100};
+    quota_view_t view;
+    ASSERT_TRUE(quota_table_view(&table, "t", &limit, 1, 100000, &view));
+    double before = view.tokens;
+    take(100000, limit);
+    ASSERT_TRUE(quota_table_view(&table, "t", &limit, 1, 100000, &view));
+    EXPECT_NEAR(view.tokens, before - 1, 1e-9);
+    EXPECT_EQ(view.limit.rate, 100u);
+}
+
 TEST_F(QuotaTable, TheLatestVersionOfALimitHolds) {
     quota_limit_t old_limit = {1, 100, 100};
     quota_limit_t new_limit = {2, 10, 10};
