--- a/src/gateway/quota_client.c
+++ b/src/gateway/quota_client.c
@@ -14,7 +14,7 @@
      * more than quota_split_promise_ms. */
     BEGUN_PATIENCE_MS = 1000,
     PATIENCE_PART = 4, /**< But no longer than this part of the call's time. */
-    OLD_MS = 30000, /**< A member that has never answered a program's call is not asked again for so
+    OLD_MS = 60000, /**< A member that has never answered a program's call is not asked again for so
                          long: an earlier version drops such a request. */
     SPREAD_MS = 100, /**< Callers that are over the limit come back over at least so long. */
     SPREAD_MOST_MS = 1000,
@@ -135,12 +135,19 @@
     g_hash_table_replace(times, g_strdup(store_client_member_name(client->stores, member)), until);
 }
 
-/** A member has not answered in time. */
-static void note_silent(quota_client_t *client, const quota_ask_t *ask) {
+/**
+ * A member has not answered in time. One that has never answered a program's call may be of an
+ * earlier version, and is asked in the old way next, by this call too.
+ */
+static void note_unanswered(quota_ask_t *ask) {
+    const quota_client_t *client = ask->client;
     const char *name = store_client_member_name(client->stores, ask->member);
-    note_until(client, client->silent, ask->member, SILENT_MS);
-    if (ask->at_home && !g_hash_table_contains(client->knowing, name))
+    bool old = ask->at_home && !g_hash_table_contains(client->knowing, name);
+    if (old)
         note_until(client, client->old, ask->member, OLD_MS);
+    else
+        note_until(client, client->silent, ask->member, SILENT_MS);
+    ask->asked[ask->member] = !old;
 }
 
 static void send_request(quota_client_t *client, unsigned member, message_t *message,
@@ -274,16 +281,20 @@
     done(owner, result);
 }
 
-/** The member that was asked grants nothing. */
-static void go_on(quota_ask_t *ask) {
+static void ask_next(quota_ask_t *ask) {
     g_hash_table_remove(ask->client->asks, &ask->number);
-    if (ask->generation == store_client_generation(ask->client->stores))
-        ask->asked[ask->member] = true;
     quota_result_t result = step(ask);
     if (result.outcome != QUOTA_WAITING)
         finish(ask, &result);
 }
 
+/** The member that was asked grants nothing. */
+static void go_on(quota_ask_t *ask) {
+    if (ask->generation == store_client_generation(ask->client->stores))
+        ask->asked[ask->member] = true;
+    ask_next(ask);
+}
+
 static void on_timer(uv_timer_t *timer) {
     quota_ask_t *ask = timer->data;
     if (ask->granted > 0) {
@@ -292,8 +303,8 @@
         return;
     }
     if (ask->generation == store_client_generation(ask->client->stores))
-        note_silent(ask->client, ask);
-    go_on(ask);
+        note_unanswered(ask);
+    ask_next(ask);
 }
 
 static void take_call(quota_ask_t *ask, const quota_call_t *call) {
