--- a/src/cluster/message.c
+++ b/src/cluster/message.c
@@ -213,6 +213,7 @@
         codec_text(codec, &message->charge.program);
         codec_uint64(codec, &message->kind);
         codec_bool(codec, &message->begun);
+        codec_bool(codec, &message->late);
         break;
     case MESSAGE_CHARGE:
         codec_text(codec, &message->tenant);
--- a/src/cluster/message.h
+++ b/src/cluster/message.h
@@ -74,6 +74,7 @@
     quota_limit_t limit;      /**< That tenant's, as the sender knows it. */
     uint64_t kind;            /**< Hash of the route by which the call's program came. */
     bool begun;               /**< The call's program has had an answer, as the sender knows. */
+    bool late;                /**< The time by which that program should have ended is over. */
     uint32_t
         wait_ms;    /**< Of an allowance: how long the call may wait; has to wait, or come back. */
     bool room;      /**< The member can keep one more turn. */
--- a/src/core/admission/program_ledger.c
+++ b/src/core/admission/program_ledger.c
@@ -320,6 +320,10 @@
     if (!begun || endless)
         admission = judge(ledger, entry == NULL ? counts_of(ledger, call->kind) : entry->counts,
                           share, now);
+    if (refused && !call->begun && call->late) {
+        admission.admitted = false;
+        admission.wait_ms = WAIT_MOST_MS;
+    }
     admission.begun = begun && !endless;
     admission.readmitted = refused && admission.admitted;
     if (entry == NULL && may_remember)
--- a/src/core/admission/program_ledger.h
+++ b/src/core/admission/program_ledger.h
@@ -8,7 +8,9 @@
  * for and what the new one will. What a program will still ask for is estimated from the programs
  * of its kind: the distribution of their calls, not its mean (call_counts.h). A program that falls
  * silent gives its part back. One that makes many times the calls of its kind is asked anew at
- * each: it gets what the others leave.
+ * each: it gets what the others leave. A program that was refused until its time is over
+ * doesn't begin: it could hardly end while its caller still waits for it, and what it used up would
+ * be lost.
  *
  * Decision code: no I/O, clock or thread; an object belongs to one thread. Times are ms of the
  * caller's steady clock. In memory only: a member that has lost it takes each call that says that
@@ -27,6 +29,7 @@
     uint64_t program; /**< Hash of its id. */
     uint64_t kind;    /**< Hash of the route by which the program came; 0: unknown. */
     bool begun;       /**< The program has had an answer before, as the caller of this knows. */
+    bool late;        /**< The time by which the program should have ended is over. */
 } program_call_t;
 
 /** What a member's part of the limit can give. */
--- a/src/gateway/call_quota.c
+++ b/src/gateway/call_quota.c
@@ -8,6 +8,8 @@
 
 #include "common/event.h"
 
+#include <stdlib.h>
+
 enum { STATUS_TOO_MANY = 429, STATUS_UNAVAILABLE = 503 };
 
 static bool is_limited(const call_t *call) {
@@ -26,6 +28,12 @@
             has_text(call, FIELD_LAST_EVENT));
 }
 
+/** True if the time by which the call's program should have ended is over. */
+static bool is_late(const call_t *call) {
+    return has_text(call, FIELD_PROGRAM_DEADLINE) &&
+           strtod(call_field(call, FIELD_PROGRAM_DEADLINE), NULL) <= 0;
+}
+
 static void note_over(call_t *call, const quota_result_t *result) {
     gateway_counters_t *counters = &call->gateway->counters;
     counters->over_quota++;
@@ -73,6 +81,7 @@
         .program = has_text(call, FIELD_PROGRAM) ? call->program : NULL,
         .route = call->route->name,
         .begun = shows_begun(call),
+        .late = is_late(call),
         .time_left_ms = (uint32_t)MIN(call_time_left(call), UINT32_MAX),
     };
     quota_result_t result =
--- a/src/gateway/quota_client.c
+++ b/src/gateway/quota_client.c
@@ -58,6 +58,7 @@
     char *program; /**< NULL: a plain call, or one that its home has let go on. */
     uint64_t kind;
     bool begun;
+    bool late;
     bool at_home; /**< The request under way names the program. */
     uint32_t patience_ms;
     quota_done_t done;
@@ -219,6 +220,7 @@
     message.charge.program = g_strdup(ask->program);
     message.kind = ask->kind;
     message.begun = ask->begun;
+    message.late = ask->late;
     ask->member = home;
     ask->at_home = true;
     ask_member(ask, &message);
@@ -312,6 +314,7 @@
     uint32_t patience_ms = MIN(call->time_left_ms / PATIENCE_PART, BEGUN_PATIENCE_MS);
     ask->patience_ms = of_program ? MAX(patience_ms, PATIENCE_MS) : PATIENCE_MS;
     ask->begun = of_program && call->begun;
+    ask->late = call->late;
     ask->program = g_strdup(call->program);
     ask->kind = XXH64(call->route, strlen(call->route), 0);
 }
--- a/src/gateway/quota_client.h
+++ b/src/gateway/quota_client.h
@@ -49,6 +49,7 @@
     const char *program; /**< NULL: a plain call. */
     const char *route;
     bool begun; /**< The call shows that its program has had an answer. */
+    bool late;  /**< The time by which its program should have ended is over. */
     uint32_t time_left_ms;
 } quota_call_t;
 
--- a/src/store/store_requests.c
+++ b/src/store/store_requests.c
@@ -329,6 +329,7 @@
         .program = XXH64(program, strlen(program), 0),
         .kind = request->kind,
         .begun = request->begun || program_places_find(&store->places, program) != 0,
+        .late = request->late,
     };
     program_share_t share = {0};
     program_admission_t admission =
--- a/tests/unit/admission_test.cc
+++ b/tests/unit/admission_test.cc
@@ -78,9 +78,10 @@
     void TearDown() override {
         program_ledger_free(ledger);
     }
+    bool late = false;
     program_admission_t call(uint64_t program, uint64_t now, bool begun = false,
                              program_share_t with = {1000, 1, 1000}) {
-        program_call_t call = {program, 7, begun};
+        program_call_t call = {program, 7, begun, late};
         return program_ledger_admit(ledger, &call, &with, true, now);
     }
     /** Programs of @p calls that pause 200 ms each, so that their kind is known. */
@@ -156,6 +157,17 @@
     EXPECT_TRUE(later.readmitted);
 }
 
+TEST_F(Ledger, AProgramThatWasRefusedUntilItsTimeIsOverDoesntBegin) {
+    EXPECT_FALSE(call(1, 10, false, {-5, 0.01, 40}).admitted);
+    EXPECT_FALSE(call(2, 10, false, {-5, 0.01, 40}).admitted);
+    EXPECT_TRUE(call(2, 500).admitted);
+    late = true;
+    EXPECT_FALSE(call(1, 500).admitted) << "its caller gives it up before it ends";
+    EXPECT_TRUE(call(2, 600).admitted) << "under way";
+    EXPECT_TRUE(call(3, 600).admitted) << "what made it late is past";
+    EXPECT_TRUE(call(1, 600, true).admitted) << "its gateway knows better";
+}
+
 TEST_F(Ledger, RemembersSoManyProgramsAtMost) {
     for (uint64_t i = 1; i <= 20000; i++)
         EXPECT_TRUE(call(i, 10).admitted);
@@ -245,7 +257,7 @@
         if (whole_programs) {
             unsigned homes = program_home_count(&limit, shares);
             unsigned home = program_home_choose(known.data(), count, homes, program);
-            program_call_t call = {program, 1, begun};
+            program_call_t call = {program, 1, begun, false};
             program_share_t share;
             program_admission_t admission =
                 admission_table_admit(&members[home]->admissions, &members[home]->quotas,
