--- a/src/core/admission/program_ledger.c
+++ b/src/core/admission/program_ledger.c
@@ -46,6 +46,7 @@
     unsigned calls;
     program_state_t state;
     bool whole; /**< Its first call was seen here. */
+    bool waits; /**< There was no token for its latest call. */
     GList link; /**< In one of the queues. */
 } entry_t;
 
@@ -204,11 +205,13 @@
 }
 
 /** A call of a program that is let in. */
-static void hear(program_ledger_t *ledger, entry_t *entry, uint64_t now) {
+static void hear(program_ledger_t *ledger, entry_t *entry, bool waits, uint64_t now) {
     if (entry->state == PROGRAM_QUIET)
         note_end(ledger, entry, false);
-    if (entry->calls > 0)
+    /* Programs that wait for tokens would ask for more: their pauses would let in too many. */
+    if (entry->calls > 0 && !entry->waits)
         note_gap(ledger, (double)(now - entry->heard_at));
+    entry->waits = waits;
     entry->calls++;
     entry->heard_at = now;
     note_call(ledger, entry, now);
@@ -331,7 +334,7 @@
     if (entry == NULL)
         return admission;
     if (admission.admitted)
-        hear(ledger, entry, now);
+        hear(ledger, entry, share->tokens < 1, now);
     else if (entry->state == PROGRAM_REFUSED)
         hear_refused(ledger, entry, now);
     return admission;
--- a/src/gateway/quota_client.c
+++ b/src/gateway/quota_client.c
@@ -14,8 +14,10 @@
      * more than quota_split_promise_ms. */
     BEGUN_PATIENCE_MS = 1000,
     PATIENCE_PART = 4, /**< But no longer than this part of the call's time. */
-    OLD_MS = 60000, /**< A member that has never answered a program's call is not asked again for so
-                         long: an earlier version drops such a request. */
+    /** A member that has never answered a program's call is not asked again for so long, twice as
+     * long each time: an earlier version drops such a request, but one may also be late. */
+    OLD_MS = 1000,
+    OLD_MOST_MS = 60000,
     SPREAD_MS = 100, /**< Callers that are over the limit come back over at least so long. */
     SPREAD_MOST_MS = 1000,
     TENANTS_MAXIMUM = 10000, /**< What is known of them is forgotten beyond. */
@@ -39,7 +41,8 @@
     GHashTable *asks;    /**< Number of the request under way to its quota_ask_t. */
     GHashTable *silent;  /**< Name of a member to the time until which it is passed over. */
     GHashTable *knowing; /**< Names of members that have answered a program's call. */
-    GHashTable *old;     /**< Name of a member to the time until which it isn't asked for one. */
+    GHashTable *old;     /**< Name of a member to the time until which it isn't asked for one, */
+    GHashTable *old_ms;  /**< and to how long that was, as a pointer. */
     uint64_t requests;
 };
 
@@ -136,6 +139,14 @@
     g_hash_table_replace(times, g_strdup(store_client_member_name(client->stores, member)), until);
 }
 
+static void note_old(const quota_client_t *client, unsigned member) {
+    const char *name = store_client_member_name(client->stores, member);
+    guint last_ms = GPOINTER_TO_UINT(g_hash_table_lookup(client->old_ms, name));
+    guint ms = CLAMP(2 * last_ms, OLD_MS, OLD_MOST_MS);
+    g_hash_table_replace(client->old_ms, g_strdup(name), GUINT_TO_POINTER(ms));
+    note_until(client, client->old, member, ms);
+}
+
 /**
  * A member has not answered in time. One that has never answered a program's call may be of an
  * earlier version, and is asked in the old way next, by this call too.
@@ -145,7 +156,7 @@
     const char *name = store_client_member_name(client->stores, ask->member);
     bool old = ask->at_home && !g_hash_table_contains(client->knowing, name);
     if (old)
-        note_until(client, client->old, ask->member, OLD_MS);
+        note_old(client, ask->member);
     else
         note_until(client, client->silent, ask->member, SILENT_MS);
     ask->asked[ask->member] = !old;
@@ -421,6 +432,7 @@
     client->asks = g_hash_table_new(g_int64_hash, g_int64_equal);
     client->silent = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     client->knowing = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    client->old_ms = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     client->old = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     return client;
 }
--- a/tests/unit/admission_test.cc
+++ b/tests/unit/admission_test.cc
@@ -1,6 +1,18 @@
 // Programs of tenants with a limit: how many calls they make, which of them may begin, and who
 // keeps account of them. The last part plays a crowd without a network, in virtual time, through
 // the decision code of gateways and members.
+//
+// Load: a tenant that uses 0.6 of its limit of 400 calls a second asks for six times the limit from
+// 10 s to 17 s, by programs of about 4 and 9 turns with up to two tool calls each; each call is
+// tried three times as its answer says; a program's aim is 1.5 times its own time and 250 ms.
+// Callers of 10,576 programs (5 and 8 members, seeds 1 to 3) get, call by call and whole: programs
+// in their aim 2,993 and 3,855, finished 3,434 and 4,015, cut in the middle 4,819 and 0, calls
+// spent on those 16,504 and 0; of the limit at least 1.13 and 1.08 are used (windows may hold a
+// tenth more and the slack), the fullest window holds 0.97 and 0.88 of what is allowed. With a
+// member lost at 13 s (5,288 programs): in aim 1,434 and 1,466, cut 2,374 and 15; with all members
+// restarted in turn 1,475 and 1,527, 2,372 and 23; with a third of the programs fallen silent 1,507
+// and 1,872, 2,241 and 0. Within its limit (2,045 programs, limits of 3 to 400 a second) nobody is
+// refused.
 #include <glib.h>
 
 extern "C" {
