--- a/src/gateway/quota_client.c
+++ b/src/gateway/quota_client.c
@@ -42,7 +42,7 @@
     GHashTable *silent;  /**< Name of a member to the time until which it is passed over. */
     GHashTable *knowing; /**< Names of members that have answered a program's call. */
     GHashTable *old;     /**< Name of a member to the time until which it isn't asked for one, */
-    GHashTable *old_ms;  /**< and to how long that was, as a pointer. */
+    GHashTable *old_ms;  /**< and to how long that was, in ms. */
     uint64_t requests;
 };
 
@@ -141,9 +141,9 @@
 
 static void note_old(const quota_client_t *client, unsigned member) {
     const char *name = store_client_member_name(client->stores, member);
-    guint last_ms = GPOINTER_TO_UINT(g_hash_table_lookup(client->old_ms, name));
-    guint ms = CLAMP(2 * last_ms, OLD_MS, OLD_MOST_MS);
-    g_hash_table_replace(client->old_ms, g_strdup(name), GUINT_TO_POINTER(ms));
+    const uint32_t *last_ms = g_hash_table_lookup(client->old_ms, name);
+    uint32_t ms = last_ms == NULL ? OLD_MS : MIN(2 * *last_ms, OLD_MOST_MS);
+    g_hash_table_replace(client->old_ms, g_strdup(name), g_memdup2(&ms, sizeof ms));
     note_until(client, client->old, member, ms);
 }
 
@@ -432,7 +432,7 @@
     client->asks = g_hash_table_new(g_int64_hash, g_int64_equal);
     client->silent = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     client->knowing = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-    client->old_ms = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    client->old_ms = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     client->old = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     return client;
 }
