--- a/src/cluster/process_settings.c
+++ b/src/cluster/process_settings.c
@@ -92,6 +92,15 @@
     return number;
 }
 
+static bool read_switch(reader_t *reader, const char *group, const char *key, bool fallback) {
+    char *value = read_text(reader, group, key, fallback ? "true" : "false");
+    bool on = g_strcmp0(value, "true") == 0;
+    if (!on && g_strcmp0(value, "false") != 0)
+        refuse(reader, group, key, "true or false");
+    g_free(value);
+    return on;
+}
+
 static void read_quota(reader_t *reader, quota_bounds_t *quota) {
     uint64_t window_s =
         read_number(reader, "quota", "window_s", QUOTA_WINDOW_S, 1, QUOTA_WINDOW_S_MAXIMUM);
@@ -124,6 +133,7 @@
     settings->tolerated_losses =
         read_number(reader, "store", "tolerated_losses", 1, 0, TOLERATED_LOSSES_MAXIMUM);
     read_quota(reader, &settings->quota);
+    settings->whole_programs = read_switch(reader, "quota", "whole_programs", true);
     char *first = read_text(reader, "store", "first_start", "false");
     settings->first_start = g_strcmp0(first, "true") == 0;
     g_free(first);
--- a/src/cluster/process_settings.h
+++ b/src/cluster/process_settings.h
@@ -33,6 +33,7 @@
     bool first_start;     /**< The whole system starts for the first time. */
     uint64_t grace_ms;    /**< Longest planned stop. */
     quota_bounds_t quota; /**< How exactly tenants' limits are to be held. */
+    bool whole_programs;  /**< Programs of tenants with a limit begin only if they can end. */
 } process_settings_t;
 
 /** Which settings a program needs. */
--- a/src/gateway/call_quota.c
+++ b/src/gateway/call_quota.c
@@ -21,6 +21,11 @@
     return value != NULL && *value != '\0';
 }
 
+/** True if the call asks as one of a program. */
+static bool names_program(const call_t *call) {
+    return call->gateway->settings->whole_programs && has_text(call, FIELD_PROGRAM);
+}
+
 /** True if the call shows that its program has had an answer; one that doesn't may have, too. */
 static bool shows_begun(const call_t *call) {
     return call->program != NULL &&
@@ -78,7 +83,7 @@
     if (!is_limited(call))
         return true;
     const quota_call_t asking = {
-        .program = has_text(call, FIELD_PROGRAM) ? call->program : NULL,
+        .program = names_program(call) ? call->program : NULL,
         .route = call->route->name,
         .begun = shows_begun(call),
         .late = is_late(call),
