--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -52,7 +52,9 @@
     uint64_t over_budget;
     uint64_t entries_rejected; /**< Of the directory, that name no back end to use. */
     uint64_t over_quota;
-    uint64_t refused_zone_cut; /**< Refused while the zone was cut off. */
+    uint64_t programs_not_begun; /**< Of these, first calls that the program's home refused. */
+    uint64_t begun_over_quota;   /**< Of these, calls that showed that their program had begun. */
+    uint64_t refused_zone_cut;   /**< Refused while the zone was cut off. */
     uint64_t chain_reads;
     uint64_t engines_new;     /**< Turns placed by cost, of programs without an engine, */
     uint64_t engines_kept;    /**< at their engine, */
--- a/tests/unit/platform_test.cc
+++ b/tests/unit/platform_test.cc
@@ -311,6 +311,10 @@
                   .find("gateway.tolerated_zones"),
               std::string::npos);
     EXPECT_EQ(load(good + "[gateway]\ntolerated_zones=1\n", PROCESS_STORE), "");
+    EXPECT_NE(
+        load(good + "[quota]\nwhole_programs=some\n", PROCESS_STORE).find("quota.whole_programs"),
+        std::string::npos);
+    EXPECT_EQ(load(good + "[quota]\nwhole_programs=true\n", PROCESS_STORE), "");
     EXPECT_NE(load("[node]\nname=n\n", PROCESS_STORE).find("node.zone"), std::string::npos);
     EXPECT_NE(load(good + "[metrics]\nlisten=here\n", PROCESS_STORE).find("metrics.listen"),
               std::string::npos);
