routing: the last engine is used though it seems down

Cause: a program's own engine is left out of the draw, also when it seems down; where it is the only one left (a service of one engine, or the others tried, leaving), a turn was refused before any send as if all were full. engine_choose takes that engine then (the sign says nothing). Change: after full engines, the program's own one is drawn too. Red first: TheLastEngineIsUsedThoughItSeemsDown failed (outcome FULL), now passes; engine_placement_unit_test 13 of 13.

--- a/src/core/routing/engine_placement.c
+++ b/src/core/routing/engine_placement.c
@@ -20,6 +20,7 @@
     const placement_request_t *request;
     bool use_avoided;
     bool use_full;
+    bool use_place; /**< Although it seems to be down. */
 } search_t;
 
 /** True if so many engines are avoided that the sign says nothing. */
@@ -57,7 +58,7 @@
 static bool has_room(const search_t *search, const engine_option_t *option) {
     if (!usable(search, option))
         return false;
-    if (is_place(search, option))
+    if (is_place(search, option) && !search->use_place)
         return false;
     if (!search->request->begun)
         return !engine_full_for_new(&option->state);
@@ -163,6 +164,10 @@
     if (other != NOWHERE || !search->request->begun)
         return other;
     search->use_full = true;
+    other = draw_other(search);
+    if (other != NOWHERE)
+        return other;
+    search->use_place = true;
     return draw_other(search);
 }
 
--- a/tests/unit/engine_placement_test.cc
+++ b/tests/unit/engine_placement_test.cc
@@ -514,6 +514,14 @@
     EXPECT_EQ(place(options, 0, false, 0).chosen, 1U);
 }
 
+TEST(EnginePlacement, TheLastEngineIsUsedThoughItSeemsDown) {
+    engine_option_t only = idle(1);
+    only.avoided = only.down = true;
+    EXPECT_EQ(place({only}, 0, true, 0).outcome, PLACEMENT_FOUND);
+    EXPECT_EQ(place({only}, 1, true, 0).outcome, PLACEMENT_FOUND) << "also by its own program";
+    EXPECT_EQ(place({only, idle(2)}, 1, true, 0).chosen, 1U) << "which leaves it for another";
+}
+
 TEST(EnginePlacement, AnotherZoneIsUsedOnlyIfAllOfThisOneAreWorse) {
     std::vector<engine_option_t> options = {idle(1), idle(2), idle(3)};
     options[2].near = false;
