--- a/src/core/routing/backend_speed.c
+++ b/src/core/routing/backend_speed.c
@@ -1,6 +1,7 @@
 #include "core/routing/backend_speed.h"
 
 #include <math.h>
+#include <stdlib.h>
 #include <string.h>
 
 enum {
@@ -132,8 +133,17 @@
     return !late && pace->work_us > 0 && pace->samples >= WEIGHT_NEEDED;
 }
 
+static int compare(const void *a, const void *b) {
+    uint32_t first = *(const uint32_t *)a;
+    uint32_t second = *(const uint32_t *)b;
+    return (first > second) - (first < second);
+}
+
 uint32_t backend_speed_typical_us(uint32_t *works_us, unsigned count) {
-    return count < BACK_ENDS_NEEDED ? 0 : median(works_us, count);
+    if (count < BACK_ENDS_NEEDED)
+        return 0;
+    qsort(works_us, count, sizeof *works_us, compare);
+    return works_us[(count - 1) / 2];
 }
 
 /**
--- a/tests/unit/backend_speed_test.cc
+++ b/tests/unit/backend_speed_test.cc
@@ -6,6 +6,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <ctime>
 #include <queue>
 #include <random>
 #include <vector>
@@ -311,4 +312,16 @@
     EXPECT_LT(speeds.percentile(0.95), counts.percentile(0.95));
 }
 
+// A service of 20,000 back ends: sorting by insertion took 49 ms of processor for 10,000, twice a
+// second, and grew with the square.
+TEST(BackendSpeed, TheTypicalOneOfThousandsIsFoundSoon) {
+    constexpr unsigned count = 20000;
+    std::vector<uint32_t> works_us(count);
+    for (unsigned i = 0; i < count; i++)
+        works_us[i] = 1000 + i * 7919 % count;
+    clock_t begun = clock();
+    EXPECT_EQ(backend_speed_typical_us(works_us.data(), count), 1000 + (count - 1) / 2);
+    EXPECT_LT(clock() - begun, CLOCKS_PER_SEC / 20);
+}
+
 } // namespace
