gateway: sums of another zone told before a new life count no more

As what gateways of the own zone told (load_sharing.c): sums heard before the new life was found were added to it for up to a second.

--- a/src/gateway/zone_loads.c
+++ b/src/gateway/zone_loads.c
@@ -142,7 +142,7 @@
         for (guint j = 0; j < gateway->entries->len; j++) {
             const load_entry_t *entry = &g_array_index(gateway->entries, load_entry_t, j);
             backend_t *backend = backends_find_hash(backends, entry->backend);
-            if (backend == NULL)
+            if (backend == NULL || backend->life_at > gateway->heard_at)
                 continue;
             backend->elsewhere += entry->under_way;
             g_hash_table_add(backends->told_of, backend);
--- a/tests/unit/zone_loads_test.cc
+++ b/tests/unit/zone_loads_test.cc
@@ -153,6 +153,16 @@
     EXPECT_EQ(known(1100), 10U);
 }
 
+TEST_F(ZoneLoads, WhatWasToldOfTheLifeBeforeCountsNoMore) {
+    set({2, 2}, 0, 0);
+    EXPECT_TRUE(take(1, 0, 10, 1000));
+    EXPECT_EQ(known(1100), 10U);
+    backend("i-a")->life_at = 1001;
+    EXPECT_EQ(known(1100), 0U);
+    EXPECT_TRUE(take(1, 0, 3, 1050));
+    EXPECT_EQ(known(1100), 3U);
+}
+
 TEST_F(ZoneLoads, BytesThatAreNoReportCountAsNothing) {
     set({2, 2}, 0, 0);
     EXPECT_TRUE(take(1, 0, 10, 1000));
