store: gateways of a zone with cells are not named in other zones

Cause: zones of one cell were told the gateways of all zones, also of those with several cells, whose gateways are told of none: they dropped the sums as a stranger's, and sent none. Datagrams between zones for nothing.

--- a/src/store/gateway_directory.c
+++ b/src/store/gateway_directory.c
@@ -183,14 +183,16 @@
         make_list(&zone->cells[i], root);
 }
 
-/** Adds the gateways of all other zones to a zone's only list. */
+/** Adds the gateways of all other zones with a single cell to a zone's only list. */
 static void add_far(GHashTable *zones, const zone_t *zone) {
     GHashTableIter iterator;
     gpointer value;
     g_hash_table_iter_init(&iterator, zones);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         const zone_t *other = value;
-        for (guint i = 0; other != zone && i < other->entries->len; i++) {
+        if (other == zone || other->cell_count > 1)
+            continue;
+        for (guint i = 0; i < other->entries->len; i++) {
             const gateway_entry_t *entry = g_ptr_array_index(other->entries, i);
             gateway_list_t *list = &zone->cells[0].list;
             g_ptr_array_add(list->far, far_gateway_format(entry->zone, entry->address));
--- a/tests/unit/gateway_directory_test.cc
+++ b/tests/unit/gateway_directory_test.cc
@@ -106,6 +106,15 @@
         EXPECT_TRUE(what.far.empty());
 }
 
+TEST_F(GatewayDirectory, GatewaysOfAZoneWithCellsAreNotKnownInOtherZones) {
+    add(GATEWAYS_CELL_MOST + 10, {"a"});
+    add(20, {"b", "c"});
+    tell();
+    for (const auto &[serial, what] : told)
+        EXPECT_EQ(what.far.size(), serial <= GATEWAYS_CELL_MOST + 10 ? 0U : 10U)
+            << "who would not hear of it can't take it";
+}
+
 // 145 gateways of a zone told one another so seldom that nobody trusted what another watched.
 TEST_F(GatewayDirectory, WhatAGatewayKnowsDoesNotGrowWithTheFleet) {
     for (unsigned gateways : {30U, 100U, 300U, 865U, 3300U, 6600U}) {
