gateway: a turn that goes on from another is of a program under way

Cause: a program was taken for one under way by its known engine alone. An engine that turns a turn away is forgotten (engine_turn_refused), so the caller's next try counted as a new program: kept out of the half of the queues that is left to programs under way, and refused without a send when all are full, against docs/design/engine-load.md. Change: a turn that names the one before is of a program under way. Red first: AProgramThatLostItsPlaceIsStillUnderWay was refused; engine_turn_unit_test 3 of 3.

--- a/src/gateway/engine_turn.c
+++ b/src/gateway/engine_turn.c
@@ -73,12 +73,19 @@
               from == NULL ? 0 : backend_load(from), call->engine_load);
 }
 
+/** Also where the program's engine is not known: its earlier turns would be lost. */
+static bool has_begun(const call_t *call) {
+    const char *previous = call_field(call, FIELD_PREVIOUS_TURN);
+    bool goes_on = previous != NULL && *previous != '\0';
+    return goes_on || call->place != 0 || call->sends > 0;
+}
+
 bool engine_turn_choose(call_t *call, const backend_choice_t *choice, uint64_t part) {
     placement_request_t request = {
         .place = call->place,
         .part = part,
         .turn = read_prompt(call),
-        .begun = call->place != 0 || call->sends > 0,
+        .begun = has_begun(call),
     };
     placement_t placement;
     call->backend = backends_place_engine(&call->gateway->backends, choice, &request, &placement);
