gateway: whether all back ends of a service tell their lives is counted

Cause: it was looked at once a second, and a service without back ends passed for one that tells. So a service whose back ends don't tell could be served by cost for up to a second after it had come back, and one that leaves without saying switched the choice. Plain back ends were not guarded at all: speeds of some were set against the counts of others, so that calls of a mixed service queued here beside an idle back end that does not tell. Change: counts kept as entries come and go; those that leave don't matter; speeds count for plain services only if all tell.

--- a/src/gateway/backend_choice.c
+++ b/src/gateway/backend_choice.c
@@ -21,6 +21,7 @@
     GArray *engines;     /**< Of engine_candidate_t. */
     GPtrArray *backends; /**< Of backend_t. */
     unsigned avoided;
+    bool speeds; /**< They are measured of the service's back ends. */
 } candidates_t;
 
 static void candidates_init(candidates_t *candidates) {
@@ -28,6 +29,7 @@
     candidates->engines = g_array_new(FALSE, FALSE, sizeof(engine_candidate_t));
     candidates->backends = g_ptr_array_new();
     candidates->avoided = 0;
+    candidates->speeds = false;
 }
 
 static void candidates_clear(candidates_t *candidates) {
@@ -52,8 +54,8 @@
         .connected = backend->idle->len > 0,
         .near = backend->near,
         .avoided = avoided,
-        .speed_percent = backend->life_id == 0 ? 0 : backend_speed(backend),
-        .answer_ms = backend->life_id == 0 ? 0 : backend_usual_answer_ms(backend),
+        .speed_percent = candidates->speeds ? backend_speed(backend) : 0,
+        .answer_ms = candidates->speeds ? backend_usual_answer_ms(backend) : 0,
     };
     g_array_append_val(candidates->services, candidate);
 }
@@ -120,6 +122,7 @@
     candidates_t candidates;
     unsigned index = 0;
     candidates_init(&candidates);
+    candidates.speeds = backends_tell_lives(backends, choice->service);
     add_list(&candidates, members->near, choice, add_service);
     bool found = choose_service(&candidates, backends->seed, &index);
     if (!found || doubtful(&candidates) || !near_is_best(&candidates, index)) {
--- a/src/gateway/backends.c
+++ b/src/gateway/backends.c
@@ -25,21 +25,31 @@
     g_free(members);
 }
 
-/** The list of the index in which a back end with this record stands. */
-static GPtrArray *obtain_list(backends_t *backends, const backend_record_t *record) {
-    service_members_t *members = g_hash_table_lookup(backends->by_service, record->service);
-    if (members == NULL) {
-        members = g_new0(service_members_t, 1);
-        members->near = g_ptr_array_new();
-        members->far = g_ptr_array_new();
-        g_hash_table_insert(backends->by_service, g_strdup(record->service), members);
-    }
-    return strcmp(record->zone, backends->zone) == 0 ? members->near : members->far;
+static service_members_t *obtain_members(backends_t *backends, const char *service) {
+    service_members_t *members = g_hash_table_lookup(backends->by_service, service);
+    if (members != NULL)
+        return members;
+    members = g_new0(service_members_t, 1);
+    members->near = g_ptr_array_new();
+    members->far = g_ptr_array_new();
+    g_hash_table_insert(backends->by_service, g_strdup(service), members);
+    return members;
+}
+
+/** The count of those that tell their lives, or do not, as this record does; NULL: it leaves. */
+static unsigned *lives_count(service_members_t *members, const backend_record_t *record) {
+    if (record->leaving)
+        return NULL;
+    return record->born == 0 ? &members->lives_untold : &members->lives_told;
 }
 
 static void add_to_index(backends_t *backends, backend_t *backend) {
-    backend->list = obtain_list(backends, backend->record);
+    service_members_t *members = obtain_members(backends, backend->record->service);
+    unsigned *lives = lives_count(members, backend->record);
+    if (lives != NULL)
+        ++*lives;
     backend->near = strcmp(backend->record->zone, backends->zone) == 0;
+    backend->list = backend->near ? members->near : members->far;
     backend->list_index = backend->list->len;
     g_ptr_array_add(backend->list, backend);
 }
@@ -50,6 +60,10 @@
     last->list_index = backend->list_index;
     g_ptr_array_remove_index_fast(backend->list, backend->list_index);
     backend->list = NULL;
+    unsigned *lives =
+        lives_count(obtain_members(backend->owner, backend->record->service), backend->record);
+    if (lives != NULL)
+        --*lives;
 }
 
 void backends_init(backends_t *backends, uv_loop_t *loop, const char *zone, const char *gateway) {
--- a/src/gateway/backends.h
+++ b/src/gateway/backends.h
@@ -25,10 +25,10 @@
 typedef struct {
     GPtrArray *near; /**< In the gateway's zone; of backend_t. */
     GPtrArray *far;
-    engine_usual_t usual;     /**< Of its turns; engine_load.h. */
-    bool lives_told;          /**< All say when they were born, when last looked at. */
-    uint64_t lives_looked_at; /**< 0: never. */
-    uint64_t draws;           /**< Counts what was drawn. */
+    engine_usual_t usual;  /**< Of its turns; engine_load.h. */
+    unsigned lives_told;   /**< Of those that don't leave, how many say when they were born, */
+    unsigned lives_untold; /**< and how many do not. */
+    uint64_t draws;        /**< Counts what was drawn. */
 } service_members_t;
 
 typedef struct {
--- a/src/gateway/engine_load.c
+++ b/src/gateway/engine_load.c
@@ -4,23 +4,9 @@
     return backend->under_way + backend->elsewhere;
 }
 
-static bool all_born(const GPtrArray *list) {
-    for (guint i = 0; i < list->len; i++)
-        if (((const backend_t *)g_ptr_array_index(list, i))->record->born == 0)
-            return false;
-    return true;
-}
-
-bool backends_tell_lives(backends_t *backends, const char *service) {
-    service_members_t *members = g_hash_table_lookup(backends->by_service, service);
-    if (members == NULL)
-        return false;
-    uint64_t now = uv_now(backends->loop);
-    if (members->lives_looked_at == 0 || now >= members->lives_looked_at + ENGINE_LIVES_MS) {
-        members->lives_looked_at = now;
-        members->lives_told = all_born(members->near) && all_born(members->far);
-    }
-    return members->lives_told;
+bool backends_tell_lives(const backends_t *backends, const char *service) {
+    const service_members_t *members = g_hash_table_lookup(backends->by_service, service);
+    return members != NULL && members->lives_told > 0 && members->lives_untold == 0;
 }
 
 static engine_usual_t *usual_of(const backend_t *backend) {
--- a/src/gateway/engine_load.h
+++ b/src/gateway/engine_load.h
@@ -5,8 +5,7 @@
  * they were born: what is learned of an engine is of one life.
  *
  * Cost. A choice looks at all engines of the gateway's zone, as backends_choose_engine does, and at
- * no more than ENGINES_FAR_DRAWN of the other zones, drawn anew, when those won't do. That all tell
- * their lives is looked at once in ENGINE_LIVES_MS.
+ * no more than ENGINES_FAR_DRAWN of the other zones, drawn anew, when those won't do.
  *
  * Thread safety: everything here belongs to the loop's thread.
  */
@@ -16,13 +15,10 @@
 #include "core/routing/engine_placement.h"
 #include "gateway/backends.h"
 
-enum {
-    ENGINES_FAR_DRAWN = 32,
-    ENGINE_LIVES_MS = 1000,
-};
+enum { ENGINES_FAR_DRAWN = 32 };
 
-/** True if all back ends of the service say when they were born. */
-bool backends_tell_lives(backends_t *backends, const char *service);
+/** True if all back ends of the service, but those that leave, say when they were born. */
+bool backends_tell_lives(const backends_t *backends, const char *service);
 /**
  * The engine for a turn, with a reference and counted under way; NULL: none, or all are full. Sets
  * of @p request what is known of the service's turns, and what is drawn.
--- a/tests/unit/backend_paces_test.cc
+++ b/tests/unit/backend_paces_test.cc
@@ -154,6 +154,23 @@
     EXPECT_EQ(gateway.tell(1).size(), 1U);
 }
 
+// Speeds of some back ends are no measure against the counts of others: calls went on to queue
+// here.
+TEST(BackendPaces, AServiceOfWhichSomeDoNotTellTheirLifeIsServedByCounts) {
+    Gateway gateway("gateway-1");
+    gateway.add("near", first_life);
+    gateway.add("far", 0, "there");
+    gateway.find("near")->elsewhere = 3;
+    backend_choice_t choice = {"s", nullptr, 6};
+    backend_t *chosen = backends_choose(&gateway.backends, &choice);
+    EXPECT_EQ(chosen, gateway.find("far"));
+    backend_release(chosen);
+    gateway.add("far", first_life, "there");
+    chosen = backends_choose(&gateway.backends, &choice);
+    EXPECT_EQ(chosen, gateway.find("near")) << "it has free slots";
+    backend_release(chosen);
+}
+
 // Prints what a choice costs when 200 of 6,666 back ends are measured.
 TEST(BackendPaces, ChoicesAmongThousands) {
     Gateway gateway("gateway-1");
--- a/tests/unit/engine_load_test.cc
+++ b/tests/unit/engine_load_test.cc
@@ -68,6 +68,21 @@
     EXPECT_FALSE(backends_tell_lives(&backends, "models"));
 }
 
+TEST_F(EnginesKnown, WhetherAllTellIsKnownAtOnce) {
+    add("i-1", "here", 5);
+    EXPECT_TRUE(backends_tell_lives(&backends, "models"));
+    add("i-2", "there", 0);
+    EXPECT_FALSE(backends_tell_lives(&backends, "models"));
+    add("i-2", "there", 6);
+    EXPECT_TRUE(backends_tell_lives(&backends, "models"));
+    add("i-3", "here", 0);
+    backends_remove(&backends, "i-1");
+    backends_remove(&backends, "i-2");
+    EXPECT_FALSE(backends_tell_lives(&backends, "models"));
+    backends_remove(&backends, "i-3");
+    EXPECT_FALSE(backends_tell_lives(&backends, "models")) << "nobody tells anything";
+}
+
 TEST_F(EnginesKnown, WhileTheZoneHasRoomNoOtherIsUsed) {
     for (unsigned i = 0; i < 9; i++)
         add("near-" + std::to_string(i), "here", 5);
