gateway: what an engine turned away outlives a record in short form

Cause: the limit was kept by the record's start in ms, which is 16 bits of it in a record that another gateway passed on: each change between the two forms of one life forgot the bound, and that the engine turns calls away. Change: by backend_record_life, which is the same in both.

--- a/src/gateway/engine_load.c
+++ b/src/gateway/engine_load.c
@@ -17,7 +17,7 @@
 
 /** Calls that it lets wait, as far as it has shown, or else as others of its service have. */
 static unsigned queue_of(const backend_t *backend, const engine_usual_t *usual, unsigned slots) {
-    unsigned own = engine_limit_queue(&backend->limit, backend->record->born, slots);
+    unsigned own = engine_limit_queue(&backend->limit, backend_record_life(backend->record), slots);
     return own > 0 ? own : engine_usual_queue(usual, slots);
 }
 
@@ -29,16 +29,16 @@
         .slots = own_slots,
         .queue = queue_of(backend, usual, own_slots),
         .speed_percent = backend_speed(backend),
-        .turns_away = engine_limit_turns_away(&backend->limit, backend->record->born, load,
-                                              uv_now(backend->loop)),
+        .turns_away = engine_limit_turns_away(&backend->limit, backend_record_life(backend->record),
+                                              load, uv_now(backend->loop)),
     };
 }
 
 void engine_load_note_refused(backend_t *backend, unsigned slots) {
     unsigned load = backend_load(backend) - 1;
     unsigned own_slots = backend_slots(backend, slots);
-    engine_limit_note_refused(&backend->limit, backend->record->born, load, own_slots,
-                              uv_now(backend->loop));
+    engine_limit_note_refused(&backend->limit, backend_record_life(backend->record), load,
+                              own_slots, uv_now(backend->loop));
     engine_usual_note_refused(usual_of(backend), load, own_slots);
 }
 
@@ -49,7 +49,7 @@
 
 void engine_load_note_first(backend_t *backend, unsigned load, unsigned slots, uint64_t ms,
                             uint32_t again_tokens) {
-    engine_limit_note_taken(&backend->limit, backend->record->born, load);
+    engine_limit_note_taken(&backend->limit, backend_record_life(backend->record), load);
     engine_usual_note_taken(usual_of(backend), load, backend_slots(backend, slots));
     if (had_slot(backend, load, slots))
         engine_usual_note_first(usual_of(backend), (double)ms, again_tokens,
--- a/tests/unit/engine_load_test.cc
+++ b/tests/unit/engine_load_test.cc
@@ -121,6 +121,19 @@
     EXPECT_FALSE(engine_load_state(full, usual(), 0).turns_away) << "it has started again";
 }
 
+TEST_F(EnginesKnown, WhatWasLearnedOutlivesARecordOfTheSameLifeInShortForm) {
+    add("i-1", "here", 1764700000000);
+    backend_t *full = find("i-1");
+    full->elsewhere = 2 * SLOTS;
+    backend_take(full);
+    engine_load_note_refused(full, 0);
+    backend_release(full);
+    ASSERT_TRUE(engine_load_state(full, usual(), 0).turns_away);
+    add("i-1", "here", backend_record_life(full->record));
+    EXPECT_TRUE(engine_load_state(full, usual(), 0).turns_away);
+    EXPECT_GT(engine_limit_queue(&full->limit, backend_record_life(full->record), SLOTS), 0U);
+}
+
 TEST_F(EnginesKnown, TimesWhereCallsWaitAreNoMeasure) {
     add("i-1", "here", 5);
     for (unsigned i = 0; i < 100; i++)
