--- a/tests/unit/backend_paces_test.cc
+++ b/tests/unit/backend_paces_test.cc
@@ -368,6 +368,16 @@
         load_sharing_t *sharing;
         struct sockaddr_in address;
     };
+    struct World {
+        uv_loop_t loop;
+        Side sides[2];
+    };
+    /** Load sharing has no end before that of its process. */
+    static World *new_world() {
+        static auto *const all = new std::vector<World *>;
+        all->push_back(new World{});
+        return all->back();
+    }
     void SetUp() override {
         uv_loop_init(&loop);
         for (Side &side : sides)
@@ -421,8 +431,9 @@
         }
         return done();
     }
-    uv_loop_t loop;
-    Side sides[2];
+    World *world = new_world();
+    uv_loop_t &loop = world->loop;
+    Side (&sides)[2] = world->sides;
 };
 
 TEST_F(Sharing, PacesGoWithTheLoads) {
