routing: a program whose charges show other calls is under way, also where its engine is not known

Cause: a program that brings its whole prompt with each turn names no turn before, and after a refusal its engine is forgotten, so its next try counted as a new program: kept out of the half of the queues that is left to programs under way. Change: the answer to a reserve has the program's charges; more than this call's own mean that it has made others. A hint, no message changes. Test red without it (EngineTurn).

--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -54,6 +54,7 @@
     bool counted;  /**< The program's budget bounds this call. */
     bool reserved; /**< The reserve was asked for; it must be settled. */
     bool granted;
+    bool begun;    /**< Its program has made other calls, as its charges show. */
     bool durable;  /**< The reserve survives a loss of power: pieces may go out. */
     uint64_t most; /**< Tokens that the call may make. */
     store_operation_t *reserve;
--- a/src/gateway/call_turn.c
+++ b/src/gateway/call_turn.c
@@ -49,6 +49,7 @@
     if (verdict == VERDICT_YES) {
         call->turn.granted = true;
         call->place = store_operation_place(call->turn.reserve);
+        call->turn.begun = store_operation_begun(call->turn.reserve);
         call_turn_send_if_ready(call);
         return;
     }
--- a/src/gateway/engine_turn.c
+++ b/src/gateway/engine_turn.c
@@ -77,7 +77,7 @@
 static bool has_begun(const call_t *call) {
     const char *previous = call_field(call, FIELD_PREVIOUS_TURN);
     bool goes_on = previous != NULL && *previous != '\0';
-    return goes_on || call->place != 0 || call->sends > 0;
+    return goes_on || call->turn.begun || call->place != 0 || call->sends > 0;
 }
 
 bool engine_turn_choose(call_t *call, const backend_choice_t *choice, uint64_t part) {
--- a/src/gateway/store_client.h
+++ b/src/gateway/store_client.h
@@ -105,6 +105,8 @@
                                         void *owner);
 /** Of a granted reserve: the back end at which the program last ran (its hash); 0: unknown. */
 uint64_t store_operation_place(const store_operation_t *operation);
+/** Of a granted reserve: other calls of the program have made something, or still may. */
+bool store_operation_begun(const store_operation_t *operation);
 /**
  * Of a reserve: false if so many members have said that they have no room for it, or for the turn
  * that is to be kept, that it can't be granted.
--- a/src/gateway/store_operation.c
+++ b/src/gateway/store_operation.c
@@ -385,6 +385,13 @@
     return operation->place;
 }
 
+bool store_operation_begun(const store_operation_t *operation) {
+    for (guint i = 0; i < operation->client->members->len; i++)
+        if (operation->summaries[i].charged > operation->request.charge.most)
+            return true;
+    return false;
+}
+
 store_operation_t *store_client_put_turn(store_client_t *client, const turn_t *turn,
                                          const store_operation_handler_t *handler, void *owner) {
     store_operation_t *operation = begin_operation(client, REQUEST_PUT_TURN, handler, owner);
--- a/tests/unit/engine_turn_test.cc
+++ b/tests/unit/engine_turn_test.cc
@@ -75,6 +75,12 @@
     EXPECT_TRUE(choose());
 }
 
+// Turns of programs that bring their whole prompt name no turn before.
+TEST_F(EngineTurn, AProgramWithChargesOfOtherCallsIsUnderWay) {
+    call.turn.begun = true;
+    EXPECT_TRUE(choose());
+}
+
 TEST_F(EngineTurn, AnEmptyPreviousTurnIsNone) {
     set(FIELD_PREVIOUS_TURN, "");
     EXPECT_FALSE(choose());
