soak: zones that are cut off, and back ends that tell when they were born

Its proxies stand before each server for all who connect, so they could cut a process off, but no zone.

Ruled out: a proxy for each pair of zones, with addresses rewritten for each node: storage nodes and gateways tell one another addresses that they learned. Instead a cut asks the kernel who opened a connection (/proc/net/tcp, /proc/PID/fd), once at its start for all, and for each new connection while it lasts.

Change: a seed draws two features, each for half of the runs, from a generator of their own. `zones`: the gateways have gateway.tolerated_zones = 1, and a zone is cut off for 3 to 6 s, silent or with resets: its gateways, storage nodes and back ends from the others and from the key-value service; callers still reach its gateways. `born`: all back ends tell it, some take 3 or 8 times as long, and some restart in the midst of calls under their id with a later `born`, at another pace. The promises judged are the same. The result names the features and counts E850 (zone_cuts_found). SOAK_FEATURES sets the features instead. Not cut: datagrams between gateways, and connections of storage nodes to gateways, which pass no proxy.

The soak has no tenants yet, so limits of tenants are not judged.

--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
 # A randomized fault soak over real gateways and storage nodes: SEEDS (by default a fresh one every
 # run, SOAK_RUNS of them), each with SOAK_SECONDS of faults. Exit status 0: no promise was broken.
+# SOAK_FEATURES: zones, born, "zones,born" or none, instead of those drawn from the seed.
 # A seed that fails leaves its logs in soak-run/SEED.
 cd "$(dirname "$0")/.." || exit 1
 BUILD=${BUILD:-build}
@@ -12,7 +13,7 @@
     folder=soak-run/$seed
     mkdir -p soak-run
     if python3 tests/soak/soak.py --build "$BUILD" --seed "$seed" --seconds "$LENGTH" \
-        --folder "$folder" --base-port "$((10000 + RANDOM % 15000))" > "soak-run/$seed.txt" 2>&1; then
+        ${SOAK_FEATURES:+--features "$SOAK_FEATURES"} --folder "$folder" --base-port "$((10000 + RANDOM % 15000))" > "soak-run/$seed.txt" 2>&1; then
         tail -1 "soak-run/$seed.txt"
         rm -rf "$folder" "soak-run/$seed.txt"
     else
--- a/tests/soak/backends.py
+++ b/tests/soak/backends.py
@@ -8,6 +8,7 @@
 from proxy import reset
 
 EVENT_PAUSE_S = 0.004
+PACES = [1, 1, 3, 8]
 HANG_S = 30.0
 
 
@@ -33,6 +34,8 @@
         self.promises = promises
         # Share of requests for each fault that is in force.
         self.faults = {}
+        self.pace = 1  # How many times as long as usual it takes.
+        self.born_ms = 0
         self.connections = set()
 
     async def start(self, port):
@@ -89,6 +92,8 @@
             fields.pop()
         if self.engine:
             return await self._stream(request, attempt_id, fields, writer)
+        if self.pace > 1:
+            await asyncio.sleep((self.pace - 1) * EVENT_PAUSE_S)
         return self._answer_whole(request, attempt_id, fields, writer)
 
     def _answer_whole(self, request, attempt_id, fields, writer):
@@ -109,7 +114,7 @@
         last = request.get("last-event-id")
         cut_at = self.random.randint(1, 6) if self._strikes("cut") else 0
         for number in range(1 if last is None else int(last) + 1, events_of(attempt_id) + 1):
-            await asyncio.sleep(EVENT_PAUSE_S)
+            await asyncio.sleep(EVENT_PAUSE_S * self.pace)
             data = event_data(attempt_id, request.body, number)
             event = f"id: {number}\ndata: {data}\n\n".encode()
             if number == cut_at:
--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -8,6 +8,7 @@
 import time
 
 from proxy import Proxy
+from zone_cut import ZoneCut, sockets_by_ports
 
 ZONES = ["za", "zb", "zc"]
 GRACE_S = 6
@@ -50,8 +51,10 @@
         ports = cluster.ports
         self.calls_port, self.readiness_port = ports.take(), ports.take()
         self.peer_port = ports.take()
-        self.key_value_proxy = Proxy(f"{name}-key-value", ports.take(), cluster.key_value_port)
-        self.peer_proxy = Proxy(f"{name}-peer", ports.take(), self.peer_port)
+        self.key_value_proxy = cluster.proxy(
+            f"{name}-key-value", ports.take(), cluster.key_value_port, near_zone=zone
+        )
+        self.peer_proxy = cluster.proxy(f"{name}-peer", ports.take(), self.peer_port, far_zone=zone)
         self.calls_proxy = Proxy(f"{name}-calls", ports.take(), self.calls_port)
 
     @property
@@ -78,6 +81,8 @@
                 f"[gateway]\ncalls=127.0.0.1:{self.calls_port}\n"
                 f"readiness=127.0.0.1:{self.readiness_port}"
             )
+            if self.cluster.tolerated_zones > 0:
+                lines[-1] += f"\ntolerated_zones={self.cluster.tolerated_zones}"
         with open(path, "w", encoding="utf-8") as file:
             file.write("\n".join(lines) + "\n")
 
@@ -159,7 +164,11 @@
 class Cluster:
     """All nodes of a run."""
 
-    def __init__(self, build, folder, base_port, key_value_port, promises):
+    def __init__(self, build, folder, base_port, key_value_port, promises, tolerated_zones=0):
+        self.tolerated_zones = tolerated_zones
+        self.proxies = []  # Those that a cut of a zone concerns.
+        self.all_nodes = []  # Also those that were taken away.
+        self.cut = None
         self.build = build
         self.folder = folder
         self.ports = Ports(base_port)
@@ -179,8 +188,27 @@
         self.added[kind] += 1
         node = Node(self, kind, f"{kind}{number}", ZONES[number % len(ZONES)], first_start)
         nodes.append(node)
+        self.all_nodes.append(node)
         return node
 
+    def proxy(self, *arguments, **zones):
+        proxy = Proxy(*arguments, **zones)
+        proxy.set_cut(self.cut)
+        self.proxies.append(proxy)
+        return proxy
+
+    def cut_zone(self, zone, silent):
+        self._set_cut(ZoneCut(zone, silent, self.all_nodes))
+
+    def heal_zone(self):
+        self._set_cut(None)
+
+    def _set_cut(self, cut):
+        self.cut = cut
+        sockets = sockets_by_ports()
+        for proxy in self.proxies:
+            proxy.set_cut(cut, sockets)
+
     def nodes(self):
         return self.gateways + self.stores
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -5,6 +5,8 @@
 import time
 from dataclasses import dataclass
 
+from cluster import ZONES
+
 BACKEND_FAULTS = [
     "refuse", "lose_answer", "hang", "error", "wrong_id", "unsigned", "cut", "surplus",
 ]
@@ -13,6 +15,10 @@
 DRAIN_S = 2.0
 DRAIN_SLACK_S = 2.0
 RETIRE_PATIENCE_S = 30.0
+CUT_S = (3.0, 6.0)
+BETWEEN_CUTS_S = (3.0, 8.0)
+RESTARTS_EVERY_S = 4.0
+FEATURES = ["zones", "born"]
 
 # Kind and how often it is drawn.
 KINDS = {
@@ -53,6 +59,30 @@
     return plan
 
 
+def draw_features(seed):
+    """What a run has beside the plan: each in half of the runs."""
+    chance = random.Random(f"features {seed}")
+    return [name for name in FEATURES if chance.random() < 0.5]
+
+
+def draw_feature_faults(seed, seconds, features):
+    """Faults that come with the features, from generators of their own: the plan stays as it is."""
+    faults = []
+    for name in features:
+        chance = random.Random(f"{name} {seed}")
+        at_s = chance.uniform(2.0, 6.0)
+        while at_s < seconds:
+            kind = "zone_cut" if name == "zones" else "backend_restart"
+            for_s = chance.uniform(*CUT_S) if name == "zones" else chance.uniform(0.1, 2.0)
+            faults.append(
+                Fault(round(at_s, 2), kind, chance.randrange(1000), round(for_s, 2),
+                      chance.randrange(1000), chance.random())
+            )
+            pause_s = chance.expovariate(1.0 / RESTARTS_EVERY_S)
+            at_s += for_s + chance.uniform(*BETWEEN_CUTS_S) if name == "zones" else pause_s
+    return faults
+
+
 class Player:
     """Plays a plan; every fault it began has ended when play() returns."""
 
@@ -66,7 +96,7 @@
 
     async def play(self, plan):
         start = time.monotonic()
-        for fault in plan:
+        for fault in sorted(plan, key=lambda fault: fault.at_s):
             await asyncio.sleep(max(0.0, start + fault.at_s - time.monotonic()))
             self.tasks.append(asyncio.create_task(self._play_one(fault)))
         await asyncio.gather(*self.tasks)
@@ -227,6 +257,11 @@
         proxies = self.world.backend_proxies()
         await self._harm_link([proxies[fault.target % len(proxies)]], fault)
 
+    async def _zone_cut(self, fault):
+        self.cluster.cut_zone(ZONES[fault.target % len(ZONES)], silent=fault.variant % 2 == 0)
+        await asyncio.sleep(fault.for_s)
+        self.cluster.heal_zone()
+
     # The key-value service, back ends, operators.
 
     async def _key_value(self, fault):
@@ -250,6 +285,9 @@
         await asyncio.sleep(fault.for_s)
         backend.faults.pop(name, None)
 
+    async def _backend_restart(self, fault):
+        await self.world.restart_backend(fault.target, fault.for_s)
+
     async def _drain(self, fault):
         await self.world.replace_backend(fault.target, announced=True)
 
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -10,6 +10,7 @@
     refuse    new connections are reset
 
 When a state ends that held bytes back, the connections that it harmed are reset, as after a cut.
+Beside the state, a cut of a zone (zone_cut.py) harms just the connections that cross it.
 """
 
 import asyncio
@@ -34,7 +35,11 @@
 class Proxy:
     """Listens on one port and passes each connection on to another."""
 
-    def __init__(self, name, listen_port, target_port):
+    def __init__(self, name, listen_port, target_port, near_zone=None, far_zone=None):
+        self.near_zone = near_zone  # None: of the process that connects.
+        self.far_zone = far_zone  # None: it stands in no zone.
+        self.cut = None
+        self.severed = set()  # Pairs that cross a silent cut.
         self.name = name
         self.listen_port = listen_port
         self.target_port = target_port
@@ -58,16 +63,46 @@
             self.reset_all()
 
     def reset_all(self):
-        for pair in list(self.pairs):
+        self._reset_pairs(self.pairs)
+
+    @staticmethod
+    def _reset_pairs(pairs):
+        for pair in list(pairs):
             for writer in pair:
                 reset(writer)
 
+    def set_cut(self, cut, sockets=None):
+        """Begins the cut of a zone, or ends it (None)."""
+        self.cut = cut
+        self._reset_pairs(self.severed)
+        self.severed.clear()
+        for pair in list(self.pairs):
+            self._sever(pair, sockets)
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def _sever(self, pair, sockets=None):
+        if self.cut is None or not self.cut.crosses(pair[0], self, sockets):
+            return
+        if self.cut.silent:
+            self.severed.add(pair)
+        else:
+            self._reset_pairs([pair])
+
+    async def _admitted(self, writer):
+        """Waits while new connections hang; False if this one is to be reset."""
+        while True:
+            crosses = self.cut is not None and self.cut.crosses(writer, self)
+            if self.state == "refuse" or (crosses and not self.cut.silent):
+                return False
+            if self.state != "silence" and not crosses:
+                return True
+            await self.changed.wait()
+
     async def _serve(self, reader, writer):
-        if self.state == "refuse":
+        if not await self._admitted(writer):
             reset(writer)
             return
-        while self.state == "silence":
-            await self.changed.wait()
         try:
             far_reader, far_writer = await asyncio.open_connection("127.0.0.1", self.target_port)
         except OSError:
@@ -75,25 +110,32 @@
             return
         pair = (writer, far_writer)
         self.pairs.add(pair)
+        self._sever(pair)
         try:
             await asyncio.gather(
-                self._pump(reader, far_writer, False), self._pump(far_reader, writer, True)
+                self._pump(reader, pair, False), self._pump(far_reader, pair, True)
             )
         finally:
             self.pairs.discard(pair)
+            self.severed.discard(pair)
             writer.close()
             far_writer.close()
 
-    def _held(self, backwards):
-        return self.state == "silence" or (self.state == "one_way" and backwards)
+    def _held(self, pair, backwards):
+        return (
+            self.state == "silence"
+            or (self.state == "one_way" and backwards)
+            or pair in self.severed
+        )
 
-    async def _pump(self, reader, writer, backwards):
+    async def _pump(self, reader, pair, backwards):
+        writer = pair[0] if backwards else pair[1]
         try:
             while True:
-                while self._held(backwards):
+                while self._held(pair, backwards):
                     await self.changed.wait()
                 data = await reader.read(CHUNK_BYTES)
-                while self._held(backwards):
+                while self._held(pair, backwards):
                     await self.changed.wait()
                 if self.delay_s > 0:
                     await asyncio.sleep(self.delay_s)
@@ -105,7 +147,4 @@
         except (OSError, ConnectionError):
             reset(writer)
             # The near side learns of it too.
-            for pair in list(self.pairs):
-                if writer in pair:
-                    for other in pair:
-                        reset(other)
+            self._reset_pairs([pair])
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -17,19 +17,21 @@
 import json
 import os
 import random
+import re
 import shutil
 import sys
 import time
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 
-from backends import Backend
+from backends import PACES, Backend
 from callers import RESUMABLE, SAFE, TOKENS_PER_EVENT, TURN, UNSAFE, Caller, Route
-from cluster import Cluster
-from faults import DRAIN_S, DRAIN_SLACK_S, Player, draw_plan
+from cluster import ZONES, Cluster
+from faults import (
+    DRAIN_S, DRAIN_SLACK_S, FEATURES, Player, draw_feature_faults, draw_features, draw_plan,
+)
 from key_value import KeyValueService
 from promises import Promises
-from proxy import Proxy
 
 GATEWAYS, STORES, ENGINES, SERVICES = 3, 3, 3, 3
 PROGRAMS_AT_ONCE = 10
@@ -47,7 +49,9 @@
 class World:
     """Back ends and the configuration, as servers and the operator write them."""
 
-    def __init__(self, key_value, ports, promises, cluster, seed):
+    def __init__(self, key_value, ports, promises, cluster, seed, born):
+        self.born = born  # Whether back ends tell when they were born; then some are slower.
+        self.paces = random.Random(f"paces {seed}")
         self.key_value = key_value
         self.ports = ports
         self.promises = promises
@@ -64,22 +68,30 @@
         backend = Backend(
             instance, service, service == "engine", self.random.random(), self.promises
         )
+        self._begin_life(backend)
         await backend.start(port)
-        proxy = Proxy(instance, self.ports.take(), port)
+        zone = ZONES[self.started % len(ZONES)]
+        proxy = self.cluster.proxy(instance, self.ports.take(), port, far_zone=zone)
         await proxy.start()
         self.backends.append((backend, proxy))
         self._register(backend, proxy, "ready")
 
+    def _begin_life(self, backend):
+        backend.born_ms = int(time.time() * 1000)
+        if self.born:
+            backend.pace = self.paces.choice(PACES)
+
     def _register(self, backend, proxy, state):
-        zone = f"z{'abc'[int(backend.instance[2:]) % 3]}"
         entry = {
             "service": backend.service,
             "address": f"127.0.0.1:{proxy.listen_port}",
-            "zone": zone,
+            "zone": proxy.far_zone,
             "slots": SLOTS,
             "state": state,
             "sequence": 1,
         }
+        if self.born:
+            entry["born"] = backend.born_ms
         self.key_value.put(f"servers/{backend.instance}", entry)
 
     def backend(self, target):
@@ -106,6 +118,19 @@
         backend.stop()
         proxy.set_state("refuse")
 
+    async def restart_backend(self, target, for_s):
+        """The server ends in the midst of its calls and comes back under its id and address."""
+        backend, proxy = self.backends[target % len(self.backends)]
+        if not backend.server.is_serving():
+            return
+        backend.stop()
+        await asyncio.sleep(for_s)
+        if (backend, proxy) not in self.backends:  # Taken away meanwhile.
+            return
+        self._begin_life(backend)
+        await backend.start(proxy.target_port)
+        self._register(backend, proxy, "ready")
+
     def edit(self):
         """A new version of the configuration; its probe route shows that it is in force."""
         self.version += 1
@@ -143,6 +168,9 @@
 
     def __init__(self, options):
         self.options = options
+        self.features = options.features
+        if self.features is None:
+            self.features = draw_features(options.seed)
         self.promises = Promises()
         self.key_value = KeyValueService(options.seed)
         self.running = True
@@ -152,10 +180,12 @@
         key_value_port = options.base_port
         await self.key_value.start(key_value_port)
         self.cluster = Cluster(
-            options.build, options.folder, options.base_port + 1, key_value_port, self.promises
+            options.build, options.folder, options.base_port + 1, key_value_port, self.promises,
+            tolerated_zones=1 if "zones" in self.features else 0,
         )
         self.world = World(
-            self.key_value, self.cluster.ports, self.promises, self.cluster, options.seed
+            self.key_value, self.cluster.ports, self.promises, self.cluster, options.seed,
+            born="born" in self.features,
         )
         self.world.edit()
         for service, count in (("engine", ENGINES), ("service", SERVICES)):
@@ -235,6 +265,7 @@
             work.append(asyncio.create_task(self._probe_versions()))
             player = Player(self.cluster, self.key_value, self.world)
             plan = draw_plan(self.options.seed, self.options.seconds, self.options.kinds)
+            plan += draw_feature_faults(self.options.seed, self.options.seconds, self.features)
             try:
                 await asyncio.wait_for(player.play(plan), self.options.seconds + 90)
             except asyncio.TimeoutError:
@@ -263,6 +294,10 @@
     parser.add_argument("--seconds", type=float, default=20, help="how long faults are begun")
     parser.add_argument("--base-port", type=int, default=12000)
     parser.add_argument("--kinds", type=lambda text: text.split(","), help="only these faults")
+    parser.add_argument(
+        "--features", type=lambda text: [name for name in text.split(",") if name in FEATURES],
+        help="zones, born, both or none; drawn from the seed by default",
+    )
     options = parser.parse_args()
     options.build, options.folder = os.path.abspath(options.build), os.path.abspath(options.folder)
     return options
@@ -281,7 +316,11 @@
         "attempts": len(promises.attempts),
         "turns": len(promises.turns),
         "statuses": {str(status): count for status, count in sorted(promises.statuses.items(), key=str)},
+        "features": soak.features,
         "faults": getattr(soak, "counts", {}),
+        "zone_cuts_found": sum(
+            len(re.findall("^.*E850 .*cut=yes", node.log_text(), re.M)) for node in soak.cluster.gateways
+        ),
         "broken": len(promises.broken),
     }
     print(json.dumps(report), flush=True)
