soak: limits of tenants are judged

Cause: the soak had no tenants, so nothing there showed that a limit holds while storage nodes and zones are lost.

Change: a third feature, `tenants`, drawn for half of the runs after the other two, so that what a seed draws of these stays. The configuration names two tenants; programs carry the key of one with 25 calls a second and 10 on top, the soak's own probes that of one without a limit. Any 5 s of its runs at back ends are held against the bounds that nodes have by default (overage 0.1, slack 20: 168 runs). The seed with all features in make check has tenants too.

--- a/tests/integration/soak_test.sh
+++ b/tests/integration/soak_test.sh
@@ -11,7 +11,8 @@
 for soak_seed_number in 1 $(sed 's/#.*//' tests/soak/seeds.txt | awk 'NF {print $1}'); do
     expect "soak, seed $soak_seed_number" soak_seed "$soak_seed_number"
 done
-expect "soak, seed 1 with zones cut off and back ends restarted" soak_seed 1 zones,born
+expect "soak, seed 1 with zones cut off, back ends restarted and limits of tenants" \
+    soak_seed 1 zones,born,tenants
 # Two storage nodes are emptied one after the other: the second spare was given the name of the first,
 # which is still there, and emptying that one never ended. Needs the full length.
 SOAK_SECONDS=25 expect "soak, seed 180438672" soak_seed 180438672
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -51,7 +51,8 @@
 class Caller:
     """Speaks to gateways through their proxies; a connection for each attempt."""
 
-    def __init__(self, promises, gateways, seed):
+    def __init__(self, promises, gateways, seed, keys=False):
+        self.keys = keys  # Whether calls carry their tenant's key.
         self.promises = promises
         self.gateways = gateways
         self.random = random.Random(seed)
@@ -59,7 +60,8 @@
     def new_id(self):
         return f"{self.random.getrandbits(64):016x}"
 
-    async def attempt(self, route, body, program=None, parent=None, gateway=None):
+    async def attempt(self, route, body, program=None, parent=None, gateway=None,
+                      tenant="bound"):
         """One try; returns (attempt id, Result)."""
         gateway = gateway or self.random.choice(self.gateways)
         method = "GET" if route is SAFE else "POST"
@@ -67,7 +69,9 @@
         attempt_id = self.new_id()
         target = f"{route.prefix}x?y={attempt_id[:4]}"
         chain = self.promises.chain(parent) if route.stateful else b""
-        attempt = Attempt(attempt_id, route, method, target, chain + body, program)
+        attempt = Attempt(
+            attempt_id, route, method, target, chain + body, program, tenant if self.keys else None
+        )
         self.promises.begin(attempt)
         result = Result()
         sent_at = time.monotonic()
@@ -88,6 +92,8 @@
             ("Attempt-Id", attempt.id),
             ("Deadline-Milliseconds", DEADLINE_MS),
         ]
+        if attempt.tenant is not None:
+            fields.append(("Authorization", f"Bearer key-of-{attempt.tenant}"))
         if attempt.program is not None:
             fields += [("Program-Id", attempt.program), ("Session-Id", attempt.program)]
         if attempt.route.stream:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -18,7 +18,7 @@
 CUT_S = (3.0, 6.0)
 BETWEEN_CUTS_S = (3.0, 8.0)
 RESTARTS_EVERY_S = 4.0
-FEATURES = ["zones", "born"]
+FEATURES = ["zones", "born", "tenants"]
 
 # Kind and how often it is drawn.
 KINDS = {
@@ -68,7 +68,7 @@
 def draw_feature_faults(seed, seconds, features):
     """Faults that come with the features, from generators of their own: the plan stays as it is."""
     faults = []
-    for name in features:
+    for name in (name for name in features if name != "tenants"):
         chance = random.Random(f"{name} {seed}")
         at_s = chance.uniform(2.0, 6.0)
         while at_s < seconds:
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -5,14 +5,20 @@
 """
 
 import time
+from collections import deque
 
 NOT_RUN_STATUSES = {402, 408, 421, 429, 503}
+# Tenants: calls a second, and on top at one moment; 0: no limit.
+TENANTS = {"bound": (25, 10), "free": (0, 0)}
+# The bounds that nodes have by default, `quota` in their settings.
+WINDOW_S, OVERAGE, SLACK = 5.0, 0.1, 20
 
 
 class Attempt:
     """One try of a caller, with an id of its own."""
 
-    def __init__(self, attempt_id, route, method, target, body, program):
+    def __init__(self, attempt_id, route, method, target, body, program, tenant=None):
+        self.tenant = tenant
         self.id = attempt_id
         self.route = route
         self.method = method
@@ -34,6 +40,7 @@
         self.budgets = {}  # Program: (budget, most of one turn)
         self.broken = []
         self.statuses = {}
+        self.tenant_runs = {}  # Tenant: when its calls of the last window were run.
         self.drained = {}  # Instance: time after which no request may reach it.
         self.versions = {}  # Gateway incarnation: highest version seen in force.
 
@@ -62,6 +69,19 @@
         if now > self.drained.get(instance, now):
             late = now - self.drained[instance]
             self.break_promise("drain", attempt_id, f"instance={instance} late_s={late:.2f}")
+        self._judge_limit(attempt, now)
+
+    def _judge_limit(self, attempt, now):
+        rate, burst = TENANTS.get(attempt.tenant, (0, 0))
+        if rate == 0:
+            return
+        times = self.tenant_runs.setdefault(attempt.tenant, deque())
+        times.append(now)
+        while times[0] <= now - WINDOW_S:
+            times.popleft()
+        most = (rate * WINDOW_S + burst) * (1 + OVERAGE) + SLACK
+        if len(times) > most:
+            self.break_promise("limit", attempt.id, f"{len(times)} runs in {WINDOW_S} s of {most}")
 
     # What callers see.
 
--- a/tests/soak/promises_test.py
+++ b/tests/soak/promises_test.py
@@ -12,7 +12,7 @@
 
 from callers import SAFE, TURN, UNSAFE, Caller, Result
 from http_message import Message
-from promises import Attempt, Promises
+from promises import SLACK, TENANTS, WINDOW_S, Attempt, Promises
 
 
 class PromisesTest(unittest.TestCase):
@@ -119,6 +119,18 @@
         self.run_at(self.begin(SAFE))
         self.assertEqual(self.broken(), ["drain"])
 
+    def test_a_tenant_beyond_its_limit(self):
+        rate, burst = TENANTS["bound"]
+        allowed = int((rate * WINDOW_S + burst) * 1.1 + SLACK)
+        for tenant, count in (("free", 2 * allowed), ("bound", allowed)):
+            for number in range(count):
+                attempt = self.begin(SAFE, f"{tenant}{number}")
+                attempt.tenant = tenant
+                self.run_at(attempt)
+        self.assertEqual(self.broken(), [])
+        self.run_at(attempt)
+        self.assertEqual(self.broken(), ["limit"])
+
     def test_a_configuration_that_goes_back(self):
         self.promises.note_version("gateway0.1", time.monotonic(), 5)
         self.promises.note_version("gateway0.2", time.monotonic() + 1, 4)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -31,7 +31,7 @@
     DRAIN_S, DRAIN_SLACK_S, FEATURES, Player, draw_feature_faults, draw_features, draw_plan,
 )
 from key_value import KeyValueService
-from promises import Promises
+from promises import TENANTS, Promises
 
 GATEWAYS, STORES, ENGINES, SERVICES = 3, 3, 3, 3
 PROGRAMS_AT_ONCE = 10
@@ -49,8 +49,9 @@
 class World:
     """Back ends and the configuration, as servers and the operator write them."""
 
-    def __init__(self, key_value, ports, promises, cluster, seed, born):
-        self.born = born  # Whether back ends tell when they were born; then some are slower.
+    def __init__(self, key_value, ports, promises, cluster, seed, features):
+        self.born = "born" in features  # Back ends tell when they were born; some are slower.
+        self.tenants = "tenants" in features
         self.paces = random.Random(f"paces {seed}")
         self.key_value = key_value
         self.ports = ports
@@ -137,7 +138,12 @@
         routes = [self._route(name, route, kind, service) for name, route, kind, service in ROUTES]
         probe = self.probe_route(self.version)
         routes.append(self._route(f"probe-{self.version}", probe, "unsafe", "service"))
+        tenants = [
+            {"name": name, "rate-per-s": rate, "burst": burst, "api-keys": [f"key-of-{name}"]}
+            for name, (rate, burst) in TENANTS.items()
+        ]
         self.key_value.put("op/config", {
+            **({"tenants": tenants} if self.tenants else {}),
             "version": self.version,
             "routes": routes,
             "services": [
@@ -185,7 +191,7 @@
         )
         self.world = World(
             self.key_value, self.cluster.ports, self.promises, self.cluster, options.seed,
-            born="born" in self.features,
+            self.features,
         )
         self.world.edit()
         for service, count in (("engine", ENGINES), ("service", SERVICES)):
@@ -196,7 +202,9 @@
                 node = self.cluster.add(kind, first_start=kind == "store")
                 await node.prepare()
                 node.start()
-        self.caller = Caller(self.promises, self.cluster.gateways, options.seed)
+        self.caller = Caller(
+            self.promises, self.cluster.gateways, options.seed, self.world.tenants
+        )
 
     async def _run_programs(self):
         while self.running:
@@ -214,7 +222,7 @@
         """True if the gateway serves the route that only this version has."""
         sent_at, incarnation = time.monotonic(), gateway.incarnation
         route = self.world.probe_route(version)
-        _, result = await self.caller.attempt(route, b"probe", gateway=gateway)
+        _, result = await self.caller.attempt(route, b"probe", gateway=gateway, tenant="free")
         served = result.whole and result.status == 200
         if served and incarnation == gateway.incarnation:
             self.promises.note_version(incarnation, sent_at, version)
@@ -230,7 +238,8 @@
         return False
 
     async def _serves_turns(self, gateway):
-        _, result = await self.caller.attempt(TURN, b"new\n", self.caller.new_id(), gateway=gateway)
+        _, result = await self.caller.attempt(
+            TURN, b"new\n", self.caller.new_id(), gateway=gateway, tenant="free")
         return result.whole and result.status == 200
 
     async def _recovered(self):
@@ -296,7 +305,7 @@
     parser.add_argument("--kinds", type=lambda text: text.split(","), help="only these faults")
     parser.add_argument(
         "--features", type=lambda text: [name for name in text.split(",") if name in FEATURES],
-        help="zones, born, both or none; drawn from the seed by default",
+        help="some of zones, born and tenants, or none; drawn from the seed by default",
     )
     options = parser.parse_args()
     options.build, options.folder = os.path.abspath(options.build), os.path.abspath(options.folder)
