--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -8,7 +8,7 @@
 import time
 
 from proxy import Proxy
-from zone_cut import ZoneCut, sockets_by_ports
+from zone_cut import ZoneCut, read_connections
 
 ZONES = ["za", "zb", "zc"]
 GRACE_S = 6
@@ -205,9 +205,9 @@
 
     def _set_cut(self, cut):
         self.cut = cut
-        sockets = sockets_by_ports()
+        connections = read_connections()
         for proxy in self.proxies:
-            proxy.set_cut(cut, sockets)
+            proxy.set_cut(cut, connections)
 
     def nodes(self):
         return self.gateways + self.stores
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -71,18 +71,18 @@
             for writer in pair:
                 reset(writer)
 
-    def set_cut(self, cut, sockets=None):
+    def set_cut(self, cut, connections=None):
         """Begins the cut of a zone, or ends it (None)."""
         self.cut = cut
         self._reset_pairs(self.severed)
         self.severed.clear()
         for pair in list(self.pairs):
-            self._sever(pair, sockets)
+            self._sever(pair, connections)
         self.changed.set()
         self.changed = asyncio.Event()
 
-    def _sever(self, pair, sockets=None):
-        if self.cut is None or not self.cut.crosses(pair[0], self, sockets):
+    def _sever(self, pair, connections=None):
+        if self.cut is None or not self.cut.crosses(pair[0], self, connections):
             return
         if self.cut.silent:
             self.severed.add(pair)
--- a/tests/soak/zone_cut.py
+++ b/tests/soak/zone_cut.py
@@ -8,16 +8,19 @@
 import os
 
 
-def sockets_by_ports():
-    """The socket at the near end of each TCP connection of this machine: {(port, far port): inode}."""
-    sockets = {}
+INODE_FIELD = 8  # Counted from the near address.
+
+
+def read_connections():
+    """The kernel's table as text: other processes may hold thousands, of which few are looked up."""
     with open("/proc/net/tcp", encoding="ascii") as table:
-        next(table)
-        for line in table:
-            fields = line.split()
-            ports = tuple(int(address.split(":")[1], 16) for address in fields[1:3])
-            sockets[ports] = fields[9]
-    return sockets
+        return table.read()
+
+
+def find_socket(connections, port, far_port):
+    """The inode of the socket at the near end of a connection on loopback; "0" if there is none."""
+    row = connections.find(f" 0100007F:{port:04X} 0100007F:{far_port:04X} ")
+    return "0" if row < 0 else connections[row : row + 200].split()[INODE_FIELD]
 
 
 def holds_socket(process, inode):
@@ -39,17 +42,17 @@
         self.silent = silent
         self.nodes = nodes
 
-    def _zone_at(self, near_port, listen_port, sockets):
-        inode = sockets.get((near_port, listen_port), "0")
+    def _zone_at(self, near_port, listen_port, connections):
+        inode = find_socket(connections, near_port, listen_port)
         for node in self.nodes:
             if inode != "0" and node.running() and holds_socket(node.process, inode):
                 return node.zone
         return None
 
-    def crosses(self, writer, proxy, sockets=None):
+    def crosses(self, writer, proxy, connections=None):
         """True if the connection that came to the proxy leads into the zone or out of it."""
         near_zone = proxy.near_zone
         if near_zone is None:
             near_port = (writer.get_extra_info("peername") or ("", 0))[1]
-            near_zone = self._zone_at(near_port, proxy.listen_port, sockets or sockets_by_ports())
+            near_zone = self._zone_at(near_port, proxy.listen_port, connections or read_connections())
         return (near_zone == self.zone) != (proxy.far_zone == self.zone)
