storage nodes: a stop in the midst of a write does not hang

Symptom: a storage node that is stopped while its disk is slow stays until it is killed (soak, "still runs after its time"). Cause: the loop stood on the stack of run(), which returns while the disk's thread still ends its write there; the exit then waits for that thread, which waits for a mutex in memory that is used again. Ruled out: the disk alone (the thread had left its write). Change: the loop outlives run().

--- a/src/store/main.c
+++ b/src/store/main.c
@@ -22,7 +22,8 @@
 }
 
 static int run(const process_settings_t *settings) {
-    uv_loop_t loop;
+    /* The disk's thread may still be in a write when the process ends, and uses the loop then. */
+    static uv_loop_t loop;
     store_t store = {.loop = &loop, .settings = settings};
     GError *error = NULL;
     uv_loop_init(&loop);
