--- a/src/core/admission/program_home.c
+++ b/src/core/admission/program_home.c
@@ -13,22 +13,12 @@
     return CLAMP(limit->rate / HOME_CALLS_PER_S, 1, MAX(shares, 1));
 }
 
-static bool may_be_home(const quota_member_t *members, unsigned count, unsigned homes,
-                        unsigned index) {
-    if (!members[index].reachable)
-        return false;
-    unsigned before = 0;
-    for (unsigned i = 0; i < count; i++)
-        before += members[i].reachable && members[i].rank < members[index].rank;
-    return before < homes;
-}
-
 unsigned program_home_choose(const quota_member_t *members, unsigned count, unsigned homes,
                              uint64_t program) {
     unsigned home = count;
     uint64_t highest = 0;
     for (unsigned i = 0; i < count; i++) {
-        if (!may_be_home(members, count, homes, i))
+        if (!quota_holds_share(members, count, homes, i))
             continue;
         uint64_t score = XXH64(&members[i].rank, sizeof members[i].rank, program);
         if (home < count && score <= highest)
--- a/src/core/quota/quota_choice.c
+++ b/src/core/quota/quota_choice.c
@@ -1,8 +1,7 @@
 #include "core/quota/quota_choice.h"
 
-/** True if the member is among the first @p shares that can be reached. */
-static bool holds_share(const quota_member_t *members, unsigned count, unsigned shares,
-                        unsigned index) {
+bool quota_holds_share(const quota_member_t *members, unsigned count, unsigned shares,
+                       unsigned index) {
     if (!members[index].reachable)
         return false;
     unsigned before = 0;
@@ -20,7 +19,7 @@
                                uint64_t now) {
     quota_decision_t decision = {.step = QUOTA_UNREACHABLE};
     for (unsigned i = 0; i < count; i++) {
-        if (!holds_share(members, count, shares, i) || members[i].empty_until <= now)
+        if (!quota_holds_share(members, count, shares, i) || members[i].empty_until <= now)
             continue;
         uint32_t wait_ms = (uint32_t)(members[i].empty_until - now);
         if (decision.step == QUOTA_REFUSE && wait_ms >= decision.wait_ms)
@@ -35,7 +34,7 @@
                                uint64_t now, unsigned skip) {
     unsigned index = 0;
     for (unsigned i = 0; i < count; i++) {
-        if (!holds_share(members, count, shares, i) || !may_have_token(&members[i], now))
+        if (!quota_holds_share(members, count, shares, i) || !may_have_token(&members[i], now))
             continue;
         index = i;
         if (skip == 0)
@@ -49,7 +48,7 @@
                               uint64_t now, uint32_t random) {
     unsigned found = 0;
     for (unsigned i = 0; i < count; i++)
-        found += holds_share(members, count, shares, i) && may_have_token(&members[i], now);
+        found += quota_holds_share(members, count, shares, i) && may_have_token(&members[i], now);
     if (found == 0)
         return refuse(members, count, shares, now);
     unsigned index = nth_with_token(members, count, shares, now, random % found);
--- a/src/core/quota/quota_choice.h
+++ b/src/core/quota/quota_choice.h
@@ -35,6 +35,9 @@
     uint32_t wait_ms; /**< and in how long. */
 } quota_decision_t;
 
+/** True if the member at @p index is among the first @p shares that can be reached. */
+bool quota_holds_share(const quota_member_t *members, unsigned count, unsigned shares,
+                       unsigned index);
 /**
  * What to do for a call: @p members are @p count, the limit is split among @p shares of them;
  * @p random decides among equals.
