gateway: a call that has run waits for slow disks as long as its caller does

What callers saw: the stream of a turn ended without its end (E841 refused=0 silent=2 or 3), or a call ended with 502 (budget_not_durable), though an engine had run it and the caller would have waited on.

Cause: one limit of 1.5 s served three purposes: how long a verdict is waited for, how long a disk is, and how old a reply may be that counts. A sync that takes longer than 1.5 s, begun after the grant, lost the turn whatever the caller's time.

Evidence: E862 of the silent members (docs/incidents/turn-run-without-room.md): disk_ms 2246, loop and thread 0. Ruled out before: processor (loop_ms, thread_ms).

Change: a write waits for its quorum until the call's deadline. The limit stays for verdicts and for the age of replies: a quorum that is complete later is asked again under a new number, and members that have the record confirm it without writing it again. So the guarantee against a member that lost its disk and caught up in between (EMPTY_DISK_WAIT_MS) is the same as before. A reserve that became durable late is decided again, since a member that lost it from memory may have granted its tokens to another call. At the deadline the call ends as not stored, with E841, not as timed out.

Tests: slow_disk_unit_test, in virtual time: stalls after the grant and during the reserve, of one, two and three nodes, up to 3.5 s and of 14 s; a copy whose disk is lost meanwhile; a reserve lost before its sync.

--- a/src/core/turns/turn_table.c
+++ b/src/core/turns/turn_table.c
@@ -105,14 +105,18 @@
     table->buckets->digests[entry->bucket] ^= digest_of_record(entry->turn.id, 0);
 }
 
+bool turn_table_extend(turn_table_t *table, const char *id, uint32_t retention_ms, uint64_t now) {
+    turn_entry_t *entry = g_hash_table_lookup(table->entries, id);
+    if (entry != NULL)
+        extend_chain(table, entry, now + retention_ms);
+    return entry != NULL;
+}
+
 bool turn_table_add(turn_table_t *table, const turn_t *turn, uint32_t segment, uint64_t now) {
-    uint64_t expires_at = now + turn->retention_ms;
-    turn_entry_t *entry = g_hash_table_lookup(table->entries, turn->id);
-    if (entry != NULL) {
-        extend_chain(table, entry, expires_at);
+    if (turn_table_extend(table, turn->id, turn->retention_ms, now))
         return false;
-    }
-    entry = g_new0(turn_entry_t, 1);
+    uint64_t expires_at = now + turn->retention_ms;
+    turn_entry_t *entry = g_new0(turn_entry_t, 1);
     turn_copy(&entry->turn, turn);
     entry->segment = segment;
     entry->bucket = digest_bucket_of(turn->id);
--- a/src/core/turns/turn_table.h
+++ b/src/core/turns/turn_table.h
@@ -56,6 +56,11 @@
 void turn_table_init(turn_table_t *table);
 void turn_table_clear(turn_table_t *table);
 
+/**
+ * Extends the expiry of a stored turn and its ancestors to @p retention_ms from @p now; false if
+ * the table does not have the turn.
+ */
+bool turn_table_extend(turn_table_t *table, const char *id, uint32_t retention_ms, uint64_t now);
 /**
  * Adds a turn that is stored in log segment @p segment and extends the expiry of its ancestors.
  * Returns false if the turn exists already; expiries are extended in that case too.
--- a/src/gateway/call.c
+++ b/src/gateway/call.c
@@ -241,7 +241,9 @@
 }
 
 static void on_deadline(uv_timer_t *timer) {
-    call_fail(timer->data, CALL_TIMED_OUT);
+    call_t *call = timer->data;
+    if (!call_turn_expire(call))
+        call_fail(call, CALL_TIMED_OUT);
 }
 
 /** The earlier of the caller's deadline and the route's timeout, in ms of loop time. */
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -233,6 +233,11 @@
 void call_turn_begin(call_t *call);
 /** Handles a completed stream: stores the turn if the route requires it, then ends the call. */
 void call_turn_stream_completed(call_t *call);
+/**
+ * Fails a call whose deadline passes while its complete stream waits for the storage nodes; false
+ * if the call waits for something else.
+ */
+bool call_turn_expire(call_t *call);
 /** Cancels the operations in progress and settles the budget. */
 void call_turn_end(call_t *call);
 
--- a/src/gateway/call_turn.c
+++ b/src/gateway/call_turn.c
@@ -6,8 +6,9 @@
  * crashes.
  *
  * A turn that may be continued is complete for its caller only when a quorum has it on disk. If
- * that takes too long, the stream is aborted. The storage nodes check their free space as part of
- * the reserve, so that a turn which can't be stored is refused before an engine runs it.
+ * that takes longer than the caller waits, the stream is aborted. The storage nodes check their
+ * free space as part of the reserve, so that a turn which can't be stored is refused before an
+ * engine runs it.
  */
 #include "gateway/call.h"
 
@@ -121,9 +122,15 @@
         return false;
     }
     call->turn.reserved = true;
-    call->turn.reserve_operation = store_client_reserve(
-        stores, call->program, call->id, call->turn.max_tokens, strtoull(budget, NULL, 10),
-        call->route->keeps_turns, &reserve_handler, call);
+    const store_reserve_t reserve = {
+        .program = call->program,
+        .call = call->id,
+        .max_tokens = call->turn.max_tokens,
+        .budget = strtoull(budget, NULL, 10),
+        .stores_turn = call->route->keeps_turns,
+        .timeout_ms = call_time_left(call),
+    };
+    call->turn.reserve_operation = store_client_reserve(stores, &reserve, &reserve_handler, call);
     return true;
 }
 
@@ -252,11 +259,21 @@
         return;
     }
     turn_t turn = build_turn(call);
-    call->turn.put_operation =
-        store_client_put_turn(call->gateway->stores, &turn, &put_handler, call);
+    call->turn.put_operation = store_client_put_turn(call->gateway->stores, &turn,
+                                                     call_time_left(call), &put_handler, call);
     turn_clear(&turn);
 }
 
+bool call_turn_expire(call_t *call) {
+    call_turn_t *turn = &call->turn;
+    store_operation_t *write =
+        turn->put_operation != NULL ? turn->put_operation : turn->reserve_operation;
+    if (!turn->stream_completed || write == NULL)
+        return false;
+    store_operation_expire(write);
+    return true;
+}
+
 void call_turn_end(call_t *call) {
     call_turn_t *turn = &call->turn;
     store_operation_t *operations[] = {turn->reserve_operation, turn->chain_operation,
--- a/src/gateway/store_client.h
+++ b/src/gateway/store_client.h
@@ -3,10 +3,13 @@
  * A gateway's client of the storage nodes: connections to all members of the store group, and
  * quorum operations over them.
  *
- * Writes are sent to every member, and again to a member that reconnects. An operation without a
- * quorum fails after GATEWAY_OPERATION_TIMEOUT_MS. This timeout must stay below EMPTY_DISK_WAIT_MS
- * of store/store_catch_up.c, the delay before a member with an empty disk catches up. It also
- * bounds which replies a gateway may count after a pause.
+ * Writes are sent to every member, and again to a member that reconnects. A verdict is given within
+ * GATEWAY_OPERATION_TIMEOUT_MS. A write waits for disks as long as its caller does, but replies
+ * count only if they arrive within GATEWAY_OPERATION_TIMEOUT_MS of their requests: an older one may
+ * be of a member that has lost its disk and caught up since. This timeout must therefore stay below
+ * EMPTY_DISK_WAIT_MS of store/store_catch_up.c, the delay before a member with an empty disk
+ * catches up. If a quorum replies later, the members are asked again; those that still have the
+ * record reply without writing it again.
  *
  * Thread safety: everything here belongs to the loop's thread.
  */
@@ -18,7 +21,7 @@
 
 #include <uv.h>
 
-/** Timeout of an operation. */
+/** Timeout of a verdict, and maximum age of replies that are counted. */
 enum { GATEWAY_OPERATION_TIMEOUT_MS = 1500 };
 
 typedef struct store_client store_client_t;
@@ -34,8 +37,9 @@
      */
     void (*on_verdict)(void *owner, verdict_t verdict, const GArray *turns);
     /**
-     * Whether a granted reserve or a turn became durable; false on a timeout or if too many members
-     * refused the turn. Ends the operation.
+     * Whether a granted reserve or a turn became durable; false on a timeout, if too many members
+     * refused the turn, or if the budget no longer covers a reserve that became durable late. Ends
+     * the operation.
      */
     void (*on_durable)(void *owner, bool durable);
 } store_operation_handler_t;
@@ -104,14 +108,19 @@
 /** Sends @p request in the current generation to one member, if connected; clears @p request. */
 void store_client_send_member(const store_client_t *client, unsigned member, message_t *request);
 
-/**
- * Reserves @p max_tokens of the program's budget for a call. @p stores_turn: the call's turn will
- * be stored, so a grant requires a write quorum of members with free space for it.
- */
-store_operation_t *store_client_reserve(store_client_t *client, const char *program,
-                                        const char *call, uint64_t max_tokens, uint64_t budget,
-                                        bool stores_turn, const store_operation_handler_t *handler,
-                                        void *owner);
+/** A reserve of a program's budget for one call. */
+typedef struct {
+    const char *program;
+    const char *call;
+    uint64_t max_tokens; /**< Maximum number of tokens that the call can generate. */
+    uint64_t budget;     /**< Of the program, in tokens. */
+    bool stores_turn;    /**< The call's turn will be stored: a grant requires a write quorum of
+                              members with free space for it. */
+    uint64_t timeout_ms; /**< A granted reserve that is not durable by then fails. */
+} store_reserve_t;
+
+store_operation_t *store_client_reserve(store_client_t *client, const store_reserve_t *reserve,
+                                        const store_operation_handler_t *handler, void *owner);
 /** Of a granted reserve: hash of the back end at which the program last ran; 0: unknown. */
 uint64_t store_operation_last_engine(const store_operation_t *operation);
 /** Of a granted reserve: other calls of the program have spent or reserved tokens. */
@@ -123,11 +132,15 @@
 bool store_operation_has_space(const store_operation_t *operation);
 /** Reports to the members the hash of the back end at which the program now runs; best effort. */
 void store_client_report_engine(store_client_t *client, const char *program, uint64_t engine);
+/** Stores a turn; fails if it is not durable within @p timeout_ms. */
 store_operation_t *store_client_put_turn(store_client_t *client, const turn_t *turn,
+                                         uint64_t timeout_ms,
                                          const store_operation_handler_t *handler, void *owner);
 /** Reads a turn and its ancestors. */
 store_operation_t *store_client_read_chain(store_client_t *client, const char *turn_id,
                                            const store_operation_handler_t *handler, void *owner);
+/** Ends an operation as if its time had run out, with the callback. */
+void store_operation_expire(store_operation_t *operation);
 /** Ends an operation without a callback. */
 void store_operation_cancel(store_operation_t *operation);
 /**
--- a/src/gateway/store_client_state.h
+++ b/src/gateway/store_client_state.h
@@ -54,8 +54,11 @@
     message_t request;
     uv_timer_t timer;
     uint64_t started_at;
-    uint64_t generation; /**< Generation whose replies are counted. */
-    reply_t *verdicts;   /**< By member. */
+    uint64_t requested_at; /**< When the requests whose replies are counted were sent. */
+    uint64_t expires_at;   /**< When the operation fails if it is not durable. */
+    bool confirming;       /**< The requests were sent again because a quorum replied too late. */
+    uint64_t generation;   /**< Generation whose replies are counted. */
+    reply_t *verdicts;     /**< By member. */
     reply_t *durable_replies;
     uint64_t budget;               /**< Of a reserve: the program's budget in tokens. */
     budget_summary_t *summaries;   /**< By member; from its reserve reply. */
--- a/src/gateway/store_operation.c
+++ b/src/gateway/store_operation.c
@@ -1,7 +1,12 @@
 /*
  * Quorum operations: each sends a request to the members of the store group and counts their
  * replies. An operation restarts when the group changes, since replies of an earlier generation are
- * not counted, and times out after GATEWAY_OPERATION_TIMEOUT_MS.
+ * not counted.
+ *
+ * A call that has run must not be lost because disks are slow, so a write waits for its quorum as
+ * long as its caller does. A quorum that is complete only after GATEWAY_OPERATION_TIMEOUT_MS is not
+ * counted, see store_client.h: the request is sent again under a new number, so that replies to
+ * earlier requests are ignored, and the members that have the record confirm it at once.
  */
 #include "gateway/store_client_state.h"
 
@@ -45,6 +50,7 @@
     store_client_t *client = operation->client;
     unsigned count = client->members->len;
     operation->generation = client->group->generation;
+    operation->requested_at = uv_now(client->loop);
     free_replies(operation);
     /* One extra element, so that the arrays are not NULL in an empty group. */
     operation->verdicts = (reply_t *)g_new0(reply_t, count + 1);
@@ -86,6 +92,36 @@
     handler->on_durable(owner, durable);
 }
 
+static void log_late_quorum(const store_operation_t *operation, uint64_t now) {
+    bool turn = operation->request.type == REQUEST_PUT_TURN;
+    const char *record = turn ? g_array_index(operation->request.turns, turn_t, 0).id
+                              : operation->request.charge.call;
+    event_log(GATEWAY_WRITE_LATE, record, turn ? "turn" : "reserve", now - operation->started_at,
+              count_replies(operation, operation->durable_replies, REPLY_YES),
+              count_replies(operation, operation->durable_replies, REPLY_UNSURE));
+}
+
+/** Sends the request again under a new number; replies to earlier requests are ignored. */
+static void ask_again(store_operation_t *operation) {
+    store_client_t *client = operation->client;
+    g_hash_table_remove(client->operations, &operation->number);
+    operation->number = ++client->last_number;
+    operation->request.number = operation->number;
+    operation->confirming = true;
+    g_hash_table_insert(client->operations, &operation->number, operation);
+    store_operation_restart(operation);
+}
+
+/** True if a quorum that is complete now may be counted; if not, the members are asked again. */
+static bool quorum_is_recent(store_operation_t *operation) {
+    uint64_t now = uv_now(operation->client->loop);
+    if (now < operation->requested_at + GATEWAY_OPERATION_TIMEOUT_MS)
+        return true;
+    log_late_quorum(operation, now);
+    ask_again(operation);
+    return false;
+}
+
 /** Requests the program's charges from the members that accepted the reserve. */
 static void request_charges(store_operation_t *operation) {
     store_client_t *client = operation->client;
@@ -150,6 +186,22 @@
     return granted ? VERDICT_YES : VERDICT_UNSURE;
 }
 
+/**
+ * Reports a granted reserve as durable once a quorum has it on disk. While it was not on disk, a
+ * member may have lost it and granted its tokens to another call: if it took long, the budget is
+ * decided again.
+ */
+static void evaluate_granted_reserve(store_operation_t *operation) {
+    unsigned quorum = store_write_quorum(operation->client->members->len);
+    if (count_replies(operation, operation->durable_replies, REPLY_YES) < quorum)
+        return;
+    if (!quorum_is_recent(operation))
+        return;
+    budget_decision_t decision = operation->confirming ? decide_reserve(operation) : BUDGET_GRANTED;
+    if (decision != BUDGET_UNDECIDED)
+        report_durable(operation, decision == BUDGET_GRANTED);
+}
+
 static void evaluate_reserve(store_operation_t *operation) {
     store_client_t *client = operation->client;
     uint64_t number = operation->number;
@@ -162,11 +214,8 @@
         /* The callback may have cancelled the operation. */
         operation = g_hash_table_lookup(client->operations, &number);
     }
-    if (operation == NULL || !operation->granted)
-        return;
-    unsigned quorum = store_write_quorum(client->members->len);
-    if (count_replies(operation, operation->durable_replies, REPLY_YES) >= quorum)
-        report_durable(operation, true);
+    if (operation != NULL && operation->granted)
+        evaluate_granted_reserve(operation);
 }
 
 static void log_turn_not_stored(const store_operation_t *operation) {
@@ -183,9 +232,10 @@
     unsigned quorum = store_write_quorum(members);
     unsigned complete = count_replies(operation, operation->durable_replies, REPLY_YES);
     unsigned copies = complete + count_replies(operation, operation->durable_replies, REPLY_UNSURE);
-    if (store_turn_durable(members, copies, complete))
-        report_durable(operation, true);
-    else if (count_replies(operation, operation->durable_replies, REPLY_NO) > members - quorum) {
+    if (store_turn_durable(members, copies, complete)) {
+        if (quorum_is_recent(operation))
+            report_durable(operation, true);
+    } else if (count_replies(operation, operation->durable_replies, REPLY_NO) > members - quorum) {
         log_turn_not_stored(operation);
         report_durable(operation, false);
     }
@@ -302,7 +352,7 @@
     end_operation(operation);
 }
 
-static void expire_operation(store_operation_t *operation) {
+void store_operation_expire(store_operation_t *operation) {
     bool turn = operation->request.type == REQUEST_PUT_TURN;
     bool verdict_due = !turn && !operation->granted;
     if (turn)
@@ -333,11 +383,17 @@
     g_array_free(numbers, TRUE);
 }
 
+/** When the operation ends: without a verdict, or because its write is not durable. */
+static uint64_t expiry_of(const store_operation_t *operation) {
+    bool writing = operation->request.type == REQUEST_PUT_TURN || operation->granted;
+    return writing ? operation->expires_at : operation->started_at + GATEWAY_OPERATION_TIMEOUT_MS;
+}
+
 static void on_operation_timer(uv_timer_t *timer) {
     store_operation_t *operation = timer->data;
     store_client_t *client = operation->client;
-    if (uv_now(client->loop) >= operation->started_at + GATEWAY_OPERATION_TIMEOUT_MS) {
-        expire_operation(operation);
+    if (uv_now(client->loop) >= expiry_of(operation)) {
+        store_operation_expire(operation);
         return;
     }
     if (operation->request.type == REQUEST_CHAIN)
@@ -371,16 +427,15 @@
     return operation;
 }
 
-store_operation_t *store_client_reserve(store_client_t *client, const char *program,
-                                        const char *call, uint64_t max_tokens, uint64_t budget,
-                                        bool stores_turn, const store_operation_handler_t *handler,
-                                        void *owner) {
+store_operation_t *store_client_reserve(store_client_t *client, const store_reserve_t *reserve,
+                                        const store_operation_handler_t *handler, void *owner) {
     store_operation_t *operation = start_operation(client, REQUEST_RESERVE, handler, owner);
-    operation->request.charge.program = g_strdup(program);
-    operation->request.charge.call = g_strdup(call);
-    operation->request.charge.most = max_tokens;
-    operation->budget = budget;
-    operation->stores_turn = stores_turn;
+    operation->request.charge.program = g_strdup(reserve->program);
+    operation->request.charge.call = g_strdup(reserve->call);
+    operation->request.charge.most = reserve->max_tokens;
+    operation->budget = reserve->budget;
+    operation->stores_turn = reserve->stores_turn;
+    operation->expires_at = operation->started_at + reserve->timeout_ms;
     store_operation_restart(operation);
     return operation;
 }
@@ -397,9 +452,11 @@
 }
 
 store_operation_t *store_client_put_turn(store_client_t *client, const turn_t *turn,
+                                         uint64_t timeout_ms,
                                          const store_operation_handler_t *handler, void *owner) {
     store_operation_t *operation = start_operation(client, REQUEST_PUT_TURN, handler, owner);
     message_add_turn(&operation->request, turn);
+    operation->expires_at = operation->started_at + timeout_ms;
     store_operation_restart(operation);
     return operation;
 }
--- a/src/store/store.c
+++ b/src/store/store.c
@@ -70,6 +70,7 @@
     store->started_at = uv_now(store->loop);
     store->group = store_group_new();
     store->connections = g_hash_table_new(g_int64_hash, g_int64_equal);
+    store->pending_turns = g_hash_table_new(g_str_hash, g_str_equal);
     turn_table_init(&store->turns);
     budget_table_init_replica(&store->budgets);
     program_affinity_init(&store->affinity);
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -60,6 +60,7 @@
     uint64_t writes_failed;
     uint64_t last_write_failure_at;     /**< Loop time; 0: no write has failed. */
     space_reservations_t reservations;  /**< Space for the turns of running calls. */
+    GHashTable *pending_turns;          /**< Turns being written: id to the write. */
     uint64_t pending_turn_bytes;        /**< Size of the turns that are being written. */
     uint64_t turns_refused_for_space;   /**< Turns of running calls refused for lack of space. */
     uint64_t turns_accepted_over_limit; /**< Such turns accepted above the limits for new turns. */
--- a/src/store/store_requests.c
+++ b/src/store/store_requests.c
@@ -79,11 +79,24 @@
                             store_expiry_clock_ms(store) + BUDGET_RETENTION_MS);
 }
 
+/** Registers the write of a turn, unless the same turn is already being written. */
+static void add_pending_turn(store_t *store, write_t *write) {
+    store->pending_turn_bytes += turn_memory_bytes(&write->turn);
+    if (!g_hash_table_contains(store->pending_turns, write->turn.id))
+        g_hash_table_insert(store->pending_turns, write->turn.id, write);
+}
+
+static void remove_pending_turn(store_t *store, const write_t *write) {
+    store->pending_turn_bytes -= turn_memory_bytes(&write->turn);
+    if (g_hash_table_lookup(store->pending_turns, write->turn.id) == write)
+        g_hash_table_remove(store->pending_turns, write->turn.id);
+}
+
 static void on_write_done(void *owner, bool durable, uint32_t segment) {
     write_t *write = owner;
     store_t *store = write->store;
     if (write->turn.id != NULL)
-        store->pending_turn_bytes -= turn_memory_bytes(&write->turn);
+        remove_pending_turn(store, write);
     if (durable && write->turn.id != NULL)
         turn_table_add(&store->turns, &write->turn, segment, store_expiry_clock_ms(store));
     else if (durable)
@@ -112,13 +125,19 @@
     g_free(write);
 }
 
-static write_t *new_write(store_t *store, frame_connection_t *connection,
+/** Directs the response of @p write to the sender of @p request. */
+static void set_requester(write_t *write, frame_connection_t *connection,
                           const message_t *request) {
-    write_t *write = g_new0(write_t, 1);
-    write->store = store;
     write->connection_serial = request->number == 0 ? 0 : *frame_connection_serial(connection);
     write->number = request->number;
     write->generation = request->generation;
+}
+
+static write_t *new_write(store_t *store, frame_connection_t *connection,
+                          const message_t *request) {
+    write_t *write = g_new0(write_t, 1);
+    write->store = store;
+    set_requester(write, connection, request);
     write->received_at = now(store);
     return write;
 }
@@ -138,7 +157,7 @@
 static void append(store_t *store, GBytes *record, write_t *write) {
     store_append_time_mark(store);
     if (write->turn.id != NULL)
-        store->pending_turn_bytes += turn_memory_bytes(&write->turn);
+        add_pending_turn(store, write);
     record_log_append(store->log, record, on_write_done, write);
 }
 
@@ -151,6 +170,16 @@
     append(store, g_bytes_ref(record), write);
 }
 
+/** Writes an accepted reserve, unless it was sent again and is on disk already. */
+static void write_reserve(store_t *store, frame_connection_t *connection, message_t *request,
+                          GBytes *record) {
+    if (budget_table_covers(&store->budgets, &request->charge))
+        send_response(connection, RESPONSE_DURABLE, request->number, request->generation,
+                      VERDICT_YES);
+    else
+        append_charge(store, connection, request, record);
+}
+
 static void handle_reserve(store_t *store, frame_connection_t *connection, message_t *request,
                            GBytes *record) {
     const budget_charge_t *charge = &request->charge;
@@ -169,10 +198,11 @@
         response.summary = budget_table_reserve(&store->budgets, charge->program, charge->call,
                                                 charge->most, store_expiry_clock_ms(store));
         response.place = program_affinity_find(&store->affinity, charge->program);
-        append_charge(store, connection, request, record);
     }
     frame_connection_send(connection, message_encode(&response));
     message_clear(&response);
+    if (accepted)
+        write_reserve(store, connection, request, record);
 }
 
 static void add_charge(void *user, const budget_charge_t *charge) {
@@ -213,25 +243,42 @@
     append_charge(store, connection, request, record);
 }
 
-/** A turn that is stored already is accepted again: the response may have been lost. */
-static bool accept_turn(store_t *store, const message_t *request) {
+/** Writes a turn that is neither stored nor being written, if there is space for it. */
+static void write_turn(store_t *store, frame_connection_t *connection, const message_t *request,
+                       GBytes *record) {
     const turn_t *turn = &g_array_index(request->turns, turn_t, 0);
-    return turn_table_find(&store->turns, turn->id) != NULL || store_accept_started_turn(store);
+    if (!store_accept_started_turn(store)) {
+        send_response(connection, RESPONSE_DURABLE, request->number, request->generation,
+                      VERDICT_NO);
+        return;
+    }
+    write_t *write = new_write(store, connection, request);
+    turn_copy(&write->turn, turn);
+    space_reservations_complete(&store->reservations, turn->id, turn_memory_bytes(turn));
+    append(store, g_bytes_ref(record), write);
 }
 
+/**
+ * A gateway sends a turn again if the connection was lost or the confirmation took too long. The
+ * turn is not written a second time: that would take as long again on a slow disk.
+ */
 static void handle_put_turn(store_t *store, frame_connection_t *connection, message_t *request,
                             GBytes *record) {
-    bool accepted = request->turns->len == 1 && accept_turn(store, request);
-    if (!accepted) {
+    if (request->turns->len != 1) {
         send_response(connection, RESPONSE_DURABLE, request->number, request->generation,
                       VERDICT_NO);
         return;
     }
     const turn_t *turn = &g_array_index(request->turns, turn_t, 0);
-    write_t *write = new_write(store, connection, request);
-    turn_copy(&write->turn, turn);
-    space_reservations_complete(&store->reservations, turn->id, turn_memory_bytes(turn));
-    append(store, g_bytes_ref(record), write);
+    write_t *pending = g_hash_table_lookup(store->pending_turns, turn->id);
+    if (turn_table_extend(&store->turns, turn->id, turn->retention_ms,
+                          store_expiry_clock_ms(store)))
+        send_response(connection, RESPONSE_DURABLE, request->number, request->generation,
+                      durable_verdict(store, true));
+    else if (pending != NULL)
+        set_requester(pending, connection, request);
+    else
+        write_turn(store, connection, request, record);
 }
 
 static void handle_read_chain(store_t *store, frame_connection_t *connection, message_t *request) {
--- a/src/storesim/faults.c
+++ b/src/storesim/faults.c
@@ -42,6 +42,10 @@
     PAUSE_ONE_KIND_MS = 9000,
     DOWN_LEAST_MS = 300,
     DOWN_MOST_MS = 4000,
+    STALL_LEAST_MS = 500,
+    STALL_MOST_MS = 6000,
+    STALL_PAUSE_MOST_MS = 5000, /**< Between two stalls. */
+    STALL_ALL_PERCENT = 40,     /**< Of the stalls: at all storage nodes, which share a disk. */
 };
 
 static uint64_t counts[FAULT_KINDS];
@@ -323,6 +327,24 @@
     return true;
 }
 
+static void stall_disks(void *data) {
+    (void)data;
+    if (virtual_now() >= faults_until)
+        return;
+    virtual_after(virtual_random(PAUSE_LEAST_MS, STALL_PAUSE_MOST_MS), NULL, stall_disks, NULL);
+    uint64_t ms = virtual_random(STALL_LEAST_MS, STALL_MOST_MS);
+    unsigned percent = virtual_chance(STALL_ALL_PERCENT) ? 100 : 50;
+    for (guint i = 0; i < world->stores->len; i++) {
+        const world_store_t *store = g_ptr_array_index(world->stores, i);
+        if (virtual_chance(percent))
+            virtual_disk_stall(virtual_disk_of(store->process), ms);
+    }
+}
+
+void faults_stall_disks(void) {
+    virtual_after(virtual_random(PAUSE_LEAST_MS, STALL_PAUSE_MOST_MS), NULL, stall_disks, NULL);
+}
+
 void faults_heal(world_t *in_world) {
     world = in_world;
     virtual_key_value_set_down(false);
@@ -331,6 +353,7 @@
         world_store_t *store = g_ptr_array_index(world->stores, i);
         store->process->paused_until = 0;
         virtual_disk_of(store->process)->full = false;
+        virtual_disk_of(store->process)->stalled_until = 0;
         g_hash_table_remove_all(store->process->cut_from);
         if (store->exists)
             restart_store(store);
--- a/src/storesim/main.c
+++ b/src/storesim/main.c
@@ -39,6 +39,7 @@
     bool judge_quotas;
     bool judge_room;
     bool watch_zones;
+    bool stall_disks;
 } arguments_t;
 
 static error_t parse_option(int key, char *argument, struct argp_state *state) {
@@ -62,6 +63,9 @@
     case 'z':
         arguments->watch_zones = true;
         return 0;
+    case 'd':
+        arguments->stall_disks = true;
+        return 0;
     case 'q':
         arguments->judge_quotas = true;
         return 0;
@@ -98,6 +102,7 @@
      "With --only cut_gateway: judge how soon other gateways help, not how soon the cut is noticed",
      0},
     {"watch-zones", 'z', NULL, 0, "Gateways find out whether their zone is cut off", 0},
+    {"stall-disks", 'd', NULL, 0, "Also stall disks for up to 6 s, several of them at once", 0},
     {"judge-quotas", 'q', NULL, 0,
      "Also let tenants ask for three times their limits, and judge every window", 0},
     {"judge-room", 'm', NULL, 0,
@@ -180,6 +185,8 @@
         fprintf(stderr, "no such kind of fault: %s\n", arguments->only);
         exit(EXIT_FAILURE);
     }
+    if (arguments->stall_disks)
+        faults_stall_disks();
     if (g_strcmp0(arguments->only, "power_all") == 0)
         workload_judge_connects();
     /* A gateway that is helped does not notice that it is cut off, and need not. */
--- a/src/storesim/virtual_disk.c
+++ b/src/storesim/virtual_disk.c
@@ -77,6 +77,10 @@
     }
 }
 
+void virtual_disk_stall(virtual_disk_t *disk, uint64_t ms) {
+    disk->stalled_until = MAX(disk->stalled_until, virtual_now() + ms);
+}
+
 /* store/record_log.h */
 
 static void start_batch(record_log_t *log);
@@ -120,6 +124,8 @@
             g_ptr_array_add(log->disk->unsynced, g_bytes_ref(entry->bytes));
     }
     uint64_t delay = log->disk->sync_ms + virtual_random(0, SYNC_JITTER_MS);
+    if (log->disk->stalled_until > virtual_now())
+        delay += log->disk->stalled_until - virtual_now();
     virtual_after(delay, log->loop->data, finish_batch, log);
 }
 
--- a/src/storesim/virtual_disk.h
+++ b/src/storesim/virtual_disk.h
@@ -16,6 +16,7 @@
     GBytes *state;       /**< The state file; NULL: none. */
     bool full;
     uint64_t sync_ms;
+    uint64_t stalled_until; /**< A sync that starts earlier ends after this. */
 } virtual_disk_t;
 
 void virtual_disks_start(void);
@@ -26,6 +27,8 @@
 /** After the end of a process alone: what was written is there. */
 void virtual_disk_process_ended(virtual_disk_t *disk);
 void virtual_disk_lose(virtual_disk_t *disk);
+/** Syncs that start within @p ms from now end after that. */
+void virtual_disk_stall(virtual_disk_t *disk, uint64_t ms);
 
 /** Faults of the simulated code, for the sweep's own test. */
 void virtual_disks_acknowledge_early(bool on);
--- a/src/storesim/workload.c
+++ b/src/storesim/workload.c
@@ -16,6 +16,7 @@
     CONTENT_WIDTH = 100, /**< Bytes of an input or output, about. */
     MOST_LEAST = 50,
     MOST_MOST = 400,
+    WRITE_TIMEOUT_MS = 4000, /**< A caller's time for a turn or a reserve to be durable. */
     READ_AGAIN_MS = 400,
     READ_TRIES = 15,
     PARENTS_LATEST = 40,     /**< Turns go on from one of so many, if turns are forgotten: */
@@ -109,7 +110,7 @@
         .output = content("output", known->id),
         .retention_ms = retention_ms,
     };
-    store_client_put_turn(client, &turn, &put_handler, known);
+    store_client_put_turn(client, &turn, WRITE_TIMEOUT_MS, &put_handler, known);
     g_bytes_unref(turn.input);
     g_bytes_unref(turn.output);
 }
@@ -260,8 +261,14 @@
     reserve->call = g_strdup_printf("call-%" G_GUINT64_FORMAT, (guint64)++last_id);
     reserve->most = virtual_random(MOST_LEAST, MOST_MOST);
     char *name = program_name(reserve->program);
-    store_client_reserve(gateway->client, name, reserve->call, reserve->most, BUDGET, false,
-                         &reserve_handler, reserve);
+    const store_reserve_t request = {
+        .program = name,
+        .call = reserve->call,
+        .max_tokens = reserve->most,
+        .budget = BUDGET,
+        .timeout_ms = WRITE_TIMEOUT_MS,
+    };
+    store_client_reserve(gateway->client, &request, &reserve_handler, reserve);
     g_free(name);
 }
 
--- a/src/storesim/world.h
+++ b/src/storesim/world.h
@@ -128,6 +128,8 @@
  * kind.
  */
 bool faults_start(world_t *world, uint64_t until, const char *only);
+/** Also stalls disks, one or several at a time, until the end of the faults that were started. */
+void faults_stall_disks(void);
 /** Ends all faults: everything that is not gone comes back. */
 void faults_heal(world_t *world);
 /** How often each kind of fault was injected, as "name count" lines appended to @p text. */
--- a/tests/integration/store_simulator_test.sh
+++ b/tests/integration/store_simulator_test.sh
@@ -21,6 +21,9 @@
 }
 
 expect "storage nodes: any fault, seeds 1..100" store_sim --seeds 1..100
+# Writes wait for disks that stall, while members lose their memory, their disk or their place.
+expect "storage nodes: any fault, and disks that stall, seeds 1..60" \
+    store_sim --seeds 1..60 --stall-disks
 # More nodes than the group needs: most stand by, and take the place of members that are gone.
 expect "storage nodes: any fault among twelve, seeds 1..60" store_sim --seeds 1..60 --stores 12
 expect "storage nodes: twelve, one after the other is to be emptied, seeds 1..60" \
--- a/tests/unit/catch_up_test.cc
+++ b/tests/unit/catch_up_test.cc
@@ -26,12 +26,13 @@
 }
 
 const store_operation_handler_t put_handler = {nullptr, on_durable};
+constexpr uint64_t write_timeout_ms = 4000;
 
 void put_turn(store_client_t *client, unsigned number) {
     std::string id = "turn-" + std::to_string(number);
     turn_t turn = {g_strdup(id.c_str()),     g_strdup(""), g_bytes_new("input", 5),
                    g_bytes_new("output", 6), 1000000000,   g_strdup("")};
-    store_client_put_turn(client, &turn, &put_handler, nullptr);
+    store_client_put_turn(client, &turn, write_timeout_ms, &put_handler, nullptr);
     turn_clear(&turn);
 }
 
@@ -40,8 +41,9 @@
                                                       [](void *, bool) {}};
     std::string program = "program-" + std::to_string(number / 8);
     std::string call = "call-" + std::to_string(number);
-    store_client_reserve(client, program.c_str(), call.c_str(), 10, 1000000, false, &handler,
-                         nullptr);
+    const store_reserve_t reserve = {program.c_str(), call.c_str(), 10,
+                                     1000000,         false,        write_timeout_ms};
+    store_client_reserve(client, &reserve, &handler, nullptr);
 }
 
 struct CatchUpResult {
--- a/tests/unit/isolated_zone_test.cc
+++ b/tests/unit/isolated_zone_test.cc
@@ -15,6 +15,7 @@
 constexpr uint64_t group_formed_ms = 8000;
 constexpr uint64_t detection_ms = 600;
 constexpr uint64_t budget = 1000;
+constexpr uint64_t write_timeout_ms = 4000;
 
 struct Verdict {
     bool decided = false;
@@ -71,8 +72,8 @@
                     virtual_network_cut(inside, outside, isolated);
     }
     store_operation_t *reserve(guint index, const char *program, Verdict *verdict) const {
-        return store_client_reserve(gateway(index)->client, program, "call", 10, budget, false,
-                                    &handler, verdict);
+        const store_reserve_t reserve = {program, "call", 10, budget, false, write_timeout_ms};
+        return store_client_reserve(gateway(index)->client, &reserve, &handler, verdict);
     }
 };
 
@@ -106,8 +107,8 @@
     EXPECT_TRUE(store_client_connected(gateway(0)->client));
     // The reservation made during isolation was settled with 0: the whole budget is available.
     Verdict whole;
-    store_client_reserve(gateway(0)->client, "p1", "whole", budget, budget, false, &handler,
-                         &whole);
+    const store_reserve_t reserve = {"p1", "whole", budget, budget, false, write_timeout_ms};
+    store_client_reserve(gateway(0)->client, &reserve, &handler, &whole);
     run(1000);
     ASSERT_TRUE(whole.decided);
     EXPECT_EQ(whole.verdict, VERDICT_YES);
--- /dev/null
+++ b/tests/unit/slow_disk_test.cc
@@ -0,0 +1,251 @@
+// Writes of calls that have run, on storage nodes whose disks stall, in virtual time. Guards
+// against answers that lose their end because a sync takes longer than 1.5 s, and against counting
+// the copy of a member that has lost its disk meanwhile.
+#include <gtest/gtest.h>
+
+#include <cstring>
+#include <string>
+#include <tuple>
+
+extern "C" {
+#include "storesim/world.h"
+}
+
+namespace {
+
+constexpr uint64_t setup_ms = 4000;
+constexpr uint64_t write_timeout_ms = 4000; /**< The caller's time. */
+constexpr uint64_t prompt_ms = 100;         /**< More than a sync of a disk that does not stall. */
+constexpr unsigned nodes = 3;
+constexpr uint64_t max_tokens = 40;
+constexpr uint64_t budget = 400;
+
+struct Outcome {
+    bool verdict_given = false;
+    verdict_t verdict = VERDICT_UNSURE;
+    uint64_t verdict_at = 0;
+    bool ended = false;
+    bool durable = false;
+    uint64_t ended_at = 0;
+};
+
+void on_verdict(void *owner, verdict_t verdict, const GArray *) {
+    auto *outcome = static_cast<Outcome *>(owner);
+    outcome->verdict_given = true;
+    outcome->verdict = verdict;
+    outcome->verdict_at = virtual_now();
+}
+
+void on_durable(void *owner, bool durable) {
+    auto *outcome = static_cast<Outcome *>(owner);
+    outcome->ended = true;
+    outcome->durable = durable;
+    outcome->ended_at = virtual_now();
+}
+
+const store_operation_handler_t handler = {on_verdict, on_durable};
+
+class SlowDisk : public testing::Test {
+  public:
+    SlowDisk() {
+        const world_shape_t shape = {nodes, 0, 2, 100, BREAK_NOTHING};
+        world = world_new(1, &shape);
+        virtual_run(setup_ms);
+        client = static_cast<world_gateway_t *>(g_ptr_array_index(world->gateways, 0))->client;
+    }
+
+    world_store_t *node(unsigned number) const {
+        return static_cast<world_store_t *>(g_ptr_array_index(world->stores, number));
+    }
+
+    void stall(unsigned number, uint64_t ms) const {
+        virtual_disk_stall(virtual_disk_of(node(number)->process), ms);
+    }
+
+    void stall_first(unsigned count, uint64_t ms) const {
+        for (unsigned i = 0; i < count; i++)
+            stall(i, ms);
+    }
+
+    static void run(uint64_t ms) {
+        virtual_run(virtual_now() + ms);
+    }
+
+    void put_turn(const char *id, Outcome *outcome) const {
+        turn_t turn = {g_strdup(id),          g_strdup(""), g_bytes_new("in", 2),
+                       g_bytes_new("out", 3), 1000000000,   g_strdup("")};
+        store_client_put_turn(client, &turn, write_timeout_ms, &handler, outcome);
+        turn_clear(&turn);
+    }
+
+    void reserve(const char *call, uint64_t tokens, Outcome *outcome) const {
+        const store_reserve_t request = {"program", call, tokens, budget, true, write_timeout_ms};
+        store_client_reserve(client, &request, &handler, outcome);
+    }
+
+    /** Number of running nodes that have the turn on disk. */
+    unsigned copies(const char *id) const {
+        unsigned found = 0;
+        for (unsigned i = 0; i < nodes; i++)
+            found +=
+                node(i)->store != nullptr && turn_table_find(&node(i)->store->turns, id) != nullptr;
+        return found;
+    }
+
+    /** How many records of the turn or reserve @p id the node's log has. */
+    unsigned records(unsigned number, const char *id) const {
+        const virtual_disk_t *disk = virtual_disk_of(node(number)->process);
+        unsigned found = 0;
+        for (guint i = 0; i < disk->synced->len; i++) {
+            gsize length;
+            const void *data = g_bytes_get_data(
+                static_cast<GBytes *>(g_ptr_array_index(disk->synced, i)), &length);
+            message_t message;
+            if (message_decode(&message, data, length) && message.type == REQUEST_PUT_TURN)
+                found += strcmp(g_array_index(message.turns, turn_t, 0).id, id) == 0;
+            else if (message.type == REQUEST_RESERVE)
+                found += strcmp(message.charge.call, id) == 0;
+            message_clear(&message);
+        }
+        return found;
+    }
+
+    world_t *world;
+    store_client_t *client;
+};
+
+class StalledDisks : public SlowDisk,
+                     public testing::WithParamInterface<std::tuple<unsigned, uint64_t>> {
+  public:
+    unsigned stalled() const {
+        return std::get<0>(GetParam());
+    }
+    uint64_t stall_ms() const {
+        return std::get<1>(GetParam());
+    }
+};
+
+// The disks stall after the call was granted and has run, before its turn is written.
+TEST_P(StalledDisks, DelayATurnAndDoNotLoseIt) {
+    Outcome turn;
+    stall_first(stalled(), stall_ms());
+    put_turn("turn", &turn);
+    run(write_timeout_ms);
+    ASSERT_TRUE(turn.ended);
+    EXPECT_TRUE(turn.durable);
+    EXPECT_GE(copies("turn"), 2u);
+    for (unsigned i = 0; i < nodes; i++)
+        EXPECT_EQ(records(i, "turn"), 1u) << "node " << i << " wrote the turn more than once";
+}
+
+// The disks stall while the reserve is written; the call is granted and runs meanwhile.
+TEST_P(StalledDisks, DelayTheReserveOfARunningCallAndDoNotLoseIt) {
+    Outcome reserved;
+    stall_first(stalled(), stall_ms());
+    reserve("call", max_tokens, &reserved);
+    run(prompt_ms);
+    ASSERT_TRUE(reserved.verdict_given);
+    EXPECT_EQ(reserved.verdict, VERDICT_YES);
+    run(write_timeout_ms);
+    ASSERT_TRUE(reserved.ended);
+    EXPECT_TRUE(reserved.durable);
+    unsigned written = 0;
+    for (unsigned i = 0; i < nodes; i++)
+        written += records(i, "call");
+    EXPECT_LE(written, nodes + 1) << "a node that had the reserve on disk wrote it again";
+}
+
+INSTANTIATE_TEST_SUITE_P(NodesAndTimes, StalledDisks,
+                         testing::Combine(testing::Values(1u, 2u, 3u),
+                                          testing::Values(1000u, 1800u, 2500u, 3500u)));
+
+// A stall of two disks must not delay a write once the third and one of them are done.
+TEST_F(SlowDisk, AWriteWaitsForItsQuorumOnly) {
+    stall(0, 2000);
+    stall(1, 10000);
+    Outcome turn;
+    put_turn("turn", &turn);
+    run(2000 + prompt_ms);
+    EXPECT_TRUE(turn.ended);
+    EXPECT_TRUE(turn.durable);
+}
+
+// The third node is asked again while its first write of the turn is still waiting for the disk.
+TEST_F(SlowDisk, ATurnThatIsBeingWrittenIsNotWrittenAgain) {
+    stall_first(nodes, 2000);
+    stall(2, 3000);
+    Outcome turn;
+    put_turn("turn", &turn);
+    run(write_timeout_ms);
+    EXPECT_TRUE(turn.durable);
+    EXPECT_EQ(records(2, "turn"), 1u);
+}
+
+TEST_F(SlowDisk, AWriteThatOutlastsItsCallerFailsAtTheCallersTime) {
+    stall_first(nodes, 14000);
+    uint64_t start = virtual_now();
+    Outcome turn;
+    Outcome reserved;
+    put_turn("turn", &turn);
+    reserve("call", max_tokens, &reserved);
+    run(write_timeout_ms + 1000);
+    ASSERT_TRUE(turn.ended);
+    ASSERT_TRUE(reserved.ended);
+    EXPECT_FALSE(turn.durable);
+    EXPECT_FALSE(reserved.durable);
+    EXPECT_GE(turn.ended_at, start + write_timeout_ms);
+    EXPECT_GE(reserved.ended_at, start + write_timeout_ms);
+}
+
+// Node 0 confirms the turn at once and then loses its disk; node 1 confirms it only after node 0
+// has started again. Neither copy may count for both.
+TEST_F(SlowDisk, TheCopyOfALostDiskDoesNotCount) {
+    stall(1, 3000);
+    stall(2, 30000);
+    Outcome turn;
+    put_turn("turn", &turn);
+    run(500);
+    ASSERT_EQ(copies("turn"), 1u);
+    world_end_store(node(0), END_DISK_LOST);
+    run(200);
+    world_start_store(node(0), false);
+    while (!turn.ended && virtual_now() < setup_ms + 10000)
+        run(1);
+    ASSERT_TRUE(turn.durable);
+    EXPECT_GE(copies("turn"), 2u) << "acknowledged with a copy on one disk only";
+}
+
+// The budget covers one of two calls. The reserve of the first is lost with the memory of two nodes
+// before it is on a disk; the second is granted before the nodes learn of the first one again.
+TEST_F(SlowDisk, AReserveThatWasLostBeforeItsSyncIsDecidedAgain) {
+    auto *first_gateway = static_cast<world_gateway_t *>(g_ptr_array_index(world->gateways, 0));
+    auto *second_gateway = static_cast<world_gateway_t *>(g_ptr_array_index(world->gateways, 1));
+    world->relays = false;
+    stall_first(nodes, 1800);
+    Outcome first;
+    reserve("first", budget, &first);
+    run(prompt_ms);
+    ASSERT_EQ(first.verdict, VERDICT_YES);
+    node(2)->process->paused_until = virtual_now() + 1000;
+    for (unsigned i = 0; i < 2; i++) {
+        virtual_network_cut(first_gateway->process, node(i)->process, true);
+        g_ptr_array_set_size(virtual_disk_of(node(i)->process)->unsynced, 0);
+        world_end_store(node(i), END_KILLED); // Gateways notice it at once.
+        virtual_disk_of(node(i)->process)->stalled_until = 0;
+        world_start_store(node(i), false);
+    }
+    run(500);
+    Outcome second;
+    const store_reserve_t request = {"program", "second", budget, budget, true, write_timeout_ms};
+    store_client_reserve(second_gateway->client, &request, &handler, &second);
+    run(prompt_ms);
+    ASSERT_TRUE(second.durable);
+    run(1200);
+    for (unsigned i = 0; i < 2; i++)
+        virtual_network_cut(first_gateway->process, node(i)->process, false);
+    run(write_timeout_ms);
+    ASSERT_TRUE(first.ended);
+    EXPECT_FALSE(first.durable) << "twice the budget was given out";
+}
+
+} // namespace
--- a/tests/unit/store_space_test.cc
+++ b/tests/unit/store_space_test.cc
@@ -18,6 +18,7 @@
 constexpr uint64_t charge_bytes = 180;
 constexpr uint64_t setup_ms = 4000;
 constexpr uint64_t immediate_ms = 100;
+constexpr uint64_t write_timeout_ms = 4000;
 constexpr unsigned reserves = 10000; /**< More than twice what fits in memory. */
 
 struct Verdicts {
@@ -62,9 +63,10 @@
         std::string program = "program-" + std::to_string(number / 8);
         std::string call = "call-" + std::to_string(number);
         reserves_sent[number].at = virtual_now();
+        const store_reserve_t reserve = {program.c_str(), call.c_str(), 10,
+                                         1000000,         false,        write_timeout_ms};
         reserves_sent[number].operation =
-            store_client_reserve(client, program.c_str(), call.c_str(), 10, 1000000, false,
-                                 &handler, &reserves_sent[number]);
+            store_client_reserve(client, &reserve, &handler, &reserves_sent[number]);
     }
 
     /** Sends one reserve per millisecond; no charge expires meanwhile. */
@@ -152,9 +154,10 @@
     void reserve(unsigned number, bool stores_turn, uint64_t time_ms) {
         std::string call = "call-" + std::to_string(number);
         reserves_sent[number].at = virtual_now();
+        const store_reserve_t reserve = {"program", call.c_str(), 10,
+                                         100,       stores_turn,  write_timeout_ms};
         reserves_sent[number].operation =
-            store_client_reserve(client, "program", call.c_str(), 10, 100, stores_turn, &handler,
-                                 &reserves_sent[number]);
+            store_client_reserve(client, &reserve, &handler, &reserves_sent[number]);
         virtual_run(virtual_now() + time_ms);
     }
 
@@ -168,7 +171,7 @@
         static const store_operation_handler_t store_handler = {
             nullptr,
             [](void *owner, bool durable) { static_cast<TurnRoom *>(owner)->stored += durable; }};
-        store_client_put_turn(client, &turn, &store_handler, this);
+        store_client_put_turn(client, &turn, write_timeout_ms, &store_handler, this);
         turn_clear(&turn);
         virtual_run(virtual_now() + immediate_ms);
     }
@@ -274,8 +277,11 @@
         void begin() {
             turns++;
             static const store_operation_handler_t reserve_handler = {on_granted, on_durable};
-            store_client_reserve(gateway->client, program().c_str(), call().c_str(), max_tokens,
-                                 budget, true, &reserve_handler, this);
+            const std::string program_id = program();
+            const std::string call_id = call();
+            const store_reserve_t reserve = {
+                program_id.c_str(), call_id.c_str(), max_tokens, budget, true, write_timeout_ms};
+            store_client_reserve(gateway->client, &reserve, &reserve_handler, this);
         }
         void store_turn() {
             std::string input(bytes * (1 + (number + turns) % sizes), 'x');
@@ -283,7 +289,7 @@
                 g_strdup(call().c_str()), g_strdup(""), g_bytes_new(input.data(), input.size()),
                 g_bytes_new("o", 1),      1000000000,   g_strdup("")};
             static const store_operation_handler_t store_handler = {nullptr, on_stored};
-            store_client_put_turn(gateway->client, &turn, &store_handler, this);
+            store_client_put_turn(gateway->client, &turn, write_timeout_ms, &store_handler, this);
             turn_clear(&turn);
         }
         void end() const {
