storage nodes: report a write that the disk does not finish; gateways refuse calls it would lose

What callers saw: while the disks of a quorum stalled for longer than a call lasts, each call was run by an engine and then failed, one after the other, until the stall was over.

Cause: a storage node knew that a sync was under way, but said so only in the log, once it had ended (E862). A gateway granted the call on the budget and the free space alone.

Change: a storage node whose oldest write has waited for 1 s or more says so before its response to a reserve, in a message of its own, which gateways of earlier versions ignore. A gateway expects a disk to take as long again as it has lagged: a member whose disk will not confirm within the caller's time counts as one without space, and the call is refused at once, as not run, if too many do. Retry-After is that of an outage of the storage nodes, which grows with its length. Calls of the first seconds of a stall are still run and may be lost: nothing tells them from those that a short stall delays. E863 says when a lag is seen and when it is over; E830 has reason disks_lag.

Tests: KnownStall in slow_disk_unit_test: a stall of 14 s of one, two and three disks, calls of 4 s after 2 s, 4.1 s and after its end.

--- a/src/cluster/message.c
+++ b/src/cluster/message.c
@@ -223,6 +223,9 @@
         verdict_codec(codec, &message->verdict);
         codec_uint32(codec, &message->wait_ms);
         break;
+    case MESSAGE_DISK_LAG:
+        codec_uint32(codec, &message->lag_ms);
+        break;
     case RECORD_TIME:
         codec_uint64(codec, &message->time);
         break;
--- a/src/cluster/message.h
+++ b/src/cluster/message.h
@@ -52,6 +52,8 @@
     RECORD_TIME,               /**< Log only: a mark of the log's time; see record_clock.h. */
     REQUEST_PROGRAM_ALLOWANCE, /**< May a tenant's program make one more call? The answer is a
                                   RESPONSE_ALLOWANCE, unsure if the program may not begin. */
+    MESSAGE_DISK_LAG,          /**< Before a RESPONSE_RESERVE with the same number: how long the
+                                  member's disk has not finished a write. */
     MESSAGE_TYPE_COUNT,
 } message_type_t;
 
@@ -76,10 +78,11 @@
     bool begun;               /**< The call's program has had an answer, as the sender knows. */
     bool late;                /**< The time by which that program should have ended is over. */
     uint32_t
-        wait_ms;    /**< Of an allowance: how long the call may wait; has to wait, or come back. */
-    bool room;      /**< The member can keep one more turn. */
-    uint64_t time;  /**< Of the log, in ms. */
-    uint64_t place; /**< Hash of the back end's instance where the program last ran; 0: unknown. */
+        wait_ms;     /**< Of an allowance: how long the call may wait; has to wait, or come back. */
+    uint32_t lag_ms; /**< Of a disk: age of its oldest unfinished write. */
+    bool room;       /**< The member can keep one more turn. */
+    uint64_t time;   /**< Of the log, in ms. */
+    uint64_t place;  /**< Hash of the back end's instance where the program last ran; 0: unknown. */
     char *turn_id;
     uint64_t revision;   /**< Of the directory snapshot, or up to which all changes are known. */
     uint64_t view;       /**< Digest of the directory snapshot that a follower has; 0: none. */
--- a/src/gateway/call.c
+++ b/src/gateway/call.c
@@ -29,8 +29,8 @@
     "answered",        "no_configuration",   "no_route",     "malformed",   "no_backend",
     "backend_refused", "backend_lost",       "bad_answer",   "timed_out",   "over_budget",
     "budget_unsure",   "budget_not_durable", "no_such_turn", "turn_unsure", "turn_not_kept",
-    "no_room",         "caller_gone",        "stopping",     "unknown_key", "other_tenant",
-    "over_quota",      "quota_unsure",
+    "no_room",         "disks_lag",          "caller_gone",  "stopping",    "unknown_key",
+    "other_tenant",    "over_quota",         "quota_unsure",
 };
 
 static const char *const affinity_names[AFFINITY_COUNT] = {"-", "new", "kept", "moved"};
@@ -116,6 +116,7 @@
     case CALL_BUDGET_UNKNOWN:
     case CALL_TURN_UNKNOWN:
     case CALL_NO_SPACE:
+    case CALL_DISKS_LAG:
     case CALL_QUOTA_UNKNOWN:
         return &gateway->store_outage;
     case CALL_NO_CONFIGURATION:
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -31,7 +31,8 @@
     CALL_NO_SUCH_TURN,
     CALL_TURN_UNKNOWN, /**< The previous turns could not be read, or storage is out of reach. */
     CALL_TURN_NOT_STORED,
-    CALL_NO_SPACE, /**< Too few storage nodes have free space for the reserve or the turn. */
+    CALL_NO_SPACE,  /**< Too few storage nodes have free space for the reserve or the turn. */
+    CALL_DISKS_LAG, /**< Too few storage nodes are expected to write the turn in time. */
     CALL_CALLER_DISCONNECTED,
     CALL_STOPPING,
     CALL_UNKNOWN_KEY,
--- a/src/gateway/call_turn.c
+++ b/src/gateway/call_turn.c
@@ -8,7 +8,8 @@
  * A turn that may be continued is complete for its caller only when a quorum has it on disk. If
  * that takes longer than the caller waits, the stream is aborted. The storage nodes check their
  * free space as part of the reserve, so that a turn which can't be stored is refused before an
- * engine runs it.
+ * engine runs it. They also report how long their disk has not finished a write: a call whose
+ * caller will not wait as long again is refused too.
  */
 #include "gateway/call.h"
 
@@ -41,10 +42,11 @@
               verdict_names[verdict]);
     bool has_space =
         verdict != VERDICT_UNSURE || store_operation_has_space(call->turn.reserve_operation);
+    bool disks_lag = !has_space && store_operation_disks_lag(call->turn.reserve_operation);
     if (verdict != VERDICT_YES)
         call->turn.reserve_operation = NULL;
     if (!has_space) {
-        call_refuse(call, STATUS_UNAVAILABLE, CALL_NO_SPACE);
+        call_refuse(call, STATUS_UNAVAILABLE, disks_lag ? CALL_DISKS_LAG : CALL_NO_SPACE);
         return;
     }
     if (verdict != VERDICT_UNSURE)
--- a/src/gateway/store_client.h
+++ b/src/gateway/store_client.h
@@ -130,6 +130,8 @@
  * that a write quorum with space is impossible.
  */
 bool store_operation_has_space(const store_operation_t *operation);
+/** Of a reserve without space: members' disks lag too far behind for the caller's time. */
+bool store_operation_disks_lag(const store_operation_t *operation);
 /** Reports to the members the hash of the back end at which the program now runs; best effort. */
 void store_client_report_engine(store_client_t *client, const char *program, uint64_t engine);
 /** Stores a turn; fails if it is not durable within @p timeout_ms. */
--- a/src/gateway/store_client_state.h
+++ b/src/gateway/store_client_state.h
@@ -66,7 +66,8 @@
     reply_t *charge_replies;       /**< By member. */
     budget_table_t merged_charges; /**< Of all charge replies. */
     bool stores_turn;              /**< Of a reserve: the turn will be stored. */
-    reply_t *space_replies;        /**< By member: whether it has free space. */
+    reply_t *space_replies;        /**< By member: whether it has space, on a disk that works. */
+    uint32_t *disk_lags;           /**< By member: age of its oldest unfinished write, in ms. */
     uint64_t last_engine;          /**< Hash of the back end last used; 0: unknown. */
     bool granted;
     bool fanned_out; /**< Of a chain: sent to all members, not only the first. */
--- a/src/gateway/store_operation.c
+++ b/src/gateway/store_operation.c
@@ -42,6 +42,7 @@
     g_free(operation->durable_replies);
     g_free(operation->charge_replies);
     g_free(operation->space_replies);
+    g_free(operation->disk_lags);
     g_free(operation->summaries);
     budget_table_clear(&operation->merged_charges);
 }
@@ -57,6 +58,7 @@
     operation->durable_replies = (reply_t *)g_new0(reply_t, count + 1);
     operation->charge_replies = (reply_t *)g_new0(reply_t, count + 1);
     operation->space_replies = (reply_t *)g_new0(reply_t, count + 1);
+    operation->disk_lags = g_new0(uint32_t, count + 1);
     operation->summaries = g_new0(budget_summary_t, count + 1);
     operation->reading_charges = false;
     budget_table_init(&operation->merged_charges);
@@ -278,7 +280,25 @@
 }
 
 /**
- * Records whether a member has space for the reserve and, if the turn will be stored, for the turn.
+ * True if the member's disk is not expected to confirm a write while the caller waits. A disk that
+ * has not finished a write for some time is expected to take as long again.
+ */
+static bool disk_outlasts_caller(const store_operation_t *operation, unsigned index) {
+    uint64_t now = uv_now(operation->client->loop);
+    return operation->disk_lags[index] > 0 &&
+           now + operation->disk_lags[index] >= operation->expires_at;
+}
+
+bool store_operation_disks_lag(const store_operation_t *operation) {
+    for (guint i = 0; i < operation->client->members->len; i++)
+        if (operation->space_replies[i] == REPLY_NO && disk_outlasts_caller(operation, i))
+            return true;
+    return false;
+}
+
+/**
+ * Records whether a member has space for the reserve and, if the turn will be stored, for the turn,
+ * and a disk that can confirm it in time.
  * VERDICT_NO means no space for the reserve. A member that is not complete in the current
  * generation accepts no reserve (VERDICT_UNSURE) but stores turns: it counts if it has space for
  * one; if not, nothing is recorded.
@@ -287,7 +307,8 @@
     if (message->verdict == VERDICT_UNSURE && !message->room)
         return;
     bool taken = message->verdict != VERDICT_NO;
-    bool has_space = taken && (message->room || !operation->stores_turn);
+    bool has_space = taken && (message->room || !operation->stores_turn) &&
+                     !disk_outlasts_caller(operation, index);
     operation->space_replies[index] = has_space ? REPLY_YES : REPLY_NO;
 }
 
@@ -317,6 +338,9 @@
         if (message->place != 0)
             operation->last_engine = message->place;
         break;
+    case MESSAGE_DISK_LAG:
+        operation->disk_lags[index] = message->lag_ms;
+        return true;
     case RESPONSE_CHARGES:
         merge_charges(operation, index, message);
         break;
--- a/src/store/record_log.c
+++ b/src/store/record_log.c
@@ -66,6 +66,7 @@
     int file;         /**< Descriptor of the last segment; -1 until its first write. */
     GArray *pending;
     bool busy;
+    uint64_t batch_enqueued_at; /**< Of the oldest record that is being written. */
 };
 
 static char *segment_path(const record_log_t *log, uint32_t number) {
@@ -252,6 +253,7 @@
             append_record(batch->bytes, entry->bytes);
     }
     log->busy = true;
+    log->batch_enqueued_at = g_array_index(batch->entries, pending_t, 0).enqueued_at;
     batch->submitted_at = uv_hrtime();
     uv_queue_work(log->loop, &batch->work, run_batch, on_batch_done);
 }
@@ -271,6 +273,10 @@
     add_pending(log, state, true, done, owner);
 }
 
+uint64_t record_log_lag_ms(const record_log_t *log) {
+    return log->busy ? ms_between(log->batch_enqueued_at, uv_hrtime()) : 0;
+}
+
 bool record_log_idle(const record_log_t *log) {
     return !log->busy && log->pending->len == 0;
 }
--- a/src/store/record_log.h
+++ b/src/store/record_log.h
@@ -42,6 +42,8 @@
                      void *owner);
 /** Size of all segments in bytes. */
 uint64_t record_log_bytes(const record_log_t *log);
+/** How long the oldest write that is not on disk yet has waited, in ms; 0: none waits. */
+uint64_t record_log_lag_ms(const record_log_t *log);
 /** True if no write is pending. */
 bool record_log_idle(const record_log_t *log);
 
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -65,7 +65,8 @@
     uint64_t turns_refused_for_space;   /**< Turns of running calls refused for lack of space. */
     uint64_t turns_accepted_over_limit; /**< Such turns accepted above the limits for new turns. */
     uint64_t reserves_refused;          /**< For lack of memory, or after a failed write. */
-    bool out_of_space;          /**< The response to the last reserve allowed no new turn. */
+    bool disk_lagging; /**< The last reserve found the disk behind; see store_disk_lag_ms. */
+    bool out_of_space; /**< The response to the last reserve allowed no new turn. */
     uint64_t records_replayed;  /**< From the log, at startup. */
     uint64_t turns_copied;      /**< From other members. */
     uint64_t copy_ids_examined; /**< Turn ids examined while copying. */
@@ -131,6 +132,11 @@
 bool store_accept_started_turn(store_t *store);
 /** True if the charge's call is recorded already, or there is memory and no recent write failed. */
 bool store_can_accept_reserve(const store_t *store, const budget_charge_t *charge);
+/**
+ * How long the disk has not finished a write, in ms; 0 if too short to matter for calls. Logs when
+ * a lag begins or ends.
+ */
+uint32_t store_disk_lag_ms(store_t *store);
 /** Bytes reserved for the turns of running calls. */
 uint64_t store_reserved_turn_bytes(const store_t *store);
 
--- a/src/store/store_requests.c
+++ b/src/store/store_requests.c
@@ -180,6 +180,21 @@
         append_charge(store, connection, request, record);
 }
 
+/** A message of its own, which gateways that do not know it ignore. */
+static void send_disk_lag(store_t *store, frame_connection_t *connection,
+                          const message_t *request) {
+    uint32_t lag_ms = store_disk_lag_ms(store);
+    if (lag_ms == 0)
+        return;
+    message_t message;
+    message_init(&message, MESSAGE_DISK_LAG);
+    message.number = request->number;
+    message.generation = store->group->generation;
+    message.lag_ms = lag_ms;
+    frame_connection_send(connection, message_encode(&message));
+    message_clear(&message);
+}
+
 static void handle_reserve(store_t *store, frame_connection_t *connection, message_t *request,
                            GBytes *record) {
     const budget_charge_t *charge = &request->charge;
@@ -199,6 +214,7 @@
                                                 charge->most, store_expiry_clock_ms(store));
         response.place = program_affinity_find(&store->affinity, charge->program);
     }
+    send_disk_lag(store, connection, request);
     frame_connection_send(connection, message_encode(&response));
     message_clear(&response);
     if (accepted)
--- a/src/store/store_space.c
+++ b/src/store/store_space.c
@@ -1,8 +1,8 @@
 /*
- * Admission by free memory and disk space. The response to each reserve says whether one more turn
- * may start: whether stored turns, pending writes and the space reserved for running calls stay
- * below the limits for new turns. A turn whose call has already run is accepted up to higher
- * limits, since refusing it would waste the engine's work and the caller's wait.
+ * Admission by free memory and disk space, and the disk's lag. The response to each reserve says
+ * whether one more turn may start: whether stored turns, pending writes and the space reserved for
+ * running calls stay below the limits for new turns. A turn whose call has already run is accepted
+ * up to higher limits, since refusing it would waste the engine's work and the caller's wait.
  *
  * Failures: when memory or disk space runs low, new turns are refused first, then new reserves,
  * then turns of running calls, so that the process does not run out of memory. Reads and settles
@@ -22,6 +22,7 @@
      * only few calls per period run and fail while the disk is full.
      */
     WRITE_FAILURE_BACKOFF_MS = 1000,
+    DISK_LAG_MIN_MS = 1000, /**< Shorter lags seldom outlast a call. */
 };
 
 /** Limits up to which turns are accepted, in percent. */
@@ -99,6 +100,15 @@
     return has_space;
 }
 
+uint32_t store_disk_lag_ms(store_t *store) {
+    uint64_t lag_ms = record_log_lag_ms(store->log);
+    bool lagging = lag_ms >= DISK_LAG_MIN_MS;
+    if (lagging != store->disk_lagging)
+        event_log(STORE_DISK_LAG, lagging ? "yes" : "no", lag_ms, store->pending_turn_bytes);
+    store->disk_lagging = lagging;
+    return lagging ? (uint32_t)MIN(lag_ms, UINT32_MAX) : 0;
+}
+
 bool store_can_accept_reserve(const store_t *store, const budget_charge_t *charge) {
     bool fits = !disk_is_failing(store) && records_fit(store, RESERVES_MAX_PERCENT, 0);
     return fits || budget_table_contains(&store->budgets, charge->program, charge->call);
--- a/src/storesim/virtual_disk.c
+++ b/src/storesim/virtual_disk.c
@@ -9,13 +9,15 @@
     record_log_done_t done;
     void *owner;
     bool state;
+    uint64_t enqueued_at;
 } pending_t;
 
 struct record_log {
     uv_loop_t *loop;
     virtual_disk_t *disk;
-    GArray *pending; /**< Of pending_t. */
-    GArray *batch;   /**< What is being synced; NULL: nothing. */
+    GArray *pending;            /**< Of pending_t. */
+    GArray *batch;              /**< What is being synced; NULL: nothing. */
+    uint64_t batch_enqueued_at; /**< Of the oldest entry of the batch. */
 };
 
 static GHashTable *disks; /**< Process name to virtual_disk_t. */
@@ -118,6 +120,7 @@
         return;
     log->batch = log->pending;
     log->pending = g_array_new(FALSE, FALSE, sizeof(pending_t));
+    log->batch_enqueued_at = g_array_index(log->batch, pending_t, 0).enqueued_at;
     for (guint i = 0; i < log->batch->len; i++) {
         const pending_t *entry = &g_array_index(log->batch, pending_t, i);
         if (!entry->state)
@@ -130,7 +133,7 @@
 }
 
 static void add(record_log_t *log, GBytes *bytes, bool state, record_log_done_t done, void *owner) {
-    pending_t entry = {bytes, done, owner, state};
+    pending_t entry = {bytes, done, owner, state, virtual_now()};
     if (acknowledge_early && !state && !log->disk->full) {
         if (done != NULL)
             done(owner, true, log->disk->synced->len / RECORDS_A_SEGMENT);
@@ -169,6 +172,10 @@
     g_free(log);
 }
 
+uint64_t record_log_lag_ms(const record_log_t *log) {
+    return log->batch == NULL ? 0 : virtual_now() - log->batch_enqueued_at;
+}
+
 bool record_log_idle(const record_log_t *log) {
     return log->batch == NULL && log->pending->len == 0;
 }
--- a/tests/unit/slow_disk_test.cc
+++ b/tests/unit/slow_disk_test.cc
@@ -197,6 +197,51 @@
     EXPECT_GE(reserved.ended_at, start + write_timeout_ms);
 }
 
+// A stall that has lasted as long as a caller would still wait is expected to last that long again:
+// a call that depends on the stalled disks must be refused before it runs, not lost afterwards.
+class KnownStall : public SlowDisk {
+  public:
+    static constexpr uint64_t stall_ms = 14000;
+
+    /** A call that arrives @p ms after a write that @p count disks do not finish has begun. */
+    const Outcome &call_after(unsigned count, uint64_t ms, bool stores_turn) {
+        stall_first(count, stall_ms);
+        put_turn("earlier", &earlier);
+        run(ms);
+        const store_reserve_t request = {"program", "call",      max_tokens,
+                                         budget,    stores_turn, write_timeout_ms};
+        store_client_reserve(client, &request, &handler, &call);
+        run(prompt_ms);
+        return call;
+    }
+
+  private:
+    Outcome earlier;
+    Outcome call;
+};
+
+TEST_F(KnownStall, ShorterThanTheCallersTimeRefusesNoCall) {
+    EXPECT_EQ(call_after(nodes, write_timeout_ms / 2, true).verdict, VERDICT_YES);
+}
+
+TEST_F(KnownStall, OfOneDiskRefusesNoCall) {
+    EXPECT_EQ(call_after(1, write_timeout_ms + 100, true).verdict, VERDICT_YES);
+}
+
+TEST_F(KnownStall, OfAQuorumRefusesCallsAtOnce) {
+    const Outcome &outcome = call_after(2, write_timeout_ms + 100, true);
+    ASSERT_TRUE(outcome.verdict_given) << "the call waited";
+    EXPECT_EQ(outcome.verdict, VERDICT_UNSURE);
+}
+
+TEST_F(KnownStall, RefusesCallsThatStoreNoTurnToo) {
+    EXPECT_EQ(call_after(nodes, write_timeout_ms + 100, false).verdict, VERDICT_UNSURE);
+}
+
+TEST_F(KnownStall, RefusesNoCallOnceItIsOver) {
+    EXPECT_EQ(call_after(nodes, stall_ms + 100, true).verdict, VERDICT_YES);
+}
+
 // Node 0 confirms the turn at once and then loses its disk; node 1 confirms it only after node 0
 // has started again. Neither copy may count for both.
 TEST_F(SlowDisk, TheCopyOfALostDiskDoesNotCount) {
