storage nodes: expired turns are removed before a lack of space is reported

What callers saw: calls refused, or turns counted beyond the limit for new ones, while a part of the turns on a storage node had expired.

Cause: expired turns were removed every 5 s only, counted from the start of the process. A node that is restarted more often than that removes them in a replay and then not at all.

Change: a node that is short of space removes expired turns first, every 0.5 s at most.

TurnRoom.IsNotTakenByExpiredTurns fails without it.

--- a/src/store/store_space.c
+++ b/src/store/store_space.c
@@ -22,7 +22,8 @@
      * only few calls per period run and fail while the disk is full.
      */
     WRITE_FAILURE_BACKOFF_MS = 1000,
-    DISK_LAG_MIN_MS = 1000, /**< Shorter lags seldom outlast a call. */
+    DISK_LAG_MIN_MS = 1000,       /**< Shorter lags seldom outlast a call. */
+    EXPIRY_INTERVAL_MIN_MS = 500, /**< Bounds the cost of removals while the node is full. */
 };
 
 /** Limits up to which turns are accepted, in percent. */
@@ -62,6 +63,19 @@
            (disk == 0 || record_log_bytes(store->log) + incoming < disk);
 }
 
+/**
+ * As turns_fit, but removes expired turns before it reports a lack of space. A node that restarts
+ * often never reaches the periodic removal.
+ */
+static bool unexpired_turns_fit(store_t *store, const space_limits_t *limits, uint64_t incoming) {
+    if (turns_fit(store, limits, incoming))
+        return true;
+    if (store_expiry_clock_ms(store) < store->last_expiry_at + EXPIRY_INTERVAL_MIN_MS)
+        return false;
+    store_remove_expired(store);
+    return turns_fit(store, limits, incoming);
+}
+
 /** Mean size of the stored turns in bytes; 0 without any. */
 static uint64_t mean_turn_bytes(const store_t *store) {
     guint turns = g_hash_table_size(store->turns.entries);
@@ -81,7 +95,7 @@
 bool store_can_start_turn(store_t *store) {
     uint64_t incoming = store->pending_turn_bytes + store_reserved_turn_bytes(store);
     bool failing = disk_is_failing(store);
-    bool has_space = !failing && turns_fit(store, &start_limits, incoming);
+    bool has_space = !failing && unexpired_turns_fit(store, &start_limits, incoming);
     if (has_space == store->out_of_space)
         event_log(STORE_SPACE_CHANGED, has_space ? "yes" : "no", failing ? "fails" : "works",
                   store->turns_refused_for_space, store->turns.bytes,
@@ -94,9 +108,11 @@
 
 bool store_accept_started_turn(store_t *store) {
     uint64_t incoming = store->pending_turn_bytes;
+    if (unexpired_turns_fit(store, &start_limits, incoming))
+        return true;
     bool has_space = turns_fit(store, &started_limits, incoming);
+    store->turns_accepted_over_limit += has_space;
     store->turns_refused_for_space += !has_space;
-    store->turns_accepted_over_limit += has_space && !turns_fit(store, &start_limits, incoming);
     return has_space;
 }
 
--- a/tests/unit/store_space_test.cc
+++ b/tests/unit/store_space_test.cc
@@ -231,6 +231,26 @@
     EXPECT_EQ(verdicts.given[VERDICT_YES], 3u);
 }
 
+// Turns whose retention time is over must not take space until the next periodic removal.
+TEST_F(TurnRoom, IsNotTakenByExpiredTurns) {
+    constexpr uint32_t retention_ms = 500;
+    const std::string input(30000, 'x');
+    for (unsigned i = 0; i < 20; i++) {
+        std::string id = "turn-" + std::to_string(i);
+        turn_t turn = {g_strdup(id.c_str()),  g_strdup(""), g_bytes_new(input.data(), input.size()),
+                       g_bytes_new("out", 3), retention_ms, g_strdup("")};
+        static const store_operation_handler_t ignored = {nullptr, [](void *, bool) {}};
+        store_client_put_turn(client, &turn, write_timeout_ms, &ignored, nullptr);
+        turn_clear(&turn);
+    }
+    virtual_run(virtual_now() + immediate_ms);
+    reserve(0, true, immediate_ms);
+    EXPECT_EQ(verdicts.without_space, 1u) << "the turns do not fill the nodes";
+    virtual_run(virtual_now() + retention_ms);
+    reserve(1, true, immediate_ms);
+    EXPECT_EQ(verdicts.given[VERDICT_YES], 1u);
+}
+
 // A turn may be sent again after a lost response, when there is no space left.
 TEST_F(TurnRoom, IsNotNeededForAStoredTurn) {
     put_turn();
