--- a/src/gateway/store_client.h
+++ b/src/gateway/store_client.h
@@ -4,12 +4,12 @@
  * quorum operations over them.
  *
  * Writes are sent to every member, and again to a member that reconnects. A verdict is given within
- * GATEWAY_OPERATION_TIMEOUT_MS. A write waits for disks as long as its caller does, but replies
- * count only if they arrive within GATEWAY_OPERATION_TIMEOUT_MS of their requests: an older one may
- * be of a member that has lost its disk and caught up since. This timeout must therefore stay below
- * EMPTY_DISK_WAIT_MS of store/store_catch_up.c, the delay before a member with an empty disk
- * catches up. If a quorum replies later, the members are asked again; those that still have the
- * record reply without writing it again.
+ * GATEWAY_OPERATION_TIMEOUT_MS. A write waits for the disks of members in reach as long as
+ * its caller does, but replies count only if they arrive within GATEWAY_OPERATION_TIMEOUT_MS of
+ * their requests: an older one may be of a member that has lost its disk and caught up since. This
+ * timeout must therefore stay below EMPTY_DISK_WAIT_MS of store/store_catch_up.c, the delay before
+ * a member with an empty disk catches up. If a quorum replies later, the members are asked again;
+ * those that still have the record reply without writing it again.
  *
  * Thread safety: everything here belongs to the loop's thread.
  */
--- a/src/gateway/store_operation.c
+++ b/src/gateway/store_operation.c
@@ -4,9 +4,10 @@
  * not counted.
  *
  * A call that has run must not be lost because disks are slow, so a write waits for its quorum as
- * long as its caller does. A quorum that is complete only after GATEWAY_OPERATION_TIMEOUT_MS is not
- * counted, see store_client.h: the request is sent again under a new number, so that replies to
- * earlier requests are ignored, and the members that have the record confirm it at once.
+ * long as its caller does, provided that a quorum of members is in reach. A quorum that is complete
+ * only after GATEWAY_OPERATION_TIMEOUT_MS is not counted, see store_client.h: the request is sent
+ * again under a new number, so that replies to earlier requests are ignored, and the members that
+ * have the record confirm it at once.
  */
 #include "gateway/store_client_state.h"
 
@@ -407,16 +408,23 @@
     g_array_free(numbers, TRUE);
 }
 
-/** When the operation ends: without a verdict, or because its write is not durable. */
-static uint64_t expiry_of(const store_operation_t *operation) {
-    bool writing = operation->request.type == REQUEST_PUT_TURN || operation->granted;
-    return writing ? operation->expires_at : operation->started_at + GATEWAY_OPERATION_TIMEOUT_MS;
+/**
+ * True if the operation ends now, without a verdict or without being durable. A write waits for the
+ * disks of members that respond; if no quorum does, its caller had better try another gateway.
+ */
+static bool is_expired(const store_operation_t *operation) {
+    uint64_t now = uv_now(operation->client->loop);
+    bool waits_for_disks = (operation->request.type == REQUEST_PUT_TURN || operation->granted) &&
+                           store_client_connected(operation->client);
+    if (waits_for_disks)
+        return now >= operation->expires_at;
+    return now >= operation->started_at + GATEWAY_OPERATION_TIMEOUT_MS;
 }
 
 static void on_operation_timer(uv_timer_t *timer) {
     store_operation_t *operation = timer->data;
     store_client_t *client = operation->client;
-    if (uv_now(client->loop) >= expiry_of(operation)) {
+    if (is_expired(operation)) {
         store_operation_expire(operation);
         return;
     }
--- a/tests/unit/slow_disk_test.cc
+++ b/tests/unit/slow_disk_test.cc
@@ -197,6 +197,23 @@
     EXPECT_GE(reserved.ended_at, start + write_timeout_ms);
 }
 
+// A caller whose gateway reaches no quorum must not be held: it may be served elsewhere.
+TEST_F(SlowDisk, AWriteDoesNotWaitForMembersOutOfReach) {
+    world->relays = false;
+    stall_first(nodes, 1000);
+    uint64_t start = virtual_now();
+    Outcome turn;
+    put_turn("turn", &turn);
+    run(prompt_ms);
+    auto *gateway = static_cast<world_gateway_t *>(g_ptr_array_index(world->gateways, 0));
+    for (unsigned i = 0; i < nodes; i++)
+        virtual_network_cut(gateway->process, node(i)->process, true);
+    run(write_timeout_ms + 1000);
+    ASSERT_TRUE(turn.ended);
+    EXPECT_FALSE(turn.durable);
+    EXPECT_LT(turn.ended_at, start + write_timeout_ms / 2);
+}
+
 // A stall that has lasted as long as a caller would still wait is expected to last that long again:
 // a call that depends on the stalled disks must be refused before it runs, not lost afterwards.
 class KnownStall : public SlowDisk {
