gateway: calls that lagging disks would lose are refused without a request to them

Cause: a call that was refused because disks lagged had its reserve and its settlement written first.

Change: a gateway remembers the lag that a member last reported. While a quorum is expected to lag longer than the caller waits, it refuses the call without a reserve, except for one call every 200 ms, which finds out whether the lag is over. A confirmed write ends it at once. The code is in store_lag.c; the array of lags by operation is gone.

Tests: KnownStall.IsNotMadeWorseByRefusedCalls, EndsForTheGatewayWithTheNextConfirmedWrite.

--- a/src/gateway/call_turn.c
+++ b/src/gateway/call_turn.c
@@ -123,6 +123,10 @@
         call_refuse(call, STATUS_UNAVAILABLE, CALL_BUDGET_UNKNOWN);
         return false;
     }
+    if (store_client_disks_lag(stores, call_time_left(call))) {
+        call_refuse(call, STATUS_UNAVAILABLE, CALL_DISKS_LAG);
+        return false;
+    }
     call->turn.reserved = true;
     const store_reserve_t reserve = {
         .program = call->program,
--- a/src/gateway/store_client.c
+++ b/src/gateway/store_client.c
@@ -209,8 +209,10 @@
     message_t message;
     (void)link;
     bool valid = message_decode(&message, data, length);
-    if (valid)
+    if (valid) {
         store_health_record_response(member, message.type);
+        store_lag_record(member, &message);
+    }
     if (valid && message.type == MESSAGE_GROUP)
         store_client_apply_group_message(client, &message);
     else if (valid && message.type == MESSAGE_GATEWAYS)
--- a/src/gateway/store_client.h
+++ b/src/gateway/store_client.h
@@ -132,6 +132,11 @@
 bool store_operation_has_space(const store_operation_t *operation);
 /** Of a reserve without space: members' disks lag too far behind for the caller's time. */
 bool store_operation_disks_lag(const store_operation_t *operation);
+/**
+ * True if too many members' disks lag for a write to become durable within @p timeout_ms. Now and
+ * then false all the same, so that a call finds out whether they still do.
+ */
+bool store_client_disks_lag(store_client_t *client, uint64_t timeout_ms);
 /** Reports to the members the hash of the back end at which the program now runs; best effort. */
 void store_client_report_engine(store_client_t *client, const char *program, uint64_t engine);
 /** Stores a turn; fails if it is not durable within @p timeout_ms. */
--- a/src/gateway/store_client_state.h
+++ b/src/gateway/store_client_state.h
@@ -1,7 +1,8 @@
 /**
  * @file store_client_state.h
  * Private state shared by store_client.c (members and their links), store_operation.c (quorum
- * operations) and store_health.c (unresponsive members, isolation of the zone).
+ * operations), store_health.c (unresponsive members, isolation of the zone) and store_lag.c (slow
+ * disks).
  *
  * Thread safety: everything here belongs to the loop's thread.
  */
@@ -18,6 +19,8 @@
     store_link_t *link;
     GPtrArray *backlog;        /**< Settlements for a disconnected member; of GBytes. */
     zone_member_t observation; /**< Input of the isolation check. */
+    uint64_t lagging_since;    /**< Start of a write that its disk has not finished; 0: none. */
+    uint64_t lag_number;       /**< Number of the reserve for which that was last reported. */
 } member_t;
 
 struct store_client {
@@ -39,7 +42,8 @@
     zone_isolation_t isolation;
     uint64_t suspected_at; /**< When another gateway reported a lost quorum; 0: not suspected. */
     uv_timer_t check_timer;
-    bool check_scheduled; /**< check_timer is active. */
+    bool check_scheduled;   /**< check_timer is active. */
+    uint64_t lag_probed_at; /**< When a call was last let through although disks lag. */
 };
 
 /**
@@ -67,7 +71,6 @@
     budget_table_t merged_charges; /**< Of all charge replies. */
     bool stores_turn;              /**< Of a reserve: the turn will be stored. */
     reply_t *space_replies;        /**< By member: whether it has space, on a disk that works. */
-    uint32_t *disk_lags;           /**< By member: age of its oldest unfinished write, in ms. */
     uint64_t last_engine;          /**< Hash of the back end last used; 0: unknown. */
     bool granted;
     bool fanned_out; /**< Of a chain: sent to all members, not only the first. */
@@ -94,6 +97,13 @@
 /** True if @p member is connected and, if isolation is checked, has sent a message on its link. */
 bool store_health_is_connected(const store_client_t *client, const member_t *member);
 
+/* store_lag.c */
+
+/** Records what a message of the member says of its disk. */
+void store_lag_record(member_t *member, const message_t *message);
+/** True if the member's disk is not expected to finish a write by @p deadline, in loop time. */
+bool store_lag_outlasts(const member_t *member, uint64_t deadline);
+
 /* store_operation.c */
 
 /** Ends all operations without a verdict as unsure; writes of turns continue. */
--- a/src/gateway/store_operation.c
+++ b/src/gateway/store_operation.c
@@ -43,7 +43,6 @@
     g_free(operation->durable_replies);
     g_free(operation->charge_replies);
     g_free(operation->space_replies);
-    g_free(operation->disk_lags);
     g_free(operation->summaries);
     budget_table_clear(&operation->merged_charges);
 }
@@ -59,7 +58,6 @@
     operation->durable_replies = (reply_t *)g_new0(reply_t, count + 1);
     operation->charge_replies = (reply_t *)g_new0(reply_t, count + 1);
     operation->space_replies = (reply_t *)g_new0(reply_t, count + 1);
-    operation->disk_lags = g_new0(uint32_t, count + 1);
     operation->summaries = g_new0(budget_summary_t, count + 1);
     operation->reading_charges = false;
     budget_table_init(&operation->merged_charges);
@@ -280,19 +278,11 @@
     operation->charge_replies[index] = REPLY_YES;
 }
 
-/**
- * True if the member's disk is not expected to confirm a write while the caller waits. A disk that
- * has not finished a write for some time is expected to take as long again.
- */
-static bool disk_outlasts_caller(const store_operation_t *operation, unsigned index) {
-    uint64_t now = uv_now(operation->client->loop);
-    return operation->disk_lags[index] > 0 &&
-           now + operation->disk_lags[index] >= operation->expires_at;
-}
-
 bool store_operation_disks_lag(const store_operation_t *operation) {
     for (guint i = 0; i < operation->client->members->len; i++)
-        if (operation->space_replies[i] == REPLY_NO && disk_outlasts_caller(operation, i))
+        if (operation->space_replies[i] == REPLY_NO &&
+            store_lag_outlasts(g_ptr_array_index(operation->client->members, i),
+                               operation->expires_at))
             return true;
     return false;
 }
@@ -305,11 +295,12 @@
  * one; if not, nothing is recorded.
  */
 static void record_space(store_operation_t *operation, unsigned index, const message_t *message) {
+    const member_t *member = g_ptr_array_index(operation->client->members, index);
     if (message->verdict == VERDICT_UNSURE && !message->room)
         return;
     bool taken = message->verdict != VERDICT_NO;
     bool has_space = taken && (message->room || !operation->stores_turn) &&
-                     !disk_outlasts_caller(operation, index);
+                     !store_lag_outlasts(member, operation->expires_at);
     operation->space_replies[index] = has_space ? REPLY_YES : REPLY_NO;
 }
 
@@ -339,9 +330,6 @@
         if (message->place != 0)
             operation->last_engine = message->place;
         break;
-    case MESSAGE_DISK_LAG:
-        operation->disk_lags[index] = message->lag_ms;
-        return true;
     case RESPONSE_CHARGES:
         merge_charges(operation, index, message);
         break;
--- a/tests/unit/slow_disk_test.cc
+++ b/tests/unit/slow_disk_test.cc
@@ -259,6 +259,25 @@
     EXPECT_EQ(call_after(nodes, stall_ms + 100, true).verdict, VERDICT_YES);
 }
 
+// Calls that are refused while disks lag must not fill the logs with their reserves.
+TEST_F(KnownStall, IsNotMadeWorseByRefusedCalls) {
+    call_after(nodes, write_timeout_ms + 100, true);
+    unsigned let_through = 0;
+    for (unsigned i = 0; i < 1000; i++) {
+        let_through += !store_client_disks_lag(client, write_timeout_ms);
+        run(1);
+    }
+    EXPECT_GE(let_through, 1u) << "the end of the lag would not be noticed";
+    EXPECT_LE(let_through, 10u);
+}
+
+TEST_F(KnownStall, EndsForTheGatewayWithTheNextConfirmedWrite) {
+    call_after(nodes, write_timeout_ms + 100, true);
+    run(stall_ms);
+    for (unsigned i = 0; i < 10; i++)
+        EXPECT_FALSE(store_client_disks_lag(client, write_timeout_ms));
+}
+
 // Node 0 confirms the turn at once and then loses its disk; node 1 confirms it only after node 0
 // has started again. Neither copy may count for both.
 TEST_F(SlowDisk, TheCopyOfALostDiskDoesNotCount) {
