gateway: a turn is written without waiting for its call's reserve

Cause: the turn was sent to the storage nodes only once the reserve was confirmed as durable, although the engine had ended long before.

Change: the turn is sent when the engine's stream is complete, so that it shares the next sync. The stream still ends only when both are on disk, and no event is forwarded before the reserve is.

--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -65,6 +65,7 @@
     char *missing_turn; /**< Id of the turn being read from the storage nodes. */
     bool prompt_ready;
     bool stream_completed; /**< The engine's stream is complete; the turn is being stored. */
+    bool stored;           /**< The turn is on disk. */
 } call_turn_t;
 
 /** Rate limit state of a call. */
--- a/src/gateway/call_turn.c
+++ b/src/gateway/call_turn.c
@@ -5,7 +5,8 @@
  * are settled when the turn ends for any reason; the reserve stays charged only if this gateway
  * crashes.
  *
- * A turn that may be continued is complete for its caller only when a quorum has it on disk. If
+ * A turn that may be continued is complete for its caller only when a quorum has it on disk. It is
+ * written as soon as the stream is complete, without waiting for the reserve's write. If
  * that takes longer than the caller waits, the stream is aborted. The storage nodes check their
  * free space as part of the reserve, so that a turn which can't be stored is refused before an
  * engine runs it. They also report how long their disk has not finished a write: a call whose
@@ -66,6 +67,15 @@
     call_refuse(call, STATUS_PAYMENT_REQUIRED, CALL_OVER_BUDGET);
 }
 
+/** Ends the call's stream once the engine's is complete, and reserve and turn are on disk. */
+static void finish_if_durable(call_t *call) {
+    const call_turn_t *turn = &call->turn;
+    bool reserve_done = !turn->budgeted || turn->reserve_durable;
+    bool turn_done = !call->route->keeps_turns || turn->stored;
+    if (turn->stream_completed && reserve_done && turn_done)
+        call_finish_stream(call);
+}
+
 static void on_reserve_durable(void *owner, bool durable) {
     call_t *call = owner;
     call->turn.reserve_operation = NULL;
@@ -76,8 +86,7 @@
     call->turn.reserve_durable = true;
     if (call->streaming && call->body->len > 0)
         call_forward_events(call);
-    if (call->turn.stream_completed)
-        call_turn_stream_completed(call);
+    finish_if_durable(call);
 }
 
 static const store_operation_handler_t reserve_handler = {on_reserve_verdict, on_reserve_durable};
@@ -251,17 +260,16 @@
     turn_t turn = build_turn(call);
     chain_cache_add(&gateway->chains, &turn);
     turn_clear(&turn);
-    call_finish_stream(call);
+    call->turn.stored = true;
+    finish_if_durable(call);
 }
 
 static const store_operation_handler_t put_handler = {NULL, on_turn_stored};
 
 void call_turn_stream_completed(call_t *call) {
     call->turn.stream_completed = true;
-    if (call->turn.budgeted && !call->turn.reserve_durable)
-        return;
     if (!call->route->keeps_turns) {
-        call_finish_stream(call);
+        finish_if_durable(call);
         return;
     }
     turn_t turn = build_turn(call);
