storage nodes: the newest segment is synced when the log is opened

Change: opening the log syncs the newest segment that was there, and the folder; a log that can't be synced is not opened. One sync at a start.

--- a/src/store/record_log.c
+++ b/src/store/record_log.c
@@ -6,7 +6,8 @@
  *
  * Failures: after a power loss a segment may end in torn or missing records, none of which was
  * acknowledged. The folder is synced to make the name of a new file durable. The removal of a
- * segment is not synced: if the segment reappears, its replay only restores unused records.
+ * segment is not synced: if the segment reappears, its replay only restores unused records. The
+ * newest segment is synced when the log is opened, since its last batch may not have been.
  */
 #include "store/record_log.h"
 
@@ -371,6 +372,24 @@
     g_free(log);
 }
 
+/**
+ * Syncs the newest segment. A process that was killed may have written records without syncing
+ * them; they are replayed, and from then on count as on disk.
+ */
+static bool sync_newest_segment(const record_log_t *log, uint32_t number, GError **error) {
+    char *path = segment_path(log, number);
+    int file = open(path, O_RDONLY | O_CLOEXEC);
+    bool synced = file >= 0 && fdatasync(file) == 0 && sync_folder(log->folder);
+    int failure = errno;
+    if (file >= 0)
+        close(file);
+    if (!synced)
+        g_set_error(error, G_FILE_ERROR, g_file_error_from_errno(failure), "cannot sync %s: %s",
+                    path, g_strerror(failure));
+    g_free(path);
+    return synced;
+}
+
 record_log_t *record_log_open(uv_loop_t *loop, const char *folder,
                               void (*replay)(void *owner, uint32_t segment, const uint8_t *data,
                                              size_t length),
@@ -393,7 +412,12 @@
         replay_segment(log, number, replay, owner);
         next = number + 1;
     }
+    bool synced = numbers->len == 0 || sync_newest_segment(log, next - 1, error);
     g_array_free(numbers, TRUE);
+    if (!synced) {
+        record_log_close(log);
+        return NULL;
+    }
     add_segment(log, next, 0);
     return log;
 }
