storage nodes: a process writes only to the folder that it opened and locked

Cause: the log named its files by path. A process whose folder was replaced went on in the new one: it created segments under numbers that the new owner used (O_TRUNC: the owner's acknowledged records are gone), replaced the owner's state file, and removed its segments once its own records of that number had expired. Nor did anything keep two processes with the same settings apart.

Change: the log keeps the folder open, holds a lock on it (flock, exclusive), and creates, renames, removes and syncs files relative to it. One whose folder was removed can't write any more; its writes are reported as not durable.

Ruled out as a way: a lock file alone. A folder that is removed takes the file along, and the one left behind still holds its lock.

Tests: RecordLog.IsOpenInOneProcessAtATime and RecordLog.DoesNotTouchAFolderThatReplacedItsOwn. Both fail without the change; in the second the owner's log then reads "of the old folder too" in place of "acknowledged", and its state file is the other process's. store_space, slow_disk and catch_up unit tests pass.

--- a/src/store/record_log.c
+++ b/src/store/record_log.c
@@ -8,6 +8,10 @@
  * acknowledged. The folder is synced to make the name of a new file durable. The removal of a
  * segment is not synced: if the segment reappears, its replay only restores unused records. The
  * newest segment is synced when the log is opened, since its last batch may not have been.
+ *
+ * One process owns a folder: it holds a lock, and names files relative to the folder that it
+ * opened. So neither a second process with the same settings, nor one left behind after its folder
+ * was replaced, removes or overwrites the owner's files.
  */
 #include "store/record_log.h"
 
@@ -16,7 +20,9 @@
 #include <errno.h>
 #include <fcntl.h>
 #include <stdlib.h>
+#include <stdio.h>
 #include <string.h>
+#include <sys/file.h>
 #include <unistd.h>
 #include <xxhash.h>
 
@@ -63,6 +69,7 @@
 struct record_log {
     uv_loop_t *loop;
     char *folder;
+    int folder_file;  /**< Descriptor of the folder, which holds the lock; -1 until opened. */
     GArray *segments; /**< Of segment_t, oldest first; the last one is open for writing. */
     int file;         /**< Descriptor of the last segment; -1 until its first write. */
     GArray *pending;
@@ -70,12 +77,30 @@
     uint64_t batch_enqueued_at; /**< Of the oldest record that is being written. */
 };
 
-static char *segment_path(const record_log_t *log, uint32_t number) {
-    return g_strdup_printf("%s/log.%08u", log->folder, number);
+/* Names of files, relative to the folder. */
+
+static const char STATE_NAME[] = "state";
+static const char NEW_STATE_NAME[] = "state.new";
+
+typedef struct {
+    char text[sizeof "log.4294967295"];
+} segment_name_t;
+
+static segment_name_t segment_name(uint32_t number) {
+    segment_name_t name;
+    snprintf(name.text, sizeof name.text, "log.%08u", number);
+    return name;
 }
 
-static char *state_path(const record_log_t *log, const char *suffix) {
-    return g_strdup_printf("%s/state%s", log->folder, suffix);
+/** The whole content of a file; NULL if it cannot be read. */
+static char *read_file(const record_log_t *log, const char *name, gsize *length) {
+    char *path = g_build_filename(log->folder, name, NULL);
+    char *data = NULL;
+    *length = 0;
+    if (!g_file_get_contents(path, &data, length, NULL))
+        data = NULL;
+    g_free(path);
+    return data;
 }
 
 static void append_record(GByteArray *bytes, GBytes *record) {
@@ -116,21 +141,11 @@
     return true;
 }
 
-static bool sync_folder(const char *path) {
-    int folder = open(path, O_RDONLY | O_DIRECTORY | O_CLOEXEC);
-    if (folder < 0)
-        return false;
-    bool synced = fsync(folder) == 0;
-    close(folder);
-    return synced;
-}
-
 static bool append_batch(batch_t *batch) {
     const record_log_t *log = batch->log;
     if (batch->file < 0) {
-        char *path = segment_path(log, batch->segment);
-        batch->file = open(path, O_RDWR | O_CREAT | O_TRUNC | O_CLOEXEC, FILE_MODE);
-        g_free(path);
+        batch->file = openat(log->folder_file, segment_name(batch->segment).text,
+                             O_RDWR | O_CREAT | O_TRUNC | O_CLOEXEC, FILE_MODE);
         batch->new_segment = true;
         if (batch->file < 0)
             return false;
@@ -138,25 +153,23 @@
     bool written = write_all(batch->file, batch->bytes->data, batch->bytes->len, batch->offset) &&
                    fdatasync(batch->file) == 0;
     if (written && batch->new_segment)
-        written = sync_folder(log->folder);
+        written = fsync(log->folder_file) == 0;
     if (!written && ftruncate(batch->file, (off_t)batch->offset) != 0)
         return false;
     return written;
 }
 
 static bool replace_state(const batch_t *batch) {
-    char *path = state_path(batch->log, "");
-    char *temporary = state_path(batch->log, ".new");
+    int folder = batch->log->folder_file;
     GByteArray *bytes = g_byte_array_new();
     append_record(bytes, batch->state);
-    int file = open(temporary, O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, FILE_MODE);
+    int file = openat(folder, NEW_STATE_NAME, O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, FILE_MODE);
     bool written = file >= 0 && write_all(file, bytes->data, bytes->len, 0) && fsync(file) == 0;
     if (file >= 0)
         close(file);
-    written = written && rename(temporary, path) == 0 && sync_folder(batch->log->folder);
+    written =
+        written && renameat(folder, NEW_STATE_NAME, folder, STATE_NAME) == 0 && fsync(folder) == 0;
     g_byte_array_unref(bytes);
-    g_free(temporary);
-    g_free(path);
     return written;
 }
 
@@ -295,25 +308,19 @@
         uint32_t number = g_array_index(log->segments, segment_t, 0).number;
         if (!is_unused(owner, number))
             return;
-        char *path = segment_path(log, number);
-        unlink(path);
-        g_free(path);
+        unlinkat(log->folder_file, segment_name(number).text, 0);
         g_array_remove_index(log->segments, 0);
     }
 }
 
 GBytes *record_log_read_state(const record_log_t *log) {
-    char *path = state_path(log, "");
-    char *data = NULL;
-    gsize length = 0;
+    gsize length;
+    char *data = read_file(log, STATE_NAME, &length);
     GBytes *state = NULL;
-    if (g_file_get_contents(path, &data, &length, NULL)) {
-        gssize valid = valid_record_length((const guint8 *)data, length);
-        if (valid > 0)
-            state = g_bytes_new(data + RECORD_HEADER_BYTES, (gsize)valid);
-    }
+    gssize valid = valid_record_length((const guint8 *)data, length);
+    if (valid > 0)
+        state = g_bytes_new(data + RECORD_HEADER_BYTES, (gsize)valid);
     g_free(data);
-    g_free(path);
     return state;
 }
 
@@ -343,11 +350,8 @@
                            void (*replay)(void *owner, uint32_t segment, const uint8_t *data,
                                           size_t length),
                            void *owner) {
-    char *path = segment_path(log, number);
-    char *data = NULL;
-    gsize length = 0;
-    if (!g_file_get_contents(path, &data, &length, NULL))
-        length = 0;
+    gsize length;
+    char *data = read_file(log, segment_name(number).text, &length);
     add_segment(log, number, length);
     const guint8 *bytes = (const guint8 *)data;
     size_t position = 0;
@@ -360,12 +364,13 @@
         position += (size_t)record;
     }
     g_free(data);
-    g_free(path);
 }
 
 void record_log_close(record_log_t *log) {
     if (log->file >= 0)
         close(log->file);
+    if (log->folder_file >= 0)
+        close(log->folder_file);
     g_array_free(log->segments, TRUE);
     g_array_free(log->pending, TRUE);
     g_free(log->folder);
@@ -377,19 +382,33 @@
  * them; they are replayed, and from then on count as on disk.
  */
 static bool sync_newest_segment(const record_log_t *log, uint32_t number, GError **error) {
-    char *path = segment_path(log, number);
-    int file = open(path, O_RDONLY | O_CLOEXEC);
-    bool synced = file >= 0 && fdatasync(file) == 0 && sync_folder(log->folder);
+    segment_name_t name = segment_name(number);
+    int file = openat(log->folder_file, name.text, O_RDONLY | O_CLOEXEC);
+    bool synced = file >= 0 && fdatasync(file) == 0 && fsync(log->folder_file) == 0;
     int failure = errno;
     if (file >= 0)
         close(file);
     if (!synced)
-        g_set_error(error, G_FILE_ERROR, g_file_error_from_errno(failure), "cannot sync %s: %s",
-                    path, g_strerror(failure));
-    g_free(path);
+        g_set_error(error, G_FILE_ERROR, g_file_error_from_errno(failure), "cannot sync %s/%s: %s",
+                    log->folder, name.text, g_strerror(failure));
     return synced;
 }
 
+/** Opens and locks the folder; fails if another process has it open. */
+static bool open_folder(record_log_t *log, GError **error) {
+    log->folder_file = open(log->folder, O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+    if (log->folder_file >= 0 && flock(log->folder_file, LOCK_EX | LOCK_NB) == 0)
+        return true;
+    int failure = errno;
+    if (failure == EWOULDBLOCK)
+        g_set_error(error, G_FILE_ERROR, G_FILE_ERROR_AGAIN,
+                    "folder %s is in use by another storage node", log->folder);
+    else
+        g_set_error(error, G_FILE_ERROR, g_file_error_from_errno(failure),
+                    "cannot open folder %s: %s", log->folder, g_strerror(failure));
+    return false;
+}
+
 record_log_t *record_log_open(uv_loop_t *loop, const char *folder,
                               void (*replay)(void *owner, uint32_t segment, const uint8_t *data,
                                              size_t length),
@@ -400,9 +419,8 @@
     log->segments = g_array_new(FALSE, FALSE, sizeof(segment_t));
     log->pending = g_array_new(FALSE, FALSE, sizeof(pending_t));
     log->file = -1;
-    GArray *numbers = find_segments(log, error);
+    GArray *numbers = open_folder(log, error) ? find_segments(log, error) : NULL;
     if (numbers == NULL) {
-        g_prefix_error(error, "%s: ", folder);
         record_log_close(log);
         return NULL;
     }
--- a/src/store/record_log.h
+++ b/src/store/record_log.h
@@ -22,7 +22,8 @@
 
 /**
  * Opens the log in @p folder and passes each valid record to @p replay, oldest first. A segment is
- * read up to its first invalid record: what follows was never synced.
+ * read up to its first invalid record: what follows was never synced. Returns NULL and sets
+ * @p error if the folder cannot be read or synced, or if another process has it open.
  */
 record_log_t *record_log_open(uv_loop_t *loop, const char *folder,
                               void (*replay)(void *owner, uint32_t segment, const uint8_t *data,
--- a/tests/unit/record_log_test.cc
+++ b/tests/unit/record_log_test.cc
@@ -62,6 +62,8 @@
     void wait() {
         uv_run(&loop, UV_RUN_DEFAULT);
     }
+    static void ignore(void *, uint32_t, const uint8_t *, size_t) {
+    }
     std::string segment(unsigned number) {
         char name[32];
         snprintf(name, sizeof name, "/log.%08u", number);
@@ -164,6 +166,47 @@
     EXPECT_EQ(record_log_read_state(open()), nullptr);
 }
 
+// Guards against a second process with the same settings, which would remove the first one's
+// segments.
+TEST_F(RecordLog, IsOpenInOneProcessAtATime) {
+    append(open(), "kept");
+    wait();
+    GError *error = nullptr;
+    EXPECT_EQ(record_log_open(&loop, folder.c_str(), ignore, nullptr, &error), nullptr);
+    ASSERT_NE(error, nullptr);
+    EXPECT_EQ(error->code, G_FILE_ERROR_AGAIN) << error->message;
+    g_clear_error(&error);
+    open();
+    EXPECT_EQ(replayed.size(), 1u);
+}
+
+// Guards against a process that was left behind when its folder was replaced: it must neither
+// remove nor overwrite what the owner of the new folder has acknowledged.
+TEST_F(RecordLog, DoesNotTouchAFolderThatReplacedItsOwn) {
+    append(open(), "of the old folder");
+    wait();
+    record_log_t *left_behind = open();
+    opened = nullptr;
+    fs::remove_all(folder);
+    fs::create_directory(folder);
+    record_log_t *owner = open();
+    append(owner, "acknowledged");
+    record_log_write_state(owner, g_bytes_new("new", 3), done, this);
+    wait();
+    append(left_behind, "of the old folder too");
+    record_log_write_state(left_behind, g_bytes_new("old", 3), done, this);
+    wait();
+    record_log_trim(
+        left_behind, [](void *, uint32_t) { return true; }, nullptr);
+    record_log_close(left_behind);
+    GBytes *state = record_log_read_state(open());
+    ASSERT_NE(state, nullptr);
+    EXPECT_EQ(memcmp(g_bytes_get_data(state, nullptr), "new", 3), 0);
+    g_bytes_unref(state);
+    ASSERT_EQ(replayed.size(), 1u);
+    EXPECT_EQ(replayed[0], "acknowledged");
+}
+
 TEST_F(RecordLog, TrimsClosedSegmentsInOrderAndKeepsTheOpenOne) {
     record_log_t *log = open();
     for (int i = 0; i < 12; i++) {
