storage nodes, gateways: a write under way and a caller that left before its end are logged

E862 comes when a write ends, E863 with the next reserve, E841 when the gateway gives up; here the caller left after its 4 s and the storage nodes were killed before their syncs ended. So a slow disk and a lost message look the same.

Change: a storage node looks at its unfinished write each second, so E863 (lagging=yes) is there before the write ends. E841 is also logged for a turn whose caller leaves while it is being stored, and turns_not_kept_total counts it: to its caller it is lost like the others.

Test: SlowDisk.ALagIsNoticedBeforeTheWriteEndsAndWithoutAReserve fails without the change of the storage node.

--- a/src/gateway/call_turn.c
+++ b/src/gateway/call_turn.c
@@ -299,6 +299,7 @@
     for (size_t i = 0; i < G_N_ELEMENTS(operations); i++)
         if (operations[i] != NULL)
             store_operation_cancel(operations[i]);
+    call->gateway->counters.turns_not_kept += turn->put_operation != NULL;
     turn->reserve_operation = NULL;
     turn->chain_operation = NULL;
     turn->put_operation = NULL;
--- a/src/gateway/store_operation.c
+++ b/src/gateway/store_operation.c
@@ -364,6 +364,8 @@
 }
 
 void store_operation_cancel(store_operation_t *operation) {
+    if (operation->request.type == REQUEST_PUT_TURN)
+        log_turn_not_stored(operation);
     end_operation(operation);
 }
 
--- a/src/store/store.c
+++ b/src/store/store.c
@@ -6,6 +6,7 @@
 enum {
     QUOTA_RETENTION_MS = 120000,   /**< Tenants idle for longer are removed. */
     AFFINITY_RETENTION_MS = 60000, /**< Engines evict an idle program's cached prompt sooner. */
+    DISK_LAG_CHECK_MS = 1000,
 };
 
 static bool segment_is_unused(void *owner, uint32_t segment) {
@@ -46,6 +47,10 @@
     record_log_trim(store->log, segment_is_unused, store);
 }
 
+static void on_lag_check(uv_timer_t *timer) {
+    (void)store_disk_lag_ms(timer->data);
+}
+
 /** Reads the log and the state file; without a state file the node is new or lost its disk. */
 static bool open_log(store_t *store, GError **error) {
     store->log = record_log_open(store->loop, store->settings->folder, store_replay, store, error);
@@ -90,6 +95,9 @@
     uv_timer_init(store->loop, &store->upkeep);
     store->upkeep.data = store;
     uv_timer_start(&store->upkeep, on_upkeep, STORE_UPKEEP_INTERVAL_MS, STORE_UPKEEP_INTERVAL_MS);
+    uv_timer_init(store->loop, &store->lag_check);
+    store->lag_check.data = store;
+    uv_timer_start(&store->lag_check, on_lag_check, DISK_LAG_CHECK_MS, DISK_LAG_CHECK_MS);
     store->catch_up = store_catch_up_new(store);
     store->membership = store_membership_new(store);
     store_directory_start(store->directory);
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -54,7 +54,8 @@
     uint64_t
         complete_generation; /**< Generation whose acknowledged records this node holds; 0: none. */
     uint64_t started_at;
-    uv_timer_t upkeep; /**< Periodic expiry; the stop timeout once stopping. */
+    uv_timer_t upkeep;    /**< Periodic expiry; the stop timeout once stopping. */
+    uv_timer_t lag_check; /**< Periodic, so that a lag is logged before the write ends. */
     bool stopping;
     latency_histogram_t write_latency; /**< From receipt of a write until it is on disk. */
     uint64_t writes_failed;
@@ -65,8 +66,8 @@
     uint64_t turns_refused_for_space;   /**< Turns of running calls refused for lack of space. */
     uint64_t turns_accepted_over_limit; /**< Such turns accepted above the limits for new turns. */
     uint64_t reserves_refused;          /**< For lack of memory, or after a failed write. */
-    bool disk_lagging; /**< The last reserve found the disk behind; see store_disk_lag_ms. */
-    bool out_of_space; /**< The response to the last reserve allowed no new turn. */
+    bool disk_lagging;          /**< The last check found the disk behind; see store_disk_lag_ms. */
+    bool out_of_space;          /**< The response to the last reserve allowed no new turn. */
     uint64_t records_replayed;  /**< From the log, at startup. */
     uint64_t turns_copied;      /**< From other members. */
     uint64_t copy_ids_examined; /**< Turn ids examined while copying. */
--- a/tests/unit/slow_disk_test.cc
+++ b/tests/unit/slow_disk_test.cc
@@ -299,6 +299,18 @@
         EXPECT_FALSE(store_client_disks_lag(client, write_timeout_ms));
 }
 
+// A process that is killed during a long write has logged that its disk lags.
+TEST_F(SlowDisk, ALagIsNoticedBeforeTheWriteEndsAndWithoutAReserve) {
+    stall(0, 5000);
+    Outcome turn;
+    put_turn("turn", &turn);
+    run(2500);
+    EXPECT_TRUE(node(0)->store->disk_lagging);
+    EXPECT_FALSE(node(1)->store->disk_lagging);
+    run(4000);
+    EXPECT_FALSE(node(0)->store->disk_lagging);
+}
+
 // Node 0 confirms the turn at once and then loses its disk; node 1 confirms it only after node 0
 // has started again. Neither copy may count for both.
 TEST_F(SlowDisk, TheCopyOfALostDiskDoesNotCount) {
