test: turns whose sync takes 2 s longer are all kept

Guards against the fault that mended: a turn was given up when no quorum had it on disk within 1.5 s, though its caller waits 4 s.

The test starts storage nodes with a library that makes the sync of each large write 2 s longer, so each turn is written that slowly after its call was granted, and fills their room as power_no_room does. It passes only if E862 shows that writes were delayed. The folders are in memory: the tests of this file kill processes, not the machine, so what a real sync does is not part of any of them.

No other test of the file changed.

--- a/tests/integration/power_test.sh
+++ b/tests/integration/power_test.sh
@@ -22,19 +22,24 @@
 calls=127.0.0.1:$((POWER_BASE + 30 + $3))
 readiness=127.0.0.1:$((POWER_BASE + 50 + $3))
 [store]
-folder=$CLUSTER_DIR/$1.data
+folder=${POWER_DATA:-$CLUSTER_DIR}/$1.data
 first_start=$4
 disk_megabytes=${POWER_DISK_MEGABYTES:-300}
 SETTINGS
-    [ "$2" = store ] && mkdir -p "$CLUSTER_DIR/$1.data"
+    [ "$2" = store ] && mkdir -p "${POWER_DATA:-$CLUSTER_DIR}/$1.data"
     return 0
 }
 
+# POWER_SLOW_SYNC_MS: how much longer the storage nodes' syncs of large turns take.
 power_start() { # FIRST_START
-    local i
+    local i slow=()
+    [ -z "${POWER_SLOW_SYNC_MS:-}" ] ||
+        slow=(env "LD_PRELOAD=$BUILD/tests/libslow_sync.so" "SLOW_SYNC_MS=$POWER_SLOW_SYNC_MS"
+            SLOW_SYNC_MIN_BYTES=50000
+            "ASAN_OPTIONS=${ASAN_OPTIONS:-}:verify_asan_link_order=0")
     for i in 0 1 2; do
         power_settings "store$i" store $i "$1"
-        "$BUILD/rudderway-store" --settings "$CLUSTER_DIR/store$i.ini" \
+        ${slow[@]+"${slow[@]}"} "$BUILD/rudderway-store" --settings "$CLUSTER_DIR/store$i.ini" \
             >> "$CLUSTER_DIR/store$i.log" 2>&1 &
         POWER_PID[store$i]=$!
     done
@@ -151,6 +156,23 @@
         [ "$(grep -hs E841 "$CLUSTER_DIR"/gateway?.log | wc -l)" -eq "$not_kept" ]
 }
 
+# Guards against turns that are run and then lost because their sync outlasts the time for a verdict
+# (1.5 s), though not their callers' (4 s). The folders are in memory: the delays are the test's own,
+# not the machine's disk's.
+power_slow_turns() {
+    local data status slow_writes
+    slow_writes=$(grep -hs E862 "$CLUSTER_DIR"/store?.log | wc -l)
+    data=$(mktemp -d -p /dev/shm 2> /dev/null || mktemp -d) || return 1
+    POWER_DATA=$data POWER_SLOW_SYNC_MS=2000 POWER_DISK_MEGABYTES=1 power_start true
+    power_wait && "$BUILD/tests/platform_caller" fill "$CLUSTER_DIR/filled_slowly" 60 \
+        $((POWER_BASE + 33)) $((POWER_BASE + 34))
+    status=$?
+    power_kill
+    rm -rf "$data"
+    # Passes only if writes were delayed.
+    [ "$status" -eq 0 ] && [ "$(grep -hs E862 "$CLUSTER_DIR"/store?.log | wc -l)" -gt "$slow_writes" ]
+}
+
 "$BUILD/tests/platform_standin" "$POWER_BASE" "$((POWER_BASE + 1))" "$((POWER_BASE + 2))" &
 POWER_STANDIN=$!
 expect "all killed and one folder removed, $POWER_ROUNDS times" power_rounds
@@ -161,5 +183,7 @@
 power_kill
 expect "turns that are granted at the same time are all kept" power_no_room_at_once
 power_kill
+expect "turns whose sync takes 2 s longer are all kept" power_slow_turns
+power_kill
 kill "$POWER_STANDIN" 2> /dev/null
 wait "$POWER_STANDIN" 2> /dev/null
