soak: a run ends also the storage node that a fault was still emptying

The storage node that was emptying had been taken off the list of nodes, so the end of the run did not kill it, and it held its ports (ps, ss).

--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -235,7 +235,8 @@
             self.calm_since = time.monotonic()
 
     def stop_all(self):
-        for node in self.nodes():
+        # Also one that a fault took away and that was still being emptied.
+        for node in self.all_nodes:
             node.resume()
             node.kill()
 
