test: a state file that could not be written is not written again (known red)

Cause: on_state_written forgets a write that failed. The next change of the state writes it again; without one, a node whose disk was full when it got its group never has the group on disk, so it is never complete, or never says that it is emptied.

--- a/tests/unit/slow_disk_test.cc
+++ b/tests/unit/slow_disk_test.cc
@@ -311,6 +311,19 @@
     EXPECT_FALSE(node(0)->store->disk_lagging);
 }
 
+// A node whose disk was full when it wrote its state must write it again: else it is never
+// complete, and if it is to be emptied, never says that it is.
+TEST_F(SlowDisk, AStateThatCouldNotBeWrittenIsWrittenOnceThereIsSpace) {
+    world_end_store(node(0), END_DISK_LOST);
+    virtual_disk_t *disk = virtual_disk_of(node(0)->process);
+    disk->full = true;
+    world_start_store(node(0), false);
+    run(500);
+    disk->full = false;
+    run(60000);
+    EXPECT_TRUE(store_is_complete(node(0)->store));
+}
+
 // Node 0 confirms the turn at once and then loses its disk; node 1 confirms it only after node 0
 // has started again. Neither copy may count for both.
 TEST_F(SlowDisk, TheCopyOfALostDiskDoesNotCount) {
