--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -5,8 +5,7 @@
 mapfile -t formatted < <(git ls-files 'src/*.c' 'src/*.h' 'platform/*.c' 'tests/*.cc' 'tests/*.h')
 mapfile -t sources < <(git ls-files 'src/*.c' 'platform/*.c')
 clang-format --dry-run --Werror "${formatted[@]}" || status=1
-# One file a process: clang-analyzer's valist checks keep pointers into the first file's identifiers,
-# and take functions of later files for va_start.
+# One file a process, so that no report can depend on the files read before.
 printf '%s\n' "${sources[@]}" |
     xargs -P "$(nproc)" -n 1 clang-tidy -p "$BUILD" --quiet 2> /dev/null || status=1
 cppcheck --quiet --std=c11 --enable=warning,performance,portability --inline-suppr \
--- a/tests/integration/power_test.sh
+++ b/tests/integration/power_test.sh
@@ -30,7 +30,8 @@
     return 0
 }
 
-# POWER_SLOW_SYNC_MS: how long syncs of large turns take, in place of the disk's time.
+# POWER_SLOW_SYNC_MS: how long syncs of turns like power_no_room's (100 kB) take, and no others, in
+# place of the disk's time.
 power_start() { # FIRST_START
     local i slow=()
     [ -z "${POWER_SLOW_SYNC_MS:-}" ] ||
