storage node: a state that could not be written is written again every second

Cause: store_state.c dropped the result of a failed write. Registration, founding, the catch-up's end (asked for once a generation), "completed" of a retirement and the directory waited for the next change. Besides, a write that was asked for during another had the older completeness and replaced the higher one on disk.

Why it works: one write at a time; changes meanwhile follow in one write; a failed one is repeated after 1 s, or with the next change, with the then current state and the highest completeness that was asked for. Nothing counts as durable before. E816 logs it. The directory needs no check of its own any more.

--- a/src/store/store.c
+++ b/src/store/store.c
@@ -83,6 +83,7 @@
     quota_table_init(&store->quotas, &store->settings->quota);
     admission_table_init(&store->admissions);
     store_requests_init(store);
+    store_state_init(store);
     store->directory = store_directory_new(store);
     if (!open_log(store, error))
         return false;
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -74,7 +74,11 @@
     store_catch_up_state_t *catch_up;
     store_membership_t *membership;
     store_directory_t *directory;
-    unsigned pending_state_writes;
+    bool state_write_pending;
+    bool state_changed;           /**< Since the pending write began. */
+    uint64_t reached_generation;  /**< To become complete_generation once written; 0: none. */
+    uint64_t failed_state_writes; /**< Since the last one that succeeded. */
+    uv_timer_t state_retry;       /**< Active after a failed write. */
 } store_t;
 
 enum {
@@ -103,10 +107,10 @@
 bool store_is_member(const store_t *store);
 /** Marks this node as complete in @p generation, effective once the state file is on disk. */
 void store_set_complete_generation(store_t *store, uint64_t generation);
-/** Writes the state file, asynchronously. */
+/** Call before any other function that writes the state. */
+void store_state_init(store_t *store);
+/** Writes the state file, asynchronously; repeats a write that fails. */
 void store_write_state(store_t *store);
-/** True if no write of the state file is pending. */
-bool store_state_is_written(const store_t *store);
 /** Restores identity and group from the state file; false if there is no valid one. */
 bool store_restore_state(store_t *store);
 /** Sends the group to one connection. */
--- a/src/store/store_directory.c
+++ b/src/store/store_directory.c
@@ -274,8 +274,6 @@
 static void write_if_changed(store_directory_t *directory) {
     if (!directory->changed || now(directory) < directory->written_at + STATE_WRITE_INTERVAL_MS)
         return;
-    if (!store_state_is_written(directory->store))
-        return;
     directory->changed = false;
     directory->written_at = now(directory);
     store_write_state(directory->store);
--- a/src/store/store_state.c
+++ b/src/store/store_state.c
@@ -3,12 +3,18 @@
  * in use since the first start of the whole system, the latest group, the generation in which the
  * node is complete (holds all acknowledged records), and the directory (store_directory.h). A node
  * without a valid state file is new or has lost its disk, and is not complete.
+ *
+ * One write is in progress at a time; changes made meanwhile are written together after it.
+ * Failures: a state that could not be written is written again, as it is then, until that succeeds.
+ * Until then neither the group nor the completeness in it counts as durable.
  */
 #include "store/store.h"
 
 #include "common/event.h"
 #include "store/store_directory.h"
 
+enum { RETRY_DELAY_MS = 1000 };
+
 static void state_codec(codec_t *codec, store_t *store, uint64_t *complete_generation) {
     codec_bool(codec, &store->founding);
     codec_uint64(codec, complete_generation);
@@ -19,52 +25,83 @@
         store_directory_state_codec(codec, store->directory);
 }
 
+/** What becomes effective once the state is on disk. */
 typedef struct {
     store_t *store;
     uint64_t generation;
     uint64_t complete_generation;
 } state_write_t;
 
+static void start_write(store_t *store);
+
+static void apply_written_state(const state_write_t *write) {
+    store_t *store = write->store;
+    store->identity_durable = true;
+    store->group_durable = store->group_durable || write->generation == store->group->generation;
+    if (write->complete_generation >= store->reached_generation)
+        store->reached_generation = 0;
+    if (write->complete_generation <= store->complete_generation)
+        return;
+    store->complete_generation = write->complete_generation;
+    event_log(STORE_COMPLETE, store->complete_generation, g_hash_table_size(store->turns.entries));
+}
+
+static void count_state_write(store_t *store, bool durable) {
+    if (durable && store->failed_state_writes > 0)
+        event_log(STORE_STATE_WRITE_FAILING, "no", store->failed_state_writes);
+    store->failed_state_writes = durable ? 0 : store->failed_state_writes + 1;
+    if (store->failed_state_writes == 1)
+        event_log(STORE_STATE_WRITE_FAILING, "yes", store->failed_state_writes);
+}
+
+static void on_retry(uv_timer_t *timer) {
+    start_write(timer->data);
+}
+
 static void on_state_written(void *owner, bool durable, uint32_t segment) {
     state_write_t *write = owner;
     store_t *store = write->store;
     (void)segment;
-    store->pending_state_writes--;
-    if (durable) {
-        store->identity_durable = true;
-        store->group_durable =
-            store->group_durable || write->generation == store->group->generation;
-        if (write->complete_generation > store->complete_generation) {
-            store->complete_generation = write->complete_generation;
-            event_log(STORE_COMPLETE, store->complete_generation,
-                      g_hash_table_size(store->turns.entries));
-        }
-    }
+    store->state_write_pending = false;
+    count_state_write(store, durable);
+    if (durable)
+        apply_written_state(write);
     g_free(write);
+    if (!durable)
+        uv_timer_start(&store->state_retry, on_retry, RETRY_DELAY_MS, 0);
+    else if (store->state_changed)
+        start_write(store);
 }
 
-static void write_state(store_t *store, uint64_t complete_generation) {
-    codec_t codec;
-    codec_start_encoding(&codec);
-    state_codec(&codec, store, &complete_generation);
+static void start_write(store_t *store) {
     state_write_t *write = g_new0(state_write_t, 1);
     write->store = store;
     write->generation = store->group->generation;
-    write->complete_generation = complete_generation;
-    store->pending_state_writes++;
+    write->complete_generation = MAX(store->complete_generation, store->reached_generation);
+    codec_t codec;
+    codec_start_encoding(&codec);
+    uint64_t complete_generation = write->complete_generation;
+    state_codec(&codec, store, &complete_generation);
+    uv_timer_stop(&store->state_retry);
+    store->state_changed = false;
+    store->state_write_pending = true;
     record_log_write_state(store->log, codec_finish(&codec), on_state_written, write);
 }
 
-bool store_state_is_written(const store_t *store) {
-    return store->pending_state_writes == 0;
+void store_state_init(store_t *store) {
+    uv_timer_init(store->loop, &store->state_retry);
+    store->state_retry.data = store;
 }
 
 void store_write_state(store_t *store) {
-    write_state(store, store->complete_generation);
+    store->state_changed = true;
+    if (!store->state_write_pending)
+        start_write(store);
 }
 
 void store_set_complete_generation(store_t *store, uint64_t generation) {
-    write_state(store, generation);
+    store->reached_generation = MAX(store->reached_generation, generation);
+    store_write_state(store);
 }
 
 bool store_restore_state(store_t *store) {
@@ -124,7 +161,7 @@
               store_is_member(store) ? "yes" : "no");
     /* Nothing was acknowledged before the first group: a founding member is complete in it. */
     bool complete = group->generation == 1 && store->founding && store_is_member(store);
-    write_state(store, complete ? 1 : store->complete_generation);
+    store_set_complete_generation(store, complete ? 1 : 0);
     GHashTableIter iterator;
     gpointer connection;
     g_hash_table_iter_init(&iterator, store->connections);
--- a/src/storesim/virtual_disk.c
+++ b/src/storesim/virtual_disk.c
@@ -148,6 +148,7 @@
 }
 
 void record_log_write_state(record_log_t *log, GBytes *state, record_log_done_t done, void *owner) {
+    log->disk->state_writes++;
     add(log, state, true, done, owner);
 }
 
--- a/src/storesim/virtual_disk.h
+++ b/src/storesim/virtual_disk.h
@@ -11,9 +11,10 @@
 #include "storesim/virtual_loop.h"
 
 typedef struct {
-    GPtrArray *synced;   /**< Records that survive anything but the loss of the disk; GBytes. */
-    GPtrArray *unsynced; /**< Records that were written and are being synced; GBytes. */
-    GBytes *state;       /**< The state file; NULL: none. */
+    GPtrArray *synced;     /**< Records that survive anything but the loss of the disk; GBytes. */
+    GPtrArray *unsynced;   /**< Records that were written and are being synced; GBytes. */
+    GBytes *state;         /**< The state file; NULL: none. */
+    unsigned state_writes; /**< Begun, including those that failed. */
     bool full;
     uint64_t sync_ms;
     uint64_t stalled_until; /**< A sync that starts earlier ends after this. */
