storage node: a segment's name is synced though its first write failed

Found by reading, for the same cause as the state file's: the folder was synced only with the write that made the segment's file. If that write failed (a full disk), the next one found the file open and was confirmed without a sync of the folder, so that a loss of power could remove the file with acknowledged records. No such loss was seen.

The log remembers whether the name is on disk, and syncs the folder with the first write that succeeds, before its records count.

--- a/src/store/record_log.c
+++ b/src/store/record_log.c
@@ -58,7 +58,7 @@
     int file;
     uint32_t segment;
     uint64_t offset;
-    bool new_segment;
+    bool name_synced; /**< The segment's name is on disk. */
     bool appended;
     bool state_written;
     uint64_t submitted_at; /**< When the loop handed it to the thread pool. */
@@ -72,6 +72,7 @@
     int folder_file;  /**< Descriptor of the folder, which holds the lock; -1 until opened. */
     GArray *segments; /**< Of segment_t, oldest first; the last one is open for writing. */
     int file;         /**< Descriptor of the last segment; -1 until its first write. */
+    bool name_synced; /**< The last segment's name is on disk. */
     GArray *pending;
     bool busy;
     uint64_t batch_enqueued_at; /**< Of the oldest record that is being written. */
@@ -146,14 +147,14 @@
     if (batch->file < 0) {
         batch->file = openat(log->folder_file, segment_name(batch->segment).text,
                              O_RDWR | O_CREAT | O_TRUNC | O_CLOEXEC, FILE_MODE);
-        batch->new_segment = true;
+        batch->name_synced = false;
         if (batch->file < 0)
             return false;
     }
     bool written = write_all(batch->file, batch->bytes->data, batch->bytes->len, batch->offset) &&
                    fdatasync(batch->file) == 0;
-    if (written && batch->new_segment)
-        written = fsync(log->folder_file) == 0;
+    if (written && !batch->name_synced)
+        written = batch->name_synced = fsync(log->folder_file) == 0;
     if (!written && ftruncate(batch->file, (off_t)batch->offset) != 0)
         return false;
     return written;
@@ -196,6 +197,7 @@
 
 static void record_batch_result(record_log_t *log, const batch_t *batch) {
     log->file = batch->file;
+    log->name_synced = batch->name_synced;
     if (!batch->appended)
         return;
     segment_t *segment = last_segment(log);
@@ -256,6 +258,7 @@
     batch->entries = log->pending;
     batch->bytes = g_byte_array_new();
     batch->file = log->file;
+    batch->name_synced = log->name_synced;
     batch->segment = last_segment(log)->number;
     batch->offset = last_segment(log)->bytes;
     log->pending = g_array_new(FALSE, FALSE, sizeof(pending_t));
--- a/tests/unit/record_log_test.cc
+++ b/tests/unit/record_log_test.cc
@@ -7,6 +7,7 @@
 
 #include <gtest/gtest.h>
 
+#include <atomic>
 #include <csignal>
 #include <cstdlib>
 #include <filesystem>
@@ -14,8 +15,21 @@
 #include <random>
 #include <string>
 #include <sys/resource.h>
+#include <sys/stat.h>
+#include <sys/syscall.h>
+#include <unistd.h>
 #include <vector>
 
+static std::atomic<unsigned> folder_syncs; // Counted in the pool's thread.
+
+/** In the place of the C library's. */
+extern "C" int fsync(int file) {
+    struct stat status;
+    if (fstat(file, &status) == 0 && S_ISDIR(status.st_mode))
+        folder_syncs++;
+    return static_cast<int>(syscall(SYS_fsync, file));
+}
+
 namespace {
 
 namespace fs = std::filesystem;
@@ -152,6 +166,30 @@
     EXPECT_EQ(replayed[1], "kept too");
 }
 
+// The first write of a segment fails after its file was made. Without a sync of the folder, a loss
+// of power may remove the file and the records that were confirmed later.
+TEST_F(RecordLog, TheNameOfASegmentIsSyncedThoughItsFirstWriteFailed) {
+    signal(SIGXFSZ, SIG_IGN);
+    rlimit before;
+    getrlimit(RLIMIT_FSIZE, &before);
+    record_log_t *log = open();
+    rlimit full = before;
+    full.rlim_cur = 0;
+    setrlimit(RLIMIT_FSIZE, &full);
+    append(log, "failed");
+    wait();
+    setrlimit(RLIMIT_FSIZE, &before);
+    ASSERT_EQ(failed, 1);
+    folder_syncs = 0;
+    append(log, "kept");
+    wait();
+    EXPECT_EQ(durable, 1);
+    EXPECT_EQ(folder_syncs, 1u);
+    append(log, "kept too");
+    wait();
+    EXPECT_EQ(folder_syncs, 1u);
+}
+
 TEST_F(RecordLog, StateIsReplacedAtomicallyAndAnInvalidStateIsIgnored) {
     record_log_t *log = open();
     EXPECT_EQ(record_log_read_state(log), nullptr);
