storesim: disks that stand still, a count of keys, a service that forgets turns

A stall of the simulator began with the next sync; a sync that had begun ended in time. Real disks stand still in the middle of one. virtual_disk_hold lets no sync end, virtual_disk_release ends that.

--- a/src/storesim/virtual_disk.c
+++ b/src/storesim/virtual_disk.c
@@ -2,7 +2,11 @@
 
 #include "store/record_log.h"
 
-enum { RECORDS_A_SEGMENT = 500, SYNC_JITTER_MS = 3 };
+enum {
+    RECORDS_A_SEGMENT = 500,
+    SYNC_JITTER_MS = 3,
+    HOLD_CHECK_MS = 20, /**< A sync that is held looks so often whether it still is. */
+};
 
 typedef struct {
     GBytes *bytes;
@@ -83,6 +87,14 @@
     disk->stalled_until = MAX(disk->stalled_until, virtual_now() + ms);
 }
 
+void virtual_disk_hold(virtual_disk_t *disk, uint64_t ms) {
+    disk->held_until = MAX(disk->held_until, virtual_now() + ms);
+}
+
+void virtual_disk_release(virtual_disk_t *disk) {
+    disk->held_until = 0;
+}
+
 /* store/record_log.h */
 
 static void start_batch(record_log_t *log);
@@ -96,6 +108,11 @@
 static void finish_batch(void *data) {
     record_log_t *log = data;
     virtual_disk_t *disk = log->disk;
+    if (disk->held_until > virtual_now()) {
+        uint64_t left = disk->held_until - virtual_now();
+        virtual_after(MIN(left, HOLD_CHECK_MS), log->loop->data, finish_batch, log);
+        return;
+    }
     GArray *batch = log->batch;
     log->batch = NULL;
     bool written = !disk->full;
--- a/src/storesim/virtual_disk.h
+++ b/src/storesim/virtual_disk.h
@@ -18,6 +18,7 @@
     bool full;
     uint64_t sync_ms;
     uint64_t stalled_until; /**< A sync that starts earlier ends after this. */
+    uint64_t held_until;    /**< No sync ends earlier, not even one that has begun. */
 } virtual_disk_t;
 
 void virtual_disks_start(void);
@@ -30,6 +31,10 @@
 void virtual_disk_lose(virtual_disk_t *disk);
 /** Syncs that start within @p ms from now end after that. */
 void virtual_disk_stall(virtual_disk_t *disk, uint64_t ms);
+/** No sync ends within @p ms from now, also of those that have begun. */
+void virtual_disk_hold(virtual_disk_t *disk, uint64_t ms);
+/** Ends what virtual_disk_hold began, also for syncs that wait. */
+void virtual_disk_release(virtual_disk_t *disk);
 
 /** Faults of the simulated code, for the sweep's own test. */
 void virtual_disks_acknowledge_early(bool on);
--- a/src/storesim/virtual_key_value.c
+++ b/src/storesim/virtual_key_value.c
@@ -24,10 +24,12 @@
 static uint64_t revision;
 static bool is_down;
 static unsigned lost_percent;
+static bool forget_turns;
 
 static const char own_prefix[] = "own/";
 static const char retire_prefix[] = "retire/";
 static const char status_prefix[] = "retired/";
+static const char turns_prefix[] = "turns/";
 
 static uint64_t latency(void) {
     return virtual_random(LATENCY_LEAST_MS, LATENCY_MOST_MS);
@@ -39,6 +41,11 @@
     revision = 0;
     is_down = false;
     lost_percent = 0;
+    forget_turns = false;
+}
+
+void virtual_key_value_forget_turns(bool on) {
+    forget_turns = on;
 }
 
 void virtual_key_value_lose_answers(unsigned percent) {
@@ -137,6 +144,17 @@
     return entry == NULL ? NULL : entry->value;
 }
 
+unsigned virtual_key_value_count(const char *prefix) {
+    unsigned found = 0;
+    GHashTableIter iterator;
+    gpointer key;
+    gpointer value;
+    g_hash_table_iter_init(&iterator, entries);
+    while (g_hash_table_iter_next(&iterator, &key, &value))
+        found += g_str_has_prefix(key, prefix) && ((const entry_t *)value)->value != NULL;
+    return found;
+}
+
 /* cluster/key_value_watch.h */
 
 key_value_watch_t *key_value_watch_open(uv_loop_t *loop, const struct sockaddr_in *address,
@@ -187,7 +205,8 @@
         event->outcome = KEY_VALUE_CONFLICT;
     } else {
         event->outcome = KEY_VALUE_WRITTEN;
-        apply_write(event->key, event->value);
+        if (!forget_turns || !g_str_has_prefix(event->key, turns_prefix))
+            apply_write(event->key, event->value);
         if (virtual_chance(lost_percent)) {
             event->outcome = KEY_VALUE_REFUSED;
             delay = REFUSED_AFTER_MS;
--- a/src/storesim/virtual_key_value.h
+++ b/src/storesim/virtual_key_value.h
@@ -21,5 +21,12 @@
 void virtual_key_value_put(const char *key, GBytes *value);
 /** The value of @p key; NULL: there is none. */
 GBytes *virtual_key_value_get(const char *key);
+/** Number of keys that begin with @p prefix. */
+unsigned virtual_key_value_count(const char *prefix);
+/**
+ * A fault of the service, for the sweep's own test: it acknowledges writes of turns that storage
+ * nodes keep there while their disks stall, and forgets them.
+ */
+void virtual_key_value_forget_turns(bool on);
 
 #endif
