--- a/src/storesim/faults.c
+++ b/src/storesim/faults.c
@@ -46,6 +46,11 @@
     STALL_MOST_MS = 6000,
     STALL_PAUSE_MOST_MS = 5000, /**< Between two stalls. */
     STALL_ALL_PERCENT = 40,     /**< Of the stalls: at all storage nodes, which share a disk. */
+    HOLD_LEAST_MS = 5000,       /**< Longer than callers wait. */
+    HOLD_MOST_MS = 45000,
+    HOLD_PAUSE_MOST_MS = 9000, /**< Between the beginnings of two. */
+    HOLD_ALL_PERCENT = 40,
+    HOLD_SEVERAL_PERCENT = 50, /**< Of the others; else at one. */
 };
 
 static uint64_t counts[FAULT_KINDS];
@@ -345,6 +350,32 @@
     virtual_after(virtual_random(PAUSE_LEAST_MS, STALL_PAUSE_MOST_MS), NULL, stall_disks, NULL);
 }
 
+static void hold_disk(const world_store_t *store, uint64_t ms) {
+    virtual_disk_hold(virtual_disk_of(store->process), ms);
+}
+
+static void hold_disks(void *data) {
+    (void)data;
+    if (virtual_now() >= faults_until)
+        return;
+    virtual_after(virtual_random(PAUSE_LEAST_MS, HOLD_PAUSE_MOST_MS), NULL, hold_disks, NULL);
+    uint64_t ms = virtual_random(HOLD_LEAST_MS, HOLD_MOST_MS);
+    bool all = virtual_chance(HOLD_ALL_PERCENT);
+    if (!all && !virtual_chance(HOLD_SEVERAL_PERCENT)) {
+        const world_store_t *store = random_store();
+        if (store != NULL)
+            hold_disk(store, ms);
+        return;
+    }
+    for (guint i = 0; i < world->stores->len; i++)
+        if (all || virtual_chance(50))
+            hold_disk(g_ptr_array_index(world->stores, i), ms);
+}
+
+void faults_hold_disks(void) {
+    virtual_after(virtual_random(PAUSE_LEAST_MS, HOLD_PAUSE_MOST_MS), NULL, hold_disks, NULL);
+}
+
 void faults_heal(world_t *in_world) {
     world = in_world;
     virtual_key_value_set_down(false);
@@ -354,6 +385,7 @@
         store->process->paused_until = 0;
         virtual_disk_of(store->process)->full = false;
         virtual_disk_of(store->process)->stalled_until = 0;
+        virtual_disk_release(virtual_disk_of(store->process));
         g_hash_table_remove_all(store->process->cut_from);
         if (store->exists)
             restart_store(store);
--- a/src/storesim/main.c
+++ b/src/storesim/main.c
@@ -40,6 +40,7 @@
     bool judge_room;
     bool watch_zones;
     bool stall_disks;
+    bool hold_disks;
 } arguments_t;
 
 static error_t parse_option(int key, char *argument, struct argp_state *state) {
@@ -66,6 +67,9 @@
     case 'd':
         arguments->stall_disks = true;
         return 0;
+    case 'l':
+        arguments->hold_disks = true;
+        return 0;
     case 'q':
         arguments->judge_quotas = true;
         return 0;
@@ -83,8 +87,11 @@
             arguments->broken = BREAK_QUOTA_BEGINS_FULL;
         else if (strcmp(argument, "quota-ends") == 0)
             arguments->broken = BREAK_QUOTA_ENDS;
+        else if (strcmp(argument, "spill") == 0)
+            arguments->broken = BREAK_SPILL;
         else
-            argp_error(state, "--break takes sync, identity, catch-up, quota-full or quota-ends");
+            argp_error(state, "--break takes sync, identity, catch-up, quota-full, quota-ends or "
+                              "spill");
         return 0;
     case ARGP_KEY_ARG:
         argp_usage(state);
@@ -103,15 +110,17 @@
      0},
     {"watch-zones", 'z', NULL, 0, "Gateways find out whether their zone is cut off", 0},
     {"stall-disks", 'd', NULL, 0, "Also stall disks for up to 6 s, several of them at once", 0},
+    {"long-stalls", 'l', NULL, 0,
+     "Also let disks stand still for 5 to 45 s, at one, several or all storage nodes", 0},
     {"judge-quotas", 'q', NULL, 0,
      "Also let tenants ask for three times their limits, and judge every window", 0},
     {"judge-room", 'm', NULL, 0,
      "Keep turns for 8 s, and judge that no turn is refused because expired ones take the room", 0},
     {"break", 'b', "WHAT", 0,
      "Break the code on purpose: sync (acknowledge before it), identity (an emptied disk keeps "
-     "it), catch-up (copy nothing); with --judge-quotas: quota-full (a member that starts grants "
-     "as "
-     "if it were full), quota-ends (grants are used after their end)",
+     "it), catch-up (copy nothing), spill (the key-value service forgets turns of nodes whose "
+     "disks stall); with --judge-quotas: quota-full (a member that starts grants as if it were "
+     "full), quota-ends (grants are used after their end)",
      0},
     {0}};
 static const struct argp argp = {
@@ -187,6 +196,8 @@
     }
     if (arguments->stall_disks)
         faults_stall_disks();
+    if (arguments->hold_disks)
+        faults_hold_disks();
     if (g_strcmp0(arguments->only, "power_all") == 0)
         workload_judge_connects();
     /* A gateway that is helped does not notice that it is cut off, and need not. */
--- a/src/storesim/world.c
+++ b/src/storesim/world.c
@@ -149,6 +149,7 @@
 static void break_code(world_break_t broken) {
     virtual_disks_acknowledge_early(broken == BREAK_SYNC);
     virtual_disks_keep_identity(broken == BREAK_IDENTITY);
+    virtual_key_value_forget_turns(broken == BREAK_SPILL);
     if (broken == BREAK_CATCH_UP)
         virtual_network_break_catch_up();
     if (broken == BREAK_QUOTA_BEGINS_FULL)
--- a/src/storesim/world.h
+++ b/src/storesim/world.h
@@ -43,6 +43,7 @@
     BREAK_CATCH_UP,
     BREAK_QUOTA_BEGINS_FULL, /**< A member that has lost its memory grants as if it were full. */
     BREAK_QUOTA_ENDS,        /**< Grants are used after their end. */
+    BREAK_SPILL,             /**< The key-value service forgets turns that it has acknowledged. */
 } world_break_t;
 
 /** What is simulated. */
@@ -130,6 +131,8 @@
 bool faults_start(world_t *world, uint64_t until, const char *only);
 /** Also stalls disks, one or several at a time, until the end of the faults that were started. */
 void faults_stall_disks(void);
+/** Also lets disks stand still for longer than callers wait, at one, several or all nodes. */
+void faults_hold_disks(void);
 /** Ends all faults: everything that is not gone comes back. */
 void faults_heal(world_t *world);
 /** How often each kind of fault was injected, as "name count" lines appended to @p text. */
