gateways: a call is sent only once its reserve is on disk

What callers saw: 502 after their whole time, for a call that an engine had run (E841 of a caller that has nothing of the answer), when the disks stalled while the reserve was written.

Cause: the call was sent on the grant, so that the engine's work overlapped with the write of the reserve. An answer that no durable reserve covers can't be delivered.

Change: a budgeted call waits for its durable reserve, for three quarters of its caller's time, and is refused as not run (503) without it. The rest is for the run and for half a second until a slow disk's turns go to the key-value service. Why it works: what a stall of the reserve leaves unserved has not run. Charges themselves are not kept in the service: after a start without it, a node could not tell what programs have spent (docs/design/turn-spill.md).

Test: "a call whose reserve does not get to the disk is refused before it is run" (power_test.sh): 502 before, 503 now.

--- a/src/gateway/call.c
+++ b/src/gateway/call.c
@@ -229,8 +229,6 @@
 }
 
 void call_forward_events(call_t *call) {
-    if (call->turn.budgeted && !call->turn.reserve_durable)
-        return;
     if (!call->head_sent) {
         call->head_sent = true;
         http_caller_begin(call->caller, call->status, call->fields->str, call->body->str,
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -55,17 +55,14 @@
 typedef struct {
     bool budgeted;        /**< The program's budget bounds this call. */
     bool reserved;        /**< A reserve was requested and must be settled. */
-    bool granted;         /**< The reserve was granted. */
     bool program_started; /**< The program has charges or reserves of other calls. */
-    bool reserve_durable; /**< The reserve is on disk: events may be forwarded. */
+    bool reserve_durable; /**< The reserve is on disk: the call may be sent. */
     uint64_t max_tokens;  /**< Maximum number of tokens that the call may generate. */
     store_operation_t *reserve_operation;
     store_operation_t *chain_operation;
     store_operation_t *put_operation;
     char *missing_turn; /**< Id of the turn being read from the storage nodes. */
     bool prompt_ready;
-    bool stream_completed; /**< The engine's stream is complete; the turn is being stored. */
-    bool stored;           /**< The turn is on disk. */
 } call_turn_t;
 
 /** Rate limit state of a call. */
@@ -133,7 +130,7 @@
     bool streaming;  /**< Forwarded event by event. */
     bool head_sent;  /**< The response head was sent to the caller. */
     GString *fields; /**< Response header lines for the caller. */
-    GString *body;   /**< A complete response, or events that wait for a durable reserve. */
+    GString *body;   /**< A complete response, or events to be forwarded. */
     event_stream_t events;
     call_speed_t speed;
     call_turn_t turn;
@@ -153,7 +150,7 @@
 void call_fail(call_t *call, call_reason_t reason);
 /** Ends a call whose stream is complete. */
 void call_finish_stream(call_t *call);
-/** Forwards the buffered events unless they wait for a durable reserve. */
+/** Forwards the buffered events. */
 void call_forward_events(call_t *call);
 /** Milliseconds until the call's deadline. */
 uint64_t call_time_left(const call_t *call);
--- a/src/gateway/call_turn.c
+++ b/src/gateway/call_turn.c
@@ -1,13 +1,13 @@
 /*
  * Design. The maximum number of tokens of a turn is reserved before the turn is sent. The turn is
- * sent once a quorum of storage nodes has granted the reserve, and its first event is forwarded
- * once the reserve is on disk: the disk write overlaps with the engine's work. The tokens generated
- * are settled when the turn ends for any reason; the reserve stays charged only if this gateway
- * crashes.
+ * sent once a quorum of storage nodes has granted the reserve and has it on disk: if their disks
+ * stall, the call is refused as not run, since an answer that no reserve covers could not be
+ * delivered. The tokens generated are settled when the turn ends for any reason; the reserve stays
+ * charged only if this gateway crashes.
  *
- * A turn that may be continued is complete for its caller only when a quorum has it on disk. It is
- * written as soon as the stream is complete, without waiting for the reserve's write. If
- * that takes longer than the caller waits or the route allows, the stream is aborted. The storage
+ * A turn that may be continued is complete for its caller only when it is durable at a quorum. If
+ * that takes longer than the caller waits or the route allows, the stream is aborted; storage nodes
+ * whose disks stall keep it in the key-value service meanwhile (store/turn_spill.h). The storage
  * nodes check their free space as part of the reserve, so that a turn which can't be stored is
  * refused before an engine runs it. They also report how long their disk has not finished a write:
  * a call whose caller will not wait as long again is refused too.
@@ -23,11 +23,14 @@
     STATUS_PAYMENT_REQUIRED = 402,
     STATUS_NOT_FOUND = 404,
     STATUS_UNAVAILABLE = 503,
+    PERCENT = 100,
+    /** Of a caller's 4 s, 1 s is left: SPILL_DELAY_MS of store/turn_spill.c and a short run. */
+    RESERVE_TIME_PERCENT = 75,
 };
 
 void call_turn_send_if_ready(call_t *call) {
     const call_turn_t *turn = &call->turn;
-    bool ready = turn->prompt_ready && (!turn->budgeted || turn->granted);
+    bool ready = turn->prompt_ready && (!turn->budgeted || turn->reserve_durable);
     if (ready && call_quota_ready(call))
         call_send(call);
 }
@@ -53,10 +56,8 @@
     if (verdict != VERDICT_UNSURE)
         outage_end(&call->gateway->store_outage);
     if (verdict == VERDICT_YES) {
-        call->turn.granted = true;
         call->last_engine = store_operation_last_engine(call->turn.reserve_operation);
         call->turn.program_started = store_operation_program_started(call->turn.reserve_operation);
-        call_turn_send_if_ready(call);
         return;
     }
     if (verdict == VERDICT_UNSURE) {
@@ -67,26 +68,15 @@
     call_refuse(call, STATUS_PAYMENT_REQUIRED, CALL_OVER_BUDGET);
 }
 
-/** Ends the call's stream once the engine's is complete, and reserve and turn are on disk. */
-static void finish_if_durable(call_t *call) {
-    const call_turn_t *turn = &call->turn;
-    bool reserve_done = !turn->budgeted || turn->reserve_durable;
-    bool turn_done = !call->route->keeps_turns || turn->stored;
-    if (turn->stream_completed && reserve_done && turn_done)
-        call_finish_stream(call);
-}
-
 static void on_reserve_durable(void *owner, bool durable) {
     call_t *call = owner;
     call->turn.reserve_operation = NULL;
     if (!durable) {
-        call_fail(call, CALL_BUDGET_NOT_DURABLE);
+        call_refuse(call, STATUS_UNAVAILABLE, CALL_BUDGET_NOT_DURABLE);
         return;
     }
     call->turn.reserve_durable = true;
-    if (call->streaming && call->body->len > 0)
-        call_forward_events(call);
-    finish_if_durable(call);
+    call_turn_send_if_ready(call);
 }
 
 static const store_operation_handler_t reserve_handler = {on_reserve_verdict, on_reserve_durable};
@@ -122,6 +112,11 @@
     return true;
 }
 
+/** Time in which the reserve must become durable, in ms; the rest is for the run and its turn. */
+static uint64_t reserve_time(const call_t *call) {
+    return call_time_left(call) * RESERVE_TIME_PERCENT / PERCENT;
+}
+
 /** Requests the budget reserve, if any; false if the call has been refused. */
 static bool begin_reserve(call_t *call) {
     if (!call->turn.budgeted)
@@ -132,7 +127,7 @@
         call_refuse(call, STATUS_UNAVAILABLE, CALL_BUDGET_UNKNOWN);
         return false;
     }
-    if (store_client_disks_lag(stores, call_time_left(call))) {
+    if (store_client_disks_lag(stores, reserve_time(call))) {
         call_refuse(call, STATUS_UNAVAILABLE, CALL_DISKS_LAG);
         return false;
     }
@@ -143,7 +138,7 @@
         .max_tokens = call->turn.max_tokens,
         .budget = strtoull(budget, NULL, 10),
         .stores_turn = call->route->keeps_turns,
-        .timeout_ms = call_time_left(call),
+        .timeout_ms = reserve_time(call),
     };
     call->turn.reserve_operation = store_client_reserve(stores, &reserve, &reserve_handler, call);
     return true;
@@ -260,16 +255,14 @@
     turn_t turn = build_turn(call);
     chain_cache_add(&gateway->chains, &turn);
     turn_clear(&turn);
-    call->turn.stored = true;
-    finish_if_durable(call);
+    call_finish_stream(call);
 }
 
 static const store_operation_handler_t put_handler = {NULL, on_turn_stored};
 
 void call_turn_stream_completed(call_t *call) {
-    call->turn.stream_completed = true;
     if (!call->route->keeps_turns) {
-        finish_if_durable(call);
+        call_finish_stream(call);
         return;
     }
     turn_t turn = build_turn(call);
@@ -283,12 +276,9 @@
 }
 
 bool call_turn_expire(call_t *call) {
-    call_turn_t *turn = &call->turn;
-    store_operation_t *write =
-        turn->put_operation != NULL ? turn->put_operation : turn->reserve_operation;
-    if (!turn->stream_completed || write == NULL)
+    if (call->turn.put_operation == NULL)
         return false;
-    store_operation_expire(write);
+    store_operation_expire(call->turn.put_operation);
     return true;
 }
 
--- a/tests/integration/power_test.sh
+++ b/tests/integration/power_test.sh
@@ -188,11 +188,31 @@
         [ "$(grep -hs E841 "$CLUSTER_DIR"/gateway?.log | wc -l)" -eq "$not_kept" ]
 }
 
+# Guards against calls that are run before their reserve is on disk, and then fail for it: 503 says
+# that a call has not run.
+power_stalled_reserve() {
+    local status
+    POWER_DATA=$(mktemp -d -p /dev/shm 2> /dev/null || mktemp -d) || return 1
+    rm -rf "$CLUSTER_DIR"/store?.data
+    POWER_SLOW_SYNC_MS=8000 POWER_SLOW_SYNC_MIN_BYTES=1 power_start true
+    power_wait && status=$(curl -s -o /dev/null -w '%{http_code}' --max-time 6 -H "Host: h" \
+        -H "Attempt-Id: a1" -H "Program-Id: p1" -H "Session-Id: s" -H "Token-Budget: 400" \
+        -H "Token-Counts: 10,40" -H "Deadline-Milliseconds: 4000" -d "input" \
+        "http://127.0.0.1:$((POWER_BASE + 33))/turns/x")
+    power_kill
+    rm -rf "$POWER_DATA"
+    unset POWER_DATA
+    echo "status $status"
+    [ "$status" = 503 ]
+}
+
 "$BUILD/tests/platform_standin" "$POWER_BASE" "$((POWER_BASE + 1))" "$((POWER_BASE + 2))" &
 POWER_STANDIN=$!
 expect "turns whose sync takes 2 s are all kept" power_slow_turns
 expect "turns whose sync outlasts their callers are all kept" power_stalled_turns
 power_kill
+expect "a call whose reserve does not get to the disk is refused before it is run" power_stalled_reserve
+power_kill
 expect "all killed and one folder removed, $POWER_ROUNDS times" power_rounds
 power_kill
 expect "all killed, and started without the key-value service" power_without_key_value
