storage nodes: a time mark is written together with the record that follows it

Cause: the mark that is due once a second was handed to the log before the record that it precedes, and the log started a write with the mark alone. The record, often a reserve, waited for two syncs: on a stalled disk one stall more, which with a sync of 1.8 s is more than its caller's time for a reserve; on a disk that keeps up 0.5 to 5 ms.

Change: the mark waits for the record that follows at once. The mark of the periodic upkeep, which nothing follows, is written by itself as before.

Test: DiskStall.AReserveWaitsForOneSync fails on the code before.

--- a/src/store/record_log.c
+++ b/src/store/record_log.c
@@ -279,15 +279,20 @@
                         void *owner) {
     pending_t entry = {bytes, done, owner, uv_hrtime(), state};
     g_array_append_val(log->pending, entry);
-    start_batch(log);
 }
 
 void record_log_append(record_log_t *log, GBytes *record, record_log_done_t done, void *owner) {
     add_pending(log, record, false, done, owner);
+    start_batch(log);
+}
+
+void record_log_append_with_next(record_log_t *log, GBytes *record) {
+    add_pending(log, record, false, NULL, NULL);
 }
 
 void record_log_write_state(record_log_t *log, GBytes *state, record_log_done_t done, void *owner) {
     add_pending(log, state, true, done, owner);
+    start_batch(log);
 }
 
 uint64_t record_log_lag_ms(const record_log_t *log) {
--- a/src/store/record_log.h
+++ b/src/store/record_log.h
@@ -36,6 +36,8 @@
 
 /** Appends a record; takes over @p record. */
 void record_log_append(record_log_t *log, GBytes *record, record_log_done_t done, void *owner);
+/** Appends a record that is written with the next one; takes over @p record. */
+void record_log_append_with_next(record_log_t *log, GBytes *record);
 /** Replaces the state file; takes over @p state. */
 void record_log_write_state(record_log_t *log, GBytes *state, record_log_done_t done, void *owner);
 /** Removes closed segments, oldest first, up to the first one that is in use. */
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -132,7 +132,7 @@
 size_t store_connections_buffer_bytes(const store_t *store);
 /** Initializes the list of gateways. */
 void store_requests_init(store_t *store);
-/** Appends a time mark to the log if one is due; called before each record and periodically. */
+/** Appends a time mark to the log if one is due. */
 void store_append_time_mark(store_t *store);
 /** Appends a record that was copied from another member; @p done may be NULL. */
 void store_append_copy(store_t *store, message_t *record, void (*done)(void *owner, bool durable),
--- a/src/store/store_requests.c
+++ b/src/store/store_requests.c
@@ -193,20 +193,35 @@
     return write;
 }
 
-void store_append_time_mark(store_t *store) {
+/** The time mark, if one is due; else NULL. */
+static GBytes *next_time_mark(store_t *store) {
     uint64_t mark;
     if (!record_clock_next_mark(&store->clock, now(store), &mark))
-        return;
+        return NULL;
     message_t record;
     message_init(&record, RECORD_TIME);
     record.time = mark;
-    record_log_append(store->log, message_encode(&record), NULL, NULL);
+    GBytes *bytes = message_encode(&record);
     message_clear(&record);
+    return bytes;
+}
+
+void store_append_time_mark(store_t *store) {
+    GBytes *mark = next_time_mark(store);
+    if (mark != NULL)
+        record_log_append(store->log, mark, NULL, NULL);
+}
+
+/** Appends a time mark if one is due, in one write with the record that follows. */
+static void precede_by_time_mark(store_t *store) {
+    GBytes *mark = next_time_mark(store);
+    if (mark != NULL)
+        record_log_append_with_next(store->log, mark);
 }
 
 /** Appends @p record; takes over its reference. */
 static void append(store_t *store, GBytes *record, write_t *write) {
-    store_append_time_mark(store);
+    precede_by_time_mark(store);
     if (write->turn.id != NULL)
         add_pending_turn(store, write);
     record_log_append(store->log, record, on_write_done, write);
@@ -659,7 +674,7 @@
     message_t record;
     message_init(&record, REQUEST_PUT_TURN);
     message_add_turn(&record, &write->turn);
-    store_append_time_mark(write->store);
+    precede_by_time_mark(write->store);
     record_log_append(write->store->log, message_encode(&record), on_write_done, write);
     message_clear(&record);
 }
--- a/src/storesim/virtual_disk.c
+++ b/src/storesim/virtual_disk.c
@@ -164,6 +164,11 @@
     add(log, record, false, done, owner);
 }
 
+void record_log_append_with_next(record_log_t *log, GBytes *record) {
+    pending_t entry = {record, NULL, NULL, false, virtual_now()};
+    g_array_append_val(log->pending, entry);
+}
+
 void record_log_write_state(record_log_t *log, GBytes *state, record_log_done_t done, void *owner) {
     log->disk->state_writes++;
     add(log, state, true, done, owner);
--- a/tests/unit/disk_stall_test.cc
+++ b/tests/unit/disk_stall_test.cc
@@ -506,6 +506,17 @@
     }
 }
 
+// A reserve waits for two syncs of a stalled disk, its own and that of the time mark before it.
+TEST_F(DiskStall, AReserveWaitsForOneSync) {
+    constexpr uint64_t long_sync_ms = 2000;
+    for (unsigned i = 0; i < nodes; i++)
+        disk(i)->sync_ms = long_sync_ms;
+    Outcome reserved;
+    reserve("call", max_tokens, &reserved);
+    run(long_sync_ms + engine_ms);
+    EXPECT_TRUE(reserved.durable);
+}
+
 // A turn that the disk does not have yet takes none of its space, so that too many are granted.
 TEST_F(AcknowledgedInAStall, TakesItsSpaceOnTheDisk) {
     run(engine_ms); // The third node's answer of the service may come after the acknowledgement.
