gateways: Retry-After counts a reserve that does not get to the disk as an outage

What callers saw: while disks stall, a refused call (503 budget_not_durable) was told to come back after 150 ms, as after a passing refusal, and used up its few attempts.

Cause: since calls wait for their durable reserve, that is the main refusal of a stall, and it was not among the reasons of the outage by which Retry-After grows. A granted reserve ended that outage though nothing was on a disk.

Change: the reason is among them, and the outage ends when a reserve is durable. Found by a review of the code, not by a play; no test of its own.

--- a/src/gateway/call.c
+++ b/src/gateway/call.c
@@ -121,6 +121,7 @@
 static outage_t *outage_for_reason(gateway_t *gateway, call_reason_t reason) {
     switch (reason) {
     case CALL_BUDGET_UNKNOWN:
+    case CALL_BUDGET_NOT_DURABLE:
     case CALL_TURN_UNKNOWN:
     case CALL_NO_SPACE:
     case CALL_DISKS_LAG:
--- a/src/gateway/call_turn.c
+++ b/src/gateway/call_turn.c
@@ -53,7 +53,7 @@
         call_refuse(call, STATUS_UNAVAILABLE, disks_lag ? CALL_DISKS_LAG : CALL_NO_SPACE);
         return;
     }
-    if (verdict != VERDICT_UNSURE)
+    if (verdict == VERDICT_NO)
         outage_end(&call->gateway->store_outage);
     if (verdict == VERDICT_YES) {
         call->last_engine = store_operation_last_engine(call->turn.reserve_operation);
@@ -75,6 +75,7 @@
         call_refuse(call, STATUS_UNAVAILABLE, CALL_BUDGET_NOT_DURABLE);
         return;
     }
+    outage_end(&call->gateway->store_outage);
     call->turn.reserve_durable = true;
     call_turn_send_if_ready(call);
 }
