storage nodes: spilled turns: removals keep up, one batch holds up no other, unreadable keys stay

Found by a review of the turns kept in the key-value service, each shown by a test that fails on the code before:

- Keys piled up: batches always went before removals.
They take turns now.
- A batch that the service never takes (its names were not counted) was repeated for ever and held up all later turns of the node.
Names are counted, and after a refusal a new batch goes first.
DiskStall.ATurnThatTheServiceNeverTakesHoldsUpNoOther.
- A key that could not be decoded was removed, though it may hold confirmed turns.
It stays, and the node denies no turn.
AcknowledgedInAStall.AKeyThatCantBeReadStaysAndDeniesNoTurn.
- A node that left its group answered confirmed turns a second time and counted them twice.
AcknowledgedInAStall.IsCountedOnceThoughItsNodeLeavesTheGroup.
- A retirement could be reported as complete before the node had read its keys (by reading).
- The answer to a reserve that is on disk already hid that the disk lags (by reading).

The simulated service refuses values above 1 MiB, as a real one does.

--- a/src/gateway/store_client_state.h
+++ b/src/gateway/store_client_state.h
@@ -20,8 +20,8 @@
     GPtrArray *backlog;        /**< Settlements for a disconnected member; of GBytes. */
     zone_member_t observation; /**< Input of the isolation check. */
     uint64_t lagging_since;    /**< Start of a write that its disk has not finished; 0: none. */
-    uint64_t
-        lag_number; /**< Number of the response before which that was reported; 0: it has come. */
+    uint64_t lag_number; /**< Number of the response that follows the latest lag report; 0: none is
+                            due. */
 } member_t;
 
 struct store_client {
--- a/src/store/store_membership.c
+++ b/src/store/store_membership.c
@@ -460,7 +460,7 @@
         return;
     /* The others hold everything: nothing of this node may stay behind in the service. */
     turn_spill_discard(store->spill);
-    if (!turn_spill_empty(store->spill))
+    if (!turn_spill_complete(store->spill) || !turn_spill_empty(store->spill))
         return;
     event_log(STORE_RETIRED, store->group->generation);
     report_retirement(membership, true);
--- a/src/store/store_requests.c
+++ b/src/store/store_requests.c
@@ -42,6 +42,7 @@
     uint64_t received_at;    /**< Loop time, ms. */
     turn_t turn;             /**< Empty if a charge is written. */
     spilled_turn_t *spilled; /**< The turn while the disk does not have it; NULL: not watched. */
+    bool confirmed;          /**< The key-value service has the turn; the requester was answered. */
     budget_charge_t charge;  /**< The charge as written; empty if a turn is. */
     void (*done)(void *owner, bool durable);
     void *owner;
@@ -134,14 +135,10 @@
     event_log(STORE_WRITE_FAILED, record_log_bytes(store->log));
 }
 
-/**
- * Ends the watch over a turn that was or may have been spilled. Sets @p answered if it was
- * confirmed before; false if the disk failed and the turn must be written again.
- */
-static bool end_spill(write_t *write, bool on_disk, bool *answered) {
+/** False if the disk failed and the turn, which the service has or may have, is written again. */
+static bool end_spill(write_t *write, bool on_disk) {
     if (write->spilled == NULL)
         return true;
-    *answered = spilled_turn_durable(write->spilled);
     if (!turn_spill_write_ended(write->store->spill, write->spilled, on_disk))
         return false;
     write->spilled = NULL;
@@ -151,12 +148,11 @@
 static void on_write_done(void *owner, bool durable, uint32_t segment) {
     write_t *write = owner;
     store_t *store = write->store;
-    bool answered = false;
     if (!durable)
         log_failed_write(store);
-    if (!end_spill(write, durable, &answered))
+    if (!end_spill(write, durable))
         return;
-    if (write->turn.id != NULL && answered)
+    if (write->confirmed)
         store->spilled_turn_bytes -= turn_memory_bytes(&write->turn);
     else if (write->turn.id != NULL)
         remove_pending_turn(store, write);
@@ -165,7 +161,7 @@
                                   store_expiry_clock_ms(store));
     else if (durable)
         mark_charge_durable(store, &write->charge, segment);
-    if (!answered)
+    if (!write->confirmed)
         answer_write(write, durable);
     if (write->done != NULL)
         write->done(write->owner, durable);
@@ -240,8 +236,7 @@
 static void write_reserve(store_t *store, frame_connection_t *connection, message_t *request,
                           GBytes *record) {
     if (budget_table_covers(&store->budgets, &request->charge))
-        send_response(connection, RESPONSE_DURABLE, request->number, request->generation,
-                      VERDICT_YES);
+        send_durable(store, connection, request->number, request->generation, VERDICT_YES);
     else
         append_charge(store, connection, request, record);
 }
@@ -663,6 +658,7 @@
 static void on_spilled(void *owner) {
     write_t *write = owner;
     store_t *store = write->store;
+    write->confirmed = true;
     remove_pending_turn(store, write);
     store->spilled_turn_bytes += turn_memory_bytes(&write->turn);
     turn_table_add(&store->turns, &write->turn, TURN_NOT_IN_LOG, store_expiry_clock_ms(store));
@@ -687,6 +683,7 @@
     write->store = store;
     turn_copy(&write->turn, turn);
     write->spilled = spilled;
+    write->confirmed = true;
     store->spilled_turn_bytes += turn_memory_bytes(turn);
     return write;
 }
--- a/src/store/turn_spill.c
+++ b/src/store/turn_spill.c
@@ -38,7 +38,7 @@
     LATE_WRITE_MS = 30000,    /**< An unanswered write is not carried out after this. */
     /** Bounds a watcher's memory for one key; a larger turn is written alone. */
     BATCH_BYTES_MAX = 256 * 1024,
-    TURN_OVERHEAD_BYTES = 256, /**< Of a turn's encoding, besides its input and output. */
+    TURN_OVERHEAD_BYTES = 256, /**< Of a turn's encoding, besides its names and contents. */
     REMOVALS_MAX = 32,         /**< Keys that the service removes in one transaction. */
     WATCH_WAIT_MS = 1000,
 };
@@ -78,6 +78,9 @@
     batch_t *writing;    /**< Batch being written; NULL: none. */
     guint removing;      /**< Number of `removals`, from the first, that are being removed. */
     bool discarded;      /**< Nothing more is spilled. */
+    bool refused_last;   /**< The service refused the latest batch. */
+    bool removal_next;   /**< The latest write was a batch: keys that are due are removed next. */
+    bool unreadable;     /**< A key of an earlier run can't be decoded. */
     uint64_t next_write_at;
     uint64_t count;
 };
@@ -120,7 +123,10 @@
 }
 
 static size_t encoded_bytes(const turn_t *turn) {
-    return TURN_OVERHEAD_BYTES + g_bytes_get_size(turn->input) + g_bytes_get_size(turn->output);
+    size_t names =
+        strlen(turn->id) + strlen(turn->parent) + (turn->tenant == NULL ? 0 : strlen(turn->tenant));
+    return TURN_OVERHEAD_BYTES + names + g_bytes_get_size(turn->input) +
+           g_bytes_get_size(turn->output);
 }
 
 static bool fits_service(const turn_spill_t *spill, const turn_t *turn) {
@@ -180,6 +186,7 @@
     event_log(STORE_TURNS_SPILLED, batch->key, batch->turns.length,
               (unsigned)g_bytes_get_size(batch->value), write_outcome_name(outcome));
     /* In conflict with itself: an earlier attempt was carried out without an answer. */
+    spill->refused_last = outcome == KEY_VALUE_REFUSED;
     if (outcome != KEY_VALUE_REFUSED) {
         confirm_batch(spill, batch);
     } else {
@@ -237,33 +244,59 @@
     g_ptr_array_free(keys, TRUE);
 }
 
-/** The batch to write next: one that was refused before, or a new one; NULL: none is due. */
-static batch_t *next_batch(turn_spill_t *spill) {
-    if (spill->discarded)
-        return NULL;
+static batch_t *first_refused_batch(const turn_spill_t *spill) {
     for (guint i = 0; i < spill->batches->len; i++) {
         batch_t *batch = g_ptr_array_index(spill->batches, i);
         if (!batch->durable)
             return batch;
     }
+    return NULL;
+}
+
+/** True if a turn has waited for SPILL_DELAY_MS that the service can take. */
+static bool has_turn_due(const turn_spill_t *spill) {
     for (const GList *item = spill->waiting.head; item != NULL; item = item->next) {
         const spilled_turn_t *turn = item->data;
         if (now(spill) < turn->added_at + SPILL_DELAY_MS)
-            return NULL;
+            return false;
         if (fits_service(spill, turn->turn))
-            return take_batch(spill);
+            return true;
     }
-    return NULL;
+    return false;
 }
 
+/**
+ * The batch to write next: one that was refused before, or a new one; NULL: none is due. In turns,
+ * so that a batch which the service never takes does not hold up the others.
+ */
+static batch_t *next_batch(turn_spill_t *spill) {
+    if (spill->discarded)
+        return NULL;
+    batch_t *refused = first_refused_batch(spill);
+    bool due = has_turn_due(spill);
+    if (refused != NULL && !(due && spill->refused_last))
+        return refused;
+    return due ? take_batch(spill) : NULL;
+}
+
+static bool has_removal_due(const turn_spill_t *spill) {
+    for (guint i = 0; i < spill->removals->len; i++)
+        if (((const batch_t *)g_ptr_array_index(spill->removals, i))->remove_at <= now(spill))
+            return true;
+    return false;
+}
+
+/** Batches and removals take turns, so that keys do not pile up while batches are always due. */
 static void write_next(turn_spill_t *spill) {
     bool busy = spill->writing != NULL || spill->removing > 0;
     if (busy || now(spill) < spill->next_write_at)
         return;
-    batch_t *batch = next_batch(spill);
+    bool removal_due = has_removal_due(spill);
+    batch_t *batch = removal_due && spill->removal_next ? NULL : next_batch(spill);
+    spill->removal_next = batch != NULL;
     if (batch != NULL)
         write_batch(spill, batch);
-    else
+    else if (removal_due)
         remove_keys(spill);
 }
 
@@ -346,13 +379,17 @@
     const void *data = g_bytes_get_data(item->value, &length);
     message_t record;
     bool valid = message_decode(&record, data, length) && record.type == RESPONSE_TURNS;
-    batch_t *batch = new_batch(spill, g_strdup(item->key));
-    batch->durable = true;
-    if (valid)
+    if (valid) {
+        batch_t *batch = new_batch(spill, g_strdup(item->key));
+        batch->durable = true;
         read_turns(spill, batch, &record);
-    event_log(STORE_SPILL_READ, item->key, valid ? record.turns->len : 0, batch->turns.length,
-              valid ? "yes" : "no");
-    finish_batch(spill, batch);
+        event_log(STORE_SPILL_READ, item->key, record.turns->len, batch->turns.length, "yes");
+        finish_batch(spill, batch);
+    } else {
+        /* It may hold turns that were confirmed. */
+        event_log(STORE_SPILL_READ, item->key, 0U, 0U, "no");
+        spill->unreadable = true;
+    }
     message_clear(&record);
 }
 
@@ -380,7 +417,7 @@
 }
 
 bool turn_spill_complete(const turn_spill_t *spill) {
-    return spill->complete;
+    return spill->complete && !spill->unreadable;
 }
 
 /* Turns. */
@@ -428,10 +465,6 @@
     return true;
 }
 
-bool spilled_turn_durable(const spilled_turn_t *turn) {
-    return turn->batch != NULL && turn->batch->durable;
-}
-
 void turn_spill_discard(turn_spill_t *spill) {
     spill->discarded = true;
     for (guint i = spill->batches->len; i > 0; i--) {
--- a/src/store/turn_spill.h
+++ b/src/store/turn_spill.h
@@ -34,15 +34,13 @@
 void turn_spill_read(turn_spill_t *spill);
 /** False while turns that this node has confirmed may be in the service only, still to be read. */
 bool turn_spill_complete(const turn_spill_t *spill);
-/** The write of @p turn, which stays valid until turn_spill_on_disk, has begun. */
+/** The write of @p turn, which stays valid until turn_spill_write_ended, has begun. */
 spilled_turn_t *turn_spill_add(turn_spill_t *spill, const turn_t *turn, void *owner);
 /**
  * The write has ended. Returns true, and frees @p turn, if the write is over: on the disk, or
  * failed before the turn was sent to the service. Otherwise on_rewrite_due follows.
  */
 bool turn_spill_write_ended(turn_spill_t *spill, spilled_turn_t *turn, bool on_disk);
-/** True if the service has the turn. */
-bool spilled_turn_durable(const spilled_turn_t *turn);
 /** Removes all of this node's turns from the service: the node has left its group. */
 void turn_spill_discard(turn_spill_t *spill);
 /** True if the service has none of this node's turns. */
--- a/src/storesim/virtual_key_value.c
+++ b/src/storesim/virtual_key_value.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 enum { LATENCY_LEAST_MS = 3, LATENCY_MOST_MS = 12, REFUSED_AFTER_MS = 1000, RELIST_MS = 300 };
+enum { VALUE_BYTES_MAX = 1024 * 1024 };
 
 typedef struct {
     GBytes *value;
@@ -232,6 +233,8 @@
     if (is_down) {
         event->outcome = KEY_VALUE_REFUSED;
         delay = REFUSED_AFTER_MS;
+    } else if (event->value != NULL && g_bytes_get_size(event->value) > VALUE_BYTES_MAX) {
+        event->outcome = KEY_VALUE_REFUSED;
     } else if (!event->any && present != event->expected) {
         event->outcome = KEY_VALUE_CONFLICT;
     } else {
--- a/tests/unit/disk_stall_test.cc
+++ b/tests/unit/disk_stall_test.cc
@@ -641,4 +641,78 @@
     EXPECT_EQ(virtual_key_value_count(turns_prefix), 0u);
 }
 
+// Batches are written one after the other, and no key is removed meanwhile.
+TEST_F(DiskStall, KeysDoNotPileUpWhileBatchesAreAlwaysDue) {
+    constexpr uint64_t long_sync_ms = 2000;
+    constexpr unsigned turns_per_s = 20, seconds = 30;
+    constexpr uint64_t ms_per_s = 1000;
+    constexpr unsigned keys_of_the_waiting = 150; // Two syncs of turns at each node, one a key.
+    for (unsigned i = 0; i < nodes; i++)
+        disk(i)->sync_ms = long_sync_ms;
+    const std::string large(100000, 'x');
+    for (unsigned i = 0; i < turns_per_s * seconds; i++) {
+        std::string id = "large-" + std::to_string(i);
+        turn_t other = {g_strdup(id.c_str()), g_strdup(""),
+                        g_bytes_new("in", 2), g_bytes_new(large.data(), large.size()),
+                        1000000000,           g_strdup("")};
+        store_client_put_turn(client, &other, write_timeout_ms, &handler, new Outcome());
+        turn_clear(&other);
+        run(ms_per_s / turns_per_s);
+        ASSERT_LE(virtual_key_value_count(turns_prefix), keys_of_the_waiting) << "turn " << i;
+    }
+}
+
+// A turn that the service does not take, since its names are long, holds up all later ones.
+TEST_F(DiskStall, ATurnThatTheServiceNeverTakesHoldsUpNoOther) {
+    hold_first(nodes, long_stall_ms);
+    const std::string large(1024 * 1024 - 400, 'x');
+    turn_t other = {g_strdup(std::string(250, 'a').c_str()),
+                    g_strdup(std::string(250, 'b').c_str()),
+                    g_bytes_new("in", 2),
+                    g_bytes_new(large.data(), large.size()),
+                    1000000,
+                    g_strdup("tenant")};
+    store_client_put_turn(client, &other, write_timeout_ms, &handler, new Outcome());
+    turn_clear(&other);
+    run(1500);
+    put_turn("turn", &turn);
+    run_until_ended(turn);
+    EXPECT_TRUE(turn.durable);
+}
+
+// A key that this version can't decode may hold turns that were confirmed.
+TEST_F(AcknowledgedInAStall, AKeyThatCantBeReadStaysAndDeniesNoTurn) {
+    const char *key = "turns/store-00/0000000000000000-1";
+    virtual_key_value_put(key, g_bytes_new("from a newer version", 20));
+    restart_all(END_POWER_LOST);
+    run(recovery_ms);
+    EXPECT_NE(virtual_key_value_get(key), nullptr);
+    EXPECT_FALSE(store_has_all_turns(node(0)->store));
+    EXPECT_TRUE(store_has_all_turns(node(1)->store));
+}
+
+// A node that leaves its group takes a turn that it has confirmed for one that is still to be.
+TEST_F(AcknowledgedInAStall, IsCountedOnceThoughItsNodeLeavesTheGroup) {
+    run(engine_ms);
+    store_t *store = node(0)->store;
+    turn_spill_discard(store->spill);
+    run(long_stall_ms);
+    EXPECT_EQ(store->pending_turn_bytes, 0u);
+    EXPECT_EQ(store->spilled_turn_bytes, 0u);
+    EXPECT_TRUE(turn_spill_empty(store->spill));
+}
+
+// A node dies and is replaced while the disks of the others stall. No member is complete in the new
+// generation before its state file is on disk, so that nothing is confirmed.
+TEST_F(DiskStall, ATurnIsKeptThoughTheGroupChangesInTheStall) {
+    world_start_store(node(nodes), false);
+    run(3000);
+    hold_first(nodes, long_stall_ms);
+    world_end_store(node(2), END_KILLED);
+    run(3500);
+    put_turn("turn", &turn);
+    run_until_ended(turn);
+    EXPECT_TRUE(turn.durable);
+}
+
 } // namespace
