--- a/src/core/admission/program_home.c
+++ b/src/core/admission/program_home.c
@@ -5,7 +5,8 @@
 
 enum {
     /**
-     * Limit per home, in calls per second: high enough that one program hardly changes the sum.
+     * Limit per home, in calls per second: some twenty concurrent programs of a few calls per
+     * second each, so that one program hardly changes the sum.
      */
     CALLS_PER_S_PER_HOME = 100,
 };
--- a/src/core/budget/budget_table.c
+++ b/src/core/budget/budget_table.c
@@ -3,7 +3,11 @@
 #include <string.h>
 #include <xxhash.h>
 
-/** Estimated memory of a charge, with its call id and hash table entry. */
+/**
+ * Estimated memory of a charge, with its call id and hash table entry. With an own copy of a
+ * program id of 32 bytes in each charge, resident memory grew by 210 bytes for each of 70,000
+ * charges, eight a program; the id is shared by the charges of a program.
+ */
 enum { CHARGE_BYTES = 180 };
 
 typedef struct {
--- a/src/core/configuration/directory_pacing.h
+++ b/src/core/configuration/directory_pacing.h
@@ -4,7 +4,8 @@
  * requests the directory, whether a storage node responds, and when a storage node requests a newer
  * one. A directory takes hundreds of kilobytes, and after a loss of power all gateways request it
  * at once. Gateways offer their directory by its revision only, and a storage node pulls it from
- * one of them at a time; if all gateways pushed theirs, the node would run out of memory.
+ * one of them at a time; if all gateways pushed theirs, the node would run out of memory: 2.5 MB
+ * from each of 865 gateways exhausted nodes of 180 MB.
  *
  * Decision code: no I/O, clock or thread. Times are in ms.
  */
@@ -16,6 +17,7 @@
 #include <stdint.h>
 
 enum {
+    /* A directory of 1 MB takes 0.3 s over a link of 30 Mbit/s. */
     DIRECTORY_REQUEST_INTERVAL_MS =
         1000, /**< Interval of a gateway's requests; longer than a transfer. */
     /** Unsent bytes for one gateway above which a response is considered to be in flight. */
--- a/src/core/configuration/listing_schedule.h
+++ b/src/core/configuration/listing_schedule.h
@@ -3,8 +3,10 @@
  * When a gateway that has just started lists the whole key-value service.
  *
  * After a loss of power all gateways of a fleet start at once. If each of them listed the service,
- * the listings would exceed the bandwidth and the call rate of the service. So would their watches
- * while all back ends of a new system register at once.
+ * the listings would exceed the bandwidth and the call rate of the service: a listing of 10,000
+ * back ends takes 50 calls and 2.5 MB, and 865 gateways need 2.2 GB, or 18 s of a link of 1 Gbit/s.
+ * So would their watches while all back ends of a new system register at once: 10,000 back ends are
+ * 20 responses of 500 changes to each watch.
  *
  * A starting gateway therefore reads only the store group's key and waits. The gateways of lowest
  * rank in a zone's root cell (store/gateway_registry.h) list the service; the others receive the
--- a/src/core/configuration/watch_role.c
+++ b/src/core/configuration/watch_role.c
@@ -88,7 +88,7 @@
 /**
  * Wait that ends in this process's slot of the cycle. Slots are WATCH_STAGGER_MS apart, one for
  * each renewing process in order of address. The first slot starts at the latest response to the
- * first process.
+ * first process. With fewer than WATCH_RENEWING processes the cycle, and so each wait, is shorter.
  */
 static uint32_t staggered_wait_ms(const watches_before_t *before, uint64_t now) {
     unsigned renewing = before->others + 1 < WATCH_RENEWING ? before->others + 1 : WATCH_RENEWING;
--- a/src/core/configuration/watch_role.h
+++ b/src/core/configuration/watch_role.h
@@ -22,7 +22,9 @@
  * A change must be in force everywhere within 2 s, even if a process fails meanwhile. In the worst
  * case a watch pauses for WATCH_PAUSE_MAX_MS before it sees the change, and a follower whose
  * source has failed waits for WATCH_SOURCE_LAG_MAX_MS and at most WATCH_BEHIND_CHECK_INTERVAL_MS
- * more before it requests the change from another source: 1.3 s in all, plus network delays.
+ * more before it requests the change from another source: 1.3 s in all, plus network delays. With
+ * a pause of 0.9 s, and a check interval and timeout that grow with the report period, it took up
+ * to 2.9 s.
  *
  * Decision code: no I/O, clock or thread. Times are in ms.
  */
@@ -84,7 +86,8 @@
 /**
  * The age to report of a watch that was last answered at @p answered_at (0: never) and, if
  * @p failed_at is not 0, has failed since. A failed watch is reported as never answered, so that
- * other processes take over its role at once even if the service rejects only the renewing ones.
+ * other processes take over its role at once even if the service rejects only the renewing ones;
+ * with its true age nobody watched for 3.6 s then, and a configuration came into force late.
  */
 uint32_t watch_answer_age(uint64_t answered_at, uint64_t failed_at, uint64_t now);
 
--- a/src/core/digest/digest_buckets.h
+++ b/src/core/digest/digest_buckets.h
@@ -13,7 +13,8 @@
 
 /**
  * With more buckets, fewer equal records share a bucket with a differing one and are exchanged
- * needlessly, but each bucket adds 8 bytes to a digest.
+ * needlessly, but each bucket adds 8 bytes to a digest. With 512, a table of 10,000 records of
+ * which ten differ sends some 200 instead of all, and its digest takes 4 KB.
  */
 enum { DIGEST_BUCKETS = 512 };
 
--- a/src/core/isolation/zone_isolation.h
+++ b/src/core/isolation/zone_isolation.h
@@ -24,7 +24,11 @@
 #include <stdint.h>
 
 enum {
-    /** An operation that waits longer than this for a quorum starts a check. */
+    /**
+     * An operation that waits longer than this for a quorum starts a check. A quorum responds
+     * within some ms, or within the time of a disk write if the record is written first; probes
+     * need no disk.
+     */
     ZONE_SUSPECT_AFTER_MS = 75,
     ZONE_CHECK_INTERVAL_MS = 50, /**< While isolation is suspected or established. */
     ZONE_PROBE_INTERVAL_MS = 100,
--- a/src/core/quorum/fetch_plan.h
+++ b/src/core/quorum/fetch_plan.h
@@ -7,7 +7,8 @@
  * source it was requested from no longer has it or is lost.
  *
  * The work is constant per listed record: each source has its own queue, so that no response
- * requires a scan of all outstanding records.
+ * requires a scan of all outstanding records. With such scans 12,000 records were examined 200
+ * times each, and 18,000 took 12 s of a third of a core.
  *
  * Decision code: no I/O, clock or thread.
  */
--- a/src/core/quota/quota_table.h
+++ b/src/core/quota/quota_table.h
@@ -52,7 +52,7 @@
 /**
  * Discards all buckets; new ones are nearly empty. Required if this node may have been out of the
  * group for some time: another member may have granted the tokens of its share, and granting them
- * again would exceed the permitted tokens of a window.
+ * again would exceed the permitted tokens of a window, with full buckets by a tenth.
  */
 void quota_table_restart(quota_table_t *table);
 /** Removes tenants without a request since @p before. */
--- a/src/core/retry/outage.c
+++ b/src/core/retry/outage.c
@@ -1,6 +1,9 @@
 #include "core/retry/outage.h"
 
-/** The suggested wait is the duration of the outage so far divided by this. */
+/**
+ * The suggested wait is the duration of the outage so far divided by this. With the whole duration,
+ * short outages made more programs late than were saved.
+ */
 enum { DURATION_DIVISOR = 4 };
 
 void outage_begin(outage_t *outage, uint64_t arrived_at) {
--- a/src/core/routing/backend_speed.c
+++ b/src/core/routing/backend_speed.c
@@ -18,6 +18,7 @@
 static const double MAX_SLOPE = 0.5;
 static const double DEFAULT_DEVIATION = 0.6; /**< Relative; used until there are enough samples. */
 static const double MEDIAN_ERROR_FACTOR = 1.44;
+/** Exceeded by chance in five of ten thousand cases. */
 static const double SIGNIFICANT_DEVIATIONS = 3.5;
 
 static void swap(uint32_t *a, uint32_t *b) {
@@ -79,7 +80,7 @@
     slowdown->squares = slowdown->squares * PAIR_DECAY + load_difference * load_difference;
 }
 
-/** Relative slowdown per concurrent call; 0 while there are too few pairs. */
+/** Relative slowdown per concurrent call; 0 while there are too few pairs, less than some 50. */
 static double slope(const load_slowdown_t *slowdown) {
     if (slowdown->squares < MIN_SQUARES || slowdown->products < 0)
         return 0;
--- a/src/core/routing/ejection.c
+++ b/src/core/routing/ejection.c
@@ -2,6 +2,7 @@
 
 enum {
     BASE_EJECTION_MS = 500,
+    /** An ejection lasts 500 ms, 1 s, 2 s or 4 s. */
     MAX_DOUBLINGS = 3,
     OUTAGE_GAP_MS = 6000,  /**< A reset after a longer gap starts a new outage. */
     SAME_FAILURE_MS = 100, /**< Resets within this time count as one failure. */
--- a/src/core/routing/ejection.h
+++ b/src/core/routing/ejection.h
@@ -29,6 +29,10 @@
     uint64_t reported_until; /**< Latest end of the ejection among their reports. */
 } ejection_t;
 
+/**
+ * Records a quick reset. Those within a short time count as one, since the calls in progress fail
+ * together when the back end goes down.
+ */
 void ejection_record_reset(ejection_t *ejection, uint64_t now);
 /** Remaining time of the ejection by this gateway, to report to the others; 0: not ejected. */
 uint32_t ejection_remaining_ms(const ejection_t *ejection, uint64_t now);
--- a/src/core/routing/service_choice.h
+++ b/src/core/routing/service_choice.h
@@ -11,7 +11,10 @@
  * when the call would be queued in the local one, which keeps traffic between zones low.
  *
  * Ties are broken by a hash of gateway and back end. With the same order at all gateways, which
- * learn of each other's calls late, all would send to the same back end.
+ * learn of each other's calls late, all would send to the same back end: in a model of 145 gateways
+ * and 555 back ends with 6 slots, at 120 calls per second of 70 ms each, 0.76 of the calls found
+ * the slots occupied. With an order per gateway none did, with as many connections
+ * (tests/unit/service_choice_test.cc).
  *
  * Decision code: no I/O, clock or thread.
  */
--- a/src/core/turns/space_reservations.c
+++ b/src/core/turns/space_reservations.c
@@ -1,6 +1,9 @@
 #include "core/turns/space_reservations.h"
 
-/** Weight of the latest call in the exponentially weighted moving average. */
+/**
+ * Weight of the latest call in the exponentially weighted moving average: a change of turn sizes
+ * takes effect after some 16 calls.
+ */
 static const double MEAN_WEIGHT = 1.0 / 16;
 
 typedef struct {
--- a/src/gateway/call_fields.h
+++ b/src/gateway/call_fields.h
@@ -32,8 +32,8 @@
 const char *call_field_name(call_field_t field);
 /**
  * True for a field that only the gateway may set, because back ends act on it or trust it. A
- * caller's value of such a field is dropped: it could name reservations or memory of others. All
- * other fields of a caller are forwarded.
+ * caller's value of such a field is dropped: it could name reservations or memory of others, and
+ * engines refuse such calls. All other fields of a caller are forwarded.
  */
 bool call_field_is_gateway_only(const char *name);
 /** The key in a value of FIELD_KEY; NULL if there is none. */
--- a/src/gateway/directory_feed.c
+++ b/src/gateway/directory_feed.c
@@ -140,8 +140,8 @@
     }
     /*
      * During a listing changes are sent, but the revision does not advance. Without them followers
-     * would consider the source failed during a long listing and list the service themselves, and a
-     * new configuration would be delayed until its end.
+     * would consider the source failed during a long listing (seconds for 10,000 back ends) and
+     * list the service themselves, and a new configuration would be delayed until its end.
      */
     bool listing = state.revision == 0;
     if (listing)
--- a/src/gateway/directory_follow.h
+++ b/src/gateway/directory_follow.h
@@ -21,8 +21,8 @@
 
 /**
  * Time in ms during which a failed source is not followed again. Other sources may be followed at
- * once; otherwise a gateway that lost its source in an outage would stay behind after the service
- * has recovered.
+ * once; otherwise a gateway that lost its source in an outage would stay behind for 3 s after the
+ * service has recovered, although there are others to follow.
  */
 enum { DIRECTORY_AVOID_MS = 4000 };
 
--- a/src/gateway/directory_role.c
+++ b/src/gateway/directory_role.c
@@ -203,7 +203,8 @@
  * True if the gateway that is followed may still deliver a missing change: it sees the change at
  * the same time as the others, or at most one pause between watches after its latest response from
  * the service. Whether it still sends messages does not count, because a gateway that has lost only
- * the service sends them too.
+ * the service sends them too; with a timeout of 1.5 s and two report periods for a source that
+ * still sends, changes came into force up to 2.9 s late.
  */
 static bool source_may_deliver(const gateway_t *gateway) {
     uint64_t now = uv_now(gateway->loop);
--- a/src/gateway/directory_watch.c
+++ b/src/gateway/directory_watch.c
@@ -62,7 +62,8 @@
 /**
  * Single back ends are logged only by gateways that watch the service themselves, once their view
  * is complete; the others log the number of changes (E840). This keeps the log volume of a restart
- * from growing with gateways times back ends.
+ * from growing with gateways times back ends: 10,000 back ends logged by each of 865 gateways are
+ * 8.6 million lines.
  */
 static bool logs_backends(const gateway_t *gateway) {
     return gateway->backends_listed && !key_value_watch_rests(gateway->watch);
--- a/src/gateway/load_sharing.c
+++ b/src/gateway/load_sharing.c
@@ -288,7 +288,8 @@
     /*
      * Followers receive a change by themselves, so only a gateway that watches reports it early. It
      * also reports each response to its watch at once: the others' timeout is hardly longer than a
-     * watch and its pauses, and a late report would make all of them take over the watch role.
+     * watch and its pauses, and a report a second late would make all of them take over the watch
+     * role.
      */
     bool answered = watch.answer_age != UINT32_MAX && now - watch.answer_age > sharing->sent_at;
     bool change = watch.changed != sharing->sent_report.changed;
--- a/src/gateway/quota_client.c
+++ b/src/gateway/quota_client.c
@@ -7,6 +7,7 @@
 #include <xxhash.h>
 
 enum {
+    /** A round trip usually takes 1 to 4 ms. */
     RESPONSE_TIMEOUT_MS = 100,
     UNRESPONSIVE_SKIP_MS = 1000, /**< A member that timed out is skipped for this time. */
     TOKEN_WAIT_MS = 100,         /**< Longest wait of a call for a promised token. */
--- a/src/gateway/store_operation.c
+++ b/src/gateway/store_operation.c
@@ -148,7 +148,8 @@
 
 /**
  * True once a write quorum has confirmed free space. A missing reply does not count, so that a
- * granted turn does not run and then fail to be stored.
+ * granted turn does not run and then fail to be stored: a member that was behind reported space,
+ * the two that had not replied had none, and the turn was lost.
  */
 static bool space_is_confirmed(const store_operation_t *operation) {
     unsigned quorum = store_write_quorum(operation->client->members->len);
--- a/src/store/gateway_registry.h
+++ b/src/store/gateway_registry.h
@@ -29,10 +29,14 @@
      * Maximum mean size of a cell. The period of load reports grows with the size of the cell
      * (gateway/load_report.c). It must stay within the 1,200 ms after which the watch state of a
      * peer is considered stale, and does so in cells of up to 81 gateways. With a mean of 48,
-     * hashing practically never produces a larger cell.
+     * hashing practically never produces a larger cell: 81 is 4.8 standard deviations away.
      */
     GATEWAYS_CELL_MEAN_MAX = 48,
-    /** Sources of a gateway. Several, as the key-value service may be unreachable for some. */
+    /**
+     * Sources of a gateway. Several, as the key-value service may be unreachable for some: if it
+     * drops the calls of a third of the machines, all eight are among these in one of 6,600 cases;
+     * three sources would all be in one of 27.
+     */
     GATEWAYS_SOURCES_MAX = 8,
     /** Largest fleet in which gateways know those of other zones. */
     GATEWAYS_REMOTE_MAX = 128,
--- a/src/store/store_catch_up.c
+++ b/src/store/store_catch_up.c
@@ -28,6 +28,7 @@
     TURNS_PER_REQUEST = 200,
     STEP_TIMEOUT_MS = 3000, /**< A copy restarts if one of its steps takes longer. */
     PAGE_TIMEOUT_MS = 300,  /**< A source that takes longer no longer delays pages of others. */
+    /** After a failed write: a full disk stays full for a while. */
     WRITE_FAILURE_BACKOFF_MS = 1000,
     FIRST_PAGE = 1,
 };
@@ -269,7 +270,11 @@
     store_peer_poll(copy->peer);
 }
 
-/** True if a page was requested within PAGE_TIMEOUT_MS or its charges are being written. */
+/**
+ * True if a page was requested within PAGE_TIMEOUT_MS or its charges are being written. A source
+ * with a third of a core takes some 20 ms for a page; one that takes longer than the timeout may be
+ * frozen.
+ */
 static bool has_page_pending(const copy_t *copy, uint64_t now) {
     bool awaiting_page = copy->step == COPY_INDEX && now - copy->step_since < PAGE_TIMEOUT_MS;
     return awaiting_page || copy->step == COPY_PAGE || copy->pending_writes > 0;
--- a/src/store/store_directory.c
+++ b/src/store/store_directory.c
@@ -16,7 +16,8 @@
     CONNECT_TIMEOUT_MS = 450,
     /**
      * Gateways contacted at the same time. With more of them disconnected, the interval grows, so
-     * that connection attempts do not use up the processor time needed to replay the log.
+     * that connection attempts do not use up the processor time needed to replay the log: after a
+     * loss of power, 865 attempts every 450 ms to machines that are not up yet did.
      */
     ANNOUNCE_CONCURRENCY = 64,
     GATEWAYS_MAX = 10000,
--- a/src/store/store_index.c
+++ b/src/store/store_index.c
@@ -2,14 +2,18 @@
  * Design. A member in catch-up sends a digest of the records on its disk
  * (core/digest/record_digest.h). For the buckets that differ it receives the ids of the turns, and
  * the charges themselves. The index is requested in pages of whole buckets, which bounds the
- * buffers on both sides. Records added to a bucket after its page was sent need no second page:
+ * buffers on both sides: the index of 70,000 charges, sent at once by six members, took 16 MB each
+ * of a member's 58 MB. Records added to a bucket after its page was sent need no second page:
  * gateways write them to the requesting node as well, since it already is a member.
  */
 #include "store/store.h"
 
 #include "core/digest/record_digest.h"
 
-/** Maximum number of records in a page; a page of a single bucket may exceed it. */
+/**
+ * Maximum number of records in a page; a page of a single bucket may exceed it. A page takes some
+ * 150 KB, and 90,000 records take 45 pages.
+ */
 enum { INDEX_PAGE_MAX_RECORDS = 2000 };
 
 /** A response under construction and the digests that select its records. */
--- a/src/store/store_membership.c
+++ b/src/store/store_membership.c
@@ -276,7 +276,7 @@
 /**
  * True if all members of the next generation can become complete in it: enough of them are complete
  * now to serve as sources for the others. With fewer, incomplete members would wait for one another
- * forever.
+ * forever: with one complete member of two and a node that joins, nothing is stored any more.
  */
 static bool all_can_complete(store_membership_t *membership, const store_group_t *next) {
     unsigned complete = count_complete_of(membership, next->members);
--- a/src/store/store_requests.c
+++ b/src/store/store_requests.c
@@ -30,6 +30,7 @@
      */
     GATEWAY_LIST_DELAY_MS = 100,
     GATEWAYS_PER_DELAY_MS = 2, /**< Number of gateways that add 1 ms to the delay. */
+    /** While all gateways connect, the lists change all the time. */
     GATEWAY_LIST_DELAY_MAX_MS = 1000,
 };
 
--- a/src/store/store_space.c
+++ b/src/store/store_space.c
@@ -19,7 +19,7 @@
     RESERVES_MAX_PERCENT = 81,
     /**
      * No call starts for this long after a failed write. The next calls then probe the disk, so
-     * only few calls per period run and fail while the disk is full.
+     * only few calls per period run and fail while the disk is full; without the pause all would.
      */
     WRITE_FAILURE_BACKOFF_MS = 1000,
     DISK_LAG_MIN_MS = 1000,       /**< Shorter lags seldom outlast a call. */
@@ -36,7 +36,8 @@
 static const space_limits_t start_limits = {.turns = 50, .records = 78, .disk = 85};
 /**
  * Leaves headroom above start_limits for turns larger than the mean and for records copied from
- * other members. The process uses more memory than the tables account for, hence not 100 %.
+ * other members. The process uses more memory than the tables account for, hence not 100 %: with
+ * 17,000 turns and 70,000 charges 4 MB more, so that 84 % of 58 MB are the most for both.
  */
 static const space_limits_t started_limits = {.turns = 58, .records = 84, .disk = 93};
 
