--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -126,6 +126,9 @@
 echo "--- soak of gateways and storage nodes under faults"
 . tests/integration/soak_test.sh
 
+echo "--- requests under which back ends end"
+. tests/integration/crash_request_test.sh
+
 echo "--- one node"
 cluster_begin "$BUILD/check-one"
 cluster_standins 4
--- /dev/null
+++ b/tests/integration/crash_request_test.sh
@@ -0,0 +1,22 @@
+# Sourced by scripts/check.sh: requests under which back ends end, and calls that they take along.
+crash_request() { # OPTIONS SCENARIO
+    python3 tests/soak/crash_request_test.py --build "$BUILD" --folder "$CLUSTER_DIR/crash-request" \
+        --base-port "$((10000 + RANDOM % 15000))" "$@"
+}
+
+crash_request_tries() {
+    crash_request --events 0 tries && crash_request --events 1 tries && crash_request --events 2 tries
+}
+
+crash_request_restart() {
+    crash_request --restart --events 0 tries && crash_request --restart --events 1 tries
+}
+
+expect "a request ends at most three back ends over its tries" crash_request_tries
+expect "a request ends at most three back ends that start again under their id" crash_request_restart
+expect "a request without a program ends at most three back ends" crash_request anonymous
+expect "a request ends at most three back ends though its gateway is killed" \
+    crash_request gateway_killed
+expect "a request ends at most three back ends while storage nodes are away" \
+    crash_request stores_away
+expect "equal requests are served though back ends crash under some" crash_request bystanders
--- /dev/null
+++ b/tests/soak/crash_request_test.py
@@ -0,0 +1,304 @@
+#!/usr/bin/env python3
+"""Requests under which back ends end, against real gateways and storage nodes on loopback.
+
+    crash_request_test.py --build build SCENARIO
+
+The last line is JSON. Exit status 0: the scenario's limits held.
+"""
+
+import argparse
+import asyncio
+import json
+import os
+import random
+import re
+import shutil
+import signal
+import sys
+import time
+import types
+
+sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
+
+import soak
+from backends import Backend, event_data
+from callers import RESUMABLE, SAFE
+from http_message import read_head, read_pieces, render, render_chunk
+from promises import Attempt
+from proxy import reset
+
+ENGINES, SERVICES, PROGRAMS = 15, 9, 12
+ENDED_MAX = 3  # Back ends that may end under one request.
+REFUSED_SHARE_MAX = 0.05  # Of equal requests of many callers, for crashes that they did not cause.
+ENTRY_GONE_S, REPLACED_S, RESTART_S = 0.6, 0.5, 0.3
+PAUSE_S = 0.1
+TRIES = 3
+BODY = b"crash"
+LIMIT_REASON = "reason=backends_ended"
+
+
+class CrashingBackend(Backend):
+    """Ends when it runs the request with BODY, after some of its events."""
+
+    def __init__(self, fleet, *arguments):
+        super().__init__(*arguments)
+        self.fleet = fleet
+
+    async def _stream(self, request, attempt_id, fields, writer):
+        if not request.body.endswith(BODY):
+            return await super()._stream(request, attempt_id, fields, writer)
+        self.fleet.sends.append((time.monotonic(), self.instance))
+        if self.fleet.events > 0:
+            fields = fields + [("Transfer-Encoding", "chunked")]
+            writer.write(render("HTTP/1.1 200 OK", fields))
+        first = int(request.get("last-event-id", "0")) + 1
+        for number in range(first, first + self.fleet.events):
+            data = event_data(attempt_id, request.body, number)
+            writer.write(render_chunk(f"id: {number}\ndata: {data}\n\n".encode()))
+            await writer.drain()
+            await asyncio.sleep(0.01)
+        self.fleet.end(self)
+        reset(writer)
+        return False
+
+
+class Fleet(soak.World):
+    """Back ends that accept connections without a proxy, so that the port of an ended one refuses."""
+
+    def __init__(self, options, *arguments):
+        super().__init__(*arguments)
+        self.events = options.events
+        self.restart = options.restart
+        self.sends = []  # (time, instance) of the request that ends back ends.
+        self.ends = []
+        self.tasks = []
+
+    async def add_backend(self, service):
+        self.started += 1
+        backend = CrashingBackend(self, f"i-{self.started:04d}", service, service == "engine",
+                                  self.random.random(), self.promises)
+        backend.port = self.ports.take()
+        await backend.start(backend.port)
+        entry = types.SimpleNamespace(
+            listen_port=backend.port, far_zone=soak.ZONES[self.started % len(soak.ZONES)])
+        self.backends.append((backend, entry))
+        self._register(backend, entry, "ready")
+
+    def end(self, backend):
+        """The process of the back end ends under the request."""
+        self.ends.append((time.monotonic(), backend.instance))
+        self.crash(backend)
+
+    def crash(self, backend):
+        backend.stop()
+        self.tasks.append(asyncio.ensure_future(
+            self._start_again(backend) if self.restart else self._replace(backend)))
+
+    async def _start_again(self, backend):
+        await asyncio.sleep(RESTART_S)
+        await backend.start(backend.port)
+
+    async def _replace(self, backend):
+        await asyncio.sleep(ENTRY_GONE_S)
+        self.key_value.put(f"servers/{backend.instance}", None)
+        self.backends = [pair for pair in self.backends if pair[0] is not backend]
+        await asyncio.sleep(REPLACED_S)
+        await self.add_backend(backend.service)
+
+
+class Scenario(soak.Soak):
+    """A fleet with programs that run beside the requests in question."""
+
+    def __init__(self, options):
+        super().__init__(options)
+        self.random = random.Random(options.seed)
+        self.statuses = []
+
+    async def start(self):
+        options = self.options
+        await self.key_value.start(options.base_port)
+        self.cluster = soak.Cluster(
+            options.build, options.folder, options.base_port + 1, options.base_port, self.promises)
+        self.fleet = self.world = Fleet(
+            options, self.key_value, self.cluster.ports, self.promises, self.cluster, options.seed, [])
+        self.world.edit()
+        for service, count in (("engine", ENGINES), ("service", SERVICES)):
+            for _ in range(count):
+                await self.world.add_backend(service)
+        for kind, count in (("store", 3), ("gateway", 3)):
+            for _ in range(count):
+                node = self.cluster.add(kind, first_start=kind == "store")
+                await node.prepare()
+                node.start()
+        self.caller = soak.Caller(self.promises, self.cluster.gateways, options.seed)
+        if not await self._wait_for("the start", self._all_start):
+            return False
+        self.work = [asyncio.create_task(self._run_programs()) for _ in range(PROGRAMS)]
+        await asyncio.sleep(1.0)
+        return True
+
+    async def send_once(self, gateway, fields, last_event, first_id):
+        """One try of the request that ends back ends; returns (id, status, last event, pause)."""
+        attempt_id = self.caller.new_id()
+        self.promises.begin(Attempt(attempt_id, RESUMABLE, "POST", "/resumable/x", BODY, None))
+        fields = fields + [("Attempt-Id", attempt_id), ("Content-Length", len(BODY))]
+        if last_event > 0:
+            fields += [("Last-Event-Id", last_event), ("Resumes", first_id)]
+        status, pause = 0, PAUSE_S
+        writer = None
+        try:
+            reader, writer = await asyncio.open_connection("127.0.0.1", gateway.calls_port)
+            writer.write(render("POST /resumable/x HTTP/1.1", fields, BODY))
+            message = await asyncio.wait_for(read_head(reader), soak.RECOVER_S)
+            status = message.status if message is not None else 0
+            pause = max(PAUSE_S, float(message.get("retry-after", "0"))) if message else PAUSE_S
+            async for piece in read_pieces(reader, message):
+                for number in re.findall(rb"^id: (\d+)$", piece, re.M):
+                    last_event = int(number)
+        except (OSError, AttributeError, asyncio.IncompleteReadError, asyncio.TimeoutError):
+            pass
+        finally:
+            if writer is not None:
+                writer.close()
+        self.statuses.append((gateway.name, status, round(pause, 3)))
+        return attempt_id, status, last_event, min(pause, 1.0)
+
+    async def send_tries(self, gateways, budgeted=True, program="p-crash"):
+        """The request with its caller's tries, one at each of the gateways."""
+        fields = [("Host", "soak.example"), ("Deadline-Milliseconds", 4000)]
+        if program is not None:
+            fields += [("Program-Id", program), ("Session-Id", program)]
+        if budgeted:
+            fields += [("Token-Budget", 400), ("Token-Counts", "100,40")]
+        last_event, first_id = 0, None
+        for gateway in gateways:
+            attempt_id, _, last_event, pause = await self.send_once(
+                gateway, fields, last_event, first_id)
+            first_id = first_id or attempt_id
+            await asyncio.sleep(pause)
+
+    def drawn(self, count=TRIES):
+        return [self.random.choice(self.cluster.gateways) for _ in range(count)]
+
+    def judge_ends(self):
+        ends, sends = self.fleet.ends, self.fleet.sends
+        third = ends[ENDED_MAX - 1][0] if len(ends) >= ENDED_MAX else None
+        late = 0 if third is None else sum(at > third for at, _ in sends)
+        return {"ended": len(ends), "sends": len(sends), "sends_after_third": late,
+                "tries": self.statuses, "held": len(ends) <= ENDED_MAX and late == 0}
+
+    def limit_refusals(self):
+        return sum(node.log_text().count(LIMIT_REASON) for node in self.cluster.gateways)
+
+    # Scenarios.
+
+    async def tries(self):
+        await self.send_tries(self.drawn())
+        return self.judge_ends()
+
+    async def anonymous(self):
+        await self.send_tries(self.drawn(), budgeted=False, program=None)
+        return self.judge_ends()
+
+    async def gateway_killed(self):
+        """The first gateway is killed between the tries and takes one of them once it is back."""
+        first, second, third = self.cluster.gateways
+        await self.send_tries([first])
+        first.kill()
+        await self.send_tries([second])
+        first.start()
+        await self._wait_for("the restart", lambda: self._serves_turns(first))
+        await self.send_tries([first, third])
+        return self.judge_ends()
+
+    async def stores_away(self):
+        for store in self.cluster.stores:
+            store.signal(signal.SIGSTOP)
+        await self.send_tries(self.cluster.gateways, budgeted=False)
+        for store in self.cluster.stores:
+            store.signal(signal.SIGCONT)
+        return self.judge_ends()
+
+    async def bystanders(self):
+        """A third of the back ends crash at once, twice, under requests that are not the cause."""
+        polls = []
+        pollers = [asyncio.create_task(self._poll(polls)) for _ in range(PROGRAMS)]
+        for _ in range(2):
+            await asyncio.sleep(1.0)
+            backends = [backend for backend, _ in self.fleet.backends]
+            for backend in self.random.sample(backends, len(backends) // 3):
+                if backend.server.is_serving():
+                    self.fleet.crash(backend)
+        await asyncio.sleep(2.0)
+        for poller in pollers:
+            poller.cancel()
+        refused = self.limit_refusals()
+        served = sum(status == 200 for status in polls)
+        return {"polls": len(polls), "polls_served": served, "statuses": self.promises.statuses,
+                "refused_for_the_limit": refused,
+                "held": refused <= REFUSED_SHARE_MAX * len(polls) and
+                served >= (1 - REFUSED_SHARE_MAX) * len(polls)}
+
+    async def _poll(self, polls):
+        """Equal requests of many callers, without a program."""
+        fields = [("Host", "soak.example"), ("Deadline-Milliseconds", 1200)]
+        while True:
+            attempt_id = self.caller.new_id()
+            self.promises.begin(Attempt(attempt_id, SAFE, "GET", "/safe/poll", b"", None))
+            gateway, status = self.random.choice(self.cluster.gateways), 0
+            try:
+                reader, writer = await asyncio.open_connection("127.0.0.1", gateway.calls_port)
+                writer.write(render("GET /safe/poll HTTP/1.1", fields + [("Attempt-Id", attempt_id)]))
+                message = await read_head(reader)
+                status = message.status if message is not None else 0
+                writer.close()
+            except (OSError, asyncio.IncompleteReadError):
+                pass
+            polls.append(status)
+            await asyncio.sleep(0.005)
+
+    async def play(self):
+        if not await self.start():
+            return {"held": False, "detail": "the cluster did not start"}
+        try:
+            report = await getattr(self, self.options.scenario)()
+            if not self.options.restart:
+                await asyncio.gather(*self.fleet.tasks)
+            self.running = False
+            await asyncio.wait_for(asyncio.gather(*self.work), soak.RECOVER_S)
+            report["others"] = {str(key): count for key, count in self.promises.statuses.items()}
+            return report
+        finally:
+            self.cluster.stop_all()
+
+
+def read_options():
+    parser = argparse.ArgumentParser(description=__doc__.split("\n\n")[0])
+    parser.add_argument("--build", default="build", help="folder of the programs")
+    parser.add_argument("--folder", default="soak-run/crash-request", help="folder of logs and data")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--base-port", type=int, default=12000)
+    parser.add_argument("--events", type=int, default=0, help="events before a back end ends")
+    parser.add_argument("--restart", action="store_true",
+                        help="ended back ends start again under their id and address")
+    parser.add_argument("scenario", choices=["tries", "anonymous", "gateway_killed", "stores_away",
+                                             "bystanders"])
+    options = parser.parse_args()
+    options.features = []
+    options.build, options.folder = os.path.abspath(options.build), os.path.abspath(options.folder)
+    return options
+
+
+def main():
+    options = read_options()
+    shutil.rmtree(options.folder, ignore_errors=True)
+    os.makedirs(options.folder)
+    scenario = Scenario(options)
+    report = asyncio.new_event_loop().run_until_complete(scenario.play())
+    report["broken"] = len(scenario.promises.broken)
+    print(json.dumps(report), flush=True)
+    os._exit(0 if report["held"] and report["broken"] == 0 else 1)
+
+
+if __name__ == "__main__":
+    main()
