--- /dev/null
+++ b/src/core/retry/crash_history.h
@@ -0,0 +1,57 @@
+/**
+ * @file crash_history.h
+ * Back ends that ended while they had a request, by request, over all attempts of its caller and
+ * all gateways. A request under which CRASHES_MAX back ends have ended may be the cause, and is not
+ * sent again until the first of these crashes is CRASH_RETENTION_MS old.
+ *
+ * A back end that ends takes other requests along, which are not the cause. A request that gets a
+ * complete response is not, so its crashes are forgotten: that of one caller also clears equal
+ * requests of others.
+ *
+ * A crash is suspected from the moment the connection breaks, and counts; it is removed if the back
+ * end turns out to be alive, and confirmed if not.
+ *
+ * Decision code: no I/O, clock or threads. Times are in ms.
+ */
+#ifndef RUDDERWAY_CORE_RETRY_CRASH_HISTORY_H
+#define RUDDERWAY_CORE_RETRY_CRASH_HISTORY_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+enum {
+    CRASHES_MAX = 3,            /**< Back ends that may end under one request. */
+    CRASH_RETENTION_MS = 60000, /**< Longer than a caller and its program try a request again. */
+    /** Reports of one back end within this time are of one crash; a restart takes longer. */
+    CRASH_SAME_MS = 250,
+};
+
+/** A crash under a request, or the end of suspicion against the request. */
+typedef struct {
+    uint64_t request; /**< See call_identity of gateway/call.h. */
+    uint64_t at;
+    uint16_t backend; /**< From a hash of the back end. */
+    bool cleared;     /**< The request got a complete response. */
+} crash_report_t;
+
+typedef struct crash_history crash_history_t;
+
+crash_history_t *crash_history_new(void);
+void crash_history_free(crash_history_t *history);
+/** Adds a crash; false if it is known, or older than a complete response to the request. */
+bool crash_history_add(crash_history_t *history, const crash_report_t *crash, bool confirmed);
+/** Removes a crash that turned out to be none. */
+void crash_history_remove(crash_history_t *history, const crash_report_t *crash);
+void crash_history_confirm(crash_history_t *history, const crash_report_t *crash);
+/** Forgets the crashes up to @p at; false if there were none. */
+bool crash_history_clear(crash_history_t *history, uint64_t request, uint64_t at);
+/** Number of back ends that have ended under the request. */
+unsigned crash_history_count(const crash_history_t *history, uint64_t request, uint64_t now);
+/** Time until the request may be sent; 0: now. */
+uint32_t crash_history_wait_ms(const crash_history_t *history, uint64_t request, uint64_t now);
+/** Appends the confirmed crashes to @p reports, of crash_report_t, the latest @p max of them. */
+void crash_history_list(const crash_history_t *history, uint64_t now, unsigned max,
+                        GArray *reports);
+
+#endif
--- a/src/core/retry/resend.h
+++ b/src/core/retry/resend.h
@@ -3,9 +3,10 @@
  * Decides where a call is sent after an attempt that was refused or whose outcome is unknown.
  *
  * A route limits the number of back ends per call. Back ends that have ended or are unreachable do
- * not count towards the limit: no response can come from them. A resend to the same back end does
- * not count either, and it is cheap: a stream resumes after its last event, and the prompt is
- * cached.
+ * not count towards the limit: no response can come from them. Those that have ended under the
+ * request have a limit of their own, over all of its attempts (crash_history.h). A resend to the
+ * same back end does not count either, and it is cheap: a stream resumes after its last event, and
+ * the prompt is cached.
  *
  * Decision code: no I/O, clock or threads.
  */
@@ -27,6 +28,7 @@
     unsigned attempts; /**< The route's limit on back ends per call. */
     unsigned backends; /**< Back ends that may have received the call. */
     unsigned ended;    /**< Of these, back ends that have ended or are unreachable. */
+    unsigned crashes;  /**< Back ends that have ended under the request. */
     unsigned repeats;  /**< Resends to the same back end. */
     bool time_left;
     bool same_usable; /**< The current back end is in the directory and has not announced a stop. */
--- a/src/gateway/backend_choice.c
+++ b/src/gateway/backend_choice.c
@@ -100,6 +100,21 @@
     return candidates->avoided * AVOIDED_DOUBT_DIVISOR > candidates->backends->len;
 }
 
+static unsigned count_down(const GPtrArray *list) {
+    unsigned down = 0;
+    for (guint i = 0; i < list->len; i++)
+        down += backend_is_down(g_ptr_array_index(list, i));
+    return down;
+}
+
+bool backends_mostly_unreachable(const backends_t *backends, const char *service) {
+    const service_members_t *members = g_hash_table_lookup(backends->by_service, service);
+    if (members == NULL)
+        return false;
+    unsigned down = count_down(members->local) + count_down(members->remote);
+    return down * AVOIDED_DOUBT_DIVISOR > members->local->len + members->remote->len;
+}
+
 static backend_t *take_candidate(const candidates_t *candidates, bool found, unsigned index) {
     if (!found)
         return NULL;
@@ -137,6 +152,41 @@
     return backend;
 }
 
+/** Order of two back ends for a request under which back ends have ended. */
+static bool suits_suspect_better(const backend_t *backend, const backend_t *other,
+                                 const service_candidate_t *candidate,
+                                 const service_candidate_t *best, uint64_t request) {
+    if (candidate->avoided != best->avoided)
+        return !candidate->avoided;
+    if (backend->suspects != other->suspects)
+        return backend->suspects < other->suspects;
+    if (candidate->load != best->load)
+        return candidate->load < best->load;
+    return XXH64(&candidate->id, sizeof candidate->id, request) <
+           XXH64(&best->id, sizeof best->id, request);
+}
+
+backend_t *backends_choose_for_suspect(backends_t *backends, const backend_choice_t *choice,
+                                       uint64_t request) {
+    const service_members_t *members = g_hash_table_lookup(backends->by_service, choice->service);
+    if (members == NULL)
+        return NULL;
+    candidates_t candidates;
+    candidates_init(&candidates);
+    add_list(&candidates, members->local, choice, add_service);
+    add_list(&candidates, members->remote, choice, add_service);
+    const service_candidate_t *all = (const service_candidate_t *)candidates.services->data;
+    unsigned best = 0;
+    for (unsigned i = 1; i < candidates.services->len; i++)
+        if (suits_suspect_better(g_ptr_array_index(candidates.backends, i),
+                                 g_ptr_array_index(candidates.backends, best), &all[i], &all[best],
+                                 request))
+            best = i;
+    backend_t *backend = take_candidate(&candidates, candidates.services->len > 0, best);
+    candidates_clear(&candidates);
+    return backend;
+}
+
 static bool choose_engine(const candidates_t *candidates, const engine_request_t *request,
                           unsigned *index) {
     return engine_choose((const engine_candidate_t *)candidates->engines->data,
--- a/src/gateway/backends.h
+++ b/src/gateway/backends.h
@@ -42,6 +42,7 @@
         expiry_grace_end;    /**< End of the grace period of an expired entry; 0: entry present. */
     uint64_t id_hash;        /**< Of the instance; its id in messages between gateways. */
     unsigned under_way;      /**< Active calls of this gateway. */
+    unsigned suspects;       /**< Of these, requests under which back ends have ended. */
     unsigned peer_calls;     /**< Active calls of the other gateways, as last reported. */
     ejection_t ejection;     /**< After connection resets, here or at other gateways. */
     bool ejected_by_peers;   /**< Ejected by reports of other gateways, at the latest check. */
@@ -115,6 +116,8 @@
 bool backend_is_down(backend_t *backend);
 /** True if the back end is ejected, down or overdue: chosen only if no other one is usable. */
 bool backend_is_avoided(backend_t *backend);
+/** True if so many back ends of @p service are down that the cause may be the network here. */
+bool backends_mostly_unreachable(const backends_t *backends, const char *service);
 /** True if at least half of the slots of some back end are known to be occupied. */
 bool backends_half_full(const backends_t *backends);
 
@@ -123,6 +126,13 @@
 /** Like backends_choose, for engines. */
 backend_t *backends_choose_engine(backends_t *backends, const backend_choice_t *choice,
                                   const engine_request_t *request);
+/**
+ * Like backends_choose, for a request under which back ends have ended: a back end of any kind that
+ * has no other such request and few calls. Requests that one back end took along part here, so that
+ * only the one that is the cause meets the limit. @p request: breaks ties.
+ */
+backend_t *backends_choose_for_suspect(backends_t *backends, const backend_choice_t *choice,
+                                       uint64_t request);
 /** Takes a reference and counts a call as active. */
 void backend_acquire(backend_t *backend);
 /** Counts the call as ended and drops its reference. */
--- a/src/gateway/call.c
+++ b/src/gateway/call.c
@@ -26,11 +26,11 @@
 };
 
 static const char *const reason_names[CALL_REASON_COUNT] = {
-    "answered",        "no_configuration",   "no_route",     "malformed",   "no_backend",
-    "backend_refused", "backend_lost",       "bad_answer",   "timed_out",   "over_budget",
-    "budget_unsure",   "budget_not_durable", "no_such_turn", "turn_unsure", "turn_not_kept",
-    "no_room",         "disks_lag",          "caller_gone",  "stopping",    "unknown_key",
-    "other_tenant",    "over_quota",         "quota_unsure",
+    "answered",        "no_configuration",   "no_route",     "malformed",      "no_backend",
+    "backend_refused", "backend_lost",       "bad_answer",   "timed_out",      "over_budget",
+    "budget_unsure",   "budget_not_durable", "no_such_turn", "turn_unsure",    "turn_not_kept",
+    "no_room",         "disks_lag",          "caller_gone",  "stopping",       "unknown_key",
+    "other_tenant",    "over_quota",         "quota_unsure", "backends_ended",
 };
 
 static const char *const affinity_names[AFFINITY_COUNT] = {"-", "new", "kept", "moved"};
@@ -56,6 +56,7 @@
     uint64_t ms = uv_now(call->gateway->loop) - call->arrived_at;
     if (call->route != NULL)
         latency_histogram_add(&counters->latency[call->route->kind], ms);
+    counters->stopped += reason == CALL_BACKENDS_ENDED;
     switch (reason) {
     case CALL_ANSWERED:
         counters->answered++;
@@ -74,7 +75,7 @@
               call->program == NULL ? "-" : call->program, status, reason_names[reason],
               call->backend == NULL ? "-" : call->backend->record->instance,
               affinity_names[call->affinity], call->sends, call->repeats, call->request_id,
-              call->backends_ended, ms,
+              crash_watch_count(call->gateway->crashes, call->request_id), ms,
               call->configuration == NULL ? 0 : call->configuration->version);
 }
 
@@ -157,6 +158,9 @@
     if (reason == CALL_OVER_QUOTA || engine_full) {
         refusal.reason = RETRY_AFTER_KNOWN;
         refusal.known_wait_ms = engine_full ? call->engine_wait_ms : call->quota.retry_after_ms;
+    } else if (reason == CALL_BACKENDS_ENDED) {
+        refusal.reason = RETRY_AFTER_KNOWN;
+        refusal.known_wait_ms = crash_watch_wait_ms(gateway->crashes, call->request_id);
     } else if (gateway_isolated(gateway)) {
         describe_isolation(call, &refusal);
     } else if (outage != NULL) {
@@ -330,6 +334,10 @@
     call->request_id = call_identity(call);
     call->deadline = compute_deadline(call);
     uv_timer_start(&call->deadline_timer, on_deadline, call_time_left(call), 0);
+    if (call_crash_limit_reached(call)) {
+        call_refuse(call, STATUS_UNAVAILABLE, CALL_BACKENDS_ENDED);
+        return;
+    }
     if (call_turn_refuse_if_isolated(call))
         return;
     if (call_quota_begin(call))
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -38,7 +38,8 @@
     CALL_UNKNOWN_KEY,
     CALL_OTHER_TENANT, /**< The previous turn belongs to another tenant. */
     CALL_OVER_QUOTA,
-    CALL_QUOTA_UNKNOWN, /**< No storage node decided on the quota. */
+    CALL_QUOTA_UNKNOWN,  /**< No storage node decided on the quota. */
+    CALL_BACKENDS_ENDED, /**< Too many back ends have ended under the request. */
     CALL_REASON_COUNT,
 } call_reason_t;
 
@@ -118,6 +119,7 @@
     unsigned repeats;        /**< Resends to the same back end. */
     bool repeating;          /**< The current send is a resend to the same back end. */
     unsigned repeat_connects_failed;
+    bool suspect;              /**< The current send counts in backend_t.suspects. */
     uint64_t last_received_at; /**< When bytes of the response were last received; initially
                                   `sent_at`. */
     bool answered;             /**< A response to the current send has begun. */
@@ -188,6 +190,8 @@
 
 /** True if the call may run more than once. */
 bool call_repeatable(const call_t *call);
+/** True if so many back ends have ended under the request that it must not be sent. */
+bool call_crash_limit_reached(const call_t *call);
 /** True if the call is repeatable and its route allows one more back end. */
 bool call_may_use_other_backend(const call_t *call);
 void call_log_send_failed(const call_t *call, const char *reason);
--- a/src/gateway/call_retry.c
+++ b/src/gateway/call_retry.c
@@ -26,7 +26,11 @@
 
 void call_log_send_failed(const call_t *call, const char *reason) {
     event_log(GATEWAY_SEND_FAILED, call->id, call->backend->record->instance, reason, call->sends,
-              call->request_id, call->backends_ended);
+              call->request_id, crash_watch_count(call->gateway->crashes, call->request_id));
+}
+
+bool call_crash_limit_reached(const call_t *call) {
+    return crash_watch_count(call->gateway->crashes, call->request_id) >= CRASHES_MAX;
 }
 
 static resend_state_t describe_sends(const call_t *call) {
@@ -36,6 +40,7 @@
         .attempts = call->route->attempts,
         .backends = call->backends_sent,
         .ended = call->backends_ended,
+        .crashes = crash_watch_count(call->gateway->crashes, call->request_id),
         .repeats = call->repeats,
         .time_left = call_time_left(call) > MIN_TIME_LEFT_MS,
         .same_usable = usable,
@@ -95,7 +100,7 @@
 
 static void give_up(call_t *call, call_reason_t reason) {
     call_exclude_backend(call);
-    call_fail(call, reason);
+    call_fail(call, call_crash_limit_reached(call) ? CALL_BACKENDS_ENDED : reason);
 }
 
 void call_handle_unknown_outcome(call_t *call, call_reason_t reason) {
@@ -171,5 +176,6 @@
 
 void call_handle_backend_unreachable(call_t *call) {
     call->backends_ended++;
+    crash_watch_record_unreachable(call->gateway->crashes, call->request_id, call->backend);
     call_handle_backend_lost(call, "unreachable");
 }
--- a/src/gateway/call_send.c
+++ b/src/gateway/call_send.c
@@ -28,9 +28,11 @@
 static void release_backend(call_t *call) {
     stall_watch_remove(&call->gateway->stall_watch, call);
     if (call->backend != NULL) {
+        call->backend->suspects -= call->suspect;
         backend_request_ended(call->backend, &call->sent_at);
         backend_release(call->backend);
     }
+    call->suspect = false;
     call->backend = NULL;
 }
 
@@ -180,6 +182,7 @@
         call_handle_not_run(call);
         return;
     }
+    crash_watch_record_response(call->gateway->crashes, call->request_id);
     if (call->streaming) {
         call_speed_record_stream(call);
         if (event_stream_at_boundary(&call->events)) {
@@ -226,6 +229,7 @@
         backend_probe(call->backend);
         load_sharing_report_now(call->gateway->load_sharing);
     }
+    crash_watch_suspect(call->gateway->crashes, call->request_id, call->backend);
     call_log_send_failed(call, failure == HTTP_FAILURE_NO_ANSWER ? "no_answer" : "broken_answer");
     if (!call->streaming)
         g_string_truncate(call->body, 0);
@@ -243,6 +247,16 @@
     return XXH64(text, strcspn(text, ":"), 0);
 }
 
+/** One more back end that ends under the request should take few other calls along. */
+static bool choose_for_suspect(call_t *call, const backend_choice_t *choice) {
+    call->backend = backends_choose_for_suspect(&call->gateway->backends, choice, call->request_id);
+    if (call->backend == NULL)
+        return false;
+    call->suspect = true;
+    call->backend->suspects++;
+    return true;
+}
+
 static bool choose_backend(call_t *call) {
     backends_t *backends = &call->gateway->backends;
     load_sharing_refresh(call->gateway->load_sharing);
@@ -252,6 +266,8 @@
         .slots = call->service == NULL ? 0 : call->service->slots,
     };
     engine_request_t request = {.place = call->last_engine, .part = prompt_part_hash(call)};
+    if (crash_watch_count(call->gateway->crashes, call->request_id) == CRASHES_MAX - 1)
+        return choose_for_suspect(call, &choice);
     if (call_placement_by_cost(call))
         return call_placement_choose(call, &choice, request.part);
     bool engine = call->service != NULL && call->service->engine;
@@ -275,6 +291,11 @@
 /** Sends the call to its back end, where it is already counted as in progress. */
 static void send_to_backend(call_t *call) {
     gateway_t *gateway = call->gateway;
+    if (call_crash_limit_reached(call)) {
+        call_exclude_backend(call);
+        call_fail(call, CALL_BACKENDS_ENDED);
+        return;
+    }
     call->client = backend_connect(&gateway->backends, call->backend);
     if (call->client == NULL) {
         call_exclude_backend(call);
--- /dev/null
+++ b/src/gateway/crash_reports.c
@@ -0,0 +1,56 @@
+#include "gateway/crash_reports.h"
+
+#include "gateway/load_report.h"
+
+typedef struct {
+    crash_report_t crash;
+    unsigned audience;
+    uint64_t added_at;
+} due_report_t;
+
+void crash_reports_init(crash_reports_t *reports) {
+    reports->recent = g_array_new(FALSE, FALSE, sizeof(due_report_t));
+}
+
+void crash_reports_clear(crash_reports_t *reports) {
+    g_array_free(reports->recent, TRUE);
+}
+
+static void remove_expired(crash_reports_t *reports, uint64_t now) {
+    guint expired = 0;
+    while (expired < reports->recent->len &&
+           now >= g_array_index(reports->recent, due_report_t, expired).added_at + CRASH_REPEAT_MS)
+        expired++;
+    if (expired > 0)
+        g_array_remove_range(reports->recent, 0, expired);
+}
+
+void crash_reports_add(crash_reports_t *reports, const crash_report_t *crash, unsigned audience,
+                       uint64_t now) {
+    due_report_t due = {*crash, audience, now};
+    g_array_append_val(reports->recent, due);
+}
+
+void crash_reports_append(crash_reports_t *reports, unsigned audience, uint64_t now,
+                          GArray *entries) {
+    remove_expired(reports, now);
+    unsigned count = 0;
+    for (guint i = reports->recent->len; i > 0 && count < CRASH_REPORTS_MAX; i--) {
+        const due_report_t *due = &g_array_index(reports->recent, due_report_t, i - 1);
+        if ((due->audience & audience) == 0 || entries->len >= LOAD_ENTRIES_MAX)
+            continue;
+        load_entry_t entry = load_entry_from_crash(&due->crash, now);
+        g_array_append_val(entries, entry);
+        count++;
+    }
+}
+
+void crash_reports_extract(GArray *entries, uint64_t now, GArray *crashes) {
+    for (guint i = entries->len; i > 0; i--) {
+        crash_report_t crash;
+        if (!load_entry_crash(&g_array_index(entries, load_entry_t, i - 1), now, &crash))
+            continue;
+        g_array_append_val(crashes, crash);
+        g_array_remove_index_fast(entries, i - 1);
+    }
+}
--- /dev/null
+++ b/src/gateway/crash_reports.h
@@ -0,0 +1,45 @@
+/**
+ * @file crash_reports.h
+ * Crashes of back ends under requests (core/retry/crash_history.h) that are due to be reported to
+ * other gateways. They are entries of the load reports (load_report.h), whose receivers skip
+ * entries that they do not know, and are repeated in all reports of CRASH_REPEAT_MS, since
+ * datagrams may be lost.
+ *
+ * A crash found here goes to the gateways of the cell and to the counterparts in other zones
+ * (zone_loads.h); one that a counterpart reported, to the cell; one that the cell reported, to the
+ * counterparts.
+ *
+ * Thread safety: everything here belongs to the loop's thread.
+ */
+#ifndef RUDDERWAY_GATEWAY_CRASH_REPORTS_H
+#define RUDDERWAY_GATEWAY_CRASH_REPORTS_H
+
+#include "core/retry/crash_history.h"
+
+enum {
+    CRASH_REPEAT_MS = 2000,
+    CRASH_REPORTS_MAX = 256, /**< Per datagram; keeps it within 8 kB. */
+};
+
+/** Receivers of a report; flags. */
+typedef enum {
+    CRASH_TO_CELL = 1,
+    CRASH_TO_ZONES = 2,
+} crash_audience_t;
+
+typedef struct {
+    GArray *recent; /**< Oldest first. */
+} crash_reports_t;
+
+void crash_reports_init(crash_reports_t *reports);
+void crash_reports_clear(crash_reports_t *reports);
+/** Reports @p crash to @p audience, crash_audience_t, from now on. */
+void crash_reports_add(crash_reports_t *reports, const crash_report_t *crash, unsigned audience,
+                       uint64_t now);
+/** Appends what is due for @p audience to @p entries, of load_entry_t. */
+void crash_reports_append(crash_reports_t *reports, unsigned audience, uint64_t now,
+                          GArray *entries);
+/** Moves the crashes in a received report's @p entries to @p crashes, of crash_report_t. */
+void crash_reports_extract(GArray *entries, uint64_t now, GArray *crashes);
+
+#endif
--- /dev/null
+++ b/src/gateway/crash_watch.c
@@ -0,0 +1,218 @@
+#include "gateway/crash_watch.h"
+
+#include "common/event.h"
+#include "gateway/crash_reports.h"
+
+enum {
+    FAILURES_NEEDED = 2, /**< A busy back end refuses some connections. */
+    POLL_INTERVAL_MS = 10,
+    REFUSED_WITHIN_MS = 100, /**< A connection that fails later has timed out. */
+};
+
+/** A check of one back end, for all requests whose connections broke there. */
+typedef struct {
+    crash_watch_t *watch;
+    backends_t *backends;
+    uint64_t backend; /**< backend_t.id_hash. */
+    char *instance;
+    char *service;
+    struct sockaddr_in address;
+    http_client_t *client;
+    uint64_t begun_at;
+    uint64_t opened_at;
+    unsigned failures;
+    bool refused;    /**< At least one connection was refused. */
+    GArray *crashes; /**< Of crash_report_t. */
+    uv_timer_t timer;
+} check_t;
+
+struct crash_watch {
+    uv_loop_t *loop;
+    load_sharing_t *sharing;
+    crash_history_t *history;
+    GHashTable *checks; /**< backend_t.id_hash to check_t. */
+};
+
+static uint64_t now(const crash_watch_t *watch) {
+    return uv_now(watch->loop);
+}
+
+static void log_if_stopped(const crash_watch_t *watch, uint64_t request) {
+    unsigned count = crash_history_count(watch->history, request, now(watch));
+    if (count == CRASHES_MAX)
+        event_log(GATEWAY_REQUEST_STOPPED, request, count,
+                  crash_history_wait_ms(watch->history, request, now(watch)));
+}
+
+static bool on_crash_report(void *owner, const crash_report_t *report) {
+    crash_watch_t *watch = owner;
+    if (report->cleared)
+        return crash_history_clear(watch->history, report->request, report->at);
+    if (!crash_history_add(watch->history, report, true))
+        return false;
+    log_if_stopped(watch, report->request);
+    return true;
+}
+
+static void list_crashes(void *owner, GArray *reports) {
+    const crash_watch_t *watch = owner;
+    crash_history_list(watch->history, now(watch), CRASH_REPORTS_MAX, reports);
+}
+
+static const crash_sharing_handler_t sharing_handler = {on_crash_report, list_crashes};
+
+crash_watch_t *crash_watch_new(uv_loop_t *loop, load_sharing_t *sharing) {
+    crash_watch_t *watch = g_new0(crash_watch_t, 1);
+    watch->loop = loop;
+    watch->sharing = sharing;
+    watch->history = crash_history_new();
+    watch->checks = g_hash_table_new(g_int64_hash, g_int64_equal);
+    load_sharing_share_crashes(sharing, &sharing_handler, watch);
+    return watch;
+}
+
+static void free_check(uv_handle_t *handle) {
+    check_t *check = handle->data;
+    g_array_free(check->crashes, TRUE);
+    g_free(check->instance);
+    g_free(check->service);
+    g_free(check);
+}
+
+static void log_check(const check_t *check, const char *outcome) {
+    event_log(BACKEND_CRASH_CHECKED, check->instance, check->crashes->len, outcome,
+              now(check->watch) - check->begun_at);
+}
+
+static void end_check(check_t *check) {
+    if (check->client != NULL)
+        http_client_close(check->client);
+    g_hash_table_remove(check->watch->checks, &check->backend);
+    uv_close((uv_handle_t *)&check->timer, free_check);
+}
+
+static void remove_crashes(check_t *check, const char *outcome) {
+    log_check(check, outcome);
+    for (guint i = 0; i < check->crashes->len; i++) {
+        const crash_report_t *crash = &g_array_index(check->crashes, crash_report_t, i);
+        crash_history_remove(check->watch->history, crash);
+    }
+    end_check(check);
+}
+
+static void confirm_crashes(check_t *check, const char *outcome) {
+    crash_watch_t *watch = check->watch;
+    log_check(check, outcome);
+    for (guint i = 0; i < check->crashes->len; i++) {
+        const crash_report_t *crash = &g_array_index(check->crashes, crash_report_t, i);
+        crash_history_confirm(watch->history, crash);
+        load_sharing_report_crash(watch->sharing, crash);
+        log_if_stopped(watch, crash->request);
+    }
+    end_check(check);
+    load_sharing_report_now(watch->sharing);
+}
+
+static void conclude(check_t *check) {
+    if (check->refused)
+        confirm_crashes(check, "ended");
+    else if (backends_mostly_unreachable(check->backends, check->service))
+        remove_crashes(check, "doubtful");
+    else
+        confirm_crashes(check, "unreachable");
+}
+
+static void on_closed(void *owner, http_client_t *client);
+
+static void open_connection(check_t *check) {
+    check->opened_at = now(check->watch);
+    check->client = http_client_open(check->watch->loop, &check->address, on_closed, check);
+    if (check->client == NULL)
+        remove_crashes(check, "not_checked");
+}
+
+static void on_closed(void *owner, http_client_t *client) {
+    check_t *check = owner;
+    check->client = NULL;
+    if (http_client_connected(client)) {
+        remove_crashes(check, "alive");
+        return;
+    }
+    check->refused |= now(check->watch) < check->opened_at + REFUSED_WITHIN_MS;
+    check->failures++;
+    if (check->failures < FAILURES_NEEDED)
+        open_connection(check);
+    else
+        conclude(check);
+}
+
+static void on_poll(uv_timer_t *timer) {
+    check_t *check = timer->data;
+    if (check->client != NULL && http_client_connected(check->client))
+        remove_crashes(check, "alive");
+}
+
+static check_t *new_check(crash_watch_t *watch, const backend_t *backend) {
+    check_t *check = g_new0(check_t, 1);
+    check->watch = watch;
+    check->backends = backend->owner;
+    check->backend = backend->id_hash;
+    check->instance = g_strdup(backend->record->instance);
+    check->service = g_strdup(backend->record->service);
+    check->address = backend->record->address;
+    check->begun_at = now(watch);
+    check->crashes = g_array_new(FALSE, FALSE, sizeof(crash_report_t));
+    uv_timer_init(watch->loop, &check->timer);
+    check->timer.data = check;
+    g_hash_table_insert(watch->checks, &check->backend, check);
+    return check;
+}
+
+static crash_report_t new_crash(const crash_watch_t *watch, uint64_t request,
+                                const backend_t *backend) {
+    return (crash_report_t){request, now(watch), (uint16_t)backend->id_hash, false};
+}
+
+void crash_watch_suspect(crash_watch_t *watch, uint64_t request, const backend_t *backend) {
+    crash_report_t crash = new_crash(watch, request, backend);
+    if (!crash_history_add(watch->history, &crash, false))
+        return;
+    check_t *check = g_hash_table_lookup(watch->checks, &backend->id_hash);
+    if (check != NULL) {
+        g_array_append_val(check->crashes, crash);
+        return;
+    }
+    check = new_check(watch, backend);
+    g_array_append_val(check->crashes, crash);
+    uv_timer_start(&check->timer, on_poll, POLL_INTERVAL_MS, POLL_INTERVAL_MS);
+    open_connection(check);
+}
+
+void crash_watch_record_unreachable(crash_watch_t *watch, uint64_t request,
+                                    const backend_t *backend) {
+    if (backends_mostly_unreachable(backend->owner, backend->record->service))
+        return;
+    crash_report_t crash = new_crash(watch, request, backend);
+    if (!crash_history_add(watch->history, &crash, true))
+        return;
+    load_sharing_report_crash(watch->sharing, &crash);
+    log_if_stopped(watch, request);
+    load_sharing_report_now(watch->sharing);
+}
+
+void crash_watch_record_response(crash_watch_t *watch, uint64_t request) {
+    if (crash_history_count(watch->history, request, now(watch)) == 0)
+        return;
+    crash_report_t cleared = {.request = request, .at = now(watch), .cleared = true};
+    crash_history_clear(watch->history, request, cleared.at);
+    load_sharing_report_crash(watch->sharing, &cleared);
+    load_sharing_report_now(watch->sharing);
+}
+
+unsigned crash_watch_count(const crash_watch_t *watch, uint64_t request) {
+    return crash_history_count(watch->history, request, now(watch));
+}
+
+uint32_t crash_watch_wait_ms(const crash_watch_t *watch, uint64_t request) {
+    return crash_history_wait_ms(watch->history, request, now(watch));
+}
--- /dev/null
+++ b/src/gateway/crash_watch.h
@@ -0,0 +1,35 @@
+/**
+ * @file crash_watch.h
+ * Finds out whether a back end whose connection broke under a call has ended, and keeps the crashes
+ * that this gateway and others have found; see core/retry/crash_history.h.
+ *
+ * A new connection tells: one that comes up shows that the back end is alive, two that are refused
+ * that it has ended. Two that time out count as well, unless so many back ends of the service are
+ * unreachable that the cause may be this gateway's network.
+ *
+ * Thread safety: everything here belongs to the loop's thread.
+ */
+#ifndef RUDDERWAY_GATEWAY_CRASH_WATCH_H
+#define RUDDERWAY_GATEWAY_CRASH_WATCH_H
+
+#include "core/retry/crash_history.h"
+#include "gateway/backends.h"
+#include "gateway/load_sharing.h"
+
+typedef struct crash_watch crash_watch_t;
+
+/** Reports crashes to other gateways by @p sharing, and receives theirs. */
+crash_watch_t *crash_watch_new(uv_loop_t *loop, load_sharing_t *sharing);
+/** The connection to @p backend broke under @p request: counts as a crash while that is checked. */
+void crash_watch_suspect(crash_watch_t *watch, uint64_t request, const backend_t *backend);
+/** Probes found @p backend unreachable under @p request. */
+void crash_watch_record_unreachable(crash_watch_t *watch, uint64_t request,
+                                    const backend_t *backend);
+/** The request got a complete response. */
+void crash_watch_record_response(crash_watch_t *watch, uint64_t request);
+/** Number of back ends that have ended under the request. */
+unsigned crash_watch_count(const crash_watch_t *watch, uint64_t request);
+/** Time until the request may be sent, in ms; 0: now. */
+uint32_t crash_watch_wait_ms(const crash_watch_t *watch, uint64_t request);
+
+#endif
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -19,6 +19,7 @@
 #include "core/retry/retry_budget.h"
 #include "gateway/backends.h"
 #include "gateway/chain_cache.h"
+#include "gateway/crash_watch.h"
 #include "gateway/directory_feed.h"
 #include "gateway/directory_follow.h"
 #include "gateway/load_sharing.h"
@@ -56,6 +57,7 @@
     uint64_t programs_not_begun; /**< Of over_quota: first calls that the program's home refused. */
     uint64_t begun_over_quota;   /**< Of over_quota: calls of programs proven to have started. */
     uint64_t refused_zone_cut;   /**< Refused while the zone was isolated. */
+    uint64_t stopped;            /**< Not sent: too many back ends ended under the request. */
     uint64_t chain_reads;
     uint64_t engines_new;     /**< Turns placed by cost, of programs without an engine. */
     uint64_t engines_kept;    /**< Turns placed by cost at the program's engine. */
@@ -78,6 +80,7 @@
     quota_client_t *quotas; /**< Tenants' limits. */
     store_relay_t *relay;
     load_sharing_t *load_sharing;
+    crash_watch_t *crashes;
     chain_cache_t chains;
     stall_watch_t stall_watch;
     GHashTable *answer_times;   /**< Route name to answer_time_t, of repeatable calls. */
--- a/src/gateway/load_report.c
+++ b/src/gateway/load_report.c
@@ -9,8 +9,15 @@
     SAMPLES_BITS = 8,   /**< Of a speed's `ejected_ms`: low bits: sample count; rest: age. */
     SAMPLES_MAX = 255,
     AGE_MAX_MS = 0xffffff,
+    CRASH_BACKEND_BITS = 16, /**< Of a crash's `ejected_ms`: low bits: back end; rest: age. */
+    CRASH_BACKEND_MASK = 0xffff,
+    CRASH_AGE_MAX_MS = 0xffff,
 };
 
+/** Numbers of calls that no back end has; they mark an entry as a crash, or as its end. */
+#define CRASH_MARK UINT32_MAX
+#define CRASH_CLEARED_MARK (UINT32_MAX - 1)
+
 static void report_codec(codec_t *codec, watch_report_t *watch, GArray *entries) {
     codec_uint32(codec, &watch->answer_age);
     codec_uint64(codec, &watch->changed);
@@ -42,6 +49,23 @@
                               now > age ? now - age : 0};
 }
 
+load_entry_t load_entry_from_crash(const crash_report_t *crash, uint64_t now) {
+    uint64_t age = now > crash->at ? now - crash->at : 0;
+    return (load_entry_t){crash->request, crash->cleared ? CRASH_CLEARED_MARK : CRASH_MARK,
+                          (uint32_t)MIN(CRASH_AGE_MAX_MS, age) << CRASH_BACKEND_BITS |
+                              crash->backend};
+}
+
+bool load_entry_crash(const load_entry_t *entry, uint64_t now, crash_report_t *crash) {
+    if (entry->under_way != CRASH_MARK && entry->under_way != CRASH_CLEARED_MARK)
+        return false;
+    uint64_t age = entry->ejected_ms >> CRASH_BACKEND_BITS;
+    *crash = (crash_report_t){entry->backend, now > age ? now - age : 0,
+                              (uint16_t)(entry->ejected_ms & CRASH_BACKEND_MASK),
+                              entry->under_way == CRASH_CLEARED_MARK};
+    return true;
+}
+
 GBytes *load_report_encode(const watch_report_t *watch, GArray *entries) {
     watch_report_t copy = *watch;
     codec_t codec;
--- a/src/gateway/load_report.h
+++ b/src/gateway/load_report.h
@@ -8,6 +8,7 @@
 #define RUDDERWAY_GATEWAY_LOAD_REPORT_H
 
 #include "core/configuration/watch_role.h"
+#include "core/retry/crash_history.h"
 #include "core/routing/backend_speed.h"
 
 #include <glib.h>
@@ -17,8 +18,8 @@
 
 /**
  * A back end at which the sender has calls in progress, or that it has ejected. An entry can also
- * hold a measured speed (load_entry_from_speed); its id is then that of an incarnation, and a
- * receiver that does not know the id skips the entry.
+ * hold a measured speed (load_entry_from_speed) or a crash (load_entry_from_crash); its id is then
+ * that of an incarnation or a request, and a receiver that does not know the id skips the entry.
  */
 typedef struct {
     uint64_t backend; /**< backend_t.id_hash. */
@@ -34,6 +35,9 @@
                                    uint64_t now);
 /** Reads the speed from an entry of load_entry_from_speed. */
 speed_estimate_t load_entry_speed(const load_entry_t *entry, uint64_t now);
+load_entry_t load_entry_from_crash(const crash_report_t *crash, uint64_t now);
+/** Reads an entry of load_entry_from_crash; false if @p entry is none. */
+bool load_entry_crash(const load_entry_t *entry, uint64_t now, crash_report_t *crash);
 /** Encodes the watch report @p watch and @p entries, of load_entry_t. */
 GBytes *load_report_encode(const watch_report_t *watch, GArray *entries);
 /** Returns false if @p data is no report. */
--- a/src/gateway/load_sharing.c
+++ b/src/gateway/load_sharing.c
@@ -13,6 +13,7 @@
 
 #include "common/event.h"
 #include "gateway/backend_speeds.h"
+#include "gateway/crash_reports.h"
 #include "gateway/load_report.h"
 #include "gateway/zone_loads.h"
 
@@ -47,12 +48,17 @@
     backends_t *backends;
     const load_sharing_handler_t *handler;
     void *owner;
-    GPtrArray *peers;        /**< Of gateway_peer_t. */
-    zone_loads_t zone_loads; /**< Exchanged between zones. */
-    bool watches_stores;     /**< Checks soon after a peer has lost the storage nodes. */
-    bool below;              /**< The peers follow gateways of another cell. */
-    bool sums_stale;         /**< A report was received since the loads were summed up. */
-    uint64_t changed;        /**< The latest change that any peer reported. */
+    GPtrArray *peers;                             /**< Of gateway_peer_t. */
+    zone_loads_t zone_loads;                      /**< Exchanged between zones. */
+    crash_reports_t crashes;                      /**< To be reported. */
+    const crash_sharing_handler_t *crash_handler; /**< NULL: crashes are not shared. */
+    void *crash_owner;
+    bool lists_crashes;  /**< The next report has all known crashes: a gateway may have started. */
+    bool urgent;         /**< A report is due as soon as URGENT_INTERVAL_MIN_MS allows. */
+    bool watches_stores; /**< Checks soon after a peer has lost the storage nodes. */
+    bool below;          /**< The peers follow gateways of another cell. */
+    bool sums_stale;     /**< A report was received since the loads were summed up. */
+    uint64_t changed;    /**< The latest change that any peer reported. */
     uint64_t summed_at;
     uint64_t check_at; /**< When the timer fires; UINT64_MAX: it is not running. */
     watch_report_t sent_report;
@@ -174,6 +180,33 @@
     }
 }
 
+/** Passes on the crashes in a received report; new ones are relayed to @p audience. */
+static void take_crashes(load_sharing_t *sharing, GArray *entries, crash_audience_t audience) {
+    uint64_t now = uv_now(sharing->loop);
+    GArray *crashes = g_array_new(FALSE, FALSE, sizeof(crash_report_t));
+    crash_reports_extract(entries, now, crashes);
+    bool relays = audience == CRASH_TO_CELL || sharing->zone_loads.gateways->len > 0;
+    bool any = false;
+    for (guint i = 0; i < crashes->len && sharing->crash_handler != NULL; i++) {
+        const crash_report_t *crash = &g_array_index(crashes, crash_report_t, i);
+        if (!sharing->crash_handler->on_crash(sharing->crash_owner, crash) || !relays)
+            continue;
+        crash_reports_add(&sharing->crashes, crash, audience, now);
+        any = true;
+    }
+    g_array_free(crashes, TRUE);
+    if (any)
+        load_sharing_report_now(sharing);
+}
+
+static void take_zone_report(load_sharing_t *sharing, const struct sockaddr_in *from,
+                             const void *data, size_t length) {
+    if (!zone_loads_receive(&sharing->zone_loads, from, data, length, uv_now(sharing->loop)))
+        return;
+    sharing->sums_stale = true;
+    take_crashes(sharing, zone_loads_entries(&sharing->zone_loads, from), CRASH_TO_CELL);
+}
+
 static void on_datagram(uv_udp_t *socket, ssize_t count, const uv_buf_t *buffer,
                         const struct sockaddr *from, unsigned flags) {
     load_sharing_t *sharing = socket->data;
@@ -182,9 +215,7 @@
         return;
     gateway_peer_t *peer = find_peer(sharing, (const struct sockaddr_in *)from);
     if (peer == NULL) {
-        sharing->sums_stale |=
-            zone_loads_receive(&sharing->zone_loads, (const struct sockaddr_in *)from, buffer->base,
-                               (size_t)count, uv_now(sharing->loop));
+        take_zone_report(sharing, (const struct sockaddr_in *)from, buffer->base, (size_t)count);
         return;
     }
     watch_report_t watch = {.last_received_at = uv_now(sharing->loop),
@@ -196,6 +227,8 @@
     else
         g_array_set_size(peer->entries, 0);
     take_speeds(sharing, peer);
+    take_crashes(sharing, peer->entries, CRASH_TO_ZONES);
+    sharing->lists_crashes |= uv_now(sharing->loop) > peer->last_received_at + REPORT_EXPIRY_MS;
     peer->last_received_at = uv_now(sharing->loop);
     sharing->sums_stale = true;
     if (sharing->watches_stores && had_stores && !peer->watch.has_stores)
@@ -239,13 +272,34 @@
     return entries;
 }
 
+/** Makes all known crashes due again, for a gateway that may have started. */
+static void report_known_crashes(load_sharing_t *sharing) {
+    sharing->lists_crashes = false;
+    if (sharing->crash_handler == NULL)
+        return;
+    GArray *crashes = g_array_new(FALSE, FALSE, sizeof(crash_report_t));
+    sharing->crash_handler->list_crashes(sharing->crash_owner, crashes);
+    for (guint i = 0; i < crashes->len; i++)
+        crash_reports_add(&sharing->crashes, &g_array_index(crashes, crash_report_t, i),
+                          CRASH_TO_CELL, uv_now(sharing->loop));
+    g_array_free(crashes, TRUE);
+}
+
+static void append_crashes(load_sharing_t *sharing, GArray *entries) {
+    if (sharing->lists_crashes)
+        report_known_crashes(sharing);
+    crash_reports_append(&sharing->crashes, CRASH_TO_CELL, uv_now(sharing->loop), entries);
+}
+
 static void send_reports(load_sharing_t *sharing) {
     GArray *entries = own_entries(sharing);
     watch_report_t watch = {0};
     sharing->handler->fill_report(sharing->owner, &watch);
     sharing->sent_report = watch;
+    sharing->urgent = false;
     sharing->sent_any = entries->len > 0;
     backend_speeds_append_report(sharing->backends, entries, sharing->peers->len);
+    append_crashes(sharing, entries);
     GBytes *bytes = load_report_encode(&watch, entries);
     gsize length;
     const void *data = g_bytes_get_data(bytes, &length);
@@ -269,7 +323,10 @@
         if (now <= peer->last_received_at + REPORT_EXPIRY_MS)
             zone_loads_add_local(&sharing->zone_loads, sharing->backends, peer->entries);
     }
-    zone_loads_send(&sharing->zone_loads, &sharing->socket);
+    GArray *crashes = g_array_new(FALSE, FALSE, sizeof(load_entry_t));
+    crash_reports_append(&sharing->crashes, CRASH_TO_ZONES, now, crashes);
+    zone_loads_send(&sharing->zone_loads, crashes, &sharing->socket);
+    g_array_free(crashes, TRUE);
 }
 
 /** Gateways that watch on behalf of others check more often whether a report is due. */
@@ -293,7 +350,7 @@
      */
     bool answered = watch.answer_age != UINT32_MAX && now - watch.answer_age > sharing->sent_at;
     bool change = watch.changed != sharing->sent_report.changed;
-    bool urgent = (watch.renews && (change || answered)) ||
+    bool urgent = sharing->urgent || (watch.renews && (change || answered)) ||
                   watch.has_stores != sharing->sent_report.has_stores ||
                   watch.renews != sharing->sent_report.renews;
     uint64_t refresh_ms = sharing->sent_any ? REFRESH_MS : IDLE_REFRESH_MS;
@@ -346,11 +403,29 @@
 
 void load_sharing_report_now(load_sharing_t *sharing) {
     uint64_t now = uv_now(sharing->loop);
-    if (now < sharing->sent_at + URGENT_INTERVAL_MIN_MS)
+    if (sharing->peers->len == 0)
         return;
+    if (now < sharing->sent_at + URGENT_INTERVAL_MIN_MS) {
+        sharing->urgent = true;
+        check_within(sharing, sharing->sent_at + URGENT_INTERVAL_MIN_MS - now);
+        return;
+    }
     sharing->sent_changes = sharing->backends->changes;
     sharing->sent_at = now;
     send_reports(sharing);
+    if (sharing->zone_loads.gateways->len > 0)
+        send_zone_loads(sharing);
+}
+
+void load_sharing_share_crashes(load_sharing_t *sharing, const crash_sharing_handler_t *handler,
+                                void *owner) {
+    sharing->crash_handler = handler;
+    sharing->crash_owner = owner;
+}
+
+void load_sharing_report_crash(load_sharing_t *sharing, const crash_report_t *crash) {
+    crash_reports_add(&sharing->crashes, crash, CRASH_TO_CELL | CRASH_TO_ZONES,
+                      uv_now(sharing->loop));
 }
 
 bool load_sharing_find_relay(const load_sharing_t *sharing, struct sockaddr_in *address) {
@@ -435,6 +510,7 @@
     sharing->backends = backends;
     sharing->peers = g_ptr_array_new_with_free_func(free_peer);
     zone_loads_init(&sharing->zone_loads);
+    crash_reports_init(&sharing->crashes);
     uv_udp_init(loop, &sharing->socket);
     uv_timer_init(loop, &sharing->timer);
     sharing->socket.data = sharing;
--- a/src/gateway/load_sharing.h
+++ b/src/gateway/load_sharing.h
@@ -11,6 +11,7 @@
 #define RUDDERWAY_GATEWAY_LOAD_SHARING_H
 
 #include "core/configuration/watch_role.h"
+#include "core/retry/crash_history.h"
 #include "gateway/backends.h"
 
 typedef struct load_sharing load_sharing_t;
@@ -29,6 +30,14 @@
                            uint64_t renewing_period_ms);
 } load_sharing_handler_t;
 
+/** Callbacks for the crashes of back ends that gateways report; see crash_watch.h. */
+typedef struct {
+    /** Another gateway reported a crash, or that it is cleared; true if that was not known. */
+    bool (*on_crash)(void *owner, const crash_report_t *crash);
+    /** Appends all known crashes, for a gateway that may have started; of crash_report_t. */
+    void (*list_crashes)(void *owner, GArray *crashes);
+} crash_sharing_handler_t;
+
 /** Returns NULL if @p address can't be used. */
 load_sharing_t *load_sharing_open(uv_loop_t *loop, const struct sockaddr_in *address,
                                   backends_t *backends, const load_sharing_handler_t *handler,
@@ -40,6 +49,11 @@
 void load_sharing_set_gateways(load_sharing_t *sharing, const GPtrArray *addresses, bool below);
 /** From now on, reacts at once when another gateway loses the storage nodes. */
 void load_sharing_watch_stores(load_sharing_t *sharing);
+/** From now on, passes on the crashes that other gateways report. */
+void load_sharing_share_crashes(load_sharing_t *sharing, const crash_sharing_handler_t *handler,
+                                void *owner);
+/** Reports @p crash to other gateways with the next reports. */
+void load_sharing_report_crash(load_sharing_t *sharing, const crash_report_t *crash);
 /** Number of other gateways that come before this one by address. */
 unsigned load_sharing_rank(const load_sharing_t *sharing);
 /** Updates the loads of back ends from the latest reports; call before choosing a back end. */
@@ -57,7 +71,7 @@
 /** True if the gateway at @p address may still be followed; sets the time of its last report. */
 bool load_sharing_may_follow(const load_sharing_t *sharing, const struct sockaddr_in *address,
                              uint64_t *last_received_at);
-/** Sends this gateway's report now; for urgent changes. */
+/** Sends this gateway's report now, or URGENT_INTERVAL_MIN_MS after the last one. */
 void load_sharing_report_now(load_sharing_t *sharing);
 /** Checks in the next loop iteration whether a report is due. */
 void load_sharing_check_soon(load_sharing_t *sharing);
--- a/src/gateway/main.c
+++ b/src/gateway/main.c
@@ -77,6 +77,7 @@
                                               &gateway_load_sharing_handler, gateway);
     if (gateway->load_sharing == NULL)
         return false;
+    gateway->crashes = crash_watch_new(gateway->loop, gateway->load_sharing);
     gateway->stores = store_client_new(gateway->loop, settings->zone, settings->peer_text,
                                        &store_handler, gateway);
     if (settings->tolerated_zones > 0)
--- a/src/gateway/reports.c
+++ b/src/gateway/reports.c
@@ -131,6 +131,7 @@
     metrics_append(text, "directory_entries_rejected_total", counters->entries_rejected);
     metrics_append(text, "over_quota_total", counters->over_quota);
     metrics_append(text, "calls_refused_zone_cut_total", counters->refused_zone_cut);
+    metrics_append(text, "calls_stopped_total", counters->stopped);
     metrics_append(text, "programs_not_begun_total", counters->programs_not_begun);
     metrics_append(text, "begun_over_quota_total", counters->begun_over_quota);
     metrics_append(text, "quota_requests_total", quota_client_request_count(gateway->quotas));
--- a/src/gateway/zone_loads.c
+++ b/src/gateway/zone_loads.c
@@ -122,6 +122,11 @@
     return true;
 }
 
+GArray *zone_loads_entries(const zone_loads_t *loads, const struct sockaddr_in *from) {
+    const remote_gateway_t *gateway = find(loads->gateways, from);
+    return gateway == NULL ? NULL : gateway->entries;
+}
+
 /** True if no other gateway of its zone reported later; ties go to the first one. */
 static bool is_latest(const zone_loads_t *loads, guint index) {
     const remote_gateway_t *gateway = g_ptr_array_index(loads->gateways, index);
@@ -168,8 +173,9 @@
     }
 }
 
-static GBytes *encode_sums(const zone_loads_t *loads) {
+static GBytes *encode_sums(const zone_loads_t *loads, const GArray *crashes) {
     GArray *entries = g_array_new(FALSE, FALSE, sizeof(load_entry_t));
+    g_array_append_vals(entries, crashes->data, crashes->len);
     GHashTableIter iterator;
     gpointer sum;
     g_hash_table_iter_init(&iterator, loads->sums);
@@ -181,10 +187,10 @@
     return bytes;
 }
 
-void zone_loads_send(zone_loads_t *loads, uv_udp_t *socket) {
-    bool any = g_hash_table_size(loads->sums) > 0;
+void zone_loads_send(zone_loads_t *loads, const GArray *crashes, uv_udp_t *socket) {
+    bool any = g_hash_table_size(loads->sums) > 0 || crashes->len > 0;
     if (any || loads->sent_any) {
-        GBytes *bytes = encode_sums(loads);
+        GBytes *bytes = encode_sums(loads, crashes);
         gsize length;
         const void *data = g_bytes_get_data(bytes, &length);
         uv_buf_t buffer = uv_buf_init((char *)data, (unsigned)length);
--- a/src/gateway/zone_loads.h
+++ b/src/gateway/zone_loads.h
@@ -37,7 +37,12 @@
 void zone_loads_add_remote(const zone_loads_t *loads, backends_t *backends, uint64_t now);
 /** Adds the loads in @p entries to this zone's sums, which zone_loads_send sends. */
 void zone_loads_add_local(zone_loads_t *loads, backends_t *backends, const GArray *entries);
-/** Sends this zone's sums of calls in progress to the counterparts and resets them. */
-void zone_loads_send(zone_loads_t *loads, uv_udp_t *socket);
+/** The entries that a counterpart last reported, of load_entry_t; NULL: @p from is none. */
+GArray *zone_loads_entries(const zone_loads_t *loads, const struct sockaddr_in *from);
+/**
+ * Sends this zone's sums of calls in progress to the counterparts and resets them; with them
+ * @p crashes, of load_entry_t.
+ */
+void zone_loads_send(zone_loads_t *loads, const GArray *crashes, uv_udp_t *socket);
 
 #endif
--- a/tests/integration/crash_request_test.sh
+++ b/tests/integration/crash_request_test.sh
@@ -19,4 +19,6 @@
     crash_request gateway_killed
 expect "a request ends at most three back ends while storage nodes are away" \
     crash_request stores_away
+expect "calls that back ends take along as they end are not refused" \
+    crash_request --programs 60 --pace 10 tries
 expect "equal requests are served though back ends crash under some" crash_request bystanders
--- a/tests/soak/crash_request_test.py
+++ b/tests/soak/crash_request_test.py
@@ -27,7 +27,7 @@
 from promises import Attempt
 from proxy import reset
 
-ENGINES, SERVICES, PROGRAMS = 15, 9, 12
+ENGINES, SERVICES, POLLERS = 15, 9, 12
 ENDED_MAX = 3  # Back ends that may end under one request.
 REFUSED_SHARE_MAX = 0.05  # Of equal requests of many callers, for crashes that they did not cause.
 ENTRY_GONE_S, REPLACED_S, RESTART_S = 0.6, 0.5, 0.3
@@ -69,6 +69,7 @@
         super().__init__(*arguments)
         self.events = options.events
         self.restart = options.restart
+        self.pace = options.pace
         self.sends = []  # (time, instance) of the request that ends back ends.
         self.ends = []
         self.tasks = []
@@ -78,6 +79,7 @@
         backend = CrashingBackend(self, f"i-{self.started:04d}", service, service == "engine",
                                   self.random.random(), self.promises)
         backend.port = self.ports.take()
+        backend.pace = self.pace
         await backend.start(backend.port)
         entry = types.SimpleNamespace(
             listen_port=backend.port, far_zone=soak.ZONES[self.started % len(soak.ZONES)])
@@ -113,6 +115,7 @@
         super().__init__(options)
         self.random = random.Random(options.seed)
         self.statuses = []
+        self.attempts = set()  # Of the request that ends back ends.
 
     async def start(self):
         options = self.options
@@ -133,13 +136,14 @@
         self.caller = soak.Caller(self.promises, self.cluster.gateways, options.seed)
         if not await self._wait_for("the start", self._all_start):
             return False
-        self.work = [asyncio.create_task(self._run_programs()) for _ in range(PROGRAMS)]
+        self.work = [asyncio.create_task(self._run_programs()) for _ in range(self.options.programs)]
         await asyncio.sleep(1.0)
         return True
 
     async def send_once(self, gateway, fields, last_event, first_id):
         """One try of the request that ends back ends; returns (id, status, last event, pause)."""
         attempt_id = self.caller.new_id()
+        self.attempts.add(attempt_id)
         self.promises.begin(Attempt(attempt_id, RESUMABLE, "POST", "/resumable/x", BODY, None))
         fields = fields + [("Attempt-Id", attempt_id), ("Content-Length", len(BODY))]
         if last_event > 0:
@@ -185,10 +189,14 @@
         third = ends[ENDED_MAX - 1][0] if len(ends) >= ENDED_MAX else None
         late = 0 if third is None else sum(at > third for at, _ in sends)
         return {"ended": len(ends), "sends": len(sends), "sends_after_third": late,
-                "tries": self.statuses, "held": len(ends) <= ENDED_MAX and late == 0}
+                "tries": self.statuses, "others_refused": self.limit_refusals(),
+                "held": len(ends) <= ENDED_MAX and late == 0 and self.limit_refusals() == 0}
 
     def limit_refusals(self):
-        return sum(node.log_text().count(LIMIT_REASON) for node in self.cluster.gateways)
+        """Calls refused for the limit, other than those of the request that ends back ends."""
+        lines = [line for node in self.cluster.gateways for line in node.log_text().splitlines()
+                 if LIMIT_REASON in line]
+        return sum(line.split("call=")[1].split()[0] not in self.attempts for line in lines)
 
     # Scenarios.
 
@@ -222,7 +230,7 @@
     async def bystanders(self):
         """A third of the back ends crash at once, twice, under requests that are not the cause."""
         polls = []
-        pollers = [asyncio.create_task(self._poll(polls)) for _ in range(PROGRAMS)]
+        pollers = [asyncio.create_task(self._poll(polls)) for _ in range(POLLERS)]
         for _ in range(2):
             await asyncio.sleep(1.0)
             backends = [backend for backend, _ in self.fleet.backends]
@@ -281,6 +289,8 @@
     parser.add_argument("--events", type=int, default=0, help="events before a back end ends")
     parser.add_argument("--restart", action="store_true",
                         help="ended back ends start again under their id and address")
+    parser.add_argument("--programs", type=int, default=12, help="programs beside the request")
+    parser.add_argument("--pace", type=int, default=1, help="how many times as long events take")
     parser.add_argument("scenario", choices=["tries", "anonymous", "gateway_killed", "stores_away",
                                              "bystanders"])
     options = parser.parse_args()
--- /dev/null
+++ b/tests/unit/crash_history_test.cc
@@ -0,0 +1,313 @@
+// Back ends that end under a request: counting (crash_history.h) and sharing among gateways.
+#include <glib.h>
+
+extern "C" {
+#include "cluster/remote_gateway.h"
+#include "core/retry/crash_history.h"
+#include "core/retry/resend.h"
+#include "gateway/crash_watch.h"
+#include "gateway/load_report.h"
+#include "gateway/load_sharing.h"
+}
+
+#include <gtest/gtest.h>
+
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <string>
+#include <vector>
+
+namespace {
+
+constexpr uint64_t REQUEST = 7;
+constexpr uint64_t NOW = 100000;
+
+class CrashHistory : public testing::Test {
+  protected:
+    void TearDown() override {
+        crash_history_free(history);
+    }
+    bool add(uint16_t backend, uint64_t at, uint64_t request = REQUEST, bool confirmed = true) {
+        crash_report_t crash = {request, at, backend, false};
+        return crash_history_add(history, &crash, confirmed);
+    }
+    unsigned count(uint64_t now, uint64_t request = REQUEST) {
+        return crash_history_count(history, request, now);
+    }
+    crash_history_t *history = crash_history_new();
+};
+
+TEST_F(CrashHistory, StopsARequestAfterThreeCrashesForAMinuteFromTheFirst) {
+    EXPECT_EQ(count(NOW), 0U);
+    for (uint16_t i = 0; i < 3; i++) {
+        EXPECT_EQ(crash_history_wait_ms(history, REQUEST, NOW + i), 0U);
+        EXPECT_TRUE(add(i, NOW + 1000 * i));
+    }
+    EXPECT_EQ(count(NOW + 2000), 3U);
+    EXPECT_EQ(crash_history_wait_ms(history, REQUEST, NOW + 2000), 58000U);
+    EXPECT_EQ(count(NOW + CRASH_RETENTION_MS), 2U);
+    EXPECT_EQ(crash_history_wait_ms(history, REQUEST, NOW + CRASH_RETENTION_MS), 0U);
+    EXPECT_EQ(count(NOW + 2000, REQUEST + 1), 0U) << "other requests are not affected";
+}
+
+TEST_F(CrashHistory, CountsOneEndOfABackEndOnceAndThatOfItsNextIncarnationToo) {
+    EXPECT_TRUE(add(1, NOW));
+    EXPECT_FALSE(add(1, NOW + 5)) << "a resend on a connection that was open before";
+    EXPECT_EQ(count(NOW + 5), 1U);
+    EXPECT_TRUE(add(1, NOW + 300)) << "it has started again under its id";
+    EXPECT_EQ(count(NOW + 300), 2U);
+}
+
+TEST_F(CrashHistory, ABackEndThatIsAliveDoesNotCount) {
+    add(1, NOW, REQUEST, false);
+    add(2, NOW);
+    EXPECT_EQ(count(NOW), 2U);
+    crash_report_t alive = {REQUEST, NOW, 1, false};
+    crash_history_remove(history, &alive);
+    EXPECT_EQ(count(NOW), 1U);
+}
+
+TEST_F(CrashHistory, ACompleteResponseForgetsEarlierCrashesAlsoIfTheyAreReportedAgain) {
+    for (uint16_t i = 0; i < 3; i++)
+        add(i, NOW + i);
+    EXPECT_TRUE(crash_history_clear(history, REQUEST, NOW + 10));
+    EXPECT_EQ(count(NOW + 10), 0U);
+    EXPECT_FALSE(add(1, NOW + 1));
+    EXPECT_EQ(count(NOW + 20), 0U);
+    EXPECT_TRUE(add(9, NOW + 30));
+    EXPECT_EQ(count(NOW + 30), 1U);
+}
+
+TEST_F(CrashHistory, ListsConfirmedCrashesOnly) {
+    add(1, NOW);
+    add(2, NOW, REQUEST, false);
+    GArray *reports = g_array_new(FALSE, FALSE, sizeof(crash_report_t));
+    crash_history_list(history, NOW, 10, reports);
+    ASSERT_EQ(reports->len, 1U);
+    EXPECT_EQ(g_array_index(reports, crash_report_t, 0).backend, 1U);
+    g_array_free(reports, TRUE);
+}
+
+TEST_F(CrashHistory, IsBoundedAndForgetsTheOldestRequestFirst) {
+    for (uint64_t request = 0; request < 10000; request++)
+        add(1, NOW + request / 10, request);
+    GArray *reports = g_array_new(FALSE, FALSE, sizeof(crash_report_t));
+    crash_history_list(history, NOW + 1000, 100000, reports);
+    EXPECT_LE(reports->len, 4096U);
+    EXPECT_EQ(count(NOW + 1000, 0), 0U);
+    EXPECT_EQ(count(NOW + 1000, 9999), 1U);
+    g_array_free(reports, TRUE);
+}
+
+TEST(ResendAfterCrashes, StopsAtTheLimitThoughTheRouteAllowsMoreBackEnds) {
+    resend_state_t state = {};
+    state.attempts = 2;
+    state.time_left = true;
+    state.same_usable = true;
+    for (unsigned ended = 1; ended <= CRASHES_MAX; ended++) {
+        state.backends = ended;
+        state.ended = ended;
+        state.crashes = ended;
+        bool more = ended < CRASHES_MAX;
+        EXPECT_EQ(resend_after_unknown(&state), more ? RESEND_ELSEWHERE : RESEND_NO) << ended;
+        EXPECT_EQ(resend_after_not_run(&state), more ? RESEND_ELSEWHERE : RESEND_NO) << ended;
+    }
+}
+
+TEST(CrashReport, IsAnEntryThatEarlierVersionsSkip) {
+    const crash_report_t crash = {0x123456789abcdef0, NOW - 1500, 0xbeef, false};
+    load_entry_t entry = load_entry_from_crash(&crash, NOW);
+    crash_report_t read;
+    ASSERT_TRUE(load_entry_crash(&entry, NOW + 20, &read));
+    EXPECT_EQ(read.request, crash.request);
+    EXPECT_EQ(read.backend, crash.backend);
+    EXPECT_EQ(read.at, NOW - 1480) << "the age is measured by the sender";
+    EXPECT_FALSE(read.cleared);
+    EXPECT_EQ(entry.backend, crash.request) << "no back end has this id";
+    load_entry_t load = {1, 40, 600};
+    EXPECT_FALSE(load_entry_crash(&load, NOW, &read));
+}
+
+/** Gateways of zones, on one loop, that exchange load reports over the loopback interface. */
+class CrashSharing : public testing::Test {
+  protected:
+    struct Side {
+        uv_loop_t *loop;
+        std::string zone;
+        backends_t backends;
+        load_sharing_t *sharing;
+        crash_watch_t *watch;
+        struct sockaddr_in address;
+    };
+    /** Load sharing can't be closed: its state stays allocated until the process exits. */
+    Side &open(const char *zone) {
+        static auto *const all = new std::vector<Side *>;
+        auto *side = new Side{};
+        all->push_back(side);
+        sides.push_back(side);
+        side->loop = loop();
+        side->zone = zone;
+        backends_init(&side->backends, side->loop, zone, "gateway");
+        side->address.sin_family = AF_INET;
+        side->address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        int probe = socket(AF_INET, SOCK_DGRAM, 0);
+        socklen_t length = sizeof side->address;
+        bind(probe, reinterpret_cast<sockaddr *>(&side->address), length);
+        getsockname(probe, reinterpret_cast<sockaddr *>(&side->address), &length);
+        close(probe);
+        static const load_sharing_handler_t handler = {
+            [](void *, watch_report_t *report) { report->answer_age = UINT32_MAX; },
+            [](void *, const GArray *, uint64_t, uint64_t) { return UINT64_MAX; }};
+        side->sharing =
+            load_sharing_open(side->loop, &side->address, &side->backends, &handler, nullptr);
+        EXPECT_NE(side->sharing, nullptr);
+        side->watch = crash_watch_new(side->loop, side->sharing);
+        return *side;
+    }
+    static uv_loop_t *loop() {
+        static auto *const shared = [] {
+            auto *created = new uv_loop_t;
+            uv_loop_init(created);
+            return created;
+        }();
+        return shared;
+    }
+    /** Tells each gateway of the others; those of @p unknown are left out. */
+    void introduce(const std::vector<std::pair<Side *, Side *>> &unknown = {}) {
+        for (Side *side : sides) {
+            GPtrArray *others = g_ptr_array_new_with_free_func(g_free);
+            for (Side *other : sides) {
+                bool left_out = other == side;
+                for (auto [a, b] : unknown)
+                    left_out |= (a == side && b == other) || (a == other && b == side);
+                char text[SOCKET_ADDRESS_BYTES];
+                format_socket_address(&other->address, text);
+                if (!left_out)
+                    g_ptr_array_add(others, other->zone == side->zone
+                                                ? g_strdup(text)
+                                                : remote_gateway_format(other->zone.c_str(), text));
+            }
+            load_sharing_set_gateways(side->sharing, others, false);
+            g_ptr_array_free(others, TRUE);
+        }
+    }
+    static void crash(Side &side, const char *instance, uint64_t request = REQUEST) {
+        auto *record = g_new0(backend_record_t, 1);
+        record->instance = g_strdup(instance);
+        record->service = g_strdup("s");
+        record->zone = g_strdup(side.zone.c_str());
+        backends_update(&side.backends, record);
+        crash_watch_record_unreachable(
+            side.watch, request,
+            static_cast<backend_t *>(g_hash_table_lookup(side.backends.by_instance, instance)));
+    }
+    /** Runs the loop until @p done, or for 5 s. */
+    template <typename Condition> bool run_until(Condition done) {
+        uint64_t end = uv_hrtime() + 5000000000U;
+        while (!done() && uv_hrtime() < end) {
+            uv_run(loop(), UV_RUN_NOWAIT);
+            uv_sleep(1);
+        }
+        return done();
+    }
+    std::vector<Side *> sides;
+};
+
+TEST_F(CrashSharing, CrashesAndTheirEndReachTheOtherGateways) {
+    Side &one = open("here");
+    Side &other = open("here");
+    introduce();
+    crash(one, "a");
+    crash(one, "b");
+    EXPECT_TRUE(run_until([&] { return crash_watch_count(other.watch, REQUEST) == 2; }));
+    crash(other, "c");
+    EXPECT_TRUE(run_until([&] { return crash_watch_count(one.watch, REQUEST) == 3; }));
+    EXPECT_GT(crash_watch_wait_ms(one.watch, REQUEST), 50000U);
+    uv_sleep(2);
+    uv_update_time(loop());
+    crash_watch_record_response(other.watch, REQUEST);
+    EXPECT_TRUE(run_until([&] { return crash_watch_count(one.watch, REQUEST) == 0; }));
+}
+
+TEST_F(CrashSharing, AGatewayThatStartsLaterLearnsOfThem) {
+    Side &one = open("here");
+    introduce();
+    for (const char *instance : {"a", "b", "c"})
+        crash(one, instance);
+    uv_sleep(CRASH_RETENTION_MS / 20); // Longer than crashes are repeated to gateways that run.
+    uv_update_time(loop());
+    Side &late = open("here");
+    introduce();
+    EXPECT_TRUE(run_until([&] { return crash_watch_count(late.watch, REQUEST) == 3; }));
+}
+
+TEST_F(CrashSharing, CrashesReachAllGatewaysOfAnotherZoneThroughOneOfThem) {
+    Side &first = open("here");
+    Side &second = open("here");
+    Side &far = open("there");
+    Side &farther = open("there");
+    introduce({{&first, &farther}, {&second, &far}, {&second, &farther}});
+    crash(second, "a");
+    EXPECT_TRUE(run_until([&] { return crash_watch_count(farther.watch, REQUEST) == 1; }));
+    EXPECT_EQ(crash_watch_count(far.watch, REQUEST), 1U);
+    EXPECT_EQ(crash_watch_count(second.watch, REQUEST), 1U);
+}
+
+TEST_F(CrashSharing, ABrokenConnectionCountsOnlyWhileNoNewOneComesUp) {
+    Side &one = open("here");
+    auto add = [&](const char *instance, uint16_t port) {
+        auto *record = g_new0(backend_record_t, 1);
+        record->instance = g_strdup(instance);
+        record->service = g_strdup("s");
+        record->zone = g_strdup("here");
+        record->address.sin_family = AF_INET;
+        record->address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        record->address.sin_port = port;
+        backends_update(&one.backends, record);
+        return static_cast<backend_t *>(g_hash_table_lookup(one.backends.by_instance, instance));
+    };
+    sockaddr_in address = {};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t length = sizeof address;
+    int listener = socket(AF_INET, SOCK_STREAM, 0);
+    ASSERT_EQ(bind(listener, reinterpret_cast<sockaddr *>(&address), length), 0);
+    ASSERT_EQ(listen(listener, 5), 0);
+    getsockname(listener, reinterpret_cast<sockaddr *>(&address), &length);
+    backend_t *backend = add("a", address.sin_port);
+    crash_watch_suspect(one.watch, REQUEST, backend);
+    EXPECT_EQ(crash_watch_count(one.watch, REQUEST), 1U) << "until it has been checked";
+    EXPECT_TRUE(run_until([&] { return crash_watch_count(one.watch, REQUEST) == 0; }));
+    close(listener);
+    crash_watch_suspect(one.watch, REQUEST, backend);
+    crash_watch_suspect(one.watch, REQUEST + 1, backend);
+    run_until([&, until = uv_hrtime() + 200000000U] { return uv_hrtime() > until; });
+    EXPECT_EQ(crash_watch_count(one.watch, REQUEST), 1U);
+    EXPECT_EQ(crash_watch_count(one.watch, REQUEST + 1), 1U) << "it takes other requests along";
+}
+
+TEST_F(CrashSharing, UnreachableBackEndsDoNotCountIfMostAreUnreachable) {
+    Side &one = open("here");
+    auto add = [&](const char *instance) {
+        auto *record = g_new0(backend_record_t, 1);
+        record->instance = g_strdup(instance);
+        record->service = g_strdup("s");
+        record->zone = g_strdup("here");
+        backends_update(&one.backends, record);
+        return static_cast<backend_t *>(g_hash_table_lookup(one.backends.by_instance, instance));
+    };
+    std::vector<backend_t *> backends;
+    for (const char *instance : {"a", "b", "c", "d", "e", "f"})
+        backends.push_back(add(instance));
+    for (unsigned i = 0; i < 3; i++)
+        backends[i]->unreachable_at = uv_now(loop());
+    for (unsigned i = 0; i < 3; i++)
+        crash_watch_record_unreachable(one.watch, REQUEST, backends[i]);
+    EXPECT_EQ(crash_watch_count(one.watch, REQUEST), 0U);
+    backends[2]->unreachable_at = 0;
+    crash_watch_record_unreachable(one.watch, REQUEST, backends[0]);
+    EXPECT_EQ(crash_watch_count(one.watch, REQUEST), 1U);
+}
+
+} // namespace
