gateways: records of back ends and E830, E831 name the software version

Of the report "streams went on at another build" no log could tell whether that happened within an answer, over a client's attempts, or at the same back end: an entry's version was checked for its type and dropped, and Resumes was read nowhere.

backend_record_t has the version; E830 has version and resumes, E831 version and the events that the caller has. No decision changes. Gateways and storage nodes pass on a back end with a version as an entry, which the versions before read (they reject a short form with a field more); without a version the short form is as before.

--- a/src/cluster/service_directory.c
+++ b/src/cluster/service_directory.c
@@ -133,6 +133,7 @@
     g_free(backend->instance);
     g_free(backend->service);
     g_free(backend->zone);
+    g_free(backend->version);
     g_free(backend);
 }
 
--- a/src/cluster/service_directory.h
+++ b/src/cluster/service_directory.h
@@ -71,6 +71,7 @@
     char *zone;
     struct sockaddr_in address;
     uint32_t slots;
+    char *version; /**< Of the back end's software; NULL: its entry names none. */
     uint64_t born; /**< Unix time in ms at which this life began; 0: unknown. In a record that came
                       in short form: what stands for it, see backend_record_life. */
     bool leaving;
@@ -93,7 +94,10 @@
  * lives of one instance have the same one if they began a multiple of 65,535 ms apart.
  */
 uint16_t backend_record_life(const backend_record_t *backend);
-/** The short form in which processes pass a back end on; the instance is not in there. */
+/**
+ * The short form in which processes pass on a back end without a version; the instance is not in
+ * there.
+ */
 GBytes *backend_record_encode(const backend_record_t *backend);
 /** NULL if @p data is no short form. */
 backend_record_t *backend_record_decode(const char *instance, const void *data, size_t length);
@@ -126,6 +130,11 @@
 } backend_entry_fault_t;
 
 const char *backend_entry_fault_name(backend_entry_fault_t fault);
+/**
+ * Writes a back end as an entry, which directory_read_backend reads: the form in which processes
+ * pass on one with a version, since earlier versions of them reject a short form with a field more.
+ */
+GBytes *directory_write_backend(const backend_record_t *backend);
 /** Reads an entry; NULL and @p fault if it names no back end to use, or to stop using. */
 backend_record_t *directory_read_backend(const char *instance, const char *data, size_t length,
                                          backend_entry_fault_t *fault);
--- a/src/directorysim/stubs.c
+++ b/src/directorysim/stubs.c
@@ -216,6 +216,10 @@
     return record;
 }
 
+GBytes *directory_write_backend(const backend_record_t *backend) {
+    return backend_record_encode(backend);
+}
+
 /* libuv */
 
 int uv_is_active(const uv_handle_t *handle) {
--- a/src/gateway/backends.c
+++ b/src/gateway/backends.c
@@ -235,6 +235,10 @@
     return g_hash_table_size(backends->by_instance);
 }
 
+const char *backend_version_name(const backend_t *backend) {
+    return backend->record->version == NULL ? "-" : backend->record->version;
+}
+
 unsigned backend_slots(const backend_t *backend, unsigned default_slots) {
     unsigned slots = backend->record->slots > 0 ? backend->record->slots : default_slots;
     return slots > 0 ? slots : DEFAULT_SLOTS;
--- a/src/gateway/backends.h
+++ b/src/gateway/backends.h
@@ -108,6 +108,8 @@
 
 /** Concurrent calls of a back end; @p default_slots if it reports none, 0: unknown. */
 unsigned backend_slots(const backend_t *backend, unsigned default_slots);
+/** Name of the software version in its entry; "-" if it names none. */
+const char *backend_version_name(const backend_t *backend);
 /** Speed in percent of the typical one of its service; 100 while there are too few samples. */
 unsigned backend_speed(backend_t *backend);
 /** Median response time of its service's plain calls, in ms; 0: unknown or not measured. */
--- a/src/gateway/call.c
+++ b/src/gateway/call.c
@@ -54,6 +54,7 @@
 static void log_end(call_t *call, unsigned status, call_reason_t reason) {
     gateway_counters_t *counters = &call->gateway->counters;
     uint64_t ms = uv_now(call->gateway->loop) - call->arrived_at;
+    const char *resumed = call_field(call, FIELD_RESUMES);
     if (call->route != NULL)
         latency_histogram_add(&counters->latency[call->route->kind], ms);
     counters->stopped += reason == CALL_BACKENDS_ENDED;
@@ -75,7 +76,9 @@
               call->program == NULL ? "-" : call->program, status, reason_names[reason],
               call->backend == NULL ? "-" : call->backend->record->instance,
               affinity_names[call->affinity], call->sends, call->repeats, call->request_id,
-              crash_watch_count(call->gateway->crashes, call->request_id), ms,
+              crash_watch_count(call->gateway->crashes, call->request_id),
+              call->backend == NULL ? "-" : backend_version_name(call->backend),
+              resumed == NULL ? "-" : resumed, ms,
               call->configuration == NULL ? 0 : call->configuration->version);
 }
 
--- a/src/gateway/call_fields.h
+++ b/src/gateway/call_fields.h
@@ -19,6 +19,7 @@
     FIELD_BUDGET,           /**< Maximum number of tokens of all calls of the program. */
     FIELD_TOKENS,           /**< "PROMPT,MAX": prompt tokens, and maximum of generated tokens. */
     FIELD_PREVIOUS_TURN,    /**< Turn that this one continues. */
+    FIELD_RESUMES,          /**< Caller's attempt that brought the first event of the stream. */
     FIELD_LAST_EVENT,       /**< Last event of a stream that the caller received. */
     FIELD_PRIORITY,         /**< 0 (highest) to 9 at an engine. */
     FIELD_PROMPT_PARTS,     /**< "ID:TOKENS,...": the prompt's parts in order. */
--- a/src/gateway/call_retry.c
+++ b/src/gateway/call_retry.c
@@ -26,7 +26,8 @@
 
 void call_log_send_failed(const call_t *call, const char *reason) {
     event_log(GATEWAY_SEND_FAILED, call->id, call->backend->record->instance, reason, call->sends,
-              call->request_id, crash_watch_count(call->gateway->crashes, call->request_id));
+              call->request_id, crash_watch_count(call->gateway->crashes, call->request_id),
+              backend_version_name(call->backend), call->events.events);
 }
 
 bool call_crash_limit_reached(const call_t *call) {
--- a/src/gateway/directory_watch.c
+++ b/src/gateway/directory_watch.c
@@ -55,7 +55,7 @@
     const void *data = g_bytes_get_data(value, &length);
     backend_record_t *backend = backend_record_decode(instance, data, length);
     backend_entry_fault_t fault;
-    /* Storage nodes may have stored what an earlier version sent them. */
+    /* One with a version, or what an earlier version of this process sent to storage nodes. */
     return backend != NULL ? backend : directory_read_backend(instance, data, length, &fault);
 }
 
@@ -176,7 +176,8 @@
         event_log(BACKEND_ENTRY_REJECTED, instance, backend_entry_fault_name(fault));
 }
 
-/** Converts an entry of the service to its short form; NULL: it names no usable back end. */
+/** Converts an entry of the service to the form that is passed on; NULL: it names no usable back
+ * end. */
 static GBytes *shorten_backend(gateway_t *gateway, const char *instance, GBytes *value) {
     gsize length;
     const char *data = g_bytes_get_data(value, &length);
@@ -186,9 +187,10 @@
         reject_entry(gateway, instance, fault);
         return NULL;
     }
-    GBytes *short_form = backend_record_encode(backend);
+    GBytes *form = backend->version == NULL ? backend_record_encode(backend)
+                                            : directory_write_backend(backend);
     backend_record_free(backend);
-    return short_form;
+    return form;
 }
 
 static void on_item(void *owner, const key_value_item_t *item) {
