--- a/tests/soak/crash_request_test.py
+++ b/tests/soak/crash_request_test.py
@@ -6,31 +6,28 @@
 The last line is JSON. Exit status 0: the scenario's limits held.
 """
 
-import argparse
 import asyncio
 import json
 import os
-import random
 import re
 import shutil
 import signal
 import sys
 import time
-import types
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 
 import soak
 from backends import Backend, event_data
 from callers import RESUMABLE, SAFE
+from direct_fleet import Fleet, Scenario, new_parser, read_options
 from http_message import read_head, read_pieces, render, render_chunk
 from promises import Attempt
 from proxy import reset
 
-ENGINES, SERVICES, POLLERS = 15, 9, 12
+POLLERS = 12
 ENDED_MAX = 3  # Back ends that may end under one request.
 REFUSED_SHARE_MAX = 0.05  # Of equal requests of many callers, for crashes that they did not cause.
-ENTRY_GONE_S, REPLACED_S, RESTART_S = 0.6, 0.5, 0.3
 PAUSE_S = 0.1
 TRIES = 3
 BODY = b"crash"
@@ -48,11 +45,11 @@
         if not request.body.endswith(BODY):
             return await super()._stream(request, attempt_id, fields, writer)
         self.fleet.sends.append((time.monotonic(), self.instance))
-        if self.fleet.events > 0:
+        if self.fleet.options.events > 0:
             fields = fields + [("Transfer-Encoding", "chunked")]
             writer.write(render("HTTP/1.1 200 OK", fields))
         first = int(request.get("last-event-id", "0")) + 1
-        for number in range(first, first + self.fleet.events):
+        for number in range(first, first + self.fleet.options.events):
             data = event_data(attempt_id, request.body, number)
             writer.write(render_chunk(f"id: {number}\ndata: {data}\n\n".encode()))
             await writer.drain()
@@ -62,84 +59,36 @@
         return False
 
 
-class Fleet(soak.World):
-    """Back ends that accept connections without a proxy, so that the port of an ended one refuses."""
+class CrashFleet(Fleet):
+    """Back ends that end under the request with BODY."""
 
     def __init__(self, options, *arguments):
-        super().__init__(*arguments)
-        self.events = options.events
-        self.restart = options.restart
-        self.pace = options.pace
+        super().__init__(options, *arguments)
         self.sends = []  # (time, instance) of the request that ends back ends.
         self.ends = []
-        self.tasks = []
 
-    async def add_backend(self, service):
-        self.started += 1
-        backend = CrashingBackend(self, f"i-{self.started:04d}", service, service == "engine",
+    def new_backend(self, instance, service):
+        backend = CrashingBackend(self, instance, service, service == "engine",
                                   self.random.random(), self.promises)
-        backend.port = self.ports.take()
-        backend.pace = self.pace
-        await backend.start(backend.port)
-        entry = types.SimpleNamespace(
-            listen_port=backend.port, far_zone=soak.ZONES[self.started % len(soak.ZONES)])
-        self.backends.append((backend, entry))
-        self._register(backend, entry, "ready")
+        backend.pace = self.options.pace
+        return backend
 
     def end(self, backend):
         """The process of the back end ends under the request."""
         self.ends.append((time.monotonic(), backend.instance))
         self.crash(backend)
 
-    def crash(self, backend):
-        backend.stop()
-        self.tasks.append(asyncio.ensure_future(
-            self._start_again(backend) if self.restart else self._replace(backend)))
-
-    async def _start_again(self, backend):
-        await asyncio.sleep(RESTART_S)
-        await backend.start(backend.port)
 
-    async def _replace(self, backend):
-        await asyncio.sleep(ENTRY_GONE_S)
-        self.key_value.put(f"servers/{backend.instance}", None)
-        self.backends = [pair for pair in self.backends if pair[0] is not backend]
-        await asyncio.sleep(REPLACED_S)
-        await self.add_backend(backend.service)
+class CrashScenario(Scenario):
+    """A request under which back ends end, beside programs."""
 
-
-class Scenario(soak.Soak):
-    """A fleet with programs that run beside the requests in question."""
+    new_fleet = CrashFleet
 
     def __init__(self, options):
         super().__init__(options)
-        self.random = random.Random(options.seed)
         self.statuses = []
         self.attempts = set()  # Of the request that ends back ends.
 
-    async def start(self):
-        options = self.options
-        await self.key_value.start(options.base_port)
-        self.cluster = soak.Cluster(
-            options.build, options.folder, options.base_port + 1, options.base_port, self.promises)
-        self.fleet = self.world = Fleet(
-            options, self.key_value, self.cluster.ports, self.promises, self.cluster, options.seed, [])
-        self.world.edit()
-        for service, count in (("engine", ENGINES), ("service", SERVICES)):
-            for _ in range(count):
-                await self.world.add_backend(service)
-        for kind, count in (("store", 3), ("gateway", 3)):
-            for _ in range(count):
-                node = self.cluster.add(kind, first_start=kind == "store")
-                await node.prepare()
-                node.start()
-        self.caller = soak.Caller(self.promises, self.cluster.gateways, options.seed)
-        if not await self._wait_for("the start", self._all_start):
-            return False
-        self.work = [asyncio.create_task(self._run_programs()) for _ in range(self.options.programs)]
-        await asyncio.sleep(1.0)
-        return True
-
     async def send_once(self, gateway, fields, last_event, first_id):
         """One try of the request that ends back ends; returns (id, status, last event, pause)."""
         attempt_id = self.caller.new_id()
@@ -265,45 +214,20 @@
             polls.append(status)
             await asyncio.sleep(0.005)
 
-    async def play(self):
-        if not await self.start():
-            return {"held": False, "detail": "the cluster did not start"}
-        try:
-            report = await getattr(self, self.options.scenario)()
-            if not self.options.restart:
-                await asyncio.gather(*self.fleet.tasks)
-            self.running = False
-            await asyncio.wait_for(asyncio.gather(*self.work), soak.RECOVER_S)
-            report["others"] = {str(key): count for key, count in self.promises.statuses.items()}
-            return report
-        finally:
-            self.cluster.stop_all()
-
 
-def read_options():
-    parser = argparse.ArgumentParser(description=__doc__.split("\n\n")[0])
-    parser.add_argument("--build", default="build", help="folder of the programs")
-    parser.add_argument("--folder", default="soak-run/crash-request", help="folder of logs and data")
-    parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--base-port", type=int, default=12000)
+def read_crash_options():
+    parser = new_parser(__doc__, "crash-request",
+                        ["tries", "anonymous", "gateway_killed", "stores_away", "bystanders"])
     parser.add_argument("--events", type=int, default=0, help="events before a back end ends")
-    parser.add_argument("--restart", action="store_true",
-                        help="ended back ends start again under their id and address")
-    parser.add_argument("--programs", type=int, default=12, help="programs beside the request")
     parser.add_argument("--pace", type=int, default=1, help="how many times as long events take")
-    parser.add_argument("scenario", choices=["tries", "anonymous", "gateway_killed", "stores_away",
-                                             "bystanders"])
-    options = parser.parse_args()
-    options.features = []
-    options.build, options.folder = os.path.abspath(options.build), os.path.abspath(options.folder)
-    return options
+    return read_options(parser)
 
 
 def main():
-    options = read_options()
+    options = read_crash_options()
     shutil.rmtree(options.folder, ignore_errors=True)
     os.makedirs(options.folder)
-    scenario = Scenario(options)
+    scenario = CrashScenario(options)
     report = asyncio.new_event_loop().run_until_complete(scenario.play())
     report["broken"] = len(scenario.promises.broken)
     print(json.dumps(report), flush=True)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -82,8 +82,9 @@
         if self.born:
             backend.pace = self.paces.choice(PACES)
 
-    def _register(self, backend, proxy, state):
+    def _register(self, backend, proxy, state, fields=None):
         entry = {
+            **(fields or {}),
             "service": backend.service,
             "address": f"127.0.0.1:{proxy.listen_port}",
             "zone": proxy.far_zone,
