--- /dev/null
+++ b/tests/integration/version_stream_test.sh
@@ -0,0 +1,13 @@
+# Sourced by scripts/check.sh: streams over back ends of two software versions.
+version_stream() { # OPTIONS SCENARIO
+    python3 tests/soak/version_stream_test.py --build "$BUILD" --folder "$CLUSTER_DIR/version-stream" \
+        --base-port "$((10000 + RANDOM % 15000))" "$@"
+}
+
+expect "a stream goes on only at the version that began it" version_stream quiet
+expect "a stream goes on only at the version that began it though gateways are killed" \
+    version_stream gateways_killed
+expect "a stream goes on only at the version that began it though engines start again as another" \
+    version_stream --restart quiet
+expect "a stream goes on only at the version that began it while storage nodes are away" \
+    version_stream stores_away
