gateways: a stream goes on only at the software version that began it

Cause: the version of a back end was no part of a choice or of a stream. A broken stream was resumed at any back end, and an attempt with Last-Event-Id was placed like a new call; Resumes was not read.

Change: choices can be restricted to a version. The version of a resumable stream is recorded before its first event goes out, under tenant and first attempt, at the gateway and at up to three storage nodes, for a minute; a gateway that gets the next attempt asks. Nobody knows it, or no back end of it is left: 503 at once. While a service has one version nothing is asked. After a broken or refused connection the version of a back end is in doubt, since its entry may be of an earlier process (core: backend_version_certain).

Why it works: there is one place where a back end is chosen, and one where a stream's events pass; both know the version now, and who does not know refuses.

--- a/src/cluster/message.c
+++ b/src/cluster/message.c
@@ -226,6 +226,14 @@
     case MESSAGE_DISK_LAG:
         codec_uint32(codec, &message->lag_ms);
         break;
+    case MESSAGE_STREAM:
+    case RESPONSE_STREAM:
+        codec_uint64(codec, &message->stream);
+        codec_uint64(codec, &message->version);
+        break;
+    case REQUEST_STREAM:
+        codec_uint64(codec, &message->stream);
+        break;
     case RECORD_TIME:
         codec_uint64(codec, &message->time);
         break;
--- a/src/cluster/message.h
+++ b/src/cluster/message.h
@@ -54,6 +54,9 @@
                                   RESPONSE_ALLOWANCE, unsure if the program may not begin. */
     MESSAGE_DISK_LAG,          /**< Before a RESPONSE_RESERVE with the same number: how long the
                                   member's disk has not finished a write. */
+    MESSAGE_STREAM,            /**< The version of the back end that began a stream; no answer. */
+    REQUEST_STREAM,            /**< Ask for the version of a stream. */
+    RESPONSE_STREAM,
     MESSAGE_TYPE_COUNT,
 } message_type_t;
 
@@ -83,6 +86,8 @@
     bool room;       /**< The member can keep one more turn. */
     uint64_t time;   /**< Of the log, in ms. */
     uint64_t place;  /**< Hash of the back end's instance where the program last ran; 0: unknown. */
+    uint64_t stream; /**< Key of a stream; see stream_versions.h. */
+    uint64_t version; /**< Of that stream; VERSION_ANY: it is not known. */
     char *turn_id;
     uint64_t revision;   /**< Of the directory snapshot, or up to which all changes are known. */
     uint64_t view;       /**< Digest of the directory snapshot that a follower has; 0: none. */
--- a/src/gateway/backend_choice.c
+++ b/src/gateway/backend_choice.c
@@ -44,6 +44,9 @@
         backend->expiry_grace_end > 0 && uv_now(backend->loop) >= backend->expiry_grace_end;
     if (backend->record->leaving || expired)
         return false;
+    if (choice->version != VERSION_ANY && (backend->version != choice->version ||
+                                           (choice->certain && !backend_version_certain(backend))))
+        return false;
     return choice->excluded == NULL ||
            !g_ptr_array_find((GPtrArray *)choice->excluded, backend, NULL);
 }
@@ -269,7 +272,8 @@
 static void add_sampled_remote(engine_options_t *engines, const GPtrArray *remote,
                                const backend_t *last_engine, const backend_choice_t *choice,
                                uint64_t sample) {
-    guint count = MIN(remote->len, REMOTE_ENGINE_SAMPLES);
+    bool all = choice->version != VERSION_ANY; /* A sample may have none of the version. */
+    guint count = all ? remote->len : MIN(remote->len, REMOTE_ENGINE_SAMPLES);
     for (guint i = 0; i < count; i++) {
         guint index = (guint)((sample + (uint64_t)i * remote->len / count) % remote->len);
         backend_t *backend = g_ptr_array_index(remote, index);
--- a/src/gateway/backends.c
+++ b/src/gateway/backends.c
@@ -15,6 +15,9 @@
     OVERDUE_REPORT_MS = 600,     /**< Reported ejection time; renewed while a request is overdue. */
     SMOOTHING_DIVISOR = 8,       /**< EWMA weight of a response time is 1 / this. */
     IDLE_CONNECTIONS_MAX = 32,
+    /** A process that has started writes its entry within a heartbeat of a second or two. */
+    VERSION_DOUBT_MS = 5000,
+    VERSION_ENTRY_LAG_MS = 1000, /**< From the write of an entry until gateways have it. */
     DEFAULT_SLOTS = 12,
 };
 
@@ -22,6 +25,7 @@
     service_members_t *members = data;
     g_ptr_array_free(members->local, TRUE);
     g_ptr_array_free(members->remote, TRUE);
+    g_hash_table_destroy(members->versions);
     g_free(members);
 }
 
@@ -32,6 +36,7 @@
     members = g_new0(service_members_t, 1);
     members->local = g_ptr_array_new();
     members->remote = g_ptr_array_new();
+    members->versions = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
     g_hash_table_insert(backends->by_service, g_strdup(service), members);
     return members;
 }
@@ -43,11 +48,119 @@
     return record->born == 0 ? &members->without_start_time : &members->with_start_time;
 }
 
+/* Versions. */
+
+static unsigned version_count(const service_members_t *members, software_version_t version) {
+    return GPOINTER_TO_UINT(g_hash_table_lookup(members->versions, &version));
+}
+
+static void set_version_count(service_members_t *members, software_version_t version,
+                              unsigned count) {
+    if (count == 0)
+        g_hash_table_remove(members->versions, &version);
+    else
+        g_hash_table_insert(members->versions, g_memdup2(&version, sizeof version),
+                            GUINT_TO_POINTER(count));
+}
+
+static void add_version(backends_t *backends, service_members_t *members,
+                        software_version_t version) {
+    bool another = members->latest_version != VERSION_ANY && members->latest_version != version;
+    if (another)
+        members->differed_at = uv_now(backends->loop);
+    members->latest_version = version;
+    set_version_count(members, version, version_count(members, version) + 1);
+}
+
+static void remove_version(backends_t *backends, service_members_t *members,
+                           software_version_t version) {
+    if (g_hash_table_size(members->versions) > 1)
+        members->differed_at = uv_now(backends->loop);
+    set_version_count(members, version, version_count(members, version) - 1);
+}
+
+bool backends_versions_differ(const backends_t *backends, const char *service) {
+    const service_members_t *members = g_hash_table_lookup(backends->by_service, service);
+    if (members == NULL)
+        return false;
+    bool recently = members->differed_at > 0 &&
+                    uv_now(backends->loop) < members->differed_at + STREAM_VERSION_RETENTION_MS;
+    return recently || g_hash_table_size(members->versions) > 1;
+}
+
+bool backends_version_always_same(const backends_t *backends, const char *service) {
+    const service_members_t *members = g_hash_table_lookup(backends->by_service, service);
+    if (members == NULL || backends_versions_differ(backends, service))
+        return false;
+    bool unnamed = members->latest_version == VERSION_UNNAMED;
+    return unnamed || uv_now(backends->loop) >= backends->opened_at + STREAM_VERSION_RETENTION_MS;
+}
+
+software_version_t backends_latest_version(const backends_t *backends, const char *service) {
+    const service_members_t *members = g_hash_table_lookup(backends->by_service, service);
+    if (members == NULL)
+        return VERSION_UNKNOWN;
+    if (g_hash_table_size(members->versions) != 1)
+        return members->latest_version;
+    GHashTableIter iterator;
+    gpointer version;
+    g_hash_table_iter_init(&iterator, members->versions);
+    g_hash_table_iter_next(&iterator, &version, NULL);
+    return *(const software_version_t *)version;
+}
+
+static bool list_serves_version(const GPtrArray *list, software_version_t version) {
+    for (guint i = 0; i < list->len; i++) {
+        const backend_t *backend = g_ptr_array_index(list, i);
+        if (backend->version == version && !backend->record->leaving)
+            return true;
+    }
+    return false;
+}
+
+bool backends_serve_version(const backends_t *backends, const char *service,
+                            software_version_t version) {
+    const service_members_t *members = g_hash_table_lookup(backends->by_service, service);
+    return members != NULL && (list_serves_version(members->local, version) ||
+                               list_serves_version(members->remote, version));
+}
+
+void backend_doubt_version(backend_t *backend) {
+    backend->version_doubted_at = uv_now(backend->loop);
+}
+
+void backend_trust_version(backend_t *backend, uint64_t since) {
+    if (backend->version_doubted_at <= since)
+        backend->version_doubted_at = 0;
+}
+
+void backends_doubt_version(const backends_t *backends, uint16_t id_bits) {
+    GHashTableIter iterator;
+    gpointer value;
+    g_hash_table_iter_init(&iterator, backends->by_hash);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        backend_t *backend = value;
+        if ((uint16_t)backend->id_hash == id_bits)
+            backend_doubt_version(backend);
+    }
+}
+
+bool backend_version_certain(const backend_t *backend) {
+    uint64_t doubted_at = backend->version_doubted_at;
+    if (doubted_at == 0)
+        return true;
+    bool updated = backend->version_updated_at >= doubted_at &&
+                   uv_now(backend->loop) >= doubted_at + VERSION_ENTRY_LAG_MS;
+    return updated || backend->owner->confirmed_at >= doubted_at + VERSION_DOUBT_MS;
+}
+
 static void add_to_index(backends_t *backends, backend_t *backend) {
     service_members_t *members = find_or_add_service(backends, backend->record->service);
     unsigned *counter = start_time_counter(members, backend->record);
     if (counter != NULL)
         ++*counter;
+    backend->version = software_version(backend->record->version);
+    add_version(backends, members, backend->version);
     backend->local = strcmp(backend->record->zone, backends->zone) == 0;
     backend->list = backend->local ? members->local : members->remote;
     backend->list_index = backend->list->len;
@@ -60,14 +173,17 @@
     last->list_index = backend->list_index;
     g_ptr_array_remove_index_fast(backend->list, backend->list_index);
     backend->list = NULL;
-    unsigned *counter = start_time_counter(
-        find_or_add_service(backend->owner, backend->record->service), backend->record);
+    service_members_t *members = find_or_add_service(backend->owner, backend->record->service);
+    remove_version(backend->owner, members, backend->version);
+    unsigned *counter = start_time_counter(members, backend->record);
     if (counter != NULL)
         --*counter;
 }
 
 void backends_init(backends_t *backends, uv_loop_t *loop, const char *zone, const char *gateway) {
     backends->loop = loop;
+    backends->opened_at = uv_now(loop);
+    backends->confirmed_at = 0;
     backends->zone = g_strdup(zone);
     backends->by_instance = g_hash_table_new(g_str_hash, g_str_equal);
     backends->by_hash = g_hash_table_new(g_int64_hash, g_int64_equal);
@@ -146,6 +262,7 @@
         return;
     }
     backend->expiry_grace_end = 0;
+    backend->version_updated_at = uv_now(backend->loop);
     g_hash_table_remove(backends->expired, backend);
     if (has_restarted(backend, record))
         start_incarnation(backend);
@@ -338,6 +455,8 @@
 
 static void on_idle_closed(void *owner, http_client_t *client) {
     backend_t *backend = owner;
+    if (uv_now(backend->loop) < http_client_idle_until(client))
+        backend_doubt_version(backend);
     g_ptr_array_remove(backend->idle, client);
 }
 
--- a/src/gateway/backends.h
+++ b/src/gateway/backends.h
@@ -19,6 +19,7 @@
 #include "core/routing/engine_choice.h"
 #include "core/routing/engine_limit.h"
 #include "core/routing/engine_baseline.h"
+#include "core/routing/stream_versions.h"
 #include "net/http_client.h"
 
 /** The back ends of one service. */
@@ -28,7 +29,10 @@
     engine_baseline_t baseline;  /**< Running baseline of its turns; see engine_load.h. */
     unsigned with_start_time;    /**< Back ends that report a start time, except leaving ones. */
     unsigned without_start_time; /**< Back ends that report none, except leaving ones. */
-    uint64_t sample_counter;     /**< Seeds the random bits; incremented by each placement. */
+    GHashTable *versions;        /**< Software versions of its back ends: the number of each. */
+    software_version_t latest_version; /**< Of the back end added last. */
+    uint64_t differed_at;              /**< When it last had back ends of two versions; 0: never. */
+    uint64_t sample_counter;           /**< Seeds the random bits; incremented by each placement. */
 } service_members_t;
 
 typedef struct {
@@ -39,13 +43,16 @@
     gint references; /**< Of the table, and of the calls at this back end. */
     bool removed;    /**< Removed from the directory. */
     uint64_t
-        expiry_grace_end;    /**< End of the grace period of an expired entry; 0: entry present. */
-    uint64_t id_hash;        /**< Of the instance; its id in messages between gateways. */
-    unsigned under_way;      /**< Active calls of this gateway. */
-    unsigned suspects;       /**< Of these, requests under which back ends have ended. */
-    unsigned peer_calls;     /**< Active calls of the other gateways, as last reported. */
-    ejection_t ejection;     /**< After connection resets, here or at other gateways. */
-    bool ejected_by_peers;   /**< Ejected by reports of other gateways, at the latest check. */
+        expiry_grace_end;  /**< End of the grace period of an expired entry; 0: entry present. */
+    uint64_t id_hash;      /**< Of the instance; its id in messages between gateways. */
+    unsigned under_way;    /**< Active calls of this gateway. */
+    unsigned suspects;     /**< Of these, requests under which back ends have ended. */
+    unsigned peer_calls;   /**< Active calls of the other gateways, as last reported. */
+    ejection_t ejection;   /**< After connection resets, here or at other gateways. */
+    bool ejected_by_peers; /**< Ejected by reports of other gateways, at the latest check. */
+    software_version_t version;
+    uint64_t version_doubted_at; /**< See backend_version_certain; 0: never. */
+    uint64_t version_updated_at; /**< When its entry last changed. */
     uint64_t incarnation_id; /**< Hash of instance and start time; 0: it reports no start time. */
     uint64_t incarnation_since;      /**< When a restart was detected; 0: never. */
     struct incarnation_speed *speed; /**< See backend_speeds.h; NULL: not measured. */
@@ -72,15 +79,19 @@
     GHashTable *to_report; /**< Set of backend_t that may have to be reported to other gateways. */
     GHashTable *reported_by_peers; /**< Set of backend_t that other gateways report now. */
     struct backend_speeds *speeds;
-    uint64_t seed; /**< Differs by gateway; see core/routing/service_choice.h. */
+    uint64_t opened_at;
+    uint64_t confirmed_at; /**< When the directory was last confirmed; 0: never. */
+    uint64_t seed;         /**< Differs by gateway; see core/routing/service_choice.h. */
     uint64_t connections_opened;
     uint64_t changes; /**< Incremented when a call begins or ends. */
 } backends_t;
 
 typedef struct {
     const char *service;
-    const GPtrArray *excluded; /**< Back ends tried already; of backend_t. */
-    unsigned slots;            /**< Default for engines that don't report theirs; 0: unknown. */
+    const GPtrArray *excluded;  /**< Back ends tried already; of backend_t. */
+    unsigned slots;             /**< Default for engines that don't report theirs; 0: unknown. */
+    software_version_t version; /**< Of the back ends to choose from; VERSION_ANY: all. */
+    bool certain;               /**< With a version: only those whose version is certain. */
 } backend_choice_t;
 
 /** @p gateway: name of this gateway; seeds its order of otherwise equal back ends. */
@@ -108,6 +119,32 @@
 
 /** Concurrent calls of a back end; @p default_slots if it reports none, 0: unknown. */
 unsigned backend_slots(const backend_t *backend, unsigned default_slots);
+/** The process at the back end's address may be another than that which wrote its entry. */
+void backend_doubt_version(backend_t *backend);
+/** The same for the back ends with these low bits of backend_t.id_hash. */
+void backends_doubt_version(const backends_t *backends, uint16_t id_bits);
+/** A connection to the back end showed that its process has not ended since @p since. */
+void backend_trust_version(backend_t *backend, uint64_t since);
+/**
+ * False if its version has been in doubt since, and it is not yet certain that its entry is of the
+ * process that serves now. An entry that changes soon after the doubt began may have been written
+ * before; the entry counts once VERSION_ENTRY_LAG_MS are over. If it does not change, the directory
+ * must have been confirmed VERSION_DOUBT_MS after the doubt began.
+ */
+bool backend_version_certain(const backend_t *backend);
+/** True if the service has, or had in STREAM_VERSION_RETENTION_MS, back ends of two versions. */
+bool backends_versions_differ(const backends_t *backends, const char *service);
+/**
+ * True if all back ends of the service are known to have had one version as long as a stream may be
+ * taken up: a gateway that has just started does not know, unless the entries name none.
+ */
+bool backends_version_always_same(const backends_t *backends, const char *service);
+/** The only version of the service's back ends, or else that of the latest one; VERSION_UNKNOWN:
+ * there are none. */
+software_version_t backends_latest_version(const backends_t *backends, const char *service);
+/** True if some back end of the service that is not leaving has this version. */
+bool backends_serve_version(const backends_t *backends, const char *service,
+                            software_version_t version);
 /** Name of the software version in its entry; "-" if it names none. */
 const char *backend_version_name(const backend_t *backend);
 /** Speed in percent of the typical one of its service; 100 while there are too few samples. */
--- a/src/gateway/call.c
+++ b/src/gateway/call.c
@@ -30,7 +30,8 @@
     "backend_refused", "backend_lost",       "bad_answer",   "timed_out",      "over_budget",
     "budget_unsure",   "budget_not_durable", "no_such_turn", "turn_unsure",    "turn_not_kept",
     "no_room",         "disks_lag",          "caller_gone",  "stopping",       "unknown_key",
-    "other_tenant",    "over_quota",         "quota_unsure", "backends_ended",
+    "other_tenant",    "over_quota",         "quota_unsure", "backends_ended", "version_unknown",
+    "version_gone",
 };
 
 static const char *const affinity_names[AFFINITY_COUNT] = {"-", "new", "kept", "moved"};
@@ -106,6 +107,7 @@
     log_end(call, status, reason);
     call_cancel_exchange(call);
     call_turn_end(call);
+    call_version_end(call);
     call_quota_end(call);
     call->caller = NULL;
     uv_close((uv_handle_t *)&call->deadline_timer, free_call);
@@ -343,7 +345,7 @@
     }
     if (call_turn_refuse_if_isolated(call))
         return;
-    if (call_quota_begin(call))
+    if (call_version_begin(call) && call_quota_begin(call))
         call_turn_begin(call);
 }
 
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -38,8 +38,10 @@
     CALL_UNKNOWN_KEY,
     CALL_OTHER_TENANT, /**< The previous turn belongs to another tenant. */
     CALL_OVER_QUOTA,
-    CALL_QUOTA_UNKNOWN,  /**< No storage node decided on the quota. */
-    CALL_BACKENDS_ENDED, /**< Too many back ends have ended under the request. */
+    CALL_QUOTA_UNKNOWN,   /**< No storage node decided on the quota. */
+    CALL_BACKENDS_ENDED,  /**< Too many back ends have ended under the request. */
+    CALL_VERSION_UNKNOWN, /**< No back end is known to run the version that began the stream. */
+    CALL_VERSION_GONE,    /**< No back end runs the version that began the stream. */
     CALL_REASON_COUNT,
 } call_reason_t;
 
@@ -74,6 +76,13 @@
     uint32_t retry_after_ms;
 } call_quota_t;
 
+/** The version of a resumable stream; see call_version.c. */
+typedef struct {
+    uint64_t key;               /**< See stream_version_key. */
+    software_version_t version; /**< VERSION_ANY while the caller has no event. */
+    stream_request_t *pending;  /**< Request in progress; NULL: none. */
+} call_stream_t;
+
 /** Event times of the current send, in ms of loop time; see call_speed.c. */
 typedef struct {
     uint64_t sent_at;      /**< Identifies the send that this belongs to. */
@@ -122,6 +131,7 @@
     bool suspect;              /**< The current send counts in backend_t.suspects. */
     uint64_t last_received_at; /**< When bytes of the response were last received; initially
                                   `sent_at`. */
+    bool version_recorded;     /**< The version of the back end of this send; call_version.c. */
     bool answered;             /**< A response to the current send has begun. */
     bool misdirected;          /**< The back end's address now belongs to another instance. */
     bool may_have_run;         /**< Some back end may have run the call. */
@@ -137,6 +147,7 @@
     event_stream_t events;
     call_speed_t speed;
     call_turn_t turn;
+    call_stream_t stream;
     call_quota_t quota;
 } call_t;
 
@@ -229,6 +240,22 @@
 /** Cancels a pending request and gives an unused token back. */
 void call_quota_end(call_t *call);
 
+/* call_version.c */
+
+/**
+ * Finds the version of the stream that the call takes up, if it does; false if the call has been
+ * refused. The call is not sent before the version is found.
+ */
+bool call_version_begin(call_t *call);
+/** Cancels a pending request. */
+void call_version_end(call_t *call);
+/** True if the stream may go on at the back end of the current send. */
+bool call_version_served_by_backend(const call_t *call);
+/** Records the version of the stream; called before the first event of a send is forwarded. */
+void call_version_record(call_t *call);
+/** Records that the version of the stream is not known if the back end's entry has changed. */
+void call_version_check(call_t *call);
+
 /* call_turn.c */
 
 /**
--- a/src/gateway/call_placement.c
+++ b/src/gateway/call_placement.c
@@ -113,6 +113,7 @@
         .service = call->service_name,
         .excluded = call->tried,
         .slots = call->service->slots,
+        .version = call->stream.version,
     };
     placement_request_t request = {.turn = parse_prompt(call), .wants_free_ms = true};
     placement_t placement;
--- a/src/gateway/call_retry.c
+++ b/src/gateway/call_retry.c
@@ -35,8 +35,8 @@
 }
 
 static resend_state_t describe_sends(const call_t *call) {
-    bool usable =
-        call->backend != NULL && !call->backend->removed && !call->backend->record->leaving;
+    bool usable = call->backend != NULL && !call->backend->removed &&
+                  !call->backend->record->leaving && call_version_served_by_backend(call);
     return (resend_state_t){
         .attempts = call->route->attempts,
         .backends = call->backends_sent,
@@ -145,6 +145,7 @@
 }
 
 void call_handle_not_sent(call_t *call) {
+    backend_doubt_version(call->backend);
     call->sends--;
     call_quota_record_not_run(call);
     if (call->repeating) {
--- a/src/gateway/call_send.c
+++ b/src/gateway/call_send.c
@@ -137,6 +137,12 @@
         call_handle_unknown_outcome(call, CALL_BAD_ANSWER);
         return false;
     }
+    if (is_success(head->status) && !call_version_served_by_backend(call)) {
+        call_log_send_failed(call, "other_version");
+        call->client = NULL;
+        call_handle_unknown_outcome(call, CALL_BAD_ANSWER);
+        return false;
+    }
     call_speed_record_head(call, head->status);
     call->misdirected = head->status == STATUS_MISDIRECTED;
     call->not_run = call->misdirected ||
@@ -152,6 +158,15 @@
     return true;
 }
 
+/** Records the version of the back end with the first event of each send, and when it changes. */
+static void record_version(call_t *call) {
+    if (!call->version_recorded)
+        call_version_record(call);
+    else
+        call_version_check(call);
+    call->version_recorded = true;
+}
+
 static void on_body(void *user, const char *data, size_t length) {
     call_t *call = user;
     record_received(call);
@@ -161,11 +176,14 @@
         return;
     }
     size_t before = call->body->len;
-    bool is_first = call->events.events == 0;
+    unsigned events = call->events.events;
+    bool is_first = events == 0;
     event_stream_feed(&call->events, data, length, call->body);
     call_speed_record_events(call);
     if (is_first && call->events.events > 0)
         call_placement_first_event(call);
+    if (call->events.events > events)
+        record_version(call);
     if (call->body->len > before)
         call_forward_events(call);
 }
@@ -260,10 +278,13 @@
 static bool choose_backend(call_t *call) {
     backends_t *backends = &call->gateway->backends;
     load_sharing_refresh(call->gateway->load_sharing);
+    gateway_update_confirmation(call->gateway);
     backend_choice_t choice = {
         .service = call->service_name,
         .excluded = call->tried,
         .slots = call->service == NULL ? 0 : call->service->slots,
+        .version = call->stream.version,
+        .certain = backends_versions_differ(backends, call->service_name),
     };
     engine_request_t request = {.place = call->last_engine, .part = prompt_part_hash(call)};
     if (crash_watch_count(call->gateway->crashes, call->request_id) == CRASHES_MAX - 1)
@@ -304,6 +325,7 @@
     }
     call->not_run = false;
     call->answered = false;
+    call->version_recorded = false;
     call->sent_at = uv_now(gateway->loop);
     call->last_received_at = call->sent_at;
     call->sends++;
--- a/src/gateway/call_turn.c
+++ b/src/gateway/call_turn.c
@@ -30,7 +30,8 @@
 
 void call_turn_send_if_ready(call_t *call) {
     const call_turn_t *turn = &call->turn;
-    bool ready = turn->prompt_ready && (!turn->budgeted || turn->reserve_durable);
+    bool ready = turn->prompt_ready && call->stream.pending == NULL &&
+                 (!turn->budgeted || turn->reserve_durable);
     if (ready && call_quota_ready(call))
         call_send(call);
 }
--- a/src/gateway/crash_watch.c
+++ b/src/gateway/crash_watch.c
@@ -6,6 +6,7 @@
 enum {
     FAILURES_NEEDED = 2, /**< A busy back end refuses some connections. */
     POLL_INTERVAL_MS = 10,
+    RESTART_MIN_MS = 100,
     REFUSED_WITHIN_MS = 100, /**< A connection that fails later has timed out. */
 };
 
@@ -28,6 +29,7 @@
 
 struct crash_watch {
     uv_loop_t *loop;
+    backends_t *backends;
     load_sharing_t *sharing;
     crash_history_t *history;
     GHashTable *checks; /**< backend_t.id_hash to check_t. */
@@ -50,6 +52,7 @@
         return crash_history_clear(watch->history, report->request, report->at);
     if (!crash_history_add(watch->history, report, true))
         return false;
+    backends_doubt_version(watch->backends, report->backend);
     log_if_stopped(watch, report->request);
     return true;
 }
@@ -61,8 +64,9 @@
 
 static const crash_sharing_handler_t sharing_handler = {on_crash_report, list_crashes};
 
-crash_watch_t *crash_watch_new(uv_loop_t *loop, load_sharing_t *sharing) {
+crash_watch_t *crash_watch_new(uv_loop_t *loop, backends_t *backends, load_sharing_t *sharing) {
     crash_watch_t *watch = g_new0(crash_watch_t, 1);
+    watch->backends = backends;
     watch->loop = loop;
     watch->sharing = sharing;
     watch->history = crash_history_new();
@@ -91,6 +95,11 @@
     uv_close((uv_handle_t *)&check->timer, free_check);
 }
 
+/** Longer than that after its connections broke, a process that accepts one may be a new one. */
+static bool is_same_process(const check_t *check) {
+    return now(check->watch) < check->begun_at + RESTART_MIN_MS;
+}
+
 static void remove_crashes(check_t *check, const char *outcome) {
     log_check(check, outcome);
     for (guint i = 0; i < check->crashes->len; i++) {
@@ -122,6 +131,13 @@
         confirm_crashes(check, "unreachable");
 }
 
+static void conclude_alive(check_t *check) {
+    backend_t *backend = backends_find_hash(check->backends, check->backend);
+    if (backend != NULL && is_same_process(check))
+        backend_trust_version(backend, now(check->watch));
+    remove_crashes(check, "alive");
+}
+
 static void on_closed(void *owner, http_client_t *client);
 
 static void open_connection(check_t *check) {
@@ -135,7 +151,7 @@
     check_t *check = owner;
     check->client = NULL;
     if (http_client_connected(client)) {
-        remove_crashes(check, "alive");
+        conclude_alive(check);
         return;
     }
     check->refused |= now(check->watch) < check->opened_at + REFUSED_WITHIN_MS;
@@ -149,7 +165,7 @@
 static void on_poll(uv_timer_t *timer) {
     check_t *check = timer->data;
     if (check->client != NULL && http_client_connected(check->client))
-        remove_crashes(check, "alive");
+        conclude_alive(check);
 }
 
 static check_t *new_check(crash_watch_t *watch, const backend_t *backend) {
@@ -173,7 +189,8 @@
     return (crash_report_t){request, now(watch), (uint16_t)backend->id_hash, false};
 }
 
-void crash_watch_suspect(crash_watch_t *watch, uint64_t request, const backend_t *backend) {
+void crash_watch_suspect(crash_watch_t *watch, uint64_t request, backend_t *backend) {
+    backend_doubt_version(backend);
     crash_report_t crash = new_crash(watch, request, backend);
     if (!crash_history_add(watch->history, &crash, false))
         return;
@@ -188,8 +205,8 @@
     open_connection(check);
 }
 
-void crash_watch_record_unreachable(crash_watch_t *watch, uint64_t request,
-                                    const backend_t *backend) {
+void crash_watch_record_unreachable(crash_watch_t *watch, uint64_t request, backend_t *backend) {
+    backend_doubt_version(backend);
     if (backends_mostly_unreachable(backend->owner, backend->record->service))
         return;
     crash_report_t crash = new_crash(watch, request, backend);
--- a/src/gateway/crash_watch.h
+++ b/src/gateway/crash_watch.h
@@ -18,13 +18,15 @@
 
 typedef struct crash_watch crash_watch_t;
 
-/** Reports crashes to other gateways by @p sharing, and receives theirs. */
-crash_watch_t *crash_watch_new(uv_loop_t *loop, load_sharing_t *sharing);
+/**
+ * Reports crashes to other gateways by @p sharing, and receives theirs, by which the versions of
+ * those of @p backends are in doubt.
+ */
+crash_watch_t *crash_watch_new(uv_loop_t *loop, backends_t *backends, load_sharing_t *sharing);
 /** The connection to @p backend broke under @p request: counts as a crash while that is checked. */
-void crash_watch_suspect(crash_watch_t *watch, uint64_t request, const backend_t *backend);
+void crash_watch_suspect(crash_watch_t *watch, uint64_t request, backend_t *backend);
 /** Probes found @p backend unreachable under @p request. */
-void crash_watch_record_unreachable(crash_watch_t *watch, uint64_t request,
-                                    const backend_t *backend);
+void crash_watch_record_unreachable(crash_watch_t *watch, uint64_t request, backend_t *backend);
 /** The request got a complete response. */
 void crash_watch_record_response(crash_watch_t *watch, uint64_t request);
 /** Number of back ends that have ended under the request. */
--- a/src/gateway/directory_role.c
+++ b/src/gateway/directory_role.c
@@ -83,6 +83,13 @@
                             uv_now(gateway->loop));
 }
 
+void gateway_update_confirmation(gateway_t *gateway) {
+    uint32_t age = gateway->watch == NULL ? UINT32_MAX : gateway_directory_age(gateway);
+    uint64_t now = uv_now(gateway->loop);
+    if (age < now)
+        gateway->backends.confirmed_at = now - age;
+}
+
 /* Feed: gateways that follow this one. */
 
 static void read_feed_state(void *owner, directory_feed_state_t *state) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -27,6 +27,7 @@
 #include "gateway/stall_watch.h"
 #include "gateway/store_client.h"
 #include "gateway/store_relay.h"
+#include "gateway/stream_client.h"
 #include "net/http_listener.h"
 
 /** Kinds of calls (call_kind_t) that have a latency histogram of their own. */
@@ -81,6 +82,7 @@
     store_relay_t *relay;
     load_sharing_t *load_sharing;
     crash_watch_t *crashes;
+    stream_client_t *streams;
     chain_cache_t chains;
     stall_watch_t stall_watch;
     GHashTable *answer_times;   /**< Route name to answer_time_t, of repeatable calls. */
@@ -153,6 +155,8 @@
 bool gateway_directory_current(const gateway_t *gateway);
 /** Time since the key-value service confirmed the local view, in ms; UINT32_MAX: unknown. */
 uint32_t gateway_directory_age(const gateway_t *gateway);
+/** Tells the table of back ends when the key-value service last confirmed it. */
+void gateway_update_confirmation(gateway_t *gateway);
 /** Applies a directory kept by a storage node, unless the key-value service has provided one. */
 void gateway_apply_stored_directory(void *owner, GBytes *bytes);
 /** The encoded directory for storage nodes to keep; NULL: it is not confirmed. */
--- a/src/gateway/main.c
+++ b/src/gateway/main.c
@@ -58,7 +58,10 @@
 
 static void on_answer(void *owner, unsigned member, const message_t *message) {
     const gateway_t *gateway = owner;
-    quota_client_handle_response(gateway->quotas, member, message);
+    if (message->type == RESPONSE_STREAM)
+        stream_client_handle_response(gateway->streams, message);
+    else
+        quota_client_handle_response(gateway->quotas, member, message);
 }
 
 static const store_client_handler_t store_handler = {
@@ -77,11 +80,12 @@
                                               &gateway_load_sharing_handler, gateway);
     if (gateway->load_sharing == NULL)
         return false;
-    gateway->crashes = crash_watch_new(gateway->loop, gateway->load_sharing);
+    gateway->crashes = crash_watch_new(gateway->loop, &gateway->backends, gateway->load_sharing);
     gateway->stores = store_client_new(gateway->loop, settings->zone, settings->peer_text,
                                        &store_handler, gateway);
     if (settings->tolerated_zones > 0)
         gateway_watch_isolation(gateway);
+    gateway->streams = stream_client_new(gateway->loop, gateway->stores);
     gateway->quotas = quota_client_new(gateway->loop, gateway->stores, &settings->quota);
     gateway_init_directory(gateway);
     gateway->relay =
--- a/src/store/store.c
+++ b/src/store/store.c
@@ -7,6 +7,7 @@
     QUOTA_RETENTION_MS = 120000,   /**< Tenants idle for longer are removed. */
     AFFINITY_RETENTION_MS = 60000, /**< Engines evict an idle program's cached prompt sooner. */
     DISK_LAG_CHECK_MS = 1000,
+    STREAMS_MAX = 100000, /**< About 10 MB. */
 };
 
 static bool segment_is_unused(void *owner, uint32_t segment) {
@@ -81,6 +82,7 @@
     turn_table_init(&store->turns);
     budget_table_init_replica(&store->budgets);
     program_affinity_init(&store->affinity);
+    stream_versions_init(&store->streams, STREAMS_MAX);
     space_reservations_init(&store->reservations);
     quota_table_init(&store->quotas, &store->settings->quota);
     admission_table_init(&store->admissions);
--- a/src/store/store_requests.c
+++ b/src/store/store_requests.c
@@ -472,6 +472,18 @@
                            store->group->members->len, now(store));
 }
 
+static void send_stream_version(store_t *store, frame_connection_t *connection,
+                                const message_t *request) {
+    message_t response;
+    message_init(&response, RESPONSE_STREAM);
+    response.number = request->number;
+    response.generation = store->group->generation;
+    response.stream = request->stream;
+    response.version = stream_versions_find(&store->streams, request->stream, now(store));
+    frame_connection_send(connection, message_encode(&response));
+    message_clear(&response);
+}
+
 /** Requests that only a member in the sender's generation may answer. */
 static void handle_member_request(store_t *store, frame_connection_t *connection,
                                   message_t *request, GBytes *record) {
@@ -599,6 +611,12 @@
         program_affinity_record(&store->affinity, request.charge.program, request.place,
                                 now(store));
         break;
+    case MESSAGE_STREAM:
+        stream_versions_record(&store->streams, request.stream, request.version, now(store));
+        break;
+    case REQUEST_STREAM:
+        send_stream_version(store, connection, &request);
+        break;
     case MESSAGE_DIRECTORY:
         store_directory_store_snapshot(store->directory, &request);
         break;
--- a/tests/soak/version_stream_test.py
+++ b/tests/soak/version_stream_test.py
@@ -100,6 +100,7 @@
         self.versions = set()
         self.whole = False
         self.mixed_within = False
+        self.pieces = []  # (attempt, version and back end) of events that follow one another.
 
 
 class VersionScenario(Scenario):
@@ -166,6 +167,9 @@
                     self.promises.break_promise("order", attempt_id, f"event {number}")
                 stream.first_id = stream.first_id or attempt_id
                 stream.last_event = int(number)
+                piece = (attempt_id, event.split(b"data: ")[1].decode())
+                if piece not in stream.pieces:
+                    stream.pieces.append(piece)
                 versions.add(version)
                 stream.versions.add(version)
                 stream.mixed_within |= len(versions) > 1
@@ -202,6 +206,8 @@
         mixed = [stream for stream in self.streams if len(stream.versions) > 1]
         begun, gone_on = self.begun[0] / max(1, self.begun[1]), self.gone_on[0] / max(1, self.gone_on[1])
         enough = self.gone_on[1] < TAKEN_UP_MIN or gone_on >= GOES_ON_SHARE * begun
+        for stream in mixed:
+            print("mixed", stream.pieces, flush=True)
         return {"streams": len(self.streams), "mixed": len(mixed),
                 "mixed_over_attempts": sum(not stream.mixed_within for stream in mixed),
                 "whole": sum(stream.whole for stream in self.streams),
--- a/tests/unit/backend_speeds_test.cc
+++ b/tests/unit/backend_speeds_test.cc
@@ -159,7 +159,7 @@
     gateway.add("near", first_start);
     gateway.add("far", 0, "there");
     gateway.find("near")->peer_calls = 3;
-    backend_choice_t choice = {"s", nullptr, 6};
+    backend_choice_t choice = {"s", nullptr, 6, VERSION_ANY, false};
     backend_t *chosen = backends_choose(&gateway.backends, &choice);
     EXPECT_EQ(chosen, gateway.find("far"));
     backend_release(chosen);
@@ -178,7 +178,7 @@
     for (unsigned i = 0; i < 200; i++)
         gateway.measure(instance(i), i % 3 == 0 ? 7500 : 3000, 10);
     constexpr unsigned rounds = 200;
-    backend_choice_t choice = {"s", nullptr, 6};
+    backend_choice_t choice = {"s", nullptr, 6, VERSION_ANY, false};
     uint64_t started_at = uv_hrtime();
     for (unsigned i = 0; i < rounds; i++)
         backend_release(backends_choose(&gateway.backends, &choice));
--- a/tests/unit/call_placement_test.cc
+++ b/tests/unit/call_placement_test.cc
@@ -49,7 +49,7 @@
         http_headers_finish(&headers);
     }
     bool choose() {
-        backend_choice_t choice = {"models", nullptr, SLOTS};
+        backend_choice_t choice = {"models", nullptr, SLOTS, VERSION_ANY, false};
         bool chosen = call_placement_choose(&call, &choice, 7);
         if (chosen)
             backend_release(call.backend);
--- a/tests/unit/directory_snapshot_test.cc
+++ b/tests/unit/directory_snapshot_test.cc
@@ -130,6 +130,29 @@
     g_bytes_unref(bytes);
 }
 
+TEST_F(DirectorySnapshot, ABackEndWithAVersionTakesFewBytes) {
+    constexpr unsigned backends = 10000;
+    for (unsigned i = 0; i < backends; i++) {
+        char key[32];
+        snprintf(key, sizeof key, "servers/i-%010u", i);
+        backend_record_t record = {};
+        record.service = const_cast<char *>("agent-service");
+        record.zone = const_cast<char *>("region-zone-a");
+        record.version = const_cast<char *>(i % 2 == 0 ? "v1.1" : "v1.2");
+        record.address.sin_addr.s_addr = htonl(0x0a000000 + i);
+        record.address.sin_port = htons(8080);
+        record.slots = 6;
+        GBytes *value = directory_write_backend(&record);
+        key_value_item_t item = {key, value, 5};
+        directory_snapshot_note(&snapshot, &item);
+        g_bytes_unref(value);
+    }
+    GBytes *bytes = directory_snapshot_encode(&snapshot);
+    printf("10000 back ends with a version: %zu bytes\n", g_bytes_get_size(bytes));
+    EXPECT_LE(g_bytes_get_size(bytes), size_t{backends} * 30);
+    g_bytes_unref(bytes);
+}
+
 TEST(BackendRecord, IsTheSameAfterAJourney) {
     backend_record_t record = {};
     record.service = const_cast<char *>("s");
--- a/tests/unit/engine_load_test.cc
+++ b/tests/unit/engine_load_test.cc
@@ -36,7 +36,7 @@
     }
     /** Places a turn that ends at once. */
     backend_t *choose(uint64_t place = 0, bool begun = false) {
-        backend_choice_t choice = {"models", nullptr, 0};
+        backend_choice_t choice = {"models", nullptr, 0, VERSION_ANY, false};
         placement_request_t request = {};
         request.place = place;
         request.begun = begun;
@@ -161,7 +161,7 @@
     clock_t by_cost = clock() - begin;
     begin = clock();
     for (unsigned i = 0; i < 200; i++) {
-        backend_choice_t choice = {"models", nullptr, 0};
+        backend_choice_t choice = {"models", nullptr, 0, VERSION_ANY, false};
         engine_request_t request = {0, i};
         backend_release(backends_choose_engine(&backends, &choice, &request));
     }
--- a/tests/unit/entry_expiry_test.cc
+++ b/tests/unit/entry_expiry_test.cc
@@ -50,7 +50,7 @@
         backends_update(&backends, record);
     }
     bool chosen() {
-        backend_choice_t choice = {"models", nullptr, 0};
+        backend_choice_t choice = {"models", nullptr, 0, VERSION_ANY, false};
         backend_t *backend = backends_choose(&backends, &choice);
         if (backend != nullptr)
             backend_release(backend);
--- a/tests/unit/gateway_test.cc
+++ b/tests/unit/gateway_test.cc
@@ -214,11 +214,11 @@
         backends_update(&backends, record);
     }
     std::string choose(GPtrArray *excluded = nullptr) {
-        backend_choice_t choice = {"s", excluded, 2};
+        backend_choice_t choice = {"s", excluded, 2, VERSION_ANY, false};
         return record(backends_choose(&backends, &choice));
     }
     std::string choose_engine(uint64_t place) {
-        backend_choice_t choice = {"s", nullptr, 2};
+        backend_choice_t choice = {"s", nullptr, 2, VERSION_ANY, false};
         engine_request_t request = {place, 7};
         return record(backends_choose_engine(&backends, &choice, &request));
     }
