gateways: a gateway that starts asks for the crashes that others know

Found by reading: known crashes were listed for a peer without reports for a second, which a gateway that is back sooner never is, and an idle one always. Each listing added them to what is due once more, so that the newest could be pushed out of the 256 of a datagram.

A crash that is due is not added twice, and 1,024 are due at most.

--- a/src/gateway/crash_reports.c
+++ b/src/gateway/crash_reports.c
@@ -25,9 +25,24 @@
         g_array_remove_range(reports->recent, 0, expired);
 }
 
+static bool is_same(const crash_report_t *report, const crash_report_t *other) {
+    return report->request == other->request && report->at == other->at &&
+           report->backend == other->backend && report->cleared == other->cleared;
+}
+
 void crash_reports_add(crash_reports_t *reports, const crash_report_t *crash, unsigned audience,
                        uint64_t now) {
     due_report_t due = {*crash, audience, now};
+    for (guint i = 0; i < reports->recent->len; i++) {
+        const due_report_t *other = &g_array_index(reports->recent, due_report_t, i);
+        if (!is_same(&other->crash, crash))
+            continue;
+        due.audience |= other->audience;
+        g_array_remove_index(reports->recent, i);
+        break;
+    }
+    if (reports->recent->len >= CRASH_REPORTS_DUE_MAX)
+        g_array_remove_index(reports->recent, 0);
     g_array_append_val(reports->recent, due);
 }
 
--- a/src/gateway/crash_reports.h
+++ b/src/gateway/crash_reports.h
@@ -19,6 +19,7 @@
 enum {
     CRASH_REPEAT_MS = 2000,
     CRASH_REPORTS_MAX = 256, /**< Per datagram; keeps it within 8 kB. */
+    CRASH_REPORTS_DUE_MAX = 1024,
 };
 
 /** Receivers of a report; flags. */
@@ -33,7 +34,9 @@
 
 void crash_reports_init(crash_reports_t *reports);
 void crash_reports_clear(crash_reports_t *reports);
-/** Reports @p crash to @p audience, crash_audience_t, from now on. */
+/**
+ * Reports @p crash to @p audience, crash_audience_t, from now on; once more if it is due already.
+ */
 void crash_reports_add(crash_reports_t *reports, const crash_report_t *crash, unsigned audience,
                        uint64_t now);
 /** Appends what is due for @p audience to @p entries, of load_entry_t. */
--- a/src/gateway/load_report.c
+++ b/src/gateway/load_report.c
@@ -49,6 +49,10 @@
                               now > age ? now - age : 0};
 }
 
+load_entry_t load_entry_crash_request(void) {
+    return (load_entry_t){.under_way = CRASH_MARK};
+}
+
 load_entry_t load_entry_from_crash(const crash_report_t *crash, uint64_t now) {
     uint64_t age = now > crash->at ? now - crash->at : 0;
     return (load_entry_t){crash->request, crash->cleared ? CRASH_CLEARED_MARK : CRASH_MARK,
--- a/src/gateway/load_report.h
+++ b/src/gateway/load_report.h
@@ -35,6 +35,8 @@
                                    uint64_t now);
 /** Reads the speed from an entry of load_entry_from_speed. */
 speed_estimate_t load_entry_speed(const load_entry_t *entry, uint64_t now);
+/** Asks the receivers for all crashes that they know: read as a crash of request 0. */
+load_entry_t load_entry_crash_request(void);
 load_entry_t load_entry_from_crash(const crash_report_t *crash, uint64_t now);
 /** Reads an entry of load_entry_from_crash; false if @p entry is none. */
 bool load_entry_crash(const load_entry_t *entry, uint64_t now, crash_report_t *crash);
--- a/src/gateway/load_sharing.c
+++ b/src/gateway/load_sharing.c
@@ -27,6 +27,7 @@
     RELAY_REPORT_EXPIRY_MS = 1500, /**< Maximum age of the last report of a relay. */
     REPORT_EXPIRY_MS = 1000,       /**< The loads of an older report are ignored. */
     INCARNATION_SETTLE_MS = 1000,  /**< Time for a new incarnation to reach all gateways. */
+    RETURN_MS = 3000,      /**< A peer without reports for longer may have missed crashes. */
     SOURCE_PERIODS = 2,    /**< One report may be lost before a source is considered dead. */
     SUM_INTERVAL_MS = 100, /**< Sums are recomputed after this, because reports expire. */
     /** Delay of a check after a peer's report; a reported change usually arrives here by then. */
@@ -53,12 +54,13 @@
     crash_reports_t crashes;                      /**< To be reported. */
     const crash_sharing_handler_t *crash_handler; /**< NULL: crashes are not shared. */
     void *crash_owner;
-    bool lists_crashes;  /**< The next report has all known crashes: a gateway may have started. */
-    bool urgent;         /**< A report is due as soon as URGENT_INTERVAL_MIN_MS allows. */
-    bool watches_stores; /**< Checks soon after a peer has lost the storage nodes. */
-    bool below;          /**< The peers follow gateways of another cell. */
-    bool sums_stale;     /**< A report was received since the loads were summed up. */
-    uint64_t changed;    /**< The latest change that any peer reported. */
+    bool lists_crashes;          /**< The next report has all known crashes. */
+    uint64_t asks_crashes_until; /**< Reports ask for all known crashes; 0: no peer known yet. */
+    bool urgent;                 /**< A report is due as soon as URGENT_INTERVAL_MIN_MS allows. */
+    bool watches_stores;         /**< Checks soon after a peer has lost the storage nodes. */
+    bool below;                  /**< The peers follow gateways of another cell. */
+    bool sums_stale;             /**< A report was received since the loads were summed up. */
+    uint64_t changed;            /**< The latest change that any peer reported. */
     uint64_t summed_at;
     uint64_t check_at; /**< When the timer fires; UINT64_MAX: it is not running. */
     watch_report_t sent_report;
@@ -189,6 +191,11 @@
     bool any = false;
     for (guint i = 0; i < crashes->len && sharing->crash_handler != NULL; i++) {
         const crash_report_t *crash = &g_array_index(crashes, crash_report_t, i);
+        if (crash->request == 0) {
+            sharing->lists_crashes = true;
+            any = true;
+            continue;
+        }
         if (!sharing->crash_handler->on_crash(sharing->crash_owner, crash) || !relays)
             continue;
         crash_reports_add(&sharing->crashes, crash, audience, now);
@@ -228,7 +235,7 @@
         g_array_set_size(peer->entries, 0);
     take_speeds(sharing, peer);
     take_crashes(sharing, peer->entries, CRASH_TO_ZONES);
-    sharing->lists_crashes |= uv_now(sharing->loop) > peer->last_received_at + REPORT_EXPIRY_MS;
+    sharing->lists_crashes |= uv_now(sharing->loop) > peer->last_received_at + RETURN_MS;
     peer->last_received_at = uv_now(sharing->loop);
     sharing->sums_stale = true;
     if (sharing->watches_stores && had_stores && !peer->watch.has_stores)
@@ -272,7 +279,7 @@
     return entries;
 }
 
-/** Makes all known crashes due again, for a gateway that may have started. */
+/** Makes all known crashes due again, for a gateway that has started or was out of reach. */
 static void report_known_crashes(load_sharing_t *sharing) {
     sharing->lists_crashes = false;
     if (sharing->crash_handler == NULL)
@@ -288,6 +295,10 @@
 static void append_crashes(load_sharing_t *sharing, GArray *entries) {
     if (sharing->lists_crashes)
         report_known_crashes(sharing);
+    if (uv_now(sharing->loop) < sharing->asks_crashes_until) {
+        load_entry_t request = load_entry_crash_request();
+        g_array_append_val(entries, request);
+    }
     crash_reports_append(&sharing->crashes, CRASH_TO_CELL, uv_now(sharing->loop), entries);
 }
 
@@ -570,6 +581,10 @@
     rank_peers(sharing);
     unsigned before = load_sharing_rank(sharing);
     zone_loads_set_gateways(&sharing->zone_loads, addresses, before, sharing->peers->len + 1);
+    if (sharing->peers->len > 0 && sharing->asks_crashes_until == 0) {
+        sharing->asks_crashes_until = uv_now(sharing->loop) + CRASH_REPEAT_MS;
+        load_sharing_report_now(sharing);
+    }
     if (sharing->peers->len > 0)
         arm_timer(sharing);
 }
--- a/tests/unit/crash_history_test.cc
+++ b/tests/unit/crash_history_test.cc
@@ -5,6 +5,7 @@
 #include "cluster/remote_gateway.h"
 #include "core/retry/crash_history.h"
 #include "core/retry/resend.h"
+#include "gateway/crash_reports.h"
 #include "gateway/crash_watch.h"
 #include "gateway/load_report.h"
 #include "gateway/load_sharing.h"
@@ -129,6 +130,34 @@
     EXPECT_FALSE(load_entry_crash(&load, NOW, &read));
 }
 
+TEST(CrashReport, OfRequestZeroAsksForAll) {
+    load_entry_t entry = load_entry_crash_request();
+    crash_report_t read;
+    ASSERT_TRUE(load_entry_crash(&entry, NOW, &read));
+    EXPECT_EQ(read.request, 0U);
+}
+
+TEST(CrashReport, IsDueOnceHoweverOftenItIsAdded) {
+    crash_reports_t reports;
+    crash_reports_init(&reports);
+    for (uint64_t i = 0; i < 2000; i++) {
+        crash_report_t crash = {REQUEST + i % 10, NOW, 1, false};
+        crash_reports_add(&reports, &crash, CRASH_TO_CELL, NOW + i / 10);
+    }
+    crash_report_t latest = {REQUEST + 100, NOW, 1, false};
+    crash_reports_add(&reports, &latest, CRASH_TO_ZONES, NOW + 300);
+    GArray *entries = g_array_new(FALSE, FALSE, sizeof(load_entry_t));
+    crash_reports_append(&reports, CRASH_TO_CELL, NOW + 300, entries);
+    EXPECT_EQ(entries->len, 10U);
+    g_array_set_size(entries, 0);
+    crash_reports_append(&reports, CRASH_TO_ZONES, NOW + 300, entries);
+    EXPECT_EQ(entries->len, 1U);
+    crash_reports_append(&reports, CRASH_TO_ZONES, NOW + 300 + CRASH_REPEAT_MS, entries);
+    EXPECT_EQ(entries->len, 1U) << "no longer due";
+    g_array_free(entries, TRUE);
+    crash_reports_clear(&reports);
+}
+
 /** Gateways of zones, on one loop, that exchange load reports over the loopback interface. */
 class CrashSharing : public testing::Test {
   protected:
@@ -235,7 +264,7 @@
     introduce();
     for (const char *instance : {"a", "b", "c"})
         crash(one, instance);
-    uv_sleep(CRASH_RETENTION_MS / 20); // Longer than crashes are repeated to gateways that run.
+    uv_sleep(2500); // Longer than crashes are repeated to gateways that run.
     uv_update_time(loop());
     Side &late = open("here");
     introduce();
