--- a/src/gateway/store_client.c
+++ b/src/gateway/store_client.c
@@ -5,6 +5,7 @@
 #include "gateway/store_client_state.h"
 
 #include <string.h>
+#include <xxhash.h>
 
 enum {
     RECONNECT_INTERVAL_MS = 150,
@@ -259,6 +260,33 @@
     message_clear(request);
 }
 
+static uint64_t member_rank(const store_client_t *client, unsigned member, uint64_t key) {
+    const char *name = store_client_member_name(client, member);
+    return XXH64(name, strlen(name), key);
+}
+
+static bool is_member_for_key(const store_client_t *client, unsigned member, uint64_t key) {
+    uint64_t rank = member_rank(client, member, key);
+    unsigned before = 0;
+    for (unsigned i = 0; i < client->members->len; i++)
+        before += member_rank(client, i, key) > rank;
+    return before < STORE_KEY_MEMBERS;
+}
+
+unsigned store_client_send_for_key(const store_client_t *client, uint64_t key, message_t *message) {
+    message->generation = client->group->generation;
+    GBytes *bytes = message_encode(message);
+    unsigned sent = 0;
+    for (unsigned i = 0; i < client->members->len; i++) {
+        if (!store_client_member_open(client, i) || !is_member_for_key(client, i, key))
+            continue;
+        store_link_send(member_link(client, i), g_bytes_ref(bytes));
+        sent++;
+    }
+    g_bytes_unref(bytes);
+    return sent;
+}
+
 /* Messages to all members. */
 
 /** Sends @p message, which has no response, to all connected members; clears it. */
--- a/src/gateway/store_client.h
+++ b/src/gateway/store_client.h
@@ -24,6 +24,9 @@
 /** Timeout of a verdict, and maximum age of replies that are counted. */
 enum { GATEWAY_OPERATION_TIMEOUT_MS = 1500 };
 
+/** Members that keep in memory what gateways report under a key; all but one may be lost. */
+enum { STORE_KEY_MEMBERS = 3 };
+
 typedef struct store_client store_client_t;
 typedef struct store_operation store_operation_t;
 
@@ -108,6 +111,13 @@
 /** Sends @p request in the current generation to one member, if connected; clears @p request. */
 void store_client_send_member(const store_client_t *client, unsigned member, message_t *request);
 
+/**
+ * Sends @p message, in the current generation, to those of the STORE_KEY_MEMBERS members for @p key
+ * that are connected; returns their number. The members are chosen by rendezvous hashing, alike at
+ * all gateways.
+ */
+unsigned store_client_send_for_key(const store_client_t *client, uint64_t key, message_t *message);
+
 /** A reserve of a program's budget for one call. */
 typedef struct {
     const char *program;
--- a/src/gateway/stream_client.c
+++ b/src/gateway/stream_client.c
@@ -1,10 +1,6 @@
 #include "gateway/stream_client.h"
 
-#include <string.h>
-#include <xxhash.h>
-
 enum {
-    STREAM_MEMBERS = 3,        /**< Two of them may be lost. */
     STREAMS_MAX = 10000,       /**< Kept by this gateway; below 1 MB. */
     RESPONSE_TIMEOUT_MS = 300, /**< The caller still has time for another attempt. */
 };
@@ -34,46 +30,14 @@
     return client;
 }
 
-static uint64_t member_rank(const stream_client_t *client, unsigned member, uint64_t stream) {
-    const char *name = store_client_member_name(client->stores, member);
-    return XXH64(name, strlen(name), stream);
-}
-
-/** True if at most STREAM_MEMBERS - 1 members come before @p member for this stream. */
-static bool keeps_stream(const stream_client_t *client, unsigned member, uint64_t stream) {
-    uint64_t rank = member_rank(client, member, stream);
-    unsigned before = 0;
-    for (unsigned i = 0; i < store_client_member_count(client->stores); i++)
-        before += member_rank(client, i, stream) > rank;
-    return before < STREAM_MEMBERS;
-}
-
-/** Sends a message to the stream's members; returns the number of those that are connected. */
-static unsigned send_to_members(const stream_client_t *client, const message_t *message) {
-    unsigned sent = 0;
-    for (unsigned i = 0; i < store_client_member_count(client->stores); i++) {
-        if (!store_client_member_open(client->stores, i) ||
-            !keeps_stream(client, i, message->stream))
-            continue;
-        message_t copy;
-        message_init(&copy, message->type);
-        copy.number = message->number;
-        copy.stream = message->stream;
-        copy.version = message->version;
-        store_client_send_member(client->stores, i, &copy);
-        sent++;
-    }
-    return sent;
-}
-
 void stream_client_record(stream_client_t *client, uint64_t stream, software_version_t version) {
     stream_versions_record(&client->versions, stream, version, uv_now(client->loop));
-    const message_t message = {
-        .type = MESSAGE_STREAM,
-        .stream = stream,
-        .version = version,
-    };
-    send_to_members(client, &message);
+    message_t message;
+    message_init(&message, MESSAGE_STREAM);
+    message.stream = stream;
+    message.version = version;
+    store_client_send_for_key(client->stores, stream, &message);
+    message_clear(&message);
 }
 
 static void free_request(uv_handle_t *handle) {
@@ -96,25 +60,32 @@
     conclude(timer->data, VERSION_UNKNOWN);
 }
 
+/** Asks the stream's members; returns the number of those that are connected. */
+static unsigned request_version(const stream_client_t *client, uint64_t stream, uint64_t number) {
+    message_t message;
+    message_init(&message, REQUEST_STREAM);
+    message.number = number;
+    message.stream = stream;
+    unsigned asked = store_client_send_for_key(client->stores, stream, &message);
+    message_clear(&message);
+    return asked;
+}
+
 stream_request_t *stream_client_find(stream_client_t *client, uint64_t stream,
                                      software_version_t *version, stream_version_done_t done,
                                      void *owner) {
     *version = stream_versions_find(&client->versions, stream, uv_now(client->loop));
     if (*version != VERSION_ANY)
         return NULL;
-    const message_t message = {
-        .type = REQUEST_STREAM,
-        .number = store_client_next_number(client->stores),
-        .stream = stream,
-    };
-    unsigned awaited = send_to_members(client, &message);
+    uint64_t number = store_client_next_number(client->stores);
+    unsigned awaited = request_version(client, stream, number);
     if (awaited == 0) {
         *version = VERSION_UNKNOWN;
         return NULL;
     }
     stream_request_t *request = g_new0(stream_request_t, 1);
     request->client = client;
-    request->number = message.number;
+    request->number = number;
     request->awaited = awaited;
     request->done = done;
     request->owner = owner;
--- a/src/gateway/stream_client.h
+++ b/src/gateway/stream_client.h
@@ -1,9 +1,9 @@
 /**
  * @file stream_client.h
  * Software versions of the back ends that began this gateway's streams, and of those of other
- * gateways: each is sent to STREAM_MEMBERS storage nodes before its first event goes out, which
+ * gateways: each is sent to STORE_KEY_MEMBERS storage nodes before its first event goes out, which
  * keep it in memory (core/routing/stream_versions.h), and asked for when another gateway gets the
- * caller's next attempt. The members for a stream are chosen by rendezvous hashing.
+ * caller's next attempt.
  *
  * Failures: a stream is unknown if neither this gateway nor a member that answers in time has it.
  *
