storage nodes: pass crashes under one request on to all gateways of a large fleet

What callers would see: load reports reach a gateway's own cell and, up to 128 gateways, one in each other zone. In a larger fleet a request could end three back ends for each cell that its caller's tries go to.

Change: a crash also goes to three storage nodes, chosen by the request; once there are two under a request, these pass them on to all gateways. A request that met one crash, as all do that a back end takes along, costs three small messages and none to others.

--- a/src/cluster/message.c
+++ b/src/cluster/message.c
@@ -128,6 +128,15 @@
     codec_uint32(codec, &limit->burst);
 }
 
+static void crash_codec(codec_t *codec, message_t *message) {
+    uint32_t backend = message->crash.backend;
+    codec_uint64(codec, &message->crash.request);
+    codec_uint32(codec, &backend);
+    codec_bool(codec, &message->crash.cleared);
+    codec_uint32(codec, &message->age_ms);
+    message->crash.backend = (uint16_t)backend;
+}
+
 static void fields_codec(codec_t *codec, message_t *message) {
     codec_uint64(codec, &message->number);
     codec_uint64(codec, &message->generation);
@@ -231,6 +240,9 @@
         codec_uint64(codec, &message->stream);
         codec_uint64(codec, &message->version);
         break;
+    case MESSAGE_CRASH:
+        crash_codec(codec, message);
+        break;
     case REQUEST_STREAM:
         codec_uint64(codec, &message->stream);
         break;
--- a/src/cluster/message.h
+++ b/src/cluster/message.h
@@ -11,6 +11,7 @@
 
 #include "core/budget/budget_table.h"
 #include "core/quota/quota_split.h"
+#include "core/retry/crash_history.h"
 #include "core/turns/turn_table.h"
 
 #include <glib.h>
@@ -57,6 +58,8 @@
     MESSAGE_STREAM,            /**< The version of the back end that began a stream; no answer. */
     REQUEST_STREAM,            /**< Ask for the version of a stream. */
     RESPONSE_STREAM,
+    MESSAGE_CRASH, /**< A back end ended under a request, or the request got a complete response;
+                      from a gateway, or passed on to all. */
     MESSAGE_TYPE_COUNT,
 } message_type_t;
 
@@ -87,6 +90,8 @@
     uint64_t time;   /**< Of the log, in ms. */
     uint64_t place;  /**< Hash of the back end's instance where the program last ran; 0: unknown. */
     uint64_t stream; /**< Key of a stream; see stream_versions.h. */
+    crash_report_t crash;
+    uint32_t age_ms;  /**< Of the crash; its time is the receiver's own. */
     uint64_t version; /**< Of that stream; VERSION_ANY: it is not known. */
     char *turn_id;
     uint64_t revision;   /**< Of the directory snapshot, or up to which all changes are known. */
--- a/src/core/retry/crash_history.c
+++ b/src/core/retry/crash_history.c
@@ -1,5 +1,7 @@
 #include "core/retry/crash_history.h"
 
+#include <limits.h>
+
 enum {
     REQUESTS_MAX = 4096, /**< Bounds the memory; the request with the oldest crash goes first. */
     /** More than CRASHES_MAX, since some of them may be removed. */
@@ -157,15 +159,25 @@
     return (uint32_t)(last_to_expire->at + CRASH_RETENTION_MS - now);
 }
 
+static void list_crashes(const request_crashes_t *entry, uint64_t now, unsigned max,
+                         GArray *reports) {
+    for (unsigned i = first_recent(entry, now); i < entry->count && reports->len < max; i++) {
+        const crash_t *crash = &entry->crashes[i];
+        crash_report_t report = {entry->request, crash->at, crash->backend, false};
+        if (crash->confirmed)
+            g_array_append_val(reports, report);
+    }
+}
+
+void crash_history_list_request(const crash_history_t *history, uint64_t request, uint64_t now,
+                                GArray *reports) {
+    const request_crashes_t *entry = find(history, request);
+    if (entry != NULL)
+        list_crashes(entry, now, UINT_MAX, reports);
+}
+
 void crash_history_list(const crash_history_t *history, uint64_t now, unsigned max,
                         GArray *reports) {
-    for (const GList *link = history->order.tail; link != NULL; link = link->prev) {
-        const request_crashes_t *entry = link->data;
-        for (unsigned i = first_recent(entry, now); i < entry->count; i++) {
-            const crash_t *crash = &entry->crashes[i];
-            crash_report_t report = {entry->request, crash->at, crash->backend, false};
-            if (crash->confirmed && reports->len < max)
-                g_array_append_val(reports, report);
-        }
-    }
+    for (const GList *link = history->order.tail; link != NULL; link = link->prev)
+        list_crashes(link->data, now, max, reports);
 }
--- a/src/core/retry/crash_history.h
+++ b/src/core/retry/crash_history.h
@@ -50,6 +50,9 @@
 unsigned crash_history_count(const crash_history_t *history, uint64_t request, uint64_t now);
 /** Time until the request may be sent; 0: now. */
 uint32_t crash_history_wait_ms(const crash_history_t *history, uint64_t request, uint64_t now);
+/** Appends the confirmed crashes under the request to @p reports, of crash_report_t. */
+void crash_history_list_request(const crash_history_t *history, uint64_t request, uint64_t now,
+                                GArray *reports);
 /** Appends the confirmed crashes to @p reports, of crash_report_t, the latest @p max of them. */
 void crash_history_list(const crash_history_t *history, uint64_t now, unsigned max,
                         GArray *reports);
--- a/src/gateway/crash_watch.c
+++ b/src/gateway/crash_watch.c
@@ -31,6 +31,7 @@
     uv_loop_t *loop;
     backends_t *backends;
     load_sharing_t *sharing;
+    store_client_t *stores; /**< NULL: crashes are not reported to storage nodes. */
     crash_history_t *history;
     GHashTable *checks; /**< backend_t.id_hash to check_t. */
 };
@@ -64,17 +65,38 @@
 
 static const crash_sharing_handler_t sharing_handler = {on_crash_report, list_crashes};
 
-crash_watch_t *crash_watch_new(uv_loop_t *loop, backends_t *backends, load_sharing_t *sharing) {
+void crash_watch_handle_message(crash_watch_t *watch, const message_t *message) {
+    crash_report_t report = message->crash;
+    report.at = now(watch) > message->age_ms ? now(watch) - message->age_ms : 0;
+    on_crash_report(watch, &report);
+}
+
+crash_watch_t *crash_watch_new(uv_loop_t *loop, backends_t *backends, load_sharing_t *sharing,
+                               store_client_t *stores) {
     crash_watch_t *watch = g_new0(crash_watch_t, 1);
     watch->backends = backends;
     watch->loop = loop;
     watch->sharing = sharing;
+    watch->stores = stores;
     watch->history = crash_history_new();
     watch->checks = g_hash_table_new(g_int64_hash, g_int64_equal);
     load_sharing_share_crashes(sharing, &sharing_handler, watch);
     return watch;
 }
 
+/** Tells other gateways, with the next load report, and storage nodes, at once. */
+static void report_crash(const crash_watch_t *watch, const crash_report_t *crash) {
+    load_sharing_report_crash(watch->sharing, crash);
+    if (watch->stores == NULL)
+        return;
+    message_t message;
+    message_init(&message, MESSAGE_CRASH);
+    message.crash = *crash;
+    message.age_ms = (uint32_t)(now(watch) - crash->at);
+    store_client_send_for_key(watch->stores, crash->request, &message);
+    message_clear(&message);
+}
+
 static void free_check(uv_handle_t *handle) {
     check_t *check = handle->data;
     g_array_free(check->crashes, TRUE);
@@ -115,7 +137,7 @@
     for (guint i = 0; i < check->crashes->len; i++) {
         const crash_report_t *crash = &g_array_index(check->crashes, crash_report_t, i);
         crash_history_confirm(watch->history, crash);
-        load_sharing_report_crash(watch->sharing, crash);
+        report_crash(watch, crash);
         log_if_stopped(watch, crash->request);
     }
     end_check(check);
@@ -212,7 +234,7 @@
     crash_report_t crash = new_crash(watch, request, backend);
     if (!crash_history_add(watch->history, &crash, true))
         return;
-    load_sharing_report_crash(watch->sharing, &crash);
+    report_crash(watch, &crash);
     log_if_stopped(watch, request);
     load_sharing_report_now(watch->sharing);
 }
@@ -222,7 +244,7 @@
         return;
     crash_report_t cleared = {.request = request, .at = now(watch), .cleared = true};
     crash_history_clear(watch->history, request, cleared.at);
-    load_sharing_report_crash(watch->sharing, &cleared);
+    report_crash(watch, &cleared);
     load_sharing_report_now(watch->sharing);
 }
 
--- a/src/gateway/crash_watch.h
+++ b/src/gateway/crash_watch.h
@@ -15,14 +15,18 @@
 #include "core/retry/crash_history.h"
 #include "gateway/backends.h"
 #include "gateway/load_sharing.h"
+#include "gateway/store_client.h"
 
 typedef struct crash_watch crash_watch_t;
 
 /**
- * Reports crashes to other gateways by @p sharing, and receives theirs, by which the versions of
- * those of @p backends are in doubt.
+ * Reports crashes to other gateways by @p sharing and @p stores, which may be NULL, and receives
+ * theirs, by which the versions of those of @p backends are in doubt.
  */
-crash_watch_t *crash_watch_new(uv_loop_t *loop, backends_t *backends, load_sharing_t *sharing);
+crash_watch_t *crash_watch_new(uv_loop_t *loop, backends_t *backends, load_sharing_t *sharing,
+                               store_client_t *stores);
+/** Handles a MESSAGE_CRASH of a storage node. */
+void crash_watch_handle_message(crash_watch_t *watch, const message_t *message);
 /** The connection to @p backend broke under @p request: counts as a crash while that is checked. */
 void crash_watch_suspect(crash_watch_t *watch, uint64_t request, backend_t *backend);
 /** Probes found @p backend unreachable under @p request. */
--- a/src/gateway/main.c
+++ b/src/gateway/main.c
@@ -60,6 +60,8 @@
     const gateway_t *gateway = owner;
     if (message->type == RESPONSE_STREAM)
         stream_client_handle_response(gateway->streams, message);
+    else if (message->type == MESSAGE_CRASH)
+        crash_watch_handle_message(gateway->crashes, message);
     else
         quota_client_handle_response(gateway->quotas, member, message);
 }
@@ -80,11 +82,12 @@
                                               &gateway_load_sharing_handler, gateway);
     if (gateway->load_sharing == NULL)
         return false;
-    gateway->crashes = crash_watch_new(gateway->loop, &gateway->backends, gateway->load_sharing);
     gateway->stores = store_client_new(gateway->loop, settings->zone, settings->peer_text,
                                        &store_handler, gateway);
     if (settings->tolerated_zones > 0)
         gateway_watch_isolation(gateway);
+    gateway->crashes =
+        crash_watch_new(gateway->loop, &gateway->backends, gateway->load_sharing, gateway->stores);
     gateway->streams = stream_client_new(gateway->loop, gateway->stores);
     gateway->quotas = quota_client_new(gateway->loop, gateway->stores, &settings->quota);
     gateway_init_directory(gateway);
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -22,6 +22,7 @@
 #include "core/turns/space_reservations.h"
 #include "net/frame_connection.h"
 #include "store/gateway_registry.h"
+#include "core/retry/crash_history.h"
 #include "core/routing/stream_versions.h"
 #include "store/program_affinity.h"
 #include "store/record_log.h"
@@ -41,6 +42,7 @@
     turn_table_t turns;
     budget_table_t budgets;
     program_affinity_t affinity;
+    crash_history_t *crashes;      /**< Reported by gateways; see store_crashes.h. */
     stream_versions_t streams;     /**< Reported by gateways; kept in memory only. */
     quota_table_t quotas;          /**< This member's shares of the tenants' limits. */
     admission_table_t admissions;  /**< Programs of these tenants that have their home here. */
--- a/src/store/store_requests.c
+++ b/src/store/store_requests.c
@@ -14,6 +14,7 @@
 #include "store/store.h"
 
 #include "common/event.h"
+#include "store/store_crashes.h"
 #include "store/store_directory.h"
 
 #include <string.h>
@@ -614,6 +615,9 @@
     case MESSAGE_STREAM:
         stream_versions_record(&store->streams, request.stream, request.version, now(store));
         break;
+    case MESSAGE_CRASH:
+        store_handle_crash(store, &request);
+        break;
     case REQUEST_STREAM:
         send_stream_version(store, connection, &request);
         break;
--- a/src/storesim/world.h
+++ b/src/storesim/world.h
@@ -33,6 +33,7 @@
     virtual_process_t *process;
     store_client_t *client; /**< NULL while it is down. */
     quota_client_t *quotas;
+    GArray *crashes; /**< Of crash_report_t: those that storage nodes have passed on. */
 } world_gateway_t;
 
 /** Faults of the code itself, for the sweep's own test. */
--- a/tests/soak/crash_request_test.py
+++ b/tests/soak/crash_request_test.py
@@ -159,7 +159,7 @@
 
     async def gateway_killed(self):
         """The first gateway is killed between the tries and takes one of them once it is back."""
-        first, second, third = self.cluster.gateways
+        first, second, third = self.cluster.gateways[:3]
         await self.send_tries([first])
         first.kill()
         await self.send_tries([second])
@@ -171,7 +171,7 @@
     async def stores_away(self):
         for store in self.cluster.stores:
             store.signal(signal.SIGSTOP)
-        await self.send_tries(self.cluster.gateways, budgeted=False)
+        await self.send_tries(self.cluster.gateways[:TRIES], budgeted=False)
         for store in self.cluster.stores:
             store.signal(signal.SIGCONT)
         return self.judge_ends()
--- a/tests/soak/direct_fleet.py
+++ b/tests/soak/direct_fleet.py
@@ -84,7 +84,7 @@
         for service, count in (("engine", options.engines), ("service", SERVICES)):
             for _ in range(count):
                 await self.world.add_backend(service)
-        for kind, count in (("store", 3), ("gateway", 3)):
+        for kind, count in (("store", 3), ("gateway", options.gateways)):
             for _ in range(count):
                 node = self.cluster.add(kind, first_start=kind == "store")
                 await node.prepare()
@@ -98,9 +98,9 @@
 
     async def play(self):
         """The scenario's report, with the count of what its programs got."""
-        if not await self.start():
-            return {"held": False, "detail": "the cluster did not start"}
         try:
+            if not await self.start():
+                return {"held": False, "detail": "the cluster did not start"}
             report = await getattr(self, self.options.scenario)()
             self.running = False
             await asyncio.wait_for(asyncio.gather(*self.work), soak.RECOVER_S)
@@ -117,6 +117,7 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--base-port", type=int, default=12000)
     parser.add_argument("--engines", type=int, default=ENGINES)
+    parser.add_argument("--gateways", type=int, default=3)
     parser.add_argument("--programs", type=int, default=12, help="programs that run beside it")
     parser.add_argument("--restart", action="store_true",
                         help="ended back ends start again under their id and address")
--- a/tests/unit/crash_history_test.cc
+++ b/tests/unit/crash_history_test.cc
@@ -191,7 +191,7 @@
         side->sharing =
             load_sharing_open(side->loop, &side->address, &side->backends, &handler, nullptr);
         EXPECT_NE(side->sharing, nullptr);
-        side->watch = crash_watch_new(side->loop, &side->backends, side->sharing);
+        side->watch = crash_watch_new(side->loop, &side->backends, side->sharing, nullptr);
         return *side;
     }
     static uv_loop_t *loop() {
--- /dev/null
+++ b/tests/unit/store_crashes_test.cc
@@ -0,0 +1,76 @@
+// Storage nodes pass crashes under a request on to all gateways (store_crashes.h), in virtual time.
+#include <gtest/gtest.h>
+
+#include <set>
+
+extern "C" {
+#include "storesim/world.h"
+}
+
+namespace {
+
+constexpr uint64_t founding_ms = 6000;
+constexpr uint64_t delivery_ms = 50;
+constexpr unsigned gateways = 3;
+constexpr uint64_t request = 7;
+
+class StoreCrashes : public testing::Test {
+  public:
+    StoreCrashes() {
+        const world_shape_t shape = {5, 0, gateways, 1000, BREAK_NOTHING};
+        world = world_new(1, &shape);
+        virtual_run(founding_ms);
+    }
+    world_gateway_t *gateway(unsigned number) const {
+        return static_cast<world_gateway_t *>(g_ptr_array_index(world->gateways, number));
+    }
+    void report(unsigned from, uint16_t backend, bool cleared = false) const {
+        message_t message;
+        message_init(&message, MESSAGE_CRASH);
+        message.crash.request = request;
+        message.crash.backend = backend;
+        message.crash.cleared = cleared;
+        EXPECT_EQ(store_client_send_for_key(gateway(from)->client, request, &message),
+                  unsigned{STORE_KEY_MEMBERS});
+        message_clear(&message);
+        virtual_run(virtual_now() + delivery_ms);
+    }
+    std::set<unsigned> known(unsigned number) const {
+        std::set<unsigned> backends;
+        for (guint i = 0; i < gateway(number)->crashes->len; i++) {
+            const crash_report_t &crash =
+                g_array_index(gateway(number)->crashes, crash_report_t, i);
+            EXPECT_EQ(crash.request, request);
+            if (crash.cleared)
+                backends.clear();
+            else
+                backends.insert(crash.backend);
+        }
+        return backends;
+    }
+    world_t *world;
+};
+
+TEST_F(StoreCrashes, GoToAllGatewaysOnceTwoBackEndsHaveEndedUnderARequest) {
+    report(0, 1);
+    for (unsigned i = 0; i < gateways; i++)
+        EXPECT_TRUE(known(i).empty()) << "each request that a back end takes along has one";
+    report(1, 2);
+    for (unsigned i = 0; i < gateways; i++)
+        EXPECT_EQ(known(i), (std::set<unsigned>{1, 2})) << i;
+    report(2, 3);
+    for (unsigned i = 0; i < gateways; i++)
+        EXPECT_EQ(known(i), (std::set<unsigned>{1, 2, 3})) << i;
+}
+
+TEST_F(StoreCrashes, AreClearedAtAllGatewaysThatWereTold) {
+    report(0, 1);
+    report(0, 2);
+    report(1, 0, true);
+    for (unsigned i = 0; i < gateways; i++)
+        EXPECT_TRUE(known(i).empty()) << i;
+    report(0, 3);
+    EXPECT_TRUE(known(2).empty());
+}
+
+} // namespace
