gateways: versions of back ends in a file of their own

backends.c had grown by what decides about versions; it keeps the table. Counts and the index of ids hold numbers instead of pointers made of them, which the linter refuses.

--- a/src/gateway/backend_choice.c
+++ b/src/gateway/backend_choice.c
@@ -4,6 +4,7 @@
  * itself, or if a remote one may be better in spite of its distance.
  */
 #include "gateway/backends.h"
+#include "gateway/backend_versions.h"
 #include "gateway/engine_load.h"
 
 #include "core/routing/service_choice.h"
--- a/src/gateway/backends.c
+++ b/src/gateway/backends.c
@@ -3,6 +3,7 @@
 #include "common/event.h"
 #include "gateway/backend_speeds.h"
 #include "gateway/backend_probe.h"
+#include "gateway/backend_versions.h"
 
 #include <string.h>
 #include <xxhash.h>
@@ -15,9 +16,6 @@
     OVERDUE_REPORT_MS = 600,     /**< Reported ejection time; renewed while a request is overdue. */
     SMOOTHING_DIVISOR = 8,       /**< EWMA weight of a response time is 1 / this. */
     IDLE_CONNECTIONS_MAX = 32,
-    /** A process that has started writes its entry within a heartbeat of a second or two. */
-    VERSION_DOUBT_MS = 5000,
-    VERSION_ENTRY_LAG_MS = 1000, /**< From the write of an entry until gateways have it. */
     DEFAULT_SLOTS = 12,
 };
 
@@ -25,7 +23,7 @@
     service_members_t *members = data;
     g_ptr_array_free(members->local, TRUE);
     g_ptr_array_free(members->remote, TRUE);
-    g_hash_table_destroy(members->versions);
+    g_array_free(members->versions, TRUE);
     g_free(members);
 }
 
@@ -36,7 +34,7 @@
     members = g_new0(service_members_t, 1);
     members->local = g_ptr_array_new();
     members->remote = g_ptr_array_new();
-    members->versions = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
+    members->versions = g_array_new(FALSE, FALSE, sizeof(version_count_t));
     g_hash_table_insert(backends->by_service, g_strdup(service), members);
     return members;
 }
@@ -48,124 +46,18 @@
     return record->born == 0 ? &members->without_start_time : &members->with_start_time;
 }
 
-/* Versions. */
-
-static unsigned version_count(const service_members_t *members, software_version_t version) {
-    return GPOINTER_TO_UINT(g_hash_table_lookup(members->versions, &version));
-}
-
-static void set_version_count(service_members_t *members, software_version_t version,
-                              unsigned count) {
-    if (count == 0)
-        g_hash_table_remove(members->versions, &version);
-    else
-        g_hash_table_insert(members->versions, g_memdup2(&version, sizeof version),
-                            GUINT_TO_POINTER(count));
-}
-
-static void add_version(backends_t *backends, service_members_t *members,
-                        software_version_t version) {
-    bool another = members->latest_version != VERSION_ANY && members->latest_version != version;
-    if (another)
-        members->differed_at = uv_now(backends->loop);
-    members->latest_version = version;
-    set_version_count(members, version, version_count(members, version) + 1);
-}
-
-static void remove_version(backends_t *backends, service_members_t *members,
-                           software_version_t version) {
-    if (g_hash_table_size(members->versions) > 1)
-        members->differed_at = uv_now(backends->loop);
-    set_version_count(members, version, version_count(members, version) - 1);
-}
-
-bool backends_versions_differ(const backends_t *backends, const char *service) {
-    const service_members_t *members = g_hash_table_lookup(backends->by_service, service);
-    if (members == NULL)
-        return false;
-    bool recently = members->differed_at > 0 &&
-                    uv_now(backends->loop) < members->differed_at + STREAM_VERSION_RETENTION_MS;
-    return recently || g_hash_table_size(members->versions) > 1;
-}
-
-bool backends_version_always_same(const backends_t *backends, const char *service) {
-    const service_members_t *members = g_hash_table_lookup(backends->by_service, service);
-    if (members == NULL || backends_versions_differ(backends, service))
-        return false;
-    bool unnamed = members->latest_version == VERSION_UNNAMED;
-    return unnamed || uv_now(backends->loop) >= backends->opened_at + STREAM_VERSION_RETENTION_MS;
-}
-
-software_version_t backends_latest_version(const backends_t *backends, const char *service) {
-    const service_members_t *members = g_hash_table_lookup(backends->by_service, service);
-    if (members == NULL)
-        return VERSION_UNKNOWN;
-    if (g_hash_table_size(members->versions) != 1)
-        return members->latest_version;
-    GHashTableIter iterator;
-    gpointer version;
-    g_hash_table_iter_init(&iterator, members->versions);
-    g_hash_table_iter_next(&iterator, &version, NULL);
-    return *(const software_version_t *)version;
-}
-
-static bool list_serves_version(const GPtrArray *list, software_version_t version) {
-    for (guint i = 0; i < list->len; i++) {
-        const backend_t *backend = g_ptr_array_index(list, i);
-        if (backend->version == version && !backend->record->leaving)
-            return true;
-    }
-    return false;
-}
-
-bool backends_serve_version(const backends_t *backends, const char *service,
-                            software_version_t version) {
-    const service_members_t *members = g_hash_table_lookup(backends->by_service, service);
-    return members != NULL && (list_serves_version(members->local, version) ||
-                               list_serves_version(members->remote, version));
-}
-
-void backend_doubt_version(backend_t *backend) {
-    backend->version_doubted_at = uv_now(backend->loop);
-}
-
-void backend_trust_version(backend_t *backend, uint64_t since) {
-    if (backend->version_doubted_at <= since)
-        backend->version_doubted_at = 0;
-}
-
-static gpointer id_bits_key(uint64_t id_hash) {
-    return GUINT_TO_POINTER((uint16_t)id_hash);
+static GSList **id_bucket(backends_t *backends, uint16_t id_bits) {
+    return &backends->by_id_bits[id_bits % BACKEND_ID_BUCKETS];
 }
 
 static void add_to_id_bits(backends_t *backends, backend_t *backend) {
-    gpointer key = id_bits_key(backend->id_hash);
-    GSList *list = g_hash_table_lookup(backends->by_id_bits, key);
-    g_hash_table_insert(backends->by_id_bits, key, g_slist_prepend(list, backend));
+    GSList **bucket = id_bucket(backends, (uint16_t)backend->id_hash);
+    *bucket = g_slist_prepend(*bucket, backend);
 }
 
 static void remove_from_id_bits(backends_t *backends, backend_t *backend) {
-    gpointer key = id_bits_key(backend->id_hash);
-    GSList *list = g_slist_remove(g_hash_table_lookup(backends->by_id_bits, key), backend);
-    if (list == NULL)
-        g_hash_table_remove(backends->by_id_bits, key);
-    else
-        g_hash_table_insert(backends->by_id_bits, key, list);
-}
-
-void backends_doubt_version(const backends_t *backends, uint16_t id_bits) {
-    const GSList *item = g_hash_table_lookup(backends->by_id_bits, id_bits_key(id_bits));
-    for (; item != NULL; item = item->next)
-        backend_doubt_version(item->data);
-}
-
-bool backend_version_certain(const backend_t *backend) {
-    uint64_t doubted_at = backend->version_doubted_at;
-    if (doubted_at == 0)
-        return true;
-    bool updated = backend->version_updated_at >= doubted_at &&
-                   uv_now(backend->loop) >= doubted_at + VERSION_ENTRY_LAG_MS;
-    return updated || backend->owner->confirmed_at >= doubted_at + VERSION_DOUBT_MS;
+    GSList **bucket = id_bucket(backends, (uint16_t)backend->id_hash);
+    *bucket = g_slist_remove(*bucket, backend);
 }
 
 static void add_to_index(backends_t *backends, backend_t *backend) {
@@ -174,13 +66,21 @@
     if (counter != NULL)
         ++*counter;
     backend->version = software_version(backend->record->version);
-    add_version(backends, members, backend->version);
+    backend_versions_add(backends, members, backend->version);
     backend->local = strcmp(backend->record->zone, backends->zone) == 0;
     backend->list = backend->local ? members->local : members->remote;
     backend->list_index = backend->list->len;
     g_ptr_array_add(backend->list, backend);
 }
 
+void backends_doubt_version(backends_t *backends, uint16_t id_bits) {
+    for (GSList *item = *id_bucket(backends, id_bits); item != NULL; item = item->next) {
+        backend_t *backend = item->data;
+        if ((uint16_t)backend->id_hash == id_bits)
+            backend_doubt_version(backend);
+    }
+}
+
 /** Removes a back end from the list of its service; the last element moves to its index. */
 static void remove_from_index(backend_t *backend) {
     backend_t *last = g_ptr_array_index(backend->list, backend->list->len - 1);
@@ -188,7 +88,7 @@
     g_ptr_array_remove_index_fast(backend->list, backend->list_index);
     backend->list = NULL;
     service_members_t *members = find_or_add_service(backend->owner, backend->record->service);
-    remove_version(backend->owner, members, backend->version);
+    backend_versions_remove(backend->owner, members, backend->version);
     unsigned *counter = start_time_counter(members, backend->record);
     if (counter != NULL)
         --*counter;
@@ -201,7 +101,7 @@
     backends->zone = g_strdup(zone);
     backends->by_instance = g_hash_table_new(g_str_hash, g_str_equal);
     backends->by_hash = g_hash_table_new(g_int64_hash, g_int64_equal);
-    backends->by_id_bits = g_hash_table_new(NULL, NULL);
+    memset(backends->by_id_bits, 0, sizeof backends->by_id_bits);
     backends->by_service = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_members);
     backends->reported_by_peers = g_hash_table_new(NULL, NULL);
     backends->expired = g_hash_table_new(NULL, NULL);
@@ -357,7 +257,6 @@
     g_hash_table_destroy(none);
     g_hash_table_destroy(backends->by_instance);
     g_hash_table_destroy(backends->by_hash);
-    g_hash_table_destroy(backends->by_id_bits);
     g_hash_table_destroy(backends->by_service);
     g_hash_table_destroy(backends->reported_by_peers);
     g_hash_table_destroy(backends->expired);
--- a/src/gateway/backends.h
+++ b/src/gateway/backends.h
@@ -22,6 +22,14 @@
 #include "core/routing/stream_versions.h"
 #include "net/http_client.h"
 
+/** Number of buckets for back ends by the low bits of their hash. */
+enum { BACKEND_ID_BUCKETS = 1024 };
+
+typedef struct {
+    software_version_t version;
+    unsigned backends;
+} version_count_t;
+
 /** The back ends of one service. */
 typedef struct {
     GPtrArray *local;            /**< In the gateway's zone; of backend_t. */
@@ -29,7 +37,7 @@
     engine_baseline_t baseline;  /**< Running baseline of its turns; see engine_load.h. */
     unsigned with_start_time;    /**< Back ends that report a start time, except leaving ones. */
     unsigned without_start_time; /**< Back ends that report none, except leaving ones. */
-    GHashTable *versions;        /**< Software versions of its back ends: the number of each. */
+    GArray *versions;            /**< Of version_count_t: software versions of its back ends. */
     software_version_t latest_version; /**< Of the back end added last. */
     uint64_t differed_at;              /**< When it last had back ends of two versions; 0: never. */
     uint64_t sample_counter;           /**< Seeds the random bits; incremented by each placement. */
@@ -72,10 +80,10 @@
 typedef struct backends {
     uv_loop_t *loop;
     char *zone;
-    GHashTable *by_instance; /**< Of backend_t. */
-    GHashTable *by_hash;     /**< Of backend_t. */
-    GHashTable *by_id_bits;  /**< Low 16 bits of the hash to a GSList of backend_t. */
-    GHashTable *by_service;  /**< Name to service_members_t. */
+    GHashTable *by_instance;                /**< Of backend_t. */
+    GHashTable *by_hash;                    /**< Of backend_t. */
+    GSList *by_id_bits[BACKEND_ID_BUCKETS]; /**< Of backend_t, by low bits of the hash. */
+    GHashTable *by_service;                 /**< Name to service_members_t. */
     GHashTable *expired;   /**< Set of backend_t in the grace period after their entries expired. */
     GHashTable *to_report; /**< Set of backend_t that may have to be reported to other gateways. */
     GHashTable *reported_by_peers; /**< Set of backend_t that other gateways report now. */
@@ -120,32 +128,8 @@
 
 /** Concurrent calls of a back end; @p default_slots if it reports none, 0: unknown. */
 unsigned backend_slots(const backend_t *backend, unsigned default_slots);
-/** The process at the back end's address may be another than that which wrote its entry. */
-void backend_doubt_version(backend_t *backend);
-/** The same for the back ends with these low bits of backend_t.id_hash. */
-void backends_doubt_version(const backends_t *backends, uint16_t id_bits);
-/** A connection to the back end showed that its process has not ended since @p since. */
-void backend_trust_version(backend_t *backend, uint64_t since);
-/**
- * False if its version has been in doubt since, and it is not yet certain that its entry is of the
- * process that serves now. An entry that changes soon after the doubt began may have been written
- * before; the entry counts once VERSION_ENTRY_LAG_MS are over. If it does not change, the directory
- * must have been confirmed VERSION_DOUBT_MS after the doubt began.
- */
-bool backend_version_certain(const backend_t *backend);
-/** True if the service has, or had in STREAM_VERSION_RETENTION_MS, back ends of two versions. */
-bool backends_versions_differ(const backends_t *backends, const char *service);
-/**
- * True if all back ends of the service are known to have had one version as long as a stream may be
- * taken up: a gateway that has just started does not know, unless the entries name none.
- */
-bool backends_version_always_same(const backends_t *backends, const char *service);
-/** The only version of the service's back ends, or else that of the latest one; VERSION_UNKNOWN:
- * there are none. */
-software_version_t backends_latest_version(const backends_t *backends, const char *service);
-/** True if some back end of the service that is not leaving has this version. */
-bool backends_serve_version(const backends_t *backends, const char *service,
-                            software_version_t version);
+/** Puts in doubt the version of the back ends with these low bits of backend_t.id_hash. */
+void backends_doubt_version(backends_t *backends, uint16_t id_bits);
 /** Name of the software version in its entry; "-" if it names none. */
 const char *backend_version_name(const backend_t *backend);
 /** Speed in percent of the typical one of its service; 100 while there are too few samples. */
--- a/src/gateway/call_retry.c
+++ b/src/gateway/call_retry.c
@@ -10,6 +10,7 @@
 
 #include "common/event.h"
 #include "core/retry/resend.h"
+#include "gateway/backend_versions.h"
 #include "gateway/call_placement.h"
 
 enum {
--- a/src/gateway/call_send.c
+++ b/src/gateway/call_send.c
@@ -10,6 +10,7 @@
 
 #include "common/event.h"
 #include "gateway/backend_probe.h"
+#include "gateway/backend_versions.h"
 #include "gateway/call_placement.h"
 
 #include <string.h>
--- a/src/gateway/call_version.c
+++ b/src/gateway/call_version.c
@@ -16,6 +16,7 @@
 #include "gateway/call.h"
 
 #include "common/event.h"
+#include "gateway/backend_versions.h"
 
 enum { STATUS_UNAVAILABLE = 503 };
 
--- a/src/gateway/crash_watch.c
+++ b/src/gateway/crash_watch.c
@@ -1,6 +1,7 @@
 #include "gateway/crash_watch.h"
 
 #include "common/event.h"
+#include "gateway/backend_versions.h"
 #include "gateway/crash_reports.h"
 
 enum {
--- a/tests/unit/stream_versions_test.cc
+++ b/tests/unit/stream_versions_test.cc
@@ -5,6 +5,7 @@
 extern "C" {
 #include "cluster/message.h"
 #include "core/routing/stream_versions.h"
+#include "gateway/backend_versions.h"
 #include "gateway/backends.h"
 #include "gateway/engine_load.h"
 }
