gateways: a gateway that starts is answered only if crashes are known

What would have been seen: while gateways start together, each answers each request for known crashes with a report at once, most often one of nothing: 50 reports a second to all peers for 2 s.

Change: a gateway answers only if it knows crashes, and lists them at most twice a second.

--- a/src/gateway/load_sharing.c
+++ b/src/gateway/load_sharing.c
@@ -27,6 +27,7 @@
     RELAY_REPORT_EXPIRY_MS = 1500, /**< Maximum age of the last report of a relay. */
     REPORT_EXPIRY_MS = 1000,       /**< The loads of an older report are ignored. */
     INCARNATION_SETTLE_MS = 1000,  /**< Time for a new incarnation to reach all gateways. */
+    LIST_INTERVAL_MS = 500,        /**< Between two reports of all known crashes. */
     RETURN_MS = 3000,      /**< A peer without reports for longer may have missed crashes. */
     SOURCE_PERIODS = 2,    /**< One report may be lost before a source is considered dead. */
     SUM_INTERVAL_MS = 100, /**< Sums are recomputed after this, because reports expire. */
@@ -56,6 +57,7 @@
     void *crash_owner;
     bool lists_crashes;          /**< The next report has all known crashes. */
     uint64_t asks_crashes_until; /**< Reports ask for all known crashes; 0: no peer known yet. */
+    uint64_t crashes_listed_at;  /**< When all known crashes were last due; 0: never. */
     bool urgent;                 /**< A report is due as soon as URGENT_INTERVAL_MIN_MS allows. */
     bool watches_stores;         /**< Checks soon after a peer has lost the storage nodes. */
     bool below;                  /**< The peers follow gateways of another cell. */
@@ -182,6 +184,22 @@
     }
 }
 
+/**
+ * A gateway that has started asks for all known crashes; true if a report with them is due now. It
+ * asks several times, and most gateways know none: reports that only say so would add up while all
+ * gateways start.
+ */
+static bool answer_crash_request(load_sharing_t *sharing) {
+    uint64_t now = uv_now(sharing->loop);
+    if (sharing->crash_handler == NULL || now < sharing->crashes_listed_at + LIST_INTERVAL_MS)
+        return false;
+    GArray *crashes = g_array_new(FALSE, FALSE, sizeof(crash_report_t));
+    sharing->crash_handler->list_crashes(sharing->crash_owner, crashes);
+    sharing->lists_crashes |= crashes->len > 0;
+    g_array_free(crashes, TRUE);
+    return sharing->lists_crashes;
+}
+
 /** Passes on the crashes in a received report; new ones are relayed to @p audience. */
 static void take_crashes(load_sharing_t *sharing, GArray *entries, crash_audience_t audience) {
     uint64_t now = uv_now(sharing->loop);
@@ -192,8 +210,7 @@
     for (guint i = 0; i < crashes->len && sharing->crash_handler != NULL; i++) {
         const crash_report_t *crash = &g_array_index(crashes, crash_report_t, i);
         if (crash->request == 0) {
-            sharing->lists_crashes = true;
-            any = true;
+            any |= answer_crash_request(sharing);
             continue;
         }
         if (!sharing->crash_handler->on_crash(sharing->crash_owner, crash) || !relays)
@@ -282,6 +299,7 @@
 /** Makes all known crashes due again, for a gateway that has started or was out of reach. */
 static void report_known_crashes(load_sharing_t *sharing) {
     sharing->lists_crashes = false;
+    sharing->crashes_listed_at = uv_now(sharing->loop);
     if (sharing->crash_handler == NULL)
         return;
     GArray *crashes = g_array_new(FALSE, FALSE, sizeof(crash_report_t));
--- a/tests/unit/crash_history_test.cc
+++ b/tests/unit/crash_history_test.cc
@@ -186,7 +186,10 @@
         getsockname(probe, reinterpret_cast<sockaddr *>(&side->address), &length);
         close(probe);
         static const load_sharing_handler_t handler = {
-            [](void *, watch_report_t *report) { report->answer_age = UINT32_MAX; },
+            [](void *, watch_report_t *report) {
+                report->answer_age = UINT32_MAX;
+                reports_filled++;
+            },
             [](void *, const GArray *, uint64_t, uint64_t) { return UINT64_MAX; }};
         side->sharing =
             load_sharing_open(side->loop, &side->address, &side->backends, &handler, nullptr);
@@ -241,8 +244,11 @@
         return done();
     }
     std::vector<Side *> sides;
+    static unsigned reports_filled; /**< One to see whether a report is due, and one to send it. */
 };
 
+unsigned CrashSharing::reports_filled;
+
 TEST_F(CrashSharing, CrashesAndTheirEndReachTheOtherGateways) {
     Side &one = open("here");
     Side &other = open("here");
@@ -271,6 +277,16 @@
     EXPECT_TRUE(run_until([&] { return crash_watch_count(late.watch, REQUEST) == 3; }));
 }
 
+// Each gateway checks every 0.35 s whether a report is due, so some 60 reports a second are filled.
+TEST_F(CrashSharing, GatewaysThatStartTogetherDoNotAnswerEachOtherWithReportsOfNothing) {
+    for (unsigned i = 0; i < 10; i++)
+        open("here");
+    introduce();
+    reports_filled = 0;
+    run_until([until = uv_hrtime() + 1000000000U] { return uv_hrtime() > until; });
+    EXPECT_LE(reports_filled, 200U);
+}
+
 TEST_F(CrashSharing, CrashesReachAllGatewaysOfAnotherZoneThroughOneOfThem) {
     Side &first = open("here");
     Side &second = open("here");
