--- a/review/common/cluster.py
+++ b/review/common/cluster.py
@@ -184,7 +184,6 @@
         self.folder = tempfile.mkdtemp(prefix="rudderway-review-")
         self.random = random.Random(seed)
         self.platform = KeyValueService(seed)
-        self.platform_down = False  # Servers can't write their entries.
         self.machines = []
         self.version = 0
         self.roles = read_roles()
@@ -232,11 +231,6 @@
             "timeout-ms": 4000, "target-latency-ms": 250, "priority": 1, "service": "agent-models",
             "attempts": 1, "stateful": True, "retention-s": float(RETENTION_S),
             "sticky-sessions": True, "resumable": False, "target-gap-ms": 200,
-        }, {
-            "name": "builder", "host": HOST, "path-prefix": "/builder/", "kind": "streaming",
-            "timeout-ms": 4000, "target-latency-ms": 250, "priority": 0, "service": "agent-models",
-            "attempts": 1, "stateful": False, "retention-s": float(RETENTION_S),
-            "sticky-sessions": True, "resumable": True, "target-gap-ms": 200,
         }, {
             "name": f"idle-{self.version}", "host": HOST, "path-prefix": f"/idle{self.version}/",
             "kind": "safe", "timeout-ms": 1200, "target-latency-ms": 150, "priority": 2,
--- a/review/common/servers.py
+++ b/review/common/servers.py
@@ -33,27 +33,21 @@
     async def start(self):
         self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
         self.port = self.server.sockets[0].getsockname()[1]
-        self.write_entry()
+        self._write_entry()
         self.heart = asyncio.create_task(self._beat())
 
-    def entry(self):
-        return {
+    def _write_entry(self):
+        self.sequence += 1
+        self.cluster.platform.put(f"servers/{self.instance}", {
             "service": "agent-models", "address": f"127.0.0.1:{self.port}", "zone": self.zone,
             "version": "v1", "slots": SLOTS, "state": "ready", "cold-remaining-ms": 0,
             "sequence": self.sequence, "born": self.born,
-        }
-
-    def write_entry(self):
-        """The server writes its entry, unless the platform's store is down."""
-        if self.cluster.platform_down:
-            return
-        self.sequence += 1
-        self.cluster.platform.put(f"servers/{self.instance}", self.entry())
+        })
 
     async def _beat(self):
         while True:
             await asyncio.sleep(shared.HEARTBEAT_S)
-            self.write_entry()
+            self._write_entry()
 
     async def _serve(self, reader, writer):
         try:
