--- a/review/common/clients.py
+++ b/review/common/clients.py
@@ -50,14 +50,15 @@
             previous = parent
         return text
 
-    async def turn(self, gateway, program, previous=None, name="turn", budget=BUDGET, most=MOST):
-        """One try of one turn."""
+    async def turn(self, gateway, program, previous=None, name="turn", budget=BUDGET, most=MOST,
+                   session=None):
+        """One try of one turn; a program's lines of turns have sessions of their own."""
         self.count += 1
         answer = Answer(self.new_id())
         given = f"input of {answer.id}\n".rjust(self.input_bytes, "x")
         fields = [
             ("Host", shared.HOST), ("Attempt-Id", answer.id), ("Model", "m"),
-            ("Program-Id", program), ("Session-Id", program), ("Program-Deadline", 90000),
+            ("Program-Id", program), ("Session-Id", session or program), ("Program-Deadline", 90000),
             ("Token-Budget", budget), ("Token-Counts", f"100,{most}"),
             ("Prompt-Prefix", f"5c1e07a2:50,{program}:50"), ("Deadline-Milliseconds", DEADLINE_MS),
             ("Content-Length", len(given)),
--- a/review/common/cluster.py
+++ b/review/common/cluster.py
@@ -35,6 +35,49 @@
 LONGEST_S = 115
 
 
+class Platform(KeyValueService):
+    """The project's stand-in, with the fields of items and refusals that the pages name."""
+
+    def __init__(self, seed):
+        super().__init__(seed)
+        self.made = {}  # Key: revision of its creation.
+
+    def _put_encoded(self, key, encoded):
+        revision = super()._put_encoded(key, encoded)
+        if encoded is None:
+            self.made.pop(key, None)
+        else:
+            self.made.setdefault(key, revision)
+        return revision
+
+    def _item(self, key):
+        value, revision = self.items[key]
+        return {"private-key": key, "value": value, "revision": revision, "made": self.made[key],
+                "lease": 0}
+
+    def _present(self, keys):
+        return [self._item(key) for key in keys if self.items.get(key, (None, 0))[0] is not None]
+
+    def _list(self, query):
+        prefix, after = query.get("path-prefix", ""), query.get("after", "")
+        items = self._present(
+            key for key in sorted(self.items) if key.startswith(prefix) and key > after)
+        return self._json(200, {"items": items[:500], "more": len(items) > 500, "at": self.revision})
+
+    def _events(self, prefix, after):
+        events = super()._events(prefix, after)
+        return [event if "gone" in event else self._item(event["private-key"]) for event in events]
+
+    def _write(self, body):
+        expected = body.get("expected-revision", [])
+        for row in expected:
+            value, revision = self.items.get(row["private-key"], (None, 0))
+            if (0 if value is None else revision) != row["revision"]:
+                items = self._present(row["private-key"] for row in expected)
+                return self._json(412, {"items": items})
+        return super()._write({**body, "expected-revision": []})
+
+
 class CannotRun(Exception):
     """The case could not be run; the exit status is 2."""
 
@@ -87,8 +130,8 @@
 class Record:
     """record.txt: what was sent, answered and run, in seconds from the start."""
 
-    def __init__(self, folder):
-        self.file = open(os.path.join(folder, "record.txt"), "w", encoding="utf-8")
+    def __init__(self, path):
+        self.file = open(path, "w", encoding="utf-8")
         self.begun = time.monotonic()
 
     def now(self):
@@ -183,7 +226,7 @@
         self.record = record
         self.folder = tempfile.mkdtemp(prefix="rudderway-review-")
         self.random = random.Random(seed)
-        self.platform = KeyValueService(seed)
+        self.platform = Platform(seed)
         self.machines = []
         self.version = 0
         self.roles = read_roles()
@@ -299,11 +342,11 @@
     return outcome
 
 
-def run_case(folder, new_case):
+def run_case(record_path, new_case):
     """Plays a case and ends the process: 1 if the rule was broken, 0 if it held, 2 if it couldn't run."""
     def leave(*_):
         raise CannotRun("it was stopped")
-    record = Record(folder)
+    record = Record(record_path)
     case = None
     signal.signal(signal.SIGTERM, leave)
     signal.signal(signal.SIGINT, leave)
