--- a/review/common/cluster.py
+++ b/review/common/cluster.py
@@ -16,6 +16,7 @@
 import sys
 import tempfile
 import time
+import traceback
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 sys.path.insert(0, os.path.join(ROOT, "tests", "soak"))
@@ -357,6 +358,9 @@
         status = finish(record, 1 if broken else 0, detail)
     except (CannotRun, asyncio.TimeoutError, OSError) as error:
         status = finish(record, 2, repr(error))
+    except Exception as error:
+        traceback.print_exc()
+        status = finish(record, 2, repr(error))
     finally:
         if case is not None:
             case.cluster.stop()
