--- a/review/common/clients.py
+++ b/review/common/clients.py
@@ -9,6 +9,7 @@
 DEADLINE_MS = 4000
 BUDGET = 100000
 MOST = 288
+PROGRAM_MS = 90000
 GAP_S = 2.0  # A client gives a stream up after such a gap.
 
 
@@ -36,6 +37,7 @@
         self.cluster = cluster
         self.input_bytes = input_bytes  # At least.
         self.turns = {}  # Attempt id of a turn answered whole: (parent, input, output).
+        self.begun_at = {}  # Program: when its first turn was sent.
         self.count = 0
 
     def new_id(self):
@@ -56,9 +58,11 @@
         self.count += 1
         answer = Answer(self.new_id())
         given = f"input of {answer.id}\n".rjust(self.input_bytes, "x")
+        begun_at = self.begun_at.setdefault(program, time.monotonic())
+        program_ms = PROGRAM_MS - round((time.monotonic() - begun_at) * 1000)
         fields = [
             ("Host", shared.HOST), ("Attempt-Id", answer.id), ("Model", "m"),
-            ("Program-Id", program), ("Session-Id", session or program), ("Program-Deadline", 90000),
+            ("Program-Id", program), ("Session-Id", session or program), ("Program-Deadline", program_ms),
             ("Token-Budget", budget), ("Token-Counts", f"100,{most}"),
             ("Prompt-Prefix", f"5c1e07a2:50,{program}:50"), ("Deadline-Milliseconds", DEADLINE_MS),
             ("Content-Length", len(given)),
