gateways: count and log what is sent to other gateways (E870, metrics)

No log or metric told how much a gateway sends to others, nor how many crashes of back ends it found itself, passed on or listed again, so that the hypotheses of the incident (docs/incidents/ crash-reports-without-end.md) could not be told apart. Counted now, and logged once a second while a gateway sends more than the 14 kB a second that docs/CAPACITY.md allows a node.

No decision changes.

--- /dev/null
+++ b/src/gateway/control_traffic.c
@@ -0,0 +1,38 @@
+#include "gateway/control_traffic.h"
+
+#include "common/event.h"
+
+enum {
+    WINDOW_MS = 1000,
+    NODE_BYTES_PER_S = 14000, /**< docs/CAPACITY.md: what a node may send for control. */
+};
+
+/** Logs a window above the rate, and the first one within it again. */
+static void end_window(control_traffic_t *traffic, uint64_t now) {
+    const control_counts_t *begin = &traffic->window;
+    const control_counts_t *end = &traffic->counts;
+    uint64_t ms = now - traffic->window_began_at;
+    uint64_t bytes_per_s = (end->bytes - begin->bytes) * WINDOW_MS / ms;
+    bool exceeds = bytes_per_s > NODE_BYTES_PER_S;
+    if (exceeds || traffic->exceeded)
+        event_log(GATEWAY_CONTROL_TRAFFIC, bytes_per_s, end->datagrams - begin->datagrams,
+                  end->urgent_reports - begin->urgent_reports,
+                  end->crashes_sent - begin->crashes_sent,
+                  end->crashes_found - begin->crashes_found,
+                  end->crashes_passed - begin->crashes_passed,
+                  end->crash_lists - begin->crash_lists, ms);
+    traffic->exceeded = exceeds;
+    traffic->window = traffic->counts;
+    traffic->window_began_at = now;
+}
+
+void control_traffic_record(control_traffic_t *traffic, unsigned receivers, uint64_t bytes,
+                            unsigned crashes, uint64_t now) {
+    if (traffic->window_began_at == 0)
+        traffic->window_began_at = now;
+    if (now >= traffic->window_began_at + WINDOW_MS)
+        end_window(traffic, now);
+    traffic->counts.datagrams += receivers;
+    traffic->counts.bytes += receivers * bytes;
+    traffic->counts.crashes_sent += (uint64_t)receivers * crashes;
+}
--- a/src/gateway/load_sharing.c
+++ b/src/gateway/load_sharing.c
@@ -69,6 +69,7 @@
     uint64_t sent_changes;
     uint64_t sent_at;
     bool sent_any;
+    control_traffic_t traffic;
 };
 
 static void free_peer(gpointer data) {
@@ -216,6 +217,7 @@
         if (!sharing->crash_handler->on_crash(sharing->crash_owner, crash) || !relays)
             continue;
         crash_reports_add(&sharing->crashes, crash, audience, now);
+        sharing->traffic.counts.crashes_passed++;
         any = true;
     }
     g_array_free(crashes, TRUE);
@@ -302,6 +304,7 @@
     sharing->crashes_listed_at = uv_now(sharing->loop);
     if (sharing->crash_handler == NULL)
         return;
+    sharing->traffic.counts.crash_lists++;
     GArray *crashes = g_array_new(FALSE, FALSE, sizeof(crash_report_t));
     sharing->crash_handler->list_crashes(sharing->crash_owner, crashes);
     for (guint i = 0; i < crashes->len; i++)
@@ -310,14 +313,17 @@
     g_array_free(crashes, TRUE);
 }
 
-static void append_crashes(load_sharing_t *sharing, GArray *entries) {
+/** Returns how many crashes were appended. */
+static unsigned append_crashes(load_sharing_t *sharing, GArray *entries) {
     if (sharing->lists_crashes)
         report_known_crashes(sharing);
     if (uv_now(sharing->loop) < sharing->asks_crashes_until) {
         load_entry_t request = load_entry_crash_request();
         g_array_append_val(entries, request);
     }
+    guint before = entries->len;
     crash_reports_append(&sharing->crashes, CRASH_TO_CELL, uv_now(sharing->loop), entries);
+    return entries->len - before;
 }
 
 static void send_reports(load_sharing_t *sharing) {
@@ -328,7 +334,7 @@
     sharing->urgent = false;
     sharing->sent_any = entries->len > 0;
     backend_speeds_append_report(sharing->backends, entries, sharing->peers->len);
-    append_crashes(sharing, entries);
+    unsigned crashes = append_crashes(sharing, entries);
     GBytes *bytes = load_report_encode(&watch, entries);
     gsize length;
     const void *data = g_bytes_get_data(bytes, &length);
@@ -337,6 +343,8 @@
         const gateway_peer_t *peer = g_ptr_array_index(sharing->peers, i);
         uv_udp_try_send(&sharing->socket, &buffer, 1, (const struct sockaddr *)&peer->address);
     }
+    control_traffic_record(&sharing->traffic, sharing->peers->len, length, crashes,
+                           uv_now(sharing->loop));
     g_bytes_unref(bytes);
     g_array_free(entries, TRUE);
 }
@@ -354,7 +362,9 @@
     }
     GArray *crashes = g_array_new(FALSE, FALSE, sizeof(load_entry_t));
     crash_reports_append(&sharing->crashes, CRASH_TO_ZONES, now, crashes);
-    zone_loads_send(&sharing->zone_loads, crashes, &sharing->socket);
+    size_t sent = zone_loads_send(&sharing->zone_loads, crashes, &sharing->socket);
+    control_traffic_record(&sharing->traffic, sent > 0 ? sharing->zone_loads.gateways->len : 0,
+                           sent, crashes->len, now);
     g_array_free(crashes, TRUE);
 }
 
@@ -441,11 +451,16 @@
     }
     sharing->sent_changes = sharing->backends->changes;
     sharing->sent_at = now;
+    sharing->traffic.counts.urgent_reports++;
     send_reports(sharing);
     if (sharing->zone_loads.gateways->len > 0)
         send_zone_loads(sharing);
 }
 
+const control_counts_t *load_sharing_counts(const load_sharing_t *sharing) {
+    return &sharing->traffic.counts;
+}
+
 void load_sharing_share_crashes(load_sharing_t *sharing, const crash_sharing_handler_t *handler,
                                 void *owner) {
     sharing->crash_handler = handler;
@@ -453,6 +468,7 @@
 }
 
 void load_sharing_report_crash(load_sharing_t *sharing, const crash_report_t *crash) {
+    sharing->traffic.counts.crashes_found++;
     crash_reports_add(&sharing->crashes, crash, CRASH_TO_CELL | CRASH_TO_ZONES,
                       uv_now(sharing->loop));
 }
--- a/src/gateway/load_sharing.h
+++ b/src/gateway/load_sharing.h
@@ -13,6 +13,7 @@
 #include "core/configuration/watch_role.h"
 #include "core/retry/crash_history.h"
 #include "gateway/backends.h"
+#include "gateway/control_traffic.h"
 
 typedef struct load_sharing load_sharing_t;
 
@@ -73,6 +74,8 @@
                              uint64_t *last_received_at);
 /** Sends this gateway's report now, or URGENT_INTERVAL_MIN_MS after the last one. */
 void load_sharing_report_now(load_sharing_t *sharing);
+/** What was sent so far. */
+const control_counts_t *load_sharing_counts(const load_sharing_t *sharing);
 /** Checks in the next loop iteration whether a report is due. */
 void load_sharing_check_soon(load_sharing_t *sharing);
 
--- a/src/gateway/reports.c
+++ b/src/gateway/reports.c
@@ -94,6 +94,17 @@
     metrics_append(text, "directory_followers", directory_feed_followers(gateway->feed));
 }
 
+static void append_control_metrics(const gateway_t *gateway, GString *text) {
+    const control_counts_t *counts = load_sharing_counts(gateway->load_sharing);
+    metrics_append(text, "control_datagrams_total", counts->datagrams);
+    metrics_append(text, "control_bytes_total", counts->bytes);
+    metrics_append(text, "control_urgent_reports_total", counts->urgent_reports);
+    metrics_append(text, "crashes_sent_total", counts->crashes_sent);
+    metrics_append(text, "crashes_found_total", counts->crashes_found);
+    metrics_append(text, "crashes_passed_on_total", counts->crashes_passed);
+    metrics_append(text, "crash_lists_total", counts->crash_lists);
+}
+
 static void append_speed_metrics(gateway_t *gateway, GString *text) {
     backend_speed_counts_t counts = backend_speeds_count(&gateway->backends);
     metrics_append(text, "backends_measured", counts.measured);
@@ -108,6 +119,7 @@
     metrics_append(text, "configuration_version",
                    gateway->configuration == NULL ? 0 : gateway->configuration->version);
     append_directory_metrics(gateway, text);
+    append_control_metrics(gateway, text);
     metrics_append(text, "backends", backends_count(&gateway->backends));
     append_speed_metrics(gateway, text);
     metrics_append(text, "stores_connected", store_client_connected(gateway->stores));
--- a/src/gateway/zone_loads.c
+++ b/src/gateway/zone_loads.c
@@ -187,7 +187,8 @@
     return bytes;
 }
 
-void zone_loads_send(zone_loads_t *loads, const GArray *crashes, uv_udp_t *socket) {
+size_t zone_loads_send(zone_loads_t *loads, const GArray *crashes, uv_udp_t *socket) {
+    size_t sent = 0;
     bool any = g_hash_table_size(loads->sums) > 0 || crashes->len > 0;
     if (any || loads->sent_any) {
         GBytes *bytes = encode_sums(loads, crashes);
@@ -199,7 +200,9 @@
             uv_udp_try_send(socket, &buffer, 1, (const struct sockaddr *)&gateway->address);
         }
         g_bytes_unref(bytes);
+        sent = length;
     }
     loads->sent_any = any;
     g_hash_table_remove_all(loads->sums);
+    return sent;
 }
--- a/src/gateway/zone_loads.h
+++ b/src/gateway/zone_loads.h
@@ -41,8 +41,8 @@
 GArray *zone_loads_entries(const zone_loads_t *loads, const struct sockaddr_in *from);
 /**
  * Sends this zone's sums of calls in progress to the counterparts and resets them; with them
- * @p crashes, of load_entry_t.
+ * @p crashes, of load_entry_t. Returns the size of the datagram; 0: there was nothing to send.
  */
-void zone_loads_send(zone_loads_t *loads, const GArray *crashes, uv_udp_t *socket);
+size_t zone_loads_send(zone_loads_t *loads, const GArray *crashes, uv_udp_t *socket);
 
 #endif
