crash history: a report that comes late is no other crash

Cause: two reports were of one crash if the times at which it was found were less than 250 ms apart, and a receiver works that time out from an age in the report. What delays the report moves the time. Once datagrams waited for longer than 250 ms on some link, each repetition was a new crash for its receiver, who passed it on to all others at once with the later time: without end, since each way adds delay, and 18 s after the last trouble all gateways together still sent 250 to 300 MB a second. It also stopped requests that had met one crash.

A crash now has a number among those of its back end under the request, given by the gateway that found it, who alone knows by the time that two ends are one. Backend and number tell whether a report is known, however late it comes. Storage nodes number by time, since each gateway tells them once, on a connection, and gateways that don't know of each other's crashes give the same number. Earlier versions skip the entries of a second crash of one back end, and read the first as before.

Evidence: CrashSharing.DelayedReportsOfACrashDoNotGoRoundAsOthers (six gateways whose datagrams wait for up to 0.4 s) failed on, with two crashes known at gateways of one, and passes. CrashHistory.AReportThatComesLateIsNoOtherCrash guards the decision.

--- a/src/cluster/message.c
+++ b/src/cluster/message.c
@@ -128,6 +128,16 @@
     codec_uint32(codec, &limit->burst);
 }
 
+/** Stands behind all else, unless it is 1: earlier versions don't know it. */
+static void crash_number_codec(codec_t *codec, message_t *message) {
+    uint32_t number = message->crash.number;
+    bool is_given = codec->decoding ? !codec_at_end(codec) : number > 1;
+    if (is_given)
+        codec_uint32(codec, &number);
+    if (codec->decoding)
+        message->crash.number = is_given ? (uint8_t)MIN(number, UINT8_MAX) : 1;
+}
+
 static void crash_codec(codec_t *codec, message_t *message) {
     uint32_t backend = message->crash.backend;
     codec_uint64(codec, &message->crash.request);
@@ -135,6 +145,7 @@
     codec_bool(codec, &message->crash.cleared);
     codec_uint32(codec, &message->age_ms);
     message->crash.backend = (uint16_t)backend;
+    crash_number_codec(codec, message);
 }
 
 static void fields_codec(codec_t *codec, message_t *message) {
--- a/src/core/retry/crash_history.c
+++ b/src/core/retry/crash_history.c
@@ -11,6 +11,7 @@
 typedef struct {
     uint64_t at;
     uint16_t backend;
+    uint8_t number;
     bool confirmed;
 } crash_t;
 
@@ -79,26 +80,42 @@
     return entry;
 }
 
-static bool is_same(const crash_t *crash, const crash_report_t *report) {
-    uint64_t apart = crash->at > report->at ? crash->at - report->at : report->at - crash->at;
-    return crash->backend == report->backend && apart < CRASH_SAME_MS;
-}
-
 static int find_crash(const request_crashes_t *entry, const crash_report_t *report) {
     for (unsigned i = 0; i < entry->count; i++)
-        if (is_same(&entry->crashes[i], report))
+        if (entry->crashes[i].backend == report->backend &&
+            entry->crashes[i].number == report->number)
             return (int)i;
     return -1;
 }
 
+static bool is_close(uint64_t at, uint64_t other) {
+    return (at > other ? at - other : other - at) < CRASH_SAME_MS;
+}
+
+/** The number of a crash found now, among those known of its back end. */
+static uint8_t find_number(const request_crashes_t *entry, const crash_report_t *crash) {
+    uint8_t last = 0;
+    for (unsigned i = 0; entry != NULL && i < entry->count; i++) {
+        const crash_t *known = &entry->crashes[i];
+        if (known->backend != crash->backend)
+            continue;
+        if (is_close(known->at, crash->at))
+            return known->number;
+        last = MAX(last, known->number);
+    }
+    return last < UINT8_MAX ? last + 1 : last;
+}
+
 static void remove_crash(request_crashes_t *entry, unsigned index) {
     for (unsigned i = index + 1; i < entry->count; i++)
         entry->crashes[i - 1] = entry->crashes[i];
     entry->count--;
 }
 
-bool crash_history_add(crash_history_t *history, const crash_report_t *crash, bool confirmed) {
+bool crash_history_add(crash_history_t *history, crash_report_t *crash, bool confirmed) {
     const request_crashes_t *known = find(history, crash->request);
+    if (crash->number == 0)
+        crash->number = find_number(known, crash);
     if (known != NULL && (find_crash(known, crash) >= 0 || crash->at <= known->cleared_at))
         return false;
     request_crashes_t *entry = obtain(history, crash->request, crash->at);
@@ -107,7 +124,7 @@
     unsigned index = entry->count++;
     for (; index > 0 && entry->crashes[index - 1].at > crash->at; index--)
         entry->crashes[index] = entry->crashes[index - 1];
-    entry->crashes[index] = (crash_t){crash->at, crash->backend, confirmed};
+    entry->crashes[index] = (crash_t){crash->at, crash->backend, crash->number, confirmed};
     return true;
 }
 
@@ -163,7 +180,7 @@
                          GArray *reports) {
     for (unsigned i = first_recent(entry, now); i < entry->count && reports->len < max; i++) {
         const crash_t *crash = &entry->crashes[i];
-        crash_report_t report = {entry->request, crash->at, crash->backend, false};
+        crash_report_t report = {entry->request, crash->at, crash->backend, crash->number, false};
         if (crash->confirmed)
             g_array_append_val(reports, report);
     }
--- a/src/core/retry/crash_history.h
+++ b/src/core/retry/crash_history.h
@@ -23,15 +23,22 @@
 enum {
     CRASHES_MAX = 3,            /**< Back ends that may end under one request. */
     CRASH_RETENTION_MS = 60000, /**< Longer than a caller and its program try a request again. */
-    /** Reports of one back end within this time are of one crash; a restart takes longer. */
+    /** What is found at one back end within this time is one crash; a restart takes longer. */
     CRASH_SAME_MS = 250,
 };
 
-/** A crash under a request, or the end of suspicion against the request. */
+/**
+ * A crash under a request, or the end of suspicion against the request.
+ *
+ * Reports of one crash come more than once, from several gateways, and late by any time, so that a
+ * receiver can't tell by the time whether it knows a crash. A back end that ends under a request
+ * again, after a restart, has the next number.
+ */
 typedef struct {
     uint64_t request; /**< See call_identity of gateway/call.h. */
     uint64_t at;
     uint16_t backend; /**< From a hash of the back end. */
+    uint8_t number;   /**< Of the back end's crashes under the request, from 1; 0: not yet known. */
     bool cleared;     /**< The request got a complete response. */
 } crash_report_t;
 
@@ -39,8 +46,12 @@
 
 crash_history_t *crash_history_new(void);
 void crash_history_free(crash_history_t *history);
-/** Adds a crash; false if it is known, or older than a complete response to the request. */
-bool crash_history_add(crash_history_t *history, const crash_report_t *crash, bool confirmed);
+/**
+ * Adds a crash; false if it is known, or older than a complete response to the request. One without
+ * a number gets it: that of a crash of the same back end less than CRASH_SAME_MS apart, else the
+ * next.
+ */
+bool crash_history_add(crash_history_t *history, crash_report_t *crash, bool confirmed);
 /** Removes a crash that turned out to be none. */
 void crash_history_remove(crash_history_t *history, const crash_report_t *crash);
 void crash_history_confirm(crash_history_t *history, const crash_report_t *crash);
--- a/src/gateway/control_traffic.c
+++ b/src/gateway/control_traffic.c
@@ -15,12 +15,11 @@
     uint64_t bytes_per_s = (end->bytes - begin->bytes) * WINDOW_MS / ms;
     bool exceeds = bytes_per_s > NODE_BYTES_PER_S;
     if (exceeds || traffic->exceeded)
-        event_log(GATEWAY_CONTROL_TRAFFIC, bytes_per_s, end->datagrams - begin->datagrams,
-                  end->urgent_reports - begin->urgent_reports,
-                  end->crashes_sent - begin->crashes_sent,
-                  end->crashes_found - begin->crashes_found,
-                  end->crashes_passed - begin->crashes_passed,
-                  end->crash_lists - begin->crash_lists, ms);
+        event_log(
+            GATEWAY_CONTROL_TRAFFIC, bytes_per_s, end->datagrams - begin->datagrams,
+            end->urgent_reports - begin->urgent_reports, end->crashes_sent - begin->crashes_sent,
+            end->crashes_found - begin->crashes_found, end->crashes_passed - begin->crashes_passed,
+            end->crash_lists - begin->crash_lists, ms);
     traffic->exceeded = exceeds;
     traffic->window = traffic->counts;
     traffic->window_began_at = now;
--- a/src/gateway/crash_reports.c
+++ b/src/gateway/crash_reports.c
@@ -26,8 +26,8 @@
 }
 
 static bool is_same(const crash_report_t *report, const crash_report_t *other) {
-    return report->request == other->request && report->at == other->at &&
-           report->backend == other->backend && report->cleared == other->cleared;
+    return report->request == other->request && report->backend == other->backend &&
+           report->number == other->number && report->cleared == other->cleared;
 }
 
 void crash_reports_add(crash_reports_t *reports, const crash_report_t *crash, unsigned audience,
--- a/src/gateway/crash_watch.c
+++ b/src/gateway/crash_watch.c
@@ -52,7 +52,8 @@
     crash_watch_t *watch = owner;
     if (report->cleared)
         return crash_history_clear(watch->history, report->request, report->at);
-    if (!crash_history_add(watch->history, report, true))
+    crash_report_t crash = *report;
+    if (!crash_history_add(watch->history, &crash, true))
         return false;
     backends_doubt_version(watch->backends, report->backend);
     log_if_stopped(watch, report->request);
@@ -209,7 +210,8 @@
 
 static crash_report_t new_crash(const crash_watch_t *watch, uint64_t request,
                                 const backend_t *backend) {
-    return (crash_report_t){request, now(watch), (uint16_t)backend->id_hash, false};
+    return (crash_report_t){
+        .request = request, .at = now(watch), .backend = (uint16_t)backend->id_hash};
 }
 
 void crash_watch_suspect(crash_watch_t *watch, uint64_t request, backend_t *backend) {
--- a/src/gateway/load_report.c
+++ b/src/gateway/load_report.c
@@ -14,9 +14,14 @@
     CRASH_AGE_MAX_MS = 0xffff,
 };
 
-/** Numbers of calls that no back end has; they mark an entry as a crash, or as its end. */
+/**
+ * Numbers of calls that no back end has; they mark an entry as a back end's first crash, as the
+ * request's complete response, or, down to the last, as the back end's crash with the number that
+ * is subtracted from UINT32_MAX.
+ */
 #define CRASH_MARK UINT32_MAX
 #define CRASH_CLEARED_MARK (UINT32_MAX - 1)
+#define CRASH_LAST_MARK (UINT32_MAX - UINT8_MAX)
 
 static void report_codec(codec_t *codec, watch_report_t *watch, GArray *entries) {
     codec_uint32(codec, &watch->answer_age);
@@ -53,20 +58,34 @@
     return (load_entry_t){.under_way = CRASH_MARK};
 }
 
+static uint32_t crash_mark(const crash_report_t *crash) {
+    if (crash->cleared)
+        return CRASH_CLEARED_MARK;
+    return crash->number > 1 ? UINT32_MAX - crash->number : CRASH_MARK;
+}
+
+static uint8_t crash_number(uint32_t mark) {
+    return mark >= CRASH_CLEARED_MARK ? 1 : (uint8_t)(UINT32_MAX - mark);
+}
+
 load_entry_t load_entry_from_crash(const crash_report_t *crash, uint64_t now) {
     uint64_t age = now > crash->at ? now - crash->at : 0;
-    return (load_entry_t){crash->request, crash->cleared ? CRASH_CLEARED_MARK : CRASH_MARK,
+    return (load_entry_t){crash->request, crash_mark(crash),
                           (uint32_t)MIN(CRASH_AGE_MAX_MS, age) << CRASH_BACKEND_BITS |
                               crash->backend};
 }
 
 bool load_entry_crash(const load_entry_t *entry, uint64_t now, crash_report_t *crash) {
-    if (entry->under_way != CRASH_MARK && entry->under_way != CRASH_CLEARED_MARK)
+    if (entry->under_way < CRASH_LAST_MARK)
         return false;
     uint64_t age = entry->ejected_ms >> CRASH_BACKEND_BITS;
-    *crash = (crash_report_t){entry->backend, now > age ? now - age : 0,
-                              (uint16_t)(entry->ejected_ms & CRASH_BACKEND_MASK),
-                              entry->under_way == CRASH_CLEARED_MARK};
+    *crash = (crash_report_t){
+        .request = entry->backend,
+        .at = now > age ? now - age : 0,
+        .backend = (uint16_t)(entry->ejected_ms & CRASH_BACKEND_MASK),
+        .number = crash_number(entry->under_way),
+        .cleared = entry->under_way == CRASH_CLEARED_MARK,
+    };
     return true;
 }
 
--- a/src/store/store_crashes.c
+++ b/src/store/store_crashes.c
@@ -32,6 +32,8 @@
         clear_request(store, &report, now);
         return;
     }
+    /* Gateways number alike the crashes of one back end that they don't know from each other. */
+    report.number = 0;
     if (!crash_history_add(store->crashes, &report, true) ||
         crash_history_count(store->crashes, report.request, now) < CRASHES_PASSED_ON)
         return;
--- a/tests/unit/crash_history_test.cc
+++ b/tests/unit/crash_history_test.cc
@@ -29,8 +29,9 @@
     void TearDown() override {
         crash_history_free(history);
     }
-    bool add(uint16_t backend, uint64_t at, uint64_t request = REQUEST, bool confirmed = true) {
-        crash_report_t crash = {request, at, backend, false};
+    bool add(uint16_t backend, uint64_t at, uint64_t request = REQUEST, bool confirmed = true,
+             uint8_t number = 0) {
+        crash_report_t crash = {request, at, backend, number, false};
         return crash_history_add(history, &crash, confirmed);
     }
     unsigned count(uint64_t now, uint64_t request = REQUEST) {
@@ -60,11 +61,23 @@
     EXPECT_EQ(count(NOW + 300), 2U);
 }
 
+TEST_F(CrashHistory, AReportThatComesLateIsNoOtherCrash) {
+    EXPECT_TRUE(add(1, NOW));
+    EXPECT_FALSE(add(1, NOW + 700, REQUEST, true, 1)) << "found at NOW, delayed on its way here";
+    EXPECT_EQ(count(NOW + 700), 1U);
+    EXPECT_TRUE(add(1, NOW + 900, REQUEST, true, 2)) << "found by a gateway that knew the first";
+    EXPECT_FALSE(add(1, NOW + 1500, REQUEST, true, 2));
+    EXPECT_EQ(count(NOW + 1500), 2U);
+    EXPECT_TRUE(add(1, NOW + 2000)) << "found here";
+    EXPECT_FALSE(add(1, NOW + 9000, REQUEST, true, 3));
+    EXPECT_EQ(count(NOW + 9000), 3U);
+}
+
 TEST_F(CrashHistory, ABackEndThatIsAliveDoesNotCount) {
     add(1, NOW, REQUEST, false);
     add(2, NOW);
     EXPECT_EQ(count(NOW), 2U);
-    crash_report_t alive = {REQUEST, NOW, 1, false};
+    crash_report_t alive = {REQUEST, NOW, 1, 1, false};
     crash_history_remove(history, &alive);
     EXPECT_EQ(count(NOW), 1U);
 }
@@ -117,7 +130,7 @@
 }
 
 TEST(CrashReport, IsAnEntryThatEarlierVersionsSkip) {
-    const crash_report_t crash = {0x123456789abcdef0, NOW - 1500, 0xbeef, false};
+    const crash_report_t crash = {0x123456789abcdef0, NOW - 1500, 0xbeef, 1, false};
     load_entry_t entry = load_entry_from_crash(&crash, NOW);
     crash_report_t read;
     ASSERT_TRUE(load_entry_crash(&entry, NOW + 20, &read));
@@ -130,6 +143,21 @@
     EXPECT_FALSE(load_entry_crash(&load, NOW, &read));
 }
 
+TEST(CrashReport, HasTheNumberOfTheCrashOrItsEnd) {
+    crash_report_t read;
+    for (unsigned number : {1U, 2U, 3U, 255U}) {
+        const crash_report_t crash = {REQUEST, NOW, 5, static_cast<uint8_t>(number), false};
+        load_entry_t entry = load_entry_from_crash(&crash, NOW);
+        ASSERT_TRUE(load_entry_crash(&entry, NOW, &read));
+        EXPECT_EQ(read.number, number);
+        EXPECT_FALSE(read.cleared);
+    }
+    const crash_report_t cleared = {REQUEST, NOW, 0, 0, true};
+    load_entry_t entry = load_entry_from_crash(&cleared, NOW);
+    ASSERT_TRUE(load_entry_crash(&entry, NOW, &read));
+    EXPECT_TRUE(read.cleared);
+}
+
 TEST(CrashReport, OfRequestZeroAsksForAll) {
     load_entry_t entry = load_entry_crash_request();
     crash_report_t read;
@@ -141,10 +169,10 @@
     crash_reports_t reports;
     crash_reports_init(&reports);
     for (uint64_t i = 0; i < 2000; i++) {
-        crash_report_t crash = {REQUEST + i % 10, NOW, 1, false};
+        crash_report_t crash = {REQUEST + i % 10, NOW, 1, 1, false};
         crash_reports_add(&reports, &crash, CRASH_TO_CELL, NOW + i / 10);
     }
-    crash_report_t latest = {REQUEST + 100, NOW, 1, false};
+    crash_report_t latest = {REQUEST + 100, NOW, 1, 1, false};
     crash_reports_add(&reports, &latest, CRASH_TO_ZONES, NOW + 300);
     GArray *entries = g_array_new(FALSE, FALSE, sizeof(load_entry_t));
     crash_reports_append(&reports, CRASH_TO_CELL, NOW + 300, entries);
@@ -299,6 +327,20 @@
     EXPECT_EQ(crash_watch_count(second.watch, REQUEST), 1U);
 }
 
+TEST_F(CrashSharing, DelayedReportsOfACrashDoNotGoRoundAsOthers) {
+    for (const char *zone : {"here", "here", "here", "there", "there", "there"})
+        open(zone);
+    introduce();
+    run_until([until = uv_hrtime() + 100000000U] { return uv_hrtime() > until; });
+    crash(*sides[0], "a");
+    for (unsigned i = 0; i < 8; i++) {
+        uv_sleep(400); // All datagrams are as late as on a link with a long queue.
+        run_until([until = uv_hrtime() + 100000000U] { return uv_hrtime() > until; });
+    }
+    for (Side *side : sides)
+        EXPECT_EQ(crash_watch_count(side->watch, REQUEST), 1U);
+}
+
 TEST_F(CrashSharing, ABrokenConnectionCountsOnlyWhileNoNewOneComesUp) {
     Side &one = open("here");
     auto add = [&](const char *instance, uint16_t port) {
