gateways: the first crash under a request is told to few, and all control traffic is limited

Each gateway passed on each crash that it did not know to all others it sends load reports to, at once and for 2 s, with its whole load report, up to 50 times a second; and a peer that had not been heard for 3 s made all known crashes due again.

A back end that ends takes many requests along, of which next to none meets a second crash. So the first crash of a request goes from the gateway that found it to its cell, and nobody passes it on; the storage nodes know it as before. Once two are known, all crashes of the request go to all, as before. Lists for gateways that start or return have only such requests.

--- a/src/core/retry/crash_history.h
+++ b/src/core/retry/crash_history.h
@@ -21,7 +21,8 @@
 #include <stdint.h>
 
 enum {
-    CRASHES_MAX = 3,            /**< Back ends that may end under one request. */
+    CRASHES_MAX = 3,                    /**< Back ends that may end under one request. */
+    CRASHES_NEAR_MAX = CRASHES_MAX - 1, /**< One more stops the request. */
     CRASH_RETENTION_MS = 60000, /**< Longer than a caller and its program try a request again. */
     /** What is found at one back end within this time is one crash; a restart takes longer. */
     CRASH_SAME_MS = 250,
@@ -64,7 +65,10 @@
 /** Appends the confirmed crashes under the request to @p reports, of crash_report_t. */
 void crash_history_list_request(const crash_history_t *history, uint64_t request, uint64_t now,
                                 GArray *reports);
-/** Appends the confirmed crashes to @p reports, of crash_report_t, the latest @p max of them. */
+/**
+ * Appends the confirmed crashes under requests that have at least CRASHES_NEAR_MAX to @p reports,
+ * of crash_report_t, the latest @p max of them.
+ */
 void crash_history_list(const crash_history_t *history, uint64_t now, unsigned max,
                         GArray *reports);
 
--- a/src/gateway/call_send.c
+++ b/src/gateway/call_send.c
@@ -246,7 +246,7 @@
         backend_record_reset(call->backend);
         clear_last_engine(call);
         backend_probe(call->backend);
-        load_sharing_report_now(call->gateway->load_sharing);
+        load_sharing_report_now(call->gateway->load_sharing, CONTROL_CAN_WAIT);
     }
     crash_watch_suspect(call->gateway->crashes, call->request_id, call->backend);
     call_log_send_failed(call, failure == HTTP_FAILURE_NO_ANSWER ? "no_answer" : "broken_answer");
@@ -288,7 +288,7 @@
         .certain = backends_versions_differ(backends, call->service_name),
     };
     engine_request_t request = {.place = call->last_engine, .part = prompt_part_hash(call)};
-    if (crash_watch_count(call->gateway->crashes, call->request_id) == CRASHES_MAX - 1)
+    if (crash_watch_count(call->gateway->crashes, call->request_id) == CRASHES_NEAR_MAX)
         return choose_for_suspect(call, &choice);
     if (call_placement_by_cost(call))
         return call_placement_choose(call, &choice, request.part);
--- a/src/gateway/crash_reports.c
+++ b/src/gateway/crash_reports.c
@@ -5,6 +5,7 @@
 typedef struct {
     crash_report_t crash;
     unsigned audience;
+    control_priority_t priority;
     uint64_t added_at;
 } due_report_t;
 
@@ -30,14 +31,24 @@
            report->number == other->number && report->cleared == other->cleared;
 }
 
+/** A request's crashes need no report once it got a complete response. */
+static void remove_request(crash_reports_t *reports, uint64_t request) {
+    for (guint i = reports->recent->len; i > 0; i--)
+        if (g_array_index(reports->recent, due_report_t, i - 1).crash.request == request)
+            g_array_remove_index(reports->recent, i - 1);
+}
+
 void crash_reports_add(crash_reports_t *reports, const crash_report_t *crash, unsigned audience,
-                       uint64_t now) {
-    due_report_t due = {*crash, audience, now};
+                       control_priority_t priority, uint64_t now) {
+    due_report_t due = {*crash, audience, priority, now};
+    if (crash->cleared)
+        remove_request(reports, crash->request);
     for (guint i = 0; i < reports->recent->len; i++) {
         const due_report_t *other = &g_array_index(reports->recent, due_report_t, i);
         if (!is_same(&other->crash, crash))
             continue;
         due.audience |= other->audience;
+        due.priority = MAX(due.priority, other->priority);
         g_array_remove_index(reports->recent, i);
         break;
     }
@@ -46,18 +57,30 @@
     g_array_append_val(reports->recent, due);
 }
 
-void crash_reports_append(crash_reports_t *reports, unsigned audience, uint64_t now,
-                          GArray *entries) {
-    remove_expired(reports, now);
+/** Appends the latest reports of one priority; at most @p max. Returns how many. */
+static unsigned append_latest(const crash_reports_t *reports, unsigned audience,
+                              control_priority_t priority, unsigned max, uint64_t now,
+                              GArray *entries) {
     unsigned count = 0;
-    for (guint i = reports->recent->len; i > 0 && count < CRASH_REPORTS_MAX; i--) {
+    for (guint i = reports->recent->len; i > 0 && count < max; i--) {
         const due_report_t *due = &g_array_index(reports->recent, due_report_t, i - 1);
-        if ((due->audience & audience) == 0 || entries->len >= LOAD_ENTRIES_MAX)
+        if (due->priority != priority || (due->audience & audience) == 0 ||
+            entries->len >= LOAD_ENTRIES_MAX)
             continue;
         load_entry_t entry = load_entry_from_crash(&due->crash, now);
         g_array_append_val(entries, entry);
         count++;
     }
+    return count;
+}
+
+void crash_reports_append(crash_reports_t *reports, unsigned audience, control_priority_t priority,
+                          uint64_t now, GArray *entries) {
+    remove_expired(reports, now);
+    unsigned count =
+        append_latest(reports, audience, CONTROL_PRESSING, CRASH_REPORTS_MAX, now, entries);
+    if (priority == CONTROL_CAN_WAIT)
+        append_latest(reports, audience, CONTROL_CAN_WAIT, CRASH_REPORTS_MAX - count, now, entries);
 }
 
 void crash_reports_extract(GArray *entries, uint64_t now, GArray *crashes) {
--- a/src/gateway/crash_reports.h
+++ b/src/gateway/crash_reports.h
@@ -5,9 +5,11 @@
  * entries that they do not know, and are repeated in all reports of CRASH_REPEAT_MS, since
  * datagrams may be lost.
  *
- * A crash found here goes to the gateways of the cell and to the counterparts in other zones
- * (zone_loads.h); one that a counterpart reported, to the cell; one that the cell reported, to the
- * counterparts.
+ * A back end that ends takes many requests along, and hardly any meets a second crash. So the first
+ * crash of a request goes to the gateways of the cell only, from the gateway that found it, and
+ * waits if there is too much to send. Once a request is about to be stopped, all of its crashes go
+ * to the cell and to the counterparts in other zones (zone_loads.h), who pass them on: those that a
+ * counterpart reported, to the cell; those that the cell reported, to the counterparts.
  *
  * Thread safety: everything here belongs to the loop's thread.
  */
@@ -15,10 +17,11 @@
 #define RUDDERWAY_GATEWAY_CRASH_REPORTS_H
 
 #include "core/retry/crash_history.h"
+#include "gateway/control_traffic.h"
 
 enum {
     CRASH_REPEAT_MS = 2000,
-    CRASH_REPORTS_MAX = 256, /**< Per datagram; keeps it within 8 kB. */
+    CRASH_REPORTS_MAX = 64, /**< Per datagram; keeps it within 2 kB besides the loads. */
     CRASH_REPORTS_DUE_MAX = 1024,
 };
 
@@ -38,10 +41,13 @@
  * Reports @p crash to @p audience, crash_audience_t, from now on; once more if it is due already.
  */
 void crash_reports_add(crash_reports_t *reports, const crash_report_t *crash, unsigned audience,
-                       uint64_t now);
-/** Appends what is due for @p audience to @p entries, of load_entry_t. */
-void crash_reports_append(crash_reports_t *reports, unsigned audience, uint64_t now,
-                          GArray *entries);
+                       control_priority_t priority, uint64_t now);
+/**
+ * Appends what is due for @p audience with at least @p priority to @p entries, of load_entry_t;
+ * what is pressing comes first.
+ */
+void crash_reports_append(crash_reports_t *reports, unsigned audience, control_priority_t priority,
+                          uint64_t now, GArray *entries);
 /** Moves the crashes in a received report's @p entries to @p crashes, of crash_report_t. */
 void crash_reports_extract(GArray *entries, uint64_t now, GArray *crashes);
 
--- a/src/gateway/crash_watch.c
+++ b/src/gateway/crash_watch.c
@@ -48,21 +48,37 @@
                   crash_history_wait_ms(watch->history, request, now(watch)));
 }
 
-static bool on_crash_report(void *owner, const crash_report_t *report) {
+/** What one more crash is to others, once it has been added. */
+static crash_news_t news_of_crash(const crash_watch_t *watch, uint64_t request) {
+    return crash_history_count(watch->history, request, now(watch)) < CRASHES_NEAR_MAX
+               ? CRASH_FIRST
+               : CRASH_NEAR_LIMIT;
+}
+
+/** Forgets the crashes under a request that got a complete response. */
+static crash_news_t clear_crashes(crash_watch_t *watch, const crash_report_t *report) {
+    crash_news_t news = news_of_crash(watch, report->request);
+    return crash_history_clear(watch->history, report->request, report->at) ? news : CRASH_KNOWN;
+}
+
+static crash_news_t on_crash_report(void *owner, const crash_report_t *report) {
     crash_watch_t *watch = owner;
     if (report->cleared)
-        return crash_history_clear(watch->history, report->request, report->at);
+        return clear_crashes(watch, report);
     crash_report_t crash = *report;
     if (!crash_history_add(watch->history, &crash, true))
-        return false;
+        return CRASH_KNOWN;
     backends_doubt_version(watch->backends, report->backend);
     log_if_stopped(watch, report->request);
-    return true;
+    return news_of_crash(watch, report->request);
 }
 
-static void list_crashes(void *owner, GArray *reports) {
+static void list_crashes(void *owner, uint64_t request, GArray *reports) {
     const crash_watch_t *watch = owner;
-    crash_history_list(watch->history, now(watch), CRASH_REPORTS_MAX, reports);
+    if (request == 0)
+        crash_history_list(watch->history, now(watch), CRASH_REPORTS_MAX, reports);
+    else
+        crash_history_list_request(watch->history, request, now(watch), reports);
 }
 
 static const crash_sharing_handler_t sharing_handler = {on_crash_report, list_crashes};
@@ -87,8 +103,11 @@
 }
 
 /** Tells other gateways, with the next load report, and storage nodes, at once. */
-static void report_crash(const crash_watch_t *watch, const crash_report_t *crash) {
-    load_sharing_report_crash(watch->sharing, crash);
+static void report_crash(const crash_watch_t *watch, const crash_report_t *crash,
+                         crash_news_t news) {
+    load_sharing_report_crash(watch->sharing, crash, news);
+    load_sharing_report_now(watch->sharing,
+                            news == CRASH_NEAR_LIMIT ? CONTROL_PRESSING : CONTROL_CAN_WAIT);
     if (watch->stores == NULL)
         return;
     message_t message;
@@ -139,11 +158,10 @@
     for (guint i = 0; i < check->crashes->len; i++) {
         const crash_report_t *crash = &g_array_index(check->crashes, crash_report_t, i);
         crash_history_confirm(watch->history, crash);
-        report_crash(watch, crash);
+        report_crash(watch, crash, news_of_crash(watch, crash->request));
         log_if_stopped(watch, crash->request);
     }
     end_check(check);
-    load_sharing_report_now(watch->sharing);
 }
 
 static void conclude(check_t *check) {
@@ -237,18 +255,17 @@
     crash_report_t crash = new_crash(watch, request, backend);
     if (!crash_history_add(watch->history, &crash, true))
         return;
-    report_crash(watch, &crash);
+    report_crash(watch, &crash, news_of_crash(watch, request));
     log_if_stopped(watch, request);
-    load_sharing_report_now(watch->sharing);
 }
 
 void crash_watch_record_response(crash_watch_t *watch, uint64_t request) {
     if (crash_history_count(watch->history, request, now(watch)) == 0)
         return;
     crash_report_t cleared = {.request = request, .at = now(watch), .cleared = true};
-    crash_history_clear(watch->history, request, cleared.at);
-    report_crash(watch, &cleared);
-    load_sharing_report_now(watch->sharing);
+    crash_news_t news = clear_crashes(watch, &cleared);
+    if (news != CRASH_KNOWN)
+        report_crash(watch, &cleared, news);
 }
 
 unsigned crash_watch_count(const crash_watch_t *watch, uint64_t request) {
--- a/src/gateway/load_sharing.c
+++ b/src/gateway/load_sharing.c
@@ -185,44 +185,70 @@
     }
 }
 
+static GArray *list_crashes(const load_sharing_t *sharing, uint64_t request) {
+    GArray *crashes = g_array_new(FALSE, FALSE, sizeof(crash_report_t));
+    if (sharing->crash_handler != NULL)
+        sharing->crash_handler->list_crashes(sharing->crash_owner, request, crashes);
+    return crashes;
+}
+
+/** Makes the crashes under @p request due; 0: those under all requests about to be stopped. */
+static void report_crashes(load_sharing_t *sharing, uint64_t request, unsigned audience) {
+    GArray *crashes = list_crashes(sharing, request);
+    for (guint i = 0; i < crashes->len; i++)
+        crash_reports_add(&sharing->crashes, &g_array_index(crashes, crash_report_t, i), audience,
+                          CONTROL_PRESSING, uv_now(sharing->loop));
+    g_array_free(crashes, TRUE);
+}
+
+/** True if a list of known crashes may be due again. */
+static bool may_list_crashes(const load_sharing_t *sharing) {
+    return sharing->crash_handler != NULL &&
+           uv_now(sharing->loop) >= sharing->crashes_listed_at + LIST_INTERVAL_MS;
+}
+
 /**
  * A gateway that has started asks for all known crashes; true if a report with them is due now. It
  * asks several times, and most gateways know none: reports that only say so would add up while all
  * gateways start.
  */
 static bool answer_crash_request(load_sharing_t *sharing) {
-    uint64_t now = uv_now(sharing->loop);
-    if (sharing->crash_handler == NULL || now < sharing->crashes_listed_at + LIST_INTERVAL_MS)
+    if (!may_list_crashes(sharing))
         return false;
-    GArray *crashes = g_array_new(FALSE, FALSE, sizeof(crash_report_t));
-    sharing->crash_handler->list_crashes(sharing->crash_owner, crashes);
+    GArray *crashes = list_crashes(sharing, 0);
     sharing->lists_crashes |= crashes->len > 0;
     g_array_free(crashes, TRUE);
     return sharing->lists_crashes;
 }
 
+/** Handles a reported crash; true if a report is due now. */
+static bool take_crash(load_sharing_t *sharing, const crash_report_t *crash,
+                       crash_audience_t audience) {
+    if (crash->request == 0)
+        return answer_crash_request(sharing);
+    crash_news_t news = sharing->crash_handler->on_crash(sharing->crash_owner, crash);
+    bool relays = audience == CRASH_TO_CELL || sharing->zone_loads.gateways->len > 0;
+    if (news != CRASH_NEAR_LIMIT || !relays)
+        return false;
+    if (crash->cleared)
+        crash_reports_add(&sharing->crashes, crash, audience, CONTROL_PRESSING,
+                          uv_now(sharing->loop));
+    else
+        report_crashes(sharing, crash->request, audience);
+    sharing->traffic.counts.crashes_passed++;
+    return true;
+}
+
 /** Passes on the crashes in a received report; new ones are relayed to @p audience. */
 static void take_crashes(load_sharing_t *sharing, GArray *entries, crash_audience_t audience) {
-    uint64_t now = uv_now(sharing->loop);
     GArray *crashes = g_array_new(FALSE, FALSE, sizeof(crash_report_t));
-    crash_reports_extract(entries, now, crashes);
-    bool relays = audience == CRASH_TO_CELL || sharing->zone_loads.gateways->len > 0;
+    crash_reports_extract(entries, uv_now(sharing->loop), crashes);
     bool any = false;
-    for (guint i = 0; i < crashes->len && sharing->crash_handler != NULL; i++) {
-        const crash_report_t *crash = &g_array_index(crashes, crash_report_t, i);
-        if (crash->request == 0) {
-            any |= answer_crash_request(sharing);
-            continue;
-        }
-        if (!sharing->crash_handler->on_crash(sharing->crash_owner, crash) || !relays)
-            continue;
-        crash_reports_add(&sharing->crashes, crash, audience, now);
-        sharing->traffic.counts.crashes_passed++;
-        any = true;
-    }
+    for (guint i = 0; i < crashes->len && sharing->crash_handler != NULL; i++)
+        any |= take_crash(sharing, &g_array_index(crashes, crash_report_t, i), audience);
     g_array_free(crashes, TRUE);
     if (any)
-        load_sharing_report_now(sharing);
+        load_sharing_report_now(sharing, CONTROL_PRESSING);
 }
 
 static void take_zone_report(load_sharing_t *sharing, const struct sockaddr_in *from,
@@ -254,7 +280,8 @@
         g_array_set_size(peer->entries, 0);
     take_speeds(sharing, peer);
     take_crashes(sharing, peer->entries, CRASH_TO_ZONES);
-    sharing->lists_crashes |= uv_now(sharing->loop) > peer->last_received_at + RETURN_MS;
+    bool returned = uv_now(sharing->loop) > peer->last_received_at + RETURN_MS;
+    sharing->lists_crashes |= returned && may_list_crashes(sharing);
     peer->last_received_at = uv_now(sharing->loop);
     sharing->sums_stale = true;
     if (sharing->watches_stores && had_stores && !peer->watch.has_stores)
@@ -298,19 +325,20 @@
     return entries;
 }
 
-/** Makes all known crashes due again, for a gateway that has started or was out of reach. */
+/** Makes known crashes due again, for a gateway that has started or was out of reach. */
 static void report_known_crashes(load_sharing_t *sharing) {
     sharing->lists_crashes = false;
     sharing->crashes_listed_at = uv_now(sharing->loop);
-    if (sharing->crash_handler == NULL)
-        return;
     sharing->traffic.counts.crash_lists++;
-    GArray *crashes = g_array_new(FALSE, FALSE, sizeof(crash_report_t));
-    sharing->crash_handler->list_crashes(sharing->crash_owner, crashes);
-    for (guint i = 0; i < crashes->len; i++)
-        crash_reports_add(&sharing->crashes, &g_array_index(crashes, crash_report_t, i),
-                          CRASH_TO_CELL, uv_now(sharing->loop));
-    g_array_free(crashes, TRUE);
+    report_crashes(sharing, 0, CRASH_TO_CELL);
+}
+
+/** Crashes that can wait do so while there is no credit. */
+static control_priority_t crash_priority(load_sharing_t *sharing) {
+    if (control_traffic_allows(&sharing->traffic, CONTROL_CAN_WAIT, uv_now(sharing->loop)))
+        return CONTROL_CAN_WAIT;
+    sharing->traffic.counts.crashes_held++;
+    return CONTROL_PRESSING;
 }
 
 /** Returns how many crashes were appended. */
@@ -322,7 +350,8 @@
         g_array_append_val(entries, request);
     }
     guint before = entries->len;
-    crash_reports_append(&sharing->crashes, CRASH_TO_CELL, uv_now(sharing->loop), entries);
+    crash_reports_append(&sharing->crashes, CRASH_TO_CELL, crash_priority(sharing),
+                         uv_now(sharing->loop), entries);
     return entries->len - before;
 }
 
@@ -361,7 +390,7 @@
             zone_loads_add_local(&sharing->zone_loads, sharing->backends, peer->entries);
     }
     GArray *crashes = g_array_new(FALSE, FALSE, sizeof(load_entry_t));
-    crash_reports_append(&sharing->crashes, CRASH_TO_ZONES, now, crashes);
+    crash_reports_append(&sharing->crashes, CRASH_TO_ZONES, CONTROL_PRESSING, now, crashes);
     size_t sent = zone_loads_send(&sharing->zone_loads, crashes, &sharing->socket);
     control_traffic_record(&sharing->traffic, sent > 0 ? sharing->zone_loads.gateways->len : 0,
                            sent, crashes->len, now);
@@ -440,10 +469,15 @@
         check_within(sharing, 0);
 }
 
-void load_sharing_report_now(load_sharing_t *sharing) {
+void load_sharing_report_now(load_sharing_t *sharing, control_priority_t priority) {
     uint64_t now = uv_now(sharing->loop);
     if (sharing->peers->len == 0)
         return;
+    if (!control_traffic_allows(&sharing->traffic, priority, now)) {
+        sharing->urgent = true;
+        sharing->traffic.counts.deferred++;
+        return;
+    }
     if (now < sharing->sent_at + URGENT_INTERVAL_MIN_MS) {
         sharing->urgent = true;
         check_within(sharing, sharing->sent_at + URGENT_INTERVAL_MIN_MS - now);
@@ -467,10 +501,16 @@
     sharing->crash_owner = owner;
 }
 
-void load_sharing_report_crash(load_sharing_t *sharing, const crash_report_t *crash) {
+void load_sharing_report_crash(load_sharing_t *sharing, const crash_report_t *crash,
+                               crash_news_t news) {
     sharing->traffic.counts.crashes_found++;
-    crash_reports_add(&sharing->crashes, crash, CRASH_TO_CELL | CRASH_TO_ZONES,
-                      uv_now(sharing->loop));
+    if (news == CRASH_NEAR_LIMIT)
+        report_crashes(sharing, crash->request, CRASH_TO_CELL | CRASH_TO_ZONES);
+    if (news == CRASH_FIRST || crash->cleared)
+        crash_reports_add(&sharing->crashes, crash,
+                          news == CRASH_FIRST ? CRASH_TO_CELL : CRASH_TO_CELL | CRASH_TO_ZONES,
+                          news == CRASH_FIRST ? CONTROL_CAN_WAIT : CONTROL_PRESSING,
+                          uv_now(sharing->loop));
 }
 
 bool load_sharing_find_relay(const load_sharing_t *sharing, struct sockaddr_in *address) {
@@ -617,7 +657,7 @@
     zone_loads_set_gateways(&sharing->zone_loads, addresses, before, sharing->peers->len + 1);
     if (sharing->peers->len > 0 && sharing->asks_crashes_until == 0) {
         sharing->asks_crashes_until = uv_now(sharing->loop) + CRASH_REPEAT_MS;
-        load_sharing_report_now(sharing);
+        load_sharing_report_now(sharing, CONTROL_CAN_WAIT);
     }
     if (sharing->peers->len > 0)
         arm_timer(sharing);
--- a/src/gateway/load_sharing.h
+++ b/src/gateway/load_sharing.h
@@ -31,12 +31,22 @@
                            uint64_t renewing_period_ms);
 } load_sharing_handler_t;
 
+/** What a reported crash, or the end of a request's crashes, is to this gateway. */
+typedef enum {
+    CRASH_KNOWN,
+    CRASH_FIRST,      /**< The request has no other crash. */
+    CRASH_NEAR_LIMIT, /**< The request is about to be stopped, is stopped, or was. */
+} crash_news_t;
+
 /** Callbacks for the crashes of back ends that gateways report; see crash_watch.h. */
 typedef struct {
-    /** Another gateway reported a crash, or that it is cleared; true if that was not known. */
-    bool (*on_crash)(void *owner, const crash_report_t *crash);
-    /** Appends all known crashes, for a gateway that may have started; of crash_report_t. */
-    void (*list_crashes)(void *owner, GArray *crashes);
+    /** Another gateway reported a crash, or that it is cleared. */
+    crash_news_t (*on_crash)(void *owner, const crash_report_t *crash);
+    /**
+     * Appends the crashes under @p request to @p crashes, of crash_report_t; 0: those under all
+     * requests that are about to be stopped, for a gateway that may have started.
+     */
+    void (*list_crashes)(void *owner, uint64_t request, GArray *crashes);
 } crash_sharing_handler_t;
 
 /** Returns NULL if @p address can't be used. */
@@ -53,8 +63,9 @@
 /** From now on, passes on the crashes that other gateways report. */
 void load_sharing_share_crashes(load_sharing_t *sharing, const crash_sharing_handler_t *handler,
                                 void *owner);
-/** Reports @p crash to other gateways with the next reports. */
-void load_sharing_report_crash(load_sharing_t *sharing, const crash_report_t *crash);
+/** Reports @p crash, found here, to other gateways with the next reports. */
+void load_sharing_report_crash(load_sharing_t *sharing, const crash_report_t *crash,
+                               crash_news_t news);
 /** Number of other gateways that come before this one by address. */
 unsigned load_sharing_rank(const load_sharing_t *sharing);
 /** Updates the loads of back ends from the latest reports; call before choosing a back end. */
@@ -72,8 +83,11 @@
 /** True if the gateway at @p address may still be followed; sets the time of its last report. */
 bool load_sharing_may_follow(const load_sharing_t *sharing, const struct sockaddr_in *address,
                              uint64_t *last_received_at);
-/** Sends this gateway's report now, or URGENT_INTERVAL_MIN_MS after the last one. */
-void load_sharing_report_now(load_sharing_t *sharing);
+/**
+ * Sends this gateway's report now, or URGENT_INTERVAL_MIN_MS after the last one; with its next
+ * period if that would exceed the control traffic of a node.
+ */
+void load_sharing_report_now(load_sharing_t *sharing, control_priority_t priority);
 /** What was sent so far. */
 const control_counts_t *load_sharing_counts(const load_sharing_t *sharing);
 /** Checks in the next loop iteration whether a report is due. */
--- a/src/gateway/reports.c
+++ b/src/gateway/reports.c
@@ -103,6 +103,8 @@
     metrics_append(text, "crashes_found_total", counts->crashes_found);
     metrics_append(text, "crashes_passed_on_total", counts->crashes_passed);
     metrics_append(text, "crash_lists_total", counts->crash_lists);
+    metrics_append(text, "control_reports_deferred_total", counts->deferred);
+    metrics_append(text, "control_crashes_held_total", counts->crashes_held);
 }
 
 static void append_speed_metrics(gateway_t *gateway, GString *text) {
--- a/src/store/store_crashes.c
+++ b/src/store/store_crashes.c
@@ -1,7 +1,5 @@
 #include "store/store_crashes.h"
 
-enum { CRASHES_PASSED_ON = CRASHES_MAX - 1 };
-
 static void send_to_gateways(const store_t *store, const crash_report_t *crash, uint64_t now) {
     message_t message;
     message_init(&message, MESSAGE_CRASH);
@@ -19,7 +17,7 @@
 }
 
 static void clear_request(store_t *store, const crash_report_t *report, uint64_t now) {
-    bool passed_on = crash_history_count(store->crashes, report->request, now) >= CRASHES_PASSED_ON;
+    bool passed_on = crash_history_count(store->crashes, report->request, now) >= CRASHES_NEAR_MAX;
     if (crash_history_clear(store->crashes, report->request, report->at) && passed_on)
         send_to_gateways(store, report, now);
 }
@@ -35,7 +33,7 @@
     /* Gateways number alike the crashes of one back end that they don't know from each other. */
     report.number = 0;
     if (!crash_history_add(store->crashes, &report, true) ||
-        crash_history_count(store->crashes, report.request, now) < CRASHES_PASSED_ON)
+        crash_history_count(store->crashes, report.request, now) < CRASHES_NEAR_MAX)
         return;
     GArray *crashes = g_array_new(FALSE, FALSE, sizeof(crash_report_t));
     crash_history_list_request(store->crashes, report.request, now, crashes);
