crash history: cleared crashes stay known

A response now marks the crashes as cleared instead; they don't count, and are known until they are forgotten as others are. CrashHistory.LateReportsOfCrashesThatWereClearedAreKnown fails without it (the late reports count as two crashes).

--- a/src/core/retry/crash_history.c
+++ b/src/core/retry/crash_history.c
@@ -6,6 +6,8 @@
     REQUESTS_MAX = 4096, /**< Bounds the memory; the request with the oldest crash goes first. */
     /** More than CRASHES_MAX, since some of them may be removed. */
     CRASHES_KEPT = 2 * CRASHES_MAX,
+    /** No report is longer on its way. Back ends' numbers may begin anew after that. */
+    REPORT_DELAY_MAX_MS = 10000,
 };
 
 typedef struct {
@@ -80,18 +82,20 @@
     return entry;
 }
 
+static uint64_t time_between(uint64_t at, uint64_t other) {
+    return at > other ? at - other : other - at;
+}
+
 static int find_crash(const request_crashes_t *entry, const crash_report_t *report) {
-    for (unsigned i = 0; i < entry->count; i++)
-        if (entry->crashes[i].backend == report->backend &&
-            entry->crashes[i].number == report->number)
+    for (unsigned i = 0; i < entry->count; i++) {
+        const crash_t *crash = &entry->crashes[i];
+        if (crash->backend == report->backend && crash->number == report->number &&
+            time_between(crash->at, report->at) < REPORT_DELAY_MAX_MS)
             return (int)i;
+    }
     return -1;
 }
 
-static bool is_close(uint64_t at, uint64_t other) {
-    return (at > other ? at - other : other - at) < CRASH_SAME_MS;
-}
-
 /** The number of a crash found now, among those known of its back end. */
 static uint8_t find_number(const request_crashes_t *entry, const crash_report_t *crash) {
     uint8_t last = 0;
@@ -99,7 +103,7 @@
         const crash_t *known = &entry->crashes[i];
         if (known->backend != crash->backend)
             continue;
-        if (is_close(known->at, crash->at))
+        if (time_between(known->at, crash->at) < CRASH_SAME_MS)
             return known->number;
         last = MAX(last, known->number);
     }
@@ -142,25 +146,28 @@
         entry->crashes[index].confirmed = true;
 }
 
-bool crash_history_clear(crash_history_t *history, uint64_t request, uint64_t at) {
-    request_crashes_t *entry = find(history, request);
-    if (entry == NULL || entry->cleared_at >= at)
-        return false;
-    entry->cleared_at = at;
-    unsigned before = entry->count;
-    while (entry->count > 0 && entry->crashes[0].at <= at)
-        remove_crash(entry, 0);
-    return entry->count < before;
+static bool counts(const request_crashes_t *entry, const crash_t *crash, uint64_t now) {
+    return crash->at > entry->cleared_at && now < crash->at + CRASH_RETENTION_MS;
 }
 
 /** Index of the first crash that still counts. */
 static unsigned first_recent(const request_crashes_t *entry, uint64_t now) {
     unsigned first = 0;
-    while (first < entry->count && now >= entry->crashes[first].at + CRASH_RETENTION_MS)
+    while (first < entry->count && !counts(entry, &entry->crashes[first], now))
         first++;
     return first;
 }
 
+/* Cleared crashes stay known, so that late reports of them do not count as others. */
+bool crash_history_clear(crash_history_t *history, uint64_t request, uint64_t at) {
+    request_crashes_t *entry = find(history, request);
+    if (entry == NULL || entry->cleared_at >= at)
+        return false;
+    unsigned before = first_recent(entry, at);
+    entry->cleared_at = at;
+    return first_recent(entry, at) > before;
+}
+
 unsigned crash_history_count(const crash_history_t *history, uint64_t request, uint64_t now) {
     if (g_hash_table_size(history->requests) == 0)
         return 0;
--- a/tests/unit/crash_history_test.cc
+++ b/tests/unit/crash_history_test.cc
@@ -93,6 +93,19 @@
     EXPECT_EQ(count(NOW + 30), 1U);
 }
 
+TEST_F(CrashHistory, LateReportsOfCrashesThatWereClearedAreKnown) {
+    add(1, NOW);
+    add(2, NOW + 1);
+    EXPECT_TRUE(crash_history_clear(history, REQUEST, NOW + 10));
+    EXPECT_FALSE(add(1, NOW + 900, REQUEST, true, 1));
+    EXPECT_FALSE(add(2, NOW + 900, REQUEST, true, 1));
+    EXPECT_EQ(count(NOW + 1000), 0U);
+    EXPECT_FALSE(crash_history_clear(history, REQUEST, NOW + 950)) << "nothing is left to clear";
+    EXPECT_TRUE(add(1, NOW + 2000)) << "found here";
+    EXPECT_TRUE(add(2, NOW + 20000, REQUEST, true, 1)) << "by a gateway that knew nothing";
+    EXPECT_EQ(count(NOW + 20000), 2U);
+}
+
 TEST_F(CrashHistory, ListsConfirmedCrashesOfRequestsNearTheLimit) {
     add(1, NOW);
     add(2, NOW);
