gateways: a back end is unreachable only while another one is reached

A route's limit leaves out back ends that have ended or are unreachable, and two connections that did not come up within 0.3 s each made a back end unreachable. Behind a link with a queue of seconds no connection comes up, while the back ends run their calls: what was delayed here was blamed on them.

Two refused connections still show that a back end has ended: a refusal can't come from a delay. Two that time out now need a third, the control, that comes up: to the back end that last sent something. A call that could not be sent again to the back end that has it waits for the same verdict, where two timeouts were enough before.

--- a/src/gateway/backend_probe.h
+++ b/src/gateway/backend_probe.h
@@ -1,7 +1,8 @@
 /**
  * @file backend_probe.h
  * Checks by connection attempts whether an unresponsive back end can still be reached. Two
- * consecutive attempts that are refused or time out mean that it can't; no data is sent on them.
+ * consecutive attempts that are refused mean that it can't, and two that time out if another back
+ * end can be reached meanwhile; no data is sent on them.
  *
  * Thread safety: everything here belongs to the loop's thread.
  */
--- a/src/gateway/backends.c
+++ b/src/gateway/backends.c
@@ -320,6 +320,21 @@
     return unreachable || (unresponsive && is_overdue(backend, now));
 }
 
+backend_t *backends_latest_sender(const backends_t *backends, const backend_t *backend) {
+    backend_t *latest = NULL;
+    GHashTableIter iterator;
+    gpointer value;
+    g_hash_table_iter_init(&iterator, backends->by_instance);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        backend_t *other = value;
+        if (other == backend || backend_is_down(other))
+            continue;
+        if (latest == NULL || other->observed.last_received_at > latest->observed.last_received_at)
+            latest = other;
+    }
+    return latest;
+}
+
 bool backend_is_avoided(backend_t *backend) {
     uint64_t now = uv_now(backend->loop);
     return ejection_is_active(&backend->ejection, now) || backend_is_down(backend) ||
--- a/src/gateway/backends.h
+++ b/src/gateway/backends.h
@@ -22,8 +22,11 @@
 #include "core/routing/stream_versions.h"
 #include "net/http_client.h"
 
-/** Number of buckets for back ends by the low bits of their hash. */
-enum { BACKEND_ID_BUCKETS = 1024 };
+enum {
+    BACKEND_ID_BUCKETS = 1024, /**< Buckets for back ends by the low bits of their hash. */
+    /** A connection that fails within this time was refused; a later failure is a timeout. */
+    CONNECTION_REFUSED_WITHIN_MS = 100,
+};
 
 typedef struct {
     software_version_t version;
@@ -66,7 +69,8 @@
     struct incarnation_speed *speed; /**< See backend_speeds.h; NULL: not measured. */
     GQueue unanswered; /**< Pointers to send times of requests without a response, oldest first. */
     backend_activity_t observed;
-    http_client_t *probe; /**< See backend_probe.h; NULL: none active. */
+    http_client_t *probe;   /**< See backend_probe.h; NULL: none active. */
+    http_client_t *control; /**< To another back end, after failed probes; NULL: none active. */
     uint64_t probed_at;
     unsigned probe_failures;
     uint64_t unreachable_at; /**< When it was last found unreachable; 0: never. */
@@ -142,6 +146,8 @@
 bool backend_is_avoided(backend_t *backend);
 /** True if so many back ends of @p service are down that the cause may be the network here. */
 bool backends_mostly_unreachable(const backends_t *backends, const char *service);
+/** The back end other than @p backend that last sent something and is not down; NULL: none. */
+backend_t *backends_latest_sender(const backends_t *backends, const backend_t *backend);
 /** True if at least half of the slots of some back end are known to be occupied. */
 bool backends_half_full(const backends_t *backends);
 
--- a/src/gateway/call_retry.c
+++ b/src/gateway/call_retry.c
@@ -3,19 +3,22 @@
  * After an unknown outcome only a repeatable call is resent. A stream resumes after the last event
  * that its caller received.
  *
- * Failures. A back end that received the call and then accepts no connection has ended. One failed
- * connection is not enough, since a busy back end resets some connections.
+ * Failures. A back end that received the call and then refuses connections has ended. One failed
+ * connection is not enough, since a busy back end resets some connections. One whose connections
+ * time out may run the call: it is left out of the route's limit only once probes have found it
+ * unreachable while another back end is not (backend_probe.c).
  */
 #include "gateway/call.h"
 
 #include "common/event.h"
 #include "core/retry/resend.h"
+#include "gateway/backend_probe.h"
 #include "gateway/backend_versions.h"
 #include "gateway/call_placement.h"
 
 enum {
     MAX_CONNECT_FAILURES = 4,
-    MAX_REPEAT_CONNECT_FAILURES = 2, /**< After these, the back end is considered to have ended. */
+    MAX_REPEAT_CONNECT_FAILURES = 2, /**< After these, if refused, the back end has ended. */
     MAX_TIMED_ROUTES = 10000,        /**< Routes with recorded response times. */
     MIN_TIME_LEFT_MS = 5,            /**< Minimum time left for a resend. */
 };
@@ -134,13 +137,22 @@
         give_up(call, CALL_BACKEND_REFUSED);
 }
 
-/** Handles a failed connection to a back end that has received the call before. */
+/**
+ * Handles a failed connection to a back end that has received the call before. If the connections
+ * time out, the call waits until probes tell whether the back end is unreachable; see stall_watch.
+ */
 static void handle_repeat_not_sent(call_t *call) {
+    uint64_t now = uv_now(call->gateway->loop);
+    bool refused = now < call->sent_at + CONNECTION_REFUSED_WITHIN_MS;
     call->repeat_connects_failed++;
     if (call->repeat_connects_failed < MAX_REPEAT_CONNECT_FAILURES) {
         call_send_same_backend(call);
         return;
     }
+    if (!refused) {
+        backend_probe(call->backend);
+        return;
+    }
     call->backends_ended++;
     send_to_other_backend(call);
 }
--- a/src/gateway/crash_watch.c
+++ b/src/gateway/crash_watch.c
@@ -8,7 +8,6 @@
     FAILURES_NEEDED = 2, /**< A busy back end refuses some connections. */
     POLL_INTERVAL_MS = 10,
     RESTART_MIN_MS = 100,
-    REFUSED_WITHIN_MS = 100, /**< A connection that fails later has timed out. */
 };
 
 /** A check of one back end, for all requests whose connections broke there. */
@@ -196,7 +195,7 @@
         conclude_alive(check);
         return;
     }
-    check->refused |= now(check->watch) < check->opened_at + REFUSED_WITHIN_MS;
+    check->refused |= now(check->watch) < check->opened_at + CONNECTION_REFUSED_WITHIN_MS;
     check->failures++;
     if (check->failures < FAILURES_NEEDED)
         open_connection(check);
--- /dev/null
+++ b/tests/unit/backend_probe_test.cc
@@ -0,0 +1,118 @@
+// Which back ends count as unreachable (backend_probe.h), over the loopback interface.
+#include <glib.h>
+
+extern "C" {
+#include "gateway/backend_probe.h"
+}
+
+#include <gtest/gtest.h>
+
+#include <fcntl.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <vector>
+
+namespace {
+
+/** A port that accepts connections, refuses them, or does not answer at all. */
+class Port {
+  public:
+    enum Kind { ACCEPTS, REFUSES, SILENT };
+    explicit Port(Kind kind) {
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t length = sizeof address;
+        listener = socket(AF_INET, SOCK_STREAM, 0);
+        EXPECT_EQ(bind(listener, reinterpret_cast<sockaddr *>(&address), length), 0);
+        getsockname(listener, reinterpret_cast<sockaddr *>(&address), &length);
+        if (kind != REFUSES) {
+            EXPECT_EQ(listen(listener, kind == SILENT ? 0 : 5), 0);
+        }
+        // The kernel drops requests for connections while the queue of those not accepted is full.
+        for (unsigned i = 0; kind == SILENT && i < 4; i++) {
+            int waiting = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+            connect(waiting, reinterpret_cast<sockaddr *>(&address), length);
+            queued.push_back(waiting);
+        }
+    }
+    Port(const Port &) = delete;
+    Port &operator=(const Port &) = delete;
+    ~Port() {
+        for (int waiting : queued)
+            close(waiting);
+        close(listener);
+    }
+    sockaddr_in address = {};
+
+  private:
+    int listener;
+    std::vector<int> queued;
+};
+
+class BackendProbe : public testing::Test {
+  protected:
+    void SetUp() override {
+        uv_loop_init(&loop);
+        backends_init(&backends, &loop, "here", "gateway");
+    }
+    void TearDown() override {
+        backends_clear(&backends);
+        uv_run(&loop, UV_RUN_DEFAULT);
+        uv_loop_close(&loop);
+    }
+    backend_t *add(const char *instance, const Port &port) {
+        auto *record = g_new0(backend_record_t, 1);
+        record->instance = g_strdup(instance);
+        record->service = g_strdup("s");
+        record->zone = g_strdup("here");
+        record->address = port.address;
+        backends_update(&backends, record);
+        return static_cast<backend_t *>(g_hash_table_lookup(backends.by_instance, instance));
+    }
+    /** Probes as a stalled call does, for two probes' time. */
+    bool found_unreachable(backend_t *backend) {
+        uv_update_time(&loop);
+        uint64_t begun_at = uv_now(&loop);
+        while (uv_now(&loop) < begun_at + 1500 &&
+               !backend_found_unreachable_since(backend, begun_at)) {
+            backend_probe(backend);
+            uv_run(&loop, UV_RUN_NOWAIT);
+            uv_sleep(10);
+            uv_update_time(&loop);
+        }
+        return backend_found_unreachable_since(backend, begun_at);
+    }
+    uv_loop_t loop = {};
+    backends_t backends = {};
+};
+
+TEST_F(BackendProbe, ABackEndIsReachableAsLongAsNoConnectionComesUpAnywhere) {
+    Port silent(Port::SILENT), other(Port::SILENT);
+    backend_t *backend = add("silent", silent);
+    add("other", other)->observed.last_received_at = uv_now(&loop);
+    EXPECT_FALSE(found_unreachable(backend)) << "this gateway's connections may be delayed";
+}
+
+TEST_F(BackendProbe, ABackEndIsUnreachableIfAnotherOneIsReached) {
+    Port silent(Port::SILENT), other(Port::ACCEPTS);
+    backend_t *backend = add("silent", silent);
+    add("other", other)->observed.last_received_at = uv_now(&loop);
+    EXPECT_TRUE(found_unreachable(backend));
+}
+
+TEST_F(BackendProbe, ABackEndWhosePortRefusesHasEnded) {
+    Port refusing(Port::REFUSES), other(Port::SILENT);
+    backend_t *backend = add("refusing", refusing);
+    add("other", other)->observed.last_received_at = uv_now(&loop);
+    EXPECT_TRUE(found_unreachable(backend));
+}
+
+TEST_F(BackendProbe, ABackEndThatAcceptsIsReachable) {
+    Port accepting(Port::ACCEPTS), other(Port::ACCEPTS);
+    backend_t *backend = add("accepting", accepting);
+    add("other", other);
+    EXPECT_FALSE(found_unreachable(backend));
+}
+
+} // namespace
