--- a/tests/soak/crash_request_test.py
+++ b/tests/soak/crash_request_test.py
@@ -12,6 +12,7 @@
 import re
 import shutil
 import signal
+import socket
 import sys
 import time
 
@@ -30,6 +31,9 @@
 REFUSED_SHARE_MAX = 0.05  # Of equal requests of many callers, for crashes that they did not cause.
 PAUSE_S = 0.1
 TRIES = 3
+SILENCE_S = 60.0
+QUEUED = 4
+PERSISTENT_S = 70.0  # Longer than a stopped request is remembered without more tries.
 BODY = b"crash"
 LIMIT_REASON = "reason=backends_ended"
 
@@ -55,9 +59,28 @@
             await writer.drain()
             await asyncio.sleep(0.01)
         self.fleet.end(self)
+        if self.fleet.options.silent:
+            await asyncio.sleep(SILENCE_S)
         reset(writer)
         return False
 
+    def fall_silent(self):
+        """No connection comes up any more, and those that are open say nothing."""
+        self.server.close()
+        self.blocker = socket.create_server(("127.0.0.1", self.port), backlog=0)
+        self.waiting = []
+        for _ in range(QUEUED):  # The kernel drops further attempts while the queue is full.
+            waiting = socket.socket()
+            waiting.setblocking(False)
+            waiting.connect_ex(("127.0.0.1", self.port))
+            self.waiting.append(waiting)
+
+    async def _handle(self, request, writer):
+        if hasattr(self, "blocker"):
+            await asyncio.sleep(SILENCE_S)
+            return False
+        return await super()._handle(request, writer)
+
 
 class CrashFleet(Fleet):
     """Back ends that end under the request with BODY."""
@@ -76,7 +99,11 @@
     def end(self, backend):
         """The process of the back end ends under the request."""
         self.ends.append((time.monotonic(), backend.instance))
-        self.crash(backend)
+        if not self.options.silent:
+            self.crash(backend)
+            return
+        backend.fall_silent()
+        self.tasks.append(asyncio.ensure_future(self.replace(backend)))
 
 
 class CrashScenario(Scenario):
@@ -102,13 +129,17 @@
         try:
             reader, writer = await asyncio.open_connection("127.0.0.1", gateway.calls_port)
             writer.write(render("POST /resumable/x HTTP/1.1", fields, BODY))
-            message = await asyncio.wait_for(read_head(reader), soak.RECOVER_S)
+            give_up_at = time.monotonic() + self.options.patience
+            message = await asyncio.wait_for(read_head(reader), self.options.patience)
             status = message.status if message is not None else 0
             pause = max(PAUSE_S, float(message.get("retry-after", "0"))) if message else PAUSE_S
-            async for piece in read_pieces(reader, message):
+            pieces = read_pieces(reader, message)
+            while (left := give_up_at - time.monotonic()) > 0:
+                piece = await asyncio.wait_for(anext(pieces), left)
                 for number in re.findall(rb"^id: (\d+)$", piece, re.M):
                     last_event = int(number)
-        except (OSError, AttributeError, asyncio.IncompleteReadError, asyncio.TimeoutError):
+        except (OSError, AttributeError, asyncio.IncompleteReadError, asyncio.TimeoutError,
+                StopAsyncIteration):
             pass
         finally:
             if writer is not None:
@@ -130,8 +161,8 @@
             first_id = first_id or attempt_id
             await asyncio.sleep(pause)
 
-    def drawn(self, count=TRIES):
-        return [self.random.choice(self.cluster.gateways) for _ in range(count)]
+    def drawn(self):
+        return [self.random.choice(self.cluster.gateways) for _ in range(self.options.tries)]
 
     def judge_ends(self):
         ends, sends = self.fleet.ends, self.fleet.sends
@@ -168,6 +199,25 @@
         await self.send_tries([first, third])
         return self.judge_ends()
 
+    async def all_gateways_killed(self):
+        """All gateways are killed and start again between the tries; storage nodes run on."""
+        for gateway in self.drawn():
+            await self.send_tries([gateway])
+            for other in self.cluster.gateways:
+                other.kill()
+            for other in self.cluster.gateways:
+                other.start()
+            for other in self.cluster.gateways:
+                await self._wait_for("the restart", lambda node=other: self._serves_turns(node))
+        return self.judge_ends()
+
+    async def persistent(self):
+        """The caller does not heed Retry-After and goes on for longer than a stop lasts."""
+        end = time.monotonic() + PERSISTENT_S
+        while time.monotonic() < end:
+            await self.send_tries([self.random.choice(self.cluster.gateways)])
+        return self.judge_ends()
+
     async def stores_away(self):
         for store in self.cluster.stores:
             store.signal(signal.SIGSTOP)
@@ -217,9 +267,15 @@
 
 def read_crash_options():
     parser = new_parser(__doc__, "crash-request",
-                        ["tries", "anonymous", "gateway_killed", "stores_away", "bystanders"])
+                        ["tries", "anonymous", "gateway_killed", "all_gateways_killed", "persistent",
+                         "stores_away", "bystanders"])
     parser.add_argument("--events", type=int, default=0, help="events before a back end ends")
     parser.add_argument("--pace", type=int, default=1, help="how many times as long events take")
+    parser.add_argument("--silent", action="store_true",
+                        help="ended back ends neither reset nor refuse connections")
+    parser.add_argument("--patience", type=float, default=soak.RECOVER_S,
+                        help="seconds after which the caller gives a try up")
+    parser.add_argument("--tries", type=int, default=TRIES)
     return read_options(parser)
 
 
