crash history: a failure does not clear the back ends that ended under a request

Callers saw a request end back ends beyond three: any complete response made all gateways forget its crashes, a 500 too, so that a request that ends some back ends and gets a failure from others was never stopped. Only a complete successful response does now, of a stream with its last event.

--- a/src/core/retry/crash_history.h
+++ b/src/core/retry/crash_history.h
@@ -5,8 +5,8 @@
  * sent again until the first of these crashes is CRASH_RETENTION_MS old.
  *
  * A back end that ends takes other requests along, which are not the cause. A request that gets a
- * complete response is not, so its crashes are forgotten: that of one caller also clears equal
- * requests of others.
+ * complete successful response is not, so its crashes are forgotten: that of one caller also clears
+ * equal requests of others. A failure says nothing: the same request may end the next back end.
  *
  * A crash is suspected from the moment the connection breaks, and counts; it is removed if the back
  * end turns out to be alive, and confirmed if not.
@@ -40,7 +40,7 @@
     uint64_t at;
     uint16_t backend; /**< From a hash of the back end. */
     uint8_t number;   /**< Of the back end's crashes under the request, from 1; 0: not yet known. */
-    bool cleared;     /**< The request got a complete response. */
+    bool cleared;     /**< The request got a complete successful response. */
 } crash_report_t;
 
 typedef struct crash_history crash_history_t;
--- a/src/gateway/call_send.c
+++ b/src/gateway/call_send.c
@@ -201,10 +201,10 @@
         call_handle_not_run(call);
         return;
     }
-    crash_watch_record_response(call->gateway->crashes, call->request_id);
     if (call->streaming) {
         call_speed_record_stream(call);
         if (event_stream_at_boundary(&call->events)) {
+            crash_watch_record_success(call->gateway->crashes, call->request_id);
             call_placement_completed(call);
             call_turn_stream_completed(call);
         } else
@@ -218,10 +218,13 @@
         call_handle_unknown_outcome(call, CALL_BAD_ANSWER);
         return;
     }
-    if (call->head_sent)
+    if (call->head_sent) {
         call_fail(call, CALL_BAD_ANSWER);
-    else
-        call_answer(call);
+        return;
+    }
+    if (is_success(call->status))
+        crash_watch_record_success(call->gateway->crashes, call->request_id);
+    call_answer(call);
 }
 
 /**
--- a/src/gateway/crash_watch.c
+++ b/src/gateway/crash_watch.c
@@ -258,7 +258,7 @@
     log_if_stopped(watch, request);
 }
 
-void crash_watch_record_response(crash_watch_t *watch, uint64_t request) {
+void crash_watch_record_success(crash_watch_t *watch, uint64_t request) {
     if (crash_history_count(watch->history, request, now(watch)) == 0)
         return;
     crash_report_t cleared = {.request = request, .at = now(watch), .cleared = true};
--- a/src/gateway/crash_watch.h
+++ b/src/gateway/crash_watch.h
@@ -31,8 +31,8 @@
 void crash_watch_suspect(crash_watch_t *watch, uint64_t request, backend_t *backend);
 /** Probes found @p backend unreachable under @p request. */
 void crash_watch_record_unreachable(crash_watch_t *watch, uint64_t request, backend_t *backend);
-/** The request got a complete response. */
-void crash_watch_record_response(crash_watch_t *watch, uint64_t request);
+/** The request got a complete successful response. */
+void crash_watch_record_success(crash_watch_t *watch, uint64_t request);
 /** Number of back ends that have ended under the request. */
 unsigned crash_watch_count(const crash_watch_t *watch, uint64_t request);
 /** Time until the request may be sent, in ms; 0: now. */
--- a/tests/soak/crash_request_test.py
+++ b/tests/soak/crash_request_test.py
@@ -22,7 +22,7 @@
 from backends import Backend, event_data
 from callers import RESUMABLE, SAFE
 from direct_fleet import Fleet, Scenario, new_parser, read_options
-from http_message import read_head, read_pieces, render, render_chunk
+from http_message import read_head, read_pieces, render, render_answer, render_chunk
 from promises import Attempt
 from proxy import reset
 
@@ -49,6 +49,9 @@
         if not request.body.endswith(BODY):
             return await super()._stream(request, attempt_id, fields, writer)
         self.fleet.sends.append((time.monotonic(), self.instance))
+        if self.fleet.options.errors and len(self.fleet.sends) % 2 == 0:
+            writer.write(render_answer(500, fields, b"failed"))
+            return True
         if self.fleet.options.events > 0:
             fields = fields + [("Transfer-Encoding", "chunked")]
             writer.write(render("HTTP/1.1 200 OK", fields))
@@ -273,6 +276,8 @@
     parser.add_argument("--pace", type=int, default=1, help="how many times as long events take")
     parser.add_argument("--silent", action="store_true",
                         help="ended back ends neither reset nor refuse connections")
+    parser.add_argument("--errors", action="store_true",
+                        help="every second send gets a complete answer with a failure instead")
     parser.add_argument("--patience", type=float, default=soak.RECOVER_S,
                         help="seconds after which the caller gives a try up")
     parser.add_argument("--tries", type=int, default=TRIES)
--- a/tests/unit/crash_history_test.cc
+++ b/tests/unit/crash_history_test.cc
@@ -340,7 +340,7 @@
     EXPECT_GT(crash_watch_wait_ms(one.watch, REQUEST), 50000U);
     uv_sleep(2);
     uv_update_time(loop());
-    crash_watch_record_response(other.watch, REQUEST);
+    crash_watch_record_success(other.watch, REQUEST);
     EXPECT_TRUE(run_until([&] { return crash_watch_count(one.watch, REQUEST) == 0; }));
 }
 
@@ -379,7 +379,7 @@
     EXPECT_EQ(crash_watch_count(second.watch, REQUEST), 2U);
     uv_sleep(2);
     uv_update_time(loop());
-    crash_watch_record_response(first.watch, REQUEST);
+    crash_watch_record_success(first.watch, REQUEST);
     EXPECT_TRUE(run_until([&] { return crash_watch_count(farther.watch, REQUEST) == 0; }));
 }
 
