crash history: a stopped request stays stopped while its caller comes back

A caller that went on for 70 s without heeding Retry-After ended three back ends, and three more once a minute was over: each crash was forgotten a minute after it, one by one, so that the stop ended while the request was still there, and began anew with all three.

After its end one more crash, not three, stops the request again, for twice as long, up to 16 minutes; as long again without a crash forgets it. Requests without a program are not renewed: many callers may send equal ones, and one of them is let through after a minute to find out.

CrashHistory.AStopGoesOnWhileTheCallerComesBack, ...IsStoppedForTwiceAsLong and ...ForAMinuteFromTheLast (from the first before: the check is stricter) fail without it.

--- a/src/core/retry/crash_history.c
+++ b/src/core/retry/crash_history.c
@@ -6,6 +6,8 @@
     REQUESTS_MAX = 4096, /**< Bounds the memory; the request with the oldest crash goes first. */
     /** More than CRASHES_MAX, since some of them may be removed. */
     CRASHES_KEPT = 2 * CRASHES_MAX,
+    STOP_DOUBLINGS_MAX = 4,                  /**< A stop lasts for 16 minutes at most. */
+    RENEWAL_MIN_MS = CRASH_RETENTION_MS / 4, /**< Between two renewals that are told to others. */
     /** No report is longer on its way. Back ends' numbers may begin anew after that. */
     REPORT_DELAY_MAX_MS = 10000,
 };
@@ -20,6 +22,9 @@
 typedef struct {
     uint64_t request;
     uint64_t cleared_at; /**< Crashes up to then don't count; 0: never cleared. */
+    unsigned stops;      /**< How often in a row it was stopped; 0: it is not. */
+    uint64_t stopped_at; /**< From when the last stop counts. */
+    uint64_t told_at;    /**< When others were last told of the stop, or told it. */
     unsigned count;
     crash_t crashes[CRASHES_KEPT]; /**< Oldest first. */
     GList link;                    /**< In crash_history.order. */
@@ -55,13 +60,29 @@
     g_hash_table_remove(history->requests, &entry->request);
 }
 
+static uint64_t stop_ms(const request_crashes_t *entry) {
+    return (uint64_t)CRASH_RETENTION_MS << MIN(entry->stops - 1, STOP_DOUBLINGS_MAX);
+}
+
+static bool is_stopped(const request_crashes_t *entry, uint64_t now) {
+    return entry->stops > 0 && now < entry->stopped_at + stop_ms(entry);
+}
+
+/** True until one more crash would begin the count anew. */
+static bool is_on_probation(const request_crashes_t *entry, uint64_t now) {
+    return entry->stops > 0 && now < entry->stopped_at + 2 * stop_ms(entry);
+}
+
+static bool is_needed(const request_crashes_t *entry, uint64_t now) {
+    uint64_t last = entry->count == 0 ? 0 : entry->crashes[entry->count - 1].at;
+    return now < last + CRASH_RETENTION_MS || is_on_probation(entry, now);
+}
+
 /** Forgets requests without a recent crash, and the oldest one if there are too many. */
 static void limit_requests(crash_history_t *history, uint64_t now) {
     request_crashes_t *oldest;
     while ((oldest = g_queue_peek_head(&history->order)) != NULL) {
-        uint64_t last = oldest->count == 0 ? 0 : oldest->crashes[oldest->count - 1].at;
-        bool recent = now < last + CRASH_RETENTION_MS;
-        if (recent && g_hash_table_size(history->requests) < REQUESTS_MAX)
+        if (is_needed(oldest, now) && g_hash_table_size(history->requests) < REQUESTS_MAX)
             return;
         forget(history, oldest);
     }
@@ -116,6 +137,28 @@
     entry->count--;
 }
 
+static bool counts(const request_crashes_t *entry, const crash_t *crash, uint64_t now) {
+    return crash->at > entry->cleared_at && now < crash->at + CRASH_RETENTION_MS;
+}
+
+/** Number of crashes of the last CRASH_RETENTION_MS. */
+static unsigned count_recent(const request_crashes_t *entry, uint64_t now) {
+    unsigned recent = 0;
+    for (unsigned i = 0; i < entry->count; i++)
+        recent += counts(entry, &entry->crashes[i], now);
+    return recent;
+}
+
+/** Stops the request, or stops it for longer, if the crash that was just added is one too many. */
+static void stop_at_limit(request_crashes_t *entry, uint64_t at) {
+    if (is_on_probation(entry, at))
+        entry->stops++;
+    else
+        entry->stops = count_recent(entry, at) >= CRASHES_MAX;
+    entry->stopped_at = MAX(entry->stopped_at, at);
+    entry->told_at = MAX(entry->told_at, at);
+}
+
 bool crash_history_add(crash_history_t *history, crash_report_t *crash, bool confirmed) {
     const request_crashes_t *known = find(history, crash->request);
     if (crash->number == 0)
@@ -129,14 +172,18 @@
     for (; index > 0 && entry->crashes[index - 1].at > crash->at; index--)
         entry->crashes[index] = entry->crashes[index - 1];
     entry->crashes[index] = (crash_t){crash->at, crash->backend, crash->number, confirmed};
+    stop_at_limit(entry, entry->crashes[entry->count - 1].at);
     return true;
 }
 
 void crash_history_remove(crash_history_t *history, const crash_report_t *crash) {
     request_crashes_t *entry = find(history, crash->request);
     int index = entry == NULL ? -1 : find_crash(entry, crash);
-    if (index >= 0)
-        remove_crash(entry, (unsigned)index);
+    if (index < 0)
+        return;
+    remove_crash(entry, (unsigned)index);
+    if (entry->stops > 0)
+        entry->stops--;
 }
 
 void crash_history_confirm(crash_history_t *history, const crash_report_t *crash) {
@@ -146,49 +193,78 @@
         entry->crashes[index].confirmed = true;
 }
 
-static bool counts(const request_crashes_t *entry, const crash_t *crash, uint64_t now) {
-    return crash->at > entry->cleared_at && now < crash->at + CRASH_RETENTION_MS;
-}
-
-/** Index of the first crash that still counts. */
-static unsigned first_recent(const request_crashes_t *entry, uint64_t now) {
-    unsigned first = 0;
-    while (first < entry->count && !counts(entry, &entry->crashes[first], now))
-        first++;
-    return first;
-}
-
 /* Cleared crashes stay known, so that late reports of them do not count as others. */
 bool crash_history_clear(crash_history_t *history, uint64_t request, uint64_t at) {
     request_crashes_t *entry = find(history, request);
     if (entry == NULL || entry->cleared_at >= at)
         return false;
-    unsigned before = first_recent(entry, at);
+    unsigned before = count_recent(entry, at);
+    bool was_stopped = is_on_probation(entry, at);
     entry->cleared_at = at;
-    return first_recent(entry, at) > before;
+    entry->stops = 0;
+    return was_stopped || count_recent(entry, at) < before;
+}
+
+bool crash_history_renew(crash_history_t *history, uint64_t request, uint64_t at) {
+    request_crashes_t *entry = find(history, request);
+    if (entry == NULL || !is_stopped(entry, at) || at <= entry->stopped_at)
+        return false;
+    entry->stopped_at = at;
+    if (at < entry->told_at + RENEWAL_MIN_MS)
+        return false;
+    entry->told_at = at;
+    return true;
+}
+
+bool crash_history_note_stop(crash_history_t *history, const crash_report_t *stop) {
+    const request_crashes_t *known = find(history, stop->request);
+    if (known != NULL && (stop->at <= known->cleared_at || stop->at <= known->stopped_at))
+        return false;
+    request_crashes_t *entry = obtain(history, stop->request, stop->at);
+    entry->stops = MAX(entry->stops, MAX(stop->number, 1));
+    entry->stopped_at = stop->at;
+    entry->told_at = stop->at;
+    return true;
+}
+
+bool crash_history_find_stop(const crash_history_t *history, uint64_t request, uint64_t now,
+                             crash_report_t *stop) {
+    const request_crashes_t *entry = find(history, request);
+    if (entry == NULL || !is_on_probation(entry, now))
+        return false;
+    *stop = (crash_report_t){.request = request,
+                             .at = entry->stopped_at,
+                             .number = (uint8_t)MIN(entry->stops, UINT8_MAX)};
+    return true;
 }
 
 unsigned crash_history_count(const crash_history_t *history, uint64_t request, uint64_t now) {
     if (g_hash_table_size(history->requests) == 0)
         return 0;
     const request_crashes_t *entry = find(history, request);
-    return entry == NULL ? 0 : entry->count - first_recent(entry, now);
+    if (entry == NULL)
+        return 0;
+    unsigned recent = count_recent(entry, now);
+    if (is_stopped(entry, now))
+        return MAX(recent, CRASHES_MAX);
+    return is_on_probation(entry, now) ? CRASHES_NEAR_MAX : recent;
 }
 
 uint32_t crash_history_wait_ms(const crash_history_t *history, uint64_t request, uint64_t now) {
-    if (crash_history_count(history, request, now) < CRASHES_MAX)
-        return 0;
     const request_crashes_t *entry = find(history, request);
-    const crash_t *last_to_expire = &entry->crashes[entry->count - CRASHES_MAX];
-    return (uint32_t)(last_to_expire->at + CRASH_RETENTION_MS - now);
+    if (entry == NULL || !is_stopped(entry, now))
+        return 0;
+    return (uint32_t)(entry->stopped_at + stop_ms(entry) - now);
 }
 
 static void list_crashes(const request_crashes_t *entry, uint64_t now, unsigned max,
                          GArray *reports) {
-    for (unsigned i = first_recent(entry, now); i < entry->count && reports->len < max; i++) {
+    bool all = is_on_probation(entry, now);
+    for (unsigned i = 0; i < entry->count && reports->len < max; i++) {
         const crash_t *crash = &entry->crashes[i];
         crash_report_t report = {entry->request, crash->at, crash->backend, crash->number, false};
-        if (crash->confirmed)
+        bool listed = all ? crash->at > entry->cleared_at : counts(entry, crash, now);
+        if (listed && crash->confirmed)
             g_array_append_val(reports, report);
     }
 }
@@ -204,7 +280,7 @@
                         GArray *reports) {
     for (const GList *link = history->order.tail; link != NULL; link = link->prev) {
         const request_crashes_t *entry = link->data;
-        if (entry->count - first_recent(entry, now) >= CRASHES_NEAR_MAX)
+        if (is_on_probation(entry, now) || count_recent(entry, now) >= CRASHES_NEAR_MAX)
             list_crashes(entry, now, max, reports);
     }
 }
--- a/src/core/retry/crash_history.h
+++ b/src/core/retry/crash_history.h
@@ -1,8 +1,8 @@
 /**
  * @file crash_history.h
  * Back ends that ended while they had a request, by request, over all attempts of its caller and
- * all gateways. A request under which CRASHES_MAX back ends have ended may be the cause, and is not
- * sent again until the first of these crashes is CRASH_RETENTION_MS old.
+ * all gateways. A request under which CRASHES_MAX back ends have ended within CRASH_RETENTION_MS
+ * may be the cause, and is stopped: not sent again for a time.
  *
  * A back end that ends takes other requests along, which are not the cause. A request that gets a
  * complete successful response is not, so its crashes are forgotten: that of one caller also clears
@@ -58,7 +58,21 @@
 void crash_history_confirm(crash_history_t *history, const crash_report_t *crash);
 /** Forgets the crashes up to @p at; false if there were none. */
 bool crash_history_clear(crash_history_t *history, uint64_t request, uint64_t at);
-/** Number of back ends that have ended under the request. */
+/**
+ * Begins the request's stop anew at @p at, if it is stopped then; true if that should be told to
+ * others, whose view of it is much older.
+ */
+bool crash_history_renew(crash_history_t *history, uint64_t request, uint64_t at);
+/** Takes another's view of a stop, whose `number` tells how often in a row; false if it is known.
+ */
+bool crash_history_note_stop(crash_history_t *history, const crash_report_t *stop);
+/** Describes a stop, or that one more crash begins the next one; false if there is none. */
+bool crash_history_find_stop(const crash_history_t *history, uint64_t request, uint64_t now,
+                             crash_report_t *stop);
+/**
+ * Number of back ends that have ended under the request and count: CRASHES_MAX or more while it is
+ * stopped.
+ */
 unsigned crash_history_count(const crash_history_t *history, uint64_t request, uint64_t now);
 /** Time until the request may be sent; 0: now. */
 uint32_t crash_history_wait_ms(const crash_history_t *history, uint64_t request, uint64_t now);
--- a/src/gateway/call.c
+++ b/src/gateway/call.c
@@ -340,6 +340,9 @@
     call->deadline = compute_deadline(call);
     uv_timer_start(&call->deadline_timer, on_deadline, call_time_left(call), 0);
     if (call_crash_limit_reached(call)) {
+        /* Equal requests of callers without a program may be of many, most of them new. */
+        if (call->program != NULL)
+            crash_watch_record_refused(gateway->crashes, call->request_id);
         call_refuse(call, STATUS_UNAVAILABLE, CALL_BACKENDS_ENDED);
         return;
     }
--- a/src/gateway/crash_watch.c
+++ b/src/gateway/crash_watch.c
@@ -42,7 +42,7 @@
 
 static void log_if_stopped(const crash_watch_t *watch, uint64_t request) {
     unsigned count = crash_history_count(watch->history, request, now(watch));
-    if (count == CRASHES_MAX)
+    if (count >= CRASHES_MAX)
         event_log(GATEWAY_REQUEST_STOPPED, request, count,
                   crash_history_wait_ms(watch->history, request, now(watch)));
 }
@@ -85,7 +85,10 @@
 void crash_watch_handle_message(crash_watch_t *watch, const message_t *message) {
     crash_report_t report = message->crash;
     report.at = now(watch) > message->age_ms ? now(watch) - message->age_ms : 0;
-    on_crash_report(watch, &report);
+    if (message->type == MESSAGE_REQUEST_STOPPED)
+        crash_history_note_stop(watch->history, &report);
+    else
+        on_crash_report(watch, &report);
 }
 
 crash_watch_t *crash_watch_new(uv_loop_t *loop, backends_t *backends, load_sharing_t *sharing,
@@ -101,20 +104,25 @@
     return watch;
 }
 
+static void tell_stores(const crash_watch_t *watch, message_type_t type,
+                        const crash_report_t *report) {
+    if (watch->stores == NULL)
+        return;
+    message_t message;
+    message_init(&message, type);
+    message.crash = *report;
+    message.age_ms = (uint32_t)(now(watch) - report->at);
+    store_client_send_for_key(watch->stores, report->request, &message);
+    message_clear(&message);
+}
+
 /** Tells other gateways, with the next load report, and storage nodes, at once. */
 static void report_crash(const crash_watch_t *watch, const crash_report_t *crash,
                          crash_news_t news) {
     load_sharing_report_crash(watch->sharing, crash, news);
     load_sharing_report_now(watch->sharing,
                             news == CRASH_NEAR_LIMIT ? CONTROL_PRESSING : CONTROL_CAN_WAIT);
-    if (watch->stores == NULL)
-        return;
-    message_t message;
-    message_init(&message, MESSAGE_CRASH);
-    message.crash = *crash;
-    message.age_ms = (uint32_t)(now(watch) - crash->at);
-    store_client_send_for_key(watch->stores, crash->request, &message);
-    message_clear(&message);
+    tell_stores(watch, MESSAGE_CRASH, crash);
 }
 
 static void free_check(uv_handle_t *handle) {
@@ -267,6 +275,13 @@
         report_crash(watch, &cleared, news);
 }
 
+void crash_watch_record_refused(crash_watch_t *watch, uint64_t request) {
+    crash_report_t stop;
+    if (crash_history_renew(watch->history, request, now(watch)) &&
+        crash_history_find_stop(watch->history, request, now(watch), &stop))
+        tell_stores(watch, MESSAGE_REQUEST_STOPPED, &stop);
+}
+
 unsigned crash_watch_count(const crash_watch_t *watch, uint64_t request) {
     return crash_history_count(watch->history, request, now(watch));
 }
--- a/src/gateway/crash_watch.h
+++ b/src/gateway/crash_watch.h
@@ -25,7 +25,7 @@
  */
 crash_watch_t *crash_watch_new(uv_loop_t *loop, backends_t *backends, load_sharing_t *sharing,
                                store_client_t *stores);
-/** Handles a MESSAGE_CRASH of a storage node. */
+/** Handles a MESSAGE_CRASH or MESSAGE_REQUEST_STOPPED of a storage node. */
 void crash_watch_handle_message(crash_watch_t *watch, const message_t *message);
 /** The connection to @p backend broke under @p request: counts as a crash while that is checked. */
 void crash_watch_suspect(crash_watch_t *watch, uint64_t request, backend_t *backend);
@@ -33,6 +33,11 @@
 void crash_watch_record_unreachable(crash_watch_t *watch, uint64_t request, backend_t *backend);
 /** The request got a complete successful response. */
 void crash_watch_record_success(crash_watch_t *watch, uint64_t request);
+/**
+ * A program's request was refused because it is stopped: its caller is still there, so the stop
+ * begins anew.
+ */
+void crash_watch_record_refused(crash_watch_t *watch, uint64_t request);
 /** Number of back ends that have ended under the request. */
 unsigned crash_watch_count(const crash_watch_t *watch, uint64_t request);
 /** Time until the request may be sent, in ms; 0: now. */
--- a/src/store/store_crashes.h
+++ b/src/store/store_crashes.h
@@ -12,7 +12,7 @@
 
 #include "store/store.h"
 
-/** Handles a MESSAGE_CRASH of a gateway. */
+/** Handles a MESSAGE_CRASH or MESSAGE_REQUEST_STOPPED of a gateway. */
 void store_handle_crash(store_t *store, const message_t *message);
 
 #endif
--- a/src/store/store_requests.c
+++ b/src/store/store_requests.c
@@ -616,6 +616,7 @@
         stream_versions_record(&store->streams, request.stream, request.version, now(store));
         break;
     case MESSAGE_CRASH:
+    case MESSAGE_REQUEST_STOPPED:
         store_handle_crash(store, &request);
         break;
     case REQUEST_STREAM:
--- a/tests/unit/crash_history_test.cc
+++ b/tests/unit/crash_history_test.cc
@@ -16,6 +16,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <string>
 #include <vector>
 
@@ -40,19 +41,87 @@
     crash_history_t *history = crash_history_new();
 };
 
-TEST_F(CrashHistory, StopsARequestAfterThreeCrashesForAMinuteFromTheFirst) {
+TEST_F(CrashHistory, StopsARequestAfterThreeCrashesForAMinuteFromTheLast) {
     EXPECT_EQ(count(NOW), 0U);
     for (uint16_t i = 0; i < 3; i++) {
         EXPECT_EQ(crash_history_wait_ms(history, REQUEST, NOW + i), 0U);
         EXPECT_TRUE(add(i, NOW + 1000 * i));
     }
     EXPECT_EQ(count(NOW + 2000), 3U);
-    EXPECT_EQ(crash_history_wait_ms(history, REQUEST, NOW + 2000), 58000U);
-    EXPECT_EQ(count(NOW + CRASH_RETENTION_MS), 2U);
-    EXPECT_EQ(crash_history_wait_ms(history, REQUEST, NOW + CRASH_RETENTION_MS), 0U);
+    EXPECT_EQ(crash_history_wait_ms(history, REQUEST, NOW + 2000), 60000U);
+    EXPECT_EQ(count(NOW + CRASH_RETENTION_MS + 1999), 3U);
+    EXPECT_EQ(count(NOW + CRASH_RETENTION_MS + 2000), 2U) << "one more back end, not three";
+    EXPECT_EQ(crash_history_wait_ms(history, REQUEST, NOW + CRASH_RETENTION_MS + 2000), 0U);
     EXPECT_EQ(count(NOW + 2000, REQUEST + 1), 0U) << "other requests are not affected";
 }
 
+TEST_F(CrashHistory, ForgetsTwoCrashesAfterAMinute) {
+    add(1, NOW);
+    add(2, NOW + 1000);
+    EXPECT_EQ(count(NOW + CRASH_RETENTION_MS), 1U);
+    EXPECT_EQ(count(NOW + CRASH_RETENTION_MS + 1000), 0U);
+}
+
+TEST_F(CrashHistory, ARequestThatEndsABackEndAfterItsStopIsStoppedForTwiceAsLong) {
+    for (uint16_t i = 0; i < 3; i++)
+        add(i, NOW);
+    uint64_t end = NOW + CRASH_RETENTION_MS;
+    uint64_t wait = CRASH_RETENTION_MS;
+    for (uint16_t i = 3; i < 10; i++) {
+        EXPECT_EQ(count(end), 2U);
+        EXPECT_TRUE(add(i, end));
+        EXPECT_GE(count(end), 3U);
+        wait = std::min<uint64_t>(2 * wait, 16 * CRASH_RETENTION_MS);
+        EXPECT_EQ(crash_history_wait_ms(history, REQUEST, end), wait);
+        end += wait;
+    }
+    EXPECT_EQ(count(end + wait), 0U) << "as long again without a crash";
+    add(1, end + wait);
+    EXPECT_EQ(count(end + wait), 1U);
+}
+
+TEST_F(CrashHistory, AStopGoesOnWhileTheCallerComesBack) {
+    for (uint16_t i = 0; i < 3; i++)
+        add(i, NOW);
+    unsigned told = 0;
+    for (uint64_t at = NOW + 1000; at < NOW + 200000; at += 1000) {
+        EXPECT_EQ(count(at), 3U) << at - NOW;
+        told += crash_history_renew(history, REQUEST, at);
+    }
+    EXPECT_GE(told, 200000U / CRASH_RETENTION_MS) << "others must hear of it in time";
+    EXPECT_LE(told, 200000U / 10000);
+    EXPECT_EQ(count(NOW + 199000 + CRASH_RETENTION_MS), 2U);
+    EXPECT_FALSE(crash_history_renew(history, REQUEST, NOW + 300000)) << "the stop is over";
+    EXPECT_FALSE(crash_history_renew(history, REQUEST + 1, NOW)) << "never stopped";
+}
+
+TEST_F(CrashHistory, AStopThatAnotherGatewayTellsCountsWithoutItsCrashes) {
+    crash_report_t stop = {REQUEST, NOW, 0, 2, false};
+    EXPECT_TRUE(crash_history_note_stop(history, &stop));
+    EXPECT_FALSE(crash_history_note_stop(history, &stop));
+    EXPECT_EQ(count(NOW + 1), 3U);
+    EXPECT_EQ(crash_history_wait_ms(history, REQUEST, NOW), 2U * CRASH_RETENTION_MS);
+    crash_report_t found;
+    ASSERT_TRUE(crash_history_find_stop(history, REQUEST, NOW + 1, &found));
+    EXPECT_EQ(found.at, NOW);
+    EXPECT_EQ(found.number, 2U);
+    EXPECT_TRUE(crash_history_clear(history, REQUEST, NOW + 10));
+    EXPECT_EQ(count(NOW + 11), 0U);
+    EXPECT_FALSE(crash_history_note_stop(history, &stop)) << "told before the response";
+    EXPECT_FALSE(crash_history_find_stop(history, REQUEST, NOW + 11, &found));
+}
+
+TEST_F(CrashHistory, ABackEndThatIsAliveEndsTheStopThatItsSuspicionBegan) {
+    add(1, NOW);
+    add(2, NOW);
+    add(3, NOW, REQUEST, false);
+    EXPECT_EQ(count(NOW), 3U);
+    crash_report_t alive = {REQUEST, NOW, 3, 1, false};
+    crash_history_remove(history, &alive);
+    EXPECT_EQ(count(NOW), 2U);
+    EXPECT_EQ(crash_history_wait_ms(history, REQUEST, NOW), 0U);
+}
+
 TEST_F(CrashHistory, CountsOneEndOfABackEndOnceAndThatOfItsNextIncarnationToo) {
     EXPECT_TRUE(add(1, NOW));
     EXPECT_FALSE(add(1, NOW + 5)) << "a resend on a connection that was open before";
--- a/tests/unit/store_crashes_test.cc
+++ b/tests/unit/store_crashes_test.cc
@@ -63,6 +63,22 @@
         EXPECT_EQ(known(i), (std::set<unsigned>{1, 2, 3})) << i;
 }
 
+TEST_F(StoreCrashes, AStopThatOneGatewayRenewsGoesToAll) {
+    message_t message;
+    message_init(&message, MESSAGE_REQUEST_STOPPED);
+    message.crash.request = request;
+    message.crash.number = 2;
+    message.age_ms = 100;
+    store_client_send_for_key(gateway(1)->client, request, &message);
+    message_clear(&message);
+    virtual_run(virtual_now() + delivery_ms);
+    for (unsigned i = 0; i < gateways; i++) {
+        ASSERT_EQ(gateway(i)->stops->len, unsigned{STORE_KEY_MEMBERS}) << i;
+        EXPECT_EQ(g_array_index(gateway(i)->stops, crash_report_t, 0).request, request);
+        EXPECT_EQ(g_array_index(gateway(i)->stops, crash_report_t, 0).number, 2U);
+    }
+}
+
 TEST_F(StoreCrashes, AreClearedAtAllGatewaysThatWereTold) {
     report(0, 1);
     report(0, 2);
