gateways, storage nodes: tell each other of stopped requests when a connection opens

A request ended three more back ends after each restart of all gateways: storage nodes knew its crashes, and told them only at the moment at which they were reported; gateways ask other gateways, which had started as well. The class: what is told once, by an event, and never as a state.

When a gateway's connection to a storage node opens, each now tells the other of requests that are stopped or near it: at most 256 crashes and stops each way, some 10 kB, most often none. What one side knows so outlasts a restart of the other; only a restart of all gateways and all three storage nodes that keep a request loses it. Gateways tell with a message of its own (MESSAGE_CRASH_KNOWN), whose number counts: a crash that a storage node hears of again is no other one.

In make check; StoreCrashes.OutlastARestartOfAllGateways in virtual time.

--- a/src/cluster/message.c
+++ b/src/cluster/message.c
@@ -252,6 +252,7 @@
         codec_uint64(codec, &message->version);
         break;
     case MESSAGE_CRASH:
+    case MESSAGE_CRASH_KNOWN:
     case MESSAGE_REQUEST_STOPPED:
         crash_codec(codec, message);
         break;
--- a/src/cluster/message.h
+++ b/src/cluster/message.h
@@ -60,6 +60,7 @@
     RESPONSE_STREAM,
     MESSAGE_CRASH, /**< A back end ended under a request, or the request got a complete response;
                       from a gateway, or passed on to all. */
+    MESSAGE_CRASH_KNOWN,     /**< A crash that a gateway knows, to a storage node that may not. */
     MESSAGE_REQUEST_STOPPED, /**< A request is stopped, since back ends ended under it, anew from
                                 the age given; `crash.number`: how often in a row. From a gateway,
                                 or passed on to all. */
--- a/src/core/retry/crash_history.c
+++ b/src/core/retry/crash_history.c
@@ -238,6 +238,17 @@
     return true;
 }
 
+void crash_history_list_stops(const crash_history_t *history, uint64_t now, unsigned max,
+                              GArray *stops) {
+    for (const GList *link = history->order.tail; link != NULL && stops->len < max;
+         link = link->prev) {
+        crash_report_t stop;
+        if (crash_history_find_stop(history, ((const request_crashes_t *)link->data)->request, now,
+                                    &stop))
+            g_array_append_val(stops, stop);
+    }
+}
+
 unsigned crash_history_count(const crash_history_t *history, uint64_t request, uint64_t now) {
     if (g_hash_table_size(history->requests) == 0)
         return 0;
--- a/src/core/retry/crash_history.h
+++ b/src/core/retry/crash_history.h
@@ -24,6 +24,7 @@
     CRASHES_MAX = 3,                    /**< Back ends that may end under one request. */
     CRASHES_NEAR_MAX = CRASHES_MAX - 1, /**< One more stops the request. */
     CRASH_RETENTION_MS = 60000, /**< Longer than a caller and its program try a request again. */
+    CRASHES_TOLD_MAX = 256,     /**< When a connection opens; some 10 kB. */
     /** What is found at one back end within this time is one crash; a restart takes longer. */
     CRASH_SAME_MS = 250,
 };
@@ -69,6 +70,9 @@
 /** Describes a stop, or that one more crash begins the next one; false if there is none. */
 bool crash_history_find_stop(const crash_history_t *history, uint64_t request, uint64_t now,
                              crash_report_t *stop);
+/** Appends the stops that crash_history_find_stop describes to @p stops, at most @p max. */
+void crash_history_list_stops(const crash_history_t *history, uint64_t now, unsigned max,
+                              GArray *stops);
 /**
  * Number of back ends that have ended under the request and count: CRASHES_MAX or more while it is
  * stopped.
--- a/src/gateway/crash_watch.c
+++ b/src/gateway/crash_watch.c
@@ -116,6 +116,30 @@
     message_clear(&message);
 }
 
+static void tell_member(const crash_watch_t *watch, unsigned member, message_type_t type,
+                        const GArray *reports) {
+    for (guint i = 0; i < reports->len; i++) {
+        const crash_report_t *report = &g_array_index(reports, crash_report_t, i);
+        if (!store_client_keeps_key(watch->stores, member, report->request))
+            continue;
+        message_t message;
+        message_init(&message, type);
+        message.crash = *report;
+        message.age_ms = (uint32_t)(now(watch) - report->at);
+        store_client_send_member(watch->stores, member, &message);
+    }
+}
+
+void crash_watch_tell_member(const crash_watch_t *watch, unsigned member) {
+    GArray *reports = g_array_new(FALSE, FALSE, sizeof(crash_report_t));
+    crash_history_list(watch->history, now(watch), CRASHES_TOLD_MAX, reports);
+    tell_member(watch, member, MESSAGE_CRASH_KNOWN, reports);
+    g_array_set_size(reports, 0);
+    crash_history_list_stops(watch->history, now(watch), CRASHES_TOLD_MAX, reports);
+    tell_member(watch, member, MESSAGE_REQUEST_STOPPED, reports);
+    g_array_free(reports, TRUE);
+}
+
 /** Tells other gateways, with the next load report, and storage nodes, at once. */
 static void report_crash(const crash_watch_t *watch, const crash_report_t *crash,
                          crash_news_t news) {
--- a/src/gateway/main.c
+++ b/src/gateway/main.c
@@ -66,6 +66,11 @@
         quota_client_handle_response(gateway->quotas, member, message);
 }
 
+static void on_member_open(void *owner, unsigned member) {
+    const gateway_t *gateway = owner;
+    crash_watch_tell_member(gateway->crashes, member);
+}
+
 static const store_client_handler_t store_handler = {
     gateway_update_peers,
     gateway_apply_stored_directory,
@@ -73,6 +78,7 @@
     find_relay,
     on_answer,
     gateway_on_zone_isolation,
+    on_member_open,
 };
 
 static bool open_gateway(gateway_t *gateway) {
--- a/src/gateway/store_client.c
+++ b/src/gateway/store_client.c
@@ -58,6 +58,8 @@
             store_operation_awaits(operation, index))
             store_operation_send(operation, member);
     }
+    if (client->handler->on_member_open != NULL)
+        client->handler->on_member_open(client->owner, index);
 }
 
 static void on_frame(void *owner, store_link_t *link, const uint8_t *data, size_t length);
@@ -265,7 +267,7 @@
     return XXH64(name, strlen(name), key);
 }
 
-static bool is_member_for_key(const store_client_t *client, unsigned member, uint64_t key) {
+bool store_client_keeps_key(const store_client_t *client, unsigned member, uint64_t key) {
     uint64_t rank = member_rank(client, member, key);
     unsigned before = 0;
     for (unsigned i = 0; i < client->members->len; i++)
@@ -278,7 +280,7 @@
     GBytes *bytes = message_encode(message);
     unsigned sent = 0;
     for (unsigned i = 0; i < client->members->len; i++) {
-        if (!store_client_member_open(client, i) || !is_member_for_key(client, i, key))
+        if (!store_client_member_open(client, i) || !store_client_keeps_key(client, i, key))
             continue;
         store_link_send(member_link(client, i), g_bytes_ref(bytes));
         sent++;
--- a/src/gateway/store_client.h
+++ b/src/gateway/store_client.h
@@ -64,6 +64,8 @@
     /** The isolation of the zone began or ended; see store_client_enable_isolation_check. May be
      * NULL. */
     void (*on_zone_isolation)(void *owner, bool isolated);
+    /** A connection to a member has opened. May be NULL. */
+    void (*on_member_open)(void *owner, unsigned member);
 } store_client_handler_t;
 
 /** @p own_address is sent to the members, which announce it to other gateways. */
@@ -117,6 +119,8 @@
  * all gateways.
  */
 unsigned store_client_send_for_key(const store_client_t *client, uint64_t key, message_t *message);
+/** True if @p member is one of those for @p key. */
+bool store_client_keeps_key(const store_client_t *client, unsigned member, uint64_t key);
 
 /** A reserve of a program's budget for one call. */
 typedef struct {
--- a/src/store/store_crashes.c
+++ b/src/store/store_crashes.c
@@ -54,6 +54,26 @@
         return;
     }
     /* Gateways number alike the crashes of one back end that they don't know from each other. */
-    report.number = 0;
+    if (message->type == MESSAGE_CRASH)
+        report.number = 0;
     add_crash(store, &report, now);
 }
+
+static void send_all(const store_t *store, frame_connection_t *connection, message_type_t type,
+                     const GArray *reports, uint64_t now) {
+    for (guint i = 0; i < reports->len; i++)
+        frame_connection_send(
+            connection,
+            encode_report(store, type, &g_array_index(reports, crash_report_t, i), now));
+}
+
+void store_tell_crashes(const store_t *store, frame_connection_t *connection) {
+    uint64_t now = uv_now(store->loop);
+    GArray *reports = g_array_new(FALSE, FALSE, sizeof(crash_report_t));
+    crash_history_list(store->crashes, now, CRASHES_TOLD_MAX, reports);
+    send_all(store, connection, MESSAGE_CRASH, reports, now);
+    g_array_set_size(reports, 0);
+    crash_history_list_stops(store->crashes, now, CRASHES_TOLD_MAX, reports);
+    send_all(store, connection, MESSAGE_REQUEST_STOPPED, reports, now);
+    g_array_free(reports, TRUE);
+}
--- a/src/store/store_requests.c
+++ b/src/store/store_requests.c
@@ -571,6 +571,7 @@
     gateway_registry_add(&store->gateways, frame_connection_serial(connection),
                          g_ptr_array_index(message->ids, 0), g_ptr_array_index(message->ids, 1));
     store_directory_gateway_connected(store->directory, g_ptr_array_index(message->ids, 0));
+    store_tell_crashes(store, connection);
     schedule_gateway_lists(store);
 }
 
@@ -616,6 +617,7 @@
         stream_versions_record(&store->streams, request.stream, request.version, now(store));
         break;
     case MESSAGE_CRASH:
+    case MESSAGE_CRASH_KNOWN:
     case MESSAGE_REQUEST_STOPPED:
         store_handle_crash(store, &request);
         break;
--- a/src/storesim/world.c
+++ b/src/storesim/world.c
@@ -97,8 +97,8 @@
         quota_client_handle_response(gateway->quotas, member, message);
 }
 
-static const store_client_handler_t client_handler = {on_gateways, on_directory, read_directory,
-                                                      find_relay,  on_answer,    NULL};
+static const store_client_handler_t client_handler = {
+    on_gateways, on_directory, read_directory, find_relay, on_answer, NULL, NULL};
 
 void world_start_gateway(world_gateway_t *gateway) {
     virtual_process_t *process = gateway->process;
--- a/tests/integration/crash_request_test.sh
+++ b/tests/integration/crash_request_test.sh
@@ -24,3 +24,5 @@
 expect "equal requests are served though back ends crash under some" crash_request bystanders
 expect "a failure that a request gets does not clear the back ends that ended under it" \
     crash_request --errors --tries 12 tries
+expect "a request ends at most three back ends though all gateways start again between its tries" \
+    crash_request --tries 4 all_gateways_killed
--- a/tests/unit/store_crashes_test.cc
+++ b/tests/unit/store_crashes_test.cc
@@ -79,6 +79,24 @@
     }
 }
 
+TEST_F(StoreCrashes, OutlastARestartOfAllGateways) {
+    report(0, 1);
+    report(0, 2);
+    report(1, 3);
+    for (unsigned i = 0; i < gateways; i++)
+        world_end_gateway(gateway(i));
+    virtual_run(virtual_now() + delivery_ms);
+    for (unsigned i = 0; i < gateways; i++) {
+        g_array_set_size(gateway(i)->crashes, 0);
+        world_start_gateway(gateway(i));
+    }
+    virtual_run(virtual_now() + founding_ms);
+    for (unsigned i = 0; i < gateways; i++) {
+        EXPECT_EQ(known(i), (std::set<unsigned>{1, 2, 3})) << i;
+        EXPECT_GT(gateway(i)->stops->len, 0U) << i;
+    }
+}
+
 TEST_F(StoreCrashes, AreClearedAtAllGatewaysThatWereTold) {
     report(0, 1);
     report(0, 2);
