gateways: a back end that is silent when a call gives it up is checked, and counts from then

A request ended up to eight back ends, five after the third, where these fell silent and its caller gave each try up after 0.8 s or 0.3 s. A silent back end was judged only for a call in progress, by 0.3 s of silence and two connections that time out; the end of the call ended the judgement, and the caller's next try, at any gateway, found nothing. The class: evidence that lives no longer than the one who waits for it.

A call that closes the connection to a back end before its answer is complete (its caller has left, its time is over, or it goes elsewhere) now leaves the question with crash_watch. A back end that has sent something within 0.1 s, or does so in the next 0.1 s, is alive, without a check. Otherwise a new connection tells, one for all requests there, and is kept for calls if it comes up, in place of the one that was closed. A back end that is met silent again within 2 s counts once: it may have been so since the first attempt. Metrics: exchanges_given_up_total, crash_checks_total.

--- a/src/cluster/message.c
+++ b/src/cluster/message.c
@@ -253,6 +253,8 @@
         break;
     case MESSAGE_CRASH:
     case MESSAGE_CRASH_KNOWN:
+    case MESSAGE_CRASH_SILENT:
+    case MESSAGE_CRASH_WITHDRAWN:
     case MESSAGE_REQUEST_STOPPED:
         crash_codec(codec, message);
         break;
--- a/src/cluster/message.h
+++ b/src/cluster/message.h
@@ -61,6 +61,8 @@
     MESSAGE_CRASH, /**< A back end ended under a request, or the request got a complete response;
                       from a gateway, or passed on to all. */
     MESSAGE_CRASH_KNOWN,     /**< A crash that a gateway knows, to a storage node that may not. */
+    MESSAGE_CRASH_SILENT,    /**< As MESSAGE_CRASH of a gateway, found by the back end's silence. */
+    MESSAGE_CRASH_WITHDRAWN, /**< A back end that was reported as ended is alive. */
     MESSAGE_REQUEST_STOPPED, /**< A request is stopped, since back ends ended under it, anew from
                                 the age given; `crash.number`: how often in a row. From a gateway,
                                 or passed on to all. */
--- a/src/core/retry/crash_history.c
+++ b/src/core/retry/crash_history.c
@@ -16,6 +16,7 @@
     uint64_t at;
     uint16_t backend;
     uint8_t number;
+    bool silent;
     bool confirmed;
 } crash_t;
 
@@ -124,7 +125,8 @@
         const crash_t *known = &entry->crashes[i];
         if (known->backend != crash->backend)
             continue;
-        if (time_between(known->at, crash->at) < CRASH_SAME_MS)
+        uint64_t same_ms = known->silent || crash->silent ? CRASH_SILENT_SAME_MS : CRASH_SAME_MS;
+        if (time_between(known->at, crash->at) < same_ms)
             return known->number;
         last = MAX(last, known->number);
     }
@@ -171,19 +173,23 @@
     unsigned index = entry->count++;
     for (; index > 0 && entry->crashes[index - 1].at > crash->at; index--)
         entry->crashes[index] = entry->crashes[index - 1];
-    entry->crashes[index] = (crash_t){crash->at, crash->backend, crash->number, confirmed};
+    entry->crashes[index] =
+        (crash_t){crash->at, crash->backend, crash->number, crash->silent, confirmed};
     stop_at_limit(entry, entry->crashes[entry->count - 1].at);
     return true;
 }
 
-void crash_history_remove(crash_history_t *history, const crash_report_t *crash) {
+bool crash_history_remove(crash_history_t *history, crash_report_t *crash) {
     request_crashes_t *entry = find(history, crash->request);
+    if (entry != NULL && crash->number == 0)
+        crash->number = find_number(entry, crash);
     int index = entry == NULL ? -1 : find_crash(entry, crash);
     if (index < 0)
-        return;
+        return false;
     remove_crash(entry, (unsigned)index);
     if (entry->stops > 0)
         entry->stops--;
+    return true;
 }
 
 void crash_history_confirm(crash_history_t *history, const crash_report_t *crash) {
@@ -273,7 +279,11 @@
     bool all = is_on_probation(entry, now);
     for (unsigned i = 0; i < entry->count && reports->len < max; i++) {
         const crash_t *crash = &entry->crashes[i];
-        crash_report_t report = {entry->request, crash->at, crash->backend, crash->number, false};
+        crash_report_t report = {.request = entry->request,
+                                 .at = crash->at,
+                                 .backend = crash->backend,
+                                 .number = crash->number,
+                                 .silent = crash->silent};
         bool listed = all ? crash->at > entry->cleared_at : counts(entry, crash, now);
         if (listed && crash->confirmed)
             g_array_append_val(reports, report);
--- a/src/core/retry/crash_history.h
+++ b/src/core/retry/crash_history.h
@@ -27,6 +27,8 @@
     CRASHES_TOLD_MAX = 256,     /**< When a connection opens; some 10 kB. */
     /** What is found at one back end within this time is one crash; a restart takes longer. */
     CRASH_SAME_MS = 250,
+    /** The same where a back end was only silent: it may have ended under an earlier attempt. */
+    CRASH_SILENT_SAME_MS = 2000,
 };
 
 /**
@@ -41,6 +43,7 @@
     uint64_t at;
     uint16_t backend; /**< From a hash of the back end. */
     uint8_t number;   /**< Of the back end's crashes under the request, from 1; 0: not yet known. */
+    bool silent;      /**< Found by the silence of the back end. */
     bool cleared;     /**< The request got a complete successful response. */
 } crash_report_t;
 
@@ -50,12 +53,15 @@
 void crash_history_free(crash_history_t *history);
 /**
  * Adds a crash; false if it is known, or older than a complete response to the request. One without
- * a number gets it: that of a crash of the same back end less than CRASH_SAME_MS apart, else the
- * next.
+ * a number gets it: that of a crash of the same back end less than CRASH_SAME_MS apart, or
+ * CRASH_SILENT_SAME_MS if one of them is silent, else the next.
  */
 bool crash_history_add(crash_history_t *history, crash_report_t *crash, bool confirmed);
-/** Removes a crash that turned out to be none. */
-void crash_history_remove(crash_history_t *history, const crash_report_t *crash);
+/**
+ * Removes a crash that turned out to be none; false if it is not known. One without a number gets
+ * it, as in crash_history_add.
+ */
+bool crash_history_remove(crash_history_t *history, crash_report_t *crash);
 void crash_history_confirm(crash_history_t *history, const crash_report_t *crash);
 /** Forgets the crashes up to @p at; false if there were none. */
 bool crash_history_clear(crash_history_t *history, uint64_t request, uint64_t at);
--- a/src/gateway/backends.c
+++ b/src/gateway/backends.c
@@ -411,3 +411,8 @@
     else
         http_client_close(client);
 }
+
+void backend_adopt_connection(backend_t *backend, http_client_t *client) {
+    http_client_keep(client, on_idle_closed, backend);
+    backend_return_connection(backend, client);
+}
--- a/src/gateway/backends.h
+++ b/src/gateway/backends.h
@@ -183,6 +183,8 @@
 
 /** Returns an idle connection, or else opens one; NULL if that fails. */
 http_client_t *backend_connect(backends_t *backends, backend_t *backend);
+/** Pools a new connection to the back end, or closes it. */
+void backend_adopt_connection(backend_t *backend, http_client_t *client);
 /** Takes a connection back: pools it if it is reusable, or else closes it. */
 void backend_return_connection(backend_t *backend, http_client_t *client);
 
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -185,6 +185,8 @@
 void call_send_same_backend(call_t *call);
 /** Releases the current back end and excludes it from further choices for this call. */
 void call_exclude_backend(call_t *call);
+/** Closes the connection to the back end, whose answer is not complete. */
+void call_close_client(call_t *call);
 /** Closes the exchange with the back end, which cancels its work, and releases the back end. */
 void call_cancel_exchange(call_t *call);
 
--- a/src/gateway/call_retry.c
+++ b/src/gateway/call_retry.c
@@ -175,15 +175,9 @@
     call_send(call);
 }
 
-static void close_client(call_t *call) {
-    if (call->client != NULL)
-        http_client_close(call->client);
-    call->client = NULL;
-}
-
 void call_handle_backend_lost(call_t *call, const char *reason) {
     call_log_send_failed(call, reason);
-    close_client(call);
+    call_close_client(call);
     if (!call->streaming)
         g_string_truncate(call->body, 0);
     call_handle_unknown_outcome(call, CALL_BACKEND_LOST);
--- a/src/gateway/call_send.c
+++ b/src/gateway/call_send.c
@@ -37,10 +37,17 @@
     call->backend = NULL;
 }
 
-void call_cancel_exchange(call_t *call) {
-    if (call->client != NULL)
+void call_close_client(call_t *call) {
+    if (call->client != NULL) {
+        if (http_client_connected(call->client))
+            crash_watch_give_up(call->gateway->crashes, call->request_id, call->backend);
         http_client_close(call->client);
+    }
     call->client = NULL;
+}
+
+void call_cancel_exchange(call_t *call) {
+    call_close_client(call);
     release_backend(call);
 }
 
--- a/src/gateway/crash_watch.c
+++ b/src/gateway/crash_watch.c
@@ -2,31 +2,32 @@
 
 #include "common/event.h"
 #include "gateway/backend_versions.h"
+#include "gateway/crash_check.h"
 #include "gateway/crash_reports.h"
 
 enum {
-    FAILURES_NEEDED = 2, /**< A busy back end refuses some connections. */
-    POLL_INTERVAL_MS = 10,
     RESTART_MIN_MS = 100,
+    QUIET_MS = 100, /**< A back end that has sent something within this time is alive. */
+    GIVEN_UP_MAX = 1024,
 };
 
-/** A check of one back end, for all requests whose connections broke there. */
+/** A check of one back end, for all requests whose connections broke or were given up there. */
 typedef struct {
     crash_watch_t *watch;
     backends_t *backends;
     uint64_t backend; /**< backend_t.id_hash. */
     char *instance;
-    char *service;
-    struct sockaddr_in address;
-    http_client_t *client;
-    uint64_t begun_at;
-    uint64_t opened_at;
-    unsigned failures;
-    bool refused;    /**< At least one connection was refused. */
     GArray *crashes; /**< Of crash_report_t. */
-    uv_timer_t timer;
+    bool told;       /**< Storage nodes know the crashes before their check has a result. */
 } check_t;
 
+/** A request that was given up at a back end which had sent something just before. */
+typedef struct {
+    uint64_t request;
+    uint64_t backend; /**< backend_t.id_hash. */
+    uint64_t at;
+} given_up_t;
+
 struct crash_watch {
     uv_loop_t *loop;
     backends_t *backends;
@@ -34,6 +35,9 @@
     store_client_t *stores; /**< NULL: crashes are not reported to storage nodes. */
     crash_history_t *history;
     GHashTable *checks; /**< backend_t.id_hash to check_t. */
+    GQueue given_up;    /**< Of given_up_t, oldest first. */
+    uv_timer_t given_up_timer;
+    crash_watch_counts_t counts;
 };
 
 static uint64_t now(const crash_watch_t *watch) {
@@ -87,6 +91,8 @@
     report.at = now(watch) > message->age_ms ? now(watch) - message->age_ms : 0;
     if (message->type == MESSAGE_REQUEST_STOPPED)
         crash_history_note_stop(watch->history, &report);
+    else if (message->type == MESSAGE_CRASH_WITHDRAWN)
+        crash_history_remove(watch->history, &report);
     else
         on_crash_report(watch, &report);
 }
@@ -100,6 +106,9 @@
     watch->stores = stores;
     watch->history = crash_history_new();
     watch->checks = g_hash_table_new(g_int64_hash, g_int64_equal);
+    g_queue_init(&watch->given_up);
+    uv_timer_init(loop, &watch->given_up_timer);
+    watch->given_up_timer.data = watch;
     load_sharing_share_crashes(sharing, &sharing_handler, watch);
     return watch;
 }
@@ -116,6 +125,10 @@
     message_clear(&message);
 }
 
+static void tell_crash(const crash_watch_t *watch, const crash_report_t *crash) {
+    tell_stores(watch, crash->silent ? MESSAGE_CRASH_SILENT : MESSAGE_CRASH, crash);
+}
+
 static void tell_member(const crash_watch_t *watch, unsigned member, message_type_t type,
                         const GArray *reports) {
     for (guint i = 0; i < reports->len; i++) {
@@ -140,106 +153,79 @@
     g_array_free(reports, TRUE);
 }
 
-/** Tells other gateways, with the next load report, and storage nodes, at once. */
-static void report_crash(const crash_watch_t *watch, const crash_report_t *crash,
-                         crash_news_t news) {
+static void report_to_gateways(const crash_watch_t *watch, const crash_report_t *crash,
+                               crash_news_t news) {
     load_sharing_report_crash(watch->sharing, crash, news);
     load_sharing_report_now(watch->sharing,
                             news == CRASH_NEAR_LIMIT ? CONTROL_PRESSING : CONTROL_CAN_WAIT);
-    tell_stores(watch, MESSAGE_CRASH, crash);
-}
-
-static void free_check(uv_handle_t *handle) {
-    check_t *check = handle->data;
-    g_array_free(check->crashes, TRUE);
-    g_free(check->instance);
-    g_free(check->service);
-    g_free(check);
 }
 
-static void log_check(const check_t *check, const char *outcome) {
-    event_log(BACKEND_CRASH_CHECKED, check->instance, check->crashes->len, outcome,
-              now(check->watch) - check->begun_at);
+/** Tells other gateways, with the next load report, and storage nodes, at once. */
+static void report_crash(const crash_watch_t *watch, const crash_report_t *crash,
+                         crash_news_t news) {
+    report_to_gateways(watch, crash, news);
+    tell_crash(watch, crash);
 }
 
 static void end_check(check_t *check) {
-    if (check->client != NULL)
-        http_client_close(check->client);
     g_hash_table_remove(check->watch->checks, &check->backend);
-    uv_close((uv_handle_t *)&check->timer, free_check);
-}
-
-/** Longer than that after its connections broke, a process that accepts one may be a new one. */
-static bool is_same_process(const check_t *check) {
-    return now(check->watch) < check->begun_at + RESTART_MIN_MS;
+    g_array_free(check->crashes, TRUE);
+    g_free(check->instance);
+    g_free(check);
 }
 
-static void remove_crashes(check_t *check, const char *outcome) {
-    log_check(check, outcome);
+static void remove_crashes(const check_t *check) {
     for (guint i = 0; i < check->crashes->len; i++) {
-        const crash_report_t *crash = &g_array_index(check->crashes, crash_report_t, i);
+        crash_report_t *crash = &g_array_index(check->crashes, crash_report_t, i);
         crash_history_remove(check->watch->history, crash);
+        if (check->told)
+            tell_stores(check->watch, MESSAGE_CRASH_WITHDRAWN, crash);
     }
-    end_check(check);
 }
 
-static void confirm_crashes(check_t *check, const char *outcome) {
+static void confirm_crashes(const check_t *check) {
     crash_watch_t *watch = check->watch;
-    log_check(check, outcome);
     for (guint i = 0; i < check->crashes->len; i++) {
         const crash_report_t *crash = &g_array_index(check->crashes, crash_report_t, i);
+        crash_news_t news = news_of_crash(watch, crash->request);
         crash_history_confirm(watch->history, crash);
-        report_crash(watch, crash, news_of_crash(watch, crash->request));
+        if (check->told)
+            report_to_gateways(watch, crash, news);
+        else
+            report_crash(watch, crash, news);
         log_if_stopped(watch, crash->request);
     }
-    end_check(check);
 }
 
-static void conclude(check_t *check) {
-    if (check->refused)
-        confirm_crashes(check, "ended");
-    else if (backends_mostly_unreachable(check->backends, check->service))
-        remove_crashes(check, "doubtful");
-    else
-        confirm_crashes(check, "unreachable");
+/** The caller may come back elsewhere before there is a result. */
+static void on_slow_check(void *owner) {
+    check_t *check = owner;
+    check->told = true;
+    for (guint i = 0; i < check->crashes->len; i++)
+        tell_crash(check->watch, &g_array_index(check->crashes, crash_report_t, i));
 }
 
-static void conclude_alive(check_t *check) {
+/** Longer than that after its connections broke, a process that accepts one may be a new one. */
+static void trust_version(const check_t *check, uint64_t ms) {
     backend_t *backend = backends_find_hash(check->backends, check->backend);
-    if (backend != NULL && is_same_process(check))
+    if (backend != NULL && ms < RESTART_MIN_MS)
         backend_trust_version(backend, now(check->watch));
-    remove_crashes(check, "alive");
 }
 
-static void on_closed(void *owner, http_client_t *client);
-
-static void open_connection(check_t *check) {
-    check->opened_at = now(check->watch);
-    check->client = http_client_open(check->watch->loop, &check->address, on_closed, check);
-    if (check->client == NULL)
-        remove_crashes(check, "not_checked");
-}
-
-static void on_closed(void *owner, http_client_t *client) {
+static void on_check_result(void *owner, crash_check_result_t result, uint64_t ms) {
+    static const char *const names[] = {"alive", "ended", "unreachable", "doubtful"};
     check_t *check = owner;
-    check->client = NULL;
-    if (http_client_connected(client)) {
-        conclude_alive(check);
-        return;
-    }
-    check->refused |= now(check->watch) < check->opened_at + CONNECTION_REFUSED_WITHIN_MS;
-    check->failures++;
-    if (check->failures < FAILURES_NEEDED)
-        open_connection(check);
+    event_log(BACKEND_CRASH_CHECKED, check->instance, check->crashes->len, names[result], ms);
+    if (result == CRASH_CHECK_ALIVE)
+        trust_version(check, ms);
+    if (result == CRASH_CHECK_ENDED || result == CRASH_CHECK_UNREACHABLE)
+        confirm_crashes(check);
     else
-        conclude(check);
+        remove_crashes(check);
+    end_check(check);
 }
 
-static void on_poll(uv_timer_t *timer) {
-    check_t *check = timer->data;
-    if (check->client != NULL && http_client_connected(check->client))
-        conclude_alive(check);
-}
+static const crash_check_handler_t check_handler = {on_slow_check, on_check_result};
 
 static check_t *new_check(crash_watch_t *watch, const backend_t *backend) {
     check_t *check = g_new0(check_t, 1);
@@ -247,43 +233,82 @@
     check->backends = backend->owner;
     check->backend = backend->id_hash;
     check->instance = g_strdup(backend->record->instance);
-    check->service = g_strdup(backend->record->service);
-    check->address = backend->record->address;
-    check->begun_at = now(watch);
     check->crashes = g_array_new(FALSE, FALSE, sizeof(crash_report_t));
-    uv_timer_init(watch->loop, &check->timer);
-    check->timer.data = check;
     g_hash_table_insert(watch->checks, &check->backend, check);
     return check;
 }
 
 static crash_report_t new_crash(const crash_watch_t *watch, uint64_t request,
-                                const backend_t *backend) {
-    return (crash_report_t){
-        .request = request, .at = now(watch), .backend = (uint16_t)backend->id_hash};
+                                const backend_t *backend, bool silent) {
+    return (crash_report_t){.request = request,
+                            .at = now(watch),
+                            .backend = (uint16_t)backend->id_hash,
+                            .silent = silent};
 }
 
-void crash_watch_suspect(crash_watch_t *watch, uint64_t request, backend_t *backend) {
-    backend_doubt_version(backend);
-    crash_report_t crash = new_crash(watch, request, backend);
+/** Counts the request's crash at the back end while that is checked. */
+static void check_crash(crash_watch_t *watch, uint64_t request, const backend_t *backend,
+                        bool silent) {
+    crash_report_t crash = new_crash(watch, request, backend, silent);
     if (!crash_history_add(watch->history, &crash, false))
         return;
     check_t *check = g_hash_table_lookup(watch->checks, &backend->id_hash);
-    if (check != NULL) {
-        g_array_append_val(check->crashes, crash);
+    bool begins = check == NULL;
+    if (begins)
+        check = new_check(watch, backend);
+    g_array_append_val(check->crashes, crash);
+    if (check->told)
+        tell_crash(watch, &crash);
+    if (!begins)
+        return;
+    watch->counts.checks++;
+    crash_check_begin(backend, &check_handler, check);
+}
+
+void crash_watch_suspect(crash_watch_t *watch, uint64_t request, backend_t *backend) {
+    backend_doubt_version(backend);
+    check_crash(watch, request, backend, false);
+}
+
+static void on_given_up_timer(uv_timer_t *timer) {
+    crash_watch_t *watch = timer->data;
+    given_up_t *given_up;
+    while ((given_up = g_queue_peek_head(&watch->given_up)) != NULL &&
+           now(watch) >= given_up->at + QUIET_MS) {
+        const backend_t *backend = backends_find_hash(watch->backends, given_up->backend);
+        if (backend != NULL && backend->observed.last_received_at <= given_up->at)
+            check_crash(watch, given_up->request, backend, true);
+        g_queue_pop_head(&watch->given_up);
+        g_free(given_up);
+    }
+    if (given_up != NULL)
+        uv_timer_start(timer, on_given_up_timer, given_up->at + QUIET_MS - now(watch), 0);
+}
+
+void crash_watch_give_up(crash_watch_t *watch, uint64_t request, const backend_t *backend) {
+    watch->counts.given_up++;
+    if (now(watch) >= backend->observed.last_received_at + QUIET_MS) {
+        check_crash(watch, request, backend, true);
         return;
     }
-    check = new_check(watch, backend);
-    g_array_append_val(check->crashes, crash);
-    uv_timer_start(&check->timer, on_poll, POLL_INTERVAL_MS, POLL_INTERVAL_MS);
-    open_connection(check);
+    if (g_queue_get_length(&watch->given_up) >= GIVEN_UP_MAX)
+        return;
+    given_up_t *given_up = g_new0(given_up_t, 1);
+    *given_up = (given_up_t){request, backend->id_hash, now(watch)};
+    g_queue_push_tail(&watch->given_up, given_up);
+    if (!uv_is_active((uv_handle_t *)&watch->given_up_timer))
+        uv_timer_start(&watch->given_up_timer, on_given_up_timer, QUIET_MS, 0);
+}
+
+const crash_watch_counts_t *crash_watch_counts(const crash_watch_t *watch) {
+    return &watch->counts;
 }
 
 void crash_watch_record_unreachable(crash_watch_t *watch, uint64_t request, backend_t *backend) {
     backend_doubt_version(backend);
     if (backends_mostly_unreachable(backend->owner, backend->record->service))
         return;
-    crash_report_t crash = new_crash(watch, request, backend);
+    crash_report_t crash = new_crash(watch, request, backend, true);
     if (!crash_history_add(watch->history, &crash, true))
         return;
     report_crash(watch, &crash, news_of_crash(watch, request));
--- a/src/gateway/crash_watch.h
+++ b/src/gateway/crash_watch.h
@@ -3,9 +3,11 @@
  * Finds out whether a back end whose connection broke under a call has ended, and keeps the crashes
  * that this gateway and others have found; see core/retry/crash_history.h.
  *
- * A new connection tells: one that comes up shows that the back end is alive, two that are refused
- * that it has ended. Two that time out count as well, unless so many back ends of the service are
- * unreachable that the cause may be this gateway's network.
+ * A check by new connections tells (crash_check.h). A call that ends before its back end has
+ * answered leaves the same question behind, which is settled without it: its caller may come back
+ * elsewhere at once. So a crash counts here from the moment at which it is suspected, and storage
+ * nodes hear of it if the check has no result soon; they are told if the back end turns out to be
+ * alive.
  *
  * Thread safety: everything here belongs to the loop's thread.
  */
@@ -19,18 +21,29 @@
 
 typedef struct crash_watch crash_watch_t;
 
+typedef struct {
+    uint64_t given_up; /**< Exchanges that calls gave up. */
+    uint64_t checks;   /**< Checks of back ends. */
+} crash_watch_counts_t;
+
 /**
  * Reports crashes to other gateways by @p sharing and @p stores, which may be NULL, and receives
  * theirs, by which the versions of those of @p backends are in doubt.
  */
 crash_watch_t *crash_watch_new(uv_loop_t *loop, backends_t *backends, load_sharing_t *sharing,
                                store_client_t *stores);
-/** Handles a MESSAGE_CRASH or MESSAGE_REQUEST_STOPPED of a storage node. */
+/** Handles a MESSAGE_CRASH, MESSAGE_CRASH_WITHDRAWN or MESSAGE_REQUEST_STOPPED of a storage node.
+ */
 void crash_watch_handle_message(crash_watch_t *watch, const message_t *message);
 /** Tells a storage node that has connected of requests that are stopped, or about to be. */
 void crash_watch_tell_member(const crash_watch_t *watch, unsigned member);
 /** The connection to @p backend broke under @p request: counts as a crash while that is checked. */
 void crash_watch_suspect(crash_watch_t *watch, uint64_t request, backend_t *backend);
+/**
+ * The call gave its exchange with @p backend up: its caller has left, or its time is over. If the
+ * back end is silent, it counts as a crash while that is checked.
+ */
+void crash_watch_give_up(crash_watch_t *watch, uint64_t request, const backend_t *backend);
 /** Probes found @p backend unreachable under @p request. */
 void crash_watch_record_unreachable(crash_watch_t *watch, uint64_t request, backend_t *backend);
 /** The request got a complete successful response. */
@@ -40,6 +53,7 @@
  * begins anew.
  */
 void crash_watch_record_refused(crash_watch_t *watch, uint64_t request);
+const crash_watch_counts_t *crash_watch_counts(const crash_watch_t *watch);
 /** Number of back ends that have ended under the request. */
 unsigned crash_watch_count(const crash_watch_t *watch, uint64_t request);
 /** Time until the request may be sent, in ms; 0: now. */
--- a/src/gateway/main.c
+++ b/src/gateway/main.c
@@ -60,7 +60,8 @@
     const gateway_t *gateway = owner;
     if (message->type == RESPONSE_STREAM)
         stream_client_handle_response(gateway->streams, message);
-    else if (message->type == MESSAGE_CRASH || message->type == MESSAGE_REQUEST_STOPPED)
+    else if (message->type == MESSAGE_CRASH || message->type == MESSAGE_CRASH_WITHDRAWN ||
+             message->type == MESSAGE_REQUEST_STOPPED)
         crash_watch_handle_message(gateway->crashes, message);
     else
         quota_client_handle_response(gateway->quotas, member, message);
--- a/src/gateway/reports.c
+++ b/src/gateway/reports.c
@@ -107,6 +107,12 @@
     metrics_append(text, "control_crashes_held_total", counts->crashes_held);
 }
 
+static void append_crash_metrics(const gateway_t *gateway, GString *text) {
+    const crash_watch_counts_t *counts = crash_watch_counts(gateway->crashes);
+    metrics_append(text, "exchanges_given_up_total", counts->given_up);
+    metrics_append(text, "crash_checks_total", counts->checks);
+}
+
 static void append_speed_metrics(gateway_t *gateway, GString *text) {
     backend_speed_counts_t counts = backend_speeds_count(&gateway->backends);
     metrics_append(text, "backends_measured", counts.measured);
@@ -122,6 +128,7 @@
                    gateway->configuration == NULL ? 0 : gateway->configuration->version);
     append_directory_metrics(gateway, text);
     append_control_metrics(gateway, text);
+    append_crash_metrics(gateway, text);
     metrics_append(text, "backends", backends_count(&gateway->backends));
     append_speed_metrics(gateway, text);
     metrics_append(text, "stores_connected", store_client_connected(gateway->stores));
--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -327,6 +327,14 @@
     return client;
 }
 
+void http_client_keep(http_client_t *client,
+                      void (*on_idle_closed)(void *owner, http_client_t *client), void *owner) {
+    client->on_idle_closed = on_idle_closed;
+    client->owner = owner;
+    client->reusable = true;
+    client->idle_until = uv_now(client->tcp.loop) + IDLE_DEFAULT_MS - IDLE_MARGIN_MS;
+}
+
 void http_client_send(http_client_t *client, GString *request, bool head_request,
                       const http_exchange_handler_t *handler, void *user) {
     http_parser_init(&client->parser, HTTP_RESPONSE);
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -51,6 +51,12 @@
 void http_client_send(http_client_t *client, GString *request, bool head_request,
                       const http_exchange_handler_t *handler, void *user);
 
+/**
+ * Makes a new connection, on which nothing was sent, reusable, with another callback for its end
+ * while it is idle.
+ */
+void http_client_keep(http_client_t *client,
+                      void (*on_idle_closed)(void *owner, http_client_t *client), void *owner);
 /** True once the connection is up. */
 bool http_client_connected(const http_client_t *client);
 /** True if the last answer allows another request on this connection. */
--- a/src/store/store_crashes.c
+++ b/src/store/store_crashes.c
@@ -40,6 +40,13 @@
     g_array_free(crashes, TRUE);
 }
 
+/** Removes a crash, and tells the gateways if it was passed on. */
+static void withdraw_crash(store_t *store, crash_report_t *report, uint64_t now) {
+    bool passed_on = crash_history_count(store->crashes, report->request, now) >= CRASHES_NEAR_MAX;
+    if (crash_history_remove(store->crashes, report) && passed_on)
+        send_to_gateways(store, MESSAGE_CRASH_WITHDRAWN, report, now);
+}
+
 void store_handle_crash(store_t *store, const message_t *message) {
     uint64_t now = uv_now(store->loop);
     crash_report_t report = message->crash;
@@ -54,8 +61,13 @@
         return;
     }
     /* Gateways number alike the crashes of one back end that they don't know from each other. */
-    if (message->type == MESSAGE_CRASH)
+    if (message->type != MESSAGE_CRASH_KNOWN)
         report.number = 0;
+    report.silent = message->type == MESSAGE_CRASH_SILENT;
+    if (message->type == MESSAGE_CRASH_WITHDRAWN) {
+        withdraw_crash(store, &report, now);
+        return;
+    }
     add_crash(store, &report, now);
 }
 
--- a/src/store/store_crashes.h
+++ b/src/store/store_crashes.h
@@ -17,7 +17,8 @@
 
 /** Tells a gateway that has connected of requests that are stopped, or about to be. */
 void store_tell_crashes(const store_t *store, frame_connection_t *connection);
-/** Handles a MESSAGE_CRASH, MESSAGE_CRASH_KNOWN or MESSAGE_REQUEST_STOPPED of a gateway. */
+/** Handles a MESSAGE_CRASH, MESSAGE_CRASH_KNOWN, MESSAGE_CRASH_SILENT, MESSAGE_CRASH_WITHDRAWN or
+ * MESSAGE_REQUEST_STOPPED of a gateway. */
 void store_handle_crash(store_t *store, const message_t *message);
 
 #endif
--- a/src/store/store_requests.c
+++ b/src/store/store_requests.c
@@ -618,6 +618,8 @@
         break;
     case MESSAGE_CRASH:
     case MESSAGE_CRASH_KNOWN:
+    case MESSAGE_CRASH_SILENT:
+    case MESSAGE_CRASH_WITHDRAWN:
     case MESSAGE_REQUEST_STOPPED:
         store_handle_crash(store, &request);
         break;
--- a/src/storesim/world.c
+++ b/src/storesim/world.c
@@ -91,6 +91,8 @@
     const world_gateway_t *gateway = owner;
     if (message->type == MESSAGE_CRASH)
         g_array_append_val(gateway->crashes, message->crash);
+    else if (message->type == MESSAGE_CRASH_WITHDRAWN)
+        g_array_append_val(gateway->withdrawn, message->crash);
     else if (message->type == MESSAGE_REQUEST_STOPPED)
         g_array_append_val(gateway->stops, message->crash);
     else
@@ -144,6 +146,7 @@
 static void add_gateway(world_t *world, unsigned number) {
     world_gateway_t *gateway = g_new0(world_gateway_t, 1);
     gateway->crashes = g_array_new(FALSE, FALSE, sizeof(crash_report_t));
+    gateway->withdrawn = g_array_new(FALSE, FALSE, sizeof(crash_report_t));
     gateway->stops = g_array_new(FALSE, FALSE, sizeof(crash_report_t));
     char *name = g_strdup_printf("gateway-%u", number);
     char *zone = g_strdup_printf("zone-%u", number % 4);
--- a/src/storesim/world.h
+++ b/src/storesim/world.h
@@ -33,8 +33,9 @@
     virtual_process_t *process;
     store_client_t *client; /**< NULL while it is down. */
     quota_client_t *quotas;
-    GArray *crashes; /**< Of crash_report_t: those that storage nodes have passed on. */
-    GArray *stops;   /**< Of crash_report_t: stops that they have passed on. */
+    GArray *crashes;   /**< Of crash_report_t: those that storage nodes have passed on. */
+    GArray *withdrawn; /**< Of crash_report_t: crashes that they have withdrawn. */
+    GArray *stops;     /**< Of crash_report_t: stops that they have passed on. */
 } world_gateway_t;
 
 /** Faults of the code itself, for the sweep's own test. */
--- a/tests/integration/crash_request_test.sh
+++ b/tests/integration/crash_request_test.sh
@@ -26,3 +26,7 @@
     crash_request --errors --tries 12 tries
 expect "a request ends at most three back ends though all gateways start again between its tries" \
     crash_request --tries 4 all_gateways_killed
+expect "a request ends at most three back ends that fall silent before its caller leaves" \
+    crash_request --silent --patience 0.8 --tries 8 tries
+expect "a request ends at most three back ends that fall silent though its caller is impatient" \
+    crash_request --silent --patience 0.3 --tries 8 tries
--- a/tests/unit/crash_history_test.cc
+++ b/tests/unit/crash_history_test.cc
@@ -13,8 +13,7 @@
 
 #include <gtest/gtest.h>
 
-#include <sys/socket.h>
-#include <unistd.h>
+#include "loopback_port.h"
 
 #include <algorithm>
 #include <string>
@@ -32,7 +31,7 @@
     }
     bool add(uint16_t backend, uint64_t at, uint64_t request = REQUEST, bool confirmed = true,
              uint8_t number = 0) {
-        crash_report_t crash = {request, at, backend, number, false};
+        crash_report_t crash = {request, at, backend, number, false, false};
         return crash_history_add(history, &crash, confirmed);
     }
     unsigned count(uint64_t now, uint64_t request = REQUEST) {
@@ -96,7 +95,7 @@
 }
 
 TEST_F(CrashHistory, AStopThatAnotherGatewayTellsCountsWithoutItsCrashes) {
-    crash_report_t stop = {REQUEST, NOW, 0, 2, false};
+    crash_report_t stop = {REQUEST, NOW, 0, 2, false, false};
     EXPECT_TRUE(crash_history_note_stop(history, &stop));
     EXPECT_FALSE(crash_history_note_stop(history, &stop));
     EXPECT_EQ(count(NOW + 1), 3U);
@@ -116,7 +115,7 @@
     add(2, NOW);
     add(3, NOW, REQUEST, false);
     EXPECT_EQ(count(NOW), 3U);
-    crash_report_t alive = {REQUEST, NOW, 3, 1, false};
+    crash_report_t alive = {REQUEST, NOW, 3, 1, false, false};
     crash_history_remove(history, &alive);
     EXPECT_EQ(count(NOW), 2U);
     EXPECT_EQ(crash_history_wait_ms(history, REQUEST, NOW), 0U);
@@ -142,11 +141,21 @@
     EXPECT_EQ(count(NOW + 9000), 3U);
 }
 
+TEST_F(CrashHistory, ASilentBackEndCountsOnceHoweverManyAttemptsItMeets) {
+    for (uint64_t at = NOW; at < NOW + 1500; at += 400) {
+        crash_report_t crash = {REQUEST, at, 1, 0, true, false};
+        EXPECT_EQ(crash_history_add(history, &crash, true), at == NOW);
+    }
+    EXPECT_EQ(count(NOW + 1500), 1U);
+    crash_report_t later = {REQUEST, NOW + 5000, 1, 0, true, false};
+    EXPECT_TRUE(crash_history_add(history, &later, true)) << "it was back meanwhile";
+}
+
 TEST_F(CrashHistory, ABackEndThatIsAliveDoesNotCount) {
     add(1, NOW, REQUEST, false);
     add(2, NOW);
     EXPECT_EQ(count(NOW), 2U);
-    crash_report_t alive = {REQUEST, NOW, 1, 1, false};
+    crash_report_t alive = {REQUEST, NOW, 1, 1, false, false};
     crash_history_remove(history, &alive);
     EXPECT_EQ(count(NOW), 1U);
 }
@@ -219,7 +228,7 @@
 }
 
 TEST(CrashReport, IsAnEntryThatEarlierVersionsSkip) {
-    const crash_report_t crash = {0x123456789abcdef0, NOW - 1500, 0xbeef, 1, false};
+    const crash_report_t crash = {0x123456789abcdef0, NOW - 1500, 0xbeef, 1, false, false};
     load_entry_t entry = load_entry_from_crash(&crash, NOW);
     crash_report_t read;
     ASSERT_TRUE(load_entry_crash(&entry, NOW + 20, &read));
@@ -235,13 +244,13 @@
 TEST(CrashReport, HasTheNumberOfTheCrashOrItsEnd) {
     crash_report_t read;
     for (unsigned number : {1U, 2U, 3U, 255U}) {
-        const crash_report_t crash = {REQUEST, NOW, 5, static_cast<uint8_t>(number), false};
+        const crash_report_t crash = {REQUEST, NOW, 5, static_cast<uint8_t>(number), false, false};
         load_entry_t entry = load_entry_from_crash(&crash, NOW);
         ASSERT_TRUE(load_entry_crash(&entry, NOW, &read));
         EXPECT_EQ(read.number, number);
         EXPECT_FALSE(read.cleared);
     }
-    const crash_report_t cleared = {REQUEST, NOW, 0, 0, true};
+    const crash_report_t cleared = {REQUEST, NOW, 0, 0, false, true};
     load_entry_t entry = load_entry_from_crash(&cleared, NOW);
     ASSERT_TRUE(load_entry_crash(&entry, NOW, &read));
     EXPECT_TRUE(read.cleared);
@@ -258,10 +267,10 @@
     crash_reports_t reports;
     crash_reports_init(&reports);
     for (uint64_t i = 0; i < 2000; i++) {
-        crash_report_t crash = {REQUEST + i % 10, NOW, 1, 1, false};
+        crash_report_t crash = {REQUEST + i % 10, NOW, 1, 1, false, false};
         crash_reports_add(&reports, &crash, CRASH_TO_CELL, CONTROL_CAN_WAIT, NOW + i / 10);
     }
-    crash_report_t latest = {REQUEST + 100, NOW, 1, 1, false};
+    crash_report_t latest = {REQUEST + 100, NOW, 1, 1, false, false};
     crash_reports_add(&reports, &latest, CRASH_TO_ZONES, CONTROL_CAN_WAIT, NOW + 300);
     GArray *entries = g_array_new(FALSE, FALSE, sizeof(load_entry_t));
     crash_reports_append(&reports, CRASH_TO_CELL, CONTROL_CAN_WAIT, NOW + 300, entries);
@@ -279,10 +288,10 @@
 TEST(CrashReport, OfARequestNearItsLimitGoesFirstAndAlsoWhileOthersWait) {
     crash_reports_t reports;
     crash_reports_init(&reports);
-    crash_report_t pressing = {REQUEST, NOW, 1, 1, false};
+    crash_report_t pressing = {REQUEST, NOW, 1, 1, false, false};
     crash_reports_add(&reports, &pressing, CRASH_TO_CELL, CONTROL_PRESSING, NOW);
     for (uint64_t i = 1; i <= 100; i++) {
-        crash_report_t crash = {REQUEST + i, NOW, 1, 1, false};
+        crash_report_t crash = {REQUEST + i, NOW, 1, 1, false, false};
         crash_reports_add(&reports, &crash, CRASH_TO_CELL, CONTROL_CAN_WAIT, NOW + i);
     }
     GArray *entries = g_array_new(FALSE, FALSE, sizeof(load_entry_t));
@@ -295,7 +304,7 @@
     EXPECT_EQ(g_array_index(entries, load_entry_t, 0).backend, REQUEST);
     EXPECT_EQ(g_array_index(entries, load_entry_t, 1).backend, REQUEST + 100) << "the latest";
     g_array_set_size(entries, 0);
-    crash_report_t cleared = {REQUEST, NOW + 50, 0, 0, true};
+    crash_report_t cleared = {REQUEST, NOW + 50, 0, 0, false, true};
     crash_reports_add(&reports, &cleared, CRASH_TO_CELL, CONTROL_PRESSING, NOW + 100);
     crash_reports_append(&reports, CRASH_TO_CELL, CONTROL_PRESSING, NOW + 100, entries);
     ASSERT_EQ(entries->len, 1U) << "instead of the crash";
@@ -382,6 +391,15 @@
             side.watch, request,
             static_cast<backend_t *>(g_hash_table_lookup(side.backends.by_instance, instance)));
     }
+    static backend_t *add_backend(Side &side, const char *instance, const Port &port) {
+        auto *record = g_new0(backend_record_t, 1);
+        record->instance = g_strdup(instance);
+        record->service = g_strdup("s");
+        record->zone = g_strdup(side.zone.c_str());
+        record->address = port.address;
+        backends_update(&side.backends, record);
+        return static_cast<backend_t *>(g_hash_table_lookup(side.backends.by_instance, instance));
+    }
     /** Runs the loop until @p done, or for 5 s. */
     template <typename Condition> bool run_until(Condition done) {
         uint64_t end = uv_hrtime() + 5000000000U;
@@ -539,6 +557,49 @@
     EXPECT_EQ(crash_watch_count(one.watch, REQUEST + 1), 1U) << "it takes other requests along";
 }
 
+TEST_F(CrashSharing, ARequestThatItsCallerLeavesAtASilentBackEndCountsFromThen) {
+    Side &one = open("here");
+    Port silent(Port::SILENT), other(Port::ACCEPTS);
+    backend_t *backend = add_backend(one, "silent", silent);
+    add_backend(one, "other", other)->observed.last_received_at = uv_now(loop());
+    uv_sleep(150);
+    uv_update_time(loop());
+    crash_watch_give_up(one.watch, REQUEST, backend);
+    EXPECT_EQ(crash_watch_count(one.watch, REQUEST), 1U) << "its caller may be back at once";
+    run_until([until = uv_hrtime() + 1200000000U] { return uv_hrtime() > until; });
+    EXPECT_EQ(crash_watch_count(one.watch, REQUEST), 1U);
+}
+
+TEST_F(CrashSharing, ARequestThatItsCallerLeavesAtASoundBackEndDoesNotCount) {
+    Side &one = open("here");
+    Port accepting(Port::ACCEPTS);
+    backend_t *backend = add_backend(one, "sound", accepting);
+    uv_sleep(150);
+    uv_update_time(loop());
+    crash_watch_give_up(one.watch, REQUEST, backend);
+    EXPECT_TRUE(run_until([&] { return crash_watch_count(one.watch, REQUEST) == 0; }));
+    EXPECT_EQ(backend->idle->len, 1U) << "the connection serves the next call";
+    EXPECT_EQ(crash_watch_counts(one.watch)->checks, 1U);
+}
+
+TEST_F(CrashSharing, ABackEndThatSendsSomethingIsNotChecked) {
+    Side &one = open("here");
+    Port silent(Port::SILENT);
+    backend_t *backend = add_backend(one, "active", silent);
+    uv_update_time(loop());
+    backend->observed.last_received_at = uv_now(loop());
+    crash_watch_give_up(one.watch, REQUEST, backend);
+    EXPECT_EQ(crash_watch_count(one.watch, REQUEST), 0U);
+    run_until([until = uv_hrtime() + 50000000U] { return uv_hrtime() > until; });
+    backend->observed.last_received_at = uv_now(loop());
+    run_until([until = uv_hrtime() + 150000000U] { return uv_hrtime() > until; });
+    EXPECT_EQ(crash_watch_count(one.watch, REQUEST), 0U);
+    EXPECT_EQ(crash_watch_counts(one.watch)->checks, 0U);
+    crash_watch_give_up(one.watch, REQUEST, backend);
+    run_until([until = uv_hrtime() + 150000000U] { return uv_hrtime() > until; });
+    EXPECT_EQ(crash_watch_count(one.watch, REQUEST), 1U) << "silent since its caller left";
+}
+
 TEST_F(CrashSharing, UnreachableBackEndsDoNotCountIfMostAreUnreachable) {
     Side &one = open("here");
     auto add = [&](const char *instance) {
--- a/tests/unit/store_crashes_test.cc
+++ b/tests/unit/store_crashes_test.cc
@@ -97,6 +97,24 @@
     }
 }
 
+TEST_F(StoreCrashes, AreWithdrawnAtAllGatewaysThatWereTold) {
+    report(0, 1);
+    report(1, 2);
+    message_t message;
+    message_init(&message, MESSAGE_CRASH_WITHDRAWN);
+    message.crash.request = request;
+    message.crash.backend = 2;
+    store_client_send_for_key(gateway(1)->client, request, &message);
+    message_clear(&message);
+    virtual_run(virtual_now() + delivery_ms);
+    for (unsigned i = 0; i < gateways; i++)
+        EXPECT_EQ(gateway(i)->withdrawn->len, unsigned{STORE_KEY_MEMBERS}) << i;
+    for (unsigned i = 0; i < gateways; i++)
+        g_array_set_size(gateway(i)->crashes, 0);
+    report(2, 3);
+    EXPECT_EQ(known(0), (std::set<unsigned>{1, 3}));
+}
+
 TEST_F(StoreCrashes, AreClearedAtAllGatewaysThatWereTold) {
     report(0, 1);
     report(0, 2);
