--- a/tests/integration/crash_request_test.sh
+++ b/tests/integration/crash_request_test.sh
@@ -30,3 +30,4 @@
     crash_request --silent --patience 0.8 --tries 8 tries
 expect "a request ends at most three back ends that fall silent though its caller is impatient" \
     crash_request --silent --patience 0.3 --tries 8 tries
+expect "several such requests at once end at most three back ends each" crash_request several
--- a/tests/soak/crash_request_test.py
+++ b/tests/soak/crash_request_test.py
@@ -31,6 +31,7 @@
 REFUSED_SHARE_MAX = 0.05  # Of equal requests of many callers, for crashes that they did not cause.
 PAUSE_S = 0.1
 TRIES = 3
+SEVERAL = 3
 SILENCE_S = 60.0
 QUEUED = 4
 PERSISTENT_S = 70.0  # Longer than a stopped request is remembered without more tries.
@@ -229,6 +230,23 @@
             store.signal(signal.SIGCONT)
         return self.judge_ends()
 
+    async def mostly_cut_off(self):
+        """Half of the engines can't be reached while the request ends others."""
+        engines = [backend for backend, _ in self.fleet.backends if backend.engine]
+        for backend in self.random.sample(engines, len(engines) // 2):
+            backend.fall_silent()
+        await asyncio.sleep(1.5)
+        await self.send_tries(self.drawn())
+        return self.judge_ends()
+
+    async def several(self):
+        """Several such requests of different programs at once; the limit is each one's."""
+        await asyncio.gather(*(self.send_tries(self.drawn(), program=f"p-crash-{number}")
+                               for number in range(SEVERAL)))
+        ended, sends = len(self.fleet.ends), len(self.fleet.sends)
+        return {"ended": ended, "sends": sends, "others_refused": self.limit_refusals(),
+                "held": sends <= SEVERAL * ENDED_MAX and self.limit_refusals() == 0}
+
     async def bystanders(self):
         """A third of the back ends crash at once, twice, under requests that are not the cause."""
         polls = []
@@ -271,7 +289,7 @@
 def read_crash_options():
     parser = new_parser(__doc__, "crash-request",
                         ["tries", "anonymous", "gateway_killed", "all_gateways_killed", "persistent",
-                         "stores_away", "bystanders"])
+                         "stores_away", "mostly_cut_off", "several", "bystanders"])
     parser.add_argument("--events", type=int, default=0, help="events before a back end ends")
     parser.add_argument("--pace", type=int, default=1, help="how many times as long events take")
     parser.add_argument("--silent", action="store_true",
