--- a/src/gateway/control_traffic.c
+++ b/src/gateway/control_traffic.c
@@ -22,10 +22,9 @@
 }
 
 /** Logs a window above the rate, and the first one within it again. */
-static void end_window(control_traffic_t *traffic, uint64_t now) {
+static void end_window(control_traffic_t *traffic, uint64_t ms, uint64_t now) {
     const control_counts_t *begin = &traffic->window;
     const control_counts_t *end = &traffic->counts;
-    uint64_t ms = now - traffic->window_began_at;
     uint64_t bytes_per_s = (end->bytes - begin->bytes) * WINDOW_MS / ms;
     bool exceeds = bytes_per_s > NODE_BYTES_PER_S;
     if (exceeds || traffic->exceeded)
@@ -43,8 +42,9 @@
                             unsigned crashes, uint64_t now) {
     if (traffic->window_began_at == 0)
         traffic->window_began_at = now;
-    if (now >= traffic->window_began_at + WINDOW_MS)
-        end_window(traffic, now);
+    uint64_t ms = now - traffic->window_began_at;
+    if (ms >= WINDOW_MS)
+        end_window(traffic, ms, now);
     add_credit(traffic, now);
     traffic->credit = MAX(CREDIT_MIN, traffic->credit - (int64_t)(receivers * bytes));
     traffic->counts.datagrams += receivers;
