crash history: a stopped request is known after a crash that takes thousands along

Found while reading the diff: 4,096 requests are kept, the oldest goes first, and each request that an ended back end takes along is one. A rack that crashes could make storage nodes, which hear of the whole fleet's, forget a request that is stopped for minutes. Up to 256 stopped requests now stay until the others are gone. CrashHistory.AStoppedRequestIsKnownAfterACrashThatTakesThousandsAlong fails without it.

--- a/src/core/retry/crash_history.c
+++ b/src/core/retry/crash_history.c
@@ -4,6 +4,7 @@
 
 enum {
     REQUESTS_MAX = 4096, /**< Bounds the memory; the request with the oldest crash goes first. */
+    STOPS_KEPT = 256,    /**< Of stopped requests when there are too many. */
     /** More than CRASHES_MAX, since some of them may be removed. */
     CRASHES_KEPT = 2 * CRASHES_MAX,
     STOP_DOUBLINGS_MAX = 4,                  /**< A stop lasts for 16 minutes at most. */
@@ -79,13 +80,24 @@
     return now < last + CRASH_RETENTION_MS || is_on_probation(entry, now);
 }
 
-/** Forgets requests without a recent crash, and the oldest one if there are too many. */
+/**
+ * Forgets requests without a recent crash, and the oldest one if there are too many: of those that
+ * are not stopped, since a back end that ends may take along more than are kept.
+ */
 static void limit_requests(crash_history_t *history, uint64_t now) {
     request_crashes_t *oldest;
+    unsigned kept = 0;
     while ((oldest = g_queue_peek_head(&history->order)) != NULL) {
-        if (is_needed(oldest, now) && g_hash_table_size(history->requests) < REQUESTS_MAX)
+        bool full = g_hash_table_size(history->requests) >= REQUESTS_MAX;
+        if (!full && is_needed(oldest, now))
             return;
-        forget(history, oldest);
+        if (is_on_probation(oldest, now) && kept < STOPS_KEPT) {
+            kept++;
+            g_queue_unlink(&history->order, &oldest->link);
+            g_queue_push_tail_link(&history->order, &oldest->link);
+        } else {
+            forget(history, oldest);
+        }
     }
 }
 
--- a/tests/unit/crash_history_test.cc
+++ b/tests/unit/crash_history_test.cc
@@ -212,6 +212,15 @@
     g_array_free(reports, TRUE);
 }
 
+TEST_F(CrashHistory, AStoppedRequestIsKnownAfterACrashThatTakesThousandsAlong) {
+    for (uint16_t backend : {1, 2, 3})
+        add(backend, NOW);
+    for (uint64_t request = 0; request < 10000; request++)
+        add(4, NOW + 1000, REQUEST + 1 + request);
+    EXPECT_EQ(count(NOW + 1000), 3U);
+    EXPECT_EQ(count(NOW + 1000, REQUEST + 10000), 1U) << "and so is the latest";
+}
+
 TEST(ResendAfterCrashes, StopsAtTheLimitThoughTheRouteAllowsMoreBackEnds) {
     resend_state_t state = {};
     state.attempts = 2;
