crash history: crashes during a stop do not lengthen it

Found while reading the diff: each crash after the third doubled the stop, also those of back ends that ended at the same moment. Only a crash after a stop makes the next one longer now. A back end that turns out to be alive ends the stop only if the others' crashes don't make it, and a stop that others tell counts though a later crash is known.

CrashHistory.ManyBackEndsThatEndAtOnceStopEqualRequestsNoLongerThanThree, ABackEndThatIsAliveDoesNotEndAStopThatOthersCause and AStopIsTakenFromOthersThoughALaterCrashIsKnown.

--- a/src/core/retry/crash_history.c
+++ b/src/core/retry/crash_history.c
@@ -19,6 +19,7 @@
     uint8_t number;
     bool silent;
     bool confirmed;
+    bool prolongs; /**< It came after a stop and began the next, longer one. */
 } crash_t;
 
 typedef struct {
@@ -27,6 +28,7 @@
     unsigned stops;      /**< How often in a row it was stopped; 0: it is not. */
     uint64_t stopped_at; /**< From when the last stop counts. */
     uint64_t told_at;    /**< When others were last told of the stop, or told it. */
+    bool noted;          /**< Others told the stop, perhaps without its crashes. */
     unsigned count;
     crash_t crashes[CRASHES_KEPT]; /**< Oldest first. */
     GList link;                    /**< In crash_history.order. */
@@ -163,16 +165,29 @@
     return recent;
 }
 
-/** Stops the request, or stops it for longer, if the crash that was just added is one too many. */
-static void stop_at_limit(request_crashes_t *entry, uint64_t at) {
-    if (is_on_probation(entry, at))
-        entry->stops++;
-    else
-        entry->stops = count_recent(entry, at) >= CRASHES_MAX;
+/**
+ * Stops the request if @p crash, just added, is one too many, or for longer if it came after a
+ * stop. Many back ends may end at once under equal requests, so that one during a stop changes
+ * nothing.
+ */
+static void stop_at_limit(request_crashes_t *entry, crash_t *crash) {
+    uint64_t at = crash->at;
+    if (is_stopped(entry, at))
+        return;
+    crash->prolongs = is_on_probation(entry, at);
+    entry->stops = crash->prolongs ? entry->stops + 1 : count_recent(entry, at) >= CRASHES_MAX;
     entry->stopped_at = MAX(entry->stopped_at, at);
     entry->told_at = MAX(entry->told_at, at);
 }
 
+/** Ends the stop, or makes it shorter, if it was because of @p removed. */
+static void stop_less(request_crashes_t *entry, const crash_t *removed) {
+    if (removed->prolongs && entry->stops > 1)
+        entry->stops--;
+    else if (entry->stops == 1 && !entry->noted)
+        entry->stops = count_recent(entry, removed->at) >= CRASHES_MAX;
+}
+
 bool crash_history_add(crash_history_t *history, crash_report_t *crash, bool confirmed) {
     const request_crashes_t *known = find(history, crash->request);
     if (crash->number == 0)
@@ -186,8 +201,8 @@
     for (; index > 0 && entry->crashes[index - 1].at > crash->at; index--)
         entry->crashes[index] = entry->crashes[index - 1];
     entry->crashes[index] =
-        (crash_t){crash->at, crash->backend, crash->number, crash->silent, confirmed};
-    stop_at_limit(entry, entry->crashes[entry->count - 1].at);
+        (crash_t){crash->at, crash->backend, crash->number, crash->silent, confirmed, false};
+    stop_at_limit(entry, &entry->crashes[entry->count - 1]);
     return true;
 }
 
@@ -198,9 +213,9 @@
     int index = entry == NULL ? -1 : find_crash(entry, crash);
     if (index < 0)
         return false;
+    crash_t removed = entry->crashes[index];
     remove_crash(entry, (unsigned)index);
-    if (entry->stops > 0)
-        entry->stops--;
+    stop_less(entry, &removed);
     return true;
 }
 
@@ -220,6 +235,7 @@
     bool was_stopped = is_on_probation(entry, at);
     entry->cleared_at = at;
     entry->stops = 0;
+    entry->noted = false;
     return was_stopped || count_recent(entry, at) < before;
 }
 
@@ -236,12 +252,14 @@
 
 bool crash_history_note_stop(crash_history_t *history, const crash_report_t *stop) {
     const request_crashes_t *known = find(history, stop->request);
-    if (known != NULL && (stop->at <= known->cleared_at || stop->at <= known->stopped_at))
+    if (known != NULL &&
+        (stop->at <= known->cleared_at || (known->stops > 0 && stop->at <= known->stopped_at)))
         return false;
     request_crashes_t *entry = obtain(history, stop->request, stop->at);
     entry->stops = MAX(entry->stops, MAX(stop->number, 1));
     entry->stopped_at = stop->at;
     entry->told_at = stop->at;
+    entry->noted = true;
     return true;
 }
 
--- a/tests/unit/crash_history_test.cc
+++ b/tests/unit/crash_history_test.cc
@@ -79,6 +79,14 @@
     EXPECT_EQ(count(end + wait), 1U);
 }
 
+TEST_F(CrashHistory, ManyBackEndsThatEndAtOnceStopEqualRequestsNoLongerThanThree) {
+    for (uint16_t i = 0; i < 6; i++)
+        add(i, NOW + i);
+    EXPECT_GE(count(NOW + 10), 3U);
+    EXPECT_LE(crash_history_wait_ms(history, REQUEST, NOW + 10), CRASH_RETENTION_MS);
+    EXPECT_EQ(count(NOW + 10 + CRASH_RETENTION_MS), 2U);
+}
+
 TEST_F(CrashHistory, AStopGoesOnWhileTheCallerComesBack) {
     for (uint16_t i = 0; i < 3; i++)
         add(i, NOW);
@@ -121,6 +129,28 @@
     EXPECT_EQ(crash_history_wait_ms(history, REQUEST, NOW), 0U);
 }
 
+TEST_F(CrashHistory, ABackEndThatIsAliveDoesNotEndAStopThatOthersCause) {
+    for (uint16_t i = 1; i <= 4; i++)
+        add(i, NOW, REQUEST, i != 4);
+    crash_report_t alive = {REQUEST, NOW, 4, 1, false, false};
+    EXPECT_TRUE(crash_history_remove(history, &alive));
+    EXPECT_EQ(count(NOW), 3U);
+    EXPECT_FALSE(crash_history_remove(history, &alive));
+    crash_report_t stop = {REQUEST + 1, NOW, 0, 1, false, false};
+    crash_history_note_stop(history, &stop);
+    add(4, NOW + 1, REQUEST + 1, false);
+    alive.request = REQUEST + 1;
+    crash_history_remove(history, &alive);
+    EXPECT_EQ(count(NOW + 1, REQUEST + 1), 3U) << "others know the crashes";
+}
+
+TEST_F(CrashHistory, AStopIsTakenFromOthersThoughALaterCrashIsKnown) {
+    add(1, NOW + 5000);
+    crash_report_t stop = {REQUEST, NOW, 0, 1, false, false};
+    EXPECT_TRUE(crash_history_note_stop(history, &stop));
+    EXPECT_EQ(count(NOW + 5000), 3U);
+}
+
 TEST_F(CrashHistory, CountsOneEndOfABackEndOnceAndThatOfItsNextIncarnationToo) {
     EXPECT_TRUE(add(1, NOW));
     EXPECT_FALSE(add(1, NOW + 5)) << "a resend on a connection that was open before";
