--- a/src/gateway/crash_watch.c
+++ b/src/gateway/crash_watch.c
@@ -19,7 +19,7 @@
     char *instance;
     GArray *crashes; /**< Of crash_report_t. */
     bool told;       /**< Storage nodes know the crashes before their check has a result. */
-} check_t;
+} suspected_backend_t;
 
 /** A request that was given up at a back end which had sent something just before. */
 typedef struct {
@@ -34,7 +34,7 @@
     load_sharing_t *sharing;
     store_client_t *stores; /**< NULL: crashes are not reported to storage nodes. */
     crash_history_t *history;
-    GHashTable *checks; /**< backend_t.id_hash to check_t. */
+    GHashTable *checks; /**< backend_t.id_hash to suspected_backend_t. */
     GQueue given_up;    /**< Of given_up_t, oldest first. */
     uv_timer_t given_up_timer;
     crash_watch_counts_t counts;
@@ -167,14 +167,14 @@
     tell_crash(watch, crash);
 }
 
-static void end_check(check_t *check) {
+static void end_check(suspected_backend_t *check) {
     g_hash_table_remove(check->watch->checks, &check->backend);
     g_array_free(check->crashes, TRUE);
     g_free(check->instance);
     g_free(check);
 }
 
-static void remove_crashes(const check_t *check) {
+static void remove_crashes(const suspected_backend_t *check) {
     for (guint i = 0; i < check->crashes->len; i++) {
         crash_report_t *crash = &g_array_index(check->crashes, crash_report_t, i);
         crash_history_remove(check->watch->history, crash);
@@ -183,7 +183,7 @@
     }
 }
 
-static void confirm_crashes(const check_t *check) {
+static void confirm_crashes(const suspected_backend_t *check) {
     crash_watch_t *watch = check->watch;
     for (guint i = 0; i < check->crashes->len; i++) {
         const crash_report_t *crash = &g_array_index(check->crashes, crash_report_t, i);
@@ -199,14 +199,14 @@
 
 /** The caller may come back elsewhere before there is a result. */
 static void on_slow_check(void *owner) {
-    check_t *check = owner;
+    suspected_backend_t *check = owner;
     check->told = true;
     for (guint i = 0; i < check->crashes->len; i++)
         tell_crash(check->watch, &g_array_index(check->crashes, crash_report_t, i));
 }
 
 /** Longer than that after its connections broke, a process that accepts one may be a new one. */
-static void trust_version(const check_t *check, uint64_t ms) {
+static void trust_version(const suspected_backend_t *check, uint64_t ms) {
     backend_t *backend = backends_find_hash(check->backends, check->backend);
     if (backend != NULL && ms < RESTART_MIN_MS)
         backend_trust_version(backend, now(check->watch));
@@ -214,7 +214,7 @@
 
 static void on_check_result(void *owner, crash_check_result_t result, uint64_t ms) {
     static const char *const names[] = {"alive", "ended", "unreachable", "doubtful"};
-    check_t *check = owner;
+    suspected_backend_t *check = owner;
     event_log(BACKEND_CRASH_CHECKED, check->instance, check->crashes->len, names[result], ms);
     if (result == CRASH_CHECK_ALIVE)
         trust_version(check, ms);
@@ -227,8 +227,8 @@
 
 static const crash_check_handler_t check_handler = {on_slow_check, on_check_result};
 
-static check_t *new_check(crash_watch_t *watch, const backend_t *backend) {
-    check_t *check = g_new0(check_t, 1);
+static suspected_backend_t *new_check(crash_watch_t *watch, const backend_t *backend) {
+    suspected_backend_t *check = g_new0(suspected_backend_t, 1);
     check->watch = watch;
     check->backends = backend->owner;
     check->backend = backend->id_hash;
@@ -252,7 +252,7 @@
     crash_report_t crash = new_crash(watch, request, backend, silent);
     if (!crash_history_add(watch->history, &crash, false))
         return;
-    check_t *check = g_hash_table_lookup(watch->checks, &backend->id_hash);
+    suspected_backend_t *check = g_hash_table_lookup(watch->checks, &backend->id_hash);
     bool begins = check == NULL;
     if (begins)
         check = new_check(watch, backend);
