--- a/src/core/retry/crash_history.h
+++ b/src/core/retry/crash_history.h
@@ -8,6 +8,10 @@
  * complete successful response is not, so its crashes are forgotten: that of one caller also clears
  * equal requests of others. A failure says nothing: the same request may end the next back end.
  *
+ * A stop lasts for CRASH_RETENTION_MS from the crash that began it. It begins anew while the caller
+ * of a program's request comes back all the same, which others are told (crash_history_renew). For
+ * as long again after its end, one more crash is enough to stop the request, for twice as long.
+ *
  * A crash is suspected from the moment the connection breaks, and counts; it is removed if the back
  * end turns out to be alive, and confirmed if not.
  *
@@ -23,8 +27,8 @@
 enum {
     CRASHES_MAX = 3,                    /**< Back ends that may end under one request. */
     CRASHES_NEAR_MAX = CRASHES_MAX - 1, /**< One more stops the request. */
-    CRASH_RETENTION_MS = 60000, /**< Longer than a caller and its program try a request again. */
-    CRASHES_TOLD_MAX = 256,     /**< When a connection opens; some 10 kB. */
+    CRASH_RETENTION_MS = 60000,         /**< Longer than most callers try a request again. */
+    CRASHES_TOLD_MAX = 256,             /**< When a connection opens; some 10 kB. */
     /** What is found at one back end within this time is one crash; a restart takes longer. */
     CRASH_SAME_MS = 250,
     /** The same where a back end was only silent: it may have ended under an earlier attempt. */
