--- a/tests/soak/crash_request_test.py
+++ b/tests/soak/crash_request_test.py
@@ -215,6 +215,20 @@
                 await self._wait_for("the restart", lambda node=other: self._serves_turns(node))
         return self.judge_ends()
 
+    async def all_restarted_in_turn(self):
+        """After the tries all storage nodes are killed and start again, then all gateways."""
+        await self.send_tries(self.drawn())
+        for nodes, serves in ((self.cluster.stores, self.cluster.gateways),
+                              (self.cluster.gateways, self.cluster.gateways)):
+            for node in nodes:
+                node.kill()
+            for node in nodes:
+                node.start()
+            for gateway in serves:
+                await self._wait_for("the restart", lambda node=gateway: self._serves_turns(node))
+        await self.send_tries(self.drawn())
+        return self.judge_ends()
+
     async def persistent(self):
         """The caller does not heed Retry-After and goes on for longer than a stop lasts."""
         end = time.monotonic() + PERSISTENT_S
@@ -288,7 +302,8 @@
 
 def read_crash_options():
     parser = new_parser(__doc__, "crash-request",
-                        ["tries", "anonymous", "gateway_killed", "all_gateways_killed", "persistent",
+                        ["tries", "anonymous", "gateway_killed", "all_gateways_killed",
+                         "all_restarted_in_turn", "persistent",
                          "stores_away", "mostly_cut_off", "several", "bystanders"])
     parser.add_argument("--events", type=int, default=0, help="events before a back end ends")
     parser.add_argument("--pace", type=int, default=1, help="how many times as long events take")
--- a/tests/unit/crash_history_test.cc
+++ b/tests/unit/crash_history_test.cc
@@ -609,6 +609,18 @@
     EXPECT_EQ(crash_watch_count(one.watch, REQUEST), 1U);
 }
 
+TEST_F(CrashSharing, ASilentBackEndDoesNotCountIfNoOtherIsReachedEither) {
+    Side &one = open("here");
+    Port silent(Port::SILENT), other(Port::SILENT);
+    backend_t *backend = add_backend(one, "silent", silent);
+    add_backend(one, "other", other)->observed.last_received_at = uv_now(loop());
+    uv_sleep(150);
+    uv_update_time(loop());
+    crash_watch_give_up(one.watch, REQUEST, backend);
+    EXPECT_EQ(crash_watch_count(one.watch, REQUEST), 1U) << "until it has been checked";
+    EXPECT_TRUE(run_until([&] { return crash_watch_count(one.watch, REQUEST) == 0; }));
+}
+
 TEST_F(CrashSharing, ARequestThatItsCallerLeavesAtASoundBackEndDoesNotCount) {
     Side &one = open("here");
     Port accepting(Port::ACCEPTS);
