--- a/tests/integration/crash_request_test.sh
+++ b/tests/integration/crash_request_test.sh
@@ -22,6 +22,8 @@
 expect "calls that back ends take along as they end are not refused" \
     crash_request --programs 60 --pace 10 tries
 expect "equal requests are served though back ends crash under some" crash_request bystanders
+expect "a request ends at most three back ends though all nodes start again in turn" \
+    crash_request all_restarted_in_turn
 expect "a failure that a request gets does not clear the back ends that ended under it" \
     crash_request --errors --tries 12 tries
 expect "a request ends at most three back ends though all gateways start again between its tries" \
