gateways: probes and checks for crashes share one check of a back end

Ruled out: one check for both users at a time, since a probe and a crash may differ in when they began. A probe's connection that comes up is kept for calls now.

--- a/src/gateway/crash_check.c
+++ b/src/gateway/backend_check.c
@@ -1,4 +1,4 @@
-#include "gateway/crash_check.h"
+#include "gateway/backend_check.h"
 
 enum {
     FAILURES_NEEDED = 2, /**< A busy back end refuses some connections. */
@@ -6,11 +6,10 @@
     SLOW_MS = 50, /**< Many times the way to a back end and back. */
 };
 
-struct crash_check {
+struct backend_check {
     uv_loop_t *loop;
     backends_t *backends;
     uint64_t backend; /**< backend_t.id_hash. */
-    char *service;
     struct sockaddr_in address;
     http_client_t *client;
     bool controls; /**< `client` goes to another back end. */
@@ -20,26 +19,29 @@
     uint64_t begun_at;
     uint64_t opened_at;
     uv_timer_t timer;
-    const crash_check_handler_t *handler;
+    const backend_check_handler_t *handler;
     void *owner;
 };
 
 static void free_check(uv_handle_t *handle) {
-    crash_check_t *check = handle->data;
-    g_free(check->service);
+    backend_check_t *check = handle->data;
     g_free(check);
 }
 
-static void end_check(crash_check_t *check, crash_check_result_t result) {
-    check->handler->on_result(check->owner, result, uv_now(check->loop) - check->begun_at);
+void backend_check_cancel(backend_check_t *check) {
     if (check->client != NULL)
         http_client_close(check->client);
     uv_close((uv_handle_t *)&check->timer, free_check);
 }
 
-static void end_connected(crash_check_t *check) {
+static void end_check(backend_check_t *check, backend_check_result_t result) {
+    check->handler->on_result(check->owner, result, uv_now(check->loop) - check->begun_at);
+    backend_check_cancel(check);
+}
+
+static void end_connected(backend_check_t *check) {
     if (check->controls) {
-        end_check(check, CRASH_CHECK_UNREACHABLE);
+        end_check(check, BACKEND_CHECK_UNREACHABLE);
         return;
     }
     backend_t *backend = backends_find_hash(check->backends, check->backend);
@@ -47,38 +49,36 @@
         backend_adopt_connection(backend, check->client);
         check->client = NULL;
     }
-    end_check(check, CRASH_CHECK_ALIVE);
+    end_check(check, BACKEND_CHECK_ALIVE);
 }
 
 static void on_closed(void *owner, http_client_t *client);
 
 /** Opens the next connection; false if that fails. */
-static bool open_connection(crash_check_t *check, const struct sockaddr_in *address) {
+static bool open_connection(backend_check_t *check, const struct sockaddr_in *address) {
     check->opened_at = uv_now(check->loop);
     check->client = http_client_open(check->loop, address, on_closed, check);
     return check->client != NULL;
 }
 
 /** The back end can't be reached; finds out whether another one can be. */
-static void open_control(crash_check_t *check) {
+static void open_control(backend_check_t *check) {
     const backend_t *backend = backends_find_hash(check->backends, check->backend);
     const backend_t *other = backends_latest_sender(check->backends, backend);
     check->controls = true;
-    if (backends_mostly_unreachable(check->backends, check->service))
-        end_check(check, CRASH_CHECK_DOUBTFUL);
-    else if (other == NULL || !open_connection(check, &other->record->address))
-        end_check(check, CRASH_CHECK_UNREACHABLE);
+    if (other == NULL || !open_connection(check, &other->record->address))
+        end_check(check, BACKEND_CHECK_UNREACHABLE);
 }
 
 static void on_closed(void *owner, http_client_t *client) {
-    crash_check_t *check = owner;
+    backend_check_t *check = owner;
     check->client = NULL;
     if (http_client_connected(client)) {
         end_connected(check);
         return;
     }
     if (check->controls) {
-        end_check(check, CRASH_CHECK_DOUBTFUL);
+        end_check(check, BACKEND_CHECK_DOUBTFUL);
         return;
     }
     check->refused |= uv_now(check->loop) < check->opened_at + CONNECTION_REFUSED_WITHIN_MS;
@@ -86,15 +86,15 @@
     if (check->failures < FAILURES_NEEDED && open_connection(check, &check->address))
         return;
     if (check->refused)
-        end_check(check, CRASH_CHECK_ENDED);
+        end_check(check, BACKEND_CHECK_ENDED);
     else
         open_control(check);
 }
 
 static void on_poll(uv_timer_t *timer) {
-    crash_check_t *check = timer->data;
+    backend_check_t *check = timer->data;
     if (check->client == NULL) {
-        end_check(check, CRASH_CHECK_DOUBTFUL);
+        end_check(check, BACKEND_CHECK_DOUBTFUL);
         return;
     }
     if (http_client_connected(check->client)) {
@@ -104,16 +104,16 @@
     if (check->is_slow || uv_now(check->loop) < check->begun_at + SLOW_MS)
         return;
     check->is_slow = true;
-    check->handler->on_slow(check->owner);
+    if (check->handler->on_slow != NULL)
+        check->handler->on_slow(check->owner);
 }
 
-crash_check_t *crash_check_begin(const backend_t *backend, const crash_check_handler_t *handler,
-                                 void *owner) {
-    crash_check_t *check = g_new0(crash_check_t, 1);
+backend_check_t *backend_check_begin(const backend_t *backend,
+                                     const backend_check_handler_t *handler, void *owner) {
+    backend_check_t *check = g_new0(backend_check_t, 1);
     check->loop = backend->loop;
     check->backends = backend->owner;
     check->backend = backend->id_hash;
-    check->service = g_strdup(backend->record->service);
     check->address = backend->record->address;
     check->begun_at = uv_now(check->loop);
     check->handler = handler;
--- a/src/gateway/backend_probe.h
+++ b/src/gateway/backend_probe.h
@@ -1,8 +1,7 @@
 /**
  * @file backend_probe.h
- * Checks by connection attempts whether an unresponsive back end can still be reached. Two
- * consecutive attempts that are refused mean that it can't, and two that time out if another back
- * end can be reached meanwhile; no data is sent on them.
+ * Finds out whether an unresponsive back end can still be reached, at most twice a second; see
+ * backend_check.h.
  *
  * Thread safety: everything here belongs to the loop's thread.
  */
--- a/src/gateway/backends.h
+++ b/src/gateway/backends.h
@@ -69,10 +69,8 @@
     struct incarnation_speed *speed; /**< See backend_speeds.h; NULL: not measured. */
     GQueue unanswered; /**< Pointers to send times of requests without a response, oldest first. */
     backend_activity_t observed;
-    http_client_t *probe;   /**< See backend_probe.h; NULL: none active. */
-    http_client_t *control; /**< To another back end, after failed probes; NULL: none active. */
+    struct backend_check *probe; /**< See backend_probe.h; NULL: none active. */
     uint64_t probed_at;
-    unsigned probe_failures;
     uint64_t unreachable_at; /**< When it was last found unreachable; 0: never. */
     engine_limit_t limit;    /**< Of an engine: load at which it refuses calls. */
     bool overdue;            /**< The oldest unanswered request was overdue at the latest check. */
--- a/src/gateway/crash_watch.c
+++ b/src/gateway/crash_watch.c
@@ -2,7 +2,7 @@
 
 #include "common/event.h"
 #include "gateway/backend_versions.h"
-#include "gateway/crash_check.h"
+#include "gateway/backend_check.h"
 #include "gateway/crash_reports.h"
 
 enum {
@@ -17,6 +17,7 @@
     backends_t *backends;
     uint64_t backend; /**< backend_t.id_hash. */
     char *instance;
+    char *service;
     GArray *crashes; /**< Of crash_report_t. */
     bool told;       /**< Storage nodes know the crashes before their check has a result. */
 } suspected_backend_t;
@@ -171,6 +172,7 @@
     g_hash_table_remove(check->watch->checks, &check->backend);
     g_array_free(check->crashes, TRUE);
     g_free(check->instance);
+    g_free(check->service);
     g_free(check);
 }
 
@@ -212,20 +214,23 @@
         backend_trust_version(backend, now(check->watch));
 }
 
-static void on_check_result(void *owner, crash_check_result_t result, uint64_t ms) {
+static void on_check_result(void *owner, backend_check_result_t result, uint64_t ms) {
     static const char *const names[] = {"alive", "ended", "unreachable", "doubtful"};
     suspected_backend_t *check = owner;
+    if (result == BACKEND_CHECK_UNREACHABLE &&
+        backends_mostly_unreachable(check->backends, check->service))
+        result = BACKEND_CHECK_DOUBTFUL;
     event_log(BACKEND_CRASH_CHECKED, check->instance, check->crashes->len, names[result], ms);
-    if (result == CRASH_CHECK_ALIVE)
+    if (result == BACKEND_CHECK_ALIVE)
         trust_version(check, ms);
-    if (result == CRASH_CHECK_ENDED || result == CRASH_CHECK_UNREACHABLE)
+    if (result == BACKEND_CHECK_ENDED || result == BACKEND_CHECK_UNREACHABLE)
         confirm_crashes(check);
     else
         remove_crashes(check);
     end_check(check);
 }
 
-static const crash_check_handler_t check_handler = {on_slow_check, on_check_result};
+static const backend_check_handler_t check_handler = {on_slow_check, on_check_result};
 
 static suspected_backend_t *new_check(crash_watch_t *watch, const backend_t *backend) {
     suspected_backend_t *check = g_new0(suspected_backend_t, 1);
@@ -233,6 +238,7 @@
     check->backends = backend->owner;
     check->backend = backend->id_hash;
     check->instance = g_strdup(backend->record->instance);
+    check->service = g_strdup(backend->record->service);
     check->crashes = g_array_new(FALSE, FALSE, sizeof(crash_report_t));
     g_hash_table_insert(watch->checks, &check->backend, check);
     return check;
@@ -262,7 +268,7 @@
     if (!begins)
         return;
     watch->counts.checks++;
-    crash_check_begin(backend, &check_handler, check);
+    backend_check_begin(backend, &check_handler, check);
 }
 
 void crash_watch_suspect(crash_watch_t *watch, uint64_t request, backend_t *backend) {
--- a/src/gateway/crash_watch.h
+++ b/src/gateway/crash_watch.h
@@ -3,11 +3,12 @@
  * Finds out whether a back end whose connection broke under a call has ended, and keeps the crashes
  * that this gateway and others have found; see core/retry/crash_history.h.
  *
- * A check by new connections tells (crash_check.h). A call that ends before its back end has
- * answered leaves the same question behind, which is settled without it: its caller may come back
- * elsewhere at once. So a crash counts here from the moment at which it is suspected, and storage
- * nodes hear of it if the check has no result soon; they are told if the back end turns out to be
- * alive.
+ * backend_check.h decides, by new connections; a back end that it finds unreachable does not count
+ * while so many of its service are that the cause may be the network. A call that ends before its
+ * back end has answered is checked in the same way, without the call: its caller may return at
+ * another gateway at once. So a crash counts here from the moment at which it is suspected; it is
+ * reported to storage nodes if the check has no result soon, and withdrawn there if the back end
+ * turns out to be alive.
  *
  * Thread safety: everything here belongs to the loop's thread.
  */
