gateways: a call that can't reach the back end that has it keeps trying

What callers saw: a call whose connection to its back end had broken, and whose two next connections timed out, got 504 at its deadline, though the back end took connections again after a second.

Change: while connections time out the call opens the next one, 0.3 s each, and probes go on beside it; it goes elsewhere once the back end refuses, is found unreachable, or is removed from the directory. Ruled out: resending from the stall watch, which sees calls that have a connection.

Conclusion: a new wait needs a test of each way out of it.

--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -128,6 +128,7 @@
     unsigned repeats;        /**< Resends to the same back end. */
     bool repeating;          /**< The current send is a resend to the same back end. */
     unsigned repeat_connects_failed;
+    uint64_t repeat_failed_at; /**< When the first of these connections failed. */
     bool suspect;              /**< The current send counts in backend_t.suspects. */
     uint64_t last_received_at; /**< When bytes of the response were last received; initially
                                   `sent_at`. */
--- a/src/gateway/call_retry.c
+++ b/src/gateway/call_retry.c
@@ -138,23 +138,26 @@
 }
 
 /**
- * Handles a failed connection to a back end that has received the call before. If the connections
- * time out, the call waits until probes tell whether the back end is unreachable; see stall_watch.
+ * Handles a failed connection to a back end that has received the call before. While connections
+ * time out, the call keeps trying until one comes up, the back end is removed from the directory or
+ * probes find it unreachable.
  */
 static void handle_repeat_not_sent(call_t *call) {
     uint64_t now = uv_now(call->gateway->loop);
     bool refused = now < call->sent_at + CONNECTION_REFUSED_WITHIN_MS;
+    if (call->repeat_connects_failed == 0)
+        call->repeat_failed_at = now;
     call->repeat_connects_failed++;
-    if (call->repeat_connects_failed < MAX_REPEAT_CONNECT_FAILURES) {
-        call_send_same_backend(call);
+    bool enough = call->repeat_connects_failed >= MAX_REPEAT_CONNECT_FAILURES;
+    if (enough && (refused || call->backend->removed ||
+                   backend_found_unreachable_since(call->backend, call->repeat_failed_at))) {
+        call->backends_ended++;
+        send_to_other_backend(call);
         return;
     }
-    if (!refused) {
+    if (enough)
         backend_probe(call->backend);
-        return;
-    }
-    call->backends_ended++;
-    send_to_other_backend(call);
+    call_send_same_backend(call);
 }
 
 void call_handle_not_sent(call_t *call) {
--- a/tests/soak/crash_request_test.py
+++ b/tests/soak/crash_request_test.py
@@ -34,6 +34,7 @@
 SEVERAL = 3
 SILENCE_S = 60.0
 QUEUED = 4
+DELAY_S = 1.0  # Longer than two connections are waited for.
 PERSISTENT_S = 70.0  # Longer than a stopped request is remembered without more tries.
 BODY = b"crash"
 LIMIT_REASON = "reason=backends_ended"
@@ -50,6 +51,8 @@
         if not request.body.endswith(BODY):
             return await super()._stream(request, attempt_id, fields, writer)
         self.fleet.sends.append((time.monotonic(), self.instance))
+        if self.fleet.options.scenario == "connections_delayed":
+            return await self._break_once(request, attempt_id, fields, writer)
         if self.fleet.options.errors and len(self.fleet.sends) % 2 == 0:
             writer.write(render_answer(500, fields, b"failed"))
             return True
@@ -68,6 +71,14 @@
         reset(writer)
         return False
 
+    async def _break_once(self, request, attempt_id, fields, writer):
+        """The first connection breaks while no new one comes up anywhere; the back end lives."""
+        if len(self.fleet.sends) > 1:
+            return await super()._stream(request, attempt_id, fields, writer)
+        self.fleet.delay_connections()
+        reset(writer)
+        return False
+
     def fall_silent(self):
         """No connection comes up any more, and those that are open say nothing."""
         self.server.close()
@@ -79,6 +90,13 @@
             waiting.connect_ex(("127.0.0.1", self.port))
             self.waiting.append(waiting)
 
+    async def come_back(self):
+        for waiting in self.waiting:
+            waiting.close()
+        self.blocker.close()
+        del self.blocker
+        await self.start(self.port)
+
     async def _handle(self, request, writer):
         if hasattr(self, "blocker"):
             await asyncio.sleep(SILENCE_S)
@@ -100,6 +118,10 @@
         backend.pace = self.options.pace
         return backend
 
+    def attempts(self, route):
+        alone = self.options.scenario == "connections_delayed"
+        return 1 if alone else super().attempts(route)
+
     def end(self, backend):
         """The process of the back end ends under the request."""
         self.ends.append((time.monotonic(), backend.instance))
@@ -110,6 +132,19 @@
         self.tasks.append(asyncio.ensure_future(self.replace(backend)))
 
 
+    def delay_connections(self):
+        """As behind a long queue at the gateways: no connection comes up for DELAY_S."""
+        delayed = [backend for backend, _ in self.backends]
+        for backend in delayed:
+            backend.fall_silent()
+        self.tasks.append(asyncio.ensure_future(self.end_delay(delayed)))
+
+    async def end_delay(self, delayed):
+        await asyncio.sleep(DELAY_S)
+        for backend in delayed:
+            await backend.come_back()
+
+
 class CrashScenario(Scenario):
     """A request under which back ends end, beside programs."""
 
@@ -261,6 +296,13 @@
         return {"ended": ended, "sends": sends, "others_refused": self.limit_refusals(),
                 "held": sends <= SEVERAL * ENDED_MAX and self.limit_refusals() == 0}
 
+    async def connections_delayed(self):
+        """A call whose connection breaks while new ones are late stays with its back end."""
+        await self.send_tries(self.drawn()[:1])
+        instances = {instance for _, instance in self.fleet.sends}
+        return {"sends": len(self.fleet.sends), "ended": len(instances), "tries": self.statuses,
+                "held": len(instances) == 1 and self.statuses[0][1] == 200}
+
     async def bystanders(self):
         """A third of the back ends crash at once, twice, under requests that are not the cause."""
         polls = []
@@ -304,7 +346,8 @@
     parser = new_parser(__doc__, "crash-request",
                         ["tries", "anonymous", "gateway_killed", "all_gateways_killed",
                          "all_restarted_in_turn", "persistent",
-                         "stores_away", "mostly_cut_off", "several", "bystanders"])
+                         "stores_away", "mostly_cut_off", "several", "connections_delayed",
+                         "bystanders"])
     parser.add_argument("--events", type=int, default=0, help="events before a back end ends")
     parser.add_argument("--pace", type=int, default=1, help="how many times as long events take")
     parser.add_argument("--silent", action="store_true",
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -160,11 +160,14 @@
     def probe_route(version):
         return Route(f"/probe/{version}/", stream=False, repeatable=False)
 
-    @staticmethod
-    def _route(name, route, kind, service):
+    def attempts(self, route):
+        """How many back ends one attempt of a caller may be sent to."""
+        return 2 if route.repeatable else 1
+
+    def _route(self, name, route, kind, service):
         return {
             "name": name, "host": "soak.example", "path-prefix": route.prefix, "kind": kind,
-            "service": service, "timeout-ms": 3000, "attempts": 2 if route.repeatable else 1,
+            "service": service, "timeout-ms": 3000, "attempts": self.attempts(route),
             "resumable": route.stream and route.repeatable, "stateful": route.stateful,
             "retention-s": 600,
         }
