--- a/src/store/store.c
+++ b/src/store/store.c
@@ -2,6 +2,7 @@
 
 #include "common/event.h"
 #include "store/store_directory.h"
+#include "store/store_gateways.h"
 
 enum {
     QUOTA_RETENTION_MS = 120000,   /**< Tenants idle for longer are removed. */
@@ -87,7 +88,7 @@
     space_reservations_init(&store->reservations);
     quota_table_init(&store->quotas, &store->settings->quota);
     admission_table_init(&store->admissions);
-    store_requests_init(store);
+    store_gateways_init(store);
     store_state_init(store);
     store->directory = store_directory_new(store);
     store->spill = turn_spill_new(store->loop, store->settings, &store_spill_handler, store);
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -134,8 +134,6 @@
 extern const turn_spill_handler_t store_spill_handler;
 /** Memory in the buffers of all connections, in bytes. */
 size_t store_connections_buffer_bytes(const store_t *store);
-/** Initializes the list of gateways. */
-void store_requests_init(store_t *store);
 /** Appends a time mark to the log if one is due. */
 void store_append_time_mark(store_t *store);
 /** Appends a record that was copied from another member; @p done may be NULL. */
