test: a request near its limit is reported to all while first crashes wait

CrashesUnderManyRequestsStayWithinTheControlTrafficOfANode asserted what is sent, and would have passed if nothing were. It now also asks, with the credit spent, that a request with two crashes reaches all 32 gateways of both zones.

--- a/tests/unit/crash_history_test.cc
+++ b/tests/unit/crash_history_test.cc
@@ -546,6 +546,13 @@
         EXPECT_LE(load_sharing_counts(sides[i]->sharing)->bytes - before[i],
                   bytes_per_s * (seconds + 2))
             << i;
+    // A request with two crashes is still reported to all, though first crashes have to wait.
+    crash(*sides[0], "a", REQUEST);
+    crash(*sides[0], "b", REQUEST);
+    EXPECT_TRUE(run_until([&] {
+        return std::all_of(sides.begin(), sides.end(),
+                           [](Side *side) { return crash_watch_count(side->watch, REQUEST) == 2; });
+    }));
 }
 
 TEST_F(CrashSharing, DelayedReportsOfACrashDoNotGoRoundAsOthers) {
