test: a delay of connections delays requests on open ones, it does not lose them

The played back end takes a request that arrives while it is "delayed" and says nothing for 60 s, also after the delay: the request was lost, not late, and the call got 504 at its deadline (E830 timed_out, sends=2). A gateway can't know that a back end that accepts connections has lost a request, and the route allows no second back end, so that answer is right for what was played.

Change: a delayed back end runs what it has received once the delay is over, as the scenario says. Check and bound are the same: one back end, status 200. Back ends that end by silence are never undelayed: they swallow requests as before.

--- a/tests/soak/crash_request_test.py
+++ b/tests/soak/crash_request_test.py
@@ -98,9 +98,11 @@
         await self.start(self.port)
 
     async def _handle(self, request, writer):
-        if hasattr(self, "blocker"):
-            await asyncio.sleep(SILENCE_S)
-            return False
+        give_up_at = time.monotonic() + SILENCE_S
+        while hasattr(self, "blocker"):
+            await asyncio.sleep(0.01)
+            if time.monotonic() >= give_up_at:
+                return False
         return await super()._handle(request, writer)
 
 
@@ -131,9 +133,9 @@
         backend.fall_silent()
         self.tasks.append(asyncio.ensure_future(self.replace(backend)))
 
-
     def delay_connections(self):
-        """As behind a long queue at the gateways: no connection comes up for DELAY_S."""
+        """As behind a long queue at the gateways: for DELAY_S no connection comes up, and requests
+        on open ones wait."""
         delayed = [backend for backend, _ in self.backends]
         for backend in delayed:
             backend.fall_silent()
