test: mutations of the crash paths that no test noticed

The others, and what now fails with them: - a request that is given up at a back end which sent something just before is never checked, and a check whose control comes up counts though most of the service is unreachable: no test had the queue, or the rule in the check's result. ABackEndThatSendsSomethingIsNotChecked (its last part took the other way), ACheckedBackEndDoesNotCountIfMostAreUnreachable. - a storage node takes the number that a gateway gave a crash, so that the next end of the same back end, found by another gateway, is not counted: CountTheNextEndOfABackEndThatAnotherGatewayFinds. Left: without `urgent` a deferred report waits for the next regular one, a second at most; no test has that bound.

--- a/tests/soak/crash_request_test.py
+++ b/tests/soak/crash_request_test.py
@@ -35,6 +35,8 @@
 SILENCE_S = 60.0
 QUEUED = 4
 DELAY_S = 1.0  # Longer than two connections are waited for.
+DELAYS_APART_S = 2.5  # Longer than crashes of one silent back end count as the same.
+DELAY_SCENARIOS = ["connections_delayed", "delayed_in_series"]
 PERSISTENT_S = 70.0  # Longer than a stopped request is remembered without more tries.
 BODY = b"crash"
 LIMIT_REASON = "reason=backends_ended"
@@ -51,8 +53,8 @@
         if not request.body.endswith(BODY):
             return await super()._stream(request, attempt_id, fields, writer)
         self.fleet.sends.append((time.monotonic(), self.instance))
-        if self.fleet.options.scenario == "connections_delayed":
-            return await self._break_once(request, attempt_id, fields, writer)
+        if self.fleet.options.scenario in DELAY_SCENARIOS:
+            return await self._break_in_delay(request, attempt_id, fields, writer)
         if self.fleet.options.errors and len(self.fleet.sends) % 2 == 0:
             writer.write(render_answer(500, fields, b"failed"))
             return True
@@ -71,9 +73,9 @@
         reset(writer)
         return False
 
-    async def _break_once(self, request, attempt_id, fields, writer):
-        """The first connection breaks while no new one comes up anywhere; the back end lives."""
-        if len(self.fleet.sends) > 1:
+    async def _break_in_delay(self, request, attempt_id, fields, writer):
+        """The connection breaks while no new one comes up anywhere; the back end lives."""
+        if len(self.fleet.sends) > 1 and self.fleet.options.scenario == "connections_delayed":
             return await super()._stream(request, attempt_id, fields, writer)
         self.fleet.delay_connections()
         reset(writer)
@@ -121,8 +123,7 @@
         return backend
 
     def attempts(self, route):
-        alone = self.options.scenario == "connections_delayed"
-        return 1 if alone else super().attempts(route)
+        return 1 if self.options.scenario in DELAY_SCENARIOS else super().attempts(route)
 
     def end(self, backend):
         """The process of the back end ends under the request."""
@@ -305,6 +306,16 @@
         return {"sends": len(self.fleet.sends), "ended": len(instances), "tries": self.statuses,
                 "held": len(instances) == 1 and self.statuses[0][1] == 200}
 
+    async def delayed_in_series(self):
+        """Back ends that are late in each try have not ended: the request is never stopped."""
+        gateways = self.drawn()
+        for gateway in gateways:
+            await self.send_tries([gateway])
+            await asyncio.sleep(DELAYS_APART_S)
+        stopped = sum(LIMIT_REASON in node.log_text() for node in self.cluster.gateways)
+        return {"sends": len(self.fleet.sends), "tries": self.statuses, "stopped": stopped,
+                "held": len(self.fleet.sends) >= len(gateways) and stopped == 0}
+
     async def bystanders(self):
         """A third of the back ends crash at once, twice, under requests that are not the cause."""
         polls = []
@@ -349,7 +360,7 @@
                         ["tries", "anonymous", "gateway_killed", "all_gateways_killed",
                          "all_restarted_in_turn", "persistent",
                          "stores_away", "mostly_cut_off", "several", "connections_delayed",
-                         "bystanders"])
+                         "delayed_in_series", "bystanders"])
     parser.add_argument("--events", type=int, default=0, help="events before a back end ends")
     parser.add_argument("--pace", type=int, default=1, help="how many times as long events take")
     parser.add_argument("--silent", action="store_true",
--- a/tests/unit/crash_history_test.cc
+++ b/tests/unit/crash_history_test.cc
@@ -653,9 +653,23 @@
     run_until([until = uv_hrtime() + 150000000U] { return uv_hrtime() > until; });
     EXPECT_EQ(crash_watch_count(one.watch, REQUEST), 0U);
     EXPECT_EQ(crash_watch_counts(one.watch)->checks, 0U);
+    backend->observed.last_received_at = uv_now(loop());
     crash_watch_give_up(one.watch, REQUEST, backend);
-    run_until([until = uv_hrtime() + 150000000U] { return uv_hrtime() > until; });
-    EXPECT_EQ(crash_watch_count(one.watch, REQUEST), 1U) << "silent since its caller left";
+    EXPECT_EQ(crash_watch_count(one.watch, REQUEST), 0U);
+    EXPECT_TRUE(run_until([&] { return crash_watch_count(one.watch, REQUEST) == 1; }))
+        << "silent since its caller left";
+}
+
+TEST_F(CrashSharing, ACheckedBackEndDoesNotCountIfMostAreUnreachable) {
+    Side &one = open("here");
+    Port silent(Port::SILENT), other(Port::ACCEPTS);
+    backend_t *backend = add_backend(one, "silent", silent);
+    add_backend(one, "other", other)->observed.last_received_at = uv_now(loop());
+    for (const char *instance : {"a", "b"})
+        add_backend(one, instance, silent)->unreachable_at = uv_now(loop());
+    crash_watch_suspect(one.watch, REQUEST, backend);
+    EXPECT_EQ(crash_watch_count(one.watch, REQUEST), 1U) << "until it has been checked";
+    EXPECT_TRUE(run_until([&] { return crash_watch_count(one.watch, REQUEST) == 0; }));
 }
 
 TEST_F(CrashSharing, UnreachableBackEndsDoNotCountIfMostAreUnreachable) {
--- a/tests/unit/store_crashes_test.cc
+++ b/tests/unit/store_crashes_test.cc
@@ -29,6 +29,7 @@
         message_init(&message, MESSAGE_CRASH);
         message.crash.request = request;
         message.crash.backend = backend;
+        message.crash.number = !cleared;
         message.crash.cleared = cleared;
         EXPECT_EQ(store_client_send_for_key(gateway(from)->client, request, &message),
                   unsigned{STORE_KEY_MEMBERS});
@@ -63,6 +64,15 @@
         EXPECT_EQ(known(i), (std::set<unsigned>{1, 2, 3})) << i;
 }
 
+TEST_F(StoreCrashes, CountTheNextEndOfABackEndThatAnotherGatewayFinds) {
+    constexpr uint64_t restart_ms = 3000;
+    report(0, 1);
+    virtual_run(virtual_now() + restart_ms);
+    report(1, 1);
+    for (unsigned i = 0; i < gateways; i++)
+        EXPECT_EQ(known(i), (std::set<unsigned>{1})) << i;
+}
+
 TEST_F(StoreCrashes, AStopThatOneGatewayRenewsGoesToAll) {
     message_t message;
     message_init(&message, MESSAGE_REQUEST_STOPPED);
