--- a/src/core/retry/crash_history.c
+++ b/src/core/retry/crash_history.c
@@ -8,7 +8,7 @@
     /** More than CRASHES_MAX, since some of them may be removed. */
     CRASHES_KEPT = 2 * CRASHES_MAX,
     STOP_DOUBLINGS_MAX = 4,                  /**< A stop lasts for 16 minutes at most. */
-    RENEWAL_MIN_MS = CRASH_RETENTION_MS / 4, /**< Between two renewals that are told to others. */
+    RENEWAL_MIN_MS = CRASH_RETENTION_MS / 4, /**< Between two renewals that are sent to others. */
     /** No report is longer on its way. Back ends' numbers may begin anew after that. */
     REPORT_DELAY_MAX_MS = 10000,
 };
@@ -27,8 +27,8 @@
     uint64_t cleared_at; /**< Crashes up to then don't count; 0: never cleared. */
     unsigned stops;      /**< How often in a row it was stopped; 0: it is not. */
     uint64_t stopped_at; /**< From when the last stop counts. */
-    uint64_t told_at;    /**< When others were last told of the stop, or told it. */
-    bool noted;          /**< Others told the stop, perhaps without its crashes. */
+    uint64_t sent_at;    /**< When the stop was last sent to others, or received. */
+    bool received;       /**< The stop came from others, perhaps without its crashes. */
     unsigned count;
     crash_t crashes[CRASHES_KEPT]; /**< Oldest first. */
     GList link;                    /**< In crash_history.order. */
@@ -177,14 +177,14 @@
     crash->prolongs = is_on_probation(entry, at);
     entry->stops = crash->prolongs ? entry->stops + 1 : count_recent(entry, at) >= CRASHES_MAX;
     entry->stopped_at = MAX(entry->stopped_at, at);
-    entry->told_at = MAX(entry->told_at, at);
+    entry->sent_at = MAX(entry->sent_at, at);
 }
 
 /** Ends the stop, or makes it shorter, if it was because of @p removed. */
 static void stop_less(request_crashes_t *entry, const crash_t *removed) {
     if (removed->prolongs && entry->stops > 1)
         entry->stops--;
-    else if (entry->stops == 1 && !entry->noted)
+    else if (entry->stops == 1 && !entry->received)
         entry->stops = count_recent(entry, removed->at) >= CRASHES_MAX;
 }
 
@@ -235,7 +235,7 @@
     bool was_stopped = is_on_probation(entry, at);
     entry->cleared_at = at;
     entry->stops = 0;
-    entry->noted = false;
+    entry->received = false;
     return was_stopped || count_recent(entry, at) < before;
 }
 
@@ -244,9 +244,9 @@
     if (entry == NULL || !is_stopped(entry, at) || at <= entry->stopped_at)
         return false;
     entry->stopped_at = at;
-    if (at < entry->told_at + RENEWAL_MIN_MS)
+    if (at < entry->sent_at + RENEWAL_MIN_MS)
         return false;
-    entry->told_at = at;
+    entry->sent_at = at;
     return true;
 }
 
@@ -258,8 +258,8 @@
     request_crashes_t *entry = obtain(history, stop->request, stop->at);
     entry->stops = MAX(entry->stops, MAX(stop->number, 1));
     entry->stopped_at = stop->at;
-    entry->told_at = stop->at;
-    entry->noted = true;
+    entry->sent_at = stop->at;
+    entry->received = true;
     return true;
 }
 
--- a/src/core/retry/crash_history.h
+++ b/src/core/retry/crash_history.h
@@ -9,8 +9,8 @@
  * equal requests of others. A failure says nothing: the same request may end the next back end.
  *
  * A stop lasts for CRASH_RETENTION_MS from the crash that began it. It begins anew while the caller
- * of a program's request comes back all the same, which others are told (crash_history_renew). For
- * as long again after its end, one more crash is enough to stop the request, for twice as long.
+ * of a program's request comes back all the same, which is sent to others (crash_history_renew).
+ * For as long again after its end, one more crash is enough to stop the request, for twice as long.
  *
  * A crash is suspected from the moment the connection breaks, and counts; it is removed if the back
  * end turns out to be alive, and confirmed if not.
@@ -28,7 +28,7 @@
     CRASHES_MAX = 3,                    /**< Back ends that may end under one request. */
     CRASHES_NEAR_MAX = CRASHES_MAX - 1, /**< One more stops the request. */
     CRASH_RETENTION_MS = 60000,         /**< Longer than most callers try a request again. */
-    CRASHES_TOLD_MAX = 256,             /**< When a connection opens; some 10 kB. */
+    CRASHES_SENT_MAX = 256,             /**< When a connection opens; some 10 kB. */
     /** What is found at one back end within this time is one crash; a restart takes longer. */
     CRASH_SAME_MS = 250,
     /** The same where a back end was only silent: it may have ended under an earlier attempt. */
@@ -39,7 +39,7 @@
  * A crash under a request, or the end of suspicion against the request.
  *
  * Reports of one crash come more than once, from several gateways, and late by any time, so that a
- * receiver can't tell by the time whether it knows a crash. A back end that ends under a request
+ * the time doesn't show whether the receiver knows a crash. A back end that ends under a request
  * again, after a restart, has the next number.
  */
 typedef struct {
@@ -70,11 +70,13 @@
 /** Forgets the crashes up to @p at; false if there were none. */
 bool crash_history_clear(crash_history_t *history, uint64_t request, uint64_t at);
 /**
- * Begins the request's stop anew at @p at, if it is stopped then; true if that should be told to
+ * Begins the request's stop anew at @p at, if it is stopped then; true if that should be sent to
  * others, whose view of it is much older.
  */
 bool crash_history_renew(crash_history_t *history, uint64_t request, uint64_t at);
-/** Takes another's view of a stop, whose `number` tells how often in a row; false if it is known.
+/**
+ * Adds a stop received from others, whose `number` is how often in a row the request was stopped;
+ * false if it is known.
  */
 bool crash_history_note_stop(crash_history_t *history, const crash_report_t *stop);
 /** Describes a stop, or that one more crash begins the next one; false if there is none. */
--- a/src/gateway/control_traffic.h
+++ b/src/gateway/control_traffic.h
@@ -3,7 +3,7 @@
  * What a gateway sends to other gateways besides calls: counted, logged while it exceeds the rate
  * that a node may use, and limited to that rate as far as it can wait. Load reports at the end of
  * their period are always sent, so that watches and configurations don't depend on what else is
- * told; reports before that are sent while there is credit, those about a request that is about to
+ * sent; reports before that are sent while there is credit, those about a request that is about to
  * be stopped down to the last of it.
  *
  * Thread safety: everything here belongs to the loop's thread.
--- a/src/gateway/crash_watch.c
+++ b/src/gateway/crash_watch.c
@@ -19,7 +19,7 @@
     char *instance;
     char *service;
     GArray *crashes; /**< Of crash_report_t. */
-    bool told;       /**< Storage nodes know the crashes before their check has a result. */
+    bool sent;       /**< Storage nodes know the crashes before their check has a result. */
 } suspected_backend_t;
 
 /** A request that was given up at a back end which had sent something just before. */
@@ -114,8 +114,8 @@
     return watch;
 }
 
-static void tell_stores(const crash_watch_t *watch, message_type_t type,
-                        const crash_report_t *report) {
+static void send_to_stores(const crash_watch_t *watch, message_type_t type,
+                           const crash_report_t *report) {
     if (watch->stores == NULL)
         return;
     message_t message;
@@ -126,12 +126,12 @@
     message_clear(&message);
 }
 
-static void tell_crash(const crash_watch_t *watch, const crash_report_t *crash) {
-    tell_stores(watch, crash->silent ? MESSAGE_CRASH_SILENT : MESSAGE_CRASH, crash);
+static void send_crash(const crash_watch_t *watch, const crash_report_t *crash) {
+    send_to_stores(watch, crash->silent ? MESSAGE_CRASH_SILENT : MESSAGE_CRASH, crash);
 }
 
-static void tell_member(const crash_watch_t *watch, unsigned member, message_type_t type,
-                        const GArray *reports) {
+static void send_to_member(const crash_watch_t *watch, unsigned member, message_type_t type,
+                           const GArray *reports) {
     for (guint i = 0; i < reports->len; i++) {
         const crash_report_t *report = &g_array_index(reports, crash_report_t, i);
         if (!store_client_keeps_key(watch->stores, member, report->request))
@@ -144,13 +144,13 @@
     }
 }
 
-void crash_watch_tell_member(const crash_watch_t *watch, unsigned member) {
+void crash_watch_send_to_member(const crash_watch_t *watch, unsigned member) {
     GArray *reports = g_array_new(FALSE, FALSE, sizeof(crash_report_t));
-    crash_history_list(watch->history, now(watch), CRASHES_TOLD_MAX, reports);
-    tell_member(watch, member, MESSAGE_CRASH_KNOWN, reports);
+    crash_history_list(watch->history, now(watch), CRASHES_SENT_MAX, reports);
+    send_to_member(watch, member, MESSAGE_CRASH_KNOWN, reports);
     g_array_set_size(reports, 0);
-    crash_history_list_stops(watch->history, now(watch), CRASHES_TOLD_MAX, reports);
-    tell_member(watch, member, MESSAGE_REQUEST_STOPPED, reports);
+    crash_history_list_stops(watch->history, now(watch), CRASHES_SENT_MAX, reports);
+    send_to_member(watch, member, MESSAGE_REQUEST_STOPPED, reports);
     g_array_free(reports, TRUE);
 }
 
@@ -161,11 +161,11 @@
                             news == CRASH_NEAR_LIMIT ? CONTROL_PRESSING : CONTROL_CAN_WAIT);
 }
 
-/** Tells other gateways, with the next load report, and storage nodes, at once. */
+/** Reports to other gateways, with the next load report, and to storage nodes, at once. */
 static void report_crash(const crash_watch_t *watch, const crash_report_t *crash,
                          crash_news_t news) {
     report_to_gateways(watch, crash, news);
-    tell_crash(watch, crash);
+    send_crash(watch, crash);
 }
 
 static void end_check(suspected_backend_t *check) {
@@ -180,8 +180,8 @@
     for (guint i = 0; i < check->crashes->len; i++) {
         crash_report_t *crash = &g_array_index(check->crashes, crash_report_t, i);
         crash_history_remove(check->watch->history, crash);
-        if (check->told)
-            tell_stores(check->watch, MESSAGE_CRASH_WITHDRAWN, crash);
+        if (check->sent)
+            send_to_stores(check->watch, MESSAGE_CRASH_WITHDRAWN, crash);
     }
 }
 
@@ -191,7 +191,7 @@
         const crash_report_t *crash = &g_array_index(check->crashes, crash_report_t, i);
         crash_news_t news = news_of_crash(watch, crash->request);
         crash_history_confirm(watch->history, crash);
-        if (check->told)
+        if (check->sent)
             report_to_gateways(watch, crash, news);
         else
             report_crash(watch, crash, news);
@@ -202,9 +202,9 @@
 /** The caller may come back elsewhere before there is a result. */
 static void on_slow_check(void *owner) {
     suspected_backend_t *check = owner;
-    check->told = true;
+    check->sent = true;
     for (guint i = 0; i < check->crashes->len; i++)
-        tell_crash(check->watch, &g_array_index(check->crashes, crash_report_t, i));
+        send_crash(check->watch, &g_array_index(check->crashes, crash_report_t, i));
 }
 
 /** Longer than that after its connections broke, a process that accepts one may be a new one. */
@@ -263,8 +263,8 @@
     if (begins)
         check = new_check(watch, backend);
     g_array_append_val(check->crashes, crash);
-    if (check->told)
-        tell_crash(watch, &crash);
+    if (check->sent)
+        send_crash(watch, &crash);
     if (!begins)
         return;
     watch->counts.checks++;
@@ -334,7 +334,7 @@
     crash_report_t stop;
     if (crash_history_renew(watch->history, request, now(watch)) &&
         crash_history_find_stop(watch->history, request, now(watch), &stop))
-        tell_stores(watch, MESSAGE_REQUEST_STOPPED, &stop);
+        send_to_stores(watch, MESSAGE_REQUEST_STOPPED, &stop);
 }
 
 unsigned crash_watch_count(const crash_watch_t *watch, uint64_t request) {
--- a/src/gateway/crash_watch.h
+++ b/src/gateway/crash_watch.h
@@ -36,8 +36,8 @@
 /** Handles a MESSAGE_CRASH, MESSAGE_CRASH_WITHDRAWN or MESSAGE_REQUEST_STOPPED of a storage node.
  */
 void crash_watch_handle_message(crash_watch_t *watch, const message_t *message);
-/** Tells a storage node that has connected of requests that are stopped, or about to be. */
-void crash_watch_tell_member(const crash_watch_t *watch, unsigned member);
+/** Sends a storage node that has connected the requests that are stopped, or about to be. */
+void crash_watch_send_to_member(const crash_watch_t *watch, unsigned member);
 /** The connection to @p backend broke under @p request: counts as a crash while that is checked. */
 void crash_watch_suspect(crash_watch_t *watch, uint64_t request, backend_t *backend);
 /**
--- a/src/gateway/main.c
+++ b/src/gateway/main.c
@@ -69,7 +69,7 @@
 
 static void on_member_open(void *owner, unsigned member) {
     const gateway_t *gateway = owner;
-    crash_watch_tell_member(gateway->crashes, member);
+    crash_watch_send_to_member(gateway->crashes, member);
 }
 
 static const store_client_handler_t store_handler = {
--- a/src/store/store_crashes.c
+++ b/src/store/store_crashes.c
@@ -40,7 +40,7 @@
     g_array_free(crashes, TRUE);
 }
 
-/** Removes a crash, and tells the gateways if it was passed on. */
+/** Removes a crash, also at the gateways if it was passed on. */
 static void withdraw_crash(store_t *store, crash_report_t *report, uint64_t now) {
     bool passed_on = crash_history_count(store->crashes, report->request, now) >= CRASHES_NEAR_MAX;
     if (crash_history_remove(store->crashes, report) && passed_on)
@@ -79,13 +79,13 @@
             encode_report(store, type, &g_array_index(reports, crash_report_t, i), now));
 }
 
-void store_tell_crashes(const store_t *store, frame_connection_t *connection) {
+void store_send_crashes(const store_t *store, frame_connection_t *connection) {
     uint64_t now = uv_now(store->loop);
     GArray *reports = g_array_new(FALSE, FALSE, sizeof(crash_report_t));
-    crash_history_list(store->crashes, now, CRASHES_TOLD_MAX, reports);
+    crash_history_list(store->crashes, now, CRASHES_SENT_MAX, reports);
     send_all(store, connection, MESSAGE_CRASH, reports, now);
     g_array_set_size(reports, 0);
-    crash_history_list_stops(store->crashes, now, CRASHES_TOLD_MAX, reports);
+    crash_history_list_stops(store->crashes, now, CRASHES_SENT_MAX, reports);
     send_all(store, connection, MESSAGE_REQUEST_STOPPED, reports, now);
     g_array_free(reports, TRUE);
 }
--- a/src/store/store_crashes.h
+++ b/src/store/store_crashes.h
@@ -5,7 +5,7 @@
  * (gateway_registry.h), and a caller's attempts may go to any. A request that met one crash, as all
  * do that a back end takes along, costs no message to others.
  *
- * Gateways and storage nodes tell each other what they know of such requests when a connection
+ * Gateways and storage nodes send each other what they know of such requests when a connection
  * opens, so that it outlasts a restart of all gateways, and one of all storage nodes.
  *
  * Thread safety: everything here belongs to the loop's thread.
@@ -15,10 +15,12 @@
 
 #include "store/store.h"
 
-/** Tells a gateway that has connected of requests that are stopped, or about to be. */
-void store_tell_crashes(const store_t *store, frame_connection_t *connection);
-/** Handles a MESSAGE_CRASH, MESSAGE_CRASH_KNOWN, MESSAGE_CRASH_SILENT, MESSAGE_CRASH_WITHDRAWN or
- * MESSAGE_REQUEST_STOPPED of a gateway. */
+/** Sends a gateway that has connected the requests that are stopped, or about to be. */
+void store_send_crashes(const store_t *store, frame_connection_t *connection);
+/**
+ * Handles a MESSAGE_CRASH, MESSAGE_CRASH_KNOWN, MESSAGE_CRASH_SILENT, MESSAGE_CRASH_WITHDRAWN or
+ * MESSAGE_REQUEST_STOPPED of a gateway.
+ */
 void store_handle_crash(store_t *store, const message_t *message);
 
 #endif
--- a/src/store/store_gateways.c
+++ b/src/store/store_gateways.c
@@ -67,7 +67,7 @@
     gateway_registry_add(&store->gateways, frame_connection_serial(connection),
                          g_ptr_array_index(message->ids, 0), g_ptr_array_index(message->ids, 1));
     store_directory_gateway_connected(store->directory, g_ptr_array_index(message->ids, 0));
-    store_tell_crashes(store, connection);
+    store_send_crashes(store, connection);
     store_schedule_gateway_lists(store);
 }
 
--- a/tests/soak/crash_request_test.py
+++ b/tests/soak/crash_request_test.py
@@ -37,7 +37,8 @@
 DELAY_S = 1.0  # Longer than two connections are waited for.
 DELAYS_APART_S = 2.5  # Longer than crashes of one silent back end count as the same.
 DELAY_SCENARIOS = ["connections_delayed", "delayed_in_series"]
-PERSISTENT_S = 70.0  # Longer than a stopped request is remembered without more tries.
+PERSISTENT_S = 70.0  # Longer than a stop lasts.
+STAYS_S = 130.0  # Longer than a stop and the time after it in which one crash is enough.
 BODY = b"crash"
 LIMIT_REASON = "reason=backends_ended"
 
@@ -274,6 +275,15 @@
             await self.send_tries([self.random.choice(self.cluster.gateways)])
         return self.judge_ends()
 
+    async def persistent_at_one(self):
+        """The same, at one gateway; then the caller goes to another."""
+        first, second = self.cluster.gateways[:2]
+        end = time.monotonic() + STAYS_S
+        while time.monotonic() < end:
+            await self.send_tries([first])
+        await self.send_tries([second] * TRIES)
+        return self.judge_ends()
+
     async def stores_away(self):
         for store in self.cluster.stores:
             store.signal(signal.SIGSTOP)
@@ -358,7 +368,7 @@
 def read_crash_options():
     parser = new_parser(__doc__, "crash-request",
                         ["tries", "anonymous", "gateway_killed", "all_gateways_killed",
-                         "all_restarted_in_turn", "persistent",
+                         "all_restarted_in_turn", "persistent", "persistent_at_one",
                          "stores_away", "mostly_cut_off", "several", "connections_delayed",
                          "delayed_in_series", "bystanders"])
     parser.add_argument("--events", type=int, default=0, help="events before a back end ends")
--- a/tests/unit/crash_history_test.cc
+++ b/tests/unit/crash_history_test.cc
@@ -90,13 +90,13 @@
 TEST_F(CrashHistory, AStopGoesOnWhileTheCallerComesBack) {
     for (uint16_t i = 0; i < 3; i++)
         add(i, NOW);
-    unsigned told = 0;
+    unsigned sent = 0;
     for (uint64_t at = NOW + 1000; at < NOW + 200000; at += 1000) {
         EXPECT_EQ(count(at), 3U) << at - NOW;
-        told += crash_history_renew(history, REQUEST, at);
+        sent += crash_history_renew(history, REQUEST, at);
     }
-    EXPECT_GE(told, 200000U / CRASH_RETENTION_MS) << "others must hear of it in time";
-    EXPECT_LE(told, 200000U / 10000);
+    EXPECT_GE(sent, 200000U / CRASH_RETENTION_MS) << "others must hear of it in time";
+    EXPECT_LE(sent, 200000U / 10000);
     EXPECT_EQ(count(NOW + 199000 + CRASH_RETENTION_MS), 2U);
     EXPECT_FALSE(crash_history_renew(history, REQUEST, NOW + 300000)) << "the stop is over";
     EXPECT_FALSE(crash_history_renew(history, REQUEST + 1, NOW)) << "never stopped";
@@ -114,7 +114,7 @@
     EXPECT_EQ(found.number, 2U);
     EXPECT_TRUE(crash_history_clear(history, REQUEST, NOW + 10));
     EXPECT_EQ(count(NOW + 11), 0U);
-    EXPECT_FALSE(crash_history_note_stop(history, &stop)) << "told before the response";
+    EXPECT_FALSE(crash_history_note_stop(history, &stop)) << "sent before the response";
     EXPECT_FALSE(crash_history_find_stop(history, REQUEST, NOW + 11, &found));
 }
 
