test: power tests begin once both gateways are ready

Cause, by the logs of that play: power_wait asked the first gateway's readiness only; gateway3 was ready at 10:00:20.418 (E823), gateway4 not until the play was over at 20.97, and the second turn, which the test sends to gateway4, got its 503 "not ready". The test takes a 503 as want of room and ended after half a second, before any slow sync was over (E862), which it then missed. Ruled out: a turn that was run and not kept (the first was confirmed by the key-value service, E864), want of room (1 of 9 turns).

Change: power_wait waits for both gateways. All checks are the same.

--- a/tests/integration/power_test.sh
+++ b/tests/integration/power_test.sh
@@ -60,11 +60,17 @@
     return 0
 }
 
-# power_wait: until a gateway says that it is ready (20 s at most).
+# power_wait: until both gateways say that they are ready (20 s at most).
 power_wait() {
+    local port=$((POWER_BASE + 53))
     for _ in $(seq 400); do
-        curl -s -o /dev/null -f "http://127.0.0.1:$((POWER_BASE + 53))/-/readiness" && return 0
-        sleep 0.05
+        if ! curl -s -o /dev/null -f "http://127.0.0.1:$port/-/readiness"; then
+            sleep 0.05
+        elif [ "$port" -eq $((POWER_BASE + 54)) ]; then
+            return 0
+        else
+            port=$((POWER_BASE + 54))
+        fi
     done
     return 1
 }
