test: a gateway that was out of reach learns of the crashes that it missed

Ruled out: that AGatewayThatStartsLaterLearnsOfThem covers it, since a gateway that starts asks by itself.

Change: three gateways, one cut off while a request is stopped, for longer than crashes are repeated; the third knows three crashes, the one cut off none, and three once it is back. No product code.

--- a/tests/unit/crash_history_test.cc
+++ b/tests/unit/crash_history_test.cc
@@ -482,6 +482,23 @@
     EXPECT_TRUE(run_until([&] { return crash_watch_count(late.watch, REQUEST) == 3; }));
 }
 
+TEST_F(CrashSharing, AGatewayThatWasOutOfReachLearnsOfThem) {
+    Side &one = open("here");
+    Side &other = open("here");
+    Side &third = open("here");
+    introduce();
+    // Gateways that start ask for all known crashes for as long as crashes are repeated.
+    run_until([until = uv_hrtime() + 2500000000U] { return uv_hrtime() > until; });
+    introduce({{&one, &other}, {&third, &other}});
+    for (const char *instance : {"a", "b", "c"})
+        crash(one, instance);
+    run_until([until = uv_hrtime() + 2500000000U] { return uv_hrtime() > until; });
+    EXPECT_EQ(crash_watch_count(third.watch, REQUEST), 3U);
+    EXPECT_EQ(crash_watch_count(other.watch, REQUEST), 0U);
+    introduce();
+    EXPECT_TRUE(run_until([&] { return crash_watch_count(other.watch, REQUEST) == 3; }));
+}
+
 // Each gateway checks every 0.35 s whether a report is due, so some 60 reports a second are filled.
 TEST_F(CrashSharing, GatewaysThatStartTogetherDoNotAnswerEachOtherWithReportsOfNothing) {
     for (unsigned i = 0; i < 10; i++)
