gateways: regular reports carry as many crashes as the credit allows

What callers saw: nothing yet; found by reading the whole change once more. "All control traffic is limited" held for urgent reports and for first crashes. Crashes of requests near their limit went with each regular report, 64 of them, whatever the credit was: many requests with two crashes each, as when a third of the back ends crash twice in a row, made a gateway exceed the 14 kB a second again.

Ruled out: holding them back altogether. A cell whose loads alone use up the credit (20 kB a second with back ends half full) would then report none, and while storage nodes are away nobody else does.

Change: a datagram has as many crashes as the credit pays for, its loads counted first, those near the limit before first ones, the latest first, and 4 near the limit in any case. IsEncodedInNoMoreBytesThanItCosts keeps the sizes true that the credit counts with.

Checks and bound of the storm test are unchanged, moved to a function that both use; crash_reports_append's tests say numbers where they said a priority.

--- a/src/gateway/control_traffic.c
+++ b/src/gateway/control_traffic.c
@@ -7,7 +7,8 @@
 enum {
     WINDOW_MS = 1000,
     NODE_BYTES_PER_S = 14000, /**< docs/CAPACITY.md: what a node may send for control. */
-    CREDIT_MAX = 2 * NODE_BYTES_PER_S,
+    OVERRUN = 4000,           /**< Of regular reports while there is no credit. */
+    CREDIT_MAX = 2 * NODE_BYTES_PER_S - OVERRUN,
     CREDIT_MIN = -NODE_BYTES_PER_S,   /**< Keeps the pause after too many regular reports short. */
     CREDIT_PRESSING = CREDIT_MAX / 2, /**< The part that is kept for what is pressing. */
 };
@@ -52,7 +53,8 @@
     traffic->counts.crashes_sent += (uint64_t)receivers * crashes;
 }
 
-bool control_traffic_allows(control_traffic_t *traffic, control_priority_t priority, uint64_t now) {
+int64_t control_traffic_credit(control_traffic_t *traffic, control_priority_t priority,
+                               uint64_t now) {
     add_credit(traffic, now);
-    return traffic->credit > (priority == CONTROL_PRESSING ? 0 : CREDIT_PRESSING);
+    return traffic->credit - (priority == CONTROL_PRESSING ? 0 : CREDIT_PRESSING);
 }
--- a/src/gateway/control_traffic.h
+++ b/src/gateway/control_traffic.h
@@ -3,8 +3,8 @@
  * What a gateway sends to other gateways besides calls: counted, logged while it exceeds the rate
  * that a node may use, and limited to that rate as far as it can wait. Load reports at the end of
  * their period are always sent, so that watches and configurations don't depend on what else is
- * sent; reports before that are sent while there is credit, those about a request that is about to
- * be stopped down to the last of it.
+ * sent, with as many crashes as the credit allows; reports before that are sent while there is
+ * credit, those about a request that is about to be stopped down to the last of it.
  *
  * Thread safety: everything here belongs to the loop's thread.
  */
@@ -43,7 +43,8 @@
 /** Counts a datagram of @p bytes with @p crashes sent to @p receivers. */
 void control_traffic_record(control_traffic_t *traffic, unsigned receivers, uint64_t bytes,
                             unsigned crashes, uint64_t now);
-/** True if something with @p priority may be sent now. */
-bool control_traffic_allows(control_traffic_t *traffic, control_priority_t priority, uint64_t now);
+/** Bytes that may be sent now with @p priority; none if it is not positive. */
+int64_t control_traffic_credit(control_traffic_t *traffic, control_priority_t priority,
+                               uint64_t now);
 
 #endif
--- a/src/gateway/crash_reports.c
+++ b/src/gateway/crash_reports.c
@@ -74,13 +74,14 @@
     return count;
 }
 
-void crash_reports_append(crash_reports_t *reports, unsigned audience, control_priority_t priority,
-                          uint64_t now, GArray *entries) {
+unsigned crash_reports_append(crash_reports_t *reports, unsigned audience, unsigned pressing,
+                              unsigned waiting, uint64_t now, GArray *entries) {
     remove_expired(reports, now);
-    unsigned count =
-        append_latest(reports, audience, CONTROL_PRESSING, CRASH_REPORTS_MAX, now, entries);
-    if (priority == CONTROL_CAN_WAIT)
-        append_latest(reports, audience, CONTROL_CAN_WAIT, CRASH_REPORTS_MAX - count, now, entries);
+    unsigned count = append_latest(reports, audience, CONTROL_PRESSING,
+                                   MIN(pressing, CRASH_REPORTS_MAX), now, entries);
+    count += append_latest(reports, audience, CONTROL_CAN_WAIT,
+                           MIN(waiting, CRASH_REPORTS_MAX - count), now, entries);
+    return count;
 }
 
 void crash_reports_extract(GArray *entries, uint64_t now, GArray *crashes) {
--- a/src/gateway/crash_reports.h
+++ b/src/gateway/crash_reports.h
@@ -22,6 +22,7 @@
 enum {
     CRASH_REPEAT_MS = 2000,
     CRASH_REPORTS_MAX = 64, /**< Per datagram; keeps it within 2 kB besides the loads. */
+    CRASH_REPORTS_MIN = 4,  /**< Per datagram, of the pressing ones, though there is no credit. */
     CRASH_REPORTS_DUE_MAX = 1024,
 };
 
@@ -43,11 +44,12 @@
 void crash_reports_add(crash_reports_t *reports, const crash_report_t *crash, unsigned audience,
                        control_priority_t priority, uint64_t now);
 /**
- * Appends what is due for @p audience with at least @p priority to @p entries, of load_entry_t;
- * what is pressing comes first.
+ * Appends the latest of what is due for @p audience to @p entries, of load_entry_t: at most
+ * @p pressing with CONTROL_PRESSING, then at most @p waiting with CONTROL_CAN_WAIT, and
+ * CRASH_REPORTS_MAX in all. Returns how many.
  */
-void crash_reports_append(crash_reports_t *reports, unsigned audience, control_priority_t priority,
-                          uint64_t now, GArray *entries);
+unsigned crash_reports_append(crash_reports_t *reports, unsigned audience, unsigned pressing,
+                              unsigned waiting, uint64_t now, GArray *entries);
 /** Moves the crashes in a received report's @p entries to @p crashes, of crash_report_t. */
 void crash_reports_extract(GArray *entries, uint64_t now, GArray *crashes);
 
--- a/src/gateway/load_report.h
+++ b/src/gateway/load_report.h
@@ -13,8 +13,11 @@
 
 #include <glib.h>
 
-/** Maximum number of back ends in one datagram. */
-enum { LOAD_ENTRIES_MAX = 4096 };
+enum {
+    LOAD_ENTRIES_MAX = 4096, /**< Maximum number of back ends in one datagram. */
+    LOAD_ENTRY_BYTES = 20,   /**< Of an encoded entry, at most. */
+    LOAD_REPORT_BYTES = 64,  /**< Of an encoded report without entries, at most. */
+};
 
 /**
  * A back end at which the sender has calls in progress, or that it has ejected. An entry can also
--- a/src/gateway/load_sharing.c
+++ b/src/gateway/load_sharing.c
@@ -333,12 +333,27 @@
     report_crashes(sharing, 0, CRASH_TO_CELL);
 }
 
-/** Crashes that can wait do so while there is no credit. */
-static control_priority_t crash_priority(load_sharing_t *sharing) {
-    if (control_traffic_allows(&sharing->traffic, CONTROL_CAN_WAIT, uv_now(sharing->loop)))
-        return CONTROL_CAN_WAIT;
-    sharing->traffic.counts.crashes_held++;
-    return CONTROL_PRESSING;
+/**
+ * Number of crashes with @p priority that the credit allows in a datagram to @p receivers, besides
+ * the entries that it has.
+ */
+static unsigned affordable_crashes(load_sharing_t *sharing, control_priority_t priority,
+                                   unsigned receivers, const GArray *entries) {
+    int64_t credit = control_traffic_credit(&sharing->traffic, priority, uv_now(sharing->loop));
+    int64_t used = LOAD_REPORT_BYTES + (int64_t)entries->len * LOAD_ENTRY_BYTES;
+    int64_t crashes = (credit / MAX(receivers, 1) - used) / LOAD_ENTRY_BYTES;
+    return (unsigned)CLAMP(crashes, 0, CRASH_REPORTS_MAX);
+}
+
+/**
+ * Appends the crashes that are due: those that are pressing as the credit allows, and a few in any
+ * case, so that they reach the others while credit is short.
+ */
+static unsigned append_due_crashes(load_sharing_t *sharing, unsigned audience, unsigned receivers,
+                                   unsigned waiting, GArray *entries) {
+    unsigned pressing = affordable_crashes(sharing, CONTROL_PRESSING, receivers, entries);
+    return crash_reports_append(&sharing->crashes, audience, MAX(pressing, CRASH_REPORTS_MIN),
+                                waiting, uv_now(sharing->loop), entries);
 }
 
 /** Returns how many crashes were appended. */
@@ -349,10 +364,10 @@
         load_entry_t request = load_entry_crash_request();
         g_array_append_val(entries, request);
     }
-    guint before = entries->len;
-    crash_reports_append(&sharing->crashes, CRASH_TO_CELL, crash_priority(sharing),
-                         uv_now(sharing->loop), entries);
-    return entries->len - before;
+    unsigned receivers = sharing->peers->len;
+    unsigned waiting = affordable_crashes(sharing, CONTROL_CAN_WAIT, receivers, entries);
+    sharing->traffic.counts.crashes_held += waiting == 0;
+    return append_due_crashes(sharing, CRASH_TO_CELL, receivers, waiting, entries);
 }
 
 static void send_reports(load_sharing_t *sharing) {
@@ -390,10 +405,10 @@
             zone_loads_add_local(&sharing->zone_loads, sharing->backends, peer->entries);
     }
     GArray *crashes = g_array_new(FALSE, FALSE, sizeof(load_entry_t));
-    crash_reports_append(&sharing->crashes, CRASH_TO_ZONES, CONTROL_PRESSING, now, crashes);
+    unsigned receivers = sharing->zone_loads.gateways->len;
+    append_due_crashes(sharing, CRASH_TO_ZONES, receivers, 0, crashes);
     size_t sent = zone_loads_send(&sharing->zone_loads, crashes, &sharing->socket);
-    control_traffic_record(&sharing->traffic, sent > 0 ? sharing->zone_loads.gateways->len : 0,
-                           sent, crashes->len, now);
+    control_traffic_record(&sharing->traffic, sent > 0 ? receivers : 0, sent, crashes->len, now);
     g_array_free(crashes, TRUE);
 }
 
@@ -473,7 +488,7 @@
     uint64_t now = uv_now(sharing->loop);
     if (sharing->peers->len == 0)
         return;
-    if (!control_traffic_allows(&sharing->traffic, priority, now)) {
+    if (control_traffic_credit(&sharing->traffic, priority, now) <= 0) {
         sharing->urgent = true;
         sharing->traffic.counts.deferred++;
         return;
--- a/tests/unit/crash_history_test.cc
+++ b/tests/unit/crash_history_test.cc
@@ -302,6 +302,20 @@
     EXPECT_EQ(read.request, 0U);
 }
 
+TEST(CrashReport, IsEncodedInNoMoreBytesThanItCosts) {
+    constexpr size_t entries_max = 64;
+    const watch_report_t watch = {true, UINT32_MAX, UINT64_MAX, UINT32_MAX, UINT64_MAX, true, true};
+    GArray *entries = g_array_new(FALSE, FALSE, sizeof(load_entry_t));
+    for (size_t count = 0; count <= entries_max; count++) {
+        GBytes *bytes = load_report_encode(&watch, entries);
+        EXPECT_LE(g_bytes_get_size(bytes), LOAD_REPORT_BYTES + count * LOAD_ENTRY_BYTES);
+        g_bytes_unref(bytes);
+        load_entry_t largest = {UINT64_MAX, UINT32_MAX, UINT32_MAX};
+        g_array_append_val(entries, largest);
+    }
+    g_array_free(entries, TRUE);
+}
+
 TEST(CrashReport, IsDueOnceHoweverOftenItIsAdded) {
     crash_reports_t reports;
     crash_reports_init(&reports);
@@ -312,13 +326,15 @@
     crash_report_t latest = {REQUEST + 100, NOW, 1, 1, false, false};
     crash_reports_add(&reports, &latest, CRASH_TO_ZONES, CONTROL_CAN_WAIT, NOW + 300);
     GArray *entries = g_array_new(FALSE, FALSE, sizeof(load_entry_t));
-    crash_reports_append(&reports, CRASH_TO_CELL, CONTROL_CAN_WAIT, NOW + 300, entries);
+    crash_reports_append(&reports, CRASH_TO_CELL, CRASH_REPORTS_MAX, CRASH_REPORTS_MAX, NOW + 300,
+                         entries);
     EXPECT_EQ(entries->len, 10U);
     g_array_set_size(entries, 0);
-    crash_reports_append(&reports, CRASH_TO_ZONES, CONTROL_CAN_WAIT, NOW + 300, entries);
-    EXPECT_EQ(entries->len, 1U);
-    crash_reports_append(&reports, CRASH_TO_ZONES, CONTROL_CAN_WAIT, NOW + 300 + CRASH_REPEAT_MS,
+    crash_reports_append(&reports, CRASH_TO_ZONES, CRASH_REPORTS_MAX, CRASH_REPORTS_MAX, NOW + 300,
                          entries);
+    EXPECT_EQ(entries->len, 1U);
+    crash_reports_append(&reports, CRASH_TO_ZONES, CRASH_REPORTS_MAX, CRASH_REPORTS_MAX,
+                         NOW + 300 + CRASH_REPEAT_MS, entries);
     EXPECT_EQ(entries->len, 1U) << "no longer due";
     g_array_free(entries, TRUE);
     crash_reports_clear(&reports);
@@ -334,18 +350,19 @@
         crash_reports_add(&reports, &crash, CRASH_TO_CELL, CONTROL_CAN_WAIT, NOW + i);
     }
     GArray *entries = g_array_new(FALSE, FALSE, sizeof(load_entry_t));
-    crash_reports_append(&reports, CRASH_TO_CELL, CONTROL_PRESSING, NOW + 100, entries);
+    crash_reports_append(&reports, CRASH_TO_CELL, CRASH_REPORTS_MIN, 0, NOW + 100, entries);
     ASSERT_EQ(entries->len, 1U);
     EXPECT_EQ(g_array_index(entries, load_entry_t, 0).backend, REQUEST);
     g_array_set_size(entries, 0);
-    crash_reports_append(&reports, CRASH_TO_CELL, CONTROL_CAN_WAIT, NOW + 100, entries);
+    crash_reports_append(&reports, CRASH_TO_CELL, CRASH_REPORTS_MAX, CRASH_REPORTS_MAX, NOW + 100,
+                         entries);
     ASSERT_EQ(entries->len, unsigned{CRASH_REPORTS_MAX});
     EXPECT_EQ(g_array_index(entries, load_entry_t, 0).backend, REQUEST);
     EXPECT_EQ(g_array_index(entries, load_entry_t, 1).backend, REQUEST + 100) << "the latest";
     g_array_set_size(entries, 0);
     crash_report_t cleared = {REQUEST, NOW + 50, 0, 0, false, true};
     crash_reports_add(&reports, &cleared, CRASH_TO_CELL, CONTROL_PRESSING, NOW + 100);
-    crash_reports_append(&reports, CRASH_TO_CELL, CONTROL_PRESSING, NOW + 100, entries);
+    crash_reports_append(&reports, CRASH_TO_CELL, CRASH_REPORTS_MIN, 0, NOW + 100, entries);
     ASSERT_EQ(entries->len, 1U) << "instead of the crash";
     crash_report_t read;
     ASSERT_TRUE(load_entry_crash(&g_array_index(entries, load_entry_t, 0), NOW, &read));
@@ -448,6 +465,9 @@
         }
         return done();
     }
+    /** Crashes of all of @p instances under ten requests a second at each of many gateways. */
+    void stay_within_control_traffic(const std::vector<const char *> &instances);
+
     std::vector<Side *> sides;
     static unsigned reports_filled; /**< One to see whether a report is due, and one to send it. */
 };
@@ -540,7 +560,7 @@
 }
 
 // docs/CAPACITY.md: a node may send 14 kB a second; a burst of two seconds' worth is allowed.
-TEST_F(CrashSharing, CrashesUnderManyRequestsStayWithinTheControlTrafficOfANode) {
+void CrashSharing::stay_within_control_traffic(const std::vector<const char *> &instances) {
     constexpr uint64_t bytes_per_s = 14000;
     constexpr uint64_t seconds = 4;
     for (unsigned i = 0; i < 32; i++)
@@ -556,7 +576,8 @@
         // Ten a second at each gateway.
         for (uint64_t due = (uv_hrtime() - begun_at) * sides.size() / 100000000U + REQUEST;
              request < due; request++)
-            crash(*sides[request % sides.size()], "a", request + 1000);
+            for (const char *instance : instances)
+                crash(*sides[request % sides.size()], instance, request + 1000);
         return uv_hrtime() - begun_at > seconds * 1000000000U;
     });
     for (size_t i = 0; i < sides.size(); i++)
@@ -572,6 +593,14 @@
     }));
 }
 
+TEST_F(CrashSharing, CrashesUnderManyRequestsStayWithinTheControlTrafficOfANode) {
+    stay_within_control_traffic({"a"});
+}
+
+TEST_F(CrashSharing, CrashesUnderManyRequestsNearTheirLimitStayWithinIt) {
+    stay_within_control_traffic({"a", "b"});
+}
+
 TEST_F(CrashSharing, DelayedReportsOfACrashDoNotGoRoundAsOthers) {
     for (const char *zone : {"here", "here", "here", "there", "there", "there"})
         open(zone);
