test: a request near its limit is reported though loads use up the credit

Change: one of 16 gateways with calls at 300 back ends, whose loads alone are above the rate, finds two crashes of a request; urgent reports are deferred, and all others know both within 5 s. No product code.

--- a/tests/unit/crash_history_test.cc
+++ b/tests/unit/crash_history_test.cc
@@ -601,6 +601,25 @@
     stay_within_control_traffic({"a", "b"});
 }
 
+TEST_F(CrashSharing, ARequestNearItsLimitIsReportedThoughLoadsUseUpTheCredit) {
+    for (unsigned i = 0; i < 16; i++)
+        open("here");
+    Side &busy = *sides[0];
+    Port port(Port::ACCEPTS);
+    for (unsigned i = 0; i < 300; i++)
+        backend_acquire(add_backend(busy, ("busy" + std::to_string(i)).c_str(), port));
+    introduce();
+    run_until([until = uv_hrtime() + 3000000000U] { return uv_hrtime() > until; });
+    uint64_t deferred = load_sharing_counts(busy.sharing)->deferred;
+    crash(busy, "a");
+    crash(busy, "b");
+    EXPECT_GT(load_sharing_counts(busy.sharing)->deferred, deferred) << "there is no credit";
+    EXPECT_TRUE(run_until([&] {
+        return std::all_of(sides.begin(), sides.end(),
+                           [](Side *side) { return crash_watch_count(side->watch, REQUEST) == 2; });
+    }));
+}
+
 TEST_F(CrashSharing, DelayedReportsOfACrashDoNotGoRoundAsOthers) {
     for (const char *zone : {"here", "here", "here", "there", "there", "there"})
         open(zone);
