storage nodes: a missing ancestor of a stored turn is logged and counted

E872 names a turn whose parent is missing where it is stored, store_missing_ancestors counts such parents.

--- a/src/core/turns/turn_table.c
+++ b/src/core/turns/turn_table.c
@@ -150,6 +150,14 @@
     return (uint32_t)MIN(entry->expires_at - now, (uint64_t)UINT32_MAX);
 }
 
+unsigned turn_table_missing_ancestors(const turn_table_t *table) {
+    return g_hash_table_size(table->missing_until);
+}
+
+bool turn_table_lacks_ancestor(const turn_table_t *table, const char *id) {
+    return g_hash_table_contains(table->missing_until, id);
+}
+
 static gboolean requirement_expired(gpointer id, gpointer until, gpointer now) {
     (void)id;
     return *(const uint64_t *)until <= *(const uint64_t *)now;
--- a/src/core/turns/turn_table.h
+++ b/src/core/turns/turn_table.h
@@ -75,6 +75,10 @@
 const turn_t *turn_table_find(const turn_table_t *table, const char *id);
 /** Remaining time until the turn expires, in ms; at least 1. */
 uint32_t turn_table_remaining_ms(const turn_table_t *table, const char *id, uint64_t now);
+/** Number of missing turns that stored ones descend from directly. */
+unsigned turn_table_missing_ancestors(const turn_table_t *table);
+/** True if turn @p id is missing and a stored one names it as its parent. */
+bool turn_table_lacks_ancestor(const turn_table_t *table, const char *id);
 /** Removes expired turns, and expired entries of `missing_until`. */
 void turn_table_expire(turn_table_t *table, uint64_t now);
 /** True if @p segment may be deleted. */
--- a/src/store/store_metrics.c
+++ b/src/store/store_metrics.c
@@ -11,6 +11,7 @@
     metrics_append(text, "store_member", store_is_member(store));
     metrics_append(text, "store_complete", store_is_complete(store));
     metrics_append(text, "store_turns", g_hash_table_size(store->turns.entries));
+    metrics_append(text, "store_missing_ancestors", turn_table_missing_ancestors(&store->turns));
     metrics_append(text, "store_turn_bytes", store->turns.bytes);
     metrics_append(text, "store_held_turn_bytes", store_reserved_turn_bytes(store));
     metrics_append(text, "store_charge_bytes", budget_table_bytes(&store->budgets));
--- a/src/store/store_requests.c
+++ b/src/store/store_requests.c
@@ -140,6 +140,19 @@
     return true;
 }
 
+/** Logs that the parent of a turn that was just added is missing here. */
+static void report_missing_parent(const store_t *store, const turn_t *turn) {
+    if (turn_table_lacks_ancestor(&store->turns, turn->parent))
+        event_log(STORE_ANCESTOR_MISSING, turn->id, turn->parent,
+                  turn_table_missing_ancestors(&store->turns));
+}
+
+/** Adds a turn that is on disk to the table. */
+static void add_durable_turn(store_t *store, const turn_t *turn, uint32_t segment) {
+    turn_table_add_to_segment(&store->turns, turn, segment, store_expiry_clock_ms(store));
+    report_missing_parent(store, turn);
+}
+
 static void on_write_done(void *owner, bool durable, uint32_t segment) {
     write_t *write = owner;
     store_t *store = write->store;
@@ -152,8 +165,7 @@
     else if (write->turn.id != NULL)
         remove_pending_turn(store, write);
     if (durable && write->turn.id != NULL)
-        turn_table_add_to_segment(&store->turns, &write->turn, segment,
-                                  store_expiry_clock_ms(store));
+        add_durable_turn(store, &write->turn, segment);
     else if (durable)
         mark_charge_durable(store, &write->charge, segment);
     if (!write->confirmed)
