storage nodes: a member copies the turns and charges that it missed

Cause: any two of three complete members hold each acknowledged record, so that one that was down never got what it had missed. The expiry of a chain is no record: a new turn extends it on each member along the parents, up to the first one that the member lacks. Two members that each missed another link left the whole chain on one, and the begin was dropped by a member that still had it.

Change: a complete member that may have missed records compares digests with the others, as one that catches up does, and copies what it lacks: after a restart, when a gateway connects, after a failed write or a turn refused for space, and while it knows of a missing parent. Nothing is sent while nothing can have been missed.

The check of what is read at the end now follows chains to their begin in all modes.

--- a/src/core/quorum/store_group.c
+++ b/src/core/quorum/store_group.c
@@ -115,6 +115,14 @@
     };
 }
 
+store_catch_up_plan_t store_group_reconcile(const store_group_t *group) {
+    return (store_catch_up_plan_t){
+        .sources = group->members,
+        .needed = store_read_quorum(group->members->len) - 1,
+        .min_source_generation = group->generation,
+    };
+}
+
 static void members_codec(codec_t *codec, GArray *members) {
     uint32_t count = members->len;
     codec_count(codec, &count, MEMBERS_MAXIMUM);
--- a/src/core/quorum/store_group.h
+++ b/src/core/quorum/store_group.h
@@ -77,6 +77,12 @@
 store_catch_up_plan_t store_group_catch_up(const store_group_t *group, const char *name,
                                            uint64_t complete_generation);
 
+/**
+ * What a complete member must compare with others to hold every acknowledged record: with itself a
+ * read quorum of its generation.
+ */
+store_catch_up_plan_t store_group_reconcile(const store_group_t *group);
+
 void store_group_codec(codec_t *codec, store_group_t *group);
 GBytes *store_group_encode(store_group_t *group);
 /** NULL if @p data is not a valid encoding. */
--- a/src/store/store.c
+++ b/src/store/store.c
@@ -7,8 +7,8 @@
 enum {
     QUOTA_RETENTION_MS = 120000,   /**< Tenants idle for longer are removed. */
     AFFINITY_RETENTION_MS = 60000, /**< Engines evict an idle program's cached prompt sooner. */
-    DISK_LAG_CHECK_MS = 1000,
-    STREAMS_MAX = 100000, /**< About 10 MB. */
+    REGULAR_CHECK_MS = 1000,       /**< Of the disk's lag, and for missing ancestors. */
+    STREAMS_MAX = 100000,          /**< About 10 MB. */
 };
 
 static bool segment_is_unused(void *owner, uint32_t segment) {
@@ -49,8 +49,9 @@
     record_log_trim(store->log, segment_is_unused, store);
 }
 
-static void on_lag_check(uv_timer_t *timer) {
+static void on_regular_check(uv_timer_t *timer) {
     (void)store_disk_lag_ms(timer->data);
+    store_catch_up_check(timer->data);
 }
 
 /** Reads the log and the state file; without a state file the node is new or lost its disk. */
@@ -69,6 +70,8 @@
     }
     if (restored || !store->founding)
         turn_spill_read(store->spill);
+    if (restored)
+        store_request_reconciliation(store, RECONCILE_RESTARTED);
     event_log(STORE_STARTED, store->settings->name, store->settings->zone,
               store->settings->peer_text, restored ? "kept" : "empty",
               g_hash_table_size(store->turns.entries), store->group->generation);
@@ -103,9 +106,9 @@
     uv_timer_init(store->loop, &store->upkeep);
     store->upkeep.data = store;
     uv_timer_start(&store->upkeep, on_upkeep, STORE_UPKEEP_INTERVAL_MS, STORE_UPKEEP_INTERVAL_MS);
-    uv_timer_init(store->loop, &store->lag_check);
-    store->lag_check.data = store;
-    uv_timer_start(&store->lag_check, on_lag_check, DISK_LAG_CHECK_MS, DISK_LAG_CHECK_MS);
+    uv_timer_init(store->loop, &store->regular_check);
+    store->regular_check.data = store;
+    uv_timer_start(&store->regular_check, on_regular_check, REGULAR_CHECK_MS, REGULAR_CHECK_MS);
     store->catch_up = store_catch_up_new(store);
     store->membership = store_membership_new(store);
     store_directory_start(store->directory);
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -3,7 +3,8 @@
  * A storage node: persists turns and budgets on its disk as one replica of the store group.
  *
  * Gateways write each record to all members and count the acknowledgements. Storage nodes talk to
- * each other only to catch up: after the loss of a disk, and when the group changes.
+ * each other only to catch up: after the loss of a disk, when the group changes, and when one may
+ * have missed records (core/quorum/reconciliation.h).
  *
  * Thread safety: everything belongs to the loop's thread; only record_log.c uses another.
  */
@@ -15,6 +16,7 @@
 #include "cluster/metrics_page.h"
 #include "cluster/process_settings.h"
 #include "common/latency_histogram.h"
+#include "core/quorum/reconciliation.h"
 #include "core/quorum/store_group.h"
 #include "core/admission/admission_table.h"
 #include "core/quota/quota_table.h"
@@ -59,8 +61,8 @@
     uint64_t
         complete_generation; /**< Generation whose acknowledged records this node holds; 0: none. */
     uint64_t started_at;
-    uv_timer_t upkeep;    /**< Periodic expiry; the stop timeout once stopping. */
-    uv_timer_t lag_check; /**< Periodic, so that a lag is logged before the write ends. */
+    uv_timer_t upkeep;        /**< Periodic expiry; the stop timeout once stopping. */
+    uv_timer_t regular_check; /**< Periodic, so that a lag is logged before the write ends. */
     bool stopping;
     latency_histogram_t write_latency; /**< From receipt of a write until it is on disk. */
     uint64_t writes_failed;
@@ -77,7 +79,10 @@
     bool out_of_space;          /**< The response to the last reserve allowed no new turn. */
     uint64_t records_replayed;  /**< From the log, at startup. */
     uint64_t turns_copied;      /**< From other members. */
+    uint64_t charges_copied;    /**< From other members. */
     uint64_t copy_ids_examined; /**< Turn ids examined while copying. */
+    reconciliation_t reconciliation;
+    uint64_t reconciliations; /**< Runs started. */
     store_catch_up_state_t *catch_up;
     store_membership_t *membership;
     store_directory_t *directory;
@@ -171,6 +176,8 @@
 store_catch_up_state_t *store_catch_up_new(store_t *store);
 /** Re-evaluates what has to be copied, and from which members. */
 void store_catch_up_check(store_t *store);
+/** Requests a comparison with other members, since this node may lack records. */
+void store_request_reconciliation(store_t *store, reconcile_reason_t reason);
 
 /* store_metrics.c */
 
--- a/src/store/store_catch_up.c
+++ b/src/store/store_catch_up.c
@@ -11,6 +11,11 @@
  * By then each pending write that counted the copy lost with this disk has either succeeded, so
  * that enough other members hold the record, or failed.
  *
+ * A complete member that may have missed records copies in the same way what it lacks, while it
+ * goes on serving (core/quorum/reconciliation.h says when). It then requests the next turns only
+ * once the previous ones are on disk, so that copies delay calls' writes by one batch at most, and
+ * stops while there is no space.
+ *
  * Failures. A copy whose source disconnects or times out restarts with a new index. If a record
  * cannot be written to the local disk, all unfinished copies restart.
  */
@@ -31,6 +36,9 @@
     /** After a failed write: a full disk stays full for a while. */
     WRITE_FAILURE_BACKOFF_MS = 1000,
     FIRST_PAGE = 1,
+    /** A reconciliation that compared enough no longer waits for members out of reach. */
+    RECONCILE_PATIENCE_MS = 2000,
+    RECONCILE_FAILURE_PAUSE_MS = 3000, /**< No reconciliation starts sooner after a failed write. */
 };
 
 typedef enum {
@@ -56,10 +64,20 @@
     unsigned pending_writes; /**< Charges being written. */
 } copy_t;
 
+/** What the copies are for. */
+typedef enum {
+    PURPOSE_NONE,
+    PURPOSE_COMPLETE,  /**< To become complete in the group's generation. */
+    PURPOSE_RECONCILE, /**< To find what this complete member missed. */
+} purpose_t;
+
 struct store_catch_up {
     store_t *store;
     uv_timer_t timer;
     bool running;
+    purpose_t purpose;
+    uint64_t turns_before; /**< Counters of the store when a reconciliation started. */
+    uint64_t charges_before;
     uint64_t generation; /**< Target generation of the copies. */
     uint64_t round;      /**< Incremented when all copies are discarded. */
     GPtrArray *copies;
@@ -195,6 +213,7 @@
         message_init(&record, RECORD_CHARGE);
         record.charge = *charge;
         append_record(copy, &record, NULL);
+        copy->catch_up->store->charges_copied++;
         record.charge = (budget_charge_t){0};
         message_clear(&record);
     }
@@ -234,7 +253,10 @@
         message_clear(&record);
     }
     mark_not_found(copy);
-    continue_copy(copy);
+    if (copy->catch_up->purpose == PURPOSE_RECONCILE)
+        set_step(copy, COPY_WAITING);
+    else
+        continue_copy(copy);
 }
 
 static void on_message(void *owner, message_t *message) {
@@ -354,7 +376,8 @@
 
 /** After a failed write, restarts unfinished copies once no write is pending. */
 static void restart_after_failed_write(store_catch_up_state_t *catch_up) {
-    if (!catch_up->write_failed || catch_up->pending_writes > 0)
+    if (catch_up->purpose != PURPOSE_COMPLETE || !catch_up->write_failed ||
+        catch_up->pending_writes > 0)
         return;
     catch_up->write_failed = false;
     catch_up->pause_until = uv_now(catch_up->store->loop) + WRITE_FAILURE_BACKOFF_MS;
@@ -372,7 +395,50 @@
     return done;
 }
 
+static bool recently_failed_write(const store_t *store) {
+    return store->last_write_failure_at > 0 &&
+           uv_now(store->loop) < store->last_write_failure_at + RECONCILE_FAILURE_PAUSE_MS;
+}
+
+static purpose_t choose_purpose(store_t *store) {
+    if (!store_is_member(store))
+        return PURPOSE_NONE;
+    if (!store_is_complete(store))
+        return PURPOSE_COMPLETE;
+    if (store->reconciliation.running)
+        return PURPOSE_RECONCILE;
+    uint64_t now = uv_now(store->loop);
+    reconciliation_observe(&store->reconciliation, turn_table_missing_ancestors(&store->turns) > 0,
+                           now);
+    bool due = reconciliation_is_due(&store->reconciliation, now) &&
+               !recently_failed_write(store) && store_can_start_turn(store);
+    return due ? PURPOSE_RECONCILE : PURPOSE_NONE;
+}
+
+static void start_reconciliation(store_catch_up_state_t *catch_up) {
+    store_t *store = catch_up->store;
+    reconciliation_start(&store->reconciliation, uv_now(store->loop));
+    store->reconciliations++;
+    catch_up->turns_before = store->turns_copied;
+    catch_up->charges_before = store->charges_copied;
+}
+
+static void end_reconciliation(store_catch_up_state_t *catch_up, bool failed) {
+    store_t *store = catch_up->store;
+    reconciliation_t *reconciliation = &store->reconciliation;
+    uint64_t now = uv_now(store->loop);
+    reconciliation_end(reconciliation, now);
+    event_log(STORE_RECONCILED, reconcile_reason_name(reconciliation->reason),
+              store->turns_copied - catch_up->turns_before,
+              store->charges_copied - catch_up->charges_before,
+              turn_table_missing_ancestors(&store->turns), count_done(catch_up),
+              failed ? "yes" : "no", now - reconciliation->started_at);
+}
+
 static void stop_catch_up(store_catch_up_state_t *catch_up) {
+    if (catch_up->purpose == PURPOSE_RECONCILE && catch_up->store->reconciliation.running)
+        end_reconciliation(catch_up, true);
+    catch_up->purpose = PURPOSE_NONE;
     if (catch_up->fetch_plan != NULL)
         catch_up->store->copy_ids_examined += fetch_plan_examined(catch_up->fetch_plan);
     clear_copies(catch_up);
@@ -382,8 +448,25 @@
     catch_up->running = false;
 }
 
+/** Ends a reconciliation that has compared enough, or that can't go on. */
+static void check_reconciliation(store_catch_up_state_t *catch_up) {
+    store_t *store = catch_up->store;
+    if (catch_up->purpose != PURPOSE_RECONCILE || catch_up->pending_writes > 0)
+        return;
+    bool failed = catch_up->write_failed || !store_can_start_turn(store);
+    unsigned done = count_done(catch_up);
+    bool enough = done >= store_group_reconcile(store->group).needed;
+    uint64_t ms = uv_now(store->loop) - store->reconciliation.started_at;
+    bool all = done == catch_up->copies->len;
+    if (failed || (enough && (all || ms >= RECONCILE_PATIENCE_MS)))
+        end_reconciliation(catch_up, failed);
+    if (failed)
+        reconciliation_request(&store->reconciliation, store->reconciliation.reason);
+}
+
 static void on_timer(uv_timer_t *timer) {
     store_catch_up_state_t *catch_up = timer->data;
+    check_reconciliation(catch_up);
     for (guint i = 0; i < catch_up->copies->len; i++) {
         copy_t *copy = g_ptr_array_index(catch_up->copies, i);
         if (copy->step == COPY_STATUS)
@@ -392,41 +475,72 @@
     store_catch_up_check(catch_up->store);
 }
 
+/** True if the copy may request more turns. */
+static bool may_continue(const copy_t *copy) {
+    const store_catch_up_state_t *catch_up = copy->catch_up;
+    return catch_up->purpose != PURPOSE_RECONCILE ||
+           (catch_up->pending_writes == 0 && !catch_up->write_failed);
+}
+
+static store_catch_up_plan_t plan_copies(const store_catch_up_state_t *catch_up) {
+    const store_t *store = catch_up->store;
+    if (catch_up->purpose == PURPOSE_RECONCILE)
+        return store_group_reconcile(store->group);
+    return store_group_catch_up(store->group, store->settings->name, store->complete_generation);
+}
+
+static void advance_copies(store_catch_up_state_t *catch_up, uint64_t min_source_generation) {
+    restart_after_failed_write(catch_up);
+    for (guint i = 0; i < catch_up->copies->len; i++) {
+        copy_t *copy = g_ptr_array_index(catch_up->copies, i);
+        advance_copy(copy, min_source_generation);
+        if (copy->step == COPY_PAGE)
+            finish_page(copy);
+        if (copy->step == COPY_WAITING && may_continue(copy))
+            continue_copy(copy);
+    }
+}
+
+/** Adopts what the copies are for; false if there is nothing to copy now. */
+static bool update_purpose(store_catch_up_state_t *catch_up) {
+    purpose_t purpose = choose_purpose(catch_up->store);
+    if (purpose == catch_up->purpose)
+        return purpose != PURPOSE_NONE;
+    stop_catch_up(catch_up);
+    catch_up->purpose = purpose;
+    if (purpose == PURPOSE_RECONCILE)
+        start_reconciliation(catch_up);
+    return purpose != PURPOSE_NONE;
+}
+
 void store_catch_up_check(store_t *store) {
     store_catch_up_state_t *catch_up = store->catch_up;
-    if (catch_up == NULL)
+    if (catch_up == NULL || !update_purpose(catch_up))
         return;
-    if (!store_is_member(store) || store_is_complete(store)) {
-        stop_catch_up(catch_up);
-        return;
-    }
     if (!catch_up->running) {
         catch_up->running = true;
         uv_timer_start(&catch_up->timer, on_timer, POLL_INTERVAL_MS, POLL_INTERVAL_MS);
         return;
     }
-    store_catch_up_plan_t plan =
-        store_group_catch_up(store->group, store->settings->name, store->complete_generation);
-    bool disk_was_empty = plan.sources == store->group->members;
+    store_catch_up_plan_t plan = plan_copies(catch_up);
+    bool disk_was_empty =
+        catch_up->purpose == PURPOSE_COMPLETE && plan.sources == store->group->members;
     if (disk_was_empty && uv_now(store->loop) < store->started_at + EMPTY_DISK_WAIT_MS)
         return;
     if (catch_up->generation != store->group->generation)
         start_copies(catch_up, &plan);
-    restart_after_failed_write(catch_up);
-    for (guint i = 0; i < catch_up->copies->len; i++) {
-        copy_t *copy = g_ptr_array_index(catch_up->copies, i);
-        advance_copy(copy, plan.min_source_generation);
-        if (copy->step == COPY_PAGE)
-            finish_page(copy);
-        if (copy->step == COPY_WAITING)
-            continue_copy(copy);
-    }
-    if (count_done(catch_up) < plan.needed || catch_up->finishing || !store->group_durable)
+    advance_copies(catch_up, plan.min_source_generation);
+    bool completes = catch_up->purpose == PURPOSE_COMPLETE && count_done(catch_up) >= plan.needed;
+    if (!completes || catch_up->finishing || !store->group_durable)
         return;
     catch_up->finishing = true;
     store_set_complete_generation(store, store->group->generation);
 }
 
+void store_request_reconciliation(store_t *store, reconcile_reason_t reason) {
+    reconciliation_request(&store->reconciliation, reason);
+}
+
 store_catch_up_state_t *store_catch_up_new(store_t *store) {
     store_catch_up_state_t *catch_up = g_new0(store_catch_up_state_t, 1);
     catch_up->store = store;
--- a/src/store/store_gateways.c
+++ b/src/store/store_gateways.c
@@ -68,6 +68,7 @@
                          g_ptr_array_index(message->ids, 0), g_ptr_array_index(message->ids, 1));
     store_directory_gateway_connected(store->directory, g_ptr_array_index(message->ids, 0));
     store_send_crashes(store, connection);
+    store_request_reconciliation(store, RECONCILE_GATEWAY_CONNECTED);
     store_schedule_gateway_lists(store);
 }
 
--- a/src/store/store_metrics.c
+++ b/src/store/store_metrics.c
@@ -24,6 +24,8 @@
     metrics_append(text, "store_taken_beyond_share_total", store->turns_accepted_over_limit);
     metrics_append(text, "store_reserves_refused_total", store->reserves_refused);
     metrics_append(text, "store_turns_copied_total", store->turns_copied);
+    metrics_append(text, "store_charges_copied_total", store->charges_copied);
+    metrics_append(text, "store_reconciliations_total", store->reconciliations);
     metrics_append(text, "store_copy_looks_total", store->copy_ids_examined);
     metrics_append(text, "store_turns_spilled_total", turn_spill_count(store->spill));
     metrics_append(text, "store_spill_empty", turn_spill_empty(store->spill));
--- a/src/store/store_requests.c
+++ b/src/store/store_requests.c
@@ -128,6 +128,7 @@
     store->writes_failed++;
     store->last_write_failure_at = now(store);
     event_log(STORE_WRITE_FAILED, record_log_bytes(store->log));
+    store_request_reconciliation(store, RECONCILE_WRITE_FAILED);
 }
 
 /** False if the disk failed and the turn, which the service has or may have, is written again. */
@@ -319,6 +320,7 @@
                        GBytes *record) {
     const turn_t *turn = &g_array_index(request->turns, turn_t, 0);
     if (!store_accept_started_turn(store)) {
+        store_request_reconciliation(store, RECONCILE_NO_SPACE);
         send_response(connection, RESPONSE_DURABLE, request->number, request->generation,
                       VERDICT_NO);
         return;
--- a/src/storesim/faults.c
+++ b/src/storesim/faults.c
@@ -40,6 +40,7 @@
     PAUSE_SOME_MS = 4000,
     PAUSE_FEW_MS = 12000,
     PAUSE_ONE_KIND_MS = 9000,
+    SINGLE_PAUSE_MOST_MS = 500, /**< Between looks whether the next single outage may begin. */
     DOWN_LEAST_MS = 300,
     DOWN_MOST_MS = 4000,
     STALL_LEAST_MS = 500,
@@ -332,6 +333,55 @@
     return true;
 }
 
+/* Single outages, one after the other. */
+
+static const fault_kind_t single_outages[] = {FAULT_KILL_STORE, FAULT_POWER_STORE,
+                                              FAULT_PAUSE_STORE, FAULT_DISK_FULL};
+
+/** Cuts a storage node from all gateways. */
+static void cut_from_gateways(world_store_t *store) {
+    uint64_t ms = duration();
+    for (guint i = 0; i < world->gateways->len; i++) {
+        const world_gateway_t *gateway = g_ptr_array_index(world->gateways, i);
+        cut(store->process, gateway->process, ms);
+    }
+    store->lost_until = virtual_now() + ms + CATCH_UP_MS;
+}
+
+static void inject_single_outage(world_store_t *store) {
+    unsigned kind = (unsigned)virtual_random(0, G_N_ELEMENTS(single_outages));
+    if (kind == G_N_ELEMENTS(single_outages)) {
+        cut_from_gateways(store);
+        return;
+    }
+    inject_on_store(single_outages[kind], store);
+    counts[single_outages[kind]]++;
+    if (single_outages[kind] == FAULT_DISK_FULL)
+        store->lost_until = virtual_now() + DOWN_MOST_MS + CATCH_UP_MS;
+}
+
+static void next_single_outage(void *data) {
+    (void)data;
+    bool sound = world_is_sound(world);
+    world_store_t *store = random_store();
+    bool last = virtual_now() >= faults_until;
+    if (sound && store != NULL && last) {
+        end_all(END_POWER_LOST, store);
+        counts[FAULT_POWER_ALL_AND_DISK]++;
+        return;
+    }
+    if (sound && store != NULL)
+        inject_single_outage(store);
+    virtual_after(virtual_random(PAUSE_LEAST_MS, SINGLE_PAUSE_MOST_MS), NULL, next_single_outage,
+                  NULL);
+}
+
+void faults_start_single_outages(world_t *in_world, uint64_t until) {
+    world = in_world;
+    faults_until = until;
+    virtual_after(virtual_random(0, SINGLE_PAUSE_MOST_MS), NULL, next_single_outage, NULL);
+}
+
 static void stall_disks(void *data) {
     (void)data;
     if (virtual_now() >= faults_until)
--- a/src/storesim/main.c
+++ b/src/storesim/main.c
@@ -25,6 +25,12 @@
      * that is written is more than it. */
     ROOM_MEMORY_MEGABYTES = 1,
     ROOM_RETENTION_MS = 8000,
+    /* With --judge-chains: turns outlive several outages by way of those that continue them. */
+    CHAIN_RETENTION_MS = 20000,
+    CHAIN_OUTAGES_UNTIL_MS = 44000,
+    CHAIN_WORK_UNTIL_MS = 52000,
+    CHAIN_CHECK_AT_MS = 60000,
+    CHAIN_END_AT_MS = 85000,
 };
 
 const char *argp_program_version = "rudderway-store-sim " RUDDERWAY_VERSION;
@@ -38,6 +44,7 @@
     bool judge_relays;
     bool judge_quotas;
     bool judge_room;
+    bool judge_chains;
     bool watch_zones;
     bool stall_disks;
     bool hold_disks;
@@ -76,6 +83,9 @@
     case 'm':
         arguments->judge_room = true;
         return 0;
+    case 'c':
+        arguments->judge_chains = true;
+        return 0;
     case 'b':
         if (strcmp(argument, "sync") == 0)
             arguments->broken = BREAK_SYNC;
@@ -83,6 +93,8 @@
             arguments->broken = BREAK_IDENTITY;
         else if (strcmp(argument, "catch-up") == 0)
             arguments->broken = BREAK_CATCH_UP;
+        else if (strcmp(argument, "reconciliation") == 0)
+            arguments->broken = BREAK_RECONCILIATION;
         else if (strcmp(argument, "quota-full") == 0)
             arguments->broken = BREAK_QUOTA_BEGINS_FULL;
         else if (strcmp(argument, "quota-ends") == 0)
@@ -90,8 +102,8 @@
         else if (strcmp(argument, "spill") == 0)
             arguments->broken = BREAK_SPILL;
         else
-            argp_error(state, "--break takes sync, identity, catch-up, quota-full, quota-ends or "
-                              "spill");
+            argp_error(state, "--break takes sync, identity, catch-up, reconciliation, "
+                              "quota-full, quota-ends or spill");
         return 0;
     case ARGP_KEY_ARG:
         argp_usage(state);
@@ -116,9 +128,14 @@
      "Also let tenants ask for three times their limits, and judge every window", 0},
     {"judge-room", 'm', NULL, 0,
      "Keep turns for 8 s, and judge that no turn is refused because expired ones take the room", 0},
+    {"judge-chains", 'c', NULL, 0,
+     "Keep turns for 20 s, let one storage node after the other be away, then lose all power and a "
+     "disk, and judge that chains are whole",
+     0},
     {"break", 'b', "WHAT", 0,
      "Break the code on purpose: sync (acknowledge before it), identity (an emptied disk keeps "
-     "it), catch-up (copy nothing), spill (the key-value service forgets turns of nodes whose "
+     "it), catch-up (copy nothing), reconciliation (members never copy what they missed), spill "
+     "(the key-value service forgets turns of nodes whose "
      "disks stall); with --judge-quotas: quota-full (a member that starts grants as if it were "
      "full), quota-ends (grants are used after their end)",
      0},
@@ -181,7 +198,21 @@
     return world_new(seed, &shape);
 }
 
+/** Chains that grow while one storage node after the other is away, and a final fault. */
+static workload_result_t run_chains(uint64_t seed, const arguments_t *arguments) {
+    world_t *world = new_world(seed, arguments);
+    virtual_run(WORK_FROM_MS);
+    workload_start(world, CHAIN_WORK_UNTIL_MS, CHAIN_RETENTION_MS);
+    workload_continue_conversations();
+    faults_start_single_outages(world, CHAIN_OUTAGES_UNTIL_MS);
+    virtual_after(CHAIN_CHECK_AT_MS - WORK_FROM_MS, NULL, check_all, NULL);
+    virtual_run(CHAIN_END_AT_MS);
+    return *workload_result();
+}
+
 static workload_result_t run_seed(uint64_t seed, const arguments_t *arguments) {
+    if (arguments->judge_chains)
+        return run_chains(seed, arguments);
     world_t *world = new_world(seed, arguments);
     if (arguments->watch_zones)
         world_watch_zones(world);
--- a/src/storesim/virtual_network.c
+++ b/src/storesim/virtual_network.c
@@ -36,6 +36,7 @@
 static GPtrArray *dark;       /**< Processes whose machine lost power, and may have it again. */
 static uint64_t last_serial;
 static size_t largest_frame;
+static uint64_t delivered_bytes;
 static bool empty_indexes;
 static uint64_t keep_alive_ms;   /**< 0: there is none. */
 static GHashTable *first_grants; /**< Set if quotas are broken: by process and start. */
@@ -45,6 +46,7 @@
     ends = g_ptr_array_new();
     dark = g_ptr_array_new();
     largest_frame = 0;
+    delivered_bytes = 0;
     empty_indexes = false;
     keep_alive_ms = 0;
     if (first_grants != NULL)
@@ -60,6 +62,10 @@
     return largest_frame;
 }
 
+uint64_t virtual_network_delivered_bytes(void) {
+    return delivered_bytes;
+}
+
 void virtual_network_keep_alive(uint64_t ms) {
     keep_alive_ms = ms;
 }
@@ -207,6 +213,7 @@
     gsize length;
     const uint8_t *bytes = g_bytes_get_data(received, &length);
     largest_frame = MAX(largest_frame, length);
+    delivered_bytes += length;
     end->handler->on_frame(end->owner, end, bytes, length);
     g_bytes_unref(received);
     g_bytes_unref(frame);
--- a/src/storesim/virtual_network.h
+++ b/src/storesim/virtual_network.h
@@ -18,6 +18,8 @@
 void virtual_network_restart_serials(void);
 /** Bytes of the largest frame that has come anywhere since the start. */
 size_t virtual_network_largest_frame(void);
+/** Bytes of all frames that have come anywhere since the start. */
+uint64_t virtual_network_delivered_bytes(void);
 /** After so long in ms the kernel finds a silent peer of a connection that carries nothing; 0:
  * never. */
 void virtual_network_keep_alive(uint64_t ms);
--- a/src/storesim/workload.c
+++ b/src/storesim/workload.c
@@ -21,6 +21,7 @@
     READ_TRIES = 15,
     PARENTS_LATEST = 40,     /**< Turns go on from one of so many, if turns are forgotten: */
     PARENT_LEFT_MS = 3000,   /**< one that is kept for so long yet. */
+    CONVERSATIONS = 16,      /**< Of workload_continue_conversations. */
     EXPIRY_MARGIN_MS = 1000, /**< A turn was kept before it was acknowledged. */
     CONNECT_CHECK_MS = 50,
     RELAY_PATIENCE_MS = 2500, /**< From the cut until another gateway helps. */
@@ -34,6 +35,7 @@
     char *id;
     char *parent;
     struct known_turn *goes_on_from; /**< The parent; NULL: none. */
+    unsigned conversation;
     bool acknowledged;
     uint64_t expires_at; /**< Until then it must be found; later as turns go on from it. */
 } known_turn_t;
@@ -47,6 +49,8 @@
 static GPtrArray *acknowledged; /**< Of known_turn_t. */
 static known_program_t programs[PROGRAMS];
 static workload_result_t result;
+static known_turn_t *last_turns[CONVERSATIONS]; /**< NULL: the conversation has not begun. */
+static bool continues_conversations;
 static uint64_t last_id;
 static uint64_t write_until;
 static uint32_t retention_ms;
@@ -77,6 +81,7 @@
     }
     turn->acknowledged = true;
     keep_chain(turn);
+    last_turns[turn->conversation] = turn;
     g_ptr_array_add(acknowledged, turn);
     result.turns_acknowledged++;
 }
@@ -95,9 +100,18 @@
     return virtual_now() + PARENT_LEFT_MS < turn->expires_at ? turn : NULL;
 }
 
+static known_turn_t *choose_parent(unsigned conversation) {
+    if (!continues_conversations)
+        return virtual_chance(30) ? NULL : random_acknowledged();
+    known_turn_t *last = last_turns[conversation];
+    return last != NULL && virtual_now() + PARENT_LEFT_MS < last->expires_at ? last : NULL;
+}
+
 static void write_turn(store_client_t *client) {
     known_turn_t *known = g_new0(known_turn_t, 1);
-    known_turn_t *parent = virtual_chance(30) ? NULL : random_acknowledged();
+    if (continues_conversations)
+        known->conversation = (unsigned)virtual_random(0, CONVERSATIONS - 1);
+    known_turn_t *parent = choose_parent(known->conversation);
     known->goes_on_from = parent;
     known->id = g_strdup_printf("turn-%" G_GUINT64_FORMAT, (guint64)++last_id);
     known->parent = g_strdup(parent == NULL ? "" : parent->id);
@@ -144,6 +158,7 @@
 typedef struct {
     const known_turn_t *turn; /**< NULL: one that nobody wrote. */
     char *id;
+    bool is_ancestor;    /**< The id is of an ancestor, which another answer lacked. */
     unsigned tries_left; /**< Of a reading that must succeed in the end; 0: need not. */
 } read_t;
 
@@ -153,13 +168,38 @@
     begin_read(data);
 }
 
+static void try_again(read_t *read, char *id) {
+    g_free(read->id);
+    read->id = id;
+    virtual_after(READ_AGAIN_MS, NULL, read_again, read);
+}
+
+/** The turn before the first one of @p chain; NULL: none, the chain is whole. */
+static const char *missing_ancestor(const GArray *chain) {
+    const char *parent = g_array_index(chain, turn_t, chain->len - 1).parent;
+    return *parent == '\0' ? NULL : parent;
+}
+
 static void on_chain(void *owner, verdict_t verdict, const GArray *chain) {
     read_t *read = owner;
     result.reads++;
     if (verdict == VERDICT_YES && read->turn == NULL)
         result.turns_invented++;
-    else if (verdict == VERDICT_YES)
+    else if (verdict == VERDICT_YES) {
         check_chain(read->id, chain);
+        const char *missing = missing_ancestor(chain);
+        /* The answer of a member that lacks an ancestor, which others may have. */
+        if (missing != NULL && read->tries_left > 0) {
+            read->is_ancestor = true;
+            try_again(read, g_strdup(missing));
+            return;
+        }
+    } else if (read->is_ancestor && read->tries_left > 1) {
+        read->tries_left--;
+        try_again(read, g_strdup(read->id));
+        return;
+    } else if (read->is_ancestor)
+        result.turns_not_read += must_be_found(read->turn);
     else if (verdict == VERDICT_NO && read->turn != NULL)
         result.turns_lost += must_be_found(read->turn);
     else if (verdict == VERDICT_UNSURE && read->tries_left > 1) {
@@ -420,12 +460,18 @@
     turns_by_id = g_hash_table_new(g_str_hash, g_str_equal);
     acknowledged = g_ptr_array_new();
     memset(programs, 0, sizeof programs);
+    memset(last_turns, 0, sizeof last_turns);
+    continues_conversations = false;
     memset(&result, 0, sizeof result);
     for (guint i = 0; i < world->gateways->len; i++)
         virtual_after(virtual_random(0, STEP_MOST_MS), NULL, step,
                       g_ptr_array_index(world->gateways, i));
 }
 
+void workload_continue_conversations(void) {
+    continues_conversations = true;
+}
+
 void workload_check_all(void) {
     for (guint i = 0; i < acknowledged->len; i++) {
         const known_turn_t *turn = g_ptr_array_index(acknowledged, i);
--- a/src/storesim/world.c
+++ b/src/storesim/world.c
@@ -4,6 +4,9 @@
 
 #include <string.h>
 
+/** Later than any run ends; as the end of a reconciliation it keeps the next one from starting. */
+static const uint64_t NEVER_MS = UINT64_MAX / 2;
+
 const quota_bounds_t world_quota_bounds = {.window_ms = 5000, .overage = 0.1, .slack = 20};
 
 void world_start_store(world_store_t *store, bool first_start) {
@@ -13,6 +16,8 @@
     store->store = g_new0(store_t, 1);
     store->store->loop = &store->process->loop;
     store->store->settings = &store->settings;
+    if (store->world->broken == BREAK_RECONCILIATION)
+        store->store->reconciliation.ended_at = NEVER_MS;
     store_open(store->store, NULL);
 }
 
@@ -184,6 +189,7 @@
     break_code(shape->broken);
     world_t *world = g_new0(world_t, 1);
     world->relays = true;
+    world->broken = shape->broken;
     world->stores = g_ptr_array_new();
     world->gateways = g_ptr_array_new();
     for (unsigned i = 0; i < shape->stores + shape->spares; i++)
--- a/src/storesim/world.h
+++ b/src/storesim/world.h
@@ -46,6 +46,7 @@
     BREAK_CATCH_UP,
     BREAK_QUOTA_BEGINS_FULL, /**< A member that has lost its memory grants as if it were full. */
     BREAK_QUOTA_ENDS,        /**< Grants are used after their end. */
+    BREAK_RECONCILIATION,    /**< Members never copy what they missed. */
     BREAK_SPILL,             /**< The key-value service forgets turns that it has acknowledged. */
 } world_break_t;
 
@@ -59,6 +60,7 @@
 } world_shape_t;
 
 typedef struct world {
+    world_break_t broken;
     bool relays; /**< Gateways pass frames on for one that is cut off. */
     bool watches_zones;
     uint64_t turns_refused_for_space; /**< Turns for which storage nodes that have ended since had
@@ -98,6 +100,8 @@
 /** Lets the gateways write, read and reserve until @p until; turns are kept for @p keep_turns_ms.
  */
 void workload_start(world_t *world, uint64_t until, uint32_t keep_turns_ms);
+/** From now on turns continue a few long conversations. */
+void workload_continue_conversations(void);
 /** Also judges how soon gateways reach the storage nodes; only while no link is harmed. */
 void workload_judge_connects(void);
 /** Also judges how soon gateways notice that they are cut off from storage nodes. */
@@ -116,7 +120,7 @@
     uint64_t turns_lost;       /**< "No such turn" for an acknowledged one. */
     uint64_t turns_wrong;      /**< Another turn's content. */
     uint64_t turns_invented;   /**< A turn that nobody wrote. */
-    uint64_t turns_not_read;   /**< Acknowledged, and not readable at the end. */
+    uint64_t turns_not_read;   /**< Acknowledged, and not readable with its chain at the end. */
     uint64_t budgets_exceeded; /**< Programs that could hand out more than their budget. */
     uint64_t connects_late;    /**< Gateways still without storage nodes when all had been up. */
     uint64_t cuts_unserved;    /**< Gateways behind a cut whom no other gateway helped. */
@@ -132,6 +136,11 @@
  * kind.
  */
 bool faults_start(world_t *world, uint64_t until, const char *only);
+/**
+ * Begins outages of single storage nodes instead, one after the other, each once the last one
+ * counts as over; at @p until all power is lost, and one disk with it.
+ */
+void faults_start_single_outages(world_t *world, uint64_t until);
 /** Also stalls disks, one or several at a time, until the end of the faults that were started. */
 void faults_stall_disks(void);
 /** Also lets disks stand still for longer than callers wait, at one, several or all nodes. */
--- a/tests/integration/store_simulator_test.sh
+++ b/tests/integration/store_simulator_test.sh
@@ -52,6 +52,12 @@
     store_sim --seeds 1..60 --judge-room --only power_all_and_disk
 expect_later "storage nodes: expired turns take no room under any fault" \
     store_sim --seeds 1..60 --judge-room
+# Each of two members missed other turns of a conversation; its begin expired on the one that had it, and
+# the third lost its disk.
+expect_later "storage nodes: chains are whole after single outages and a lost disk, seeds 1..40" \
+    store_sim --seeds 1..40 --judge-chains
+expect_later "the sweep notices members that never copy what they missed" \
+    notices reconciliation 10 --judge-chains
 expect_later "a seed runs the same twice" same_twice
 expect_later "quotas: no window over the limit under any fault, seeds 1..40" \
     store_sim --seeds 1..40 --judge-quotas
