test: plays hold a block of ports; a crash play tells when back ends ended

Each play now holds a block of 1,000 ports by a file lock that ends with its processes, and takes those of it that are free; scripts/ports.sh does the same for power_test.sh.

--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -13,7 +13,7 @@
     folder=soak-run/$seed${SOAK_FEATURES:+-$SOAK_FEATURES}
     mkdir -p soak-run
     if python3 tests/soak/soak.py --build "$BUILD" --seed "$seed" --seconds "$LENGTH" \
-        ${SOAK_FEATURES:+--features "$SOAK_FEATURES"} --folder "$folder" --base-port "$((10000 + RANDOM % 15000))" > "$folder.txt" 2>&1; then
+        ${SOAK_FEATURES:+--features "$SOAK_FEATURES"} --folder "$folder" > "$folder.txt" 2>&1; then
         tail -1 "$folder.txt"
         rm -rf "$folder" "$folder.txt"
     else
--- a/tests/integration/crash_request_test.sh
+++ b/tests/integration/crash_request_test.sh
@@ -1,7 +1,7 @@
 # Sourced by scripts/check.sh: requests under which back ends end, and calls that they take along.
 crash_request() { # OPTIONS SCENARIO
     python3 tests/soak/crash_request_test.py --build "$BUILD" --folder "$CLUSTER_DIR/crash-request" \
-        --base-port "$((10000 + RANDOM % 15000))" "$@"
+        "$@"
 }
 
 crash_request_tries() {
--- a/tests/integration/power_test.sh
+++ b/tests/integration/power_test.sh
@@ -3,8 +3,9 @@
 # removed; afterwards every turn that was answered whole can be gone on from, with the right
 # prompt, and no program gets more than its budget. POWER_ROUNDS times.
 POWER_ROUNDS=${POWER_ROUNDS:-20}
-# Below the ports that the kernel gives to outgoing connections.
-POWER_BASE=${POWER_BASE:-$((10000 + RANDOM % 20000))}
+. scripts/ports.sh
+hold_ports
+POWER_BASE=$HELD_PORTS
 declare -A POWER_PID
 
 power_settings() { # NAME KIND NUMBER FIRST_START
--- a/tests/integration/version_stream_test.sh
+++ b/tests/integration/version_stream_test.sh
@@ -1,7 +1,7 @@
 # Sourced by scripts/check.sh: streams over back ends of two software versions.
 version_stream() { # OPTIONS SCENARIO
     python3 tests/soak/version_stream_test.py --build "$BUILD" --folder "$CLUSTER_DIR/version-stream" \
-        --base-port "$((10000 + RANDOM % 15000))" "$@"
+        "$@"
 }
 
 expect "a stream goes on only at the version that began it" version_stream quiet
--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -7,6 +7,7 @@
 import signal
 import time
 
+from ports import Ports
 from proxy import Proxy
 from zone_cut import ZoneCut, read_connections
 
@@ -21,17 +22,6 @@
     signal.signal(signal.SIGXFSZ, signal.SIG_IGN)
 
 
-class Ports:
-    """Hands out ports below those that the kernel gives to outgoing connections."""
-
-    def __init__(self, base):
-        self.next = base
-
-    def take(self):
-        self.next += 1
-        return self.next - 1
-
-
 class Node:
     """One process with its settings; its way to the key-value service leads through a proxy."""
 
@@ -164,15 +154,15 @@
 class Cluster:
     """All nodes of a run."""
 
-    def __init__(self, build, folder, base_port, key_value_port, promises, tolerated_zones=0):
+    def __init__(self, build, folder, promises, tolerated_zones=0):
         self.tolerated_zones = tolerated_zones
         self.proxies = []  # Those that a cut of a zone concerns.
         self.all_nodes = []  # Also those that were taken away.
         self.cut = None
         self.build = build
         self.folder = folder
-        self.ports = Ports(base_port)
-        self.key_value_port = key_value_port
+        self.ports = Ports()
+        self.key_value_port = self.ports.take()
         self.promises = promises
         self.gateways = []
         self.stores = []
--- a/tests/soak/crash_request_test.py
+++ b/tests/soak/crash_request_test.py
@@ -45,6 +45,12 @@
 BROKEN = ["no_answer", "broken_answer", "unreachable"]  # Of sends that the back end may have received.
 
 
+def clock_text(at):
+    """A time of time.monotonic() as the nodes' logs have it."""
+    wall = at + time.time() - time.monotonic()
+    return time.strftime("%H:%M:%S", time.gmtime(wall)) + f".{int(wall % 1 * 1000):03d}"
+
+
 class CrashingBackend(Backend):
     """Ends when it runs the request with BODY, after some of its events."""
 
@@ -174,6 +180,7 @@
         if last_event > 0:
             fields += [("Last-Event-Id", last_event), ("Resumes", first_id)]
         status, pause = 0, PAUSE_S
+        begun_at = time.monotonic()
         writer = None
         try:
             reader, writer = await asyncio.open_connection("127.0.0.1", gateway.calls_port)
@@ -193,7 +200,8 @@
         finally:
             if writer is not None:
                 writer.close()
-        self.statuses.append((gateway.name, status, round(pause, 3)))
+        self.statuses.append((gateway.name, status, round(pause, 3), clock_text(begun_at),
+                              clock_text(time.monotonic())))
         return attempt_id, status, last_event, min(pause, 1.0)
 
     async def send_tries(self, gateways, budgeted=True, program="p-crash"):
@@ -218,6 +226,7 @@
         third = ends[ENDED_MAX - 1][0] if len(ends) >= ENDED_MAX else None
         late = 0 if third is None else sum(at > third for at, _ in sends)
         return {"ended": len(ends), "sends": len(sends), "sends_after_third": late,
+                "ends": [(clock_text(at), instance) for at, instance in ends],
                 "tries": self.statuses, "others_refused": self.limit_refusals(),
                 "held": len(ends) <= ENDED_MAX and late == 0 and self.unfounded_refusals() == 0}
 
--- a/tests/soak/direct_fleet.py
+++ b/tests/soak/direct_fleet.py
@@ -75,9 +75,8 @@
     async def start(self):
         """False if the cluster does not start."""
         options = self.options
-        await self.key_value.start(options.base_port)
-        self.cluster = soak.Cluster(
-            options.build, options.folder, options.base_port + 1, options.base_port, self.promises)
+        self.cluster = soak.Cluster(options.build, options.folder, self.promises)
+        await self.key_value.start(self.cluster.key_value_port)
         self.fleet = self.world = self.new_fleet(
             options, self.key_value, self.cluster.ports, self.promises, self.cluster, options.seed, [])
         self.world.edit()
@@ -115,7 +114,6 @@
     parser.add_argument("--build", default="build", help="folder of the programs")
     parser.add_argument("--folder", default=f"soak-run/{folder}", help="folder of logs and data")
     parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--base-port", type=int, default=12000)
     parser.add_argument("--engines", type=int, default=ENGINES)
     parser.add_argument("--gateways", type=int, default=3)
     parser.add_argument("--programs", type=int, default=12, help="programs that run beside it")
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -187,12 +187,11 @@
 
     async def set_up(self):
         options = self.options
-        key_value_port = options.base_port
-        await self.key_value.start(key_value_port)
         self.cluster = Cluster(
-            options.build, options.folder, options.base_port + 1, key_value_port, self.promises,
+            options.build, options.folder, self.promises,
             tolerated_zones=1 if "zones" in self.features else 0,
         )
+        await self.key_value.start(self.cluster.key_value_port)
         self.world = World(
             self.key_value, self.cluster.ports, self.promises, self.cluster, options.seed,
             self.features,
@@ -305,7 +304,6 @@
     parser.add_argument("--folder", default="soak-run", help="folder of logs and data; made anew")
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=20, help="how long faults are begun")
-    parser.add_argument("--base-port", type=int, default=12000)
     parser.add_argument("--kinds", type=lambda text: text.split(","), help="only these faults")
     parser.add_argument(
         "--features", type=lambda text: [name for name in text.split(",") if name in FEATURES],
