gateways: a back end is not taken for reachable because the one that last sent has ended too

Cause: two connections to a back end that had fallen silent timed out, and the control, a connection to the back end that last sent something, timed out as well: that one had ended under the same request 20 ms before the control was opened. Ruled out: a report that came late; the first crash was counted (ended=1) until it was withdrawn.

Change: up to three controls, to the back ends that last sent something, at once; one that comes up is enough.

BackendProbe.ABackEndIsUnreachableThoughTheLastSenderIsToo fails before and passes after.

--- a/src/gateway/backend_check.c
+++ b/src/gateway/backend_check.c
@@ -4,6 +4,8 @@
     FAILURES_NEEDED = 2, /**< A busy back end refuses some connections. */
     POLL_INTERVAL_MS = 10,
     SLOW_MS = 50, /**< Many times the way to a back end and back. */
+    /** Back ends that fail together, as under the same request, seldom are so many. */
+    CONTROLS_MAX = 3,
 };
 
 struct backend_check {
@@ -11,9 +13,10 @@
     backends_t *backends;
     uint64_t backend; /**< backend_t.id_hash. */
     struct sockaddr_in address;
-    http_client_t *client;
-    bool controls; /**< `client` goes to another back end. */
-    bool refused;  /**< At least one connection was refused. */
+    http_client_t *client;                 /**< To the back end; NULL while there is none. */
+    http_client_t *controls[CONTROLS_MAX]; /**< To others; NULL where there is none. */
+    bool is_controlled;                    /**< Waits for the controls. */
+    bool refused;                          /**< At least one connection was refused. */
     bool is_slow;
     unsigned failures;
     uint64_t begun_at;
@@ -31,6 +34,9 @@
 void backend_check_cancel(backend_check_t *check) {
     if (check->client != NULL)
         http_client_close(check->client);
+    for (unsigned i = 0; i < CONTROLS_MAX; i++)
+        if (check->controls[i] != NULL)
+            http_client_close(check->controls[i]);
     uv_close((uv_handle_t *)&check->timer, free_check);
 }
 
@@ -39,11 +45,8 @@
     backend_check_cancel(check);
 }
 
-static void end_connected(backend_check_t *check) {
-    if (check->controls) {
-        end_check(check, BACKEND_CHECK_UNREACHABLE);
-        return;
-    }
+/** The back end is alive; its connection, if there still is one, is kept for calls. */
+static void end_alive(backend_check_t *check) {
     backend_t *backend = backends_find_hash(check->backends, check->backend);
     if (backend != NULL && check->client != NULL) {
         backend_adopt_connection(backend, check->client);
@@ -54,19 +57,40 @@
 
 static void on_closed(void *owner, http_client_t *client);
 
-/** Opens the next connection; false if that fails. */
-static bool open_connection(backend_check_t *check, const struct sockaddr_in *address) {
+/** Opens the next connection to the back end; false if that fails. */
+static bool open_connection(backend_check_t *check) {
     check->opened_at = uv_now(check->loop);
-    check->client = http_client_open(check->loop, address, on_closed, check);
+    check->client = http_client_open(check->loop, &check->address, on_closed, check);
     return check->client != NULL;
 }
 
-/** The back end can't be reached; finds out whether another one can be. */
-static void open_control(backend_check_t *check) {
+static void on_control_closed(void *owner, http_client_t *client) {
+    backend_check_t *check = owner;
+    unsigned left = 0;
+    for (unsigned i = 0; i < CONTROLS_MAX; i++) {
+        if (check->controls[i] == client)
+            check->controls[i] = NULL;
+        left += check->controls[i] != NULL;
+    }
+    if (http_client_connected(client))
+        end_check(check, BACKEND_CHECK_UNREACHABLE);
+    else if (left == 0)
+        end_check(check, BACKEND_CHECK_DOUBTFUL);
+}
+
+/** The back end can't be reached; finds out whether others can be. */
+static void open_controls(backend_check_t *check) {
     const backend_t *backend = backends_find_hash(check->backends, check->backend);
-    const backend_t *other = backends_latest_sender(check->backends, backend);
-    check->controls = true;
-    if (other == NULL || !open_connection(check, &other->record->address))
+    backend_t *others[CONTROLS_MAX];
+    unsigned count = backends_latest_senders(check->backends, backend, others, CONTROLS_MAX);
+    unsigned opened = 0;
+    check->is_controlled = true;
+    for (unsigned i = 0; i < count; i++) {
+        check->controls[i] =
+            http_client_open(check->loop, &others[i]->record->address, on_control_closed, check);
+        opened += check->controls[i] != NULL;
+    }
+    if (opened == 0)
         end_check(check, BACKEND_CHECK_UNREACHABLE);
 }
 
@@ -74,33 +98,30 @@
     backend_check_t *check = owner;
     check->client = NULL;
     if (http_client_connected(client)) {
-        end_connected(check);
-        return;
-    }
-    if (check->controls) {
-        end_check(check, BACKEND_CHECK_DOUBTFUL);
+        end_alive(check);
         return;
     }
     check->refused |= uv_now(check->loop) < check->opened_at + CONNECTION_REFUSED_WITHIN_MS;
     check->failures++;
-    if (check->failures < FAILURES_NEEDED && open_connection(check, &check->address))
+    if (check->failures < FAILURES_NEEDED && open_connection(check))
         return;
     if (check->refused)
         end_check(check, BACKEND_CHECK_ENDED);
     else
-        open_control(check);
+        open_controls(check);
 }
 
-static void on_poll(uv_timer_t *timer) {
-    backend_check_t *check = timer->data;
-    if (check->client == NULL) {
-        end_check(check, BACKEND_CHECK_DOUBTFUL);
-        return;
-    }
-    if (http_client_connected(check->client)) {
-        end_connected(check);
-        return;
+/** Ends the check if a control has come up. */
+static void poll_controls(backend_check_t *check) {
+    for (unsigned i = 0; i < CONTROLS_MAX; i++) {
+        if (check->controls[i] != NULL && http_client_connected(check->controls[i])) {
+            end_check(check, BACKEND_CHECK_UNREACHABLE);
+            return;
+        }
     }
+}
+
+static void report_if_slow(backend_check_t *check) {
     if (check->is_slow || uv_now(check->loop) < check->begun_at + SLOW_MS)
         return;
     check->is_slow = true;
@@ -108,6 +129,18 @@
         check->handler->on_slow(check->owner);
 }
 
+static void on_poll(uv_timer_t *timer) {
+    backend_check_t *check = timer->data;
+    if (check->is_controlled)
+        poll_controls(check);
+    else if (check->client == NULL)
+        end_check(check, BACKEND_CHECK_DOUBTFUL);
+    else if (http_client_connected(check->client))
+        end_alive(check);
+    else
+        report_if_slow(check);
+}
+
 backend_check_t *backend_check_begin(const backend_t *backend,
                                      const backend_check_handler_t *handler, void *owner) {
     backend_check_t *check = g_new0(backend_check_t, 1);
@@ -121,6 +154,6 @@
     uv_timer_init(check->loop, &check->timer);
     check->timer.data = check;
     uv_timer_start(&check->timer, on_poll, POLL_INTERVAL_MS, POLL_INTERVAL_MS);
-    open_connection(check, &check->address);
+    open_connection(check);
     return check;
 }
--- a/src/gateway/backend_check.h
+++ b/src/gateway/backend_check.h
@@ -2,8 +2,9 @@
  * @file backend_check.h
  * Finds out by new connections whether a back end can be reached. One that comes up shows that it
  * is alive, two that are refused that it has ended. Two that time out may have been delayed here
- * while the back end runs its calls: a third one, the control, goes to the back end that last sent
- * something, and only if that comes up is the first one unreachable. Nothing is sent on them.
+ * while the back end runs its calls: further ones, the controls, go to the back ends that last sent
+ * something, and only if one of these comes up is the first one unreachable. Several, since one of
+ * them may have ended as well. Nothing is sent on any of them.
  *
  * A connection that comes up is kept for calls: the check mostly replaces one that was closed.
  *
@@ -20,7 +21,7 @@
     BACKEND_CHECK_ALIVE,
     BACKEND_CHECK_ENDED,
     BACKEND_CHECK_UNREACHABLE,
-    BACKEND_CHECK_DOUBTFUL, /**< No connection came up, to another back end neither. */
+    BACKEND_CHECK_DOUBTFUL, /**< No connection came up, to other back ends neither. */
 } backend_check_result_t;
 
 typedef struct {
--- a/src/gateway/backends.c
+++ b/src/gateway/backends.c
@@ -320,19 +320,33 @@
     return unreachable || (unresponsive && is_overdue(backend, now));
 }
 
-backend_t *backends_latest_sender(const backends_t *backends, const backend_t *backend) {
-    backend_t *latest = NULL;
+/** Puts @p other into its place among the @p count latest senders; returns how many they are. */
+static unsigned insert_sender(backend_t **senders, unsigned count, unsigned max, backend_t *other) {
+    unsigned place = count;
+    while (place > 0 &&
+           other->observed.last_received_at > senders[place - 1]->observed.last_received_at)
+        place--;
+    if (place == max)
+        return count;
+    unsigned kept = MIN(count, max - 1);
+    for (unsigned i = kept; i > place; i--)
+        senders[i] = senders[i - 1];
+    senders[place] = other;
+    return kept + 1;
+}
+
+unsigned backends_latest_senders(const backends_t *backends, const backend_t *backend,
+                                 backend_t **senders, unsigned max) {
+    unsigned count = 0;
     GHashTableIter iterator;
     gpointer value;
     g_hash_table_iter_init(&iterator, backends->by_instance);
     while (g_hash_table_iter_next(&iterator, NULL, &value)) {
         backend_t *other = value;
-        if (other == backend || backend_is_down(other))
-            continue;
-        if (latest == NULL || other->observed.last_received_at > latest->observed.last_received_at)
-            latest = other;
+        if (other != backend && !backend_is_down(other))
+            count = insert_sender(senders, count, max, other);
     }
-    return latest;
+    return count;
 }
 
 bool backend_is_avoided(backend_t *backend) {
--- a/src/gateway/backends.h
+++ b/src/gateway/backends.h
@@ -144,8 +144,12 @@
 bool backend_is_avoided(backend_t *backend);
 /** True if so many back ends of @p service are down that the cause may be the network here. */
 bool backends_mostly_unreachable(const backends_t *backends, const char *service);
-/** The back end other than @p backend that last sent something and is not down; NULL: none. */
-backend_t *backends_latest_sender(const backends_t *backends, const backend_t *backend);
+/**
+ * Fills @p senders with the back ends other than @p backend that last sent something and are not
+ * down, latest first; returns their number, at most @p max.
+ */
+unsigned backends_latest_senders(const backends_t *backends, const backend_t *backend,
+                                 backend_t **senders, unsigned max);
 /** True if at least half of the slots of some back end are known to be occupied. */
 bool backends_half_full(const backends_t *backends);
 
--- a/tests/unit/backend_probe_test.cc
+++ b/tests/unit/backend_probe_test.cc
@@ -62,6 +62,16 @@
     EXPECT_TRUE(found_unreachable(backend));
 }
 
+// Guards against a back end that has ended and counts as reachable since the one that last sent
+// something, by which the network is judged, has ended too.
+TEST_F(BackendProbe, ABackEndIsUnreachableThoughTheLastSenderIsToo) {
+    Port silent(Port::SILENT), last(Port::SILENT), other(Port::ACCEPTS);
+    backend_t *backend = add("silent", silent);
+    add("last", last)->observed.last_received_at = uv_now(&loop);
+    add("other", other)->observed.last_received_at = uv_now(&loop) - 1;
+    EXPECT_TRUE(found_unreachable(backend));
+}
+
 TEST_F(BackendProbe, ABackEndWhosePortRefusesHasEnded) {
     Port refusing(Port::REFUSES), other(Port::SILENT);
     backend_t *backend = add("refusing", refusing);
