gateways: a connection that is closed as soon as it has come up does not show a back end alive

Cause: the check that follows the caller's leaving found the back end alive after 1 ms (E867 outcome=alive ms=1), so that its crash was withdrawn, though it had run the request and ended. The check took a connection that had come up for a sign of life, also if it was closed at once. The test shows that this happens.

Change: after such a close the check opens one more connection, which decides. A back end that closes two at once counts as alive, as before.

--- a/src/gateway/backend_check.c
+++ b/src/gateway/backend_check.c
@@ -17,6 +17,7 @@
     http_client_t *controls[CONTROLS_MAX]; /**< To others; NULL where there is none. */
     bool is_controlled;                    /**< Waits for the controls. */
     bool refused;                          /**< At least one connection was refused. */
+    bool was_closed; /**< The back end closed a connection as soon as it had come up. */
     bool is_slow;
     unsigned failures;
     uint64_t begun_at;
@@ -98,7 +99,11 @@
     backend_check_t *check = owner;
     check->client = NULL;
     if (http_client_connected(client)) {
-        end_alive(check);
+        /* A process that ends closes the connections that it has not accepted yet. */
+        bool again = !check->was_closed;
+        check->was_closed = true;
+        if (!again || !open_connection(check))
+            end_alive(check);
         return;
     }
     check->refused |= uv_now(check->loop) < check->opened_at + CONNECTION_REFUSED_WITHIN_MS;
--- a/src/gateway/backend_check.h
+++ b/src/gateway/backend_check.h
@@ -6,6 +6,9 @@
  * something, and only if one of these comes up is the first one unreachable. Several, since one of
  * them may have ended as well. Nothing is sent on any of them.
  *
+ * One that comes up and is closed at once shows nothing, since a process that ends closes what it
+ * has not accepted yet; the next one decides.
+ *
  * A connection that comes up is kept for calls: the check mostly replaces one that was closed.
  *
  * Thread safety: everything here belongs to the loop's thread.
--- a/tests/unit/backend_probe_test.cc
+++ b/tests/unit/backend_probe_test.cc
@@ -1,7 +1,11 @@
 // Which back ends count as unreachable (backend_probe.h), over the loopback interface.
 #include <glib.h>
 
+#include <memory>
+#include <string>
+
 extern "C" {
+#include "gateway/backend_check.h"
 #include "gateway/backend_probe.h"
 }
 
@@ -72,6 +76,28 @@
     EXPECT_TRUE(found_unreachable(backend));
 }
 
+// Guards against a back end that counts as alive since its listener had taken a connection that its
+// end then closed. The connection must come up before the check looks, hence several attempts.
+TEST_F(BackendProbe, AConnectionThatIsClosedAtOnceShowsNoLife) {
+    static const backend_check_handler_t handler = {
+        nullptr, [](void *found, backend_check_result_t result, uint64_t) {
+            *static_cast<int *>(found) = result;
+        }};
+    int result = BACKEND_CHECK_ALIVE;
+    for (unsigned attempt = 0; attempt < 20 && result != BACKEND_CHECK_ENDED; attempt++) {
+        auto port = std::make_unique<Port>(Port::ACCEPTS);
+        backend_t *backend = add(("ends-" + std::to_string(attempt)).c_str(), *port);
+        uv_update_time(&loop);
+        result = -1;
+        backend_check_begin(backend, &handler, &result);
+        uv_run(&loop, UV_RUN_NOWAIT);
+        port.reset();
+        while (result < 0)
+            uv_run(&loop, UV_RUN_ONCE);
+    }
+    EXPECT_EQ(result, BACKEND_CHECK_ENDED);
+}
+
 TEST_F(BackendProbe, ABackEndWhosePortRefusesHasEnded) {
     Port refusing(Port::REFUSES), other(Port::SILENT);
     backend_t *backend = add("refusing", refusing);
