gateways: an answer that exceeds its bounds, perhaps without end, is none

Callers saw: calls to sound back ends failed or waited for seconds while a few others sent bytes without end (an event, comments, interim heads, a body), and their own calls waited until their time was over.

Cause: nothing but the call's time bounded what a reader keeps or reads: an unfinished event of any length, searched again whole with each piece; a body read on beyond 16 MiB, the rest dropped and the answer passed on cut; interim heads, with each of which the parser's limit begins again; comments, which counted as events and progress. The data of all streams was collected, though only turns need it.

Change: net/answer_limits.h has the bounds with their units, for all readers. Beyond one an answer counts as none: the connection is closed at once, the call goes elsewhere if it may, and the back end is ejected as after a reset (E605 source=unsound) unless it told a length that is too large. All bodies of a gateway together have a bound, too. A stream's answer begins with its first event.

Unit tests: EventStream.*, HttpClient.InterimHeadsWithoutEndAreNoAnswer.

--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -129,6 +129,9 @@
 echo "--- requests under which back ends end"
 . tests/integration/crash_request_test.sh
 
+echo "--- answers without end"
+. tests/integration/endless_answer_test.sh
+
 echo "--- streams over back ends of two versions"
 . tests/integration/version_stream_test.sh
 
--- a/src/gateway/backends.c
+++ b/src/gateway/backends.c
@@ -399,6 +399,14 @@
     mark_for_report(backend);
 }
 
+void backend_record_unsound(backend_t *backend) {
+    uint64_t now = uv_now(backend->loop);
+    ejection_record_reset(&backend->ejection, now);
+    event_log(BACKEND_EJECTED, backend->record->instance,
+              ejection_remaining_ms(&backend->ejection, now), "unsound");
+    mark_for_report(backend);
+}
+
 static void on_idle_closed(void *owner, http_client_t *client) {
     backend_t *backend = owner;
     if (uv_now(backend->loop) < http_client_idle_until(client))
--- a/src/gateway/backends.h
+++ b/src/gateway/backends.h
@@ -182,6 +182,9 @@
 void backend_request_ended(backend_t *backend, const uint64_t *sent_at);
 /** Records evidence that the back end is down: a reset right after a send, or failed probes. */
 void backend_record_reset(backend_t *backend);
+/** Records that the back end sent bytes without end that are no answer; ejects it as a reset does.
+ */
+void backend_record_unsound(backend_t *backend);
 
 /** Returns an idle connection, or else opens one; NULL if that fails. */
 http_client_t *backend_connect(backends_t *backends, backend_t *backend);
--- a/src/gateway/call.c
+++ b/src/gateway/call.c
@@ -106,6 +106,7 @@
     call->ended = true;
     log_end(call, status, reason);
     call_cancel_exchange(call);
+    call_clear_body(call);
     call_turn_end(call);
     call_version_end(call);
     call_quota_end(call);
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -130,8 +130,8 @@
     unsigned repeat_connects_failed;
     uint64_t repeat_failed_at; /**< When the first of these connections failed. */
     bool suspect;              /**< The current send counts in backend_t.suspects. */
-    uint64_t last_received_at; /**< When bytes of the response were last received; initially
-                                  `sent_at`. */
+    uint64_t last_received_at; /**< When something that the caller can use was last received;
+                                  initially `sent_at`. */
     bool version_recorded;     /**< The version of the back end of this send; call_version.c. */
     bool answered;             /**< A response to the current send has begun. */
     bool misdirected;          /**< The back end's address now belongs to another instance. */
@@ -140,11 +140,12 @@
 
     /* The response. */
     unsigned status;
-    bool not_run;    /**< The back end reports that it did not run the call. */
-    bool streaming;  /**< Forwarded event by event. */
-    bool head_sent;  /**< The response head was sent to the caller. */
-    GString *fields; /**< Response header lines for the caller. */
-    GString *body;   /**< A complete response, or events to be forwarded. */
+    bool not_run;      /**< The back end reports that it did not run the call. */
+    bool streaming;    /**< Forwarded event by event. */
+    bool head_sent;    /**< The response head was sent to the caller. */
+    GString *fields;   /**< Response header lines for the caller. */
+    GString *body;     /**< A complete response, or events to be forwarded. */
+    size_t held_bytes; /**< Of a response that is not streamed; counted in gateway_t. */
     event_stream_t events;
     call_speed_t speed;
     call_turn_t turn;
@@ -186,6 +187,8 @@
 void call_send_same_backend(call_t *call);
 /** Releases the current back end and excludes it from further choices for this call. */
 void call_exclude_backend(call_t *call);
+/** Discards what has been received of a response that is not streamed. */
+void call_clear_body(call_t *call);
 /** Closes the connection to the back end, whose answer is not complete. */
 void call_close_client(call_t *call);
 /** Closes the exchange with the back end, which cancels its work, and releases the back end. */
--- a/src/gateway/call_retry.c
+++ b/src/gateway/call_retry.c
@@ -182,7 +182,7 @@
     call_log_send_failed(call, reason);
     call_close_client(call);
     if (!call->streaming)
-        g_string_truncate(call->body, 0);
+        call_clear_body(call);
     call_handle_unknown_outcome(call, CALL_BACKEND_LOST);
 }
 
--- a/src/gateway/call_send.c
+++ b/src/gateway/call_send.c
@@ -4,7 +4,10 @@
  * the last send: not sent, refused as not run, or unknown.
  *
  * Failures. A response with the id of another call, a success without the back end's signature, and
- * a truncated response are treated as no response; none of their bytes are forwarded.
+ * a truncated response are treated as no response; none of their bytes are forwarded. So is one
+ * that exceeds a bound of net/answer_limits.h: its connection is closed at once, and if it may go
+ * on without end, its back end is avoided for a while. Only what a caller can use counts as
+ * progress of a call; any bytes show that the back end is alive.
  */
 #include "gateway/call.h"
 
@@ -12,6 +15,7 @@
 #include "gateway/backend_probe.h"
 #include "gateway/backend_versions.h"
 #include "gateway/call_placement.h"
+#include "net/answer_limits.h"
 
 #include <string.h>
 #include <strings.h>
@@ -23,7 +27,6 @@
     STATUS_MISDIRECTED = 421, /**< The address belongs to another instance. */
     STATUS_SERVER_ERROR = 500,
     STATUS_UNAVAILABLE = 503,
-    MAX_ANSWER_BYTES = 16 * 1024 * 1024,
 };
 
 static void release_backend(call_t *call) {
@@ -127,14 +130,64 @@
            http_headers_find(head->headers, "Content-Encoding") == NULL;
 }
 
-static void record_received(call_t *call) {
+static void record_received(const call_t *call) {
+    call->backend->observed.last_received_at = uv_now(call->gateway->loop);
+}
+
+static void record_progress(call_t *call) {
     call->last_received_at = uv_now(call->gateway->loop);
-    call->backend->observed.last_received_at = call->last_received_at;
+}
+
+void call_clear_body(call_t *call) {
+    call->gateway->answer_bytes -= call->held_bytes;
+    call->held_bytes = 0;
+    if (call->body->allocated_len <= ANSWER_SMALL_BODY_BYTES) {
+        g_string_truncate(call->body, 0);
+        return;
+    }
+    g_string_free(call->body, TRUE);
+    call->body = g_string_new(NULL);
+}
+
+/** Appends to the body; false if this answer, or those of all calls, would become too large. */
+static bool hold_body(call_t *call, const char *data, size_t length) {
+    gateway_t *gateway = call->gateway;
+    size_t size = call->body->len + length;
+    bool all_fit = gateway->answer_bytes + length <= ANSWER_BODIES_MAX_BYTES;
+    if (size > ANSWER_BODY_MAX_BYTES || (size > ANSWER_SMALL_BODY_BYTES && !all_fit))
+        return false;
+    g_string_append_len(call->body, data, (gssize)length);
+    call->held_bytes += length;
+    gateway->answer_bytes += length;
+    return true;
+}
+
+/** True if the answer tells a length that exceeds the bound. */
+static bool body_is_too_long(const http_answer_head_t *head) {
+    const char *length = http_headers_find(head->headers, "Content-Length");
+    return length != NULL && strtoull(length, NULL, 10) > ANSWER_BODY_MAX_BYTES;
+}
+
+/** The answer exceeds a bound. Called from the parser of its connection. */
+static void reject_answer(call_t *call, const char *reason) {
+    call_log_send_failed(call, reason);
+    http_client_close(call->client);
+    call->client = NULL;
+    if (!call->streaming)
+        call_clear_body(call);
+    call_handle_unknown_outcome(call, CALL_BAD_ANSWER);
+}
+
+static void reject_endless_answer(call_t *call) {
+    backend_record_unsound(call->backend);
+    load_sharing_report_now(call->gateway->load_sharing, CONTROL_CAN_WAIT);
+    reject_answer(call, "answer_without_end");
 }
 
 static bool on_head(void *user, const http_answer_head_t *head) {
     call_t *call = user;
     record_received(call);
+    record_progress(call);
     call->answered = true;
     backend_response_started(call->backend, &call->sent_at);
     call_record_answer_time(call);
@@ -151,12 +204,20 @@
         call_handle_unknown_outcome(call, CALL_BAD_ANSWER);
         return false;
     }
+    bool streaming = call->route->kind == CALL_STREAM && is_success(head->status);
+    if (!streaming && body_is_too_long(head)) {
+        call_log_send_failed(call, "answer_too_long");
+        call->client = NULL;
+        call_handle_unknown_outcome(call, CALL_BAD_ANSWER);
+        return false;
+    }
     call_speed_record_head(call, head->status);
     call->misdirected = head->status == STATUS_MISDIRECTED;
     call->not_run = call->misdirected ||
                     http_headers_find(head->headers, call_field_name(FIELD_NOT_RUN)) != NULL;
     bool resumes = call->head_sent;
-    call->streaming = call->route->kind == CALL_STREAM && is_success(head->status);
+    call->streaming = streaming;
+    call->events.keeps_output = call->route->keeps_turns;
     if (resumes)
         return true;
     call->status = head->status;
@@ -179,20 +240,28 @@
     call_t *call = user;
     record_received(call);
     if (!call->streaming) {
-        if (call->body->len + length <= MAX_ANSWER_BYTES)
-            g_string_append_len(call->body, data, (gssize)length);
+        record_progress(call);
+        if (!hold_body(call, data, length))
+            reject_endless_answer(call);
         return;
     }
     size_t before = call->body->len;
     unsigned events = call->events.events;
     bool is_first = events == 0;
-    event_stream_feed(&call->events, data, length, call->body);
+    if (!event_stream_feed(&call->events, data, length, call->body)) {
+        g_string_truncate(call->body, before);
+        reject_endless_answer(call);
+        return;
+    }
+    if (call->events.events > events)
+        record_progress(call);
     call_speed_record_events(call);
     if (is_first && call->events.events > 0)
         call_placement_first_event(call);
     if (call->events.events > events)
         record_version(call);
-    if (call->body->len > before)
+    /* The answer begins with an event, so that until then another back end can give it. */
+    if (call->body->len > before && call->events.events > 0)
         call_forward_events(call);
 }
 
@@ -204,7 +273,7 @@
     stall_watch_remove(&call->gateway->stall_watch, call);
     if (call->not_run) {
         call_log_send_failed(call, "not_run");
-        g_string_truncate(call->body, 0);
+        call_clear_body(call);
         call_handle_not_run(call);
         return;
     }
@@ -221,7 +290,7 @@
     bool server_error = call->status >= STATUS_SERVER_ERROR;
     if (server_error && call_may_use_other_backend(call)) {
         call_log_send_failed(call, "server_error");
-        g_string_truncate(call->body, 0);
+        call_clear_body(call);
         call_handle_unknown_outcome(call, CALL_BAD_ANSWER);
         return;
     }
@@ -251,6 +320,13 @@
         call_handle_not_sent(call);
         return;
     }
+    if (failure == HTTP_FAILURE_TOO_LONG) {
+        backend_record_unsound(call->backend);
+        load_sharing_report_now(call->gateway->load_sharing, CONTROL_CAN_WAIT);
+        call_log_send_failed(call, "answer_without_end");
+        call_handle_unknown_outcome(call, CALL_BAD_ANSWER);
+        return;
+    }
     bool quick = uv_now(call->gateway->loop) <= call->sent_at + QUICK_RESET_MS;
     if (failure == HTTP_FAILURE_NO_ANSWER && quick) {
         backend_record_reset(call->backend);
@@ -334,6 +410,8 @@
         call_fail(call, CALL_NO_BACKEND);
         return;
     }
+    if (!call->head_sent)
+        call_clear_body(call);
     call->not_run = false;
     call->answered = false;
     call->version_recorded = false;
--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -14,6 +14,8 @@
  */
 #include "net/http_client.h"
 
+#include "net/answer_limits.h"
+
 #include <http_parser.h>
 #include <netinet/tcp.h>
 #include <stdlib.h>
@@ -44,6 +46,8 @@
     bool any_sent;
     bool any_received;
     bool head_request;
+    bool head_complete;
+    size_t head_bytes; /**< Read before the head was complete, with interim heads. */
     bool message_complete;
     bool stopped; /**< Closed by a callback while its bytes were parsed. */
     bool reusable;
@@ -86,6 +90,8 @@
     http_failure_t failure = HTTP_FAILURE_NO_ANSWER;
     if (!client->any_sent)
         failure = HTTP_FAILURE_NOT_SENT;
+    else if (client->head_bytes > ANSWER_HEAD_MAX_BYTES)
+        failure = HTTP_FAILURE_TOO_LONG;
     else if (client->any_received)
         failure = HTTP_FAILURE_BROKEN;
     bool idle = handler == NULL;
@@ -113,6 +119,7 @@
     http_headers_finish(&client->headers);
     if (parser->status_code / 100 == 1)
         return 0;
+    client->head_complete = true;
     http_answer_head_t head = {.status = parser->status_code, .headers = &client->headers};
     bool wanted = client->handler->on_head(client->user, &head);
     if (client->stopped)
@@ -186,6 +193,14 @@
     return recv(descriptor, &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT) == 0;
 }
 
+/** Counts @p count more bytes; true if the head is still not complete after all that it may hold.
+ */
+static bool head_is_too_long(http_client_t *client, size_t count) {
+    if (!client->head_complete)
+        client->head_bytes += count;
+    return client->head_bytes > ANSWER_HEAD_MAX_BYTES;
+}
+
 static void on_read(uv_stream_t *stream, ssize_t count, const uv_buf_t *buffer) {
     http_client_t *client = stream->data;
     if (client->state == STATE_CLOSED || count == 0)
@@ -216,7 +231,8 @@
         return;
     if (client->message_complete)
         finish_exchange(client, parsed < (size_t)count);
-    else if (HTTP_PARSER_ERRNO(&client->parser) != HPE_OK)
+    else if (HTTP_PARSER_ERRNO(&client->parser) != HPE_OK ||
+             head_is_too_long(client, (size_t)count))
         connection_lost(client);
 }
 
@@ -346,6 +362,8 @@
     client->user = user;
     client->any_sent = false;
     client->any_received = false;
+    client->head_complete = false;
+    client->head_bytes = 0;
     client->message_complete = false;
     client->reusable = false;
     if (client->state == STATE_CONNECTING)
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -24,6 +24,7 @@
     HTTP_FAILURE_NOT_SENT,  /**< No byte of the request left this process. */
     HTTP_FAILURE_NO_ANSWER, /**< Sent at least in part; no byte of an answer came. */
     HTTP_FAILURE_BROKEN,    /**< The answer broke off or was not HTTP. */
+    HTTP_FAILURE_TOO_LONG,  /**< The head, or interim heads, exceeded ANSWER_HEAD_MAX_BYTES. */
 } http_failure_t;
 
 /** The head of an answer; valid during the callback only. */
--- a/tests/unit/gateway_test.cc
+++ b/tests/unit/gateway_test.cc
@@ -8,6 +8,7 @@
 #include "gateway/chain_cache.h"
 #include "gateway/event_stream.h"
 #include "gateway/split.h"
+#include "net/answer_limits.h"
 #include "net/http_headers.h"
 }
 
@@ -25,14 +26,22 @@
   protected:
     void SetUp() override {
         event_stream_init(&stream);
+        stream.keeps_output = true;
         complete = g_string_new(nullptr);
     }
     void TearDown() override {
         event_stream_clear(&stream);
         g_string_free(complete, TRUE);
     }
-    void feed(const std::string &bytes) {
-        event_stream_feed(&stream, bytes.data(), bytes.size(), complete);
+    bool feed(const std::string &bytes) {
+        return event_stream_feed(&stream, bytes.data(), bytes.size(), complete);
+    }
+    /** Feeds @p piece again and again; returns the bytes that were accepted, at most @p max. */
+    size_t feed_without_end(const std::string &piece, size_t max) {
+        size_t fed = 0;
+        while (fed < max && feed(piece))
+            fed += piece.size();
+        return fed;
     }
     event_stream_t stream;
     GString *complete;
@@ -66,6 +75,51 @@
     EXPECT_STREQ(stream.output->str, "one\ntwo\n");
 }
 
+// Guards against an event without end, which took all memory of a gateway.
+TEST_F(EventStream, GivesUpAnEventWithoutEnd) {
+    feed("id: 1\ndata: one\n\ndata: ");
+    const size_t limit = ANSWER_EVENT_MAX_BYTES;
+    EXPECT_LE(feed_without_end(std::string(1000, 'a'), 4 * limit), limit);
+    EXPECT_LE(stream.partial->len, limit + 1000);
+    EXPECT_EQ(stream.events, 1u);
+}
+
+// Guards against comments without end, which kept a gateway busy until the call's time was over.
+TEST_F(EventStream, GivesUpCommentsWithoutEnd) {
+    const size_t limit = ANSWER_EVENT_MAX_BYTES;
+    EXPECT_LE(feed_without_end(": still here\n", 4 * limit), limit);
+    TearDown();
+    SetUp();
+    EXPECT_LE(feed_without_end(": still here\n\n", 4 * limit), limit);
+    EXPECT_EQ(stream.events, 0u);
+}
+
+TEST_F(EventStream, AcceptsCommentsBetweenEventsForAsLongAsEventsCome) {
+    for (unsigned i = 0; i < 40; i++)
+        EXPECT_TRUE(feed(": " + std::string(100000, 'a') + "\n\nid: 1\ndata: x\n\n"));
+    EXPECT_EQ(stream.events, 40u);
+}
+
+// Guards against a stream of whole events whose data, kept as a turn, takes all memory.
+TEST_F(EventStream, GivesUpOutputWithoutEnd) {
+    const size_t limit = ANSWER_BODY_MAX_BYTES;
+    const std::string event = "data: " + std::string(100000, 'a') + "\n\n";
+    EXPECT_LE(feed_without_end(event, 2 * limit), limit + event.size());
+    TearDown();
+    SetUp();
+    stream.keeps_output = false;
+    EXPECT_GE(feed_without_end(event, 2 * limit), 2 * limit);
+    EXPECT_EQ(stream.output->len, 0u);
+}
+
+TEST_F(EventStream, FindsTheEndOfAnEventAtAnySplitOfItsBytes) {
+    const std::string text = "data: a\n\r\ndata: b\r\n\r\ndata: c\n\n";
+    for (char byte : text)
+        EXPECT_TRUE(feed(std::string(1, byte)));
+    EXPECT_EQ(stream.events, 3u);
+    EXPECT_EQ(std::string(complete->str, complete->len), text);
+}
+
 turn_t make_turn(const char *id, const char *parent) {
     std::string input = std::string("<") + id + ">";
     std::string output = std::string("[") + id + "]\n";
--- a/tests/unit/http_client_test.cc
+++ b/tests/unit/http_client_test.cc
@@ -8,6 +8,7 @@
 #include <thread>
 
 extern "C" {
+#include "net/answer_limits.h"
 #include "net/http_client.h"
 }
 
@@ -42,7 +43,7 @@
         int connection = accept(listener_, nullptr, nullptr);
         char buffer[4096];
         (void)!read(connection, buffer, sizeof buffer);
-        (void)!write(connection, answer.data(), answer.size());
+        (void)!send(connection, answer.data(), answer.size(), MSG_NOSIGNAL);
         if (ending == Ending::reset) {
             linger now = {1, 0};
             setsockopt(connection, SOL_SOCKET, SO_LINGER, &now, sizeof now);
@@ -113,4 +114,23 @@
     EXPECT_EQ(outcome.failure, HTTP_FAILURE_BROKEN);
 }
 
+// Guards against interim heads without end, whose parsing kept a process busy until a time-out.
+TEST(HttpClient, InterimHeadsWithoutEndAreNoAnswer) {
+    std::string heads;
+    while (heads.size() <= 2 * ANSWER_HEAD_MAX_BYTES)
+        heads += "HTTP/1.1 100 Continue\r\n\r\n";
+    Outcome outcome =
+        exchange(heads + "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", Ending::clean);
+    EXPECT_FALSE(outcome.complete);
+    EXPECT_EQ(outcome.failure, HTTP_FAILURE_TOO_LONG);
+}
+
+TEST(HttpClient, AFewInterimHeadsPrecedeAnAnswer) {
+    const std::string interim = "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n";
+    Outcome outcome = exchange(interim + interim + "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+                               Ending::clean);
+    EXPECT_TRUE(outcome.complete);
+    EXPECT_EQ(outcome.body, "ok");
+}
+
 } // namespace
