gateways, storage nodes: an answer of the key-value service has a bound

Cause: the body was kept whatever its length, for as long as a watch may take. Beyond 32 MiB it is now no answer, as one that can't be read, and a buffer of more than 1 MiB is freed after its answer.

KeyValueWatch.APageThatIsTooLongIsNoAnswer fails before (the listing is taken) and passes after.

--- a/src/cluster/key_value_watch.c
+++ b/src/cluster/key_value_watch.c
@@ -10,6 +10,7 @@
 #include "cluster/key_value_watch.h"
 
 #include "core/configuration/watch_role.h"
+#include "net/answer_limits.h"
 #include "net/http_client.h"
 
 #include <string.h>
@@ -26,6 +27,7 @@
     PAUSE_MOST_MS = 800,
     PAUSE_PATIENT_MS = 3000, /**< After more than one failure, while others ask often. */
     STATUS_OK = 200,
+    BODY_KEPT_MAX_BYTES = 1024 * 1024, /**< A larger buffer is freed after its answer. */
 };
 
 typedef enum { LISTING, WATCHING } phase_t;
@@ -116,6 +118,10 @@
 
 static void on_body(void *user, const char *data, size_t length) {
     key_value_watch_t *watch = user;
+    if (watch->body->len + length > KEY_VALUE_ANSWER_MAX_BYTES) {
+        call_failed(watch);
+        return;
+    }
     g_string_append_len(watch->body, data, (gssize)length);
 }
 
@@ -240,6 +246,10 @@
 }
 
 static void begin_call(key_value_watch_t *watch) {
+    if (watch->body->allocated_len > BODY_KEPT_MAX_BYTES) {
+        g_string_free(watch->body, TRUE);
+        watch->body = g_string_new(NULL);
+    }
     g_string_truncate(watch->body, 0);
     watch->status = 0;
     watch->begun_at = uv_now(watch->loop);
--- a/tests/unit/key_value_watch_test.cc
+++ b/tests/unit/key_value_watch_test.cc
@@ -11,6 +11,7 @@
 
 extern "C" {
 #include "cluster/key_value_watch.h"
+#include "net/answer_limits.h"
 #include "net/http_listener.h"
 }
 
@@ -25,6 +26,7 @@
 struct Service {
     unsigned keys = 0;
     uint64_t old_by = 0;    /**< Pages that may be old are so many revisions behind. */
+    size_t padding = 0;     /**< Bytes of white space before each page of a listing. */
     uint64_t forgotten = 0; /**< Watches from before this revision are answered 410. */
     std::vector<std::string> targets;
     std::vector<http_caller_t *> waiting;
@@ -73,7 +75,7 @@
     service->targets.push_back(target);
     std::string body;
     if (target.find("/-/kv-range") == 0) {
-        body = list(*service, target);
+        body = std::string(service->padding, ' ') + list(*service, target);
     } else {
         unsigned from = static_cast<unsigned>(std::stoul(parameter(target, "after")));
         if (from < service->forgotten) {
@@ -162,6 +164,18 @@
     Watcher &watcher;
 };
 
+// Guards against an answer of the service without end, which took all memory of its readers.
+TEST_F(KeyValueWatch, APageThatIsTooLongIsNoAnswer) {
+    service.keys = 10;
+    service.padding = KEY_VALUE_ANSWER_MAX_BYTES + 1000;
+    open();
+    EXPECT_TRUE(run_until([this] { return asked("kv-range") >= 2; }, 30000));
+    EXPECT_EQ(watcher.listings, 0U);
+    service.padding = 0;
+    EXPECT_TRUE(run_until([this] { return watcher.listings == 1; }, 30000));
+    EXPECT_EQ(watcher.items, 10U);
+}
+
 TEST_F(KeyValueWatch, OneThatIsHeldAsksNothingUntilItGoesOn) {
     service.keys = 1000;
     open_held();
