storage nodes: an index lists the turns of a bucket without a walk over all turns

Each bucket now has a list of its turns; an entry knows its place in it, so that removing one costs the same at any size. Charges are walked only if a bucket of the page differs.

--- a/src/core/turns/turn_table.c
+++ b/src/core/turns/turn_table.c
@@ -45,6 +45,8 @@
     table->bytes = 0;
     table->segments_kept_until = g_array_new(FALSE, TRUE, sizeof(uint64_t));
     table->buckets = g_new0(digest_buckets_t, 1);
+    for (unsigned i = 0; i < DIGEST_BUCKETS; i++)
+        table->by_bucket[i] = g_ptr_array_new();
 }
 
 void turn_table_clear(turn_table_t *table) {
@@ -52,6 +54,8 @@
     g_hash_table_destroy(table->missing_until);
     g_array_free(table->segments_kept_until, TRUE);
     g_free(table->buckets);
+    for (unsigned i = 0; i < DIGEST_BUCKETS; i++)
+        g_ptr_array_free(table->by_bucket[i], TRUE);
 }
 
 void turn_table_keep_segment(turn_table_t *table, uint32_t segment, uint64_t until) {
@@ -105,6 +109,22 @@
     table->buckets->digests[entry->bucket] ^= digest_of_record(entry->turn.id, 0);
 }
 
+static void add_to_bucket(turn_table_t *table, turn_entry_t *entry) {
+    GPtrArray *bucket = table->by_bucket[entry->bucket];
+    update_bucket(table, entry, 1);
+    entry->bucket_index = bucket->len;
+    g_ptr_array_add(bucket, entry);
+}
+
+static void remove_from_bucket(turn_table_t *table, const turn_entry_t *entry) {
+    GPtrArray *bucket = table->by_bucket[entry->bucket];
+    update_bucket(table, entry, -1);
+    g_ptr_array_remove_index_fast(bucket, entry->bucket_index);
+    if (entry->bucket_index < bucket->len)
+        ((turn_entry_t *)g_ptr_array_index(bucket, entry->bucket_index))->bucket_index =
+            entry->bucket_index;
+}
+
 bool turn_table_extend(turn_table_t *table, const char *id, uint32_t retention_ms, uint64_t now) {
     turn_entry_t *entry = g_hash_table_lookup(table->entries, id);
     if (entry != NULL)
@@ -120,7 +140,7 @@
     turn_copy(&entry->turn, turn);
     entry->segment = segment;
     entry->bucket = digest_bucket_of(turn->id);
-    update_bucket(table, entry, 1);
+    add_to_bucket(table, entry);
     g_hash_table_insert(table->entries, entry->turn.id, entry);
     table->bytes += turn_memory_bytes(turn);
     extend_chain(table, entry, take_required_expiry(table, turn->id, expires_at));
@@ -173,7 +193,7 @@
         if (entry->expires_at > now)
             continue;
         table->bytes -= turn_memory_bytes(&entry->turn);
-        update_bucket(table, entry, -1);
+        remove_from_bucket(table, entry);
         g_hash_table_iter_remove(&iterator);
     }
 }
--- a/src/core/turns/turn_table.h
+++ b/src/core/turns/turn_table.h
@@ -31,8 +31,9 @@
 typedef struct {
     turn_t turn;
     uint64_t expires_at;
-    uint32_t segment; /**< Number of the log segment that holds the turn. */
-    uint16_t bucket;  /**< Of its id; see digest_buckets.h. */
+    uint32_t segment;   /**< Number of the log segment that holds the turn. */
+    uint16_t bucket;    /**< Of its id; see digest_buckets.h. */
+    guint bucket_index; /**< In turn_table_t.by_bucket. */
 } turn_entry_t;
 
 typedef struct {
@@ -41,7 +42,8 @@
                                    the missing turn's id. */
     uint64_t bytes;              /**< Estimated memory of all turns. */
     GArray *segments_kept_until; /**< By segment number: time until which to keep it. */
-    digest_buckets_t *buckets;   /**< Digests of all turns; every turn in the table is durable. */
+    GPtrArray *by_bucket[DIGEST_BUCKETS]; /**< Of turn_entry_t, in no order. */
+    digest_buckets_t *buckets; /**< Digests of all turns; every turn in the table is durable. */
 } turn_table_t;
 
 void turn_clear(turn_t *turn);
--- a/src/store/store_index.c
+++ b/src/store/store_index.c
@@ -70,16 +70,23 @@
     g_array_append_val(index->response.charges, copy);
 }
 
+static void add_turns(index_t *index, unsigned bucket) {
+    const GPtrArray *entries = index->store->turns.by_bucket[bucket];
+    for (guint i = 0; i < entries->len; i++) {
+        const turn_entry_t *entry = g_ptr_array_index(entries, i);
+        g_ptr_array_add(index->response.ids, g_strdup(entry->turn.id));
+    }
+}
+
 static void add_records(index_t *index) {
-    GHashTableIter iterator;
-    gpointer value;
-    g_hash_table_iter_init(&iterator, index->store->turns.entries);
-    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
-        const turn_entry_t *entry = value;
-        if (in_page(index, entry->bucket) && turns_differ(index, entry->bucket))
-            g_ptr_array_add(index->response.ids, g_strdup(entry->turn.id));
+    bool any_charge = false;
+    for (unsigned bucket = index->first; bucket < index->end; bucket++) {
+        if (turns_differ(index, bucket))
+            add_turns(index, bucket);
+        any_charge = any_charge || charges_differ(index, bucket);
     }
-    budget_table_each(&index->store->budgets, NULL, add_charge, index);
+    if (any_charge)
+        budget_table_each(&index->store->budgets, NULL, add_charge, index);
 }
 
 void store_send_index(store_t *store, frame_connection_t *connection, const message_t *request) {
