--- a/src/core/retry/crash_history.c
+++ b/src/core/retry/crash_history.c
@@ -9,7 +9,7 @@
     CRASHES_KEPT = 2 * CRASHES_MAX,
     STOP_DOUBLINGS_MAX = 4,                  /**< A stop lasts for 16 minutes at most. */
     RENEWAL_MIN_MS = CRASH_RETENTION_MS / 4, /**< Between two renewals that are sent to others. */
-    /** No report is longer on its way. Back ends' numbers may begin anew after that. */
+    /** Upper bound of a report's delay. A number of a back end may be given again after that. */
     REPORT_DELAY_MAX_MS = 10000,
 };
 
--- a/src/core/retry/crash_history.h
+++ b/src/core/retry/crash_history.h
@@ -8,7 +8,7 @@
  * complete successful response is not, so its crashes are forgotten: that of one caller also clears
  * equal requests of others. A failure says nothing: the same request may end the next back end.
  *
- * A stop lasts for CRASH_RETENTION_MS from the crash that began it. It begins anew while the caller
+ * A stop lasts for CRASH_RETENTION_MS from the crash that began it. It is renewed while the caller
  * of a program's request comes back all the same, which is sent to others (crash_history_renew).
  * For as long again after its end, one more crash is enough to stop the request, for twice as long.
  *
@@ -38,9 +38,9 @@
 /**
  * A crash under a request, or the end of suspicion against the request.
  *
- * Reports of one crash come more than once, from several gateways, and late by any time, so that a
- * the time doesn't show whether the receiver knows a crash. A back end that ends under a request
- * again, after a restart, has the next number.
+ * Reports of one crash come more than once, from several gateways, and with any delay, so that the
+ * time doesn't show whether the receiver knows a crash. A back end that ends under a request again,
+ * after a restart, has the next number.
  */
 typedef struct {
     uint64_t request; /**< See call_identity of gateway/call.h. */
@@ -70,7 +70,7 @@
 /** Forgets the crashes up to @p at; false if there were none. */
 bool crash_history_clear(crash_history_t *history, uint64_t request, uint64_t at);
 /**
- * Begins the request's stop anew at @p at, if it is stopped then; true if that should be sent to
+ * Renews the request's stop at @p at, if it is stopped then; true if that should be sent to
  * others, whose view of it is much older.
  */
 bool crash_history_renew(crash_history_t *history, uint64_t request, uint64_t at);
--- a/src/gateway/call_version.c
+++ b/src/gateway/call_version.c
@@ -6,7 +6,7 @@
  *
  * While a service has had back ends of one version only, there is nothing to decide. Otherwise a
  * stream of an unknown version is refused at once, as one whose version has no back end: the caller
- * begins anew.
+ * starts a new one.
  *
  * Failures. A back end's entry may be older than the process that serves under its id. After a
  * broken or refused connection its version is in doubt until its entry changes, or until the
--- a/src/gateway/crash_watch.h
+++ b/src/gateway/crash_watch.h
@@ -50,8 +50,8 @@
 /** The request got a complete successful response. */
 void crash_watch_record_success(crash_watch_t *watch, uint64_t request);
 /**
- * A program's request was refused because it is stopped: its caller is still there, so the stop
- * begins anew.
+ * A program's request was refused because it is stopped: its caller is still there, so the stop is
+ * renewed.
  */
 void crash_watch_record_refused(crash_watch_t *watch, uint64_t request);
 const crash_watch_counts_t *crash_watch_counts(const crash_watch_t *watch);
--- a/src/store/store_catch_up.c
+++ b/src/store/store_catch_up.c
@@ -17,7 +17,8 @@
  * stops while there is no space.
  *
  * Failures. A copy whose source disconnects or times out restarts with a new index. If a record
- * cannot be written to the local disk, all unfinished copies restart.
+ * cannot be written to the local disk, all unfinished copies restart; those of a complete member
+ * end, and a later reconciliation goes on.
  */
 #include "store/store.h"
 
--- a/src/storesim/virtual_network.h
+++ b/src/storesim/virtual_network.h
@@ -14,7 +14,7 @@
 void virtual_network_start(void);
 /** Ends all connections of a process that ended; @p silent: without a word to the others. */
 void virtual_network_process_ended(virtual_process_t *process, bool silent);
-/** Serial numbers begin anew, so that a seed runs the same alone and behind others. */
+/** Serial numbers restart, so that a seed runs the same alone and behind others. */
 void virtual_network_restart_serials(void);
 /** Bytes of the largest frame that has come anywhere since the start. */
 size_t virtual_network_largest_frame(void);
