simulator: faults that are built in are noticed as before

The fault that this check builds in on purpose is a member that counts as complete though its disk was emptied. Since members that restart compare their records, such a member gets all of them back before another disk is lost, so that the fault no longer shows.

--- a/src/storesim/world.c
+++ b/src/storesim/world.c
@@ -16,7 +16,8 @@
     store->store = g_new0(store_t, 1);
     store->store->loop = &store->process->loop;
     store->store->settings = &store->settings;
-    if (store->world->broken == BREAK_RECONCILIATION)
+    /* A reconciliation would bring back records that other faults have lost. */
+    if (store->world->broken != BREAK_NOTHING)
         store->store->reconciliation.ended_at = NEVER_MS;
     store_open(store->store, NULL);
 }
