gateways: the length that an answer tells without a body does not count as too long

The answer to HEAD and a 304 tell the length of a body that they don't have; body_is_too_long would have refused them from 16 MiB on. Found by reading the diff; no test plays a HEAD for so long a body.

--- a/src/gateway/call_send.c
+++ b/src/gateway/call_send.c
@@ -24,6 +24,7 @@
 enum {
     STATUS_OK = 200,
     STATUS_MULTIPLE_CHOICES = 300,
+    STATUS_NOT_MODIFIED = 304,
     STATUS_MISDIRECTED = 421, /**< The address belongs to another instance. */
     STATUS_SERVER_ERROR = 500,
     STATUS_UNAVAILABLE = 503,
@@ -162,8 +163,10 @@
     return true;
 }
 
-/** True if the answer tells a length that exceeds the bound. */
-static bool body_is_too_long(const http_answer_head_t *head) {
+/** True if the answer tells a length that exceeds the bound, and its body will follow. */
+static bool body_is_too_long(const call_t *call, const http_answer_head_t *head) {
+    if (strcmp(call->request->method, "HEAD") == 0 || head->status == STATUS_NOT_MODIFIED)
+        return false;
     const char *length = http_headers_find(head->headers, "Content-Length");
     return length != NULL && strtoull(length, NULL, 10) > ANSWER_BODY_MAX_BYTES;
 }
@@ -205,7 +208,7 @@
         return false;
     }
     bool streaming = call->route->kind == CALL_STREAM && is_success(head->status);
-    if (!streaming && body_is_too_long(head)) {
+    if (!streaming && body_is_too_long(call, head)) {
         call_log_send_failed(call, "answer_too_long");
         call->client = NULL;
         call_handle_unknown_outcome(call, CALL_BAD_ANSWER);
