storage nodes: missing parents are logged for gateways' turns only, once a second

Copies come in no order, so that such a parent is mostly under way.

E872 is logged for turns of gateways only, which is where a gap shows, and once a second at most; the gauge store_missing_ancestors is as before. store_reconcile_unit_test passes.

--- a/src/store/store.h
+++ b/src/store/store.h
@@ -82,7 +82,8 @@
     uint64_t charges_copied;    /**< From other members. */
     uint64_t copy_ids_examined; /**< Turn ids examined while copying. */
     reconciliation_t reconciliation;
-    uint64_t reconciliations; /**< Runs started. */
+    uint64_t reconciliations;            /**< Runs started. */
+    uint64_t missing_ancestor_logged_at; /**< Loop time; 0: never. */
     store_catch_up_state_t *catch_up;
     store_membership_t *membership;
     store_directory_t *directory;
--- a/src/store/store_requests.c
+++ b/src/store/store_requests.c
@@ -26,6 +26,7 @@
     MS_PER_S = 1000,
     ADMISSION_LOG_LINES_MAX = 20, /**< Per ADMISSION_LOG_PERIOD_MS. */
     ADMISSION_LOG_PERIOD_MS = 1000,
+    MISSING_ANCESTOR_LOG_MS = 1000, /**< Between two lines. */
 };
 
 /** A pending write. */
@@ -141,17 +142,25 @@
     return true;
 }
 
-/** Logs that the parent of a turn that was just added is missing here. */
-static void report_missing_parent(const store_t *store, const turn_t *turn) {
-    if (turn_table_lacks_ancestor(&store->turns, turn->parent))
-        event_log(STORE_ANCESTOR_MISSING, turn->id, turn->parent,
-                  turn_table_missing_ancestors(&store->turns));
+/**
+ * Logs that the parent of a gateway's turn that was just added is missing here. Copies come in no
+ * order, so that the parent may be under way.
+ */
+static void report_missing_parent(store_t *store, const write_t *write) {
+    bool is_copy = write->received_at == 0;
+    bool is_logged = store->missing_ancestor_logged_at > 0 &&
+                     now(store) < store->missing_ancestor_logged_at + MISSING_ANCESTOR_LOG_MS;
+    if (is_copy || is_logged || !turn_table_lacks_ancestor(&store->turns, write->turn.parent))
+        return;
+    store->missing_ancestor_logged_at = now(store);
+    event_log(STORE_ANCESTOR_MISSING, write->turn.id, write->turn.parent,
+              turn_table_missing_ancestors(&store->turns));
 }
 
 /** Adds a turn that is on disk to the table. */
-static void add_durable_turn(store_t *store, const turn_t *turn, uint32_t segment) {
-    turn_table_add_to_segment(&store->turns, turn, segment, store_expiry_clock_ms(store));
-    report_missing_parent(store, turn);
+static void add_durable_turn(store_t *store, const write_t *write, uint32_t segment) {
+    turn_table_add_to_segment(&store->turns, &write->turn, segment, store_expiry_clock_ms(store));
+    report_missing_parent(store, write);
 }
 
 static void on_write_done(void *owner, bool durable, uint32_t segment) {
@@ -166,7 +175,7 @@
     else if (write->turn.id != NULL)
         remove_pending_turn(store, write);
     if (durable && write->turn.id != NULL)
-        add_durable_turn(store, &write->turn, segment);
+        add_durable_turn(store, write, segment);
     else if (durable)
         mark_charge_durable(store, &write->charge, segment);
     if (!write->confirmed)
