--- a/tests/integration/crash_request_test.sh
+++ b/tests/integration/crash_request_test.sh
@@ -39,3 +39,15 @@
 expect "a call whose connections are delayed here stays with its back end and is answered" \
     crash_request connections_delayed
 expect "several such requests at once end at most three back ends each" crash_request several
+expect "a request ends at most three back ends whose ports accept connections for a while" \
+    crash_request --listener-s 0.02 --tries 8 tries
+expect "a request ends at most three back ends whose ports accept connections for good" \
+    crash_request --listener-s inf --tries 8 tries
+expect "a request ends at most three back ends though the gateway of each try is killed" \
+    crash_request --tries 8 gateway_killed_in_try
+expect "a request ends at most three back ends though the gateway of each try stands still" \
+    crash_request --patience 0.5 --tries 8 gateway_frozen_in_try
+expect "a request ends at most three back ends though all nodes are killed between its tries" \
+    crash_request --tries 4 all_nodes_killed
+expect "a request ends at most three back ends though storage nodes and then gateways are killed" \
+    crash_request --tries 5 all_nodes_killed_in_turn
--- a/tests/soak/crash_request_test.py
+++ b/tests/soak/crash_request_test.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import json
+import math
 import os
 import re
 import shutil
@@ -37,6 +38,8 @@
 DELAY_S = 1.0  # Longer than two connections are waited for.
 DELAYS_APART_S = 2.5  # Longer than crashes of one silent back end count as the same.
 DELAY_SCENARIOS = ["connections_delayed", "delayed_in_series"]
+FROZEN_S = 1.5  # How long a gateway stands still.
+NODE_FAULT_MAX_S = 0.03  # After a back end's end.
 PERSISTENT_S = 70.0  # Longer than a stop lasts.
 STAYS_S = 130.0  # Longer than a stop and the time after it in which one crash is enough.
 BODY = b"crash"
@@ -57,6 +60,24 @@
     def __init__(self, fleet, *arguments):
         super().__init__(*arguments)
         self.fleet = fleet
+        self.lingers = False  # Its port takes connections though the process has ended.
+
+    def end_but_listener(self):
+        """The process ends; its port takes connections for longer, which nobody serves."""
+        self.lingers = True
+        for writer in list(self.connections):
+            reset(writer)
+
+    async def _serve(self, reader, writer):
+        if not self.lingers:
+            return await super()._serve(reader, writer)
+        self.connections.add(writer)
+        try:
+            await reader.read()
+        except OSError:
+            pass
+        self.connections.discard(writer)
+        writer.close()
 
     async def _stream(self, request, attempt_id, fields, writer):
         if not request.body.endswith(BODY):
@@ -125,6 +146,7 @@
         self.sends = []  # (time, instance) of the request that ends back ends.
         self.ends = []
         self.ended = set()  # Instances that ended, for whatever cause.
+        self.on_end = None  # Called as a back end ends under the request, before it is noticed.
 
     def new_backend(self, instance, service):
         backend = CrashingBackend(self, instance, service, service == "engine",
@@ -139,12 +161,23 @@
         """The process of the back end ends under the request."""
         self.ends.append((time.monotonic(), backend.instance))
         self.ended.add(backend.instance)
+        if self.on_end is not None:
+            self.on_end()
         if not self.options.silent:
             self.crash(backend)
             return
         backend.fall_silent()
         self.tasks.append(asyncio.ensure_future(self.replace(backend)))
 
+    def crash(self, backend):
+        if self.options.listener_s == 0:
+            super().crash(backend)
+            return
+        backend.end_but_listener()
+        if math.isfinite(self.options.listener_s):
+            asyncio.get_running_loop().call_later(self.options.listener_s, backend.stop)
+        self.tasks.append(asyncio.ensure_future(self.replace(backend)))
+
     def delay_connections(self):
         """As behind a long queue at the gateways: for DELAY_S no connection comes up, and requests
         on open ones wait."""
@@ -296,6 +329,89 @@
         await self.send_tries(self.drawn())
         return self.judge_ends()
 
+    async def _tries_with_fault(self, fault, budgeted=True):
+        """Each try at a drawn gateway, which FAULT strikes as the try's first back end ends."""
+        for gateway in self.drawn():
+            self.fleet.on_end = lambda node=gateway: self._strike_once(fault, node)
+            await self.send_tries([gateway], budgeted)
+            self.fleet.on_end = None
+            for node in self.cluster.nodes():
+                if not node.running():
+                    node.start()
+                    await self._wait_for("the restart", lambda node=gateway: self._serves_turns(node))
+        await asyncio.sleep(FROZEN_S)
+        return self.judge_ends()
+
+    def _strike_once(self, fault, gateway):
+        self.fleet.on_end = None
+        fault(gateway)
+
+    def _freeze(self, gateway):
+        gateway.pause()
+        asyncio.get_running_loop().call_later(FROZEN_S, gateway.resume)
+
+    async def gateway_killed_in_try(self):
+        """The gateway of each try is killed as its back end ends, so that it has told nobody."""
+        return await self._tries_with_fault(lambda gateway: gateway.kill())
+
+    async def gateway_frozen_in_try(self):
+        """The gateway of each try stands still as its back end ends, and goes on later."""
+        return await self._tries_with_fault(self._freeze)
+
+    async def _restart(self, nodes):
+        for node in nodes:
+            node.kill()
+        for node in nodes:
+            node.start()
+        for gateway in self.cluster.gateways:
+            await self._wait_for("the restart", lambda node=gateway: self._serves_turns(node))
+
+    async def all_nodes_killed(self):
+        """All gateways and storage nodes are killed and start again between the tries."""
+        for gateway in self.drawn():
+            await self.send_tries([gateway])
+            await self._restart(self.cluster.nodes())
+        return self.judge_ends()
+
+    async def all_nodes_killed_in_turn(self):
+        """The storage nodes are killed and start again between the tries, then the gateways."""
+        for gateway in self.drawn():
+            await self.send_tries([gateway])
+            for nodes in (self.cluster.stores, self.cluster.gateways):
+                for node in nodes:
+                    node.kill()
+                for node in nodes:
+                    node.start()
+            for node in self.cluster.gateways:
+                await self._wait_for("the restart", lambda node=node: self._serves_turns(node))
+        return self.judge_ends()
+
+    async def drawn_faults(self):
+        """The listener's lag, what strikes which nodes and when, and the events are drawn."""
+        draw, options = self.random, self.options
+        options.listener_s = draw.choice([0, draw.uniform(0, 0.02), draw.uniform(0, 1), math.inf])
+        options.events = draw.choice([0, 0, 1, 3])
+        options.patience = draw.choice([0.3, 0.5, soak.RECOVER_S])
+        faults = {
+            "none": lambda gateway: None,
+            "kill": lambda gateway: gateway.kill(),
+            "freeze": self._freeze,
+            "gateways": lambda gateway: [node.kill() for node in self.cluster.gateways],
+            "stores": lambda gateway: [node.kill() for node in self.cluster.stores],
+        }
+        name = draw.choice(sorted(faults))
+        delay = draw.choice([0, draw.uniform(0, NODE_FAULT_MAX_S)])
+        loop = asyncio.get_running_loop()
+
+        def strike(gateway):
+            if delay == 0:
+                faults[name](gateway)
+            else:
+                loop.call_later(delay, faults[name], gateway)
+        report = await self._tries_with_fault(strike)
+        return {**report, "listener_s": str(options.listener_s), "events": options.events,
+                "fault": name, "delay_s": delay, "patience_s": options.patience}
+
     async def persistent(self):
         """The caller does not heed Retry-After and goes on for longer than a stop lasts."""
         end = time.monotonic() + PERSISTENT_S
@@ -398,11 +514,15 @@
                         ["tries", "anonymous", "gateway_killed", "all_gateways_killed",
                          "all_restarted_in_turn", "persistent", "persistent_at_one",
                          "stores_away", "mostly_cut_off", "several", "connections_delayed",
-                         "delayed_in_series", "bystanders"])
+                         "delayed_in_series", "bystanders", "gateway_killed_in_try",
+                         "gateway_frozen_in_try", "all_nodes_killed", "all_nodes_killed_in_turn",
+                         "drawn_faults"])
     parser.add_argument("--events", type=int, default=0, help="events before a back end ends")
     parser.add_argument("--pace", type=int, default=1, help="how many times as long events take")
     parser.add_argument("--silent", action="store_true",
                         help="ended back ends neither reset nor refuse connections")
+    parser.add_argument("--listener-s", type=float, default=0,
+                        help="seconds for which an ended back end's port takes connections; inf")
     parser.add_argument("--errors", action="store_true",
                         help="every second send gets a complete answer with a failure instead")
     parser.add_argument("--patience", type=float, default=soak.RECOVER_S,
