gateways: a new connection does not show that a back end has not ended

Callers saw: a request that ends back ends goes on to more of them, without limit, where the port of an ended back end still accepts connections (the kernel closes it later, a supervisor or a proxy goes on, the address has a new owner).

Cause: after a broken connection the gateway opened a new one, and one that came up withdrew the crash. Whoever accepts a connection need not be the process that had the request.

Now a broken connection counts until there is evidence of that process itself: it sends more on a connection that had brought something before (its end closes all of its connections), or the directory still has its entry after an entry would have lapsed. Refused connections confirm at once, as before. Storage nodes are told at once.

The unit test ABrokenConnectionCountsOnlyWhileNoNewOneComesUp asked for the fault itself; seven tests of the evidence take its place, and the part on refused connections stays. A stop that rests on suspicions tells its caller some 6 s instead of a minute.

--- a/src/gateway/backend_versions.c
+++ b/src/gateway/backend_versions.c
@@ -1,8 +1,6 @@
 #include "gateway/backend_versions.h"
 
 enum {
-    /** A process that has started writes its entry within a heartbeat of a second or two. */
-    VERSION_DOUBT_MS = 5000,
     VERSION_ENTRY_LAG_MS = 1000, /**< From the write of an entry until gateways have it. */
 };
 
--- a/src/gateway/backend_versions.h
+++ b/src/gateway/backend_versions.h
@@ -10,6 +10,12 @@
 
 #include "gateway/backends.h"
 
+/**
+ * A process that has started writes its entry within a heartbeat of a second or two; that of one
+ * that has ended is removed after three.
+ */
+enum { VERSION_DOUBT_MS = 5000 };
+
 /** The process at the back end's address may be another than that which wrote its entry. */
 void backend_doubt_version(backend_t *backend);
 /** A connection to the back end showed that its process has not ended since @p since. */
--- a/src/gateway/backends.c
+++ b/src/gateway/backends.c
@@ -154,6 +154,8 @@
     backend->peer_calls = 0;
     backend->overdue = false;
     backend->unreachable_at = 0;
+    backend->survived_from = 0;
+    backend->survived_until = 0;
     g_queue_clear(&backend->unanswered);
     backend_probe_stop(backend);
     close_idle(backend);
@@ -164,6 +166,7 @@
     if (backend == NULL) {
         backend = g_new0(backend_t, 1);
         backend->loop = backends->loop;
+        backend->added_at = uv_now(backends->loop);
         backend->references = 1;
         backend->idle = g_ptr_array_new();
         g_queue_init(&backend->unanswered);
--- a/src/gateway/backends.h
+++ b/src/gateway/backends.h
@@ -64,6 +64,9 @@
     software_version_t version;
     uint64_t version_doubted_at; /**< See backend_version_certain; 0: never. */
     uint64_t version_updated_at; /**< When its entry last changed. */
+    uint64_t added_at;           /**< When its entry appeared. */
+    uint64_t survived_from;      /**< See backend_survival.h; 0: nothing is known. */
+    uint64_t survived_until;
     uint64_t incarnation_id; /**< Hash of instance and start time; 0: it reports no start time. */
     uint64_t incarnation_since;      /**< When a restart was detected; 0: never. */
     struct incarnation_speed *speed; /**< See backend_speeds.h; NULL: not measured. */
--- a/src/gateway/call_send.c
+++ b/src/gateway/call_send.c
@@ -13,6 +13,7 @@
 
 #include "common/event.h"
 #include "gateway/backend_probe.h"
+#include "gateway/backend_survival.h"
 #include "gateway/backend_versions.h"
 #include "gateway/call_placement.h"
 #include "net/answer_limits.h"
@@ -135,6 +136,11 @@
     call->backend->observed.last_received_at = uv_now(call->gateway->loop);
 }
 
+/** Records a valid answer, or a part of it. */
+static void record_answer(const call_t *call) {
+    backend_record_survival(call->backend, http_client_first_received_at(call->client));
+}
+
 static void record_progress(call_t *call) {
     call->last_received_at = uv_now(call->gateway->loop);
 }
@@ -201,6 +207,7 @@
         call_handle_unknown_outcome(call, CALL_BAD_ANSWER);
         return false;
     }
+    record_answer(call);
     if (is_success(head->status) && !call_version_served_by_backend(call)) {
         call_log_send_failed(call, "other_version");
         call->client = NULL;
@@ -242,6 +249,7 @@
 static void on_body(void *user, const char *data, size_t length) {
     call_t *call = user;
     record_received(call);
+    record_answer(call);
     if (!call->streaming) {
         record_progress(call);
         if (!hold_body(call, data, length))
--- a/src/gateway/crash_watch.c
+++ b/src/gateway/crash_watch.c
@@ -1,16 +1,27 @@
 #include "gateway/crash_watch.h"
 
 #include "common/event.h"
+#include "core/retry/recent_successes.h"
 #include "gateway/backend_versions.h"
 #include "gateway/backend_check.h"
+#include "gateway/backend_survival.h"
 #include "gateway/crash_reports.h"
 
 enum {
     RESTART_MIN_MS = 100,
     QUIET_MS = 100, /**< A back end that has sent something within this time is alive. */
     GIVEN_UP_MAX = 1024,
+    SUSPICIONS_MAX = 4096,
+    SUSPICION_POLL_MS = 100,
+    /** The directory mostly settles a suspicion within this time. */
+    SUSPICION_SETTLED_MS = VERSION_DOUBT_MS + 1000,
 };
 
+typedef struct {
+    crash_report_t crash;
+    bool counted; /**< Suspected crashes count, but for requests that have succeeded lately. */
+} checked_crash_t;
+
 /** A check of one back end, for all requests whose connections broke or were given up there. */
 typedef struct {
     crash_watch_t *watch;
@@ -18,8 +29,8 @@
     uint64_t backend; /**< backend_t.id_hash. */
     char *instance;
     char *service;
-    GArray *crashes; /**< Of crash_report_t. */
-    bool sent;       /**< Storage nodes know the crashes before their check has a result. */
+    GArray *crashes; /**< Of checked_crash_t. */
+    bool slow;       /**< There was no result for a while. */
 } suspected_backend_t;
 
 /** A request that was given up at a back end which had sent something just before. */
@@ -29,6 +40,12 @@
     uint64_t at;
 } given_up_t;
 
+/** A broken connection to a back end that accepts new ones. */
+typedef struct {
+    crash_report_t crash;
+    uint64_t backend; /**< backend_t.id_hash. */
+} suspicion_t;
+
 struct crash_watch {
     uv_loop_t *loop;
     backends_t *backends;
@@ -38,6 +55,9 @@
     GHashTable *checks; /**< backend_t.id_hash to suspected_backend_t. */
     GQueue given_up;    /**< Of given_up_t, oldest first. */
     uv_timer_t given_up_timer;
+    recent_successes_t successes;
+    GArray *suspicions; /**< Of suspicion_t, oldest first. */
+    uv_timer_t suspicion_timer;
     crash_watch_counts_t counts;
 };
 
@@ -110,6 +130,9 @@
     g_queue_init(&watch->given_up);
     uv_timer_init(loop, &watch->given_up_timer);
     watch->given_up_timer.data = watch;
+    watch->suspicions = g_array_new(FALSE, FALSE, sizeof(suspicion_t));
+    uv_timer_init(loop, &watch->suspicion_timer);
+    watch->suspicion_timer.data = watch;
     load_sharing_share_crashes(sharing, &sharing_handler, watch);
     return watch;
 }
@@ -176,35 +199,81 @@
     g_free(check);
 }
 
-static void remove_crashes(const suspected_backend_t *check) {
-    for (guint i = 0; i < check->crashes->len; i++) {
-        crash_report_t *crash = &g_array_index(check->crashes, crash_report_t, i);
-        crash_history_remove(check->watch->history, crash);
-        if (check->sent)
-            send_to_stores(check->watch, MESSAGE_CRASH_WITHDRAWN, crash);
-    }
+/** Storage nodes know a broken connection at once, and a silent back end once its check is slow. */
+static bool is_sent(const suspected_backend_t *check, const checked_crash_t *checked) {
+    return checked->counted && (!checked->crash.silent || check->slow);
 }
 
-static void confirm_crashes(const suspected_backend_t *check) {
-    crash_watch_t *watch = check->watch;
-    for (guint i = 0; i < check->crashes->len; i++) {
-        const crash_report_t *crash = &g_array_index(check->crashes, crash_report_t, i);
-        crash_news_t news = news_of_crash(watch, crash->request);
-        crash_history_confirm(watch->history, crash);
-        if (check->sent)
-            report_to_gateways(watch, crash, news);
-        else
-            report_crash(watch, crash, news);
-        log_if_stopped(watch, crash->request);
+static void withdraw_crash(const crash_watch_t *watch, crash_report_t *crash, bool sent) {
+    if (crash_history_remove(watch->history, crash) && sent)
+        send_to_stores(watch, MESSAGE_CRASH_WITHDRAWN, crash);
+}
+
+static void confirm_crash(const crash_watch_t *watch, const crash_report_t *crash, bool sent) {
+    crash_news_t news = news_of_crash(watch, crash->request);
+    crash_history_confirm(watch->history, crash);
+    if (sent)
+        report_to_gateways(watch, crash, news);
+    else
+        report_crash(watch, crash, news);
+    log_if_stopped(watch, crash->request);
+}
+
+/* Suspicions: the back end accepts connections, which does not show that its process lives. */
+
+/** True if the suspicion is settled. */
+static bool settle_suspicion(const crash_watch_t *watch, suspicion_t *suspicion) {
+    static const char *const names[SURVIVAL_COUNT] = {"expired", "answered", "listed", "replaced"};
+    crash_report_t *crash = &suspicion->crash;
+    backend_t *backend = backends_find_hash(watch->backends, suspicion->backend);
+    survival_t survival =
+        backend == NULL ? SURVIVAL_REPLACED : backend_survival_since(backend, crash->at);
+    bool expired = now(watch) >= crash->at + CRASH_RETENTION_MS;
+    if (survival == SURVIVAL_UNKNOWN && !expired)
+        return false;
+    event_log(BACKEND_CRASH_SETTLED, crash->request,
+              backend == NULL ? "-" : backend->record->instance, names[survival],
+              now(watch) - crash->at);
+    if (survival == SURVIVAL_ANSWERED || survival == SURVIVAL_LISTED) {
+        backend_trust_version(backend, crash->at);
+        withdraw_crash(watch, crash, true);
+    } else {
+        confirm_crash(watch, crash, true);
     }
+    return true;
+}
+
+static void on_suspicion_timer(uv_timer_t *timer) {
+    crash_watch_t *watch = timer->data;
+    for (guint i = watch->suspicions->len; i > 0; i--)
+        if (settle_suspicion(watch, &g_array_index(watch->suspicions, suspicion_t, i - 1)))
+            g_array_remove_index(watch->suspicions, i - 1);
+    if (watch->suspicions->len == 0)
+        uv_timer_stop(timer);
+}
+
+static void keep_suspicion(crash_watch_t *watch, const crash_report_t *crash, uint64_t backend) {
+    if (watch->suspicions->len >= SUSPICIONS_MAX)
+        g_array_remove_index(watch->suspicions, 0);
+    const suspicion_t suspicion = {*crash, backend};
+    g_array_append_val(watch->suspicions, suspicion);
+    log_if_stopped(watch, crash->request);
+    if (!uv_is_active((const uv_handle_t *)&watch->suspicion_timer))
+        uv_timer_start(&watch->suspicion_timer, on_suspicion_timer, SUSPICION_POLL_MS,
+                       SUSPICION_POLL_MS);
 }
 
+/* Checks. */
+
 /** The caller may come back elsewhere before there is a result. */
 static void on_slow_check(void *owner) {
     suspected_backend_t *check = owner;
-    check->sent = true;
-    for (guint i = 0; i < check->crashes->len; i++)
-        send_crash(check->watch, &g_array_index(check->crashes, crash_report_t, i));
+    check->slow = true;
+    for (guint i = 0; i < check->crashes->len; i++) {
+        const checked_crash_t *checked = &g_array_index(check->crashes, checked_crash_t, i);
+        if (checked->counted && checked->crash.silent)
+            send_crash(check->watch, &checked->crash);
+    }
 }
 
 /** Longer than that after its connections broke, a process that accepts one may be a new one. */
@@ -214,8 +283,23 @@
         backend_trust_version(backend, now(check->watch));
 }
 
+static void handle_result(const suspected_backend_t *check, checked_crash_t *checked,
+                          backend_check_result_t result) {
+    crash_watch_t *watch = check->watch;
+    crash_report_t *crash = &checked->crash;
+    if (result == BACKEND_CHECK_ENDED || result == BACKEND_CHECK_UNREACHABLE) {
+        if (checked->counted || crash_history_add(watch->history, crash, true))
+            confirm_crash(watch, crash, is_sent(check, checked));
+    } else if (checked->counted) {
+        if (crash->silent || result == BACKEND_CHECK_DOUBTFUL)
+            withdraw_crash(watch, crash, is_sent(check, checked));
+        else
+            keep_suspicion(watch, crash, check->backend);
+    }
+}
+
 static void on_check_result(void *owner, backend_check_result_t result, uint64_t ms) {
-    static const char *const names[] = {"alive", "ended", "unreachable", "doubtful"};
+    static const char *const names[] = {"accepts", "ended", "unreachable", "doubtful"};
     suspected_backend_t *check = owner;
     if (result == BACKEND_CHECK_UNREACHABLE &&
         backends_mostly_unreachable(check->backends, check->service))
@@ -223,10 +307,8 @@
     event_log(BACKEND_CRASH_CHECKED, check->instance, check->crashes->len, names[result], ms);
     if (result == BACKEND_CHECK_ALIVE)
         trust_version(check, ms);
-    if (result == BACKEND_CHECK_ENDED || result == BACKEND_CHECK_UNREACHABLE)
-        confirm_crashes(check);
-    else
-        remove_crashes(check);
+    for (guint i = 0; i < check->crashes->len; i++)
+        handle_result(check, &g_array_index(check->crashes, checked_crash_t, i), result);
     end_check(check);
 }
 
@@ -239,7 +321,7 @@
     check->backend = backend->id_hash;
     check->instance = g_strdup(backend->record->instance);
     check->service = g_strdup(backend->record->service);
-    check->crashes = g_array_new(FALSE, FALSE, sizeof(crash_report_t));
+    check->crashes = g_array_new(FALSE, FALSE, sizeof(checked_crash_t));
     g_hash_table_insert(watch->checks, &check->backend, check);
     return check;
 }
@@ -255,16 +337,19 @@
 /** Counts the request's crash at the back end while that is checked. */
 static void check_crash(crash_watch_t *watch, uint64_t request, const backend_t *backend,
                         bool silent) {
-    crash_report_t crash = new_crash(watch, request, backend, silent);
-    if (!crash_history_add(watch->history, &crash, false))
+    checked_crash_t checked = {
+        .crash = new_crash(watch, request, backend, silent),
+        .counted = !recent_successes_contain(&watch->successes, request, now(watch)),
+    };
+    if (checked.counted && !crash_history_add(watch->history, &checked.crash, false))
         return;
     suspected_backend_t *check = g_hash_table_lookup(watch->checks, &backend->id_hash);
     bool begins = check == NULL;
     if (begins)
         check = new_check(watch, backend);
-    g_array_append_val(check->crashes, crash);
-    if (check->sent)
-        send_crash(watch, &crash);
+    g_array_append_val(check->crashes, checked);
+    if (is_sent(check, &checked))
+        send_crash(watch, &checked.crash);
     if (!begins)
         return;
     watch->counts.checks++;
@@ -322,6 +407,7 @@
 }
 
 void crash_watch_record_success(crash_watch_t *watch, uint64_t request) {
+    recent_successes_add(&watch->successes, request, now(watch));
     if (crash_history_count(watch->history, request, now(watch)) == 0)
         return;
     crash_report_t cleared = {.request = request, .at = now(watch), .cleared = true};
@@ -341,6 +427,26 @@
     return crash_history_count(watch->history, request, now(watch));
 }
 
+/** Number of the request's suspicions; @p latest: when the last of them began. */
+static unsigned count_suspicions(const crash_watch_t *watch, uint64_t request, uint64_t *latest) {
+    unsigned count = 0;
+    for (guint i = 0; i < watch->suspicions->len; i++) {
+        const crash_report_t *crash = &g_array_index(watch->suspicions, suspicion_t, i).crash;
+        if (crash->request != request)
+            continue;
+        count++;
+        *latest = MAX(*latest, crash->at);
+    }
+    return count;
+}
+
 uint32_t crash_watch_wait_ms(const crash_watch_t *watch, uint64_t request) {
-    return crash_history_wait_ms(watch->history, request, now(watch));
+    uint32_t wait_ms = crash_history_wait_ms(watch->history, request, now(watch));
+    uint64_t latest = 0;
+    unsigned suspected = wait_ms == 0 ? 0 : count_suspicions(watch, request, &latest);
+    unsigned count = crash_history_count(watch->history, request, now(watch));
+    if (suspected == 0 || count - suspected >= CRASHES_MAX)
+        return wait_ms;
+    uint64_t settled_at = MAX(latest + SUSPICION_SETTLED_MS, now(watch) + SUSPICION_POLL_MS);
+    return (uint32_t)MIN(wait_ms, settled_at - now(watch));
 }
--- a/src/gateway/crash_watch.h
+++ b/src/gateway/crash_watch.h
@@ -3,12 +3,20 @@
  * Finds out whether a back end whose connection broke under a call has ended, and keeps the crashes
  * that this gateway and others have found; see core/retry/crash_history.h.
  *
- * backend_check.h decides, by new connections; a back end that it finds unreachable does not count
- * while so many of its service are that the cause may be the network. A call that ends before its
- * back end has answered is checked in the same way, without the call: its caller may return at
- * another gateway at once. So a crash counts here from the moment at which it is suspected; it is
- * reported to storage nodes if the check has no result soon, and withdrawn there if the back end
- * turns out to be alive.
+ * New connections show that the back end has ended (backend_check.h): they are refused, or don't
+ * come up. One that can't be reached does not count while so many of its service can't that the
+ * cause may be the network. New connections that come up show nothing, since others than the
+ * process may accept them. Then the suspicion stands until there is evidence of the process itself
+ * (backend_survival.h), or for as long as a crash counts.
+ *
+ * A suspected crash counts, and storage nodes are told, before the call is sent again: its caller
+ * may return at another gateway at once. Both are withdrawn if the back end turns out to be alive.
+ * For a request that has succeeded lately (recent_successes.h) a crash counts once new connections
+ * show it.
+ *
+ * A call that ends before its back end has answered is checked as well, without the call. There the
+ * connection did not break, which the end of the process would have caused, so that a new one that
+ * comes up does show that the back end is alive; storage nodes are told if the check is slow.
  *
  * Thread safety: everything here belongs to the loop's thread.
  */
@@ -57,7 +65,10 @@
 const crash_watch_counts_t *crash_watch_counts(const crash_watch_t *watch);
 /** Number of back ends that have ended under the request. */
 unsigned crash_watch_count(const crash_watch_t *watch, uint64_t request);
-/** Time until the request may be sent, in ms; 0: now. */
+/**
+ * Time until the request may be sent, in ms; 0: now. A stop that rests on suspicions may end as
+ * soon as these are settled.
+ */
 uint32_t crash_watch_wait_ms(const crash_watch_t *watch, uint64_t request);
 
 #endif
--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -52,7 +52,8 @@
     bool stopped; /**< Closed by a callback while its bytes were parsed. */
     bool reusable;
     uint64_t idle_until;
-    GString *request; /**< Bytes of the request; NULL when written. */
+    uint64_t first_received_at; /**< Loop time; 0: nothing was received yet. */
+    GString *request;           /**< Bytes of the request; NULL when written. */
     http_parser parser;
     http_headers_t headers;
     const http_exchange_handler_t *handler;
@@ -225,6 +226,8 @@
         return;
     }
     client->any_received = true;
+    if (client->first_received_at == 0)
+        client->first_received_at = uv_now(client->tcp.loop);
     size_t parsed =
         http_parser_execute(&client->parser, &parser_settings, buffer->base, (size_t)count);
     if (client->state == STATE_CLOSED)
@@ -380,6 +383,10 @@
     return client->state == STATE_IDLE && client->reusable;
 }
 
+uint64_t http_client_first_received_at(const http_client_t *client) {
+    return client->first_received_at;
+}
+
 uint64_t http_client_idle_until(const http_client_t *client) {
     return client->idle_until;
 }
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -64,6 +64,8 @@
 bool http_client_reusable(const http_client_t *client);
 /** The loop time until which the server keeps the idle connection, with a margin; ms. */
 uint64_t http_client_idle_until(const http_client_t *client);
+/** Loop time in ms at which the connection first brought anything; 0: it has not yet. */
+uint64_t http_client_first_received_at(const http_client_t *client);
 
 /** Closes the connection at any moment; no callback comes any more, the memory goes later. */
 void http_client_close(http_client_t *client);
--- a/tests/integration/crash_request_test.sh
+++ b/tests/integration/crash_request_test.sh
@@ -51,3 +51,5 @@
     crash_request --tries 4 all_nodes_killed
 expect "a request ends at most three back ends though storage nodes and then gateways are killed" \
     crash_request --tries 5 all_nodes_killed_in_turn
+expect "calls are not refused for connections that break at live back ends" \
+    crash_request live_back_ends
--- a/tests/soak/crash_request_test.py
+++ b/tests/soak/crash_request_test.py
@@ -31,6 +31,8 @@
 ENDED_MAX = 3  # Back ends that may end under one request.
 REFUSED_SHARE_MAX = 0.05  # Of equal requests of many callers, for crashes that they did not cause.
 PAUSE_S = 0.1
+UNFOUNDED_SHARE_MAX = 0.001  # Of attempts, where no back end ends.
+RESETS = 15
 TRIES = 3
 SEVERAL = 3
 SILENCE_S = 60.0
@@ -335,10 +337,11 @@
             self.fleet.on_end = lambda node=gateway: self._strike_once(fault, node)
             await self.send_tries([gateway], budgeted)
             self.fleet.on_end = None
-            for node in self.cluster.nodes():
-                if not node.running():
-                    node.start()
-                    await self._wait_for("the restart", lambda node=gateway: self._serves_turns(node))
+            lost = [node for node in self.cluster.nodes() if not node.running()]
+            for node in lost:
+                node.start()
+            if lost:
+                await self._wait_for("the restart", lambda node=gateway: self._serves_turns(node))
         await asyncio.sleep(FROZEN_S)
         return self.judge_ends()
 
@@ -490,6 +493,27 @@
                 "held": refused <= REFUSED_SHARE_MAX * len(polls) and
                 served >= (1 - REFUSED_SHARE_MAX) * len(polls)}
 
+    async def live_back_ends(self):
+        """Half of all connections are reset each second; answers are lost and broken off."""
+        polls = []
+        pollers = [asyncio.create_task(self._poll(polls)) for _ in range(POLLERS)]
+        for backend, _ in self.fleet.backends:
+            backend.faults = {"lose_answer": self.options.loss, "cut": self.options.loss}
+        for _ in range(RESETS):
+            await asyncio.sleep(1.0)
+            for backend, _ in self.fleet.backends:
+                connections = sorted(backend.connections, key=id)
+                for writer in self.random.sample(connections, len(connections) // 2):
+                    reset(writer)
+        for backend, _ in self.fleet.backends:
+            backend.faults = {}
+        for poller in pollers:
+            poller.cancel()
+        refused, attempts = self.limit_refusals(), len(self.promises.attempts)
+        return {"attempts": attempts, "refused_for_the_limit": refused,
+                "polls": len(polls), "polls_served": sum(status == 200 for status in polls),
+                "held": refused <= UNFOUNDED_SHARE_MAX * attempts}
+
     async def _poll(self, polls):
         """Equal requests of many callers, without a program."""
         fields = [("Host", "soak.example"), ("Deadline-Milliseconds", 1200)]
@@ -516,13 +540,15 @@
                          "stores_away", "mostly_cut_off", "several", "connections_delayed",
                          "delayed_in_series", "bystanders", "gateway_killed_in_try",
                          "gateway_frozen_in_try", "all_nodes_killed", "all_nodes_killed_in_turn",
-                         "drawn_faults"])
+                         "drawn_faults", "live_back_ends"])
     parser.add_argument("--events", type=int, default=0, help="events before a back end ends")
     parser.add_argument("--pace", type=int, default=1, help="how many times as long events take")
     parser.add_argument("--silent", action="store_true",
                         help="ended back ends neither reset nor refuse connections")
     parser.add_argument("--listener-s", type=float, default=0,
                         help="seconds for which an ended back end's port takes connections; inf")
+    parser.add_argument("--loss", type=float, default=0.02,
+                        help="share of answers that live back ends lose, and of those they cut")
     parser.add_argument("--errors", action="store_true",
                         help="every second send gets a complete answer with a failure instead")
     parser.add_argument("--patience", type=float, default=soak.RECOVER_S,
--- a/tests/unit/crash_history_test.cc
+++ b/tests/unit/crash_history_test.cc
@@ -6,6 +6,8 @@
 #include "core/retry/crash_history.h"
 #include "core/retry/resend.h"
 #include "gateway/crash_reports.h"
+#include "gateway/backend_survival.h"
+#include "gateway/backend_versions.h"
 #include "gateway/crash_watch.h"
 #include "gateway/load_report.h"
 #include "gateway/load_sharing.h"
@@ -456,6 +458,9 @@
         backends_update(&side.backends, record);
         return static_cast<backend_t *>(g_hash_table_lookup(side.backends.by_instance, instance));
     }
+    void wait_ms(uint64_t ms) {
+        run_until([until = uv_hrtime() + ms * 1000000U] { return uv_hrtime() > until; });
+    }
     /** Runs the loop until @p done, or for 5 s. */
     template <typename Condition> bool run_until(Condition done) {
         uint64_t end = uv_hrtime() + 5000000000U;
@@ -635,35 +640,92 @@
         EXPECT_EQ(crash_watch_count(side->watch, REQUEST), 2U);
 }
 
-TEST_F(CrashSharing, ABrokenConnectionCountsOnlyWhileNoNewOneComesUp) {
+// Guards against a back end that has ended and counts as alive since its port accepts connections.
+TEST_F(CrashSharing, ABrokenConnectionCountsThoughANewOneComesUp) {
     Side &one = open("here");
-    auto add = [&](const char *instance, uint16_t port) {
-        auto *record = g_new0(backend_record_t, 1);
-        record->instance = g_strdup(instance);
-        record->service = g_strdup("s");
-        record->zone = g_strdup("here");
-        record->address.sin_family = AF_INET;
-        record->address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        record->address.sin_port = port;
-        backends_update(&one.backends, record);
-        return static_cast<backend_t *>(g_hash_table_lookup(one.backends.by_instance, instance));
-    };
-    sockaddr_in address = {};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t length = sizeof address;
-    int listener = socket(AF_INET, SOCK_STREAM, 0);
-    ASSERT_EQ(bind(listener, reinterpret_cast<sockaddr *>(&address), length), 0);
-    ASSERT_EQ(listen(listener, 5), 0);
-    getsockname(listener, reinterpret_cast<sockaddr *>(&address), &length);
-    backend_t *backend = add("a", address.sin_port);
+    Port accepting(Port::ACCEPTS);
+    backend_t *backend = add_backend(one, "a", accepting);
+    wait_ms(1);
     crash_watch_suspect(one.watch, REQUEST, backend);
-    EXPECT_EQ(crash_watch_count(one.watch, REQUEST), 1U) << "until it has been checked";
+    wait_ms(300);
+    EXPECT_EQ(crash_watch_count(one.watch, REQUEST), 1U);
+    backend_record_survival(backend, uv_now(loop()));
+    wait_ms(300);
+    EXPECT_EQ(crash_watch_count(one.watch, REQUEST), 1U) << "a later process may have answered";
+}
+
+TEST_F(CrashSharing, ABrokenConnectionDoesNotCountOnceAnEarlierOneHasBroughtMore) {
+    Side &one = open("here");
+    Port accepting(Port::ACCEPTS);
+    backend_t *backend = add_backend(one, "a", accepting);
+    wait_ms(1);
+    uint64_t earlier = uv_now(loop());
+    backend_record_survival(backend, earlier);
+    wait_ms(1);
+    crash_watch_suspect(one.watch, REQUEST, backend);
+    backend_record_survival(backend, earlier);
+    wait_ms(300);
+    EXPECT_EQ(crash_watch_count(one.watch, REQUEST), 1U) << "it may have been sent before the end";
+    backend_record_survival(backend, earlier);
     EXPECT_TRUE(run_until([&] { return crash_watch_count(one.watch, REQUEST) == 0; }));
-    close(listener);
+}
+
+TEST_F(CrashSharing, ABrokenConnectionDoesNotCountOnceTheDirectoryStillHasTheBackEnd) {
+    Side &one = open("here");
+    Port accepting(Port::ACCEPTS);
+    backend_t *backend = add_backend(one, "a", accepting);
+    wait_ms(1);
+    crash_watch_suspect(one.watch, REQUEST, backend);
+    one.backends.confirmed_at = uv_now(loop()) + VERSION_DOUBT_MS - 1;
+    wait_ms(300);
+    EXPECT_EQ(crash_watch_count(one.watch, REQUEST), 1U) << "its entry may not have lapsed yet";
+    one.backends.confirmed_at++;
+    EXPECT_TRUE(run_until([&] { return crash_watch_count(one.watch, REQUEST) == 0; }));
+}
+
+TEST_F(CrashSharing, ABrokenConnectionCountsForGoodIfTheBackEndLeavesTheDirectory) {
+    Side &one = open("here");
+    Port accepting(Port::ACCEPTS);
+    backend_t *backend = add_backend(one, "a", accepting);
+    wait_ms(1);
+    crash_watch_suspect(one.watch, REQUEST, backend);
+    wait_ms(50);
+    backends_remove(&one.backends, "a");
+    wait_ms(300);
+    EXPECT_EQ(crash_watch_count(one.watch, REQUEST), 1U);
+}
+
+TEST_F(CrashSharing, ARequestThatSucceededLatelyIsNotSuspectedForABrokenConnection) {
+    Side &one = open("here");
+    Port accepting(Port::ACCEPTS), refusing(Port::REFUSES);
+    crash_watch_record_success(one.watch, REQUEST);
+    crash_watch_suspect(one.watch, REQUEST, add_backend(one, "accepts", accepting));
+    EXPECT_EQ(crash_watch_count(one.watch, REQUEST), 0U);
+    crash_watch_suspect(one.watch, REQUEST, add_backend(one, "refuses", refusing));
+    EXPECT_TRUE(run_until([&] { return crash_watch_count(one.watch, REQUEST) == 1; }));
+}
+
+TEST_F(CrashSharing, AStopThatRestsOnSuspicionsTellsAShortWait) {
+    Side &one = open("here");
+    Port first(Port::ACCEPTS), second(Port::ACCEPTS), third(Port::ACCEPTS);
+    for (const Port *port : {&first, &second, &third})
+        crash_watch_suspect(
+            one.watch, REQUEST,
+            add_backend(one, std::to_string(port->address.sin_port).c_str(), *port));
+    wait_ms(100);
+    ASSERT_EQ(crash_watch_count(one.watch, REQUEST), 3U);
+    EXPECT_GT(crash_watch_wait_ms(one.watch, REQUEST), 0U);
+    EXPECT_LT(crash_watch_wait_ms(one.watch, REQUEST), uint32_t{CRASH_RETENTION_MS} / 2);
+}
+
+TEST_F(CrashSharing, ABackEndThatRefusesConnectionsCountsForAllRequestsThatItTakesAlong) {
+    Side &one = open("here");
+    Port refusing(Port::REFUSES);
+    backend_t *backend = add_backend(one, "a", refusing);
     crash_watch_suspect(one.watch, REQUEST, backend);
+    EXPECT_EQ(crash_watch_count(one.watch, REQUEST), 1U) << "until it has been checked";
     crash_watch_suspect(one.watch, REQUEST + 1, backend);
-    run_until([&, until = uv_hrtime() + 200000000U] { return uv_hrtime() > until; });
+    wait_ms(200);
     EXPECT_EQ(crash_watch_count(one.watch, REQUEST), 1U);
     EXPECT_EQ(crash_watch_count(one.watch, REQUEST + 1), 1U) << "it takes other requests along";
 }
