storage nodes: crashes under a request outlast the restart of all nodes

Callers saw: a request that was stopped, since three back ends had ended under it, goes on to more of them once all gateways and the storage nodes that keep it have started again, at once or in turn.

Cause: crashes and stops were kept in memory only, by nodes that all start again when all machines lose power. Evidence: E868 in each of four tries, and ended=0 in the first E830 after each restart; ruled out: evidence, since E867 had outcome=ended, and holders that were not asked, since one that runs on keeps the stop (gateway_killed, all_gateways_killed).

A storage node writes each change of what it knows (a crash, its withdrawal, a complete response, a stop) to its log, and reads it at its start; the age follows from the log's time marks. A record is some 40 bytes, in one write with what else is due, and holds its segment for five minutes, as a charge does.

In virtual time: OutlastALossOfPowerOfAllNodes; ThatWereCleared... and ThatWereWithdrawn... keep what was taken back.

--- a/src/cluster/message.c
+++ b/src/cluster/message.c
@@ -148,6 +148,23 @@
     crash_number_codec(codec, message);
 }
 
+/** A record has the time of the log in place of an age. */
+static void crash_record_codec(codec_t *codec, message_t *message) {
+    unsigned type = message->crash_type;
+    uint32_t number = message->crash.number;
+    uint32_t backend = message->crash.backend;
+    codec_uint64(codec, &message->time);
+    codec_enum(codec, &type, MESSAGE_TYPE_COUNT);
+    codec_uint64(codec, &message->crash.request);
+    codec_uint32(codec, &backend);
+    codec_uint32(codec, &number);
+    codec_bool(codec, &message->crash.silent);
+    codec_bool(codec, &message->crash.cleared);
+    message->crash_type = (message_type_t)type;
+    message->crash.backend = (uint16_t)backend;
+    message->crash.number = (uint8_t)MIN(number, UINT8_MAX);
+}
+
 static void fields_codec(codec_t *codec, message_t *message) {
     codec_uint64(codec, &message->number);
     codec_uint64(codec, &message->generation);
@@ -261,6 +278,9 @@
     case REQUEST_STREAM:
         codec_uint64(codec, &message->stream);
         break;
+    case RECORD_CRASH:
+        crash_record_codec(codec, message);
+        break;
     case RECORD_TIME:
         codec_uint64(codec, &message->time);
         break;
--- a/src/cluster/message.h
+++ b/src/cluster/message.h
@@ -66,6 +66,7 @@
     MESSAGE_REQUEST_STOPPED, /**< A request is stopped, since back ends ended under it, anew from
                                 the age given; `crash.number`: how often in a row. From a gateway,
                                 or passed on to all. */
+    RECORD_CRASH,       /**< Log only: a message on crashes that changed what the node knows. */
     MESSAGE_TYPE_COUNT,
 } message_type_t;
 
@@ -97,8 +98,9 @@
     uint64_t place;  /**< Hash of the back end's instance where the program last ran; 0: unknown. */
     uint64_t stream; /**< Key of a stream; see stream_versions.h. */
     crash_report_t crash;
-    uint32_t age_ms;  /**< Of the crash; its time is the receiver's own. */
-    uint64_t version; /**< Of that stream; VERSION_ANY: it is not known. */
+    message_type_t crash_type; /**< Of a RECORD_CRASH: the message that it records. */
+    uint32_t age_ms;           /**< Of the crash; its time is the receiver's own. */
+    uint64_t version;          /**< Of that stream; VERSION_ANY: it is not known. */
     char *turn_id;
     uint64_t revision;   /**< Of the directory snapshot, or up to which all changes are known. */
     uint64_t view;       /**< Digest of the directory snapshot that a follower has; 0: none. */
--- a/src/store/store.c
+++ b/src/store/store.c
@@ -1,6 +1,7 @@
 #include "store/store.h"
 
 #include "common/event.h"
+#include "store/store_crashes.h"
 #include "store/store_directory.h"
 #include "store/store_gateways.h"
 
@@ -60,6 +61,7 @@
     if (store->log == NULL)
         return false;
     record_clock_start(&store->clock, uv_now(store->loop));
+    store_crashes_replayed(store);
     store_remove_expired(store);
     event_log(STORE_LOG_READ, store->records_replayed, g_hash_table_size(store->turns.entries),
               store->turns.bytes, record_log_bytes(store->log));
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -45,6 +45,7 @@
     budget_table_t budgets;
     program_affinity_t affinity;
     crash_history_t *crashes;      /**< Reported by gateways; see store_crashes.h. */
+    GArray *replayed_crashes;      /**< Read from the log; NULL: none, or applied. */
     stream_versions_t streams;     /**< Reported by gateways; kept in memory only. */
     quota_table_t quotas;          /**< This member's shares of the tenants' limits. */
     admission_table_t admissions;  /**< Programs of these tenants that have their home here. */
@@ -140,6 +141,8 @@
 extern const turn_spill_handler_t store_spill_handler;
 /** Memory in the buffers of all connections, in bytes. */
 size_t store_connections_buffer_bytes(const store_t *store);
+/** Appends a record to the log, after a time mark if one is due; takes over @p record. */
+void store_append_record(store_t *store, GBytes *record, record_log_done_t done, void *owner);
 /** Appends a time mark to the log if one is due. */
 void store_append_time_mark(store_t *store);
 /** Appends a record that was copied from another member; @p done may be NULL. */
--- a/src/store/store_crashes.h
+++ b/src/store/store_crashes.h
@@ -23,4 +23,9 @@
  */
 void store_handle_crash(store_t *store, const message_t *message);
 
+/** Reads a RECORD_CRASH of the log. */
+void store_replay_crash(store_t *store, uint32_t segment, const message_t *record);
+/** The log was read, so that the age of its records is known. */
+void store_crashes_replayed(store_t *store);
+
 #endif
--- a/src/store/store_replay.c
+++ b/src/store/store_replay.c
@@ -2,7 +2,7 @@
  * Rebuilds the in-memory tables from the log at startup, record by record, oldest first. The time
  * marks in the log drive expiry during the replay, so that expired records do not use memory.
  */
-#include "store/store.h"
+#include "store/store_crashes.h"
 
 /**
  * Advances the expiry clock to @p mark and removes expired records at the same interval as in
@@ -36,6 +36,9 @@
             turn_table_add(&store->turns, &g_array_index(record->turns, turn_t, 0), segment,
                            store_expiry_clock_ms(store));
         break;
+    case RECORD_CRASH:
+        store_replay_crash(store, segment, record);
+        break;
     case RECORD_TIME:
         replay_time_mark(store, record->time);
         break;
--- a/src/store/store_requests.c
+++ b/src/store/store_requests.c
@@ -232,12 +232,16 @@
         record_log_append_with_next(store->log, mark);
 }
 
+void store_append_record(store_t *store, GBytes *record, record_log_done_t done, void *owner) {
+    precede_by_time_mark(store);
+    record_log_append(store->log, record, done, owner);
+}
+
 /** Appends @p record; takes over its reference. */
 static void append(store_t *store, GBytes *record, write_t *write) {
-    precede_by_time_mark(store);
     if (write->turn.id != NULL)
         add_pending_turn(store, write);
-    record_log_append(store->log, record, on_write_done, write);
+    store_append_record(store, record, on_write_done, write);
 }
 
 /** Appends a reserve or a settled charge; moves the charge out of the request. */
@@ -649,8 +653,7 @@
     message_t record;
     message_init(&record, REQUEST_PUT_TURN);
     message_add_turn(&record, &write->turn);
-    precede_by_time_mark(write->store);
-    record_log_append(write->store->log, message_encode(&record), on_write_done, write);
+    store_append_record(write->store, message_encode(&record), on_write_done, write);
     message_clear(&record);
 }
 
--- a/tests/unit/store_crashes_test.cc
+++ b/tests/unit/store_crashes_test.cc
@@ -36,6 +36,31 @@
         message_clear(&message);
         virtual_run(virtual_now() + delivery_ms);
     }
+    void send(unsigned from, message_type_t type, uint16_t backend) const {
+        message_t message;
+        message_init(&message, type);
+        message.crash.request = request;
+        message.crash.backend = backend;
+        store_client_send_for_key(gateway(from)->client, request, &message);
+        message_clear(&message);
+        virtual_run(virtual_now() + delivery_ms);
+    }
+    /** Ends all nodes at once and starts them again; gateways know nothing then. */
+    void end_all_nodes() const {
+        for (guint i = 0; i < world->stores->len; i++)
+            world_end_store(static_cast<world_store_t *>(g_ptr_array_index(world->stores, i)),
+                            END_POWER_LOST);
+        for (unsigned i = 0; i < gateways; i++)
+            world_end_gateway(gateway(i));
+        virtual_run(virtual_now() + delivery_ms);
+        for (guint i = 0; i < world->stores->len; i++)
+            world_start_store(static_cast<world_store_t *>(g_ptr_array_index(world->stores, i)),
+                              false);
+        for (unsigned i = 0; i < gateways; i++) {
+            g_array_set_size(gateway(i)->crashes, 0);
+            world_start_gateway(gateway(i));
+        }
+    }
     std::set<unsigned> known(unsigned number) const {
         std::set<unsigned> backends;
         for (guint i = 0; i < gateway(number)->crashes->len; i++) {
@@ -135,4 +160,39 @@
     EXPECT_TRUE(known(2).empty());
 }
 
+// Guards against a stop that is forgotten when all nodes lose power.
+TEST_F(StoreCrashes, OutlastALossOfPowerOfAllNodes) {
+    report(0, 1);
+    report(0, 2);
+    report(1, 3);
+    end_all_nodes();
+    virtual_run(virtual_now() + founding_ms);
+    for (unsigned i = 0; i < gateways; i++) {
+        EXPECT_EQ(known(i), (std::set<unsigned>{1, 2, 3})) << i;
+        EXPECT_GT(gateway(i)->stops->len, 0U) << i;
+    }
+}
+
+TEST_F(StoreCrashes, ThatWereClearedStayClearedAfterALossOfPower) {
+    report(0, 1);
+    report(0, 2);
+    report(1, 0, true);
+    end_all_nodes();
+    virtual_run(virtual_now() + founding_ms);
+    report(0, 3);
+    for (unsigned i = 0; i < gateways; i++)
+        EXPECT_TRUE(known(i).empty()) << i;
+}
+
+TEST_F(StoreCrashes, ThatWereWithdrawnStayWithdrawnAfterALossOfPower) {
+    report(0, 1);
+    report(0, 2);
+    send(0, MESSAGE_CRASH_WITHDRAWN, 2);
+    end_all_nodes();
+    virtual_run(virtual_now() + founding_ms);
+    report(0, 3);
+    for (unsigned i = 0; i < gateways; i++)
+        EXPECT_EQ(known(i), (std::set<unsigned>{1, 3})) << i;
+}
+
 } // namespace
