--- a/src/gateway/crash_watch.c
+++ b/src/gateway/crash_watch.c
@@ -79,8 +79,17 @@
                : CRASH_NEAR_LIMIT;
 }
 
+static void forget_suspicions(crash_watch_t *watch, uint64_t request, uint64_t until) {
+    for (guint i = watch->suspicions->len; i > 0; i--) {
+        const crash_report_t *crash = &g_array_index(watch->suspicions, suspicion_t, i - 1).crash;
+        if (crash->request == request && crash->at <= until)
+            g_array_remove_index(watch->suspicions, i - 1);
+    }
+}
+
 /** Forgets the crashes under a request that got a complete response. */
 static crash_news_t clear_crashes(crash_watch_t *watch, const crash_report_t *report) {
+    forget_suspicions(watch, report->request, report->at);
     crash_news_t news = news_of_crash(watch, report->request);
     return crash_history_clear(watch->history, report->request, report->at) ? news : CRASH_KNOWN;
 }
@@ -237,7 +246,7 @@
     if (survival == SURVIVAL_ANSWERED || survival == SURVIVAL_LISTED) {
         backend_trust_version(backend, crash->at);
         withdraw_crash(watch, crash, true);
-    } else {
+    } else if (!expired) {
         confirm_crash(watch, crash, true);
     }
     return true;
