--- a/src/gateway/backend_check.c
+++ b/src/gateway/backend_check.c
@@ -46,14 +46,14 @@
     backend_check_cancel(check);
 }
 
-/** The back end is alive; its connection, if there still is one, is kept for calls. */
-static void end_alive(backend_check_t *check) {
+/** The back end accepts connections; this one, if there still is one, is kept for calls. */
+static void end_accepting(backend_check_t *check) {
     backend_t *backend = backends_find_hash(check->backends, check->backend);
     if (backend != NULL && check->client != NULL) {
         backend_adopt_connection(backend, check->client);
         check->client = NULL;
     }
-    end_check(check, BACKEND_CHECK_ALIVE);
+    end_check(check, BACKEND_CHECK_ACCEPTS);
 }
 
 static void on_closed(void *owner, http_client_t *client);
@@ -103,7 +103,7 @@
         bool again = !check->was_closed;
         check->was_closed = true;
         if (!again || !open_connection(check))
-            end_alive(check);
+            end_accepting(check);
         return;
     }
     check->refused |= uv_now(check->loop) < check->opened_at + CONNECTION_REFUSED_WITHIN_MS;
@@ -141,7 +141,7 @@
     else if (check->client == NULL)
         end_check(check, BACKEND_CHECK_DOUBTFUL);
     else if (http_client_connected(check->client))
-        end_alive(check);
+        end_accepting(check);
     else
         report_if_slow(check);
 }
--- a/src/gateway/backend_check.h
+++ b/src/gateway/backend_check.h
@@ -1,7 +1,8 @@
 /**
  * @file backend_check.h
  * Finds out by new connections whether a back end can be reached. One that comes up shows that it
- * is alive, two that are refused that it has ended. Two that time out may have been delayed here
+ * can, though not that the process of before still runs (backend_survival.h); two that are refused
+ * show that it has ended. Two that time out may have been delayed here
  * while the back end runs its calls: further ones, the controls, go to the back ends that last sent
  * something, and only if one of these comes up is the first one unreachable. Several, since one of
  * them may have ended as well. Nothing is sent on any of them.
@@ -21,7 +22,7 @@
 typedef struct backend_check backend_check_t;
 
 typedef enum {
-    BACKEND_CHECK_ALIVE,
+    BACKEND_CHECK_ACCEPTS, /**< A connection came up. */
     BACKEND_CHECK_ENDED,
     BACKEND_CHECK_UNREACHABLE,
     BACKEND_CHECK_DOUBTFUL, /**< No connection came up, to other back ends neither. */
--- a/src/gateway/crash_watch.c
+++ b/src/gateway/crash_watch.c
@@ -314,7 +314,7 @@
         backends_mostly_unreachable(check->backends, check->service))
         result = BACKEND_CHECK_DOUBTFUL;
     event_log(BACKEND_CRASH_CHECKED, check->instance, check->crashes->len, names[result], ms);
-    if (result == BACKEND_CHECK_ALIVE)
+    if (result == BACKEND_CHECK_ACCEPTS)
         trust_version(check, ms);
     for (guint i = 0; i < check->crashes->len; i++)
         handle_result(check, &g_array_index(check->crashes, checked_crash_t, i), result);
--- a/src/store/store_crashes.h
+++ b/src/store/store_crashes.h
@@ -6,7 +6,11 @@
  * do that a back end takes along, costs no message to others.
  *
  * Gateways and storage nodes send each other what they know of such requests when a connection
- * opens, so that it outlasts a restart of all gateways, and one of all storage nodes.
+ * opens, so that it outlasts a restart of all gateways, and one of all storage nodes. For one of
+ * all nodes, each change goes to the log, with the time of the log (core/turns/record_clock.h).
+ *
+ * Sends that gateways register (gateway/send_registry.h) count as crashes for the caller's next
+ * attempt while they are open; see core/retry/open_sends.h.
  *
  * Thread safety: everything here belongs to the loop's thread.
  */
--- a/tests/unit/backend_probe_test.cc
+++ b/tests/unit/backend_probe_test.cc
@@ -83,7 +83,7 @@
         nullptr, [](void *found, backend_check_result_t result, uint64_t) {
             *static_cast<int *>(found) = result;
         }};
-    int result = BACKEND_CHECK_ALIVE;
+    int result = BACKEND_CHECK_ACCEPTS;
     for (unsigned attempt = 0; attempt < 20 && result != BACKEND_CHECK_ENDED; attempt++) {
         auto port = std::make_unique<Port>(Port::ACCEPTS);
         backend_t *backend = add(("ends-" + std::to_string(attempt)).c_str(), *port);
