gateways: callers of equal requests that meet the same end of a back end count it once

Callers saw: equal requests of many callers, without a program, were refused for a minute although one back end had ended once. Found by the soak: a gateway that had just started, so that the request had not succeeded there lately, sent it four times in 0.8 s to a back end behind a proxy which accepted each connection and reset it; breaks more than 250 ms apart counted as ends of their own.

For one caller's request they have to: the same process may have been started again and ended again. Equal requests of many callers have one id, and what several meet at one back end within 2 s is more likely one end; that time applies already where a back end fell silent. What was ruled out: to count breaks at one back end once for all requests, since a process that its supervisor starts again at once could then be ended by the same request without limit.

CrashSharing.EqualRequestsOfManyCallersThatMeetTheSameEndCountOnce fails without it (3, not 1).

--- a/src/core/retry/crash_history.h
+++ b/src/core/retry/crash_history.h
@@ -31,7 +31,10 @@
     CRASHES_SENT_MAX = 256,             /**< When a connection opens; some 10 kB. */
     /** What is found at one back end within this time is one crash; a restart takes longer. */
     CRASH_SAME_MS = 250,
-    /** The same where a back end was only silent: it may have ended under an earlier attempt. */
+    /**
+     * The same where a back end was only silent, since it may have ended under an earlier attempt,
+     * and where equal requests of many callers count as one.
+     */
     CRASH_SILENT_SAME_MS = 2000,
 };
 
@@ -47,7 +50,7 @@
     uint64_t at;
     uint16_t backend; /**< From a hash of the back end. */
     uint8_t number;   /**< Of the back end's crashes under the request, from 1; 0: not yet known. */
-    bool silent;      /**< Found by the silence of the back end. */
+    bool silent;      /**< CRASH_SILENT_SAME_MS applies. */
     bool cleared;     /**< The request got a complete successful response. */
 } crash_report_t;
 
--- a/src/gateway/call_send.c
+++ b/src/gateway/call_send.c
@@ -346,7 +346,8 @@
         load_sharing_report_now(call->gateway->load_sharing, CONTROL_CAN_WAIT);
     }
     call_registration_pause(call);
-    crash_watch_suspect(call->gateway->crashes, call->request_id, call->backend);
+    crash_watch_suspect(call->gateway->crashes, call->request_id, call->backend,
+                        call->program == NULL);
     call_log_send_failed(call, failure == HTTP_FAILURE_NO_ANSWER ? "no_answer" : "broken_answer");
     if (!call->streaming)
         g_string_truncate(call->body, 0);
--- a/src/gateway/crash_watch.c
+++ b/src/gateway/crash_watch.c
@@ -19,6 +19,7 @@
 
 typedef struct {
     crash_report_t crash;
+    bool broken;  /**< The connection broke; else the call gave its exchange up. */
     bool counted; /**< Suspected crashes count, but for requests that have succeeded lately. */
 } checked_crash_t;
 
@@ -210,7 +211,7 @@
 
 /** Storage nodes know a broken connection at once, and a silent back end once its check is slow. */
 static bool is_sent(const suspected_backend_t *check, const checked_crash_t *checked) {
-    return checked->counted && (!checked->crash.silent || check->slow);
+    return checked->counted && (checked->broken || check->slow);
 }
 
 static void withdraw_crash(const crash_watch_t *watch, crash_report_t *crash, bool sent) {
@@ -280,7 +281,7 @@
     check->slow = true;
     for (guint i = 0; i < check->crashes->len; i++) {
         const checked_crash_t *checked = &g_array_index(check->crashes, checked_crash_t, i);
-        if (checked->counted && checked->crash.silent)
+        if (checked->counted && !checked->broken)
             send_crash(check->watch, &checked->crash);
     }
 }
@@ -300,7 +301,7 @@
         if (checked->counted || crash_history_add(watch->history, crash, true))
             confirm_crash(watch, crash, is_sent(check, checked));
     } else if (checked->counted) {
-        if (crash->silent || result == BACKEND_CHECK_DOUBTFUL)
+        if (!checked->broken || result == BACKEND_CHECK_DOUBTFUL)
             withdraw_crash(watch, crash, is_sent(check, checked));
         else
             keep_suspicion(watch, crash, check->backend);
@@ -345,9 +346,10 @@
 
 /** Counts the request's crash at the back end while that is checked. */
 static void check_crash(crash_watch_t *watch, uint64_t request, const backend_t *backend,
-                        bool silent) {
+                        bool broken, bool silent) {
     checked_crash_t checked = {
         .crash = new_crash(watch, request, backend, silent),
+        .broken = broken,
         .counted = !recent_successes_contain(&watch->successes, request, now(watch)),
     };
     if (checked.counted && !crash_history_add(watch->history, &checked.crash, false))
@@ -365,9 +367,9 @@
     backend_check_begin(backend, &check_handler, check);
 }
 
-void crash_watch_suspect(crash_watch_t *watch, uint64_t request, backend_t *backend) {
+void crash_watch_suspect(crash_watch_t *watch, uint64_t request, backend_t *backend, bool shared) {
     backend_doubt_version(backend);
-    check_crash(watch, request, backend, false);
+    check_crash(watch, request, backend, true, shared);
 }
 
 static void on_given_up_timer(uv_timer_t *timer) {
@@ -377,7 +379,7 @@
            now(watch) >= given_up->at + QUIET_MS) {
         const backend_t *backend = backends_find_hash(watch->backends, given_up->backend);
         if (backend != NULL && backend->observed.last_received_at <= given_up->at)
-            check_crash(watch, given_up->request, backend, true);
+            check_crash(watch, given_up->request, backend, false, true);
         g_queue_pop_head(&watch->given_up);
         g_free(given_up);
     }
@@ -388,7 +390,7 @@
 void crash_watch_give_up(crash_watch_t *watch, uint64_t request, const backend_t *backend) {
     watch->counts.given_up++;
     if (now(watch) >= backend->observed.last_received_at + QUIET_MS) {
-        check_crash(watch, request, backend, true);
+        check_crash(watch, request, backend, false, true);
         return;
     }
     if (g_queue_get_length(&watch->given_up) >= GIVEN_UP_MAX)
--- a/src/gateway/crash_watch.h
+++ b/src/gateway/crash_watch.h
@@ -46,8 +46,12 @@
 void crash_watch_handle_message(crash_watch_t *watch, const message_t *message);
 /** Sends a storage node that has connected the requests that are stopped, or about to be. */
 void crash_watch_send_to_member(const crash_watch_t *watch, unsigned member);
-/** The connection to @p backend broke under @p request: counts as a crash while that is checked. */
-void crash_watch_suspect(crash_watch_t *watch, uint64_t request, backend_t *backend);
+/**
+ * The connection to @p backend broke under @p request: counts as a crash while that is checked.
+ * @p shared: equal requests of many callers have this id, of which several may meet the same end of
+ * a back end, one after the other.
+ */
+void crash_watch_suspect(crash_watch_t *watch, uint64_t request, backend_t *backend, bool shared);
 /**
  * The call gave its exchange with @p backend up: its caller has left, or its time is over. If the
  * back end is silent, it counts as a crash while that is checked.
--- a/tests/unit/crash_history_test.cc
+++ b/tests/unit/crash_history_test.cc
@@ -646,7 +646,7 @@
     Port accepting(Port::ACCEPTS);
     backend_t *backend = add_backend(one, "a", accepting);
     wait_ms(1);
-    crash_watch_suspect(one.watch, REQUEST, backend);
+    crash_watch_suspect(one.watch, REQUEST, backend, false);
     wait_ms(300);
     EXPECT_EQ(crash_watch_count(one.watch, REQUEST), 1U);
     backend_record_survival(backend, uv_now(loop()));
@@ -662,7 +662,7 @@
     uint64_t earlier = uv_now(loop());
     backend_record_survival(backend, earlier);
     wait_ms(1);
-    crash_watch_suspect(one.watch, REQUEST, backend);
+    crash_watch_suspect(one.watch, REQUEST, backend, false);
     backend_record_survival(backend, earlier);
     wait_ms(300);
     EXPECT_EQ(crash_watch_count(one.watch, REQUEST), 1U) << "it may have been sent before the end";
@@ -675,7 +675,7 @@
     Port accepting(Port::ACCEPTS);
     backend_t *backend = add_backend(one, "a", accepting);
     wait_ms(1);
-    crash_watch_suspect(one.watch, REQUEST, backend);
+    crash_watch_suspect(one.watch, REQUEST, backend, false);
     one.backends.confirmed_at = uv_now(loop()) + VERSION_DOUBT_MS - 1;
     wait_ms(300);
     EXPECT_EQ(crash_watch_count(one.watch, REQUEST), 1U) << "its entry may not have lapsed yet";
@@ -688,7 +688,7 @@
     Port accepting(Port::ACCEPTS);
     backend_t *backend = add_backend(one, "a", accepting);
     wait_ms(1);
-    crash_watch_suspect(one.watch, REQUEST, backend);
+    crash_watch_suspect(one.watch, REQUEST, backend, false);
     wait_ms(50);
     backends_remove(&one.backends, "a");
     wait_ms(300);
@@ -699,19 +699,33 @@
     Side &one = open("here");
     Port accepting(Port::ACCEPTS), refusing(Port::REFUSES);
     crash_watch_record_success(one.watch, REQUEST);
-    crash_watch_suspect(one.watch, REQUEST, add_backend(one, "accepts", accepting));
+    crash_watch_suspect(one.watch, REQUEST, add_backend(one, "accepts", accepting), true);
     EXPECT_EQ(crash_watch_count(one.watch, REQUEST), 0U);
-    crash_watch_suspect(one.watch, REQUEST, add_backend(one, "refuses", refusing));
+    crash_watch_suspect(one.watch, REQUEST, add_backend(one, "refuses", refusing), true);
     EXPECT_TRUE(run_until([&] { return crash_watch_count(one.watch, REQUEST) == 1; }));
 }
 
+// Guards against the end of one back end that counts for each of the callers that meet it.
+TEST_F(CrashSharing, EqualRequestsOfManyCallersThatMeetTheSameEndCountOnce) {
+    Side &one = open("here");
+    Port accepting(Port::ACCEPTS);
+    backend_t *backend = add_backend(one, "a", accepting);
+    for (unsigned caller = 0; caller < 3; caller++) {
+        wait_ms(300);
+        crash_watch_suspect(one.watch, REQUEST, backend, true);
+        crash_watch_suspect(one.watch, REQUEST + 1, backend, false);
+    }
+    EXPECT_EQ(crash_watch_count(one.watch, REQUEST), 1U);
+    EXPECT_EQ(crash_watch_count(one.watch, REQUEST + 1), 3U) << "one caller's may end it anew";
+}
+
 TEST_F(CrashSharing, AStopThatRestsOnSuspicionsTellsAShortWait) {
     Side &one = open("here");
     Port first(Port::ACCEPTS), second(Port::ACCEPTS), third(Port::ACCEPTS);
     for (const Port *port : {&first, &second, &third})
-        crash_watch_suspect(
-            one.watch, REQUEST,
-            add_backend(one, std::to_string(port->address.sin_port).c_str(), *port));
+        crash_watch_suspect(one.watch, REQUEST,
+                            add_backend(one, std::to_string(port->address.sin_port).c_str(), *port),
+                            false);
     wait_ms(100);
     ASSERT_EQ(crash_watch_count(one.watch, REQUEST), 3U);
     EXPECT_GT(crash_watch_wait_ms(one.watch, REQUEST), 0U);
@@ -722,9 +736,9 @@
     Side &one = open("here");
     Port refusing(Port::REFUSES);
     backend_t *backend = add_backend(one, "a", refusing);
-    crash_watch_suspect(one.watch, REQUEST, backend);
+    crash_watch_suspect(one.watch, REQUEST, backend, false);
     EXPECT_EQ(crash_watch_count(one.watch, REQUEST), 1U) << "until it has been checked";
-    crash_watch_suspect(one.watch, REQUEST + 1, backend);
+    crash_watch_suspect(one.watch, REQUEST + 1, backend, false);
     wait_ms(200);
     EXPECT_EQ(crash_watch_count(one.watch, REQUEST), 1U);
     EXPECT_EQ(crash_watch_count(one.watch, REQUEST + 1), 1U) << "it takes other requests along";
@@ -794,7 +808,7 @@
     add_backend(one, "other", other)->observed.last_received_at = uv_now(loop());
     for (const char *instance : {"a", "b"})
         add_backend(one, instance, silent)->unreachable_at = uv_now(loop());
-    crash_watch_suspect(one.watch, REQUEST, backend);
+    crash_watch_suspect(one.watch, REQUEST, backend, false);
     EXPECT_EQ(crash_watch_count(one.watch, REQUEST), 1U) << "until it has been checked";
     EXPECT_TRUE(run_until([&] { return crash_watch_count(one.watch, REQUEST) == 0; }));
 }
