gateways: a version of streams is certain once the process itself has answered

Callers saw: a stream goes on at a back end of another software version than the one that began it, where the port of an ended back end still accepts connections and the next process under its id is of another version.

Now the doubt ends by what only the process can give: an answer on an earlier connection, its entry, or the start time that it reports. The report takes no slot but has a price, so it is asked for only where resumable streams run at a back end in doubt while versions of its service differ.

AreCertainIfAConnectionComesUpAtOnce asked for the fault itself.

--- a/src/gateway/backend_check.h
+++ b/src/gateway/backend_check.h
@@ -2,10 +2,10 @@
  * @file backend_check.h
  * Finds out by new connections whether a back end can be reached. One that comes up shows that it
  * can, though not that the process of before still runs (backend_survival.h); two that are refused
- * show that it has ended. Two that time out may have been delayed here
- * while the back end runs its calls: further ones, the controls, go to the back ends that last sent
- * something, and only if one of these comes up is the first one unreachable. Several, since one of
- * them may have ended as well. Nothing is sent on any of them.
+ * show that it has ended. Two that time out may have been delayed here while the back end runs its
+ * calls: further ones, the controls, go to the back ends that last sent something, and only if one
+ * of these comes up is the first one unreachable. Several, since one of them may have ended as
+ * well. Nothing is sent on any of them.
  *
  * One that comes up and is closed at once shows nothing, since a process that ends closes what it
  * has not accepted yet; the next one decides.
--- a/src/gateway/backend_survival.h
+++ b/src/gateway/backend_survival.h
@@ -6,8 +6,7 @@
  *
  * - An answer on a connection that had brought something before that time already. The process that
  *   ends closes all of its connections, so that bytes of each connection show that it ran from the
- *   first of them to the last. Where these times overlap on two connections, it ran without a
- * break.
+ *   first of them to the last. Where these times overlap on two connections, it ran throughout.
  * - Its entry in the directory, which is removed or changed within VERSION_DOUBT_MS if it has
  * ended.
  *
--- a/src/gateway/backend_versions.c
+++ b/src/gateway/backend_versions.c
@@ -1,5 +1,7 @@
 #include "gateway/backend_versions.h"
 
+#include "gateway/backend_survival.h"
+
 enum {
     VERSION_ENTRY_LAG_MS = 1000, /**< From the write of an entry until gateways have it. */
 };
@@ -93,5 +95,6 @@
         return true;
     bool updated = backend->version_updated_at >= doubted_at &&
                    uv_now(backend->loop) >= doubted_at + VERSION_ENTRY_LAG_MS;
-    return updated || backend->owner->confirmed_at >= doubted_at + VERSION_DOUBT_MS;
+    return updated || backend_survival_since(backend, doubted_at) == SURVIVAL_ANSWERED ||
+           backend->owner->confirmed_at >= doubted_at + VERSION_DOUBT_MS;
 }
--- a/src/gateway/backend_versions.h
+++ b/src/gateway/backend_versions.h
@@ -18,13 +18,14 @@
 
 /** The process at the back end's address may be another than that which wrote its entry. */
 void backend_doubt_version(backend_t *backend);
-/** A connection to the back end showed that its process has not ended since @p since. */
+/** The process of its entry has answered a request that was sent at @p since. */
 void backend_trust_version(backend_t *backend, uint64_t since);
 /**
  * False if its version has been in doubt since, and it is not yet certain that its entry is of the
  * process that serves now. An entry that changes soon after the doubt began may have been written
- * before; the entry counts once VERSION_ENTRY_LAG_MS are over. If it does not change, the directory
- * must have been confirmed VERSION_DOUBT_MS after the doubt began.
+ * before; the entry counts once VERSION_ENTRY_LAG_MS are over. If it does not change, the process
+ * must have answered on an earlier connection since (backend_survival.h), or the directory have
+ * been confirmed VERSION_DOUBT_MS after the doubt began.
  */
 bool backend_version_certain(const backend_t *backend);
 /** True if the service has, or had in STREAM_VERSION_RETENTION_MS, back ends of two versions. */
--- a/src/gateway/backends.c
+++ b/src/gateway/backends.c
@@ -4,6 +4,7 @@
 #include "gateway/backend_speeds.h"
 #include "gateway/backend_probe.h"
 #include "gateway/backend_versions.h"
+#include "gateway/process_check.h"
 
 #include <string.h>
 #include <xxhash.h>
@@ -121,6 +122,7 @@
     if (--backend->references > 0)
         return;
     backend_probe_stop(backend);
+    process_check_stop(backend);
     close_idle(backend);
     g_queue_clear(&backend->unanswered);
     g_ptr_array_free(backend->idle, TRUE);
@@ -158,6 +160,7 @@
     backend->survived_until = 0;
     g_queue_clear(&backend->unanswered);
     backend_probe_stop(backend);
+    process_check_stop(backend);
     close_idle(backend);
 }
 
--- a/src/gateway/backends.h
+++ b/src/gateway/backends.h
@@ -72,7 +72,8 @@
     struct incarnation_speed *speed; /**< See backend_speeds.h; NULL: not measured. */
     GQueue unanswered; /**< Pointers to send times of requests without a response, oldest first. */
     backend_activity_t observed;
-    struct backend_check *probe; /**< See backend_probe.h; NULL: none active. */
+    struct backend_check *probe;         /**< See backend_probe.h; NULL: none active. */
+    struct process_check *process_check; /**< NULL: none active. */
     uint64_t probed_at;
     uint64_t unreachable_at; /**< When it was last found unreachable; 0: never. */
     engine_limit_t limit;    /**< Of an engine: load at which it refuses calls. */
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -285,6 +285,8 @@
 bool call_version_served_by_backend(const call_t *call);
 /** Records the version of the stream; called before the first event of a send is forwarded. */
 void call_version_record(call_t *call);
+/** Asks which process serves at the call's back end, if its version is in doubt and matters. */
+void call_version_check_process(const call_t *call);
 /** Records that the version of the stream is not known if the back end's entry has changed. */
 void call_version_check(call_t *call);
 
--- a/src/gateway/call_send.c
+++ b/src/gateway/call_send.c
@@ -348,6 +348,7 @@
     call_registration_pause(call);
     crash_watch_suspect(call->gateway->crashes, call->request_id, call->backend,
                         call->program == NULL);
+    call_version_check_process(call);
     call_log_send_failed(call, failure == HTTP_FAILURE_NO_ANSWER ? "no_answer" : "broken_answer");
     if (!call->streaming)
         g_string_truncate(call->body, 0);
--- a/src/gateway/call_version.c
+++ b/src/gateway/call_version.c
@@ -9,14 +9,15 @@
  * starts a new one.
  *
  * Failures. A back end's entry may be older than the process that serves under its id. After a
- * broken or refused connection its version is in doubt until its entry changes, or until the
- * directory has been confirmed for long enough; see backend_version_certain. A stream that runs
- * there meanwhile has no known version, and none goes on there.
+ * broken or refused connection its version is in doubt until there is evidence of the process that
+ * serves there (process_check.h, backend_version_certain). A stream that runs there meanwhile has
+ * no known version, and none goes on there.
  */
 #include "gateway/call.h"
 
 #include "common/event.h"
 #include "gateway/backend_versions.h"
+#include "gateway/process_check.h"
 
 enum { STATUS_UNAVAILABLE = 503 };
 
@@ -95,9 +96,15 @@
            (!versions_differ(call) || backend_version_certain(backend));
 }
 
+void call_version_check_process(const call_t *call) {
+    if (is_resumable_stream(call) && versions_differ(call))
+        process_check_begin(call->backend);
+}
+
 void call_version_record(call_t *call) {
     if (!is_resumable_stream(call))
         return;
+    call_version_check_process(call);
     bool certain = !versions_differ(call) || backend_version_certain(call->backend);
     bool other =
         call->stream.version != VERSION_ANY && call->stream.version != call->backend->version;
--- a/src/gateway/crash_watch.c
+++ b/src/gateway/crash_watch.c
@@ -8,7 +8,6 @@
 #include "gateway/crash_reports.h"
 
 enum {
-    RESTART_MIN_MS = 100,
     QUIET_MS = 100, /**< A back end that has sent something within this time is alive. */
     GIVEN_UP_MAX = 1024,
     SUSPICIONS_MAX = 4096,
@@ -245,7 +244,6 @@
               backend == NULL ? "-" : backend->record->instance, names[survival],
               now(watch) - crash->at);
     if (survival == SURVIVAL_ANSWERED || survival == SURVIVAL_LISTED) {
-        backend_trust_version(backend, crash->at);
         withdraw_crash(watch, crash, true);
     } else if (!expired) {
         confirm_crash(watch, crash, true);
@@ -286,13 +284,6 @@
     }
 }
 
-/** Longer than that after its connections broke, a process that accepts one may be a new one. */
-static void trust_version(const suspected_backend_t *check, uint64_t ms) {
-    backend_t *backend = backends_find_hash(check->backends, check->backend);
-    if (backend != NULL && ms < RESTART_MIN_MS)
-        backend_trust_version(backend, now(check->watch));
-}
-
 static void handle_result(const suspected_backend_t *check, checked_crash_t *checked,
                           backend_check_result_t result) {
     crash_watch_t *watch = check->watch;
@@ -315,8 +306,6 @@
         backends_mostly_unreachable(check->backends, check->service))
         result = BACKEND_CHECK_DOUBTFUL;
     event_log(BACKEND_CRASH_CHECKED, check->instance, check->crashes->len, names[result], ms);
-    if (result == BACKEND_CHECK_ACCEPTS)
-        trust_version(check, ms);
     for (guint i = 0; i < check->crashes->len; i++)
         handle_result(check, &g_array_index(check->crashes, checked_crash_t, i), result);
     end_check(check);
--- a/tests/integration/version_stream_test.sh
+++ b/tests/integration/version_stream_test.sh
@@ -11,3 +11,10 @@
     version_stream --restart quiet
 expect "a stream goes on only at the version that began it while storage nodes are away" \
     version_stream stores_away
+version_stream_supervised() {
+    version_stream --supervised --seed 5 quiet && version_stream --supervised --seed 3 gateways_killed
+}
+expect "a stream goes on only at the version that began it though a port outlives its engine" \
+    version_stream_supervised
+expect "streams that are taken up go on though connections to their engines are reset" \
+    version_stream reset_connections
--- a/tests/soak/backends.py
+++ b/tests/soak/backends.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import hashlib
+import json
 import random
 
 from http_message import read_request, render, render_answer, render_chunk
@@ -10,6 +11,7 @@
 EVENT_PAUSE_S = 0.004
 PACES = [1, 1, 3, 8]
 HANG_S = 30.0
+REPORT_PATH = "/-/report"
 
 
 def event_data(attempt_id, body, number):
@@ -47,6 +49,10 @@
         for writer in list(self.connections):
             reset(writer)
 
+    def report(self):
+        """What it says of itself."""
+        return {"born": self.born_ms} if self.born_ms else {}
+
     def _strikes(self, fault):
         return self.random.random() < self.faults.get(fault, 0.0)
 
@@ -65,6 +71,9 @@
 
     async def _handle(self, request, writer):
         """Answers one request; False if the connection ends."""
+        if request.target == REPORT_PATH:
+            writer.write(render_answer(200, [], json.dumps(self.report()).encode()))
+            return True
         attempt_id = request.get("attempt-id", "-")
         fields = [("Attempt-Id", attempt_id)]
         if request.get("expect-instance") not in (None, self.instance):
--- a/tests/soak/version_stream_test.py
+++ b/tests/soak/version_stream_test.py
@@ -13,15 +13,17 @@
 import shutil
 import signal
 import sys
+import time
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 
 import soak
 from backends import Backend
 from callers import RESUMABLE
-from direct_fleet import Fleet, Scenario, new_parser, read_options
+from direct_fleet import RESTART_S, Fleet, Scenario, new_parser, read_options
 from http_message import read_head, read_pieces, render, render_chunk
 from promises import Attempt
+from proxy import reset
 
 VERSIONS = ["v1", "v2"]
 ENGINES_LEFT = 2  # Of a version, at least.
@@ -38,6 +40,17 @@
     """Names its version in each event."""
 
     version = None
+    ended = False  # Its supervisor holds the port; the next process serves what waits there.
+
+    def end_but_listener(self):
+        self.ended = True
+        for writer in list(self.connections):
+            reset(writer)
+
+    async def _serve(self, reader, writer):
+        while self.ended:
+            await asyncio.sleep(0.005)
+        await super()._serve(reader, writer)
 
     async def _stream(self, request, attempt_id, fields, writer):
         if request.body != BODY:
@@ -64,10 +77,16 @@
         if service == "engine":
             backend.version = VERSIONS[self.next_version % len(VERSIONS)]
             self.next_version += 1
+            self.begin_life(backend)
         return backend
 
+    def begin_life(self, backend):
+        backend.born_ms = 0 if self.options.no_start_times else int(time.time() * 1000)
+
     def entry_fields(self, backend):
-        return {} if backend.version is None else {"version": backend.version}
+        if backend.version is None:
+            return {}
+        return {"version": backend.version, **backend.report()}
 
     async def replace(self, backend):
         self.next_version = VERSIONS.index(backend.version)
@@ -75,13 +94,30 @@
 
     async def start_again(self, backend):
         """Under its id and address, as the other version."""
+        self.begin_life(backend)
         backend.version = VERSIONS[1 - VERSIONS.index(backend.version)]
         await super().start_again(backend)
         self.write_entry(backend)
 
+    async def start_again_supervised(self, backend):
+        """The same, while the port accepts connections."""
+        await asyncio.sleep(RESTART_S)
+        self.begin_life(backend)
+        backend.version = VERSIONS[1 - VERSIONS.index(backend.version)]
+        backend.ended = False
+        self.write_entry(backend)
+
+    def crash(self, backend):
+        if not self.options.supervised:
+            super().crash(backend)
+            return
+        backend.end_but_listener()
+        self.tasks.append(asyncio.ensure_future(self.start_again_supervised(backend)))
+
     def serving(self, version):
         return [backend for backend, _ in self.backends
-                if backend.version == version and backend.server.is_serving()]
+                if backend.version == version and backend.server.is_serving() and
+                not backend.ended]
 
     def end_one(self):
         """Ends an engine, of a version that keeps ENGINES_LEFT."""
@@ -91,6 +127,15 @@
             self.crash(self.random.choice(candidates))
 
 
+    def reset_some(self):
+        engines = [backend for backend, _ in self.backends if backend.version is not None]
+        count = max(1, round(self.options.reset_share * len(engines)))
+        for backend in self.random.sample(engines, count):
+            connections = sorted(backend.connections, key=id)
+            for writer in self.random.sample(connections, len(connections) // 2):
+                reset(writer)
+
+
 class Stream:
     """What a client has of one stream, over its attempts."""
 
@@ -219,6 +264,11 @@
     async def quiet(self):
         return await self.run_clients()
 
+    async def reset_connections(self):
+        """Half of the connections to some engines, which live on, are reset each time."""
+        self.fleet.end_one = self.fleet.reset_some
+        return await self.run_clients()
+
     async def gateways_killed(self):
         return await self.run_clients(self.kill_gateways)
 
@@ -234,8 +284,14 @@
 
 
 def main():
-    parser = new_parser(__doc__, "version-stream", ["quiet", "gateways_killed", "stores_away"])
+    parser = new_parser(__doc__, "version-stream", ["quiet", "gateways_killed", "stores_away",
+                                                  "reset_connections"])
     parser.add_argument("--seconds", type=float, default=12)
+    parser.add_argument("--supervised", action="store_true",
+                        help="as --restart, and the port accepts connections meanwhile")
+    parser.add_argument("--no-start-times", action="store_true",
+                        help="engines do not tell when they started")
+    parser.add_argument("--reset-share", type=float, default=0.1, help="of the engines")
     parser.set_defaults(engines=10, programs=0)
     options = read_options(parser)
     options.judge_share = True
--- /dev/null
+++ b/tests/support/scripted_server.h
@@ -0,0 +1,54 @@
+// An HTTP server on the loopback interface that gives one answer.
+#ifndef RUDDERWAY_TESTS_SCRIPTED_SERVER_H
+#define RUDDERWAY_TESTS_SCRIPTED_SERVER_H
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <string>
+#include <thread>
+
+enum class Ending { clean, reset };
+
+// Accepts one connection, reads a request, writes `answer` and ends the connection.
+class Server {
+  public:
+    Server(const std::string &answer, Ending ending) {
+        listener_ = socket(AF_INET, SOCK_STREAM, 0);
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        bind(listener_, reinterpret_cast<sockaddr *>(&address), sizeof address);
+        socklen_t length = sizeof address;
+        getsockname(listener_, reinterpret_cast<sockaddr *>(&address), &length);
+        listen(listener_, 1);
+        thread_ = std::thread([this, answer, ending] { serve(answer, ending); });
+    }
+    ~Server() {
+        thread_.join();
+        close(listener_);
+    }
+    Server(const Server &) = delete;
+    Server &operator=(const Server &) = delete;
+
+    sockaddr_in address{};
+
+  private:
+    void serve(const std::string &answer, Ending ending) const {
+        int connection = accept(listener_, nullptr, nullptr);
+        char buffer[4096];
+        (void)!read(connection, buffer, sizeof buffer);
+        (void)!send(connection, answer.data(), answer.size(), MSG_NOSIGNAL);
+        if (ending == Ending::reset) {
+            linger now = {1, 0};
+            setsockopt(connection, SOL_SOCKET, SO_LINGER, &now, sizeof now);
+        }
+        close(connection);
+    }
+
+    int listener_;
+    std::thread thread_;
+};
+
+#endif
--- a/tests/unit/crash_history_test.cc
+++ b/tests/unit/crash_history_test.cc
@@ -649,6 +649,7 @@
     crash_watch_suspect(one.watch, REQUEST, backend, false);
     wait_ms(300);
     EXPECT_EQ(crash_watch_count(one.watch, REQUEST), 1U);
+    EXPECT_FALSE(backend_version_certain(backend));
     backend_record_survival(backend, uv_now(loop()));
     wait_ms(300);
     EXPECT_EQ(crash_watch_count(one.watch, REQUEST), 1U) << "a later process may have answered";
--- a/tests/unit/stream_versions_test.cc
+++ b/tests/unit/stream_versions_test.cc
@@ -5,6 +5,7 @@
 extern "C" {
 #include "cluster/message.h"
 #include "core/routing/stream_versions.h"
+#include "gateway/backend_survival.h"
 #include "gateway/backend_versions.h"
 #include "gateway/backends.h"
 #include "gateway/engine_load.h"
@@ -249,14 +250,23 @@
     EXPECT_TRUE(backend_version_certain(backend));
 }
 
-TEST_F(BackendVersions, AreCertainIfAConnectionComesUpAtOnce) {
+// Guards against a port that outlives its process and is taken for the process.
+TEST_F(BackendVersions, AreInDoubtUntilTheProcessAnswersOnAnEarlierConnection) {
+    loop.time = NOW - 100;
     backend_t *backend = add("a", "v1");
+    loop.time = NOW - 50;
+    backend_record_survival(backend, NOW - 50);
     loop.time = NOW;
     backend_doubt_version(backend);
-    backend_trust_version(backend, NOW - 1);
-    EXPECT_FALSE(backend_version_certain(backend)) << "the connection is older than the doubt";
-    backend_trust_version(backend, NOW);
+    EXPECT_FALSE(backend_version_certain(backend));
+    loop.time = NOW + 200;
+    backend_record_survival(backend, NOW + 10);
+    EXPECT_FALSE(backend_version_certain(backend)) << "another process may answer new connections";
+    backend_record_survival(backend, NOW - 50);
     EXPECT_TRUE(backend_version_certain(backend));
+    loop.time = NOW + 300;
+    backend_doubt_version(backend);
+    EXPECT_FALSE(backend_version_certain(backend)) << "the answer is older than the doubt";
 }
 
 } // namespace
