storage nodes: a send after a crash is on disk before it goes out

Callers saw: a request goes on to a fourth back end where the gateway of a try and all storage nodes are lost as a back end ends, though others had ended under it before.

Ruled out: crashes that were lost from the log, which the next try's E830 counts.

A storage node that knows of a crash under the request now writes the send to its log, and its end, and answers once it is on disk; a resend waits for one answer, 100 ms at most, as before. Requests under which no back end has ended cost nothing more.

AnOpenSendAfterACrashOutlastsALossOfPowerOfAllNodes fails without the record ({1}, not {1, 11}).

--- a/src/cluster/message.c
+++ b/src/cluster/message.c
@@ -156,6 +156,7 @@
     codec_uint64(codec, &message->time);
     codec_enum(codec, &type, MESSAGE_TYPE_COUNT);
     codec_uint64(codec, &message->crash.request);
+    codec_uint64(codec, &message->send);
     codec_uint32(codec, &backend);
     codec_uint32(codec, &number);
     codec_bool(codec, &message->crash.silent);
--- a/src/core/retry/open_sends.c
+++ b/src/core/retry/open_sends.c
@@ -5,6 +5,7 @@
     uint64_t send;
     uint64_t begun_at;
     bool counted;
+    bool logged;
     struct open_send *next; /**< Of the same request. */
     GList link;             /**< In open_sends.order. */
 } open_send_t;
@@ -57,11 +58,17 @@
         remove_send(sends, oldest);
 }
 
-void open_sends_begin(open_sends_t *sends, uint64_t request, uint64_t send, uint64_t now) {
-    if (g_hash_table_contains(sends->by_send, &send))
-        return;
+bool open_sends_begin(open_sends_t *sends, uint64_t request, uint64_t send, bool logged,
+                      uint64_t now) {
+    open_send_t *entry = g_hash_table_lookup(sends->by_send, &send);
+    if (entry != NULL) {
+        bool changes = logged && !entry->logged;
+        entry->logged |= logged;
+        return changes;
+    }
     limit_sends(sends, now);
-    open_send_t *entry = g_new0(open_send_t, 1);
+    entry = g_new0(open_send_t, 1);
+    entry->logged = logged;
     entry->request = request;
     entry->send = send;
     entry->begun_at = now;
@@ -70,6 +77,7 @@
     set_first(sends, entry);
     g_hash_table_insert(sends->by_send, &entry->send, entry);
     g_queue_push_tail_link(&sends->order, &entry->link);
+    return true;
 }
 
 static crash_report_t describe(const open_send_t *entry) {
@@ -79,14 +87,13 @@
                             .number = 1};
 }
 
-bool open_sends_end(open_sends_t *sends, uint64_t send, crash_report_t *crash) {
+bool open_sends_end(open_sends_t *sends, uint64_t send, ended_send_t *ended) {
     open_send_t *entry = g_hash_table_lookup(sends->by_send, &send);
     if (entry == NULL)
         return false;
-    bool counted = entry->counted;
-    *crash = describe(entry);
+    *ended = (ended_send_t){describe(entry), entry->counted, entry->logged};
     remove_send(sends, entry);
-    return counted;
+    return true;
 }
 
 void open_sends_count(open_sends_t *sends, uint64_t request, uint64_t send, uint64_t now,
--- a/src/core/retry/open_sends.h
+++ b/src/core/retry/open_sends.h
@@ -3,6 +3,7 @@
  * Requests that gateways are about to send, or have sent, and whose end is not known. A gateway
  * that is lost or stands still can't report that a back end has ended, so that an open send counts
  * as a crash under its request (crash_history.h) for the attempts that follow, until it ends.
+ * Those that are in a node's log outlast its restart, and so does their end.
  *
  * Decision code: no I/O, clock or threads. Times are in ms.
  */
@@ -15,12 +16,23 @@
 
 typedef struct open_sends open_sends_t;
 
+/** A send that has ended. */
+typedef struct {
+    crash_report_t crash; /**< As which it counted, if it did. */
+    bool counted;
+    bool logged;
+} ended_send_t;
+
 open_sends_t *open_sends_new(void);
 void open_sends_free(open_sends_t *sends);
-/** @p send: hash of the caller's attempt; a send that is open already is not changed. */
-void open_sends_begin(open_sends_t *sends, uint64_t request, uint64_t send, uint64_t now);
-/** Ends a send; true if it counted as @p crash, which is to be withdrawn. */
-bool open_sends_end(open_sends_t *sends, uint64_t send, crash_report_t *crash);
+/**
+ * @p send: hash of the caller's attempt. False if it is open already, and in the log or not to be
+ * @p logged.
+ */
+bool open_sends_begin(open_sends_t *sends, uint64_t request, uint64_t send, bool logged,
+                      uint64_t now);
+/** Ends a send; false if it is not open. */
+bool open_sends_end(open_sends_t *sends, uint64_t send, ended_send_t *ended);
 /**
  * Counts the open sends of @p request other than @p send as crashes, and appends those that did not
  * count before to @p crashes, of crash_report_t.
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -45,7 +45,7 @@
     budget_table_t budgets;
     program_affinity_t affinity;
     crash_history_t *crashes;      /**< Reported by gateways; see store_crashes.h. */
-    open_sends_t *sends;           /**< Registered by gateways; kept in memory only. */
+    open_sends_t *sends;           /**< Registered by gateways. */
     GArray *replayed_crashes;      /**< Read from the log; NULL: none, or applied. */
     stream_versions_t streams;     /**< Reported by gateways; kept in memory only. */
     quota_table_t quotas;          /**< This member's shares of the tenants' limits. */
--- a/src/store/store_crashes.c
+++ b/src/store/store_crashes.c
@@ -12,9 +12,17 @@
 typedef struct {
     message_type_t type;
     crash_report_t report;
+    uint64_t send; /**< Of a REQUEST_SEND or MESSAGE_SEND_ENDED. */
     uint64_t time; /**< Of the log, in ms. */
 } replayed_crash_t;
 
+/** An answer that waits for its send to be on disk. */
+typedef struct {
+    store_t *store;
+    uint64_t connection_serial;
+    uint64_t number;
+} awaited_send_t;
+
 static GBytes *encode_report(const store_t *store, message_type_t type,
                              const crash_report_t *report, uint64_t now) {
     message_t message;
@@ -99,17 +107,24 @@
                                 store_expiry_clock_ms(store) + CRASH_RECORD_RETENTION_MS);
 }
 
-static void record_change(store_t *store, message_type_t type, const crash_report_t *report,
-                          uint64_t now) {
+static GBytes *encode_record(store_t *store, message_type_t type, const crash_report_t *report,
+                             uint64_t send, uint64_t now) {
     message_t record;
     message_init(&record, RECORD_CRASH);
     record.crash_type = type;
     record.crash = *report;
+    record.send = send;
     uint64_t age_ms = now > report->at ? now - report->at : 0;
     uint64_t time = store_expiry_clock_ms(store);
     record.time = time > age_ms ? time - age_ms : 0;
-    store_append_record(store, message_encode(&record), on_recorded, store);
+    GBytes *bytes = message_encode(&record);
     message_clear(&record);
+    return bytes;
+}
+
+static void record_change(store_t *store, message_type_t type, const crash_report_t *report,
+                          uint64_t now) {
+    store_append_record(store, encode_record(store, type, report, 0, now), on_recorded, store);
 }
 
 void store_replay_crash(store_t *store, uint32_t segment, const message_t *record) {
@@ -118,11 +133,21 @@
     GArray *crashes = store->replayed_crashes;
     if (crashes->len >= REPLAYED_MAX)
         g_array_remove_range(crashes, 0, REPLAYED_MAX / 2);
-    const replayed_crash_t crash = {record->crash_type, record->crash, record->time};
+    const replayed_crash_t crash = {record->crash_type, record->crash, record->send, record->time};
     g_array_append_val(crashes, crash);
     turn_table_keep_segment(&store->turns, segment, record->time + CRASH_RECORD_RETENTION_MS);
 }
 
+static void apply_replayed(store_t *store, replayed_crash_t *crash, uint64_t now) {
+    ended_send_t ended;
+    if (crash->type == REQUEST_SEND)
+        open_sends_begin(store->sends, crash->report.request, crash->send, true, crash->report.at);
+    else if (crash->type == MESSAGE_SEND_ENDED)
+        open_sends_end(store->sends, crash->send, &ended);
+    else
+        apply(store, crash->type, &crash->report, now);
+}
+
 void store_crashes_replayed(store_t *store) {
     GArray *crashes = store->replayed_crashes;
     uint64_t now = uv_now(store->loop), time = store_expiry_clock_ms(store);
@@ -133,7 +158,7 @@
         /* The loop's clock may have begun after the crash. */
         crash->report.at = now > age_ms ? now - age_ms : 1;
         if (age_ms < CRASH_RECORD_RETENTION_MS)
-            apply(store, crash->type, &crash->report, now);
+            apply_replayed(store, crash, now);
     }
     if (crashes != NULL)
         g_array_free(crashes, TRUE);
@@ -188,27 +213,63 @@
     g_array_free(crashes, TRUE);
 }
 
-void store_handle_send(store_t *store, frame_connection_t *connection, const message_t *request) {
-    uint64_t now = uv_now(store->loop);
-    count_open_sends(store, request, now);
-    open_sends_begin(store->sends, request->crash.request, request->send, now);
-    if (crash_history_count(store->crashes, request->crash.request, now) > 0)
-        send_known(store, connection, request->crash.request, now);
-    if (request->number == 0)
+static void answer_send(const store_t *store, frame_connection_t *connection, uint64_t number) {
+    if (number == 0)
         return;
     message_t response;
     message_init(&response, RESPONSE_SEND);
-    response.number = request->number;
+    response.number = number;
     response.generation = store->group->generation;
     frame_connection_send(connection, message_encode(&response));
     message_clear(&response);
 }
 
+static void on_send_recorded(void *owner, bool durable, uint32_t segment) {
+    awaited_send_t *awaited = owner;
+    store_t *store = awaited->store;
+    on_recorded(store, durable, segment);
+    frame_connection_t *connection =
+        g_hash_table_lookup(store->connections, &awaited->connection_serial);
+    if (connection != NULL)
+        answer_send(store, connection, awaited->number);
+    g_free(awaited);
+}
+
+/** Writes a send of a request that may end back ends to the log, and answers it then. */
+static void record_send(store_t *store, const frame_connection_t *connection,
+                        const message_t *request, uint64_t now) {
+    awaited_send_t *awaited = g_new0(awaited_send_t, 1);
+    *awaited = (awaited_send_t){store, *frame_connection_serial(connection), request->number};
+    const crash_report_t report = {.request = request->crash.request, .at = now};
+    store_append_record(store, encode_record(store, REQUEST_SEND, &report, request->send, now),
+                        on_send_recorded, awaited);
+}
+
+void store_handle_send(store_t *store, frame_connection_t *connection, const message_t *request) {
+    uint64_t now = uv_now(store->loop);
+    count_open_sends(store, request, now);
+    bool suspect = crash_history_count(store->crashes, request->crash.request, now) > 0;
+    bool begun =
+        open_sends_begin(store->sends, request->crash.request, request->send, suspect, now);
+    if (suspect)
+        send_known(store, connection, request->crash.request, now);
+    if (suspect && begun)
+        record_send(store, connection, request, now);
+    else
+        answer_send(store, connection, request->number);
+}
+
 void store_end_send(store_t *store, uint64_t send) {
     uint64_t now = uv_now(store->loop);
-    crash_report_t crash;
-    if (open_sends_end(store->sends, send, &crash) && withdraw_crash(store, &crash, true, now))
-        record_change(store, MESSAGE_CRASH_WITHDRAWN, &crash, now);
+    ended_send_t ended;
+    if (!open_sends_end(store->sends, send, &ended))
+        return;
+    if (ended.counted && withdraw_crash(store, &ended.crash, true, now))
+        record_change(store, MESSAGE_CRASH_WITHDRAWN, &ended.crash, now);
+    if (ended.logged)
+        store_append_record(store,
+                            encode_record(store, MESSAGE_SEND_ENDED, &ended.crash, send, now),
+                            on_recorded, store);
 }
 
 void store_send_crashes(const store_t *store, frame_connection_t *connection) {
--- a/src/store/store_crashes.h
+++ b/src/store/store_crashes.h
@@ -10,7 +10,9 @@
  * all nodes, each change goes to the log, with the time of the log (core/turns/record_clock.h).
  *
  * Sends that gateways register (gateway/send_registry.h) count as crashes for the caller's next
- * attempt while they are open; see core/retry/open_sends.h.
+ * attempt while they are open; see core/retry/open_sends.h. Those of a request under which a back
+ * end has ended go to the log as well, and are answered once they are on disk, so that its next end
+ * is known though all nodes are lost with it. A first send is in memory only.
  *
  * Thread safety: everything here belongs to the loop's thread.
  */
--- a/tests/integration/crash_request_test.sh
+++ b/tests/integration/crash_request_test.sh
@@ -62,3 +62,9 @@
     done
 }
 expect "a request ends at most three back ends under faults that are drawn" crash_request_drawn
+
+crash_request_series() {
+    crash_request --seed 216 --tries 6 drawn_series && crash_request --seed 233 --tries 6 drawn_series
+}
+expect "a request ends at most three back ends though all that know of an end are lost with it" \
+    crash_request_series
--- a/tests/soak/crash_request_test.py
+++ b/tests/soak/crash_request_test.py
@@ -331,12 +331,14 @@
         await self.send_tries(self.drawn())
         return self.judge_ends()
 
-    async def _tries_with_fault(self, fault, budgeted=True):
-        """Each try at a drawn gateway, which FAULT strikes as the try's first back end ends."""
+    async def _tries_with_fault(self, fault, budgeted=True, until_lost_s=0):
+        """Each try at a drawn gateway, which FAULT strikes as the try's first back end ends. Nodes
+        that are lost start again UNTIL_LOST_S after the try."""
         for gateway in self.drawn():
             self.fleet.on_end = lambda node=gateway: self._strike_once(fault, node)
             await self.send_tries([gateway], budgeted)
             self.fleet.on_end = None
+            await asyncio.sleep(until_lost_s)
             lost = [node for node in self.cluster.nodes() if not node.running()]
             for node in lost:
                 node.start()
@@ -389,19 +391,41 @@
                 await self._wait_for("the restart", lambda node=node: self._serves_turns(node))
         return self.judge_ends()
 
-    async def drawn_faults(self):
-        """The listener's lag, what strikes which nodes and when, and the events are drawn."""
+    def _draw_end(self):
+        """Draws how back ends end and how long the caller waits."""
         draw, options = self.random, self.options
         options.listener_s = draw.choice([0, draw.uniform(0, 0.02), draw.uniform(0, 1), math.inf])
         options.events = draw.choice([0, 0, 1, 3])
         options.patience = draw.choice([0.3, 0.5, soak.RECOVER_S])
-        faults = {
+
+    def _faults(self):
+        """What may strike nodes as a back end ends under a try at a gateway."""
+        return {
             "none": lambda gateway: None,
             "kill": lambda gateway: gateway.kill(),
             "freeze": self._freeze,
             "gateways": lambda gateway: [node.kill() for node in self.cluster.gateways],
             "stores": lambda gateway: [node.kill() for node in self.cluster.stores],
         }
+
+    async def drawn_series(self):
+        """Each try has its own end of back ends, and one to three faults that overlap."""
+        draw, loop, faults, struck = self.random, asyncio.get_running_loop(), self._faults(), []
+
+        def strike(gateway):
+            for name in draw.choices(sorted(faults), k=draw.randint(1, 3)):
+                delay = draw.choice([0, draw.uniform(0, NODE_FAULT_MAX_S), draw.uniform(0, FROZEN_S)])
+                loop.call_later(delay, faults[name], gateway)
+                struck.append((name, round(delay, 3)))
+            self._draw_end()
+        self._draw_end()
+        report = await self._tries_with_fault(strike, until_lost_s=FROZEN_S)
+        return {**report, "faults": struck}
+
+    async def drawn_faults(self):
+        """The listener's lag, what strikes which nodes and when, and the events are drawn."""
+        draw, options, faults = self.random, self.options, self._faults()
+        self._draw_end()
         name = draw.choice(sorted(faults))
         delay = draw.choice([0, draw.uniform(0, NODE_FAULT_MAX_S)])
         loop = asyncio.get_running_loop()
@@ -540,7 +564,7 @@
                          "stores_away", "mostly_cut_off", "several", "connections_delayed",
                          "delayed_in_series", "bystanders", "gateway_killed_in_try",
                          "gateway_frozen_in_try", "all_nodes_killed", "all_nodes_killed_in_turn",
-                         "drawn_faults", "live_back_ends"])
+                         "drawn_faults", "drawn_series", "live_back_ends"])
     parser.add_argument("--events", type=int, default=0, help="events before a back end ends")
     parser.add_argument("--pace", type=int, default=1, help="how many times as long events take")
     parser.add_argument("--silent", action="store_true",
--- a/tests/unit/store_crashes_test.cc
+++ b/tests/unit/store_crashes_test.cc
@@ -207,6 +207,18 @@
     EXPECT_EQ(known(2), (std::set<unsigned>{11, 12}));
 }
 
+// Guards against a back end that ends together with all nodes and does not count.
+TEST_F(StoreCrashes, AnOpenSendAfterACrashOutlastsALossOfPowerOfAllNodes) {
+    report(0, 1);
+    send(0, REQUEST_SEND, 0, 12);
+    send(0, MESSAGE_SEND_ENDED, 0, 12);
+    send(0, REQUEST_SEND, 0, 11);
+    end_all_nodes();
+    virtual_run(virtual_now() + founding_ms);
+    send(1, REQUEST_SEND, 0, 13);
+    EXPECT_EQ(known(1), (std::set<unsigned>{1, 11}));
+}
+
 TEST_F(StoreCrashes, ASendThatHasEndedDoesNotCount) {
     send(0, REQUEST_SEND, 0, 11);
     send(0, MESSAGE_SEND_ENDED, 0, 11);
