test: the plays that kill all nodes restart them by one function

all_nodes_killed_in_turn repeated what _restart does, for two groups of nodes; it takes several now. Ruled out that the check changes: the same nodes are killed and started in the same order, and the same gateways are waited for.

--- a/tests/soak/crash_request_test.py
+++ b/tests/soak/crash_request_test.py
@@ -363,11 +363,13 @@
         """The gateway of each try stands still as its back end ends, and goes on later."""
         return await self._tries_with_fault(self._freeze)
 
-    async def _restart(self, nodes):
-        for node in nodes:
-            node.kill()
-        for node in nodes:
-            node.start()
+    async def _restart(self, *groups):
+        """Kills all nodes of each group in turn and starts them again."""
+        for nodes in groups:
+            for node in nodes:
+                node.kill()
+            for node in nodes:
+                node.start()
         for gateway in self.cluster.gateways:
             await self._wait_for("the restart", lambda node=gateway: self._serves_turns(node))
 
@@ -382,13 +384,7 @@
         """The storage nodes are killed and start again between the tries, then the gateways."""
         for gateway in self.drawn():
             await self.send_tries([gateway])
-            for nodes in (self.cluster.stores, self.cluster.gateways):
-                for node in nodes:
-                    node.kill()
-                for node in nodes:
-                    node.start()
-            for node in self.cluster.gateways:
-                await self._wait_for("the restart", lambda node=node: self._serves_turns(node))
+            await self._restart(self.cluster.stores, self.cluster.gateways)
         return self.judge_ends()
 
     def _draw_end(self):
