gateways: a report that comes at once shows the process where no start is told

Cause: took away the trust in a new connection and put the start time of the report in its place, which such back ends don't have, so that a version stayed in doubt for seconds after each broken connection.

Now a report that comes within 100 ms of the moment at which the process may have ended shows the process as well, since another one takes longer to start and answer. A connection that a port accepts does not, as before. The moment is known for connections that break here, not for ends that others report or ports that refuse, and an earlier doubt that stands keeps its own.

Left: a process of another version that takes over the port within 100 ms.

--- a/src/cluster/service_directory.h
+++ b/src/cluster/service_directory.h
@@ -142,7 +142,7 @@
 backend_record_t *directory_parse_backend(const char *instance, const char *data, size_t length);
 /** URL path at which a back end reports on itself. */
 const char *backend_report_path(void);
-/** Reads when the back end started, as in `born`, from its report; false if that doesn't tell. */
-bool backend_report_read_start(const char *data, size_t length, uint64_t *born);
+/** Reads a back end's report; false if it is none. @p born: as in backend_record_t. */
+bool backend_report_read(const char *data, size_t length, uint64_t *born);
 
 #endif
--- a/src/gateway/backend_versions.c
+++ b/src/gateway/backend_versions.c
@@ -80,7 +80,9 @@
                                list_serves_version(members->remote, version));
 }
 
-void backend_doubt_version(backend_t *backend) {
+void backend_doubt_version(backend_t *backend, uint64_t since) {
+    bool was_certain = backend_version_certain(backend);
+    backend->replaced_from = was_certain ? since : MIN(backend->replaced_from, since);
     backend->version_doubted_at = uv_now(backend->loop);
 }
 
--- a/src/gateway/backend_versions.h
+++ b/src/gateway/backend_versions.h
@@ -16,9 +16,12 @@
  */
 enum { VERSION_DOUBT_MS = 5000 };
 
-/** The process at the back end's address may be another than that which wrote its entry. */
-void backend_doubt_version(backend_t *backend);
-/** The process of its entry has answered a request that was sent at @p since. */
+/**
+ * The process at the back end's address may be another than that which wrote its entry.
+ * @p since: loop time at which the process may have ended; 0: unknown.
+ */
+void backend_doubt_version(backend_t *backend, uint64_t since);
+/** The process of its entry has answered a request that was sent at @p since, loop time in ms. */
 void backend_trust_version(backend_t *backend, uint64_t since);
 /**
  * False if its version has been in doubt since, and it is not yet certain that its entry is of the
--- a/src/gateway/backends.c
+++ b/src/gateway/backends.c
@@ -78,7 +78,7 @@
     for (GSList *item = *id_bucket(backends, id_bits); item != NULL; item = item->next) {
         backend_t *backend = item->data;
         if ((uint16_t)backend->id_hash == id_bits)
-            backend_doubt_version(backend);
+            backend_doubt_version(backend, 0);
     }
 }
 
@@ -416,7 +416,7 @@
 static void on_idle_closed(void *owner, http_client_t *client) {
     backend_t *backend = owner;
     if (uv_now(backend->loop) < http_client_idle_until(client))
-        backend_doubt_version(backend);
+        backend_doubt_version(backend, uv_now(backend->loop));
     g_ptr_array_remove(backend->idle, client);
 }
 
--- a/src/gateway/backends.h
+++ b/src/gateway/backends.h
@@ -63,6 +63,8 @@
     bool ejected_by_peers; /**< Ejected by reports of other gateways, at the latest check. */
     software_version_t version;
     uint64_t version_doubted_at; /**< See backend_version_certain; 0: never. */
+    uint64_t
+        replaced_from; /**< While in doubt: since when another process may serve; 0: unknown. */
     uint64_t version_updated_at; /**< When its entry last changed. */
     uint64_t added_at;           /**< When its entry appeared. */
     uint64_t survived_from;      /**< See backend_survival.h; 0: nothing is known. */
--- a/src/gateway/call_retry.c
+++ b/src/gateway/call_retry.c
@@ -173,7 +173,7 @@
 }
 
 void call_handle_not_sent(call_t *call) {
-    backend_doubt_version(call->backend);
+    backend_doubt_version(call->backend, 0);
     call->sends--;
     call_quota_record_not_run(call);
     if (call->repeating) {
--- a/src/gateway/crash_watch.c
+++ b/src/gateway/crash_watch.c
@@ -357,7 +357,7 @@
 }
 
 void crash_watch_suspect(crash_watch_t *watch, uint64_t request, backend_t *backend, bool shared) {
-    backend_doubt_version(backend);
+    backend_doubt_version(backend, now(watch));
     check_crash(watch, request, backend, true, shared);
 }
 
@@ -396,7 +396,7 @@
 }
 
 void crash_watch_record_unreachable(crash_watch_t *watch, uint64_t request, backend_t *backend) {
-    backend_doubt_version(backend);
+    backend_doubt_version(backend, 0);
     if (backends_mostly_unreachable(backend->owner, backend->record->service))
         return;
     crash_report_t crash = new_crash(watch, request, backend, true);
--- a/src/gateway/process_check.c
+++ b/src/gateway/process_check.c
@@ -5,6 +5,7 @@
 
 enum {
     ATTEMPT_MS = 300,              /**< From one attempt to the next; a report takes a few ms. */
+    RESTART_MIN_MS = 100,          /**< A process takes longer to end, start again and answer. */
     REPORT_MAX_BYTES = 256 * 1024, /**< A report is a few hundred bytes, and some for each run. */
     STATUS_OK = 200,
 };
@@ -53,13 +54,20 @@
     process_check_begin(backend);
 }
 
+/** True if no other process can have started at its address yet. */
+static bool is_too_soon_for_another(const backend_t *backend) {
+    return uv_now(backend->loop) < backend->replaced_from + RESTART_MIN_MS;
+}
+
 static process_result_t compare(const process_check_t *check) {
+    const backend_t *backend = check->backend;
     backend_record_t reported = {.born = 0};
-    if (!backend_report_read_start(check->report->str, check->report->len, &reported.born))
+    if (!backend_report_read(check->report->str, check->report->len, &reported.born))
         return PROCESS_UNKNOWN;
-    return backend_record_life(&reported) == backend_record_life(check->backend->record)
-               ? PROCESS_SAME
-               : PROCESS_OTHER;
+    if (reported.born == 0 || backend->record->born == 0)
+        return is_too_soon_for_another(backend) ? PROCESS_SAME : PROCESS_UNKNOWN;
+    return backend_record_life(&reported) == backend_record_life(backend->record) ? PROCESS_SAME
+                                                                                  : PROCESS_OTHER;
 }
 
 static bool on_head(void *user, const http_answer_head_t *head) {
@@ -110,20 +118,25 @@
     http_client_send(check->client, request, false, &exchange_handler, check);
 }
 
+/** True if an answer now may show which process serves. */
+static bool may_tell(const backend_t *backend) {
+    return backend->record->born > 0 || is_too_soon_for_another(backend);
+}
+
 static void on_timer(uv_timer_t *timer) {
     process_check_t *check = timer->data;
     if (check->client != NULL)
         http_client_close(check->client);
     check->client = NULL;
-    if (check->attempts < PROCESS_CHECK_ATTEMPTS)
+    if (check->attempts < PROCESS_CHECK_ATTEMPTS && may_tell(check->backend))
         ask(check);
     else
         end_check(check, PROCESS_UNKNOWN);
 }
 
 void process_check_begin(backend_t *backend) {
-    bool wanted = backend->record->born > 0 && !backend->removed &&
-                  backend->process_check == NULL && !backend_version_certain(backend);
+    bool wanted = may_tell(backend) && !backend->removed && backend->process_check == NULL &&
+                  !backend_version_certain(backend);
     if (!wanted)
         return;
     process_check_t *check = g_new0(process_check_t, 1);
--- a/tests/integration/version_stream_test.sh
+++ b/tests/integration/version_stream_test.sh
@@ -18,3 +18,5 @@
     version_stream_supervised
 expect "streams that are taken up go on though connections to their engines are reset" \
     version_stream reset_connections
+expect "the same where engines do not tell when they started" \
+    version_stream --no-start-times --seed 2 reset_connections
