--- a/tests/integration/crash_request_test.sh
+++ b/tests/integration/crash_request_test.sh
@@ -54,6 +54,11 @@
 expect "calls are not refused for connections that break at live back ends" \
     crash_request live_back_ends
 
+expect "a request ends at most three back ends that end once its time is over" \
+    crash_request --run-s 1.5 --tries 8 tries
+expect "a request ends at most three back ends that end once its caller has left" \
+    crash_request --run-s 1.5 --patience 0.5 --tries 12 tries
+
 # Lags of listeners, faults of nodes and their times are drawn from the seeds.
 crash_request_drawn() {
     local seed
@@ -68,3 +73,11 @@
 }
 expect "a request ends at most three back ends though all that know of an end are lost with it" \
     crash_request_series
+
+crash_request_runs() {
+    local seed
+    for seed in 1 2 3 4; do
+        crash_request --seed $seed --tries 8 drawn_runs || return 1
+    done
+}
+expect "a request ends at most three back ends though these run it for a while" crash_request_runs
--- a/tests/soak/crash_request_test.py
+++ b/tests/soak/crash_request_test.py
@@ -40,6 +40,7 @@
 DELAY_S = 1.0  # Longer than two connections are waited for.
 DELAYS_APART_S = 2.5  # Longer than crashes of one silent back end count as the same.
 DELAY_SCENARIOS = ["connections_delayed", "delayed_in_series"]
+RUN_MAX_S = 2.0
 FROZEN_S = 1.5  # How long a gateway stands still.
 NODE_FAULT_MAX_S = 0.03  # After a back end's end.
 PERSISTENT_S = 70.0  # Longer than a stop lasts.
@@ -62,6 +63,7 @@
     def __init__(self, fleet, *arguments):
         super().__init__(*arguments)
         self.fleet = fleet
+        self.process = 0  # Number of the process that serves under its id.
         self.lingers = False  # Its port takes connections though the process has ended.
 
     def end_but_listener(self):
@@ -99,6 +101,10 @@
             writer.write(render_chunk(f"id: {number}\ndata: {data}\n\n".encode()))
             await writer.drain()
             await asyncio.sleep(0.01)
+        process = self.process
+        await asyncio.sleep(self.fleet.options.run_s)
+        if self.process != process:  # It has ended under an earlier send.
+            return False
         self.fleet.end(self)
         if self.fleet.options.silent:
             await asyncio.sleep(SILENCE_S)
@@ -161,6 +167,7 @@
 
     def end(self, backend):
         """The process of the back end ends under the request."""
+        backend.process += 1
         self.ends.append((time.monotonic(), backend.instance))
         self.ended.add(backend.instance)
         if self.on_end is not None:
@@ -435,6 +442,22 @@
         return {**report, "listener_s": str(options.listener_s), "events": options.events,
                 "fault": name, "delay_s": delay, "patience_s": options.patience}
 
+    async def drawn_runs(self):
+        """How long back ends run the request, how they end, and what strikes which nodes, are drawn."""
+        draw, options, faults = self.random, self.options, self._faults()
+        self._draw_end()
+        options.run_s = draw.uniform(0, RUN_MAX_S)
+        options.silent = draw.random() < 0.25
+        name = draw.choice(["none", "none", *sorted(faults)])
+        delay = draw.uniform(0, options.run_s)
+        loop = asyncio.get_running_loop()
+
+        def strike(gateway):
+            loop.call_later(delay, faults[name], gateway)
+        report = await self._tries_with_fault(strike)
+        return {**report, "run_s": round(options.run_s, 3), "patience_s": options.patience,
+                "listener_s": str(options.listener_s), "silent": options.silent, "fault": name}
+
     async def persistent(self):
         """The caller does not heed Retry-After and goes on for longer than a stop lasts."""
         end = time.monotonic() + PERSISTENT_S
@@ -560,8 +583,10 @@
                          "stores_away", "mostly_cut_off", "several", "connections_delayed",
                          "delayed_in_series", "bystanders", "gateway_killed_in_try",
                          "gateway_frozen_in_try", "all_nodes_killed", "all_nodes_killed_in_turn",
-                         "drawn_faults", "drawn_series", "live_back_ends"])
+                         "drawn_faults", "drawn_series", "drawn_runs", "live_back_ends"])
     parser.add_argument("--events", type=int, default=0, help="events before a back end ends")
+    parser.add_argument("--run-s", type=float, default=0,
+                        help="seconds for which a back end runs the request before it ends")
     parser.add_argument("--pace", type=int, default=1, help="how many times as long events take")
     parser.add_argument("--silent", action="store_true",
                         help="ended back ends neither reset nor refuse connections")
