gateways: a back end that ends after the call has left it counts under its request

Callers saw: a request goes on to a fourth and fifth back end where each runs it for a while and ends once its time is over, its caller has left or the call was sent elsewhere.

A call that left a back end had it checked at that moment, 10 ms later it accepted connections (E867), and what became of the run belonged to no request any more. Evidence: E830 timed_out at 29.656, E867 accepts at 29.666, the end at 29.676, and the next E831 of the request has the count of before. Ruled out: that nobody sees the end, since the check's connection is kept and breaks with the process.

A gateway now remembers what calls have left, for as long as the back end may run it: the time that it was handed, and a second (core/retry/left_sends.h, 1,024 sends). Where a connection to it breaks in that time, under another request or idle, it counts as one that broke under each of these (E877), with the same evidence of the process and the same withdrawal. A success, also elsewhere, forgets it. No new connection, message or timer as long as no back end ends.

ABackEndThatEndsAfterTheCallHasLeftItCounts and AnIdleConnectionThatBreaksAfterTheCallHasLeftShowsTheEnd need the change; the other three keep it from going too far.

--- /dev/null
+++ b/src/core/retry/left_sends.c
@@ -0,0 +1,74 @@
+#include "core/retry/left_sends.h"
+
+#include <stdbool.h>
+
+struct left_sends {
+    GArray *entries; /**< Of left_send_t, oldest first. */
+};
+
+left_sends_t *left_sends_new(void) {
+    left_sends_t *sends = g_new0(left_sends_t, 1);
+    sends->entries = g_array_new(FALSE, FALSE, sizeof(left_send_t));
+    return sends;
+}
+
+void left_sends_free(left_sends_t *sends) {
+    g_array_free(sends->entries, TRUE);
+    g_free(sends);
+}
+
+static left_send_t *entry_at(const left_sends_t *sends, guint index) {
+    return &g_array_index(sends->entries, left_send_t, index);
+}
+
+static bool is_over(const left_send_t *entry, uint64_t now) {
+    return now > entry->until + LEFT_SEND_MARGIN_MS;
+}
+
+static void remove_over(left_sends_t *sends, uint64_t now) {
+    for (guint i = sends->entries->len; i > 0; i--)
+        if (is_over(entry_at(sends, i - 1), now))
+            g_array_remove_index(sends->entries, i - 1);
+}
+
+void left_sends_remove(left_sends_t *sends, uint64_t request, uint64_t backend) {
+    for (guint i = sends->entries->len; i > 0; i--) {
+        const left_send_t *entry = entry_at(sends, i - 1);
+        if (entry->request == request && entry->backend == backend)
+            g_array_remove_index(sends->entries, i - 1);
+    }
+}
+
+void left_sends_add(left_sends_t *sends, uint64_t request, uint64_t backend, uint64_t run_ms,
+                    uint64_t now) {
+    left_send_t added = {request, backend, now, now + run_ms};
+    for (guint i = 0; i < sends->entries->len; i++) {
+        const left_send_t *entry = entry_at(sends, i);
+        if (entry->request == request && entry->backend == backend)
+            added.until = MAX(added.until, entry->until);
+    }
+    left_sends_remove(sends, request, backend);
+    if (sends->entries->len >= LEFT_SENDS_MAX)
+        remove_over(sends, now);
+    if (sends->entries->len >= LEFT_SENDS_MAX)
+        g_array_remove_index(sends->entries, 0);
+    g_array_append_val(sends->entries, added);
+}
+
+void left_sends_forget(left_sends_t *sends, uint64_t request) {
+    for (guint i = sends->entries->len; i > 0; i--)
+        if (entry_at(sends, i - 1)->request == request)
+            g_array_remove_index(sends->entries, i - 1);
+}
+
+void left_sends_take(left_sends_t *sends, uint64_t backend, uint64_t now, GArray *taken) {
+    remove_over(sends, now);
+    for (guint i = 0; i < sends->entries->len;) {
+        if (entry_at(sends, i)->backend != backend) {
+            i++;
+            continue;
+        }
+        g_array_append_val(taken, *entry_at(sends, i));
+        g_array_remove_index(sends->entries, i);
+    }
+}
--- /dev/null
+++ b/src/core/retry/left_sends.h
@@ -0,0 +1,45 @@
+/**
+ * @file left_sends.h
+ * Sends that calls have left before their back ends answered: the caller has gone, the time is
+ * over, or the call was sent elsewhere. The back end may run the request for longer, so that its
+ * end within that time may have been caused by it (crash_history.h).
+ *
+ * Decision code: no I/O, clock or threads. Times are in ms.
+ */
+#ifndef RUDDERWAY_CORE_RETRY_LEFT_SENDS_H
+#define RUDDERWAY_CORE_RETRY_LEFT_SENDS_H
+
+#include <glib.h>
+#include <stdint.h>
+
+enum {
+    LEFT_SENDS_MAX = 1024,
+    /** Until the end of a back end that ran the request to the end of its time is noticed. */
+    LEFT_SEND_MARGIN_MS = 1000,
+};
+
+typedef struct {
+    uint64_t request;
+    uint64_t backend; /**< Hash of the back end. */
+    uint64_t left_at;
+    uint64_t until; /**< The back end may run the request until then. */
+} left_send_t;
+
+typedef struct left_sends left_sends_t;
+
+left_sends_t *left_sends_new(void);
+void left_sends_free(left_sends_t *sends);
+/**
+ * Adds a send that was left at @p now, whose back end may run it for @p run_ms more. Sends of one
+ * request to one back end are one entry; beyond LEFT_SENDS_MAX the oldest goes.
+ */
+void left_sends_add(left_sends_t *sends, uint64_t request, uint64_t backend, uint64_t run_ms,
+                    uint64_t now);
+/** The end of the back end has been counted under the request. */
+void left_sends_remove(left_sends_t *sends, uint64_t request, uint64_t backend);
+/** The request got a complete successful response. */
+void left_sends_forget(left_sends_t *sends, uint64_t request);
+/** Removes the sends that the back end may still run, and appends them to @p taken. */
+void left_sends_take(left_sends_t *sends, uint64_t backend, uint64_t now, GArray *taken);
+
+#endif
--- a/src/gateway/backend_versions.c
+++ b/src/gateway/backend_versions.c
@@ -84,6 +84,9 @@
     bool was_certain = backend_version_certain(backend);
     backend->replaced_from = was_certain ? since : MIN(backend->replaced_from, since);
     backend->version_doubted_at = uv_now(backend->loop);
+    const backends_t *backends = backend->owner;
+    if (backends->on_process_doubted != NULL)
+        backends->on_process_doubted(backends->process_doubted_owner, backend);
 }
 
 void backend_trust_version(backend_t *backend, uint64_t since) {
--- a/src/gateway/call_send.c
+++ b/src/gateway/call_send.c
@@ -45,7 +45,8 @@
 void call_close_client(call_t *call) {
     if (call->client != NULL) {
         if (http_client_connected(call->client))
-            crash_watch_give_up(call->gateway->crashes, call->request_id, call->backend);
+            crash_watch_give_up(call->gateway->crashes, call->request_id, call->backend,
+                                call_time_left(call));
         http_client_close(call->client);
     }
     call->client = NULL;
--- a/src/gateway/crash_watch.c
+++ b/src/gateway/crash_watch.c
@@ -1,6 +1,7 @@
 #include "gateway/crash_watch.h"
 
 #include "common/event.h"
+#include "core/retry/left_sends.h"
 #include "core/retry/recent_successes.h"
 #include "gateway/backend_versions.h"
 #include "gateway/backend_check.h"
@@ -55,6 +56,7 @@
     GHashTable *checks; /**< backend_t.id_hash to suspected_backend_t. */
     GQueue given_up;    /**< Of given_up_t, oldest first. */
     uv_timer_t given_up_timer;
+    left_sends_t *left;
     recent_successes_t successes;
     GArray *suspicions; /**< Of suspicion_t, oldest first. */
     uv_timer_t suspicion_timer;
@@ -89,6 +91,7 @@
 
 /** Forgets the crashes under a request that got a complete response. */
 static crash_news_t clear_crashes(crash_watch_t *watch, const crash_report_t *report) {
+    left_sends_forget(watch->left, report->request);
     forget_suspicions(watch, report->request, report->at);
     crash_news_t news = news_of_crash(watch, report->request);
     return crash_history_clear(watch->history, report->request, report->at) ? news : CRASH_KNOWN;
@@ -127,6 +130,8 @@
         on_crash_report(watch, &report);
 }
 
+static void on_process_doubted(void *owner, backend_t *backend);
+
 crash_watch_t *crash_watch_new(uv_loop_t *loop, backends_t *backends, load_sharing_t *sharing,
                                store_client_t *stores) {
     crash_watch_t *watch = g_new0(crash_watch_t, 1);
@@ -139,6 +144,9 @@
     g_queue_init(&watch->given_up);
     uv_timer_init(loop, &watch->given_up_timer);
     watch->given_up_timer.data = watch;
+    watch->left = left_sends_new();
+    backends->on_process_doubted = on_process_doubted;
+    backends->process_doubted_owner = watch;
     watch->suspicions = g_array_new(FALSE, FALSE, sizeof(suspicion_t));
     uv_timer_init(loop, &watch->suspicion_timer);
     watch->suspicion_timer.data = watch;
@@ -289,6 +297,7 @@
     crash_watch_t *watch = check->watch;
     crash_report_t *crash = &checked->crash;
     if (result == BACKEND_CHECK_ENDED || result == BACKEND_CHECK_UNREACHABLE) {
+        left_sends_remove(watch->left, crash->request, check->backend);
         if (checked->counted || crash_history_add(watch->history, crash, true))
             confirm_crash(watch, crash, is_sent(check, checked));
     } else if (checked->counted) {
@@ -341,8 +350,10 @@
         .broken = broken,
         .counted = !recent_successes_contain(&watch->successes, request, now(watch)),
     };
-    if (checked.counted && !crash_history_add(watch->history, &checked.crash, false))
+    if (checked.counted && !crash_history_add(watch->history, &checked.crash, false)) {
+        left_sends_remove(watch->left, request, backend->id_hash);
         return;
+    }
     suspected_backend_t *check = g_hash_table_lookup(watch->checks, &backend->id_hash);
     bool begins = check == NULL;
     if (begins)
@@ -361,6 +372,20 @@
     check_crash(watch, request, backend, true, shared);
 }
 
+/** What calls have left there may have caused an end. */
+static void on_process_doubted(void *owner, backend_t *backend) {
+    crash_watch_t *watch = owner;
+    GArray *left = g_array_new(FALSE, FALSE, sizeof(left_send_t));
+    left_sends_take(watch->left, backend->id_hash, now(watch), left);
+    for (guint i = 0; i < left->len; i++) {
+        const left_send_t *send = &g_array_index(left, left_send_t, i);
+        event_log(BACKEND_LEFT_SEND_SUSPECTED, send->request, backend->record->instance,
+                  now(watch) - send->left_at);
+        check_crash(watch, send->request, backend, true, true);
+    }
+    g_array_free(left, TRUE);
+}
+
 static void on_given_up_timer(uv_timer_t *timer) {
     crash_watch_t *watch = timer->data;
     given_up_t *given_up;
@@ -376,8 +401,10 @@
         uv_timer_start(timer, on_given_up_timer, given_up->at + QUIET_MS - now(watch), 0);
 }
 
-void crash_watch_give_up(crash_watch_t *watch, uint64_t request, const backend_t *backend) {
+void crash_watch_give_up(crash_watch_t *watch, uint64_t request, const backend_t *backend,
+                         uint64_t run_ms) {
     watch->counts.given_up++;
+    left_sends_add(watch->left, request, backend->id_hash, run_ms, now(watch));
     if (now(watch) >= backend->observed.last_received_at + QUIET_MS) {
         check_crash(watch, request, backend, false, true);
         return;
@@ -408,6 +435,7 @@
 
 void crash_watch_record_success(crash_watch_t *watch, uint64_t request) {
     recent_successes_add(&watch->successes, request, now(watch));
+    left_sends_forget(watch->left, request);
     if (crash_history_count(watch->history, request, now(watch)) == 0)
         return;
     crash_report_t cleared = {.request = request, .at = now(watch), .cleared = true};
--- a/src/gateway/crash_watch.h
+++ b/src/gateway/crash_watch.h
@@ -14,9 +14,11 @@
  * For a request that has succeeded lately (recent_successes.h) a crash counts once new connections
  * show it.
  *
- * A call that ends before its back end has answered is checked as well, without the call. There the
- * connection did not break, which the end of the process would have caused, so that a new one that
- * comes up does show that the back end is alive; storage nodes are told if the check is slow.
+ * A call that leaves a back end before it has answered is checked as well, without the call. There
+ * the connection did not break, which the end of the process would have caused, so that a new one
+ * that comes up does show that the back end is alive; storage nodes are told if the check is slow.
+ * The back end may run the request for longer (left_sends.h): a connection to it that breaks in
+ * that time, under any request or idle, counts as one that broke under this one.
  *
  * Thread safety: everything here belongs to the loop's thread.
  */
@@ -53,10 +55,12 @@
  */
 void crash_watch_suspect(crash_watch_t *watch, uint64_t request, backend_t *backend, bool shared);
 /**
- * The call gave its exchange with @p backend up: its caller has left, or its time is over. If the
- * back end is silent, it counts as a crash while that is checked.
+ * The call gave its exchange with @p backend up, which may run the request for @p run_ms more: its
+ * caller has left, its time is over, or it is sent elsewhere. If the back end is silent, it counts
+ * as a crash while that is checked.
  */
-void crash_watch_give_up(crash_watch_t *watch, uint64_t request, const backend_t *backend);
+void crash_watch_give_up(crash_watch_t *watch, uint64_t request, const backend_t *backend,
+                         uint64_t run_ms);
 /** Probes found @p backend unreachable under @p request. */
 void crash_watch_record_unreachable(crash_watch_t *watch, uint64_t request, backend_t *backend);
 /** The request got a complete successful response. */
--- a/tests/unit/crash_history_test.cc
+++ b/tests/unit/crash_history_test.cc
@@ -4,6 +4,7 @@
 extern "C" {
 #include "cluster/remote_gateway.h"
 #include "core/retry/crash_history.h"
+#include "core/retry/left_sends.h"
 #include "core/retry/resend.h"
 #include "gateway/crash_reports.h"
 #include "gateway/backend_survival.h"
@@ -25,6 +26,7 @@
 
 constexpr uint64_t REQUEST = 7;
 constexpr uint64_t NOW = 100000;
+constexpr uint64_t RUN_MS = 2000; // For which a back end may run a request that was left there.
 
 class CrashHistory : public testing::Test {
   protected:
@@ -752,7 +754,7 @@
     add_backend(one, "other", other)->observed.last_received_at = uv_now(loop());
     uv_sleep(150);
     uv_update_time(loop());
-    crash_watch_give_up(one.watch, REQUEST, backend);
+    crash_watch_give_up(one.watch, REQUEST, backend, RUN_MS);
     EXPECT_EQ(crash_watch_count(one.watch, REQUEST), 1U) << "its caller may be back at once";
     run_until([until = uv_hrtime() + 1200000000U] { return uv_hrtime() > until; });
     EXPECT_EQ(crash_watch_count(one.watch, REQUEST), 1U);
@@ -765,7 +767,7 @@
     add_backend(one, "other", other)->observed.last_received_at = uv_now(loop());
     uv_sleep(150);
     uv_update_time(loop());
-    crash_watch_give_up(one.watch, REQUEST, backend);
+    crash_watch_give_up(one.watch, REQUEST, backend, RUN_MS);
     EXPECT_EQ(crash_watch_count(one.watch, REQUEST), 1U) << "until it has been checked";
     EXPECT_TRUE(run_until([&] { return crash_watch_count(one.watch, REQUEST) == 0; }));
 }
@@ -776,19 +778,91 @@
     backend_t *backend = add_backend(one, "sound", accepting);
     uv_sleep(150);
     uv_update_time(loop());
-    crash_watch_give_up(one.watch, REQUEST, backend);
+    crash_watch_give_up(one.watch, REQUEST, backend, RUN_MS);
     EXPECT_TRUE(run_until([&] { return crash_watch_count(one.watch, REQUEST) == 0; }));
     EXPECT_EQ(backend->idle->len, 1U) << "the connection serves the next call";
     EXPECT_EQ(crash_watch_counts(one.watch)->checks, 1U);
 }
 
+// Guards against a back end that ends under a request which its caller has left just before.
+TEST_F(CrashSharing, ABackEndThatEndsAfterTheCallHasLeftItCounts) {
+    Side &one = open("here");
+    Port accepting(Port::ACCEPTS);
+    backend_t *backend = add_backend(one, "a", accepting);
+    uv_sleep(150);
+    uv_update_time(loop());
+    crash_watch_give_up(one.watch, REQUEST, backend, RUN_MS);
+    crash_watch_give_up(one.watch, REQUEST + 1, backend, RUN_MS);
+    wait_ms(500);
+    ASSERT_EQ(crash_watch_count(one.watch, REQUEST), 0U);
+    crash_watch_suspect(one.watch, REQUEST + 1, backend, false);
+    wait_ms(100);
+    EXPECT_EQ(crash_watch_count(one.watch, REQUEST), 1U);
+    EXPECT_EQ(crash_watch_count(one.watch, REQUEST + 1), 1U) << "one end, left and met again";
+    one.backends.confirmed_at = uv_now(loop()) + VERSION_DOUBT_MS;
+    EXPECT_TRUE(run_until([&] { return crash_watch_count(one.watch, REQUEST) == 0; }))
+        << "the directory still has it";
+}
+
+TEST_F(CrashSharing, AnIdleConnectionThatBreaksAfterTheCallHasLeftShowsTheEnd) {
+    Side &one = open("here");
+    auto *accepting = new Port(Port::ACCEPTS);
+    backend_t *backend = add_backend(one, "a", *accepting);
+    uv_sleep(150);
+    uv_update_time(loop());
+    crash_watch_give_up(one.watch, REQUEST, backend, RUN_MS);
+    ASSERT_TRUE(run_until([&] { return backend->idle->len == 1; }));
+    ASSERT_EQ(crash_watch_count(one.watch, REQUEST), 0U);
+    delete accepting;
+    EXPECT_TRUE(run_until([&] { return crash_watch_count(one.watch, REQUEST) == 1; }));
+}
+
+TEST_F(CrashSharing, ABackEndThatEndsLongAfterTheCallHasLeftItDoesNotCount) {
+    Side &one = open("here");
+    Port accepting(Port::ACCEPTS);
+    backend_t *backend = add_backend(one, "a", accepting);
+    uv_sleep(150);
+    uv_update_time(loop());
+    crash_watch_give_up(one.watch, REQUEST, backend, 0);
+    wait_ms(LEFT_SEND_MARGIN_MS + 200);
+    backend_doubt_version(backend, 0);
+    EXPECT_EQ(crash_watch_count(one.watch, REQUEST), 0U);
+}
+
+TEST_F(CrashSharing, ARequestThatSucceededElsewhereIsNotTheCauseOfAnEndWhereItWasLeft) {
+    Side &one = open("here");
+    Port refusing(Port::REFUSES);
+    backend_t *backend = add_backend(one, "a", refusing);
+    uv_update_time(loop());
+    backend->observed.last_received_at = uv_now(loop());
+    crash_watch_give_up(one.watch, REQUEST, backend, RUN_MS);
+    crash_watch_record_success(one.watch, REQUEST);
+    backend_doubt_version(backend, 0);
+    wait_ms(50);
+    EXPECT_EQ(crash_watch_count(one.watch, REQUEST), 0U);
+}
+
+TEST_F(CrashSharing, AnUnreachableBackEndThatACallLeavesCountsOnce) {
+    Side &one = open("here");
+    Port refusing(Port::REFUSES);
+    backend_t *backend = add_backend(one, "a", refusing);
+    uv_sleep(150);
+    uv_update_time(loop());
+    crash_watch_record_unreachable(one.watch, REQUEST, backend);
+    crash_watch_give_up(one.watch, REQUEST, backend, 2 * RUN_MS);
+    wait_ms(CRASH_SILENT_SAME_MS + 200);
+    backend_doubt_version(backend, 0);
+    wait_ms(100);
+    EXPECT_EQ(crash_watch_count(one.watch, REQUEST), 1U);
+}
+
 TEST_F(CrashSharing, ABackEndThatSendsSomethingIsNotChecked) {
     Side &one = open("here");
     Port silent(Port::SILENT);
     backend_t *backend = add_backend(one, "active", silent);
     uv_update_time(loop());
     backend->observed.last_received_at = uv_now(loop());
-    crash_watch_give_up(one.watch, REQUEST, backend);
+    crash_watch_give_up(one.watch, REQUEST, backend, RUN_MS);
     EXPECT_EQ(crash_watch_count(one.watch, REQUEST), 0U);
     run_until([until = uv_hrtime() + 50000000U] { return uv_hrtime() > until; });
     backend->observed.last_received_at = uv_now(loop());
@@ -796,7 +870,7 @@
     EXPECT_EQ(crash_watch_count(one.watch, REQUEST), 0U);
     EXPECT_EQ(crash_watch_counts(one.watch)->checks, 0U);
     backend->observed.last_received_at = uv_now(loop());
-    crash_watch_give_up(one.watch, REQUEST, backend);
+    crash_watch_give_up(one.watch, REQUEST, backend, RUN_MS);
     EXPECT_EQ(crash_watch_count(one.watch, REQUEST), 0U);
     EXPECT_TRUE(run_until([&] { return crash_watch_count(one.watch, REQUEST) == 1; }))
         << "silent since its caller left";
