storage nodes: what a gateway has open itself does not count for its own sends

Cause: an open send counts as a crash for the attempts that follow, since its gateway may be lost. Equal requests of many callers are open side by side at one gateway, which registers each of them after a broken connection. Ruled out: sends that calls have left (no E877).

An open send now counts only for sends of other gateways, and of the same one once it has connected anew: while its connection stands, the gateway itself knows what became of its sends, and tells it.

SendsThatOneGatewayHasOpenSideBySideDoNotCount fails without it ({1, 11, 12}, not {1}); ASendOfAGatewayThatHasStartedAgainCountsForIts keeps what the registration is for.

--- a/src/core/retry/open_sends.c
+++ b/src/core/retry/open_sends.c
@@ -3,6 +3,7 @@
 typedef struct open_send {
     uint64_t request;
     uint64_t send;
+    uint64_t gateway; /**< Serial of its connection; 0: from the log. */
     uint64_t begun_at;
     bool counted;
     bool logged;
@@ -58,8 +59,8 @@
         remove_send(sends, oldest);
 }
 
-bool open_sends_begin(open_sends_t *sends, uint64_t request, uint64_t send, bool logged,
-                      uint64_t now) {
+bool open_sends_begin(open_sends_t *sends, uint64_t request, uint64_t send, uint64_t gateway,
+                      bool logged, uint64_t now) {
     open_send_t *entry = g_hash_table_lookup(sends->by_send, &send);
     if (entry != NULL) {
         bool changes = logged && !entry->logged;
@@ -71,6 +72,7 @@
     entry->logged = logged;
     entry->request = request;
     entry->send = send;
+    entry->gateway = gateway;
     entry->begun_at = now;
     entry->link.data = entry;
     entry->next = g_hash_table_lookup(sends->by_request, &request);
@@ -96,11 +98,12 @@
     return true;
 }
 
-void open_sends_count(open_sends_t *sends, uint64_t request, uint64_t send, uint64_t now,
-                      GArray *crashes) {
+void open_sends_count(open_sends_t *sends, uint64_t request, uint64_t send, uint64_t gateway,
+                      uint64_t now, GArray *crashes) {
     open_send_t *entry = g_hash_table_lookup(sends->by_request, &request);
     for (; entry != NULL; entry = entry->next) {
-        bool other = entry->send != send && now < entry->begun_at + CRASH_RETENTION_MS;
+        bool other = entry->send != send && entry->gateway != gateway &&
+                     now < entry->begun_at + CRASH_RETENTION_MS;
         if (!other || entry->counted)
             continue;
         entry->counted = true;
--- a/src/core/retry/open_sends.h
+++ b/src/core/retry/open_sends.h
@@ -2,7 +2,9 @@
  * @file open_sends.h
  * Requests that gateways are about to send, or have sent, and whose end is not known. A gateway
  * that is lost or stands still can't report that a back end has ended, so that an open send counts
- * as a crash under its request (crash_history.h) for the attempts that follow, until it ends.
+ * as a crash under its request (crash_history.h) for the attempts that follow, until it ends. What
+ * a gateway itself has open does not count for its own sends, since it knows what became of it:
+ * equal requests of many callers are open there side by side.
  * Those that are in a node's log outlast its restart, and so does their end.
  *
  * Decision code: no I/O, clock or threads. Times are in ms.
@@ -26,18 +28,18 @@
 open_sends_t *open_sends_new(void);
 void open_sends_free(open_sends_t *sends);
 /**
- * @p send: hash of the caller's attempt. False if it is open already, and in the log or not to be
- * @p logged.
+ * @p send: hash of the caller's attempt; @p gateway: serial of its gateway's connection, 0 if that
+ * is over. False if it is open already, and in the log or not to be @p logged.
  */
-bool open_sends_begin(open_sends_t *sends, uint64_t request, uint64_t send, bool logged,
-                      uint64_t now);
+bool open_sends_begin(open_sends_t *sends, uint64_t request, uint64_t send, uint64_t gateway,
+                      bool logged, uint64_t now);
 /** Ends a send; false if it is not open. */
 bool open_sends_end(open_sends_t *sends, uint64_t send, ended_send_t *ended);
 /**
- * Counts the open sends of @p request other than @p send as crashes, and appends those that did not
- * count before to @p crashes, of crash_report_t.
+ * Counts the open sends of @p request other than @p send, of other gateways than @p gateway, as
+ * crashes, and appends those that did not count before to @p crashes, of crash_report_t.
  */
-void open_sends_count(open_sends_t *sends, uint64_t request, uint64_t send, uint64_t now,
-                      GArray *crashes);
+void open_sends_count(open_sends_t *sends, uint64_t request, uint64_t send, uint64_t gateway,
+                      uint64_t now, GArray *crashes);
 
 #endif
--- a/src/store/store_crashes.c
+++ b/src/store/store_crashes.c
@@ -141,7 +141,8 @@
 static void apply_replayed(store_t *store, replayed_crash_t *crash, uint64_t now) {
     ended_send_t ended;
     if (crash->type == REQUEST_SEND)
-        open_sends_begin(store->sends, crash->report.request, crash->send, true, crash->report.at);
+        open_sends_begin(store->sends, crash->report.request, crash->send, 0, true,
+                         crash->report.at);
     else if (crash->type == MESSAGE_SEND_ENDED)
         open_sends_end(store->sends, crash->send, &ended);
     else
@@ -200,9 +201,10 @@
 }
 
 /** Counts the open sends of the caller's earlier attempts, whose gateways have not ended them. */
-static void count_open_sends(store_t *store, const message_t *request, uint64_t now) {
+static void count_open_sends(store_t *store, const message_t *request, uint64_t gateway,
+                             uint64_t now) {
     GArray *crashes = g_array_new(FALSE, FALSE, sizeof(crash_report_t));
-    open_sends_count(store->sends, request->crash.request, request->send, now, crashes);
+    open_sends_count(store->sends, request->crash.request, request->send, gateway, now, crashes);
     for (guint i = 0; i < crashes->len; i++) {
         crash_report_t *crash = &g_array_index(crashes, crash_report_t, i);
         if (add_crash(store, crash, now))
@@ -246,11 +248,11 @@
 }
 
 void store_handle_send(store_t *store, frame_connection_t *connection, const message_t *request) {
-    uint64_t now = uv_now(store->loop);
-    count_open_sends(store, request, now);
+    uint64_t now = uv_now(store->loop), gateway = *frame_connection_serial(connection);
+    count_open_sends(store, request, gateway, now);
     bool suspect = crash_history_count(store->crashes, request->crash.request, now) > 0;
-    bool begun =
-        open_sends_begin(store->sends, request->crash.request, request->send, suspect, now);
+    bool begun = open_sends_begin(store->sends, request->crash.request, request->send, gateway,
+                                  suspect, now);
     if (suspect)
         send_known(store, connection, request->crash.request, now);
     if (suspect && begun)
--- a/tests/unit/store_crashes_test.cc
+++ b/tests/unit/store_crashes_test.cc
@@ -219,6 +219,26 @@
     EXPECT_EQ(known(1), (std::set<unsigned>{1, 11}));
 }
 
+// Guards against equal requests of many callers that are refused for each other's sends.
+TEST_F(StoreCrashes, SendsThatOneGatewayHasOpenSideBySideDoNotCount) {
+    report(0, 1);
+    for (uint64_t attempt : {11, 12, 13})
+        send(0, REQUEST_SEND, 0, attempt);
+    EXPECT_EQ(known(0), std::set<unsigned>{1});
+    send(1, REQUEST_SEND, 0, 14);
+    EXPECT_EQ(known(1), (std::set<unsigned>{1, 11, 12, 13})) << "that gateway may be lost";
+}
+
+TEST_F(StoreCrashes, ASendOfAGatewayThatHasStartedAgainCountsForIts) {
+    send(0, REQUEST_SEND, 0, 11);
+    world_end_gateway(gateway(0));
+    virtual_run(virtual_now() + delivery_ms);
+    world_start_gateway(gateway(0));
+    virtual_run(virtual_now() + founding_ms);
+    send(0, REQUEST_SEND, 0, 12);
+    EXPECT_EQ(known(0), std::set<unsigned>{11});
+}
+
 TEST_F(StoreCrashes, ASendThatHasEndedDoesNotCount) {
     send(0, REQUEST_SEND, 0, 11);
     send(0, MESSAGE_SEND_ENDED, 0, 11);
