--- a/tests/soak/crash_request_test.py
+++ b/tests/soak/crash_request_test.py
@@ -87,6 +87,7 @@
         if not request.body.endswith(BODY):
             return await super()._stream(request, attempt_id, fields, writer)
         self.fleet.sends.append((time.monotonic(), self.instance))
+        process = self.process
         if self.fleet.options.scenario in DELAY_SCENARIOS:
             return await self._break_in_delay(request, attempt_id, fields, writer)
         if self.fleet.options.errors and len(self.fleet.sends) % 2 == 0:
@@ -101,7 +102,6 @@
             writer.write(render_chunk(f"id: {number}\ndata: {data}\n\n".encode()))
             await writer.drain()
             await asyncio.sleep(0.01)
-        process = self.process
         await asyncio.sleep(self.fleet.options.run_s)
         if self.process != process:  # It has ended under an earlier send.
             return False
