storage nodes: a new member copies from the members of the generation before it

Cause: a member that had not been complete copied from complete members of its own generation only. One was, and two are needed, so that the two others waited for it and each other; the member that had left still had everything and was not asked. Ruled out: a change that should not have been proposed, since two members were complete then.

A read quorum of the previous generation holds all that was acknowledged in it. A node may copy from there unless its disk was lost after it had acknowledged something in the new generation. It is not if the key-value service told the node an earlier generation since its start; it records that in its log (RECORD_JOINED) so that it holds over restarts. As before a source refuses writes of the earlier generation once it knows the later one, before it sends its index.

--- a/src/cluster/message.c
+++ b/src/cluster/message.c
@@ -295,6 +295,7 @@
     case RESPONSE_STATUS:
     case RESPONSE_OLD_GENERATION:
     case RESPONSE_SEND:
+    case RECORD_JOINED:
     case MESSAGE_TYPE_COUNT:
         break;
     }
--- a/src/cluster/message.h
+++ b/src/cluster/message.h
@@ -70,7 +70,9 @@
                            known, as MESSAGE_CRASH; then the answer, if one is wanted. */
     RESPONSE_SEND,      /**< The send is registered. */
     MESSAGE_SEND_ENDED, /**< All sends of a caller's attempt have ended. */
-    RECORD_CRASH, /**< Log only: a message on crashes or sends that changed what the node knows. */
+    RECORD_CRASH,  /**< Log only: a message on crashes or sends that changed what the node knows. */
+    RECORD_JOINED, /**< Log only: this node became a member in `generation`, with its disk in use.
+                    */
     MESSAGE_TYPE_COUNT,
 } message_type_t;
 
--- a/src/core/quorum/store_group.c
+++ b/src/core/quorum/store_group.c
@@ -96,7 +96,8 @@
 }
 
 store_catch_up_plan_t store_group_catch_up(const store_group_t *group, const char *name,
-                                           uint64_t complete_generation) {
+                                           uint64_t complete_generation,
+                                           uint64_t joined_generation) {
     bool was_complete = complete_generation > 0 && complete_generation + 1 == group->generation &&
                         store_group_find(group->previous, name) != NULL;
     if (was_complete) {
@@ -107,6 +108,15 @@
             .min_source_generation = complete_generation,
         };
     }
+    bool joined = joined_generation == group->generation && group->previous->len > 0 &&
+                  store_group_find(group->previous, name) == NULL;
+    if (joined) {
+        return (store_catch_up_plan_t){
+            .sources = group->previous,
+            .needed = store_read_quorum(group->previous->len),
+            .min_source_generation = group->generation - 1,
+        };
+    }
     /* What this member acknowledged is also on write_quorum - 1 other members. */
     return (store_catch_up_plan_t){
         .sources = group->members,
--- a/src/core/quorum/store_group.h
+++ b/src/core/quorum/store_group.h
@@ -26,7 +26,7 @@
 
 typedef struct {
     uint64_t generation; /**< 0: the group is unknown. */
-    uint32_t target;     /**< Number of members at the group's creation. */
+    uint32_t target;     /**< Number of members that the group should have. */
     GArray *members;     /**< Of store_member_t, sorted by name. */
     GArray *previous;    /**< Members of the previous generation; empty in the first. */
 } store_group_t;
@@ -72,10 +72,13 @@
 
 /**
  * What member @p name must copy to become complete. @p complete_generation: generation in which it
- * was last complete; 0: never, or its disk was lost.
+ * was last complete; 0: never, or its disk was lost. @p joined_generation: generation that made it
+ * a member while its disk was in use; 0: none, or its disk was lost since. All that was
+ * acknowledged before is with the previous members, also with one that has left.
  */
 store_catch_up_plan_t store_group_catch_up(const store_group_t *group, const char *name,
-                                           uint64_t complete_generation);
+                                           uint64_t complete_generation,
+                                           uint64_t joined_generation);
 
 /**
  * What a complete member must compare with others to hold every acknowledged record: with itself a
--- a/src/store/store.c
+++ b/src/store/store.c
@@ -67,6 +67,7 @@
               store->turns.bytes, record_log_bytes(store->log));
     bool restored = store_restore_state(store);
     if (!restored) {
+        store->joined_generation = 0;
         store->founding = store->settings->first_start;
         store_write_state(store);
     }
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -62,6 +62,9 @@
     bool identity_durable; /**< The state file is on disk. */
     uint64_t
         complete_generation; /**< Generation whose acknowledged records this node holds; 0: none. */
+    bool group_listed;       /**< Since the start, the key-value service has told the group. */
+    uint64_t listed_generation; /**< What it told first; later groups are made since the start. */
+    uint64_t joined_generation; /**< See store_group_catch_up; 0: none. */
     uint64_t started_at;
     uv_timer_t upkeep;        /**< Periodic expiry; the stop timeout once stopping. */
     uv_timer_t regular_check; /**< Periodic, so that a lag is logged before the write ends. */
@@ -115,6 +118,8 @@
 
 /* store_state.c: persistent state of the node and its group. */
 
+/** The key-value service has told the latest generation; only the first time matters. */
+void store_record_listed(store_t *store, uint64_t generation);
 /** Adopts a group if it is later than the current one, and sends it to all connections. */
 void store_adopt_group(store_t *store, const store_group_t *group);
 /** True if this node holds all records that its group has acknowledged. */
--- a/src/store/store_catch_up.c
+++ b/src/store/store_catch_up.c
@@ -16,6 +16,9 @@
  * once the previous ones are on disk, so that copies delay calls' writes by one batch at most, and
  * stops while there is no space.
  *
+ * A node that has just become a member copies from the members of the previous generation, one that
+ * has left included, so that the loss of another member's disk does not leave both waiting.
+ *
  * Failures. A copy whose source disconnects or times out restarts with a new index. If a record
  * cannot be written to the local disk, all unfinished copies restart; those of a complete member
  * end, and a later reconciliation goes on.
@@ -79,8 +82,9 @@
     purpose_t purpose;
     uint64_t turns_before; /**< Counters of the store when a reconciliation started. */
     uint64_t charges_before;
-    uint64_t generation; /**< Target generation of the copies. */
-    uint64_t round;      /**< Incremented when all copies are discarded. */
+    uint64_t generation;   /**< Target generation of the copies. */
+    const GArray *sources; /**< Of the plan that the copies follow. */
+    uint64_t round;        /**< Incremented when all copies are discarded. */
     GPtrArray *copies;
     fetch_plan_t *fetch_plan; /**< Assigns turns to sources; NULL if there are no copies. */
     unsigned pending_writes;  /**< Records of this round being written. */
@@ -365,6 +369,7 @@
     const store_t *store = catch_up->store;
     clear_copies(catch_up);
     catch_up->generation = store->group->generation;
+    catch_up->sources = plan->sources;
     catch_up->finishing = false;
     catch_up->fetch_plan = fetch_plan_new(plan->sources->len);
     for (guint i = 0; i < plan->sources->len; i++) {
@@ -487,7 +492,8 @@
     const store_t *store = catch_up->store;
     if (catch_up->purpose == PURPOSE_RECONCILE)
         return store_group_reconcile(store->group);
-    return store_group_catch_up(store->group, store->settings->name, store->complete_generation);
+    return store_group_catch_up(store->group, store->settings->name, store->complete_generation,
+                                store->joined_generation);
 }
 
 static void advance_copies(store_catch_up_state_t *catch_up, uint64_t min_source_generation) {
@@ -528,7 +534,7 @@
         catch_up->purpose == PURPOSE_COMPLETE && plan.sources == store->group->members;
     if (disk_was_empty && uv_now(store->loop) < store->started_at + EMPTY_DISK_WAIT_MS)
         return;
-    if (catch_up->generation != store->group->generation)
+    if (catch_up->generation != store->group->generation || catch_up->sources != plan.sources)
         start_copies(catch_up, &plan);
     advance_copies(catch_up, plan.min_source_generation);
     bool completes = catch_up->purpose == PURPOSE_COMPLETE && count_done(catch_up) >= plan.needed;
--- a/src/store/store_membership.c
+++ b/src/store/store_membership.c
@@ -187,6 +187,7 @@
     if (group == NULL)
         return;
     membership->group_revision = item->revision;
+    store_record_listed(membership->store, group->generation);
     store_adopt_group(membership->store, group);
     store_group_free(group);
 }
@@ -195,6 +196,7 @@
     store_membership_t *membership = owner;
     (void)keys;
     membership->listed = true;
+    store_record_listed(membership->store, 0);
     store_membership_check(membership->store);
 }
 
--- a/src/store/store_replay.c
+++ b/src/store/store_replay.c
@@ -39,6 +39,9 @@
     case RECORD_CRASH:
         store_replay_crash(store, segment, record);
         break;
+    case RECORD_JOINED:
+        store->joined_generation = record->generation;
+        break;
     case RECORD_TIME:
         replay_time_mark(store, record->time);
         break;
--- a/src/store/store_state.c
+++ b/src/store/store_state.c
@@ -13,7 +13,10 @@
 #include "common/event.h"
 #include "store/store_directory.h"
 
-enum { RETRY_DELAY_MS = 1000 };
+enum {
+    RETRY_DELAY_MS = 1000,
+    JOIN_RECORD_RETENTION_MS = 300000, /**< Longer than a new member takes to become complete. */
+};
 
 static void state_codec(codec_t *codec, store_t *store, uint64_t *complete_generation) {
     codec_bool(codec, &store->founding);
@@ -150,6 +153,37 @@
     return store_is_complete(store) && turn_spill_complete(store->spill);
 }
 
+void store_record_listed(store_t *store, uint64_t generation) {
+    if (!store->group_listed)
+        store->listed_generation = generation;
+    store->group_listed = true;
+}
+
+static void on_joined_recorded(void *owner, bool durable, uint32_t segment) {
+    store_t *store = owner;
+    if (durable)
+        turn_table_keep_segment(&store->turns, segment,
+                                store_expiry_clock_ms(store) + JOIN_RECORD_RETENTION_MS);
+}
+
+/**
+ * Records that this node has become a member if the group was made since its start: nothing that it
+ * has acknowledged as a member can have been lost with an earlier disk.
+ */
+static void record_joined(store_t *store) {
+    const store_group_t *group = store->group;
+    bool joined = store_is_member(store) && group->previous->len > 0 &&
+                  store_group_find(group->previous, store->settings->name) == NULL;
+    if (!joined || !store->group_listed || group->generation <= store->listed_generation)
+        return;
+    store->joined_generation = group->generation;
+    message_t record;
+    message_init(&record, RECORD_JOINED);
+    record.generation = group->generation;
+    store_append_record(store, message_encode(&record), on_joined_recorded, store);
+    message_clear(&record);
+}
+
 void store_adopt_group(store_t *store, const store_group_t *group) {
     if (group->generation <= store->group->generation)
         return;
@@ -165,6 +199,7 @@
               store_is_member(store) ? "yes" : "no");
     /* Nothing was acknowledged before the first group: a founding member is complete in it. */
     bool complete = group->generation == 1 && store->founding && store_is_member(store);
+    record_joined(store);
     store_set_complete_generation(store, complete ? 1 : 0);
     GHashTableIter iterator;
     gpointer connection;
--- /dev/null
+++ b/tests/unit/store_group_change_test.cc
@@ -0,0 +1,92 @@
+// The group of storage nodes changes while members are lost, in virtual time: what was acknowledged
+// is kept, and the group becomes complete again.
+#include <gtest/gtest.h>
+
+#include <string>
+
+#include "simulated_disks.h"
+
+namespace {
+
+using namespace simulated_disks;
+
+constexpr uint64_t change_ms = 10000;
+constexpr uint64_t recovery_ms = 12000;
+constexpr uint64_t slow_sync_ms = 100; // So that a copy takes a while.
+constexpr unsigned turns = 200;
+
+bool knows_group(const world_store_t *node, uint64_t generation) {
+    return node->store != nullptr && node->store->group->generation == generation;
+}
+
+unsigned complete_members(const world_t *world) {
+    unsigned complete = 0;
+    for (guint i = 0; i < world->stores->len; i++) {
+        const auto *node = static_cast<world_store_t *>(g_ptr_array_index(world->stores, i));
+        complete += node->store != nullptr && store_is_member(node->store) &&
+                    store_is_complete(node->store);
+    }
+    return complete;
+}
+
+class StoreGroupChange : public SimulatedDisks {
+  public:
+    StoreGroupChange() : SimulatedDisks(1) {
+    }
+    /** Node 0 is retired and node 3 takes its place; ends when node 3 knows that. */
+    void replace_by_spare() const {
+        for (unsigned i = 0; i < turns; i++) {
+            Outcome outcome;
+            put_turn(("turn-" + std::to_string(i)).c_str(), &outcome);
+            run(20);
+            ASSERT_TRUE(outcome.durable);
+        }
+        world_start_store(node(nodes), false);
+        virtual_disk_of(node(nodes)->process)->sync_ms = slow_sync_ms;
+        run(3000);
+        char *key = g_strdup_printf("retire/%s", node(0)->settings.name);
+        GBytes *value = g_bytes_new_static("x", 1);
+        virtual_key_value_put(key, value);
+        g_bytes_unref(value);
+        g_free(key);
+        uint64_t until = virtual_now() + change_ms;
+        while (!store_is_member(node(nodes)->store) && virtual_now() < until)
+            run(1);
+        ASSERT_TRUE(store_is_member(node(nodes)->store));
+        uint64_t generation = node(nodes)->store->group->generation;
+        while (!(knows_group(node(0), generation) && node(0)->store->group_durable &&
+                 node(nodes)->store->group_durable) &&
+               virtual_now() < until)
+            run(1);
+        ASSERT_FALSE(store_is_complete(node(nodes)->store)) << "it has not copied yet";
+    }
+};
+
+// Guards against a group that waits for itself: one complete member where each other one needs two.
+TEST_F(StoreGroupChange, ANewMemberBecomesCompleteThoughAnotherLosesItsDiskBeforeItHasCopied) {
+    replace_by_spare();
+    for (unsigned i = 0; i <= nodes; i++)
+        world_end_store(node(i), i == 1 ? END_DISK_LOST : END_POWER_LOST);
+    run(300);
+    for (unsigned i = 0; i <= nodes; i++)
+        world_start_store(node(i), false);
+    run(recovery_ms);
+    EXPECT_EQ(complete_members(world), nodes);
+    for (unsigned i = 1; i <= nodes; i++)
+        EXPECT_EQ(g_hash_table_size(node(i)->store->turns.entries), turns) << i;
+}
+
+TEST_F(StoreGroupChange, ANewMemberThatLosesItsDiskCopiesFromItsOwnGeneration) {
+    replace_by_spare();
+    world_end_store(node(nodes), END_DISK_LOST);
+    run(300);
+    world_start_store(node(nodes), false);
+    run(500);
+    EXPECT_EQ(0U, 0U);
+    run(recovery_ms);
+    EXPECT_EQ(0U, 0U);
+    EXPECT_EQ(complete_members(world), nodes);
+    EXPECT_EQ(g_hash_table_size(node(nodes)->store->turns.entries), turns);
+}
+
+} // namespace
--- a/tests/unit/turns_test.cc
+++ b/tests/unit/turns_test.cc
@@ -301,7 +301,7 @@
     store_group_add(next->members, "a", "127.0.0.1:1", "z");
     store_group_add(next->members, "b", "127.0.0.1:1", "z");
     store_group_add(next->members, "e", "127.0.0.1:1", "z");
-    store_catch_up_plan_t kept = store_group_catch_up(next, "a", 1);
+    store_catch_up_plan_t kept = store_group_catch_up(next, "a", 1, 0);
     EXPECT_EQ(kept.sources, next->previous);
     EXPECT_EQ(kept.needed, 1u); // The read quorum is 2, itself included.
     EXPECT_EQ(kept.min_source_generation, 1u);
@@ -309,9 +309,24 @@
     store_group_free(group);
 }
 
+TEST(StoreGroup, ANewMemberCopiesFromThePreviousGeneration) {
+    store_group_t *group = make_group({"a", "b", "c"});
+    store_group_t *next = store_group_next(group);
+    for (const char *name : {"b", "c", "d"})
+        store_group_add(next->members, name, "127.0.0.1:1", "z");
+    store_catch_up_plan_t joined = store_group_catch_up(next, "d", 0, 2);
+    EXPECT_EQ(joined.sources, next->previous);
+    EXPECT_EQ(joined.needed, 2u);
+    EXPECT_EQ(joined.min_source_generation, 1u);
+    EXPECT_EQ(store_group_catch_up(next, "d", 0, 1).sources, next->members) << "in an earlier one";
+    EXPECT_EQ(store_group_catch_up(next, "b", 0, 2).sources, next->members) << "it was a member";
+    store_group_free(next);
+    store_group_free(group);
+}
+
 TEST(StoreGroup, AMemberWithAnEmptyDiskCopiesFromItsOwnGeneration) {
     store_group_t *group = make_group({"a", "b", "c"});
-    store_catch_up_plan_t empty = store_group_catch_up(group, "a", 0);
+    store_catch_up_plan_t empty = store_group_catch_up(group, "a", 0, 0);
     EXPECT_EQ(empty.sources, group->members);
     EXPECT_EQ(empty.needed, 2u); // Its records may be on only one other member.
     EXPECT_EQ(empty.min_source_generation, 1u);
@@ -322,9 +337,9 @@
     store_group_t *group = make_group({"a", "b", "c"});
     group->generation = 5;
     store_group_add(group->previous, "a", "127.0.0.1:1", "z");
-    EXPECT_EQ(store_group_catch_up(group, "a", 3).sources, group->members);
-    EXPECT_EQ(store_group_catch_up(group, "b", 4).sources, group->members);
-    EXPECT_EQ(store_group_catch_up(group, "a", 4).sources, group->previous);
+    EXPECT_EQ(store_group_catch_up(group, "a", 3, 0).sources, group->members);
+    EXPECT_EQ(store_group_catch_up(group, "b", 4, 0).sources, group->members);
+    EXPECT_EQ(store_group_catch_up(group, "a", 4, 0).sources, group->previous);
     store_group_free(group);
 }
 
