storage nodes: a group that one node has founded grows, and is not replaced while it is away

Cause: two nodes had been killed before they had written that they are founders. The third founded a group of one, whose target was what it knew, so that the others never joined. When it was away, a spare counted it among the complete members by its last status and proposed a group of itself alone, which needs no source. Ruled out: the disk, which had everything.

A member counts for a change of the group only while it responds. The target is the smallest group that tolerates the losses, or as many as founded it if these are more, so that groups of today keep theirs.

--- a/src/core/quorum/store_group_choice.c
+++ b/src/core/quorum/store_group_choice.c
@@ -10,6 +10,10 @@
     return 2 * (tolerated_losses + CONCURRENT_REPLACEMENTS) + 1;
 }
 
+unsigned store_group_minimum(unsigned tolerated_losses) {
+    return 2 * tolerated_losses + 1;
+}
+
 static unsigned count_in_zone(const GArray *members, const char *zone) {
     unsigned count = 0;
     for (guint i = 0; i < members->len; i++)
--- a/src/core/quorum/store_group_choice.h
+++ b/src/core/quorum/store_group_choice.h
@@ -15,6 +15,8 @@
 
 /** Group size that tolerates @p tolerated_losses while one more member is being replaced. */
 unsigned store_group_size(unsigned tolerated_losses);
+/** Size of the smallest group that tolerates @p tolerated_losses. */
+unsigned store_group_minimum(unsigned tolerated_losses);
 
 /**
  * Adds candidates to @p members until there are @p size or no more candidates: each from the zone
--- a/src/store/store_membership.c
+++ b/src/store/store_membership.c
@@ -14,7 +14,9 @@
  * grows with their rank, which limits traffic and concurrent proposals. If the first spare fails,
  * the next one takes its place.
  *
- * Failures. The outcome of a proposal whose response was lost is seen through the watch. A member
+ * Failures. A change needs a read quorum of members that respond: what a member said before it fell
+ * silent does not count. The outcome of a proposal whose response was lost is seen through the
+ * watch. A member
  * that was replaced and recovers becomes a spare. While the key-value service is unavailable the
  * group does not change; calls do not depend on the service.
  */
@@ -255,7 +257,7 @@
     }
 }
 
-/** Counts the nodes of @p members that are complete in the current generation. */
+/** Counts the nodes of @p members that respond and are complete in the current generation. */
 static unsigned count_complete_of(store_membership_t *membership, const GArray *members) {
     const store_t *store = membership->store;
     unsigned complete = 0;
@@ -266,7 +268,9 @@
             continue;
         }
         const store_peer_t *peer = obtain_peer(membership, member);
-        complete += peer->answered_at > 0 && peer->complete_generation == store->group->generation;
+        complete += peer->answered_at > 0 &&
+                    peer->complete_generation == store->group->generation &&
+                    store_peer_unanswered_ms(peer) <= MEMBER_RESPONSE_TIMEOUT_MS;
     }
     return complete;
 }
@@ -335,7 +339,8 @@
         enough && founders->len > 0 && age >= FOUNDING_DELAY_MS + rank * FOUNDING_RANK_DELAY_MS;
     group->generation = 1;
     store_group_fill(group->members, founders, store_group_size(store->settings->tolerated_losses));
-    group->target = group->members->len;
+    group->target =
+        MAX(group->members->len, store_group_minimum(store->settings->tolerated_losses));
     if (due)
         start_group_write(membership, group, "founding");
     else
--- a/tests/unit/store_group_change_test.cc
+++ b/tests/unit/store_group_change_test.cc
@@ -10,6 +10,7 @@
 
 using namespace simulated_disks;
 
+constexpr uint64_t founding_alone_ms = 7000;
 constexpr uint64_t change_ms = 10000;
 constexpr uint64_t recovery_ms = 12000;
 constexpr uint64_t slow_sync_ms = 100; // So that a copy takes a while.
@@ -89,4 +90,49 @@
     EXPECT_EQ(g_hash_table_size(node(nodes)->store->turns.entries), turns);
 }
 
+class StoreFounding : public testing::Test {
+  public:
+    /** Only node 0 has written that it is a founder when the others are killed. */
+    StoreFounding() {
+        const world_shape_t shape = {nodes, 0, 1, 100, BREAK_NOTHING};
+        world = world_new(1, &shape);
+        for (unsigned i = 1; i < nodes; i++) {
+            world_end_store(node(i), END_KILLED);
+            virtual_disk_lose(virtual_disk_of(node(i)->process));
+        }
+    }
+    world_store_t *node(unsigned number) const {
+        return static_cast<world_store_t *>(g_ptr_array_index(world->stores, number));
+    }
+    void start_others() const {
+        for (unsigned i = 1; i < nodes; i++)
+            world_start_store(node(i), false);
+    }
+    world_t *world;
+};
+
+// Guards against a group of one for good, whose loss takes all that was acknowledged along.
+TEST_F(StoreFounding, AGroupThatOneNodeHasFoundedGrowsToItsSize) {
+    virtual_run(200);
+    start_others();
+    virtual_run(founding_alone_ms + change_ms);
+    EXPECT_EQ(node(0)->store->group->members->len, nodes);
+    EXPECT_EQ(complete_members(world), nodes);
+}
+
+// Guards against an empty node that takes the place of the only member and denies its turns.
+TEST_F(StoreFounding, TheOnlyMemberIsNotReplacedWhileItIsAway) {
+    virtual_run(founding_alone_ms);
+    ASSERT_TRUE(knows_group(node(0), 1));
+    start_others();
+    virtual_run(virtual_now() + 300);
+    world_end_store(node(0), END_KILLED);
+    virtual_run(virtual_now() + change_ms);
+    for (unsigned i = 1; i < nodes; i++)
+        EXPECT_TRUE(knows_group(node(i), 1)) << i;
+    world_start_store(node(0), false);
+    virtual_run(virtual_now() + change_ms);
+    EXPECT_EQ(complete_members(world), nodes);
+}
+
 } // namespace
