--- a/tests/integration/crash_request_test.sh
+++ b/tests/integration/crash_request_test.sh
@@ -90,7 +90,12 @@
 }
 expect "a request near its limit runs at one back end at a time" crash_request_side_by_side
 crash_request_runs_lost() {
-    crash_request --seed 317 --tries 8 drawn_runs && crash_request --seed 340 --tries 8 drawn_runs
+    local seed
+    for seed in 317 340 408; do
+        crash_request --seed $seed --tries 8 drawn_runs || return 1
+    done
 }
 expect "a request ends at most three back ends though gateways that have left them are killed" \
     crash_request_runs_lost
+expect "a request ends at most three back ends though storage nodes are killed as these end" \
+    crash_request --seed 409 --tries 8 drawn_runs
