--- a/src/gateway/crash_watch.c
+++ b/src/gateway/crash_watch.c
@@ -5,16 +5,12 @@
 #include "core/retry/recent_successes.h"
 #include "gateway/backend_versions.h"
 #include "gateway/backend_check.h"
-#include "gateway/backend_survival.h"
 #include "gateway/crash_reports.h"
+#include "gateway/crash_suspicions.h"
 
 enum {
     QUIET_MS = 100, /**< A back end that has sent something within this time is alive. */
     GIVEN_UP_MAX = 1024,
-    SUSPICIONS_MAX = 4096,
-    SUSPICION_POLL_MS = 100,
-    /** The directory mostly settles a suspicion within this time. */
-    SUSPICION_SETTLED_MS = VERSION_DOUBT_MS + 1000,
 };
 
 typedef struct {
@@ -43,13 +39,6 @@
     uint64_t run_until;
 } given_up_t;
 
-/** A broken connection to a back end that accepts new ones, or a request that it may still run. */
-typedef struct {
-    crash_report_t crash;
-    uint64_t backend; /**< backend_t.id_hash. */
-    uint64_t since;   /**< Evidence of the process must be later. */
-} suspicion_t;
-
 struct crash_watch {
     uv_loop_t *loop;
     backends_t *backends;
@@ -61,8 +50,7 @@
     uv_timer_t given_up_timer;
     left_sends_t *left;
     recent_successes_t successes;
-    GArray *suspicions; /**< Of suspicion_t, oldest first. */
-    uv_timer_t suspicion_timer;
+    crash_suspicions_t *suspicions;
     crash_watch_counts_t counts;
 };
 
@@ -84,18 +72,10 @@
                : CRASH_NEAR_LIMIT;
 }
 
-static void forget_suspicions(crash_watch_t *watch, uint64_t request, uint64_t until) {
-    for (guint i = watch->suspicions->len; i > 0; i--) {
-        const crash_report_t *crash = &g_array_index(watch->suspicions, suspicion_t, i - 1).crash;
-        if (crash->request == request && crash->at <= until)
-            g_array_remove_index(watch->suspicions, i - 1);
-    }
-}
-
 /** Forgets the crashes under a request that got a complete response. */
 static crash_news_t clear_crashes(crash_watch_t *watch, const crash_report_t *report) {
     left_sends_forget(watch->left, report->request);
-    forget_suspicions(watch, report->request, report->at);
+    crash_suspicions_forget(watch->suspicions, report->request, report->at);
     crash_news_t news = news_of_crash(watch, report->request);
     return crash_history_clear(watch->history, report->request, report->at) ? news : CRASH_KNOWN;
 }
@@ -134,6 +114,10 @@
 }
 
 static void on_process_doubted(void *owner, backend_t *backend);
+static void on_survived(void *owner, crash_report_t *crash);
+static void on_ended(void *owner, const crash_report_t *crash);
+
+static const crash_suspicions_handler_t suspicions_handler = {on_survived, on_ended};
 
 crash_watch_t *crash_watch_new(uv_loop_t *loop, backends_t *backends, load_sharing_t *sharing,
                                store_client_t *stores) {
@@ -150,9 +134,7 @@
     watch->left = left_sends_new();
     backends->on_process_doubted = on_process_doubted;
     backends->process_doubted_owner = watch;
-    watch->suspicions = g_array_new(FALSE, FALSE, sizeof(suspicion_t));
-    uv_timer_init(loop, &watch->suspicion_timer);
-    watch->suspicion_timer.data = watch;
+    watch->suspicions = crash_suspicions_new(loop, backends, &suspicions_handler, watch);
     load_sharing_share_crashes(sharing, &sharing_handler, watch);
     return watch;
 }
@@ -241,46 +223,18 @@
 
 /* Suspicions: the back end accepts connections, which does not show that its process lives. */
 
-/** True if the suspicion is settled. */
-static bool settle_suspicion(const crash_watch_t *watch, suspicion_t *suspicion) {
-    static const char *const names[SURVIVAL_COUNT] = {"expired", "answered", "listed", "replaced"};
-    crash_report_t *crash = &suspicion->crash;
-    backend_t *backend = backends_find_hash(watch->backends, suspicion->backend);
-    survival_t survival =
-        backend == NULL ? SURVIVAL_REPLACED : backend_survival_since(backend, suspicion->since);
-    bool expired = now(watch) >= crash->at + CRASH_RETENTION_MS;
-    if (survival == SURVIVAL_UNKNOWN && !expired)
-        return false;
-    event_log(BACKEND_CRASH_SETTLED, crash->request,
-              backend == NULL ? "-" : backend->record->instance, names[survival],
-              now(watch) - crash->at);
-    if (survival == SURVIVAL_ANSWERED || survival == SURVIVAL_LISTED) {
-        withdraw_crash(watch, crash, true);
-    } else if (!expired) {
-        confirm_crash(watch, crash, true);
-    }
-    return true;
+static void on_survived(void *owner, crash_report_t *crash) {
+    withdraw_crash(owner, crash, true);
 }
 
-static void on_suspicion_timer(uv_timer_t *timer) {
-    crash_watch_t *watch = timer->data;
-    for (guint i = watch->suspicions->len; i > 0; i--)
-        if (settle_suspicion(watch, &g_array_index(watch->suspicions, suspicion_t, i - 1)))
-            g_array_remove_index(watch->suspicions, i - 1);
-    if (watch->suspicions->len == 0)
-        uv_timer_stop(timer);
-}
-
-static void keep_suspicion(crash_watch_t *watch, const crash_report_t *crash, uint64_t backend,
-                           uint64_t since) {
-    if (watch->suspicions->len >= SUSPICIONS_MAX)
-        g_array_remove_index(watch->suspicions, 0);
-    const suspicion_t suspicion = {*crash, backend, since};
-    g_array_append_val(watch->suspicions, suspicion);
+static void on_ended(void *owner, const crash_report_t *crash) {
+    confirm_crash(owner, crash, true);
+}
+
+static void keep_suspicion(const crash_watch_t *watch, const crash_report_t *crash,
+                           uint64_t backend, uint64_t since) {
+    crash_suspicions_keep(watch->suspicions, crash, backend, since);
     log_if_stopped(watch, crash->request);
-    if (!uv_is_active((const uv_handle_t *)&watch->suspicion_timer))
-        uv_timer_start(&watch->suspicion_timer, on_suspicion_timer, SUSPICION_POLL_MS,
-                       SUSPICION_POLL_MS);
 }
 
 /* Checks. */
@@ -399,18 +353,6 @@
     check_crash(watch, request, backend, shared, 0);
 }
 
-/** True if the request is suspected at the back end, for which evidence must be later than now. */
-static bool renew_suspicion(const crash_watch_t *watch, uint64_t request, uint64_t backend) {
-    for (guint i = 0; i < watch->suspicions->len; i++) {
-        suspicion_t *suspicion = &g_array_index(watch->suspicions, suspicion_t, i);
-        if (suspicion->crash.request != request || suspicion->backend != backend)
-            continue;
-        suspicion->since = now(watch);
-        return true;
-    }
-    return false;
-}
-
 /** What calls have left there may have caused an end. */
 static void on_process_doubted(void *owner, backend_t *backend) {
     crash_watch_t *watch = owner;
@@ -420,7 +362,7 @@
         const left_send_t *send = &g_array_index(left, left_send_t, i);
         event_log(BACKEND_LEFT_SEND_SUSPECTED, send->request, backend->record->instance,
                   now(watch) - send->left_at);
-        if (!renew_suspicion(watch, send->request, send->backend))
+        if (!crash_suspicions_renew(watch->suspicions, send->request, send->backend))
             check_crash(watch, send->request, backend, true, 0);
     }
     g_array_free(left, TRUE);
@@ -497,26 +439,12 @@
     return crash_history_count(watch->history, request, now(watch));
 }
 
-/** Number of the request's suspicions; @p latest: since when the last of them needs evidence. */
-static unsigned count_suspicions(const crash_watch_t *watch, uint64_t request, uint64_t *latest) {
-    unsigned count = 0;
-    for (guint i = 0; i < watch->suspicions->len; i++) {
-        const suspicion_t *suspicion = &g_array_index(watch->suspicions, suspicion_t, i);
-        if (suspicion->crash.request != request)
-            continue;
-        count++;
-        *latest = MAX(*latest, suspicion->since);
-    }
-    return count;
-}
-
 uint32_t crash_watch_wait_ms(const crash_watch_t *watch, uint64_t request) {
     uint32_t wait_ms = crash_history_wait_ms(watch->history, request, now(watch));
-    uint64_t latest = 0;
-    unsigned suspected = wait_ms == 0 ? 0 : count_suspicions(watch, request, &latest);
+    uint64_t settled_at;
+    unsigned suspected = crash_suspicions_count(watch->suspicions, request, &settled_at);
     unsigned count = crash_history_count(watch->history, request, now(watch));
-    if (suspected == 0 || count - suspected >= CRASHES_MAX)
+    if (wait_ms == 0 || suspected == 0 || count - suspected >= CRASHES_MAX)
         return wait_ms;
-    uint64_t settled_at = MAX(latest + SUSPICION_SETTLED_MS, now(watch) + SUSPICION_POLL_MS);
     return (uint32_t)MIN(wait_ms, settled_at - now(watch));
 }
--- a/src/gateway/crash_watch.h
+++ b/src/gateway/crash_watch.h
@@ -7,7 +7,7 @@
  * come up. One that can't be reached does not count while so many of its service can't that the
  * cause may be the network. New connections that come up show nothing, since others than the
  * process may accept them. Then the suspicion stands until there is evidence of the process itself
- * (backend_survival.h), or for as long as a crash counts.
+ * (crash_suspicions.h), or for as long as a crash counts.
  *
  * A suspected crash counts, and storage nodes are told, before the call is sent again: its caller
  * may return at another gateway at once. Both are withdrawn if the back end turns out to be alive.
@@ -17,8 +17,8 @@
  * A call that leaves a back end before it has answered is checked as well, without the call. There
  * the connection did not break, which the end of the process would have caused, so that a new one
  * that comes up does show that the back end is alive; storage nodes are told if the check is slow.
- * The back end may run the request for longer (left_sends.h): a connection to it that breaks in that
- * time, under any request or idle, counts as one that broke under this one. Near its limit a
+ * The back end may run the request for longer (left_sends.h): a connection to it that breaks in
+ * that time, under any request or idle, counts as one that broke under this one. Near its limit a
  * request counts a back end that it has left until the back end can't run it any more, so that it
  * runs at one back end at a time.
  *
