gateways: a back end that was left may end its request late, and its silence shows late

Cause: how long a request may run where it was left was taken too short.

A back end may run a request for a second longer than it was told, near the limit too, and what was left is kept for 3.5 s more. The test of the limit asks for the second as well; it fails without it.

--- a/src/core/retry/left_sends.c
+++ b/src/core/retry/left_sends.c
@@ -22,7 +22,7 @@
 }
 
 static bool is_over(const left_send_t *entry, uint64_t now) {
-    return now > entry->until + LEFT_SEND_MARGIN_MS;
+    return now > entry->until + LEFT_SEND_MARGIN_MS + LEFT_SEND_NOTICE_MS;
 }
 
 static void remove_over(left_sends_t *sends, uint64_t now) {
--- a/src/core/retry/left_sends.h
+++ b/src/core/retry/left_sends.h
@@ -14,15 +14,16 @@
 
 enum {
     LEFT_SENDS_MAX = 1024,
-    /** Until the end of a back end that ran the request to the end of its time is noticed. */
-    LEFT_SEND_MARGIN_MS = 1000,
+    LEFT_SEND_MARGIN_MS = 1000, /**< A back end may run a request for longer than it was told. */
+    /** Until a back end's silence breaks a connection; see the keep-alive of net/http_client.c. */
+    LEFT_SEND_NOTICE_MS = 3500,
 };
 
 typedef struct {
     uint64_t request;
     uint64_t backend; /**< Hash of the back end. */
     uint64_t left_at;
-    uint64_t until; /**< The back end may run the request until then. */
+    uint64_t until; /**< The back end was told to run the request until then at most. */
 } left_send_t;
 
 typedef struct left_sends left_sends_t;
@@ -30,7 +31,7 @@
 left_sends_t *left_sends_new(void);
 void left_sends_free(left_sends_t *sends);
 /**
- * Adds a send that was left at @p now, whose back end may run it for @p run_ms more. Sends of one
+ * Adds a send that was left at @p now, whose back end was told to end it in @p run_ms. Sends of one
  * request to one back end are one entry; beyond LEFT_SENDS_MAX the oldest goes.
  */
 void left_sends_add(left_sends_t *sends, uint64_t request, uint64_t backend, uint64_t run_ms,
@@ -39,7 +40,7 @@
 void left_sends_remove(left_sends_t *sends, uint64_t request, uint64_t backend);
 /** The request got a complete successful response. */
 void left_sends_forget(left_sends_t *sends, uint64_t request);
-/** Removes the sends that the back end may still run, and appends them to @p taken. */
+/** Removes the sends that may have ended the back end, and appends them to @p taken. */
 void left_sends_take(left_sends_t *sends, uint64_t backend, uint64_t now, GArray *taken);
 
 #endif
--- a/src/gateway/crash_watch.c
+++ b/src/gateway/crash_watch.c
@@ -387,7 +387,7 @@
                          uint64_t run_ms) {
     watch->counts.given_up++;
     left_sends_add(watch->left, request, backend->id_hash, run_ms, now(watch));
-    uint64_t run_until = now(watch) + run_ms;
+    uint64_t run_until = now(watch) + run_ms + LEFT_SEND_MARGIN_MS;
     bool quiet = now(watch) >= backend->observed.last_received_at + QUIET_MS;
     if (quiet || is_near_limit(watch, request)) {
         check_crash(watch, request, backend, true, run_until);
