storage nodes: a new member asks a member that has left only if the others don't suffice

Cause: a member that has left may have been away for a while, and its clock of expiry with it, so that it still has turns that others have forgotten. A new member copied them along with the rest.

--- a/src/core/quorum/store_group.c
+++ b/src/core/quorum/store_group.c
@@ -115,6 +115,7 @@
             .sources = group->previous,
             .needed = store_read_quorum(group->previous->len),
             .min_source_generation = group->generation - 1,
+            .left_last = true,
         };
     }
     /* What this member acknowledged is also on write_quorum - 1 other members. */
--- a/src/core/quorum/store_group.h
+++ b/src/core/quorum/store_group.h
@@ -68,6 +68,7 @@
     const GArray *sources; /**< Members to copy records from; the member itself is skipped. */
     unsigned needed;       /**< Number of sources to copy from. */
     uint64_t min_source_generation; /**< Minimum generation in which a source must be complete. */
+    bool left_last; /**< Sources that are no members any more only if the others don't suffice. */
 } store_catch_up_plan_t;
 
 /**
--- a/src/store/store_catch_up.c
+++ b/src/store/store_catch_up.c
@@ -40,6 +40,8 @@
     /** After a failed write: a full disk stays full for a while. */
     WRITE_FAILURE_BACKOFF_MS = 1000,
     FIRST_PAGE = 1,
+    /** A member that has left may hold turns that others have forgotten; it is asked last. */
+    LEFT_SOURCE_DELAY_MS = 1000,
     /** A reconciliation that compared enough no longer waits for members out of reach. */
     RECONCILE_PATIENCE_MS = 2000,
     RECONCILE_FAILURE_PAUSE_MS = 3000, /**< No reconciliation starts sooner after a failed write. */
@@ -84,6 +86,7 @@
     uint64_t charges_before;
     uint64_t generation;   /**< Target generation of the copies. */
     const GArray *sources; /**< Of the plan that the copies follow. */
+    uint64_t started_at;   /**< When the copies were started. */
     uint64_t round;        /**< Incremented when all copies are discarded. */
     GPtrArray *copies;
     fetch_plan_t *fetch_plan; /**< Assigns turns to sources; NULL if there are no copies. */
@@ -343,20 +346,43 @@
     continue_copy(copy);
 }
 
+static bool is_usable(const copy_t *copy, uint64_t min_source_generation) {
+    const store_peer_t *peer = copy->peer;
+    /* After a timeout, requires a newer status so that an unresponsive source is not retried. */
+    bool status_received = peer->answered_at > 0 && peer->answered_at >= copy->step_since;
+    return peer->connection != NULL && status_received &&
+           peer->complete_generation >= min_source_generation;
+}
+
+static bool has_left(const copy_t *copy) {
+    const store_group_t *group = copy->catch_up->store->group;
+    return store_group_find(group->members, copy->peer->name) == NULL;
+}
+
+/** True if enough present members can be copied from, so that one that has left is not needed. */
+static bool members_suffice(const store_catch_up_state_t *catch_up,
+                            const store_catch_up_plan_t *plan) {
+    unsigned usable = 0;
+    for (guint i = 0; i < catch_up->copies->len; i++) {
+        const copy_t *copy = g_ptr_array_index(catch_up->copies, i);
+        bool active = copy->step != COPY_STATUS;
+        usable += !has_left(copy) && (active || is_usable(copy, plan->min_source_generation));
+    }
+    bool early = uv_now(catch_up->store->loop) < catch_up->started_at + LEFT_SOURCE_DELAY_MS;
+    return usable >= plan->needed || early;
+}
+
 /** Restarts a copy that has timed out, and starts one whose source is complete. */
-static void advance_copy(copy_t *copy, uint64_t min_source_generation) {
+static void advance_copy(copy_t *copy, const store_catch_up_plan_t *plan) {
     store_catch_up_state_t *catch_up = copy->catch_up;
-    const store_peer_t *peer = copy->peer;
     uint64_t now = uv_now(catch_up->store->loop);
     bool awaiting_response = copy->step == COPY_INDEX || copy->step == COPY_TURNS;
     if (awaiting_response && now - copy->step_since > STEP_TIMEOUT_MS)
         restart_copy(copy, "stuck");
     if (copy->step != COPY_STATUS)
         return;
-    /* After a timeout, requires a newer status so that an unresponsive source is not retried. */
-    bool status_received = peer->answered_at > 0 && peer->answered_at >= copy->step_since;
-    bool usable = peer->connection != NULL && status_received &&
-                  peer->complete_generation >= min_source_generation;
+    bool usable = is_usable(copy, plan->min_source_generation) &&
+                  !(plan->left_last && has_left(copy) && members_suffice(catch_up, plan));
     if (!usable || now < catch_up->pause_until || !no_page_pending(catch_up, now))
         return;
     if (copy->started_at == 0)
@@ -370,6 +396,7 @@
     clear_copies(catch_up);
     catch_up->generation = store->group->generation;
     catch_up->sources = plan->sources;
+    catch_up->started_at = uv_now(store->loop);
     catch_up->finishing = false;
     catch_up->fetch_plan = fetch_plan_new(plan->sources->len);
     for (guint i = 0; i < plan->sources->len; i++) {
@@ -496,11 +523,11 @@
                                 store->joined_generation);
 }
 
-static void advance_copies(store_catch_up_state_t *catch_up, uint64_t min_source_generation) {
+static void advance_copies(store_catch_up_state_t *catch_up, const store_catch_up_plan_t *plan) {
     restart_after_failed_write(catch_up);
     for (guint i = 0; i < catch_up->copies->len; i++) {
         copy_t *copy = g_ptr_array_index(catch_up->copies, i);
-        advance_copy(copy, min_source_generation);
+        advance_copy(copy, plan);
         if (copy->step == COPY_PAGE)
             finish_page(copy);
         if (copy->step == COPY_WAITING && may_continue(copy))
@@ -536,7 +563,7 @@
         return;
     if (catch_up->generation != store->group->generation || catch_up->sources != plan.sources)
         start_copies(catch_up, &plan);
-    advance_copies(catch_up, plan.min_source_generation);
+    advance_copies(catch_up, &plan);
     bool completes = catch_up->purpose == PURPOSE_COMPLETE && count_done(catch_up) >= plan.needed;
     if (!completes || catch_up->finishing || !store->group_durable)
         return;
