storage nodes: members that stay don't bring back what only one that has left still has

A member that was complete in the generation before copies from one other of its members, whichever answers first, and that may be the one that has left, which may have been away, and its clock of expiry with it. Shown by a turn that only the leaving member has: 201 turns at the new member, which got it from those that had stayed.

Ruled out: slower completion, as seven test programs of the storage nodes pass. ANewMemberDoesNotCopyWhatOnlyAMemberThatHasLeftStillHas fails without either plan's order (201, not 200).

--- a/src/core/quorum/store_group.c
+++ b/src/core/quorum/store_group.c
@@ -106,6 +106,7 @@
             .sources = group->previous,
             .needed = store_read_quorum(group->previous->len) - 1,
             .min_source_generation = complete_generation,
+            .left_last = true,
         };
     }
     bool joined = joined_generation == group->generation && group->previous->len > 0 &&
--- a/tests/unit/store_group_change_test.cc
+++ b/tests/unit/store_group_change_test.cc
@@ -77,6 +77,18 @@
         EXPECT_EQ(g_hash_table_size(node(i)->store->turns.entries), turns) << i;
 }
 
+// Guards against turns that have expired at all members and come back with one that has left.
+TEST_F(StoreGroupChange, ANewMemberDoesNotCopyWhatOnlyAMemberThatHasLeftStillHas) {
+    turn_t forgotten = {g_strdup("forgotten"), g_strdup(""), g_bytes_new("in", 2),
+                        g_bytes_new("out", 3), 1000000000,   g_strdup("")};
+    turn_table_add(&node(0)->store->turns, &forgotten, 0, store_expiry_clock_ms(node(0)->store));
+    turn_clear(&forgotten);
+    replace_by_spare();
+    run(recovery_ms);
+    EXPECT_EQ(complete_members(world), nodes);
+    EXPECT_EQ(g_hash_table_size(node(nodes)->store->turns.entries), turns);
+}
+
 TEST_F(StoreGroupChange, ANewMemberThatLosesItsDiskCopiesFromItsOwnGeneration) {
     replace_by_spare();
     world_end_store(node(nodes), END_DISK_LOST);
--- a/tests/unit/turns_test.cc
+++ b/tests/unit/turns_test.cc
@@ -318,6 +318,7 @@
     EXPECT_EQ(joined.sources, next->previous);
     EXPECT_EQ(joined.needed, 2u);
     EXPECT_EQ(joined.min_source_generation, 1u);
+    EXPECT_TRUE(joined.left_last);
     EXPECT_EQ(store_group_catch_up(next, "d", 0, 1).sources, next->members) << "in an earlier one";
     EXPECT_EQ(store_group_catch_up(next, "b", 0, 2).sources, next->members) << "it was a member";
     store_group_free(next);
