gateways: a call that the end of a planned stop cuts off has its line E830

A cut call left no line, and E822 counted calls only: neither told whether a caller without an answer had an active call or a connection whose answer was still being written. Now each such call is logged with status 0 and reason stopping, and E822 has the connections that were open and the time since the signal. No decision changes.

--- a/src/gateway/call.c
+++ b/src/gateway/call.c
@@ -101,9 +101,16 @@
     g_free(call);
 }
 
+unsigned call_log_cut_off(const gateway_t *gateway) {
+    for (GList *link = gateway->active_calls.head; link != NULL; link = link->next)
+        log_end(link->data, 0, CALL_STOPPING);
+    return gateway->active_calls.length;
+}
+
 /** Logs the end of the call and cancels everything in progress; no callback follows. */
 static void end_call(call_t *call, unsigned status, call_reason_t reason) {
     call->ended = true;
+    g_queue_unlink(&call->gateway->active_calls, &call->active_link);
     log_end(call, status, reason);
     call_cancel_exchange(call);
     call_clear_body(call);
@@ -368,6 +375,8 @@
     event_stream_init(&call->events);
     uv_timer_init(gateway->loop, &call->deadline_timer);
     call->deadline_timer.data = call;
+    call->active_link.data = call;
+    g_queue_push_tail_link(&gateway->active_calls, &call->active_link);
     http_caller_set_data(caller, call);
     gateway->counters.calls++;
     start_call(call);
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -114,6 +114,7 @@
     uint64_t arrived_at;
     uint64_t deadline; /**< Loop time in ms. */
     uv_timer_t deadline_timer;
+    GList active_link; /**< In gateway_t.active_calls until the call ends. */
     bool ended;
     engine_affinity_t affinity;
     uint64_t last_engine; /**< Hash of the engine that last ran the program; 0: unknown. */
@@ -182,6 +183,8 @@
 /** Milliseconds until the route's timeout, for which the call may be held past its deadline. */
 uint64_t call_hold_time_left(const call_t *call);
 const char *call_field(const call_t *call, call_field_t field);
+/** Logs each call in progress as cut off, at the exit of the process; returns their number. */
+unsigned call_log_cut_off(const gateway_t *gateway);
 
 /* call_identity.c */
 
--- a/src/gateway/main.c
+++ b/src/gateway/main.c
@@ -1,6 +1,7 @@
 /** Entry point of the gateway process: settings, loop, signals, graceful shutdown. */
 #include "cluster/program.h"
 #include "common/event.h"
+#include "gateway/call.h"
 #include "gateway/gateway.h"
 #include "gateway/split.h"
 #include "net/frame_connection.h"
@@ -134,7 +135,8 @@
     gateway.stop_timer.data = &gateway;
     gateway_watch_directory(&gateway);
     uv_run(&loop, UV_RUN_DEFAULT);
-    event_log(GATEWAY_STOPPED, http_listener_active(gateway.calls));
+    event_log(GATEWAY_STOPPED, call_log_cut_off(&gateway), http_listener_connections(gateway.calls),
+              uv_now(&loop) - gateway.stopping_since);
     return EXIT_SUCCESS;
 }
 
