callers: a connection whose answer is still being written is not idle

Callers saw an answer end early: one of 12 MB read steadily was cut once the idle timeout had passed, and in a planned stop or an isolation as soon as idle connections were closed. A caller that sent a second request ahead was cut as the second answer came.

Cause: a connection whose answer was handed over was in the state of one that waits for a request, although bytes of the answer were still queued.

A connection is now in a state of its own until its last write has ended. Idle connections are then closed without it, what was sent ahead waits, and the timer closes it only if the caller has taken nothing since the timer's last check. Taken is what the caller's side has acknowledged: the queue alone shrinks only when a third of the kernel's send buffer is free, which a slow caller takes longer for than the timeout. After the last write a kept connection begins a fresh idle timeout. `http_listener_close_idle` also leaves connections of whose answer the kernel still holds a part, as a request that comes after the close would turn it into a reset.

Evidence: tests/unit/http_listener_test.cc, idle timeout 0.8 s.

--- a/src/net/http_listener.c
+++ b/src/net/http_listener.c
@@ -2,12 +2,16 @@
  * Design. The connection goes on being read while its request is answered, so that a caller that
  * hangs up is seen at once; what a caller sends ahead waits, and past a bound reading rests.
  * A connection is closed after a request that was refused before it was read whole.
+ * An answer that the kernel has not taken entirely keeps its connection from being idle, and from
+ * serving what was sent ahead, for as long as its caller goes on taking bytes.
  */
 #include "net/http_listener.h"
 
 #include <http_parser.h>
+#include <linux/sockios.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/ioctl.h>
 
 enum {
     BACKLOG = 512,
@@ -28,7 +32,13 @@
     bool close_after_answers;
 };
 
-typedef enum { READING, ANSWERING, CLOSING } caller_state_t;
+typedef enum {
+    READING,
+    ANSWERING,
+    WRITING,   /**< The answer has ended; some of it waits to be written. */
+    LINGERING, /**< The last answer is written; what still comes is dropped. */
+    CLOSING,
+} caller_state_t;
 
 struct http_caller {
     uv_tcp_t tcp;
@@ -42,8 +52,8 @@
     bool chunked;
     bool keep;   /**< The connection may serve another request. */
     bool broken; /**< A write failed; the timer reports the end outside the owner's call. */
-    bool close_when_written;
     unsigned pending_writes;
+    size_t untaken; /**< When last counted; 0 if the kernel took the answer at once. */
     http_parser parser;
     http_headers_t headers;
     GString *target;
@@ -89,6 +99,27 @@
     close_caller(caller);
 }
 
+/** Bytes written for the caller that its side has not acknowledged. */
+static size_t count_untaken(const http_caller_t *caller) {
+    int in_kernel = 0;
+    uv_os_fd_t descriptor;
+    if (uv_fileno((const uv_handle_t *)&caller->tcp, &descriptor) != 0 ||
+        ioctl(descriptor, SIOCOUTQ, &in_kernel) != 0)
+        in_kernel = 0;
+    return uv_stream_get_write_queue_size((const uv_stream_t *)&caller->tcp) + (size_t)in_kernel;
+}
+
+/** True if the caller has taken bytes of its answer since the last count. */
+static bool has_taken_bytes(http_caller_t *caller) {
+    size_t before = caller->untaken;
+    if (before == 0)
+        return false;
+    caller->untaken = count_untaken(caller);
+    return caller->untaken < before;
+}
+
+static void arm_timer(http_caller_t *caller, uint64_t ms);
+
 static void on_timer(uv_timer_t *timer) {
     http_caller_t *caller = timer->data;
     if (caller->broken) {
@@ -99,7 +130,10 @@
         http_caller_answer(caller, 408, NULL, NULL, 0);
         return;
     }
-    close_caller(caller);
+    if (has_taken_bytes(caller))
+        arm_timer(caller, caller->listener->limits.idle_timeout_ms);
+    else
+        close_caller(caller);
 }
 
 static void arm_timer(http_caller_t *caller, uint64_t ms) {
@@ -114,6 +148,8 @@
     GString *bytes;
 } pending_write_t;
 
+static void end_or_keep(http_caller_t *caller);
+
 static void on_written(uv_write_t *request, int status) {
     pending_write_t *write = request->data;
     http_caller_t *caller = write->caller;
@@ -124,8 +160,8 @@
         return;
     if (status != 0)
         caller_lost(caller);
-    else if (caller->close_when_written && caller->pending_writes == 0)
-        close_caller(caller);
+    else if (caller->state == WRITING && caller->pending_writes == 0)
+        end_or_keep(caller);
 }
 
 /** Writes and takes over @p bytes. False if the caller is gone, which the owner was told. */
@@ -194,22 +230,20 @@
 }
 
 /** The answer is written: makes the connection ready for the next request, or ends it. */
-static void finish_answer(http_caller_t *caller) {
-    if (caller->state == ANSWERING)
-        caller->listener->active--;
-    caller->state = READING;
-    caller->begun = false;
+static void end_or_keep(http_caller_t *caller) {
+    if (caller->untaken > 0)
+        caller->untaken = count_untaken(caller);
     if (!caller->keep) {
-        caller->close_when_written = true;
+        caller->state = LINGERING;
         bool whole_request = caller->parser.http_errno == HPE_OK && caller->ahead->len == 0;
-        if (caller->pending_writes > 0)
-            arm_timer(caller, caller->listener->limits.idle_timeout_ms);
-        else if (whole_request)
+        if (whole_request)
             close_caller(caller);
         else
             arm_timer(caller, LINGER_MS); /* Unread bytes would turn the close into a reset. */
         return;
     }
+    caller->state = READING;
+    caller->begun = false;
     http_headers_reset(&caller->headers);
     g_string_truncate(caller->target, 0);
     g_string_truncate(caller->body, 0);
@@ -217,6 +251,20 @@
     read_ahead(caller);
 }
 
+/** The owner has ended the answer. */
+static void finish_answer(http_caller_t *caller) {
+    if (caller->state == ANSWERING)
+        caller->listener->active--;
+    caller->untaken = 0;
+    if (caller->pending_writes == 0) {
+        end_or_keep(caller);
+        return;
+    }
+    caller->state = WRITING;
+    caller->untaken = count_untaken(caller);
+    arm_timer(caller, caller->listener->limits.idle_timeout_ms);
+}
+
 void http_caller_answer(http_caller_t *caller, unsigned status, const char *fields,
                         const char *body, size_t length) {
     caller->data = NULL;
@@ -408,7 +456,7 @@
         caller_lost(caller);
         return;
     }
-    if (caller->close_when_written)
+    if (caller->state == LINGERING || (caller->state == WRITING && !caller->keep))
         return;
     if (caller->state == READING) {
         parse_bytes(caller, buffer->base, (size_t)count);
@@ -492,7 +540,7 @@
     GList *callers = g_hash_table_get_keys(listener->callers);
     for (GList *item = callers; item != NULL; item = item->next) {
         http_caller_t *caller = item->data;
-        if (caller->state == READING && !caller->begun)
+        if (caller->state == READING && !caller->begun && count_untaken(caller) == 0)
             close_caller(caller);
     }
     g_list_free(callers);
--- /dev/null
+++ b/tests/unit/http_listener_test.cc
@@ -0,0 +1,279 @@
+// Connections of callers, on loopback: which of them count as idle, and how they end.
+#include <gtest/gtest.h>
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <functional>
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "net/http_listener.h"
+}
+
+namespace {
+
+constexpr uint64_t patience_ms = 20000;
+constexpr uint32_t idle_ms = 800;
+constexpr size_t megabyte = 1024 * 1024;
+constexpr size_t large_bytes = 12 * megabyte;
+constexpr uint64_t pause_ms = 50; /**< Between two portions of a caller that reads steadily. */
+const std::string request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+const std::string last_request = "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
+
+enum class Ending { open, clean, reset };
+
+/** A caller with a small receive buffer, so that most of a large answer waits at the listener. */
+class Caller {
+  public:
+    explicit Caller(const sockaddr_in &address) : descriptor_(socket(AF_INET, SOCK_STREAM, 0)) {
+        int bytes = 65536;
+        setsockopt(descriptor_, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof bytes);
+        EXPECT_EQ(
+            connect(descriptor_, reinterpret_cast<const sockaddr *>(&address), sizeof address), 0);
+        fcntl(descriptor_, F_SETFL, O_NONBLOCK);
+    }
+    ~Caller() {
+        close(descriptor_);
+    }
+    Caller(const Caller &) = delete;
+    Caller &operator=(const Caller &) = delete;
+
+    void send_bytes(const std::string &bytes) const {
+        EXPECT_EQ(send(descriptor_, bytes.data(), bytes.size(), MSG_NOSIGNAL),
+                  static_cast<ssize_t>(bytes.size()));
+    }
+    /** Takes what has come, @p most bytes at most. */
+    void read_some(size_t most = SIZE_MAX) {
+        char buffer[65536];
+        while (most > 0) {
+            ssize_t count = recv(descriptor_, buffer, std::min(most, sizeof buffer), 0);
+            if (count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK))
+                return;
+            if (count <= 0) {
+                ending = count == 0 ? Ending::clean : Ending::reset;
+                return;
+            }
+            received.append(buffer, static_cast<size_t>(count));
+            most -= static_cast<size_t>(count);
+        }
+    }
+    /** Whole answers with a body of @p length bytes that have come. */
+    [[nodiscard]] size_t answers(size_t length) const {
+        size_t count = 0;
+        size_t at = 0;
+        while ((at = received.find("\r\n\r\n", at)) != std::string::npos) {
+            at += 4 + length;
+            count += at <= received.size();
+        }
+        return count;
+    }
+
+    std::string received;
+    Ending ending = Ending::open;
+
+  private:
+    int descriptor_;
+};
+
+class HttpListener : public testing::Test {
+  protected:
+    HttpListener() {
+        uv_loop_init(&loop);
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        for (uint16_t port = 42600; listener == nullptr && port < 42700; port++) {
+            address.sin_port = htons(port);
+            listener = http_listener_open(&loop, &address, &limits, &handler, this);
+        }
+    }
+    /** Ends the connections that are left. A listener that has listened is never freed. */
+    ~HttpListener() override {
+        EXPECT_NE(listener, nullptr);
+        static auto *listeners = new std::vector<http_listener_t *>;
+        listeners->push_back(listener);
+        http_listener_stop(listener);
+        limits.idle_timeout_ms = 0;
+        http_listener_set_limits(listener, &limits);
+        for (http_caller_t *caller : waiting)
+            http_caller_abort(caller);
+        uv_run(&loop, UV_RUN_DEFAULT);
+        EXPECT_EQ(http_listener_connections(listener), 0U);
+        EXPECT_EQ(http_listener_active(listener), 0U);
+        EXPECT_EQ(uv_loop_close(&loop), 0);
+    }
+    bool run_until(const std::function<bool()> &done, uint64_t most_ms = patience_ms) {
+        uint64_t until = uv_hrtime() / 1000000 + most_ms;
+        while (!done() && uv_hrtime() / 1000000 < until) {
+            uv_run(&loop, UV_RUN_NOWAIT);
+            usleep(1000);
+        }
+        return done();
+    }
+    /** Sends @p bytes and runs until a request of them waits for its answer. */
+    http_caller_t *ask(const Caller &caller, const std::string &bytes) {
+        hold = true;
+        caller.send_bytes(bytes);
+        EXPECT_TRUE(run_until([this] { return !waiting.empty(); }));
+        http_caller_t *asked = waiting.empty() ? nullptr : waiting.back();
+        waiting.clear();
+        hold = false;
+        return asked;
+    }
+    /** Reads a portion whenever a pause is over until @p done; @p meanwhile is done each time. */
+    bool read_steadily(
+        Caller &caller, const std::function<bool()> &done,
+        const std::function<void()> &meanwhile = [] {}) {
+        uint64_t last = 0;
+        return run_until([&] {
+                   uint64_t now = uv_hrtime() / 1000000;
+                   if (now - last >= pause_ms && !done()) {
+                       last = now;
+                       caller.read_some(portion);
+                       meanwhile();
+                   }
+                   return done() || caller.ending != Ending::open;
+               }) &&
+               done();
+    }
+    bool read_until_end(Caller &caller) {
+        return run_until([&] {
+            caller.read_some();
+            return caller.ending != Ending::open;
+        });
+    }
+
+    uv_loop_t loop{};
+    sockaddr_in address{};
+    http_limits_t limits = {16384, 65536, 3000, idle_ms};
+    http_listener_t *listener = nullptr;
+    std::string body = "answer";
+    size_t portion = large_bytes / 50;
+    bool hold = false; /**< Requests wait for their answer. */
+    std::vector<http_caller_t *> waiting;
+    unsigned gone = 0;
+
+  private:
+    static void on_request(void *owner, http_caller_t *caller, const http_request_t *) {
+        auto *test = static_cast<HttpListener *>(owner);
+        if (test->hold)
+            test->waiting.push_back(caller);
+        else
+            http_caller_answer(caller, 200, nullptr, test->body.data(), test->body.size());
+    }
+    static void on_gone(void *owner, http_caller_t *) {
+        static_cast<HttpListener *>(owner)->gone++;
+    }
+    static const http_listener_handler_t handler;
+};
+
+const http_listener_handler_t HttpListener::handler = {on_request, on_gone};
+
+// Guards against the idle timer's cut of an answer that took longer to read than the timeout.
+TEST_F(HttpListener, AnAnswerThatIsReadSteadilyIsWrittenToItsEnd) {
+    body.assign(large_bytes, 'x');
+    Caller caller(address);
+    caller.send_bytes(request);
+    EXPECT_TRUE(read_steadily(caller, [&] { return caller.answers(large_bytes) == 1; }))
+        << caller.received.size() << " bytes";
+    caller.send_bytes(request);
+    EXPECT_TRUE(read_steadily(caller, [&] { return caller.answers(large_bytes) == 2; }))
+        << "the connection is kept";
+}
+
+TEST_F(HttpListener, TheLastAnswerOfAConnectionIsWrittenToItsEnd) {
+    body.assign(large_bytes, 'x');
+    Caller caller(address);
+    caller.send_bytes(last_request);
+    EXPECT_TRUE(read_steadily(caller, [&] { return caller.ending == Ending::clean; }));
+    EXPECT_EQ(caller.answers(large_bytes), 1U) << caller.received.size() << " bytes";
+}
+
+TEST_F(HttpListener, AStreamIsWrittenToItsEndAfterItsOwnerHasEndedIt) {
+    body.assign(7 * megabyte, 'x');
+    Caller caller(address);
+    http_caller_t *asked = ask(caller, request);
+    ASSERT_NE(asked, nullptr);
+    http_caller_begin(asked, 200, nullptr, body.data(), body.size());
+    EXPECT_TRUE(read_steadily(caller, [&] { return caller.received.size() > megabyte; }));
+    http_caller_end(asked);
+    portion /= 2;
+    EXPECT_TRUE(read_steadily(caller,
+                              [&] {
+                                  size_t length = caller.received.size();
+                                  return length > body.size() &&
+                                         caller.received.compare(length - 5, 5, "0\r\n\r\n") == 0;
+                              }))
+        << caller.received.size() << " bytes";
+}
+
+// Guards against the cut by a planned stop, which closes idle connections again and again.
+TEST_F(HttpListener, AConnectionIsNotIdleBeforeItsAnswerIsWritten) {
+    body.assign(large_bytes, 'x');
+    Caller caller(address);
+    caller.send_bytes(request);
+    EXPECT_TRUE(read_steadily(
+        caller, [&] { return caller.answers(large_bytes) == 1; },
+        [&] {
+            if (!caller.received.empty())
+                http_listener_close_idle(listener);
+        }))
+        << caller.received.size() << " bytes";
+    EXPECT_TRUE(run_until([&] {
+        http_listener_close_idle(listener);
+        return http_listener_connections(listener) == 0;
+    })) << "it is idle once written";
+}
+
+// Guards against a reset that drops what the kernel still holds of an answer.
+TEST_F(HttpListener, AConnectionIsNotIdleBeforeItsAnswerHasArrived) {
+    body.assign(megabyte, 'x');
+    Caller caller(address);
+    caller.send_bytes(request);
+    EXPECT_TRUE(run_until([&] {
+        caller.read_some(1);
+        return !caller.received.empty();
+    }));
+    http_listener_close_idle(listener);
+    for (unsigned i = 0; i < 10; i++)
+        uv_run(&loop, UV_RUN_NOWAIT);
+    caller.send_bytes(request);
+    EXPECT_TRUE(read_steadily(caller, [&] { return caller.answers(megabyte) == 2; }))
+        << caller.received.size() << " bytes";
+}
+
+// The kernel asks for more only once a third of its send buffer is free.
+TEST_F(HttpListener, ACallerThatTakesLessPerTimeoutThanTheKernelHoldsIsNotCutOff) {
+    body.assign(large_bytes, 'x');
+    portion = 20000;
+    Caller caller(address);
+    caller.send_bytes(request);
+    EXPECT_TRUE(read_steadily(caller, [&] { return caller.received.size() > 2 * megabyte; }));
+    EXPECT_EQ(http_listener_connections(listener), 1U);
+}
+
+TEST_F(HttpListener, ACallerThatTakesNothingOfItsAnswerIsClosed) {
+    body.assign(large_bytes, 'x');
+    Caller kept(address);
+    Caller last(address);
+    kept.send_bytes(request);
+    last.send_bytes(last_request);
+    EXPECT_TRUE(run_until([&] { return http_listener_connections(listener) == 2; }));
+    EXPECT_TRUE(run_until([&] { return http_listener_connections(listener) == 0; }));
+}
+
+// Guards against the cut of callers that send ahead while they read: the second answer is more.
+TEST_F(HttpListener, ARequestSentAheadIsAnsweredOnceTheAnswerBeforeItIsWritten) {
+    body.assign(large_bytes, 'x');
+    Caller caller(address);
+    caller.send_bytes(request + request);
+    EXPECT_TRUE(read_steadily(caller, [&] { return caller.answers(large_bytes) == 2; }))
+        << caller.received.size() << " bytes";
+}
+
+} // namespace
