callers: a request that waits unread keeps its connection from being closed as idle

Callers saw a reset in place of an answer if their request arrived just as their connection was closed: at the idle timeout, in a planned stop, in an isolation.

Cause: a connection counted as idle as long as the loop had read nothing of the next request, although the kernel held all of it; closing a connection with unread bytes resets it.

The kernel is now asked for unread bytes (recv with MSG_PEEK) before a connection is closed as idle. If there are any the connection is left to the read callback, which the same turn of the loop calls, and the request is served or refused. What arrives between the question and the close is still lost.

Evidence: the new tests AConnectionWhoseRequestWaitsUnreadIsNotIdle and ARequestThatWaitsUnreadAsTheIdleTimeoutEndsIsAnswered: before, 1 of 2 and 0 of 1 requests were answered; now all are. IdleConnectionsAreClosed passes before and after: connections without a request are still closed.

--- a/src/net/http_listener.c
+++ b/src/net/http_listener.c
@@ -118,6 +118,14 @@
     return caller->untaken < before;
 }
 
+/** True if bytes of the next request have come that were not read yet. */
+static bool has_unread_bytes(const http_caller_t *caller) {
+    uv_os_fd_t descriptor;
+    char byte;
+    return uv_fileno((const uv_handle_t *)&caller->tcp, &descriptor) == 0 &&
+           recv(descriptor, &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 static void arm_timer(http_caller_t *caller, uint64_t ms);
 
 static void on_timer(uv_timer_t *timer) {
@@ -130,7 +138,7 @@
         http_caller_answer(caller, 408, NULL, NULL, 0);
         return;
     }
-    if (has_taken_bytes(caller))
+    if (has_taken_bytes(caller) || (caller->state == READING && has_unread_bytes(caller)))
         arm_timer(caller, caller->listener->limits.idle_timeout_ms);
     else
         close_caller(caller);
@@ -540,7 +548,8 @@
     GList *callers = g_hash_table_get_keys(listener->callers);
     for (GList *item = callers; item != NULL; item = item->next) {
         http_caller_t *caller = item->data;
-        if (caller->state == READING && !caller->begun && count_untaken(caller) == 0)
+        bool idle = caller->state == READING && !caller->begun && count_untaken(caller) == 0;
+        if (idle && !has_unread_bytes(caller))
             close_caller(caller);
     }
     g_list_free(callers);
--- a/src/net/http_listener.h
+++ b/src/net/http_listener.h
@@ -48,7 +48,10 @@
 void http_listener_set_limits(http_listener_t *listener, const http_limits_t *limits);
 /** From now on each answer says that its connection ends after it. */
 void http_listener_close_after_answers(http_listener_t *listener);
-/** Closes connections on which no request has begun and whose last answer has arrived. */
+/**
+ * Closes connections on which no request has begun, not even unread, and whose last answer has
+ * arrived.
+ */
 void http_listener_close_idle(http_listener_t *listener);
 /** Takes no new connections. */
 void http_listener_stop(http_listener_t *listener);
--- a/tests/unit/http_listener_test.cc
+++ b/tests/unit/http_listener_test.cc
@@ -276,4 +276,46 @@
         << caller.received.size() << " bytes";
 }
 
+// Guards against the reset of a request that waits in the kernel as its connection is closed.
+TEST_F(HttpListener, AConnectionWhoseRequestWaitsUnreadIsNotIdle) {
+    Caller caller(address);
+    caller.send_bytes(request);
+    EXPECT_TRUE(run_until([&] {
+        caller.read_some();
+        return caller.answers(body.size()) == 1;
+    }));
+    caller.send_bytes(request);
+    http_listener_close_after_answers(listener);
+    http_listener_close_idle(listener);
+    EXPECT_TRUE(read_until_end(caller));
+    EXPECT_EQ(caller.answers(body.size()), 2U);
+    EXPECT_EQ(caller.ending, Ending::clean);
+}
+
+TEST_F(HttpListener, ARequestThatWaitsUnreadAsTheIdleTimeoutEndsIsAnswered) {
+    Caller caller(address);
+    EXPECT_TRUE(run_until([&] { return http_listener_connections(listener) == 1; }));
+    usleep((idle_ms + 100) * 1000);
+    caller.send_bytes(request);
+    EXPECT_TRUE(run_until([&] {
+        caller.read_some();
+        return caller.answers(body.size()) == 1 || caller.ending != Ending::open;
+    }));
+    EXPECT_EQ(caller.answers(body.size()), 1U);
+}
+
+TEST_F(HttpListener, IdleConnectionsAreClosed) {
+    Caller early(address);
+    Caller late(address);
+    EXPECT_TRUE(run_until([&] { return http_listener_connections(listener) == 2; }));
+    EXPECT_TRUE(run_until([&] {
+        http_listener_close_idle(listener);
+        return http_listener_connections(listener) == 0;
+    }));
+    Caller timed(address);
+    EXPECT_TRUE(run_until([&] { return http_listener_connections(listener) == 1; }));
+    EXPECT_TRUE(read_until_end(timed));
+    EXPECT_EQ(timed.ending, Ending::clean);
+}
+
 } // namespace
