callers: connections that wait to be accepted are served after a stop

Callers whose connection was up, and whose request was perhaps sent, saw a reset as the listening socket was closed in a planned stop: the kernel drops the connections that wait in its queue.

`http_listener_stop` now accepts them first, at most as many as the queue holds, on the way that other connections take. Their requests are served, or refused with `Connection: close`, as those of any connection during the stop.

--- a/src/net/http_listener.c
+++ b/src/net/http_listener.c
@@ -7,11 +7,13 @@
  */
 #include "net/http_listener.h"
 
+#include <errno.h>
 #include <http_parser.h>
 #include <linux/sockios.h>
 #include <string.h>
 #include <strings.h>
 #include <sys/ioctl.h>
+#include <unistd.h>
 
 enum {
     BACKLOG = 512,
@@ -475,10 +477,7 @@
         uv_read_stop(stream);
 }
 
-static void on_connection(uv_stream_t *stream, int status) {
-    http_listener_t *listener = stream->data;
-    if (status != 0)
-        return;
+static http_caller_t *new_caller(http_listener_t *listener) {
     http_caller_t *caller = g_new0(http_caller_t, 1);
     caller->listener = listener;
     caller->open_handles = 2;
@@ -493,13 +492,44 @@
     caller->body = g_string_new(NULL);
     caller->ahead = g_string_new(NULL);
     g_hash_table_add(listener->callers, caller);
-    if (uv_accept(stream, (uv_stream_t *)&caller->tcp) != 0) {
+    return caller;
+}
+
+static void serve(http_caller_t *caller) {
+    uv_tcp_nodelay(&caller->tcp, 1);
+    arm_timer(caller, caller->listener->limits.idle_timeout_ms);
+    uv_read_start((uv_stream_t *)&caller->tcp, provide_buffer, on_read);
+}
+
+static void on_connection(uv_stream_t *stream, int status) {
+    if (status != 0)
+        return;
+    http_caller_t *caller = new_caller(stream->data);
+    if (uv_accept(stream, (uv_stream_t *)&caller->tcp) == 0)
+        serve(caller);
+    else
         close_caller(caller);
+}
+
+/** Accepts the connections in the queue of the listening socket, which its close would reset. */
+static void accept_waiting(http_listener_t *listener) {
+    uv_os_fd_t listening;
+    if (uv_fileno((const uv_handle_t *)&listener->tcp, &listening) != 0)
         return;
+    for (unsigned i = 0; i <= BACKLOG; i++) {
+        int accepted = accept4(listening, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        if (accepted < 0 && (errno == EINTR || errno == ECONNABORTED))
+            continue;
+        if (accepted < 0)
+            return;
+        http_caller_t *caller = new_caller(listener);
+        if (uv_tcp_open(&caller->tcp, accepted) == 0) {
+            serve(caller);
+        } else {
+            close(accepted);
+            close_caller(caller);
+        }
     }
-    uv_tcp_nodelay(&caller->tcp, 1);
-    arm_timer(caller, listener->limits.idle_timeout_ms);
-    uv_read_start((uv_stream_t *)&caller->tcp, provide_buffer, on_read);
 }
 
 /** Of one that never listened: nothing else refers to it. */
@@ -556,8 +586,10 @@
 }
 
 void http_listener_stop(http_listener_t *listener) {
-    if (!uv_is_closing((uv_handle_t *)&listener->tcp))
-        uv_close((uv_handle_t *)&listener->tcp, NULL);
+    if (uv_is_closing((uv_handle_t *)&listener->tcp))
+        return;
+    accept_waiting(listener);
+    uv_close((uv_handle_t *)&listener->tcp, NULL);
 }
 
 unsigned http_listener_connections(const http_listener_t *listener) {
--- a/src/net/http_listener.h
+++ b/src/net/http_listener.h
@@ -53,7 +53,7 @@
  * arrived.
  */
 void http_listener_close_idle(http_listener_t *listener);
-/** Takes no new connections. */
+/** Takes no new connections but those that wait to be accepted. */
 void http_listener_stop(http_listener_t *listener);
 /** Connections that are open; requests whose answer has not ended. */
 unsigned http_listener_connections(const http_listener_t *listener);
--- a/tests/unit/http_listener_test.cc
+++ b/tests/unit/http_listener_test.cc
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <cerrno>
 #include <functional>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -318,4 +319,22 @@
     EXPECT_EQ(timed.ending, Ending::clean);
 }
 
+// Guards against the reset of connections that wait in the queue of the listening socket.
+TEST_F(HttpListener, ConnectionsThatWaitToBeAcceptedAreServedAfterAStop) {
+    std::vector<std::unique_ptr<Caller>> callers;
+    for (unsigned i = 0; i < 100; i++) {
+        callers.push_back(std::make_unique<Caller>(address));
+        callers.back()->send_bytes(request);
+    }
+    http_listener_close_after_answers(listener);
+    http_listener_stop(listener);
+    http_listener_close_idle(listener);
+    size_t answered = 0;
+    for (const auto &caller : callers) {
+        EXPECT_TRUE(read_until_end(*caller));
+        answered += caller->answers(body.size()) == 1 && caller->ending == Ending::clean;
+    }
+    EXPECT_EQ(answered, callers.size());
+}
+
 } // namespace
