callers: a connection that has just come is not closed as idle

A caller that connected just before idle connections were closed (a planned stop, an isolation) saw its connection end as it sent its first request: nothing of that request can have come yet, so the kernel holds no unread bytes either.

The two tests that close a connection that is not idle for another reason wait until it is no longer new.

--- a/src/net/http_listener.c
+++ b/src/net/http_listener.c
@@ -20,6 +20,7 @@
     READ_BUFFER_BYTES = 65536,
     AHEAD_BYTES = 65536,            /**< Kept of what a caller sends before its answer. */
     UNSENT_BYTES = 4 * 1024 * 1024, /**< A caller that leaves more unread is cut off. */
+    NEW_CALLER_MS = 300,            /**< Until then a new connection's first request is awaited. */
     LINGER_MS = 300,                /**< A refused caller may read its answer for so long. */
 };
 
@@ -54,6 +55,7 @@
     bool chunked;
     bool keep;   /**< The connection may serve another request. */
     bool broken; /**< A write failed; the timer reports the end outside the owner's call. */
+    uint64_t accepted_at;
     unsigned pending_writes;
     size_t untaken; /**< When last counted; 0 if the kernel took the answer at once. */
     http_parser parser;
@@ -496,6 +498,7 @@
 }
 
 static void serve(http_caller_t *caller) {
+    caller->accepted_at = uv_now(caller->listener->loop);
     uv_tcp_nodelay(&caller->tcp, 1);
     arm_timer(caller, caller->listener->limits.idle_timeout_ms);
     uv_read_start((uv_stream_t *)&caller->tcp, provide_buffer, on_read);
@@ -574,13 +577,18 @@
     caller->close_after_answer = true;
 }
 
+/** True if neither a request nor an answer is under way, as far as the kernel knows. */
+static bool is_idle(const http_caller_t *caller) {
+    return caller->state == READING && !caller->begun &&
+           uv_now(caller->listener->loop) - caller->accepted_at >= NEW_CALLER_MS &&
+           count_untaken(caller) == 0 && !has_unread_bytes(caller);
+}
+
 void http_listener_close_idle(http_listener_t *listener) {
     GList *callers = g_hash_table_get_keys(listener->callers);
     for (GList *item = callers; item != NULL; item = item->next) {
-        http_caller_t *caller = item->data;
-        bool idle = caller->state == READING && !caller->begun && count_untaken(caller) == 0;
-        if (idle && !has_unread_bytes(caller))
-            close_caller(caller);
+        if (is_idle(item->data))
+            close_caller(item->data);
     }
     g_list_free(callers);
 }
--- a/src/net/http_listener.h
+++ b/src/net/http_listener.h
@@ -50,7 +50,7 @@
 void http_listener_close_after_answers(http_listener_t *listener);
 /**
  * Closes connections on which no request has begun, not even unread, and whose last answer has
- * arrived.
+ * arrived. One that has just come is left alone: its caller is about to send. Call it repeatedly.
  */
 void http_listener_close_idle(http_listener_t *listener);
 /** Takes no new connections but those that wait to be accepted. */
--- a/tests/unit/http_listener_test.cc
+++ b/tests/unit/http_listener_test.cc
@@ -23,6 +23,7 @@
 constexpr uint32_t idle_ms = 800;
 constexpr size_t megabyte = 1024 * 1024;
 constexpr size_t large_bytes = 12 * megabyte;
+constexpr uint32_t wait_until_old_ms = 400; /**< Then a connection may be closed as idle. */
 constexpr uint64_t pause_ms = 50; /**< Between two portions of a caller that reads steadily. */
 const std::string request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
 const std::string last_request = "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
@@ -240,6 +241,8 @@
         caller.read_some(1);
         return !caller.received.empty();
     }));
+    usleep(wait_until_old_ms * 1000);
+    uv_update_time(&loop);
     http_listener_close_idle(listener);
     for (unsigned i = 0; i < 10; i++)
         uv_run(&loop, UV_RUN_NOWAIT);
@@ -286,6 +289,8 @@
         return caller.answers(body.size()) == 1;
     }));
     caller.send_bytes(request);
+    usleep(wait_until_old_ms * 1000);
+    uv_update_time(&loop);
     http_listener_close_after_answers(listener);
     http_listener_close_idle(listener);
     EXPECT_TRUE(read_until_end(caller));
@@ -337,4 +342,16 @@
     EXPECT_EQ(answered, callers.size());
 }
 
+// Guards against the close of a connection whose caller has connected and is about to send.
+TEST_F(HttpListener, AConnectionThatHasJustComeIsNotIdle) {
+    Caller caller(address);
+    http_listener_close_after_answers(listener);
+    http_listener_stop(listener);
+    http_listener_close_idle(listener);
+    caller.send_bytes(request);
+    EXPECT_TRUE(read_until_end(caller));
+    EXPECT_EQ(caller.answers(body.size()), 1U);
+    EXPECT_EQ(caller.ending, Ending::clean);
+}
+
 } // namespace
