callers: the last answer of a connection reaches a caller that has sent more

Callers that had sent more, a further request or the rest of a body, saw a reset and lost what was in flight of an answer that says `Connection: close`: all answers of a planned stop and of refusals.

Cause: the connection was closed as soon as the answer was written. A close with unread bytes, and bytes that come after it, make the kernel reset the connection and drop what it has not sent. Only where bytes had been read ahead, or the request was not whole, the close was put off by 300 ms.

Each connection is now shut down for writing after its last answer; what still comes is read and dropped until the caller closes its side, or until 300 ms in which it acknowledged nothing have passed. A caller that closes in reply costs one shutdown, one ioctl and one read; the timer is the one the connection has. `http_listener_connections` counts such connections, so a stop waits for them.

Two tests that pass before and after guard the end of connections whose callers never close, and of those that are closed during the shutdown.

--- a/src/net/http_listener.c
+++ b/src/net/http_listener.c
@@ -1,7 +1,9 @@
 /*
  * Design. The connection goes on being read while its request is answered, so that a caller that
  * hangs up is seen at once; what a caller sends ahead waits, and past a bound reading rests.
- * A connection is closed after a request that was refused before it was read whole.
+ * After its last answer a connection is shut down for writing, and what its caller still sends is
+ * dropped until the caller closes its side: a close with unread bytes would be a reset, which may
+ * overtake the answer.
  * An answer that the kernel has not taken entirely keeps its connection from being idle, and from
  * serving what was sent ahead, for as long as its caller goes on taking bytes.
  */
@@ -21,7 +23,7 @@
     AHEAD_BYTES = 65536,            /**< Kept of what a caller sends before its answer. */
     UNSENT_BYTES = 4 * 1024 * 1024, /**< A caller that leaves more unread is cut off. */
     NEW_CALLER_MS = 300,            /**< Until then a new connection's first request is awaited. */
-    LINGER_MS = 300,                /**< A refused caller may read its answer for so long. */
+    LINGER_MS = 300,                /**< A caller's time to close after its last answer. */
 };
 
 struct http_listener {
@@ -39,7 +41,7 @@
     READING,
     ANSWERING,
     WRITING,   /**< The answer has ended; some of it waits to be written. */
-    LINGERING, /**< The last answer is written; what still comes is dropped. */
+    LINGERING, /**< The last answer is written; the caller has not closed its side. */
     CLOSING,
 } caller_state_t;
 
@@ -47,6 +49,7 @@
     uv_tcp_t tcp;
     bool close_after_answer;
     uv_timer_t timer;
+    uv_shutdown_t shutdown;
     http_listener_t *listener;
     caller_state_t state;
     unsigned open_handles;
@@ -142,8 +145,9 @@
         http_caller_answer(caller, 408, NULL, NULL, 0);
         return;
     }
+    bool lingering = caller->state == LINGERING;
     if (has_taken_bytes(caller) || (caller->state == READING && has_unread_bytes(caller)))
-        arm_timer(caller, caller->listener->limits.idle_timeout_ms);
+        arm_timer(caller, lingering ? LINGER_MS : caller->listener->limits.idle_timeout_ms);
     else
         close_caller(caller);
 }
@@ -241,19 +245,35 @@
            caller->state == ANSWERING && http_should_keep_alive(&caller->parser) != 0;
 }
 
+static void start_reading(http_caller_t *caller);
+
+/** A failure shows on the reading side. */
+static void on_shutdown(uv_shutdown_t *shutdown_request, int status) {
+    (void)shutdown_request;
+    (void)status;
+}
+
+/** The last answer is written: waits for the caller to close its side. */
+static void linger(http_caller_t *caller) {
+    caller->state = LINGERING;
+    g_string_truncate(caller->ahead, 0);
+    if (uv_shutdown(&caller->shutdown, (uv_stream_t *)&caller->tcp, on_shutdown) != 0) {
+        close_caller(caller);
+        return;
+    }
+    caller->untaken = count_untaken(caller);
+    arm_timer(caller, LINGER_MS);
+    start_reading(caller);
+}
+
 /** The answer is written: makes the connection ready for the next request, or ends it. */
 static void end_or_keep(http_caller_t *caller) {
-    if (caller->untaken > 0)
-        caller->untaken = count_untaken(caller);
     if (!caller->keep) {
-        caller->state = LINGERING;
-        bool whole_request = caller->parser.http_errno == HPE_OK && caller->ahead->len == 0;
-        if (whole_request)
-            close_caller(caller);
-        else
-            arm_timer(caller, LINGER_MS); /* Unread bytes would turn the close into a reset. */
+        linger(caller);
         return;
     }
+    if (caller->untaken > 0)
+        caller->untaken = count_untaken(caller);
     caller->state = READING;
     caller->begun = false;
     http_headers_reset(&caller->headers);
@@ -449,9 +469,13 @@
     *buffer = uv_buf_init(read_buffer, sizeof read_buffer);
 }
 
+static void start_reading(http_caller_t *caller) {
+    uv_read_start((uv_stream_t *)&caller->tcp, provide_buffer, on_read);
+}
+
 /** Goes on with what the caller sent ahead of its last answer. */
 static void read_ahead(http_caller_t *caller) {
-    uv_read_start((uv_stream_t *)&caller->tcp, provide_buffer, on_read);
+    start_reading(caller);
     if (caller->ahead->len == 0)
         return;
     GString *bytes = caller->ahead;
@@ -501,7 +525,7 @@
     caller->accepted_at = uv_now(caller->listener->loop);
     uv_tcp_nodelay(&caller->tcp, 1);
     arm_timer(caller, caller->listener->limits.idle_timeout_ms);
-    uv_read_start((uv_stream_t *)&caller->tcp, provide_buffer, on_read);
+    start_reading(caller);
 }
 
 static void on_connection(uv_stream_t *stream, int status) {
--- a/tests/unit/http_listener_test.cc
+++ b/tests/unit/http_listener_test.cc
@@ -354,4 +354,50 @@
     EXPECT_EQ(caller.ending, Ending::clean);
 }
 
+// Guards against a reset that drops the part of the last answer that is still on its way.
+TEST_F(HttpListener, TheLastAnswerReachesACallerThatHasSentMoreMeanwhile) {
+    body.assign(megabyte, 'x');
+    Caller caller(address);
+    http_caller_t *asked = ask(caller, last_request);
+    ASSERT_NE(asked, nullptr);
+    caller.send_bytes(request);
+    http_caller_answer(asked, 200, nullptr, body.data(), body.size());
+    EXPECT_TRUE(read_until_end(caller));
+    EXPECT_EQ(caller.answers(megabyte), 1U) << caller.received.size() << " bytes";
+    EXPECT_EQ(caller.ending, Ending::clean);
+}
+
+TEST_F(HttpListener, TheLastAnswerReachesACallerThatSendsMoreBeforeItReads) {
+    body.assign(megabyte, 'x');
+    Caller caller(address);
+    http_caller_t *asked = ask(caller, last_request);
+    ASSERT_NE(asked, nullptr);
+    http_caller_answer(asked, 200, nullptr, body.data(), body.size());
+    for (unsigned i = 0; i < 10; i++)
+        uv_run(&loop, UV_RUN_NOWAIT);
+    caller.send_bytes(request);
+    EXPECT_TRUE(read_until_end(caller));
+    EXPECT_EQ(caller.answers(megabyte), 1U) << caller.received.size() << " bytes";
+    EXPECT_EQ(caller.ending, Ending::clean);
+}
+
+TEST_F(HttpListener, ACallerThatNeverEndsItsConnectionIsClosedAfterItsLastAnswer) {
+    Caller caller(address);
+    caller.send_bytes(last_request);
+    EXPECT_TRUE(read_until_end(caller));
+    EXPECT_EQ(caller.ending, Ending::clean);
+    EXPECT_TRUE(run_until([&] { return http_listener_connections(listener) == 0; }));
+    EXPECT_EQ(gone, 0U);
+}
+
+TEST_F(HttpListener, AConnectionMayBeClosedRightAfterItsLastAnswer) {
+    Caller caller(address);
+    http_caller_t *asked = ask(caller, last_request);
+    ASSERT_NE(asked, nullptr);
+    http_caller_answer(asked, 200, nullptr, body.data(), body.size());
+    http_caller_abort(asked);
+    EXPECT_EQ(http_listener_connections(listener), 0U);
+    EXPECT_TRUE(read_until_end(caller));
+}
+
 } // namespace
