callers: an answer that lacks a piece does not get its end

A caller whose stream lost a piece, as it had left more than 4 MB unread, could see the stream end as if it were whole.

Cause: a write that fails is reported to the owner by a timer, in the loop's next turn. If the kernel took bytes before that turn, the end of the answer found room in the queue and was written, and the connection was made ready for the next request; the piece in between was missing. Requests whose `100 Continue` could not be written were delivered all the same, with the timer stopped.

After a write has failed nothing more is written for the connection or read from it, until the timer has closed it and told the owner.

Evidence: AnAnswerThatLacksAPieceHasNoEnd: an answer's piece comes while 6 MB are unread, 10 MB are read, and the answer ends in the same turn of the loop. A run for the `100 Continue` was not made.

--- a/src/net/http_listener.c
+++ b/src/net/http_listener.c
@@ -180,17 +180,18 @@
         end_or_keep(caller);
 }
 
-/** Writes and takes over @p bytes. False if the caller is gone, which the owner was told. */
+/** Writes and takes over @p bytes. False if the caller is lost, which the owner will be told. */
 static bool write_bytes(http_caller_t *caller, GString *bytes) {
     uv_stream_t *stream = (uv_stream_t *)&caller->tcp;
     uv_buf_t buffer = uv_buf_init(bytes->str, (unsigned)bytes->len);
     int written = 0;
-    if (caller->pending_writes == 0) {
+    if (!caller->broken && caller->pending_writes == 0) {
         written = uv_try_write(stream, &buffer, 1);
         if (written == UV_EAGAIN)
             written = 0;
     }
-    if (written < 0 || stream->write_queue_size > UNSENT_BYTES) {
+    /* An answer that lacks a piece must not get its end, though there may be room for it by now. */
+    if (caller->broken || written < 0 || stream->write_queue_size > UNSENT_BYTES) {
         g_string_free(bytes, TRUE);
         caller->broken = true;
         arm_timer(caller, 0);
@@ -341,9 +342,11 @@
 
 void http_caller_end(http_caller_t *caller) {
     caller->data = NULL;
-    if (caller->chunked && !write_bytes(caller, g_string_new("0\r\n\r\n")))
-        return;
-    finish_answer(caller);
+    bool written = !caller->broken;
+    if (caller->chunked)
+        written = write_bytes(caller, g_string_new("0\r\n\r\n"));
+    if (written)
+        finish_answer(caller);
 }
 
 void http_caller_abort(http_caller_t *caller) {
@@ -444,7 +447,7 @@
         arm_timer(caller, caller->listener->limits.header_timeout_ms);
     }
     size_t parsed = http_parser_execute(&caller->parser, &parser_settings, data, length);
-    if (caller->state != READING)
+    if (caller->state != READING || caller->broken)
         return;
     enum http_errno status = HTTP_PARSER_ERRNO(&caller->parser);
     if (status == HPE_PAUSED) {
@@ -492,7 +495,8 @@
         caller_lost(caller);
         return;
     }
-    if (caller->state == LINGERING || (caller->state == WRITING && !caller->keep))
+    bool drop = caller->state == LINGERING || (caller->state == WRITING && !caller->keep);
+    if (drop || caller->broken)
         return;
     if (caller->state == READING) {
         parse_bytes(caller, buffer->base, (size_t)count);
--- a/tests/unit/http_listener_test.cc
+++ b/tests/unit/http_listener_test.cc
@@ -400,4 +400,40 @@
     EXPECT_TRUE(read_until_end(caller));
 }
 
+struct Interruption {
+    uv_prepare_t prepare;
+    uv_check_t check;
+    std::function<void()> before_poll;
+    std::function<void()> after_poll;
+};
+
+// Guards against an answer that lacks a piece but looks whole, as its end still found room.
+TEST_F(HttpListener, AnAnswerThatLacksAPieceHasNoEnd) {
+    Caller caller(address);
+    http_caller_t *asked = ask(caller, request);
+    ASSERT_NE(asked, nullptr);
+    std::string most(10 * megabyte, 'x');
+    http_caller_begin(asked, 200, nullptr, most.data(), most.size());
+    Interruption interruption;
+    uv_prepare_init(&loop, &interruption.prepare);
+    uv_check_init(&loop, &interruption.check);
+    interruption.prepare.data = interruption.check.data = &interruption;
+    interruption.before_poll = [&] {
+        http_caller_piece(asked, "lost", 4);
+        caller.read_some();
+    };
+    interruption.after_poll = [&] { http_caller_end(asked); };
+    uv_prepare_start(&interruption.prepare, [](uv_prepare_t *handle) {
+        static_cast<Interruption *>(handle->data)->before_poll();
+        uv_close(reinterpret_cast<uv_handle_t *>(handle), nullptr);
+    });
+    uv_check_start(&interruption.check, [](uv_check_t *handle) {
+        static_cast<Interruption *>(handle->data)->after_poll();
+        uv_close(reinterpret_cast<uv_handle_t *>(handle), nullptr);
+    });
+    EXPECT_TRUE(read_until_end(caller));
+    EXPECT_EQ(caller.received.find("lost"), std::string::npos) << "the piece was not written";
+    EXPECT_EQ(caller.received.find("\r\n0\r\n\r\n"), std::string::npos);
+}
+
 } // namespace
