callers: an answer without a length that is cut ends with a reset

A caller of HTTP/1.0 whose stream was cut, by `http_caller_abort` or since it left too much unread, saw a clean end: the mark by which such an answer is whole.

A connection whose answer ends with it is now reset if it is closed before the answer is written entirely.

Evidence: AnAnswerWithoutALengthThatIsCutEndsWithAReset: both ends were clean before, both are resets now. A whole answer still ends cleanly, as the test after it shows, before and after.

--- a/src/net/http_listener.c
+++ b/src/net/http_listener.c
@@ -58,6 +58,7 @@
     bool chunked;
     bool keep;   /**< The connection may serve another request. */
     bool broken; /**< A write failed; the timer reports the end outside the owner's call. */
+    bool ends_with_connection; /**< The answer has no other mark of its end. */
     uint64_t accepted_at;
     unsigned pending_writes;
     size_t untaken; /**< When last counted; 0 if the kernel took the answer at once. */
@@ -90,9 +91,12 @@
         return;
     if (caller->state == ANSWERING)
         caller->listener->active--;
+    bool cut =
+        caller->ends_with_connection && (caller->state == ANSWERING || caller->state == WRITING);
     caller->state = CLOSING;
     g_hash_table_remove(caller->listener->callers, caller);
-    uv_close((uv_handle_t *)&caller->tcp, free_when_closed);
+    if (!cut || uv_tcp_close_reset(&caller->tcp, free_when_closed) != 0)
+        uv_close((uv_handle_t *)&caller->tcp, free_when_closed);
     uv_close((uv_handle_t *)&caller->timer, free_when_closed);
 }
 
@@ -327,6 +331,7 @@
 void http_caller_begin(http_caller_t *caller, unsigned status, const char *fields, const char *data,
                        size_t length) {
     caller->chunked = caller->parser.http_major == 1 && caller->parser.http_minor >= 1;
+    caller->ends_with_connection = !caller->chunked;
     caller->keep = will_keep(caller) && caller->chunked;
     GString *bytes = answer_head(caller, status, fields);
     g_string_append(bytes, caller->chunked ? "Transfer-Encoding: chunked\r\n\r\n" : "\r\n");
--- a/tests/unit/http_listener_test.cc
+++ b/tests/unit/http_listener_test.cc
@@ -436,4 +436,37 @@
     EXPECT_EQ(caller.received.find("\r\n0\r\n\r\n"), std::string::npos);
 }
 
+// Guards against a cut that looks like the end, where an answer ends with its connection.
+TEST_F(HttpListener, AnAnswerWithoutALengthThatIsCutEndsWithAReset) {
+    const std::string old_request = "GET / HTTP/1.0\r\n\r\n";
+    Caller aborted(address);
+    http_caller_t *asked = ask(aborted, old_request);
+    ASSERT_NE(asked, nullptr);
+    http_caller_begin(asked, 200, nullptr, "some", 4);
+    http_caller_abort(asked);
+    EXPECT_TRUE(read_until_end(aborted));
+    EXPECT_EQ(aborted.ending, Ending::reset);
+
+    body.assign(large_bytes, 'x');
+    Caller silent(address);
+    asked = ask(silent, old_request);
+    ASSERT_NE(asked, nullptr);
+    http_caller_begin(asked, 200, nullptr, body.data(), body.size());
+    http_caller_piece(asked, "more than may be left unread", 28);
+    EXPECT_TRUE(run_until([&] { return gone == 1; }));
+    EXPECT_TRUE(read_until_end(silent));
+    EXPECT_EQ(silent.ending, Ending::reset);
+}
+
+TEST_F(HttpListener, AnAnswerWithoutALengthThatIsWholeEndsWithItsConnection) {
+    Caller caller(address);
+    http_caller_t *asked = ask(caller, "GET / HTTP/1.0\r\n\r\n");
+    ASSERT_NE(asked, nullptr);
+    http_caller_begin(asked, 200, nullptr, "all of it", 9);
+    http_caller_end(asked);
+    EXPECT_TRUE(read_until_end(caller));
+    EXPECT_EQ(caller.answers(9), 1U);
+    EXPECT_EQ(caller.ending, Ending::clean);
+}
+
 } // namespace
