--- a/src/net/http_listener.c
+++ b/src/net/http_listener.c
@@ -553,7 +553,10 @@
     if (uv_fileno((const uv_handle_t *)&listener->tcp, &listening) != 0)
         return;
     for (unsigned i = 0; i <= BACKLOG; i++) {
-        int accepted = accept4(listening, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        struct sockaddr_in peer;
+        socklen_t length = sizeof peer;
+        int accepted =
+            accept4(listening, (struct sockaddr *)&peer, &length, SOCK_NONBLOCK | SOCK_CLOEXEC);
         if (accepted < 0 && (errno == EINTR || errno == ECONNABORTED))
             continue;
         if (accepted < 0)
