gateways: the phases of a planned stop follow from its grace period

What callers saw: calls that came after the SIGTERM of a gateway were taken and sent to a back end, and the end of the process cut them without an answer, among them calls that may not be repeated.

Cause: new calls were refused from 3 s on, and connections closed from 2.3 s on, whatever the grace period, the routes' timeouts and the callers' deadlines; and the exit dropped the connections of calls under way although the gateway knows whether such a call can have run.

Now shutdown_schedule.h derives the phases from the grace period. A call that may not be repeated begins only if its deadline passes before calls in progress are ended; any other is refused at once, as not run, and its caller goes to another gateway. A repeatable call begins in the first three eighths of the grace period too, since most end long before their deadlines and a cut costs a repeat. Short calls are served for longer than before. Shortly before the end (an eighth of the grace period, at most 600 ms) each call in progress gets a final response: 503 if it has not run, 502 if it may have; only a stream that has begun is broken off. With that the budget of a turn is settled too, which the exit left reserved. For 8 s and deadlines of 4 s the phases are nearly as they were.

Ruled out: refusing only by the time since the signal, since then either short calls are refused needlessly or long ones are cut. Serving unrepeatable calls by the usual time of their route: one that takes longer is lost.

--- a/src/gateway/call.c
+++ b/src/gateway/call.c
@@ -266,6 +266,21 @@
     http_caller_end(caller);
 }
 
+unsigned call_end_all(const gateway_t *gateway) {
+    unsigned ended = 0;
+    GList *calls = g_list_copy(gateway->active_calls.head);
+    for (GList *item = calls; item != NULL; item = item->next) {
+        call_t *call = item->data;
+        if (call->ended)
+            continue;
+        if (!call_turn_expire(call))
+            call_fail(call, CALL_STOPPING);
+        ended++;
+    }
+    g_list_free(calls);
+    return ended;
+}
+
 static void on_deadline(uv_timer_t *timer) {
     call_t *call = timer->data;
     /* The end is delivered late to a caller that is still connected. */
@@ -317,13 +332,18 @@
     return false;
 }
 
+/** False if the call might be cut off by the end of the process; see shutdown_schedule.h. */
+static bool may_begin_in_shutdown(const call_t *call) {
+    const gateway_t *gateway = call->gateway;
+    uint64_t since = gateway->stopping_since;
+    uint64_t deadline_ms = call->deadline > since ? call->deadline - since : 0;
+    return shutdown_accepts_call(&gateway->shutdown, uv_now(gateway->loop) - since, deadline_ms,
+                                 call_repeatable(call));
+}
+
 static void start_call(call_t *call) {
     gateway_t *gateway = call->gateway;
     call->id = call_field(call, FIELD_CALL_ID);
-    if (gateway->refusing) {
-        call_refuse(call, STATUS_UNAVAILABLE, CALL_STOPPING);
-        return;
-    }
     if (gateway->configuration == NULL) {
         call_refuse(call, STATUS_UNAVAILABLE, CALL_NO_CONFIGURATION);
         return;
@@ -347,6 +367,10 @@
     call->program = call_field(call, FIELD_PROGRAM);
     call->request_id = call_identity(call);
     call->deadline = compute_deadline(call);
+    if (gateway->stopping && !may_begin_in_shutdown(call)) {
+        call_refuse(call, STATUS_UNAVAILABLE, CALL_STOPPING);
+        return;
+    }
     uv_timer_start(&call->deadline_timer, on_deadline, call_time_left(call), 0);
     if (call_crash_limit_reached(call)) {
         /* Equal requests of callers without a program may be of many, most of them new. */
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -183,6 +183,11 @@
 /** Milliseconds until the route's timeout, for which the call may be held past its deadline. */
 uint64_t call_hold_time_left(const call_t *call);
 const char *call_field(const call_t *call, call_field_t field);
+/**
+ * Ends each call in progress with what is known of it, as call_fail(): its outcome could not be
+ * delivered any more. Returns their number.
+ */
+unsigned call_end_all(const gateway_t *gateway);
 /** Logs each call in progress as cut off, at the exit of the process; returns their number. */
 unsigned call_log_cut_off(const gateway_t *gateway);
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -17,6 +17,7 @@
 #include "core/retry/answer_time.h"
 #include "core/retry/outage.h"
 #include "core/retry/retry_budget.h"
+#include "core/shutdown/shutdown_schedule.h"
 #include "gateway/backends.h"
 #include "gateway/chain_cache.h"
 #include "gateway/crash_watch.h"
@@ -132,8 +133,8 @@
     uv_timer_t idle_close_timer;       /**< Active while the zone is isolated; see isolation.c. */
     bool ready;
     bool stopping;
-    bool refusing; /**< Shutdown: a new call might not complete within the grace time. */
     uint64_t stopping_since;
+    shutdown_schedule_t shutdown;
     uv_timer_t stop_timer;
 } gateway_t;
 
--- a/src/gateway/main.c
+++ b/src/gateway/main.c
@@ -9,12 +9,9 @@
 #include <stdlib.h>
 
 enum {
-    STOP_CHECK_INTERVAL_MS = 100,
-    /* Phases of a graceful shutdown: times since the stop signal, except STOP_RESERVE_MS. */
-    STOP_NOTICE_MS = 2300,    /**< Then connections are no longer accepted, idle ones closed. */
-    STOP_REFUSE_MS = 3000,    /**< Then new calls are refused: they might not complete. */
-    STOP_RESERVE_MS = 300,    /**< The process exits this long before the end of the grace time. */
-    CACHE_SHARE_PERCENT = 25, /**< Of the process's memory, for the turn cache. */
+    MAX_STOP_CHECK_INTERVAL_MS = 100,
+    STOP_CHECKS_PER_GRACE_TIME = 16, /**< At least; no phase is shorter. */
+    CACHE_SHARE_PERCENT = 25,        /**< Of the process's memory, for the turn cache. */
     PERCENT = 100,
     MEGABYTE = 1024 * 1024,
 };
@@ -22,18 +19,25 @@
 /** In force until a configuration has been received. */
 static const http_limits_t default_limits = {16384, 4 * MEGABYTE, 3000, 15000};
 
+static void end_calls(gateway_t *gateway, uint64_t since) {
+    unsigned calls = call_end_all(gateway);
+    if (calls > 0)
+        event_log(GATEWAY_CALLS_ENDED, calls, since);
+}
+
 static void on_stop_timer(uv_timer_t *timer) {
     gateway_t *gateway = timer->data;
+    const shutdown_schedule_t *schedule = &gateway->shutdown;
     uint64_t since = uv_now(gateway->loop) - gateway->stopping_since;
-    bool notice_over = since >= STOP_NOTICE_MS;
-    gateway->refusing = since >= STOP_REFUSE_MS;
-    if (notice_over) {
+    bool closes_idle = since >= schedule->close_idle_ms;
+    if (since >= schedule->end_calls_ms)
+        end_calls(gateway, since);
+    if (closes_idle) {
         http_listener_stop(gateway->calls);
         http_listener_close_idle(gateway->calls);
     }
-    bool grace_over = since + STOP_RESERVE_MS >= gateway->settings->grace_ms;
-    bool drained = notice_over && http_listener_connections(gateway->calls) == 0;
-    if (grace_over || drained)
+    bool drained = closes_idle && http_listener_connections(gateway->calls) == 0;
+    if (drained || since >= schedule->exit_ms)
         uv_stop(gateway->loop);
 }
 
@@ -43,13 +47,15 @@
         return;
     gateway->stopping = true;
     gateway->stopping_since = uv_now(gateway->loop);
+    gateway->shutdown = shutdown_schedule(gateway->settings->grace_ms);
     event_log(GATEWAY_STOPPING, number, http_listener_active(gateway->calls),
               http_listener_connections(gateway->calls));
     gateway_check_ready(gateway);
     /* Responses announce the close, so that callers reconnect to another gateway. */
     http_listener_close_after_answers(gateway->calls);
-    uv_timer_start(&gateway->stop_timer, on_stop_timer, STOP_CHECK_INTERVAL_MS,
-                   STOP_CHECK_INTERVAL_MS);
+    uint64_t interval_ms = CLAMP(gateway->settings->grace_ms / STOP_CHECKS_PER_GRACE_TIME, 1,
+                                 MAX_STOP_CHECK_INTERVAL_MS);
+    uv_timer_start(&gateway->stop_timer, on_stop_timer, interval_ms, interval_ms);
 }
 
 static bool find_relay(void *owner, struct sockaddr_in *address) {
