platform: a key with a zero byte doesn't hide the others of a listing

Cause: jansson rejects the whole answer of the service for one such string unless JSON_ALLOW_NUL is given, so that each listing and each watch failed. Such a key is none that a node or a server writes; it is left out. A page that holds nothing else but has more behind it is still unreadable, since the next page begins after its last key.

--- a/tests/unit/platform_test.cc
+++ b/tests/unit/platform_test.cc
@@ -261,6 +261,30 @@
     }
 }
 
+// The story: a key with a zero byte made each listing unreadable, so that no change was followed.
+TEST(Platform, AKeyWithAZeroByteHidesNoOther) {
+    const std::string foreign = R"({"private-key":"servers/a\u0000b","value":"aGk=","revision":3})";
+    const std::string known = R"({"private-key":"servers/a","value":"aGk=","revision":4})";
+    key_value_page_t page = {};
+    for (const std::string &items : {foreign + "," + known, known + "," + foreign}) {
+        const std::string listing = "{\"items\":[" + items + "],\"more\":true,\"at\":9}";
+        ASSERT_TRUE(key_value_parse_page(listing.data(), listing.size(), &page));
+        ASSERT_EQ(page.items->len, 1u);
+        const auto &item = g_array_index(page.items, key_value_item_t, 0);
+        EXPECT_STREQ(item.key, "servers/a");
+        EXPECT_EQ(item.revision, 4u);
+        key_value_page_clear(&page);
+    }
+    const std::string events = "{\"events\":[" + foreign + "],\"at\":5}";
+    ASSERT_TRUE(key_value_parse_events(events.data(), events.size(), &page));
+    EXPECT_EQ(page.items->len, 0u);
+    key_value_page_clear(&page);
+    // Its last key is the place where the next page begins.
+    const std::string nothing_else = "{\"items\":[" + foreign + "],\"more\":true,\"at\":9}";
+    EXPECT_FALSE(key_value_parse_page(nothing_else.data(), nothing_else.size(), &page));
+    key_value_page_clear(&page);
+}
+
 TEST(Platform, TellsKeysApart) {
     const char *name;
     EXPECT_EQ(key_value_kind("op/config", &name), KEY_CONFIGURATION);
