cluster: a port with a sign or a space is no port

strtoul takes "-" for 1, so that an entry with such an address was followed. Unit tests of entries at the limits of their reader: nested up to 1,000,000 deep on a thread with a stack of 1 MB, numbers beyond 64 bits and of 5,000 digits, texts of 1 MB, zero bytes.

--- a/src/cluster/service_directory.c
+++ b/src/cluster/service_directory.c
@@ -192,7 +192,7 @@
     g_strlcpy(host, text, (gsize)(colon - text) + 1);
     char *end;
     unsigned long port = strtoul(colon + 1, &end, 10);
-    if (*end != '\0' || end == colon + 1 || port > PORT_MAXIMUM)
+    if (!g_ascii_isdigit(colon[1]) || *end != '\0' || port > PORT_MAXIMUM)
         return false;
     *address = (struct sockaddr_in){.sin_family = AF_INET, .sin_port = htons((uint16_t)port)};
     return inet_pton(AF_INET, host, &address->sin_addr) == 1;
--- a/tests/unit/platform_test.cc
+++ b/tests/unit/platform_test.cc
@@ -217,6 +217,84 @@
         EXPECT_EQ(fault(entry({sound, bad})), BACKEND_ENTRY_OTHER) << bad;
 }
 
+std::string nested(const std::string &opening, const std::string &closing, size_t depth) {
+    std::string text;
+    for (size_t i = 0; i < depth; i++)
+        text += opening;
+    text += "1";
+    for (size_t i = 0; i < depth; i++)
+        text += closing;
+    return text;
+}
+
+void *read_nested_entries(void *) {
+    const std::string sound =
+        R"({"service":"s","address":"10.1.2.3:80","zone":"z","slots":6,"state":"ready","further":)";
+    for (size_t depth : {100, 2000, 2048, 2049, 100000, 1000000})
+        for (const auto &value : {nested("[", "]", depth), nested("{\"a\":", "}", depth)}) {
+            backend_entry_fault_t fault;
+            const std::string entry = sound + value + "}";
+            backend_record_t *backend =
+                directory_read_backend("i-1", entry.data(), entry.size(), &fault);
+            EXPECT_EQ(fault, depth <= 2000 ? BACKEND_ENTRY_SOUND : BACKEND_ENTRY_UNREADABLE);
+            backend_record_free(backend);
+            EXPECT_EQ(directory_parse_backend("i-1", value.data(), value.size()), nullptr);
+            EXPECT_EQ(directory_parse_configuration(value.data(), value.size()), nullptr);
+            uint64_t born;
+            EXPECT_EQ(backend_report_read(entry.data(), entry.size(), &born), depth <= 2000);
+            GBytes *bytes = g_bytes_new(value.data(), value.size());
+            g_bytes_unref(directory_redact_configuration(bytes));
+            const std::string tenants = R"({"tenants":[{"api-keys":)" + value + "}]}";
+            GBytes *keys = g_bytes_new(tenants.data(), tenants.size());
+            g_bytes_unref(directory_redact_configuration(keys));
+            g_bytes_unref(keys);
+            g_bytes_unref(bytes);
+        }
+    return nullptr;
+}
+
+// Values are read on the loop's thread. One that nests a million deep must leave its stack alone:
+// an eighth of the usual stack is enough here.
+TEST(Platform, AnEntryThatNestsDeeplyTakesLittleOfTheStack) {
+    pthread_attr_t attributes;
+    pthread_t thread;
+    ASSERT_EQ(pthread_attr_init(&attributes), 0);
+    ASSERT_EQ(pthread_attr_setstacksize(&attributes, 1024 * 1024), 0);
+    ASSERT_EQ(pthread_create(&thread, &attributes, read_nested_entries, nullptr), 0);
+    ASSERT_EQ(pthread_join(thread, nullptr), 0);
+    pthread_attr_destroy(&attributes);
+}
+
+TEST(Platform, AnEntryWithANumberOrATextOutOfBoundsIsReadOrRejected) {
+    auto fault = [](const std::string &fields) {
+        const std::string entry = R"({"service":"s","zone":"z","state":"ready",)" + fields + "}";
+        backend_entry_fault_t found;
+        backend_record_t *backend =
+            directory_read_backend("i-1", entry.data(), entry.size(), &found);
+        EXPECT_EQ(backend == nullptr, found != BACKEND_ENTRY_SOUND) << fields;
+        backend_record_free(backend);
+        return found;
+    };
+    const std::string address = R"("address":"10.1.2.3:80",)";
+    EXPECT_EQ(fault(address + R"("slots":4294967295)"), BACKEND_ENTRY_SOUND);
+    for (const char *number : {"1e18", "1e-400", "1.5", "-0.5", "1000000000000000000"})
+        EXPECT_EQ(fault(address + "\"slots\":" + number), BACKEND_ENTRY_SLOTS) << number;
+    for (const std::string &number :
+         {std::string("1e400"), std::string("18446744073709551616"), std::string(5000, '9')})
+        EXPECT_EQ(fault(address + "\"slots\":" + number), BACKEND_ENTRY_UNREADABLE) << number;
+    for (const char *text :
+         {"", ":", "10.1.2.3", "10.1.2.3:", "10.1.2.3:65536", "10.1.2.3:-1", "10.1.2.3:1e3",
+          "10.1.2.3:99999999999999999999999", "256.1.1.1:80", "localhost:80", "[::1]:80",
+          "10.1.2.3:-18446744073709551615", "10.1.2.3:+80", "10.1.2.3: 80"})
+        EXPECT_EQ(fault("\"slots\":6,\"address\":\"" + std::string(text) + "\""),
+                  BACKEND_ENTRY_ADDRESS)
+            << text;
+    const std::string large(1000 * 1000, '1');
+    EXPECT_EQ(fault("\"slots\":6,\"address\":\"" + large + ":80\""), BACKEND_ENTRY_ADDRESS);
+    EXPECT_EQ(fault(address + "\"slots\":6,\"further\":\"" + large + "\""), BACKEND_ENTRY_SOUND);
+    EXPECT_EQ(fault(address + R"("slots":6,"version":"a\u0000b")"), BACKEND_ENTRY_UNREADABLE);
+}
+
 TEST(Platform, ANumberOfAConfigurationThatIsTooLargeIsTheLargest) {
     const char *large = R"({"version":1,"services":[],"routes":[{"name":"r","host":"h",
         "path-prefix":"/","service":"s","timeout-ms":1e300,"retention-s":1e300}]})";
