--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -235,12 +235,15 @@
 
     async def stop_planned(self, node, late_s=STOP_LATE_S):
         """SIGTERM, and the process must end by itself within its time."""
-        node.term_at = time.monotonic()
+        # Another fault may start the node again: what is judged is this process.
+        process, term_at = node.process, time.monotonic()
+        node.term_at = term_at
         node.signal(signal.SIGTERM)
-        while node.running():
-            if time.monotonic() - node.term_at > self.grace_s + late_s and not node.paused:
+        while process.poll() is None:
+            if time.monotonic() - term_at > self.grace_s + late_s and not node.paused:
                 self.promises.break_promise("stop", node.name, "still runs after its time")
-                node.kill()
+                process.kill()
+                process.wait()
             await asyncio.sleep(0.05)
 
     def check_ends(self):
--- a/tests/soak/promises_test.py
+++ b/tests/soak/promises_test.py
@@ -1,16 +1,20 @@
 #!/usr/bin/env python3
 """Each promise that the soak judges is broken once here, and must be noticed; a sound run passes."""
 
+import asyncio
 import contextlib
 import io
 import os
+import subprocess
 import sys
+import tempfile
 import time
 import unittest
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 
 from callers import SAFE, TURN, UNSAFE, Caller, Result
+from cluster import Cluster
 from http_message import Message
 from promises import SLACK, TENANTS, WINDOW_S, Attempt, Promises
 
@@ -139,5 +143,36 @@
         self.assertEqual(self.broken(), ["config"])
 
 
+class SleeperCluster(Cluster):
+    """Its nodes are processes that sleep."""
+
+    def spawn(self, node, settings):
+        return subprocess.Popen(["sleep", "60"])
+
+
+class PlannedStopTest(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.promises = Promises()
+        self.cluster = SleeperCluster("", folder.name, self.promises)
+        self.node = self.cluster.add("store")
+        self.node.start()
+        self.addCleanup(self.cluster.stop_all)
+
+    def test_a_stop_ends_though_another_fault_starts_the_node_again(self):
+        async def stop():
+            stopping = asyncio.create_task(self.cluster.stop_planned(self.node))
+            await asyncio.sleep(0)
+            self.node.process.wait()
+            self.node.start()
+            await asyncio.wait_for(stopping, 30)
+
+        asyncio.run(stop())
+        self.assertTrue(self.node.running())
+        self.assertIsNone(self.node.term_at)
+        self.assertEqual(self.promises.broken, [])
+
+
 if __name__ == "__main__":
     unittest.main()
