test: changes are followed beside odd values that another writer left

Another operator saw machines end again and again, or follow the list of servers no more, for one odd entry among it. server_entries puts and removes 307 of them in drawn order (289 values, 18 names) below servers/ while programs run, then all at once, and kills and starts all nodes beside them; own_keys does so with 115 drawn values of the configuration's, the store group's, the storage nodes' and other keys. Judged: no process ends by itself, calls go on being answered, each gateway has the new configuration, an added back end gets calls and a removed one none.

A value of the configuration's key is one that is no whole configuration.

--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -135,6 +135,9 @@
 echo "--- planned stops of gateways under calls"
 . tests/integration/graceful_stop_test.sh
 
+echo "--- odd values of another writer"
+. tests/integration/odd_entries_test.sh
+
 echo "--- streams over back ends of two versions"
 . tests/integration/version_stream_test.sh
 
--- a/tests/soak/key_value.py
+++ b/tests/soak/key_value.py
@@ -30,8 +30,11 @@
 
     def put(self, key, value):
         """Writes as the operator or a server does; returns the revision."""
-        encoded = None if value is None else base64.b64encode(json.dumps(value).encode()).decode()
-        return self._put_encoded(key, encoded)
+        return self.put_bytes(key, None if value is None else json.dumps(value).encode())
+
+    def put_bytes(self, key, value):
+        """Writes any bytes, or removes the key (None)."""
+        return self._put_encoded(key, None if value is None else base64.b64encode(value).decode())
 
     def get(self, key):
         value = self.items.get(key, (None, 0))[0]
