soak: slow back ends, large answers, kept connections and drawn grace periods

The soak's back ends answered in milliseconds, its answers were small, its callers used a connection once, and a stop was judged in calm only, so that it saw none of the calls that a stop cuts. Four features are drawn after the known ones, from generators of their own: the plan of a seed stays as it is. A request on a kept connection is judged at any time (Promises.judge_end, eight unit tests): the player notes which gateways and back ends a fault strikes, and only these excuse.

A stop in calm excuses two kinds of cut now that can't occur with quick back ends: an answer that has begun and whose route's time is over, and a stream sent up to 3 s after SIGTERM whose back end still works in the last sixth of the grace period.

--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -1,7 +1,8 @@
 #!/usr/bin/env bash
 # A randomized fault soak over real gateways and storage nodes: SEEDS (by default a fresh one every
 # run, SOAK_RUNS of them), each with SOAK_SECONDS of faults. Exit status 0: no promise was broken.
-# SOAK_FEATURES: some of "zones,born,tenants", or none, instead of those drawn from the seed.
+# SOAK_FEATURES: some of "zones,born,tenants,slow,large,kept,grace", or none, instead of those drawn
+# from the seed.
 # A seed that fails leaves its logs in soak-run/SEED or, with given features, soak-run/SEED-FEATURES.
 cd "$(dirname "$0")/.." || exit 1
 BUILD=${BUILD:-build}
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -6,6 +6,9 @@
 
 import time
 from collections import deque
+from dataclasses import dataclass
+
+from strikes import GATEWAYS
 
 NOT_RUN_STATUSES = {402, 408, 421, 429, 503}
 # Tenants: calls a second, and on top at one moment; 0: no limit.
@@ -14,6 +17,28 @@
 WINDOW_S, OVERAGE, SLACK = 5.0, 0.1, 20
 
 
+TIMEOUT_S = 3.0  # Of the routes.
+CALM_S = 3.0  # So long after an unplanned fault nothing is lost any more.
+UNREAD_S = 0.2  # A request may cross the end of its connection.
+NEAR_S = 0.05
+LAST_PART = 5 / 6  # From here on a stopping gateway needn't wait for a stream.
+LAST_PART_SENT_S = 3.0
+
+
+@dataclass
+class ConnectionEnd:
+    """A kept connection that ended without a whole answer; times are of time.monotonic()."""
+
+    incarnation: str
+    gateway: str
+    begun_at: float
+    sent_at: float  # Of its last byte; None: it wasn't sent whole.
+    ended_at: float
+    lag_s: float  # How late the end may have been seen.
+    term_at: float  # None: the gateway was not told to stop.
+    grace_s: float
+
+
 class Attempt:
     """One try of a caller, with an id of its own."""
 
@@ -27,6 +52,7 @@
         self.program = program
         self.runs = []  # (instance, time)
         self.produced = {}  # Instance: the body of its whole answer; of plain calls.
+        self.finished = {}  # Instance: when it had sent the last of a stream.
         self.refused = False
 
 
@@ -71,6 +97,10 @@
             self.break_promise("drain", attempt_id, f"instance={instance} late_s={late:.2f}")
         self._judge_limit(attempt, now)
 
+    def note_finish(self, attempt_id, instance):
+        if attempt_id in self.attempts:
+            self.attempts[attempt_id].finished[instance] = time.monotonic()
+
     def _judge_limit(self, attempt, now):
         rate, burst = TENANTS.get(attempt.tenant, (0, 0))
         if rate == 0:
@@ -105,6 +135,36 @@
             return False
         return True
 
+    @staticmethod
+    def outlasts_stop(attempt, begun_at, ended_at, term_at, grace_s):
+        """True if a back end worked on a stream in the last part of a stop's time."""
+        if not attempt.route.stream or term_at is None or not attempt.runs:
+            return False
+        last_part_at = term_at + grace_s * LAST_PART
+        if begun_at > term_at + LAST_PART_SENT_S or ended_at < last_part_at:
+            return False
+        return any(attempt.finished.get(instance, ended_at) >= last_part_at
+                   for instance, _ in attempt.runs)
+
+    def judge_end(self, attempt, end, strikes):
+        """A kept connection ends without an answer only by the fault of others than its gateway."""
+        unread = end.sent_at is None or end.ended_at - end.lag_s - end.sent_at <= UNREAD_S
+        if unread and not attempt.runs:
+            return
+        if end.ended_at - end.begun_at >= TIMEOUT_S - NEAR_S:
+            return
+        names = {end.gateway, GATEWAYS, *(instance for instance, _ in attempt.runs)}
+        if strikes.struck(names, end.begun_at - CALM_S, end.ended_at):
+            return
+        if self.outlasts_stop(attempt, end.begun_at, end.ended_at, end.term_at, end.grace_s):
+            return
+        detail = f"kept connection gateway={end.incarnation} {attempt.route.prefix}"
+        detail += f" runs={len(attempt.runs)} cut_after_s={end.ended_at - end.begun_at:.2f}"
+        if end.term_at is not None:
+            detail += f" sent {end.begun_at - end.term_at:.2f} s after SIGTERM"
+            detail += f" of grace_s={end.grace_s}"
+        self.break_promise("lost", attempt.id, detail)
+
     def note_tokens(self, program, tokens):
         if program not in self.budgets:
             return
--- a/tests/soak/promises_test.py
+++ b/tests/soak/promises_test.py
@@ -13,10 +13,12 @@
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 
-from callers import SAFE, TURN, UNSAFE, Caller, Result
+from callers import RESUMABLE, SAFE, TURN, UNSAFE, Caller, Result
 from cluster import Cluster
 from http_message import Message
-from promises import SLACK, TENANTS, WINDOW_S, Attempt, Promises
+from faults import FEATURES, Fault, Player, draw_feature_faults
+from promises import SLACK, TENANTS, WINDOW_S, Attempt, ConnectionEnd, Promises
+from strikes import GATEWAYS, Strikes
 
 
 class PromisesTest(unittest.TestCase):
@@ -143,6 +145,110 @@
         self.assertEqual(self.broken(), ["config"])
 
 
+class KeptConnectionTest(unittest.TestCase):
+    """A request is sent whole at 100.1 and its connection ends at 101, in calm, unless said."""
+
+    def setUp(self):
+        self.promises = Promises()
+        self.strikes = Strikes()
+        self.quiet = contextlib.redirect_stdout(io.StringIO())
+        self.quiet.__enter__()
+        self.addCleanup(self.quiet.__exit__, None, None, None)
+
+    def judge(self, route=UNSAFE, runs=("i",), finished=None, **times):
+        """True if the request counts as lost."""
+        attempt = Attempt("01", route, "POST", route.prefix, b"body", None)
+        attempt.runs = [(instance, 100.2) for instance in runs]
+        attempt.finished = finished or {}
+        end = {"begun_at": 100.0, "sent_at": 100.1, "ended_at": 101.0, "lag_s": 0.0,
+               "term_at": None, "grace_s": 6.0}
+        before = len(self.promises.broken)
+        self.promises.judge_end(
+            attempt, ConnectionEnd("gateway0.1", "gateway0", **{**end, **times}), self.strikes)
+        return len(self.promises.broken) > before
+
+    def strike(self, name, begun_at, ended_at):
+        self.strikes.spans.append([name, begun_at, ended_at])
+
+    def test_a_request_that_ran_and_whose_connection_ends(self):
+        self.assertTrue(self.judge())
+        self.assertTrue(self.judge(route=RESUMABLE))
+        self.assertTrue(self.judge(sent_at=100.95))
+        self.assertTrue(self.judge(term_at=99.0))
+        self.assertEqual({row[0] for row in self.promises.broken}, {"lost"})
+
+    def test_a_request_that_did_not_run(self):
+        self.assertTrue(self.judge(runs=()))
+        self.assertFalse(self.judge(runs=(), sent_at=100.9))
+        self.assertFalse(self.judge(runs=(), sent_at=None))
+        self.assertFalse(self.judge(runs=(), sent_at=100.7, lag_s=0.2))
+        self.assertTrue(self.judge(runs=(), sent_at=100.5, lag_s=0.2))
+
+    def test_faults_elsewhere_excuse_nothing(self):
+        for name in ("gateway1", "store0", "j"):
+            self.strike(name, 90.0, None)
+        self.assertTrue(self.judge())
+
+    def test_faults_excuse_until_three_seconds_after(self):
+        for name in ("gateway0", GATEWAYS, "i"):
+            self.strikes.spans = []
+            self.strike(name, 90.0, 96.9)
+            self.assertTrue(self.judge())
+            self.strike(name, 101.1, None)
+            self.assertTrue(self.judge())
+            self.strike(name, 90.0, 97.1)
+            self.assertFalse(self.judge())
+            self.strikes.spans = []
+            self.strike(name, 100.9, None)
+            self.assertFalse(self.judge())
+
+    def test_a_deadline_excuses(self):
+        self.assertTrue(self.judge(ended_at=102.9))
+        self.assertFalse(self.judge(ended_at=103.0))
+
+    def test_only_a_stream_that_still_runs_in_the_last_part_may_be_cut_by_a_stop(self):
+        # The last part of the grace period is from 101 to 102.
+        stop = {"term_at": 98.0, "grace_s": 3.6}
+        self.assertTrue(self.judge(**stop))
+        self.assertFalse(self.judge(route=RESUMABLE, **stop))
+        self.assertFalse(self.judge(route=RESUMABLE, finished={"i": 101.0}, **stop))
+        self.assertTrue(self.judge(route=RESUMABLE, finished={"i": 100.9}, **stop))
+        self.assertTrue(self.judge(route=RESUMABLE, runs=(), **stop))
+        self.assertTrue(self.judge(route=RESUMABLE, term_at=98.0, grace_s=3.7))
+        self.assertTrue(self.judge(route=RESUMABLE, term_at=96.9, grace_s=4.0))
+
+    def test_a_plan_names_what_its_faults_strike(self):
+        cluster = Cluster("", "", self.promises)
+        cluster.gateways = [Named("gateway0"), Named("gateway1")]
+        cluster.stores = [Named("store0")]
+        world = Named("world")
+        world.backend = lambda target: Named(f"i-{target}")
+        player = Player(cluster, None, world)
+
+        def struck(kind, target=1, strength=0.5):
+            return player._struck(Fault(0.0, kind, target, 1.0, 0, strength))
+
+        self.assertEqual(struck("gateway_pause"), ["gateway1"])
+        self.assertEqual(struck("all_killed"), [GATEWAYS])
+        self.assertEqual(struck("backend"), ["i-1"])
+        self.assertEqual(struck("key_value_link", 1, 0.3), ["gateway1"])
+        self.assertEqual(struck("key_value_link", 2, 0.3), [])
+        self.assertEqual(struck("key_value_link", 2, 0.5), ["gateway0", "gateway1"])
+        for kind in ("gateway_stop", "store_kill", "store_pause", "key_value", "edit", "drain"):
+            self.assertEqual(struck(kind), [])
+
+    def test_features_without_faults_leave_the_plan_as_it_is(self):
+        with_faults = draw_feature_faults(7, 30, ["zones", "born"])
+        self.assertEqual(draw_feature_faults(7, 30, FEATURES), with_faults)
+
+
+class Named:
+    """Stands for a node, a back end or the world."""
+
+    def __init__(self, name):
+        self.name = self.instance = name
+
+
 class SleeperCluster(Cluster):
     """Its nodes are processes that sleep."""
 
