gateways: a request that is still arriving at the end of a planned stop is refused

Its caller saw the connection end without an answer while it sent a body, and could not tell that nothing had run. With the calls in progress, shortly before the exit, such a request is now answered 503, which says so; its caller goes to another gateway at once.

--- a/src/gateway/main.c
+++ b/src/gateway/main.c
@@ -9,6 +9,7 @@
 #include <stdlib.h>
 
 enum {
+    STATUS_UNAVAILABLE = 503,
     MAX_STOP_CHECK_INTERVAL_MS = 100,
     STOP_CHECKS_PER_GRACE_TIME = 16, /**< At least; no phase is shorter. */
     CACHE_SHARE_PERCENT = 25,        /**< Of the process's memory, for the turn cache. */
@@ -19,8 +20,10 @@
 /** In force until a configuration has been received. */
 static const http_limits_t default_limits = {16384, 4 * MEGABYTE, 3000, 15000};
 
+/** Ends what could not end before the process does; no caller is left without a response. */
 static void end_calls(gateway_t *gateway, uint64_t since) {
     unsigned calls = call_end_all(gateway);
+    http_listener_refuse_unfinished(gateway->calls, STATUS_UNAVAILABLE, NULL);
     if (calls > 0)
         event_log(GATEWAY_CALLS_ENDED, calls, since);
 }
--- a/src/net/http_listener.c
+++ b/src/net/http_listener.c
@@ -629,6 +629,17 @@
     g_list_free(callers);
 }
 
+void http_listener_refuse_unfinished(http_listener_t *listener, unsigned status,
+                                     const char *fields) {
+    GList *callers = g_hash_table_get_keys(listener->callers);
+    for (GList *item = callers; item != NULL; item = item->next) {
+        http_caller_t *caller = item->data;
+        if (caller->state == READING && caller->begun && !caller->broken)
+            http_caller_answer(caller, status, fields, NULL, 0);
+    }
+    g_list_free(callers);
+}
+
 void http_listener_stop(http_listener_t *listener) {
     if (uv_is_closing((uv_handle_t *)&listener->tcp))
         return;
--- a/src/net/http_listener.h
+++ b/src/net/http_listener.h
@@ -53,6 +53,12 @@
  * arrived. One that has just come is left alone: its caller is about to send. Call it repeatedly.
  */
 void http_listener_close_idle(http_listener_t *listener);
+/**
+ * Answers each request that has begun to arrive and is not whole; its owner never saw it. @p fields
+ * as for http_caller_answer().
+ */
+void http_listener_refuse_unfinished(http_listener_t *listener, unsigned status,
+                                     const char *fields);
 /** Takes no new connections but those that wait to be accepted. */
 void http_listener_stop(http_listener_t *listener);
 /** Connections that are open; requests whose answer has not ended. */
--- a/tests/unit/http_listener_test.cc
+++ b/tests/unit/http_listener_test.cc
@@ -355,6 +355,20 @@
 }
 
 // Guards against a reset that drops the part of the last answer that is still on its way.
+TEST_F(HttpListener, ARequestThatIsNotWholeIsRefusedBeforeTheEnd) {
+    Caller half(address), quiet(address);
+    half.send_bytes("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\n12345");
+    run_until([] { return false; }, wait_until_old_ms);
+    http_listener_refuse_unfinished(listener, 503, "Retry-After: 0.150\r\n");
+    EXPECT_TRUE(read_until_end(half));
+    EXPECT_EQ(half.received.rfind("HTTP/1.1 503 ", 0), 0U) << half.received;
+    EXPECT_NE(half.received.find("Retry-After: 0.150\r\n"), std::string::npos);
+    EXPECT_EQ(half.ending, Ending::clean);
+    quiet.read_some();
+    EXPECT_EQ(quiet.received, "");
+    EXPECT_EQ(quiet.ending, Ending::open);
+}
+
 TEST_F(HttpListener, TheLastAnswerReachesACallerThatHasSentMoreMeanwhile) {
     body.assign(megabyte, 'x');
     Caller caller(address);
