--- a/tests/integration/graceful_stop_test.sh
+++ b/tests/integration/graceful_stop_test.sh
@@ -11,3 +11,5 @@
 expect "stops of two gateways that overlap cut off no call" graceful_stop overlapping
 expect "a planned stop waits for callers that read large answers" graceful_stop large_answers
 expect "a connection whose answer is being read is not idle" graceful_stop steady_reader
+expect "a call that can be repeated is not given up while sound back ends work on it" \
+    graceful_stop slow_back_ends
