frames: what a peer sent before it ended is delivered though a write fails

A gateway could take a storage node's answer for missing, or a storage node a request, if the peer had ended its connection and a frame to it was written before the last frames from it were read.

Cause: a write that fails closed the connection at once, with all that the kernel still held of the peer's frames.

What the kernel holds is now read and delivered before the connection's end is reported.

Evidence: FramesThatCameBeforeAPeerEndedAreDeliveredThoughAWriteFails: none of 2 frames came before, both now.

--- a/src/net/frame_connection.c
+++ b/src/net/frame_connection.c
@@ -93,6 +93,7 @@
 }
 
 static void flush(frame_connection_t *connection);
+static void write_failed(frame_connection_t *connection);
 
 static void on_written(uv_write_t *request, int status) {
     frame_connection_t *connection = request->data;
@@ -102,7 +103,7 @@
     connection->writing = NULL;
     connection->writing_bytes = 0;
     if (status != 0)
-        connection_lost(connection);
+        write_failed(connection);
     else
         flush(connection);
 }
@@ -133,7 +134,7 @@
     connection->write_request.data = connection;
     if (uv_write(&connection->write_request, (uv_stream_t *)&connection->tcp, buffers,
                  connection->writing->len, on_written) != 0)
-        connection_lost(connection);
+        write_failed(connection);
 }
 
 /** Hands the output to the kernel without a copy; false if not all of it was taken. */
@@ -144,7 +145,7 @@
     if (written == UV_EAGAIN)
         return false;
     if (written < 0) {
-        connection_lost(connection);
+        write_failed(connection);
         return true;
     }
     g_byte_array_remove_range(connection->output, 0, (guint)written);
@@ -238,16 +239,7 @@
     connection->input_peak = MAX(connection->input_peak, connection->input->len);
 }
 
-static void on_read(uv_stream_t *stream, ssize_t count, const uv_buf_t *buffer) {
-    frame_connection_t *connection = stream->data;
-    if (connection->closed || count == 0)
-        return;
-    if (count < 0) {
-        connection_lost(connection);
-        return;
-    }
-    const uint8_t *data = (const uint8_t *)buffer->base;
-    size_t length = (size_t)count;
+static void take_bytes(frame_connection_t *connection, const uint8_t *data, size_t length) {
     if (connection->input->len == 0) {
         size_t used = deliver_frames(connection, data, length);
         if (!connection->closed)
@@ -262,6 +254,29 @@
     shrink(&connection->input, &connection->input_peak);
 }
 
+static void on_read(uv_stream_t *stream, ssize_t count, const uv_buf_t *buffer) {
+    frame_connection_t *connection = stream->data;
+    if (connection->closed || count == 0)
+        return;
+    if (count < 0)
+        connection_lost(connection);
+    else
+        take_bytes(connection, (const uint8_t *)buffer->base, (size_t)count);
+}
+
+/** The peer has ended the connection: delivers what it sent before. */
+static void write_failed(frame_connection_t *connection) {
+    uv_os_fd_t descriptor;
+    ssize_t count = uv_fileno((uv_handle_t *)&connection->tcp, &descriptor);
+    while (count >= 0 && !connection->closed) {
+        count = recv(descriptor, read_buffer, sizeof read_buffer, MSG_DONTWAIT);
+        if (count <= 0)
+            break;
+        take_bytes(connection, (const uint8_t *)read_buffer, (size_t)count);
+    }
+    connection_lost(connection);
+}
+
 static void provide_buffer(uv_handle_t *handle, size_t size, uv_buf_t *buffer) {
     (void)handle;
     (void)size;
--- a/tests/unit/frame_connection_test.cc
+++ b/tests/unit/frame_connection_test.cc
@@ -2,6 +2,8 @@
 #include <gtest/gtest.h>
 
 #include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <functional>
 #include <string>
@@ -55,7 +57,10 @@
             on_frame(end, connection, data, length);
 }
 
+unsigned closed = 0;
+
 void on_closed(void *, frame_connection_t *) {
+    closed++;
 }
 
 const frame_handler_t opening = {on_opened, on_frame, on_closed};
@@ -64,6 +69,7 @@
 class FrameConnection : public testing::Test {
   protected:
     FrameConnection() : world(*new_world()) {
+        closed = 0;
         uv_loop_init(&world.loop);
         frame_loop_start(&world.loop);
         world.address.sin_family = AF_INET;
@@ -159,4 +165,23 @@
         EXPECT_LE(frame_connection_buffer_bytes(end->connection), size_t{FRAME_BUFFER_KEPT_BYTES});
 }
 
+// Guards against the loss of answers that a peer sent before it ended, when we write to it first.
+TEST_F(FrameConnection, FramesThatCameBeforeAPeerEndedAreDeliveredThoughAWriteFails) {
+    int peer = socket(AF_INET, SOCK_STREAM, 0);
+    ASSERT_EQ(::connect(peer, reinterpret_cast<sockaddr *>(&world.address), sizeof world.address),
+              0);
+    ASSERT_TRUE(run_until([this] { return world.accepted.size() == 1; }));
+    frame_connection_t *connection = world.accepted[0]->connection;
+    frame_connection_send(connection, text("unread, so that the peer's end is a reset"));
+    char byte;
+    ASSERT_TRUE(run_until([&] { return recv(peer, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 1; }));
+    const std::string frames("\0\0\0\5first\0\0\0\4last", 17);
+    ASSERT_EQ(send(peer, frames.data(), frames.size(), MSG_NOSIGNAL),
+              static_cast<ssize_t>(frames.size()));
+    close(peer);
+    frame_connection_send(connection, text("more"));
+    EXPECT_TRUE(run_until([this] { return closed == 1; }));
+    EXPECT_EQ(world.accepted[0]->frames, (std::vector<std::string>{"first", "last"}));
+}
+
 } // namespace
