--- a/src/core/shutdown/shutdown_schedule.c
+++ b/src/core/shutdown/shutdown_schedule.c
@@ -6,7 +6,9 @@
     MAX_RESPONSE_MS = 600,  /**< For callers to read the final responses. */
     RESPONSE_DIVISOR = 8,   /**< Of the grace period, if that is less. */
     CLOSE_IDLE_DIVISOR = 2, /**< Likewise. */
-    ACCEPT_EIGHTHS = 3,
+    /** While callers may still be directed here; later ones find another gateway. */
+    MAX_ACCEPT_MS = 3000,
+    ACCEPT_EIGHTHS = 3, /**< Of the grace period, if that is less. */
     EIGHTHS = 8,
 };
 
@@ -18,7 +20,7 @@
     uint64_t response_ms = smaller(MAX_RESPONSE_MS, grace_ms / RESPONSE_DIVISOR);
     return (shutdown_schedule_t){
         .close_idle_ms = smaller(MAX_CLOSE_IDLE_MS, grace_ms / CLOSE_IDLE_DIVISOR),
-        .accept_ms = grace_ms * ACCEPT_EIGHTHS / EIGHTHS,
+        .accept_ms = smaller(MAX_ACCEPT_MS, grace_ms * ACCEPT_EIGHTHS / EIGHTHS),
         .end_calls_ms = grace_ms - response_ms,
         .exit_ms = grace_ms - response_ms / 2,
     };
--- a/tests/unit/shutdown_schedule_test.cc
+++ b/tests/unit/shutdown_schedule_test.cc
@@ -58,6 +58,11 @@
     EXPECT_FALSE(shutdown_accepts_call(&schedule, 7400, 7400, false));
 }
 
+TEST(ShutdownSchedule, LongCallsAreAcceptedOnlyWhileCallersAreDirectedHere) {
+    for (uint64_t grace : graces_ms)
+        EXPECT_LE(shutdown_schedule(grace).accept_ms, 3000U) << grace;
+}
+
 TEST(ShutdownSchedule, ALongRepeatableCallIsAcceptedEarlyOnly) {
     play_all([](const shutdown_schedule_t &schedule, uint64_t now, uint64_t time) {
         bool accepted = shutdown_accepts_call(&schedule, now, now + time, true);
