store simulator: planned stops in series that overlap

Planned stops of storage nodes were not simulated: a series of them, one node after the other, that overlaps with the next series, with joins, retirements, wiped disks and stalled disks.

A disk is also wiped while members are stopped as planned, which have lost nothing.

--- a/src/storesim/faults.c
+++ b/src/storesim/faults.c
@@ -51,10 +51,15 @@
     HOLD_MOST_MS = 45000,
     HOLD_PAUSE_MOST_MS = 9000, /**< Between the beginnings of two. */
     HOLD_ALL_PERCENT = 40,
-    HOLD_SEVERAL_PERCENT = 50, /**< Of the others; else at one. */
+    HOLD_SEVERAL_PERCENT = 50,   /**< Of the others; else at one. */
+    SERIES_PAUSE_MOST_MS = 6000, /**< Between the beginnings of two series of planned stops. */
+    SERIES_STEP_MOST_MS = 1500,  /**< Between two stops of a series. */
+    SERIES_OTHER_MOST_MS = 6000, /**< From its beginning to the other change that meets it. */
+    STOP_TIMEOUT_MS = 1000,      /**< As in store/main.c. */
 };
 
 static uint64_t counts[FAULT_KINDS];
+static uint64_t planned_stops;
 static uint64_t faults_until;
 static uint64_t pause_most;
 static int only_kind; /**< The only kind drawn; -1: all are. */
@@ -86,6 +91,13 @@
     store->lost_until = virtual_now() + CATCH_UP_MS;
 }
 
+/** It has what it had when it was stopped: nothing counts as lost. */
+static void return_from_stop(void *data) {
+    world_store_t *store = data;
+    if (store->store == NULL && !store->gone)
+        world_start_store(store, false);
+}
+
 static void end_store(world_store_t *store, world_end_t end, uint64_t down) {
     store->lost_until = virtual_now() + down + CATCH_UP_MS;
     world_end_store(store, end);
@@ -426,6 +438,109 @@
     virtual_after(virtual_random(PAUSE_LEAST_MS, HOLD_PAUSE_MOST_MS), NULL, hold_disks, NULL);
 }
 
+/* Planned stops, in series that overlap with one another and with other planned changes. */
+
+typedef enum {
+    MEETS_JOIN,
+    MEETS_RETIREMENT,
+    MEETS_WIPE,
+    MEETS_STALL,
+    MEETS_KINDS,
+} series_meets_t;
+
+static void leave(void *data) {
+    world_store_t *store = data;
+    store->complete_when_stopped =
+        store_is_complete(store->store) ? store->store->group->generation : 0;
+    world_end_store(store, END_KILLED);
+    virtual_after(duration(), NULL, return_from_stop, store);
+}
+
+/** As SIGTERM does; see store/main.c. */
+static void stop_as_planned(void *data) {
+    world_store_t *store = data;
+    if (store->store == NULL || store->store->stopping)
+        return;
+    store->store->stopping = true;
+    planned_stops++;
+    virtual_after(record_log_idle(store->store->log) ? 0 : STOP_TIMEOUT_MS, store->process, leave,
+                  store);
+}
+
+/** True if all members have their records, also those that are stopped as planned. */
+static bool only_planned_stops(void) {
+    const store_group_t *group = world_group(world);
+    if (group == NULL)
+        return false;
+    for (guint i = 0; i < world->stores->len; i++) {
+        const world_store_t *store = g_ptr_array_index(world->stores, i);
+        if (store->lost_until > virtual_now())
+            return false;
+        if (store_group_find(group->members, store->settings.name) == NULL)
+            continue;
+        bool complete = store->store != NULL
+                            ? store_is_complete(store->store) &&
+                                  store->store->group->generation == group->generation
+                            : store->complete_when_stopped == group->generation;
+        if (!complete)
+            return false;
+    }
+    return true;
+}
+
+static void wipe(void) {
+    world_store_t *store = random_store();
+    if (store == NULL || !only_planned_stops())
+        return;
+    end_store(store, END_DISK_LOST, duration());
+    counts[FAULT_LOSE_DISK]++;
+}
+
+static void meet_series(void *data) {
+    (void)data;
+    switch ((series_meets_t)virtual_random(0, MEETS_KINDS - 1)) {
+    case MEETS_JOIN:
+        counts[FAULT_ADD_SPARE] += add_spare(0);
+        break;
+    case MEETS_RETIREMENT:
+        counts[FAULT_RETIRE] += retire();
+        break;
+    case MEETS_WIPE:
+        wipe();
+        break;
+    default:
+        for (guint i = 0; i < world->stores->len; i++) {
+            const world_store_t *store = g_ptr_array_index(world->stores, i);
+            virtual_disk_stall(virtual_disk_of(store->process),
+                               virtual_random(STALL_LEAST_MS, STALL_MOST_MS));
+        }
+        break;
+    }
+}
+
+static void stop_in_series(void *data) {
+    (void)data;
+    if (virtual_now() >= faults_until)
+        return;
+    virtual_after(virtual_random(PAUSE_LEAST_MS, SERIES_PAUSE_MOST_MS), NULL, stop_in_series, NULL);
+    virtual_after(virtual_random(0, SERIES_OTHER_MOST_MS), NULL, meet_series, NULL);
+    uint64_t delay = 0;
+    guint first = (guint)virtual_random(0, world->stores->len - 1);
+    for (guint i = 0; i < world->stores->len; i++) {
+        world_store_t *store = g_ptr_array_index(world->stores, (first + i) % world->stores->len);
+        if (store->store == NULL)
+            continue;
+        virtual_after(delay, NULL, stop_as_planned, store);
+        delay += virtual_random(0, SERIES_STEP_MOST_MS);
+    }
+}
+
+void faults_stop_in_series(world_t *in_world, uint64_t until) {
+    world = in_world;
+    faults_until = until;
+    virtual_after(virtual_random(0, SERIES_PAUSE_MOST_MS), NULL, stop_in_series, NULL);
+}
+
 void faults_heal(world_t *in_world) {
     world = in_world;
     virtual_key_value_set_down(false);
@@ -452,9 +567,11 @@
     for (unsigned i = 0; i < FAULT_KINDS; i++)
         g_string_append_printf(text, "%s %" G_GUINT64_FORMAT "\n", fault_names[i],
                                (guint64)counts[i]);
+    g_string_append_printf(text, "planned_stop %" G_GUINT64_FORMAT "\n", (guint64)planned_stops);
 }
 
 void faults_clear_counts(void) {
     for (unsigned i = 0; i < FAULT_KINDS; i++)
         counts[i] = 0;
+    planned_stops = 0;
 }
--- a/src/storesim/main.c
+++ b/src/storesim/main.c
@@ -48,6 +48,8 @@
     bool watch_zones;
     bool stall_disks;
     bool hold_disks;
+    bool stop_in_series;
+    bool all_faults;
 } arguments_t;
 
 static error_t parse_option(int key, char *argument, struct argp_state *state) {
@@ -77,6 +79,12 @@
     case 'l':
         arguments->hold_disks = true;
         return 0;
+    case 'a':
+        arguments->all_faults = true;
+        return 0;
+    case 'p':
+        arguments->stop_in_series = true;
+        return 0;
     case 'q':
         arguments->judge_quotas = true;
         return 0;
@@ -124,6 +132,11 @@
     {"stall-disks", 'd', NULL, 0, "Also stall disks for up to 6 s, several of them at once", 0},
     {"long-stalls", 'l', NULL, 0,
      "Also let disks stand still for 5 to 45 s, at one, several or all storage nodes", 0},
+    {"planned-stops", 'p', NULL, 0,
+     "Stop storage nodes as planned, in series that overlap with one another, with joins, "
+     "retirements, wiped disks and stalled disks; other faults only with --all-faults",
+     0},
+    {"all-faults", 'a', NULL, 0, "With --planned-stops: also all other faults", 0},
     {"judge-quotas", 'q', NULL, 0,
      "Also let tenants ask for three times their limits, and judge every window", 0},
     {"judge-room", 'm', NULL, 0,
@@ -221,7 +234,10 @@
                    arguments->judge_room ? ROOM_RETENTION_MS : WORKLOAD_RETENTION_MS);
     if (arguments->judge_quotas)
         quota_workload_start(world, WORK_UNTIL_MS, arguments->broken == BREAK_QUOTA_ENDS);
-    if (!faults_start(world, FAULTS_UNTIL_MS, arguments->only)) {
+    if (arguments->stop_in_series)
+        faults_stop_in_series(world, FAULTS_UNTIL_MS);
+    bool draw_others = !arguments->stop_in_series || arguments->all_faults;
+    if (draw_others && !faults_start(world, FAULTS_UNTIL_MS, arguments->only)) {
         fprintf(stderr, "no such kind of fault: %s\n", arguments->only);
         exit(EXIT_FAILURE);
     }
--- a/src/storesim/world.h
+++ b/src/storesim/world.h
@@ -22,10 +22,11 @@
     struct world *world;
     virtual_process_t *process;
     process_settings_t settings;
-    store_t *store;      /**< NULL while it is down. */
-    bool gone;           /**< It never comes back. */
-    bool exists;         /**< False: a spare that has not been added yet. */
-    uint64_t lost_until; /**< It counts as lost until then. */
+    store_t *store;                 /**< NULL while it is down. */
+    bool gone;                      /**< It never comes back. */
+    bool exists;                    /**< False: a spare that has not been added yet. */
+    uint64_t lost_until;            /**< It counts as lost until then. */
+    uint64_t complete_when_stopped; /**< Generation it was complete in at a planned stop; or 0. */
 } world_store_t;
 
 typedef struct {
@@ -145,6 +146,11 @@
 void faults_stall_disks(void);
 /** Also lets disks stand still for longer than callers wait, at one, several or all nodes. */
 void faults_hold_disks(void);
+/**
+ * Also stops storage nodes as planned until @p until, one after the other, in series that overlap
+ * with one another, with joins, retirements, wiped disks and stalled disks.
+ */
+void faults_stop_in_series(world_t *world, uint64_t until);
 /** Ends all faults: everything that is not gone comes back. */
 void faults_heal(world_t *world);
 /** How often each kind of fault was injected, as "name count" lines appended to @p text. */
--- a/tests/integration/store_simulator_test.sh
+++ b/tests/integration/store_simulator_test.sh
@@ -24,6 +24,12 @@
 # Writes wait for disks that stall, while members lose their memory, their disk or their place.
 expect_later "storage nodes: any fault, and disks that stall, seeds 1..60" \
     store_sim --seeds 1..60 --stall-disks
+# Planned restarts of all nodes, in series that overlap, with wiped disks and changes of the group.
+expect_later "storage nodes: planned stops in series, seeds 1..60" store_sim --seeds 1..60 --planned-stops
+expect_later "storage nodes: planned stops in series under any fault, seeds 1..60" \
+    store_sim --seeds 1..60 --planned-stops --all-faults --long-stalls
+expect_later "the sweep notices members that copy nothing among planned stops" \
+    notices catch-up 20 --planned-stops
 # More nodes than the group needs: most stand by, and take the place of members that are gone.
 expect_later "storage nodes: any fault among twelve, seeds 1..60" store_sim --seeds 1..60 --stores 12
 expect_later "storage nodes: twelve, one after the other is to be emptied, seeds 1..60" \
