gateways: a turn counts that a write quorum of two generations has confirmed

Cause: a turn needs a complete member among its copies, since an absence quorum of the previous generation may not know of the new one. No member becomes complete before its state file is on disk, and none can copy from a member whose group is not on disk. The members that had the turn, with their keys in the service, were a write quorum of both generations and did not count.

Now a turn counts as well if a write quorum of the group and a write quorum of the previous generation have confirmed it, as joint quorums do: no absence quorum of either generation lacks it, also if members lose their power and return in the old one. A later generation needs a read quorum of complete members of this one, which meets each of its write quorums.

--- a/src/core/quorum/store_group.c
+++ b/src/core/quorum/store_group.c
@@ -87,8 +87,11 @@
     return members / 2 + 1;
 }
 
-bool store_turn_durable(unsigned members, unsigned copies, unsigned complete) {
-    return copies >= store_write_quorum(members) && complete > 0;
+bool store_turn_durable(const store_group_t *group, const store_turn_copies_t *turn) {
+    unsigned previous = group->previous->len;
+    bool known_to_previous = previous > 0 && turn->previous >= store_write_quorum(previous);
+    return turn->copies >= store_write_quorum(group->members->len) &&
+           (turn->complete > 0 || known_to_previous);
 }
 
 unsigned store_group_sources_needed(unsigned members) {
--- a/src/core/quorum/store_group.h
+++ b/src/core/quorum/store_group.h
@@ -8,8 +8,9 @@
  * acknowledged in the current one.
  *
  * Each record is sent to every member and acknowledged once `write_quorum` of them have it on
- * disk; for a turn at least one of these must be complete. A record is reported as absent only if
- * `absence_quorum` complete members lack it.
+ * disk; for a turn at least one of these must be complete, or a write quorum of the previous
+ * generation must be among them. A record is reported as absent only if `absence_quorum` complete
+ * members lack it.
  *
  * Decision code: no I/O, clock or thread.
  */
@@ -55,13 +56,20 @@
 unsigned store_absence_quorum(unsigned members);
 /** Number of complete members that a member with an empty disk must copy from. */
 unsigned store_group_sources_needed(unsigned members);
+/** The members of the group that have confirmed a turn. */
+typedef struct {
+    unsigned copies;   /**< All of them: they have it on disk or in the key-value service. */
+    unsigned complete; /**< Those that are complete in the group's generation. */
+    unsigned previous; /**< Those that were members of the previous generation too. */
+} store_turn_copies_t;
+
 /**
- * True if a turn is durable in the group's generation: @p copies members have it on disk, and
- * @p complete of these are complete in that generation. Before any member is complete, an absence
- * quorum of the previous generation may not know of the new one, and would report the turn as
- * absent.
+ * True if a turn is durable in the group's generation: a write quorum has confirmed it, and the
+ * previous generation can't report it as absent. Before any member is complete, an absence quorum
+ * of the previous generation may not know of the new one, or may forget it with its power; the turn
+ * then needs a write quorum of the previous generation as well.
  */
-bool store_turn_durable(unsigned members, unsigned copies, unsigned complete);
+bool store_turn_durable(const store_group_t *group, const store_turn_copies_t *turn);
 
 /** How a member becomes complete in its group's generation. */
 typedef struct {
--- a/src/gateway/store_operation.c
+++ b/src/gateway/store_operation.c
@@ -230,12 +230,26 @@
               uv_now(operation->client->loop) - operation->started_at);
 }
 
+static store_turn_copies_t count_copies(const store_operation_t *operation) {
+    const store_client_t *client = operation->client;
+    store_turn_copies_t turn = {0};
+    for (guint i = 0; i < client->members->len; i++) {
+        reply_t reply = operation->durable_replies[i];
+        const member_t *member = g_ptr_array_index(client->members, i);
+        if (reply != REPLY_YES && reply != REPLY_UNSURE)
+            continue;
+        turn.copies++;
+        turn.complete += reply == REPLY_YES;
+        turn.previous += store_group_find(client->group->previous, member->link->name) != NULL;
+    }
+    return turn;
+}
+
 static void evaluate_turn(store_operation_t *operation) {
     unsigned members = operation->client->members->len;
     unsigned quorum = store_write_quorum(members);
-    unsigned complete = count_replies(operation, operation->durable_replies, REPLY_YES);
-    unsigned copies = complete + count_replies(operation, operation->durable_replies, REPLY_UNSURE);
-    if (store_turn_durable(members, copies, complete)) {
+    store_turn_copies_t copies = count_copies(operation);
+    if (store_turn_durable(operation->client->group, &copies)) {
         if (quorum_is_recent(operation))
             report_durable(operation, true);
         else
--- a/tests/unit/disk_stall_test.cc
+++ b/tests/unit/disk_stall_test.cc
@@ -702,8 +702,176 @@
     EXPECT_TRUE(turn_spill_empty(store->spill));
 }
 
-// A node dies and is replaced while the disks of the others stall. No member is complete in the new
-// generation before its state file is on disk, so that nothing is confirmed.
+// A member dies and is replaced while disks stall, so that no member becomes complete in the new
+// generation before the stall ends: its state file is not on disk.
+class ReplacedInAStall : public DiskStall {
+  public:
+    static constexpr unsigned spare = nodes;
+    static constexpr unsigned dead = nodes - 1;
+
+    void SetUp() override {
+        world_start_store(node(spare), false);
+        run(3000);
+        hold_first(nodes, long_stall_ms);
+        world_end_store(node(dead), END_KILLED);
+    }
+
+    void wait_for_the_change() const {
+        run(3500);
+        ASSERT_EQ(world_group(world)->generation, 2u);
+        ASSERT_FALSE(any_complete());
+    }
+
+    bool any_complete() const {
+        for (unsigned i = 0; i <= spare; i++)
+            if (node(i)->store != nullptr && node(i)->store->group->generation == 2 &&
+                store_is_complete(node(i)->store))
+                return true;
+        return false;
+    }
+
+    void end_members(world_end_t how) const {
+        for (unsigned i = 0; i <= spare; i++)
+            if (i != dead)
+                end(i, how);
+    }
+
+    void restart_members() const {
+        for (unsigned i = 0; i <= spare; i++)
+            if (i != dead)
+                restart(i);
+    }
+
+    /** With new gateways, which know nothing of the change. */
+    void restart_gateways() const {
+        for (unsigned i = 0; i < world->gateways->len; i++)
+            world_end_gateway(gateway(i));
+        for (unsigned i = 0; i < world->gateways->len; i++)
+            world_start_gateway(gateway(i));
+    }
+
+    /** While @p ms pass no gateway says that there is no such turn. */
+    void expect_not_denied(uint64_t ms) const {
+        for (uint64_t until = virtual_now() + ms; virtual_now() < until; run(100))
+            for (unsigned i = 0; i < world->gateways->len; i++)
+                ASSERT_NE(read(i, "turn").verdict, VERDICT_NO) << "at gateway " << i;
+    }
+};
+
+// A finished turn is lost with its caller, since nothing is confirmed in the new generation.
+TEST_F(ReplacedInAStall, ATurnIsKept) {
+    wait_for_the_change();
+    expect_turn_kept();
+    expect_read_back("turn", 1);
+    EXPECT_FALSE(any_complete()) << "the stall was not one";
+}
+
+// The same if the disk of the node that joins stalls too.
+TEST_F(ReplacedInAStall, ATurnIsKeptThoughTheDiskOfTheNewMemberStalls) {
+    wait_for_the_change();
+    virtual_disk_hold(disk(spare), long_stall_ms);
+    expect_turn_kept();
+}
+
+// The same if the group changes while the turn is written.
+TEST_F(ReplacedInAStall, ATurnIsKeptThatIsUnderWayAtTheChange) {
+    for (unsigned ms = 0; ms < 3500; ms += 250) {
+        Outcome written;
+        std::string id = "turn-" + std::to_string(ms);
+        uint64_t start = virtual_now();
+        put_turn(id.c_str(), &written);
+        run_until_ended(written);
+        expect_durable(written, start);
+        run(250);
+    }
+    ASSERT_EQ(world_group(world)->generation, 2u);
+}
+
+// The members forget the new generation with their power, the replaced one returns, and all of the
+// old generation deny the turn.
+TEST_F(ReplacedInAStall, ATurnOutlivesThePowerOfAll) {
+    wait_for_the_change();
+    expect_turn_kept();
+    end_members(END_POWER_LOST);
+    run(engine_ms);
+    restart(dead);
+    restart_members();
+    restart_gateways();
+    run(prompt_ms);
+    expect_read_back("turn");
+}
+
+// The same while the service is away, so that no node hears of the new generation again.
+TEST_F(ReplacedInAStall, ATurnIsNotDeniedByTheOldGeneration) {
+    wait_for_the_change();
+    expect_turn_kept();
+    virtual_key_value_set_down(true);
+    end_members(END_POWER_LOST);
+    virtual_disk_release(disk(dead));
+    run(engine_ms);
+    for (unsigned i = 0; i < nodes; i++)
+        restart(i);
+    restart_gateways();
+    expect_not_denied(2 * recovery_ms);
+    virtual_key_value_set_down(false);
+    expect_read_back("turn");
+}
+
+// One of them loses its disk as well.
+TEST_F(ReplacedInAStall, ATurnOutlivesThePowerAndOneDisk) {
+    wait_for_the_change();
+    expect_turn_kept();
+    for (unsigned i = 0; i <= spare; i++)
+        if (i != dead)
+            end(i, i == 0 ? END_DISK_LOST : END_POWER_LOST);
+    run(engine_ms);
+    restart(dead);
+    restart_members();
+    restart_gateways();
+    run(prompt_ms);
+    expect_read_back("turn");
+}
+
+// After the stall another disk is lost: the new generation must have taken the turn over.
+TEST_F(ReplacedInAStall, ATurnOutlivesADiskAfterTheStall) {
+    wait_for_the_change();
+    expect_turn_kept();
+    run(long_stall_ms + recovery_ms);
+    for (unsigned lost : {0u, 1u, spare}) {
+        end(lost, END_DISK_LOST);
+        restart(lost);
+        expect_read_back("turn");
+        run(recovery_ms);
+    }
+    EXPECT_EQ(virtual_key_value_count(turns_prefix), 0u);
+}
+
+// A turn counts as kept that only one of the old generation has: the others would deny it. For
+// gateways of each zone, which count the members of their own zone first.
+class ReplacedInAStallByZone
+    : public ReplacedInAStall,
+      public testing::WithParamInterface<std::tuple<const char *, unsigned>> {};
+
+TEST_P(ReplacedInAStallByZone, ATurnIsNotConfirmedByOneOfTheOldGeneration) {
+    const auto &[zone, paused] = GetParam();
+    world_end_gateway(gateway(0));
+    gateway(0)->process->zone = const_cast<char *>(zone);
+    world_start_gateway(gateway(0));
+    client = gateway(0)->client;
+    wait_for_the_change();
+    node(paused)->process->paused_until = virtual_now() + 2 * write_timeout_ms;
+    uint64_t start = virtual_now();
+    put_turn("turn", &turn);
+    run_until_ended(turn);
+    expect_failure_at_the_callers_time(turn, start);
+}
+
+INSTANTIATE_TEST_SUITE_P(Zones, ReplacedInAStallByZone,
+                         testing::Combine(testing::Values("zone-0", "zone-1", "zone-2", "zone-3"),
+                                          testing::Values(0u, 1u)));
+
+// A node dies and is replaced while the disks of the others stall: no member is complete in the new
+// generation before its state file is on disk.
 TEST_F(DiskStall, ATurnIsKeptThoughTheGroupChangesInTheStall) {
     world_start_store(node(nodes), false);
     run(3000);
