gateways: a table of back ends begins with nobody to tell of a doubted process

stream_versions_unit_test ended with SIGSEGV, once in a run of all unit tests, under meson's MALLOC_PERTURB_=183; again with 183 and 100, not with 255. backend_doubt_version called on_process_doubted, which backends_init left as the fixture's stack had it. Gateways are not affected: their table is in zeroed memory.

backends_init sets it.

--- a/src/gateway/backends.c
+++ b/src/gateway/backends.c
@@ -111,6 +111,8 @@
     backends->seed = XXH64(gateway, strlen(gateway), 0);
     backends->connections_opened = 0;
     backends->changes = 0;
+    backends->on_process_doubted = NULL;
+    backends->process_doubted_owner = NULL;
 }
 
 static void close_idle(backend_t *backend) {
