gateways: a turn waits for storage nodes that restart

A finished turn was lost, and its answer ended without its end, when a quorum of storage nodes restarted for longer than 1.5 s, as planned stops in series that overlap do, although its caller waited 4 s and the nodes were back after 2 or 3 s.

Cause: a write without a quorum in reach ends 1.5 s after its begin, since its caller may be served elsewhere. Nodes that restart are out of every gateway's reach, and a turn that has run would run again. The check looked at one moment, also between two connections.

A link now knows whether the node's machine has ended or refused its last direct connection. A turn waits while a quorum is connected or refuses. Machines without power and cut networks refuse nothing; those writes, and reserves, end after 1.5 s as before. A write ends only once there has been nobody to wait for 0.6 s.

--- a/src/gateway/store_client.c
+++ b/src/gateway/store_client.c
@@ -127,6 +127,16 @@
     return client->members->len > 0 && open >= store_write_quorum(client->members->len);
 }
 
+bool store_client_restarting(const store_client_t *client) {
+    unsigned found = 0;
+    for (guint i = 0; i < client->members->len; i++) {
+        const member_t *member = g_ptr_array_index(client->members, i);
+        found += member->link->refused || store_health_is_connected(client, member);
+    }
+    return client->members->len > 0 && found >= store_write_quorum(client->members->len) &&
+           !client->isolation.isolated;
+}
+
 bool store_client_connected(const store_client_t *client) {
     return has_quorum(client, false) && !client->unresponsive && !client->isolation.isolated;
 }
--- a/src/gateway/store_client.h
+++ b/src/gateway/store_client.h
@@ -5,11 +5,12 @@
  *
  * Writes are sent to every member, and again to a member that reconnects. A verdict is given within
  * GATEWAY_OPERATION_TIMEOUT_MS. A write waits for the disks of members in reach as long as
- * its caller does, but replies count only if they arrive within GATEWAY_OPERATION_TIMEOUT_MS of
- * their requests: an older one may be of a member that has lost its disk and caught up since. This
- * timeout must therefore stay below EMPTY_DISK_WAIT_MS of store/store_catch_up.c, the delay before
- * a member with an empty disk catches up. If a quorum replies later, the members are asked again;
- * those that still have the record reply without writing it again.
+ * its caller does, and that of a turn also for members that restart, but replies count only if they
+ * arrive within GATEWAY_OPERATION_TIMEOUT_MS of their requests: an older one may be of a member
+ * that has lost its disk and caught up since. This timeout must therefore stay below
+ * EMPTY_DISK_WAIT_MS of store/store_catch_up.c, the delay before a member with an empty disk
+ * catches up. If a quorum replies later, the members are asked again; those that still have the
+ * record reply without writing it again.
  *
  * Thread safety: everything here belongs to the loop's thread.
  */
@@ -86,6 +87,11 @@
 void store_client_apply_group_message(store_client_t *client, const message_t *message);
 /** True if a write quorum of members is connected and responsive, and the zone not isolated. */
 bool store_client_connected(const store_client_t *client);
+/**
+ * True if a write quorum of members is connected or refuses connections, as nodes do that restart:
+ * no other gateway can reach more of them.
+ */
+bool store_client_restarting(const store_client_t *client);
 /** Like store_client_connected, but counts direct connections only. */
 bool store_client_connected_directly(const store_client_t *client);
 
--- a/src/gateway/store_client_state.h
+++ b/src/gateway/store_client_state.h
@@ -61,6 +61,7 @@
     uint64_t started_at;
     uint64_t requested_at; /**< When the requests whose replies are counted were sent. */
     uint64_t expires_at;   /**< When the operation fails if it is not durable. */
+    uint64_t in_reach_at;  /**< When there were last members to wait for; 0: never. */
     bool confirming;       /**< The requests were sent again because a quorum replied too late. */
     uint64_t generation;   /**< Generation whose replies are counted. */
     reply_t *verdicts;     /**< By member. */
--- a/src/gateway/store_link.c
+++ b/src/gateway/store_link.c
@@ -28,6 +28,7 @@
         link->direct = NULL;
         link->relayed = false;
     }
+    link->refused = link->refused && link->relayed;
     if (link->relayed)
         request_relay(link, connection);
     link->open = true;
@@ -66,6 +67,8 @@
 
 static void on_closed(void *owner, frame_connection_t *connection) {
     store_link_t *link = owner;
+    if (connection == link->direct || !link->relayed)
+        link->refused = frame_connection_refused(connection);
     if (connection == link->direct)
         link->direct = NULL;
     else if (connection == link->connection)
@@ -78,6 +81,7 @@
     if (link->connection == NULL)
         return;
     frame_connection_close(link->connection);
+    link->refused = link->refused && link->relayed;
     connection_ended(link);
 }
 
@@ -94,8 +98,10 @@
 
 static void try_direct(store_link_t *link) {
     uint64_t now = uv_now(link->loop);
-    if (link->direct != NULL && now >= link->direct_since + CONNECT_TIMEOUT_MS)
+    if (link->direct != NULL && now >= link->direct_since + CONNECT_TIMEOUT_MS) {
         close_direct(link);
+        link->refused = false;
+    }
     if (link->direct != NULL || now < link->direct_since + DIRECT_RETRY_INTERVAL_MS)
         return;
     link->direct_since = now;
--- a/src/gateway/store_link.h
+++ b/src/gateway/store_link.h
@@ -40,6 +40,7 @@
     bool has_received;         /**< A frame has arrived since the link was last lost. */
     bool open;
     bool relayed;      /**< The connection goes through another gateway. */
+    bool refused;      /**< Its machine has ended or refused the last direct connection. */
     unsigned failures; /**< Consecutive connections that were lost or timed out. */
 };
 
--- a/src/gateway/store_operation.c
+++ b/src/gateway/store_operation.c
@@ -19,6 +19,8 @@
     UNSURE_RETRY_INTERVAL_MS = 150,
     CHAIN_FANOUT_DELAY_MS = 120, /**< Wait for the first member before all are asked. */
     BACKLOG_MAX = 2000,          /**< Settlements queued per disconnected member. */
+    /** Two attempts to connect to a member, directly and through a relay, may fail meanwhile. */
+    OUT_OF_REACH_MS = 600,
 };
 
 static void end_operation(store_operation_t *operation);
@@ -417,14 +419,22 @@
 }
 
 /**
- * True if the operation ends now, without a verdict or without being durable. A write waits for the
- * disks of members that respond; if no quorum does, its caller had better try another gateway.
+ * True if the operation waits for members: a write for the disks of a quorum that responds. If none
+ * does, its caller had better try another gateway. A turn has run, and would run again there: it
+ * also waits for members that restart, which no gateway reaches meanwhile.
  */
-static bool is_expired(const store_operation_t *operation) {
+static bool waits_for_members(const store_operation_t *operation) {
+    bool turn = operation->request.type == REQUEST_PUT_TURN;
+    return ((turn || operation->granted) && store_client_connected(operation->client)) ||
+           (turn && store_client_restarting(operation->client));
+}
+
+/** True if the operation ends now, without a verdict or without being durable. */
+static bool is_expired(store_operation_t *operation) {
     uint64_t now = uv_now(operation->client->loop);
-    bool waits_for_disks = (operation->request.type == REQUEST_PUT_TURN || operation->granted) &&
-                           store_client_connected(operation->client);
-    if (waits_for_disks)
+    if (waits_for_members(operation))
+        operation->in_reach_at = now;
+    if (operation->in_reach_at > 0 && now < operation->in_reach_at + OUT_OF_REACH_MS)
         return now >= operation->expires_at;
     return now >= operation->started_at + GATEWAY_OPERATION_TIMEOUT_MS;
 }
--- a/src/net/frame_connection.c
+++ b/src/net/frame_connection.c
@@ -37,7 +37,8 @@
     uint64_t serial;
     bool open;
     bool closed;
-    bool queued; /**< Stands in the list of connections to flush. */
+    bool refused; /**< See frame_connection_refused. */
+    bool queued;  /**< Stands in the list of connections to flush. */
     GByteArray *input;
     guint input_peak; /**< Most bytes that the input has held, and so keeps allocated. */
     GByteArray *output;
@@ -85,15 +86,18 @@
     uv_close((uv_handle_t *)&connection->tcp, free_connection);
 }
 
-static void connection_lost(frame_connection_t *connection) {
+/** Ends a connection on which an operation has failed with @p status of libuv. */
+static void connection_lost(frame_connection_t *connection, int status) {
     if (connection->closed)
         return;
+    connection->refused = status == UV_EOF || status == UV_ECONNRESET ||
+                          status == UV_ECONNREFUSED || status == UV_EPIPE;
     connection->handler->on_closed(connection->owner, connection);
     frame_connection_close(connection);
 }
 
 static void flush(frame_connection_t *connection);
-static void write_failed(frame_connection_t *connection);
+static void write_failed(frame_connection_t *connection, int status);
 
 static void on_written(uv_write_t *request, int status) {
     frame_connection_t *connection = request->data;
@@ -103,7 +107,7 @@
     connection->writing = NULL;
     connection->writing_bytes = 0;
     if (status != 0)
-        write_failed(connection);
+        write_failed(connection, status);
     else
         flush(connection);
 }
@@ -132,9 +136,10 @@
         connection->writing_bytes += length;
     }
     connection->write_request.data = connection;
-    if (uv_write(&connection->write_request, (uv_stream_t *)&connection->tcp, buffers,
-                 connection->writing->len, on_written) != 0)
-        write_failed(connection);
+    int status = uv_write(&connection->write_request, (uv_stream_t *)&connection->tcp, buffers,
+                          connection->writing->len, on_written);
+    if (status != 0)
+        write_failed(connection, status);
 }
 
 /** Hands the output to the kernel without a copy; false if not all of it was taken. */
@@ -145,7 +150,7 @@
     if (written == UV_EAGAIN)
         return false;
     if (written < 0) {
-        write_failed(connection);
+        write_failed(connection, written);
         return true;
     }
     g_byte_array_remove_range(connection->output, 0, (guint)written);
@@ -208,6 +213,10 @@
     return connection->writing_bytes + connection->chunk_bytes + connection->output->len;
 }
 
+bool frame_connection_refused(const frame_connection_t *connection) {
+    return connection->refused;
+}
+
 size_t frame_connection_buffer_bytes(const frame_connection_t *connection) {
     return (size_t)connection->input_peak + connection->output_peak;
 }
@@ -220,7 +229,7 @@
         memcpy(&prefix, data + used, LENGTH_BYTES);
         size_t size = GUINT32_FROM_BE(prefix);
         if (size > FRAME_BYTES_MAXIMUM) {
-            connection_lost(connection);
+            connection_lost(connection, UV_EMSGSIZE);
             return length;
         }
         if (length - used - LENGTH_BYTES < size)
@@ -259,13 +268,13 @@
     if (connection->closed || count == 0)
         return;
     if (count < 0)
-        connection_lost(connection);
+        connection_lost(connection, (int)count);
     else
         take_bytes(connection, (const uint8_t *)buffer->base, (size_t)count);
 }
 
-/** The peer has ended the connection: delivers what it sent before. */
-static void write_failed(frame_connection_t *connection) {
+/** A write has failed with @p status of libuv: delivers what the peer sent before. */
+static void write_failed(frame_connection_t *connection, int status) {
     uv_os_fd_t descriptor;
     ssize_t count = uv_fileno((uv_handle_t *)&connection->tcp, &descriptor);
     while (count >= 0 && !connection->closed) {
@@ -274,7 +283,7 @@
             break;
         take_bytes(connection, (const uint8_t *)read_buffer, (size_t)count);
     }
-    connection_lost(connection);
+    connection_lost(connection, status);
 }
 
 static void provide_buffer(uv_handle_t *handle, size_t size, uv_buf_t *buffer) {
@@ -322,7 +331,7 @@
     if (connection->closed)
         return;
     if (status != 0)
-        connection_lost(connection);
+        connection_lost(connection, status);
     else
         start_reading(connection);
 }
--- a/src/net/frame_connection.h
+++ b/src/net/frame_connection.h
@@ -47,6 +47,11 @@
 size_t frame_connection_backlog(const frame_connection_t *connection);
 /** Bytes of memory that the connection's own buffers hold; large payloads are not in there. */
 size_t frame_connection_buffer_bytes(const frame_connection_t *connection);
+/**
+ * True if the peer's machine has ended or refused the connection, false if it fell silent; tells
+ * this during on_closed.
+ */
+bool frame_connection_refused(const frame_connection_t *connection);
 /** Closes without on_closed. */
 void frame_connection_close(frame_connection_t *connection);
 /** A number that no other connection of this process has or had; lies in the connection. */
--- a/src/storesim/virtual_network.c
+++ b/src/storesim/virtual_network.c
@@ -26,6 +26,7 @@
     uint64_t serial;
     bool open;
     bool closed;
+    bool refused;           /**< The other end's process has ended, or there was none. */
     GQueue *inbox;          /**< Frames on their way to this end, in order; of GBytes. */
     uint64_t stalled_since; /**< When the first of them could not get through; 0: it can. */
     GQueue *unsent;         /**< Frames from before the connection was open. */
@@ -127,6 +128,12 @@
         forget_end(end);
 }
 
+/** The peer's machine says that the connection has ended. */
+static void refuse_end(frame_connection_t *end) {
+    end->refused = true;
+    virtual_after(latency(), end->process, lose_end, end);
+}
+
 static void lose_end_after(frame_connection_t *end, uint64_t delay) {
     virtual_after(delay, end->process, lose_end, end);
 }
@@ -137,7 +144,7 @@
     frame_connection_t *peer = connection->peer;
     forget_end(connection);
     if (peer != NULL)
-        lose_end_after(peer, latency());
+        refuse_end(peer);
 }
 
 /** A refusal by a process that has not refused many since it started becomes a grant. */
@@ -288,7 +295,7 @@
             listener = value;
     }
     if (listener == NULL) {
-        lose_end_after(end, latency());
+        refuse_end(end);
         return;
     }
     if (g_hash_table_contains(end->process->cut_from, listener->process)) {
@@ -340,12 +347,16 @@
         frame_connection_t *peer = end->peer;
         forget_end(end);
         if (peer != NULL && !silent)
-            lose_end_after(peer, latency());
+            refuse_end(peer);
         else if (peer != NULL && keep_alive_ms > 0)
             lose_end_after(peer, keep_alive_ms);
     }
 }
 
+bool frame_connection_refused(const frame_connection_t *connection) {
+    return connection->refused;
+}
+
 size_t frame_connection_buffer_bytes(const frame_connection_t *connection) {
     (void)connection;
     return 0;
--- a/tests/unit/slow_disk_test.cc
+++ b/tests/unit/slow_disk_test.cc
@@ -8,6 +8,10 @@
 
 #include "simulated_disks.h"
 
+extern "C" {
+#include "gateway/store_client_state.h"
+}
+
 namespace {
 
 using namespace simulated_disks;
@@ -137,6 +141,95 @@
     EXPECT_LT(turn.ended_at, start + write_timeout_ms / 2);
 }
 
+// Members that restart, a quorum of them at a time, are out of every gateway's reach: a turn that
+// has run ends without the end of its answer although they are back in the caller's time.
+class RestartedQuorum : public SlowDisk, public testing::WithParamInterface<uint64_t> {
+  public:
+    /** Ends the first @p count nodes before they have the turn. */
+    void put_turn_and_restart(unsigned count) {
+        stall_first(nodes, 1000);
+        put_turn("turn", &turn);
+        for (unsigned i = 0; i < count; i++)
+            world_end_store(node(i), END_KILLED);
+        run(GetParam());
+        for (unsigned i = 0; i < count; i++)
+            world_start_store(node(i), false);
+    }
+
+    Outcome turn;
+};
+
+TEST_P(RestartedQuorum, KeepsTheTurn) {
+    uint64_t start = virtual_now();
+    put_turn_and_restart(2);
+    run(start + write_timeout_ms - virtual_now());
+    EXPECT_TRUE(turn.durable) << "ended after " << turn.ended_at - start;
+}
+
+TEST_P(RestartedQuorum, OfAllNodesKeepsTheTurn) {
+    uint64_t start = virtual_now();
+    put_turn_and_restart(nodes);
+    run(start + write_timeout_ms - virtual_now());
+    EXPECT_TRUE(turn.durable) << "ended after " << turn.ended_at - start;
+}
+
+INSTANTIATE_TEST_SUITE_P(Times, RestartedQuorum, testing::Values(500u, 1000u, 2000u, 3000u));
+
+// All connections are made anew at once, as after a pause of the gateway, when the time for a
+// verdict is over: a turn that waits for its disks ends for a moment without connections.
+TEST_F(SlowDisk, ATurnOutlastsAMomentWithoutConnections) {
+    world->relays = false;
+    virtual_key_value_set_down(true);
+    stall_first(nodes, 3000);
+    uint64_t start = virtual_now();
+    Outcome turn;
+    put_turn("turn", &turn);
+    run(2000);
+    ASSERT_FALSE(turn.ended);
+    for (guint i = 0; i < client->members->len; i++)
+        store_link_reconnect(
+            static_cast<const member_t *>(g_ptr_array_index(client->members, i))->link);
+    auto *gateway = static_cast<world_gateway_t *>(g_ptr_array_index(world->gateways, 0));
+    for (unsigned i = 0; i < nodes; i++)
+        virtual_network_cut(gateway->process, node(i)->process, true);
+    run(200);
+    for (unsigned i = 0; i < nodes; i++)
+        virtual_network_cut(gateway->process, node(i)->process, false);
+    run(start + write_timeout_ms - virtual_now());
+    EXPECT_TRUE(turn.durable) << "ended after " << turn.ended_at - start;
+}
+
+// Machines without power refuse nothing, and may be reached through another gateway.
+TEST_F(SlowDisk, AWriteDoesNotWaitForMachinesWithoutPower) {
+    world->relays = false;
+    stall_first(nodes, 1000);
+    uint64_t start = virtual_now();
+    Outcome turn;
+    put_turn("turn", &turn);
+    for (unsigned i = 0; i < nodes; i++)
+        world_end_store(node(i), END_POWER_LOST);
+    run(write_timeout_ms + 1000);
+    ASSERT_TRUE(turn.ended);
+    EXPECT_FALSE(turn.durable);
+    EXPECT_LT(turn.ended_at, start + write_timeout_ms / 2);
+}
+
+// A reserve has run nothing: its caller is refused in time for another attempt.
+TEST_F(SlowDisk, AReserveDoesNotWaitForMembersThatRestart) {
+    stall_first(nodes, 1000);
+    uint64_t start = virtual_now();
+    Outcome reserved;
+    reserve("call", max_tokens, &reserved);
+    run(prompt_ms);
+    ASSERT_TRUE(reserved.verdict_given);
+    for (unsigned i = 0; i < nodes; i++)
+        world_end_store(node(i), END_KILLED);
+    run(write_timeout_ms + 1000);
+    ASSERT_TRUE(reserved.ended);
+    EXPECT_FALSE(reserved.durable);
+    EXPECT_LT(reserved.ended_at, start + write_timeout_ms / 2);
+}
+
 // A stall that has lasted as long as a caller would still wait is expected to last that long again:
 // a call that depends on the stalled disks must be refused before it runs, not lost afterwards.
 class KnownStall : public SlowDisk {
