test: the storage group can't change once its key held an odd value

Cause: on_own_item of store_membership.c returns for such a value without taking over the key's revision, so that each later write of the group conflicts. Taking it over is no mend by itself: a group that stood there before, which this node has not seen, would be replaced by another one of the same generation.

own_keys leaves the odd values of the group's key and all others in place while all nodes are started again, which holds; before, sound ones were put back.

--- a/tests/integration/odd_entries_test.sh
+++ b/tests/integration/odd_entries_test.sh
@@ -12,6 +12,8 @@
     return $status
 }
 
+expect "the storage group changes though its key held an odd value" odd_entries group_changes
+
 odd_pids=()
 for odd_scenario in server_entries own_keys; do
     odd_entries "$odd_scenario" > "$CLUSTER_DIR/odd-entries-$odd_scenario.out" 2>&1 &
--- a/tests/soak/odd_entries_test.py
+++ b/tests/soak/odd_entries_test.py
@@ -5,13 +5,13 @@
 
 server_entries: odd entries of servers come and go beside sound ones; all nodes are killed and start
 again beside them. own_keys: the same with odd values under the keys that nodes and operators write.
+group_changes: a storage node is replaced after the storage group's key held an odd value.
 
 The last line is JSON. Exit status 0: no process ended by itself, calls went on being answered, and
 each gateway followed what was changed after: back ends added and removed, a new configuration.
 """
 
 import asyncio
-import base64
 import json
 import os
 import random
@@ -25,14 +25,17 @@
 from backends import Backend
 from callers import SAFE, UNSAFE
 from direct_fleet import Fleet, Scenario, new_parser, read_options
-from faults import DRAIN_S, DRAIN_SLACK_S
+from faults import DRAIN_S, DRAIN_SLACK_S, RETIRE_PATIENCE_S, Fault, Player
 
+SCENARIOS = ["server_entries", "own_keys", "group_changes"]
 ENDED = {0, 500, 502, 504}  # No call beside odd entries may end so.
 CHANGES_PER_S = 120
 ANSWERED_LEAST = 20
 CALLS_AT_ONCE = 40
 FOLLOW_S = 20.0
 LAST_RUNS_S = 1.0
+SEEN_S = 2.0
+RETIRE_S = RETIRE_PATIENCE_S
 GROUP_KEY = "rudderway/group"
 REJECTED_EVENT = "E606 "
 SOUND = {  # Of a service that no route leads to: one that is followed takes no calls.
@@ -148,6 +151,7 @@
     def __init__(self, options):
         super().__init__(options)
         self.odd = {}  # Name: (key, value)
+        self.odd_group = b"odd"
         self.problems = []
 
     # The other writer.
@@ -172,11 +176,9 @@
         for number, name in enumerate(ODD_NAMES):
             self.odd[f"name_{number}"] = (f"servers/{name}", entry())
         names = self.random.sample(sorted(self.odd), len(self.odd))
-        return await self.play_around(names, restore=lambda: None)
+        return await self.play_around(names)
 
     async def own_keys(self):
-        """The storage group's value stands again before the next follows: it can't be guessed."""
-        group = self.key_value.items[GROUP_KEY][0]
         others = [
             "rudderway/odd", "rudderway/store/odd", "rudderway/store/", "rudderway/",
             "op/retire/odd", "op/retire/", "status/retire/odd", "rudderway-turns/odd",
@@ -190,14 +192,20 @@
             values = odd_values(key)
             for name in self.random.sample(sorted(values), 5 if key in others else 25):
                 self.odd[name] = values[name]
-        config = self.key_value.items["op/config"][0]
-
-        def restore():
-            self.key_value.put_bytes("op/config", base64.b64decode(config))
-            self.key_value.put_bytes(GROUP_KEY, base64.b64decode(group))
-
         names = self.random.sample(sorted(self.odd), len(self.odd))
-        return await self.play_around(names, restore)
+        return await self.play_around(names)
+
+    async def group_changes(self):
+        self.key_value.put_bytes(GROUP_KEY, self.odd_group)
+        await asyncio.sleep(SEEN_S)
+        player = Player(self.cluster, self.key_value, self.fleet)
+        try:
+            await asyncio.wait_for(
+                player.play([Fault(0.0, "retire", 0, 0.0, 0, 0.0)]), RETIRE_S)
+        except asyncio.TimeoutError:
+            self.problems.append("a storage node was not replaced")
+        await self.serves("after a change of the group")
+        return {"problems": self.problems, "held": not self.problems}
 
     # What is judged.
 
@@ -207,7 +215,7 @@
     def ended(self):
         return sum(self.promises.statuses.get(status, 0) for status in ENDED)
 
-    async def play_around(self, names, restore):
+    async def play_around(self, names):
         before = {"answered": self.answered(), "ended": self.ended()}
         await self.change_in_series(names, remove=True)
         await self.follows("beside them")
@@ -220,13 +228,13 @@
         self.check_processes()
         for node in self.cluster.nodes():
             node.kill()
-        restore()
+        # A gateway that starts beside an odd value of the operator's own key knows no configuration.
+        self.fleet.edit()
         for node in self.cluster.nodes():
             node.start()
         await self.serves("after a start")
         await self.follows("after a start")
         await self.change_in_series(names[: len(names) // 4], remove=True)
-        restore()
         await self.follows("at the end")
         last = max(self.promises.drained.values()) + LAST_RUNS_S
         await asyncio.sleep(max(0.0, last - time.monotonic()))
@@ -286,7 +294,7 @@
 
 
 def main():
-    options = read_options(new_parser(__doc__, "odd-entries", ["server_entries", "own_keys"]))
+    options = read_options(new_parser(__doc__, "odd-entries", SCENARIOS))
     shutil.rmtree(options.folder, ignore_errors=True)
     os.makedirs(options.folder)
     scenario = OddScenario(options)
