--- a/tests/soak/odd_entries_test.py
+++ b/tests/soak/odd_entries_test.py
@@ -228,7 +228,7 @@
         self.check_processes()
         for node in self.cluster.nodes():
             node.kill()
-        # A gateway that starts beside an odd value of the operator's own key knows no configuration.
+        # A gateway that starts beside an odd value of the operator's key knows no configuration.
         self.fleet.edit()
         for node in self.cluster.nodes():
             node.start()
