--- a/tests/soak/backends.py
+++ b/tests/soak/backends.py
@@ -41,7 +41,7 @@
         self.faults = {}
         self.pace = 1  # How many times as long as usual it takes.
         self.work = None  # A generator, if it works for drawn times.
-        self.sizes = None  # A generator, if some answers are large.
+        self.sizes = None  # A seed, if some answers are large.
         self.born_ms = 0
         self.connections = set()
 
@@ -120,11 +120,18 @@
             return 0.0
         return WORK_LEAST_S * (WORK_MOST_S / WORK_LEAST_S) ** self.work.random()
 
+    def _draw_times(self, attempt_id, length):
+        """How many times as long as usual the answer is: the same for each run of a request."""
+        if self.sizes is None:
+            return 1
+        chance = random.Random(f"{self.sizes} {self.instance} {attempt_id}")
+        if chance.random() >= LARGE_SHARE:
+            return 1
+        return chance.randint(LARGE_LEAST_BYTES, LARGE_MOST_BYTES) // length
+
     def _answer_body(self, request, attempt_id):
         body = hashlib.sha256(request.body + attempt_id.encode()).hexdigest().encode() * 8
-        if self.sizes is not None and self.sizes.random() < LARGE_SHARE:
-            body *= self.sizes.randint(LARGE_LEAST_BYTES, LARGE_MOST_BYTES) // len(body)
-        return body
+        return body * self._draw_times(attempt_id, len(body))
 
     def _answer_whole(self, request, attempt_id, fields, writer):
         body = self._answer_body(request, attempt_id)
--- a/tests/soak/promises_test.py
+++ b/tests/soak/promises_test.py
@@ -13,6 +13,7 @@
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 
+from backends import LARGE_LEAST_BYTES, Backend
 from callers import RESUMABLE, SAFE, TURN, UNSAFE, Caller, Result
 from cluster import Cluster
 from http_message import Message
@@ -112,6 +113,27 @@
         Caller(self.promises, [], 1)._judge_whole(attempt, message, result)
         self.assertEqual(self.broken(), ["mixed"])
 
+    def test_a_large_answer_is_the_same_for_each_run_of_a_request(self):
+        class Writer:
+            written = b""
+
+            def write(self, data):
+                self.written += data
+
+        backend = Backend("i", "service", False, 1, self.promises)
+        backend.sizes = "large 1"
+        lengths = set()
+        for number in range(50):
+            attempt = self.begin(SAFE, f"{number:02}")
+            answers = []
+            for _ in range(2):
+                writer = Writer()
+                backend._answer_whole(Message("", {}), attempt.id, [], writer)
+                answers.append(writer.written)
+            self.assertEqual(answers[0], answers[1])
+            lengths.add(len(attempt.produced["i"]) >= LARGE_LEAST_BYTES - 512)
+        self.assertEqual(lengths, {False, True})
+
     def test_a_budget_overspent(self):
         self.promises.budgets["p"] = (10, 5)
         for _ in range(3):
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -95,7 +95,7 @@
         if self.slow:
             backend.work = random.Random(f"slow {self.seed} {backend.instance}")
         if self.large:
-            backend.sizes = random.Random(f"large {self.seed} {backend.instance}")
+            backend.sizes = f"large {self.seed}"
 
     def end_work(self):
         """Back ends are quick again, and their answers small."""
