rudderwayd: an answer counts as in flight until its caller has it

Cause: http_server lowered in_flight when the response was handed to libmicrohttpd or the stream was finished, not when it was sent. The node stopped at 0 and MHD_stop_daemon cut what was still in the server.

Now the count falls with the last reference to a request, that is when its owner has given it up and MHD's completion callback has come: all bytes are with the kernel, or the caller is gone. node_run waits for this as it did before, node.stop_seconds at most, and counts what is left in cut_off.

A thread of the pool that is still busy and MHD_quiesce_daemon both remove the listening socket from the thread's epoll set, and MHD panics at the second removal. http_server_quiesce now shuts the listening socket down for reading, which refuses new connections without touching MHD's sets.

--- a/src/common/http_server.c
+++ b/src/common/http_server.c
@@ -4,6 +4,7 @@
 #include <microhttpd.h>
 #include <pthread.h>
 #include <string.h>
+#include <sys/socket.h>
 
 enum {
     STREAM_BLOCK_BYTES = 16 * 1024,
@@ -43,6 +44,8 @@
 static void request_unref(http_request_t *request) {
     if (!g_atomic_int_dec_and_test(&request->references))
         return;
+    http_server_t *server = request->server;
+    bool handed_over = request->handed_over;
     g_free(request->method);
     g_free(request->path);
     g_clear_pointer(&request->upload, g_byte_array_unref);
@@ -50,6 +53,9 @@
     g_clear_pointer(&request->stream, g_byte_array_unref);
     pthread_mutex_destroy(&request->lock);
     g_free(request);
+    /* Last: a stop that sees no requests frees the server. */
+    if (handed_over)
+        g_atomic_int_add(&server->in_flight, -1);
 }
 
 static http_request_t *request_new(http_server_t *server, struct MHD_Connection *connection,
@@ -164,9 +170,8 @@
 }
 
 void http_server_quiesce(http_server_t *server) {
-    MHD_socket socket = MHD_quiesce_daemon(server->daemon);
-    if (socket != MHD_INVALID_SOCKET)
-        close(socket);
+    /* MHD_quiesce_daemon and a busy thread of the pool may both remove the socket: MHD aborts. */
+    shutdown(MHD_get_daemon_info(server->daemon, MHD_DAEMON_INFO_LISTEN_FD)->listen_fd, SHUT_RD);
 }
 
 void http_server_stop(http_server_t *server) {
@@ -206,11 +211,6 @@
     MHD_resume_connection(request->connection);
 }
 
-static void give_up(http_request_t *request) {
-    g_atomic_int_add(&request->server->in_flight, -1);
-    request_unref(request);
-}
-
 static void set_response(http_request_t *request, unsigned status, struct MHD_Response *response) {
     request->status = status;
     request->response = response;
@@ -234,7 +234,7 @@
     pthread_mutex_lock(&request->lock);
     set_response(request, status, response);
     pthread_mutex_unlock(&request->lock);
-    give_up(request);
+    request_unref(request);
 }
 
 static ssize_t read_stream(void *context, uint64_t position, char *buffer, size_t maximum) {
@@ -284,5 +284,5 @@
     request->stream_finished = true;
     wake(request);
     pthread_mutex_unlock(&request->lock);
-    give_up(request);
+    request_unref(request);
 }
--- a/src/common/http_server.h
+++ b/src/common/http_server.h
@@ -35,9 +35,12 @@
 http_server_t *http_server_start(const http_server_options_t *options, http_handler_t handler,
                                  void *context, GError **error);
 uint16_t http_server_port(const http_server_t *server);
-/** Requests handed to the handler and not answered in full yet. */
+/**
+ * Requests handed to the handler that their owner has not given up or whose answer still has
+ * bytes in the server. An answer whose client has gone has none.
+ */
 unsigned http_server_in_flight(const http_server_t *server);
-/** Closes the listening socket; open connections go on. */
+/** New connections are refused from now on; open ones go on. To be stopped soon after. */
 void http_server_quiesce(http_server_t *server);
 /** Stops the server; every request must have been answered. */
 void http_server_stop(http_server_t *server);
