rudderwayd: calls left at the end of a planned stop are answered

What callers saw: when a stop took node.stop_seconds, the process exited and the connections of the calls that were left were cut, a whole answer before its status line.

Cause: nothing ended the entries that were still pending; run() returned.

Half a second before the stop must be over the decision thread finishes each pending entry with an error, as at its deadline: unavailable, outcome unknown, once a copy was sent; else stopping, not run. The rest of the time is for delivery, and the loop ends earlier once nothing is in flight.

What remains: plain service requests that are left, and program calls whose caller takes longer than what is left of the stop, are still cut; cut_off counts them.

--- a/src/node/entries.c
+++ b/src/node/entries.c
@@ -374,3 +374,16 @@
     g_ptr_array_set_free_func(due, g_free);
     g_ptr_array_unref(due);
 }
+
+unsigned entries_end(node_t *node) {
+    GList *left = g_hash_table_get_values(node->entries->pending);
+    unsigned count = g_list_length(left);
+    for (GList *item = left; item != NULL; item = item->next) {
+        pending_t *pending = item->data;
+        bool never_sent = pending->copies->len == 0;
+        finish_with_error(node, pending,
+                          never_sent ? RUDDERWAY_ERROR_STOPPING : RUDDERWAY_ERROR_UNAVAILABLE);
+    }
+    g_list_free(left);
+    return count;
+}
--- a/src/node/entries.h
+++ b/src/node/entries.h
@@ -30,6 +30,8 @@
 void entries_answer(node_t *node, const answer_t *answer);
 void entries_chunk(node_t *node, const chunk_t *chunk);
 unsigned entries_count(const node_t *node);
+/** Answers what is left with an error; returns how many requests. */
+unsigned entries_end(node_t *node);
 
 /** Answers with the JSON form of @p code; the detail may be NULL. Any thread. */
 void respond_error(http_request_t *request, error_code_t code, const char *detail,
--- a/src/node/node.c
+++ b/src/node/node.c
@@ -4,6 +4,7 @@
 #include "node/admin_api.h"
 #include "node/caller_api.h"
 #include "node/decision.h"
+#include "node/entries.h"
 
 #include <unistd.h>
 #include <urcu-bp.h>
@@ -13,6 +14,7 @@
     MICROSECONDS_PER_MILLISECOND = 1000,
     MILLISECONDS_PER_SECOND = 1000,
     INSTANCE_RANDOM_BITS = 20,
+    LAST_ANSWERS_MS = 500, /**< Of the longest stop, for answers to the calls that are left. */
 };
 
 /** Grows with the start time, so a later instance of a name is known to be the later one. */
@@ -115,6 +117,7 @@
     bootstrap_t *bootstrap = bootstrap_new();
     int64_t next_tick_us = 0;
     int64_t stop_started_ms = 0;
+    unsigned ended = 0;
     int64_t longest_ms = (int64_t)node->settings->stop_seconds * MILLISECONDS_PER_SECOND;
     for (;;) {
         run_round(node, bootstrap, &next_tick_us);
@@ -124,6 +127,8 @@
             stop_started_ms = node->now_ms;
             node_begin_stop(node);
         }
+        if (node->now_ms - stop_started_ms > longest_ms - LAST_ANSWERS_MS)
+            ended += entries_end(node);
         bool too_long = node->now_ms - stop_started_ms > longest_ms;
         if (too_long || (node_stop_is_complete(node, stop_started_ms) &&
                          http_server_in_flight(node->http) == 0))
@@ -131,7 +136,7 @@
     }
     http_server_quiesce(node->http);
     bootstrap_free(bootstrap);
-    unsigned cut_off = node_work_left(node) + http_server_in_flight(node->http);
+    unsigned cut_off = ended + node_work_left(node) + http_server_in_flight(node->http);
     event_log(NODE_STOPPED, cut_off);
     return cut_off;
 }
