listener: requests sent in one go are served by a loop, not within each other

One caller could take a gateway past its memory limit, and so end it with all its calls: a single send of 64 kB, 4,000 requests of 16 bytes that are refused at once, took it from 3.5 to 150.6 MB; its limit was 180. Each request was delivered from within the call that answered the one before, with its own copy of the rest.

Cause: an answer goes on with what was sent ahead, and that delivered the next request on the stack of the handler that had just answered. Besides, each answer had one more read take place though more than the bound waited.

Requests are now parsed in one loop over the bytes that were read; an answer given within it only makes the connection ready for the next request. Only what is left once a request isn't answered at once is kept, and reading goes on only within the bound. Answers keep their order.

Evidence, before and after: 2,500 requests in one go, and as many behind a slow call, were delivered up to 2,500 deep with 96 MB allocated; now 1 deep and less than 1 MB more than at the start. A caller that sends faster than it is answered had 34 MB kept after 200 answers, now less than 1 MB. The three tests failed before. A gateway's largest resident size with 4,000 refused requests: 150.6 MB before, 10.7 MB now; with four such callers at once 193.8 MB, now 32.1 MB, which is the records of calls that are freed at the end of the loop's turn.

--- a/src/net/http_listener.c
+++ b/src/net/http_listener.c
@@ -53,7 +53,8 @@
     http_listener_t *listener;
     caller_state_t state;
     unsigned open_handles;
-    bool begun; /**< A byte of the request was read. */
+    bool begun;   /**< A byte of the request was read. */
+    bool serving; /**< serve_bytes() goes on with the next request. */
     bool too_large;
     bool chunked;
     bool keep;   /**< The connection may serve another request. */
@@ -444,8 +445,8 @@
     http_caller_answer(caller, status, NULL, NULL, 0);
 }
 
-/** Parses bytes of the next request; what follows a whole request is kept. */
-static void parse_bytes(http_caller_t *caller, const char *data, size_t length) {
+/** Parses bytes of the next request, up to its end. Returns how many. */
+static size_t parse_bytes(http_caller_t *caller, const char *data, size_t length) {
     if (!caller->begun) {
         caller->begun = true;
         caller->request.begun_at = uv_now(caller->listener->loop);
@@ -453,20 +454,33 @@
     }
     size_t parsed = http_parser_execute(&caller->parser, &parser_settings, data, length);
     if (caller->state != READING || caller->broken)
-        return;
+        return length;
     enum http_errno status = HTTP_PARSER_ERRNO(&caller->parser);
     if (status == HPE_PAUSED) {
         http_parser_pause(&caller->parser, 0);
         if (caller->parser.upgrade != 0 || parsed > length) {
             refuse_malformed(caller);
-            return;
+            return length;
         }
-        g_string_append_len(caller->ahead, data + parsed, (gssize)(length - parsed));
         deliver_request(caller);
-        return;
+        return parsed;
     }
     if (status != HPE_OK || caller->parser.upgrade != 0)
         refuse_malformed(caller);
+    return length;
+}
+
+/**
+ * Serves requests one after another for as long as each is answered at once. Returns how many of
+ * the bytes are done with.
+ */
+static size_t serve_bytes(http_caller_t *caller, const char *data, size_t length) {
+    size_t done = 0;
+    caller->serving = true;
+    while (done < length && caller->state == READING && !caller->broken)
+        done += parse_bytes(caller, data + done, length - done);
+    caller->serving = false;
+    return done;
 }
 
 static void on_read(uv_stream_t *stream, ssize_t count, const uv_buf_t *buffer);
@@ -483,13 +497,19 @@
 
 /** Goes on with what the caller sent ahead of its last answer. */
 static void read_ahead(http_caller_t *caller) {
-    start_reading(caller);
-    if (caller->ahead->len == 0)
+    if (caller->serving)
         return;
-    GString *bytes = caller->ahead;
-    caller->ahead = g_string_new(NULL);
-    parse_bytes(caller, bytes->str, bytes->len);
-    g_string_free(bytes, TRUE);
+    size_t done = serve_bytes(caller, caller->ahead->str, caller->ahead->len);
+    /* The last answer of a connection has emptied it. */
+    g_string_erase(caller->ahead, 0, (gssize)MIN(done, caller->ahead->len));
+    if (caller->state != CLOSING && caller->ahead->len <= AHEAD_BYTES)
+        start_reading(caller);
+}
+
+/** True if no further request of the connection will be answered. */
+static bool drops_bytes(const http_caller_t *caller) {
+    return caller->broken || caller->state == CLOSING || caller->state == LINGERING ||
+           (caller->state == WRITING && !caller->keep);
 }
 
 static void on_read(uv_stream_t *stream, ssize_t count, const uv_buf_t *buffer) {
@@ -500,14 +520,10 @@
         caller_lost(caller);
         return;
     }
-    bool drop = caller->state == LINGERING || (caller->state == WRITING && !caller->keep);
-    if (drop || caller->broken)
-        return;
-    if (caller->state == READING) {
-        parse_bytes(caller, buffer->base, (size_t)count);
+    size_t done = serve_bytes(caller, buffer->base, (size_t)count);
+    if (drops_bytes(caller))
         return;
-    }
-    g_string_append_len(caller->ahead, buffer->base, count);
+    g_string_append_len(caller->ahead, buffer->base + done, count - (gssize)done);
     if (caller->ahead->len > AHEAD_BYTES)
         uv_read_stop(stream);
 }
--- a/tests/unit/http_listener_test.cc
+++ b/tests/unit/http_listener_test.cc
@@ -3,6 +3,7 @@
 
 #include <arpa/inet.h>
 #include <fcntl.h>
+#include <malloc.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -11,6 +12,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 extern "C" {
@@ -50,6 +52,14 @@
         EXPECT_EQ(send(descriptor_, bytes.data(), bytes.size(), MSG_NOSIGNAL),
                   static_cast<ssize_t>(bytes.size()));
     }
+    /** Sends whole copies of @p bytes, the last as far as there is room; goes on with it then. */
+    void send_what_fits(const std::string &bytes) {
+        ssize_t count = 0;
+        do {
+            sent_ = (sent_ + static_cast<size_t>(count)) % bytes.size();
+            count = send(descriptor_, bytes.data() + sent_, bytes.size() - sent_, MSG_NOSIGNAL);
+        } while (count > 0);
+    }
     /** Takes what has come, @p most bytes at most. */
     void read_some(size_t most = SIZE_MAX) {
         char buffer[65536];
@@ -81,6 +91,7 @@
 
   private:
     int descriptor_;
+    size_t sent_ = 0;
 };
 
 class HttpListener : public testing::Test {
@@ -159,19 +170,29 @@
     bool hold = false; /**< Requests wait for their answer. */
     std::vector<http_caller_t *> waiting;
     unsigned gone = 0;
+    unsigned served = 0;
+    unsigned deepest = 0;       /**< Requests delivered within each other, with the first. */
+    size_t most_allocated = 0;  /**< Seen as a request was delivered. */
+    bool answer_target = false; /**< Instead of the body. */
 
   private:
-    static void on_request(void *owner, http_caller_t *caller, const http_request_t *) {
+    static void on_request(void *owner, http_caller_t *caller, const http_request_t *request) {
         auto *test = static_cast<HttpListener *>(owner);
+        test->served++;
+        test->deepest = std::max(test->deepest, ++test->depth);
+        test->most_allocated = std::max(test->most_allocated, mallinfo2().uordblks);
+        const std::string text = test->answer_target ? request->target : test->body;
         if (test->hold)
             test->waiting.push_back(caller);
         else
-            http_caller_answer(caller, 200, nullptr, test->body.data(), test->body.size());
+            http_caller_answer(caller, 200, nullptr, text.data(), text.size());
+        test->depth--;
     }
     static void on_gone(void *owner, http_caller_t *) {
         static_cast<HttpListener *>(owner)->gone++;
     }
     static const http_listener_handler_t handler;
+    unsigned depth = 0;
 };
 
 const http_listener_handler_t HttpListener::handler = {on_request, on_gone};
@@ -483,4 +504,76 @@
     EXPECT_EQ(caller.ending, Ending::clean);
 }
 
+constexpr unsigned pipelined = 2500;
+
+/** Many small requests, and the bodies of their answers if these are the targets. */
+std::string many_requests() {
+    std::string bytes;
+    for (unsigned i = 0; i < pipelined; i++)
+        bytes += "GET /" + std::to_string(10000 + i) + " HTTP/1.1\n\n";
+    return bytes;
+}
+
+/** True if @p received holds the answers to many_requests() in their order. */
+bool answered_in_order(const std::string &received) {
+    size_t at = 0;
+    for (unsigned i = 0; i < pipelined && at != std::string::npos; i++) {
+        at = received.find("\r\n\r\n", at);
+        if (at == std::string::npos || received.compare(at + 5, 5, std::to_string(10000 + i)) != 0)
+            return false;
+        at += 10;
+    }
+    return true;
+}
+
+// Guards against a caller that takes a process's memory or stack with many requests in one go.
+TEST_F(HttpListener, ManyRequestsInOneGoAreAnsweredOneAfterAnother) {
+    answer_target = true;
+    Caller caller(address);
+    size_t before = mallinfo2().uordblks;
+    caller.send_bytes(many_requests());
+    EXPECT_TRUE(run_until([&] {
+        caller.read_some();
+        return caller.answers(6) == pipelined;
+    }));
+    EXPECT_TRUE(answered_in_order(caller.received));
+    EXPECT_EQ(deepest, 1U) << "a request is not delivered within another";
+    EXPECT_LT(most_allocated, before + megabyte);
+}
+
+TEST_F(HttpListener, ManyRequestsBehindASlowCallAreAnsweredOneAfterAnother) {
+    Caller caller(address);
+    http_caller_t *asked = ask(caller, request);
+    ASSERT_NE(asked, nullptr);
+    answer_target = true;
+    size_t before = mallinfo2().uordblks;
+    caller.send_bytes(many_requests());
+    run_until([] { return false; }, pause_ms);
+    http_caller_answer(asked, 200, nullptr, "/first", 6);
+    EXPECT_TRUE(run_until([&] {
+        caller.read_some();
+        return caller.answers(6) == pipelined + 1;
+    }));
+    EXPECT_TRUE(answered_in_order(caller.received.substr(caller.received.find("/first"))));
+    EXPECT_EQ(deepest, 1U) << "a request is not delivered within another";
+    EXPECT_LT(most_allocated, before + megabyte);
+}
+
+// Guards against one more read for each answer, though reading was to rest.
+TEST_F(HttpListener, ACallerThatSendsFasterThanItIsAnsweredIsReadNoFurtherThanTheBound) {
+    constexpr unsigned enough = 200;
+    const std::string requests = many_requests();
+    Caller caller(address);
+    size_t before = mallinfo2().uordblks;
+    hold = true;
+    EXPECT_TRUE(run_until([&] {
+        caller.send_what_fits(requests);
+        for (http_caller_t *asked : std::exchange(waiting, {}))
+            http_caller_answer(asked, 200, nullptr, "", 0);
+        return served >= enough;
+    }));
+    EXPECT_LT(most_allocated, before + megabyte);
+    hold = false;
+}
+
 } // namespace
