gateway: an answer that its exit cuts ends with a reset

A caller of HTTP/1.0 could take part of a stream for all of it: such an answer ends with its connection, and when the grace period was over before it was written, the process's exit closed that connection like one whose answer is whole.

Cause: at the end of the grace period the loop was stopped and the kernel closed what was open, with what it had taken so far and a plain end.

The listener now resets every connection whose answer is not written whole, before the loop is stopped. The socket is closed in that call, so the loop need not run again. An owner whose answer is under way is told that its caller is gone, as its caller object is.

Evidence: AnswersThatAreNotWrittenWholeAreResetBeforeTheProcessEnds; with a function that does nothing the three cut answers are not reset. The gateway itself was not run to the end of its grace period with such a caller.

--- a/src/gateway/main.c
+++ b/src/gateway/main.c
@@ -40,8 +40,10 @@
         http_listener_close_idle(gateway->calls);
     }
     bool drained = closes_idle && http_listener_connections(gateway->calls) == 0;
-    if (drained || since >= schedule->exit_ms)
+    if (drained || since >= schedule->exit_ms) {
+        http_listener_abort_unwritten(gateway->calls);
         uv_stop(gateway->loop);
+    }
 }
 
 static void on_stop_signal(uv_signal_t *handle, int number) {
--- a/src/net/http_listener.c
+++ b/src/net/http_listener.c
@@ -87,20 +87,27 @@
     g_free(caller);
 }
 
-static void close_caller(http_caller_t *caller) {
+/** True if a request was delivered whose answer the kernel has not taken to its end. */
+static bool is_unwritten(const http_caller_t *caller) {
+    return caller->state == ANSWERING || caller->state == WRITING;
+}
+
+static void end_connection(http_caller_t *caller, bool reset) {
     if (caller->state == CLOSING)
         return;
     if (caller->state == ANSWERING)
         caller->listener->active--;
-    bool cut =
-        caller->ends_with_connection && (caller->state == ANSWERING || caller->state == WRITING);
     caller->state = CLOSING;
     g_hash_table_remove(caller->listener->callers, caller);
-    if (!cut || uv_tcp_close_reset(&caller->tcp, free_when_closed) != 0)
+    if (!reset || uv_tcp_close_reset(&caller->tcp, free_when_closed) != 0)
         uv_close((uv_handle_t *)&caller->tcp, free_when_closed);
     uv_close((uv_handle_t *)&caller->timer, free_when_closed);
 }
 
+static void close_caller(http_caller_t *caller) {
+    end_connection(caller, caller->ends_with_connection && is_unwritten(caller));
+}
+
 /** The peer ended the connection: tells the owner if it waits for an answer. */
 static void caller_lost(http_caller_t *caller) {
     bool answering = caller->state == ANSWERING;
@@ -656,6 +663,19 @@
     g_list_free(callers);
 }
 
+void http_listener_abort_unwritten(http_listener_t *listener) {
+    GList *callers = g_hash_table_get_keys(listener->callers);
+    for (GList *item = callers; item != NULL; item = item->next) {
+        http_caller_t *caller = item->data;
+        if (!is_unwritten(caller))
+            continue;
+        if (caller->state == ANSWERING)
+            listener->handler->on_gone(listener->owner, caller);
+        end_connection(caller, true);
+    }
+    g_list_free(callers);
+}
+
 void http_listener_stop(http_listener_t *listener) {
     if (uv_is_closing((uv_handle_t *)&listener->tcp))
         return;
--- a/tests/unit/http_listener_test.cc
+++ b/tests/unit/http_listener_test.cc
@@ -504,6 +504,41 @@
     EXPECT_EQ(caller.ending, Ending::clean);
 }
 
+// Guards against a process's exit that makes what was written of an answer look whole.
+TEST_F(HttpListener, AnswersThatAreNotWrittenWholeAreResetBeforeTheProcessEnds) {
+    const std::string old_request = "GET / HTTP/1.0\r\n\r\n";
+    body.assign(large_bytes, 'x');
+    Caller writing(address), streaming(address), whole(address), fixed(address), quiet(address);
+    http_caller_t *asked = ask(writing, old_request);
+    ASSERT_NE(asked, nullptr);
+    http_caller_begin(asked, 200, nullptr, body.data(), body.size());
+    http_caller_end(asked);
+    asked = ask(streaming, old_request);
+    ASSERT_NE(asked, nullptr);
+    http_caller_begin(asked, 200, nullptr, "some", 4);
+    asked = ask(whole, old_request);
+    ASSERT_NE(asked, nullptr);
+    http_caller_begin(asked, 200, nullptr, "all of it", 9);
+    http_caller_end(asked);
+    asked = ask(fixed, request);
+    ASSERT_NE(asked, nullptr);
+    http_caller_answer(asked, 200, nullptr, body.data(), body.size());
+    EXPECT_EQ(http_listener_active(listener), 1U);
+
+    http_listener_abort_unwritten(listener);
+    EXPECT_EQ(gone, 1U) << "the owner of the one that was under way is told";
+    EXPECT_EQ(http_listener_active(listener), 0U);
+    /* The loop does not run again: the process exits. */
+    for (Caller *caller : {&writing, &streaming, &fixed, &whole, &quiet})
+        caller->read_some();
+    EXPECT_EQ(writing.ending, Ending::reset) << writing.received.size() << " bytes";
+    EXPECT_EQ(streaming.ending, Ending::reset);
+    EXPECT_EQ(fixed.ending, Ending::reset);
+    EXPECT_EQ(whole.answers(9), 1U);
+    EXPECT_NE(whole.ending, Ending::reset);
+    EXPECT_EQ(quiet.ending, Ending::open);
+}
+
 constexpr unsigned pipelined = 2500;
 
 /** Many small requests, and the bodies of their answers if these are the targets. */
