listener: a stream that answers HEAD has no body

A caller that sent HEAD and was answered by a stream found the pieces and the chunk that ends them on its connection, and a kept connection's next answer began with them.

Cause: only answers given at once left out their body for HEAD.

A begun answer to HEAD is now its head alone, with the fields that GET would get; with HTTP/1.0 it no longer counts as one that ends with its connection, as its head ends it.

--- a/src/net/http_listener.c
+++ b/src/net/http_listener.c
@@ -310,12 +310,17 @@
     arm_timer(caller, caller->listener->limits.idle_timeout_ms);
 }
 
+/** True if the request to be answered is HEAD, whose answer has no body. */
+static bool is_head_only(const http_caller_t *caller) {
+    return caller->state == ANSWERING && caller->parser.method == HTTP_HEAD;
+}
+
 void http_caller_answer(http_caller_t *caller, unsigned status, const char *fields,
                         const char *body, size_t length) {
     caller->data = NULL;
     caller->keep = will_keep(caller);
     GString *bytes = answer_head(caller, status, fields);
-    bool head_only = caller->state == ANSWERING && strcmp(caller->request.method, "HEAD") == 0;
+    bool head_only = is_head_only(caller);
     if (!head_only)
         g_string_append_printf(bytes, "Content-Length: %zu\r\n", length);
     g_string_append(bytes, "\r\n");
@@ -327,7 +332,7 @@
 
 static void append_piece(const http_caller_t *caller, GString *bytes, const char *data,
                          size_t length) {
-    if (length == 0)
+    if (length == 0 || is_head_only(caller))
         return;
     if (caller->chunked)
         g_string_append_printf(bytes, "%zx\r\n", length);
@@ -339,7 +344,7 @@
 void http_caller_begin(http_caller_t *caller, unsigned status, const char *fields, const char *data,
                        size_t length) {
     caller->chunked = caller->parser.http_major == 1 && caller->parser.http_minor >= 1;
-    caller->ends_with_connection = !caller->chunked;
+    caller->ends_with_connection = !caller->chunked && !is_head_only(caller);
     caller->keep = will_keep(caller) && caller->chunked;
     GString *bytes = answer_head(caller, status, fields);
     g_string_append(bytes, caller->chunked ? "Transfer-Encoding: chunked\r\n\r\n" : "\r\n");
@@ -348,6 +353,8 @@
 }
 
 void http_caller_piece(http_caller_t *caller, const char *data, size_t length) {
+    if (is_head_only(caller))
+        return;
     GString *bytes = g_string_sized_new(length + 16);
     append_piece(caller, bytes, data, length);
     write_bytes(caller, bytes);
@@ -356,7 +363,7 @@
 void http_caller_end(http_caller_t *caller) {
     caller->data = NULL;
     bool written = !caller->broken;
-    if (caller->chunked)
+    if (caller->chunked && !is_head_only(caller))
         written = write_bytes(caller, g_string_new("0\r\n\r\n"));
     if (written)
         finish_answer(caller);
--- a/src/net/http_listener.h
+++ b/src/net/http_listener.h
@@ -82,7 +82,7 @@
  */
 void http_caller_answer(http_caller_t *caller, unsigned status, const char *fields,
                         const char *body, size_t length);
-/** Begins an answer of unknown length; @p data may hold its first bytes. */
+/** Begins an answer of unknown length; @p data may hold its first bytes. HEAD gets no bytes. */
 void http_caller_begin(http_caller_t *caller, unsigned status, const char *fields, const char *data,
                        size_t length);
 void http_caller_piece(http_caller_t *caller, const char *data, size_t length);
--- a/tests/unit/http_listener_test.cc
+++ b/tests/unit/http_listener_test.cc
@@ -504,6 +504,39 @@
     EXPECT_EQ(caller.ending, Ending::clean);
 }
 
+// Guards against a body that a kept connection's caller takes for the next answer.
+TEST_F(HttpListener, AStreamThatAnswersHeadHasNoBody) {
+    Caller caller(address);
+    for (unsigned i = 1; i <= 2; i++) {
+        http_caller_t *asked = ask(caller, "HEAD / HTTP/1.1\r\nHost: h\r\n\r\n");
+        ASSERT_NE(asked, nullptr);
+        http_caller_begin(asked, 200, nullptr, "first", 5);
+        http_caller_piece(asked, "second", 6);
+        http_caller_end(asked);
+    }
+    http_caller_t *asked = ask(caller, request);
+    ASSERT_NE(asked, nullptr);
+    http_caller_begin(asked, 200, nullptr, "first", 5);
+    http_caller_piece(asked, "second", 6);
+    http_caller_end(asked);
+    const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string whole = head + head + head + "5\r\nfirst\r\n6\r\nsecond\r\n0\r\n\r\n";
+    EXPECT_TRUE(run_until([&] {
+        caller.read_some();
+        return caller.received.size() >= whole.size();
+    }));
+    EXPECT_EQ(caller.received, whole);
+
+    Caller old(address);
+    asked = ask(old, "HEAD / HTTP/1.0\r\n\r\n");
+    ASSERT_NE(asked, nullptr);
+    http_caller_begin(asked, 200, nullptr, "first", 5);
+    http_caller_end(asked);
+    EXPECT_TRUE(read_until_end(old));
+    EXPECT_EQ(old.received, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n");
+    EXPECT_EQ(old.ending, Ending::clean);
+}
+
 // Guards against a process's exit that makes what was written of an answer look whole.
 TEST_F(HttpListener, AnswersThatAreNotWrittenWholeAreResetBeforeTheProcessEnds) {
     const std::string old_request = "GET / HTTP/1.0\r\n\r\n";
