listener: a turn of the loop serves a share of a connection's requests

Callers that send many small requests at once could still take a gateway past its memory limit together: 32 connections with 4,000 requests of 16 bytes each took it to 231 MB, its limit was 180.

Cause: a gateway's records of refused calls are freed as the loop's turn ends, and one turn served all that had been read of every connection.

A connection now has 64 requests served one after another, and the rest a turn later. It is not idle meanwhile, and isn't read, so that a caller that has ended its sending side still gets all its answers.

Evidence: ATurnOfTheLoopServesAShareOfManyRequests: 2,500 in one turn before, at most 64 now, all answered in order though the caller has ended its side and idle connections are closed in each turn.

--- a/src/net/http_listener.c
+++ b/src/net/http_listener.c
@@ -23,7 +23,9 @@
     AHEAD_BYTES = 65536,            /**< Kept of what a caller sends before its answer. */
     UNSENT_BYTES = 4 * 1024 * 1024, /**< A caller that leaves more unread is cut off. */
     NEW_CALLER_MS = 300,            /**< Until then a new connection's first request is awaited. */
-    LINGER_MS = 300,                /**< A caller's time to close after its last answer. */
+    REQUESTS_PER_TURN = 64,         /**< Of a connection; its other ones wait for the next turn. */
+    NEXT_TURN_MS = 1,
+    LINGER_MS = 300, /**< A caller's time to close after its last answer. */
 };
 
 struct http_listener {
@@ -145,6 +147,11 @@
            recv(descriptor, &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
+/** True if requests could be served that were left for the next turn of the loop. */
+static bool waits_for_turn(const http_caller_t *caller) {
+    return caller->state == READING && caller->ahead->len > 0;
+}
+
 static void arm_timer(http_caller_t *caller, uint64_t ms);
 
 static void on_timer(uv_timer_t *timer) {
@@ -153,6 +160,10 @@
         caller_lost(caller);
         return;
     }
+    if (waits_for_turn(caller)) {
+        read_ahead(caller);
+        return;
+    }
     if (caller->state == READING && caller->begun) {
         http_caller_answer(caller, 408, NULL, NULL, 0);
         return;
@@ -485,13 +496,15 @@
 }
 
 /**
- * Serves requests one after another for as long as each is answered at once. Returns how many of
- * the bytes are done with.
+ * Serves requests one after another for as long as each is answered at once, a turn's share at
+ * most: what an owner holds for a request may be freed only as the loop's turn ends. Returns how
+ * many of the bytes are done with.
  */
 static size_t serve_bytes(http_caller_t *caller, const char *data, size_t length) {
     size_t done = 0;
     caller->serving = true;
-    while (done < length && caller->state == READING && !caller->broken)
+    for (unsigned i = 0;
+         i < REQUESTS_PER_TURN && done < length && caller->state == READING && !caller->broken; i++)
         done += parse_bytes(caller, data + done, length - done);
     caller->serving = false;
     return done;
@@ -509,6 +522,19 @@
     uv_read_start((uv_stream_t *)&caller->tcp, provide_buffer, on_read);
 }
 
+/**
+ * Reads on unless enough waits. Not while requests wait for the next turn: an end of the
+ * caller's side would be taken for its leave.
+ */
+static void read_on(http_caller_t *caller) {
+    if (waits_for_turn(caller))
+        arm_timer(caller, NEXT_TURN_MS);
+    if (waits_for_turn(caller) || caller->ahead->len > AHEAD_BYTES)
+        uv_read_stop((uv_stream_t *)&caller->tcp);
+    else
+        start_reading(caller);
+}
+
 /** Goes on with what the caller sent ahead of its last answer. */
 static void read_ahead(http_caller_t *caller) {
     if (caller->serving)
@@ -516,8 +542,8 @@
     size_t done = serve_bytes(caller, caller->ahead->str, caller->ahead->len);
     /* The last answer of a connection has emptied it. */
     g_string_erase(caller->ahead, 0, (gssize)MIN(done, caller->ahead->len));
-    if (caller->state != CLOSING && caller->ahead->len <= AHEAD_BYTES)
-        start_reading(caller);
+    if (caller->state != CLOSING)
+        read_on(caller);
 }
 
 /** True if no further request of the connection will be answered. */
@@ -534,12 +560,13 @@
         caller_lost(caller);
         return;
     }
-    size_t done = serve_bytes(caller, buffer->base, (size_t)count);
+    size_t done = 0;
+    if (!waits_for_turn(caller))
+        done = serve_bytes(caller, buffer->base, (size_t)count);
     if (drops_bytes(caller))
         return;
     g_string_append_len(caller->ahead, buffer->base + done, count - (gssize)done);
-    if (caller->ahead->len > AHEAD_BYTES)
-        uv_read_stop(stream);
+    read_on(caller);
 }
 
 static http_caller_t *new_caller(http_listener_t *listener) {
@@ -645,7 +672,7 @@
 
 /** True if neither a request nor an answer is under way, as far as the kernel knows. */
 static bool is_idle(const http_caller_t *caller) {
-    return caller->state == READING && !caller->begun &&
+    return caller->state == READING && !caller->begun && caller->ahead->len == 0 &&
            uv_now(caller->listener->loop) - caller->accepted_at >= NEW_CALLER_MS &&
            count_untaken(caller) == 0 && !has_unread_bytes(caller);
 }
--- a/tests/unit/http_listener_test.cc
+++ b/tests/unit/http_listener_test.cc
@@ -60,6 +60,9 @@
             count = send(descriptor_, bytes.data() + sent_, bytes.size() - sent_, MSG_NOSIGNAL);
         } while (count > 0);
     }
+    void end_sending() const {
+        EXPECT_EQ(shutdown(descriptor_, SHUT_WR), 0);
+    }
     /** Takes what has come, @p most bytes at most. */
     void read_some(size_t most = SIZE_MAX) {
         char buffer[65536];
@@ -627,6 +630,27 @@
     EXPECT_LT(most_allocated, before + megabyte);
 }
 
+// Guards against callers whose requests together take a process's memory within one turn.
+TEST_F(HttpListener, ATurnOfTheLoopServesAShareOfManyRequests) {
+    constexpr unsigned share = 64;
+    answer_target = true;
+    Caller caller(address);
+    run_until([] { return false; }, wait_until_old_ms);
+    caller.send_bytes(many_requests());
+    caller.end_sending();
+    unsigned before = 0;
+    unsigned most = 0;
+    EXPECT_TRUE(run_until([&] {
+        most = std::max(most, served - before);
+        before = served;
+        caller.read_some();
+        http_listener_close_idle(listener);
+        return caller.answers(6) == pipelined || caller.ending != Ending::open;
+    }));
+    EXPECT_TRUE(answered_in_order(caller.received)) << served << " served";
+    EXPECT_LE(most, share);
+}
+
 // Guards against one more read for each answer, though reading was to rest.
 TEST_F(HttpListener, ACallerThatSendsFasterThanItIsAnsweredIsReadNoFurtherThanTheBound) {
     constexpr unsigned enough = 200;
