--- a/tests/unit/http_listener_test.cc
+++ b/tests/unit/http_listener_test.cc
@@ -1,7 +1,6 @@
 // Connections of callers, on loopback: which of them count as idle, and how they end.
 #include <gtest/gtest.h>
 
-#include <arpa/inet.h>
 #include <fcntl.h>
 #include <malloc.h>
 #include <sys/socket.h>
@@ -15,6 +14,8 @@
 #include <utility>
 #include <vector>
 
+#include "loopback_port.h"
+
 extern "C" {
 #include "net/http_listener.h"
 }
@@ -101,10 +102,9 @@
   protected:
     HttpListener() {
         uv_loop_init(&loop);
-        address.sin_family = AF_INET;
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        for (uint16_t port = 42600; listener == nullptr && port < 42700; port++) {
-            address.sin_port = htons(port);
+        /* Another process may take a port between its choice and its use. */
+        for (unsigned i = 0; listener == nullptr && i < 10; i++) {
+            address = Port(Port::REFUSES).address;
             listener = http_listener_open(&loop, &address, &limits, &handler, this);
         }
     }
