listener: cut answers of every kind are reset at the exit again

What is still being written at the exit are answers that were ended before; streams under way have been broken off with the calls in progress, so that nothing usable is dropped.

--- a/src/net/http_listener.c
+++ b/src/net/http_listener.c
@@ -94,12 +94,11 @@
     return caller->state == ANSWERING || caller->state == WRITING;
 }
 
-static void close_caller(http_caller_t *caller) {
+static void end_connection(http_caller_t *caller, bool reset) {
     if (caller->state == CLOSING)
         return;
     if (caller->state == ANSWERING)
         caller->listener->active--;
-    bool reset = caller->ends_with_connection && is_unwritten(caller);
     caller->state = CLOSING;
     g_hash_table_remove(caller->listener->callers, caller);
     if (!reset || uv_tcp_close_reset(&caller->tcp, free_when_closed) != 0)
@@ -107,6 +106,10 @@
     uv_close((uv_handle_t *)&caller->timer, free_when_closed);
 }
 
+static void close_caller(http_caller_t *caller) {
+    end_connection(caller, caller->ends_with_connection && is_unwritten(caller));
+}
+
 /** The peer ended the connection: tells the owner if it waits for an answer. */
 static void caller_lost(http_caller_t *caller) {
     bool answering = caller->state == ANSWERING;
@@ -702,7 +705,7 @@
             continue;
         if (caller->state == ANSWERING)
             listener->handler->on_gone(listener->owner, caller);
-        close_caller(caller);
+        end_connection(caller, true);
     }
     g_list_free(callers);
 }
--- a/src/net/http_listener.h
+++ b/src/net/http_listener.h
@@ -60,9 +60,8 @@
 void http_listener_refuse_unfinished(http_listener_t *listener, unsigned status,
                                      const char *fields);
 /**
- * Closes each connection whose answer is not written whole, at once; its owner is told that the
- * caller is gone. For the end of the process: the kernel would end them as if they were whole. An
- * answer whose end is the connection's end is reset; of others, the caller gets what is on its way.
+ * Resets each connection whose answer is not written whole, at once; its owner is told that the
+ * caller is gone. For the end of the process: the kernel would end them as if they were whole.
  */
 void http_listener_abort_unwritten(http_listener_t *listener);
 /** Takes no new connections but those that wait to be accepted. */
