gateways: what a gateway holds at its exit is no leak to the leak sanitizer

The tests of planned stops expect exit status 0, and a gateway of the sanitizer build ended with 1: its state was on the stack of a function that had returned, so that all it holds at the exit counted as leaked. The state lasts for as long as the process now, as that of a storage node does.

--- a/src/gateway/main.c
+++ b/src/gateway/main.c
@@ -129,8 +129,11 @@
 }
 
 static int run(const process_settings_t *settings) {
-    uv_loop_t loop;
-    gateway_t gateway = {.loop = &loop, .settings = settings};
+    /* Static: what they refer to is in use until the process exits, which frees it. */
+    static uv_loop_t loop;
+    static gateway_t gateway;
+    gateway.loop = &loop;
+    gateway.settings = settings;
     uv_loop_init(&loop);
     gateway.started_at = uv_now(&loop);
     frame_loop_start(&loop);
