--- a/src/core/shutdown/shutdown_schedule.h
+++ b/src/core/shutdown/shutdown_schedule.h
@@ -18,8 +18,7 @@
 
 typedef struct {
     uint64_t close_idle_ms; /**< Then new connections are refused and idle ones closed. */
-    uint64_t accept_ms;     /**< Until then repeatable calls are accepted whatever their
-                               deadline. */
+    uint64_t accept_ms;     /**< Until then any repeatable call may begin. */
     uint64_t end_calls_ms;  /**< Then calls in progress get a final response. */
     uint64_t exit_ms;       /**< Then the process exits, even with open connections. */
 } shutdown_schedule_t;
--- a/tests/unit/platform_test.cc
+++ b/tests/unit/platform_test.cc
@@ -339,7 +339,7 @@
     }
 }
 
-// The story: a key with a zero byte made each listing unreadable, so that no change was followed.
+// Otherwise one key with a zero byte makes each listing unreadable, and no change is followed.
 TEST(Platform, AKeyWithAZeroByteHidesNoOther) {
     const std::string foreign = R"({"private-key":"servers/a\u0000b","value":"aGk=","revision":3})";
     const std::string known = R"({"private-key":"servers/a","value":"aGk=","revision":4})";
