retries: what may still end under a request counts before it ends

Callers saw: a request sent on after three back ends had ended under it; four ended (BUDGET).

Cause, from E830, E867, E875 and E877 of both: one end was known. The gateway of the next try had left the request at a second back end, and another gateway had left it at a third; both ended within 0.7 s. The limit of one back end at a time begins at two known ends, and a gateway knew only what its own calls had left.

Ruled out: lost crash reports (the first end was known at every gateway), and a registration that the send did not wait for (E875 precedes the fourth send).

Change: once a back end has ended under a request, it is sent to one more only if that one, those that have ended and those that any gateway's calls have left there and that may still run it are three at most (core/retry/crash_exposure.h). Storage nodes tell a gateway that registers a send what others have left (MESSAGE_SEND_LEFT, which older gateways ignore). The Retry-After ends when enough of them can't run it any more. A call is not taken from a slow back end if it could then be sent nowhere. E879 tells of each withheld send. What calls have left is a module of its own (gateway/left_calls.h).

--- a/src/cluster/message.h
+++ b/src/cluster/message.h
@@ -67,14 +67,15 @@
                                 the age given; `crash.number`: how often in a row. From a gateway,
                                 or passed on to all. */
     REQUEST_SEND,       /**< A request is about to be sent. First come the crashes under it that are
-                           known, as MESSAGE_CRASH; then the answer, if one is wanted. */
+                           known, as MESSAGE_CRASH, and what other gateways have left of it, as
+                           MESSAGE_SEND_LEFT; then the answer, if one is wanted. */
     RESPONSE_SEND,      /**< The send is registered. */
     MESSAGE_SEND_ENDED, /**< All sends of a caller's attempt have ended. */
     RECORD_CRASH,  /**< Log only: a message on crashes or sends that changed what the node knows. */
     RECORD_JOINED, /**< Log only: this node became a member in `generation`, with its disk in use.
                     */
     MESSAGE_SEND_LEFT, /**< A call has left a back end, which may run its request for `wait_ms`
-                          more. */
+                          more; from a gateway, or passed on to one that is about to send it. */
     MESSAGE_TYPE_COUNT,
 } message_type_t;
 
--- a/src/core/retry/crash_history.c
+++ b/src/core/retry/crash_history.c
@@ -297,6 +297,18 @@
     return is_on_probation(entry, now) ? CRASHES_NEAR_MAX : recent;
 }
 
+bool crash_history_knows(const crash_history_t *history, uint64_t request, uint16_t backend,
+                         uint64_t at, uint64_t now) {
+    const request_crashes_t *entry = find(history, request);
+    for (unsigned i = 0; entry != NULL && i < entry->count; i++) {
+        const crash_t *crash = &entry->crashes[i];
+        if (crash->backend == backend && counts(entry, crash, now) &&
+            at < crash->at + CRASH_SILENT_SAME_MS)
+            return true;
+    }
+    return false;
+}
+
 uint32_t crash_history_wait_ms(const crash_history_t *history, uint64_t request, uint64_t now) {
     const request_crashes_t *entry = find(history, request);
     if (entry == NULL || !is_stopped(entry, now))
--- a/src/core/retry/crash_history.h
+++ b/src/core/retry/crash_history.h
@@ -93,6 +93,10 @@
  * stopped.
  */
 unsigned crash_history_count(const crash_history_t *history, uint64_t request, uint64_t now);
+/** True if a crash of the back end under the request counts that was found since @p at, or so
+ * shortly before that it is the same. */
+bool crash_history_knows(const crash_history_t *history, uint64_t request, uint16_t backend,
+                         uint64_t at, uint64_t now);
 /** Time until the request may be sent; 0: now. */
 uint32_t crash_history_wait_ms(const crash_history_t *history, uint64_t request, uint64_t now);
 /** Appends the confirmed crashes under the request to @p reports, of crash_report_t. */
--- a/src/core/retry/left_sends.c
+++ b/src/core/retry/left_sends.c
@@ -87,8 +87,19 @@
     }
 }
 
+static bool may_run(const left_send_t *entry, uint64_t now) {
+    return now <= entry->until + LEFT_SEND_MARGIN_MS;
+}
+
 void left_sends_list(const left_sends_t *sends, uint64_t now, GArray *list) {
     for (guint i = 0; i < sends->entries->len; i++)
-        if (now <= entry_at(sends, i)->until + LEFT_SEND_MARGIN_MS)
+        if (may_run(entry_at(sends, i), now))
+            g_array_append_val(list, *entry_at(sends, i));
+}
+
+void left_sends_list_request(const left_sends_t *sends, uint64_t request, uint64_t now,
+                             GArray *list) {
+    for (guint i = 0; i < sends->entries->len; i++)
+        if (entry_at(sends, i)->request == request && may_run(entry_at(sends, i), now))
             g_array_append_val(list, *entry_at(sends, i));
 }
--- a/src/core/retry/left_sends.h
+++ b/src/core/retry/left_sends.h
@@ -49,5 +49,8 @@
 
 /** Appends those whose time is not over to @p list, of left_send_t. */
 void left_sends_list(const left_sends_t *sends, uint64_t now, GArray *list);
+/** The same, of one request. */
+void left_sends_list_request(const left_sends_t *sends, uint64_t request, uint64_t now,
+                             GArray *list);
 
 #endif
--- a/src/core/retry/open_sends.c
+++ b/src/core/retry/open_sends.c
@@ -119,6 +119,18 @@
     return counted;
 }
 
+void open_sends_list_left(const open_sends_t *sends, uint64_t request, uint64_t gateway,
+                          uint64_t now, GArray *list) {
+    const open_send_t *entry = g_hash_table_lookup(sends->by_request, &request);
+    for (; entry != NULL; entry = entry->next) {
+        if (entry->counted || entry->gateway == gateway || now >= entry->left_until)
+            continue;
+        const left_send_report_t left = {entry->request, entry->send, entry->backend,
+                                         entry->gateway, entry->left_until};
+        g_array_append_val(list, left);
+    }
+}
+
 void open_sends_lose_gateway(open_sends_t *sends, uint64_t gateway, uint64_t now) {
     for (const GList *item = sends->order.head; item != NULL; item = item->next) {
         open_send_t *entry = item->data;
--- a/src/core/retry/open_sends.h
+++ b/src/core/retry/open_sends.h
@@ -51,6 +51,12 @@
  */
 bool open_sends_leave(open_sends_t *sends, const left_send_report_t *left, uint64_t now,
                       crash_report_t *crash);
+/**
+ * Appends what calls of other gateways than @p gateway have left of the request, and may still be
+ * run, to @p list, of left_send_report_t; not what counts as a crash.
+ */
+void open_sends_list_left(const open_sends_t *sends, uint64_t request, uint64_t gateway,
+                          uint64_t now, GArray *list);
 /** The connection of a gateway is over: what its calls have left is watched by nobody. */
 void open_sends_lose_gateway(open_sends_t *sends, uint64_t gateway, uint64_t now);
 /** Ends a send; false if it is not open. */
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -224,8 +224,13 @@
 
 /** True if the call may run more than once. */
 bool call_repeatable(const call_t *call);
-/** True if so many back ends have ended under the request that it must not be sent. */
+/**
+ * True if so many back ends have ended under the request, or may yet (crash_watch_exposure), that
+ * it must not be sent, to call->backend if there is one.
+ */
 bool call_crash_limit_reached(const call_t *call);
+/** Logs that a send is withheld for back ends that may yet end; E868 tells of those that have. */
+void call_log_withheld(const call_t *call);
 /** True if the call is repeatable and its route allows one more back end. */
 bool call_may_use_other_backend(const call_t *call);
 void call_log_send_failed(const call_t *call, const char *reason);
--- a/src/gateway/call_retry.c
+++ b/src/gateway/call_retry.c
@@ -34,8 +34,23 @@
               backend_version_name(call->backend), call->events.events);
 }
 
+static unsigned crash_exposure(const call_t *call) {
+    return crash_watch_exposure(call->gateway->crashes, call->request_id, call->backend);
+}
+
 bool call_crash_limit_reached(const call_t *call) {
-    return crash_watch_count(call->gateway->crashes, call->request_id) >= CRASHES_MAX;
+    const crash_watch_t *crashes = call->gateway->crashes;
+    return crash_watch_count(crashes, call->request_id) >= CRASHES_MAX ||
+           (call->backend != NULL && crash_exposure(call) >= CRASHES_MAX);
+}
+
+void call_log_withheld(const call_t *call) {
+    const crash_watch_t *crashes = call->gateway->crashes;
+    unsigned ended = crash_watch_count(crashes, call->request_id);
+    if (ended < CRASHES_MAX)
+        event_log(GATEWAY_SEND_WITHHELD, call->id, call->request_id,
+                  call->backend == NULL ? "-" : call->backend->record->instance, ended,
+                  crash_exposure(call), crash_watch_wait_ms(crashes, call->request_id));
 }
 
 static resend_state_t describe_sends(const call_t *call) {
@@ -45,7 +60,7 @@
         .attempts = call->route->attempts,
         .backends = call->backends_sent,
         .ended = call->backends_ended,
-        .crashes = crash_watch_count(call->gateway->crashes, call->request_id),
+        .crashes = crash_exposure(call),
         .repeats = call->repeats,
         .time_left = call_time_left(call) > MIN_TIME_LEFT_MS,
         .same_usable = usable,
@@ -81,6 +96,7 @@
     if (times == NULL || now - call->sent_at < answer_time_late_ms(times))
         return false;
     resend_state_t state = describe_sends(call);
+    state.crashes += state.crashes > 0; /* The back end that it would leave may still end. */
     return resend_after_unknown(&state) != RESEND_NO && retry_budget_take(&gateway->late_budget);
 }
 
@@ -104,8 +120,11 @@
 }
 
 static void give_up(call_t *call, call_reason_t reason) {
+    bool limited = call_crash_limit_reached(call);
+    if (limited)
+        call_log_withheld(call);
     call_exclude_backend(call);
-    call_fail(call, call_crash_limit_reached(call) ? CALL_BACKENDS_ENDED : reason);
+    call_fail(call, limited ? CALL_BACKENDS_ENDED : reason);
 }
 
 static resend_t decide_resend(const call_t *call) {
--- a/src/gateway/call_send.c
+++ b/src/gateway/call_send.c
@@ -415,6 +415,7 @@
 static void send_to_backend(call_t *call) {
     gateway_t *gateway = call->gateway;
     if (call_crash_limit_reached(call)) {
+        call_log_withheld(call);
         call_exclude_backend(call);
         call_fail(call, CALL_BACKENDS_ENDED);
         return;
--- a/src/gateway/crash_watch.c
+++ b/src/gateway/crash_watch.c
@@ -1,14 +1,13 @@
 #include "gateway/crash_watch.h"
 
 #include "common/event.h"
-#include "core/retry/left_sends.h"
+#include "core/retry/crash_exposure.h"
 #include "core/retry/recent_successes.h"
 #include "gateway/backend_versions.h"
 #include "gateway/backend_check.h"
 #include "gateway/crash_reports.h"
 #include "gateway/crash_suspicions.h"
-
-#include <xxhash.h>
+#include "gateway/left_calls.h"
 
 enum {
     QUIET_MS = 100, /**< A back end that has sent something within this time is alive. */
@@ -50,7 +49,7 @@
     GHashTable *checks; /**< backend_t.id_hash to suspected_backend_t. */
     GQueue given_up;    /**< Of given_up_t, oldest first. */
     uv_timer_t given_up_timer;
-    left_sends_t *left;
+    left_calls_t *left;
     recent_successes_t successes;
     crash_suspicions_t *suspicions;
     crash_watch_counts_t counts;
@@ -76,7 +75,7 @@
 
 /** Forgets the crashes under a request that got a complete response. */
 static crash_news_t clear_crashes(crash_watch_t *watch, const crash_report_t *report) {
-    left_sends_forget(watch->left, report->request);
+    left_calls_forget(watch->left, report->request);
     crash_suspicions_forget(watch->suspicions, report->request, report->at);
     crash_news_t news = news_of_crash(watch, report->request);
     return crash_history_clear(watch->history, report->request, report->at) ? news : CRASH_KNOWN;
@@ -111,11 +110,12 @@
         crash_history_note_stop(watch->history, &report);
     else if (message->type == MESSAGE_CRASH_WITHDRAWN)
         crash_history_remove(watch->history, &report);
+    else if (message->type == MESSAGE_SEND_LEFT)
+        left_calls_handle_message(watch->left, message);
     else
         on_crash_report(watch, &report);
 }
 
-static void on_left_settled(void *owner, const left_send_t *send);
 static void on_process_doubted(void *owner, backend_t *backend);
 static void on_survived(void *owner, crash_report_t *crash);
 static void on_ended(void *owner, const crash_report_t *crash);
@@ -134,7 +134,7 @@
     g_queue_init(&watch->given_up);
     uv_timer_init(loop, &watch->given_up_timer);
     watch->given_up_timer.data = watch;
-    watch->left = left_sends_new(on_left_settled, watch);
+    watch->left = left_calls_new(loop, stores);
     backends->on_process_doubted = on_process_doubted;
     backends->process_doubted_owner = watch;
     watch->suspicions = crash_suspicions_new(loop, backends, &suspicions_handler, watch);
@@ -154,50 +154,6 @@
     message_clear(&message);
 }
 
-/** Describes a send that was left: one for each request at each back end. */
-static void init_left_message(message_t *message, message_type_t type, const left_send_t *send) {
-    const uint64_t pair[] = {send->request, send->backend};
-    message_init(message, type);
-    message->crash.request = send->request;
-    message->crash.backend = (uint16_t)send->backend;
-    message->send = XXH64(pair, sizeof pair, 0);
-}
-
-static uint32_t left_run_ms(const crash_watch_t *watch, const left_send_t *send) {
-    uint64_t until = send->until + LEFT_SEND_MARGIN_MS;
-    return until > now(watch) ? (uint32_t)(until - now(watch)) : 0;
-}
-
-/** Storage nodes count what this gateway's calls have left if it is lost meanwhile. */
-static void send_left(const crash_watch_t *watch, const left_send_t *send, message_type_t type) {
-    if (watch->stores == NULL)
-        return;
-    message_t message;
-    init_left_message(&message, type, send);
-    message.wait_ms = left_run_ms(watch, send);
-    store_client_send_for_key(watch->stores, send->request, &message);
-    message_clear(&message);
-}
-
-static void on_left_settled(void *owner, const left_send_t *send) {
-    send_left(owner, send, MESSAGE_SEND_ENDED);
-}
-
-static void send_left_to_member(const crash_watch_t *watch, unsigned member) {
-    GArray *sends = g_array_new(FALSE, FALSE, sizeof(left_send_t));
-    left_sends_list(watch->left, now(watch), sends);
-    for (guint i = 0; i < sends->len; i++) {
-        const left_send_t *send = &g_array_index(sends, left_send_t, i);
-        if (!store_client_keeps_key(watch->stores, member, send->request))
-            continue;
-        message_t message;
-        init_left_message(&message, MESSAGE_SEND_LEFT, send);
-        message.wait_ms = left_run_ms(watch, send);
-        store_client_send_member(watch->stores, member, &message);
-    }
-    g_array_free(sends, TRUE);
-}
-
 static void send_crash(const crash_watch_t *watch, const crash_report_t *crash) {
     send_to_stores(watch, crash->silent ? MESSAGE_CRASH_SILENT : MESSAGE_CRASH, crash);
 }
@@ -224,7 +180,7 @@
     crash_history_list_stops(watch->history, now(watch), CRASHES_SENT_MAX, reports);
     send_to_member(watch, member, MESSAGE_REQUEST_STOPPED, reports);
     g_array_free(reports, TRUE);
-    send_left_to_member(watch, member);
+    left_calls_send_to_member(watch->left, member);
 }
 
 static void report_to_gateways(const crash_watch_t *watch, const crash_report_t *crash,
@@ -323,7 +279,7 @@
     crash_watch_t *watch = check->watch;
     crash_report_t *crash = &checked->crash;
     if (result == BACKEND_CHECK_ENDED || result == BACKEND_CHECK_UNREACHABLE) {
-        left_sends_remove(watch->left, crash->request, check->backend);
+        left_calls_remove(watch->left, crash->request, check->backend);
         if (checked->counted || crash_history_add(watch->history, crash, true))
             confirm_crash(watch, crash, is_sent(check, checked));
     } else if (checked->counted) {
@@ -380,7 +336,7 @@
         .counted = !recent_successes_contain(&watch->successes, request, now(watch)),
     };
     if (checked.counted && !crash_history_add(watch->history, &checked.crash, false)) {
-        left_sends_remove(watch->left, request, backend->id_hash);
+        left_calls_remove(watch->left, request, backend->id_hash);
         return;
     }
     suspected_backend_t *check = g_hash_table_lookup(watch->checks, &backend->id_hash);
@@ -405,7 +361,7 @@
 static void on_process_doubted(void *owner, backend_t *backend) {
     crash_watch_t *watch = owner;
     GArray *left = g_array_new(FALSE, FALSE, sizeof(left_send_t));
-    left_sends_take(watch->left, backend->id_hash, now(watch), left);
+    left_calls_take(watch->left, backend->id_hash, left);
     for (guint i = 0; i < left->len; i++) {
         const left_send_t *send = &g_array_index(left, left_send_t, i);
         event_log(BACKEND_LEFT_SEND_SUSPECTED, send->request, backend->record->instance,
@@ -434,9 +390,7 @@
 void crash_watch_give_up(crash_watch_t *watch, uint64_t request, const backend_t *backend,
                          uint64_t run_ms) {
     watch->counts.given_up++;
-    left_sends_add(watch->left, request, backend->id_hash, run_ms, now(watch));
-    const left_send_t left = {request, backend->id_hash, now(watch), now(watch) + run_ms};
-    send_left(watch, &left, MESSAGE_SEND_LEFT);
+    left_calls_add(watch->left, request, backend->id_hash, run_ms);
     uint64_t run_until = now(watch) + run_ms + LEFT_SEND_MARGIN_MS;
     bool quiet = now(watch) >= backend->observed.last_received_at + QUIET_MS;
     if (quiet || is_near_limit(watch, request)) {
@@ -469,7 +423,7 @@
 
 void crash_watch_record_success(crash_watch_t *watch, uint64_t request) {
     recent_successes_add(&watch->successes, request, now(watch));
-    left_sends_forget(watch->left, request);
+    left_calls_forget(watch->left, request);
     if (crash_history_count(watch->history, request, now(watch)) == 0)
         return;
     crash_report_t cleared = {.request = request, .at = now(watch), .cleared = true};
@@ -489,12 +443,35 @@
     return crash_history_count(watch->history, request, now(watch));
 }
 
+/** Describes the request's exposure; crash_exposure_t.left is to be freed. */
+static crash_exposure_t describe_exposure(const crash_watch_t *watch, uint64_t request) {
+    GArray *left = g_array_new(FALSE, FALSE, sizeof(left_send_t));
+    left_calls_list(watch->left, request, left);
+    return (crash_exposure_t){watch->history, request, left, now(watch)};
+}
+
+static void free_exposure(crash_exposure_t *exposure) {
+    g_array_free((GArray *)exposure->left, TRUE);
+}
+
+unsigned crash_watch_exposure(const crash_watch_t *watch, uint64_t request,
+                              const backend_t *except) {
+    if (crash_watch_count(watch, request) == 0)
+        return 0;
+    crash_exposure_t exposure = describe_exposure(watch, request);
+    unsigned count = crash_exposure_count(&exposure, except != NULL ? except->id_hash : 0);
+    free_exposure(&exposure);
+    return count;
+}
+
 uint32_t crash_watch_wait_ms(const crash_watch_t *watch, uint64_t request) {
-    uint32_t wait_ms = crash_history_wait_ms(watch->history, request, now(watch));
+    crash_exposure_t exposure = describe_exposure(watch, request);
+    uint32_t wait_ms = crash_exposure_wait_ms(&exposure);
+    free_exposure(&exposure);
     uint64_t settled_at;
     unsigned suspected = crash_suspicions_count(watch->suspicions, request, &settled_at);
     unsigned count = crash_history_count(watch->history, request, now(watch));
-    if (wait_ms == 0 || suspected == 0 || count - suspected >= CRASHES_MAX)
+    if (wait_ms == 0 || suspected == 0 || count < CRASHES_MAX || count - suspected >= CRASHES_MAX)
         return wait_ms;
     return (uint32_t)MIN(wait_ms, settled_at - now(watch));
 }
--- a/src/gateway/crash_watch.h
+++ b/src/gateway/crash_watch.h
@@ -20,7 +20,8 @@
  * The back end may run the request for longer (left_sends.h): a connection to it that breaks in
  * that time, under any request or idle, counts as one that broke under this one. Near its limit a
  * request counts a back end that it has left until the back end can't run it any more, so that it
- * runs at one back end at a time.
+ * runs at one back end at a time. Before that, what the request's calls have left at all gateways
+ * limits where it is sent (core/retry/crash_exposure.h).
  *
  * Thread safety: everything here belongs to the loop's thread.
  */
@@ -45,7 +46,9 @@
  */
 crash_watch_t *crash_watch_new(uv_loop_t *loop, backends_t *backends, load_sharing_t *sharing,
                                store_client_t *stores);
-/** Handles a MESSAGE_CRASH, MESSAGE_CRASH_WITHDRAWN or MESSAGE_REQUEST_STOPPED of a storage node.
+/**
+ * Handles a MESSAGE_CRASH, MESSAGE_CRASH_WITHDRAWN, MESSAGE_REQUEST_STOPPED or MESSAGE_SEND_LEFT of
+ * a storage node.
  */
 void crash_watch_handle_message(crash_watch_t *watch, const message_t *message);
 /** Sends a storage node that has connected the requests that are stopped, or about to be. */
@@ -75,6 +78,13 @@
 const crash_watch_counts_t *crash_watch_counts(const crash_watch_t *watch);
 /** Number of back ends that have ended under the request. */
 unsigned crash_watch_count(const crash_watch_t *watch, uint64_t request);
+/**
+ * Number of back ends that have ended under the request, and, if there are any, also of those that
+ * its calls have left at any gateway and that may still run it (core/retry/crash_exposure.h), other
+ * than @p except, which may be NULL.
+ */
+unsigned crash_watch_exposure(const crash_watch_t *watch, uint64_t request,
+                              const backend_t *except);
 /**
  * Time until the request may be sent, in ms; 0: now. A stop that rests on suspicions may end as
  * soon as these are settled.
--- /dev/null
+++ b/src/gateway/left_calls.h
@@ -0,0 +1,37 @@
+/**
+ * @file left_calls.h
+ * What calls have left at back ends that may still run it (core/retry/left_sends.h): calls of this
+ * gateway, which tells storage nodes so that its loss does not lose them, and those of others, as
+ * far as a storage node has told them.
+ *
+ * Thread safety: everything here belongs to the loop's thread.
+ */
+#ifndef RUDDERWAY_GATEWAY_LEFT_CALLS_H
+#define RUDDERWAY_GATEWAY_LEFT_CALLS_H
+
+#include "core/retry/left_sends.h"
+#include "gateway/store_client.h"
+
+typedef struct left_calls left_calls_t;
+
+/** @p stores may be NULL. */
+left_calls_t *left_calls_new(uv_loop_t *loop, store_client_t *stores);
+/** A call of this gateway has left the back end, which may run the request for @p run_ms more. */
+void left_calls_add(left_calls_t *calls, uint64_t request, uint64_t backend, uint64_t run_ms);
+/** Handles a MESSAGE_SEND_LEFT of a storage node, on a call of another gateway. */
+void left_calls_handle_message(left_calls_t *calls, const message_t *message);
+/** The end of the back end has been counted under the request. */
+void left_calls_remove(left_calls_t *calls, uint64_t request, uint64_t backend);
+/** The request got a complete successful response. */
+void left_calls_forget(left_calls_t *calls, uint64_t request);
+/**
+ * Removes what this gateway's calls have left at the back end, which may have ended it, and appends
+ * it to @p taken, of left_send_t.
+ */
+void left_calls_take(left_calls_t *calls, uint64_t backend, GArray *taken);
+/** Appends what calls of all gateways have left of the request to @p list, of left_send_t. */
+void left_calls_list(const left_calls_t *calls, uint64_t request, GArray *list);
+/** Tells a storage node that has connected what this gateway's calls have left. */
+void left_calls_send_to_member(const left_calls_t *calls, unsigned member);
+
+#endif
--- a/src/gateway/main.c
+++ b/src/gateway/main.c
@@ -75,7 +75,7 @@
     else if (message->type == RESPONSE_SEND)
         send_registry_handle_response(gateway->sends, message);
     else if (message->type == MESSAGE_CRASH || message->type == MESSAGE_CRASH_WITHDRAWN ||
-             message->type == MESSAGE_REQUEST_STOPPED)
+             message->type == MESSAGE_REQUEST_STOPPED || message->type == MESSAGE_SEND_LEFT)
         crash_watch_handle_message(gateway->crashes, message);
     else
         quota_client_handle_response(gateway->quotas, member, message);
--- a/src/store/store_crashes.c
+++ b/src/store/store_crashes.c
@@ -186,6 +186,26 @@
     g_array_free(reports, TRUE);
 }
 
+/** Sends what calls of other gateways have left of the request, and back ends may still run. */
+static void send_left(const store_t *store, frame_connection_t *connection, uint64_t request,
+                      uint64_t now) {
+    GArray *list = g_array_new(FALSE, FALSE, sizeof(left_send_report_t));
+    open_sends_list_left(store->sends, request, *frame_connection_serial(connection), now, list);
+    for (guint i = 0; i < list->len; i++) {
+        const left_send_report_t *left = &g_array_index(list, left_send_report_t, i);
+        message_t message;
+        message_init(&message, MESSAGE_SEND_LEFT);
+        message.generation = store->group->generation;
+        message.crash.request = left->request;
+        message.crash.backend = left->backend;
+        message.send = left->send;
+        message.wait_ms = (uint32_t)(left->until - now);
+        frame_connection_send(connection, message_encode(&message));
+        message_clear(&message);
+    }
+    g_array_free(list, TRUE);
+}
+
 /* Messages of gateways. */
 
 void store_handle_crash(store_t *store, const message_t *message) {
@@ -253,8 +273,10 @@
     bool suspect = crash_history_count(store->crashes, request->crash.request, now) > 0;
     bool begun = open_sends_begin(store->sends, request->crash.request, request->send, gateway,
                                   suspect, now);
-    if (suspect)
+    if (suspect) {
         send_known(store, connection, request->crash.request, now);
+        send_left(store, connection, request->crash.request, now);
+    }
     if (suspect && begun)
         record_send(store, connection, request, now);
     else
--- a/src/storesim/world.c
+++ b/src/storesim/world.c
@@ -99,6 +99,8 @@
         g_array_append_val(gateway->crashes, message->crash);
     else if (message->type == MESSAGE_CRASH_WITHDRAWN)
         g_array_append_val(gateway->withdrawn, message->crash);
+    else if (message->type == MESSAGE_SEND_LEFT)
+        g_array_append_val(gateway->left, message->crash);
     else if (message->type == MESSAGE_REQUEST_STOPPED)
         g_array_append_val(gateway->stops, message->crash);
     else
@@ -153,6 +155,7 @@
     world_gateway_t *gateway = g_new0(world_gateway_t, 1);
     gateway->crashes = g_array_new(FALSE, FALSE, sizeof(crash_report_t));
     gateway->withdrawn = g_array_new(FALSE, FALSE, sizeof(crash_report_t));
+    gateway->left = g_array_new(FALSE, FALSE, sizeof(crash_report_t));
     gateway->stops = g_array_new(FALSE, FALSE, sizeof(crash_report_t));
     char *name = g_strdup_printf("gateway-%u", number);
     char *zone = g_strdup_printf("zone-%u", number % 4);
--- a/src/storesim/world.h
+++ b/src/storesim/world.h
@@ -36,6 +36,7 @@
     quota_client_t *quotas;
     GArray *crashes;   /**< Of crash_report_t: those that storage nodes have passed on. */
     GArray *withdrawn; /**< Of crash_report_t: crashes that they have withdrawn. */
+    GArray *left;      /**< Of crash_report_t: sends that other gateways' calls have left. */
     GArray *stops;     /**< Of crash_report_t: stops that they have passed on. */
 } world_gateway_t;
 
--- a/tests/unit/crash_sharing_test.cc
+++ b/tests/unit/crash_sharing_test.cc
@@ -495,6 +495,31 @@
     EXPECT_EQ(crash_watch_count(one.watch, REQUEST), 3U) << "a later process may have answered";
 }
 
+// Guards against a fourth back end that ends beside ones which calls have left at several gateways.
+TEST_F(CrashSharing, BackEndsThatCallsHaveLeftAtAllGatewaysAreExposedOnceOneHasEnded) {
+    Side &one = open("here");
+    Port accepting(Port::ACCEPTS);
+    backend_t *backend = add_backend(one, "a", accepting);
+    crash_watch_give_up(one.watch, REQUEST, backend, RUN_MS);
+    message_t message;
+    message_init(&message, MESSAGE_SEND_LEFT);
+    message.crash.request = REQUEST;
+    message.crash.backend = static_cast<uint16_t>(backend->id_hash + 1);
+    message.wait_ms = RUN_MS;
+    crash_watch_handle_message(one.watch, &message);
+    message_clear(&message);
+    EXPECT_TRUE(run_until([&] { return crash_watch_count(one.watch, REQUEST) == 0; }));
+    EXPECT_EQ(crash_watch_exposure(one.watch, REQUEST, nullptr), 0U);
+    crash(one, "b");
+    EXPECT_EQ(crash_watch_count(one.watch, REQUEST), 1U);
+    EXPECT_EQ(crash_watch_exposure(one.watch, REQUEST, nullptr), 3U);
+    EXPECT_EQ(crash_watch_exposure(one.watch, REQUEST, backend), 2U);
+    EXPECT_GT(crash_watch_wait_ms(one.watch, REQUEST), 0U);
+    EXPECT_LE(crash_watch_wait_ms(one.watch, REQUEST), RUN_MS + LEFT_SEND_MARGIN_MS + 1);
+    crash_watch_record_success(one.watch, REQUEST);
+    EXPECT_EQ(crash_watch_exposure(one.watch, REQUEST, nullptr), 0U);
+}
+
 TEST_F(CrashSharing, AnIdleConnectionThatBreaksAfterTheCallHasLeftShowsTheEnd) {
     Side &one = open("here");
     auto *accepting = new Port(Port::ACCEPTS);
--- a/tests/unit/left_sends_test.cc
+++ b/tests/unit/left_sends_test.cc
@@ -77,6 +77,17 @@
     EXPECT_TRUE(settled.empty());
 }
 
+TEST_F(LeftSends, OfOneRequestAreListedUntilTheirTimeIsOver) {
+    left_sends_add(sends, 1, BACKEND, 900, NOW);
+    left_sends_add(sends, 2, BACKEND, 500, NOW);
+    left_sends_add(sends, 2, BACKEND + 1, 900, NOW);
+    GArray *list = g_array_new(FALSE, FALSE, sizeof(left_send_t));
+    left_sends_list_request(sends, 2, NOW + 600 + LEFT_SEND_MARGIN_MS, list);
+    ASSERT_EQ(list->len, 1U);
+    EXPECT_EQ(g_array_index(list, left_send_t, 0).backend, BACKEND + 1);
+    g_array_free(list, TRUE);
+}
+
 TEST_F(LeftSends, AreBoundedAndTheOldestGo) {
     for (uint64_t request = 0; request <= LEFT_SENDS_MAX; request++)
         left_sends_add(sends, request, BACKEND, 500, NOW);
--- a/tests/unit/store_crashes_test.cc
+++ b/tests/unit/store_crashes_test.cc
@@ -81,6 +81,13 @@
             world_start_gateway(gateway(i));
         }
     }
+    /** Back ends of which @p number was told that other gateways' calls have left them. */
+    std::set<unsigned> left(unsigned number) const {
+        std::set<unsigned> backends;
+        for (guint i = 0; i < gateway(number)->left->len; i++)
+            backends.insert(g_array_index(gateway(number)->left, crash_report_t, i).backend);
+        return backends;
+    }
     std::set<unsigned> known(unsigned number) const {
         std::set<unsigned> backends;
         for (guint i = 0; i < gateway(number)->crashes->len; i++) {
@@ -299,6 +306,27 @@
     EXPECT_EQ(gateway(1)->withdrawn->len, unsigned{STORE_KEY_MEMBERS});
 }
 
+// Guards against a request that ends one more back end than others know, which it has left there.
+TEST_F(StoreCrashes, WhatOtherGatewaysHaveLeftIsToldToTheOneThatSendsTheRequest) {
+    report(0, 1);
+    leave(0, 11, 3000);
+    leave(0, 12, 500);
+    leave(1, 13, 3000);
+    virtual_run(virtual_now() + 600);
+    send(1, REQUEST_SEND, 0, 14);
+    EXPECT_EQ(left(1), std::set<unsigned>{11});
+    send(0, MESSAGE_SEND_ENDED, 0, left_send + 11);
+    g_array_set_size(gateway(2)->left, 0);
+    send(2, REQUEST_SEND, 0, 15);
+    EXPECT_EQ(left(2), std::set<unsigned>{13});
+}
+
+TEST_F(StoreCrashes, WhatOtherGatewaysHaveLeftIsNotToldOfARequestUnderWhichNoneHasEnded) {
+    leave(0, 11, 3000);
+    send(1, REQUEST_SEND, 0, 12);
+    EXPECT_TRUE(left(1).empty());
+}
+
 TEST_F(StoreCrashes, ASendThatHasEndedDoesNotCount) {
     send(0, REQUEST_SEND, 0, 11);
     send(0, MESSAGE_SEND_ENDED, 0, 11);
