tests: one function plays a scenario of the soak's direct fleet and reports it

Five test programs ended with the same eight lines: empty the folder, play the scenario, count broken promises, print the report and exit by it. They are play_and_exit() of direct_fleet.py now; what each sets before stays with it. No check, bound or seed changes.

--- a/tests/soak/crash_request_test.py
+++ b/tests/soak/crash_request_test.py
@@ -7,11 +7,9 @@
 """
 
 import asyncio
-import json
 import math
 import os
 import re
-import shutil
 import signal
 import socket
 import sys
@@ -22,7 +20,7 @@
 import soak
 from backends import Backend, event_data
 from callers import RESUMABLE, SAFE
-from direct_fleet import Fleet, Scenario, new_parser, read_options
+from direct_fleet import Fleet, Scenario, new_parser, play_and_exit, read_options
 from http_message import read_head, read_pieces, render, render_answer, render_chunk
 from promises import Attempt
 from proxy import reset
@@ -615,13 +613,7 @@
 
 def main():
     options = read_crash_options()
-    shutil.rmtree(options.folder, ignore_errors=True)
-    os.makedirs(options.folder)
-    scenario = CrashScenario(options)
-    report = asyncio.new_event_loop().run_until_complete(scenario.play())
-    report["broken"] = len(scenario.promises.broken)
-    print(json.dumps(report), flush=True)
-    os._exit(0 if report["held"] and report["broken"] == 0 else 1)
+    play_and_exit(CrashScenario, options)
 
 
 if __name__ == "__main__":
--- a/tests/soak/direct_fleet.py
+++ b/tests/soak/direct_fleet.py
@@ -3,8 +3,10 @@
 
 import argparse
 import asyncio
+import json
 import os
 import random
+import shutil
 import types
 
 import soak
@@ -132,3 +134,15 @@
     options.features = []
     options.build, options.folder = os.path.abspath(options.build), os.path.abspath(options.folder)
     return options
+
+
+def play_and_exit(new_scenario, options):
+    """Plays a scenario in an empty folder, prints its report, and ends the process: exit status 0
+    if it held and no promise was broken."""
+    shutil.rmtree(options.folder, ignore_errors=True)
+    os.makedirs(options.folder)
+    scenario = new_scenario(options)
+    report = asyncio.new_event_loop().run_until_complete(scenario.play())
+    report["broken"] = len(scenario.promises.broken)
+    print(json.dumps(report), flush=True)
+    os._exit(0 if report["held"] and report["broken"] == 0 else 1)
--- a/tests/soak/endless_answer_test.py
+++ b/tests/soak/endless_answer_test.py
@@ -8,10 +8,8 @@
 """
 
 import asyncio
-import json
 import os
 import re
-import shutil
 import sys
 import time
 
@@ -20,7 +18,7 @@
 import soak
 from backends import Backend
 from callers import RESUMABLE, SAFE, TURN, UNSAFE
-from direct_fleet import Fleet, Scenario, new_parser, read_options
+from direct_fleet import Fleet, Scenario, new_parser, play_and_exit, read_options
 from http_message import read_head, read_pieces, render, render_chunk
 from promises import Attempt
 
@@ -179,13 +177,7 @@
     options = read_options(new_parser(__doc__, "endless-answer", list(FORMS)))
     # What a sanitizer keeps of freed memory is no growth of the process's own.
     os.environ["ASAN_OPTIONS"] = os.environ.get("ASAN_OPTIONS", "") + ":quarantine_size_mb=4"
-    shutil.rmtree(options.folder, ignore_errors=True)
-    os.makedirs(options.folder)
-    scenario = EndlessScenario(options)
-    report = asyncio.new_event_loop().run_until_complete(scenario.play())
-    report["broken"] = len(scenario.promises.broken)
-    print(json.dumps(report), flush=True)
-    os._exit(0 if report["held"] and report["broken"] == 0 else 1)
+    play_and_exit(EndlessScenario, options)
 
 
 if __name__ == "__main__":
--- a/tests/soak/graceful_stop_test.py
+++ b/tests/soak/graceful_stop_test.py
@@ -10,12 +10,10 @@
 """
 
 import asyncio
-import json
 import math
 import os
 import random
 import re
-import shutil
 import socket
 import sys
 import time
@@ -26,7 +24,7 @@
 
 from backends import Backend, events_of
 from callers import RESUMABLE, SAFE, TURN, UNSAFE, Caller, Result
-from direct_fleet import Fleet, Scenario, new_parser, read_options
+from direct_fleet import Fleet, Scenario, new_parser, play_and_exit, read_options
 from http_message import render
 from promises import Attempt
 
@@ -503,13 +501,7 @@
     parser.set_defaults(programs=4)
     options = read_options(parser)
     options.play = PLAYS.get(options.scenario) or draw_play(random.Random(options.seed))
-    shutil.rmtree(options.folder, ignore_errors=True)
-    os.makedirs(options.folder)
-    scenario = GracefulScenario(options)
-    report = asyncio.new_event_loop().run_until_complete(scenario.play())
-    report["broken"] = len(scenario.promises.broken)
-    print(json.dumps(report), flush=True)
-    os._exit(0 if report["held"] and report["broken"] == 0 else 1)
+    play_and_exit(GracefulScenario, options)
 
 
 if __name__ == "__main__":
--- a/tests/soak/odd_entries_test.py
+++ b/tests/soak/odd_entries_test.py
@@ -15,7 +15,6 @@
 import json
 import os
 import random
-import shutil
 import sys
 import time
 
@@ -24,7 +23,7 @@
 import soak
 from backends import Backend
 from callers import SAFE, UNSAFE
-from direct_fleet import Fleet, Scenario, new_parser, read_options
+from direct_fleet import Fleet, Scenario, new_parser, play_and_exit, read_options
 from faults import DRAIN_S, DRAIN_SLACK_S, RETIRE_PATIENCE_S, Fault, Player
 
 SCENARIOS = ["server_entries", "own_keys", "group_changes"]
@@ -295,13 +294,7 @@
 
 def main():
     options = read_options(new_parser(__doc__, "odd-entries", SCENARIOS))
-    shutil.rmtree(options.folder, ignore_errors=True)
-    os.makedirs(options.folder)
-    scenario = OddScenario(options)
-    report = asyncio.new_event_loop().run_until_complete(scenario.play())
-    report["broken"] = len(scenario.promises.broken)
-    print(json.dumps(report), flush=True)
-    os._exit(0 if report["held"] and report["broken"] == 0 else 1)
+    play_and_exit(OddScenario, options)
 
 
 if __name__ == "__main__":
--- a/tests/soak/version_stream_test.py
+++ b/tests/soak/version_stream_test.py
@@ -7,10 +7,8 @@
 """
 
 import asyncio
-import json
 import os
 import re
-import shutil
 import signal
 import sys
 import time
@@ -20,7 +18,7 @@
 import soak
 from backends import Backend
 from callers import RESUMABLE
-from direct_fleet import RESTART_S, Fleet, Scenario, new_parser, read_options
+from direct_fleet import Fleet, RESTART_S, Scenario, new_parser, play_and_exit, read_options
 from http_message import read_head, read_pieces, render, render_chunk
 from promises import Attempt
 from proxy import reset
@@ -295,13 +293,7 @@
     parser.set_defaults(engines=10, programs=0)
     options = read_options(parser)
     options.judge_share = True
-    shutil.rmtree(options.folder, ignore_errors=True)
-    os.makedirs(options.folder)
-    scenario = VersionScenario(options)
-    report = asyncio.new_event_loop().run_until_complete(scenario.play())
-    report["broken"] = len(scenario.promises.broken)
-    print(json.dumps(report), flush=True)
-    os._exit(0 if report["held"] and report["broken"] == 0 else 1)
+    play_and_exit(VersionScenario, options)
 
 
 if __name__ == "__main__":
