gateway: a call is not given up because its response may be lost

Cause: a response that is later than those of calls sent later, a stream that is silent for 1.2 s (E831 `overtaken`) and a response that is later than its route's usual ones (`late`) are suspicions: the back end may only be slow. `overtaken` was treated as a failed send on every send. After two back ends and two resends to the second one, the fourth suspicion ended the call. `late` already left the last send alone.

By reading: a suspicion against the only back end of a service left it for another, found none and failed the call with `no_backend`.

Now a suspicion only ever moves a call (resend_after_suspicion): to a back end not tried yet if the route allows one and there is one, else once to the same one. Then the call stays at its last send until its response or its time ends. The second resend to the same back end is left to a send that has definitely failed. The total of sends is as before, so that repeats can't pile up: no new bound on back ends, and one resend less on suspicion. Silence of the whole back end is still probed for a call that waits while overtaken, which its verdict used to hide.

Not changed: a call that is refused as not run after suspicions have used up its back ends still gets 502.

--- a/src/core/retry/resend.h
+++ b/src/core/retry/resend.h
@@ -8,6 +8,10 @@
  * same back end does not count either, and it is cheap: a stream resumes after its last event, and
  * the prompt is cached.
  *
+ * A suspicion that the response is lost (stall.h, answer_time.h) may be wrong: the back end may
+ * only be slow. Where it can't lead to a resend, the call goes on waiting for its current send, and
+ * the last resend to the same back end is left to a send that has definitely failed.
+ *
  * Decision code: no I/O, clock or threads.
  */
 #ifndef RUDDERWAY_CORE_RETRY_RESEND_H
@@ -15,8 +19,11 @@
 
 #include <stdbool.h>
 
-/** Maximum number of resends to the same back end. */
-enum { RESEND_SAME_MAX = 2 };
+enum {
+    RESEND_SAME_MAX = 2, /**< Maximum number of resends to the same back end. */
+    /** Of these, the ones that a suspicion may lead to. */
+    RESEND_SUSPECTED_SAME_MAX = RESEND_SAME_MAX - 1,
+};
 
 typedef enum {
     RESEND_NO,        /**< Do not resend; the call fails. */
@@ -32,11 +39,17 @@
     unsigned repeats;  /**< Resends to the same back end. */
     bool time_left;
     bool same_usable; /**< The current back end is in the directory and has not announced a stop. */
+    bool other_usable; /**< There is a back end not tried yet; for resend_after_suspicion(). */
 } resend_state_t;
 
 /** After an attempt that was not executed. */
 resend_t resend_after_not_run(const resend_state_t *state);
 /** After an attempt of a retryable call that may have been executed. */
 resend_t resend_after_unknown(const resend_state_t *state);
+/**
+ * For an attempt of a retryable call whose response is only suspected to be lost. RESEND_NO: the
+ * call is not given up but waits for the response.
+ */
+resend_t resend_after_suspicion(const resend_state_t *state);
 
 #endif
--- a/src/core/retry/stall.c
+++ b/src/core/retry/stall.c
@@ -17,10 +17,8 @@
            backend->answered_sent_at >= call->sent_at + OVERTAKEN_BY_MS;
 }
 
-stall_t stall_evaluate(const call_activity_t *call, const backend_activity_t *backend,
-                       uint64_t now) {
-    if (is_lost(call, backend, now))
-        return STALL_CALL_LOST;
+stall_t stall_evaluate_backend(const call_activity_t *call, const backend_activity_t *backend,
+                               uint64_t now) {
     uint64_t idle_ms =
         now - (backend->last_received_at > call->last_received_at ? backend->last_received_at
                                                                   : call->last_received_at);
@@ -29,3 +27,9 @@
         timeout_ms = SUSPECT_MIN_MS;
     return idle_ms >= timeout_ms ? STALL_SUSPECTED : STALL_NONE;
 }
+
+stall_t stall_evaluate(const call_activity_t *call, const backend_activity_t *backend,
+                       uint64_t now) {
+    return is_lost(call, backend, now) ? STALL_CALL_LOST
+                                       : stall_evaluate_backend(call, backend, now);
+}
--- a/src/core/retry/stall.h
+++ b/src/core/retry/stall.h
@@ -4,8 +4,9 @@
  *
  * A slow back end delays all its calls, while one that has lost a call continues to serve others.
  * A call is therefore considered lost if a call sent later has been answered, or if other streams
- * make progress while its own does not. A back end that sends nothing at all may have failed; the
- * caller then probes whether it accepts connections.
+ * make progress while its own does not. That is a suspicion: a back end may take calls in any order
+ * and at any pace, so that it never ends a call (resend.h). A back end that sends nothing at all
+ * may have failed; the caller then probes whether it accepts connections.
  *
  * Decision code: no I/O, clock or threads; times are ms of the caller's steady clock.
  */
@@ -37,5 +38,8 @@
 
 stall_t stall_evaluate(const call_activity_t *call, const backend_activity_t *backend,
                        uint64_t now);
+/** Like stall_evaluate(), for a call that waits at its back end although it may be lost there. */
+stall_t stall_evaluate_backend(const call_activity_t *call, const backend_activity_t *backend,
+                               uint64_t now);
 
 #endif
--- a/src/gateway/backend_choice.c
+++ b/src/gateway/backend_choice.c
@@ -52,6 +52,23 @@
            !g_ptr_array_find((GPtrArray *)choice->excluded, backend, NULL);
 }
 
+static bool any_other_usable(const GPtrArray *list, const backend_choice_t *choice,
+                             const backend_t *backend) {
+    for (guint i = 0; i < list->len; i++) {
+        const backend_t *other = g_ptr_array_index(list, i);
+        if (other != backend && usable(other, choice))
+            return true;
+    }
+    return false;
+}
+
+bool backends_have_other(const backends_t *backends, const backend_choice_t *choice,
+                         const backend_t *backend) {
+    const service_members_t *members = g_hash_table_lookup(backends->by_service, choice->service);
+    return members != NULL && (any_other_usable(members->local, choice, backend) ||
+                               any_other_usable(members->remote, choice, backend));
+}
+
 static void add_service(candidates_t *candidates, backend_t *backend,
                         const backend_choice_t *choice, bool avoided) {
     service_candidate_t candidate = {
--- a/src/gateway/backends.h
+++ b/src/gateway/backends.h
@@ -162,6 +162,9 @@
 /** True if at least half of the slots of some back end are known to be occupied. */
 bool backends_half_full(const backends_t *backends);
 
+/** True if a back end other than @p backend can be chosen. */
+bool backends_have_other(const backends_t *backends, const backend_choice_t *choice,
+                         const backend_t *backend);
 /** Chooses a back end, takes a reference and counts the call as active; NULL if there is none. */
 backend_t *backends_choose(backends_t *backends, const backend_choice_t *choice);
 /** Like backends_choose, for engines. */
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -138,6 +138,7 @@
     unsigned repeat_connects_failed;
     uint64_t repeat_failed_at; /**< When the first of these connections failed. */
     bool suspect;              /**< The current send counts in backend_t.suspects. */
+    bool left_on_suspicion;    /**< The current send was left though its response may come. */
     uint64_t last_received_at; /**< When something that the caller can use was last received;
                                   initially `sent_at`. */
     bool version_recorded;     /**< The version of the back end of this send; call_version.c. */
@@ -202,6 +203,8 @@
 void call_send(call_t *call);
 /** Resends the call to its current back end. */
 void call_send_same_backend(call_t *call);
+/** True if there is a back end other than the current one that the call has not been sent to. */
+bool call_has_other_backend(const call_t *call);
 /** Releases the current back end and excludes it from further choices for this call. */
 void call_exclude_backend(call_t *call);
 /** Discards what has been received of a response that is not streamed. */
@@ -242,8 +245,13 @@
  * from the late-response budget in that case.
  */
 bool call_take_late_retry(call_t *call, uint64_t now);
-/** Handles a call whose response is late or overtaken, or whose back end is unreachable. */
-void call_handle_backend_lost(call_t *call, const char *reason);
+/**
+ * True if the call may be resent because the response to its current send may be lost. Otherwise it
+ * waits for that response.
+ */
+bool call_may_resend_on_suspicion(const call_t *call);
+/** Resends a call whose response is late or overtaken, and that may be resent on suspicion. */
+void call_handle_suspicion(call_t *call, const char *reason);
 /** Handles a back end that no longer accepts connections. */
 void call_handle_backend_unreachable(call_t *call);
 
--- a/src/gateway/call_retry.c
+++ b/src/gateway/call_retry.c
@@ -52,7 +52,17 @@
     };
 }
 
-/* Late responses of repeatable calls. For stalled streams see core/retry/stall.h. */
+/* Responses that may be lost. Late ones of repeatable calls; for stalls see core/retry/stall.h. */
+
+static resend_t decide_on_suspicion(const call_t *call) {
+    resend_state_t state = describe_sends(call);
+    state.other_usable = call_has_other_backend(call);
+    return resend_after_suspicion(&state);
+}
+
+bool call_may_resend_on_suspicion(const call_t *call) {
+    return decide_on_suspicion(call) != RESEND_NO;
+}
 
 static bool is_plain_repeatable(const call_t *call) {
     return call->route->kind == CALL_REPEATABLE;
@@ -80,8 +90,7 @@
     const answer_time_t *times = g_hash_table_lookup(gateway->answer_times, call->route->name);
     if (times == NULL || now - call->sent_at < answer_time_late_ms(times))
         return false;
-    resend_state_t state = describe_sends(call);
-    return resend_after_unknown(&state) != RESEND_NO && retry_budget_take(&gateway->late_budget);
+    return call_may_resend_on_suspicion(call) && retry_budget_take(&gateway->late_budget);
 }
 
 bool call_may_use_other_backend(const call_t *call) {
@@ -109,8 +118,13 @@
 }
 
 static resend_t decide_resend(const call_t *call) {
+    if (!call_repeatable(call))
+        return RESEND_NO;
+    resend_t resend = call->left_on_suspicion ? decide_on_suspicion(call) : RESEND_NO;
+    if (resend != RESEND_NO)
+        return resend;
     resend_state_t state = describe_sends(call);
-    return call_repeatable(call) ? resend_after_unknown(&state) : RESEND_NO;
+    return resend_after_unknown(&state);
 }
 
 static void resend_or_fail(call_t *call) {
@@ -190,7 +204,8 @@
     call_send(call);
 }
 
-void call_handle_backend_lost(call_t *call, const char *reason) {
+/** Leaves the current send, to which no response has come. */
+static void leave_send(call_t *call, const char *reason) {
     call_log_send_failed(call, reason);
     call_close_client(call);
     if (!call->streaming)
@@ -198,8 +213,13 @@
     call_handle_unknown_outcome(call, CALL_BACKEND_LOST);
 }
 
+void call_handle_suspicion(call_t *call, const char *reason) {
+    call->left_on_suspicion = true;
+    leave_send(call, reason);
+}
+
 void call_handle_backend_unreachable(call_t *call) {
     call->backends_ended++;
     crash_watch_record_unreachable(call->gateway->crashes, call->request_id, call->backend);
-    call_handle_backend_lost(call, "unreachable");
+    leave_send(call, "unreachable");
 }
--- a/src/gateway/call_send.c
+++ b/src/gateway/call_send.c
@@ -377,17 +377,26 @@
     return true;
 }
 
-static bool choose_backend(call_t *call) {
-    backends_t *backends = &call->gateway->backends;
-    load_sharing_refresh(call->gateway->load_sharing);
-    gateway_update_confirmation(call->gateway);
-    backend_choice_t choice = {
+static backend_choice_t describe_choice(const call_t *call) {
+    return (backend_choice_t){
         .service = call->service_name,
         .excluded = call->tried,
         .slots = call->service == NULL ? 0 : call->service->slots,
         .version = call->stream.version,
-        .certain = backends_versions_differ(backends, call->service_name),
+        .certain = backends_versions_differ(&call->gateway->backends, call->service_name),
     };
+}
+
+bool call_has_other_backend(const call_t *call) {
+    backend_choice_t choice = describe_choice(call);
+    return backends_have_other(&call->gateway->backends, &choice, call->backend);
+}
+
+static bool choose_backend(call_t *call) {
+    backends_t *backends = &call->gateway->backends;
+    load_sharing_refresh(call->gateway->load_sharing);
+    gateway_update_confirmation(call->gateway);
+    backend_choice_t choice = describe_choice(call);
     engine_request_t request = {.place = call->last_engine, .part = prompt_part_hash(call)};
     if (crash_watch_count(call->gateway->crashes, call->request_id) == CRASHES_NEAR_MAX)
         return choose_for_suspect(call, &choice);
@@ -430,6 +439,7 @@
     call->not_run = false;
     call->answered = false;
     call->version_recorded = false;
+    call->left_on_suspicion = false;
     call->sent_at = uv_now(gateway->loop);
     call->last_received_at = call->sent_at;
     call->sends++;
--- a/src/gateway/stall_watch.c
+++ b/src/gateway/stall_watch.c
@@ -5,10 +5,16 @@
 
 enum { CHECK_INTERVAL_MS = 100 };
 
+static void check_backend(call_t *call) {
+    if (backend_found_unreachable_since(call->backend, call->last_received_at))
+        call_handle_backend_unreachable(call);
+    else
+        backend_probe(call->backend);
+}
+
 static void check_call(call_t *call, uint64_t now) {
-    backend_t *backend = call->backend;
     if (call_take_late_retry(call, now)) {
-        call_handle_backend_lost(call, "late");
+        call_handle_suspicion(call, "late");
         return;
     }
     call_activity_t call_state = {
@@ -16,19 +22,14 @@
         .last_received_at = call->last_received_at,
         .answered = call->answered,
     };
-    switch (stall_evaluate(&call_state, &backend->observed, now)) {
-    case STALL_CALL_LOST:
-        call_handle_backend_lost(call, "overtaken");
-        break;
-    case STALL_SUSPECTED:
-        if (backend_found_unreachable_since(backend, call->last_received_at))
-            call_handle_backend_unreachable(call);
-        else
-            backend_probe(backend);
-        break;
-    case STALL_NONE:
-        break;
+    const backend_activity_t *observed = &call->backend->observed;
+    stall_t stall = stall_evaluate(&call_state, observed, now);
+    if (stall == STALL_CALL_LOST && call_may_resend_on_suspicion(call)) {
+        call_handle_suspicion(call, "overtaken");
+        return;
     }
+    if (stall_evaluate_backend(&call_state, observed, now) == STALL_SUSPECTED)
+        check_backend(call);
 }
 
 static void on_check(uv_timer_t *timer) {
--- a/tests/unit/resend_test.cc
+++ b/tests/unit/resend_test.cc
@@ -3,8 +3,10 @@
 
 extern "C" {
 #include "core/retry/answer_time.h"
+#include "core/retry/crash_history.h"
 #include "core/retry/resend.h"
 #include "core/retry/stall.h"
+#include "gateway/backends.h"
 }
 
 namespace {
@@ -62,6 +64,93 @@
     EXPECT_EQ(resend_after_unknown(&state), RESEND_NO);
 }
 
+resend_state_t at_the_last_back_end() {
+    resend_state_t state = after_first_send();
+    state.other_usable = true;
+    return state;
+}
+
+// A call is given up though sound back ends work on it, since all of them are slow.
+TEST(Resend, SuspicionsLeaveTheLastResendToAFailure) {
+    resend_state_t state = at_the_last_back_end();
+    unsigned times = 0;
+    for (; resend_after_suspicion(&state) == RESEND_SAME; times++)
+        state.repeats++;
+    EXPECT_EQ(times, unsigned{RESEND_SUSPECTED_SAME_MAX});
+    EXPECT_EQ(resend_after_suspicion(&state), RESEND_NO);
+    EXPECT_EQ(resend_after_unknown(&state), RESEND_SAME) << "it is lost for certain now";
+}
+
+// Suspicions send a call to more back ends than its route allows.
+TEST(Resend, SuspicionsKeepTheRoutesLimit) {
+    resend_state_t state = at_the_last_back_end();
+    EXPECT_NE(resend_after_suspicion(&state), RESEND_ELSEWHERE);
+    state.attempts = 2;
+    EXPECT_EQ(resend_after_suspicion(&state), RESEND_ELSEWHERE);
+}
+
+// A call leaves the only back end of its service, which works on it, and fails for want of another.
+TEST(Resend, ASuspicionAgainstTheOnlyBackEndDoesNotSearchForAnother) {
+    resend_state_t state = at_the_last_back_end();
+    state.attempts = 2;
+    state.other_usable = false;
+    EXPECT_EQ(resend_after_suspicion(&state), RESEND_SAME);
+    state.repeats = RESEND_SUSPECTED_SAME_MAX;
+    EXPECT_EQ(resend_after_suspicion(&state), RESEND_NO);
+}
+
+class OtherBackEnd : public testing::Test {
+  protected:
+    OtherBackEnd() {
+        uv_loop_init(&loop);
+        backends_init(&backends, &loop, "here", "10.0.0.1:77");
+    }
+    ~OtherBackEnd() override {
+        backends_clear(&backends);
+        uv_loop_close(&loop);
+    }
+    const backend_t *add(const char *instance, const char *zone, bool leaving = false) {
+        auto *record = g_new0(backend_record_t, 1);
+        record->instance = g_strdup(instance);
+        record->service = g_strdup("models");
+        record->zone = g_strdup(zone);
+        record->leaving = leaving;
+        backends_update(&backends, record);
+        return static_cast<backend_t *>(g_hash_table_lookup(backends.by_instance, instance));
+    }
+    bool exists_beside(const backend_t *current, const GPtrArray *tried = nullptr) {
+        backend_choice_t choice = {"models", tried, 0, VERSION_ANY, false};
+        return backends_have_other(&backends, &choice, current);
+    }
+    uv_loop_t loop;
+    backends_t backends;
+};
+
+// A call leaves the last back end that works on it for one that stops, or that it has been sent to.
+TEST_F(OtherBackEnd, IsOneThatCanBeChosen) {
+    const backend_t *current = add("a", "here");
+    EXPECT_FALSE(exists_beside(current));
+    add("b", "here", true);
+    EXPECT_FALSE(exists_beside(current)) << "it has announced a stop";
+    const backend_t *remote = add("c", "there");
+    EXPECT_TRUE(exists_beside(current));
+    GPtrArray *tried = g_ptr_array_new();
+    g_ptr_array_add(tried, const_cast<backend_t *>(remote));
+    EXPECT_FALSE(exists_beside(current, tried));
+    g_ptr_array_free(tried, TRUE);
+}
+
+// A request under which back ends have ended is sent once more because it takes long.
+TEST(Resend, ASuspicionDoesNotResendWhatMustNotBeSent) {
+    resend_state_t state = at_the_last_back_end();
+    state.attempts = 2;
+    state.crashes = CRASHES_MAX;
+    EXPECT_EQ(resend_after_suspicion(&state), RESEND_NO);
+    state.crashes = 0;
+    state.time_left = false;
+    EXPECT_EQ(resend_after_suspicion(&state), RESEND_NO);
+}
+
 constexpr uint64_t SENT = 10000;
 
 stall_t judge(bool answered, uint64_t call_last_at, backend_activity_t backend, uint64_t now) {
@@ -96,6 +185,16 @@
         << "the back end is slow";
 }
 
+// A back end that loses power under a call that waits there is never probed, since the call counts
+// as overtaken until its end.
+TEST(Stall, AnInactiveBackEndIsSuspectedUnderAnOvertakenCall) {
+    call_activity_t call = {SENT, SENT, false};
+    backend_activity_t active = {SENT + 990, SENT + 500, 50};
+    EXPECT_EQ(stall_evaluate_backend(&call, &active, SENT + 1000), STALL_NONE);
+    EXPECT_EQ(stall_evaluate(&call, &active, SENT + 1300), STALL_CALL_LOST);
+    EXPECT_EQ(stall_evaluate_backend(&call, &active, SENT + 1300), STALL_SUSPECTED);
+}
+
 TEST(Stall, AStalledStreamIsLostWhileOthersProgress) {
     EXPECT_EQ(judge(true, SENT + 100, {SENT + 1390, SENT, 50}, SENT + 1400), STALL_CALL_LOST);
     EXPECT_EQ(judge(true, SENT + 100, {SENT + 900, SENT, 50}, SENT + 1400), STALL_SUSPECTED)
