storage nodes: the group's key is restored after another writer's odd value

Cause: a storage node ignored a value that it can't read together with its revision, so each later compare-and-swap of the group conflicted for good.

Why the revision can't simply be taken over: if a group that this node has not seen stood there before the odd value, the node writes another group of the same generation. Adoption compares generations only, so both would stay in use, and each would acknowledge what the other denies. Ruled out: asking a quorum of members for a newer group. An answer is no promise: a paused gateway or node that has read the later group can bring it to the members after they have answered, and gateways use a group as soon as they read it.

Fix: the service's watch tells every value as it was written, in order. A node that has watched without a gap since the last group that it read knows every group up to the odd value. It takes that revision over and writes the latest group there again by compare-and-swap (E805 reason=restoring): members by name, then the others. The write takes effect only while the odd value stands, also if it is done late, and a group is the latest one again or its successor. A node that finds the odd value in a listing (it has just started, or its watch broke) may have missed a group: it leaves the key alone until a node that has seen all restores it. E879 tells both.

Also found: a node that listed an odd value took the key for missing, so a member with an empty disk that started beside it took the group in which it had acknowledged records for one made since its start, and copied from the members before.

Remains: the group can't change if every node's watch broke across the odd value, all nodes were down then, or the key was removed.

--- a/src/store/store_membership.c
+++ b/src/store/store_membership.c
@@ -19,6 +19,16 @@
  * watch. A member
  * that was replaced and recovers becomes a spare. While the key-value service is unavailable the
  * group does not change; calls do not depend on the service.
+ *
+ * Another writer may overwrite the group with a value that is none. The next change then needs the
+ * revision of that value, and is safe only if no later group stood there in between: two groups of
+ * one generation would each acknowledge what the other denies. A watch tells every value that was
+ * written, in order. A node that has watched without a gap since the last group that it read
+ * therefore knows each group up to the odd value; it takes that value's revision over and writes
+ * the latest group there again, so that nodes that start or list find one. A node that finds the
+ * odd value in a listing may have missed a group and waits for one that has not. Members' answers
+ * would not do instead: a gateway that was paused can still bring the group that they have not
+ * heard of.
  */
 #include "store/store.h"
 
@@ -39,6 +49,7 @@
     FOUNDING_RANK_DELAY_MS = 150,    /**< Added to the delay of a founder for each rank. */
     STANDBY_RANK_INTERVAL_MS = 1500, /**< Added to the poll interval of a spare for each rank. */
     STANDBY_INTERVAL_MAX_MS = 9000,
+    RESTORING_RANK_DELAY_MS = 500, /**< Before each next node writes the group again. */
 };
 
 typedef struct {
@@ -53,6 +64,9 @@
     key_value_watch_t *retire_watch;
     bool listed;               /**< The initial listing of the keys is complete. */
     uint64_t group_revision;   /**< Of the group's key; 0: no key. */
+    bool group_followed;       /**< All values up to the latest one of that key were seen. */
+    bool group_overwritten;    /**< The latest value of that key is no group. */
+    uint64_t overwritten_at;   /**< Since when, ms. */
     GHashTable *registrations; /**< Node name to registration_t. */
     bool registered;
     bool writing; /**< A write to the key-value service is pending. */
@@ -172,33 +186,69 @@
     g_hash_table_replace(membership->registrations, registration->member.name, registration);
 }
 
-static void on_own_item(void *owner, const key_value_item_t *item) {
-    store_membership_t *membership = owner;
-    const char *name;
-    if (key_value_kind(item->key, &name) != KEY_OWN)
-        return;
-    if (g_str_has_prefix(name, registration_prefix)) {
-        apply_registration(membership, name + strlen(registration_prefix), item);
+/** A value of the group's key that is no group: see "Another writer" above. */
+static void apply_odd_group_value(store_membership_t *membership, uint64_t revision) {
+    if (revision <= membership->group_revision)
         return;
+    bool followed = membership->group_followed && key_value_watch_listed(membership->own_watch);
+    if (!membership->group_overwritten || followed != membership->group_followed) {
+        event_log(STORE_GROUP_OVERWRITTEN, revision, followed ? "yes" : "no");
+        membership->overwritten_at = now(membership);
     }
-    if (strcmp(name, group_name) != 0 || item->value == NULL)
+    membership->group_overwritten = true;
+    membership->group_followed = followed;
+    if (followed)
+        membership->group_revision = revision;
+}
+
+static void apply_group_value(store_membership_t *membership, const key_value_item_t *item) {
+    if (item->value == NULL) {
+        membership->group_overwritten = false; /* Nothing is left to write over. */
         return;
+    }
     gsize length;
     const void *data = g_bytes_get_data(item->value, &length);
     store_group_t *group = store_group_decode(data, length);
-    if (group == NULL)
+    if (group == NULL) {
+        apply_odd_group_value(membership, item->revision);
         return;
+    }
     membership->group_revision = item->revision;
+    membership->group_followed = true;
+    membership->group_overwritten = false;
     store_record_listed(membership->store, group->generation);
     store_adopt_group(membership->store, group);
     store_group_free(group);
 }
 
+static void on_own_item(void *owner, const key_value_item_t *item) {
+    store_membership_t *membership = owner;
+    const char *name;
+    if (key_value_kind(item->key, &name) != KEY_OWN)
+        return;
+    if (g_str_has_prefix(name, registration_prefix)) {
+        apply_registration(membership, name + strlen(registration_prefix), item);
+        return;
+    }
+    if (strcmp(name, group_name) == 0)
+        apply_group_value(membership, item);
+}
+
+/** What stood there since the last listing is unknown. */
+static void apply_missing_group(store_membership_t *membership) {
+    membership->group_followed = false;
+    membership->group_overwritten = false;
+    store_record_listed(membership->store, 0);
+}
+
 static void on_own_listed(void *owner, GHashTable *keys) {
     store_membership_t *membership = owner;
-    (void)keys;
     membership->listed = true;
-    store_record_listed(membership->store, 0);
+    /* Behind an odd value there may be a group in which this node has acknowledged records. */
+    char *key = key_value_own_key(group_name);
+    if (!g_hash_table_contains(keys, key))
+        apply_missing_group(membership);
+    g_free(key);
     store_membership_check(membership->store);
 }
 
@@ -302,6 +352,24 @@
 
 /* Proposals. */
 
+/** Members first, by name, and then all others at once: one write is enough. */
+static unsigned restoring_rank(const store_t *store) {
+    const GArray *members = store->group->members;
+    guint rank = 0;
+    while (rank < members->len &&
+           strcmp(g_array_index(members, store_member_t, rank).name, store->settings->name) != 0)
+        rank++;
+    return rank;
+}
+
+/** Writes the latest group in place of a value that is none, if that is this node's turn. */
+static void restore_group(store_membership_t *membership) {
+    const store_t *store = membership->store;
+    uint64_t due_at = membership->overwritten_at + restoring_rank(store) * RESTORING_RANK_DELAY_MS;
+    if (now(membership) >= due_at)
+        start_group_write(membership, store_group_copy(store->group), "restoring");
+}
+
 static void copy_members_without(store_group_t *next, const GArray *members, const char *name) {
     for (guint i = 0; i < members->len; i++) {
         const store_member_t *member = &g_array_index(members, store_member_t, i);
@@ -484,6 +552,8 @@
     }
     if (store->group->generation == 0)
         found_group(membership);
+    else if (membership->group_overwritten && membership->group_followed)
+        restore_group(membership);
     else if (membership->retiring)
         continue_retiring(membership);
     else if (!store_is_member(store))
--- a/src/storesim/faults.c
+++ b/src/storesim/faults.c
@@ -51,7 +51,10 @@
     HOLD_MOST_MS = 45000,
     HOLD_PAUSE_MOST_MS = 9000, /**< Between the beginnings of two. */
     HOLD_ALL_PERCENT = 40,
-    HOLD_SEVERAL_PERCENT = 50,   /**< Of the others; else at one. */
+    HOLD_SEVERAL_PERCENT = 50,      /**< Of the others; else at one. */
+    OVERWRITE_PAUSE_MOST_MS = 4000, /**< Between two interferences with the group's key. */
+    OVERWRITE_BYTES_MOST = 200,
+    OVERWRITE_PERCENT = 60, /**< Of the interferences; else a node is cut off from the service. */
     SERIES_PAUSE_MOST_MS = 6000, /**< Between the beginnings of two series of planned stops. */
     SERIES_STEP_MOST_MS = 1500,  /**< Between two stops of a series. */
     SERIES_OTHER_MOST_MS = 6000, /**< From its beginning to the other change that meets it. */
@@ -60,6 +63,7 @@
 
 static uint64_t counts[FAULT_KINDS];
 static uint64_t planned_stops;
+static uint64_t overwritten_groups;
 static uint64_t faults_until;
 static uint64_t pause_most;
 static int only_kind; /**< The only kind drawn; -1: all are. */
@@ -241,6 +245,12 @@
     return true;
 }
 
+/** A pause within another one doesn't shorten it: what waits for its end would be overtaken. */
+static void pause_process(virtual_process_t *process) {
+    uint64_t until = virtual_now() + duration();
+    process->paused_until = MAX(process->paused_until, until);
+}
+
 static bool inject_on_store(fault_kind_t kind, world_store_t *store) {
     switch (kind) {
     case FAULT_KILL_STORE:
@@ -255,7 +265,7 @@
         end_store(store, END_DISK_LOST, virtual_random(1000, DOWN_MOST_MS));
         return true;
     case FAULT_PAUSE_STORE:
-        store->process->paused_until = virtual_now() + duration();
+        pause_process(store->process);
         store->lost_until = MAX(store->lost_until, store->process->paused_until + CATCH_UP_MS);
         return true;
     case FAULT_CUT_STORES:
@@ -285,7 +295,7 @@
         end_all(END_KILLED, NULL);
         return true;
     case FAULT_PAUSE_GATEWAY:
-        gateway->process->paused_until = virtual_now() + duration();
+        pause_process(gateway->process);
         return true;
     case FAULT_KILL_GATEWAY:
         if (gateway->client == NULL)
@@ -438,6 +448,70 @@
     virtual_after(virtual_random(PAUSE_LEAST_MS, HOLD_PAUSE_MOST_MS), NULL, hold_disks, NULL);
 }
 
+/* Another writer at the key of the group. */
+
+static void overwrite_group(void) {
+    uint8_t bytes[OVERWRITE_BYTES_MOST];
+    gsize length = virtual_random(0, sizeof bytes);
+    for (gsize i = 0; i < length; i++)
+        bytes[i] = (uint8_t)virtual_random(0, UINT8_MAX);
+    store_group_t *group = store_group_decode(bytes, length);
+    if (group == NULL) {
+        char *key = key_value_own_key("group");
+        virtual_key_value_put(key, g_bytes_new(bytes, length));
+        g_free(key);
+        overwritten_groups++;
+    }
+    store_group_free(group);
+}
+
+/** Half of them then find an odd value, behind which they have missed all that stood there. */
+static void heal_service(void *data) {
+    if (virtual_now() < faults_until && virtual_chance(50))
+        overwrite_group();
+    virtual_key_value_cut(data, false);
+}
+
+/**
+ * A storage node misses what is written meanwhile. Half of them are cut off from the others for
+ * longer: one that finds an odd value then has nobody to tell it of the groups that it has missed.
+ */
+static void cut_from_service(const world_store_t *store) {
+    uint64_t ms = duration();
+    virtual_key_value_cut(store->process, true);
+    virtual_after(ms, NULL, heal_service, store->process);
+    if (!virtual_chance(50))
+        return;
+    ms += duration();
+    for (guint i = 0; i < world->gateways->len; i++) {
+        const world_gateway_t *gateway = g_ptr_array_index(world->gateways, i);
+        cut(store->process, gateway->process, ms);
+    }
+    for (guint i = 0; i < world->stores->len; i++) {
+        const world_store_t *other = g_ptr_array_index(world->stores, i);
+        if (other != store)
+            cut(store->process, other->process, ms);
+    }
+}
+
+static void interfere_with_group(void *data) {
+    (void)data;
+    if (virtual_now() >= faults_until)
+        return;
+    virtual_after(virtual_random(PAUSE_LEAST_MS, OVERWRITE_PAUSE_MOST_MS), NULL,
+                  interfere_with_group, NULL);
+    const world_store_t *store = random_store();
+    if (virtual_chance(OVERWRITE_PERCENT))
+        overwrite_group();
+    else if (store != NULL)
+        cut_from_service(store);
+}
+
+void faults_overwrite_group(void) {
+    virtual_after(virtual_random(PAUSE_LEAST_MS, OVERWRITE_PAUSE_MOST_MS), NULL,
+                  interfere_with_group, NULL);
+}
+
 /* Planned stops, in series that overlap with one another and with other planned changes. */
 
 typedef enum {
@@ -548,6 +622,7 @@
     for (guint i = 0; i < world->stores->len; i++) {
         world_store_t *store = g_ptr_array_index(world->stores, i);
         store->process->paused_until = 0;
+        virtual_key_value_cut(store->process, false);
         virtual_disk_of(store->process)->full = false;
         virtual_disk_of(store->process)->stalled_until = 0;
         virtual_disk_release(virtual_disk_of(store->process));
@@ -568,10 +643,13 @@
         g_string_append_printf(text, "%s %" G_GUINT64_FORMAT "\n", fault_names[i],
                                (guint64)counts[i]);
     g_string_append_printf(text, "planned_stop %" G_GUINT64_FORMAT "\n", (guint64)planned_stops);
+    g_string_append_printf(text, "overwritten_group %" G_GUINT64_FORMAT "\n",
+                           (guint64)overwritten_groups);
 }
 
 void faults_clear_counts(void) {
     for (unsigned i = 0; i < FAULT_KINDS; i++)
         counts[i] = 0;
     planned_stops = 0;
+    overwritten_groups = 0;
 }
--- a/src/storesim/main.c
+++ b/src/storesim/main.c
@@ -48,6 +48,7 @@
     bool watch_zones;
     bool stall_disks;
     bool hold_disks;
+    bool overwrite_group;
     bool stop_in_series;
     bool all_faults;
 } arguments_t;
@@ -79,6 +80,9 @@
     case 'l':
         arguments->hold_disks = true;
         return 0;
+    case 'g':
+        arguments->overwrite_group = true;
+        return 0;
     case 'a':
         arguments->all_faults = true;
         return 0;
@@ -109,9 +113,11 @@
             arguments->broken = BREAK_QUOTA_ENDS;
         else if (strcmp(argument, "spill") == 0)
             arguments->broken = BREAK_SPILL;
+        else if (strcmp(argument, "group-following") == 0)
+            arguments->broken = BREAK_GROUP_FOLLOWING;
         else
             argp_error(state, "--break takes sync, identity, catch-up, reconciliation, "
-                              "quota-full, quota-ends or spill");
+                              "quota-full, quota-ends, spill or group-following");
         return 0;
     case ARGP_KEY_ARG:
         argp_usage(state);
@@ -132,6 +138,10 @@
     {"stall-disks", 'd', NULL, 0, "Also stall disks for up to 6 s, several of them at once", 0},
     {"long-stalls", 'l', NULL, 0,
      "Also let disks stand still for 5 to 45 s, at one, several or all storage nodes", 0},
+    {"overwrite-group", 'g', NULL, 0,
+     "Also put odd values at the key of the storage group, and cut storage nodes off from the "
+     "key-value service",
+     0},
     {"planned-stops", 'p', NULL, 0,
      "Stop storage nodes as planned, in series that overlap with one another, with joins, "
      "retirements, wiped disks and stalled disks; other faults only with --all-faults",
@@ -149,7 +159,8 @@
      "Break the code on purpose: sync (acknowledge before it), identity (an emptied disk keeps "
      "it), catch-up (copy nothing), reconciliation (members never copy what they missed), spill "
      "(the key-value service forgets turns of nodes whose "
-     "disks stall); with --judge-quotas: quota-full (a member that starts grants as if it were "
+     "disks stall), group-following (storage nodes believe to have seen each value of a listed "
+     "key); with --judge-quotas: quota-full (a member that starts grants as if it were "
      "full), quota-ends (grants are used after their end)",
      0},
     {0}};
@@ -188,7 +199,7 @@
 static uint64_t violations_of(const workload_result_t *result) {
     return result->turns_lost + result->turns_wrong + result->turns_invented +
            result->turns_not_read + result->budgets_exceeded + result->connects_late +
-           result->cuts_unnoticed + result->cuts_unserved + result->no_room;
+           result->cuts_unnoticed + result->cuts_unserved + result->no_room + result->groups_split;
 }
 
 static void check_all(void *data) {
@@ -245,6 +256,8 @@
         faults_stall_disks();
     if (arguments->hold_disks)
         faults_hold_disks();
+    if (arguments->overwrite_group)
+        faults_overwrite_group();
     if (g_strcmp0(arguments->only, "power_all") == 0)
         workload_judge_connects();
     /* A gateway that is helped does not notice that it is cut off, and need not. */
@@ -259,6 +272,7 @@
     virtual_run(END_AT_MS);
     workload_result_t result = *workload_result();
     result.no_room = world_turns_refused_for_space(world);
+    result.groups_split = world_groups_split();
     return result;
 }
 
@@ -277,6 +291,7 @@
     sum->cuts_unnoticed += result->cuts_unnoticed;
     sum->cuts_unserved += result->cuts_unserved;
     sum->no_room += result->no_room;
+    sum->groups_split += result->groups_split;
 }
 
 static void print_result(const char *name, const workload_result_t *result) {
@@ -298,6 +313,7 @@
         {"cuts_unnoticed", result->cuts_unnoticed},
         {"cuts_unserved", result->cuts_unserved},
         {"no_room", result->no_room},
+        {"groups_split", result->groups_split},
     };
     printf("%s:", name);
     for (size_t i = 0; i < G_N_ELEMENTS(figures); i++)
--- a/src/storesim/virtual_key_value.c
+++ b/src/storesim/virtual_key_value.c
@@ -17,7 +17,9 @@
     char *prefix;
     const key_value_watch_handler_t *handler;
     void *owner;
-    bool behind; /**< Something changed while the service was down. */
+    GQueue *untold; /**< Of change_t: written since the last listing, in order. */
+    bool behind;    /**< Not listed since it was opened, or since a change could not be told. */
+    bool listing;
     bool rests;
 };
 
@@ -25,6 +27,9 @@
 static GPtrArray *watches;
 static uint64_t revision;
 static bool is_down;
+static GHashTable *cut_off; /**< Processes that don't reach the service. */
+static virtual_key_value_observer_t observer;
+static bool hides_listings;
 static unsigned lost_percent;
 static bool forget_turns;
 
@@ -42,6 +47,9 @@
     watches = g_ptr_array_new();
     revision = 0;
     is_down = false;
+    cut_off = g_hash_table_new(NULL, NULL);
+    observer = NULL;
+    hides_listings = false;
     lost_percent = 0;
     forget_turns = false;
 }
@@ -50,19 +58,52 @@
     forget_turns = on;
 }
 
+void virtual_key_value_observe(virtual_key_value_observer_t written) {
+    observer = written;
+}
+
+void virtual_key_value_hide_listings(bool on) {
+    hides_listings = on;
+}
+
+static bool is_out_of_reach(const virtual_process_t *process) {
+    return is_down || g_hash_table_contains(cut_off, process);
+}
+
 void virtual_key_value_lose_answers(unsigned percent) {
     lost_percent = percent;
 }
 
+/** A change as it was written. */
+typedef struct {
+    char *key;
+    GBytes *value;
+    uint64_t revision;
+} change_t;
+
+static void free_change(gpointer data) {
+    change_t *change = data;
+    g_free(change->key);
+    g_bytes_unref(change->value);
+    g_free(change);
+}
+
+static void drop_untold(key_value_watch_t *watch) {
+    change_t *change;
+    while ((change = g_queue_pop_head(watch->untold)) != NULL)
+        free_change(change);
+}
+
 static void list(void *data) {
     key_value_watch_t *watch = data;
     if (watch->rests)
         return;
-    if (is_down) {
+    if (is_out_of_reach(watch->process)) {
         virtual_after(RELIST_MS, watch->process, list, watch);
         return;
     }
-    watch->behind = false;
+    watch->listing = true;
+    drop_untold(watch);
     GHashTable *keys = g_hash_table_new(g_str_hash, g_str_equal);
     GHashTableIter iterator;
     gpointer key;
@@ -79,6 +120,8 @@
     }
     for (guint i = 0; i < items->len; i++)
         watch->handler->on_item(watch->owner, &g_array_index(items, key_value_item_t, i));
+    watch->listing = false;
+    watch->behind = false;
     watch->handler->on_listed(watch->owner, keys);
     g_array_free(items, TRUE);
     g_hash_table_destroy(keys);
@@ -89,6 +132,23 @@
     char *key;
 } change_event_t;
 
+/** Tells each value of @p key that was written meanwhile but the latest. */
+static void tell_earlier_values(key_value_watch_t *watch, const char *key, uint64_t latest) {
+    GList *link = watch->untold->head;
+    while (link != NULL) {
+        GList *next = link->next;
+        change_t *change = link->data;
+        if (strcmp(change->key, key) == 0) {
+            g_queue_delete_link(watch->untold, link);
+            key_value_item_t item = {change->key, change->value, change->revision};
+            if (change->revision != latest)
+                watch->handler->on_item(watch->owner, &item);
+            free_change(change);
+        }
+        link = next;
+    }
+}
+
 static void tell_change(void *data) {
     change_event_t event = *(change_event_t *)data;
     const entry_t *entry = g_hash_table_lookup(entries, event.key);
@@ -99,15 +159,21 @@
     }
     if (event.watch->rests)
         return;
-    if (!is_down)
-        event.watch->handler->on_item(event.watch->owner, &item);
-    else
+    if (is_out_of_reach(event.watch->process)) {
         event.watch->behind = true;
+        drop_untold(event.watch);
+    } else {
+        if (!event.watch->behind)
+            tell_earlier_values(event.watch, event.key, item.revision);
+        event.watch->handler->on_item(event.watch->owner, &item);
+    }
     g_free(event.key);
     g_free(data);
 }
 
 static void apply_write(const char *key, GBytes *value) {
+    if (observer != NULL)
+        observer(key, value);
     entry_t *entry = g_hash_table_lookup(entries, key);
     if (entry == NULL) {
         entry = g_new0(entry_t, 1);
@@ -121,6 +187,9 @@
         key_value_watch_t *watch = g_ptr_array_index(watches, i);
         if (!g_str_has_prefix(key, watch->prefix))
             continue;
+        change_t *change = g_new0(change_t, 1);
+        *change = (change_t){g_strdup(key), g_bytes_ref(value), revision};
+        g_queue_push_tail(watch->untold, change);
         change_event_t *event = g_new0(change_event_t, 1);
         event->watch = watch;
         event->key = g_strdup(key);
@@ -146,6 +215,21 @@
     }
 }
 
+void virtual_key_value_cut(const virtual_process_t *process, bool cut) {
+    if (cut)
+        g_hash_table_add(cut_off, (gpointer)process);
+    else
+        g_hash_table_remove(cut_off, process);
+    for (guint i = 0; i < watches->len; i++) {
+        key_value_watch_t *watch = g_ptr_array_index(watches, i);
+        if (watch->process != process)
+            continue;
+        watch->behind = true;
+        if (!cut)
+            virtual_after(latency(), watch->process, list, watch);
+    }
+}
+
 void virtual_key_value_process_ended(const virtual_process_t *process) {
     for (guint i = watches->len; i > 0; i--) {
         const key_value_watch_t *watch = g_ptr_array_index(watches, i - 1);
@@ -188,6 +272,8 @@
     watch->prefix = g_strdup(prefix);
     watch->handler = handler;
     watch->owner = owner;
+    watch->untold = g_queue_new();
+    watch->behind = true;
     g_ptr_array_add(watches, watch);
     virtual_after(latency(), watch->process, list, watch);
     return watch;
@@ -198,6 +284,10 @@
     watch->rests = true;
 }
 
+bool key_value_watch_listed(const key_value_watch_t *watch) {
+    return hides_listings || !(watch->listing || watch->behind);
+}
+
 bool key_value_watch_rests(const key_value_watch_t *watch) {
     return watch->rests;
 }
@@ -230,7 +320,7 @@
     const entry_t *entry = g_hash_table_lookup(entries, event->key);
     uint64_t present = entry == NULL ? 0 : entry->revision;
     uint64_t delay = latency();
-    if (is_down) {
+    if (is_out_of_reach(event->process)) {
         event->outcome = KEY_VALUE_REFUSED;
         delay = REFUSED_AFTER_MS;
     } else if (event->value != NULL && g_bytes_get_size(event->value) > VALUE_BYTES_MAX) {
--- a/src/storesim/virtual_key_value.h
+++ b/src/storesim/virtual_key_value.h
@@ -13,6 +13,16 @@
 
 void virtual_key_value_start(void);
 void virtual_key_value_set_down(bool down);
+/** Cuts a process off from the service, or ends that. */
+void virtual_key_value_cut(const virtual_process_t *process, bool cut);
+/** Called before each write that is done. */
+typedef void (*virtual_key_value_observer_t)(const char *key, GBytes *value);
+void virtual_key_value_observe(virtual_key_value_observer_t written);
+/**
+ * A fault of the watch, for the sweep's own test: what is found in a listing seems to come from a
+ * watch without a gap.
+ */
+void virtual_key_value_hide_listings(bool on);
 /** So many in 100 writes are done and not answered. */
 void virtual_key_value_lose_answers(unsigned percent);
 /** Drops the watches of a process that ended. */
--- a/src/storesim/world.c
+++ b/src/storesim/world.c
@@ -50,7 +50,8 @@
     gsize length;
     const void *data = g_bytes_get_data(item->value, &length);
     store_group_t *group = store_group_decode(data, length);
-    store_client_set_group(gateway->client, group);
+    if (group != NULL)
+        store_client_set_group(gateway->client, group);
     store_group_free(group);
 }
 
@@ -163,10 +164,47 @@
     g_ptr_array_add(world->gateways, gateway);
 }
 
+/* The groups that were written. */
+
+static GBytes *latest_group; /**< NULL: none. */
+static uint64_t latest_generation;
+static uint64_t groups_split;
+
+static void judge_group_write(const char *key, GBytes *value) {
+    const char *name;
+    if (key_value_kind(key, &name) != KEY_OWN || strcmp(name, "group") != 0)
+        return;
+    gsize length;
+    const void *data = g_bytes_get_data(value, &length);
+    store_group_t *group = store_group_decode(data, length);
+    if (group == NULL)
+        return;
+    bool repeated = latest_group != NULL && g_bytes_equal(value, latest_group);
+    groups_split += !repeated && group->generation != latest_generation + 1;
+    if (group->generation > latest_generation) {
+        g_clear_pointer(&latest_group, g_bytes_unref);
+        latest_group = g_bytes_ref(value);
+        latest_generation = group->generation;
+    }
+    store_group_free(group);
+}
+
+static void judge_groups(void) {
+    g_clear_pointer(&latest_group, g_bytes_unref);
+    latest_generation = 0;
+    groups_split = 0;
+    virtual_key_value_observe(judge_group_write);
+}
+
+uint64_t world_groups_split(void) {
+    return groups_split;
+}
+
 static void break_code(world_break_t broken) {
     virtual_disks_acknowledge_early(broken == BREAK_SYNC);
     virtual_disks_keep_identity(broken == BREAK_IDENTITY);
     virtual_key_value_forget_turns(broken == BREAK_SPILL);
+    virtual_key_value_hide_listings(broken == BREAK_GROUP_FOLLOWING);
     if (broken == BREAK_CATCH_UP)
         virtual_network_break_catch_up();
     if (broken == BREAK_QUOTA_BEGINS_FULL)
@@ -188,6 +226,7 @@
     virtual_disks_start();
     virtual_key_value_start();
     break_code(shape->broken);
+    judge_groups();
     world_t *world = g_new0(world_t, 1);
     world->relays = true;
     world->broken = shape->broken;
--- a/src/storesim/world.h
+++ b/src/storesim/world.h
@@ -48,6 +48,7 @@
     BREAK_QUOTA_BEGINS_FULL, /**< A member that has lost its memory grants as if it were full. */
     BREAK_QUOTA_ENDS,        /**< Grants are used after their end. */
     BREAK_RECONCILIATION,    /**< Members never copy what they missed. */
+    BREAK_GROUP_FOLLOWING,   /**< Storage nodes believe to have seen each value of a listed key. */
     BREAK_SPILL,             /**< The key-value service forgets turns that it has acknowledged. */
 } world_break_t;
 
@@ -90,6 +91,8 @@
 bool world_is_sound(const world_t *world);
 /** Turns for which storage nodes had no room, because they held too many. */
 uint64_t world_turns_refused_for_space(const world_t *world);
+/** Writes of a group that is neither the latest one nor its successor. */
+uint64_t world_groups_split(void);
 /** The newest group that any running storage node knows; NULL: none. */
 const store_group_t *world_group(const world_t *world);
 
@@ -127,6 +130,7 @@
     uint64_t cuts_unserved;    /**< Gateways behind a cut whom no other gateway helped. */
     uint64_t cuts_unnoticed;   /**< Gateways that believed in storage nodes behind a cut. */
     uint64_t no_room;          /**< Turns refused for room that expired ones took. */
+    uint64_t groups_split;     /**< Groups that did not follow the latest one. */
 } workload_result_t;
 const workload_result_t *workload_result(void);
 
@@ -146,6 +150,11 @@
 void faults_stall_disks(void);
 /** Also lets disks stand still for longer than callers wait, at one, several or all nodes. */
 void faults_hold_disks(void);
+/**
+ * Also puts odd values at the key of the storage group, and cuts storage nodes off from the
+ * key-value service, until the end of the faults that were started.
+ */
+void faults_overwrite_group(void);
 /**
  * Also stops storage nodes as planned until @p until, one after the other, in series that overlap
  * with one another, with joins, retirements, wiped disks and stalled disks.
--- a/tests/integration/store_simulator_test.sh
+++ b/tests/integration/store_simulator_test.sh
@@ -30,6 +30,13 @@
     store_sim --seeds 1..60 --planned-stops --all-faults --long-stalls
 expect_later "the sweep notices members that copy nothing among planned stops" \
     notices catch-up 20 --planned-stops
+# Another writer at the group's key, while nodes lose sight of the key-value service.
+expect_later "storage nodes: odd values at the group's key under any fault, seeds 1..60" \
+    store_sim --seeds 1..60 --overwrite-group
+expect_later "storage nodes: odd values at the group's key among twelve, seeds 1..60" \
+    store_sim --seeds 1..60 --overwrite-group --stores 12
+expect_later "the sweep notices groups written over ones that were missed" \
+    notices group-following 60 --overwrite-group --stores 12 --only retire
 # More nodes than the group needs: most stand by, and take the place of members that are gone.
 expect_later "storage nodes: any fault among twelve, seeds 1..60" store_sim --seeds 1..60 --stores 12
 expect_later "storage nodes: twelve, one after the other is to be emptied, seeds 1..60" \
