retries: a resend elsewhere and one to the same back end expose a request differently

Found by a reviewer who had not seen the work, by reading: a call that left its back end on suspicion while a registration told of another one that others had left was sent elsewhere by one rule, refused there by the other and failed, though a resend to the same back end was allowed. One figure stood for both targets.

resend_state_t tells back ends other than the current one, and whether the current one may end as well, which counts only for a resend elsewhere.

Test: Resend.NearTheLimitACallMayGoToTheSameBackEndOnly (the field did not exist before).

--- a/src/core/retry/resend.c
+++ b/src/core/retry/resend.c
@@ -4,7 +4,7 @@
 
 resend_t resend_after_not_run(const resend_state_t *state) {
     bool more = state->backends - state->ended < state->attempts;
-    bool allowed = state->time_left && state->crashes < CRASHES_MAX;
+    bool allowed = state->time_left && state->crashes + state->current_may_end < CRASHES_MAX;
     return allowed && more ? RESEND_ELSEWHERE : RESEND_NO;
 }
 
--- a/src/core/retry/resend.h
+++ b/src/core/retry/resend.h
@@ -35,8 +35,10 @@
     unsigned attempts; /**< The route's limit on back ends per call. */
     unsigned backends; /**< Back ends that may have received the call. */
     unsigned ended;    /**< Of these, back ends that have ended or are unreachable. */
-    unsigned crashes;  /**< Back ends that have ended under the request. */
-    unsigned repeats;  /**< Resends to the same back end. */
+    /** Back ends other than the current one that have ended under the request, or may yet. */
+    unsigned crashes;
+    bool current_may_end; /**< So may the current one, if the call goes elsewhere. */
+    unsigned repeats;     /**< Resends to the same back end. */
     bool time_left;
     bool same_usable; /**< The current back end is in the directory and has not announced a stop. */
     bool other_usable; /**< There is a back end not tried yet; for resend_after_suspicion(). */
--- a/src/gateway/call_retry.c
+++ b/src/gateway/call_retry.c
@@ -34,6 +34,7 @@
               backend_version_name(call->backend), call->events.events);
 }
 
+/** Back ends other than the current one that count as ended, or as such that may yet end. */
 static unsigned crash_exposure(const call_t *call) {
     return crash_watch_exposure(call->gateway->crashes, call->request_id, call->backend);
 }
@@ -56,11 +57,14 @@
 static resend_state_t describe_sends(const call_t *call) {
     bool usable = call->backend != NULL && !call->backend->removed &&
                   !call->backend->record->leaving && call_version_served_by_backend(call);
+    unsigned crashes = crash_exposure(call);
     return (resend_state_t){
         .attempts = call->route->attempts,
         .backends = call->backends_sent,
         .ended = call->backends_ended,
-        .crashes = crash_exposure(call),
+        .crashes = crashes,
+        .current_may_end =
+            crash_watch_exposure(call->gateway->crashes, call->request_id, NULL) > crashes,
         .repeats = call->repeats,
         .time_left = call_time_left(call) > MIN_TIME_LEFT_MS,
         .same_usable = usable,
@@ -72,7 +76,7 @@
 static resend_t decide_on_suspicion(const call_t *call) {
     resend_state_t state = describe_sends(call);
     state.other_usable = call_has_other_backend(call);
-    state.crashes += state.crashes > 0; /* The back end that it would leave may still end. */
+    state.current_may_end = state.crashes > 0; /* Once the call has left it. */
     return resend_after_suspicion(&state);
 }
 
@@ -142,6 +146,7 @@
     resend_t resend = call->left_on_suspicion ? decide_on_suspicion(call) : RESEND_NO;
     if (resend != RESEND_NO)
         return resend;
+    /* A call that has left its back end on suspicion can't go back to waiting there. */
     resend_state_t state = describe_sends(call);
     return resend_after_unknown(&state);
 }
--- a/tests/unit/resend_test.cc
+++ b/tests/unit/resend_test.cc
@@ -151,6 +151,18 @@
     EXPECT_EQ(resend_after_suspicion(&state), RESEND_NO);
 }
 
+// A call leaves a back end that may still end under it, and can then be sent nowhere.
+TEST(Resend, NearTheLimitACallMayGoToTheSameBackEndOnly) {
+    resend_state_t state = at_the_last_back_end();
+    state.attempts = 2;
+    state.crashes = CRASHES_NEAR_MAX;
+    EXPECT_EQ(resend_after_suspicion(&state), RESEND_ELSEWHERE);
+    state.current_may_end = true;
+    EXPECT_EQ(resend_after_suspicion(&state), RESEND_SAME);
+    EXPECT_EQ(resend_after_unknown(&state), RESEND_SAME);
+    EXPECT_EQ(resend_after_not_run(&state), RESEND_NO);
+}
+
 constexpr uint64_t SENT = 10000;
 
 stall_t judge(bool answered, uint64_t call_last_at, backend_activity_t backend, uint64_t now) {
