storage nodes: what was left longer is told though it was left again for less

By reading (review): a second report that a request was left at a back end replaced the first one's time, so that other gateways were told of too short a run; and what was left at a back end whose end is known was told as well, so that it could count twice.

The longer time stays, and ends that are known are not told as left.

--- a/src/core/retry/open_sends.c
+++ b/src/core/retry/open_sends.c
@@ -6,6 +6,7 @@
     uint64_t gateway; /**< Serial of its connection; 0: from the log, or lost after it was left. */
     uint16_t backend; /**< Once the call has left it. */
     uint64_t left_until; /**< The call has left it, and it may be run until then; 0: it has not. */
+    uint64_t left_at;
     uint64_t begun_at;
     bool counted;
     bool logged;
@@ -115,7 +116,8 @@
     entry->counted = false;
     entry->backend = left->backend;
     entry->gateway = left->gateway;
-    entry->left_until = left->until;
+    entry->left_until = MAX(entry->left_until, left->until);
+    entry->left_at = now;
     return counted;
 }
 
@@ -125,8 +127,12 @@
     for (; entry != NULL; entry = entry->next) {
         if (entry->counted || entry->gateway == gateway || now >= entry->left_until)
             continue;
-        const left_send_report_t left = {entry->request, entry->send, entry->backend,
-                                         entry->gateway, entry->left_until};
+        const left_send_report_t left = {.request = entry->request,
+                                         .send = entry->send,
+                                         .backend = entry->backend,
+                                         .gateway = entry->gateway,
+                                         .at = entry->left_at,
+                                         .until = entry->left_until};
         g_array_append_val(list, left);
     }
 }
--- a/src/core/retry/open_sends.h
+++ b/src/core/retry/open_sends.h
@@ -42,6 +42,7 @@
     uint64_t send;
     uint16_t backend; /**< As in crash_report_t, so that its end counts once. */
     uint64_t gateway; /**< Serial of its connection. */
+    uint64_t at;      /**< When that was told last. */
     uint64_t until;   /**< The back end may run it until then. */
 } left_send_report_t;
 
--- a/src/store/store_crashes.c
+++ b/src/store/store_crashes.c
@@ -193,6 +193,8 @@
     open_sends_list_left(store->sends, request, *frame_connection_serial(connection), now, list);
     for (guint i = 0; i < list->len; i++) {
         const left_send_report_t *left = &g_array_index(list, left_send_report_t, i);
+        if (crash_history_knows(store->crashes, request, left->backend, left->at, now))
+            continue;
         message_t message;
         message_init(&message, MESSAGE_SEND_LEFT);
         message.generation = store->group->generation;
@@ -292,6 +294,7 @@
         .send = message->send,
         .backend = message->crash.backend,
         .gateway = *frame_connection_serial(connection),
+        .at = now,
         .until = now + message->wait_ms,
     };
     bool counted = open_sends_leave(store->sends, &left, now, &crash);
--- a/tests/unit/store_crashes_test.cc
+++ b/tests/unit/store_crashes_test.cc
@@ -54,12 +54,12 @@
         world_end_gateway(gateway(number));
         virtual_run(virtual_now() + keep_alive_ms + delivery_ms);
     }
-    void leave(unsigned from, uint16_t backend, uint32_t run_ms) const {
+    void leave(unsigned from, uint16_t backend, uint32_t run_ms, uint64_t attempt = 0) const {
         message_t message;
         message_init(&message, MESSAGE_SEND_LEFT);
         message.crash.request = request;
         message.crash.backend = backend;
-        message.send = left_send + backend;
+        message.send = left_send + backend + attempt;
         message.wait_ms = run_ms;
         store_client_send_for_key(gateway(from)->client, request, &message);
         message_clear(&message);
@@ -321,6 +321,34 @@
     EXPECT_EQ(left(2), std::set<unsigned>{13});
 }
 
+// Guards against an end that is withdrawn because a gateway that has started again left the same
+// back end.
+TEST_F(StoreCrashes, ASendThatCountsIsNotWithdrawnByAnotherThatWasLeftAtTheSameBackEnd) {
+    constexpr uint64_t later = 1000;
+    leave(0, 11, 3000);
+    lose_gateway(0);
+    send(1, REQUEST_SEND, 0, 12);
+    ASSERT_EQ(known(1), std::set<unsigned>{11});
+    leave(1, 11, 3000, later);
+    EXPECT_EQ(gateway(1)->withdrawn->len, 0U);
+}
+
+TEST_F(StoreCrashes, WhatWasLeftAtABackEndThatHasEndedSinceIsNotTold) {
+    leave(0, 11, 3000);
+    report(2, 11);
+    send(1, REQUEST_SEND, 0, 14);
+    EXPECT_TRUE(left(1).empty());
+}
+
+TEST_F(StoreCrashes, WhatWasLeftLongerIsToldThoughItWasLeftAgainForAShorterTime) {
+    report(0, 1);
+    leave(0, 11, 3000);
+    leave(0, 11, 100);
+    virtual_run(virtual_now() + 500);
+    send(1, REQUEST_SEND, 0, 14);
+    EXPECT_EQ(left(1), std::set<unsigned>{11});
+}
+
 TEST_F(StoreCrashes, WhatOtherGatewaysHaveLeftIsNotToldOfARequestUnderWhichNoneHasEnded) {
     leave(0, 11, 3000);
     send(1, REQUEST_SEND, 0, 12);
