gateways: only ends make what a request has left count, and a false doubt keeps it

Callers would have seen, by reading (review of the last mends): a request refused for seconds, though no back end had ended, since the check of a back end that a call has just left counted as an end; three back ends that serve on without an entry taken for ended. And the reverse: a back end that ends after a doubt about it proved wrong, or that is back under its id before its entry goes, was not counted, and a request could end four.

Cause: what is suspected, what is known and what is left were one account, closed by whatever came first.

Change: a crash that only stands while a left back end is checked does not begin the limit (crash_history_count_ended). What is left is in doubt, and returns if the doubt is settled well (left_calls_doubt, left_calls_trust). An entry that goes only leads to a check; one with another start time is an end. Each process of a gateway has its own keys at storage nodes. A wait told to callers is a minute at most, as long as a crash counts.

Tests, of CrashExposure, CrashSharing and LeftSends: IsNotBegunByABackEndThat..., TellsNoLongerWait..., AnEntryThatGoesDoesNotCountWhile..., WhatACallHasLeft..., AnEntryWithAnotherStartTime..., ThatAreTakenOrMoved....

--- a/src/core/retry/crash_exposure.c
+++ b/src/core/retry/crash_exposure.c
@@ -22,14 +22,15 @@
                                 send->left_at, exposure->now);
 }
 
-static unsigned count_ended(const crash_exposure_t *exposure) {
+/** Number of the request's crashes, of which those count that are only suspected. */
+static unsigned count_crashes(const crash_exposure_t *exposure) {
     return crash_history_count(exposure->history, exposure->request, exposure->now);
 }
 
 unsigned crash_exposure_count(const crash_exposure_t *exposure, uint64_t except) {
-    unsigned count = count_ended(exposure);
-    if (count == 0)
-        return 0;
+    unsigned count = count_crashes(exposure);
+    if (crash_history_count_ended(exposure->history, exposure->request, exposure->now) == 0)
+        return count;
     for (guint i = 0; i < exposure->left->len; i++) {
         bool excepted = except != 0 && (uint16_t)left_at(exposure, i)->backend == (uint16_t)except;
         count += !excepted && may_end(exposure, i);
@@ -52,8 +53,8 @@
 }
 
 uint32_t crash_exposure_wait_ms(const crash_exposure_t *exposure) {
-    unsigned ended = count_ended(exposure);
-    if (ended >= CRASHES_MAX)
+    unsigned crashes = count_crashes(exposure);
+    if (crashes >= CRASHES_MAX)
         return crash_history_wait_ms(exposure->history, exposure->request, exposure->now);
     if (crash_exposure_count(exposure, 0) < CRASHES_MAX)
         return 0;
@@ -64,9 +65,10 @@
             g_array_append_val(times, over_at);
     }
     g_array_sort(times, compare_times);
-    /* So many have to be over that fewer than CRASHES_MAX - ended are left. */
-    guint needed = ended + times->len - (CRASHES_MAX - 1);
+    /* So many have to be over that fewer than CRASHES_MAX - crashes are left. */
+    guint needed = crashes + times->len - (CRASHES_MAX - 1);
     uint64_t over_at = g_array_index(times, uint64_t, needed - 1);
     g_array_free(times, TRUE);
-    return over_at > exposure->now ? (uint32_t)(over_at - exposure->now) : 0;
+    uint64_t wait_ms = over_at > exposure->now ? over_at - exposure->now : 0;
+    return (uint32_t)MIN(wait_ms, CRASH_RETENTION_MS); /* No crash counts for longer. */
 }
--- a/src/core/retry/crash_exposure.h
+++ b/src/core/retry/crash_exposure.h
@@ -21,8 +21,9 @@
 } crash_exposure_t;
 
 /**
- * Number of back ends that have ended, or, if there are any, also of those that may still run the
- * request, other than @p except, a back end's hash; 0: none is left out.
+ * Number of the request's crashes, and, if a back end has ended, not only been left, also of the
+ * back ends that may still run the request, other than @p except, a back end's hash; 0: none is
+ * left out.
  */
 unsigned crash_exposure_count(const crash_exposure_t *exposure, uint64_t except);
 /** Time until crash_exposure_count of all is less than CRASHES_MAX; 0: now. */
--- a/src/core/retry/crash_history.c
+++ b/src/core/retry/crash_history.c
@@ -19,6 +19,7 @@
     uint8_t number;
     bool silent;
     bool confirmed;
+    bool left;     /**< A call has left the back end; no more is known. */
     bool prolongs; /**< It came after a stop and began the next, longer one. */
 } crash_t;
 
@@ -188,7 +189,7 @@
         entry->stops = count_recent(entry, removed->at) >= CRASHES_MAX;
 }
 
-bool crash_history_add(crash_history_t *history, crash_report_t *crash, bool confirmed) {
+static bool add_crash(crash_history_t *history, crash_report_t *crash, bool confirmed, bool left) {
     const request_crashes_t *known = find(history, crash->request);
     if (crash->number == 0)
         crash->number = find_number(known, crash);
@@ -200,12 +201,24 @@
     unsigned index = entry->count++;
     for (; index > 0 && entry->crashes[index - 1].at > crash->at; index--)
         entry->crashes[index] = entry->crashes[index - 1];
-    entry->crashes[index] =
-        (crash_t){crash->at, crash->backend, crash->number, crash->silent, confirmed, false};
+    entry->crashes[index] = (crash_t){.at = crash->at,
+                                      .backend = crash->backend,
+                                      .number = crash->number,
+                                      .silent = crash->silent,
+                                      .confirmed = confirmed,
+                                      .left = left};
     stop_at_limit(entry, &entry->crashes[entry->count - 1]);
     return true;
 }
 
+bool crash_history_add(crash_history_t *history, crash_report_t *crash, bool confirmed) {
+    return add_crash(history, crash, confirmed, false);
+}
+
+bool crash_history_add_left(crash_history_t *history, crash_report_t *crash) {
+    return add_crash(history, crash, false, true);
+}
+
 bool crash_history_remove(crash_history_t *history, crash_report_t *crash) {
     request_crashes_t *entry = find(history, crash->request);
     if (entry != NULL && crash->number == 0)
@@ -226,6 +239,12 @@
         entry->crashes[index].confirmed = true;
 }
 
+bool crash_history_is_confirmed(const crash_history_t *history, const crash_report_t *crash) {
+    const request_crashes_t *entry = find(history, crash->request);
+    int index = entry == NULL ? -1 : find_crash(entry, crash);
+    return index >= 0 && entry->crashes[index].confirmed;
+}
+
 /* Cleared crashes stay known, so that late reports of them do not count as others. */
 bool crash_history_clear(crash_history_t *history, uint64_t request, uint64_t at) {
     request_crashes_t *entry = find(history, request);
@@ -297,6 +316,18 @@
     return is_on_probation(entry, now) ? CRASHES_NEAR_MAX : recent;
 }
 
+unsigned crash_history_count_ended(const crash_history_t *history, uint64_t request, uint64_t now) {
+    const request_crashes_t *entry = find(history, request);
+    unsigned count = crash_history_count(history, request, now);
+    if (entry == NULL || is_on_probation(entry, now))
+        return count;
+    for (unsigned i = 0; i < entry->count; i++) {
+        const crash_t *crash = &entry->crashes[i];
+        count -= counts(entry, crash, now) && crash->left && !crash->confirmed;
+    }
+    return count;
+}
+
 bool crash_history_knows(const crash_history_t *history, uint64_t request, uint16_t backend,
                          uint64_t at, uint64_t now) {
     const request_crashes_t *entry = find(history, request);
--- a/src/core/retry/crash_history.h
+++ b/src/core/retry/crash_history.h
@@ -64,12 +64,19 @@
  * CRASH_SILENT_SAME_MS if one of them is silent, else the next.
  */
 bool crash_history_add(crash_history_t *history, crash_report_t *crash, bool confirmed);
+/**
+ * The same, while a back end is checked that a call has left: it counts, but it is no end until it
+ * is confirmed (crash_history_count_ended).
+ */
+bool crash_history_add_left(crash_history_t *history, crash_report_t *crash);
 /**
  * Removes a crash that turned out to be none; false if it is not known. One without a number gets
  * it, as in crash_history_add.
  */
 bool crash_history_remove(crash_history_t *history, crash_report_t *crash);
 void crash_history_confirm(crash_history_t *history, const crash_report_t *crash);
+/** True if the crash is known and confirmed. */
+bool crash_history_is_confirmed(const crash_history_t *history, const crash_report_t *crash);
 /** Forgets the crashes up to @p at; false if there were none. */
 bool crash_history_clear(crash_history_t *history, uint64_t request, uint64_t at);
 /**
@@ -93,6 +100,11 @@
  * stopped.
  */
 unsigned crash_history_count(const crash_history_t *history, uint64_t request, uint64_t now);
+/**
+ * The same, without those whose back ends were only left by a call, and are not confirmed to have
+ * ended.
+ */
+unsigned crash_history_count_ended(const crash_history_t *history, uint64_t request, uint64_t now);
 /** True if a crash of the back end under the request counts that was found since @p at, or so
  * shortly before that it is the same. */
 bool crash_history_knows(const crash_history_t *history, uint64_t request, uint16_t backend,
--- a/src/core/retry/left_sends.h
+++ b/src/core/retry/left_sends.h
@@ -36,16 +36,27 @@
 void left_sends_free(left_sends_t *sends);
 /**
  * Adds a send that was left at @p now, whose back end was told to end it in @p run_ms. Sends of one
- * request to one back end are one entry; beyond LEFT_SENDS_MAX the oldest goes.
+ * request to one back end are one entry, which is returned; beyond LEFT_SENDS_MAX the oldest goes.
  */
-void left_sends_add(left_sends_t *sends, uint64_t request, uint64_t backend, uint64_t run_ms,
-                    uint64_t now);
-/** The end of the back end has been counted under the request. */
-void left_sends_remove(left_sends_t *sends, uint64_t request, uint64_t backend);
+left_send_t left_sends_add(left_sends_t *sends, uint64_t request, uint64_t backend, uint64_t run_ms,
+                           uint64_t now);
+/** Adds an entry as left_sends_add does. */
+left_send_t left_sends_put(left_sends_t *sends, const left_send_t *send, uint64_t now);
+/** The end of the back end, given by the low bits of its hash, was counted under the request. */
+void left_sends_remove(left_sends_t *sends, uint64_t request, uint16_t backend);
 /** The request got a complete successful response. */
 void left_sends_forget(left_sends_t *sends, uint64_t request);
-/** Removes the sends that may have ended the back end, and appends them to @p taken. */
+/**
+ * Removes the sends that may have ended the back end, and appends them to @p taken; they are not
+ * settled.
+ */
 void left_sends_take(left_sends_t *sends, uint64_t backend, uint64_t now, GArray *taken);
+/** Moves the request's entries at the back end, given by the low bits of its hash. */
+void left_sends_move(left_sends_t *from, left_sends_t *to, uint64_t request, uint16_t backend,
+                     uint64_t now);
+/** Appends the sends that may have ended, or may end, the back end to @p list, of left_send_t. */
+void left_sends_list_backend(const left_sends_t *sends, uint64_t backend, uint64_t now,
+                             GArray *list);
 
 /** Appends those whose time is not over to @p list, of left_send_t. */
 void left_sends_list(const left_sends_t *sends, uint64_t now, GArray *list);
--- a/src/gateway/backend_versions.c
+++ b/src/gateway/backend_versions.c
@@ -86,7 +86,7 @@
     backend->version_doubted_at = uv_now(backend->loop);
     const backends_t *backends = backend->owner;
     if (backends->on_process_doubted != NULL)
-        backends->on_process_doubted(backends->process_doubted_owner, backend);
+        backends->on_process_doubted(backends->process_owner, backend);
 }
 
 void backend_trust_version(backend_t *backend, uint64_t since) {
--- a/src/gateway/backends.c
+++ b/src/gateway/backends.c
@@ -112,7 +112,8 @@
     backends->connections_opened = 0;
     backends->changes = 0;
     backends->on_process_doubted = NULL;
-    backends->process_doubted_owner = NULL;
+    backends->on_entry_gone = NULL;
+    backends->process_owner = NULL;
 }
 
 static void close_idle(backend_t *backend) {
@@ -164,6 +165,9 @@
     backend_probe_stop(backend);
     process_check_stop(backend);
     close_idle(backend);
+    const backends_t *backends = backend->owner;
+    if (backends->on_process_doubted != NULL)
+        backends->on_process_doubted(backends->process_owner, backend);
 }
 
 void backends_update(backends_t *backends, backend_record_t *record) {
@@ -201,18 +205,17 @@
         close_idle(backend);
 }
 
-/** The entry of the back end has gone, without the announcement of a stop. */
-static void doubt_process(backend_t *backend) {
+static void report_entry_gone(backend_t *backend) {
     const backends_t *backends = backend->owner;
-    if (!backend->record->leaving && backends->on_process_doubted != NULL)
-        backends->on_process_doubted(backends->process_doubted_owner, backend);
+    if (!backend->record->leaving && backends->on_entry_gone != NULL)
+        backends->on_entry_gone(backends->process_owner, backend);
 }
 
 void backends_remove(backends_t *backends, const char *instance) {
     backend_t *backend = g_hash_table_lookup(backends->by_instance, instance);
     if (backend == NULL)
         return;
-    doubt_process(backend);
+    report_entry_gone(backend);
     g_hash_table_remove(backends->by_instance, instance);
     g_hash_table_remove(backends->by_hash, &backend->id_hash);
     remove_from_id_bits(backends, backend);
@@ -234,7 +237,7 @@
         backends_remove(backends, instance);
         return false;
     }
-    doubt_process(backend);
+    report_entry_gone(backend);
     if (backend->expiry_grace_end == 0)
         backend->expiry_grace_end = until;
     g_hash_table_add(backends->expired, backend);
@@ -269,7 +272,7 @@
 }
 
 void backends_clear(backends_t *backends) {
-    backends->on_process_doubted = NULL;
+    backends->on_entry_gone = NULL;
     GHashTable *none = g_hash_table_new(g_str_hash, g_str_equal);
     backends_retain(backends, none);
     g_hash_table_destroy(none);
--- a/src/gateway/backends.h
+++ b/src/gateway/backends.h
@@ -101,10 +101,11 @@
     uint64_t seed;         /**< Differs by gateway; see core/routing/service_choice.h. */
     uint64_t connections_opened;
     uint64_t changes; /**< Incremented when a call begins or ends. */
-    /** Called when the process of a back end may have ended: a connection has broken, or its entry
-     * has gone without the announcement of a stop; NULL: nobody asks. */
+    /** Called when the process of a back end may have ended; NULL: nobody asks. */
     void (*on_process_doubted)(void *owner, backend_t *backend);
-    void *process_doubted_owner;
+    /** Called when its entry has gone without the announcement of a stop; NULL: nobody asks. */
+    void (*on_entry_gone)(void *owner, backend_t *backend);
+    void *process_owner; /**< Of both. */
 } backends_t;
 
 typedef struct {
--- a/src/gateway/crash_watch.c
+++ b/src/gateway/crash_watch.c
@@ -117,6 +117,7 @@
 }
 
 static void on_process_doubted(void *owner, backend_t *backend);
+static void on_entry_gone(void *owner, backend_t *backend);
 static void on_survived(void *owner, crash_report_t *crash);
 static void on_ended(void *owner, const crash_report_t *crash);
 
@@ -134,9 +135,10 @@
     g_queue_init(&watch->given_up);
     uv_timer_init(loop, &watch->given_up_timer);
     watch->given_up_timer.data = watch;
-    watch->left = left_calls_new(loop, stores);
+    watch->left = left_calls_new(loop, stores, backends->seed ^ uv_hrtime());
     backends->on_process_doubted = on_process_doubted;
-    backends->process_doubted_owner = watch;
+    backends->on_entry_gone = on_entry_gone;
+    backends->process_owner = watch;
     watch->suspicions = crash_suspicions_new(loop, backends, &suspicions_handler, watch);
     load_sharing_share_crashes(sharing, &sharing_handler, watch);
     return watch;
@@ -211,6 +213,7 @@
 }
 
 static void withdraw_crash(const crash_watch_t *watch, crash_report_t *crash, bool sent) {
+    left_calls_trust(watch->left, crash->request, crash->backend);
     if (crash_history_remove(watch->history, crash) && sent)
         send_to_stores(watch, MESSAGE_CRASH_WITHDRAWN, crash);
 }
@@ -218,6 +221,7 @@
 static void confirm_crash(const crash_watch_t *watch, const crash_report_t *crash, bool sent) {
     crash_news_t news = news_of_crash(watch, crash->request);
     crash_history_confirm(watch->history, crash);
+    left_calls_remove(watch->left, crash->request, crash->backend);
     if (sent)
         report_to_gateways(watch, crash, news);
     else
@@ -279,10 +283,11 @@
     crash_watch_t *watch = check->watch;
     crash_report_t *crash = &checked->crash;
     if (result == BACKEND_CHECK_ENDED || result == BACKEND_CHECK_UNREACHABLE) {
-        left_calls_remove(watch->left, crash->request, check->backend);
         if (checked->counted || crash_history_add(watch->history, crash, true))
             confirm_crash(watch, crash, is_sent(check, checked));
-    } else if (checked->counted) {
+    } else if (!checked->counted) {
+        left_calls_trust(watch->left, crash->request, crash->backend);
+    } else {
         if (result == BACKEND_CHECK_DOUBTFUL)
             withdraw_crash(watch, crash, is_sent(check, checked));
         else if (checked->broken)
@@ -326,6 +331,11 @@
                             .silent = silent};
 }
 
+static bool add_suspected(const crash_watch_t *watch, checked_crash_t *checked) {
+    return checked->broken ? crash_history_add(watch->history, &checked->crash, false)
+                           : crash_history_add_left(watch->history, &checked->crash);
+}
+
 /** Counts the request's crash at the back end while that is checked. */
 static void check_crash(crash_watch_t *watch, uint64_t request, const backend_t *backend,
                         bool silent, uint64_t run_until) {
@@ -335,8 +345,9 @@
         .run_until = run_until,
         .counted = !recent_successes_contain(&watch->successes, request, now(watch)),
     };
-    if (checked.counted && !crash_history_add(watch->history, &checked.crash, false)) {
-        left_calls_remove(watch->left, request, backend->id_hash);
+    if (checked.counted && !add_suspected(watch, &checked)) {
+        if (crash_history_is_confirmed(watch->history, &checked.crash))
+            left_calls_remove(watch->left, request, (uint16_t)backend->id_hash);
         return;
     }
     suspected_backend_t *check = g_hash_table_lookup(watch->checks, &backend->id_hash);
@@ -361,7 +372,7 @@
 static void on_process_doubted(void *owner, backend_t *backend) {
     crash_watch_t *watch = owner;
     GArray *left = g_array_new(FALSE, FALSE, sizeof(left_send_t));
-    left_calls_take(watch->left, backend->id_hash, left);
+    left_calls_doubt(watch->left, backend->id_hash, left);
     for (guint i = 0; i < left->len; i++) {
         const left_send_t *send = &g_array_index(left, left_send_t, i);
         event_log(BACKEND_LEFT_SEND_SUSPECTED, send->request, backend->record->instance,
@@ -372,6 +383,26 @@
     g_array_free(left, TRUE);
 }
 
+/**
+ * What calls have left there is checked, without the call: some back ends serve on without an
+ * entry.
+ */
+static void on_entry_gone(void *owner, backend_t *backend) {
+    crash_watch_t *watch = owner;
+    GArray *left = g_array_new(FALSE, FALSE, sizeof(left_send_t));
+    left_calls_list_backend(watch->left, backend->id_hash, left);
+    for (guint i = 0; i < left->len; i++) {
+        const left_send_t *send = &g_array_index(left, left_send_t, i);
+        if (crash_history_knows(watch->history, send->request, (uint16_t)send->backend,
+                                send->left_at, now(watch)))
+            continue;
+        event_log(BACKEND_LEFT_SEND_SUSPECTED, send->request, backend->record->instance,
+                  now(watch) - send->left_at);
+        check_crash(watch, send->request, backend, true, send->until + LEFT_SEND_MARGIN_MS);
+    }
+    g_array_free(left, TRUE);
+}
+
 static void on_given_up_timer(uv_timer_t *timer) {
     crash_watch_t *watch = timer->data;
     given_up_t *given_up;
--- a/src/gateway/crash_watch.h
+++ b/src/gateway/crash_watch.h
@@ -17,12 +17,14 @@
  * A call that leaves a back end before it has answered is checked as well, without the call. There
  * the connection did not break, which the end of the process would have caused, so that a new one
  * that comes up does show that the back end is alive; storage nodes are told if the check is slow.
- * The back end may run the request for longer (left_sends.h): a connection to it that breaks in
- * that time, under any request or idle, counts as one that broke under this one, and so does its
- * entry that goes: a machine may fall silent to which no connection is open. Near its limit a
- * request counts a back end that it has left until the back end can't run it any more, so that it
- * runs at one back end at a time. Before that, what the request's calls have left at all gateways
- * limits where it is sent (core/retry/crash_exposure.h).
+ * The back end may run the request for longer (left_sends.h). Meanwhile a connection to it that
+ * breaks, under any request or idle, or another start time in its entry, counts as a connection
+ * that broke under this one. If its entry goes without the announcement of a stop, as that of a
+ * machine that fell silent, it is checked once more: some back ends serve on without an entry.
+ *
+ * Near its limit a request counts a back end that it has left until the back end can't run it any
+ * more, so that it runs at one back end at a time. Before that, what the request's calls have left
+ * at all gateways limits where it is sent (core/retry/crash_exposure.h).
  *
  * Thread safety: everything here belongs to the loop's thread.
  */
--- a/src/store/store_membership.c
+++ b/src/store/store_membership.c
@@ -186,7 +186,10 @@
     g_hash_table_replace(membership->registrations, registration->member.name, registration);
 }
 
-/** A value of the group's key that is no group: see "Another writer" above. */
+/**
+ * Another writer has put a value that is no group; it is taken for the latest revision only if this
+ * node has seen every value before it.
+ */
 static void apply_odd_group_value(store_membership_t *membership, uint64_t revision) {
     if (revision <= membership->group_revision)
         return;
--- a/tests/unit/crash_exposure_test.cc
+++ b/tests/unit/crash_exposure_test.cc
@@ -60,6 +60,28 @@
     EXPECT_EQ(wait_ms(), 0U);
 }
 
+// Guards against a request that is refused because its calls have left sound but slow back ends.
+TEST_F(CrashExposure, IsNotBegunByABackEndThatIsCheckedBecauseACallHasLeftIt) {
+    for (uint16_t backend : {1, 2, 3})
+        leave(backend, 500);
+    crash_report_t crash = {};
+    crash.request = REQUEST;
+    crash.at = NOW;
+    crash.backend = 1;
+    crash_history_add_left(history, &crash);
+    EXPECT_EQ(count(), 1U);
+    EXPECT_EQ(wait_ms(), 0U);
+    crash_history_confirm(history, &crash);
+    EXPECT_EQ(count(), 3U) << "it has ended";
+}
+
+TEST_F(CrashExposure, TellsNoLongerWaitThanACrashCounts) {
+    end(1);
+    leave(2, 10 * uint64_t{CRASH_RETENTION_MS});
+    leave(3, 10 * uint64_t{CRASH_RETENTION_MS});
+    EXPECT_EQ(wait_ms(), uint32_t{CRASH_RETENTION_MS});
+}
+
 TEST_F(CrashExposure, CountsABackEndOnceThatSeveralCallsHaveLeft) {
     end(1);
     leave(2 + HIGH_BITS, 500);
--- a/tests/unit/crash_sharing_test.cc
+++ b/tests/unit/crash_sharing_test.cc
@@ -101,8 +101,10 @@
             side.watch, request,
             static_cast<backend_t *>(g_hash_table_lookup(side.backends.by_instance, instance)));
     }
-    static backend_t *add_backend(Side &side, const char *instance, const Port &port) {
+    static backend_t *add_backend(Side &side, const char *instance, const Port &port,
+                                  uint64_t born = 0) {
         auto *record = g_new0(backend_record_t, 1);
+        record->born = born;
         record->instance = g_strdup(instance);
         record->service = g_strdup("s");
         record->zone = g_strdup(side.zone.c_str());
@@ -558,6 +560,64 @@
     EXPECT_EQ(crash_watch_count(one.watch, REQUEST), 2U) << "their ports refuse";
 }
 
+// Guards against a request that is stopped for back ends that serve on without an entry.
+TEST_F(CrashSharing, AnEntryThatGoesDoesNotCountWhileTheBackEndAcceptsConnections) {
+    Side &one = open("here");
+    auto *accepting = new Port(Port::ACCEPTS);
+    backend_t *backend = add_backend(one, "a", *accepting);
+    uv_update_time(loop());
+    backend->observed.last_received_at = uv_now(loop());
+    crash_watch_give_up(one.watch, REQUEST, backend, RUN_MS);
+    backend->observed.last_received_at = uv_now(loop()) + 1;
+    wait_ms(200);
+    backends_expire_entry(&one.backends, "a", uv_now(loop()) + RUN_MS);
+    EXPECT_TRUE(run_until([&] { return crash_watch_count(one.watch, REQUEST) == 0; }));
+    delete accepting;
+    backends_remove(&one.backends, "a");
+    EXPECT_TRUE(run_until([&] { return crash_watch_count(one.watch, REQUEST) == 1; }))
+        << "it ends while it may run the request";
+    wait_ms(200);
+    EXPECT_EQ(crash_watch_count(one.watch, REQUEST), 1U);
+}
+
+// Guards against a back end that ends after a false doubt about it, unseen.
+TEST_F(CrashSharing, WhatACallHasLeftIsWatchedOnAfterAFalseDoubt) {
+    Side &one = open("here");
+    auto *accepting = new Port(Port::ACCEPTS);
+    backend_t *backend = add_backend(one, "a", *accepting);
+    uv_update_time(loop());
+    uint64_t earlier = uv_now(loop());
+    backend->observed.last_received_at = earlier;
+    crash_watch_give_up(one.watch, REQUEST, backend, 2 * RUN_MS);
+    backend->observed.last_received_at = earlier + 1;
+    wait_ms(200);
+    backend_doubt_version(backend, uv_now(loop()));
+    EXPECT_EQ(crash_watch_count(one.watch, REQUEST), 1U);
+    wait_ms(200);
+    backend_record_survival(backend, earlier);
+    EXPECT_TRUE(run_until([&] { return crash_watch_count(one.watch, REQUEST) == 0; }));
+    delete accepting;
+    backend_doubt_version(backend, uv_now(loop()));
+    wait_ms(200);
+    EXPECT_EQ(crash_watch_count(one.watch, REQUEST), 1U);
+}
+
+// Guards against the end of a process that is back under its id before its entry goes.
+TEST_F(CrashSharing, AnEntryWithAnotherStartTimeShowsTheEndAfterTheCallHasLeft) {
+    Side &one = open("here");
+    Port accepting(Port::ACCEPTS);
+    backend_t *backend = add_backend(one, "a", accepting, 1000);
+    uv_update_time(loop());
+    backend->observed.last_received_at = uv_now(loop());
+    crash_watch_give_up(one.watch, REQUEST, backend, RUN_MS);
+    backend->observed.last_received_at = uv_now(loop()) + 1;
+    wait_ms(200);
+    ASSERT_EQ(crash_watch_count(one.watch, REQUEST), 0U);
+    add_backend(one, "a", accepting, 2000);
+    wait_ms(500);
+    EXPECT_EQ(crash_watch_count(one.watch, REQUEST), 1U);
+}
+
 TEST_F(CrashSharing, ABackEndThatEndsLongAfterTheCallHasLeftItDoesNotCount) {
     Side &one = open("here");
     Port accepting(Port::ACCEPTS);
--- a/tests/unit/left_sends_test.cc
+++ b/tests/unit/left_sends_test.cc
@@ -88,6 +88,19 @@
     g_array_free(list, TRUE);
 }
 
+// Guards against a send that is forgotten though its back end turned out to be alive.
+TEST_F(LeftSends, ThatAreTakenOrMovedAreNotSettled) {
+    left_sends_t *doubted = left_sends_new(nullptr, nullptr);
+    left_sends_add(sends, 1, BACKEND, 500, NOW);
+    left_sends_add(sends, 2, BACKEND, 500, NOW);
+    left_sends_move(sends, doubted, 1, BACKEND, NOW);
+    EXPECT_EQ(take(NOW), std::vector<uint64_t>{2});
+    EXPECT_TRUE(settled.empty());
+    left_sends_move(doubted, sends, 1, BACKEND, NOW);
+    EXPECT_EQ(take(NOW), std::vector<uint64_t>{1});
+    left_sends_free(doubted);
+}
+
 TEST_F(LeftSends, AreBoundedAndTheOldestGo) {
     for (uint64_t request = 0; request <= LEFT_SENDS_MAX; request++)
         left_sends_add(sends, request, BACKEND, 500, NOW);
