gateways: the end of a caller's side is logged while its answer is due

A caller that closes its connection and one that ends its side and reads on were logged alike: E830 caller_gone. No decision has changed.

--- a/src/gateway/call.c
+++ b/src/gateway/call.c
@@ -413,4 +413,14 @@
         end_call(call, 0, CALL_CALLER_DISCONNECTED);
 }
 
-const http_listener_handler_t call_listener_handler = {on_request, on_disconnect};
+static void on_input_ended(void *owner, http_caller_t *caller) {
+    gateway_t *gateway = owner;
+    const call_t *call = http_caller_data(caller);
+    if (call == NULL)
+        return;
+    gateway->counters.callers_input_ended++;
+    event_log(GATEWAY_INPUT_ENDED, call->id == NULL ? "-" : call->id, call->sends,
+              call->events.events, uv_now(gateway->loop) - call->arrived_at);
+}
+
+const http_listener_handler_t call_listener_handler = {on_request, on_disconnect, on_input_ended};
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -49,6 +49,7 @@
     uint64_t refused;  /**< Not run, and reported as such. */
     uint64_t failed;   /**< With 502, 504 or an aborted connection. */
     uint64_t callers_gone;
+    uint64_t callers_input_ended; /**< Ended their side before their answer ended. */
     uint64_t sends;
     uint64_t sent_again;
     uint64_t sent_same; /**< Resent to the same back end. */
--- a/src/gateway/reports.c
+++ b/src/gateway/reports.c
@@ -143,6 +143,7 @@
     metrics_append(text, "calls_refused_total", counters->refused);
     metrics_append(text, "calls_failed_total", counters->failed);
     metrics_append(text, "callers_gone_total", counters->callers_gone);
+    metrics_append(text, "callers_input_ended_total", counters->callers_input_ended);
     metrics_append(text, "sends_total", counters->sends);
     metrics_append(text, "sends_again_total", counters->sent_again);
     metrics_append(text, "sends_same_total", counters->sent_same);
@@ -173,7 +174,7 @@
     (void)caller;
 }
 
-static const http_listener_handler_t readiness_handler = {on_readiness, on_caller_disconnected};
+static const http_listener_handler_t readiness_handler = {on_readiness, on_caller_disconnected, NULL};
 
 bool gateway_open_reports(gateway_t *gateway) {
     const process_settings_t *settings = gateway->settings;
--- a/src/net/http_listener.c
+++ b/src/net/http_listener.c
@@ -552,11 +552,19 @@
            (caller->state == WRITING && !caller->keep);
 }
 
+static void report_input_ended(http_caller_t *caller) {
+    const http_listener_t *listener = caller->listener;
+    if (caller->state == ANSWERING && listener->handler->on_input_ended != NULL)
+        listener->handler->on_input_ended(listener->owner, caller);
+}
+
 static void on_read(uv_stream_t *stream, ssize_t count, const uv_buf_t *buffer) {
     http_caller_t *caller = stream->data;
     if (caller->state == CLOSING || count == 0)
         return;
     if (count < 0) {
+        if (count == UV_EOF)
+            report_input_ended(caller);
         caller_lost(caller);
         return;
     }
--- a/src/net/http_listener.h
+++ b/src/net/http_listener.h
@@ -38,6 +38,8 @@
     void (*on_request)(void *owner, http_caller_t *caller, const http_request_t *request);
     /** The caller went away before its answer ended; the caller object is gone after this. */
     void (*on_gone)(void *owner, http_caller_t *caller);
+    /** The caller has ended its side before its answer ended, and may read on. May be NULL. */
+    void (*on_input_ended)(void *owner, http_caller_t *caller);
 } http_listener_handler_t;
 
 /** Listens on @p address; NULL if that is not possible. */
--- a/tests/unit/http_listener_test.cc
+++ b/tests/unit/http_listener_test.cc
@@ -173,6 +173,7 @@
     bool hold = false; /**< Requests wait for their answer. */
     std::vector<http_caller_t *> waiting;
     unsigned gone = 0;
+    unsigned inputs_ended = 0;
     unsigned served = 0;
     unsigned deepest = 0;       /**< Requests delivered within each other, with the first. */
     size_t most_allocated = 0;  /**< Seen as a request was delivered. */
@@ -194,11 +195,14 @@
     static void on_gone(void *owner, http_caller_t *) {
         static_cast<HttpListener *>(owner)->gone++;
     }
+    static void on_input_ended(void *owner, http_caller_t *) {
+        static_cast<HttpListener *>(owner)->inputs_ended++;
+    }
     static const http_listener_handler_t handler;
     unsigned depth = 0;
 };
 
-const http_listener_handler_t HttpListener::handler = {on_request, on_gone};
+const http_listener_handler_t HttpListener::handler = {on_request, on_gone, on_input_ended};
 
 // Guards against the idle timer's cut of an answer that took longer to read than the timeout.
 TEST_F(HttpListener, AnAnswerThatIsReadSteadilyIsWrittenToItsEnd) {
