--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -135,6 +135,9 @@
 echo "--- planned stops of gateways under calls"
 . tests/integration/graceful_stop_test.sh
 
+echo "--- callers that end their side of a connection"
+. tests/integration/ended_input_test.sh
+
 echo "--- odd values of another writer"
 . tests/integration/odd_entries_test.sh
 
