listener: an absolute target names its host and path

Callers that name the host in the target, as proxies' clients do and as RFC 9112 3.2.2 has every server accept, got 404: `POST http://host/path?q HTTP/1.1` was looked up as a path, and the prefix of no route begins with a scheme.

The listener now splits such a target once the head is complete: the authority replaces whatever Host says, path and query stay as they are, and an empty path becomes "/". Routing, the request to the back end and a request's identity read Host and target and need no change. Without a host, with user information, a fragment or a port above 65535 the request is refused with 400 before its body is asked for; so is one of HTTP/1.1 without Host, which got 400 before. Targets of other schemes, `*` and CONNECT get what they got.

build_request() is visible as call_build_request(), so that the test reads what a back end gets.

Before, `build/tests/http_request_forms_unit_test`: http_request_forms_test.cc:227: Failure ... delivered[0].target Which is: "http://other/p/x" row.target Which is: "/p/x" in four of the five tests; the one of the other forms passed and passes. After: 5 of 5.

--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -201,6 +201,8 @@
 
 /** Sends the call to a back end that it has not been sent to; fails it if there is none. */
 void call_send(call_t *call);
+/** The request as its current back end gets it; the caller frees it. */
+GString *call_build_request(const call_t *call);
 /** Resends the call to its current back end. */
 void call_send_same_backend(call_t *call);
 /** True if there is a back end other than the current one that the call has not been sent to. */
--- a/src/gateway/call_send.c
+++ b/src/gateway/call_send.c
@@ -83,7 +83,7 @@
     }
 }
 
-static GString *build_request(const call_t *call) {
+GString *call_build_request(const call_t *call) {
     const http_request_t *caller = call->request;
     size_t body_length = call->prompt->len + caller->body_length;
     GString *request = g_string_sized_new(1024 + body_length);
@@ -450,7 +450,7 @@
     if (call_repeatable(call))
         stall_watch_add(&gateway->stall_watch, call);
     bool head_request = strcmp(call->request->method, "HEAD") == 0;
-    http_client_send(call->client, build_request(call), head_request, &exchange_handler, call);
+    http_client_send(call->client, call_build_request(call), head_request, &exchange_handler, call);
 }
 
 void call_send(call_t *call) {
--- a/src/net/http_headers.c
+++ b/src/net/http_headers.c
@@ -1,7 +1,10 @@
 #include "net/http_headers.h"
 
+#include <string.h>
 #include <strings.h>
 
+enum { OFFSETS_PER_FIELD = 2 };
+
 void http_headers_init(http_headers_t *headers) {
     headers->text = g_string_sized_new(512);
     headers->offsets = g_array_sized_new(FALSE, FALSE, sizeof(guint32), 32);
@@ -49,16 +52,29 @@
         http_headers_value_piece(headers, "", 0);
 }
 
+void http_headers_replace(http_headers_t *headers, const char *name, const char *value) {
+    for (size_t i = http_headers_count(headers); i > 0; i--)
+        if (strcasecmp(http_headers_name(headers, i - 1), name) == 0)
+            g_array_remove_range(headers->offsets, (guint)(OFFSETS_PER_FIELD * (i - 1)),
+                                 OFFSETS_PER_FIELD);
+    /* begin_part() ends the text before it only if the list holds a field. */
+    if (headers->offsets->len == 0)
+        g_string_truncate(headers->text, 0);
+    http_headers_name_piece(headers, name, strlen(name));
+    http_headers_value_piece(headers, value, strlen(value));
+}
+
 size_t http_headers_count(const http_headers_t *headers) {
-    return headers->offsets->len / 2;
+    return headers->offsets->len / OFFSETS_PER_FIELD;
 }
 
 const char *http_headers_name(const http_headers_t *headers, size_t index) {
-    return headers->text->str + g_array_index(headers->offsets, guint32, 2 * index);
+    return headers->text->str + g_array_index(headers->offsets, guint32, OFFSETS_PER_FIELD * index);
 }
 
 const char *http_headers_value(const http_headers_t *headers, size_t index) {
-    return headers->text->str + g_array_index(headers->offsets, guint32, 2 * index + 1);
+    return headers->text->str +
+           g_array_index(headers->offsets, guint32, OFFSETS_PER_FIELD * index + 1);
 }
 
 const char *http_headers_find(const http_headers_t *headers, const char *name) {
--- a/src/net/http_headers.h
+++ b/src/net/http_headers.h
@@ -27,6 +27,8 @@
 void http_headers_value_piece(http_headers_t *headers, const char *data, size_t length);
 /** Ends a value in the making; call once the head is complete. */
 void http_headers_finish(http_headers_t *headers);
+/** Gives the field named @p name this value in place of all that it has; adds it if need be. */
+void http_headers_replace(http_headers_t *headers, const char *name, const char *value);
 
 size_t http_headers_count(const http_headers_t *headers);
 const char *http_headers_name(const http_headers_t *headers, size_t index);
--- a/src/net/http_listener.c
+++ b/src/net/http_listener.c
@@ -9,6 +9,8 @@
  */
 #include "net/http_listener.h"
 
+#include "net/request_target.h"
+
 #include <errno.h>
 #include <http_parser.h>
 #include <linux/sockios.h>
@@ -404,6 +406,29 @@
     return 0;
 }
 
+/**
+ * Makes path and query of an absolute target the request's target, and its authority the Host,
+ * whatever the caller has sent as Host (RFC 9112, 3.2.2). False if it is malformed.
+ */
+static bool resolve_target(http_caller_t *caller) {
+    const http_parser *parser = &caller->parser;
+    if (!request_target_is_absolute(caller->target->str))
+        return true;
+    absolute_target_t parts;
+    if (!request_target_split(caller->target->str, &parts))
+        return false;
+    bool needs_host = parser->http_major == 1 && parser->http_minor >= 1;
+    if (needs_host && http_headers_find(&caller->headers, "Host") == NULL)
+        return false;
+    char *authority = g_strndup(parts.authority, parts.authority_length);
+    http_headers_replace(&caller->headers, "Host", authority);
+    g_free(authority);
+    g_string_erase(caller->target, 0, parts.path_and_query - caller->target->str);
+    if (caller->target->str[0] != '/')
+        g_string_prepend_c(caller->target, '/');
+    return true;
+}
+
 static int on_headers_complete(http_parser *parser) {
     http_caller_t *caller = parser->data;
     const http_limits_t *limits = &caller->listener->limits;
@@ -416,6 +441,8 @@
         caller->too_large = true;
         return -1;
     }
+    if (!resolve_target(caller))
+        return -1;
     const char *expect = http_headers_find(&caller->headers, "Expect");
     if (expect != NULL && strcasecmp(expect, "100-continue") == 0)
         write_bytes(caller, g_string_new("HTTP/1.1 100 Continue\r\n\r\n"));
--- a/src/net/http_listener.h
+++ b/src/net/http_listener.h
@@ -27,7 +27,7 @@
 /** A whole request; owned by the connection until the answer has ended. */
 typedef struct {
     const char *method;
-    const char *target; /**< Path and query as sent. */
+    const char *target; /**< Path and query as sent; the host of an absolute one is in Host. */
     const http_headers_t *headers;
     const char *body;
     size_t body_length;
