listener: an offered upgrade is ignored, not refused

Java's HttpClient offers HTTP/2 with its first request on a plain connection (`Connection: Upgrade, HTTP2-Settings`, `Upgrade: h2c`) and got 400, which it doesn't repeat. A server may ignore the offer (RFC 9110 7.8).

The listener took the parser's `upgrade` for a request after which another protocol follows. That is so of CONNECT alone: of a request with Upgrade the parser reads the body as usual, and the listener pauses it at the end of each message, so that it reads on as HTTP. The method tells now.

Before, `build/tests/http_request_forms_unit_test`: http_request_forms_test.cc:311: Failure ... ask(row.parts, 2) Which is: { "400" } both Which is: { "200", "200" } Now served: without and with a body, with a length and in chunks, in one go, in parts and byte by byte, each with a further request behind it. CONNECT gets 400 as before, with an upgrade too.

--- a/src/net/http_listener.c
+++ b/src/net/http_listener.c
@@ -497,6 +497,11 @@
     http_caller_answer(caller, status, NULL, NULL, 0);
 }
 
+/** What follows a CONNECT is no request. An offered upgrade is ignored (RFC 9110, 7.8). */
+static bool asks_for_tunnel(const http_caller_t *caller) {
+    return caller->parser.method == HTTP_CONNECT;
+}
+
 /** Parses bytes of the next request, up to its end. Returns how many. */
 static size_t parse_bytes(http_caller_t *caller, const char *data, size_t length) {
     if (!caller->begun) {
@@ -510,14 +515,14 @@
     enum http_errno status = HTTP_PARSER_ERRNO(&caller->parser);
     if (status == HPE_PAUSED) {
         http_parser_pause(&caller->parser, 0);
-        if (caller->parser.upgrade != 0 || parsed > length) {
+        if (asks_for_tunnel(caller) || parsed > length) {
             refuse_malformed(caller);
             return length;
         }
         deliver_request(caller);
         return parsed;
     }
-    if (status != HPE_OK || caller->parser.upgrade != 0)
+    if (status != HPE_OK)
         refuse_malformed(caller);
     return length;
 }
--- a/tests/unit/http_request_forms_test.cc
+++ b/tests/unit/http_request_forms_test.cc
@@ -28,6 +28,10 @@
 constexpr uint32_t close_after_ms = 10; /**< Ends what is left of the connections. */
 const std::string usual = "GET /usual HTTP/1.1\r\nHost: h\r\n\r\n";
 
+/** What Java's HttpClient sends with its first request on a plain connection. */
+const std::string offer = "Connection: Upgrade, HTTP2-Settings\r\nHost: h\r\nHTTP2-Settings: "
+                          "AAEAAEAAAAIAAAABAAMAAABkAAQBAAAAAAUAAEAA\r\nUpgrade: h2c\r\n";
+
 struct Delivered {
     std::string method;
     std::string target;
@@ -282,4 +286,45 @@
     EXPECT_TRUE(delivered.empty());
 }
 
+// Guards against 400 for callers that offer another protocol, which a server may ignore.
+TEST_F(HttpRequestForms, AnOfferedUpgradeIsIgnored) {
+    const std::string get = "GET /p HTTP/1.1\r\n" + offer + "\r\n";
+    const std::string post = "POST /p HTTP/1.1\r\n" + offer + "Content-Length: 2\r\n\r\n";
+    const std::string chunked =
+        "POST /p HTTP/1.1\r\n" + offer + "Transfer-Encoding: chunked\r\n\r\n";
+    const std::string chunks = "1\r\no\r\n1\r\nk\r\n0\r\n\r\n";
+    const Statuses both = {"200", "200"};
+    struct {
+        std::vector<std::string> parts;
+        std::string body;
+    } const requests[] = {
+        {{get + usual}, ""},
+        {{get, usual}, ""},
+        {{post + "ok" + usual}, "ok"},
+        {{post, "ok", usual}, "ok"},
+        {{post + "o", "k" + usual}, "ok"},
+        {{chunked + chunks + usual}, "ok"},
+        {{chunked, chunks, usual}, "ok"},
+        {{chunked + "1\r\no", "\r\n1\r\nk\r\n0\r\n\r\n" + usual}, "ok"},
+    };
+    for (const auto &row : requests) {
+        EXPECT_EQ(ask(row.parts, 2), both) << row.parts[0];
+        ASSERT_EQ(delivered.size(), 2U) << row.parts[0];
+        EXPECT_EQ(delivered[0].target, "/p");
+        EXPECT_EQ(delivered[0].body, row.body);
+        EXPECT_EQ(count_field(delivered[0].forwarded, "Upgrade"), 0U);
+        EXPECT_EQ(delivered[1].target, "/usual");
+    }
+    EXPECT_EQ(ask_slowly(post + "ok" + usual, 2), both);
+    EXPECT_EQ(ask(get + get + post + "ok" + get, 4), Statuses({"200", "200", "200", "200"}));
+}
+
+TEST_F(HttpRequestForms, ATunnelIsRefusedWithAnUpgradeToo) {
+    EXPECT_EQ(ask("CONNECT h:80 HTTP/1.1\r\n" + offer + "\r\n" + usual), Statuses({"400"}));
+    EXPECT_EQ(ask("CONNECT h:80 HTTP/1.1\r\n" + offer + "Content-Length: 2\r\n\r\nok"),
+              Statuses({"400"}));
+    EXPECT_EQ(ask_slowly("CONNECT h:80 HTTP/1.1\r\nHost: h:80\r\n\r\n"), Statuses({"400"}));
+    EXPECT_TRUE(delivered.empty());
+}
+
 } // namespace
