gateways: fields that Connection names are not passed on

A caller's `Connection: Upgrade, HTTP2-Settings` left out Connection and Upgrade, which are known by name, and passed HTTP2-Settings on; so with any field that Connection names, in requests and in answers. RFC 9110 7.6.1 has an intermediary remove them all: the back end could act on what was meant for the connection to the gateway.

What Connection names beside the fields known by name is now gathered once for a message, and only if there is any, in a set; so a head full of options costs no more than its length. Host is passed on though it be named, since the back end would have to refuse a request without it.

Before, `build/tests/http_request_forms_unit_test`: http_request_forms_test.cc:339: Failure ... count_field(request, name) Which is: 1 0U Which is: 0 for HTTP2-Settings, X-One and X-Two. The answers' side is tested at the two functions that decide, which call_send.c uses for both.

--- a/src/gateway/call_send.c
+++ b/src/gateway/call_send.c
@@ -71,16 +71,18 @@
 /** Appends the caller's header fields except hop-by-hop fields and those that the gateway sets. */
 static void append_fields(const call_t *call, GString *request) {
     const http_headers_t *headers = call->request->headers;
+    GHashTable *options = http_headers_connection_options(headers);
     bool resumes = call->events.events > 0;
     bool strips_key = call->configuration->tenancy != NULL;
     for (size_t i = 0; i < http_headers_count(headers); i++) {
         const char *name = http_headers_name(headers, i);
-        bool skip = http_header_is_hop_by_hop(name) || call_field_is_gateway_only(name) ||
+        bool skip = !http_header_is_end_to_end(name, options) || call_field_is_gateway_only(name) ||
                     (strips_key && is_field(name, FIELD_KEY)) ||
                     (resumes && is_field(name, FIELD_LAST_EVENT));
         if (!skip)
             g_string_append_printf(request, "%s: %s\r\n", name, http_headers_value(headers, i));
     }
+    g_clear_pointer(&options, g_hash_table_unref);
 }
 
 GString *call_build_request(const call_t *call) {
@@ -110,13 +112,15 @@
 /* The response. */
 
 static void copy_fields(call_t *call, const http_headers_t *headers) {
+    GHashTable *options = http_headers_connection_options(headers);
     g_string_truncate(call->fields, 0);
     for (size_t i = 0; i < http_headers_count(headers); i++) {
         const char *name = http_headers_name(headers, i);
-        if (!http_header_is_hop_by_hop(name))
+        if (http_header_is_end_to_end(name, options))
             g_string_append_printf(call->fields, "%s: %s\r\n", name,
                                    http_headers_value(headers, i));
     }
+    g_clear_pointer(&options, g_hash_table_unref);
 }
 
 static bool is_success(unsigned status) {
--- a/src/net/http_headers.c
+++ b/src/net/http_headers.c
@@ -102,3 +102,38 @@
             return true;
     return false;
 }
+
+/** Adds the options of one value, in lower case; makes the set for the first. */
+static void add_options(GHashTable **options, const char *value) {
+    char **names = g_strsplit(value, ",", -1);
+    for (char **name = names; *name != NULL; name++) {
+        g_strstrip(*name);
+        if (**name == '\0' || http_header_is_hop_by_hop(*name) || strcasecmp(*name, "host") == 0 ||
+            strcasecmp(*name, "close") == 0)
+            continue;
+        if (*options == NULL)
+            *options = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+        g_hash_table_add(*options, g_ascii_strdown(*name, -1));
+    }
+    g_strfreev(names);
+}
+
+GHashTable *http_headers_connection_options(const http_headers_t *headers) {
+    GHashTable *options = NULL;
+    size_t count = http_headers_count(headers);
+    for (size_t i = 0; i < count; i++)
+        if (strcasecmp(http_headers_name(headers, i), "connection") == 0)
+            add_options(&options, http_headers_value(headers, i));
+    return options;
+}
+
+bool http_header_is_end_to_end(const char *name, GHashTable *options) {
+    if (http_header_is_hop_by_hop(name))
+        return false;
+    if (options == NULL)
+        return true;
+    char *lower_case = g_ascii_strdown(name, -1);
+    bool named = g_hash_table_contains(options, lower_case);
+    g_free(lower_case);
+    return !named;
+}
--- a/src/net/http_headers.h
+++ b/src/net/http_headers.h
@@ -37,5 +37,12 @@
 const char *http_headers_find(const http_headers_t *headers, const char *name);
 /** True for fields that concern one connection only and are never passed on. */
 bool http_header_is_hop_by_hop(const char *name);
+/**
+ * The further fields that Connection makes hop-by-hop (RFC 9110, 7.6.1); NULL if there are none.
+ * Free with g_hash_table_unref(). Host is never among them: each request needs it.
+ */
+GHashTable *http_headers_connection_options(const http_headers_t *headers);
+/** True if an intermediary passes the field on; @p options as returned for its message. */
+bool http_header_is_end_to_end(const char *name, GHashTable *options);
 
 #endif
--- a/tests/unit/http_request_forms_test.cc
+++ b/tests/unit/http_request_forms_test.cc
@@ -327,4 +327,49 @@
     EXPECT_TRUE(delivered.empty());
 }
 
+// Guards against fields of one connection that reach the back end.
+TEST_F(HttpRequestForms, FieldsThatConnectionNamesAreNotPassedOn) {
+    ask("GET /p HTTP/1.1\r\n" + offer +
+        "X-One: 1\r\nX-Kept: k\r\nConnection: ,keep-alive ,\t x-one,\r\nX-Two: 2\r\nX-Tw: 3\r\n"
+        "connection: X-TWO\r\nKeep-Alive: timeout=5\r\nx-one: again\r\n\r\n");
+    ASSERT_EQ(delivered.size(), 1U);
+    const std::string &request = delivered[0].forwarded;
+    for (const char *name :
+         {"Connection", "Upgrade", "HTTP2-Settings", "Keep-Alive", "X-One", "X-Two"})
+        EXPECT_EQ(count_field(request, name), 0U) << request;
+    for (const char *name : {"Host", "X-Kept", "X-Tw"})
+        EXPECT_EQ(count_field(request, name), 1U) << request;
+}
+
+// Guards against a request without a host, which the back end would have to refuse.
+TEST_F(HttpRequestForms, HostIsPassedOnThoughConnectionNamesIt) {
+    ask("GET /p HTTP/1.1\r\nHost: h\r\nConnection: Host, close\r\n\r\n");
+    ASSERT_EQ(delivered.size(), 1U);
+    EXPECT_EQ(count_field(delivered[0].forwarded, "Host"), 1U) << delivered[0].forwarded;
+}
+
+// Of answers, too: the same functions decide what of them is passed on.
+TEST(HttpHeaders, ConnectionNamesFieldsThatAreNotPassedOn) {
+    http_headers_t headers;
+    http_headers_init(&headers);
+    auto add = [&](const std::string &name, const std::string &value) {
+        http_headers_name_piece(&headers, name.data(), name.size());
+        http_headers_value_piece(&headers, value.data(), value.size());
+    };
+    EXPECT_EQ(http_headers_connection_options(&headers), nullptr);
+    add("Connection", "close, Keep-Alive,, Host");
+    EXPECT_EQ(http_headers_connection_options(&headers), nullptr);
+    EXPECT_TRUE(http_header_is_end_to_end("Host", nullptr));
+    EXPECT_FALSE(http_header_is_end_to_end("keep-alive", nullptr));
+    add("connection", "\tX-Hop \t,Other");
+    GHashTable *options = http_headers_connection_options(&headers);
+    ASSERT_NE(options, nullptr);
+    for (const char *name : {"x-hop", "X-HOP", "other", "Connection", "Keep-Alive"})
+        EXPECT_FALSE(http_header_is_end_to_end(name, options)) << name;
+    for (const char *name : {"X-Ho", "X-Hops", "Host", "Response-Signature", ""})
+        EXPECT_TRUE(http_header_is_end_to_end(name, options)) << name;
+    g_hash_table_unref(options);
+    http_headers_clear(&headers);
+}
+
 } // namespace
