listener: a head beyond the bound gets 431, its target and trailers count too

Fields of 20 kB beyond a max-header-bytes of 16384 got 400, which tells a caller that the request is malformed; a target of 20 kB was served, and so were trailers of 20 kB. Only what exceeded the parser's own bound, twice ours, got 431.

The bound was looked at once the head was complete. The error that the callback set there was replaced by the parser's, "the on_headers_complete callback failed", and neither target nor trailers were counted. Now each callback that adds to target or fields checks both together, and the connection keeps why it refuses. A head that is no longer than the bound as sent, line ends and all, is always served.

--- a/src/net/http_listener.c
+++ b/src/net/http_listener.c
@@ -60,6 +60,7 @@
     bool begun;   /**< A byte of the request was read. */
     bool serving; /**< serve_bytes() goes on with the next request. */
     bool too_large;
+    bool head_too_large;
     bool chunked;
     bool keep;   /**< The connection may serve another request. */
     bool broken; /**< A write failed; the timer reports the end outside the owner's call. */
@@ -388,22 +389,29 @@
 
 /* Reading. */
 
+/** Result of a callback that has added to the head; the parser's error would not tell why. */
+static int check_head_size(http_caller_t *caller) {
+    size_t size = caller->target->len + caller->headers.text->len;
+    caller->head_too_large = size > caller->listener->limits.header_bytes;
+    return caller->head_too_large ? -1 : 0;
+}
+
 static int on_url(http_parser *parser, const char *data, size_t length) {
     http_caller_t *caller = parser->data;
     g_string_append_len(caller->target, data, (gssize)length);
-    return 0;
+    return check_head_size(caller);
 }
 
 static int on_header_field(http_parser *parser, const char *data, size_t length) {
     http_caller_t *caller = parser->data;
     http_headers_name_piece(&caller->headers, data, length);
-    return 0;
+    return check_head_size(caller);
 }
 
 static int on_header_value(http_parser *parser, const char *data, size_t length) {
     http_caller_t *caller = parser->data;
     http_headers_value_piece(&caller->headers, data, length);
-    return 0;
+    return check_head_size(caller);
 }
 
 /**
@@ -433,10 +441,6 @@
     http_caller_t *caller = parser->data;
     const http_limits_t *limits = &caller->listener->limits;
     http_headers_finish(&caller->headers);
-    if (caller->headers.text->len > limits->header_bytes) {
-        parser->http_errno = HPE_HEADER_OVERFLOW;
-        return -1;
-    }
     if (parser->content_length != ULLONG_MAX && parser->content_length > limits->body_bytes) {
         caller->too_large = true;
         return -1;
@@ -492,7 +496,7 @@
     unsigned status = 400;
     if (caller->too_large)
         status = 413;
-    else if (HTTP_PARSER_ERRNO(&caller->parser) == HPE_HEADER_OVERFLOW)
+    else if (caller->head_too_large || HTTP_PARSER_ERRNO(&caller->parser) == HPE_HEADER_OVERFLOW)
         status = 431;
     http_caller_answer(caller, status, NULL, NULL, 0);
 }
--- a/src/net/http_listener.h
+++ b/src/net/http_listener.h
@@ -18,7 +18,7 @@
 
 /** Bounds on what a caller may send and how long it may take. */
 typedef struct {
-    uint32_t header_bytes;
+    uint32_t header_bytes; /**< Of the target and all fields, trailers too. */
     uint64_t body_bytes;
     uint32_t header_timeout_ms;
     uint32_t idle_timeout_ms; /**< Without a request, or without taking bytes of an answer. */
--- a/tests/unit/http_request_forms_test.cc
+++ b/tests/unit/http_request_forms_test.cc
@@ -372,4 +372,56 @@
     http_headers_clear(&headers);
 }
 
+/** A field that takes @p bytes of the bound. */
+std::string field_of(size_t bytes) {
+    return "X: " + std::string(bytes - strlen("X") - 2, 'x') + "\r\n";
+}
+
+// Guards against 400, which callers take for a fault of what they ask.
+TEST_F(HttpRequestForms, FieldsBeyondTheBoundAreRefusedAsTooLarge) {
+    std::string many;
+    for (unsigned i = 0; i < 400; i++)
+        many += field_of(50);
+    const std::string begin = "GET / HTTP/1.1\r\nHost: h\r\n";
+    EXPECT_EQ(ask(begin + field_of(20000) + "\r\n"), Statuses({"431"}));
+    EXPECT_EQ(ask(begin + many + "\r\n"), Statuses({"431"}));
+    EXPECT_EQ(ask(begin + field_of(200000) + "\r\n"), Statuses({"431"}));
+    EXPECT_EQ(ask({begin, field_of(9000), field_of(9000), "\r\n"}, 1), Statuses({"431"}));
+    EXPECT_TRUE(delivered.empty());
+}
+
+TEST_F(HttpRequestForms, ATargetBeyondTheBoundIsRefused) {
+    const std::string end = " HTTP/1.1\r\nHost: h\r\n";
+    EXPECT_EQ(ask("GET /" + std::string(20000, 'x') + end + "\r\n"), Statuses({"431"}));
+    EXPECT_EQ(ask("GET http://h/" + std::string(20000, 'x') + end + "\r\n"), Statuses({"431"}));
+    EXPECT_EQ(ask("GET /" + std::string(200000, 'x') + end + "\r\n"), Statuses({"431"}));
+    EXPECT_EQ(ask("GET /" + std::string(9000, 'x') + end + field_of(9000) + "\r\n"),
+              Statuses({"431"}))
+        << "the bound holds for both together";
+    EXPECT_TRUE(delivered.empty());
+}
+
+TEST_F(HttpRequestForms, TrailersCountTowardsTheBound) {
+    const std::string begin = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n";
+    EXPECT_EQ(ask(begin + "\r\n2\r\nok\r\n0\r\n" + field_of(20000) + "\r\n"), Statuses({"431"}));
+    EXPECT_TRUE(delivered.empty());
+    EXPECT_EQ(ask(begin + "\r\n2\r\nok\r\n0\r\n" + field_of(9000) + "\r\n" + usual, 2),
+              Statuses({"200", "200"}));
+}
+
+// Guards against a bound that refuses what callers may send.
+TEST_F(HttpRequestForms, AHeadWithinTheBoundIsServed) {
+    const std::string line = "GET /" + std::string(8000, 'x') + " HTTP/1.1\r\n";
+    const std::string name = "X: ";
+    const std::string end = "\r\n\r\n";
+    std::string value(header_bytes - line.size() - name.size() - end.size(), 'x');
+    std::string head = line + name + value + end;
+    ASSERT_EQ(head.size(), header_bytes);
+    EXPECT_EQ(ask(head + head, 2), Statuses({"200", "200"}));
+    EXPECT_EQ(ask_slowly(head), Statuses({"200"}));
+    /* Target, name and value alone exceed it. */
+    size_t room = header_bytes - strlen("/") - 8000 - strlen("X");
+    EXPECT_EQ(ask(line + name + std::string(room + 1, 'x') + end), Statuses({"431"}));
+}
+
 } // namespace
