--- a/tests/unit/http_server_test.cc
+++ b/tests/unit/http_server_test.cc
@@ -18,6 +18,7 @@
 
 constexpr std::chrono::seconds patience(60);
 constexpr std::chrono::milliseconds pause(2);
+constexpr std::chrono::seconds work(1); /**< What a slow answer takes. */
 /** Far more than the kernel keeps for a connection, so that most of it waits in the server. */
 constexpr size_t large_bytes = 12 * 1024 * 1024;
 constexpr int stops = 300;
@@ -69,11 +70,15 @@
         http_server_stop(server_);
         server_ = nullptr;
     }
-    void call(const std::string &path) {
+    void call(const std::string &path, const std::string &body = "") {
         if (caller_ < 0)
             caller_ = connected_socket(http_server_port(server_));
         ASSERT_GE(caller_, 0);
         std::string text = "GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n";
+        if (!body.empty())
+            text = "POST " + path +
+                   " HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(body.size()) +
+                   "\r\n\r\n" + body;
         ASSERT_EQ(send(caller_, text.data(), text.size(), MSG_NOSIGNAL),
                   static_cast<ssize_t>(text.size()));
     }
@@ -126,6 +131,10 @@
         auto *self = static_cast<HttpServer *>(context);
         std::string path = http_request_path(request);
         std::string body(path == "/small" ? 1 : large_bytes, '#');
+        if (path == "/wait") {
+            self->kept_ = request;
+            return;
+        }
         if (path == "/stream" || path == "/kept") {
             http_stream_start(request, "text/event-stream");
             http_stream_write(request, body.data(), body.size());
@@ -213,4 +222,49 @@
     EXPECT_EQ(given_up_, 2);
 }
 
+// Guards against an answer that is lost as its caller has ended its side of the connection.
+TEST_F(HttpServer, ACallerThatEndsItsSideAfterItsRequestGetsItsWholeAnswer) {
+    struct {
+        const char *path;
+        size_t length;
+        int times;
+    } const answers[] = {
+        {"/response", large_bytes, 1}, {"/stream", large_bytes, 1}, {"/small", 1, 100}};
+    for (const auto &answer : answers) {
+        for (int i = 0; i < 2 * answer.times; i++) {
+            call(answer.path, i % 2 == 0 ? "" : "body");
+            ASSERT_EQ(shutdown(caller_, SHUT_WR), 0);
+            EXPECT_EQ(read_slowly(SIZE_MAX), answer.length) << answer.path << " " << i;
+            close(caller_);
+            caller_ = -1;
+            EXPECT_TRUE(wait_until_in_flight(0)) << answer.path << " " << i;
+        }
+    }
+}
+
+TEST_F(HttpServer, ACallerThatHasEndedItsSideGetsAnAnswerThatTakesASecond) {
+    const std::string body(large_bytes, '#');
+    for (bool stream : {false, true}) {
+        call("/wait");
+        ASSERT_EQ(shutdown(caller_, SHUT_WR), 0);
+        ASSERT_TRUE(wait_until([&] { return kept_ != nullptr; }));
+        http_request_t *request = kept_.exchange(nullptr);
+        std::this_thread::sleep_for(work);
+        if (stream) {
+            http_stream_start(request, "text/event-stream");
+            EXPECT_TRUE(http_stream_write(request, "#", 1));
+            EXPECT_EQ(read_slowly(1), 1U);
+            std::this_thread::sleep_for(work);
+            EXPECT_TRUE(http_stream_write(request, body.data(), body.size() - 1));
+            http_stream_finish(request);
+        } else {
+            http_respond(request, 200, "text/plain", g_bytes_new(body.data(), body.size()), 0);
+        }
+        EXPECT_EQ(read_slowly(SIZE_MAX), stream ? large_bytes - 1 : large_bytes) << stream;
+        close(caller_);
+        caller_ = -1;
+        EXPECT_TRUE(wait_until_in_flight(0)) << stream;
+    }
+}
+
 } // namespace
