--- a/tests/unit/frame_connection_test.cc
+++ b/tests/unit/frame_connection_test.cc
@@ -184,4 +184,21 @@
     EXPECT_EQ(world.accepted[0]->frames, (std::vector<std::string>{"first", "last"}));
 }
 
+// Our nodes never end one side: an end of a peer's is that of its process.
+TEST_F(FrameConnection, AConnectionEndsAsItsPeerEndsItsSide) {
+    int peer = socket(AF_INET, SOCK_STREAM, 0);
+    ASSERT_EQ(::connect(peer, reinterpret_cast<sockaddr *>(&world.address), sizeof world.address),
+              0);
+    ASSERT_TRUE(run_until([this] { return world.accepted.size() == 1; }));
+    const std::string frames("\0\0\0\5first\0\0\0\4last", 17);
+    ASSERT_EQ(send(peer, frames.data(), frames.size(), MSG_NOSIGNAL),
+              static_cast<ssize_t>(frames.size()));
+    ASSERT_EQ(shutdown(peer, SHUT_WR), 0);
+    EXPECT_TRUE(run_until([this] { return closed == 1; }));
+    EXPECT_EQ(world.accepted[0]->frames, (std::vector<std::string>{"first", "last"}));
+    char byte;
+    EXPECT_TRUE(run_until([&] { return recv(peer, &byte, 1, MSG_DONTWAIT) == 0; }));
+    close(peer);
+}
+
 } // namespace
