--- a/src/gateway/call_send.c
+++ b/src/gateway/call_send.c
@@ -71,19 +71,21 @@
 /** Appends the caller's header fields except hop-by-hop fields and those that the gateway sets. */
 static void append_fields(const call_t *call, GString *request) {
     const http_headers_t *headers = call->request->headers;
+    GHashTable *options = http_headers_connection_options(headers);
     bool resumes = call->events.events > 0;
     bool strips_key = call->configuration->tenancy != NULL;
     for (size_t i = 0; i < http_headers_count(headers); i++) {
         const char *name = http_headers_name(headers, i);
-        bool skip = http_header_is_hop_by_hop(name) || call_field_is_gateway_only(name) ||
+        bool skip = !http_header_is_end_to_end(name, options) || call_field_is_gateway_only(name) ||
                     (strips_key && is_field(name, FIELD_KEY)) ||
                     (resumes && is_field(name, FIELD_LAST_EVENT));
         if (!skip)
             g_string_append_printf(request, "%s: %s\r\n", name, http_headers_value(headers, i));
     }
+    g_clear_pointer(&options, g_hash_table_unref);
 }
 
-static GString *build_request(const call_t *call) {
+GString *call_build_request(const call_t *call) {
     const http_request_t *caller = call->request;
     size_t body_length = call->prompt->len + caller->body_length;
     GString *request = g_string_sized_new(1024 + body_length);
@@ -110,13 +112,15 @@
 /* The response. */
 
 static void copy_fields(call_t *call, const http_headers_t *headers) {
+    GHashTable *options = http_headers_connection_options(headers);
     g_string_truncate(call->fields, 0);
     for (size_t i = 0; i < http_headers_count(headers); i++) {
         const char *name = http_headers_name(headers, i);
-        if (!http_header_is_hop_by_hop(name))
+        if (http_header_is_end_to_end(name, options))
             g_string_append_printf(call->fields, "%s: %s\r\n", name,
                                    http_headers_value(headers, i));
     }
+    g_clear_pointer(&options, g_hash_table_unref);
 }
 
 static bool is_success(unsigned status) {
@@ -450,7 +454,7 @@
     if (call_repeatable(call))
         stall_watch_add(&gateway->stall_watch, call);
     bool head_request = strcmp(call->request->method, "HEAD") == 0;
-    http_client_send(call->client, build_request(call), head_request, &exchange_handler, call);
+    http_client_send(call->client, call_build_request(call), head_request, &exchange_handler, call);
 }
 
 void call_send(call_t *call) {
--- a/src/net/http_headers.c
+++ b/src/net/http_headers.c
@@ -1,7 +1,10 @@
 #include "net/http_headers.h"
 
+#include <string.h>
 #include <strings.h>
 
+enum { OFFSETS_PER_FIELD = 2 };
+
 void http_headers_init(http_headers_t *headers) {
     headers->text = g_string_sized_new(512);
     headers->offsets = g_array_sized_new(FALSE, FALSE, sizeof(guint32), 32);
@@ -49,16 +52,29 @@
         http_headers_value_piece(headers, "", 0);
 }
 
+void http_headers_replace(http_headers_t *headers, const char *name, const char *value) {
+    for (size_t i = http_headers_count(headers); i > 0; i--)
+        if (strcasecmp(http_headers_name(headers, i - 1), name) == 0)
+            g_array_remove_range(headers->offsets, (guint)(OFFSETS_PER_FIELD * (i - 1)),
+                                 OFFSETS_PER_FIELD);
+    /* begin_part() ends the text before it only if the list holds a field. */
+    if (headers->offsets->len == 0)
+        g_string_truncate(headers->text, 0);
+    http_headers_name_piece(headers, name, strlen(name));
+    http_headers_value_piece(headers, value, strlen(value));
+}
+
 size_t http_headers_count(const http_headers_t *headers) {
-    return headers->offsets->len / 2;
+    return headers->offsets->len / OFFSETS_PER_FIELD;
 }
 
 const char *http_headers_name(const http_headers_t *headers, size_t index) {
-    return headers->text->str + g_array_index(headers->offsets, guint32, 2 * index);
+    return headers->text->str + g_array_index(headers->offsets, guint32, OFFSETS_PER_FIELD * index);
 }
 
 const char *http_headers_value(const http_headers_t *headers, size_t index) {
-    return headers->text->str + g_array_index(headers->offsets, guint32, 2 * index + 1);
+    return headers->text->str +
+           g_array_index(headers->offsets, guint32, OFFSETS_PER_FIELD * index + 1);
 }
 
 const char *http_headers_find(const http_headers_t *headers, const char *name) {
@@ -86,3 +102,38 @@
             return true;
     return false;
 }
+
+/** Adds the options of one value, in lower case; makes the set for the first. */
+static void add_options(GHashTable **options, const char *value) {
+    char **names = g_strsplit(value, ",", -1);
+    for (char **name = names; *name != NULL; name++) {
+        g_strstrip(*name);
+        if (**name == '\0' || http_header_is_hop_by_hop(*name) || strcasecmp(*name, "host") == 0 ||
+            strcasecmp(*name, "close") == 0)
+            continue;
+        if (*options == NULL)
+            *options = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+        g_hash_table_add(*options, g_ascii_strdown(*name, -1));
+    }
+    g_strfreev(names);
+}
+
+GHashTable *http_headers_connection_options(const http_headers_t *headers) {
+    GHashTable *options = NULL;
+    size_t count = http_headers_count(headers);
+    for (size_t i = 0; i < count; i++)
+        if (strcasecmp(http_headers_name(headers, i), "connection") == 0)
+            add_options(&options, http_headers_value(headers, i));
+    return options;
+}
+
+bool http_header_is_end_to_end(const char *name, GHashTable *options) {
+    if (http_header_is_hop_by_hop(name))
+        return false;
+    if (options == NULL)
+        return true;
+    char *lower_case = g_ascii_strdown(name, -1);
+    bool named = g_hash_table_contains(options, lower_case);
+    g_free(lower_case);
+    return !named;
+}
--- a/src/net/http_headers.h
+++ b/src/net/http_headers.h
@@ -27,6 +27,8 @@
 void http_headers_value_piece(http_headers_t *headers, const char *data, size_t length);
 /** Ends a value in the making; call once the head is complete. */
 void http_headers_finish(http_headers_t *headers);
+/** Gives the field named @p name this value in place of all that it has; adds it if need be. */
+void http_headers_replace(http_headers_t *headers, const char *name, const char *value);
 
 size_t http_headers_count(const http_headers_t *headers);
 const char *http_headers_name(const http_headers_t *headers, size_t index);
@@ -35,5 +37,12 @@
 const char *http_headers_find(const http_headers_t *headers, const char *name);
 /** True for fields that concern one connection only and are never passed on. */
 bool http_header_is_hop_by_hop(const char *name);
+/**
+ * The further fields that Connection makes hop-by-hop (RFC 9110, 7.6.1); NULL if there are none.
+ * Free with g_hash_table_unref(). Host is never among them: each request needs it.
+ */
+GHashTable *http_headers_connection_options(const http_headers_t *headers);
+/** True if an intermediary passes the field on; @p options as returned for its message. */
+bool http_header_is_end_to_end(const char *name, GHashTable *options);
 
 #endif
--- a/src/net/http_listener.c
+++ b/src/net/http_listener.c
@@ -13,6 +13,8 @@
  */
 #include "net/http_listener.h"
 
+#include "net/request_target.h"
+
 #include <errno.h>
 #include <http_parser.h>
 #include <linux/sockios.h>
@@ -67,6 +69,7 @@
     bool begun;   /**< A byte of the request was read. */
     bool serving; /**< serve_bytes() goes on with the next request. */
     bool too_large;
+    bool head_too_large;
     bool chunked;
     bool keep;   /**< The connection may serve another request. */
     bool broken; /**< A write failed; the timer reports the end outside the owner's call. */
@@ -458,36 +461,64 @@
 
 /* Reading. */
 
+/** Result of a callback that has added to the head; the parser's error would not tell why. */
+static int check_head_size(http_caller_t *caller) {
+    size_t size = caller->target->len + caller->headers.text->len;
+    caller->head_too_large = size > caller->listener->limits.header_bytes;
+    return caller->head_too_large ? -1 : 0;
+}
+
 static int on_url(http_parser *parser, const char *data, size_t length) {
     http_caller_t *caller = parser->data;
     g_string_append_len(caller->target, data, (gssize)length);
-    return 0;
+    return check_head_size(caller);
 }
 
 static int on_header_field(http_parser *parser, const char *data, size_t length) {
     http_caller_t *caller = parser->data;
     http_headers_name_piece(&caller->headers, data, length);
-    return 0;
+    return check_head_size(caller);
 }
 
 static int on_header_value(http_parser *parser, const char *data, size_t length) {
     http_caller_t *caller = parser->data;
     http_headers_value_piece(&caller->headers, data, length);
-    return 0;
+    return check_head_size(caller);
+}
+
+/**
+ * Makes path and query of an absolute target the request's target, and its authority the Host,
+ * whatever the caller has sent as Host (RFC 9112, 3.2.2). False if it is malformed.
+ */
+static bool resolve_target(http_caller_t *caller) {
+    const http_parser *parser = &caller->parser;
+    if (!request_target_is_absolute(caller->target->str))
+        return true;
+    absolute_target_t parts;
+    if (!request_target_split(caller->target->str, &parts))
+        return false;
+    bool needs_host = parser->http_major == 1 && parser->http_minor >= 1;
+    if (needs_host && http_headers_find(&caller->headers, "Host") == NULL)
+        return false;
+    char *authority = g_strndup(parts.authority, parts.authority_length);
+    http_headers_replace(&caller->headers, "Host", authority);
+    g_free(authority);
+    g_string_erase(caller->target, 0, parts.path_and_query - caller->target->str);
+    if (caller->target->str[0] != '/')
+        g_string_prepend_c(caller->target, '/');
+    return true;
 }
 
 static int on_headers_complete(http_parser *parser) {
     http_caller_t *caller = parser->data;
     const http_limits_t *limits = &caller->listener->limits;
     http_headers_finish(&caller->headers);
-    if (caller->headers.text->len > limits->header_bytes) {
-        parser->http_errno = HPE_HEADER_OVERFLOW;
-        return -1;
-    }
     if (parser->content_length != ULLONG_MAX && parser->content_length > limits->body_bytes) {
         caller->too_large = true;
         return -1;
     }
+    if (!resolve_target(caller))
+        return -1;
     const char *expect = http_headers_find(&caller->headers, "Expect");
     if (expect != NULL && strcasecmp(expect, "100-continue") == 0)
         write_bytes(caller, g_string_new("HTTP/1.1 100 Continue\r\n\r\n"));
@@ -537,11 +568,16 @@
     unsigned status = 400;
     if (caller->too_large)
         status = 413;
-    else if (HTTP_PARSER_ERRNO(&caller->parser) == HPE_HEADER_OVERFLOW)
+    else if (caller->head_too_large || HTTP_PARSER_ERRNO(&caller->parser) == HPE_HEADER_OVERFLOW)
         status = 431;
     http_caller_answer(caller, status, NULL, NULL, 0);
 }
 
+/** What follows a CONNECT is no request. An offered upgrade is ignored (RFC 9110, 7.8). */
+static bool asks_for_tunnel(const http_caller_t *caller) {
+    return caller->parser.method == HTTP_CONNECT;
+}
+
 /** Parses bytes of the next request, up to its end. Returns how many. */
 static size_t parse_bytes(http_caller_t *caller, const char *data, size_t length) {
     if (!caller->begun) {
@@ -555,14 +591,14 @@
     enum http_errno status = HTTP_PARSER_ERRNO(&caller->parser);
     if (status == HPE_PAUSED) {
         http_parser_pause(&caller->parser, 0);
-        if (caller->parser.upgrade != 0 || parsed > length) {
+        if (asks_for_tunnel(caller) || parsed > length) {
             refuse_malformed(caller);
             return length;
         }
         deliver_request(caller);
         return parsed;
     }
-    if (status != HPE_OK || caller->parser.upgrade != 0)
+    if (status != HPE_OK)
         refuse_malformed(caller);
     return length;
 }
--- a/src/net/http_listener.h
+++ b/src/net/http_listener.h
@@ -18,7 +18,7 @@
 
 /** Bounds on what a caller may send and how long it may take. */
 typedef struct {
-    uint32_t header_bytes;
+    uint32_t header_bytes; /**< Of the target and all fields, trailers too. */
     uint64_t body_bytes;
     uint32_t header_timeout_ms;
     uint32_t idle_timeout_ms; /**< Without a request, or without taking bytes of an answer. */
@@ -27,7 +27,7 @@
 /** A whole request; owned by the connection until the answer has ended. */
 typedef struct {
     const char *method;
-    const char *target; /**< Path and query as sent. */
+    const char *target; /**< Path and query as sent; the host of an absolute one is in Host. */
     const http_headers_t *headers;
     const char *body;
     size_t body_length;
