gateways: a stream that is closed before its first event is no answer

What callers saw: an event stream without a length (no Content-Length, no chunks) that its back end closed before its first event was a whole, empty 200. A turn ended so was stored with an empty output and its caller was told that it was done. A resumable stream that had been reset after one event and was closed at the next back end without an event ended as whole: 1 of 6 events.

Cause: a clean end of the connection ends an answer without a length, and on_complete asked only whether the last block was complete, which is true of no block at all.

Change: http_client tells whether an answer was ended by its connection. A stream ended so by a send that has brought no event is handled as a broken answer is (E831 stream_without_event): a resumable stream goes on at another back end, after the last event that its caller has; any other gets 502, or the end of its connection if its head has left. The back end is suspected under the request as after any broken answer: a process that ends closes its connections cleanly, too, and until now such an end cleared the request's record.

What was decided beside it: 1. A stream framed as whole (last chunk, Content-Length: 0) without an event is passed on as it is: the server says that this is its whole body, and 502 in its place would be a failure where the server had answered. 2. A clean close after one or more events of this send, at an event's end, stays the end of the answer. Nothing that gateways know tells a cut from the end there; to ask again would run an engine twice for each sound answer of this form. A send that only goes on with a stream is asked for by its own events: the call knows that the stream broke off before, and a silent close does not say otherwise. The cost: a server that frames nothing and had nothing more to add is asked at one more back end, and its caller's stream ends cut. 3. A turn cut so is not stored: one that goes on from it gets 404.

--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -132,6 +132,9 @@
 echo "--- answers without end"
 . tests/integration/endless_answer_test.sh
 
+echo "--- streams that end early"
+. tests/integration/cut_stream_test.sh
+
 echo "--- planned stops of gateways under calls"
 . tests/integration/graceful_stop_test.sh
 
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -158,6 +158,7 @@
     GString *body;     /**< A complete response, or events to be forwarded. */
     size_t held_bytes; /**< Of a response that is not streamed; counted in gateway_t. */
     event_stream_t events;
+    unsigned events_before; /**< Events of the sends before the current one. */
     call_speed_t speed;
     call_turn_t turn;
     call_stream_t stream;
--- a/src/gateway/call_send.c
+++ b/src/gateway/call_send.c
@@ -8,6 +8,11 @@
  * that exceeds a bound of net/answer_limits.h: its connection is closed at once, and if it may go
  * on without end, its back end is avoided for a while. Only what a caller can use counts as
  * progress of a call; any bytes show that the back end is alive.
+ *
+ * The end of its connection is the end of a stream without a length, once it has brought an event.
+ * A stream that ends so before its first event, or before its next one if it goes on with an
+ * earlier send, is no answer: a back end that has finished can't be told from one that broke off. A
+ * stream whose length or last chunk came is whole even without an event.
  */
 #include "gateway/call.h"
 
@@ -277,8 +282,38 @@
         call_forward_events(call);
 }
 
+/** Handles a send whose connection ended before its answer did. */
+static void handle_lost_answer(call_t *call, const char *reason) {
+    call_registration_pause(call);
+    crash_watch_suspect(call->gateway->crashes, call->request_id, call->backend,
+                        call->program == NULL);
+    call_version_check_process(call);
+    call_log_send_failed(call, reason);
+    if (!call->streaming)
+        g_string_truncate(call->body, 0);
+    call_handle_unknown_outcome(call, CALL_BACKEND_LOST);
+}
+
+static void complete_stream(call_t *call, bool ended_by_close) {
+    bool any_event = call->events.events > call->events_before;
+    /* Nothing else says that a stream without a length was whole. */
+    if (ended_by_close && !any_event) {
+        handle_lost_answer(call, "stream_without_event");
+        return;
+    }
+    call_speed_record_stream(call);
+    if (!event_stream_at_boundary(&call->events)) {
+        call_handle_unknown_outcome(call, CALL_BAD_ANSWER);
+        return;
+    }
+    crash_watch_record_success(call->gateway->crashes, call->request_id);
+    call_placement_completed(call);
+    call_turn_stream_completed(call);
+}
+
 static void on_complete(void *user) {
     call_t *call = user;
+    bool ended_by_close = http_client_answer_ended_by_close(call->client);
     backend_return_connection(call->backend, call->client);
     call->client = NULL;
     /* The response is complete: the call no longer waits for the back end. */
@@ -290,13 +325,7 @@
         return;
     }
     if (call->streaming) {
-        call_speed_record_stream(call);
-        if (event_stream_at_boundary(&call->events)) {
-            crash_watch_record_success(call->gateway->crashes, call->request_id);
-            call_placement_completed(call);
-            call_turn_stream_completed(call);
-        } else
-            call_handle_unknown_outcome(call, CALL_BAD_ANSWER);
+        complete_stream(call, ended_by_close);
         return;
     }
     bool server_error = call->status >= STATUS_SERVER_ERROR;
@@ -346,14 +375,7 @@
         backend_probe(call->backend);
         load_sharing_report_now(call->gateway->load_sharing, CONTROL_CAN_WAIT);
     }
-    call_registration_pause(call);
-    crash_watch_suspect(call->gateway->crashes, call->request_id, call->backend,
-                        call->program == NULL);
-    call_version_check_process(call);
-    call_log_send_failed(call, failure == HTTP_FAILURE_NO_ANSWER ? "no_answer" : "broken_answer");
-    if (!call->streaming)
-        g_string_truncate(call->body, 0);
-    call_handle_unknown_outcome(call, CALL_BACKEND_LOST);
+    handle_lost_answer(call, failure == HTTP_FAILURE_NO_ANSWER ? "no_answer" : "broken_answer");
 }
 
 static const http_exchange_handler_t exchange_handler = {on_head, on_body, on_complete, on_failed};
@@ -441,6 +463,7 @@
     call->answered = false;
     call->version_recorded = false;
     call->left_on_suspicion = false;
+    call->events_before = call->events.events;
     call->sent_at = uv_now(gateway->loop);
     call->last_received_at = call->sent_at;
     call->sends++;
--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -49,7 +49,8 @@
     bool head_complete;
     size_t head_bytes; /**< Read before the head was complete, with interim heads. */
     bool message_complete;
-    bool stopped; /**< Closed by a callback while its bytes were parsed. */
+    bool ended_by_close; /**< The end of its connection was the end of the answer. */
+    bool stopped;        /**< Closed by a callback while its bytes were parsed. */
     bool reusable;
     uint64_t idle_until;
     uint64_t first_received_at; /**< Loop time; 0: nothing was received yet. */
@@ -217,6 +218,7 @@
             if (client->state == STATE_CLOSED)
                 return;
             if (client->message_complete) {
+                client->ended_by_close = true;
                 client->reusable = false;
                 finish_exchange(client, false);
                 return;
@@ -368,6 +370,7 @@
     client->head_complete = false;
     client->head_bytes = 0;
     client->message_complete = false;
+    client->ended_by_close = false;
     client->reusable = false;
     if (client->state == STATE_CONNECTING)
         return;
@@ -383,6 +386,10 @@
     return client->state == STATE_IDLE && client->reusable;
 }
 
+bool http_client_answer_ended_by_close(const http_client_t *client) {
+    return client->ended_by_close;
+}
+
 uint64_t http_client_first_received_at(const http_client_t *client) {
     return client->first_received_at;
 }
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -62,6 +62,11 @@
 bool http_client_connected(const http_client_t *client);
 /** True if the last answer allows another request on this connection. */
 bool http_client_reusable(const http_client_t *client);
+/**
+ * True if the latest answer told no length and ended with its connection, so that a server which
+ * broke off can't be told from one that had finished. Valid during on_complete.
+ */
+bool http_client_answer_ended_by_close(const http_client_t *client);
 /** The loop time until which the server keeps the idle connection, with a margin; ms. */
 uint64_t http_client_idle_until(const http_client_t *client);
 /** Loop time in ms at which the connection first brought anything; 0: it has not yet. */
--- a/tests/unit/http_client_test.cc
+++ b/tests/unit/http_client_test.cc
@@ -17,6 +17,8 @@
     bool failed = false;
     http_failure_t failure = HTTP_FAILURE_NOT_SENT;
     std::string body;
+    http_client_t *client = nullptr;
+    bool ended_by_close = false;
 };
 
 const http_exchange_handler_t handler = {
@@ -24,7 +26,12 @@
     [](void *user, const char *data, size_t length) {
         static_cast<Outcome *>(user)->body.append(data, length);
     },
-    [](void *user) { static_cast<Outcome *>(user)->complete = true; },
+    [](void *user) {
+        auto *outcome = static_cast<Outcome *>(user);
+        outcome->complete = true;
+        outcome->ended_by_close = http_client_answer_ended_by_close(outcome->client);
+        http_client_close(outcome->client);
+    },
     [](void *user, http_failure_t failure) {
         static_cast<Outcome *>(user)->failed = true;
         static_cast<Outcome *>(user)->failure = failure;
@@ -37,9 +44,9 @@
     Outcome outcome;
     {
         Server server(answer, ending);
-        http_client_t *client = http_client_open(&loop, &server.address, nullptr, nullptr);
+        outcome.client = http_client_open(&loop, &server.address, nullptr, nullptr);
         GString *request = g_string_new("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
-        http_client_send(client, request, false, &handler, &outcome);
+        http_client_send(outcome.client, request, false, &handler, &outcome);
         uv_run(&loop, UV_RUN_DEFAULT);
     }
     uv_loop_close(&loop);
@@ -54,6 +61,19 @@
     EXPECT_EQ(outcome.body, "all of it");
 }
 
+// Guards against a stream that its back end closed before its first event, passed on as whole.
+TEST(HttpClient, OnlyAnAnswerWithoutALengthIsEndedByAClose) {
+    EXPECT_TRUE(exchange(head, Ending::clean).ended_by_close);
+    EXPECT_TRUE(exchange(head + "all of it", Ending::clean).ended_by_close);
+    for (const char *whole : {"Content-Length: 0\r\n\r\n", "Content-Length: 2\r\n\r\nok",
+                              "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"}) {
+        Outcome outcome = exchange(std::string("HTTP/1.1 200 OK\r\nConnection: close\r\n") + whole,
+                                   Ending::clean);
+        EXPECT_TRUE(outcome.complete);
+        EXPECT_FALSE(outcome.ended_by_close) << whole;
+    }
+}
+
 // libuv reports the reset of a connection whose bytes it has just read as an end.
 TEST(HttpClient, AResetLeavesAnAnswerWithoutALengthIncomplete) {
     for (int i = 0; i < 50; i++) {
