test: rudderwayd against answers that stop at any byte

Seen: it holds, nothing was changed. A cut head is never an answer. A cut body is never one with a length or chunks, nor after a reset without either. A clean close within a body without a length ends it, as HTTP has it: a service's answer is passed on as far as it came (each of its 14 proper beginnings), JSON is not taken (it does not parse), and a completion needs its engine's [DONE].

--- /dev/null
+++ b/tests/unit/node_cut_answers_test.cc
@@ -0,0 +1,146 @@
+// What rudderwayd makes of answers that stop at any byte.
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <string>
+
+#include "cut_server.h"
+
+extern "C" {
+#include "common/http_client.h"
+#include "node/adapters/engine.h"
+#include "node/adapters/key_value.h"
+#include "node/adapters/service.h"
+}
+
+namespace {
+
+class NodeCutAnswers : public testing::TestWithParam<std::tuple<Framing, Ending>> {
+  protected:
+    NodeCutAnswers() : client(http_client_new()) {
+    }
+    ~NodeCutAnswers() override {
+        http_client_free(client);
+    }
+    static Framing framing() {
+        return std::get<0>(GetParam());
+    }
+    static Ending ending() {
+        return std::get<1>(GetParam());
+    }
+    /** Sends the answer cut at each byte; `taken` tells whether it was taken for whole. */
+    void cut_at_each_byte(const std::string &body, const std::function<bool(GError **)> &taken) {
+        const std::string answer = framed_answer(framing(), body);
+        for (size_t length = 0; length < answer.size(); length++) {
+            server.set(answer.substr(0, length), ending());
+            GError *error = nullptr;
+            EXPECT_FALSE(taken(&error))
+                << "cut after " << length << " of " << answer.size() << ":\n"
+                << answer.substr(0, length);
+            EXPECT_NE(error, nullptr) << length;
+            g_clear_error(&error);
+        }
+        server.set(answer, Ending::clean);
+        EXPECT_TRUE(taken(nullptr));
+    }
+    key_value_address_t key_value() {
+        return {"127.0.0.1", server.port()};
+    }
+    engine_address_t engine() {
+        return {"127.0.0.1", server.port()};
+    }
+
+    CutServer server;
+    http_client_t *client;
+    size_t unframed = 0; /**< Cuts that nothing tells from the end. */
+};
+
+TEST_P(NodeCutAnswers, OfAServiceAreNotWhole) {
+    const std::string body = "the whole body";
+    bool ends_with_connection = framing() == Framing::none && ending() == Ending::clean;
+    std::string text;
+    GBytes *request = g_bytes_new_static("{}", 2);
+    cut_at_each_byte(body, [&](GError **error) {
+        service_call_t call = {};
+        call.address = "127.0.0.1";
+        call.port = server.port();
+        call.path = "/";
+        call.body = request;
+        call.timeout_ms = 5000;
+        GBytes *answer = nullptr;
+        bool done = service_request(client, &call, &answer, error);
+        gsize length = 0;
+        const char *data =
+            answer == nullptr ? "" : static_cast<const char *>(g_bytes_get_data(answer, &length));
+        text.assign(data == nullptr ? "" : data, length);
+        if (answer != nullptr)
+            g_bytes_unref(answer);
+        /* The clean end of its connection is the end of a body that has no frame. */
+        if (done && ends_with_connection && text != body && error != nullptr) {
+            g_set_error_literal(error, g_quark_from_static_string("test"), 1, "unframed");
+            unframed++;
+            return false;
+        }
+        return done;
+    });
+    EXPECT_EQ(unframed, ends_with_connection ? body.size() : 0);
+    g_bytes_unref(request);
+}
+
+TEST_P(NodeCutAnswers, OfTheKeyValueServiceAcknowledgeNoWrite) {
+    cut_at_each_byte(R"({"version":7})", [&](GError **error) {
+        return key_value_swap(client, key_value(), "k", "v", 1, 0, error);
+    });
+}
+
+TEST_P(NodeCutAnswers, OfTheKeyValueServiceListNothing) {
+    cut_at_each_byte(R"({"entries":[{"key":"k","value":"v"}],"version":7})", [&](GError **error) {
+        uint64_t version = 0;
+        json_t *entries = key_value_watch(client, key_value(), "k", 0, 10, &version, error);
+        bool taken = entries != nullptr;
+        json_decref(entries);
+        return taken;
+    });
+}
+
+TEST_P(NodeCutAnswers, OfTheKeyValueServiceGrantNoLease) {
+    cut_at_each_byte(R"({"lease":7,"ttl_ms":1000})", [&](GError **error) {
+        return key_value_lease(client, key_value(), 0, 1000, error) != 0;
+    });
+}
+
+TEST_P(NodeCutAnswers, OfAnEngineEndNoCompletion) {
+    const std::string event = "data: {\"choices\":[{\"delta\":{\"content\":\"a\"}}]}\n\n";
+    engine_completion_t completion = {};
+    completion.model = "m";
+    completion.messages = "[]";
+    completion.request_id = "r";
+    completion.program = "p";
+    completion.max_tokens = 4;
+    completion.timeout_ms = 5000;
+    completion.on_text = [](void *, const char *, size_t) { return true; };
+    const std::string whole = event + event + "data: [DONE]\n\n";
+    /* The line feeds behind the marker of the end say nothing more. */
+    const std::string answer = framed_answer(framing(), whole);
+    bool marker_suffices = framing() == Framing::none && ending() == Ending::clean;
+    size_t last = marker_suffices ? answer.size() - 1 : answer.size();
+    for (size_t length = 0; length < last; length++) {
+        server.set(answer.substr(0, length), ending());
+        engine_usage_t usage = {};
+        GError *error = nullptr;
+        EXPECT_FALSE(engine_complete(client, engine(), &completion, &usage, &error))
+            << "cut after " << length << " of " << answer.size();
+        EXPECT_NE(error, nullptr) << length;
+        g_clear_error(&error);
+    }
+    server.set(answer, Ending::clean);
+    engine_usage_t usage = {};
+    EXPECT_TRUE(engine_complete(client, engine(), &completion, &usage, nullptr));
+}
+
+INSTANTIATE_TEST_SUITE_P(Forms, NodeCutAnswers,
+                         testing::Combine(testing::Values(Framing::length, Framing::chunks,
+                                                          Framing::none),
+                                          testing::Values(Ending::clean, Ending::reset)));
+
+} // namespace
