cluster: a write counts as done only with its revision

What callers of the key-value service saw: an answer to a write that had neither a length nor chunks and was closed within its body, or right after its head, acknowledged the write. A storage node would have taken a spilled turn, or the status of its retirement, for kept.

Cause: the outcome was read from the status alone; a clean close ends a body without a length wherever it comes, so that the exchange was complete.

Change: the body of a 200 is kept (64 kB at most) and must be JSON that names the revision, as the service's page says; anything else counts as an answer that was lost. A condition that failed (412) needs no body: it lets nothing count as done.

--- a/src/cluster/key_value.h
+++ b/src/cluster/key_value.h
@@ -69,6 +69,10 @@
 bool key_value_parse_events(const char *body, size_t length, key_value_page_t *page);
 /** True if @p status says that a watch's history is gone and listing must begin again. */
 bool key_value_history_gone(unsigned status);
-key_value_outcome_t key_value_write_outcome(unsigned status);
+/**
+ * What the answer to a write says. One that says that it was done without its revision was cut off:
+ * an answer without a length ends with its connection wherever that ends.
+ */
+key_value_outcome_t key_value_write_outcome(unsigned status, const char *body, size_t length);
 
 #endif
--- a/src/cluster/key_value_watch.c
+++ b/src/cluster/key_value_watch.c
@@ -28,6 +28,7 @@
     PAUSE_PATIENT_MS = 3000, /**< After more than one failure, while others ask often. */
     STATUS_OK = 200,
     BODY_KEPT_MAX_BYTES = 1024 * 1024, /**< A larger buffer is freed after its answer. */
+    WRITTEN_MAX_BYTES = 64 * 1024,     /**< Of the answer to a write that was done. */
 };
 
 typedef enum { LISTING, WATCHING } phase_t;
@@ -403,12 +404,15 @@
     uv_timer_t timer;
     http_client_t *client;
     unsigned status;
+    GString *body;
     void (*done)(void *owner, key_value_outcome_t outcome);
     void *owner;
 } single_write_t;
 
 static void free_write(uv_handle_t *handle) {
-    g_free(handle->data);
+    single_write_t *write = handle->data;
+    g_string_free(write->body, TRUE);
+    g_free(write);
 }
 
 static void finish_write(single_write_t *write, key_value_outcome_t outcome) {
@@ -431,14 +435,14 @@
 }
 
 static void on_write_body(void *user, const char *data, size_t length) {
-    (void)user;
-    (void)data;
-    (void)length;
+    single_write_t *write = user;
+    if (write->status == STATUS_OK && write->body->len + length <= WRITTEN_MAX_BYTES)
+        g_string_append_len(write->body, data, (gssize)length);
 }
 
 static void on_write_complete(void *user) {
     single_write_t *write = user;
-    finish_write(write, key_value_write_outcome(write->status));
+    finish_write(write, key_value_write_outcome(write->status, write->body->str, write->body->len));
 }
 
 static void on_write_failed(void *user, http_failure_t failure) {
@@ -456,6 +460,7 @@
     single_write_t *write = g_new0(single_write_t, 1);
     write->done = done;
     write->owner = owner;
+    write->body = g_string_new(NULL);
     uv_timer_init(loop, &write->timer);
     write->timer.data = write;
     write->client = http_client_open(loop, address, NULL, NULL);
--- a/src/directorysim/virtual_service.c
+++ b/src/directorysim/virtual_service.c
@@ -387,7 +387,9 @@
     return status == STATUS_GONE;
 }
 
-key_value_outcome_t key_value_write_outcome(unsigned status) {
+key_value_outcome_t key_value_write_outcome(unsigned status, const char *body, size_t length) {
+    (void)body;
+    (void)length;
     return status == STATUS_OK ? KEY_VALUE_WRITTEN : KEY_VALUE_REFUSED;
 }
 
