test: frames and views that are cut between gateways

What was asked: whether an answer that is cut in the middle between gateways is taken for a whole one. Played: two frames, each byte as the last one, then a reset or a close: only the first is delivered, and only once it has come whole; a gateway's view of the back ends, each byte as the last one: its follower takes no view, and begins anew with the next source.

Seen: it holds, nothing was changed. A relay passes on what frame_connection delivers, whole frames, and closes both sides when either ends (read, not played with real nodes).

--- a/tests/unit/directory_follow_test.cc
+++ b/tests/unit/directory_follow_test.cc
@@ -2,6 +2,8 @@
 #include <gtest/gtest.h>
 
 #include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <cstring>
 #include <functional>
@@ -306,4 +308,58 @@
     EXPECT_EQ(follower.views, 1U);
 }
 
+/** A gateway's view of one back end, as its followers get it. */
+std::string view_frame() {
+    key_value_item_t item = {const_cast<char *>("servers/a"), g_bytes_new_static("ready", 5), 5};
+    directory_snapshot_t snapshot;
+    directory_snapshot_init(&snapshot);
+    directory_snapshot_note(&snapshot, &item);
+    message_t message;
+    message_init(&message, MESSAGE_DIRECTORY);
+    message.revision = 5;
+    message.directory = directory_snapshot_encode(&snapshot);
+    GBytes *bytes = message_encode(&message);
+    std::string content = text_of(bytes);
+    uint32_t length = htonl(static_cast<uint32_t>(content.size()));
+    g_bytes_unref(bytes);
+    message_clear(&message);
+    directory_snapshot_clear(&snapshot);
+    g_bytes_unref(item.value);
+    return std::string(reinterpret_cast<const char *>(&length), sizeof length) + content;
+}
+
+// Guards against a view that was cut on its way, followed as one without back ends.
+TEST_F(DirectoryFollow, AViewThatIsCutAtAnyByteIsNotFollowed) {
+    const std::string frame = view_frame();
+    int listener = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+    sockaddr_in other = address;
+    other.sin_port = 0;
+    ASSERT_EQ(bind(listener, reinterpret_cast<sockaddr *>(&other), sizeof other), 0);
+    socklen_t size = sizeof other;
+    getsockname(listener, reinterpret_cast<sockaddr *>(&other), &size);
+    ASSERT_EQ(listen(listener, 8), 0);
+    for (size_t length = 0; length <= frame.size(); length++) {
+        int source_end = -1;
+        ASSERT_TRUE(run_until([&] {
+            directory_follow_begin(follow, &other, 0);
+            if (source_end < 0)
+                source_end = accept(listener, nullptr, nullptr);
+            return source_end >= 0;
+        }));
+        ASSERT_EQ(::send(source_end, frame.data(), length, MSG_NOSIGNAL),
+                  static_cast<ssize_t>(length));
+        if (length < frame.size()) {
+            close(source_end);
+            ASSERT_TRUE(run_until([&] { return follower.lost == length + 1; })) << length;
+            EXPECT_EQ(follower.views + follower.same, 0U) << length;
+            EXPECT_EQ(follower.revision, 0U) << length;
+            continue;
+        }
+        EXPECT_TRUE(run_until([&] { return follower.views == 1; }));
+        EXPECT_EQ(follower.items.size(), 1U);
+        close(source_end);
+    }
+    close(listener);
+}
+
 } // namespace
--- a/tests/unit/frame_connection_test.cc
+++ b/tests/unit/frame_connection_test.cc
@@ -184,4 +184,26 @@
     EXPECT_EQ(world.accepted[0]->frames, (std::vector<std::string>{"first", "last"}));
 }
 
+// Guards against a cut frame taken for a whole one, which a relay would pass on.
+TEST_F(FrameConnection, AFrameThatIsCutAtAnyByteIsNotDelivered) {
+    const std::string frames("\0\0\0\5first\0\0\0\4last", 17);
+    constexpr size_t first_ends = 9;
+    for (size_t length = 0; length < 2 * frames.size(); length++) {
+        size_t sent = length / 2;
+        int peer = socket(AF_INET, SOCK_STREAM, 0);
+        ASSERT_EQ(
+            ::connect(peer, reinterpret_cast<sockaddr *>(&world.address), sizeof world.address), 0);
+        ASSERT_TRUE(run_until([&] { return world.accepted.size() == length + 1; }));
+        ASSERT_EQ(send(peer, frames.data(), sent, MSG_NOSIGNAL), static_cast<ssize_t>(sent));
+        const linger now = {length % 2 == 0 ? 1 : 0, 0}; // A reset, then a close.
+        setsockopt(peer, SOL_SOCKET, SO_LINGER, &now, sizeof now);
+        close(peer);
+        ASSERT_TRUE(run_until([&] { return closed == length + 1; }));
+        const std::vector<std::string> &got = world.accepted.back()->frames;
+        EXPECT_LE(got.size(), sent >= first_ends ? 1U : 0U) << sent;
+        for (const std::string &frame : got)
+            EXPECT_EQ(frame, "first") << sent;
+    }
+}
+
 } // namespace
