test: answers cut at any byte, at the gateways' client and on kept connections

Whether an answer of any framing counts as whole at net/http_client.c, each byte as the last one, with an interim head before, then a close or a reset: only a clean close after a whole head of an answer without a length does, and it is told as such. And rudderwayd's client on a connection that it has kept: neon asks again by itself if the connection ends before an answer, and gets the other answer whole; a cut one is never taken, nor joined to it.

--- a/tests/support/cut_server.h
+++ b/tests/support/cut_server.h
@@ -54,6 +54,11 @@
     uint16_t port() const {
         return ntohs(address.sin_port);
     }
+    // What each connection gets before; it must have a length.
+    void set_first(const std::string &answer) {
+        std::lock_guard<std::mutex> guard(lock_);
+        first_ = answer;
+    }
     void set(const std::string &answer, Ending ending) {
         std::lock_guard<std::mutex> guard(lock_);
         answer_ = answer;
@@ -86,7 +91,13 @@
             if (stopping_ || connection < 0)
                 return;
             read_request(connection);
-            std::lock_guard<std::mutex> guard(lock_);
+            std::unique_lock<std::mutex> guard(lock_);
+            if (!first_.empty()) {
+                (void)!send(connection, first_.data(), first_.size(), MSG_NOSIGNAL);
+                guard.unlock();
+                read_request(connection);
+                guard.lock();
+            }
             (void)!send(connection, answer_.data(), answer_.size(), MSG_NOSIGNAL);
             if (ending_ == Ending::reset) {
                 linger now = {1, 0};
@@ -99,6 +110,7 @@
     int listener_;
     std::atomic<bool> stopping_{false};
     std::mutex lock_;
+    std::string first_;
     std::string answer_;
     Ending ending_ = Ending::clean;
     std::thread thread_;
--- a/tests/unit/http_client_test.cc
+++ b/tests/unit/http_client_test.cc
@@ -3,7 +3,7 @@
 
 #include <string>
 
-#include "scripted_server.h"
+#include "cut_server.h"
 
 extern "C" {
 #include "net/answer_limits.h"
@@ -110,4 +110,27 @@
     EXPECT_EQ(outcome.body, "ok");
 }
 
+class HttpClientCut : public testing::TestWithParam<std::tuple<Framing, Ending>> {};
+
+// Guards against a cut answer that counts as whole; without a length a clean close is an end.
+TEST_P(HttpClientCut, AnAnswerThatIsCutAtAnyByteIsNotWhole) {
+    const std::string body = "all of it";
+    const auto [framing, ending] = GetParam();
+    const std::string answer =
+        "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" + framed_answer(framing, body);
+    bool ends_with_connection = framing == Framing::none && ending == Ending::clean;
+    size_t whole_from = answer.size() - (ends_with_connection ? body.size() : 0);
+    for (size_t length = 0; length < answer.size(); length++) {
+        Outcome outcome = exchange(answer.substr(0, length), ending);
+        EXPECT_EQ(outcome.complete, length >= whole_from) << length;
+        EXPECT_NE(outcome.complete, outcome.failed) << length;
+        EXPECT_EQ(outcome.ended_by_close, outcome.complete) << length;
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(Forms, HttpClientCut,
+                         testing::Combine(testing::Values(Framing::length, Framing::chunks,
+                                                          Framing::none),
+                                          testing::Values(Ending::clean, Ending::reset)));
+
 } // namespace
--- a/tests/unit/node_cut_answers_test.cc
+++ b/tests/unit/node_cut_answers_test.cc
@@ -138,6 +138,31 @@
     EXPECT_TRUE(engine_complete(client, engine(), &completion, &usage, nullptr));
 }
 
+// neon asks again by itself if a kept connection ends before an answer; it must not join the two.
+TEST_P(NodeCutAnswers, OnAKeptConnectionAreNotWhole) {
+    const std::string before = R"({"entries":["first"],"version":1})";
+    const std::string answer = framed_answer(framing(), R"({"entries":["second"],"version":2})");
+    auto watch = [&](uint64_t *version) {
+        *version = 0;
+        json_t *entries = key_value_watch(client, key_value(), "k", 0, 10, version, nullptr);
+        size_t count = json_array_size(entries);
+        json_decref(entries);
+        return count;
+    };
+    for (size_t length = 0; length < answer.size(); length++) {
+        server.set_first(framed_answer(Framing::length, before));
+        server.set(answer.substr(0, length), ending());
+        uint64_t version;
+        ASSERT_EQ(watch(&version), 1U);
+        ASSERT_EQ(version, 1U);
+        size_t count = watch(&version);
+        EXPECT_TRUE((count == 0 && version == 0) || (count == 1 && version == 1))
+            << "cut after " << length << ": " << version;
+        http_client_free(client); // So that the next connection is a new one.
+        client = http_client_new();
+    }
+}
+
 INSTANTIATE_TEST_SUITE_P(Forms, NodeCutAnswers,
                          testing::Combine(testing::Values(Framing::length, Framing::chunks,
                                                           Framing::none),
