storage nodes: a registration that another writer took is written again

What callers saw: nothing directly.

Cause: a node writes its registration until it has seen it once. An odd value, or a removal, did not end that; only another valid registration under its name did.

Evidence, before: StoreRegistration.IsWrittenAgainOverAnOddValue: Value of: restored() Actual: false Expected: true The same for IsWrittenAgainOnceItIsRemoved and IsWrittenAgainThoughItWasRemovedWhileTheServiceWasOutOfReach; IsWrittenAgainOverThatOfAnother held.

--- a/src/store/store_membership.c
+++ b/src/store/store_membership.c
@@ -10,6 +10,9 @@
  *   It reports "completed" once all members of the new group are complete. It remains a member
  *   as long as the group without it could not tolerate the loss of a disk.
  *
+ * A registration that another writer has overwritten or removed is written again: nodes that start
+ * later would not know this one.
+ *
  * Spares are ranked. The first polls the members continuously; the poll interval of the others
  * grows with their rank, which limits traffic and concurrent proposals. If the first spare fails,
  * the next one takes its place.
@@ -137,6 +140,10 @@
            now(membership) >= membership->written_at + WRITE_INTERVAL_MIN_MS;
 }
 
+static char *registration_name(const store_membership_t *membership) {
+    return g_strconcat(registration_prefix, membership->store->settings->name, NULL);
+}
+
 static void register_node(store_membership_t *membership) {
     const store_t *store = membership->store;
     registration_t registration = {
@@ -146,7 +153,7 @@
     codec_t codec;
     codec_start_encoding(&codec);
     registration_codec(&codec, &registration);
-    char *name = g_strconcat(registration_prefix, store->settings->name, NULL);
+    char *name = registration_name(membership);
     write_key(membership, key_value_own_key(name), codec_finish(&codec), true, 0);
     g_free(name);
 }
@@ -164,6 +171,10 @@
 
 static void apply_registration(store_membership_t *membership, const char *name,
                                const key_value_item_t *item) {
+    const store_t *store = membership->store;
+    bool own = strcmp(name, store->settings->name) == 0;
+    if (own)
+        membership->registered = false;
     if (item->value == NULL) {
         g_hash_table_remove(membership->registrations, name);
         return;
@@ -174,12 +185,11 @@
     codec_t codec;
     codec_start_decoding(&codec, data, length);
     registration_codec(&codec, registration);
-    const store_t *store = membership->store;
     if (!codec_complete(&codec) || strcmp(registration->member.name, name) != 0) {
         free_registration(registration);
         return;
     }
-    if (strcmp(name, store->settings->name) == 0)
+    if (own)
         membership->registered =
             strcmp(registration->member.address, store->settings->peer_text) == 0 &&
             registration->founding == store->founding;
@@ -244,14 +254,23 @@
     store_record_listed(membership->store, 0);
 }
 
+/** True if the set @p keys holds the key of storage nodes that is called @p name. */
+static bool lists(GHashTable *keys, const char *name) {
+    char *key = key_value_own_key(name);
+    bool listed = g_hash_table_contains(keys, key);
+    g_free(key);
+    return listed;
+}
+
 static void on_own_listed(void *owner, GHashTable *keys) {
     store_membership_t *membership = owner;
     membership->listed = true;
     /* Behind an odd value there may be a group in which this node has acknowledged records. */
-    char *key = key_value_own_key(group_name);
-    if (!g_hash_table_contains(keys, key))
+    if (!lists(keys, group_name))
         apply_missing_group(membership);
-    g_free(key);
+    char *name = registration_name(membership);
+    membership->registered = membership->registered && lists(keys, name);
+    g_free(name);
     store_membership_check(membership->store);
 }
 
--- a/src/storesim/virtual_key_value.c
+++ b/src/storesim/virtual_key_value.c
@@ -171,6 +171,13 @@
     g_free(data);
 }
 
+static void tell_later(key_value_watch_t *watch, const char *key) {
+    change_event_t *event = g_new0(change_event_t, 1);
+    event->watch = watch;
+    event->key = g_strdup(key);
+    virtual_after(latency(), watch->process, tell_change, event);
+}
+
 static void apply_write(const char *key, GBytes *value) {
     if (observer != NULL)
         observer(key, value);
@@ -190,14 +197,11 @@
         change_t *change = g_new0(change_t, 1);
         *change = (change_t){g_strdup(key), g_bytes_ref(value), revision};
         g_queue_push_tail(watch->untold, change);
-        change_event_t *event = g_new0(change_event_t, 1);
-        event->watch = watch;
-        event->key = g_strdup(key);
-        virtual_after(latency(), watch->process, tell_change, event);
+        tell_later(watch, key);
     }
 }
 
-/** Nobody watches the keys that are removed. */
+/** Nobody is told: nobody watches the keys that nodes remove. */
 static void apply_removal(const char *key) {
     entry_t *entry = g_hash_table_lookup(entries, key);
     if (entry == NULL)
@@ -207,6 +211,15 @@
     revision++;
 }
 
+void virtual_key_value_remove(const char *key) {
+    apply_removal(key);
+    for (guint i = 0; i < watches->len; i++) {
+        key_value_watch_t *watch = g_ptr_array_index(watches, i);
+        if (g_str_has_prefix(key, watch->prefix))
+            tell_later(watch, key);
+    }
+}
+
 void virtual_key_value_set_down(bool down) {
     is_down = down;
     for (guint i = 0; !down && i < watches->len; i++) {
--- a/src/storesim/virtual_key_value.h
+++ b/src/storesim/virtual_key_value.h
@@ -29,6 +29,8 @@
 void virtual_key_value_process_ended(const virtual_process_t *process);
 /** Writes a key as an operator does. */
 void virtual_key_value_put(const char *key, GBytes *value);
+/** Removes a key as an operator does. */
+void virtual_key_value_remove(const char *key);
 /** The value of @p key; NULL: there is none. */
 GBytes *virtual_key_value_get(const char *key);
 /** Number of keys that begin with @p prefix. */
--- a/tests/unit/store_odd_group_test.cc
+++ b/tests/unit/store_odd_group_test.cc
@@ -2,6 +2,8 @@
 // that can't change any more, and against one that is written though a later one stood there.
 #include <gtest/gtest.h>
 
+#include <string>
+
 #include "simulated_disks.h"
 
 namespace {
@@ -164,4 +166,57 @@
     EXPECT_EQ(node(0)->store->group->generation, 1U);
 }
 
+class StoreRegistration : public StoreOddGroup {
+  public:
+    StoreRegistration() : name(std::string("store/") + node(0)->settings.name) {
+    }
+    GBytes *stored() const {
+        char *key = key_value_own_key(name.c_str());
+        GBytes *value = virtual_key_value_get(key);
+        g_free(key);
+        return value;
+    }
+    void remove() const {
+        char *key = key_value_own_key(name.c_str());
+        virtual_key_value_remove(key);
+        g_free(key);
+    }
+    /** True if the node's registration stands there again as it did before. */
+    bool restored() const {
+        run(restore_ms);
+        GBytes *value = stored();
+        return value != nullptr && g_bytes_equal(value, registration);
+    }
+    const std::string name;
+    GBytes *registration = g_bytes_ref(stored());
+};
+
+// Guards against a node that others which start later never know as a spare.
+TEST_F(StoreRegistration, IsWrittenAgainOverAnOddValue) {
+    write_own(name.c_str(), "odd", 3);
+    EXPECT_TRUE(restored());
+}
+
+TEST_F(StoreRegistration, IsWrittenAgainOverThatOfAnother) {
+    gsize length;
+    const void *data = g_bytes_get_data(registration, &length);
+    std::string other(static_cast<const char *>(data), length);
+    other[other.size() - 1] ^= 1; // Whether it may found a group.
+    write_own(name.c_str(), other.data(), other.size());
+    EXPECT_TRUE(restored());
+}
+
+TEST_F(StoreRegistration, IsWrittenAgainOnceItIsRemoved) {
+    remove();
+    EXPECT_TRUE(restored());
+}
+
+TEST_F(StoreRegistration, IsWrittenAgainThoughItWasRemovedWhileTheServiceWasOutOfReach) {
+    cut_from_service(0, 0, true);
+    run(missed_ms);
+    remove();
+    cut_from_service(0, 0, false);
+    EXPECT_TRUE(restored());
+}
+
 } // namespace
