storage nodes: a restart dates no record before it was written

Cause: the log has a time mark before a record only if the last mark is 1 s old. A replay dated a record by the mark before it and aged it by the marks after it, so that one written shortly before a mark came out up to 1 s too old.

Evidence, before: TurnRetention.IsNotShortenedByARestartOfAllNodes: keep("turn") Which is: 0, nodes Which is: 3 RecordClock.DatesNoRecordBeforeItWasWritten: Expected: (record_clock_latest_time(&replayed)) >= (written_at), actual: 0 vs 999

Now a replay dates turns and charges by the latest time at which they can have been written, an interval of marks after the mark before them. They are kept for up to 1 s longer after a restart instead. Both tests pass. Not covered: a mark whose write failed counts as written, so that records of the next second are dated by the one before.

--- a/src/core/turns/record_clock.c
+++ b/src/core/turns/record_clock.c
@@ -15,6 +15,10 @@
     clock->started_at = now;
 }
 
+uint64_t record_clock_latest_time(const record_clock_t *clock) {
+    return clock->replayed_ms + RECORD_MARK_INTERVAL_MS;
+}
+
 uint64_t record_clock_time(const record_clock_t *clock, uint64_t now) {
     return clock->running ? clock->replayed_ms + (now - clock->started_at) : clock->replayed_ms;
 }
--- a/src/core/turns/record_clock.h
+++ b/src/core/turns/record_clock.h
@@ -4,7 +4,7 @@
  * and does not advance while the node is down. Neither system clock will do: the monotonic clock
  * restarts with the machine, and the wall clock may jump. The log therefore contains time marks
  * between its records. A record's age follows from the surrounding marks; it excludes time during
- * which the node was down and is never overestimated.
+ * which the node was down and is never overestimated, see record_clock_latest_time().
  *
  * Without the marks, replaying the log would restart the retention time of every record: expired
  * turns would take the space of new ones, and a node that restarts more often than records expire
@@ -35,6 +35,11 @@
 void record_clock_replay(record_clock_t *clock, uint64_t mark);
 /** Ends replay; from now on the clock advances with the caller's time @p now. */
 void record_clock_start(record_clock_t *clock, uint64_t now);
+/**
+ * During replay: the latest time at which a record behind the latest mark can have been written. An
+ * expiry that counts from it is never too early.
+ */
+uint64_t record_clock_latest_time(const record_clock_t *clock);
 /** This clock's time at @p now; during replay, that of the latest mark. */
 uint64_t record_clock_time(const record_clock_t *clock, uint64_t now);
 /** True if a mark must be written before the next record; sets @p mark and counts it as written. */
--- a/src/store/store_replay.c
+++ b/src/store/store_replay.c
@@ -15,7 +15,7 @@
 }
 
 static void replay_charge(store_t *store, uint32_t segment, const budget_charge_t *charge) {
-    uint64_t time = store_expiry_clock_ms(store);
+    uint64_t time = record_clock_latest_time(&store->clock);
     budget_table_merge(&store->budgets, charge, time);
     budget_table_mark_durable(&store->budgets, charge);
     turn_table_keep_segment(&store->turns, segment, time + BUDGET_RETENTION_MS);
@@ -34,7 +34,7 @@
     case REQUEST_PUT_TURN:
         if (record->turns->len == 1)
             turn_table_add(&store->turns, &g_array_index(record->turns, turn_t, 0), segment,
-                           store_expiry_clock_ms(store));
+                           record_clock_latest_time(&store->clock));
         break;
     case RECORD_CRASH:
         store_replay_crash(store, segment, record);
--- a/tests/unit/record_clock_test.cc
+++ b/tests/unit/record_clock_test.cc
@@ -98,4 +98,17 @@
     EXPECT_EQ(record_clock_time(&clock, 0), 4000U);
 }
 
+// Guards against records that expire up to an interval of marks before their time.
+TEST(RecordClock, DatesNoRecordBeforeItWasWritten) {
+    record_clock_t clock = {};
+    record_clock_start(&clock, 0);
+    uint64_t mark = 0, next_mark = 0, written_at = 0;
+    ASSERT_TRUE(record_clock_next_mark(&clock, 0, &mark));
+    while (!record_clock_next_mark(&clock, written_at + 1, &next_mark))
+        written_at++;
+    record_clock_t replayed = {};
+    record_clock_replay(&replayed, mark);
+    EXPECT_GE(record_clock_latest_time(&replayed), written_at);
+}
+
 } // namespace
