gateways: a turn is kept for its retention time from the end of its answer

Cause: storage nodes count the retention time from their own receipt of the turn, and an answer may end later: by as long as it waits for disks, and by GATEWAY_OPERATION_TIMEOUT_MS more at a gateway that was paused, since replies of that age count. An extension by a request that is sent again is in memory only.

Evidence, before: TurnRetention.CountsFromTheEndOfAnAnswerWhoseGatewayWasPaused: keep("turn") Which is: 0, nodes Which is: 3 The same for CountsFromTheEndOfAnAnswerThatWaitedForDisksThoughAllNodesRestart.

Now the gateway, which knows how long the answer can wait, asks for that time on top: what a storage node writes holds through restarts, and nothing else is told. A route of 4 s asks for up to 5.5 s more, so turns take up to a tenth more room at 60 s. Not covered: a gateway that is paused between the confirmation and the answer's last write, and requests that a paused gateway reads late; both have the part of that time which the answer did not take.

--- a/src/gateway/call_turn.c
+++ b/src/gateway/call_turn.c
@@ -244,7 +244,8 @@
         .parent = g_strdup(previous == NULL ? "" : previous),
         .input = g_bytes_new(call->request->body, call->request->body_length),
         .output = g_bytes_new(call->events.output->str, call->events.output->len),
-        .retention_ms = call->route->retention_ms,
+        .retention_ms =
+            store_client_turn_retention(call->route->retention_ms, call_hold_time_left(call)),
         .tenant = g_strdup(tenant_name(call)),
     };
 }
--- a/src/gateway/store_operation.c
+++ b/src/gateway/store_operation.c
@@ -501,6 +501,11 @@
     return false;
 }
 
+uint32_t store_client_turn_retention(uint32_t retention_ms, uint64_t timeout_ms) {
+    uint64_t kept_ms = retention_ms + timeout_ms + GATEWAY_OPERATION_TIMEOUT_MS;
+    return (uint32_t)MIN(kept_ms, (uint64_t)UINT32_MAX);
+}
+
 store_operation_t *store_client_put_turn(store_client_t *client, const turn_t *turn,
                                          uint64_t timeout_ms,
                                          const store_operation_handler_t *handler, void *owner) {
--- a/tests/unit/turn_retention_test.cc
+++ b/tests/unit/turn_retention_test.cc
@@ -10,12 +10,18 @@
 
 constexpr uint32_t retention_ms = 20000;
 constexpr uint64_t margin_ms = 50;
+constexpr uint64_t pause_ms = 1300; /**< Replies that are as old still count. */
+constexpr uint64_t stall_ms = 3000;
 
 class TurnRetention : public SimulatedDisks {
   public:
     void put(const char *id) {
-        turn_t turn = {g_strdup(id),          g_strdup(""), g_bytes_new("in", 2),
-                       g_bytes_new("out", 3), retention_ms, g_strdup("")};
+        turn_t turn = {g_strdup(id),
+                       g_strdup(""),
+                       g_bytes_new("in", 2),
+                       g_bytes_new("out", 3),
+                       store_client_turn_retention(retention_ms, write_timeout_ms),
+                       g_strdup("")};
         outcome = {};
         store_client_put_turn(client, &turn, write_timeout_ms, &handler, &outcome);
         turn_clear(&turn);
@@ -49,6 +55,26 @@
     Outcome outcome;
 };
 
+TEST_F(TurnRetention, CountsFromTheEndOfAnAnswerWhoseGatewayWasPaused) {
+    auto *gateway = static_cast<world_gateway_t *>(g_ptr_array_index(world->gateways, 0));
+    put("turn");
+    run(1);
+    gateway->process->paused_until = virtual_now() + pause_ms;
+    await_end();
+    EXPECT_EQ(keep("turn"), nodes);
+}
+
+TEST_F(TurnRetention, CountsFromTheEndOfAnAnswerThatWaitedForDisksThoughAllNodesRestart) {
+    virtual_key_value_set_down(true); // It would confirm the turn at once.
+    stall_first(nodes, stall_ms);
+    put("turn");
+    await_end();
+    virtual_key_value_set_down(false);
+    mark_time();
+    restart_all();
+    EXPECT_EQ(keep("turn"), nodes);
+}
+
 TEST_F(TurnRetention, IsNotShortenedByARestartOfAllNodes) {
     put("first"); // With a time mark, by which the next one is dated.
     await_end();
