storage nodes: charges outlast their program, over restarts too

A program that went on for longer than 300 s got part of its budget twice once the storage nodes had started again.

Cause: the log kept each charge for 300 s from its own write, memory all charges of a program for 300 s from its last one.

Evidence, before: BudgetRetention.ChargesLastAsLongAsTheirProgramOverARestartOfAllNodes: reserve_now("too-much", max_tokens + 1) Which is: 0 [granted], VERDICT_NO Which is: 1 The same for ChargesOutlastAPause.

Now a charge that becomes durable has all charges of its program written again if the oldest record of these may be 60 s old, and the log keeps a charge for 361 s: so long may the program pause after a charge that was not yet due for that. Needing a program's first segment for as long as its last would do too, but one program that goes on for hours would fill the disk of all others (TheLogKeepsNoSegmentForChargesThatWereWrittenAgain). Programs of less than 60 s write what they wrote before.

The simulator's disks trim their logs now, as the real ones do; they kept everything.

--- a/src/core/budget/budget_table.c
+++ b/src/core/budget/budget_table.c
@@ -15,6 +15,7 @@
     GHashTable *charges; /**< Call id to budget_charge_t. */
     budget_summary_t summary;
     uint64_t changed_at;
+    uint64_t logged_at; /**< No record of the charges that is needed is older. */
 } program_charges_t;
 
 void budget_charge_clear(budget_charge_t *charge) {
@@ -65,6 +66,7 @@
     if (program == NULL) {
         program = g_new0(program_charges_t, 1);
         program->id = g_strdup(id);
+        program->logged_at = now;
         program->charges = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_charge);
         g_hash_table_insert(table->programs, program->id, program);
     }
@@ -180,6 +182,21 @@
     return valid && (own->settled || !charge->settled);
 }
 
+bool budget_table_begin_rewrite(budget_table_t *table, const char *program_id, uint64_t before,
+                                uint64_t now) {
+    program_charges_t *program = g_hash_table_lookup(table->programs, program_id);
+    if (program == NULL || program->logged_at >= before)
+        return false;
+    program->logged_at = now;
+    return true;
+}
+
+void budget_table_rewrite_failed(budget_table_t *table, const char *program_id) {
+    program_charges_t *program = g_hash_table_lookup(table->programs, program_id);
+    if (program != NULL)
+        program->logged_at = 0;
+}
+
 uint64_t budget_table_charged(const budget_table_t *table, const char *program_id) {
     const program_charges_t *program = g_hash_table_lookup(table->programs, program_id);
     return program == NULL ? 0 : program->summary.charged;
--- a/src/core/budget/budget_table.h
+++ b/src/core/budget/budget_table.h
@@ -70,6 +70,14 @@
  * as well.
  */
 bool budget_table_covers(const budget_table_t *table, const budget_charge_t *charge);
+/**
+ * True if records of the program's charges may have been written before @p before; these charges
+ * must be written again, and count as written at @p now.
+ */
+bool budget_table_begin_rewrite(budget_table_t *table, const char *program, uint64_t before,
+                                uint64_t now);
+/** A charge of the program could not be written: begin_rewrite is due. */
+void budget_table_rewrite_failed(budget_table_t *table, const char *program);
 bool budget_table_contains(const budget_table_t *table, const char *program, const char *call);
 /** Estimated memory use of the charges. */
 uint64_t budget_table_bytes(const budget_table_t *table);
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -102,6 +102,12 @@
 enum {
     /** How long charges are kept after their program's last call. */
     BUDGET_RETENTION_MS = 300000,
+    /** Charges are written again once the program's oldest record is as old as this. */
+    BUDGET_REWRITE_AGE_MS = 60000,
+    /** How long the log keeps a charge: its program may have another one just before it is due to
+        be written again. */
+    BUDGET_RECORD_RETENTION_MS =
+        BUDGET_RETENTION_MS + BUDGET_REWRITE_AGE_MS + RECORD_MARK_INTERVAL_MS,
     /** Interval at which expired records are removed; in a replay, by the log's time marks. */
     STORE_UPKEEP_INTERVAL_MS = 5000,
 };
--- a/src/store/store_replay.c
+++ b/src/store/store_replay.c
@@ -18,7 +18,7 @@
     uint64_t time = record_clock_latest_time(&store->clock);
     budget_table_merge(&store->budgets, charge, time);
     budget_table_mark_durable(&store->budgets, charge);
-    turn_table_keep_segment(&store->turns, segment, time + BUDGET_RETENTION_MS);
+    turn_table_keep_segment(&store->turns, segment, time + BUDGET_RECORD_RETENTION_MS);
 }
 
 static void replay_record(store_t *store, uint32_t segment, message_t *record) {
--- a/src/store/store_requests.c
+++ b/src/store/store_requests.c
@@ -44,6 +44,8 @@
     void *owner;
 } write_t;
 
+static void on_write_done(void *owner, bool durable, uint32_t segment);
+
 static uint64_t now(const store_t *store) {
     return uv_now(store->loop);
 }
@@ -85,10 +87,31 @@
     return store_is_complete(store) ? VERDICT_YES : VERDICT_UNSURE;
 }
 
+static void write_charge_again(void *user, const budget_charge_t *charge) {
+    store_t *store = user;
+    if (!charge->durable)
+        return;
+    message_t record;
+    message_init(&record, RECORD_CHARGE);
+    record.charge = budget_charge_copy(charge);
+    write_t *write = g_new0(write_t, 1);
+    write->store = store;
+    write->charge = budget_charge_copy(charge);
+    store_append_record(store, message_encode(&record), on_write_done, write);
+    message_clear(&record);
+}
+
+/**
+ * A program may go on for longer than the log keeps its first charges: they are written again while
+ * it does.
+ */
 static void mark_charge_durable(store_t *store, const budget_charge_t *charge, uint32_t segment) {
+    uint64_t time = store_expiry_clock_ms(store);
     budget_table_mark_durable(&store->budgets, charge);
-    turn_table_keep_segment(&store->turns, segment,
-                            store_expiry_clock_ms(store) + BUDGET_RETENTION_MS);
+    turn_table_keep_segment(&store->turns, segment, time + BUDGET_RECORD_RETENTION_MS);
+    uint64_t before = time < BUDGET_REWRITE_AGE_MS ? 0 : time - BUDGET_REWRITE_AGE_MS;
+    if (budget_table_begin_rewrite(&store->budgets, charge->program, before, time))
+        budget_table_each(&store->budgets, charge->program, write_charge_again, store);
 }
 
 /** Registers the write of a turn, unless the same turn is already being written. */
@@ -178,6 +201,8 @@
         add_durable_turn(store, write, segment);
     else if (durable)
         mark_charge_durable(store, &write->charge, segment);
+    else if (write->charge.program != NULL)
+        budget_table_rewrite_failed(&store->budgets, write->charge.program);
     if (!write->confirmed)
         answer_write(write, durable);
     if (write->done != NULL)
--- a/src/storesim/virtual_disk.c
+++ b/src/storesim/virtual_disk.c
@@ -76,6 +76,7 @@
 void virtual_disk_lose(virtual_disk_t *disk) {
     g_ptr_array_set_size(disk->synced, 0);
     g_ptr_array_set_size(disk->unsynced, 0);
+    disk->trimmed = 0;
     disk->full = false;
     if (disk->state != NULL && !keep_identity) {
         g_bytes_unref(disk->state);
@@ -180,9 +181,18 @@
 
 void record_log_trim(record_log_t *log, bool (*is_unused)(void *owner, uint32_t segment),
                      void *owner) {
-    (void)log;
-    (void)is_unused;
-    (void)owner;
+    virtual_disk_t *disk = log->disk;
+    /* A batch is told the segment of its last record, which may be the next one. */
+    while ((disk->trimmed + 2) * RECORDS_A_SEGMENT <= disk->synced->len &&
+           is_unused(owner, disk->trimmed) && is_unused(owner, disk->trimmed + 1)) {
+        for (unsigned i = 0; i < RECORDS_A_SEGMENT; i++) {
+            gpointer *record =
+                &g_ptr_array_index(disk->synced, disk->trimmed * RECORDS_A_SEGMENT + i);
+            g_bytes_unref(*record);
+            *record = g_bytes_new(NULL, 0);
+        }
+        disk->trimmed++;
+    }
 }
 
 uint64_t record_log_bytes(const record_log_t *log) {
@@ -213,7 +223,7 @@
     log->loop = loop;
     log->disk = virtual_disk_of(loop->data);
     log->pending = g_array_new(FALSE, FALSE, sizeof(pending_t));
-    for (guint i = 0; i < log->disk->synced->len; i++) {
+    for (guint i = log->disk->trimmed * RECORDS_A_SEGMENT; i < log->disk->synced->len; i++) {
         gsize length;
         const uint8_t *data = g_bytes_get_data(g_ptr_array_index(log->disk->synced, i), &length);
         replay(owner, i / RECORDS_A_SEGMENT, data, length);
--- a/src/storesim/virtual_disk.h
+++ b/src/storesim/virtual_disk.h
@@ -15,6 +15,7 @@
     GPtrArray *unsynced;   /**< Records that were written and are being synced; GBytes. */
     GBytes *state;         /**< The state file; NULL: none. */
     unsigned state_writes; /**< Begun, including those that failed. */
+    unsigned trimmed;      /**< Segments whose records were removed. */
     bool full;
     uint64_t sync_ms;
     uint64_t stalled_until; /**< A sync that starts earlier ends after this. */
