test: sound answers of more than 16 MiB are whole or broken off, never cut

Passing such answers on in pieces is still to come.

The check bites: a trial on a scratch copy whose gateway drops what exceeds the bound, as it did before, fails all three, [200, true] for both calls of each.

--- a/tests/soak/endless_answer_test.py
+++ b/tests/soak/endless_answer_test.py
@@ -1,5 +1,5 @@
 #!/usr/bin/env python3
-"""Back ends whose bytes never end, against real gateways and storage nodes on loopback.
+"""Back ends whose bytes never end, or are too many, against real gateways and storage nodes on loopback.
 
     endless_answer_test.py --build build SCENARIO
 
@@ -27,6 +27,8 @@
 PATIENCE_S = 6.0  # Longer than the route allows.
 GROWTH_MAX_MB = 130  # Half of the memory of a small gateway.
 PIECE_BYTES = 65536
+LARGE_PIECES, LARGE_CALLS, LARGE_PAUSE_S = 272, 2, 0.0  # In time though the machine is busy.
+LARGE_BYTES = LARGE_PIECES * PIECE_BYTES  # 17 MiB: more than a gateway holds of one answer.
 PAUSE_S = 0.006  # Between pieces: some 10 MB a second on each connection.
 SLOW_PAUSE_S = 0.1
 FAILED = {502, 504}  # A call beside them must not end so.
@@ -39,15 +41,17 @@
 
 
 class Form:
-    """What an answer without end consists of."""
+    """What an answer without end consists of, or one that is too large to be held."""
 
-    def __init__(self, routes, head, begin, piece, pause_s=PAUSE_S, known_early=True):
+    def __init__(self, routes, head, begin, piece, pause_s=PAUSE_S, known_early=True, end=None):
         self.routes = routes
         self.head = head  # None: no head, else its fields.
         self.begin = begin
         self.piece = piece
         self.pause_s = pause_s
         self.known_early = known_early  # No answer can be so long at its pace, within the call's time.
+        self.end = end  # After LARGE_PIECES; None: it never ends.
+        self.calls = CALLS if end is None else LARGE_CALLS
 
 
 STREAM = [("Content-Type", "text/event-stream"), ("Transfer-Encoding", "chunked")]
@@ -63,6 +67,12 @@
                  known_early=False),
     "body_without_length": Form(PLAIN, [("Connection", "close")], b"", b"a" * PIECE_BYTES,
                                 known_early=False),
+    "large_body": Form(PLAIN, CHUNKED, b"", render_chunk(b"a" * PIECE_BYTES), known_early=False,
+                       pause_s=LARGE_PAUSE_S, end=b"0\r\n\r\n"),
+    "large_body_with_length": Form(PLAIN, [("Content-Length", LARGE_BYTES)], b"", b"a" * PIECE_BYTES,
+                                   LARGE_PAUSE_S, known_early=False, end=b""),
+    "large_body_without_length": Form(PLAIN, [("Connection", "close")], b"", b"a" * PIECE_BYTES,
+                                      LARGE_PAUSE_S, known_early=False, end=b""),
     "slow_event": Form(STREAMED, STREAM, render_chunk(b"id: 1\ndata: "), render_chunk(b"a"),
                        SLOW_PAUSE_S, known_early=False),
     "slow_comments": Form(STREAMED, STREAM, b"", render_chunk(b": still here\n"), SLOW_PAUSE_S,
@@ -98,7 +108,12 @@
         if self.form.head is not None:
             writer.write(render("HTTP/1.1 200 OK", fields + self.form.head))
         writer.write(self.form.begin)
+        pieces = 0
         while not writer.transport.is_closing():
+            if self.form.end is not None and pieces == LARGE_PIECES:
+                writer.write(self.form.end)
+                return False
+            pieces += 1
             writer.write(self.form.piece)
             await writer.drain()
             await asyncio.sleep(self.form.pause_s)
@@ -131,7 +146,7 @@
         routes = FORMS[self.options.scenario].routes
         gateway = self.cluster.gateways[0]  # The same one, which has to hold them all.
         results = await asyncio.gather(*(self.send(gateway, routes[number % len(routes)], number)
-                                         for number in range(CALLS)))
+                                         for number in range(FORMS[self.options.scenario].calls)))
         growth = max(self.peak_mb(gateway) - before[gateway.name]
                      for gateway in self.cluster.gateways)
         failed = sum(self.promises.statuses.get(status, 0) - statuses.get(status, 0)
@@ -144,7 +159,7 @@
                 "held": whole + waited + failed == 0 and growth <= GROWTH_MAX_MB}
 
     async def send(self, gateway, route, number):
-        """One call; returns its status, whether it was answered whole, and its seconds."""
+        """One call; returns its status, whether it was taken for whole and is not, and its seconds."""
         attempt_id = self.caller.new_id()
         method, body = ("GET", b"") if route is SAFE else ("POST", BODY)
         target = f"{route.prefix}{BODY.decode()}"
@@ -154,7 +169,7 @@
         if route.stream:
             fields += [("Program-Id", f"p-endless-{number}"), ("Token-Budget", 400),
                        ("Token-Counts", "100,40")]
-        begun_at, status, whole, writer = time.monotonic(), 0, False, None
+        begun_at, status, whole, writer, length = time.monotonic(), 0, False, None, 0
         try:
             reader, writer = await asyncio.open_connection("127.0.0.1", gateway.calls_port)
             writer.write(render(f"{method} {target} HTTP/1.1", fields, body))
@@ -162,9 +177,11 @@
             status = message.status if message is not None else 0
             pieces = read_pieces(reader, message)
             while (left := begun_at + PATIENCE_S - time.monotonic()) > 0:
-                await asyncio.wait_for(anext(pieces), left)
+                length += len(await asyncio.wait_for(anext(pieces), left))
         except StopAsyncIteration:
             whole = status == 200
+            if FORMS[self.options.scenario].end is not None and length == LARGE_BYTES:
+                whole = False  # It has an end, and the caller has all of it.
         except (OSError, AttributeError, asyncio.IncompleteReadError, asyncio.TimeoutError):
             pass
         finally:
