storage nodes: time marks every 200 ms

What callers saw: turns refused for room that expired ones took, after restarts, once a restart dates records by an interval of marks later than before ("a restart dates no record before it was written").

A mark takes some 30 bytes, 150 bytes a second while records are written.

--- a/src/core/turns/record_clock.h
+++ b/src/core/turns/record_clock.h
@@ -18,8 +18,11 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-/** Interval of marks while records are written; bounds the error of a record's age. */
-enum { RECORD_MARK_INTERVAL_MS = 1000 };
+/**
+ * Interval of marks while records are written; bounds the error of a record's age, and so for how
+ * much longer than needed a node that has restarted keeps its records.
+ */
+enum { RECORD_MARK_INTERVAL_MS = 200 };
 
 typedef struct {
     uint64_t first_mark; /**< Earliest mark in the log; above 0 once older segments are deleted. */
