storage nodes: a system whose nodes all ended at their first start founds its group

Cause: that a node is a founder was known only from `first-start` until its state file was on disk, and none of the nodes had one at their second start.

Now a node that finds neither a group nor a founder listed becomes a founder 7 s after its start, later than a founder founds a group alone, if as many nodes as the smallest group has are registered and all of them respond: a node tells its group before it answers. So whoever may have acknowledged anything either tells its group or does not respond, and nothing is founded beside it. The node writes its state before it registers as a founder.

Left: a node that was registered and is gone for good before any group is founded is waited for.

--- a/src/store/store_membership.c
+++ b/src/store/store_membership.c
@@ -4,7 +4,10 @@
  * of its own. A new group is proposed by
  *
  * - a founder (a node whose disk has been in use since the first start of the system), once, with
- *   as many other founders as a group needs (core/quorum/store_group_choice.h);
+ *   as many other founders as a group needs (core/quorum/store_group_choice.h). If all nodes ended
+ *   before they had written that they are founders, they become founders later: no group was ever
+ *   listed, and all registered nodes respond, of which none knows a group or is a founder. A node
+ *   that does not respond may be a member;
  * - a spare, to replace a failed member or to restore the target size of the group;
  * - a member that an operator retires: the group without this member, or with a spare in its place.
  *   It reports "completed" once all members of the new group are complete. It remains a member
@@ -47,6 +50,8 @@
     FOUNDING_DELAY_MS = 2000,       /**< After the start; lets all founders register first. */
     FOUNDING_ALONE_DELAY_MS = 5000, /**< The same with fewer than FOUNDERS_EXPECTED founders. */
     FOUNDERS_EXPECTED = 3,
+    /** After the start; by then a founder, if there is one, has founded a group alone. */
+    FOUNDING_AGAIN_DELAY_MS = 7000,
     MEMBER_RESPONSE_TIMEOUT_MS = 1200, /**< A member unresponsive for longer may be replaced. */
     WRITE_INTERVAL_MIN_MS = 1000,
     FOUNDING_RANK_DELAY_MS = 150,    /**< Added to the delay of a founder for each rank. */
@@ -416,9 +421,64 @@
     return candidates;
 }
 
+/** True if all of @p nodes respond; a node tells its group before it answers the first poll. */
+static bool all_respond(store_membership_t *membership, const GArray *nodes) {
+    poll_members(membership, nodes);
+    for (guint i = 0; i < nodes->len; i++) {
+        const store_member_t *node = &g_array_index(nodes, store_member_t, i);
+        if (strcmp(node->name, membership->store->settings->name) == 0)
+            continue;
+        const store_peer_t *peer = obtain_peer(membership, node);
+        if (peer->answered_at == 0 || store_peer_unanswered_ms(peer) > MEMBER_RESPONSE_TIMEOUT_MS)
+            return false;
+    }
+    return true;
+}
+
+/** Lists all registered nodes as store_member_t. */
+static GArray *list_registered(const store_membership_t *membership) {
+    GArray *nodes = store_members_new();
+    GHashTableIter iterator;
+    gpointer value;
+    g_hash_table_iter_init(&iterator, membership->registrations);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const store_member_t *member = &((const registration_t *)value)->member;
+        store_group_add(nodes, member->name, member->address, member->zone);
+    }
+    return nodes;
+}
+
+/**
+ * Makes this node a founder though it was started before, if no group can have been founded: all
+ * founders have ended before they had written that they are.
+ */
+static void become_founder(store_membership_t *membership) {
+    store_t *store = membership->store;
+    bool key_unseen = membership->group_revision == 0 && !membership->group_overwritten;
+    bool due = key_unseen && store->identity_durable && !store->state_write_pending &&
+               now(membership) - store->started_at >= FOUNDING_AGAIN_DELAY_MS;
+    if (!due)
+        return;
+    GArray *founders = list_candidates(membership, true);
+    GArray *nodes = list_registered(membership);
+    bool enough =
+        founders->len == 0 && nodes->len >= store_group_minimum(store->settings->tolerated_losses);
+    if (enough && all_respond(membership, nodes)) {
+        event_log(STORE_FOUNDER_AGAIN, nodes->len);
+        store->founding = true;
+        store->identity_durable = false;
+        store_write_state(store);
+        membership->registered = false;
+    }
+    g_array_free(founders, TRUE);
+    g_array_free(nodes, TRUE);
+}
+
 static void found_group(store_membership_t *membership) {
     const store_t *store = membership->store;
     uint64_t age = now(membership) - store->started_at;
+    if (!store->founding)
+        become_founder(membership);
     if (!store->founding || !store->identity_durable || age < FOUNDING_DELAY_MS)
         return;
     GArray *founders = list_candidates(membership, true);
--- a/src/storesim/world.c
+++ b/src/storesim/world.c
@@ -45,7 +45,8 @@
 static void on_item(void *owner, const key_value_item_t *item) {
     const world_gateway_t *gateway = owner;
     const char *name;
-    if (key_value_kind(item->key, &name) != KEY_OWN || strcmp(name, "group") != 0)
+    if (key_value_kind(item->key, &name) != KEY_OWN || strcmp(name, "group") != 0 ||
+        item->value == NULL)
         return;
     gsize length;
     const void *data = g_bytes_get_data(item->value, &length);
