test: a reserve that was on no disk when a member caught up counts all the same

Two members have it in memory while their disks stall, the third catches up from them with an empty disk and is out of the gateway's reach, and the two then lose their disks one after the other. The budget is refused in the end: the call is granted only once a quorum has the reserve on disk, and one of them is among the sources of each that copies. It held before this commit too; no fault was put in to see it fail.

--- a/tests/unit/budget_retention_test.cc
+++ b/tests/unit/budget_retention_test.cc
@@ -13,6 +13,9 @@
 constexpr uint64_t first_tokens = budget - max_tokens;
 constexpr uint64_t pause_ms = 50000;
 constexpr uint64_t restart_ms = 5000;
+constexpr uint64_t wait_ms = 1500; /**< Of a member with an empty disk, before it copies. */
+constexpr uint64_t catch_up_ms = 2000;
+constexpr uint64_t stall_ms = 3000;
 constexpr unsigned short_lived = 1200; // More than two segments of the simulator's disks have.
 
 class BudgetRetention : public SimulatedDisks {
@@ -78,4 +81,37 @@
         EXPECT_GT(virtual_disk_of(node(i)->process)->trimmed, 0u) << "node " << i;
 }
 
+// The members from which an empty one caught up have a reserve in memory only, and lose their disks
+// one after the other. The gateway, which would send it to the third, can't reach that.
+TEST_F(BudgetRetention, AReserveThatWasOnNoDiskWhenAMemberCaughtUpOutlastsTheOthersDisks) {
+    auto *first_gateway = static_cast<world_gateway_t *>(g_ptr_array_index(world->gateways, 0));
+    auto *second_gateway = static_cast<world_gateway_t *>(g_ptr_array_index(world->gateways, 1));
+    world->relays = false;
+    virtual_network_cut(first_gateway->process, node(2)->process, true);
+    world_end_store(node(2), END_DISK_LOST);
+    run(prompt_ms);
+    world_start_store(node(2), false);
+    run(wait_ms);
+    ASSERT_FALSE(store_is_complete(node(2)->store));
+    stall_first(2, stall_ms);
+    Outcome first;
+    reserve("first", budget, &first);
+    run(catch_up_ms);
+    ASSERT_TRUE(store_is_complete(node(2)->store));
+    ASSERT_EQ(records(0, "first") + records(1, "first") + records(2, "first"), 0U);
+    run(write_timeout_ms);
+    ASSERT_TRUE(first.durable);
+    for (unsigned i : {0U, 1U}) {
+        world_end_store(node(i), END_DISK_LOST);
+        run(prompt_ms);
+        world_start_store(node(i), false);
+        run(2 * CATCH_UP_MS);
+    }
+    Outcome second;
+    const store_reserve_t request = {"program", "second", 1, budget, true, write_timeout_ms};
+    store_client_reserve(second_gateway->client, &request, &handler, &second);
+    run(write_timeout_ms);
+    EXPECT_EQ(second.verdict, VERDICT_NO);
+}
+
 } // namespace
