--- a/src/store/store_membership.c
+++ b/src/store/store_membership.c
@@ -4,12 +4,18 @@
  * of its own. A new group is proposed by
  *
  * - a founder (a node whose disk has been in use since the first start of the system), once, with
- *   as many other founders as a group needs (core/quorum/store_group_choice.h);
+ *   as many other founders as a group needs (core/quorum/store_group_choice.h). If all nodes ended
+ *   before they had written that they are founders, they become founders later: no group was ever
+ *   listed, and all registered nodes respond, of which none knows a group or is a founder. A node
+ *   that does not respond may be a member;
  * - a spare, to replace a failed member or to restore the target size of the group;
  * - a member that an operator retires: the group without this member, or with a spare in its place.
  *   It reports "completed" once all members of the new group are complete. It remains a member
  *   as long as the group without it could not tolerate the loss of a disk.
  *
+ * A registration that another writer has overwritten or removed is written again: nodes that start
+ * later would not know this one.
+ *
  * Spares are ranked. The first polls the members continuously; the poll interval of the others
  * grows with their rank, which limits traffic and concurrent proposals. If the first spare fails,
  * the next one takes its place.
@@ -44,6 +50,8 @@
     FOUNDING_DELAY_MS = 2000,       /**< After the start; lets all founders register first. */
     FOUNDING_ALONE_DELAY_MS = 5000, /**< The same with fewer than FOUNDERS_EXPECTED founders. */
     FOUNDERS_EXPECTED = 3,
+    /** After the start; by then a founder, if there is one, has founded a group alone. */
+    FOUNDING_AGAIN_DELAY_MS = 7000,
     MEMBER_RESPONSE_TIMEOUT_MS = 1200, /**< A member unresponsive for longer may be replaced. */
     WRITE_INTERVAL_MIN_MS = 1000,
     FOUNDING_RANK_DELAY_MS = 150,    /**< Added to the delay of a founder for each rank. */
@@ -137,6 +145,10 @@
            now(membership) >= membership->written_at + WRITE_INTERVAL_MIN_MS;
 }
 
+static char *registration_name(const store_membership_t *membership) {
+    return g_strconcat(registration_prefix, membership->store->settings->name, NULL);
+}
+
 static void register_node(store_membership_t *membership) {
     const store_t *store = membership->store;
     registration_t registration = {
@@ -146,7 +158,7 @@
     codec_t codec;
     codec_start_encoding(&codec);
     registration_codec(&codec, &registration);
-    char *name = g_strconcat(registration_prefix, store->settings->name, NULL);
+    char *name = registration_name(membership);
     write_key(membership, key_value_own_key(name), codec_finish(&codec), true, 0);
     g_free(name);
 }
@@ -164,6 +176,10 @@
 
 static void apply_registration(store_membership_t *membership, const char *name,
                                const key_value_item_t *item) {
+    const store_t *store = membership->store;
+    bool own = strcmp(name, store->settings->name) == 0;
+    if (own)
+        membership->registered = false;
     if (item->value == NULL) {
         g_hash_table_remove(membership->registrations, name);
         return;
@@ -174,12 +190,11 @@
     codec_t codec;
     codec_start_decoding(&codec, data, length);
     registration_codec(&codec, registration);
-    const store_t *store = membership->store;
     if (!codec_complete(&codec) || strcmp(registration->member.name, name) != 0) {
         free_registration(registration);
         return;
     }
-    if (strcmp(name, store->settings->name) == 0)
+    if (own)
         membership->registered =
             strcmp(registration->member.address, store->settings->peer_text) == 0 &&
             registration->founding == store->founding;
@@ -244,14 +259,23 @@
     store_record_listed(membership->store, 0);
 }
 
+/** True if the set @p keys holds the key of storage nodes that is called @p name. */
+static bool lists(GHashTable *keys, const char *name) {
+    char *key = key_value_own_key(name);
+    bool listed = g_hash_table_contains(keys, key);
+    g_free(key);
+    return listed;
+}
+
 static void on_own_listed(void *owner, GHashTable *keys) {
     store_membership_t *membership = owner;
     membership->listed = true;
     /* Behind an odd value there may be a group in which this node has acknowledged records. */
-    char *key = key_value_own_key(group_name);
-    if (!g_hash_table_contains(keys, key))
+    if (!lists(keys, group_name))
         apply_missing_group(membership);
-    g_free(key);
+    char *name = registration_name(membership);
+    membership->registered = membership->registered && lists(keys, name);
+    g_free(name);
     store_membership_check(membership->store);
 }
 
@@ -397,9 +421,64 @@
     return candidates;
 }
 
+/** True if all of @p nodes respond; a node tells its group before it answers the first poll. */
+static bool all_respond(store_membership_t *membership, const GArray *nodes) {
+    poll_members(membership, nodes);
+    for (guint i = 0; i < nodes->len; i++) {
+        const store_member_t *node = &g_array_index(nodes, store_member_t, i);
+        if (strcmp(node->name, membership->store->settings->name) == 0)
+            continue;
+        const store_peer_t *peer = obtain_peer(membership, node);
+        if (peer->answered_at == 0 || store_peer_unanswered_ms(peer) > MEMBER_RESPONSE_TIMEOUT_MS)
+            return false;
+    }
+    return true;
+}
+
+/** Lists all registered nodes as store_member_t. */
+static GArray *list_registered(const store_membership_t *membership) {
+    GArray *nodes = store_members_new();
+    GHashTableIter iterator;
+    gpointer value;
+    g_hash_table_iter_init(&iterator, membership->registrations);
+    while (g_hash_table_iter_next(&iterator, NULL, &value)) {
+        const store_member_t *member = &((const registration_t *)value)->member;
+        store_group_add(nodes, member->name, member->address, member->zone);
+    }
+    return nodes;
+}
+
+/**
+ * Makes this node a founder though it was started before, if no group can have been founded: all
+ * founders have ended before they had written that they are.
+ */
+static void become_founder(store_membership_t *membership) {
+    store_t *store = membership->store;
+    bool key_unseen = membership->group_revision == 0 && !membership->group_overwritten;
+    bool due = key_unseen && store->identity_durable && !store->state_write_pending &&
+               now(membership) - store->started_at >= FOUNDING_AGAIN_DELAY_MS;
+    if (!due)
+        return;
+    GArray *founders = list_candidates(membership, true);
+    GArray *nodes = list_registered(membership);
+    bool enough =
+        founders->len == 0 && nodes->len >= store_group_minimum(store->settings->tolerated_losses);
+    if (enough && all_respond(membership, nodes)) {
+        event_log(STORE_FOUNDER_AGAIN, nodes->len);
+        store->founding = true;
+        store->identity_durable = false;
+        store_write_state(store);
+        membership->registered = false;
+    }
+    g_array_free(founders, TRUE);
+    g_array_free(nodes, TRUE);
+}
+
 static void found_group(store_membership_t *membership) {
     const store_t *store = membership->store;
     uint64_t age = now(membership) - store->started_at;
+    if (!store->founding)
+        become_founder(membership);
     if (!store->founding || !store->identity_durable || age < FOUNDING_DELAY_MS)
         return;
     GArray *founders = list_candidates(membership, true);
--- a/tests/unit/record_clock_test.cc
+++ b/tests/unit/record_clock_test.cc
@@ -47,10 +47,10 @@
     EXPECT_EQ(node.time(0), 65000U);
 }
 
-TEST(RecordClock, WritesAMarkEverySecond) {
+TEST(RecordClock, WritesAMarkEachInterval) {
     Node node;
     node.start();
-    node.write(10000);
+    node.write(10 * RECORD_MARK_INTERVAL_MS);
     EXPECT_EQ(node.marks.size(), 11U);
 }
 
@@ -69,14 +69,14 @@
     node.write(60000);
     node.marks.pop_back();
     node.start();
-    EXPECT_EQ(node.time(0), 59000U);
+    EXPECT_EQ(node.time(0), 60000U - RECORD_MARK_INTERVAL_MS);
 }
 
 TEST(RecordClock, CountsFromTheFirstRemainingMark) {
     Node node;
     node.start();
     node.write(60000);
-    node.marks.erase(node.marks.begin(), node.marks.begin() + 50);
+    node.marks.erase(node.marks.begin(), node.marks.begin() + 50000 / RECORD_MARK_INTERVAL_MS);
     node.start();
     EXPECT_EQ(node.time(0), 10000U);
     node.write(2000);
@@ -98,4 +98,17 @@
     EXPECT_EQ(record_clock_time(&clock, 0), 4000U);
 }
 
+// Guards against records that expire up to an interval of marks before their time.
+TEST(RecordClock, DatesNoRecordBeforeItWasWritten) {
+    record_clock_t clock = {};
+    record_clock_start(&clock, 0);
+    uint64_t mark = 0, next_mark = 0, written_at = 0;
+    ASSERT_TRUE(record_clock_next_mark(&clock, 0, &mark));
+    while (!record_clock_next_mark(&clock, written_at + 1, &next_mark))
+        written_at++;
+    record_clock_t replayed = {};
+    record_clock_replay(&replayed, mark);
+    EXPECT_GE(record_clock_latest_time(&replayed), written_at);
+}
+
 } // namespace
