test: a stop drops requests sent ahead, and answers that have not arrived

And a gateway exits after 3.4 s of 8 while its kernel holds answers that callers have not acknowledged (0.5 to 3 s pauses of callers: 6.7 MB of 7 connections; answers of 0.6 to 5 kB with a receive buffer of 2.3 kB: 7.3 kB of 3, 2.4 kB of 1). A machine that goes with its process loses these.

Cause: will_keep() asks only whether a stop has begun. on_timer() closes a lingering connection that acknowledged nothing for 300 ms, and a process without connections exits.

--- a/tests/unit/http_listener_test.cc
+++ b/tests/unit/http_listener_test.cc
@@ -27,6 +27,8 @@
 constexpr size_t megabyte = 1024 * 1024;
 constexpr size_t large_bytes = 12 * megabyte;
 constexpr uint32_t wait_until_old_ms = 400; /**< Then a connection may be closed as idle. */
+constexpr uint64_t unread_ms = 600;         /**< Less than a connection may idle. */
+constexpr size_t unread_bytes = 200000;     /**< The kernel takes them, and the caller does not. */
 constexpr uint64_t pause_ms = 50; /**< Between two portions of a caller that reads steadily. */
 const std::string request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
 const std::string last_request = "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
@@ -304,6 +306,31 @@
         << caller.received.size() << " bytes";
 }
 
+// Guards against a stop that drops whole requests which wait for the answer before theirs.
+TEST_F(HttpListener, RequestsSentAheadOfAStopAreAnswered) {
+    Caller caller(address);
+    http_caller_t *asked = ask(caller, request + request + request);
+    ASSERT_NE(asked, nullptr);
+    http_listener_close_after_answers(listener);
+    http_caller_answer(asked, 200, nullptr, body.data(), body.size());
+    EXPECT_TRUE(read_until_end(caller));
+    EXPECT_EQ(caller.answers(body.size()), 3U) << caller.received;
+    EXPECT_EQ(caller.ending, Ending::clean);
+    const std::string close = "Connection: close";
+    size_t first = caller.received.find(close);
+    EXPECT_NE(first, std::string::npos);
+    EXPECT_EQ(caller.received.find(close, first + 1), std::string::npos);
+}
+
+TEST_F(HttpListener, RequestsSentInOneGoAfterAStopAreAnswered) {
+    Caller caller(address);
+    http_listener_close_after_answers(listener);
+    caller.send_bytes(request + request);
+    EXPECT_TRUE(read_until_end(caller));
+    EXPECT_EQ(caller.answers(body.size()), 2U) << caller.received;
+    EXPECT_EQ(caller.ending, Ending::clean);
+}
+
 // Guards against the reset of a request that waits in the kernel as its connection is closed.
 TEST_F(HttpListener, AConnectionWhoseRequestWaitsUnreadIsNotIdle) {
     Caller caller(address);
@@ -419,6 +446,28 @@
     EXPECT_EQ(caller.ending, Ending::clean);
 }
 
+// Guards against the exit of a process that has nothing to write, before its callers have it all.
+TEST_F(HttpListener, AConnectionStaysOpenUntilItsLastAnswerHasArrived) {
+    body.assign(unread_bytes, 'x');
+    Caller caller(address);
+    http_caller_t *asked = ask(caller, last_request);
+    ASSERT_NE(asked, nullptr);
+    http_caller_answer(asked, 200, nullptr, body.data(), body.size());
+    EXPECT_FALSE(run_until([&] { return http_listener_connections(listener) == 0; }, unread_ms));
+    EXPECT_TRUE(read_until_end(caller));
+    EXPECT_EQ(caller.answers(unread_bytes), 1U) << caller.received.size() << " bytes";
+    EXPECT_EQ(caller.ending, Ending::clean);
+    EXPECT_TRUE(run_until([&] { return http_listener_connections(listener) == 0; }));
+}
+
+TEST_F(HttpListener, ACallerThatTakesNothingOfItsLastAnswerIsClosed) {
+    body.assign(unread_bytes, 'x');
+    Caller caller(address);
+    caller.send_bytes(last_request);
+    EXPECT_TRUE(run_until([&] { return http_listener_connections(listener) == 1; }));
+    EXPECT_TRUE(run_until([&] { return http_listener_connections(listener) == 0; }, 4 * idle_ms));
+}
+
 TEST_F(HttpListener, ACallerThatNeverEndsItsConnectionIsClosedAfterItsLastAnswer) {
     Caller caller(address);
     caller.send_bytes(last_request);
