listener: a connection ends after all that was sent on it, and has arrived

What callers saw: requests sent ahead of an answer got none when a gateway was told to stop, though they had been read and many were sent before the signal; and a gateway exited with time left while callers had not acknowledged its last answers.

Cause: will_keep() made the answer under way the last one as soon as a stop began, whatever waited behind it. on_timer() gave up a lingering connection after 300 ms without an acknowledgement, and a process that knows no connection exits.

A stop now announces the close with the answer behind which nothing waits, read or in the kernel. A lingering connection stays until its answer is acknowledged, or nothing of it was for the idle timeout, as one whose answer is being written. Not changed: a caller that asked for the close, malformed requests, refusals in a zone that is cut off.

--- a/src/net/http_listener.c
+++ b/src/net/http_listener.c
@@ -3,9 +3,10 @@
  * hangs up is seen at once; what a caller sends ahead waits, and past a bound reading rests.
  * After its last answer a connection is shut down for writing, and what its caller still sends is
  * dropped until the caller closes its side: a close with unread bytes would be a reset, which may
- * overtake the answer.
- * An answer that the kernel has not taken entirely keeps its connection from being idle, and from
- * serving what was sent ahead, for as long as its caller goes on taking bytes.
+ * overtake the answer. It stays open until the answer has arrived, since the kernel's part of it
+ * may be lost with the process. An answer that the kernel has not taken entirely keeps its
+ * connection from being idle, and from serving what was sent ahead, for as long as its caller goes
+ * on taking bytes.
  */
 #include "net/http_listener.h"
 
@@ -65,6 +66,8 @@
     uint64_t accepted_at;
     unsigned pending_writes;
     size_t untaken; /**< When last counted; 0 if the kernel took the answer at once. */
+    uint64_t last_taken_at;
+    size_t unserved; /**< Bytes behind the request that serve_bytes() delivers. */
     http_parser parser;
     http_headers_t headers;
     GString *target;
@@ -136,7 +139,17 @@
     if (before == 0)
         return false;
     caller->untaken = count_untaken(caller);
-    return caller->untaken < before;
+    if (caller->untaken >= before)
+        return false;
+    caller->last_taken_at = uv_now(caller->listener->loop);
+    return true;
+}
+
+/** True if some of the last answer is still on its way to a caller that goes on taking it. */
+static bool is_arriving(const http_caller_t *caller) {
+    uint64_t resting = uv_now(caller->listener->loop) - caller->last_taken_at;
+    return caller->state == LINGERING && caller->untaken > 0 &&
+           resting < caller->listener->limits.idle_timeout_ms;
 }
 
 /** True if bytes of the next request have come that were not read yet. */
@@ -169,7 +182,8 @@
         return;
     }
     bool lingering = caller->state == LINGERING;
-    if (has_taken_bytes(caller) || (caller->state == READING && has_unread_bytes(caller)))
+    if (has_taken_bytes(caller) || is_arriving(caller) ||
+        (caller->state == READING && has_unread_bytes(caller)))
         arm_timer(caller, lingering ? LINGER_MS : caller->listener->limits.idle_timeout_ms);
     else
         close_caller(caller);
@@ -264,9 +278,17 @@
     return bytes;
 }
 
+/** True if the caller has sent more than the request that is being answered. */
+static bool has_sent_ahead(const http_caller_t *caller) {
+    size_t read = caller->serving ? caller->unserved : caller->ahead->len;
+    return read > 0 || has_unread_bytes(caller);
+}
+
+/** A stop closes a connection only after the answer to the last request that was sent. */
 static bool will_keep(const http_caller_t *caller) {
-    return !caller->listener->close_after_answers && !caller->close_after_answer &&
-           caller->state == ANSWERING && http_should_keep_alive(&caller->parser) != 0;
+    return (!caller->listener->close_after_answers || has_sent_ahead(caller)) &&
+           !caller->close_after_answer && caller->state == ANSWERING &&
+           http_should_keep_alive(&caller->parser) != 0;
 }
 
 static void start_reading(http_caller_t *caller);
@@ -286,6 +308,7 @@
         return;
     }
     caller->untaken = count_untaken(caller);
+    caller->last_taken_at = uv_now(caller->listener->loop);
     arm_timer(caller, LINGER_MS);
     start_reading(caller);
 }
@@ -487,6 +510,7 @@
             refuse_malformed(caller);
             return length;
         }
+        caller->unserved = length - parsed;
         deliver_request(caller);
         return parsed;
     }
