test: an answer is cut though its server only rests before it reads on

What callers saw: a turn whose back end begins its stream, rests, and then reads the rest of the request is cut 2.2 to 2.3 s after it was sent: 27 of 27 with 100,000 bytes and more and a rest of 2.3 s and more (a receive buffer of 16 kB); none of 36 with shorter rests, none of 9 with 4,000 bytes.

Cause: SILENT_PEER_MS in net/http_client.c is set as TCP_USER_TIMEOUT. The kernel counts it also while the peer's window is zero and its probes are acknowledged.

Not mended: without that option a peer that is silent in fact has to be told by other means.

--- a/tests/unit/http_client_test.cc
+++ b/tests/unit/http_client_test.cc
@@ -1,7 +1,12 @@
 // Connections to servers: when an answer that has no length is whole.
 #include <gtest/gtest.h>
 
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
 #include <string>
+#include <thread>
 
 #include "scripted_server.h"
 
@@ -90,4 +95,69 @@
     EXPECT_EQ(outcome.body, "ok");
 }
 
+/** Begins its answer, reads nothing for a while, then reads the whole request and goes on. */
+class LateReader {
+  public:
+    LateReader(size_t request_bytes, unsigned rest_s)
+        : listening_(socket(AF_INET, SOCK_STREAM, 0)) {
+        int receive_bytes = 16384;
+        socklen_t length = sizeof address;
+        address.sin_family = AF_INET;
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        setsockopt(listening_, SOL_SOCKET, SO_RCVBUF, &receive_bytes, sizeof receive_bytes);
+        EXPECT_EQ(bind(listening_, reinterpret_cast<sockaddr *>(&address), length), 0);
+        EXPECT_EQ(listen(listening_, 1), 0);
+        getsockname(listening_, reinterpret_cast<sockaddr *>(&address), &length);
+        thread_ = std::thread([this, request_bytes, rest_s] { serve(request_bytes, rest_s); });
+    }
+    ~LateReader() {
+        thread_.join();
+        close(listening_);
+    }
+    LateReader(const LateReader &) = delete;
+    LateReader &operator=(const LateReader &) = delete;
+
+    sockaddr_in address{};
+
+  private:
+    void serve(size_t request_bytes, unsigned rest_s) const {
+        char buffer[4096];
+        int connection = accept(listening_, nullptr, nullptr);
+        send_text(connection, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nan");
+        sleep(rest_s);
+        size_t left = request_bytes;
+        ssize_t count = 1;
+        while (left > 0 && count > 0) {
+            count = recv(connection, buffer, std::min(left, sizeof buffer), 0);
+            left -= count > 0 ? static_cast<size_t>(count) : 0;
+        }
+        send_text(connection, "sw");
+        close(connection);
+    }
+    static void send_text(int connection, const std::string &text) {
+        send(connection, text.data(), text.size(), MSG_NOSIGNAL);
+    }
+    int listening_;
+    std::thread thread_;
+};
+
+// Guards against the end of an answer whose server, though there, reads no more for 2 s.
+TEST(HttpClient, AServerThatRestsBeforeItReadsOnIsNotLost) {
+    const std::string text =
+        "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 100000\r\n\r\n" + std::string(100000, 'x');
+    uv_loop_t loop;
+    uv_loop_init(&loop);
+    Outcome outcome;
+    {
+        LateReader server(text.size(), 3);
+        http_client_t *client = http_client_open(&loop, &server.address, nullptr, nullptr);
+        http_client_send(client, g_string_new_len(text.data(), static_cast<gssize>(text.size())),
+                         false, &handler, &outcome);
+        uv_run(&loop, UV_RUN_DEFAULT);
+    }
+    uv_loop_close(&loop);
+    EXPECT_TRUE(outcome.complete);
+    EXPECT_EQ(outcome.body, "answ");
+}
+
 } // namespace
