--- a/src/net/http_listener.c
+++ b/src/net/http_listener.c
@@ -3,13 +3,15 @@
  * hangs up is seen at once; what a caller sends ahead waits, and past a bound reading rests.
  * After its last answer a connection is shut down for writing, and what its caller still sends is
  * dropped until the caller closes its side: a close with unread bytes would be a reset, which may
- * overtake the answer.
- * An answer that the kernel has not taken entirely keeps its connection from being idle, and from
- * serving what was sent ahead, for as long as its caller goes on taking bytes.
- * A caller that ends its side may be gone or read on, which the end does not tell. Bytes that the
- * answer has in any case are sent early: the peer of a closed connection resets it, so that a later
- * byte can't be written. These are the first ones of the status line, and zeros that begin the size
- * of the next chunk. What has neither is told by the bytes of its answer.
+ * overtake the answer. It stays open until the answer has arrived, since the kernel's part of it
+ * may be lost with the process. An answer that the kernel has not taken entirely keeps its
+ * connection from being idle, and from serving what was sent ahead, for as long as its caller goes
+ * on taking bytes.
+ * A caller that ends its side may be gone or read on, which the end does not tell, but the peer of
+ * a closed connection resets it once bytes come. Before its answer has begun, the first bytes of
+ * the status line are sent early, one after another, until one can't be written. Within a body no
+ * byte can be: a cut after it could make the body look whole. There the caller counts as gone
+ * unless the next bytes come soon and reset nothing.
  */
 #include "net/http_listener.h"
 
@@ -31,9 +33,11 @@
     NEW_CALLER_MS = 300,            /**< Until then a new connection's first request is awaited. */
     REQUESTS_PER_TURN = 64,         /**< Of a connection; its other ones wait for the next turn. */
     NEXT_TURN_MS = 1,
-    LINGER_MS = 300, /**< A caller's time to close after its last answer. */
-    PROBE_MS = 20,   /**< Until the second early byte; each further one takes twice as long. */
-    CHUNK_SIZE_ZEROS_MAX = 8, /**< Some clients bound the digits of a chunk's size to 16. */
+    LINGER_MS = 300,      /**< A caller's time to close after its last answer. */
+    SECOND_BYTE_MS = 20,  /**< Until the second early byte. */
+    RESET_CHECK_MS = 100, /**< Between checks for a reset. */
+    CHECKS_PER_BYTE = 5,  /**< The early bytes last for several seconds so. */
+    NEXT_PIECE_MS = 300,  /**< For the next bytes of a body whose caller has ended its side. */
 };
 
 /** What each answer begins with. */
@@ -76,11 +80,14 @@
     bool ends_with_connection; /**< The answer has no other mark of its end. */
     bool head_written;         /**< The answer's head; its body goes on in pieces. */
     bool input_ended;          /**< The caller has ended its side. */
-    unsigned early_bytes;      /**< Written of the status line, or of the next chunk's size. */
-    uint64_t probe_ms;         /**< Until the next early byte. */
+    bool shown_alive;          /**< Bytes were written since the caller ended its side. */
+    unsigned early_bytes;      /**< Of the status line, written before the others. */
+    unsigned checks;           /**< For a reset, since the caller ended its side. */
     uint64_t accepted_at;
     unsigned pending_writes;
     size_t untaken; /**< When last counted; 0 if the kernel took the answer at once. */
+    uint64_t last_taken_at;
+    size_t unserved; /**< Bytes behind the request that serve_bytes() delivers. */
     http_parser parser;
     http_headers_t headers;
     GString *target;
@@ -152,7 +159,17 @@
     if (before == 0)
         return false;
     caller->untaken = count_untaken(caller);
-    return caller->untaken < before;
+    if (caller->untaken >= before)
+        return false;
+    caller->last_taken_at = uv_now(caller->listener->loop);
+    return true;
+}
+
+/** True if some of the last answer is still on its way to a caller that goes on taking it. */
+static bool is_arriving(const http_caller_t *caller) {
+    uint64_t resting = uv_now(caller->listener->loop) - caller->last_taken_at;
+    return caller->state == LINGERING && caller->untaken > 0 &&
+           resting < caller->listener->limits.idle_timeout_ms;
 }
 
 /** True if bytes of the next request have come that were not read yet. */
@@ -169,7 +186,7 @@
 }
 
 static void arm_timer(http_caller_t *caller, uint64_t ms);
-static void probe_caller(http_caller_t *caller);
+static void check_caller(http_caller_t *caller);
 
 static void on_timer(uv_timer_t *timer) {
     http_caller_t *caller = timer->data;
@@ -182,7 +199,7 @@
         return;
     }
     if (caller->state == ANSWERING) {
-        probe_caller(caller);
+        check_caller(caller);
         return;
     }
     if (caller->state == READING && caller->begun) {
@@ -190,7 +207,8 @@
         return;
     }
     bool lingering = caller->state == LINGERING;
-    if (has_taken_bytes(caller) || (caller->state == READING && has_unread_bytes(caller)))
+    if (has_taken_bytes(caller) || is_arriving(caller) ||
+        (caller->state == READING && has_unread_bytes(caller)))
         arm_timer(caller, lingering ? LINGER_MS : caller->listener->limits.idle_timeout_ms);
     else
         close_caller(caller);
@@ -287,9 +305,17 @@
     return bytes;
 }
 
+/** True if the caller has sent more than the request that is being answered. */
+static bool has_sent_ahead(const http_caller_t *caller) {
+    size_t read = caller->serving ? caller->unserved : caller->ahead->len;
+    return read > 0 || has_unread_bytes(caller);
+}
+
+/** A stop closes a connection only after the answer to the last request that was sent. */
 static bool will_keep(const http_caller_t *caller) {
-    return !caller->listener->close_after_answers && !caller->close_after_answer &&
-           caller->state == ANSWERING && http_should_keep_alive(&caller->parser) != 0;
+    return (!caller->listener->close_after_answers || has_sent_ahead(caller)) &&
+           !caller->close_after_answer && caller->state == ANSWERING &&
+           http_should_keep_alive(&caller->parser) != 0;
 }
 
 static void start_reading(http_caller_t *caller);
@@ -309,10 +335,20 @@
         return;
     }
     caller->untaken = count_untaken(caller);
+    caller->last_taken_at = uv_now(caller->listener->loop);
     arm_timer(caller, LINGER_MS);
     start_reading(caller);
 }
 
+/** Ends the connection of a caller that has ended its side once its last answer has arrived. */
+static void end_after_arrival(http_caller_t *caller) {
+    bool incomplete = caller->state == READING && caller->begun;
+    if (incomplete || count_untaken(caller) == 0)
+        close_caller(caller);
+    else if (caller->state != LINGERING)
+        linger(caller);
+}
+
 /** The answer is written: makes the connection ready for the next request, or ends it. */
 static void end_or_keep(http_caller_t *caller) {
     if (!caller->keep) {
@@ -365,10 +401,10 @@
         finish_answer(caller);
 }
 
-static void append_piece(http_caller_t *caller, GString *bytes, const char *data, size_t length) {
+static void append_piece(const http_caller_t *caller, GString *bytes, const char *data,
+                         size_t length) {
     if (length == 0 || is_head_only(caller))
         return;
-    caller->early_bytes = 0;
     if (caller->chunked)
         g_string_append_printf(bytes, "%zx\r\n", length);
     g_string_append_len(bytes, data, (gssize)length);
@@ -378,49 +414,66 @@
 
 /* Callers that have ended their side. */
 
-/** The next byte that the answer has in any case; 0: none. */
-static char next_early_byte(const http_caller_t *caller) {
-    if (!caller->head_written)
-        return status_line_begin[caller->early_bytes];
-    bool between_chunks = caller->chunked && !is_head_only(caller);
-    return between_chunks && caller->early_bytes < CHUNK_SIZE_ZEROS_MAX ? '0' : '\0';
+/** True if the peer has reset the connection, which no read tells after the end of its side. */
+static bool was_reset(const http_caller_t *caller) {
+    uv_os_fd_t descriptor;
+    int error = 0;
+    socklen_t length = sizeof error;
+    return uv_fileno((const uv_handle_t *)&caller->tcp, &descriptor) == 0 &&
+           getsockopt(descriptor, SOL_SOCKET, SO_ERROR, &error, &length) == 0 && error != 0;
 }
 
-/** Writes an early byte unless bytes wait to be written, which tell as much. */
-static void probe_caller(http_caller_t *caller) {
-    char byte = next_early_byte(caller);
-    if (byte == '\0')
+/** Writes the next early byte unless bytes wait to be written, which tell as much. */
+static void write_early_byte(http_caller_t *caller) {
+    char byte = status_line_begin[caller->early_bytes];
+    if (byte == '\0' || caller->pending_writes > 0)
         return;
-    if (caller->pending_writes == 0) {
-        caller->early_bytes++;
-        if (!write_bytes(caller, g_string_new_len(&byte, 1)))
-            return;
-    }
-    arm_timer(caller, caller->probe_ms);
-    caller->probe_ms *= 2;
+    caller->early_bytes++;
+    write_bytes(caller, g_string_new_len(&byte, 1));
+}
+
+/** Finds out, until the answer begins, whether a caller that has ended its side is gone. */
+static void probe_caller(http_caller_t *caller) {
+    unsigned check = caller->checks++;
+    arm_timer(caller, check == 0 ? SECOND_BYTE_MS : RESET_CHECK_MS);
+    if (check == 0 || check % CHECKS_PER_BYTE == 1)
+        write_early_byte(caller);
+}
+
+/** The time for a sign of the caller's life is over. */
+static void check_caller(http_caller_t *caller) {
+    bool silent = caller->head_written && !caller->shown_alive;
+    if (silent || was_reset(caller))
+        caller_lost(caller);
+    else if (!caller->head_written)
+        probe_caller(caller);
 }
 
-/** Follows bytes of the answer, which are no probe if they are the first since the caller's end. */
-static void begin_probing(http_caller_t *caller) {
+/** Bytes of the answer were written: a caller that is gone resets them. */
+static void await_reset(http_caller_t *caller) {
     if (!caller->input_ended || caller->state != ANSWERING)
         return;
-    caller->probe_ms = PROBE_MS;
-    arm_timer(caller, caller->probe_ms);
+    caller->shown_alive = true;
+    arm_timer(caller, RESET_CHECK_MS);
 }
 
 static void handle_input_end(http_caller_t *caller) {
     const http_listener_t *listener = caller->listener;
     caller->input_ended = true;
+    caller->shown_alive = false;
     if (caller->state == WRITING)
         return;
     if (caller->state != ANSWERING) {
-        close_caller(caller);
+        end_after_arrival(caller);
         return;
     }
     if (listener->handler->on_input_ended != NULL)
         listener->handler->on_input_ended(listener->owner, caller);
-    caller->probe_ms = PROBE_MS;
-    probe_caller(caller);
+    caller->checks = 0;
+    if (caller->head_written)
+        arm_timer(caller, NEXT_PIECE_MS);
+    else
+        probe_caller(caller);
 }
 
 void http_caller_begin(http_caller_t *caller, unsigned status, const char *fields, const char *data,
@@ -433,7 +486,7 @@
     append_piece(caller, bytes, data, length);
     caller->head_written = true;
     if (write_bytes(caller, bytes))
-        begin_probing(caller);
+        await_reset(caller);
 }
 
 void http_caller_piece(http_caller_t *caller, const char *data, size_t length) {
@@ -442,7 +495,7 @@
     GString *bytes = g_string_sized_new(length + 16);
     append_piece(caller, bytes, data, length);
     if (write_bytes(caller, bytes))
-        begin_probing(caller);
+        await_reset(caller);
 }
 
 void http_caller_end(http_caller_t *caller) {
@@ -450,7 +503,6 @@
     bool written = !caller->broken;
     if (caller->chunked && !is_head_only(caller))
         written = write_bytes(caller, g_string_new("0\r\n\r\n"));
-    caller->early_bytes = 0;
     if (written)
         finish_answer(caller);
 }
@@ -595,6 +647,7 @@
             refuse_malformed(caller);
             return length;
         }
+        caller->unserved = length - parsed;
         deliver_request(caller);
         return parsed;
     }
