--- a/src/core/retry/resend.c
+++ b/src/core/retry/resend.c
@@ -14,20 +14,9 @@
     return again ? RESEND_SAME : RESEND_NO;
 }
 
-static resend_t resend_to_broken(const resend_state_t *state) {
-    resend_t resend = resend_to_same(state, RESEND_SAME_MAX);
-    if (resend == RESEND_NO)
-        return RESEND_NO;
-    if (state->evidence == RESEND_EVIDENCE_NONE)
-        return RESEND_IF_ALIVE;
-    return state->evidence == RESEND_EVIDENCE_LIVES ? RESEND_SAME : RESEND_NO;
-}
-
 resend_t resend_after_unknown(const resend_state_t *state) {
     resend_t resend = resend_after_not_run(state);
-    if (resend != RESEND_NO)
-        return resend;
-    return state->broke ? resend_to_broken(state) : resend_to_same(state, RESEND_SAME_MAX);
+    return resend != RESEND_NO ? resend : resend_to_same(state, RESEND_SAME_MAX);
 }
 
 resend_t resend_after_suspicion(const resend_state_t *state) {
--- a/src/core/retry/resend.h
+++ b/src/core/retry/resend.h
@@ -8,10 +8,6 @@
  * same back end does not count either, and it is cheap: a stream resumes after its last event, and
  * the prompt is cached.
  *
- * A connection that breaks under a call may be the end of the back end's process, caused by the
- * call, and the next process may serve at its port already. The call then goes to the same back end
- * only once it is shown that the process lives.
- *
  * A suspicion that the response is lost (stall.h, answer_time.h) may be wrong: the back end may
  * only be slow. Where it can't lead to a resend, the call goes on waiting for its current send, and
  * the last resend to the same back end is left to a send that has definitely failed.
@@ -33,27 +29,16 @@
     RESEND_NO,        /**< Do not resend; the call fails. */
     RESEND_ELSEWHERE, /**< To a back end not tried yet. */
     RESEND_SAME,      /**< To the same back end. */
-    RESEND_IF_ALIVE,  /**< Decide again once it is known what has become of the back end. */
 } resend_t;
 
-/** What is known of the back end's process since the connection broke. */
-typedef enum {
-    RESEND_EVIDENCE_NONE,    /**< It has not been looked for. */
-    RESEND_EVIDENCE_MISSING, /**< It was, in vain. */
-    RESEND_EVIDENCE_LIVES,
-    RESEND_EVIDENCE_ENDED, /**< resend_state_t.ended has it. */
-} resend_evidence_t;
-
 typedef struct {
     unsigned attempts; /**< The route's limit on back ends per call. */
     unsigned backends; /**< Back ends that may have received the call. */
     unsigned ended;    /**< Of these, back ends that have ended or are unreachable. */
     /** Back ends other than the current one that have ended under the request, or may yet. */
     unsigned crashes;
-    bool current_may_end;       /**< So may the current one, if the call goes elsewhere. */
-    unsigned repeats;           /**< Resends to the same back end. */
-    bool broke;                 /**< The connection broke before the response was complete. */
-    resend_evidence_t evidence; /**< For `broke`. */
+    bool current_may_end; /**< So may the current one, if the call goes elsewhere. */
+    unsigned repeats;     /**< Resends to the same back end. */
     bool time_left;
     bool same_usable; /**< The current back end is in the directory and has not announced a stop. */
     bool other_usable; /**< There is a back end not tried yet; for resend_after_suspicion(). */
--- a/src/gateway/call.c
+++ b/src/gateway/call.c
@@ -112,7 +112,6 @@
     call->ended = true;
     g_queue_unlink(&call->gateway->active_calls, &call->active_link);
     log_end(call, status, reason);
-    call_survival_end(call);
     call_cancel_exchange(call);
     call_clear_body(call);
     call_registration_end(call);
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -10,9 +10,7 @@
 #ifndef RUDDERWAY_GATEWAY_CALL_H
 #define RUDDERWAY_GATEWAY_CALL_H
 
-#include "core/retry/resend.h"
 #include "gateway/call_fields.h"
-#include "gateway/call_survival.h"
 #include "gateway/event_stream.h"
 #include "gateway/gateway.h"
 
@@ -133,13 +131,10 @@
     unsigned sends;   /**< Sends of which any byte may have reached a back end. */
     uint64_t sent_at; /**< Start of the current send, loop time in ms. */
     unsigned connects_failed;
-    unsigned backends_sent;     /**< Back ends that any byte may have reached. */
-    unsigned backends_ended;    /**< Of these, the ones that have ended or are unreachable. */
-    unsigned repeats;           /**< Resends to the same back end. */
-    bool broke;                 /**< The connection broke under the current send. */
-    resend_evidence_t evidence; /**< What is known of the back end since then. */
-    call_survival_t *survival;  /**< The wait for it; NULL: none. */
-    bool repeating;             /**< The current send is a resend to the same back end. */
+    unsigned backends_sent;  /**< Back ends that any byte may have reached. */
+    unsigned backends_ended; /**< Of these, the ones that have ended or are unreachable. */
+    unsigned repeats;        /**< Resends to the same back end. */
+    bool repeating;          /**< The current send is a resend to the same back end. */
     unsigned repeat_connects_failed;
     uint64_t repeat_failed_at; /**< When the first of these connections failed. */
     bool suspect;              /**< The current send counts in backend_t.suspects. */
--- a/src/gateway/call_retry.c
+++ b/src/gateway/call_retry.c
@@ -66,8 +66,6 @@
         .current_may_end =
             crash_watch_exposure(call->gateway->crashes, call->request_id, NULL) > crashes,
         .repeats = call->repeats,
-        .broke = call->broke,
-        .evidence = call->evidence,
         .time_left = call_time_left(call) > MIN_TIME_LEFT_MS,
         .same_usable = usable,
     };
@@ -161,30 +159,19 @@
     case RESEND_SAME:
         resend_to_same_backend(call);
         break;
-    case RESEND_IF_ALIVE:
-        call_survival_await(call, resend_or_fail);
-        break;
     case RESEND_NO:
         give_up(call, call->lost_reason);
         break;
     }
 }
 
-/** Resends the call or fails it, once storage nodes have told what they know of the request. */
-static void resend_once_registered(call_t *call) {
-    bool waits = decide_resend(call) != RESEND_NO && call_registration_await(call, resend_or_fail);
-    if (!waits)
-        resend_or_fail(call);
-}
-
 void call_handle_unknown_outcome(call_t *call, call_reason_t reason) {
     call->may_have_run = true;
     call->lost_reason = reason;
     stall_watch_remove(&call->gateway->stall_watch, call);
-    if (decide_resend(call) == RESEND_IF_ALIVE)
-        call_survival_await(call, resend_once_registered);
-    else
-        resend_once_registered(call);
+    bool waits = decide_resend(call) != RESEND_NO && call_registration_await(call, resend_or_fail);
+    if (!waits)
+        resend_or_fail(call);
 }
 
 void call_handle_not_run(call_t *call) {
--- a/src/gateway/call_send.c
+++ b/src/gateway/call_send.c
@@ -346,9 +346,6 @@
         backend_probe(call->backend);
         load_sharing_report_now(call->gateway->load_sharing, CONTROL_CAN_WAIT);
     }
-    call->broke = true;
-    if (crash_watch_succeeded(call->gateway->crashes, call->request_id))
-        call->evidence = RESEND_EVIDENCE_LIVES;
     call_registration_pause(call);
     crash_watch_suspect(call->gateway->crashes, call->request_id, call->backend,
                         call->program == NULL);
@@ -444,8 +441,6 @@
     call->answered = false;
     call->version_recorded = false;
     call->left_on_suspicion = false;
-    call->broke = false;
-    call->evidence = RESEND_EVIDENCE_NONE;
     call->sent_at = uv_now(gateway->loop);
     call->last_received_at = call->sent_at;
     call->sends++;
--- a/src/gateway/crash_watch.c
+++ b/src/gateway/crash_watch.c
@@ -470,10 +470,6 @@
         send_to_stores(watch, MESSAGE_REQUEST_STOPPED, &stop);
 }
 
-bool crash_watch_succeeded(const crash_watch_t *watch, uint64_t request) {
-    return recent_successes_contain(&watch->successes, request, now(watch));
-}
-
 unsigned crash_watch_count(const crash_watch_t *watch, uint64_t request) {
     return crash_history_count(watch->history, request, now(watch));
 }
--- a/src/gateway/crash_watch.h
+++ b/src/gateway/crash_watch.h
@@ -81,8 +81,6 @@
 const crash_watch_counts_t *crash_watch_counts(const crash_watch_t *watch);
 /** Number of back ends that have ended under the request. */
 unsigned crash_watch_count(const crash_watch_t *watch, uint64_t request);
-/** True if the request got a complete success lately, so that it hardly ends back ends. */
-bool crash_watch_succeeded(const crash_watch_t *watch, uint64_t request);
 /**
  * Number of back ends that have ended under the request, and, if there are any, also of those that
  * its calls have left at any gateway and that may still run it (core/retry/crash_exposure.h), other
--- a/tests/unit/resend_test.cc
+++ b/tests/unit/resend_test.cc
@@ -64,39 +64,6 @@
     EXPECT_EQ(resend_after_unknown(&state), RESEND_NO);
 }
 
-resend_state_t after_a_broken_connection(unsigned attempts, resend_evidence_t evidence) {
-    resend_state_t state = after_first_send();
-    state.attempts = attempts;
-    state.broke = true;
-    state.evidence = evidence;
-    return state;
-}
-
-// A call ends the process at a port two or three times, which the next process keeps open.
-TEST(Resend, ABrokenConnectionDoesNotLeadBackToABackEndThatMayHaveEnded) {
-    resend_state_t state = after_a_broken_connection(1, RESEND_EVIDENCE_NONE);
-    EXPECT_EQ(resend_after_unknown(&state), RESEND_IF_ALIVE);
-    state.evidence = RESEND_EVIDENCE_MISSING;
-    EXPECT_EQ(resend_after_unknown(&state), RESEND_NO);
-    state.evidence = RESEND_EVIDENCE_LIVES;
-    EXPECT_EQ(resend_after_unknown(&state), RESEND_SAME);
-    state.repeats = RESEND_SAME_MAX;
-    EXPECT_EQ(resend_after_unknown(&state), RESEND_NO);
-}
-
-// Calls wait for evidence though another back end can serve them.
-TEST(Resend, ABrokenConnectionLeadsElsewhereAtOnceIfTheRouteAllowsMore) {
-    resend_state_t state = after_a_broken_connection(2, RESEND_EVIDENCE_NONE);
-    EXPECT_EQ(resend_after_unknown(&state), RESEND_ELSEWHERE);
-}
-
-// Calls under which the last allowed back end ends fail, though it doesn't count.
-TEST(Resend, ABackEndThatEndedUnderABrokenConnectionDoesNotCount) {
-    resend_state_t state = after_a_broken_connection(1, RESEND_EVIDENCE_ENDED);
-    state.ended = 1;
-    EXPECT_EQ(resend_after_unknown(&state), RESEND_ELSEWHERE);
-}
-
 resend_state_t at_the_last_back_end() {
     resend_state_t state = after_first_send();
     state.other_usable = true;
