--- a/tests/integration/crash_request_test.sh
+++ b/tests/integration/crash_request_test.sh
@@ -91,3 +91,6 @@
     crash_request_seeds 409 -- --tries 8 drawn_runs
 expect "a request ends at most three back ends though gateways that have left them stand still" \
     crash_request_seeds 436 -- --tries 8 drawn_runs
+# The next process answers at the same port and under the same id.
+expect "a request ends at most three processes that follow each other at a port at once" \
+    crash_request --served-on-s 0 --tries 4 tries
--- a/tests/integration/ended_input_test.sh
+++ b/tests/integration/ended_input_test.sh
@@ -12,3 +12,5 @@
 expect "a call ends soon after its caller has closed the connection" ended_input gone
 expect "a stream ends soon after its caller has closed the connection though no event comes" \
     ended_input gone_midway
+expect "equal requests of many callers are answered though they take long" \
+    ended_input equal_requests
--- a/tests/soak/crash_request_test.py
+++ b/tests/soak/crash_request_test.py
@@ -62,6 +62,7 @@
         super().__init__(*arguments)
         self.fleet = fleet
         self.process = 0  # Number of the process that serves under its id.
+        self.served_from = 0.0  # When the process serves that follows one which has ended.
         self.lingers = False  # Its port takes connections though the process has ended.
 
     def end_but_listener(self):
@@ -70,7 +71,15 @@
         for writer in list(self.connections):
             reset(writer)
 
+    def serve_on_after(self, seconds):
+        """The process ends; the next one serves the connections that its port takes meanwhile."""
+        self.served_from = time.monotonic() + seconds
+        for writer in list(self.connections):
+            reset(writer)
+
     async def _serve(self, reader, writer):
+        if self.served_from > time.monotonic():
+            await asyncio.sleep(self.served_from - time.monotonic())
         if not self.server.is_serving() and not hasattr(self, "blocker"):
             reset(writer)  # Accepted by the process just before it ended.
             return None
@@ -180,6 +189,9 @@
         self.tasks.append(asyncio.ensure_future(self.replace(backend)))
 
     def crash(self, backend):
+        if self.options.served_on_s is not None:
+            backend.serve_on_after(self.options.served_on_s)
+            return
         if self.options.listener_s == 0:
             super().crash(backend)
             return
@@ -567,15 +579,16 @@
                 "held": refused <= UNFOUNDED_SHARE_MAX * attempts}
 
     async def _poll(self, polls):
-        """Equal requests of many callers, without a program."""
+        """Requests of many callers, without a program, which are equal unless --distinct."""
         fields = [("Host", "soak.example"), ("Deadline-Milliseconds", 1200)]
         while True:
             attempt_id = self.caller.new_id()
-            self.promises.begin(Attempt(attempt_id, SAFE, "GET", "/safe/poll", b"", None))
+            path = "/safe/" + (attempt_id if self.options.distinct else "poll")
+            self.promises.begin(Attempt(attempt_id, SAFE, "GET", path, b"", None))
             gateway, status = self.random.choice(self.cluster.gateways), 0
             try:
                 reader, writer = await asyncio.open_connection("127.0.0.1", gateway.calls_port)
-                writer.write(render("GET /safe/poll HTTP/1.1", fields + [("Attempt-Id", attempt_id)]))
+                writer.write(render(f"GET {path} HTTP/1.1", fields + [("Attempt-Id", attempt_id)]))
                 message = await read_head(reader)
                 status = message.status if message is not None else 0
                 writer.close()
@@ -601,8 +614,13 @@
                         help="ended back ends neither reset nor refuse connections")
     parser.add_argument("--listener-s", type=float, default=0,
                         help="seconds for which an ended back end's port takes connections; inf")
+    parser.add_argument("--served-on-s", type=float,
+                        help="seconds after which the next process serves at an ended one's port, "
+                        "under its id")
     parser.add_argument("--loss", type=float, default=0.02,
                         help="share of answers that live back ends lose, and of those they cut")
+    parser.add_argument("--distinct", action="store_true",
+                        help="polls are requests of their own, not equal ones")
     parser.add_argument("--errors", action="store_true",
                         help="every second send gets a complete answer with a failure instead")
     parser.add_argument("--patience", type=float, default=soak.RECOVER_S,
--- a/tests/soak/ended_input_test.py
+++ b/tests/soak/ended_input_test.py
@@ -29,10 +29,12 @@
     "http_1_0": Play(8, 4, ROUTES),
     "sent_ahead": Play(8, 4, [SAFE, UNSAFE]),
     "stopped": Play(8, 4, ROUTES),
+    "equal_requests": Play(8, 4, [SAFE]),
     "gone": Play(8, 4, [SAFE, UNSAFE, RESUMABLE]),
     "gone_midway": Play(8, 4, [RESUMABLE]),
 }
 GONE = {"gone", "gone_midway"}
+EQUAL_WORK_S = 1.2  # Much longer than responses to the other calls.
 WORK_SHARE = 0.3  # Of the time that a call is given: repeated ones work up to three times.
 AHEAD = 3  # Requests that are sent at once.
 GONE_WORK_S = 3.6
@@ -122,6 +124,8 @@
         return True
 
     def new_call(self, route, work_s, allowed_s, size=0, **settings):
+        if self.options.scenario == "equal_requests":
+            return super().new_call(route, EQUAL_WORK_S, self.options.play.timeout_s)
         if self.options.scenario not in GONE:
             work_s = min(work_s, allowed_s * WORK_SHARE)
         call = super().new_call(route, work_s, allowed_s, size, **settings)
@@ -140,6 +144,10 @@
         self.kept.version = "HTTP/1.0"
         return await self.read_on()
 
+    async def equal_requests(self):
+        """All callers send the same request, which takes long."""
+        return await self.read_on()
+
     async def sent_ahead(self):
         gateway = self.cluster.gateways[0]
         never = Stop(gateway, self.grace_s)
