gateways: a call is not sent again while its caller may be gone

A gateway that goes on after it has stood still finds the break of its back end and the end of its caller in one turn of the loop; the end does not end the call any more until a byte has been reset, and in between the call was sent to another back end.

Before a call is sent again, the listener now looks for an end of the caller's side, read or not, and until the caller is known to read on (20 ms) the call ends instead, as refused or failed by what has run. Callers that half-close lose a resend only if their first send breaks within those 20 ms.

--- a/src/gateway/call_send.c
+++ b/src/gateway/call_send.c
@@ -455,6 +455,12 @@
         call_fail(call, CALL_BACKENDS_ENDED);
         return;
     }
+    /* A process that has stood still must not send on for callers that have left meanwhile. */
+    if (call->sends > 0 && http_caller_may_be_gone(call->caller)) {
+        call_exclude_backend(call);
+        call_fail(call, CALL_CALLER_DISCONNECTED);
+        return;
+    }
     call->client = backend_connect(&gateway->backends, call->backend);
     if (call->client == NULL) {
         call_exclude_backend(call);
--- a/src/net/http_listener.c
+++ b/src/net/http_listener.c
@@ -81,6 +81,7 @@
     bool head_written;         /**< The answer's head; its body goes on in pieces. */
     bool input_ended;          /**< The caller has ended its side. */
     bool shown_alive;          /**< Bytes were written since the caller ended its side. */
+    bool asked_if_gone;        /**< The end of the caller's side was noticed under this request. */
     unsigned early_bytes;      /**< Of the status line, written before the others. */
     unsigned checks;           /**< For a reset, since the caller ended its side. */
     uint64_t accepted_at;
@@ -360,6 +361,7 @@
     caller->state = READING;
     caller->begun = false;
     caller->head_written = false;
+    caller->asked_if_gone = false;
     http_headers_reset(&caller->headers);
     g_string_truncate(caller->target, 0);
     g_string_truncate(caller->body, 0);
@@ -460,13 +462,16 @@
 static void handle_input_end(http_caller_t *caller) {
     const http_listener_t *listener = caller->listener;
     caller->input_ended = true;
-    caller->shown_alive = false;
     if (caller->state == WRITING)
         return;
     if (caller->state != ANSWERING) {
         end_after_arrival(caller);
         return;
     }
+    if (caller->asked_if_gone)
+        return;
+    caller->asked_if_gone = true;
+    caller->shown_alive = false;
     if (listener->handler->on_input_ended != NULL)
         listener->handler->on_input_ended(listener->owner, caller);
     caller->checks = 0;
@@ -476,6 +481,23 @@
         probe_caller(caller);
 }
 
+/** True if an end of the caller's side waits to be read. */
+static bool has_unread_end(const http_caller_t *caller) {
+    uv_os_fd_t descriptor;
+    char byte;
+    return uv_fileno((const uv_handle_t *)&caller->tcp, &descriptor) == 0 &&
+           recv(descriptor, &byte, sizeof byte, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
+bool http_caller_may_be_gone(http_caller_t *caller) {
+    if (caller->state != ANSWERING)
+        return false;
+    if (!caller->input_ended && has_unread_end(caller))
+        handle_input_end(caller);
+    bool shown_alive = caller->head_written ? caller->shown_alive : caller->checks > 1;
+    return caller->input_ended && !shown_alive;
+}
+
 void http_caller_begin(http_caller_t *caller, unsigned status, const char *fields, const char *data,
                        size_t length) {
     caller->chunked = caller->parser.http_major == 1 && caller->parser.http_minor >= 1;
--- a/src/net/http_listener.h
+++ b/src/net/http_listener.h
@@ -74,6 +74,11 @@
 
 /** The connection is to end after this caller's answer, which says so; before it is answered. */
 void http_caller_close_after_answer(http_caller_t *caller);
+/**
+ * True if the caller has ended its side, perhaps a moment ago, and it is not known yet whether it
+ * reads on. on_input_ended() may come within the call, on_gone() does not.
+ */
+bool http_caller_may_be_gone(http_caller_t *caller);
 /** A place for the owner's record of the request. */
 void http_caller_set_data(http_caller_t *caller, void *data);
 void *http_caller_data(const http_caller_t *caller);
--- a/tests/unit/http_listener_test.cc
+++ b/tests/unit/http_listener_test.cc
@@ -968,4 +968,18 @@
     EXPECT_EQ(caller.answers(6), 2U);
 }
 
+TEST_F(HttpListener, ACallerWhoseEndIsNotReadYetMayBeGoneUntilItIsKnownToReadOn) {
+    Caller caller(address);
+    http_caller_t *asked = ask(caller, request);
+    EXPECT_FALSE(http_caller_may_be_gone(asked));
+    caller.end_sending();
+    EXPECT_TRUE(http_caller_may_be_gone(asked));
+    run_until([] { return false; }, early_bytes_ms);
+    EXPECT_FALSE(http_caller_may_be_gone(asked));
+    http_caller_answer(asked, 200, nullptr, "answer", 6);
+    EXPECT_TRUE(read_until_end(caller));
+    EXPECT_EQ(caller.answers(6), 1U);
+    EXPECT_EQ(caller.received.rfind("HTTP/1.1 200 OK", 0), 0U);
+}
+
 } // namespace
