gateways: back ends that many callers leave count only after one has ended

Cause: a back end that a call leaves for lateness counts as a crash under the call's request while it is checked. Equal requests of callers without a program share one account, so three that were late at once reached the limit, and near the limit each suspicion is kept.

Weighed: left back ends count for no request before one has ended (five tests of CrashSharing fail: a program's caller may be back elsewhere before the check has a result). So the count begins late only where the account is of many callers; the check goes on, and an end that it finds counts as before.

--- a/src/gateway/call_send.c
+++ b/src/gateway/call_send.c
@@ -51,7 +51,7 @@
     if (call->client != NULL) {
         if (http_client_connected(call->client))
             crash_watch_give_up(call->gateway->crashes, call->request_id, call->backend,
-                                call_time_left(call));
+                                call_time_left(call), call->program == NULL);
         http_client_close(call->client);
     }
     call->client = NULL;
--- a/src/gateway/crash_watch.c
+++ b/src/gateway/crash_watch.c
@@ -38,6 +38,7 @@
     uint64_t backend; /**< backend_t.id_hash. */
     uint64_t at;
     uint64_t run_until;
+    bool shared;
 } given_up_t;
 
 struct crash_watch {
@@ -336,14 +337,17 @@
                            : crash_history_add_left(watch->history, &checked->crash);
 }
 
-/** Counts the request's crash at the back end while that is checked. */
+/**
+ * Checks whether the back end has ended under the request; @p counted: it counts as a crash
+ * meanwhile.
+ */
 static void check_crash(crash_watch_t *watch, uint64_t request, const backend_t *backend,
-                        bool silent, uint64_t run_until) {
+                        bool silent, uint64_t run_until, bool counted) {
     checked_crash_t checked = {
         .crash = new_crash(watch, request, backend, silent),
         .broken = run_until == 0,
         .run_until = run_until,
-        .counted = !recent_successes_contain(&watch->successes, request, now(watch)),
+        .counted = counted && !recent_successes_contain(&watch->successes, request, now(watch)),
     };
     if (checked.counted && !add_suspected(watch, &checked)) {
         if (crash_history_is_confirmed(watch->history, &checked.crash))
@@ -365,7 +369,7 @@
 
 void crash_watch_suspect(crash_watch_t *watch, uint64_t request, backend_t *backend, bool shared) {
     backend_doubt_version(backend, now(watch));
-    check_crash(watch, request, backend, shared, 0);
+    check_crash(watch, request, backend, shared, 0, true);
 }
 
 /** What calls have left there may have caused an end. */
@@ -378,7 +382,7 @@
         event_log(BACKEND_LEFT_SEND_SUSPECTED, send->request, backend->record->instance,
                   now(watch) - send->left_at);
         if (!crash_suspicions_renew(watch->suspicions, send->request, send->backend))
-            check_crash(watch, send->request, backend, true, 0);
+            check_crash(watch, send->request, backend, true, 0, true);
     }
     g_array_free(left, TRUE);
 }
@@ -398,11 +402,18 @@
             continue;
         event_log(BACKEND_LEFT_SEND_SUSPECTED, send->request, backend->record->instance,
                   now(watch) - send->left_at);
-        check_crash(watch, send->request, backend, true, send->until + LEFT_SEND_MARGIN_MS);
+        check_crash(watch, send->request, backend, true, send->until + LEFT_SEND_MARGIN_MS, true);
     }
     g_array_free(left, TRUE);
 }
 
+/** The call left the back end, which is silent. */
+static void check_left(crash_watch_t *watch, const backend_t *backend, const given_up_t *left) {
+    bool counted =
+        !left->shared || crash_history_count_ended(watch->history, left->request, now(watch)) > 0;
+    check_crash(watch, left->request, backend, true, left->run_until, counted);
+}
+
 static void on_given_up_timer(uv_timer_t *timer) {
     crash_watch_t *watch = timer->data;
     given_up_t *given_up;
@@ -410,7 +421,7 @@
            now(watch) >= given_up->at + QUIET_MS) {
         const backend_t *backend = backends_find_hash(watch->backends, given_up->backend);
         if (backend != NULL && backend->observed.last_received_at <= given_up->at)
-            check_crash(watch, given_up->request, backend, true, given_up->run_until);
+            check_left(watch, backend, given_up);
         g_queue_pop_head(&watch->given_up);
         g_free(given_up);
     }
@@ -419,19 +430,20 @@
 }
 
 void crash_watch_give_up(crash_watch_t *watch, uint64_t request, const backend_t *backend,
-                         uint64_t run_ms) {
+                         uint64_t run_ms, bool shared) {
+    const given_up_t left = {request, backend->id_hash, now(watch),
+                             now(watch) + run_ms + LEFT_SEND_MARGIN_MS, shared};
     watch->counts.given_up++;
     left_calls_add(watch->left, request, backend->id_hash, run_ms);
-    uint64_t run_until = now(watch) + run_ms + LEFT_SEND_MARGIN_MS;
     bool quiet = now(watch) >= backend->observed.last_received_at + QUIET_MS;
     if (quiet || is_near_limit(watch, request)) {
-        check_crash(watch, request, backend, true, run_until);
+        check_left(watch, backend, &left);
         return;
     }
     if (g_queue_get_length(&watch->given_up) >= GIVEN_UP_MAX)
         return;
     given_up_t *given_up = g_new0(given_up_t, 1);
-    *given_up = (given_up_t){request, backend->id_hash, now(watch), run_until};
+    *given_up = left;
     g_queue_push_tail(&watch->given_up, given_up);
     if (!uv_is_active((uv_handle_t *)&watch->given_up_timer))
         uv_timer_start(&watch->given_up_timer, on_given_up_timer, QUIET_MS, 0);
--- a/src/gateway/crash_watch.h
+++ b/src/gateway/crash_watch.h
@@ -65,10 +65,11 @@
 /**
  * The call gave its exchange with @p backend up, which may run the request for @p run_ms more: its
  * caller has left, its time is over, or it is sent elsewhere. If the back end is silent, it counts
- * as a crash while that is checked.
+ * as a crash while that is checked. @p shared as for crash_watch_suspect(): many callers may leave
+ * slow back ends at once, which count only after one has ended.
  */
 void crash_watch_give_up(crash_watch_t *watch, uint64_t request, const backend_t *backend,
-                         uint64_t run_ms);
+                         uint64_t run_ms, bool shared);
 /** Probes found @p backend unreachable under @p request. */
 void crash_watch_record_unreachable(crash_watch_t *watch, uint64_t request, backend_t *backend);
 /** The request got a complete successful response. */
--- a/tests/unit/crash_sharing_test.cc
+++ b/tests/unit/crash_sharing_test.cc
@@ -410,7 +410,7 @@
     backend_t *backend = add_backend(one, "silent", silent);
     add_backend(one, "other", other)->observed.last_received_at = uv_now(loop());
     fall_quiet();
-    crash_watch_give_up(one.watch, REQUEST, backend, RUN_MS);
+    crash_watch_give_up(one.watch, REQUEST, backend, RUN_MS, false);
     EXPECT_EQ(crash_watch_count(one.watch, REQUEST), 1U) << "its caller may be back at once";
     run_until([until = uv_hrtime() + 1200000000U] { return uv_hrtime() > until; });
     EXPECT_EQ(crash_watch_count(one.watch, REQUEST), 1U);
@@ -422,7 +422,7 @@
     backend_t *backend = add_backend(one, "silent", silent);
     add_backend(one, "other", other)->observed.last_received_at = uv_now(loop());
     fall_quiet();
-    crash_watch_give_up(one.watch, REQUEST, backend, RUN_MS);
+    crash_watch_give_up(one.watch, REQUEST, backend, RUN_MS, false);
     EXPECT_EQ(crash_watch_count(one.watch, REQUEST), 1U) << "until it has been checked";
     EXPECT_TRUE(run_until([&] { return crash_watch_count(one.watch, REQUEST) == 0; }));
 }
@@ -432,20 +432,42 @@
     Port accepting(Port::ACCEPTS);
     backend_t *backend = add_backend(one, "sound", accepting);
     fall_quiet();
-    crash_watch_give_up(one.watch, REQUEST, backend, RUN_MS);
+    crash_watch_give_up(one.watch, REQUEST, backend, RUN_MS, false);
     EXPECT_TRUE(run_until([&] { return crash_watch_count(one.watch, REQUEST) == 0; }));
     EXPECT_EQ(backend->idle->len, 1U) << "the connection serves the next call";
     EXPECT_EQ(crash_watch_counts(one.watch)->checks, 1U);
 }
 
+// Guards against sound calls that are refused since many callers left slow back ends at once.
+TEST_F(CrashSharing, BackEndsThatManyCallersLeaveDoNotCountBeforeOneHasEnded) {
+    Side &one = open("here");
+    Port accepting[] = {Port(Port::ACCEPTS), Port(Port::ACCEPTS), Port(Port::ACCEPTS)};
+    Port refusing(Port::REFUSES);
+    const char *const names[] = {"a", "b", "c"};
+    std::vector<backend_t *> slow;
+    for (size_t i = 0; i < 3; i++)
+        slow.push_back(add_backend(one, names[i], accepting[i]));
+    backend_t *ended = add_backend(one, "ended", refusing);
+    fall_quiet();
+    for (const backend_t *backend : slow)
+        crash_watch_give_up(one.watch, REQUEST, backend, RUN_MS, true);
+    EXPECT_EQ(crash_watch_count(one.watch, REQUEST), 0U);
+    wait_ms(200);
+    EXPECT_EQ(crash_watch_count(one.watch, REQUEST), 0U);
+    crash_watch_give_up(one.watch, REQUEST, ended, RUN_MS, true);
+    EXPECT_TRUE(run_until([&] { return crash_watch_count(one.watch, REQUEST) == 1; }));
+    crash_watch_give_up(one.watch, REQUEST, slow[0], RUN_MS, true);
+    EXPECT_EQ(crash_watch_count(one.watch, REQUEST), 2U);
+}
+
 // Guards against a back end that ends under a request which its caller has left just before.
 TEST_F(CrashSharing, ABackEndThatEndsAfterTheCallHasLeftItCounts) {
     Side &one = open("here");
     Port accepting(Port::ACCEPTS);
     backend_t *backend = add_backend(one, "a", accepting);
     fall_quiet();
-    crash_watch_give_up(one.watch, REQUEST, backend, RUN_MS);
-    crash_watch_give_up(one.watch, REQUEST + 1, backend, RUN_MS);
+    crash_watch_give_up(one.watch, REQUEST, backend, RUN_MS, false);
+    crash_watch_give_up(one.watch, REQUEST + 1, backend, RUN_MS, false);
     wait_ms(500);
     ASSERT_EQ(crash_watch_count(one.watch, REQUEST), 0U);
     crash_watch_suspect(one.watch, REQUEST + 1, backend, false);
@@ -466,7 +488,7 @@
     backend_t *backend = add_backend(one, "a", accepting);
     wait_ms(1);
     uint64_t earlier = uv_now(loop());
-    crash_watch_give_up(one.watch, REQUEST, backend, RUN_MS);
+    crash_watch_give_up(one.watch, REQUEST, backend, RUN_MS, false);
     wait_ms(RUN_MS / 2);
     backend_record_survival(backend, earlier);
     wait_ms(200);
@@ -489,7 +511,7 @@
     crash(one, "c");
     backend_t *backend = add_backend(one, "a", accepting);
     wait_ms(1);
-    crash_watch_give_up(one.watch, REQUEST, backend, 2 * RUN_MS);
+    crash_watch_give_up(one.watch, REQUEST, backend, 2 * RUN_MS, false);
     wait_ms(CRASH_SILENT_SAME_MS + 200);
     backend_doubt_version(backend, uv_now(loop()));
     backend_record_survival(backend, uv_now(loop()));
@@ -502,7 +524,7 @@
     Side &one = open("here");
     Port accepting(Port::ACCEPTS);
     backend_t *backend = add_backend(one, "a", accepting);
-    crash_watch_give_up(one.watch, REQUEST, backend, RUN_MS);
+    crash_watch_give_up(one.watch, REQUEST, backend, RUN_MS, false);
     message_t message;
     message_init(&message, MESSAGE_SEND_LEFT);
     message.crash.request = REQUEST;
@@ -527,7 +549,7 @@
     auto *accepting = new Port(Port::ACCEPTS);
     backend_t *backend = add_backend(one, "a", *accepting);
     fall_quiet();
-    crash_watch_give_up(one.watch, REQUEST, backend, RUN_MS);
+    crash_watch_give_up(one.watch, REQUEST, backend, RUN_MS, false);
     ASSERT_TRUE(run_until([&] { return backend->idle->len == 1; }));
     ASSERT_EQ(crash_watch_count(one.watch, REQUEST), 0U);
     delete accepting;
@@ -544,7 +566,7 @@
     for (backend_t *backend : {expired, removed, leaving}) {
         uv_update_time(loop());
         backend->observed.last_received_at = uv_now(loop());
-        crash_watch_give_up(one.watch, REQUEST, backend, RUN_MS);
+        crash_watch_give_up(one.watch, REQUEST, backend, RUN_MS, false);
         backend->observed.last_received_at = uv_now(loop()) + 1;
     }
     wait_ms(200);
@@ -567,7 +589,7 @@
     backend_t *backend = add_backend(one, "a", *accepting);
     uv_update_time(loop());
     backend->observed.last_received_at = uv_now(loop());
-    crash_watch_give_up(one.watch, REQUEST, backend, RUN_MS);
+    crash_watch_give_up(one.watch, REQUEST, backend, RUN_MS, false);
     backend->observed.last_received_at = uv_now(loop()) + 1;
     wait_ms(200);
     backends_expire_entry(&one.backends, "a", uv_now(loop()) + RUN_MS);
@@ -588,7 +610,7 @@
     uv_update_time(loop());
     uint64_t earlier = uv_now(loop());
     backend->observed.last_received_at = earlier;
-    crash_watch_give_up(one.watch, REQUEST, backend, 2 * RUN_MS);
+    crash_watch_give_up(one.watch, REQUEST, backend, 2 * RUN_MS, false);
     backend->observed.last_received_at = earlier + 1;
     wait_ms(200);
     backend_doubt_version(backend, uv_now(loop()));
@@ -609,7 +631,7 @@
     backend_t *backend = add_backend(one, "a", accepting, 1000);
     uv_update_time(loop());
     backend->observed.last_received_at = uv_now(loop());
-    crash_watch_give_up(one.watch, REQUEST, backend, RUN_MS);
+    crash_watch_give_up(one.watch, REQUEST, backend, RUN_MS, false);
     backend->observed.last_received_at = uv_now(loop()) + 1;
     wait_ms(200);
     ASSERT_EQ(crash_watch_count(one.watch, REQUEST), 0U);
@@ -623,7 +645,7 @@
     Port accepting(Port::ACCEPTS);
     backend_t *backend = add_backend(one, "a", accepting);
     fall_quiet();
-    crash_watch_give_up(one.watch, REQUEST, backend, 0);
+    crash_watch_give_up(one.watch, REQUEST, backend, 0, false);
     wait_ms(LEFT_SEND_MARGIN_MS + LEFT_SEND_NOTICE_MS + 200);
     backend_doubt_version(backend, 0);
     EXPECT_EQ(crash_watch_count(one.watch, REQUEST), 0U);
@@ -635,7 +657,7 @@
     backend_t *backend = add_backend(one, "a", refusing);
     uv_update_time(loop());
     backend->observed.last_received_at = uv_now(loop());
-    crash_watch_give_up(one.watch, REQUEST, backend, RUN_MS);
+    crash_watch_give_up(one.watch, REQUEST, backend, RUN_MS, false);
     crash_watch_record_success(one.watch, REQUEST);
     backend_doubt_version(backend, 0);
     wait_ms(50);
@@ -648,7 +670,7 @@
     backend_t *backend = add_backend(one, "a", refusing);
     fall_quiet();
     crash_watch_record_unreachable(one.watch, REQUEST, backend);
-    crash_watch_give_up(one.watch, REQUEST, backend, 2 * RUN_MS);
+    crash_watch_give_up(one.watch, REQUEST, backend, 2 * RUN_MS, false);
     wait_ms(CRASH_SILENT_SAME_MS + 200);
     backend_doubt_version(backend, 0);
     wait_ms(100);
@@ -661,7 +683,7 @@
     backend_t *backend = add_backend(one, "active", silent);
     uv_update_time(loop());
     backend->observed.last_received_at = uv_now(loop());
-    crash_watch_give_up(one.watch, REQUEST, backend, RUN_MS);
+    crash_watch_give_up(one.watch, REQUEST, backend, RUN_MS, false);
     EXPECT_EQ(crash_watch_count(one.watch, REQUEST), 0U);
     run_until([until = uv_hrtime() + 50000000U] { return uv_hrtime() > until; });
     backend->observed.last_received_at = uv_now(loop());
@@ -669,7 +691,7 @@
     EXPECT_EQ(crash_watch_count(one.watch, REQUEST), 0U);
     EXPECT_EQ(crash_watch_counts(one.watch)->checks, 0U);
     backend->observed.last_received_at = uv_now(loop());
-    crash_watch_give_up(one.watch, REQUEST, backend, RUN_MS);
+    crash_watch_give_up(one.watch, REQUEST, backend, RUN_MS, false);
     EXPECT_EQ(crash_watch_count(one.watch, REQUEST), 0U);
     EXPECT_TRUE(run_until([&] { return crash_watch_count(one.watch, REQUEST) == 1; }))
         << "silent since its caller left";
