gateways: an unread end within a stream keeps its call from being sent again too

A gateway that has stood still while a stream's back end ended and its caller left finds both in one turn of the loop; which it handled first decided whether the stream went on at another back end for nobody.

Beside it, in the tests: the caller of http_listener_unit_test serves http_request_forms_unit_test as well, and the two servers that end connections share how.

--- a/src/net/http_listener.c
+++ b/src/net/http_listener.c
@@ -485,9 +485,12 @@
 }
 
 bool http_caller_may_be_gone(http_caller_t *caller) {
-    if (caller->state != ANSWERING || caller->head_written)
+    if (caller->state != ANSWERING)
         return false;
-    if (!caller->input_ended && has_unread_end(caller))
+    bool unread_end = !caller->input_ended && has_unread_end(caller);
+    if (caller->head_written)
+        return unread_end;
+    if (unread_end)
         handle_input_end(caller);
     return caller->input_ended && caller->checks <= 1;
 }
--- a/tests/support/cut_server.h
+++ b/tests/support/cut_server.h
@@ -99,11 +99,7 @@
                 guard.lock();
             }
             (void)!send(connection, answer_.data(), answer_.size(), MSG_NOSIGNAL);
-            if (ending_ == Ending::reset) {
-                linger now = {1, 0};
-                setsockopt(connection, SOL_SOCKET, SO_LINGER, &now, sizeof now);
-            }
-            close(connection);
+            end_connection(connection, ending_);
         }
     }
 
--- a/tests/support/scripted_server.h
+++ b/tests/support/scripted_server.h
@@ -12,6 +12,14 @@
 
 enum class Ending { clean, reset };
 
+inline void end_connection(int connection, Ending ending) {
+    if (ending == Ending::reset) {
+        linger now = {1, 0};
+        setsockopt(connection, SOL_SOCKET, SO_LINGER, &now, sizeof now);
+    }
+    close(connection);
+}
+
 // Accepts one connection, reads a request, writes `answer` and ends the connection.
 class Server {
   public:
@@ -40,11 +48,7 @@
         char buffer[4096];
         (void)!read(connection, buffer, sizeof buffer);
         (void)!send(connection, answer.data(), answer.size(), MSG_NOSIGNAL);
-        if (ending == Ending::reset) {
-            linger now = {1, 0};
-            setsockopt(connection, SOL_SOCKET, SO_LINGER, &now, sizeof now);
-        }
-        close(connection);
+        end_connection(connection, ending);
     }
 
     int listener_;
--- a/tests/unit/http_request_forms_test.cc
+++ b/tests/unit/http_request_forms_test.cc
@@ -12,6 +12,7 @@
 #include <string>
 #include <vector>
 
+#include "http_test_caller.h"
 #include "loopback_port.h"
 
 extern "C" {
@@ -40,48 +41,17 @@
     std::string forwarded; /**< As a back end gets it. */
 };
 
-class Caller {
-  public:
-    explicit Caller(const sockaddr_in &address) : descriptor_(socket(AF_INET, SOCK_STREAM, 0)) {
-        EXPECT_EQ(
-            connect(descriptor_, reinterpret_cast<const sockaddr *>(&address), sizeof address), 0);
-        fcntl(descriptor_, F_SETFL, O_NONBLOCK);
-    }
-    ~Caller() {
-        close(descriptor_);
-    }
-    Caller(const Caller &) = delete;
-    Caller &operator=(const Caller &) = delete;
-
-    void send_bytes(const std::string &bytes) const {
-        EXPECT_EQ(send(descriptor_, bytes.data(), bytes.size(), MSG_NOSIGNAL),
-                  static_cast<ssize_t>(bytes.size()));
-    }
-    void read_some() {
-        char buffer[4096];
-        ssize_t count = 0;
-        while ((count = recv(descriptor_, buffer, sizeof buffer, 0)) > 0)
-            received.append(buffer, static_cast<size_t>(count));
-        ended = ended || count == 0;
-    }
-    /** Status codes of the answers that have come, none of which has a body. */
-    [[nodiscard]] std::vector<std::string> statuses() const {
-        std::vector<std::string> codes;
-        size_t begin = 0;
-        size_t end = 0;
-        while ((end = received.find("\r\n\r\n", begin)) != std::string::npos) {
-            codes.push_back(received.substr(begin + strlen("HTTP/1.1 "), 3));
-            begin = end + 4;
-        }
-        return codes;
+/** Status codes of the answers that have come, none of which has a body. */
+std::vector<std::string> statuses_of(const Caller &caller) {
+    std::vector<std::string> codes;
+    size_t begin = 0;
+    size_t end = 0;
+    while ((end = caller.received.find("\r\n\r\n", begin)) != std::string::npos) {
+        codes.push_back(caller.received.substr(begin + strlen("HTTP/1.1 "), 3));
+        begin = end + 4;
     }
-
-    std::string received;
-    bool ended = false;
-
-  private:
-    int descriptor_;
-};
+    return codes;
+}
 
 using Statuses = std::vector<std::string>;
 
@@ -128,9 +98,9 @@
         }
         run_until([&] {
             caller->read_some();
-            return caller->ended || caller->statuses().size() >= answers;
+            return caller->ending != Ending::open || statuses_of(*caller).size() >= answers;
         });
-        return caller->statuses();
+        return statuses_of(*caller);
     }
     Statuses ask(const std::string &bytes, size_t answers = 1) {
         return ask(std::vector<std::string>{bytes}, answers);
@@ -253,7 +223,7 @@
     EXPECT_EQ(delivered[0].host, "other");
     EXPECT_EQ(count_field(delivered[0].forwarded, "Host"), 1U);
     ask("GET http://other/p HTTP/1.1\r\nX-A: a\r\n\r\n");
-    EXPECT_EQ(caller->statuses(), Statuses({"400"})) << "RFC 9112, 3.2";
+    EXPECT_EQ(statuses_of(*caller), Statuses({"400"})) << "RFC 9112, 3.2";
 }
 
 TEST_F(HttpRequestForms, AMalformedAbsoluteTargetIsRefused) {
