net: the HTTP listener in five files

One file each now: the listening socket (http_listener.c), a connection's states, reading and end (http_caller.c), requests from bytes (http_request_parser.c), answers into bytes (http_answer.c), callers that have ended their side (http_caller_presence.c); http_caller.h is what they share.

--- /dev/null
+++ b/src/net/http_caller.h
@@ -0,0 +1,109 @@
+/**
+ * @file http_caller.h
+ * A caller's connection, shared by the files of the HTTP listener; nobody else includes it.
+ *
+ * - http_listener.c: the listening socket, and what concerns all connections;
+ * - http_caller.c: a connection's states, its timer, reading, and its end;
+ * - http_request_parser.c: requests from bytes;
+ * - http_answer.c: answers into bytes;
+ * - http_caller_presence.c: callers that have ended their side.
+ *
+ * Thread safety: everything here belongs to the loop's thread.
+ */
+#ifndef RUDDERWAY_NET_HTTP_CALLER_H
+#define RUDDERWAY_NET_HTTP_CALLER_H
+
+#include "net/http_listener.h"
+
+#include <http_parser.h>
+
+struct http_listener {
+    uv_tcp_t tcp;
+    uv_loop_t *loop;
+    http_limits_t limits;
+    const http_listener_handler_t *handler;
+    void *owner;
+    GHashTable *callers;
+    unsigned active;
+    bool close_after_answers;
+};
+
+typedef enum {
+    CALLER_READING,
+    CALLER_ANSWERING,
+    CALLER_WRITING,   /**< The answer has ended; some of it waits to be written. */
+    CALLER_LINGERING, /**< The last answer is written; the caller has not closed its side. */
+    CALLER_CLOSING,
+} caller_state_t;
+
+struct http_caller {
+    uv_tcp_t tcp;
+    bool close_after_answer;
+    uv_timer_t timer;
+    uv_shutdown_t shutdown;
+    http_listener_t *listener;
+    caller_state_t state;
+    unsigned open_handles;
+    bool begun;   /**< A byte of the request was read. */
+    bool serving; /**< serve_bytes() goes on with the next request. */
+    bool too_large;
+    bool head_too_large;
+    bool chunked;
+    bool keep;   /**< The connection may serve another request. */
+    bool broken; /**< A write failed; the timer reports the end outside the owner's call. */
+    bool ends_with_connection; /**< The answer has no other mark of its end. */
+    bool head_written;         /**< The answer's head; its body goes on in pieces. */
+    bool input_ended;          /**< The caller has ended its side. */
+    bool asked_if_gone;        /**< The end of the caller's side was noticed under this request. */
+    unsigned early_bytes;      /**< Of the status line, written before the others. */
+    unsigned checks;           /**< For a reset, since the caller ended its side. */
+    uint64_t accepted_at;
+    unsigned pending_writes;
+    size_t untaken; /**< When last counted; 0 if the kernel took the answer at once. */
+    uint64_t last_taken_at;
+    size_t unserved; /**< Bytes behind the request that serve_bytes() delivers. */
+    http_parser parser;
+    http_headers_t headers;
+    GString *target;
+    GString *body;
+    GString *ahead;
+    http_request_t request;
+    void *data;
+};
+
+http_caller_t *http_caller_new(http_listener_t *listener);
+/** Begins to read requests of a connection that has been accepted. */
+void http_caller_serve(http_caller_t *caller);
+/** Ends the connection; an answer whose end it would be ends with a reset. */
+void http_caller_close(http_caller_t *caller);
+void http_caller_end_connection(http_caller_t *caller, bool reset);
+/** The peer ended the connection: tells the owner if it waits for an answer. */
+void http_caller_lost(http_caller_t *caller);
+/** Ends the connection of a caller that has ended its side once its last answer has arrived. */
+void http_caller_end_after_arrival(http_caller_t *caller);
+/** The answer is written: makes the connection ready for the next request, or ends it. */
+void http_caller_end_or_keep(http_caller_t *caller);
+void http_caller_arm_timer(http_caller_t *caller, uint64_t ms);
+/** True if a request was delivered whose answer the kernel has not taken to its end. */
+bool http_caller_is_unwritten(const http_caller_t *caller);
+/** Bytes written for the caller that its side has not acknowledged. */
+size_t http_caller_count_untaken(const http_caller_t *caller);
+/** What waits to be read: above 0 bytes of the next request, 0 the end of the caller's side. */
+ssize_t http_caller_peek(const http_caller_t *caller);
+
+/** Callbacks of http_caller_t.parser, whose data is the caller. */
+extern const http_parser_settings http_request_parser_settings;
+
+/** What each answer begins with. */
+extern const char http_status_line_begin[];
+/** Writes and takes over @p bytes. False if the caller is lost, which the owner will be told. */
+bool http_caller_write(http_caller_t *caller, GString *bytes);
+
+/** The caller has ended its side. */
+void http_caller_input_ended(http_caller_t *caller);
+/** The timer's work while the answer of a caller that has ended its side is due. */
+void http_caller_check_presence(http_caller_t *caller);
+/** Bytes of the answer were written: a caller that is gone resets them. */
+void http_caller_await_reset(http_caller_t *caller);
+
+#endif
