--- a/review/5/case.py
+++ b/review/5/case.py
@@ -27,7 +27,7 @@
 
 async def stream(server, request, writer):
     """A turn: 8 events, nine steps of 3.06 ms each."""
-    await stream_events(server, request, writer, events=8, pause_s=9 * 0.00306)
+    await stream_events(server, request, writer, events=8, pause_s=lambda: 9 * 0.00306)
 
 
 async def work(server, request, writer):
--- a/review/common-2/stand.py
+++ b/review/common-2/stand.py
@@ -181,13 +181,13 @@
                 ("Response-Signature", f"{self.instance}.{request.get('attempt-id')}")]
 
 
-async def stream_events(server, request, writer, events=3, pause_s=0.01):
-    """A stream of events, the data of each of which is known to `event_data`."""
+async def stream_events(server, request, writer, events=3, pause_s=lambda: 0.01):
+    """A stream of events; `pause_s` tells the time to the next one."""
     writer.write(render("HTTP/1.1 200 OK", server.fields(request) + [
         ("Content-Type", "text/event-stream"), ("Transfer-Encoding", "chunked"),
         ("Weight-Versions", 1)]))
     for number in range(1, events + 1):
-        await asyncio.sleep(pause_s)
+        await asyncio.sleep(pause_s())
         data = event_data(request.get("attempt-id"), number)
         writer.write(render_chunk(f"id: {number}\ndata: {data}\n\n".encode()))
         await writer.drain()
