--- a/review/4/case.py
+++ b/review/4/case.py
@@ -111,7 +111,7 @@
                 counts["gone"] += answer.status in (404, 410)
             await asyncio.sleep(0.1)
 
-    await asyncio.gather(*(go_on() for _ in range(6)))
+    await asyncio.gather(*(go_on() for _ in range(16)))
     if counts["asked"] == 0:
         record("no earlier turn was owed any more")
         return 2
