--- a/review/5/case.py
+++ b/review/5/case.py
@@ -20,7 +20,10 @@
 SLOW_X, SLOW_FOR_S = 5.0, 6.5  # x and for_s
 START_S = 2.4  # Within which the programs of a spell begin.
 APART_S = 8.0  # From one spell to the next.
-BACK_AFTER_S = 59.8  # After the end of its first turn's answer: less than retention-s.
+# After the end of its first turn's answer: less than retention-s. LATE=1 is no part of the case: it
+# plays the same without slow servers for programs that come back later than that.
+LATE = os.environ.get("LATE") == "1"
+BACK_AFTER_S = 70.0 if LATE else 59.8
 TRIES = 6
 
 
@@ -82,7 +85,7 @@
         await asyncio.sleep(ended_at + BACK_AFTER_S - time.monotonic())
         asked_after = time.monotonic() - ended_at
         second, answer = await turn(record, here, name, first, b"go on\n")
-        if asked_after >= RETENTION_S or not (answer.status == 200 and answer.whole):
+        if (asked_after >= RETENTION_S and not LATE) or not (answer.status == 200 and answer.whole):
             return
         # Its next turn enters through another zone, once the servers have been quick for long.
         await asyncio.sleep(max(0, calm_at - time.monotonic()))
@@ -111,7 +114,7 @@
     async def slow_down():
         for spell in spells:
             await asyncio.sleep(max(0, spell - time.monotonic()))
-            Pace.x = SLOW_X if TROUBLE else 1.0
+            Pace.x = SLOW_X if TROUBLE and not LATE else 1.0
             record(f"{SLOW_SERVERS} of {SERVERS} servers work {Pace.x} times as long")
             await asyncio.sleep(SLOW_FOR_S)
             Pace.x = 1.0
