--- a/review/4/case.py
+++ b/review/4/case.py
@@ -125,4 +125,4 @@
     return 1 if counts["reached"] == 0 else 0
 
 
-run_case(HERE, main)
+run_case(os.path.join(HERE, "record.txt"), main)
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -130,4 +130,4 @@
     return 1 if results["lost"] > 0 else 0 if results["owed"] > 0 else 2
 
 
-run_case(HERE, main)
+run_case(os.path.join(HERE, "record.txt"), main)
--- a/review/common-2/stand.py
+++ b/review/common-2/stand.py
@@ -36,8 +36,8 @@
 class Record:
     """Writes record.txt: what was sent, answered and run."""
 
-    def __init__(self, folder):
-        self.file = open(os.path.join(folder, "record.txt"), "w", encoding="utf-8")
+    def __init__(self, path):
+        self.file = open(path, "w", encoding="utf-8")
         self.began = time.monotonic()
 
     def __call__(self, text):
@@ -338,9 +338,11 @@
     return answer
 
 
-def run_case(folder, main):
-    """Plays `main(cluster, record)`; its result is the exit status: 1 broken, 0 held, 2 not run."""
-    record = Record(folder)
+def run_case(path, main):
+    """Plays `main(clusters, record)`; its result is the exit status: 1 broken, 0 held, 2 not run.
+
+    `path` is that of record.txt."""
+    record = Record(path)
     record(f"TROUBLE={1 if TROUBLE else 0}")
 
     async def play():
