--- a/review/common-2/stand.py
+++ b/review/common-2/stand.py
@@ -351,22 +351,23 @@
     record = Record(path)
     record(f"TROUBLE={1 if TROUBLE else 0}")
 
+    clusters = []
+
     async def play():
-        clusters = []
         try:
             return await asyncio.wait_for(main(clusters, record), 115)
         except asyncio.TimeoutError:
             record("the case did not end in time")
             return 2
-        finally:
-            for cluster in clusters:
-                cluster.end()
 
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         status = asyncio.new_event_loop().run_until_complete(play())
-    except Exception as error:  # pylint: disable=broad-except
+    except (Exception, SystemExit, KeyboardInterrupt) as error:  # pylint: disable=broad-except
         record(f"could not run: {error!r}")
         status = 2
+    for cluster in clusters:
+        cluster.end()
     record(f"exit {status}")
     print(f"exit {status}", flush=True)
     os._exit(status)
