gateway: a turn is kept until a turn that continues it is stored

Cause: a storage node kept a turn for its retention time, the rest of its own call and 1.5 s. A turn that continues it extends the chain only when it is stored itself, at its end. One that arrived at the last moment and ran for longer than that rest was stored, and acknowledged, after its ancestors had been removed.

Ruled out: restarts (there was none) and the gateway's cache of chains, which hides the loss but does not cause it here; it is a fault of its own.

Change: the time in the turn's record also covers the longest call of any route that keeps turns, and the late replies to it.

--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -141,6 +141,9 @@
 echo "--- callers that end their side of a connection"
 . tests/integration/ended_input_test.sh
 
+echo "--- conversations that go on late"
+. tests/integration/turn_retention_test.sh
+
 echo "--- odd values of another writer"
 . tests/integration/odd_entries_test.sh
 
--- a/src/gateway/call.c
+++ b/src/gateway/call.c
@@ -45,10 +45,13 @@
     return call->deadline > now ? call->deadline - now : 0;
 }
 
+uint64_t call_hold_time(const route_t *route) {
+    return route->timeout_ms > 0 ? route->timeout_ms : DEFAULT_DEADLINE_MS;
+}
+
 uint64_t call_hold_time_left(const call_t *call) {
     uint64_t now = uv_now(call->gateway->loop);
-    uint64_t allowed = call->route->timeout_ms > 0 ? call->route->timeout_ms : DEFAULT_DEADLINE_MS;
-    uint64_t until = call->arrived_at + allowed;
+    uint64_t until = call->arrived_at + call_hold_time(call->route);
     return until > now ? until - now : 0;
 }
 
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -182,6 +182,8 @@
 void call_forward_events(call_t *call);
 /** Milliseconds until the call's deadline. */
 uint64_t call_time_left(const call_t *call);
+/** How long a call of the route may be held past its deadline, from its arrival, in ms. */
+uint64_t call_hold_time(const route_t *route);
 /** Milliseconds until the route's timeout, for which the call may be held past its deadline. */
 uint64_t call_hold_time_left(const call_t *call);
 const char *call_field(const call_t *call, call_field_t field);
--- a/src/gateway/call_turn.c
+++ b/src/gateway/call_turn.c
@@ -237,6 +237,22 @@
 
 /* Storing the turn. */
 
+/** The longest time for which a call that continues a turn may be held, in ms. */
+static uint64_t longest_successor_time(const directory_configuration_t *configuration) {
+    uint64_t longest_ms = 0;
+    for (guint i = 0; i < configuration->routes->len; i++) {
+        const route_t *route = g_ptr_array_index(configuration->routes, i);
+        if (route->keeps_turns)
+            longest_ms = MAX(longest_ms, call_hold_time(route));
+    }
+    return longest_ms;
+}
+
+static uint32_t turn_retention(const call_t *call) {
+    return store_client_turn_retention(call->route->retention_ms, call_hold_time_left(call),
+                                       longest_successor_time(call->configuration));
+}
+
 static turn_t build_turn(const call_t *call) {
     const char *previous = call_field(call, FIELD_PREVIOUS_TURN);
     return (turn_t){
@@ -244,8 +260,7 @@
         .parent = g_strdup(previous == NULL ? "" : previous),
         .input = g_bytes_new(call->request->body, call->request->body_length),
         .output = g_bytes_new(call->events.output->str, call->events.output->len),
-        .retention_ms =
-            store_client_turn_retention(call->route->retention_ms, call_hold_time_left(call)),
+        .retention_ms = turn_retention(call),
         .tenant = g_strdup(tenant_name(call)),
     };
 }
--- a/src/gateway/store_client.h
+++ b/src/gateway/store_client.h
@@ -160,12 +160,13 @@
 /** Reports to the members the hash of the back end at which the program now runs; best effort. */
 void store_client_report_engine(store_client_t *client, const char *program, uint64_t engine);
 /**
- * How long members must keep a turn from its receipt so that it is kept for @p retention_ms from
- * the end of its answer, which waits up to @p timeout_ms for the turn. A gateway that was paused
- * counts replies that are up to GATEWAY_OPERATION_TIMEOUT_MS old, so it may end the answer that
- * much later.
+ * How long members must keep a turn from its receipt, in ms. Its answer ends up to @p timeout_ms
+ * later. A call that continues it may arrive for @p retention_ms from then on, and stores its own
+ * turn, which keeps this one, up to @p successor_ms after its arrival. A gateway that was paused
+ * counts replies that are up to GATEWAY_OPERATION_TIMEOUT_MS old, so both may end that much later.
  */
-uint32_t store_client_turn_retention(uint32_t retention_ms, uint64_t timeout_ms);
+uint32_t store_client_turn_retention(uint32_t retention_ms, uint64_t timeout_ms,
+                                     uint64_t successor_ms);
 /** Stores a turn; fails if it is not durable within @p timeout_ms. */
 store_operation_t *store_client_put_turn(store_client_t *client, const turn_t *turn,
                                          uint64_t timeout_ms,
--- a/src/gateway/store_operation.c
+++ b/src/gateway/store_operation.c
@@ -501,8 +501,10 @@
     return false;
 }
 
-uint32_t store_client_turn_retention(uint32_t retention_ms, uint64_t timeout_ms) {
-    uint64_t kept_ms = retention_ms + timeout_ms + GATEWAY_OPERATION_TIMEOUT_MS;
+uint32_t store_client_turn_retention(uint32_t retention_ms, uint64_t timeout_ms,
+                                     uint64_t successor_ms) {
+    uint64_t answer_ms = timeout_ms + GATEWAY_OPERATION_TIMEOUT_MS;
+    uint64_t kept_ms = retention_ms + answer_ms + successor_ms + GATEWAY_OPERATION_TIMEOUT_MS;
     return (uint32_t)MIN(kept_ms, (uint64_t)UINT32_MAX);
 }
 
