gateway: a cached chain that storage nodes have forgotten is not continued

What callers saw: a program that came back after its retention time to the gateway that had served it was answered whole, and no other gateway could continue that answer (503).

Cause: the cache of chains had no expiry, and a gateway with a cached chain asks no storage node.

Change: the cache knows until when storage nodes keep a turn at least: from the gateway's write, a later turn's, or what they tell with a chain (the remaining time, which was the whole time before). If that may be over before the call's turn is stored, they are asked; if they keep the chain for less than the call may take, they are asked to extend it (E886), which happens when a route's time limit was raised meanwhile.

--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -64,8 +64,12 @@
     store_operation_t *reserve_operation;
     store_operation_t *chain_operation;
     store_operation_t *put_operation;
-    char *missing_turn; /**< Id of the turn being read from the storage nodes. */
+    char *missing_turn;          /**< Id of the turn being read from the storage nodes. */
+    uint64_t chain_requested_at; /**< Loop time of the latest such read. */
+    bool previous_read;          /**< The previous turn was read from the storage nodes. */
+    uint64_t extended_until;     /**< Until when storage nodes are asked to keep the chain. */
     bool prompt_ready;
+    uint64_t stored_until; /**< Until when storage nodes keep the call's own turn at least. */
 } call_turn_t;
 
 /** Rate limit state of a call. */
--- a/src/gateway/call_turn.c
+++ b/src/gateway/call_turn.c
@@ -5,6 +5,9 @@
  * delivered. The tokens generated are settled when the turn ends for any reason; the reserve stays
  * charged only if this gateway crashes.
  *
+ * A turn is sent only if storage nodes keep those that it continues until it is stored itself; a
+ * chain whose retention time is over is refused as missing, though it may still be cached.
+ *
  * A turn that may be continued is complete for its caller only when it is durable at a quorum. If
  * that takes longer than the caller waits or the route allows, the stream is aborted; storage nodes
  * whose disks stall keep it in the key-value service meanwhile (store/turn_spill.h). The storage
@@ -166,12 +169,19 @@
         call_refuse(call, STATUS_UNAVAILABLE, CALL_NO_CONFIGURATION);
 }
 
+static void add_chain(call_t *call, const GArray *turns) {
+    for (guint i = 0; i < turns->len; i++) {
+        const turn_t *turn = &g_array_index(turns, turn_t, i);
+        chain_cache_add(&call->gateway->chains, turn,
+                        call->turn.chain_requested_at + turn->retention_ms);
+    }
+}
+
 static void on_chain_verdict(void *owner, verdict_t verdict, const GArray *turns) {
     call_t *call = owner;
     call->turn.chain_operation = NULL;
     if (verdict == VERDICT_YES) {
-        for (guint i = 0; i < turns->len; i++)
-            chain_cache_add(&call->gateway->chains, &g_array_index(turns, turn_t, i));
+        add_chain(call, turns);
         assemble_prompt(call);
         return;
     }
@@ -186,6 +196,20 @@
 
 static const store_operation_handler_t chain_handler = {on_chain_verdict, NULL};
 
+static void on_chain_extended(void *owner, bool durable) {
+    call_t *call = owner;
+    call->turn.chain_operation = NULL;
+    if (!durable) {
+        call_refuse(call, STATUS_UNAVAILABLE, CALL_TURN_UNKNOWN);
+        return;
+    }
+    chain_cache_extend(&call->gateway->chains, call_field(call, FIELD_PREVIOUS_TURN),
+                       call->turn.extended_until);
+    assemble_prompt(call);
+}
+
+static const store_operation_handler_t extension_handler = {NULL, on_chain_extended};
+
 /** The name of the call's tenant; "" if there is none. */
 static const char *tenant_name(const call_t *call) {
     return call->tenant == NULL ? "" : call->tenant->name;
@@ -198,29 +222,82 @@
            !turn_belongs_to(turn, tenant_name(call));
 }
 
+/** Reads turn @p id and its ancestors, or refuses the call if that is not possible. */
+static void read_chain(call_t *call, const char *id) {
+    gateway_t *gateway = call->gateway;
+    call_turn_t *turn = &call->turn;
+    if (!stores_usable(gateway->stores)) {
+        call_refuse(call, STATUS_UNAVAILABLE, CALL_TURN_UNKNOWN);
+        return;
+    }
+    turn->previous_read =
+        turn->previous_read || g_strcmp0(id, call_field(call, FIELD_PREVIOUS_TURN)) == 0;
+    g_free(turn->missing_turn);
+    turn->missing_turn = g_strdup(id);
+    turn->chain_requested_at = uv_now(gateway->loop);
+    gateway->counters.chain_reads++;
+    turn->chain_operation =
+        store_client_read_chain(gateway->stores, turn->missing_turn, &chain_handler, call);
+}
+
+/**
+ * Lets storage nodes keep a chain for longer: the call may take longer than any could when the
+ * previous turn was stored. With less than GATEWAY_OPERATION_TIMEOUT_MS left its retention time is
+ * over, and members that have removed it would store it again without its ancestors.
+ */
+static void extend_chain(call_t *call, const char *previous, uint64_t kept_until, uint64_t needed) {
+    gateway_t *gateway = call->gateway;
+    uint64_t now = uv_now(gateway->loop);
+    event_log(GATEWAY_CHAIN_EXPIRES, call->id, previous, kept_until > now ? kept_until - now : 0,
+              needed - now);
+    if (kept_until < now + GATEWAY_OPERATION_TIMEOUT_MS) {
+        call_refuse(call, STATUS_NOT_FOUND, CALL_NO_SUCH_TURN);
+        return;
+    }
+    call->turn.extended_until = needed;
+    turn_t turn;
+    turn_copy(&turn, chain_cache_find(&gateway->chains, previous));
+    turn.retention_ms = (uint32_t)MIN(needed - now, (uint64_t)UINT32_MAX);
+    call->turn.chain_operation = store_client_put_turn(
+        gateway->stores, &turn, GATEWAY_OPERATION_TIMEOUT_MS, &extension_handler, call);
+    turn_clear(&turn);
+}
+
+/**
+ * True if storage nodes keep the cached previous turn until the call's own turn is stored. Else
+ * finds out how long they do, extends that time or refuses the call.
+ */
+static bool chain_is_kept(call_t *call, const char *previous) {
+    uint64_t kept_until = chain_cache_kept_until(&call->gateway->chains, previous);
+    uint64_t needed =
+        uv_now(call->gateway->loop) + call_hold_time_left(call) + GATEWAY_OPERATION_TIMEOUT_MS;
+    if (kept_until >= needed || kept_until == 0)
+        return true;
+    if (!call->turn.previous_read)
+        read_chain(call, previous);
+    else
+        extend_chain(call, previous, kept_until, needed);
+    return false;
+}
+
 static void assemble_prompt(call_t *call) {
     gateway_t *gateway = call->gateway;
     const char *previous = call_field(call, FIELD_PREVIOUS_TURN);
-    const char *missing = chain_cache_prompt(&gateway->chains, previous, call->prompt);
     if (previous_turn_is_other_tenants(call, previous)) {
         refuse_other_tenants_turn(call);
         return;
     }
+    if (!chain_is_kept(call, previous))
+        return;
+    const char *missing = chain_cache_prompt(&gateway->chains, previous, call->prompt);
     if (missing == NULL) {
         call->turn.prompt_ready = true;
         call_turn_send_if_ready(call);
-        return;
+    } else if (g_strcmp0(missing, call->turn.missing_turn) == 0) {
+        call_refuse(call, STATUS_UNAVAILABLE, CALL_TURN_UNKNOWN); /* It was read in vain. */
+    } else {
+        read_chain(call, missing);
     }
-    bool no_progress = g_strcmp0(missing, call->turn.missing_turn) == 0;
-    if (no_progress || !stores_usable(gateway->stores)) {
-        call_refuse(call, STATUS_UNAVAILABLE, CALL_TURN_UNKNOWN);
-        return;
-    }
-    g_free(call->turn.missing_turn);
-    call->turn.missing_turn = g_strdup(missing);
-    gateway->counters.chain_reads++;
-    call->turn.chain_operation =
-        store_client_read_chain(gateway->stores, call->turn.missing_turn, &chain_handler, call);
 }
 
 void call_turn_begin(call_t *call) {
@@ -276,7 +353,7 @@
     }
     gateway->counters.turns_kept++;
     turn_t turn = build_turn(call);
-    chain_cache_add(&gateway->chains, &turn);
+    chain_cache_add(&gateway->chains, &turn, call->turn.stored_until);
     turn_clear(&turn);
     call_finish_stream(call);
 }
@@ -289,6 +366,7 @@
         return;
     }
     turn_t turn = build_turn(call);
+    call->turn.stored_until = uv_now(call->gateway->loop) + turn.retention_ms;
     call->turn.put_operation = store_client_put_turn(call->gateway->stores, &turn,
                                                      call_hold_time_left(call), &put_handler, call);
     turn_clear(&turn);
--- a/src/gateway/chain_cache.c
+++ b/src/gateway/chain_cache.c
@@ -1,5 +1,10 @@
 #include "gateway/chain_cache.h"
 
+typedef struct {
+    turn_t turn;
+    uint64_t kept_until; /**< See chain_cache_kept_until. */
+} cached_turn_t;
+
 void chain_cache_init(chain_cache_t *cache, uint64_t limit) {
     cache->entries = g_hash_table_new(g_str_hash, g_str_equal);
     cache->recent = g_queue_new();
@@ -8,11 +13,11 @@
 }
 
 static void evict_oldest(chain_cache_t *cache) {
-    turn_t *turn = g_queue_pop_head(cache->recent);
-    g_hash_table_remove(cache->entries, turn->id);
-    cache->bytes -= turn_memory_bytes(turn);
-    turn_clear(turn);
-    g_free(turn);
+    cached_turn_t *cached = g_queue_pop_head(cache->recent);
+    g_hash_table_remove(cache->entries, cached->turn.id);
+    cache->bytes -= turn_memory_bytes(&cached->turn);
+    turn_clear(&cached->turn);
+    g_free(cached);
 }
 
 void chain_cache_clear(chain_cache_t *cache) {
@@ -22,14 +27,34 @@
     g_queue_free(cache->recent);
 }
 
-void chain_cache_add(chain_cache_t *cache, const turn_t *turn) {
-    if (g_hash_table_contains(cache->entries, turn->id))
-        return;
-    turn_t *copy = g_new0(turn_t, 1);
-    turn_copy(copy, turn);
-    g_queue_push_tail(cache->recent, copy);
-    g_hash_table_insert(cache->entries, copy->id, g_queue_peek_tail_link(cache->recent));
-    cache->bytes += turn_memory_bytes(copy);
+static cached_turn_t *find_cached(const chain_cache_t *cache, const char *id) {
+    const GList *link = g_hash_table_lookup(cache->entries, id);
+    return link == NULL ? NULL : link->data;
+}
+
+uint64_t chain_cache_kept_until(const chain_cache_t *cache, const char *id) {
+    const cached_turn_t *cached = find_cached(cache, id);
+    return cached == NULL ? 0 : cached->kept_until;
+}
+
+void chain_cache_extend(chain_cache_t *cache, const char *id, uint64_t kept_until) {
+    cached_turn_t *cached = find_cached(cache, id);
+    /* Ancestors are kept at least as long as the turn. */
+    while (cached != NULL && cached->kept_until < kept_until) {
+        cached->kept_until = kept_until;
+        cached = find_cached(cache, cached->turn.parent);
+    }
+}
+
+void chain_cache_add(chain_cache_t *cache, const turn_t *turn, uint64_t kept_until) {
+    if (find_cached(cache, turn->id) == NULL) {
+        cached_turn_t *cached = g_new0(cached_turn_t, 1);
+        turn_copy(&cached->turn, turn);
+        g_queue_push_tail(cache->recent, cached);
+        g_hash_table_insert(cache->entries, cached->turn.id, g_queue_peek_tail_link(cache->recent));
+        cache->bytes += turn_memory_bytes(&cached->turn);
+    }
+    chain_cache_extend(cache, turn->id, kept_until);
     while (cache->bytes > cache->limit && g_queue_get_length(cache->recent) > 1)
         evict_oldest(cache);
 }
@@ -40,7 +65,7 @@
         return NULL;
     g_queue_unlink(cache->recent, link);
     g_queue_push_tail_link(cache->recent, link);
-    return link->data;
+    return &((const cached_turn_t *)link->data)->turn;
 }
 
 static void append_bytes(GString *prompt, GBytes *bytes) {
--- a/src/gateway/chain_cache.h
+++ b/src/gateway/chain_cache.h
@@ -1,7 +1,8 @@
 /**
  * @file chain_cache.h
  * LRU cache of turns, bounded by memory. Turns are immutable, so cached ones are never stale;
- * missing ones are read from the storage nodes.
+ * missing ones are read from the storage nodes. The cache also knows until when storage nodes keep
+ * a turn at least: what continues one that they have removed could not be continued elsewhere.
  *
  * Thread safety: an object belongs to one thread.
  */
@@ -19,8 +20,16 @@
 
 void chain_cache_init(chain_cache_t *cache, uint64_t limit);
 void chain_cache_clear(chain_cache_t *cache);
-void chain_cache_add(chain_cache_t *cache, const turn_t *turn);
+/**
+ * Adds a turn that storage nodes keep until @p kept_until (loop time, ms) at least, and its
+ * ancestors as long. Of a turn that is cached, only that time changes, to the later one.
+ */
+void chain_cache_add(chain_cache_t *cache, const turn_t *turn, uint64_t kept_until);
 const turn_t *chain_cache_find(chain_cache_t *cache, const char *id);
+/** Until when storage nodes keep the turn at least; 0 if it is not cached. */
+uint64_t chain_cache_kept_until(const chain_cache_t *cache, const char *id);
+/** Records that storage nodes keep the turn and its ancestors until @p kept_until at least. */
+void chain_cache_extend(chain_cache_t *cache, const char *id, uint64_t kept_until);
 
 /**
  * Appends the prompt made of turn @p previous and its ancestors: input and output of each, oldest
--- a/src/store/store_requests.c
+++ b/src/store/store_requests.c
@@ -394,6 +394,15 @@
         write_turn(store, connection, request, record);
 }
 
+/** Appends a copy that expires when the turn does here. */
+static void add_turn_with_remaining_time(const store_t *store, message_t *response,
+                                         const turn_t *turn) {
+    message_add_turn(response, turn);
+    turn_t *copy = &g_array_index(response->turns, turn_t, response->turns->len - 1);
+    copy->retention_ms =
+        turn_table_remaining_ms(&store->turns, turn->id, store_expiry_clock_ms(store));
+}
+
 static void handle_read_chain(store_t *store, frame_connection_t *connection, message_t *request) {
     message_t response;
     message_init(&response, RESPONSE_CHAIN);
@@ -403,7 +412,7 @@
     if (turn == NULL)
         response.verdict = store_has_all_turns(store) ? VERDICT_NO : VERDICT_UNSURE;
     for (unsigned i = 0; turn != NULL && i < CHAIN_TURNS_MAX; i++) {
-        message_add_turn(&response, turn);
+        add_turn_with_remaining_time(store, &response, turn);
         turn = *turn->parent == '\0' ? NULL : turn_table_find(&store->turns, turn->parent);
     }
     frame_connection_send(connection, message_encode(&response));
@@ -419,11 +428,7 @@
         const turn_t *turn = turn_table_find(&store->turns, g_ptr_array_index(request->ids, i));
         if (turn == NULL)
             continue;
-        /* The copy expires when this one does. */
-        message_add_turn(&response, turn);
-        turn_t *copy = &g_array_index(response.turns, turn_t, response.turns->len - 1);
-        copy->retention_ms =
-            turn_table_remaining_ms(&store->turns, turn->id, store_expiry_clock_ms(store));
+        add_turn_with_remaining_time(store, &response, turn);
     }
     frame_connection_send(connection, message_encode(&response));
     message_clear(&response);
--- a/tests/integration/turn_retention_test.sh
+++ b/tests/integration/turn_retention_test.sh
@@ -8,3 +8,8 @@
 expect "a turn that began in its parent's retention time can be continued though it ran past it" \
     turn_retention slow_successor
 expect "so can one during which all storage nodes restarted" turn_retention restarted
+# Guards against a turn that was served from a gateway's cache after storage nodes had forgotten its chain.
+expect "a turn whose chain is forgotten is refused also where the chain is cached" \
+    turn_retention forgotten
+expect "storage nodes keep a chain for longer if a call may take longer than when it was stored" \
+    turn_retention raised_limit
--- a/tests/soak/turn_retention_test.py
+++ b/tests/soak/turn_retention_test.py
@@ -33,6 +33,7 @@
 NEXT_TURN_DELAY_S = 1.0
 LATER_TRIES = 5
 RESTART_AFTER_S, DOWN_S = 1.0, 0.5
+CHAIN_EXPIRES_EVENT = "E886 "
 
 
 class PacedBackend(Backend):
@@ -90,14 +91,14 @@
         await asyncio.sleep(NEXT_TURN_DELAY_S)
         counts["served" if await self.go_on(program, second) else "lost"] += 1
 
-    async def converse_all(self, first_body, pause_s, second_body):
+    async def converse_all(self, first_body, pause_s, second_body, stagger_s=STAGGER_S):
         self.caller.leave_early_share = 0.0
         counts = {"first_refused": 0, "second_refused": 0, "served": 0, "lost": 0}
         conversations = []
         for _ in range(CONVERSATIONS):
             conversations.append(asyncio.ensure_future(
                 self.converse(first_body, pause_s, second_body, counts)))
-            await asyncio.sleep(STAGGER_S)
+            await asyncio.sleep(stagger_s)
         await asyncio.gather(*conversations)
         return counts
 
@@ -122,13 +123,25 @@
         counts = await conversations
         return {**counts, "held": counts["lost"] == 0 and counts["served"] > 0}
 
+    async def raised_limit(self):
+        """The route allows more time once the first turns are stored."""
+        conversations = asyncio.ensure_future(self.converse_all(
+            b"first" + SLOW, RETENTION_S - BACK_BEFORE_END_S, b"second" + SLOW, stagger_s=0.0))
+        await asyncio.sleep(ROUTE_TIMEOUT_S + 0.5)
+        self.fleet.timeout_ms = round(3 * ROUTE_TIMEOUT_S * 1000)
+        self.fleet.edit()
+        counts = await conversations
+        extended = self.cluster.gateways[0].log_text().count(CHAIN_EXPIRES_EVENT)
+        return {**counts, "extended": extended,
+                "held": counts["served"] == CONVERSATIONS and extended == CONVERSATIONS}
+
     async def forgotten(self):
         counts = await self.converse_all(b"first\n", GONE_S, b"second\n")
         return {**counts, "held": counts["lost"] == 0 and counts["first_refused"] == 0}
 
 
 def main():
-    scenarios = ["slow_successor", "restarted", "forgotten"]
+    scenarios = ["slow_successor", "restarted", "forgotten", "raised_limit"]
     play_and_exit(RetentionScenario,
                   read_options(new_parser(__doc__, "turn-retention", scenarios)))
 
--- a/tests/unit/gateway_test.cc
+++ b/tests/unit/gateway_test.cc
@@ -137,7 +137,7 @@
     const char *turns[][2] = {{"a", ""}, {"b", "a"}, {"x", "a"}, {"d", "c"}};
     for (auto &row : turns) {
         turn_t turn = make_turn(row[0], row[1]);
-        chain_cache_add(&cache, &turn);
+        chain_cache_add(&cache, &turn, 1);
         turn_clear(&turn);
     }
     GString *prompt = g_string_new(nullptr);
@@ -155,7 +155,7 @@
     chain_cache_init(&cache, 3000);
     for (int i = 0; i < 100; i++) {
         turn_t turn = make_turn(std::to_string(i).c_str(), "");
-        chain_cache_add(&cache, &turn);
+        chain_cache_add(&cache, &turn, 1);
         turn_clear(&turn);
         chain_cache_find(&cache, "0");
         EXPECT_LE(cache.bytes, 3000u);
@@ -165,6 +165,29 @@
     chain_cache_clear(&cache);
 }
 
+// Guards against a turn that continues a cached chain which storage nodes have removed.
+TEST(ChainCache, KnowsUntilWhenStorageNodesKeepAChain) {
+    chain_cache_t cache;
+    chain_cache_init(&cache, 1 << 20);
+    auto add = [&](const char *id, const char *parent, uint64_t kept_until) {
+        turn_t turn = make_turn(id, parent);
+        chain_cache_add(&cache, &turn, kept_until);
+        turn_clear(&turn);
+    };
+    add("a", "", 100);
+    add("b", "a", 200);
+    add("c", "b", 150);
+    EXPECT_EQ(chain_cache_kept_until(&cache, "a"), 200u);
+    EXPECT_EQ(chain_cache_kept_until(&cache, "c"), 150u);
+    add("a", "", 120);
+    EXPECT_EQ(chain_cache_kept_until(&cache, "a"), 200u);
+    chain_cache_extend(&cache, "c", 300);
+    for (const char *id : {"a", "b", "c"})
+        EXPECT_EQ(chain_cache_kept_until(&cache, id), 300u) << id;
+    EXPECT_EQ(chain_cache_kept_until(&cache, "d"), 0u);
+    chain_cache_clear(&cache);
+}
+
 route_t *make_route(const char *host, const char *prefix) {
     route_t *route = directory_route_new();
     route->name = g_strdup(prefix);
