store: messages between nodes are bounded in bytes

Cause: copies, chains and indexes were bounded in records, while a frame holds 32 MiB. The receiver ended the connection at the head of a longer one, took that for the loss of its peer, and asked for the same again: 200 turns of 180 kB never arrive, so that the node never becomes complete.

Ruled out: a lost peer (both ran) and the disk (no E807). Nothing logged the size, so E213 was added first: it is logged by the sender, which now discards the frame instead of losing the connection of all other requests with it.

Two real gateways: a chain of 12 turns of 3 MiB could not be continued at the second one (503).

Change: a response has 1 MiB of turns or a single one, and tells how many of the ids it covers; the rest is requested again. Requesters of earlier versions get all in one response, since they take what is left out for removed. A turn whose input alone exceeds 30 MiB is refused with 413 at once. Reads of turns move to store_turn_reads.c.

--- a/src/cluster/message.h
+++ b/src/cluster/message.h
@@ -34,8 +34,10 @@
     RESPONSE_STATUS,
     REQUEST_INDEX, /**< Ask for charges and ids of turns, where the sender's digest differs. */
     RESPONSE_INDEX,
-    REQUEST_TURNS, /**< Ask for turns by id. */
-    RESPONSE_TURNS,
+    REQUEST_TURNS,  /**< Ask for turns by id; `number` is TURNS_REQUEST_PIECES, or 0 in earlier
+                      versions, which expect all of them in one response. */
+    RESPONSE_TURNS, /**< `number`: TURNS_REQUEST_PIECES and how many of the ids asked for, from the
+                       first on, it covers; TURNS_REQUEST_PIECES or less: all of them. */
     RESPONSE_OLD_GENERATION, /**< Nothing was done: a later generation is in force. */
     RECORD_CHARGE,           /**< Log only: a charge copied from another member. */
     MESSAGE_GATEWAY,         /**< A gateway's address for other gateways, and its zone. */
@@ -86,6 +88,9 @@
     VERDICT_COUNT,
 } verdict_t;
 
+/** See REQUEST_TURNS. */
+enum { TURNS_REQUEST_PIECES = 1 };
+
 /** One message; which fields count depends on the type. */
 typedef struct {
     message_type_t type;
--- a/src/core/quorum/fetch_plan.c
+++ b/src/core/quorum/fetch_plan.c
@@ -118,6 +118,12 @@
         requeue(plan, record);
 }
 
+void fetch_plan_postpone(fetch_plan_t *plan, unsigned source, const char *id) {
+    fetch_record_t *record = g_hash_table_lookup(plan->records, id);
+    if (record != NULL && record->requested_from == (int)source)
+        requeue(plan, record);
+}
+
 void fetch_plan_reset(fetch_plan_t *plan, unsigned source) {
     g_queue_clear(plan->sources[source].queue);
     GHashTableIter iterator;
--- a/src/core/quorum/fetch_plan.h
+++ b/src/core/quorum/fetch_plan.h
@@ -37,6 +37,8 @@
 void fetch_plan_arrived(fetch_plan_t *plan, const char *id);
 /** The source was asked for the record and no longer has it. */
 void fetch_plan_not_found(fetch_plan_t *plan, unsigned source, const char *id);
+/** The source has left the record out of its response; it may be requested again, also from it. */
+void fetch_plan_postpone(fetch_plan_t *plan, unsigned source, const char *id);
 /** Discards what the source listed; records requested from it may be requested from others. */
 void fetch_plan_reset(fetch_plan_t *plan, unsigned source);
 /** Number of records that the source listed and that have not arrived yet. */
--- a/src/gateway/call.c
+++ b/src/gateway/call.c
@@ -31,7 +31,7 @@
     "budget_unsure",   "budget_not_durable", "no_such_turn", "turn_unsure",    "turn_not_kept",
     "no_room",         "disks_lag",          "caller_gone",  "stopping",       "unknown_key",
     "other_tenant",    "over_quota",         "quota_unsure", "backends_ended", "version_unknown",
-    "version_gone",
+    "version_gone",    "turn_too_large",
 };
 
 static const char *const affinity_names[AFFINITY_COUNT] = {"-", "new", "kept", "moved"};
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -42,6 +42,7 @@
     CALL_BACKENDS_ENDED,  /**< Too many back ends have ended under the request. */
     CALL_VERSION_UNKNOWN, /**< No back end is known to run the version that began the stream. */
     CALL_VERSION_GONE,    /**< No back end runs the version that began the stream. */
+    CALL_TURN_TOO_LARGE,  /**< Its turn would exceed what one message to a storage node holds. */
     CALL_REASON_COUNT,
 } call_reason_t;
 
@@ -65,6 +66,7 @@
     store_operation_t *chain_operation;
     store_operation_t *put_operation;
     char *missing_turn;          /**< Id of the turn being read from the storage nodes. */
+    unsigned chain_reads;        /**< From the storage nodes, for this call. */
     uint64_t chain_requested_at; /**< Loop time of the latest such read. */
     bool previous_read;          /**< The previous turn was read from the storage nodes. */
     uint64_t extended_until;     /**< Until when storage nodes are asked to keep the chain. */
--- a/src/gateway/call_turn.c
+++ b/src/gateway/call_turn.c
@@ -18,6 +18,7 @@
 #include "gateway/call.h"
 
 #include "common/event.h"
+#include "net/frame_connection.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -25,8 +26,16 @@
 enum {
     STATUS_PAYMENT_REQUIRED = 402,
     STATUS_NOT_FOUND = 404,
+    STATUS_TOO_LARGE = 413,
     STATUS_UNAVAILABLE = 503,
     PERCENT = 100,
+    /** Of a turn besides its input: ids, tenant and a long output. */
+    TURN_REST_BYTES = 2 * 1024 * 1024,
+    /** Larger inputs don't fit into one message to a storage node. */
+    TURN_INPUT_MAX_BYTES = FRAME_BYTES_MAXIMUM - TURN_REST_BYTES,
+    /** A chain that exceeds the cache would be read again and again; pieces have 1 MiB or a turn.
+     */
+    CHAIN_READS_MAX = 64,
     /** Of a caller's 4 s, 1 s is left: SPILL_DELAY_MS of store/turn_spill.c and a short run. */
     RESERVE_TIME_PERCENT = 75,
 };
@@ -226,10 +235,11 @@
 static void read_chain(call_t *call, const char *id) {
     gateway_t *gateway = call->gateway;
     call_turn_t *turn = &call->turn;
-    if (!stores_usable(gateway->stores)) {
+    if (!stores_usable(gateway->stores) || turn->chain_reads >= CHAIN_READS_MAX) {
         call_refuse(call, STATUS_UNAVAILABLE, CALL_TURN_UNKNOWN);
         return;
     }
+    turn->chain_reads++;
     turn->previous_read =
         turn->previous_read || g_strcmp0(id, call_field(call, FIELD_PREVIOUS_TURN)) == 0;
     g_free(turn->missing_turn);
@@ -301,6 +311,10 @@
 }
 
 void call_turn_begin(call_t *call) {
+    if (call->route->keeps_turns && call->request->body_length > TURN_INPUT_MAX_BYTES) {
+        call_refuse(call, STATUS_TOO_LARGE, CALL_TURN_TOO_LARGE);
+        return;
+    }
     if (!begin_reserve(call))
         return;
     const char *previous = call_field(call, FIELD_PREVIOUS_TURN);
--- a/src/net/frame_connection.c
+++ b/src/net/frame_connection.c
@@ -9,6 +9,9 @@
  */
 #include "net/frame_connection.h"
 
+#include "common/event.h"
+
+#include <inttypes.h>
 #include <netinet/tcp.h>
 #include <string.h>
 
@@ -192,6 +195,12 @@
     }
     gsize length;
     const guint8 *data = g_bytes_get_data(payload, &length);
+    if (length > FRAME_BYTES_MAXIMUM) {
+        event_log(PEER_FRAME_TOO_LARGE, "outgoing", (uint64_t)length,
+                  (unsigned)FRAME_BYTES_MAXIMUM);
+        g_bytes_unref(payload);
+        return;
+    }
     guint32 prefix = GUINT32_TO_BE((guint32)length);
     g_byte_array_append(connection->output, (const guint8 *)&prefix, LENGTH_BYTES);
     if (length >= SHARED_LEAST_BYTES) {
@@ -229,6 +238,8 @@
         memcpy(&prefix, data + used, LENGTH_BYTES);
         size_t size = GUINT32_FROM_BE(prefix);
         if (size > FRAME_BYTES_MAXIMUM) {
+            event_log(PEER_FRAME_TOO_LARGE, "incoming", (uint64_t)size,
+                      (unsigned)FRAME_BYTES_MAXIMUM);
             connection_lost(connection, UV_EMSGSIZE);
             return length;
         }
--- a/src/net/frame_connection.h
+++ b/src/net/frame_connection.h
@@ -16,7 +16,7 @@
 typedef struct frame_connection frame_connection_t;
 typedef struct frame_listener frame_listener_t;
 
-/** Largest payload in bytes; a longer frame ends its connection. */
+/** Largest payload in bytes. A longer one is not sent; if one arrives, it ends its connection. */
 enum { FRAME_BYTES_MAXIMUM = 32 * 1024 * 1024 };
 
 /** A connection's buffer that has held more is given back once it is empty. */
@@ -40,7 +40,9 @@
                                           const frame_handler_t *handler, void *owner);
 /**
  * Queues one frame; takes over the reference to @p payload. A large one is not copied: many
- * connections may send the same. Nothing happens once the connection is closed.
+ * connections may send the same. Nothing happens once the connection is closed. A payload of more
+ * than FRAME_BYTES_MAXIMUM is logged and discarded, so that other requests on the connection do not
+ * fail with it.
  */
 void frame_connection_send(frame_connection_t *connection, GBytes *payload);
 /** Bytes queued and not yet taken by the kernel. */
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -182,6 +182,15 @@
 /** Sends a page of the turn ids and charges in the digest buckets that differ from the sender's. */
 void store_send_index(store_t *store, frame_connection_t *connection, const message_t *request);
 
+/* store_turn_reads.c */
+
+/** Sends a turn and its ancestors, or the first of them. */
+void store_send_chain(const store_t *store, frame_connection_t *connection,
+                      const message_t *request);
+/** Sends the requested turns that are here, or the first of them. */
+void store_send_turns(const store_t *store, frame_connection_t *connection,
+                      const message_t *request);
+
 /* store_replay.c */
 
 /** Applies a record of the log to the tables. */
--- a/src/store/store_catch_up.c
+++ b/src/store/store_catch_up.c
@@ -66,7 +66,7 @@
     uint64_t started_at;     /**< Time of the first index request; 0: none. */
     uint32_t page;           /**< Next page of the index to request; 0: none. */
     guint charges;           /**< Received with the index. */
-    GHashTable *requested;   /**< Ids of the last request that were not received yet. */
+    GPtrArray *requested;    /**< Ids of the last request, in its order. */
     unsigned pending_writes; /**< Charges being written. */
 } copy_t;
 
@@ -100,7 +100,7 @@
 static void free_copy(gpointer data) {
     copy_t *copy = data;
     store_peer_free(copy->peer);
-    g_hash_table_destroy(copy->requested);
+    g_ptr_array_free(copy->requested, TRUE);
     g_free(copy);
 }
 
@@ -139,7 +139,7 @@
 /** Adds the next turns assigned to this source to @p request, which may remain empty. */
 static void select_turns(copy_t *copy, message_t *request) {
     const store_catch_up_state_t *catch_up = copy->catch_up;
-    g_hash_table_remove_all(copy->requested);
+    g_ptr_array_set_size(copy->requested, 0);
     while (request->ids->len < TURNS_PER_REQUEST) {
         const char *id = fetch_plan_next(catch_up->fetch_plan, copy->number);
         if (id == NULL)
@@ -148,7 +148,7 @@
             fetch_plan_arrived(catch_up->fetch_plan, id); /* Written by a gateway meanwhile. */
             continue;
         }
-        g_hash_table_add(copy->requested, g_strdup(id));
+        g_ptr_array_add(copy->requested, g_strdup(id));
         g_ptr_array_add(request->ids, g_strdup(id));
     }
 }
@@ -157,6 +157,7 @@
 static void continue_copy(copy_t *copy) {
     message_t request;
     message_init(&request, REQUEST_TURNS);
+    request.number = TURNS_REQUEST_PIECES;
     select_turns(copy, &request);
     unsigned left = fetch_plan_missing(copy->catch_up->fetch_plan, copy->number);
     if (request.ids->len > 0) {
@@ -240,27 +241,44 @@
     set_step(copy, COPY_PAGE);
 }
 
-/** Marks requested turns that are missing from the response as no longer held by this source. */
-static void mark_not_found(copy_t *copy) {
-    GHashTableIter iterator;
-    gpointer id;
-    g_hash_table_iter_init(&iterator, copy->requested);
-    while (g_hash_table_iter_next(&iterator, &id, NULL))
-        fetch_plan_not_found(copy->catch_up->fetch_plan, copy->number, id);
+/** How many of the requested ids, from the first on, the response covers. */
+static guint covered_ids(const copy_t *copy, const message_t *response) {
+    bool in_pieces = response->number > TURNS_REQUEST_PIECES;
+    uint64_t covered = in_pieces ? response->number - TURNS_REQUEST_PIECES : copy->requested->len;
+    return (guint)MIN(covered, (uint64_t)copy->requested->len);
+}
+
+/**
+ * Handles requested turns that are missing from the response: the source no longer holds those that
+ * it covers, and is asked again for the others.
+ */
+static void release_missing(copy_t *copy, const message_t *response) {
+    fetch_plan_t *plan = copy->catch_up->fetch_plan;
+    GHashTable *received = g_hash_table_new(g_str_hash, g_str_equal);
+    for (guint i = 0; i < response->turns->len; i++)
+        g_hash_table_add(received, g_array_index(response->turns, turn_t, i).id);
+    guint covered = covered_ids(copy, response);
+    for (guint i = 0; i < copy->requested->len; i++) {
+        const char *id = g_ptr_array_index(copy->requested, i);
+        if (i >= covered)
+            fetch_plan_postpone(plan, copy->number, id);
+        else if (!g_hash_table_contains(received, id))
+            fetch_plan_not_found(plan, copy->number, id);
+    }
+    g_hash_table_destroy(received);
 }
 
 static void handle_turns(copy_t *copy, message_t *response) {
     copy->catch_up->store->turns_copied += response->turns->len;
     for (guint i = 0; i < response->turns->len; i++) {
         const turn_t *turn = &g_array_index(response->turns, turn_t, i);
-        g_hash_table_remove(copy->requested, turn->id);
         message_t record;
         message_init(&record, REQUEST_PUT_TURN);
         message_add_turn(&record, turn);
         append_record(copy, &record, turn->id);
         message_clear(&record);
     }
-    mark_not_found(copy);
+    release_missing(copy, response);
     if (copy->catch_up->purpose == PURPOSE_RECONCILE)
         set_step(copy, COPY_WAITING);
     else
@@ -290,7 +308,7 @@
     copy->catch_up = catch_up;
     copy->number = catch_up->copies->len;
     copy->page = FIRST_PAGE;
-    copy->requested = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    copy->requested = g_ptr_array_new_with_free_func(g_free);
     copy->peer = store_peer_new(catch_up->store, member->name, member->address);
     copy->peer->on_message = on_message;
     copy->peer->on_lost = on_lost;
--- a/src/store/store_requests.c
+++ b/src/store/store_requests.c
@@ -22,7 +22,6 @@
 #include <xxhash.h>
 
 enum {
-    CHAIN_TURNS_MAX = 2000,
     MS_PER_S = 1000,
     ADMISSION_LOG_LINES_MAX = 20, /**< Per ADMISSION_LOG_PERIOD_MS. */
     ADMISSION_LOG_PERIOD_MS = 1000,
@@ -394,46 +393,6 @@
         write_turn(store, connection, request, record);
 }
 
-/** Appends a copy that expires when the turn does here. */
-static void add_turn_with_remaining_time(const store_t *store, message_t *response,
-                                         const turn_t *turn) {
-    message_add_turn(response, turn);
-    turn_t *copy = &g_array_index(response->turns, turn_t, response->turns->len - 1);
-    copy->retention_ms =
-        turn_table_remaining_ms(&store->turns, turn->id, store_expiry_clock_ms(store));
-}
-
-static void handle_read_chain(store_t *store, frame_connection_t *connection, message_t *request) {
-    message_t response;
-    message_init(&response, RESPONSE_CHAIN);
-    response.number = request->number;
-    response.generation = store->group->generation;
-    const turn_t *turn = turn_table_find(&store->turns, request->turn_id);
-    if (turn == NULL)
-        response.verdict = store_has_all_turns(store) ? VERDICT_NO : VERDICT_UNSURE;
-    for (unsigned i = 0; turn != NULL && i < CHAIN_TURNS_MAX; i++) {
-        add_turn_with_remaining_time(store, &response, turn);
-        turn = *turn->parent == '\0' ? NULL : turn_table_find(&store->turns, turn->parent);
-    }
-    frame_connection_send(connection, message_encode(&response));
-    message_clear(&response);
-}
-
-static void handle_read_turns(store_t *store, frame_connection_t *connection, message_t *request) {
-    message_t response;
-    message_init(&response, RESPONSE_TURNS);
-    response.number = request->number;
-    response.generation = store->group->generation;
-    for (guint i = 0; i < request->ids->len; i++) {
-        const turn_t *turn = turn_table_find(&store->turns, g_ptr_array_index(request->ids, i));
-        if (turn == NULL)
-            continue;
-        add_turn_with_remaining_time(store, &response, turn);
-    }
-    frame_connection_send(connection, message_encode(&response));
-    message_clear(&response);
-}
-
 static void handle_group(store_t *store, const message_t *message) {
     gsize length;
     const void *data = g_bytes_get_data(message->group, &length);
@@ -562,7 +521,7 @@
         handle_program_allowance(store, connection, request);
         break;
     default:
-        handle_read_chain(store, connection, request);
+        store_send_chain(store, connection, request);
         break;
     }
 }
@@ -640,7 +599,7 @@
         store_send_index(store, connection, &request);
         break;
     case REQUEST_TURNS:
-        handle_read_turns(store, connection, &request);
+        store_send_turns(store, connection, &request);
         break;
     default:
         break;
--- a/src/storesim/virtual_network.c
+++ b/src/storesim/virtual_network.c
@@ -1,6 +1,9 @@
 #include "storesim/virtual_network.h"
 
 #include "cluster/message.h"
+#include "common/event.h"
+
+#include <inttypes.h>
 
 enum {
     LATENCY_LEAST_MS = 1,
@@ -239,8 +242,17 @@
         virtual_after(latency(), peer->process, deliver, peer);
 }
 
+/** As in net/frame_connection.c, so that the simulator finds messages without a bound. */
+static bool is_too_large(GBytes *payload) {
+    gsize length = g_bytes_get_size(payload);
+    if (length > FRAME_BYTES_MAXIMUM)
+        event_log(PEER_FRAME_TOO_LARGE, "outgoing", (uint64_t)length,
+                  (unsigned)FRAME_BYTES_MAXIMUM);
+    return length > FRAME_BYTES_MAXIMUM;
+}
+
 void frame_connection_send(frame_connection_t *connection, GBytes *payload) {
-    if (connection->closed)
+    if (connection->closed || is_too_large(payload))
         g_bytes_unref(payload);
     else if (!connection->open)
         g_queue_push_tail(connection->unsent, payload);
--- a/tests/integration/turn_retention_test.sh
+++ b/tests/integration/turn_retention_test.sh
@@ -13,3 +13,6 @@
     turn_retention forgotten
 expect "storage nodes keep a chain for longer if a call may take longer than when it was stored" \
     turn_retention raised_limit
+# Guards against messages between nodes that exceed a frame and are asked for again forever.
+expect "a chain that exceeds one message is read in pieces, a turn that does is refused" \
+    turn_retention large_turns
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -53,6 +53,7 @@
     """Back ends and the configuration, as servers and the operator write them."""
 
     timeout_ms, idle_timeout_ms = 3000, 15000
+    max_body_bytes = 1048576
 
     def __init__(self, key_value, ports, promises, cluster, seed, features):
         self.born = "born" in features  # Back ends tell when they were born; some are slower.
@@ -173,7 +174,7 @@
                  "engine": {"slots": SLOTS, "tokens-per-event": TOKENS_PER_EVENT}},
                 {"name": "service"},
             ],
-            "limits": {"max-header-bytes": 16384, "max-body-bytes": 1048576,
+            "limits": {"max-header-bytes": 16384, "max-body-bytes": self.max_body_bytes,
                        "header-timeout-ms": 3000, "idle-timeout-ms": self.idle_timeout_ms},
         })
 
--- a/tests/soak/turn_retention_test.py
+++ b/tests/soak/turn_retention_test.py
@@ -34,6 +34,10 @@
 LATER_TRIES = 5
 RESTART_AFTER_S, DOWN_S = 1.0, 0.5
 CHAIN_EXPIRES_EVENT = "E886 "
+MEBIBYTE = 1024 * 1024
+LARGE_TURNS, LARGE_TURN_BYTES = 12, 3 * MEBIBYTE  # Together more than one message may hold: 32 MiB.
+TOO_LARGE_BYTES = 31 * MEBIBYTE
+LARGE_RETENTION_S = 120
 
 
 class PacedBackend(Backend):
@@ -45,13 +49,16 @@
 
 class RetentionFleet(Fleet):
     timeout_ms = round(ROUTE_TIMEOUT_S * 1000)
+    retention_s = RETENTION_S
 
     def new_backend(self, instance, service):
         return PacedBackend(instance, service, service == "engine", self.random.random(),
                             self.promises)
 
+    max_body_bytes = 32 * MEBIBYTE
+
     def _route(self, name, route, kind, service):
-        return {**super()._route(name, route, kind, service), "retention-s": RETENTION_S}
+        return {**super()._route(name, route, kind, service), "retention-s": self.retention_s}
 
 
 class RetentionScenario(Scenario):
@@ -140,8 +147,27 @@
         return {**counts, "held": counts["lost"] == 0 and counts["first_refused"] == 0}
 
 
+    async def large_turns(self):
+        """A chain that exceeds one message, and a turn that does."""
+        self.fleet.retention_s = LARGE_RETENTION_S
+        self.fleet.edit()
+        await asyncio.sleep(NEXT_TURN_DELAY_S)
+        self.caller.leave_early_share = 0.0
+        here, there, program, parent = *self.cluster.gateways[:2], self.caller.new_id(), None
+        statuses = []
+        for _ in range(LARGE_TURNS):
+            program = self.caller.new_id()  # Each has a budget of its own.
+            parent, result = await self.turn(here, program, parent, b"x" * LARGE_TURN_BYTES)
+            statuses.append(result.status)
+        _, too_large = await self.turn(here, program, None, b"x" * TOO_LARGE_BYTES)
+        _, later = await self.turn(there, program, parent, b"later\n")
+        return {"chain": statuses, "too_large": too_large.status, "later": later.status,
+                "held": statuses == [200] * LARGE_TURNS and too_large.status == 413 and
+                        later.status == 200 and later.whole}
+
+
 def main():
-    scenarios = ["slow_successor", "restarted", "forgotten", "raised_limit"]
+    scenarios = ["slow_successor", "restarted", "forgotten", "raised_limit", "large_turns"]
     play_and_exit(RetentionScenario,
                   read_options(new_parser(__doc__, "turn-retention", scenarios)))
 
--- a/tests/unit/fetch_plan_test.cc
+++ b/tests/unit/fetch_plan_test.cc
@@ -87,6 +87,22 @@
     EXPECT_EQ(take(1), "");
 }
 
+// Guards against records that a source left out of a response and that are then never requested.
+TEST_F(FetchPlan, APostponedRecordIsRequestedAgain) {
+    add(0, {"a", "b"});
+    add(1, {"b"});
+    EXPECT_EQ(take(0), "a");
+    EXPECT_EQ(take(0), "b");
+    EXPECT_EQ(take(1), "");
+    fetch_plan_postpone(claims, 0, "b");
+    fetch_plan_postpone(claims, 1, "a");
+    EXPECT_EQ(missing(0), 2u);
+    EXPECT_EQ(take(1), "b");
+    EXPECT_EQ(take(0), "");
+    fetch_plan_postpone(claims, 1, "b");
+    EXPECT_EQ(take(0), "b");
+}
+
 TEST_F(FetchPlan, ALostSourceMayListAgain) {
     add(0, {"a", "b"});
     EXPECT_EQ(take(0), "a");
