net: heads that are none are no answer

What callers saw: an answer with the status 000 (also 099, 600 to 999, 2, 20, 0200) came to them as it was; so did fields with a blank in or behind their name, and bodies whose coding nobody knows, without its name.

Cause: the parser is lenient about heads and can't be told to be strict, and nothing looked at what it lets pass.

Change: each line of a head is checked before the parser gets its end: status line (100 to 599, three digits), names, values, no folded lines. "chunked" is the only coding, once, not in HTTP/1.0; a 101 is refused. neon's answers are checked as far as neon shows them.

After: all forms of the table are refused and all odd but whole ones taken, by each reader. One table serves the tests of all three.

--- a/src/common/http_client.c
+++ b/src/common/http_client.c
@@ -1,9 +1,12 @@
 #include "common/http_client.h"
 
+#include "common/answer_syntax.h"
+
 #include <ne_request.h>
 #include <ne_session.h>
 #include <ne_socket.h>
 #include <pthread.h>
+#include <string.h>
 
 enum {
     IDLE_SESSIONS_MAXIMUM = 64, /**< Kept per address. */
@@ -25,6 +28,7 @@
     int64_t deadline_us;
     bool connected;
     bool aborted;
+    bool malformed; /**< The head is none of a response. */
     GByteArray *collected;
 } exchange_t;
 
@@ -123,6 +127,29 @@
     }
 }
 
+/** True if the head is one of a response, as far as neon, which ignores some lines, tells it. */
+static bool head_valid(ne_request *request) {
+    int status = ne_get_status(request)->code;
+    const char *coding = ne_get_response_header(request, "Transfer-Encoding");
+    if (status < ANSWER_STATUS_LEAST || status > ANSWER_STATUS_MOST ||
+        (coding != NULL && !answer_coding_known(coding)))
+        return false;
+    const char *name;
+    const char *value;
+    void *cursor = NULL;
+    while ((cursor = ne_response_header_iterate(request, cursor, &name, &value)) != NULL)
+        if (!answer_field_name_valid(name, strlen(name)))
+            return false;
+    return true;
+}
+
+/** Sends the request and reads the head. */
+static int begin_request(exchange_t *exchange, ne_request *request) {
+    int result = ne_begin_request(request);
+    exchange->malformed = result == NE_OK && !head_valid(request);
+    return exchange->malformed ? NE_ERROR : result;
+}
+
 static int run_request(exchange_t *exchange, ne_request *request) {
     const http_call_t *call = exchange->call;
     ne_add_request_header(request, "Content-Type", "application/json");
@@ -132,26 +159,33 @@
         ne_add_request_header(request, "X-Request-Id", call->request_id);
     if (call->body != NULL)
         ne_set_request_body_buffer(request, call->body, call->body_length);
-    int result = ne_begin_request(request);
+    int result = begin_request(exchange, request);
     while (result == NE_OK) {
         result = read_answer(exchange, request);
         if (result != NE_RETRY)
             return result;
-        result = ne_begin_request(request);
+        result = begin_request(exchange, request);
     }
     return result;
 }
 
+static const char *failure_text(const exchange_t *exchange) {
+    if (exchange->aborted)
+        return "given up by the receiver";
+    return exchange->malformed ? "malformed head" : ne_get_error(exchange->session);
+}
+
 static void set_failure(const exchange_t *exchange, int result, GError **error) {
     const http_call_t *call = exchange->call;
     error_code_t code = RUDDERWAY_ERROR_CONNECTION_LOST;
     if (!exchange->connected)
         code = RUDDERWAY_ERROR_CANNOT_CONNECT;
+    else if (exchange->malformed)
+        code = RUDDERWAY_ERROR_BACKEND_PROTOCOL;
     else if (result == NE_TIMEOUT || remaining_us(exchange) <= 0)
         code = RUDDERWAY_ERROR_TIMED_OUT;
     error_set(error, code, "%s %s at %s:%u: %s", call->method, call->path, call->address,
-              call->port,
-              exchange->aborted ? "given up by the receiver" : ne_get_error(exchange->session));
+              call->port, failure_text(exchange));
 }
 
 bool http_client_call(http_client_t *client, const http_call_t *call, http_answer_t *answer,
--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -1,9 +1,10 @@
 /*
- * Design. The parser is Debian's libhttp-parser; this file only moves bytes and keeps the rules
- * of kept connections: an answer is complete by its length, its last chunk, or a clean end of
- * the connection; bytes after a complete answer make the connection unusable; a connection whose
- * request has not left entirely when its answer is complete is not used again, since the rest
- * of that body would still be due.
+ * Design. The parser is Debian's libhttp-parser, which is lenient about heads: each line of a head
+ * is checked here before it is parsed (common/answer_syntax.h). Else this file moves bytes and
+ * keeps the rules of kept connections: an answer is complete by its length, its last chunk, or a
+ * clean end of the connection; bytes after a complete answer make the connection unusable; a
+ * connection whose request has not left entirely when its answer is complete is not used again,
+ * since the rest of that body would still be due.
  *
  * A connection that is not up soon is given up: a machine without power does not refuse it, and the
  * kernel would ask it again only after a second.
@@ -14,6 +15,7 @@
  */
 #include "net/http_client.h"
 
+#include "common/answer_syntax.h"
 #include "net/answer_limits.h"
 
 #include <http_parser.h>
@@ -47,7 +49,10 @@
     bool any_received;
     bool head_request;
     bool head_complete;
-    size_t head_bytes; /**< Read before the head was complete, with interim heads. */
+    size_t head_bytes;    /**< Read before the head was complete, with interim heads. */
+    GString *line;        /**< Of a head, as far as it was read. */
+    bool malformed;       /**< A line of the head is none of a response. */
+    bool status_line_due; /**< The next line that is not empty begins a head. */
     bool message_complete;
     bool ended_by_close; /**< The end of its connection was the end of the answer. */
     bool stopped;        /**< Closed by a callback while its bytes were parsed. */
@@ -72,6 +77,7 @@
     if (client->request != NULL)
         g_string_free(client->request, TRUE);
     http_headers_clear(&client->headers);
+    g_string_free(client->line, TRUE);
     g_free(client);
 }
 
@@ -104,21 +110,43 @@
         handler->on_failed(user, failure);
 }
 
+/** Fields behind the body are checked and discarded. */
 static int on_header_field(http_parser *parser, const char *data, size_t length) {
     http_client_t *client = parser->data;
+    if (client->head_complete)
+        return answer_field_name_valid(data, length) ? 0 : -1;
     http_headers_name_piece(&client->headers, data, length);
     return 0;
 }
 
 static int on_header_value(http_parser *parser, const char *data, size_t length) {
     http_client_t *client = parser->data;
-    http_headers_value_piece(&client->headers, data, length);
+    if (!client->head_complete)
+        http_headers_value_piece(&client->headers, data, length);
     return 0;
 }
 
+/** True if the body's end can be told: it has no coding, or the one that is known. */
+static bool framing_known(const http_parser *parser, const http_headers_t *headers) {
+    unsigned codings = 0;
+    size_t count = http_headers_count(headers);
+    for (size_t i = 0; i < count; i++) {
+        if (strcasecmp(http_headers_name(headers, i), "Transfer-Encoding") != 0)
+            continue;
+        if (codings++ > 0 || !answer_coding_known(http_headers_value(headers, i)))
+            return false;
+    }
+    bool has_codings = parser->http_minor > 0; /* HTTP/1.0 has none. */
+    return codings == 0 || has_codings;
+}
+
 static int on_headers_complete(http_parser *parser) {
     http_client_t *client = parser->data;
     http_headers_finish(&client->headers);
+    /* A change of protocol is never asked for. */
+    if (parser->status_code == HTTP_STATUS_SWITCHING_PROTOCOLS ||
+        !framing_known(parser, &client->headers))
+        return -1;
     if (parser->status_code / 100 == 1)
         return 0;
     client->head_complete = true;
@@ -143,6 +171,7 @@
     http_client_t *client = parser->data;
     if (parser->status_code / 100 == 1) {
         http_headers_reset(&client->headers);
+        client->status_line_due = true;
         return 0;
     }
     client->message_complete = true;
@@ -185,9 +214,9 @@
 
 /**
  * True if the server has closed the connection, false if it was reset. libuv reports both as an end
- * when bytes came just before, and the kernel reports a reset as an error once, perhaps to the write
- * of the request. The state of the connection tells them apart at any time: after a reset it has
- * none left.
+ * when bytes came just before, and the kernel reports a reset as an error once, perhaps to the
+ * write of the request. The state of the connection tells them apart at any time: after a reset it
+ * has none left.
  */
 static bool ended_cleanly(const http_client_t *client) {
     uv_os_fd_t descriptor;
@@ -207,6 +236,53 @@
     return client->head_bytes > ANSWER_HEAD_MAX_BYTES;
 }
 
+/** True if the line that was read whole may stand in a head. */
+static bool line_valid(http_client_t *client) {
+    const GString *line = client->line;
+    size_t length = line->len - 1;
+    if (length > 0 && line->str[length - 1] == '\r')
+        length--;
+    if (length == 0)
+        return true;
+    if (!client->status_line_due)
+        return answer_field_line_valid(line->str, length);
+    client->status_line_due = false;
+    return answer_status_line_valid(line->str, length);
+}
+
+/**
+ * Parses the line, or the part of one, that @p data begins with; returns the bytes used, fewer than
+ * the line has if it is malformed or the parser has stopped.
+ */
+static size_t parse_line(http_client_t *client, const char *data, size_t length) {
+    const char *end = memchr(data, '\n', length);
+    size_t piece = end == NULL ? length : (size_t)(end - data) + 1;
+    g_string_append_len(client->line, data, (gssize)piece);
+    if (end != NULL && !line_valid(client)) {
+        client->malformed = true;
+        return 0;
+    }
+    if (end != NULL)
+        g_string_truncate(client->line, 0);
+    return http_parser_execute(&client->parser, &parser_settings, data, piece);
+}
+
+/** True while the parser takes more bytes of the answer. */
+static bool parses_on(const http_client_t *client) {
+    return client->state != STATE_CLOSED && !client->malformed && !client->message_complete &&
+           HTTP_PARSER_ERRNO(&client->parser) == HPE_OK;
+}
+
+/** Returns the bytes of @p data that belong to the answer. */
+static size_t parse_answer(http_client_t *client, const char *data, size_t length) {
+    size_t used = 0;
+    while (used < length && parses_on(client) && !client->head_complete)
+        used += parse_line(client, data + used, length - used);
+    if (used < length && parses_on(client))
+        used += http_parser_execute(&client->parser, &parser_settings, data + used, length - used);
+    return used;
+}
+
 static void on_read(uv_stream_t *stream, ssize_t count, const uv_buf_t *buffer) {
     http_client_t *client = stream->data;
     if (client->state == STATE_CLOSED || count == 0)
@@ -234,14 +310,12 @@
     client->any_received = true;
     if (client->first_received_at == 0)
         client->first_received_at = uv_now(client->tcp.loop);
-    size_t parsed =
-        http_parser_execute(&client->parser, &parser_settings, buffer->base, (size_t)count);
+    size_t parsed = parse_answer(client, buffer->base, (size_t)count);
     if (client->state == STATE_CLOSED)
         return;
     if (client->message_complete)
         finish_exchange(client, parsed < (size_t)count);
-    else if (HTTP_PARSER_ERRNO(&client->parser) != HPE_OK ||
-             head_is_too_long(client, (size_t)count))
+    else if (!parses_on(client) || head_is_too_long(client, (size_t)count))
         connection_lost(client);
 }
 
@@ -332,6 +406,7 @@
                                 void *owner) {
     http_client_t *client = g_new0(http_client_t, 1);
     http_headers_init(&client->headers);
+    client->line = g_string_new(NULL);
     uv_tcp_init_ex(loop, &client->tcp, AF_INET);
     client->tcp.data = client;
     uv_timer_init(loop, &client->connect_timer);
@@ -373,6 +448,9 @@
     client->any_received = false;
     client->head_complete = false;
     client->head_bytes = 0;
+    g_string_truncate(client->line, 0);
+    client->malformed = false;
+    client->status_line_due = true;
     client->message_complete = false;
     client->ended_by_close = false;
     client->reusable = false;
--- a/tests/unit/http_client_test.cc
+++ b/tests/unit/http_client_test.cc
@@ -9,6 +9,7 @@
 #include <string>
 #include <thread>
 
+#include "answer_forms.h"
 #include "cut_server.h"
 
 extern "C" {
@@ -119,6 +120,25 @@
 constexpr size_t upload_bytes = 8000000;
 constexpr useconds_t half_closed_us = 100000;
 
+// Guards against heads that are none and were passed on: a status of 000, blanks in names, codings
+// that nobody knows.
+TEST(HttpClient, RefusesMalformedAnswers) {
+    for (const AnswerForm &form : malformed_answers("the body"))
+        for (Ending ending : {Ending::clean, Ending::reset}) {
+            Outcome outcome = exchange(form.bytes, ending);
+            EXPECT_FALSE(outcome.complete) << form.name;
+            EXPECT_TRUE(outcome.failed) << form.name;
+        }
+}
+
+TEST(HttpClient, TakesOddAnswers) {
+    for (const AnswerForm &form : odd_answers("the body")) {
+        Outcome outcome = exchange(form.bytes, Ending::clean);
+        EXPECT_TRUE(outcome.complete) << form.name;
+        EXPECT_EQ(outcome.body, "the body") << form.name;
+    }
+}
+
 /** How a server that has answered ends an upload that it has read in part. */
 enum class UploadEnd { reset, late_reset, close, half_close };
 
@@ -169,7 +189,6 @@
     std::thread thread_;
 };
 
-
 Outcome upload(size_t read_bytes, const std::string &answer, UploadEnd end) {
     signal(SIGPIPE, SIG_IGN);
     uv_loop_t loop;
--- a/tests/unit/key_value_cut_answers_test.cc
+++ b/tests/unit/key_value_cut_answers_test.cc
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "answer_forms.h"
 #include "cut_server.h"
 
 extern "C" {
@@ -142,6 +143,39 @@
     EXPECT_EQ(items, 2U);
 }
 
+class KeyValueMalformedAnswers : public KeyValueCutAnswers {};
+
+// Guards against heads that are none and were taken for the service's answers.
+TEST_P(KeyValueMalformedAnswers, AcknowledgeNoWriteAndListNothing) {
+    const std::string listing = "{\"items\":[" + item + "],\"at\":9,\"more\":false}";
+    auto written = [this] {
+        GBytes *value = g_bytes_new_static("x", 1);
+        GString *request = key_value_write_request("h", "k", value, true, 0);
+        g_bytes_unref(value);
+        return acknowledged(request);
+    };
+    unsigned items = 0;
+    for (const AnswerForm &form : malformed_answers(R"({"revision":9})")) {
+        server.set(form.bytes, std::get<1>(GetParam()));
+        EXPECT_FALSE(written()) << form.name;
+    }
+    for (const AnswerForm &form : malformed_answers(listing)) {
+        server.set(form.bytes, std::get<1>(GetParam()));
+        EXPECT_FALSE(watched(true, &items)) << form.name;
+    }
+    for (const AnswerForm &form : odd_answers(R"({"revision":9})")) {
+        server.set(form.bytes, Ending::clean);
+        EXPECT_TRUE(written()) << form.name;
+    }
+    for (const AnswerForm &form : odd_answers(listing)) {
+        server.set(form.bytes, Ending::clean);
+        EXPECT_TRUE(watched(true, &items)) << form.name;
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(Heads, KeyValueMalformedAnswers,
+                         testing::Values(std::tuple(Framing::length, Ending::clean)));
+
 INSTANTIATE_TEST_SUITE_P(Forms, KeyValueCutAnswers,
                          testing::Combine(testing::Values(Framing::length, Framing::chunks,
                                                           Framing::none),
--- a/tests/unit/node_cut_answers_test.cc
+++ b/tests/unit/node_cut_answers_test.cc
@@ -4,6 +4,7 @@
 #include <functional>
 #include <string>
 
+#include "answer_forms.h"
 #include "cut_server.h"
 
 extern "C" {
@@ -87,6 +88,40 @@
     g_bytes_unref(request);
 }
 
+class NodeMalformedAnswers : public NodeCutAnswers {};
+
+// Guards against heads that are none and were taken for answers.
+TEST_P(NodeMalformedAnswers, AreRefused) {
+    GBytes *request = g_bytes_new_static("{}", 2);
+    auto taken = [&] {
+        service_call_t call = {};
+        call.address = "127.0.0.1";
+        call.port = server.port();
+        call.path = "/";
+        call.body = request;
+        call.timeout_ms = 5000;
+        GBytes *answer = nullptr;
+        bool done = service_request(client, &call, &answer, nullptr);
+        if (answer != nullptr)
+            g_bytes_unref(answer);
+        return done;
+    };
+    for (const AnswerForm &form : malformed_answers("the body")) {
+        server.set(form.bytes, Ending::clean);
+        if (form.neon_tells) {
+            EXPECT_FALSE(taken()) << form.name;
+        }
+    }
+    for (const AnswerForm &form : odd_answers("the body")) {
+        server.set(form.bytes, Ending::clean);
+        EXPECT_TRUE(taken()) << form.name;
+    }
+    g_bytes_unref(request);
+}
+
+INSTANTIATE_TEST_SUITE_P(Heads, NodeMalformedAnswers,
+                         testing::Values(std::tuple(Framing::length, Ending::clean)));
+
 TEST_P(NodeCutAnswers, OfTheKeyValueServiceAcknowledgeNoWrite) {
     cut_at_each_byte(R"({"version":7})", [&](GError **error) {
         return key_value_swap(client, key_value(), "k", "v", 1, 0, error);
