net: a client without a descriptor is not opened

Cause: uv_tcp_init_ex fails without a descriptor and has then taken the handle out of the loop's list; the result was not looked at, and the close after the failed connect took it out again, through neighbours that may have been freed.

Evidence: HttpClient.IsNotOpenedWithoutADescriptor failed before: a timer that was added in between was no longer in the loop's list. Accepted connections and frames were checked: the former have no socket when initialised, the latter look at the result.

Change: the client is freed at once and NULL returned, which all callers handle already.

--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -70,10 +70,7 @@
 
 static char read_buffer[READ_BUFFER_BYTES];
 
-static void free_client(uv_handle_t *handle) {
-    http_client_t *client = handle->data;
-    if (--client->open_handles > 0)
-        return;
+static void free_client(http_client_t *client) {
     if (client->request != NULL)
         g_string_free(client->request, TRUE);
     http_headers_clear(&client->headers);
@@ -81,14 +78,20 @@
     g_free(client);
 }
 
+static void on_handle_closed(uv_handle_t *handle) {
+    http_client_t *client = handle->data;
+    if (--client->open_handles == 0)
+        free_client(client);
+}
+
 void http_client_close(http_client_t *client) {
     if (client->state == STATE_CLOSED)
         return;
     client->state = STATE_CLOSED;
     client->stopped = true;
     client->handler = NULL;
-    uv_close((uv_handle_t *)&client->connect_timer, free_client);
-    uv_close((uv_handle_t *)&client->tcp, free_client);
+    uv_close((uv_handle_t *)&client->connect_timer, on_handle_closed);
+    uv_close((uv_handle_t *)&client->tcp, on_handle_closed);
 }
 
 /** Ends the exchange, or the idle connection, after the peer or the network ended it. */
@@ -407,7 +410,11 @@
     http_client_t *client = g_new0(http_client_t, 1);
     http_headers_init(&client->headers);
     client->line = g_string_new(NULL);
-    uv_tcp_init_ex(loop, &client->tcp, AF_INET);
+    /* Opens the socket, which needs a descriptor; a handle without one must not be closed. */
+    if (uv_tcp_init_ex(loop, &client->tcp, AF_INET) != 0) {
+        free_client(client);
+        return NULL;
+    }
     client->tcp.data = client;
     uv_timer_init(loop, &client->connect_timer);
     client->connect_timer.data = client;
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -43,7 +43,10 @@
     void (*on_failed)(void *user, http_failure_t failure);
 } http_exchange_handler_t;
 
-/** Opens a connection to @p address; @p on_idle_closed says that an idle one has ended. */
+/**
+ * Opens a connection to @p address; @p on_idle_closed says that an idle one has ended. NULL if it
+ * cannot even be tried, for want of a descriptor for example.
+ */
 http_client_t *http_client_open(uv_loop_t *loop, const struct sockaddr_in *address,
                                 void (*on_idle_closed)(void *owner, http_client_t *client),
                                 void *owner);
--- a/tests/unit/http_client_test.cc
+++ b/tests/unit/http_client_test.cc
@@ -1,6 +1,7 @@
 // Connections to servers: when an answer that has no length is whole.
 #include <gtest/gtest.h>
 
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -139,6 +140,35 @@
     }
 }
 
+// Guards against a client whose handle was closed though it had not been opened, which damaged the
+// heap of a process without a free descriptor.
+TEST(HttpClient, IsNotOpenedWithoutADescriptor) {
+    uv_loop_t loop;
+    uv_loop_init(&loop);
+    uv_timer_t before;
+    uv_timer_t after;
+    uv_timer_init(&loop, &before);
+    rlimit limit{};
+    getrlimit(RLIMIT_NOFILE, &limit);
+    const rlimit none = {0, limit.rlim_max};
+    setrlimit(RLIMIT_NOFILE, &none);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    EXPECT_EQ(http_client_open(&loop, &address, nullptr, nullptr), nullptr);
+    setrlimit(RLIMIT_NOFILE, &limit);
+    uv_timer_init(&loop, &after);
+    uv_run(&loop, UV_RUN_NOWAIT);
+    unsigned handles = 0;
+    uv_walk(
+        &loop, [](uv_handle_t *, void *count) { ++*static_cast<unsigned *>(count); }, &handles);
+    EXPECT_EQ(handles, 2u);
+    uv_close(reinterpret_cast<uv_handle_t *>(&before), nullptr);
+    uv_close(reinterpret_cast<uv_handle_t *>(&after), nullptr);
+    uv_run(&loop, UV_RUN_DEFAULT);
+    EXPECT_EQ(uv_loop_close(&loop), 0);
+}
+
 /** How a server that has answered ends an upload that it has read in part. */
 enum class UploadEnd { reset, late_reset, close, half_close };
 
