test: uploads of rudderwayd whose answers are reset

The reset under an upload was looked for in the client of rudderwayd, too: neon writes a request whole before it reads, so that no write can take the report while an answer is read. NodeUpload.AResetUnderItLeavesAnAnswerIncomplete plays 60 uploads of 8 MB, of which 100 bytes, 1 MB or all are read: none is taken for whole. It passes without a change; it guards the way neon works. The server of both tests moves to tests/support/upload_server.h.

--- a/tests/unit/http_client_test.cc
+++ b/tests/unit/http_client_test.cc
@@ -12,6 +12,7 @@
 
 #include "answer_forms.h"
 #include "cut_server.h"
+#include "upload_server.h"
 
 extern "C" {
 #include "net/answer_limits.h"
@@ -118,9 +119,6 @@
     EXPECT_EQ(outcome.body, "ok");
 }
 
-constexpr size_t upload_bytes = 8000000;
-constexpr useconds_t half_closed_us = 100000;
-
 // Guards against heads that are none and were passed on: a status of 000, blanks in names, codings
 // that nobody knows.
 TEST(HttpClient, RefusesMalformedAnswers) {
@@ -169,56 +167,6 @@
     EXPECT_EQ(uv_loop_close(&loop), 0);
 }
 
-/** How a server that has answered ends an upload that it has read in part. */
-enum class UploadEnd { reset, late_reset, close, half_close };
-
-/** Reads some of a request, answers, and ends its side of the connection. */
-class UploadServer {
-  public:
-    UploadServer(size_t read_bytes, const std::string &answer, UploadEnd end) {
-        listener_ = socket(AF_INET, SOCK_STREAM, 0);
-        address.sin_family = AF_INET;
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        bind(listener_, reinterpret_cast<sockaddr *>(&address), sizeof address);
-        socklen_t length = sizeof address;
-        getsockname(listener_, reinterpret_cast<sockaddr *>(&address), &length);
-        listen(listener_, 1);
-        thread_ = std::thread([this, read_bytes, answer, end] { serve(read_bytes, answer, end); });
-    }
-    ~UploadServer() {
-        thread_.join();
-        close(listener_);
-    }
-    UploadServer(const UploadServer &) = delete;
-    UploadServer &operator=(const UploadServer &) = delete;
-
-    sockaddr_in address{};
-
-  private:
-    void serve(size_t read_bytes, const std::string &answer, UploadEnd end) const {
-        int connection = accept(listener_, nullptr, nullptr);
-        std::string buffer(65536, '\0');
-        for (size_t left = read_bytes; left > 0;) {
-            ssize_t count = read(connection, buffer.data(), std::min(left, buffer.size()));
-            if (count <= 0)
-                break;
-            left -= static_cast<size_t>(count);
-        }
-        (void)!send(connection, answer.data(), answer.size(), MSG_NOSIGNAL);
-        if (end == UploadEnd::late_reset)
-            usleep(1000);
-        if (end == UploadEnd::half_close) {
-            shutdown(connection, SHUT_WR);
-            usleep(half_closed_us);
-        }
-        bool is_reset = end == UploadEnd::reset || end == UploadEnd::late_reset;
-        end_connection(connection, is_reset ? Ending::reset : Ending::clean);
-    }
-
-    int listener_;
-    std::thread thread_;
-};
-
 Outcome upload(size_t read_bytes, const std::string &answer, UploadEnd end) {
     signal(SIGPIPE, SIG_IGN);
     uv_loop_t loop;
--- a/tests/unit/node_cut_answers_test.cc
+++ b/tests/unit/node_cut_answers_test.cc
@@ -1,11 +1,13 @@
 // What rudderwayd makes of answers that stop at any byte.
 #include <gtest/gtest.h>
 
+#include <csignal>
 #include <functional>
 #include <string>
 
 #include "answer_forms.h"
 #include "cut_server.h"
+#include "upload_server.h"
 
 extern "C" {
 #include "common/http_client.h"
@@ -119,6 +121,33 @@
     g_bytes_unref(request);
 }
 
+// Guards against a part of an answer that passed as whole: the write of the request had taken the
+// report of its connection's reset.
+TEST(NodeUpload, AResetUnderItLeavesAnAnswerIncomplete) {
+    signal(SIGPIPE, SIG_IGN);
+    http_client_t *client = http_client_new();
+    const std::string text(upload_bytes, 'u');
+    GBytes *request = g_bytes_new_static(text.data(), text.size());
+    const std::string answer = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart of it";
+    for (size_t read_bytes : {size_t{100}, size_t{1000000}, upload_bytes})
+        for (UploadEnd end : {UploadEnd::reset, UploadEnd::late_reset})
+            for (int i = 0; i < 10; i++) {
+                UploadServer server(read_bytes, answer, end);
+                service_call_t call = {};
+                call.address = "127.0.0.1";
+                call.port = ntohs(server.address.sin_port);
+                call.path = "/";
+                call.body = request;
+                call.timeout_ms = 5000;
+                GBytes *body = nullptr;
+                EXPECT_FALSE(service_request(client, &call, &body, nullptr)) << read_bytes;
+                if (body != nullptr)
+                    g_bytes_unref(body);
+            }
+    g_bytes_unref(request);
+    http_client_free(client);
+}
+
 INSTANTIATE_TEST_SUITE_P(Heads, NodeMalformedAnswers,
                          testing::Values(std::tuple(Framing::length, Ending::clean)));
 
