gateway: answers that callers have not read count in its memory

Cause: the bound on bodies counted an answer until it was complete. From then on the listener's queue held it, uncounted, for as long as its caller took.

Change: the listener counts what waits to be read. A body above 256 KiB is taken only if bodies and unread answers together stay within 40 % of the memory (48 MiB at least); small ones are always taken.

--- a/src/gateway/call_send.c
+++ b/src/gateway/call_send.c
@@ -34,6 +34,10 @@
     STATUS_MISDIRECTED = 421, /**< The address belongs to another instance. */
     STATUS_SERVER_ERROR = 500,
     STATUS_UNAVAILABLE = 503,
+    MEGABYTE = 1024 * 1024,
+    PERCENT = 100,
+    /** Of the memory; the turn cache has 25 %, and an answer is copied as it is handed over. */
+    ANSWERS_SHARE_PERCENT = 40,
 };
 
 static void release_backend(call_t *call) {
@@ -166,11 +170,20 @@
     call->body = g_string_new(NULL);
 }
 
+/** Bound of the bodies that are received and of the answers that callers have not read, in bytes.
+ */
+static size_t answers_max_bytes(const gateway_t *gateway) {
+    uint64_t memory = (uint64_t)gateway->settings->memory_megabytes * MEGABYTE;
+    return MAX((size_t)(memory * ANSWERS_SHARE_PERCENT / PERCENT), (size_t)ANSWER_BODIES_MAX_BYTES);
+}
+
 /** Appends to the body; false if this answer, or those of all calls, would become too large. */
 static bool hold_body(call_t *call, const char *data, size_t length) {
     gateway_t *gateway = call->gateway;
     size_t size = call->body->len + length;
-    bool all_fit = gateway->answer_bytes + length <= ANSWER_BODIES_MAX_BYTES;
+    size_t all = gateway->answer_bytes + length;
+    bool all_fit = all <= ANSWER_BODIES_MAX_BYTES &&
+                   all + http_listener_unsent_bytes(gateway->calls) <= answers_max_bytes(gateway);
     if (size > ANSWER_BODY_MAX_BYTES || (size > ANSWER_SMALL_BODY_BYTES && !all_fit))
         return false;
     g_string_append_len(call->body, data, (gssize)length);
--- a/src/net/answer_limits.h
+++ b/src/net/answer_limits.h
@@ -15,7 +15,7 @@
     ANSWER_BODY_MAX_BYTES = 16 * 1024 * 1024,
     /** Of a stream: an event, with all comments since the one before. */
     ANSWER_EVENT_MAX_BYTES = 1024 * 1024,
-    /** Bodies of all calls of a gateway together; keeps it within half of its memory. */
+    /** Bodies of all calls of a gateway together, until their callers get them. */
     ANSWER_BODIES_MAX_BYTES = 48 * 1024 * 1024,
     /** A body up to this size is accepted though the others take up ANSWER_BODIES_MAX_BYTES. */
     ANSWER_SMALL_BODY_BYTES = 256 * 1024,
--- a/src/net/http_answer.c
+++ b/src/net/http_answer.c
@@ -12,12 +12,23 @@
     GString *bytes;
 } pending_write_t;
 
+/** The write holds all of its bytes until the last one is taken. */
+static void begin_pending(pending_write_t *write) {
+    write->caller->pending_writes++;
+    write->caller->listener->unsent_bytes += write->bytes->len;
+}
+
+static void end_pending(pending_write_t *write) {
+    write->caller->pending_writes--;
+    write->caller->listener->unsent_bytes -= write->bytes->len;
+    g_string_free(write->bytes, TRUE);
+    g_free(write);
+}
+
 static void on_written(uv_write_t *request, int status) {
     pending_write_t *write = request->data;
     http_caller_t *caller = write->caller;
-    g_string_free(write->bytes, TRUE);
-    g_free(write);
-    caller->pending_writes--;
+    end_pending(write);
     if (caller->state == CALLER_CLOSING)
         return;
     if (status != 0)
@@ -53,11 +64,9 @@
     write->request.data = write;
     buffer.base += written;
     buffer.len -= (size_t)written;
-    caller->pending_writes++;
+    begin_pending(write);
     if (uv_write(&write->request, stream, &buffer, 1, on_written) != 0) {
-        caller->pending_writes--;
-        g_string_free(bytes, TRUE);
-        g_free(write);
+        end_pending(write);
         caller->broken = true;
         http_caller_arm_timer(caller, 0);
         return false;
--- a/src/net/http_caller.h
+++ b/src/net/http_caller.h
@@ -25,6 +25,7 @@
     void *owner;
     GHashTable *callers;
     unsigned active;
+    size_t unsent_bytes; /**< See http_listener_unsent_bytes. */
     bool close_after_answers;
 };
 
--- a/src/net/http_listener.c
+++ b/src/net/http_listener.c
@@ -131,6 +131,10 @@
     return g_hash_table_size(listener->callers);
 }
 
+size_t http_listener_unsent_bytes(const http_listener_t *listener) {
+    return listener->unsent_bytes;
+}
+
 unsigned http_listener_active(const http_listener_t *listener) {
     return listener->active;
 }
--- a/src/net/http_listener.h
+++ b/src/net/http_listener.h
@@ -70,6 +70,9 @@
 void http_listener_stop(http_listener_t *listener);
 /** Connections that are open; requests whose answer has not ended. */
 unsigned http_listener_connections(const http_listener_t *listener);
+/** Memory of answers that wait until their callers read, in bytes; what the kernel has taken is
+ * not in there. */
+size_t http_listener_unsent_bytes(const http_listener_t *listener);
 unsigned http_listener_active(const http_listener_t *listener);
 
 /** The connection is to end after this caller's answer, which says so; before it is answered. */
--- a/tests/unit/http_listener_test.cc
+++ b/tests/unit/http_listener_test.cc
@@ -155,6 +155,26 @@
         << "the connection is kept";
 }
 
+// Guards against answers that no bound counts any more once they wait for a caller that reads
+// slowly.
+TEST_F(HttpListener, AnswersCountUntilTheirCallersHaveReadThem) {
+    body.assign(large_bytes, 'x');
+    Caller slow(address);
+    auto gone = std::make_unique<Caller>(address);
+    slow.send_bytes(request);
+    gone->send_bytes(request);
+    auto unsent = [this] { return http_listener_unsent_bytes(listener); };
+    EXPECT_TRUE(run_until([&] { return unsent() >= 2 * large_bytes; }));
+    EXPECT_LT(unsent(), 2 * large_bytes + megabyte);
+    gone.reset();
+    EXPECT_TRUE(run_until([&] { return unsent() < 2 * large_bytes; }));
+    EXPECT_GE(unsent(), large_bytes);
+    EXPECT_TRUE(run_until([&] {
+        slow.read_some();
+        return unsent() == 0;
+    }));
+}
+
 TEST_F(HttpListener, TheLastAnswerOfAConnectionIsWrittenToItsEnd) {
     body.assign(large_bytes, 'x');
     Caller caller(address);
