--- a/tests/support/cut_server.h
+++ b/tests/support/cut_server.h
@@ -33,13 +33,7 @@
 class CutServer {
   public:
     CutServer() {
-        listener_ = socket(AF_INET, SOCK_STREAM, 0);
-        address.sin_family = AF_INET;
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        bind(listener_, reinterpret_cast<sockaddr *>(&address), sizeof address);
-        socklen_t length = sizeof address;
-        getsockname(listener_, reinterpret_cast<sockaddr *>(&address), &length);
-        listen(listener_, 64);
+        listener_ = listen_on_loopback(&address, 64);
         thread_ = std::thread([this] { serve(); });
     }
     ~CutServer() {
--- a/tests/support/scripted_server.h
+++ b/tests/support/scripted_server.h
@@ -12,6 +12,18 @@
 
 enum class Ending { clean, reset };
 
+// Listens on a port that the kernel chooses; sets `address` and returns the socket.
+inline int listen_on_loopback(sockaddr_in *address, int backlog) {
+    int listener = socket(AF_INET, SOCK_STREAM, 0);
+    address->sin_family = AF_INET;
+    address->sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    bind(listener, reinterpret_cast<sockaddr *>(address), sizeof *address);
+    socklen_t length = sizeof *address;
+    getsockname(listener, reinterpret_cast<sockaddr *>(address), &length);
+    listen(listener, backlog);
+    return listener;
+}
+
 inline void end_connection(int connection, Ending ending) {
     if (ending == Ending::reset) {
         linger now = {1, 0};
@@ -24,13 +36,7 @@
 class Server {
   public:
     Server(const std::string &answer, Ending ending) {
-        listener_ = socket(AF_INET, SOCK_STREAM, 0);
-        address.sin_family = AF_INET;
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        bind(listener_, reinterpret_cast<sockaddr *>(&address), sizeof address);
-        socklen_t length = sizeof address;
-        getsockname(listener_, reinterpret_cast<sockaddr *>(&address), &length);
-        listen(listener_, 1);
+        listener_ = listen_on_loopback(&address, 1);
         thread_ = std::thread([this, answer, ending] { serve(answer, ending); });
     }
     ~Server() {
--- a/tests/support/upload_server.h
+++ b/tests/support/upload_server.h
@@ -18,13 +18,7 @@
 class UploadServer {
   public:
     UploadServer(size_t read_bytes, const std::string &answer, UploadEnd end) {
-        listener_ = socket(AF_INET, SOCK_STREAM, 0);
-        address.sin_family = AF_INET;
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        bind(listener_, reinterpret_cast<sockaddr *>(&address), sizeof address);
-        socklen_t length = sizeof address;
-        getsockname(listener_, reinterpret_cast<sockaddr *>(&address), &length);
-        listen(listener_, 1);
+        listener_ = listen_on_loopback(&address, 1);
         thread_ = std::thread([this, read_bytes, answer, end] { serve(read_bytes, answer, end); });
     }
     ~UploadServer() {
