--- a/src/common/answer_syntax.h
+++ b/src/common/answer_syntax.h
@@ -1,8 +1,7 @@
 /**
  * @file answer_syntax.h
- * What the head of an HTTP/1 response must look like (RFC 9112, 4, 5 and 6.1; RFC 9110, 5.1, 5.5
- * and 15), where the parser accepts more: a response that another reader could take for something
- * else is no response.
+ * Syntax of the head of an HTTP/1 response (RFC 9112, 4, 5 and 6.1; RFC 9110, 5.1, 5.5 and 15),
+ * where parsers accept more. A response that readers may interpret differently is refused.
  *
  * Thread safety: the functions are pure.
  */
--- a/src/common/http_client.c
+++ b/src/common/http_client.c
@@ -28,7 +28,7 @@
     int64_t deadline_us;
     bool connected;
     bool aborted;
-    bool malformed; /**< The head is none of a response. */
+    bool malformed; /**< The head of the response is malformed. */
     GByteArray *collected;
 } exchange_t;
 
@@ -127,7 +127,7 @@
     }
 }
 
-/** True if the head is one of a response, as far as neon, which ignores some lines, tells it. */
+/** True if the head is well-formed. neon skips some malformed lines, which can't be found here. */
 static bool head_valid(ne_request *request) {
     int status = ne_get_status(request)->code;
     const char *coding = ne_get_response_header(request, "Transfer-Encoding");
--- a/src/gateway/call_turn.c
+++ b/src/gateway/call_turn.c
@@ -304,7 +304,8 @@
         call->turn.prompt_ready = true;
         call_turn_send_if_ready(call);
     } else if (g_strcmp0(missing, call->turn.missing_turn) == 0) {
-        call_refuse(call, STATUS_UNAVAILABLE, CALL_TURN_UNKNOWN); /* It was read in vain. */
+        call_refuse(call, STATUS_UNAVAILABLE,
+                    CALL_TURN_UNKNOWN); /* The last read did not return it. */
     } else {
         read_chain(call, missing);
     }
--- a/src/gateway/chain_cache.h
+++ b/src/gateway/chain_cache.h
@@ -2,7 +2,8 @@
  * @file chain_cache.h
  * LRU cache of turns, bounded by memory. Turns are immutable, so cached ones are never stale;
  * missing ones are read from the storage nodes. The cache also knows until when storage nodes keep
- * a turn at least: what continues one that they have removed could not be continued elsewhere.
+ * a turn at least: a turn that continues one which they have removed could not be continued at
+ * other gateways.
  *
  * Thread safety: an object belongs to one thread.
  */
--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -51,7 +51,7 @@
     bool head_complete;
     size_t head_bytes;    /**< Read before the head was complete, with interim heads. */
     GString *line;        /**< Of a head, as far as it was read. */
-    bool malformed;       /**< A line of the head is none of a response. */
+    bool malformed;       /**< A line of the head is malformed. */
     bool status_line_due; /**< The next line that is not empty begins a head. */
     bool message_complete;
     bool ended_by_close; /**< The end of its connection was the end of the answer. */
@@ -239,7 +239,7 @@
     return client->head_bytes > ANSWER_HEAD_MAX_BYTES;
 }
 
-/** True if the line that was read whole may stand in a head. */
+/** True if the line, which was read whole, is well-formed. */
 static bool line_valid(http_client_t *client) {
     const GString *line = client->line;
     size_t length = line->len - 1;
--- a/tests/support/answer_forms.h
+++ b/tests/support/answer_forms.h
@@ -1,5 +1,5 @@
-// Forms of HTTP answers that are none, and of some that are: what each reader of answers must
-// refuse or take (RFC 9110, 5.1, 5.5, 15; RFC 9112, 4, 5, 6 and 7.1).
+// Malformed HTTP answers, which each reader must refuse, and unusual ones that are well-formed (RFC
+// 9110, 5.1, 5.5, 15; RFC 9112, 4, 5, 6 and 7.1).
 #ifndef RUDDERWAY_TESTS_ANSWER_FORMS_H
 #define RUDDERWAY_TESTS_ANSWER_FORMS_H
 
@@ -116,7 +116,7 @@
     return forms;
 }
 
-// Answers that look odd and are whole.
+// Unusual answers that are well-formed and whole.
 inline std::vector<AnswerForm> odd_answers(const std::string &body) {
     const std::string length = "Content-Length: " + std::to_string(body.size()) + "\r\n";
     const std::string end = "Connection: close\r\n\r\n" + body;
--- a/tests/unit/http_client_test.cc
+++ b/tests/unit/http_client_test.cc
@@ -119,8 +119,8 @@
     EXPECT_EQ(outcome.body, "ok");
 }
 
-// Guards against heads that are none and were passed on: a status of 000, blanks in names, codings
-// that nobody knows.
+// Guards against malformed heads that were passed on: a status of 000, blanks in names, unknown
+// codings.
 TEST(HttpClient, RefusesMalformedAnswers) {
     for (const AnswerForm &form : malformed_answers("the body"))
         for (Ending ending : {Ending::clean, Ending::reset}) {
--- a/tests/unit/key_value_cut_answers_test.cc
+++ b/tests/unit/key_value_cut_answers_test.cc
@@ -145,7 +145,7 @@
 
 class KeyValueMalformedAnswers : public KeyValueCutAnswers {};
 
-// Guards against heads that are none and were taken for the service's answers.
+// Guards against malformed heads that were taken for the service's answers.
 TEST_P(KeyValueMalformedAnswers, AcknowledgeNoWriteAndListNothing) {
     const std::string listing = "{\"items\":[" + item + "],\"at\":9,\"more\":false}";
     auto written = [this] {
--- a/tests/unit/node_cut_answers_test.cc
+++ b/tests/unit/node_cut_answers_test.cc
@@ -92,7 +92,7 @@
 
 class NodeMalformedAnswers : public NodeCutAnswers {};
 
-// Guards against heads that are none and were taken for answers.
+// Guards against malformed heads that were taken for answers.
 TEST_P(NodeMalformedAnswers, AreRefused) {
     GBytes *request = g_bytes_new_static("{}", 2);
     auto taken = [&] {
