test: crowds of callers that keep within no limit

A gateway that served callers outside the operator's control ran out of memory and was ended by its machine. Seventeen crowds of 25 to 200 callers reproduce it in seconds against one gateway with 48 MB and three storage nodes with 64 MB each (the smallest machines in use have 48): bodies in large, small and one-byte chunks that stop short of their end, announced bodies with a byte missing, bodies left and begun again, trailers without end, bodies over the limit, whole bodies that back ends take 2 s for, uploads behind a request, connections that rest after a 404, streams and answers read at 2 kB/s, large first turns and conversations, and a planned stop meanwhile. The eighteenth (800 connections that rest while the gateway may have 400 descriptors) holds already.

Each checks that all processes live, that resident memory (with its peak) and what waits unread in the callers' sockets stay within node.memory_megabytes, that descriptors are given back, that a refused request was not run and a body arrived unchanged, and that an ordinary call and an ordinary turn are answered afterwards. No times, no shares of served requests. With sanitizers the bound on memory is not checked: most of it is the sanitizer's own.

--- a/scripts/check.sh
+++ b/scripts/check.sh
@@ -150,6 +150,9 @@
 echo "--- odd values of another writer"
 . tests/integration/odd_entries_test.sh
 
+echo "--- callers that keep within no limit"
+. tests/integration/hostile_callers_test.sh
+
 echo "--- streams over back ends of two versions"
 . tests/integration/version_stream_test.sh
 
--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -62,6 +62,7 @@
         lines = [
             f"[node]\nname={self.name}\nzone={self.zone}\nlog_level=info\n"
             f"grace_ms={round(self.cluster.grace_s * 1000)}",
+            *self._memory_lines(),
             f"[key_value]\naddress=127.0.0.1:{self.key_value_proxy.listen_port}",
             f"[peer]\nlisten=127.0.0.1:{self.peer_port}",
         ]
@@ -80,6 +81,10 @@
         with open(path, "w", encoding="utf-8") as file:
             file.write("\n".join(lines) + "\n")
 
+    def _memory_lines(self):
+        memory_mb = self.cluster.memory_mb.get(self.kind)
+        return [] if memory_mb is None else [f"memory_megabytes={memory_mb}"]
+
     def start(self):
         """Starts the process unless it runs."""
         if self.running():
@@ -167,6 +172,7 @@
 
     def __init__(self, build, folder, promises, tolerated_zones=0, grace_s=GRACE_S):
         self.grace_s = grace_s
+        self.memory_mb = {}  # Kind of node: memory of its machine; without it the default.
         self.tolerated_zones = tolerated_zones
         self.proxies = []  # Those that a cut of a zone concerns.
         self.all_nodes = []  # Also those that were taken away.
