net: what callers send has one bound

Callers saw a gateway end: its machine ran out of memory while a crowd sent bodies that stopped just short of their end.

Cause: each body had a bound (the limit on bodies) and all of them none, so 400 callers held 400 MiB. A connection also kept the buffer of its last body while it rested or lingered, or after a 413.

One account (common/memory_account.h) now counts what connections hold before it is kept; its limit is half of the process's memory. It keeps a part for small requests, asks the turn cache to give way first, and then refuses with 503: first the unfinished request whose progress is oldest, at least 0.5 s ago, else the one that needs more. Nobody has seen either, so the promise of 503 is true. Weighed: to pause reading, which makes ordinary requests wait for those that rest and cannot end; to reserve announced lengths, which lets callers that send nothing use up all. What a caller sends ahead is read up to 16 KiB (64 before) and dropped, with its connection closed after the answer, if it doesn't fit. Buffers above 4 KiB are freed with the answer.

--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -14,6 +14,7 @@
 #include "cluster/process_settings.h"
 #include "cluster/service_directory.h"
 #include "common/latency_histogram.h"
+#include "common/memory_account.h"
 #include "core/retry/answer_time.h"
 #include "core/retry/outage.h"
 #include "core/retry/retry_budget.h"
@@ -74,6 +75,7 @@
 typedef struct {
     uv_loop_t *loop;
     const process_settings_t *settings;
+    memory_account_t memory; /**< All that callers make the process hold; see main.c. */
     http_listener_t *calls;
     http_listener_t *readiness;
     metrics_page_t metrics;
--- a/src/gateway/main.c
+++ b/src/gateway/main.c
@@ -13,6 +13,11 @@
     MAX_STOP_CHECK_INTERVAL_MS = 100,
     STOP_CHECKS_PER_GRACE_TIME = 16, /**< At least; no phase is shorter. */
     CACHE_SHARE_PERCENT = 25,        /**< Of the process's memory, for the turn cache. */
+    /**
+     * Of the process's memory, for all that callers make it hold, the turn cache included. The rest
+     * is for the directory, what waits unread in sockets, and what the allocator can't give back.
+     */
+    ACCOUNT_SHARE_PERCENT = 50,
     PERCENT = 100,
     MEGABYTE = 1024 * 1024,
 };
@@ -96,8 +101,18 @@
     on_member_open,
 };
 
+static void shrink_cache(void *owner, size_t bytes) {
+    gateway_t *gateway = owner;
+    chain_cache_shrink(&gateway->chains, bytes);
+}
+
 static bool open_gateway(gateway_t *gateway) {
     const process_settings_t *settings = gateway->settings;
+    gateway->memory = (memory_account_t){
+        .limit = settings->memory_megabytes * MEGABYTE * ACCOUNT_SHARE_PERCENT / PERCENT,
+        .reclaim = shrink_cache,
+        .owner = gateway,
+    };
     backends_init(&gateway->backends, gateway->loop, settings->zone, settings->name);
     gateway->load_sharing = load_sharing_open(gateway->loop, &settings->peer, &gateway->backends,
                                               &gateway_load_sharing_handler, gateway);
@@ -125,7 +140,10 @@
                      settings->memory_megabytes * MEGABYTE * CACHE_SHARE_PERCENT / PERCENT);
     gateway->calls = http_listener_open(gateway->loop, &settings->calls, &default_limits,
                                         &call_listener_handler, gateway);
-    return gateway->calls != NULL && gateway_open_reports(gateway);
+    if (gateway->calls == NULL)
+        return false;
+    http_listener_set_account(gateway->calls, &gateway->memory);
+    return gateway_open_reports(gateway);
 }
 
 static int run(const process_settings_t *settings) {
--- a/src/gateway/reports.c
+++ b/src/gateway/reports.c
@@ -138,6 +138,8 @@
     metrics_append(text, "caller_connections", http_listener_connections(gateway->calls));
     metrics_append(text, "backend_connections_opened", gateway->backends.connections_opened);
     metrics_append(text, "chain_cache_bytes", gateway->chains.bytes);
+    metrics_append(text, "memory_held_bytes", gateway->memory.held);
+    metrics_append(text, "memory_refusals_total", gateway->memory.refused);
     metrics_append(text, "calls_total", counters->calls);
     metrics_append(text, "calls_answered_total", counters->answered);
     metrics_append(text, "calls_refused_total", counters->refused);
@@ -183,5 +185,10 @@
                                             &readiness_handler, gateway);
     if (gateway->readiness == NULL)
         return false;
-    return metrics_page_open(&gateway->metrics, gateway->loop, settings, append_metrics, gateway);
+    http_listener_set_account(gateway->readiness, &gateway->memory);
+    if (!metrics_page_open(&gateway->metrics, gateway->loop, settings, append_metrics, gateway))
+        return false;
+    if (gateway->metrics.listener != NULL)
+        http_listener_set_account(gateway->metrics.listener, &gateway->memory);
+    return true;
 }
--- a/src/net/http_answer.c
+++ b/src/net/http_answer.c
@@ -107,7 +107,8 @@
 /** A stop closes a connection only after the answer to the last request that was sent. */
 static bool will_keep(const http_caller_t *caller) {
     return (!caller->listener->close_after_answers || has_sent_ahead(caller)) &&
-           !caller->close_after_answer && caller->state == CALLER_ANSWERING &&
+           !caller->close_after_answer && !caller->drops_ahead &&
+           caller->state == CALLER_ANSWERING &&
            http_should_keep_alive(&caller->parser) != 0;
 }
 
@@ -134,6 +135,8 @@
                         const char *body, size_t length) {
     caller->data = NULL;
     caller->keep = will_keep(caller);
+    if (caller->state == CALLER_READING)
+        http_caller_drop_request(caller);
     GString *bytes = answer_head(caller, status, fields);
     bool head_only = is_head_only(caller);
     if (!head_only)
--- a/src/net/http_caller.c
+++ b/src/net/http_caller.c
@@ -15,10 +15,11 @@
 
 enum {
     READ_BUFFER_BYTES = 65536,
-    AHEAD_BYTES = 65536,    /**< Kept of what a caller sends before its answer. */
+    AHEAD_BYTES = 16384,    /**< Read of what a caller sends before its answer. */
     REQUESTS_PER_TURN = 64, /**< Of a connection; its other ones wait for the next turn. */
     NEXT_TURN_MS = 1,
     LINGER_MS = 300, /**< A caller's time to close after its last answer. */
+    CALLER_BYTES = 3072, /**< Of a connection that rests. */
 };
 
 static char read_buffer[READ_BUFFER_BYTES];
@@ -30,6 +31,7 @@
     http_caller_t *caller = handle->data;
     if (--caller->open_handles > 0)
         return;
+    memory_account_release(caller->listener->account, CALLER_BYTES);
     http_headers_clear(&caller->headers);
     g_string_free(caller->target, TRUE);
     g_string_free(caller->body, TRUE);
@@ -48,6 +50,8 @@
     if (caller->state == CALLER_ANSWERING)
         caller->listener->active--;
     caller->state = CALLER_CLOSING;
+    http_caller_drop_request(caller);
+    http_caller_drop_ahead(caller, caller->ahead->len);
     g_hash_table_remove(caller->listener->callers, caller);
     if (!reset || uv_tcp_close_reset(&caller->tcp, free_when_closed) != 0)
         uv_close((uv_handle_t *)&caller->tcp, free_when_closed);
@@ -151,7 +155,7 @@
 /** The last answer is written: waits for the caller to close its side. */
 static void linger(http_caller_t *caller) {
     caller->state = CALLER_LINGERING;
-    g_string_truncate(caller->ahead, 0);
+    http_caller_drop_ahead(caller, caller->ahead->len);
     if (uv_shutdown(&caller->shutdown, (uv_stream_t *)&caller->tcp, on_shutdown) != 0) {
         http_caller_close(caller);
         return;
@@ -173,7 +177,8 @@
 
 /** The answer is written: makes the connection ready for the next request, or ends it. */
 void http_caller_end_or_keep(http_caller_t *caller) {
-    if (!caller->keep) {
+    http_caller_drop_request(caller);
+    if (!caller->keep || caller->drops_ahead) {
         linger(caller);
         return;
     }
@@ -183,9 +188,6 @@
     caller->begun = false;
     caller->head_written = false;
     caller->asked_if_gone = false;
-    http_headers_reset(&caller->headers);
-    g_string_truncate(caller->target, 0);
-    g_string_truncate(caller->body, 0);
     http_caller_arm_timer(caller, caller->listener->limits.idle_timeout_ms);
     read_ahead(caller);
 }
@@ -196,18 +198,28 @@
     caller->state = CALLER_ANSWERING;
     caller->listener->active++;
     uv_timer_stop(&caller->timer);
+    size_t body_length = caller->body->len;
+    http_caller_keep_body(caller);
+    bool has_body = caller->body_bytes != NULL;
     caller->request = (http_request_t){
         .method = http_method_str((enum http_method)caller->parser.method),
         .target = caller->target->str,
         .headers = &caller->headers,
-        .body = caller->body->str,
-        .body_length = caller->body->len,
+        .body = has_body ? g_bytes_get_data(caller->body_bytes, NULL) : "",
+        .body_length = body_length,
+        .body_bytes = caller->body_bytes,
         .begun_at = caller->request.begun_at,
     };
     caller->listener->handler->on_request(caller->listener->owner, caller, &caller->request);
 }
 
 static void refuse_malformed(http_caller_t *caller) {
+    if (caller->out_of_memory) {
+        char *fields = http_caller_retry_fields();
+        http_caller_answer(caller, 503, fields, NULL, 0);
+        g_free(fields);
+        return;
+    }
     unsigned status = 400;
     if (caller->too_large)
         status = 413;
@@ -266,10 +278,16 @@
 
 static void on_read(uv_stream_t *stream, ssize_t count, const uv_buf_t *buffer);
 
+static bool drops_bytes(const http_caller_t *caller);
+
+/** While a request is answered, keeps what is read ahead within AHEAD_BYTES. */
 static void provide_buffer(uv_handle_t *handle, size_t size, uv_buf_t *buffer) {
-    (void)handle;
+    const http_caller_t *caller = handle->data;
     (void)size;
-    *buffer = uv_buf_init(read_buffer, sizeof read_buffer);
+    size_t room = sizeof read_buffer;
+    if (http_caller_is_unwritten(caller) && !caller->drops_ahead && !drops_bytes(caller))
+        room = AHEAD_BYTES + 1 - MIN(caller->ahead->len, AHEAD_BYTES);
+    *buffer = uv_buf_init(read_buffer, (unsigned)room);
 }
 
 static void start_reading(http_caller_t *caller) {
@@ -295,7 +313,7 @@
         return;
     size_t done = serve_bytes(caller, caller->ahead->str, caller->ahead->len);
     /* The last answer of a connection has emptied it. */
-    g_string_erase(caller->ahead, 0, (gssize)MIN(done, caller->ahead->len));
+    http_caller_drop_ahead(caller, MIN(done, caller->ahead->len));
     if (caller->state != CALLER_CLOSING)
         read_on(caller);
 }
@@ -322,7 +340,7 @@
         done = serve_bytes(caller, buffer->base, (size_t)count);
     if (drops_bytes(caller))
         return;
-    g_string_append_len(caller->ahead, buffer->base + done, count - (gssize)done);
+    http_caller_keep_ahead(caller, buffer->base + done, (size_t)count - done);
     read_on(caller);
 }
 
@@ -341,6 +359,7 @@
     caller->body = g_string_new(NULL);
     caller->ahead = g_string_new(NULL);
     g_hash_table_add(listener->callers, caller);
+    memory_account_add(listener->account, CALLER_BYTES);
     return caller;
 }
 
--- a/src/net/http_caller.h
+++ b/src/net/http_caller.h
@@ -6,6 +6,7 @@
  * - http_caller.c: a connection's states, its timer, reading, and its end;
  * - http_request_parser.c: requests from bytes;
  * - http_answer.c: answers into bytes;
+ * - http_caller_memory.c: what a connection holds;
  * - http_caller_presence.c: callers that have ended their side.
  *
  * Thread safety: everything here belongs to the loop's thread.
@@ -24,6 +25,9 @@
     const http_listener_handler_t *handler;
     void *owner;
     GHashTable *callers;
+    memory_account_t *account; /**< NULL: nothing is counted. */
+    GQueue unfinished; /**< Of http_caller_t: begun requests that hold a body or a large head, the
+                            one whose latest progress is oldest first. */
     unsigned active;
     size_t unsent_bytes; /**< See http_listener_unsent_bytes. */
     bool close_after_answers;
@@ -49,6 +53,8 @@
     bool serving; /**< serve_bytes() goes on with the next request. */
     bool too_large;
     bool head_too_large;
+    bool out_of_memory; /**< What the caller sends can't be held. */
+    bool drops_ahead;   /**< What it sends ahead is dropped; the connection ends with the answer. */
     bool chunked;
     bool keep;   /**< The connection may serve another request. */
     bool broken; /**< A write failed; the timer reports the end outside the owner's call. */
@@ -67,7 +73,14 @@
     http_headers_t headers;
     GString *target;
     GString *body;
+    GBytes *body_bytes; /**< The body of the request that is being answered. */
     GString *ahead;
+    size_t held;       /**< In the account, for the request that is read or answered. */
+    size_t ahead_held; /**< In the account, for `ahead`. */
+    GList unfinished_link;
+    bool is_unfinished;     /**< The link stands in the listener's queue. */
+    size_t progress_held;   /**< `held` at the latest progress. */
+    uint64_t progressed_at; /**< Loop time, ms. */
     http_request_t request;
     void *data;
 };
@@ -92,6 +105,26 @@
 /** What waits to be read: above 0 bytes of the next request, 0 the end of the caller's side. */
 ssize_t http_caller_peek(const http_caller_t *caller);
 
+/* http_caller_memory.c */
+
+/**
+ * Counts @p bytes more of the request that is being read; false if they can't be held, and the
+ * request is to be refused.
+ */
+bool http_caller_hold(http_caller_t *caller, size_t bytes);
+/** False if a request of @p bytes could not be held now. */
+bool http_caller_may_hold(http_caller_t *caller, uint64_t bytes);
+/** The request is whole: hands its body over to `body_bytes`. */
+void http_caller_keep_body(http_caller_t *caller);
+/** Frees the request that was read or answered. */
+void http_caller_drop_request(http_caller_t *caller);
+/** Keeps bytes that came ahead of the answer, or drops them and all others if they can't be held. */
+void http_caller_keep_ahead(http_caller_t *caller, const char *data, size_t length);
+/** Removes the first @p length bytes that came ahead. */
+void http_caller_drop_ahead(http_caller_t *caller, size_t length);
+/** Fields of an answer to a request that could not be held. Free with g_free(). */
+char *http_caller_retry_fields(void);
+
 /** Callbacks of http_caller_t.parser, whose data is the caller. */
 extern const http_parser_settings http_request_parser_settings;
 
--- /dev/null
+++ b/src/net/http_caller_memory.c
@@ -0,0 +1,131 @@
+/*
+ * Design. All that callers send counts in the account of the process before it is kept. When it is
+ * short, memory goes to requests that move on: one whose body has stopped to arrive is answered
+ * with 503, which is true, since nobody has seen it. If all move on, the request that needs more is
+ * refused, since those that have begun before are nearer to their end.
+ *
+ * A body is kept once: from its first byte on in the connection, then in bytes that the connection,
+ * the exchange with a back end and a stored turn refer to.
+ */
+#include "net/http_caller.h"
+
+enum {
+    /** A request that has not brought PROGRESS_BYTES for so long may be refused for another. */
+    STALLED_MS = 500,
+    PROGRESS_BYTES = 4096,
+    KEPT_BYTES = 4096, /**< A buffer of up to this size is used for the next request. */
+    RETRY_LEAST_MS = 250,
+    RETRY_MOST_MS = 1000, /**< By then stalled requests have given their memory back. */
+    MS_PER_S = 1000,
+};
+
+static void leave_queue(http_caller_t *caller) {
+    if (caller->is_unfinished)
+        g_queue_unlink(&caller->listener->unfinished, &caller->unfinished_link);
+    caller->is_unfinished = false;
+}
+
+/** Moves the caller to the end of the queue if it has sent enough since it last was moved there. */
+static void note_progress(http_caller_t *caller) {
+    if (caller->held < caller->progress_held + PROGRESS_BYTES)
+        return;
+    leave_queue(caller);
+    caller->unfinished_link.data = caller;
+    g_queue_push_tail_link(&caller->listener->unfinished, &caller->unfinished_link);
+    caller->is_unfinished = true;
+    caller->progress_held = caller->held;
+    caller->progressed_at = uv_now(caller->listener->loop);
+}
+
+char *http_caller_retry_fields(void) {
+    unsigned ms = (unsigned)g_random_int_range(RETRY_LEAST_MS, RETRY_MOST_MS);
+    return g_strdup_printf("Retry-After: %u.%03u\r\n", ms / MS_PER_S, ms % MS_PER_S);
+}
+
+/** Refuses the request that has made no progress for longest; false if all make progress. */
+static bool refuse_stalled(const http_caller_t *for_caller) {
+    http_listener_t *listener = for_caller->listener;
+    http_caller_t *stalled = g_queue_peek_head(&listener->unfinished);
+    if (stalled == NULL || stalled == for_caller ||
+        uv_now(listener->loop) < stalled->progressed_at + STALLED_MS)
+        return false;
+    char *fields = http_caller_retry_fields();
+    http_caller_answer(stalled, 503, fields, NULL, 0);
+    g_free(fields);
+    return true;
+}
+
+bool http_caller_may_hold(http_caller_t *caller, uint64_t bytes) {
+    memory_account_t *account = caller->listener->account;
+    while (!memory_account_fits(account, (size_t)MIN(bytes, (uint64_t)SIZE_MAX / 2)))
+        if (!refuse_stalled(caller))
+            return false;
+    return true;
+}
+
+bool http_caller_hold(http_caller_t *caller, size_t bytes) {
+    memory_account_t *account = caller->listener->account;
+    while (!memory_account_take(account, bytes, caller->held + bytes))
+        if (!refuse_stalled(caller))
+            return false;
+    caller->held += bytes;
+    note_progress(caller);
+    return true;
+}
+
+void http_caller_keep_body(http_caller_t *caller) {
+    leave_queue(caller);
+    if (caller->body->len == 0)
+        return;
+    caller->held -= caller->body->len;
+    caller->body_bytes = memory_account_wrap_string(caller->listener->account, caller->body);
+    caller->body = g_string_new(NULL);
+}
+
+/** Empties a buffer; gives its memory back if it has held much. */
+static void empty(GString **buffer) {
+    if ((*buffer)->allocated_len <= KEPT_BYTES) {
+        g_string_truncate(*buffer, 0);
+        return;
+    }
+    g_string_free(*buffer, TRUE);
+    *buffer = g_string_new(NULL);
+}
+
+void http_caller_drop_request(http_caller_t *caller) {
+    leave_queue(caller);
+    g_clear_pointer(&caller->body_bytes, g_bytes_unref);
+    empty(&caller->body);
+    empty(&caller->target);
+    if (caller->headers.text->allocated_len > KEPT_BYTES) {
+        http_headers_clear(&caller->headers);
+        http_headers_init(&caller->headers);
+    } else {
+        http_headers_reset(&caller->headers);
+    }
+    memory_account_release(caller->listener->account, caller->held);
+    caller->held = 0;
+    caller->progress_held = 0;
+}
+
+void http_caller_keep_ahead(http_caller_t *caller, const char *data, size_t length) {
+    if (caller->drops_ahead || length == 0)
+        return;
+    size_t size = caller->ahead->len + length;
+    if (!memory_account_take(caller->listener->account, length, size)) {
+        caller->drops_ahead = true;
+        http_caller_drop_ahead(caller, caller->ahead->len);
+        return;
+    }
+    caller->ahead_held += length;
+    g_string_append_len(caller->ahead, data, (gssize)length);
+}
+
+void http_caller_drop_ahead(http_caller_t *caller, size_t length) {
+    if (length < caller->ahead->len)
+        g_string_erase(caller->ahead, 0, (gssize)length);
+    else
+        empty(&caller->ahead);
+    memory_account_release(caller->listener->account, caller->ahead_held - caller->ahead->len);
+    caller->ahead_held = caller->ahead->len;
+}
--- a/src/net/http_listener.c
+++ b/src/net/http_listener.c
@@ -76,6 +76,10 @@
     http_parser_set_max_header_size(2 * limits->header_bytes);
 }
 
+void http_listener_set_account(http_listener_t *listener, memory_account_t *account) {
+    listener->account = account;
+}
+
 void http_listener_close_after_answers(http_listener_t *listener) {
     listener->close_after_answers = true;
 }
--- a/src/net/http_listener.h
+++ b/src/net/http_listener.h
@@ -8,6 +8,7 @@
 #ifndef RUDDERWAY_NET_HTTP_LISTENER_H
 #define RUDDERWAY_NET_HTTP_LISTENER_H
 
+#include "common/memory_account.h"
 #include "net/http_headers.h"
 
 #include <stdint.h>
@@ -31,6 +32,7 @@
     const http_headers_t *headers;
     const char *body;
     size_t body_length;
+    GBytes *body_bytes; /**< The body, for those who keep it; NULL: there is none. */
     uint64_t begun_at; /**< Loop time of its first byte, ms. */
 } http_request_t;
 
@@ -48,6 +50,12 @@
                                     const http_listener_handler_t *handler, void *owner);
 /** Bounds for requests that begin from now on. */
 void http_listener_set_limits(http_listener_t *listener, const http_limits_t *limits);
+/**
+ * Counts what connections hold in @p account, which outlives the listener. What doesn't fit is not
+ * read: the request that has made no progress for longest is answered with 503, or the one that
+ * needs more memory.
+ */
+void http_listener_set_account(http_listener_t *listener, memory_account_t *account);
 /** From now on each answer says that its connection ends after it. */
 void http_listener_close_after_answers(http_listener_t *listener);
 /**
--- a/src/net/http_request_parser.c
+++ b/src/net/http_request_parser.c
@@ -3,6 +3,14 @@
 
 #include <strings.h>
 
+enum { FIELD_BYTES = 16 }; /**< Of a piece of a field besides its text, at most. */
+
+/** Counts bytes that are about to be kept; false if they can't be, and the request is refused. */
+static bool hold(http_caller_t *caller, size_t length) {
+    caller->out_of_memory = !http_caller_hold(caller, length);
+    return !caller->out_of_memory;
+}
+
 /** Result of a callback that has added to the head; the parser's error would not tell why. */
 static int check_head_size(http_caller_t *caller) {
     size_t size = caller->target->len + caller->headers.text->len;
@@ -12,18 +20,24 @@
 
 static int on_url(http_parser *parser, const char *data, size_t length) {
     http_caller_t *caller = parser->data;
+    if (!hold(caller, length))
+        return -1;
     g_string_append_len(caller->target, data, (gssize)length);
     return check_head_size(caller);
 }
 
 static int on_header_field(http_parser *parser, const char *data, size_t length) {
     http_caller_t *caller = parser->data;
+    if (!hold(caller, length + FIELD_BYTES))
+        return -1;
     http_headers_name_piece(&caller->headers, data, length);
     return check_head_size(caller);
 }
 
 static int on_header_value(http_parser *parser, const char *data, size_t length) {
     http_caller_t *caller = parser->data;
+    if (!hold(caller, length))
+        return -1;
     http_headers_value_piece(&caller->headers, data, length);
     return check_head_size(caller);
 }
@@ -59,6 +73,11 @@
         caller->too_large = true;
         return -1;
     }
+    if (parser->content_length != ULLONG_MAX &&
+        !http_caller_may_hold(caller, parser->content_length)) {
+        caller->out_of_memory = true;
+        return -1;
+    }
     if (!resolve_target(caller))
         return -1;
     const char *expect = http_headers_find(&caller->headers, "Expect");
@@ -73,6 +92,8 @@
         caller->too_large = true;
         return -1;
     }
+    if (!hold(caller, length))
+        return -1;
     g_string_append_len(caller->body, data, (gssize)length);
     return 0;
 }
