gateway: a request's body is in memory once while it is sent

Callers with whole bodies made a gateway hold 1.7 times what they had sent, more than its machine has.

Cause: the request for a back end was one buffer with a copy of the body, beside the one that the caller's connection kept for resends; of a turn, also with a copy of all turns before it.

The body is bytes with references now, which count in the account until the last one is gone; a request is written as its head, the cached turns and the body, one after another, none of them copied. A resend refers to the same bytes.

The unit tests of the chain cache and of forwarded requests check the same bytes as before, joined from their parts.

--- a/src/gateway/call.c
+++ b/src/gateway/call.c
@@ -98,7 +98,7 @@
     g_ptr_array_free(call->tried, TRUE);
     g_string_free(call->fields, TRUE);
     g_string_free(call->body, TRUE);
-    g_string_free(call->prompt, TRUE);
+    g_ptr_array_unref(call->prompt);
     event_stream_clear(&call->events);
     g_free(call->turn.missing_turn);
     g_free(call);
@@ -388,6 +388,10 @@
         call_turn_begin(call);
 }
 
+static void unref_bytes(gpointer bytes) {
+    g_bytes_unref(bytes);
+}
+
 static void on_request(void *owner, http_caller_t *caller, const http_request_t *request) {
     gateway_t *gateway = owner;
     call_t *call = g_new0(call_t, 1);
@@ -398,7 +402,7 @@
     call->tried = g_ptr_array_new_with_free_func(release_tried);
     call->fields = g_string_new(NULL);
     call->body = g_string_new(NULL);
-    call->prompt = g_string_new(NULL);
+    call->prompt = g_ptr_array_new_with_free_func(unref_bytes);
     event_stream_init(&call->events);
     uv_timer_init(gateway->loop, &call->deadline_timer);
     call->deadline_timer.data = call;
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -152,7 +152,7 @@
     bool misdirected;          /**< The back end's address now belongs to another instance. */
     bool may_have_run;         /**< Some back end may have run the call. */
     call_reason_t lost_reason; /**< Why the outcome of the last send is unknown. */
-    GString *prompt;           /**< Prompt made of the previous turns. */
+    GPtrArray *prompt;         /**< Of GBytes: the prompt made of the previous turns. */
     call_registration_t registration;
 
     /* The response. */
@@ -210,8 +210,10 @@
 
 /** Sends the call to a back end that it has not been sent to; fails it if there is none. */
 void call_send(call_t *call);
-/** The request as its current back end gets it; the caller frees it. */
-GString *call_build_request(const call_t *call);
+/** Head of the request as its current back end gets it; the caller frees it. */
+GString *call_build_head(const call_t *call);
+/** Body of that request: an array of GBytes, not copied; NULL: it has none. */
+GPtrArray *call_build_body(const call_t *call);
 /** Resends the call to its current back end. */
 void call_send_same_backend(call_t *call);
 /** True if there is a back end other than the current one that the call has not been sent to. */
--- a/src/gateway/call_send.c
+++ b/src/gateway/call_send.c
@@ -94,10 +94,32 @@
     g_clear_pointer(&options, g_hash_table_unref);
 }
 
-GString *call_build_request(const call_t *call) {
+static size_t body_length(const call_t *call) {
+    size_t length = call->request->body_length;
+    for (guint i = 0; i < call->prompt->len; i++)
+        length += g_bytes_get_size(g_ptr_array_index(call->prompt, i));
+    return length;
+}
+
+static void unref_bytes(gpointer bytes) {
+    g_bytes_unref(bytes);
+}
+
+GPtrArray *call_build_body(const call_t *call) {
+    if (body_length(call) == 0)
+        return NULL;
+    GPtrArray *body = g_ptr_array_new_full(call->prompt->len + 1, unref_bytes);
+    for (guint i = 0; i < call->prompt->len; i++)
+        g_ptr_array_add(body, g_bytes_ref(g_ptr_array_index(call->prompt, i)));
+    if (call->request->body_bytes != NULL)
+        g_ptr_array_add(body, g_bytes_ref(call->request->body_bytes));
+    return body;
+}
+
+GString *call_build_head(const call_t *call) {
     const http_request_t *caller = call->request;
-    size_t body_length = call->prompt->len + caller->body_length;
-    GString *request = g_string_sized_new(1024 + body_length);
+    size_t length = body_length(call);
+    GString *request = g_string_sized_new(1024);
     g_string_append_printf(request, "%s %s HTTP/1.1\r\n", caller->method, caller->target);
     append_fields(call, request);
     g_string_append_printf(request, "%s: %" G_GUINT64_FORMAT "\r\n",
@@ -110,11 +132,9 @@
     if (call->events.events > 0)
         g_string_append_printf(request, "%s: %s\r\n", call_field_name(FIELD_LAST_EVENT),
                                call->events.last_id->str);
-    if (body_length > 0 || strcmp(caller->method, "GET") != 0)
-        g_string_append_printf(request, "Content-Length: %zu\r\n", body_length);
+    if (length > 0 || strcmp(caller->method, "GET") != 0)
+        g_string_append_printf(request, "Content-Length: %zu\r\n", length);
     g_string_append(request, "\r\n");
-    g_string_append_len(request, call->prompt->str, (gssize)call->prompt->len);
-    g_string_append_len(request, caller->body, (gssize)caller->body_length);
     return request;
 }
 
@@ -496,7 +516,8 @@
     if (call_repeatable(call))
         stall_watch_add(&gateway->stall_watch, call);
     bool head_request = strcmp(call->request->method, "HEAD") == 0;
-    http_client_send(call->client, call_build_request(call), head_request, &exchange_handler, call);
+    http_client_send_parts(call->client, call_build_head(call), call_build_body(call), head_request,
+                           &exchange_handler, call);
 }
 
 void call_send(call_t *call) {
--- a/src/gateway/chain_cache.c
+++ b/src/gateway/chain_cache.c
@@ -68,13 +68,13 @@
     return &((const cached_turn_t *)link->data)->turn;
 }
 
-static void append_bytes(GString *prompt, GBytes *bytes) {
-    gsize length;
-    const char *data = g_bytes_get_data(bytes, &length);
-    g_string_append_len(prompt, data, (gssize)length);
+void chain_cache_shrink(chain_cache_t *cache, size_t bytes) {
+    uint64_t target = cache->bytes > bytes ? cache->bytes - bytes : 0;
+    while (cache->bytes > target)
+        evict_oldest(cache);
 }
 
-const char *chain_cache_prompt(chain_cache_t *cache, const char *previous, GString *prompt) {
+const char *chain_cache_prompt(chain_cache_t *cache, const char *previous, GPtrArray *prompt) {
     GPtrArray *chain = g_ptr_array_new();
     const char *missing = NULL;
     for (const char *id = previous; *id != '\0';) {
@@ -88,8 +88,8 @@
     }
     for (guint i = chain->len; missing == NULL && i > 0; i--) {
         const turn_t *turn = g_ptr_array_index(chain, i - 1);
-        append_bytes(prompt, turn->input);
-        append_bytes(prompt, turn->output);
+        g_ptr_array_add(prompt, g_bytes_ref(turn->input));
+        g_ptr_array_add(prompt, g_bytes_ref(turn->output));
     }
     g_ptr_array_free(chain, TRUE);
     return missing;
--- a/src/gateway/chain_cache.h
+++ b/src/gateway/chain_cache.h
@@ -32,10 +32,14 @@
 /** Records that storage nodes keep the turn and its ancestors until @p kept_until at least. */
 void chain_cache_extend(chain_cache_t *cache, const char *id, uint64_t kept_until);
 
+/** Removes turns, least recently used first, until the cache has become smaller by @p bytes. */
+void chain_cache_shrink(chain_cache_t *cache, size_t bytes);
+
 /**
  * Appends the prompt made of turn @p previous and its ancestors: input and output of each, oldest
- * first. Returns NULL, or the id of the first turn that is not cached; then nothing is appended.
+ * first, as references to the cached GBytes. Returns NULL, or the id of the first turn that is not
+ * cached; then nothing is appended.
  */
-const char *chain_cache_prompt(chain_cache_t *cache, const char *previous, GString *prompt);
+const char *chain_cache_prompt(chain_cache_t *cache, const char *previous, GPtrArray *prompt);
 
 #endif
--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -59,7 +59,8 @@
     bool reusable;
     uint64_t idle_until;
     uint64_t first_received_at; /**< Loop time; 0: nothing was received yet. */
-    GString *request;           /**< Bytes of the request; NULL when written. */
+    GString *request;           /**< The request or its head; NULL when all is written. */
+    GPtrArray *body;            /**< Of GBytes: the request's body; NULL: none. */
     http_parser parser;
     http_headers_t headers;
     const http_exchange_handler_t *handler;
@@ -70,9 +71,15 @@
 
 static char read_buffer[READ_BUFFER_BYTES];
 
-static void free_client(http_client_t *client) {
+static void free_request(http_client_t *client) {
     if (client->request != NULL)
         g_string_free(client->request, TRUE);
+    client->request = NULL;
+    g_clear_pointer(&client->body, g_ptr_array_unref);
+}
+
+static void free_client(http_client_t *client) {
+    free_request(client);
     http_headers_clear(&client->headers);
     g_string_free(client->line, TRUE);
     g_free(client);
@@ -333,36 +340,64 @@
     client->write_pending = false;
     if (client->state == STATE_CLOSED)
         return;
-    g_string_free(client->request, TRUE);
-    client->request = NULL;
+    free_request(client);
     /* After a failed write the reading side still has what the server sent before its end. */
     (void)status;
 }
 
-static void write_request(http_client_t *client) {
+/** The request's parts, in an array of which @p count are in use. Free with g_free(). */
+static uv_buf_t *list_parts(const http_client_t *client, unsigned *count) {
+    unsigned parts = client->body == NULL ? 0 : client->body->len;
+    uv_buf_t *buffers = g_new(uv_buf_t, parts + 1);
+    buffers[0] = uv_buf_init(client->request->str, (unsigned)client->request->len);
+    for (unsigned i = 0; i < parts; i++) {
+        gsize length;
+        const void *data = g_bytes_get_data(g_ptr_array_index(client->body, i), &length);
+        buffers[i + 1] = uv_buf_init((char *)data, (unsigned)length);
+    }
+    *count = parts + 1;
+    return buffers;
+}
+
+/** Removes @p written bytes from the begin of the buffers; returns how many of them are done. */
+static unsigned skip_written(uv_buf_t *buffers, unsigned count, size_t written) {
+    unsigned done = 0;
+    while (done < count && written >= buffers[done].len)
+        written -= buffers[done++].len;
+    if (done < count) {
+        buffers[done].base += written;
+        buffers[done].len -= written;
+    }
+    return done;
+}
+
+/** Writes the parts; false if the connection is lost. */
+static bool write_parts(http_client_t *client, uv_buf_t *buffers, unsigned count) {
     uv_stream_t *stream = (uv_stream_t *)&client->tcp;
-    uv_buf_t buffer = uv_buf_init(client->request->str, (unsigned)client->request->len);
-    int written = uv_try_write(stream, &buffer, 1);
+    int written = uv_try_write(stream, buffers, count);
     if (written == UV_EAGAIN)
         written = 0;
-    if (written < 0) {
-        connection_lost(client);
-        return;
-    }
+    if (written < 0)
+        return false;
     client->any_sent = true;
-    if ((size_t)written == client->request->len) {
-        g_string_free(client->request, TRUE);
-        client->request = NULL;
-        return;
+    unsigned done = skip_written(buffers, count, (size_t)written);
+    if (done == count) {
+        free_request(client);
+        return true;
     }
-    buffer.base += written;
-    buffer.len -= (size_t)written;
     client->write_request.data = client;
-    client->write_pending = true;
-    if (uv_write(&client->write_request, stream, &buffer, 1, on_written) != 0) {
-        client->write_pending = false;
+    client->write_pending = uv_write(&client->write_request, stream, buffers + done, count - done,
+                                     on_written) == 0;
+    return client->write_pending;
+}
+
+static void write_request(http_client_t *client) {
+    unsigned count;
+    uv_buf_t *buffers = list_parts(client, &count);
+    bool written = write_parts(client, buffers, count);
+    g_free(buffers);
+    if (!written)
         connection_lost(client);
-    }
 }
 
 static void on_connected(uv_connect_t *request, int status) {
@@ -442,12 +477,28 @@
     client->idle_until = uv_now(client->tcp.loop) + IDLE_DEFAULT_MS - IDLE_MARGIN_MS;
 }
 
+void http_client_pause(http_client_t *client) {
+    uv_read_stop((uv_stream_t *)&client->tcp);
+}
+
+void http_client_resume(http_client_t *client) {
+    if (client->state != STATE_CLOSED)
+        uv_read_start((uv_stream_t *)&client->tcp, provide_buffer, on_read);
+}
+
 void http_client_send(http_client_t *client, GString *request, bool head_request,
                       const http_exchange_handler_t *handler, void *user) {
+    http_client_send_parts(client, request, NULL, head_request, handler, user);
+}
+
+void http_client_send_parts(http_client_t *client, GString *head, GPtrArray *body,
+                            bool head_request, const http_exchange_handler_t *handler,
+                            void *user) {
     http_parser_init(&client->parser, HTTP_RESPONSE);
     client->parser.data = client;
     http_headers_reset(&client->headers);
-    client->request = request;
+    client->request = head;
+    client->body = body;
     client->head_request = head_request;
     client->handler = handler;
     client->user = user;
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -54,6 +54,19 @@
 /** Sends a whole request, now or once connected. The connection must be idle. */
 void http_client_send(http_client_t *client, GString *request, bool head_request,
                       const http_exchange_handler_t *handler, void *user);
+/**
+ * As http_client_send(), for a request whose body is in @p body (of GBytes), after its head in
+ * @p head. The body is not copied; takes over both.
+ */
+void http_client_send_parts(http_client_t *client, GString *head, GPtrArray *body,
+                            bool head_request, const http_exchange_handler_t *handler, void *user);
+
+/**
+ * Stops reading the answer, so that the server is held up; what was read already still comes.
+ * Nothing is learned of the connection's end meanwhile.
+ */
+void http_client_pause(http_client_t *client);
+void http_client_resume(http_client_t *client);
 
 /**
  * Makes a new connection, on which nothing was sent, reusable, with another callback for its end
--- a/tests/unit/gateway_test.cc
+++ b/tests/unit/gateway_test.cc
@@ -131,6 +131,17 @@
             nullptr};
 }
 
+std::string join(const GPtrArray *parts) {
+    std::string text;
+    for (guint i = 0; i < parts->len; i++) {
+        gsize length = 0;
+        auto *bytes = static_cast<GBytes *>(g_ptr_array_index(parts, i));
+        const auto *data = static_cast<const char *>(g_bytes_get_data(bytes, &length));
+        text.append(data, length);
+    }
+    return text;
+}
+
 TEST(ChainCache, JoinsTheChainOldestFirstAndReportsAMissingTurn) {
     chain_cache_t cache;
     chain_cache_init(&cache, 1 << 20);
@@ -140,13 +151,14 @@
         chain_cache_add(&cache, &turn, 1);
         turn_clear(&turn);
     }
-    GString *prompt = g_string_new(nullptr);
+    GPtrArray *prompt = g_ptr_array_new_with_free_func(
+        [](gpointer bytes) { g_bytes_unref(static_cast<GBytes *>(bytes)); });
     EXPECT_EQ(chain_cache_prompt(&cache, "b", prompt), nullptr);
-    EXPECT_STREQ(prompt->str, "<a>[a]\n<b>[b]\n");
-    g_string_truncate(prompt, 0);
+    EXPECT_EQ(join(prompt), "<a>[a]\n<b>[b]\n");
+    g_ptr_array_set_size(prompt, 0);
     EXPECT_STREQ(chain_cache_prompt(&cache, "d", prompt), "c");
     EXPECT_EQ(prompt->len, 0u);
-    g_string_free(prompt, TRUE);
+    g_ptr_array_unref(prompt);
     chain_cache_clear(&cache);
 }
 
--- a/tests/unit/http_request_forms_test.cc
+++ b/tests/unit/http_request_forms_test.cc
@@ -121,6 +121,11 @@
     std::vector<Delivered> delivered;
 
   private:
+    static std::string to_string(GBytes *bytes) {
+        gsize length = 0;
+        const char *data = static_cast<const char *>(g_bytes_get_data(bytes, &length));
+        return {data, length};
+    }
     std::string forwarded(const http_request_t *request) {
         gateway_t gateway = {};
         gateway.loop = &loop;
@@ -135,11 +140,15 @@
         call.configuration = &configuration;
         call.backend = &backend;
         call.request = request;
-        call.prompt = g_string_new(nullptr);
-        GString *bytes = call_build_request(&call);
-        std::string text(bytes->str, bytes->len);
-        g_string_free(bytes, TRUE);
-        g_string_free(call.prompt, TRUE);
+        call.prompt = g_ptr_array_new();
+        GString *head = call_build_head(&call);
+        GPtrArray *body = call_build_body(&call);
+        std::string text(head->str, head->len);
+        for (guint i = 0; body != nullptr && i < body->len; i++)
+            text += to_string(static_cast<GBytes *>(g_ptr_array_index(body, i)));
+        g_string_free(head, TRUE);
+        g_clear_pointer(&body, g_ptr_array_unref);
+        g_ptr_array_unref(call.prompt);
         return text;
     }
     static void on_request(void *owner, http_caller_t *caller, const http_request_t *request) {
