gateway: answers count in the memory account, and are not copied for their callers

A gateway with 48 MB held 76 MB of answers that 100 callers read at 2 kB/s, so its machine ended it.

Cause: answers had shares of their own, set apart from those of other data: 48 MiB of bodies whatever the memory, and each of up to 256 KiB whatever the others held. An answer was also copied behind its head as it was handed over.

Answers count in the account now, from their first byte until their caller has taken the last one; head and body are written as two buffers. One that does not fit is given up with 502 at once if it tells its length. Before, such an answer made its back end count as unsound, and a call that may be repeated went on to the next one: callers that read slowly could have back ends avoided. Neither happens any more.

--- a/src/gateway/call.c
+++ b/src/gateway/call.c
@@ -31,7 +31,7 @@
     "budget_unsure",   "budget_not_durable", "no_such_turn", "turn_unsure",    "turn_not_kept",
     "no_room",         "disks_lag",          "caller_gone",  "stopping",       "unknown_key",
     "other_tenant",    "over_quota",         "quota_unsure", "backends_ended", "version_unknown",
-    "version_gone",    "turn_too_large",
+    "version_gone",    "turn_too_large",     "no_memory",
 };
 
 static const char *const affinity_names[AFFINITY_COUNT] = {"-", "new", "kept", "moved"};
@@ -246,9 +246,8 @@
     call->body = g_string_new(NULL);
     unsigned status = call->status;
     end_call(call, status, CALL_ANSWERED);
-    http_caller_answer(caller, status, fields->str, body->str, body->len);
+    http_caller_answer_string(caller, status, fields->str, body);
     g_string_free(fields, TRUE);
-    g_string_free(body, TRUE);
 }
 
 void call_forward_events(call_t *call) {
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -43,6 +43,7 @@
     CALL_VERSION_UNKNOWN, /**< No back end is known to run the version that began the stream. */
     CALL_VERSION_GONE,    /**< No back end runs the version that began the stream. */
     CALL_TURN_TOO_LARGE,  /**< Its turn would exceed what one message to a storage node holds. */
+    CALL_NO_MEMORY,       /**< This gateway can't hold its turn or its response. */
     CALL_REASON_COUNT,
 } call_reason_t;
 
--- a/src/gateway/call_send.c
+++ b/src/gateway/call_send.c
@@ -34,10 +34,7 @@
     STATUS_MISDIRECTED = 421, /**< The address belongs to another instance. */
     STATUS_SERVER_ERROR = 500,
     STATUS_UNAVAILABLE = 503,
-    MEGABYTE = 1024 * 1024,
-    PERCENT = 100,
-    /** Of the memory; the turn cache has 25 %, and an answer is copied as it is handed over. */
-    ANSWERS_SHARE_PERCENT = 40,
+    KEPT_BODY_BYTES = 4096, /**< A buffer of up to this size is used for the next send. */
 };
 
 static void release_backend(call_t *call) {
@@ -180,9 +177,9 @@
 }
 
 void call_clear_body(call_t *call) {
-    call->gateway->answer_bytes -= call->held_bytes;
+    memory_account_release(&call->gateway->memory, call->held_bytes);
     call->held_bytes = 0;
-    if (call->body->allocated_len <= ANSWER_SMALL_BODY_BYTES) {
+    if (call->body->allocated_len <= KEPT_BODY_BYTES) {
         g_string_truncate(call->body, 0);
         return;
     }
@@ -190,34 +187,22 @@
     call->body = g_string_new(NULL);
 }
 
-/** Bound of the bodies that are received and of the answers that callers have not read, in bytes.
- */
-static size_t answers_max_bytes(const gateway_t *gateway) {
-    uint64_t memory = (uint64_t)gateway->settings->memory_megabytes * MEGABYTE;
-    return MAX((size_t)(memory * ANSWERS_SHARE_PERCENT / PERCENT), (size_t)ANSWER_BODIES_MAX_BYTES);
-}
-
-/** Appends to the body; false if this answer, or those of all calls, would become too large. */
+/** Appends to the body; false if the account is short. */
 static bool hold_body(call_t *call, const char *data, size_t length) {
-    gateway_t *gateway = call->gateway;
     size_t size = call->body->len + length;
-    size_t all = gateway->answer_bytes + length;
-    bool all_fit = all <= ANSWER_BODIES_MAX_BYTES &&
-                   all + http_listener_unsent_bytes(gateway->calls) <= answers_max_bytes(gateway);
-    if (size > ANSWER_BODY_MAX_BYTES || (size > ANSWER_SMALL_BODY_BYTES && !all_fit))
+    if (!memory_account_take(&call->gateway->memory, length, size))
         return false;
     g_string_append_len(call->body, data, (gssize)length);
     call->held_bytes += length;
-    gateway->answer_bytes += length;
     return true;
 }
 
-/** True if the answer tells a length that exceeds the bound, and its body will follow. */
-static bool body_is_too_long(const call_t *call, const http_answer_head_t *head) {
+/** Length of the body that will follow, if the answer tells it; else 0. */
+static uint64_t body_length_of_answer(const call_t *call, const http_answer_head_t *head) {
     if (strcmp(call->request->method, "HEAD") == 0 || head->status == STATUS_NOT_MODIFIED)
-        return false;
+        return 0;
     const char *length = http_headers_find(head->headers, "Content-Length");
-    return length != NULL && strtoull(length, NULL, 10) > ANSWER_BODY_MAX_BYTES;
+    return length == NULL ? 0 : strtoull(length, NULL, 10);
 }
 
 /** The answer exceeds a bound. Called from the parser of its connection. */
@@ -230,6 +215,19 @@
     call_handle_unknown_outcome(call, CALL_BAD_ANSWER);
 }
 
+/**
+ * The answer can't be held, which is no fault of its back end. Another one's would not fit either.
+ * Called from the parser of its connection.
+ */
+static void fail_for_memory(call_t *call) {
+    call_log_send_failed(call, "no_memory");
+    if (call->client != NULL)
+        http_client_close(call->client);
+    call->client = NULL;
+    call->may_have_run = true;
+    call_fail(call, CALL_NO_MEMORY);
+}
+
 static void reject_endless_answer(call_t *call) {
     backend_record_unsound(call->backend);
     load_sharing_report_now(call->gateway->load_sharing, CONTROL_CAN_WAIT);
@@ -258,12 +256,18 @@
         return false;
     }
     bool streaming = call->route->kind == CALL_STREAM && is_success(head->status);
-    if (!streaming && body_is_too_long(call, head)) {
+    uint64_t length = streaming ? 0 : body_length_of_answer(call, head);
+    if (length > ANSWER_BODY_MAX_BYTES) {
         call_log_send_failed(call, "answer_too_long");
         call->client = NULL;
         call_handle_unknown_outcome(call, CALL_BAD_ANSWER);
         return false;
     }
+    if (length > 0 && !memory_account_fits(&call->gateway->memory, (size_t)length)) {
+        call->client = NULL;
+        fail_for_memory(call);
+        return false;
+    }
     call_speed_record_head(call, head->status);
     call->misdirected = head->status == STATUS_MISDIRECTED;
     call->not_run = call->misdirected ||
@@ -295,8 +299,10 @@
     record_answer(call);
     if (!call->streaming) {
         record_progress(call);
-        if (!hold_body(call, data, length))
+        if (call->body->len + length > ANSWER_BODY_MAX_BYTES)
             reject_endless_answer(call);
+        else if (!hold_body(call, data, length))
+            fail_for_memory(call);
         return;
     }
     size_t before = call->body->len;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -120,7 +120,6 @@
     watch_state_t watch_state; /**< Of the watch role that gateways share. */
     gateway_counters_t counters;
     GQueue active_calls; /**< Of call_t, in order of arrival. */
-    size_t answer_bytes; /**< Held by all calls; see net/answer_limits.h. */
     uint64_t started_at;
     bool stores_reached;   /**< A quorum has been connected, or was awaited long enough. */
     outage_t store_outage; /**< Storage nodes can't respond for budgets or turns. */
--- a/src/net/answer_limits.h
+++ b/src/net/answer_limits.h
@@ -2,7 +2,8 @@
  * @file answer_limits.h
  * What one answer may hold before it counts as none. Whoever is at the other end may send bytes
  * that are no answer for as long as the connection is open, so every reader of answers has a bound:
- * for back ends, for the key-value service, and for all answers of a process together.
+ * for back ends and for the key-value service. What all answers may hold together is bounded by the
+ * process's memory account.
  */
 #ifndef RUDDERWAY_NET_ANSWER_LIMITS_H
 #define RUDDERWAY_NET_ANSWER_LIMITS_H
@@ -15,10 +16,6 @@
     ANSWER_BODY_MAX_BYTES = 16 * 1024 * 1024,
     /** Of a stream: an event, with all comments since the one before. */
     ANSWER_EVENT_MAX_BYTES = 1024 * 1024,
-    /** Bodies of all calls of a gateway together, until their callers get them. */
-    ANSWER_BODIES_MAX_BYTES = 48 * 1024 * 1024,
-    /** A body up to this size is accepted though the others take up ANSWER_BODIES_MAX_BYTES. */
-    ANSWER_SMALL_BODY_BYTES = 256 * 1024,
     /** One page of a listing, or the changes of one watch, of the key-value service. */
     KEY_VALUE_ANSWER_MAX_BYTES = 32 * 1024 * 1024,
 };
--- a/src/net/http_answer.c
+++ b/src/net/http_answer.c
@@ -6,25 +6,55 @@
 
 const char http_status_line_begin[] = "HTTP/1.1 ";
 
+enum { PARTS = 2 };
+
+/** Parts of an answer, in their order. */
+typedef struct {
+    GString *strings[PARTS]; /**< The second one may be NULL. */
+    size_t length;           /**< Of both. */
+    bool admitted;           /**< They have been in the account: they may wait in any case. */
+} parts_t;
+
 typedef struct {
     uv_write_t request;
     http_caller_t *caller;
-    GString *bytes;
+    parts_t parts;
 } pending_write_t;
 
+static parts_t make_parts(GString *first, GString *second) {
+    size_t length = first->len + (second == NULL ? 0 : second->len);
+    return (parts_t){.strings = {first, second}, .length = length, .admitted = second != NULL};
+}
+
+static void free_parts(const parts_t *parts) {
+    for (unsigned i = 0; i < PARTS; i++)
+        if (parts->strings[i] != NULL)
+            g_string_free(parts->strings[i], TRUE);
+}
+
 /** The write holds all of its bytes until the last one is taken. */
 static void begin_pending(pending_write_t *write) {
     write->caller->pending_writes++;
-    write->caller->listener->unsent_bytes += write->bytes->len;
+    write->caller->listener->unsent_bytes += write->parts.length;
 }
 
 static void end_pending(pending_write_t *write) {
     write->caller->pending_writes--;
-    write->caller->listener->unsent_bytes -= write->bytes->len;
-    g_string_free(write->bytes, TRUE);
+    write->caller->listener->unsent_bytes -= write->parts.length;
+    memory_account_release(write->caller->listener->account, write->parts.length);
+    free_parts(&write->parts);
     g_free(write);
 }
 
+/** True if the parts may wait for their caller; they count in the account then. */
+static bool may_wait(const http_caller_t *caller, const parts_t *parts) {
+    memory_account_t *account = caller->listener->account;
+    if (!parts->admitted)
+        return memory_account_take(account, parts->length, parts->length);
+    memory_account_add(account, parts->length);
+    return true;
+}
+
 static void on_written(uv_write_t *request, int status) {
     pending_write_t *write = request->data;
     http_caller_t *caller = write->caller;
@@ -37,41 +67,76 @@
         http_caller_end_or_keep(caller);
 }
 
-/** Writes and takes over @p bytes. False if the caller is lost, which the owner will be told. */
-bool http_caller_write(http_caller_t *caller, GString *bytes) {
-    uv_stream_t *stream = (uv_stream_t *)&caller->tcp;
-    uv_buf_t buffer = uv_buf_init(bytes->str, (unsigned)bytes->len);
-    int written = 0;
-    if (!caller->broken && caller->pending_writes == 0) {
-        written = uv_try_write(stream, &buffer, 1);
-        if (written == UV_EAGAIN)
-            written = 0;
-    }
-    /* An answer that lacks a piece must not get its end, though there may be room for it by now. */
-    if (caller->broken || written < 0 || stream->write_queue_size > UNSENT_BYTES) {
-        g_string_free(bytes, TRUE);
-        caller->broken = true;
-        http_caller_arm_timer(caller, 0);
-        return false;
-    }
-    if ((size_t)written == bytes->len) {
-        g_string_free(bytes, TRUE);
-        return true;
+/** What is left of the parts once @p written bytes are; returns the number of buffers. */
+static unsigned list_unwritten(const parts_t *parts, size_t written, uv_buf_t *buffers) {
+    unsigned count = 0;
+    for (unsigned i = 0; i < PARTS && parts->strings[i] != NULL; i++) {
+        const GString *part = parts->strings[i];
+        size_t skipped = MIN(written, part->len);
+        written -= skipped;
+        if (skipped < part->len)
+            buffers[count++] = uv_buf_init(part->str + skipped, (unsigned)(part->len - skipped));
     }
+    return count;
+}
+
+/** Returns the bytes that the kernel took at once; below 0: the caller is lost. */
+static int write_at_once(http_caller_t *caller, const parts_t *parts) {
+    uv_stream_t *stream = (uv_stream_t *)&caller->tcp;
+    uv_buf_t buffers[PARTS];
+    if (caller->broken)
+        return UV_ECANCELED;
+    if (caller->pending_writes > 0)
+        return 0;
+    unsigned count = list_unwritten(parts, 0, buffers);
+    int written = count == 0 ? 0 : uv_try_write(stream, buffers, count);
+    return written == UV_EAGAIN ? 0 : written;
+}
+
+/** Writes the rest of the parts as the caller reads; false if the caller is lost. */
+static bool write_later(http_caller_t *caller, const parts_t *parts, size_t written) {
+    uv_buf_t buffers[PARTS];
+    unsigned count = list_unwritten(parts, written, buffers);
     pending_write_t *write = g_new0(pending_write_t, 1);
     write->caller = caller;
-    write->bytes = bytes;
+    write->parts = *parts;
     write->request.data = write;
-    buffer.base += written;
-    buffer.len -= (size_t)written;
     begin_pending(write);
-    if (uv_write(&write->request, stream, &buffer, 1, on_written) != 0) {
-        end_pending(write);
-        caller->broken = true;
-        http_caller_arm_timer(caller, 0);
-        return false;
+    if (uv_write(&write->request, (uv_stream_t *)&caller->tcp, buffers, count, on_written) == 0)
+        return true;
+    end_pending(write);
+    return false;
+}
+
+static bool lose_caller(http_caller_t *caller) {
+    caller->broken = true;
+    http_caller_arm_timer(caller, 0);
+    return false;
+}
+
+/** As http_caller_write(), for parts. */
+static bool write_parts(http_caller_t *caller, const parts_t *parts) {
+    int written = write_at_once(caller, parts);
+    if (written >= 0 && (size_t)written == parts->length) {
+        free_parts(parts);
+        return true;
     }
-    return true;
+    /* An answer that lacks a piece must not get its end, though there may be room for it by now. */
+    if (written < 0 || http_caller_unsent_bytes(caller) > UNSENT_BYTES ||
+        !may_wait(caller, parts)) {
+        free_parts(parts);
+        return lose_caller(caller);
+    }
+    return write_later(caller, parts, (size_t)written) || lose_caller(caller);
+}
+
+bool http_caller_write(http_caller_t *caller, GString *bytes) {
+    parts_t parts = make_parts(bytes, NULL);
+    return write_parts(caller, &parts);
+}
+
+size_t http_caller_unsent_bytes(const http_caller_t *caller) {
+    return uv_stream_get_write_queue_size((const uv_stream_t *)&caller->tcp);
 }
 
 static const char *status_text(unsigned status) {
@@ -131,23 +196,40 @@
     return caller->state == CALLER_ANSWERING && caller->parser.method == HTTP_HEAD;
 }
 
-void http_caller_answer(http_caller_t *caller, unsigned status, const char *fields,
-                        const char *body, size_t length) {
+/** Head of an answer with a body of @p length bytes. */
+static GString *begin_answer(http_caller_t *caller, unsigned status, const char *fields,
+                             size_t length) {
     caller->data = NULL;
     caller->keep = will_keep(caller);
     if (caller->state == CALLER_READING)
         http_caller_drop_request(caller);
-    GString *bytes = answer_head(caller, status, fields);
-    bool head_only = is_head_only(caller);
-    if (!head_only)
-        g_string_append_printf(bytes, "Content-Length: %zu\r\n", length);
-    g_string_append(bytes, "\r\n");
-    if (length > 0 && !head_only)
+    GString *head = answer_head(caller, status, fields);
+    if (!is_head_only(caller))
+        g_string_append_printf(head, "Content-Length: %zu\r\n", length);
+    g_string_append(head, "\r\n");
+    return head;
+}
+
+void http_caller_answer(http_caller_t *caller, unsigned status, const char *fields,
+                        const char *body, size_t length) {
+    GString *bytes = begin_answer(caller, status, fields, length);
+    if (length > 0 && !is_head_only(caller))
         g_string_append_len(bytes, body, (gssize)length);
     if (http_caller_write(caller, bytes))
         finish_answer(caller);
 }
 
+void http_caller_answer_string(http_caller_t *caller, unsigned status, const char *fields,
+                               GString *body) {
+    bool has_body = !is_head_only(caller);
+    parts_t parts = make_parts(begin_answer(caller, status, fields, body->len),
+                               has_body ? body : NULL);
+    if (!has_body)
+        g_string_free(body, TRUE);
+    if (write_parts(caller, &parts))
+        finish_answer(caller);
+}
+
 static void append_piece(const http_caller_t *caller, GString *bytes, const char *data,
                          size_t length) {
     if (length == 0 || is_head_only(caller))
--- a/src/net/http_caller.h
+++ b/src/net/http_caller.h
@@ -130,7 +130,10 @@
 
 /** What each answer begins with. */
 extern const char http_status_line_begin[];
-/** Writes and takes over @p bytes. False if the caller is lost, which the owner will be told. */
+/**
+ * Writes and takes over @p bytes. False if the caller is lost, which the owner will be told; so is
+ * one for whom they can't wait, since the account is short.
+ */
 bool http_caller_write(http_caller_t *caller, GString *bytes);
 
 /** The caller has ended its side. */
--- a/src/net/http_listener.h
+++ b/src/net/http_listener.h
@@ -82,6 +82,8 @@
  * not in there. */
 size_t http_listener_unsent_bytes(const http_listener_t *listener);
 unsigned http_listener_active(const http_listener_t *listener);
+/** Of those, what waits until this caller reads. */
+size_t http_caller_unsent_bytes(const http_caller_t *caller);
 
 /** The connection is to end after this caller's answer, which says so; before it is answered. */
 void http_caller_close_after_answer(http_caller_t *caller);
@@ -100,6 +102,12 @@
  */
 void http_caller_answer(http_caller_t *caller, unsigned status, const char *fields,
                         const char *body, size_t length);
+/**
+ * As http_caller_answer(), for a @p body that is taken over and not copied. It has counted in the
+ * account until just before, and goes on doing so until it is written.
+ */
+void http_caller_answer_string(http_caller_t *caller, unsigned status, const char *fields,
+                               GString *body);
 /** Begins an answer of unknown length; @p data may hold its first bytes. HEAD gets no bytes. */
 void http_caller_begin(http_caller_t *caller, unsigned status, const char *fields, const char *data,
                        size_t length);
