gateway: a back end is held up while its caller reads no events

100 callers that read streams of 12 MB at 2 kB/s made a gateway with 48 MB hold 322 MB.

Cause: events were forwarded as fast as back ends sent them. Up to 4 MiB waited for each caller, and nothing counted them, nor the event that is not complete and the output that a turn collects.

A back end is not read while more than 64 KiB of its events wait, and is read on once the caller has taken all; the listener tells when (on_drained). Meanwhile the call is not watched for stalls, and the stream's pace does not count as its back end's speed, since it is the caller's. The limits on time are unchanged: a caller that reads too slowly is cut off at the route's timeout as before. Weighed: to cut off callers at a smaller bound, which also hits ordinary ones on a slow way; TCP has the means to make the sender wait.

--- a/src/cluster/metrics_page.c
+++ b/src/cluster/metrics_page.c
@@ -31,7 +31,7 @@
     (void)caller;
 }
 
-static const http_listener_handler_t handler = {on_request, on_gone, NULL};
+static const http_listener_handler_t handler = {on_request, on_gone, NULL, NULL};
 
 bool metrics_page_open(metrics_page_t *page, uv_loop_t *loop, const process_settings_t *settings,
                        void (*append)(void *owner, GString *text), void *owner) {
--- a/src/gateway/call.c
+++ b/src/gateway/call.c
@@ -117,6 +117,8 @@
     log_end(call, status, reason);
     call_cancel_exchange(call);
     call_clear_body(call);
+    memory_account_release(&call->gateway->memory, call->stream_bytes);
+    call->stream_bytes = 0;
     call_registration_end(call);
     call_turn_end(call);
     call_version_end(call);
@@ -259,6 +261,7 @@
         http_caller_piece(call->caller, call->body->str, call->body->len);
     }
     g_string_truncate(call->body, 0);
+    call_pause_if_unread(call);
 }
 
 void call_finish_stream(call_t *call) {
@@ -429,4 +432,12 @@
               call->events.events, uv_now(gateway->loop) - call->arrived_at);
 }
 
-const http_listener_handler_t call_listener_handler = {on_request, on_disconnect, on_input_ended};
+static void on_drained(void *owner, http_caller_t *caller) {
+    (void)owner;
+    call_t *call = http_caller_data(caller);
+    if (call != NULL)
+        call_resume(call);
+}
+
+const http_listener_handler_t call_listener_handler = {on_request, on_disconnect, on_input_ended,
+                                                       on_drained};
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -165,6 +165,9 @@
     GString *body;     /**< A complete response, or events to be forwarded. */
     size_t held_bytes; /**< Of a response that is not streamed; counted in gateway_t. */
     event_stream_t events;
+    size_t stream_bytes; /**< Of `events`, as counted in the memory account. */
+    bool paused;         /**< The back end is held up until the caller has read its events. */
+    bool was_paused;     /**< During the current send, whose pace is the caller's then. */
     unsigned events_before; /**< Events of the sends before the current one. */
     call_speed_t speed;
     call_turn_t turn;
@@ -223,6 +226,10 @@
 void call_exclude_backend(call_t *call);
 /** Discards what has been received of a response that is not streamed. */
 void call_clear_body(call_t *call);
+/** Holds the back end up if the caller has left many events unread. */
+void call_pause_if_unread(call_t *call);
+/** The caller has read all that was forwarded: the back end may go on. */
+void call_resume(call_t *call);
 /** Closes the connection to the back end, whose answer is not complete. */
 void call_close_client(call_t *call);
 /** Closes the exchange with the back end, which cancels its work, and releases the back end. */
--- a/src/gateway/call_send.c
+++ b/src/gateway/call_send.c
@@ -34,6 +34,8 @@
     STATUS_MISDIRECTED = 421, /**< The address belongs to another instance. */
     STATUS_SERVER_ERROR = 500,
     STATUS_UNAVAILABLE = 503,
+    /** Events that a caller leaves unread hold its back end up beyond this. */
+    UNREAD_EVENTS_BYTES = 64 * 1024,
     KEPT_BODY_BYTES = 4096, /**< A buffer of up to this size is used for the next send. */
 };
 
@@ -228,6 +230,43 @@
     call_fail(call, CALL_NO_MEMORY);
 }
 
+void call_pause_if_unread(call_t *call) {
+    bool unread = http_caller_unsent_bytes(call->caller) > UNREAD_EVENTS_BYTES;
+    if (!unread || call->paused || call->client == NULL)
+        return;
+    call->paused = true;
+    call->was_paused = true;
+    http_client_pause(call->client);
+    /* The back end is silent because it is not read. */
+    stall_watch_remove(&call->gateway->stall_watch, call);
+}
+
+void call_resume(call_t *call) {
+    if (!call->paused)
+        return;
+    call->paused = false;
+    if (call->client == NULL)
+        return;
+    record_progress(call);
+    record_received(call);
+    if (call_repeatable(call))
+        stall_watch_add(&call->gateway->stall_watch, call);
+    http_client_resume(call->client);
+}
+
+/** Counts what the stream's parser holds; false if it doesn't fit. */
+static bool hold_stream(call_t *call) {
+    memory_account_t *memory = &call->gateway->memory;
+    size_t size = call->events.partial->len + call->events.output->len;
+    if (size > call->stream_bytes &&
+        !memory_account_take(memory, size - call->stream_bytes, size))
+        return false;
+    if (size < call->stream_bytes)
+        memory_account_release(memory, call->stream_bytes - size);
+    call->stream_bytes = size;
+    return true;
+}
+
 static void reject_endless_answer(call_t *call) {
     backend_record_unsound(call->backend);
     load_sharing_report_now(call->gateway->load_sharing, CONTROL_CAN_WAIT);
@@ -313,6 +352,11 @@
         reject_endless_answer(call);
         return;
     }
+    if (!hold_stream(call)) {
+        g_string_truncate(call->body, before);
+        fail_for_memory(call);
+        return;
+    }
     if (call->events.events > events)
         record_progress(call);
     call_speed_record_events(call);
@@ -357,6 +401,9 @@
 static void on_complete(void *user) {
     call_t *call = user;
     bool ended_by_close = http_client_answer_ended_by_close(call->client);
+    if (call->paused)
+        http_client_resume(call->client);
+    call->paused = false;
     backend_return_connection(call->backend, call->client);
     call->client = NULL;
     /* The response is complete: the call no longer waits for the back end. */
@@ -510,6 +557,8 @@
         call_clear_body(call);
     call->not_run = false;
     call->answered = false;
+    call->paused = false;
+    call->was_paused = false;
     call->version_recorded = false;
     call->left_on_suspicion = false;
     call->events_before = call->events.events;
--- a/src/gateway/call_speed.c
+++ b/src/gateway/call_speed.c
@@ -33,7 +33,8 @@
 void call_speed_record_stream(const call_t *call) {
     const call_speed_t *speed = &call->speed;
     unsigned gaps = call->events.events - speed->first_events;
-    if (speed->sent_at != call->sent_at || speed->first_at == 0 || gaps < MIN_EVENT_GAPS)
+    if (call->was_paused || speed->sent_at != call->sent_at || speed->first_at == 0 ||
+        gaps < MIN_EVENT_GAPS)
         return;
     uint64_t us = (speed->last_at - speed->first_at) * US_PER_MS / gaps;
     backend_speeds_record_stream(call->backend, (uint32_t)MIN(us, UINT32_MAX), call->sent_at);
--- a/src/gateway/reports.c
+++ b/src/gateway/reports.c
@@ -177,7 +177,7 @@
 }
 
 static const http_listener_handler_t readiness_handler = {on_readiness, on_caller_disconnected,
-                                                          NULL};
+                                                          NULL, NULL};
 
 bool gateway_open_reports(gateway_t *gateway) {
     const process_settings_t *settings = gateway->settings;
--- a/src/net/http_answer.c
+++ b/src/net/http_answer.c
@@ -55,6 +55,13 @@
     return true;
 }
 
+static void tell_drained(http_caller_t *caller) {
+    const http_listener_t *listener = caller->listener;
+    bool goes_on = caller->state == CALLER_ANSWERING && caller->head_written && !caller->broken;
+    if (goes_on && listener->handler->on_drained != NULL)
+        listener->handler->on_drained(listener->owner, caller);
+}
+
 static void on_written(uv_write_t *request, int status) {
     pending_write_t *write = request->data;
     http_caller_t *caller = write->caller;
@@ -65,6 +72,8 @@
         http_caller_lost(caller);
     else if (caller->state == CALLER_WRITING && caller->pending_writes == 0)
         http_caller_end_or_keep(caller);
+    else if (caller->pending_writes == 0)
+        tell_drained(caller);
 }
 
 /** What is left of the parts once @p written bytes are; returns the number of buffers. */
--- a/src/net/http_listener.h
+++ b/src/net/http_listener.h
@@ -42,6 +42,8 @@
     void (*on_gone)(void *owner, http_caller_t *caller);
     /** The caller has ended its side before its answer ended, and may read on. May be NULL. */
     void (*on_input_ended)(void *owner, http_caller_t *caller);
+    /** Nothing waits to be written any more of an answer that goes on. May be NULL. */
+    void (*on_drained)(void *owner, http_caller_t *caller);
 } http_listener_handler_t;
 
 /** Listens on @p address; NULL if that is not possible. */
--- a/tests/platform/platform_standin.c
+++ b/tests/platform/platform_standin.c
@@ -276,9 +276,9 @@
     (void)caller;
 }
 
-static const http_listener_handler_t store_handler = {on_store_request, on_store_gone, NULL};
-static const http_listener_handler_t engine_handler = {on_engine_request, on_engine_gone, NULL};
-static const http_listener_handler_t service_handler = {on_service_request, on_service_gone, NULL};
+static const http_listener_handler_t store_handler = {on_store_request, on_store_gone, NULL, NULL};
+static const http_listener_handler_t engine_handler = {on_engine_request, on_engine_gone, NULL, NULL};
+static const http_listener_handler_t service_handler = {on_service_request, on_service_gone, NULL, NULL};
 static const http_limits_t limits = {65536, 1 << 26, 10000, 60000};
 
 static void put_json(const char *key, const char *text) {
--- a/tests/unit/http_request_forms_test.cc
+++ b/tests/unit/http_request_forms_test.cc
@@ -164,7 +164,7 @@
     static const http_listener_handler_t handler;
 };
 
-const http_listener_handler_t HttpRequestForms::handler = {on_request, on_gone, nullptr};
+const http_listener_handler_t HttpRequestForms::handler = {on_request, on_gone, nullptr, nullptr};
 
 /** How often a field stands in the head of @p request. */
 size_t count_field(const std::string &request, const std::string &name) {
--- a/tests/unit/key_value_watch_test.cc
+++ b/tests/unit/key_value_watch_test.cc
@@ -96,7 +96,7 @@
 void on_gone(void *, http_caller_t *) {
 }
 
-const http_listener_handler_t service_handler = {on_request, on_gone, nullptr};
+const http_listener_handler_t service_handler = {on_request, on_gone, nullptr, nullptr};
 
 void on_item(void *owner, const key_value_item_t *) {
     static_cast<Watcher *>(owner)->items++;
--- a/tests/unit/listener_memory_test.cc
+++ b/tests/unit/listener_memory_test.cc
@@ -147,7 +147,7 @@
     static const http_listener_handler_t handler;
 };
 
-const http_listener_handler_t ListenerMemory::handler = {on_request, on_gone, nullptr};
+const http_listener_handler_t ListenerMemory::handler = {on_request, on_gone, nullptr, nullptr};
 
 // Guards against bodies without end that have a bound each and none together.
 TEST_F(ListenerMemory, ABodyThatHasStoppedToArriveGivesWay) {
