gateway: a turn is in memory once and as the request that stores it

100 callers with first turns of 900 kB made a gateway with 48 MB hold 426 MB; 25 with conversations of such turns, 101 MB.

Cause: beside the body of the caller's connection a turn was copied as its call completed, again for the cache, and encoded once for each storage node; none of this counted in the account. Reads of previous turns and what the cache keeps besides input and output counted nowhere either.

Input and output are bytes with references now, from the caller's connection over the request that stores the turn to the cache, and count once. The request is encoded once for all members. What it needs is taken before the call is sent, so that a turn which has run can be stored; if it doesn't fit, the call is refused with 503 (no_memory) before anything was asked of storage nodes. A read of a chain takes a piece (1 MiB) before it is asked for.

--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -72,6 +72,9 @@
     bool previous_read;          /**< The previous turn was read from the storage nodes. */
     uint64_t extended_until;     /**< Until when storage nodes are asked to keep the chain. */
     bool prompt_ready;
+    GBytes *output;      /**< Of the complete stream. */
+    size_t stored_bytes; /**< In the memory account, for the request that will store the turn. */
+    size_t read_bytes;   /**< In the memory account, for the read of previous turns. */
     uint64_t stored_until; /**< Until when storage nodes keep the call's own turn at least. */
 } call_turn_t;
 
--- a/src/gateway/call_turn.c
+++ b/src/gateway/call_turn.c
@@ -38,6 +38,7 @@
     CHAIN_READS_MAX = 64,
     /** Of a caller's 4 s, 1 s is left: SPILL_DELAY_MS of store/turn_spill.c and a short run. */
     RESERVE_TIME_PERCENT = 75,
+    CHAIN_PIECE_BYTES = 1024 * 1024, /**< Of a chain, at most, unless it is one larger turn. */
 };
 
 void call_turn_send_if_ready(call_t *call) {
@@ -179,16 +180,29 @@
 }
 
 static void add_chain(call_t *call, const GArray *turns) {
+    gateway_t *gateway = call->gateway;
     for (guint i = 0; i < turns->len; i++) {
         const turn_t *turn = &g_array_index(turns, turn_t, i);
-        chain_cache_add(&call->gateway->chains, turn,
+        turn_t counted = *turn;
+        counted.input = memory_account_wrap_bytes(&gateway->memory, turn->input);
+        counted.output = memory_account_wrap_bytes(&gateway->memory, turn->output);
+        chain_cache_add(&gateway->chains, &counted,
                         call->turn.chain_requested_at + turn->retention_ms);
+        g_bytes_unref(counted.input);
+        g_bytes_unref(counted.output);
     }
 }
 
+/** The read of previous turns has ended. */
+static void release_read(call_t *call) {
+    memory_account_release(&call->gateway->memory, call->turn.read_bytes);
+    call->turn.read_bytes = 0;
+}
+
 static void on_chain_verdict(void *owner, verdict_t verdict, const GArray *turns) {
     call_t *call = owner;
     call->turn.chain_operation = NULL;
+    release_read(call);
     if (verdict == VERDICT_YES) {
         add_chain(call, turns);
         assemble_prompt(call);
@@ -239,6 +253,11 @@
         call_refuse(call, STATUS_UNAVAILABLE, CALL_TURN_UNKNOWN);
         return;
     }
+    if (!memory_account_take(&gateway->memory, CHAIN_PIECE_BYTES, CHAIN_PIECE_BYTES)) {
+        call_refuse(call, STATUS_UNAVAILABLE, CALL_NO_MEMORY);
+        return;
+    }
+    turn->read_bytes = CHAIN_PIECE_BYTES;
     turn->chain_reads++;
     turn->previous_read =
         turn->previous_read || g_strcmp0(id, call_field(call, FIELD_PREVIOUS_TURN)) == 0;
@@ -311,11 +330,32 @@
     }
 }
 
+/**
+ * Takes what the request to the storage nodes will need besides the body, so that a turn that has
+ * run can be stored.
+ */
+static bool hold_stored_turn(call_t *call) {
+    size_t length = call->request->body_length;
+    if (!memory_account_take(&call->gateway->memory, length, length))
+        return false;
+    call->turn.stored_bytes = length;
+    return true;
+}
+
+static void release_stored_turn(call_t *call) {
+    memory_account_release(&call->gateway->memory, call->turn.stored_bytes);
+    call->turn.stored_bytes = 0;
+}
+
 void call_turn_begin(call_t *call) {
     if (call->route->keeps_turns && call->request->body_length > TURN_INPUT_MAX_BYTES) {
         call_refuse(call, STATUS_TOO_LARGE, CALL_TURN_TOO_LARGE);
         return;
     }
+    if (call->route->keeps_turns && !hold_stored_turn(call)) {
+        call_refuse(call, STATUS_UNAVAILABLE, CALL_NO_MEMORY);
+        return;
+    }
     if (!begin_reserve(call))
         return;
     const char *previous = call_field(call, FIELD_PREVIOUS_TURN);
@@ -350,8 +390,9 @@
     return (turn_t){
         .id = g_strdup(call->id),
         .parent = g_strdup(previous == NULL ? "" : previous),
-        .input = g_bytes_new(call->request->body, call->request->body_length),
-        .output = g_bytes_new(call->events.output->str, call->events.output->len),
+        .input = call->request->body_bytes == NULL ? g_bytes_new(NULL, 0)
+                                                   : g_bytes_ref(call->request->body_bytes),
+        .output = g_bytes_ref(call->turn.output),
         .retention_ms = turn_retention(call),
         .tenant = g_strdup(tenant_name(call)),
     };
@@ -375,11 +416,22 @@
 
 static const store_operation_handler_t put_handler = {NULL, on_turn_stored};
 
+/** Hands the collected output over to bytes that the stored and the cached turn refer to. */
+static void take_output(call_t *call) {
+    size_t length = call->events.output->len;
+    call->turn.output =
+        memory_account_wrap_string(&call->gateway->memory, call->events.output);
+    call->events.output = g_string_new(NULL);
+    call->stream_bytes -= MIN(length, call->stream_bytes);
+}
+
 void call_turn_stream_completed(call_t *call) {
     if (!call->route->keeps_turns) {
         call_finish_stream(call);
         return;
     }
+    take_output(call);
+    release_stored_turn(call);
     turn_t turn = build_turn(call);
     call->turn.stored_until = uv_now(call->gateway->loop) + turn.retention_ms;
     call->turn.put_operation = store_client_put_turn(call->gateway->stores, &turn,
@@ -406,6 +458,9 @@
         if (operations[i] != NULL)
             store_operation_cancel(operations[i]);
     call->gateway->counters.turns_not_kept += turn->put_operation != NULL;
+    release_read(call);
+    release_stored_turn(call);
+    g_clear_pointer(&turn->output, g_bytes_unref);
     turn->reserve_operation = NULL;
     turn->chain_operation = NULL;
     turn->put_operation = NULL;
--- a/src/gateway/chain_cache.c
+++ b/src/gateway/chain_cache.c
@@ -10,12 +10,19 @@
     cache->recent = g_queue_new();
     cache->bytes = 0;
     cache->limit = limit;
+    cache->account = NULL;
+}
+
+/** What a cached turn holds besides input and output, which its owners count. */
+static size_t entry_bytes(const turn_t *turn) {
+    return turn_memory_bytes(turn) - g_bytes_get_size(turn->input) - g_bytes_get_size(turn->output);
 }
 
 static void evict_oldest(chain_cache_t *cache) {
     cached_turn_t *cached = g_queue_pop_head(cache->recent);
     g_hash_table_remove(cache->entries, cached->turn.id);
     cache->bytes -= turn_memory_bytes(&cached->turn);
+    memory_account_release(cache->account, entry_bytes(&cached->turn));
     turn_clear(&cached->turn);
     g_free(cached);
 }
@@ -53,6 +60,7 @@
         g_queue_push_tail(cache->recent, cached);
         g_hash_table_insert(cache->entries, cached->turn.id, g_queue_peek_tail_link(cache->recent));
         cache->bytes += turn_memory_bytes(&cached->turn);
+        memory_account_add(cache->account, entry_bytes(&cached->turn));
     }
     chain_cache_extend(cache, turn->id, kept_until);
     while (cache->bytes > cache->limit && g_queue_get_length(cache->recent) > 1)
--- a/src/gateway/chain_cache.h
+++ b/src/gateway/chain_cache.h
@@ -10,6 +10,7 @@
 #ifndef RUDDERWAY_GATEWAY_CHAIN_CACHE_H
 #define RUDDERWAY_GATEWAY_CHAIN_CACHE_H
 
+#include "common/memory_account.h"
 #include "core/turns/turn_table.h"
 
 typedef struct {
@@ -17,6 +18,7 @@
     GQueue *recent;      /**< Of turn_t, least recently used first. */
     uint64_t bytes;
     uint64_t limit; /**< In bytes. */
+    memory_account_t *account; /**< For what turns hold besides input and output; may be NULL. */
 } chain_cache_t;
 
 void chain_cache_init(chain_cache_t *cache, uint64_t limit);
--- a/src/gateway/main.c
+++ b/src/gateway/main.c
@@ -120,6 +120,7 @@
         return false;
     gateway->stores = store_client_new(gateway->loop, settings->zone, settings->peer_text,
                                        &store_handler, gateway);
+    store_client_set_account(gateway->stores, &gateway->memory);
     if (settings->tolerated_zones > 0)
         gateway_watch_isolation(gateway);
     gateway->crashes =
@@ -138,6 +139,7 @@
     stall_watch_init(&gateway->stall_watch, gateway->loop);
     chain_cache_init(&gateway->chains,
                      settings->memory_megabytes * MEGABYTE * CACHE_SHARE_PERCENT / PERCENT);
+    gateway->chains.account = &gateway->memory;
     gateway->calls = http_listener_open(gateway->loop, &settings->calls, &default_limits,
                                         &call_listener_handler, gateway);
     if (gateway->calls == NULL)
--- a/src/gateway/store_client.c
+++ b/src/gateway/store_client.c
@@ -116,6 +116,10 @@
     return client;
 }
 
+void store_client_set_account(store_client_t *client, memory_account_t *account) {
+    client->account = account;
+}
+
 /** True if a write quorum of members is connected; @p direct_only leaves out relayed links. */
 static bool has_quorum(const store_client_t *client, bool direct_only) {
     unsigned open = 0;
--- a/src/gateway/store_client.h
+++ b/src/gateway/store_client.h
@@ -18,6 +18,7 @@
 #define RUDDERWAY_GATEWAY_STORE_CLIENT_H
 
 #include "cluster/message.h"
+#include "common/memory_account.h"
 #include "core/quorum/store_group.h"
 
 #include <uv.h>
@@ -72,6 +73,8 @@
 /** @p own_address is sent to the members, which announce it to other gateways. */
 store_client_t *store_client_new(uv_loop_t *loop, const char *zone, const char *own_address,
                                  const store_client_handler_t *handler, void *owner);
+/** Counts requests until they are sent in @p account, which outlives the client. */
+void store_client_set_account(store_client_t *client, memory_account_t *account);
 /** Requests the directory from connected members in rotation; false if none is connected. */
 bool store_client_request_directory(store_client_t *client);
 /** Announces to the members that this gateway has the directory up to @p revision. */
--- a/src/gateway/store_client_state.h
+++ b/src/gateway/store_client_state.h
@@ -45,6 +45,7 @@
     uv_timer_t check_timer;
     bool check_scheduled;   /**< check_timer is active. */
     uint64_t lag_probed_at; /**< When a call was last let through although disks lag. */
+    memory_account_t *account; /**< For requests that wait to be sent; NULL: they don't count. */
 };
 
 /**
@@ -57,6 +58,7 @@
     store_client_t *client;
     uint64_t number;
     message_t request;
+    GBytes *payload; /**< The encoded request, for all members; NULL: not encoded since a change. */
     uv_timer_t timer;
     uint64_t started_at;
     uint64_t requested_at; /**< When the requests whose replies are counted were sent. */
--- a/src/gateway/store_operation.c
+++ b/src/gateway/store_operation.c
@@ -25,11 +25,20 @@
 
 static void end_operation(store_operation_t *operation);
 
+/** The encoded request; it counts in the account until no member is left to send it to. */
+static GBytes *encode_request(store_operation_t *operation) {
+    if (operation->payload == NULL) {
+        operation->request.generation = operation->generation;
+        GBytes *encoded = message_encode(&operation->request);
+        operation->payload = memory_account_wrap_bytes(operation->client->account, encoded);
+        g_bytes_unref(encoded);
+    }
+    return operation->payload;
+}
+
 void store_operation_send(store_operation_t *operation, const member_t *member) {
-    if (!member->link->open)
-        return;
-    operation->request.generation = operation->generation;
-    store_link_send(member->link, message_encode(&operation->request));
+    if (member->link->open)
+        store_link_send(member->link, g_bytes_ref(encode_request(operation)));
 }
 
 bool store_operation_awaits(const store_operation_t *operation, unsigned index) {
@@ -54,6 +63,7 @@
     unsigned count = client->members->len;
     operation->generation = client->group->generation;
     operation->requested_at = uv_now(client->loop);
+    g_clear_pointer(&operation->payload, g_bytes_unref);
     free_replies(operation);
     /* One extra element, so that the arrays are not NULL in an empty group. */
     operation->verdicts = (reply_t *)g_new0(reply_t, count + 1);
@@ -371,6 +381,7 @@
 static void free_operation(uv_handle_t *handle) {
     store_operation_t *operation = handle->data;
     message_clear(&operation->request);
+    g_clear_pointer(&operation->payload, g_bytes_unref);
     free_replies(operation);
     g_free(operation);
 }
