store: large turns leave room for ordinary ones

Cause: all turns share one limit, whatever their size, and the space of a running call was estimated by the mean of earlier turns, so that concurrent large ones exceeded even that: 81 MB of 64 in one run.

A gateway announces a turn whose input exceeds 64 KiB with its size before the reserve. Storage nodes reserve that size, and accept such turns up to 38 % of the memory and 70 % of the disk only; what is left up to 50 % and 85 % is for others. Weighed: to give up the largest turns first, which breaks the promise of a turn that was acknowledged; a share for each tenant, which helps only where there are tenants. Not solved: a client with very many small turns can still fill all of it.

--- a/src/cluster/message.c
+++ b/src/cluster/message.c
@@ -296,6 +296,10 @@
         backend_codec(codec, &message->crash);
         codec_uint32(codec, &message->wait_ms);
         break;
+    case MESSAGE_TURN_SIZE:
+        codec_text(codec, &message->charge.call);
+        codec_uint64(codec, &message->size);
+        break;
     case RECORD_CRASH:
         crash_record_codec(codec, message);
         break;
--- a/src/cluster/message.h
+++ b/src/cluster/message.h
@@ -78,9 +78,14 @@
                     */
     MESSAGE_SEND_LEFT, /**< A call has left a back end, which may run its request for `wait_ms`
                           more; from a gateway, or passed on to one that is about to send it. */
+    MESSAGE_TURN_SIZE, /**< Before a REQUEST_RESERVE of the same call: its turn will be large.
+                          Members of earlier versions reject it, and estimate the size. */
     MESSAGE_TYPE_COUNT,
 } message_type_t;
 
+/** Turns whose input is larger are announced with MESSAGE_TURN_SIZE. */
+enum { LARGE_TURN_BYTES = 64 * 1024 };
+
 typedef enum {
     VERDICT_YES,    /**< Granted, found, or done. */
     VERDICT_NO,     /**< Refused, or there is no such record as far as a complete member knows. */
@@ -108,6 +113,7 @@
         wait_ms;     /**< Of an allowance: how long the call may wait; has to wait, or come back. */
     uint32_t lag_ms; /**< Of a disk: age of its oldest unfinished write. */
     bool room;       /**< The member can keep one more turn. */
+    uint64_t size;   /**< Of a turn's input, in bytes. */
     uint64_t time;   /**< Of the log, in ms. */
     uint64_t place;  /**< Hash of the back end's instance where the program last ran; 0: unknown. */
     uint64_t stream; /**< Key of a stream; see stream_versions.h. */
--- a/src/common/memory_account.h
+++ b/src/common/memory_account.h
@@ -49,11 +49,12 @@
 size_t memory_account_take_peak(memory_account_t *account);
 
 /**
- * Wraps @p data, of which the account holds @p length bytes already: they are released when the last
- * reference is gone. Takes over @p data, which g_free() frees.
+ * Wraps @p data, of which the account holds @p length bytes already: they are released when the
+ * last reference is gone. Takes over @p data, which g_free() frees.
  */
 GBytes *memory_account_wrap(memory_account_t *account, char *data, size_t length);
-/** As memory_account_wrap() for the text of @p string, which is freed, without its spare capacity. */
+/** As memory_account_wrap() for the text of @p string, which is freed, without its spare capacity.
+ */
 GBytes *memory_account_wrap_string(memory_account_t *account, GString *string);
 /** Bytes that refer to @p bytes, and count in the account for as long; whether they fit or not. */
 GBytes *memory_account_wrap_bytes(memory_account_t *account, GBytes *bytes);
--- a/src/core/turns/space_reservations.c
+++ b/src/core/turns/space_reservations.c
@@ -9,6 +9,7 @@
 typedef struct {
     char *call;
     uint64_t started_at;
+    uint64_t known_bytes;
 } reservation_t;
 
 static void free_reservation(gpointer data) {
@@ -22,6 +23,7 @@
     g_queue_init(&reservations->order);
     reservations->mean_bytes = 0;
     reservations->completed = 0;
+    reservations->known_bytes = 0;
 }
 
 void space_reservations_clear(space_reservations_t *reservations) {
@@ -30,17 +32,31 @@
 }
 
 void space_reservations_add(space_reservations_t *reservations, const char *call, uint64_t now) {
+    space_reservations_add_large(reservations, call, 0, now);
+}
+
+uint64_t space_reservations_known_bytes(const space_reservations_t *reservations,
+                                        const char *call) {
+    const GList *link = g_hash_table_lookup(reservations->calls, call);
+    return link == NULL ? 0 : ((const reservation_t *)link->data)->known_bytes;
+}
+
+void space_reservations_add_large(space_reservations_t *reservations, const char *call,
+                                  uint64_t bytes, uint64_t now) {
     if (g_hash_table_contains(reservations->calls, call))
         return;
     reservation_t *reservation = g_new0(reservation_t, 1);
     reservation->call = g_strdup(call);
     reservation->started_at = now;
+    reservation->known_bytes = bytes;
+    reservations->known_bytes += bytes;
     g_queue_push_tail(&reservations->order, reservation);
     g_hash_table_insert(reservations->calls, reservation->call, reservations->order.tail);
 }
 
 static void remove_reservation(space_reservations_t *reservations, GList *link) {
     reservation_t *reservation = link->data;
+    reservations->known_bytes -= reservation->known_bytes;
     g_hash_table_remove(reservations->calls, reservation->call);
     g_queue_delete_link(&reservations->order, link);
     free_reservation(reservation);
@@ -75,5 +91,6 @@
 
 uint64_t space_reservations_bytes(const space_reservations_t *reservations, uint64_t initial_mean) {
     double mean = reservations->completed == 0 ? (double)initial_mean : reservations->mean_bytes;
-    return (uint64_t)(mean * g_queue_get_length((GQueue *)&reservations->order));
+    return reservations->known_bytes +
+           (uint64_t)(mean * g_queue_get_length((GQueue *)&reservations->order));
 }
--- a/src/core/turns/space_reservations.h
+++ b/src/core/turns/space_reservations.h
@@ -21,16 +21,22 @@
 enum { SPACE_RESERVATION_TIMEOUT_MS = 60000 };
 
 typedef struct {
-    GHashTable *calls;  /**< Call id to its link in @c order. */
-    GQueue order;       /**< One reservation per call, oldest first. */
-    double mean_bytes;  /**< Moving average of the turn size of completed calls. */
-    uint64_t completed; /**< Number of calls in that average. */
+    GHashTable *calls;    /**< Call id to its link in @c order. */
+    GQueue order;         /**< One reservation per call, oldest first. */
+    double mean_bytes;    /**< Moving average of the turn size of completed calls. */
+    uint64_t completed;   /**< Number of calls in that average. */
+    uint64_t known_bytes; /**< Of the turns that are known to be large. */
 } space_reservations_t;
 
 void space_reservations_init(space_reservations_t *reservations);
 void space_reservations_clear(space_reservations_t *reservations);
 /** Reserves space for the turn of @p call; no effect if it has a reservation already. */
 void space_reservations_add(space_reservations_t *reservations, const char *call, uint64_t now);
+/** As space_reservations_add(), for a turn that is known to have @p bytes more than the mean. */
+void space_reservations_add_large(space_reservations_t *reservations, const char *call,
+                                  uint64_t bytes, uint64_t now);
+/** What space_reservations_add_large() was told of the call; 0: nothing. */
+uint64_t space_reservations_known_bytes(const space_reservations_t *reservations, const char *call);
 /** Ends the reservation of a call that wrote a turn of @p turn_bytes; 0: it wrote none. */
 void space_reservations_complete(space_reservations_t *reservations, const char *call,
                                  uint64_t turn_bytes);
--- a/src/gateway/call_turn.c
+++ b/src/gateway/call_turn.c
@@ -158,6 +158,7 @@
         .max_tokens = call->turn.max_tokens,
         .budget = strtoull(budget, NULL, 10),
         .stores_turn = call->route->keeps_turns,
+        .input_bytes = call->request->body_length,
         .timeout_ms = reserve_time(call),
     };
     call->turn.reserve_operation = store_client_reserve(stores, &reserve, &reserve_handler, call);
@@ -419,8 +420,7 @@
 /** Hands the collected output over to bytes that the stored and the cached turn refer to. */
 static void take_output(call_t *call) {
     size_t length = call->events.output->len;
-    call->turn.output =
-        memory_account_wrap_string(&call->gateway->memory, call->events.output);
+    call->turn.output = memory_account_wrap_string(&call->gateway->memory, call->events.output);
     call->events.output = g_string_new(NULL);
     call->stream_bytes -= MIN(length, call->stream_bytes);
 }
--- a/src/gateway/store_client.h
+++ b/src/gateway/store_client.h
@@ -135,11 +135,12 @@
 typedef struct {
     const char *program;
     const char *call;
-    uint64_t max_tokens; /**< Maximum number of tokens that the call can generate. */
-    uint64_t budget;     /**< Of the program, in tokens. */
-    bool stores_turn;    /**< The call's turn will be stored: a grant requires a write quorum of
-                              members with free space for it. */
-    uint64_t timeout_ms; /**< A granted reserve that is not durable by then fails. */
+    uint64_t max_tokens;  /**< Maximum number of tokens that the call can generate. */
+    uint64_t budget;      /**< Of the program, in tokens. */
+    bool stores_turn;     /**< The call's turn will be stored: a grant requires a write quorum of
+                               members with free space for it. */
+    uint64_t timeout_ms;  /**< A granted reserve that is not durable by then fails. */
+    uint64_t input_bytes; /**< Of that turn. */
 } store_reserve_t;
 
 store_operation_t *store_client_reserve(store_client_t *client, const store_reserve_t *reserve,
--- a/src/gateway/store_client_state.h
+++ b/src/gateway/store_client_state.h
@@ -43,8 +43,8 @@
     zone_isolation_t isolation;
     uint64_t suspected_at; /**< When another gateway reported a lost quorum; 0: not suspected. */
     uv_timer_t check_timer;
-    bool check_scheduled;   /**< check_timer is active. */
-    uint64_t lag_probed_at; /**< When a call was last let through although disks lag. */
+    bool check_scheduled;      /**< check_timer is active. */
+    uint64_t lag_probed_at;    /**< When a call was last let through although disks lag. */
     memory_account_t *account; /**< For requests that wait to be sent; NULL: they don't count. */
 };
 
@@ -74,8 +74,9 @@
     reply_t *charge_replies;       /**< By member. */
     budget_table_t merged_charges; /**< Of all charge replies. */
     bool stores_turn;              /**< Of a reserve: the turn will be stored. */
-    reply_t *space_replies;        /**< By member: whether it has space, on a disk that works. */
-    uint64_t last_engine;          /**< Hash of the back end last used; 0: unknown. */
+    GBytes *turn_size;      /**< Of a reserve: announces a large turn; NULL: it is not large. */
+    reply_t *space_replies; /**< By member: whether it has space, on a disk that works. */
+    uint64_t last_engine;   /**< Hash of the back end last used; 0: unknown. */
     bool granted;
     bool fanned_out; /**< Of a chain: sent to all members, not only the first. */
     const store_operation_handler_t *handler;
--- a/src/gateway/store_operation.c
+++ b/src/gateway/store_operation.c
@@ -37,8 +37,11 @@
 }
 
 void store_operation_send(store_operation_t *operation, const member_t *member) {
-    if (member->link->open)
-        store_link_send(member->link, g_bytes_ref(encode_request(operation)));
+    if (!member->link->open)
+        return;
+    if (operation->turn_size != NULL)
+        store_link_send(member->link, g_bytes_ref(operation->turn_size));
+    store_link_send(member->link, g_bytes_ref(encode_request(operation)));
 }
 
 bool store_operation_awaits(const store_operation_t *operation, unsigned index) {
@@ -382,6 +385,7 @@
     store_operation_t *operation = handle->data;
     message_clear(&operation->request);
     g_clear_pointer(&operation->payload, g_bytes_unref);
+    g_clear_pointer(&operation->turn_size, g_bytes_unref);
     free_replies(operation);
     g_free(operation);
 }
@@ -488,6 +492,19 @@
     return operation;
 }
 
+/** NULL if the turn of the call is not large. */
+static GBytes *encode_turn_size(const store_reserve_t *reserve) {
+    if (!reserve->stores_turn || reserve->input_bytes <= LARGE_TURN_BYTES)
+        return NULL;
+    message_t message;
+    message_init(&message, MESSAGE_TURN_SIZE);
+    message.charge.call = g_strdup(reserve->call);
+    message.size = reserve->input_bytes;
+    GBytes *encoded = message_encode(&message);
+    message_clear(&message);
+    return encoded;
+}
+
 store_operation_t *store_client_reserve(store_client_t *client, const store_reserve_t *reserve,
                                         const store_operation_handler_t *handler, void *owner) {
     store_operation_t *operation = start_operation(client, REQUEST_RESERVE, handler, owner);
@@ -496,6 +513,7 @@
     operation->request.charge.most = reserve->max_tokens;
     operation->budget = reserve->budget;
     operation->stores_turn = reserve->stores_turn;
+    operation->turn_size = encode_turn_size(reserve);
     operation->expires_at = operation->started_at + reserve->timeout_ms;
     store_operation_restart(operation);
     return operation;
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -165,6 +165,8 @@
 
 /** True if there is space for one more turn; logs each change of the result. */
 bool store_can_start_turn(store_t *store);
+/** As store_can_start_turn(), for a turn that is known to be large and has its reservation. */
+bool store_can_start_large_turn(store_t *store);
 /** True if there is space for the turn of a running call; counts turns refused or over limit. */
 bool store_accept_started_turn(store_t *store);
 /** True if the charge's call is recorded already, or there is memory and no recent write failed. */
--- a/src/store/store_requests.c
+++ b/src/store/store_requests.c
@@ -286,6 +286,16 @@
         append_charge(store, connection, request, record);
 }
 
+/** True if the turn of the call fits; a large one that does not gives its reservation back. */
+static bool has_room(store_t *store, const char *call) {
+    if (space_reservations_known_bytes(&store->reservations, call) == 0)
+        return store_can_start_turn(store);
+    bool room = store_can_start_large_turn(store);
+    if (!room)
+        space_reservations_cancel(&store->reservations, call);
+    return room;
+}
+
 static void handle_reserve(store_t *store, frame_connection_t *connection, message_t *request,
                            GBytes *record) {
     const budget_charge_t *charge = &request->charge;
@@ -294,13 +304,14 @@
     response.number = request->number;
     response.generation = store->group->generation;
     bool complete = store_is_complete(store);
+    bool is_large = space_reservations_known_bytes(&store->reservations, charge->call) > 0;
     bool accepted = complete && store_can_accept_reserve(store, charge);
     response.verdict = accepted ? VERDICT_YES : complete ? VERDICT_NO : VERDICT_UNSURE;
-    response.room = store_can_start_turn(store);
+    response.room = has_room(store, charge->call);
     store->reserves_refused += complete && !accepted;
     bool has_turn = g_hash_table_contains(store->pending_turns, charge->call) ||
                     turn_table_find(&store->turns, charge->call) != NULL;
-    if ((accepted || !complete) && !has_turn)
+    if ((accepted || !complete) && !has_turn && !is_large)
         space_reservations_add(&store->reservations, charge->call, now(store));
     if (accepted) {
         response.summary = budget_table_reserve(&store->budgets, charge->program, charge->call,
@@ -548,6 +559,10 @@
     case REQUEST_PROGRAM_ALLOWANCE:
         handle_member_request(store, connection, &request, record);
         break;
+    case MESSAGE_TURN_SIZE:
+        space_reservations_add_large(&store->reservations, request.charge.call, request.size,
+                                     now(store));
+        break;
     case REQUEST_SETTLE:
         handle_settle(store, connection, &request, record);
         break;
--- a/src/store/store_space.c
+++ b/src/store/store_space.c
@@ -34,6 +34,11 @@
 } space_limits_t;
 
 static const space_limits_t start_limits = {.turns = 50, .records = 78, .disk = 85};
+/**
+ * For turns of more than LARGE_TURN_BYTES: what is left up to start_limits is for ordinary ones, so
+ * that whoever sends large ones does not keep all others from being served.
+ */
+static const space_limits_t large_limits = {.turns = 38, .records = 66, .disk = 70};
 /**
  * Leaves headroom above start_limits for turns larger than the mean and for records copied from
  * other members. The process uses more memory than the tables account for, hence not 100 %: with
@@ -108,6 +113,11 @@
     return has_space;
 }
 
+bool store_can_start_large_turn(store_t *store) {
+    uint64_t incoming = store->pending_turn_bytes + store_reserved_turn_bytes(store);
+    return !disk_is_failing(store) && unexpired_turns_fit(store, &large_limits, incoming);
+}
+
 bool store_accept_started_turn(store_t *store) {
     uint64_t incoming = store->pending_turn_bytes;
     if (unexpired_turns_fit(store, &start_limits, incoming))
--- a/tests/support/simulated_disks.h
+++ b/tests/support/simulated_disks.h
@@ -81,7 +81,8 @@
     }
 
     void reserve(const char *call, uint64_t tokens, Outcome *outcome) const {
-        const store_reserve_t request = {"program", call, tokens, budget, true, write_timeout_ms};
+        const store_reserve_t request = {"program",        call, tokens, budget, true,
+                                         write_timeout_ms, 0};
         store_client_reserve(client, &request, &handler, outcome);
     }
 
--- a/tests/unit/budget_retention_test.cc
+++ b/tests/unit/budget_retention_test.cc
@@ -108,7 +108,7 @@
         run(2 * CATCH_UP_MS);
     }
     Outcome second;
-    const store_reserve_t request = {"program", "second", 1, budget, true, write_timeout_ms};
+    const store_reserve_t request = {"program", "second", 1, budget, true, write_timeout_ms, 0};
     store_client_reserve(second_gateway->client, &request, &handler, &second);
     run(write_timeout_ms);
     EXPECT_EQ(second.verdict, VERDICT_NO);
--- a/tests/unit/catch_up_test.cc
+++ b/tests/unit/catch_up_test.cc
@@ -41,8 +41,8 @@
                                                       [](void *, bool) {}};
     std::string program = "program-" + std::to_string(number / 8);
     std::string call = "call-" + std::to_string(number);
-    const store_reserve_t reserve = {program.c_str(), call.c_str(), 10,
-                                     1000000,         false,        write_timeout_ms};
+    const store_reserve_t reserve = {program.c_str(), call.c_str(),     10, 1000000,
+                                     false,           write_timeout_ms, 0};
     store_client_reserve(client, &reserve, &handler, nullptr);
 }
 
--- a/tests/unit/http_listener_test.cc
+++ b/tests/unit/http_listener_test.cc
@@ -141,7 +141,8 @@
     unsigned depth = 0;
 };
 
-const http_listener_handler_t HttpListener::handler = {on_request, on_gone, on_input_ended, nullptr};
+const http_listener_handler_t HttpListener::handler = {on_request, on_gone, on_input_ended,
+                                                       nullptr};
 
 // Guards against the idle timer's cut of an answer that took longer to read than the timeout.
 TEST_F(HttpListener, AnAnswerThatIsReadSteadilyIsWrittenToItsEnd) {
--- a/tests/unit/isolated_zone_test.cc
+++ b/tests/unit/isolated_zone_test.cc
@@ -72,7 +72,7 @@
                     virtual_network_cut(inside, outside, isolated);
     }
     store_operation_t *reserve(guint index, const char *program, Verdict *verdict) const {
-        const store_reserve_t reserve = {program, "call", 10, budget, false, write_timeout_ms};
+        const store_reserve_t reserve = {program, "call", 10, budget, false, write_timeout_ms, 0};
         return store_client_reserve(gateway(index)->client, &reserve, &handler, verdict);
     }
 };
@@ -107,7 +107,7 @@
     EXPECT_TRUE(store_client_connected(gateway(0)->client));
     // The reservation made during isolation was settled with 0: the whole budget is available.
     Verdict whole;
-    const store_reserve_t reserve = {"p1", "whole", budget, budget, false, write_timeout_ms};
+    const store_reserve_t reserve = {"p1", "whole", budget, budget, false, write_timeout_ms, 0};
     store_client_reserve(gateway(0)->client, &reserve, &handler, &whole);
     run(1000);
     ASSERT_TRUE(whole.decided);
--- a/tests/unit/large_records_test.cc
+++ b/tests/unit/large_records_test.cc
@@ -71,8 +71,8 @@
             [](void *count, bool durable) { *static_cast<unsigned *>(count) += durable; }};
         const std::string program = std::string(long_id_bytes, 'p') + call;
         const std::string id = std::string(long_id_bytes, 'c') + call;
-        const store_reserve_t request = {program.c_str(), id.c_str(),      10, 1000,
-                                         false,           write_timeout_ms};
+        const store_reserve_t request = {program.c_str(), id.c_str(),       10, 1000,
+                                         false,           write_timeout_ms, 0};
         store_client_reserve(client(), &request, &handler, &acknowledged);
         run(5);
     }
--- a/tests/unit/listener_memory_test.cc
+++ b/tests/unit/listener_memory_test.cc
@@ -113,7 +113,8 @@
         });
     }
     static std::string head(size_t length) {
-        return "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(length) + "\r\n\r\n";
+        return "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(length) +
+               "\r\n\r\n";
     }
     static std::string chunk(const std::string &data) {
         char size[32];
--- a/tests/unit/slow_disk_test.cc
+++ b/tests/unit/slow_disk_test.cc
@@ -241,8 +241,8 @@
         stall_first(count, stall_ms);
         put_turn("earlier", &earlier);
         run(ms);
-        const store_reserve_t request = {"program", "call",      max_tokens,
-                                         budget,    stores_turn, write_timeout_ms};
+        const store_reserve_t request = {"program",   "call",           max_tokens, budget,
+                                         stores_turn, write_timeout_ms, 0};
         store_client_reserve(client, &request, &handler, &call);
         run(prompt_ms);
         return call;
@@ -358,7 +358,8 @@
     }
     run(500);
     Outcome second;
-    const store_reserve_t request = {"program", "second", budget, budget, true, write_timeout_ms};
+    const store_reserve_t request = {"program", "second",         budget, budget,
+                                     true,      write_timeout_ms, 0};
     store_client_reserve(second_gateway->client, &request, &handler, &second);
     run(prompt_ms);
     ASSERT_TRUE(second.durable);
--- a/tests/unit/store_reconcile_test.cc
+++ b/tests/unit/store_reconcile_test.cc
@@ -69,7 +69,7 @@
         static const store_operation_handler_t handler = {
             [](void *, verdict_t, const GArray *) {},
             [](void *count, bool durable) { *static_cast<unsigned *>(count) += durable; }};
-        const store_reserve_t request = {program, call, 10, 1000, false, write_timeout_ms};
+        const store_reserve_t request = {program, call, 10, 1000, false, write_timeout_ms, 0};
         acknowledged = 0;
         store_client_reserve(gateway()->client, &request, &handler, &acknowledged);
         run(write_ms);
--- a/tests/unit/store_space_test.cc
+++ b/tests/unit/store_space_test.cc
@@ -63,8 +63,8 @@
         std::string program = "program-" + std::to_string(number / 8);
         std::string call = "call-" + std::to_string(number);
         reserves_sent[number].at = virtual_now();
-        const store_reserve_t reserve = {program.c_str(), call.c_str(), 10,
-                                         1000000,         false,        write_timeout_ms};
+        const store_reserve_t reserve = {program.c_str(), call.c_str(),     10, 1000000,
+                                         false,           write_timeout_ms, 0};
         reserves_sent[number].operation =
             store_client_reserve(client, &reserve, &handler, &reserves_sent[number]);
     }
@@ -150,12 +150,15 @@
         node(number)->store->turns.bytes = full_bytes;
     }
 
-    /** Sends a reserve and runs for @p time_ms; @p stores_turn: the call will store a turn. */
-    void reserve(unsigned number, bool stores_turn, uint64_t time_ms) {
+    /**
+     * Sends a reserve and runs for @p time_ms; @p stores_turn: the call will store a turn, with an
+     * input of @p input_bytes.
+     */
+    void reserve(unsigned number, bool stores_turn, uint64_t time_ms, uint64_t input_bytes = 0) {
         std::string call = "call-" + std::to_string(number);
         reserves_sent[number].at = virtual_now();
-        const store_reserve_t reserve = {"program", call.c_str(), 10,
-                                         100,       stores_turn,  write_timeout_ms};
+        const store_reserve_t reserve = {"program",   call.c_str(),     10,         100,
+                                         stores_turn, write_timeout_ms, input_bytes};
         reserves_sent[number].operation =
             store_client_reserve(client, &reserve, &handler, &reserves_sent[number]);
         virtual_run(virtual_now() + time_ms);
@@ -231,6 +234,31 @@
     EXPECT_EQ(verdicts.given[VERDICT_YES], 3u);
 }
 
+// Guards against large turns of one caller that leave no space for ordinary ones of all others.
+TEST_F(TurnRoom, IsLeftForOrdinaryTurnsByLargeOnes) {
+    constexpr uint64_t large = LARGE_TURN_BYTES + 1;
+    for (unsigned i = 0; i < 3; i++)
+        node(i)->store->turns.bytes = 400000;
+    reserve(0, true, immediate_ms, large);
+    EXPECT_EQ(verdicts.without_space, 1u);
+    reserve(1, true, immediate_ms, LARGE_TURN_BYTES);
+    EXPECT_EQ(verdicts.given[VERDICT_YES], 1u);
+}
+
+// The mean of earlier turns says nothing of a large one: its size is reserved as it is known.
+TEST_F(TurnRoom, IsReservedForTheKnownSizeOfALargeTurn) {
+    constexpr uint64_t large = 250000;
+    reserve(0, true, immediate_ms, large);
+    EXPECT_EQ(verdicts.given[VERDICT_YES], 1u);
+    reserve(1, true, immediate_ms, large);
+    EXPECT_EQ(verdicts.without_space, 1u);
+    for (unsigned i = 0; i < 3; i++)
+        EXPECT_EQ(node(i)->store->reservations.known_bytes, large) << "of the granted one only";
+    store_client_settle(client, "program", "call-0", 10, 0);
+    virtual_run(virtual_now() + immediate_ms);
+    EXPECT_EQ(node(0)->store->reservations.known_bytes, 0u);
+}
+
 // Turns whose retention time is over must not take space until the next periodic removal.
 TEST_F(TurnRoom, IsNotTakenByExpiredTurns) {
     constexpr uint32_t retention_ms = 500;
@@ -300,7 +328,7 @@
             const std::string program_id = program();
             const std::string call_id = call();
             const store_reserve_t reserve = {
-                program_id.c_str(), call_id.c_str(), max_tokens, budget, true, write_timeout_ms};
+                program_id.c_str(), call_id.c_str(), max_tokens, budget, true, write_timeout_ms, 0};
             store_client_reserve(gateway->client, &reserve, &reserve_handler, this);
         }
         void store_turn() {
