gateway: idle connections to back ends are closed when their time is over

25 s after crowds of 100 callers had gone, a gateway still had 82 to 101 descriptors more than before.

Cause: a connection to a back end is used for 3.3 s after its answer (or what Keep-Alive tells), but was closed only by the next call that wanted one, or by the back end. Back ends that don't close them keep as many descriptors of the gateway in use as a burst once needed, 32 for each back end.

A returned connection ends at the time until which it may be used, by the timer that ended its attempt to connect. That does not count as doubt about the back end's process, since it is not earlier than told.

--- a/src/gateway/backends.c
+++ b/src/gateway/backends.c
@@ -449,10 +449,12 @@
 void backend_return_connection(backend_t *backend, http_client_t *client) {
     bool keep = http_client_reusable(client) && !backend->removed && !backend->record->leaving &&
                 backend->idle->len < IDLE_CONNECTIONS_MAX;
-    if (keep)
-        g_ptr_array_add(backend->idle, client);
-    else
+    if (!keep) {
         http_client_close(client);
+        return;
+    }
+    g_ptr_array_add(backend->idle, client);
+    http_client_limit_idle_time(client);
 }
 
 void backend_adopt_connection(backend_t *backend, http_client_t *client) {
--- a/src/net/http_client.c
+++ b/src/net/http_client.c
@@ -38,7 +38,7 @@
 
 struct http_client {
     uv_tcp_t tcp;
-    uv_timer_t connect_timer;
+    uv_timer_t timer; /**< Ends an attempt to connect, or an idle connection. */
     unsigned open_handles;
     uv_connect_t connect_request;
     uv_write_t write_request;
@@ -97,7 +97,7 @@
     client->state = STATE_CLOSED;
     client->stopped = true;
     client->handler = NULL;
-    uv_close((uv_handle_t *)&client->connect_timer, on_handle_closed);
+    uv_close((uv_handle_t *)&client->timer, on_handle_closed);
     uv_close((uv_handle_t *)&client->tcp, on_handle_closed);
 }
 
@@ -386,8 +386,8 @@
         return true;
     }
     client->write_request.data = client;
-    client->write_pending = uv_write(&client->write_request, stream, buffers + done, count - done,
-                                     on_written) == 0;
+    client->write_pending =
+        uv_write(&client->write_request, stream, buffers + done, count - done, on_written) == 0;
     return client->write_pending;
 }
 
@@ -409,7 +409,7 @@
         return;
     }
     client->connected = true;
-    uv_timer_stop(&client->connect_timer);
+    uv_timer_stop(&client->timer);
     uv_read_start((uv_stream_t *)&client->tcp, provide_buffer, on_read);
     if (client->handler == NULL) {
         client->state = STATE_IDLE;
@@ -419,7 +419,7 @@
     write_request(client);
 }
 
-static void on_connect_time_over(uv_timer_t *timer) {
+static void on_time_over(uv_timer_t *timer) {
     connection_lost(timer->data);
 }
 
@@ -451,8 +451,8 @@
         return NULL;
     }
     client->tcp.data = client;
-    uv_timer_init(loop, &client->connect_timer);
-    client->connect_timer.data = client;
+    uv_timer_init(loop, &client->timer);
+    client->timer.data = client;
     client->open_handles = 2;
     client->connect_request.data = client;
     client->on_idle_closed = on_idle_closed;
@@ -465,7 +465,7 @@
         http_client_close(client);
         return NULL;
     }
-    uv_timer_start(&client->connect_timer, on_connect_time_over, CONNECT_MS, 0);
+    uv_timer_start(&client->timer, on_time_over, CONNECT_MS, 0);
     return client;
 }
 
@@ -492,8 +492,7 @@
 }
 
 void http_client_send_parts(http_client_t *client, GString *head, GPtrArray *body,
-                            bool head_request, const http_exchange_handler_t *handler,
-                            void *user) {
+                            bool head_request, const http_exchange_handler_t *handler, void *user) {
     http_parser_init(&client->parser, HTTP_RESPONSE);
     client->parser.data = client;
     http_headers_reset(&client->headers);
@@ -514,6 +513,7 @@
     client->reusable = false;
     if (client->state == STATE_CONNECTING)
         return;
+    uv_timer_stop(&client->timer);
     client->state = STATE_BUSY;
     write_request(client);
 }
@@ -537,3 +537,10 @@
 uint64_t http_client_idle_until(const http_client_t *client) {
     return client->idle_until;
 }
+
+void http_client_limit_idle_time(http_client_t *client) {
+    uint64_t now = uv_now(client->tcp.loop);
+    uint64_t left = client->idle_until > now ? client->idle_until - now : 0;
+    if (client->state == STATE_IDLE)
+        uv_timer_start(&client->timer, on_time_over, left, 0);
+}
--- a/src/net/http_client.h
+++ b/src/net/http_client.h
@@ -85,6 +85,8 @@
 bool http_client_answer_ended_by_close(const http_client_t *client);
 /** The loop time until which the server keeps the idle connection, with a margin; ms. */
 uint64_t http_client_idle_until(const http_client_t *client);
+/** Closes the idle connection at that time, which is reported as its end, unless it is used. */
+void http_client_limit_idle_time(http_client_t *client);
 /** Loop time in ms at which the connection first brought anything; 0: it has not yet. */
 uint64_t http_client_first_received_at(const http_client_t *client);
 
