net: a caller's connection has 32 KiB that may wait unread

200 callers that sent their bodies in chunks of one byte made a gateway with 48 MB need 93 MB, of which 20 waited unread in its sockets; with the account 60 MB, 25 of them unread.

Cause: such chunks are cheap in memory and dear in processor time, so the gateway reads later than they arrive, and the kernel let the receive buffer of each connection grow to some 100 KiB and more. What has arrived and is not read is memory of the machine, too.

The listening socket has a receive buffer of 32 KiB, which its connections inherit and which does not grow. An upload over a way of 5 ms can still bring 6 MB a second. Weighed: to count framing and refuse such bodies, which keep within the limits; to limit connections by what they might have unread, which refuses those that rest.

--- a/src/net/http_listener.c
+++ b/src/net/http_listener.c
@@ -6,6 +6,8 @@
 enum {
     BACKLOG = 512,
     NEW_CALLER_MS = 300, /**< Until then a new connection's first request is awaited. */
+    /** What may wait unread at a connection is memory of the machine, which no account counts. */
+    RECEIVE_BUFFER_BYTES = 32 * 1024,
 };
 
 static void on_connection(uv_stream_t *stream, int status) {
@@ -61,6 +63,10 @@
     listener->tcp.data = listener;
     http_listener_set_limits(listener, limits);
     int status = uv_tcp_bind(&listener->tcp, (const struct sockaddr *)address, 0);
+    /* Connections inherit it; a system that does not allow it keeps its default. */
+    int buffer_bytes = RECEIVE_BUFFER_BYTES;
+    if (status == 0)
+        (void)uv_recv_buffer_size((uv_handle_t *)&listener->tcp, &buffer_bytes);
     if (status == 0)
         status = uv_listen((uv_stream_t *)&listener->tcp, BACKLOG, on_connection);
     if (status != 0) {
