net: connections that rest leave descriptors for ordinary callers

While 800 callers rested on connections, a gateway that may have 400 descriptors served nobody: an ordinary request got its connection closed in 40 of 40 tries, and this for as long as the idle timeout.

Cause: each connection was accepted while there were descriptors, so those that rest could have them all; new connections were then closed unread, and calls found no descriptor for their back end.

Callers may have seven eighths of the descriptors, the rest is for back ends, storage nodes and files. Above that a new connection takes the place of the one that has waited longest for a request, or for the rest of one; it is closed unread, which promises that nothing was run. Weighed: to refuse new connections, which prefers those that do nothing; a shorter idle timeout, which the configuration sets.

The tests now also want one ordinary request answered beside the crowd, within forty tries, so that a gateway which lives but serves nobody fails. The descriptors are limited as the process starts.

--- a/src/net/http_answer.c
+++ b/src/net/http_answer.c
@@ -182,8 +182,7 @@
 static bool will_keep(const http_caller_t *caller) {
     return (!caller->listener->close_after_answers || has_sent_ahead(caller)) &&
            !caller->close_after_answer && !caller->drops_ahead &&
-           caller->state == CALLER_ANSWERING &&
-           http_should_keep_alive(&caller->parser) != 0;
+           caller->state == CALLER_ANSWERING && http_should_keep_alive(&caller->parser) != 0;
 }
 
 /** The owner has ended the answer. */
@@ -231,8 +230,8 @@
 void http_caller_answer_string(http_caller_t *caller, unsigned status, const char *fields,
                                GString *body) {
     bool has_body = !is_head_only(caller);
-    parts_t parts = make_parts(begin_answer(caller, status, fields, body->len),
-                               has_body ? body : NULL);
+    parts_t parts =
+        make_parts(begin_answer(caller, status, fields, body->len), has_body ? body : NULL);
     if (!has_body)
         g_string_free(body, TRUE);
     if (write_parts(caller, &parts))
--- a/src/net/http_caller.c
+++ b/src/net/http_caller.c
@@ -18,7 +18,7 @@
     AHEAD_BYTES = 16384,    /**< Read of what a caller sends before its answer. */
     REQUESTS_PER_TURN = 64, /**< Of a connection; its other ones wait for the next turn. */
     NEXT_TURN_MS = 1,
-    LINGER_MS = 300, /**< A caller's time to close after its last answer. */
+    LINGER_MS = 300,     /**< A caller's time to close after its last answer. */
     CALLER_BYTES = 3072, /**< Of a connection that rests. */
 };
 
@@ -50,6 +50,7 @@
     if (caller->state == CALLER_ANSWERING)
         caller->listener->active--;
     caller->state = CALLER_CLOSING;
+    http_caller_end_wait(caller);
     http_caller_drop_request(caller);
     http_caller_drop_ahead(caller, caller->ahead->len);
     g_hash_table_remove(caller->listener->callers, caller);
@@ -155,6 +156,7 @@
 /** The last answer is written: waits for the caller to close its side. */
 static void linger(http_caller_t *caller) {
     caller->state = CALLER_LINGERING;
+    http_caller_begin_wait(caller);
     http_caller_drop_ahead(caller, caller->ahead->len);
     if (uv_shutdown(&caller->shutdown, (uv_stream_t *)&caller->tcp, on_shutdown) != 0) {
         http_caller_close(caller);
@@ -188,6 +190,7 @@
     caller->begun = false;
     caller->head_written = false;
     caller->asked_if_gone = false;
+    http_caller_begin_wait(caller);
     http_caller_arm_timer(caller, caller->listener->limits.idle_timeout_ms);
     read_ahead(caller);
 }
@@ -196,6 +199,7 @@
 
 static void deliver_request(http_caller_t *caller) {
     caller->state = CALLER_ANSWERING;
+    http_caller_end_wait(caller);
     caller->listener->active++;
     uv_timer_stop(&caller->timer);
     size_t body_length = caller->body->len;
@@ -237,6 +241,7 @@
 static size_t parse_bytes(http_caller_t *caller, const char *data, size_t length) {
     if (!caller->begun) {
         caller->begun = true;
+        http_caller_begin_wait(caller);
         caller->request.begun_at = uv_now(caller->listener->loop);
         http_caller_arm_timer(caller, caller->listener->limits.header_timeout_ms);
     }
@@ -366,8 +371,10 @@
 void http_caller_serve(http_caller_t *caller) {
     caller->accepted_at = uv_now(caller->listener->loop);
     uv_tcp_nodelay(&caller->tcp, 1);
+    http_caller_begin_wait(caller);
     http_caller_arm_timer(caller, caller->listener->limits.idle_timeout_ms);
     start_reading(caller);
+    http_listener_limit_connections(caller->listener);
 }
 
 void http_caller_close_after_answer(http_caller_t *caller) {
--- a/src/net/http_caller.h
+++ b/src/net/http_caller.h
@@ -28,6 +28,9 @@
     memory_account_t *account; /**< NULL: nothing is counted. */
     GQueue unfinished; /**< Of http_caller_t: begun requests that hold a body or a large head, the
                             one whose latest progress is oldest first. */
+    GQueue waiting; /**< Of http_caller_t: connections whose request is not whole, the one longest
+                         without a new request first. */
+    unsigned connections_max;
     unsigned active;
     size_t unsent_bytes; /**< See http_listener_unsent_bytes. */
     bool close_after_answers;
@@ -77,6 +80,8 @@
     GString *ahead;
     size_t held;       /**< In the account, for the request that is read or answered. */
     size_t ahead_held; /**< In the account, for `ahead`. */
+    GList waiting_link;
+    bool is_waiting; /**< The link stands in the listener's queue. */
     GList unfinished_link;
     bool is_unfinished;     /**< The link stands in the listener's queue. */
     size_t progress_held;   /**< `held` at the latest progress. */
@@ -112,13 +117,20 @@
  * request is to be refused.
  */
 bool http_caller_hold(http_caller_t *caller, size_t bytes);
+/** The connection waits for a request, or its request has begun to arrive. */
+void http_caller_begin_wait(http_caller_t *caller);
+/** Its request is whole, or the connection ends. */
+void http_caller_end_wait(http_caller_t *caller);
+/** Ends connections that wait, if there are more than the process may have descriptors for. */
+void http_listener_limit_connections(http_listener_t *listener);
 /** False if a request of @p bytes could not be held now. */
 bool http_caller_may_hold(http_caller_t *caller, uint64_t bytes);
 /** The request is whole: hands its body over to `body_bytes`. */
 void http_caller_keep_body(http_caller_t *caller);
 /** Frees the request that was read or answered. */
 void http_caller_drop_request(http_caller_t *caller);
-/** Keeps bytes that came ahead of the answer, or drops them and all others if they can't be held. */
+/** Keeps bytes that came ahead of the answer, or drops them and all others if they can't be held.
+ */
 void http_caller_keep_ahead(http_caller_t *caller, const char *data, size_t length);
 /** Removes the first @p length bytes that came ahead. */
 void http_caller_drop_ahead(http_caller_t *caller, size_t length);
--- a/src/net/http_caller_memory.c
+++ b/src/net/http_caller_memory.c
@@ -4,6 +4,9 @@
  * with 503, which is true, since nobody has seen it. If all move on, the request that needs more is
  * refused, since those that have begun before are nearer to their end.
  *
+ * Descriptors are shared alike: above a bound that leaves some for back ends, the connection that
+ * has waited longest for a request, or for the rest of one, gives way to a new one.
+ *
  * A body is kept once: from its first byte on in the connection, then in bytes that the connection,
  * the exchange with a back end and a stored turn refer to.
  */
@@ -37,6 +40,25 @@
     caller->progressed_at = uv_now(caller->listener->loop);
 }
 
+void http_caller_begin_wait(http_caller_t *caller) {
+    http_caller_end_wait(caller);
+    caller->waiting_link.data = caller;
+    g_queue_push_tail_link(&caller->listener->waiting, &caller->waiting_link);
+    caller->is_waiting = true;
+}
+
+void http_caller_end_wait(http_caller_t *caller) {
+    if (caller->is_waiting)
+        g_queue_unlink(&caller->listener->waiting, &caller->waiting_link);
+    caller->is_waiting = false;
+}
+
+void http_listener_limit_connections(http_listener_t *listener) {
+    while (g_hash_table_size(listener->callers) > listener->connections_max &&
+           !g_queue_is_empty(&listener->waiting))
+        http_caller_close(g_queue_peek_head(&listener->waiting));
+}
+
 char *http_caller_retry_fields(void) {
     unsigned ms = (unsigned)g_random_int_range(RETRY_LEAST_MS, RETRY_MOST_MS);
     return g_strdup_printf("Retry-After: %u.%03u\r\n", ms / MS_PER_S, ms % MS_PER_S);
--- a/src/net/http_listener.c
+++ b/src/net/http_listener.c
@@ -1,6 +1,7 @@
 #include "net/http_caller.h"
 
 #include <errno.h>
+#include <sys/resource.h>
 #include <unistd.h>
 
 enum {
@@ -8,6 +9,8 @@
     NEW_CALLER_MS = 300, /**< Until then a new connection's first request is awaited. */
     /** What may wait unread at a connection is memory of the machine, which no account counts. */
     RECEIVE_BUFFER_BYTES = 32 * 1024,
+    RESERVED_DESCRIPTORS_DIVISOR = 8, /**< Of the process's, this part is not for callers. */
+    RESERVED_DESCRIPTORS_LEAST = 32,
 };
 
 static void on_connection(uv_stream_t *stream, int status) {
@@ -44,6 +47,16 @@
     }
 }
 
+/** How many connections leave descriptors for back ends, storage nodes and files. */
+static unsigned count_connections_allowed(void) {
+    struct rlimit limit;
+    if (getrlimit(RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur >= UINT32_MAX)
+        return UINT32_MAX;
+    unsigned all = (unsigned)limit.rlim_cur;
+    unsigned reserved = MAX(all / RESERVED_DESCRIPTORS_DIVISOR, RESERVED_DESCRIPTORS_LEAST);
+    return all > reserved ? all - reserved : 1;
+}
+
 /** Of one that never listened: nothing else refers to it. */
 static void free_listener(uv_handle_t *handle) {
     http_listener_t *listener = handle->data;
@@ -61,6 +74,7 @@
     listener->callers = g_hash_table_new(NULL, NULL);
     uv_tcp_init(loop, &listener->tcp);
     listener->tcp.data = listener;
+    listener->connections_max = count_connections_allowed();
     http_listener_set_limits(listener, limits);
     int status = uv_tcp_bind(&listener->tcp, (const struct sockaddr *)address, 0);
     /* Connections inherit it; a system that does not allow it keeps its default. */
--- a/src/net/http_listener.h
+++ b/src/net/http_listener.h
@@ -33,7 +33,7 @@
     const char *body;
     size_t body_length;
     GBytes *body_bytes; /**< The body, for those who keep it; NULL: there is none. */
-    uint64_t begun_at; /**< Loop time of its first byte, ms. */
+    uint64_t begun_at;  /**< Loop time of its first byte, ms. */
 } http_request_t;
 
 typedef struct {
--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -20,9 +20,11 @@
 CALM_S = 3.0  # So long after the last fault a planned stop must cut nothing off.
 
 
-def ignore_file_size_signal():
+def set_limits(descriptors):
     """A write beyond the limit on files is to fail, not to end the process."""
     signal.signal(signal.SIGXFSZ, signal.SIG_IGN)
+    if descriptors is not None:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (descriptors, descriptors))
 
 
 class Node:
@@ -173,6 +175,7 @@
     def __init__(self, build, folder, promises, tolerated_zones=0, grace_s=GRACE_S):
         self.grace_s = grace_s
         self.memory_mb = {}  # Kind of node: memory of its machine; without it the default.
+        self.descriptor_limits = {}  # Kind of node: how many descriptors a process may have.
         self.tolerated_zones = tolerated_zones
         self.proxies = []  # Those that a cut of a zone concerns.
         self.all_nodes = []  # Also those that were taken away.
@@ -232,7 +235,7 @@
                 stdout=log,
                 stderr=log,
                 stdin=subprocess.DEVNULL,
-                preexec_fn=ignore_file_size_signal,
+                preexec_fn=lambda: set_limits(self.descriptor_limits.get(node.kind)),
             )
 
     def fault_begins(self):
--- a/tests/soak/hostile_callers_test.py
+++ b/tests/soak/hostile_callers_test.py
@@ -5,14 +5,13 @@
 
 Each scenario is a crowd that makes the gateway hold as much as it can. The last line is JSON. Exit
 status 0: no process ended, none exceeded the memory of its machine or kept descriptors, a refused
-request was not run, and ordinary requests were answered afterwards.
+request was not run, and ordinary requests were answered beside the crowd and afterwards.
 """
 
 import asyncio
 import hashlib
 import os
 import re
-import resource
 import socket
 import sys
 import threading
@@ -161,6 +160,8 @@
         def small_cluster(*arguments, **options):
             cluster = make(*arguments, **options)
             cluster.memory_mb = {"gateway": GATEWAY_MEMORY_MB, "store": STORE_MEMORY_MB}
+            if self.options.scenario in FEW_DESCRIPTORS:
+                cluster.descriptor_limits = {"gateway": DESCRIPTOR_LIMIT}
             return cluster
 
         direct_fleet.soak.Cluster = small_cluster
@@ -173,9 +174,6 @@
     async def play_crowd(self):
         crowd, count = CROWDS[self.options.scenario]
         gateway = self.cluster.gateways[0]
-        if crowd is Crowd.rest_on_connections:
-            resource.prlimit(gateway.process.pid, resource.RLIMIT_NOFILE,
-                             (DESCRIPTOR_LIMIT, DESCRIPTOR_LIMIT))
         watches = [Watch(node) for node in self.cluster.nodes()]
         by_name = {watch.node.name: watch for watch in watches}
         before = by_name[gateway.name].count_descriptors()
@@ -190,11 +188,13 @@
             gateway.start()
             await asyncio.sleep(1.0)
             by_name[gateway.name].pid = gateway.process.pid
+            answered = True  # Its gateway is away for the most part.
         else:
             until = time.monotonic() + PLAY_S
             while time.monotonic() < until:
                 beside += await self.ordinary(SAFE, 1)
                 await asyncio.sleep(0.2)
+            answered = await self.ordinary(SAFE, ORDINARY_TRIES)
         self.playing = False
         for task in work:
             task.cancel()
@@ -205,7 +205,7 @@
         for watch in watches:
             watch.stopped.set()
             watch.join()
-        return self.report(watches, beside, plain, turn, kept)
+        return self.report(watches, beside, answered, plain, turn, kept)
 
     async def kept_descriptors(self, watch, before):
         """How many descriptors the gateway has more than before, once idle connections are closed."""
@@ -216,7 +216,7 @@
                 return more
             await asyncio.sleep(0.2)
 
-    def report(self, watches, beside, plain, turn, kept):
+    def report(self, watches, beside, answered, plain, turn, kept):
         bounds = {"gateway": GATEWAY_MEMORY_MB, "store": STORE_MEMORY_MB}
         peaks = {watch.node.name: round(watch.peak_mb, 1) for watch in watches}
         # A sanitizer's own memory is not the process's.
@@ -226,14 +226,14 @@
         alive = all(node.running() for node in self.cluster.nodes())
         run_after_refusal = len(self.refused & HostileBackend.ran)
         wrong = len(HostileBackend.wrong_bodies)
-        held = (alive and fits and plain and turn and kept <= DESCRIPTORS_KEPT and
+        held = (alive and fits and plain and turn and answered and kept <= DESCRIPTORS_KEPT and
                 run_after_refusal == 0 and wrong == 0)
         return {
             "alive": alive, "peak_mb": peaks,
             "left_mb": {watch.node.name: round(rss_mb(watch.pid), 1) for watch in watches if alive},
             "waiting_mb": round(max(watch.waiting_mb for watch in watches), 1),
             "descriptors": max(watch.descriptors for watch in watches), "descriptors_kept": kept,
-            "beside": beside, "ordinary": plain, "ordinary_turn": turn,
+            "beside": beside, "answered_beside": answered, "ordinary": plain, "ordinary_turn": turn,
             "run_after_refusal": run_after_refusal, "wrong_bodies": wrong,
             "crowd": {str(key): value for key, value in sorted(self.answers.items())},
             "held": bool(held),
@@ -460,6 +460,10 @@
 
     # Connections.
 
+    async def idle_connections(self):
+        await self.connect()
+        await asyncio.sleep(3 * PLAY_S)
+
     async def rest_on_connections(self):
         await self.connect()
         await self.send(b"GET /safe/x HTTP/1.1\r\nX: ")
@@ -484,11 +488,15 @@
     "large_first_turns": (Crowd.large_first_turns, CROWD),
     "large_conversations": (Crowd.large_conversations, CROWD // 4),
     "long_ids": (Crowd.long_ids, CROWD),
+    "idle_connections": (Crowd.idle_connections, 2 * DESCRIPTOR_LIMIT),
     "rest_on_connections": (Crowd.rest_on_connections, 2 * DESCRIPTOR_LIMIT),
     "stopped": (Crowd.chunk_without_end, CROWD),
 }
 
 
+FEW_DESCRIPTORS = {"idle_connections", "rest_on_connections"}
+
+
 def main():
     options = read_options(new_parser(__doc__, "hostile-callers", list(CROWDS)))
     options.gateways, options.programs = 1, 0
