net: two shares of requests sent ahead are one turn's bound

Cause: a turn serves a connection from what waits, by a timer, and then from what it reads. Each had a share of 64. It showed once receive buffers became smaller, so that what waits was used up before the end; nothing kept it from happening before.

Each has 32 now, so that a turn serves 64 at most.

--- a/src/net/http_caller.c
+++ b/src/net/http_caller.c
@@ -15,8 +15,10 @@
 
 enum {
     READ_BUFFER_BYTES = 65536,
-    AHEAD_BYTES = 16384,    /**< Read of what a caller sends before its answer. */
-    REQUESTS_PER_TURN = 64, /**< Of a connection; its other ones wait for the next turn. */
+    AHEAD_BYTES = 16384, /**< Read of what a caller sends before its answer. */
+    /** Of a connection, from what waits and from what is read; other ones wait for the next turn.
+     */
+    REQUESTS_PER_SHARE = 32,
     NEXT_TURN_MS = 1,
     LINGER_MS = 300,     /**< A caller's time to close after its last answer. */
     CALLER_BYTES = 3072, /**< Of a connection that rests. */
@@ -266,14 +268,14 @@
 }
 
 /**
- * Serves requests one after another for as long as each is answered at once, a turn's share at
+ * Serves requests one after another for as long as each is answered at once, half a turn's share at
  * most: what an owner holds for a request may be freed only as the loop's turn ends. Returns how
  * many of the bytes are done with.
  */
 static size_t serve_bytes(http_caller_t *caller, const char *data, size_t length) {
     size_t done = 0;
     caller->serving = true;
-    for (unsigned i = 0; i < REQUESTS_PER_TURN && done < length &&
+    for (unsigned i = 0; i < REQUESTS_PER_SHARE && done < length &&
                          caller->state == CALLER_READING && !caller->broken;
          i++)
         done += parse_bytes(caller, data + done, length - done);
