test: hostile crowds at several gateways, at restarting storage nodes and at operators' ports

Three more crowds, which the users have not played: first turns of 900 kB from 200 callers at three gateways at once, conversations of such turns while each storage node is killed and started again, and 400 callers that leave heads of 8 kB unfinished at the readiness and metrics ports.

--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -46,6 +46,7 @@
         ports = cluster.ports
         self.calls_port, self.readiness_port = ports.take(), ports.take()
         self.peer_port = ports.take()
+        self.metrics_port = ports.take()
         self.key_value_proxy = cluster.proxy(
             f"{name}-key-value", ports.take(), cluster.key_value_port, near_zone=zone
         )
@@ -80,6 +81,7 @@
             )
             if self.cluster.tolerated_zones > 0:
                 lines[-1] += f"\ntolerated_zones={self.cluster.tolerated_zones}"
+        lines.append(f"[metrics]\nlisten=127.0.0.1:{self.metrics_port}")
         with open(path, "w", encoding="utf-8") as file:
             file.write("\n".join(lines) + "\n")
 
--- a/tests/soak/hostile_callers_test.py
+++ b/tests/soak/hostile_callers_test.py
@@ -189,6 +189,14 @@
             await asyncio.sleep(1.0)
             by_name[gateway.name].pid = gateway.process.pid
             answered = True  # Its gateway is away for the most part.
+        elif self.options.scenario == "stores_restarted":
+            for store in self.cluster.stores:
+                await asyncio.sleep(PLAY_S / 3 - 0.3)
+                store.kill()
+                await asyncio.sleep(0.3)
+                store.start()
+                by_name[store.name].pid = store.process.pid
+            answered = await self.ordinary(SAFE, ORDINARY_TRIES)
         else:
             until = time.monotonic() + PLAY_S
             while time.monotonic() < until:
@@ -262,6 +270,9 @@
                 caller.close()
             await asyncio.sleep(PAUSE_S)
 
+    def choose_gateway(self):
+        return self.random.choice(self.cluster.gateways)
+
     def note(self, status):
         self.answers[status] = self.answers.get(status, 0) + 1
 
@@ -283,13 +294,13 @@
             self.writer.transport.abort()
         self.writer = None
 
-    async def connect(self, buffer_bytes=None):
+    async def connect(self, buffer_bytes=None, port=None):
         self.close()
         connection = socket.socket()
         if buffer_bytes is not None:
             connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer_bytes)
         connection.setblocking(False)
-        port = self.scenario.cluster.gateways[0].calls_port
+        port = port or self.scenario.choose_gateway().calls_port
         await asyncio.get_running_loop().sock_connect(connection, ("127.0.0.1", port))
         limit = SLOW_BUFFER_BYTES if buffer_bytes is not None else 65536
         self.reader, self.writer = await asyncio.open_connection(sock=connection, limit=limit)
@@ -458,6 +469,15 @@
         self.writer.write(render("POST /turns/x HTTP/1.1", fields_of(self.attempt_id, extra)))
         await self.read_status()
 
+    # Ports for operators.
+
+    async def heads_without_end(self):
+        nodes = self.scenario.cluster.nodes()
+        ports = [node.metrics_port for node in nodes] + [self.scenario.choose_gateway().readiness_port]
+        await self.connect(port=self.scenario.random.choice(ports))
+        await self.send(b"GET /metrics HTTP/1.1\r\nX: " + b"x" * 8000)
+        await self.read_status()
+
     # Connections.
 
     async def idle_connections(self):
@@ -488,6 +508,9 @@
     "large_first_turns": (Crowd.large_first_turns, CROWD),
     "large_conversations": (Crowd.large_conversations, CROWD // 4),
     "long_ids": (Crowd.long_ids, CROWD),
+    "several_gateways": (Crowd.large_first_turns, LARGE_CROWD),
+    "stores_restarted": (Crowd.large_conversations, CROWD // 4),
+    "report_ports": (Crowd.heads_without_end, 2 * LARGE_CROWD),
     "idle_connections": (Crowd.idle_connections, 2 * DESCRIPTOR_LIMIT),
     "rest_on_connections": (Crowd.rest_on_connections, 2 * DESCRIPTOR_LIMIT),
     "stopped": (Crowd.chunk_without_end, CROWD),
@@ -499,7 +522,7 @@
 
 def main():
     options = read_options(new_parser(__doc__, "hostile-callers", list(CROWDS)))
-    options.gateways, options.programs = 1, 0
+    options.gateways, options.programs = 3 if options.scenario == "several_gateways" else 1, 0
     play_and_exit(HostileScenario, options)
 
 
