gateway: calls, relayed frames and the metrics page have a bound; E887 tells of a short account

What the account did not count yet, by reading: a call besides its request (some 3 kB), frames that a gateway passes on for others that are cut off from storage nodes (4 MiB a session, as many sessions as others open), and heads that are left unfinished at the metrics page of a gateway or a storage node (8 kB each, as many as there are descriptors).

Calls count in the account as they begin. A relayed frame counts until it is sent; a session whose frame does not fit ends, and its gateway connects again. The metrics page has an account of 4 MiB of its own, at storage nodes too.

E887 says once a second at most that the account is short, with what is held, its limit, what the turn cache has and how often something was refused.

--- a/src/cluster/metrics_page.c
+++ b/src/cluster/metrics_page.c
@@ -9,6 +9,7 @@
     BODY_BYTES = 1024,
     HEADER_MS = 3000,
     IDLE_MS = 60000,
+    ACCOUNT_BYTES = 4 * 1024 * 1024, /**< For all connections. */
 };
 
 static const http_limits_t limits = {HEADER_BYTES, BODY_BYTES, HEADER_MS, IDLE_MS};
@@ -40,7 +41,11 @@
     if (settings->metrics.sin_port == 0)
         return true;
     page->listener = http_listener_open(loop, &settings->metrics, &limits, &handler, page);
-    return page->listener != NULL;
+    if (page->listener == NULL)
+        return false;
+    page->account = (memory_account_t){.limit = ACCOUNT_BYTES};
+    http_listener_set_account(page->listener, &page->account);
+    return true;
 }
 
 void metrics_append(GString *text, const char *name, uint64_t value) {
--- a/src/cluster/metrics_page.h
+++ b/src/cluster/metrics_page.h
@@ -14,6 +14,7 @@
 
 typedef struct {
     http_listener_t *listener;
+    memory_account_t account;                   /**< What connections to the page hold. */
     void (*append)(void *owner, GString *text); /**< Appends all figures. */
     void *owner;
 } metrics_page_t;
--- a/src/cluster/program.c
+++ b/src/cluster/program.c
@@ -8,7 +8,8 @@
 #include <stdlib.h>
 
 enum {
-    /** Blocks from this size on go back to the system as they are freed, and grow without a copy. */
+    /** Blocks from this size on go back to the system as they are freed, and grow without a copy.
+     */
     MAPPED_BLOCK_BYTES = 64 * 1024,
     /** Free memory at the end of the heap that the process keeps. */
     HEAP_SPARE_BYTES = 1024 * 1024,
--- a/src/gateway/call.c
+++ b/src/gateway/call.c
@@ -23,6 +23,7 @@
     STATUS_UNAVAILABLE = 503,
     STATUS_TIMED_OUT = 504,
     MS_PER_S = 1000,
+    CALL_BYTES = 3072, /**< Of a call that has only begun. */
     DEFAULT_DEADLINE_MS = 60000,
 };
 
@@ -95,6 +96,7 @@
 
 static void free_call(uv_handle_t *handle) {
     call_t *call = handle->data;
+    memory_account_release(&call->gateway->memory, CALL_BYTES);
     directory_configuration_unref(call->configuration);
     g_ptr_array_free(call->tried, TRUE);
     g_string_free(call->fields, TRUE);
@@ -427,6 +429,7 @@
     g_queue_push_tail_link(&gateway->active_calls, &call->active_link);
     http_caller_set_data(caller, call);
     gateway->counters.calls++;
+    memory_account_add(&gateway->memory, CALL_BYTES);
     start_call(call);
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -75,7 +75,8 @@
 typedef struct {
     uv_loop_t *loop;
     const process_settings_t *settings;
-    memory_account_t memory; /**< All that callers make the process hold; see main.c. */
+    memory_account_t memory;   /**< All that callers make the process hold; see main.c. */
+    uint64_t memory_logged_at; /**< Loop time of the latest GATEWAY_MEMORY_SHORT. */
     http_listener_t *calls;
     http_listener_t *readiness;
     metrics_page_t metrics;
--- a/src/gateway/main.c
+++ b/src/gateway/main.c
@@ -18,6 +18,7 @@
      * is for the directory, what waits unread in sockets, and what the allocator can't give back.
      */
     ACCOUNT_SHARE_PERCENT = 50,
+    MEMORY_LOG_INTERVAL_MS = 1000,
     PERCENT = 100,
     MEGABYTE = 1024 * 1024,
 };
@@ -101,8 +102,20 @@
     on_member_open,
 };
 
+static void log_memory_short(gateway_t *gateway) {
+    const memory_account_t *memory = &gateway->memory;
+    uint64_t now = uv_now(gateway->loop);
+    if (now < gateway->memory_logged_at + MEMORY_LOG_INTERVAL_MS)
+        return;
+    gateway->memory_logged_at = now;
+    event_log(GATEWAY_MEMORY_SHORT, (uint64_t)memory->held, (uint64_t)memory->limit,
+              gateway->chains.bytes, memory->refused);
+}
+
+/** The account is short: the turn cache gives way. */
 static void shrink_cache(void *owner, size_t bytes) {
     gateway_t *gateway = owner;
+    log_memory_short(gateway);
     chain_cache_shrink(&gateway->chains, bytes);
 }
 
@@ -133,6 +146,7 @@
         store_relay_open(gateway->loop, &settings->peer, gateway->stores, gateway->feed);
     if (gateway->relay == NULL)
         return false;
+    store_relay_set_account(gateway->relay, &gateway->memory);
     gateway->split_state = split_state_new();
     gateway->answer_times = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     gateway->late_budget = retry_budget_new();
--- a/src/gateway/reports.c
+++ b/src/gateway/reports.c
@@ -186,9 +186,5 @@
     if (gateway->readiness == NULL)
         return false;
     http_listener_set_account(gateway->readiness, &gateway->memory);
-    if (!metrics_page_open(&gateway->metrics, gateway->loop, settings, append_metrics, gateway))
-        return false;
-    if (gateway->metrics.listener != NULL)
-        http_listener_set_account(gateway->metrics.listener, &gateway->memory);
-    return true;
+    return metrics_page_open(&gateway->metrics, gateway->loop, settings, append_metrics, gateway);
 }
--- a/src/gateway/store_relay.c
+++ b/src/gateway/store_relay.c
@@ -19,7 +19,8 @@
     store_client_t *stores;
     directory_feed_t *feed;
     frame_listener_t *listener;
-    GHashTable *sessions; /**< Serial number of the incoming connection to relay_session_t. */
+    GHashTable *sessions;      /**< Serial number of the incoming connection to relay_session_t. */
+    memory_account_t *account; /**< For frames until they are sent; NULL: they don't count. */
 };
 
 static void close_session(relay_session_t *session) {
@@ -35,10 +36,12 @@
 
 static void forward_frame(relay_session_t *session, frame_connection_t *to, const uint8_t *data,
                           size_t length) {
-    if (frame_connection_backlog(to) > BACKLOG_MAX_BYTES)
+    memory_account_t *account = session->relay->account;
+    if (frame_connection_backlog(to) > BACKLOG_MAX_BYTES ||
+        !memory_account_take(account, length, length))
         close_session(session);
     else
-        frame_connection_send(to, g_bytes_new(data, length));
+        frame_connection_send(to, memory_account_wrap(account, g_memdup2(data, length), length));
 }
 
 /* Connections to storage nodes. */
@@ -140,6 +143,10 @@
     return NULL;
 }
 
+void store_relay_set_account(store_relay_t *relay, memory_account_t *account) {
+    relay->account = account;
+}
+
 unsigned store_relay_count(const store_relay_t *relay) {
     unsigned count = 0;
     GHashTableIter iterator;
--- a/src/gateway/store_relay.h
+++ b/src/gateway/store_relay.h
@@ -18,6 +18,7 @@
 #define RUDDERWAY_GATEWAY_STORE_RELAY_H
 
 #include "gateway/directory_feed.h"
+#include "common/memory_account.h"
 #include "gateway/store_client.h"
 
 typedef struct store_relay store_relay_t;
@@ -30,5 +31,7 @@
                                 store_client_t *stores, directory_feed_t *feed);
 /** Number of relay sessions, including those that have not named their storage node yet. */
 unsigned store_relay_count(const store_relay_t *relay);
+/** Counts frames until they are sent in @p account, which outlives the relay. */
+void store_relay_set_account(store_relay_t *relay, memory_account_t *account);
 
 #endif
