net: a larger receive buffer counts only while a large body arrives

- The larger buffer of a body above 8 KiB counted 64 KiB for as long as its connection was open, so that some 300 resting connections would have used up a small gateway's account, and made a request of 9 KB count as a large one.
It is given back, and the buffer made small again, once the body is whole.
- The readiness and metrics ports could each take seven eighths of the descriptors; they take 64.
- A read of previous turns counted as a large request: conversations whose turns are not cached would have been refused while large uploads use up their part.
It counts 256 KiB as a medium one.
- A response that is given up for want of memory did not tell the watch for back ends that end after their call has left them.

ListenerMemory.MediumRequestsAreServedWhileLargeOnesUseUpTheirPart fails with the first one; the test of a connection that rests holds both.

--- a/src/cluster/metrics_page.c
+++ b/src/cluster/metrics_page.c
@@ -10,6 +10,7 @@
     HEADER_MS = 3000,
     IDLE_MS = 60000,
     ACCOUNT_BYTES = 4 * 1024 * 1024, /**< For all connections. */
+    CONNECTIONS = 64,
 };
 
 static const http_limits_t limits = {HEADER_BYTES, BODY_BYTES, HEADER_MS, IDLE_MS};
@@ -45,6 +46,7 @@
         return false;
     page->account = (memory_account_t){.limit = ACCOUNT_BYTES};
     http_listener_set_account(page->listener, &page->account);
+    http_listener_set_connections(page->listener, CONNECTIONS);
     return true;
 }
 
--- a/src/gateway/call_send.c
+++ b/src/gateway/call_send.c
@@ -223,9 +223,7 @@
  */
 static void fail_for_memory(call_t *call) {
     call_log_send_failed(call, "no_memory");
-    if (call->client != NULL)
-        http_client_close(call->client);
-    call->client = NULL;
+    call_close_client(call);
     call->may_have_run = true;
     call_fail(call, CALL_NO_MEMORY);
 }
@@ -302,7 +300,6 @@
         return false;
     }
     if (length > 0 && !memory_account_fits(&call->gateway->memory, (size_t)length)) {
-        call->client = NULL;
         fail_for_memory(call);
         return false;
     }
--- a/src/gateway/call_turn.c
+++ b/src/gateway/call_turn.c
@@ -38,7 +38,8 @@
     CHAIN_READS_MAX = 64,
     /** Of a caller's 4 s, 1 s is left: SPILL_DELAY_MS of store/turn_spill.c and a short run. */
     RESERVE_TIME_PERCENT = 75,
-    CHAIN_PIECE_BYTES = 1024 * 1024, /**< Of a chain, at most, unless it is one larger turn. */
+    /** Of a chain, while it is read; a piece has 1 MiB at most, and mostly far less. */
+    CHAIN_READ_BYTES = 256 * 1024,
 };
 
 void call_turn_send_if_ready(call_t *call) {
@@ -252,11 +253,12 @@
         call_refuse(call, STATUS_UNAVAILABLE, CALL_TURN_UNKNOWN);
         return;
     }
-    if (!memory_account_take(&gateway->memory, CHAIN_PIECE_BYTES, CHAIN_PIECE_BYTES)) {
+    /* As for a medium request: conversations go on while large requests use up their part. */
+    if (!memory_account_take(&gateway->memory, CHAIN_READ_BYTES, MEMORY_MEDIUM_BYTES)) {
         call_refuse(call, STATUS_UNAVAILABLE, CALL_NO_MEMORY);
         return;
     }
-    turn->read_bytes = CHAIN_PIECE_BYTES;
+    turn->read_bytes = CHAIN_READ_BYTES;
     turn->chain_reads++;
     turn->previous_read = turn->previous_read || g_strcmp0(id, call->previous) == 0;
     g_free(turn->missing_turn);
--- a/src/gateway/reports.c
+++ b/src/gateway/reports.c
@@ -15,6 +15,7 @@
     REPORT_BODY_BYTES = 1024,
     REPORT_HEADER_MS = 3000,
     REPORT_IDLE_MS = 60000,
+    REPORT_CONNECTIONS = 64,
     ISOLATED_AFTER_MS = 200,
     STORES_WAIT_MS = 5000, /**< After this, a gateway that reaches no storage nodes can be ready. */
 };
@@ -186,5 +187,6 @@
     if (gateway->readiness == NULL)
         return false;
     http_listener_set_account(gateway->readiness, &gateway->memory);
+    http_listener_set_connections(gateway->readiness, REPORT_CONNECTIONS);
     return metrics_page_open(&gateway->metrics, gateway->loop, settings, append_metrics, gateway);
 }
--- a/src/net/http_caller.h
+++ b/src/net/http_caller.h
@@ -36,6 +36,9 @@
     bool close_after_answers;
 };
 
+/** What may wait unread is memory of the machine. Large bodies get more; see http_caller_hold(). */
+enum { RECEIVE_BUFFER_BYTES = 8 * 1024 };
+
 typedef enum {
     CALLER_READING,
     CALLER_ANSWERING,
--- a/src/net/http_caller_memory.c
+++ b/src/net/http_caller_memory.c
@@ -96,7 +96,7 @@
 static void enlarge_buffer(http_caller_t *caller) {
     if (caller->has_large_buffer || caller->held < LARGE_BODY_BYTES)
         return;
-    size_t size = caller->held + LARGE_BUFFER_COST;
+    size_t size = caller->held + LARGE_BUFFER_COST; /* For large requests, which wait for it. */
     if (!memory_account_take(caller->listener->account, LARGE_BUFFER_COST, size))
         return;
     caller->held += LARGE_BUFFER_COST;
@@ -105,6 +105,22 @@
     set_receive_buffer(caller, LARGE_BUFFER_BYTES);
 }
 
+/** The body is whole or dropped: the connection has the buffer of one that rests. */
+static void restore_buffer(http_caller_t *caller) {
+    if (!caller->has_large_buffer)
+        return;
+    caller->has_large_buffer = false;
+    caller->held -= LARGE_BUFFER_COST;
+    memory_account_release(caller->listener->account, LARGE_BUFFER_COST);
+    if (caller->state != CALLER_CLOSING)
+        set_receive_buffer(caller, RECEIVE_BUFFER_BYTES);
+}
+
+/** What the request itself holds. */
+static size_t request_bytes(const http_caller_t *caller) {
+    return caller->held - (caller->has_large_buffer ? LARGE_BUFFER_COST : 0);
+}
+
 bool http_caller_may_hold(http_caller_t *caller, uint64_t bytes) {
     memory_account_t *account = caller->listener->account;
     while (!memory_account_fits(account, (size_t)MIN(bytes, (uint64_t)SIZE_MAX / 2)))
@@ -115,7 +131,7 @@
 
 bool http_caller_hold(http_caller_t *caller, size_t bytes) {
     memory_account_t *account = caller->listener->account;
-    while (!memory_account_take(account, bytes, caller->held + bytes))
+    while (!memory_account_take(account, bytes, request_bytes(caller) + bytes))
         if (!refuse_stalled(caller))
             return false;
     caller->held += bytes;
@@ -142,6 +158,7 @@
 
 void http_caller_keep_body(http_caller_t *caller) {
     leave_queue(caller);
+    restore_buffer(caller);
     size_t length = caller->body->len;
     if (length == 0)
         return;
@@ -164,6 +181,7 @@
 
 void http_caller_drop_request(http_caller_t *caller) {
     leave_queue(caller);
+    restore_buffer(caller);
     g_clear_pointer(&caller->body_bytes, g_bytes_unref);
     empty(&caller->body);
     empty(&caller->target);
--- a/src/net/http_listener.c
+++ b/src/net/http_listener.c
@@ -7,9 +7,6 @@
 enum {
     BACKLOG = 512,
     NEW_CALLER_MS = 300, /**< Until then a new connection's first request is awaited. */
-    /** What may wait unread is memory of the machine. Larger bodies get more; see http_caller_hold.
-     */
-    RECEIVE_BUFFER_BYTES = 8 * 1024,
     RESERVED_DESCRIPTORS_DIVISOR = 8, /**< Of the process's, this part is not for callers. */
     RESERVED_DESCRIPTORS_LEAST = 32,
 };
@@ -101,6 +98,10 @@
     listener->account = account;
 }
 
+void http_listener_set_connections(http_listener_t *listener, unsigned most) {
+    listener->connections_max = MIN(listener->connections_max, most);
+}
+
 void http_listener_close_after_answers(http_listener_t *listener) {
     listener->close_after_answers = true;
 }
--- a/src/net/http_listener.h
+++ b/src/net/http_listener.h
@@ -58,6 +58,11 @@
  * needs more memory.
  */
 void http_listener_set_account(http_listener_t *listener, memory_account_t *account);
+/**
+ * Allows @p most connections, if that is fewer than the part of the process's descriptors that a
+ * listener may have by default. Above that, one that waits for a request gives way to a new one.
+ */
+void http_listener_set_connections(http_listener_t *listener, unsigned most);
 /** From now on each answer says that its connection ends after it. */
 void http_listener_close_after_answers(http_listener_t *listener);
 /**
--- a/tests/unit/listener_memory_test.cc
+++ b/tests/unit/listener_memory_test.cc
@@ -191,6 +191,18 @@
     EXPECT_EQ(bodies.at(1), "abc");
 }
 
+// Guards against a larger receive buffer that makes a medium request count as a large one.
+TEST_F(ListenerMemory, MediumRequestsAreServedWhileLargeOnesUseUpTheirPart) {
+    memory_account_add(&account, limit_bytes * 3 / 4);
+    Caller medium(address);
+    const std::string text(20000, 'm');
+    medium.send_bytes(head(text.size()) + text.substr(0, 10000));
+    run_until([] { return false; }, 20);
+    medium.send_bytes(text.substr(10000));
+    EXPECT_TRUE(run_until([this] { return bodies.size() == 1; }, 5000));
+    memory_account_release(&account, limit_bytes * 3 / 4);
+}
+
 // Guards against connections that keep the body of their last request.
 TEST_F(ListenerMemory, AConnectionThatRestsHoldsLittle) {
     Caller caller(address);
