--- a/tests/unit/listener_memory_test.cc
+++ b/tests/unit/listener_memory_test.cc
@@ -22,6 +22,7 @@
 constexpr size_t limit_bytes = 400000;
 constexpr size_t body_bytes = 200000; /**< Of the limit, 300,000 are for large requests. */
 constexpr size_t most_at_rest = 4096;
+constexpr size_t text_begin = 10000; /**< Then a request has the larger receive buffer. */
 constexpr uint64_t stalled_ms = 600; /**< Then a request that has stopped to arrive gives way. */
 
 TEST(MemoryAccount, KeepsAPartForSmallHolders) {
@@ -193,14 +194,15 @@
 
 // Guards against a larger receive buffer that makes a medium request count as a large one.
 TEST_F(ListenerMemory, MediumRequestsAreServedWhileLargeOnesUseUpTheirPart) {
-    memory_account_add(&account, limit_bytes * 3 / 4);
+    constexpr size_t larges = limit_bytes * 3 / 5;
     Caller medium(address);
-    const std::string text(20000, 'm');
+    const std::string text(30000, 'm');
     medium.send_bytes(head(text.size()) + text.substr(0, 10000));
-    run_until([] { return false; }, 20);
+    ASSERT_TRUE(run_until([this] { return account.held > text_begin; }));
+    memory_account_add(&account, larges);
     medium.send_bytes(text.substr(10000));
-    EXPECT_TRUE(run_until([this] { return bodies.size() == 1; }, 5000));
-    memory_account_release(&account, limit_bytes * 3 / 4);
+    EXPECT_TRUE(run_until([this] { return bodies.size() == 1; }));
+    memory_account_release(&account, larges);
 }
 
 // Guards against connections that keep the body of their last request.
