test: a gateway's account holds nothing for a crowd that has gone

The hostile crowds also check now that the account is back at cached turns and connections that rest (1 MiB at most, not below 0) once the crowd's calls have ended, by the metrics of each gateway: a byte that is taken and never released would in time refuse everyone.

--- a/tests/soak/hostile_callers_test.py
+++ b/tests/soak/hostile_callers_test.py
@@ -42,6 +42,7 @@
 LONG_ID_BYTES = 7000  # Two of them fit into the limit on heads.
 DESCRIPTORS_KEPT = 64  # More than before the crowd, once it has gone: connections to back ends.
 DESCRIPTOR_LIMIT = 400
+HELD_AT_REST_BYTES = MEGABYTE  # In a gateway's account besides cached turns: resting connections.
 REST_S = 25.0  # Idle connections are closed by then.
 ORDINARY_TRIES = 40
 NOT_RUN = {408, 413, 421, 429, 431, 503}
@@ -153,6 +154,7 @@
         self.numbers = 0
         self.answers = {}  # Status, or 0 for a connection that ended: how often.
         self.refused = set()
+        self.account_bytes = []
 
     async def start(self):
         make = direct_fleet.soak.Cluster
@@ -210,6 +212,7 @@
         plain = await self.ordinary(SAFE, ORDINARY_TRIES)
         turn = await self.ordinary(TURN, ORDINARY_TRIES)
         kept = await self.kept_descriptors(by_name[gateway.name], before)
+        self.account_bytes = [await self.held_bytes(node) for node in self.cluster.gateways]
         for watch in watches:
             watch.stopped.set()
             watch.join()
@@ -224,6 +227,20 @@
                 return more
             await asyncio.sleep(0.2)
 
+    async def held_bytes(self, gateway):
+        """What the gateway's account holds besides cached turns, once the crowd's calls have ended."""
+        until = time.monotonic() + REST_S
+        while True:
+            reader, writer = await asyncio.open_connection("127.0.0.1", gateway.metrics_port)
+            writer.write(render("GET /metrics HTTP/1.1", [("Host", "h"), ("Connection", "close")]))
+            text = (await reader.read()).decode()
+            writer.close()
+            held, cached = (int(re.search(rf"rudderway_{name} (\d+)", text).group(1))
+                            for name in ("memory_held_bytes", "chain_cache_bytes"))
+            if held - cached <= HELD_AT_REST_BYTES or time.monotonic() > until:
+                return held - cached
+            await asyncio.sleep(0.2)
+
     def report(self, watches, beside, answered, plain, turn, kept):
         bounds = {"gateway": GATEWAY_MEMORY_MB, "store": STORE_MEMORY_MB}
         peaks = {watch.node.name: round(watch.peak_mb, 1) for watch in watches}
@@ -235,14 +252,15 @@
         run_after_refusal = len(self.refused & HostileBackend.ran)
         wrong = len(HostileBackend.wrong_bodies)
         held = (alive and fits and plain and turn and answered and kept <= DESCRIPTORS_KEPT and
-                run_after_refusal == 0 and wrong == 0)
+                run_after_refusal == 0 and wrong == 0 and
+                all(0 <= held <= HELD_AT_REST_BYTES for held in self.account_bytes))
         return {
             "alive": alive, "peak_mb": peaks,
             "left_mb": {watch.node.name: round(rss_mb(watch.pid), 1) for watch in watches if alive},
             "waiting_mb": round(max(watch.waiting_mb for watch in watches), 1),
             "descriptors": max(watch.descriptors for watch in watches), "descriptors_kept": kept,
             "beside": beside, "answered_beside": answered, "ordinary": plain, "ordinary_turn": turn,
-            "run_after_refusal": run_after_refusal, "wrong_bodies": wrong,
+            "account_bytes": self.account_bytes, "run_after_refusal": run_after_refusal, "wrong_bodies": wrong,
             "crowd": {str(key): value for key, value in sorted(self.answers.items())},
             "held": bool(held),
         }
