comments: plain terms for the memory account and its users

Comments only: the design of http_caller_memory.c and the lines on the account, reading that is paused, reservations and buffers use the field's terms. No code changed; listener_memory_unit_test passes.

--- a/src/common/memory_account.h
+++ b/src/common/memory_account.h
@@ -5,8 +5,7 @@
  * data is freed.
  *
  * Part of the limit is kept for small holders, so that ordinary requests are served while large
- * ones use up the rest. Caches give way first: the account asks its reclaimer for memory before it
- * refuses.
+ * ones use up the rest. Before it refuses, the account asks its reclaimer to evict cached data.
  *
  * Thread safety: an account belongs to one thread. The bytes of memory_account_wrap() must be freed
  * on that thread.
@@ -29,7 +28,7 @@
     size_t limit; /**< In bytes; 0: unlimited. */
     size_t held;
     size_t peak;       /**< Most that was held since memory was last given back to the system. */
-    size_t trim_bytes; /**< It is given back once so much less than that is held; 0: never. */
+    size_t trim_bytes; /**< Decrease from the peak that triggers this; 0: never. */
     uint64_t refused;
     /** Frees cached data of about @p bytes. */
     void (*reclaim)(void *owner, size_t bytes);
--- a/src/core/turns/space_reservations.h
+++ b/src/core/turns/space_reservations.h
@@ -35,7 +35,7 @@
 /** As space_reservations_add(), for a turn that is known to have @p bytes more than the mean. */
 void space_reservations_add_large(space_reservations_t *reservations, const char *call,
                                   uint64_t bytes, uint64_t now);
-/** What space_reservations_add_large() was told of the call; 0: nothing. */
+/** The size given to space_reservations_add_large() for the call; 0: none. */
 uint64_t space_reservations_known_bytes(const space_reservations_t *reservations, const char *call);
 /** Ends the reservation of a call that wrote a turn of @p turn_bytes; 0: it wrote none. */
 void space_reservations_complete(space_reservations_t *reservations, const char *call,
--- a/src/gateway/call.h
+++ b/src/gateway/call.h
@@ -232,9 +232,9 @@
 void call_exclude_backend(call_t *call);
 /** Discards what has been received of a response that is not streamed. */
 void call_clear_body(call_t *call);
-/** Holds the back end up if the caller has left many events unread. */
+/** Stops reading from the back end if the caller has left many events unread. */
 void call_pause_if_unread(call_t *call);
-/** The caller has read all that was forwarded: the back end may go on. */
+/** Reads from the back end again, since the caller has read all forwarded events. */
 void call_resume(call_t *call);
 /** Closes the connection to the back end, whose answer is not complete. */
 void call_close_client(call_t *call);
--- a/src/gateway/call_send.c
+++ b/src/gateway/call_send.c
@@ -199,7 +199,7 @@
     return true;
 }
 
-/** Length of the body that will follow, if the answer tells it; else 0. */
+/** Content-Length of a response with a body; 0: none, or unknown. */
 static uint64_t body_length_of_answer(const call_t *call, const http_answer_head_t *head) {
     if (strcmp(call->request->method, "HEAD") == 0 || head->status == STATUS_NOT_MODIFIED)
         return 0;
@@ -218,8 +218,9 @@
 }
 
 /**
- * The answer can't be held, which is no fault of its back end. Another one's would not fit either.
- * Called from the parser of its connection.
+ * Fails a call whose response does not fit into the memory account. It is not resent, since another
+ * response would not fit either, and its back end is not ejected. Called from the parser of its
+ * connection.
  */
 static void fail_for_memory(call_t *call) {
     call_log_send_failed(call, "no_memory");
@@ -235,7 +236,7 @@
     call->paused = true;
     call->was_paused = true;
     http_client_pause(call->client);
-    /* The back end is silent because it is not read. */
+    /* Nothing is received while reading is paused. */
     stall_watch_remove(&call->gateway->stall_watch, call);
 }
 
--- a/src/gateway/call_turn.c
+++ b/src/gateway/call_turn.c
@@ -253,7 +253,7 @@
         call_refuse(call, STATUS_UNAVAILABLE, CALL_TURN_UNKNOWN);
         return;
     }
-    /* As for a medium request: conversations go on while large requests use up their part. */
+    /* As a medium request: large ones must not use up the memory that conversations need. */
     if (!memory_account_take(&gateway->memory, CHAIN_READ_BYTES, MEMORY_MEDIUM_BYTES)) {
         call_refuse(call, STATUS_UNAVAILABLE, CALL_NO_MEMORY);
         return;
--- a/src/gateway/main.c
+++ b/src/gateway/main.c
@@ -18,7 +18,7 @@
      * is for the directory, what waits unread in sockets, and what the allocator can't give back.
      */
     ACCOUNT_SHARE_PERCENT = 50,
-    TRIM_SHARE_PERCENT = 10, /**< Memory goes back to the system once so much less is held. */
+    TRIM_SHARE_PERCENT = 10, /**< Of the memory; see memory_account_t.trim_bytes. */
     MEMORY_LOG_INTERVAL_MS = 1000,
     PERCENT = 100,
     MEGABYTE = 1024 * 1024,
@@ -113,7 +113,7 @@
               gateway->chains.bytes, memory->refused);
 }
 
-/** The account is short: the turn cache gives way. */
+/** Evicts cached turns, since the account has too little memory left. */
 static void shrink_cache(void *owner, size_t bytes) {
     gateway_t *gateway = owner;
     log_memory_short(gateway);
--- a/src/net/http_caller.c
+++ b/src/net/http_caller.c
@@ -21,7 +21,7 @@
     REQUESTS_PER_SHARE = 32,
     NEXT_TURN_MS = 1,
     LINGER_MS = 300,     /**< A caller's time to close after its last answer. */
-    CALLER_BYTES = 3072, /**< Of a connection that rests. */
+    CALLER_BYTES = 3072, /**< Of an idle connection. */
 };
 
 static char read_buffer[READ_BUFFER_BYTES];
--- a/src/net/http_caller.h
+++ b/src/net/http_caller.h
@@ -149,8 +149,8 @@
 /** What each answer begins with. */
 extern const char http_status_line_begin[];
 /**
- * Writes and takes over @p bytes. False if the caller is lost, which the owner will be told; so is
- * one for whom they can't wait, since the account is short.
+ * Writes and takes over @p bytes. False if the caller is lost, as reported to the owner later; also
+ * if bytes that the kernel does not take at once exceed the account.
  */
 bool http_caller_write(http_caller_t *caller, GString *bytes);
 
--- a/src/net/http_caller_memory.c
+++ b/src/net/http_caller_memory.c
@@ -1,26 +1,26 @@
 /*
- * Design. All that callers send counts in the account of the process before it is kept. When it is
- * short, memory goes to requests that move on: one whose body has stopped to arrive is answered
- * with 503, which is true, since nobody has seen it. If all move on, the request that needs more is
- * refused, since those that have begun before are nearer to their end.
+ * Design. All that callers send is counted in the account before it is kept. When the account is
+ * exhausted, the unfinished request whose latest progress is oldest is refused with 503, which is
+ * correct because it was never delivered. If all requests make progress, the one that needs more
+ * memory is refused: those that began earlier are closer to completion.
  *
- * Descriptors are shared alike: above a bound that leaves some for back ends, the connection that
- * has waited longest for a request, or for the rest of one, gives way to a new one.
+ * Descriptors: above a limit that leaves some for back ends, a new connection replaces the one that
+ * has been idle, or has had an incomplete request, for longest.
  *
- * A body is kept once: from its first byte on in the connection, then in bytes that the connection,
- * the exchange with a back end and a stored turn refer to.
+ * A body is kept once: first in the connection's buffer, then as GBytes that the connection, the
+ * exchange with a back end and a stored turn share.
  */
 #include "net/http_caller.h"
 
 #include <netinet/tcp.h>
 
 enum {
-    /** A request that has not brought PROGRESS_BYTES for so long may be refused for another. */
+    /** A request that receives less than PROGRESS_BYTES in this time may be refused. */
     STALLED_MS = 500,
     PROGRESS_BYTES = 4096,
-    LARGE_BODY_BYTES = 8 * 1024,    /**< What a request holds when it gets a larger buffer. */
-    LARGE_BUFFER_BYTES = 32 * 1024, /**< Then: 6 MB a second over a way of 5 ms. */
-    LARGE_BUFFER_COST = 2 * LARGE_BUFFER_BYTES, /**< As Linux doubles it. */
+    LARGE_BODY_BYTES = 8 * 1024,    /**< Held bytes at which the receive buffer is enlarged. */
+    LARGE_BUFFER_BYTES = 32 * 1024, /**< 6 MB/s at a round trip of 5 ms. */
+    LARGE_BUFFER_COST = 2 * LARGE_BUFFER_BYTES, /**< Linux allocates twice the value. */
     FIRST_BUFFER_BYTES = 64,
     LARGEST_HEAP_BLOCK_BYTES = 64 * 1024, /**< Larger blocks are mapped. */
     KEPT_BYTES = 4096, /**< A buffer of up to this size is used for the next request. */
@@ -71,7 +71,7 @@
     return g_strdup_printf("Retry-After: %u.%03u\r\n", ms / MS_PER_S, ms % MS_PER_S);
 }
 
-/** Refuses the request that has made no progress for longest; false if all make progress. */
+/** Refuses the request whose latest progress is oldest; false if all make progress. */
 static bool refuse_stalled(const http_caller_t *for_caller) {
     http_listener_t *listener = for_caller->listener;
     http_caller_t *stalled = g_queue_peek_head(&listener->unfinished);
@@ -92,11 +92,11 @@
     setsockopt(descriptor, IPPROTO_TCP, TCP_WINDOW_CLAMP, &bytes, sizeof bytes);
 }
 
-/** Lets more of a large body wait in its socket, so that it arrives faster. */
+/** Enlarges the receive buffer for a large body, if the account allows it. */
 static void enlarge_buffer(http_caller_t *caller) {
     if (caller->has_large_buffer || caller->held < LARGE_BODY_BYTES)
         return;
-    size_t size = caller->held + LARGE_BUFFER_COST; /* For large requests, which wait for it. */
+    size_t size = caller->held + LARGE_BUFFER_COST;
     if (!memory_account_take(caller->listener->account, LARGE_BUFFER_COST, size))
         return;
     caller->held += LARGE_BUFFER_COST;
@@ -105,7 +105,7 @@
     set_receive_buffer(caller, LARGE_BUFFER_BYTES);
 }
 
-/** The body is whole or dropped: the connection has the buffer of one that rests. */
+/** Undoes enlarge_buffer() once the body is complete or dropped. */
 static void restore_buffer(http_caller_t *caller) {
     if (!caller->has_large_buffer)
         return;
--- a/src/net/http_listener.h
+++ b/src/net/http_listener.h
@@ -53,14 +53,14 @@
 /** Bounds for requests that begin from now on. */
 void http_listener_set_limits(http_listener_t *listener, const http_limits_t *limits);
 /**
- * Counts what connections hold in @p account, which outlives the listener. What doesn't fit is not
- * read: the request that has made no progress for longest is answered with 503, or the one that
+ * Counts what connections hold in @p account, which outlives the listener. When it is exhausted,
+ * the unfinished request without progress for longest is refused with 503, or else the one that
  * needs more memory.
  */
 void http_listener_set_account(http_listener_t *listener, memory_account_t *account);
 /**
  * Allows @p most connections, if that is fewer than the part of the process's descriptors that a
- * listener may have by default. Above that, one that waits for a request gives way to a new one.
+ * listener may have by default. Above that, a new one replaces the one idle for longest.
  */
 void http_listener_set_connections(http_listener_t *listener, unsigned most);
 /** From now on each answer says that its connection ends after it. */
